--- /dev/null
+++ b/internal/errkind/errkind.go
@@ -0,0 +1,193 @@
+package errkind
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind names one entry of the closed list of error kinds.
+type Kind string
+
+// The closed list of error kinds.
+const (
+	InvalidRequest      Kind = "invalid_request"      // the request is malformed or a field is out of range
+	RequestTooLarge     Kind = "request_too_large"    // the body exceeds the configured limit
+	Unauthenticated     Kind = "unauthenticated"      // no key, or an unknown key
+	PermissionDenied    Kind = "permission_denied"    // the client account may not do this
+	NotFound            Kind = "not_found"            // no such model, route or object
+	KeyReused           Kind = "key_reused"           // same Idempotency-Key with another body
+	RateLimited         Kind = "rate_limited"         // the client account's limit is reached
+	DeadlineUnmeetable  Kind = "deadline_unmeetable"  // predicted completion lies past the deadline
+	Overloaded          Kind = "overloaded"           // queue bounds are reached
+	NoUpstream          Kind = "no_upstream"          // no upstream can serve this now
+	Draining            Kind = "draining"             // this instance is stopping
+	ClaimUnavailable    Kind = "claim_unavailable"    // the claim could not be recorded; the platform is out
+	ConfigUnavailable   Kind = "config_unavailable"   // no configuration has been received yet
+	UpstreamRefused     Kind = "upstream_refused"     // the upstream refused before running
+	UpstreamFailed      Kind = "upstream_failed"      // the upstream failed in the middle
+	AnswerIncomplete    Kind = "answer_incomplete"    // the stream ended without its whole answer
+	AnswerGone          Kind = "answer_gone"          // the run finished but its answer is no longer kept
+	OutcomeUnknown      Kind = "outcome_unknown"      // the request may or may not have run
+	DeadlineExceeded    Kind = "deadline_exceeded"    // the deadline passed while the request ran
+	Canceled            Kind = "canceled"             // the caller left
+	Conflict            Kind = "conflict"             // another writer changed the object first
+	PlatformUnavailable Kind = "platform_unavailable" // the platform cannot be reached or refuses
+	NotHolder           Kind = "not_holder"           // this process does not hold the authority
+	StaleFence          Kind = "stale_fence"          // the engine saw a newer fencing number
+	InvalidObject       Kind = "invalid_object"       // a resource fails validation
+	InvalidSettings     Kind = "invalid_settings"     // settings fail validation
+	Internal            Kind = "internal"             // a defect of ours
+)
+
+// RunState tells a caller whether its request ran.
+type RunState string
+
+// The run states.
+const (
+	NotRun     RunState = "not-run" // provably never started at an upstream
+	RunUnknown RunState = "unknown" // may have run
+	Ran        RunState = "ran"     // started, perhaps finished, at an upstream
+)
+
+// Answer is one row of the table from kind to answer.
+type Answer struct {
+	Status    int    // HTTP status
+	Type      string // the "type" field of the OpenAI error shape
+	Retryable bool   // whether trying again later can help
+	ExitCode  int    // exit code of the command line
+	Meaning   string // one sentence for the operators' page
+}
+
+// Command line exit codes. Documented in docs/ERRORS.md.
+const (
+	ExitOK          = 0
+	ExitInternal    = 1
+	ExitUsage       = 2
+	ExitInvalid     = 3
+	ExitNotFound    = 4
+	ExitConflict    = 5
+	ExitUnavailable = 6
+	ExitDenied      = 7
+)
+
+const (
+	typeInvalid = "invalid_request_error"
+	typeAuth    = "authentication_error"
+	typeLimit   = "rate_limit_error"
+	typeServer  = "server_error"
+)
+
+var table = map[Kind]Answer{
+	InvalidRequest:      {http.StatusBadRequest, typeInvalid, false, ExitInvalid, "A field of the request is malformed; the message names it."},
+	RequestTooLarge:     {http.StatusRequestEntityTooLarge, typeInvalid, false, ExitInvalid, "The body is larger than the limit in the settings."},
+	Unauthenticated:     {http.StatusUnauthorized, typeAuth, false, ExitDenied, "The key is missing or unknown."},
+	PermissionDenied:    {http.StatusForbidden, typeAuth, false, ExitDenied, "The client account may not use this model, priority or operation."},
+	NotFound:            {http.StatusNotFound, typeInvalid, false, ExitNotFound, "No such model, route or object."},
+	KeyReused:           {http.StatusUnprocessableEntity, typeInvalid, false, ExitConflict, "The Idempotency-Key was used before with another body."},
+	RateLimited:         {http.StatusTooManyRequests, typeLimit, true, ExitUnavailable, "The client account's rate or tokens in flight are used up."},
+	DeadlineUnmeetable:  {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "The deadline cannot be met at the present load."},
+	Overloaded:          {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "The queue is full."},
+	NoUpstream:          {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "No upstream can serve the request now."},
+	Draining:            {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "This instance is stopping; another one answers."},
+	ClaimUnavailable:    {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "The idempotency claim cannot be recorded while the platform is out."},
+	ConfigUnavailable:   {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "This instance has no configuration yet."},
+	UpstreamRefused:     {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "The upstream refused the request before running it."},
+	UpstreamFailed:      {http.StatusBadGateway, typeServer, true, ExitUnavailable, "The upstream failed while the request ran."},
+	AnswerIncomplete:    {http.StatusBadGateway, typeServer, true, ExitUnavailable, "The answer broke off and could not be completed."},
+	AnswerGone:          {http.StatusGone, typeServer, false, ExitUnavailable, "The request ran; its answer is no longer kept."},
+	OutcomeUnknown:      {http.StatusBadGateway, typeServer, false, ExitUnavailable, "The request may or may not have run."},
+	DeadlineExceeded:    {http.StatusGatewayTimeout, typeServer, true, ExitUnavailable, "The deadline passed."},
+	Canceled:            {499, typeInvalid, false, ExitUnavailable, "The caller closed the connection."},
+	Conflict:            {http.StatusConflict, typeInvalid, false, ExitConflict, "Another writer changed the object first; the message names the writer."},
+	PlatformUnavailable: {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "The platform's object API does not answer."},
+	NotHolder:           {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "This process does not hold the availability zone's lease."},
+	StaleFence:          {http.StatusConflict, typeServer, false, ExitConflict, "The engine has seen a newer fencing number."},
+	InvalidObject:       {http.StatusUnprocessableEntity, typeInvalid, false, ExitInvalid, "The resource fails validation; the message names the field."},
+	InvalidSettings:     {http.StatusBadRequest, typeInvalid, false, ExitUsage, "The settings fail validation; the message names the field."},
+	Internal:            {http.StatusInternalServerError, typeServer, true, ExitInternal, "A defect of the system."},
+}
+
+// Lookup gives the answer for a kind. An unlisted kind answers as Internal.
+func Lookup(k Kind) Answer {
+	if a, ok := table[k]; ok {
+		return a
+	}
+	return table[Internal]
+}
+
+// Kinds lists every kind, unordered.
+func Kinds() []Kind {
+	out := make([]Kind, 0, len(table))
+	for k := range table {
+		out = append(out, k)
+	}
+	return out
+}
+
+// Error is an error with a kind, whether the request ran, and when to come back.
+type Error struct {
+	Kind       Kind
+	Run        RunState
+	Field      string        // the offending field, if any
+	Message    string        // plain English, no secrets
+	RetryAfter time.Duration // zero: not stated
+	cause      error
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	s := string(e.Kind)
+	if e.Field != "" {
+		s += " " + e.Field
+	}
+	if e.Message != "" {
+		s += ": " + e.Message
+	}
+	if e.cause != nil {
+		s += ": " + e.cause.Error()
+	}
+	return s
+}
+
+// Unwrap gives the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// New makes an error of kind k for a request in run state run.
+func New(k Kind, run RunState, message string) *Error {
+	return &Error{Kind: k, Run: run, Message: message}
+}
+
+// Field makes an InvalidRequest-like error of kind k that names a field. It never ran.
+func Field(k Kind, field, message string) *Error {
+	return &Error{Kind: k, Run: NotRun, Field: field, Message: message}
+}
+
+// Wrap makes an error of kind k with a cause.
+func Wrap(cause error, k Kind, run RunState, message string) *Error {
+	return &Error{Kind: k, Run: run, Message: message, cause: cause}
+}
+
+// After returns a copy that tells the caller when to come back.
+func (e *Error) After(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// From finds the *Error in a chain. A foreign error becomes Internal with
+// RunUnknown, because nothing proves that the request did not run.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Wrap(err, Internal, RunUnknown, "unexpected error")
+}
+
+// Is reports whether the chain of err holds an Error of kind k.
+func Is(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
