--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Targets are documented in README.md. Only Go, gcc, make and git are needed.
+GO ?= go
+BIN := bin
+
+.PHONY: build run test lint setup spec bench bench-policy capacity
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+run: build
+	$(BIN)/ragwort-trial
+
+test:
+	$(GO) test -race -timeout 280s ./...
+
+lint:
+	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; echo "gofmt: files above need formatting"; exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+setup:
+	@command -v spin >/dev/null || { apt-get update -q && apt-get install -y -q spin; }
+
+spec: setup
+	$(MAKE) -C spec
+
+bench:
+	$(GO) run ./cmd/ragwort-bench all
+
+bench-policy:
+	$(GO) run ./cmd/ragwort-bench policy-table
+
+capacity:
+	$(GO) run ./cmd/ragwort-bench capacity
--- /dev/null
+++ b/internal/connection/peer/message.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+)
+
+// ProtocolVersion is the version of the messages below. A peer accepts its own
+// and the one before, so that a rolling restart never splits the fleet.
+const ProtocolVersion = 1
+
+// MaxMessageBytes bounds one message in either direction.
+const MaxMessageBytes = 4 << 20
+
+// Envelope is the frame of every message: exactly one body is set.
+type Envelope struct {
+	V    int    `cbor:"1,keyasint"`           // ProtocolVersion
+	From string `cbor:"2,keyasint"`           // instance name of the sender
+	Call uint64 `cbor:"3,keyasint,omitempty"` // request number; zero: one way
+	Re   uint64 `cbor:"4,keyasint,omitempty"` // request number that this answers
+
+	Hello     *Hello          `cbor:"10,keyasint,omitempty"`
+	Heartbeat *Heartbeat      `cbor:"11,keyasint,omitempty"`
+	Delta     *ConfigDelta    `cbor:"12,keyasint,omitempty"`
+	Fetch     *ConfigFetch    `cbor:"13,keyasint,omitempty"`
+	Snapshot  *ConfigSnapshot `cbor:"14,keyasint,omitempty"`
+	Use       *UseReport      `cbor:"15,keyasint,omitempty"`
+	Claim     *ClaimAsk       `cbor:"16,keyasint,omitempty"`
+	Claimed   *ClaimAnswer    `cbor:"17,keyasint,omitempty"`
+	Explain   *ExplainAsk     `cbor:"18,keyasint,omitempty"`
+	Explained *ExplainAnswer  `cbor:"19,keyasint,omitempty"`
+}
+
+// Hello opens a connection in both directions.
+type Hello struct {
+	Name        string `cbor:"1,keyasint"` // instance name
+	Role        string `cbor:"2,keyasint"` // gateway or controller
+	Zone        string `cbor:"3,keyasint"`
+	PeerAddress string `cbor:"4,keyasint"`
+	Incarnation uint64 `cbor:"5,keyasint"` // random per process start
+}
+
+// MemberRow is what a daemon knows of another one, passed on with heartbeats.
+type MemberRow struct {
+	Name        string `cbor:"1,keyasint"`
+	Role        string `cbor:"2,keyasint"`
+	Zone        string `cbor:"3,keyasint"`
+	PeerAddress string `cbor:"4,keyasint"`
+	Incarnation uint64 `cbor:"5,keyasint"`
+	Beat        uint64 `cbor:"6,keyasint"` // counts the daemon's own heartbeats
+	Applied     uint64 `cbor:"7,keyasint"` // configuration version in force there
+	Leaving     bool   `cbor:"8,keyasint"`
+}
+
+// Heartbeat carries the sender's own row and rows that changed since the last one.
+type Heartbeat struct {
+	Rows []MemberRow `cbor:"1,keyasint"`
+}
+
+// ConfigDelta passes on the changes after version Base up to version Version.
+type ConfigDelta struct {
+	Base    uint64           `cbor:"1,keyasint"`
+	Version uint64           `cbor:"2,keyasint"`
+	Events  []platform.Event `cbor:"3,keyasint"`
+}
+
+// ConfigFetch asks for everything after Have.
+type ConfigFetch struct {
+	Have uint64 `cbor:"1,keyasint"`
+}
+
+// ConfigSnapshot answers a ConfigFetch that a delta cannot answer.
+type ConfigSnapshot struct {
+	Version uint64         `cbor:"1,keyasint"`
+	Objects []ConfigObject `cbor:"2,keyasint"`
+}
+
+// ConfigObject is one object with its last good form.
+type ConfigObject struct {
+	Newest   platform.Object  `cbor:"1,keyasint"`
+	LastGood *platform.Object `cbor:"2,keyasint,omitempty"` // set when Newest is invalid
+}
+
+// UseRow is what a gateway sent to a runner since its previous report.
+type UseRow struct {
+	Runner   string `cbor:"1,keyasint"`
+	Requests int    `cbor:"2,keyasint"` // change of requests in flight
+	Prefill  int    `cbor:"3,keyasint"` // prompt tokens sent
+	Decode   int    `cbor:"4,keyasint"` // output tokens expected of what was sent
+	Done     int    `cbor:"5,keyasint"` // output tokens received
+}
+
+// AccountRow is a client account's use at one gateway since its previous report.
+type AccountRow struct {
+	Account  string `cbor:"1,keyasint"`
+	Requests int    `cbor:"2,keyasint"`
+	InFlight int    `cbor:"3,keyasint"` // tokens in flight now (absolute)
+}
+
+// DemandRow is the demand that a gateway admitted or refused since its previous report.
+type DemandRow struct {
+	Model   string `cbor:"1,keyasint"`
+	Prefill int    `cbor:"2,keyasint"` // prompt tokens
+	Decode  int    `cbor:"3,keyasint"` // output tokens, expected
+	Arrived int    `cbor:"4,keyasint"` // requests
+	Late    int    `cbor:"5,keyasint"` // requests late or refused for lack of capacity
+}
+
+// UseReport is one gateway's use since its previous report (about a second ago).
+type UseReport struct {
+	Origin   string       `cbor:"1,keyasint"`
+	Sequence uint64       `cbor:"2,keyasint"`
+	Runners  []UseRow     `cbor:"3,keyasint,omitempty"`
+	Accounts []AccountRow `cbor:"4,keyasint,omitempty"`
+	Demand   []DemandRow  `cbor:"5,keyasint,omitempty"`
+}
+
+// ClaimAsk asks the keeper of a bucket to record a claim, or to change its holder or runner.
+type ClaimAsk struct {
+	Account       string `cbor:"1,keyasint"`
+	KeyHash       []byte `cbor:"2,keyasint"`
+	BodyHash      []byte `cbor:"3,keyasint"`
+	Holder        string `cbor:"4,keyasint"` // gateway that will send
+	Runner        string `cbor:"5,keyasint"`
+	Incarnation   string `cbor:"6,keyasint"` // of the runner
+	RunID         string `cbor:"7,keyasint"`
+	ExpectHolder  string `cbor:"8,keyasint,omitempty"` // with ExpectAttempt: change an existing claim only from this
+	ExpectAttempt int    `cbor:"9,keyasint,omitempty"` // zero: create if absent
+}
+
+// ClaimAnswer gives the claim in force after the ask.
+type ClaimAnswer struct {
+	Granted     bool   `cbor:"1,keyasint"`           // the ask took effect
+	Kind        string `cbor:"2,keyasint,omitempty"` // error kind if nothing is known
+	BodyHash    []byte `cbor:"3,keyasint,omitempty"`
+	Holder      string `cbor:"4,keyasint,omitempty"`
+	Attempt     int    `cbor:"5,keyasint,omitempty"`
+	Moves       bool   `cbor:"6,keyasint,omitempty"` // the holder may still move the claim to another runner
+	Runner      string `cbor:"7,keyasint,omitempty"`
+	Incarnation string `cbor:"8,keyasint,omitempty"`
+	RunID       string `cbor:"9,keyasint,omitempty"`
+}
+
+// ExplainAsk asks a daemon what it knows about a request or change.
+type ExplainAsk struct {
+	Request string `cbor:"1,keyasint,omitempty"`
+	Change  string `cbor:"2,keyasint,omitempty"`
+}
+
+// ExplainAnswer lists what is known, one line each.
+type ExplainAnswer struct {
+	Lines []string `cbor:"1,keyasint,omitempty"`
+}
+
+// Handler receives what a connection delivers. Methods are called one at a time
+// for each connection and must not block.
+type Handler interface {
+	// Connected tells that a connection to the peer is up.
+	Connected(h Hello)
+	// Disconnected tells that the connection to the peer is gone.
+	Disconnected(name string)
+	// Receive handles a message. A non-nil answer is sent back with Re set.
+	Receive(from Hello, e Envelope) *Envelope
+}
--- /dev/null
+++ b/internal/process/metrics/doc.go
@@ -0,0 +1,2 @@
+// Package metrics exports tally metrics as Prometheus text.
+package metrics
--- /dev/null
+++ b/internal/process/ops/doc.go
@@ -0,0 +1,2 @@
+// Package ops serves the operators' port: ready, live, metrics, drain state, explain.
+package ops
--- /dev/null
+++ b/internal/process/reconcile/doc.go
@@ -0,0 +1,2 @@
+// Package reconcile computes from desired and actual state a plan of steps with a reason for each. Pure.
+package reconcile
--- /dev/null
+++ b/internal/version/config/snapshot.go
@@ -0,0 +1,29 @@
+package config
+
+import (
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// Snapshot is one version of the configuration with everything typed and
+// validated. It is immutable: a request keeps the one it began with.
+type Snapshot struct {
+	Version   uint64 // store version; grows with each snapshot
+	Engines   map[string]resource.Engine
+	Runners   map[string]resource.Runner
+	Models    map[string]resource.Model
+	Adapters  map[string]resource.Adapter
+	Versions  map[string]resource.Version
+	Routes    map[string]resource.Route
+	Accounts  map[string]resource.ClientAccount
+	Services  map[string]resource.Service
+	Instances map[string]resource.Instance // the platform's lagging list
+	ByKeyHash map[string]string            // hex SHA-256 of an API key to account name
+	Rejected  map[string]Rejection         // "<Kind>/<name>" of objects whose newest version is invalid
+}
+
+// Rejection says why the newest version of an object is not in force.
+type Rejection struct {
+	Version uint64 // the refused version
+	InForce uint64 // the last good version; zero: none
+	Message string
+}
