--- /dev/null
+++ b/cmd/ragwort-bench/main.go
@@ -0,0 +1,18 @@
+// Command ragwort-bench runs the project's measurements. Each prints ratios from one run.
+package main
+
+import (
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/bench"
+)
+
+func main() {
+	parser := flags.NewParser(nil, flags.Default)
+	bench.Register(parser)
+	if _, err := parser.Parse(); err != nil {
+		os.Exit(2)
+	}
+}
