--- /dev/null
+++ b/internal/bench/engine/cache.go
@@ -0,0 +1,127 @@
+package engine
+
+import (
+	"container/list"
+	"strconv"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+// BlockTokens is the length of a prefix block in tokens.
+const BlockTokens = 64
+
+// keptEvents bounds the cache events that an engine keeps for readers.
+const keptEvents = 4096
+
+// prefixCache holds the blocks used last.
+type prefixCache struct {
+	size   int
+	order  *list.List // of uint64, least recently used first
+	blocks map[uint64]*list.Element
+	next   uint64 // sequence of the next event
+	events []upstream.CacheEvent
+}
+
+func newPrefixCache(size int) *prefixCache {
+	return &prefixCache{size: size, order: list.New(), blocks: map[uint64]*list.Element{}}
+}
+
+func (c *prefixCache) clear() {
+	c.order.Init()
+	clear(c.blocks)
+	c.events = nil
+	c.next++ // a gap: readers must resync
+}
+
+// leading counts the leading blocks that are cached.
+func (c *prefixCache) leading(hashes []uint64) int {
+	for i, h := range hashes {
+		if c.blocks[h] == nil {
+			return i
+		}
+	}
+	return len(hashes)
+}
+
+// insert adds blocks, or marks them as used, and drops those used longest ago.
+func (c *prefixCache) insert(hashes []uint64) {
+	for _, h := range hashes {
+		if at := c.blocks[h]; at != nil {
+			c.order.MoveToBack(at)
+			continue
+		}
+		c.blocks[h] = c.order.PushBack(h)
+		c.tell(h, false)
+	}
+	for c.order.Len() > c.size {
+		oldest := c.order.Remove(c.order.Front()).(uint64)
+		delete(c.blocks, oldest)
+		c.tell(oldest, true)
+	}
+}
+
+func (c *prefixCache) tell(block uint64, removed bool) {
+	c.events = append(c.events, upstream.CacheEvent{Sequence: c.next, Block: block, Removed: removed})
+	c.next++
+	if len(c.events) > keptEvents {
+		c.events = c.events[len(c.events)-keptEvents:]
+	}
+}
+
+// CacheEvents gives the events since a sequence, as upstream.Engine does.
+func (e *Engine) CacheEvents(since uint64) upstream.CacheEvents {
+	c := e.cache
+	out := upstream.CacheEvents{Incarnation: e.incarnationName(), Next: c.next}
+	first := c.next - uint64(len(c.events))
+	if since >= first && since <= c.next {
+		out.Events = c.events[since-first:]
+		return out
+	}
+	out.Resync = true
+	for at := c.order.Front(); at != nil; at = at.Next() {
+		out.Events = append(out.Events, upstream.CacheEvent{Sequence: c.next, Block: at.Value.(uint64)})
+	}
+	return out
+}
+
+func (e *Engine) incarnationName() string {
+	return e.cfg.Name + "-" + strconv.Itoa(e.incarnation)
+}
+
+// Report is the load at this moment; the benchmark delays it. Epoch is the wall
+// clock at virtual time zero.
+func (e *Engine) Report(now time.Duration, epoch time.Time) upstream.LoadReport {
+	queued := 0.0
+	for _, j := range e.queue {
+		queued += j.left
+	}
+	return upstream.LoadReport{
+		Runner:         e.cfg.Name,
+		Incarnation:    e.incarnationName(),
+		At:             epoch.Add(now),
+		QueuedRequests: len(e.queue),
+		QueuedPrefill:  int(queued),
+		Running:        len(e.decoding),
+		KVUsedTokens:   e.kvUsed,
+		KVTotalTokens:  e.cfg.Class.KVTokens,
+		PrefillRate:    e.cfg.Class.PrefillRate,
+		DecodeRate:     e.cfg.Class.DecodeRate,
+	}
+}
+
+// State is the actual state, as upstream.Engine gives it.
+func (e *Engine) State(now time.Duration) upstream.State {
+	s := upstream.State{
+		Runner:      e.cfg.Name,
+		Incarnation: e.incarnationName(),
+		Role:        e.role,
+		Loaded:      []upstream.Loaded{e.cfg.Model},
+		OrderStatus: upstream.OrderDone,
+		Streams:     e.Streams(),
+	}
+	if e.Away(now) {
+		s.OrderStatus = upstream.OrderRunning
+	}
+	return s
+}
--- /dev/null
+++ b/internal/bench/engine/step.go
@@ -0,0 +1,180 @@
+package engine
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// Never is the time of an event that does not come.
+const Never = time.Duration(math.MaxInt64)
+
+// finishHeap orders running streams by the progress at which they end.
+type finishHeap []*Job
+
+func (h finishHeap) Len() int           { return len(h) }
+func (h finishHeap) Less(i, k int) bool { return h[i].finishAt < h[k].finishAt }
+func (h finishHeap) Swap(i, k int)      { h[i], h[k] = h[k], h[i] }
+func (h *finishHeap) Push(x any)        { *h = append(*h, x.(*Job)) }
+func (h *finishHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+// StepSeconds is how long a step of an engine class takes with the given streams
+// and prompt tokens.
+func StepSeconds(class resource.Engine, streams, chunk float64) float64 {
+	e := New(Config{Class: class})
+	return e.fixed + e.perStream*streams + chunk/class.PrefillRate
+}
+
+// head is the job whose prompt is computed now: the first by priority, then by
+// arrival, that fits into the batch and the KV memory. An imported prompt that
+// has not arrived yet does not hold up the others.
+func (e *Engine) head() *Job {
+	var best *Job
+	for _, j := range e.queue {
+		if j.readyAt > e.now {
+			continue
+		}
+		if best == nil || j.Priority > best.Priority || (j.Priority == best.Priority && j.order < best.order) {
+			best = j
+		}
+	}
+	if best == nil || best.PrefillOnly {
+		return best
+	}
+	if len(e.decoding) >= e.cfg.Class.MaxBatch || e.kvUsed+best.Prompt+best.Out > e.cfg.Class.KVTokens {
+		return nil
+	}
+	return best
+}
+
+// rates gives prompt tokens a second and tokens a second of each stream.
+func (e *Engine) rates(head *Job) (prefill, stream float64) {
+	streams := float64(len(e.decoding))
+	step := e.fixed + e.perStream*streams
+	switch {
+	case head == nil:
+		return 0, 1 / step
+	case streams == 0:
+		return e.cfg.Class.PrefillRate, 0
+	}
+	chunk := float64(ChunkDecode)
+	if e.role == upstream.RoleBoth {
+		chunk = ChunkBoth
+	}
+	step += chunk / e.cfg.Class.PrefillRate
+	return chunk / step, 1 / step
+}
+
+// Next is the virtual time of the next event if nothing is submitted, or Never.
+func (e *Engine) Next() time.Duration {
+	if e.Streams() == 0 {
+		return Never
+	}
+	if e.now < e.away {
+		return e.away
+	}
+	head := e.head()
+	prefill, stream := e.rates(head)
+	next := Never
+	if head != nil {
+		e.lookUp(head)
+		next = e.after(head.left / prefill)
+	}
+	if len(e.decoding) > 0 {
+		next = min(next, e.after((e.decoding[0].finishAt-e.progress)/stream))
+	}
+	for _, j := range e.queue {
+		if j.readyAt > e.now {
+			next = min(next, j.readyAt)
+		}
+	}
+	return max(next, e.now+1)
+}
+
+// after rounds up to the next nanosecond, so that the work is done by then.
+func (e *Engine) after(seconds float64) time.Duration {
+	return e.now + time.Duration(math.Ceil(math.Max(0, seconds)*float64(time.Second)))
+}
+
+// Advance runs the engine to now and gives what happened, in order.
+func (e *Engine) Advance(now time.Duration) []Event {
+	var events []Event
+	for e.now < now {
+		next := min(e.Next(), now)
+		e.work(next)
+		events = e.complete(events)
+	}
+	return events
+}
+
+// work spends the time until next at the rates of now.
+func (e *Engine) work(next time.Duration) {
+	seconds := (next - e.now).Seconds()
+	if e.now >= e.away && e.Streams() > 0 {
+		head := e.head()
+		prefill, stream := e.rates(head)
+		if head != nil {
+			e.lookUp(head)
+			done := math.Min(head.left, prefill*seconds)
+			head.left -= done
+			head.Computed += done
+		}
+		if len(e.decoding) > 0 {
+			e.progress += stream * seconds
+		}
+	}
+	e.now = next
+}
+
+// complete moves the jobs whose work is done.
+func (e *Engine) complete(events []Event) []Event {
+	for len(e.decoding) > 0 && e.decoding[0].finishAt <= e.progress+doneSlack {
+		j := heap.Pop(&e.decoding).(*Job)
+		e.kvUsed -= j.Prompt + j.Out
+		events = append(events, Event{Kind: Done, Job: j, At: e.now})
+	}
+	for e.now >= e.away {
+		j := e.head()
+		if j == nil || j.left > doneSlack || (!j.HasKV && !j.cacheSeen) {
+			break
+		}
+		events = e.promptDone(events, j)
+	}
+	return events
+}
+
+// promptDone takes a job whose prompt is computed out of the queue.
+func (e *Engine) promptDone(events []Event, j *Job) []Event {
+	for i := range e.queue {
+		if e.queue[i] == j {
+			e.queue = append(e.queue[:i], e.queue[i+1:]...)
+			break
+		}
+	}
+	e.cache.insert(j.Hashes)
+	if j.PrefillOnly {
+		return append(events, Event{Kind: PrefillDone, Job: j, At: e.now})
+	}
+	j.FirstAt = e.now
+	j.finishAt = e.progress + float64(j.Out-1)
+	e.kvUsed += j.Prompt + j.Out
+	heap.Push(&e.decoding, j)
+	return append(events, Event{Kind: FirstToken, Job: j, At: e.now})
+}
+
+// lookUp takes the cached prefix off a prompt when its computing begins.
+func (e *Engine) lookUp(j *Job) {
+	if j.cacheSeen || j.HasKV {
+		return
+	}
+	j.cacheSeen = true
+	j.left = math.Max(1, j.left-float64(e.cache.leading(j.Hashes)*BlockTokens))
+}
