Validate resources whole, naming each offending field and value

Cause: an invalid object has to be refused before acceptance with a clear error, and again by each daemon. Conclusion: one check serves the command line and the daemons.

--- a/internal/version/resource/kinds.go
+++ b/internal/version/resource/kinds.go
@@ -164,6 +164,13 @@
 	InstanceLeaving InstanceState = "leaving"
 )
 
+// The roles of an instance in the platform's list.
+const (
+	RoleGateway    = "gateway"
+	RoleController = "controller"
+	RoleUpstream   = "upstream"
+)
+
 // Instance is one entry of the platform's list. Upstream instances are named as
 // the runner or service upstream that they carry; entry instances as the
 // settings of their daemon name them.
--- /dev/null
+++ b/internal/version/resource/validate.go
@@ -0,0 +1,148 @@
+package resource
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"regexp"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+)
+
+// MaxNameBytes bounds the name of an object.
+const MaxNameBytes = 128
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9._/-]*[a-z0-9])?$`)
+
+// specValidators has one entry for each kind that operators write, and for the
+// platform's list of instances.
+var specValidators = map[string]func(platform.Object) error{
+	KindEngine:        validator(checkEngine),
+	KindRunner:        validator(checkRunner),
+	KindModel:         validator(checkModel),
+	KindAdapter:       validator(checkAdapter),
+	KindVersion:       validator(checkVersion),
+	KindRoute:         validator(checkRoute),
+	KindClientAccount: validator(checkClientAccount),
+	KindService:       validator(checkService),
+	KindInstance:      validator(checkInstance),
+}
+
+// Decode reads the spec of an object. Unknown fields are refused.
+func Decode[T any](o platform.Object) (T, error) {
+	var spec T
+	decoder := json.NewDecoder(bytes.NewReader(o.Spec))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&spec); err != nil {
+		return spec, decodeError(o, err)
+	}
+	if decoder.More() {
+		return spec, invalid(o, "spec", "has data after its end")
+	}
+	return spec, nil
+}
+
+// Encode writes a spec into an object of the given kind and name.
+func Encode(kind, name string, spec any) (platform.Object, error) {
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		return platform.Object{}, errors.Wrapf(err, "encode %s/%s", kind, name)
+	}
+	return platform.Object{Kind: kind, Name: name, Spec: raw}, nil
+}
+
+// Validate checks an object whole before it is accepted: its kind, name, and
+// every field of its spec. The error is an *errkind.Error of kind InvalidObject
+// whose Field is the first offending field and whose message lists all of them
+// with value and what is allowed. References to other objects are not followed,
+// because they may be written in any order.
+func Validate(o platform.Object) error {
+	if len(o.Name) > MaxNameBytes || !namePattern.MatchString(o.Name) {
+		return invalid(o, "name", fmt.Sprintf("%q: allowed are 1 to %d of a-z 0-9 . _ - /", o.Name, MaxNameBytes))
+	}
+	if len(o.Spec) > platform.MaxValueBytes {
+		return invalid(o, "spec", fmt.Sprintf("%d bytes: allowed are %d", len(o.Spec), platform.MaxValueBytes))
+	}
+	check, ok := specValidators[o.Kind]
+	if !ok {
+		return invalid(o, "kind", fmt.Sprintf("%q: allowed are %s", o.Kind, strings.Join(WatchedKinds, ", ")))
+	}
+	return check(o)
+}
+
+// KnownKind reports whether operators or the platform write objects of this kind.
+func KnownKind(kind string) bool {
+	_, ok := specValidators[kind]
+	return ok
+}
+
+// problem is one offending field.
+type problem struct {
+	field   string
+	message string
+}
+
+// checker gathers every problem of a spec, so that an operator sees all at once.
+type checker struct {
+	problems []problem
+}
+
+// require notes a problem with field unless ok holds; allowed says what would be accepted.
+func (c *checker) require(ok bool, field string, value any, allowed string) {
+	if ok {
+		return
+	}
+	c.problems = append(c.problems, problem{field, fmt.Sprintf("%v: %s", quoted(value), allowed)})
+}
+
+func quoted(value any) string {
+	if s, ok := value.(string); ok {
+		return fmt.Sprintf("%q", s)
+	}
+	return fmt.Sprintf("%v", value)
+}
+
+// validator turns a check of a typed spec into a check of an object.
+func validator[T any](check func(*checker, T)) func(platform.Object) error {
+	return func(o platform.Object) error {
+		spec, err := Decode[T](o)
+		if err != nil {
+			return err
+		}
+		var c checker
+		check(&c, spec)
+		return c.result(o)
+	}
+}
+
+func (c *checker) result(o platform.Object) error {
+	if len(c.problems) == 0 {
+		return nil
+	}
+	lines := make([]string, 0, len(c.problems))
+	for _, p := range c.problems {
+		lines = append(lines, p.field+" "+p.message)
+	}
+	err := invalid(o, c.problems[0].field, strings.Join(lines, "; "))
+	return err
+}
+
+func invalid(o platform.Object, field, message string) *errkind.Error {
+	return errkind.Field(errkind.InvalidObject, field, fmt.Sprintf("%s/%s: %s", o.Kind, o.Name, message))
+}
+
+func decodeError(o platform.Object, err error) error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return invalid(o, wrongType.Field, fmt.Sprintf("%s %s: must be %s", wrongType.Field, wrongType.Value, wrongType.Type))
+	}
+	if name, found := strings.CutPrefix(err.Error(), "json: unknown field "); found {
+		name = strings.Trim(name, `"`)
+		return invalid(o, name, fmt.Sprintf("%s: unknown field", name))
+	}
+	return invalid(o, "spec", err.Error())
+}
