--- /dev/null
+++ b/internal/process/settings/load.go
@@ -0,0 +1,109 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+)
+
+// MaxFileBytes bounds a settings file.
+const MaxFileBytes = 1 << 20
+
+// Overrides are flags that win over fields of the file. Empty: the field stands.
+type Overrides struct {
+	Name            string `long:"name" description:"instance name"`
+	Zone            string `long:"zone" description:"availability zone"`
+	PlatformAddress string `long:"platform" description:"base URL of the platform's object API"`
+	Listen          string `long:"listen" description:"host:port of the data port"`
+	PeerListen      string `long:"peer-listen" description:"host:port of the peer port"`
+	OperatorsListen string `long:"operators-listen" description:"host:port of the operators' port"`
+}
+
+// LoadGateway reads, overrides, completes and checks a gateway's settings.
+func LoadGateway(path string, flags Overrides) (*Gateway, error) {
+	s := &Gateway{}
+	if err := readFile(path, s); err != nil {
+		return nil, err
+	}
+	override(&s.Listen.Address, flags.Listen)
+	flags.common(&s.Instance, &s.Platform, &s.Peer, &s.Operators)
+	s.SetDefaults()
+	return s, s.Validate()
+}
+
+// LoadController reads, overrides, completes and checks a controller's settings.
+func LoadController(path string, flags Overrides) (*Controller, error) {
+	s := &Controller{}
+	if err := readFile(path, s); err != nil {
+		return nil, err
+	}
+	flags.common(&s.Instance, &s.Platform, &s.Peer, &s.Operators)
+	s.SetDefaults()
+	return s, s.Validate()
+}
+
+func (o Overrides) common(i *Instance, p *Platform, peer *Peer, ops *Operators) {
+	override(&i.Name, o.Name)
+	override(&i.Zone, o.Zone)
+	override(&p.Address, o.PlatformAddress)
+	override(&peer.Listen.Address, o.PeerListen)
+	override(&ops.Listen.Address, o.OperatorsListen)
+}
+
+func override(field *string, flag string) {
+	if flag != "" {
+		*field = flag
+	}
+}
+
+func readFile(path string, into any) error {
+	info, err := os.Stat(path)
+	if err != nil {
+		return errkind.Wrap(err, errkind.InvalidSettings, errkind.NotRun, "read settings")
+	}
+	if info.Size() > MaxFileBytes {
+		return errkind.Field(errkind.InvalidSettings, "", fmt.Sprintf("%s has %d bytes: allowed are %d", path, info.Size(), MaxFileBytes))
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return errkind.Wrap(err, errkind.InvalidSettings, errkind.NotRun, "read settings")
+	}
+	return Parse(raw, into)
+}
+
+// Parse reads JSON with comments strictly: unknown fields are refused.
+func Parse(raw []byte, into any) error {
+	plain, err := hujson.Standardize(bytes.Clone(raw))
+	if err != nil {
+		return errkind.Wrap(err, errkind.InvalidSettings, errkind.NotRun, "settings are not JSON with comments")
+	}
+	decoder := json.NewDecoder(bytes.NewReader(plain))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return parseError(err)
+	}
+	if decoder.More() {
+		return errkind.Field(errkind.InvalidSettings, "", "settings have data after their end")
+	}
+	return nil
+}
+
+func parseError(err error) error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		message := fmt.Sprintf("%s %s: must be %s", wrongType.Field, wrongType.Value, wrongType.Type)
+		return errkind.Field(errkind.InvalidSettings, wrongType.Field, message)
+	}
+	if name, found := strings.CutPrefix(err.Error(), "json: unknown field "); found {
+		name = strings.Trim(name, `"`)
+		return errkind.Field(errkind.InvalidSettings, name, "unknown field")
+	}
+	return errkind.Wrap(err, errkind.InvalidSettings, errkind.NotRun, "settings cannot be read")
+}
--- /dev/null
+++ b/internal/process/settings/secret.go
@@ -0,0 +1,40 @@
+package settings
+
+import (
+	"os"
+	"strings"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+)
+
+// Set reports whether the secret has a source.
+func (s Secret) Set() bool { return s.File != "" || s.Env != "" }
+
+// Read gives the secret without surrounding white space. An unset secret is
+// empty; a secret whose source is missing or empty is an error, because an empty
+// key would let everyone in.
+func (s Secret) Read() (string, error) {
+	if s.File != "" {
+		return s.readFile()
+	}
+	if s.Env == "" {
+		return "", nil
+	}
+	value := strings.TrimSpace(os.Getenv(s.Env))
+	if value == "" {
+		return "", errkind.Field(errkind.InvalidSettings, "env", "environment variable "+s.Env+" is empty or not set")
+	}
+	return value, nil
+}
+
+func (s Secret) readFile() (string, error) {
+	raw, err := os.ReadFile(s.File)
+	if err != nil {
+		return "", errkind.Wrap(err, errkind.InvalidSettings, errkind.NotRun, "read secret file")
+	}
+	value := strings.TrimSpace(string(raw))
+	if value == "" {
+		return "", errkind.Field(errkind.InvalidSettings, "file", "secret file "+s.File+" is empty")
+	}
+	return value, nil
+}
--- /dev/null
+++ b/internal/process/settings/tls.go
@@ -0,0 +1,131 @@
+package settings
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+)
+
+// Enabled reports whether the port speaks TLS.
+func (t TLS) Enabled() bool { return t.CertFile != "" }
+
+// Server makes the TLS configuration of a listening port, or nil for plain TCP.
+// Certificate and key are read again when their files change; a pair that does
+// not load leaves the former one in use.
+func (t TLS) Server() (*tls.Config, error) {
+	if !t.Enabled() {
+		return nil, nil
+	}
+	source := &certificateSource{certFile: t.CertFile, keyFile: t.KeyFile}
+	if _, err := source.get(); err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidSettings, errkind.NotRun, "load certificate")
+	}
+	config := &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			return source.get()
+		},
+	}
+	if t.ClientCAFile == "" {
+		return config, nil
+	}
+	pool, err := LoadPool(t.ClientCAFile)
+	if err != nil {
+		return nil, err
+	}
+	config.ClientCAs = pool
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	return config, nil
+}
+
+// Client makes the TLS configuration for dialing ports that caFile vouches for,
+// showing this port's certificate if it has one.
+func (t TLS) Client(caFile string) (*tls.Config, error) {
+	config := &tls.Config{MinVersion: tls.VersionTLS12}
+	if caFile != "" {
+		pool, err := LoadPool(caFile)
+		if err != nil {
+			return nil, err
+		}
+		config.RootCAs = pool
+	}
+	if t.Enabled() {
+		source := &certificateSource{certFile: t.CertFile, keyFile: t.KeyFile}
+		config.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return source.get()
+		}
+	}
+	return config, nil
+}
+
+// LoadPool reads certificate authorities from a PEM file.
+func LoadPool(file string) (*x509.CertPool, error) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidSettings, errkind.NotRun, "read certificate authorities")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(raw) {
+		return nil, errkind.Field(errkind.InvalidSettings, "caFile", file+" holds no certificate")
+	}
+	return pool, nil
+}
+
+// certificateSource loads a certificate and loads it again when a file changes.
+type certificateSource struct {
+	certFile, keyFile string
+
+	mu      sync.Mutex
+	current *tls.Certificate
+	stamp   fileStamp
+}
+
+// fileStamp tells one content of the two files from another.
+type fileStamp struct {
+	certTime, keyTime time.Time
+	certSize, keySize int64
+}
+
+func (s *certificateSource) get() (*tls.Certificate, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stamp, err := s.readStamp()
+	if err != nil {
+		return s.fallback(err)
+	}
+	if s.current != nil && stamp == s.stamp {
+		return s.current, nil
+	}
+	pair, err := tls.LoadX509KeyPair(s.certFile, s.keyFile)
+	if err != nil {
+		return s.fallback(err)
+	}
+	s.current, s.stamp = &pair, stamp
+	return s.current, nil
+}
+
+// fallback keeps the former certificate in use while its files are being replaced.
+func (s *certificateSource) fallback(err error) (*tls.Certificate, error) {
+	if s.current != nil {
+		return s.current, nil
+	}
+	return nil, errors.Wrap(err, "no certificate")
+}
+
+func (s *certificateSource) readStamp() (fileStamp, error) {
+	cert, err := os.Stat(s.certFile)
+	if err != nil {
+		return fileStamp{}, err
+	}
+	key, err := os.Stat(s.keyFile)
+	if err != nil {
+		return fileStamp{}, err
+	}
+	return fileStamp{cert.ModTime(), key.ModTime(), cert.Size(), key.Size()}, nil
+}
