--- a/internal/version/config/snapshot.go
+++ b/internal/version/config/snapshot.go
@@ -17,6 +17,7 @@
 	Accounts  map[string]resource.ClientAccount
 	Services  map[string]resource.Service
 	Instances map[string]resource.Instance // the platform's lagging list
+	Drains    map[string]resource.Drain    // runners that controllers take away for planned changes
 	ByKeyHash map[string]string            // hex SHA-256 of an API key to account name
 	Rejected  map[string]Rejection         // "<Kind>/<name>" of objects whose newest version is invalid
 }
--- a/internal/version/resource/kinds.go
+++ b/internal/version/resource/kinds.go
@@ -33,7 +33,7 @@
 }
 
 // WatchedKinds are the kinds that daemons watch and pass on to their peers.
-var WatchedKinds = append([]string{KindInstance}, ConfigKinds...)
+var WatchedKinds = append([]string{KindInstance, KindDrain}, ConfigKinds...)
 
 // Engine is a class of model engine: what it can do and its measured rates.
 type Engine struct {
--- a/internal/version/resource/validate.go
+++ b/internal/version/resource/validate.go
@@ -30,6 +30,7 @@
 	KindClientAccount: validator(checkClientAccount),
 	KindService:       validator(checkService),
 	KindInstance:      validator(checkInstance),
+	KindDrain:         validator(checkDrain),
 }
 
 // Decode reads the spec of an object. Unknown fields are refused.
