--- /dev/null
+++ b/internal/connection/platform/client.go
@@ -0,0 +1,324 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+)
+
+// Defaults of ClientConfig.
+const (
+	DefaultTimeout        = 5 * time.Second
+	DefaultCallsPerSecond = 50
+	DefaultWatchIdle      = 15 * time.Second
+	DefaultWatchGiveUp    = 10 * time.Second
+)
+
+const (
+	idleConnsPerHost  = 8
+	idleConnTimeout   = 60 * time.Second
+	maxErrorBodyBytes = 64 << 10
+	maxObjectBytes    = 2*MaxValueBytes + 64<<10 // a value with its envelope
+	maxListBytes      = 1 << 30
+	watchCallInterval = time.Second // an open watch costs one call of the budget in each
+)
+
+// ClientConfig says how to reach the platform. The zero value of every field but
+// Address is a usable default.
+type ClientConfig struct {
+	Address        string        // base URL
+	Key            string        // bearer key; empty: none
+	CAFile         string        // PEM file of the authority to trust; empty: the system's
+	Timeout        time.Duration // of one call; a watch is bounded by WatchIdle instead
+	CallsPerSecond float64       // budget of this process; a waiting watch costs one call a second
+	Burst          int           // calls that may go at once; default: CallsPerSecond
+	Backoff        Backoff       // between attempts to reopen a watch
+	WatchIdle      time.Duration // a watch without event or bookmark for so long is taken for cut
+	WatchGiveUp    time.Duration // Next reports ErrUnavailable after failing to reopen for so long
+	Seed           uint64        // of the jitter
+}
+
+// Client is the HTTP+JSON implementation of Store. It is safe for concurrent use.
+type Client struct {
+	cfg     ClientConfig
+	base    string
+	http    *http.Client
+	budget  *rate.Limiter
+	jitter  *jitter
+	watches atomic.Int64
+	calls   atomic.Uint64
+}
+
+var _ Store = (*Client)(nil)
+
+// NewClient makes a client. It checks the configuration and makes no call.
+func NewClient(cfg ClientConfig) (*Client, error) {
+	cfg = withDefaults(cfg)
+	base, err := url.Parse(cfg.Address)
+	if err != nil || base.Host == "" || (base.Scheme != "http" && base.Scheme != "https") {
+		return nil, errors.Errorf("platform address %q: want http://host:port or https://host:port", cfg.Address)
+	}
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: cfg.Timeout}).DialContext,
+		TLSHandshakeTimeout: cfg.Timeout,
+		MaxIdleConnsPerHost: idleConnsPerHost,
+		IdleConnTimeout:     idleConnTimeout,
+	}
+	if cfg.CAFile != "" {
+		pool, err := loadCA(cfg.CAFile)
+		if err != nil {
+			return nil, err
+		}
+		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	}
+	return &Client{
+		cfg:    cfg,
+		base:   strings.TrimRight(cfg.Address, "/"),
+		http:   &http.Client{Transport: transport},
+		budget: rate.NewLimiter(rate.Limit(cfg.CallsPerSecond), cfg.Burst),
+		jitter: newJitter(cfg.Seed),
+	}, nil
+}
+
+func withDefaults(cfg ClientConfig) ClientConfig {
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	if cfg.CallsPerSecond <= 0 {
+		cfg.CallsPerSecond = DefaultCallsPerSecond
+	}
+	if cfg.Burst <= 0 {
+		cfg.Burst = max(1, int(cfg.CallsPerSecond))
+	}
+	if cfg.Backoff.Base <= 0 || cfg.Backoff.Max <= 0 {
+		cfg.Backoff = DefaultBackoff
+	}
+	if cfg.WatchIdle <= 0 {
+		cfg.WatchIdle = DefaultWatchIdle
+	}
+	if cfg.WatchGiveUp <= 0 {
+		cfg.WatchGiveUp = DefaultWatchGiveUp
+	}
+	return cfg
+}
+
+func loadCA(path string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the platform's CA file")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("platform CA file %q holds no PEM certificate", path)
+	}
+	return pool, nil
+}
+
+// Close drops idle connections. Running watches are ended by their Close.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Calls counts the calls made so far, watches included.
+func (c *Client) Calls() uint64 { return c.calls.Load() }
+
+// Get implements Store.
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	var o Object
+	path, err := objectPath(kind, name)
+	if err != nil {
+		return o, err
+	}
+	err = c.call(ctx, request{method: http.MethodGet, path: path, kind: kind, name: name}, &o, maxObjectBytes)
+	return o, err
+}
+
+// List implements Store.
+func (c *Client) List(ctx context.Context, kind string) ([]Object, uint64, error) {
+	var body ListBody
+	path := ObjectsPath
+	if kind != "" {
+		path += "?" + url.Values{"kind": {kind}}.Encode()
+	}
+	err := c.call(ctx, request{method: http.MethodGet, path: path, kind: kind}, &body, maxListBytes)
+	return body.Objects, body.Version, err
+}
+
+// Create implements Store.
+func (c *Client) Create(ctx context.Context, o Object) (Object, error) {
+	if _, err := objectPath(o.Kind, o.Name); err != nil {
+		return Object{}, err
+	}
+	return c.write(ctx, http.MethodPost, ObjectsPath, o)
+}
+
+// Update implements Store.
+func (c *Client) Update(ctx context.Context, o Object) (Object, error) {
+	path, err := objectPath(o.Kind, o.Name)
+	if err != nil {
+		return Object{}, err
+	}
+	return c.write(ctx, http.MethodPut, path, o)
+}
+
+// Delete implements Store.
+func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64, writer, nonce string) error {
+	path, err := objectPath(kind, name)
+	if err != nil {
+		return err
+	}
+	query := url.Values{"writer": {writer}, "nonce": {nonce}}
+	if ifVersion != 0 {
+		query.Set("version", strconv.FormatUint(ifVersion, 10))
+	}
+	r := request{method: http.MethodDelete, path: path + "?" + query.Encode(), kind: kind, name: name, write: true}
+	return c.call(ctx, r, nil, maxObjectBytes)
+}
+
+func (c *Client) write(ctx context.Context, method, path string, o Object) (Object, error) {
+	if len(o.Spec) > MaxValueBytes {
+		return Object{}, errors.Wrapf(ErrTooLarge, "%s/%s: %d bytes, at most %d", o.Kind, o.Name, len(o.Spec), MaxValueBytes)
+	}
+	body, err := json.Marshal(o)
+	if err != nil {
+		return Object{}, errors.Wrapf(ErrInvalid, "%s/%s: %v", o.Kind, o.Name, err)
+	}
+	var stored Object
+	r := request{method: method, path: path, kind: o.Kind, name: o.Name, body: body, write: true}
+	if err := c.call(ctx, r, &stored, maxObjectBytes); err != nil {
+		return Object{}, err
+	}
+	return stored, nil
+}
+
+// objectPath gives the path of an object. Names that a URL cannot carry as one
+// segment are refused.
+func objectPath(kind, name string) (string, error) {
+	for _, part := range []string{kind, name} {
+		if part == "" || part == "." || part == ".." {
+			return "", errors.Wrapf(ErrInvalid, "%q/%q: kind and name must not be empty, %q or %q", kind, name, ".", "..")
+		}
+	}
+	return ObjectsPath + "/" + url.PathEscape(kind) + "/" + url.PathEscape(name), nil
+}
+
+// request is one call.
+type request struct {
+	method string
+	path   string // with query
+	kind   string // for messages
+	name   string
+	body   []byte
+	write  bool // a lost answer makes the outcome unknown
+}
+
+// call makes one call within the budget and the timeout and decodes its answer into out.
+func (c *Client) call(ctx context.Context, r request, out any, limit int64) error {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	if err := c.budget.Wait(ctx); err != nil {
+		return errors.Wrapf(ErrUnavailable, "call budget of %g a second: %v", c.cfg.CallsPerSecond, err)
+	}
+	res, err := c.send(ctx, r)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode >= http.StatusBadRequest {
+		return errorOf(r, res)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(io.LimitReader(res.Body, limit)).Decode(out); err != nil {
+		return r.lost(errors.Wrap(err, "reading the answer"))
+	}
+	return nil
+}
+
+// send sends a request. An error before a connection was made is ErrUnavailable;
+// after that the outcome of a write is unknown.
+func (c *Client) send(ctx context.Context, r request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	ctx = httptrace.WithClientTrace(ctx, trace)
+	req, err := http.NewRequestWithContext(ctx, r.method, c.base+r.path, bytes.NewReader(r.body))
+	if err != nil {
+		return nil, errors.Wrap(ErrInvalid, err.Error())
+	}
+	if c.cfg.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.cfg.Key)
+	}
+	if len(r.body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	c.calls.Add(1)
+	res, err := c.http.Do(req)
+	if err == nil {
+		return res, nil
+	}
+	if !connected.Load() {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return nil, r.lost(err)
+}
+
+// lost is the error of a call whose answer did not arrive.
+func (r request) lost(cause error) error {
+	if r.write {
+		return errors.Wrap(ErrUnknown, cause.Error())
+	}
+	return errors.Wrap(ErrUnavailable, cause.Error())
+}
+
+// errorOf maps an error answer. A status without a body of ours comes from
+// something in between, which cannot know whether a write took effect: it is
+// taken as lost, but for 429, which is only said before a call is begun.
+func errorOf(r request, res *http.Response) error {
+	raw, err := io.ReadAll(io.LimitReader(res.Body, maxErrorBodyBytes))
+	if err != nil {
+		return r.lost(err)
+	}
+	var body ErrorBody
+	if err := json.Unmarshal(raw, &body); err != nil || body.Code == "" {
+		if res.StatusCode == http.StatusTooManyRequests {
+			return errors.Wrap(ErrUnavailable, res.Status)
+		}
+		return r.lost(errors.New(res.Status))
+	}
+	switch body.Code {
+	case CodeNotFound:
+		return errors.Wrapf(ErrNotFound, "%s/%s", r.kind, r.name)
+	case CodeConflict:
+		conflict := &ConflictError{Kind: r.kind, Name: r.name}
+		if body.Current != nil {
+			conflict.Current = *body.Current
+		}
+		return conflict
+	case CodeUnavailable:
+		return errors.Wrap(ErrUnavailable, body.Message)
+	case CodeHistoryGone:
+		return errors.Wrap(ErrHistoryGone, body.Message)
+	case CodeTooLarge:
+		return errors.Wrap(ErrTooLarge, body.Message)
+	case CodeInvalid:
+		return errors.Wrap(ErrInvalid, body.Message)
+	case CodeDenied:
+		return &deniedError{message: body.Message}
+	default:
+		return r.lost(errors.New(body.Message))
+	}
+}
--- /dev/null
+++ b/internal/connection/platform/errors.go
@@ -0,0 +1,74 @@
+package platform
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// ErrDenied means that the platform refused the key. The call had no effect, so
+// such an error matches ErrUnavailable as well.
+var ErrDenied = errors.New("platform refused the key")
+
+// ConflictError is an ErrConflict that names the writer who came first.
+type ConflictError struct {
+	Kind    string
+	Name    string
+	Current Current // the version that stands
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	if e.Current.Version == 0 {
+		return fmt.Sprintf("version conflict: %s/%s does not exist at the expected version", e.Kind, e.Name)
+	}
+	return fmt.Sprintf("version conflict: %s/%s is at version %d, last written by %q",
+		e.Kind, e.Name, e.Current.Version, e.Current.Writer)
+}
+
+// Is makes a ConflictError match ErrConflict.
+func (e *ConflictError) Is(target error) bool { return target == ErrConflict }
+
+// HiddenError is an ErrUnknown that cannot be settled by reading: another
+// writer's version, or a deletion, stands where the write would show. The write
+// either never took effect or took effect and was replaced.
+type HiddenError struct {
+	Kind    string
+	Name    string
+	Current Current // zero version: the object does not exist
+}
+
+// Error implements error.
+func (e *HiddenError) Error() string {
+	if e.Current.Version == 0 {
+		return fmt.Sprintf("outcome of the write to %s/%s unknown: the object no longer exists", e.Kind, e.Name)
+	}
+	return fmt.Sprintf("outcome of the write to %s/%s unknown: version %d by %q hides it",
+		e.Kind, e.Name, e.Current.Version, e.Current.Writer)
+}
+
+// Is makes a HiddenError match ErrUnknown.
+func (e *HiddenError) Is(target error) bool { return target == ErrUnknown }
+
+// OverwrittenError means that a write whose answer was lost took effect and that
+// another writer, or a deletion, has replaced it since.
+type OverwrittenError struct {
+	Kind    string
+	Name    string
+	Current Current // zero version: the object does not exist
+}
+
+// Error implements error.
+func (e *OverwrittenError) Error() string {
+	return fmt.Sprintf("the write to %s/%s took effect and was replaced by version %d of %q",
+		e.Kind, e.Name, e.Current.Version, e.Current.Writer)
+}
+
+// deniedError matches ErrDenied and ErrUnavailable.
+type deniedError struct{ message string }
+
+func (e *deniedError) Error() string { return ErrDenied.Error() + ": " + e.message }
+
+func (e *deniedError) Is(target error) bool {
+	return target == ErrDenied || target == ErrUnavailable
+}
--- /dev/null
+++ b/internal/connection/platform/watch.go
@@ -0,0 +1,197 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Watch implements Store. The first connection is made before Watch returns.
+// A cut watch is reopened from the last version delivered (events or bookmarks),
+// with backoff; Next reports ErrUnavailable when that fails for WatchGiveUp, and
+// ErrHistoryGone when the platform no longer has the events in between. After an
+// error the watch is over.
+func (c *Client) Watch(ctx context.Context, kinds []string, from uint64) (Watch, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &clientWatch{
+		client: c,
+		kinds:  kinds,
+		ctx:    ctx,
+		cancel: cancel,
+		events: make(chan Event, watchBuffer),
+		done:   make(chan struct{}),
+		last:   from,
+	}
+	conn, err := w.open()
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	c.watches.Add(1)
+	go w.run(conn)
+	return w, nil
+}
+
+// watchBuffer is how many events may wait for Next.
+const watchBuffer = 64
+
+type clientWatch struct {
+	client *Client
+	kinds  []string
+	ctx    context.Context
+	cancel context.CancelFunc
+	events chan Event
+	done   chan struct{} // closed when run ends; err is set before
+	err    error
+	once   sync.Once
+	last   uint64 // version up to which everything was delivered to events
+}
+
+// Next implements Watch.
+func (w *clientWatch) Next(ctx context.Context) (Event, error) {
+	select {
+	case e := <-w.events:
+		return e, nil
+	default:
+	}
+	select {
+	case e := <-w.events:
+		return e, nil
+	case <-ctx.Done():
+		return Event{}, ctx.Err()
+	case <-w.done:
+		return w.rest()
+	}
+}
+
+// rest drains what was received before the watch ended.
+func (w *clientWatch) rest() (Event, error) {
+	select {
+	case e := <-w.events:
+		return e, nil
+	default:
+		return Event{}, w.err
+	}
+}
+
+// Close implements Watch.
+func (w *clientWatch) Close() {
+	w.once.Do(func() {
+		w.cancel()
+		<-w.done
+	})
+}
+
+// watchConn is one connection of a watch.
+type watchConn struct {
+	body   io.ReadCloser
+	cancel context.CancelFunc
+}
+
+func (w *clientWatch) open() (*watchConn, error) {
+	ctx, cancel := context.WithCancel(w.ctx)
+	timer := time.AfterFunc(w.client.cfg.Timeout, cancel) // bounds the opening only
+	defer timer.Stop()
+	if err := w.client.budget.Wait(ctx); err != nil {
+		cancel()
+		return nil, errors.Wrapf(ErrUnavailable, "call budget: %v", err)
+	}
+	query := url.Values{"from": {strconv.FormatUint(w.last, 10)}, "kind": w.kinds}
+	r := request{method: http.MethodGet, path: WatchPath + "?" + query.Encode()}
+	res, err := w.client.send(ctx, r)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	if res.StatusCode >= http.StatusBadRequest {
+		defer cancel()
+		defer res.Body.Close()
+		return nil, errorOf(r, res)
+	}
+	return &watchConn{body: res.Body, cancel: cancel}, nil
+}
+
+// run reads connection after connection until the watch ends.
+func (w *clientWatch) run(conn *watchConn) {
+	defer close(w.done)
+	defer w.cancel()
+	defer w.client.watches.Add(-1)
+	for {
+		w.read(conn)
+		next, err := w.reopen()
+		if err != nil {
+			w.err = err
+			return
+		}
+		conn = next
+	}
+}
+
+// read passes on events of one connection until it breaks.
+func (w *clientWatch) read(conn *watchConn) {
+	defer conn.body.Close()
+	defer conn.cancel()
+	idle := time.AfterFunc(w.client.cfg.WatchIdle, conn.cancel)
+	defer idle.Stop()
+	stop := w.chargeBudget()
+	defer stop()
+	lines := json.NewDecoder(bufio.NewReader(conn.body))
+	for {
+		var e Event
+		if err := lines.Decode(&e); err != nil {
+			return
+		}
+		idle.Reset(w.client.cfg.WatchIdle)
+		if e.Object.Version < w.last || (e.Type != Bookmark && e.Object.Version == w.last) {
+			continue // delivered before
+		}
+		select {
+		case w.events <- e:
+			w.last = e.Object.Version
+		case <-w.ctx.Done():
+			return
+		}
+		idle.Reset(w.client.cfg.WatchIdle) // a slow reader of Next is no cut
+	}
+}
+
+// chargeBudget takes one call a second from the budget while a watch waits.
+func (w *clientWatch) chargeBudget() (stop func()) {
+	ctx, cancel := context.WithCancel(w.ctx)
+	go func() {
+		for sleep(ctx, watchCallInterval) == nil {
+			w.client.budget.Reserve()
+		}
+	}()
+	return cancel
+}
+
+// reopen connects again with backoff. Only a failure to reach the platform is
+// worth another attempt.
+func (w *clientWatch) reopen() (*watchConn, error) {
+	giveUp := time.Now().Add(w.client.cfg.WatchGiveUp)
+	for attempt := 0; ; attempt++ {
+		delay := w.client.cfg.Backoff.Delay(attempt, w.client.jitter.draw())
+		if err := sleep(w.ctx, delay); err != nil {
+			return nil, err
+		}
+		conn, err := w.open()
+		if err == nil {
+			return conn, nil
+		}
+		if w.ctx.Err() != nil {
+			return nil, w.ctx.Err()
+		}
+		if !errors.Is(err, ErrUnavailable) || errors.Is(err, ErrDenied) || time.Now().After(giveUp) {
+			return nil, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/admin.go
@@ -0,0 +1,105 @@
+package platform
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// maxAdminBytes bounds a body of the admin endpoint.
+const maxAdminBytes = 64 << 10
+
+// FaultBody is Fault on the admin endpoint.
+type FaultBody struct {
+	Outage         bool `json:"outage"`
+	Hang           bool `json:"hang"`
+	SlowMS         int  `json:"slowMS"`
+	LoseAnswers    int  `json:"loseAnswers"`
+	LoseWrites     int  `json:"loseWrites"`
+	CutWatches     bool `json:"cutWatches"`
+	StaleInstances bool `json:"staleInstances"`
+}
+
+func (b FaultBody) fault() Fault {
+	return Fault{
+		Outage:         b.Outage,
+		Hang:           b.Hang,
+		Slow:           time.Duration(b.SlowMS) * time.Millisecond,
+		LoseAnswers:    b.LoseAnswers,
+		LoseWrites:     b.LoseWrites,
+		CutWatches:     b.CutWatches,
+		StaleInstances: b.StaleInstances,
+	}
+}
+
+func bodyOf(f Fault) FaultBody {
+	return FaultBody{
+		Outage:         f.Outage,
+		Hang:           f.Hang,
+		SlowMS:         int(f.Slow / time.Millisecond),
+		LoseAnswers:    f.LoseAnswers,
+		LoseWrites:     f.LoseWrites,
+		StaleInstances: f.StaleInstances,
+	}
+}
+
+// AdminHandler serves the switches of the stand-in. It asks for no key: keep it
+// on loopback.
+//
+//	GET, PUT  /admin/fault             FaultBody; PUT replaces the fault in force
+//	PUT       /admin/instances/{name}  resource.Instance
+//	DELETE    /admin/instances/{name}
+//	GET       /admin/stats             Stats
+func (s *Store) AdminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /admin/fault", s.serveFault)
+	mux.HandleFunc("PUT /admin/fault", s.serveSetFault)
+	mux.HandleFunc("PUT /admin/instances/{name}", s.servePutInstance)
+	mux.HandleFunc("DELETE /admin/instances/{name}", s.serveRemoveInstance)
+	mux.HandleFunc("GET /admin/stats", s.serveStats)
+	return mux
+}
+
+func (s *Store) serveFault(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, bodyOf(s.CurrentFault()))
+}
+
+func (s *Store) serveSetFault(w http.ResponseWriter, r *http.Request) {
+	var body FaultBody
+	if !readAdmin(w, r, &body) {
+		return
+	}
+	s.SetFault(body.fault())
+	s.serveFault(w, r)
+}
+
+func (s *Store) servePutInstance(w http.ResponseWriter, r *http.Request) {
+	var instance resource.Instance
+	if !readAdmin(w, r, &instance) {
+		return
+	}
+	s.PutInstance(r.PathValue("name"), instance)
+	writeJSON(w, http.StatusOK, instance)
+}
+
+func (s *Store) serveRemoveInstance(w http.ResponseWriter, r *http.Request) {
+	s.RemoveInstance(r.PathValue("name"))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Store) serveStats(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, s.Stats())
+}
+
+// readAdmin decodes a body strictly, so that a misspelled fault is not taken for none.
+func readAdmin(w http.ResponseWriter, r *http.Request, out any) bool {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAdminBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(out); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/platform/faults.go
@@ -0,0 +1,174 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// Fault is what is wrong with the platform. The zero value: nothing.
+type Fault struct {
+	Outage         bool          // every call is refused and watches are cut
+	Hang           bool          // calls get no answer at all; they have no effect
+	Slow           time.Duration // added to each call: half before its effect, half after
+	LoseAnswers    int           // so many writes from now on take effect but their answer is lost
+	LoseWrites     int           // so many writes from now on (after LoseAnswers) are lost before their effect
+	CutWatches     bool          // cuts the running watches once
+	StaleInstances bool          // changes of the instance list show only after the fault
+}
+
+// SetFault replaces the fault in force.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.CutWatches || f.Outage {
+		s.cuts++
+	}
+	f.CutWatches = false
+	s.fault = f
+	if !f.StaleInstances {
+		s.releaseHeld()
+	}
+	s.wake()
+}
+
+// CurrentFault gives the fault in force, with the writes still to be lost.
+func (s *Store) CurrentFault() Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault
+}
+
+// beginRead admits a read or refuses it.
+func (s *Store) beginRead(ctx context.Context) error {
+	s.mu.Lock()
+	s.stats.Reads++
+	allowed := s.reads.Allow()
+	s.countRefusal(allowed)
+	s.mu.Unlock()
+	if !allowed {
+		return errors.Wrap(platform.ErrUnavailable, "too many reads")
+	}
+	if err := s.admit(ctx, s.cfg.Latency+s.CurrentFault().Slow); err != nil {
+		return errors.Wrap(platform.ErrUnavailable, err.Error())
+	}
+	return nil
+}
+
+func (s *Store) countRefusal(allowed bool) {
+	if !allowed {
+		s.stats.RateRefusals++
+	}
+}
+
+// admit waits for the latency and refuses while there is an outage.
+func (s *Store) admit(ctx context.Context, latency time.Duration) error {
+	fault := s.CurrentFault()
+	if fault.Hang {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if fault.Outage {
+		return errors.New("outage")
+	}
+	return pause(ctx, latency)
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// write admits a write, applies it under the lock and answers or loses the answer.
+func (s *Store) write(ctx context.Context, kind string, apply func() (platform.Object, error)) (platform.Object, error) {
+	s.mu.Lock()
+	s.stats.Writes++
+	allowed := s.writes.Allow()
+	s.countRefusal(allowed)
+	s.mu.Unlock()
+	if !allowed {
+		return platform.Object{}, errors.Wrap(platform.ErrUnavailable, "too many writes")
+	}
+	half := (s.cfg.Latency + s.CurrentFault().Slow) / 2
+	if err := s.admit(ctx, half); err != nil {
+		return platform.Object{}, errors.Wrap(platform.ErrUnavailable, err.Error())
+	}
+	stored, err := s.applyOrLose(kind, apply)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	if err := pause(ctx, half); err != nil {
+		return platform.Object{}, errors.Wrap(platform.ErrUnknown, err.Error())
+	}
+	return stored, nil
+}
+
+func (s *Store) applyOrLose(kind string, apply func() (platform.Object, error)) (platform.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fault.LoseAnswers == 0 && s.fault.LoseWrites > 0 {
+		s.fault.LoseWrites--
+		return platform.Object{}, errors.Wrap(platform.ErrUnknown, "lost on the way in")
+	}
+	if kind == resource.KindInstance && s.fault.StaleInstances {
+		s.held = append(s.held, func() { _, _ = apply() })
+		return platform.Object{}, nil
+	}
+	stored, err := apply()
+	if s.fault.LoseAnswers > 0 {
+		s.fault.LoseAnswers--
+		return platform.Object{}, errors.Wrap(platform.ErrUnknown, "lost on the way out")
+	}
+	return stored, err
+}
+
+// instanceWriter is the writer of the instance list.
+const instanceWriter = "platform"
+
+// orHold applies a change of the instance list, or holds it back while the list is stale.
+func (s *Store) orHold(change func()) {
+	if s.fault.StaleInstances {
+		s.held = append(s.held, change)
+		return
+	}
+	change()
+}
+
+func (s *Store) releaseHeld() {
+	held := s.held
+	s.held = nil
+	for _, change := range held {
+		change()
+	}
+}
+
+func (s *Store) putInstance(name string, instance resource.Instance) {
+	spec, err := json.Marshal(instance)
+	if err != nil {
+		panic("platform stand-in: " + err.Error()) // plain strings always marshal
+	}
+	key := objectKey{resource.KindInstance, name}
+	o := platform.Object{Kind: key.kind, Name: key.name, Writer: instanceWriter, Spec: spec}
+	if now, ok := s.objects[key]; ok {
+		o.UID = now.UID
+		s.put(key, o)
+		return
+	}
+	if _, err := s.create(o); err != nil {
+		panic("platform stand-in: " + err.Error()) // the key was free a line ago
+	}
+}
--- /dev/null
+++ b/internal/standin/platform/history.go
@@ -0,0 +1,37 @@
+package platform
+
+import "github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+
+// history keeps the newest events, bounded in number and bytes. Versions of
+// events follow each other without gaps, since every change takes one version.
+type history struct {
+	maxEvents int
+	maxBytes  int
+	events    []platform.Event
+	bytes     int
+	dropped   uint64 // version of the newest event that is no longer kept
+}
+
+func (h *history) add(e platform.Event) {
+	h.events = append(h.events, e)
+	h.bytes += len(e.Object.Spec)
+	for len(h.events) > h.maxEvents || (h.bytes > h.maxBytes && len(h.events) > 1) {
+		oldest := h.events[0]
+		h.dropped = oldest.Object.Version
+		h.bytes -= len(oldest.Object.Spec)
+		h.events[0] = platform.Event{} // lets go of the value
+		h.events = h.events[1:]
+	}
+}
+
+// has reports whether every event after version is still kept.
+func (h *history) has(version uint64) bool { return version >= h.dropped }
+
+// after gives the events after version. Call has first.
+func (h *history) after(version uint64) []platform.Event {
+	skip := version - h.dropped
+	if skip >= uint64(len(h.events)) {
+		return nil
+	}
+	return h.events[skip:]
+}
--- /dev/null
+++ b/internal/standin/platform/store.go
@@ -0,0 +1,247 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// Defaults of Config.
+const (
+	DefaultHistoryEvents = 4096
+	DefaultHistoryBytes  = 16 << 20
+	DefaultBookmarkEvery = time.Second
+)
+
+// Config shapes the store. The zero value is usable: no key, no rate limit, no latency.
+type Config struct {
+	Key             string        // bearer key that the HTTP form asks for; empty: none
+	Latency         time.Duration // of each call
+	ReadsPerSecond  float64       // more are refused; a waiting watch costs one a second; 0: no limit
+	WritesPerSecond float64       // 0: no limit
+	HistoryEvents   int           // events kept for watches
+	HistoryBytes    int           // bytes of values kept for watches
+	BookmarkEvery   time.Duration // pause between bookmarks on a quiet watch
+}
+
+// Store is the in-memory store. It is safe for concurrent use. Objects that it
+// returns share their Spec with the store and must not be changed.
+type Store struct {
+	cfg    Config
+	reads  *rate.Limiter
+	writes *rate.Limiter
+
+	mu      sync.Mutex
+	version uint64
+	objects map[objectKey]platform.Object
+	history history
+	changed chan struct{} // closed and replaced at each change that a watch must see
+	fault   Fault
+	cuts    uint64   // counts cuts of watches
+	held    []func() // changes of the instance list held back by a stale list
+	stats   Stats
+}
+
+type objectKey struct{ kind, name string }
+
+// Stats counts calls since the start.
+type Stats struct {
+	Reads        uint64 `json:"reads"`
+	Writes       uint64 `json:"writes"`
+	WatchesMade  uint64 `json:"watchesMade"`
+	WatchesOpen  int    `json:"watchesOpen"`
+	RateRefusals uint64 `json:"rateRefusals"`
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// New makes an empty store.
+func New(cfg Config) *Store {
+	if cfg.HistoryEvents <= 0 {
+		cfg.HistoryEvents = DefaultHistoryEvents
+	}
+	if cfg.HistoryBytes <= 0 {
+		cfg.HistoryBytes = DefaultHistoryBytes
+	}
+	if cfg.BookmarkEvery <= 0 {
+		cfg.BookmarkEvery = DefaultBookmarkEvery
+	}
+	return &Store{
+		cfg:     cfg,
+		reads:   limiter(cfg.ReadsPerSecond),
+		writes:  limiter(cfg.WritesPerSecond),
+		objects: map[objectKey]platform.Object{},
+		history: history{maxEvents: cfg.HistoryEvents, maxBytes: cfg.HistoryBytes},
+		changed: make(chan struct{}),
+	}
+}
+
+func limiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), max(1, int(perSecond)))
+}
+
+// Stats gives the counts so far.
+func (s *Store) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	if err := s.beginRead(ctx); err != nil {
+		return platform.Object{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[objectKey{kind, name}]
+	if !ok {
+		return platform.Object{}, errors.Wrapf(platform.ErrNotFound, "%s/%s", kind, name)
+	}
+	return o, nil
+}
+
+// List implements platform.Store. Objects come sorted by kind and name.
+func (s *Store) List(ctx context.Context, kind string) ([]platform.Object, uint64, error) {
+	if err := s.beginRead(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []platform.Object
+	for key, o := range s.objects {
+		if kind == "" || key.kind == kind {
+			out = append(out, o)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Kind != out[j].Kind {
+			return out[i].Kind < out[j].Kind
+		}
+		return out[i].Name < out[j].Name
+	})
+	return out, s.version, nil
+}
+
+// Create implements platform.Store.
+func (s *Store) Create(ctx context.Context, o platform.Object) (platform.Object, error) {
+	return s.write(ctx, o.Kind, func() (platform.Object, error) { return s.create(o) })
+}
+
+// Update implements platform.Store.
+func (s *Store) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+	return s.write(ctx, o.Kind, func() (platform.Object, error) { return s.update(o) })
+}
+
+// Delete implements platform.Store.
+func (s *Store) Delete(ctx context.Context, kind, name string, ifVersion uint64, writer, nonce string) error {
+	_, err := s.write(ctx, kind, func() (platform.Object, error) {
+		return s.remove(kind, name, ifVersion, writer, nonce)
+	})
+	return err
+}
+
+// create runs with the lock held, as update and remove do.
+func (s *Store) create(o platform.Object) (platform.Object, error) {
+	if err := check(o); err != nil {
+		return platform.Object{}, err
+	}
+	key := objectKey{o.Kind, o.Name}
+	if now, taken := s.objects[key]; taken {
+		return platform.Object{}, conflictWith(key, now)
+	}
+	o.UID = fmt.Sprintf("uid-%d", s.version+1)
+	return s.put(key, o), nil
+}
+
+func (s *Store) update(o platform.Object) (platform.Object, error) {
+	if err := check(o); err != nil {
+		return platform.Object{}, err
+	}
+	key := objectKey{o.Kind, o.Name}
+	now, exists := s.objects[key]
+	if !exists {
+		return platform.Object{}, errors.Wrapf(platform.ErrNotFound, "%s/%s", o.Kind, o.Name)
+	}
+	if now.Version != o.Version {
+		return platform.Object{}, conflictWith(key, now)
+	}
+	o.UID = now.UID
+	return s.put(key, o), nil
+}
+
+func (s *Store) remove(kind, name string, ifVersion uint64, writer, nonce string) (platform.Object, error) {
+	key := objectKey{kind, name}
+	now, exists := s.objects[key]
+	if !exists {
+		return platform.Object{}, errors.Wrapf(platform.ErrNotFound, "%s/%s", kind, name)
+	}
+	if ifVersion != 0 && now.Version != ifVersion {
+		return platform.Object{}, conflictWith(key, now)
+	}
+	delete(s.objects, key)
+	s.version++
+	gone := platform.Object{Kind: kind, Name: name, UID: now.UID, Version: s.version, Writer: writer, Nonce: nonce}
+	s.publish(platform.Event{Type: platform.Deleted, Object: gone})
+	return gone, nil
+}
+
+func (s *Store) put(key objectKey, o platform.Object) platform.Object {
+	s.version++
+	o.Version = s.version
+	o.Spec = append([]byte(nil), o.Spec...)
+	s.objects[key] = o
+	s.publish(platform.Event{Type: platform.Put, Object: o})
+	return o
+}
+
+// publish keeps an event for watches and wakes them.
+func (s *Store) publish(e platform.Event) {
+	s.history.add(e)
+	s.wake()
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func check(o platform.Object) error {
+	if o.Kind == "" || o.Name == "" {
+		return errors.Wrap(platform.ErrInvalid, "kind and name must be set")
+	}
+	if len(o.Spec) > platform.MaxValueBytes {
+		return errors.Wrapf(platform.ErrTooLarge, "%s/%s: %d bytes, at most %d", o.Kind, o.Name, len(o.Spec), platform.MaxValueBytes)
+	}
+	return nil
+}
+
+func conflictWith(key objectKey, now platform.Object) error {
+	return &platform.ConflictError{Kind: key.kind, Name: key.name, Current: platform.CurrentOf(now)}
+}
+
+// PutInstance writes an entry of the instance list, as the platform itself does.
+// While the list is stale the change is held back.
+func (s *Store) PutInstance(name string, instance resource.Instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orHold(func() { s.putInstance(name, instance) })
+}
+
+// RemoveInstance takes an entry off the instance list, at once or when it is no longer stale.
+func (s *Store) RemoveInstance(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orHold(func() { _, _ = s.remove(resource.KindInstance, name, 0, instanceWriter, "") })
+}
--- /dev/null
+++ b/internal/standin/platform/store_test.go
@@ -0,0 +1,298 @@
+package platform_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const waitLong = 20 * time.Second
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), waitLong)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// overBoth runs a test over the store itself and over the HTTP client of it.
+func overBoth(t *testing.T, cfg standin.Config, test func(t *testing.T, s *standin.Store, api platform.Store)) {
+	t.Run("direct", func(t *testing.T) {
+		s := standin.New(cfg)
+		test(t, s, s)
+	})
+	t.Run("http", func(t *testing.T) {
+		s := standin.New(cfg)
+		server := httptest.NewServer(s.Handler())
+		t.Cleanup(server.Close)
+		client, err := platform.NewClient(platform.ClientConfig{
+			Address: server.URL, Key: cfg.Key, CallsPerSecond: 1000, Seed: 1,
+			Backoff:     platform.Backoff{Base: time.Millisecond, Max: 10 * time.Millisecond},
+			WatchGiveUp: 50 * time.Millisecond,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(client.Close)
+		test(t, s, client)
+	})
+}
+
+func mustCreate(t *testing.T, api platform.Store, kind, name, spec string) platform.Object {
+	t.Helper()
+	o, err := api.Create(testContext(t), platform.Object{
+		Kind: kind, Name: name, Writer: "ada", Nonce: platform.NewNonce(), Spec: []byte(spec),
+	})
+	if err != nil {
+		t.Fatalf("create %s/%s: %v", kind, name, err)
+	}
+	return o
+}
+
+func wantError(t *testing.T, err, want error) {
+	t.Helper()
+	if !errors.Is(err, want) {
+		t.Fatalf("error %v, want %v", err, want)
+	}
+}
+
+func TestVersionsGrowAndConflictsNameTheWriter(t *testing.T) {
+	overBoth(t, standin.Config{Key: "k"}, func(t *testing.T, _ *standin.Store, api platform.Store) {
+		ctx := testContext(t)
+		first := mustCreate(t, api, "Status", "Route/chat", `{"a":1}`)
+		second := mustCreate(t, api, "Route", "chat", `{}`)
+		if second.Version <= first.Version || first.UID == second.UID {
+			t.Fatalf("versions %d, %d and UIDs %q, %q", first.Version, second.Version, first.UID, second.UID)
+		}
+		_, err := api.Create(ctx, platform.Object{Kind: "Route", Name: "chat", Writer: "bob"})
+		wantError(t, err, platform.ErrConflict)
+
+		next := first
+		next.Writer = "bob"
+		updated, err := api.Update(ctx, next)
+		if err != nil || updated.Version <= second.Version || updated.UID != first.UID {
+			t.Fatalf("update: %+v, %v", updated, err)
+		}
+		_, err = api.Update(ctx, next) // the version is old by now
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) || conflict.Current.Writer != "bob" || conflict.Current.Version != updated.Version {
+			t.Fatalf("want a conflict that names bob, got %v", err)
+		}
+		wantError(t, api.Delete(ctx, "Status", "Route/chat", first.Version, "ada", "n"), platform.ErrConflict)
+		if err := api.Delete(ctx, "Status", "Route/chat", updated.Version, "ada", "n"); err != nil {
+			t.Fatal(err)
+		}
+		_, err = api.Get(ctx, "Status", "Route/chat")
+		wantError(t, err, platform.ErrNotFound)
+		again := mustCreate(t, api, "Status", "Route/chat", `{}`)
+		if again.UID == first.UID || again.Version <= updated.Version {
+			t.Fatalf("a recreated object must have a new UID and a higher version: %+v", again)
+		}
+		objects, version, err := api.List(ctx, "Route")
+		if err != nil || len(objects) != 1 || version != again.Version {
+			t.Fatalf("list: %v at %d, %v", objects, version, err)
+		}
+	})
+}
+
+func TestBadObjectsAreRefused(t *testing.T) {
+	overBoth(t, standin.Config{}, func(t *testing.T, _ *standin.Store, api platform.Store) {
+		ctx := testContext(t)
+		big := append(make([]byte, 0, platform.MaxValueBytes+2), '"')
+		for len(big) < platform.MaxValueBytes+1 {
+			big = append(big, 'x')
+		}
+		cases := []struct {
+			name string
+			o    platform.Object
+			want error
+		}{
+			{"no kind", platform.Object{Name: "a"}, platform.ErrInvalid},
+			{"no name", platform.Object{Kind: "Route"}, platform.ErrInvalid},
+			{"too large", platform.Object{Kind: "Route", Name: "a", Spec: append(big, '"')}, platform.ErrTooLarge},
+		}
+		for _, c := range cases {
+			_, err := api.Create(ctx, c.o)
+			if !errors.Is(err, c.want) {
+				t.Errorf("%s: %v, want %v", c.name, err, c.want)
+			}
+		}
+	})
+}
+
+// drainTo reads events until a bookmark at or past the version.
+func drainTo(t *testing.T, w platform.Watch, version uint64) []platform.Event {
+	t.Helper()
+	var events []platform.Event
+	for {
+		e, err := w.Next(testContext(t))
+		if err != nil {
+			t.Fatalf("next: %v after %d events", err, len(events))
+		}
+		if e.Type == platform.Bookmark && e.Object.Version >= version {
+			return events
+		}
+		if e.Type != platform.Bookmark {
+			events = append(events, e)
+		}
+	}
+}
+
+func TestWatchDeliversInOrderAndSurvivesCuts(t *testing.T) {
+	cfg := standin.Config{BookmarkEvery: 5 * time.Millisecond}
+	s := standin.New(cfg)
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	client, err := platform.NewClient(platform.ClientConfig{Address: server.URL, CallsPerSecond: 1000,
+		Backoff: platform.Backoff{Base: time.Millisecond, Max: 5 * time.Millisecond}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	w, err := client.Watch(testContext(t), []string{"Route"}, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	var seen []uint64
+	for i := range 30 {
+		route := mustCreate(t, s, "Route", string(rune('a'+i)), `{}`)
+		mustCreate(t, s, "Model", string(rune('a'+i)), `{}`)
+		if i%7 == 3 {
+			s.SetFault(standin.Fault{CutWatches: true})
+		}
+		for _, e := range drainTo(t, w, route.Version) {
+			if e.Object.Kind != "Route" {
+				t.Fatalf("event of kind %s", e.Object.Kind)
+			}
+			seen = append(seen, e.Object.Version)
+		}
+	}
+	if len(seen) != 30 {
+		t.Fatalf("%d events, want each of 30 once: %v", len(seen), seen)
+	}
+	for i := 1; i < len(seen); i++ {
+		if seen[i] <= seen[i-1] {
+			t.Fatalf("out of order: %v", seen)
+		}
+	}
+}
+
+func TestWatchPastTheHistoryIsGone(t *testing.T) {
+	overBoth(t, standin.Config{HistoryEvents: 3}, func(t *testing.T, _ *standin.Store, api platform.Store) {
+		for i := range 5 {
+			mustCreate(t, api, "Route", string(rune('a'+i)), `{}`)
+		}
+		for _, from := range []uint64{1, 99} {
+			_, err := api.Watch(testContext(t), nil, from)
+			wantError(t, err, platform.ErrHistoryGone)
+		}
+		w, err := api.Watch(testContext(t), nil, 2)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer w.Close()
+		if events := drainTo(t, w, 5); len(events) != 3 {
+			t.Fatalf("%d events, want 3", len(events))
+		}
+	})
+}
+
+func TestHistoryIsBoundedInBytes(t *testing.T) {
+	s := standin.New(standin.Config{HistoryBytes: 100})
+	for i := range 4 {
+		mustCreate(t, s, "Route", string(rune('a'+i)), `"0123456789012345678901234567890123456789"`)
+	}
+	_, err := s.Watch(testContext(t), nil, 1)
+	wantError(t, err, platform.ErrHistoryGone)
+}
+
+func TestOutageRefusesAndCutsWatches(t *testing.T) {
+	overBoth(t, standin.Config{}, func(t *testing.T, s *standin.Store, api platform.Store) {
+		ctx := testContext(t)
+		w, err := api.Watch(ctx, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer w.Close()
+		s.SetFault(standin.Fault{Outage: true})
+		_, err = api.Get(ctx, "Route", "a")
+		wantError(t, err, platform.ErrUnavailable)
+		_, err = api.Create(ctx, platform.Object{Kind: "Route", Name: "a"})
+		wantError(t, err, platform.ErrUnavailable)
+		for err = nil; err == nil; {
+			_, err = w.Next(ctx)
+		}
+		wantError(t, err, platform.ErrUnavailable)
+		s.SetFault(standin.Fault{})
+		mustCreate(t, api, "Route", "a", `{}`)
+	})
+}
+
+func TestLostAnswers(t *testing.T) {
+	overBoth(t, standin.Config{}, func(t *testing.T, s *standin.Store, api platform.Store) {
+		ctx := testContext(t)
+		s.SetFault(standin.Fault{LoseAnswers: 1, LoseWrites: 1})
+		_, err := api.Create(ctx, platform.Object{Kind: "Route", Name: "a", Nonce: "n1"})
+		wantError(t, err, platform.ErrUnknown)
+		_, err = api.Create(ctx, platform.Object{Kind: "Route", Name: "b", Nonce: "n2"})
+		wantError(t, err, platform.ErrUnknown)
+		if o, err := api.Get(ctx, "Route", "a"); err != nil || o.Nonce != "n1" {
+			t.Fatalf("the first write must have taken effect: %+v, %v", o, err)
+		}
+		_, err = api.Get(ctx, "Route", "b")
+		wantError(t, err, platform.ErrNotFound)
+	})
+}
+
+func TestStaleInstanceListShowsChangesLater(t *testing.T) {
+	overBoth(t, standin.Config{}, func(t *testing.T, s *standin.Store, api platform.Store) {
+		ctx := testContext(t)
+		s.PutInstance("g1", resource.Instance{State: resource.InstanceLive})
+		s.SetFault(standin.Fault{StaleInstances: true})
+		s.PutInstance("g1", resource.Instance{State: resource.InstanceLeaving})
+		s.RemoveInstance("g2")
+		before, err := api.Get(ctx, resource.KindInstance, "g1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.SetFault(standin.Fault{})
+		after, err := api.Get(ctx, resource.KindInstance, "g1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if after.Version <= before.Version || string(after.Spec) == string(before.Spec) {
+			t.Fatalf("before %s, after %s", before.Spec, after.Spec)
+		}
+	})
+}
+
+func TestRateLimitRefuses(t *testing.T) {
+	overBoth(t, standin.Config{WritesPerSecond: 2}, func(t *testing.T, s *standin.Store, api platform.Store) {
+		refused := 0
+		for i := range 20 {
+			_, err := api.Create(testContext(t), platform.Object{Kind: "Route", Name: string(rune('a' + i))})
+			if errors.Is(err, platform.ErrUnavailable) {
+				refused++
+			}
+		}
+		if refused == 0 || s.Stats().RateRefusals != uint64(refused) {
+			t.Fatalf("%d refused, counted %d", refused, s.Stats().RateRefusals)
+		}
+	})
+}
+
+func TestSlowWriteThatTimesOutAfterItsEffectIsUnknown(t *testing.T) {
+	s := standin.New(standin.Config{})
+	s.SetFault(standin.Fault{Slow: 2 * time.Second})
+	ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+	defer cancel()
+	_, err := s.Create(ctx, platform.Object{Kind: "Route", Name: "a", Nonce: "n"})
+	wantError(t, err, platform.ErrUnknown)
+}
--- /dev/null
+++ b/internal/standin/platform/watch.go
@@ -0,0 +1,125 @@
+package platform
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+)
+
+// Watch implements platform.Store. A bookmark follows as soon as the watch has
+// caught up, and then in every pause of BookmarkEvery.
+func (s *Store) Watch(ctx context.Context, kinds []string, from uint64) (platform.Watch, error) {
+	if err := s.beginRead(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.history.has(from) || from > s.version {
+		return nil, errors.Wrapf(platform.ErrHistoryGone, "version %d", from)
+	}
+	s.stats.WatchesMade++
+	s.stats.WatchesOpen++
+	return &watch{
+		store:    s,
+		ctx:      ctx,
+		kinds:    slices.Clone(kinds),
+		position: from,
+		cuts:     s.cuts,
+		closed:   make(chan struct{}),
+		charged:  time.Now(),
+	}, nil
+}
+
+// watch is one running watch. Next is called by one goroutine.
+type watch struct {
+	store      *Store
+	ctx        context.Context
+	kinds      []string
+	position   uint64 // everything up to this version was delivered or is of other kinds
+	bookmarked bool   // the position was told
+	cuts       uint64 // of the store, when the watch was made
+	closed     chan struct{}
+	once       sync.Once
+	charged    time.Time // until when the waiting was counted against the rate
+}
+
+// Next implements platform.Watch.
+func (w *watch) Next(ctx context.Context) (platform.Event, error) {
+	timer := time.NewTimer(w.store.cfg.BookmarkEvery)
+	defer timer.Stop()
+	for {
+		e, ok, changed, err := w.poll()
+		if err != nil || ok {
+			return e, err
+		}
+		hanging := w.store.CurrentFault().Hang
+		if !w.bookmarked && !hanging {
+			return w.bookmark(), nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			timer.Reset(w.store.cfg.BookmarkEvery)
+			w.chargeRate()
+			if !hanging {
+				return w.bookmark(), nil
+			}
+		case <-ctx.Done():
+			return platform.Event{}, ctx.Err()
+		case <-w.ctx.Done():
+			return platform.Event{}, w.ctx.Err()
+		case <-w.closed:
+			return platform.Event{}, errors.Wrap(platform.ErrUnavailable, "watch closed")
+		}
+	}
+}
+
+// poll takes the next matching event, if any, and the channel that tells of the next change.
+func (w *watch) poll() (platform.Event, bool, <-chan struct{}, error) {
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	if w.cuts != w.store.cuts {
+		return platform.Event{}, false, nil, errors.Wrap(platform.ErrUnavailable, "watch cut")
+	}
+	if w.store.fault.Hang {
+		return platform.Event{}, false, w.store.changed, nil
+	}
+	if !w.store.history.has(w.position) {
+		return platform.Event{}, false, nil, errors.Wrapf(platform.ErrHistoryGone, "version %d", w.position)
+	}
+	for _, e := range w.store.history.after(w.position) {
+		w.position = e.Object.Version
+		if len(w.kinds) == 0 || slices.Contains(w.kinds, e.Object.Kind) {
+			return e, true, nil, nil
+		}
+	}
+	return platform.Event{}, false, w.store.changed, nil
+}
+
+func (w *watch) bookmark() platform.Event {
+	w.bookmarked = true
+	return platform.Event{Type: platform.Bookmark, Object: platform.Object{Version: w.position}}
+}
+
+// chargeRate takes one read from the rate for each second of waiting.
+func (w *watch) chargeRate() {
+	for time.Since(w.charged) >= time.Second {
+		w.charged = w.charged.Add(time.Second)
+		w.store.reads.Reserve()
+	}
+}
+
+// Close implements platform.Watch.
+func (w *watch) Close() {
+	w.once.Do(func() {
+		close(w.closed)
+		w.store.mu.Lock()
+		w.store.stats.WatchesOpen--
+		w.store.mu.Unlock()
+	})
+}
