Add the HTTP form of engine and plain service calls

A request is resent by Go's transport when a reused connection breaks and the request looks replayable, and the transport may return an error while its writer is still about to write. So bodies can be read once only, and a connection counts the writes begun on it and can be sealed: "not run" is answered only when no write was begun and none can begin any more.

--- /dev/null
+++ b/internal/connection/upstream/conn.go
@@ -0,0 +1,91 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// errSealed is returned by writes to a connection on which a call was given up
+// before its first byte.
+var errSealed = errors.New("connection sealed")
+
+// sealConn is a network connection that knows whether a write was ever begun,
+// and on which further writes can be forbidden. It makes "no byte of this
+// request was written" a fact rather than a guess: http.Transport may return an
+// error while its writing goroutine is still about to write.
+type sealConn struct {
+	net.Conn
+	mu     sync.Mutex
+	begun  uint64 // writes begun
+	sealed bool
+}
+
+// Write implements net.Conn.
+func (c *sealConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, errSealed
+	}
+	c.begun++
+	c.mu.Unlock()
+	return c.Conn.Write(p)
+}
+
+// mark gives the count of writes begun so far.
+func (c *sealConn) mark() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.begun
+}
+
+// sealSince forbids all further writes if none was begun since mark, and reports
+// whether it did. After true nothing was written since mark, nor ever will be.
+func (c *sealConn) sealSince(mark uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.begun != mark {
+		return false
+	}
+	c.sealed = true
+	return true
+}
+
+// rawConn finds the sealConn below a TLS connection.
+func rawConn(c net.Conn) (*sealConn, bool) {
+	for c != nil {
+		if s, ok := c.(*sealConn); ok {
+			return s, true
+		}
+		inner, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			return nil, false
+		}
+		c = inner.NetConn()
+	}
+	return nil, false
+}
+
+// dialer makes connections whose unacknowledged bytes live at most userTimeout.
+func dialer(timeout, userTimeout time.Duration) *net.Dialer {
+	return &net.Dialer{
+		Timeout:   timeout,
+		KeepAlive: keepAlivePeriod,
+		Control:   controlUserTimeout(userTimeout),
+	}
+}
+
+// dialSealed dials for http.Transport.
+func dialSealed(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &sealConn{Conn: c}, nil
+	}
+}
--- /dev/null
+++ b/internal/connection/upstream/http.go
@@ -0,0 +1,241 @@
+package upstream
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Defaults of HTTPOptions.
+const (
+	DefaultDialTimeout = time.Second
+	DefaultCallTimeout = 5 * time.Second
+	DefaultSilence     = 15 * time.Second
+	DefaultUserTimeout = 5 * time.Second
+	DefaultOrderLife   = 2 * time.Second
+	DefaultIdleTimeout = 2 * time.Second
+	DefaultMaxIdle     = 512
+	DefaultMaxLine     = 256 << 10
+	DefaultMaxBody     = 8 << 20
+)
+
+const (
+	keepAlivePeriod = 10 * time.Second
+	maxHeaderBytes  = 64 << 10
+)
+
+// HTTPOptions tunes the HTTP form. The zero value is ready to use.
+type HTTPOptions struct {
+	Name        string        // expected runner name in load reports and states; empty: not checked
+	TLS         *tls.Config   // for https addresses; nil: the system's roots
+	DialTimeout time.Duration // for one connection
+	CallTimeout time.Duration // for a whole call other than a stream or an order
+	Silence     time.Duration // a stream without a byte for so long is broken
+	UserTimeout time.Duration // sent bytes may stay unacknowledged this long
+	OrderLife   time.Duration // longest life of an order's connection
+	IdleTimeout time.Duration // an idle connection is not reused after this long
+	MaxIdle     int           // idle connections kept
+	MaxLine     int           // bytes of one event of a stream
+	MaxBody     int64         // bytes of any other answer
+}
+
+func (o HTTPOptions) withDefaults() HTTPOptions {
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	setDefault(&o.Silence, DefaultSilence)
+	setDefault(&o.UserTimeout, DefaultUserTimeout)
+	setDefault(&o.OrderLife, DefaultOrderLife)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.MaxIdle, DefaultMaxIdle)
+	setDefault(&o.MaxLine, DefaultMaxLine)
+	setDefault(&o.MaxBody, int64(DefaultMaxBody))
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// newTransport makes a pool of connections. It speaks HTTP/1.1 only, because
+// there one connection carries one request at a time, which is what makes
+// "no byte was written" provable, and it never follows a proxy setting.
+func newTransport(o HTTPOptions) *http.Transport {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext:            dialSealed(dialer(o.DialTimeout, o.UserTimeout)),
+		TLSClientConfig:        o.TLS,
+		TLSHandshakeTimeout:    o.DialTimeout,
+		Protocols:              &protocols,
+		DisableCompression:     true,
+		MaxIdleConns:           0, // bounded per host
+		MaxIdleConnsPerHost:    o.MaxIdle,
+		IdleConnTimeout:        o.IdleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// httpEngine is the HTTP form of Engine.
+type httpEngine struct {
+	address string
+	base    *url.URL
+	baseErr error
+	opts    HTTPOptions
+	pool    *http.Transport
+}
+
+// NewHTTP makes an engine client for a base URL. No connection is made before
+// the first call; a malformed address makes every call fail as not run. The
+// engine also implements io.Closer, which drops idle connections.
+func NewHTTP(address string, opts HTTPOptions) Engine {
+	e := &httpEngine{address: address, opts: opts.withDefaults()}
+	e.base, e.baseErr = parseBase(address)
+	e.pool = newTransport(e.opts)
+	return e
+}
+
+// parseBase checks a base URL.
+func parseBase(address string) (*url.URL, error) {
+	u, err := url.Parse(address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "address %q", address)
+	}
+	if (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return nil, errors.Errorf("address %q: want http://host:port or https://host:port", address)
+	}
+	u.Path = strings.TrimSuffix(u.Path, "/")
+	return u, nil
+}
+
+// Close drops idle connections.
+func (e *httpEngine) Close() error {
+	e.pool.CloseIdleConnections()
+	return nil
+}
+
+// Run implements Engine.
+func (e *httpEngine) Run(ctx context.Context, r RunRequest) (Stream, error) {
+	if r.RunID == "" {
+		return nil, notRun("run", e.address, errors.New("run_id is empty"))
+	}
+	return e.open(ctx, "run", http.MethodPost, PathRun, r, r.RunID)
+}
+
+// Resume implements Engine.
+func (e *httpEngine) Resume(ctx context.Context, runID string, from int) (Stream, error) {
+	if runID == "" || from < 0 {
+		return nil, notRun("resume", e.address, errors.Errorf("run id %q from %d is malformed", runID, from))
+	}
+	path := PathRuns + url.PathEscape(runID) + "?" + QueryFrom + "=" + strconv.Itoa(from)
+	return e.open(ctx, "resume", http.MethodGet, path, nil, runID)
+}
+
+// Cancel implements Engine.
+func (e *httpEngine) Cancel(ctx context.Context, runID string) error {
+	err := e.call(ctx, "cancel", http.MethodDelete, PathRuns+url.PathEscape(runID), nil, runID, nil)
+	if errors.Is(err, ErrUnknownRun) {
+		return nil
+	}
+	return err
+}
+
+// Load implements Engine.
+func (e *httpEngine) Load(ctx context.Context) (LoadReport, error) {
+	var r LoadReport
+	if err := e.call(ctx, "load", http.MethodGet, PathLoad, nil, "", &r); err != nil {
+		return LoadReport{}, err
+	}
+	if err := e.checkName(r.Runner); err != nil {
+		return LoadReport{}, broken("load", e.address, err)
+	}
+	return r, nil
+}
+
+// CacheEvents implements Engine.
+func (e *httpEngine) CacheEvents(ctx context.Context, since uint64) (CacheEvents, error) {
+	var r CacheEvents
+	path := PathCacheEvents + "?" + QuerySince + "=" + strconv.FormatUint(since, 10)
+	if err := e.call(ctx, "cache events", http.MethodGet, path, nil, "", &r); err != nil {
+		return CacheEvents{}, err
+	}
+	return r, nil
+}
+
+// State implements Engine.
+func (e *httpEngine) State(ctx context.Context) (State, error) {
+	var s State
+	if err := e.call(ctx, "state", http.MethodGet, PathState, nil, "", &s); err != nil {
+		return State{}, err
+	}
+	if err := e.checkName(s.Runner); err != nil {
+		return State{}, broken("state", e.address, err)
+	}
+	return s, nil
+}
+
+// Prefill implements Engine.
+func (e *httpEngine) Prefill(ctx context.Context, r RunRequest) (string, error) {
+	var a PrefillAnswer
+	if err := e.call(ctx, "prefill", http.MethodPost, PathPrefill, r, r.RunID, &a); err != nil {
+		return "", err
+	}
+	if a.RunID != r.RunID || a.Handle == "" {
+		return "", broken("prefill", e.address, errors.Errorf("answer of run %q with handle %q, asked for run %q", a.RunID, a.Handle, r.RunID))
+	}
+	return a.Handle, nil
+}
+
+func (e *httpEngine) checkName(got string) error {
+	if e.opts.Name != "" && got != e.opts.Name {
+		return errors.Errorf("answer of runner %q, asked runner %q", got, e.opts.Name)
+	}
+	return nil
+}
+
+// call does one call with a JSON answer. subject is the run or order that a
+// refusal has to name; out may be nil.
+func (e *httpEngine) call(ctx context.Context, op, method, path string, body any, subject string, out any) error {
+	if e.baseErr != nil {
+		return notRun(op, e.address, e.baseErr)
+	}
+	ctx, cancel := context.WithTimeout(ctx, e.opts.CallTimeout)
+	defer cancel()
+	req, err := newRequest(ctx, method, e.base.String()+path, body)
+	if err != nil {
+		return notRun(op, e.address, err)
+	}
+	resp, err := exchange(e.pool, req, op, e.address)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return decodeAnswer(resp, op, e.address, subject, e.opts.MaxBody, out)
+}
+
+// decodeAnswer reads a JSON answer into out (nil: the body is ignored).
+func decodeAnswer(resp *http.Response, op, address, subject string, limit int64, out any) error {
+	if resp.StatusCode < 200 || resp.StatusCode > 299 {
+		return refused(resp, subject, op, address, limit)
+	}
+	data, err := readBounded(resp.Body, limit)
+	if err != nil {
+		return broken(op, address, err)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return broken(op, address, errors.Wrap(err, "malformed answer"))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/connection/upstream/service.go
@@ -0,0 +1,145 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// ServiceCall is one call of a plain service. The caller decides which headers
+// to pass on; those that speak of one connection only are dropped here.
+type ServiceCall struct {
+	Address       string // base URL of the upstream
+	Method        string
+	Path          string // escaped, with a leading slash
+	RawQuery      string
+	Host          string // Host header; empty: that of Address
+	Header        http.Header
+	Body          io.Reader // nil: none; read once, never again
+	ContentLength int64     // of Body; -1 or 0 with a Body: not known
+}
+
+// ServiceAnswer is what the service answered, whatever its status. Body must be
+// closed; a read error other than io.EOF matches ErrBroken.
+type ServiceAnswer struct {
+	Status int
+	Header http.Header
+	Length int64 // of Body; -1: not known
+	Body   io.ReadCloser
+}
+
+// Services calls plain services over one pool of connections.
+type Services struct {
+	pool *http.Transport
+}
+
+// NewServices makes a client for plain services. Of the options, those of
+// connections apply; a call lives as long as its context.
+func NewServices(opts HTTPOptions) *Services {
+	return &Services{pool: newTransport(opts.withDefaults())}
+}
+
+// Close drops idle connections.
+func (s *Services) Close() error {
+	s.pool.CloseIdleConnections()
+	return nil
+}
+
+// Forward sends one call and returns its answer with the body still streaming.
+// The call is sent at most once, whatever its method and headers. An error
+// matches ErrNotRun if no byte was sent, else ErrBroken.
+func (s *Services) Forward(ctx context.Context, call ServiceCall) (ServiceAnswer, error) {
+	const op = "forward"
+	req, err := serviceRequest(ctx, call)
+	if err != nil {
+		return ServiceAnswer{}, notRun(op, call.Address, err)
+	}
+	resp, err := exchange(s.pool, req, op, call.Address)
+	if err != nil {
+		return ServiceAnswer{}, err
+	}
+	if resp.StatusCode == http.StatusSwitchingProtocols {
+		resp.Body.Close()
+		return ServiceAnswer{}, broken(op, call.Address, errors.New("protocol switches are not passed on"))
+	}
+	dropHopByHop(resp.Header)
+	body := &serviceBody{ReadCloser: resp.Body, ctx: ctx, address: call.Address}
+	return ServiceAnswer{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: body}, nil
+}
+
+// serviceRequest builds the request of a call.
+func serviceRequest(ctx context.Context, call ServiceCall) (*http.Request, error) {
+	base, err := parseBase(call.Address)
+	if err != nil {
+		return nil, err
+	}
+	if !strings.HasPrefix(call.Path, "/") {
+		return nil, errors.Errorf("path %q does not begin with a slash", call.Path)
+	}
+	target, err := url.Parse(base.String() + call.Path)
+	if err != nil {
+		return nil, errors.Wrapf(err, "path %q", call.Path)
+	}
+	target.RawQuery = call.RawQuery
+	body, length := call.Body, call.ContentLength
+	if body == nil || body == http.NoBody {
+		body, length = strings.NewReader(""), 0
+	}
+	req, err := http.NewRequestWithContext(ctx, call.Method, target.String(), onceBody{body})
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = max(length, 0)
+	req.Host = call.Host
+	req.Header = call.Header.Clone()
+	if req.Header == nil {
+		req.Header = http.Header{}
+	}
+	dropHopByHop(req.Header)
+	if _, ok := req.Header["User-Agent"]; !ok {
+		req.Header["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	return req, nil
+}
+
+// hopByHop are the headers that speak of one connection only (RFC 9110, 7.6.1).
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// dropHopByHop removes the headers of one connection, and those that Connection names.
+func dropHopByHop(h http.Header) {
+	for _, list := range h.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			h.Del(textproto.TrimString(name))
+		}
+	}
+	for _, name := range hopByHop {
+		h.Del(name)
+	}
+}
+
+// serviceBody is an answer's body whose errors tell that the answer is cut.
+type serviceBody struct {
+	io.ReadCloser
+	ctx     context.Context
+	address string
+}
+
+// Read implements io.Reader.
+func (b *serviceBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == nil || err == io.EOF {
+		return n, err
+	}
+	if cause := context.Cause(b.ctx); cause != nil {
+		err = cause
+	}
+	return n, broken("answer", b.address, err)
+}
--- /dev/null
+++ b/internal/connection/upstream/stream.go
@@ -0,0 +1,185 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"mime"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	streamBuffer = 1 << 10                // bytes; the transport buffers too
+	drainTimeout = 100 * time.Millisecond // to reach the end of a finished body, so that the connection can be reused
+)
+
+// errSilent is the cause of a stream ended for want of any byte.
+var errSilent = errors.New("no byte within the silence limit")
+
+// httpStream reads the items of one run. It has no goroutine and no queue of its
+// own: a caller that does not call Recv stops the engine's sending by TCP flow
+// control.
+type httpStream struct {
+	op      string
+	address string
+	parent  <-chan struct{} // done channel of the context given at opening
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	body    io.ReadCloser
+	lines   *bufio.Reader
+	maxLine int
+	silence time.Duration
+	timer   *time.Timer
+	ended   bool
+	failed  error
+}
+
+// open sends a request that answers with a stream.
+func (e *httpEngine) open(ctx context.Context, op, method, path string, body any, runID string) (Stream, error) {
+	if e.baseErr != nil {
+		return nil, notRun(op, e.address, e.baseErr)
+	}
+	parent := ctx.Done()
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(e.opts.Silence, func() { cancel(errSilent) })
+	resp, err := e.openResponse(ctx, op, method, path, body, runID)
+	timer.Stop()
+	if err != nil {
+		cancel(nil)
+		return nil, err
+	}
+	return &httpStream{
+		op: op, address: e.address, parent: parent, ctx: ctx, cancel: cancel,
+		body: resp.Body, lines: bufio.NewReaderSize(resp.Body, streamBuffer),
+		maxLine: e.opts.MaxLine, silence: e.opts.Silence, timer: timer,
+	}, nil
+}
+
+func (e *httpEngine) openResponse(ctx context.Context, op, method, path string, body any, runID string) (*http.Response, error) {
+	req, err := newRequest(ctx, method, e.base.String()+path, body)
+	if err != nil {
+		return nil, notRun(op, e.address, err)
+	}
+	req.Header.Set("Accept", ContentTypeStream)
+	resp, err := exchange(e.pool, req, op, e.address)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		return nil, refused(resp, runID, op, e.address, e.opts.MaxBody)
+	}
+	if err := checkStreamHeader(resp.Header, runID); err != nil {
+		resp.Body.Close()
+		return nil, broken(op, e.address, err)
+	}
+	return resp, nil
+}
+
+// checkStreamHeader checks that a response is a stream of the run asked for.
+func checkStreamHeader(h http.Header, runID string) error {
+	if got := h.Get(HeaderRunID); got != runID {
+		return errors.Errorf("answer of run %q, asked for run %q", got, runID)
+	}
+	kind, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	if err != nil || kind != ContentTypeStream {
+		return errors.Errorf("content type %q, want %s", h.Get("Content-Type"), ContentTypeStream)
+	}
+	return nil
+}
+
+// Recv implements Stream. If ctx ends the stream is broken for good. After the
+// End it returns io.EOF.
+func (s *httpStream) Recv(ctx context.Context) (Item, error) {
+	if s.failed != nil {
+		return Item{}, s.failed
+	}
+	if s.ended {
+		return Item{}, io.EOF
+	}
+	if ctx.Done() != nil && ctx.Done() != s.parent {
+		stop := context.AfterFunc(ctx, func() { s.cancel(context.Cause(ctx)) })
+		defer stop()
+	}
+	s.timer.Reset(s.silence)
+	item, err := s.next()
+	s.timer.Stop()
+	if err != nil {
+		if cause := context.Cause(s.ctx); cause != nil {
+			err = cause
+		}
+		s.failed = broken(s.op, s.address, err)
+		return Item{}, s.failed
+	}
+	s.ended = item.End != nil
+	return item, nil
+}
+
+// next reads lines up to the next event that carries data.
+func (s *httpStream) next() (Item, error) {
+	for {
+		line, err := s.readLine()
+		if err != nil {
+			return Item{}, err
+		}
+		data, found := bytes.CutPrefix(line, []byte("data:"))
+		if found {
+			return decodeItem(data)
+		}
+		s.timer.Reset(s.silence) // a comment shows that the engine lives
+	}
+}
+
+// readLine reads one line of at most maxLine bytes.
+func (s *httpStream) readLine() ([]byte, error) {
+	line, err := s.lines.ReadSlice('\n')
+	if err == nil {
+		return line, nil
+	}
+	long := bytes.Clone(line)
+	for err == bufio.ErrBufferFull {
+		if len(long) > s.maxLine {
+			return nil, errors.Errorf("event is longer than %d bytes", s.maxLine)
+		}
+		line, err = s.lines.ReadSlice('\n')
+		long = append(long, line...)
+	}
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF // the stream ended before its End
+	}
+	return long, err
+}
+
+// decodeItem reads one item and checks its correlation fields.
+func decodeItem(data []byte) (Item, error) {
+	var w WireItem
+	if err := json.Unmarshal(data, &w); err != nil {
+		return Item{}, errors.Wrap(err, "malformed event")
+	}
+	switch {
+	case (w.Token == nil) == (w.End == nil):
+		return Item{}, errors.New("event has not exactly one of token and end")
+	case w.Token != nil && (w.Token.RunID == "" || w.Token.Index < 0):
+		return Item{}, errors.Errorf("token has run_id %q, index %d", w.Token.RunID, w.Token.Index)
+	case w.End != nil && (w.End.RunID == "" || w.End.Tokens < 0):
+		return Item{}, errors.Errorf("end has run_id %q, tokens %d", w.End.RunID, w.End.Tokens)
+	}
+	return Item{Token: w.Token, End: w.End}, nil
+}
+
+// Close implements Stream. It does not cancel the run.
+func (s *httpStream) Close() {
+	s.timer.Stop()
+	if s.ended && s.failed == nil {
+		drain := time.AfterFunc(drainTimeout, func() { s.cancel(context.Canceled) })
+		_, _ = io.Copy(io.Discard, io.LimitReader(s.lines, streamBuffer))
+		drain.Stop()
+	}
+	s.cancel(context.Canceled)
+	s.body.Close()
+}
