--- /dev/null
+++ b/internal/request/route/journal.go
@@ -0,0 +1,121 @@
+package route
+
+import "time"
+
+// The journal of one runner is a ring of bins.
+const (
+	binLength  = 100 * time.Millisecond
+	binCount   = 128
+	rateWindow = 4 * time.Second // over which recent rates are taken
+)
+
+// journal counts what gateways sent to one runner, by time of sending, over the
+// last binCount bins. What is older has been covered by a report, or the report
+// is too old to be corrected.
+type journal struct {
+	bins   [binCount]bin
+	newest int64 // number of the newest bin since the epoch of time
+}
+
+type bin struct {
+	requests float32 // change of requests in flight
+	prefill  float32 // prompt tokens sent that are not cached
+	decode   float32 // output tokens expected less those received
+}
+
+func binOf(t time.Time) int64 { return t.UnixNano() / int64(binLength) }
+
+func slot(number int64) int { return int(((number % binCount) + binCount) % binCount) }
+
+// at gives the bin for time t, or nil if t is before the ring.
+func (j *journal) at(t time.Time) *bin {
+	n := binOf(t)
+	j.advance(n)
+	if n <= j.newest-binCount {
+		return nil
+	}
+	return &j.bins[slot(n)]
+}
+
+// advance clears the bins between the newest one and n.
+func (j *journal) advance(n int64) {
+	if n <= j.newest {
+		return
+	}
+	if n-j.newest >= binCount {
+		j.bins = [binCount]bin{}
+	} else {
+		for i := j.newest + 1; i <= n; i++ {
+			j.bins[slot(i)] = bin{}
+		}
+	}
+	j.newest = n
+}
+
+func (j *journal) add(t time.Time, requests, prefill, decode float64) {
+	b := j.at(t)
+	if b == nil {
+		return
+	}
+	b.requests += float32(requests)
+	b.prefill += float32(prefill)
+	b.decode += float32(decode)
+}
+
+// correction is the sum of a journal since a report.
+type correction struct {
+	requests, decode float64
+	queuedPrefill    float64 // the report's queue, fed by the journal and drained
+}
+
+// since replays the journal from the report's time on: the reported queue of
+// prompt tokens grows by what was sent and drains at the given rate.
+func (j *journal) since(reported, now time.Time, queue, drainRate float64) correction {
+	c := correction{queuedPrefill: queue}
+	first := max(binOf(reported), j.newest-binCount+1)
+	last := binOf(now)
+	for n := first; n <= last; n++ {
+		share := overlap(n, reported, now)
+		if n <= j.newest {
+			b := &j.bins[slot(n)]
+			c.requests += float64(b.requests) * share
+			c.decode += float64(b.decode) * share
+			c.queuedPrefill += float64(b.prefill) * share
+		}
+		lasted := lengthWithin(n, reported, now)
+		c.queuedPrefill = max(c.queuedPrefill-drainRate*lasted.Seconds(), 0)
+	}
+	return c
+}
+
+// overlap is the part of a bin's elapsed time that lies after the report.
+func overlap(n int64, reported, now time.Time) float64 {
+	start := n * int64(binLength)
+	end := min(start+int64(binLength), now.UnixNano())
+	if start >= reported.UnixNano() {
+		return 1
+	}
+	if end <= start {
+		return 0
+	}
+	return max(float64(end-reported.UnixNano())/float64(end-start), 0)
+}
+
+// lengthWithin is the part of bin n between two times.
+func lengthWithin(n int64, from, to time.Time) time.Duration {
+	start := max(n*int64(binLength), from.UnixNano())
+	end := min((n+1)*int64(binLength), to.UnixNano())
+	return time.Duration(max(end-start, 0))
+}
+
+// prefillPerSecond is the mean rate of prompt tokens sent over the rate window.
+func (j *journal) prefillPerSecond(now time.Time) float64 {
+	last := binOf(now)
+	total := 0.0
+	for n := last - int64(rateWindow/binLength) + 1; n <= last && n <= j.newest; n++ {
+		if n > j.newest-binCount {
+			total += float64(j.bins[slot(n)].prefill)
+		}
+	}
+	return total / rateWindow.Seconds()
+}
--- /dev/null
+++ b/internal/request/route/lru.go
@@ -0,0 +1,85 @@
+package route
+
+// lru is a bounded set of block hashes that forgets the one used least
+// recently. It is a map into an array of doubly linked entries; entry 0 is the
+// head of the list.
+type lru struct {
+	limit   int
+	at      map[uint64]int32
+	entries []lruEntry
+	free    int32 // head of the list of unused entries, linked by next; 0: none
+}
+
+type lruEntry struct {
+	block      uint64
+	prev, next int32
+}
+
+func newLRU(limit int) *lru {
+	return &lru{limit: limit, at: make(map[uint64]int32), entries: make([]lruEntry, 1)}
+}
+
+func (l *lru) has(block uint64) bool {
+	_, ok := l.at[block]
+	return ok
+}
+
+// touch adds the block or makes it the most recent.
+func (l *lru) touch(block uint64) {
+	i, ok := l.at[block]
+	if ok {
+		l.unlink(i)
+		l.pushFront(i)
+		return
+	}
+	if len(l.at) >= l.limit {
+		l.remove(l.entries[l.entries[0].prev].block)
+	}
+	i = l.take()
+	l.entries[i].block = block
+	l.at[block] = i
+	l.pushFront(i)
+}
+
+func (l *lru) remove(block uint64) {
+	i, ok := l.at[block]
+	if !ok {
+		return
+	}
+	delete(l.at, block)
+	l.unlink(i)
+	l.entries[i].next = l.free
+	l.free = i
+}
+
+func (l *lru) clear() {
+	clear(l.at)
+	l.entries = l.entries[:1]
+	l.entries[0] = lruEntry{}
+	l.free = 0
+}
+
+// take gives an unused entry.
+func (l *lru) take() int32 {
+	if l.free == 0 {
+		l.entries = append(l.entries, lruEntry{})
+		return int32(len(l.entries) - 1)
+	}
+	i := l.free
+	l.free = l.entries[i].next
+	return i
+}
+
+func (l *lru) unlink(i int32) {
+	e := l.entries[i]
+	l.entries[e.prev].next = e.next
+	l.entries[e.next].prev = e.prev
+}
+
+func (l *lru) pushFront(i int32) {
+	first := l.entries[0].next
+	l.entries[i].prev = 0
+	l.entries[i].next = first
+	l.entries[first].prev = i
+	l.entries[0].next = i
+}
--- /dev/null
+++ b/internal/request/route/route.go
@@ -0,0 +1,230 @@
+package route
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+)
+
+// Never is the Earliest of a request that even an idle runner could not serve on time.
+const Never = time.Duration(math.MaxInt64)
+
+// Reasons of a choice.
+const (
+	ReasonOwnZone  = "on time in the own zone"
+	ReasonSpill    = "on time only in another zone"
+	ReasonLate     = "predicted late everywhere"
+	ReasonNoRunner = "no runner passes the filters"
+)
+
+// stackCandidates is how many candidates fit without allocation.
+const stackCandidates = 64
+
+// Route chooses where a request runs. Invariants: a chosen runner passes every
+// filter, whatever the predictions say; a runner of another zone is chosen only
+// if none of the own zone is predicted on time (or none passes the filters).
+func Route(now time.Time, q Request, runners []Runner) Choice {
+	var buf [stackCandidates]candidate
+	bounds := left(now, &q)
+	cands := appendCandidates(buf[:0], &q, runners, &bounds)
+	if len(cands) == 0 {
+		return Choice{Reason: ReasonNoRunner, Earliest: Never, Rejected: rejected(&q, runners)}
+	}
+	inZone := func(c *candidate) bool { return runners[c.decode].Zone == q.Zone }
+	i := pick(cands, q.Seed, func(c *candidate) bool { return c.onTime && inZone(c) })
+	if i != none {
+		return chosen(runners, &cands[i], ReasonOwnZone)
+	}
+	i = pick(cands, q.Seed, func(c *candidate) bool { return c.onTime })
+	if i != none {
+		return chosen(runners, &cands[i], ReasonSpill)
+	}
+	i = pick(cands, q.Seed, inZone)
+	if i == none {
+		i = pick(cands, q.Seed, func(*candidate) bool { return true })
+	}
+	choice := chosen(runners, &cands[i], ReasonLate)
+	choice.Earliest = earliest(&q, runners, &bounds)
+	return choice
+}
+
+func chosen(runners []Runner, c *candidate, reason string) Choice {
+	choice := Choice{
+		Runner:    runners[c.decode].Name,
+		Predicted: c.predicted,
+		OnTime:    c.onTime,
+		Reason:    reason,
+	}
+	if c.prefill != none {
+		choice.Prefill = runners[c.prefill].Name
+	}
+	return choice
+}
+
+// appendCandidates gives one candidate for each runner that passes the filters:
+// for a decode-only runner the better of prefilling there and of a pair.
+func appendCandidates(cands []candidate, q *Request, runners []Runner, bounds *budget) []candidate {
+	prefill := none
+	searched := false
+	for i := range runners {
+		r := &runners[i]
+		if refusedBy(q, r) != "" {
+			continue
+		}
+		c := candidate{decode: i, prefill: none, predicted: Predict(q, r)}
+		c.cost = cost(q, runners, &c)
+		if isDecodeOnly(r) {
+			if !searched {
+				prefill, searched = bestPrefill(q, runners), true
+			}
+			c = betterOfPair(q, runners, c, prefill)
+		}
+		c.onTime = bounds.meets(&c.predicted)
+		cands = append(cands, c)
+	}
+	return cands
+}
+
+// bestPrefill finds the prefill runner that would have the prompt computed first.
+func bestPrefill(q *Request, runners []Runner) int {
+	best, bestTime := none, math.Inf(1)
+	for i := range runners {
+		r := &runners[i]
+		if !canPrefill(q, r) || !hasLoaded(q, r) || r.Leaving || r.Suspected || !notExcluded(q, r) {
+			continue
+		}
+		need := float64(q.PromptTokens - cachedTokens(q, r))
+		t := (r.QueuedPrefill + need) / r.prefillRate()
+		if r.Zone != q.Zone {
+			t += otherZonePenalty
+		}
+		if t < bestTime {
+			best, bestTime = i, t
+		}
+	}
+	return best
+}
+
+// otherZonePenalty in seconds keeps KV transfers within a zone unless that costs time.
+const otherZonePenalty = 0.1
+
+// betterOfPair compares prefilling at the decode side with the pair.
+func betterOfPair(q *Request, runners []Runner, alone candidate, prefill int) candidate {
+	if prefill == none {
+		return alone
+	}
+	pair := candidate{decode: alone.decode, prefill: prefill}
+	pair.predicted = predictPair(q, &runners[prefill], &runners[alone.decode])
+	pair.cost = cost(q, runners, &pair)
+	if pair.cost < alone.cost {
+		return pair
+	}
+	return alone
+}
+
+// rejected counts the runners that each filter took out.
+func rejected(q *Request, runners []Runner) map[string]int {
+	out := make(map[string]int)
+	for i := range runners {
+		if name := refusedBy(q, &runners[i]); name != "" {
+			out[name]++
+		}
+	}
+	return out
+}
+
+// earliest predicts the wait until some runner could serve such a request on time.
+func earliest(q *Request, runners []Runner, bounds *budget) time.Duration {
+	best := Never
+	for i := range runners {
+		r := &runners[i]
+		if refusedBy(q, r) != "" {
+			continue
+		}
+		best = min(best, untilOnTime(q, r, bounds))
+	}
+	return best
+}
+
+// untilOnTime predicts the wait until one runner could serve a fresh request
+// like this on time: its prompts drained, enough of its streams ended.
+func untilOnTime(q *Request, r *Runner, bounds *budget) time.Duration {
+	idle := *r
+	idle.QueuedPrefill, idle.Running, idle.DecodeLeft, idle.KVUsed, idle.PrefillShare = 0, 0, 0, 0, 0
+	fresh := *bounds
+	if ms := q.OnTime.FirstTokenMS; ms > 0 {
+		fresh.first = time.Duration(ms) * time.Millisecond
+	}
+	if ms := q.OnTime.WholeMS; ms > 0 {
+		fresh.whole = time.Duration(ms) * time.Millisecond
+	}
+	p := Predict(q, &idle)
+	if !fresh.meets(&p) {
+		return Never
+	}
+	now := Predict(q, r)
+	wait := time.Duration(0)
+	if fresh.hasFirst {
+		wait = max(wait, now.FirstToken-fresh.first)
+	}
+	if fresh.hasWhole {
+		wait = max(wait, now.Whole-fresh.whole)
+	}
+	if fresh.hasBetween && now.Between > fresh.between {
+		wait = max(wait, seconds(r.drainTime(r.excessStreams(fresh.between.Seconds()))))
+	}
+	return max(wait, minEarliest)
+}
+
+// minEarliest is the least wait that is told to a caller.
+const minEarliest = 100 * time.Millisecond
+
+// excessStreams is how many streams have to end before one more keeps the gap.
+func (r *Runner) excessStreams(gap float64) float64 {
+	slope := r.stepSlope()
+	if slope <= 0 {
+		return 1
+	}
+	fit := 1 + (gap*(1-min(r.PrefillShare, maxPrefillShare))-r.step(1))/slope
+	return max(r.Running+1-fit, 1)
+}
+
+// Explain gives one line with the predictions and costs of every candidate and
+// the filters that took the others out.
+func Explain(now time.Time, q Request, runners []Runner) string {
+	bounds := left(now, &q)
+	var b strings.Builder
+	for _, c := range appendCandidates(nil, &q, runners, &bounds) {
+		fmt.Fprintf(&b, "%s cost=%.3fs first=%s between=%s cached=%d on_time=%t; ",
+			runners[c.decode].Name, c.cost, c.predicted.FirstToken.Round(time.Millisecond),
+			c.predicted.Between.Round(time.Microsecond*100), c.predicted.CachedTokens, c.onTime)
+	}
+	for i := range runners {
+		if name := refusedBy(&q, &runners[i]); name != "" {
+			fmt.Fprintf(&b, "%s out=%s; ", runners[i].Name, name)
+		}
+	}
+	return strings.TrimSuffix(b.String(), "; ")
+}
+
+// Assume adds a request that was just sent to the view, so that further choices
+// on the same view count it.
+func Assume(runners []Runner, q *Request, c *Choice) {
+	for i := range runners {
+		r := &runners[i]
+		need := float64(q.PromptTokens - c.Predicted.CachedTokens)
+		if r.Name == c.Prefill {
+			r.QueuedPrefill += need
+		}
+		if r.Name != c.Runner {
+			continue
+		}
+		r.Running++
+		r.DecodeLeft += float64(q.ExpectedOut)
+		r.KVUsed += float64(q.PromptTokens + q.ExpectedOut)
+		if c.Prefill == "" {
+			r.QueuedPrefill += need
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/route/score.go
@@ -0,0 +1,51 @@
+package route
+
+// candidate is one way to serve a request that passed the filters.
+type candidate struct {
+	decode    int // index into runners
+	prefill   int // index into runners; none: at the decoding runner
+	predicted Prediction
+	onTime    bool
+	cost      float64 // seconds; lower is better
+}
+
+const none = -1
+
+// scorer gives one part of a candidate's cost in seconds.
+type scorer struct {
+	name  string
+	score func(q *Request, runners []Runner, c *candidate) float64
+}
+
+// scorers are added up. The prefix cache counts in both: cached tokens shorten
+// the request's own time and spare the runner's other streams their stall.
+var scorers = []scorer{
+	{"predicted time", scoreTime},
+	{"harm to others", scoreHarm},
+}
+
+func cost(q *Request, runners []Runner, c *candidate) float64 {
+	total := 0.0
+	for i := range scorers {
+		total += scorers[i].score(q, runners, c)
+	}
+	return total
+}
+
+// scoreTime is the predicted time of the whole answer.
+func scoreTime(_ *Request, _ []Runner, c *candidate) float64 {
+	return c.predicted.Whole.Seconds()
+}
+
+// scoreHarm is the time that the request takes from the streams already there:
+// its prompt stalls them, and each of its tokens makes their steps longer. This
+// is what weighs affinity against load, since both grow with the streams.
+func scoreHarm(q *Request, runners []Runner, c *candidate) float64 {
+	d := &runners[c.decode]
+	harm := d.stepSlope() * float64(q.ExpectedOut) * d.Running
+	need := float64(q.PromptTokens - c.predicted.CachedTokens)
+	if c.prefill == none {
+		return harm + need/d.prefillRate()*d.Running
+	}
+	return harm
+}
--- /dev/null
+++ b/internal/request/route/tracker.go
@@ -0,0 +1,280 @@
+package route
+
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// Send is a request that this gateway sent to a runner.
+type Send struct {
+	ID           string
+	Runner       string
+	Prefill      string // prefill runner of a pair; empty: prefilled at Runner
+	PromptTokens int
+	CachedTokens int // as predicted
+	ExpectedOut  int
+	PrefixHashes []uint64
+}
+
+// Tracker keeps what is known of every runner: its last report and state, and
+// what this gateway and its peers sent since the report's time. Its size is
+// bounded by the runners and by the requests in flight. Not safe for concurrent use.
+type Tracker struct {
+	Prefixes *PrefixIndex
+	runners  map[string]*tracked
+	inFlight map[string]*flight
+	view     []Runner
+	byModel  map[string][]string
+	indexed  *config.Snapshot // the snapshot that byModel was built from
+}
+
+// tracked is what is known of one runner.
+type tracked struct {
+	state     upstream.State
+	hasState  bool
+	report    upstream.LoadReport
+	measured  time.Time // when the report's figures were taken, by our clock
+	suspected bool
+	journal   journal
+	own       ownUse
+	unsent    peer.UseRow // use since the last Report
+	cached    func(hashes []uint64) int
+}
+
+// ownUse is what this gateway has in flight at one runner.
+type ownUse struct {
+	requests, decode, kv float64
+}
+
+// flight is one request in flight.
+type flight struct {
+	send     Send
+	received int
+}
+
+// NewTracker makes an empty tracker.
+func NewTracker() *Tracker {
+	return &Tracker{
+		Prefixes: NewPrefixIndex(0),
+		runners:  make(map[string]*tracked),
+		inFlight: make(map[string]*flight),
+	}
+}
+
+func (t *Tracker) runner(name string) *tracked {
+	r, ok := t.runners[name]
+	if !ok {
+		r = &tracked{cached: func(hashes []uint64) int { return t.Prefixes.Cached(name, hashes) }}
+		t.runners[name] = r
+	}
+	return r
+}
+
+// Reported takes in a load report received at now. An older one than the last is ignored.
+func (t *Tracker) Reported(now time.Time, report upstream.LoadReport) {
+	r := t.runner(report.Runner)
+	measured := now.Add(-max(report.Age, 0))
+	if measured.Before(r.measured) && report.Incarnation == r.report.Incarnation {
+		return
+	}
+	r.report = report
+	r.measured = measured
+}
+
+// Stated takes in a runner's actual state.
+func (t *Tracker) Stated(state upstream.State) {
+	r := t.runner(state.Runner)
+	r.state = state
+	r.hasState = true
+}
+
+// Suspect marks a runner as suspected, or no longer so. A suspected runner gets
+// no new work; its streams go on.
+func (t *Tracker) Suspect(runner string, suspected bool) {
+	t.runner(runner).suspected = suspected
+}
+
+// Sent notes a request sent by this gateway.
+func (t *Tracker) Sent(now time.Time, s Send) {
+	if _, ok := t.inFlight[s.ID]; ok {
+		t.Finished(now, s.ID)
+	}
+	t.inFlight[s.ID] = &flight{send: s}
+	need := float64(max(s.PromptTokens-s.CachedTokens, 0))
+	decode := t.runner(s.Runner)
+	prefill := decode
+	if s.Prefill != "" {
+		prefill = t.runner(s.Prefill)
+	}
+	decode.journal.add(now, 1, 0, float64(s.ExpectedOut))
+	prefill.journal.add(now, 0, need, 0)
+	decode.own.requests++
+	decode.own.decode += float64(s.ExpectedOut)
+	decode.own.kv += float64(s.PromptTokens + s.ExpectedOut)
+	decode.unsent.Requests++
+	decode.unsent.Decode += s.ExpectedOut
+	prefill.unsent.Prefill += int(need)
+	t.Prefixes.Sent(s.Runner, s.PrefixHashes)
+	if s.Prefill != "" {
+		t.Prefixes.Sent(s.Prefill, s.PrefixHashes)
+	}
+}
+
+// Progress notes that tokens more output tokens of a request were received.
+func (t *Tracker) Progress(now time.Time, id string, tokens int) {
+	f, ok := t.inFlight[id]
+	if !ok {
+		return
+	}
+	left := max(f.send.ExpectedOut-f.received, 0)
+	counted := min(tokens, left)
+	f.received += tokens
+	r := t.runner(f.send.Runner)
+	r.own.decode -= float64(counted)
+	r.journal.add(now, 0, 0, -float64(counted))
+	r.unsent.Done += counted
+}
+
+// Finished notes that a request is no longer in flight, however it ended.
+func (t *Tracker) Finished(now time.Time, id string) {
+	f, ok := t.inFlight[id]
+	if !ok {
+		return
+	}
+	delete(t.inFlight, id)
+	left := max(f.send.ExpectedOut-f.received, 0)
+	r := t.runner(f.send.Runner)
+	r.own.requests--
+	r.own.decode -= float64(left)
+	r.own.kv -= float64(f.send.PromptTokens + f.send.ExpectedOut)
+	r.journal.add(now, -1, 0, -float64(left))
+	r.unsent.Requests--
+	r.unsent.Done += left
+}
+
+// PeerUse takes in what another gateway sent since its previous report.
+func (t *Tracker) PeerUse(now time.Time, _ string, rows []peer.UseRow) {
+	for _, row := range rows {
+		r, ok := t.runners[row.Runner]
+		if !ok {
+			continue
+		}
+		r.journal.add(now, float64(row.Requests), float64(row.Prefill), float64(row.Decode-row.Done))
+	}
+}
+
+// Report gives this gateway's use since the previous call, for its peers.
+func (t *Tracker) Report() []peer.UseRow {
+	var rows []peer.UseRow
+	for name, r := range t.runners {
+		if r.unsent == (peer.UseRow{}) {
+			continue
+		}
+		row := r.unsent
+		row.Runner = name
+		rows = append(rows, row)
+		r.unsent = peer.UseRow{}
+	}
+	return rows
+}
+
+// View gives every runner of the configuration at now. The slice is reused by
+// the next call of View or ViewModel.
+func (t *Tracker) View(now time.Time, snapshot *config.Snapshot) []Runner {
+	t.index(snapshot)
+	t.view = t.view[:0]
+	for _, names := range t.byModel {
+		t.appendView(now, snapshot, names)
+	}
+	return t.view
+}
+
+// ViewModel gives the runners that the configuration gives to a model. The
+// slice is reused by the next call of View or ViewModel.
+func (t *Tracker) ViewModel(now time.Time, snapshot *config.Snapshot, model string) []Runner {
+	t.index(snapshot)
+	t.view = t.view[:0]
+	t.appendView(now, snapshot, t.byModel[model])
+	return t.view
+}
+
+// index groups the runners of a new snapshot by model and forgets the others.
+func (t *Tracker) index(snapshot *config.Snapshot) {
+	if t.indexed == snapshot {
+		return
+	}
+	t.indexed = snapshot
+	t.byModel = make(map[string][]string)
+	for name, r := range snapshot.Runners {
+		t.byModel[r.Model] = append(t.byModel[r.Model], name)
+	}
+	for _, names := range t.byModel {
+		sortNames(names)
+	}
+	for name, r := range t.runners {
+		if _, ok := snapshot.Runners[name]; !ok && r.own.requests <= 0 {
+			delete(t.runners, name)
+			t.Prefixes.Forget(name)
+		}
+	}
+}
+
+func (t *Tracker) appendView(now time.Time, snapshot *config.Snapshot, names []string) {
+	for _, name := range names {
+		spec := snapshot.Runners[name]
+		t.view = append(t.view, Runner{})
+		t.runner(name).fill(&t.view[len(t.view)-1], now, name, &spec, snapshot)
+	}
+}
+
+// fill writes the corrected view of one runner.
+func (r *tracked) fill(out *Runner, now time.Time, name string, spec *resource.Runner, snapshot *config.Snapshot) {
+	out.Name = name
+	out.Zone = spec.Zone
+	out.Engine = snapshot.Engines[spec.Engine]
+	out.Role = r.role(spec)
+	out.Incarnation = r.state.Incarnation
+	out.Loaded = r.state.Loaded
+	out.Leaving = r.leaving(spec) || snapshot.Instances[name].State == resource.InstanceLeaving
+	out.Suspected = r.suspected || !r.hasState
+	out.CachedPrefix = r.cached
+	r.fillLoad(out, now)
+}
+
+// role is the actual role, or the desired one while nothing is known.
+func (r *tracked) role(spec *resource.Runner) upstream.Role {
+	if r.state.Role != "" {
+		return r.state.Role
+	}
+	if spec.Role == resource.RoleAuto || spec.Role == "" {
+		return upstream.RoleBoth
+	}
+	return upstream.Role(spec.Role)
+}
+
+// leaving tells whether the runner must get no new work.
+func (r *tracked) leaving(spec *resource.Runner) bool {
+	if spec.State == resource.RunnerDrained || spec.State == resource.RunnerWithdrawn {
+		return true
+	}
+	return r.state.Leaving || r.report.Leaving || r.state.OrderStatus == upstream.OrderRunning
+}
+
+// fillLoad corrects the report by the journal since the report's time.
+func (r *tracked) fillLoad(out *Runner, now time.Time) {
+	out.PrefillRate = orDefault(r.report.PrefillRate, out.Engine.PrefillRate)
+	out.DecodeRate = out.Engine.DecodeRate
+	out.ReportAge = now.Sub(r.measured)
+	out.KVTotal = orDefault(float64(r.report.KVTotalTokens), float64(out.Engine.KVTokens))
+	c := r.journal.since(r.measured, now, float64(r.report.QueuedPrefill), out.prefillRate())
+	out.QueuedPrefill = c.queuedPrefill
+	reported := float64(r.report.Running + r.report.QueuedRequests)
+	out.Running = max(reported+c.requests, r.own.requests, 0)
+	out.DecodeLeft = max(r.own.decode, 0)
+	out.KVUsed = max(float64(r.report.KVUsedTokens), r.own.kv)
+	out.PrefillShare = min(r.journal.prefillPerSecond(now)/out.prefillRate(), maxPrefillShare)
+}
--- a/internal/request/route/types.go
+++ b/internal/request/route/types.go
@@ -47,8 +47,9 @@
 	DecodeLeft    float64       // output tokens still to generate, corrected
 	KVUsed        float64       // tokens, corrected
 	KVTotal       float64
-	PrefillRate   float64                   // measured, prompt tokens a second
-	DecodeRate    float64                   // measured, output tokens a second, all streams
+	PrefillRate   float64                   // measured, prompt tokens a second while prefilling
+	DecodeRate    float64                   // measured, output tokens a second of a full batch
+	PrefillShare  float64                   // share of the engine's time that recent prompts take, 0 to 1
 	CachedPrefix  func(hashes []uint64) int // leading blocks believed cached; a hint; nil: none
 }
 
@@ -66,7 +67,7 @@
 	Prefill   string // a prefill runner to compute the prompt first; empty: prefill at Runner
 	Predicted Prediction
 	OnTime    bool           // the prediction meets OnTime and Deadline
-	Earliest  time.Duration  // if not OnTime: predicted wait until a request like this could be on time
-	Reason    string         // one line for explain: scores of the best candidates
-	Rejected  map[string]int // filter name to number of runners it took out
+	Earliest  time.Duration  // if not OnTime: predicted wait until a request like this could be on time; Never: not even at an idle runner
+	Reason    string         // how the choice came about, one constant phrase; Explain gives the scores
+	Rejected  map[string]int // filter name to number of runners it took out; only if Runner is empty
 }
