Document the closed list of error kinds and test the page against it

Cause: callers and operators need one table from kind to answer. Change: docs/ERRORS.md is rendered from the table; tests for completeness and for foreign errors. Conclusion: the page cannot drift from the code.

--- /dev/null
+++ b/internal/errkind/errkind_test.go
@@ -0,0 +1,87 @@
+package errkind
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+var update = flag.Bool("update", false, "rewrite the table in docs/ERRORS.md")
+
+const (
+	errorsPage = "../../docs/ERRORS.md"
+	tableHead  = "| kind | HTTP status | type | try again | exit code | meaning |\n|---|---|---|---|---|---|\n"
+)
+
+func renderTable() string {
+	kinds := Kinds()
+	sort.Slice(kinds, func(i, j int) bool { return kinds[i] < kinds[j] })
+	var b strings.Builder
+	b.WriteString(tableHead)
+	for _, k := range kinds {
+		a := Lookup(k)
+		fmt.Fprintf(&b, "| `%s` | %d | `%s` | %t | %d | %s |\n", k, a.Status, a.Type, a.Retryable, a.ExitCode, a.Meaning)
+	}
+	return b.String()
+}
+
+func TestErrorsPageMatchesTable(t *testing.T) {
+	page, err := os.ReadFile(errorsPage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, rest, found := strings.Cut(string(page), tableHead)
+	if !found {
+		t.Fatalf("%s has no table", errorsPage)
+	}
+	_, after, _ := strings.Cut(rest, "\n\n")
+	want := before + renderTable() + "\n" + after
+	if *update {
+		if err := os.WriteFile(errorsPage, []byte(want), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if string(page) != want {
+		t.Errorf("%s differs from the table; run go test ./internal/errkind -update", errorsPage)
+	}
+}
+
+func TestEveryKindHasAWholeAnswer(t *testing.T) {
+	for _, k := range Kinds() {
+		a := Lookup(k)
+		if a.Status < 400 || a.Type == "" || a.Meaning == "" || a.ExitCode == ExitOK {
+			t.Errorf("%s: incomplete answer %+v", k, a)
+		}
+	}
+}
+
+func TestFromForeignErrorNeverClaimsNotRun(t *testing.T) {
+	e := From(errors.New("boom"))
+	if e.Kind != Internal || e.Run != RunUnknown {
+		t.Errorf("got %s %s: nothing proves that the request did not run", e.Kind, e.Run)
+	}
+}
+
+func TestFromFindsWrappedError(t *testing.T) {
+	inner := New(Overloaded, NotRun, "full").After(2 * time.Second)
+	e := From(errors.Wrap(inner, "while admitting"))
+	if e != inner || e.RetryAfter != 2*time.Second {
+		t.Errorf("got %+v", e)
+	}
+	if !Is(errors.Wrap(inner, "x"), Overloaded) || Is(inner, Conflict) {
+		t.Error("Is does not tell kinds apart")
+	}
+}
+
+func TestLookupUnlistedKind(t *testing.T) {
+	if got, want := Lookup("no-such-kind"), Lookup(Internal); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
