--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -61,6 +61,10 @@
 	Base    uint64           `cbor:"1,keyasint"`
 	Version uint64           `cbor:"2,keyasint"`
 	Events  []platform.Event `cbor:"3,keyasint"`
+	// Complete: Events holds each change after Base, so that a receiver which
+	// already has some of them may apply the rest. Otherwise Events is the
+	// difference between the two versions and applies to exactly Base.
+	Complete bool `cbor:"4,keyasint,omitempty"`
 }
 
 // ConfigFetch asks for everything after Have.
@@ -99,10 +103,11 @@
 // DemandRow is the demand that a gateway admitted or refused since its previous report.
 type DemandRow struct {
 	Model   string `cbor:"1,keyasint"`
-	Prefill int    `cbor:"2,keyasint"` // prompt tokens
-	Decode  int    `cbor:"3,keyasint"` // output tokens, expected
-	Arrived int    `cbor:"4,keyasint"` // requests
-	Late    int    `cbor:"5,keyasint"` // requests late or refused for lack of capacity
+	Prefill int    `cbor:"2,keyasint"`           // prompt tokens that no cache holds, predicted
+	Decode  int    `cbor:"3,keyasint"`           // output tokens, expected
+	Arrived int    `cbor:"4,keyasint"`           // requests
+	Late    int    `cbor:"5,keyasint"`           // requests late or refused for lack of capacity
+	Route   string `cbor:"6,keyasint,omitempty"` // empty: not told
 }
 
 // UseReport is one gateway's use since its previous report (about a second ago).
@@ -114,30 +119,44 @@
 	Demand   []DemandRow  `cbor:"5,keyasint,omitempty"`
 }
 
+// ClaimOp is what a ClaimAsk asks for.
+type ClaimOp uint8
+
+// The claim operations. Each is idempotent: asked twice, it takes effect once.
+const (
+	ClaimCreate   ClaimOp = 1 // record the claim if the key has none
+	ClaimTakeover ClaimOp = 2 // a further caller joins: from now on the claim never moves
+	ClaimMove     ClaimOp = 3 // the holder names another runner; its own send provably did not run
+	ClaimRelease  ClaimOp = 4 // the holder gives the claim up; it never sent, or its sends provably did not run
+	ClaimLookup   ClaimOp = 5 // read only
+)
+
 // ClaimAsk asks the keeper of a bucket to record a claim, or to change its holder or runner.
 type ClaimAsk struct {
-	Account       string `cbor:"1,keyasint"`
-	KeyHash       []byte `cbor:"2,keyasint"`
-	BodyHash      []byte `cbor:"3,keyasint"`
-	Holder        string `cbor:"4,keyasint"` // gateway that will send
-	Runner        string `cbor:"5,keyasint"`
-	Incarnation   string `cbor:"6,keyasint"` // of the runner
-	RunID         string `cbor:"7,keyasint"`
-	ExpectHolder  string `cbor:"8,keyasint,omitempty"` // with ExpectAttempt: change an existing claim only from this
-	ExpectAttempt int    `cbor:"9,keyasint,omitempty"` // zero: create if absent
+	Account      string  `cbor:"1,keyasint"`
+	KeyHash      []byte  `cbor:"2,keyasint"`
+	BodyHash     []byte  `cbor:"3,keyasint"`
+	Holder       string  `cbor:"4,keyasint"` // gateway that will send
+	Runner       string  `cbor:"5,keyasint"`
+	Incarnation  string  `cbor:"6,keyasint"`           // of the runner
+	RunID        string  `cbor:"7,keyasint"`           // made by the asking session; tells its own claim from any other
+	ExpectSerial uint64  `cbor:"8,keyasint,omitempty"` // with ClaimMove: change the claim only from this serial
+	Op           ClaimOp `cbor:"9,keyasint"`
 }
 
 // ClaimAnswer gives the claim in force after the ask.
 type ClaimAnswer struct {
-	Granted     bool   `cbor:"1,keyasint"`           // the ask took effect
-	Kind        string `cbor:"2,keyasint,omitempty"` // error kind if nothing is known
+	Granted     bool   `cbor:"1,keyasint"`           // the ask is in effect
+	Kind        string `cbor:"2,keyasint,omitempty"` // error kind if the ask was refused
 	BodyHash    []byte `cbor:"3,keyasint,omitempty"`
 	Holder      string `cbor:"4,keyasint,omitempty"`
-	Attempt     int    `cbor:"5,keyasint,omitempty"`
-	Moves       bool   `cbor:"6,keyasint,omitempty"` // the holder may still move the claim to another runner
+	Attempt     int    `cbor:"5,keyasint,omitempty"` // 1: the holder is alone and may move the claim; 2: it never moves again
+	Serial      uint64 `cbor:"6,keyasint,omitempty"` // counts the changes of this claim
 	Runner      string `cbor:"7,keyasint,omitempty"`
 	Incarnation string `cbor:"8,keyasint,omitempty"`
-	RunID       string `cbor:"9,keyasint,omitempty"`
+	RunID       string `cbor:"9,keyasint,omitempty"`  // empty: no claim is known
+	Absent      bool   `cbor:"10,keyasint,omitempty"` // the key had no claim at some moment after the ask arrived
+	Written     bool   `cbor:"11,keyasint,omitempty"` // refused, but a write for this ask may still take effect
 }
 
 // ExplainAsk asks a daemon what it knows about a request or change.
--- /dev/null
+++ b/internal/version/config/build.go
@@ -0,0 +1,196 @@
+package config
+
+import (
+	"maps"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// key identifies an object by kind and name.
+type key struct {
+	kind string
+	name string
+}
+
+func keyOf(o platform.Object) key { return key{o.Kind, o.Name} }
+
+func (k key) String() string { return k.kind + "/" + k.name }
+
+// entry is one object: its newest form, and the form in force. good is nil while
+// no form of the object was valid since it was created.
+type entry struct {
+	newest platform.Object
+	good   *platform.Object
+	reason string // why newest is not in force; empty: it is
+}
+
+// next gives the entry after a newer form of the object arrived. A form with
+// another UID is another object: the good form of the former one is not kept.
+func (e entry) next(o platform.Object) entry {
+	err := validate(o)
+	if err == nil {
+		return entry{newest: o, good: &o}
+	}
+	n := entry{newest: o, reason: err.Error()}
+	if e.newest.UID == o.UID {
+		n.good = e.good
+	}
+	return n
+}
+
+// validate checks an object and that it decodes into its type.
+func validate(o platform.Object) error {
+	if err := resource.Validate(o); err != nil {
+		return err
+	}
+	return emptySnapshot().put(o)
+}
+
+// Build makes the snapshot of objects that have no earlier form. Its version is
+// the highest version among them.
+func Build(objects ...platform.Object) *Snapshot {
+	entries := make(map[key]entry, len(objects))
+	var version uint64
+	for _, o := range objects {
+		entries[keyOf(o)] = entry{}.next(o)
+		version = max(version, o.Version)
+	}
+	return build(version, entries)
+}
+
+// build makes a snapshot from nothing but the entries.
+func build(version uint64, entries map[key]entry) *Snapshot {
+	s := emptySnapshot()
+	s.Version = version
+	for k, e := range entries {
+		s.set(k, e)
+	}
+	s.indexKeys()
+	return s
+}
+
+func emptySnapshot() *Snapshot {
+	return &Snapshot{
+		Engines:   map[string]resource.Engine{},
+		Runners:   map[string]resource.Runner{},
+		Models:    map[string]resource.Model{},
+		Adapters:  map[string]resource.Adapter{},
+		Versions:  map[string]resource.Version{},
+		Routes:    map[string]resource.Route{},
+		Accounts:  map[string]resource.ClientAccount{},
+		Services:  map[string]resource.Service{},
+		Instances: map[string]resource.Instance{},
+		Drains:    map[string]resource.Drain{},
+		ByKeyHash: map[string]string{},
+		Rejected:  map[string]Rejection{},
+	}
+}
+
+// clone copies the maps, so that the copy can be changed before it is published.
+func (s *Snapshot) clone() *Snapshot {
+	return &Snapshot{
+		Version:   s.Version,
+		Engines:   maps.Clone(s.Engines),
+		Runners:   maps.Clone(s.Runners),
+		Models:    maps.Clone(s.Models),
+		Adapters:  maps.Clone(s.Adapters),
+		Versions:  maps.Clone(s.Versions),
+		Routes:    maps.Clone(s.Routes),
+		Accounts:  maps.Clone(s.Accounts),
+		Services:  maps.Clone(s.Services),
+		Instances: maps.Clone(s.Instances),
+		Drains:    maps.Clone(s.Drains),
+		ByKeyHash: s.ByKeyHash, // made anew by indexKeys
+		Rejected:  maps.Clone(s.Rejected),
+	}
+}
+
+// set puts the entry's form in force into an unpublished snapshot.
+func (s *Snapshot) set(k key, e entry) {
+	s.drop(k)
+	var inForce uint64
+	if e.good != nil && s.put(*e.good) == nil {
+		inForce = e.good.Version
+	}
+	if e.reason != "" {
+		s.Rejected[k.String()] = Rejection{Version: e.newest.Version, InForce: inForce, Message: e.reason}
+	}
+}
+
+// put decodes a valid object into the map of its kind. Other kinds are not part
+// of the configuration and are passed over.
+func (s *Snapshot) put(o platform.Object) error {
+	switch o.Kind {
+	case resource.KindEngine:
+		return putInto(s.Engines, o)
+	case resource.KindRunner:
+		return putInto(s.Runners, o)
+	case resource.KindModel:
+		return putInto(s.Models, o)
+	case resource.KindAdapter:
+		return putInto(s.Adapters, o)
+	case resource.KindVersion:
+		return putInto(s.Versions, o)
+	case resource.KindRoute:
+		return putInto(s.Routes, o)
+	case resource.KindClientAccount:
+		return putInto(s.Accounts, o)
+	case resource.KindService:
+		return putInto(s.Services, o)
+	case resource.KindInstance:
+		return putInto(s.Instances, o)
+	case resource.KindDrain:
+		return putInto(s.Drains, o)
+	}
+	return nil
+}
+
+func putInto[T any](m map[string]T, o platform.Object) error {
+	v, err := resource.Decode[T](o)
+	if err != nil {
+		return err
+	}
+	m[o.Name] = v
+	return nil
+}
+
+// drop removes an object from an unpublished snapshot.
+func (s *Snapshot) drop(k key) {
+	delete(s.Rejected, k.String())
+	switch k.kind {
+	case resource.KindEngine:
+		delete(s.Engines, k.name)
+	case resource.KindRunner:
+		delete(s.Runners, k.name)
+	case resource.KindModel:
+		delete(s.Models, k.name)
+	case resource.KindAdapter:
+		delete(s.Adapters, k.name)
+	case resource.KindVersion:
+		delete(s.Versions, k.name)
+	case resource.KindRoute:
+		delete(s.Routes, k.name)
+	case resource.KindClientAccount:
+		delete(s.Accounts, k.name)
+	case resource.KindService:
+		delete(s.Services, k.name)
+	case resource.KindInstance:
+		delete(s.Instances, k.name)
+	case resource.KindDrain:
+		delete(s.Drains, k.name)
+	}
+}
+
+// indexKeys makes ByKeyHash from the accounts. If two accounts list the same
+// hash, the first name in order has it, at every daemon.
+func (s *Snapshot) indexKeys() {
+	s.ByKeyHash = make(map[string]string, len(s.Accounts))
+	for name, account := range s.Accounts {
+		for _, hash := range account.KeyHashes {
+			if other, taken := s.ByKeyHash[hash]; !taken || name < other {
+				s.ByKeyHash[hash] = name
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/version/config/core.go
@@ -0,0 +1,416 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// DefaultHistoryEvents is how many changes a daemon keeps to answer fetches.
+const DefaultHistoryEvents = 512
+
+// DefaultFetchTimeout is how long an answer to a fetch is awaited before another
+// peer is asked.
+const DefaultFetchTimeout = 2 * time.Second
+
+// Config sets up a Core. Zero fields take the defaults.
+type Config struct {
+	HistoryEvents int
+	FetchTimeout  time.Duration
+}
+
+// Core is the pure state machine that moves a daemon from one version of the
+// configuration to a newer one.
+//
+// Invariants: the version in force never decreases; a change that is part of what
+// is in force is never applied a second time, so that a late or repeated delta
+// cannot bring a deleted object back; a delta is applied only if this daemon has
+// everything that came before it.
+//
+// Two numbers tell where a daemon is. version is the version in force, the last
+// change that it knows of. through is at least version: every change up to it is
+// in entries. It runs ahead of version because the store's version also grows by
+// writes to other kinds.
+type Core struct {
+	fetchTimeout time.Duration
+
+	entries map[key]entry
+	snap    *Snapshot // nil: none yet
+	version uint64
+	through uint64
+	// behind is set while the store is older than what is in force here or differs
+	// from it, as after a restore from a backup. Its events are not applied until a
+	// list has caught up.
+	behind bool
+	// gapped is set after a list: changes that came and went between version and
+	// the list are not known one by one, so the next delta is not complete.
+	gapped  bool
+	history history
+
+	fetching  string // peer asked; empty: none
+	fetchedAt boottime.Time
+}
+
+// New makes a Core with nothing in force.
+func New(cfg Config) *Core {
+	return &Core{
+		fetchTimeout: cmp.Or(cfg.FetchTimeout, DefaultFetchTimeout),
+		entries:      map[key]entry{},
+		history:      history{limit: cmp.Or(cfg.HistoryEvents, DefaultHistoryEvents)},
+	}
+}
+
+// Snapshot gives the snapshot in force; nil before the first.
+func (c *Core) Snapshot() *Snapshot { return c.snap }
+
+// Version gives the version in force.
+func (c *Core) Version() uint64 { return c.version }
+
+// Position gives the store version from which a watch goes on.
+func (c *Core) Position() uint64 { return c.through }
+
+// Behind reports whether the store is older than what is in force here.
+func (c *Core) Behind() bool { return c.behind }
+
+// Step handles one event at a time of this machine's clock.
+func (c *Core) Step(now boottime.Time, e Event) []Action {
+	switch e := e.(type) {
+	case Listed:
+		return c.listed(e)
+	case WatchEvent:
+		return c.watched(e.Event)
+	case DeltaReceived:
+		return c.delta(now, e)
+	case SnapshotReceived:
+		return c.snapshot(e)
+	case FetchReceived:
+		return c.answer(e)
+	case PeerVersion:
+		return c.peerVersion(now, e)
+	}
+	return nil
+}
+
+// listed takes a list as a whole: objects absent from it are deleted.
+func (c *Core) listed(l Listed) []Action {
+	if l.Version < c.through {
+		c.behind = true
+		return []Action{Relist{Reason: "the list is older than the configuration in force"}}
+	}
+	changes := c.difference(l)
+	if len(changes) > 0 && c.snap != nil && l.Version == c.through {
+		c.behind = true
+		return []Action{Relist{Reason: "the store has other objects at the version in force"}}
+	}
+	c.behind = false
+	if len(changes) == 0 && c.snap != nil {
+		c.gapped = c.gapped || l.Version > c.through
+		c.through = l.Version
+		return nil
+	}
+	return c.installList(l, changes)
+}
+
+func (c *Core) installList(l Listed, changes []platform.Event) []Action {
+	fresh := c.snap == nil
+	rewritten := c.rewritten(changes)
+	base := c.version
+	c.version = c.versionAfterList(l, changes)
+	c.through = l.Version
+	c.gapped = true
+	for _, e := range changes {
+		c.applyToEntries(e)
+	}
+	c.snap = build(c.version, c.entries)
+	c.history.restart(c.through)
+	if fresh || rewritten {
+		return []Action{Install{c.snap}} // peers fetch when a heartbeat tells them
+	}
+	d := peer.ConfigDelta{Base: base, Version: c.version, Events: changes}
+	return []Action{Install{c.snap}, SendDelta{Delta: d}}
+}
+
+// rewritten reports whether a list holds objects that this daemon should have
+// known: the store was restored from a backup. Such changes cannot be passed on
+// as a delta.
+func (c *Core) rewritten(changes []platform.Event) bool {
+	return slices.ContainsFunc(changes, func(e platform.Event) bool {
+		return e.Type == platform.Put && e.Object.Version <= c.through
+	})
+}
+
+// versionAfterList gives the version of the last change that a list shows, so
+// that daemons which list at different times agree. Deletions have no version in
+// a list; with any of them the list's own version counts, as otherwise a late
+// delta could bring a deleted object back for a moment.
+func (c *Core) versionAfterList(l Listed, changes []platform.Event) uint64 {
+	var last uint64
+	for _, e := range changes {
+		if e.Type == platform.Deleted {
+			return l.Version
+		}
+		last = max(last, e.Object.Version)
+	}
+	if c.snap != nil && last <= c.version {
+		return l.Version
+	}
+	return last
+}
+
+// difference lists the changes from entries to the list, in version order.
+func (c *Core) difference(l Listed) []platform.Event {
+	var changes []platform.Event
+	listed := make(map[key]bool, len(l.Objects))
+	for _, o := range l.Objects {
+		if !isConfiguration(o.Kind) {
+			continue
+		}
+		listed[keyOf(o)] = true
+		e, known := c.entries[keyOf(o)]
+		if !known || !sameForm(e.newest, o) {
+			changes = append(changes, platform.Event{Type: platform.Put, Object: o})
+		}
+	}
+	for k, e := range c.entries {
+		if !listed[k] {
+			gone := platform.Object{Kind: k.kind, Name: k.name, UID: e.newest.UID, Version: l.Version}
+			changes = append(changes, platform.Event{Type: platform.Deleted, Object: gone})
+		}
+	}
+	slices.SortFunc(changes, compareEvents)
+	return changes
+}
+
+func compareEvents(a, b platform.Event) int {
+	return cmp.Or(
+		cmp.Compare(a.Object.Version, b.Object.Version),
+		cmp.Compare(a.Object.Kind, b.Object.Kind),
+		cmp.Compare(a.Object.Name, b.Object.Name),
+	)
+}
+
+// sameForm reports whether two reads of an object are of one write.
+func sameForm(a, b platform.Object) bool {
+	return a.Version == b.Version && a.UID == b.UID && a.Nonce == b.Nonce
+}
+
+func isConfiguration(kind string) bool {
+	return slices.Contains(resource.WatchedKinds, kind)
+}
+
+// watched takes the next event of this daemon's own watch.
+func (c *Core) watched(e platform.Event) []Action {
+	if c.behind || c.snap == nil {
+		return nil // a list comes first
+	}
+	if c.contradicts(e) {
+		c.behind = true
+		return []Action{Relist{Reason: "the store's history differs from the configuration in force"}}
+	}
+	v := e.Object.Version
+	if v <= c.through {
+		return nil
+	}
+	if e.Type == platform.Bookmark || !isConfiguration(e.Object.Kind) {
+		c.through = v
+		return nil
+	}
+	d := peer.ConfigDelta{Base: c.version, Version: v, Events: []platform.Event{e}, Complete: !c.gapped}
+	return c.apply(d, "")
+}
+
+// contradicts reports whether a watch event of the past differs from what this
+// daemon knows of that version.
+func (c *Core) contradicts(e platform.Event) bool {
+	if e.Type != platform.Put || e.Object.Version > c.through {
+		return false
+	}
+	known, ok := c.entries[keyOf(e.Object)]
+	if !ok {
+		return false // deleted since
+	}
+	if known.newest.Version == e.Object.Version {
+		return !sameForm(known.newest, e.Object)
+	}
+	return known.newest.Version < e.Object.Version
+}
+
+// delta takes a delta from a peer.
+func (c *Core) delta(now boottime.Time, e DeltaReceived) []Action {
+	d := e.Delta
+	if e.From == c.fetching {
+		c.fetching = ""
+	}
+	if d.Version <= c.through {
+		return c.raise(d.Version)
+	}
+	if !c.follows(d) {
+		return c.fetch(now, e.From)
+	}
+	return c.apply(d, e.From)
+}
+
+// follows reports whether this daemon has everything that came before the delta.
+// A complete delta lists each change after its base and may overlap what is here;
+// any other is the difference from exactly its base.
+func (c *Core) follows(d peer.ConfigDelta) bool {
+	if c.snap == nil {
+		return false
+	}
+	if d.Complete {
+		return d.Base <= c.through
+	}
+	return d.Base == c.version
+}
+
+// apply puts a delta into force and passes it on.
+func (c *Core) apply(d peer.ConfigDelta, from string) []Action {
+	changes := c.newChanges(d)
+	next := c.snap.clone()
+	for _, e := range changes {
+		c.applyToEntries(e)
+		k := keyOf(e.Object)
+		if now, ok := c.entries[k]; ok {
+			next.set(k, now)
+		} else {
+			next.drop(k)
+		}
+	}
+	c.remember(d, changes, from)
+	c.version = d.Version
+	c.through = d.Version
+	c.gapped = false
+	next.Version = d.Version
+	next.indexKeys()
+	c.snap = next
+	return []Action{Install{next}, SendDelta{Except: from, Delta: d}}
+}
+
+// newChanges gives the delta's events that are not in force yet, in version order.
+func (c *Core) newChanges(d peer.ConfigDelta) []platform.Event {
+	changes := make([]platform.Event, 0, len(d.Events))
+	for _, e := range d.Events {
+		v := e.Object.Version
+		if v > c.through && v <= d.Version && isConfiguration(e.Object.Kind) {
+			changes = append(changes, e)
+		}
+	}
+	slices.SortStableFunc(changes, compareEvents)
+	return changes
+}
+
+// remember adds a delta to the history. A peer's delta that is not complete
+// restarts it; this daemon's own watch is complete after its list.
+func (c *Core) remember(d peer.ConfigDelta, changes []platform.Event, from string) {
+	if !d.Complete && from != "" {
+		c.history.restart(d.Version)
+		return
+	}
+	c.history.add(changes)
+}
+
+func (c *Core) applyToEntries(e platform.Event) {
+	k := keyOf(e.Object)
+	if e.Type == platform.Deleted {
+		delete(c.entries, k)
+		return
+	}
+	c.entries[k] = c.entries[k].next(e.Object)
+}
+
+// snapshot takes a whole configuration from a peer.
+func (c *Core) snapshot(e SnapshotReceived) []Action {
+	s := e.Snapshot
+	if e.From == c.fetching {
+		c.fetching = ""
+	}
+	if c.snap != nil && s.Version <= c.through {
+		return c.raise(s.Version)
+	}
+	entries := make(map[key]entry, len(s.Objects))
+	for _, o := range s.Objects {
+		if isConfiguration(o.Newest.Kind) {
+			entries[keyOf(o.Newest)] = c.received(o)
+		}
+	}
+	c.entries = entries
+	c.version = s.Version
+	c.through = s.Version
+	c.gapped = false
+	c.snap = build(c.version, entries)
+	c.history.restart(c.version)
+	return []Action{Install{c.snap}}
+}
+
+// received gives the entry of an object that a peer sent. The peer's last good
+// form is checked again here; if it fails, this daemon's own is kept.
+func (c *Core) received(o peer.ConfigObject) entry {
+	former := c.entries[keyOf(o.Newest)]
+	if g := o.LastGood; g != nil && g.UID == o.Newest.UID && keyOf(*g) == keyOf(o.Newest) && validate(*g) == nil {
+		former = entry{newest: *g, good: g}
+	}
+	return former.next(o.Newest)
+}
+
+// raise moves the version in force up to one whose changes are all here already.
+func (c *Core) raise(version uint64) []Action {
+	if c.snap == nil || version <= c.version {
+		return nil
+	}
+	c.version = version
+	next := c.snap.clone()
+	next.Version = version
+	c.snap = next
+	return []Action{Install{next}}
+}
+
+// answer gives a peer what it lacks: the changes if they are still kept, else everything.
+func (c *Core) answer(e FetchReceived) []Action {
+	if c.snap == nil || e.Fetch.Have >= c.version {
+		return nil
+	}
+	if events, ok := c.history.after(e.Fetch.Have); ok && e.Fetch.Have > 0 {
+		d := peer.ConfigDelta{Base: e.Fetch.Have, Version: c.version, Events: events, Complete: true}
+		return []Action{SendDelta{To: e.From, Delta: d}}
+	}
+	return []Action{SendSnapshot{To: e.From, Snapshot: c.message()}}
+}
+
+// message gives the whole configuration as a message, in a fixed order.
+func (c *Core) message() peer.ConfigSnapshot {
+	objects := make([]peer.ConfigObject, 0, len(c.entries))
+	for _, e := range c.entries {
+		o := peer.ConfigObject{Newest: e.newest}
+		if e.reason != "" {
+			o.LastGood = e.good
+		}
+		objects = append(objects, o)
+	}
+	slices.SortFunc(objects, func(a, b peer.ConfigObject) int {
+		return cmp.Or(cmp.Compare(a.Newest.Kind, b.Newest.Kind), cmp.Compare(a.Newest.Name, b.Newest.Name))
+	})
+	return peer.ConfigSnapshot{Version: c.version, Objects: objects}
+}
+
+// peerVersion notes what a peer has in force and asks it for what is lacking here.
+func (c *Core) peerVersion(now boottime.Time, e PeerVersion) []Action {
+	if e.Applied > c.through || (c.snap == nil && e.Applied > 0) {
+		return c.fetch(now, e.From)
+	}
+	return c.raise(e.Applied)
+}
+
+// fetch asks a peer, one at a time.
+func (c *Core) fetch(now boottime.Time, from string) []Action {
+	if c.fetching != "" && now.Sub(c.fetchedAt) < c.fetchTimeout {
+		return nil
+	}
+	c.fetching = from
+	c.fetchedAt = now
+	return []Action{SendFetch{To: from, Fetch: peer.ConfigFetch{Have: c.through}}}
+}
--- /dev/null
+++ b/internal/version/config/distributor.go
@@ -0,0 +1,348 @@
+package config
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// Defaults of a DistributorConfig.
+const (
+	DefaultLoneAfter  = 5 * time.Second
+	DefaultCheckEvery = 500 * time.Millisecond
+	DefaultMinBackoff = 200 * time.Millisecond
+	DefaultMaxBackoff = 5 * time.Second
+)
+
+// Network is what a Distributor needs of the connections to peers. Its methods
+// must not block and must not call the Distributor back before they return.
+type Network interface {
+	// Send queues a message for a connected peer.
+	Send(to string, e peer.Envelope) error
+	// Connected lists the peers that a connection is up to.
+	Connected() []string
+	// Candidates lists the live daemons that are not leaving, this one included.
+	Candidates() []Candidate
+	// SetApplied makes known what is in force here.
+	SetApplied(version uint64)
+}
+
+// DistributorConfig sets up a Distributor. Zero durations take the defaults.
+type DistributorConfig struct {
+	Name    string // of this daemon
+	Zone    string
+	Store   platform.Store
+	Network Network // nil: no peers, watch alone
+	Core    Config
+
+	LoneAfter  time.Duration // a daemon that hears no peer for this long watches by itself
+	CheckEvery time.Duration // how often it is checked who has to watch
+	MinBackoff time.Duration // between tries at the platform
+	MaxBackoff time.Duration
+}
+
+// Distributor keeps the newest configuration in force in this process. It does
+// the I/O for a Core: it lists and watches at the platform while this daemon is a
+// relay of its zone or hears no peer, and exchanges deltas with peers.
+type Distributor struct {
+	cfg     DistributorConfig
+	current atomic.Pointer[Snapshot]
+	ready   chan struct{}
+
+	mu        sync.Mutex
+	core      *Core
+	heardAt   boottime.Time // of a peer; zero: never
+	listeners []func(*Snapshot)
+	watching  atomic.Bool
+
+	stop context.CancelFunc
+	done sync.WaitGroup
+}
+
+// NewDistributor makes a Distributor. Start begins its work.
+func NewDistributor(cfg DistributorConfig) *Distributor {
+	cfg.LoneAfter = cmp.Or(cfg.LoneAfter, DefaultLoneAfter)
+	cfg.CheckEvery = cmp.Or(cfg.CheckEvery, DefaultCheckEvery)
+	cfg.MinBackoff = cmp.Or(cfg.MinBackoff, DefaultMinBackoff)
+	cfg.MaxBackoff = cmp.Or(cfg.MaxBackoff, DefaultMaxBackoff)
+	return &Distributor{cfg: cfg, core: New(cfg.Core), ready: make(chan struct{})}
+}
+
+// Current gives the snapshot in force; nil before the first.
+func (d *Distributor) Current() *Snapshot { return d.current.Load() }
+
+// Ready is closed once a first snapshot is in force.
+func (d *Distributor) Ready() <-chan struct{} { return d.ready }
+
+// Watching reports whether this daemon holds a watch at the platform.
+func (d *Distributor) Watching() bool { return d.watching.Load() }
+
+// OnInstall calls f with each snapshot that comes into force, in order, and at
+// once with the present one. f must not block and must not call the Distributor,
+// except for Current.
+func (d *Distributor) OnInstall(f func(*Snapshot)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.listeners = append(d.listeners, f)
+	if s := d.Current(); s != nil {
+		f(s)
+	}
+}
+
+// Start begins to fetch the configuration.
+func (d *Distributor) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.stop = cancel
+	d.done.Add(1)
+	go func() {
+		defer d.done.Done()
+		d.supervise(ctx)
+	}()
+}
+
+// Close ends the work and waits for it. The snapshot in force stays.
+func (d *Distributor) Close() {
+	if d.stop != nil {
+		d.stop()
+	}
+	d.done.Wait()
+}
+
+// Receive handles a message of a peer and reports whether it was about the configuration.
+func (d *Distributor) Receive(from string, e peer.Envelope) bool {
+	switch {
+	case e.Delta != nil:
+		d.step(DeltaReceived{From: from, Delta: *e.Delta})
+	case e.Snapshot != nil:
+		d.step(SnapshotReceived{From: from, Snapshot: *e.Snapshot})
+	case e.Fetch != nil:
+		d.step(FetchReceived{From: from, Fetch: *e.Fetch})
+	default:
+		return false
+	}
+	return true
+}
+
+// PeerVersion handles what a connected peer says is in force there.
+func (d *Distributor) PeerVersion(from string, applied uint64) {
+	d.mu.Lock()
+	d.heardAt = boottime.Now()
+	d.mu.Unlock()
+	d.step(PeerVersion{From: from, Applied: applied})
+}
+
+// step lets the core handle an event and carries its actions out. It reports
+// whether the core wants a new list.
+func (d *Distributor) step(e Event) (relist bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, a := range d.core.Step(boottime.Now(), e) {
+		relist = d.perform(a) || relist
+	}
+	return relist
+}
+
+func (d *Distributor) perform(a Action) (relist bool) {
+	switch a := a.(type) {
+	case Install:
+		d.install(a.Snapshot)
+	case SendDelta:
+		d.sendDelta(a)
+	case SendSnapshot:
+		d.send(a.To, peer.Envelope{Snapshot: &a.Snapshot})
+	case SendFetch:
+		d.send(a.To, peer.Envelope{Fetch: &a.Fetch})
+	case Relist:
+		logline.Info("config_relist", "reason", a.Reason, "version", d.core.Version())
+		return true
+	}
+	return false
+}
+
+func (d *Distributor) install(s *Snapshot) {
+	former := d.current.Swap(s)
+	if former == nil {
+		close(d.ready)
+	}
+	logline.Debug("config_installed", "version", s.Version, "rejected", len(s.Rejected))
+	if d.cfg.Network != nil {
+		d.cfg.Network.SetApplied(s.Version)
+	}
+	for _, f := range d.listeners {
+		f(s)
+	}
+}
+
+func (d *Distributor) sendDelta(a SendDelta) {
+	if a.To != "" {
+		d.send(a.To, peer.Envelope{Delta: &a.Delta})
+		return
+	}
+	if d.cfg.Network == nil {
+		return
+	}
+	for _, to := range d.cfg.Network.Connected() {
+		if to != a.Except {
+			d.send(to, peer.Envelope{Delta: &a.Delta})
+		}
+	}
+}
+
+// send drops the message if the peer's queue is full: the receiver finds the gap
+// by the next delta or heartbeat and fetches.
+func (d *Distributor) send(to string, e peer.Envelope) {
+	if d.cfg.Network == nil {
+		return
+	}
+	if err := d.cfg.Network.Send(to, e); err != nil {
+		logline.Debug("config_send_failed", "peer", to, "error", err)
+	}
+}
+
+// mustWatch reports whether this daemon has to watch at the platform.
+func (d *Distributor) mustWatch() bool {
+	if d.Current() == nil || d.lone() {
+		return true
+	}
+	relays := Relays(d.cfg.Zone, d.cfg.Network.Candidates())
+	return slices.Contains(relays, d.cfg.Name)
+}
+
+// lone reports whether no peer was heard lately.
+func (d *Distributor) lone() bool {
+	if d.cfg.Network == nil {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.heardAt == 0 || boottime.Now().Sub(d.heardAt) > d.cfg.LoneAfter
+}
+
+// supervise starts and ends the watch as this daemon has to hold one or not.
+func (d *Distributor) supervise(ctx context.Context) {
+	tick := time.NewTicker(d.cfg.CheckEvery)
+	defer tick.Stop()
+	var end func()
+	for ctx.Err() == nil {
+		switch must := d.mustWatch(); {
+		case must && end == nil:
+			end = d.beginWatch(ctx)
+		case !must && end != nil:
+			end()
+			end = nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+	if end != nil {
+		end()
+	}
+}
+
+// beginWatch starts the watch; the function given back ends it and waits.
+func (d *Distributor) beginWatch(ctx context.Context) (end func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	ended := make(chan struct{})
+	d.watching.Store(true)
+	go func() {
+		defer close(ended)
+		d.listAndWatch(ctx)
+	}()
+	return func() {
+		cancel()
+		<-ended
+		d.watching.Store(false)
+	}
+}
+
+// listAndWatch lists, then watches from the list on, until ctx ends. It lists
+// again only if the watch cannot be resumed.
+func (d *Distributor) listAndWatch(ctx context.Context) {
+	wait := backoff{min: d.cfg.MinBackoff, max: d.cfg.MaxBackoff}
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			listed, err = d.list(ctx)
+		}
+		if err == nil && listed {
+			err = d.watch(ctx, wait.reset)
+			listed = err == nil || !(errors.Is(err, platform.ErrHistoryGone) || errors.Is(err, errRelist))
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		logline.Info("config_watch_interrupted", "error", err, "listed", listed)
+		wait.sleep(ctx)
+	}
+}
+
+// errRelist means that the core cannot use what the store gives.
+var errRelist = errors.New("the configuration has to be listed again")
+
+func (d *Distributor) list(ctx context.Context) (bool, error) {
+	l, err := list(ctx, d.cfg.Store)
+	if err != nil {
+		return false, err
+	}
+	if d.step(l) {
+		return false, errRelist
+	}
+	return true, nil
+}
+
+// watch handles events until an error. progress is called with each of them.
+func (d *Distributor) watch(ctx context.Context, progress func()) error {
+	w, err := d.cfg.Store.Watch(ctx, resource.WatchedKinds, d.position())
+	if err != nil {
+		return errors.Wrap(err, "watch")
+	}
+	defer w.Close()
+	for {
+		e, err := w.Next(ctx)
+		if err != nil {
+			return errors.Wrap(err, "watch")
+		}
+		progress()
+		if d.step(WatchEvent{Event: e}) {
+			return errRelist
+		}
+	}
+}
+
+func (d *Distributor) position() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Position()
+}
+
+// backoff is a wait that doubles, with jitter, until it is reset.
+type backoff struct {
+	min, max time.Duration
+	next     time.Duration
+}
+
+func (b *backoff) reset() { b.next = 0 }
+
+func (b *backoff) sleep(ctx context.Context) {
+	b.next = min(max(b.next*2, b.min), b.max)
+	jittered := b.next/2 + rand.N(b.next/2+1)
+	select {
+	case <-ctx.Done():
+	case <-time.After(jittered):
+	}
+}
--- /dev/null
+++ b/internal/version/config/list.go
@@ -0,0 +1,63 @@
+package config
+
+import (
+	"context"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// maxListPasses bounds the passes of one list. Changes come a few thousand a day,
+// so that two passes nearly always agree.
+const maxListPasses = 6
+
+// errListUnstable means that the configuration changed during every pass.
+var errListUnstable = errors.New("configuration changed during each pass of the list")
+
+// pass is one read of all watched kinds, one kind after the other.
+type pass struct {
+	objects []platform.Object
+	version uint64 // the highest store version among the reads
+}
+
+// list reads all watched kinds as of one store version. The platform lists one
+// kind at a time, so the kinds are read again until two passes agree; then
+// nothing changed between them and the first pass is the state at its version.
+func list(ctx context.Context, store platform.Store) (Listed, error) {
+	former, err := readPass(ctx, store)
+	if err != nil {
+		return Listed{}, err
+	}
+	for range maxListPasses - 1 {
+		next, err := readPass(ctx, store)
+		if err != nil {
+			return Listed{}, err
+		}
+		if slices.EqualFunc(former.objects, next.objects, sameForm) {
+			return Listed{Objects: former.objects, Version: former.version}, nil
+		}
+		former = next
+	}
+	return Listed{}, errListUnstable
+}
+
+func readPass(ctx context.Context, store platform.Store) (pass, error) {
+	var p pass
+	for _, kind := range resource.WatchedKinds {
+		objects, version, err := store.List(ctx, kind)
+		if err != nil {
+			return pass{}, errors.Wrapf(err, "list %s", kind)
+		}
+		slices.SortFunc(objects, compareObjects)
+		p.objects = append(p.objects, objects...)
+		p.version = max(p.version, version)
+	}
+	return p, nil
+}
+
+func compareObjects(a, b platform.Object) int {
+	return compareEvents(platform.Event{Object: a}, platform.Event{Object: b})
+}
--- /dev/null
+++ b/internal/version/config/query.go
@@ -0,0 +1,64 @@
+package config
+
+import (
+	"slices"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// RunnersOf lists the names of the runners that should hold the model, in order.
+func (s *Snapshot) RunnersOf(model string) []string {
+	var names []string
+	for name, r := range s.Runners {
+		if r.Model == model {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// RunnersIn lists the names of the runners of an availability zone, in order.
+func (s *Snapshot) RunnersIn(zone string) []string {
+	var names []string
+	for name, r := range s.Runners {
+		if r.Zone == zone {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// EngineOf gives the engine class of a runner.
+func (s *Snapshot) EngineOf(runner string) (resource.Engine, bool) {
+	r, ok := s.Runners[runner]
+	if !ok {
+		return resource.Engine{}, false
+	}
+	e, ok := s.Engines[r.Engine]
+	return e, ok
+}
+
+// Leaving reports whether the upstream gets no new work: an operator wants it
+// drained or withdrawn, a controller takes it away for a planned change, or the
+// platform lists its instance as leaving.
+func (s *Snapshot) Leaving(runner string) bool {
+	if _, drained := s.Drains[runner]; drained {
+		return true
+	}
+	if i, ok := s.Instances[runner]; ok && i.State == resource.InstanceLeaving {
+		return true
+	}
+	r, ok := s.Runners[runner]
+	return ok && r.State != resource.RunnerServing && r.State != ""
+}
+
+// AccountByKeyHash finds the client account of a hashed API key.
+func (s *Snapshot) AccountByKeyHash(hash string) (string, resource.ClientAccount, bool) {
+	name, ok := s.ByKeyHash[hash]
+	if !ok {
+		return "", resource.ClientAccount{}, false
+	}
+	return name, s.Accounts[name], true
+}
