Weigh role changes by expected gain, loss and price

Demand by route is forecast over the horizon with a learned share of a swing that lasts; a fluid capacity model gives the useful answers of each set of roles.

--- /dev/null
+++ b/internal/process/policy/capacity.go
@@ -0,0 +1,220 @@
+package policy
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// Shares of an engine's time that can be used before queues make answers late.
+const (
+	usablePrefill = 0.85
+	usableDecode  = 0.90
+)
+
+// A decode engine computes prompts in small chunks beside its streams, so it
+// reaches only a share of its prefill rate; an engine of role both takes larger
+// chunks.
+const (
+	decodeChunkShare = 0.25
+	bothChunkShare   = 0.60
+)
+
+// load is the demand of one route as the capacity model sees it.
+type load struct {
+	requests float64 // a second
+	prefill  float64 // prompt tokens a second
+	decode   float64 // output tokens a second
+	priority int
+	gap      float64 // longest useful mean time between tokens, seconds; 0: not bound
+}
+
+// capacity is what a set of engines can do. Time shares of decoding engines are
+// spent on output tokens and on chunks of prompts; both cost time in proportion,
+// beside a fixed cost for each step, which depends on the gap that streams may
+// have. This is a fluid model: it knows no queues.
+type capacity struct {
+	prefill float64 // prompt tokens a second at prefill engines
+	engines []decoder
+}
+
+// decoder is one group of like engines that decode.
+type decoder struct {
+	count      float64
+	class      resource.Engine
+	chunkShare float64
+}
+
+// countOf adds up the capacity of runners.
+func countOf(runners []Runner, without Levers) capacity {
+	var c capacity
+	for i := range runners {
+		r := &runners[i]
+		switch r.Role {
+		case upstream.RolePrefill:
+			c.prefill += r.Class.PrefillRate * usablePrefill
+		case upstream.RoleDecode:
+			share := decodeChunkShare
+			if without.Slack {
+				share = 0
+			}
+			c.addDecoder(r.Class, share)
+		default:
+			c.addDecoder(r.Class, bothChunkShare)
+		}
+	}
+	return c
+}
+
+func (c *capacity) addDecoder(class resource.Engine, share float64) {
+	for i := range c.engines {
+		if c.engines[i].class == class && c.engines[i].chunkShare == share {
+			c.engines[i].count++
+			return
+		}
+	}
+	c.engines = append(c.engines, decoder{count: 1, class: class, chunkShare: share})
+}
+
+// step gives the fixed time of a decode step and that of each stream, seconds.
+func step(class resource.Engine) (fixed, perStream float64) {
+	lone := 1 / math.Max(class.StreamRate, 1e-9)
+	if class.MaxBatch <= 1 || class.DecodeRate <= 0 {
+		return lone, 0
+	}
+	full := float64(class.MaxBatch) / class.DecodeRate
+	perStream = math.Max(0, (full-lone)/float64(class.MaxBatch-1))
+	return lone - perStream, perStream
+}
+
+// decodeRate is the most output tokens a second of an engine that keeps the gap.
+func decodeRate(class resource.Engine, gap float64) float64 {
+	if gap <= 0 {
+		return class.DecodeRate
+	}
+	fixed, perStream := step(class)
+	if gap <= fixed+perStream {
+		return class.StreamRate // a lone stream; too slow, but the best there is
+	}
+	if perStream == 0 {
+		return class.DecodeRate
+	}
+	streams := math.Min((gap-fixed)/perStream, float64(class.MaxBatch))
+	return streams / (fixed + perStream*streams)
+}
+
+// fits tells whether the engines carry the load.
+func (c *capacity) fits(prefill, decode, gap float64) bool {
+	spare := 0.0 // prompt tokens a second beside the streams
+	left := decode
+	total := 0.0
+	for i := range c.engines {
+		total += c.engines[i].count * decodeRate(c.engines[i].class, gap) * usableDecode
+	}
+	if left > total {
+		return false
+	}
+	for i := range c.engines {
+		d := &c.engines[i]
+		busy := 0.0
+		if total > 0 {
+			busy = left / total
+		}
+		idle := d.count * (1 - busy) * d.class.PrefillRate * usablePrefill
+		spare += math.Min(idle, d.count*d.chunkShare*d.class.PrefillRate)
+	}
+	return prefill <= c.prefill+spare
+}
+
+// bisections gives the served share of a load to better than a thousandth.
+const bisections = 11
+
+// useful is the rate of useful answers: the loads are served in order of
+// priority, each to the share that still fits beside those before it.
+func (c *capacity) useful(loads []load) float64 {
+	sorted := append([]load(nil), loads...)
+	sort.SliceStable(sorted, func(i, k int) bool { return sorted[i].priority > sorted[k].priority })
+	var prefill, decode, answers float64
+	gap := 0.0
+	for i := range sorted {
+		l := &sorted[i]
+		if l.gap > 0 && (gap == 0 || l.gap < gap) {
+			gap = l.gap
+		}
+		share := c.share(l, prefill, decode, gap)
+		prefill += share * l.prefill
+		decode += share * l.decode
+		answers += share * l.requests
+	}
+	return answers
+}
+
+// share is the largest share of a load that fits beside what is served already.
+func (c *capacity) share(l *load, prefill, decode, gap float64) float64 {
+	if c.fits(prefill+l.prefill, decode+l.decode, gap) {
+		return 1
+	}
+	low, high := 0.0, 1.0
+	for range bisections {
+		mid := (low + high) / 2
+		if c.fits(prefill+mid*l.prefill, decode+mid*l.decode, gap) {
+			low = mid
+		} else {
+			high = mid
+		}
+	}
+	return low
+}
+
+// expected is the rate of useful answers over the uncertainty of the demand:
+// three points for each rate, as if the rates were independent.
+func expected(c *capacity, loads []load, demand []Demand, without Levers) float64 {
+	base := c.useful(loads)
+	if without.Uncertainty {
+		return base
+	}
+	total := base
+	for i := range loads {
+		keep := loads[i]
+		total += around(demand[i].Prefill, func(delta float64) float64 {
+			loads[i].prefill = math.Max(0, keep.prefill+delta)
+			return c.useful(loads) - base
+		})
+		loads[i] = keep
+		total += around(demand[i].Decode, func(delta float64) float64 {
+			loads[i].decode = math.Max(0, keep.decode+delta)
+			return c.useful(loads) - base
+		})
+		loads[i] = keep
+	}
+	return total
+}
+
+// around is the three-point Gauss-Hermite mean of a function of the miss of a forecast.
+func around(e Estimate, f func(delta float64) float64) float64 {
+	if e.Deviation == 0 {
+		return 0
+	}
+	reach := math.Sqrt(3) * e.Deviation
+	return (f(reach) + f(-reach)) / 6
+}
+
+// loadsOf turns demand into loads with the bounds of their routes.
+func loadsOf(demand []Demand, routes map[string]resource.Route) []load {
+	loads := make([]load, len(demand))
+	for i := range demand {
+		d := &demand[i]
+		route := routes[d.Route]
+		loads[i] = load{
+			requests: d.Requests.Forecast,
+			prefill:  d.Prefill.Forecast,
+			decode:   d.Decode.Forecast,
+			priority: route.Priority,
+			gap:      (time.Duration(route.OnTime.BetweenMS) * time.Millisecond).Seconds(),
+		}
+	}
+	return loads
+}
--- /dev/null
+++ b/internal/process/policy/estimate.go
@@ -0,0 +1,154 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+// Time constants of the estimates.
+const (
+	bucket       = time.Second // demand is gathered over this time before it is taken in
+	fastSeconds  = 6.0
+	slowSeconds  = 120.0
+	learnSeconds = 400.0 // memory of the learned persistence and deviation
+)
+
+// Before anything is learned a swing is taken to last in priorPersist of its
+// size; priorWeight is how many squared relative swings that belief is worth.
+const (
+	priorPersist = 0.9
+	priorWeight  = 4.0
+)
+
+// mean is an exponentially weighted mean without a bias at the start.
+type mean struct {
+	sum, weight float64
+}
+
+func (m *mean) add(v, dt, tau float64) {
+	keep := math.Exp(-dt / tau)
+	m.sum = m.sum*keep + v*(1-keep)
+	m.weight = m.weight*keep + (1 - keep)
+}
+
+func (m *mean) value() float64 {
+	if m.weight == 0 {
+		return 0
+	}
+	return m.sum / m.weight
+}
+
+// past is a forecast waiting to be compared with what came.
+type past struct {
+	at       float64 // seconds
+	slow     float64
+	swing    float64 // fast minus slow
+	forecast float64
+	sum      float64 // of the rates since, times their duration
+}
+
+// forecaster learns how much of a swing of one rate lasts over the horizon. A
+// step to a new level lasts; a swing whose period is near the horizon does not,
+// and a role change made for it would come too late.
+type forecaster struct {
+	horizon    float64 // seconds
+	now        float64 // seconds since the first rate
+	fast, slow mean
+	cross      float64 // of swings and what was left of them, decayed
+	square     float64 // of swings, decayed
+	miss       mean    // squared miss of the forecasts
+	open       []past
+}
+
+// add takes in the rate over the last dt seconds.
+func (f *forecaster) add(rate, dt float64) {
+	f.now += dt
+	f.fast.add(rate, dt, fastSeconds)
+	f.slow.add(rate, dt, slowSeconds)
+	for i := range f.open {
+		f.open[i].sum += rate * dt
+	}
+	for len(f.open) > 0 && f.now-f.open[0].at >= f.horizon {
+		f.learn(f.open[0], dt)
+		f.open = f.open[1:]
+	}
+	f.open = append(f.open, past{
+		at: f.now, slow: f.slow.value(), swing: f.fast.value() - f.slow.value(), forecast: f.forecast(),
+	})
+}
+
+// learn compares one earlier forecast with the mean rate that came.
+func (f *forecaster) learn(p past, dt float64) {
+	came := p.sum / (f.now - p.at)
+	scale := math.Max(p.slow, came)
+	if scale <= 0 {
+		return
+	}
+	keep := math.Exp(-dt / learnSeconds)
+	swing := p.swing / scale
+	left := (came - p.slow) / scale
+	f.cross = f.cross*keep + swing*left*dt
+	f.square = f.square*keep + swing*swing*dt
+	miss := came - p.forecast
+	f.miss.add(miss*miss, dt, learnSeconds)
+}
+
+// persist is the learned share of a swing that lasts, from 0 to 1.
+func (f *forecaster) persist() float64 {
+	p := (priorPersist*priorWeight + f.cross) / (priorWeight + f.square)
+	return math.Min(1, math.Max(0, p))
+}
+
+// forecast is the expected mean rate over the horizon.
+func (f *forecaster) forecast() float64 {
+	slow := f.slow.value()
+	return math.Max(0, slow+f.persist()*(f.fast.value()-slow))
+}
+
+func (f *forecaster) estimate() Estimate {
+	return Estimate{
+		Fast:      f.fast.value(),
+		Slow:      f.slow.value(),
+		Forecast:  f.forecast(),
+		Deviation: math.Sqrt(f.miss.value()),
+		Persist:   f.persist(),
+	}
+}
+
+// routeDemand gathers the demand of one route on a model.
+type routeDemand struct {
+	name                      string
+	requests, prefill, decode forecaster
+	late                      mean
+	gathered                  gathered
+}
+
+// gathered is the demand reported since it was last taken in.
+type gathered struct {
+	requests, prefill, decode, late float64
+}
+
+func newRouteDemand(name string, horizon time.Duration) *routeDemand {
+	f := forecaster{horizon: horizon.Seconds()}
+	return &routeDemand{name: name, requests: f, prefill: f, decode: f}
+}
+
+// fold takes in what was gathered over the last dt seconds.
+func (r *routeDemand) fold(dt float64) {
+	g := r.gathered
+	r.gathered = gathered{}
+	r.requests.add(g.requests/dt, dt)
+	r.prefill.add(g.prefill/dt, dt)
+	r.decode.add(g.decode/dt, dt)
+	r.late.add(g.late/dt, dt, fastSeconds)
+}
+
+func (r *routeDemand) demand() Demand {
+	return Demand{
+		Route:    r.name,
+		Requests: r.requests.estimate(),
+		Prefill:  r.prefill.estimate(),
+		Decode:   r.decode.estimate(),
+		Late:     r.late.value(),
+	}
+}
--- /dev/null
+++ b/internal/process/policy/explain.go
@@ -0,0 +1,45 @@
+package policy
+
+import "fmt"
+
+// Lines explains a decision: what was known, what was weighed, what was chosen.
+func (d *Decision) Lines() []string {
+	lines := []string{
+		fmt.Sprintf("%s at %s model=%s: %s", d.ID, d.At.UTC().Format("2006-01-02T15:04:05.000Z"), d.Model, d.Reason),
+		fmt.Sprintf("roles kept: %.2f useful answers a second expected", d.Useful),
+	}
+	for i := range d.Demand {
+		lines = append(lines, d.Demand[i].lines()...)
+	}
+	for i := range d.Options {
+		lines = append(lines, d.Options[i].line())
+	}
+	return lines
+}
+
+func (d *Demand) lines() []string {
+	route := d.Route
+	if route == "" {
+		route = "(all)"
+	}
+	return []string{
+		fmt.Sprintf("demand route=%s requests/s: %s, late or refused %.2f/s", route, d.Requests, d.Late),
+		fmt.Sprintf("demand route=%s prompt tokens/s: %s", route, d.Prefill),
+		fmt.Sprintf("demand route=%s output tokens/s: %s", route, d.Decode),
+	}
+}
+
+// String gives one line.
+func (e Estimate) String() string {
+	return fmt.Sprintf("fast %.1f slow %.1f forecast %.1f±%.1f (%.0f%% of a swing lasts)",
+		e.Fast, e.Slow, e.Forecast, e.Deviation, 100*e.Persist)
+}
+
+func (o *Option) line() string {
+	verdict := "may be made"
+	if o.Refused != "" {
+		verdict = "refused: " + o.Refused
+	}
+	return fmt.Sprintf("option %s %s->%s: gain %.1f loss %.1f price %.1f net %.1f useful answers; %s",
+		o.Change.Runner, o.Change.From, o.Change.To, o.Gain, o.Loss, o.Price, o.Net(), verdict)
+}
--- /dev/null
+++ b/internal/process/policy/options.go
@@ -0,0 +1,236 @@
+package policy
+
+import (
+	"sort"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// Reasons why an option is refused.
+const (
+	refusedAway  = "another engine of the model is away"
+	refusedFloor = "below the floor of its present role"
+	refusedZone  = "this controller does not hold its zone's lease"
+	refusedGain  = "gains no more than it costs"
+)
+
+// poolPerAway: a model may have one engine away for each so many that it has.
+const poolPerAway = 12
+
+// weighing holds what the options of one model have in common.
+type weighing struct {
+	cfg     Config
+	in      *Input
+	model   string
+	runners []Runner // of the model, with those that are not serving
+	present []Runner // those that count over the horizon
+	demand  []Demand
+	loads   []load
+	useful  float64 // with the roles kept
+}
+
+func newWeighing(cfg Config, in *Input, model string, runners []Runner, demand []Demand) *weighing {
+	w := &weighing{cfg: cfg, in: in, model: model, runners: runners, demand: demand}
+	w.loads = loadsOf(demand, in.Routes)
+	for i := range runners {
+		if countsOver(&runners[i], cfg.Horizon) {
+			w.present = append(w.present, runners[i])
+		}
+	}
+	w.useful = w.value(w.present)
+	return w
+}
+
+// countsOver tells whether a runner serves for most of the horizon.
+func countsOver(r *Runner, horizon time.Duration) bool {
+	switch r.Phase {
+	case PhaseServing, PhaseDraining, PhaseChanging:
+		return true
+	case PhaseLost:
+		return r.BackIn > 0 && r.BackIn < horizon/2
+	}
+	return false
+}
+
+// value is the expected rate of useful answers of a set of runners.
+func (w *weighing) value(runners []Runner) float64 {
+	c := countOf(runners, w.cfg.Without)
+	return expected(&c, w.loads, w.demand, w.cfg.Without)
+}
+
+// options weighs one change for each pair of present and new role, best first.
+func (w *weighing) options() []Option {
+	var out []Option
+	for _, from := range roles {
+		i := w.cheapest(from)
+		if i < 0 {
+			continue
+		}
+		for _, to := range roles {
+			if to != from {
+				out = append(out, w.weigh(i, to))
+			}
+		}
+	}
+	sort.SliceStable(out, func(i, k int) bool {
+		if (out[i].Refused == "") != (out[k].Refused == "") {
+			return out[i].Refused == ""
+		}
+		return out[i].Net() > out[k].Net()
+	})
+	return out
+}
+
+var roles = []upstream.Role{upstream.RolePrefill, upstream.RoleDecode, upstream.RoleBoth}
+
+// cheapest finds the runner of a role that is soonest drained, in a zone that
+// this controller holds if there is one; -1: none.
+func (w *weighing) cheapest(role upstream.Role) int {
+	best := -1
+	for i := range w.present {
+		r := &w.present[i]
+		if r.Role != role || !r.Auto || r.Phase != PhaseServing {
+			continue
+		}
+		if best < 0 || w.cheaper(r, &w.present[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func (w *weighing) cheaper(a, b *Runner) bool {
+	if w.held(a.Zone) != w.held(b.Zone) {
+		return w.held(a.Zone)
+	}
+	if a.Streams != b.Streams {
+		return a.Streams < b.Streams
+	}
+	return a.Name < b.Name
+}
+
+func (w *weighing) held(zone string) bool { return w.in.Held == nil || w.in.Held[zone] }
+
+// weigh works out gain and loss of changing one present runner.
+func (w *weighing) weigh(i int, to upstream.Role) Option {
+	r := w.present[i]
+	o := Option{Change: Change{Model: w.model, Runner: r.Name, From: r.Role, To: to}, Price: w.cfg.RoleChangePrice}
+	changed := append([]Runner(nil), w.present...)
+	changed[i].Role = to
+	gone := append(append([]Runner(nil), w.present[:i]...), w.present[i+1:]...)
+	away := w.awayFor(&r)
+	lasting := max(0, w.cfg.Horizon-away).Seconds()
+	o.Gain = (w.value(changed) - w.useful) * lasting
+	o.Loss = (w.useful - w.value(gone)) * away.Seconds()
+	if w.cfg.Without.Loss {
+		o.Loss = 0
+	}
+	if w.cfg.Without.Price {
+		o.Price = 0
+	}
+	o.Refused = w.refusal(&r, to, o)
+	return o
+}
+
+// drainPerStep bounds the drain that is reckoned with.
+const longestDrain = 30 * time.Second
+
+// awayFor is the time that a change takes a runner away: the change itself and
+// half of the drain, in which the runner still finishes what it has.
+func (w *weighing) awayFor(r *Runner) time.Duration {
+	change := seconds(r.Class.RoleChangeSeconds)
+	if r.Streams == 0 {
+		return change
+	}
+	if r.Role == upstream.RolePrefill {
+		return change + time.Second/2
+	}
+	var requests, decode float64
+	for i := range w.demand {
+		requests += w.demand[i].Requests.Fast
+		decode += w.demand[i].Decode.Fast
+	}
+	if requests == 0 {
+		return change
+	}
+	fixed, perStream := step(r.Class)
+	drain := seconds(decode / requests * (fixed + perStream*float64(r.Streams)))
+	return change + min(drain, longestDrain)/2
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// refusal says why a change may not be made; empty: it may.
+func (w *weighing) refusal(r *Runner, to upstream.Role, o Option) string {
+	if w.away() >= max(1, len(w.runners)/poolPerAway) {
+		return refusedAway
+	}
+	if w.breaksFloor(r, to) {
+		return refusedFloor
+	}
+	if !w.held(r.Zone) {
+		return refusedZone
+	}
+	if o.Net() <= 0 {
+		return refusedGain
+	}
+	return ""
+}
+
+// away counts the runners that are away for a change or about to be.
+func (w *weighing) away() int {
+	n := 0
+	for i := range w.runners {
+		if p := w.runners[i].Phase; p == PhaseDraining || p == PhaseChanging {
+			n++
+		}
+	}
+	return n
+}
+
+// breaksFloor tells whether a change takes the runners of a role that serve now
+// below the model's floor. One engine that decodes always stays, since without
+// it nothing is answered.
+func (w *weighing) breaksFloor(r *Runner, to upstream.Role) bool {
+	floor := w.in.Models[w.model]
+	prefill, decode := 0, 0
+	for i := range w.present {
+		p := &w.present[i]
+		if p.Phase != PhaseServing || p.Name == r.Name {
+			continue
+		}
+		if p.Role != upstream.RoleDecode {
+			prefill++
+		}
+		if p.Role != upstream.RolePrefill {
+			decode++
+		}
+	}
+	if r.Role != upstream.RolePrefill && decode < max(1, floor.MinDecode) {
+		return true
+	}
+	return r.Role != upstream.RoleDecode && to == upstream.RoleDecode && prefill < floor.MinPrefill
+}
+
+// runnersOf sorts the runners of each model.
+func runnersOf(runners []Runner) map[string][]Runner {
+	out := map[string][]Runner{}
+	for i := range runners {
+		out[runners[i].Model] = append(out[runners[i].Model], runners[i])
+	}
+	return out
+}
+
+// modelsOf lists the models that have runners, by name.
+func modelsOf(byModel map[string][]Runner, models map[string]resource.Model) []string {
+	var names []string
+	for name := range byModel {
+		if _, ok := models[name]; ok {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
--- a/internal/process/policy/types.go
+++ b/internal/process/policy/types.go
@@ -7,20 +7,33 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
-// Config is the policy's settings. Zero fields take the defaults.
+// Config is the policy's settings. See Defaults.
 type Config struct {
+	Origin          string        // instance name; begins the ids of decisions
 	RoleChangePrice float64       // useful answers that a change must gain beyond its losses
 	Horizon         time.Duration // how far ahead gains and losses are counted
-	Levers          Levers        // levers taken out, for measurements only
+	Without         Levers        // parts taken out, for measurements only
 }
 
+// Defaults gives the settings that measurement chose, see
+// docs/decisions/013-role-policy.md.
+func Defaults() Config {
+	return Config{RoleChangePrice: DefaultPrice, Horizon: DefaultHorizon}
+}
+
+// The defaults of Config.
+const (
+	DefaultPrice   = 10.0 // useful answers
+	DefaultHorizon = 60 * time.Second
+)
+
 // Levers are the parts of the policy that a measurement can take out.
 type Levers struct {
-	NoUncertainty bool // take the estimates as certain
-	NoPrice       bool // a change costs only what it loses
-	NoLoss        bool // take a change as free of loss
-	NoHold        bool // no doubt of the next swing after a change
-	NoSlack       bool // take decode engines as unable to compute prompts
+	Uncertainty bool // take the forecast as certain
+	Persistence bool // take every swing as lasting
+	Price       bool // a change costs only what it loses
+	Loss        bool // take a change as free of loss
+	Slack       bool // take decode engines as unable to compute prompts
 }
 
 // Phase is what a runner is doing.
@@ -29,11 +42,11 @@
 // The phases of a runner.
 const (
 	PhaseServing   Phase = "serving"
-	PhaseDraining  Phase = "draining" // before a change; comes back
-	PhaseChanging  Phase = "changing" // away for an order; comes back
-	PhaseDrained   Phase = "drained"  // by an operator
-	PhaseWithdrawn Phase = "withdrawn"
-	PhaseLost      Phase = "lost" // crashed or unreachable
+	PhaseDraining  Phase = "draining"  // before a change; comes back
+	PhaseChanging  Phase = "changing"  // away for an order; comes back
+	PhaseDrained   Phase = "drained"   // by an operator
+	PhaseWithdrawn Phase = "withdrawn" // by an operator, or leaving by itself
+	PhaseLost      Phase = "lost"      // crashed or unreachable
 )
 
 // Runner is the actual state of one runner as the controller knows it now.
@@ -42,12 +55,11 @@
 	Zone    string
 	Model   string
 	Class   resource.Engine
-	Role    upstream.Role // actual, or the one that it is changing to
+	Role    upstream.Role // actual; while draining or changing, the one to come
 	Auto    bool          // the policy may change the role
 	Phase   Phase
-	BackIn  time.Duration // expected, if draining, changing or lost; zero: not known
+	BackIn  time.Duration // when lost: expected time until it is back; zero: not known
 	Streams int           // requests queued or running
-	DrainIn time.Duration // expected time to drain; zero: worked out from Streams
 }
 
 // Input is everything that a decision looks at beside the observed demand.
@@ -56,7 +68,7 @@
 	Routes  map[string]resource.Route
 	Runners []Runner
 	Held    map[string]bool // zones whose lease this controller holds; nil: all
-	Rank    int             // of this controller among the holders of zones that it can reach; 0 acts first
+	Rank    int             // of this controller among the lease holders that it can reach; 0 acts first
 }
 
 // Change is one role change.
@@ -69,40 +81,43 @@
 
 // Option is one way that was weighed.
 type Option struct {
-	Change  Change  // zero Runner: keep the roles
+	Change  Change
 	Gain    float64 // useful answers gained over the horizon against keeping the roles
 	Loss    float64 // useful answers lost in drain and change
-	Price   float64 // of the change, in useful answers, with the doubt of the next swing
-	Refused string  // why it may not or should not be made; empty: it may
+	Price   float64 // of a role change, in useful answers
+	Refused string  // why it may not be made; empty: it may
 }
 
-// Net is what the option gains after loss and price.
+// Net is what the option gains beyond loss and price.
 func (o Option) Net() float64 { return o.Gain - o.Loss - o.Price }
 
-// Estimate is a quantity with its uncertainty.
+// Estimate is a rate with its forecast and uncertainty.
 type Estimate struct {
 	Fast      float64 // mean over some seconds
 	Slow      float64 // mean over some minutes
-	Deviation float64 // standard deviation of the fast mean around the slow one
+	Forecast  float64 // expected mean over the horizon
+	Deviation float64 // standard deviation of what came around earlier forecasts
+	Persist   float64 // share of a swing that lasts over the horizon, learned, 0 to 1
 }
 
-// Demand is the demand on one model.
+// Demand is the demand of one route on a model, admitted and refused.
 type Demand struct {
-	Prefill  Estimate // prompt tokens a second
+	Route    string   // empty: from gateways that do not tell routes apart
+	Requests Estimate // a second
+	Prefill  Estimate // prompt tokens a second that no cache holds
 	Decode   Estimate // output tokens a second
-	Requests Estimate // requests a second
-	Late     Estimate // requests a second late or refused
+	Late     float64  // requests a second late or refused for lack of capacity
 }
 
-// Decision is the outcome for one model, with everything that led to it. Seq
-// grows with each decision; ID names it for explain.
+// Decision is the outcome for one model, with everything that led to it.
 type Decision struct {
-	ID      string
+	ID      string // for explain
 	At      time.Time
 	Model   string
-	Demand  Demand
-	Change  *Change  // nil: no change
-	Options []Option // best first
-	Reason  string   // one line
-	Notable bool     // a change, or the first refusal for a new reason; for the audit trail
+	Demand  []Demand
+	Useful  float64 // useful answers a second expected with the roles kept
+	Change  *Change // nil: no change
+	Options []Option
+	Reason  string // one line
+	Notable bool   // a change, or a refusal for another reason than before; belongs in the audit trail
 }
