Add the order slot's state machine and the pure reconciler

Cause: an engine must never hold conflicting orders, and a planned change must drain first and leave enough replicas.

Change: order is the core of one slot (open, send, read back, close; adoption of a former holder's open slot). reconcile plans from desired and actual state with a reason for each step. settle judges a conditional write whose answer was lost; both cores use it.

--- a/internal/process/authority/core.go
+++ b/internal/process/authority/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settle"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
@@ -216,13 +217,11 @@
 // resolve settles a write whose answer was lost: by nonce, never by guessing.
 func (c *Core) resolve(now boottime.Time, r Read) []Action {
 	p := c.pending
-	if r.Found && r.Nonce == p.Nonce {
+	write := settle.Write{Base: p.Base, Nonce: p.Nonce}
+	switch settle.Judge(write, settle.Read{Found: r.Found, Version: r.Version, Nonce: r.Nonce}) {
+	case settle.TookEffect:
 		return c.tookEffect(now, r.Version)
-	}
-	unchanged := (!r.Found && p.Base == 0) || (r.Found && r.Version <= p.Base)
-	if unchanged {
-		// The first copy may still arrive. The same write again, with the same
-		// nonce, makes one of the two take effect and is recognised as ours.
+	case settle.Repeat:
 		c.calling = true
 		return []Action{p.WriteLease}
 	}
--- /dev/null
+++ b/internal/process/reconcile/desired.go
@@ -0,0 +1,72 @@
+package reconcile
+
+import (
+	"slices"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// RoleChoice is the role policy's choice for a runner whose role is auto.
+type RoleChoice struct {
+	Role   upstream.Role
+	Reason string
+}
+
+// FromSnapshot gives what a configuration wants. chosen holds the role policy's
+// choices; a runner of role auto without one keeps its role.
+func FromSnapshot(s *config.Snapshot, chosen map[string]RoleChoice) Desired {
+	d := Desired{Runners: make(map[string]Want, len(s.Runners)), Models: s.Models}
+	weighed := weighedVersions(s)
+	for name, r := range s.Runners {
+		w := Want{Zone: r.Zone, State: r.State, Model: r.Model, Loaded: wantedLoads(r, weighed[r.Model])}
+		if w.State == "" {
+			w.State = resource.RunnerServing
+		}
+		if i, ok := s.Instances[name]; ok {
+			w.Leaving = i.State == resource.InstanceLeaving
+		}
+		w.Role = upstream.Role(r.Role)
+		if r.Role == resource.RoleAuto || r.Role == "" {
+			choice := chosen[name]
+			w.Role, w.Reason = choice.Role, choice.Reason
+		}
+		d.Runners[name] = w
+	}
+	return d
+}
+
+// weighedVersions gives for each model the versions that routes give a share to.
+func weighedVersions(s *config.Snapshot) map[string][]string {
+	out := map[string][]string{}
+	for _, r := range s.Routes {
+		for _, w := range r.Weights {
+			if r.Model == "" || w.Weight == 0 || slices.Contains(out[r.Model], w.Version) {
+				continue
+			}
+			out[r.Model] = append(out[r.Model], w.Version)
+		}
+	}
+	for model := range out {
+		slices.Sort(out[model])
+	}
+	return out
+}
+
+// wantedLoads gives what a runner should hold. A model without versions is loaded
+// under the empty version.
+func wantedLoads(r resource.Runner, weighed []string) []upstream.Loaded {
+	versions := r.Versions
+	if len(versions) == 0 {
+		versions = weighed
+	}
+	if len(versions) == 0 {
+		versions = []string{""}
+	}
+	out := make([]upstream.Loaded, 0, len(versions))
+	for _, v := range versions {
+		out = append(out, upstream.Loaded{Model: r.Model, Version: v, Adapters: r.Adapters})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/reconcile/floor.go
@@ -0,0 +1,119 @@
+package reconcile
+
+import (
+	"fmt"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// poolPerAway is how many runners of a model there are for each that may be away
+// at the same time; below that one is away at a time.
+const poolPerAway = 8
+
+// pool is what planned changes have to leave of one model.
+type pool struct {
+	model resource.Model
+	size  int // runners that are wanted to serve the model
+	all   tally
+	away  int
+}
+
+// tally counts runners that serve now.
+type tally struct {
+	serving int
+	prefill int
+	decode  int
+}
+
+func (t tally) add(role upstream.Role, n int) tally {
+	t.serving += n
+	if role == upstream.RolePrefill || role == upstream.RoleBoth {
+		t.prefill += n
+	}
+	if role == upstream.RoleDecode || role == upstream.RoleBoth {
+		t.decode += n
+	}
+	return t
+}
+
+// countPools counts the runners of each model, leaving out as away those with a
+// drain mark that counts.
+func countPools(d Desired, a Actual, counts func(runner string, drain Drain) bool) map[string]*pool {
+	pools := map[string]*pool{}
+	for name, w := range d.Runners {
+		if w.State != resource.RunnerServing || w.Leaving {
+			continue
+		}
+		p := pools[w.Model]
+		if p == nil {
+			p = &pool{model: d.Models[w.Model]}
+			pools[w.Model] = p
+		}
+		p.size++
+		drain, drained := a.Drains[name]
+		switch {
+		case drained && counts(name, drain):
+			p.away++
+		case serves(name, w, a):
+			p.all = p.all.add(roleOf(name, w, a), 1)
+		}
+	}
+	return pools
+}
+
+// serves reports whether a runner serves its model now. A runner of another
+// zone is seen only through the configuration.
+func serves(name string, w Want, a Actual) bool {
+	if w.Zone != a.Zone {
+		return true
+	}
+	o := a.Runners[name]
+	return o.Reachable && o.Order == "" && !o.State.Leaving && holdsModel(o.State.Loaded, w.Model)
+}
+
+func roleOf(name string, w Want, a Actual) upstream.Role {
+	if w.Zone != a.Zone {
+		if w.Role == "" {
+			return upstream.RoleBoth
+		}
+		return w.Role
+	}
+	return a.Runners[name].State.Role
+}
+
+// mayLeave reports whether a serving runner of the role may be taken away, and if
+// not, why.
+func (p *pool) mayLeave(role upstream.Role) (bool, string) {
+	most := max(1, p.size/poolPerAway)
+	if p.away >= most {
+		return false, fmt.Sprintf("%d of %d runners of the model are away, at most %d may be", p.away, p.size, most)
+	}
+	left := p.all.add(role, -1)
+	floor := p.floor()
+	if left.serving < floor {
+		return false, fmt.Sprintf("%d runners would be left to serve the model, minServing asks for %d", left.serving, floor)
+	}
+	if left.prefill < p.all.prefill && left.prefill < p.model.MinPrefill {
+		return false, fmt.Sprintf("%d runners would be left to prefill, minPrefill asks for %d", left.prefill, p.model.MinPrefill)
+	}
+	if left.decode < p.all.decode && left.decode < p.model.MinDecode {
+		return false, fmt.Sprintf("%d runners would be left to decode, minDecode asks for %d", left.decode, p.model.MinDecode)
+	}
+	return true, ""
+}
+
+// floor is the number of runners that have to stay. A model's last runner may be
+// changed only if it is the only one wanted, since then nothing can stand in for it.
+func (p *pool) floor() int {
+	if p.model.MinServing == 0 && p.size > 1 {
+		return 1
+	}
+	return p.model.MinServing
+}
+
+// take notes that a runner of the role is being taken away.
+func (p *pool) take(role upstream.Role) {
+	p.away++
+	p.all = p.all.add(role, -1)
+}
--- /dev/null
+++ b/internal/process/reconcile/need.go
@@ -0,0 +1,121 @@
+package reconcile
+
+import (
+	"slices"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+// Need is one change that brings an engine nearer to what is wanted.
+type Need struct {
+	Order  upstream.Order // without ID and Fence
+	Reason string
+}
+
+// needs lists the changes of one engine in the order in which they are made. A
+// model that is replaced is unloaded first, to make room; a further version of the
+// same model is loaded first, so that a load that fails takes nothing away.
+func needs(w Want, s upstream.State) []Need {
+	var out []Need
+	for _, held := range s.Loaded {
+		if !holdsModel(w.Loaded, held.Model) {
+			out = append(out, unload(held, "the runner is to hold another model"))
+		}
+	}
+	for _, want := range w.Loaded {
+		if find(s.Loaded, want) == nil {
+			out = append(out, load(want))
+		}
+	}
+	for _, held := range s.Loaded {
+		if holdsModel(w.Loaded, held.Model) && find(w.Loaded, held) == nil {
+			out = append(out, unload(held, "no route and no operator wants the version any more"))
+		}
+	}
+	for _, want := range w.Loaded {
+		out = append(out, adapterNeeds(want, find(s.Loaded, want))...)
+	}
+	if w.Role != "" && w.Role != s.Role {
+		out = append(out, setRole(w, s.Role))
+	}
+	return out
+}
+
+func holdsModel(loaded []upstream.Loaded, model string) bool {
+	return slices.ContainsFunc(loaded, func(l upstream.Loaded) bool { return l.Model == model })
+}
+
+// find gives the entry of the same model and version.
+func find(loaded []upstream.Loaded, like upstream.Loaded) *upstream.Loaded {
+	for i := range loaded {
+		if loaded[i].Model == like.Model && loaded[i].Version == like.Version {
+			return &loaded[i]
+		}
+	}
+	return nil
+}
+
+func load(l upstream.Loaded) Need {
+	return Need{
+		Order:  upstream.Order{Action: upstream.LoadModel, Model: l.Model, Version: l.Version},
+		Reason: "the runner is to hold " + label(l),
+	}
+}
+
+func unload(l upstream.Loaded, why string) Need {
+	return Need{
+		Order:  upstream.Order{Action: upstream.UnloadModel, Model: l.Model, Version: l.Version},
+		Reason: "unload " + label(l) + ": " + why,
+	}
+}
+
+func setRole(w Want, from upstream.Role) Need {
+	why := w.Reason
+	if why == "" {
+		why = "an operator set the role"
+	}
+	return Need{
+		Order:  upstream.Order{Action: upstream.SetRole, Role: w.Role},
+		Reason: "role " + string(from) + " to " + string(w.Role) + ": " + why,
+	}
+}
+
+// adapterNeeds compares the adapters of one loaded version; held is nil while the
+// version has yet to be loaded.
+func adapterNeeds(want upstream.Loaded, held *upstream.Loaded) []Need {
+	var have []string
+	if held != nil {
+		have = held.Adapters
+	}
+	var out []Need
+	for _, a := range have {
+		if !slices.Contains(want.Adapters, a) {
+			out = append(out, adapterNeed(upstream.UnloadAdapter, want, a, "is wanted no more"))
+		}
+	}
+	for _, a := range want.Adapters {
+		if !slices.Contains(have, a) {
+			out = append(out, adapterNeed(upstream.LoadAdapter, want, a, "is wanted"))
+		}
+	}
+	return out
+}
+
+func adapterNeed(action upstream.OrderAction, l upstream.Loaded, adapter, why string) Need {
+	return Need{
+		Order:  upstream.Order{Action: action, Model: l.Model, Version: l.Version, Adapter: adapter},
+		Reason: "adapter " + adapter + " of " + label(l) + " " + why,
+	}
+}
+
+func label(l upstream.Loaded) string {
+	if l.Version == "" {
+		return "model " + l.Model
+	}
+	return "model " + l.Model + " version " + l.Version
+}
+
+// loadsWeights reports whether an order reads from the weight store.
+func loadsWeights(o upstream.Order) bool {
+	return o.Action == upstream.LoadModel || o.Action == upstream.LoadAdapter
+}
--- /dev/null
+++ b/internal/process/settle/settle_test.go
@@ -0,0 +1,28 @@
+package settle
+
+import "testing"
+
+func TestJudge(t *testing.T) {
+	update := Write{Base: 7, Nonce: "a"}
+	create := Write{Nonce: "a"}
+	tests := []struct {
+		name  string
+		write Write
+		read  Read
+		want  Outcome
+	}{
+		{"update took effect", update, Read{true, 8, "a"}, TookEffect},
+		{"update has had no effect", update, Read{true, 7, "z"}, Repeat},
+		{"stale read of an update", update, Read{true, 5, "z"}, Repeat},
+		{"another update came first", update, Read{true, 8, "b"}, Overtaken},
+		{"object deleted", update, Read{}, Overtaken},
+		{"create took effect", create, Read{true, 3, "a"}, TookEffect},
+		{"create has had no effect", create, Read{}, Repeat},
+		{"another created it", create, Read{true, 3, "b"}, Overtaken},
+	}
+	for _, test := range tests {
+		if got := Judge(test.write, test.read); got != test.want {
+			t.Errorf("%s: got %v, want %v", test.name, got, test.want)
+		}
+	}
+}
