--- a/internal/version/config/build.go
+++ b/internal/version/config/build.go
@@ -28,7 +28,7 @@
 // next gives the entry after a newer form of the object arrived. A form with
 // another UID is another object: the good form of the former one is not kept.
 func (e entry) next(o platform.Object) entry {
-	err := validate(o)
+	err := resource.Validate(o)
 	if err == nil {
 		return entry{newest: o, good: &o}
 	}
@@ -39,14 +39,6 @@
 	return n
 }
 
-// validate checks an object and that it decodes into its type.
-func validate(o platform.Object) error {
-	if err := resource.Validate(o); err != nil {
-		return err
-	}
-	return emptySnapshot().put(o)
-}
-
 // Build makes the snapshot of objects that have no earlier form. Its version is
 // the highest version among them.
 func Build(objects ...platform.Object) *Snapshot {
--- a/internal/version/config/core.go
+++ b/internal/version/config/core.go
@@ -351,7 +351,7 @@
 // form is checked again here; if it fails, this daemon's own is kept.
 func (c *Core) received(o peer.ConfigObject) entry {
 	former := c.entries[keyOf(o.Newest)]
-	if g := o.LastGood; g != nil && g.UID == o.Newest.UID && keyOf(*g) == keyOf(o.Newest) && validate(*g) == nil {
+	if g := o.LastGood; g != nil && g.UID == o.Newest.UID && keyOf(*g) == keyOf(o.Newest) && resource.Validate(*g) == nil {
 		former = entry{newest: *g, good: g}
 	}
 	return former.next(o.Newest)
