Add stand-ins for engines and plain services

The engine batches continuously by a small cost model and answers with a text that is a function of the request, so tests can check every byte. A ledger of executions and orders outlives crashes and is what at-most-once is proved by. Faults are switched over /admin/ or by method.

--- /dev/null
+++ b/internal/standin/runner/admin.go
@@ -0,0 +1,64 @@
+package runner
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// adminPrefix begins the paths of the admin endpoints. They answer while the
+// engine is frozen or down.
+const adminPrefix = "/admin/"
+
+func isAdmin(q *http.Request) bool { return strings.HasPrefix(q.URL.Path, adminPrefix) }
+
+// CrashRequest is the body of POST /admin/crash.
+type CrashRequest struct {
+	DownMS int `json:"down_ms"`
+}
+
+// LeavingRequest is the body of POST /admin/leaving.
+type LeavingRequest struct {
+	Leaving bool `json:"leaving"`
+}
+
+func (r *Runner) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /admin/faults", get(r.Faults))
+	mux.HandleFunc("PUT /admin/faults", put(r.SetFaults))
+	mux.HandleFunc("POST /admin/crash", put(func(c CrashRequest) {
+		// Answered first: the crash cuts this connection too.
+		time.AfterFunc(time.Millisecond, func() { r.Crash(time.Duration(c.DownMS) * time.Millisecond) })
+	}))
+	mux.HandleFunc("POST /admin/freeze", put(func(struct{}) { r.Freeze() }))
+	mux.HandleFunc("POST /admin/thaw", put(func(struct{}) { r.Thaw() }))
+	mux.HandleFunc("POST /admin/leaving", put(func(l LeavingRequest) { r.SetLeaving(l.Leaving) }))
+	mux.HandleFunc("GET /admin/executions", get(r.Executions))
+	mux.HandleFunc("GET /admin/orders", get(r.OrderLog))
+	mux.HandleFunc("GET /admin/stats", get(r.Stats))
+	return mux
+}
+
+func get[T any](read func() T) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, read())
+	}
+}
+
+// put reads a JSON body (empty: zero value), rejects unknown fields and calls set.
+func put[T any](set func(T)) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		var v T
+		if q.ContentLength != 0 {
+			d := json.NewDecoder(http.MaxBytesReader(w, q.Body, maxRequestBytes))
+			d.DisallowUnknownFields()
+			if err := d.Decode(&v); err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+		}
+		set(v)
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
--- /dev/null
+++ b/internal/standin/runner/cache.go
@@ -0,0 +1,113 @@
+package runner
+
+import (
+	"container/list"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+// maxCacheLog bounds the events kept for readers that are behind.
+const maxCacheLog = 8192
+
+// prefixCache keeps the most recently used prefix blocks and logs what enters
+// and leaves.
+type prefixCache struct {
+	limit  int
+	blocks map[uint64]*list.Element
+	recent *list.List // of uint64, most recent first
+	log    []loggedEvent
+	oldest uint64 // events before this sequence are no longer kept
+	next   uint64 // sequence of the next event
+}
+
+type loggedEvent struct {
+	event upstream.CacheEvent
+	at    time.Time
+}
+
+func newPrefixCache(limit int) *prefixCache {
+	return &prefixCache{limit: limit, blocks: map[uint64]*list.Element{}, recent: list.New(), oldest: 1, next: 1}
+}
+
+// leading counts the leading blocks that are cached.
+func (c *prefixCache) leading(hashes []uint64) int {
+	for i, h := range hashes {
+		if _, ok := c.blocks[h]; !ok {
+			return i
+		}
+	}
+	return len(hashes)
+}
+
+// insert adds or refreshes blocks. drop counts events to leave out of the log.
+func (c *prefixCache) insert(hashes []uint64, now time.Time, drop *int) {
+	for _, h := range hashes {
+		if e, ok := c.blocks[h]; ok {
+			c.recent.MoveToFront(e)
+			continue
+		}
+		c.blocks[h] = c.recent.PushFront(h)
+		c.record(upstream.CacheEvent{Block: h}, now, drop)
+	}
+	for c.recent.Len() > c.limit {
+		c.evict(c.recent.Back(), now, drop)
+	}
+}
+
+// clear evicts everything.
+func (c *prefixCache) clear(now time.Time, drop *int) {
+	for c.recent.Len() > 0 {
+		c.evict(c.recent.Back(), now, drop)
+	}
+}
+
+func (c *prefixCache) evict(e *list.Element, now time.Time, drop *int) {
+	h := e.Value.(uint64)
+	c.recent.Remove(e)
+	delete(c.blocks, h)
+	c.record(upstream.CacheEvent{Block: h, Removed: true}, now, drop)
+}
+
+func (c *prefixCache) record(e upstream.CacheEvent, now time.Time, drop *int) {
+	e.Sequence = c.next
+	c.next++
+	if strikeLocked(drop) {
+		return
+	}
+	c.log = append(c.log, loggedEvent{e, now})
+	if len(c.log) > maxCacheLog {
+		c.log = append(c.log[:0], c.log[len(c.log)-maxCacheLog/2:]...)
+		c.oldest = c.log[0].event.Sequence
+	}
+}
+
+// since lists events from a sequence on that are older than lag, or the whole
+// content if that sequence is no longer known.
+func (c *prefixCache) since(seq uint64, now time.Time, lag time.Duration) upstream.CacheEvents {
+	seq = max(seq, 1)
+	if seq > c.next || seq < c.oldest {
+		return c.content()
+	}
+	out := upstream.CacheEvents{Next: seq}
+	for _, l := range c.log {
+		if l.event.Sequence < seq {
+			continue
+		}
+		if now.Sub(l.at) < lag {
+			break
+		}
+		out.Events = append(out.Events, l.event)
+		out.Next = l.event.Sequence + 1
+	}
+	return out
+}
+
+// content lists the whole cache.
+func (c *prefixCache) content() upstream.CacheEvents {
+	out := upstream.CacheEvents{Next: c.next, Resync: true}
+	for e := c.recent.Front(); e != nil; e = e.Next() {
+		out.Events = append(out.Events, upstream.CacheEvent{Sequence: c.next - 1, Block: e.Value.(uint64)})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/runner/http.go
@@ -0,0 +1,229 @@
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+// maxRequestBytes bounds a request body.
+const maxRequestBytes = 16 << 20
+
+// Handler serves the engine's form and the admin endpoints.
+func (r *Runner) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+upstream.PathRun, r.serveRun)
+	mux.HandleFunc("GET "+upstream.PathRuns+"{id}", r.serveResume)
+	mux.HandleFunc("DELETE "+upstream.PathRuns+"{id}", r.serveCancel)
+	mux.HandleFunc("GET "+upstream.PathLoad, r.serveLoad)
+	mux.HandleFunc("GET "+upstream.PathCacheEvents, r.serveCacheEvents)
+	mux.HandleFunc("POST "+upstream.PathOrders, r.serveOrder)
+	mux.HandleFunc("GET "+upstream.PathState, r.serveState)
+	mux.HandleFunc("POST "+upstream.PathPrefill, r.servePrefill)
+	mux.HandleFunc("GET "+upstream.PathKV+"{handle}", r.serveKV)
+	admin := r.adminHandler()
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if isAdmin(q) {
+			admin.ServeHTTP(w, q)
+			return
+		}
+		l := r.enter()
+		r.waitThawed()
+		mux.ServeHTTP(w, q.WithContext(context.WithValue(q.Context(), lifeKey{}, l)))
+	})
+}
+
+// life is the incarnation that received a request. A request that reached a
+// process dies with that process: the next incarnation must not act on it.
+type life chan struct{}
+
+type lifeKey struct{}
+
+// lifeOf gives the life that received a request.
+func lifeOf(q *http.Request) life { return q.Context().Value(lifeKey{}).(life) }
+
+// enter receives a request, or drops its connection while the engine is down.
+func (r *Runner) enter() life {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Now().Before(r.downUntil) {
+		panic(http.ErrAbortHandler)
+	}
+	return r.gone
+}
+
+// abortIfOver drops a request that an earlier incarnation received.
+func (r *Runner) abortIfOver(l life) {
+	if l != life(r.gone) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body) // the client may be gone
+}
+
+// refusalStatus gives the HTTP status of a refusal. The code in the body is what counts.
+func refusalStatus(c upstream.RefusalCode) int {
+	switch c {
+	case upstream.RefusedUnknownRun:
+		return http.StatusNotFound
+	case upstream.RefusedInvalid:
+		return http.StatusBadRequest
+	case upstream.RefusedRestarted, upstream.RefusedStaleFence, upstream.RefusedBusy:
+		return http.StatusConflict
+	case upstream.RefusedUnsupported:
+		return http.StatusNotImplemented
+	}
+	return http.StatusServiceUnavailable
+}
+
+func writeRefusal(w http.ResponseWriter, f *upstream.Refusal) {
+	writeJSON(w, refusalStatus(f.Code), upstream.RefusalBody{Refusal: f})
+}
+
+// readJSON reads a request body or refuses it.
+func readJSON(w http.ResponseWriter, q *http.Request, into any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, q.Body, maxRequestBytes)).Decode(into)
+	if err != nil {
+		writeRefusal(w, refusal("")(upstream.RefusedInvalid, err.Error()))
+		return false
+	}
+	return true
+}
+
+func (r *Runner) serveRun(w http.ResponseWriter, q *http.Request) {
+	var req upstream.RunRequest
+	if !readJSON(w, q, &req) {
+		return
+	}
+	if role := r.State().Role; role == upstream.RolePrefill {
+		writeRefusal(w, refusal(req.RunID)(upstream.RefusedWrongRole, "role is prefill"))
+		return
+	}
+	u, f := r.accept(lifeOf(q), req, false)
+	if f != nil {
+		writeRefusal(w, f)
+		return
+	}
+	if r.strike(&r.faults.LoseRunAnswers) {
+		panic(http.ErrAbortHandler)
+	}
+	if r.strike(&r.faults.Plain503Runs) {
+		http.Error(w, "service unavailable", http.StatusServiceUnavailable)
+		return
+	}
+	r.sendStream(w, q, u, 0)
+}
+
+func (r *Runner) serveResume(w http.ResponseWriter, q *http.Request) {
+	id := q.PathValue("id")
+	from, err := strconv.Atoi(q.URL.Query().Get(upstream.QueryFrom))
+	if err != nil || from < 0 {
+		writeRefusal(w, refusal(id)(upstream.RefusedInvalid, "from is "+strconv.Quote(q.URL.Query().Get(upstream.QueryFrom))))
+		return
+	}
+	r.mu.Lock()
+	r.forgetOld(time.Now())
+	u := r.runs[id]
+	r.mu.Unlock()
+	if u == nil {
+		writeRefusal(w, refusal(id)(upstream.RefusedUnknownRun, ""))
+		return
+	}
+	r.sendStream(w, q, u, from)
+}
+
+func (r *Runner) serveCancel(w http.ResponseWriter, q *http.Request) {
+	if f := r.cancel(q.PathValue("id")); f != nil {
+		writeRefusal(w, f)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (r *Runner) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, r.Load())
+}
+
+func (r *Runner) serveState(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, r.State())
+}
+
+func (r *Runner) serveCacheEvents(w http.ResponseWriter, q *http.Request) {
+	since, err := strconv.ParseUint(q.URL.Query().Get(upstream.QuerySince), 10, 64)
+	if err != nil {
+		writeRefusal(w, refusal("")(upstream.RefusedInvalid, "since is "+strconv.Quote(q.URL.Query().Get(upstream.QuerySince))))
+		return
+	}
+	writeJSON(w, http.StatusOK, r.CacheEvents(since))
+}
+
+// CacheEvents gives cache events from a sequence on, late as configured.
+func (r *Runner) CacheEvents(since uint64) upstream.CacheEvents {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := r.cache.since(since, time.Now(), r.config.CacheEventLag)
+	out.Incarnation = r.incarnation
+	return out
+}
+
+func (r *Runner) serveOrder(w http.ResponseWriter, q *http.Request) {
+	var o upstream.Order
+	if !readJSON(w, q, &o) {
+		return
+	}
+	state, f := r.order(lifeOf(q), o)
+	if f != nil {
+		writeRefusal(w, f)
+		return
+	}
+	if r.strike(&r.faults.LoseOrderAnswers) {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, http.StatusOK, state)
+}
+
+// servePrefill answers when the prompt is computed. A client that goes away does
+// not stop the work.
+func (r *Runner) servePrefill(w http.ResponseWriter, q *http.Request) {
+	var req upstream.RunRequest
+	if !readJSON(w, q, &req) {
+		return
+	}
+	if role := r.State().Role; role == upstream.RoleDecode {
+		writeRefusal(w, refusal(req.RunID)(upstream.RefusedWrongRole, "role is decode"))
+		return
+	}
+	u, f := r.accept(lifeOf(q), req, true)
+	if f != nil {
+		writeRefusal(w, f)
+		return
+	}
+	for {
+		r.mu.Lock()
+		over, handle, changed, gone := u.over, u.handle, u.wait(), r.gone
+		r.mu.Unlock()
+		if over && handle == "" {
+			panic(http.ErrAbortHandler) // cut by an order
+		}
+		if over {
+			w.Header().Set(upstream.HeaderRunID, req.RunID)
+			writeJSON(w, http.StatusOK, upstream.PrefillAnswer{RunID: req.RunID, Handle: handle})
+			return
+		}
+		select {
+		case <-changed:
+		case <-gone:
+			panic(http.ErrAbortHandler)
+		case <-q.Context().Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/runner/ledger.go
@@ -0,0 +1,85 @@
+package runner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+// Executions counts how often runs were begun. It outlives crashes.
+type Executions struct {
+	Runs  map[string]int `json:"runs"`  // by run id
+	Marks map[string]int `json:"marks"` // by the prompt's marker
+}
+
+// OrderRecord is one order that the engine accepted.
+type OrderRecord struct {
+	Order       upstream.Order       `json:"order"`
+	At          time.Time            `json:"at"`
+	Incarnation string               `json:"incarnation"`
+	Stale       bool                 `json:"stale"`   // a higher fencing number had been accepted before
+	Streams     int                  `json:"streams"` // requests that the order cut
+	Outcome     upstream.OrderStatus `json:"outcome"`
+}
+
+// Stats counts what an engine did, over all its incarnations.
+type Stats struct {
+	Accepted             int           `json:"accepted"`               // runs
+	Finished             int           `json:"finished"`               // runs, by stop or length
+	Canceled             int           `json:"canceled"`               // runs
+	Lost                 int           `json:"lost"`                   // runs dropped by crashes
+	CutByOrders          int           `json:"cut_by_orders"`          // runs dropped by orders
+	AcceptedWhileLeaving int           `json:"accepted_while_leaving"` // runs and prefills
+	LastWhileLeaving     time.Duration `json:"last_while_leaving_ns"`  // after leaving began
+	PrefillTokens        int           `json:"prefill_tokens"`         // computed
+	CachedTokens         int           `json:"cached_tokens"`          // found in the prefix cache
+	OutputTokens         int           `json:"output_tokens"`
+	KVImports            int           `json:"kv_imports"`
+	KVImportFailures     int           `json:"kv_import_failures"`
+	RoleChanges          int           `json:"role_changes"`
+	Away                 time.Duration `json:"away_ns"`
+	Crashes              int           `json:"crashes"`
+}
+
+type ledger struct {
+	runs, marks  map[string]int
+	orders       []OrderRecord
+	highestFence uint64 // accepted, over all incarnations
+	stats        Stats
+}
+
+func newLedger() ledger {
+	return ledger{runs: map[string]int{}, marks: map[string]int{}}
+}
+
+// begun counts one beginning of a run.
+func (l *ledger) begun(r upstream.RunRequest) {
+	l.stats.Accepted++
+	l.runs[r.RunID]++
+	if mark := Mark(r.Prompt); mark != "" {
+		l.marks[mark]++
+	}
+}
+
+// Executions returns a copy of the counts.
+func (r *Runner) Executions() Executions {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Executions{Runs: maps.Clone(r.ledger.runs), Marks: maps.Clone(r.ledger.marks)}
+}
+
+// OrderLog returns the accepted orders, oldest first.
+func (r *Runner) OrderLog() []OrderRecord {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.ledger.orders)
+}
+
+// Stats returns the counts so far.
+func (r *Runner) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ledger.stats
+}
--- /dev/null
+++ b/internal/standin/runner/load.go
@@ -0,0 +1,106 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+// maxSamples bounds the history from which lagging reports are served.
+const maxSamples = 512
+
+// meterWeight is the weight of one step in the measured rates.
+const meterWeight = 0.1
+
+// sample is the load at one moment.
+type sample struct {
+	at     time.Time
+	report upstream.LoadReport
+}
+
+// meter measures rates as moving averages over steps.
+type meter struct {
+	prefill, decode float64 // tokens a second
+}
+
+func (m *meter) add(s step) {
+	seconds := s.lasts.Seconds()
+	if seconds <= 0 {
+		return
+	}
+	if s.tokens > 0 {
+		m.prefill = average(m.prefill, float64(s.tokens)/seconds)
+	}
+	if len(s.decode) > 0 {
+		m.decode = average(m.decode, float64(len(s.decode))/seconds)
+	}
+}
+
+func average(old, sample float64) float64 {
+	if old == 0 {
+		return sample
+	}
+	return old + meterWeight*(sample-old)
+}
+
+// sampleLocked keeps the load of this moment. Samples are spaced so that the
+// bounded history covers the lag.
+func (r *Runner) sampleLocked() {
+	now := time.Now()
+	lag := r.reportLag()
+	if n := len(r.samples); n > 0 && now.Sub(r.samples[n-1].at) <= lag/(maxSamples/4) {
+		r.samples[n-1].report = r.loadLocked(now)
+		return
+	}
+	r.samples = append(r.samples, sample{now, r.loadLocked(now)})
+	if len(r.samples) > maxSamples {
+		r.samples = append(r.samples[:0], r.samples[maxSamples/2:]...)
+	}
+}
+
+func (r *Runner) reportLag() time.Duration {
+	return r.config.ReportLag + time.Duration(r.faults.ReportDelayMS)*time.Millisecond
+}
+
+// loadLocked gives the load now.
+func (r *Runner) loadLocked(now time.Time) upstream.LoadReport {
+	l := upstream.LoadReport{
+		Runner: r.config.Name, Incarnation: r.incarnation, At: now,
+		QueuedRequests: len(r.waiting), KVTotalTokens: r.config.Cost.KVTokens,
+		PrefillRate: r.meter.prefill, DecodeRate: r.meter.decode, Leaving: r.leaving,
+	}
+	for _, u := range r.waiting {
+		l.QueuedPrefill += u.prefillLeft
+	}
+	for _, u := range r.batch {
+		l.QueuedPrefill += u.prefillLeft
+		l.KVUsedTokens += u.prompt - u.prefillLeft + u.produced
+		if u.prefillLeft == 0 {
+			l.Running++
+		}
+	}
+	return l
+}
+
+// Load gives the newest report that is at least the lag old. Until there is one
+// it gives the oldest there is.
+func (r *Runner) Load() upstream.LoadReport {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	lag := r.reportLag()
+	if lag <= 0 {
+		return r.loadLocked(now)
+	}
+	report := r.samples[0].report
+	for _, s := range r.samples {
+		if now.Sub(s.at) < lag {
+			break
+		}
+		report = s.report
+		// The state stood still from this sample to the next one.
+		report.At = now.Add(-lag)
+	}
+	report.Age = now.Sub(report.At)
+	return report
+}
--- /dev/null
+++ b/internal/standin/runner/order.go
@@ -0,0 +1,209 @@
+package runner
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+// order accepts or refuses an order. An order of an id accepted before by this
+// incarnation has no effect a second time.
+func (r *Runner) order(l life, o upstream.Order) (upstream.State, *upstream.Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.abortIfOver(l)
+	no := refusal(o.ID)
+	if message := invalidOrder(o); message != "" {
+		return upstream.State{}, no(upstream.RefusedInvalid, message)
+	}
+	if r.config.ChecksFencing && o.Fence < r.fence {
+		return upstream.State{}, no(upstream.RefusedStaleFence, "fence is "+strconv.FormatUint(r.fence, 10))
+	}
+	if r.orders[o.ID] {
+		r.fence = max(r.fence, o.Fence)
+		return r.stateLocked(), nil
+	}
+	if r.orderStatus == upstream.OrderRunning {
+		return upstream.State{}, no(upstream.RefusedBusy, "order "+r.lastOrder+" is in progress")
+	}
+	r.beginOrder(o)
+	return r.stateLocked(), nil
+}
+
+// invalidOrder says what is wrong with an order; empty: nothing.
+func invalidOrder(o upstream.Order) string {
+	if o.ID == "" {
+		return "id is empty"
+	}
+	switch o.Action {
+	case upstream.SetRole:
+		if !validRole(o.Role) {
+			return "role is " + strconv.Quote(string(o.Role)) + ", want prefill, decode or both"
+		}
+	case upstream.LoadModel, upstream.UnloadModel:
+		if o.Model == "" {
+			return "model is empty"
+		}
+	case upstream.LoadAdapter, upstream.UnloadAdapter:
+		if o.Adapter == "" {
+			return "adapter is empty"
+		}
+	default:
+		return "action is " + strconv.Quote(string(o.Action)) + ", which is not known"
+	}
+	return ""
+}
+
+// beginOrder takes up an order. Orders that take the engine away cut what runs:
+// an orderly controller drains first, and a test sees it if it did not.
+func (r *Runner) beginOrder(o upstream.Order) {
+	lasts, away := r.orderCost(o)
+	record := OrderRecord{
+		Order: o, At: time.Now(), Incarnation: r.incarnation,
+		Stale: o.Fence < r.ledger.highestFence, Outcome: upstream.OrderRunning,
+	}
+	r.ledger.highestFence = max(r.ledger.highestFence, o.Fence)
+	r.fence = max(r.fence, o.Fence)
+	r.orders[o.ID] = true
+	r.lastOrder = o.ID
+	r.orderStatus = upstream.OrderRunning
+	r.away = away
+	if away {
+		record.Streams = r.cutAll()
+		r.ledger.stats.Away += lasts
+	}
+	r.ledger.orders = append(r.ledger.orders, record)
+	index := len(r.ledger.orders) - 1
+	gone := r.gone
+	if strikeLocked(&r.faults.CrashInOrders) {
+		time.AfterFunc(lasts/2, func() { r.crashInOrder(gone) })
+		return
+	}
+	time.AfterFunc(lasts, func() { r.finishOrder(o, index, gone) })
+}
+
+func (r *Runner) orderCost(o upstream.Order) (time.Duration, bool) {
+	switch o.Action {
+	case upstream.SetRole:
+		return r.config.scaled(r.config.Cost.RoleChange), true
+	case upstream.LoadModel, upstream.UnloadModel:
+		return r.config.scaled(r.config.Cost.LoadModel), true
+	}
+	return r.config.scaled(r.config.Cost.LoadAdapter), false
+}
+
+// cutAll drops every run as a restart of the engine's worker would.
+func (r *Runner) cutAll() int {
+	n := len(r.waiting) + len(r.batch)
+	for _, u := range slices.Concat(r.waiting, r.batch) {
+		u.over = true
+		u.reason = reasonCut
+		delete(r.runs, u.id)
+		u.wake()
+	}
+	r.waiting = nil
+	r.batch = nil
+	r.ledger.stats.CutByOrders += n
+	r.cache.clear(time.Now(), &r.faults.DropCacheEvents)
+	r.sampleLocked()
+	return n
+}
+
+// reasonCut marks a run that ends without an End.
+const reasonCut = "cut"
+
+func (r *Runner) crashInOrder(gone chan struct{}) {
+	r.waitThawed()
+	r.mu.Lock()
+	same := gone == r.gone
+	r.mu.Unlock()
+	if same {
+		r.Crash(0)
+	}
+}
+
+// finishOrder makes the order's effect.
+func (r *Runner) finishOrder(o upstream.Order, index int, gone chan struct{}) {
+	r.waitThawed()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if gone != r.gone {
+		return
+	}
+	r.away = false
+	r.orderStatus = upstream.OrderDone
+	if !r.effect(o) {
+		r.orderStatus = upstream.OrderFailed
+	}
+	r.ledger.orders[index].Outcome = r.orderStatus
+	r.sampleLocked()
+	r.nudge()
+}
+
+// effect changes role or loaded models and reports whether that succeeded.
+func (r *Runner) effect(o upstream.Order) bool {
+	switch o.Action {
+	case upstream.SetRole:
+		if r.role != o.Role {
+			r.ledger.stats.RoleChanges++
+		}
+		r.role = o.Role
+		return true
+	case upstream.LoadModel:
+		return r.loadModel(o)
+	case upstream.UnloadModel:
+		r.loaded = slices.DeleteFunc(r.loaded, func(l upstream.Loaded) bool { return matchesModel(l, o) })
+		return true
+	case upstream.LoadAdapter:
+		return r.loadAdapter(o)
+	case upstream.UnloadAdapter:
+		for i := range r.loaded {
+			if matchesModel(r.loaded[i], o) {
+				r.loaded[i].Adapters = slices.DeleteFunc(r.loaded[i].Adapters, func(a string) bool { return a == o.Adapter })
+			}
+		}
+		return true
+	}
+	return false
+}
+
+// matchesModel reports whether an order means this model; an empty field means any.
+func matchesModel(l upstream.Loaded, o upstream.Order) bool {
+	return (o.Model == "" || l.Model == o.Model) && (o.Version == "" || l.Version == o.Version)
+}
+
+func (r *Runner) canLoad(name string) bool {
+	return len(r.config.CanLoad) == 0 || slices.Contains(r.config.CanLoad, name)
+}
+
+func (r *Runner) loadModel(o upstream.Order) bool {
+	if !r.canLoad(o.Model) {
+		return false
+	}
+	for _, l := range r.loaded {
+		if l.Model == o.Model && l.Version == o.Version {
+			return true
+		}
+	}
+	r.loaded = append(r.loaded, upstream.Loaded{Model: o.Model, Version: o.Version})
+	return true
+}
+
+func (r *Runner) loadAdapter(o upstream.Order) bool {
+	if !r.canLoad(o.Adapter) {
+		return false
+	}
+	found := false
+	for i := range r.loaded {
+		if !matchesModel(r.loaded[i], o) {
+			continue
+		}
+		found = true
+		if !slices.Contains(r.loaded[i].Adapters, o.Adapter) {
+			r.loaded[i].Adapters = append(r.loaded[i].Adapters, o.Adapter)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/standin/runner/runner_test.go
@@ -0,0 +1,235 @@
+package runner
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// wait is generous: nothing here asserts a time.
+const wait = 20 * time.Second
+
+func testConfig(name string) Config {
+	return Config{
+		Name: name, Speed: 200, DeduplicatesRuns: true, ChecksFencing: true,
+		Loaded: []upstream.Loaded{{Model: "smoke", Version: "v1"}},
+	}
+}
+
+// start runs a stand-in on loopback and gives a client of it.
+func start(t *testing.T, c Config) (*Runner, upstream.Engine, string) {
+	t.Helper()
+	r := New(c)
+	t.Cleanup(r.Close)
+	url, err := r.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := upstream.NewHTTP(url, upstream.HTTPOptions{Name: c.Name})
+	t.Cleanup(func() { e.(interface{ Close() error }).Close() })
+	return r, e, url
+}
+
+func timeout(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func request(id, prompt string, tokens int) upstream.RunRequest {
+	return upstream.RunRequest{RunID: id, Model: "smoke", Version: "v1", Prompt: prompt, PromptTokens: 100, MaxTokens: tokens}
+}
+
+// read takes a stream to its end.
+func read(ctx context.Context, s upstream.Stream) (text string, end *upstream.End, err error) {
+	defer s.Close()
+	var b strings.Builder
+	for {
+		item, err := s.Recv(ctx)
+		if err != nil {
+			return b.String(), nil, err
+		}
+		if item.End != nil {
+			return b.String(), item.End, nil
+		}
+		b.WriteString(item.Token.Text)
+	}
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(wait); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func TestRunGivesTheWholeAnswerOnce(t *testing.T) {
+	r, e, _ := start(t, testConfig("a"))
+	ctx := timeout(t)
+	req := request("r1", "how is the air [out=12] [mark=m1]", 50)
+	s, err := e.Run(ctx, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, end, err := read(ctx, s)
+	if err != nil || text != Answer(req) || *end != (upstream.End{RunID: "r1", Tokens: 12, Reason: "stop"}) {
+		t.Fatalf("answer %q, end %+v, error %v", text, end, err)
+	}
+	s, err = e.Run(ctx, req) // attaches
+	if err != nil {
+		t.Fatal(err)
+	}
+	if again, _, err := read(ctx, s); err != nil || again != text {
+		t.Fatalf("attached: %q, error %v", again, err)
+	}
+	if x := r.Executions(); x.Runs["r1"] != 1 || x.Marks["m1"] != 1 {
+		t.Fatalf("executions %+v, want one", x)
+	}
+}
+
+func TestResumeFromToken(t *testing.T) {
+	r, e, _ := start(t, testConfig("a"))
+	ctx := timeout(t)
+	r.SetFaults(Faults{CutStreams: 1, CutAfterTokens: 5})
+	req := request("r1", "p", 20)
+	s, err := e.Run(ctx, req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, _, err := read(ctx, s)
+	if !errors.Is(err, upstream.ErrBroken) {
+		t.Fatalf("cut stream gave %v, want ErrBroken", err)
+	}
+	if s, err = e.Resume(ctx, "r1", 5); err != nil {
+		t.Fatal(err)
+	}
+	rest, end, err := read(ctx, s)
+	if err != nil || first+rest != Answer(req) || end.Tokens != 20 {
+		t.Fatalf("%q + %q, end %+v, error %v", first, rest, end, err)
+	}
+	if _, err := e.Resume(ctx, "nobody", 0); !errors.Is(err, upstream.ErrUnknownRun) || errors.Is(err, upstream.ErrNotRun) {
+		t.Fatalf("resume of no run gave %v", err)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	r, e, _ := start(t, testConfig("a"))
+	ctx := timeout(t)
+	with := func(change func(*upstream.RunRequest)) upstream.RunRequest {
+		q := request("r1", "p", 5)
+		change(&q)
+		return q
+	}
+	for name, c := range map[string]struct {
+		req  upstream.RunRequest
+		code upstream.RefusalCode
+	}{
+		"other incarnation": {with(func(q *upstream.RunRequest) { q.Incarnation = "old" }), upstream.RefusedRestarted},
+		"other model":       {with(func(q *upstream.RunRequest) { q.Model = "m" }), upstream.RefusedNotLoaded},
+		"other version":     {with(func(q *upstream.RunRequest) { q.Version = "v9" }), upstream.RefusedNotLoaded},
+		"other adapter":     {with(func(q *upstream.RunRequest) { q.Adapter = "x" }), upstream.RefusedNotLoaded},
+		"no tokens":         {with(func(q *upstream.RunRequest) { q.MaxTokens = 0 }), upstream.RefusedInvalid},
+		"too large":         {with(func(q *upstream.RunRequest) { q.PromptTokens = 1 << 30 }), upstream.RefusedInvalid},
+	} {
+		_, err := e.Run(ctx, c.req)
+		if code, _ := upstream.RefusedWith(err); code != c.code || !errors.Is(err, upstream.ErrNotRun) {
+			t.Errorf("%s: %v, want a refusal %s", name, err, c.code)
+		}
+	}
+	if n := len(r.Executions().Runs); n != 0 {
+		t.Errorf("%d runs began, want none", n)
+	}
+}
+
+func TestCancelStopsARun(t *testing.T) {
+	c := testConfig("a")
+	c.Speed = 1
+	r, e, _ := start(t, c)
+	ctx := timeout(t)
+	s, err := e.Run(ctx, request("r1", "p", 100_000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := e.Cancel(ctx, "r1"); err != nil {
+		t.Fatal(err)
+	}
+	if _, end, err := read(ctx, s); err != nil || end.Reason != "canceled" {
+		t.Fatalf("end %+v, error %v", end, err)
+	}
+	if st := r.State(); st.Streams != 0 {
+		t.Fatalf("%d streams left", st.Streams)
+	}
+	if err := e.Cancel(ctx, "nobody"); err != nil {
+		t.Fatalf("cancel of no run: %v", err)
+	}
+}
+
+func TestCrashIsANewIncarnation(t *testing.T) {
+	c := testConfig("a")
+	c.Speed = 1
+	r, e, _ := start(t, c)
+	ctx := timeout(t)
+	before := r.Incarnation()
+	s, err := e.Run(ctx, request("r1", "p", 100_000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Crash(0)
+	if _, _, err := read(ctx, s); !errors.Is(err, upstream.ErrBroken) {
+		t.Fatalf("stream of a crashed engine gave %v", err)
+	}
+	eventually(t, "it listens again", func() bool { _, err := e.State(ctx); return err == nil })
+	if _, err := e.Resume(ctx, "r1", 0); !errors.Is(err, upstream.ErrUnknownRun) {
+		t.Fatalf("resume gave %v", err)
+	}
+	req := request("r1", "p", 5)
+	req.Incarnation = before
+	if _, err := e.Run(ctx, req); !errors.Is(err, upstream.ErrRestarted) || !errors.Is(err, upstream.ErrNotRun) {
+		t.Fatalf("run for the old incarnation gave %v", err)
+	}
+	if r.Executions().Runs["r1"] != 1 {
+		t.Fatal("the ledger lost the run in the crash")
+	}
+}
+
+// A request that a frozen process holds is acted upon when the process wakes,
+// even if its client has given up; and never if the process dies first.
+func TestFreeze(t *testing.T) {
+	for name, c := range map[string]struct {
+		wake func(*Runner)
+		runs int
+	}{
+		"thaw":  {(*Runner).Thaw, 1},
+		"crash": {func(r *Runner) { r.Crash(0) }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, e, _ := start(t, testConfig("a"))
+			r.Freeze()
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			if _, err := e.Run(ctx, request("r1", "p", 5)); !errors.Is(err, upstream.ErrBroken) || errors.Is(err, upstream.ErrNotRun) {
+				t.Fatalf("run at a frozen engine gave %v", err)
+			}
+			c.wake(r)
+			eventually(t, "it answers again", func() bool { _, err := e.State(timeout(t)); return err == nil })
+			if c.runs > 0 {
+				eventually(t, "the held request ran", func() bool { return r.Executions().Runs["r1"] == 1 })
+			}
+			if n := r.Executions().Runs["r1"]; n != c.runs {
+				t.Fatalf("ran %d times, want %d", n, c.runs)
+			}
+		})
+	}
+}
