Add the stream assembler and a relay that resumes broken answers

The assembler is pure and keeps no tokens. The relay resumes at the same runner from the first missing token; it starts again elsewhere only for requests that may run twice, and only goes on if the new run repeats what the caller already has.

--- /dev/null
+++ b/internal/request/stream/assembler.go
@@ -0,0 +1,98 @@
+package stream
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+// Errors of an Assembler. None of them changes its state: Next still tells where
+// to resume. Test with errors.Is.
+var (
+	ErrGap       = errors.New("tokens are missing")                     // resume from Next
+	ErrCount     = errors.New("end counts fewer tokens than were sent") // the stream cannot be trusted; resume
+	ErrCanceled  = errors.New("the run was canceled")                   // no resume can complete the answer
+	ErrMalformed = errors.New("item is neither a token nor an end")
+)
+
+// reasonCanceled is the reason of an End that does not complete an answer.
+const reasonCanceled = "canceled"
+
+// Assembler puts one answer together from the items of one or more streams of
+// the same run. It emits each token once, in order, and is whole only when an
+// end marker counts exactly the tokens emitted. It keeps no tokens, so its memory
+// does not grow with the answer.
+type Assembler struct {
+	runID      string
+	next       int
+	end        *upstream.End
+	emit       [1]upstream.Token
+	foreign    int
+	duplicates int
+}
+
+// New makes an assembler of the answer of one run.
+func New(runID string) *Assembler { return &Assembler{runID: runID} }
+
+// Next is the index of the first token not yet emitted: where to resume.
+func (a *Assembler) Next() int { return a.next }
+
+// Whole reports whether the whole answer was emitted.
+func (a *Assembler) Whole() bool { return a.end != nil }
+
+// End gives the end marker of a whole answer, else nil.
+func (a *Assembler) End() *upstream.End { return a.end }
+
+// Dropped counts items of other runs, and tokens that had been emitted before.
+func (a *Assembler) Dropped() (foreign, duplicates int) { return a.foreign, a.duplicates }
+
+// Feed takes the next item of a stream. It returns the tokens to pass on, valid
+// until the next call, and whether the answer is whole. Items of another run,
+// tokens emitted before, and whatever follows the end are dropped.
+func (a *Assembler) Feed(item upstream.Item) (emit []upstream.Token, done bool, err error) {
+	switch {
+	case (item.Token == nil) == (item.End == nil):
+		return nil, a.Whole(), ErrMalformed
+	case item.Token != nil:
+		emit, err = a.token(item.Token)
+	default:
+		err = a.finish(item.End)
+	}
+	return emit, a.Whole(), err
+}
+
+func (a *Assembler) token(t *upstream.Token) ([]upstream.Token, error) {
+	switch {
+	case t.RunID != a.runID:
+		a.foreign++
+		return nil, nil
+	case t.Index < a.next || a.Whole():
+		a.duplicates++
+		return nil, nil
+	case t.Index > a.next:
+		return nil, errors.Wrapf(ErrGap, "token %d came where %d was due", t.Index, a.next)
+	}
+	a.next++
+	a.emit[0] = *t
+	return a.emit[:], nil
+}
+
+func (a *Assembler) finish(e *upstream.End) error {
+	switch {
+	case e.RunID != a.runID:
+		a.foreign++
+		return nil
+	case a.Whole():
+		a.duplicates++
+		return nil
+	case e.Reason == reasonCanceled:
+		return errors.Wrapf(ErrCanceled, "after %d tokens", e.Tokens)
+	case e.Tokens > a.next:
+		return errors.Wrapf(ErrGap, "end counts %d tokens, %d came", e.Tokens, a.next)
+	case e.Tokens < a.next:
+		return errors.Wrapf(ErrCount, "end counts %d tokens, %d came", e.Tokens, a.next)
+	}
+	end := *e
+	a.end = &end
+	return nil
+}
--- /dev/null
+++ b/internal/request/stream/relay.go
@@ -0,0 +1,298 @@
+package stream
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+)
+
+// Defaults of RelayConfig.
+const (
+	DefaultTries    = 5
+	DefaultBreaks   = 64
+	DefaultRestarts = 2
+	DefaultBackoff  = 20 * time.Millisecond
+	maxBackoff      = time.Second
+)
+
+// Restart begins the request again at another runner. why is what ended the run
+// at the former one. An error ends the relay; an *errkind.Error is passed to the
+// caller with its kind.
+type Restart func(ctx context.Context, why error) (Attempt, error)
+
+// Attempt is one run of a request at one runner.
+type Attempt struct {
+	RunID  string
+	Engine upstream.Engine
+	Stream upstream.Stream // from token 0; nil: the relay begins with a resume
+}
+
+// RelayConfig describes a relay. Zero numbers take the defaults.
+type RelayConfig struct {
+	Attempt Attempt
+	// Restart is nil for a request that must not run twice.
+	Restart Restart
+	Tries   int           // resumes in a row that bring no new token
+	Breaks  int           // resumes of the whole answer
+	Again   int           // restarts at other runners
+	Backoff time.Duration // before the second resume in a row; doubles with each
+}
+
+// Relay reads one answer in order, through breaks of its stream. After a break
+// it resumes from the first missing token at the same runner. If the runner no
+// longer has the run, and the request may run twice, it starts again elsewhere.
+// Another runner may sample other tokens, so what was passed on before is
+// compared, token by token, with the new run: if they differ, the answer cannot
+// be completed and the caller is told so.
+//
+// A Relay has no goroutine and reads nothing ahead: a slow caller slows the engine.
+// It is for one goroutine. The caller must Close it, and Cancel the run at Current
+// if the answer is given up.
+type Relay struct {
+	config   RelayConfig
+	current  Attempt
+	assemble *Assembler
+	passed   int    // tokens passed on
+	text     []byte // of the tokens passed on; kept only if a restart may come
+	compared int    // bytes of text that the current attempt repeated
+	tries    int
+	breaks   int
+	restarts int
+	failed   error
+}
+
+// NewRelay makes a relay of the answer of an attempt.
+func NewRelay(c RelayConfig) *Relay {
+	setDefault(&c.Tries, DefaultTries)
+	setDefault(&c.Breaks, DefaultBreaks)
+	setDefault(&c.Again, DefaultRestarts)
+	setDefault(&c.Backoff, DefaultBackoff)
+	return &Relay{config: c, current: c.Attempt, assemble: New(c.Attempt.RunID)}
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// Next gives the next token, then the End, then io.EOF. Any other error is an
+// *errkind.Error and final: Canceled or DeadlineExceeded if ctx ended,
+// AnswerIncomplete if the answer could not be completed, or what Restart returned.
+func (r *Relay) Next(ctx context.Context) (upstream.Item, error) {
+	for {
+		if r.failed != nil {
+			return upstream.Item{}, r.failed
+		}
+		if r.assemble.Whole() {
+			return upstream.Item{}, io.EOF
+		}
+		item, given, err := r.step(ctx)
+		if err != nil {
+			r.failed = r.recover(ctx, err)
+			continue
+		}
+		if given {
+			return item, nil
+		}
+	}
+}
+
+// Passed counts the tokens passed on.
+func (r *Relay) Passed() int { return r.passed }
+
+// Current is the attempt that the answer comes from now.
+func (r *Relay) Current() Attempt { return r.current }
+
+// Recoveries counts resumes and restarts, for metrics and explanations.
+func (r *Relay) Recoveries() (resumes, restarts int) { return r.breaks, r.restarts }
+
+// Close closes the stream. It does not cancel the run.
+func (r *Relay) Close() {
+	if r.current.Stream != nil {
+		r.current.Stream.Close()
+		r.current.Stream = nil
+	}
+}
+
+// errNoStream begins an attempt that has only a run to resume.
+var errNoStream = errors.New("no stream yet")
+
+// errDiffers ends a restart whose tokens are not those passed on before.
+var errDiffers = errors.New("the new run gives another text")
+
+// step takes one item; given is false if there is nothing to pass on yet.
+func (r *Relay) step(ctx context.Context) (item upstream.Item, given bool, err error) {
+	if r.current.Stream == nil {
+		return upstream.Item{}, false, errNoStream
+	}
+	item, err = r.current.Stream.Recv(ctx)
+	if err != nil {
+		return upstream.Item{}, false, err
+	}
+	emit, done, err := r.assemble.Feed(item)
+	if err != nil {
+		return upstream.Item{}, false, err
+	}
+	if done {
+		return r.finish()
+	}
+	if len(emit) == 0 {
+		return upstream.Item{}, false, nil
+	}
+	r.tries = 0
+	token := emit[0]
+	if token.Index < r.passed {
+		return upstream.Item{}, false, r.compare(token)
+	}
+	r.pass(token)
+	return upstream.Item{Token: &token}, true, nil
+}
+
+// finish gives the End, if the current attempt has repeated all that was passed on.
+func (r *Relay) finish() (upstream.Item, bool, error) {
+	end := r.assemble.End()
+	if end.Tokens < r.passed {
+		return upstream.Item{}, false, errors.Wrapf(errDiffers, "it ends after %d tokens, %d were passed on", end.Tokens, r.passed)
+	}
+	return upstream.Item{End: end}, true, nil
+}
+
+func (r *Relay) pass(t upstream.Token) {
+	r.passed++
+	if r.config.Restart == nil {
+		return
+	}
+	r.text = append(r.text, t.Text...)
+	r.compared = len(r.text)
+}
+
+// compare checks a token that a restarted run repeats.
+func (r *Relay) compare(t upstream.Token) error {
+	left := r.text[r.compared:]
+	if len(t.Text) > len(left) || string(left[:len(t.Text)]) != t.Text {
+		return errors.Wrapf(errDiffers, "token %d", t.Index)
+	}
+	r.compared += len(t.Text)
+	if t.Index == r.passed-1 && r.compared != len(r.text) {
+		return errors.Wrapf(errDiffers, "token %d", t.Index)
+	}
+	return nil
+}
+
+// recover makes the relay ready to go on after a break, or says why it cannot.
+func (r *Relay) recover(ctx context.Context, why error) error {
+	r.Close()
+	for {
+		if err := r.ended(ctx); err != nil {
+			return err
+		}
+		if errors.Is(why, errDiffers) || errors.Is(why, ErrCanceled) {
+			return r.incomplete(why)
+		}
+		if errors.Is(why, upstream.ErrUnknownRun) || r.tries >= r.config.Tries || r.breaks >= r.config.Breaks {
+			return r.restart(ctx, why)
+		}
+		if why = r.resume(ctx); why == nil {
+			return nil
+		}
+	}
+}
+
+// resume opens a stream from the first missing token at the same runner.
+func (r *Relay) resume(ctx context.Context) error {
+	r.breaks++
+	r.tries++
+	if err := r.pause(ctx); err != nil {
+		return err
+	}
+	s, err := r.current.Engine.Resume(ctx, r.current.RunID, r.assemble.Next())
+	if err != nil {
+		return err
+	}
+	r.current.Stream = s
+	return nil
+}
+
+// pause waits before a resume that follows another one without progress.
+func (r *Relay) pause(ctx context.Context) error {
+	if r.tries < 2 {
+		return nil
+	}
+	wait := min(r.config.Backoff<<(r.tries-2), maxBackoff)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// restart begins again elsewhere.
+func (r *Relay) restart(ctx context.Context, why error) error {
+	if r.config.Restart == nil || r.restarts >= r.config.Again {
+		return r.incomplete(why)
+	}
+	r.restarts++
+	next, err := r.config.Restart(ctx, why)
+	if err != nil {
+		return r.refused(ctx, err)
+	}
+	r.current = next
+	r.assemble = New(next.RunID)
+	r.compared = 0
+	r.tries = 0
+	return nil
+}
+
+// refused turns an error of Restart into the caller's: the earlier attempt began,
+// so the answer never says "not run".
+func (r *Relay) refused(ctx context.Context, err error) error {
+	if ended := r.ended(ctx); ended != nil {
+		return ended
+	}
+	var known *errkind.Error
+	if !errors.As(err, &known) {
+		return r.incomplete(err)
+	}
+	out := *known
+	if out.Run == errkind.NotRun {
+		out.Run = r.runState()
+	}
+	return &out
+}
+
+// ended gives the caller's error if ctx is over.
+func (r *Relay) ended(ctx context.Context) error {
+	cause := context.Cause(ctx)
+	var known *errkind.Error
+	switch {
+	case cause == nil:
+		return nil
+	case errors.As(cause, &known):
+		return known
+	case errors.Is(cause, context.DeadlineExceeded):
+		return errkind.Wrap(cause, errkind.DeadlineExceeded, r.runState(), "the answer was not complete by the deadline")
+	}
+	return errkind.Wrap(cause, errkind.Canceled, r.runState(), "the caller left")
+}
+
+func (r *Relay) incomplete(why error) error {
+	return errkind.Wrap(why, errkind.AnswerIncomplete, r.runState(), "the answer broke off and could not be completed")
+}
+
+// runState says what is known of the run. It was sent, so it is never "not run".
+func (r *Relay) runState() errkind.RunState {
+	if r.passed > 0 || r.assemble.Next() > 0 {
+		return errkind.Ran
+	}
+	return errkind.RunUnknown
+}
