Add the claim keeper, its shell, and run-once histories checked by porcupine

Keeper groups the asks that arrive while its previous write is under way into one conditional write. Asks are idempotent by run id, which settles lost answers of writes whoever wrote the bucket since; the nonce of the bucket can not, because the next writer replaces it.

Claims expire by generations of the bucket. A keeper ends a generation only after it has itself seen it for a slice of the keep time, so no two clocks are compared.

Not-run is said only after a read or a release at the store. While the store is out, a key that was not seen is answered unknown: an earlier request with the key may have run through another gateway.

--- /dev/null
+++ b/internal/request/claim/once_test.go
@@ -0,0 +1,104 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+)
+
+// runOnce is the sequential specification of one key. Its state is the id of the
+// run that happened, or empty.
+var runOnce = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, o := range history {
+			k := o.Input.(input).key
+			byKey[k] = append(byKey[k], o)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byKey {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() any { return "" },
+	Step: func(state, in, out any) (bool, any) {
+		ran := state.(string)
+		if run := in.(input).run; run != "" {
+			return ran == "", run
+		}
+		switch o := out.(output); {
+		case o.whole != "":
+			return o.whole == ran, ran
+		case o.state == errkind.NotRun:
+			return ran == "", ran
+		case o.state == errkind.Ran:
+			return ran != "", ran
+		}
+		return true, ran // unknown says nothing
+	},
+}
+
+// TestRunOnceLinearizable checks recorded histories of keyed requests at three
+// gateways under kills, pauses, lost answers, partitions, store outages and engine
+// crashes. The start of a run at a runner is an operation of the history itself, so
+// a second start, a whole answer of another run, and a not-run that is not true at
+// any moment of its request are all illegal.
+func TestRunOnceLinearizable(t *testing.T) {
+	const seeds, keys = 60, 110
+	total := 0
+	count := make(map[string]int)
+	for seed := int64(1); seed <= seeds; seed++ {
+		s := simulate(seed, keys)
+		total += s.nextOp
+		for k, v := range s.count {
+			count[k] += v
+		}
+		checkSimulation(t, seed, s)
+		if t.Failed() {
+			return
+		}
+	}
+	t.Logf("%d operations, %d seeds, counts %v", total, seeds, count)
+	if total < 10000 {
+		t.Errorf("%d operations, want at least 10000", total)
+	}
+	for _, k := range []string{"ask-2", "ask-3", "ask-4", "ask-5", "late", "attach", "out-not-run", "out-unknown", "out-ran", "claim.Resume"} {
+		if count[k] < 20 {
+			t.Errorf("%s happened %d times: the run does not reach what it is meant to test", k, count[k])
+		}
+	}
+	if whole := count["claim.Done"]; whole < total/3 {
+		t.Errorf("%d of %d operations got a whole answer", whole, total)
+	}
+}
+
+func checkSimulation(t *testing.T, seed int64, s *simulation) {
+	t.Helper()
+	ran := make(map[string]string)
+	for _, st := range s.starts {
+		if before, ok := ran[st.key]; ok {
+			t.Errorf("seed %d: key %s ran twice: %s and %s", seed, st.key, before, st.runID)
+		}
+		ran[st.key] = st.runID
+		if o := s.owners[st.runID]; o.output.state == errkind.NotRun {
+			t.Errorf("seed %d: run %s started although its request was answered not-run", seed, st.runID)
+		}
+		if st.sender.output.state == errkind.NotRun {
+			t.Errorf("seed %d: a request that started run %s was answered not-run", seed, st.runID)
+		}
+	}
+	for _, g := range s.gateways {
+		for _, op := range g.open {
+			if !op.done {
+				t.Errorf("seed %d: operation %d never ended", seed, op.id)
+			}
+		}
+	}
+	if r := porcupine.CheckOperationsTimeout(runOnce, s.history, time.Minute); r != porcupine.Ok {
+		t.Errorf("seed %d: history is not linearizable as run-once: %v", seed, r)
+	}
+}
--- /dev/null
+++ b/internal/request/claim/record.go
@@ -0,0 +1,209 @@
+package claim
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Generations is how many generations of a bucket a claim is kept. A generation
+// lasts at least a slice (keep time / Generations) by the clock of the keeper that
+// ends it, so a claim lives at least Generations-1 slices after its last grant,
+// and no clocks of two instances are ever compared.
+const Generations = 8
+
+// content is the decoded form of a bucket.
+type content struct {
+	generation uint64
+	claims     map[Key]Claim
+}
+
+func newContent() *content { return &content{claims: make(map[Key]Claim)} }
+
+// draft is a content with changes that are not stored yet. It shares the claims of
+// its base, so that a draft costs only what it changes.
+type draft struct {
+	base       *content
+	generation uint64
+	put        map[Key]Claim
+	deleted    map[Key]struct{}
+}
+
+func (c *content) draft() *draft {
+	return &draft{base: c, generation: c.generation, put: make(map[Key]Claim), deleted: make(map[Key]struct{})}
+}
+
+func (d *draft) get(k Key) (Claim, bool) {
+	if v, ok := d.put[k]; ok {
+		return v, true
+	}
+	if _, ok := d.deleted[k]; ok {
+		return Claim{}, false
+	}
+	v, ok := d.base.claims[k]
+	return v, ok
+}
+
+func (d *draft) set(v Claim) {
+	delete(d.deleted, v.Key)
+	d.put[v.Key] = v
+}
+
+func (d *draft) remove(k Key) {
+	delete(d.put, k)
+	d.deleted[k] = struct{}{}
+}
+
+// advance begins a new generation and drops the claims that are too old.
+func (d *draft) advance() {
+	d.generation++
+	for k, v := range d.base.claims {
+		if d.generation-v.Generation >= Generations {
+			d.remove(k)
+		}
+	}
+}
+
+// merge makes the draft's changes in its base and gives the base back.
+func (d *draft) merge() *content {
+	for k := range d.deleted {
+		delete(d.base.claims, k)
+	}
+	for k, v := range d.put {
+		d.base.claims[k] = v
+	}
+	d.base.generation = d.generation
+	return d.base
+}
+
+// bucketSpec is the JSON value of a ClaimBucket object.
+type bucketSpec struct {
+	Count int    `json:"count"` // number of claims, for people who look
+	CBOR  []byte `json:"cbor"`  // bucketRow; base64 in JSON
+}
+
+// bucketRow is the compact form. Names that repeat are kept once.
+type bucketRow struct {
+	_          struct{} `cbor:",toarray"`
+	Generation uint64
+	Names      []string
+	Claims     []claimRow
+}
+
+type claimRow struct {
+	_           struct{} `cbor:",toarray"`
+	Key         []byte
+	Body        []byte
+	RunID       string
+	Holder      int // index into Names
+	Runner      int
+	Incarnation int
+	Attempt     int
+	Serial      uint64
+	Generation  uint64
+}
+
+// names gives each distinct name a number.
+type names struct {
+	list  []string
+	index map[string]int
+}
+
+func (n *names) number(name string) int {
+	if i, ok := n.index[name]; ok {
+		return i
+	}
+	i := len(n.list)
+	n.index[name] = i
+	n.list = append(n.list, name)
+	return i
+}
+
+// encode gives the bucket's JSON value. Equal contents give equal bytes.
+func (d *draft) encode() (json.RawMessage, error) {
+	n := names{index: make(map[string]int)}
+	row := bucketRow{Generation: d.generation, Claims: make([]claimRow, 0, len(d.base.claims)+len(d.put))}
+	for _, v := range d.sorted() {
+		row.Claims = append(row.Claims, claimRow{
+			Key:         v.Key[:],
+			Body:        v.Body[:],
+			RunID:       v.RunID,
+			Holder:      n.number(v.Holder),
+			Runner:      n.number(v.Runner),
+			Incarnation: n.number(v.Incarnation),
+			Attempt:     v.Attempt,
+			Serial:      v.Serial,
+			Generation:  v.Generation,
+		})
+	}
+	row.Names = n.list
+	b, err := cbor.Marshal(row)
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding a claim bucket")
+	}
+	return json.Marshal(bucketSpec{Count: len(row.Claims), CBOR: b})
+}
+
+func (d *draft) sorted() []Claim {
+	out := make([]Claim, 0, len(d.base.claims)+len(d.put))
+	for k, v := range d.base.claims {
+		_, changed := d.put[k]
+		_, gone := d.deleted[k]
+		if !changed && !gone {
+			out = append(out, v)
+		}
+	}
+	for _, v := range d.put {
+		out = append(out, v)
+	}
+	slices.SortFunc(out, func(a, b Claim) int { return bytes.Compare(a.Key[:], b.Key[:]) })
+	return out
+}
+
+// decode reads a bucket's JSON value. It refuses what it does not understand, so
+// that a bucket is never overwritten by a keeper that cannot read it.
+func decode(spec json.RawMessage) (*content, error) {
+	var s bucketSpec
+	if err := json.Unmarshal(spec, &s); err != nil {
+		return nil, errors.Wrap(err, "decoding a claim bucket")
+	}
+	var row bucketRow
+	if err := cbor.Unmarshal(s.CBOR, &row); err != nil {
+		return nil, errors.Wrap(err, "decoding a claim bucket")
+	}
+	c := newContent()
+	c.generation = row.Generation
+	for _, r := range row.Claims {
+		v, err := r.claim(row.Names)
+		if err != nil {
+			return nil, err
+		}
+		c.claims[v.Key] = v
+	}
+	return c, nil
+}
+
+func (r claimRow) claim(list []string) (Claim, error) {
+	if len(r.Key) != hashBytes || len(r.Body) != hashBytes {
+		return Claim{}, errors.Errorf("claim bucket: hash of %d and %d bytes, want %d", len(r.Key), len(r.Body), hashBytes)
+	}
+	for _, i := range []int{r.Holder, r.Runner, r.Incarnation} {
+		if i < 0 || i >= len(list) {
+			return Claim{}, errors.Errorf("claim bucket: name %d of %d", i, len(list))
+		}
+	}
+	return Claim{
+		Key:         Key(r.Key),
+		Body:        Hash(r.Body),
+		RunID:       r.RunID,
+		Holder:      list[r.Holder],
+		Runner:      list[r.Runner],
+		Incarnation: list[r.Incarnation],
+		Attempt:     r.Attempt,
+		Serial:      r.Serial,
+		Generation:  r.Generation,
+	}, nil
+}
--- /dev/null
+++ b/internal/request/claim/service.go
@@ -0,0 +1,167 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// DefaultStoreTimeout bounds one call of a KeeperService to the store.
+const DefaultStoreTimeout = 2 * time.Second
+
+// KeeperService runs a Keeper over a store. It is safe for concurrent use.
+type KeeperService struct {
+	store   platform.Store
+	timeout time.Duration
+	ctx     context.Context
+	cancel  context.CancelFunc
+	calls   sync.WaitGroup
+
+	mu      sync.Mutex
+	keeper  *Keeper
+	nextID  uint64
+	replies map[uint64]func(peer.ClaimAnswer)
+	closed  bool
+}
+
+// NewKeeperService starts a service. A zero storeTimeout means DefaultStoreTimeout.
+func NewKeeperService(cfg KeeperConfig, store platform.Store, storeTimeout time.Duration) *KeeperService {
+	if storeTimeout == 0 {
+		storeTimeout = DefaultStoreTimeout
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &KeeperService{
+		store:   store,
+		timeout: storeTimeout,
+		ctx:     ctx,
+		cancel:  cancel,
+		keeper:  NewKeeper(cfg),
+		replies: make(map[uint64]func(peer.ClaimAnswer)),
+	}
+}
+
+// Submit hands an ask to the keeper and returns at once. reply is called exactly
+// once, from another goroutine or from this one, and must not block.
+func (s *KeeperService) Submit(ask peer.ClaimAsk, reply func(peer.ClaimAnswer)) {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		reply(peer.ClaimAnswer{Kind: string(errkind.ClaimUnavailable)})
+		return
+	}
+	s.nextID++
+	s.replies[s.nextID] = reply
+	s.finish(s.keeper.Step(boottime.Now(), Asked{ID: s.nextID, Ask: ask}))
+}
+
+// step feeds an event from a finished call. It unlocks nothing that it did not lock.
+func (s *KeeperService) step(e KeeperEvent) {
+	s.mu.Lock()
+	s.finish(s.keeper.Step(boottime.Now(), e))
+}
+
+// finish carries actions out. It is called with mu held and releases it.
+func (s *KeeperService) finish(actions []KeeperAction) {
+	var answers []func()
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Answer:
+			reply := s.replies[a.ID]
+			delete(s.replies, a.ID)
+			answers = append(answers, func() { reply(a.Answer) })
+		case ReadBucket:
+			s.start(func() { s.read(a) })
+		case WriteBucket:
+			s.start(func() { s.write(a) })
+		case Wake:
+			s.start(func() { s.wake(a) })
+		}
+	}
+	s.mu.Unlock()
+	for _, f := range answers {
+		f()
+	}
+}
+
+// start runs a call of the store unless the service is closed. mu is held.
+func (s *KeeperService) start(call func()) {
+	if s.closed {
+		return
+	}
+	s.calls.Add(1)
+	go func() {
+		defer s.calls.Done()
+		call()
+	}()
+}
+
+func (s *KeeperService) read(a ReadBucket) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.timeout)
+	defer cancel()
+	o, err := s.store.Get(ctx, resource.KindClaimBucket, a.Name)
+	s.step(BucketRead{Name: a.Name, Object: o, Err: err})
+}
+
+func (s *KeeperService) write(a WriteBucket) {
+	ctx, cancel := context.WithTimeout(s.ctx, s.timeout)
+	defer cancel()
+	write := s.store.Update
+	if a.Create {
+		write = s.store.Create
+	}
+	o, err := write(ctx, a.Object)
+	s.step(BucketWritten{Name: a.Name, Object: o, Err: err})
+}
+
+func (s *KeeperService) wake(a Wake) {
+	t := time.NewTimer(a.At.Sub(boottime.Now()))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		s.step(Woken{Name: a.Name})
+	case <-s.ctx.Done():
+	}
+}
+
+// Stats counts what the keeper holds.
+func (s *KeeperService) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.keeper.Stats()
+}
+
+// Close waits up to wait for the asks under way, then ends the service. Asks that
+// are left are answered as refused with a write that may still take effect.
+func (s *KeeperService) Close(wait time.Duration) {
+	until := time.Now().Add(wait)
+	for s.pendingReplies() > 0 && time.Now().Before(until) {
+		time.Sleep(closePoll)
+	}
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.cancel()
+	s.calls.Wait()
+	s.mu.Lock()
+	left := s.replies
+	s.replies = make(map[uint64]func(peer.ClaimAnswer))
+	s.mu.Unlock()
+	for _, reply := range left {
+		reply(peer.ClaimAnswer{Kind: string(errkind.ClaimUnavailable), Written: true})
+	}
+}
+
+// closePoll is how often Close looks whether the asks are answered.
+const closePoll = 5 * time.Millisecond
+
+func (s *KeeperService) pendingReplies() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.replies)
+}
--- a/internal/request/claim/session.go
+++ b/internal/request/claim/session.go
@@ -231,7 +231,7 @@
 	mine := a.RunID == s.cfg.RunID
 	s.own = mine && a.Attempt == attemptAlone
 	s.foreign = !s.own
-	if a.Granted {
+	if a.Granted && !a.Written {
 		s.written = false // a later write of the bucket holds; an earlier one cannot land any more
 	}
 }
--- /dev/null
+++ b/internal/request/claim/sim_test.go
@@ -0,0 +1,587 @@
+package claim
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+)
+
+// simulation runs the real cores of three gateways on virtual time against a fake
+// store and fake upstreams, with faults drawn from a seed.
+type simulation struct {
+	now      boottime.Time
+	seq      int64
+	queue    eventQueue
+	rng      *rand.Rand
+	objects  map[string]platform.Object
+	version  uint64
+	storeOut boottime.Time // the store is out until then
+	gateways []*gateway
+	runners  []*runner
+	history  []porcupine.Operation
+	starts   []start
+	owners   map[string]*operation // run id to the operation whose session made it
+	nextOp   int
+	count    map[string]int
+}
+
+type event struct {
+	at  boottime.Time
+	seq int64
+	do  func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+// start is one start of a run at a runner.
+type start struct {
+	key, runID string
+	sender     *operation
+}
+
+// runner is a fake engine or plain service.
+type runner struct {
+	name        string
+	traits      Traits
+	incarnation int
+	downUntil   boottime.Time
+	runs        map[string]boottime.Time // run id to the time of its end
+}
+
+func (r *runner) inc() string { return fmt.Sprintf("%s-%d", r.name, r.incarnation) }
+
+// gateway is one gateway process: its keeper and its sessions.
+type gateway struct {
+	s           *simulation
+	name        string
+	life        int
+	pausedUntil boottime.Time
+	cutUntil    boottime.Time // from the store
+	apartUntil  boottime.Time // from the other gateways
+	keeper      *Keeper
+	replies     map[uint64]func(peer.ClaimAnswer)
+	nextID      uint64
+	open        []*operation
+}
+
+// operation is one request of a client.
+type operation struct {
+	id      int
+	key     string
+	call    int64
+	gw      *gateway
+	session *Session
+	step    int // number of the action under way; callbacks of earlier ones are dropped
+	done    bool
+	output  output
+	onEnd   func(output)
+}
+
+// input and output of an operation in the recorded history.
+type input struct {
+	key string
+	run string // not empty: the start of this run at a runner
+}
+
+type output struct {
+	state errkind.RunState // of a refusal
+	whole string           // run id of a whole answer
+}
+
+const (
+	simSendWindow = 2 * time.Second
+	simSendLife   = time.Second
+)
+
+func newSimulation(seed int64) *simulation {
+	s := &simulation{
+		rng:     rand.New(rand.NewSource(seed)),
+		objects: make(map[string]platform.Object),
+		owners:  make(map[string]*operation),
+		count:   make(map[string]int),
+		now:     boottime.Time(time.Hour),
+	}
+	for _, n := range []string{"gw-a", "gw-b", "gw-c"} {
+		g := &gateway{s: s, name: n}
+		g.boot()
+		s.gateways = append(s.gateways, g)
+	}
+	engine := Traits{Resumes: true, Deduplicates: true}
+	s.addRunner("r1", engine)
+	s.addRunner("r2", engine)
+	s.addRunner("r3", Traits{Resumes: true})
+	s.addRunner("v1", Traits{})
+	return s
+}
+
+func (s *simulation) addRunner(name string, t Traits) {
+	s.runners = append(s.runners, &runner{name: name, traits: t, runs: make(map[string]boottime.Time)})
+}
+
+func (s *simulation) runner(name string) *runner {
+	i := slices.IndexFunc(s.runners, func(r *runner) bool { return r.name == name })
+	return s.runners[i]
+}
+
+func (s *simulation) traits(name string) Traits { return s.runner(name).traits }
+
+func (s *simulation) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.queue, event{s.now.Add(d), s.seq, do})
+}
+
+func (s *simulation) run() {
+	for len(s.queue) > 0 {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.do()
+	}
+}
+
+func (s *simulation) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(s.rng.Int63n(int64(hi-lo)))
+}
+
+func (s *simulation) chance(p float64) bool { return s.rng.Float64() < p }
+
+func (s *simulation) latency() time.Duration {
+	return s.between(500*time.Microsecond, 3*time.Millisecond)
+}
+
+// after runs do in the gateway's process: never after its death, and not before
+// the end of a pause.
+func (g *gateway) after(d time.Duration, do func()) {
+	life := g.life
+	var fire func()
+	fire = func() {
+		switch {
+		case g.life != life:
+		case g.s.now < g.pausedUntil:
+			g.s.after(g.pausedUntil.Sub(g.s.now), fire)
+		default:
+			do()
+		}
+	}
+	g.s.after(d, fire)
+}
+
+func (g *gateway) boot() {
+	g.keeper = NewKeeper(KeeperConfig{
+		Name:        g.name,
+		NoncePrefix: fmt.Sprintf("%s-%d", g.name, g.life),
+		Keep:        MinKeep(simSendWindow, simSendLife),
+		MinGap:      5 * time.Millisecond,
+	})
+	g.replies = make(map[uint64]func(peer.ClaimAnswer))
+}
+
+// kill ends the process at once and starts it anew with nothing kept.
+func (g *gateway) kill() {
+	g.life++
+	g.pausedUntil = 0
+	open := g.open
+	g.open = nil
+	g.boot()
+	for _, op := range open {
+		if !op.done {
+			g.s.end(op, output{state: errkind.RunUnknown})
+		}
+	}
+}
+
+// storeCall carries a call to the store, with outages, lost answers and late effects.
+func (g *gateway) storeCall(write bool, do func() error, reply func(error)) {
+	s := g.s
+	fail := platform.ErrUnavailable
+	if s.now < s.storeOut || s.now < g.cutUntil {
+		if write && s.chance(0.3) {
+			fail = platform.ErrUnknown
+		}
+		g.after(2*time.Millisecond, func() { reply(fail) })
+		return
+	}
+	if write && s.chance(0.1) {
+		switch s.rng.Intn(3) {
+		case 0: // effect, answer lost
+			s.after(s.latency(), func() { _ = do() })
+		case 1: // late effect
+			s.after(s.between(30*time.Millisecond, 600*time.Millisecond), func() { _ = do() })
+		}
+		g.after(20*time.Millisecond, func() { reply(platform.ErrUnknown) })
+		return
+	}
+	s.after(s.latency(), func() {
+		err := do()
+		g.after(s.latency(), func() { reply(err) })
+	})
+}
+
+func (s *simulation) write(w WriteBucket) (platform.Object, error) {
+	old, ok := s.objects[w.Name]
+	if w.Create == ok || ok && old.Version != w.Object.Version {
+		return platform.Object{}, platform.ErrConflict
+	}
+	s.version++
+	o := w.Object
+	o.Version = s.version
+	s.objects[w.Name] = o
+	return o, nil
+}
+
+func (g *gateway) keep(e KeeperEvent) {
+	s := g.s
+	for _, a := range g.keeper.Step(s.now, e) {
+		switch a := a.(type) {
+		case Answer:
+			reply := g.replies[a.ID]
+			delete(g.replies, a.ID)
+			reply(a.Answer)
+		case ReadBucket:
+			var o platform.Object
+			do := func() error {
+				found := false
+				if o, found = s.objects[a.Name]; !found {
+					return platform.ErrNotFound
+				}
+				return nil
+			}
+			g.storeCall(false, do, func(err error) { g.keep(BucketRead{Name: a.Name, Object: o, Err: err}) })
+		case WriteBucket:
+			var o platform.Object
+			do := func() (err error) {
+				o, err = s.write(a)
+				return err
+			}
+			g.storeCall(true, do, func(err error) { g.keep(BucketWritten{Name: a.Name, Object: o, Err: err}) })
+		case Wake:
+			g.after(max(0, a.At.Sub(s.now)), func() { g.keep(Woken{Name: a.Name}) })
+		}
+	}
+}
+
+// serve answers an ask at this gateway's keeper.
+func (g *gateway) serve(ask peer.ClaimAsk, reply func(peer.ClaimAnswer)) {
+	g.nextID++
+	id := g.nextID
+	g.replies[id] = reply
+	g.keep(Asked{ID: id, Ask: ask})
+}
+
+// message carries something between two gateways; it may be lost or come late.
+func (s *simulation) message(from, to *gateway, do func()) {
+	if from != to && (s.now < from.apartUntil || s.now < to.apartUntil || s.chance(0.02)) {
+		return
+	}
+	d := s.latency()
+	if from != to && s.chance(0.03) {
+		d = s.between(100*time.Millisecond, 900*time.Millisecond)
+	}
+	to.after(d, do)
+}
+
+// ask does what Client does: the bucket's keeper, then this gateway itself.
+func (g *gateway) ask(ask peer.ClaimAsk, reply func(peer.ClaimAnswer)) {
+	ranked := KeeperOf(Bucket(Key(ask.KeyHash)), []string{"gw-a", "gw-b", "gw-c"})
+	keepers := []string{ranked[0], g.name}
+	if ranked[0] == g.name {
+		keepers = ranked[:2]
+	}
+	g.askNext(ask, keepers, peer.ClaimAnswer{}, reply)
+}
+
+func (g *gateway) askNext(ask peer.ClaimAsk, keepers []string, earlier peer.ClaimAnswer, reply func(peer.ClaimAnswer)) {
+	s := g.s
+	i := slices.IndexFunc(s.gateways, func(o *gateway) bool { return o.name == keepers[0] })
+	to := s.gateways[i]
+	answered := false
+	got := func(a peer.ClaimAnswer) {
+		if answered {
+			return
+		}
+		answered = true
+		a = combine(earlier, a)
+		if errkind.Kind(a.Kind) != errkind.ClaimUnavailable || len(keepers) == 1 {
+			reply(a)
+			return
+		}
+		g.askNext(ask, keepers[1:], a, reply)
+	}
+	s.message(g, to, func() {
+		to.serve(ask, func(a peer.ClaimAnswer) { s.message(to, g, func() { got(a) }) })
+	})
+	g.after(60*time.Millisecond, func() { got(lostAnswer(ask)) })
+}
+
+// request begins an operation at a gateway.
+func (s *simulation) request(g *gateway, key string, first bool, onEnd func(output)) {
+	s.nextOp++
+	s.seq++
+	op := &operation{id: s.nextOp, key: key, call: s.seq, gw: g, onEnd: onEnd}
+	runID := fmt.Sprintf("run-%d", op.id)
+	s.owners[runID] = op
+	op.session = NewSession(SessionConfig{
+		Gateway:    g.name,
+		Key:        KeyOf("acct", key),
+		Body:       HashOf("POST", "/", []byte(key)),
+		RunID:      runID,
+		Traits:     s.traits,
+		FirstSend:  first,
+		SendWindow: simSendWindow,
+		ClaimWait:  150 * time.Millisecond,
+		RetryDelay: 10 * time.Millisecond,
+	})
+	g.open = append(g.open, op)
+	g.after(s.latency(), func() { s.do(op, Choose{}) })
+	deadline := s.between(300*time.Millisecond, 3*time.Second)
+	g.after(deadline, func() { s.feed(op, op.step, DeadlinePassed{}) })
+	g.after(deadline+300*time.Millisecond, func() { s.feed(op, op.step, DeadlinePassed{}) })
+}
+
+// feed gives an event to the session unless it belongs to an earlier action.
+func (s *simulation) feed(op *operation, step int, e Event) {
+	if op.done || step != op.step {
+		return
+	}
+	if a := op.session.Step(s.now, e); a != nil {
+		op.step++
+		step = op.step
+		if _, ok := a.(Send); ok && s.chance(0.01) { // the pause that hurts most: between grant and send
+			op.gw.pausedUntil = s.now.Add(s.between(time.Second, 4*time.Second))
+		}
+		op.gw.after(s.between(0, 2*time.Millisecond), func() {
+			if step == op.step {
+				s.do(op, a)
+			}
+		})
+	}
+}
+
+func (s *simulation) do(op *operation, a Action) {
+	if op.done {
+		return
+	}
+	step := op.step
+	s.count[fmt.Sprintf("%T", a)]++
+	switch a := a.(type) {
+	case Choose:
+		s.feed(op, step, s.choose(a.Exclude))
+	case Ask:
+		s.count[fmt.Sprintf("ask-%d", a.Ask.Op)]++
+		op.gw.ask(a.Ask, func(ans peer.ClaimAnswer) {
+			if ans.Written && errkind.Kind(ans.Kind) == errkind.ClaimUnavailable && s.chance(0.3) {
+				s.feed(op, step, KeeperLost{})
+				return
+			}
+			s.feed(op, step, ClaimAnswered{Answer: ans})
+		})
+	case Send:
+		s.send(op, a)
+	case Resume:
+		s.resume(op, a)
+	case Wait:
+		op.gw.after(a.For, func() { s.feed(op, step, WaitOver{}) })
+	case Refuse:
+		s.end(op, output{state: a.Err.Run})
+	case Done:
+		s.end(op, output{whole: op.session.Claim().RunID})
+	}
+}
+
+func (s *simulation) choose(exclude []string) Event {
+	r := s.runners[s.rng.Intn(len(s.runners))]
+	if slices.Contains(exclude, r.name) || s.chance(0.05) {
+		return ChooseFailed{Err: errkind.New(errkind.NoUpstream, errkind.NotRun, "none")}
+	}
+	known := *r
+	if known.incarnation > 0 && s.chance(0.1) {
+		known.incarnation-- // a late load report
+	}
+	return Chosen{Runner: r.name, Incarnation: known.inc()}
+}
+
+// send carries a Run to the runner.
+func (s *simulation) send(op *operation, a Send) {
+	step := op.step
+	if !op.session.MaySend(s.now) {
+		s.count["late"]++
+		s.feed(op, step, SendLate{})
+		return
+	}
+	r := s.runner(a.Runner)
+	back := func(e Event) { op.gw.after(s.latency(), func() { s.feed(op, step, e) }) }
+	if s.now < r.downUntil {
+		back(SendRefused{})
+		return
+	}
+	if s.chance(0.08) {
+		switch s.rng.Intn(3) {
+		case 0:
+			s.after(s.latency(), func() { s.arrive(r, op, a, func(Event) {}) })
+		case 1: // late, within the life of a sent request
+			s.after(s.between(20*time.Millisecond, simSendLife), func() { s.arrive(r, op, a, func(Event) {}) })
+		}
+		op.gw.after(15*time.Millisecond, func() { s.feed(op, step, SendAmbiguous{}) })
+		return
+	}
+	s.after(s.latency(), func() { s.arrive(r, op, a, back) })
+}
+
+func (s *simulation) arrive(r *runner, op *operation, a Send, back func(Event)) {
+	if r.inc() != a.Incarnation && r.traits.Resumes {
+		back(SendRefused{Restarted: true})
+		return
+	}
+	_, exists := r.runs[a.RunID]
+	switch {
+	case exists && r.traits.Deduplicates:
+		s.count["attach"]++
+	case s.chance(0.1) && !exists:
+		back(SendRefused{})
+		return
+	default:
+		s.started(r, op, a.RunID)
+	}
+	back(Started{})
+	s.stream(r, op, a.RunID, back)
+}
+
+func (s *simulation) started(r *runner, op *operation, runID string) {
+	r.runs[runID] = s.now.Add(s.between(5*time.Millisecond, 150*time.Millisecond))
+	s.starts = append(s.starts, start{op.key, runID, op})
+	s.seq += 2
+	s.history = append(s.history, porcupine.Operation{
+		ClientId: 0, Input: input{key: op.key, run: runID}, Call: s.seq - 1, Return: s.seq,
+	})
+}
+
+// stream ends a stream whole or broken.
+func (s *simulation) stream(r *runner, op *operation, runID string, back func(Event)) {
+	incarnation := r.incarnation
+	left := max(time.Millisecond, r.runs[runID].Sub(s.now))
+	if s.chance(0.08) {
+		s.after(left/2, func() { back(StreamBroken{}) })
+		return
+	}
+	s.after(left, func() {
+		if r.incarnation != incarnation {
+			back(StreamBroken{})
+			return
+		}
+		back(Finished{})
+	})
+}
+
+func (s *simulation) resume(op *operation, a Resume) {
+	step := op.step
+	r := s.runner(a.Runner)
+	back := func(e Event) { op.gw.after(s.latency(), func() { s.feed(op, step, e) }) }
+	s.after(s.latency(), func() {
+		_, ok := r.runs[a.RunID]
+		switch {
+		case s.now < r.downUntil || s.chance(0.03):
+			back(ResumeFailed{})
+		case !ok:
+			back(ResumeUnknownRun{})
+		default:
+			back(Started{})
+			s.stream(r, op, a.RunID, back)
+		}
+	})
+}
+
+// end records the operation's answer.
+func (s *simulation) end(op *operation, out output) {
+	op.done = true
+	op.output = out
+	s.seq++
+	s.count["out-"+string(out.state)]++
+	s.history = append(s.history, porcupine.Operation{
+		ClientId: op.id, Input: input{key: op.key}, Output: out, Call: op.call, Return: s.seq,
+	})
+	op.onEnd(out)
+}
+
+// disturb injects one fault.
+func (s *simulation) disturb() {
+	g := s.gateways[s.rng.Intn(len(s.gateways))]
+	r := s.runners[s.rng.Intn(len(s.runners))]
+	switch s.rng.Intn(8) {
+	case 0:
+		g.kill()
+	case 1, 2:
+		g.pausedUntil = s.now.Add(s.between(10*time.Millisecond, 300*time.Millisecond))
+	case 3:
+		g.pausedUntil = s.now.Add(s.between(time.Second, 4*time.Second))
+	case 4:
+		s.storeOut = s.now.Add(s.between(50*time.Millisecond, 800*time.Millisecond))
+	case 5:
+		g.cutUntil = s.now.Add(s.between(50*time.Millisecond, time.Second))
+	case 6:
+		g.apartUntil = s.now.Add(s.between(50*time.Millisecond, time.Second))
+	case 7:
+		r.incarnation++
+		r.runs = make(map[string]boottime.Time)
+		r.downUntil = s.now.Add(s.between(time.Millisecond, 60*time.Millisecond))
+	}
+}
+
+// client sends a key until it has an answer, to any gateway, and at times twice at once.
+func (s *simulation) client(key string, tries int, first bool) {
+	g := s.gateways[s.rng.Intn(len(s.gateways))]
+	again := false
+	retry := func() {
+		if again || tries <= 1 {
+			return
+		}
+		again = true
+		s.after(s.between(5*time.Millisecond, 200*time.Millisecond), func() { s.client(key, tries-1, false) })
+	}
+	s.request(g, key, first, func(o output) {
+		if o.whole == "" || s.chance(0.2) {
+			retry()
+		}
+	})
+	s.after(s.between(20*time.Millisecond, 600*time.Millisecond), func() {
+		if s.chance(0.5) {
+			retry() // the client lost patience; the first request may still be under way
+		}
+	})
+}
+
+// simulate runs one seed: keys arriving over four seconds, faults all along.
+func simulate(seed int64, keys int) *simulation {
+	s := newSimulation(seed)
+	const span = 4 * time.Second
+	for i := range keys {
+		key := fmt.Sprintf("key-%d", i)
+		first := s.chance(0.5)
+		s.after(s.between(0, span), func() { s.client(key, 4, first) })
+	}
+	for at := time.Duration(0); at < span+time.Second; at += s.between(100*time.Millisecond, 500*time.Millisecond) {
+		s.after(at, s.disturb)
+	}
+	s.run()
+	return s
+}
