Keep a doubt about an unanswered claim ask to the end of the session

A keeper that was held up may record a claim anew after its holder released it. The doubt is no longer cleared by a later grant.

--- a/internal/request/claim/session.go
+++ b/internal/request/claim/session.go
@@ -87,7 +87,7 @@
 	absent  bool // at some moment since the request arrived, the key had no claim
 	foreign bool // another session's claim was met
 	lost    bool // an ask got no answer and may be under way still
-	written bool // a write of ours may take effect still
+	written bool // a write or ask of ours may take effect still; stays, since a held-up keeper may record the claim anew after its release
 	maySent bool // a Send of ours may have run
 	ran     bool // the run is known to exist
 }
@@ -231,9 +231,6 @@
 	mine := a.RunID == s.cfg.RunID
 	s.own = mine && a.Attempt == attemptAlone
 	s.foreign = !s.own
-	if a.Granted && !a.Written {
-		s.written = false // a later write of the bucket holds; an earlier one cannot land any more
-	}
 }
 
 func (s *Session) created(now boottime.Time, a peer.ClaimAnswer) Action {
