Connect daemons by WebSocket and CBOR

Hub keeps one connection for each pair, authenticated by HMAC challenges in both directions or by mutual TLS, with bounded queues, read limits, pings and jittered reconnects.

--- /dev/null
+++ b/internal/connection/peer/call.go
@@ -0,0 +1,69 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+// pendingCall waits for its answer from one peer.
+type pendingCall struct {
+	peer   string
+	answer chan Envelope // closed when the connection ends
+}
+
+// Call sends a message and waits for its answer. An error says nothing about
+// whether the peer handled the message.
+func (h *Hub) Call(ctx context.Context, name string, e Envelope) (Envelope, error) {
+	e.Call = h.calls.Add(1)
+	p := pendingCall{peer: name, answer: make(chan Envelope, 1)}
+	h.mu.Lock()
+	h.waiting[e.Call] = p
+	h.mu.Unlock()
+	defer h.forgetCall(e.Call)
+	if err := h.Send(name, e); err != nil {
+		return Envelope{}, err
+	}
+	select {
+	case answer, ok := <-p.answer:
+		if !ok {
+			return Envelope{}, errors.Wrap(ErrNotConnected, name)
+		}
+		return answer, nil
+	case <-ctx.Done():
+		return Envelope{}, errors.Wrapf(ctx.Err(), "call to peer %s", name)
+	case <-h.ctx.Done():
+		return Envelope{}, ErrClosed
+	}
+}
+
+func (h *Hub) forgetCall(id uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.waiting, id)
+}
+
+// answerCall hands an answer to the call that waits for it, if it comes from the
+// peer that was asked.
+func (h *Hub) answerCall(from string, e Envelope) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p, ok := h.waiting[e.Re]
+	if !ok || p.peer != from {
+		return
+	}
+	delete(h.waiting, e.Re)
+	p.answer <- e
+}
+
+// failCalls ends the calls to a peer whose connection is gone.
+func (h *Hub) failCalls(name string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, p := range h.waiting {
+		if p.peer == name {
+			delete(h.waiting, id)
+			close(p.answer)
+		}
+	}
+}
--- /dev/null
+++ b/internal/connection/peer/codec_test.go
@@ -0,0 +1,100 @@
+package peer
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+)
+
+// samples has one message of each body.
+func samples() []Envelope {
+	object := platform.Object{Kind: "Model", Name: "m", UID: "u", Version: 7, Spec: []byte(`{"contextTokens":8}`)}
+	bodies := []Envelope{
+		{Hello: &Hello{Name: "a", Role: "gateway", Zone: "z", PeerAddress: "127.0.0.1:1", Incarnation: 3, Nonce: []byte{1}}},
+		{Heartbeat: &Heartbeat{Rows: []MemberRow{{Name: "a", Beat: 4, Applied: 9, Leaving: true}}}},
+		{Delta: &ConfigDelta{Base: 1, Version: 7, Events: []platform.Event{{Type: platform.Put, Object: object}}, Complete: true}},
+		{Fetch: &ConfigFetch{Have: 3}},
+		{Snapshot: &ConfigSnapshot{Version: 7, Objects: []ConfigObject{{Newest: object, LastGood: &object}}}},
+		{Use: &UseReport{Origin: "a", Sequence: 2, Runners: []UseRow{{Runner: "r", Requests: -1}}}},
+		{Claim: &ClaimAsk{Account: "c", KeyHash: []byte{1}}, Call: 5},
+		{Claimed: &ClaimAnswer{Granted: true}, Re: 5},
+		{Explain: &ExplainAsk{Request: "q"}},
+		{Explained: &ExplainAnswer{Lines: []string{"x"}}},
+	}
+	for i := range bodies {
+		bodies[i].V = ProtocolVersion
+		bodies[i].From = "a"
+	}
+	return bodies
+}
+
+func mustEncode(t testing.TB, e Envelope) []byte {
+	t.Helper()
+	data, err := Encode(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func TestDecode(t *testing.T) {
+	two := samples()[0]
+	two.Fetch = &ConfigFetch{}
+	withV := func(v int) []byte {
+		e := samples()[3]
+		e.V = v
+		return mustEncode(t, e)
+	}
+	tests := []struct {
+		name string
+		data []byte
+		want error
+	}{
+		{"own version", withV(ProtocolVersion), nil},
+		{"next version", withV(ProtocolVersion + 1), nil},
+		{"far version", withV(ProtocolVersion + 2), ErrProtocolVersion},
+		{"no version", withV(0), ErrProtocolVersion},
+		{"negative version", withV(-1), ErrProtocolVersion},
+		{"unknown fields", []byte{0xa4, 0x01, 0x01, 0x02, 0x61, 'a', 0x18, 0x63, 0x81, 0x01, 0x0d, 0xa2, 0x01, 0x03, 0x18, 0x20, 0xf5}, nil},
+		{"two bodies", mustEncode(t, two), ErrMalformed},
+		{"empty", nil, ErrMalformed},
+		{"cut short", withV(ProtocolVersion)[:4], ErrMalformed},
+		{"data after the end", append(withV(ProtocolVersion), 0), ErrMalformed},
+		{"same key twice", []byte{0xa2, 0x01, 0x01, 0x01, 0x01}, ErrMalformed},
+		{"array of 2^40 elements", []byte{0xa1, 0x0b, 0xa1, 0x01, 0x9b, 0, 0, 1, 0, 0, 0, 0, 0}, ErrMalformed},
+		{"too large", make([]byte, MaxMessageBytes+1), ErrTooLarge},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if _, err := Decode(tt.data); !errors.Is(err, tt.want) {
+				t.Errorf("error %v, want %v", err, tt.want)
+			}
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	for _, e := range samples() {
+		f.Add(mustEncode(f, e))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		e, err := Decode(data)
+		if err != nil {
+			return
+		}
+		first, err := Encode(e)
+		if err != nil {
+			t.Fatalf("decoded message does not encode: %v", err)
+		}
+		again, err := Decode(first)
+		if err != nil {
+			t.Fatalf("encoded message does not decode: %v", err)
+		}
+		if second := mustEncode(t, again); !bytes.Equal(first, second) {
+			t.Fatalf("encodings differ: %x %x", first, second)
+		}
+	})
+}
--- /dev/null
+++ b/internal/connection/peer/dial.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+)
+
+// yieldBackoffs is how many of the shortest backoffs the side with the larger name
+// waits before it dials, because its connection would give way to the other
+// side's.
+const yieldBackoffs = 4
+
+// SetLinks says to which peers this daemon keeps connections open. Those that it
+// opened to others are closed; peers may still open their own.
+func (h *Hub) SetLinks(addresses []Address) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return
+	}
+	wanted := make(map[Address]bool, len(addresses))
+	for _, a := range addresses {
+		wanted[a] = true
+		if _, running := h.dialers[a]; !running {
+			h.startDialer(a)
+		}
+	}
+	for a, stop := range h.dialers {
+		if !wanted[a] {
+			stop()
+			delete(h.dialers, a)
+		}
+	}
+}
+
+// startDialer is called with h.mu held.
+func (h *Hub) startDialer(a Address) {
+	ctx, cancel := context.WithCancel(h.ctx)
+	h.dialers[a] = cancel
+	h.running.Go(func() { h.keepDialing(ctx, a) })
+}
+
+// keepDialing keeps a connection to the address until ctx ends.
+func (h *Hub) keepDialing(ctx context.Context, a Address) {
+	wait := h.cfg.MinBackoff
+	if a.Name != "" && h.cfg.Self.Name > a.Name {
+		sleep(ctx, yieldBackoffs*h.cfg.MinBackoff)
+	}
+	for ctx.Err() == nil {
+		if a.Name != "" && h.isConnected(a.Name) {
+			sleep(ctx, h.cfg.MinBackoff)
+			continue
+		}
+		began := time.Now()
+		name, err := h.dialOnce(ctx, a)
+		if a.Name == "" {
+			a.Name = name // now known; the connection may be replaced by the peer's own
+		}
+		if err != nil && ctx.Err() == nil {
+			logline.Debug("peer_dial_failed", "peer", a.Name, "address", a.HostPort, "error", err)
+		}
+		if err == nil && time.Since(began) > h.cfg.MaxBackoff {
+			wait = h.cfg.MinBackoff
+		}
+		sleep(ctx, wait/2+rand.N(wait/2+1))
+		wait = min(wait*2, h.cfg.MaxBackoff)
+	}
+}
+
+func (h *Hub) isConnected(name string) bool {
+	_, err := h.linkTo(name)
+	return err == nil
+}
+
+// dialOnce opens a connection and serves it until it ends. It gives the peer's name.
+func (h *Hub) dialOnce(ctx context.Context, a Address) (string, error) {
+	conn, peer, err := h.open(ctx, a)
+	if err != nil {
+		return peer.Name, err
+	}
+	l := newLink(ctx, conn, peer, h.cfg.Self.Name, h.cfg.QueueMessages, &h.counters)
+	s, ok := h.adopt(l)
+	if !ok {
+		l.close(closeDuplicate, "duplicate")
+		return peer.Name, nil
+	}
+	h.runLink(s, l)
+	return peer.Name, nil
+}
+
+func (h *Hub) open(ctx context.Context, a Address) (*websocket.Conn, Hello, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	scheme := "ws://"
+	if h.cfg.DialTLS != nil {
+		scheme = "wss://"
+	}
+	conn, answer, err := websocket.Dial(ctx, scheme+a.HostPort+path, &websocket.DialOptions{HTTPClient: h.client})
+	if answer != nil && answer.Body != nil {
+		_ = answer.Body.Close()
+	}
+	if err != nil {
+		return nil, Hello{}, errors.Wrap(err, "dial peer")
+	}
+	conn.SetReadLimit(handshakeReadLimit)
+	peer, err := handshaker{self: h.cfg.Self, key: h.cfg.SharedKey}.dial(ctx, conn)
+	if err == nil && a.Name != "" && peer.Name != a.Name {
+		err = errors.Wrapf(ErrAuthentication, "%s is named %q, expected %q", a.HostPort, peer.Name, a.Name)
+	}
+	if err != nil {
+		_ = conn.CloseNow()
+		return nil, peer, err
+	}
+	return conn, peer, nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/connection/peer/handshake.go
@@ -0,0 +1,170 @@
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+)
+
+// The handshake, all in messages with a Hello body:
+//
+//  1. dialer: its Hello with a nonce
+//  2. listener: its Hello with a nonce, and its MAC over both Hellos
+//  3. dialer: its MAC over both Hellos
+//  4. listener: its name once more, if it keeps this connection
+//
+// A MAC covers a label for the side, so that an answer cannot be reflected. With
+// no shared key the MACs are empty, and the TLS certificates of both sides count.
+// The MACs prove who opened the connection; only TLS protects what follows.
+
+// handshakeTimeout bounds the whole handshake.
+const handshakeTimeout = 5 * time.Second
+
+// handshakeReadLimit bounds a message of a peer that is not authenticated yet.
+const handshakeReadLimit = 4 << 10
+
+const nonceBytes = 16
+
+const (
+	labelDialer   = "ragworttrestle peer dialer"
+	labelListener = "ragworttrestle peer listener"
+)
+
+// Errors of the handshake. Test with errors.Is.
+var (
+	ErrAuthentication = errors.New("peer authentication failed")
+	ErrDuplicate      = errors.New("connection to this peer exists already")
+	errHandshake      = errors.New("unexpected message in the handshake")
+)
+
+// handshaker runs the handshake on a new connection.
+type handshaker struct {
+	self Hello
+	key  []byte
+}
+
+// dial is the dialer's side. It gives the peer's Hello.
+func (h handshaker) dial(ctx context.Context, c *websocket.Conn) (Hello, error) {
+	mine := h.fresh()
+	if err := h.write(ctx, c, mine); err != nil {
+		return Hello{}, err
+	}
+	theirs, err := readHello(ctx, c)
+	if err != nil {
+		return Hello{}, err
+	}
+	if err := h.check(theirs, mine, theirs, labelListener); err != nil {
+		return Hello{}, err
+	}
+	proof := Hello{Name: mine.Name, MAC: h.mac(labelDialer, mine, theirs)}
+	if err := h.write(ctx, c, proof); err != nil {
+		return Hello{}, err
+	}
+	if _, err := readHello(ctx, c); err != nil {
+		return Hello{}, err // the listener keeps another connection
+	}
+	return theirs, nil
+}
+
+// listen is the listener's side, but for the last message (see accept).
+func (h handshaker) listen(ctx context.Context, c *websocket.Conn) (Hello, error) {
+	theirs, err := readHello(ctx, c)
+	if err != nil {
+		return Hello{}, err
+	}
+	mine := h.fresh()
+	mine.MAC = h.mac(labelListener, theirs, mine)
+	if err := h.write(ctx, c, mine); err != nil {
+		return Hello{}, err
+	}
+	proof, err := readHello(ctx, c)
+	if err != nil {
+		return Hello{}, err
+	}
+	if err := h.check(proof, theirs, mine, labelDialer); err != nil {
+		return Hello{}, err
+	}
+	return theirs, nil
+}
+
+// accept tells the dialer that this connection is the one that is kept.
+func (h handshaker) accept(ctx context.Context, c *websocket.Conn) error {
+	return h.write(ctx, c, Hello{Name: h.self.Name})
+}
+
+func (h handshaker) fresh() Hello {
+	hello := h.self
+	hello.Nonce = make([]byte, nonceBytes)
+	_, _ = rand.Read(hello.Nonce) // never fails, see crypto/rand
+	return hello
+}
+
+// check verifies a MAC and that the peer can be told from this daemon.
+func (h handshaker) check(proof, dialer, listener Hello, label string) error {
+	if dialer.Name == listener.Name {
+		return errors.Wrapf(ErrAuthentication, "both sides are named %q", dialer.Name)
+	}
+	if dialer.Name == "" || listener.Name == "" {
+		return errors.Wrap(ErrAuthentication, "no name given")
+	}
+	if dialer.Incarnation == 0 || listener.Incarnation == 0 {
+		return errors.Wrap(ErrAuthentication, "no incarnation given")
+	}
+	if len(dialer.Nonce) != nonceBytes || len(listener.Nonce) != nonceBytes {
+		return errors.Wrap(ErrAuthentication, "bad nonce")
+	}
+	if subtle.ConstantTimeCompare(proof.MAC, h.mac(label, dialer, listener)) != 1 {
+		return errors.Wrap(ErrAuthentication, "the shared keys differ")
+	}
+	return nil
+}
+
+// mac covers the label and both Hellos without their MACs.
+func (h handshaker) mac(label string, dialer, listener Hello) []byte {
+	if len(h.key) == 0 {
+		return nil
+	}
+	m := hmac.New(sha256.New, h.key)
+	m.Write([]byte(label))
+	for _, hello := range []Hello{dialer, listener} {
+		hello.MAC = nil
+		data, err := encoding.Marshal(hello)
+		if err != nil {
+			return nil // a Hello of plain fields always encodes
+		}
+		m.Write(data)
+	}
+	return m.Sum(nil)
+}
+
+func (h handshaker) write(ctx context.Context, c *websocket.Conn, hello Hello) error {
+	data, err := Encode(Envelope{V: ProtocolVersion, From: h.self.Name, Hello: &hello})
+	if err != nil {
+		return err
+	}
+	return errors.Wrap(c.Write(ctx, websocket.MessageBinary, data), "handshake")
+}
+
+func readHello(ctx context.Context, c *websocket.Conn) (Hello, error) {
+	_, data, err := c.Read(ctx)
+	if websocket.CloseStatus(err) == closeDuplicate {
+		return Hello{}, ErrDuplicate
+	}
+	if err != nil {
+		return Hello{}, errors.Wrap(err, "handshake")
+	}
+	e, err := Decode(data)
+	if err != nil {
+		return Hello{}, err
+	}
+	if e.Hello == nil {
+		return Hello{}, errHandshake
+	}
+	return *e.Hello, nil
+}
--- /dev/null
+++ b/internal/connection/peer/hub.go
@@ -0,0 +1,264 @@
+package peer
+
+import (
+	"cmp"
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+)
+
+// Defaults of a HubConfig.
+const (
+	DefaultQueueMessages = 256
+	DefaultPingEvery     = 5 * time.Second
+	DefaultPingTimeout   = 5 * time.Second
+	DefaultMinBackoff    = 100 * time.Millisecond
+	DefaultMaxBackoff    = 5 * time.Second
+	DefaultMaxAccepted   = 256
+)
+
+// path of the WebSocket at a peer's address.
+const path = "/peer"
+
+// headerTimeout bounds the reading of an incoming request's header.
+const headerTimeout = 5 * time.Second
+
+// Errors of a Hub. Test with errors.Is.
+var (
+	ErrNotConnected = errors.New("peer not connected")
+	ErrQueueFull    = errors.New("queue to the peer is full")
+	ErrClosed       = errors.New("hub is closed")
+)
+
+// Address says where a peer listens. Name may be empty if it is not known yet.
+type Address struct {
+	Name     string
+	HostPort string
+}
+
+// HubConfig sets up a Hub. Zero numbers take the defaults.
+type HubConfig struct {
+	Self      Hello       // sent to peers; Name and Incarnation are needed
+	SharedKey []byte      // empty only with MutualTLS
+	DialTLS   *tls.Config // for outgoing connections; nil: plain TCP
+	MutualTLS bool        // the listener asks for client certificates, which replace the shared key
+
+	QueueMessages int // bound of the queue to each peer
+	MaxAccepted   int // bound of connections that peers open
+	PingEvery     time.Duration
+	PingTimeout   time.Duration
+	MinBackoff    time.Duration // between tries to connect
+	MaxBackoff    time.Duration
+}
+
+// Hub holds the connections to peers: at most one for each pair. If both sides
+// dial at once, the connection that the side with the smaller name dialed stays.
+type Hub struct {
+	cfg      HubConfig
+	handler  Handler
+	client   *http.Client
+	counters counters
+	calls    atomic.Uint64
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+
+	mu       sync.Mutex
+	closed   bool
+	slots    map[string]*slot // by peer name
+	dialers  map[Address]context.CancelFunc
+	waiting  map[uint64]pendingCall
+	accepted int
+	servers  []*http.Server
+}
+
+// slot is the place of one peer. Its lock orders the calls of the handler for
+// that peer, also when one connection replaces another.
+type slot struct {
+	deliver sync.Mutex
+	told    uint64 // incarnation that the handler knows as connected; 0: none; guarded by deliver
+	link    *link  // guarded by Hub.mu; nil: not connected
+	users   int    // goroutines of connections that use this slot; guarded by Hub.mu
+}
+
+// NewHub makes a Hub. The handler gets what its connections deliver.
+func NewHub(cfg HubConfig, handler Handler) (*Hub, error) {
+	if cfg.Self.Name == "" {
+		return nil, errors.New("peer hub: self.name is empty")
+	}
+	if cfg.Self.Incarnation == 0 {
+		return nil, errors.New("peer hub: self.incarnation is 0; it has to be random for each start")
+	}
+	if len(cfg.SharedKey) == 0 && !cfg.MutualTLS {
+		return nil, errors.New("peer hub: sharedKey is empty and mutual TLS is off; one is needed")
+	}
+	cfg.QueueMessages = cmp.Or(cfg.QueueMessages, DefaultQueueMessages)
+	cfg.MaxAccepted = cmp.Or(cfg.MaxAccepted, DefaultMaxAccepted)
+	cfg.PingEvery = cmp.Or(cfg.PingEvery, DefaultPingEvery)
+	cfg.PingTimeout = cmp.Or(cfg.PingTimeout, DefaultPingTimeout)
+	cfg.MinBackoff = cmp.Or(cfg.MinBackoff, DefaultMinBackoff)
+	cfg.MaxBackoff = cmp.Or(cfg.MaxBackoff, DefaultMaxBackoff)
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Hub{
+		cfg: cfg, handler: handler, ctx: ctx, cancel: cancel,
+		client:  &http.Client{Transport: &http.Transport{TLSClientConfig: cfg.DialTLS, DisableKeepAlives: true}},
+		slots:   map[string]*slot{},
+		dialers: map[Address]context.CancelFunc{},
+		waiting: map[uint64]pendingCall{},
+	}, nil
+}
+
+// Serve accepts connections of peers until the Hub or the listener is closed. For
+// TLS the listener is a tls.NewListener.
+func (h *Hub) Serve(l net.Listener) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc(path, h.accept)
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	h.mu.Lock()
+	if h.closed {
+		h.mu.Unlock()
+		_ = l.Close()
+		return ErrClosed
+	}
+	h.servers = append(h.servers, server)
+	h.mu.Unlock()
+	err := server.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "peer listener")
+}
+
+// Close ends every connection and waits for all goroutines of the Hub.
+func (h *Hub) Close() {
+	h.mu.Lock()
+	h.closed = true
+	servers := h.servers
+	h.mu.Unlock()
+	h.cancel()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	h.running.Wait()
+	h.client.CloseIdleConnections()
+}
+
+// Connected lists the names of connected peers, in order.
+func (h *Hub) Connected() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var names []string
+	for name, s := range h.slots {
+		if s.link != nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Send queues a message to a peer. It never blocks; a full queue is an error.
+func (h *Hub) Send(name string, e Envelope) error {
+	l, err := h.linkTo(name)
+	if err != nil {
+		return err
+	}
+	e.V = ProtocolVersion
+	e.From = h.cfg.Self.Name
+	data, err := Encode(e)
+	if err != nil {
+		return err
+	}
+	return l.enqueue(data)
+}
+
+func (h *Hub) linkTo(name string) (*link, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s, ok := h.slots[name]; ok && s.link != nil {
+		return s.link, nil
+	}
+	return nil, errors.Wrap(ErrNotConnected, name)
+}
+
+// begin counts a goroutine that Close waits for; false once the Hub is closed.
+func (h *Hub) begin() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return false
+	}
+	h.running.Add(1)
+	return true
+}
+
+// accept handles an incoming connection until it ends.
+func (h *Hub) accept(w http.ResponseWriter, r *http.Request) {
+	if !h.begin() {
+		http.Error(w, "closing", http.StatusServiceUnavailable)
+		return
+	}
+	defer h.running.Done()
+	if !h.takePlace() {
+		http.Error(w, "too many peer connections", http.StatusServiceUnavailable)
+		return
+	}
+	defer h.freePlace()
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return // Accept has answered
+	}
+	if err := h.serveAccepted(conn); err != nil {
+		logline.Info("peer_refused", "remote", r.RemoteAddr, "error", err)
+	}
+}
+
+func (h *Hub) serveAccepted(conn *websocket.Conn) error {
+	conn.SetReadLimit(handshakeReadLimit)
+	ctx, cancel := context.WithTimeout(h.ctx, handshakeTimeout)
+	defer cancel()
+	shake := handshaker{self: h.cfg.Self, key: h.cfg.SharedKey}
+	peer, err := shake.listen(ctx, conn)
+	if err != nil {
+		_ = conn.Close(closeRefused, "refused")
+		return err
+	}
+	l := newLink(h.ctx, conn, peer, peer.Name, h.cfg.QueueMessages, &h.counters)
+	s, ok := h.adopt(l)
+	if !ok {
+		l.close(closeDuplicate, "duplicate")
+		return nil
+	}
+	if err := shake.accept(ctx, conn); err != nil {
+		l.close(websocket.StatusNormalClosure, "")
+	}
+	h.runLink(s, l)
+	return nil
+}
+
+func (h *Hub) takePlace() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.accepted >= h.cfg.MaxAccepted {
+		return false
+	}
+	h.accepted++
+	return true
+}
+
+func (h *Hub) freePlace() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.accepted--
+}
--- /dev/null
+++ b/internal/connection/peer/hub_test.go
@@ -0,0 +1,329 @@
+package peer
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+)
+
+const patience = 15 * time.Second
+
+// recorder is a Handler that notes what happens and answers fetches.
+type recorder struct {
+	mu     sync.Mutex
+	events []string
+	beats  []uint64
+	block  chan struct{} // if set, Receive waits for it
+}
+
+func (r *recorder) note(event string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, event)
+}
+
+func (r *recorder) Connected(h Hello)        { r.note("+" + h.Name) }
+func (r *recorder) Disconnected(name string) { r.note("-" + name) }
+
+func (r *recorder) Receive(from Hello, e Envelope) *Envelope {
+	if r.block != nil {
+		<-r.block
+	}
+	if e.Heartbeat != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.beats = append(r.beats, e.Heartbeat.Rows[0].Beat)
+	}
+	if e.Fetch != nil {
+		return &Envelope{Delta: &ConfigDelta{Version: e.Fetch.Have + 1}}
+	}
+	return nil
+}
+
+func (r *recorder) count(event string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, e := range r.events {
+		if e == event {
+			n++
+		}
+	}
+	return n
+}
+
+type node struct {
+	*Hub
+	seen    *recorder
+	address Address
+	served  chan struct{}
+}
+
+func startNode(t *testing.T, name string, change func(*HubConfig)) *node {
+	t.Helper()
+	return startNodeAt(t, name, "127.0.0.1:0", change)
+}
+
+func startNodeAt(t *testing.T, name, at string, change func(*HubConfig)) *node {
+	t.Helper()
+	l, err := net.Listen("tcp", at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := HubConfig{
+		Self:      Hello{Name: name, Incarnation: uint64(time.Now().UnixNano())},
+		SharedKey: []byte("key"), MinBackoff: 5 * time.Millisecond, MaxBackoff: 50 * time.Millisecond,
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	n := &node{seen: &recorder{}, address: Address{Name: name, HostPort: l.Addr().String()}, served: make(chan struct{})}
+	if n.Hub, err = NewHub(cfg, n.seen); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		defer close(n.served)
+		_ = n.Serve(l)
+	}()
+	t.Cleanup(n.stop)
+	return n
+}
+
+func (n *node) stop() {
+	n.Close()
+	<-n.served
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("not in time: %s", what)
+}
+
+func connected(a, b *node) func() bool {
+	return func() bool {
+		return slices.Contains(a.Connected(), b.address.Name) && slices.Contains(b.Connected(), a.address.Name)
+	}
+}
+
+func heartbeat(beat uint64) Envelope {
+	return Envelope{Heartbeat: &Heartbeat{Rows: []MemberRow{{Beat: beat}}}}
+}
+
+func TestHubOneConnectionPerPair(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	a, b := startNode(t, "a", nil), startNode(t, "b", nil)
+	a.SetLinks([]Address{{HostPort: b.address.HostPort}}) // without names neither side waits for the other
+	b.SetLinks([]Address{{HostPort: a.address.HostPort}})
+	kept := func(n *node, peer string) bool {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		s := n.slots[peer]
+		return s != nil && s.users == 1 && s.link != nil && s.link.dialer == "a"
+	}
+	eventually(t, "only the connection that a dialed", func() bool { return kept(a, "b") && kept(b, "a") })
+	for beat := range uint64(100) {
+		if err := a.Send("b", heartbeat(beat)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	eventually(t, "all messages", func() bool {
+		b.seen.mu.Lock()
+		defer b.seen.mu.Unlock()
+		return len(b.seen.beats) == 100 && slices.IsSorted(b.seen.beats)
+	})
+	if a.seen.count("+b")-a.seen.count("-b") != 1 {
+		t.Errorf("connects and disconnects of b: %v", a.seen.events)
+	}
+	a.stop()
+	b.stop()
+}
+
+func TestHubCall(t *testing.T) {
+	a, b := startNode(t, "a", nil), startNode(t, "b", nil)
+	a.SetLinks([]Address{{HostPort: b.address.HostPort}}) // a seed: the name is not known
+	eventually(t, "connected", connected(a, b))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	var calls sync.WaitGroup
+	for have := range uint64(20) {
+		calls.Go(func() {
+			answer, err := a.Call(ctx, "b", Envelope{Fetch: &ConfigFetch{Have: have}})
+			if err != nil || answer.Delta == nil || answer.Delta.Version != have+1 {
+				t.Errorf("answer %+v, error %v", answer, err)
+			}
+		})
+	}
+	calls.Wait()
+	if _, err := a.Call(ctx, "nobody", Envelope{}); !errors.Is(err, ErrNotConnected) {
+		t.Errorf("call to a stranger: %v", err)
+	}
+	b.stop()
+	if _, err := a.Call(ctx, "b", Envelope{Fetch: &ConfigFetch{}}); !errors.Is(err, ErrNotConnected) {
+		t.Errorf("call to a stopped peer: %v", err)
+	}
+}
+
+func TestHubRefuses(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*HubConfig)
+	}{
+		{"another key", func(c *HubConfig) { c.SharedKey = []byte("other") }},
+		{"no key", func(c *HubConfig) { c.SharedKey, c.MutualTLS = nil, true }},
+		{"its own name", func(c *HubConfig) { c.Self.Name = "a" }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a, b := startNode(t, "a", nil), startNode(t, "b", tt.change)
+			for _, way := range []struct{ from, to *node }{{a, b}, {b, a}} {
+				_, _, err := way.from.open(context.Background(), way.to.address)
+				if err == nil {
+					t.Errorf("%s to %s: connected", way.from.address.Name, way.to.address.Name)
+				}
+			}
+			if len(a.Connected())+len(b.Connected()) != 0 {
+				t.Errorf("connected: %v, %v", a.Connected(), b.Connected())
+			}
+		})
+	}
+}
+
+func TestHubConfigNeedsAuthentication(t *testing.T) {
+	if _, err := NewHub(HubConfig{Self: Hello{Name: "a"}}, &recorder{}); err == nil {
+		t.Error("a hub without any authentication")
+	}
+}
+
+func TestHubReconnectsToARestartedPeer(t *testing.T) {
+	a, b := startNode(t, "a", nil), startNode(t, "b", nil)
+	a.SetLinks([]Address{b.address})
+	eventually(t, "connected", connected(a, b))
+	b.stop()
+	eventually(t, "seen as gone", func() bool { return a.seen.count("-b") == 1 })
+	b = startNodeAt(t, "b", b.address.HostPort, nil)
+	eventually(t, "connected again", connected(a, b))
+	a.SetLinks(nil)
+	eventually(t, "closed when not wanted", func() bool { return len(b.Connected()) == 0 })
+}
+
+func TestHubSendNeverBlocks(t *testing.T) {
+	a, b := startNode(t, "a", func(c *HubConfig) { c.QueueMessages = 4 }), startNode(t, "b", nil)
+	b.seen.block = make(chan struct{})
+	a.SetLinks([]Address{b.address})
+	eventually(t, "connected", connected(a, b))
+	large := Envelope{Explained: &ExplainAnswer{Lines: []string{string(make([]byte, MaxMessageBytes/2))}}}
+	eventually(t, "a full queue", func() bool { return errors.Is(a.Send("b", large), ErrQueueFull) })
+	if a.Stats().Dropped == 0 {
+		t.Error("the drop is not counted")
+	}
+	close(b.seen.block)
+	large.Explained.Lines = append(large.Explained.Lines, large.Explained.Lines...)
+	if err := a.Send("b", large); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("message above the bound: %v", err)
+	}
+}
+
+// stall is a listener whose connections go silent once told to.
+type stall struct {
+	net.Listener
+	silent chan struct{}
+}
+
+type stalledConn struct {
+	net.Conn
+	silent chan struct{}
+}
+
+func (s stall) Accept() (net.Conn, error) {
+	c, err := s.Listener.Accept()
+	return stalledConn{c, s.silent}, err
+}
+
+func (c stalledConn) Write(p []byte) (int, error) {
+	select {
+	case <-c.silent:
+		return len(p), nil // lost
+	default:
+		return c.Conn.Write(p)
+	}
+}
+
+func TestHubNoticesASilentPeer(t *testing.T) {
+	quick := func(c *HubConfig) { c.PingEvery, c.PingTimeout = 10*time.Millisecond, 200*time.Millisecond }
+	a, b := startNode(t, "a", quick), startNode(t, "b", nil)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	silent := make(chan struct{})
+	go func() { _ = b.Serve(stall{inner, silent}) }()
+	a.SetLinks([]Address{{Name: "b", HostPort: inner.Addr().String()}})
+	eventually(t, "connected", connected(a, b))
+	close(silent)
+	eventually(t, "seen as gone", func() bool { return a.seen.count("-b") > 0 })
+}
+
+func TestHubMutualTLS(t *testing.T) {
+	cert, pool := selfSigned(t)
+	client := &tls.Config{Certificates: []tls.Certificate{cert}, RootCAs: pool, ServerName: "peer"}
+	mutual := func(c *HubConfig) { c.SharedKey, c.MutualTLS, c.DialTLS = nil, true, client }
+	a := startNode(t, "a", mutual)
+	b := startNode(t, "b", mutual)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &tls.Config{Certificates: []tls.Certificate{cert}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert}
+	go func() { _ = b.Serve(tls.NewListener(inner, server)) }()
+	at := Address{Name: "b", HostPort: inner.Addr().String()}
+	a.SetLinks([]Address{at})
+	eventually(t, "connected", connected(a, b))
+	stranger := startNode(t, "c", func(c *HubConfig) {
+		mutual(c)
+		c.DialTLS = &tls.Config{RootCAs: pool, ServerName: "peer"}
+	})
+	if _, _, err := stranger.open(context.Background(), at); err == nil {
+		t.Error("connected without a client certificate")
+	}
+}
+
+func selfSigned(t *testing.T) (tls.Certificate, *x509.CertPool) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), DNSNames: []string{"peer"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	parsed, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(parsed)
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool
+}
--- /dev/null
+++ b/internal/connection/peer/link.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+)
+
+// Close codes of this protocol, see RFC 6455 section 7.4.2.
+const (
+	closeDuplicate websocket.StatusCode = 4001 // another connection of this pair is kept
+	closeRefused   websocket.StatusCode = 4002 // authentication or version
+)
+
+// writeTimeout bounds one write. A peer that does not read for so long is gone.
+const writeTimeout = 10 * time.Second
+
+// link is one authenticated connection.
+type link struct {
+	conn   *websocket.Conn
+	peer   Hello
+	dialer string // name of the side that dialed
+	queue  chan []byte
+	stats  *counters
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	once   sync.Once
+}
+
+func newLink(ctx context.Context, conn *websocket.Conn, peer Hello, dialer string, queue int, stats *counters) *link {
+	ctx, cancel := context.WithCancel(ctx)
+	conn.SetReadLimit(MaxMessageBytes)
+	return &link{
+		conn: conn, peer: peer, dialer: dialer, stats: stats,
+		queue: make(chan []byte, queue), ctx: ctx, cancel: cancel,
+	}
+}
+
+// close ends the connection. The goroutines of run then end.
+func (l *link) close(code websocket.StatusCode, reason string) {
+	l.once.Do(func() {
+		if code == closeDuplicate || code == closeRefused {
+			_ = l.conn.Close(code, reason)
+		}
+		l.cancel()
+		_ = l.conn.CloseNow()
+	})
+}
+
+// enqueue queues an encoded message. It never blocks.
+func (l *link) enqueue(data []byte) error {
+	if l.ctx.Err() != nil {
+		return errors.Wrap(ErrNotConnected, l.peer.Name)
+	}
+	select {
+	case l.queue <- data:
+		return nil
+	default:
+		l.stats.dropped.Add(1)
+		return errors.Wrap(ErrQueueFull, l.peer.Name)
+	}
+}
+
+// run reads until the connection ends; it writes and pings meanwhile.
+func (l *link) run(pingEvery, pingTimeout time.Duration, receive func(Envelope)) error {
+	var helpers sync.WaitGroup
+	helpers.Go(l.writeAll)
+	helpers.Go(func() { l.pingAll(pingEvery, pingTimeout) })
+	err := l.readAll(receive)
+	l.close(websocket.StatusNormalClosure, "")
+	helpers.Wait()
+	return err
+}
+
+func (l *link) readAll(receive func(Envelope)) error {
+	for {
+		_, data, err := l.conn.Read(l.ctx)
+		if err != nil {
+			return errors.Wrap(err, "read")
+		}
+		l.stats.received(len(data))
+		e, err := Decode(data)
+		if err != nil {
+			return err
+		}
+		receive(e)
+	}
+}
+
+func (l *link) writeAll() {
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case data := <-l.queue:
+			if !l.write(data) {
+				l.close(websocket.StatusNormalClosure, "")
+				return
+			}
+		}
+	}
+}
+
+func (l *link) write(data []byte) bool {
+	ctx, cancel := context.WithTimeout(l.ctx, writeTimeout)
+	defer cancel()
+	if err := l.conn.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return false
+	}
+	l.stats.sent(len(data))
+	return true
+}
+
+// pingAll closes the connection when a ping is not answered in time.
+func (l *link) pingAll(every, timeout time.Duration) {
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-tick.C:
+		}
+		ctx, cancel := context.WithTimeout(l.ctx, timeout)
+		err := l.conn.Ping(ctx)
+		cancel()
+		if err != nil {
+			l.close(websocket.StatusNormalClosure, "")
+			return
+		}
+	}
+}
--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -37,6 +37,9 @@
 	Zone        string `cbor:"3,keyasint"`
 	PeerAddress string `cbor:"4,keyasint"`
 	Incarnation uint64 `cbor:"5,keyasint"` // random per process start
+
+	Nonce []byte `cbor:"6,keyasint,omitempty"` // random, fresh for each connection
+	MAC   []byte `cbor:"7,keyasint,omitempty"` // proves the shared key, see handshake.go
 }
 
 // MemberRow is what a daemon knows of another one, passed on with heartbeats.
