Know the daemons: membership core, bounded links and service

Core joins the platform's list with heartbeats and connections. Own heartbeats go to neighbors each interval, those of others are passed on more rarely the larger the fleet is, and in a short form; starts, planned stops and suspicions go at once, and a suspicion is refuted by a higher beat.

--- a/internal/connection/peer/hub.go
+++ b/internal/connection/peer/hub.go
@@ -175,7 +175,7 @@
 		return err
 	}
 	e.V = ProtocolVersion
-	e.From = h.cfg.Self.Name
+	e.From = ""
 	data, err := Encode(e)
 	if err != nil {
 		return err
--- a/internal/connection/peer/hub_test.go
+++ b/internal/connection/peer/hub_test.go
@@ -44,7 +44,7 @@
 	if e.Heartbeat != nil {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		r.beats = append(r.beats, e.Heartbeat.Rows[0].Beat)
+		r.beats = append(r.beats, e.Heartbeat.Beat)
 	}
 	if e.Fetch != nil {
 		return &Envelope{Delta: &ConfigDelta{Version: e.Fetch.Have + 1}}
@@ -123,7 +123,7 @@
 }
 
 func heartbeat(beat uint64) Envelope {
-	return Envelope{Heartbeat: &Heartbeat{Rows: []MemberRow{{Beat: beat}}}}
+	return Envelope{Heartbeat: &Heartbeat{Beat: beat}}
 }
 
 func TestHubOneConnectionPerPair(t *testing.T) {
--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -14,7 +14,7 @@
 // Envelope is the frame of every message: exactly one body is set.
 type Envelope struct {
 	V    int    `cbor:"1,keyasint"`           // ProtocolVersion
-	From string `cbor:"2,keyasint"`           // instance name of the sender
+	From string `cbor:"2,keyasint,omitempty"` // name of the sender; the receiver sets it from the authenticated connection
 	Call uint64 `cbor:"3,keyasint,omitempty"` // request number; zero: one way
 	Re   uint64 `cbor:"4,keyasint,omitempty"` // request number that this answers
 
@@ -36,13 +36,14 @@
 	Role        string `cbor:"2,keyasint"` // gateway or controller
 	Zone        string `cbor:"3,keyasint"`
 	PeerAddress string `cbor:"4,keyasint"`
-	Incarnation uint64 `cbor:"5,keyasint"` // random per process start
+	Incarnation uint64 `cbor:"5,keyasint"` // differs for each process start, see member.NewIncarnation
 
 	Nonce []byte `cbor:"6,keyasint,omitempty"` // random, fresh for each connection
 	MAC   []byte `cbor:"7,keyasint,omitempty"` // proves the shared key, see handshake.go
 }
 
-// MemberRow is what a daemon knows of another one, passed on with heartbeats.
+// MemberRow is what a daemon knows of another one. It is passed on when a field
+// but Beat and Applied changes, and now and then.
 type MemberRow struct {
 	Name        string `cbor:"1,keyasint"`
 	Role        string `cbor:"2,keyasint"`
@@ -51,12 +52,26 @@
 	Incarnation uint64 `cbor:"5,keyasint"`
 	Beat        uint64 `cbor:"6,keyasint"` // counts the daemon's own heartbeats
 	Applied     uint64 `cbor:"7,keyasint"` // configuration version in force there
-	Leaving     bool   `cbor:"8,keyasint"`
+	Leaving     bool   `cbor:"8,keyasint,omitempty"`
+	Suspected   bool   `cbor:"9,keyasint,omitempty"` // a neighbor heard nothing since Beat
 }
 
-// Heartbeat carries the sender's own row and rows that changed since the last one.
+// BeatRow is the short form of a MemberRow that only had a heartbeat or applied a
+// version. It is an array of three numbers, since most of the traffic is of these.
+type BeatRow struct {
+	_    struct{} `cbor:",toarray"`
+	ID   uint32   // see member.RowID
+	Beat uint64
+	Lag  int64 // the sender's own applied version less that of the row
+}
+
+// Heartbeat carries the sender's own state, and what it heard of others since the
+// last one.
 type Heartbeat struct {
-	Rows []MemberRow `cbor:"1,keyasint"`
+	Beat    uint64      `cbor:"1,keyasint"`
+	Applied uint64      `cbor:"2,keyasint"`
+	Rows    []MemberRow `cbor:"3,keyasint,omitempty"`
+	Beats   []BeatRow   `cbor:"4,keyasint,omitempty"`
 }
 
 // ConfigDelta passes on the changes after version Base up to version Version.
--- /dev/null
+++ b/internal/process/member/gossip.go
@@ -0,0 +1,223 @@
+package member
+
+import (
+	"slices"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+)
+
+// relayBeats is by how many beats another daemon's beat has to grow before it is
+// passed on again: the more daemons, the rarer.
+func (c *Core) relayBeats() uint64 {
+	return uint64(max(1, (len(c.records)+relayedRowsPerInterval-1)/relayedRowsPerInterval))
+}
+
+// tick sends this interval's heartbeats.
+func (c *Core) tick(now boottime.Time) []Action {
+	c.beat++
+	c.forget(now)
+	names := c.connectedNames()
+	full, beats := c.news()
+	var out []Action
+	for _, name := range names {
+		h := peer.Heartbeat{Beat: c.beat, Applied: c.applied}
+		h.Rows = rowsFor(name, full)
+		h.Beats = c.beatsFor(name, beats)
+		out = append(out, SendHeartbeat{To: name, Heartbeat: h})
+	}
+	for _, r := range slices.Concat(full, beats) {
+		r.pending = pendingNone
+		r.relayedBeat = r.row.Beat
+		r.relayed = r.row.Applied
+	}
+	return out
+}
+
+// news lists what is to be passed on, in order of names: full rows of what
+// changed and of one other daemon in turn, and short rows.
+func (c *Core) news() (full, beats []*record) {
+	turn := c.inTurn()
+	for _, name := range c.names() {
+		r := c.records[name]
+		switch {
+		case r.listedOnly():
+		case r.pending == pendingFull || r == turn:
+			full = append(full, r)
+		case r.pending == pendingBeat || c.relayDue(r):
+			beats = append(beats, r)
+		}
+	}
+	return full, beats
+}
+
+func (c *Core) relayDue(r *record) bool {
+	return r.state != Gone && (r.row.Beat >= r.relayedBeat+c.relayBeats() || r.row.Applied != r.relayed)
+}
+
+func (c *Core) names() []string {
+	names := make([]string, 0, len(c.records))
+	for name := range c.records {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// inTurn picks the daemon whose full row is sent without being news, so that a
+// row that was lost comes again. What may be gone is not kept alive that way.
+func (c *Core) inTurn() *record {
+	names := c.names()
+	if len(names) == 0 {
+		return nil
+	}
+	c.cursor = (c.cursor + 1) % len(names)
+	r := c.records[names[c.cursor]]
+	if r.state != Live {
+		return nil
+	}
+	return r
+}
+
+func rowsFor(name string, records []*record) []peer.MemberRow {
+	var rows []peer.MemberRow
+	for _, r := range records {
+		if r.row.Name != name && r.source != name {
+			rows = append(rows, r.passedOn())
+		}
+	}
+	return rows
+}
+
+func (r *record) passedOn() peer.MemberRow {
+	row := r.row
+	row.Suspected = r.suspect
+	return row
+}
+
+func (c *Core) beatsFor(name string, records []*record) []peer.BeatRow {
+	var rows []peer.BeatRow
+	for _, r := range records {
+		if r.row.Name == name || r.source == name {
+			continue
+		}
+		rows = append(rows, peer.BeatRow{
+			ID:   RowID(r.row.Name, r.row.Incarnation),
+			Beat: r.row.Beat,
+			Lag:  int64(c.applied - r.row.Applied),
+		})
+	}
+	return rows
+}
+
+// everything is the first heartbeat on a new connection.
+func (c *Core) everything(to string) peer.Heartbeat {
+	h := peer.Heartbeat{Beat: c.beat, Applied: c.applied, Rows: []peer.MemberRow{c.ownRow()}}
+	for _, name := range c.names() {
+		r := c.records[name]
+		if name != to && !r.listedOnly() && (r.state == Live || r.state == Leaving) {
+			h.Rows = append(h.Rows, r.passedOn())
+		}
+	}
+	return h
+}
+
+// heartbeat merges what a neighbor says of itself and of others.
+func (c *Core) heartbeat(now boottime.Time, e HeartbeatReceived) []Action {
+	from := c.records[e.From]
+	if from == nil || !from.connected {
+		return nil // the connection is gone already
+	}
+	h := e.Heartbeat
+	from.heard(now, h.Beat)
+	from.row.Applied = h.Applied
+	if from.source == e.From {
+		from.source = ""
+	}
+	for _, row := range h.Rows {
+		c.mergeRow(now, e.From, row)
+	}
+	for _, row := range h.Beats {
+		c.mergeBeat(now, e.From, h.Applied, row)
+	}
+	return []Action{PeerVersion{From: e.From, Applied: h.Applied}}
+}
+
+func (c *Core) mergeBeat(now boottime.Time, from string, applied uint64, row peer.BeatRow) {
+	r := c.ids[row.ID]
+	if r == nil || row.Beat <= r.row.Beat {
+		return
+	}
+	r.source = from
+	r.row.Applied = applied - uint64(row.Lag)
+	r.heard(now, row.Beat)
+}
+
+func (c *Core) mergeRow(now boottime.Time, from string, row peer.MemberRow) {
+	if row.Name == "" || row.Name == c.cfg.Self.Name {
+		return
+	}
+	suspected := row.Suspected
+	row.Suspected = false
+	r := c.records[row.Name]
+	switch {
+	case r == nil:
+		if !suspected {
+			c.add(now, row).pass(pendingFull, from)
+		}
+		return
+	case r.row.Incarnation != row.Incarnation:
+		if !suspected && c.supersedes(now, row, r) {
+			c.restart(now, r, row)
+			r.pass(pendingFull, from)
+		}
+		return
+	}
+	c.mergeSame(now, from, r, row)
+	if suspected {
+		c.suspicion(now, from, r, row.Beat)
+	}
+}
+
+// supersedes reports whether a row of another incarnation takes the place of the
+// one that is known.
+func (c *Core) supersedes(now boottime.Time, row peer.MemberRow, r *record) bool {
+	if r.connected {
+		return false
+	}
+	return row.Incarnation > r.row.Incarnation || r.silence(now) > c.remoteSilence()
+}
+
+// mergeSame merges a row of the same incarnation.
+func (c *Core) mergeSame(now boottime.Time, from string, r *record, row peer.MemberRow) {
+	if row.Leaving && !r.row.Leaving {
+		r.row.Leaving = true
+		r.pass(pendingFull, from)
+		c.changed = true
+	}
+	if row.Beat <= r.row.Beat {
+		return
+	}
+	leaving := r.row.Leaving
+	r.row = row
+	r.row.Leaving = leaving
+	r.source = from
+	r.heard(now, row.Beat)
+}
+
+// suspicion handles the word of a neighbor of r that it heard nothing since beat.
+func (c *Core) suspicion(now boottime.Time, from string, r *record, beat uint64) {
+	if r.row.Beat > beat {
+		r.pass(pendingBeat, "") // a higher beat refutes it
+		return
+	}
+	if r.connected && r.silence(now) < suspectBeats*c.cfg.Interval {
+		r.refute = true
+		r.suspectBeat = beat
+		return
+	}
+	if !r.suspect {
+		r.suspectAt(beat)
+		r.pass(pendingFull, from)
+	}
+}
--- /dev/null
+++ b/internal/process/member/neighbors_test.go
@@ -0,0 +1,136 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+const testLinks = 16
+
+// fleet makes n daemons spread over zones.
+func fleet(n, zones int) []Member {
+	var out []Member
+	for i := range n {
+		out = append(out, Member{Name: fmt.Sprintf("daemon-%03d", i), Zone: fmt.Sprintf("zone-%d", i%zones)})
+	}
+	return out
+}
+
+// reach gives the number of rounds until a message from the first member has
+// reached all of them; -1: it does not.
+func reach(g topology, members []Member) int {
+	alive := map[string]bool{}
+	for _, m := range members {
+		alive[m.Name] = true
+	}
+	seen := map[string]bool{members[0].Name: true}
+	level := []string{members[0].Name}
+	rounds := 0
+	for ; len(level) > 0; rounds++ {
+		var next []string
+		for _, name := range level {
+			for _, n := range g[name] {
+				if alive[n] && !seen[n] {
+					seen[n] = true
+					next = append(next, n)
+				}
+			}
+		}
+		level = next
+	}
+	if len(seen) < len(members) {
+		return -1
+	}
+	return rounds - 1
+}
+
+func TestNeighbors(t *testing.T) {
+	tests := []struct {
+		daemons, zones, maxDegree, maxRounds int
+	}{
+		{1, 1, 0, 0}, {2, 2, 1, 1}, {8, 3, 7, 1}, {17, 4, 16, 1}, {18, 4, 16, 3}, {64, 9, 16, 4}, {64, 1, 12, 3}, {370, 9, 17, 6},
+	}
+	for _, tt := range tests {
+		t.Run(fmt.Sprintf("%d in %d", tt.daemons, tt.zones), func(t *testing.T) {
+			all := fleet(tt.daemons, tt.zones)
+			g := topologyOf(all, testLinks)
+			for _, m := range all {
+				if d := len(g[m.Name]); d > tt.maxDegree {
+					t.Errorf("%s has %d links", m.Name, d)
+				}
+				for _, n := range g[m.Name] {
+					if !slices.Contains(g[n], m.Name) {
+						t.Errorf("%s to %s is one way", m.Name, n)
+					}
+				}
+			}
+			if r := reach(g, all); r < 0 || r > tt.maxRounds {
+				t.Errorf("all reached after %d rounds, want at most %d", r, tt.maxRounds)
+			}
+		})
+	}
+}
+
+func TestNeighborsStayConnectedWhenAQuarterVanishes(t *testing.T) {
+	for _, daemons := range []int{8, 64, 370} {
+		for _, zones := range []int{2, 3, 9} {
+			all := fleet(daemons, zones)
+			g := topologyOf(all, testLinks)
+			for seed := range uint64(100) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				left := slices.Clone(all)
+				random.Shuffle(len(left), func(i, j int) { left[i], left[j] = left[j], left[i] })
+				left = left[daemons/4:]
+				if reach(g, left) < 0 {
+					t.Errorf("%d daemons in %d zones, seed %d: not connected", daemons, zones, seed)
+				}
+			}
+		}
+	}
+}
+
+func TestNeighborsChangeLittle(t *testing.T) {
+	all := fleet(370, 9)
+	before := topologyOf(all, testLinks)
+	after := topologyOf(slices.Delete(slices.Clone(all), 100, 101), testLinks)
+	changed := 0
+	for _, m := range all {
+		for _, n := range after[m.Name] {
+			if !slices.Contains(before[m.Name], n) {
+				changed++
+			}
+		}
+	}
+	if changed > 2*testLinks { // each new link counts at both ends
+		t.Errorf("the loss of one daemon makes %d new link ends", changed)
+	}
+}
+
+func TestChildrenReachEachDaemonOfTheZoneOnce(t *testing.T) {
+	for _, daemons := range []int{8, 64, 370} {
+		all := fleet(daemons, 9)
+		zoneOf := map[string]string{}
+		for _, m := range all {
+			zoneOf[m.Name] = m.Zone
+		}
+		g := topologyOf(all, testLinks)
+		origin := all[0].Name
+		got := map[string]int{}
+		for _, m := range all {
+			for _, child := range g.children(origin, m.Name, zoneOf) {
+				got[child]++
+			}
+		}
+		for _, m := range all {
+			want := 0
+			if m.Zone == zoneOf[origin] && m.Name != origin {
+				want = 1
+			}
+			if got[m.Name] != want {
+				t.Errorf("%d daemons: %s got %d, want %d", daemons, m.Name, got[m.Name], want)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/member/record.go
@@ -0,0 +1,75 @@
+package member
+
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// pending says how a record is to be passed on with the next heartbeats.
+type pending int
+
+const (
+	pendingNone pending = iota
+	pendingBeat         // as a BeatRow
+	pendingFull         // as a MemberRow
+)
+
+// record is what is known of one other daemon.
+type record struct {
+	row       peer.MemberRow
+	heardAt   boottime.Time // when its beat last grew, as seen here
+	connected bool
+	listed    bool
+	listState resource.InstanceState
+
+	suspectBeat uint64 // a neighbor of it heard nothing since this beat
+	suspect     bool   // nothing newer is known here either
+	refute      bool   // heard of here lately: the next beat is passed on at once
+
+	state       State // at the last evaluation
+	pending     pending
+	source      string // peer that told the latest; it is not told again
+	relayedBeat uint64
+	relayed     uint64 // applied version last passed on
+}
+
+// heard notes a sign of life. A beat that refutes a suspicion is passed on at once.
+func (r *record) heard(now boottime.Time, beat uint64) {
+	r.heardAt = now
+	r.row.Beat = max(r.row.Beat, beat)
+	if r.suspect && beat > r.suspectBeat {
+		r.suspect = false
+		r.pass(pendingBeat, r.source)
+	}
+	if r.refute && beat > r.suspectBeat {
+		r.refute = false
+		r.pass(pendingBeat, r.source)
+	}
+}
+
+// suspectAt notes that nothing was heard since beat.
+func (r *record) suspectAt(beat uint64) {
+	r.suspect = true
+	r.suspectBeat = beat
+}
+
+func (r *record) pass(p pending, source string) {
+	r.pending = max(r.pending, p)
+	r.source = source
+}
+
+func (r *record) silence(now boottime.Time) time.Duration { return now.Sub(r.heardAt) }
+
+func (r *record) member() Member {
+	return Member{
+		Name: r.row.Name, Role: r.row.Role, Zone: r.row.Zone, PeerAddress: r.row.PeerAddress,
+		Incarnation: r.row.Incarnation, Applied: r.row.Applied,
+		State: r.state, Connected: r.connected, Listed: r.listed,
+	}
+}
+
+// listedOnly reports whether the daemon is known from the platform's list alone.
+func (r *record) listedOnly() bool { return r.row.Incarnation == 0 }
--- /dev/null
+++ b/internal/process/member/service.go
@@ -0,0 +1,263 @@
+package member
+
+import (
+	"cmp"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// Handler gets what a Service does not handle itself. Its methods must not block,
+// and MembersChanged must not call the Distributor, except for Current.
+type Handler interface {
+	// PeerVersion tells which configuration version is in force at a connected peer.
+	PeerVersion(from string, applied uint64)
+	// UseReceived is a use report of a gateway of this zone. Each comes once.
+	UseReceived(r peer.UseReport)
+	// UseDue asks for this daemon's use since the last time; nil: nothing to report.
+	UseDue() *peer.UseReport
+	// Receive handles any other message; a non-nil answer is sent back.
+	Receive(from peer.Hello, e peer.Envelope) *peer.Envelope
+	// MembersChanged tells that a member came, went or changed its state.
+	MembersChanged(members []Member)
+}
+
+// ServiceConfig sets up a Service.
+type ServiceConfig struct {
+	Hub     peer.HubConfig // its Self is also the Core's
+	Core    Config         // its Self is taken from Hub
+	Handler Handler
+}
+
+// Service ties the hub of peer connections to the membership Core and keeps the
+// heartbeats going. It implements config.Network.
+type Service struct {
+	hub     *peer.Hub
+	handler Handler
+	self    peer.Hello
+	links   int
+	every   time.Duration
+
+	mu       sync.Mutex
+	core     *Core
+	routes   *UseRoutes
+	seen     sequences
+	sequence uint64
+	ticks    int
+
+	deliver sync.Mutex // orders calls of MembersChanged and SetLinks
+	stop    chan struct{}
+	once    sync.Once
+	running sync.WaitGroup
+}
+
+var (
+	_ config.Network = (*Service)(nil)
+	_ peer.Handler   = hubHandler{}
+)
+
+// NewService makes a Service. Its Hub has to be served on a listener, see Hub;
+// Start begins the heartbeats.
+func NewService(cfg ServiceConfig) (*Service, error) {
+	if cfg.Handler == nil {
+		return nil, errors.New("member service: handler is nil")
+	}
+	cfg.Core.Self = cfg.Hub.Self
+	s := &Service{
+		handler: cfg.Handler,
+		self:    cfg.Hub.Self,
+		links:   cmp.Or(cfg.Core.MaxLinks, DefaultMaxLinks),
+		every:   cmp.Or(cfg.Core.Interval, DefaultInterval),
+		core:    New(cfg.Core),
+		routes:  NewUseRoutes(cfg.Hub.Self, nil, DefaultMaxLinks),
+		seen:    sequences{},
+		stop:    make(chan struct{}),
+	}
+	hub, err := peer.NewHub(cfg.Hub, hubHandler{s})
+	if err != nil {
+		return nil, err
+	}
+	s.hub = hub
+	return s, nil
+}
+
+// Hub gives the hub, to serve its listener and to call peers.
+func (s *Service) Hub() *peer.Hub { return s.hub }
+
+// Start begins the heartbeats.
+func (s *Service) Start() {
+	s.step(Tick{})
+	s.running.Go(s.run)
+}
+
+// Close ends heartbeats and connections and waits.
+func (s *Service) Close() {
+	s.once.Do(func() { close(s.stop) })
+	s.running.Wait()
+	s.hub.Close()
+}
+
+func (s *Service) run() {
+	tick := time.NewTicker(s.every)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-tick.C:
+			s.step(Tick{})
+			s.reportUse()
+		}
+	}
+}
+
+// SetInstances hands over the platform's list, from the snapshot in force.
+func (s *Service) SetInstances(instances map[string]resource.Instance) {
+	s.step(InstancesListed{Instances: instances})
+}
+
+// SetApplied tells the peers which configuration version is in force here.
+func (s *Service) SetApplied(version uint64) { s.step(Applied{Version: version}) }
+
+// SetLeaving tells the peers that this daemon stops by plan.
+func (s *Service) SetLeaving() { s.step(Leave{}) }
+
+// Members lists all known daemons, this one included.
+func (s *Service) Members() []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Members()
+}
+
+// Candidates lists the live daemons that are not leaving.
+func (s *Service) Candidates() []config.Candidate {
+	var out []config.Candidate
+	for _, m := range s.Members() {
+		if m.State == Live {
+			out = append(out, config.Candidate{Name: m.Name, Zone: m.Zone})
+		}
+	}
+	return out
+}
+
+// Connected lists the names of connected peers.
+func (s *Service) Connected() []string { return s.hub.Connected() }
+
+// Send queues a message for a connected peer.
+func (s *Service) Send(to string, e peer.Envelope) error { return s.hub.Send(to, e) }
+
+// step lets the core handle an event and carries its actions out.
+func (s *Service) step(e Event) {
+	s.mu.Lock()
+	actions := s.core.Step(boottime.Now(), e)
+	for _, a := range actions {
+		if _, ok := a.(Changed); ok {
+			s.routes = NewUseRoutes(s.self, s.core.Members(), s.links)
+		}
+	}
+	s.mu.Unlock()
+	for _, a := range actions {
+		s.perform(a)
+	}
+}
+
+// perform runs without the lock, as handlers may ask for the members.
+func (s *Service) perform(a Action) {
+	switch a := a.(type) {
+	case SendHeartbeat:
+		s.send(a.To, peer.Envelope{Heartbeat: &a.Heartbeat})
+	case SetLinks:
+		s.setLinks()
+	case PeerVersion:
+		s.handler.PeerVersion(a.From, a.Applied)
+	case Changed:
+		s.deliver.Lock()
+		defer s.deliver.Unlock()
+		s.handler.MembersChanged(s.Members())
+	}
+}
+
+// setLinks hands the newest links over, whatever the order of two calls.
+func (s *Service) setLinks() {
+	s.deliver.Lock()
+	defer s.deliver.Unlock()
+	s.mu.Lock()
+	links := s.core.links
+	s.mu.Unlock()
+	s.hub.SetLinks(links)
+}
+
+func (s *Service) send(to string, e peer.Envelope) {
+	if err := s.hub.Send(to, e); err != nil {
+		logline.Debug("member_send_failed", "peer", to, "error", err)
+	}
+}
+
+// reportUse sends this daemon's use to its zone when it is due.
+func (s *Service) reportUse() {
+	s.mu.Lock()
+	s.ticks++
+	due := s.ticks%reportEvery(s.routes.Gateways()) == 0
+	s.mu.Unlock()
+	if !due {
+		return
+	}
+	r := s.handler.UseDue()
+	if r == nil {
+		return
+	}
+	s.mu.Lock()
+	s.sequence++
+	r.Origin = s.self.Name
+	r.Sequence = s.sequence
+	next := s.routes.Next(r.Origin)
+	s.mu.Unlock()
+	for _, to := range next {
+		s.send(to, peer.Envelope{Use: r})
+	}
+}
+
+// useReceived passes a report on and hands it to the handler, once.
+func (s *Service) useReceived(r peer.UseReport) {
+	s.mu.Lock()
+	first := s.seen.first(r)
+	next := s.routes.Next(r.Origin)
+	s.mu.Unlock()
+	if !first {
+		return
+	}
+	for _, to := range next {
+		s.send(to, peer.Envelope{Use: &r})
+	}
+	s.handler.UseReceived(r)
+}
+
+// hubHandler gets what the hub's connections deliver.
+type hubHandler struct{ *Service }
+
+// Connected implements peer.Handler.
+func (h hubHandler) Connected(p peer.Hello) { h.step(Connected{Peer: p}) }
+
+// Disconnected implements peer.Handler.
+func (h hubHandler) Disconnected(name string) { h.step(Disconnected{Name: name}) }
+
+// Receive implements peer.Handler.
+func (h hubHandler) Receive(from peer.Hello, e peer.Envelope) *peer.Envelope {
+	switch {
+	case e.Heartbeat != nil:
+		h.step(HeartbeatReceived{From: from.Name, Heartbeat: *e.Heartbeat})
+		return nil
+	case e.Use != nil:
+		h.useReceived(*e.Use)
+		return nil
+	default:
+		return h.handler.Receive(from, e)
+	}
+}
--- /dev/null
+++ b/internal/process/member/state.go
@@ -0,0 +1,128 @@
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// remoteSilence is the silence after which a daemon that is no neighbor is suspected.
+func (c *Core) remoteSilence() time.Duration {
+	return time.Duration(remoteRelays*c.relayBeats()+remoteHops) * c.cfg.Interval
+}
+
+// evaluate sets the state of every record.
+func (c *Core) evaluate(now boottime.Time) {
+	for _, r := range c.records {
+		if s := c.stateOf(now, r); s != r.state {
+			r.state = s
+			c.changed = true
+		}
+	}
+}
+
+func (c *Core) stateOf(now boottime.Time, r *record) State {
+	silent := c.silent(now, r)
+	if r.row.Leaving || (r.listed && r.listState == resource.InstanceLeaving) {
+		if silent && !r.connected {
+			return Gone
+		}
+		return Leaving
+	}
+	if !silent {
+		return Live
+	}
+	if !r.listed && r.silence(now) > c.cfg.ForgetAfter {
+		return Gone
+	}
+	return Suspected
+}
+
+// silent reports whether a daemon has not been heard of for too long. A neighbor
+// that is newly silent is a suspicion to be passed on.
+func (c *Core) silent(now boottime.Time, r *record) bool {
+	if r.suspect {
+		return true
+	}
+	silence := r.silence(now)
+	if c.isNeighbor(r.row.Name) && !r.listedOnly() {
+		limit := time.Duration(lostBeats) * c.cfg.Interval
+		if r.connected {
+			limit = suspectBeats * c.cfg.Interval
+		}
+		if silence >= limit && c.heardDirectly(r) {
+			r.suspectAt(r.row.Beat)
+			r.pass(pendingFull, "")
+			return true
+		}
+	}
+	return silence > c.remoteSilence()
+}
+
+// heardDirectly reports whether the latest word of a daemon came from itself, so
+// that its silence means something.
+func (c *Core) heardDirectly(r *record) bool { return r.source == "" || r.connected }
+
+func (c *Core) isNeighbor(name string) bool {
+	return slices.ContainsFunc(c.links, func(a peer.Address) bool { return a.Name == name })
+}
+
+// forget drops daemons that are gone for good.
+func (c *Core) forget(now boottime.Time) {
+	for _, name := range c.names() {
+		r := c.records[name]
+		if r.state == Gone && !r.listed && r.silence(now) > 2*c.cfg.ForgetAfter {
+			c.remove(r)
+		}
+	}
+}
+
+// afterChange sets the links anew after a change of the members.
+func (c *Core) afterChange() []Action {
+	if !c.changed {
+		return nil
+	}
+	c.changed = false
+	out := []Action{Changed{}}
+	links := c.wantedLinks()
+	if c.linked && slices.Equal(links, c.links) {
+		return out
+	}
+	c.linked = true
+	c.links = links
+	return append(out, SetLinks{Addresses: links})
+}
+
+// wantedLinks lists the neighbors with their addresses, or the seeds while nobody
+// is known. The neighbors among all members are wanted so that the two sides of a
+// partition find each other again; those among the members that are not suspected
+// take the place of neighbors that are.
+func (c *Core) wantedLinks() []peer.Address {
+	all := Neighbors(c.cfg.Self.Name, c.reachable(Live, Leaving, Suspected), c.cfg.MaxLinks)
+	heard := Neighbors(c.cfg.Self.Name, c.reachable(Live, Leaving), c.cfg.MaxLinks)
+	names := slices.Concat(all, heard)
+	slices.Sort(names)
+	var links []peer.Address
+	for _, name := range slices.Compact(names) {
+		links = append(links, peer.Address{Name: name, HostPort: c.records[name].row.PeerAddress})
+	}
+	if len(links) == 0 {
+		return c.cfg.Seeds
+	}
+	return links
+}
+
+// reachable lists this daemon and those in one of the states that say where they
+// listen.
+func (c *Core) reachable(states ...State) []Member {
+	members := []Member{c.self()}
+	for _, r := range c.records {
+		if slices.Contains(states, r.state) && r.row.PeerAddress != "" {
+			members = append(members, r.member())
+		}
+	}
+	return members
+}
