Test lease and order slots under faults on virtual time

Cause: no claim about stale orders without runs that cause the faults.

Change: a small world of fakes (store, engines, nodes) runs the real cores on one virtual clock with drifting node clocks.

A holder of another zone gave the lease back at once and took it again, to and fro; it now keeps it for ten times to live.

--- /dev/null
+++ b/internal/bench/authority/node.go
@@ -0,0 +1,334 @@
+package authority
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/authority"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/order"
+)
+
+// Node is one controller: it carries out the actions of the cores.
+type Node struct {
+	Name   string
+	Gains  []uint64 // epochs under which it held the lease
+	Orders int      // sends begun
+
+	world   *World
+	rank    int
+	clock   clock
+	life    int // counts starts; what belongs to an earlier one is dropped
+	alive   bool
+	paused  bool
+	cutOff  bool     // from the store
+	delayed []func() // what happened during a pause
+
+	lease  *authority.Core
+	orders []*order.Core
+
+	leaseWake boottime.Time   // the timer set; 0: none
+	orderWake []boottime.Time // for each order core
+}
+
+func newNode(w *World, rank int) *Node {
+	n := &Node{Name: fmt.Sprintf("c%d", rank), world: w, rank: rank}
+	n.clock = clock{
+		offset: boottime.Time(w.upTo(1000 * time.Hour)),
+		rate:   1 + w.Options.Drift*(2*w.rng.Float64()-1),
+	}
+	return n
+}
+
+// start begins a new life with fresh cores.
+func (n *Node) start() {
+	n.life++
+	n.alive, n.paused, n.delayed = true, false, nil
+	incarnation := fmt.Sprint(n.life)
+	o := n.world.Options
+	n.lease = authority.New(authority.Config{
+		Holder: n.Name, Incarnation: incarnation, TTL: o.TTL, Margin: o.Margin,
+	})
+	n.orders = nil
+	n.leaseWake, n.orderWake = 0, make([]boottime.Time, len(n.world.Engines))
+	for _, e := range n.world.Engines {
+		core := order.New(order.Config{
+			Runner: e.Name, Holder: n.Name, Incarnation: incarnation, OrderLife: o.OrderLife,
+		})
+		core.Step(n.now(), order.Engine{ChecksFencing: o.ChecksFencing})
+		n.orders = append(n.orders, core)
+	}
+	n.stepLease(authority.Standing{Home: true, Rank: n.rank, HomeLive: true})
+	n.decide()
+	n.list()
+}
+
+// Kill ends the process; what it sent is on its way.
+func (n *Node) Kill() { n.alive = false }
+
+// Restart starts it again, whether it was killed or not.
+func (n *Node) Restart() { n.start() }
+
+// Stop asks it to stop in order.
+func (n *Node) Stop() { n.stepLease(authority.Stop{}) }
+
+// Pause holds the process up; Resume lets it go on where it was.
+func (n *Node) Pause() { n.paused = true }
+
+// Resume ends a pause.
+func (n *Node) Resume() {
+	if !n.paused {
+		return
+	}
+	n.paused = false
+	delayed := n.delayed
+	n.delayed = nil
+	for _, f := range delayed {
+		f()
+	}
+}
+
+// CutOff cuts the node off from the store, or ends that.
+func (n *Node) CutOff(cut bool) { n.cutOff = cut }
+
+// Leads reports whether the node may order now.
+func (n *Node) Leads() bool {
+	_, _, ok := n.lease.MayOrder(n.now())
+	return n.alive && ok
+}
+
+func (n *Node) now() boottime.Time { return n.clock.at(n.world.now) }
+
+// later runs f in this life of the node, after a pause if there is one.
+func (n *Node) later(d time.Duration, f func()) {
+	life := n.life
+	var run func()
+	run = func() {
+		switch {
+		case !n.alive || n.life != life:
+		case n.paused:
+			n.delayed = append(n.delayed, run)
+		default:
+			f()
+		}
+	}
+	n.world.After(d, run)
+}
+
+// stepLease steps the lease core and carries out its actions.
+func (n *Node) stepLease(e authority.Event) {
+	for _, action := range n.lease.Step(n.now(), e) {
+		switch a := action.(type) {
+		case authority.ReadLease:
+			n.world.Store.read(n, leaseName, n.leaseRead)
+		case authority.WriteLease:
+			o := stored{nonce: a.Nonce, lease: a.Lease}
+			n.world.Store.write(n, leaseName, a.Base, o, n.leaseWritten)
+		case authority.Gained:
+			n.Gains = append(n.Gains, a.Epoch)
+			n.stepOrders(order.Granted{Epoch: a.Epoch, At: a.At})
+		case authority.Renewed:
+			n.stepOrders(order.Granted{Epoch: a.Epoch, At: n.now()})
+		case authority.Lost, authority.Lapsed:
+			n.stepOrders(order.Revoked{})
+		}
+	}
+	n.wakeLease()
+}
+
+func (n *Node) wakeLease() {
+	wake := n.lease.Wake()
+	if wake == boottime.Time(1<<63-1) {
+		return
+	}
+	if n.leaseWake == wake {
+		return // a timer is set
+	}
+	n.leaseWake = wake
+	n.later(n.clock.until(n.world.now, wake), func() {
+		if n.lease.Wake() <= n.now() {
+			n.leaseWake = 0
+			n.stepLease(authority.Tick{})
+		}
+	})
+}
+
+func (n *Node) leaseRead(ok bool, o stored, found bool, version uint64) {
+	if !ok {
+		n.stepLease(authority.ReadFailed{})
+		return
+	}
+	n.stepLease(authority.Read{Found: found, Version: o.version, Nonce: o.nonce, Lease: o.lease, StoreVersion: version})
+}
+
+func (n *Node) leaseWritten(result outcome, version uint64) {
+	switch result {
+	case answered:
+		n.stepLease(authority.Wrote{Version: version})
+	case conflicted:
+		n.stepLease(authority.WriteFailed{Failure: authority.FailedConflict})
+	case unavailable:
+		n.stepLease(authority.WriteFailed{Failure: authority.FailedUnavailable})
+	case unknown:
+		n.stepLease(authority.WriteFailed{Failure: authority.FailedUnknown})
+	}
+}
+
+func (n *Node) stepOrders(e order.Event) {
+	for i := range n.orders {
+		n.stepOrder(i, e)
+	}
+}
+
+// stepOrder steps one order core and carries out its actions.
+func (n *Node) stepOrder(i int, e order.Event) {
+	engine := n.world.Engines[i]
+	for _, action := range n.orders[i].Step(n.now(), e) {
+		switch a := action.(type) {
+		case order.ReadSlot:
+			n.world.Store.read(n, engine.Name, func(ok bool, o stored, found bool, _ uint64) {
+				n.slotRead(i, ok, o, found)
+			})
+		case order.WriteSlot:
+			o := stored{nonce: a.Nonce, slot: a.Slot}
+			n.world.Store.write(n, engine.Name, a.Base, o, func(result outcome, version uint64) {
+				n.slotWritten(i, result, version)
+			})
+		case order.SendOrder:
+			n.send(i, a.Order)
+		case order.ReadState:
+			n.readState(i)
+		}
+	}
+	n.wakeOrder(i)
+}
+
+func (n *Node) wakeOrder(i int) {
+	wake := n.orders[i].Wake()
+	if wake == boottime.Time(1<<63-1) {
+		return
+	}
+	if n.orderWake[i] == wake {
+		return // a timer is set
+	}
+	n.orderWake[i] = wake
+	n.later(n.clock.until(n.world.now, wake), func() {
+		if n.orders[i].Wake() <= n.now() {
+			n.orderWake[i] = 0
+			n.stepOrder(i, order.Tick{})
+		}
+	})
+}
+
+func (n *Node) slotRead(i int, ok bool, o stored, found bool) {
+	if !ok {
+		n.stepOrder(i, order.SlotReadFailed{})
+		return
+	}
+	n.stepOrder(i, order.SlotRead{Found: found, Version: o.version, Nonce: o.nonce, Slot: o.slot})
+}
+
+func (n *Node) slotWritten(i int, result outcome, version uint64) {
+	switch result {
+	case answered:
+		n.stepOrder(i, order.SlotWrote{Version: version})
+	case conflicted:
+		n.stepOrder(i, order.SlotWriteFailed{Failure: order.FailedConflict})
+	case unavailable:
+		n.stepOrder(i, order.SlotWriteFailed{Failure: order.FailedUnavailable})
+	case unknown:
+		n.stepOrder(i, order.SlotWriteFailed{Failure: order.FailedUnknown})
+	}
+}
+
+func (n *Node) readState(i int) {
+	w := n.world
+	w.After(w.latency(), func() {
+		s := w.Engines[i].state()
+		n.later(w.latency(), func() { n.stepOrder(i, order.StateRead{State: s}) })
+	})
+}
+
+// send checks the authority and sends an order, as the shell does.
+func (n *Node) send(i int, o upstream.Order) {
+	w := n.world
+	epoch, _, ok := n.lease.MayOrder(n.now())
+	if !ok || epoch != o.Fence {
+		n.later(0, func() { n.stepOrder(i, order.Sent{Result: order.SendNotSent}) })
+		return
+	}
+	n.Orders++
+	checked, flight := w.now, w.latency()
+	broken := w.chance(w.Faults.BreakSend)
+	if broken {
+		flight = w.upTo(w.Options.OrderLife)
+	}
+	if w.chance(w.Faults.StallSend) {
+		stall := w.upTo(w.Faults.StallMost)
+		flight += stall
+		n.Pause()
+		life := n.life
+		w.After(stall, func() {
+			if n.life == life {
+				n.Resume()
+			}
+		})
+	}
+	w.After(flight, func() {
+		state, err := w.Engines[i].order(o, n.Name, checked)
+		if !broken {
+			n.later(w.latency(), func() { n.stepOrder(i, sent(state, err)) })
+		}
+	})
+	if broken {
+		n.later(w.upTo(w.Options.OrderLife), func() { n.stepOrder(i, order.Sent{Result: order.SendBroken}) })
+		if w.Faults.StopOnBreak > 0 {
+			w.Faults.StopOnBreak--
+			n.later(0, n.Stop)
+		}
+	}
+}
+
+func sent(s upstream.State, err error) order.Sent {
+	switch {
+	case err == nil:
+		return order.Sent{Result: order.SendAnswered, State: s}
+	case errors.Is(err, upstream.ErrStaleFence):
+		return order.Sent{Result: order.SendStaleFence}
+	}
+	return order.Sent{Result: order.SendBusy}
+}
+
+// listEvery is how often a holder looks at all slots.
+const listEvery = 10 * time.Second
+
+// list looks for slots that were opened by late writes of former holders.
+func (n *Node) list() {
+	if n.Leads() {
+		for i, e := range n.world.Engines {
+			n.world.Store.read(n, e.Name, func(ok bool, o stored, found bool, _ uint64) {
+				if ok {
+					n.stepOrder(i, order.SlotSeen{SlotRead: order.SlotRead{Found: found, Version: o.version, Nonce: o.nonce, Slot: o.slot}})
+				}
+			})
+		}
+	}
+	n.later(listEvery, n.list)
+}
+
+// decideEvery is how often a node compares what is wanted with what is there.
+const decideEvery = 200 * time.Millisecond
+
+// decide asks for orders where an engine is not as wanted.
+func (n *Node) decide() {
+	for i, e := range n.world.Engines {
+		if e.Role != e.Wanted && !n.orders[i].Busy() {
+			o := upstream.Order{Action: upstream.SetRole, Role: e.Wanted}
+			n.stepOrder(i, order.Want{Order: o, Reason: "wanted"})
+		}
+	}
+	n.later(decideEvery, n.decide)
+}
--- /dev/null
+++ b/internal/bench/authority/store.go
@@ -0,0 +1,109 @@
+package authority
+
+import (
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// leaseName is the one lease of the world.
+const leaseName = "lease"
+
+// stored is one object: a lease or a slot.
+type stored struct {
+	version uint64
+	nonce   string
+	lease   resource.Lease
+	slot    resource.OrderSlot
+}
+
+// Store is the fake of the platform.
+type Store struct {
+	Reads  int
+	Writes int
+
+	world   *World
+	version uint64
+	objects map[string]stored
+}
+
+func newStore(w *World) *Store { return &Store{world: w, objects: map[string]stored{}} }
+
+// openOrder gives the id of the order in a runner's open slot; empty: none.
+func (s *Store) openOrder(runner string) string {
+	o := s.objects[runner]
+	if o.slot.State != resource.SlotOpen {
+		return ""
+	}
+	return o.slot.Order.ID
+}
+
+// put writes conditionally and reports the new version, or zero for a conflict.
+func (s *Store) put(name string, base uint64, o stored) uint64 {
+	if s.objects[name].version != base {
+		return 0
+	}
+	s.version++
+	o.version = s.version
+	s.objects[name] = o
+	return o.version
+}
+
+// outcome of a call as its caller sees it.
+type outcome int
+
+const (
+	answered outcome = iota
+	conflicted
+	unavailable
+	unknown
+)
+
+// read calls back with the object, its presence and the store version.
+func (s *Store) read(n *Node, name string, done func(ok bool, o stored, found bool, version uint64)) {
+	s.Reads++
+	w := s.world
+	lost := n.cutOff || w.chance(w.Faults.LoseRequest) || w.chance(w.Faults.LoseAnswer)
+	switch {
+	case lost:
+		n.later(callTimeout, func() { done(false, stored{}, false, 0) })
+		return
+	case w.Faults.Outage:
+		n.later(w.latency(), func() { done(false, stored{}, false, 0) })
+		return
+	}
+	w.After(w.latency(), func() {
+		o, found := s.objects[name]
+		version := s.version
+		n.later(w.latency(), func() { done(true, o, found, version) })
+	})
+}
+
+// write calls back with the outcome and the new version.
+func (s *Store) write(n *Node, name string, base uint64, o stored, done func(outcome, uint64)) {
+	s.Writes++
+	w := s.world
+	switch {
+	case n.cutOff || w.chance(w.Faults.LoseRequest):
+		n.later(callTimeout, func() { done(unknown, 0) })
+		return
+	case w.Faults.Outage:
+		n.later(w.latency(), func() { done(unavailable, 0) })
+		return
+	case w.chance(w.Faults.LateRequest):
+		late := callTimeout + w.upTo(2*w.Options.TTL)
+		w.After(late, func() { s.put(name, base, o) })
+		n.later(callTimeout, func() { done(unknown, 0) })
+		return
+	}
+	answerLost := w.chance(w.Faults.LoseAnswer)
+	w.After(w.latency(), func() {
+		version := s.put(name, base, o)
+		switch {
+		case answerLost:
+			n.later(callTimeout, func() { done(unknown, 0) })
+		case version == 0:
+			n.later(w.latency(), func() { done(conflicted, 0) })
+		default:
+			n.later(w.latency(), func() { done(answered, version) })
+		}
+	})
+}
--- a/internal/process/authority/core.go
+++ b/internal/process/authority/core.go
@@ -28,6 +28,7 @@
 	SlowEvery   time.Duration // [10 TTL]
 	AwayWait    time.Duration // a candidate of another zone waits this much longer [2 TTL]
 	Stagger     time.Duration // each rank waits this much longer than the one before [TTL/20]
+	HandBack    time.Duration // a holder of another zone keeps the lease at least this long [10 TTL]
 	RetryEvery  time.Duration // after the platform did not answer [TTL/6]
 }
 
@@ -38,6 +39,7 @@
 	setDefault(&c.SlowEvery, 10*c.TTL)
 	setDefault(&c.AwayWait, 2*c.TTL)
 	setDefault(&c.Stagger, c.TTL/20)
+	setDefault(&c.HandBack, 10*c.TTL)
 	setDefault(&c.RetryEvery, c.TTL/6)
 	return c
 }
@@ -75,10 +77,11 @@
 	readAt   boottime.Time
 	readOnce bool
 
-	holding bool
-	epoch   uint64
-	ends    boottime.Time // MayOrder is false from here on
-	lapsed  bool          // Lapsed was told for this window
+	holding  bool
+	epoch    uint64
+	gainedAt boottime.Time
+	ends     boottime.Time // MayOrder is false from here on
+	lapsed   bool          // Lapsed was told for this window
 
 	calling bool // a call is under way
 	pending *write
@@ -159,7 +162,7 @@
 	switch {
 	case c.pending != nil:
 		return c.callRead()
-	case c.holding && c.wantsRelease():
+	case c.holding && c.wantsRelease(now):
 		lease := c.seen.lease
 		lease.Holder = ""
 		return c.callWrite(now, lease)
@@ -171,9 +174,15 @@
 	return c.callRead()
 }
 
-// wantsRelease reports whether a held lease is to be given up.
-func (c *Core) wantsRelease() bool {
-	return c.stopping || (!c.standing.Home && c.standing.HomeLive)
+// wantsRelease reports whether a held lease is to be given up. A process of another
+// zone hands it back only after a while: the zone's own controllers may be live and
+// yet cut off from the platform, and the lease must not go to and fro.
+func (c *Core) wantsRelease(now boottime.Time) bool {
+	return c.stopping || (c.handsBack() && !now.Before(c.gainedAt.Add(c.cfg.HandBack)))
+}
+
+func (c *Core) handsBack() bool {
+	return !c.standing.Home && c.standing.HomeLive
 }
 
 func (c *Core) callRead() []Action {
@@ -302,6 +311,7 @@
 	c.lapsed = !now.Before(c.ends)
 	switch {
 	case !wasHolding:
+		c.gainedAt = now
 		return []Action{Gained{Epoch: c.epoch, At: now, Why: "the lease was free or had run out"}}
 	case wasLapsed && !c.lapsed:
 		return []Action{Renewed{Epoch: c.epoch}}
@@ -388,7 +398,7 @@
 	switch {
 	case c.pending != nil:
 		return 0
-	case c.holding && c.wantsRelease():
+	case c.holding && c.stopping:
 		return 0
 	case c.holding:
 		start := c.ends.Add(c.cfg.Margin - c.cfg.TTL)
--- a/internal/process/order/core.go
+++ b/internal/process/order/core.go
@@ -143,6 +143,10 @@
 		c.wanted(e)
 	case Abandon:
 		c.abandon = e.Reason
+	case SlotSeen:
+		if c.phase == phaseIdle && e.Version > c.version {
+			out = c.begin(e.SlotRead)
+		}
 	default:
 		c.calling = false
 		out = c.answered(now, e)
--- /dev/null
+++ b/internal/process/order/core_test.go
@@ -0,0 +1,200 @@
+package order
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const life = 2 * time.Second
+
+func at(d time.Duration) boottime.Time { return boottime.Time(time.Hour).Add(d) }
+
+func testCore(fencing bool) *Core {
+	c := New(Config{Runner: "r", Holder: "me", Incarnation: "1", OrderLife: life})
+	c.Step(at(0), Engine{ChecksFencing: fencing})
+	return c
+}
+
+// idle gives a core of epoch 9 with a closed slot of serial 3 at version 20.
+func idle(t *testing.T) *Core {
+	t.Helper()
+	c := testCore(true)
+	expect[ReadSlot](t, c.Step(at(0), Granted{Epoch: 9, At: at(0)}))
+	c.Step(at(0), SlotRead{Found: true, Version: 20, Slot: resource.OrderSlot{State: resource.SlotClosed, Epoch: 5, Serial: 3}})
+	if c.Busy() {
+		t.Fatal("busy with a closed slot")
+	}
+	return c
+}
+
+// expect gives the first action, which has to be of a type.
+func expect[A Action](t *testing.T, actions []Action) A {
+	t.Helper()
+	for _, a := range actions {
+		if found, ok := a.(A); ok {
+			return found
+		}
+	}
+	var want A
+	t.Fatalf("actions %#v, want a %T", actions, want)
+	return want
+}
+
+var setDecode = Want{Order: upstream.Order{Action: upstream.SetRole, Role: upstream.RoleDecode}, Reason: "test"}
+
+func TestOrderFromOpenToClosed(t *testing.T) {
+	c := idle(t)
+	expect[ReadState](t, c.Step(at(0), setDecode))
+	open := expect[WriteSlot](t, c.Step(at(0), StateRead{upstream.State{OrderID: "r-7"}}))
+	if open.Base != 20 || open.Slot.State != resource.SlotOpen || open.Slot.Order.ID != "r-8" || open.Slot.Order.Fence != 9 {
+		t.Fatalf("opens %+v: want order r-8, beyond the engine's last one, with fence 9 over version 20", open)
+	}
+	send := expect[SendOrder](t, c.Step(at(0), SlotWrote{Version: 21}))
+	running := upstream.State{OrderID: send.Order.ID, OrderStatus: upstream.OrderRunning, Fence: 9}
+	if a := c.Step(at(0), Sent{Result: SendAnswered, State: running}); len(a) != 0 {
+		t.Fatalf("%#v while the engine executes", a)
+	}
+	expect[ReadState](t, c.Step(c.Wake(), Tick{}))
+	running.OrderStatus = upstream.OrderDone
+	closing := expect[WriteSlot](t, c.Step(at(time.Second), StateRead{running}))
+	if closing.Base != 21 || closing.Slot.State != resource.SlotClosed || closing.Slot.Outcome != string(OutcomeDone) {
+		t.Fatalf("closes with %+v", closing)
+	}
+	if f := expect[Finished](t, c.Step(at(time.Second), SlotWrote{Version: 22})); f.Outcome != OutcomeDone || c.Busy() {
+		t.Errorf("finished %+v", f)
+	}
+}
+
+func TestNoOrderWhileRequestsRun(t *testing.T) {
+	c := idle(t)
+	c.Step(at(0), setDecode)
+	if f := expect[Finished](t, c.Step(at(0), StateRead{upstream.State{Streams: 1}})); f.Outcome != OutcomeRefused {
+		t.Errorf("outcome %s", f.Outcome)
+	}
+}
+
+// openSlot is an open slot of a former holder.
+var openSlot = SlotRead{Found: true, Version: 30, Slot: resource.OrderSlot{
+	State: resource.SlotOpen, Epoch: 5, Holder: "former", Serial: 4,
+	Order: upstream.Order{ID: "r-4", Fence: 5, Action: upstream.SetRole, Role: upstream.RolePrefill},
+}}
+
+// adopt gives a core that took the open slot over.
+func adopt(t *testing.T, c *Core) []Action {
+	t.Helper()
+	c.Step(at(0), Granted{Epoch: 9, At: at(0)})
+	actions := c.Step(at(0), openSlot)
+	if a := expect[Adopted](t, actions); a.Former != "former" || a.Epoch != 5 {
+		t.Errorf("adopted %+v", a)
+	}
+	w := expect[WriteSlot](t, actions)
+	if w.Base != 30 || w.Slot.Epoch != 9 || w.Slot.Order.ID != "r-4" || w.Slot.Order.Fence != 9 {
+		t.Fatalf("takes over with %+v: want the same order under its own epoch", w)
+	}
+	return c.Step(at(0), SlotWrote{Version: 31})
+}
+
+func TestTakingOverAtAnEngineThatChecksFencing(t *testing.T) {
+	send := expect[SendOrder](t, adopt(t, testCore(true)))
+	if send.Order.ID != "r-4" || send.Order.Fence != 9 {
+		t.Errorf("sends %+v, want the former order with its own fence at once", send.Order)
+	}
+}
+
+func TestTakingOverAtAnEngineThatIgnoresFencing(t *testing.T) {
+	c := testCore(false)
+	if a := adopt(t, c); len(a) != 0 {
+		t.Fatalf("%#v before the former holder's orders have run out", a)
+	}
+	if c.Wake() != at(life) {
+		t.Fatalf("wakes after %s, want an order's life", c.Wake().Sub(at(0)))
+	}
+	expect[ReadState](t, c.Step(at(life), Tick{}))
+	expect[SendOrder](t, c.Step(at(life), StateRead{upstream.State{}}))
+}
+
+func TestRollBack(t *testing.T) {
+	tests := []struct {
+		name    string
+		fencing bool
+		state   upstream.State
+		want    bool // rolled back at the first look after an order's life
+	}{
+		{"not begun, ignoring", false, upstream.State{}, true},
+		{"not begun, fence not raised yet", true, upstream.State{Fence: 5}, false},
+		{"not begun, fence raised", true, upstream.State{Fence: 9}, true},
+		{"begun", false, upstream.State{OrderID: "r-4", OrderStatus: upstream.OrderRunning}, false},
+	}
+	for _, test := range tests {
+		c := testCore(test.fencing)
+		adopt(t, c)
+		c.Step(at(0), Abandon{Reason: "withdrawn"})
+		if test.fencing {
+			c.Step(at(0), Sent{Result: SendBroken})
+		}
+		c.Step(at(life), Tick{})
+		rolledBack := false
+		for _, a := range c.Step(at(life), StateRead{test.state}) {
+			w, ok := a.(WriteSlot)
+			rolledBack = rolledBack || (ok && w.Slot.Outcome == string(OutcomeRolledBack))
+		}
+		if rolledBack != test.want {
+			t.Errorf("%s: rolled back %v, want %v", test.name, rolledBack, test.want)
+		}
+	}
+}
+
+func TestRestartsInTheMiddleEndAsFailed(t *testing.T) {
+	c := testCore(true)
+	adopt(t, c)
+	now := at(0)
+	for i := range maxRestarts {
+		life := string(rune('a' + i))
+		running := upstream.State{Incarnation: life, OrderID: "r-4", OrderStatus: upstream.OrderRunning}
+		c.Step(now, Sent{Result: SendAnswered, State: running})
+		now = c.Wake()
+		expect[ReadState](t, c.Step(now, Tick{}))
+		actions := c.Step(now, StateRead{upstream.State{Incarnation: life + "'"}})
+		if i < maxRestarts-1 {
+			expect[SendOrder](t, actions)
+			continue
+		}
+		if w := expect[WriteSlot](t, actions); w.Slot.Outcome != string(OutcomeFailed) {
+			t.Errorf("closes with %+v", w.Slot)
+		}
+	}
+}
+
+func TestNewerEpochInTheSlotStopsTheCore(t *testing.T) {
+	c := testCore(true)
+	c.Step(at(0), Granted{Epoch: 9, At: at(0)})
+	newer := openSlot
+	newer.Slot.Epoch = 12
+	if a := c.Step(at(0), newer); len(a) != 0 {
+		t.Errorf("%#v against a newer epoch", a)
+	}
+	if c.Phase() != "superseded" {
+		t.Errorf("phase %s", c.Phase())
+	}
+}
+
+func TestLateOpenedSlotIsFoundInTheList(t *testing.T) {
+	c := idle(t)
+	if a := c.Step(at(0), SlotSeen{SlotRead{Found: true, Version: 20}}); len(a) != 0 {
+		t.Errorf("%#v for the version that is known", a)
+	}
+	expect[Adopted](t, c.Step(at(0), SlotSeen{openSlot}))
+}
+
+func TestAnswersAfterRevocationChangeNothing(t *testing.T) {
+	c := idle(t)
+	c.Step(at(0), setDecode)
+	c.Step(at(0), Revoked{})
+	if a := c.Step(at(0), StateRead{upstream.State{}}); len(a) != 0 {
+		t.Errorf("%#v without authority", a)
+	}
+}
--- a/internal/process/order/event.go
+++ b/internal/process/order/event.go
@@ -43,6 +43,11 @@
 	Slot    resource.OrderSlot
 }
 
+// SlotSeen tells of the slot as it was seen in a list. It answers no call. A write of
+// a former holder that was held up on the way can land after this holder has read
+// the slot; without this event it would be found only at the next order.
+type SlotSeen struct{ SlotRead }
+
 // SlotReadFailed answers ReadSlot when the platform did not answer.
 type SlotReadFailed struct{}
 
@@ -95,6 +100,7 @@
 func (Want) orderEvent()            {}
 func (Abandon) orderEvent()         {}
 func (SlotRead) orderEvent()        {}
+func (SlotSeen) orderEvent()        {}
 func (SlotReadFailed) orderEvent()  {}
 func (SlotWrote) orderEvent()       {}
 func (SlotWriteFailed) orderEvent() {}
--- a/internal/process/reconcile/types.go
+++ b/internal/process/reconcile/types.go
@@ -49,7 +49,7 @@
 	Zone    string
 	Epoch   uint64
 	Version uint64 // of the object: of two zones that drain at once the earlier goes on
-	InForce bool // every gateway that may send work knows of it
+	InForce bool   // every gateway that may send work knows of it
 }
 
 // Kind is what a step does.
