--- /dev/null
+++ b/internal/process/gateway/errors.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"context"
+	"math"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+)
+
+// errorBody is the OpenAI error shape with the system's own fields.
+type errorBody struct {
+	Error errorFields `json:"error"`
+}
+
+type errorFields struct {
+	Message      string           `json:"message"`
+	Type         string           `json:"type"`
+	Param        *string          `json:"param"`
+	Code         errkind.Kind     `json:"code"`
+	Kind         errkind.Kind     `json:"kind"`
+	Run          errkind.RunState `json:"run"`
+	RetryAfterMS int64            `json:"retry_after_ms,omitempty"`
+}
+
+// headerRetryAfter is in whole seconds, see RFC 9110, section 10.2.3.
+const headerRetryAfter = "Retry-After"
+
+// newErrorBody gives the body that tells a caller of e. Causes stay inside,
+// because they may name addresses.
+func newErrorBody(e *errkind.Error) errorBody {
+	f := errorFields{
+		Message:      e.Message,
+		Type:         errkind.Lookup(e.Kind).Type,
+		Code:         e.Kind,
+		Kind:         e.Kind,
+		Run:          e.Run,
+		RetryAfterMS: e.RetryAfter.Milliseconds(),
+	}
+	if e.Field != "" {
+		f.Param = &e.Field
+	}
+	return errorBody{Error: f}
+}
+
+// retryAfterSeconds rounds up, so that a caller never comes back too early.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
+}
+
+// writeError answers a request of which nothing has been written yet.
+func writeError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	e := callerError(err)
+	if e.RetryAfter > 0 {
+		c.Response().Header().Set(headerRetryAfter, retryAfterSeconds(e.RetryAfter))
+	}
+	_ = c.JSON(errkind.Lookup(e.Kind).Status, newErrorBody(e))
+}
+
+// callerError turns any error into one of the closed list.
+func callerError(err error) *errkind.Error {
+	var unrouted *echo.HTTPError
+	if errors.As(err, &unrouted) {
+		return errkind.New(errkind.NotFound, errkind.NotRun, "no such path or method")
+	}
+	return errkind.From(err)
+}
+
+// leftError is the end of a call whose caller has gone away.
+func leftError(ctx context.Context, run errkind.RunState) *errkind.Error {
+	return errkind.Wrap(context.Cause(ctx), errkind.Canceled, run, "the caller closed the connection")
+}
--- /dev/null
+++ b/internal/process/gateway/finish.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+)
+
+// outcomeWhole is the outcome label of a whole answer; others are error kinds.
+const outcomeWhole = "whole"
+
+// finish records the end of a call: routing view, learning, metrics, log line
+// and explanation. x is nil if the call was refused before admission.
+func (g *Gateway) finish(c *call, x *execution, why *explanation, final *errkind.Error) {
+	now := time.Now()
+	outcome := outcomeWhole
+	run := errkind.Ran
+	if final != nil {
+		outcome = string(final.Kind)
+		run = final.Run
+	}
+	kv := []any{"request", c.id, "account", c.account, "route", c.routeName, "outcome", outcome, "run", run,
+		"ms", now.Sub(c.arrived).Milliseconds()}
+	late := false
+	if x != nil {
+		late = final != nil || isLate(c, x, now)
+		out := -1
+		if final == nil {
+			out = x.tokens
+		}
+		g.cores.finished(now, x.request, c.route.ExpectedOut, out, late && x.state != errkind.NotRun)
+		kv = append(kv, "runner", x.runner, "tokens", x.tokens, "attempts", x.attempts, "resumes", x.resumes)
+	}
+	g.metrics.finished(c, x, outcome, late, now)
+	why.add(now, "end: %s run %s", outcome, run)
+	if final != nil {
+		kv = append(kv, "error", final.Error())
+	}
+	logline.Info("request", kv...)
+}
+
+// refusedEarly records a request that never became a call.
+func (g *Gateway) refusedEarly(id string, err error) {
+	e := errkind.From(err)
+	g.metrics.refusedEarly(string(e.Kind))
+	logline.Info("request", "request", id, "outcome", string(e.Kind), "run", e.Run, "field", e.Field)
+}
+
+// isLate tells whether a whole answer missed its route's times.
+func isLate(c *call, x *execution, now time.Time) bool {
+	t := c.route.OnTime
+	if over(x.firstToken.Sub(c.arrived), t.FirstTokenMS) || over(now.Sub(c.arrived), t.WholeMS) {
+		return true
+	}
+	return over(meanGap(x), t.BetweenMS)
+}
+
+func over(d time.Duration, boundMS int) bool {
+	return boundMS > 0 && d > time.Duration(boundMS)*time.Millisecond
+}
+
+// meanGap is the mean time between two tokens of the answer.
+func meanGap(x *execution) time.Duration {
+	if x.tokens < 2 {
+		return 0
+	}
+	return x.lastToken.Sub(x.firstToken) / time.Duration(x.tokens-1)
+}
--- /dev/null
+++ b/internal/process/gateway/fleet_test.go
@@ -0,0 +1,319 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	standinplatform "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/service"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const (
+	testKey     = "key-of-the-clinic"
+	testZone    = "zone-a"
+	testModel   = "smoke"
+	testTimeout = 20 * time.Second
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fleet is a platform, runners, a plain service and gateways in one process.
+type fleet struct {
+	t       *testing.T
+	store   *standinplatform.Store
+	runners map[string]*runner.Runner
+	service *service.Service
+}
+
+// fastCost makes stand-ins answer in milliseconds.
+var fastCost = runner.Cost{
+	PrefillRate: 1e6, StreamRate: 2000, DecodeRate: 40000, MaxBatch: 64, KVTokens: 1 << 20, KVTransferRate: 1e7,
+}
+
+func newFleet(t *testing.T, runners ...runner.Config) *fleet {
+	t.Helper()
+	t.Setenv("TEST_PEER_KEY", "peers")
+	f := &fleet{t: t, store: standinplatform.New(standinplatform.Config{}), runners: map[string]*runner.Runner{}}
+	f.put(resource.KindEngine, "engine", resource.Engine{
+		ChecksFencing: true, DeduplicatesRuns: true, KVTokens: 1 << 20, PrefillRate: 1e6, DecodeRate: 40000,
+		StreamRate: 2000, MaxBatch: 64, RoleChangeSeconds: 1, LoadSeconds: 1, KVTransferRate: 1e7,
+	})
+	f.put(resource.KindModel, testModel, resource.Model{ContextTokens: 4096, WeightsGB: 1, MinPrefill: 1, MinDecode: 1, MinServing: 1})
+	f.put(resource.KindVersion, "smoke-1", resource.Version{Model: testModel, Source: "smoke-1"})
+	f.put(resource.KindRoute, "alert", resource.Route{Model: testModel, Priority: 5, MaxTokens: 400})
+	f.put(resource.KindRoute, "chat", resource.Route{Model: testModel, Priority: 3, Idempotent: true})
+	f.put(resource.KindClientAccount, "clinic", resource.ClientAccount{
+		KeyHashes: []string{hashOf(testKey)}, RequestsPerSec: 10000, Burst: 10000, MaxPriority: 5,
+	})
+	for _, c := range runners {
+		f.addRunner(c)
+	}
+	return f
+}
+
+func hashOf(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func (f *fleet) put(kind, name string, spec any) {
+	f.t.Helper()
+	o, err := resource.Encode(kind, name, spec)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	o.Writer = "test"
+	o.Nonce = platform.NewNonce()
+	if have, err := f.store.Get(context.Background(), kind, name); err == nil {
+		o.Version, o.UID = have.Version, have.UID
+		_, err = f.store.Update(context.Background(), o)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		return
+	}
+	if _, err := f.store.Create(context.Background(), o); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) addRunner(c runner.Config) {
+	f.t.Helper()
+	c.Cost = fastCost
+	c.DeduplicatesRuns = true
+	c.Loaded = []upstream.Loaded{{Model: testModel, Version: "smoke-1"}}
+	r := runner.New(c)
+	f.t.Cleanup(r.Close)
+	address, err := r.Listen("127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.runners[c.Name] = r
+	f.put(resource.KindRunner, c.Name, resource.Runner{
+		Engine: "engine", Address: address, Zone: testZone, Model: testModel, Role: resource.RoleAuto, State: resource.RunnerServing,
+	})
+}
+
+// running is a gateway under test.
+type running struct {
+	*Gateway
+	f    *fleet
+	base string
+	stop func() // plans a stop and waits for its end
+}
+
+func (f *fleet) settings(name string) *settings.Gateway {
+	s := &settings.Gateway{
+		Instance: settings.Instance{Name: name, Zone: testZone},
+		Listen:   settings.Listener{Address: "127.0.0.1:0"},
+		Platform: settings.Platform{Address: "http://127.0.0.1:1"},
+		Peer:     settings.Peer{Listen: settings.Listener{Address: "127.0.0.1:0"}, SharedKey: settings.Secret{Env: "TEST_PEER_KEY"}, HeartbeatMS: 100},
+		Operators: settings.Operators{
+			Listen: settings.Listener{Address: "127.0.0.1:0"},
+		},
+		Stop: settings.Stop{BalancerMS: 50, DrainMS: 5000},
+	}
+	s.SetDefaults()
+	s.Limits.BodyBytes = 64 << 10
+	return s
+}
+
+// start runs a gateway and waits until it can serve.
+func (f *fleet) start(s *settings.Gateway) *running {
+	f.t.Helper()
+	g, err := New(Config{Settings: s, Store: f.store})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	stopped := false
+	stop := func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		if err := <-ended; err != nil {
+			f.t.Errorf("gateway ended with %v", err)
+		}
+	}
+	f.t.Cleanup(stop)
+	r := &running{Gateway: g, f: f, base: "http://" + g.Addresses().Callers.String(), stop: stop}
+	r.eventually("every runner is known", func() bool {
+		n := 0
+		g.cores.mu.Lock()
+		defer g.cores.mu.Unlock()
+		if g.cores.snapshot == nil {
+			return false
+		}
+		for _, v := range g.cores.tracker.View(time.Now(), g.cores.snapshot) {
+			if !v.Suspected {
+				n++
+			}
+		}
+		return n == len(f.runners)
+	})
+	return r
+}
+
+func (r *running) eventually(what string, ok func() bool) {
+	r.f.t.Helper()
+	for until := time.Now().Add(testTimeout); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	r.f.t.Fatalf("never: %s", what)
+}
+
+// ask is one request of a test.
+type ask struct {
+	method, path, key, body string
+	header                  map[string]string
+}
+
+func (a ask) do(r *running) (*http.Response, error) {
+	method := a.method
+	if method == "" {
+		method = http.MethodPost
+	}
+	path := a.path
+	if path == "" {
+		path = pathCompletion
+	}
+	req, err := http.NewRequest(method, r.base+path, strings.NewReader(a.body))
+	if err != nil {
+		return nil, err
+	}
+	key := a.key
+	if key == "" {
+		key = testKey
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	for k, v := range a.header {
+		req.Header.Set(k, v)
+	}
+	tr := &http.Transport{DisableKeepAlives: true}
+	return tr.RoundTrip(req)
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	text   string
+	done   bool // the end of a whole answer was seen
+	err    *errorFields
+	raw    string
+}
+
+func (r *running) get(a ask) reply {
+	r.f.t.Helper()
+	resp, err := a.do(r)
+	if err != nil {
+		r.f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	return readReply(resp)
+}
+
+func readReply(resp *http.Response) reply {
+	out := reply{status: resp.StatusCode, header: resp.Header}
+	if resp.Header.Get("Content-Type") == "text/event-stream" {
+		out.readEvents(resp.Body)
+		return out
+	}
+	raw, err := io.ReadAll(resp.Body)
+	out.raw = string(raw)
+	if err != nil {
+		out.raw += " read: " + err.Error()
+		return out
+	}
+	out.readObject(raw)
+	out.done = out.err == nil
+	return out
+}
+
+func (p *reply) readEvents(body io.Reader) {
+	s := bufio.NewScanner(body)
+	for s.Scan() {
+		data, ok := strings.CutPrefix(s.Text(), "data: ")
+		switch {
+		case !ok:
+		case data == "[DONE]":
+			p.done = true
+		default:
+			p.readObject([]byte(data))
+		}
+	}
+}
+
+func (p *reply) readObject(raw []byte) {
+	var both struct {
+		answerBody
+		errorBody
+	}
+	if json.Unmarshal(raw, &both) != nil {
+		return
+	}
+	if both.Error.Kind != "" {
+		p.err = &both.Error
+	}
+	for _, c := range both.Choices {
+		switch {
+		case c.Text != nil:
+			p.text += *c.Text
+		case c.Delta != nil:
+			p.text += c.Delta.Content
+		case c.Message != nil:
+			p.text += c.Message.Content
+		}
+	}
+}
+
+// completion is the body of a request for n tokens.
+func completion(route, prompt string, n int, stream bool) string {
+	return `{"model":"` + route + `","prompt":` + strconv.Quote(prompt) + `,"max_tokens":` + strconv.Itoa(n) +
+		`,"stream":` + strconv.FormatBool(stream) + `}`
+}
+
+// answerTo is the text that every stand-in gives to completion.
+func answerTo(prompt string, n int) string {
+	return runner.Answer(upstream.RunRequest{Model: testModel, Prompt: prompt, MaxTokens: n})
+}
+
+func (p reply) wantWhole(t *testing.T, text string) {
+	t.Helper()
+	if p.err != nil || !p.done || p.status != http.StatusOK {
+		t.Fatalf("status %d, done %v, error %+v, raw %s; want a whole answer", p.status, p.done, p.err, p.raw)
+	}
+	if p.text != text {
+		t.Fatalf("answer of %d bytes %.60q, want %d bytes %.60q", len(p.text), p.text, len(text), text)
+	}
+}
+
+func (p reply) wantError(t *testing.T, kind errkind.Kind, run errkind.RunState) {
+	t.Helper()
+	if p.err == nil || p.err.Kind != kind || p.err.Run != run || p.done {
+		t.Fatalf("status %d, done %v, error %+v, raw %.200s; want %s, run %s", p.status, p.done, p.err, p.raw, kind, run)
+	}
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -2,19 +2,34 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/ops"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/admit"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/claim"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
 )
 
-// Config of a gateway. Store and Engines replace the connections that the
+// Config of a gateway. Store and Engine replace the connections that the
 // settings would open; embedding and tests use them.
 type Config struct {
 	Settings *settings.Gateway
-	Store    platform.Store                       // nil: a client of Settings.Platform
-	Engine   func(address string) upstream.Engine // nil: the HTTP form
+	Store    platform.Store                               // nil: a client of Settings.Platform
+	Engine   func(runner, address string) upstream.Engine // nil: the HTTP form
 }
 
 // Addresses are the addresses that a running gateway listens on.
@@ -26,19 +41,196 @@
 
 // Gateway is one ragwort-gateway process.
 type Gateway struct {
-	cfg Config
+	cfg       Config
+	listeners listeners
+	store     platform.Store
+	closeAll  func() // what New opened besides listeners
+
+	metrics  *meters
+	exporter *metrics.Exporter
+	explain  *explainRing
+	cores    *cores
+	engines  *engines
+	services *upstream.Services
+	poller   *poller
+	config   *config.Distributor
+	claims   claim.Asker
+
+	callers *http.Server
+	ops     *ops.Server
+
+	stage    atomic.Int32 // of a planned stop
+	running  activity
+	hardStop context.Context // ends when a planned stop reaches its bound
+	stopHard context.CancelFunc
+	work     context.Context // of background work
+	stopWork context.CancelFunc
+	loops    sync.WaitGroup
 }
 
-// New opens the listeners of a gateway, so that Addresses are known; Run serves them.
+// New opens the listeners of a gateway, so that Addresses are known; Run serves
+// them. A gateway that was made must be run.
 func New(cfg Config) (*Gateway, error) {
-	return &Gateway{cfg: cfg}, nil
+	if err := cfg.Settings.Validate(); err != nil {
+		return nil, err
+	}
+	keys, err := readSecrets(cfg.Settings)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{cfg: cfg, explain: newExplainRing()}
+	if err := g.openStore(keys); err != nil {
+		return nil, err
+	}
+	if g.listeners, err = listen(cfg.Settings); err != nil {
+		g.closeAll()
+		return nil, err
+	}
+	g.hardStop, g.stopHard = context.WithCancel(context.Background())
+	g.work, g.stopWork = context.WithCancel(context.Background())
+	g.exporter = metrics.New("ragwort_gateway", map[string]string{"zone": cfg.Settings.Instance.Zone})
+	g.metrics = newMeters(g.exporter.Scope())
+	g.cores = newCores(cfg.Settings.Instance, cfg.Settings.Limits)
+	g.engines = newEngines(cfg.Engine)
+	g.services = upstream.NewServices(upstream.HTTPOptions{})
+	g.poller = newPoller(g)
+	g.config = config.NewDistributor(config.DistributorConfig{
+		Name:  cfg.Settings.Instance.Name,
+		Zone:  cfg.Settings.Instance.Zone,
+		Store: g.store,
+	})
+	g.callers = &http.Server{
+		Handler:           g.callerHandler(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          log.New(io.Discard, "", 0), // what concerns a request is in its log line,
+	}
+	g.ops = ops.New(ops.Config{Source: opsSource{g}, Metrics: g.exporter.Handler(), Key: keys.operators})
+	return g, nil
+}
+
+// openStore connects to the platform, unless the store was given.
+func (g *Gateway) openStore(keys secrets) error {
+	g.closeAll = func() {}
+	if g.cfg.Store != nil {
+		g.store = g.cfg.Store
+		return nil
+	}
+	p := g.cfg.Settings.Platform
+	client, err := platform.NewClient(platform.ClientConfig{
+		Address:        p.Address,
+		Key:            keys.platform,
+		CAFile:         p.CAFile,
+		Timeout:        time.Duration(p.TimeoutMS) * time.Millisecond,
+		CallsPerSecond: p.CallsPerSecond,
+	})
+	if err != nil {
+		return err
+	}
+	g.store = client
+	g.closeAll = client.Close
+	return nil
 }
 
 // Addresses gives the addresses listened on.
-func (g *Gateway) Addresses() Addresses { return Addresses{} }
+func (g *Gateway) Addresses() Addresses { return g.listeners.addresses() }
+
+// snapshot is the configuration in force; nil before the first.
+func (g *Gateway) snapshot() *config.Snapshot { return g.config.Current() }
+
+// install puts a newer configuration in force for requests that start now.
+func (g *Gateway) install(s *config.Snapshot) {
+	g.cores.install(s)
+	g.engines.keep(s)
+	g.poller.install(g.work, s)
+	g.metrics.version.Update(float64(s.Version))
+}
+
+// upstreamFailed counts a failure against an upstream, if it is the upstream's own.
+func (g *Gateway) upstreamFailed(name string, err error) {
+	if _, refused := upstream.RefusedWith(err); refused {
+		return // an engine that refuses is alive and says why
+	}
+	if g.cores.upstreamFailed(time.Now(), name) {
+		g.metrics.ejections.Inc(1)
+		logline.Info("upstream ejected", "upstream", name, "error", err)
+	}
+}
 
-// Run serves until ctx ends, then stops gracefully and returns. No goroutine is left behind.
+// Run serves until ctx ends, then stops gracefully and returns. No goroutine is
+// left behind.
 func (g *Gateway) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return nil
+	g.config.OnInstall(g.install)
+	g.config.Start()
+	g.loop(g.queueLoop)
+	g.loop(g.secondLoop)
+	failed := make(chan error, 2)
+	g.loop(func(context.Context) { failed <- g.ops.Serve(g.listeners.operators) })
+	g.loop(func(context.Context) { failed <- g.serveCallers() })
+	logline.Info("gateway started", "instance", g.cfg.Settings.Instance.Name, "zone", g.cfg.Settings.Instance.Zone,
+		"callers", g.listeners.callers.Addr(), "operators", g.listeners.operators.Addr())
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	g.stop()
+	return err
+}
+
+// loop runs f until the gateway stops.
+func (g *Gateway) loop(f func(ctx context.Context)) {
+	g.loops.Add(1)
+	go func() {
+		defer g.loops.Done()
+		f(g.work)
+	}()
+}
+
+func (g *Gateway) serveCallers() error {
+	err := g.callers.Serve(g.listeners.callers)
+	if errors.Is(err, http.ErrServerClosed) || g.stage.Load() != stageServing {
+		return nil
+	}
+	return errors.Wrap(err, "callers' port")
+}
+
+// queueLoop decides on waiting calls again while there are any.
+func (g *Gateway) queueLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.cores.kick:
+		}
+		for g.cores.tick(time.Now()) > 0 {
+			if sleep(ctx, admit.TickEvery) != nil {
+				return
+			}
+		}
+	}
+}
+
+// secondLoop does what is due about once a second.
+func (g *Gateway) secondLoop(ctx context.Context) {
+	for sleep(ctx, time.Second) == nil {
+		now := time.Now()
+		g.cores.refreshSuspects(now)
+		g.metrics.running.Update(float64(g.running.count()))
+		g.metrics.queued.Update(float64(g.cores.queued()))
+	}
+}
+
+// callerHandler routes the callers' port.
+func (g *Gateway) callerHandler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = writeError
+	e.Use(g.guard)
+	e.POST(pathChat, g.callHandler(formChat))
+	e.POST(pathCompletion, g.callHandler(formCompletion))
+	e.GET("/v1/models", g.models)
+	e.Any("/*", g.service)
+	return e
 }
--- /dev/null
+++ b/internal/process/gateway/guard.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+)
+
+// guard counts running requests, asks connections to close during a planned
+// stop, and answers a panic as a defect of ours whose run state is unknown.
+func (g *Gateway) guard(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) (err error) {
+		g.running.begin()
+		defer g.running.end()
+		if g.stage.Load() != stageServing {
+			c.Response().Header().Set("Connection", "close")
+		}
+		defer func() {
+			if p := recover(); p != nil {
+				if p == http.ErrAbortHandler {
+					panic(p)
+				}
+				cause := errors.Errorf("panic: %v", p)
+				logline.Error(cause, "panic in a request", "path", c.Path(), "stack", errors.WithStack(cause))
+				err = errkind.Wrap(cause, errkind.Internal, errkind.RunUnknown, "a defect of the system")
+			}
+			if err != nil {
+				// Written here and not by echo afterwards, so that a stop waits for it.
+				writeError(err, c)
+				err = nil
+			}
+		}()
+		return next(c)
+	}
+}
--- /dev/null
+++ b/internal/process/gateway/keyed.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/claim"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/stream"
+)
+
+// keyed is the I/O of a call to a model under a claim. Its run is never canceled,
+// because a retry with the same key may ask for its answer.
+type keyed struct {
+	*execution
+	chosen route.Choice
+	asm    *stream.Assembler // of the present run
+	stream upstream.Stream   // open, not followed yet
+}
+
+// runKeyed carries a call with an Idempotency-Key to its end. A refusal by
+// admission is not final: the key may have run before.
+func (x *execution) runKeyed(ctx context.Context, choice route.Choice, refusal *errkind.Error) *errkind.Error {
+	k := &keyed{execution: x}
+	d := &claimDriver{
+		claims:   x.g.claims,
+		steps:    k,
+		why:      x.why,
+		deadline: x.call.deadline,
+		session: claim.NewSession(claim.SessionConfig{
+			Gateway: x.g.cfg.Settings.Instance.Name,
+			Account: x.call.account,
+			Key:     claim.KeyOf(x.call.account, x.call.key),
+			Body:    claim.HashOf(http.MethodPost, x.call.body.form.path(), x.call.raw),
+			RunID:   claim.NewRunID(),
+			Traits:  x.traits,
+		}),
+	}
+	if refusal != nil {
+		return d.drive(ctx, claim.ChooseFailed{Err: refusal})
+	}
+	return d.drive(ctx, k.chosenEvent(choice))
+}
+
+func (k *keyed) chosenEvent(choice route.Choice) claim.Event {
+	k.chosen = choice
+	incarnation := k.g.cores.incarnation(time.Now(), k.call.route.Model, choice.Runner)
+	return claim.Chosen{Runner: choice.Runner, Incarnation: incarnation}
+}
+
+// traits says what the runner named in a claim can do.
+func (x *execution) traits(runner string) claim.Traits {
+	engine, ok := x.call.snapshot.EngineOf(runner)
+	if !ok {
+		engine, _ = x.g.snapshot().EngineOf(runner)
+	}
+	return claim.Traits{Resumes: true, Deduplicates: engine.DeduplicatesRuns}
+}
+
+func (k *keyed) choose(exclude []string) claim.Event {
+	now := time.Now()
+	k.request.Excluded = append(k.request.Excluded, exclude...)
+	if !k.g.cores.mayRetry(now) {
+		return claim.ChooseFailed{Err: errkind.New(errkind.UpstreamRefused, errkind.NotRun,
+			"the upstream refused and the retry budget is used up").After(retryAfterRefusal)}
+	}
+	choice := k.g.cores.reroute(now, k.request)
+	if choice.Runner == "" {
+		return claim.ChooseFailed{Err: errkind.New(errkind.NoUpstream, errkind.NotRun,
+			"no other upstream can serve the request").After(retryAfterRefusal)}
+	}
+	k.g.metrics.retries.Inc(1)
+	return k.chosenEvent(choice)
+}
+
+// at makes a runner and run the present ones.
+func (k *keyed) at(runner, runID string) {
+	if k.asm == nil || runID != k.runID {
+		k.asm = stream.New(runID)
+	}
+	if runner != k.chosen.Runner {
+		k.chosen = route.Choice{Runner: runner}
+		k.g.cores.sentTo(time.Now(), k.request, runner)
+	}
+	k.runner, k.runID = runner, runID
+}
+
+func (k *keyed) send(ctx context.Context, a claim.Send, maySend func() bool) claim.Event {
+	k.at(a.Runner, a.RunID)
+	if !maySend() {
+		return claim.SendLate{}
+	}
+	s, err := k.start(ctx, k.chosen, a.RunID, a.Incarnation)
+	now := time.Now()
+	if err == nil {
+		k.why.add(now, "sent to %s as run %s", a.Runner, a.RunID)
+		k.stream = s
+		k.state = errkind.Ran
+		return claim.Started{}
+	}
+	k.why.add(now, "send to %s failed: %v", a.Runner, err)
+	if ctx.Err() == nil {
+		k.g.upstreamFailed(a.Runner, err)
+	}
+	if provesNotRun(err) {
+		return claim.SendRefused{
+			Restarted: errors.Is(err, upstream.ErrRestarted),
+			Err: errkind.Wrap(err, errkind.UpstreamRefused, errkind.NotRun,
+				"the upstream refused before running").After(retryAfterRefusal),
+		}
+	}
+	k.state = worse(k.state, errkind.RunUnknown)
+	return claim.SendAmbiguous{}
+}
+
+func (k *keyed) resume(ctx context.Context, a claim.Resume) claim.Event {
+	k.at(a.Runner, a.RunID)
+	k.resumes++
+	k.g.metrics.resumes.Inc(1)
+	engine, _, ok := k.engine(a.Runner)
+	if !ok {
+		return claim.ResumeUnknownRun{}
+	}
+	from := k.asm.Next()
+	s, err := engine.Resume(ctx, a.RunID, from)
+	if err == nil {
+		k.why.add(time.Now(), "resumed run %s at %s from token %d", a.RunID, a.Runner, from)
+		k.stream = s
+		k.state = errkind.Ran
+		return claim.Started{}
+	}
+	k.why.add(time.Now(), "resume at %s failed: %v", a.Runner, err)
+	if errors.Is(err, upstream.ErrUnknownRun) {
+		return claim.ResumeUnknownRun{}
+	}
+	return claim.ResumeFailed{}
+}
+
+func (k *keyed) follow(ctx context.Context) claim.Event {
+	s := k.stream
+	k.stream = nil
+	if s == nil {
+		return claim.StreamBroken{}
+	}
+	err := k.relay(ctx, s)
+	if err == nil {
+		k.g.cores.upstreamWorked(time.Now(), k.runner)
+		return claim.Finished{}
+	}
+	k.why.add(time.Now(), "stream of run %s at %s broke at token %d: %v", k.runID, k.runner, k.asm.Next(), err)
+	switch {
+	case errkind.Is(err, errkind.Canceled):
+		return claim.Canceled{}
+	case errors.Is(err, stream.ErrCanceled):
+		return claim.ResumeUnknownRun{} // a canceled run can't be completed
+	}
+	return claim.StreamBroken{}
+}
+
+// relay passes an open stream on to the caller. It returns nil when the answer is whole.
+func (k *keyed) relay(ctx context.Context, s upstream.Stream) error {
+	defer s.Close()
+	defer k.reportProgress()
+	for {
+		item, err := s.Recv(ctx)
+		if err != nil {
+			return err
+		}
+		tokens, whole, err := k.asm.Feed(item)
+		if err != nil {
+			return err
+		}
+		for i := range tokens {
+			if _, err := k.deliver(upstream.Item{Token: &tokens[i]}); err != nil {
+				return err
+			}
+		}
+		if whole {
+			_, err := k.deliver(upstream.Item{End: k.asm.End()})
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/gateway/poll.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/semaphore"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// Polling of runners. The interval grows with the number of runners, so that a
+// gateway's cost for polls has a bound whatever the size of the fleet.
+const (
+	pollLeast       = 500 * time.Millisecond
+	pollPerRunner   = 15 * time.Millisecond
+	pollTimeout     = 2 * time.Second
+	pollConcurrency = 16
+	pollJitter      = 0.2
+	pollFailures    = 2 // in a row, before a runner counts as unreachable
+)
+
+// poller reads the load, state and cache events of every runner.
+type poller struct {
+	g     *Gateway
+	slots *semaphore.Weighted
+
+	mu      sync.Mutex
+	running map[string]context.CancelFunc // by runner
+	count   int
+	done    sync.WaitGroup
+}
+
+func newPoller(g *Gateway) *poller {
+	return &poller{g: g, slots: semaphore.NewWeighted(pollConcurrency), running: make(map[string]context.CancelFunc)}
+}
+
+// install starts a loop for each new runner and ends those of runners gone.
+func (p *poller) install(ctx context.Context, s *config.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	p.count = len(s.Runners)
+	for name, stop := range p.running {
+		if _, ok := s.Runners[name]; !ok {
+			stop()
+			delete(p.running, name)
+		}
+	}
+	for name := range s.Runners {
+		if _, ok := p.running[name]; !ok {
+			p.start(ctx, name)
+		}
+	}
+}
+
+func (p *poller) start(ctx context.Context, name string) {
+	ctx, stop := context.WithCancel(ctx)
+	p.running[name] = stop
+	p.done.Add(1)
+	go func() {
+		defer p.done.Done()
+		defer stop()
+		p.loop(ctx, name)
+	}()
+}
+
+// wait returns when every loop has ended.
+func (p *poller) wait() { p.done.Wait() }
+
+func (p *poller) loop(ctx context.Context, name string) {
+	failed := 0
+	for {
+		err := p.poll(ctx, name)
+		if ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			failed = 0
+		} else {
+			failed++
+			p.failed(name, failed, err)
+		}
+		if sleep(ctx, p.interval()) != nil {
+			return
+		}
+	}
+}
+
+func (p *poller) failed(name string, inRow int, err error) {
+	p.g.metrics.pollFailures.Inc(1)
+	if inRow == pollFailures {
+		logline.Info("runner unreachable", "runner", name, "error", err)
+	}
+	if inRow >= pollFailures {
+		p.g.cores.pollFailed(time.Now(), name)
+	}
+}
+
+// interval spreads polls by jitter, so that gateways don't poll in step.
+func (p *poller) interval() time.Duration {
+	p.mu.Lock()
+	n := p.count
+	p.mu.Unlock()
+	base := max(pollLeast, time.Duration(n)*pollPerRunner)
+	return time.Duration(float64(base) * (1 - pollJitter + 2*pollJitter*rand.Float64()))
+}
+
+// poll reads one runner once.
+func (p *poller) poll(ctx context.Context, name string) error {
+	if err := p.slots.Acquire(ctx, 1); err != nil {
+		return err
+	}
+	defer p.slots.Release(1)
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	spec, ok := p.spec(name)
+	if !ok {
+		return nil
+	}
+	engine := p.g.engines.get(name, spec.Address)
+	state, err := engine.State(ctx)
+	if err != nil {
+		return err
+	}
+	load, err := engine.Load(ctx)
+	if err != nil {
+		return err
+	}
+	p.g.cores.polled(time.Now(), name, state, load)
+	since := p.g.cores.cacheSince(name)
+	events, err := engine.CacheEvents(ctx, since)
+	if err == nil {
+		p.g.cores.cacheEvents(name, since, events)
+	}
+	return nil // cache events are a hint only
+}
+
+func (p *poller) spec(name string) (resource.Runner, bool) {
+	s := p.g.snapshot()
+	if s == nil {
+		return resource.Runner{}, false
+	}
+	spec, ok := s.Runners[name]
+	return spec, ok
+}
--- /dev/null
+++ b/internal/process/gateway/prepare.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+)
+
+// prepare turns a request into a call: authenticated, parsed, checked against
+// route and account. Nothing is counted or sent before it succeeds.
+func (g *Gateway) prepare(id string, arrived time.Time, f form, w http.ResponseWriter, r *http.Request) (*call, error) {
+	s := g.snapshot()
+	if s == nil {
+		return nil, noConfiguration()
+	}
+	c := &call{id: id, arrived: arrived, snapshot: s}
+	var err error
+	if c.account, c.accountSpec, err = authenticate(s, r.Header); err != nil {
+		return nil, err
+	}
+	raw, err := readBody(w, r, g.cfg.Settings.Limits.BodyBytes)
+	if err != nil {
+		return nil, err
+	}
+	c.raw = raw
+	if c.body, err = parseBody(f, raw); err != nil {
+		return nil, err
+	}
+	if c.key, err = idempotencyKey(r.Header); err != nil {
+		return nil, err
+	}
+	if err := c.findRoute(s); err != nil {
+		return nil, err
+	}
+	if err := c.setPriority(r.Header); err != nil {
+		return nil, err
+	}
+	if err := c.setDeadline(r.Header, g.cfg.Settings.Limits.DefaultDeadlineMS); err != nil {
+		return nil, err
+	}
+	if err := c.setTokens(s); err != nil {
+		return nil, err
+	}
+	c.expectedOut = g.cores.expectedOut(c.routeName, c.route.ExpectedOut, c.maxTokens)
+	return c, nil
+}
+
+func noConfiguration() error {
+	return errkind.New(errkind.ConfigUnavailable, errkind.NotRun, "this instance has no configuration yet").After(time.Second)
+}
+
+// findRoute finds the route that the request's model names.
+func (c *call) findRoute(s *config.Snapshot) error {
+	r, ok := s.Routes[c.body.model]
+	if !ok || r.Model == "" {
+		return errkind.Field(errkind.NotFound, "model", "there is no model "+strconv.Quote(shorten(c.body.model)))
+	}
+	if !mayUse(c.accountSpec, c.body.model) {
+		return errkind.Field(errkind.PermissionDenied, "model", "the client account may not use this model")
+	}
+	c.routeName = c.body.model
+	c.route = r
+	c.version = route.ChooseVersion(r.Weights, route.SeedOf(c.id))
+	return nil
+}
+
+func (c *call) setPriority(h http.Header) error {
+	asked, err := priorityOf(h, c.body.priority)
+	if err != nil {
+		return err
+	}
+	c.priority, err = grantPriority(asked, c.route, c.accountSpec)
+	return err
+}
+
+func (c *call) setDeadline(h http.Header, fallbackMS int) error {
+	c.deadlineAsked = c.body.deadline > 0 || h.Get(headerDeadline) != ""
+	limit, err := deadlineOf(h, c.body.deadline, time.Duration(fallbackMS)*time.Millisecond)
+	c.deadline = c.arrived.Add(limit)
+	return err
+}
+
+// setTokens estimates the prompt and bounds the output by caller, route and model.
+func (c *call) setTokens(s *config.Snapshot) error {
+	c.promptTokens = route.EstimateTokens(c.body.prompt)
+	c.hashes = route.PrefixHashes(c.body.prompt)
+	c.maxTokens = c.body.maxTokens
+	if c.maxTokens == 0 {
+		c.maxTokens = defaultMaxOutput
+		if c.route.MaxTokens > 0 {
+			c.maxTokens = c.route.MaxTokens
+		}
+	}
+	if c.route.MaxTokens > 0 {
+		c.maxTokens = min(c.maxTokens, c.route.MaxTokens)
+	}
+	context := s.Models[c.route.Model].ContextTokens
+	if context == 0 {
+		return nil
+	}
+	if c.promptTokens >= context {
+		return invalid("prompt", "has about "+strconv.Itoa(c.promptTokens)+
+			" tokens; the model takes "+strconv.Itoa(context))
+	}
+	c.maxTokens = min(c.maxTokens, context-c.promptTokens)
+	return nil
+}
+
+// shorten keeps a caller's text in an error message small.
+func shorten(text string) string {
+	const most = 100
+	if len(text) <= most {
+		return text
+	}
+	return text[:most] + "..."
+}
--- /dev/null
+++ b/internal/process/gateway/service.go
@@ -0,0 +1,372 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// replayBytes is the largest body that is kept for a second attempt. A longer one
+// streams through and is sent once.
+const replayBytes = 64 << 10
+
+// relayBuffer is the size of one piece of a service's answer.
+const relayBuffer = 32 << 10
+
+// serviceRoute finds the route of a plain service by host and path: a route that
+// names the host goes before one that doesn't, then the longest prefix wins.
+func serviceRoute(s *config.Snapshot, host, path string) (string, resource.Route, bool) {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	bestName, best, found := "", resource.Route{}, false
+	for name, r := range s.Routes {
+		if r.Service == "" || !matches(r, host, path) {
+			continue
+		}
+		if !found || closer(r, best) || (!closer(best, r) && name < bestName) {
+			bestName, best, found = name, r, true
+		}
+	}
+	return bestName, best, found
+}
+
+func matches(r resource.Route, host, path string) bool {
+	if r.Host != "" && !strings.EqualFold(r.Host, host) {
+		return false
+	}
+	prefix := strings.TrimSuffix(r.PathPrefix, "/")
+	return strings.HasPrefix(path, prefix) && (len(path) == len(prefix) || prefix == "" || path[len(prefix)] == '/')
+}
+
+func closer(r, than resource.Route) bool {
+	if (r.Host != "") != (than.Host != "") {
+		return r.Host != ""
+	}
+	return len(r.PathPrefix) > len(than.PathPrefix)
+}
+
+// idempotentMethod tells whether a call may run twice with no harm. Methods that
+// the route doesn't list may not.
+func idempotentMethod(r resource.Route, method string) bool {
+	for _, rule := range r.Methods {
+		if strings.EqualFold(rule.Method, method) {
+			return rule.Idempotent
+		}
+	}
+	return false
+}
+
+// serviceCall is one call to a plain service.
+type serviceCall struct {
+	g          *Gateway
+	id         string
+	arrived    time.Time
+	account    string
+	routeName  string
+	route      resource.Route
+	service    resource.Service
+	idempotent bool
+	key        string
+
+	w        http.ResponseWriter
+	r        *http.Request
+	body     []byte // kept for further attempts, if replay
+	replay   bool
+	stream   io.Reader // the body, if not replay
+	consumed bool      // an attempt has taken the stream
+
+	why      *explanation
+	excluded []string
+	upstream string
+	attempts int
+	state    errkind.RunState // worst over all attempts
+	begun    bool             // the caller has seen a part of the answer
+}
+
+// service serves every path that is not the API of models.
+func (g *Gateway) service(e echo.Context) error {
+	arrived := time.Now()
+	id := uuid.NewString()
+	e.Response().Header().Set(headerRequestID, id)
+	c, spec, err := g.prepareService(id, arrived, e.Response(), e.Request())
+	if err != nil {
+		g.refusedEarly(id, err)
+		return err
+	}
+	c.why = g.explain.begin(id, arrived)
+	c.why.add(arrived, "account %s route %s service %s method %s idempotent %v", c.account, c.routeName, c.route.Service, c.r.Method, c.idempotent)
+	if err := g.cores.reserve(arrived, c.account, spec, 0); err != nil {
+		c.finish(errkind.From(err))
+		return err
+	}
+	defer func() { g.cores.unreserve(time.Now(), c.account, 0) }()
+	return c.serve()
+}
+
+// prepareService authenticates and checks a call. Nothing is sent before it succeeds.
+func (g *Gateway) prepareService(id string, arrived time.Time, w http.ResponseWriter, r *http.Request) (*serviceCall, resource.ClientAccount, error) {
+	var account resource.ClientAccount
+	s := g.snapshot()
+	if s == nil {
+		return nil, account, noConfiguration()
+	}
+	c := &serviceCall{g: g, id: id, arrived: arrived, w: w, r: r, state: errkind.NotRun}
+	var err error
+	if c.account, account, err = authenticate(s, r.Header); err != nil {
+		return nil, account, err
+	}
+	var ok bool
+	if c.routeName, c.route, ok = serviceRoute(s, r.Host, r.URL.Path); !ok {
+		return nil, account, errkind.Field(errkind.NotFound, "path", "no route serves this host and path")
+	}
+	if !mayUse(account, c.routeName) {
+		return nil, account, errkind.Field(errkind.PermissionDenied, "path", "the client account may not use this route")
+	}
+	c.service = s.Services[c.route.Service]
+	c.idempotent = idempotentMethod(c.route, r.Method)
+	if c.key, err = idempotencyKey(r.Header); err != nil {
+		return nil, account, err
+	}
+	return c, account, c.takeBody()
+}
+
+// takeBody keeps a small body for further attempts. A keyed call keeps its body
+// whatever its size, because the claim needs its hash.
+func (c *serviceCall) takeBody() error {
+	limit := c.g.cfg.Settings.Limits.BodyBytes
+	if c.r.ContentLength > limit {
+		return tooLarge(limit)
+	}
+	if c.key == "" && (c.r.ContentLength < 0 || c.r.ContentLength > replayBytes) {
+		c.stream = http.MaxBytesReader(c.w, c.r.Body, limit)
+		return nil
+	}
+	limitBodyTime(c.w, c.arrived.Add(bodyTimeout))
+	raw, err := readBody(c.w, c.r, limit)
+	if err != nil {
+		return err
+	}
+	limitBodyTime(c.w, time.Time{})
+	c.body, c.replay = raw, true
+	return nil
+}
+
+// context ends when the caller leaves, when its stated deadline passes, and when
+// a planned stop reaches its bound.
+func (c *serviceCall) context() (context.Context, context.CancelFunc, error) {
+	limit, err := deadlineOf(c.r.Header, 0, 0)
+	if err != nil {
+		return nil, nil, err
+	}
+	stated := &call{arrived: c.arrived, deadline: c.arrived.Add(limit), deadlineAsked: limit > 0}
+	ctx, cancel := c.g.callContext(c.r.Context(), stated)
+	return ctx, cancel, nil
+}
+
+func (c *serviceCall) serve() error {
+	ctx, cancel, err := c.context()
+	if err != nil {
+		c.finish(errkind.From(err))
+		return err
+	}
+	defer cancel()
+	var final *errkind.Error
+	if c.key != "" {
+		final = c.runKeyed(ctx)
+	} else {
+		final = c.run(ctx)
+	}
+	c.finish(final)
+	if final == nil {
+		return nil
+	}
+	if c.begun {
+		// The status is sent; only a broken transfer tells that the answer is not whole.
+		panic(http.ErrAbortHandler)
+	}
+	return final
+}
+
+// run sends the call, elsewhere again if that is safe.
+func (c *serviceCall) run(ctx context.Context) *errkind.Error {
+	for {
+		picked, ok := c.g.cores.pickService(time.Now(), c.service, c.excluded, route.SeedOf(c.id))
+		if !ok {
+			return c.nowhere()
+		}
+		err := c.attempt(ctx, picked)
+		if err == nil {
+			return nil
+		}
+		if final := c.interrupted(ctx); final != nil {
+			return final
+		}
+		now := time.Now()
+		c.excluded = append(c.excluded, picked.Name)
+		action := c.decide(now)
+		c.why.add(now, "%s after failure at %s: %v", action, picked.Name, err)
+		if action != retry.SendElsewhere && action != retry.RunAgain || !c.g.cores.mayRetry(now) {
+			return c.finalAnswer(action, err)
+		}
+		c.g.metrics.retries.Inc(1)
+	}
+}
+
+// nowhere is the answer if no upstream is left.
+func (c *serviceCall) nowhere() *errkind.Error {
+	if c.state == errkind.NotRun {
+		return errkind.New(errkind.NoUpstream, errkind.NotRun, "no upstream of the service can serve the call now").After(retryAfterRefusal)
+	}
+	return errkind.New(errkind.OutcomeUnknown, c.state, "the call may have run and no other upstream can serve it")
+}
+
+func (c *serviceCall) decide(now time.Time) retry.Action {
+	f := retry.Failure{
+		Run:        c.state,
+		Idempotent: c.idempotent && !c.begun,
+		Budget:     c.g.cores.allowsRetry(now),
+		TimeLeft:   true, // the context ends at the deadline
+		Elsewhere:  c.replay || !c.consumed,
+	}
+	if c.begun {
+		f.TokensGiven = 1
+	}
+	return retry.Decide(f)
+}
+
+func (c *serviceCall) finalAnswer(action retry.Action, err error) *errkind.Error {
+	switch {
+	case c.state == errkind.NotRun:
+		return errkind.Wrap(err, errkind.NoUpstream, errkind.NotRun, "no upstream of the service could be reached").After(retryAfterRefusal)
+	case c.begun:
+		return errkind.Wrap(err, errkind.AnswerIncomplete, errkind.Ran, "the answer broke off")
+	case action == retry.AnswerBroken:
+		return errkind.Wrap(err, errkind.UpstreamFailed, errkind.Ran, "the upstream failed while the call ran")
+	}
+	return errkind.Wrap(err, errkind.OutcomeUnknown, errkind.RunUnknown, "the call may or may not have run")
+}
+
+// attempt sends the call to one upstream and relays its answer.
+func (c *serviceCall) attempt(ctx context.Context, u resource.ServiceUpstream) error {
+	defer c.g.cores.doneService(u.Name)
+	answer, err := c.forward(ctx, u)
+	if err != nil {
+		return err
+	}
+	return c.relay(answer)
+}
+
+// forward sends the call. The answer's head has come when it returns without error.
+func (c *serviceCall) forward(ctx context.Context, u resource.ServiceUpstream) (upstream.ServiceAnswer, error) {
+	c.upstream = u.Name
+	c.attempts++
+	c.why.add(time.Now(), "sent to %s", u.Name)
+	answer, err := c.g.services.Forward(ctx, c.upstreamCall(u))
+	now := time.Now()
+	if err == nil {
+		c.state = errkind.Ran
+		c.g.cores.upstreamWorked(now, u.Name)
+		return answer, nil
+	}
+	if !provesNotRun(err) {
+		c.state = worse(c.state, errkind.RunUnknown)
+	}
+	if ctx.Err() == nil && !c.callersFault(err) {
+		c.g.upstreamFailed(u.Name, err)
+	}
+	return answer, err
+}
+
+// callersFault tells whether reading the caller's body caused the failure.
+func (c *serviceCall) callersFault(err error) bool {
+	var over *http.MaxBytesError
+	return errors.As(err, &over)
+}
+
+// upstreamCall is the call as the upstream gets it. The caller's key stays here.
+func (c *serviceCall) upstreamCall(u resource.ServiceUpstream) upstream.ServiceCall {
+	h := c.r.Header.Clone()
+	h.Del("Authorization")
+	h.Set(headerRequestID, c.id)
+	out := upstream.ServiceCall{
+		Address:       u.Address,
+		Method:        c.r.Method,
+		Path:          c.r.URL.EscapedPath(),
+		RawQuery:      c.r.URL.RawQuery,
+		Host:          c.r.Host,
+		Header:        h,
+		ContentLength: c.r.ContentLength,
+	}
+	if c.replay {
+		out.Body, out.ContentLength = bytes.NewReader(c.body), int64(len(c.body))
+		return out
+	}
+	out.Body = c.stream
+	c.consumed = true
+	return out
+}
+
+// relay passes the answer on, each piece as it comes.
+func (c *serviceCall) relay(a upstream.ServiceAnswer) error {
+	defer a.Body.Close()
+	h := c.w.Header()
+	for name, values := range a.Header {
+		h[name] = values
+	}
+	h.Set(headerRequestID, c.id)
+	c.begun = true
+	c.w.WriteHeader(a.Status)
+	rc := http.NewResponseController(c.w)
+	buf := make([]byte, relayBuffer)
+	for {
+		n, err := a.Body.Read(buf)
+		if n > 0 {
+			_ = rc.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, werr := c.w.Write(buf[:n]); werr != nil {
+				return leftError(c.r.Context(), errkind.Ran)
+			}
+			_ = rc.Flush()
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// interrupted gives the final answer if the context has ended.
+func (c *serviceCall) interrupted(ctx context.Context) *errkind.Error {
+	return interruption(ctx, c.state)
+}
+
+// finish records the end of the call.
+func (c *serviceCall) finish(final *errkind.Error) {
+	now := time.Now()
+	outcome, run := outcomeWhole, errkind.Ran
+	if final != nil {
+		outcome, run = string(final.Kind), final.Run
+	}
+	c.g.metrics.service(c.routeName, outcome, now.Sub(c.arrived))
+	c.why.add(now, "end: %s run %s", outcome, run)
+	logline.Info("request", "request", c.id, "account", c.account, "route", c.routeName, "outcome", outcome, "run", run,
+		"ms", now.Sub(c.arrived).Milliseconds(), "upstream", c.upstream, "attempts", c.attempts)
+}
--- /dev/null
+++ b/internal/process/gateway/serviceclaim.go
@@ -0,0 +1,128 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/claim"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// honoursKeyIncarnation stands for the incarnation of a service that deduplicates
+// by the key itself: it does so through restarts, so it has only one.
+const honoursKeyIncarnation = "service"
+
+// keyedService is the I/O of a call to a plain service under a claim. A service
+// cannot resume an answer; one that honours the key is asked again.
+type keyedService struct {
+	*serviceCall
+	picked string // counted by pickService
+	answer upstream.ServiceAnswer
+	open   bool
+}
+
+// runKeyed carries a call with an Idempotency-Key to its end.
+func (c *serviceCall) runKeyed(ctx context.Context) *errkind.Error {
+	k := &keyedService{serviceCall: c}
+	defer k.release()
+	d := &claimDriver{
+		claims:   c.g.claims,
+		steps:    k,
+		why:      c.why,
+		deadline: c.arrived.Add(time.Duration(c.g.cfg.Settings.Limits.DefaultDeadlineMS) * time.Millisecond),
+		session: claim.NewSession(claim.SessionConfig{
+			Gateway: c.g.cfg.Settings.Instance.Name,
+			Account: c.account,
+			Key:     claim.KeyOf(c.account, c.key),
+			Body:    claim.HashOf(c.r.Method, c.r.URL.RequestURI(), c.body),
+			RunID:   claim.NewRunID(),
+			Traits:  func(string) claim.Traits { return claim.Traits{Deduplicates: c.service.HonoursKey} },
+		}),
+	}
+	return d.drive(ctx, k.choose(nil))
+}
+
+// choose picks another upstream and counts the call there.
+func (k *keyedService) choose(exclude []string) claim.Event {
+	k.release()
+	k.excluded = append(k.excluded, exclude...)
+	if len(exclude) > 0 && !k.g.cores.mayRetry(time.Now()) {
+		return claim.ChooseFailed{Err: errkind.New(errkind.UpstreamRefused, errkind.NotRun,
+			"the upstream could not be reached and the retry budget is used up").After(retryAfterRefusal)}
+	}
+	picked, ok := k.g.cores.pickService(time.Now(), k.service, k.excluded, route.SeedOf(k.id))
+	if !ok {
+		return claim.ChooseFailed{Err: errkind.New(errkind.NoUpstream, errkind.NotRun,
+			"no upstream of the service can serve the call now").After(retryAfterRefusal)}
+	}
+	k.picked = picked.Name
+	incarnation := ""
+	if k.service.HonoursKey {
+		incarnation = honoursKeyIncarnation
+	}
+	return claim.Chosen{Runner: picked.Name, Incarnation: incarnation}
+}
+
+// release ends what pickService counted.
+func (k *keyedService) release() {
+	if k.picked != "" {
+		k.g.cores.doneService(k.picked)
+		k.picked = ""
+	}
+}
+
+func (k *keyedService) send(ctx context.Context, a claim.Send, maySend func() bool) claim.Event {
+	u, ok := findUpstream(k.service, a.Runner)
+	if !ok {
+		return claim.SendAmbiguous{} // another gateway's claim names an upstream that is gone
+	}
+	if !maySend() {
+		return claim.SendLate{}
+	}
+	answer, err := k.forward(ctx, u)
+	if err == nil {
+		k.answer, k.open = answer, true
+		return claim.Started{}
+	}
+	k.why.add(time.Now(), "send to %s failed: %v", a.Runner, err)
+	if provesNotRun(err) {
+		return claim.SendRefused{Err: notRunAnswer(err)}
+	}
+	return claim.SendAmbiguous{}
+}
+
+// resume is never asked for, because Traits denies it.
+func (k *keyedService) resume(context.Context, claim.Resume) claim.Event {
+	return claim.ResumeUnknownRun{}
+}
+
+func (k *keyedService) follow(context.Context) claim.Event {
+	if !k.open {
+		return claim.StreamBroken{}
+	}
+	k.open = false
+	err := k.relay(k.answer)
+	switch {
+	case err == nil:
+		return claim.Finished{}
+	case errkind.Is(err, errkind.Canceled):
+		return claim.Canceled{}
+	case errors.Is(err, upstream.ErrBroken):
+		k.why.add(time.Now(), "answer broke off: %v", err)
+	}
+	return claim.ResumeUnknownRun{} // a part of the answer is given, which no second answer can complete
+}
+
+func findUpstream(s resource.Service, name string) (resource.ServiceUpstream, bool) {
+	for _, u := range s.Upstreams {
+		if u.Name == name {
+			return u, true
+		}
+	}
+	return resource.ServiceUpstream{}, false
+}
--- /dev/null
+++ b/internal/process/gateway/serviceload.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// serviceLoad counts this gateway's calls in flight at each upstream of plain services.
+type serviceLoad struct {
+	inFlight map[string]int
+}
+
+func newServiceLoad() serviceLoad {
+	return serviceLoad{inFlight: make(map[string]int)}
+}
+
+func upstreamNames(s resource.Service) []string {
+	names := make([]string, 0, len(s.Upstreams))
+	for _, u := range s.Upstreams {
+		names = append(names, u.Name)
+	}
+	return names
+}
+
+// pickService chooses the upstream with the fewest calls in flight, in this
+// gateway's zone first, and counts the call there. seed breaks ties, so that
+// gateways don't all begin at the same one. False: there is none.
+func (c *cores) pickService(now time.Time, s resource.Service, excluded []string, seed uint64) (resource.ServiceUpstream, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	usable := c.usableUpstreams(now, s, excluded)
+	if len(usable) == 0 {
+		return resource.ServiceUpstream{}, false
+	}
+	start := int(seed % uint64(len(usable)))
+	best := usable[start]
+	for i := range usable {
+		u := usable[(start+i)%len(usable)]
+		if c.betterUpstream(u, best) {
+			best = u
+		}
+	}
+	c.services.inFlight[best.Name]++
+	return best, true
+}
+
+// usableUpstreams leaves out those that leave, that were tried, and that are
+// ejected as outliers.
+func (c *cores) usableUpstreams(now time.Time, s resource.Service, excluded []string) []resource.ServiceUpstream {
+	var usable []resource.ServiceUpstream
+	for _, u := range s.Upstreams {
+		if u.State != "" && u.State != resource.RunnerServing {
+			continue
+		}
+		if c.snapshot.Leaving(u.Name) || c.outliers.Ejected(now, u.Name) || slices.Contains(excluded, u.Name) {
+			continue
+		}
+		usable = append(usable, u)
+	}
+	return usable
+}
+
+func (c *cores) betterUpstream(u, than resource.ServiceUpstream) bool {
+	local, thanLocal := u.Zone == c.zone, than.Zone == c.zone
+	if local != thanLocal {
+		return local
+	}
+	return c.services.inFlight[u.Name] < c.services.inFlight[than.Name]
+}
+
+// doneService ends what pickService counted.
+func (c *cores) doneService(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.services.inFlight[name]--
+	if c.services.inFlight[name] <= 0 {
+		delete(c.services.inFlight, name)
+	}
+}
--- /dev/null
+++ b/internal/process/gateway/stop.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+)
+
+// Stages of a planned stop.
+const (
+	stageServing  = int32(iota)
+	stageLeaving  // readiness fails, new requests are still served
+	stageDraining // listeners are closed, running requests go to their end
+	stageStopped
+)
+
+var stageNames = []string{"serving", "leaving", "draining", "stopped"}
+
+// Bounds of a planned stop beyond those of the settings.
+const (
+	lastAnswers = 5 * time.Second        // for error answers after the bound on draining
+	linger      = 200 * time.Millisecond // connections may bring a last request after the listener closed
+)
+
+// activity counts running requests.
+type activity struct {
+	mu   sync.Mutex
+	n    int
+	idle chan struct{} // closed when n falls to zero; nil: nobody waits
+}
+
+func (a *activity) begin() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.n++
+}
+
+func (a *activity) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.n--
+	if a.n == 0 && a.idle != nil {
+		close(a.idle)
+		a.idle = nil
+	}
+}
+
+func (a *activity) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.n
+}
+
+// wait returns when no request runs, or false when ctx ends first.
+func (a *activity) wait(ctx context.Context) bool {
+	for {
+		a.mu.Lock()
+		if a.n == 0 {
+			a.mu.Unlock()
+			return true
+		}
+		if a.idle == nil {
+			a.idle = make(chan struct{})
+		}
+		idle := a.idle
+		a.mu.Unlock()
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// stop is a planned stop. Readiness fails first, so that the balancer sends new
+// callers elsewhere while those on their way are still served. Then the listeners
+// close and running requests go to their end. At the bound on draining each one
+// that still runs gets an error that tells its true run state.
+func (g *Gateway) stop() {
+	s := g.cfg.Settings.Stop
+	g.stage.Store(stageLeaving)
+	logline.Info("gateway stopping", "running", g.running.count())
+	time.Sleep(time.Duration(s.BalancerMS) * time.Millisecond)
+	g.stage.Store(stageDraining)
+	g.listeners.callers.Close()
+	if !g.drain(time.Duration(s.DrainMS) * time.Millisecond) {
+		logline.Info("bound on draining reached", "running", g.running.count())
+		g.stopHard()
+		g.drain(lastAnswers)
+	}
+	g.closeDown()
+	g.stage.Store(stageStopped)
+	logline.Info("gateway stopped")
+}
+
+// drain waits for running requests. Connections that were idle get a moment to
+// bring a request that was already on its way.
+func (g *Gateway) drain(bound time.Duration) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	if !g.running.wait(ctx) {
+		return false
+	}
+	_ = sleep(ctx, linger)
+	return g.running.wait(ctx)
+}
+
+// closeDown ends everything that is left, in the reverse order of its start.
+func (g *Gateway) closeDown() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	if err := g.callers.Shutdown(ctx); err != nil {
+		g.callers.Close()
+	}
+	g.config.Close()
+	g.stopWork()
+	g.poller.wait()
+	g.listeners.peers.Close()
+	if err := g.ops.Shutdown(ctx); err != nil {
+		logline.Info("operators' port closed hard", "error", err)
+	}
+	g.loops.Wait()
+	g.engines.close()
+	g.services.Close()
+	g.exporter.Close()
+	g.closeAll()
+	g.stopHard()
+}
--- /dev/null
+++ b/internal/process/gateway/unkeyed.go
@@ -0,0 +1,256 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/claim"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/stream"
+)
+
+// Resumes in a row that bring no new token. A request that may run elsewhere
+// turns there soon; another one has only its own runner and waits some seconds.
+const (
+	resumeTriesIdempotent = 2
+	resumeTriesOnce       = 12
+)
+
+// retryAfterRefusal tells a caller when to come back after upstreams refused.
+const retryAfterRefusal = time.Second
+
+// unkeyed runs a call without an Idempotency-Key.
+type unkeyed struct {
+	*execution
+}
+
+// run carries the call to its end. The answer is whole if it returns nil.
+func (u *unkeyed) run(ctx context.Context, choice route.Choice) *errkind.Error {
+	attempt, final := u.begin(ctx, choice)
+	for final == nil {
+		if final = u.follow(ctx, attempt); final == nil {
+			u.g.cores.upstreamWorked(time.Now(), u.runner)
+			return nil
+		}
+		if !u.mayStartOver(ctx, final) {
+			break
+		}
+		u.out.Reset()
+		u.tokens = 0
+		attempt, final = u.elsewhere(ctx, final)
+	}
+	if u.state != errkind.NotRun {
+		u.cancelRun()
+	}
+	return final
+}
+
+// begin sends the request until a runner has taken it or may have taken it.
+func (u *unkeyed) begin(ctx context.Context, choice route.Choice) (stream.Attempt, *errkind.Error) {
+	for {
+		attempt, err := u.send(ctx, choice)
+		if err == nil {
+			return attempt, nil
+		}
+		if final := u.interrupted(ctx); final != nil {
+			return attempt, final
+		}
+		now := time.Now()
+		action := u.decide(now, !provesNotRun(err))
+		u.why.add(now, "%s after failure at %s: %v", action, u.runner, err)
+		switch action {
+		case retry.Resume:
+			return attempt, nil
+		case retry.SendElsewhere, retry.RunAgain:
+			choice = u.reroute(now)
+		}
+		if choice.Runner == "" || action != retry.SendElsewhere && action != retry.RunAgain {
+			return attempt, u.finalAnswer(err)
+		}
+	}
+}
+
+// send starts a run at the chosen runner.
+func (u *unkeyed) send(ctx context.Context, choice route.Choice) (stream.Attempt, error) {
+	u.runID = claim.NewRunID()
+	u.runner = choice.Runner
+	attempt := stream.Attempt{RunID: u.runID}
+	engine, _, ok := u.engine(choice.Runner)
+	if !ok {
+		return attempt, errors.Wrapf(upstream.ErrNotRun, "runner %s is not in the configuration", choice.Runner)
+	}
+	attempt.Engine = engine
+	u.why.add(time.Now(), "sent to %s as run %s", choice.Runner, u.runID)
+	s, err := u.start(ctx, choice, u.runID, "")
+	attempt.Stream = s
+	if err == nil {
+		u.state = errkind.Ran
+		return attempt, nil
+	}
+	if !provesNotRun(err) {
+		u.state = worse(u.state, errkind.RunUnknown)
+	}
+	if ctx.Err() == nil {
+		u.g.upstreamFailed(u.runner, err)
+	}
+	return attempt, err
+}
+
+// follow relays the answer of an attempt through breaks of its stream.
+func (u *unkeyed) follow(ctx context.Context, attempt stream.Attempt) *errkind.Error {
+	cfg := stream.RelayConfig{Attempt: attempt, Tries: resumeTriesOnce}
+	if u.call.route.Idempotent {
+		cfg.Tries = resumeTriesIdempotent
+	}
+	if u.call.route.Idempotent && u.call.body.stream {
+		cfg.Restart = u.restart
+	}
+	r := stream.NewRelay(cfg)
+	defer r.Close()
+	defer u.noteResumes(r)
+	defer u.reportProgress()
+	for {
+		item, err := r.Next(ctx)
+		if err != nil {
+			return u.broken(ctx, err)
+		}
+		u.state = errkind.Ran
+		done, err := u.deliver(item)
+		if err != nil {
+			return errkind.From(err)
+		}
+		if done {
+			return nil
+		}
+	}
+}
+
+func (u *unkeyed) noteResumes(r *stream.Relay) {
+	n, _ := r.Recoveries()
+	u.resumes += n
+	u.g.metrics.resumes.Inc(int64(n))
+	if n > 0 {
+		u.why.add(time.Now(), "resumed %d times", n)
+	}
+}
+
+// broken is the caller's error for an answer that could not be completed.
+func (u *unkeyed) broken(ctx context.Context, err error) *errkind.Error {
+	if final := u.interrupted(ctx); final != nil {
+		return final
+	}
+	u.why.add(time.Now(), "answer of run %s at %s broke at token %d: %v", u.runID, u.runner, u.tokens, err)
+	u.g.upstreamFailed(u.runner, err)
+	final := errkind.From(err)
+	if final.Kind != errkind.AnswerIncomplete {
+		return final
+	}
+	return u.finalAnswer(err)
+}
+
+// restart is called by the relay when the present run is lost.
+func (u *unkeyed) restart(ctx context.Context, why error) (stream.Attempt, error) {
+	attempt, final := u.elsewhere(ctx, why)
+	if final != nil {
+		return attempt, final
+	}
+	return attempt, nil
+}
+
+// mayStartOver tells whether another run can replace one whose answer broke off
+// before the caller saw any of it.
+func (u *unkeyed) mayStartOver(ctx context.Context, final *errkind.Error) bool {
+	if ctx.Err() != nil || u.out.Begun() || u.call.body.stream {
+		return false
+	}
+	return u.call.route.Idempotent && (final.Kind == errkind.AnswerIncomplete || final.Kind == errkind.OutcomeUnknown)
+}
+
+// elsewhere begins again at another runner after the present run was lost.
+func (u *unkeyed) elsewhere(ctx context.Context, why error) (stream.Attempt, *errkind.Error) {
+	now := time.Now()
+	action := u.decide(now, false)
+	u.why.add(now, "%s after the run at %s was lost: %v", action, u.runner, why)
+	if action != retry.RunAgain {
+		return stream.Attempt{}, u.finalAnswer(why)
+	}
+	u.cancelRun() // in case it goes on: nobody will ask for its answer
+	choice := u.reroute(now)
+	if choice.Runner == "" {
+		return stream.Attempt{}, u.finalAnswer(why)
+	}
+	return u.begin(ctx, choice)
+}
+
+// decide asks what to do after a failure.
+func (u *unkeyed) decide(now time.Time, resumable bool) retry.Action {
+	q := u.request
+	q.Excluded = slices.Concat(q.Excluded, []string{u.runner})
+	return retry.Decide(retry.Failure{
+		Run:         u.state,
+		Idempotent:  u.call.route.Idempotent,
+		Resumable:   resumable,
+		TokensGiven: u.tokens,
+		Budget:      u.g.cores.allowsRetry(now),
+		TimeLeft:    u.call.timeLeft(now),
+		Elsewhere:   u.g.cores.elsewhere(now, q),
+	})
+}
+
+// reroute chooses another runner, if the retry budget allows it. An empty Runner
+// means that there is none.
+func (u *unkeyed) reroute(now time.Time) route.Choice {
+	u.request.Excluded = append(u.request.Excluded, u.runner)
+	if !u.g.cores.mayRetry(now) {
+		return route.Choice{}
+	}
+	u.g.metrics.retries.Inc(1)
+	return u.g.cores.reroute(now, u.request)
+}
+
+// finalAnswer is the caller's error after the last attempt.
+func (u *unkeyed) finalAnswer(err error) *errkind.Error {
+	switch {
+	case u.state == errkind.NotRun:
+		return notRunAnswer(err)
+	case u.state == errkind.RunUnknown:
+		return errkind.Wrap(err, errkind.OutcomeUnknown, errkind.RunUnknown, "the request may or may not have run")
+	case errors.Is(err, upstream.ErrUnknownRun):
+		return errkind.Wrap(err, errkind.UpstreamFailed, errkind.Ran, "the upstream failed while the request ran")
+	}
+	return errkind.Wrap(err, errkind.AnswerIncomplete, errkind.Ran, "the answer broke off and could not be completed")
+}
+
+// notRunAnswer is the caller's error after attempts that provably did not run.
+func notRunAnswer(err error) *errkind.Error {
+	kind, message := errkind.NoUpstream, "no upstream could be reached"
+	if _, refused := upstream.RefusedWith(err); refused {
+		kind, message = errkind.UpstreamRefused, "the upstream refused before running"
+	}
+	return errkind.Wrap(err, kind, errkind.NotRun, message).After(retryAfterRefusal)
+}
+
+// worse gives the run state that promises less.
+func worse(a, b errkind.RunState) errkind.RunState {
+	if a == errkind.Ran || b == errkind.NotRun {
+		return a
+	}
+	return b
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-t.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/process/ops/ops.go
@@ -0,0 +1,182 @@
+package ops
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+)
+
+// readHeaderTimeout bounds how long an operators' connection may take to say what it wants.
+const readHeaderTimeout = 10 * time.Second
+
+// Member is one known daemon as the operators' port shows it.
+type Member struct {
+	Name    string `json:"name"`
+	Role    string `json:"role"` // gateway or controller
+	Zone    string `json:"zone"`
+	State   string `json:"state"`   // live, suspected, leaving or lost
+	Applied uint64 `json:"applied"` // configuration version in force there
+}
+
+// DrainState says how far a planned stop is.
+type DrainState struct {
+	State   string `json:"state"`   // serving, leaving, draining or stopped
+	Running int    `json:"running"` // requests still running
+}
+
+// Source is what a daemon tells its operators. Its methods may be called from
+// several goroutines at once.
+type Source interface {
+	// Ready tells whether a balancer may send new work here, and if not, why.
+	Ready() (bool, string)
+	// Drain gives the state of a planned stop.
+	Drain() DrainState
+	// Members lists every daemon known here, this one included.
+	Members() []Member
+	// Explain lists what is known about a request or a change, one line each.
+	Explain(ctx context.Context, request, change string) []string
+}
+
+// Config of a server. An empty Key leaves the port open, which suits a port
+// bound to the loopback address.
+type Config struct {
+	Source  Source
+	Metrics http.Handler
+	Key     string
+}
+
+// Server serves the operators' port.
+type Server struct {
+	echo *echo.Echo
+	http *http.Server
+}
+
+// New makes a server; Serve starts it.
+func New(cfg Config) *Server {
+	e := echo.New()
+	e.HideBanner = true
+	e.HidePort = true
+	e.HTTPErrorHandler = writeError
+	h := handler{source: cfg.Source}
+	// Probes of the balancer carry no key; they tell nothing but up or down.
+	e.GET("/live", h.live)
+	e.GET("/ready", h.ready)
+	keyed := e.Group("", requireKey(cfg.Key))
+	keyed.GET("/metrics", echo.WrapHandler(cfg.Metrics))
+	keyed.GET("/drain", h.drain)
+	keyed.GET("/members", h.members)
+	keyed.GET("/explain", h.explain)
+	return &Server{
+		echo: e,
+		http: &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout},
+	}
+}
+
+// Handler gives the server's handler, for tests.
+func (s *Server) Handler() http.Handler { return s.echo }
+
+// Serve answers on l until Shutdown. A wrapped listener brings TLS.
+func (s *Server) Serve(l net.Listener) error {
+	err := s.http.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "operators' port")
+}
+
+// Shutdown closes the listener and waits for running answers, at most until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	err := s.http.Shutdown(ctx)
+	if err != nil {
+		s.http.Close()
+	}
+	return errors.Wrap(err, "operators' port shutdown")
+}
+
+type handler struct {
+	source Source
+}
+
+func (h handler) live(c echo.Context) error {
+	return c.String(http.StatusOK, "live\n")
+}
+
+func (h handler) ready(c echo.Context) error {
+	ok, why := h.source.Ready()
+	if !ok {
+		return c.String(http.StatusServiceUnavailable, "not ready: "+why+"\n")
+	}
+	return c.String(http.StatusOK, "ready\n")
+}
+
+func (h handler) drain(c echo.Context) error {
+	return c.JSON(http.StatusOK, h.source.Drain())
+}
+
+func (h handler) members(c echo.Context) error {
+	return c.JSON(http.StatusOK, h.source.Members())
+}
+
+// explanation is the answer of /explain.
+type explanation struct {
+	Lines []string `json:"lines"`
+}
+
+func (h handler) explain(c echo.Context) error {
+	request := c.QueryParam("request")
+	change := c.QueryParam("change")
+	if (request == "") == (change == "") {
+		return errkind.Field(errkind.InvalidRequest, "request", "give either request=ID or change=ID")
+	}
+	lines := h.source.Explain(c.Request().Context(), request, change)
+	if len(lines) == 0 {
+		return errkind.New(errkind.NotFound, errkind.NotRun, "nothing is known here about "+request+change)
+	}
+	return c.JSON(http.StatusOK, explanation{Lines: lines})
+}
+
+// requireKey asks for the operators' key as a bearer token.
+func requireKey(key string) echo.MiddlewareFunc {
+	want := sha256.Sum256([]byte(key))
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			if key == "" {
+				return next(c)
+			}
+			given := strings.TrimPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+			got := sha256.Sum256([]byte(given))
+			if subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+				return errkind.New(errkind.Unauthenticated, errkind.NotRun, "the operators' key is missing or wrong")
+			}
+			return next(c)
+		}
+	}
+}
+
+// errorAnswer is the body of an error.
+type errorAnswer struct {
+	Kind    errkind.Kind `json:"kind"`
+	Message string       `json:"message"`
+}
+
+func writeError(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	var unrouted *echo.HTTPError
+	if errors.As(err, &unrouted) {
+		_ = c.JSON(unrouted.Code, errorAnswer{errkind.NotFound, "no such path or method"})
+		return
+	}
+	e := errkind.From(err)
+	_ = c.JSON(errkind.Lookup(e.Kind).Status, errorAnswer{e.Kind, e.Message})
+}
