Test what upstream calls say of whether they ran

A server that reads a request on a reused connection and drops it sees one request and the caller gets ErrBroken, for engines and for plain services with the headers that make net/http resend; a test shows that net/http does resend there. 3,000 calls given up at random moments: none of those answered "not run" reached the server. Only a refusal of this very request counts.

--- /dev/null
+++ b/internal/connection/upstream/service_test.go
@@ -0,0 +1,151 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+func services(t *testing.T) *Services {
+	s := NewServices(HTTPOptions{})
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+func TestForwardPassesTheCall(t *testing.T) {
+	server := serve(t, func(w http.ResponseWriter, q *http.Request) {
+		body, _ := io.ReadAll(q.Body)
+		for _, name := range []string{"Connection", "Keep-Alive", "Te", "Upgrade", "Proxy-Authorization", "X-Hop", "X-Hop2"} {
+			if q.Header.Get(name) != "" {
+				t.Errorf("header %s reached the service", name)
+			}
+		}
+		w.Header().Set("Connection", "X-Private")
+		w.Header().Set("X-Private", "hop")
+		w.Header().Set("X-Public", "end")
+		w.WriteHeader(http.StatusTeapot)
+		fmt.Fprintf(w, "%s %s %s %s %s", q.Method, q.RequestURI, q.Host, q.Header.Get("Idempotency-Key"), body)
+	})
+	a, err := services(t).Forward(timeout(t), ServiceCall{
+		Address: server.URL, Method: "PUT", Path: "/vans/7%2F1", RawQuery: "q=1", Host: "tracker.example",
+		Header: http.Header{
+			"Idempotency-Key": {"k"}, "Connection": {"X-Hop, close", "X-Hop2"}, "X-Hop": {"1"}, "X-Hop2": {"1"}, "Keep-Alive": {"1"},
+			"Te": {"trailers"}, "Upgrade": {"websocket"}, "Proxy-Authorization": {"secret"},
+		},
+		Body: strings.NewReader("body"), ContentLength: 4,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	if want := "PUT /vans/7%2F1?q=1 tracker.example k body"; err != nil || string(body) != want || a.Status != http.StatusTeapot {
+		t.Errorf("status %d, body %q, error %v", a.Status, body, err)
+	}
+	if a.Header.Get("X-Public") != "end" || a.Header.Get("X-Private") != "" || a.Header.Get("Connection") != "" {
+		t.Errorf("headers %v", a.Header)
+	}
+}
+
+// Both bodies stream: each line is answered before the next one is sent.
+func TestForwardStreamsBothWays(t *testing.T) {
+	server := serve(t, func(w http.ResponseWriter, q *http.Request) {
+		out := http.NewResponseController(w)
+		_ = out.EnableFullDuplex()
+		_ = out.Flush()
+		lines := bufio.NewScanner(q.Body)
+		for lines.Scan() {
+			fmt.Fprintln(w, "echo "+lines.Text())
+			_ = out.Flush()
+		}
+	})
+	body, send := io.Pipe()
+	a, err := services(t).Forward(timeout(t), ServiceCall{Address: server.URL, Method: "POST", Path: "/", Body: body, ContentLength: -1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Body.Close()
+	answers := bufio.NewScanner(a.Body)
+	for i := range 5 {
+		fmt.Fprintln(send, i)
+		if !answers.Scan() || answers.Text() != fmt.Sprint("echo ", i) {
+			t.Fatalf("line %d: %q, error %v", i, answers.Text(), answers.Err())
+		}
+	}
+	send.Close()
+	if answers.Scan() || answers.Err() != nil {
+		t.Errorf("after the end: %q, error %v", answers.Text(), answers.Err())
+	}
+}
+
+func TestForwardTellsACutAnswer(t *testing.T) {
+	server := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	a, err := services(t).Forward(timeout(t), ServiceCall{Address: server.URL, Method: "GET", Path: "/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Body.Close()
+	if body, err := io.ReadAll(a.Body); string(body) != "half" || !isBroken(err) {
+		t.Errorf("body %q, error %v, want ErrBroken", body, err)
+	}
+}
+
+var errCaller = errors.New("the caller's connection broke")
+
+type failingBody struct{ sent bool }
+
+func (b *failingBody) Read(p []byte) (int, error) {
+	if b.sent {
+		return 0, errCaller
+	}
+	b.sent = true
+	return copy(p, "half a dispatch"), nil
+}
+
+// A caller's body that breaks off in the middle: the service may have acted.
+func TestForwardOfABrokenBodyIsOpen(t *testing.T) {
+	server := serve(t, func(_ http.ResponseWriter, q *http.Request) { _, _ = io.Copy(io.Discard, q.Body) })
+	_, err := services(t).Forward(timeout(t), ServiceCall{Address: server.URL, Method: "POST", Path: "/", Body: &failingBody{}, ContentLength: 100})
+	if !isBroken(err) || !errors.Is(err, errCaller) {
+		t.Errorf("gave %v, want ErrBroken with the caller's error", err)
+	}
+}
+
+func TestForwardRefusesMalformedCalls(t *testing.T) {
+	for name, call := range map[string]ServiceCall{
+		"no slash":   {Address: "http://127.0.0.1:1", Method: "GET", Path: "x"},
+		"bad method": {Address: "http://127.0.0.1:1", Method: "G T", Path: "/"},
+		"bad escape": {Address: "http://127.0.0.1:1", Method: "GET", Path: "/%zz"},
+		"address":    {Address: "x", Method: "GET", Path: "/"},
+	} {
+		if _, err := services(t).Forward(timeout(t), call); !isNotRun(err) {
+			t.Errorf("%s: %v, want ErrNotRun", name, err)
+		}
+	}
+}
+
+// A GET without a body is sent as such, not with an empty chunked one.
+func TestForwardSendsNoBodyForGet(t *testing.T) {
+	server := serve(t, func(w http.ResponseWriter, q *http.Request) {
+		fmt.Fprint(w, q.ContentLength, len(q.TransferEncoding))
+	})
+	begun := time.Now()
+	a, err := services(t).Forward(timeout(t), ServiceCall{Address: server.URL, Method: "GET", Path: "/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Body.Close()
+	if body, _ := io.ReadAll(a.Body); string(body) != "0 0" {
+		t.Errorf("length and transfer encodings %q after %v", body, time.Since(begun))
+	}
+}
--- a/internal/connection/upstream/stream.go
+++ b/internal/connection/upstream/stream.go
@@ -169,7 +169,7 @@
 	case w.End != nil && (w.End.RunID == "" || w.End.Tokens < 0):
 		return Item{}, errors.Errorf("end has run_id %q, tokens %d", w.End.RunID, w.End.Tokens)
 	}
-	return Item{Token: w.Token, End: w.End}, nil
+	return Item(w), nil
 }
 
 // Close implements Stream. It does not cancel the run.
--- /dev/null
+++ b/internal/connection/upstream/stream_test.go
@@ -0,0 +1,249 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// streamOf serves a stream with a body that the test writes.
+func streamOf(t *testing.T, body func(w io.Writer, flush func(), done <-chan struct{})) *httptest.Server {
+	return serve(t, func(w http.ResponseWriter, q *http.Request) {
+		_, _ = io.Copy(io.Discard, q.Body)
+		w.Header().Set("Content-Type", ContentTypeStream)
+		w.Header().Set(HeaderRunID, "r")
+		out := http.NewResponseController(w)
+		body(w, func() { _ = out.Flush() }, q.Context().Done())
+	})
+}
+
+const (
+	tokenEvent = "data: {\"token\":{\"run_id\":\"r\",\"index\":%d,\"text\":\"t\"}}\n\n"
+	endEvent   = "data: {\"end\":{\"run_id\":\"r\",\"tokens\":%d,\"reason\":\"stop\"}}\n\n"
+)
+
+func TestStreamBodies(t *testing.T) {
+	token, end := fmt.Sprintf(tokenEvent, 0), fmt.Sprintf(endEvent, 1)
+	long := fmt.Sprintf("data: {\"token\":{\"run_id\":\"r\",\"index\":0,\"text\":%q}}\n\n", strings.Repeat("x", 9000))
+	for name, c := range map[string]struct {
+		body  string
+		items int
+		err   error // after the items
+	}{
+		"whole":               {token + end, 2, io.EOF},
+		"comments":            {": alive\n\n" + token + ": alive\n\n" + end, 2, io.EOF},
+		"carriage returns":    {strings.ReplaceAll(token+end, "\n", "\r\n"), 2, io.EOF},
+		"long line":           {long + end, 2, io.EOF},
+		"no end":              {token, 1, ErrBroken},
+		"cut in a line":       {token + end[:len(end)/2], 1, ErrBroken},
+		"line over the limit": {"data: " + strings.Repeat("x", 40000), 0, ErrBroken},
+		"not JSON":            {"data: hello\n\n", 0, ErrBroken},
+		"neither":             {"data: {}\n\n", 0, ErrBroken},
+		"both":                {`data: {"token":{"run_id":"r"},"end":{"run_id":"r"}}` + "\n\n", 0, ErrBroken},
+		"no run id":           {`data: {"token":{"index":0}}` + "\n\n", 0, ErrBroken},
+		"negative index":      {`data: {"token":{"run_id":"r","index":-1}}` + "\n\n", 0, ErrBroken},
+		"negative count":      {`data: {"end":{"run_id":"r","tokens":-1}}` + "\n\n", 0, ErrBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := streamOf(t, func(w io.Writer, _ func(), _ <-chan struct{}) { fmt.Fprint(w, c.body) })
+			ctx := timeout(t)
+			s, err := engineAt(t, server.URL, HTTPOptions{MaxLine: 20000}).Run(ctx, RunRequest{RunID: "r"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			for range c.items {
+				if _, err := s.Recv(ctx); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for range 2 { // the error is final
+				if _, err := s.Recv(ctx); !errors.Is(err, c.err) || errors.Is(err, ErrNotRun) {
+					t.Errorf("after the items: %v, want %v", err, c.err)
+				}
+			}
+		})
+	}
+}
+
+// An answer that is headed as another run's, or is no stream, is nobody's proof.
+func TestCrossedAnswers(t *testing.T) {
+	for name, header := range map[string]http.Header{
+		"another run": {"Content-Type": {ContentTypeStream}, HeaderRunID: {"q"}},
+		"no run":      {"Content-Type": {ContentTypeStream}},
+		"no stream":   {"Content-Type": {"text/html"}, HeaderRunID: {"r"}},
+	} {
+		server := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			for k, v := range header {
+				w.Header()[k] = v
+			}
+			fmt.Fprintf(w, endEvent, 0)
+		})
+		e := engineAt(t, server.URL, HTTPOptions{Name: "a"})
+		if _, err := e.Run(timeout(t), RunRequest{RunID: "r"}); !isBroken(err) {
+			t.Errorf("%s: %v, want ErrBroken", name, err)
+		}
+	}
+}
+
+func TestAnswersAreChecked(t *testing.T) {
+	for name, body := range map[string]string{
+		"another runner": `{"runner":"b","run_id":"q","handle":"h"}`,
+		"not JSON":       `{`,
+		"too long":       `{"runner":"a","run_id":"r","handle":"` + strings.Repeat("h", 2000) + `"}`,
+	} {
+		server := serve(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, body) })
+		e := engineAt(t, server.URL, HTTPOptions{Name: "a", MaxBody: 1000})
+		ctx := timeout(t)
+		_, load := e.Load(ctx)
+		_, state := e.State(ctx)
+		_, order := e.Order(ctx, Order{ID: "o"})
+		_, prefill := e.Prefill(ctx, RunRequest{RunID: "r"})
+		for i, err := range []error{load, state, order, prefill} {
+			if !isBroken(err) {
+				t.Errorf("%s: call %d gave %v, want ErrBroken", name, i, err)
+			}
+		}
+	}
+}
+
+func TestSilentStreamIsBroken(t *testing.T) {
+	for name, first := range map[string]string{"after a token": fmt.Sprintf(tokenEvent, 0), "from the start": ""} {
+		server := streamOf(t, func(w io.Writer, flush func(), done <-chan struct{}) {
+			if first != "" {
+				fmt.Fprint(w, first)
+				flush()
+			}
+			<-done
+		})
+		ctx := timeout(t)
+		s, err := engineAt(t, server.URL, HTTPOptions{Silence: 50 * time.Millisecond}).Run(ctx, RunRequest{RunID: "r"})
+		if err == nil {
+			defer s.Close()
+			if _, err = s.Recv(ctx); err == nil {
+				_, err = s.Recv(ctx)
+			}
+		}
+		if !isBroken(err) || !errors.Is(err, errSilent) {
+			t.Errorf("%s: %v, want ErrBroken for silence", name, err)
+		}
+	}
+}
+
+func TestRecvEndsWithItsContext(t *testing.T) {
+	server := streamOf(t, func(_ io.Writer, flush func(), done <-chan struct{}) { flush(); <-done })
+	s, err := engineAt(t, server.URL, HTTPOptions{}).Run(timeout(t), RunRequest{RunID: "r"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := s.Recv(ctx); !isBroken(err) || !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("gave %v", err)
+	}
+}
+
+// A caller that does not read stops the engine's sending; a pause in reading is
+// not taken for the engine's silence.
+func TestBackpressure(t *testing.T) {
+	const tokens = 20_000 // of 1 KB: more than the kernel buffers on both sides
+	text := strings.Repeat("x", 1<<10)
+	var sent atomic.Int64
+	server := streamOf(t, func(w io.Writer, _ func(), _ <-chan struct{}) {
+		for i := range tokens {
+			fmt.Fprintf(w, "data: {\"token\":{\"run_id\":\"r\",\"index\":%d,\"text\":%q}}\n\n", i, text)
+			sent.Add(1)
+		}
+		fmt.Fprintf(w, endEvent, tokens)
+	})
+	ctx := timeout(t)
+	s, err := engineAt(t, server.URL, HTTPOptions{Silence: 5 * time.Second}).Run(ctx, RunRequest{RunID: "r"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	last := int64(-1)
+	for now := sent.Load(); now != last; now = sent.Load() { // until it stands still
+		last = now
+		time.Sleep(200 * time.Millisecond)
+	}
+	if last == tokens {
+		t.Fatal("the whole answer was sent although nobody read")
+	}
+	t.Logf("%d of %d tokens sent while nobody read", last, tokens)
+	for i := 0; ; i++ {
+		item, err := s.Recv(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if item.End != nil {
+			if i != tokens {
+				t.Fatalf("%d tokens", i)
+			}
+			return
+		}
+	}
+}
+
+// Hundreds of streams are open at once, and the next hundreds reuse their connections.
+func TestManyStreams(t *testing.T) {
+	const streams = 300
+	var conns atomic.Int64
+	var wave atomic.Pointer[sync.WaitGroup]
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		open := wave.Load()
+		open.Done()
+		open.Wait()
+		w.Header().Set("Content-Type", ContentTypeStream)
+		w.Header().Set(HeaderRunID, "r")
+		fmt.Fprintf(w, tokenEvent+endEvent, 0, 1)
+	}))
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	server.Start()
+	defer server.Close()
+	e := engineAt(t, server.URL, HTTPOptions{IdleTimeout: wait})
+	for range 3 {
+		open := &sync.WaitGroup{}
+		open.Add(streams)
+		wave.Store(open)
+		var readers sync.WaitGroup
+		for range streams {
+			readers.Go(func() { readOne(t, e) })
+		}
+		readers.Wait()
+	}
+	if n := conns.Load(); n < streams || n > streams*3/2 {
+		t.Errorf("%d connections for 3 waves of %d streams", n, streams)
+	}
+}
+
+// readOne reads a run of one token.
+func readOne(t *testing.T, e Engine) {
+	ctx := timeout(t)
+	s, err := e.Run(ctx, RunRequest{RunID: "r"})
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer s.Close()
+	for range 2 {
+		if _, err := s.Recv(ctx); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/connection/upstream/truth_test.go
@@ -0,0 +1,368 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// wait is generous: nothing here asserts that something is fast.
+const wait = 20 * time.Second
+
+func timeout(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// engineAt makes a client that is closed with the test.
+func engineAt(t *testing.T, address string, o HTTPOptions) Engine {
+	e := NewHTTP(address, o)
+	t.Cleanup(func() { e.(io.Closer).Close() })
+	return e
+}
+
+// serve starts a server that is closed with the test.
+func serve(t *testing.T, h http.HandlerFunc) *httptest.Server {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s
+}
+
+// seen counts what a server received.
+type seen struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (s *seen) add(what string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.counts == nil {
+		s.counts = map[string]int{}
+	}
+	s.counts[what]++
+	return s.counts[what]
+}
+
+func (s *seen) count(what string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts[what]
+}
+
+func isNotRun(err error) bool { return errors.Is(err, ErrNotRun) }
+func isBroken(err error) bool { return errors.Is(err, ErrBroken) && !errors.Is(err, ErrNotRun) }
+
+// dropSecond answers the first request of each connection and, on the second,
+// reads the whole request and closes the connection without an answer.
+func dropSecond(t *testing.T, got *seen, answer func(*http.Request) string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var conns sync.WaitGroup
+	t.Cleanup(func() { l.Close(); conns.Wait() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			got.add("connections")
+			conns.Go(func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					q, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, q.Body)
+					got.add("requests")
+					if n == 1 {
+						return
+					}
+					fmt.Fprint(c, answer(q))
+				}
+			})
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+func plainAnswer(body string, header ...string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s\r\n%s", len(body), strings.Join(header, ""), body)
+}
+
+// A server that reads a request on a reused connection and then drops it has
+// perhaps run it. Go's transport resends a request that looks replayable there.
+func TestRunIsNeverResentOnAReusedConnection(t *testing.T) {
+	var got seen
+	url := dropSecond(t, &got, func(*http.Request) string {
+		return plainAnswer("data: {\"end\":{\"run_id\":\"r\",\"tokens\":0}}\n\n", "Content-Type: text/event-stream\r\n", "Ragwort-Run-Id: r\r\n")
+	})
+	e := engineAt(t, url, HTTPOptions{})
+	ctx := timeout(t)
+	s, err := e.Run(ctx, RunRequest{RunID: "r"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if item, err := s.Recv(ctx); err != nil || item.End == nil {
+		t.Fatalf("item %+v, error %v", item, err)
+	}
+	s.Close()
+	_, err = e.Run(ctx, RunRequest{RunID: "r"})
+	if !isBroken(err) {
+		t.Errorf("dropped run gave %v, want ErrBroken and not ErrNotRun", err)
+	}
+	if got.count("connections") != 1 || got.count("requests") != 2 {
+		t.Errorf("server saw %v, want 2 requests on 1 connection", got.counts)
+	}
+}
+
+// The same for plain services, with the headers and methods that make Go's
+// transport resend.
+func TestForwardIsNeverResentOnAReusedConnection(t *testing.T) {
+	for name, call := range map[string]ServiceCall{
+		"POST with key":             {Method: "POST", Header: http.Header{"Idempotency-Key": {"k"}}, Body: strings.NewReader("van")},
+		"POST with key and no body": {Method: "POST", Header: http.Header{"Idempotency-Key": {"k"}}},
+		"GET":                       {Method: "GET"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var got seen
+			call.Address = dropSecond(t, &got, func(*http.Request) string { return plainAnswer("ok") })
+			call.Path = "/dispatch"
+			s := NewServices(HTTPOptions{})
+			defer s.Close()
+			ctx := timeout(t)
+			first := call
+			first.Body = nil
+			a, err := s.Forward(ctx, first)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, a.Body)
+			a.Body.Close()
+			if _, err := s.Forward(ctx, call); !isBroken(err) {
+				t.Errorf("dropped call gave %v, want ErrBroken and not ErrNotRun", err)
+			}
+			if got.count("connections") != 1 || got.count("requests") != 2 {
+				t.Errorf("server saw %v, want 2 requests on 1 connection", got.counts)
+			}
+		})
+	}
+}
+
+// This is what the two tests above guard against: the plain use of net/http does
+// resend, so those tests can fail.
+func TestPlainTransportResends(t *testing.T) {
+	var got seen
+	url := dropSecond(t, &got, func(*http.Request) string { return plainAnswer("ok") })
+	plain := &http.Transport{}
+	defer plain.CloseIdleConnections()
+	for range 2 {
+		req, _ := http.NewRequestWithContext(timeout(t), "POST", url, strings.NewReader("van"))
+		req.Header.Set("Idempotency-Key", "k")
+		resp, err := plain.RoundTrip(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	if got.count("requests") != 3 {
+		t.Fatalf("server saw %v; net/http no longer resends, the tests above need another trap", got.counts)
+	}
+}
+
+func TestNoConnectionIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead := "http://" + l.Addr().String()
+	l.Close()
+	canceled, cancel := context.WithCancel(context.Background())
+	cancel()
+	for name, c := range map[string]struct {
+		ctx     context.Context
+		address string
+	}{
+		"nobody listens":     {timeout(t), dead},
+		"canceled before":    {canceled, dead},
+		"malformed address":  {timeout(t), "127.0.0.1:1"},
+		"unknown scheme":     {timeout(t), "ftp://127.0.0.1:1"},
+		"unresolvable name":  {timeout(t), "http://name.invalid:1"},
+		"address with space": {timeout(t), "http://a b"},
+	} {
+		e := engineAt(t, c.address, HTTPOptions{})
+		_, runErr := e.Run(c.ctx, RunRequest{RunID: "r"})
+		_, resumeErr := e.Resume(c.ctx, "r", 0)
+		_, orderErr := e.Order(c.ctx, Order{ID: "o"})
+		_, prefillErr := e.Prefill(c.ctx, RunRequest{RunID: "r"})
+		s := NewServices(HTTPOptions{})
+		_, forwardErr := s.Forward(c.ctx, ServiceCall{Address: c.address, Method: "POST", Path: "/"})
+		for i, err := range []error{runErr, resumeErr, orderErr, prefillErr, forwardErr} {
+			if !isNotRun(err) || errors.Is(err, ErrBroken) {
+				t.Errorf("%s: call %d gave %v, want ErrNotRun", name, i, err)
+			}
+		}
+	}
+}
+
+// Only the engine's own refusal of this very request proves that it did not run.
+func TestOnlyOwnRefusalIsNotRun(t *testing.T) {
+	const own = `{"refusal":{"code":"overloaded","subject":"r"}}`
+	for name, c := range map[string]struct {
+		status int
+		body   string
+		cut    bool
+		notRun bool
+	}{
+		"own refusal":         {503, own, false, true},
+		"bare 503":            {503, "", false, false},
+		"503 of a balancer":   {503, "<html>no healthy upstream</html>", false, false},
+		"other JSON":          {503, `{"error":{"message":"overloaded"}}`, false, false},
+		"refusal of another":  {503, `{"refusal":{"code":"overloaded","subject":"q"}}`, false, false},
+		"code not in list":    {503, `{"refusal":{"code":"tired","subject":"r"}}`, false, false},
+		"no code":             {503, `{"refusal":{"subject":"r"}}`, false, false},
+		"cut refusal":         {503, own, true, false},
+		"refusal with 200":    {200, own, false, false},
+		"bare 429":            {429, "", false, false},
+		"bare 404":            {404, "", false, false},
+		"redirect":            {307, "", false, false},
+		"refusal, other form": {400, own, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var got seen
+			s := serve(t, func(w http.ResponseWriter, q *http.Request) {
+				got.add("requests")
+				w.Header().Set("Location", "/elsewhere")
+				if c.cut {
+					w.Header().Set("Content-Length", fmt.Sprint(len(c.body)+1))
+				}
+				w.WriteHeader(c.status)
+				fmt.Fprint(w, c.body)
+			})
+			_, err := engineAt(t, s.URL, HTTPOptions{}).Run(timeout(t), RunRequest{RunID: "r"})
+			if isNotRun(err) != c.notRun || isBroken(err) == c.notRun {
+				t.Errorf("gave %v, want not run: %v", err, c.notRun)
+			}
+			if got.count("requests") != 1 {
+				t.Errorf("server saw %d requests", got.count("requests"))
+			}
+		})
+	}
+}
+
+func TestRefusalCodesMatch(t *testing.T) {
+	for code, want := range map[RefusalCode][]error{
+		RefusedRestarted:  {ErrRestarted, ErrNotRun},
+		RefusedUnknownRun: {ErrUnknownRun},
+		RefusedStaleFence: {ErrStaleFence, ErrNotRun},
+		RefusedBusy:       {ErrBusy, ErrNotRun},
+		RefusedLeaving:    {ErrNotRun},
+	} {
+		s := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(409)
+			fmt.Fprintf(w, `{"refusal":{"code":%q,"subject":"r","message":"because"}}`, code)
+		})
+		_, err := engineAt(t, s.URL, HTTPOptions{}).Run(timeout(t), RunRequest{RunID: "r"})
+		for _, w := range want {
+			if !errors.Is(err, w) {
+				t.Errorf("%s gave %v, want a match of %v", code, err, w)
+			}
+		}
+		if got, ok := RefusedWith(err); !ok || got != code || isNotRun(err) != (code != RefusedUnknownRun) {
+			t.Errorf("%s gave %v", code, err)
+		}
+	}
+}
+
+// Calls given up at any moment: whatever was answered "not run" never reached
+// the server, not even later.
+func TestNotRunHoldsUnderCancellation(t *testing.T) {
+	const calls = 3000
+	var got seen
+	s := serve(t, func(w http.ResponseWriter, q *http.Request) {
+		got.add(q.Header.Get("Call"))
+		_, _ = io.Copy(io.Discard, q.Body)
+	})
+	services := NewServices(HTTPOptions{})
+	random := rand.New(rand.NewPCG(1, 2))
+	var mu sync.Mutex
+	notRun := map[string]bool{}
+	var group sync.WaitGroup
+	slots := make(chan struct{}, 16)
+	for i := range calls {
+		slots <- struct{}{}
+		after := time.Duration(random.IntN(300)) * time.Microsecond
+		group.Go(func() {
+			defer func() { <-slots }()
+			ctx, cancel := context.WithTimeout(context.Background(), after)
+			defer cancel()
+			name := fmt.Sprint(i)
+			a, err := services.Forward(ctx, ServiceCall{
+				Address: s.URL, Method: "POST", Path: "/", Header: http.Header{"Call": {name}}, Body: strings.NewReader("body"),
+			})
+			if err == nil {
+				_, _ = io.Copy(io.Discard, a.Body)
+				a.Body.Close()
+			}
+			if isNotRun(err) {
+				mu.Lock()
+				notRun[name] = true
+				mu.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	services.Close()
+	s.Close() // waits for what is still being served
+	wrong := 0
+	for name := range notRun {
+		if got.count(name) > 0 {
+			wrong++
+		}
+	}
+	t.Logf("%d of %d calls not run, %d of these reached the server", len(notRun), calls, wrong)
+	if wrong > 0 || len(notRun) == 0 || len(notRun) == calls {
+		t.Errorf("%d calls answered not run, %d wrongly", len(notRun), wrong)
+	}
+}
+
+// sealed connections let no byte through.
+func TestSeal(t *testing.T) {
+	a, b := net.Pipe()
+	defer a.Close()
+	defer b.Close()
+	go func() { _, _ = io.Copy(io.Discard, b) }()
+	c := &sealConn{Conn: a}
+	if _, err := c.Write([]byte("one")); err != nil {
+		t.Fatal(err)
+	}
+	if c.sealSince(0) {
+		t.Error("sealed although a write was begun")
+	}
+	if !c.sealSince(c.mark()) {
+		t.Error("not sealed although nothing was written")
+	}
+	if _, err := c.Write([]byte("two")); !errors.Is(err, errSealed) {
+		t.Errorf("write after the seal gave %v", err)
+	}
+}
--- a/internal/standin/runner/command.go
+++ b/internal/standin/runner/command.go
@@ -17,7 +17,7 @@
 type Command struct {
 	Listen           string        `long:"listen" default:"127.0.0.1:0" description:"host:port to listen on"`
 	Name             string        `long:"name" required:"true" description:"runner name"`
-	Role             string        `long:"role" default:"both" choice:"both" choice:"prefill" choice:"decode" description:"role at start"`
+	Role             string        `long:"role" default:"both" description:"role at start: both, prefill or decode"`
 	Load             []string      `long:"load" description:"model:version[:adapter,...] held at start; may repeat"`
 	ChecksFencing    bool          `long:"checks-fencing" description:"refuse an order with an old fencing number"`
 	DeduplicatesRuns bool          `long:"deduplicates-runs" description:"attach a second run of the same id to the first"`
