Test the platform client's errors and the settling of lost answers

Cases: connection never made, answer lost, cut or late, a proxy's own statuses, writes sent once over a reused connection, budget, silent watch; and for lost answers each of effect, no effect, overtaken, replaced, deleted, history gone.

--- /dev/null
+++ b/internal/connection/platform/client_test.go
@@ -0,0 +1,260 @@
+package platform_test
+
+import (
+	"context"
+	"encoding/pem"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const waitLong = 20 * time.Second
+
+func testContext(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(t.Context(), waitLong)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func newClient(t *testing.T, cfg platform.ClientConfig) *platform.Client {
+	t.Helper()
+	if cfg.CallsPerSecond == 0 {
+		cfg.CallsPerSecond = 1000
+	}
+	cfg.Backoff = platform.Backoff{Base: time.Millisecond, Max: 5 * time.Millisecond}
+	client, err := platform.NewClient(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Close)
+	return client
+}
+
+// hangUp closes the connection after it has read the request.
+func hangUp(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) }
+
+func respond(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}
+}
+
+func TestErrorsOfCalls(t *testing.T) {
+	hang := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the server notices a closed connection only after the body
+		<-r.Context().Done()
+	}
+	cases := []struct {
+		name        string
+		handler     http.HandlerFunc
+		read, write error
+	}{
+		{"connection closed without an answer", hangUp, platform.ErrUnavailable, platform.ErrUnknown},
+		{"no answer in time", hang, platform.ErrUnavailable, platform.ErrUnknown},
+		{"answer cut short", respond(200, `{"kind":"Rou`), platform.ErrUnavailable, platform.ErrUnknown},
+		{"a proxy's 502", respond(502, `<html>bad gateway`), platform.ErrUnavailable, platform.ErrUnknown},
+		{"a proxy's 503", respond(503, ``), platform.ErrUnavailable, platform.ErrUnknown},
+		{"a proxy's 429", respond(429, ``), platform.ErrUnavailable, platform.ErrUnavailable},
+		{"the platform's own 503", respond(503, `{"code":"unavailable"}`), platform.ErrUnavailable, platform.ErrUnavailable},
+		{"an unknown code", respond(500, `{"code":"surprise"}`), platform.ErrUnavailable, platform.ErrUnknown},
+		{"conflict", respond(409, `{"code":"conflict"}`), platform.ErrConflict, platform.ErrConflict},
+		{"not found", respond(404, `{"code":"not_found"}`), platform.ErrNotFound, platform.ErrNotFound},
+		{"key refused", respond(401, `{"code":"denied"}`), platform.ErrDenied, platform.ErrDenied},
+		{"key refused had no effect", respond(401, `{"code":"denied"}`), platform.ErrUnavailable, platform.ErrUnavailable},
+		{"too large", respond(413, `{"code":"too_large"}`), platform.ErrTooLarge, platform.ErrTooLarge},
+		{"invalid", respond(400, `{"code":"invalid"}`), platform.ErrInvalid, platform.ErrInvalid},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			server := httptest.NewServer(c.handler)
+			defer server.Close()
+			client := newClient(t, platform.ClientConfig{Address: server.URL, Timeout: 300 * time.Millisecond})
+			o := platform.Object{Kind: "Route", Name: "a", Version: 3}
+			_, err := client.Get(testContext(t), "Route", "a")
+			wantError(t, err, c.read)
+			_, err = client.Create(testContext(t), o)
+			wantError(t, err, c.write)
+			_, err = client.Update(testContext(t), o)
+			wantError(t, err, c.write)
+			err = client.Delete(testContext(t), "Route", "a", 3, "w", "n")
+			if c.name == "answer cut short" { // the status alone answers a delete
+				wantError(t, err, nil)
+				return
+			}
+			wantError(t, err, c.write)
+		})
+	}
+}
+
+func wantError(t *testing.T, err, want error) {
+	t.Helper()
+	if !errors.Is(err, want) {
+		t.Fatalf("error %v, want %v", err, want)
+	}
+}
+
+func TestConnectionNeverMadeHadNoEffect(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := "http://" + listener.Addr().String()
+	_ = listener.Close()
+	client := newClient(t, platform.ClientConfig{Address: address})
+	_, err = client.Create(testContext(t), platform.Object{Kind: "Route", Name: "a"})
+	wantError(t, err, platform.ErrUnavailable)
+}
+
+// A write over a reused connection that the server closes must not be sent again behind our back.
+func TestWritesAreSentOnce(t *testing.T) {
+	var writes atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			respond(200, `{}`)(w, r)
+			return
+		}
+		writes.Add(1)
+		hangUp(w, r)
+	}))
+	defer server.Close()
+	client := newClient(t, platform.ClientConfig{Address: server.URL})
+	if _, err := client.Get(testContext(t), "Route", "a"); err != nil { // leaves an idle connection
+		t.Fatal(err)
+	}
+	wantError(t, client.Delete(testContext(t), "Route", "a", 0, "w", "n"), platform.ErrUnknown)
+	if n := writes.Load(); n != 1 {
+		t.Fatalf("the write arrived %d times", n)
+	}
+}
+
+func TestBadClientConfig(t *testing.T) {
+	notPEM := filepath.Join(t.TempDir(), "ca.pem")
+	if err := os.WriteFile(notPEM, []byte("no certificate"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		cfg  platform.ClientConfig
+		want string
+	}{
+		{platform.ClientConfig{}, `platform address ""`},
+		{platform.ClientConfig{Address: "ftp://a"}, `"ftp://a"`},
+		{platform.ClientConfig{Address: "127.0.0.1:80"}, "127.0.0.1:80"},
+		{platform.ClientConfig{Address: "http://a", CAFile: "/does/not/exist"}, "CA file"},
+		{platform.ClientConfig{Address: "http://a", CAFile: notPEM}, "no PEM certificate"},
+	}
+	for _, c := range cases {
+		if _, err := platform.NewClient(c.cfg); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%+v: error %v, want one with %q", c.cfg, err, c.want)
+		}
+	}
+}
+
+func TestCAFileIsTrusted(t *testing.T) {
+	s := standin.New(standin.Config{Key: "k"})
+	server := httptest.NewTLSServer(s.Handler())
+	defer server.Close()
+	path := filepath.Join(t.TempDir(), "ca.pem")
+	block := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
+	if err := os.WriteFile(path, block, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	client := newClient(t, platform.ClientConfig{Address: server.URL, CAFile: path, Key: "k"})
+	if _, err := client.Create(testContext(t), platform.Object{Kind: "Route", Name: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	stranger := newClient(t, platform.ClientConfig{Address: server.URL, CAFile: path, Key: "other"})
+	_, err := stranger.Get(testContext(t), "Route", "a")
+	wantError(t, err, platform.ErrDenied)
+}
+
+func TestBudgetBoundsCalls(t *testing.T) {
+	s := standin.New(standin.Config{})
+	server := httptest.NewServer(s.Handler())
+	defer server.Close()
+	client := newClient(t, platform.ClientConfig{Address: server.URL, CallsPerSecond: 0.001, Burst: 2, Timeout: time.Second})
+	for range 2 {
+		if _, _, err := client.List(testContext(t), "Route"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_, err := client.Create(testContext(t), platform.Object{Kind: "Route", Name: "a"})
+	wantError(t, err, platform.ErrUnavailable)
+	if stats := s.Stats(); stats.Reads != 2 || stats.Writes != 0 {
+		t.Fatalf("calls beyond the budget arrived: %+v", stats)
+	}
+}
+
+func TestSilentWatchIsTakenForCut(t *testing.T) {
+	var opened atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if opened.Add(1) < 3 {
+			w.WriteHeader(http.StatusOK)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done() // silence, as behind a partition
+			return
+		}
+		if r.URL.Query().Get("from") != "7" {
+			t.Errorf("reopened from %q", r.URL.Query().Get("from"))
+		}
+		_, _ = w.Write([]byte(`{"type":"put","object":{"kind":"Route","name":"a","version":8}}` + "\n"))
+	}))
+	defer server.Close()
+	client := newClient(t, platform.ClientConfig{Address: server.URL, WatchIdle: 20 * time.Millisecond})
+	w, err := client.Watch(testContext(t), nil, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	e, err := w.Next(testContext(t))
+	if err != nil || e.Object.Version != 8 {
+		t.Fatalf("event %+v, %v", e, err)
+	}
+}
+
+func TestWatchEndsWithItsContext(t *testing.T) {
+	server := httptest.NewServer(standin.New(standin.Config{}).Handler())
+	defer server.Close()
+	client := newClient(t, platform.ClientConfig{Address: server.URL})
+	ctx, cancel := context.WithCancel(t.Context())
+	w, err := client.Watch(ctx, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	for err == nil {
+		_, err = w.Next(testContext(t))
+	}
+	wantError(t, err, context.Canceled)
+	w.Close()
+	w.Close() // twice is allowed
+}
+
+func TestBackoffStaysUnderItsCeiling(t *testing.T) {
+	b := platform.Backoff{Base: 10 * time.Millisecond, Max: time.Second}
+	for attempt, want := range map[int]time.Duration{
+		0: 10 * time.Millisecond, 1: 20 * time.Millisecond, 6: 640 * time.Millisecond, 7: time.Second, 500: time.Second,
+	} {
+		if got := b.Ceiling(attempt); got != want {
+			t.Errorf("attempt %d: ceiling %s, want %s", attempt, got, want)
+		}
+		if got := b.Delay(attempt, 0.5); got != want/2 {
+			t.Errorf("attempt %d: delay %s, want %s", attempt, got, want/2)
+		}
+	}
+}
--- /dev/null
+++ b/internal/connection/platform/resolve_test.go
@@ -0,0 +1,195 @@
+package platform_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+)
+
+// lossy is a write whose first sending goes wrong and during which others act.
+type lossy struct {
+	store   *standin.Store
+	effect  bool                              // the first sending takes effect before its answer is lost
+	between func(mine platform.Object)        // what happens before it is sent again
+	sent    []func() (platform.Object, error) // the sendings, to be delivered late
+}
+
+func (l *lossy) write(ctx context.Context, o platform.Object) (platform.Object, error) {
+	apply := func() (platform.Object, error) { return platformWrite(ctx, l.store, o) }
+	l.sent = append(l.sent, apply)
+	if len(l.sent) > 1 {
+		return apply()
+	}
+	mine := o
+	if l.effect {
+		mine, _ = apply()
+	}
+	if l.between != nil {
+		l.between(mine)
+	}
+	return platform.Object{}, platform.ErrUnknown
+}
+
+func platformWrite(ctx context.Context, s platform.Store, o platform.Object) (platform.Object, error) {
+	if o.Version == 0 {
+		return s.Create(ctx, o)
+	}
+	return s.Update(ctx, o)
+}
+
+func TestResolve(t *testing.T) {
+	const (
+		tookEffect  = "took effect"
+		conflict    = "conflict"
+		hidden      = "hidden"
+		overwritten = "overwritten"
+		unknown     = "unknown"
+	)
+	type world struct {
+		s    *standin.Store
+		base platform.Object
+	}
+	byBob := func(t *testing.T, w world, version uint64) {
+		_, err := w.s.Update(t.Context(), platform.Object{
+			Kind: w.base.Kind, Name: w.base.Name, Version: version, Writer: "bob", Nonce: "bobs"})
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	cases := []struct {
+		name    string
+		create  bool
+		effect  bool
+		history int
+		between func(t *testing.T, w world, mine platform.Object)
+		want    string
+	}{
+		{name: "answer lost after the effect", effect: true, want: tookEffect},
+		{name: "lost before the effect", want: tookEffect},
+		{name: "create, answer lost after the effect", create: true, effect: true, want: tookEffect},
+		{name: "create, lost before the effect", create: true, want: tookEffect},
+		{name: "lost before the effect, another writer wins", want: conflict,
+			between: func(t *testing.T, w world, _ platform.Object) { byBob(t, w, w.base.Version) }},
+		{name: "effect, then replaced by another writer", effect: true, want: overwritten,
+			between: func(t *testing.T, w world, mine platform.Object) { byBob(t, w, mine.Version) }},
+		{name: "effect, then deleted", effect: true, want: overwritten,
+			between: func(t *testing.T, w world, mine platform.Object) {
+				if err := w.s.Delete(t.Context(), mine.Kind, mine.Name, 0, "bob", "n"); err != nil {
+					t.Error(err)
+				}
+			}},
+		{name: "effect, replaced, and the history is gone", effect: true, history: 1, want: hidden,
+			between: func(t *testing.T, w world, mine platform.Object) { byBob(t, w, mine.Version) }},
+		{name: "lost before, another writer wins, and the history is gone", history: 1, want: hidden,
+			between: func(t *testing.T, w world, mine platform.Object) {
+				byBob(t, w, w.base.Version)
+				_, _ = w.s.Create(t.Context(), platform.Object{Kind: "Model", Name: "m"})
+			}},
+		{name: "create, another writer stands there", create: true, want: hidden,
+			between: func(t *testing.T, w world, mine platform.Object) {
+				mine.Writer, mine.Nonce = "bob", "bobs"
+				if _, err := w.s.Create(t.Context(), mine); err != nil {
+					t.Error(err)
+				}
+			}},
+		{name: "the platform goes away", effect: true, want: unknown,
+			between: func(t *testing.T, w world, _ platform.Object) { w.s.SetFault(standin.Fault{Outage: true}) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := standin.New(standin.Config{HistoryEvents: c.history})
+			o := platform.Object{Kind: "Lease", Name: "a", Writer: "ada", Nonce: "mine"}
+			if !c.create {
+				base, err := s.Create(t.Context(), platform.Object{Kind: "Lease", Name: "a", Writer: "carl", Nonce: "old"})
+				if err != nil {
+					t.Fatal(err)
+				}
+				o.Version = base.Version
+			}
+			l := &lossy{store: s, effect: c.effect}
+			l.between = func(mine platform.Object) {
+				if c.between != nil {
+					c.between(t, world{s, o}, mine)
+				}
+			}
+			got, err := platform.Resolve(testContext(t), s, o, l.write)
+			if kind := outcome(err); kind != c.want {
+				t.Fatalf("%s (%v), want %s", kind, err, c.want)
+			}
+			if c.want == tookEffect {
+				now, err := s.Get(t.Context(), "Lease", "a")
+				if err != nil || now.Version != got.Version || now.UID != got.UID || now.Nonce != "mine" {
+					t.Fatalf("returned %+v, stored %+v, %v", got, now, err)
+				}
+			}
+			if c.want == hidden && errors.Is(err, platform.ErrConflict) {
+				t.Fatal("a hidden write must not look like one without effect")
+			}
+			// The first sending may still arrive. After a settled answer it must change nothing.
+			if c.want != unknown && !c.effect {
+				if _, err := l.sent[0](); !errors.Is(err, platform.ErrConflict) {
+					t.Fatalf("the first sending arrived late and gave %v", err)
+				}
+			}
+		})
+	}
+}
+
+func outcome(err error) string {
+	var (
+		conflict    *platform.ConflictError
+		hidden      *platform.HiddenError
+		overwritten *platform.OverwrittenError
+	)
+	switch {
+	case err == nil:
+		return "took effect"
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.As(err, &hidden):
+		return "hidden"
+	case errors.As(err, &overwritten):
+		return "overwritten"
+	case errors.Is(err, platform.ErrUnknown):
+		return "unknown"
+	default:
+		return err.Error()
+	}
+}
+
+func TestResolvePassesOnWhatIsCertain(t *testing.T) {
+	s := standin.New(standin.Config{})
+	for _, want := range []error{platform.ErrUnavailable, platform.ErrTooLarge, platform.ErrConflict} {
+		calls := 0
+		_, err := platform.Resolve(t.Context(), s, platform.Object{Kind: "Lease", Name: "a"},
+			func(context.Context, platform.Object) (platform.Object, error) {
+				calls++
+				return platform.Object{}, want
+			})
+		if !errors.Is(err, want) || calls != 1 {
+			t.Errorf("%v after %d calls, want %v after one", err, calls, want)
+		}
+	}
+}
+
+func TestResolveDelete(t *testing.T) {
+	for _, fault := range []standin.Fault{{}, {LoseAnswers: 1}, {LoseWrites: 1}, {LoseAnswers: 1, LoseWrites: 1}} {
+		s := standin.New(standin.Config{})
+		o, err := platform.Write(t.Context(), s, platform.Object{Kind: "Route", Name: "a"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.SetFault(fault)
+		if err := platform.ResolveDelete(testContext(t), s, "Route", "a", o.Version, "ada"); err != nil {
+			t.Errorf("%+v: %v", fault, err)
+		}
+		_, err = s.Get(t.Context(), "Route", "a")
+		wantError(t, err, platform.ErrNotFound)
+	}
+	s := standin.New(standin.Config{})
+	wantError(t, platform.ResolveDelete(testContext(t), s, "Route", "a", 0, "ada"), platform.ErrNotFound)
+}
