--- a/internal/request/claim/session.go
+++ b/internal/request/claim/session.go
@@ -325,6 +325,9 @@
 }
 
 func (s *Session) resumeOnly() Action {
+	if s.ran && !s.cfg.Traits(s.claim.Runner).Resumes {
+		return s.refuse(errkind.New(errkind.AnswerIncomplete, errkind.Ran, "the answer broke off and the upstream cannot resume it"))
+	}
 	if !s.cfg.Traits(s.claim.Runner).Resumes {
 		return s.unknown("the key is claimed by " + s.claim.Holder + " at " + s.claim.Runner + ", whose answers cannot be joined")
 	}
--- /dev/null
+++ b/internal/request/claim/walk_test.go
@@ -0,0 +1,427 @@
+package claim
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+)
+
+// The walk explores every schedule of two requests for one key at two gateways,
+// each with its own keeper, over the real cores, up to a number of faults. It is
+// the same small world as spec/claim.pml.
+
+// step is one thing that can happen next. Every variant after the first is a fault.
+type step struct {
+	name     string
+	gateway  int // whose process does it; -1: it is under way on the network or at an upstream
+	variants []variant
+	current  func() bool // nil: always
+}
+
+type variant struct {
+	name string
+	do   func()
+}
+
+type walkSession struct {
+	session  *Session
+	invoked  bool
+	ranFirst bool // the key had run before this request came
+	result   *errkind.RunState
+	steps    int // actions so far
+	deadline bool
+}
+
+type world struct {
+	dedupe   bool
+	sessions [2]*walkSession
+	keepers  [2]*Keeper
+	replies  [2]map[uint64]func(peer.ClaimAnswer)
+	nextID   uint64
+	object   *platform.Object
+	version  uint64
+	pending  []*step
+	runs     map[string]string // run id to runner, in this incarnation of the runner
+	restarts int
+	starts   []string
+	faults   int
+	killed   bool
+	err      string
+}
+
+const walkNow = boottime.Time(time.Hour)
+
+func newWorld(dedupe bool, faults int) *world {
+	w := &world{dedupe: dedupe, faults: faults, runs: make(map[string]string)}
+	for i := range w.sessions {
+		w.keepers[i] = NewKeeper(KeeperConfig{Name: fmt.Sprint("gw-", i), MinGap: -time.Nanosecond, MaxTries: 3})
+		w.replies[i] = make(map[uint64]func(peer.ClaimAnswer))
+		ws := &walkSession{session: NewSession(SessionConfig{
+			Gateway: fmt.Sprint("gw-", i), RunID: fmt.Sprint("run-", i), Key: KeyOf("a", "k"), MaxMoves: 1,
+			ClaimWait: time.Nanosecond, Traits: func(string) Traits { return Traits{Resumes: true, Deduplicates: dedupe} },
+		})}
+		w.sessions[i] = ws
+		w.add(fmt.Sprint("invoke-", i), i, variant{"", func() {
+			ws.invoked = true
+			ws.ranFirst = len(w.starts) > 0
+			w.feed(i, ws.steps, Chosen{Runner: "r1", Incarnation: w.inc("r1")})
+		}})
+	}
+	return w
+}
+
+func (w *world) inc(runner string) string {
+	if runner == "r1" {
+		return fmt.Sprint("r1-", w.restarts)
+	}
+	return runner + "-0"
+}
+
+func (w *world) add(name string, gateway int, v ...variant) {
+	w.pending = append(w.pending, &step{name: name, gateway: gateway, variants: v})
+}
+
+// addCurrent adds a step that means nothing once its session has gone on.
+func (w *world) addCurrent(name string, i, now int, v ...variant) {
+	w.add(fmt.Sprintf("%s-%d", name, i), i, v...)
+	ws := w.sessions[i]
+	w.pending[len(w.pending)-1].current = func() bool { return ws.result == nil && ws.steps == now }
+}
+
+func (s *step) stale() string {
+	if s.current == nil || s.current() {
+		return ""
+	}
+	return "-stale"
+}
+
+func (w *world) feed(i, at int, e Event) {
+	ws := w.sessions[i]
+	if ws.result != nil || at != ws.steps {
+		return
+	}
+	a := ws.session.Step(walkNow, e)
+	if _, ok := e.(Started); ok {
+		a = ws.session.Step(walkNow, Finished{})
+	}
+	if a == nil {
+		return
+	}
+	ws.steps++
+	now := ws.steps
+	back := func(name string, e Event) {
+		w.add(fmt.Sprintf("%s-%d.%d", name, i, now), i, variant{"", func() { w.feed(i, now, e) }})
+	}
+	switch a := a.(type) {
+	case Choose:
+		if slices.Contains(a.Exclude, "r2") {
+			w.feed(i, now, ChooseFailed{Err: errkind.New(errkind.NoUpstream, errkind.NotRun, "")})
+			return
+		}
+		w.feed(i, now, Chosen{Runner: "r2", Incarnation: "r2-0"})
+	case Ask:
+		w.nextID++
+		id := w.nextID
+		w.replies[i][id] = func(ans peer.ClaimAnswer) { w.feed(i, now, ClaimAnswered{Answer: ans}) }
+		ask := func() { w.keep(i, Asked{ID: id, Ask: a.Ask}) }
+		if w.faults == 0 {
+			ask()
+			return
+		}
+		w.addCurrent(fmt.Sprintf("ask-op%d", a.Ask.Op), i, now, variant{"", ask},
+			variant{"-late", func() { // the asker hears nothing; the ask arrives later
+				w.replies[i][id] = func(peer.ClaimAnswer) {}
+				w.add(fmt.Sprintf("lateask-%d-%d-%s-%d", i, a.Ask.Op, a.Ask.Runner, a.Ask.ExpectSerial), i, variant{"", ask})
+				w.feed(i, now, KeeperLost{})
+			}})
+	case Send:
+		w.addCurrent("send", i, now, w.sendVariants(i, a, back)...)
+	case Resume:
+		w.addCurrent("resume", i, now, variant{"", func() { w.resume(a, back) }})
+	case Wait:
+		w.feed(i, now, WaitOver{})
+	case Refuse:
+		w.end(i, a.Err.Run)
+	case Done:
+		w.end(i, errkind.Ran)
+		if len(w.starts) == 0 {
+			w.err = "an answer without a run"
+		}
+	}
+}
+
+func (w *world) sendVariants(i int, a Send, back func(string, Event)) []variant {
+	ws, at := w.sessions[i], w.sessions[i].steps
+	arrive := func() {
+		if ws.steps == at && ws.result == nil && ws.session.MaySend(walkNow) {
+			w.arrive(a, back)
+		}
+	}
+	lost := func() {
+		w.add(fmt.Sprintf("laterun-%d-%s-%s-%s", i, a.RunID, a.Runner, a.Incarnation), -1, variant{"", func() { w.arrive(a, func(string, Event) {}) }})
+		back("ambiguous", SendAmbiguous{})
+	}
+	refused := func() { back("refused", SendRefused{}) }
+	return []variant{{"", arrive}, {"-lost", lost}, {"-refused", refused}}
+}
+
+func (w *world) arrive(a Send, back func(string, Event)) {
+	if w.inc(a.Runner) != a.Incarnation {
+		back("restarted", SendRefused{Restarted: true})
+		return
+	}
+	if _, ok := w.runs[a.RunID]; !ok || !w.dedupe {
+		w.starts = append(w.starts, a.RunID)
+		w.runs[a.RunID] = a.Runner
+		w.checkStart(a.RunID)
+	}
+	back("started", Started{}) // Finished follows, see feed
+}
+
+func (w *world) checkStart(runID string) {
+	if len(w.starts) > 1 {
+		w.err = fmt.Sprint("ran twice: ", w.starts)
+	}
+	owner := w.sessions[int(runID[len(runID)-1]-'0')]
+	if owner.result != nil && *owner.result == errkind.NotRun {
+		w.err = "a run of a request that was told not-run"
+	}
+}
+
+func (w *world) resume(a Resume, back func(string, Event)) {
+	if w.runs[a.RunID] != a.Runner {
+		back("unknownrun", ResumeUnknownRun{})
+		return
+	}
+	back("started", Started{}) // Finished follows, see feed
+}
+
+func (w *world) end(i int, state errkind.RunState) {
+	ws := w.sessions[i]
+	ws.result = &state
+	own := slices.Contains(w.starts, fmt.Sprint("run-", i))
+	if state == errkind.NotRun && (ws.ranFirst || own) {
+		w.err = fmt.Sprintf("request %d was told not-run", i)
+	}
+}
+
+// keep steps a keeper. A call to the store is two steps: its effect and its answer.
+func (w *world) keep(i int, e KeeperEvent) {
+	if w.killed && i == 0 {
+		return
+	}
+	for _, a := range w.keepers[i].Step(walkNow, e) {
+		switch a := a.(type) {
+		case Answer:
+			w.replies[i][a.ID](a.Answer)
+		case Wake:
+			w.add(fmt.Sprint("wake-", i), i, variant{"", func() { w.keep(i, Woken{Name: a.Name}) }})
+		case ReadBucket:
+			reply := func(o platform.Object, err error) {
+				w.add(fmt.Sprint("readanswer-", i, o.Version, err), i, variant{"", func() { w.keep(i, BucketRead{Name: a.Name, Object: o, Err: err}) }})
+			}
+			w.add(fmt.Sprint("read-", i), -1,
+				variant{"", func() { reply(w.read()) }},
+				variant{"-out", func() { reply(platform.Object{}, platform.ErrUnavailable) }})
+		case WriteBucket:
+			reply := func(o platform.Object, err error) {
+				w.add(fmt.Sprint("writeanswer-", i, o.Version, err), i, variant{"", func() { w.keep(i, BucketWritten{Name: a.Name, Object: o, Err: err}) }})
+			}
+			w.add(fmt.Sprint("write-", i, a.Object.Version), -1,
+				variant{"", func() { reply(w.write(a)) }},
+				variant{"-out", func() { reply(platform.Object{}, platform.ErrUnavailable) }},
+				variant{"-unknown", func() { // the effect comes later, or the schedule ends before it
+					w.add(fmt.Sprint("latewrite-", i, a.Object.Version, string(a.Object.Spec)), -1, variant{"", func() { _, _ = w.write(a) }})
+					reply(platform.Object{}, platform.ErrUnknown)
+				}})
+		}
+	}
+}
+
+func (w *world) read() (platform.Object, error) {
+	if w.object == nil {
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return *w.object, nil
+}
+
+func (w *world) write(a WriteBucket) (platform.Object, error) {
+	if a.Create != (w.object == nil) || w.object != nil && w.object.Version != a.Object.Version {
+		return platform.Object{}, platform.ErrConflict
+	}
+	w.version++
+	o := a.Object
+	o.Version = w.version
+	w.object = &o
+	return o, nil
+}
+
+// steps lists what can happen next, faults included while any are left.
+func (w *world) steps() []func() {
+	var out []func()
+	for n, st := range w.pending {
+		for v, alt := range st.variants {
+			if v > 0 && st.stale() != "" {
+				break
+			}
+			if v > 0 && w.faults == 0 {
+				break
+			}
+			out = append(out, func() {
+				if v > 0 {
+					w.faults--
+				}
+				w.pending = slices.Delete(w.pending, n, n+1)
+				alt.do()
+			})
+		}
+	}
+	if w.faults > 0 {
+		out = append(out, w.crash)
+		if !w.killed {
+			out = append(out, w.kill)
+		}
+		for i, ws := range w.sessions {
+			if ws.invoked && ws.result == nil && !ws.deadline {
+				out = append(out, func() { w.faults--; ws.deadline = true; w.feed(i, ws.steps, DeadlinePassed{}) })
+			}
+		}
+	}
+	return out
+}
+
+func (w *world) crash() {
+	w.faults--
+	w.restarts++
+	for id, r := range w.runs {
+		if r == "r1" {
+			delete(w.runs, id)
+		}
+	}
+}
+
+// kill ends the process of gateway 0. What it put on the network stays there.
+func (w *world) kill() {
+	w.faults--
+	w.killed = true
+	w.pending = slices.DeleteFunc(w.pending, func(s *step) bool { return s.gateway == 0 })
+	w.replies[0] = nil
+	if w.sessions[0].result == nil {
+		unknown := errkind.RunUnknown
+		w.sessions[0].result = &unknown
+	}
+}
+
+// fingerprint names the state of the world; two worlds with the same one behave alike.
+func (w *world) fingerprint() string {
+	var b strings.Builder
+	for _, ws := range w.sessions {
+		s := *ws.session
+		s.cfg, s.resume = SessionConfig{}, nil
+		result := ""
+		if ws.result != nil {
+			result = string(*ws.result)
+		}
+		fmt.Fprintf(&b, "%+v|%v %v %v %s\n", s, ws.invoked, ws.ranFirst, ws.deadline, result)
+	}
+	for _, k := range w.keepers {
+		for _, c := range k.buckets {
+			fmt.Fprintf(&b, "%v %v %d %v %v\n", c.known, c.exists, c.version, c.io, c.waking)
+			if c.content != nil {
+				fmt.Fprintf(&b, "%+v", c.content.claims)
+			}
+			for _, p := range slices.Concat(c.waiting, c.inflight) {
+				fmt.Fprintf(&b, "%d %s %v %v %v %d;", p.ask.Op, p.ask.RunID, p.absent, p.written, p.changes, p.tries)
+			}
+		}
+	}
+	names := make([]string, 0, len(w.pending))
+	for _, p := range w.pending {
+		names = append(names, p.name+p.stale())
+	}
+	slices.Sort(names)
+	if w.object != nil {
+		fmt.Fprintf(&b, "%d %s", w.object.Version, w.object.Spec)
+	}
+	fmt.Fprintf(&b, "%v %v %v %d %v %d", names, w.runs, w.starts, w.faults, w.killed, w.restarts)
+	return b.String()
+}
+
+// walk visits every world that can be reached in up to depth steps, by replaying
+// schedules from the start, and lets each of the last ones run to its end in order.
+func walk(dedupe bool, faults, depth int) (states, ended int, failure string) {
+	seen := make(map[uint64]struct{})
+	level := [][]int{nil}
+	for d := 0; len(level) > 0; d++ {
+		var next [][]int
+		for _, path := range level {
+			w := newWorld(dedupe, faults)
+			w.play(path)
+			f := xxhash.Sum64String(w.fingerprint())
+			if _, ok := seen[f]; ok {
+				continue
+			}
+			seen[f] = struct{}{}
+			n := len(w.steps())
+			if d == depth || len(w.pending) == 0 {
+				w.drain()
+				ended++
+			}
+			if w.err != "" {
+				return len(seen), ended, fmt.Sprint(w.err, " after schedule ", path)
+			}
+			for c := range n {
+				if d < depth {
+					next = append(next, append(slices.Clone(path), c))
+				}
+			}
+		}
+		level = next
+	}
+	return len(seen), ended, ""
+}
+
+func (w *world) play(path []int) {
+	for _, c := range path {
+		w.steps()[c]()
+	}
+}
+
+// drain lets the oldest thing happen next until nothing is left.
+func (w *world) drain() {
+	w.faults = 0
+	for len(w.pending) > 0 {
+		w.steps()[0]()
+	}
+	for i, ws := range w.sessions {
+		if ws.invoked && ws.result == nil {
+			w.err = fmt.Sprintf("request %d never ended", i)
+		}
+	}
+}
+
+func TestWalkSchedules(t *testing.T) {
+	for _, dedupe := range []bool{true, false} {
+		states, ended, failure := walk(dedupe, walkFaults, walkDepth)
+		t.Logf("engine deduplicates %v: %d states, %d schedules to the end", dedupe, states, ended)
+		if failure != "" {
+			t.Errorf("engine deduplicates %v: %s", dedupe, failure)
+		}
+	}
+}
+
+// Bounds of the walk, so that it takes seconds under the race detector. The
+// Promela model of the same world is explored whole.
+const (
+	walkFaults = 2
+	walkDepth  = 9
+)
