Measure goodput of the request cores on virtual time

Eight gateways of the real cores before nine fake engines, against least-outstanding routing without admission. Admission lets in far too much: sends of other gateways are missing from the predicted share of prompts. Admission now queues by priority and latest start and gives up early.

--- /dev/null
+++ b/internal/bench/goodput/baseline.go
@@ -0,0 +1,64 @@
+package goodput
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/engine"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+// baseline is a gateway that sends each request to the runner with the least
+// outstanding requests and admits everything.
+type baseline struct {
+	w           *world
+	index       int
+	reports     bool // counts by load reports plus own sends since; else own requests in flight
+	outstanding map[string]float64
+	at          map[string]string // request to runner
+	draw        *rand.Rand
+}
+
+func newBaseline(w *world, index int, reports bool) *baseline {
+	return &baseline{
+		w: w, index: index, reports: reports,
+		outstanding: map[string]float64{},
+		at:          map[string]string{},
+		draw:        rand.New(rand.NewPCG(uint64(index), 2)),
+	}
+}
+
+func (b *baseline) arrive(now time.Duration, q *request) {
+	best, ties := "", 0
+	for _, e := range b.w.engines {
+		name := e.Name()
+		switch {
+		case best == "" || b.outstanding[name] < b.outstanding[best]:
+			best, ties = name, 1
+		case b.outstanding[name] == b.outstanding[best]:
+			ties++
+			if b.draw.IntN(ties) == 0 {
+				best = name
+			}
+		}
+	}
+	b.outstanding[best]++
+	b.at[q.id] = best
+	b.w.send(now, b.index, q, best)
+}
+
+func (b *baseline) finished(_ time.Duration, id string) {
+	b.outstanding[b.at[id]]--
+	delete(b.at, id)
+}
+
+func (b *baseline) reported(_ time.Duration, r upstream.LoadReport) {
+	if b.reports {
+		b.outstanding[r.Runner] = float64(r.Running + r.QueuedRequests)
+	}
+}
+
+func (b *baseline) tick(time.Duration)                   {}
+func (b *baseline) cached(time.Duration, *engine.Engine) {}
+func (b *baseline) use(time.Duration)                    {}
+func (b *baseline) first(time.Duration, string)          {}
--- /dev/null
+++ b/internal/bench/goodput/command.go
@@ -0,0 +1,131 @@
+package goodput
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"time"
+)
+
+// Command compares the cores with least-outstanding routing without admission.
+type Command struct {
+	Seeds   []uint64 `long:"seed" default:"1" default:"2" description:"seeds of the arrivals"`
+	Seconds int      `long:"seconds" default:"40" description:"virtual seconds of each run; the first quarter is not counted"`
+	JSON    bool     `long:"json" description:"print the rows as JSON"`
+}
+
+// Loads and report ages that are measured.
+var (
+	loads = []float64{0.8, 1.0, 1.5, 3.0}
+	lags  = []time.Duration{0, 2 * time.Second, 5 * time.Second}
+)
+
+// Fleet of the measurement.
+const (
+	fleetZones    = 3
+	fleetEngines  = 9
+	fleetGateways = 8
+)
+
+// mix is the mix of the measurement: 5 chats to one alert.
+var mix = []kind{
+	{route: "chat", share: 5.0 / 6, prompt: 400, out: 130, sigma: 0.6, priority: 3},
+	{route: "alert", share: 1.0 / 6, prompt: 1600, out: 30, sigma: 0.4, priority: 8},
+}
+
+// row is one measured cell, summed over seeds.
+type row struct {
+	Load       float64 `json:"load"`
+	LagSeconds float64 `json:"report_age_s"`
+	Offered    float64 `json:"offered_per_s"`
+	Goodput    float64 `json:"goodput_per_s"`
+	Own        float64 `json:"least_own_outstanding_per_s"`
+	Reported   float64 `json:"least_reported_per_s"`
+	Ratio      float64 `json:"ratio_to_better_baseline"`
+	Refused    float64 `json:"refused_share"`
+	Late       float64 `json:"late_share_of_admitted"`
+	LateTTFT   int     `json:"late_first_token"`
+	LateGap    int     `json:"late_between"`
+	Spilled    float64 `json:"spilled_share"`
+}
+
+// Execute runs the measurement.
+func (c *Command) Execute([]string) error {
+	rows := c.measure()
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(rows)
+	}
+	c.print(rows)
+	return nil
+}
+
+func (c *Command) measure() []row {
+	var rows []row
+	for _, lag := range lags {
+		for _, load := range loads {
+			rows = append(rows, c.cell(load, lag))
+		}
+	}
+	return rows
+}
+
+// cell measures one load and report age over all seeds.
+func (c *Command) cell(load float64, lag time.Duration) row {
+	s := setup{
+		zones: fleetZones, engines: fleetEngines, gateways: fleetGateways, lag: lag,
+		length: time.Duration(c.Seconds) * time.Second, warm: time.Duration(c.Seconds) * time.Second / 4,
+		blocks: 3000,
+	}
+	rate := load * capacity(mix, fleetEngines)
+	out := row{Load: load, LagSeconds: lag.Seconds(), Offered: rate}
+	var arrived, admitted, done, useful, spilled, refused int
+	for _, seed := range c.Seeds {
+		t := newTrace(seed, mix, rate, s.length, s.gateways)
+		r := runWith(s, t, func(w *world, i int, zone string) gateway { return newSystem(w, i, zone) })
+		out.Goodput += r.goodput()
+		arrived += r.Arrived
+		admitted += r.Sent
+		refused += r.Refused
+		done += r.Done
+		useful += r.Useful
+		spilled += r.Spilled
+		out.LateTTFT += r.LateTTFT
+		out.LateGap += r.LateGap
+		out.Own += runWith(s, t, func(w *world, i int, _ string) gateway { return newBaseline(w, i, false) }).goodput()
+		out.Reported += runWith(s, t, func(w *world, i int, _ string) gateway { return newBaseline(w, i, true) }).goodput()
+	}
+	n := float64(len(c.Seeds))
+	out.Goodput /= n
+	out.Own /= n
+	out.Reported /= n
+	out.Ratio = out.Goodput / math.Max(out.Own, out.Reported)
+	out.Refused = float64(refused) / float64(arrived)
+	out.Late = 1 - float64(useful)/float64(max(admitted, 1))
+	out.Spilled = float64(spilled) / float64(max(admitted, 1))
+	return out
+}
+
+func runWith(s setup, t trace, make func(w *world, index int, zone string) gateway) *result {
+	s.make = make
+	return newWorld(s).run(t)
+}
+
+func (c *Command) print(rows []row) {
+	fmt.Printf("goodput of %d gateways before %d engines; capacity %.1f requests/s; seeds %v\n",
+		fleetGateways, fleetEngines, capacity(mix, fleetEngines), c.Seeds)
+	fmt.Println("age_s load offered/s useful/s own/s reported/s  ratio refused late   (ttft  gap) spilled")
+	at1 := map[float64]float64{}
+	for _, r := range rows {
+		fmt.Printf("%5.0f %4.1f %9.1f %8.1f %5.1f %10.1f %6.2f %7.3f %5.3f %5d %5d %6.3f\n",
+			r.LagSeconds, r.Load, r.Offered, r.Goodput, r.Own, r.Reported, r.Ratio, r.Refused, r.Late, r.LateTTFT, r.LateGap, r.Spilled)
+		if r.Load == 1 {
+			at1[r.LagSeconds] = r.Goodput
+		}
+	}
+	for _, r := range rows {
+		if r.Load == 3 {
+			fmt.Printf("age %.0f s: goodput at 3.0 load is %.2f of that at 1.0\n", r.LagSeconds, r.Goodput/at1[r.LagSeconds])
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/goodput/result.go
@@ -0,0 +1,89 @@
+package goodput
+
+import (
+	"time"
+)
+
+// result counts what came of the requests that arrived in the measured window.
+type result struct {
+	from, to time.Duration
+	Arrived  int
+	Sent     int
+	Refused  int
+	Spilled  int
+	Done     int
+	Useful   int
+	LateTTFT int // done, first token late
+	LateGap  int // done, gap late
+	Left     int // callers whose patience ended
+	Computed float64
+	byRunner map[string]float64 // engine seconds of work
+	useful   map[string]int     // by route
+	arrival  map[string]int     // by route
+}
+
+func (r *result) init(s setup) {
+	r.from, r.to = s.warm, s.length
+	r.byRunner = map[string]float64{}
+	r.useful = map[string]int{}
+	r.arrival = map[string]int{}
+}
+
+func (r *result) counts(q *request) bool { return q.at >= r.from && q.at < r.to }
+
+func (r *result) arrived(q *request) {
+	if r.counts(q) {
+		r.Arrived++
+		r.arrival[q.kind.route]++
+	}
+}
+
+func (r *result) refused(q *request) {
+	if r.counts(q) {
+		r.Refused++
+	}
+}
+
+func (r *result) sent(q *request, _ string, spilled bool) {
+	if !r.counts(q) {
+		return
+	}
+	r.Sent++
+	if spilled {
+		r.Spilled++
+	}
+}
+
+func (r *result) left(j *job) {
+	if r.counts(j.request) {
+		r.Left++
+		r.Computed += j.job.Computed
+	}
+}
+
+func (r *result) done(j *job, at time.Duration) {
+	q := j.request
+	if !r.counts(q) {
+		return
+	}
+	r.Done++
+	r.Computed += j.job.Computed
+	first := j.job.FirstAt - q.at
+	gap := (at - j.job.FirstAt) / time.Duration(max(q.out-1, 1))
+	late := false
+	if first > time.Duration(onTime.FirstTokenMS)*time.Millisecond {
+		r.LateTTFT++
+		late = true
+	}
+	if gap > time.Duration(onTime.BetweenMS)*time.Millisecond {
+		r.LateGap++
+		late = true
+	}
+	if !late {
+		r.Useful++
+		r.useful[q.kind.route]++
+	}
+}
+
+// goodput is useful answers a second.
+func (r *result) goodput() float64 { return float64(r.Useful) / (r.to - r.from).Seconds() }
--- /dev/null
+++ b/internal/bench/goodput/system.go
@@ -0,0 +1,118 @@
+package goodput
+
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/engine"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/admit"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
+)
+
+// system is a gateway made of the real cores.
+type system struct {
+	w         *world
+	index     int
+	zone      string
+	tracker   *route.Tracker
+	admission *admit.Core
+	learner   route.Learner
+	waiting   map[string]*request
+	blind     bool // ignores the prefix cache
+}
+
+func newSystem(w *world, index int, zone string) *system {
+	s := &system{
+		w: w, index: index, zone: zone,
+		tracker:   route.NewTracker(),
+		admission: admit.New(admit.Config{QueueRequests: 1000, QueueTokens: 2_000_000}),
+		waiting:   map[string]*request{},
+	}
+	for _, e := range w.engines {
+		s.tracker.Stated(e.State(0))
+	}
+	return s
+}
+
+func (s *system) arrive(now time.Duration, q *request) {
+	r := route.Request{
+		ID: q.id, Seed: q.seed, Route: q.kind.route, Model: modelName, Zone: s.zone,
+		PromptTokens: q.prompt,
+		ExpectedOut:  s.learner.Expected(q.kind.route, int(q.kind.out), 0),
+		OnTime:       onTime,
+		Priority:     q.kind.priority,
+		Arrived:      wall(q.at),
+		Deadline:     wall(q.at + callerPatience),
+	}
+	if !s.blind {
+		r.PrefixHashes = q.hashes
+	}
+	s.waiting[q.id] = q
+	s.act(now, s.admission.Arrive(wall(now), r, s.view(now)))
+}
+
+func (s *system) view(now time.Duration) []route.Runner {
+	return s.tracker.ViewModel(wall(now), s.w.snapshot, modelName)
+}
+
+func (s *system) tick(now time.Duration) {
+	if n, _ := s.admission.Queued(); n > 0 {
+		s.act(now, s.admission.Tick(wall(now), s.view(now)))
+	}
+}
+
+func (s *system) act(now time.Duration, actions []admit.Action) {
+	for _, a := range actions {
+		q := s.waiting[a.ID]
+		delete(s.waiting, a.ID)
+		if a.Err != nil {
+			s.w.result.refused(q)
+			continue
+		}
+		s.tracker.Sent(wall(now), route.Send{
+			ID: q.id, Runner: a.Choice.Runner, Prefill: a.Choice.Prefill,
+			PromptTokens: q.prompt, CachedTokens: a.Choice.Predicted.CachedTokens,
+			ExpectedOut:  s.learner.Expected(q.kind.route, int(q.kind.out), 0),
+			PrefixHashes: q.hashes,
+		})
+		s.w.send(now, s.index, q, a.Choice.Runner)
+	}
+}
+
+func (s *system) reported(now time.Duration, r upstream.LoadReport) {
+	s.tracker.Reported(wall(now), r)
+}
+
+func (s *system) cached(now time.Duration, e *engine.Engine) {
+	if s.blind {
+		return
+	}
+	since := s.tracker.Prefixes.Since(e.Name())
+	batch := e.CacheEvents(since)
+	s.w.at(now+s.w.setup.lag, func(time.Duration) {
+		s.tracker.Prefixes.Apply(e.Name(), since, batch)
+	})
+}
+
+// use sends what this gateway sent to the other gateways of its zone.
+func (s *system) use(now time.Duration) {
+	rows := s.tracker.Report()
+	s.w.at(now+peerDelay, func(now time.Duration) {
+		for i, g := range s.w.gateways {
+			if i != s.index && s.w.zones[i] == s.zone {
+				g.(*system).tracker.PeerUse(wall(now), s.zone, rows)
+			}
+		}
+	})
+}
+
+func (s *system) first(now time.Duration, id string) {
+	s.tracker.Progress(wall(now), id, 1)
+}
+
+func (s *system) finished(now time.Duration, id string) {
+	s.tracker.Finished(wall(now), id)
+	if j, ok := s.w.jobs[id]; ok {
+		s.learner.Finished(j.request.kind.route, int(j.request.kind.out), j.request.out)
+	}
+}
--- /dev/null
+++ b/internal/bench/goodput/workload.go
@@ -0,0 +1,133 @@
+package goodput
+
+import (
+	"math"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/engine"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const modelName = "desk"
+
+// class is the engine class of the fake fleet.
+var class = resource.Engine{
+	KVTokens:       200_000,
+	PrefillRate:    16_000,
+	DecodeRate:     2560,
+	StreamRate:     80,
+	MaxBatch:       64,
+	KVTransferRate: 400_000,
+}
+
+// onTime is the target shape of every route.
+var onTime = resource.OnTime{FirstTokenMS: 1800, BetweenMS: 30}
+
+// callerPatience is how long a caller waits before it leaves.
+const callerPatience = 10 * time.Second
+
+// kind is one kind of request of the mix.
+type kind struct {
+	route    string
+	share    float64
+	prompt   float64 // mean tokens, without the shared briefing
+	out      float64 // mean tokens
+	sigma    float64 // of the lognormal spread of both
+	priority int
+	briefing int // tokens of a shared prefix
+}
+
+// request is one request of the trace.
+type request struct {
+	id      string
+	seed    uint64
+	at      time.Duration
+	gateway int
+	kind    *kind
+	prompt  int
+	out     int
+	hashes  []uint64
+}
+
+// trace is a list of requests in order of arrival.
+type trace []request
+
+// lognormal draws with the given mean.
+func lognormal(r *rand.Rand, mean, sigma float64) int {
+	mu := math.Log(mean) - sigma*sigma/2
+	return max(int(math.Exp(mu+sigma*r.NormFloat64())), 2)
+}
+
+// newTrace draws Poisson arrivals at a rate a second over the gateways.
+func newTrace(seed uint64, kinds []kind, rate float64, length time.Duration, gateways int) trace {
+	r := rand.New(rand.NewPCG(seed, 1))
+	var out trace
+	at := 0.0
+	for {
+		at += r.ExpFloat64() / rate
+		t := time.Duration(at * float64(time.Second))
+		if t >= length {
+			return out
+		}
+		k := drawKind(r, kinds)
+		q := request{id: "q" + strconv.Itoa(len(out)), at: t, gateway: r.IntN(gateways), kind: k}
+		q.seed = route.SeedOf(q.id) ^ seed
+		q.prompt = lognormal(r, k.prompt, k.sigma) + k.briefing
+		q.out = lognormal(r, k.out, k.sigma)
+		q.hashes = hashes(k, q.prompt, uint64(len(out))+seed<<32)
+		out = append(out, q)
+	}
+}
+
+func drawKind(r *rand.Rand, kinds []kind) *kind {
+	point := r.Float64()
+	for i := range kinds {
+		point -= kinds[i].share
+		if point < 0 {
+			return &kinds[i]
+		}
+	}
+	return &kinds[len(kinds)-1]
+}
+
+// hashes gives the prefix blocks of a prompt: the briefing's are the same for
+// all requests of its kind, the others are the request's own.
+func hashes(k *kind, prompt int, own uint64) []uint64 {
+	shared := k.briefing / engine.BlockTokens
+	out := make([]uint64, prompt/engine.BlockTokens)
+	for i := range out {
+		if i < shared {
+			out[i] = route.SeedOf(k.route + strconv.Itoa(i))
+			continue
+		}
+		out[i] = own*0x9e3779b97f4a7c15 + uint64(i)
+	}
+	return out
+}
+
+// means gives the mean prompt and output tokens of a mix.
+func means(kinds []kind) (prompt, out float64) {
+	for i := range kinds {
+		k := &kinds[i]
+		prompt += k.share * (k.prompt + float64(k.briefing))
+		out += k.share * k.out
+	}
+	return prompt, out
+}
+
+// capacity is the rate of requests a second at which evenly loaded engines,
+// without any randomness, keep exactly the promised gap between tokens. With n
+// streams and a share u of time for prompts the gap is step(n)/(1-u); at rate x
+// an engine has n = x*out*gap and u = x*prompt/PrefillRate.
+func capacity(kinds []kind, engines int) float64 {
+	prompt, out := means(kinds)
+	gap := float64(onTime.BetweenMS) / 1000
+	fixed := engine.StepSeconds(class, 0, 0)
+	perStream := engine.StepSeconds(class, 1, 0) - fixed
+	// fixed + perStream*x*out*gap = gap - gap*x*prompt/PrefillRate
+	x := (gap - fixed) / (perStream*out*gap + gap*prompt/class.PrefillRate)
+	return x * float64(engines)
+}
--- a/internal/request/admit/core.go
+++ b/internal/request/admit/core.go
@@ -24,36 +24,200 @@
 // Core decides when requests go. Not safe for concurrent use.
 //
 // Invariants: a request is admitted only if it is predicted on time at the chosen
-// runner. A request that can no longer be on time is refused at once, with the
-// time after which to come back; it is never held. Every refusal is truly not-run.
+// runner. A request that is given up on is answered at once, with the time after
+// which to come back; it is never held. Every refusal is truly not-run. Requests
+// of one model go in the order of the queue: no request overtakes one of higher
+// priority, or of the same priority and an earlier latest start.
 type Core struct {
 	config Config
-	queue  queue
+	models map[string]*model
+	tokens int // waiting, all models
+	count  int // waiting, all models
+}
+
+// model is what is kept for the requests of one model.
+type model struct {
+	queue      queue
+	throughput throughput
+	saturation saturation
 }
 
 // New makes a core.
-func New(config Config) *Core { return &Core{config: config} }
+func New(config Config) *Core {
+	return &Core{config: config, models: make(map[string]*model)}
+}
+
+// TickEvery is the longest time between two calls of Tick while requests wait.
+const TickEvery = 20 * time.Millisecond
 
 // Queued gives the number of waiting requests and their tokens.
-func (c *Core) Queued() (requests, tokens int) { return c.queue.len(), c.queue.tokens }
+func (c *Core) Queued() (requests, tokens int) { return c.count, c.tokens }
+
+// Saturated tells whether requests of the model have been finding no runner on time.
+func (c *Core) Saturated(now time.Time, name string) bool {
+	m, ok := c.models[name]
+	return ok && m.saturation.on(now)
+}
 
 // Arrive takes in a request. runners is the view of the runners of its model;
-// what is admitted is added to it.
+// what is admitted is added to it. The actions may concern other requests too.
 func (c *Core) Arrive(now time.Time, q route.Request, runners []route.Runner) []Action {
-	choice := route.Route(now, q, runners)
-	if choice.OnTime {
-		route.Assume(runners, &q, &choice)
-		return []Action{{ID: q.ID, Choice: &choice}}
+	m := c.model(q.Model)
+	if !m.queue.precededBy(&q) {
+		choice := route.Route(now, q, runners)
+		m.saturation.observe(now, choice.OnTime)
+		if choice.OnTime {
+			return []Action{m.admitted(now, &q, choice, runners)}
+		}
+		if !mayWait(&choice) {
+			return []Action{{ID: q.ID, Err: refusal(&q, &choice)}}
+		}
+	}
+	return c.enqueue(now, m, q, runners)
+}
+
+func (c *Core) model(name string) *model {
+	m, ok := c.models[name]
+	if !ok {
+		m = &model{}
+		c.models[name] = m
+	}
+	return m
+}
+
+// mayWait tells whether waiting can help a request that is not on time now.
+func mayWait(choice *route.Choice) bool {
+	return choice.Runner != "" && choice.Earliest != route.Never
+}
+
+// enqueue lets a request wait if its turn is expected in time and the bounds allow it.
+func (c *Core) enqueue(now time.Time, m *model, q route.Request, runners []route.Runner) []Action {
+	w := waiting{request: q, start: latestStart(now, &q, runners)}
+	ahead := m.queue.position(&w)
+	if wait := m.throughput.wait(now, ahead); now.Add(wait).After(w.start) {
+		return []Action{{ID: q.ID, Err: late(&q, wait)}}
+	}
+	actions, ok := c.makeRoom(m, &w)
+	if !ok {
+		return []Action{{ID: q.ID, Err: overloaded(&q, m.throughput.wait(now, ahead))}}
+	}
+	m.queue.add(w)
+	c.count++
+	c.tokens += tokensOf(&q)
+	return actions
+}
+
+// makeRoom refuses waiting requests of the same model that come after w until
+// the bounds have room for it. It changes nothing if that does not suffice.
+func (c *Core) makeRoom(m *model, w *waiting) ([]Action, bool) {
+	need := tokensOf(&w.request)
+	count, tokens, drop := c.count, c.tokens, 0
+	for count+1 > c.config.QueueRequests || tokens+need > c.config.QueueTokens {
+		i := m.queue.len() - 1 - drop
+		if i < 0 || m.queue.items[i].request.Priority >= w.request.Priority {
+			return nil, false
+		}
+		count--
+		tokens -= tokensOf(&m.queue.items[i].request)
+		drop++
+	}
+	var actions []Action
+	for range drop {
+		last := &m.queue.items[m.queue.len()-1].request
+		actions = append(actions, Action{ID: last.ID, Err: overloaded(last, leastRetryAfter)})
+		c.remove(m, m.queue.len()-1)
+	}
+	return actions, true
+}
+
+// remove takes item i out of a model's queue.
+func (c *Core) remove(m *model, i int) {
+	c.count--
+	c.tokens -= tokensOf(&m.queue.items[i].request)
+	m.queue.removeAt(i)
+}
+
+// Leave takes a waiting request out, when its caller has gone.
+func (c *Core) Leave(_ time.Time, id string) {
+	for _, m := range c.models {
+		if i := m.queue.find(id); i >= 0 {
+			c.remove(m, i)
+			return
+		}
 	}
-	return []Action{{ID: q.ID, Err: refusal(&choice)}}
+}
+
+// Waiting gives the models for which requests wait, in no order.
+func (c *Core) Waiting() []string {
+	var names []string
+	for name, m := range c.models {
+		if m.queue.len() > 0 {
+			names = append(names, name)
+		}
+	}
+	return names
 }
 
 // Tick decides on the waiting requests again. It is called when load changes
 // and at least every TickEvery while requests wait.
-func (c *Core) Tick(now time.Time, runners []route.Runner) []Action { return nil }
+func (c *Core) Tick(now time.Time, runners []route.Runner) []Action {
+	var actions []Action
+	for _, name := range c.Waiting() {
+		actions = append(actions, c.TickModel(now, name, runners)...)
+	}
+	return actions
+}
 
-// Leave takes a waiting request out, when its caller has gone.
-func (c *Core) Leave(_ time.Time, id string) { c.queue.remove(id) }
+// TickModel is Tick for the requests of one model, with the view of its runners.
+func (c *Core) TickModel(now time.Time, name string, runners []route.Runner) []Action {
+	m, ok := c.models[name]
+	if !ok {
+		return nil
+	}
+	actions := c.dispatch(now, m, runners)
+	return append(actions, c.giveUp(now, m)...)
+}
 
-// TickEvery is the longest time between two calls of Tick while requests wait.
-const TickEvery = 20 * time.Millisecond
+// dispatch admits requests from the front until one finds no runner on time.
+func (c *Core) dispatch(now time.Time, m *model, runners []route.Runner) []Action {
+	var actions []Action
+	for m.queue.len() > 0 {
+		q := m.queue.items[0].request
+		choice := route.Route(now, q, runners)
+		m.saturation.observe(now, choice.OnTime)
+		switch {
+		case choice.OnTime:
+			actions = append(actions, m.admitted(now, &q, choice, runners))
+		case !mayWait(&choice):
+			actions = append(actions, Action{ID: q.ID, Err: refusal(&q, &choice)})
+		default:
+			return actions
+		}
+		c.remove(m, 0)
+	}
+	return actions
+}
+
+// giveUp refuses every waiting request whose turn is not expected in time any more.
+func (c *Core) giveUp(now time.Time, m *model) []Action {
+	var actions []Action
+	ahead := 0
+	for ahead < m.queue.len() {
+		w := &m.queue.items[ahead]
+		wait := m.throughput.wait(now, ahead)
+		if !now.Add(wait).After(w.start) {
+			ahead++
+			continue
+		}
+		actions = append(actions, Action{ID: w.request.ID, Err: late(&w.request, wait)})
+		c.remove(m, ahead)
+	}
+	return actions
+}
+
+// admitted counts an admission.
+func (m *model) admitted(now time.Time, q *route.Request, choice route.Choice, runners []route.Runner) Action {
+	route.Assume(runners, q, &choice)
+	m.throughput.admitted(now)
+	return Action{ID: q.ID, Choice: &choice}
+}
--- a/internal/request/admit/queue.go
+++ b/internal/request/admit/queue.go
@@ -13,45 +13,46 @@
 	start   time.Time // latest start at which it can still be on time
 }
 
-// queue orders waiting requests: higher priority first, then the earliest latest
+// queue orders waiting requests: higher priority first, then the earlier latest
 // start, then the earlier arrival.
 type queue struct {
-	items  []waiting
-	tokens int
+	items []waiting
 }
 
 func (q *queue) len() int { return len(q.items) }
 
 func tokensOf(r *route.Request) int { return r.PromptTokens + r.ExpectedOut }
 
-// before is the order of the queue.
-func before(a, b *waiting) int {
+// before tells whether a goes before b.
+func before(a, b *waiting) bool {
 	if a.request.Priority != b.request.Priority {
-		return b.request.Priority - a.request.Priority
+		return a.request.Priority > b.request.Priority
 	}
-	if c := a.start.Compare(b.start); c != 0 {
-		return c
+	if !a.start.Equal(b.start) {
+		return a.start.Before(b.start)
 	}
-	return a.request.Arrived.Compare(b.request.Arrived)
+	return !b.request.Arrived.Before(a.request.Arrived)
 }
 
-func (q *queue) add(w waiting) {
-	i, _ := slices.BinarySearchFunc(q.items, w, func(a, b waiting) int {
-		if before(&a, &b) > 0 {
-			return 1
-		}
-		return -1 // equal ones keep their order of arrival
-	})
-	q.items = slices.Insert(q.items, i, w)
-	q.tokens += tokensOf(&w.request)
+// precededBy tells whether a request of at least the same priority waits.
+func (q *queue) precededBy(r *route.Request) bool {
+	return len(q.items) > 0 && q.items[0].request.Priority >= r.Priority
 }
 
-func (q *queue) remove(id string) bool {
-	i := slices.IndexFunc(q.items, func(w waiting) bool { return w.request.ID == id })
-	if i < 0 {
-		return false
+// position is the number of waiting requests that go before w.
+func (q *queue) position(w *waiting) int {
+	for i := range q.items {
+		if !before(&q.items[i], w) {
+			return i
+		}
 	}
-	q.tokens -= tokensOf(&q.items[i].request)
-	q.items = slices.Delete(q.items, i, i+1)
-	return true
+	return len(q.items)
+}
+
+func (q *queue) add(w waiting) { q.items = slices.Insert(q.items, q.position(&w), w) }
+
+func (q *queue) find(id string) int {
+	return slices.IndexFunc(q.items, func(w waiting) bool { return w.request.ID == id })
 }
+
+func (q *queue) removeAt(i int) { q.items = slices.Delete(q.items, i, i+1) }
--- a/internal/request/admit/refusal.go
+++ b/internal/request/admit/refusal.go
@@ -13,21 +13,28 @@
 	mostRetryAfter  = time.Minute
 )
 
-// refusal is the answer to a request for which no choice is on time.
-func refusal(choice *route.Choice) *errkind.Error {
+// refusal is the answer to a request that no wait would help.
+func refusal(q *route.Request, choice *route.Choice) *errkind.Error {
 	if choice.Runner == "" {
-		return errkind.New(errkind.NoUpstream, errkind.NotRun, "no runner can serve the request now").After(leastRetryAfter)
+		return errkind.New(errkind.NoUpstream, errkind.NotRun, "no runner can serve the request now").After(retryAfter(q, 0))
 	}
-	if choice.Earliest == route.Never {
-		return errkind.New(errkind.DeadlineUnmeetable, errkind.NotRun, "even an idle runner would be late")
-	}
-	return errkind.New(errkind.DeadlineUnmeetable, errkind.NotRun, "predicted late at the present load").After(retryAfter(choice.Earliest))
+	return errkind.New(errkind.DeadlineUnmeetable, errkind.NotRun, "even an idle runner would be late")
+}
+
+// late is the answer to a request whose turn would come too late.
+func late(q *route.Request, wait time.Duration) *errkind.Error {
+	return errkind.New(errkind.DeadlineUnmeetable, errkind.NotRun, "predicted late at the present load").After(retryAfter(q, wait))
 }
 
-func overloaded(choice *route.Choice) *errkind.Error {
-	return errkind.New(errkind.Overloaded, errkind.NotRun, "the queue is full").After(retryAfter(choice.Earliest))
+func overloaded(q *route.Request, wait time.Duration) *errkind.Error {
+	return errkind.New(errkind.Overloaded, errkind.NotRun, "the queue is full").After(retryAfter(q, wait))
 }
 
-func retryAfter(earliest time.Duration) time.Duration {
-	return min(max(earliest, leastRetryAfter), mostRetryAfter)
+// retryAfter spreads the return of refused callers over the time as long again
+// as the predicted wait, so that they do not all come back at once.
+func retryAfter(q *route.Request, wait time.Duration) time.Duration {
+	const steps = 1000
+	wait = max(wait, leastRetryAfter)
+	wait += wait * time.Duration(q.Seed%steps) / steps
+	return min(wait, mostRetryAfter)
 }
--- a/internal/request/route/journal.go
+++ b/internal/request/route/journal.go
@@ -72,11 +72,14 @@
 // prompt tokens grows by what was sent and drains at the given rate.
 func (j *journal) since(reported, now time.Time, queue, drainRate float64) correction {
 	c := correction{queuedPrefill: queue}
-	first := max(binOf(reported), j.newest-binCount+1)
 	last := binOf(now)
+	first := last - binCount + 1
+	if !reported.IsZero() {
+		first = max(first, binOf(reported))
+	}
 	for n := first; n <= last; n++ {
 		share := overlap(n, reported, now)
-		if n <= j.newest {
+		if n <= j.newest && n > j.newest-binCount {
 			b := &j.bins[slot(n)]
 			c.requests += float64(b.requests) * share
 			c.decode += float64(b.decode) * share
@@ -92,7 +95,7 @@
 func overlap(n int64, reported, now time.Time) float64 {
 	start := n * int64(binLength)
 	end := min(start+int64(binLength), now.UnixNano())
-	if start >= reported.UnixNano() {
+	if reported.IsZero() || start >= reported.UnixNano() {
 		return 1
 	}
 	if end <= start {
@@ -103,7 +106,10 @@
 
 // lengthWithin is the part of bin n between two times.
 func lengthWithin(n int64, from, to time.Time) time.Duration {
-	start := max(n*int64(binLength), from.UnixNano())
+	start := n * int64(binLength)
+	if !from.IsZero() {
+		start = max(start, from.UnixNano())
+	}
 	end := min((n+1)*int64(binLength), to.UnixNano())
 	return time.Duration(max(end-start, 0))
 }
--- a/internal/request/route/predict.go
+++ b/internal/request/route/predict.go
@@ -62,6 +62,25 @@
 	return max(full-lone, 0) / (batch - 1)
 }
 
+// Prompt tokens that an engine is taken to compute beside running streams in
+// one step. A decode engine takes less, to keep the gap between tokens short.
+const (
+	chunkBoth   = 512
+	chunkDecode = 96
+)
+
+// promptRate is the rate at which prompts are computed beside the running streams.
+func (r *Runner) promptRate() float64 {
+	if r.Role == upstream.RolePrefill || r.Running < 1 {
+		return r.prefillRate()
+	}
+	chunk := float64(chunkBoth)
+	if r.Role == upstream.RoleDecode {
+		chunk = chunkDecode
+	}
+	return chunk / (r.step(r.Running) + chunk/r.prefillRate())
+}
+
 // gap is the predicted mean time in seconds between tokens with n streams, while
 // prompts take their recent share of the engine's time.
 func (r *Runner) gap(n float64) float64 {
@@ -106,7 +125,7 @@
 func Predict(q *Request, r *Runner) Prediction {
 	cached := cachedTokens(q, r)
 	need := float64(q.PromptTokens - cached)
-	prefill := (r.QueuedPrefill + need) / r.prefillRate()
+	prefill := (r.QueuedPrefill + need) / r.promptRate()
 	wait := r.slotWait(float64(q.PromptTokens + q.ExpectedOut))
 	gap := r.gap(r.Running + 1)
 	return assemble(q, prefill+wait+r.step(r.Running+1), gap, cached)
@@ -139,8 +158,7 @@
 	}
 }
 
-// budget is what is left of a request's time bounds at one moment. A zero
-// between and a negative first or whole mean: not bound, see has flags.
+// budget is what is left of a request's time bounds at one moment.
 type budget struct {
 	first, between, whole          time.Duration
 	hasFirst, hasBetween, hasWhole bool
@@ -171,16 +189,46 @@
 	return b
 }
 
-// meets tells whether a prediction keeps within the bounds.
-func (b *budget) meets(p *Prediction) bool {
-	if b.hasFirst && p.FirstToken > b.first {
+// Margins leave room for what a prediction cannot know: lengths of answers, and
+// sends of other gateways that are not reported yet.
+const (
+	firstMargin   = 0.8
+	betweenMargin = 0.92
+	wholeMargin   = 0.9
+)
+
+func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
+
+// meets tells whether a prediction keeps within the bounds, and within the gap
+// that is promised to the streams already at the runner.
+func (b *budget) meets(p *Prediction, promised time.Duration) bool {
+	if b.hasFirst && p.FirstToken > scaled(b.first, firstMargin) {
 		return false
 	}
-	if b.hasBetween && p.Between > b.between {
+	if b.hasBetween && p.Between > scaled(b.between, betweenMargin) {
 		return false
 	}
-	return !b.hasWhole || p.Whole <= b.whole
+	if promised > 0 && p.Between > scaled(promised, betweenMargin) {
+		return false
+	}
+	return !b.hasWhole || p.Whole <= scaled(b.whole, wholeMargin)
 }
 
 // isDecodeOnly tells whether a runner gets its prompts' KV cache from others.
 func isDecodeOnly(r *Runner) bool { return r.Role == upstream.RoleDecode }
+
+// PredictIdle predicts the service of a request at a runner without any load.
+// It is false if a filter takes the runner out.
+func PredictIdle(q *Request, r *Runner) (Prediction, bool) {
+	if refusedBy(q, r) != "" {
+		return Prediction{}, false
+	}
+	idle := *r
+	idle.unload()
+	return Predict(q, &idle), true
+}
+
+// unload takes all load off a runner's view.
+func (r *Runner) unload() {
+	r.QueuedPrefill, r.Running, r.DecodeLeft, r.KVUsed, r.PrefillShare = 0, 0, 0, 0, 0
+}
--- a/internal/request/route/prefix.go
+++ b/internal/request/route/prefix.go
@@ -132,7 +132,10 @@
 }
 
 func (s *prefixSet) cached(hashes []uint64) int {
-	low, high := 0, len(hashes)
+	if len(hashes) == 0 || !s.blocks.has(hashes[0]) {
+		return 0
+	}
+	low, high := 1, len(hashes)
 	for low < high {
 		middle := (low + high) / 2
 		if s.blocks.has(hashes[middle]) {
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -80,7 +80,7 @@
 			}
 			c = betterOfPair(q, runners, c, prefill)
 		}
-		c.onTime = bounds.meets(&c.predicted)
+		c.onTime = bounds.meets(&c.predicted, r.Promised)
 		cands = append(cands, c)
 	}
 	return cands
@@ -151,7 +151,7 @@
 // like this on time: its prompts drained, enough of its streams ended.
 func untilOnTime(q *Request, r *Runner, bounds *budget) time.Duration {
 	idle := *r
-	idle.QueuedPrefill, idle.Running, idle.DecodeLeft, idle.KVUsed, idle.PrefillShare = 0, 0, 0, 0, 0
+	idle.unload()
 	fresh := *bounds
 	if ms := q.OnTime.FirstTokenMS; ms > 0 {
 		fresh.first = time.Duration(ms) * time.Millisecond
@@ -160,7 +160,7 @@
 		fresh.whole = time.Duration(ms) * time.Millisecond
 	}
 	p := Predict(q, &idle)
-	if !fresh.meets(&p) {
+	if !fresh.meets(&p, r.Promised) {
 		return Never
 	}
 	now := Predict(q, r)
--- a/internal/request/route/tracker.go
+++ b/internal/request/route/tracker.go
@@ -29,7 +29,8 @@
 	inFlight map[string]*flight
 	view     []Runner
 	byModel  map[string][]string
-	indexed  *config.Snapshot // the snapshot that byModel was built from
+	promised map[string]time.Duration // by model
+	indexed  *config.Snapshot         // the snapshot that byModel was built from
 }
 
 // tracked is what is known of one runner.
@@ -215,6 +216,7 @@
 	for _, names := range t.byModel {
 		sortNames(names)
 	}
+	t.promised = promisedGaps(snapshot)
 	for name, r := range t.runners {
 		if _, ok := snapshot.Runners[name]; !ok && r.own.requests <= 0 {
 			delete(t.runners, name)
@@ -223,10 +225,25 @@
 	}
 }
 
+// promisedGaps gives the tightest gap between tokens that routes promise for each model.
+func promisedGaps(snapshot *config.Snapshot) map[string]time.Duration {
+	out := make(map[string]time.Duration)
+	for _, r := range snapshot.Routes {
+		gap := time.Duration(r.OnTime.BetweenMS) * time.Millisecond
+		if r.Model == "" || gap <= 0 {
+			continue
+		}
+		if old, ok := out[r.Model]; !ok || gap < old {
+			out[r.Model] = gap
+		}
+	}
+	return out
+}
+
 func (t *Tracker) appendView(now time.Time, snapshot *config.Snapshot, names []string) {
 	for _, name := range names {
 		spec := snapshot.Runners[name]
-		t.view = append(t.view, Runner{})
+		t.view = append(t.view, Runner{Promised: t.promised[spec.Model]})
 		t.runner(name).fill(&t.view[len(t.view)-1], now, name, &spec, snapshot)
 	}
 }
@@ -270,9 +287,10 @@
 	out.DecodeRate = out.Engine.DecodeRate
 	out.ReportAge = now.Sub(r.measured)
 	out.KVTotal = orDefault(float64(r.report.KVTotalTokens), float64(out.Engine.KVTokens))
-	c := r.journal.since(r.measured, now, float64(r.report.QueuedPrefill), out.prefillRate())
-	out.QueuedPrefill = c.queuedPrefill
 	reported := float64(r.report.Running + r.report.QueuedRequests)
+	out.Running = reported
+	c := r.journal.since(r.measured, now, float64(r.report.QueuedPrefill), out.promptRate())
+	out.QueuedPrefill = c.queuedPrefill
 	out.Running = max(reported+c.requests, r.own.requests, 0)
 	out.DecodeLeft = max(r.own.decode, 0)
 	out.KVUsed = max(float64(r.report.KVUsedTokens), r.own.kv)
