--- /dev/null
+++ b/internal/process/gateway/askexplain.go
@@ -0,0 +1,39 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+)
+
+// explainTimeout bounds the question to all peers together.
+const explainTimeout = 2 * time.Second
+
+// askPeersToExplain asks every connected peer about a request and gives the first
+// answer that knows something.
+func (g *Gateway) askPeersToExplain(ctx context.Context, request string) []string {
+	ctx, cancel := context.WithTimeout(ctx, explainTimeout)
+	defer cancel()
+	names := g.members.Connected()
+	answers := make(chan []string, len(names))
+	for _, name := range names {
+		go func() { answers <- g.askToExplain(ctx, name, request) }()
+	}
+	var found []string
+	for range names {
+		if lines := <-answers; found == nil && len(lines) > 0 {
+			found = lines
+			cancel() // the goroutines still answer, at once
+		}
+	}
+	return found
+}
+
+func (g *Gateway) askToExplain(ctx context.Context, name, request string) []string {
+	e, err := g.members.Hub().Call(ctx, name, peer.Envelope{Explain: &peer.ExplainAsk{Request: request}})
+	if err != nil || e.Explained == nil || len(e.Explained.Lines) == 0 {
+		return nil
+	}
+	return append([]string{"served by " + name}, e.Explained.Lines...)
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/ops"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
@@ -54,6 +55,8 @@
 	services *upstream.Services
 	poller   *poller
 	config   *config.Distributor
+	members  *member.Service
+	keeper   *claim.KeeperService
 	claims   claim.Asker
 
 	callers *http.Server
@@ -88,27 +91,51 @@
 	}
 	g.hardStop, g.stopHard = context.WithCancel(context.Background())
 	g.work, g.stopWork = context.WithCancel(context.Background())
+	if err := g.openPeers(keys); err != nil {
+		g.listeners.close()
+		g.closeAll()
+		return nil, err
+	}
 	g.exporter = metrics.New("ragwort_gateway", map[string]string{"zone": cfg.Settings.Instance.Zone})
 	g.metrics = newMeters(g.exporter.Scope())
 	g.cores = newCores(cfg.Settings.Instance, cfg.Settings.Limits)
 	g.engines = newEngines(cfg.Engine)
 	g.services = upstream.NewServices(upstream.HTTPOptions{})
 	g.poller = newPoller(g)
-	g.config = config.NewDistributor(config.DistributorConfig{
-		Name:  cfg.Settings.Instance.Name,
-		Zone:  cfg.Settings.Instance.Zone,
-		Store: g.store,
-	})
 	g.callers = &http.Server{
 		Handler:           g.callerHandler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		ErrorLog:          log.New(io.Discard, "", 0), // what concerns a request is in its log line,
+		ErrorLog:          log.New(io.Discard, "", 0), // what concerns a request is in its log line
 	}
 	g.ops = ops.New(ops.Config{Source: opsSource{g}, Metrics: g.exporter.Handler(), Key: keys.operators})
 	return g, nil
 }
 
+// openPeers makes what runs over the connections to peers: membership, the
+// distribution of the configuration, and claims.
+func (g *Gateway) openPeers(keys secrets) error {
+	s := g.cfg.Settings
+	members, err := newMembers(g, s, keys.peers, g.listeners.peers.Addr())
+	if err != nil {
+		return err
+	}
+	g.members = members
+	g.config = config.NewDistributor(config.DistributorConfig{
+		Name:    s.Instance.Name,
+		Zone:    s.Instance.Zone,
+		Store:   g.store,
+		Network: members,
+	})
+	g.keeper = claim.NewKeeperService(claim.KeeperConfig{
+		Name:        s.Instance.Name,
+		NoncePrefix: platform.NewNonce(),
+		Keep:        time.Duration(s.Limits.ClaimKeepSeconds) * time.Second,
+	}, g.store, time.Duration(s.Platform.TimeoutMS)*time.Millisecond)
+	g.claims = &claim.Client{Self: s.Instance.Name, Local: g.keeper, Peers: members.Hub(), Live: g.keepers}
+	return nil
+}
+
 // openStore connects to the platform, unless the store was given.
 func (g *Gateway) openStore(keys secrets) error {
 	g.closeAll = func() {}
@@ -143,6 +170,7 @@
 	g.cores.install(s)
 	g.engines.keep(s)
 	g.poller.install(g.work, s)
+	g.members.SetInstances(s.Instances)
 	g.metrics.version.Update(float64(s.Version))
 }
 
@@ -161,6 +189,8 @@
 // left behind.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.config.OnInstall(g.install)
+	g.loop(g.servePeers)
+	g.members.Start()
 	g.config.Start()
 	g.loop(g.queueLoop)
 	g.loop(g.secondLoop)
@@ -178,6 +208,12 @@
 	return err
 }
 
+func (g *Gateway) servePeers(context.Context) {
+	if err := g.members.Hub().Serve(g.listeners.peers); err != nil {
+		logline.Error(err, "peers' port")
+	}
+}
+
 // loop runs f until the gateway stops.
 func (g *Gateway) loop(f func(ctx context.Context)) {
 	g.loops.Add(1)
--- a/internal/process/gateway/source.go
+++ b/internal/process/gateway/source.go
@@ -27,15 +27,21 @@
 
 // Members implements ops.Source.
 func (s opsSource) Members() []ops.Member {
-	self := s.g.cfg.Settings.Instance
-	m := ops.Member{Name: self.Name, Role: "gateway", Zone: self.Zone, State: "live"}
-	if c := s.g.snapshot(); c != nil {
-		m.Applied = c.Version
+	var out []ops.Member
+	for _, m := range s.g.members.Members() {
+		out = append(out, ops.Member{Name: m.Name, Role: m.Role, Zone: m.Zone, State: string(m.State), Applied: m.Applied})
 	}
-	return []ops.Member{m}
+	return out
 }
 
-// Explain implements ops.Source.
-func (s opsSource) Explain(_ context.Context, request, _ string) []string {
-	return s.g.explain.lines(request)
+// Explain implements ops.Source. A request that another gateway of the fleet
+// served is explained by that one.
+func (s opsSource) Explain(ctx context.Context, request, _ string) []string {
+	if request == "" {
+		return nil
+	}
+	if lines := s.g.explain.lines(request); lines != nil {
+		return lines
+	}
+	return s.g.askPeersToExplain(ctx, request)
 }
--- a/internal/process/gateway/stop.go
+++ b/internal/process/gateway/stop.go
@@ -20,6 +20,7 @@
 
 // Bounds of a planned stop beyond those of the settings.
 const (
+	lastClaims  = 2 * time.Second        // for claims that peers asked for
 	lastAnswers = 5 * time.Second        // for error answers after the bound on draining
 	linger      = 200 * time.Millisecond // connections may bring a last request after the listener closed
 )
@@ -85,6 +86,7 @@
 	time.Sleep(time.Duration(s.BalancerMS) * time.Millisecond)
 	g.stage.Store(stageDraining)
 	g.listeners.callers.Close()
+	g.members.SetLeaving()
 	if !g.drain(time.Duration(s.DrainMS) * time.Millisecond) {
 		logline.Info("bound on draining reached", "running", g.running.count())
 		g.stopHard()
@@ -114,9 +116,11 @@
 	if err := g.callers.Shutdown(ctx); err != nil {
 		g.callers.Close()
 	}
+	g.keeper.Close(lastClaims)
 	g.config.Close()
 	g.stopWork()
 	g.poller.wait()
+	g.members.Close()
 	g.listeners.peers.Close()
 	if err := g.ops.Shutdown(ctx); err != nil {
 		logline.Info("operators' port closed hard", "error", err)
--- a/internal/process/ops/ops.go
+++ b/internal/process/ops/ops.go
@@ -23,7 +23,7 @@
 	Name    string `json:"name"`
 	Role    string `json:"role"` // gateway or controller
 	Zone    string `json:"zone"`
-	State   string `json:"state"`   // live, suspected, leaving or lost
+	State   string `json:"state"`   // live, suspected, leaving or gone
 	Applied uint64 `json:"applied"` // configuration version in force there
 }
 
