Measure the role policy on traces and calibrate its capacity model

Cause: the first capacity model expected full goodput of splits that deliver half, so the policy made 29 changes in a surge and lost to no change at all. Change: add the policy bench (traces, four policies, fake engines driven by the routing, admission and role cores). Take the usable shares from runs of constant demand at each split; let useful answers fall with the cube of the share that fits, since queues make served answers late too; never change an engine to "both"; estimate noise from single rates.

--- /dev/null
+++ b/examples/embed.go
@@ -0,0 +1,8 @@
+package examples
+
+import "embed"
+
+// Files holds the resources of the two deployments for measurements.
+//
+//go:embed humo-claro/resources.json halvorsen/resources.json
+var Files embed.FS
--- a/internal/bench/engine/engine.go
+++ b/internal/bench/engine/engine.go
@@ -45,6 +45,7 @@
 
 	Computed  float64       // prompt tokens that were computed, not taken from the cache
 	FirstAt   time.Duration // virtual time of the first token
+	Told      int           // output tokens that the benchmark has taken notice of
 	order     int
 	readyAt   time.Duration // when imported KV has arrived
 	left      float64       // prompt tokens left to compute
@@ -128,6 +129,13 @@
 // Streams counts the requests that are queued or running.
 func (e *Engine) Streams() int { return len(e.queue) + len(e.decoding) }
 
+// EachStream visits the running streams with the output tokens that each has had.
+func (e *Engine) EachStream(visit func(j *Job, decoded int)) {
+	for _, j := range e.decoding {
+		visit(j, j.Out-int(math.Ceil(j.finishAt-e.progress)))
+	}
+}
+
 // Submit queues a job. Call Advance to now first.
 func (e *Engine) Submit(now time.Duration, j *Job) {
 	e.arrivals++
--- /dev/null
+++ b/internal/bench/policy/chooser.go
@@ -0,0 +1,140 @@
+package policy
+
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/policy"
+)
+
+// chooser is a role policy: once a second it may begin one change.
+type chooser interface {
+	observe(now time.Time, rows []peer.DemandRow)
+	choose(f *fleet) *policy.Change
+}
+
+// static never changes a role.
+type static struct{}
+
+func (static) observe(time.Time, []peer.DemandRow) {}
+func (static) choose(*fleet) *policy.Change        { return nil }
+
+// ragwort is the role core of the controller.
+type ragwort struct {
+	core *policy.Core
+}
+
+func (r ragwort) observe(now time.Time, rows []peer.DemandRow) { r.core.Observe(now, rows) }
+
+func (r ragwort) choose(f *fleet) *policy.Change {
+	for _, d := range r.core.Decide(f.at(), f.input()) {
+		if d.Change != nil {
+			return d.Change
+		}
+	}
+	return nil
+}
+
+// threshold flips an engine to the side whose queue is longer, by the late load
+// reports, with neither price nor hysteresis.
+type threshold struct{ static }
+
+// Pressures of one: prompts that take this long are waiting, or the batches are this full.
+const (
+	fullQueue = 0.5 // seconds
+	fullBatch = 0.8
+	flipAt    = 1.5 // ratio of the pressures
+)
+
+func (threshold) choose(f *fleet) *policy.Change {
+	var queued, running, prefillers, decoders float64
+	for _, r := range f.runners {
+		if r.phase != policy.PhaseServing || len(r.delayed) == 0 {
+			continue
+		}
+		report := r.delayed[0]
+		class := f.snapshot.Engines[f.snapshot.Runners[r.Name()].Engine]
+		queued += float64(report.QueuedPrefill) / class.PrefillRate
+		if r.Role() == upstream.RolePrefill {
+			prefillers++
+			continue
+		}
+		decoders++
+		running += float64(report.Running) / float64(class.MaxBatch)
+	}
+	prefill := queued / max(prefillers, 1) / fullQueue
+	decode := running / max(decoders, 1) / fullBatch
+	switch {
+	case prefill > flipAt*decode:
+		return f.flip(upstream.RolePrefill, decoders)
+	case decode > flipAt*prefill:
+		return f.flip(f.dep.partner, prefillers)
+	}
+	return nil
+}
+
+// flip changes the idlest engine that has not the role, if no other one is away
+// and the floor of its present role holds.
+func (f *fleet) flip(to upstream.Role, ofKind float64) *policy.Change {
+	var best *runner
+	for _, r := range f.runners {
+		if r.phase == policy.PhaseDraining || r.phase == policy.PhaseChanging {
+			return nil
+		}
+		if r.phase != policy.PhaseServing || r.Role() == to {
+			continue
+		}
+		if best == nil || r.Streams()+r.pending < best.Streams()+best.pending {
+			best = r
+		}
+	}
+	floor := f.snapshot.Models[f.dep.model]
+	least := floor.MinPrefill
+	if to == upstream.RolePrefill {
+		least = floor.MinDecode
+	}
+	if best == nil || ofKind <= float64(least) {
+		return nil
+	}
+	return &policy.Change{Runner: best.Name(), From: best.Role(), To: to}
+}
+
+// scheduled follows a schedule that was found with knowledge of the trace.
+type scheduled struct {
+	static
+	steps []scheduleStep
+}
+
+// scheduleStep asks for a number of engines that prefill from a time on.
+type scheduleStep struct {
+	from    time.Duration
+	prefill int
+}
+
+func (s scheduled) choose(f *fleet) *policy.Change {
+	wanted := s.steps[0].prefill
+	for _, step := range s.steps {
+		if step.from <= f.now {
+			wanted = step.prefill
+		}
+	}
+	var prefillers, decoders int
+	for _, r := range f.runners {
+		if r.phase == policy.PhaseWithdrawn || r.phase == policy.PhaseLost {
+			continue
+		}
+		if r.target == upstream.RolePrefill {
+			prefillers++
+		} else {
+			decoders++
+		}
+	}
+	switch {
+	case prefillers < wanted:
+		return f.flip(upstream.RolePrefill, float64(decoders))
+	case prefillers > wanted:
+		return f.flip(f.dep.partner, float64(prefillers))
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/policy/command.go
@@ -0,0 +1,133 @@
+package policy
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	core "github.com/ragworttrestle/ragworttrestle/internal/process/policy"
+)
+
+// Command runs one trace under one policy.
+type Command struct {
+	Deployment string        `long:"deployment" choice:"humo" choice:"halvorsen" default:"humo" description:"the fleet"`
+	Trace      string        `long:"trace" default:"smoke-surge" description:"name of a built-in trace, or a file"`
+	Policy     string        `long:"policy" choice:"static" choice:"threshold" choice:"ragwort" choice:"clairvoyant" default:"ragwort" description:"who changes roles"`
+	Seed       uint64        `long:"seed" default:"1"`
+	ReportLag  time.Duration `long:"report-lag" default:"2s" description:"age of load reports"`
+	ChangeTime time.Duration `long:"change-time" description:"time of a role change; 0: the engine's"`
+	CostError  float64       `long:"cost-error" description:"rates believed against true ones; 0.3: 30% too high"`
+	Price      *float64      `long:"price" description:"price of a role change in useful answers; default: the deployment's"`
+	Horizon    time.Duration `long:"horizon" description:"horizon of the policy; default: the deployment's"`
+	Without    []string      `long:"without" description:"a lever taken out, see policy-table"`
+	JSON       bool          `long:"json" description:"print JSON"`
+	Explain    bool          `long:"explain" description:"print the decisions of ragwort"`
+}
+
+// Execute implements flags.Commander.
+func (c *Command) Execute([]string) error {
+	t, err := loadTrace(c.Deployment, c.Trace)
+	if err != nil {
+		return err
+	}
+	o := c.options(t)
+	if o.Chooser, err = newChooser(c.Policy, o, c.policyConfig()); err != nil {
+		return err
+	}
+	r, err := run(o)
+	if err != nil {
+		return err
+	}
+	if c.Explain {
+		explain(os.Stdout, o.Chooser)
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	r.print(os.Stdout)
+	return nil
+}
+
+func (c *Command) options(t *trace) options {
+	o := options{
+		Deployment: c.Deployment, Trace: t, Seed: c.Seed, Prefill: deployments[c.Deployment].prefill,
+		ReportLag: c.ReportLag, ChangeTime: c.ChangeTime, CostError: c.CostError, Without: map[string]bool{},
+	}
+	for _, lever := range c.Without {
+		o.Without[lever] = true
+	}
+	return o
+}
+
+// policyConfig is the deployment's configuration of the role policy.
+func (c *Command) policyConfig() core.Config {
+	d := deployments[c.Deployment]
+	cfg := core.Config{Origin: "bench", RoleChangePrice: d.price, Horizon: d.horizon, Without: leversOf(c.Without)}
+	if c.Price != nil {
+		cfg.RoleChangePrice = *c.Price
+	}
+	if c.Horizon > 0 {
+		cfg.Horizon = c.Horizon
+	}
+	return cfg
+}
+
+// routingLevers and policyLevers can be taken out.
+var (
+	routingLevers = []string{"chunks", "affinity", "admission", "priority"}
+	policyLevers  = []string{"uncertainty", "persistence", "price", "loss", "slack"}
+)
+
+func leversOf(names []string) core.Levers {
+	var l core.Levers
+	flags := []*bool{&l.Uncertainty, &l.Persistence, &l.Price, &l.Loss, &l.Slack}
+	for _, name := range names {
+		for i := range policyLevers {
+			if policyLevers[i] == name {
+				*flags[i] = true
+			}
+		}
+	}
+	return l
+}
+
+// newChooser makes a policy by name.
+func newChooser(name string, o options, cfg core.Config) (chooser, error) {
+	switch name {
+	case "static":
+		return static{}, nil
+	case "threshold":
+		return threshold{}, nil
+	case "ragwort":
+		return ragwort{core.New(cfg)}, nil
+	case "clairvoyant":
+		p, err := clairvoyantPlan(o)
+		return p.chooser(o.Trace), err
+	}
+	return nil, errors.Errorf("policy %q is not known", name)
+}
+
+func explain(w io.Writer, c chooser) {
+	r, ok := c.(ragwort)
+	if !ok {
+		return
+	}
+	for _, d := range r.core.Kept("") {
+		for _, line := range d.Lines() {
+			fmt.Fprintln(w, line)
+		}
+	}
+}
+
+func (r *result) print(w io.Writer) {
+	for _, name := range sortedKeys(r.Routes) {
+		c := r.Routes[name]
+		fmt.Fprintf(w, "route=%s useful=%d late=%d refused=%d lost=%d\n", name, c.Useful, c.Late, c.Refused, c.Lost)
+	}
+	fmt.Fprintf(w, "useful=%d useful_by_priority=%v role_changes=%d engine_seconds_away=%.0f\n",
+		r.Useful, r.Priorities, r.RoleChanges, r.AwaySeconds)
+}
--- /dev/null
+++ b/internal/bench/policy/control.go
@@ -0,0 +1,175 @@
+package policy
+
+import (
+	"sort"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/engine"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/policy"
+)
+
+// strike makes an event of the trace happen.
+func (f *fleet) strike(e event) {
+	if e.Kind == "store-outage" {
+		f.outage = f.now + seconds(e.Seconds)
+		return
+	}
+	r := f.struck(e.Runner)
+	if r == nil {
+		return
+	}
+	switch e.Kind {
+	case "crash":
+		lost := r.Crash(f.now, seconds(e.Seconds))
+		r.phase = policy.PhaseLost
+		f.state(r)
+		f.happened(lost)
+	case "withdraw":
+		r.phase = policy.PhaseWithdrawn
+	case "drain":
+		r.phase, r.until = policy.PhaseDrained, f.now+seconds(e.Seconds)
+	}
+	f.state(r)
+}
+
+// struck finds the runner that an event means.
+func (f *fleet) struck(name string) *runner {
+	if r := f.byName[name]; r != nil || name != "changing" {
+		return r
+	}
+	var first *runner
+	for _, r := range f.runners {
+		if r.phase == policy.PhaseChanging {
+			return r
+		}
+		if first == nil && r.Role() == upstream.RolePrefill && r.phase == policy.PhaseServing {
+			first = r
+		}
+	}
+	return first
+}
+
+// state tells every gateway the actual state of a runner.
+func (f *fleet) state(r *runner) {
+	s := r.State(f.now)
+	s.Leaving = r.phase != policy.PhaseServing
+	for _, g := range f.gateways {
+		g.tracker.Stated(s)
+	}
+}
+
+// advanceChanges takes runners from drain to change to service.
+func (f *fleet) advanceChanges() {
+	for _, r := range f.runners {
+		before := r.phase
+		switch {
+		case r.phase == policy.PhaseDraining && r.Streams()+r.pending == 0:
+			takes := f.ChangeTime
+			if takes == 0 {
+				takes = seconds(f.snapshot.Engines[f.snapshot.Runners[r.Name()].Engine].RoleChangeSeconds)
+			}
+			if r.SetRole(f.now, r.target, takes) == nil {
+				r.phase = policy.PhaseChanging
+			}
+		case r.phase == policy.PhaseChanging || r.phase == policy.PhaseLost:
+			if !r.Away(f.now) {
+				r.phase, r.target = policy.PhaseServing, r.Role()
+			}
+		case r.phase == policy.PhaseDrained && f.now >= r.until:
+			r.phase, r.target = policy.PhaseServing, r.Role()
+		}
+		if r.phase != before {
+			f.state(r)
+		}
+	}
+}
+
+// second does what the daemons do every second: load reports, exchange of use
+// between gateways, and the role policy.
+func (f *fleet) second() {
+	for _, r := range f.runners {
+		f.report(r)
+	}
+	f.progress()
+	var rows []peer.DemandRow
+	for _, from := range f.gateways {
+		use := from.tracker.Report()
+		for _, to := range f.gateways {
+			if to != from {
+				to.tracker.PeerUse(f.at(), from.zone, use)
+			}
+		}
+		for _, name := range sortedKeys(from.demand) {
+			rows = append(rows, *from.demand[name])
+		}
+		clear(from.demand)
+	}
+	f.Chooser.observe(f.at(), rows)
+	if f.now < f.outage || f.now >= f.Trace.length() {
+		return // nobody may order
+	}
+	if c := f.Chooser.choose(f); c != nil {
+		r := f.byName[c.Runner]
+		r.phase, r.target = policy.PhaseDraining, c.To
+		f.result.RoleChanges++
+		f.state(r)
+	}
+}
+
+// report delivers the load report and the cache events of a runner, late.
+func (f *fleet) report(r *runner) {
+	class := f.snapshot.Engines[f.snapshot.Runners[r.Name()].Engine]
+	report := r.Report(f.now, epoch)
+	report.PrefillRate, report.DecodeRate = class.PrefillRate, class.DecodeRate
+	r.delayed = append(r.delayed, report)
+	for len(r.delayed) > 0 && !r.delayed[0].At.Add(f.ReportLag).After(f.at()) {
+		late := r.delayed[0]
+		late.Age = f.ReportLag
+		r.delayed = r.delayed[1:]
+		for _, g := range f.gateways {
+			g.tracker.Reported(f.at(), late)
+			since := g.tracker.Prefixes.Since(r.Name())
+			g.tracker.Prefixes.Apply(r.Name(), since, r.CacheEvents(since))
+		}
+	}
+}
+
+// progress tells gateways of the tokens that came since the last second.
+func (f *fleet) progress() {
+	for _, r := range f.runners {
+		r.EachStream(func(j *engine.Job, decoded int) {
+			if fl := f.flights[j.ID]; decoded > j.Told {
+				fl.gateway.tracker.Progress(f.at(), fl.id, decoded-j.Told)
+				j.Told = decoded
+			}
+		})
+	}
+}
+
+// input is what a controller knows of the fleet.
+func (f *fleet) input() policy.Input {
+	in := policy.Input{Models: f.snapshot.Models, Routes: f.snapshot.Routes}
+	for _, r := range f.runners {
+		spec := f.snapshot.Runners[r.Name()]
+		class := f.snapshot.Engines[spec.Engine]
+		if f.ChangeTime > 0 {
+			class.RoleChangeSeconds = f.ChangeTime.Seconds()
+		}
+		in.Runners = append(in.Runners, policy.Runner{
+			Name: r.Name(), Zone: r.zone, Model: f.dep.model, Class: class, Role: r.target, Auto: true,
+			Phase: r.phase, Streams: r.Streams() + r.pending,
+		})
+	}
+	return in
+}
+
+// sortedKeys lists the keys of a map in order.
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/bench/policy/fleet.go
@@ -0,0 +1,384 @@
+package policy
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/engine"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/policy"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/admit"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+)
+
+const (
+	slot         = 10 * time.Millisecond // events are handled at the end of the slot that they fall into
+	grace        = 60 * time.Second      // answers may still come in this long after the trace
+	prefixBlocks = 2000                  // blocks that an engine's prefix cache holds
+)
+
+// epoch is the wall clock at virtual time zero.
+var epoch = time.Unix(1_700_000_000, 0)
+
+// options is everything that a run depends on.
+type options struct {
+	Deployment string
+	Trace      *trace
+	Seed       uint64
+	Prefill    int // engines that prefill at the start
+	ReportLag  time.Duration
+	ChangeTime time.Duration   // zero: the engine class's
+	CostError  float64         // rates that the cores believe, against the true ones: 0.3 is 30% too high
+	Without    map[string]bool // routing levers taken out
+	Chooser    chooser
+}
+
+// counts is what became of the requests of a route.
+type counts struct {
+	Useful, Late, Refused, Lost int
+}
+
+// result is the outcome of a run.
+type result struct {
+	Routes      map[string]*counts
+	Priorities  map[int]int // useful answers by priority
+	Useful      int
+	RoleChanges int
+	AwaySeconds float64
+}
+
+// gateway is one gateway's cores.
+type gateway struct {
+	zone    string
+	tracker *route.Tracker
+	admit   *admit.Core
+	learner route.Learner
+	demand  map[string]*peer.DemandRow // by route
+	cached  map[string]int             // tokens of a prompt cached, by route, when last admitted
+}
+
+// runner is one engine and what the controller does with it.
+type runner struct {
+	*engine.Engine
+	zone    string
+	phase   policy.Phase
+	target  upstream.Role // the role to come while draining, else the actual one
+	pending int           // requests whose prompt is computed elsewhere
+	until   time.Duration // end of an operator's drain
+	delayed []upstream.LoadReport
+}
+
+// flight is one request on its way.
+type flight struct {
+	arrival
+	id      string
+	gateway *gateway
+	choice  route.Choice
+	first   time.Duration
+	retried bool
+}
+
+// fleet is the state of a run.
+type fleet struct {
+	options
+	dep      deployment
+	snapshot *config.Snapshot
+	now      time.Duration
+	runners  []*runner
+	byName   map[string]*runner
+	gateways []*gateway
+	flights  map[string]*flight
+	outage   time.Duration // end of a store outage
+	result   result
+}
+
+func (f *fleet) at() time.Time { return epoch.Add(f.now) }
+
+func newFleet(o options) (*fleet, error) {
+	f := &fleet{options: o, dep: deployments[o.Deployment], byName: map[string]*runner{}, flights: map[string]*flight{}}
+	f.result = result{Routes: map[string]*counts{}, Priorities: map[int]int{}}
+	var err error
+	if f.snapshot, err = f.dep.snapshot(); err != nil {
+		return nil, err
+	}
+	zones := map[string]bool{}
+	for i, name := range interleaved(f.snapshot) {
+		spec := f.snapshot.Runners[name]
+		role := f.dep.partner
+		if i < o.Prefill {
+			role = upstream.RolePrefill
+		}
+		loaded := upstream.Loaded{Model: f.dep.model, Version: f.snapshot.Routes[f.dep.heavy].Weights[0].Version}
+		r := &runner{zone: spec.Zone, phase: policy.PhaseServing, target: role}
+		r.Engine = engine.New(engine.Config{
+			Name: name, Class: f.snapshot.Engines[spec.Engine], Role: role, Model: loaded, PrefixBlocks: prefixBlocks,
+		})
+		f.runners = append(f.runners, r)
+		f.byName[name] = r
+		zones[spec.Zone] = true
+	}
+	for name, class := range f.snapshot.Engines {
+		class.PrefillRate *= 1 + o.CostError
+		class.DecodeRate *= 1 + o.CostError
+		f.snapshot.Engines[name] = class
+	}
+	for _, zone := range sortedKeys(zones) {
+		f.gateways = append(f.gateways, &gateway{
+			zone: zone, tracker: route.NewTracker(), demand: map[string]*peer.DemandRow{}, cached: map[string]int{},
+			admit: admit.New(admit.Config{QueueRequests: settings.DefaultQueueRequests, QueueTokens: settings.DefaultQueueTokens}),
+		})
+	}
+	return f, nil
+}
+
+// interleaved lists the runners so that neighbours are in different zones.
+func interleaved(s *config.Snapshot) []string {
+	names := sortedKeys(s.Runners)
+	rank, seen := map[string]int{}, map[string]int{}
+	for _, name := range names {
+		zone := s.Runners[name].Zone
+		rank[name] = seen[zone]
+		seen[zone]++
+	}
+	sort.SliceStable(names, func(i, k int) bool { return rank[names[i]] < rank[names[k]] })
+	return names
+}
+
+// run plays the trace.
+func run(o options) (*result, error) {
+	f, err := newFleet(o)
+	if err != nil {
+		return nil, err
+	}
+	arrivals := o.Trace.arrivals(o.Seed, len(f.gateways))
+	events := append([]event(nil), o.Trace.Events...)
+	for _, r := range f.runners {
+		f.state(r)
+		for _, g := range f.gateways {
+			g.tracker.Reported(f.at(), r.Report(0, epoch))
+		}
+	}
+	end := o.Trace.length()
+	for ; f.now < end+grace && (f.now < end || len(f.flights) > 0); f.now += slot {
+		for len(events) > 0 && seconds(events[0].At) <= f.now {
+			f.strike(events[0])
+			events = events[1:]
+		}
+		for _, r := range f.runners {
+			f.happened(r.Advance(f.now))
+		}
+		for len(arrivals) > 0 && arrivals[0].at <= f.now {
+			f.arrive(&arrivals[0], len(arrivals))
+			arrivals = arrivals[1:]
+		}
+		if f.now%admit.TickEvery == 0 {
+			f.tick()
+		}
+		if f.now%time.Second == 0 {
+			f.second()
+		}
+		f.advanceChanges()
+	}
+	for _, fl := range f.flights {
+		f.count(fl).Lost++
+	}
+	for _, r := range f.runners {
+		f.result.AwaySeconds += r.AwayTotal().Seconds()
+	}
+	return &f.result, nil
+}
+
+func (f *fleet) count(fl *flight) *counts {
+	c := f.result.Routes[fl.route]
+	if c == nil {
+		c = &counts{}
+		f.result.Routes[fl.route] = c
+	}
+	return c
+}
+
+// arrive gives a new request to its gateway.
+func (f *fleet) arrive(a *arrival, left int) {
+	fl := &flight{arrival: *a, id: strconv.Itoa(left), gateway: f.gateways[a.zone]}
+	f.flights[fl.id] = fl
+	f.offer(fl, nil)
+}
+
+// request is what the cores see of a flight.
+func (f *fleet) request(fl *flight, excluded []string) route.Request {
+	spec := f.snapshot.Routes[fl.route]
+	q := route.Request{
+		ID: fl.id, Seed: fl.seed, Route: fl.route, Model: f.dep.model, Zone: fl.gateway.zone, PromptTokens: fl.prompt,
+		ExpectedOut: fl.gateway.learner.Expected(fl.route, spec.ExpectedOut, spec.MaxTokens),
+		OnTime:      spec.OnTime, Priority: spec.Priority, Arrived: epoch.Add(fl.at), Excluded: excluded,
+	}
+	if !f.Without["affinity"] {
+		q.PrefixHashes = prefix(fl.shared)
+	}
+	if f.Without["priority"] {
+		q.Priority = 0
+	}
+	return q
+}
+
+// prefix gives the block hashes of the shared briefing.
+func prefix(tokens int) []uint64 {
+	var hashes []uint64
+	for i := range tokens / engine.BlockTokens {
+		hashes = append(hashes, uint64(i+1))
+	}
+	return hashes
+}
+
+func (f *fleet) view(g *gateway) []route.Runner {
+	view := g.tracker.ViewModel(f.at(), f.snapshot, f.dep.model)
+	for i := range view {
+		if f.Without["chunks"] && view[i].Role == upstream.RoleDecode {
+			view[i].PrefillRate = 1
+		}
+	}
+	return view
+}
+
+func (f *fleet) offer(fl *flight, excluded []string) {
+	q := f.request(fl, excluded)
+	if f.Without["admission"] {
+		choice := route.Route(f.at(), q, f.view(fl.gateway))
+		f.act([]admit.Action{{ID: fl.id, Choice: &choice}})
+		return
+	}
+	f.act(fl.gateway.admit.Arrive(f.at(), q, f.view(fl.gateway)))
+}
+
+func (f *fleet) tick() {
+	for _, g := range f.gateways {
+		if n, _ := g.admit.Queued(); n > 0 {
+			f.act(g.admit.Tick(f.at(), f.view(g)))
+		}
+	}
+}
+
+// act carries out what admission decided.
+func (f *fleet) act(actions []admit.Action) {
+	for _, a := range actions {
+		fl := f.flights[a.ID]
+		served := a.Err == nil && a.Choice.Runner != ""
+		f.demand(fl, a.Choice, !served)
+		if !served {
+			f.count(fl).Refused++
+			delete(f.flights, fl.id)
+			continue
+		}
+		f.send(fl, a.Choice)
+	}
+}
+
+// demand notes a request for the role policy, admitted or refused.
+func (f *fleet) demand(fl *flight, choice *route.Choice, refused bool) {
+	if fl.retried {
+		return
+	}
+	g := fl.gateway
+	row := g.demand[fl.route]
+	if row == nil {
+		row = &peer.DemandRow{Model: f.dep.model, Route: fl.route}
+		g.demand[fl.route] = row
+	}
+	if choice != nil {
+		g.cached[fl.route] = choice.Predicted.CachedTokens
+	}
+	row.Arrived++
+	row.Prefill += max(0, fl.prompt-g.cached[fl.route])
+	spec := f.snapshot.Routes[fl.route]
+	row.Decode += g.learner.Expected(fl.route, spec.ExpectedOut, spec.MaxTokens)
+	if refused {
+		row.Late++
+	}
+}
+
+// send starts a request at the chosen runners.
+func (f *fleet) send(fl *flight, choice *route.Choice) {
+	fl.choice = *choice
+	q := f.request(fl, nil)
+	fl.gateway.tracker.Sent(f.at(), route.Send{
+		ID: fl.id, Runner: choice.Runner, Prefill: choice.Prefill, PromptTokens: fl.prompt,
+		CachedTokens: choice.Predicted.CachedTokens, ExpectedOut: q.ExpectedOut, PrefixHashes: q.PrefixHashes,
+	})
+	job := &engine.Job{ID: fl.id, Prompt: fl.prompt, Out: fl.out, Priority: q.Priority, Hashes: prefix(fl.shared)}
+	if choice.Prefill == "" {
+		f.byName[choice.Runner].Submit(f.now, job)
+		return
+	}
+	job.PrefillOnly = true
+	f.byName[choice.Runner].pending++
+	f.byName[choice.Prefill].Submit(f.now, job)
+}
+
+// happened handles what engines tell.
+func (f *fleet) happened(events []engine.Event) {
+	for _, e := range events {
+		fl := f.flights[e.Job.ID]
+		switch e.Kind {
+		case engine.FirstToken:
+			fl.first = e.At
+		case engine.PrefillDone:
+			f.decode(fl)
+		case engine.Done:
+			f.finish(fl, e.At)
+		case engine.Lost:
+			f.lose(fl, e.Job.PrefillOnly)
+		}
+	}
+}
+
+// decode moves the KV cache of a computed prompt to the decoding runner.
+func (f *fleet) decode(fl *flight) {
+	r := f.byName[fl.choice.Runner]
+	r.pending--
+	class := f.snapshot.Engines[f.snapshot.Runners[r.Name()].Engine]
+	r.Submit(f.now, &engine.Job{
+		ID: fl.id, Prompt: fl.prompt, Out: fl.out, Priority: f.snapshot.Routes[fl.route].Priority,
+		HasKV: true, KVDelay: seconds(float64(fl.prompt) / class.KVTransferRate),
+	})
+}
+
+// finish judges an answer.
+func (f *fleet) finish(fl *flight, at time.Duration) {
+	delete(f.flights, fl.id)
+	spec := f.snapshot.Routes[fl.route]
+	fl.gateway.tracker.Finished(f.at(), fl.id)
+	fl.gateway.learner.Finished(fl.route, spec.ExpectedOut, fl.out)
+	bound := func(ms int, took time.Duration) bool { return ms == 0 || took <= time.Duration(ms)*time.Millisecond }
+	gap := time.Duration(0)
+	if fl.out > 1 {
+		gap = (at - fl.first) / time.Duration(fl.out-1)
+	}
+	o := spec.OnTime
+	if bound(o.FirstTokenMS, fl.first-fl.at) && bound(o.BetweenMS, gap) && bound(o.WholeMS, at-fl.at) {
+		f.count(fl).Useful++
+		f.result.Useful++
+		f.result.Priorities[spec.Priority]++
+		return
+	}
+	f.count(fl).Late++
+}
+
+// lose handles a request whose engine crashed: it runs again once if that is
+// safe, else it is lost.
+func (f *fleet) lose(fl *flight, prefillOnly bool) {
+	fl.gateway.tracker.Finished(f.at(), fl.id)
+	if prefillOnly {
+		f.byName[fl.choice.Runner].pending--
+	}
+	if !fl.retried && (prefillOnly || f.snapshot.Routes[fl.route].Idempotent) {
+		fl.retried = true
+		f.offer(fl, nil)
+		return
+	}
+	f.count(fl).Lost++
+	delete(f.flights, fl.id)
+}
--- a/internal/process/policy/capacity.go
+++ b/internal/process/policy/capacity.go
@@ -11,15 +11,19 @@
 
 // Shares of an engine's time that can be used before queues make answers late.
 const (
-	usablePrefill = 0.85
+	usablePrefill = 0.72
 	usableDecode  = 0.90
 )
 
+// overloadPower: of a load of which only a share fits, that share to this power
+// is useful. Queues and fuller batches make some of what is served late too.
+const overloadPower = 3
+
 // A decode engine computes prompts in small chunks beside its streams, so it
 // reaches only a share of its prefill rate; an engine of role both takes larger
 // chunks.
 const (
-	decodeChunkShare = 0.25
+	decodeChunkShare = 0.08
 	bothChunkShare   = 0.60
 )
 
@@ -90,41 +94,49 @@
 	return lone - perStream, perStream
 }
 
+// unboundGap is the time between tokens, in seconds, where no route bounds it.
+const unboundGap = 0.2
+
+// budget is the share of a decoding engine's time that is left for streams and
+// prompts beside the fixed cost of each step, if steps take as long as the gap.
+func budget(class resource.Engine, gap float64) float64 {
+	fixed, _ := step(class)
+	return math.Max(0, 1-fixed/gap) * usableDecode
+}
+
 // decodeRate is the most output tokens a second of an engine that keeps the gap.
 func decodeRate(class resource.Engine, gap float64) float64 {
-	if gap <= 0 {
-		return class.DecodeRate
-	}
-	fixed, perStream := step(class)
-	if gap <= fixed+perStream {
-		return class.StreamRate // a lone stream; too slow, but the best there is
+	_, perStream := step(class)
+	rate := class.DecodeRate * usableDecode
+	if perStream > 0 {
+		rate = math.Min(rate, budget(class, gap)/perStream)
 	}
-	if perStream == 0 {
-		return class.DecodeRate
-	}
-	streams := math.Min((gap-fixed)/perStream, float64(class.MaxBatch))
-	return streams / (fixed + perStream*streams)
+	return rate
 }
 
-// fits tells whether the engines carry the load.
+// fits tells whether the engines carry the load. Output tokens are spread over
+// the decoding engines in proportion to their rates.
 func (c *capacity) fits(prefill, decode, gap float64) bool {
-	spare := 0.0 // prompt tokens a second beside the streams
-	left := decode
+	if gap <= 0 {
+		gap = unboundGap
+	}
 	total := 0.0
 	for i := range c.engines {
-		total += c.engines[i].count * decodeRate(c.engines[i].class, gap) * usableDecode
+		total += c.engines[i].count * decodeRate(c.engines[i].class, gap)
 	}
-	if left > total {
+	if decode > total {
 		return false
 	}
+	spare := 0.0 // prompt tokens a second beside the streams
 	for i := range c.engines {
 		d := &c.engines[i]
 		busy := 0.0
 		if total > 0 {
-			busy = left / total
+			_, perStream := step(d.class)
+			busy = decode / total * decodeRate(d.class, gap) * perStream
 		}
-		idle := d.count * (1 - busy) * d.class.PrefillRate * usablePrefill
-		spare += math.Min(idle, d.count*d.chunkShare*d.class.PrefillRate)
+		share := math.Min(budget(d.class, gap)-busy, d.chunkShare)
+		spare += d.count * math.Max(0, share) * d.class.PrefillRate
 	}
 	return prefill <= c.prefill+spare
 }
@@ -147,7 +159,7 @@
 		share := c.share(l, prefill, decode, gap)
 		prefill += share * l.prefill
 		decode += share * l.decode
-		answers += share * l.requests
+		answers += math.Pow(share, overloadPower) * l.requests
 	}
 	return answers
 }
--- a/internal/process/policy/estimate.go
+++ b/internal/process/policy/estimate.go
@@ -10,7 +10,7 @@
 	bucket       = time.Second // demand is gathered over this time before it is taken in
 	fastSeconds  = 6.0
 	slowSeconds  = 120.0
-	learnSeconds = 400.0 // memory of the learned persistence and deviation
+	learnSeconds = 400.0 // memory of the learned persistence
 )
 
 // Before anything is learned a swing is taken to last in priorPersist of its
@@ -40,11 +40,10 @@
 
 // past is a forecast waiting to be compared with what came.
 type past struct {
-	at       float64 // seconds
-	slow     float64
-	swing    float64 // fast minus slow
-	forecast float64
-	sum      float64 // of the rates since, times their duration
+	at    float64 // seconds
+	slow  float64
+	swing float64 // fast minus slow
+	sum   float64 // of the rates since, times their duration
 }
 
 // forecaster learns how much of a swing of one rate lasts over the horizon. A
@@ -56,13 +55,17 @@
 	fast, slow mean
 	cross      float64 // of swings and what was left of them, decayed
 	square     float64 // of swings, decayed
-	miss       mean    // squared miss of the forecasts
+	noise      mean    // squared distance of single rates from the fast mean
 	open       []past
 }
 
 // add takes in the rate over the last dt seconds.
 func (f *forecaster) add(rate, dt float64) {
 	f.now += dt
+	if f.fast.weight > 0 {
+		off := rate - f.fast.value()
+		f.noise.add(off*off, dt, slowSeconds)
+	}
 	f.fast.add(rate, dt, fastSeconds)
 	f.slow.add(rate, dt, slowSeconds)
 	for i := range f.open {
@@ -72,12 +75,10 @@
 		f.learn(f.open[0], dt)
 		f.open = f.open[1:]
 	}
-	f.open = append(f.open, past{
-		at: f.now, slow: f.slow.value(), swing: f.fast.value() - f.slow.value(), forecast: f.forecast(),
-	})
+	f.open = append(f.open, past{at: f.now, slow: f.slow.value(), swing: f.fast.value() - f.slow.value()})
 }
 
-// learn compares one earlier forecast with the mean rate that came.
+// learn compares one earlier swing with the mean rate that came.
 func (f *forecaster) learn(p past, dt float64) {
 	came := p.sum / (f.now - p.at)
 	scale := math.Max(p.slow, came)
@@ -89,8 +90,6 @@
 	left := (came - p.slow) / scale
 	f.cross = f.cross*keep + swing*left*dt
 	f.square = f.square*keep + swing*swing*dt
-	miss := came - p.forecast
-	f.miss.add(miss*miss, dt, learnSeconds)
 }
 
 // persist is the learned share of a swing that lasts, from 0 to 1.
@@ -105,12 +104,18 @@
 	return math.Max(0, slow+f.persist()*(f.fast.value()-slow))
 }
 
+// deviation is the standard deviation of the fast mean: that of single rates,
+// less by the number of buckets that the mean covers.
+func (f *forecaster) deviation() float64 {
+	return math.Sqrt(f.noise.value() * bucket.Seconds() / (2 * fastSeconds))
+}
+
 func (f *forecaster) estimate() Estimate {
 	return Estimate{
 		Fast:      f.fast.value(),
 		Slow:      f.slow.value(),
 		Forecast:  f.forecast(),
-		Deviation: math.Sqrt(f.miss.value()),
+		Deviation: f.deviation(),
 		Persist:   f.persist(),
 	}
 }
--- a/internal/process/policy/options.go
+++ b/internal/process/policy/options.go
@@ -68,7 +68,7 @@
 		if i < 0 {
 			continue
 		}
-		for _, to := range roles {
+		for _, to := range targets {
 			if to != from {
 				out = append(out, w.weigh(i, to))
 			}
@@ -83,7 +83,13 @@
 	return out
 }
 
-var roles = []upstream.Role{upstream.RolePrefill, upstream.RoleDecode, upstream.RoleBoth}
+// roles are those that a runner may have; targets are those that it may be
+// changed to. An engine that does both delays its streams by the prompts, and
+// measured worse than a split in every mix; it stays as it is until a split gains.
+var (
+	roles   = []upstream.Role{upstream.RolePrefill, upstream.RoleDecode, upstream.RoleBoth}
+	targets = []upstream.Role{upstream.RolePrefill, upstream.RoleDecode}
+)
 
 // cheapest finds the runner of a role that is soonest drained, in a zone that
 // this controller holds if there is one; -1: none.
--- a/internal/process/policy/types.go
+++ b/internal/process/policy/types.go
@@ -96,7 +96,7 @@
 	Fast      float64 // mean over some seconds
 	Slow      float64 // mean over some minutes
 	Forecast  float64 // expected mean over the horizon
-	Deviation float64 // standard deviation of what came around earlier forecasts
+	Deviation float64 // standard deviation of the fast mean
 	Persist   float64 // share of a swing that lasts over the horizon, learned, 0 to 1
 }
 
