Share a runner's room among gateways that cannot see each other's sends

Cause: eight gateways with waiting requests saw the same room at one runner and all sent at once (29 requests within 0.1 s in the trace), because peers' sends are only known after their next use report. Change: each peer is taken to have done, since its last report, what this gateway did, and a random part of one request more, drawn anew for each runner and report period. The own zone is left as soon as its predicted gap passes 0.8 of the bound.

--- a/internal/bench/goodput/command.go
+++ b/internal/bench/goodput/command.go
@@ -12,6 +12,7 @@
 type Command struct {
 	Seeds   []uint64 `long:"seed" default:"1" default:"2" description:"seeds of the arrivals"`
 	Seconds int      `long:"seconds" default:"40" description:"virtual seconds of each run; the first quarter is not counted"`
+	UseMS   int      `long:"use-ms" default:"1000" description:"period of the use reports between gateways, milliseconds"`
 	JSON    bool     `long:"json" description:"print the rows as JSON"`
 }
 
@@ -75,7 +76,7 @@
 	s := setup{
 		zones: fleetZones, engines: fleetEngines, gateways: fleetGateways, lag: lag,
 		length: time.Duration(c.Seconds) * time.Second, warm: time.Duration(c.Seconds) * time.Second / 4,
-		blocks: 3000,
+		blocks: 3000, useEvery: time.Duration(c.UseMS) * time.Millisecond,
 	}
 	rate := load * capacity(mix, fleetEngines)
 	out := row{Load: load, LagSeconds: lag.Seconds(), Offered: rate}
--- a/internal/bench/goodput/system.go
+++ b/internal/bench/goodput/system.go
@@ -1,6 +1,7 @@
 package goodput
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/engine"
@@ -94,13 +95,13 @@
 	})
 }
 
-// use sends what this gateway sent to the other gateways of its zone.
+// use sends what this gateway sent to the other gateways.
 func (s *system) use(now time.Duration) {
 	rows := s.tracker.Report()
 	s.w.at(now+peerDelay, func(now time.Duration) {
 		for i, g := range s.w.gateways {
-			if i != s.index && s.w.zones[i] == s.zone {
-				g.(*system).tracker.PeerUse(wall(now), s.zone, rows)
+			if i != s.index {
+				g.(*system).tracker.PeerUse(wall(now), strconv.Itoa(s.index), rows)
 			}
 		}
 	})
--- a/internal/bench/goodput/world.go
+++ b/internal/bench/goodput/world.go
@@ -14,7 +14,6 @@
 // Periods of what the gateways learn.
 const (
 	reportEvery = 250 * time.Millisecond // load reports and cache events of each engine
-	useEvery    = time.Second            // use reports of each gateway
 	tickEvery   = 20 * time.Millisecond  // decisions on waiting requests
 	peerDelay   = 2 * time.Millisecond
 )
@@ -39,6 +38,7 @@
 type setup struct {
 	zones, engines, gateways int
 	lag                      time.Duration // age of reports and cache events
+	useEvery                 time.Duration // period of the use reports of each gateway
 	length, warm             time.Duration
 	blocks                   int // prefix blocks that an engine's cache holds
 	make                     func(w *world, index int, zone string) gateway
@@ -178,8 +178,8 @@
 		w.every(offset, reportEvery, func(now time.Duration) { w.report(now, e) })
 	}
 	for i, g := range w.gateways {
-		offset := useEvery * time.Duration(i) / time.Duration(len(w.gateways))
-		w.every(offset, useEvery, g.use)
+		offset := w.setup.useEvery * time.Duration(i) / time.Duration(len(w.gateways))
+		w.every(offset, w.setup.useEvery, g.use)
 		w.every(time.Duration(i)*time.Millisecond, tickEvery, g.tick)
 	}
 }
--- a/internal/request/route/journal.go
+++ b/internal/request/route/journal.go
@@ -21,6 +21,8 @@
 	requests float32 // change of requests in flight
 	prefill  float32 // prompt tokens sent that are not cached
 	decode   float32 // output tokens expected less those received
+	own      float32 // part of requests that is this gateway's
+	ownSent  float32 // part of prefill that is this gateway's
 }
 
 func binOf(t time.Time) int64 { return t.UnixNano() / int64(binLength) }
@@ -52,6 +54,15 @@
 	j.newest = n
 }
 
+// addOwn counts what this gateway sent.
+func (j *journal) addOwn(t time.Time, requests, prefill, decode float64) {
+	j.add(t, requests, prefill, decode)
+	if b := j.at(t); b != nil {
+		b.own += float32(requests)
+		b.ownSent += float32(prefill)
+	}
+}
+
 func (j *journal) add(t time.Time, requests, prefill, decode float64) {
 	b := j.at(t)
 	if b == nil {
@@ -125,3 +136,15 @@
 	}
 	return total / rateWindow.Seconds()
 }
+
+// ownSince sums what this gateway sent since a time: the change of requests in
+// flight and the prompt tokens.
+func (j *journal) ownSince(from, now time.Time) (requests, prefill float64) {
+	last := min(binOf(now), j.newest)
+	for n := max(binOf(from), j.newest-binCount+1); n <= last; n++ {
+		b := &j.bins[slot(n)]
+		requests += float64(b.own)
+		prefill += float64(b.ownSent)
+	}
+	return requests, prefill
+}
--- a/internal/request/route/predict.go
+++ b/internal/request/route/predict.go
@@ -194,21 +194,22 @@
 const (
 	firstMargin   = 0.8
 	betweenMargin = 0.92
+	spillMargin   = 0.8 // of the gap: above it other zones are considered
 	wholeMargin   = 0.9
 )
 
 func scaled(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
 
 // meets tells whether a prediction keeps within the bounds, and within the gap
-// that is promised to the streams already at the runner.
-func (b *budget) meets(p *Prediction, promised time.Duration) bool {
+// that is promised to the streams already at the runner. between is the margin of gaps.
+func (b *budget) meets(p *Prediction, promised time.Duration, between float64) bool {
 	if b.hasFirst && p.FirstToken > scaled(b.first, firstMargin) {
 		return false
 	}
-	if b.hasBetween && p.Between > scaled(b.between, betweenMargin) {
+	if b.hasBetween && p.Between > scaled(b.between, between) {
 		return false
 	}
-	if promised > 0 && p.Between > scaled(promised, betweenMargin) {
+	if promised > 0 && p.Between > scaled(promised, between) {
 		return false
 	}
 	return !b.hasWhole || p.Whole <= scaled(b.whole, wholeMargin)
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -23,7 +23,7 @@
 
 // Route chooses where a request runs. Invariants: a chosen runner passes every
 // filter, whatever the predictions say; a runner of another zone is chosen only
-// if none of the own zone is predicted on time (or none passes the filters).
+// if none of the own zone is safely on time (or none passes the filters).
 func Route(now time.Time, q Request, runners []Runner) Choice {
 	var buf [stackCandidates]candidate
 	bounds := left(now, &q)
@@ -32,10 +32,14 @@
 		return Choice{Reason: ReasonNoRunner, Earliest: Never, Rejected: rejected(&q, runners)}
 	}
 	inZone := func(c *candidate) bool { return runners[c.decode].Zone == q.Zone }
-	i := pick(cands, q.Seed, func(c *candidate) bool { return c.onTime && inZone(c) })
+	i := pick(cands, q.Seed, func(c *candidate) bool { return c.safe && inZone(c) })
 	if i != none {
 		return chosen(runners, &cands[i], ReasonOwnZone)
 	}
+	i = pick(cands, q.Seed, func(c *candidate) bool { return c.safe })
+	if i != none {
+		return chosen(runners, &cands[i], ReasonSpill)
+	}
 	i = pick(cands, q.Seed, func(c *candidate) bool { return c.onTime })
 	if i != none {
 		return chosen(runners, &cands[i], ReasonSpill)
@@ -80,7 +84,8 @@
 			}
 			c = betterOfPair(q, runners, c, prefill)
 		}
-		c.onTime = bounds.meets(&c.predicted, r.Promised)
+		c.onTime = bounds.meets(&c.predicted, r.Promised, betweenMargin)
+		c.safe = c.onTime && bounds.meets(&c.predicted, r.Promised, spillMargin)
 		cands = append(cands, c)
 	}
 	return cands
@@ -160,7 +165,7 @@
 		fresh.whole = time.Duration(ms) * time.Millisecond
 	}
 	p := Predict(q, &idle)
-	if !fresh.meets(&p, r.Promised) {
+	if !fresh.meets(&p, r.Promised, betweenMargin) {
 		return Never
 	}
 	now := Predict(q, r)
@@ -209,22 +214,25 @@
 }
 
 // Assume adds a request that was just sent to the view, so that further choices
-// on the same view count it.
+// on the same view count it. Peers are taken to send alike.
 func Assume(runners []Runner, q *Request, c *Choice) {
+	need := float64(q.PromptTokens - c.Predicted.CachedTokens)
 	for i := range runners {
 		r := &runners[i]
-		need := float64(q.PromptTokens - c.Predicted.CachedTokens)
-		if r.Name == c.Prefill {
-			r.QueuedPrefill += need
+		prefills := r.Name == c.Prefill || (r.Name == c.Runner && c.Prefill == "")
+		if prefills {
+			r.assumePrompt(need * (1 + r.Mirrored))
 		}
 		if r.Name != c.Runner {
 			continue
 		}
-		r.Running++
+		r.Running += 1 + r.Mirrored
 		r.DecodeLeft += float64(q.ExpectedOut)
 		r.KVUsed += float64(q.PromptTokens + q.ExpectedOut)
-		if c.Prefill == "" {
-			r.QueuedPrefill += need
-		}
 	}
 }
+
+func (r *Runner) assumePrompt(tokens float64) {
+	r.QueuedPrefill += tokens
+	r.PrefillShare = min(r.PrefillShare+tokens/rateWindow.Seconds()/r.prefillRate(), maxPrefillShare)
+}
--- a/internal/request/route/score.go
+++ b/internal/request/route/score.go
@@ -5,7 +5,8 @@
 	decode    int // index into runners
 	prefill   int // index into runners; none: at the decoding runner
 	predicted Prediction
-	onTime    bool
+	onTime    bool    // within the bounds
+	safe      bool    // on time with room to spare; if not, the deadline asks for spilling
 	cost      float64 // seconds; lower is better
 }
 
--- a/internal/request/route/tracker.go
+++ b/internal/request/route/tracker.go
@@ -25,25 +25,31 @@
 // bounded by the runners and by the requests in flight. Not safe for concurrent use.
 type Tracker struct {
 	Prefixes *PrefixIndex
+	self     uint64 // tells the draws of gateways apart: a hash of the first request sent
 	runners  map[string]*tracked
 	inFlight map[string]*flight
 	view     []Runner
 	byModel  map[string][]string
 	promised map[string]time.Duration // by model
 	indexed  *config.Snapshot         // the snapshot that byModel was built from
+	heard    map[string]time.Time     // last use report of each peer
+	period   time.Duration            // mean time between two reports of a peer
 }
 
 // tracked is what is known of one runner.
 type tracked struct {
-	state     upstream.State
-	hasState  bool
-	report    upstream.LoadReport
-	measured  time.Time // when the report's figures were taken, by our clock
-	suspected bool
-	journal   journal
-	own       ownUse
-	unsent    peer.UseRow // use since the last Report
-	cached    func(hashes []uint64) int
+	state      upstream.State
+	hasState   bool
+	report     upstream.LoadReport
+	measured   time.Time // when the report's figures were taken, by our clock
+	suspected  bool
+	journal    journal
+	peers      peerRate
+	own        ownUse
+	seed       uint64
+	meanPrompt float64     // prompt tokens computed for a request, moving mean
+	unsent     peer.UseRow // use since the last Report
+	cached     func(hashes []uint64) int
 }
 
 // ownUse is what this gateway has in flight at one runner.
@@ -57,19 +63,23 @@
 	received int
 }
 
+// promptWeight is the weight of one request in the mean prompt of a runner.
+const promptWeight = 0.1
+
 // NewTracker makes an empty tracker.
 func NewTracker() *Tracker {
 	return &Tracker{
 		Prefixes: NewPrefixIndex(0),
 		runners:  make(map[string]*tracked),
 		inFlight: make(map[string]*flight),
+		heard:    make(map[string]time.Time),
 	}
 }
 
 func (t *Tracker) runner(name string) *tracked {
 	r, ok := t.runners[name]
 	if !ok {
-		r = &tracked{cached: func(hashes []uint64) int { return t.Prefixes.Cached(name, hashes) }}
+		r = &tracked{seed: SeedOf(name), cached: func(hashes []uint64) int { return t.Prefixes.Cached(name, hashes) }}
 		t.runners[name] = r
 	}
 	return r
@@ -105,14 +115,18 @@
 		t.Finished(now, s.ID)
 	}
 	t.inFlight[s.ID] = &flight{send: s}
+	if t.self == 0 {
+		t.self = SeedOf(s.ID)
+	}
 	need := float64(max(s.PromptTokens-s.CachedTokens, 0))
 	decode := t.runner(s.Runner)
 	prefill := decode
 	if s.Prefill != "" {
 		prefill = t.runner(s.Prefill)
 	}
-	decode.journal.add(now, 1, 0, float64(s.ExpectedOut))
-	prefill.journal.add(now, 0, need, 0)
+	decode.journal.addOwn(now, 1, 0, float64(s.ExpectedOut))
+	prefill.journal.addOwn(now, 0, need, 0)
+	prefill.meanPrompt += promptWeight * (need - prefill.meanPrompt)
 	decode.own.requests++
 	decode.own.decode += float64(s.ExpectedOut)
 	decode.own.kv += float64(s.PromptTokens + s.ExpectedOut)
@@ -136,7 +150,7 @@
 	f.received += tokens
 	r := t.runner(f.send.Runner)
 	r.own.decode -= float64(counted)
-	r.journal.add(now, 0, 0, -float64(counted))
+	r.journal.addOwn(now, 0, 0, -float64(counted))
 	r.unsent.Done += counted
 }
 
@@ -152,18 +166,20 @@
 	r.own.requests--
 	r.own.decode -= float64(left)
 	r.own.kv -= float64(f.send.PromptTokens + f.send.ExpectedOut)
-	r.journal.add(now, -1, 0, -float64(left))
+	r.journal.addOwn(now, -1, 0, -float64(left))
 	r.unsent.Requests--
 	r.unsent.Done += left
 }
 
 // PeerUse takes in what another gateway sent since its previous report.
-func (t *Tracker) PeerUse(now time.Time, _ string, rows []peer.UseRow) {
+func (t *Tracker) PeerUse(now time.Time, origin string, rows []peer.UseRow) {
+	t.hear(now, origin)
 	for _, row := range rows {
 		r, ok := t.runners[row.Runner]
 		if !ok {
 			continue
 		}
+		r.peers.add(now, float64(row.Prefill))
 		r.journal.add(now, float64(row.Requests), float64(row.Prefill), float64(row.Decode-row.Done))
 	}
 }
@@ -188,8 +204,9 @@
 func (t *Tracker) View(now time.Time, snapshot *config.Snapshot) []Runner {
 	t.index(snapshot)
 	t.view = t.view[:0]
+	unseen := t.lookUnseen(now)
 	for _, names := range t.byModel {
-		t.appendView(now, snapshot, names)
+		t.appendView(now, unseen, snapshot, names)
 	}
 	return t.view
 }
@@ -199,7 +216,7 @@
 func (t *Tracker) ViewModel(now time.Time, snapshot *config.Snapshot, model string) []Runner {
 	t.index(snapshot)
 	t.view = t.view[:0]
-	t.appendView(now, snapshot, t.byModel[model])
+	t.appendView(now, t.lookUnseen(now), snapshot, t.byModel[model])
 	return t.view
 }
 
@@ -240,16 +257,16 @@
 	return out
 }
 
-func (t *Tracker) appendView(now time.Time, snapshot *config.Snapshot, names []string) {
+func (t *Tracker) appendView(now time.Time, unseen unseen, snapshot *config.Snapshot, names []string) {
 	for _, name := range names {
 		spec := snapshot.Runners[name]
 		t.view = append(t.view, Runner{Promised: t.promised[spec.Model]})
-		t.runner(name).fill(&t.view[len(t.view)-1], now, name, &spec, snapshot)
+		t.runner(name).fill(&t.view[len(t.view)-1], now, unseen, name, &spec, snapshot)
 	}
 }
 
 // fill writes the corrected view of one runner.
-func (r *tracked) fill(out *Runner, now time.Time, name string, spec *resource.Runner, snapshot *config.Snapshot) {
+func (r *tracked) fill(out *Runner, now time.Time, unseen unseen, name string, spec *resource.Runner, snapshot *config.Snapshot) {
 	out.Name = name
 	out.Zone = spec.Zone
 	out.Engine = snapshot.Engines[spec.Engine]
@@ -260,6 +277,7 @@
 	out.Suspected = r.suspected || !r.hasState
 	out.CachedPrefix = r.cached
 	r.fillLoad(out, now)
+	r.addUnseen(out, now, unseen)
 }
 
 // role is the actual role, or the desired one while nothing is known.
@@ -294,5 +312,4 @@
 	out.Running = max(reported+c.requests, r.own.requests, 0)
 	out.DecodeLeft = max(r.own.decode, 0)
 	out.KVUsed = max(float64(r.report.KVUsedTokens), r.own.kv)
-	out.PrefillShare = min(r.journal.prefillPerSecond(now)/out.prefillRate(), maxPrefillShare)
 }
--- a/internal/request/route/types.go
+++ b/internal/request/route/types.go
@@ -51,6 +51,7 @@
 	DecodeRate    float64                   // measured, output tokens a second of a full batch
 	PrefillShare  float64                   // share of the engine's time that recent prompts take, 0 to 1
 	Promised      time.Duration             // tightest gap between tokens that a route of the model promises; zero: none
+	Mirrored      float64                   // peers that are taken to send as this gateway does, unseen until they report
 	CachedPrefix  func(hashes []uint64) int // leading blocks believed cached; a hint; nil: none
 }
 
