Keep the audit trail in bounded segments, each entry once

Every trail writes its own segments by conditional update, buffers within a bound through outages, counts what it drops and says so in the trail. A batch of doubtful fate is written again into a new segment; Read drops what it sees twice.

--- a/internal/connection/platform/backoff.go
+++ b/internal/connection/platform/backoff.go
@@ -51,8 +51,8 @@
 	return j.rng.Float64()
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
+// Sleep waits for d or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
--- a/internal/connection/platform/resolve.go
+++ b/internal/connection/platform/resolve.go
@@ -69,7 +69,7 @@
 	nonce := NewNonce()
 	err := s.Delete(ctx, kind, name, ifVersion, writer, nonce)
 	for attempt := 0; errors.Is(err, ErrUnknown) && attempt < resolveAttempts; attempt++ {
-		if sleep(ctx, DefaultBackoff.Ceiling(attempt)) != nil {
+		if Sleep(ctx, DefaultBackoff.Ceiling(attempt)) != nil {
 			return err
 		}
 		again := s.Delete(ctx, kind, name, ifVersion, writer, nonce)
@@ -99,7 +99,7 @@
 		if !errors.Is(err, ErrUnknown) && !errors.Is(err, ErrUnavailable) {
 			return Object{}, err
 		}
-		if sleep(ctx, DefaultBackoff.Ceiling(attempt)) != nil {
+		if Sleep(ctx, DefaultBackoff.Ceiling(attempt)) != nil {
 			break
 		}
 	}
--- a/internal/connection/platform/watch.go
+++ b/internal/connection/platform/watch.go
@@ -167,7 +167,7 @@
 func (w *clientWatch) chargeBudget() (stop func()) {
 	ctx, cancel := context.WithCancel(w.ctx)
 	go func() {
-		for sleep(ctx, watchCallInterval) == nil {
+		for Sleep(ctx, watchCallInterval) == nil {
 			w.client.budget.Reserve()
 		}
 	}()
@@ -180,7 +180,7 @@
 	giveUp := time.Now().Add(w.client.cfg.WatchGiveUp)
 	for attempt := 0; ; attempt++ {
 		delay := w.client.cfg.Backoff.Delay(attempt, w.client.jitter.draw())
-		if err := sleep(w.ctx, delay); err != nil {
+		if err := Sleep(w.ctx, delay); err != nil {
 			return nil, err
 		}
 		conn, err := w.open()
--- /dev/null
+++ b/internal/process/audit/trail_test.go
@@ -0,0 +1,218 @@
+package audit_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/audit"
+	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// flakyStore loses writes or their answers, in the ways that Resolve cannot settle.
+type flakyStore struct {
+	*standin.Store
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func (f *flakyStore) draw() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.Float64()
+}
+
+// spoil makes a write unavailable, lost for good (ErrTooLarge stands for any
+// error that Resolve passes on after a lost answer) or doubtful after its effect.
+func (f *flakyStore) spoil(write func() (platform.Object, error)) (platform.Object, error) {
+	switch draw := f.draw(); {
+	case draw < 0.2:
+		return platform.Object{}, platform.ErrUnavailable
+	case draw < 0.3:
+		return platform.Object{}, platform.ErrTooLarge
+	case draw < 0.5:
+		_, _ = write()
+		return platform.Object{}, platform.ErrTooLarge
+	default:
+		return write()
+	}
+}
+
+func (f *flakyStore) Create(ctx context.Context, o platform.Object) (platform.Object, error) {
+	return f.spoil(func() (platform.Object, error) { return f.Store.Create(ctx, o) })
+}
+
+func (f *flakyStore) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+	return f.spoil(func() (platform.Object, error) { return f.Store.Update(ctx, o) })
+}
+
+func entry(n int) audit.Entry {
+	return audit.Entry{
+		At: time.Unix(int64(n), 0), What: audit.WhatOrder, Object: fmt.Sprintf("Runner/r%d", n%3),
+		To: fmt.Sprint(n), Outcome: "done",
+	}
+}
+
+// Whatever becomes of single writes, Read gives every entry once and in order.
+func TestEveryEntryOnce(t *testing.T) {
+	for seed := range uint64(20) {
+		s := &flakyStore{Store: standin.New(standin.Config{}), rng: rand.New(rand.NewPCG(seed, 1))}
+		trail := audit.NewTrail(audit.Config{Store: s, Writer: "c1", SegmentBytes: 600})
+		const count = 60
+		for n := range count {
+			trail.Record(entry(n))
+			if n%4 == 0 {
+				_ = trail.Flush(t.Context())
+			}
+		}
+		for trail.Waiting() > 0 {
+			_ = trail.Flush(t.Context())
+		}
+		log, err := audit.Read(t.Context(), s, audit.Filter{})
+		if err != nil || len(log.Entries) != count {
+			t.Fatalf("seed %d: %d entries, want %d (%v)", seed, len(log.Entries), count, err)
+		}
+		for n, e := range log.Entries {
+			if e.To != fmt.Sprint(n) || e.Who != "c1" {
+				t.Fatalf("seed %d: entry %d is %+v", seed, n, e)
+			}
+		}
+	}
+}
+
+func TestSegmentsAreBounded(t *testing.T) {
+	s := standin.New(standin.Config{})
+	trail := audit.NewTrail(audit.Config{Store: s, Writer: "c1", SegmentBytes: 2000})
+	for n := range 200 {
+		e := entry(n)
+		e.Why = strings.Repeat("é", n*50)
+		trail.Record(e)
+	}
+	if err := trail.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	objects, _, err := s.List(t.Context(), resource.KindAudit)
+	if err != nil || len(objects) < 50 {
+		t.Fatalf("%d segments, %v", len(objects), err)
+	}
+	for _, o := range objects {
+		if len(o.Spec) > 2000+200+3<<10 { // a lone overlong entry is the largest content
+			t.Errorf("segment %s has %d bytes", o.Name, len(o.Spec))
+		}
+	}
+}
+
+func TestOutageIsBufferedAndDropsAreCounted(t *testing.T) {
+	s := standin.New(standin.Config{})
+	trail := audit.NewTrail(audit.Config{Store: s, Writer: "c1", MaxEntries: 10})
+	s.SetFault(standin.Fault{Outage: true})
+	for n := range 25 {
+		trail.Record(entry(n))
+	}
+	if err := trail.Flush(t.Context()); !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatalf("flush in an outage: %v", err)
+	}
+	if trail.Waiting() > 10 || trail.Dropped() != 16 {
+		t.Fatalf("%d wait, %d dropped", trail.Waiting(), trail.Dropped())
+	}
+	s.SetFault(standin.Fault{})
+	if err := trail.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	trail.Record(entry(99))
+	if err := trail.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	log, err := audit.Read(t.Context(), s, audit.Filter{})
+	if err != nil || len(log.Entries) != 11 {
+		t.Fatalf("%d entries, %v", len(log.Entries), err)
+	}
+	note := log.Entries[10]
+	if note.What != audit.WhatDropped || !strings.HasPrefix(note.Why, "16 entries") {
+		t.Fatalf("no word of the drops: %+v", note)
+	}
+}
+
+func TestWritersDoNotDisturbEachOther(t *testing.T) {
+	s := standin.New(standin.Config{})
+	var done sync.WaitGroup
+	for range 8 { // two processes may even have the same name
+		trail := audit.NewTrail(audit.Config{Store: s, Writer: "c1", FlushEvery: time.Millisecond})
+		ctx, stop := context.WithCancel(t.Context())
+		done.Go(func() { trail.Run(ctx) })
+		done.Go(func() {
+			defer stop()
+			for n := range 50 {
+				trail.Record(entry(n))
+			}
+			if err := trail.Flush(t.Context()); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	done.Wait()
+	log, err := audit.Read(t.Context(), s, audit.Filter{Since: time.Unix(10, 0), Object: "Runner/r1"})
+	if err != nil || len(log.Entries) != 8*14 {
+		t.Fatalf("%d entries of r1 since 10, want %d (%v)", len(log.Entries), 8*14, err)
+	}
+}
+
+func TestFlushEndsWithItsContext(t *testing.T) {
+	s := standin.New(standin.Config{})
+	s.SetFault(standin.Fault{Hang: true})
+	trail := audit.NewTrail(audit.Config{Store: s, Writer: "c1"})
+	trail.Record(entry(1))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := trail.Flush(ctx); err == nil {
+		t.Fatal("flush must say that it did not finish")
+	}
+	if trail.Waiting() != 1 {
+		t.Fatal("the entry must wait on")
+	}
+}
+
+func TestReadNamesWhatItCannotRead(t *testing.T) {
+	s := standin.New(standin.Config{})
+	for name, spec := range map[string]string{"bad": `[1]`, "empty": `{}`} {
+		if _, err := s.Create(t.Context(), platform.Object{Kind: resource.KindAudit, Name: name, Spec: []byte(spec)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	log, err := audit.Read(t.Context(), s, audit.Filter{})
+	if err != nil || len(log.Unreadable) != 2 {
+		t.Fatalf("%+v, %v", log, err)
+	}
+	s.SetFault(standin.Fault{Outage: true})
+	if _, err := audit.Read(t.Context(), s, audit.Filter{}); !errors.Is(err, platform.ErrUnavailable) {
+		t.Fatal(err)
+	}
+}
+
+func TestPruneLeavesNewerEntries(t *testing.T) {
+	s := standin.New(standin.Config{})
+	for _, n := range []int{10, 20, 30} {
+		trail := audit.NewTrail(audit.Config{Store: s, Writer: "c1"})
+		trail.Record(entry(n))
+		trail.Record(entry(n + 5))
+		if err := trail.Flush(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	deleted, err := audit.Prune(t.Context(), s, time.Unix(22, 0), "ada")
+	if err != nil || deleted != 1 {
+		t.Fatalf("%d deleted, want 1, %v", deleted, err)
+	}
+	log, err := audit.Read(t.Context(), s, audit.Filter{})
+	if err != nil || len(log.Entries) != 4 {
+		t.Fatalf("%d entries left, want 4, %v", len(log.Entries), err)
+	}
+}
