--- a/internal/connection/upstream/stream_test.go
+++ b/internal/connection/upstream/stream_test.go
@@ -118,7 +118,7 @@
 }
 
 func TestSilentStreamIsBroken(t *testing.T) {
-	for name, first := range map[string]string{"after a token": fmt.Sprintf(tokenEvent, 0), "from the start": ""} {
+	for name, first := range map[string]string{"after a token": strings.TrimSuffix(fmt.Sprintf(tokenEvent, 0), "\n"), "from the start": ""} {
 		server := streamOf(t, func(w io.Writer, flush func(), done <-chan struct{}) {
 			if first != "" {
 				fmt.Fprint(w, first)
@@ -154,8 +154,35 @@
 	}
 }
 
-// A caller that does not read stops the engine's sending; a pause in reading is
-// not taken for the engine's silence.
+// A caller's pause in reading is not taken for the engine's silence.
+func TestSlowReaderIsNotSilence(t *testing.T) {
+	const (
+		silence = 300 * time.Millisecond
+		tokens  = 1000 // more than the client buffers
+	)
+	server := streamOf(t, func(w io.Writer, _ func(), _ <-chan struct{}) {
+		for i := range tokens {
+			fmt.Fprintf(w, tokenEvent, i)
+		}
+		fmt.Fprintf(w, endEvent, tokens)
+	})
+	ctx := timeout(t)
+	s, err := engineAt(t, server.URL, HTTPOptions{Silence: silence}).Run(ctx, RunRequest{RunID: "r"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	for i := range tokens + 1 {
+		if i < 2 {
+			time.Sleep(2 * silence)
+		}
+		if _, err := s.Recv(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A caller that does not read stops the engine's sending.
 func TestBackpressure(t *testing.T) {
 	const tokens = 20_000 // of 1 KB: more than the kernel buffers on both sides
 	text := strings.Repeat("x", 1<<10)
@@ -168,7 +195,7 @@
 		fmt.Fprintf(w, endEvent, tokens)
 	})
 	ctx := timeout(t)
-	s, err := engineAt(t, server.URL, HTTPOptions{Silence: 5 * time.Second}).Run(ctx, RunRequest{RunID: "r"})
+	s, err := engineAt(t, server.URL, HTTPOptions{}).Run(ctx, RunRequest{RunID: "r"})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -207,7 +234,11 @@
 		open.Wait()
 		w.Header().Set("Content-Type", ContentTypeStream)
 		w.Header().Set(HeaderRunID, "r")
-		fmt.Fprintf(w, tokenEvent+endEvent, 0, 1)
+		fmt.Fprintf(w, tokenEvent, 0)
+		_ = http.NewResponseController(w).Flush()
+		fmt.Fprintf(w, endEvent, 1)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(10 * time.Millisecond) // the end of the body comes apart from the End
 	}))
 	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		if state == http.StateNew {
