Spread a peer's use over the time that its report speaks of

Cause: rows of a use report were booked at the moment of arrival, so a load report taken in between counted them twice, as a lump. Change: book them evenly since the peer's previous report; judge on-time with what peers may have sent unseen, but compare runners without that random part.

--- a/internal/bench/goodput/command.go
+++ b/internal/bench/goodput/command.go
@@ -13,6 +13,7 @@
 	Seeds   []uint64 `long:"seed" default:"1" default:"2" description:"seeds of the arrivals"`
 	Seconds int      `long:"seconds" default:"40" description:"virtual seconds of each run; the first quarter is not counted"`
 	UseMS   int      `long:"use-ms" default:"1000" description:"period of the use reports between gateways, milliseconds"`
+	Ranked  bool     `long:"priorities" description:"give alerts a higher priority than chat"`
 	JSON    bool     `long:"json" description:"print the rows as JSON"`
 }
 
@@ -29,10 +30,16 @@
 	fleetGateways = 8
 )
 
-// mix is the mix of the measurement: 5 chats to one alert.
-var mix = []kind{
-	{route: "chat", share: 5.0 / 6, prompt: 400, out: 130, sigma: 0.6, priority: 3},
-	{route: "alert", share: 1.0 / 6, prompt: 1600, out: 30, sigma: 0.4, priority: 8},
+// mix is the mix of the measurement: 5 chats to one alert. Both have one
+// priority: else alerts, which cost more, take the whole fleet at 3.0 load, and
+// the count of answers says nothing about overload. Priorities are measured apart.
+func (c *Command) mix() []kind {
+	chat := kind{route: "chat", share: 5.0 / 6, prompt: 400, out: 130, sigma: 0.6, priority: 5}
+	alert := kind{route: "alert", share: 1.0 / 6, prompt: 1600, out: 30, sigma: 0.4, priority: 5}
+	if c.Ranked {
+		alert.priority = 8
+	}
+	return []kind{chat, alert}
 }
 
 // row is one measured cell, summed over seeds.
@@ -49,6 +56,8 @@
 	LateTTFT   int     `json:"late_first_token"`
 	LateGap    int     `json:"late_between"`
 	Spilled    float64 `json:"spilled_share"`
+	Alerts     float64 `json:"useful_share_of_alerts"`
+	Chats      float64 `json:"useful_share_of_chats"`
 }
 
 // Execute runs the measurement.
@@ -78,6 +87,7 @@
 		length: time.Duration(c.Seconds) * time.Second, warm: time.Duration(c.Seconds) * time.Second / 4,
 		blocks: 3000, useEvery: time.Duration(c.UseMS) * time.Millisecond,
 	}
+	mix := c.mix()
 	rate := load * capacity(mix, fleetEngines)
 	out := row{Load: load, LagSeconds: lag.Seconds(), Offered: rate}
 	var arrived, admitted, done, useful, spilled, refused int
@@ -91,6 +101,8 @@
 		done += r.Done
 		useful += r.Useful
 		spilled += r.Spilled
+		out.Alerts += float64(r.useful["alert"]) / float64(r.arrival["alert"])
+		out.Chats += float64(r.useful["chat"]) / float64(r.arrival["chat"])
 		out.LateTTFT += r.LateTTFT
 		out.LateGap += r.LateGap
 		out.Own += runWith(s, t, func(w *world, i int, _ string) gateway { return newBaseline(w, i, false) }).goodput()
@@ -98,6 +110,8 @@
 	}
 	n := float64(len(c.Seeds))
 	out.Goodput /= n
+	out.Alerts /= n
+	out.Chats /= n
 	out.Own /= n
 	out.Reported /= n
 	out.Ratio = out.Goodput / math.Max(out.Own, out.Reported)
@@ -114,12 +128,12 @@
 
 func (c *Command) print(rows []row) {
 	fmt.Printf("goodput of %d gateways before %d engines; capacity %.1f requests/s; seeds %v\n",
-		fleetGateways, fleetEngines, capacity(mix, fleetEngines), c.Seeds)
-	fmt.Println("age_s load offered/s useful/s own/s reported/s  ratio refused late   (ttft  gap) spilled")
+		fleetGateways, fleetEngines, capacity(c.mix(), fleetEngines), c.Seeds)
+	fmt.Println("age_s load offered/s useful/s own/s reported/s  ratio refused late   (ttft  gap) spilled alerts chats")
 	at1 := map[float64]float64{}
 	for _, r := range rows {
-		fmt.Printf("%5.0f %4.1f %9.1f %8.1f %5.1f %10.1f %6.2f %7.3f %5.3f %5d %5d %6.3f\n",
-			r.LagSeconds, r.Load, r.Offered, r.Goodput, r.Own, r.Reported, r.Ratio, r.Refused, r.Late, r.LateTTFT, r.LateGap, r.Spilled)
+		fmt.Printf("%5.0f %4.1f %9.1f %8.1f %5.1f %10.1f %6.2f %7.3f %5.3f %5d %5d %6.3f %6.3f %5.3f\n",
+			r.LagSeconds, r.Load, r.Offered, r.Goodput, r.Own, r.Reported, r.Ratio, r.Refused, r.Late, r.LateTTFT, r.LateGap, r.Spilled, r.Alerts, r.Chats)
 		if r.Load == 1 {
 			at1[r.LagSeconds] = r.Goodput
 		}
--- a/internal/request/route/journal.go
+++ b/internal/request/route/journal.go
@@ -73,6 +73,18 @@
 	b.decode += float32(decode)
 }
 
+// addSpread counts what was sent evenly between two times.
+func (j *journal) addSpread(from, to time.Time, requests, prefill, decode float64) {
+	first, last := max(binOf(from)+1, binOf(to)-binCount+1), binOf(to)
+	if first > last {
+		first = last
+	}
+	bins := float64(last - first + 1)
+	for n := first; n <= last; n++ {
+		j.add(time.Unix(0, n*int64(binLength)), requests/bins, prefill/bins, decode/bins)
+	}
+}
+
 // correction is the sum of a journal since a report.
 type correction struct {
 	requests, decode float64
--- a/internal/request/route/peers.go
+++ b/internal/request/route/peers.go
@@ -42,14 +42,16 @@
 	draw  uint64        // differs between report periods
 }
 
-// hear notes a use report of a peer.
-func (t *Tracker) hear(now time.Time, origin string) {
+// hear notes a use report of a peer and gives the time from which on it speaks.
+func (t *Tracker) hear(now time.Time, origin string) time.Time {
 	const weight = 0.1
-	if last, ok := t.heard[origin]; ok {
-		silent := min(now.Sub(last), longestUnseen)
-		t.period += time.Duration(weight * float64(silent-t.period))
-	}
+	last, ok := t.heard[origin]
 	t.heard[origin] = now
+	if !ok || now.Sub(last) > longestUnseen {
+		return now.Add(-t.period)
+	}
+	t.period += time.Duration(weight * float64(now.Sub(last)-t.period))
+	return last
 }
 
 // lookUnseen sums up the peers and forgets silent ones.
@@ -85,8 +87,9 @@
 		part := unit(r.seed ^ u.draw)
 		peers := float64(u.peers)
 		out.Mirrored = peers
-		out.Running += peers * (max(requests, 0) + part)
-		hidden = max(hidden, peers*(sent+part*r.meanPrompt))
+		out.Running += peers * max(requests, 0)
+		out.Crowd = peers * part
+		out.CrowdPrefill = max(peers*(sent+part*r.meanPrompt)-hidden, 0)
 	}
 	out.QueuedPrefill += hidden
 	recent := prefill + hidden/rateWindow.Seconds()
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -84,13 +84,35 @@
 			}
 			c = betterOfPair(q, runners, c, prefill)
 		}
-		c.onTime = bounds.meets(&c.predicted, r.Promised, betweenMargin)
-		c.safe = c.onTime && bounds.meets(&c.predicted, r.Promised, spillMargin)
+		judged := crowded(q, runners, &c)
+		c.onTime = bounds.meets(&judged, r.Promised, betweenMargin)
+		c.safe = c.onTime && bounds.meets(&judged, r.Promised, spillMargin)
 		cands = append(cands, c)
 	}
 	return cands
 }
 
+// crowded is the prediction for a candidate if peers have sent to its runners unseen.
+func crowded(q *Request, runners []Runner, c *candidate) Prediction {
+	if runners[c.decode].Crowd == 0 {
+		return c.predicted
+	}
+	d := runners[c.decode]
+	d.crowd()
+	if c.prefill == none {
+		return Predict(q, &d)
+	}
+	p := runners[c.prefill]
+	p.crowd()
+	return predictPair(q, &p, &d)
+}
+
+// crowd adds what peers may have sent unseen to the load.
+func (r *Runner) crowd() {
+	r.Running += r.Crowd
+	r.assumePrompt(r.CrowdPrefill)
+}
+
 // bestPrefill finds the prefill runner that would have the prompt computed first.
 func bestPrefill(q *Request, runners []Runner) int {
 	best, bestTime := none, math.Inf(1)
--- a/internal/request/route/tracker.go
+++ b/internal/request/route/tracker.go
@@ -173,14 +173,14 @@
 
 // PeerUse takes in what another gateway sent since its previous report.
 func (t *Tracker) PeerUse(now time.Time, origin string, rows []peer.UseRow) {
-	t.hear(now, origin)
+	since := t.hear(now, origin)
 	for _, row := range rows {
 		r, ok := t.runners[row.Runner]
 		if !ok {
 			continue
 		}
 		r.peers.add(now, float64(row.Prefill))
-		r.journal.add(now, float64(row.Requests), float64(row.Prefill), float64(row.Decode-row.Done))
+		r.journal.addSpread(since, now, float64(row.Requests), float64(row.Prefill), float64(row.Decode-row.Done))
 	}
 }
 
--- a/internal/request/route/types.go
+++ b/internal/request/route/types.go
@@ -52,6 +52,8 @@
 	PrefillShare  float64                   // share of the engine's time that recent prompts take, 0 to 1
 	Promised      time.Duration             // tightest gap between tokens that a route of the model promises; zero: none
 	Mirrored      float64                   // peers that are taken to send as this gateway does, unseen until they report
+	Crowd         float64                   // further streams that peers may have sent unseen; counts when judging whether a request is on time
+	CrowdPrefill  float64                   // their prompt tokens
 	CachedPrefix  func(hashes []uint64) int // leading blocks believed cached; a hint; nil: none
 }
 
