Add ragwortctl

Input is validated whole before the first write, writes are conditional, and conflicts name the other writer.

--- /dev/null
+++ b/internal/command/checksettings.go
@@ -0,0 +1,71 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+)
+
+// Daemons whose settings can be checked.
+const (
+	daemonGateway    = "gateway"
+	daemonController = "controller"
+)
+
+// checkSettingsCommand checks a settings file.
+type checkSettingsCommand struct {
+	Daemon string `long:"daemon" choice:"gateway" choice:"controller" description:"whose settings they are; default: told by their fields"`
+	Args   struct {
+		File string `positional-arg-name:"FILE"`
+	} `positional-args:"yes" required:"yes"`
+	session *session
+}
+
+// Execute implements flags.Commander.
+func (c *checkSettingsCommand) Execute(args []string) error {
+	if err := noMore(args); err != nil {
+		return err
+	}
+	daemon, err := c.daemon()
+	if err != nil {
+		return err
+	}
+	if daemon == daemonController {
+		_, err = settings.LoadController(c.Args.File, settings.Overrides{})
+	} else {
+		_, err = settings.LoadGateway(c.Args.File, settings.Overrides{})
+	}
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(c.session.Out, "%s: valid settings of a %s\n", c.Args.File, daemon)
+	return nil
+}
+
+// daemon says whose settings the file holds. Only a controller has a lease or a
+// policy; a file that cannot be read is left to the loader, which names the fault.
+func (c *checkSettingsCommand) daemon() (string, error) {
+	if c.Daemon != "" {
+		return c.Daemon, nil
+	}
+	raw, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return "", usagef("%v", err)
+	}
+	plain, err := hujson.Standardize(raw)
+	if err != nil {
+		return daemonGateway, nil
+	}
+	var marks struct {
+		Lease  json.RawMessage `json:"lease"`
+		Policy json.RawMessage `json:"policy"`
+	}
+	if json.Unmarshal(plain, &marks) == nil && (marks.Lease != nil || marks.Policy != nil) {
+		return daemonController, nil
+	}
+	return daemonGateway, nil
+}
--- /dev/null
+++ b/internal/command/delete.go
@@ -0,0 +1,149 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/audit"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const deleteLong = `Deletes an object. One that other objects name, as a route names its model, is
+left alone with a warning that names them, unless --force is given.`
+
+// deleteCommand deletes an object.
+type deleteCommand struct {
+	waitOptions
+	Version uint64 `long:"version" value-name:"N" description:"delete only this version"`
+	Force   bool   `long:"force" description:"delete even if other objects name it"`
+	Reason  string `long:"reason" value-name:"TEXT" description:"why, for the audit trail"`
+	Args    struct {
+		Kind string `positional-arg-name:"KIND"`
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"yes" required:"yes"`
+	session *session
+}
+
+// Execute implements flags.Commander.
+func (c *deleteCommand) Execute(args []string) error {
+	s := c.session
+	if err := noMore(args); err != nil {
+		return err
+	}
+	kind, err := findKind(c.Args.Kind)
+	if err != nil {
+		return err
+	}
+	if !slices.Contains(resource.ConfigKinds, kind) {
+		return usagef("kind %q is the system's own: operators delete %s", kind, strings.Join(resource.ConfigKinds, ", "))
+	}
+	store, err := s.store()
+	if err != nil {
+		return err
+	}
+	if c.Wait {
+		if err := s.needOperators(); err != nil {
+			return err
+		}
+	}
+	objects, version, err := listForDelete(s.ctx, store, kind)
+	if err != nil {
+		return ofPlatform(err, "looking for objects that name "+kind+"/"+c.Args.Name)
+	}
+	if err := c.warnOfReferrers(objects, kind); err != nil {
+		return err
+	}
+	if err := c.remove(store, kind, objects); err != nil {
+		return err
+	}
+	if !c.Wait {
+		return nil
+	}
+	deleted, err := c.deletionVersion(store, kind, version)
+	if err != nil {
+		return ofPlatform(err, "deleted, but its version is not known")
+	}
+	return s.waitInForce(deleted, c.WaitTimeout)
+}
+
+// listForDelete lists the objects of a kind and all that may name them, and gives
+// the version of the first read.
+func listForDelete(ctx context.Context, store platform.Store, kind string) ([]platform.Object, uint64, error) {
+	objects, version, err := store.List(ctx, kind)
+	if err != nil {
+		return nil, 0, err
+	}
+	for _, other := range referringKinds {
+		if other == kind {
+			continue
+		}
+		more, _, err := store.List(ctx, other)
+		if err != nil {
+			return nil, 0, err
+		}
+		objects = append(objects, more...)
+	}
+	return objects, version, nil
+}
+
+// deletionVersion finds the version that the deletion took.
+func (c *deleteCommand) deletionVersion(store platform.Store, kind string, since uint64) (uint64, error) {
+	ctx, cancel := context.WithTimeout(c.session.ctx, c.WaitTimeout)
+	defer cancel()
+	w, err := store.Watch(ctx, []string{kind}, since)
+	if err != nil {
+		return 0, err
+	}
+	defer w.Close()
+	for {
+		e, err := w.Next(ctx)
+		if err != nil {
+			return 0, err
+		}
+		if e.Type == platform.Deleted && e.Object.Name == c.Args.Name {
+			return e.Object.Version, nil
+		}
+	}
+}
+
+// warnOfReferrers warns of objects that need the one to delete.
+func (c *deleteCommand) warnOfReferrers(objects []platform.Object, kind string) error {
+	names := referrers(objects, kind, c.Args.Name)
+	if len(names) == 0 {
+		return nil
+	}
+	message := fmt.Sprintf("%s/%s is named by %s", kind, c.Args.Name, strings.Join(names, ", "))
+	c.session.warn("%s", message)
+	if c.Force {
+		return nil
+	}
+	return errkind.New(errkind.Conflict, errkind.NotRun, message+"; --force deletes it nevertheless")
+}
+
+// remove deletes the version that was looked at, or the one that was asked for.
+func (c *deleteCommand) remove(store platform.Store, kind string, objects []platform.Object) error {
+	s := c.session
+	about := kind + "/" + c.Args.Name
+	at := slices.IndexFunc(objects, func(o platform.Object) bool { return title(o) == about })
+	if at < 0 {
+		return ofPlatform(platform.ErrNotFound, about)
+	}
+	version := objects[at].Version
+	if c.Version != 0 {
+		version = c.Version
+	}
+	w := newWrites(s, store, c.Reason)
+	defer w.close()
+	if err := platform.ResolveDelete(s.ctx, store, kind, c.Args.Name, version, s.writer()); err != nil {
+		return w.failed(objects[at], objects[at], ofPlatform(err, about))
+	}
+	w.trail.Record(audit.Entry{
+		What: audit.WhatConfig, Object: about, From: versionText(version), Why: c.Reason, Outcome: "deleted",
+	})
+	fmt.Fprintf(s.Out, "%s deleted\n", about)
+	return nil
+}
--- /dev/null
+++ b/internal/command/drain.go
@@ -0,0 +1,173 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const drainLong = `Takes a runner, or an upstream of a plain service, out of work: it gets nothing
+new, and what runs there runs to its end. With --wait the command returns when
+every live daemon knows, and for a runner when it is drained.`
+
+// phaseDrained and phaseWithdrawn are what a runner's status says when it has no work left.
+const (
+	phaseDrained   = "drained"
+	phaseWithdrawn = "withdrawn"
+)
+
+// drainCommand sets the wanted state of a runner or service upstream.
+type drainCommand struct {
+	waitOptions
+	Undo     bool   `long:"undo" description:"give it work again"`
+	Withdraw bool   `long:"withdraw" description:"take it away for good"`
+	Reason   string `long:"reason" value-name:"TEXT" description:"why, for the audit trail"`
+	Args     struct {
+		Name string `positional-arg-name:"RUNNER|UPSTREAM"`
+	} `positional-args:"yes" required:"yes"`
+	session *session
+}
+
+// Execute implements flags.Commander.
+func (c *drainCommand) Execute(args []string) error {
+	s := c.session
+	if err := noMore(args); err != nil {
+		return err
+	}
+	if c.Undo && c.Withdraw {
+		return usagef("--undo and --withdraw exclude each other")
+	}
+	store, err := s.store()
+	if err != nil {
+		return err
+	}
+	if c.Wait {
+		if err := s.needOperators(); err != nil {
+			return err
+		}
+	}
+	w := newWrites(s, store, c.Reason)
+	defer w.close()
+	isRunner, err := c.set(w)
+	if err != nil || !c.Wait {
+		return err
+	}
+	giveUp := time.Now().Add(c.WaitTimeout)
+	if err := s.waitInForce(w.newest, c.WaitTimeout); err != nil {
+		return err
+	}
+	if !isRunner || c.Undo {
+		return nil
+	}
+	return c.waitDrained(store, giveUp)
+}
+
+func (c *drainCommand) state() resource.RunnerState {
+	switch {
+	case c.Undo:
+		return resource.RunnerServing
+	case c.Withdraw:
+		return resource.RunnerWithdrawn
+	default:
+		return resource.RunnerDrained
+	}
+}
+
+// set writes the wanted state of the runner or upstream by that name.
+func (c *drainCommand) set(w *writes) (isRunner bool, err error) {
+	now, err := w.store.Get(w.session.ctx, resource.KindRunner, c.Args.Name)
+	if err == nil {
+		return true, c.setRunner(w, now)
+	}
+	if !errors.Is(err, platform.ErrNotFound) {
+		return false, ofPlatform(err, resource.KindRunner+"/"+c.Args.Name)
+	}
+	services, _, err := w.store.List(w.session.ctx, resource.KindService)
+	if err != nil {
+		return false, ofPlatform(err, resource.KindService)
+	}
+	for _, now := range services {
+		if found, err := c.setUpstream(w, now); found || err != nil {
+			return false, err
+		}
+	}
+	return false, errkind.Field(errkind.NotFound, "name", fmt.Sprintf("%q is neither a runner nor an upstream of a service", c.Args.Name))
+}
+
+func (c *drainCommand) setRunner(w *writes, now platform.Object) error {
+	spec, err := resource.Decode[resource.Runner](now)
+	if err != nil {
+		return err
+	}
+	spec.State = c.state()
+	return putSpec(w, now, spec)
+}
+
+// setUpstream changes a service if the upstream is one of its own.
+func (c *drainCommand) setUpstream(w *writes, now platform.Object) (found bool, err error) {
+	spec, err := resource.Decode[resource.Service](now)
+	if err != nil {
+		return false, nil // an invalid service has no upstream in force
+	}
+	at := slices.IndexFunc(spec.Upstreams, func(u resource.ServiceUpstream) bool { return u.Name == c.Args.Name })
+	if at < 0 {
+		return false, nil
+	}
+	spec.Upstreams[at].State = c.state()
+	return true, putSpec(w, now, spec)
+}
+
+// putSpec writes an object anew with another spec.
+func putSpec(w *writes, now platform.Object, spec any) error {
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		return errors.Wrapf(err, "encoding %s", title(now))
+	}
+	next := now
+	next.Spec = raw
+	if sameJSON(now.Spec, next.Spec) {
+		w.newest = max(w.newest, now.Version)
+		fmt.Fprintf(w.session.Out, "%s unchanged version=%d\n", title(now), now.Version)
+		return nil
+	}
+	if err := resource.Validate(next); err != nil {
+		return err
+	}
+	return w.put(next, now)
+}
+
+// waitDrained waits until the runner's status says that it has no work left.
+func (c *drainCommand) waitDrained(store platform.Store, giveUp time.Time) error {
+	s := c.session
+	name := resource.KindRunner + "/" + c.Args.Name
+	for {
+		phase, err := phaseOf(s, store, name)
+		if phase == phaseDrained || phase == phaseWithdrawn {
+			fmt.Fprintf(s.Out, "%s is %s\n", name, phase)
+			return nil
+		}
+		if time.Now().After(giveUp) {
+			message := fmt.Sprintf("%s gets no new work, but is not drained after %s: its phase is %q", name, c.WaitTimeout, phase)
+			return errkind.Wrap(err, errkind.DeadlineExceeded, errkind.Ran, message)
+		}
+		if err := platform.Sleep(s.ctx, pollEvery); err != nil {
+			return err
+		}
+	}
+}
+
+func phaseOf(s *session, store platform.Store, name string) (string, error) {
+	o, err := store.Get(s.ctx, resource.KindStatus, name)
+	if err != nil {
+		return "", err
+	}
+	status, err := resource.Decode[resource.Status](o)
+	return status.Phase, err
+}
--- /dev/null
+++ b/internal/command/explain.go
@@ -0,0 +1,80 @@
+package command
+
+import (
+	"fmt"
+	"net/url"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+)
+
+const explainLong = `Shows what the daemons decided about a request (the X-Request-Id of an answer) or
+a change (an order's id, a runner, or a decision of the role policy), and why. Every
+daemon of --operators is asked; each remembers its latest decisions only. For older
+changes see audit.`
+
+// explainCommand asks daemons why.
+type explainCommand struct {
+	Args struct {
+		Subject string `positional-arg-name:"request|change"`
+		ID      string `positional-arg-name:"ID"`
+	} `positional-args:"yes" required:"yes"`
+	session *session
+}
+
+// explanation is an answer of an operators' port.
+type explanation struct {
+	Lines []string `json:"lines"`
+}
+
+// Execute implements flags.Commander.
+func (c *explainCommand) Execute(args []string) error {
+	s := c.session
+	if err := noMore(args); err != nil {
+		return err
+	}
+	if c.Args.Subject != "request" && c.Args.Subject != "change" {
+		return usagef("%q: want request ID or change ID", c.Args.Subject)
+	}
+	ports, err := s.operators()
+	if err != nil {
+		return err
+	}
+	defer ports.close()
+	found, failures := 0, 0
+	path := "/explain?" + url.Values{c.Args.Subject: {c.Args.ID}}.Encode()
+	for _, address := range ports.addresses {
+		var e explanation
+		err := ports.get(s.ctx, address, path, &e)
+		switch {
+		case err == nil:
+			found++
+			c.print(address, e)
+		case errkind.Is(err, errkind.NotFound):
+		default:
+			failures++
+			s.warn("%v", err)
+		}
+	}
+	return c.result(found, failures, len(ports.addresses))
+}
+
+func (c *explainCommand) print(address string, e explanation) {
+	fmt.Fprintf(c.session.Out, "%s\n", address)
+	for _, line := range e.Lines {
+		fmt.Fprintf(c.session.Out, "  %s\n", printable(line))
+	}
+}
+
+// result is the error of an asking that found nothing.
+func (c *explainCommand) result(found, failures, asked int) error {
+	if found > 0 {
+		return nil
+	}
+	about := fmt.Sprintf("%s %s", c.Args.Subject, c.Args.ID)
+	if failures > 0 {
+		return errkind.New(errkind.PlatformUnavailable, errkind.NotRun,
+			fmt.Sprintf("%d of %d daemons did not answer, and the others know nothing about %s", failures, asked, about))
+	}
+	return errkind.New(errkind.NotFound, errkind.NotRun,
+		fmt.Sprintf("none of %d daemons knows anything about %s", asked, about))
+}
--- /dev/null
+++ b/internal/command/get.go
@@ -0,0 +1,83 @@
+package command
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// specColumn is the width of a spec in a table.
+const specColumn = 80
+
+// systemKinds are the kinds that only the system and the platform write.
+var systemKinds = []string{
+	resource.KindInstance, resource.KindDrain, resource.KindStatus, resource.KindLease,
+	resource.KindOrderSlot, resource.KindClaimBucket, resource.KindAudit,
+}
+
+// findKind gives a kind by its name in any case.
+func findKind(name string) (string, error) {
+	kinds := slices.Concat(resource.ConfigKinds, systemKinds)
+	for _, kind := range kinds {
+		if strings.EqualFold(kind, name) {
+			return kind, nil
+		}
+	}
+	return "", usagef("kind %q: want one of %s", name, strings.Join(kinds, ", "))
+}
+
+// getCommand shows objects.
+type getCommand struct {
+	Output string `short:"o" long:"output" choice:"table" choice:"json" choice:"yaml" default:"table" description:"form of the output"`
+	Args   struct {
+		Kind string `positional-arg-name:"KIND"`
+		Name string `positional-arg-name:"NAME"`
+	} `positional-args:"yes"`
+	session *session
+}
+
+// Execute implements flags.Commander.
+func (c *getCommand) Execute(args []string) error {
+	if err := noMore(args); err != nil {
+		return err
+	}
+	kind, err := findKind(c.Args.Kind)
+	if err != nil {
+		return err
+	}
+	store, err := c.session.store()
+	if err != nil {
+		return err
+	}
+	if c.Args.Name != "" {
+		o, err := store.Get(c.session.ctx, kind, c.Args.Name)
+		if err != nil {
+			return ofPlatform(err, kind+"/"+c.Args.Name)
+		}
+		if c.Output != formatTable {
+			return writeFormatted(c.session.Out, c.Output, o)
+		}
+		c.session.printObjects([]platform.Object{o})
+		return nil
+	}
+	objects, _, err := store.List(c.session.ctx, kind)
+	if err != nil {
+		return ofPlatform(err, kind)
+	}
+	if c.Output != formatTable {
+		return writeFormatted(c.session.Out, c.Output, append([]platform.Object{}, objects...))
+	}
+	c.session.printObjects(objects)
+	return nil
+}
+
+func (s *session) printObjects(objects []platform.Object) {
+	t := newTable(s.Out, "NAME", "VERSION", "WRITER", "SPEC")
+	for _, o := range objects {
+		t.row(o.Name, fmt.Sprint(o.Version), o.Writer, shorten(string(o.Spec), specColumn))
+	}
+	t.flush()
+}
--- /dev/null
+++ b/internal/command/input.go
@@ -0,0 +1,185 @@
+package command
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/tailscale/hujson"
+	"sigs.k8s.io/yaml"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// maxInputBytes bounds an input file.
+const maxInputBytes = 16 << 20
+
+// input is one object as operators write it. UID, Writer and Nonce are accepted,
+// so that the output of get can be edited and applied, and ignored.
+type input struct {
+	Kind    string          `json:"kind"`
+	Name    string          `json:"name"`
+	Version uint64          `json:"version,omitempty"` // set: write only over this version
+	UID     string          `json:"uid,omitempty"`
+	Writer  string          `json:"writer,omitempty"`
+	Nonce   string          `json:"nonce,omitempty"`
+	Spec    json.RawMessage `json:"spec"`
+}
+
+func (i input) object() platform.Object {
+	return platform.Object{Kind: i.Kind, Name: i.Name, Version: i.Version, Spec: i.Spec}
+}
+
+// title names an object.
+func title(o platform.Object) string { return o.Kind + "/" + o.Name }
+
+// readInput reads the objects of a file, "-" for in.
+func readInput(path string, in io.Reader) ([]platform.Object, error) {
+	raw, err := readBounded(path, in)
+	if err != nil {
+		return nil, err
+	}
+	return parseInput(raw)
+}
+
+func readBounded(path string, in io.Reader) ([]byte, error) {
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, usagef("%v", err)
+		}
+		defer file.Close()
+		in = file
+	}
+	raw, err := io.ReadAll(io.LimitReader(in, maxInputBytes+1))
+	if err != nil {
+		return nil, usagef("reading %s: %v", path, err)
+	}
+	if len(raw) > maxInputBytes {
+		return nil, badInput("", fmt.Sprintf("%s has more than %d bytes", path, maxInputBytes))
+	}
+	return raw, nil
+}
+
+// parseInput reads JSON with comments or YAML: one object, a list of objects, or
+// YAML documents of either form. Every problem of every object is reported.
+func parseInput(raw []byte) ([]platform.Object, error) {
+	documents, err := toJSON(raw)
+	if err != nil {
+		return nil, err
+	}
+	var objects []platform.Object
+	for _, document := range documents {
+		inputs, err := decodeDocument(document, len(objects))
+		if err != nil {
+			return nil, err
+		}
+		for _, i := range inputs {
+			objects = append(objects, i.object())
+		}
+	}
+	if len(objects) == 0 {
+		return nil, badInput("", "the input holds no object")
+	}
+	return objects, checkObjects(objects)
+}
+
+var yamlSeparator = regexp.MustCompile(`(?m)^---[ \t]*(?:#.*)?$`)
+
+// toJSON gives each document of the input as plain JSON.
+func toJSON(raw []byte) ([]json.RawMessage, error) {
+	plain, jsonError := hujson.Standardize(bytes.Clone(raw))
+	if jsonError == nil {
+		return []json.RawMessage{plain}, nil
+	}
+	if start := bytes.TrimSpace(raw); len(start) > 0 && strings.ContainsRune("{[/", rune(start[0])) {
+		return nil, errkind.Wrap(jsonError, errkind.InvalidObject, errkind.NotRun, "the input is not JSON with comments")
+	}
+	var documents []json.RawMessage
+	for _, part := range yamlSeparator.Split(string(raw), -1) {
+		plain, err := yaml.YAMLToJSONStrict([]byte(part))
+		if err != nil {
+			return nil, errkind.Wrap(err, errkind.InvalidObject, errkind.NotRun, "the input is neither JSON nor YAML")
+		}
+		if string(plain) != "null" {
+			documents = append(documents, plain)
+		}
+	}
+	return documents, nil
+}
+
+// decodeDocument reads one object or a list of them. before counts the objects
+// ahead of this document, for messages.
+func decodeDocument(document json.RawMessage, before int) ([]input, error) {
+	items := []json.RawMessage{document}
+	if bytes.HasPrefix(bytes.TrimSpace(document), []byte("[")) {
+		if err := json.Unmarshal(document, &items); err != nil {
+			return nil, badInput("", err.Error())
+		}
+	}
+	inputs := make([]input, 0, len(items))
+	for n, item := range items {
+		var i input
+		decoder := json.NewDecoder(bytes.NewReader(item))
+		decoder.DisallowUnknownFields()
+		if err := decoder.Decode(&i); err != nil {
+			return nil, inputError(before+n+1, err)
+		}
+		inputs = append(inputs, i)
+	}
+	return inputs, nil
+}
+
+func inputError(number int, err error) error {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return badInput(wrongType.Field, fmt.Sprintf("object %d: %s is a %s, want %s", number, wrongType.Field, wrongType.Value, wrongType.Type))
+	}
+	if name, found := strings.CutPrefix(err.Error(), "json: unknown field "); found {
+		name = strings.Trim(name, `"`)
+		return badInput(name, fmt.Sprintf("object %d: unknown field; allowed are kind, name, version, spec", number))
+	}
+	return badInput("", fmt.Sprintf("object %d: %v", number, err))
+}
+
+// checkObjects validates every object, and that none stands twice.
+func checkObjects(objects []platform.Object) error {
+	var problems []*errkind.Error
+	seen := map[string]bool{}
+	for _, o := range objects {
+		if seen[title(o)] {
+			problems = append(problems, badInput("name", title(o)+" stands twice in the input"))
+		}
+		seen[title(o)] = true
+		if err := checkObject(o); err != nil {
+			problems = append(problems, errkind.From(err))
+		}
+	}
+	if len(problems) == 0 {
+		return nil
+	}
+	messages := make([]string, 0, len(problems))
+	for _, p := range problems {
+		messages = append(messages, p.Message)
+	}
+	return badInput(problems[0].Field, strings.Join(messages, "\n"))
+}
+
+func checkObject(o platform.Object) error {
+	if !slices.Contains(resource.ConfigKinds, o.Kind) {
+		return badInput("kind", fmt.Sprintf("%s: %q: operators write %s", title(o), o.Kind, strings.Join(resource.ConfigKinds, ", ")))
+	}
+	return resource.Validate(o)
+}
+
+func badInput(field, message string) *errkind.Error {
+	return errkind.Field(errkind.InvalidObject, field, message)
+}
--- /dev/null
+++ b/internal/command/members.go
@@ -0,0 +1,104 @@
+package command
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/ops"
+)
+
+// Member states, as the operators' port shows them.
+const (
+	memberLive      = "live"
+	memberSuspected = "suspected"
+)
+
+// pollEvery is the pause between two looks while waiting.
+const pollEvery = 200 * time.Millisecond
+
+// joinMember joins two sayings about one daemon: the newest version, and live if
+// anybody sees it live.
+func joinMember(a, b ops.Member) ops.Member {
+	if a.Name == "" {
+		return b
+	}
+	b.Applied = max(a.Applied, b.Applied)
+	if a.State == memberLive {
+		b.State = memberLive
+	}
+	return b
+}
+
+func sortedMembers(joined map[string]ops.Member) []ops.Member {
+	out := make([]ops.Member, 0, len(joined))
+	for _, m := range joined {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b ops.Member) int {
+		return strings.Compare(a.Zone+" "+a.Role+" "+a.Name, b.Zone+" "+b.Role+" "+b.Name)
+	})
+	return out
+}
+
+// lagging names the daemons that must have a version and do not. A suspected
+// daemon may be alive behind a partition, so it counts until it is lost; one that
+// is leaving does not.
+func lagging(members []ops.Member, version uint64) []string {
+	var out []string
+	for _, m := range members {
+		counts := m.State == memberLive || m.State == memberSuspected
+		if counts && m.Applied < version {
+			out = append(out, fmt.Sprintf("%s %s in %s (%s, has %d)", m.Role, m.Name, m.Zone, m.State, m.Applied))
+		}
+	}
+	return out
+}
+
+// waitInForce waits until every live daemon has a version, or names those that lag.
+func (s *session) waitInForce(version uint64, timeout time.Duration) error {
+	ports, err := s.operators()
+	if err != nil {
+		return err
+	}
+	defer ports.close()
+	giveUp := time.Now().Add(timeout)
+	for {
+		members, err := ports.members(s.ctx)
+		behind := lagging(members, version)
+		if err == nil && len(members) > 0 && len(behind) == 0 {
+			fmt.Fprintf(s.Out, "in force at %d daemons version=%d\n", countLive(members), version)
+			return nil
+		}
+		if time.Now().After(giveUp) {
+			return waitFailed(version, timeout, behind, err)
+		}
+		if err := platform.Sleep(s.ctx, pollEvery); err != nil {
+			return err
+		}
+	}
+}
+
+func waitFailed(version uint64, timeout time.Duration, behind []string, err error) error {
+	message := fmt.Sprintf("written, but version %d is not in force everywhere after %s", version, timeout)
+	if err != nil {
+		return errkind.Wrap(err, errkind.DeadlineExceeded, errkind.Ran, message)
+	}
+	if len(behind) == 0 {
+		return errkind.New(errkind.DeadlineExceeded, errkind.Ran, message+": no daemon is known")
+	}
+	return errkind.New(errkind.DeadlineExceeded, errkind.Ran, message+"; behind are "+strings.Join(behind, ", "))
+}
+
+func countLive(members []ops.Member) int {
+	count := 0
+	for _, m := range members {
+		if m.State == memberLive {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/command/output.go
@@ -0,0 +1,78 @@
+package command
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"unicode"
+
+	"sigs.k8s.io/yaml"
+)
+
+// Output formats.
+const (
+	formatTable = "table"
+	formatJSON  = "json"
+	formatYAML  = "yaml"
+)
+
+// table writes aligned columns.
+type table struct {
+	tabs *tabwriter.Writer
+}
+
+func newTable(w io.Writer, columns ...string) *table {
+	t := &table{tabs: tabwriter.NewWriter(w, 2, 0, 2, ' ', 0)}
+	t.row(columns...)
+	return t
+}
+
+// row writes one line. Control characters, which could disturb a terminal, are replaced.
+func (t *table) row(cells ...string) {
+	for i, cell := range cells {
+		cells[i] = printable(cell)
+	}
+	fmt.Fprintln(t.tabs, strings.Join(cells, "\t"))
+}
+
+func (t *table) flush() { _ = t.tabs.Flush() }
+
+func printable(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return strings.Map(func(r rune) rune {
+		if unicode.IsControl(r) {
+			return '?'
+		}
+		return r
+	}, s)
+}
+
+// writeFormatted writes a value as JSON or YAML.
+func writeFormatted(w io.Writer, format string, value any) error {
+	var raw []byte
+	var err error
+	if format == formatYAML {
+		raw, err = yaml.Marshal(value)
+	} else {
+		raw, err = json.MarshalIndent(value, "", "  ")
+		raw = append(raw, '\n')
+	}
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(raw)
+	return err
+}
+
+// shorten cuts a text for a table.
+func shorten(s string, limit int) string {
+	runes := []rune(s)
+	if len(runes) <= limit {
+		return s
+	}
+	return string(runes[:limit-3]) + "..."
+}
--- /dev/null
+++ b/internal/command/version.go
@@ -0,0 +1,43 @@
+package command
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+)
+
+// versionCommand shows the version of this program.
+type versionCommand struct {
+	session *session
+}
+
+// Execute implements flags.Commander.
+func (c *versionCommand) Execute(args []string) error {
+	if err := noMore(args); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.session.Out, "ragwortctl revision=%s go=%s peerProtocol=%d\n", revision(), runtime.Version(), peer.ProtocolVersion)
+	return nil
+}
+
+// revision is the commit that the program was built from, as the build noted it.
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	out, dirty := "unknown", ""
+	for _, s := range info.Settings {
+		switch s.Key {
+		case "vcs.revision":
+			out = s.Value
+		case "vcs.modified":
+			if s.Value == "true" {
+				dirty = "-modified"
+			}
+		}
+	}
+	return out + dirty
+}
--- /dev/null
+++ b/internal/command/watch.go
@@ -0,0 +1,91 @@
+package command
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+)
+
+// watchCommand shows changes as they come.
+type watchCommand struct {
+	From  uint64 `long:"from" value-name:"VERSION" description:"show changes after this version; default: those from now on"`
+	Count int    `long:"count" value-name:"N" description:"end after so many changes; 0: go on until interrupted"`
+	Args  struct {
+		Kind string `positional-arg-name:"KIND"`
+	} `positional-args:"yes"`
+	session *session
+}
+
+// Execute implements flags.Commander.
+func (c *watchCommand) Execute(args []string) error {
+	if err := noMore(args); err != nil {
+		return err
+	}
+	if c.Count < 0 {
+		return usagef("--count is %d, want 0 or more", c.Count)
+	}
+	kind, err := findKind(c.Args.Kind)
+	if err != nil {
+		return err
+	}
+	store, err := c.session.store()
+	if err != nil {
+		return err
+	}
+	from := c.From
+	if from == 0 {
+		if _, from, err = store.List(c.session.ctx, kind); err != nil {
+			return ofPlatform(err, kind)
+		}
+	}
+	return c.follow(store, kind, from)
+}
+
+// follow prints events until enough are shown or ctx ends. Through an outage it
+// goes on trying, and says so.
+func (c *watchCommand) follow(store platform.Store, kind string, from uint64) error {
+	s := c.session
+	shown := 0
+	for attempt := 0; ; attempt++ {
+		err := c.show(store, kind, &from, &shown)
+		if err == nil {
+			return nil
+		}
+		if s.ctx.Err() != nil {
+			return nil // interrupted, which is how a watch ends
+		}
+		if !errors.Is(err, platform.ErrUnavailable) || errors.Is(err, platform.ErrDenied) {
+			return ofPlatform(err, "watch "+kind)
+		}
+		s.warn("%v; trying again", err)
+		if platform.Sleep(s.ctx, platform.DefaultBackoff.Ceiling(attempt)) != nil {
+			return nil
+		}
+	}
+}
+
+func (c *watchCommand) show(store platform.Store, kind string, from *uint64, shown *int) error {
+	w, err := store.Watch(c.session.ctx, []string{kind}, *from)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	for {
+		e, err := w.Next(c.session.ctx)
+		if err != nil {
+			return err
+		}
+		*from = e.Object.Version
+		if e.Type == platform.Bookmark {
+			continue
+		}
+		fmt.Fprintf(c.session.Out, "%s %s version=%d writer=%q spec=%s\n",
+			e.Type, printable(title(e.Object)), e.Object.Version, e.Object.Writer, printable(string(e.Object.Spec)))
+		*shown++
+		if *shown == c.Count {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/command/writes.go
@@ -0,0 +1,78 @@
+package command
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/audit"
+)
+
+// writes makes the writes of one command and keeps their audit trail.
+type writes struct {
+	session *session
+	store   platform.Store
+	trail   *audit.Trail
+	reason  string
+	newest  uint64 // version that has everything written in it
+}
+
+func newWrites(s *session, store platform.Store, reason string) *writes {
+	return &writes{
+		session: s,
+		store:   store,
+		trail:   audit.NewTrail(audit.Config{Store: store, Writer: s.writer()}),
+		reason:  reason,
+	}
+}
+
+// close writes the audit trail. The changes stand even if that fails.
+func (w *writes) close() {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(w.session.ctx), w.session.options.Timeout)
+	defer cancel()
+	if err := w.trail.Flush(ctx); err != nil {
+		w.session.warn("the audit trail does not show this command: %v", err)
+	}
+}
+
+// put writes o over now, the object that stands (the zero object: none does).
+func (w *writes) put(o, now platform.Object) error {
+	o.Writer = w.session.writer()
+	o.Nonce = platform.NewNonce()
+	stored, err := platform.Write(w.session.ctx, w.store, o)
+	if err != nil {
+		return w.failed(o, now, ofPlatform(err, title(o)))
+	}
+	w.newest = max(w.newest, stored.Version)
+	verb := "updated"
+	if now.Version == 0 {
+		verb = "created"
+	}
+	w.record(o, now.Version, stored.Version, verb)
+	fmt.Fprintf(w.session.Out, "%s %s version=%d\n", title(o), verb, stored.Version)
+	return nil
+}
+
+// failed records a refused write and passes its error on.
+func (w *writes) failed(o, now platform.Object, err error) error {
+	w.record(o, now.Version, 0, "refused: "+err.Error())
+	return err
+}
+
+func (w *writes) record(o platform.Object, from, to uint64, outcome string) {
+	w.trail.Record(audit.Entry{
+		What:    audit.WhatConfig,
+		Object:  title(o),
+		From:    versionText(from),
+		To:      versionText(to),
+		Why:     w.reason,
+		Outcome: outcome,
+	})
+}
+
+func versionText(version uint64) string {
+	if version == 0 {
+		return ""
+	}
+	return fmt.Sprintf("version %d", version)
+}
