Keep the role policy from flapping: noise, lasting swings, reversals

Cause: steady demand made 5 to 7 changes and a swing with a period near the change time made 36 to 40. Change: take what may be noise off a swing; learn within 40 s whether swings last; count swings that do not last as uncertainty; count one hundredth of the useful answers as doubt of the model; a change that undoes recent ones has to gain more.

--- a/internal/bench/policy/command.go
+++ b/internal/bench/policy/command.go
@@ -79,12 +79,12 @@
 // routingLevers and policyLevers can be taken out.
 var (
 	routingLevers = []string{"chunks", "affinity", "admission", "priority"}
-	policyLevers  = []string{"uncertainty", "persistence", "price", "loss", "slack"}
+	policyLevers  = []string{"uncertainty", "persistence", "reversals", "price", "loss", "slack"}
 )
 
 func leversOf(names []string) core.Levers {
 	var l core.Levers
-	flags := []*bool{&l.Uncertainty, &l.Persistence, &l.Price, &l.Loss, &l.Slack}
+	flags := []*bool{&l.Uncertainty, &l.Persistence, &l.Reversals, &l.Price, &l.Loss, &l.Slack}
 	for _, name := range names {
 		for i := range policyLevers {
 			if policyLevers[i] == name {
--- a/internal/process/policy/core.go
+++ b/internal/process/policy/core.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	warmUp        = 6 * time.Second // no change before demand was seen this long
-	rankWait      = 3 * time.Second // a controller of the next rank acts this much later
-	keptDecisions = 512             // decisions kept for explain
+	warmUp        = 15 * time.Second // no change before demand was seen this long
+	rankWait      = 3 * time.Second  // a controller of the next rank acts this much later
+	recentChanges = 5 * time.Minute  // undoing a change of this time costs more
+	keptDecisions = 512              // decisions kept for explain
 )
 
 // Core decides role changes. It is not safe for concurrent use.
@@ -28,7 +29,26 @@
 type modelState struct {
 	routes     map[string]*routeDemand
 	lastReason string
-	wanted     time.Time // since when a change has been wanted without a pause; zero: not
+	changes    []madeChange // within recentChanges
+	wanted     time.Time    // since when a change has been wanted without a pause; zero: not
+}
+
+// madeChange is a change that was decided.
+type madeChange struct {
+	at     time.Time
+	change Change
+}
+
+// recent gives the changes made lately and forgets older ones.
+func (m *modelState) recent(now time.Time) []Change {
+	for len(m.changes) > 0 && now.Sub(m.changes[0].at) > recentChanges {
+		m.changes = m.changes[1:]
+	}
+	var out []Change
+	for _, c := range m.changes {
+		out = append(out, c.change)
+	}
+	return out
 }
 
 // New makes a core that has seen no demand.
@@ -63,7 +83,7 @@
 	m := c.model(model)
 	r := m.routes[route]
 	if r == nil {
-		r = newRouteDemand(route, c.cfg.Horizon)
+		r = newRouteDemand(route, c.cfg)
 		m.routes[route] = r
 	}
 	return r
@@ -113,7 +133,7 @@
 
 func (c *Core) decide(now time.Time, in *Input, name string, runners []Runner) Decision {
 	m := c.model(name)
-	w := newWeighing(c.cfg, in, name, runners, m.demand())
+	w := newWeighing(c.cfg, in, name, runners, m.demand(), m.recent(now))
 	d := Decision{At: now, Model: name, Demand: w.demand, Useful: w.useful, Options: w.options()}
 	c.choose(now, m, in.Rank, &d)
 	d.Notable = d.Change != nil || d.Reason != m.lastReason
@@ -156,8 +176,9 @@
 	}
 	m.wanted = time.Time{}
 	d.Change = &best.Change
-	d.Reason = fmt.Sprintf("changed: gains %.1f useful answers over %s, loses %.1f, price %.1f",
-		best.Gain, c.cfg.Horizon, best.Loss, best.Price)
+	m.changes = append(m.changes, madeChange{now, best.Change})
+	d.Reason = fmt.Sprintf("changed: gains %.1f useful answers over %s, loses %.1f, price %.1f, doubt %.1f",
+		best.Gain, c.cfg.Horizon, best.Loss, best.Price, best.Doubt)
 }
 
 // keep numbers a decision and keeps notable ones for explain.
--- a/internal/process/policy/estimate.go
+++ b/internal/process/policy/estimate.go
@@ -11,6 +11,7 @@
 	fastSeconds  = 6.0
 	slowSeconds  = 120.0
 	learnSeconds = 400.0 // memory of the learned persistence
+	longestSpan  = 40.0  // a swing that lasts so long is worth a change; learning waits no longer
 )
 
 // Before anything is learned a swing is taken to last in priorPersist of its
@@ -42,7 +43,7 @@
 type past struct {
 	at    float64 // seconds
 	slow  float64
-	swing float64 // fast minus slow
+	swing float64
 	sum   float64 // of the rates since, times their duration
 }
 
@@ -50,12 +51,14 @@
 // step to a new level lasts; a swing whose period is near the horizon does not,
 // and a role change made for it would come too late.
 type forecaster struct {
-	horizon    float64 // seconds
+	span       float64 // seconds over which a swing has to last
+	without    Levers
 	now        float64 // seconds since the first rate
 	fast, slow mean
 	cross      float64 // of swings and what was left of them, decayed
 	square     float64 // of swings, decayed
 	noise      mean    // squared distance of single rates from the fast mean
+	swings     mean    // squared swings
 	open       []past
 }
 
@@ -71,11 +74,13 @@
 	for i := range f.open {
 		f.open[i].sum += rate * dt
 	}
-	for len(f.open) > 0 && f.now-f.open[0].at >= f.horizon {
+	for len(f.open) > 0 && f.now-f.open[0].at >= f.span {
 		f.learn(f.open[0], dt)
 		f.open = f.open[1:]
 	}
-	f.open = append(f.open, past{at: f.now, slow: f.slow.value(), swing: f.fast.value() - f.slow.value()})
+	swing := f.swing()
+	f.swings.add(swing*swing, dt, slowSeconds)
+	f.open = append(f.open, past{at: f.now, slow: f.slow.value(), swing: swing})
 }
 
 // learn compares one earlier swing with the mean rate that came.
@@ -92,16 +97,35 @@
 	f.square = f.square*keep + swing*swing*dt
 }
 
-// persist is the learned share of a swing that lasts, from 0 to 1.
+// persist is the learned share of a swing that lasts over the span, from 0 to 1.
 func (f *forecaster) persist() float64 {
+	if f.without.Persistence {
+		return 1
+	}
 	p := (priorPersist*priorWeight + f.cross) / (priorWeight + f.square)
 	return math.Min(1, math.Max(0, p))
 }
 
-// forecast is the expected mean rate over the horizon.
+// forecast is the expected mean rate over the horizon: the slow mean and the
+// part of the swing that is beyond noise and lasts.
 func (f *forecaster) forecast() float64 {
-	slow := f.slow.value()
-	return math.Max(0, slow+f.persist()*(f.fast.value()-slow))
+	return math.Max(0, f.slow.value()+f.persist()*f.swing())
+}
+
+// noiseReach is how many deviations of the fast mean count as noise.
+const noiseReach = 2.0
+
+// swing is how far the fast mean is off the slow one, less what may be noise.
+func (f *forecaster) swing() float64 {
+	swing := f.fast.value() - f.slow.value()
+	if f.without.Uncertainty {
+		return swing
+	}
+	noise := noiseReach * f.deviation()
+	if math.Abs(swing) <= noise {
+		return 0
+	}
+	return swing * (1 - noise*noise/(swing*swing))
 }
 
 // deviation is the standard deviation of the fast mean: that of single rates,
@@ -110,12 +134,19 @@
 	return math.Sqrt(f.noise.value() * bucket.Seconds() / (2 * fastSeconds))
 }
 
+// uncertainty is the standard deviation of the rate around the forecast: noise,
+// and the part of the swings that does not last.
+func (f *forecaster) uncertainty() float64 {
+	noise := f.deviation()
+	return math.Sqrt(noise*noise + (1-f.persist())*f.swings.value())
+}
+
 func (f *forecaster) estimate() Estimate {
 	return Estimate{
 		Fast:      f.fast.value(),
 		Slow:      f.slow.value(),
 		Forecast:  f.forecast(),
-		Deviation: f.deviation(),
+		Deviation: f.uncertainty(),
 		Persist:   f.persist(),
 	}
 }
@@ -133,8 +164,8 @@
 	requests, prefill, decode, late float64
 }
 
-func newRouteDemand(name string, horizon time.Duration) *routeDemand {
-	f := forecaster{horizon: horizon.Seconds()}
+func newRouteDemand(name string, cfg Config) *routeDemand {
+	f := forecaster{span: min(cfg.Horizon.Seconds(), longestSpan), without: cfg.Without}
 	return &routeDemand{name: name, requests: f, prefill: f, decode: f}
 }
 
--- a/internal/process/policy/explain.go
+++ b/internal/process/policy/explain.go
@@ -40,6 +40,6 @@
 	if o.Refused != "" {
 		verdict = "refused: " + o.Refused
 	}
-	return fmt.Sprintf("option %s %s->%s: gain %.1f loss %.1f price %.1f net %.1f useful answers; %s",
-		o.Change.Runner, o.Change.From, o.Change.To, o.Gain, o.Loss, o.Price, o.Net(), verdict)
+	return fmt.Sprintf("option %s %s->%s: gain %.1f loss %.1f price %.1f doubt %.1f net %.1f useful answers; %s",
+		o.Change.Runner, o.Change.From, o.Change.To, o.Gain, o.Loss, o.Price, o.Doubt, o.Net(), verdict)
 }
--- a/internal/process/policy/options.go
+++ b/internal/process/policy/options.go
@@ -29,10 +29,11 @@
 	demand  []Demand
 	loads   []load
 	useful  float64 // with the roles kept
+	recent  []Change
 }
 
-func newWeighing(cfg Config, in *Input, model string, runners []Runner, demand []Demand) *weighing {
-	w := &weighing{cfg: cfg, in: in, model: model, runners: runners, demand: demand}
+func newWeighing(cfg Config, in *Input, model string, runners []Runner, demand []Demand, recent []Change) *weighing {
+	w := &weighing{cfg: cfg, in: in, model: model, runners: runners, demand: demand, recent: recent}
 	w.loads = loadsOf(demand, in.Routes)
 	for i := range runners {
 		if countsOver(&runners[i], cfg.Horizon) {
@@ -119,6 +120,10 @@
 
 func (w *weighing) held(zone string) bool { return w.in.Held == nil || w.in.Held[zone] }
 
+// resolution is the share of useful answers that the capacity model is off by
+// even where it is good; smaller gains are not told from none.
+const resolution = 0.01
+
 // weigh works out gain and loss of changing one present runner.
 func (w *weighing) weigh(i int, to upstream.Role) Option {
 	r := w.present[i]
@@ -130,6 +135,14 @@
 	lasting := max(0, w.cfg.Horizon-away).Seconds()
 	o.Gain = (w.value(changed) - w.useful) * lasting
 	o.Loss = (w.useful - w.value(gone)) * away.Seconds()
+	if !w.cfg.Without.Uncertainty {
+		o.Doubt = resolution * w.useful * w.cfg.Horizon.Seconds()
+	}
+	if !w.cfg.Without.Reversals {
+		undone := float64(w.undoes(o.Change))
+		o.Price *= 1 + undone
+		o.Doubt *= 1 + undone
+	}
 	if w.cfg.Without.Loss {
 		o.Loss = 0
 	}
@@ -140,7 +153,19 @@
 	return o
 }
 
-// drainPerStep bounds the drain that is reckoned with.
+// undoes counts the recent changes that a change would undo: each shows that an
+// expected gain did not last, so the next one has to be larger.
+func (w *weighing) undoes(c Change) int {
+	n := 0
+	for _, past := range w.recent {
+		if past.From == c.To && past.To == c.From {
+			n++
+		}
+	}
+	return n
+}
+
+// longestDrain bounds the drain that is reckoned with.
 const longestDrain = 30 * time.Second
 
 // awayFor is the time that a change takes a runner away: the change itself and
--- a/internal/process/policy/types.go
+++ b/internal/process/policy/types.go
@@ -29,8 +29,9 @@
 
 // Levers are the parts of the policy that a measurement can take out.
 type Levers struct {
-	Uncertainty bool // take the forecast as certain
+	Uncertainty bool // take forecasts as certain and the model as exact
 	Persistence bool // take every swing as lasting
+	Reversals   bool // do not make it dearer to undo recent changes
 	Price       bool // a change costs only what it loses
 	Loss        bool // take a change as free of loss
 	Slack       bool // take decode engines as unable to compute prompts
@@ -85,18 +86,19 @@
 	Gain    float64 // useful answers gained over the horizon against keeping the roles
 	Loss    float64 // useful answers lost in drain and change
 	Price   float64 // of a role change, in useful answers
+	Doubt   float64 // useful answers below which the model cannot tell options apart
 	Refused string  // why it may not be made; empty: it may
 }
 
-// Net is what the option gains beyond loss and price.
-func (o Option) Net() float64 { return o.Gain - o.Loss - o.Price }
+// Net is what the option gains beyond loss, price and doubt.
+func (o Option) Net() float64 { return o.Gain - o.Loss - o.Price - o.Doubt }
 
 // Estimate is a rate with its forecast and uncertainty.
 type Estimate struct {
 	Fast      float64 // mean over some seconds
 	Slow      float64 // mean over some minutes
 	Forecast  float64 // expected mean over the horizon
-	Deviation float64 // standard deviation of the fast mean
+	Deviation float64 // standard deviation of the rate around the forecast
 	Persist   float64 // share of a swing that lasts over the horizon, learned, 0 to 1
 }
 
