--- a/internal/process/gateway/cores.go
+++ b/internal/process/gateway/cores.go
@@ -60,7 +60,7 @@
 }
 
 // install takes in a newer snapshot.
-func (c *cores) install(s *config.Snapshot) {
+func (c *cores) install(now time.Time, s *config.Snapshot) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.snapshot = s
@@ -80,6 +80,9 @@
 			delete(c.unreachable, name)
 		}
 	}
+	for name := range s.Runners {
+		c.refreshSuspect(now, name)
+	}
 	c.learner.Keep(func(name string) bool { _, ok := s.Routes[name]; return ok })
 }
 
@@ -268,13 +271,14 @@
 	c.refreshSuspect(now, name)
 }
 
-// refreshSuspect joins what polls and outlier ejection say of a runner.
+// refreshSuspect joins what polls, the configuration (a controller's drain mark
+// included) and outlier ejection say of a runner.
 func (c *cores) refreshSuspect(now time.Time, name string) {
 	if c.snapshot == nil {
 		return
 	}
 	if _, ok := c.snapshot.Runners[name]; ok {
-		c.tracker.Suspect(name, c.unreachable[name] || c.outliers.Ejected(now, name))
+		c.tracker.Suspect(name, c.unreachable[name] || c.snapshot.Leaving(name) || c.outliers.Ejected(now, name))
 	}
 }
 
--- /dev/null
+++ b/internal/process/gateway/failure_test.go
@@ -0,0 +1,270 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// runs counts the runs that all stand-ins began.
+func (f *fleet) runs() int {
+	n := 0
+	for _, r := range f.runners {
+		for _, times := range r.Executions().Runs {
+			n += times
+		}
+	}
+	return n
+}
+
+// setFaults sets the same faults at every runner.
+func (f *fleet) setFaults(faults runner.Faults) {
+	for _, r := range f.runners {
+		r.SetFaults(faults)
+	}
+}
+
+func TestCutStreamIsResumedWithoutASecondRun(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"}, runner.Config{Name: "r2"})
+	g := f.start(f.settings("gw-1"))
+	for _, stream := range []bool{true, false} {
+		f.setFaults(runner.Faults{CutStreams: 3, CutAfterTokens: 5})
+		g.get(ask{body: completion("alert", "cut", 60, stream)}).wantWhole(t, answerTo("cut", 60))
+	}
+	if n := f.runs(); n != 2 {
+		t.Errorf("%d runs for 2 requests", n)
+	}
+}
+
+func TestBadStreamsNeverGiveAWrongAnswer(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"}, runner.Config{Name: "r2"})
+	g := f.start(f.settings("gw-1"))
+	for name, faults := range map[string]runner.Faults{
+		"crossed tokens":    {CrossTokens: 2},
+		"doubled tokens":    {DuplicateTokens: 3},
+		"dropped tokens":    {DropTokens: 2},
+		"wrong end":         {WrongEnds: 1},
+		"crossed answer":    {CrossAnswers: 1},
+		"answer of the run": {LoseRunAnswers: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f.setFaults(faults)
+			before := f.runs()
+			g.get(ask{body: completion("alert", name, 30, true)}).wantWhole(t, answerTo(name, 30))
+			if n := f.runs() - before; n != 1 {
+				t.Errorf("%d runs of a request that may run once", n)
+			}
+			f.setFaults(runner.Faults{})
+		})
+	}
+}
+
+func TestRefusalIsRetriedElsewhere(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"}, runner.Config{Name: "r2"})
+	s := f.settings("gw-1")
+	s.Limits.RetryShare = 1
+	g := f.start(s)
+	f.runners["r1"].SetFaults(runner.Faults{RefuseRuns: 100})
+	for range 10 {
+		g.get(ask{body: completion("alert", "p", 20, true)}).wantWhole(t, answerTo("p", 20))
+	}
+	f.setFaults(runner.Faults{RefuseRuns: 100})
+	p := g.get(ask{body: completion("alert", "p", 20, true)})
+	p.wantError(t, errkind.UpstreamRefused, errkind.NotRun)
+	if p.header.Get(headerRetryAfter) == "" || p.err.RetryAfterMS == 0 {
+		t.Error("the refusal doesn't say when to come back")
+	}
+	if n := f.runs(); n != 10 {
+		t.Errorf("%d runs began, want 10", n)
+	}
+}
+
+// closeRunner ends a runner and leaves the gateway time to see that its idle
+// connections are gone: a request sent over one of them may have run.
+func (f *fleet) closeRunner(name string) {
+	f.runners[name].Close()
+	time.Sleep(200 * time.Millisecond)
+}
+
+func TestConnectionRefusedIsRetriedElsewhere(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"}, runner.Config{Name: "r2"})
+	s := f.settings("gw-1")
+	s.Limits.RetryShare = 1
+	g := f.start(s)
+	f.closeRunner("r1")
+	for range 4 {
+		g.get(ask{body: completion("alert", "p", 10, true)}).wantWhole(t, answerTo("p", 10))
+	}
+	f.closeRunner("r2")
+	g.get(ask{body: completion("alert", "p", 10, true)}).wantError(t, errkind.NoUpstream, errkind.NotRun)
+}
+
+// An answer that neither proves nor denies the run must not lead to a second one.
+func TestAmbiguousOutcomeIsUnknownAndNotRetried(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"}, runner.Config{Name: "r2"})
+	s := f.settings("gw-1")
+	s.Limits.RetryShare = 1
+	g := f.start(s)
+	f.setFaults(runner.Faults{LoseRunAnswers: 1})
+	done := make(chan reply, 1)
+	go func() { done <- g.get(ask{body: completion("alert", "[out=300] slow", 300, true)}) }()
+	g.eventually("the run begins", func() bool { return f.runs() == 1 })
+	for _, r := range f.runners {
+		r.Crash(0)
+	}
+	p := <-done
+	if p.err == nil || p.err.Run == errkind.NotRun || p.done {
+		t.Fatalf("done %v, error %+v; want an error that doesn't say not-run", p.done, p.err)
+	}
+	if n := f.runs(); n != 1 {
+		t.Errorf("%d runs of a request that may run once", n)
+	}
+}
+
+func TestCrashMidStreamIsTold(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"})
+	g := f.start(f.settings("gw-1"))
+	resp, err := ask{body: completion("alert", "p", 400, true)}.do(g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	f.runners["r1"].Crash(0)
+	p := readReply(resp)
+	if p.err == nil || p.err.Run != errkind.Ran || p.done {
+		t.Fatalf("done %v, error %+v; want an error event with run ran and no [DONE]", p.done, p.err)
+	}
+}
+
+func TestIdempotentRequestRunsAgainElsewhere(t *testing.T) {
+	for name, sampling := range map[string]bool{"same text": false, "other text": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, runner.Config{Name: "r1", Sampling: sampling}, runner.Config{Name: "r2", Sampling: sampling})
+			s := f.settings("gw-1")
+			s.Limits.RetryShare = 1
+			g := f.start(s)
+			resp, err := ask{body: completion("chat", "p", 400, true)}.do(g)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			for _, r := range f.runners {
+				if len(r.Executions().Runs) > 0 {
+					r.Crash(time.Minute)
+				}
+			}
+			p := readReply(resp)
+			if sampling {
+				p.wantError(t, errkind.AnswerIncomplete, errkind.Ran)
+				return
+			}
+			p.wantWhole(t, answerTo("p", 400))
+		})
+	}
+}
+
+// A whole answer of which the caller saw nothing may come from another run, also
+// if that one gives another text.
+func TestWholeAnswerStartsOver(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1", Sampling: true}, runner.Config{Name: "r2", Sampling: true})
+	s := f.settings("gw-1")
+	s.Limits.RetryShare = 1
+	g := f.start(s)
+	done := make(chan reply, 1)
+	go func() { done <- g.get(ask{body: completion("chat", "p", 400, false)}) }()
+	g.eventually("the run begins", func() bool { return f.runs() == 1 })
+	for _, r := range f.runners {
+		if len(r.Executions().Runs) > 0 {
+			r.Crash(time.Minute)
+		}
+	}
+	p := <-done
+	if !p.done || strings.Count(p.text, " ") != 400 {
+		t.Fatalf("done %v, %d tokens, error %+v; want 400 tokens", p.done, strings.Count(p.text, " "), p.err)
+	}
+}
+
+func TestCallerWhoLeavesCancelsTheRun(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"})
+	g := f.start(f.settings("gw-1"))
+	resp, err := ask{body: completion("alert", "p", 400, true)}.do(g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := bufio.NewReader(resp.Body).ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	g.eventually("the runner holds no stream", func() bool { return f.runners["r1"].State().Streams == 0 })
+	if s := f.runners["r1"].Stats(); s.Canceled != 1 {
+		t.Errorf("%+v, want 1 canceled", s)
+	}
+}
+
+func TestDeadlineEndsTheRun(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"})
+	g := f.start(f.settings("gw-1"))
+	f.runners["r1"].Freeze()
+	defer f.runners["r1"].Thaw()
+	p := g.get(ask{body: completion("alert", "p", 10, true), header: map[string]string{headerDeadline: "300"}})
+	if p.err == nil || p.err.Kind != errkind.DeadlineExceeded || p.err.Run == errkind.NotRun {
+		t.Fatalf("error %+v; want the deadline passed and no claim that it did not run", p.err)
+	}
+}
+
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	leave := map[string]func(f *fleet){
+		"by itself":   func(f *fleet) { f.runners["r1"].SetLeaving(true) },
+		"by operator": func(f *fleet) { f.setState("r1", resource.RunnerDrained) },
+		"by platform": func(f *fleet) {
+			f.store.PutInstance("r1", resource.Instance{Role: "upstream", Zone: testZone, State: resource.InstanceLeaving})
+		},
+		"by controller": func(f *fleet) { f.put(resource.KindDrain, "r1", resource.Drain{Zone: testZone, Reason: "role change"}) },
+	}
+	for name, how := range leave {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, runner.Config{Name: "r1"}, runner.Config{Name: "r2"})
+			g := f.start(f.settings("gw-1"))
+			how(f)
+			g.eventually("r1 is known as leaving", func() bool { return g.leaving("r1") })
+			before := len(f.runners["r1"].Executions().Runs)
+			for range 20 {
+				g.get(ask{body: completion("alert", "p", 5, true)}).wantWhole(t, answerTo("p", 5))
+			}
+			if n := len(f.runners["r1"].Executions().Runs) - before; n != 0 {
+				t.Errorf("%d of 20 requests went to the leaving runner", n)
+			}
+		})
+	}
+}
+
+func (f *fleet) setState(name string, state resource.RunnerState) {
+	f.t.Helper()
+	o, err := f.store.Get(context.Background(), resource.KindRunner, name)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	spec, err := resource.Decode[resource.Runner](o)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	spec.State = state
+	f.put(resource.KindRunner, name, spec)
+}
+
+func (r *running) leaving(name string) bool {
+	r.cores.mu.Lock()
+	defer r.cores.mu.Unlock()
+	for _, v := range r.cores.tracker.View(time.Now(), r.cores.snapshot) {
+		if v.Name == name {
+			return v.Leaving || v.Suspected
+		}
+	}
+	return false
+}
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -317,3 +317,61 @@
 		t.Fatalf("status %d, done %v, error %+v, raw %.200s; want %s, run %s", p.status, p.done, p.err, p.raw, kind, run)
 	}
 }
+
+// services are the upstreams of one plain service.
+type services struct {
+	upstreams []*service.Service
+}
+
+// addService starts a plain service with two upstreams.
+func (f *fleet) addService(name string, honoursKey bool) *services {
+	f.t.Helper()
+	s := &services{}
+	spec := resource.Service{HonoursKey: honoursKey}
+	for i := range 2 {
+		upstreamName := name + "-" + strconv.Itoa(i)
+		u := service.New(service.Config{Name: upstreamName, HonoursKey: honoursKey})
+		f.t.Cleanup(u.Close)
+		address, err := u.Listen("127.0.0.1:0")
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		s.upstreams = append(s.upstreams, u)
+		spec.Upstreams = append(spec.Upstreams, resource.ServiceUpstream{
+			Name: upstreamName, Address: address, Zone: testZone, State: resource.RunnerServing,
+		})
+	}
+	f.put(resource.KindService, name, spec)
+	return s
+}
+
+// putServiceRoute routes a path prefix to a service. idempotent is a method; empty: none.
+func (f *fleet) putServiceRoute(name, prefix, idempotent string) {
+	r := resource.Route{PathPrefix: prefix, Service: name, Methods: []resource.MethodRule{{Method: http.MethodPost}}}
+	if idempotent != "" {
+		r.Methods = append(r.Methods, resource.MethodRule{Method: idempotent, Idempotent: true})
+	}
+	f.put(resource.KindRoute, name, r)
+}
+
+// each sets the same faults at every upstream.
+func (s *services) each(faults service.Faults) {
+	for _, u := range s.upstreams {
+		u.SetFaults(faults)
+	}
+}
+
+// calls counts the calls with a mark that were acted upon.
+func (s *services) calls(mark string) int {
+	n := 0
+	for _, u := range s.upstreams {
+		n += u.Calls()[mark]
+	}
+	return n
+}
+
+var (
+	lose      = service.Faults{LoseAnswers: 1}
+	cut       = service.Faults{CutAnswers: 1}
+	faultless = service.Faults{}
+)
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -167,7 +167,7 @@
 
 // install puts a newer configuration in force for requests that start now.
 func (g *Gateway) install(s *config.Snapshot) {
-	g.cores.install(s)
+	g.cores.install(time.Now(), s)
 	g.engines.keep(s)
 	g.poller.install(g.work, s)
 	g.members.SetInstances(s.Instances)
--- /dev/null
+++ b/internal/process/gateway/keyed_test.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	standinplatform "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+)
+
+func keyedAsk(key, body string) ask {
+	return ask{body: body, header: map[string]string{headerIdempotencyKey: key}}
+}
+
+func TestSameKeyRunsOnceAndAnswersEachTime(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"}, runner.Config{Name: "r2"})
+	one, two := f.start(f.settings("gw-1")), f.start(f.settings("gw-2"))
+	body := completion("alert", "send the van", 30, true)
+	want := answerTo("send the van", 30)
+	var wait sync.WaitGroup
+	for i := range 8 {
+		g := []*running{one, two}[i%2]
+		wait.Go(func() {
+			if p := g.get(keyedAsk("k", body)); p.text != want || !p.done {
+				t.Errorf("request %d: done %v, %d bytes, error %+v", i, p.done, len(p.text), p.err)
+			}
+		})
+	}
+	wait.Wait()
+	two.get(keyedAsk("k", body)).wantWhole(t, want)
+	if n := f.runs(); n != 1 {
+		t.Errorf("%d runs of one key", n)
+	}
+	two.get(keyedAsk("k", completion("alert", "another", 30, true))).wantError(t, errkind.KeyReused, errkind.NotRun)
+}
+
+func TestKeyedRunOutlivesItsCaller(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"})
+	g := f.start(f.settings("gw-1"))
+	body := completion("alert", "p", 400, true)
+	resp, err := keyedAsk("k", body).do(g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	g.get(keyedAsk("k", body)).wantWhole(t, answerTo("p", 400))
+	if n := f.runs(); n != 1 {
+		t.Errorf("%d runs of one key", n)
+	}
+}
+
+func TestKeyedRequestIsRefusedWhileThePlatformIsOut(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"})
+	g := f.start(f.settings("gw-1"))
+	f.store.SetFault(standinplatform.Fault{Outage: true})
+	p := g.get(keyedAsk("k", completion("alert", "p", 5, true)))
+	if p.err == nil || p.err.Kind != errkind.ClaimUnavailable || p.header.Get(headerRetryAfter) == "" {
+		t.Fatalf("error %+v; want claim_unavailable with Retry-After", p.err)
+	}
+	if n := f.runs(); n != 0 {
+		t.Errorf("%d runs without a claim", n)
+	}
+	g.get(ask{body: completion("alert", "p", 5, true)}).wantWhole(t, answerTo("p", 5))
+	f.store.SetFault(standinplatform.Fault{})
+	g.eventually("claims are granted again", func() bool {
+		return g.get(keyedAsk("k", completion("alert", "p", 5, true))).done
+	})
+}
+
+func TestKeyedRefusalsMoveToAnotherRunner(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"}, runner.Config{Name: "r2"})
+	s := f.settings("gw-1")
+	s.Limits.RetryShare = 1
+	g := f.start(s)
+	f.runners["r1"].SetFaults(runner.Faults{RefuseRuns: 100})
+	for i := range 6 {
+		g.get(keyedAsk("k"+strconv.Itoa(i), completion("alert", "p", 5, true))).wantWhole(t, answerTo("p", 5))
+	}
+	if n := f.runs(); n != 6 {
+		t.Errorf("%d runs of 6 keys", n)
+	}
+}
--- /dev/null
+++ b/internal/process/gateway/service_test.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+)
+
+func TestServiceCalls(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"})
+	tiles, vans := f.addService("tiles", false), f.addService("vans", false)
+	f.putServiceRoute("tiles", "/tiles", http.MethodGet)
+	f.putServiceRoute("vans", "/vans", "")
+	s := f.settings("gw-1")
+	s.Limits.RetryShare = 1
+	g := f.start(s)
+	call := func(method, path, mark string, header ...string) ask {
+		h := map[string]string{"Standin-Mark": mark, headerDeadline: "10000"}
+		for i := 0; i+1 < len(header); i += 2 {
+			h[header[i]] = header[i+1]
+		}
+		return ask{method: method, path: path, body: "x", header: h}
+	}
+	t.Run("whole answers stream through", func(t *testing.T) {
+		p := g.get(call(http.MethodGet, "/tiles/1/2?z=3", "whole", "Standin-Size", "1000000"))
+		if p.status != http.StatusOK || len(p.raw) != 1000000 {
+			t.Fatalf("status %d, %d bytes", p.status, len(p.raw))
+		}
+	})
+	t.Run("a lost answer is asked for again only if idempotent", func(t *testing.T) {
+		for range 4 {
+			tiles.upstreams[0].SetFaults(lose)
+			if p := g.get(call(http.MethodGet, "/tiles/1", "lost")); p.status != http.StatusOK {
+				t.Errorf("idempotent: status %d %s", p.status, p.raw)
+			}
+		}
+		if n := tiles.calls("lost"); n < 5 {
+			t.Errorf("%d calls acted upon: no answer was lost", n)
+		}
+		vans.each(lose)
+		g.get(call(http.MethodPost, "/vans", "lost")).wantError(t, errkind.OutcomeUnknown, errkind.RunUnknown)
+		if n := vans.calls("lost"); n != 1 {
+			t.Errorf("a call that may run once was acted upon %d times", n)
+		}
+		tiles.each(faultless)
+		vans.each(faultless)
+	})
+	t.Run("a cut answer is seen as cut", func(t *testing.T) {
+		tiles.each(cut)
+		resp, err := call(http.MethodGet, "/tiles/1", "cut", "Standin-Size", "200000").do(g)
+		if err == nil {
+			p := readReply(resp)
+			resp.Body.Close()
+			if len(p.raw) == 200000 {
+				t.Error("a cut answer looked whole")
+			}
+		}
+		tiles.each(faultless)
+	})
+	t.Run("keyed calls run once", func(t *testing.T) {
+		first := g.get(call(http.MethodPost, "/vans", "key", headerIdempotencyKey, "van-7"))
+		if first.status != http.StatusOK {
+			t.Fatalf("status %d %s", first.status, first.raw)
+		}
+		g.get(call(http.MethodPost, "/vans", "key", headerIdempotencyKey, "van-7")).wantError(t, errkind.OutcomeUnknown, errkind.RunUnknown)
+		if n := vans.calls("key"); n != 1 {
+			t.Errorf("acted upon %d times", n)
+		}
+	})
+	t.Run("refused connections go elsewhere", func(t *testing.T) {
+		vans.upstreams[0].Close()
+		for range 6 {
+			if p := g.get(call(http.MethodPost, "/vans", "refused")); p.status != http.StatusOK {
+				t.Errorf("status %d %s", p.status, p.raw)
+			}
+		}
+		vans.upstreams[1].Close()
+		g.get(call(http.MethodPost, "/vans", "refused")).wantError(t, errkind.NoUpstream, errkind.NotRun)
+		if n := vans.calls("refused"); n != 6 {
+			t.Errorf("acted upon %d times, want 6", n)
+		}
+	})
+}
+
+func TestKeyIsHonouredByAService(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"})
+	vans := f.addService("vans", true)
+	f.putServiceRoute("vans", "/vans", "")
+	g := f.start(f.settings("gw-1"))
+	vans.each(lose)
+	for range 2 {
+		p := g.get(ask{path: "/vans", body: "x", header: map[string]string{"Standin-Mark": "m", headerIdempotencyKey: "k"}})
+		if p.status != http.StatusOK {
+			t.Fatalf("status %d %s", p.status, p.raw)
+		}
+	}
+	if n := vans.calls("m"); n != 1 {
+		t.Errorf("acted upon %d times", n)
+	}
+}
