Prove on virtual time that the configuration never goes back

The real cores of membership and configuration run over a fake network and store through pairs of faults, 100 seeds: lost, doubled and reordered messages, zones cut off from each other and from the platform, a store outage, stale lists with a short history, kills, restarts, pauses. At each install the version must not fall and no object may go back; after healing every daemon has the newest configuration and knows that the others have it.

A silent neighbor whose leaving was told by itself stayed "leaving": what was heard over a connection is now told apart from what others passed on.

--- /dev/null
+++ b/internal/bench/fanout/daemon.go
@@ -0,0 +1,294 @@
+package fanout
+
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// daemon is one process: the real cores, and a shell as small as it can be.
+type daemon struct {
+	fleet *fleet
+	hello peer.Hello
+
+	up          bool
+	life        int // counts starts; what was scheduled in an earlier life is void
+	pausedUntil boottime.Time
+	member      *member.Core
+	config      *config.Core
+	routes      *member.UseRoutes
+	seen        member.Sequences
+	links       []peer.Address
+	heardAt     boottime.Time
+
+	watching bool
+	listed   bool
+	position uint64
+	retrying bool
+
+	traffic     traffic
+	installedAt map[uint64]boottime.Time // when a version came into force
+	lastVersion uint64                   // the latest of them
+	report      func(d *daemon) *peer.UseReport
+	sequence    uint64
+	ticks       int
+}
+
+// start begins a new life with nothing but the settings.
+func (d *daemon) start() {
+	f := d.fleet
+	d.up = true
+	d.life++
+	d.hello.Incarnation = uint64(f.now) + uint64(d.life)
+	seeds := []peer.Address{{HostPort: f.daemons[0].hello.PeerAddress}, {HostPort: f.daemons[len(f.daemons)/2].hello.PeerAddress}}
+	d.member = member.New(member.Config{Self: d.hello, MaxLinks: f.links, Seeds: seeds})
+	d.config = config.New(config.Config{})
+	d.routes = member.NewUseRoutes(d.hello, nil, f.links)
+	d.seen = member.Sequences{}
+	d.links, d.heardAt = nil, 0
+	d.watching, d.listed, d.retrying, d.position = false, false, false, 0
+	d.installedAt, d.lastVersion = map[uint64]boottime.Time{}, 0
+	d.tick()
+	d.check()
+	d.bookmark()
+}
+
+// kill ends a life without a word; the kernel closes its connections.
+func (d *daemon) kill() {
+	d.up = false
+	d.life++
+	for _, p := range d.fleet.pairs() {
+		if p.a == d.hello.Name || p.b == d.hello.Name {
+			d.fleet.disconnect(p)
+		}
+	}
+}
+
+// during runs f if the daemon is still in the given life, after a pause if it is
+// paused.
+func (d *daemon) during(life int, f func()) {
+	if !d.up || d.life != life {
+		return
+	}
+	if wait := d.pausedUntil.Sub(d.fleet.now); wait > 0 {
+		d.fleet.after(wait, func() { d.during(life, f) })
+		return
+	}
+	f()
+}
+
+func (d *daemon) later(after time.Duration, f func()) {
+	life := d.life
+	d.fleet.after(after, func() { d.during(life, f) })
+}
+
+func (d *daemon) wants(other *daemon) bool {
+	for _, a := range d.links {
+		if a.Name == other.hello.Name || a.HostPort == other.hello.PeerAddress {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *daemon) tick() {
+	d.stepMember(member.Tick{})
+	d.reportUse()
+	if d.watching {
+		d.traffic.watchSeconds++
+	}
+	d.later(heartbeat, d.tick)
+}
+
+func (d *daemon) reportUse() {
+	d.ticks++
+	if d.report == nil || d.ticks%member.ReportEvery(d.routes.Gateways()) != 0 {
+		return
+	}
+	d.sequence++
+	r := d.report(d)
+	r.Origin, r.Sequence = d.hello.Name, d.sequence
+	for _, to := range d.routes.Next(r.Origin) {
+		d.fleet.send(d, to, peer.Envelope{Use: r})
+	}
+}
+
+func (d *daemon) connected(p peer.Hello) {
+	d.later(0, func() { d.stepMember(member.Connected{Peer: p}) })
+}
+
+func (d *daemon) disconnected(name string) { d.stepMember(member.Disconnected{Name: name}) }
+
+// deliver handles a message unless its connection is closed by now.
+func (d *daemon) deliver(c *conn, from peer.Hello, data []byte) {
+	d.during(d.life, func() {
+		if c.closed {
+			return
+		}
+		e, err := peer.Decode(data)
+		if err != nil {
+			d.fleet.fail("%s cannot decode: %v", d.hello.Name, err)
+			return
+		}
+		d.traffic.received(e, len(data))
+		d.receive(from, e)
+	})
+}
+
+func (d *daemon) receive(from peer.Hello, e peer.Envelope) {
+	switch {
+	case e.Heartbeat != nil:
+		d.stepMember(member.HeartbeatReceived{From: from.Name, Heartbeat: *e.Heartbeat})
+	case e.Use != nil:
+		if !d.seen.First(*e.Use) {
+			return
+		}
+		for _, to := range d.routes.Next(e.Use.Origin) {
+			d.fleet.send(d, to, e)
+		}
+	case e.Delta != nil:
+		d.stepConfig(config.DeltaReceived{From: from.Name, Delta: *e.Delta})
+	case e.Snapshot != nil:
+		d.stepConfig(config.SnapshotReceived{From: from.Name, Snapshot: *e.Snapshot})
+	case e.Fetch != nil:
+		d.stepConfig(config.FetchReceived{From: from.Name, Fetch: *e.Fetch})
+	}
+}
+
+func (d *daemon) stepMember(e member.Event) {
+	for _, a := range d.member.Step(d.fleet.now, e) {
+		switch a := a.(type) {
+		case member.SendHeartbeat:
+			d.fleet.send(d, a.To, peer.Envelope{Heartbeat: &a.Heartbeat})
+		case member.SetLinks:
+			d.links = a.Addresses
+		case member.PeerVersion:
+			d.heardAt = d.fleet.now
+			d.stepConfig(config.PeerVersion{From: a.From, Applied: a.Applied})
+		case member.Changed:
+			d.routes = member.NewUseRoutes(d.hello, d.member.Members(), d.fleet.links)
+		}
+	}
+}
+
+// stepConfig reports whether the core wants a new list.
+func (d *daemon) stepConfig(e config.Event) (relist bool) {
+	f := d.fleet
+	for _, a := range d.config.Step(f.now, e) {
+		switch a := a.(type) {
+		case config.Install:
+			d.install(a.Snapshot)
+		case config.SendDelta:
+			d.sendDelta(a)
+		case config.SendSnapshot:
+			f.send(d, a.To, peer.Envelope{Snapshot: &a.Snapshot})
+		case config.SendFetch:
+			f.send(d, a.To, peer.Envelope{Fetch: &a.Fetch})
+		case config.Relist:
+			relist = true
+		}
+	}
+	return relist
+}
+
+func (d *daemon) install(s *config.Snapshot) {
+	if d.fleet.installed != nil {
+		d.fleet.installed(d, s)
+	}
+	d.installedAt[s.Version] = d.fleet.now
+	d.stepMember(member.Applied{Version: s.Version})
+	d.stepMember(member.InstancesListed{Instances: s.Instances})
+}
+
+func (d *daemon) sendDelta(a config.SendDelta) {
+	if a.To != "" {
+		d.fleet.send(d, a.To, peer.Envelope{Delta: &a.Delta})
+		return
+	}
+	for _, m := range d.member.Members() {
+		if m.Connected && m.Name != a.Except {
+			d.fleet.send(d, m.Name, peer.Envelope{Delta: &a.Delta})
+		}
+	}
+}
+
+// check starts and ends the watch as this daemon has to hold one or not.
+func (d *daemon) check() {
+	hears := d.heardAt != 0 && d.fleet.now.Sub(d.heardAt) <= config.DefaultLoneAfter
+	var live []config.Candidate
+	for _, m := range d.member.Members() {
+		if m.State == member.Live {
+			live = append(live, config.Candidate{Name: m.Name, Zone: m.Zone})
+		}
+	}
+	must := config.MustWatch(d.hello.Name, d.hello.Zone, d.config.Snapshot() != nil, hears, live)
+	if must && !d.watching {
+		d.watching, d.listed = true, false
+		d.later(platformTrip, d.pump)
+	}
+	d.watching = must
+	d.later(checkEvery, d.check)
+}
+
+// pump lists if needed and delivers what the watch has.
+func (d *daemon) pump() {
+	if !d.watching || d.retrying {
+		return
+	}
+	f := d.fleet
+	if !f.platformOpen(d.hello.Zone) {
+		d.traffic.platformCalls++
+		d.retry()
+		return
+	}
+	if !d.listed && !d.list() {
+		d.retry()
+		return
+	}
+	events, ok := f.store.after(d.position)
+	if !ok {
+		d.listed = false
+		d.retry()
+		return
+	}
+	for _, e := range events {
+		if d.stepConfig(config.WatchEvent{Event: e}) {
+			d.listed = false
+			d.retry()
+			return
+		}
+		d.position = e.Object.Version
+	}
+}
+
+// list reads all kinds twice, as the shell does.
+func (d *daemon) list() bool {
+	d.traffic.platformCalls += 2 * len(resource.WatchedKinds)
+	d.listed = !d.stepConfig(d.fleet.store.list())
+	d.position = d.config.Position()
+	d.traffic.platformCalls++ // the watch
+	return d.listed
+}
+
+func (d *daemon) retry() {
+	d.retrying = true
+	d.later(maxRetry/2+d.fleet.phase(maxRetry/2), func() {
+		d.retrying = false
+		d.pump()
+	})
+}
+
+// bookmark tells a watch that it has everything.
+func (d *daemon) bookmark() {
+	f := d.fleet
+	if d.watching && d.listed && !d.retrying && f.platformOpen(d.hello.Zone) && d.position >= f.store.newest() {
+		d.position = f.store.version
+		d.stepConfig(config.WatchEvent{Event: platform.Event{Type: platform.Bookmark, Object: platform.Object{Version: d.position}}})
+	}
+	d.later(bookmarkEvery, d.bookmark)
+}
--- /dev/null
+++ b/internal/bench/fanout/failure_test.go
@@ -0,0 +1,158 @@
+package fanout
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const (
+	failureSeeds   = 100
+	failureDaemons = 7
+	failureZones   = 3
+)
+
+// faults that can be switched on; fleet.heal ends them.
+var faults = []struct {
+	name  string
+	begin func(f *fleet)
+}{
+	{"messages lost", func(f *fleet) { f.lose = 0.4 }},
+	{"messages doubled", func(f *fleet) { f.duplicate = 0.5 }},
+	{"messages in another order", func(f *fleet) { f.jitter = 3 * time.Second }},
+	{"zone cut off", func(f *fleet) { f.cut["zone-1"] = true }},
+	{"zone cut off from the platform", func(f *fleet) { f.cutPlatform["zone-2"] = true }},
+	{"zone cut off from both", func(f *fleet) { f.cut["zone-0"], f.cutPlatform["zone-0"] = true, true }},
+	{"store outage", func(f *fleet) { f.store.out = true }},
+	{"stale lists and short history", func(f *fleet) { f.store.listLag, f.store.history = 3, 2 }},
+	{"daemons killed", func(f *fleet) { f.each(3, func(d *daemon) { d.kill() }) }},
+	{"daemons restarted", func(f *fleet) { f.each(4, func(d *daemon) { d.kill(); d.start() }) }},
+	{"daemons paused", func(f *fleet) { f.each(3, func(d *daemon) { d.pausedUntil = f.now.Add(12 * time.Second) }) }},
+	{"all restarted", func(f *fleet) { f.each(failureDaemons, func(d *daemon) { d.kill(); d.start() }) }},
+}
+
+// each does something to a random part of the daemons.
+func (f *fleet) each(n int, do func(d *daemon)) {
+	for _, i := range f.random.Perm(len(f.daemons))[:n] {
+		do(f.daemons[i])
+	}
+}
+
+// keepWriting changes a few objects at random: they are made, changed, deleted and
+// made again.
+func (f *fleet) keepWriting(until time.Duration) {
+	if time.Duration(f.now) > until {
+		return
+	}
+	if !f.store.out {
+		name := fmt.Sprint("m-", f.random.IntN(5))
+		_, exists := f.store.objects[objectKey{resource.KindModel, name}]
+		switch {
+		case exists && f.random.IntN(3) == 0:
+			f.changed(f.store.remove(resource.KindModel, name))
+		default:
+			f.changed(f.store.put(resource.KindModel, name, `{"contextTokens":8}`))
+		}
+		for range f.random.IntN(4) {
+			f.store.writeOther()
+		}
+	}
+	f.after(f.phase(2*time.Second), func() { f.keepWriting(until) })
+}
+
+// watchVersions fails when the version in force falls at a daemon, or when an
+// object goes back to an earlier form or comes back after its deletion.
+func (f *fleet) watchVersions() {
+	f.installed = func(d *daemon, s *config.Snapshot) {
+		if former := d.config.Snapshot(); d.lastVersion > s.Version || former != s {
+			f.fail("%s: version %d in force after %d", d.hello.Name, s.Version, d.lastVersion)
+		}
+		d.lastVersion = s.Version
+		for name, version := range d.config.ObjectVersions(resource.KindModel) {
+			if next := f.store.changedAfter(resource.KindModel, name, version); next != 0 && next <= s.Version {
+				f.fail("%s: version %d has model %s of %d, which changed at %d", d.hello.Name, s.Version, name, version, next)
+			}
+		}
+	}
+}
+
+// converged fails unless every daemon has the newest configuration and knows that
+// all others have it.
+func (f *fleet) converged() {
+	newest := f.store.newest()
+	for _, d := range f.daemons {
+		if d.config.Version() != newest {
+			f.fail("%s has version %d, newest is %d", d.hello.Name, d.config.Version(), newest)
+		}
+		if got, want := d.config.ObjectVersions(resource.KindModel), f.store.versions(resource.KindModel); fmt.Sprint(got) != fmt.Sprint(want) {
+			f.fail("%s has models %v, want %v", d.hello.Name, got, want)
+		}
+		for _, m := range d.member.Members() {
+			if m.Applied != newest || m.State != member.Live {
+				f.fail("%s sees %s %s at version %d", d.hello.Name, m.Name, m.State, m.Applied)
+			}
+		}
+	}
+}
+
+func TestTwoFaultsTogether(t *testing.T) {
+	for seed := range uint64(failureSeeds) {
+		first := faults[seed%uint64(len(faults))]
+		second := faults[(seed/uint64(len(faults))+seed+1)%uint64(len(faults))]
+		t.Run(fmt.Sprintf("%d %s, %s", seed, first.name, second.name), func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(seed, failureDaemons, failureZones)
+			f.watchVersions()
+			f.startAll()
+			f.after(time.Second, func() { f.keepWriting(45 * time.Second) })
+			f.run(10*time.Second + f.phase(5*time.Second))
+			first.begin(f)
+			f.run(f.phase(5 * time.Second))
+			second.begin(f)
+			f.run(20 * time.Second)
+			f.heal()
+			f.run(40 * time.Second)
+			f.converged()
+			for i, failure := range f.failures {
+				if i < 5 {
+					t.Error(failure)
+				}
+			}
+		})
+	}
+}
+
+func TestStartDuringAnOutageTakesThePeersConfiguration(t *testing.T) {
+	f := newFleet(1, failureDaemons, failureZones)
+	f.startAll()
+	f.after(time.Second, func() { f.keepWriting(5 * time.Second) })
+	f.run(10 * time.Second)
+	f.store.out = true
+	late := f.daemons[3]
+	late.kill()
+	f.run(5 * time.Second)
+	late.start()
+	f.run(15 * time.Second)
+	if got, want := late.config.Version(), f.store.newest(); got != want {
+		t.Errorf("version %d, want %d", got, want)
+	}
+}
+
+func TestSteadyFleetHoldsTwoWatchesPerZone(t *testing.T) {
+	f := newFleet(1, 24, 3)
+	f.startAll()
+	f.run(30 * time.Second)
+	watches := 0
+	for _, d := range f.daemons {
+		if d.watching {
+			watches++
+		}
+	}
+	if watches != 3*config.RelaysPerZone {
+		t.Errorf("%d watches", watches)
+	}
+}
--- /dev/null
+++ b/internal/bench/fanout/fleet.go
@@ -0,0 +1,117 @@
+package fanout
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+)
+
+// Times of the fake network and of the daemons' shells.
+const (
+	hopInZone      = 500 * time.Microsecond // one way
+	hopAcrossZones = 1500 * time.Microsecond
+	platformTrip   = 5 * time.Millisecond // there and back
+	heartbeat      = member.DefaultInterval
+	checkEvery     = config.DefaultCheckEvery
+	redialEvery    = time.Second
+	pingDetects    = 10 * time.Second // a silent connection is closed after this
+	bookmarkEvery  = 5 * time.Second
+	maxRetry       = 5 * time.Second // between tries at the platform
+)
+
+// fleet is a set of daemons with their cores, a network and a store.
+type fleet struct {
+	timeline
+	random  *rand.Rand
+	store   *store
+	daemons []*daemon
+	byName  map[string]*daemon
+	conns   map[pair]*conn
+	links   int
+
+	// faults
+	lose, duplicate float64         // share of messages to peers
+	jitter          time.Duration   // added to messages at random, so that they overtake each other
+	cut             map[string]bool // zones cut off from other zones
+	cutPlatform     map[string]bool // zones cut off from the platform
+
+	installed func(d *daemon, s *config.Snapshot) // called before a snapshot is swapped
+	failures  []string
+}
+
+// newFleet makes n daemons in zones. Every second one is a controller.
+func newFleet(seed uint64, n, zones int) *fleet {
+	f := &fleet{
+		random: rand.New(rand.NewPCG(seed, uint64(n))),
+		store:  newStore(),
+		byName: map[string]*daemon{},
+		conns:  map[pair]*conn{},
+		links:  member.DefaultMaxLinks,
+		cut:    map[string]bool{}, cutPlatform: map[string]bool{},
+	}
+	for i := range n {
+		role := member.RoleGateway
+		if (i/zones)%2 == 1 {
+			role = member.RoleController
+		}
+		name := fmt.Sprintf("%s-%03d", role, i)
+		zone := fmt.Sprintf("zone-%d", i%zones)
+		d := &daemon{fleet: f, hello: peer.Hello{Name: name, Role: role, Zone: zone, PeerAddress: name + ":7000"}}
+		f.daemons = append(f.daemons, d)
+		f.byName[name] = d
+		f.store.putInstance(name, role, zone, d.hello.PeerAddress)
+	}
+	return f
+}
+
+// startAll starts every daemon within one heartbeat interval.
+func (f *fleet) startAll() {
+	for _, d := range f.daemons {
+		f.after(f.phase(heartbeat), d.start)
+	}
+	f.redial()
+}
+
+// phase gives a random part of a duration.
+func (f *fleet) phase(d time.Duration) time.Duration {
+	return time.Duration(f.random.Int64N(int64(d)))
+}
+
+func (f *fleet) run(d time.Duration) { f.runUntil(f.now.Add(d)) }
+
+// changed lets the watches deliver a change.
+func (f *fleet) changed(platform.Event) {
+	for _, d := range f.daemons {
+		life := d.life
+		f.after(platformTrip/2, func() { d.during(life, d.pump) })
+	}
+}
+
+// heal ends all faults.
+func (f *fleet) heal() {
+	f.lose, f.duplicate, f.jitter = 0, 0, 0
+	f.store.out = false
+	f.store.listLag = 0
+	clear(f.cut)
+	clear(f.cutPlatform)
+	for _, d := range f.daemons {
+		if !d.up {
+			d.start()
+		}
+	}
+}
+
+// open reports whether a message can go from one zone to another.
+func (f *fleet) open(a, b string) bool { return a == b || (!f.cut[a] && !f.cut[b]) }
+
+// platformOpen reports whether a zone reaches the platform.
+func (f *fleet) platformOpen(zone string) bool { return !f.store.out && !f.cutPlatform[zone] }
+
+func (f *fleet) fail(format string, args ...any) {
+	f.failures = append(f.failures, fmt.Sprintf("%v: ", time.Duration(f.now))+fmt.Sprintf(format, args...))
+}
--- /dev/null
+++ b/internal/bench/fanout/network.go
@@ -0,0 +1,149 @@
+package fanout
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+)
+
+// pair names the two ends of a connection, the smaller name first.
+type pair struct{ a, b string }
+
+func pairOf(a, b string) pair { return pair{min(a, b), max(a, b)} }
+
+// conn is a connection between two daemons.
+type conn struct {
+	lives   [2]int // of both ends, in order of the pair
+	arrives [2]boottime.Time
+	silent  time.Duration // how long the path has been cut
+	closed  bool
+}
+
+func hop(a, b *daemon) time.Duration {
+	if a.hello.Zone == b.hello.Zone {
+		return hopInZone
+	}
+	return hopAcrossZones
+}
+
+// redial opens the connections that daemons want and closes those that are dead
+// or wanted by neither end.
+func (f *fleet) redial() {
+	for _, d := range f.daemons {
+		for _, address := range d.links {
+			other := f.at(address)
+			if d.up && other != nil && other != d && other.up && f.open(d.hello.Zone, other.hello.Zone) {
+				f.connect(d, other)
+			}
+		}
+	}
+	for _, p := range f.pairs() {
+		c, a, b := f.conns[p], f.byName[p.a], f.byName[p.b]
+		c.silent += redialEvery
+		if f.open(a.hello.Zone, b.hello.Zone) {
+			c.silent = 0
+		}
+		if c.silent > pingDetects || !(a.wants(b) || b.wants(a)) {
+			f.disconnect(p)
+		}
+	}
+	f.after(redialEvery, f.redial)
+}
+
+// pairs lists the connections in a fixed order.
+func (f *fleet) pairs() []pair {
+	out := make([]pair, 0, len(f.conns))
+	for p := range f.conns {
+		out = append(out, p)
+	}
+	slices.SortFunc(out, func(x, y pair) int {
+		return cmp.Or(cmp.Compare(x.a, y.a), cmp.Compare(x.b, y.b))
+	})
+	return out
+}
+
+// at finds the daemon that listens at an address.
+func (f *fleet) at(a peer.Address) *daemon {
+	if d := f.byName[a.Name]; d != nil {
+		return d
+	}
+	for _, d := range f.daemons {
+		if d.hello.PeerAddress == a.HostPort {
+			return d
+		}
+	}
+	return nil
+}
+
+func (f *fleet) connect(from, to *daemon) {
+	p := pairOf(from.hello.Name, to.hello.Name)
+	if f.conns[p] != nil {
+		return
+	}
+	a, b := f.byName[p.a], f.byName[p.b]
+	c := &conn{lives: [2]int{a.life, b.life}}
+	f.conns[p] = c
+	const handshakeHops = 6 // TCP, WebSocket and the peer handshake
+	f.after(handshakeHops*hop(a, b), func() {
+		if !c.closed {
+			a.connected(b.hello)
+			b.connected(a.hello)
+		}
+	})
+}
+
+func (f *fleet) disconnect(p pair) {
+	c := f.conns[p]
+	if c == nil {
+		return
+	}
+	c.closed = true
+	delete(f.conns, p)
+	a, b := f.byName[p.a], f.byName[p.b]
+	a.during(c.lives[0], func() { a.disconnected(p.b) })
+	b.during(c.lives[1], func() { b.disconnected(p.a) })
+}
+
+// send carries an encoded message over the connection of two daemons.
+func (f *fleet) send(from *daemon, to string, e peer.Envelope) {
+	c := f.conns[pairOf(from.hello.Name, to)]
+	if c == nil {
+		return
+	}
+	e.V = peer.ProtocolVersion
+	data, err := peer.Encode(e)
+	if err != nil {
+		f.fail("%s cannot send: %v", from.hello.Name, err)
+		return
+	}
+	from.traffic.sent(e, len(data))
+	target := f.byName[to]
+	if !f.open(from.hello.Zone, target.hello.Zone) || f.random.Float64() < f.lose {
+		return
+	}
+	copies := 1
+	if f.random.Float64() < f.duplicate {
+		copies = 2
+	}
+	for range copies {
+		f.after(f.delay(c, from, target), func() { target.deliver(c, from.hello, data) })
+	}
+}
+
+// delay keeps the order of a connection's messages unless they are jittered.
+func (f *fleet) delay(c *conn, from, to *daemon) time.Duration {
+	d := hop(from, to)
+	if f.jitter > 0 {
+		return d + f.phase(f.jitter)
+	}
+	side := 0
+	if from.hello.Name > to.hello.Name {
+		side = 1
+	}
+	at := max(f.now.Add(d), c.arrives[side])
+	c.arrives[side] = at
+	return at.Sub(f.now)
+}
--- /dev/null
+++ b/internal/bench/fanout/timeline.go
@@ -0,0 +1,59 @@
+package fanout
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+)
+
+// timeline runs functions in the order of virtual time.
+type timeline struct {
+	now   boottime.Time
+	count uint64 // orders functions of the same time
+	queue schedule
+}
+
+type entry struct {
+	at    boottime.Time
+	order uint64
+	run   func()
+}
+
+// after runs f when d has passed.
+func (t *timeline) after(d time.Duration, f func()) {
+	t.count++
+	heap.Push(&t.queue, entry{at: t.now.Add(d), order: t.count, run: f})
+}
+
+// runUntil runs everything that is due up to a time.
+func (t *timeline) runUntil(end boottime.Time) {
+	for len(t.queue) > 0 && !end.Before(t.queue[0].at) {
+		e := heap.Pop(&t.queue).(entry)
+		t.now = e.at
+		e.run()
+	}
+	t.now = end
+}
+
+type schedule []entry
+
+func (s schedule) Len() int { return len(s) }
+
+func (s schedule) Less(i, j int) bool {
+	if s[i].at != s[j].at {
+		return s[i].at.Before(s[j].at)
+	}
+	return s[i].order < s[j].order
+}
+
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+
+func (s *schedule) Push(x any) { *s = append(*s, x.(entry)) }
+
+func (s *schedule) Pop() any {
+	last := len(*s) - 1
+	e := (*s)[last]
+	*s = (*s)[:last]
+	return e
+}
--- /dev/null
+++ b/internal/bench/fanout/traffic.go
@@ -0,0 +1,41 @@
+package fanout
+
+import "github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+
+// topic is what a message is about.
+type topic int
+
+const (
+	topicHeartbeat topic = iota
+	topicConfig
+	topicUse
+	topics
+)
+
+func topicOf(e peer.Envelope) topic {
+	switch {
+	case e.Heartbeat != nil:
+		return topicHeartbeat
+	case e.Use != nil:
+		return topicUse
+	}
+	return topicConfig
+}
+
+// traffic counts what one daemon sends, receives and asks of the platform.
+type traffic struct {
+	messagesOut, messagesIn int
+	bytesOut, bytesIn       [topics]int
+	platformCalls           int
+	watchSeconds            int // a waiting watch counts as a call
+}
+
+func (t *traffic) sent(e peer.Envelope, bytes int) {
+	t.messagesOut++
+	t.bytesOut[topicOf(e)] += bytes
+}
+
+func (t *traffic) received(e peer.Envelope, bytes int) {
+	t.messagesIn++
+	t.bytesIn[topicOf(e)] += bytes
+}
--- a/internal/process/member/core.go
+++ b/internal/process/member/core.go
@@ -193,6 +193,7 @@
 		r.pass(pendingFull, h.Name)
 	}
 	r.connected = true
+	r.direct = true
 	r.heardAt = now
 	if r.suspect {
 		r.suspect = false
--- /dev/null
+++ b/internal/process/member/core_test.go
@@ -0,0 +1,197 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+func hello(name string, incarnation uint64) peer.Hello {
+	return peer.Hello{Name: name, Role: RoleGateway, Zone: "z", PeerAddress: name + ":1", Incarnation: incarnation}
+}
+
+func row(name string, incarnation, beat uint64) peer.MemberRow {
+	r := rowOf(hello(name, incarnation))
+	r.Beat = beat
+	return r
+}
+
+func suspected(r peer.MemberRow) peer.MemberRow {
+	r.Suspected = true
+	return r
+}
+
+func leaving(r peer.MemberRow) peer.MemberRow {
+	r.Leaving = true
+	return r
+}
+
+func gossip(from string, beat uint64, rows ...peer.MemberRow) HeartbeatReceived {
+	return HeartbeatReceived{From: from, Heartbeat: peer.Heartbeat{Beat: beat, Rows: rows}}
+}
+
+func instances(state resource.InstanceState, names ...string) InstancesListed {
+	l := InstancesListed{Instances: map[string]resource.Instance{"r-1": {Role: roleUpstream, Zone: "z", State: state}}}
+	for _, n := range names {
+		l.Instances[n] = resource.Instance{Role: RoleGateway, Zone: "z", PeerAddress: n + ":1", State: state}
+	}
+	return l
+}
+
+// timed is an event at a time in seconds.
+type timed struct {
+	at    int
+	event Event
+}
+
+// ticks are ticks each second; while they run, the connected peer a beats.
+func ticks(from, to int) []timed {
+	var out []timed
+	for s := from; s <= to; s++ {
+		out = append(out, timed{s, Tick{}}, timed{s, gossip("a", uint64(s)+1000)})
+	}
+	return out
+}
+
+func find(c *Core, name string) (Member, bool) {
+	for _, m := range c.Members() {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+func TestCoreStates(t *testing.T) {
+	up := []timed{{0, Connected{hello("a", 1)}}}
+	upB := append(up, timed{0, Connected{hello("b", 1)}}, timed{0, gossip("b", 5)})
+	remote := append(up, timed{0, gossip("a", 1, row("b", 7, 5))})
+	tests := []struct {
+		name        string
+		events      []timed
+		state       State // of b; empty: not known
+		incarnation uint64
+	}{
+		{"never heard of", up, "", 0},
+		{"only listed", []timed{{0, instances(resource.InstanceLive, "b")}}, Live, 0},
+		{"only listed, then silent", append([]timed{{0, instances(resource.InstanceLive, "b")}}, ticks(1, 20)...), Suspected, 0},
+		{"upstreams are no members", []timed{{0, instances(resource.InstanceLive)}}, "", 0},
+		{"connected", upB, Live, 1},
+		{"connected but silent", append(upB, ticks(1, 4)...), Suspected, 1},
+		{"connected, not silent long enough", append(upB, ticks(1, 3)...), Live, 1},
+		{"disconnected and silent", append(append(upB, timed{1, Disconnected{"b"}}), ticks(1, 2)...), Suspected, 1},
+		{"silent, then heard", append(append(upB, ticks(1, 6)...), timed{7, gossip("b", 6)}), Live, 1},
+		{"suspected is not gone while listed", append(append(upB, timed{0, instances(resource.InstanceLive, "b")}), ticks(1, 700)...), Suspected, 1},
+		{"silent and not listed", append(append(upB, timed{1, Disconnected{"b"}}), ticks(1, 301)...), Gone, 1},
+		{"forgotten in the end", append(append(upB, timed{1, Disconnected{"b"}}), ticks(1, 601)...), "", 0},
+		{"told by a neighbor", remote, Live, 7},
+		{"told, then silent", append(remote, ticks(1, 12)...), Suspected, 7},
+		{"a neighbor suspects it", append(remote, timed{1, gossip("a", 2, suspected(row("b", 7, 5)))}), Suspected, 7},
+		{"an old suspicion", append(remote, timed{1, gossip("a", 2, suspected(row("b", 7, 4)))}), Live, 7},
+		{"a refuted suspicion", append(remote, timed{1, gossip("a", 2, suspected(row("b", 7, 5)))}, timed{2, gossip("a", 3, row("b", 7, 6))}), Live, 7},
+		{"a suspicion while heard here", append(upB, timed{1, gossip("a", 2, suspected(row("b", 1, 5)))}), Live, 1},
+		{"a suspicion of someone unknown", append(up, timed{1, gossip("a", 2, suspected(row("b", 7, 5)))}), "", 0},
+		{"leaving", append(remote, timed{1, gossip("a", 2, leaving(row("b", 7, 6)))}), Leaving, 7},
+		{"leaving as the platform says", append(remote, timed{1, instances(resource.InstanceLeaving, "b")}), Leaving, 7},
+		{"a late row does not undo leaving", append(remote, timed{1, gossip("a", 2, leaving(row("b", 7, 6)))}, timed{2, gossip("a", 3, row("b", 7, 7))}), Leaving, 7},
+		{"left", append(append(upB, timed{1, gossip("b", 6, leaving(row("b", 1, 6)))}, timed{1, Disconnected{"b"}}), ticks(1, 4)...), Gone, 1},
+		{"restarted, as heard", append(remote, timed{1, gossip("a", 2, row("b", 8, 1))}), Live, 8},
+		{"its predecessor's row comes late", append(remote, timed{1, gossip("a", 2, row("b", 6, 99))}), Live, 7},
+		{"restarted with the clock set back", append(append(remote, ticks(1, 15)...), timed{16, gossip("a", 2000, row("b", 6, 1))}), Live, 6},
+		{"restarted, as its connection shows", append(upB, timed{1, Connected{hello("b", 9)}}, timed{1, gossip("a", 2, row("b", 10, 1))}), Live, 9},
+		{"restarted after leaving", append(remote, timed{1, gossip("a", 2, leaving(row("b", 7, 6)))}, timed{2, gossip("a", 3, row("b", 8, 1))}), Live, 8},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := New(Config{Self: hello("self", 1)})
+			for _, e := range tt.events {
+				c.Step(boottime.Time(time.Duration(e.at)*time.Second), e.event)
+			}
+			m, known := find(c, "b")
+			if known != (tt.state != "") || m.State != tt.state || m.Incarnation != tt.incarnation {
+				t.Errorf("known %v, state %q, incarnation %d; want %q, %d", known, m.State, m.Incarnation, tt.state, tt.incarnation)
+			}
+		})
+	}
+}
+
+// lastLinks gives the links of the last SetLinks among the actions.
+func lastLinks(actions []Action) ([]peer.Address, bool) {
+	var links []peer.Address
+	set := false
+	for _, a := range actions {
+		if l, ok := a.(SetLinks); ok {
+			links, set = l.Addresses, true
+		}
+	}
+	return links, set
+}
+
+func TestCoreLinks(t *testing.T) {
+	seed := peer.Address{HostPort: "seed:1"}
+	c := New(Config{Self: hello("self", 1), Seeds: []peer.Address{seed}})
+	links, _ := lastLinks(c.Step(0, Tick{}))
+	if len(links) != 1 || links[0] != seed {
+		t.Fatalf("links while nobody is known: %v", links)
+	}
+	links, _ = lastLinks(c.Step(0, instances(resource.InstanceLive, "a", "b")))
+	if len(links) != 2 || links[0] != (peer.Address{Name: "a", HostPort: "a:1"}) {
+		t.Fatalf("links to listed daemons: %v", links)
+	}
+	if _, set := lastLinks(c.Step(0, Connected{hello("a", 1)})); set {
+		t.Error("links were set again without need")
+	}
+}
+
+func TestCorePassesOnNews(t *testing.T) {
+	c := New(Config{Self: hello("self", 1)})
+	c.Step(0, Connected{hello("a", 1)})
+	c.Step(0, Connected{hello("b", 1)})
+	c.Step(0, Tick{})
+	c.Step(0, gossip("a", 1, row("c", 7, 5)))
+	rows := map[string]int{}
+	for _, a := range c.Step(1, Tick{}) {
+		if send, ok := a.(SendHeartbeat); ok {
+			for _, r := range send.Heartbeat.Rows {
+				if r.Name == "c" {
+					rows[send.To]++
+				}
+			}
+		}
+	}
+	if rows["b"] != 1 || rows["a"] != 0 {
+		t.Errorf("rows of c sent: %v, want one to b and none back to a", rows)
+	}
+}
+
+func TestCoreAppliedIsKnownAcrossAHop(t *testing.T) {
+	c := New(Config{Self: hello("self", 1)})
+	c.Step(0, Connected{hello("a", 1)})
+	c.Step(0, gossip("a", 1, row("c", 7, 5)))
+	h := peer.Heartbeat{Beat: 2, Applied: 100, Beats: []peer.BeatRow{{ID: RowID("c", 7), Beat: 6, Lag: 60}}}
+	c.Step(0, HeartbeatReceived{From: "a", Heartbeat: h})
+	if m, _ := find(c, "c"); m.Applied != 40 {
+		t.Errorf("applied at c %d, want 40", m.Applied)
+	}
+	if m, _ := find(c, "a"); m.Applied != 100 {
+		t.Errorf("applied at a %d, want 100", m.Applied)
+	}
+}
+
+func TestUseReportsAreTakenOnce(t *testing.T) {
+	seen := Sequences{}
+	got := ""
+	for _, n := range []uint64{5, 5, 6, 4, 7, 200, 1, 2} { // from 1 on the gateway has restarted
+		if seen.First(peer.UseReport{Origin: "g", Sequence: n}) {
+			got += "y"
+		} else {
+			got += "n"
+		}
+	}
+	if got != "ynynyyyy" {
+		t.Errorf("taken: %s", got)
+	}
+}
--- a/internal/process/member/gossip.go
+++ b/internal/process/member/gossip.go
@@ -131,9 +131,7 @@
 	h := e.Heartbeat
 	from.heard(now, h.Beat)
 	from.row.Applied = h.Applied
-	if from.source == e.From {
-		from.source = ""
-	}
+	from.direct = true
 	for _, row := range h.Rows {
 		c.mergeRow(now, e.From, row)
 	}
@@ -149,6 +147,7 @@
 		return
 	}
 	r.source = from
+	r.direct = false
 	r.row.Applied = applied - uint64(row.Lag)
 	r.heard(now, row.Beat)
 }
@@ -202,6 +201,7 @@
 	r.row = row
 	r.row.Leaving = leaving
 	r.source = from
+	r.direct = from == row.Name
 	r.heard(now, row.Beat)
 }
 
--- a/internal/process/member/record.go
+++ b/internal/process/member/record.go
@@ -31,6 +31,7 @@
 
 	state       State // at the last evaluation
 	pending     pending
+	direct      bool   // the latest word came over its own connection, so that silence means something
 	source      string // peer that told the latest; it is not told again
 	relayedBeat uint64
 	relayed     uint64 // applied version last passed on
--- a/internal/process/member/service.go
+++ b/internal/process/member/service.go
@@ -48,7 +48,7 @@
 	mu       sync.Mutex
 	core     *Core
 	routes   *UseRoutes
-	seen     sequences
+	seen     Sequences
 	sequence uint64
 	ticks    int
 
@@ -77,7 +77,7 @@
 		every:   cmp.Or(cfg.Core.Interval, DefaultInterval),
 		core:    New(cfg.Core),
 		routes:  NewUseRoutes(cfg.Hub.Self, nil, DefaultMaxLinks),
-		seen:    sequences{},
+		seen:    Sequences{},
 		stop:    make(chan struct{}),
 	}
 	hub, err := peer.NewHub(cfg.Hub, hubHandler{s})
@@ -204,7 +204,7 @@
 func (s *Service) reportUse() {
 	s.mu.Lock()
 	s.ticks++
-	due := s.ticks%reportEvery(s.routes.Gateways()) == 0
+	due := s.ticks%ReportEvery(s.routes.Gateways()) == 0
 	s.mu.Unlock()
 	if !due {
 		return
@@ -227,7 +227,7 @@
 // useReceived passes a report on and hands it to the handler, once.
 func (s *Service) useReceived(r peer.UseReport) {
 	s.mu.Lock()
-	first := s.seen.first(r)
+	first := s.seen.First(r)
 	next := s.routes.Next(r.Origin)
 	s.mu.Unlock()
 	if !first {
--- a/internal/process/member/state.go
+++ b/internal/process/member/state.go
@@ -53,7 +53,7 @@
 		if r.connected {
 			limit = suspectBeats * c.cfg.Interval
 		}
-		if silence >= limit && c.heardDirectly(r) {
+		if silence >= limit && (r.direct || r.connected) {
 			r.suspectAt(r.row.Beat)
 			r.pass(pendingFull, "")
 			return true
@@ -62,10 +62,6 @@
 	return silence > c.remoteSilence()
 }
 
-// heardDirectly reports whether the latest word of a daemon came from itself, so
-// that its silence means something.
-func (c *Core) heardDirectly(r *record) bool { return r.source == "" || r.connected }
-
 func (c *Core) isNeighbor(name string) bool {
 	return slices.ContainsFunc(c.links, func(a peer.Address) bool { return a.Name == name })
 }
--- a/internal/process/member/use.go
+++ b/internal/process/member/use.go
@@ -46,12 +46,12 @@
 // Gateways is the number of gateways that report in this zone.
 func (u *UseRoutes) Gateways() int { return u.gateways }
 
-// sequences drops reports that came before.
-type sequences map[string]uint64
+// Sequences keeps the latest report of each gateway, so that each is taken once.
+type Sequences map[string]uint64
 
-// first reports whether a report was not seen yet. A sequence number that falls
+// First reports whether a report was not seen yet. A sequence number that falls
 // far back is that of a restarted gateway.
-func (s sequences) first(r peer.UseReport) bool {
+func (s Sequences) First(r peer.UseReport) bool {
 	last, known := s[r.Origin]
 	if known && r.Sequence <= last && last-r.Sequence < restartGap {
 		return false
@@ -69,10 +69,10 @@
 	RoleController = "controller"
 )
 
-// reportEvery is the number of ticks between the use reports of one gateway. Each
+// ReportEvery is the number of ticks between the use reports of one gateway. Each
 // report goes to every daemon of the zone, so that what a daemon gets grows with
 // the number of gateways there; from perTick gateways on they report more rarely.
-func reportEvery(gateways int) int {
+func ReportEvery(gateways int) int {
 	return cmp.Or((gateways+reportsPerTick-1)/reportsPerTick, 1)
 }
 
--- a/internal/version/config/core.go
+++ b/internal/version/config/core.go
@@ -77,6 +77,17 @@
 // Behind reports whether the store is older than what is in force here.
 func (c *Core) Behind() bool { return c.behind }
 
+// ObjectVersions gives the newest known version of each object of a kind.
+func (c *Core) ObjectVersions(kind string) map[string]uint64 {
+	out := map[string]uint64{}
+	for k, e := range c.entries {
+		if k.kind == kind {
+			out[k.name] = e.newest.Version
+		}
+	}
+	return out
+}
+
 // Step handles one event at a time of this machine's clock.
 func (c *Core) Step(now boottime.Time, e Event) []Action {
 	switch e := e.(type) {
--- a/internal/version/config/core_test.go
+++ b/internal/version/config/core_test.go
@@ -82,6 +82,8 @@
 		{"newer snapshot", []Event{snapshotOf(22, model("c", "3", 22))}, 22, "map[c:22]", 0, 0},
 		{"delta", []Event{complete(11, 21, put(model("a", "1", 21)))}, 21, "map[a:21 b:11]", 0, 0},
 		{"delta twice", []Event{complete(11, 21, put(model("a", "1", 21))), complete(11, 21, put(model("a", "1", 21)))}, 21, "map[a:21 b:11]", 0, 0},
+		{"older delta after a newer one", []Event{complete(11, 25, put(model("a", "1", 25))), complete(11, 21, put(model("a", "1", 21)))}, 25, "map[a:25 b:11]", 0, 0},
+		{"old event in a newer delta", []Event{complete(5, 25, put(model("a", "1", 8)), put(model("b", "2", 25)))}, 25, "map[a:10 b:25]", 0, 0},
 		{"delta from the future", []Event{complete(30, 31, put(model("a", "1", 31)))}, 11, "map[a:10 b:11]", 1, 0},
 		{"deltas in the wrong order", []Event{complete(21, 22, deleted("a", 22)), complete(11, 21, put(model("a", "1", 21)))}, 21, "map[a:21 b:11]", 1, 0},
 		{
@@ -189,6 +191,34 @@
 	}
 }
 
+// A relay that lists after a gap does not know what came and went in it. A peer
+// that saw a part of it must not take the relay's next delta for all changes.
+func TestCoreChangesInAGapAreFetched(t *testing.T) {
+	a, x := model("a", "1", 10), model("x", "2", 13) // x is deleted at 14
+	relay, late := New(Config{}), New(Config{})
+	relay.Step(0, listed(20, a))
+	late.Step(0, listed(10, a))
+	late.Step(0, complete(10, 13, put(x)))
+	var delta DeltaReceived
+	for _, action := range relay.Step(0, WatchEvent{put(model("a", "1", 21))}) {
+		if send, ok := action.(SendDelta); ok {
+			delta = DeltaReceived{From: "relay", Delta: send.Delta}
+		}
+	}
+	for _, action := range late.Step(0, delta) {
+		fetch, ok := action.(SendFetch)
+		if !ok {
+			continue
+		}
+		for _, answer := range relay.Step(0, FetchReceived{From: "late", Fetch: fetch.Fetch}) {
+			late.Step(0, SnapshotReceived{From: "relay", Snapshot: answer.(SendSnapshot).Snapshot})
+		}
+	}
+	if got := fmt.Sprint(tokens(late.Snapshot())); got != "map[a:21]" || late.Version() != 21 {
+		t.Errorf("version %d, models %s", late.Version(), got)
+	}
+}
+
 func TestCoreFetchesAgainAfterTimeout(t *testing.T) {
 	c := New(Config{})
 	if n := len(c.Step(0, PeerVersion{From: "p", Applied: 5})); n != 1 {
--- a/internal/version/config/distributor.go
+++ b/internal/version/config/distributor.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -213,21 +212,18 @@
 
 // mustWatch reports whether this daemon has to watch at the platform.
 func (d *Distributor) mustWatch() bool {
-	if d.Current() == nil || d.lone() {
+	if d.cfg.Network == nil {
 		return true
 	}
-	relays := Relays(d.cfg.Zone, d.cfg.Network.Candidates())
-	return slices.Contains(relays, d.cfg.Name)
+	installed := d.Current() != nil
+	return MustWatch(d.cfg.Name, d.cfg.Zone, installed, d.hearsPeers(), d.cfg.Network.Candidates())
 }
 
-// lone reports whether no peer was heard lately.
-func (d *Distributor) lone() bool {
-	if d.cfg.Network == nil {
-		return true
-	}
+// hearsPeers reports whether a peer was heard lately.
+func (d *Distributor) hearsPeers() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.heardAt == 0 || boottime.Now().Sub(d.heardAt) > d.cfg.LoneAfter
+	return d.heardAt != 0 && boottime.Now().Sub(d.heardAt) <= d.cfg.LoneAfter
 }
 
 // supervise starts and ends the watch as this daemon has to hold one or not.
--- a/internal/version/config/relay.go
+++ b/internal/version/config/relay.go
@@ -42,3 +42,12 @@
 	}
 	return names
 }
+
+// MustWatch reports whether a daemon has to hold a watch at the platform: as a
+// relay of its zone, or because it has no configuration yet or hears no peer.
+func MustWatch(name, zone string, installed, hearsPeers bool, live []Candidate) bool {
+	if !installed || !hearsPeers {
+		return true
+	}
+	return slices.Contains(Relays(zone, live), name)
+}
