--- a/internal/request/stream/relay_test.go
+++ b/internal/request/stream/relay_test.go
@@ -89,7 +89,7 @@
 	r := NewRelay(RelayConfig{Attempt: Attempt{RunID: ownRun, Engine: e, Stream: &script{items(ownRun, "a", "b")}}, Tries: 3, Backoff: 1})
 	text, _, err := drain(timeout(t), r)
 	if got := errkind.From(err); text != "ab" || got.Kind != errkind.AnswerIncomplete || got.Run != errkind.Ran {
-		t.Errorf("text %q, error %v", text, err)
+		t.Errorf("text %.40q, error %v", text, err)
 	}
 	if fmt.Sprint(e.resumes) != "[2 2 2]" {
 		t.Errorf("resumed from %v, want three times from 2", e.resumes)
@@ -105,7 +105,7 @@
 	}
 	r := NewRelay(RelayConfig{Attempt: Attempt{RunID: ownRun, Engine: e}, Breaks: 7, Backoff: 1})
 	if text, _, err := drain(timeout(t), r); text != "aaaaaaa" || !errkind.Is(err, errkind.AnswerIncomplete) {
-		t.Errorf("text %q, error %v", text, err)
+		t.Errorf("text %.40q, error %v", text, err)
 	}
 }
 
--- /dev/null
+++ b/internal/standin/service/service_test.go
@@ -0,0 +1,128 @@
+package service
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/goleak"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const wait = 20 * time.Second
+
+// call makes one call and reads its answer.
+func call(t *testing.T, url, method, path, body string, header http.Header) (upstream.ServiceAnswer, string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	client := upstream.NewServices(upstream.HTTPOptions{})
+	defer client.Close()
+	a, err := client.Forward(ctx, upstream.ServiceCall{
+		Address: url, Method: method, Path: path, Header: header, Body: strings.NewReader(body), ContentLength: int64(len(body)),
+	})
+	if err != nil {
+		return a, "", err
+	}
+	defer a.Body.Close()
+	got, err := io.ReadAll(a.Body)
+	return a, string(got), err
+}
+
+func start(t *testing.T, c Config) (*Service, string) {
+	s := New(c)
+	t.Cleanup(s.Close)
+	url, err := s.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, url
+}
+
+func marked(mark string) http.Header { return http.Header{HeaderMark: {mark}} }
+
+func TestEchoAndCount(t *testing.T) {
+	s, url := start(t, Config{Name: "tiles-1"})
+	a, body, err := call(t, url, "POST", "/vans", "send one", marked("m"))
+	if err != nil || a.Status != 200 || body != "POST /vans\nsend one" || a.Header.Get(HeaderServedBy) != "tiles-1" {
+		t.Errorf("status %d, body %q, error %v", a.Status, body, err)
+	}
+	_, body, err = call(t, url, "GET", "/tile", "", http.Header{HeaderSize: {"10000"}})
+	if err != nil || len(body) != 10000 {
+		t.Errorf("%d bytes, error %v", len(body), err)
+	}
+	if s.Calls()["m"] != 1 || s.Total() != 2 {
+		t.Errorf("calls %v, total %d", s.Calls(), s.Total())
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		faults Faults
+		calls  int // acted upon
+		status int
+		broken bool
+	}{
+		"cut":    {Faults{CutAnswers: 1}, 1, 200, true},
+		"lost":   {Faults{LoseAnswers: 1}, 1, 0, true},
+		"drop":   {Faults{DropUncounted: 1}, 0, 0, true},
+		"status": {Faults{Status: 503}, 1, 503, false},
+		"slow":   {Faults{DelayMS: 5, ChunkDelayMS: 1}, 1, 200, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, url := start(t, Config{Name: "a"})
+			s.SetFaults(c.faults)
+			a, _, err := call(t, url, "POST", "/", strings.Repeat("x", 9000), marked("m"))
+			if a.Status != c.status || errors.Is(err, upstream.ErrBroken) != c.broken || errors.Is(err, upstream.ErrNotRun) {
+				t.Errorf("status %d, error %v", a.Status, err)
+			}
+			if s.Calls()["m"] != c.calls {
+				t.Errorf("%d calls acted upon, want %d", s.Calls()["m"], c.calls)
+			}
+			s.SetFaults(Faults{})
+			if _, _, err := call(t, url, "POST", "/", "x", nil); err != nil {
+				t.Errorf("after the fault: %v", err)
+			}
+		})
+	}
+}
+
+func TestHonoursKey(t *testing.T) {
+	for name, honours := range map[string]bool{"honours": true, "ignores": false} {
+		s, url := start(t, Config{Name: "a", HonoursKey: honours})
+		header := marked("m")
+		header.Set(headerKey, "k")
+		for range 2 {
+			if _, body, err := call(t, url, "POST", "/", "van", header); err != nil || body != "POST /\nvan" {
+				t.Errorf("%s: body %q, error %v", name, body, err)
+			}
+		}
+		if want := map[bool]int{true: 1, false: 2}[honours]; s.Calls()["m"] != want {
+			t.Errorf("%s: %d calls, want %d", name, s.Calls()["m"], want)
+		}
+	}
+}
+
+func TestAdmin(t *testing.T) {
+	s, url := start(t, Config{Name: "a"})
+	for body, status := range map[string]int{`{"cut_answers":3}`: 204, `{"cut":3}`: 400, `{`: 400} {
+		if a, _, err := call(t, url, "PUT", "/admin/faults", body, nil); err != nil || a.Status != status {
+			t.Errorf("%s: status %d, error %v", body, a.Status, err)
+		}
+	}
+	for path, want := range map[string]string{"/admin/calls": "{}\n", "/admin/faults": `"cut_answers":3`} {
+		if _, body, err := call(t, url, "GET", path, "", nil); err != nil || !strings.Contains(body, want) {
+			t.Errorf("%s: %q, error %v", path, body, err)
+		}
+	}
+	if s.Total() != 0 {
+		t.Errorf("admin calls were counted: %d", s.Total())
+	}
+}
