--- /dev/null
+++ b/internal/e2e/load_test.go
@@ -0,0 +1,198 @@
+package e2e
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+)
+
+const (
+	answerTokens   = 30
+	attempts       = 200 // of one request, at whichever gateway is ready
+	betweenRefusal = 50 * time.Millisecond
+)
+
+// result counts what callers got.
+type result struct {
+	whole   atomic.Int64
+	refused atomic.Int64 // truly not run; the caller asked again elsewhere
+	cut     atomic.Int64
+	wrong   atomic.Int64 // another text than the request's own answer
+	mu      sync.Mutex
+	first   string // first failure, for the report
+}
+
+func (r *result) fail(counter *atomic.Int64, format string, args ...any) {
+	counter.Add(1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.first == "" {
+		r.first = fmt.Sprintf(format, args...)
+	}
+}
+
+// load sends requests from a few callers until stop.
+type load struct {
+	result
+	gateways []*gatewayProcess
+	client   *http.Client
+	stop     chan struct{}
+	done     sync.WaitGroup
+	sent     sync.Map // marker to true
+}
+
+func startLoad(gateways []*gatewayProcess, callers int) *load {
+	l := &load{gateways: gateways, client: &http.Client{}, stop: make(chan struct{})}
+	for c := range callers {
+		l.done.Add(1)
+		go func() {
+			defer l.done.Done()
+			l.caller(c)
+		}()
+	}
+	return l
+}
+
+func (l *load) finish() {
+	close(l.stop)
+	l.done.Wait()
+	l.client.CloseIdleConnections()
+}
+
+func (l *load) caller(c int) {
+	for n := 0; ; n++ {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		marker := fmt.Sprintf("c%d-n%d", c, n)
+		l.sent.Store(marker, true)
+		l.request(marker, c+n)
+	}
+}
+
+// request asks the gateways in turn, as a balancer would, until one takes it. Only
+// a refusal that says "not-run" may be tried again: the route is not idempotent.
+func (l *load) request(marker string, turn int) {
+	for range attempts {
+		g := l.gateways[turn%len(l.gateways)]
+		turn++
+		if !g.process.up() {
+			time.Sleep(pollEvery)
+			continue
+		}
+		again := l.attempt(g, marker)
+		if !again {
+			return
+		}
+		l.refused.Add(1)
+		time.Sleep(betweenRefusal)
+	}
+	l.fail(&l.cut, "%s: refused %d times", marker, attempts)
+}
+
+func prompt(marker string) string {
+	return fmt.Sprintf("How is the air? [mark=%s] [out=%d]", marker, answerTokens)
+}
+
+// attempt sends a streamed completion and reports whether to try again.
+func (l *load) attempt(g *gatewayProcess, marker string) (again bool) {
+	body := fmt.Sprintf(`{"model": %q, "prompt": %q, "stream": true, "max_tokens": 64}`, alertRoute, prompt(marker))
+	request, err := http.NewRequest(http.MethodPost, g.url+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		l.fail(&l.cut, "%s: %v", marker, err)
+		return false
+	}
+	request.GetBody = nil // net/http must not send it twice by itself
+	request.Header.Set("Authorization", "Bearer "+apiKey)
+	response, err := l.client.Do(request)
+	if err != nil {
+		if strings.Contains(err.Error(), "connection refused") {
+			return true // never connected: the instance was gone
+		}
+		l.fail(&l.cut, "%s at %s: %v", marker, g.process.name, err)
+		return false
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return l.refusal(response, marker)
+	}
+	l.check(response.Body, marker)
+	return false
+}
+
+func (l *load) refusal(response *http.Response, marker string) (again bool) {
+	raw, _ := io.ReadAll(response.Body)
+	if strings.Contains(string(raw), `"not-run"`) {
+		return true
+	}
+	l.fail(&l.cut, "%s: status %d: %s", marker, response.StatusCode, raw)
+	return false
+}
+
+// check reads a stream and compares it with the answer of this very request.
+func (l *load) check(body io.Reader, marker string) {
+	var text strings.Builder
+	ended := false
+	lines := bufio.NewScanner(body)
+	for lines.Scan() {
+		data, ok := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !ok:
+		case data == "[DONE]":
+			ended = true
+		default:
+			text.WriteString(chunkText(data))
+		}
+	}
+	if !ended || lines.Err() != nil {
+		l.fail(&l.cut, "%s: cut after %d bytes: %v", marker, text.Len(), lines.Err())
+		return
+	}
+	want := runner.Answer(upstream.RunRequest{Model: modelName, Version: versionName, Prompt: prompt(marker), MaxTokens: 64})
+	if text.String() != want {
+		l.fail(&l.wrong, "%s: got %q, want %q", marker, text.String(), want)
+		return
+	}
+	l.whole.Add(1)
+}
+
+func chunkText(data string) string {
+	var chunk struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal([]byte(data), &chunk) != nil || len(chunk.Choices) == 0 {
+		return ""
+	}
+	return chunk.Choices[0].Text
+}
+
+// doubled lists markers that ran more than once, over all runners.
+func doubled(t *testing.T, runners []*runnerProcess) map[string]int {
+	t.Helper()
+	total := map[string]int{}
+	for _, r := range runners {
+		for mark, n := range r.executions(t) {
+			total[mark] += n
+		}
+	}
+	for mark, n := range total {
+		if n <= 1 {
+			delete(total, mark)
+		}
+	}
+	return total
+}
--- /dev/null
+++ b/internal/e2e/process_test.go
@@ -0,0 +1,162 @@
+package e2e
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// generous bounds: they only end a test that hangs.
+const (
+	startLimit = 30 * time.Second
+	stopLimit  = 60 * time.Second
+	pollEvery  = 20 * time.Millisecond
+)
+
+var (
+	buildOnce sync.Once
+	buildDir  string
+	buildErr  error
+)
+
+// binary gives the path of one of the project's binaries, built once.
+func binary(t *testing.T, name string) string {
+	t.Helper()
+	buildOnce.Do(func() {
+		if buildDir, buildErr = os.MkdirTemp("", "ragwort-e2e"); buildErr != nil {
+			return
+		}
+		build := exec.Command("go", "build", "-o", buildDir+"/", "../../cmd/...")
+		if out, err := build.CombinedOutput(); err != nil {
+			buildErr = fmt.Errorf("%w: %s", err, out)
+		}
+	})
+	if buildErr != nil {
+		t.Fatalf("build: %v", buildErr)
+	}
+	return filepath.Join(buildDir, name)
+}
+
+// freePort asks the kernel for a port. The listening process takes it a moment
+// later; addresses have to be known before the processes start.
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// process is one running binary that can be stopped and started again.
+type process struct {
+	t     *testing.T
+	name  string
+	path  string
+	args  []string
+	ready string // URL that answers 200 when the process is up
+
+	mu  sync.Mutex
+	log bytes.Buffer
+	cmd *exec.Cmd
+}
+
+func start(t *testing.T, name, path, ready string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, path: path, args: args, ready: ready}
+	p.start()
+	t.Cleanup(p.cleanup)
+	return p
+}
+
+// Write gathers the process's log, shown when a test fails.
+func (p *process) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(b)
+}
+
+func (p *process) start() {
+	p.t.Helper()
+	p.cmd = exec.Command(p.path, p.args...)
+	p.cmd.Stdout, p.cmd.Stderr = p, p
+	p.cmd.Env = append(os.Environ(), "RAGWORT_PEER_KEY=e2e-peer-key")
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatalf("start %s: %v", p.name, err)
+	}
+	p.waitReady()
+}
+
+func (p *process) waitReady() {
+	p.t.Helper()
+	deadline := time.Now().Add(startLimit)
+	for time.Now().Before(deadline) {
+		if p.up() {
+			return
+		}
+		time.Sleep(pollEvery)
+	}
+	p.t.Fatalf("%s is not ready at %s:\n%s", p.name, p.ready, p.tail())
+}
+
+func (p *process) up() bool {
+	response, err := http.Get(p.ready)
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// stop sends SIGTERM and waits; the process must end by itself with status 0.
+func (p *process) stop() {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		p.t.Fatalf("stop %s: %v", p.name, err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- p.cmd.Wait() }()
+	select {
+	case err := <-done:
+		p.cmd = nil
+		if err != nil {
+			p.t.Errorf("%s: %v after SIGTERM:\n%s", p.name, err, p.tail())
+		}
+	case <-time.After(stopLimit):
+		p.t.Fatalf("%s does not stop:\n%s", p.name, p.tail())
+	}
+}
+
+// kill ends the process at once.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	_ = p.cmd.Wait()
+	p.cmd = nil
+}
+
+func (p *process) cleanup() {
+	if p.cmd != nil {
+		p.kill()
+	}
+	if p.t.Failed() {
+		p.t.Logf("%s:\n%s", p.name, p.tail())
+	}
+}
+
+const tailBytes = 4000
+
+func (p *process) tail() []byte {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log := p.log.Bytes()
+	return bytes.Clone(log[max(0, len(log)-tailBytes):])
+}
--- /dev/null
+++ b/internal/e2e/rolling_test.go
@@ -0,0 +1,46 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+)
+
+const (
+	loadCallers   = 8
+	settleBetween = 500 * time.Millisecond // load between two restarts; no assertion hangs on it
+)
+
+// TestRollingRestart restarts every one of our processes in turn under load: no
+// answer is cut, none is doubled, none is lost.
+func TestRollingRestart(t *testing.T) {
+	s := newStack(t)
+	l := startLoad(s.gateways, loadCallers)
+	var restarted []*process
+	for _, g := range s.gateways {
+		restarted = append(restarted, g.process)
+	}
+	restarted = append(restarted, s.controllers...)
+	for _, p := range restarted {
+		time.Sleep(settleBetween)
+		p.stop()
+		p.start()
+	}
+	time.Sleep(settleBetween)
+	l.finish()
+	report(t, l, s)
+}
+
+// report checks the counts that must hold after any load.
+func report(t *testing.T, l *load, s *stack) {
+	t.Helper()
+	t.Logf("whole=%d refused-not-run=%d cut=%d wrong=%d", l.whole.Load(), l.refused.Load(), l.cut.Load(), l.wrong.Load())
+	if l.cut.Load() > 0 || l.wrong.Load() > 0 {
+		t.Errorf("cut=%d wrong=%d; first: %s", l.cut.Load(), l.wrong.Load(), l.first)
+	}
+	if l.whole.Load() == 0 {
+		t.Error("no request was answered")
+	}
+	if twice := doubled(t, s.runners); len(twice) > 0 {
+		t.Errorf("ran more than once: %v", twice)
+	}
+}
--- /dev/null
+++ b/internal/process/controller/controller.go
@@ -0,0 +1,289 @@
+package controller
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/ops"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/policy"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+)
+
+// Config of a controller. Store, Engine and Auditor replace what the settings would
+// open; embedding and tests use them.
+type Config struct {
+	Settings *settings.Controller
+	Store    platform.Store                               // nil: a client of Settings.Platform
+	Engine   func(runner, address string) upstream.Engine // nil: the HTTP form
+	Auditor  Auditor                                      // nil: the audit trail in the store
+}
+
+// Addresses are the addresses that a running controller listens on.
+type Addresses struct {
+	Operators net.Addr
+	Peers     net.Addr
+}
+
+// Bounds of the shell.
+const (
+	maxPolls       = 16  // states of engines read at the same time
+	eventQueue     = 256 // results waiting for the loop
+	reconcileEvery = time.Second
+	storeTimeout   = 5 * time.Second
+)
+
+// Controller is one ragwort-controller process.
+type Controller struct {
+	cfg         Config
+	self        settings.Instance
+	incarnation string
+	listeners   listeners
+	store       platform.Store
+	closeStore  func()
+	auditor     Auditor
+
+	exporter *metrics.Exporter
+	meters   *meters
+	explain  *explainRing
+	config   *config.Distributor
+	members  *member.Service
+	ops      *ops.Server
+	polls    *semaphore.Weighted
+
+	events     chan func()
+	kick       chan struct{}   // a newer configuration or membership
+	work       context.Context // of all I/O
+	cancel     context.CancelFunc
+	loops      sync.WaitGroup
+	stage      atomic.Int32
+	openOrders atomic.Int32
+
+	// What follows belongs to the loop.
+	zones       map[string]*zone
+	engines     map[string]*engine
+	marks       marks
+	statuses    statuses
+	roles       *policy.Core
+	chosen      map[string]choice
+	slotReads   []slotRead
+	reconcileAt boottime.Time
+	stopping    bool
+	drainBy     boottime.Time // open orders may go on until then
+}
+
+// New opens the listeners of a controller, so that Addresses are known; Run serves
+// them. A controller that was made must be run.
+func New(cfg Config) (*Controller, error) {
+	s := cfg.Settings
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	keys, err := readSecrets(s)
+	if err != nil {
+		return nil, err
+	}
+	c := &Controller{
+		cfg: cfg, self: s.Instance, incarnation: uuid.NewString()[:8],
+		explain: newExplainRing(), polls: semaphore.NewWeighted(maxPolls),
+		events: make(chan func(), eventQueue), kick: make(chan struct{}, 1),
+		zones: map[string]*zone{}, engines: map[string]*engine{}, chosen: map[string]choice{},
+		marks: marks{known: map[string]mark{}, writing: map[string]bool{}}, statuses: newStatuses(),
+		roles: policy.New(policy.Config{
+			Origin:          s.Instance.Name,
+			RoleChangePrice: s.Policy.RoleChangePrice,
+			Horizon:         time.Duration(s.Policy.HorizonSeconds * float64(time.Second)),
+		}),
+	}
+	c.work, c.cancel = context.WithCancel(context.Background())
+	if err := c.open(keys); err != nil {
+		c.close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// open connects to the platform and makes what listens.
+func (c *Controller) open(keys secrets) error {
+	s := c.cfg.Settings
+	var err error
+	if err = c.openStore(keys); err != nil {
+		return err
+	}
+	if c.listeners, err = listen(s); err != nil {
+		return err
+	}
+	c.exporter = metrics.New("ragwort_controller", map[string]string{"zone": c.self.Zone})
+	c.meters = newMeters(c.exporter.Scope())
+	if c.members, err = c.newMembers(keys); err != nil {
+		return err
+	}
+	c.config = config.NewDistributor(config.DistributorConfig{
+		Name: c.self.Name, Zone: c.self.Zone, Store: c.store, Network: c.members,
+	})
+	c.ops = ops.New(ops.Config{Source: opsSource{c}, Metrics: c.exporter.Handler(), Key: keys.operators})
+	c.auditor = c.cfg.Auditor
+	if c.auditor == nil {
+		c.auditor = newStoreAuditor(c)
+	}
+	return nil
+}
+
+func (c *Controller) openStore(keys secrets) error {
+	c.closeStore = func() {}
+	if c.cfg.Store != nil {
+		c.store = c.cfg.Store
+		return nil
+	}
+	p := c.cfg.Settings.Platform
+	client, err := platform.NewClient(platform.ClientConfig{
+		Address:        p.Address,
+		Key:            keys.platform,
+		CAFile:         p.CAFile,
+		Timeout:        time.Duration(p.TimeoutMS) * time.Millisecond,
+		CallsPerSecond: p.CallsPerSecond,
+	})
+	if err != nil {
+		return err
+	}
+	c.store, c.closeStore = client, client.Close
+	return nil
+}
+
+// Addresses gives the addresses listened on.
+func (c *Controller) Addresses() Addresses { return c.listeners.addresses() }
+
+// Run serves until ctx ends, then stops in order and returns. No goroutine is left
+// behind.
+func (c *Controller) Run(ctx context.Context) error {
+	failed := make(chan error, 2)
+	c.start(func() { failed <- c.ops.Serve(c.listeners.operators) })
+	c.start(func() { failed <- c.members.Hub().Serve(c.listeners.peers) })
+	c.members.Start()
+	c.config.OnInstall(c.installed)
+	c.config.Start()
+	stopped := make(chan struct{})
+	c.start(func() { c.loop(stopped) })
+	logline.Info("controller started", "instance", c.self.Name, "zone", c.self.Zone,
+		"operators", c.listeners.operators.Addr(), "peers", c.listeners.peers.Addr())
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+		err = errors.Wrap(err, "serve")
+	}
+	c.stop(stopped)
+	return err
+}
+
+// start runs f as a goroutine that Run waits for.
+func (c *Controller) start(f func()) {
+	c.loops.Add(1)
+	go func() {
+		defer c.loops.Done()
+		f()
+	}()
+}
+
+// do runs io outside the loop and its result, the returned function, in the loop.
+// The result is dropped once the loop has ended.
+func (c *Controller) do(io func(ctx context.Context) func()) {
+	c.start(func() {
+		result := io(c.work)
+		select {
+		case c.events <- result:
+		case <-c.work.Done():
+		}
+	})
+}
+
+// installed tells the loop and the members of a newer configuration. It is called
+// by the distributor and must not block.
+func (c *Controller) installed(s *config.Snapshot) {
+	c.meters.version.Update(float64(s.Version))
+	c.members.SetInstances(s.Instances)
+	c.nudge()
+}
+
+// nudge makes the loop look at configuration and membership again.
+func (c *Controller) nudge() {
+	select {
+	case c.kick <- struct{}{}:
+	default:
+	}
+}
+
+// loop owns the cores. It ends when the controller has stopped.
+func (c *Controller) loop(stopped chan<- struct{}) {
+	defer close(stopped)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for c.work.Err() == nil {
+		select {
+		case <-c.work.Done():
+			return
+		case event := <-c.events:
+			event()
+		case <-c.kick:
+			c.changed()
+		case <-timer.C:
+		}
+		now := boottime.Now()
+		c.tick(now)
+		c.readSlots()
+		if c.released() {
+			return
+		}
+		timer.Reset(max(0, c.wake().Sub(boottime.Now())))
+	}
+}
+
+// tick steps every core that is due.
+func (c *Controller) tick(now boottime.Time) {
+	for _, z := range c.zones {
+		z.tick(now)
+	}
+	if now.Before(c.reconcileAt) {
+		return
+	}
+	c.reconcileAt = now.Add(reconcileEvery)
+	c.decideRoles()
+	for _, z := range c.zones {
+		z.reconcile()
+	}
+	c.writeStatuses()
+}
+
+// wake is when the next core is due.
+func (c *Controller) wake() boottime.Time {
+	wake := c.reconcileAt
+	for _, z := range c.zones {
+		wake = min(wake, z.wake())
+	}
+	return wake
+}
+
+// changed takes in a newer configuration or membership.
+func (c *Controller) changed() {
+	s := c.config.Current()
+	if s == nil {
+		return
+	}
+	c.keepZones(s)
+	c.keepEngines(s)
+	c.updateStandings()
+	c.reconcileAt = 0
+}
--- /dev/null
+++ b/internal/process/controller/meters.go
@@ -0,0 +1,37 @@
+package controller
+
+import "github.com/uber-go/tally/v4"
+
+// meters are the controller's metrics.
+type meters struct {
+	scope        tally.Scope
+	version      tally.Gauge
+	leads        tally.Gauge // zones whose lease is held and in its window
+	leaseChanges tally.Counter
+	ordersSent   tally.Counter
+	ordersBroken tally.Counter
+	storeCalls   tally.Counter
+	storeErrors  tally.Counter
+	enginePolls  tally.Counter
+	pollErrors   tally.Counter
+}
+
+func newMeters(s tally.Scope) *meters {
+	return &meters{
+		scope:        s,
+		version:      s.Gauge("config_version"),
+		leads:        s.Gauge("leases_held"),
+		leaseChanges: s.Counter("lease_changes"),
+		ordersSent:   s.Counter("orders_sent"),
+		ordersBroken: s.Counter("orders_broken"),
+		storeCalls:   s.Counter("store_calls"),
+		storeErrors:  s.Counter("store_errors"),
+		enginePolls:  s.Counter("engine_polls"),
+		pollErrors:   s.Counter("engine_poll_errors"),
+	}
+}
+
+// finished counts orders by outcome.
+func (m *meters) finished(outcome string) {
+	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("orders_finished").Inc(1)
+}
--- /dev/null
+++ b/internal/process/controller/peers.go
@@ -0,0 +1,121 @@
+package controller
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/authority"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+)
+
+// newMembers makes the connections to peers.
+func (c *Controller) newMembers(keys secrets) (*member.Service, error) {
+	s := c.cfg.Settings
+	hub := peer.HubConfig{
+		Self: peer.Hello{
+			Name: c.self.Name, Role: member.RoleController, Zone: c.self.Zone,
+			PeerAddress: advertised(s.Peer, c.listeners.peers.Addr()),
+			Incarnation: member.NewIncarnation(time.Now()),
+		},
+		SharedKey: []byte(keys.peers),
+		MutualTLS: s.Peer.Listen.TLS.ClientCAFile != "",
+	}
+	if s.Peer.Listen.TLS.Enabled() {
+		config, err := s.Peer.Listen.TLS.Client(s.Peer.CAFile)
+		if err != nil {
+			return nil, err
+		}
+		hub.DialTLS = config
+	}
+	return member.NewService(member.ServiceConfig{
+		Hub: hub,
+		Core: member.Config{
+			MaxLinks: s.Peer.MaxLinks,
+			Seeds:    seeds(s.Peer.Seeds),
+			Interval: time.Duration(s.Peer.HeartbeatMS) * time.Millisecond,
+		},
+		Handler: peerHandler{c},
+	})
+}
+
+// advertised is the address that peers dial. Port 0 stands for the port that was opened.
+func advertised(p settings.Peer, listening net.Addr) string {
+	host, port, err := net.SplitHostPort(p.Advertise)
+	if err != nil || port == "0" {
+		_, opened, _ := net.SplitHostPort(listening.String())
+		return net.JoinHostPort(host, opened)
+	}
+	return p.Advertise
+}
+
+// peerHandler gets what peers send.
+type peerHandler struct{ c *Controller }
+
+// PeerVersion implements member.Handler.
+func (h peerHandler) PeerVersion(from string, applied uint64) {
+	h.c.config.PeerVersion(from, applied)
+}
+
+// UseReceived implements member.Handler.
+func (h peerHandler) UseReceived(r peer.UseReport) {
+	select {
+	case h.c.events <- func() { h.c.roles.Observe(time.Now(), r.Demand) }:
+	default: // a loop that is behind loses a second of demand, not its turn
+	}
+}
+
+// UseDue implements member.Handler: a controller sends no requests.
+func (h peerHandler) UseDue() *peer.UseReport { return nil }
+
+// Receive implements member.Handler.
+func (h peerHandler) Receive(from peer.Hello, e peer.Envelope) *peer.Envelope {
+	if h.c.config.Receive(from.Name, e) || e.Explain == nil {
+		return nil
+	}
+	lines := h.c.explain.lines(e.Explain.Change)
+	return &peer.Envelope{Explained: &peer.ExplainAnswer{Lines: lines}}
+}
+
+// MembersChanged implements member.Handler.
+func (h peerHandler) MembersChanged([]member.Member) { h.c.nudge() }
+
+// candidates lists the live controllers that can take leases.
+func (c *Controller) candidates() []authority.Candidate {
+	var out []authority.Candidate
+	for _, m := range c.members.Members() {
+		if m.Role == member.RoleController && m.State == member.Live {
+			out = append(out, authority.Candidate{Name: m.Name, Zone: m.Zone})
+		}
+	}
+	return out
+}
+
+// askPeers asks connected controllers what they know of a change.
+func (c *Controller) askPeers(ctx context.Context, change string) []string {
+	var lines []string
+	for _, m := range c.members.Members() {
+		if m.Role != member.RoleController || !m.Connected {
+			continue
+		}
+		answer, err := c.members.Hub().Call(ctx, m.Name, peer.Envelope{Explain: &peer.ExplainAsk{Change: change}})
+		if err != nil || answer.Explained == nil {
+			continue
+		}
+		for _, line := range answer.Explained.Lines {
+			lines = append(lines, m.Name+": "+line)
+		}
+	}
+	return lines
+}
+
+// seeds are the addresses to try while no other daemon is known.
+func seeds(hostPorts []string) []peer.Address {
+	var out []peer.Address
+	for _, hostPort := range hostPorts {
+		out = append(out, peer.Address{HostPort: hostPort})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/controller/plan.go
@@ -0,0 +1,112 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/order"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/reconcile"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+)
+
+// loadsKept is how long begins of weight loads are remembered.
+const loadsKept = 10 * time.Minute
+
+// changingEvery is how often plans are made while runners are in the middle of a change.
+const changingEvery = 250 * time.Millisecond
+
+// reconcile makes the zone's plan from scratch and takes its steps.
+func (z *zone) reconcile() {
+	c := z.c
+	s := c.config.Current()
+	if s == nil || c.stopping || !z.leads() {
+		return
+	}
+	now := boottime.Now()
+	c.listMarks(now)
+	if c.marks.begun == 0 {
+		return // the marks of former holders are not known yet
+	}
+	c.readStatuses(now)
+	z.lookAtSlots(now)
+	plan := reconcile.Plan(z.desired(s), z.actual(now))
+	for _, step := range plan {
+		z.take(step)
+	}
+	if len(c.marks.known)+len(c.marks.writing) > 0 {
+		c.reconcileAt = min(c.reconcileAt, now.Add(changingEvery))
+	}
+}
+
+// desired is what the configuration and the role policy want.
+func (z *zone) desired(s *config.Snapshot) reconcile.Desired {
+	chosen := make(map[string]reconcile.RoleChoice, len(z.c.chosen))
+	for runner, choice := range z.c.chosen {
+		chosen[runner] = reconcile.RoleChoice{Role: choice.role, Reason: choice.reason}
+	}
+	d := reconcile.FromSnapshot(s, chosen)
+	zones := map[string]bool{}
+	for _, r := range s.Runners {
+		zones[r.Zone] = true
+	}
+	// Every zone has its own holder, so each gets an equal share of the rate.
+	d.LoadsPerMinute = z.c.cfg.Settings.Policy.WeightLoadsPerMinute / float64(max(1, len(zones)))
+	return d
+}
+
+// actual is what is known of the zone's engines.
+func (z *zone) actual(now boottime.Time) reconcile.Actual {
+	a := reconcile.Actual{
+		Zone: z.name, Epoch: z.grant.Epoch, Now: now,
+		Runners: map[string]reconcile.Observed{}, Drains: z.c.drains(now),
+	}
+	for _, e := range z.engines() {
+		a.Runners[e.name] = e.observed()
+	}
+	kept := z.loads[:0]
+	for _, at := range z.loads {
+		if now.Sub(at) < loadsKept {
+			kept = append(kept, at)
+		}
+	}
+	z.loads = kept
+	a.Loads = kept
+	return a
+}
+
+// take carries one step out.
+func (z *zone) take(s reconcile.Step) {
+	c := z.c
+	if s.Kind != reconcile.MarkStatus {
+		logline.Debug("step", "kind", s.Kind, "runner", s.Runner, "reason", s.Reason)
+		c.explain.add(s.Runner, string(s.Kind)+": "+s.Reason)
+	}
+	switch s.Kind {
+	case reconcile.StopNewWork:
+		z.stopNewWork(s.Runner, s.Reason)
+	case reconcile.AllowWork:
+		z.allowWork(s.Runner, s.Reason)
+	case reconcile.GiveOrder:
+		z.give(s)
+	case reconcile.Abandon:
+		c.engines[s.Runner].step(order.Abandon{Reason: s.Reason})
+	case reconcile.Hold:
+		delete(c.chosen, s.Runner) // the role policy weighs it anew
+	case reconcile.MarkStatus:
+		c.setRunnerStatus(s)
+	}
+}
+
+// give asks for an order, unless the engine's slot is in use.
+func (z *zone) give(s reconcile.Step) {
+	e := z.c.engines[s.Runner]
+	if e == nil || e.core.Busy() {
+		return
+	}
+	if s.Order.Action == upstream.LoadModel || s.Order.Action == upstream.LoadAdapter {
+		z.loads = append(z.loads, boottime.Now())
+	}
+	e.step(order.Want{Order: s.Order, Reason: s.Reason})
+}
--- /dev/null
+++ b/internal/process/controller/roles.go
@@ -0,0 +1,138 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/policy"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/reconcile"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// choice is a role that the policy chose and that the runner does not have yet.
+type choice struct {
+	role     upstream.Role
+	reason   string
+	decision string
+}
+
+// decideRoles asks the role policy, while this process leads a zone.
+func (c *Controller) decideRoles() {
+	s := c.config.Current()
+	if s == nil || c.stopping || !c.leadsAny() {
+		return
+	}
+	c.forgetChoices(s)
+	in := policy.Input{Models: s.Models, Routes: s.Routes, Held: map[string]bool{}}
+	for name, r := range s.Runners {
+		in.Runners = append(in.Runners, c.policyRunner(s, name, r))
+	}
+	slices.SortFunc(in.Runners, func(a, b policy.Runner) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	in.Rank = c.rankAmongHolders(&in)
+	for _, d := range c.roles.Decide(time.Now(), in) {
+		c.decided(d)
+	}
+}
+
+// rankAmongHolders fills in the zones held and gives this process's turn: the
+// position of its first zone among all zones.
+func (c *Controller) rankAmongHolders(in *policy.Input) int {
+	names := make([]string, 0, len(c.zones))
+	for name, z := range c.zones {
+		names = append(names, name)
+		if z.leads() {
+			in.Held[name] = true
+		}
+	}
+	slices.Sort(names)
+	return slices.IndexFunc(names, func(name string) bool { return in.Held[name] })
+}
+
+// forgetChoices drops choices that were carried out, or whose runner is no longer
+// the policy's to change.
+func (c *Controller) forgetChoices(s *config.Snapshot) {
+	for runner, ch := range c.chosen {
+		e := c.engines[runner]
+		r := s.Runners[runner]
+		if r.Role != resource.RoleAuto || e == nil || e.state.Role == ch.role {
+			delete(c.chosen, runner)
+		}
+	}
+}
+
+// policyRunner is a runner as the role policy sees it. Runners of zones that this
+// process does not lead are known by their published status.
+func (c *Controller) policyRunner(s *config.Snapshot, name string, r resource.Runner) policy.Runner {
+	class, _ := s.EngineOf(name)
+	out := policy.Runner{
+		Name: name, Zone: r.Zone, Model: r.Model, Class: class,
+		Role: upstream.Role(r.Role), Auto: r.Role == resource.RoleAuto, Phase: policy.PhaseServing,
+	}
+	status, published := c.statuses.stored[statusName(resource.KindRunner, name)]
+	if published {
+		out.Role, out.Phase = upstream.Role(status.spec.Role), policy.Phase(status.spec.Phase)
+	}
+	if e := c.engines[name]; e != nil && e.polled {
+		out.Role, out.Streams = e.state.Role, e.state.Streams
+		out.Phase = c.phaseOf(e)
+	}
+	if ch, ok := c.chosen[name]; ok {
+		out.Role = ch.role
+	}
+	if out.Role == "" || out.Role == resource.RoleAuto {
+		out.Role = upstream.RoleBoth
+	}
+	switch {
+	case r.State == resource.RunnerWithdrawn || s.Instances[name].State == resource.InstanceLeaving:
+		out.Phase = policy.PhaseWithdrawn
+	case r.State == resource.RunnerDrained:
+		out.Phase = policy.PhaseDrained
+	}
+	return out
+}
+
+// phaseOf is what an engine of this process's zones is doing.
+func (c *Controller) phaseOf(e *engine) policy.Phase {
+	o := e.observed()
+	switch {
+	case o.Order != "":
+		return policy.PhaseChanging
+	case !o.Reachable:
+		return policy.PhaseLost
+	case c.marks.has(e.name):
+		return policy.PhaseDraining
+	}
+	if status, ok := c.statuses.wanted[statusName(resource.KindRunner, e.name)]; ok && status.Phase == string(reconcile.PhaseDrained) {
+		return policy.PhaseDrained
+	}
+	return policy.PhaseServing
+}
+
+// decided takes in one decision of the policy.
+func (c *Controller) decided(d policy.Decision) {
+	if !d.Notable {
+		return
+	}
+	for _, line := range d.Lines() {
+		c.explain.note(d.ID, line)
+	}
+	if d.Change == nil {
+		c.explain.add("Model/"+d.Model, "role policy: "+d.Reason)
+		return
+	}
+	ch := d.Change
+	logline.Info("role change decided", "decision", d.ID, "runner", ch.Runner, "from", ch.From, "to", ch.To, "reason", d.Reason)
+	c.chosen[ch.Runner] = choice{role: ch.To, reason: d.Reason, decision: d.ID}
+	c.record(ch.Runner, Change{
+		What: "role", Object: "Runner/" + ch.Runner, From: string(ch.From), To: string(ch.To),
+		Why: d.ID + ": " + d.Reason, Outcome: "decided",
+	})
+}
--- /dev/null
+++ b/internal/process/controller/source.go
@@ -0,0 +1,92 @@
+package controller
+
+import (
+	"context"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/ops"
+)
+
+// askTimeout bounds questions to other controllers and to the loop.
+const askTimeout = time.Second
+
+// opsSource tells the operators' port about a controller.
+type opsSource struct{ c *Controller }
+
+// Ready implements ops.Source.
+func (s opsSource) Ready() (bool, string) {
+	if stage := s.c.stage.Load(); stage != stageServing {
+		return false, stageNames[stage]
+	}
+	if s.c.config.Current() == nil {
+		return false, "no configuration yet"
+	}
+	return true, ""
+}
+
+// Drain implements ops.Source.
+func (s opsSource) Drain() ops.DrainState {
+	return ops.DrainState{State: stageNames[s.c.stage.Load()], Running: int(s.c.openOrders.Load())}
+}
+
+// Members implements ops.Source.
+func (s opsSource) Members() []ops.Member {
+	var out []ops.Member
+	for _, m := range s.c.members.Members() {
+		out = append(out, ops.Member{
+			Name: m.Name, Role: m.Role, Zone: m.Zone, State: string(m.State), Applied: m.Applied,
+		})
+	}
+	return out
+}
+
+// Explain implements ops.Source. change is an order id, a runner, Lease/<zone>,
+// Model/<name>, or the id of a decision of the role policy.
+func (s opsSource) Explain(ctx context.Context, _, change string) []string {
+	if change == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	lines := s.c.explain.lines(change)
+	lines = append(lines, s.askLoop(ctx, change)...)
+	return append(lines, s.c.askPeers(ctx, change)...)
+}
+
+// askLoop gives what the cores know now of a runner or lease.
+func (s opsSource) askLoop(ctx context.Context, subject string) []string {
+	answer := make(chan []string, 1)
+	ask := func() { answer <- s.c.describe(subject) }
+	select {
+	case s.c.events <- ask:
+	case <-ctx.Done():
+		return nil
+	}
+	select {
+	case lines := <-answer:
+		return lines
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// describe gives the present state of a runner or lease. It runs in the loop.
+func (c *Controller) describe(subject string) []string {
+	for name, z := range c.zones {
+		if subject == "Lease/"+name {
+			return []string{"now: " + z.describe()}
+		}
+	}
+	e := c.engines[subject]
+	if e == nil {
+		return nil
+	}
+	line := "now: order slot " + e.core.Phase() + ", role " + string(e.state.Role)
+	if open, ok := e.core.Open(); ok {
+		line += ", order " + open.ID + " open"
+	}
+	if m, ok := c.marks.known[subject]; ok {
+		line += ", gets no new work: " + m.spec.Reason
+	}
+	return []string{line}
+}
--- /dev/null
+++ b/internal/process/controller/status.go
@@ -0,0 +1,190 @@
+package controller
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/order"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/reconcile"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const (
+	// statusWrites bounds how many statuses one holder writes in a second.
+	statusWrites = 5
+	// listEvery is how often a holder reads all statuses and all slots.
+	listEvery = time.Minute
+)
+
+// statuses are the Status objects that this process writes.
+type statuses struct {
+	wanted  map[string]resource.Status
+	stored  map[string]stored[resource.Status]
+	dirty   map[string]bool // wanted differs from stored, as far as is known
+	writing map[string]bool
+	listing bool
+	listed  bool
+	readAt  boottime.Time
+	spent   int // writes begun in this second
+	second  boottime.Time
+}
+
+func newStatuses() statuses {
+	return statuses{
+		wanted: map[string]resource.Status{}, stored: map[string]stored[resource.Status]{},
+		dirty: map[string]bool{}, writing: map[string]bool{},
+	}
+}
+
+func (s *statuses) stale() { s.listed = false }
+
+// statusName is the name of the Status object of another object.
+func statusName(kind, name string) string { return kind + "/" + name }
+
+// setRunnerStatus notes what is to be published of a runner.
+func (c *Controller) setRunnerStatus(s reconcile.Step) {
+	status := resource.Status{
+		Accepted: true, Phase: string(s.Phase), Role: string(s.Role), Reason: s.Reason,
+	}
+	if snapshot := c.config.Current(); snapshot != nil {
+		status.Version, status.InForce = snapshot.Version, snapshot.Version
+		if r, rejected := snapshot.Rejected[statusName(resource.KindRunner, s.Runner)]; rejected {
+			status.Accepted = false
+			status.Version, status.InForce, status.Message = r.Version, r.InForce, r.Message
+		}
+	}
+	c.statuses.set(statusName(resource.KindRunner, s.Runner), status)
+}
+
+// set notes a wanted status. A change of the configuration version alone is not
+// worth a write.
+func (s *statuses) set(name string, status resource.Status) {
+	old, ok := s.wanted[name]
+	if !ok {
+		old, ok = s.stored[name].spec, s.stored[name].object.Version != 0
+	}
+	if ok && sameStatus(old, status) {
+		return
+	}
+	s.wanted[name] = status
+	s.dirty[name] = true
+}
+
+func sameStatus(a, b resource.Status) bool {
+	if a.Accepted && b.Accepted {
+		a.Version, a.InForce = b.Version, b.InForce
+	}
+	return a == b
+}
+
+// readStatuses lists all statuses when that is due.
+func (c *Controller) readStatuses(now boottime.Time) {
+	s := &c.statuses
+	if s.listing || (s.listed && now.Sub(s.readAt) < listEvery) {
+		return
+	}
+	s.listing, s.readAt = true, now
+	c.do(func(ctx context.Context) func() {
+		listed, ok := list[resource.Status](ctx, c, resource.KindStatus)
+		return func() {
+			s.listing = false
+			if ok {
+				s.listed = true
+				s.took(listed)
+			}
+		}
+	})
+}
+
+// took compares what is wanted with a list.
+func (s *statuses) took(listed map[string]stored[resource.Status]) {
+	s.stored = listed
+	for name, status := range s.wanted {
+		if !sameStatus(listed[name].spec, status) {
+			s.dirty[name] = true
+		}
+	}
+}
+
+// writeStatuses writes what changed, within the budget of writes.
+func (c *Controller) writeStatuses() {
+	s := &c.statuses
+	now := boottime.Now()
+	if now.Sub(s.second) >= time.Second {
+		s.second, s.spent = now, 0
+	}
+	if !s.listed || !c.leadsAny() {
+		return
+	}
+	names := make([]string, 0, len(s.dirty))
+	for name := range s.dirty {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		if s.spent >= statusWrites {
+			return
+		}
+		if !s.writing[name] {
+			s.spent++
+			c.writeStatus(name, s.wanted[name], s.stored[name].object.Version)
+		}
+	}
+}
+
+func (c *Controller) writeStatus(name string, status resource.Status, base uint64) {
+	s := &c.statuses
+	s.writing[name] = true
+	delete(s.dirty, name)
+	c.do(func(ctx context.Context) func() {
+		o, err := resource.Encode(resource.KindStatus, name, status)
+		if err == nil {
+			o.Version, o.Writer = base, c.self.Name
+			c.meters.storeCalls.Inc(1)
+			o, err = platform.Write(ctx, c.store, o)
+		}
+		return func() {
+			delete(s.writing, name)
+			if err != nil {
+				logline.Debug("status not written", "status", name, "error", err)
+				s.dirty[name] = true
+				s.stale()
+				return
+			}
+			s.stored[name] = stored[resource.Status]{object: o, spec: status}
+		}
+	})
+}
+
+// leadsAny reports whether this process may order in any zone.
+func (c *Controller) leadsAny() bool {
+	for _, z := range c.zones {
+		if z.leads() {
+			return true
+		}
+	}
+	return false
+}
+
+// lookAtSlots lists all slots now and then: a slot that a former holder's late
+// write opened would else be found only at the next order.
+func (z *zone) lookAtSlots(now boottime.Time) {
+	if now.Sub(z.slotAt) < listEvery {
+		return
+	}
+	z.slotAt = now
+	z.c.do(func(ctx context.Context) func() {
+		slots, ok := list[resource.OrderSlot](ctx, z.c, resource.KindOrderSlot)
+		return func() {
+			for name, s := range slots {
+				if e := z.c.engines[name]; ok && e != nil && e.zone == z.name {
+					e.step(order.SlotSeen{SlotRead: slotOf(s.object, s.spec)})
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/process/controller/zone.go
@@ -0,0 +1,207 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/authority"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/order"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// zone is the lease of one availability zone and what this process does under it.
+type zone struct {
+	c      *Controller
+	name   string
+	lease  *authority.Core
+	grant  *order.Granted  // set while this process may order
+	loads  []boottime.Time // begins of weight loads
+	slotAt boottime.Time   // of the last look at all slots
+}
+
+// keepZones has a lease core for this process's own zone and for every zone that
+// has runners.
+func (c *Controller) keepZones(s *config.Snapshot) {
+	names := map[string]bool{c.self.Zone: true}
+	for _, r := range s.Runners {
+		names[r.Zone] = true
+	}
+	for name := range names {
+		if c.zones[name] == nil {
+			c.zones[name] = c.newZone(name)
+		}
+	}
+}
+
+func (c *Controller) newZone(name string) *zone {
+	l := c.cfg.Settings.Lease
+	return &zone{c: c, name: name, lease: authority.New(authority.Config{
+		Holder:      c.self.Name,
+		Incarnation: c.incarnation,
+		TTL:         time.Duration(l.TTLMS) * time.Millisecond,
+		Margin:      time.Duration(l.MarginMS) * time.Millisecond,
+	})}
+}
+
+// updateStandings ranks this process among the candidates of each lease.
+func (c *Controller) updateStandings() {
+	live := c.candidates()
+	for _, z := range c.zones {
+		z.step(authority.Rank(c.self.Name, c.self.Zone, z.name, live))
+	}
+}
+
+// leads reports whether this process may order in the zone now.
+func (z *zone) leads() bool {
+	_, _, ok := z.lease.MayOrder(boottime.Now())
+	return ok && z.grant != nil
+}
+
+func (z *zone) tick(now boottime.Time) {
+	if z.lease.Wake() <= now {
+		z.step(authority.Tick{})
+	}
+	for _, e := range z.engines() {
+		if e.core.Wake() <= now {
+			e.step(order.Tick{})
+		}
+	}
+	z.poll(now)
+}
+
+func (z *zone) wake() boottime.Time {
+	wake := z.lease.Wake()
+	for _, e := range z.engines() {
+		wake = min(wake, e.core.Wake())
+	}
+	return wake
+}
+
+// step steps the lease and carries its actions out.
+func (z *zone) step(e authority.Event) {
+	for _, action := range z.lease.Step(boottime.Now(), e) {
+		switch a := action.(type) {
+		case authority.ReadLease:
+			z.read()
+		case authority.WriteLease:
+			z.write(a)
+		case authority.Gained:
+			z.gained(a)
+		case authority.Renewed:
+			z.regrant(order.Granted{Epoch: a.Epoch, At: boottime.Now()})
+		case authority.Lapsed:
+			z.revoke("the window ran out without a renewal")
+		case authority.Lost:
+			z.lost(a)
+		}
+	}
+}
+
+func (z *zone) read() {
+	z.c.do(func(ctx context.Context) func() {
+		r := read[resource.Lease](ctx, z.c, resource.KindLease, z.name)
+		return func() {
+			if !r.ok {
+				z.step(authority.ReadFailed{})
+				return
+			}
+			z.step(authority.Read{
+				Found: r.found, Version: r.object.Version, Nonce: r.object.Nonce,
+				Lease: r.spec, StoreVersion: r.storeVersion,
+			})
+		}
+	})
+}
+
+func (z *zone) write(a authority.WriteLease) {
+	z.c.do(func(ctx context.Context) func() {
+		version, res := z.c.put(ctx, resource.KindLease, z.name, a.Base, a.Nonce, a.Lease)
+		return func() { z.wrote(version, res) }
+	})
+}
+
+func (z *zone) wrote(version uint64, res result) {
+	switch res {
+	case written:
+		z.step(authority.Wrote{Version: version})
+	case conflicted:
+		z.step(authority.WriteFailed{Failure: authority.FailedConflict})
+	case unavailable:
+		z.step(authority.WriteFailed{Failure: authority.FailedUnavailable})
+	case unknown:
+		z.step(authority.WriteFailed{Failure: authority.FailedUnknown})
+	}
+}
+
+// gained begins to lead the zone.
+func (z *zone) gained(a authority.Gained) {
+	c := z.c
+	c.meters.leaseChanges.Inc(1)
+	logline.Info("lease taken", "zone", z.name, "epoch", a.Epoch, "why", a.Why)
+	c.record("Lease/"+z.name, Change{
+		What: "lease", Object: "Lease/" + z.name, To: c.self.Name,
+		Why: a.Why, Epoch: a.Epoch, Outcome: "taken",
+	})
+	z.regrant(order.Granted{Epoch: a.Epoch, At: a.At})
+}
+
+// regrant lets the order cores begin from the stored slots.
+func (z *zone) regrant(g order.Granted) {
+	z.grant = &g
+	z.c.marks.stale()
+	z.c.marks.begun = 0
+	z.c.statuses.stale()
+	if s := z.c.config.Current(); s != nil {
+		z.c.keepEngines(s)
+	}
+	for _, e := range z.engines() {
+		e.polled, e.pollAt = false, 0
+		e.step(g)
+	}
+	z.c.reconcileAt = 0
+}
+
+// revoke stops ordering.
+func (z *zone) revoke(why string) {
+	if z.grant == nil {
+		return
+	}
+	logline.Info("ordering stops", "zone", z.name, "epoch", z.grant.Epoch, "why", why)
+	z.c.explain.add("Lease/"+z.name, "ordering stops: "+why)
+	z.grant = nil
+	for _, e := range z.engines() {
+		e.step(order.Revoked{})
+	}
+}
+
+func (z *zone) lost(a authority.Lost) {
+	c := z.c
+	z.revoke(a.Why)
+	c.meters.leaseChanges.Inc(1)
+	c.record("Lease/"+z.name, Change{
+		What: "lease", Object: "Lease/" + z.name, From: c.self.Name,
+		Why: a.Why, Epoch: a.Epoch, Outcome: "given up",
+	})
+}
+
+// engines lists the engines of the zone.
+func (z *zone) engines() []*engine {
+	var out []*engine
+	for _, e := range z.c.engines {
+		if e.zone == z.name {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// describe gives one line for explain.
+func (z *zone) describe() string {
+	return fmt.Sprintf("lease of %s: holder %s epoch %s, this process orders: %v",
+		z.name, z.lease.Holder(), strconv.FormatUint(z.lease.Epoch(), 10), z.leads())
+}
--- /dev/null
+++ b/internal/trial/trial.go
@@ -0,0 +1,214 @@
+package trial
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/controller"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/gateway"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/service"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const (
+	anyPort    = "127.0.0.1:0"
+	peerKeyEnv = "RAGWORT_TRIAL_PEER_KEY"
+	reportLag  = 0 // the trial's runners report their load at once
+	balancerMS = 200
+	drainMS    = 30_000
+)
+
+// Config of a trial.
+type Config struct {
+	Listen string // host:port of the first gateway
+}
+
+// Trial is the whole system in one process.
+type Trial struct {
+	apiKey      string
+	store       *standin.Store
+	platform    *http.Server
+	platformURL string
+	runners     []*runner.Runner
+	service     *service.Service
+	gateways    []*gateway.Gateway
+	controllers []*controller.Controller
+}
+
+// New starts the stand-ins, writes the configuration and makes the daemons, which
+// Run serves. A trial that was made must be run.
+func New(ctx context.Context, cfg Config) (*Trial, error) {
+	t := &Trial{apiKey: "trial-" + uuid.NewString()}
+	if err := os.Setenv(peerKeyEnv, uuid.NewString()); err != nil {
+		return nil, errors.Wrap(err, "set the peers' key")
+	}
+	if err := t.startPlatform(); err != nil {
+		return nil, err
+	}
+	if err := t.startUpstreams(ctx); err != nil {
+		return nil, err
+	}
+	for i := range zones {
+		if err := t.makeDaemons(ctx, i, cfg.Listen); err != nil {
+			return nil, err
+		}
+	}
+	return t, nil
+}
+
+func (t *Trial) startPlatform() error {
+	t.store = standin.New(standin.Config{})
+	l, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return errors.Wrap(err, "listen for the platform")
+	}
+	t.platformURL = "http://" + l.Addr().String()
+	t.platform = &http.Server{Handler: t.store.Handler()}
+	go func() { _ = t.platform.Serve(l) }()
+	return nil
+}
+
+func (t *Trial) startUpstreams(ctx context.Context) error {
+	var addresses []string
+	for i := range runnerCount {
+		r := runner.New(runner.Config{
+			Name: runnerName(i), Loaded: loadedVersions(), Cost: trialCost(), ReportLag: reportLag,
+			ChecksFencing: true, DeduplicatesRuns: true,
+		})
+		t.runners = append(t.runners, r)
+		address, err := r.Listen(anyPort)
+		if err != nil {
+			return errors.Wrap(err, "listen for a runner")
+		}
+		addresses = append(addresses, address)
+	}
+	t.service = service.New(service.Config{Name: "maps-1"})
+	address, err := t.service.Listen(anyPort)
+	if err != nil {
+		return errors.Wrap(err, "listen for the plain service")
+	}
+	return write(ctx, t.store, configuration(addresses, address, t.apiKey))
+}
+
+// makeDaemons makes the gateway and the controller of availability zone i and
+// enters both into the platform's list of instances.
+func (t *Trial) makeDaemons(ctx context.Context, i int, listen string) error {
+	if i > 0 {
+		listen = anyPort
+	}
+	gatewayPeer, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	controllerPeer, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	gatewayName := fmt.Sprintf("gateway-%d", i+1)
+	controllerName := fmt.Sprintf("controller-%d", i+1)
+	err = write(ctx, t.store, []spec{
+		{resource.KindInstance, gatewayName, instance(resource.RoleGateway, i, gatewayPeer)},
+		{resource.KindInstance, controllerName, instance(resource.RoleController, i, controllerPeer)},
+	})
+	if err != nil {
+		return err
+	}
+	g, err := gateway.New(gateway.Config{Settings: t.gatewaySettings(gatewayName, zones[i], listen, gatewayPeer)})
+	if err != nil {
+		return errors.Wrap(err, gatewayName)
+	}
+	t.gateways = append(t.gateways, g)
+	c, err := controller.New(controller.Config{Settings: t.controllerSettings(controllerName, zones[i], controllerPeer)})
+	if err != nil {
+		return errors.Wrap(err, controllerName)
+	}
+	t.controllers = append(t.controllers, c)
+	return nil
+}
+
+func instance(role string, zone int, peerAddress string) resource.Instance {
+	return resource.Instance{Role: role, Zone: zones[zone], PeerAddress: peerAddress, State: resource.InstanceLive}
+}
+
+func (t *Trial) gatewaySettings(name, zone, listen, peerAddress string) *settings.Gateway {
+	s := &settings.Gateway{
+		Instance:  settings.Instance{Name: name, Zone: zone},
+		Listen:    settings.Listener{Address: listen},
+		Platform:  settings.Platform{Address: t.platformURL},
+		Peer:      peerSettings(peerAddress),
+		Operators: settings.Operators{Listen: settings.Listener{Address: anyPort}},
+		Stop:      settings.Stop{BalancerMS: balancerMS, DrainMS: drainMS},
+	}
+	s.SetDefaults()
+	return s
+}
+
+func (t *Trial) controllerSettings(name, zone, peerAddress string) *settings.Controller {
+	s := &settings.Controller{
+		Instance:  settings.Instance{Name: name, Zone: zone},
+		Platform:  settings.Platform{Address: t.platformURL},
+		Peer:      peerSettings(peerAddress),
+		Operators: settings.Operators{Listen: settings.Listener{Address: anyPort}},
+		Stop:      settings.Stop{BalancerMS: balancerMS, DrainMS: drainMS},
+	}
+	s.SetDefaults()
+	return s
+}
+
+func peerSettings(address string) settings.Peer {
+	return settings.Peer{
+		Listen:    settings.Listener{Address: address},
+		SharedKey: settings.Secret{Env: peerKeyEnv},
+	}
+}
+
+// freeAddress asks the kernel for a free port. The daemon opens it a moment
+// later; its peers have to know it before.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return "", errors.Wrap(err, "find a free port")
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Run serves until ctx ends. Then the gateways stop first, gracefully, and the
+// stand-ins last, so that no running request loses its runner.
+func (t *Trial) Run(ctx context.Context) error {
+	var daemons errgroup.Group
+	for _, g := range t.gateways {
+		daemons.Go(func() error { return g.Run(ctx) })
+	}
+	controllers, stopControllers := context.WithCancel(context.Background())
+	defer stopControllers()
+	var ordering errgroup.Group
+	for _, c := range t.controllers {
+		ordering.Go(func() error { return c.Run(controllers) })
+	}
+	err := daemons.Wait()
+	stopControllers()
+	if controllerErr := ordering.Wait(); err == nil {
+		err = controllerErr
+	}
+	t.close()
+	return err
+}
+
+func (t *Trial) close() {
+	for _, r := range t.runners {
+		r.Close()
+	}
+	t.service.Close()
+	_ = t.platform.Close()
+}
