Share account limits between gateways by their reports

Each gateway keeps a copy of the account's token bucket, takes its own requests off at once and its peers' when they report; a copy may owe. A gateway that does not hear a known one keeps to its share. The overshoot bound is stated at Core. Tests: a lone gateway equals a sequential count; 1 to 8 gateways driven hard stay within the stated bound over every window. With the debit for peers' requests taken out, the bound test fails; restored.

--- a/internal/bench/goodput/command.go
+++ b/internal/bench/goodput/command.go
@@ -10,7 +10,7 @@
 
 // Command compares the cores with least-outstanding routing without admission.
 type Command struct {
-	Seeds   []uint64 `long:"seed" default:"1" default:"2" description:"seeds of the arrivals"`
+	Seeds   []uint64 `long:"seed" description:"seed of the arrivals; may be given again (default 1 and 2)"`
 	Seconds int      `long:"seconds" default:"40" description:"virtual seconds of each run; the first quarter is not counted"`
 	UseMS   int      `long:"use-ms" default:"250" description:"period of the use reports between gateways, milliseconds"`
 	Ranked  bool     `long:"priorities" description:"give alerts a higher priority than chat"`
@@ -62,6 +62,9 @@
 
 // Execute runs the measurement.
 func (c *Command) Execute([]string) error {
+	if len(c.Seeds) == 0 {
+		c.Seeds = []uint64{1, 2}
+	}
 	rows := c.measure()
 	if c.JSON {
 		return json.NewEncoder(os.Stdout).Encode(rows)
--- a/internal/request/limit/core.go
+++ b/internal/request/limit/core.go
@@ -14,38 +14,110 @@
 	StaleAfter time.Duration // a peer that was not heard for this long is cut off; 0: DefaultStaleAfter
 }
 
-// DefaultStaleAfter is three reports of a second each.
+// DefaultStaleAfter is a few periods of use reports.
 const DefaultStaleAfter = 3 * time.Second
 
-// Core keeps the use of every client account. Not safe for concurrent use.
+// Core keeps the use of every client account over all gateways. Not safe for
+// concurrent use.
+//
+// Each gateway keeps a copy of the account's token bucket. Its own requests are
+// taken from the copy at once, those of the others when their report comes; a
+// copy may go below zero and then refuses until it has refilled, so that what
+// was admitted too much is paid back. Tokens in flight are its own plus what the
+// others last reported.
+//
+// Overshoot. Let N be the number of gateways, d the longest time from a request
+// until the others have heard of it (report period plus delay), R the rate and B
+// the burst. While every gateway hears every other one:
+//
+//	requests admitted in any time W <= B + R*W + (N-1)*(B + R*d)
+//	tokens in flight                <= N * TokensInFlight, for at most d after
+//	                                   gateways found room at the same time
+//
+// Fallback. While a known gateway is not heard, this gateway enforces its stated
+// share alone: R/N, B/N (at least one request) and TokensInFlight/N. Gateways
+// that all fall back admit together at most max(B, N) + R*W.
 type Core struct {
 	config   Config
 	accounts map[string]*account
+	gateways []string             // known, without this one
+	heard    map[string]time.Time // last report of each
 }
 
-type account struct {
-	inFlight int
-	requests int // since the last report
+// New makes a core that knows no other gateway.
+func New(config Config) *Core {
+	if config.StaleAfter <= 0 {
+		config.StaleAfter = DefaultStaleAfter
+	}
+	return &Core{config: config, accounts: make(map[string]*account), heard: make(map[string]time.Time)}
 }
 
-// New makes a core.
-func New(config Config) *Core {
-	return &Core{config: config, accounts: make(map[string]*account)}
+// SetGateways tells which gateways are known; this one may be among them. A
+// gateway just added counts as heard for StaleAfter.
+func (c *Core) SetGateways(now time.Time, names []string) {
+	before := c.heard
+	c.heard = make(map[string]time.Time)
+	c.gateways = c.gateways[:0]
+	for _, name := range names {
+		if name == c.config.Self {
+			continue
+		}
+		c.gateways = append(c.gateways, name)
+		c.heard[name] = now
+		if at, ok := before[name]; ok {
+			c.heard[name] = at
+		}
+	}
+	for _, a := range c.accounts {
+		a.forgetPeers(c.heard)
+	}
+}
+
+// CutOff tells whether some known gateway is not heard, so that this one keeps
+// to its stated share.
+func (c *Core) CutOff(now time.Time) bool {
+	for _, name := range c.gateways {
+		if now.Sub(c.heard[name]) > c.config.StaleAfter {
+			return true
+		}
+	}
+	return false
 }
 
-// SetGateways tells which gateways are known, this one included.
-func (c *Core) SetGateways(now time.Time, names []string) {}
+// bounds gives what the account may use as this gateway sees it now.
+func (c *Core) bounds(now time.Time, spec *resource.ClientAccount) bounds {
+	b := bounds{
+		rate:   spec.RequestsPerSec,
+		burst:  max(float64(spec.Burst), 1),
+		tokens: float64(spec.TokensInFlight),
+	}
+	if !c.CutOff(now) {
+		return b
+	}
+	gateways := float64(len(c.gateways) + 1)
+	b.alone = true
+	b.rate /= gateways
+	b.burst = max(b.burst/gateways, 1)
+	b.tokens /= gateways
+	return b
+}
 
 // Admit counts a request of tokens (prompt plus expected output) for an account,
-// or refuses it. Each admitted request must be given to Done once.
+// or refuses it and counts nothing. Each admitted request must be given to Done
+// once, with the same tokens.
 func (c *Core) Admit(now time.Time, name string, spec resource.ClientAccount, tokens int) *errkind.Error {
-	a, ok := c.accounts[name]
-	if !ok {
-		a = &account{}
-		c.accounts[name] = a
+	a := c.account(now, name, &spec)
+	b := c.bounds(now, &spec)
+	a.refill(now, b)
+	if b.rate > 0 && a.level < 1 {
+		wait := time.Duration((1 - a.level) / b.rate * float64(time.Second))
+		return refusal("the account's rate of requests is used up", wait)
 	}
-	if spec.TokensInFlight > 0 && a.inFlight+tokens > spec.TokensInFlight {
-		return errkind.New(errkind.RateLimited, errkind.NotRun, "tokens in flight are used up").After(time.Second)
+	if err := a.checkTokens(b, tokens); err != nil {
+		return err
+	}
+	if b.rate > 0 {
+		a.level--
 	}
 	a.inFlight += tokens
 	a.requests++
@@ -55,19 +127,57 @@
 // Done tells that an admitted request is no longer in flight.
 func (c *Core) Done(_ time.Time, name string, tokens int) {
 	if a, ok := c.accounts[name]; ok {
-		a.inFlight -= tokens
+		a.inFlight = max(a.inFlight-tokens, 0)
 	}
 }
 
-// PeerUse takes in the report of another gateway.
-func (c *Core) PeerUse(now time.Time, origin string, rows []peer.AccountRow) {}
+// PeerUse takes in the report of another gateway. An empty report counts as heard.
+func (c *Core) PeerUse(now time.Time, origin string, rows []peer.AccountRow) {
+	if origin == c.config.Self {
+		return
+	}
+	c.heard[origin] = now
+	for _, row := range rows {
+		a, ok := c.accounts[row.Account]
+		if !ok {
+			a = newAccount(now)
+			c.accounts[row.Account] = a
+		}
+		a.level -= float64(max(row.Requests, 0))
+		a.setPeer(origin, max(row.InFlight, 0))
+	}
+}
 
-// Report gives this gateway's use since the previous call, for its peers.
+// Report gives this gateway's use since the previous call, for its peers: the
+// accounts whose use has changed, and again repeatAfter later, so that a lost
+// report does not stay unnoticed.
 func (c *Core) Report(now time.Time) []peer.AccountRow {
 	var rows []peer.AccountRow
 	for name, a := range c.accounts {
-		rows = append(rows, peer.AccountRow{Account: name, Requests: a.requests, InFlight: a.inFlight})
-		a.requests = 0
+		if a.tells(now) {
+			rows = append(rows, peer.AccountRow{Account: name, Requests: a.requests, InFlight: a.inFlight})
+			a.toldNow(now)
+		}
+		if a.idle(now) {
+			delete(c.accounts, name)
+		}
 	}
 	return rows
 }
+
+func (c *Core) account(now time.Time, name string, spec *resource.ClientAccount) *account {
+	a, ok := c.accounts[name]
+	if !ok {
+		a = newAccount(now)
+		c.accounts[name] = a
+	}
+	if !a.started {
+		a.started = true
+		a.level += max(float64(spec.Burst), 1)
+	}
+	return a
+}
+
+func refusal(message string, wait time.Duration) *errkind.Error {
+	return errkind.New(errkind.RateLimited, errkind.NotRun, message).After(max(wait, leastRetryAfter))
+}
