Test ragwortctl against the stand-in

Bad input by kind and field, exit codes, racing applies, lost answers, waiting with daemons that lag, deletion of what others name, drain, status with either half out, audit, explain, settings. Two faults found on the way: delete warned about users of an object that does not exist, and a refused operators' key left as "unavailable".

Checked once that the tests fail when a version given in the file is ignored and when a suspected daemon is taken for absent.

--- a/internal/command/delete.go
+++ b/internal/command/delete.go
@@ -54,10 +54,14 @@
 	if err != nil {
 		return ofPlatform(err, "looking for objects that name "+kind+"/"+c.Args.Name)
 	}
+	now, err := c.find(objects, kind)
+	if err != nil {
+		return err
+	}
 	if err := c.warnOfReferrers(objects, kind); err != nil {
 		return err
 	}
-	if err := c.remove(store, kind, objects); err != nil {
+	if err := c.remove(store, now); err != nil {
 		return err
 	}
 	if !c.Wait {
@@ -124,26 +128,31 @@
 	return errkind.New(errkind.Conflict, errkind.NotRun, message+"; --force deletes it nevertheless")
 }
 
+// find gives the object to delete.
+func (c *deleteCommand) find(objects []platform.Object, kind string) (platform.Object, error) {
+	for _, o := range objects {
+		if o.Kind == kind && o.Name == c.Args.Name {
+			return o, nil
+		}
+	}
+	return platform.Object{}, ofPlatform(platform.ErrNotFound, kind+"/"+c.Args.Name)
+}
+
 // remove deletes the version that was looked at, or the one that was asked for.
-func (c *deleteCommand) remove(store platform.Store, kind string, objects []platform.Object) error {
+func (c *deleteCommand) remove(store platform.Store, now platform.Object) error {
 	s := c.session
-	about := kind + "/" + c.Args.Name
-	at := slices.IndexFunc(objects, func(o platform.Object) bool { return title(o) == about })
-	if at < 0 {
-		return ofPlatform(platform.ErrNotFound, about)
-	}
-	version := objects[at].Version
+	version := now.Version
 	if c.Version != 0 {
 		version = c.Version
 	}
 	w := newWrites(s, store, c.Reason)
 	defer w.close()
-	if err := platform.ResolveDelete(s.ctx, store, kind, c.Args.Name, version, s.writer()); err != nil {
-		return w.failed(objects[at], objects[at], ofPlatform(err, about))
+	if err := platform.ResolveDelete(s.ctx, store, now.Kind, now.Name, version, s.writer()); err != nil {
+		return w.failed(now, now, ofPlatform(err, title(now)))
 	}
 	w.trail.Record(audit.Entry{
-		What: audit.WhatConfig, Object: about, From: versionText(version), Why: c.Reason, Outcome: "deleted",
+		What: audit.WhatConfig, Object: title(now), From: versionText(version), Why: c.Reason, Outcome: "deleted",
 	})
-	fmt.Fprintf(s.Out, "%s deleted\n", about)
+	fmt.Fprintf(s.Out, "%s deleted\n", title(now))
 	return nil
 }
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -41,6 +41,7 @@
 	}
 	defer ports.close()
 	found, failures := 0, 0
+	var failure error
 	path := "/explain?" + url.Values{c.Args.Subject: {c.Args.ID}}.Encode()
 	for _, address := range ports.addresses {
 		var e explanation
@@ -52,10 +53,14 @@
 		case errkind.Is(err, errkind.NotFound):
 		default:
 			failures++
+			failure = err
 			s.warn("%v", err)
 		}
 	}
-	return c.result(found, failures, len(ports.addresses))
+	if found > 0 {
+		return nil
+	}
+	return c.nothing(failures, len(ports.addresses), failure)
 }
 
 func (c *explainCommand) print(address string, e explanation) {
@@ -65,14 +70,12 @@
 	}
 }
 
-// result is the error of an asking that found nothing.
-func (c *explainCommand) result(found, failures, asked int) error {
-	if found > 0 {
-		return nil
-	}
+// nothing is the error of an asking that found nothing. failure is the last of
+// the failures.
+func (c *explainCommand) nothing(failures, asked int, failure error) error {
 	about := fmt.Sprintf("%s %s", c.Args.Subject, c.Args.ID)
 	if failures > 0 {
-		return errkind.New(errkind.PlatformUnavailable, errkind.NotRun,
+		return errkind.New(errkind.From(failure).Kind, errkind.NotRun,
 			fmt.Sprintf("%d of %d daemons did not answer, and the others know nothing about %s", failures, asked, about))
 	}
 	return errkind.New(errkind.NotFound, errkind.NotRun,
--- /dev/null
+++ b/internal/command/harness_test.go
@@ -0,0 +1,137 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/command"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/ops"
+	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+)
+
+const waitLong = 30 * time.Second
+
+// desk is a platform and an operators' port to run commands against.
+type desk struct {
+	t      *testing.T
+	store  *standin.Store
+	url    string
+	daemon *fakeDaemon
+	ports  string
+}
+
+func newDesk(t *testing.T) *desk {
+	t.Helper()
+	store := standin.New(standin.Config{BookmarkEvery: 10 * time.Millisecond})
+	server, err := store.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	daemon := &fakeDaemon{}
+	ports := httptest.NewServer(ops.New(ops.Config{Source: daemon, Metrics: http.NotFoundHandler(), Key: "ops-key"}).Handler())
+	t.Cleanup(ports.Close)
+	t.Setenv("RAGWORT_OPERATORS_KEY", "ops-key")
+	return &desk{t: t, store: store, url: server.URL, daemon: daemon, ports: ports.URL}
+}
+
+// result is what a command gave.
+type result struct {
+	code     int
+	out, err string
+}
+
+// run runs a command as the writer against the desk's platform and daemon.
+func (d *desk) run(writer, in string, args ...string) result {
+	args = append(args, "--platform", d.url, "--operators", d.ports, "--writer", writer)
+	return runCommand(d.t, in, args...)
+}
+
+func runCommand(t *testing.T, in string, args ...string) result {
+	ctx, cancel := context.WithTimeout(t.Context(), waitLong)
+	defer cancel()
+	var out, errs bytes.Buffer
+	code := command.Run(ctx, args, command.Streams{In: strings.NewReader(in), Out: &out, Err: &errs})
+	return result{code, out.String(), errs.String()}
+}
+
+// must fails the test unless the command ended with code and its output holds the texts.
+func (d *desk) must(r result, code int, texts ...string) {
+	d.t.Helper()
+	if r.code != code {
+		d.t.Fatalf("exit code %d, want %d\nout: %s\nerr: %s", r.code, code, r.out, r.err)
+	}
+	for _, text := range texts {
+		if !strings.Contains(r.out+r.err, text) {
+			d.t.Fatalf("no %q in\nout: %s\nerr: %s", text, r.out, r.err)
+		}
+	}
+}
+
+func (d *desk) object(kind, name string) platform.Object {
+	d.t.Helper()
+	o, err := d.store.Get(d.t.Context(), kind, name)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return o
+}
+
+// put writes an object straight to the platform.
+func (d *desk) put(kind, name, spec string) platform.Object {
+	d.t.Helper()
+	o, err := d.store.Create(d.t.Context(), platform.Object{Kind: kind, Name: name, Writer: "setup", Spec: []byte(spec)})
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return o
+}
+
+func writeFile(t *testing.T, content string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// fakeDaemon answers for a daemon.
+type fakeDaemon struct {
+	mu      sync.Mutex
+	members []ops.Member
+	onAsk   func(d *fakeDaemon) // runs at each asking for members, with the lock held
+}
+
+func (f *fakeDaemon) Ready() (bool, string) { return true, "" }
+
+func (f *fakeDaemon) Drain() ops.DrainState { return ops.DrainState{State: "serving"} }
+
+func (f *fakeDaemon) Members() []ops.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.onAsk != nil {
+		f.onAsk(f)
+	}
+	return append([]ops.Member(nil), f.members...)
+}
+
+func (f *fakeDaemon) Explain(_ context.Context, request, change string) []string {
+	switch {
+	case request == "r1":
+		return []string{"routed to runner-1: least predicted time"}
+	case change == "runner-1-4":
+		return []string{"role prefill: gain 12 useful answers"}
+	default:
+		return nil
+	}
+}
