Never start a deduplicated run twice in one incarnation of the stand-in

A run whose answer was dropped, by its age or by an order, was started again when it was sent again, although the claims count on at most one start in an incarnation. The stand-in now remembers the ids and answers unknown-run, which does not say "not run". The test fails with the check taken out.

Plain services get a longer TCP user timeout: the kernel counts a service that is slow to read a large body as one that does not acknowledge it.

--- a/internal/connection/upstream/service.go
+++ b/internal/connection/upstream/service.go
@@ -7,6 +7,7 @@
 	"net/textproto"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -38,9 +39,14 @@
 	pool *http.Transport
 }
 
+// DefaultServiceUserTimeout is longer than that of engines: the kernel counts a
+// service that is slow to read a large body as not acknowledging it.
+const DefaultServiceUserTimeout = time.Minute
+
 // NewServices makes a client for plain services. Of the options, those of
 // connections apply; a call lives as long as its context.
 func NewServices(opts HTTPOptions) *Services {
+	setDefault(&opts.UserTimeout, DefaultServiceUserTimeout)
 	return &Services{pool: newTransport(opts.withDefaults())}
 }
 
--- a/internal/standin/runner/config.go
+++ b/internal/standin/runner/config.go
@@ -50,7 +50,7 @@
 	CanLoad          []string          // models and adapters that loads succeed for; empty: all
 	ChecksFencing    bool              // refuses an order with an old fencing number
 	ForgetsFence     bool              // a crash resets the fencing number seen
-	DeduplicatesRuns bool              // a second run of the same id attaches to the first
+	DeduplicatesRuns bool              // a second run of the same id attaches to the first, and none starts twice in one incarnation
 	Sampling         bool              // the text differs between runners, as with random sampling
 	Cost             Cost              // zero: DefaultCost
 	Speed            float64           // all costs run this many times faster; default 1
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -38,7 +38,8 @@
 	orderStatus upstream.OrderStatus
 	away        bool
 	runs        map[string]*run
-	finished    []string // ids, oldest first
+	started     map[string]bool // run ids, if runs are deduplicated; kept as long as the incarnation
+	finished    []string        // ids, oldest first
 	waiting     []*run
 	batch       []*run
 	arrivals    uint64
@@ -105,6 +106,7 @@
 	r.orderStatus = upstream.OrderNone
 	r.away = false
 	r.runs = map[string]*run{}
+	r.started = map[string]bool{}
 	r.finished = nil
 	r.waiting = nil
 	r.batch = nil
@@ -135,6 +137,10 @@
 	if old := r.runs[req.RunID]; old != nil && r.config.DeduplicatesRuns && !prefillOnly {
 		return old, nil
 	}
+	if r.started[req.RunID] && !prefillOnly {
+		// Not "not run": it ran, and must not run again.
+		return nil, refusal(req.RunID)(upstream.RefusedUnknownRun, "the run ended and its answer is no longer kept")
+	}
 	if refusal := r.refuseNew(req); refusal != nil {
 		return nil, refusal
 	}
@@ -212,6 +218,7 @@
 	if !prefillOnly {
 		r.ledger.begun(req)
 		r.runs[u.id] = u
+		r.started[u.id] = r.config.DeduplicatesRuns
 	}
 	r.waiting = append(r.waiting, u)
 	if req.KVFrom != "" && !prefillOnly {
--- a/internal/standin/runner/runner_test.go
+++ b/internal/standin/runner/runner_test.go
@@ -153,6 +153,29 @@
 	}
 }
 
+// An engine that deduplicates runs starts none a second time, even when it no
+// longer has the answer.
+func TestForgottenRunIsNotStartedAgain(t *testing.T) {
+	c := testConfig("a")
+	c.KeepFinished = time.Nanosecond
+	r, e, _ := start(t, c)
+	ctx := timeout(t)
+	s, err := e.Run(ctx, request("r1", "p", 3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := read(ctx, s); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the answer is forgotten", func() bool { _, err := e.Resume(ctx, "r1", 0); return errors.Is(err, upstream.ErrUnknownRun) })
+	if _, err := e.Run(ctx, request("r1", "p", 3)); !errors.Is(err, upstream.ErrUnknownRun) || errors.Is(err, upstream.ErrNotRun) {
+		t.Errorf("run again gave %v", err)
+	}
+	if n := r.Executions().Runs["r1"]; n != 1 {
+		t.Errorf("ran %d times", n)
+	}
+}
+
 func TestCancelStopsARun(t *testing.T) {
 	c := testConfig("a")
 	c.Speed = 1
