--- /dev/null
+++ b/internal/process/controller/controller_test.go
@@ -0,0 +1,500 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	standinplatform "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const (
+	testZone    = "zone-a"
+	testTimeout = 30 * time.Second
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// site is a platform, runners and controllers in one process.
+type site struct {
+	t       *testing.T
+	peerKey string // file
+	store   *standinplatform.Store
+	runners map[string]*runner.Runner
+}
+
+func newSite(t *testing.T, checksFencing bool, runners ...string) *site {
+	t.Helper()
+	t.Parallel()
+	key := filepath.Join(t.TempDir(), "peer.key")
+	if err := os.WriteFile(key, []byte("peers"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s := &site{t: t, peerKey: key, store: standinplatform.New(standinplatform.Config{}), runners: map[string]*runner.Runner{}}
+	s.put(resource.KindEngine, "engine", resource.Engine{
+		ChecksFencing: checksFencing, KVTokens: 1 << 20, PrefillRate: 1e6, DecodeRate: 1e4, StreamRate: 1e3,
+		MaxBatch: 64, RoleChangeSeconds: 1, LoadSeconds: 1,
+	})
+	s.put(resource.KindModel, "smoke", resource.Model{ContextTokens: 4096})
+	for _, name := range runners {
+		s.addRunner(name, checksFencing)
+	}
+	return s
+}
+
+func (s *site) put(kind, name string, spec any) {
+	s.t.Helper()
+	o, err := resource.Encode(kind, name, spec)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	if have, err := s.store.Get(context.Background(), kind, name); err == nil {
+		o.Version = have.Version
+	}
+	o.Writer = "operator"
+	if _, err := platform.Write(context.Background(), s.store, o); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *site) addRunner(name string, checksFencing bool) {
+	s.t.Helper()
+	r := runner.New(runner.Config{
+		Name: name, ChecksFencing: checksFencing,
+		Loaded: []upstream.Loaded{{Model: "smoke", Version: "v1"}},
+		Cost: runner.Cost{
+			PrefillRate: 1e6, StreamRate: 100, DecodeRate: 1e4, MaxBatch: 64, KVTokens: 1 << 20, KVTransferRate: 1e6,
+			RoleChange: 400 * time.Millisecond, LoadModel: 200 * time.Millisecond, LoadAdapter: 50 * time.Millisecond,
+		},
+	})
+	s.t.Cleanup(r.Close)
+	address, err := r.Listen("127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.runners[name] = r
+	s.put(resource.KindRunner, name, resource.Runner{
+		Engine: "engine", Address: address, Zone: testZone, Model: "smoke",
+		Role: string(upstream.RoleBoth), State: resource.RunnerServing,
+	})
+}
+
+// edit changes a runner's spec as an operator does.
+func (s *site) edit(name string, change func(*resource.Runner)) {
+	s.t.Helper()
+	o, err := s.store.Get(context.Background(), resource.KindRunner, name)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	spec, err := resource.Decode[resource.Runner](o)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	change(&spec)
+	s.put(resource.KindRunner, name, spec)
+}
+
+func setRole(role upstream.Role) func(*resource.Runner) {
+	return func(r *resource.Runner) { r.Role = string(role) }
+}
+
+// process is a running controller.
+type process struct {
+	*Controller
+	audit *memoryAuditor
+	store *cutStore
+	stop  func() error // plans a stop and waits for its end
+}
+
+// memoryAuditor keeps the trail.
+type memoryAuditor struct {
+	mu      sync.Mutex
+	changes []Change
+	flushed bool
+}
+
+func (a *memoryAuditor) Record(c Change) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.changes = append(a.changes, c)
+}
+
+func (a *memoryAuditor) Flush(context.Context) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.flushed = true
+	return nil
+}
+
+func (a *memoryAuditor) find(what, outcome string) (Change, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, c := range a.changes {
+		if c.What == what && c.Outcome == outcome {
+			return c, true
+		}
+	}
+	return Change{}, false
+}
+
+// cutStore refuses everything once it is cut.
+type cutStore struct {
+	platform.Store
+	mu  sync.Mutex
+	cut bool
+}
+
+func (s *cutStore) setCut(cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = cut
+}
+
+func (s *cutStore) refused() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cut {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *cutStore) Get(ctx context.Context, kind, name string) (platform.Object, error) {
+	if err := s.refused(); err != nil {
+		return platform.Object{}, err
+	}
+	return s.Store.Get(ctx, kind, name)
+}
+
+func (s *cutStore) Update(ctx context.Context, o platform.Object) (platform.Object, error) {
+	if err := s.refused(); err != nil {
+		return platform.Object{}, err
+	}
+	return s.Store.Update(ctx, o)
+}
+
+// start runs a controller.
+func (s *site) start(name string, seeds ...string) *process {
+	s.t.Helper()
+	set := &settings.Controller{
+		Instance:  settings.Instance{Name: name, Zone: testZone},
+		Platform:  settings.Platform{Address: "http://127.0.0.1:1"},
+		Peer:      settings.Peer{Listen: settings.Listener{Address: "127.0.0.1:0"}, SharedKey: settings.Secret{File: s.peerKey}, HeartbeatMS: 100, Seeds: seeds},
+		Operators: settings.Operators{Listen: settings.Listener{Address: "127.0.0.1:0"}},
+		Stop:      settings.Stop{DrainMS: 10_000},
+		Lease:     settings.Lease{TTLMS: 1500, MarginMS: 300, OrderLifeMS: 500},
+	}
+	set.SetDefaults()
+	p := &process{audit: &memoryAuditor{}, store: &cutStore{Store: s.store}}
+	c, err := New(Config{Settings: set, Store: p.store, Auditor: p.audit})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	p.Controller = c
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- c.Run(ctx) }()
+	p.stop = sync.OnceValue(func() error {
+		cancel()
+		return <-done
+	})
+	s.t.Cleanup(func() { _ = p.stop() })
+	return p
+}
+
+// until waits for a condition.
+func (s *site) until(what string, condition func() bool) {
+	s.t.Helper()
+	deadline := time.Now().Add(testTimeout)
+	for !condition() {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("not within %s: %s", testTimeout, what)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (s *site) untilRole(name string, role upstream.Role) {
+	s.t.Helper()
+	s.until(fmt.Sprintf("%s has role %s", name, role), func() bool { return s.runners[name].State().Role == role })
+}
+
+// status reads a runner's published status.
+func (s *site) status(name string) resource.Status {
+	o, err := s.store.Get(context.Background(), resource.KindStatus, "Runner/"+name)
+	if err != nil {
+		return resource.Status{}
+	}
+	status, err := resource.Decode[resource.Status](o)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return status
+}
+
+func (s *site) untilPhase(name, phase string) {
+	s.t.Helper()
+	s.until(name+" is published as "+phase, func() bool { return s.status(name).Phase == phase })
+}
+
+// leader waits for the process that holds the zone's lease.
+func (s *site) leader(processes ...*process) *process {
+	s.t.Helper()
+	var found *process
+	s.until("a leader", func() bool {
+		o, err := s.store.Get(context.Background(), resource.KindLease, testZone)
+		if err != nil {
+			return false
+		}
+		lease, err := resource.Decode[resource.Lease](o)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		for _, p := range processes {
+			if p.self.Name == lease.Holder {
+				found = p
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+// orders counts the orders that a runner executed, and fails if one of them cut requests.
+func (s *site) orders(name string) int {
+	s.t.Helper()
+	log := s.runners[name].OrderLog()
+	for _, o := range log {
+		if o.Streams > 0 {
+			s.t.Errorf("order %s cut %d requests", o.Order.ID, o.Streams)
+		}
+	}
+	return len(log)
+}
+
+func TestOperatorChangesARole(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("fencing %v", checks), func(t *testing.T) {
+			s := newSite(t, checks, "r1", "r2")
+			a := s.start("c-a")
+			b := s.start("c-b", a.Addresses().Peers.String())
+			s.leader(a, b)
+			s.edit("r1", setRole(upstream.RoleDecode))
+			s.untilRole("r1", upstream.RoleDecode)
+			s.untilPhase("r1", "serving")
+			if n := s.orders("r1"); n != 1 {
+				t.Errorf("%d orders, want 1", n)
+			}
+			if n := s.orders("r2"); n != 0 {
+				t.Errorf("%d orders at the other runner", n)
+			}
+			if _, err := s.store.Get(context.Background(), resource.KindDrain, "r1"); err == nil {
+				t.Error("the drain mark is still there")
+			}
+			lead := s.leader(a, b)
+			if c, ok := lead.audit.find("order", "done"); !ok || c.Object != "Runner/r1" || c.Epoch == 0 || c.Why == "" {
+				t.Errorf("audit %+v", c)
+			}
+			if lines := (opsSource{a.Controller}.Explain(context.Background(), "", "r1-1")); len(lines) == 0 {
+				t.Error("explain knows nothing of the order")
+			}
+		})
+	}
+}
+
+func TestSuccessorFinishesTheOrderOfAKilledHolder(t *testing.T) {
+	s := newSite(t, false, "r1")
+	a := s.start("c-a")
+	b := s.start("c-b", a.Addresses().Peers.String())
+	killed := s.leader(a, b)
+	s.edit("r1", setRole(upstream.RolePrefill))
+	s.until("the order is open", func() bool {
+		o, err := s.store.Get(context.Background(), resource.KindOrderSlot, "r1")
+		return err == nil && strings.Contains(string(o.Spec), `"state":"open"`)
+	})
+	killed.cancel() // all I/O ends at once; nothing is released
+	s.untilRole("r1", upstream.RolePrefill)
+	s.until("the slot is closed by the successor", func() bool {
+		o, err := s.store.Get(context.Background(), resource.KindOrderSlot, "r1")
+		return err == nil && o.Writer != killed.self.Name && strings.Contains(string(o.Spec), `"state":"closed"`)
+	})
+	s.untilPhase("r1", "serving")
+	if n := s.orders("r1"); n != 1 {
+		t.Errorf("%d orders executed, want 1", n)
+	}
+}
+
+func TestOperatorsRace(t *testing.T) {
+	s := newSite(t, true, "r1")
+	p := s.start("c-a")
+	s.leader(p)
+	for _, role := range []upstream.Role{upstream.RoleDecode, upstream.RolePrefill, upstream.RoleDecode, upstream.RolePrefill} {
+		s.edit("r1", setRole(role))
+		time.Sleep(150 * time.Millisecond)
+	}
+	s.untilRole("r1", upstream.RolePrefill)
+	s.untilPhase("r1", "serving")
+	if s.runners["r1"].State().Role != upstream.RolePrefill {
+		t.Error("the newest desired state was left again")
+	}
+}
+
+func TestOperatorsDrain(t *testing.T) {
+	s := newSite(t, true, "r1", "r2")
+	p := s.start("c-a")
+	s.leader(p)
+	s.untilPhase("r1", "serving")
+	engine := upstream.NewHTTP(runnerAddress(s, "r1"), upstream.HTTPOptions{Name: "r1"})
+	defer engine.(interface{ Close() error }).Close()
+	stream, err := engine.Run(context.Background(), upstream.RunRequest{RunID: "x", Model: "smoke", Version: "v1", Prompt: "p", MaxTokens: 150})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	s.edit("r1", func(r *resource.Runner) { r.State = resource.RunnerDrained })
+	s.untilPhase("r1", "draining")
+	s.edit("r1", setRole(upstream.RoleDecode)) // waits until the stream has ended
+	tokens := 0
+	for {
+		item, err := stream.Recv(context.Background())
+		if err != nil {
+			t.Fatalf("the stream was cut after %d tokens: %v", tokens, err)
+		}
+		if item.End != nil {
+			break
+		}
+		tokens++
+	}
+	if tokens != 150 {
+		t.Errorf("%d tokens", tokens)
+	}
+	s.untilRole("r1", upstream.RoleDecode)
+	s.untilPhase("r1", "drained")
+	if n := s.orders("r1"); n != 1 {
+		t.Errorf("%d orders, want 1", n)
+	}
+}
+
+func runnerAddress(s *site, name string) string {
+	o, err := s.store.Get(context.Background(), resource.KindRunner, name)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	spec, err := resource.Decode[resource.Runner](o)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return spec.Address
+}
+
+func TestNobodyOrdersWhileThePlatformIsAway(t *testing.T) {
+	s := newSite(t, true, "r1")
+	p := s.start("c-a")
+	s.leader(p)
+	s.untilPhase("r1", "serving")
+	p.store.setCut(true)
+	s.until("ordering stops", func() bool { return !p.ordersNow() })
+	s.edit("r1", setRole(upstream.RoleDecode))
+	time.Sleep(500 * time.Millisecond)
+	if n := s.orders("r1"); n != 0 {
+		t.Errorf("%d orders without the platform", n)
+	}
+	p.store.setCut(false)
+	s.untilRole("r1", upstream.RoleDecode)
+}
+
+// ordersNow asks the loop whether the process may order in its zone.
+func (p *process) ordersNow() bool {
+	answer := make(chan bool, 1)
+	p.post(func() { answer <- p.zones[testZone].leads() })
+	return <-answer
+}
+
+func TestPlannedStop(t *testing.T) {
+	s := newSite(t, true, "r1")
+	a := s.start("c-a")
+	b := s.start("c-b", a.Addresses().Peers.String())
+	lead := s.leader(a, b)
+	s.edit("r1", setRole(upstream.RoleDecode))
+	s.until("the engine executes", func() bool { return s.runners["r1"].State().OrderStatus == upstream.OrderRunning })
+	ready := "http://" + lead.Addresses().Operators.String() + "/ready"
+	if code := statusOf(t, ready); code != http.StatusOK {
+		t.Errorf("ready answers %d", code)
+	}
+	if err := lead.stop(); err != nil {
+		t.Fatal(err)
+	}
+	o, err := s.store.Get(context.Background(), resource.KindOrderSlot, "r1")
+	if err != nil || !strings.Contains(string(o.Spec), `"outcome":"done"`) {
+		t.Errorf("slot %s: the running order was not finished first", o.Spec)
+	}
+	if _, ok := lead.audit.find("lease", "given up"); !ok || !lead.audit.flushed {
+		t.Error("the release is not in a flushed audit trail")
+	}
+	other := a
+	if lead == a {
+		other = b
+	}
+	s.leader(other)
+	s.edit("r1", setRole(upstream.RolePrefill))
+	s.untilRole("r1", upstream.RolePrefill)
+}
+
+func statusOf(t *testing.T, url string) int {
+	t.Helper()
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get(url)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestEngineCrashInTheMiddleOfAnOrder(t *testing.T) {
+	s := newSite(t, true, "r1", "r2")
+	p := s.start("c-a")
+	s.leader(p)
+	s.runners["r1"].SetFaults(runner.Faults{CrashInOrders: 1, LoseOrderAnswers: 1})
+	s.edit("r1", setRole(upstream.RoleDecode))
+	s.untilRole("r1", upstream.RoleDecode)
+	s.untilPhase("r1", "serving")
+}
+
+func TestVersionRollOut(t *testing.T) {
+	s := newSite(t, true, "r1", "r2", "r3")
+	s.put(resource.KindModel, "smoke", resource.Model{ContextTokens: 4096, MinServing: 2})
+	p := s.start("c-a")
+	s.leader(p)
+	for name := range s.runners {
+		s.edit(name, func(r *resource.Runner) { r.Versions = []string{"v2"} })
+	}
+	s.until("every runner holds v2 alone", func() bool {
+		away := 0
+		all := true
+		for name, r := range s.runners {
+			if _, err := s.store.Get(context.Background(), resource.KindDrain, name); err == nil {
+				away++
+			}
+			l := r.State().Loaded
+			all = all && len(l) == 1 && l[0].Version == "v2"
+		}
+		if away > 1 {
+			t.Fatalf("%d runners away at once", away)
+		}
+		return all
+	})
+}
--- a/internal/process/reconcile/desired.go
+++ b/internal/process/reconcile/desired.go
@@ -20,7 +20,16 @@
 	d := Desired{Runners: make(map[string]Want, len(s.Runners)), Models: s.Models}
 	weighed := weighedVersions(s)
 	for name, r := range s.Runners {
-		w := Want{Zone: r.Zone, State: r.State, Model: r.Model, Loaded: wantedLoads(r, weighed[r.Model])}
+		w := Want{Zone: r.Zone, State: r.State, Model: r.Model}
+		versions := r.Versions
+		if len(versions) == 0 {
+			versions = weighed[r.Model]
+		}
+		if len(versions) == 0 {
+			w.AnyVersion = true
+			versions = []string{firstVersion(s, r.Model)}
+		}
+		w.Loaded = wantedLoads(r, versions)
 		if w.State == "" {
 			w.State = resource.RunnerServing
 		}
@@ -54,16 +63,20 @@
 	return out
 }
 
-// wantedLoads gives what a runner should hold. A model without versions is loaded
-// under the empty version.
-func wantedLoads(r resource.Runner, weighed []string) []upstream.Loaded {
-	versions := r.Versions
-	if len(versions) == 0 {
-		versions = weighed
-	}
-	if len(versions) == 0 {
-		versions = []string{""}
+// firstVersion gives the model's first version by name; empty: it has none, and is
+// loaded under the empty version.
+func firstVersion(s *config.Snapshot, model string) string {
+	first := ""
+	for name, v := range s.Versions {
+		if v.Model == model && (first == "" || name < first) {
+			first = name
+		}
 	}
+	return first
+}
+
+// wantedLoads gives what a runner should hold.
+func wantedLoads(r resource.Runner, versions []string) []upstream.Loaded {
 	out := make([]upstream.Loaded, 0, len(versions))
 	for _, v := range versions {
 		out = append(out, upstream.Loaded{Model: r.Model, Version: v, Adapters: r.Adapters})
--- a/internal/process/reconcile/need.go
+++ b/internal/process/reconcile/need.go
@@ -16,6 +16,9 @@
 // model that is replaced is unloaded first, to make room; a further version of the
 // same model is loaded first, so that a load that fails takes nothing away.
 func needs(w Want, s upstream.State) []Need {
+	if w.AnyVersion {
+		w.Loaded = heldVersions(w, s.Loaded)
+	}
 	var out []Need
 	for _, held := range s.Loaded {
 		if !holdsModel(w.Loaded, held.Model) {
@@ -41,6 +44,22 @@
 	return out
 }
 
+// heldVersions replaces the versions of a want by those that the engine holds, if it
+// holds any of the model.
+func heldVersions(w Want, held []upstream.Loaded) []upstream.Loaded {
+	var out []upstream.Loaded
+	for _, l := range held {
+		if l.Model == w.Model {
+			l.Adapters = w.Loaded[0].Adapters
+			out = append(out, l)
+		}
+	}
+	if len(out) == 0 {
+		return w.Loaded
+	}
+	return out
+}
+
 func holdsModel(loaded []upstream.Loaded, model string) bool {
 	return slices.ContainsFunc(loaded, func(l upstream.Loaded) bool { return l.Model == model })
 }
--- a/internal/process/reconcile/plan_test.go
+++ b/internal/process/reconcile/plan_test.go
@@ -219,6 +219,10 @@
 			upstream.State{Loaded: two}, "unload-adapter m v1 old, load-adapter m v1 new"},
 		{"new version with adapter, then role", Want{Role: upstream.RoleDecode, Loaded: []upstream.Loaded{{Model: "m", Version: "v1", Adapters: []string{"new"}}}},
 			upstream.State{Role: upstream.RoleBoth}, "load-model m v1 , load-adapter m v1 new, set-role   "},
+		{"any version: the one held stays", Want{Model: "m", AnyVersion: true, Loaded: loaded("v1")},
+			upstream.State{Loaded: loaded("v7")}, ""},
+		{"any version: none held", Want{Model: "m", AnyVersion: true, Loaded: loaded("v1")},
+			upstream.State{}, "load-model m v1 "},
 	}
 	for _, test := range tests {
 		var got []string
--- a/internal/process/reconcile/types.go
+++ b/internal/process/reconcile/types.go
@@ -21,7 +21,10 @@
 	Model   string
 	Role    upstream.Role // empty: leave it as it is
 	Loaded  []upstream.Loaded
-	Reason  string // of the role, if the role policy chose it
+	// AnyVersion: no operator and no route asks for a version. Whatever version of
+	// the model the engine holds stays; Loaded says what to load if it holds none.
+	AnyVersion bool
+	Reason     string // of the role, if the role policy chose it
 }
 
 // Actual is what is there.
