--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -142,6 +142,9 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
+	f.store.PutInstance(s.Instance.Name, resource.Instance{
+		Role: "gateway", Zone: testZone, PeerAddress: g.Addresses().Peers.String(), State: resource.InstanceLive,
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run(ctx) }()
--- a/internal/process/gateway/keyed_test.go
+++ b/internal/process/gateway/keyed_test.go
@@ -17,6 +17,7 @@
 func TestSameKeyRunsOnceAndAnswersEachTime(t *testing.T) {
 	f := newFleet(t, runner.Config{Name: "r1"}, runner.Config{Name: "r2"})
 	one, two := f.start(f.settings("gw-1")), f.start(f.settings("gw-2"))
+	one.eventually("the gateways are connected", func() bool { return len(one.members.Connected()) == 1 && len(two.members.Connected()) == 1 })
 	body := completion("alert", "send the van", 30, true)
 	want := answerTo("send the van", 30)
 	var wait sync.WaitGroup
--- /dev/null
+++ b/internal/process/gateway/lifecycle_test.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"encoding/pem"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/ops"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// operators reads a path of the operators' port.
+func (r *running) operators(path string) (int, string) {
+	r.f.t.Helper()
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + r.Addresses().Operators.String() + path)
+	if err != nil {
+		r.f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.f.t.Fatal(err)
+	}
+	return resp.StatusCode, string(raw)
+}
+
+func TestOperatorsSeeWhatHappened(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"})
+	one, two := f.start(f.settings("gw-1")), f.start(f.settings("gw-2"))
+	p := one.get(ask{body: completion("alert", "p", 5, true)})
+	p.wantWhole(t, answerTo("p", 5))
+	id := p.header.Get(headerRequestID)
+	two.eventually("the gateways know each other", func() bool {
+		var members []ops.Member
+		_, raw := two.operators("/members")
+		return json.Unmarshal([]byte(raw), &members) == nil && len(members) == 2 &&
+			members[0].State == "live" && members[0].Applied > 0 && members[0].Applied == members[1].Applied
+	})
+	for _, g := range []*running{one, two} { // also asked at the gateway that didn't serve it
+		if code, raw := g.operators("/explain?request=" + id); code != http.StatusOK || !strings.Contains(raw, "chose r1") {
+			t.Errorf("explain: %d %s", code, raw)
+		}
+	}
+	if code, _ := one.operators("/explain?request=nobody"); code != http.StatusNotFound {
+		t.Errorf("unknown request: %d", code)
+	}
+	one.eventually("the request is counted", func() bool {
+		_, raw := one.operators("/metrics")
+		return strings.Contains(raw, `ragwort_gateway_requests_total{outcome="whole",route="alert",zone="zone-a"} 1`)
+	})
+}
+
+// A request keeps the configuration that it began with.
+func TestSnapshotIsKeptThroughARequest(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"})
+	g := f.start(f.settings("gw-1"))
+	resp, err := ask{body: completion("alert", "p", 400, true)}.do(g)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	before := g.snapshot().Version
+	f.put(resource.KindRoute, "alert", resource.Route{Model: testModel, Priority: 1, MaxTokens: 3})
+	g.eventually("the change is in force", func() bool { return g.snapshot().Version > before })
+	readReply(resp).wantWhole(t, answerTo("p", 400))
+	g.get(ask{body: completion("alert", "p", 400, true)}).wantWhole(t, answerTo("p", 3))
+}
+
+func TestNoConfigurationYet(t *testing.T) {
+	f := newFleet(t)
+	s := f.settings("gw-1")
+	s.Platform.TimeoutMS = 50
+	g, err := New(Config{Settings: s}) // its platform doesn't answer
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := httptest.NewRecorder()
+	g.callerHandler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, pathCompletion, strings.NewReader("{}")))
+	if w.Code != http.StatusServiceUnavailable || !strings.Contains(w.Body.String(), `"config_unavailable"`) {
+		t.Errorf("%d %s", w.Code, w.Body)
+	}
+	if ok, why := (opsSource{g}).Ready(); ok || why == "" {
+		t.Errorf("ready %v, %q", ok, why)
+	}
+	g.closeDown()
+}
+
+func TestCallersOverTLS(t *testing.T) {
+	sample := httptest.NewUnstartedServer(nil)
+	sample.StartTLS()
+	cert := sample.TLS.Certificates[0]
+	sample.Close()
+	f := newFleet(t, runner.Config{Name: "r1"})
+	s := f.settings("gw-1")
+	s.Listen.TLS = writePair(t, cert)
+	g := f.start(s)
+	pool := x509.NewCertPool()
+	pool.AddCert(sample.Certificate())
+	client := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, ServerName: "example.com"}, DisableKeepAlives: true}
+	req, err := http.NewRequest(http.MethodPost, "https://"+g.Addresses().Callers.String()+pathCompletion,
+		strings.NewReader(completion("alert", "p", 5, true)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := client.RoundTrip(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	readReply(resp).wantWhole(t, answerTo("p", 5))
+}
+
+func writePair(t *testing.T, cert tls.Certificate) settings.TLS {
+	t.Helper()
+	key, err := x509.MarshalPKCS8PrivateKey(cert.PrivateKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	out := settings.TLS{CertFile: filepath.Join(dir, "cert.pem"), KeyFile: filepath.Join(dir, "key.pem")}
+	for file, block := range map[string]pem.Block{
+		out.CertFile: {Type: "CERTIFICATE", Bytes: cert.Certificate[0]},
+		out.KeyFile:  {Type: "PRIVATE KEY", Bytes: key},
+	} {
+		if err := os.WriteFile(file, pem.EncodeToMemory(&block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/gateway/prefill_test.go
@@ -0,0 +1,49 @@
+package gateway
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+)
+
+// executeAt runs a call with a given choice, whatever routing would choose.
+func (r *running) executeAt(prompt string, choice route.Choice) reply {
+	now := time.Now()
+	s := r.snapshot()
+	c := &call{
+		id: prompt, arrived: now, snapshot: s, account: "clinic", routeName: "alert", route: s.Routes["alert"],
+		body: requestBody{form: formCompletion, prompt: prompt, stream: true}, deadline: now.Add(time.Minute),
+		promptTokens: route.EstimateTokens(prompt), maxTokens: 20,
+	}
+	w := httptest.NewRecorder()
+	x := newExecution(r.Gateway, c, newAnswer(context.Background(), c, w), r.explain.begin(c.id, now), c.request(testZone))
+	u := &unkeyed{execution: x}
+	final := u.run(context.Background(), choice)
+	r.finish(c, x, x.why, final)
+	return readReply(w.Result())
+}
+
+func TestPrefillElsewhere(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "dec", Role: upstream.RoleDecode}, runner.Config{Name: "pre", Role: upstream.RolePrefill})
+	g := f.start(f.settings("gw-1"))
+	prompt := strings.Repeat("fire season briefing ", 400)
+	g.executeAt(prompt, route.Choice{Runner: "dec", Prefill: "pre"}).wantWhole(t, answerTo(prompt, 20))
+	if s := f.runners["dec"].Stats(); s.KVImports != 1 {
+		t.Errorf("%d imports of KV cache at the decode runner", s.KVImports)
+	}
+	f.runners["pre"].Close()
+	other := "b" + prompt
+	g.executeAt(other, route.Choice{Runner: "dec", Prefill: "pre"}).wantWhole(t, answerTo(other, 20))
+	if s := f.runners["dec"].Stats(); s.KVImports != 1 || s.Accepted != 2 {
+		t.Errorf("%+v; want 1 import and 2 runs", s)
+	}
+	if lines := strings.Join(g.explain.lines(other), "\n"); !strings.Contains(lines, "prefill at pre failed") {
+		t.Errorf("the fallback is not explained:\n%s", lines)
+	}
+}
--- a/internal/process/metrics/metrics.go
+++ b/internal/process/metrics/metrics.go
@@ -22,6 +22,18 @@
 	0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.8, 2.5, 5, 10, 30, 60, 120,
 }
 
+// sanitizer keeps names within what Prometheus allows. Values of labels may hold
+// what names of instances, zones and routes hold, so that they stay recognizable.
+var sanitizer = tally.SanitizeOptions{
+	NameCharacters:       prometheus.DefaultSanitizerOpts.NameCharacters,
+	KeyCharacters:        prometheus.DefaultSanitizerOpts.KeyCharacters,
+	ReplacementCharacter: prometheus.DefaultSanitizerOpts.ReplacementCharacter,
+	ValueCharacters: tally.ValidCharacters{
+		Ranges:     tally.AlphanumericRange,
+		Characters: []rune{'_', '-', '.', '/'},
+	},
+}
+
 // Exporter owns a root scope and its Prometheus text form. It holds its own
 // Prometheus registry, so that several daemons can live in one process.
 type Exporter struct {
@@ -45,7 +57,7 @@
 		Tags:            tags,
 		CachedReporter:  reporter,
 		Separator:       prometheus.DefaultSeparator,
-		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+		SanitizeOptions: &sanitizer,
 		// Tally's metrics about itself would double the text for no use.
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
