Test the real binaries through outage, kill, pause and an operator's change

Cause: the invariants were shown on cores and on stops only; kills, pauses and outages of real processes were not.

--- /dev/null
+++ b/internal/e2e/authority_test.go
@@ -0,0 +1,108 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// waitLimit ends a test that hangs; nothing is asserted about the time taken.
+const waitLimit = 90 * time.Second
+
+// eventually waits until ok holds.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for time.Now().Before(deadline) {
+		if ok() {
+			return
+		}
+		time.Sleep(pollEvery)
+	}
+	t.Fatalf("%s: not within %s", what, waitLimit)
+}
+
+// waitHolder waits until a controller other than former holds the zone's lease.
+func (s *stack) waitHolder(zone, former string) string {
+	s.t.Helper()
+	holder := ""
+	eventually(s.t, "a holder of the lease of "+zone, func() bool {
+		o, err := s.store.Get(context.Background(), resource.KindLease, zone)
+		if err != nil {
+			return false
+		}
+		var lease resource.Lease
+		if json.Unmarshal(o.Spec, &lease) != nil {
+			return false
+		}
+		holder = lease.Holder
+		return holder != "" && holder != former
+	})
+	return holder
+}
+
+func (s *stack) controller(name string) *process {
+	s.t.Helper()
+	for _, c := range s.controllers {
+		if c.name == name {
+			return c
+		}
+	}
+	s.t.Fatalf("no controller %q", name)
+	return nil
+}
+
+// setRole writes a runner's desired role as an operator would.
+func (s *stack) setRole(name, role string) {
+	s.t.Helper()
+	eventually(s.t, "write the role of "+name, func() bool {
+		o, err := s.store.Get(context.Background(), resource.KindRunner, name)
+		if err != nil {
+			return false
+		}
+		spec, err := resource.Decode[resource.Runner](o)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		spec.Role = role
+		next, err := resource.Encode(resource.KindRunner, name, spec)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		next.Version, next.Writer, next.Nonce = o.Version, "e2e", platform.NewNonce()
+		_, err = s.store.Update(context.Background(), next)
+		return err == nil
+	})
+}
+
+func (s *stack) waitRole(i int, role upstream.Role) {
+	s.t.Helper()
+	engine := upstream.NewHTTP(s.runners[i].url, upstream.HTTPOptions{})
+	eventually(s.t, "role "+string(role), func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		state, err := engine.State(ctx)
+		return err == nil && state.Role == role && state.OrderStatus == upstream.OrderDone
+	})
+}
+
+func (r *runnerProcess) orders(t *testing.T) []runner.OrderRecord {
+	t.Helper()
+	response, err := http.Get(r.url + "/admin/orders")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var out []runner.OrderRecord
+	if err := json.NewDecoder(response.Body).Decode(&out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/e2e/faults_test.go
@@ -0,0 +1,171 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+)
+
+const (
+	keyedCallers  = 6
+	keyedRequests = 20 // of each caller
+	keyedAttempts = 400
+)
+
+// setFault switches the platform's faults.
+func (s *stack) setFault(fault standin.FaultBody) {
+	s.t.Helper()
+	body, err := json.Marshal(fault)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request, err := http.NewRequest(http.MethodPut, s.platformURL+"/admin/fault", bytes.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		s.t.Fatalf("set fault: status %d", response.StatusCode)
+	}
+}
+
+// TestServingGoesOnThroughAnOutage takes the platform away under load.
+func TestServingGoesOnThroughAnOutage(t *testing.T) {
+	s := newStack(t)
+	l := startLoad(s.gateways, loadCallers)
+	time.Sleep(settleBetween)
+	s.setFault(standin.FaultBody{Outage: true})
+	before := l.whole.Load()
+	time.Sleep(4 * settleBetween)
+	during := l.whole.Load() - before
+	s.setFault(standin.FaultBody{})
+	time.Sleep(settleBetween)
+	l.finish()
+	report(t, l, s)
+	if during == 0 {
+		t.Error("no request was answered while the platform was out")
+	}
+}
+
+// TestKeyedRequestsRunOnceThroughAKill kills a gateway while callers send requests
+// with an Idempotency-Key, and ask again elsewhere after anything but a whole
+// answer. Every request ends in its whole answer, and runs exactly once.
+func TestKeyedRequestsRunOnceThroughAKill(t *testing.T) {
+	s := newStack(t)
+	l := &load{gateways: s.gateways, client: &http.Client{}}
+	var callers sync.WaitGroup
+	for c := range keyedCallers {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for n := range keyedRequests {
+				l.keyed(fmt.Sprintf("k%d-n%d", c, n), c)
+			}
+		}()
+	}
+	time.Sleep(settleBetween)
+	s.gateways[0].process.kill()
+	time.Sleep(settleBetween)
+	s.gateways[0].process.start()
+	callers.Wait()
+	report(t, l, s)
+	if got := l.whole.Load(); got != keyedCallers*keyedRequests {
+		t.Errorf("%d whole answers, want %d", got, keyedCallers*keyedRequests)
+	}
+}
+
+// keyed asks with one key until the whole answer comes.
+func (l *load) keyed(marker string, turn int) {
+	last := ""
+	for range keyedAttempts {
+		g := l.gateways[turn%len(l.gateways)]
+		turn++
+		text, problem := l.askKeyed(g, marker)
+		if problem == "" {
+			l.compare(marker, text)
+			return
+		}
+		last = problem
+		time.Sleep(betweenRefusal)
+	}
+	l.fail(&l.cut, "%s: no answer in %d attempts: %s", marker, keyedAttempts, last)
+}
+
+func (l *load) askKeyed(g *gatewayProcess, marker string) (text, problem string) {
+	body := fmt.Sprintf(`{"model": %q, "prompt": %q, "max_tokens": 64}`, alertRoute, prompt(marker))
+	request, err := http.NewRequest(http.MethodPost, g.url+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return "", err.Error()
+	}
+	request.Header.Set("Authorization", "Bearer "+apiKey)
+	request.Header.Set("Idempotency-Key", marker)
+	response, err := l.client.Do(request)
+	if err != nil {
+		return "", err.Error()
+	}
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return "", err.Error()
+	}
+	if response.StatusCode != http.StatusOK {
+		return "", fmt.Sprintf("status %d: %s", response.StatusCode, raw)
+	}
+	return chunkText(string(raw)), ""
+}
+
+func (l *load) compare(marker, text string) {
+	want := runner.Answer(upstream.RunRequest{Model: modelName, Version: versionName, Prompt: prompt(marker), MaxTokens: 64})
+	if text != want {
+		l.fail(&l.wrong, "%s: got %q, want %q", marker, text, want)
+		return
+	}
+	l.whole.Add(1)
+}
+
+// TestPausedHolderGivesNoStaleOrder pauses the controller that holds the zone's
+// lease past its end, lets the other one take over, and wakes it.
+func TestPausedHolderGivesNoStaleOrder(t *testing.T) {
+	s := newStack(t)
+	holder := s.waitHolder(zone(0), "")
+	paused := s.controller(holder)
+	if err := paused.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	resumed := false
+	resume := func() {
+		if !resumed {
+			resumed = true
+			_ = paused.cmd.Process.Signal(syscall.SIGCONT)
+		}
+	}
+	defer resume()
+	s.waitHolder(zone(0), holder)
+	s.setRole("runner-0", "decode")
+	s.waitRole(0, upstream.RoleDecode)
+	resume()
+	s.setRole("runner-0", "both")
+	s.waitRole(0, upstream.RoleBoth)
+	for _, r := range s.runners {
+		for _, o := range r.orders(t) {
+			if o.Stale {
+				t.Errorf("%s: order %+v had effect after a newer holder's", r.process.name, o.Order)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/e2e/operators_test.go
@@ -0,0 +1,76 @@
+package e2e
+
+import (
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const shorterAlerts = `{"kind": "Route", "name": "alert", "spec": {
+  "model": "smoke-desk", "weights": [{"version": "smoke-desk-v1", "weight": 1}],
+  "onTime": {"wholeMS": 30000}, "priority": 5, "maxTokens": 7, // the cap moves
+}}`
+
+// ctl runs the operators' command line.
+func (s *stack) ctl(args ...string) (string, error) {
+	s.t.Helper()
+	command := exec.Command(binary(s.t, "ragwortctl"), args...)
+	command.Env = append(os.Environ(), "RAGWORT_PLATFORM="+s.platformURL,
+		"RAGWORT_OPERATORS="+strings.Join(s.operators, ","), "RAGWORT_WRITER=operator-1")
+	out, err := command.CombinedOutput()
+	return string(out), err
+}
+
+// TestOperatorSeesIntentInForce applies a route with the command line, waits until
+// it is in force at every daemon, and sees its effect on the very next request.
+func TestOperatorSeesIntentInForce(t *testing.T) {
+	s := newStack(t)
+	path := filepath.Join(s.dir, "route.json")
+	if err := os.WriteFile(path, []byte(shorterAlerts), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, err := s.ctl("apply", "--wait", "--reason", "shorter alerts", "-f", path); err != nil {
+		t.Fatalf("apply: %v\n%s", err, out)
+	}
+	for _, g := range s.gateways {
+		request, err := http.NewRequest(http.MethodPost, g.url+"/v1/completions",
+			strings.NewReader(`{"model": "alert", "prompt": "Level?", "max_tokens": 64}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+apiKey)
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !strings.Contains(string(body), `"completion_tokens":7`) {
+			t.Errorf("%s: the new cap is not in force: %s", g.process.name, body)
+		}
+		s.mustSay("chose runner-", "explain", "request", response.Header.Get("X-Request-Id"))
+	}
+	s.mustSay("shorter alerts", "audit", "--object", "Route/alert")
+	s.mustSay("gateway-1", "status")
+	if out, err := s.ctl("get", "Route", "no-such-route"); err == nil {
+		t.Errorf("an unknown object must be an error: %s", out)
+	}
+}
+
+func (s *stack) mustSay(want string, args ...string) {
+	s.t.Helper()
+	out, err := s.ctl(args...)
+	if err != nil {
+		s.t.Errorf("%v: %v\n%s", args, err, out)
+	}
+	if !strings.Contains(out, want) {
+		s.t.Errorf("%v does not say %q:\n%s", args, want, out)
+	}
+}
--- a/internal/e2e/stack_test.go
+++ b/internal/e2e/stack_test.go
@@ -174,7 +174,7 @@
 	name := fmt.Sprintf("controller-%d", i)
 	ops := freePort(s.t)
 	path := s.writeSettings(name, resource.RoleController, zone(i), freePort(s.t),
-		fmt.Sprintf(`"operators": {"listen": {"address": %q}}`, ops))
+		fmt.Sprintf(`"operators": {"listen": {"address": %q}}, "lease": {"ttlMS": 2000, "marginMS": 500, "orderLifeMS": 500}`, ops))
 	c := start(s.t, name, binary(s.t, "ragwort-controller"), "http://"+ops+"/ready", "--settings", path)
 	s.controllers = append(s.controllers, c)
 	s.operators = append(s.operators, "http://"+ops)
