Say less after a lost answer, and wait for the drain that was asked for

After a lost answer Resolve passed on a later "too large" or "invalid" as if it spoke of the first sending; such a write is unknown now.

Tests: both cases; counters through lost writes and answers; a watch cut past the history; a fuzz target for input files.

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -105,7 +105,7 @@
 	d := newDesk(t)
 	d.put("Runner", "r1", runnerSpec)
 	d.put("Service", "maps", serviceSpec)
-	d.put("Status", "Runner/r1", `{"accepted": true, "version": 1, "inForce": 1, "phase": "drained"}`)
+	d.put("Status", "Runner/r1", `{"accepted": true, "version": 1000, "inForce": 1000, "phase": "drained"}`)
 	d.daemon.members = []ops.Member{{Name: "g1", Role: "gateway", State: "live", Applied: 1000}}
 	state := func() resource.RunnerState {
 		spec, err := resource.Decode[resource.Runner](d.object("Runner", "r1"))
@@ -135,12 +135,20 @@
 }
 
 func TestDrainSaysWhenItIsNotDrained(t *testing.T) {
-	d := newDesk(t)
-	d.put("Runner", "r1", runnerSpec)
-	d.put("Status", "Runner/r1", `{"accepted": true, "version": 1, "inForce": 1, "phase": "draining"}`)
-	d.daemon.members = []ops.Member{{Name: "g1", Role: "gateway", State: "live", Applied: 1000}}
-	r := d.run("ada", "", "drain", "r1", "--wait", "--wait-timeout", "300ms")
-	d.must(r, errkind.ExitUnavailable, "deadline_exceeded", `"draining"`)
+	statuses := map[string]string{
+		"still draining":            `{"accepted": true, "version": 1000, "inForce": 1000, "phase": "draining"}`,
+		"status of an earlier time": `{"accepted": true, "version": 1, "inForce": 1, "phase": "drained"}`,
+	}
+	for name, status := range statuses {
+		t.Run(name, func(t *testing.T) {
+			d := newDesk(t)
+			d.put("Runner", "r1", runnerSpec)
+			d.put("Status", "Runner/r1", status)
+			d.daemon.members = []ops.Member{{Name: "g1", Role: "gateway", State: "live", Applied: 1000}}
+			r := d.run("ada", "", "drain", "r1", "--wait", "--wait-timeout", "300ms")
+			d.must(r, errkind.ExitUnavailable, "deadline_exceeded", "is not drained")
+		})
+	}
 }
 
 func TestStatusShowsEachHalfAlone(t *testing.T) {
--- a/internal/command/drain.go
+++ b/internal/command/drain.go
@@ -66,7 +66,11 @@
 	if !isRunner || c.Undo {
 		return nil
 	}
-	return c.waitDrained(store, giveUp)
+	var since uint64
+	if w.written {
+		since = w.newest
+	}
+	return c.waitDrained(store, since, giveUp)
 }
 
 func (c *drainCommand) state() resource.RunnerState {
@@ -143,18 +147,21 @@
 	return w.put(next, now)
 }
 
-// waitDrained waits until the runner's status says that it has no work left.
-func (c *drainCommand) waitDrained(store platform.Store, giveUp time.Time) error {
+// waitDrained waits until the runner's status says that it has no work left. A
+// status of a version before since may speak of an earlier drain.
+func (c *drainCommand) waitDrained(store platform.Store, since uint64, giveUp time.Time) error {
 	s := c.session
 	name := resource.KindRunner + "/" + c.Args.Name
 	for {
-		phase, err := phaseOf(s, store, name)
-		if phase == phaseDrained || phase == phaseWithdrawn {
-			fmt.Fprintf(s.Out, "%s is %s\n", name, phase)
+		status, err := readStatus(s, store, name)
+		gone := status.Phase == phaseDrained || status.Phase == phaseWithdrawn
+		if gone && status.Version >= since {
+			fmt.Fprintf(s.Out, "%s is %s\n", name, status.Phase)
 			return nil
 		}
 		if time.Now().After(giveUp) {
-			message := fmt.Sprintf("%s gets no new work, but is not drained after %s: its phase is %q", name, c.WaitTimeout, phase)
+			message := fmt.Sprintf("%s gets no new work, but is not drained after %s: its status is of version %d with phase %q",
+				name, c.WaitTimeout, status.Version, status.Phase)
 			return errkind.Wrap(err, errkind.DeadlineExceeded, errkind.Ran, message)
 		}
 		if err := platform.Sleep(s.ctx, pollEvery); err != nil {
@@ -163,11 +170,10 @@
 	}
 }
 
-func phaseOf(s *session, store platform.Store, name string) (string, error) {
+func readStatus(s *session, store platform.Store, name string) (resource.Status, error) {
 	o, err := store.Get(s.ctx, resource.KindStatus, name)
 	if err != nil {
-		return "", err
+		return resource.Status{}, err
 	}
-	status, err := resource.Decode[resource.Status](o)
-	return status.Phase, err
+	return resource.Decode[resource.Status](o)
 }
--- /dev/null
+++ b/internal/command/fuzz_test.go
@@ -0,0 +1,35 @@
+package command
+
+import (
+	"testing"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+)
+
+// FuzzParseInput feeds any bytes to the reader of input files. Whatever comes
+// back without an error is valid, and every error is about the input.
+func FuzzParseInput(f *testing.F) {
+	for _, seed := range []string{
+		``, `{`, `[]`, `[[{}]]`, `null`, "---\n---\n", "a: &a [*a]", `{"kind":"Model","name":"m","spec":{"contextTokens":4096,"weightsGB":5}}`,
+		"kind: Version\nname: v\nspec: {model: m, source: s}\n", `{"kind":"Model","name":"m","version":18446744073709551616}`, "\xff\xfe", "// c\n[1,]",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		objects, err := parseInput(raw)
+		if err != nil {
+			if !errkind.Is(err, errkind.InvalidObject) {
+				t.Fatalf("error %v of another kind", err)
+			}
+			return
+		}
+		if len(objects) == 0 {
+			t.Fatal("neither object nor error")
+		}
+		for _, o := range objects {
+			if err := checkObject(o); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/command/writes.go
+++ b/internal/command/writes.go
@@ -14,7 +14,8 @@
 	store   platform.Store
 	trail   *audit.Trail
 	reason  string
-	newest  uint64 // version that has everything written in it
+	newest  uint64 // version that has everything in it that was wanted
+	written bool   // something was changed
 }
 
 func newWrites(s *session, store platform.Store, reason string) *writes {
@@ -44,6 +45,7 @@
 		return w.failed(o, now, ofPlatform(err, title(o)))
 	}
 	w.newest = max(w.newest, stored.Version)
+	w.written = true
 	verb := "updated"
 	if now.Version == 0 {
 		verb = "created"
--- a/internal/connection/platform/client_test.go
+++ b/internal/connection/platform/client_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -19,6 +20,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -227,6 +229,36 @@
 	}
 }
 
+func TestWatchCutPastTheHistorySaysSo(t *testing.T) {
+	s := standin.New(standin.Config{HistoryEvents: 2})
+	server, err := s.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer server.Close()
+	client := newClient(t, platform.ClientConfig{Address: server.URL, WatchGiveUp: waitLong})
+	w, err := client.Watch(testContext(t), nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	if _, err := w.Next(testContext(t)); err != nil { // the first bookmark
+		t.Fatal(err)
+	}
+	s.SetFault(standin.Fault{Outage: true})
+	for s.Stats().WatchesOpen > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range 5 { // the platform's own list goes on changing
+		s.PutInstance(strconv.Itoa(i), resource.Instance{})
+	}
+	s.SetFault(standin.Fault{})
+	for err == nil {
+		_, err = w.Next(testContext(t))
+	}
+	wantError(t, err, platform.ErrHistoryGone)
+}
+
 func TestWatchEndsWithItsContext(t *testing.T) {
 	server := httptest.NewServer(standin.New(standin.Config{}).Handler())
 	defer server.Close()
--- a/internal/connection/platform/resolve.go
+++ b/internal/connection/platform/resolve.go
@@ -85,7 +85,11 @@
 
 // settle finds out what became of a write whose answer was lost.
 func settle(ctx context.Context, s Store, o Object, write WriteFunc) (Object, error) {
+	cause := ErrUnknown
 	for attempt := range resolveAttempts {
+		if attempt > 0 && Sleep(ctx, DefaultBackoff.Ceiling(attempt-1)) != nil {
+			break
+		}
 		stored, err := write(ctx, o)
 		if err == nil {
 			return stored, nil
@@ -96,14 +100,9 @@
 		if errors.Is(err, ErrConflict) || errors.Is(err, ErrNotFound) {
 			return inspect(ctx, s, o)
 		}
-		if !errors.Is(err, ErrUnknown) && !errors.Is(err, ErrUnavailable) {
-			return Object{}, err
-		}
-		if Sleep(ctx, DefaultBackoff.Ceiling(attempt)) != nil {
-			break
-		}
+		cause = err // says nothing of the first sending, whatever it is
 	}
-	return Object{}, errors.Wrapf(ErrUnknown, "%s/%s: the platform does not answer", o.Kind, o.Name)
+	return Object{}, errors.Wrapf(ErrUnknown, "%s/%s: sending again: %v", o.Kind, o.Name, cause)
 }
 
 // inspect reads what stands in the way of o. The write can no longer land.
--- a/internal/connection/platform/resolve_test.go
+++ b/internal/connection/platform/resolve_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/pkg/errors"
@@ -193,3 +197,91 @@
 	s := standin.New(standin.Config{})
 	wantError(t, platform.ResolveDelete(testContext(t), s, "Route", "a", 0, "ada"), platform.ErrNotFound)
 }
+
+// After a lost answer no later refusal proves that the first sending had no effect.
+func TestRefusalsAfterALostAnswerProveNothing(t *testing.T) {
+	for _, later := range []error{platform.ErrUnavailable, platform.ErrTooLarge, platform.ErrInvalid, platform.ErrDenied} {
+		s := standin.New(standin.Config{})
+		first := true
+		_, err := platform.Resolve(testContext(t), s, platform.Object{Kind: "Lease", Name: "a"},
+			func(context.Context, platform.Object) (platform.Object, error) {
+				if first {
+					first = false
+					return platform.Object{}, platform.ErrUnknown
+				}
+				return platform.Object{}, later
+			})
+		if !errors.Is(err, platform.ErrUnknown) || errors.Is(err, later) {
+			t.Errorf("%v later: %v, want unknown", later, err)
+		}
+	}
+}
+
+// Writers add one to a shared counter through lost writes and answers. What
+// Resolve says must bracket what the counter shows.
+func TestResolveKeepsCount(t *testing.T) {
+	const (
+		writers = 4
+		adds    = 25
+	)
+	for seed := range uint64(3) {
+		s := standin.New(standin.Config{HistoryEvents: 8})
+		if _, err := s.Create(t.Context(), platform.Object{Kind: "Lease", Name: "n", Spec: []byte(`0`)}); err != nil {
+			t.Fatal(err)
+		}
+		var done, doubtful atomic.Int64
+		var group sync.WaitGroup
+		for n := range writers {
+			rng := rand.New(rand.NewPCG(seed, uint64(n)))
+			group.Go(func() {
+				for range adds {
+					err := addOne(t, s, rng)
+					var overwritten *platform.OverwrittenError
+					switch {
+					case err == nil, errors.As(err, &overwritten):
+						done.Add(1)
+					case errors.Is(err, platform.ErrUnknown):
+						doubtful.Add(1)
+					case !errors.Is(err, platform.ErrConflict):
+						t.Error(err)
+					}
+				}
+			})
+		}
+		group.Wait()
+		o, err := s.Get(t.Context(), "Lease", "n")
+		if err != nil {
+			t.Fatal(err)
+		}
+		count, err := strconv.ParseInt(string(o.Spec), 10, 64)
+		if err != nil || count < done.Load() || count > done.Load()+doubtful.Load() {
+			t.Fatalf("seed %d: the counter shows %d; %d done, %d doubtful (%v)", seed, count, done.Load(), doubtful.Load(), err)
+		}
+	}
+}
+
+// addOne adds one by a conditional update that may go astray.
+func addOne(t *testing.T, s *standin.Store, rng *rand.Rand) error {
+	o, err := s.Get(t.Context(), "Lease", "n")
+	if err != nil {
+		return err
+	}
+	count, err := strconv.Atoi(string(o.Spec))
+	if err != nil {
+		return err
+	}
+	o.Spec = []byte(strconv.Itoa(count + 1))
+	o.Nonce = platform.NewNonce()
+	_, err = platform.Resolve(t.Context(), s, o, func(ctx context.Context, o platform.Object) (platform.Object, error) {
+		switch draw := rng.Float64(); {
+		case draw < 0.2:
+			return platform.Object{}, platform.ErrUnknown
+		case draw < 0.4:
+			_, _ = s.Update(ctx, o)
+			return platform.Object{}, platform.ErrUnknown
+		default:
+			return s.Update(ctx, o)
+		}
+	})
+	return err
+}
