--- a/internal/process/gateway/finish.go
+++ b/internal/process/gateway/finish.go
@@ -24,12 +24,12 @@
 		"ms", now.Sub(c.arrived).Milliseconds()}
 	late := false
 	if x != nil {
-		late = final != nil || isLate(c, x, now)
+		late = isLate(c, x, final, now)
 		out := -1
 		if final == nil {
 			out = x.tokens
 		}
-		g.cores.finished(now, x.request, c.route.ExpectedOut, out, late && x.state != errkind.NotRun)
+		g.cores.finished(now, x.request, c.route.ExpectedOut, out, late)
 		kv = append(kv, "runner", x.runner, "tokens", x.tokens, "attempts", x.attempts, "resumes", x.resumes)
 	}
 	g.metrics.finished(c, x, outcome, late, now)
@@ -47,8 +47,12 @@
 	logline.Info("request", "request", id, "outcome", string(e.Kind), "run", e.Run, "field", e.Field)
 }
 
-// isLate tells whether a whole answer missed its route's times.
-func isLate(c *call, x *execution, now time.Time) bool {
+// isLate tells whether an answer missed its route's times or the caller's deadline.
+// A refusal by admission is counted there.
+func isLate(c *call, x *execution, final *errkind.Error, now time.Time) bool {
+	if final != nil {
+		return final.Kind == errkind.DeadlineExceeded
+	}
 	t := c.route.OnTime
 	if over(x.firstToken.Sub(c.arrived), t.FirstTokenMS) || over(now.Sub(c.arrived), t.WholeMS) {
 		return true
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -39,7 +39,6 @@
 	t       *testing.T
 	store   *standinplatform.Store
 	runners map[string]*runner.Runner
-	service *service.Service
 }
 
 // fastCost makes stand-ins answer in milliseconds.
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -263,7 +263,7 @@
 	e.HideBanner = true
 	e.HidePort = true
 	e.HTTPErrorHandler = writeError
-	e.Use(g.guard)
+	e.Use(g.guard, g.hostRoutes)
 	e.POST(pathChat, g.callHandler(formChat))
 	e.POST(pathCompletion, g.callHandler(formCompletion))
 	e.GET("/v1/models", g.models)
--- a/internal/process/gateway/service.go
+++ b/internal/process/gateway/service.go
@@ -47,6 +47,21 @@
 	return bestName, best, found
 }
 
+// hostRoutes gives a path of the models' API to a plain service if a route binds
+// the host name to that service.
+func (g *Gateway) hostRoutes(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		s := g.snapshot()
+		if s == nil {
+			return next(c)
+		}
+		if _, r, ok := serviceRoute(s, c.Request().Host, c.Request().URL.Path); ok && r.Host != "" {
+			return g.service(c)
+		}
+		return next(c)
+	}
+}
+
 func matches(r resource.Route, host, path string) bool {
 	if r.Host != "" && !strings.EqualFold(r.Host, host) {
 		return false
--- a/internal/process/gateway/service_test.go
+++ b/internal/process/gateway/service_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
 func TestServiceCalls(t *testing.T) {
@@ -84,6 +86,31 @@
 	})
 }
 
+func TestServiceRouteIsTheClosest(t *testing.T) {
+	s := &config.Snapshot{Routes: map[string]resource.Route{
+		"all":    {Service: "s", PathPrefix: "/"},
+		"tiles":  {Service: "s", PathPrefix: "/tiles"},
+		"fine":   {Service: "s", PathPrefix: "/tiles/fine/"},
+		"host":   {Service: "s", Host: "maps.example"},
+		"model":  {Model: "m"},
+		"hosted": {Service: "s", Host: "maps.example", PathPrefix: "/tiles"},
+	}}
+	for _, c := range []struct{ host, path, want string }{
+		{"x", "/", "all"},
+		{"x", "/tilesets", "all"},
+		{"x", "/tiles", "tiles"},
+		{"x", "/tiles/1", "tiles"},
+		{"x", "/tiles/fine/1", "fine"},
+		{"x:8080", "/tiles/finer", "tiles"},
+		{"Maps.Example:80", "/v1/completions", "host"},
+		{"maps.example", "/tiles/fine/1", "hosted"},
+	} {
+		if name, _, _ := serviceRoute(s, c.host, c.path); name != c.want {
+			t.Errorf("%s%s goes to %q, want %q", c.host, c.path, name, c.want)
+		}
+	}
+}
+
 func TestKeyIsHonouredByAService(t *testing.T) {
 	f := newFleet(t, runner.Config{Name: "r1"})
 	vans := f.addService("vans", true)
