Look whether a reused connection is still open before the first byte

The transport learns that a server closed an idle connection only when its reading goroutine runs; a request written in between is ambiguous although nothing ran. The first write of a request on a reused connection now peeks at the socket: closed, or an answer that nobody asked for, means nothing is written and the call is truly not run.

--- a/internal/connection/upstream/conn.go
+++ b/internal/connection/upstream/conn.go
@@ -13,6 +13,10 @@
 // before its first byte.
 var errSealed = errors.New("connection sealed")
 
+// errNotIdle is returned by the first write of a request to a reused connection
+// that the server has closed, or on which it sent something unasked.
+var errNotIdle = errors.New("reused connection is closed or has an unasked answer")
+
 // sealConn is a network connection that knows whether a write was ever begun,
 // and on which further writes can be forbidden. It makes "no byte of this
 // request was written" a fact rather than a guess: http.Transport may return an
@@ -22,18 +26,41 @@
 	mu     sync.Mutex
 	begun  uint64 // writes begun
 	sealed bool
+	reused bool // the next write begins a request on a reused connection
 }
 
 // Write implements net.Conn.
 func (c *sealConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
+	err := c.beginWrite()
+	c.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// beginWrite decides whether a write may begin.
+func (c *sealConn) beginWrite() error {
 	if c.sealed {
-		c.mu.Unlock()
-		return 0, errSealed
+		return errSealed
+	}
+	if c.reused && readable(c.Conn) {
+		c.sealed = true
+		return errNotIdle
 	}
+	c.reused = false
 	c.begun++
-	c.mu.Unlock()
-	return c.Conn.Write(p)
+	return nil
+}
+
+// expectIdle makes the next write look first whether the server has closed the
+// connection. The transport learns of it only when its reading goroutine gets to
+// run, and a request written in between would be ambiguous.
+func (c *sealConn) expectIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reused = true
 }
 
 // mark gives the count of writes begun so far.
--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -39,6 +39,9 @@
 			s := sentOn{}
 			if c, ok := rawConn(info.Conn); ok {
 				s = sentOn{conn: c, mark: c.mark()}
+				if info.Reused {
+					c.expectIdle()
+				}
 			}
 			l.mu.Lock()
 			l.conns = append(l.conns, s)
--- a/internal/connection/upstream/sockopt_linux.go
+++ b/internal/connection/upstream/sockopt_linux.go
@@ -1,12 +1,32 @@
 package upstream
 
 import (
+	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
+// readable reports, without waiting or taking anything, whether an idle
+// connection has something to read: data, the end, or an error.
+func readable(c net.Conn) bool {
+	sc, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	var peekErr error
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		_, _, peekErr = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return err != nil || (peekErr != unix.EAGAIN && peekErr != unix.EINTR)
+}
+
 // controlUserTimeout sets TCP_USER_TIMEOUT before connecting: the kernel ends a
 // connection whose sent bytes stay unacknowledged for d.
 func controlUserTimeout(d time.Duration) func(network, address string, c syscall.RawConn) error {
--- a/internal/connection/upstream/truth_test.go
+++ b/internal/connection/upstream/truth_test.go
@@ -346,6 +346,45 @@
 	}
 }
 
+// A reused connection that the server closed, or on which it sent an answer that
+// nobody asked for, carries no further request.
+func TestReusedConnectionMustBeIdle(t *testing.T) {
+	for name, act := range map[string]func(net.Conn){
+		"closed":  func(c net.Conn) { c.Close() },
+		"unasked": func(c net.Conn) { fmt.Fprint(c, plainAnswer("crossed")) },
+	} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		raw, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer raw.Close()
+		server, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer server.Close()
+		c := &sealConn{Conn: raw}
+		c.expectIdle()
+		if _, err := c.Write([]byte("one")); err != nil {
+			t.Errorf("%s: write to an idle connection gave %v", name, err)
+		}
+		mark := c.mark()
+		act(server)
+		for deadline := time.Now().Add(wait); !readable(raw) && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		c.expectIdle()
+		if _, err := c.Write([]byte("two")); !errors.Is(err, errNotIdle) || !c.sealSince(mark) {
+			t.Errorf("%s: write gave %v after %d writes, want none", name, err, c.mark())
+		}
+	}
+}
+
 // sealed connections let no byte through.
 func TestSeal(t *testing.T) {
 	a, b := net.Pipe()
