--- a/internal/request/admit/core.go
+++ b/internal/request/admit/core.go
@@ -63,7 +63,9 @@
 // what is admitted is added to it. The actions may concern other requests too.
 func (c *Core) Arrive(now time.Time, q route.Request, runners []route.Runner) []Action {
 	m := c.model(q.Model)
-	if !m.queue.precededBy(&q) {
+	if m.queue.precededBy(&q) {
+		m.saturation.observe(now, false)
+	} else {
 		choice := route.Route(now, q, runners)
 		m.saturation.observe(now, choice.OnTime)
 		if choice.OnTime {
--- a/internal/request/retry/decide.go
+++ b/internal/request/retry/decide.go
@@ -4,7 +4,7 @@
 
 // Failure is what is known of a failed attempt.
 type Failure struct {
-	Run         errkind.RunState // NotRun: provably never started at that upstream
+	Run         errkind.RunState // over all attempts so far, see Worst; NotRun: provably never started anywhere
 	Idempotent  bool             // the request may run twice with no harm
 	Resumable   bool             // the run may still exist at its runner and Resume was not refused yet
 	TokensGiven int              // tokens already passed to the caller
--- /dev/null
+++ b/internal/request/retry/worst.go
@@ -0,0 +1,15 @@
+package retry
+
+import "github.com/ragworttrestle/ragworttrestle/internal/errkind"
+
+// Worst joins the run states of two attempts of one request: it did not run only
+// if neither did.
+func Worst(a, b errkind.RunState) errkind.RunState {
+	if a == errkind.Ran || b == errkind.Ran {
+		return errkind.Ran
+	}
+	if a == errkind.NotRun && b == errkind.NotRun {
+		return errkind.NotRun
+	}
+	return errkind.RunUnknown
+}
--- /dev/null
+++ b/internal/request/route/prefix_test.go
@@ -0,0 +1,149 @@
+package route
+
+import (
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+func added(from uint64, blocks ...uint64) upstream.CacheEvents {
+	b := upstream.CacheEvents{Incarnation: "1", Next: from + uint64(len(blocks))}
+	for i, block := range blocks {
+		b.Events = append(b.Events, upstream.CacheEvent{Sequence: from + uint64(i), Block: block})
+	}
+	return b
+}
+
+func TestPrefixGapMeansResync(t *testing.T) {
+	x := NewPrefixIndex(100)
+	chain := []uint64{1, 2, 3, 4}
+	x.Apply("r", 0, added(0, 1, 2))
+	if got := x.Cached("r", chain); got != 2 || x.Since("r") != 2 {
+		t.Fatalf("cached %d, since %d", got, x.Since("r"))
+	}
+	x.Apply("r", 2, added(3, 4)) // 2 is missing
+	if !x.Stale("r") || x.Since("r") != 0 {
+		t.Fatalf("after a gap: stale %t, since %d", x.Stale("r"), x.Since("r"))
+	}
+	if got := x.Cached("r", chain); got != 2 {
+		t.Errorf("a stale hint stays a hint: cached %d", got)
+	}
+	resync := added(9, 1, 2, 3, 4)
+	resync.Resync, resync.Next = true, 10
+	x.Apply("r", 0, resync)
+	if x.Stale("r") || x.Since("r") != 10 || x.Cached("r", chain) != 4 {
+		t.Errorf("after the resync: stale %t, since %d, cached %d", x.Stale("r"), x.Since("r"), x.Cached("r", chain))
+	}
+	x.Apply("r", 3, added(3, 77)) // a late answer
+	if x.Since("r") != 10 || x.Cached("r", []uint64{77}) != 0 {
+		t.Error("a late answer to an earlier question must be ignored")
+	}
+	restarted := added(10, 5)
+	restarted.Incarnation = "2"
+	x.Apply("r", 10, restarted)
+	if !x.Stale("r") || x.Cached("r", chain) != 0 {
+		t.Error("a restarted engine has an empty cache")
+	}
+	short := added(0, 1, 2)
+	short.Next = 5
+	y := NewPrefixIndex(100)
+	y.Apply("r", 0, added(0))
+	y.runners["r"].next = 0
+	y.runners["r"].applyInOrder(short)
+	if !y.Stale("r") {
+		t.Error("a batch that ends before its next has a gap")
+	}
+}
+
+// TestPrefixIndexAgainstSet compares with a plain set while the bound is not
+// reached, and checks the bound.
+func TestPrefixIndexAgainstSet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 40).Draw(t, "limit")
+		x := NewPrefixIndex(limit)
+		x.Apply("r", 0, upstream.CacheEvents{Incarnation: "1"})
+		plain := map[uint64]bool{}
+		over := false
+		for range rapid.IntRange(0, 80).Draw(t, "events") {
+			block := rapid.Uint64Range(1, 30).Draw(t, "block")
+			removed := rapid.Bool().Draw(t, "removed")
+			since := x.Since("r")
+			x.Apply("r", since, upstream.CacheEvents{Incarnation: "1", Next: since + 1, Events: []upstream.CacheEvent{
+				{Sequence: since, Block: block, Removed: removed},
+			}})
+			if removed {
+				delete(plain, block)
+			} else {
+				plain[block] = true
+			}
+			over = over || len(plain) > limit
+			if x.Len("r") > limit {
+				t.Fatalf("%d blocks, bound %d", x.Len("r"), limit)
+			}
+			if got := x.Cached("r", []uint64{block}) == 1; got != !removed {
+				t.Fatalf("block %d: cached %t right after removed %t", block, got, removed)
+			}
+		}
+		if !over && x.Len("r") != len(plain) {
+			t.Fatalf("%d blocks, plain set %d", x.Len("r"), len(plain))
+		}
+	})
+}
+
+func TestOldChainsLoseTheirEndsFirst(t *testing.T) {
+	x := NewPrefixIndex(6)
+	x.Sent("r", []uint64{1, 2, 3, 4})
+	x.Sent("r", []uint64{11, 12, 13})
+	if got := x.Cached("r", []uint64{1, 2, 3, 4}); got != 3 {
+		t.Errorf("cached %d of the old chain, want its first 3", got)
+	}
+}
+
+func TestPrefixHashes(t *testing.T) {
+	block := strings.Repeat("x", BlockTokens*BytesPerToken)
+	a, b := PrefixHashes(block+block+"tail"), PrefixHashes(block+strings.ToUpper(block))
+	if len(a) != 2 || len(b) != 2 || a[0] != b[0] || a[1] == b[1] || a[0] == a[1] {
+		t.Errorf("chained hashes: %v %v", a, b)
+	}
+	if PrefixHashes("short") != nil {
+		t.Error("a part of a block has no hash")
+	}
+}
+
+func TestChooseVersionByWeight(t *testing.T) {
+	weights := []resource.VersionWeight{{Version: "old", Weight: 90}, {Version: "new", Weight: 10}, {Version: "off", Weight: 0}}
+	counts := map[string]int{}
+	for i := range uint64(10_000) {
+		counts[ChooseVersion(weights, i)]++
+	}
+	if counts["new"] < 800 || counts["new"] > 1200 || counts["off"] != 0 || counts["old"]+counts["new"] != 10_000 {
+		t.Errorf("shares: %v", counts)
+	}
+	if ChooseVersion(weights, 5) != ChooseVersion(weights, 5) {
+		t.Error("a retry must keep its version")
+	}
+	if ChooseVersion(nil, 1) != "" || ChooseVersion([]resource.VersionWeight{{Version: "x"}}, 1) != "" {
+		t.Error("no weight: any version")
+	}
+}
+
+func TestLearner(t *testing.T) {
+	var l Learner
+	if l.Expected("chat", 0, 0) != defaultOut || l.Expected("chat", 40, 0) != 40 || l.Expected("chat", 40, 10) != 10 {
+		t.Error("first guesses")
+	}
+	for range 200 {
+		l.Finished("chat", 40, 300)
+	}
+	if got := l.Expected("chat", 40, 0); got < 295 || got > 300 {
+		t.Errorf("learned %d of 300", got)
+	}
+	l.Keep(func(string) bool { return false })
+	if l.Expected("chat", 40, 0) != 40 {
+		t.Error("forgotten routes start anew")
+	}
+}
--- /dev/null
+++ b/internal/request/route/tracker_test.go
@@ -0,0 +1,184 @@
+package route
+
+import (
+	"math"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+func fleet() *config.Snapshot {
+	return &config.Snapshot{
+		Engines: map[string]resource.Engine{"c": class},
+		Runners: map[string]resource.Runner{
+			"r": {Engine: "c", Zone: "a", Model: "m", Role: "both", State: resource.RunnerServing},
+		},
+		Routes: map[string]resource.Route{"chat": {Model: "m", OnTime: chat}},
+	}
+}
+
+func state() upstream.State {
+	return upstream.State{
+		Runner: "r", Incarnation: "1", Role: upstream.RoleBoth,
+		Loaded: []upstream.Loaded{{Model: "m", Version: "v1"}},
+	}
+}
+
+func TestUnknownStateGetsNoWork(t *testing.T) {
+	tr := NewTracker()
+	if v := tr.View(now, fleet()); len(v) != 1 || !v[0].Suspected {
+		t.Errorf("nothing is known of the runner: %+v", v)
+	}
+	tr.Stated(state())
+	v := tr.View(now, fleet())
+	if v[0].Suspected || v[0].Leaving || v[0].Promised != 30*time.Millisecond {
+		t.Errorf("known and well: %+v", v[0])
+	}
+	for name, change := range map[string]func(s *config.Snapshot, st *upstream.State){
+		"drained":           func(s *config.Snapshot, _ *upstream.State) { setState(s, resource.RunnerDrained) },
+		"withdrawn":         func(s *config.Snapshot, _ *upstream.State) { setState(s, resource.RunnerWithdrawn) },
+		"says so":           func(_ *config.Snapshot, st *upstream.State) { st.Leaving = true },
+		"away for an order": func(_ *config.Snapshot, st *upstream.State) { st.OrderStatus = upstream.OrderRunning },
+		"platform says so": func(s *config.Snapshot, _ *upstream.State) {
+			s.Instances = map[string]resource.Instance{"r": {State: resource.InstanceLeaving}}
+		},
+	} {
+		s, st := fleet(), state()
+		change(s, &st)
+		tr.Stated(st)
+		if v := tr.View(now, s); !v[0].Leaving {
+			t.Errorf("%s: not leaving", name)
+		}
+	}
+}
+
+func setState(s *config.Snapshot, state resource.RunnerState) {
+	r := s.Runners["r"]
+	r.State = state
+	s.Runners["r"] = r
+}
+
+func TestReportIsCorrectedBySendsSinceItsTime(t *testing.T) {
+	tr := NewTracker()
+	tr.Stated(state())
+	sent := func(at time.Duration, id string) {
+		tr.Sent(now.Add(at), Send{ID: id, Runner: "r", PromptTokens: 1000, ExpectedOut: 100})
+	}
+	sent(0, "covered")
+	sent(3*time.Second, "one")
+	sent(4*time.Second, "two")
+	tr.PeerUse(now.Add(5*time.Second), "g1", []peer.UseRow{{Runner: "r", Requests: 2, Prefill: 500, Decode: 200}})
+	at := now.Add(5 * time.Second)
+	tr.Reported(at, upstream.LoadReport{Runner: "r", Age: 3 * time.Second, Running: 7, QueuedRequests: 1})
+	v := tr.View(at, fleet())[0]
+	if math.Abs(v.Running-(8+2+2)) > 0.01 {
+		t.Errorf("running %v, want 8 reported, 2 own and 2 of peers since", v.Running)
+	}
+	tr.Finished(at, "one")
+	tr.Finished(at, "one")
+	if v := tr.View(at, fleet())[0]; math.Abs(v.Running-11) > 0.01 {
+		t.Errorf("running %v after one has finished, want 11", v.Running)
+	}
+	tr.Reported(at, upstream.LoadReport{Runner: "r", Age: 4 * time.Second, Running: 50})
+	if v := tr.View(at, fleet())[0]; math.Abs(v.Running-11) > 0.01 {
+		t.Errorf("running %v, an older report must be ignored", v.Running)
+	}
+	fresh := at.Add(time.Second)
+	tr.Reported(fresh, upstream.LoadReport{Runner: "r", Running: 3})
+	if v := tr.View(fresh, fleet())[0]; math.Abs(v.Running-3) > 0.01 {
+		t.Errorf("running %v, a fresh report covers all", v.Running)
+	}
+}
+
+func TestQueuedPromptsDrain(t *testing.T) {
+	tr := NewTracker()
+	tr.Stated(state())
+	tr.Reported(now, upstream.LoadReport{Runner: "r", QueuedPrefill: 20_000})
+	for seconds, want := range map[int]float64{0: 20_000, 1: 10_000, 3: 0} {
+		v := tr.View(now.Add(time.Duration(seconds)*time.Second), fleet())[0]
+		if math.Abs(v.QueuedPrefill-want) > 1 {
+			t.Errorf("after %ds queued %v, want %v", seconds, v.QueuedPrefill, want)
+		}
+	}
+}
+
+func TestPeersAreTakenToSendAlike(t *testing.T) {
+	tr := NewTracker()
+	tr.Stated(state())
+	tr.Reported(now, upstream.LoadReport{Runner: "r"})
+	for i := range 20 {
+		for g := range 4 {
+			tr.PeerUse(now.Add(time.Duration(i)*time.Second), "g"+strconv.Itoa(g), nil)
+		}
+	}
+	at := now.Add(19500 * time.Millisecond)
+	tr.Reported(at, upstream.LoadReport{Runner: "r"})
+	tr.Sent(at.Add(200*time.Millisecond), Send{ID: "q", Runner: "r", PromptTokens: 100, ExpectedOut: 10})
+	v := tr.View(at.Add(300*time.Millisecond), fleet())[0]
+	if v.Running != 5 {
+		t.Errorf("running %v, want the own request and one each of 4 peers", v.Running)
+	}
+	if v.Crowd < 0 || v.Crowd >= 4 {
+		t.Errorf("crowd %v, want a part of one for each of 4 peers", v.Crowd)
+	}
+	late := at.Add(10 * time.Second)
+	tr.Reported(late, upstream.LoadReport{Runner: "r"})
+	if v := tr.View(late, fleet())[0]; v.Mirrored != 0 {
+		t.Errorf("mirrored %v, peers that fell silent must not count", v.Mirrored)
+	}
+}
+
+func TestReportForPeersAddsUp(t *testing.T) {
+	tr := NewTracker()
+	tr.Sent(now, Send{ID: "q", Runner: "r", Prefill: "p", PromptTokens: 100, CachedTokens: 30, ExpectedOut: 10})
+	got := map[string]peer.UseRow{}
+	for _, row := range tr.Report() {
+		got[row.Runner] = row
+	}
+	if got["r"] != (peer.UseRow{Runner: "r", Requests: 1, Decode: 10}) || got["p"] != (peer.UseRow{Runner: "p", Prefill: 70}) {
+		t.Errorf("rows %+v", got)
+	}
+	tr.Progress(now, "q", 4)
+	tr.Finished(now, "q")
+	rows := tr.Report()
+	if len(rows) != 1 || rows[0] != (peer.UseRow{Runner: "r", Requests: -1, Done: 10}) {
+		t.Errorf("rows %+v, want the end of all that was sent", rows)
+	}
+	if rows := tr.Report(); len(rows) != 0 {
+		t.Errorf("rows %+v, want none", rows)
+	}
+}
+
+// TestJournalEqualsPlainSum compares the ring with a plain list of what was sent.
+func TestJournalEqualsPlainSum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var j journal
+		type entry struct{ at, requests int }
+		var plain []entry
+		at := 0
+		for range rapid.IntRange(0, 60).Draw(t, "entries") {
+			at += rapid.IntRange(0, 10).Draw(t, "bins")
+			n := rapid.IntRange(-2, 5).Draw(t, "requests")
+			j.add(now.Add(time.Duration(at)*binLength), float64(n), 0, 0)
+			plain = append(plain, entry{at, n})
+		}
+		age := rapid.IntRange(0, binCount-1).Draw(t, "age")
+		want := 0
+		for _, e := range plain {
+			if e.at >= at-age {
+				want += e.requests
+			}
+		}
+		end := now.Add(time.Duration(at) * binLength)
+		if got := j.since(end.Add(-time.Duration(age)*binLength), end, 0, 0).requests; got != float64(want) && age > 0 {
+			t.Fatalf("sum %v, plain %v", got, want)
+		}
+	})
+}
