Audit the controller's changes and publish refused objects

Cause: every change of authority, order, drain and role belongs in the audit trail, and operators wait for a status of their own write.

Change: the controller writes to the audit trail of the store. A runner's status carries the version of its object; objects whose newest version is refused get a status that names field and value. A process that stops leading forgets what it meant to publish.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -21,6 +21,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/policy"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
 // Config of a controller. Store, Engine and Auditor replace what the settings would
@@ -73,16 +74,17 @@
 	openOrders atomic.Int32
 
 	// What follows belongs to the loop.
-	zones       map[string]*zone
-	engines     map[string]*engine
-	marks       marks
-	statuses    statuses
-	roles       *policy.Core
-	chosen      map[string]choice
-	slotReads   []slotRead
-	reconcileAt boottime.Time
-	stopping    bool
-	drainBy     boottime.Time // open orders may go on until then
+	zones          map[string]*zone
+	engines        map[string]*engine
+	marks          marks
+	statuses       statuses
+	runnerVersions map[string]uint64 // newest version of each Runner object
+	roles          *policy.Core
+	chosen         map[string]choice
+	slotReads      []slotRead
+	reconcileAt    boottime.Time
+	stopping       bool
+	drainBy        boottime.Time // open orders may go on until then
 }
 
 // New opens the listeners of a controller, so that Addresses are known; Run serves
@@ -135,10 +137,7 @@
 		Name: c.self.Name, Zone: c.self.Zone, Store: c.store, Network: c.members,
 	})
 	c.ops = ops.New(ops.Config{Source: opsSource{c}, Metrics: c.exporter.Handler(), Key: keys.operators})
-	c.auditor = c.cfg.Auditor
-	if c.auditor == nil {
-		c.auditor = newStoreAuditor(c)
-	}
+	c.openAudit()
 	return nil
 }
 
@@ -264,6 +263,7 @@
 	for _, z := range c.zones {
 		z.reconcile()
 	}
+	c.setRejections()
 	c.writeStatuses()
 }
 
@@ -282,6 +282,7 @@
 	if s == nil {
 		return
 	}
+	c.runnerVersions = c.config.ObjectVersions(resource.KindRunner)
 	c.keepZones(s)
 	c.keepEngines(s)
 	c.updateStandings()
--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/audit"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	standinplatform "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
@@ -122,11 +123,11 @@
 // memoryAuditor keeps the trail.
 type memoryAuditor struct {
 	mu      sync.Mutex
-	changes []Change
+	changes []audit.Entry
 	flushed bool
 }
 
-func (a *memoryAuditor) Record(c Change) {
+func (a *memoryAuditor) Record(c audit.Entry) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.changes = append(a.changes, c)
@@ -139,7 +140,7 @@
 	return nil
 }
 
-func (a *memoryAuditor) find(what, outcome string) (Change, bool) {
+func (a *memoryAuditor) find(what audit.What, outcome string) (audit.Entry, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for _, c := range a.changes {
@@ -147,7 +148,7 @@
 			return c, true
 		}
 	}
-	return Change{}, false
+	return audit.Entry{}, false
 }
 
 // cutStore refuses everything once it is cut.
@@ -305,7 +306,7 @@
 				t.Error("the drain mark is still there")
 			}
 			lead := s.leader(a, b)
-			if c, ok := lead.audit.find("order", "done"); !ok || c.Object != "Runner/r1" || c.Epoch == 0 || c.Why == "" {
+			if c, ok := lead.audit.find(audit.WhatOrder, "done"); !ok || c.Object != "Runner/r1" || c.Epoch == 0 || c.Why == "" {
 				t.Errorf("audit %+v", c)
 			}
 			if lines := (opsSource{a.Controller}.Explain(context.Background(), "", "r1-1")); len(lines) == 0 {
@@ -441,7 +442,7 @@
 	if err != nil || !strings.Contains(string(o.Spec), `"outcome":"done"`) {
 		t.Errorf("slot %s: the running order was not finished first", o.Spec)
 	}
-	if _, ok := lead.audit.find("lease", "given up"); !ok || !lead.audit.flushed {
+	if _, ok := lead.audit.find(audit.WhatLease, "given up"); !ok || !lead.audit.flushed {
 		t.Error("the release is not in a flushed audit trail")
 	}
 	other := a
@@ -498,3 +499,24 @@
 		return all
 	})
 }
+
+func TestRefusedObjectsArePublished(t *testing.T) {
+	s := newSite(t, true, "r1")
+	p := s.start("c-a")
+	s.leader(p)
+	s.put(resource.KindRoute, "alert", resource.Route{Model: "smoke", Priority: 99})
+	s.until("the refusal is published", func() bool {
+		o, err := s.store.Get(context.Background(), resource.KindStatus, "Route/alert")
+		return err == nil && strings.Contains(string(o.Spec), `"accepted":false`) && strings.Contains(string(o.Spec), "99")
+	})
+	s.put(resource.KindRoute, "alert", resource.Route{Model: "smoke", Priority: 9})
+	s.until("the acceptance is published", func() bool {
+		o, err := s.store.Get(context.Background(), resource.KindStatus, "Route/alert")
+		return err == nil && strings.Contains(string(o.Spec), `"accepted":true`)
+	})
+	o, err := s.store.Get(context.Background(), resource.KindRunner, "r1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.until("the runner's status speaks of its newest version", func() bool { return s.status("r1").Version == o.Version })
+}
--- a/internal/process/controller/engine.go
+++ b/internal/process/controller/engine.go
@@ -9,6 +9,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/audit"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/order"
@@ -225,8 +226,8 @@
 }
 
 func (e *engine) adopted(a order.Adopted) {
-	e.c.record(a.Order.ID, Change{
-		What: "order", Object: "Runner/" + e.name, From: a.Former, To: e.c.self.Name,
+	e.c.record(a.Order.ID, audit.Entry{
+		What: audit.WhatOrder, Object: "Runner/" + e.name, From: a.Former, To: e.c.self.Name,
 		Why: "an order of a former holder is under way", Epoch: a.Order.Fence, Outcome: "taken over",
 	})
 }
@@ -248,8 +249,8 @@
 		return
 	}
 	logline.Info("order finished", "order", a.Order.ID, "runner", e.name, "outcome", a.Outcome, "reason", a.Reason)
-	e.c.record(a.Order.ID, Change{
-		What: "order", Object: "Runner/" + e.name, To: describeOrder(a.Order),
+	e.c.record(a.Order.ID, audit.Entry{
+		What: audit.WhatOrder, Object: "Runner/" + e.name, To: describeOrder(a.Order),
 		Why: a.Reason, Epoch: a.Order.Fence, Outcome: string(a.Outcome),
 	})
 	e.pollAt = 0
--- a/internal/process/controller/marks.go
+++ b/internal/process/controller/marks.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/audit"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
@@ -153,8 +154,8 @@
 	if e := c.engines[runner]; e != nil {
 		e.pollAt = 0
 	}
-	c.record(runner, Change{
-		What: "drain", Object: "Runner/" + runner, To: "no new work",
+	c.record(runner, audit.Entry{
+		What: audit.WhatDrain, Object: "Runner/" + runner, To: "no new work",
 		Why: spec.Reason, Epoch: spec.Epoch, Outcome: "begun",
 	})
 }
@@ -179,8 +180,8 @@
 				return
 			}
 			delete(m.known, runner)
-			c.record(runner, Change{
-				What: "drain", Object: "Runner/" + runner, To: "work",
+			c.record(runner, audit.Entry{
+				What: audit.WhatDrain, Object: "Runner/" + runner, To: "work",
 				Why: reason, Epoch: old.spec.Epoch, Outcome: "ended",
 			})
 		}
--- a/internal/process/controller/roles.go
+++ b/internal/process/controller/roles.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/audit"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/policy"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/reconcile"
@@ -131,8 +132,8 @@
 	ch := d.Change
 	logline.Info("role change decided", "decision", d.ID, "runner", ch.Runner, "from", ch.From, "to", ch.To, "reason", d.Reason)
 	c.chosen[ch.Runner] = choice{role: ch.To, reason: d.Reason, decision: d.ID}
-	c.record(ch.Runner, Change{
-		What: "role", Object: "Runner/" + ch.Runner, From: string(ch.From), To: string(ch.To),
+	c.record(ch.Runner, audit.Entry{
+		What: audit.WhatRole, Object: "Runner/" + ch.Runner, From: string(ch.From), To: string(ch.To),
 		Why: d.ID + ": " + d.Reason, Outcome: "decided",
 	})
 }
--- a/internal/process/controller/status.go
+++ b/internal/process/controller/status.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
@@ -47,40 +49,64 @@
 
 // setRunnerStatus notes what is to be published of a runner.
 func (c *Controller) setRunnerStatus(s reconcile.Step) {
+	name := statusName(resource.KindRunner, s.Runner)
+	version := c.runnerVersions[s.Runner]
 	status := resource.Status{
-		Accepted: true, Phase: string(s.Phase), Role: string(s.Role), Reason: s.Reason,
+		Accepted: true, Version: version, InForce: version,
+		Phase: string(s.Phase), Role: string(s.Role), Reason: s.Reason,
 	}
 	if snapshot := c.config.Current(); snapshot != nil {
-		status.Version, status.InForce = snapshot.Version, snapshot.Version
-		if r, rejected := snapshot.Rejected[statusName(resource.KindRunner, s.Runner)]; rejected {
+		if r, rejected := snapshot.Rejected[name]; rejected {
 			status.Accepted = false
 			status.Version, status.InForce, status.Message = r.Version, r.InForce, r.Message
 		}
 	}
-	c.statuses.set(statusName(resource.KindRunner, s.Runner), status)
+	c.statuses.set(name, status)
 }
 
-// set notes a wanted status. A change of the configuration version alone is not
-// worth a write.
+// setRejections publishes which objects other than runners are not in force in
+// their newest version. One holder does it: that of the first zone by name.
+func (c *Controller) setRejections() {
+	s := c.config.Current()
+	if s == nil || !c.statuses.listed || len(c.zones) == 0 {
+		return
+	}
+	first := slices.Min(slices.Collect(maps.Keys(c.zones)))
+	if !c.zones[first].leads() {
+		return
+	}
+	for name, r := range s.Rejected {
+		if !strings.HasPrefix(name, resource.KindRunner+"/") {
+			c.statuses.set(name, resource.Status{Version: r.Version, InForce: r.InForce, Message: r.Message})
+		}
+	}
+	for name, st := range c.statuses.stored {
+		_, rejected := s.Rejected[name]
+		if !rejected && !st.spec.Accepted && !strings.HasPrefix(name, resource.KindRunner+"/") {
+			c.statuses.set(name, resource.Status{Accepted: true, Version: s.Version, InForce: s.Version})
+		}
+	}
+}
+
+// forget drops what was wanted while this process led.
+func (s *statuses) forget(name string) {
+	delete(s.wanted, name)
+	delete(s.dirty, name)
+}
+
+// set notes a wanted status.
 func (s *statuses) set(name string, status resource.Status) {
 	old, ok := s.wanted[name]
 	if !ok {
 		old, ok = s.stored[name].spec, s.stored[name].object.Version != 0
 	}
-	if ok && sameStatus(old, status) {
+	if ok && old == status {
 		return
 	}
 	s.wanted[name] = status
 	s.dirty[name] = true
 }
 
-func sameStatus(a, b resource.Status) bool {
-	if a.Accepted && b.Accepted {
-		a.Version, a.InForce = b.Version, b.InForce
-	}
-	return a == b
-}
-
 // readStatuses lists all statuses when that is due.
 func (c *Controller) readStatuses(now boottime.Time) {
 	s := &c.statuses
@@ -104,7 +130,7 @@
 func (s *statuses) took(listed map[string]stored[resource.Status]) {
 	s.stored = listed
 	for name, status := range s.wanted {
-		if !sameStatus(listed[name].spec, status) {
+		if listed[name].spec != status {
 			s.dirty[name] = true
 		}
 	}
@@ -151,7 +177,9 @@
 			delete(s.writing, name)
 			if err != nil {
 				logline.Debug("status not written", "status", name, "error", err)
-				s.dirty[name] = true
+				if _, wanted := s.wanted[name]; wanted {
+					s.dirty[name] = true
+				}
 				s.stale()
 				return
 			}
--- a/internal/process/controller/zone.go
+++ b/internal/process/controller/zone.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/process/audit"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/authority"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
@@ -143,8 +144,8 @@
 	c := z.c
 	c.meters.leaseChanges.Inc(1)
 	logline.Info("lease taken", "zone", z.name, "epoch", a.Epoch, "why", a.Why)
-	c.record("Lease/"+z.name, Change{
-		What: "lease", Object: "Lease/" + z.name, To: c.self.Name,
+	c.record("Lease/"+z.name, audit.Entry{
+		What: audit.WhatLease, Object: "Lease/" + z.name, To: c.self.Name,
 		Why: a.Why, Epoch: a.Epoch, Outcome: "taken",
 	})
 	z.regrant(order.Granted{Epoch: a.Epoch, At: a.At})
@@ -176,6 +177,7 @@
 	z.grant = nil
 	for _, e := range z.engines() {
 		e.step(order.Revoked{})
+		z.c.statuses.forget(statusName(resource.KindRunner, e.name))
 	}
 }
 
@@ -183,8 +185,8 @@
 	c := z.c
 	z.revoke(a.Why)
 	c.meters.leaseChanges.Inc(1)
-	c.record("Lease/"+z.name, Change{
-		What: "lease", Object: "Lease/" + z.name, From: c.self.Name,
+	c.record("Lease/"+z.name, audit.Entry{
+		What: audit.WhatLease, Object: "Lease/" + z.name, From: c.self.Name,
 		Why: a.Why, Epoch: a.Epoch, Outcome: "given up",
 	})
 }
--- /dev/null
+++ b/internal/version/config/versions.go
@@ -0,0 +1,8 @@
+package config
+
+// ObjectVersions gives the newest known version of each object of a kind.
+func (d *Distributor) ObjectVersions(kind string) map[string]uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.ObjectVersions(kind)
+}
