--- a/internal/connection/upstream/conn.go
+++ b/internal/connection/upstream/conn.go
@@ -46,7 +46,6 @@
 		return errSealed
 	}
 	if c.reused && readable(c.Conn) {
-		c.sealed = true
 		return errNotIdle
 	}
 	c.reused = false
