Measure what the gateway adds to a direct call of a runner

Cause: the added latency, requests a core and memory of a stream were not known. Change: ragwort-bench latency calls a stand-in runner directly and through the gateway in one process and run.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -5,13 +5,19 @@
 import (
 	"github.com/jessevdk/go-flags"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/authority"
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/fanout"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/goodput"
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/latency"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/policy"
 )
 
 // Register adds every measurement to the parser.
 func Register(p *flags.Parser) {
+	add(p, "authority", "failover of leases and orders, and calls for leases", &authority.Command{})
+	add(p, "fanout", "spread of a configuration change and cost of control traffic", &fanout.Command{})
 	add(p, "goodput", "useful answers a second against least-outstanding routing", &goodput.Command{})
+	add(p, "latency", "what a gateway adds to a direct call of a runner", &latency.Command{})
 	add(p, "policy", "goodput and role changes of one trace under one policy", &policy.Command{})
 }
 
--- /dev/null
+++ b/internal/bench/latency/latency.go
@@ -0,0 +1,236 @@
+package latency
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/trial"
+)
+
+const (
+	anyPort        = "127.0.0.1:0"
+	fastSpeed      = 2000 // the runner takes next to no time, so that the difference is ours
+	answerTokens   = 20
+	readyLimit     = 30 * time.Second
+	maxMicros      = 60_000_000
+	significant    = 3
+	promptText     = "How is the air near the river today?"
+	modelName      = "smoke-desk"
+	versionName    = "smoke-desk-v1"
+	routeName      = "alert"
+	microsInSecond = 1e6
+)
+
+// Command is the measurement "latency" of ragwort-bench.
+type Command struct {
+	Requests int  `long:"requests" default:"4000" description:"requests of each kind"`
+	Callers  int  `long:"callers" default:"8" description:"requests at the same time"`
+	Streams  int  `long:"streams" default:"120" description:"open streams for the measure of memory, at most 128"`
+	JSON     bool `long:"json" description:"print JSON"`
+}
+
+// Result is what was measured. Times are microseconds for the whole answer.
+type Result struct {
+	Requests           int     `json:"requests"`
+	DirectP50          int64   `json:"directP50Micros"`
+	DirectP99          int64   `json:"directP99Micros"`
+	GatewayP50         int64   `json:"gatewayP50Micros"`
+	GatewayP99         int64   `json:"gatewayP99Micros"`
+	RatioP50           float64 `json:"ratioP50"`
+	RatioP99           float64 `json:"ratioP99"`
+	GatewayCPUMicros   float64 `json:"gatewayCPUMicrosPerRequest"`
+	RequestsPerCore    float64 `json:"requestsPerSecondPerCore"`
+	BytesPerOpenStream int64   `json:"bytesPerOpenStream"`
+}
+
+// Execute implements flags.Commander.
+func (c *Command) Execute([]string) error {
+	result, err := c.measure(context.Background())
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(result)
+	}
+	result.print(os.Stdout)
+	return nil
+}
+
+func (r Result) print(w io.Writer) {
+	fmt.Fprintf(w, "whole answer of %d tokens, %d requests each way\n", answerTokens, r.Requests)
+	fmt.Fprintf(w, "direct       p50 %6d us  p99 %6d us\n", r.DirectP50, r.DirectP99)
+	fmt.Fprintf(w, "by gateway   p50 %6d us  p99 %6d us\n", r.GatewayP50, r.GatewayP99)
+	fmt.Fprintf(w, "ratio        p50 %6.2f     p99 %6.2f     added p50 %d us, p99 %d us\n", r.RatioP50, r.RatioP99, r.GatewayP50-r.DirectP50, r.GatewayP99-r.DirectP99)
+	fmt.Fprintf(w, "gateway      %.0f us of processor time a request, %.0f requests/s a core\n", r.GatewayCPUMicros, r.RequestsPerCore)
+	fmt.Fprintf(w, "open stream  %d bytes of heap and stack at the gateway and its two connections\n", r.BytesPerOpenStream)
+}
+
+func (c *Command) measure(ctx context.Context) (Result, error) {
+	fast, err := startTrial(ctx, fastSpeed)
+	if err != nil {
+		return Result{}, err
+	}
+	direct, viaGateway := newDirect(fast.trial), newCaller(fast.trial)
+	result, err := c.compare(ctx, direct.call, viaGateway.call)
+	fast.stop()
+	if err != nil {
+		return Result{}, err
+	}
+	result.BytesPerOpenStream, err = c.streamMemory(ctx)
+	return result, err
+}
+
+// compare runs both ways once to warm up, then measures each.
+func (c *Command) compare(ctx context.Context, direct, viaGateway call) (Result, error) {
+	warm := *c
+	warm.Requests = c.Requests / 10
+	for _, way := range []call{direct, viaGateway} {
+		if _, err := warm.run(ctx, way); err != nil {
+			return Result{}, err
+		}
+	}
+	d, err := c.run(ctx, direct)
+	if err != nil {
+		return Result{}, err
+	}
+	g, err := c.run(ctx, viaGateway)
+	if err != nil {
+		return Result{}, err
+	}
+	cpu := max(g.cpuMicros-d.cpuMicros, 1) / float64(c.Requests)
+	return Result{
+		Requests:  c.Requests,
+		DirectP50: d.times.ValueAtQuantile(50), DirectP99: d.times.ValueAtQuantile(99),
+		GatewayP50: g.times.ValueAtQuantile(50), GatewayP99: g.times.ValueAtQuantile(99),
+		RatioP50:         ratio(g.times.ValueAtQuantile(50), d.times.ValueAtQuantile(50)),
+		RatioP99:         ratio(g.times.ValueAtQuantile(99), d.times.ValueAtQuantile(99)),
+		GatewayCPUMicros: cpu,
+		RequestsPerCore:  microsInSecond / cpu,
+	}, nil
+}
+
+func ratio(a, b int64) float64 { return float64(a) / float64(max(b, 1)) }
+
+// call makes one request and reads its whole answer.
+type call func(ctx context.Context, id string) error
+
+// measured is what one way of calling took.
+type measured struct {
+	times     *hdrhistogram.Histogram // microseconds
+	cpuMicros float64                 // of this process: caller, gateway if any, runner
+}
+
+func (c *Command) run(ctx context.Context, way call) (measured, error) {
+	out := measured{times: hdrhistogram.New(1, maxMicros, significant)}
+	var mu sync.Mutex
+	var first error
+	var callers sync.WaitGroup
+	before := cpuMicros()
+	for caller := range c.Callers {
+		callers.Add(1)
+		go func() {
+			defer callers.Done()
+			for n := caller; n < c.Requests; n += c.Callers {
+				start := time.Now()
+				err := way(ctx, fmt.Sprintf("%d-%d", start.UnixNano(), n))
+				taken := time.Since(start).Microseconds()
+				mu.Lock()
+				_ = out.times.RecordValue(taken)
+				if err != nil && first == nil {
+					first = err
+				}
+				mu.Unlock()
+			}
+		}()
+	}
+	callers.Wait()
+	out.cpuMicros = cpuMicros() - before
+	return out, first
+}
+
+// directCaller calls the runner as the gateway does.
+type directCaller struct{ engine upstream.Engine }
+
+func newDirect(t *trial.Trial) directCaller {
+	return directCaller{engine: upstream.NewHTTP(t.RunnerURL(), upstream.HTTPOptions{})}
+}
+
+func (d directCaller) open(ctx context.Context, id string, tokens int) (upstream.Stream, error) {
+	return d.engine.Run(ctx, upstream.RunRequest{
+		RunID: id, Model: modelName, Version: versionName, Prompt: promptText, MaxTokens: tokens,
+	})
+}
+
+func (d directCaller) call(ctx context.Context, id string) error {
+	stream, err := d.open(ctx, id, answerTokens)
+	if err != nil {
+		return err
+	}
+	defer stream.Close()
+	for {
+		item, err := stream.Recv(ctx)
+		if err != nil {
+			return err
+		}
+		if item.End != nil {
+			return nil
+		}
+	}
+}
+
+// gatewayCaller calls through the gateway.
+type gatewayCaller struct {
+	url, key string
+	client   *http.Client
+}
+
+func newCaller(t *trial.Trial) gatewayCaller {
+	transport := &http.Transport{MaxIdleConnsPerHost: 1024}
+	return gatewayCaller{url: t.CallersURL(), key: t.APIKey(), client: &http.Client{Transport: transport}}
+}
+
+func (g gatewayCaller) open(ctx context.Context, route string, tokens int) (*http.Response, error) {
+	body := fmt.Sprintf(`{"model": %q, "prompt": %q, "stream": true, "max_tokens": %d}`, route, promptText, tokens)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, g.url+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+g.key)
+	response, err := g.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		raw, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		return nil, errors.Errorf("status %d: %s", response.StatusCode, raw)
+	}
+	return response, nil
+}
+
+func (g gatewayCaller) call(ctx context.Context, _ string) error {
+	response, err := g.open(ctx, routeName, answerTokens)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		if lines.Text() == "data: [DONE]" {
+			return nil
+		}
+	}
+	return errors.New("the stream ended before its end marker")
+}
--- /dev/null
+++ b/internal/bench/latency/memory.go
@@ -0,0 +1,142 @@
+package latency
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"runtime"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sys/unix"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/trial"
+)
+
+const (
+	slowSpeed   = 1
+	longAnswer  = 1000 // tokens: streams stay open far longer than settleFor
+	longRoute   = "chat"
+	settleFor   = 2 * time.Second
+	runnerSlots = 128 // streams that the trial's runners decode at the same time, with some to spare
+)
+
+// runningTrial is a trial that serves until stop.
+type runningTrial struct {
+	trial *trial.Trial
+	stop  func()
+}
+
+func startTrial(ctx context.Context, speed float64) (runningTrial, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	t, err := trial.New(ctx, trial.Config{Listen: anyPort, Speed: speed})
+	if err != nil {
+		cancel()
+		return runningTrial{}, err
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = t.Run(ctx)
+	}()
+	running := runningTrial{trial: t, stop: func() {
+		cancel()
+		<-done
+	}}
+	return running, running.waitReady()
+}
+
+func (r runningTrial) waitReady() error {
+	caller := newCaller(r.trial)
+	deadline := time.Now().Add(readyLimit)
+	for {
+		response, err := caller.client.Get(r.trial.OperatorsURL() + "/ready")
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == 200 {
+				return nil
+			}
+		}
+		if time.Now().After(deadline) {
+			return context.DeadlineExceeded
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// streamMemory is the heap and stack that one stream through the gateway takes
+// beyond one called directly.
+func (c *Command) streamMemory(ctx context.Context) (int64, error) {
+	slow, err := startTrial(ctx, slowSpeed)
+	if err != nil {
+		return 0, err
+	}
+	defer slow.stop()
+	count := min(c.Streams, runnerSlots)
+	runner := newDirect(slow.trial)
+	direct, err := holdOpen(ctx, count, func(ctx context.Context, id string) (io.Closer, error) {
+		stream, err := runner.open(ctx, id, longAnswer)
+		return closer{stream.Close}, err
+	})
+	if err != nil {
+		return 0, err
+	}
+	caller := newCaller(slow.trial)
+	viaGateway, err := holdOpen(ctx, count, func(ctx context.Context, _ string) (io.Closer, error) {
+		response, err := caller.open(ctx, longRoute, longAnswer)
+		if err != nil {
+			return nil, err
+		}
+		return response.Body, nil
+	})
+	return (viaGateway - direct) / int64(count), err
+}
+
+type closer struct{ close func() }
+
+func (c closer) Close() error {
+	c.close()
+	return nil
+}
+
+// holdOpen opens count streams at the same time and gives the memory that they take.
+func holdOpen(ctx context.Context, count int, open func(context.Context, string) (io.Closer, error)) (int64, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	before := memory()
+	streams := make([]io.Closer, count)
+	var group errgroup.Group
+	for i := range streams {
+		id := fmt.Sprintf("held-%d-%d", time.Now().UnixNano(), i)
+		group.Go(func() (err error) {
+			streams[i], err = open(ctx, id)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return 0, err
+	}
+	time.Sleep(settleFor)
+	taken := memory() - before
+	for _, s := range streams {
+		s.Close()
+	}
+	return taken, nil
+}
+
+func memory() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+// cpuMicros is the processor time of this process so far.
+func cpuMicros() float64 {
+	var use unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &use); err != nil {
+		return 0
+	}
+	micros := func(t unix.Timeval) float64 { return float64(t.Sec)*microsInSecond + float64(t.Usec) }
+	return micros(use.Utime) + micros(use.Stime)
+}
--- a/internal/trial/help.go
+++ b/internal/trial/help.go
@@ -8,7 +8,6 @@
 
 // Help prints addresses, the API key, and commands to paste.
 func (t *Trial) Help(w io.Writer) {
-	callers := "http://" + t.gateways[0].Addresses().Callers.String()
 	operators := t.operatorURLs()
 	fmt.Fprintf(w, "platform    %s\n", t.platformURL)
 	for i, g := range t.gateways {
@@ -19,7 +18,7 @@
 		fmt.Fprintf(w, "controller-%d operators http://%s\n", i+1, c.Addresses().Operators)
 	}
 	fmt.Fprintf(w, "API key     %s\n\nPaste into another shell, in the repository:\n\n", t.apiKey)
-	fmt.Fprintf(w, commands, t.platformURL, strings.Join(operators, ","), t.apiKey, callers)
+	fmt.Fprintf(w, commands, t.platformURL, strings.Join(operators, ","), t.apiKey, t.CallersURL())
 }
 
 func (t *Trial) operatorURLs() []string {
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -30,7 +30,8 @@
 
 // Config of a trial.
 type Config struct {
-	Listen string // host:port of the first gateway
+	Listen string  // host:port of the first gateway
+	Speed  float64 // the runners' cost model runs this many times faster; 0: once
 }
 
 // Trial is the whole system in one process.
@@ -40,6 +41,7 @@
 	platform    *http.Server
 	platformURL string
 	runners     []*runner.Runner
+	runnerURLs  []string
 	service     *service.Service
 	gateways    []*gateway.Gateway
 	controllers []*controller.Controller
@@ -55,7 +57,7 @@
 	if err := t.startPlatform(); err != nil {
 		return nil, err
 	}
-	if err := t.startUpstreams(ctx); err != nil {
+	if err := t.startUpstreams(ctx, cfg.Speed); err != nil {
 		return nil, err
 	}
 	for i := range zones {
@@ -66,6 +68,20 @@
 	return t, nil
 }
 
+// APIKey gives the key of the trial's client account.
+func (t *Trial) APIKey() string { return t.apiKey }
+
+// CallersURL gives the base URL of the first gateway.
+func (t *Trial) CallersURL() string { return "http://" + t.gateways[0].Addresses().Callers.String() }
+
+// OperatorsURL gives the base URL of the first gateway's operators' port.
+func (t *Trial) OperatorsURL() string {
+	return "http://" + t.gateways[0].Addresses().Operators.String()
+}
+
+// RunnerURL gives the base URL of the first runner, to be called directly.
+func (t *Trial) RunnerURL() string { return t.runnerURLs[0] }
+
 func (t *Trial) startPlatform() error {
 	t.store = standin.New(standin.Config{})
 	l, err := net.Listen("tcp", anyPort)
@@ -78,12 +94,12 @@
 	return nil
 }
 
-func (t *Trial) startUpstreams(ctx context.Context) error {
+func (t *Trial) startUpstreams(ctx context.Context, speed float64) error {
 	var addresses []string
 	for i := range runnerCount {
 		r := runner.New(runner.Config{
 			Name: runnerName(i), Loaded: loadedVersions(), Cost: trialCost(), ReportLag: reportLag,
-			ChecksFencing: true, DeduplicatesRuns: true,
+			ChecksFencing: true, DeduplicatesRuns: true, Speed: speed,
 		})
 		t.runners = append(t.runners, r)
 		address, err := r.Listen(anyPort)
@@ -92,6 +108,7 @@
 		}
 		addresses = append(addresses, address)
 	}
+	t.runnerURLs = addresses
 	t.service = service.New(service.Config{Name: "maps-1"})
 	address, err := t.service.Listen(anyPort)
 	if err != nil {
