--- a/internal/command/delete.go
+++ b/internal/command/delete.go
@@ -8,7 +8,6 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/audit"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
@@ -150,9 +149,7 @@
 	if err := platform.ResolveDelete(s.ctx, store, now.Kind, now.Name, version, s.writer()); err != nil {
 		return w.failed(now, now, ofPlatform(err, title(now)))
 	}
-	w.trail.Record(audit.Entry{
-		What: audit.WhatConfig, Object: title(now), From: versionText(version), Why: c.Reason, Outcome: "deleted",
-	})
+	w.record(now, version, 0, "deleted")
 	fmt.Fprintf(s.Out, "%s deleted\n", title(now))
 	return nil
 }
--- a/internal/command/writes.go
+++ b/internal/command/writes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/audit"
@@ -12,7 +13,7 @@
 type writes struct {
 	session *session
 	store   platform.Store
-	trail   *audit.Trail
+	entries []audit.Entry
 	reason  string
 	newest  uint64 // version that has everything in it that was wanted
 	written bool   // something was changed
@@ -22,7 +23,6 @@
 	return &writes{
 		session: s,
 		store:   store,
-		trail:   audit.NewTrail(audit.Config{Store: store, Writer: s.writer()}),
 		reason:  reason,
 	}
 }
@@ -31,7 +31,7 @@
 func (w *writes) close() {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(w.session.ctx), w.session.options.Timeout)
 	defer cancel()
-	if err := w.trail.Flush(ctx); err != nil {
+	if err := audit.Append(ctx, w.store, w.session.writer(), time.Now(), w.entries); err != nil {
 		w.session.warn("the audit trail does not show this command: %v", err)
 	}
 }
@@ -62,7 +62,8 @@
 }
 
 func (w *writes) record(o platform.Object, from, to uint64, outcome string) {
-	w.trail.Record(audit.Entry{
+	w.entries = append(w.entries, audit.Entry{
+		At:      time.Now(),
 		What:    audit.WhatConfig,
 		Object:  title(o),
 		From:    versionText(from),
--- /dev/null
+++ b/internal/process/audit/append_test.go
@@ -0,0 +1,74 @@
+package audit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/audit"
+	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+var noon = time.Date(2026, 5, 4, 12, 0, 0, 0, time.UTC)
+
+// Racing short runs share the hour's segment and lose or double nothing, even
+// when the fate of a write is not known.
+func TestAppendSharesASegment(t *testing.T) {
+	s := &flakyStore{Store: standin.New(standin.Config{}), rng: rand.New(rand.NewPCG(1, 1)), doubtful: platform.ErrUnknown}
+	var group sync.WaitGroup
+	const (
+		runs = 6
+		each = 5
+	)
+	for run := range runs {
+		group.Go(func() {
+			var entries []audit.Entry
+			for n := range each {
+				entries = append(entries, entry(run*each+n))
+			}
+			if err := audit.Append(t.Context(), s, fmt.Sprintf("op%d", run), noon, entries); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	group.Wait()
+	log, err := audit.Read(t.Context(), s, audit.Filter{})
+	if err != nil || len(log.Entries) != runs*each {
+		t.Fatalf("%d entries, want %d (%v)", len(log.Entries), runs*each, err)
+	}
+	objects, _, err := s.List(t.Context(), resource.KindAudit)
+	if err != nil || len(objects) != 1 || objects[0].Name != "shared-20260504-12-000" {
+		t.Fatalf("segments %v, %v", objects, err)
+	}
+}
+
+func TestAppendSplitsWhatDoesNotFit(t *testing.T) {
+	s := standin.New(standin.Config{})
+	var entries []audit.Entry
+	for n := range 400 {
+		e := entry(n)
+		e.Why = strings.Repeat("w", 1000)
+		entries = append(entries, e)
+	}
+	if err := audit.Append(t.Context(), s, "op", noon, entries); err != nil {
+		t.Fatal(err)
+	}
+	objects, _, err := s.List(t.Context(), resource.KindAudit)
+	if err != nil || len(objects) < 3 {
+		t.Fatalf("%d segments, %v", len(objects), err)
+	}
+	for _, o := range objects {
+		if len(o.Spec) > audit.DefaultSegmentBytes+100 {
+			t.Errorf("%s has %d bytes", o.Name, len(o.Spec))
+		}
+	}
+	log, err := audit.Read(t.Context(), s, audit.Filter{})
+	if err != nil || len(log.Entries) != 400 || log.Entries[399].To != "399" {
+		t.Fatalf("%d entries, %v", len(log.Entries), err)
+	}
+}
--- a/internal/process/audit/buffer.go
+++ b/internal/process/audit/buffer.go
@@ -56,7 +56,7 @@
 	b.version = 0
 }
 
-// add takes an entry, or counts it as dropped. One place is kept for the entry
+// add takes a completed entry, or counts it as dropped. One place is kept for the entry
 // that tells of drops.
 func (b *buffer) add(now time.Time, e Entry) {
 	if b.droppedSince > 0 && b.fits(e) {
@@ -81,7 +81,7 @@
 
 func (b *buffer) dropNote(now time.Time) Entry {
 	return Entry{
-		At: now, Who: b.who, What: WhatDropped, Outcome: "dropped",
+		At: now.UTC(), Who: b.who, What: WhatDropped, Outcome: "dropped",
 		Why: fmt.Sprintf("%d entries did not fit the buffer of %d entries and %d bytes",
 			b.droppedSince, b.limits.entries, b.limits.bytes),
 	}
@@ -93,7 +93,6 @@
 }
 
 func (b *buffer) push(e Entry) {
-	e = e.bounded()
 	w := waiting{entry: e, bytes: sizeOf(e)}
 	b.pending = append(b.pending, w)
 	b.bytes += w.bytes
--- a/internal/process/audit/doc.go
+++ b/internal/process/audit/doc.go
@@ -14,5 +14,9 @@
 // returns. When the buffer is full, newer entries are dropped and counted, and an
 // entry that says how many stands in their place.
 //
+// Programs that run for a moment use Append in place of a Trail: it adds to a
+// segment of the hour that all of them share, so that a day of many small runs
+// leaves a few segments and not one for each run.
+//
 // buffer is the pure part: which entries wait and what the next write is.
 package audit
--- a/internal/process/audit/entry.go
+++ b/internal/process/audit/entry.go
@@ -55,9 +55,45 @@
 	return strings.ToValidUTF8(s[:maxFieldBytes-len(cutMark)], "") + cutMark
 }
 
-// segment is the spec of one Audit object. Entry i has number First+i.
+// segment is the spec of one Audit object. A trail's own segment has Trail, First
+// and Entries, entry i having number First+i; a shared one has Records.
 type segment struct {
-	Trail   string  `json:"trail"` // differs between any two trails
-	First   uint64  `json:"first"`
-	Entries []Entry `json:"entries"`
+	Trail   string   `json:"trail,omitempty"` // differs between any two trails
+	First   uint64   `json:"first,omitempty"`
+	Entries []Entry  `json:"entries,omitempty"`
+	Records []record `json:"records,omitempty"`
 }
+
+// record is one entry of a shared segment.
+type record struct {
+	Trail  string `json:"trail"`
+	Number uint64 `json:"number"`
+	Entry  Entry  `json:"entry"`
+}
+
+// valid reports whether a decoded object is a segment at all.
+func (s segment) valid() bool { return s.Trail != "" || len(s.Records) > 0 }
+
+// all gives the content of either form of segment.
+func (s segment) all() []record {
+	out := make([]record, 0, len(s.Entries)+len(s.Records))
+	for i, e := range s.Entries {
+		out = append(out, record{Trail: s.Trail, Number: s.First + uint64(i), Entry: e})
+	}
+	return append(out, s.Records...)
+}
+
+// completed fills in what the recorder left out.
+func (e Entry) completed(who string, now time.Time) Entry {
+	if e.At.IsZero() || e.At.Year() > maxYear {
+		e.At = now
+	}
+	e.At = e.At.UTC()
+	if e.Who == "" {
+		e.Who = who
+	}
+	return e.bounded()
+}
+
+// maxYear is the last one that JSON can carry.
+const maxYear = 9999
--- a/internal/process/audit/read.go
+++ b/internal/process/audit/read.go
@@ -52,18 +52,18 @@
 	var out Log
 	seen := map[entryID]bool{}
 	for _, o := range objects {
-		var s segment
-		if err := json.Unmarshal(o.Spec, &s); err != nil || s.Trail == "" {
+		s, ok := decode(o)
+		if !ok {
 			out.Unreadable = append(out.Unreadable, o.Name)
 			continue
 		}
-		for i, e := range s.Entries {
-			id := entryID{s.Trail, s.First + uint64(i)}
-			if seen[id] || !f.wants(e) {
+		for _, r := range s.all() {
+			id := entryID{r.Trail, r.Number}
+			if seen[id] || !f.wants(r.Entry) {
 				continue
 			}
 			seen[id] = true
-			out.Entries = append(out.Entries, e)
+			out.Entries = append(out.Entries, r.Entry)
 		}
 	}
 	// Stable: entries of one trail at one time keep the order of their numbers.
@@ -71,6 +71,12 @@
 	return out
 }
 
+func decode(o platform.Object) (segment, bool) {
+	var s segment
+	err := json.Unmarshal(o.Spec, &s)
+	return s, err == nil && s.valid()
+}
+
 // Prune deletes segments whose newest entry is older than before. It returns how
 // many were deleted. A segment that a writer still grows changes its version, so
 // the conditional delete leaves it.
@@ -98,12 +104,12 @@
 
 // endedBefore reports whether every entry of a segment is older than before.
 func endedBefore(o platform.Object, before time.Time) bool {
-	var s segment
-	if err := json.Unmarshal(o.Spec, &s); err != nil || s.Trail == "" {
+	s, ok := decode(o)
+	if !ok {
 		return false
 	}
-	for _, e := range s.Entries {
-		if !e.At.Before(before) {
+	for _, r := range s.all() {
+		if !r.Entry.At.Before(before) {
 			return false
 		}
 	}
--- a/internal/process/audit/trail.go
+++ b/internal/process/audit/trail.go
@@ -24,9 +24,6 @@
 	DefaultCallTimeout  = 10 * time.Second
 )
 
-// maxYear is the last one that JSON can carry.
-const maxYear = 9999
-
 // retry paces attempts while the platform is out.
 var retry = platform.Backoff{Base: time.Second, Max: 30 * time.Second}
 
@@ -91,14 +88,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Now()
-	if e.At.IsZero() || e.At.Year() > maxYear {
-		e.At = now
-	}
-	e.At = e.At.UTC()
-	if e.Who == "" {
-		e.Who = t.cfg.Writer
-	}
-	t.buf.add(now, e)
+	t.buf.add(now, e.completed(t.cfg.Writer, now))
 }
 
 // Dropped counts the entries that did not fit the buffer.
--- a/internal/process/audit/trail_test.go
+++ b/internal/process/audit/trail_test.go
@@ -20,8 +20,9 @@
 // flakyStore loses writes or their answers, in the ways that Resolve cannot settle.
 type flakyStore struct {
 	*standin.Store
-	mu  sync.Mutex
-	rng *rand.Rand
+	doubtful error // what writes that go wrong answer; some took effect
+	mu       sync.Mutex
+	rng      *rand.Rand
 }
 
 func (f *flakyStore) draw() float64 {
@@ -30,17 +31,17 @@
 	return f.rng.Float64()
 }
 
-// spoil makes a write unavailable, lost for good (ErrTooLarge stands for any
-// error that Resolve passes on after a lost answer) or doubtful after its effect.
+// spoil makes a write unavailable (unless that is final for the caller) or
+// doubtful, before or after its effect.
 func (f *flakyStore) spoil(write func() (platform.Object, error)) (platform.Object, error) {
 	switch draw := f.draw(); {
-	case draw < 0.2:
+	case draw < 0.2 && f.doubtful != platform.ErrUnknown:
 		return platform.Object{}, platform.ErrUnavailable
 	case draw < 0.3:
-		return platform.Object{}, platform.ErrTooLarge
+		return platform.Object{}, f.doubtful
 	case draw < 0.5:
 		_, _ = write()
-		return platform.Object{}, platform.ErrTooLarge
+		return platform.Object{}, f.doubtful
 	default:
 		return write()
 	}
@@ -64,7 +65,8 @@
 // Whatever becomes of single writes, Read gives every entry once and in order.
 func TestEveryEntryOnce(t *testing.T) {
 	for seed := range uint64(20) {
-		s := &flakyStore{Store: standin.New(standin.Config{}), rng: rand.New(rand.NewPCG(seed, 1))}
+		s := &flakyStore{Store: standin.New(standin.Config{}), rng: rand.New(rand.NewPCG(seed, 1)),
+			doubtful: platform.ErrTooLarge} // Resolve passes this on without settling it
 		trail := audit.NewTrail(audit.Config{Store: s, Writer: "c1", SegmentBytes: 600})
 		const count = 60
 		for n := range count {
