--- a/internal/connection/upstream/stream.go
+++ b/internal/connection/upstream/stream.go
@@ -23,7 +23,7 @@
 
 // httpStream reads the items of one run. It has no goroutine and no queue of its
 // own: a caller that does not call Recv stops the engine's sending by TCP flow
-// control.
+// control. It is for one goroutine; to end it from another, end its context.
 type httpStream struct {
 	op      string
 	address string
--- a/internal/connection/upstream/stream_test.go
+++ b/internal/connection/upstream/stream_test.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// An answer that is headed as another run's, or is no stream, is nobody's proof.
+// An answer that is headed as another run's, or is no stream, leaves the outcome open.
 func TestCrossedAnswers(t *testing.T) {
 	for name, header := range map[string]http.Header{
 		"another run": {"Content-Type": {ContentTypeStream}, HeaderRunID: {"q"}},
--- a/internal/connection/upstream/truth_test.go
+++ b/internal/connection/upstream/truth_test.go
@@ -186,7 +186,7 @@
 		resp.Body.Close()
 	}
 	if got.count("requests") != 3 {
-		t.Fatalf("server saw %v; net/http no longer resends, the tests above need another trap", got.counts)
+		t.Fatalf("server saw %v; net/http no longer resends, the tests above need another case", got.counts)
 	}
 }
 
--- a/internal/standin/runner/batch.go
+++ b/internal/standin/runner/batch.go
@@ -7,8 +7,7 @@
 )
 
 // maxBehind is how far the model's clock may fall behind the real one before the
-// difference is given up: a busy test machine slows the engine, it does not make
-// it sprint later.
+// difference is given up: what a busy test machine delays is not caught up later.
 const maxBehind = 20 * time.Millisecond
 
 // step is one pass of the batch: some prefill, and one token for each run in decode.
--- a/internal/standin/runner/config.go
+++ b/internal/standin/runner/config.go
@@ -4,7 +4,7 @@
 // text of an answer is a function of the request (see Answer), so that a test
 // can check every byte of it.
 //
-// A crash keeps the ledger of executions and orders: it is the test's witness,
+// A crash keeps the ledger of executions and orders: tests count by it, and it is
 // not part of the engine.
 package runner
 
