Make the test of a stop under load able to fail

Cause: with the wait for running requests removed and connections closed hard, the test still passed, because its answers were shorter than the wait for the balancer. Change: answers of 300 tokens, longer than that wait. Result: with the protection removed the test now fails (answers cut); with it, it passes.

--- a/internal/process/gateway/stop_test.go
+++ b/internal/process/gateway/stop_test.go
@@ -30,9 +30,9 @@
 				if ok, _ := (opsSource{gone.Gateway}).Ready(); !ok {
 					g = stays
 				}
-				p := g.get(ask{body: completion("alert", "load", 50, true)})
+				p := g.get(ask{body: completion("alert", "load", 300, true)})
 				mu.Lock()
-				if p.done && p.text == answerTo("load", 50) {
+				if p.done && p.text == answerTo("load", 300) {
 					whole++
 				} else {
 					t.Errorf("cut: status %d, %d bytes, error %+v", p.status, len(p.text), p.err)
