--- /dev/null
+++ b/internal/process/daemon/daemon_test.go
@@ -0,0 +1,44 @@
+package daemon
+
+import (
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+)
+
+func TestListenOpensAllOrNone(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	var first, second net.Listener
+	err = Listen(
+		Port{"listen", settings.Listener{Address: "127.0.0.1:0"}, &first},
+		Port{"peer.listen", settings.Listener{Address: taken.Addr().String()}, &second},
+	)
+	if err == nil || !strings.Contains(err.Error(), "peer.listen") {
+		t.Fatalf("error %v does not name the field", err)
+	}
+	again, err := net.Listen("tcp", first.Addr().String())
+	if err != nil {
+		t.Fatalf("the first port was left open: %v", err)
+	}
+	again.Close()
+}
+
+func TestReadKeysNamesTheField(t *testing.T) {
+	t.Setenv("RAGWORT_TEST_A", "a")
+	keys, err := ReadKeys(
+		settings.Platform{Key: settings.Secret{Env: "RAGWORT_TEST_A"}}, settings.Operators{}, settings.Peer{})
+	if err != nil || keys.Platform != "a" || keys.Operators != "" {
+		t.Errorf("got %+v, %v", keys, err)
+	}
+	_, err = ReadKeys(settings.Platform{}, settings.Operators{},
+		settings.Peer{SharedKey: settings.Secret{Env: "RAGWORT_TEST_NO_SUCH"}})
+	if err == nil || !strings.Contains(err.Error(), "peer.sharedKey") {
+		t.Errorf("error %v does not name the field", err)
+	}
+}
--- /dev/null
+++ b/internal/process/daemon/keys.go
@@ -0,0 +1,36 @@
+package daemon
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+)
+
+// Keys are the keys that the settings name.
+type Keys struct {
+	Platform  string
+	Operators string
+	Peers     string
+}
+
+// ReadKeys reads every key, or names the field of the first that cannot be read.
+func ReadKeys(p settings.Platform, o settings.Operators, peers settings.Peer) (Keys, error) {
+	var keys Keys
+	sources := []struct {
+		field  string
+		secret settings.Secret
+		into   *string
+	}{
+		{"platform.key", p.Key, &keys.Platform},
+		{"operators.key", o.Key, &keys.Operators},
+		{"peer.sharedKey", peers.SharedKey, &keys.Peers},
+	}
+	for _, s := range sources {
+		value, err := s.secret.Read()
+		if err != nil {
+			return Keys{}, errors.Wrap(err, s.field)
+		}
+		*s.into = value
+	}
+	return keys, nil
+}
--- /dev/null
+++ b/internal/process/daemon/listen.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"net"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+)
+
+// Port is one port to open: its settings field, for errors, and where to put it.
+type Port struct {
+	Field    string
+	Settings settings.Listener
+	Into     *net.Listener
+}
+
+// Listen opens every port, or none.
+func Listen(ports ...Port) error {
+	for i, p := range ports {
+		l, err := open(p.Settings)
+		if err != nil {
+			Close(ports[:i]...)
+			return errors.Wrap(err, p.Field)
+		}
+		*p.Into = l
+	}
+	return nil
+}
+
+// Close closes every port that is open.
+func Close(ports ...Port) {
+	for _, p := range ports {
+		if *p.Into != nil {
+			(*p.Into).Close()
+		}
+	}
+}
+
+// open opens one port, with TLS if its settings name a certificate.
+func open(s settings.Listener) (net.Listener, error) {
+	config, err := s.TLS.Server()
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return nil, err
+	}
+	if config != nil {
+		return tls.NewListener(l, config), nil
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/process/daemon/main.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+)
+
+// options are the flags; those of Overrides win over the settings file.
+type options struct {
+	Settings  string             `long:"settings" short:"s" required:"true" description:"settings file, JSON with comments"`
+	Overrides settings.Overrides `group:"Overrides"`
+}
+
+// Runner is a daemon that serves until ctx ends and then stops gracefully.
+type Runner interface {
+	Run(ctx context.Context) error
+}
+
+// Main parses the flags, makes the daemon from its settings file, and runs it until
+// SIGTERM or SIGINT. It ends the process with the exit code of the error's kind.
+func Main(make func(path string, flags settings.Overrides) (Runner, error)) {
+	var opts options
+	if _, err := flags.Parse(&opts); err != nil {
+		if flags.WroteHelp(err) {
+			os.Exit(errkind.ExitOK)
+		}
+		os.Exit(errkind.ExitUsage)
+	}
+	if err := run(opts, make); err != nil {
+		logline.Error(err, "daemon failed")
+		os.Exit(errkind.Lookup(errkind.From(err).Kind).ExitCode)
+	}
+}
+
+func run(opts options, make func(string, settings.Overrides) (Runner, error)) error {
+	d, err := make(opts.Settings, opts.Overrides)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return d.Run(ctx)
+}
