--- a/cmd/ragwort-gateway/main.go
+++ b/cmd/ragwort-gateway/main.go
@@ -4,8 +4,8 @@
 package main
 
 import (
-	"github.com/ragworttrestle/ragworttrestle/internal/process/gateway"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/gateway"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 )
 
