--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -17,8 +17,11 @@
 	add(p, "authority", "failover of leases and orders, and calls for leases", &authority.Command{})
 	add(p, "fanout", "spread of a configuration change and cost of control traffic", &fanout.Command{})
 	add(p, "goodput", "useful answers a second against least-outstanding routing", &goodput.Command{})
+	add(p, "affinity", "prompt tokens computed with shared briefings, and the load of runners", &goodput.AffinityCommand{})
+	add(p, "routecost", "time and memory of routing decisions", &goodput.CostCommand{})
 	add(p, "latency", "what a gateway adds to a direct call of a runner", &latency.Command{})
 	add(p, "policy", "goodput and role changes of one trace under one policy", &policy.Command{})
+	add(p, "policy-table", "the role policy over all built-in traces, with ablation, robustness and prices", &policy.TableCommand{})
 }
 
 // add registers one measurement. It panics on a name given twice, which is a defect.
--- a/internal/bench/goodput/result.go
+++ b/internal/bench/goodput/result.go
@@ -17,14 +17,16 @@
 	LateGap  int // done, gap late
 	Left     int // callers whose patience ended
 	Computed float64
-	byRunner map[string]float64 // engine seconds of work
-	useful   map[string]int     // by route
-	arrival  map[string]int     // by route
+	load     []float64      // by engine: requests there, summed over samples
+	work     []float64      // by engine: seconds of prompts computed and tokens decoded at full rates
+	useful   map[string]int // by route
+	arrival  map[string]int // by route
 }
 
 func (r *result) init(s setup) {
 	r.from, r.to = s.warm, s.length
-	r.byRunner = map[string]float64{}
+	r.load = make([]float64, s.engines)
+	r.work = make([]float64, s.engines)
 	r.useful = map[string]int{}
 	r.arrival = map[string]int{}
 }
@@ -68,6 +70,7 @@
 	}
 	r.Done++
 	r.Computed += j.job.Computed
+	r.work[j.engine] += j.job.Computed/class.PrefillRate + float64(q.out)/class.DecodeRate
 	first := j.job.FirstAt - q.at
 	gap := (at - j.job.FirstAt) / time.Duration(max(q.out-1, 1))
 	late := false
--- a/internal/bench/goodput/world.go
+++ b/internal/bench/goodput/world.go
@@ -186,7 +186,9 @@
 
 // report lets every gateway have an engine's load and cache events, late by the lag.
 func (w *world) report(now time.Duration, e *engine.Engine) {
-	e.Advance(now)
+	if now >= w.setup.warm {
+		w.result.load[w.byName[e.Name()]] += float64(e.Streams())
+	}
 	r := e.Report(now, epoch)
 	r.Age = w.setup.lag
 	w.at(now+w.setup.lag, func(now time.Duration) {
--- a/internal/request/route/prefix.go
+++ b/internal/request/route/prefix.go
@@ -3,7 +3,7 @@
 import "github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 
 // DefaultPrefixBlocks bounds the blocks remembered for one runner.
-const DefaultPrefixBlocks = 4096
+const DefaultPrefixBlocks = 1024
 
 // PrefixIndex holds which prefix blocks each runner is believed to cache. It is
 // built from events that come late and with gaps, so it is a hint only: a wrong
