Read the engine's state between opening the slot and sending

Cause: a request that was routed before the drain mark was in force can reach the engine while the slot is written; the order would cut it.

Change: after opening or taking over a slot the state is read once more. An order that nobody sent is rolled back if requests came in; an adopted one waits for them. An adopted order at an engine that checks fencing is sent again even if it was executed, since only that raises the number. The mark counts as in force one second after every gateway applied it, or after 3 s. A missing or former holder's mark is written again while an order is under way.

--- a/internal/process/controller/marks.go
+++ b/internal/process/controller/marks.go
@@ -18,8 +18,11 @@
 	// drainSettle is after how long a mark counts as known to gateways that have not
 	// confirmed it: the bound on new work at a leaving upstream.
 	drainSettle = 3 * time.Second
-	marksEvery  = 10 * time.Second // how often a holder lists the marks
-	marksSoon   = time.Second      // the same while there are some
+	// drainOnWay is how long after the mark is in force at every gateway a request
+	// may still be on its way that was routed before.
+	drainOnWay = time.Second
+	marksEvery = 10 * time.Second // how often a holder lists the marks
+	marksSoon  = time.Second      // the same while there are some
 )
 
 // mark is one drain mark as it stands in the store.
@@ -27,11 +30,12 @@
 	version uint64
 	spec    resource.Drain
 	since   boottime.Time // when this process first knew of this version
+	applied boottime.Time // when every gateway had it in force; 0: not yet
 }
 
 // marks are the drain marks of all zones, from lists and from this process's writes.
 type marks struct {
-	known   map[string]mark
+	known   map[string]*mark
 	writing map[string]bool
 	listing bool
 	begun   boottime.Time // of the last list that was answered
@@ -70,9 +74,9 @@
 // listed takes in a list that was begun at the time. Marks that are being written
 // keep the form that the write's answer will give them.
 func (m *marks) listed(begun boottime.Time, listed map[string]stored[resource.Drain]) {
-	known := map[string]mark{}
+	known := map[string]*mark{}
 	for name, s := range listed {
-		next := mark{version: s.object.Version, spec: s.spec, since: boottime.Now()}
+		next := &mark{version: s.object.Version, spec: s.spec, since: boottime.Now()}
 		if old, ok := m.known[name]; ok && old.version >= next.version {
 			next = old
 		}
@@ -101,11 +105,20 @@
 
 // inForce reports whether new work has stopped: every gateway applied the mark, or
 // the bound has passed; and whether marks of other zones were read since.
-func (c *Controller) inForce(now boottime.Time, m mark, applied uint64) bool {
+func (c *Controller) inForce(now boottime.Time, m *mark, applied uint64) bool {
 	if c.marks.begun <= m.since {
 		return false
 	}
-	return applied >= m.version || now.Sub(m.since) >= drainSettle
+	if now.Sub(m.since) >= drainSettle {
+		return true
+	}
+	if applied < m.version {
+		return false
+	}
+	if m.applied == 0 {
+		m.applied = now
+	}
+	return now.Sub(m.applied) >= drainOnWay
 }
 
 // gatewaysApplied is the lowest configuration version in force at any gateway that
@@ -129,11 +142,14 @@
 	}
 	m.writing[runner] = true
 	spec := resource.Drain{Zone: z.name, Epoch: z.grant.Epoch, Holder: c.self.Name, Reason: reason}
-	old := m.known[runner]
+	var base uint64
+	if old := m.known[runner]; old != nil {
+		base = old.version
+	}
 	c.do(func(ctx context.Context) func() {
 		o, err := resource.Encode(resource.KindDrain, runner, spec)
 		if err == nil {
-			o.Version, o.Writer = old.version, c.self.Name
+			o.Version, o.Writer = base, c.self.Name
 			c.meters.storeCalls.Inc(1)
 			o, err = platform.Write(ctx, c.store, o)
 		}
@@ -149,7 +165,7 @@
 		c.marks.stale()
 		return
 	}
-	c.marks.known[runner] = mark{version: version, spec: spec, since: boottime.Now()}
+	c.marks.known[runner] = &mark{version: version, spec: spec, since: boottime.Now()}
 	c.marks.stale()
 	if e := c.engines[runner]; e != nil {
 		e.pollAt = 0
--- a/internal/process/order/core.go
+++ b/internal/process/order/core.go
@@ -87,6 +87,7 @@
 	adopted   bool          // the open slot comes from a former holder
 	raised    bool          // the engine answered a send of this epoch
 	accepted  string        // incarnation that began the open order; empty: none known
+	sends     int           // of the open order, by this process
 	restarts  int           // times that the open order was lost to a restart
 	doubtful  boottime.Time // until when a copy of an own broken send may arrive
 	sentAt    boottime.Time
@@ -224,6 +225,7 @@
 		return c.write()
 	case phaseSend:
 		c.sentAt = now
+		c.sends++
 		return []Action{SendOrder{Order: c.slot.Order}}
 	}
 	return []Action{ReadState{}}
@@ -335,10 +337,14 @@
 	c.version, c.slot = version, p.Slot
 	switch c.phase {
 	case phaseOpen:
-		c.adopted = false
-		c.goTo(phaseSend)
+		// Read the state once more: a request may have come in while the slot was written.
+		c.adopted, c.sends = false, 0
+		c.goTo(phaseObserve)
 	case phaseAdopt:
-		c.afterAdoption(now)
+		c.goTo(phaseObserve)
+		if !c.fencing {
+			c.nextAt = c.formerEnds()
+		}
 	case phaseClose:
 		c.goTo(phaseIdle)
 		c.want, c.abandon = nil, ""
@@ -347,17 +353,6 @@
 	return nil
 }
 
-// afterAdoption goes on with a slot that was taken over.
-func (c *Core) afterAdoption(now boottime.Time) {
-	if c.fencing {
-		// Sending raises the engine's fencing number; the id makes it harmless.
-		c.goTo(phaseSend)
-		return
-	}
-	c.goTo(phaseObserve)
-	c.nextAt = c.formerEnds()
-}
-
 // formerEnds is when the last copy of a former holder's order can have arrived.
 func (c *Core) formerEnds() boottime.Time {
 	return c.granted.At.Add(c.cfg.OrderLife)
@@ -487,10 +482,22 @@
 		c.nextAt = c.formerEnds()
 		return nil
 	}
+	if s.Streams > 0 {
+		return c.inTheWay(now, s.Streams)
+	}
 	c.goTo(phaseSend)
 	return nil
 }
 
+// inTheWay handles requests that came in after the slot was opened: an order would
+// cut them. An order that nobody sent yet is rolled back; another one waits.
+func (c *Core) inTheWay(now boottime.Time, requests int) []Action {
+	if c.sends == 0 && !c.adopted {
+		return c.close(now, OutcomeRolledBack, fmt.Sprintf("%d requests came in before the order was sent", requests))
+	}
+	return nil
+}
+
 // settled reports whether no copy of the open order can arrive any more.
 func (c *Core) settled(now boottime.Time) bool {
 	if now.Before(c.doubtful) {
@@ -507,6 +514,12 @@
 
 // close ends the open order, as soon as no copy of it can arrive any more.
 func (c *Core) close(now boottime.Time, outcome Outcome, reason string) []Action {
+	if c.adopted && c.fencing && !c.raised {
+		// Sending again raises the engine's fencing number, which makes it refuse
+		// the former holder's copies; the id makes it harmless.
+		c.goTo(phaseSend)
+		return nil
+	}
 	if !c.settled(now) {
 		c.phase = phaseObserve
 		c.nextAt = c.settles(now)
--- a/internal/process/order/core_test.go
+++ b/internal/process/order/core_test.go
@@ -53,7 +53,8 @@
 	if open.Base != 20 || open.Slot.State != resource.SlotOpen || open.Slot.Order.ID != "r-8" || open.Slot.Order.Fence != 9 {
 		t.Fatalf("opens %+v: want order r-8, beyond the engine's last one, with fence 9 over version 20", open)
 	}
-	send := expect[SendOrder](t, c.Step(at(0), SlotWrote{Version: 21}))
+	expect[ReadState](t, c.Step(at(0), SlotWrote{Version: 21}))
+	send := expect[SendOrder](t, c.Step(at(0), StateRead{upstream.State{OrderID: "r-7"}}))
 	running := upstream.State{OrderID: send.Order.ID, OrderStatus: upstream.OrderRunning, Fence: 9}
 	if a := c.Step(at(0), Sent{Result: SendAnswered, State: running}); len(a) != 0 {
 		t.Fatalf("%#v while the engine executes", a)
@@ -99,7 +100,11 @@
 }
 
 func TestTakingOverAtAnEngineThatChecksFencing(t *testing.T) {
-	send := expect[SendOrder](t, adopt(t, testCore(true)))
+	c := testCore(true)
+	expect[ReadState](t, adopt(t, c))
+	// Even an order that was executed is sent again, to raise the fencing number.
+	done := upstream.State{OrderID: "r-4", OrderStatus: upstream.OrderDone, Fence: 5}
+	send := expect[SendOrder](t, c.Step(at(0), StateRead{done}))
 	if send.Order.ID != "r-4" || send.Order.Fence != 9 {
 		t.Errorf("sends %+v, want the former order with its own fence at once", send.Order)
 	}
@@ -134,6 +139,7 @@
 		adopt(t, c)
 		c.Step(at(0), Abandon{Reason: "withdrawn"})
 		if test.fencing {
+			c.Step(at(0), StateRead{upstream.State{}})
 			c.Step(at(0), Sent{Result: SendBroken})
 		}
 		c.Step(at(life), Tick{})
@@ -151,6 +157,7 @@
 func TestRestartsInTheMiddleEndAsFailed(t *testing.T) {
 	c := testCore(true)
 	adopt(t, c)
+	expect[SendOrder](t, c.Step(at(0), StateRead{upstream.State{}}))
 	now := at(0)
 	for i := range maxRestarts {
 		life := string(rune('a' + i))
@@ -198,3 +205,21 @@
 		t.Errorf("%#v without authority", a)
 	}
 }
+
+func TestRequestsThatComeInBeforeTheSend(t *testing.T) {
+	c := idle(t)
+	c.Step(at(0), setDecode)
+	c.Step(at(0), StateRead{upstream.State{}})
+	c.Step(at(0), SlotWrote{Version: 21})
+	w := expect[WriteSlot](t, c.Step(at(0), StateRead{upstream.State{Streams: 1}}))
+	if w.Slot.State != resource.SlotClosed || w.Slot.Outcome != string(OutcomeRolledBack) {
+		t.Errorf("writes %+v, want the order rolled back: it would cut a request", w.Slot)
+	}
+	adopted := testCore(true)
+	adopt(t, adopted)
+	if a := adopted.Step(at(0), StateRead{upstream.State{Streams: 1}}); len(a) != 0 {
+		t.Errorf("%#v: an order that a former holder may have sent has to wait for the requests", a)
+	}
+	expect[ReadState](t, adopted.Step(adopted.Wake(), Tick{}))
+	expect[SendOrder](t, adopted.Step(adopted.Wake(), StateRead{upstream.State{}}))
+}
--- a/internal/process/order/doc.go
+++ b/internal/process/order/doc.go
@@ -14,8 +14,9 @@
 //     (write deadline, TCP user timeout, connection closed). Its slot is not closed
 //     before that.
 //   - A new holder that finds an open slot writes its own epoch into it. Of an engine
-//     that checks fencing it then sends the same order with its own epoch, which
-//     makes the engine refuse every copy of the former holder. Of an engine that
+//     that checks fencing it then sends the same order with its own epoch, even if
+//     the engine has executed it, which makes the engine refuse every copy of the
+//     former holder. Of an engine that
 //     ignores fencing it first waits until OrderLife after its own lease began: the
 //     former holder's window had ended by then. It reads the state, and only then
 //     orders.
--- a/internal/process/reconcile/plan.go
+++ b/internal/process/reconcile/plan.go
@@ -105,6 +105,9 @@
 	if w.State == resource.RunnerWithdrawn {
 		p.add(Step{Kind: Abandon, Runner: name, Reason: "an operator withdrew the runner"})
 	}
+	if drain, drained := p.actual.Drains[name]; !drained || drain.Epoch != p.actual.Epoch || drain.Zone != p.actual.Zone {
+		p.add(Step{Kind: StopNewWork, Runner: name, Reason: "order " + o.Order + " is under way"})
+	}
 	p.add(Step{Kind: AwaitOrder, Runner: name, Reason: "order " + o.Order + " is under way"})
 	p.mark(name, PhaseChanging, "order "+o.Order+" is under way")
 }
--- a/internal/process/reconcile/plan_test.go
+++ b/internal/process/reconcile/plan_test.go
@@ -127,7 +127,7 @@
 		{"withdrawn with an order under way", func(f *fleet) {
 			f.want("r0", state(resource.RunnerWithdrawn))
 			f.observe("r0", func(o *Observed) { o.Order = "r0-1" })
-		}, "abandon-order await-order", PhaseChanging},
+		}, "abandon-order stop-new-work await-order", PhaseChanging},
 		{"leaving instance", func(f *fleet) { f.want("r0", func(w *Want) { w.Leaving = true }) }, "", PhaseDrained},
 		{"minServing holds", func(f *fleet) {
 			f.desired.Models["m"] = resource.Model{MinServing: 3}
