Leave a paused runner when the request may run elsewhere

Cause: a paused runner keeps its connections open, so an idempotent request waited out the silence of its stream and of two resumes, 45 s by default. Change: when a runner's polls fail and an attempt there has brought nothing for a second, the attempt is given up and the request runs elsewhere; a whole answer starts over also when its runner lost the run. Canceling a lost run no longer holds up its successor. The memory of explanations is bounded at 13 MB at worst, from 59 MB.

--- a/internal/process/gateway/answer.go
+++ b/internal/process/gateway/answer.go
@@ -122,6 +122,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode answer")
 	}
+	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	a.w.Header().Set("Content-Type", "application/json")
 	a.w.WriteHeader(http.StatusOK)
 	if _, err := a.w.Write(raw); err != nil {
--- a/internal/process/gateway/claimdriver.go
+++ b/internal/process/gateway/claimdriver.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/claim"
@@ -14,6 +15,15 @@
 // claimAskTimeout bounds one question to the keepers of a bucket.
 const claimAskTimeout = 10 * time.Second
 
+// claimOpNames are the words for explanations.
+var claimOpNames = map[peer.ClaimOp]string{
+	peer.ClaimCreate:   "create",
+	peer.ClaimTakeover: "takeover",
+	peer.ClaimMove:     "move",
+	peer.ClaimRelease:  "release",
+	peer.ClaimLookup:   "lookup",
+}
+
 // claimSteps is the I/O of one kind of request under a claim. Each step tells
 // how it went.
 type claimSteps interface {
@@ -124,8 +134,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), claimAskTimeout)
 	defer cancel()
 	answer := d.claims.Ask(ctx, a.Ask)
-	d.why.add(time.Now(), "claim ask %d: granted %v, holder %s, upstream %s, run %s, attempt %d, kind %q",
-		a.Ask.Op, answer.Granted, answer.Holder, answer.Runner, answer.RunID, answer.Attempt, answer.Kind)
+	d.why.add(time.Now(), "claim %s: granted %v, holder %s, upstream %s, run %s, attempt %d, kind %q",
+		claimOpNames[a.Ask.Op], answer.Granted, answer.Holder, answer.Runner, answer.RunID, answer.Attempt, answer.Kind)
 	return claim.ClaimAnswered{Answer: answer}
 }
 
--- a/internal/process/gateway/cores.go
+++ b/internal/process/gateway/cores.go
@@ -32,6 +32,7 @@
 	services serviceLoad
 
 	unreachable map[string]bool            // runners whose polls fail
+	watched     watchedAttempts            // attempts that can go elsewhere
 	waiting     map[string]waiter          // calls in the admission queue
 	demand      map[string]*peer.DemandRow // by model, since the last report
 	kick        chan struct{}              // tells the queue loop that calls wait
@@ -53,6 +54,7 @@
 		outliers:    retry.NewOutliers(retry.OutlierConfig{MaxShare: limits.EjectShare}),
 		services:    newServiceLoad(),
 		unreachable: make(map[string]bool),
+		watched:     make(watchedAttempts),
 		waiting:     make(map[string]waiter),
 		demand:      make(map[string]*peer.DemandRow),
 		kick:        make(chan struct{}, 1),
@@ -312,6 +314,7 @@
 	defer c.mu.Unlock()
 	c.unreachable[name] = true
 	c.refreshSuspect(now, name)
+	c.watched.giveUp(now, name)
 }
 
 // cacheSince is the sequence to ask a runner's cache events from.
--- a/internal/process/gateway/execution.go
+++ b/internal/process/gateway/execution.go
@@ -145,8 +145,8 @@
 	return leftError(ctx, state)
 }
 
-// cancelRun ends the present run at its engine. It is only called for a run
-// whose answer nobody will ask for.
+// cancelRun ends the present run at its engine, without waiting for it. It is
+// only called for a run whose answer nobody will ask for.
 func (x *execution) cancelRun() {
 	if x.state == errkind.NotRun || x.runID == "" {
 		return
@@ -155,13 +155,13 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-	defer cancel()
-	if err := engine.Cancel(ctx, x.runID); err != nil {
-		x.why.add(time.Now(), "cancel at %s failed: %v", x.runner, err)
-		return
-	}
-	x.why.add(time.Now(), "run canceled at %s", x.runner)
+	runner, runID := x.runner, x.runID
+	x.g.loop(func(context.Context) { // a planned stop waits for it
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		err := engine.Cancel(ctx, runID)
+		x.why.add(time.Now(), "run %s canceled at %s, error %v", runID, runner, err)
+	})
 }
 
 // provesNotRun tells whether an error proves that the run never started.
--- a/internal/process/gateway/explain.go
+++ b/internal/process/gateway/explain.go
@@ -8,9 +8,9 @@
 
 // Bounds of the memory that explanations take.
 const (
-	explainRequests = 4096
-	explainLines    = 24
-	explainLine     = 600 // bytes
+	explainRequests = 2048
+	explainLines    = 16
+	explainLine     = 400 // bytes
 )
 
 // explainRing keeps what was decided about the latest requests and why. The
--- a/internal/process/gateway/failure_test.go
+++ b/internal/process/gateway/failure_test.go
@@ -190,6 +190,27 @@
 	}
 }
 
+// A paused runner keeps its connections open: only its polls tell that it is away.
+func TestIdempotentRequestLeavesAPausedRunner(t *testing.T) {
+	for _, stream := range []bool{true, false} {
+		f := newFleet(t, runner.Config{Name: "r1"}, runner.Config{Name: "r2"})
+		f.pollLimit = 300 * time.Millisecond
+		s := f.settings("gw-1")
+		s.Limits.RetryShare = 1
+		g := f.start(s)
+		done := make(chan reply, 1)
+		go func() { done <- g.get(ask{body: completion("chat", "[out=400] p", 400, stream)}) }()
+		g.eventually("the run begins", func() bool { return f.runs() == 1 })
+		for _, r := range f.runners {
+			if len(r.Executions().Runs) > 0 {
+				r.Freeze()
+				defer r.Thaw()
+			}
+		}
+		(<-done).wantWhole(t, answerTo("[out=400] p", 400))
+	}
+}
+
 func TestCallerWhoLeavesCancelsTheRun(t *testing.T) {
 	f := newFleet(t, runner.Config{Name: "r1"})
 	g := f.start(f.settings("gw-1"))
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -39,6 +39,8 @@
 	t       *testing.T
 	store   *standinplatform.Store
 	runners map[string]*runner.Runner
+
+	pollLimit time.Duration // of gateways started; zero: the ordinary one
 }
 
 // fastCost makes stand-ins answer in milliseconds.
@@ -144,6 +146,9 @@
 	f.store.PutInstance(s.Instance.Name, resource.Instance{
 		Role: "gateway", Zone: testZone, PeerAddress: g.Addresses().Peers.String(), State: resource.InstanceLive,
 	})
+	if f.pollLimit > 0 {
+		g.poller.limit = f.pollLimit
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- g.Run(ctx) }()
--- a/internal/process/gateway/poll.go
+++ b/internal/process/gateway/poll.go
@@ -28,6 +28,7 @@
 type poller struct {
 	g     *Gateway
 	slots *semaphore.Weighted
+	limit time.Duration // of one poll
 
 	mu      sync.Mutex
 	running map[string]context.CancelFunc // by runner
@@ -36,7 +37,7 @@
 }
 
 func newPoller(g *Gateway) *poller {
-	return &poller{g: g, slots: semaphore.NewWeighted(pollConcurrency), running: make(map[string]context.CancelFunc)}
+	return &poller{g: g, limit: pollTimeout, slots: semaphore.NewWeighted(pollConcurrency), running: make(map[string]context.CancelFunc)}
 }
 
 // install starts a loop for each new runner and ends those of runners gone.
@@ -118,7 +119,7 @@
 		return err
 	}
 	defer p.slots.Release(1)
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	ctx, cancel := context.WithTimeout(ctx, p.limit)
 	defer cancel()
 	spec, ok := p.spec(name)
 	if !ok {
--- a/internal/process/gateway/unkeyed.go
+++ b/internal/process/gateway/unkeyed.go
@@ -28,10 +28,12 @@
 // unkeyed runs a call without an Idempotency-Key.
 type unkeyed struct {
 	*execution
+	attempt *watchedAttempt // the present one; nil: it can't go elsewhere
 }
 
 // run carries the call to its end. The answer is whole if it returns nil.
 func (u *unkeyed) run(ctx context.Context, choice route.Choice) *errkind.Error {
+	defer u.unwatch()
 	attempt, final := u.begin(ctx, choice)
 	for final == nil {
 		if final = u.follow(ctx, attempt); final == nil {
@@ -86,10 +88,20 @@
 		return attempt, errors.Wrapf(upstream.ErrNotRun, "runner %s is not in the configuration", choice.Runner)
 	}
 	attempt.Engine = engine
+	runCtx := ctx
+	if u.call.route.Idempotent {
+		u.unwatch()
+		u.attempt = u.g.cores.watch(ctx, choice.Runner)
+		attempt.Engine = watchedEngine{engine, u.attempt}
+		runCtx = u.attempt.ctx
+	}
 	u.why.add(time.Now(), "sent to %s as run %s", choice.Runner, u.runID)
-	s, err := u.start(ctx, choice, u.runID, "")
-	attempt.Stream = s
+	s, err := u.start(runCtx, choice, u.runID, "")
 	if err == nil {
+		attempt.Stream = s
+		if u.attempt != nil {
+			attempt.Stream = watchedStream{s, u.attempt}
+		}
 		u.state = errkind.Ran
 		return attempt, nil
 	}
@@ -102,6 +114,13 @@
 	return attempt, err
 }
 
+func (u *unkeyed) unwatch() {
+	if u.attempt != nil {
+		u.g.cores.unwatch(u.attempt)
+		u.attempt = nil
+	}
+}
+
 // follow relays the answer of an attempt through breaks of its stream.
 func (u *unkeyed) follow(ctx context.Context, attempt stream.Attempt) *errkind.Error {
 	cfg := stream.RelayConfig{Attempt: attempt, Tries: resumeTriesOnce}
@@ -169,7 +188,11 @@
 	if ctx.Err() != nil || u.out.Begun() || u.call.body.stream {
 		return false
 	}
-	return u.call.route.Idempotent && (final.Kind == errkind.AnswerIncomplete || final.Kind == errkind.OutcomeUnknown)
+	switch final.Kind {
+	case errkind.AnswerIncomplete, errkind.UpstreamFailed, errkind.OutcomeUnknown:
+		return u.call.route.Idempotent
+	}
+	return false
 }
 
 // elsewhere begins again at another runner after the present run was lost.
@@ -180,7 +203,7 @@
 	if action != retry.RunAgain {
 		return stream.Attempt{}, u.finalAnswer(why)
 	}
-	u.cancelRun() // in case it goes on: nobody will ask for its answer
+	u.cancelRun() // in case it goes on
 	choice := u.reroute(now)
 	if choice.Runner == "" {
 		return stream.Attempt{}, u.finalAnswer(why)
