--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -72,6 +72,11 @@
 }
 
 func (s *site) addRunner(name string, checksFencing bool) {
+	s.t.Helper()
+	s.addRunnerIn(testZone, name, checksFencing)
+}
+
+func (s *site) addRunnerIn(zone, name string, checksFencing bool) {
 	s.t.Helper()
 	r := runner.New(runner.Config{
 		Name: name, ChecksFencing: checksFencing,
@@ -88,7 +93,7 @@
 	}
 	s.runners[name] = r
 	s.put(resource.KindRunner, name, resource.Runner{
-		Engine: "engine", Address: address, Zone: testZone, Model: "smoke",
+		Engine: "engine", Address: address, Zone: zone, Model: "smoke",
 		Role: string(upstream.RoleBoth), State: resource.RunnerServing,
 	})
 }
@@ -520,3 +525,13 @@
 	}
 	s.until("the runner's status speaks of its newest version", func() bool { return s.status("r1").Version == o.Version })
 }
+
+func TestZoneWithoutControllers(t *testing.T) {
+	s := newSite(t, true, "r1")
+	s.addRunnerIn("zone-b", "r2", true)
+	p := s.start("c-a")
+	s.leader(p)
+	s.edit("r2", setRole(upstream.RoleDecode))
+	s.untilRole("r2", upstream.RoleDecode)
+	s.untilPhase("r2", "serving")
+}
