Weigh runners near their bounds by cost, and allocate less per decision

A runner on time but near its bound is no longer left out while another is safe; its cost counts half as much again, so that a warm cache can still win.

--- a/internal/request/route/filter.go
+++ b/internal/request/route/filter.go
@@ -16,36 +16,27 @@
 	FilterMemory    = "memory"
 )
 
-// filter takes out runners that must not, or cannot, serve a request.
-type filter struct {
-	name  string
-	admit func(q *Request, r *Runner) bool
-}
-
-// filters run in this order; the first that refuses is the one that is reported.
-var filters = []filter{
-	{FilterLoaded, hasLoaded},
-	{FilterLeaving, notLeaving},
-	{FilterSuspected, notSuspected},
-	{FilterExcluded, notExcluded},
-	{FilterRole, canDecode},
-	{FilterMemory, hasMemory},
-}
-
 // refusedBy names the first filter that refuses the runner; empty: none does.
+// The calls are direct, not through a table, so that nothing escapes to the heap.
 func refusedBy(q *Request, r *Runner) string {
-	for i := range filters {
-		if !filters[i].admit(q, r) {
-			return filters[i].name
-		}
+	switch {
+	case !hasLoaded(q, r):
+		return FilterLoaded
+	case r.Leaving:
+		return FilterLeaving
+	case r.Suspected:
+		return FilterSuspected
+	case !notExcluded(q, r):
+		return FilterExcluded
+	case !canDecode(r):
+		return FilterRole
+	case !hasMemory(q, r):
+		return FilterMemory
 	}
 	return ""
 }
 
-func notLeaving(_ *Request, r *Runner) bool { return !r.Leaving }
-
-func notSuspected(_ *Request, r *Runner) bool { return !r.Suspected }
-
+// notExcluded takes out runners that were tried before.
 func notExcluded(q *Request, r *Runner) bool { return !slices.Contains(q.Excluded, r.Name) }
 
 // hasLoaded wants the model, the version if one was chosen, and the adapter if one is asked for.
@@ -67,10 +58,10 @@
 }
 
 // canDecode takes out runners that only prefill: the answer comes from a decoding runner.
-func canDecode(_ *Request, r *Runner) bool { return r.Role != upstream.RolePrefill }
+func canDecode(r *Runner) bool { return r.Role != upstream.RolePrefill }
 
 // canPrefill is the role filter of the first half of a pair.
-func canPrefill(_ *Request, r *Runner) bool { return r.Role == upstream.RolePrefill }
+func canPrefill(r *Runner) bool { return r.Role == upstream.RolePrefill }
 
 // hasMemory wants room for the whole request's KV cache at all, not at this
 // moment: waiting for memory is part of the predicted time.
--- a/internal/request/route/journal.go
+++ b/internal/request/route/journal.go
@@ -92,49 +92,48 @@
 }
 
 // since replays the journal from the report's time on: the reported queue of
-// prompt tokens grows by what was sent and drains at the given rate.
+// prompt tokens grows by what was sent and drains at the given rate. Of the bin
+// in which the report was taken, the part after it counts.
 func (j *journal) since(reported, now time.Time, queue, drainRate float64) correction {
 	c := correction{queuedPrefill: queue}
+	end := now.UnixNano()
 	last := binOf(now)
 	first := last - binCount + 1
-	if !reported.IsZero() {
-		first = max(first, binOf(reported))
+	from := first * int64(binLength)
+	if !reported.IsZero() && reported.UnixNano() > from {
+		from = reported.UnixNano()
+		first = binOf(reported)
 	}
 	for n := first; n <= last; n++ {
-		share := overlap(n, reported, now)
+		start, stop := n*int64(binLength), (n+1)*int64(binLength)
+		begin, until := max(start, from), min(stop, end)
+		if until < begin {
+			break
+		}
 		if n <= j.newest && n > j.newest-binCount {
-			b := &j.bins[slot(n)]
-			c.requests += float64(b.requests) * share
-			c.decode += float64(b.decode) * share
-			c.queuedPrefill += float64(b.prefill) * share
+			j.bins[slot(n)].addTo(&c, partAfter(start, until, begin))
 		}
-		lasted := lengthWithin(n, reported, now)
-		c.queuedPrefill = max(c.queuedPrefill-drainRate*lasted.Seconds(), 0)
+		drained := drainRate * float64(until-begin) / float64(time.Second)
+		c.queuedPrefill = max(c.queuedPrefill-drained, 0)
 	}
 	return c
 }
 
-// overlap is the part of a bin's elapsed time that lies after the report.
-func overlap(n int64, reported, now time.Time) float64 {
-	start := n * int64(binLength)
-	end := min(start+int64(binLength), now.UnixNano())
-	if reported.IsZero() || start >= reported.UnixNano() {
+// partAfter is the part of a bin from start until now that lies after begin.
+func partAfter(start, until, begin int64) float64 {
+	switch {
+	case begin <= start:
 		return 1
-	}
-	if end <= start {
+	case until <= start:
 		return 0
 	}
-	return max(float64(end-reported.UnixNano())/float64(end-start), 0)
+	return float64(until-begin) / float64(until-start)
 }
 
-// lengthWithin is the part of bin n between two times.
-func lengthWithin(n int64, from, to time.Time) time.Duration {
-	start := n * int64(binLength)
-	if !from.IsZero() {
-		start = max(start, from.UnixNano())
-	}
-	end := min((n+1)*int64(binLength), to.UnixNano())
-	return time.Duration(max(end-start, 0))
+func (b *bin) addTo(c *correction, part float64) {
+	c.requests += float64(b.requests) * part
+	c.decode += float64(b.decode) * part
+	c.queuedPrefill += float64(b.prefill) * part
 }
 
 // prefillPerSecond is the mean rate of prompt tokens sent over the rate window.
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -32,17 +32,13 @@
 		return Choice{Reason: ReasonNoRunner, Earliest: Never, Rejected: rejected(&q, runners)}
 	}
 	inZone := func(c *candidate) bool { return runners[c.decode].Zone == q.Zone }
-	i := pick(cands, q.Seed, func(c *candidate) bool { return c.safe && inZone(c) })
-	if i != none {
+	if anyOf(cands, func(c *candidate) bool { return c.safe && inZone(c) }) {
+		i := pick(cands, q.Seed, func(c *candidate) bool { return c.onTime && inZone(c) })
 		return chosen(runners, &cands[i], ReasonOwnZone)
 	}
-	i = pick(cands, q.Seed, func(c *candidate) bool { return c.safe })
-	if i != none {
-		return chosen(runners, &cands[i], ReasonSpill)
-	}
-	i = pick(cands, q.Seed, func(c *candidate) bool { return c.onTime })
+	i := pick(cands, q.Seed, func(c *candidate) bool { return c.onTime })
 	if i != none {
-		return chosen(runners, &cands[i], ReasonSpill)
+		return chosen(runners, &cands[i], reasonOf(inZone(&cands[i])))
 	}
 	i = pick(cands, q.Seed, inZone)
 	if i == none {
@@ -53,6 +49,22 @@
 	return choice
 }
 
+func anyOf(cands []candidate, wanted func(*candidate) bool) bool {
+	for i := range cands {
+		if wanted(&cands[i]) {
+			return true
+		}
+	}
+	return false
+}
+
+func reasonOf(ownZone bool) string {
+	if ownZone {
+		return ReasonOwnZone
+	}
+	return ReasonSpill
+}
+
 func chosen(runners []Runner, c *candidate, reason string) Choice {
 	choice := Choice{
 		Runner:    runners[c.decode].Name,
@@ -66,6 +78,9 @@
 	return choice
 }
 
+// unsafeFactor makes candidates near their bounds costlier.
+const unsafeFactor = 1.5
+
 // appendCandidates gives one candidate for each runner that passes the filters:
 // for a decode-only runner the better of prefilling there and of a pair.
 func appendCandidates(cands []candidate, q *Request, runners []Runner, bounds *budget) []candidate {
@@ -87,6 +102,9 @@
 		judged := crowded(q, runners, &c)
 		c.onTime = bounds.meets(&judged, r.Promised, betweenMargin)
 		c.safe = c.onTime && bounds.meets(&judged, r.Promised, spillMargin)
+		if !c.safe {
+			c.cost *= unsafeFactor
+		}
 		cands = append(cands, c)
 	}
 	return cands
@@ -118,7 +136,7 @@
 	best, bestTime := none, math.Inf(1)
 	for i := range runners {
 		r := &runners[i]
-		if !canPrefill(q, r) || !hasLoaded(q, r) || r.Leaving || r.Suspected || !notExcluded(q, r) {
+		if !canPrefill(r) || !hasLoaded(q, r) || r.Leaving || r.Suspected || !notExcluded(q, r) {
 			continue
 		}
 		need := float64(q.PromptTokens - cachedTokens(q, r))
--- a/internal/request/route/score.go
+++ b/internal/request/route/score.go
@@ -12,29 +12,16 @@
 
 const none = -1
 
-// scorer gives one part of a candidate's cost in seconds.
-type scorer struct {
-	name  string
-	score func(q *Request, runners []Runner, c *candidate) float64
-}
-
-// scorers are added up. The prefix cache counts in both: cached tokens shorten
-// the request's own time and spare the runner's other streams their stall.
-var scorers = []scorer{
-	{"predicted time", scoreTime},
-	{"harm to others", scoreHarm},
-}
-
+// cost adds up the scorers. The prefix cache counts in both: cached tokens
+// shorten the request's own time and spare the runner's other streams their
+// stall. The calls are direct, not through a table, so that nothing escapes to
+// the heap.
 func cost(q *Request, runners []Runner, c *candidate) float64 {
-	total := 0.0
-	for i := range scorers {
-		total += scorers[i].score(q, runners, c)
-	}
-	return total
+	return scoreTime(c) + scoreHarm(q, runners, c)
 }
 
 // scoreTime is the predicted time of the whole answer.
-func scoreTime(_ *Request, _ []Runner, c *candidate) float64 {
+func scoreTime(c *candidate) float64 {
 	return c.predicted.Whole.Seconds()
 }
 
