Bound how long a run at an unreachable runner is resumed

Cause: a request that may run once and whose runner is paused waited for up to 12 resumes of 15 s each before it was answered as unknown. Change: resuming ends 30 s after the runner was last heard if its polls fail as well; the caller then gets the final answer at once.

--- a/internal/process/gateway/unkeyed.go
+++ b/internal/process/gateway/unkeyed.go
@@ -28,7 +28,7 @@
 // unkeyed runs a call without an Idempotency-Key.
 type unkeyed struct {
 	*execution
-	attempt *watchedAttempt // the present one; nil: it can't go elsewhere
+	attempt *watchedAttempt // the present one; nil: none yet
 }
 
 // run carries the call to its end. The answer is whole if it returns nil.
@@ -87,21 +87,13 @@
 	if !ok {
 		return attempt, errors.Wrapf(upstream.ErrNotRun, "runner %s is not in the configuration", choice.Runner)
 	}
-	attempt.Engine = engine
-	runCtx := ctx
-	if u.call.route.Idempotent {
-		u.unwatch()
-		u.attempt = u.g.cores.watch(ctx, choice.Runner)
-		attempt.Engine = watchedEngine{engine, u.attempt}
-		runCtx = u.attempt.ctx
-	}
+	u.unwatch()
+	u.attempt = u.g.cores.watch(ctx, choice.Runner, u.call.route.Idempotent)
+	attempt.Engine = watchedEngine{engine, u.attempt}
 	u.why.add(time.Now(), "sent to %s as run %s", choice.Runner, u.runID)
-	s, err := u.start(runCtx, choice, u.runID, "")
+	s, err := u.start(u.attempt.ctx, choice, u.runID, "")
 	if err == nil {
-		attempt.Stream = s
-		if u.attempt != nil {
-			attempt.Stream = watchedStream{s, u.attempt}
-		}
+		attempt.Stream = watchedStream{s, u.attempt}
 		u.state = errkind.Ran
 		return attempt, nil
 	}
--- /dev/null
+++ b/internal/process/gateway/watch_test.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+)
+
+// silentEngine never answers a resume.
+type silentEngine struct{ upstream.Engine }
+
+func (silentEngine) Resume(ctx context.Context, _ string, _ int) (upstream.Stream, error) {
+	<-ctx.Done()
+	return nil, errors.Wrap(upstream.ErrBroken, context.Cause(ctx).Error())
+}
+
+func TestResumingEndsWithTheWindow(t *testing.T) {
+	c := newCores(settings.Instance{}, settings.Limits{})
+	a := c.watch(context.Background(), "r1", false)
+	defer c.unwatch(a)
+	c.pollFailed(time.Now(), "r1")
+	a.heard.Store(time.Now().Add(-resumeWindow + 20*time.Millisecond).UnixNano())
+	e := watchedEngine{silentEngine{}, a}
+	if _, err := e.Resume(context.Background(), "run", 0); !errors.Is(err, upstream.ErrBroken) {
+		t.Errorf("within the window: %v", err)
+	}
+	if _, err := e.Resume(context.Background(), "run", 0); !errors.Is(err, upstream.ErrUnknownRun) {
+		t.Errorf("after the window: %v", err)
+	}
+}
+
+func TestOnlyStalledAttemptsThatMayLeaveAreGivenUp(t *testing.T) {
+	c := newCores(settings.Instance{}, settings.Limits{})
+	now := time.Now()
+	attempts := map[string]*watchedAttempt{
+		"stalled":  c.watch(context.Background(), "r1", true),
+		"flowing":  c.watch(context.Background(), "r1", true),
+		"may stay": c.watch(context.Background(), "r1", false),
+		"other":    c.watch(context.Background(), "r2", true),
+	}
+	for name, a := range attempts {
+		if name != "flowing" {
+			a.heard.Store(now.Add(-time.Minute).UnixNano())
+		}
+	}
+	c.pollFailed(now, "r1")
+	for name, a := range attempts {
+		if gone := a.ctx.Err() != nil; gone != (name == "stalled") {
+			t.Errorf("%s: given up %v", name, gone)
+		}
+		c.unwatch(a)
+	}
+	if len(c.watched) != 0 {
+		t.Errorf("%d runners are still watched", len(c.watched))
+	}
+}
