Measure streams through the failure of a runner, a gateway and a zone

Three gateways, nine runners and a service in one process, every pair joined by a forwarder that can be cut; what callers are told is compared with the ledgers of the stand-ins, by a marker for each attempt.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -7,6 +7,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/authority"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/fanout"
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/faults"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/goodput"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/latency"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/policy"
@@ -16,6 +17,7 @@
 func Register(p *flags.Parser) {
 	add(p, "authority", "failover of leases and orders, and calls for leases", &authority.Command{})
 	add(p, "fanout", "spread of a configuration change and cost of control traffic", &fanout.Command{})
+	add(p, "faults", "what becomes of streams when a runner, a gateway or a zone fails in their middle", &faults.Command{})
 	add(p, "goodput", "useful answers a second against least-outstanding routing", &goodput.Command{})
 	add(p, "affinity", "prompt tokens computed with shared briefings, and the load of runners", &goodput.AffinityCommand{})
 	add(p, "routecost", "time and memory of routing decisions", &goodput.CostCommand{})
--- /dev/null
+++ b/internal/bench/faults/caller.go
@@ -0,0 +1,199 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/service"
+)
+
+// kind is what sort of request a caller makes.
+type kind string
+
+// The kinds of requests.
+const (
+	kindAgain kind = "idempotent"         // to a model, may run twice
+	kindOnce  kind = "once, no key"       // to a model, must not run twice
+	kindKeyed kind = "once, keyed"        // to a model, with an Idempotency-Key
+	kindCall  kind = "service, once"      // to the plain service, must not run twice
+	kindTile  kind = "service, repeating" // to the plain service, may run twice
+)
+
+// kinds in the order of the table.
+var kinds = []kind{kindAgain, kindOnce, kindKeyed, kindCall, kindTile}
+
+// mix gives the kinds of ten requests in a row.
+var mix = [...]kind{
+	kindAgain, kindOnce, kindKeyed, kindCall, kindOnce,
+	kindKeyed, kindAgain, kindOnce, kindKeyed, kindTile,
+}
+
+// repeats tells whether a caller of this kind asks again after an answer that
+// doesn't deny the run.
+func (k kind) repeats() bool { return k != kindOnce && k != kindCall }
+
+// mayRunTwice tells whether a second run of the request does no harm.
+func (k kind) mayRunTwice() bool { return k == kindAgain || k == kindTile }
+
+const (
+	wholeEvery   = 4 // every so many-th round of the mix asks for answers that are not streamed
+	serviceBytes = 40 << 10
+	pauseLeast   = 100 * time.Millisecond
+	pauseSpread  = 200 * time.Millisecond
+)
+
+// attempt is one request as it was sent, and what came of it.
+type attempt struct {
+	mark    string
+	gateway int
+	outcome outcome
+	detail  string
+	killed  bool // the gateway was killed before the attempt ended
+	before  int  // executions of the mark before it was sent
+	after   int  // the same when a "not run" had come
+}
+
+// story is everything that one caller did for one request.
+type story struct {
+	id       string
+	kind     kind
+	attempts []attempt
+}
+
+func (s story) last() attempt { return s.attempts[len(s.attempts)-1] }
+
+// caller makes one request and repeats it where that is allowed.
+type caller struct {
+	f       *fleet
+	p       profile
+	number  int
+	kind    kind
+	rng     *rand.Rand
+	open    *atomic.Int64 // attempts under way, of all callers
+	client  http.RoundTripper
+	started time.Time
+}
+
+func newCaller(f *fleet, p profile, number int, open *atomic.Int64) *caller {
+	return &caller{
+		f: f, p: p, number: number, kind: mix[number%len(mix)], open: open,
+		rng: rand.New(rand.NewPCG(p.seed, uint64(number))),
+		// A reused connection would let the transport send a request again by itself.
+		client: &http.Transport{DisableKeepAlives: true},
+	}
+}
+
+// run asks until the answer is whole or final, or the caller's patience ends.
+func (c *caller) run(ctx context.Context) story {
+	c.started = time.Now()
+	s := story{id: fmt.Sprintf("s%d-r%d", c.p.seed, c.number), kind: c.kind}
+	at := c.rng.IntN(zoneCount)
+	for n := 0; ; n++ {
+		a := c.attempt(ctx, s.id, n, (at+n)%zoneCount)
+		s.attempts = append(s.attempts, a)
+		if !c.asksAgain(a.outcome) || time.Since(c.started) > c.p.patience {
+			return s
+		}
+		time.Sleep(pauseLeast + time.Duration(c.rng.Int64N(int64(pauseSpread))))
+	}
+}
+
+func (c *caller) asksAgain(o outcome) bool {
+	switch o {
+	case outcomeWhole, outcomeWrongText:
+		return false
+	case outcomeNotRun, outcomeUnreached:
+		return true
+	}
+	return c.kind.repeats()
+}
+
+// attempt sends the request to one gateway. Only a keyed request repeats its
+// marker, since its body must not change.
+func (c *caller) attempt(ctx context.Context, id string, n, gateway int) attempt {
+	a := attempt{mark: id, gateway: gateway}
+	if c.kind != kindKeyed {
+		a.mark = fmt.Sprintf("%s-a%d", id, n)
+	}
+	if n > 0 && c.kind == kindKeyed {
+		a.before = c.f.ran(a.mark)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.p.patience)
+	defer cancel()
+	c.open.Add(1)
+	a.outcome, a.detail = c.send(ctx, a.mark, gateway)
+	c.open.Add(-1)
+	a.killed = c.f.isKilled(gateway)
+	if a.outcome == outcomeNotRun {
+		a.after = c.f.ran(a.mark)
+	}
+	return a
+}
+
+func (c *caller) send(ctx context.Context, mark string, gateway int) (outcome, string) {
+	base := c.f.gateways[gateway].callers.url()
+	if c.kind == kindCall || c.kind == kindTile {
+		return c.sendService(ctx, base, servicePath(gateway)+"/"+mark, mark)
+	}
+	return c.sendModel(ctx, base, mark)
+}
+
+func (c *caller) sendModel(ctx context.Context, base, mark string) (outcome, string) {
+	route := onceRoute
+	if c.kind == kindAgain {
+		route = againRoute
+	}
+	prompt := "[mark=" + mark + "] How is the air near the river today?"
+	streamed := c.number/len(mix)%wholeEvery != 0
+	body := `{"model":"` + route + `","prompt":` + strconv.Quote(prompt) + `,"max_tokens":` + strconv.Itoa(c.p.tokens) +
+		`,"stream":` + strconv.FormatBool(streamed) + `}`
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		return outcomeUnreached, err.Error()
+	}
+	if c.kind == kindKeyed {
+		request.Header.Set("Idempotency-Key", mark)
+	}
+	want := runner.Answer(upstream.RunRequest{Model: modelName, Version: versionName, Prompt: prompt, MaxTokens: c.p.tokens})
+	return c.exchange(request, want, readModel)
+}
+
+func (c *caller) sendService(ctx context.Context, base, path, mark string) (outcome, string) {
+	method, body := http.MethodGet, ""
+	if c.kind == kindCall {
+		method, body = http.MethodPost, strings.Repeat(mark+" ", serviceBytes/(len(mark)+1))
+	}
+	request, err := http.NewRequestWithContext(ctx, method, base+path, strings.NewReader(body))
+	if err != nil {
+		return outcomeUnreached, err.Error()
+	}
+	request.Header.Set(service.HeaderMark, mark)
+	return c.exchange(request, method+" "+path+"\n"+body, readService)
+}
+
+// exchange sends a request once and compares its answer.
+func (c *caller) exchange(request *http.Request, want string, read reader) (outcome, string) {
+	request.GetBody = nil // the transport may not send it again
+	request.Header.Set("Authorization", "Bearer "+apiKey)
+	response, err := c.client.RoundTrip(request)
+	if err != nil {
+		if neverSent(err) {
+			return outcomeUnreached, err.Error()
+		}
+		return outcomeCut, err.Error()
+	}
+	defer response.Body.Close()
+	text, o, detail := read(response)
+	if o == outcomeWhole && text != want {
+		return outcomeWrongText, fmt.Sprintf("%d bytes %.60q, want %d bytes %.60q", len(text), text, len(want), want)
+	}
+	return o, detail
+}
--- /dev/null
+++ b/internal/bench/faults/command.go
@@ -0,0 +1,208 @@
+package faults
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+)
+
+// Shape of the load of a full measurement.
+const (
+	fullRamp     = time.Second
+	fullTokens   = 160
+	fullRate     = 60 // tokens a second of a lone stream
+	fullOutage   = 2500 * time.Millisecond
+	fullPatience = 15 * time.Second
+	lateShare    = 5 // one more request for each so many begins around the fault
+)
+
+// Command is the measurement "faults" of ragwort-bench.
+type Command struct {
+	Streams int    `long:"streams" default:"500" description:"requests under way when the fault strikes; a fifth more begin around it"`
+	Seed    uint64 `long:"seed" default:"1" description:"of the callers' choices"`
+	Rounds  int    `long:"rounds" default:"1" description:"rounds, each with the next seed"`
+	Fault   string `long:"fault" description:"only this one: runner, gateway, zone, gateway+runner, gateway+zone or platform+gateway"`
+	JSON    bool   `long:"json" description:"print JSON"`
+}
+
+// profile shapes the load of one fault.
+type profile struct {
+	streams  int
+	ramp     time.Duration // in which the streams begin
+	tokens   int           // of each answer
+	rate     float64       // tokens a second of a lone stream
+	outage   time.Duration // until what was broken comes back, other than a killed gateway
+	patience time.Duration // of a caller
+	seed     uint64
+}
+
+// cost is the cost model of the runners.
+func (p profile) cost() runner.Cost {
+	return runner.Cost{
+		PrefillRate: prefillRate, StreamRate: p.rate, DecodeRate: p.rate * maxBatch * fullBatch,
+		MaxBatch: maxBatch, KVTokens: kvTokens, KVTransferRate: prefillRate,
+	}
+}
+
+// Result is what was measured.
+type Result struct {
+	Streams int      `json:"streams"`
+	Seed    uint64   `json:"seed"`
+	Open    []Open   `json:"open"`
+	Rows    []Row    `json:"rows"`
+	Misses  int      `json:"misses"`
+	Notes   []string `json:"notes,omitempty"` // of what may not happen
+}
+
+// Open is how many requests were under way when a fault struck.
+type Open struct {
+	Fault    string `json:"fault"`
+	Seed     uint64 `json:"seed"`
+	Requests int64  `json:"requests"`
+}
+
+// Execute implements flags.Commander.
+func (c *Command) Execute([]string) error {
+	if c.Streams < len(mix) || c.Rounds < 1 {
+		return errors.Errorf("streams is %d and rounds %d; wanted are at least %d and 1", c.Streams, c.Rounds, len(mix))
+	}
+	silenceLog()
+	result, err := c.measure(context.Background())
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		err = json.NewEncoder(os.Stdout).Encode(result)
+	} else {
+		result.print(os.Stdout)
+	}
+	if err == nil && result.Misses > 0 {
+		return errors.Errorf("%d misses", result.Misses)
+	}
+	return err
+}
+
+// silenceLog keeps the gateways' line for each request out of the table.
+func silenceLog() {
+	var set flag.FlagSet
+	klog.InitFlags(&set)
+	_ = set.Set("logtostderr", "false")
+	_ = set.Set("stderrthreshold", "FATAL")
+	klog.SetOutput(io.Discard)
+}
+
+func (c *Command) measure(ctx context.Context) (Result, error) {
+	result := Result{Streams: c.Streams, Seed: c.Seed}
+	found := false
+	for _, struck := range faults {
+		if c.Fault != "" && c.Fault != struck.name {
+			continue
+		}
+		found = true
+		for round := range c.Rounds {
+			p := profile{
+				streams: c.Streams, ramp: fullRamp, tokens: fullTokens, rate: fullRate,
+				outage: fullOutage, patience: fullPatience, seed: c.Seed + uint64(round),
+			}
+			if err := result.add(ctx, struck, p); err != nil {
+				return result, err
+			}
+		}
+	}
+	if !found {
+		return result, errors.Errorf("fault is %q; see --help", c.Fault)
+	}
+	return result, nil
+}
+
+// add measures one fault once.
+func (r *Result) add(ctx context.Context, struck fault, p profile) error {
+	f, err := newFleet(ctx, p)
+	if err != nil {
+		return errors.Wrap(err, struck.name)
+	}
+	defer f.close()
+	stories, open := f.load(ctx, struck, p)
+	f.healing.Wait()
+	r.Open = append(r.Open, Open{Fault: struck.name, Seed: p.seed, Requests: open})
+	for _, k := range kinds {
+		t := &tally{f: f, row: Row{Fault: struck.name, Kind: string(k)}}
+		for _, s := range stories {
+			if s.kind == k {
+				t.add(s)
+			}
+		}
+		r.merge(t.row)
+		r.Misses += t.row.Misses()
+		r.Notes = append(r.Notes, t.notes...)
+	}
+	return nil
+}
+
+// merge adds the counts of another round.
+func (r *Result) merge(row Row) {
+	for i := range r.Rows {
+		have := &r.Rows[i]
+		if have.Fault == row.Fault && have.Kind == row.Kind {
+			have.plus(row)
+			return
+		}
+	}
+	r.Rows = append(r.Rows, row)
+}
+
+// load runs all callers through one fault. The fault strikes when the streams are
+// all under way; further callers come a little before and after it.
+func (f *fleet) load(ctx context.Context, struck fault, p profile) (stories []story, open int64) {
+	late := p.streams / lateShare
+	stories = make([]story, p.streams+late)
+	var under atomic.Int64
+	var callers sync.WaitGroup
+	begin := func(number int, after time.Duration) {
+		callers.Go(func() {
+			time.Sleep(after)
+			stories[number] = newCaller(f, p, number, &under).run(ctx)
+		})
+	}
+	for i := range p.streams {
+		begin(i, p.ramp*time.Duration(i)/time.Duration(p.streams))
+	}
+	around := p.ramp / 2
+	for i := range late {
+		begin(p.streams+i, p.ramp+around*time.Duration(i)/time.Duration(late))
+	}
+	time.Sleep(p.ramp + around/2)
+	open = under.Load()
+	struck.strike(f, p.outage)
+	callers.Wait()
+	return stories, open
+}
+
+func (r Result) print(w io.Writer) {
+	fmt.Fprintf(w, "%d streams and a fifth more around the fault, seed %d; attempts and refusals count each asking\n", r.Streams, r.Seed)
+	fmt.Fprintf(w, "%-17s %-19s %5s %5s %5s %7s %7s %4s %6s %9s %4s %5s | %8s %8s %5s %7s %8s\n", "fault", "kind", "asked", "tries",
+		"whole", "not-run", "unknown", "ran", "broken", "gw-killed", "cut", "wrong", "refusals", "wrong-nr", "twice", "unk-ran", "lost-run")
+	for _, row := range r.Rows {
+		fmt.Fprintf(w, "%-17s %-19s %5d %5d %5d %7d %7d %4d %6d %9d %4d %5d | %8d %8d %5d %7d %8d\n", row.Fault, row.Kind,
+			row.Requests, row.Attempts, row.Whole, row.NotRun+row.Unreached, row.Unknown, row.Ran, row.Broken, row.CutByKill,
+			row.Cut, row.WrongText, row.NotRunAnswers, row.WrongNotRun, row.Doubled, row.UnknownRan, row.LostWithRunner)
+	}
+	for _, o := range r.Open {
+		fmt.Fprintf(w, "under way when %s struck (seed %d): %d\n", o.Fault, o.Seed, o.Requests)
+	}
+	for _, note := range r.Notes {
+		fmt.Fprintln(w, "MISS", note)
+	}
+	fmt.Fprintf(w, "misses (doubled, wrong not-run, wrong text, cut by a living gateway, keyed not whole though its runner lives): %d\n", r.Misses)
+}
--- /dev/null
+++ b/internal/bench/faults/dialername.go
@@ -0,0 +1,65 @@
+package faults
+
+import (
+	"bytes"
+	"encoding/binary"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+)
+
+// Form of a WebSocket frame, see RFC 6455, section 5.2.
+const (
+	frameHead    = 2
+	lengthMask   = 0x7f
+	length16     = 126
+	maskBytes    = 4
+	maxHandshake = 16 << 10
+)
+
+// dialerName finds out who opened a connection to a peer's port: the dialer's
+// first message names it. All gateways dial from one address here, so that a cut
+// between two of three has no other way to tell connections apart.
+type dialerName struct {
+	seen []byte
+	name string
+}
+
+// feed takes what the dialer sent. It reports once the name is known, or can't
+// become known, in which case it is empty.
+func (d *dialerName) feed(data []byte) bool {
+	d.seen = append(d.seen, data...)
+	_, frame, upgraded := bytes.Cut(d.seen, []byte("\r\n\r\n"))
+	if !upgraded {
+		return len(d.seen) > maxHandshake
+	}
+	message, whole := unmask(frame)
+	if !whole {
+		return len(d.seen) > maxHandshake
+	}
+	if e, err := peer.Decode(message); err == nil && e.Hello != nil {
+		d.name = e.Hello.Name
+	}
+	return true
+}
+
+// unmask gives the payload of the first frame of a client, if it is there whole.
+func unmask(frame []byte) ([]byte, bool) {
+	if len(frame) < frameHead {
+		return nil, false
+	}
+	length, rest := int(frame[1]&lengthMask), frame[frameHead:]
+	if length == length16 {
+		if len(rest) < 2 {
+			return nil, false
+		}
+		length, rest = int(binary.BigEndian.Uint16(rest)), rest[2:]
+	}
+	if len(rest) < maskBytes+length {
+		return nil, false
+	}
+	mask, payload := rest[:maskBytes], bytes.Clone(rest[maskBytes:maskBytes+length])
+	for i := range payload {
+		payload[i] ^= mask[i%maskBytes]
+	}
+	return payload, true
+}
--- /dev/null
+++ b/internal/bench/faults/fleet.go
@@ -0,0 +1,369 @@
+package faults
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/gateway"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/ops"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/service"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// Names and sizes of the fleet. Each zone has one gateway, three runners and one
+// upstream of the plain service.
+const (
+	zoneCount   = 3
+	runnerCount = 9
+	engineName  = "engine"
+	modelName   = "smoke-desk"
+	versionName = "smoke-desk-v1"
+	onceRoute   = "alert"
+	againRoute  = "chat"
+	accountName = "clinic"
+	apiKey      = "key-of-the-clinic"
+	peerKeyEnv  = "RAGWORT_FAULTS_PEER_KEY"
+	writer      = "bench"
+
+	heartbeatMS   = 250
+	balancerMS    = 10
+	drainMS       = 2000
+	readyLimit    = 60 * time.Second
+	readyEvery    = 20 * time.Millisecond
+	plentyPerSec  = 1e5
+	maxBatch      = 64
+	kvTokens      = 1 << 20
+	contextTokens = 8192
+	prefillRate   = 1e5
+	fullBatch     = 0.8 // share of a lone stream's rate that each stream of a full batch gets
+)
+
+func zoneName(i int) string    { return fmt.Sprintf("zone-%c", 'a'+i) }
+func gatewayName(i int) string { return fmt.Sprintf("gateway-%c", 'a'+i) }
+func runnerName(i int) string  { return fmt.Sprintf("runner-%d", i+1) }
+func serviceName(i int) string { return fmt.Sprintf("van-%d", i+1) }
+func zoneOf(runner int) int    { return runner % zoneCount }
+
+// servicePath is the path by which callers of one gateway reach the service. It
+// differs between gateways, so that each has links of its own to the upstreams.
+func servicePath(gateway int) string { return "/van/" + zoneName(gateway) }
+
+// fleet is everything under test.
+type fleet struct {
+	store    *standin.Store
+	platform *standin.Server
+	runners  []*runner.Runner
+	services []*service.Service
+	gateways []*member
+
+	mu      sync.Mutex
+	crashed []int // runners
+	healing sync.WaitGroup
+}
+
+// member is one gateway with its links.
+type member struct {
+	gateway  *gateway.Gateway
+	stop     context.CancelFunc
+	ended    chan error
+	callers  *link
+	platform *link
+	peers    *link // to this gateway, for the others
+	runners  []*link
+	services []*link
+	killed   bool
+}
+
+// newFleet starts everything and waits until all gateways know all upstreams and
+// each other.
+func newFleet(ctx context.Context, p profile) (*fleet, error) {
+	f := &fleet{store: standin.New(standin.Config{})}
+	if err := f.start(ctx, p); err != nil {
+		f.close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *fleet) start(ctx context.Context, p profile) error {
+	if err := os.Setenv(peerKeyEnv, "peers"); err != nil {
+		return errors.Wrap(err, "set the peers' key")
+	}
+	var err error
+	if f.platform, err = f.store.Listen(anyPort); err != nil {
+		return errors.Wrap(err, "listen for the platform")
+	}
+	addresses, err := f.startUpstreams(p)
+	if err != nil {
+		return err
+	}
+	for i := range zoneCount {
+		m, err := newMember(f, addresses)
+		if err != nil {
+			return err
+		}
+		f.gateways = append(f.gateways, m)
+		f.store.PutInstance(gatewayName(i), resource.Instance{
+			Role: resource.RoleGateway, Zone: zoneName(i), PeerAddress: m.peers.address, State: resource.InstanceLive,
+		})
+	}
+	if err := f.configure(ctx, p, addresses); err != nil {
+		return err
+	}
+	for i := range zoneCount {
+		if err := f.startGateway(i); err != nil {
+			return err
+		}
+	}
+	return f.ready(ctx)
+}
+
+// upstreams are host:port of the stand-ins.
+type upstreams struct{ runners, services []string }
+
+func (f *fleet) startUpstreams(p profile) (upstreams, error) {
+	var out upstreams
+	for i := range runnerCount {
+		r := runner.New(runner.Config{
+			Name: runnerName(i), Cost: p.cost(), ChecksFencing: true, DeduplicatesRuns: true,
+			Loaded: []upstream.Loaded{{Model: modelName, Version: versionName}},
+		})
+		f.runners = append(f.runners, r)
+		url, err := r.Listen(anyPort)
+		if err != nil {
+			return out, errors.Wrap(err, "listen for a runner")
+		}
+		out.runners = append(out.runners, url[len("http://"):])
+	}
+	for i := range zoneCount {
+		s := service.New(service.Config{Name: serviceName(i)})
+		s.SetFaults(service.Faults{DelayMS: int(p.ramp.Milliseconds()) / 2, ChunkDelayMS: int(p.ramp.Milliseconds()) / 20})
+		f.services = append(f.services, s)
+		url, err := s.Listen(anyPort)
+		if err != nil {
+			return out, errors.Wrap(err, "listen for the plain service")
+		}
+		out.services = append(out.services, url[len("http://"):])
+	}
+	return out, nil
+}
+
+// newMember opens the links of one gateway.
+func newMember(f *fleet, to upstreams) (*member, error) {
+	m := &member{}
+	open := func(target string, err error) (*link, error) {
+		if err != nil {
+			return nil, err
+		}
+		return newLink(target)
+	}
+	var err error
+	m.callers, err = open("", nil)
+	m.peers, err = open("", err)
+	m.platform, err = open(f.platform.URL[len("http://"):], err)
+	if err != nil {
+		return nil, err
+	}
+	m.peers.identify = func() *dialerName { return &dialerName{} }
+	for _, address := range to.runners {
+		l, err := newLink(address)
+		if err != nil {
+			return nil, err
+		}
+		m.runners = append(m.runners, l)
+	}
+	for _, address := range to.services {
+		l, err := newLink(address)
+		if err != nil {
+			return nil, err
+		}
+		m.services = append(m.services, l)
+	}
+	return m, nil
+}
+
+// startGateway makes and runs the gateway of a zone.
+func (f *fleet) startGateway(i int) error {
+	m := f.gateways[i]
+	s := &settings.Gateway{
+		Instance: settings.Instance{Name: gatewayName(i), Zone: zoneName(i)},
+		Listen:   settings.Listener{Address: anyPort},
+		Platform: settings.Platform{Address: m.platform.url()},
+		Peer: settings.Peer{
+			Listen: settings.Listener{Address: anyPort}, Advertise: m.peers.address,
+			SharedKey: settings.Secret{Env: peerKeyEnv}, HeartbeatMS: heartbeatMS,
+		},
+		Operators: settings.Operators{Listen: settings.Listener{Address: anyPort}},
+		Stop:      settings.Stop{BalancerMS: balancerMS, DrainMS: drainMS},
+	}
+	s.SetDefaults()
+	byName := map[string]string{}
+	for r, l := range m.runners {
+		byName[runnerName(r)] = l.url()
+	}
+	g, err := gateway.New(gateway.Config{Settings: s, Engine: func(name, _ string) upstream.Engine {
+		return upstream.NewHTTP(byName[name], upstream.HTTPOptions{Name: name})
+	}})
+	if err != nil {
+		return errors.Wrap(err, gatewayName(i))
+	}
+	m.gateway = g
+	m.callers.target = g.Addresses().Callers.String()
+	m.peers.target = g.Addresses().Peers.String()
+	ctx, stop := context.WithCancel(context.Background())
+	m.stop, m.ended = stop, make(chan error, 1)
+	go func() { m.ended <- g.Run(ctx) }()
+	return nil
+}
+
+// configure writes the objects that operators would.
+func (f *fleet) configure(ctx context.Context, p profile, to upstreams) error {
+	cost := p.cost()
+	sum := sha256.Sum256([]byte(apiKey))
+	weights := []resource.VersionWeight{{Version: versionName, Weight: 1}}
+	type spec struct {
+		kind, name string
+		body       any
+	}
+	specs := []spec{
+		{resource.KindEngine, engineName, resource.Engine{
+			ChecksFencing: true, DeduplicatesRuns: true, KVTokens: cost.KVTokens, PrefillRate: cost.PrefillRate,
+			DecodeRate: cost.DecodeRate, StreamRate: cost.StreamRate, MaxBatch: cost.MaxBatch,
+			RoleChangeSeconds: 1, LoadSeconds: 1, KVTransferRate: cost.KVTransferRate,
+		}},
+		{resource.KindModel, modelName, resource.Model{ContextTokens: contextTokens, WeightsGB: 1, MinPrefill: 1, MinDecode: 1, MinServing: 1}},
+		{resource.KindVersion, versionName, resource.Version{Model: modelName, Source: versionName}},
+		{resource.KindRoute, onceRoute, resource.Route{Model: modelName, Weights: weights, Priority: 5, ExpectedOut: p.tokens}},
+		{resource.KindRoute, againRoute, resource.Route{Model: modelName, Weights: weights, Priority: 3, Idempotent: true, ExpectedOut: p.tokens}},
+		{resource.KindClientAccount, accountName, resource.ClientAccount{
+			KeyHashes: []string{hex.EncodeToString(sum[:])}, RequestsPerSec: plentyPerSec, Burst: plentyPerSec, MaxPriority: 9,
+		}},
+	}
+	for i, address := range to.runners {
+		specs = append(specs, spec{resource.KindRunner, runnerName(i), resource.Runner{
+			Engine: engineName, Address: "http://" + address, Zone: zoneName(zoneOf(i)), Model: modelName,
+			Versions: []string{versionName}, Role: resource.RoleAuto, State: resource.RunnerServing,
+		}})
+	}
+	for i, m := range f.gateways {
+		name := "van-" + zoneName(i)
+		view := resource.Service{}
+		for s, l := range m.services {
+			view.Upstreams = append(view.Upstreams, resource.ServiceUpstream{
+				Name: name + "-" + serviceName(s), Address: l.url(), Zone: zoneName(s), State: resource.RunnerServing,
+			})
+		}
+		specs = append(specs,
+			spec{resource.KindService, name, view},
+			spec{resource.KindRoute, name, resource.Route{PathPrefix: servicePath(i), Service: name, Methods: []resource.MethodRule{
+				{Method: http.MethodPost}, {Method: http.MethodGet, Idempotent: true},
+			}}})
+	}
+	for _, s := range specs {
+		o, err := resource.Encode(s.kind, s.name, s.body)
+		if err == nil {
+			err = resource.Validate(o)
+		}
+		if err != nil {
+			return err
+		}
+		o.Writer, o.Nonce = writer, platform.NewNonce()
+		if _, err := f.store.Create(ctx, o); err != nil {
+			return errors.Wrapf(err, "create %s/%s", s.kind, s.name)
+		}
+	}
+	return nil
+}
+
+// ready waits until every gateway knows the others and has spoken to every runner.
+func (f *fleet) ready(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for i, m := range f.gateways {
+		for !f.knowsAll(ctx, m) {
+			select {
+			case <-ctx.Done():
+				return errors.Errorf("%s does not know the whole fleet after %v", gatewayName(i), readyLimit)
+			case <-time.After(readyEvery):
+			}
+		}
+	}
+	return nil
+}
+
+func (f *fleet) knowsAll(ctx context.Context, m *member) bool {
+	for _, l := range m.runners {
+		if l.used() == 0 {
+			return false
+		}
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.gateway.Addresses().Operators.String()+"/members", nil)
+	if err != nil {
+		return false
+	}
+	tr := &http.Transport{DisableKeepAlives: true}
+	response, err := tr.RoundTrip(request)
+	if err != nil {
+		return false
+	}
+	defer response.Body.Close()
+	var members []ops.Member
+	if json.NewDecoder(response.Body).Decode(&members) != nil {
+		return false
+	}
+	live := 0
+	for _, known := range members {
+		if known.State == "live" {
+			live++
+		}
+	}
+	return live == zoneCount
+}
+
+// close stops everything.
+func (f *fleet) close() {
+	f.healing.Wait()
+	for _, m := range f.gateways {
+		if m.gateway != nil {
+			m.stop()
+		}
+	}
+	for _, m := range f.gateways {
+		if m.gateway != nil {
+			<-m.ended
+		}
+		for _, l := range m.links() {
+			l.close()
+		}
+	}
+	for _, r := range f.runners {
+		r.Close()
+	}
+	for _, s := range f.services {
+		s.Close()
+	}
+	if f.platform != nil {
+		f.platform.Close()
+	}
+}
+
+// links are all links of a gateway.
+func (m *member) links() []*link {
+	out := []*link{m.callers, m.platform, m.peers}
+	out = append(out, m.runners...)
+	return append(out, m.services...)
+}
--- /dev/null
+++ b/internal/bench/faults/link.go
@@ -0,0 +1,218 @@
+package faults
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	anyPort       = "127.0.0.1:0"
+	dialTimeout   = time.Second
+	relistenEvery = 10 * time.Millisecond
+	copyBytes     = 16 << 10
+)
+
+// link forwards TCP connections to one target. A cut link breaks the connections
+// it carries and refuses new ones, until every cut was healed.
+type link struct {
+	target   string
+	address  string
+	identify func() *dialerName // nil: who dials doesn't matter
+
+	mu       sync.Mutex
+	listener net.Listener
+	cuts     int
+	closed   bool
+	barred   map[string]int // cuts by the dialer's name
+	pairs    map[*pair]bool
+	accepted int
+	running  sync.WaitGroup
+}
+
+// pair is one forwarded connection.
+type pair struct {
+	near, far net.Conn
+	from      string // the dialer's name, if known
+}
+
+func (p *pair) close() {
+	p.near.Close()
+	p.far.Close()
+}
+
+// newLink opens a forwarder. The target may be set until the first connection.
+func newLink(target string) (*link, error) {
+	l := &link{target: target, barred: map[string]int{}, pairs: map[*pair]bool{}}
+	listener, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for a forwarder")
+	}
+	l.address = listener.Addr().String()
+	l.serve(listener)
+	return l, nil
+}
+
+func (l *link) url() string { return "http://" + l.address }
+
+// serve is called with l.mu held, or before the link is known to others.
+func (l *link) serve(listener net.Listener) {
+	l.listener = listener
+	l.running.Go(func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			l.running.Go(func() { l.forward(near) })
+		}
+	})
+}
+
+func (l *link) forward(near net.Conn) {
+	far, err := net.DialTimeout("tcp", l.target, dialTimeout)
+	if err != nil {
+		near.Close()
+		return
+	}
+	p := &pair{near: near, far: far}
+	if !l.add(p) {
+		p.close()
+		return
+	}
+	defer l.remove(p)
+	var back sync.WaitGroup
+	back.Go(func() {
+		defer p.close()
+		_, _ = io.CopyBuffer(struct{ io.Writer }{near}, far, make([]byte, copyBytes))
+	})
+	l.copyIn(p)
+	p.close()
+	back.Wait()
+}
+
+// copyIn forwards what the dialer sends. It stops before the dialer's first
+// message is passed on if the link is cut for this dialer.
+func (l *link) copyIn(p *pair) {
+	var name *dialerName
+	if l.identify != nil {
+		name = l.identify()
+	}
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := p.near.Read(buffer)
+		if name != nil && name.feed(buffer[:n]) {
+			if !l.named(p, name.name) {
+				return
+			}
+			name = nil
+		}
+		if n > 0 {
+			if _, werr := p.far.Write(buffer[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (l *link) add(p *pair) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cuts > 0 || l.closed {
+		return false
+	}
+	l.accepted++
+	l.pairs[p] = true
+	return true
+}
+
+func (l *link) remove(p *pair) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pairs, p)
+}
+
+// named notes who dialed a connection. It reports whether the link lets it pass.
+func (l *link) named(p *pair, from string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p.from = from
+	return l.barred[from] == 0
+}
+
+// used counts the connections so far.
+func (l *link) used() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.accepted
+}
+
+// cut breaks every connection and refuses new ones.
+func (l *link) cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cuts++
+	l.listener.Close()
+	for p := range l.pairs {
+		p.close()
+	}
+}
+
+// cutFrom does the same for one dialer.
+func (l *link) cutFrom(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.barred[name]++
+	for p := range l.pairs {
+		if p.from == name {
+			p.close()
+		}
+	}
+}
+
+// healFrom takes back one cutFrom.
+func (l *link) healFrom(name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.barred[name]--
+}
+
+// heal takes back one cut.
+func (l *link) heal() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cuts--
+	l.relisten()
+}
+
+// relisten is called with l.mu held. The kernel may hold the port for a moment.
+func (l *link) relisten() {
+	if l.cuts > 0 || l.closed {
+		return
+	}
+	listener, err := net.Listen("tcp", l.address)
+	if err == nil {
+		l.serve(listener)
+		return
+	}
+	time.AfterFunc(relistenEvery, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.relisten()
+	})
+}
+
+// close cuts the link for good and waits for its goroutines.
+func (l *link) close() {
+	l.cut()
+	l.mu.Lock()
+	l.closed = true
+	l.mu.Unlock()
+	l.running.Wait()
+}
--- /dev/null
+++ b/internal/bench/faults/tally.go
@@ -0,0 +1,158 @@
+package faults
+
+import "fmt"
+
+// Row counts requests of one kind under one fault. Each request is in one of the
+// columns Whole to Unreached, by its last attempt.
+type Row struct {
+	Fault    string `json:"fault"`
+	Kind     string `json:"kind"`
+	Requests int    `json:"requests"`
+	Attempts int    `json:"attempts"`
+
+	Whole     int `json:"whole"`
+	NotRun    int `json:"notRun"`
+	Unknown   int `json:"unknown"`
+	Ran       int `json:"ran"`       // told that it ran and that the answer is not whole
+	Broken    int `json:"broken"`    // a service's answer, told by its broken transfer
+	CutByKill int `json:"cutByKill"` // connections of a killed gateway
+	Unreached int `json:"unreached"` // no gateway took the request
+	Cut       int `json:"cut"`       // nothing was said, and the gateway lives
+	WrongText int `json:"wrongText"`
+
+	NotRunAnswers  int `json:"notRunAnswers"` // over all attempts
+	WrongNotRun    int `json:"wrongNotRun"`   // of them, those whose attempt did run
+	Doubled        int `json:"doubled"`       // requests that may run once and ran more often
+	UnknownRan     int `json:"unknownRan"`    // of the unknown ones, those that ran
+	LostWithRunner int `json:"lostWithRunner"`
+}
+
+// Misses counts what may not happen.
+func (r Row) Misses() int {
+	n := r.Cut + r.WrongText + r.WrongNotRun + r.Doubled
+	if r.Kind == string(kindKeyed) {
+		n += r.Requests - r.Whole - r.LostWithRunner
+	}
+	return n
+}
+
+// tally compares what callers were told with what the upstreams did.
+type tally struct {
+	f     *fleet
+	row   Row
+	notes []string // of what may not happen
+}
+
+func (t *tally) miss(s story, what string) {
+	t.notes = append(t.notes, fmt.Sprintf("%s: %s %s: %s; attempts %+v", t.row.Fault, s.kind, s.id, what, s.attempts))
+}
+
+func (t *tally) add(s story) {
+	t.row.Requests++
+	t.row.Attempts += len(s.attempts)
+	t.addEnd(s)
+	t.addRuns(s)
+	t.addNotRun(s)
+}
+
+// addEnd counts how the request ended for its caller.
+func (t *tally) addEnd(s story) {
+	last, row := s.last(), &t.row
+	switch last.outcome {
+	case outcomeWhole:
+		row.Whole++
+	case outcomeNotRun:
+		row.NotRun++
+	case outcomeUnknown:
+		row.Unknown++
+	case outcomeRan:
+		row.Ran++
+	case outcomeUnreached:
+		row.Unreached++
+	case outcomeWrongText:
+		row.WrongText++
+		t.miss(s, "wrong text")
+	case outcomeBroken, outcomeCut:
+		t.addCut(s, last)
+	}
+	if last.outcome != outcomeWhole && s.kind == kindKeyed {
+		if t.f.ranAtCrashed(last.mark) {
+			row.LostWithRunner++
+		} else {
+			t.miss(s, "keyed and not whole")
+		}
+	}
+}
+
+func (t *tally) addCut(s story, last attempt) {
+	switch {
+	case last.killed:
+		t.row.CutByKill++
+	case last.outcome == outcomeBroken:
+		t.row.Broken++
+	default:
+		t.row.Cut++
+		t.miss(s, "cut without an answer")
+	}
+}
+
+// addRuns compares the request with the upstreams' ledgers.
+func (t *tally) addRuns(s story) {
+	runs, seen := 0, map[string]bool{}
+	for _, a := range s.attempts {
+		if !seen[a.mark] {
+			runs += t.f.ran(a.mark)
+			seen[a.mark] = true
+		}
+	}
+	if runs > 1 && !s.kind.mayRunTwice() {
+		t.row.Doubled++
+		t.miss(s, fmt.Sprintf("ran %d times", runs))
+	}
+	if last := s.last(); last.outcome == outcomeUnknown && t.f.ran(last.mark) > 0 {
+		t.row.UnknownRan++
+	}
+}
+
+// addNotRun looks for a "not run" that was wrong. For a request with a marker of
+// its own for each attempt, no execution may ever show. A keyed one repeats its
+// marker: its "not run" is wrong if the key had run before the attempt was sent,
+// or had run when it came and no earlier attempt was left open.
+func (t *tally) addNotRun(s story) {
+	open := false
+	for _, a := range s.attempts {
+		if a.outcome != outcomeNotRun {
+			open = open || a.outcome != outcomeUnreached
+			continue
+		}
+		t.row.NotRunAnswers++
+		wrong := a.before > 0 || a.after > 0 && !open
+		if s.kind != kindKeyed {
+			wrong = wrong || t.f.ran(a.mark) > 0
+		}
+		if wrong {
+			t.row.WrongNotRun++
+			t.miss(s, "wrong not-run")
+		}
+	}
+}
+
+// plus adds the counts of another row.
+func (r *Row) plus(o Row) {
+	r.Requests += o.Requests
+	r.Attempts += o.Attempts
+	r.Whole += o.Whole
+	r.NotRun += o.NotRun
+	r.Unknown += o.Unknown
+	r.Ran += o.Ran
+	r.Broken += o.Broken
+	r.CutByKill += o.CutByKill
+	r.Unreached += o.Unreached
+	r.Cut += o.Cut
+	r.WrongText += o.WrongText
+	r.NotRunAnswers += o.NotRunAnswers
+	r.WrongNotRun += o.WrongNotRun
+	r.Doubled += o.Doubled
+	r.UnknownRan += o.UnknownRan
+	r.LostWithRunner += o.LostWithRunner
+}
