--- /dev/null
+++ b/internal/bench/capacity/page.go
@@ -0,0 +1,61 @@
+package capacity
+
+import (
+	"bufio"
+	"io"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// entry is one written count with its tolerance in percent.
+type entry struct {
+	value     float64
+	tolerance float64
+}
+
+const (
+	idColumn        = 1
+	valueColumn     = 2
+	toleranceColumn = 3
+	leastColumns    = 5 // an empty one before the first bar and after the last
+)
+
+// readPage reads the rows of the form
+//
+//	| `fanout.control.8` | 1234 | 5% | ... |
+//
+// and passes over everything else.
+func readPage(r io.Reader) (map[string]entry, error) {
+	out := map[string]entry{}
+	lines := bufio.NewScanner(r)
+	for n := 1; lines.Scan(); n++ {
+		columns := strings.Split(lines.Text(), "|")
+		if len(columns) < leastColumns || !strings.HasSuffix(strings.TrimSpace(columns[toleranceColumn]), "%") {
+			continue
+		}
+		id := strings.Trim(strings.TrimSpace(columns[idColumn]), "`")
+		e, err := parseEntry(columns)
+		if err != nil {
+			return nil, errors.Wrapf(err, "line %d, %s", n, id)
+		}
+		if _, twice := out[id]; twice {
+			return nil, errors.Errorf("line %d: %s stands twice", n, id)
+		}
+		out[id] = e
+	}
+	return out, errors.Wrap(lines.Err(), "read page")
+}
+
+func parseEntry(columns []string) (entry, error) {
+	value, err := strconv.ParseFloat(strings.TrimSpace(columns[valueColumn]), 64)
+	if err != nil {
+		return entry{}, errors.Wrap(err, "value")
+	}
+	tolerance, err := strconv.ParseFloat(strings.TrimSuffix(strings.TrimSpace(columns[toleranceColumn]), "%"), 64)
+	if err != nil {
+		return entry{}, errors.Wrap(err, "tolerance")
+	}
+	return entry{value: value, tolerance: tolerance}, nil
+}
