Poll runners of other zones more rarely than those of the own zone

Cause: one interval for all runners grew with the whole fleet: at 630 runners reports of the own zone's 70 would have been 9.5 s apart. Change: own zone max(0.5 s, 15 ms a runner), others max(2 s, 60 ms a runner); worked out for 70 and 560 runners: 1.05 s and 33.6 s, about 83 polls a second.

--- a/internal/process/gateway/poll.go
+++ b/internal/process/gateway/poll.go
@@ -13,11 +13,15 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
-// Polling of runners. The interval grows with the number of runners, so that a
-// gateway's cost for polls has a bound whatever the size of the fleet.
+// Polling of runners. The intervals grow with the number of runners, so that a
+// gateway's cost for polls has a bound whatever the size of the fleet. Runners of
+// other zones only take what the own zone can't serve on time, so they are asked
+// more rarely.
 const (
-	pollLeast       = 500 * time.Millisecond
-	pollPerRunner   = 15 * time.Millisecond
+	pollOwnLeast    = 500 * time.Millisecond
+	pollOwnEach     = 15 * time.Millisecond
+	pollOtherLeast  = 2 * time.Second
+	pollOtherEach   = 60 * time.Millisecond
 	pollTimeout     = 2 * time.Second
 	pollConcurrency = 16
 	pollJitter      = 0.2
@@ -32,7 +36,8 @@
 
 	mu      sync.Mutex
 	running map[string]context.CancelFunc // by runner
-	count   int
+	own     int                           // runners of this gateway's zone
+	others  int
 	done    sync.WaitGroup
 }
 
@@ -47,7 +52,7 @@
 	if ctx.Err() != nil {
 		return
 	}
-	p.count = len(s.Runners)
+	p.countZones(s)
 	for name, stop := range p.running {
 		if _, ok := s.Runners[name]; !ok {
 			stop()
@@ -61,6 +66,17 @@
 	}
 }
 
+func (p *poller) countZones(s *config.Snapshot) {
+	p.own, p.others = 0, 0
+	for _, r := range s.Runners {
+		if r.Zone == p.g.cfg.Settings.Instance.Zone {
+			p.own++
+		} else {
+			p.others++
+		}
+	}
+}
+
 func (p *poller) start(ctx context.Context, name string) {
 	ctx, stop := context.WithCancel(ctx)
 	p.running[name] = stop
@@ -88,7 +104,7 @@
 			failed++
 			p.failed(name, failed, err)
 		}
-		if sleep(ctx, p.interval()) != nil {
+		if sleep(ctx, p.interval(name)) != nil {
 			return
 		}
 	}
@@ -105,11 +121,14 @@
 }
 
 // interval spreads polls by jitter, so that gateways don't poll in step.
-func (p *poller) interval() time.Duration {
+func (p *poller) interval(name string) time.Duration {
 	p.mu.Lock()
-	n := p.count
+	own, others := p.own, p.others
 	p.mu.Unlock()
-	base := max(pollLeast, time.Duration(n)*pollPerRunner)
+	base := max(pollOtherLeast, time.Duration(others)*pollOtherEach)
+	if spec, ok := p.spec(name); ok && spec.Zone == p.g.cfg.Settings.Instance.Zone {
+		base = max(pollOwnLeast, time.Duration(own)*pollOwnEach)
+	}
 	return time.Duration(float64(base) * (1 - pollJitter + 2*pollJitter*rand.Float64()))
 }
 
