Make turning back dearer and print the policy table

Cause: a swing near the change time still made 12 to 14 changes, and noise of a few seconds still made changes on steady demand.

--- a/internal/bench/policy/command.go
+++ b/internal/bench/policy/command.go
@@ -14,9 +14,9 @@
 
 // Command runs one trace under one policy.
 type Command struct {
-	Deployment string        `long:"deployment" choice:"humo" choice:"halvorsen" default:"humo" description:"the fleet"`
+	Deployment string        `long:"deployment" default:"humo" description:"humo or halvorsen"`
 	Trace      string        `long:"trace" default:"smoke-surge" description:"name of a built-in trace, or a file"`
-	Policy     string        `long:"policy" choice:"static" choice:"threshold" choice:"ragwort" choice:"clairvoyant" default:"ragwort" description:"who changes roles"`
+	Policy     string        `long:"policy" default:"ragwort" description:"static, threshold, ragwort or clairvoyant"`
 	Seed       uint64        `long:"seed" default:"1"`
 	ReportLag  time.Duration `long:"report-lag" default:"2s" description:"age of load reports"`
 	ChangeTime time.Duration `long:"change-time" description:"time of a role change; 0: the engine's"`
@@ -30,6 +30,9 @@
 
 // Execute implements flags.Commander.
 func (c *Command) Execute([]string) error {
+	if _, ok := deployments[c.Deployment]; !ok {
+		return errors.Errorf("--deployment: %q is not humo or halvorsen", c.Deployment)
+	}
 	t, err := loadTrace(c.Deployment, c.Trace)
 	if err != nil {
 		return err
@@ -108,7 +111,7 @@
 		p, err := clairvoyantPlan(o)
 		return p.chooser(o.Trace), err
 	}
-	return nil, errors.Errorf("policy %q is not known", name)
+	return nil, errors.Errorf("--policy: %q is not static, threshold, ragwort or clairvoyant", name)
 }
 
 func explain(w io.Writer, c chooser) {
--- /dev/null
+++ b/internal/bench/policy/table.go
@@ -0,0 +1,255 @@
+package policy
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// TableCommand measures every built-in trace over many seeds and prints Markdown.
+type TableCommand struct {
+	Part  string `long:"part" default:"all" description:"all, table, ablation, robustness or price"`
+	Seeds int    `long:"seeds" default:"20" description:"seeds of the table; the other parts take a quarter"`
+	Plot  string `long:"plot" default:"docs/policy-price.svg" description:"file of the price plot"`
+}
+
+const tableLag = 2 * time.Second
+
+// Execute implements flags.Commander.
+func (c *TableCommand) Execute([]string) error {
+	parts := []struct {
+		name string
+		run  func(io.Writer) error
+	}{{"table", c.table}, {"ablation", c.ablation}, {"robustness", c.robustness}, {"price", c.prices}}
+	known := c.Part == "all"
+	for _, part := range parts {
+		known = known || c.Part == part.name
+		if c.Part != "all" && c.Part != part.name {
+			continue
+		}
+		if err := part.run(os.Stdout); err != nil {
+			return err
+		}
+	}
+	if !known {
+		return errors.Errorf("--part: %q is not all, table, ablation, robustness or price", c.Part)
+	}
+	return nil
+}
+
+// cell is one trace of one deployment under one policy and setting.
+type cell struct {
+	Command
+	name string
+}
+
+// measure runs cells over seeds 1 to n; results are by cell, then by seed.
+func measure(cells []cell, n int) ([][]*result, error) {
+	prepared := make([]options, len(cells))
+	for i := range cells {
+		t, err := loadTrace(cells[i].Deployment, cells[i].Trace)
+		if err != nil {
+			return nil, err
+		}
+		prepared[i] = cells[i].options(t)
+		if cells[i].Policy == "clairvoyant" {
+			if _, err := clairvoyantPlan(prepared[i]); err != nil {
+				return nil, err
+			}
+		}
+	}
+	var chooserErr error
+	flat, err := runAll(len(cells)*n, func(k int) options {
+		o := prepared[k/n]
+		o.Seed = uint64(1 + k%n)
+		var err error
+		if o.Chooser, err = newChooser(cells[k/n].Policy, o, cells[k/n].policyConfig()); err != nil {
+			chooserErr = err
+		}
+		return o
+	})
+	if chooserErr != nil {
+		return nil, chooserErr
+	}
+	if err != nil {
+		return nil, err
+	}
+	out := make([][]*result, len(cells))
+	for i := range out {
+		out[i] = flat[i*n : (i+1)*n]
+	}
+	return out, nil
+}
+
+// of collects one number of each result.
+func of(results []*result, number func(*result) float64) []float64 {
+	var out []float64
+	for _, r := range results {
+		out = append(out, number(r))
+	}
+	return out
+}
+
+func useful(r *result) float64  { return float64(r.Useful) }
+func changes(r *result) float64 { return float64(r.RoleChanges) }
+
+// failing is the share of a route's requests that was late, refused or lost, in percent.
+func failing(route string) func(*result) float64 {
+	return func(r *result) float64 {
+		c := r.Routes[route]
+		bad := float64(c.Late + c.Refused + c.Lost)
+		return 100 * bad / max(1, bad+float64(c.Useful))
+	}
+}
+
+func median(v []float64) float64 {
+	v = slices.Sorted(slices.Values(v))
+	return (v[(len(v)-1)/2] + v[len(v)/2]) / 2
+}
+
+// ratios divides seed by seed.
+func ratios(a, b []float64) []float64 {
+	out := make([]float64, len(a))
+	for i := range a {
+		out[i] = a[i] / max(1, b[i])
+	}
+	return out
+}
+
+var policyNames = []string{"static", "threshold", "ragwort", "clairvoyant"}
+
+// base is the command with the settings of a deployment.
+func base(deployment, trace, policy string) Command {
+	return Command{Deployment: deployment, Trace: trace, Policy: policy, ReportLag: tableLag}
+}
+
+func (c *TableCommand) table(w io.Writer) error {
+	var cells []cell
+	for _, d := range sortedKeys(deployments) {
+		for _, t := range traceNames {
+			for _, p := range policyNames {
+				cells = append(cells, cell{base(d, t, p), p})
+			}
+		}
+	}
+	results, err := measure(cells, c.Seeds)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "%d seeds; useful answers as medians; ratios seed by seed, median (worst).\n\n", c.Seeds)
+	fmt.Fprintln(w, "| deployment | trace | static | threshold | ragwort | clairvoyant | ragwort/clairvoyant | ragwort/static | role changes: ragwort (most), threshold | heavy route failing, %: ragwort (worst), clairvoyant |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|")
+	for i := 0; i < len(cells); i += len(policyNames) {
+		s, th, r, cl := results[i], results[i+1], results[i+2], results[i+3]
+		bound := of(cl, useful)
+		for k := range bound { // never below a fixed split, which the clairvoyant knows too
+			bound[k] = max(bound[k], useful(s[k]))
+		}
+		toBound, toStatic := ratios(of(r, useful), bound), ratios(of(r, useful), of(s, useful))
+		heavy := failing(deployments[cells[i].Deployment].heavy)
+		fmt.Fprintf(w, "| %s | %s | %.0f | %.0f | %.0f | %.0f | %.3f (%.3f) | %.3f (%.3f) | %.0f (%.0f), %.0f | %.1f (%.1f), %.1f |\n",
+			cells[i].Deployment, cells[i].Trace, median(of(s, useful)), median(of(th, useful)), median(of(r, useful)), median(bound),
+			median(toBound), slices.Min(toBound), median(toStatic), slices.Min(toStatic),
+			median(of(r, changes)), slices.Max(of(r, changes)), median(of(th, changes)),
+			median(of(r, heavy)), slices.Max(of(r, heavy)), median(of(cl, heavy)))
+	}
+	return nil
+}
+
+// variants measures changed commands against the plain one, summed over the traces.
+func (c *TableCommand) variants(w io.Writer, title string, names []string, vary func(int, *Command)) error {
+	n := max(1, c.Seeds/4)
+	fmt.Fprintf(w, "\n%d seeds, sums over the built-in traces.\n\n| deployment | %s | useful answers | against the first | role changes | heavy route failing, %% |\n|---|---|---|---|---|---|\n", n, title)
+	for _, d := range sortedKeys(deployments) {
+		var cells []cell
+		for i, name := range names {
+			for _, t := range traceNames {
+				command := base(d, t, "ragwort")
+				vary(i, &command)
+				cells = append(cells, cell{command, name})
+			}
+		}
+		results, err := measure(cells, n)
+		if err != nil {
+			return err
+		}
+		first := 0.0
+		for i, name := range names {
+			var answers, count, bad float64
+			for _, each := range results[i*len(traceNames) : (i+1)*len(traceNames)] {
+				for _, r := range each {
+					answers += useful(r)
+					count += changes(r)
+					bad += failing(deployments[d].heavy)(r)
+				}
+			}
+			if i == 0 {
+				first = answers
+			}
+			runs := float64(n * len(traceNames))
+			fmt.Fprintf(w, "| %s | %s | %.0f | %.3f | %.1f | %.1f |\n", d, name, answers/float64(n), answers/first, count/float64(n), bad/runs)
+		}
+	}
+	return nil
+}
+
+func (c *TableCommand) ablation(w io.Writer) error {
+	names := append(append([]string{"everything"}, policyLevers...), routingLevers...)
+	return c.variants(w, "without", names, func(i int, command *Command) {
+		if i > 0 {
+			command.Without = []string{names[i]}
+		}
+	})
+}
+
+func (c *TableCommand) robustness(w io.Writer) error {
+	names := []string{"as it is", "report lag 0s", "report lag 5s", "report lag 10s", "change time 2s", "change time 15s", "change time 30s", "cost model 30% low", "cost model 30% high"}
+	vary := []func(*Command){
+		func(*Command) {},
+		func(c *Command) { c.ReportLag = 0 }, func(c *Command) { c.ReportLag = 5 * time.Second }, func(c *Command) { c.ReportLag = 10 * time.Second },
+		func(c *Command) { c.ChangeTime = 2 * time.Second }, func(c *Command) { c.ChangeTime = 15 * time.Second }, func(c *Command) { c.ChangeTime = 30 * time.Second },
+		func(c *Command) { c.CostError = -0.3 }, func(c *Command) { c.CostError = 0.3 },
+	}
+	return c.variants(w, "setting", names, func(i int, command *Command) { vary[i](command) })
+}
+
+// sweptPrices are the prices of the plot, in useful answers.
+var sweptPrices = []float64{0, 2, 5, 10, 20, 50, 100, 200, 500, 1000}
+
+func (c *TableCommand) prices(w io.Writer) error {
+	n := max(1, c.Seeds/4)
+	var curves []curve
+	fmt.Fprintf(w, "\n%d seeds, sums over the built-in traces.\n\n| deployment | price | useful answers | role changes |\n|---|---|---|---|\n", n)
+	for _, d := range sortedKeys(deployments) {
+		var cells []cell
+		for i := range sweptPrices {
+			for _, t := range traceNames {
+				command := base(d, t, "ragwort")
+				command.Price = &sweptPrices[i]
+				cells = append(cells, cell{command, t})
+			}
+		}
+		results, err := measure(cells, n)
+		if err != nil {
+			return err
+		}
+		line := curve{name: d}
+		for i, price := range sweptPrices {
+			var answers, count float64
+			for _, each := range results[i*len(traceNames) : (i+1)*len(traceNames)] {
+				for _, r := range each {
+					answers += useful(r) / float64(n)
+					count += changes(r) / float64(n)
+				}
+			}
+			line.points = append(line.points, point{price, count, answers})
+			fmt.Fprintf(w, "| %s | %.0f | %.0f | %.1f |\n", d, price, answers, count)
+		}
+		curves = append(curves, line)
+	}
+	return draw(curves, c.Plot)
+}
--- a/internal/process/policy/capacity.go
+++ b/internal/process/policy/capacity.go
@@ -23,7 +23,7 @@
 // reaches only a share of its prefill rate; an engine of role both takes larger
 // chunks.
 const (
-	decodeChunkShare = 0.08
+	decodeChunkShare = 0.12
 	bothChunkShare   = 0.60
 )
 
--- a/internal/process/policy/estimate.go
+++ b/internal/process/policy/estimate.go
@@ -8,10 +8,10 @@
 // Time constants of the estimates.
 const (
 	bucket       = time.Second // demand is gathered over this time before it is taken in
-	fastSeconds  = 6.0
-	slowSeconds  = 120.0
+	fastSeconds  = 8.0
+	slowSeconds  = 40.0
 	learnSeconds = 400.0 // memory of the learned persistence
-	longestSpan  = 40.0  // a swing that lasts so long is worth a change; learning waits no longer
+	longestSpan  = 25.0  // a swing that lasts so long is worth a change; learning waits no longer
 )
 
 // Before anything is learned a swing is taken to last in priorPersist of its
@@ -113,19 +113,15 @@
 }
 
 // noiseReach is how many deviations of the fast mean count as noise.
-const noiseReach = 2.0
+const noiseReach = 3.0
 
-// swing is how far the fast mean is off the slow one, less what may be noise.
+// swing is how far the fast mean is off the slow one, if that is beyond noise.
 func (f *forecaster) swing() float64 {
 	swing := f.fast.value() - f.slow.value()
-	if f.without.Uncertainty {
-		return swing
-	}
-	noise := noiseReach * f.deviation()
-	if math.Abs(swing) <= noise {
+	if math.Abs(swing) <= noiseReach*f.deviation() && !f.without.Uncertainty {
 		return 0
 	}
-	return swing * (1 - noise*noise/(swing*swing))
+	return swing
 }
 
 // deviation is the standard deviation of the fast mean: that of single rates,
--- a/internal/process/policy/options.go
+++ b/internal/process/policy/options.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -27,7 +28,7 @@
 	runners []Runner // of the model, with those that are not serving
 	present []Runner // those that count over the horizon
 	demand  []Demand
-	loads   []load
+	loads   []load  // forecast
 	useful  float64 // with the roles kept
 	recent  []Change
 }
@@ -122,7 +123,7 @@
 
 // resolution is the share of useful answers that the capacity model is off by
 // even where it is good; smaller gains are not told from none.
-const resolution = 0.01
+const resolution = 0.02
 
 // weigh works out gain and loss of changing one present runner.
 func (w *weighing) weigh(i int, to upstream.Role) Option {
@@ -139,9 +140,9 @@
 		o.Doubt = resolution * w.useful * w.cfg.Horizon.Seconds()
 	}
 	if !w.cfg.Without.Reversals {
-		undone := float64(w.undoes(o.Change))
-		o.Price *= 1 + undone
-		o.Doubt *= 1 + undone
+		dearer := math.Pow(2, float64(w.reversals(o.Change)))
+		o.Price *= dearer
+		o.Doubt *= dearer
 	}
 	if w.cfg.Without.Loss {
 		o.Loss = 0
@@ -153,12 +154,17 @@
 	return o
 }
 
-// undoes counts the recent changes that a change would undo: each shows that an
-// expected gain did not last, so the next one has to be larger.
-func (w *weighing) undoes(c Change) int {
+// reversals counts how often the recent changes, with c as the last one, turned
+// back. Each turn shows that an expected gain did not last, so the next one has
+// to be twice as large; several changes in the same direction are no turn.
+func (w *weighing) reversals(c Change) int {
 	n := 0
-	for _, past := range w.recent {
-		if past.From == c.To && past.To == c.From {
+	for i := range w.recent {
+		next := c
+		if i+1 < len(w.recent) {
+			next = w.recent[i+1]
+		}
+		if w.recent[i].To != next.To {
 			n++
 		}
 	}
--- a/internal/process/policy/types.go
+++ b/internal/process/policy/types.go
@@ -31,7 +31,7 @@
 type Levers struct {
 	Uncertainty bool // take forecasts as certain and the model as exact
 	Persistence bool // take every swing as lasting
-	Reversals   bool // do not make it dearer to undo recent changes
+	Reversals   bool // do not make it dearer to turn back
 	Price       bool // a change costs only what it loses
 	Loss        bool // take a change as free of loss
 	Slack       bool // take decode engines as unable to compute prompts
