Measure the engines' rates on the answers received

Cause: predictions trusted declared rates, and an engine's reported rates are low while it has little to do, which looks like a slow engine. Change: factors for each engine class and runner from observed against predicted times; they count only outside 0.75 to 1.25 (class) or above 1.5 (runner, fading), because routing favours runners predicted too fast. Reported rates are used, by their peak, only for classes that declare none.

--- a/internal/bench/goodput/system.go
+++ b/internal/bench/goodput/system.go
@@ -112,8 +112,12 @@
 }
 
 func (s *system) finished(now time.Duration, id string) {
+	j, ok := s.w.jobs[id]
+	if ok {
+		s.tracker.Progress(wall(now), id, j.request.out-1)
+	}
 	s.tracker.Finished(wall(now), id)
-	if j, ok := s.w.jobs[id]; ok {
+	if ok {
 		s.learner.Finished(j.request.kind.route, int(j.request.kind.out), j.request.out)
 	}
 }
--- a/internal/bench/goodput/world.go
+++ b/internal/bench/goodput/world.go
@@ -38,6 +38,7 @@
 type setup struct {
 	zones, engines, gateways int
 	lag                      time.Duration // age of reports and cache events
+	declared                 float64       // declared rates in parts of the actual ones; 0: 1
 	useEvery                 time.Duration // period of the use reports of each gateway
 	length, warm             time.Duration
 	blocks                   int // prefix blocks that an engine's cache holds
@@ -99,7 +100,7 @@
 	w.result.init(s)
 	w.snapshot = &config.Snapshot{
 		Version: 1,
-		Engines: map[string]resource.Engine{"class": class},
+		Engines: map[string]resource.Engine{"class": declaredClass(s.declared)},
 		Runners: map[string]resource.Runner{},
 		Routes:  map[string]resource.Route{modelName: {Model: modelName, OnTime: onTime}},
 	}
@@ -125,6 +126,17 @@
 	return w
 }
 
+// declaredClass is the engine class as operators declared it.
+func declaredClass(part float64) resource.Engine {
+	out := class
+	if part > 0 {
+		out.PrefillRate *= part
+		out.DecodeRate *= part
+		out.StreamRate *= part
+	}
+	return out
+}
+
 func (w *world) at(t time.Duration, do func(now time.Duration)) {
 	w.order++
 	heap.Push(&w.events, event{at: t, order: w.order, do: do})
--- /dev/null
+++ b/internal/request/route/calibration.go
@@ -0,0 +1,189 @@
+package route
+
+import (
+	"math"
+	"time"
+)
+
+// Bounds of the calibration.
+const (
+	classWeight     = 0.05 // weight of one answer in the factors of its engine class
+	runnerWeight    = 0.02 // weight of one answer in the factors of its runner; less, so that the class explains what it can
+	leastFactor     = 0.5
+	mostFactor      = 4.0
+	wrongAbove      = 1.25 // the factors of a class count from here on
+	wrongBelow      = 0.75 // and down from here
+	slowAbove       = 1.5  // a runner's own factor counts from here on
+	slowHalfLife    = time.Minute
+	leastPromptTime = 50 * time.Millisecond // shorter prompts say more of the network than of the engine
+	leastGaps       = 8                     // fewer gaps between tokens say little
+	peakFade        = 0.01                  // of the highest reported rate, with each report
+)
+
+// factors hold how much longer prompts and decode steps take than predicted,
+// measured on the answers that this gateway received. Zero: nothing measured.
+type factors struct {
+	prompt, decode float64
+}
+
+func orOne(f float64) float64 {
+	if f == 0 {
+		return 1
+	}
+	return f
+}
+
+// learn moves a factor towards what an answer shows: the ratio of the observed
+// to the predicted time, times the part of the factor that the prediction contained.
+func learn(f, applied, ratio, weight float64) float64 {
+	shown := min(max(applied*ratio, leastFactor), mostFactor)
+	return orOne(f) + weight*(shown-orOne(f))
+}
+
+func ratioOf(observed, predicted time.Duration) float64 {
+	if observed <= 0 || predicted <= 0 {
+		return 1
+	}
+	return min(max(float64(observed)/float64(predicted), leastFactor), mostFactor)
+}
+
+// calibration is what is measured of one runner. The factors of its engine
+// class apply to all runners alike, those of the runner to it alone. Both count
+// only beyond doubt: routing prefers runners that happen to be predicted too
+// fast, so the ones in use always look a little slow, and small corrections would
+// make gateways leave them in turn and admit too little.
+type calibration struct {
+	class       *factors // shared by the runners of the class
+	runner      factors
+	learned     time.Time // of the runner's factors
+	peakPrefill float64   // highest rate reported lately, for classes that declare none
+	peakDecode  float64
+}
+
+// reported keeps the highest rates. An engine reports what it did, which is low
+// while it has little to do; only the peak tells what it can do.
+func (c *calibration) reported(prefill, decode float64) {
+	c.peakPrefill = max(c.peakPrefill*(1-peakFade), prefill)
+	c.peakDecode = max(c.peakDecode*(1-peakFade), decode)
+}
+
+// apply puts the measured rates in place of the declared ones.
+func (c *calibration) apply(out *Runner, now time.Time) {
+	prompt, decode := c.slow(c.runner.prompt, now), c.slow(c.runner.decode, now)
+	if c.class != nil {
+		prompt *= wrong(c.class.prompt)
+		decode *= wrong(c.class.decode)
+	}
+	out.PrefillRate = orDefault(out.Engine.PrefillRate, c.peakPrefill) / prompt
+	out.DecodeRate = orDefault(out.Engine.DecodeRate, c.peakDecode) / decode
+	out.Engine.StreamRate /= decode
+}
+
+// wrong gives a class's factor if it is beyond what chance and choice explain.
+func wrong(f float64) float64 {
+	if f == 0 || (f >= wrongBelow && f <= wrongAbove) {
+		return 1
+	}
+	return f
+}
+
+// slow gives a runner's own factor if it counts. It fades, so that a runner
+// that was left for being slow is tried again.
+func (c *calibration) slow(f float64, now time.Time) float64 {
+	if f <= slowAbove {
+		return 1
+	}
+	return 1 + (f-1)*math.Exp2(-now.Sub(c.learned).Seconds()/slowHalfLife.Seconds())
+}
+
+func (c *calibration) learnPrompt(now time.Time, ratio float64) {
+	own := c.slow(c.runner.prompt, now)
+	c.runner.prompt = learn(c.runner.prompt, own, ratio, runnerWeight)
+	if c.class != nil {
+		c.class.prompt = learn(c.class.prompt, wrong(c.class.prompt), ratio, classWeight)
+	}
+	c.learned = now
+}
+
+func (c *calibration) learnDecode(now time.Time, ratio float64) {
+	own := c.slow(c.runner.decode, now)
+	c.runner.decode = learn(c.runner.decode, own, ratio, runnerWeight)
+	if c.class != nil {
+		c.class.decode = learn(c.class.decode, wrong(c.class.decode), ratio, classWeight)
+	}
+	c.learned = now
+}
+
+// expectation is what was predicted of a request when it was sent.
+type expectation struct {
+	sent, first, last time.Time // last: of the newest token
+	predictedFirst    time.Duration
+	predictedGap      time.Duration
+	promptTime        time.Duration // part of predictedFirst that prompts take
+}
+
+// look fills the view of one runner as of now. It is false if the runner is not configured.
+func (t *Tracker) look(now time.Time, name string, out *Runner) bool {
+	spec, ok := t.known(name)
+	if !ok {
+		return false
+	}
+	r := t.runner(name)
+	r.rates.class = t.classFactors(spec.Engine)
+	r.fill(out, now, t.lookUnseen(now), name, &spec, t.indexed)
+	return true
+}
+
+// expect predicts a request that is about to be sent, from the view without it.
+func (t *Tracker) expect(now time.Time, s *Send) expectation {
+	e := expectation{sent: now}
+	var view Runner
+	if !t.look(now, s.Runner, &view) {
+		return e
+	}
+	view.CachedPrefix = nil
+	q := Request{PromptTokens: max(s.PromptTokens-s.CachedTokens, 1), ExpectedOut: s.ExpectedOut}
+	p := Predict(&q, &view)
+	e.predictedGap = p.Between
+	if s.Prefill == "" {
+		e.predictedFirst = p.FirstToken
+		e.promptTime = seconds((view.QueuedPrefill + float64(q.PromptTokens)) / view.promptRate())
+	}
+	return e
+}
+
+// classFactors gives the shared factors of an engine class.
+func (t *Tracker) classFactors(class string) *factors {
+	f, ok := t.classes[class]
+	if !ok {
+		f = &factors{}
+		t.classes[class] = f
+	}
+	return f
+}
+
+// tokens notes the time of received tokens.
+func (e *expectation) tokens(now time.Time, r *tracked) {
+	e.last = now
+	if !e.first.IsZero() {
+		return
+	}
+	e.first = now
+	if e.promptTime >= leastPromptTime {
+		r.rates.learnPrompt(now, ratioOf(now.Sub(e.sent), e.predictedFirst))
+	}
+}
+
+// ended learns from the gaps between the received tokens. They are compared with
+// the mean of the predictions at the start and at the end: at the start the
+// runner was chosen for being predicted fast.
+func (t *Tracker) ended(now time.Time, f *flight) {
+	e := &f.expected
+	var view Runner
+	if f.received <= leastGaps || !t.look(now, f.send.Runner, &view) {
+		return
+	}
+	predicted := (e.predictedGap + seconds(view.gap(view.Running))) / 2
+	observed := e.last.Sub(e.first) / time.Duration(f.received-1)
+	t.runner(f.send.Runner).rates.learnDecode(now, ratioOf(observed, predicted))
+}
--- /dev/null
+++ b/internal/request/route/calibration_test.go
@@ -0,0 +1,103 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// classFleet is three runners of one class, idle and well.
+func classFleet(t *Tracker) *config.Snapshot {
+	s := fleet()
+	for i := range 3 {
+		name := fmt.Sprint("r", i)
+		s.Runners[name] = resource.Runner{Engine: "c", Zone: "a", Model: "m", Role: "both", State: resource.RunnerServing}
+		st := state()
+		st.Runner = name
+		t.Stated(st)
+		t.Reported(now, upstream.LoadReport{Runner: name})
+	}
+	delete(s.Runners, "r")
+	t.View(now, s)
+	return s
+}
+
+// answer plays one answer of an engine that takes the given multiple of the
+// declared times, alone at its runner.
+func answer(t *Tracker, at time.Time, runner string, slowness float64) {
+	const prompt, out = 2000, 50
+	t.Reported(at, upstream.LoadReport{Runner: runner})
+	t.Sent(at, Send{ID: "q", Runner: runner, PromptTokens: prompt, ExpectedOut: out})
+	first := seconds(slowness * (prompt/class.PrefillRate + 1/class.StreamRate))
+	gap := seconds(slowness / class.StreamRate)
+	for i := range out {
+		t.Progress(at.Add(first+time.Duration(i)*gap), "q", 1)
+	}
+	t.Finished(at.Add(first+out*gap), "q")
+}
+
+func TestRatesAreMeasured(t *testing.T) {
+	tests := []struct {
+		name      string
+		slowness  func(runner int) float64
+		low, high float64 // bounds on the prefill rate of runner 0, in parts of the declared one
+	}{
+		{"as declared", func(int) float64 { return 1 }, 1, 1},
+		{"a little slower is within chance", func(int) float64 { return 1.1 }, 1, 1},
+		{"the class is twice as slow", func(int) float64 { return 2 }, 0.4, 0.65},
+		{"the class is faster", func(int) float64 { return 0.55 }, 1.4, 2},
+		{"another runner is slow", func(i int) float64 { return []float64{1, 1, 3}[i] }, 0.7, 1},
+		{"this runner is slow", func(i int) float64 { return []float64{3, 1, 1}[i] }, 0.25, 0.6},
+	}
+	for _, tt := range tests {
+		tr := NewTracker()
+		s := classFleet(tr)
+		at := now
+		for i := range 300 {
+			at = at.Add(10 * time.Second)
+			runner := i % 3
+			answer(tr, at, fmt.Sprint("r", runner), tt.slowness(runner))
+		}
+		at = at.Add(5 * time.Second)
+		r := tr.View(at, s)[0]
+		part := r.PrefillRate / class.PrefillRate
+		if part < tt.low || part > tt.high {
+			t.Errorf("%s: prefill rate %.2f of the declared one, want %.2f to %.2f", tt.name, part, tt.low, tt.high)
+		}
+		if decode := r.DecodeRate / class.DecodeRate; decode < tt.low || decode > tt.high {
+			t.Errorf("%s: decode rate %.2f of the declared one, want %.2f to %.2f", tt.name, decode, tt.low, tt.high)
+		}
+	}
+}
+
+func TestASlowRunnerIsTriedAgain(t *testing.T) {
+	tr := NewTracker()
+	s := classFleet(tr)
+	at := now
+	for i := range 600 {
+		at = at.Add(10 * time.Second)
+		answer(tr, at, fmt.Sprint("r", i%3), []float64{3, 1, 1}[i%3])
+	}
+	soon, late := tr.View(at, s)[0].PrefillRate, 0.0
+	late = tr.View(at.Add(10*time.Minute), s)[0].PrefillRate
+	if late < 1.5*soon {
+		t.Errorf("prefill rate %.0f at once and %.0f ten minutes later: being slow must fade", soon, late)
+	}
+}
+
+func TestUndeclaredRatesComeFromReports(t *testing.T) {
+	tr := NewTracker()
+	s := fleet()
+	s.Engines["c"] = resource.Engine{}
+	tr.Stated(state())
+	tr.Reported(now, upstream.LoadReport{Runner: "r", PrefillRate: 5000, DecodeRate: 900})
+	tr.Reported(now.Add(time.Second), upstream.LoadReport{Runner: "r", PrefillRate: 40, DecodeRate: 10})
+	r := tr.View(now.Add(time.Second), s)[0]
+	if r.PrefillRate < 4900 || r.DecodeRate < 850 {
+		t.Errorf("rates %.0f and %.0f: a report of little work says nothing of what the engine can do", r.PrefillRate, r.DecodeRate)
+	}
+}
--- a/internal/request/route/tracker.go
+++ b/internal/request/route/tracker.go
@@ -34,6 +34,7 @@
 	indexed  *config.Snapshot         // the snapshot that byModel was built from
 	heard    map[string]time.Time     // last use report of each peer
 	period   time.Duration            // mean time between two reports of a peer
+	classes  map[string]*factors      // measured, by engine class
 }
 
 // tracked is what is known of one runner.
@@ -46,6 +47,7 @@
 	journal    journal
 	peers      peerRate
 	own        ownUse
+	rates      calibration
 	seed       uint64
 	meanPrompt float64     // prompt tokens computed for a request, moving mean
 	unsent     peer.UseRow // use since the last Report
@@ -60,6 +62,7 @@
 // flight is one request in flight.
 type flight struct {
 	send     Send
+	expected expectation
 	received int
 }
 
@@ -73,6 +76,7 @@
 		runners:  make(map[string]*tracked),
 		inFlight: make(map[string]*flight),
 		heard:    make(map[string]time.Time),
+		classes:  make(map[string]*factors),
 	}
 }
 
@@ -92,6 +96,7 @@
 	if measured.Before(r.measured) && report.Incarnation == r.report.Incarnation {
 		return
 	}
+	r.rates.reported(report.PrefillRate, report.DecodeRate)
 	r.report = report
 	r.measured = measured
 }
@@ -114,7 +119,7 @@
 	if _, ok := t.inFlight[s.ID]; ok {
 		t.Finished(now, s.ID)
 	}
-	t.inFlight[s.ID] = &flight{send: s}
+	t.inFlight[s.ID] = &flight{send: s, expected: t.expect(now, &s)}
 	if t.self == 0 {
 		t.self = SeedOf(s.ID)
 	}
@@ -149,6 +154,7 @@
 	counted := min(tokens, left)
 	f.received += tokens
 	r := t.runner(f.send.Runner)
+	f.expected.tokens(now, r)
 	r.own.decode -= float64(counted)
 	r.journal.addOwn(now, 0, 0, -float64(counted))
 	r.unsent.Done += counted
@@ -163,6 +169,7 @@
 	delete(t.inFlight, id)
 	left := max(f.send.ExpectedOut-f.received, 0)
 	r := t.runner(f.send.Runner)
+	t.ended(now, f)
 	r.own.requests--
 	r.own.decode -= float64(left)
 	r.own.kv -= float64(f.send.PromptTokens + f.send.ExpectedOut)
@@ -220,6 +227,15 @@
 	return t.view
 }
 
+// known gives the configuration of a runner, if there is one.
+func (t *Tracker) known(name string) (resource.Runner, bool) {
+	if t.indexed == nil {
+		return resource.Runner{}, false
+	}
+	spec, ok := t.indexed.Runners[name]
+	return spec, ok
+}
+
 // index groups the runners of a new snapshot by model and forgets the others.
 func (t *Tracker) index(snapshot *config.Snapshot) {
 	if t.indexed == snapshot {
@@ -301,8 +317,7 @@
 
 // fillLoad corrects the report by the journal since the report's time.
 func (r *tracked) fillLoad(out *Runner, now time.Time) {
-	out.PrefillRate = orDefault(r.report.PrefillRate, out.Engine.PrefillRate)
-	out.DecodeRate = out.Engine.DecodeRate
+	r.rates.apply(out, now)
 	out.ReportAge = now.Sub(r.measured)
 	out.KVTotal = orDefault(float64(r.report.KVTotalTokens), float64(out.Engine.KVTokens))
 	reported := float64(r.report.Running + r.report.QueuedRequests)
