Let a streamed body go elsewhere while nothing of it was read

Cause: a long body whose first connection was refused was not sent to the next upstream, an upload could be left open without end, and a body that turned out too large was answered as an unknown outcome of the upstream.

--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -196,6 +196,7 @@
 type ask struct {
 	method, path, key, body string
 	header                  map[string]string
+	chunked                 bool // the length of the body isn't stated
 }
 
 func (a ask) do(r *running) (*http.Response, error) {
@@ -211,6 +212,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if a.chunked {
+		req.ContentLength = -1
+	}
 	key := a.key
 	if key == "" {
 		key = testKey
--- a/internal/process/gateway/service.go
+++ b/internal/process/gateway/service.go
@@ -11,7 +11,6 @@
 
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
-	"github.com/pkg/errors"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
@@ -100,12 +99,11 @@
 	idempotent bool
 	key        string
 
-	w        http.ResponseWriter
-	r        *http.Request
-	body     []byte // kept for further attempts, if replay
-	replay   bool
-	stream   io.Reader // the body, if not replay
-	consumed bool      // an attempt has taken the stream
+	w      http.ResponseWriter
+	r      *http.Request
+	body   []byte // kept for further attempts, if replay
+	replay bool
+	stream *callerBody // the body, if not replay
 
 	why      *explanation
 	excluded []string
@@ -170,7 +168,7 @@
 		return tooLarge(limit)
 	}
 	if c.key == "" && (c.r.ContentLength < 0 || c.r.ContentLength > replayBytes) {
-		c.stream = http.MaxBytesReader(c.w, c.r.Body, limit)
+		c.stream = newCallerBody(c.w, c.r.Body, limit)
 		return nil
 	}
 	limitBodyTime(c.w, c.arrived.Add(bodyTimeout))
@@ -258,7 +256,7 @@
 		Idempotent: c.idempotent && !c.begun,
 		Budget:     c.g.cores.allowsRetry(now),
 		TimeLeft:   true, // the context ends at the deadline
-		Elsewhere:  c.replay || !c.consumed,
+		Elsewhere:  c.replay || !c.stream.begun(),
 	}
 	if c.begun {
 		f.TokensGiven = 1
@@ -268,6 +266,8 @@
 
 func (c *serviceCall) finalAnswer(action retry.Action, err error) *errkind.Error {
 	switch {
+	case callersFault(err):
+		return errkind.Wrap(err, errkind.RequestTooLarge, c.state, "the body is too large, which showed only while it was sent")
 	case c.state == errkind.NotRun:
 		return errkind.Wrap(err, errkind.NoUpstream, errkind.NotRun, "no upstream of the service could be reached").After(retryAfterRefusal)
 	case c.begun:
@@ -303,18 +303,12 @@
 	if !provesNotRun(err) {
 		c.state = worse(c.state, errkind.RunUnknown)
 	}
-	if ctx.Err() == nil && !c.callersFault(err) {
+	if ctx.Err() == nil && !callersFault(err) {
 		c.g.upstreamFailed(u.Name, err)
 	}
 	return answer, err
 }
 
-// callersFault tells whether reading the caller's body caused the failure.
-func (c *serviceCall) callersFault(err error) bool {
-	var over *http.MaxBytesError
-	return errors.As(err, &over)
-}
-
 // upstreamCall is the call as the upstream gets it. The caller's key stays here.
 func (c *serviceCall) upstreamCall(u resource.ServiceUpstream) upstream.ServiceCall {
 	h := c.r.Header.Clone()
@@ -334,7 +328,6 @@
 		return out
 	}
 	out.Body = c.stream
-	c.consumed = true
 	return out
 }
 
--- a/internal/process/gateway/service_test.go
+++ b/internal/process/gateway/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
@@ -17,6 +18,7 @@
 	f.putServiceRoute("vans", "/vans", "")
 	s := f.settings("gw-1")
 	s.Limits.RetryShare = 1
+	s.Limits.BodyBytes = 100 << 10
 	g := f.start(s)
 	call := func(method, path, mark string, header ...string) ask {
 		h := map[string]string{"Standin-Mark": mark, headerDeadline: "10000"}
@@ -61,6 +63,19 @@
 		}
 		tiles.each(faultless)
 	})
+	t.Run("a body streams through up to the limit", func(t *testing.T) {
+		a := call(http.MethodPost, "/vans", "long")
+		a.body = strings.Repeat("x", 65<<10) // more than the gateway keeps
+		if p := g.get(a); p.status != http.StatusOK {
+			t.Errorf("status %d %s", p.status, p.raw)
+		}
+		a.body = strings.Repeat("x", 200<<10)
+		g.get(a).wantError(t, errkind.RequestTooLarge, errkind.NotRun)
+		a.chunked = true
+		if p := g.get(a); p.err == nil || p.err.Kind != errkind.RequestTooLarge {
+			t.Errorf("length not stated: %+v", p.err)
+		}
+	})
 	t.Run("keyed calls run once", func(t *testing.T) {
 		first := g.get(call(http.MethodPost, "/vans", "key", headerIdempotencyKey, "van-7"))
 		if first.status != http.StatusOK {
