--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -260,9 +260,14 @@
 	}
 	c.reconcileAt = now.Add(reconcileEvery)
 	c.decideRoles()
+	leads := 0
 	for _, z := range c.zones {
 		z.reconcile()
+		if z.leads() {
+			leads++
+		}
 	}
+	c.meters.leads.Update(float64(leads))
 	c.setRejections()
 	c.writeStatuses()
 }
--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -314,6 +314,9 @@
 			if c, ok := lead.audit.find(audit.WhatOrder, "done"); !ok || c.Object != "Runner/r1" || c.Epoch == 0 || c.Why == "" {
 				t.Errorf("audit %+v", c)
 			}
+			if _, ok := lead.audit.find(audit.WhatOrder, "opened"); !ok {
+				t.Error("the opened order is not in the audit trail")
+			}
 			if lines := (opsSource{a.Controller}.Explain(context.Background(), "", "r1-1")); len(lines) == 0 {
 				t.Error("explain knows nothing of the order")
 			}
--- a/internal/process/controller/engine.go
+++ b/internal/process/controller/engine.go
@@ -128,6 +128,8 @@
 			e.readState()
 		case order.SendOrder:
 			e.send(a.Order)
+		case order.Opened:
+			e.opened(a)
 		case order.Adopted:
 			e.adopted(a)
 		case order.Finished:
@@ -225,6 +227,13 @@
 	return order.SendBroken
 }
 
+func (e *engine) opened(a order.Opened) {
+	e.c.record(a.Order.ID, audit.Entry{
+		What: audit.WhatOrder, Object: "Runner/" + e.name, To: describeOrder(a.Order),
+		Why: a.Reason, Epoch: a.Order.Fence, Outcome: "opened",
+	})
+}
+
 func (e *engine) adopted(a order.Adopted) {
 	e.c.record(a.Order.ID, audit.Entry{
 		What: audit.WhatOrder, Object: "Runner/" + e.name, From: a.Former, To: e.c.self.Name,
--- a/internal/process/order/core.go
+++ b/internal/process/order/core.go
@@ -340,6 +340,7 @@
 		// Read the state once more: a request may have come in while the slot was written.
 		c.adopted, c.sends = false, 0
 		c.goTo(phaseObserve)
+		return []Action{Opened{Order: c.slot.Order, Reason: c.slot.Reason}}
 	case phaseAdopt:
 		c.goTo(phaseObserve)
 		if !c.fencing {
--- a/internal/process/order/event.go
+++ b/internal/process/order/event.go
@@ -130,6 +130,12 @@
 // ReadState asks to read the engine's state.
 type ReadState struct{}
 
+// Opened tells that the slot was opened for a wanted order.
+type Opened struct {
+	Order  upstream.Order
+	Reason string
+}
+
 // Adopted tells that an open slot of a former holder was taken over.
 type Adopted struct {
 	Order  upstream.Order
@@ -159,5 +165,6 @@
 func (WriteSlot) orderAction() {}
 func (SendOrder) orderAction() {}
 func (ReadState) orderAction() {}
+func (Opened) orderAction()    {}
 func (Adopted) orderAction()   {}
 func (Finished) orderAction()  {}
