Tell the routing view of the first token at once

Cause: progress was told every 16 tokens, so the calibration of predicted rates would have taken the time of the 16th token for that of the first.

--- a/internal/process/gateway/execution.go
+++ b/internal/process/gateway/execution.go
@@ -11,7 +11,8 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
 )
 
-// progressEvery is after how many tokens the routing view learns of progress.
+// progressEvery is after how many tokens the routing view learns of progress. The
+// first token is told at once, because its time is compared with the prediction.
 const progressEvery = 16
 
 // cancelTimeout bounds the canceling of a run whose caller has gone.
@@ -111,7 +112,7 @@
 	}
 	x.tokens++
 	x.unreported++
-	if x.unreported >= progressEvery {
+	if x.tokens == 1 || x.unreported >= progressEvery {
 		x.reportProgress()
 	}
 	return nil
