Measure the fan-out of the configuration and the cost of control traffic

ragwort-bench fanout runs 8, 64 and 370 daemons of the real cores on virtual time and counts real encoded bytes, platform calls and the time to be in force everywhere, also with relays lost, a zone cut off and after an outage.

Gateways report their use as rarely as the size of their reports and the number of gateways in the zone ask for.

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -22,6 +22,7 @@
 	add(p, "faults", "what becomes of streams when a runner, a gateway or a zone fails in their middle", &faults.Command{})
 	add(p, "goodput", "useful answers a second against least-outstanding routing", &goodput.Command{})
 	add(p, "affinity", "prompt tokens computed with shared briefings, and the load of runners", &goodput.AffinityCommand{})
+	add(p, "pairs", "prefill and decode apart: always, never, or as predicted", &goodput.PairsCommand{})
 	add(p, "routecost", "time and memory of routing decisions", &goodput.CostCommand{})
 	add(p, "latency", "what a gateway adds to a direct call of a runner", &latency.Command{})
 	add(p, "policy", "goodput and role changes of one trace under one policy", &policy.Command{})
--- a/internal/bench/fanout/daemon.go
+++ b/internal/bench/fanout/daemon.go
@@ -34,9 +34,13 @@
 	traffic     traffic
 	installedAt map[uint64]boottime.Time // when a version came into force
 	lastVersion uint64                   // the latest of them
-	report      func(d *daemon) *peer.UseReport
-	sequence    uint64
-	ticks       int
+	depth       map[uint64]int           // hops from the platform by which a version came
+
+	report   func(seconds int) *peer.UseReport // nil: no gateway
+	sequence uint64
+	ticks    int
+	useDue   int // tick of the next use report
+	reported int // tick of the last one
 }
 
 // start begins a new life with nothing but the settings.
@@ -52,7 +56,7 @@
 	d.seen = member.Sequences{}
 	d.links, d.heardAt = nil, 0
 	d.watching, d.listed, d.retrying, d.position = false, false, false, 0
-	d.installedAt, d.lastVersion = map[uint64]boottime.Time{}, 0
+	d.installedAt, d.depth, d.lastVersion = map[uint64]boottime.Time{}, map[uint64]int{}, 0
 	d.tick()
 	d.check()
 	d.bookmark()
@@ -101,18 +105,33 @@
 	d.reportUse()
 	if d.watching {
 		d.traffic.watchSeconds++
+		d.noticeOutage()
 	}
 	d.later(heartbeat, d.tick)
 }
 
+// noticeOutage ends the watch when the platform is gone.
+func (d *daemon) noticeOutage() {
+	if !d.fleet.platformOpen(d.hello.Zone) {
+		d.pump()
+	}
+}
+
 func (d *daemon) reportUse() {
 	d.ticks++
-	if d.report == nil || d.ticks%member.ReportEvery(d.routes.Gateways()) != 0 {
+	if d.report == nil || d.ticks < d.useDue {
 		return
 	}
 	d.sequence++
-	r := d.report(d)
+	r := d.report(d.ticks - d.reported)
 	r.Origin, r.Sequence = d.hello.Name, d.sequence
+	data, err := peer.Encode(peer.Envelope{V: peer.ProtocolVersion, Use: r})
+	if err != nil {
+		d.fleet.fail("%s cannot report: %v", d.hello.Name, err)
+		return
+	}
+	d.reported = d.ticks
+	d.useDue = d.ticks + d.routes.Period(len(data))
 	for _, to := range d.routes.Next(r.Origin) {
 		d.fleet.send(d, to, peer.Envelope{Use: r})
 	}
@@ -182,7 +201,7 @@
 	for _, a := range d.config.Step(f.now, e) {
 		switch a := a.(type) {
 		case config.Install:
-			d.install(a.Snapshot)
+			d.install(a.Snapshot, d.hopsOf(e))
 		case config.SendDelta:
 			d.sendDelta(a)
 		case config.SendSnapshot:
@@ -196,15 +215,24 @@
 	return relist
 }
 
-func (d *daemon) install(s *config.Snapshot) {
+func (d *daemon) install(s *config.Snapshot, hops int) {
 	if d.fleet.installed != nil {
 		d.fleet.installed(d, s)
 	}
 	d.installedAt[s.Version] = d.fleet.now
+	d.depth[s.Version] = hops
 	d.stepMember(member.Applied{Version: s.Version})
 	d.stepMember(member.InstancesListed{Instances: s.Instances})
 }
 
+// hopsOf gives the number of hops that a change came by.
+func (d *daemon) hopsOf(e config.Event) int {
+	if r, ok := e.(config.DeltaReceived); ok {
+		return d.fleet.byName[r.From].depth[r.Delta.Version] + 1
+	}
+	return 1
+}
+
 func (d *daemon) sendDelta(a config.SendDelta) {
 	if a.To != "" {
 		d.fleet.send(d, a.To, peer.Envelope{Delta: &a.Delta})
--- /dev/null
+++ b/internal/bench/fanout/measure.go
@@ -0,0 +1,306 @@
+package fanout
+
+import (
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// Budgets of a daemon and of a change in the largest fleet that is planned for.
+const (
+	budgetBytesPerSecond = 9000
+	budgetChange         = 17 * time.Second
+	changesPerDay        = 2000
+	restartsPerDay       = 327 // of 370 daemons: planned ones and failures
+	secondsPerDay        = 24 * 60 * 60
+)
+
+// Lengths of the phases of a measurement, in virtual time.
+const (
+	warmUp       = 45 * time.Second
+	steady       = 30 * time.Second
+	settle       = 10 * time.Second
+	outage       = time.Minute
+	betweenLooks = 10 * time.Millisecond
+	giveUp       = 2 * time.Minute
+	changes      = 5
+)
+
+// headerBytes are the WebSocket, TCP and IPv4 headers of a small message.
+const headerBytes = 6 + 32 + 20
+
+// size is a fleet to measure.
+type size struct{ daemons, zones int }
+
+var sizes = []size{{8, 3}, {64, 9}, {370, 9}}
+
+// Result is what was measured with one size of fleet. All but ProcessorShare are
+// the same in each run.
+type Result struct {
+	Daemons int `json:"daemons"`
+	Zones   int `json:"zones"`
+
+	LinksMean float64 `json:"linksMean"`
+	LinksMax  int     `json:"linksMax"`
+	Watches   int     `json:"watches"` // at the platform, of the whole fleet
+
+	ChangeHops    int     `json:"changeHops"`    // of the last daemon, the watch counted as one
+	ChangeMS      float64 `json:"changeMS"`      // accepted to in force everywhere, mean
+	ChangeMaxMS   float64 `json:"changeMaxMS"`   // the slowest of the changes
+	KnownMaxMS    float64 `json:"knownMaxMS"`    // accepted to one daemon knowing that all have it
+	RelaysLostMS  float64 `json:"relaysLostMS"`  // in force everywhere when both relays of a zone die just before
+	ZoneCutOffMS  float64 `json:"zoneCutOffMS"`  // in force everywhere when a zone has lost the platform
+	PlatformOutMS float64 `json:"platformOutMS"` // in force everywhere after the end of an outage
+
+	PlatformCalls float64 `json:"platformCallsPerSecond"` // of the whole fleet, a waiting watch is one a second
+
+	HeartbeatBytes float64 `json:"heartbeatBytesPerSecond"` // sent by a daemon, mean; as much is received
+	UseBytes       float64 `json:"useBytesPerSecond"`       // the same
+	UseSeconds     float64 `json:"useReportEverySeconds"`
+	Messages       float64 `json:"messagesPerSecond"` // sent by a daemon, mean
+	ChangeBytes    float64 `json:"bytesPerChange"`    // sent by a daemon, mean
+	RestartBytes   float64 `json:"bytesPerRestart"`   // sent by a daemon when one daemon restarts, mean
+	ControlBytes   float64 `json:"controlBytesPerSecond"`
+	ControlMax     float64 `json:"controlBytesPerSecondMax"` // of the busiest daemon
+	WithHeaders    float64 `json:"controlBytesPerSecondWithHeaders"`
+	ProcessorShare float64 `json:"processorShare"` // of one core for a daemon, encoding and both cores; varies between runs
+	WithinBudget   bool    `json:"withinBudget"`
+}
+
+// measure runs one fleet through all phases.
+func measure(s size, seed uint64) (Result, []string) {
+	f := newFleet(seed, s.daemons, s.zones)
+	f.giveWork(s.zones)
+	f.startAll()
+	f.run(warmUp)
+	r := Result{Daemons: s.daemons, Zones: s.zones}
+	f.measureSteady(&r)
+	f.measureChanges(&r)
+	f.measureRestart(&r)
+	f.measureFaults(&r)
+	r.ControlBytes += r.ChangeBytes*changesPerDay/secondsPerDay + r.RestartBytes*restartsPerDay/secondsPerDay
+	r.WithHeaders = r.ControlBytes + r.Messages*headerBytes
+	slowest := max(r.ChangeMaxMS, r.RelaysLostMS, r.ZoneCutOffMS, r.PlatformOutMS)
+	r.WithinBudget = r.ControlMax <= budgetBytesPerSecond && slowest <= float64(budgetChange.Milliseconds())
+	return r, f.failures
+}
+
+// counts sums the traffic of the fleet.
+type counts struct {
+	messages, calls int
+	bytes           [topics]int
+}
+
+func (f *fleet) counts() counts {
+	var c counts
+	for _, d := range f.daemons {
+		c.messages += d.traffic.messagesOut
+		c.calls += d.traffic.platformCalls + d.traffic.watchSeconds
+		for t := range topics {
+			c.bytes[t] += d.traffic.bytesOut[t]
+		}
+	}
+	return c
+}
+
+func (c counts) total() int {
+	sum := 0
+	for _, b := range c.bytes {
+		sum += b
+	}
+	return sum
+}
+
+// measureSteady measures a fleet in which nothing changes.
+func (f *fleet) measureSteady(r *Result) {
+	before, sentBefore, reports := f.counts(), f.sentByEach(), f.reports()
+	processor := processorTime()
+	f.run(steady)
+	processor = processorTime() - processor
+	after := f.counts()
+	perDaemonSecond := float64(len(f.daemons)) * steady.Seconds()
+	r.Messages = float64(after.messages-before.messages) / perDaemonSecond
+	r.PlatformCalls = float64(after.calls-before.calls) / steady.Seconds()
+	r.HeartbeatBytes = float64(after.bytes[topicHeartbeat]-before.bytes[topicHeartbeat]) / perDaemonSecond
+	r.UseBytes = float64(after.bytes[topicUse]-before.bytes[topicUse]) / perDaemonSecond
+	r.ControlBytes = float64(after.total()-before.total()) / perDaemonSecond
+	r.ProcessorShare = processor.Seconds() / perDaemonSecond
+	for i, sent := range f.sentByEach() {
+		r.ControlMax = max(r.ControlMax, float64(sent-sentBefore[i])/steady.Seconds())
+	}
+	if n := f.reports() - reports; n > 0 {
+		r.UseSeconds = float64(f.gateways()) * steady.Seconds() / float64(n)
+	}
+	f.countLinks(r)
+}
+
+func (f *fleet) sentByEach() []int {
+	var out []int
+	for _, d := range f.daemons {
+		sum := 0
+		for _, b := range d.traffic.bytesOut {
+			sum += b
+		}
+		out = append(out, sum)
+	}
+	return out
+}
+
+func (f *fleet) reports() int {
+	n := 0
+	for _, d := range f.daemons {
+		n += int(d.sequence)
+	}
+	return n
+}
+
+func (f *fleet) gateways() int {
+	n := 0
+	for _, d := range f.daemons {
+		if d.report != nil {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fleet) countLinks(r *Result) {
+	links := map[string]int{}
+	for p := range f.conns {
+		links[p.a]++
+		links[p.b]++
+	}
+	for _, n := range links {
+		r.LinksMax = max(r.LinksMax, n)
+	}
+	r.LinksMean = 2 * float64(len(f.conns)) / float64(len(f.daemons))
+	for _, d := range f.daemons {
+		if d.watching {
+			r.Watches++
+		}
+	}
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// change writes a model and gives its version.
+func (f *fleet) change() uint64 {
+	e := f.store.put(resource.KindModel, "m", `{"contextTokens":8}`)
+	f.changed(e)
+	return e.Object.Version
+}
+
+// spread runs until a version is in force at every running daemon, and gives the
+// time that it took.
+func (f *fleet) spread(version uint64) time.Duration {
+	began := f.now
+	return f.wait(func() bool {
+		return !slices.ContainsFunc(f.daemons, func(d *daemon) bool { return d.up && d.config.Version() < version })
+	}, func() boottime.Time { return f.lastInstall(version, began) }, began)
+}
+
+// wait runs until ok and gives the time from began to when that came true.
+func (f *fleet) wait(ok func() bool, at func() boottime.Time, began boottime.Time) time.Duration {
+	for !ok() {
+		if f.now.Sub(began) > giveUp {
+			f.fail("not in force everywhere after %v", giveUp)
+			return giveUp
+		}
+		f.run(betweenLooks)
+	}
+	return at().Sub(began)
+}
+
+func (f *fleet) lastInstall(version uint64, began boottime.Time) boottime.Time {
+	last := began
+	for _, d := range f.daemons {
+		last = max(last, d.installedAt[version])
+	}
+	return last
+}
+
+// measureChanges makes changes in a healthy fleet.
+func (f *fleet) measureChanges(r *Result) {
+	quiet := r.ControlBytes * float64(len(f.daemons))
+	before, began := f.counts(), f.now
+	for range changes {
+		accepted := f.now
+		version := f.change()
+		took := milliseconds(f.spread(version))
+		r.ChangeMS += took / changes
+		r.ChangeMaxMS = max(r.ChangeMaxMS, took)
+		for _, d := range f.daemons {
+			r.ChangeHops = max(r.ChangeHops, d.depth[version])
+		}
+		known := f.wait(func() bool { return f.allKnown(version) }, func() boottime.Time { return f.now }, accepted)
+		r.KnownMaxMS = max(r.KnownMaxMS, milliseconds(known))
+		f.run(settle)
+	}
+	extra := float64(f.counts().total()-before.total()) - quiet*f.now.Sub(began).Seconds()
+	r.ChangeBytes = max(0, extra/changes/float64(len(f.daemons)))
+}
+
+// allKnown reports whether the first daemon knows that all have the version.
+func (f *fleet) allKnown(version uint64) bool {
+	for _, m := range f.daemons[0].member.Members() {
+		if m.Applied < version {
+			return false
+		}
+	}
+	return true
+}
+
+// measureRestart restarts one daemon.
+func (f *fleet) measureRestart(r *Result) {
+	quiet := r.ControlBytes * float64(len(f.daemons))
+	before, began := f.counts(), f.now
+	d := f.daemons[len(f.daemons)/2]
+	d.kill()
+	f.run(settle)
+	d.start()
+	f.run(settle)
+	extra := float64(f.counts().total()-before.total()) - quiet*f.now.Sub(began).Seconds()
+	r.RestartBytes = max(0, extra/float64(len(f.daemons)))
+}
+
+// measureFaults makes changes while something is broken.
+func (f *fleet) measureFaults(r *Result) {
+	zone := f.daemons[0].hello.Zone
+	f.cutPlatform[zone] = true
+	f.run(settle)
+	r.ZoneCutOffMS = milliseconds(f.spread(f.change()))
+	f.heal()
+	f.run(settle)
+
+	for _, name := range config.Relays(zone, f.candidates()) {
+		f.byName[name].kill()
+	}
+	r.RelaysLostMS = milliseconds(f.spread(f.change()))
+	f.heal()
+	f.run(settle)
+
+	f.store.out = true
+	f.run(outage)
+	f.store.out = false
+	r.PlatformOutMS = milliseconds(f.spread(f.change()))
+}
+
+func (f *fleet) candidates() []config.Candidate {
+	var out []config.Candidate
+	for _, d := range f.daemons {
+		out = append(out, config.Candidate{Name: d.hello.Name, Zone: d.hello.Zone})
+	}
+	return out
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- /dev/null
+++ b/internal/bench/fanout/measure_test.go
@@ -0,0 +1,28 @@
+package fanout
+
+import "testing"
+
+func TestMeasureIsDeterministicAndWithinBudget(t *testing.T) {
+	var former Result
+	for i := range 2 {
+		results, err := Measure(1, 8)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r := results[0]
+		r.ProcessorShare = 0 // of this machine
+		if !r.WithinBudget {
+			t.Errorf("not within budget: %+v", r)
+		}
+		if i > 0 && r != former {
+			t.Errorf("runs differ:\n%+v\n%+v", former, r)
+		}
+		former = r
+	}
+}
+
+func TestMeasureRefusesAnUnknownSize(t *testing.T) {
+	if _, err := Measure(1, 9); err == nil {
+		t.Error("measured a size that is not offered")
+	}
+}
--- /dev/null
+++ b/internal/bench/fanout/workload.go
@@ -0,0 +1,47 @@
+package fanout
+
+import (
+	"fmt"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
+)
+
+// The load of the largest fleet that is planned for, for each gateway.
+const (
+	requestsPerSecond = 13.5 // 2500 requests a second over 185 gateways
+	tokensPerRequest  = 228  // 570000 tokens a second
+	runnersPerDaemon  = 1.7  // 630 runners, 370 daemons
+	accounts          = 500
+	models            = 30
+)
+
+// giveWork lets every gateway report its use: some tokens from each runner of the
+// zone, and the accounts and models that its requests were for.
+func (f *fleet) giveWork(zones int) {
+	runners := int(runnersPerDaemon*float64(len(f.daemons))/float64(zones)) + 1
+	for _, d := range f.daemons {
+		if d.hello.Role == member.RoleGateway {
+			d.report = func(seconds int) *peer.UseReport { return f.useReport(runners, seconds) }
+		}
+	}
+}
+
+func (f *fleet) useReport(runners, seconds int) *peer.UseReport {
+	requests := requestsPerSecond * float64(seconds)
+	r := &peer.UseReport{}
+	for i := range runners {
+		share := int(requests) * tokensPerRequest / runners
+		r.Runners = append(r.Runners, peer.UseRow{
+			Runner: fmt.Sprintf("runner-%03d", i), Requests: f.random.IntN(5) - 2,
+			Prefill: share, Decode: share, Done: share,
+		})
+	}
+	for i := range min(accounts, int(requests)) {
+		r.Accounts = append(r.Accounts, peer.AccountRow{Account: fmt.Sprintf("account-%03d", i), Requests: 1, InFlight: 2000})
+	}
+	for i := range min(models, int(requests)) {
+		r.Demand = append(r.Demand, peer.DemandRow{Model: fmt.Sprintf("model-%02d", i), Prefill: 500, Decode: tokensPerRequest, Arrived: 1})
+	}
+	return r
+}
--- a/internal/process/member/core.go
+++ b/internal/process/member/core.go
@@ -77,27 +77,29 @@
 	return &Core{cfg: cfg, records: map[string]*record{}, ids: map[uint32]*record{}, changed: true}
 }
 
-// Step handles one event at a time of this machine's clock.
+// Step handles one event at a time of this machine's clock. What heartbeats and
+// connections change leads to new links with the next tick, so that a burst of them
+// costs only one computation.
 func (c *Core) Step(now boottime.Time, e Event) []Action {
-	var out []Action
 	switch e := e.(type) {
 	case Tick:
-		out = c.tick(now)
+		out := c.tick(now)
+		return append(out, c.evaluate(now)...)
 	case InstancesListed:
 		c.list(now, e.Instances)
+		return c.evaluate(now)
 	case HeartbeatReceived:
-		out = c.heartbeat(now, e)
+		return c.heartbeat(now, e)
 	case Connected:
-		out = c.connected(now, e.Peer)
+		return c.connected(now, e.Peer)
 	case Disconnected:
-		c.disconnected(e.Name)
+		c.disconnected(now, e.Name)
 	case Applied:
-		out = c.setApplied(e.Version)
+		return c.setApplied(e.Version)
 	case Leave:
-		out = c.leave()
+		return c.leave()
 	}
-	c.evaluate(now)
-	return append(out, c.afterChange()...)
+	return nil
 }
 
 // Members lists all known daemons, this one included, in order of their names.
@@ -199,12 +201,14 @@
 		r.suspect = false
 		r.pass(pendingFull, h.Name)
 	}
+	c.refresh(now, r)
 	return []Action{SendHeartbeat{To: h.Name, Heartbeat: c.everything(h.Name)}}
 }
 
-func (c *Core) disconnected(name string) {
+func (c *Core) disconnected(now boottime.Time, name string) {
 	if r := c.records[name]; r != nil {
 		r.connected = false
+		c.refresh(now, r)
 	}
 }
 
--- a/internal/process/member/gossip.go
+++ b/internal/process/member/gossip.go
@@ -132,18 +132,24 @@
 	from.heard(now, h.Beat)
 	from.row.Applied = h.Applied
 	from.direct = true
+	c.refresh(now, from)
 	for _, row := range h.Rows {
 		c.mergeRow(now, e.From, row)
+		if r := c.records[row.Name]; r != nil {
+			c.refresh(now, r)
+		}
 	}
 	for _, row := range h.Beats {
-		c.mergeBeat(now, e.From, h.Applied, row)
+		if r := c.ids[row.ID]; r != nil {
+			c.mergeBeat(now, e.From, h.Applied, r, row)
+			c.refresh(now, r)
+		}
 	}
 	return []Action{PeerVersion{From: e.From, Applied: h.Applied}}
 }
 
-func (c *Core) mergeBeat(now boottime.Time, from string, applied uint64, row peer.BeatRow) {
-	r := c.ids[row.ID]
-	if r == nil || row.Beat <= r.row.Beat {
+func (c *Core) mergeBeat(now boottime.Time, from string, applied uint64, r *record, row peer.BeatRow) {
+	if row.Beat <= r.row.Beat {
 		return
 	}
 	r.source = from
--- a/internal/process/member/neighbors.go
+++ b/internal/process/member/neighbors.go
@@ -36,56 +36,53 @@
 // next to it. Each pair of zones is joined by the daemons that rank highest for
 // that pair.
 func Neighbors(self string, members []Member, links int) []string {
-	return topologyOf(members, links)[self]
+	for _, m := range members {
+		if m.Name == self {
+			return topologyOf(m.Zone, members, links)[self]
+		}
+	}
+	return nil
 }
 
 // topology lists the neighbors of each daemon, in order.
 type topology map[string][]string
 
-// topologyOf computes the whole graph over the members that are daemons.
-func topologyOf(members []Member, links int) topology {
+// topologyOf computes the links of the daemons of one zone, as far as they have to
+// be known there: within the zone and out of it.
+func topologyOf(zone string, members []Member, links int) topology {
 	zones := map[string][]string{}
-	total := 0
 	for _, m := range members {
 		zones[m.Zone] = append(zones[m.Zone], m.Name)
-		total++
 	}
 	g := topology{}
-	if total-1 <= links {
-		g.joinAll(slices.Concat(sortedValues(zones)...))
+	if len(members)-1 <= links {
+		g.joinAll(namesOf(members))
 		return g.sorted()
 	}
-	for zone, names := range zones {
-		if len(names)-1 <= links-crossReserve {
-			g.joinAll(names)
-			continue
-		}
+	if names := zones[zone]; len(names)-1 <= links-crossReserve {
+		g.joinAll(names)
+	} else {
 		g.joinRings(zone, names, rings(links))
 	}
-	g.joinZones(zones)
+	for other := range zones {
+		if other != zone {
+			g.joinZones(zones, min(zone, other), max(zone, other))
+		}
+	}
 	return g.sorted()
 }
 
-func rings(links int) int {
-	const linksPerRing = 2
-	return max(minRings, min(maxRings, (links-crossReserve)/linksPerRing))
-}
-
-func sortedValues(zones map[string][]string) [][]string {
-	var out [][]string
-	for _, zone := range sortedKeys(zones) {
-		out = append(out, zones[zone])
+func namesOf(members []Member) []string {
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		names = append(names, m.Name)
 	}
-	return out
+	return names
 }
 
-func sortedKeys(zones map[string][]string) []string {
-	var keys []string
-	for k := range zones {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
+func rings(links int) int {
+	const linksPerRing = 2
+	return max(minRings, min(maxRings, (links-crossReserve)/linksPerRing))
 }
 
 func (g topology) join(a, b string) {
@@ -114,17 +111,12 @@
 	}
 }
 
-// joinZones joins each pair of zones.
-func (g topology) joinZones(zones map[string][]string) {
-	names := sortedKeys(zones)
-	for i, a := range names {
-		for _, b := range names[i+1:] {
-			fromA := ranked(zones[a], "cross\x00"+a+"\x00"+b)
-			fromB := ranked(zones[b], "cross\x00"+a+"\x00"+b)
-			for l := range crossPerPair(len(names)) {
-				g.join(fromA[l%len(fromA)], fromB[l%len(fromB)])
-			}
-		}
+// joinZones joins two zones; a is the smaller name.
+func (g topology) joinZones(zones map[string][]string, a, b string) {
+	salt := "cross\x00" + a + "\x00" + b
+	fromA, fromB := ranked(zones[a], salt), ranked(zones[b], salt)
+	for l := range crossPerPair(len(zones)) {
+		g.join(fromA[l%len(fromA)], fromB[l%len(fromB)])
 	}
 }
 
@@ -135,14 +127,21 @@
 
 // ranked orders names by a hash with a salt.
 func ranked(names []string, salt string) []string {
-	rank := make(map[string]uint64, len(names))
+	type entry struct {
+		rank uint64
+		name string
+	}
+	entries := make([]entry, 0, len(names))
 	for _, n := range names {
-		rank[n] = xxhash.Sum64String(salt + "\x00" + n)
+		entries = append(entries, entry{xxhash.Sum64String(salt + "\x00" + n), n})
 	}
-	out := slices.Clone(names)
-	slices.SortFunc(out, func(a, b string) int {
-		return cmp.Or(cmp.Compare(rank[a], rank[b]), cmp.Compare(a, b))
+	slices.SortFunc(entries, func(a, b entry) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.name, b.name))
 	})
+	out := make([]string, 0, len(names))
+	for _, e := range entries {
+		out = append(out, e.name)
+	}
 	return out
 }
 
--- a/internal/process/member/neighbors_test.go
+++ b/internal/process/member/neighbors_test.go
@@ -18,6 +18,22 @@
 	return out
 }
 
+// wholeTopology joins what each zone computes for itself.
+func wholeTopology(members []Member) topology {
+	g := topology{}
+	done := map[string]bool{}
+	for _, m := range members {
+		if done[m.Zone] {
+			continue
+		}
+		done[m.Zone] = true
+		for a, ns := range topologyOf(m.Zone, members, testLinks) {
+			g[a] = append(g[a], ns...)
+		}
+	}
+	return g.sorted()
+}
+
 // reach gives the number of rounds until a message from the first member has
 // reached all of them; -1: it does not.
 func reach(g topology, members []Member) int {
@@ -55,8 +71,11 @@
 	for _, tt := range tests {
 		t.Run(fmt.Sprintf("%d in %d", tt.daemons, tt.zones), func(t *testing.T) {
 			all := fleet(tt.daemons, tt.zones)
-			g := topologyOf(all, testLinks)
+			g := wholeTopology(all)
 			for _, m := range all {
+				if got := Neighbors(m.Name, all, testLinks); !slices.Equal(got, g[m.Name]) {
+					t.Errorf("%s computes %v, the others %v", m.Name, got, g[m.Name])
+				}
 				if d := len(g[m.Name]); d > tt.maxDegree {
 					t.Errorf("%s has %d links", m.Name, d)
 				}
@@ -77,7 +96,7 @@
 	for _, daemons := range []int{8, 64, 370} {
 		for _, zones := range []int{2, 3, 9} {
 			all := fleet(daemons, zones)
-			g := topologyOf(all, testLinks)
+			g := wholeTopology(all)
 			for seed := range uint64(100) {
 				random := rand.New(rand.NewPCG(seed, 1))
 				left := slices.Clone(all)
@@ -93,8 +112,8 @@
 
 func TestNeighborsChangeLittle(t *testing.T) {
 	all := fleet(370, 9)
-	before := topologyOf(all, testLinks)
-	after := topologyOf(slices.Delete(slices.Clone(all), 100, 101), testLinks)
+	before := wholeTopology(all)
+	after := wholeTopology(slices.Delete(slices.Clone(all), 100, 101))
 	changed := 0
 	for _, m := range all {
 		for _, n := range after[m.Name] {
@@ -115,7 +134,7 @@
 		for _, m := range all {
 			zoneOf[m.Name] = m.Zone
 		}
-		g := topologyOf(all, testLinks)
+		g := wholeTopology(all)
 		origin := all[0].Name
 		got := map[string]int{}
 		for _, m := range all {
--- a/internal/process/member/service.go
+++ b/internal/process/member/service.go
@@ -51,6 +51,7 @@
 	seen     Sequences
 	sequence uint64
 	ticks    int
+	useDue   int // tick of the next use report
 
 	deliver sync.Mutex // orders calls of MembersChanged and SetLinks
 	stop    chan struct{}
@@ -202,26 +203,39 @@
 
 // reportUse sends this daemon's use to its zone when it is due.
 func (s *Service) reportUse() {
-	s.mu.Lock()
-	s.ticks++
-	due := s.ticks%ReportEvery(s.routes.Gateways()) == 0
-	s.mu.Unlock()
-	if !due {
+	if !s.useIsDue() {
 		return
 	}
 	r := s.handler.UseDue()
 	if r == nil {
 		return
 	}
+	for _, to := range s.prepareUse(r) {
+		s.send(to, peer.Envelope{Use: r})
+	}
+}
+
+func (s *Service) useIsDue() bool {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ticks++
+	return s.ticks >= s.useDue
+}
+
+// prepareUse numbers a report, sets when the next is due, and gives the daemons
+// that it goes to first.
+func (s *Service) prepareUse(r *peer.UseReport) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.sequence++
 	r.Origin = s.self.Name
 	r.Sequence = s.sequence
-	next := s.routes.Next(r.Origin)
-	s.mu.Unlock()
-	for _, to := range next {
-		s.send(to, peer.Envelope{Use: r})
+	bytes := 0
+	if data, err := peer.Encode(peer.Envelope{V: peer.ProtocolVersion, Use: r}); err == nil {
+		bytes = len(data)
 	}
+	s.useDue = s.ticks + s.routes.Period(bytes)
+	return s.routes.Next(r.Origin)
 }
 
 // useReceived passes a report on and hands it to the handler, once.
--- a/internal/process/member/state.go
+++ b/internal/process/member/state.go
@@ -14,13 +14,19 @@
 	return time.Duration(remoteRelays*c.relayBeats()+remoteHops) * c.cfg.Interval
 }
 
-// evaluate sets the state of every record.
-func (c *Core) evaluate(now boottime.Time) {
+// evaluate sets the state of every record, and the links after a change.
+func (c *Core) evaluate(now boottime.Time) []Action {
 	for _, r := range c.records {
-		if s := c.stateOf(now, r); s != r.state {
-			r.state = s
-			c.changed = true
-		}
+		c.refresh(now, r)
+	}
+	return c.afterChange()
+}
+
+// refresh sets the state of one record.
+func (c *Core) refresh(now boottime.Time, r *record) {
+	if s := c.stateOf(now, r); s != r.state {
+		r.state = s
+		c.changed = true
 	}
 }
 
@@ -48,7 +54,7 @@
 		return true
 	}
 	silence := r.silence(now)
-	if c.isNeighbor(r.row.Name) && !r.listedOnly() {
+	if silence >= lostBeats*c.cfg.Interval && c.isNeighbor(r.row.Name) && !r.listedOnly() {
 		limit := time.Duration(lostBeats) * c.cfg.Interval
 		if r.connected {
 			limit = suspectBeats * c.cfg.Interval
@@ -97,9 +103,12 @@
 // partition find each other again; those among the members that are not suspected
 // take the place of neighbors that are.
 func (c *Core) wantedLinks() []peer.Address {
-	all := Neighbors(c.cfg.Self.Name, c.reachable(Live, Leaving, Suspected), c.cfg.MaxLinks)
-	heard := Neighbors(c.cfg.Self.Name, c.reachable(Live, Leaving), c.cfg.MaxLinks)
-	names := slices.Concat(all, heard)
+	all := c.reachable(Live, Leaving, Suspected)
+	heard := c.reachable(Live, Leaving)
+	names := Neighbors(c.cfg.Self.Name, all, c.cfg.MaxLinks)
+	if len(heard) < len(all) {
+		names = append(names, Neighbors(c.cfg.Self.Name, heard, c.cfg.MaxLinks)...)
+	}
 	slices.Sort(names)
 	var links []peer.Address
 	for _, name := range slices.Compact(names) {
--- a/internal/process/member/use.go
+++ b/internal/process/member/use.go
@@ -1,8 +1,6 @@
 package member
 
 import (
-	"cmp"
-
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
 )
 
@@ -30,7 +28,7 @@
 			u.gateways++
 		}
 	}
-	u.graph = topologyOf(reachable, links)
+	u.graph = topologyOf(self.Zone, reachable, links)
 	return u
 }
 
@@ -43,9 +41,6 @@
 	return u.graph.children(origin, u.self, u.zoneOf)
 }
 
-// Gateways is the number of gateways that report in this zone.
-func (u *UseRoutes) Gateways() int { return u.gateways }
-
 // Sequences keeps the latest report of each gateway, so that each is taken once.
 type Sequences map[string]uint64
 
@@ -69,12 +64,15 @@
 	RoleController = "controller"
 )
 
-// ReportEvery is the number of ticks between the use reports of one gateway. Each
-// report goes to every daemon of the zone, so that what a daemon gets grows with
-// the number of gateways there; from perTick gateways on they report more rarely.
-func ReportEvery(gateways int) int {
-	return cmp.Or((gateways+reportsPerTick-1)/reportsPerTick, 1)
-}
+// useBytesPerTick bounds the bytes of use reports that a daemon gets, and the
+// bytes of its own that it sends, in one heartbeat interval.
+const useBytesPerTick = 3000
 
-// reportsPerTick bounds the use reports that a daemon gets in one heartbeat interval.
-const reportsPerTick = 8
+// Period is the number of ticks from one use report of this gateway to the next,
+// if its reports have a given size. Each report goes to every daemon of the zone,
+// so that what a daemon gets grows with the number of gateways there and with the
+// size of their reports; beyond the bound gateways report more rarely.
+func (u *UseRoutes) Period(reportBytes int) int {
+	copies := max(u.gateways, len(u.Next(u.self)))
+	return max(1, (copies*reportBytes+useBytesPerTick-1)/useBytesPerTick)
+}
