Calibrate on prompts that do not wait, and measure pairs

Cause: factors of engine rates drifted to 0.6 or stuck at 1.6 where the class was declared right, because waiting behind others was counted as slowness and a gateway that admitted nothing learned nothing. Change: learn the prompt rate only where little was ahead and from the prompt's own part; bound what one answer counts for a class; fade factors over 5 minutes.

--- a/internal/bench/goodput/baseline.go
+++ b/internal/bench/goodput/baseline.go
@@ -44,7 +44,7 @@
 	}
 	b.outstanding[best]++
 	b.at[q.id] = best
-	b.w.send(now, b.index, q, best)
+	b.w.send(now, b.index, q, best, "")
 }
 
 func (b *baseline) finished(_ time.Duration, id string) {
--- /dev/null
+++ b/internal/bench/goodput/goodput_test.go
@@ -0,0 +1,80 @@
+package goodput
+
+import (
+	"math"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/engine"
+)
+
+func shortSetup(lag time.Duration) setup {
+	return setup{
+		zones: fleetZones, engines: fleetEngines, gateways: fleetGateways, lag: lag,
+		length: 12 * time.Second, warm: 4 * time.Second, blocks: 3000, useEvery: 250 * time.Millisecond,
+	}
+}
+
+func runSystem(s setup, load float64, seed uint64) *result {
+	mix := (&Command{}).mix()
+	t := newTrace(seed, mix, load*capacity(mix, s.engines), s.length, s.gateways)
+	return runWith(s, t, func(w *world, i int, zone string) gateway { return newSystem(w, i, zone) })
+}
+
+// TestCapacityKeepsTheGap checks the stated capacity against the engine's step.
+func TestCapacityKeepsTheGap(t *testing.T) {
+	mix := (&Command{}).mix()
+	prompt, out := means(mix)
+	rate := capacity(mix, 1)
+	gap := float64(onTime.BetweenMS) / 1000
+	streams := rate * out * gap
+	share := rate * prompt / class.PrefillRate
+	if got := engine.StepSeconds(class, streams, 0) / (1 - share); math.Abs(got-gap) > 1e-9 {
+		t.Errorf("at capacity the gap is %vs, want %vs", got, gap)
+	}
+}
+
+func TestSameSeedSameResult(t *testing.T) {
+	a, b := runSystem(shortSetup(time.Second), 1.5, 3), runSystem(shortSetup(time.Second), 1.5, 3)
+	if !reflect.DeepEqual(a, b) {
+		t.Errorf("two runs of one seed differ: %+v %+v", a, b)
+	}
+	if c := runSystem(shortSetup(time.Second), 1.5, 4); reflect.DeepEqual(a, c) {
+		t.Error("another seed must give another run")
+	}
+}
+
+func TestEveryRequestHasOneOutcome(t *testing.T) {
+	for _, load := range []float64{0.8, 3} {
+		r := runSystem(shortSetup(2*time.Second), load, 1)
+		if r.Arrived == 0 || r.Arrived != r.Refused+r.Sent || r.Sent != r.Done+r.Left {
+			t.Errorf("load %v: arrived %d, refused %d, sent %d, done %d, left %d", load, r.Arrived, r.Refused, r.Sent, r.Done, r.Left)
+		}
+	}
+}
+
+// TestOverloadKeepsGoodput is the short form of the measurement.
+func TestOverloadKeepsGoodput(t *testing.T) {
+	for _, lag := range []time.Duration{0, 5 * time.Second} {
+		at1, at3 := runSystem(shortSetup(lag), 1, 1), runSystem(shortSetup(lag), 3, 1)
+		if at3.goodput() < 0.8*at1.goodput() {
+			t.Errorf("reports %v old: goodput %.1f at 3.0 load, %.1f at 1.0", lag, at3.goodput(), at1.goodput())
+		}
+		if late := float64(at3.Sent-at3.Useful) / float64(at3.Sent); late > 0.2 {
+			t.Errorf("reports %v old: %.2f of the admitted are late at 3.0 load", lag, late)
+		}
+	}
+	light := runSystem(shortSetup(2*time.Second), 0.7, 1)
+	if light.Refused > 0 || light.Useful < light.Arrived*95/100 {
+		t.Errorf("at 0.7 load %d of %d refused, %d useful", light.Refused, light.Arrived, light.Useful)
+	}
+}
+
+func TestPairsBeatPrefillOnDecodeEngines(t *testing.T) {
+	c := &PairsCommand{Seeds: []uint64{1}, Seconds: 12, Load: 0.8, Prefills: 3}
+	weighed, never := c.way("weighed", class.KVTransferRate), c.way("never", class.KVTransferRate)
+	if weighed.Pairs < 0.9 || weighed.Goodput <= never.Goodput {
+		t.Errorf("weighed %+v, never %+v", weighed, never)
+	}
+}
--- a/internal/bench/goodput/result.go
+++ b/internal/bench/goodput/result.go
@@ -11,6 +11,7 @@
 	Sent     int
 	Refused  int
 	Spilled  int
+	Pairs    int // prefilled at another engine
 	Done     int
 	Useful   int
 	LateTTFT int // done, first token late
@@ -46,7 +47,7 @@
 	}
 }
 
-func (r *result) sent(q *request, _ string, spilled bool) {
+func (r *result) sent(q *request, spilled, pair bool) {
 	if !r.counts(q) {
 		return
 	}
@@ -54,12 +55,15 @@
 	if spilled {
 		r.Spilled++
 	}
+	if pair {
+		r.Pairs++
+	}
 }
 
 func (r *result) left(j *job) {
 	if r.counts(j.request) {
 		r.Left++
-		r.Computed += j.job.Computed
+		r.Computed += j.computed + j.job.Computed
 	}
 }
 
@@ -69,7 +73,7 @@
 		return
 	}
 	r.Done++
-	r.Computed += j.job.Computed
+	r.Computed += j.computed + j.job.Computed
 	r.work[j.engine] += j.job.Computed/class.PrefillRate + float64(q.out)/class.DecodeRate
 	first := j.job.FirstAt - q.at
 	gap := (at - j.job.FirstAt) / time.Duration(max(q.out-1, 1))
--- a/internal/bench/goodput/system.go
+++ b/internal/bench/goodput/system.go
@@ -1,6 +1,7 @@
 package goodput
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,6 +21,7 @@
 	learner   route.Learner
 	waiting   map[string]*request
 	blind     bool // ignores the prefix cache
+	noPairs   bool // never prefills at another engine
 }
 
 func newSystem(w *world, index int, zone string) *system {
@@ -53,7 +55,11 @@
 }
 
 func (s *system) view(now time.Duration) []route.Runner {
-	return s.tracker.ViewModel(wall(now), s.w.snapshot, modelName)
+	view := s.tracker.ViewModel(wall(now), s.w.snapshot, modelName)
+	if s.noPairs {
+		view = slices.DeleteFunc(view, func(r route.Runner) bool { return r.Role == upstream.RolePrefill })
+	}
+	return view
 }
 
 func (s *system) tick(now time.Duration) {
@@ -76,7 +82,7 @@
 			ExpectedOut:  s.learner.Expected(q.kind.route, int(q.kind.out), 0),
 			PrefixHashes: q.hashes,
 		})
-		s.w.send(now, s.index, q, a.Choice.Runner)
+		s.w.send(now, s.index, q, a.Choice.Runner, a.Choice.Prefill)
 	}
 }
 
--- a/internal/request/route/calibration.go
+++ b/internal/request/route/calibration.go
@@ -8,22 +8,36 @@
 // Bounds of the calibration.
 const (
 	classWeight     = 0.05 // weight of one answer in the factors of its engine class
+	classStep       = 0.25 // most that one answer counts for a class, so that one slow runner does not move it
 	runnerWeight    = 0.02 // weight of one answer in the factors of its runner; less, so that the class explains what it can
 	leastFactor     = 0.5
 	mostFactor      = 4.0
 	wrongAbove      = 1.25 // the factors of a class count from here on
-	wrongBelow      = 0.75 // and down from here
+	wrongBelow      = 0.7  // and down from here
 	slowAbove       = 1.5  // a runner's own factor counts from here on
-	slowHalfLife    = time.Minute
-	leastPromptTime = 50 * time.Millisecond // shorter prompts say more of the network than of the engine
-	leastGaps       = 8                     // fewer gaps between tokens say little
-	peakFade        = 0.01                  // of the highest reported rate, with each report
+	factorHalfLife  = 5 * time.Minute
+	leastPromptTime = 100 * time.Millisecond // shorter prompts say more of the network than of the engine
+	mostQueued      = 0.5                    // prompts ahead in parts of the own one; more of them say more of the queue
+	leastGaps       = 8                      // fewer gaps between tokens say little
+	peakFade        = 0.01                   // of the highest reported rate, with each report
 )
 
 // factors hold how much longer prompts and decode steps take than predicted,
 // measured on the answers that this gateway received. Zero: nothing measured.
 type factors struct {
 	prompt, decode float64
+	learned        time.Time
+}
+
+// fade moves the factors back to 1 with the time without answers, so that a
+// gateway that admits little because of them finds out when they no longer hold.
+func (f *factors) fade(now time.Time) {
+	if !f.learned.IsZero() && now.After(f.learned) {
+		keep := math.Exp2(-now.Sub(f.learned).Seconds() / factorHalfLife.Seconds())
+		f.prompt = 1 + (orOne(f.prompt)-1)*keep
+		f.decode = 1 + (orOne(f.decode)-1)*keep
+	}
+	f.learned = now
 }
 
 func orOne(f float64) float64 {
@@ -34,14 +48,15 @@
 }
 
 // learn moves a factor towards what an answer shows: the ratio of the observed
-// to the predicted time, times the part of the factor that the prediction contained.
-func learn(f, applied, ratio, weight float64) float64 {
+// to the predicted time, times the part of the factor that the prediction
+// contained. most bounds the difference that one answer may show.
+func learn(f, applied, ratio, weight, most float64) float64 {
 	shown := min(max(applied*ratio, leastFactor), mostFactor)
-	return orOne(f) + weight*(shown-orOne(f))
+	return orOne(f) + weight*min(max(shown-orOne(f), -most), most)
 }
 
 func ratioOf(observed, predicted time.Duration) float64 {
-	if observed <= 0 || predicted <= 0 {
+	if predicted <= 0 {
 		return 1
 	}
 	return min(max(float64(observed)/float64(predicted), leastFactor), mostFactor)
@@ -55,8 +70,7 @@
 type calibration struct {
 	class       *factors // shared by the runners of the class
 	runner      factors
-	learned     time.Time // of the runner's factors
-	peakPrefill float64   // highest rate reported lately, for classes that declare none
+	peakPrefill float64 // highest rate reported lately, for classes that declare none
 	peakDecode  float64
 }
 
@@ -69,7 +83,8 @@
 
 // apply puts the measured rates in place of the declared ones.
 func (c *calibration) apply(out *Runner, now time.Time) {
-	prompt, decode := c.slow(c.runner.prompt, now), c.slow(c.runner.decode, now)
+	c.fade(now)
+	prompt, decode := slow(c.runner.prompt), slow(c.runner.decode)
 	if c.class != nil {
 		prompt *= wrong(c.class.prompt)
 		decode *= wrong(c.class.decode)
@@ -79,6 +94,13 @@
 	out.Engine.StreamRate /= decode
 }
 
+func (c *calibration) fade(now time.Time) {
+	c.runner.fade(now)
+	if c.class != nil {
+		c.class.fade(now)
+	}
+}
+
 // wrong gives a class's factor if it is beyond what chance and choice explain.
 func wrong(f float64) float64 {
 	if f == 0 || (f >= wrongBelow && f <= wrongAbove) {
@@ -87,39 +109,36 @@
 	return f
 }
 
-// slow gives a runner's own factor if it counts. It fades, so that a runner
-// that was left for being slow is tried again.
-func (c *calibration) slow(f float64, now time.Time) float64 {
+// slow gives a runner's own factor if it counts.
+func slow(f float64) float64 {
 	if f <= slowAbove {
 		return 1
 	}
-	return 1 + (f-1)*math.Exp2(-now.Sub(c.learned).Seconds()/slowHalfLife.Seconds())
+	return f
 }
 
 func (c *calibration) learnPrompt(now time.Time, ratio float64) {
-	own := c.slow(c.runner.prompt, now)
-	c.runner.prompt = learn(c.runner.prompt, own, ratio, runnerWeight)
+	c.fade(now)
+	c.runner.prompt = learn(c.runner.prompt, slow(c.runner.prompt), ratio, runnerWeight, mostFactor)
 	if c.class != nil {
-		c.class.prompt = learn(c.class.prompt, wrong(c.class.prompt), ratio, classWeight)
+		c.class.prompt = learn(c.class.prompt, wrong(c.class.prompt), ratio, classWeight, classStep)
 	}
-	c.learned = now
 }
 
 func (c *calibration) learnDecode(now time.Time, ratio float64) {
-	own := c.slow(c.runner.decode, now)
-	c.runner.decode = learn(c.runner.decode, own, ratio, runnerWeight)
+	c.fade(now)
+	c.runner.decode = learn(c.runner.decode, slow(c.runner.decode), ratio, runnerWeight, mostFactor)
 	if c.class != nil {
-		c.class.decode = learn(c.class.decode, wrong(c.class.decode), ratio, classWeight)
+		c.class.decode = learn(c.class.decode, wrong(c.class.decode), ratio, classWeight, classStep)
 	}
-	c.learned = now
 }
 
 // expectation is what was predicted of a request when it was sent.
 type expectation struct {
 	sent, first, last time.Time // last: of the newest token
-	predictedFirst    time.Duration
 	predictedGap      time.Duration
-	promptTime        time.Duration // part of predictedFirst that prompts take
+	promptTime        time.Duration // predicted until the prompt is computed; zero: not at this runner
+	step              time.Duration // predicted from then on to the first token
 }
 
 // look fills the view of one runner as of now. It is false if the runner is not configured.
@@ -145,9 +164,9 @@
 	q := Request{PromptTokens: max(s.PromptTokens-s.CachedTokens, 1), ExpectedOut: s.ExpectedOut}
 	p := Predict(&q, &view)
 	e.predictedGap = p.Between
-	if s.Prefill == "" {
-		e.predictedFirst = p.FirstToken
-		e.promptTime = seconds((view.QueuedPrefill + float64(q.PromptTokens)) / view.promptRate())
+	if s.Prefill == "" && view.QueuedPrefill <= mostQueued*float64(q.PromptTokens) {
+		e.step = seconds(view.step(view.Running + 1))
+		e.promptTime = p.FirstToken - e.step
 	}
 	return e
 }
@@ -170,7 +189,7 @@
 	}
 	e.first = now
 	if e.promptTime >= leastPromptTime {
-		r.rates.learnPrompt(now, ratioOf(now.Sub(e.sent), e.predictedFirst))
+		r.rates.learnPrompt(now, ratioOf(now.Sub(e.sent)-e.step, e.promptTime))
 	}
 }
 
