Break streams across zones, count what a fault broke, and test it small

The first zone has one runner and no service, so that a cut of the zone meets streams that cross it. Callers stop some answers after the fault was healed, not by the clock. A keyed request that stays unknown because its claim names the former life of a crashed runner is counted apart from one that ran there.

--- a/internal/bench/faults/caller.go
+++ b/internal/bench/faults/caller.go
@@ -44,6 +44,8 @@
 func (k kind) mayRunTwice() bool { return k == kindAgain || k == kindTile }
 
 const (
+	maxAttempts  = 200
+	triesHealed  = 8 // answers that a caller takes after the fault was healed
 	wholeEvery   = 4 // every so many-th round of the mix asks for answers that are not streamed
 	serviceBytes = 40 << 10
 	pauseLeast   = 100 * time.Millisecond
@@ -72,14 +74,13 @@
 
 // caller makes one request and repeats it where that is allowed.
 type caller struct {
-	f       *fleet
-	p       profile
-	number  int
-	kind    kind
-	rng     *rand.Rand
-	open    *atomic.Int64 // attempts under way, of all callers
-	client  http.RoundTripper
-	started time.Time
+	f      *fleet
+	p      profile
+	number int
+	kind   kind
+	rng    *rand.Rand
+	open   *atomic.Int64 // attempts under way, of all callers
+	client http.RoundTripper
 }
 
 func newCaller(f *fleet, p profile, number int, open *atomic.Int64) *caller {
@@ -91,15 +92,21 @@
 	}
 }
 
-// run asks until the answer is whole or final, or the caller's patience ends.
+// run asks until the answer is whole or final, or for some time after the fault
+// was healed.
 func (c *caller) run(ctx context.Context) story {
-	c.started = time.Now()
 	s := story{id: fmt.Sprintf("s%d-r%d", c.p.seed, c.number), kind: c.kind}
-	at := c.rng.IntN(zoneCount)
+	at, left := c.rng.IntN(zoneCount), triesHealed
 	for n := 0; ; n++ {
 		a := c.attempt(ctx, s.id, n, (at+n)%zoneCount)
 		s.attempts = append(s.attempts, a)
-		if !c.asksAgain(a.outcome) || time.Since(c.started) > c.p.patience {
+		if !c.asksAgain(a.outcome) {
+			return s
+		}
+		if a.outcome != outcomeUnreached && c.f.healed.Load() {
+			left--
+		}
+		if left == 0 || n > maxAttempts {
 			return s
 		}
 		time.Sleep(pauseLeast + time.Duration(c.rng.Int64N(int64(pauseSpread))))
@@ -126,11 +133,14 @@
 	if n > 0 && c.kind == kindKeyed {
 		a.before = c.f.ran(a.mark)
 	}
-	ctx, cancel := context.WithTimeout(ctx, c.p.patience)
+	ctx, cancel := context.WithTimeout(ctx, c.p.perAttempt)
 	defer cancel()
 	c.open.Add(1)
 	a.outcome, a.detail = c.send(ctx, a.mark, gateway)
 	c.open.Add(-1)
+	if a.outcome != outcomeWhole && ctx.Err() != nil {
+		a.outcome = outcomeLeft
+	}
 	a.killed = c.f.isKilled(gateway)
 	if a.outcome == outcomeNotRun {
 		a.after = c.f.ran(a.mark)
--- a/internal/bench/faults/command.go
+++ b/internal/bench/faults/command.go
@@ -14,17 +14,20 @@
 	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
 )
 
 // Shape of the load of a full measurement.
 const (
-	fullRamp     = time.Second
-	fullTokens   = 160
-	fullRate     = 60 // tokens a second of a lone stream
-	fullOutage   = 2500 * time.Millisecond
-	fullPatience = 15 * time.Second
-	lateShare    = 5 // one more request for each so many begins around the fault
+	fullRamp    = time.Second
+	fullTokens  = 160
+	fullRate    = 60 // tokens a second of a lone stream
+	fullOutage  = 2500 * time.Millisecond
+	fullAttempt = 30 * time.Second
+	leastBatch  = 8
+	batchShare  = 7 // a runner takes one in so many streams at once
+	lateShare   = 5 // one more request for each so many begins around the fault
 )
 
 // Command is the measurement "faults" of ragwort-bench.
@@ -32,25 +35,28 @@
 	Streams int    `long:"streams" default:"500" description:"requests under way when the fault strikes; a fifth more begin around it"`
 	Seed    uint64 `long:"seed" default:"1" description:"of the callers' choices"`
 	Rounds  int    `long:"rounds" default:"1" description:"rounds, each with the next seed"`
-	Fault   string `long:"fault" description:"only this one: runner, gateway, zone, gateway+runner, gateway+zone or platform+gateway"`
+	Fault   string `long:"fault" description:"only this one: runner, gateway, zone, zone for long, gateway+runner, gateway+zone or platform+gateway"`
 	JSON    bool   `long:"json" description:"print JSON"`
 }
 
 // profile shapes the load of one fault.
 type profile struct {
-	streams  int
-	ramp     time.Duration // in which the streams begin
-	tokens   int           // of each answer
-	rate     float64       // tokens a second of a lone stream
-	outage   time.Duration // until what was broken comes back, other than a killed gateway
-	patience time.Duration // of a caller
-	seed     uint64
+	streams     int
+	ramp        time.Duration // in which the streams begin
+	tokens      int           // of each answer
+	rate        float64       // tokens a second of a lone stream
+	outage      time.Duration // until what was broken comes back, other than a killed gateway
+	perAttempt  time.Duration // longest wait for one answer
+	heartbeatMS int           // between gateways
+	seed        uint64
 }
 
-// cost is the cost model of the runners.
+// cost is the cost model of the runners. All together they have just room for the
+// streams.
 func (p profile) cost() runner.Cost {
+	maxBatch := max(leastBatch, p.streams/batchShare)
 	return runner.Cost{
-		PrefillRate: prefillRate, StreamRate: p.rate, DecodeRate: p.rate * maxBatch * fullBatch,
+		PrefillRate: prefillRate, StreamRate: p.rate, DecodeRate: p.rate * float64(maxBatch) * fullBatch,
 		MaxBatch: maxBatch, KVTokens: kvTokens, KVTransferRate: prefillRate,
 	}
 }
@@ -70,6 +76,7 @@
 	Fault    string `json:"fault"`
 	Seed     uint64 `json:"seed"`
 	Requests int64  `json:"requests"`
+	Broken   int    `json:"broken"` // connections to upstreams that the fault broke while they carried an answer
 }
 
 // Execute implements flags.Commander.
@@ -113,7 +120,7 @@
 		for round := range c.Rounds {
 			p := profile{
 				streams: c.Streams, ramp: fullRamp, tokens: fullTokens, rate: fullRate,
-				outage: fullOutage, patience: fullPatience, seed: c.Seed + uint64(round),
+				outage: fullOutage, perAttempt: fullAttempt, heartbeatMS: settings.DefaultHeartbeatMS, seed: c.Seed + uint64(round),
 			}
 			if err := result.add(ctx, struck, p); err != nil {
 				return result, err
@@ -134,8 +141,8 @@
 	}
 	defer f.close()
 	stories, open := f.load(ctx, struck, p)
-	f.healing.Wait()
-	r.Open = append(r.Open, Open{Fault: struck.name, Seed: p.seed, Requests: open})
+	open.Seed = p.seed
+	r.Open = append(r.Open, open)
 	for _, k := range kinds {
 		t := &tally{f: f, row: Row{Fault: struck.name, Kind: string(k)}}
 		for _, s := range stories {
@@ -164,7 +171,7 @@
 
 // load runs all callers through one fault. The fault strikes when the streams are
 // all under way; further callers come a little before and after it.
-func (f *fleet) load(ctx context.Context, struck fault, p profile) (stories []story, open int64) {
+func (f *fleet) load(ctx context.Context, struck fault, p profile) (stories []story, open Open) {
 	late := p.streams / lateShare
 	stories = make([]story, p.streams+late)
 	var under atomic.Int64
@@ -183,23 +190,25 @@
 		begin(p.streams+i, p.ramp+around*time.Duration(i)/time.Duration(late))
 	}
 	time.Sleep(p.ramp + around/2)
-	open = under.Load()
-	struck.strike(f, p.outage)
+	open.Fault, open.Requests = struck.name, under.Load()
+	open.Broken = struck.strike(f, p.outage)
+	f.healing.Wait()
+	f.healed.Store(true)
 	callers.Wait()
 	return stories, open
 }
 
 func (r Result) print(w io.Writer) {
 	fmt.Fprintf(w, "%d streams and a fifth more around the fault, seed %d; attempts and refusals count each asking\n", r.Streams, r.Seed)
-	fmt.Fprintf(w, "%-17s %-19s %5s %5s %5s %7s %7s %4s %6s %9s %4s %5s | %8s %8s %5s %7s %8s\n", "fault", "kind", "asked", "tries",
-		"whole", "not-run", "unknown", "ran", "broken", "gw-killed", "cut", "wrong", "refusals", "wrong-nr", "twice", "unk-ran", "lost-run")
+	fmt.Fprintf(w, "%-17s %-19s %5s %5s %5s %7s %7s %4s %6s %9s %4s %4s %5s | %8s %8s %5s %7s %8s %8s\n", "fault", "kind", "asked", "tries",
+		"whole", "not-run", "unknown", "ran", "broken", "gw-killed", "left", "cut", "wrong", "refusals", "wrong-nr", "twice", "unk-ran", "lost-run", "lost-clm")
 	for _, row := range r.Rows {
-		fmt.Fprintf(w, "%-17s %-19s %5d %5d %5d %7d %7d %4d %6d %9d %4d %5d | %8d %8d %5d %7d %8d\n", row.Fault, row.Kind,
+		fmt.Fprintf(w, "%-17s %-19s %5d %5d %5d %7d %7d %4d %6d %9d %4d %4d %5d | %8d %8d %5d %7d %8d %8d\n", row.Fault, row.Kind,
 			row.Requests, row.Attempts, row.Whole, row.NotRun+row.Unreached, row.Unknown, row.Ran, row.Broken, row.CutByKill,
-			row.Cut, row.WrongText, row.NotRunAnswers, row.WrongNotRun, row.Doubled, row.UnknownRan, row.LostWithRunner)
+			row.Left, row.Cut, row.WrongText, row.NotRunAnswers, row.WrongNotRun, row.Doubled, row.UnknownRan, row.LostWithRunner, row.LostWithClaim)
 	}
 	for _, o := range r.Open {
-		fmt.Fprintf(w, "under way when %s struck (seed %d): %d\n", o.Fault, o.Seed, o.Requests)
+		fmt.Fprintf(w, "%s, seed %d: %d requests under way when it struck, %d connections broken that carried an answer\n", o.Fault, o.Seed, o.Requests, o.Broken)
 	}
 	for _, note := range r.Notes {
 		fmt.Fprintln(w, "MISS", note)
--- a/internal/bench/faults/fault.go
+++ b/internal/bench/faults/fault.go
@@ -6,41 +6,45 @@
 	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
 )
 
-// fault is one thing that goes wrong in the middle of the streams.
+// fault is one thing that goes wrong in the middle of the streams. Its strike
+// tells how many connections it broke that were carrying an answer.
 type fault struct {
 	name   string
-	strike func(f *fleet, outage time.Duration)
+	strike func(f *fleet, outage time.Duration) (broken int)
 }
 
-// The gateway, zone and runners that faults hit.
+// What faults hit.
 const (
-	hitZone     = 0
-	otherZone   = 1
-	hitRunner   = 0 // in hitZone
-	otherRunner = 1 // in otherZone
+	hitZone   = 0 // and its gateway
+	otherZone = 2 // and its gateway, if two faults come at once
+	longer    = 3 // times the outage; more than a gateway tries to resume a stream or waits for a claim
+	hitRunner = 1 // not in hitZone; it has streams of its own zone's gateway and of hitZone's
 )
 
 // faults are measured one after the other, each with a fleet of its own.
 var faults = []fault{
-	{"runner", func(f *fleet, outage time.Duration) { f.crash(hitRunner, outage) }},
-	{"gateway", func(f *fleet, _ time.Duration) { f.kill(hitZone) }},
-	{"zone", func(f *fleet, outage time.Duration) { f.cutZone(hitZone, outage) }},
-	{"gateway+runner", func(f *fleet, outage time.Duration) {
-		f.kill(hitZone)
-		f.crash(otherRunner, outage)
+	{"runner", func(f *fleet, outage time.Duration) int { return f.crash(hitRunner, outage) }},
+	{"gateway", func(f *fleet, _ time.Duration) int { return f.kill(hitZone) }},
+	{"zone", func(f *fleet, outage time.Duration) int { return f.cutZone(hitZone, outage) }},
+	{"zone for long", func(f *fleet, outage time.Duration) int { return f.cutZone(hitZone, longer*outage) }},
+	{"gateway+runner", func(f *fleet, outage time.Duration) int {
+		return f.kill(hitZone) + f.crash(hitRunner, outage)
 	}},
-	{"gateway+zone", func(f *fleet, outage time.Duration) {
-		f.kill(hitZone)
-		f.cutZone(otherZone, outage)
+	{"gateway+zone", func(f *fleet, outage time.Duration) int {
+		return f.kill(otherZone) + f.cutZone(hitZone, outage)
 	}},
-	{"platform+gateway", func(f *fleet, outage time.Duration) {
-		f.platformOut(outage)
-		f.kill(hitZone)
+	{"platform+gateway", func(f *fleet, outage time.Duration) int {
+		f.platformOut(longer * outage)
+		return f.kill(hitZone)
 	}},
 }
 
 // crash ends a runner's process, which comes back after down with nothing kept.
-func (f *fleet) crash(i int, down time.Duration) {
+func (f *fleet) crash(i int, down time.Duration) int {
+	broken := 0
+	for _, m := range f.gateways {
+		broken += m.runners[i].streaming()
+	}
 	f.mu.Lock()
 	f.crashed = append(f.crashed, i)
 	f.mu.Unlock()
@@ -53,28 +57,33 @@
 			m.runners[i].heal()
 		}
 	})
+	return broken
 }
 
 // kill takes every connection from a gateway for good, at once and without drain.
 // Its memory lives on, but nothing it does can be seen from outside any more,
 // which is what the end of its process looks like to all others.
-func (f *fleet) kill(i int) {
+func (f *fleet) kill(i int) int {
 	m := f.gateways[i]
 	f.mu.Lock()
 	m.killed = true
 	f.mu.Unlock()
+	broken := streaming(m.runners) + streaming(m.services)
 	for _, l := range m.links() {
 		l.cut()
 	}
 	for _, other := range f.others(i) {
 		other.peers.cutFrom(gatewayName(i))
 	}
+	return broken
 }
 
 // cutZone parts a zone from the other zones and from the platform. Its callers
 // still reach its gateway, and the gateway its zone's upstreams.
-func (f *fleet) cutZone(i int, outage time.Duration) {
-	across := f.across(i)
+func (f *fleet) cutZone(i int, outage time.Duration) int {
+	here, across := f.gateways[i], f.across(i)
+	broken := streaming(across)
+	across = append(across, here.platform, here.peers)
 	for _, l := range across {
 		l.cut()
 	}
@@ -89,12 +98,20 @@
 			other.peers.healFrom(gatewayName(i))
 		}
 	})
+	return broken
 }
 
-// across are the links between a zone and what is outside of it.
+func streaming(links []*link) int {
+	n := 0
+	for _, l := range links {
+		n += l.streaming()
+	}
+	return n
+}
+
+// across are the links between a zone's gateway or upstreams and those outside of it.
 func (f *fleet) across(zone int) []*link {
-	here := f.gateways[zone]
-	out := []*link{here.platform, here.peers}
+	var out []*link
 	for g, m := range f.gateways {
 		for r, l := range m.runners {
 			if (g == zone) != (zoneOf(r) == zone) {
@@ -102,7 +119,7 @@
 			}
 		}
 		for s, l := range m.services {
-			if (g == zone) != (s == zone) {
+			if (g == zone) != (zoneOfService(s) == zone) {
 				out = append(out, l)
 			}
 		}
@@ -152,6 +169,12 @@
 	return n
 }
 
+func (f *fleet) anyCrashed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.crashed) > 0
+}
+
 // ranAtCrashed tells whether a marker ran at a runner that crashed.
 func (f *fleet) ranAtCrashed(mark string) bool {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/bench/faults/faults_test.go
@@ -0,0 +1,215 @@
+package faults
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/service"
+)
+
+const (
+	testStreams = 60
+	testLimit   = 20 * time.Second
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// TestFaultsMidStream runs the measurement small. Whatever breaks, nothing runs
+// twice, no "not run" is wrong, no living gateway leaves a caller without an
+// answer, and a keyed request whose runner lives ends whole.
+func TestFaultsMidStream(t *testing.T) {
+	for _, struck := range faults {
+		t.Run(struck.name, func(t *testing.T) {
+			var r Result
+			p := profile{
+				streams: testStreams, ramp: 200 * time.Millisecond, tokens: 45, rate: 60, outage: 500 * time.Millisecond,
+				perAttempt: testLimit, heartbeatMS: 50, seed: 1,
+			}
+			if err := r.add(context.Background(), struck, p); err != nil {
+				t.Fatal(err)
+			}
+			if r.Misses > 0 {
+				t.Errorf("%d misses:\n%s", r.Misses, strings.Join(r.Notes, "\n"))
+			}
+			if r.Open[0].Requests < testStreams/2 || r.Open[0].Broken == 0 {
+				t.Errorf("%+v; the fault struck no streams", r.Open[0])
+			}
+			whole, ended := 0, 0
+			for _, row := range r.Rows {
+				whole += row.Whole
+				ended += row.Whole + row.NotRun + row.Unknown + row.Ran + row.Broken + row.CutByKill + row.Left + row.Unreached
+			}
+			if ended != testStreams*(lateShare+1)/lateShare || whole < ended/2 {
+				t.Errorf("%d requests ended, %d whole; want %d and at least half of them", ended, whole, testStreams*(lateShare+1)/lateShare)
+			}
+		})
+	}
+}
+
+// ledgerOf is a fleet of one service upstream at which the marks were executed.
+func ledgerOf(marks ...string) *fleet {
+	s := service.New(service.Config{Name: "van"})
+	for _, mark := range marks {
+		request := httptest.NewRequest(http.MethodPost, "/van", nil)
+		request.Header.Set(service.HeaderMark, mark)
+		s.Handler().ServeHTTP(httptest.NewRecorder(), request)
+	}
+	return &fleet{services: []*service.Service{s}}
+}
+
+func TestTallyFindsMisses(t *testing.T) {
+	tests := map[string]struct {
+		ran   []string
+		story story
+		want  Row
+	}{
+		"whole": {
+			[]string{"m"}, story{"r", kindOnce, []attempt{{mark: "m"}}}, Row{Whole: 1},
+		},
+		"ran twice": {
+			[]string{"m", "m"}, story{"r", kindOnce, []attempt{{mark: "m"}}}, Row{Whole: 1, Doubled: 1},
+		},
+		"repeating ran twice": {
+			[]string{"m", "m"}, story{"r", kindAgain, []attempt{{mark: "m"}}}, Row{Whole: 1},
+		},
+		"keyed ran twice": {
+			[]string{"m", "m"}, story{"r", kindKeyed, []attempt{{mark: "m", outcome: outcomeCut, killed: true}, {mark: "m"}}},
+			Row{Whole: 1, Doubled: 1},
+		},
+		"wrong not-run, then again": {
+			[]string{"m1", "m2"}, story{"r", kindCall, []attempt{{mark: "m1", outcome: outcomeNotRun}, {mark: "m2"}}},
+			Row{Whole: 1, NotRunAnswers: 1, WrongNotRun: 1, Doubled: 1},
+		},
+		"true not-run": {
+			[]string{"m2"}, story{"r", kindCall, []attempt{{mark: "m1", outcome: outcomeNotRun}, {mark: "m2"}}},
+			Row{Whole: 1, NotRunAnswers: 1},
+		},
+		"keyed not-run after it ran": {
+			[]string{"m"}, story{"r", kindKeyed, []attempt{{mark: "m", outcome: outcomeCut, killed: true}, {mark: "m", outcome: outcomeNotRun, before: 1}, {mark: "m"}}},
+			Row{Whole: 1, NotRunAnswers: 1, WrongNotRun: 1},
+		},
+		"keyed not-run, then an open attempt ran": {
+			[]string{"m"}, story{"r", kindKeyed, []attempt{{mark: "m", outcome: outcomeCut, killed: true}, {mark: "m", outcome: outcomeNotRun, after: 1}, {mark: "m"}}},
+			Row{Whole: 1, NotRunAnswers: 1},
+		},
+		"unknown": {
+			[]string{"m"}, story{"r", kindOnce, []attempt{{mark: "m", outcome: outcomeUnknown}}}, Row{Unknown: 1, UnknownRan: 1},
+		},
+		"cut by a living gateway": {
+			nil, story{"r", kindOnce, []attempt{{mark: "m", outcome: outcomeCut}}}, Row{Cut: 1},
+		},
+		"cut by a killed gateway": {
+			nil, story{"r", kindOnce, []attempt{{mark: "m", outcome: outcomeCut, killed: true}}}, Row{CutByKill: 1},
+		},
+		"wrong text": {
+			nil, story{"r", kindOnce, []attempt{{mark: "m", outcome: outcomeWrongText}}}, Row{WrongText: 1},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ta := tally{f: ledgerOf(test.ran...)}
+			ta.add(test.story)
+			test.want.Requests, test.want.Attempts = 1, len(test.story.attempts)
+			if ta.row != test.want {
+				t.Errorf("got  %+v\nwant %+v", ta.row, test.want)
+			}
+			if noted := len(ta.notes) > 0; noted != (ta.row.Misses() > 0) {
+				t.Errorf("%d misses, notes %v", ta.row.Misses(), ta.notes)
+			}
+		})
+	}
+}
+
+func TestReadEvents(t *testing.T) {
+	const token = `data: {"choices":[{"text":"air "}]}` + "\n\n"
+	tests := map[string]struct {
+		body string
+		want outcome
+	}{
+		"whole":      {token + "data: [DONE]\n\n", outcomeWhole},
+		"no marker":  {token, outcomeCut},
+		"told":       {token + `data: {"error":{"kind":"answer_incomplete","run":"ran"}}` + "\n\n", outcomeRan},
+		"unknown":    {`data: {"error":{"kind":"outcome_unknown","run":"unknown"}}` + "\n\n", outcomeUnknown},
+		"not run":    {`data: {"error":{"kind":"no_upstream","run":"not-run"}}` + "\n\n", outcomeNotRun},
+		"not a JSON": {"data: {\n\n", outcomeWrongText},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if _, got, detail := readEvents(strings.NewReader(test.body)); got != test.want {
+				t.Errorf("got %d (%s), want %d", got, detail, test.want)
+			}
+		})
+	}
+}
+
+// echoServer answers every connection with what it sends.
+func echoServer(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestCutLinkBreaksAndRefusesUntilHealed(t *testing.T) {
+	l, err := newLink(echoServer(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.close()
+	open := func() net.Conn {
+		c, err := net.Dial("tcp", l.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		_ = c.SetDeadline(time.Now().Add(testLimit))
+		if _, err := c.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	c := open()
+	if n := l.streaming(); n != 1 {
+		t.Errorf("%d connections streaming, want 1", n)
+	}
+	l.cut()
+	l.cut()
+	if _, err := c.Read(make([]byte, 1)); err == nil {
+		t.Error("the connection outlived the cut")
+	}
+	if _, err := net.Dial("tcp", l.address); err == nil || !neverSent(err) {
+		t.Errorf("error %v, want a refused dial", err)
+	}
+	l.heal()
+	if _, err := net.Dial("tcp", l.address); err == nil {
+		t.Error("one of two cuts was healed and the link is open")
+	}
+	l.heal()
+	open()
+}
--- a/internal/bench/faults/fleet.go
+++ b/internal/bench/faults/fleet.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,31 +25,32 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
-// Names and sizes of the fleet. Each zone has one gateway, three runners and one
-// upstream of the plain service.
+// Names and sizes of the fleet. Each zone has one gateway. The first zone has one
+// runner and no upstream of the plain service, so that most of what its gateway
+// carries crosses into the other two, which have four runners and one upstream each.
 const (
-	zoneCount   = 3
-	runnerCount = 9
-	engineName  = "engine"
-	modelName   = "smoke-desk"
-	versionName = "smoke-desk-v1"
-	onceRoute   = "alert"
-	againRoute  = "chat"
-	accountName = "clinic"
-	apiKey      = "key-of-the-clinic"
-	peerKeyEnv  = "RAGWORT_FAULTS_PEER_KEY"
-	writer      = "bench"
+	zoneCount    = 3
+	runnerCount  = 9
+	serviceCount = zoneCount - 1
+	engineName   = "engine"
+	modelName    = "smoke-desk"
+	versionName  = "smoke-desk-v1"
+	onceRoute    = "alert"
+	againRoute   = "chat"
+	accountName  = "clinic"
+	apiKey       = "key-of-the-clinic"
+	peerKeyEnv   = "RAGWORT_FAULTS_PEER_KEY"
+	writer       = "bench"
 
-	heartbeatMS   = 250
 	balancerMS    = 10
-	drainMS       = 2000
+	drainMS       = 200
 	readyLimit    = 60 * time.Second
 	readyEvery    = 20 * time.Millisecond
 	plentyPerSec  = 1e5
-	maxBatch      = 64
 	kvTokens      = 1 << 20
 	contextTokens = 8192
 	prefillRate   = 1e5
+	firstTokenMS  = 300 // of the routes; a fuller runner of the own zone is passed over
 	fullBatch     = 0.8 // share of a lone stream's rate that each stream of a full batch gets
 )
 
@@ -56,7 +58,17 @@
 func gatewayName(i int) string { return fmt.Sprintf("gateway-%c", 'a'+i) }
 func runnerName(i int) string  { return fmt.Sprintf("runner-%d", i+1) }
 func serviceName(i int) string { return fmt.Sprintf("van-%d", i+1) }
-func zoneOf(runner int) int    { return runner % zoneCount }
+
+// zoneOf gives the zone of a runner.
+func zoneOf(runner int) int {
+	if runner == 0 {
+		return 0
+	}
+	return 1 + runner%(zoneCount-1)
+}
+
+// zoneOfService gives the zone of an upstream of the plain service.
+func zoneOfService(upstream int) int { return 1 + upstream }
 
 // servicePath is the path by which callers of one gateway reach the service. It
 // differs between gateways, so that each has links of its own to the upstreams.
@@ -73,6 +85,7 @@
 	mu      sync.Mutex
 	crashed []int // runners
 	healing sync.WaitGroup
+	healed  atomic.Bool // what comes back after the fault has come back
 }
 
 // member is one gateway with its links.
@@ -125,7 +138,7 @@
 		return err
 	}
 	for i := range zoneCount {
-		if err := f.startGateway(i); err != nil {
+		if err := f.startGateway(i, p); err != nil {
 			return err
 		}
 	}
@@ -149,7 +162,7 @@
 		}
 		out.runners = append(out.runners, url[len("http://"):])
 	}
-	for i := range zoneCount {
+	for i := range serviceCount {
 		s := service.New(service.Config{Name: serviceName(i)})
 		s.SetFaults(service.Faults{DelayMS: int(p.ramp.Milliseconds()) / 2, ChunkDelayMS: int(p.ramp.Milliseconds()) / 20})
 		f.services = append(f.services, s)
@@ -165,20 +178,16 @@
 // newMember opens the links of one gateway.
 func newMember(f *fleet, to upstreams) (*member, error) {
 	m := &member{}
-	open := func(target string, err error) (*link, error) {
-		if err != nil {
-			return nil, err
-		}
-		return newLink(target)
-	}
 	var err error
-	m.callers, err = open("", nil)
-	m.peers, err = open("", err)
-	m.platform, err = open(f.platform.URL[len("http://"):], err)
-	if err != nil {
+	if m.callers, err = newLink(""); err != nil {
+		return nil, err
+	}
+	if m.peers, err = newPeerLink(); err != nil {
+		return nil, err
+	}
+	if m.platform, err = newLink(f.platform.URL[len("http://"):]); err != nil {
 		return nil, err
 	}
-	m.peers.identify = func() *dialerName { return &dialerName{} }
 	for _, address := range to.runners {
 		l, err := newLink(address)
 		if err != nil {
@@ -197,7 +206,7 @@
 }
 
 // startGateway makes and runs the gateway of a zone.
-func (f *fleet) startGateway(i int) error {
+func (f *fleet) startGateway(i int, p profile) error {
 	m := f.gateways[i]
 	s := &settings.Gateway{
 		Instance: settings.Instance{Name: gatewayName(i), Zone: zoneName(i)},
@@ -205,7 +214,7 @@
 		Platform: settings.Platform{Address: m.platform.url()},
 		Peer: settings.Peer{
 			Listen: settings.Listener{Address: anyPort}, Advertise: m.peers.address,
-			SharedKey: settings.Secret{Env: peerKeyEnv}, HeartbeatMS: heartbeatMS,
+			SharedKey: settings.Secret{Env: peerKeyEnv}, HeartbeatMS: p.heartbeatMS,
 		},
 		Operators: settings.Operators{Listen: settings.Listener{Address: anyPort}},
 		Stop:      settings.Stop{BalancerMS: balancerMS, DrainMS: drainMS},
@@ -222,8 +231,8 @@
 		return errors.Wrap(err, gatewayName(i))
 	}
 	m.gateway = g
-	m.callers.target = g.Addresses().Callers.String()
-	m.peers.target = g.Addresses().Peers.String()
+	m.callers.aim(g.Addresses().Callers.String())
+	m.peers.aim(g.Addresses().Peers.String())
 	ctx, stop := context.WithCancel(context.Background())
 	m.stop, m.ended = stop, make(chan error, 1)
 	go func() { m.ended <- g.Run(ctx) }()
@@ -235,6 +244,7 @@
 	cost := p.cost()
 	sum := sha256.Sum256([]byte(apiKey))
 	weights := []resource.VersionWeight{{Version: versionName, Weight: 1}}
+	onTime := resource.OnTime{FirstTokenMS: firstTokenMS}
 	type spec struct {
 		kind, name string
 		body       any
@@ -247,8 +257,8 @@
 		}},
 		{resource.KindModel, modelName, resource.Model{ContextTokens: contextTokens, WeightsGB: 1, MinPrefill: 1, MinDecode: 1, MinServing: 1}},
 		{resource.KindVersion, versionName, resource.Version{Model: modelName, Source: versionName}},
-		{resource.KindRoute, onceRoute, resource.Route{Model: modelName, Weights: weights, Priority: 5, ExpectedOut: p.tokens}},
-		{resource.KindRoute, againRoute, resource.Route{Model: modelName, Weights: weights, Priority: 3, Idempotent: true, ExpectedOut: p.tokens}},
+		{resource.KindRoute, onceRoute, resource.Route{Model: modelName, Weights: weights, OnTime: onTime, Priority: 5, ExpectedOut: p.tokens}},
+		{resource.KindRoute, againRoute, resource.Route{Model: modelName, Weights: weights, OnTime: onTime, Priority: 3, Idempotent: true, ExpectedOut: p.tokens}},
 		{resource.KindClientAccount, accountName, resource.ClientAccount{
 			KeyHashes: []string{hex.EncodeToString(sum[:])}, RequestsPerSec: plentyPerSec, Burst: plentyPerSec, MaxPriority: 9,
 		}},
@@ -264,7 +274,7 @@
 		view := resource.Service{}
 		for s, l := range m.services {
 			view.Upstreams = append(view.Upstreams, resource.ServiceUpstream{
-				Name: name + "-" + serviceName(s), Address: l.url(), Zone: zoneName(s), State: resource.RunnerServing,
+				Name: name + "-" + serviceName(s), Address: l.url(), Zone: zoneName(zoneOfService(s)), State: resource.RunnerServing,
 			})
 		}
 		specs = append(specs,
--- a/internal/bench/faults/link.go
+++ b/internal/bench/faults/link.go
@@ -1,9 +1,9 @@
 package faults
 
 import (
-	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,16 +14,17 @@
 	dialTimeout   = time.Second
 	relistenEvery = 10 * time.Millisecond
 	copyBytes     = 16 << 10
+	justNow       = 60 * time.Millisecond // some tokens of a stream
 )
 
 // link forwards TCP connections to one target. A cut link breaks the connections
 // it carries and refuses new ones, until every cut was healed.
 type link struct {
-	target   string
-	address  string
-	identify func() *dialerName // nil: who dials doesn't matter
+	address string
+	named   bool // who dials is found out, see dialerName
 
 	mu       sync.Mutex
+	target   string // empty: not known yet
 	listener net.Listener
 	cuts     int
 	closed   bool
@@ -36,7 +37,8 @@
 // pair is one forwarded connection.
 type pair struct {
 	near, far net.Conn
-	from      string // the dialer's name, if known
+	from      string       // the dialer's name, if known
+	answered  atomic.Int64 // when the target sent something last, Unix nanoseconds
 }
 
 func (p *pair) close() {
@@ -44,9 +46,14 @@
 	p.far.Close()
 }
 
-// newLink opens a forwarder. The target may be set until the first connection.
-func newLink(target string) (*link, error) {
-	l := &link{target: target, barred: map[string]int{}, pairs: map[*pair]bool{}}
+// newLink opens a forwarder to a target, which aim may give later.
+func newLink(target string) (*link, error) { return openLink(target, false) }
+
+// newPeerLink opens a forwarder to a peers' port, which can be cut for one dialer.
+func newPeerLink() (*link, error) { return openLink("", true) }
+
+func openLink(target string, named bool) (*link, error) {
+	l := &link{target: target, named: named, barred: map[string]int{}, pairs: map[*pair]bool{}}
 	listener, err := net.Listen("tcp", anyPort)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for a forwarder")
@@ -56,6 +63,13 @@
 	return l, nil
 }
 
+// aim sets the target.
+func (l *link) aim(target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.target = target
+}
+
 func (l *link) url() string { return "http://" + l.address }
 
 // serve is called with l.mu held, or before the link is known to others.
@@ -73,7 +87,10 @@
 }
 
 func (l *link) forward(near net.Conn) {
-	far, err := net.DialTimeout("tcp", l.target, dialTimeout)
+	l.mu.Lock()
+	target := l.target
+	l.mu.Unlock()
+	far, err := net.DialTimeout("tcp", target, dialTimeout)
 	if err != nil {
 		near.Close()
 		return
@@ -87,25 +104,42 @@
 	var back sync.WaitGroup
 	back.Go(func() {
 		defer p.close()
-		_, _ = io.CopyBuffer(struct{ io.Writer }{near}, far, make([]byte, copyBytes))
+		p.copyBack()
 	})
 	l.copyIn(p)
 	p.close()
 	back.Wait()
 }
 
+// copyBack forwards what the target sends.
+func (p *pair) copyBack() {
+	buffer := make([]byte, copyBytes)
+	for {
+		n, err := p.far.Read(buffer)
+		if n > 0 {
+			p.answered.Store(time.Now().UnixNano())
+			if _, werr := p.near.Write(buffer[:n]); werr != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
 // copyIn forwards what the dialer sends. It stops before the dialer's first
 // message is passed on if the link is cut for this dialer.
 func (l *link) copyIn(p *pair) {
 	var name *dialerName
-	if l.identify != nil {
-		name = l.identify()
+	if l.named {
+		name = &dialerName{}
 	}
 	buffer := make([]byte, copyBytes)
 	for {
 		n, err := p.near.Read(buffer)
 		if name != nil && name.feed(buffer[:n]) {
-			if !l.named(p, name.name) {
+			if !l.mayPass(p, name.name) {
 				return
 			}
 			name = nil
@@ -138,14 +172,27 @@
 	delete(l.pairs, p)
 }
 
-// named notes who dialed a connection. It reports whether the link lets it pass.
-func (l *link) named(p *pair, from string) bool {
+// mayPass notes who dialed a connection. It reports whether the link lets it pass.
+func (l *link) mayPass(p *pair, from string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	p.from = from
 	return l.barred[from] == 0
 }
 
+// streaming counts the connections on which the target has just sent something.
+func (l *link) streaming() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n, since := 0, time.Now().Add(-justNow).UnixNano()
+	for p := range l.pairs {
+		if p.answered.Load() > since {
+			n++
+		}
+	}
+	return n
+}
+
 // used counts the connections so far.
 func (l *link) used() int {
 	l.mu.Lock()
--- a/internal/bench/faults/outcome.go
+++ b/internal/bench/faults/outcome.go
@@ -25,6 +25,7 @@
 	outcomeRan                      // an error with run "ran"
 	outcomeBroken                   // a plain service's answer broke off after its head, and the transfer says so
 	outcomeCut                      // the connection ended and nothing was said
+	outcomeLeft                     // the caller's patience ended while it waited
 	outcomeUnreached                // no connection to the gateway; nothing was sent
 )
 
--- a/internal/bench/faults/tally.go
+++ b/internal/bench/faults/tally.go
@@ -16,22 +16,24 @@
 	Ran       int `json:"ran"`       // told that it ran and that the answer is not whole
 	Broken    int `json:"broken"`    // a service's answer, told by its broken transfer
 	CutByKill int `json:"cutByKill"` // connections of a killed gateway
+	Left      int `json:"left"`      // the caller gave up waiting
 	Unreached int `json:"unreached"` // no gateway took the request
 	Cut       int `json:"cut"`       // nothing was said, and the gateway lives
 	WrongText int `json:"wrongText"`
 
-	NotRunAnswers  int `json:"notRunAnswers"` // over all attempts
-	WrongNotRun    int `json:"wrongNotRun"`   // of them, those whose attempt did run
-	Doubled        int `json:"doubled"`       // requests that may run once and ran more often
-	UnknownRan     int `json:"unknownRan"`    // of the unknown ones, those that ran
-	LostWithRunner int `json:"lostWithRunner"`
+	NotRunAnswers  int `json:"notRunAnswers"`  // over all attempts
+	WrongNotRun    int `json:"wrongNotRun"`    // of them, those whose attempt did run
+	Doubled        int `json:"doubled"`        // requests that may run once and ran more often
+	UnknownRan     int `json:"unknownRan"`     // of the unknown ones, those that ran
+	LostWithRunner int `json:"lostWithRunner"` // keyed ones that ran at the runner that crashed
+	LostWithClaim  int `json:"lostWithClaim"`  // keyed ones that never ran and stay unknown, because a runner crashed that may have run them
 }
 
 // Misses counts what may not happen.
 func (r Row) Misses() int {
 	n := r.Cut + r.WrongText + r.WrongNotRun + r.Doubled
 	if r.Kind == string(kindKeyed) {
-		n += r.Requests - r.Whole - r.LostWithRunner
+		n += r.Requests - r.Whole - r.LostWithRunner - r.LostWithClaim
 	}
 	return n
 }
@@ -69,6 +71,8 @@
 		row.Ran++
 	case outcomeUnreached:
 		row.Unreached++
+	case outcomeLeft:
+		row.Left++
 	case outcomeWrongText:
 		row.WrongText++
 		t.miss(s, "wrong text")
@@ -76,11 +80,20 @@
 		t.addCut(s, last)
 	}
 	if last.outcome != outcomeWhole && s.kind == kindKeyed {
-		if t.f.ranAtCrashed(last.mark) {
-			row.LostWithRunner++
-		} else {
-			t.miss(s, "keyed and not whole")
-		}
+		t.addLost(s, last)
+	}
+}
+
+// addLost finds out why a keyed request did not end whole. A runner that crashed
+// took its runs along; a claim on it stays, since the run may have begun there.
+func (t *tally) addLost(s story, last attempt) {
+	switch {
+	case t.f.ranAtCrashed(last.mark):
+		t.row.LostWithRunner++
+	case t.f.anyCrashed() && last.outcome == outcomeUnknown && t.f.ran(last.mark) == 0:
+		t.row.LostWithClaim++
+	default:
+		t.miss(s, "keyed and not whole")
 	}
 }
 
@@ -147,6 +160,7 @@
 	r.Ran += o.Ran
 	r.Broken += o.Broken
 	r.CutByKill += o.CutByKill
+	r.Left += o.Left
 	r.Unreached += o.Unreached
 	r.Cut += o.Cut
 	r.WrongText += o.WrongText
@@ -155,4 +169,5 @@
 	r.Doubled += o.Doubled
 	r.UnknownRan += o.UnknownRan
 	r.LostWithRunner += o.LostWithRunner
+	r.LostWithClaim += o.LostWithClaim
 }
