--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -97,7 +97,9 @@
 
 func (f *fleet) addRunner(c runner.Config) {
 	f.t.Helper()
-	c.Cost = fastCost
+	if c.Cost == (runner.Cost{}) {
+		c.Cost = fastCost
+	}
 	c.DeduplicatesRuns = true
 	c.Loaded = []upstream.Loaded{{Model: testModel, Version: "smoke-1"}}
 	r := runner.New(c)
--- a/internal/process/gateway/lifecycle_test.go
+++ b/internal/process/gateway/lifecycle_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/ops"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	standinplatform "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
@@ -96,6 +97,15 @@
 	g.closeDown()
 }
 
+func TestStartWhileThePlatformIsOut(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"})
+	one := f.start(f.settings("gw-1"))
+	f.store.SetFault(standinplatform.Fault{Outage: true})
+	s := f.settings("gw-2")
+	s.Peer.Seeds = []string{one.Addresses().Peers.String()}
+	f.start(s).get(ask{body: completion("alert", "p", 5, true)}).wantWhole(t, answerTo("p", 5))
+}
+
 func TestCallersOverTLS(t *testing.T) {
 	sample := httptest.NewUnstartedServer(nil)
 	sample.StartTLS()
--- /dev/null
+++ b/internal/process/gateway/overload_test.go
@@ -0,0 +1,52 @@
+package gateway
+
+import (
+	"strconv"
+	"sync"
+	"testing"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// Far more requests than the runners can serve on time: each gets a whole answer
+// or a refusal that is truly not-run and says when to come back.
+func TestOverloadAnswersEveryone(t *testing.T) {
+	cost := runner.Cost{PrefillRate: 1e5, StreamRate: 400, DecodeRate: 1600, MaxBatch: 8, KVTokens: 1 << 20, KVTransferRate: 1e7}
+	f := newFleet(t, runner.Config{Name: "r1", Cost: cost}, runner.Config{Name: "r2", Cost: cost})
+	f.put(resource.KindEngine, "engine", resource.Engine{
+		DeduplicatesRuns: true, KVTokens: 1 << 20, PrefillRate: 1e5, DecodeRate: 1600, StreamRate: 400, MaxBatch: 8,
+		RoleChangeSeconds: 1, LoadSeconds: 1, KVTransferRate: 1e7,
+	})
+	f.put(resource.KindRoute, "alert", resource.Route{
+		Model: testModel, Priority: 5, ExpectedOut: 100, OnTime: resource.OnTime{FirstTokenMS: 1000, WholeMS: 3000},
+	})
+	g := f.start(f.settings("gw-1"))
+	const requests = 300
+	outcomes := make(chan reply, requests)
+	var wait sync.WaitGroup
+	for i := range requests {
+		wait.Go(func() { outcomes <- g.get(ask{body: completion("alert", "p"+strconv.Itoa(i), 100, i%2 == 0)}) })
+	}
+	wait.Wait()
+	close(outcomes)
+	whole, refused := 0, 0
+	for p := range outcomes {
+		switch {
+		case p.done:
+			whole++
+		case p.err != nil && p.err.Run == errkind.NotRun && p.header.Get(headerRetryAfter) != "":
+			refused++
+		default:
+			t.Errorf("status %d, error %+v", p.status, p.err)
+		}
+	}
+	t.Logf("%d whole, %d refused", whole, refused)
+	if whole == 0 || refused == 0 || f.runs() != whole {
+		t.Errorf("%d whole, %d refused, %d runs", whole, refused, f.runs())
+	}
+	if n := g.cores.queued(); n != 0 {
+		t.Errorf("%d requests are left in the queue", n)
+	}
+}
--- a/internal/process/gateway/service_test.go
+++ b/internal/process/gateway/service_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/service"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
@@ -76,6 +77,16 @@
 			t.Errorf("length not stated: %+v", p.err)
 		}
 	})
+	t.Run("a leaving upstream gets no new calls", func(t *testing.T) {
+		f.store.PutInstance("tiles-0", resource.Instance{Role: "upstream", Zone: testZone, State: resource.InstanceLeaving})
+		g.eventually("the platform's list is in force", func() bool { return g.snapshot().Leaving("tiles-0") })
+		for range 10 {
+			p := g.get(call(http.MethodGet, "/tiles/1", "leaving"))
+			if by := p.header.Get(service.HeaderServedBy); by != "tiles-1" {
+				t.Errorf("served by %s", by)
+			}
+		}
+	})
 	t.Run("keyed calls run once", func(t *testing.T) {
 		first := g.get(call(http.MethodPost, "/vans", "key", headerIdempotencyKey, "van-7"))
 		if first.status != http.StatusOK {
