Split the gateway's largest files by what they do

Routes of services, headers of callers, the health of upstreams and what is shared with peers have files of their own.

--- a/internal/process/gateway/cores.go
+++ b/internal/process/gateway/cores.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
-	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/admit"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/limit"
@@ -255,97 +254,6 @@
 	return c.budget.Allows(now)
 }
 
-// upstreamFailed counts a failure that is the upstream's own. It tells whether
-// the upstream was ejected by it.
-func (c *cores) upstreamFailed(now time.Time, name string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	ejected := c.outliers.Failed(now, name)
-	c.refreshSuspect(now, name)
-	return ejected
-}
-
-// upstreamWorked counts a good answer.
-func (c *cores) upstreamWorked(now time.Time, name string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.outliers.Succeeded(now, name)
-	c.refreshSuspect(now, name)
-}
-
-// refreshSuspect joins what polls, the configuration (a controller's drain mark
-// included) and outlier ejection say of a runner.
-func (c *cores) refreshSuspect(now time.Time, name string) {
-	if c.snapshot == nil {
-		return
-	}
-	if _, ok := c.snapshot.Runners[name]; ok {
-		c.tracker.Suspect(name, c.unreachable[name] || c.snapshot.Leaving(name) || c.outliers.Ejected(now, name))
-	}
-}
-
-// refreshSuspects lets ejections end.
-func (c *cores) refreshSuspects(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.snapshot == nil {
-		return
-	}
-	for name := range c.snapshot.Runners {
-		c.refreshSuspect(now, name)
-	}
-}
-
-// polled takes in what a poll of a runner gave.
-func (c *cores) polled(now time.Time, name string, state upstream.State, load upstream.LoadReport) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	state.Runner, load.Runner = name, name
-	c.tracker.Stated(state)
-	c.tracker.Reported(now, load)
-	delete(c.unreachable, name)
-	c.refreshSuspect(now, name)
-	c.tickLocked(now)
-}
-
-// pollFailed marks a runner that does not answer its polls.
-func (c *cores) pollFailed(now time.Time, name string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.unreachable[name] = true
-	c.refreshSuspect(now, name)
-	c.watched.giveUp(now, name)
-}
-
-// cacheSince is the sequence to ask a runner's cache events from.
-func (c *cores) cacheSince(name string) uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.tracker.Prefixes.Since(name)
-}
-
-// cacheEvents takes in cache events of a runner.
-func (c *cores) cacheEvents(name string, since uint64, batch upstream.CacheEvents) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.tracker.Prefixes.Apply(name, since, batch)
-}
-
-// incarnation is the last known incarnation of a runner.
-func (c *cores) incarnation(now time.Time, model, runner string) string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.snapshot == nil {
-		return ""
-	}
-	for _, r := range c.tracker.ViewModel(now, c.snapshot, model) {
-		if r.Name == runner {
-			return r.Incarnation
-		}
-	}
-	return ""
-}
-
 // explain gives one line with the scores of every candidate.
 func (c *cores) explain(now time.Time, q route.Request) string {
 	c.mu.Lock()
@@ -353,42 +261,6 @@
 	return route.Explain(now, q, c.tracker.ViewModel(now, c.snapshot, q.Model))
 }
 
-func (c *cores) demandOf(model string) *peer.DemandRow {
-	row, ok := c.demand[model]
-	if !ok {
-		row = &peer.DemandRow{Model: model}
-		c.demand[model] = row
-	}
-	return row
-}
-
-// report gives this gateway's use since the last call, for its peers.
-func (c *cores) report(now time.Time) peer.UseReport {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r := peer.UseReport{Runners: c.tracker.Report(), Accounts: c.limit.Report(now)}
-	for _, row := range c.demand {
-		r.Demand = append(r.Demand, *row)
-	}
-	clear(c.demand)
-	return r
-}
-
-// peerUse takes in another gateway's report.
-func (c *cores) peerUse(now time.Time, r *peer.UseReport) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.tracker.PeerUse(now, r.Origin, r.Runners)
-	c.limit.PeerUse(now, r.Origin, r.Accounts)
-}
-
-// setGateways tells which gateways share the account limits.
-func (c *cores) setGateways(now time.Time, names []string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.limit.SetGateways(now, names)
-}
-
 // queued is the number of calls in the admission queue.
 func (c *cores) queued() int {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/process/gateway/headers.go
@@ -0,0 +1,71 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// deadlineOf gives the caller's time limit: header, body field, or fallback.
+func deadlineOf(h http.Header, body, fallback time.Duration) (time.Duration, error) {
+	text := h.Get(headerDeadline)
+	if text == "" {
+		if body > 0 {
+			return body, nil
+		}
+		return fallback, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, invalid(headerDeadline, "is "+strconv.Quote(text)+"; allowed is a whole number of milliseconds")
+	}
+	return checkDeadline(headerDeadline, ms)
+}
+
+func checkDeadline(field string, ms int64) (time.Duration, error) {
+	if ms < 1 || ms > maxDeadline.Milliseconds() {
+		return 0, invalid(field, "is "+strconv.FormatInt(ms, 10)+
+			"; allowed are 1 to "+strconv.FormatInt(maxDeadline.Milliseconds(), 10)+" milliseconds")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// priorityOf gives the priority that the caller asked for; nil: none.
+func priorityOf(h http.Header, body *int) (*int, error) {
+	text := h.Get(headerPriority)
+	if text == "" {
+		return body, nil
+	}
+	p, err := strconv.Atoi(text)
+	if err != nil {
+		return nil, invalid(headerPriority, "is "+strconv.Quote(text)+"; allowed is a whole number")
+	}
+	if err := checkPriority(headerPriority, p); err != nil {
+		return nil, err
+	}
+	return &p, nil
+}
+
+func checkPriority(field string, p int) error {
+	if p < minPriority || p > maxPriority {
+		return invalid(field, "is "+strconv.Itoa(p)+"; allowed are "+
+			strconv.Itoa(minPriority)+" to "+strconv.Itoa(maxPriority))
+	}
+	return nil
+}
+
+// idempotencyKey reads and checks the Idempotency-Key header.
+func idempotencyKey(h http.Header) (string, error) {
+	values := h.Values(headerIdempotencyKey)
+	if len(values) == 0 {
+		return "", nil
+	}
+	if len(values) > 1 {
+		return "", invalid(headerIdempotencyKey, "is given more than once")
+	}
+	key := values[0]
+	if key == "" || len(key) > maxKeyBytes {
+		return "", invalid(headerIdempotencyKey, "must have 1 to "+strconv.Itoa(maxKeyBytes)+" bytes")
+	}
+	return key, nil
+}
