Let refused callers come back in the goodput measurement

Refusals are final and immediate and tell when to come back, so a measurement should include the callers that do.

--- a/internal/bench/goodput/command.go
+++ b/internal/bench/goodput/command.go
@@ -14,6 +14,7 @@
 	Seconds int      `long:"seconds" default:"40" description:"virtual seconds of each run; the first quarter is not counted"`
 	UseMS   int      `long:"use-ms" default:"250" description:"period of the use reports between gateways, milliseconds"`
 	Declare float64  `long:"declared" default:"1" description:"rates that the engine class declares, in parts of the actual ones"`
+	Returns int      `long:"returns" description:"times that a refused caller comes back when it is told to"`
 	Ranked  bool     `long:"priorities" description:"give alerts a higher priority than chat"`
 	JSON    bool     `long:"json" description:"print the rows as JSON"`
 }
@@ -89,7 +90,7 @@
 	s := setup{
 		zones: fleetZones, engines: fleetEngines, gateways: fleetGateways, lag: lag,
 		length: time.Duration(c.Seconds) * time.Second, warm: time.Duration(c.Seconds) * time.Second / 4,
-		blocks: 3000, declared: c.Declare, useEvery: time.Duration(c.UseMS) * time.Millisecond,
+		blocks: 3000, declared: c.Declare, returns: c.Returns, useEvery: time.Duration(c.UseMS) * time.Millisecond,
 	}
 	mix := c.mix()
 	rate := load * capacity(mix, fleetEngines)
--- a/internal/bench/goodput/system.go
+++ b/internal/bench/goodput/system.go
@@ -74,6 +74,7 @@
 		delete(s.waiting, a.ID)
 		if a.Err != nil {
 			s.w.result.refused(q)
+			s.w.comeBack(now, q, a.Err.RetryAfter)
 			continue
 		}
 		s.tracker.Sent(wall(now), route.Send{
--- a/internal/bench/goodput/workload.go
+++ b/internal/bench/goodput/workload.go
@@ -50,6 +50,7 @@
 	prompt  int
 	out     int
 	hashes  []uint64
+	tries   int // refused before, and come back
 }
 
 // trace is a list of requests in order of arrival.
--- a/internal/bench/goodput/world.go
+++ b/internal/bench/goodput/world.go
@@ -38,6 +38,7 @@
 type setup struct {
 	zones, engines, gateways int
 	lag                      time.Duration // age of reports and cache events
+	returns                  int           // times that a refused caller comes back when it is told to
 	prefills                 int           // the first engines prefill and the others decode; 0: all do both
 	kvRate                   float64       // actual rate of KV transfers, prompt tokens a second
 	declared                 float64       // declared rates in parts of the actual ones; 0: 1
@@ -276,6 +277,22 @@
 	})
 }
 
+// comeBack lets a refused caller ask again, at another gateway, after the time it was told.
+func (w *world) comeBack(now time.Duration, q *request, after time.Duration) {
+	if q.tries >= w.setup.returns || after <= 0 || now+after >= w.setup.length {
+		return
+	}
+	again := *q
+	again.tries++
+	again.id += "+"
+	again.at = now + after
+	again.gateway = (q.gateway + 1) % len(w.gateways)
+	w.at(again.at, func(now time.Duration) {
+		w.result.arrived(&again)
+		w.gateways[again.gateway].arrive(now, &again)
+	})
+}
+
 // prefill has the prompt of a request computed for another engine.
 func (w *world) prefill(now time.Duration, j *job, runner string) {
 	q := j.request
