Open a silent watch anew

A watch whose connection is dead without an error would have kept its relay from any change. One that delivers nothing for 6 s, not even a bookmark, is now opened anew. The new test fails without the bound.

--- a/internal/version/config/distributor.go
+++ b/internal/version/config/distributor.go
@@ -23,6 +23,9 @@
 	DefaultCheckEvery = 500 * time.Millisecond
 	DefaultMinBackoff = 200 * time.Millisecond
 	DefaultMaxBackoff = 5 * time.Second
+	// DefaultWatchSilence is after how long a watch that delivers nothing, not even
+	// a bookmark, is opened anew, in case its connection is dead.
+	DefaultWatchSilence = 6 * time.Second
 )
 
 // Network is what a Distributor needs of the connections to peers. Its methods
@@ -50,6 +53,8 @@
 	CheckEvery time.Duration // how often it is checked who has to watch
 	MinBackoff time.Duration // between tries at the platform
 	MaxBackoff time.Duration
+
+	WatchSilence time.Duration // a watch that delivers nothing for this long is opened anew
 }
 
 // Distributor keeps the newest configuration in force in this process. It does
@@ -76,6 +81,7 @@
 	cfg.CheckEvery = cmp.Or(cfg.CheckEvery, DefaultCheckEvery)
 	cfg.MinBackoff = cmp.Or(cfg.MinBackoff, DefaultMinBackoff)
 	cfg.MaxBackoff = cmp.Or(cfg.MaxBackoff, DefaultMaxBackoff)
+	cfg.WatchSilence = cmp.Or(cfg.WatchSilence, DefaultWatchSilence)
 	return &Distributor{cfg: cfg, core: New(cfg.Core), ready: make(chan struct{})}
 }
 
@@ -309,7 +315,7 @@
 	}
 	defer w.Close()
 	for {
-		e, err := w.Next(ctx)
+		e, err := d.next(ctx, w)
 		if err != nil {
 			return errors.Wrap(err, "watch")
 		}
@@ -320,6 +326,13 @@
 	}
 }
 
+// next waits for an event, no longer than a watch may be silent.
+func (d *Distributor) next(ctx context.Context, w platform.Watch) (platform.Event, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.cfg.WatchSilence)
+	defer cancel()
+	return w.Next(ctx)
+}
+
 func (d *Distributor) position() uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/version/config/distributor_test.go
+++ b/internal/version/config/distributor_test.go
@@ -156,6 +156,42 @@
 	}
 }
 
+// deadWatches is a store whose first watches deliver nothing and do not end.
+type deadWatches struct {
+	platform.Store
+	left int
+}
+
+type deadWatch struct{}
+
+func (s *deadWatches) Watch(ctx context.Context, kinds []string, from uint64) (platform.Watch, error) {
+	if s.left > 0 {
+		s.left--
+		return deadWatch{}, nil
+	}
+	return s.Store.Watch(ctx, kinds, from)
+}
+
+func (deadWatch) Next(ctx context.Context) (platform.Event, error) {
+	<-ctx.Done()
+	return platform.Event{}, ctx.Err()
+}
+
+func (deadWatch) Close() {}
+
+func TestDistributorOpensADeadWatchAnew(t *testing.T) {
+	store := standin.New(standin.Config{})
+	d := NewDistributor(DistributorConfig{
+		Name: "d", Zone: "z", Store: &deadWatches{store, 2},
+		MinBackoff: time.Millisecond, MaxBackoff: time.Millisecond, WatchSilence: 100 * time.Millisecond,
+	})
+	d.Start()
+	defer d.Close()
+	<-d.Ready()
+	create(t, store, "a")
+	eventually(t, "a change after dead watches", hasModel(d, "a"))
+}
+
 func TestDistributorsShareTwoWatches(t *testing.T) {
 	store := standin.New(standin.Config{})
 	create(t, store, "a")
