Correct KV memory and remaining output by what was sent since the report

The view took the reported KV memory as it was, and counted the remaining output of this gateway's own streams only. Both now follow the corrected number of streams. The bound stated for gateways that are all cut off has its test.

--- a/internal/request/limit/core_test.go
+++ b/internal/request/limit/core_test.go
@@ -219,6 +219,48 @@
 	})
 }
 
+// TestFallbackBound cuts every gateway off from every other one.
+func TestFallbackBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 8).Draw(t, "gateways")
+		spec := resource.ClientAccount{
+			RequestsPerSec: float64(rapid.IntRange(1, 20).Draw(t, "rate")),
+			Burst:          rapid.IntRange(1, 20).Draw(t, "burst"),
+			TokensInFlight: 100,
+		}
+		var names []string
+		for i := range n {
+			names = append(names, fmt.Sprintf("g%d", i))
+		}
+		cut := start.Add(time.Minute)
+		admitted, tokens := 0, 0
+		for _, name := range names {
+			c := New(Config{Self: name})
+			c.SetGateways(start, names)
+			for step := range 50 {
+				now := cut.Add(time.Duration(step) * 100 * time.Millisecond)
+				for range rapid.IntRange(0, 10).Draw(t, "tries") {
+					if c.Admit(now, "a", spec, 3) == nil {
+						admitted++
+						tokens += 3
+						if step%2 == 0 {
+							c.Done(now, "a", 3)
+							tokens -= 3
+						}
+					}
+				}
+			}
+		}
+		bound := max(float64(spec.Burst), float64(n)) + spec.RequestsPerSec*4.9
+		if float64(admitted) > bound+1e-6 {
+			t.Fatalf("%d admitted by %d gateways, bound %v", admitted, n, bound)
+		}
+		if tokens > spec.TokensInFlight {
+			t.Fatalf("%d tokens in flight by %d gateways", tokens, n)
+		}
+	})
+}
+
 func exchange(now time.Time, names []string, cores []*Core) {
 	for i, c := range cores {
 		rows := c.Report(now)
--- a/internal/request/route/tracker.go
+++ b/internal/request/route/tracker.go
@@ -50,6 +50,7 @@
 	rates      calibration
 	seed       uint64
 	meanPrompt float64     // prompt tokens computed for a request, moving mean
+	meanOut    float64     // output tokens expected of a request, moving mean
 	unsent     peer.UseRow // use since the last Report
 	cached     func(hashes []uint64) int
 }
@@ -66,7 +67,7 @@
 	received int
 }
 
-// promptWeight is the weight of one request in the mean prompt of a runner.
+// promptWeight is the weight of one request in the means of a runner.
 const promptWeight = 0.1
 
 // NewTracker makes an empty tracker.
@@ -131,6 +132,7 @@
 	}
 	decode.journal.addOwn(now, 1, 0, float64(s.ExpectedOut))
 	prefill.journal.addOwn(now, 0, need, 0)
+	decode.meanOut += promptWeight * (float64(s.ExpectedOut) - decode.meanOut)
 	prefill.meanPrompt += promptWeight * (need - prefill.meanPrompt)
 	decode.own.requests++
 	decode.own.decode += float64(s.ExpectedOut)
@@ -325,6 +327,27 @@
 	c := r.journal.since(r.measured, now, float64(r.report.QueuedPrefill), out.promptRate())
 	out.QueuedPrefill = c.queuedPrefill
 	out.Running = max(reported+c.requests, r.own.requests, 0)
-	out.DecodeLeft = max(r.own.decode, 0)
-	out.KVUsed = max(float64(r.report.KVUsedTokens), r.own.kv)
+	out.DecodeLeft = out.Running * r.meanLeft()
+	out.KVUsed = max(float64(r.report.KVUsedTokens)+c.requests*r.meanKV(), r.own.kv)
+}
+
+// meanLeft is the mean number of output tokens still to come of a stream, as
+// this gateway's own ones tell; with none, half of an answer.
+func (r *tracked) meanLeft() float64 {
+	if r.own.requests > 0 {
+		return max(r.own.decode/r.own.requests, 1)
+	}
+	return orDefault(r.meanOut, defaultOut) / 2
+}
+
+// meanKV is the mean memory of a stream in tokens, of this gateway's own ones or
+// else of all that were reported.
+func (r *tracked) meanKV() float64 {
+	if r.own.requests > 0 {
+		return r.own.kv / r.own.requests
+	}
+	if r.report.Running > 0 {
+		return float64(r.report.KVUsedTokens) / float64(r.report.Running)
+	}
+	return 0
 }
--- a/internal/request/route/tracker_test.go
+++ b/internal/request/route/tracker_test.go
@@ -97,6 +97,23 @@
 	}
 }
 
+func TestMemoryAndLengthsAreCorrected(t *testing.T) {
+	tr := NewTracker()
+	tr.Stated(state())
+	at := now.Add(time.Second)
+	tr.Sent(at, Send{ID: "a", Runner: "r", PromptTokens: 900, ExpectedOut: 100})
+	tr.Sent(at, Send{ID: "b", Runner: "r", PromptTokens: 700, ExpectedOut: 300})
+	tr.Progress(at, "b", 100)
+	tr.Reported(at, upstream.LoadReport{Runner: "r", Age: time.Second, Running: 10, KVUsedTokens: 20_000})
+	v := tr.View(at, fleet())[0]
+	if math.Abs(v.KVUsed-22_000) > 1 {
+		t.Errorf("KV %v, want 20000 reported and 2000 sent since", v.KVUsed)
+	}
+	if math.Abs(v.DecodeLeft-12*150) > 1 {
+		t.Errorf("left %v, want 12 streams with 150 each, as the own ones have", v.DecodeLeft)
+	}
+}
+
 func TestQueuedPromptsDrain(t *testing.T) {
 	tr := NewTracker()
 	tr.Stated(state())
