Count prompts computed elsewhere as none in a runner's mean prompt

What unseen peers may add to a decode engine was estimated from the prompts that were computed there, though most come with their KV cache.

--- a/internal/request/route/tracker.go
+++ b/internal/request/route/tracker.go
@@ -49,7 +49,7 @@
 	own        ownUse
 	rates      calibration
 	seed       uint64
-	meanPrompt float64     // prompt tokens computed for a request, moving mean
+	meanPrompt float64     // prompt tokens computed here for a request, moving mean
 	meanOut    float64     // output tokens expected of a request, moving mean
 	unsent     peer.UseRow // use since the last Report
 	cached     func(hashes []uint64) int
@@ -134,6 +134,9 @@
 	prefill.journal.addOwn(now, 0, need, 0)
 	decode.meanOut += promptWeight * (float64(s.ExpectedOut) - decode.meanOut)
 	prefill.meanPrompt += promptWeight * (need - prefill.meanPrompt)
+	if prefill != decode {
+		decode.meanPrompt -= promptWeight * decode.meanPrompt
+	}
 	decode.own.requests++
 	decode.own.decode += float64(s.ExpectedOut)
 	decode.own.kv += float64(s.PromptTokens + s.ExpectedOut)
