--- a/internal/bench/fanout/measure.go
+++ b/internal/bench/fanout/measure.go
@@ -21,8 +21,8 @@
 
 // Lengths of the phases of a measurement, in virtual time.
 const (
-	warmUp       = 45 * time.Second
-	steady       = 30 * time.Second
+	warmUp       = 60 * time.Second
+	steady       = 60 * time.Second
 	settle       = 10 * time.Second
 	outage       = time.Minute
 	betweenLooks = 10 * time.Millisecond
@@ -74,14 +74,17 @@
 // measure runs one fleet through all phases.
 func measure(s size, seed uint64) (Result, []string) {
 	f := newFleet(seed, s.daemons, s.zones)
-	f.giveWork(s.zones)
 	f.startAll()
 	f.run(warmUp)
 	r := Result{Daemons: s.daemons, Zones: s.zones}
-	f.measureSteady(&r)
+	f.measureHeartbeats(&r)
 	f.measureChanges(&r)
 	f.measureRestart(&r)
 	f.measureFaults(&r)
+	f.heal()
+	f.giveWork(s.zones)
+	f.run(warmUp)
+	f.measureWork(&r)
 	r.ControlBytes += r.ChangeBytes*changesPerDay/secondsPerDay + r.RestartBytes*restartsPerDay/secondsPerDay
 	r.WithHeaders = r.ControlBytes + r.Messages*headerBytes
 	slowest := max(r.ChangeMaxMS, r.RelaysLostMS, r.ZoneCutOffMS, r.PlatformOutMS)
@@ -115,27 +118,38 @@
 	return sum
 }
 
-// measureSteady measures a fleet in which nothing changes.
-func (f *fleet) measureSteady(r *Result) {
+// measureHeartbeats measures a fleet in which nothing happens.
+func (f *fleet) measureHeartbeats(r *Result) {
+	before := f.counts()
+	f.run(steady)
+	after := f.counts()
+	r.PlatformCalls = float64(after.calls-before.calls) / steady.Seconds()
+	r.HeartbeatBytes = f.perDaemonSecond(after.total() - before.total())
+	f.countLinks(r)
+}
+
+// measureWork measures a fleet whose gateways have work and report their use.
+func (f *fleet) measureWork(r *Result) {
 	before, sentBefore, reports := f.counts(), f.sentByEach(), f.reports()
 	processor := processorTime()
 	f.run(steady)
 	processor = processorTime() - processor
 	after := f.counts()
-	perDaemonSecond := float64(len(f.daemons)) * steady.Seconds()
-	r.Messages = float64(after.messages-before.messages) / perDaemonSecond
-	r.PlatformCalls = float64(after.calls-before.calls) / steady.Seconds()
-	r.HeartbeatBytes = float64(after.bytes[topicHeartbeat]-before.bytes[topicHeartbeat]) / perDaemonSecond
-	r.UseBytes = float64(after.bytes[topicUse]-before.bytes[topicUse]) / perDaemonSecond
-	r.ControlBytes = float64(after.total()-before.total()) / perDaemonSecond
-	r.ProcessorShare = processor.Seconds() / perDaemonSecond
+	r.Messages = f.perDaemonSecond(after.messages - before.messages)
+	r.UseBytes = f.perDaemonSecond(after.bytes[topicUse] - before.bytes[topicUse])
+	r.ControlBytes = f.perDaemonSecond(after.total() - before.total())
+	r.ProcessorShare = processor.Seconds() / float64(len(f.daemons)) / steady.Seconds()
 	for i, sent := range f.sentByEach() {
 		r.ControlMax = max(r.ControlMax, float64(sent-sentBefore[i])/steady.Seconds())
 	}
 	if n := f.reports() - reports; n > 0 {
 		r.UseSeconds = float64(f.gateways()) * steady.Seconds() / float64(n)
 	}
-	f.countLinks(r)
+}
+
+// perDaemonSecond gives the mean over daemons and seconds of a steady phase.
+func (f *fleet) perDaemonSecond(n int) float64 {
+	return float64(n) / float64(len(f.daemons)) / steady.Seconds()
 }
 
 func (f *fleet) sentByEach() []int {
@@ -231,7 +245,7 @@
 
 // measureChanges makes changes in a healthy fleet.
 func (f *fleet) measureChanges(r *Result) {
-	quiet := r.ControlBytes * float64(len(f.daemons))
+	quiet := r.HeartbeatBytes * float64(len(f.daemons))
 	before, began := f.counts(), f.now
 	for range changes {
 		accepted := f.now
@@ -262,7 +276,7 @@
 
 // measureRestart restarts one daemon.
 func (f *fleet) measureRestart(r *Result) {
-	quiet := r.ControlBytes * float64(len(f.daemons))
+	quiet := r.HeartbeatBytes * float64(len(f.daemons))
 	before, began := f.counts(), f.now
 	d := f.daemons[len(f.daemons)/2]
 	d.kill()
--- a/internal/bench/fanout/workload.go
+++ b/internal/bench/fanout/workload.go
@@ -27,21 +27,23 @@
 	}
 }
 
+// useReport makes a report. Its figures vary at random, since equal ones would
+// compress too well.
 func (f *fleet) useReport(runners, seconds int) *peer.UseReport {
 	requests := requestsPerSecond * float64(seconds)
 	r := &peer.UseReport{}
 	for i := range runners {
-		share := int(requests) * tokensPerRequest / runners
+		share := 1 + 2*int(requests)*tokensPerRequest/runners
 		r.Runners = append(r.Runners, peer.UseRow{
 			Runner: fmt.Sprintf("runner-%03d", i), Requests: f.random.IntN(5) - 2,
-			Prefill: share, Decode: share, Done: share,
+			Prefill: f.random.IntN(share), Decode: f.random.IntN(share), Done: f.random.IntN(share),
 		})
 	}
-	for i := range min(accounts, int(requests)) {
-		r.Accounts = append(r.Accounts, peer.AccountRow{Account: fmt.Sprintf("account-%03d", i), Requests: 1, InFlight: 2000})
+	for range min(accounts, int(requests)) {
+		r.Accounts = append(r.Accounts, peer.AccountRow{Account: fmt.Sprintf("account-%03d", f.random.IntN(accounts)), Requests: 1 + f.random.IntN(5), InFlight: f.random.IntN(9000)})
 	}
 	for i := range min(models, int(requests)) {
-		r.Demand = append(r.Demand, peer.DemandRow{Model: fmt.Sprintf("model-%02d", i), Prefill: 500, Decode: tokensPerRequest, Arrived: 1})
+		r.Demand = append(r.Demand, peer.DemandRow{Model: fmt.Sprintf("model-%02d", i), Prefill: f.random.IntN(5000), Decode: f.random.IntN(5000), Arrived: 1 + f.random.IntN(20)})
 	}
 	return r
 }
--- a/internal/connection/peer/codec.go
+++ b/internal/connection/peer/codec.go
@@ -58,7 +58,7 @@
 	return m
 }
 
-// Encode gives the bytes of a message.
+// Encode gives the bytes of a message, compressed if it is large.
 func Encode(e Envelope) ([]byte, error) {
 	data, err := encoding.Marshal(e)
 	if err != nil {
@@ -67,12 +67,37 @@
 	if len(data) > MaxMessageBytes {
 		return nil, errors.Wrapf(ErrTooLarge, "%d bytes, at most %d", len(data), MaxMessageBytes)
 	}
-	return data, nil
+	if len(data) < packFrom {
+		return data, nil
+	}
+	packed, err := pack(data)
+	if err != nil {
+		return nil, err
+	}
+	data, err = encoding.Marshal(Envelope{V: e.V, Packed: packed})
+	return data, errors.Wrap(err, "encode peer message")
 }
 
 // Decode reads a message. Unknown fields are passed over; a message without any
 // body that this version knows is well-formed, and its receiver ignores it.
 func Decode(data []byte) (Envelope, error) {
+	e, err := decodeOne(data)
+	if err != nil || e.Packed == nil {
+		return e, err
+	}
+	inner, err := unpack(e.Packed)
+	if err != nil {
+		return Envelope{}, err
+	}
+	e, err = decodeOne(inner)
+	if err == nil && e.Packed != nil {
+		return Envelope{}, errors.Wrap(ErrMalformed, "packed twice")
+	}
+	return e, err
+}
+
+// decodeOne reads a message that may hold a packed one.
+func decodeOne(data []byte) (Envelope, error) {
 	var e Envelope
 	if len(data) > MaxMessageBytes {
 		return e, errors.Wrapf(ErrTooLarge, "%d bytes, at most %d", len(data), MaxMessageBytes)
@@ -93,7 +118,7 @@
 func (e *Envelope) bodies() int {
 	set := []bool{
 		e.Hello != nil, e.Heartbeat != nil, e.Delta != nil, e.Fetch != nil, e.Snapshot != nil,
-		e.Use != nil, e.Claim != nil, e.Claimed != nil, e.Explain != nil, e.Explained != nil,
+		e.Use != nil, e.Claim != nil, e.Claimed != nil, e.Explain != nil, e.Explained != nil, e.Packed != nil,
 	}
 	n := 0
 	for _, s := range set {
--- a/internal/connection/peer/codec_test.go
+++ b/internal/connection/peer/codec_test.go
@@ -24,6 +24,11 @@
 		{Explain: &ExplainAsk{Request: "q"}},
 		{Explained: &ExplainAnswer{Lines: []string{"x"}}},
 	}
+	long := &ExplainAnswer{}
+	for range packFrom {
+		long.Lines = append(long.Lines, "a line")
+	}
+	bodies = append(bodies, Envelope{Explained: long})
 	for i := range bodies {
 		bodies[i].V = ProtocolVersion
 		bodies[i].From = "a"
@@ -65,6 +70,11 @@
 		{"data after the end", append(withV(ProtocolVersion), 0), ErrMalformed},
 		{"same key twice", []byte{0xa2, 0x01, 0x01, 0x01, 0x01}, ErrMalformed},
 		{"array of 2^40 elements", []byte{0xa1, 0x0b, 0xa1, 0x01, 0x9b, 0, 0, 1, 0, 0, 0, 0, 0}, ErrMalformed},
+		{"packed bomb", packedAs(t, make([]byte, MaxMessageBytes+1)), ErrTooLarge},
+		{"packed twice", packedAs(t, packedAs(t, withV(ProtocolVersion))), ErrMalformed},
+		{"packed nothing", packedAs(t, nil), ErrMalformed},
+		{"packed wrong version", packedAs(t, withV(9)), ErrProtocolVersion},
+		{"not packed", mustEncode(t, Envelope{V: ProtocolVersion, Packed: []byte("plain")}), ErrMalformed},
 		{"too large", make([]byte, MaxMessageBytes+1), ErrTooLarge},
 	}
 	for _, tt := range tests {
@@ -76,6 +86,33 @@
 	}
 }
 
+// packedAs packs any bytes into a message.
+func packedAs(t *testing.T, data []byte) []byte {
+	t.Helper()
+	packed, err := pack(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := encoding.Marshal(Envelope{V: ProtocolVersion, Packed: packed})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func TestLargeMessagesArePacked(t *testing.T) {
+	all := samples()
+	long := all[len(all)-1]
+	data := mustEncode(t, long)
+	if len(data) > packFrom {
+		t.Errorf("%d bytes", len(data))
+	}
+	back, err := Decode(data)
+	if err != nil || len(back.Explained.Lines) != packFrom {
+		t.Errorf("%+v, error %v", back, err)
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	for _, e := range samples() {
 		f.Add(mustEncode(f, e))
--- a/internal/connection/peer/hub_test.go
+++ b/internal/connection/peer/hub_test.go
@@ -228,13 +228,15 @@
 	b.seen.block = make(chan struct{})
 	a.SetLinks([]Address{b.address})
 	eventually(t, "connected", connected(a, b))
-	large := Envelope{Explained: &ExplainAnswer{Lines: []string{string(make([]byte, MaxMessageBytes/2))}}}
+	noise := make([]byte, MaxMessageBytes/2) // does not compress
+	_, _ = rand.Read(noise)
+	large := Envelope{Claim: &ClaimAsk{BodyHash: noise}}
 	eventually(t, "a full queue", func() bool { return errors.Is(a.Send("b", large), ErrQueueFull) })
 	if a.Stats().Dropped == 0 {
 		t.Error("the drop is not counted")
 	}
 	close(b.seen.block)
-	large.Explained.Lines = append(large.Explained.Lines, large.Explained.Lines...)
+	large.Claim.KeyHash = noise
 	if err := a.Send("b", large); !errors.Is(err, ErrTooLarge) {
 		t.Errorf("message above the bound: %v", err)
 	}
--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -28,6 +28,10 @@
 	Claimed   *ClaimAnswer    `cbor:"17,keyasint,omitempty"`
 	Explain   *ExplainAsk     `cbor:"18,keyasint,omitempty"`
 	Explained *ExplainAnswer  `cbor:"19,keyasint,omitempty"`
+
+	// Packed is a whole compressed Envelope, in place of any other field but V.
+	// Encode and Decode see to it.
+	Packed []byte `cbor:"20,keyasint,omitempty"`
 }
 
 // Hello opens a connection in both directions.
--- a/internal/process/member/neighbors_test.go
+++ b/internal/process/member/neighbors_test.go
@@ -127,7 +127,7 @@
 	}
 }
 
-func TestChildrenReachEachDaemonOfTheZoneOnce(t *testing.T) {
+func TestTreesReachEachDaemonOfTheZoneOnce(t *testing.T) {
 	for _, daemons := range []int{8, 64, 370} {
 		all := fleet(daemons, 9)
 		zoneOf := map[string]string{}
@@ -137,8 +137,8 @@
 		g := wholeTopology(all)
 		origin := all[0].Name
 		got := map[string]int{}
-		for _, m := range all {
-			for _, child := range g.children(origin, m.Name, zoneOf) {
+		for _, children := range g.treeFrom(origin, zoneOf) {
+			for _, child := range children {
 				got[child]++
 			}
 		}
@@ -153,3 +153,28 @@
 		}
 	}
 }
+
+func TestTreesShareTheWork(t *testing.T) {
+	all := fleet(370, 9)
+	zoneOf := map[string]string{}
+	for _, m := range all {
+		zoneOf[m.Name] = m.Zone
+	}
+	g := wholeTopology(all)
+	sends := map[string]int{}
+	origins := 0
+	for _, m := range all {
+		if m.Zone != all[0].Zone {
+			continue
+		}
+		origins++
+		for name, children := range g.treeFrom(m.Name, zoneOf) {
+			sends[name] += len(children)
+		}
+	}
+	for name, n := range sends {
+		if n > 3*origins { // each daemon passes each report on once, on average
+			t.Errorf("%s sends %d copies for %d origins", name, n, origins)
+		}
+	}
+}
--- a/internal/process/member/tree.go
+++ b/internal/process/member/tree.go
@@ -1,26 +1,28 @@
 package member
 
-// children gives the daemons to which self passes on what origin sends to its
-// zone: the next level of the breadth-first tree over the zone's links. With the
-// same view everywhere each daemon gets each message once.
-func (g topology) children(origin, self string, zoneOf map[string]string) []string {
+// tree is the breadth-first tree over a zone's links by which the messages of one
+// daemon reach its zone. Where a daemon could get them from several others, a hash
+// of the origin decides, so that the trees of different origins load the daemons
+// evenly. With the same view everywhere each daemon gets each message once.
+type tree map[string][]string // daemon to those that it passes messages on to
+
+// treeFrom computes the tree of an origin.
+func (g topology) treeFrom(origin string, zoneOf map[string]string) tree {
 	zone := zoneOf[origin]
-	parent := map[string]string{origin: ""}
-	queue := []string{origin}
-	var out []string
-	for len(queue) > 0 {
-		name := queue[0]
-		queue = queue[1:]
-		for _, next := range g[name] {
-			if _, seen := parent[next]; seen || zoneOf[next] != zone {
-				continue
-			}
-			parent[next] = name
-			queue = append(queue, next)
-			if name == self {
-				out = append(out, next)
+	seen := map[string]bool{origin: true}
+	t := tree{}
+	for level := []string{origin}; len(level) > 0; {
+		var next []string
+		for _, name := range ranked(level, origin) {
+			for _, child := range g[name] {
+				if !seen[child] && zoneOf[child] == zone {
+					seen[child] = true
+					t[name] = append(t[name], child)
+					next = append(next, child)
+				}
 			}
 		}
+		level = next
 	}
-	return out
+	return t
 }
--- a/internal/process/member/use.go
+++ b/internal/process/member/use.go
@@ -4,19 +4,20 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
 )
 
-// UseRoutes computes the ways of use reports through one zone from the members.
-// It is immutable.
+// UseRoutes computes the ways of use reports through one zone from the members. It
+// keeps the trees that it computed and is used by one goroutine at a time.
 type UseRoutes struct {
 	self     string
 	zone     string
 	graph    topology
 	zoneOf   map[string]string
-	gateways int // of the zone
+	trees    map[string]tree // by origin
+	gateways int             // of the zone
 }
 
 // NewUseRoutes computes the routes at self over the members that can be reached.
 func NewUseRoutes(self peer.Hello, members []Member, links int) *UseRoutes {
-	u := &UseRoutes{self: self.Name, zone: self.Zone, zoneOf: map[string]string{}}
+	u := &UseRoutes{self: self.Name, zone: self.Zone, zoneOf: map[string]string{}, trees: map[string]tree{}}
 	var reachable []Member
 	for _, m := range members {
 		if m.State != Live && m.State != Leaving {
@@ -38,7 +39,12 @@
 	if u.zoneOf[origin] != u.zone {
 		return nil
 	}
-	return u.graph.children(origin, u.self, u.zoneOf)
+	t, known := u.trees[origin]
+	if !known {
+		t = u.graph.treeFrom(origin, u.zoneOf)
+		u.trees[origin] = t
+	}
+	return t[u.self]
 }
 
 // Sequences keeps the latest report of each gateway, so that each is taken once.
