--- a/internal/bench/faults/command.go
+++ b/internal/bench/faults/command.go
@@ -35,7 +35,7 @@
 	Streams int    `long:"streams" default:"500" description:"requests under way when the fault strikes; a fifth more begin around it"`
 	Seed    uint64 `long:"seed" default:"1" description:"of the callers' choices"`
 	Rounds  int    `long:"rounds" default:"1" description:"rounds, each with the next seed"`
-	Fault   string `long:"fault" description:"only this one: runner, gateway, zone, zone for long, gateway+runner, gateway+zone or platform+gateway"`
+	Fault   string `long:"fault" description:"only this one: runner, gateway, zone, zone for long, 'zone, silent', gateway+runner, gateway+zone or platform+gateway"`
 	JSON    bool   `long:"json" description:"print JSON"`
 }
 
@@ -76,7 +76,7 @@
 	Fault    string `json:"fault"`
 	Seed     uint64 `json:"seed"`
 	Requests int64  `json:"requests"`
-	Broken   int    `json:"broken"` // connections to upstreams that the fault broke while they carried an answer
+	Broken   int    `json:"broken"` // connections to upstreams that the fault broke or held up while they carried an answer
 }
 
 // Execute implements flags.Commander.
@@ -208,7 +208,7 @@
 			row.Left, row.Cut, row.WrongText, row.NotRunAnswers, row.WrongNotRun, row.Doubled, row.UnknownRan, row.LostWithRunner, row.LostWithClaim)
 	}
 	for _, o := range r.Open {
-		fmt.Fprintf(w, "%s, seed %d: %d requests under way when it struck, %d connections broken that carried an answer\n", o.Fault, o.Seed, o.Requests, o.Broken)
+		fmt.Fprintf(w, "%s, seed %d: %d requests under way when it struck, %d connections broken or held up that carried an answer\n", o.Fault, o.Seed, o.Requests, o.Broken)
 	}
 	for _, note := range r.Notes {
 		fmt.Fprintln(w, "MISS", note)
--- a/internal/bench/faults/fault.go
+++ b/internal/bench/faults/fault.go
@@ -27,6 +27,7 @@
 	{"gateway", func(f *fleet, _ time.Duration) int { return f.kill(hitZone) }},
 	{"zone", func(f *fleet, outage time.Duration) int { return f.cutZone(hitZone, outage) }},
 	{"zone for long", func(f *fleet, outage time.Duration) int { return f.cutZone(hitZone, longer*outage) }},
+	{"zone, silent", func(f *fleet, outage time.Duration) int { return f.stallZone(hitZone, longer*outage) }},
 	{"gateway+runner", func(f *fleet, outage time.Duration) int {
 		return f.kill(hitZone) + f.crash(hitRunner, outage)
 	}},
@@ -90,14 +91,7 @@
 	for _, other := range f.others(i) {
 		other.peers.cutFrom(gatewayName(i))
 	}
-	f.later(outage, func() {
-		for _, l := range across {
-			l.heal()
-		}
-		for _, other := range f.others(i) {
-			other.peers.healFrom(gatewayName(i))
-		}
-	})
+	f.later(outage, func() { f.joinZone(i, across) })
 	return broken
 }
 
@@ -127,6 +121,32 @@
 	return out
 }
 
+// stallZone does the same, but nobody is told: connections stay open and carry
+// nothing, and what was sent into them arrives when the zone is joined again.
+func (f *fleet) stallZone(i int, outage time.Duration) int {
+	here, across := f.gateways[i], f.across(i)
+	broken, held := streaming(across), newGate()
+	across = append(across, here.platform, here.peers)
+	for _, l := range across {
+		l.stall(held)
+	}
+	for _, other := range f.others(i) {
+		other.peers.stallFrom(gatewayName(i), held)
+	}
+	f.later(outage, func() { f.joinZone(i, across); held.open() })
+	return broken
+}
+
+// joinZone takes back the cuts of a zone.
+func (f *fleet) joinZone(i int, across []*link) {
+	for _, l := range across {
+		l.heal()
+	}
+	for _, other := range f.others(i) {
+		other.peers.healFrom(gatewayName(i))
+	}
+}
+
 // platformOut makes the platform refuse every call for a while.
 func (f *fleet) platformOut(outage time.Duration) {
 	f.store.SetFault(standin.Fault{Outage: true})
--- a/internal/bench/faults/link.go
+++ b/internal/bench/faults/link.go
@@ -37,8 +37,24 @@
 // pair is one forwarded connection.
 type pair struct {
 	near, far net.Conn
-	from      string       // the dialer's name, if known
-	answered  atomic.Int64 // when the target sent something last, Unix nanoseconds
+	from      string               // the dialer's name, if known
+	gate      atomic.Pointer[gate] // nil: flows
+	answered  atomic.Int64         // when the target sent something last, Unix nanoseconds
+}
+
+// gate holds up what connections carry until it opens. Nothing is lost: the
+// kernels of both sides would send it again.
+type gate struct{ opened chan struct{} }
+
+func newGate() *gate { return &gate{opened: make(chan struct{})} }
+
+func (g *gate) open() { close(g.opened) }
+
+// flow waits while the connection is held up.
+func (p *pair) flow() {
+	if g := p.gate.Load(); g != nil {
+		<-g.opened
+	}
 }
 
 func (p *pair) close() {
@@ -118,11 +134,13 @@
 		n, err := p.far.Read(buffer)
 		if n > 0 {
 			p.answered.Store(time.Now().UnixNano())
+			p.flow()
 			if _, werr := p.near.Write(buffer[:n]); werr != nil {
 				return
 			}
 		}
 		if err != nil {
+			p.flow()
 			return
 		}
 	}
@@ -145,11 +163,13 @@
 			name = nil
 		}
 		if n > 0 {
+			p.flow()
 			if _, werr := p.far.Write(buffer[:n]); werr != nil {
 				return
 			}
 		}
 		if err != nil {
+			p.flow()
 			return
 		}
 	}
@@ -230,6 +250,30 @@
 	l.barred[name]--
 }
 
+// stall holds up every connection at a gate and refuses new ones. It counts as a
+// cut that heal takes back.
+func (l *link) stall(g *gate) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cuts++
+	l.listener.Close()
+	for p := range l.pairs {
+		p.gate.Store(g)
+	}
+}
+
+// stallFrom does the same for one dialer, see healFrom.
+func (l *link) stallFrom(name string, g *gate) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.barred[name]++
+	for p := range l.pairs {
+		if p.from == name {
+			p.gate.Store(g)
+		}
+	}
+}
+
 // heal takes back one cut.
 func (l *link) heal() {
 	l.mu.Lock()
