Count peers by how busy they are, and streams by number

Change: a peer counts by its recent work in parts of this gateway's, at most as one. The test of mirrored sends now has busy and idle peers; idle ones must not count.

--- a/internal/bench/goodput/command.go
+++ b/internal/bench/goodput/command.go
@@ -15,6 +15,7 @@
 	UseMS   int      `long:"use-ms" default:"250" description:"period of the use reports between gateways, milliseconds"`
 	Declare float64  `long:"declared" default:"1" description:"rates that the engine class declares, in parts of the actual ones"`
 	Returns int      `long:"returns" description:"times that a refused caller comes back when it is told to"`
+	Used    int      `long:"used" default:"8" description:"gateways of the 8 that get requests"`
 	Ranked  bool     `long:"priorities" description:"give alerts a higher priority than chat"`
 	JSON    bool     `long:"json" description:"print the rows as JSON"`
 }
@@ -97,7 +98,7 @@
 	out := row{Load: load, LagSeconds: lag.Seconds(), Offered: rate}
 	var arrived, admitted, done, useful, spilled, refused int
 	for _, seed := range c.Seeds {
-		t := newTrace(seed, mix, rate, s.length, s.gateways)
+		t := newTrace(seed, mix, rate, s.length, c.Used)
 		r := runWith(s, t, func(w *world, i int, zone string) gateway { return newSystem(w, i, zone) })
 		out.Goodput += r.goodput()
 		arrived += r.Arrived
--- a/internal/request/route/peers.go
+++ b/internal/request/route/peers.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
 )
 
 // Bounds on what is estimated of peers.
@@ -11,7 +13,7 @@
 	longestUnseen    = 3 * time.Second // a peer that is silent for longer is taken as gone
 )
 
-// peerRate is the fading rate of prompt tokens that peers sent to one runner.
+// peerRate is a fading rate of tokens.
 type peerRate struct {
 	tokens float64
 	at     time.Time
@@ -35,38 +37,55 @@
 	return p.tokens * math.Ln2 / peerRateHalfLife.Seconds()
 }
 
+// peerState is what is known of one peer.
+type peerState struct {
+	heard time.Time // last use report
+	work  peerRate  // prompt and expected output tokens that it sent to any runner
+}
+
 // unseen is what this gateway cannot know of its peers' sends at one moment.
 type unseen struct {
-	peers int           // gateways that were heard lately, without this one
+	peers float64       // gateways heard lately, without this one, by how busy they are
 	age   time.Duration // mean time since their last reports
 	draw  uint64        // differs between report periods
 }
 
 // hear notes a use report of a peer and gives the time from which on it speaks.
-func (t *Tracker) hear(now time.Time, origin string) time.Time {
-	const weight = 0.1
-	last, ok := t.heard[origin]
-	t.heard[origin] = now
+func (t *Tracker) hear(now time.Time, origin string, rows []peer.UseRow) time.Time {
+	p, ok := t.peers[origin]
+	if !ok {
+		p = &peerState{}
+		t.peers[origin] = p
+	}
+	for i := range rows {
+		p.work.add(now, float64(rows[i].Prefill+rows[i].Decode))
+	}
+	last := p.heard
+	p.heard = now
 	if !ok || now.Sub(last) > longestUnseen {
 		return now.Add(-t.period)
 	}
+	const weight = 0.1
 	t.period += time.Duration(weight * float64(now.Sub(last)-t.period))
 	return last
 }
 
-// lookUnseen sums up the peers and forgets silent ones.
+// lookUnseen sums up the peers and forgets silent ones. A peer counts by its
+// work in parts of this gateway's, at most as one: an idle peer does not send alike.
 func (t *Tracker) lookUnseen(now time.Time) unseen {
-	total := time.Duration(0)
-	for origin, at := range t.heard {
-		if silent := now.Sub(at); silent <= longestUnseen {
-			total += silent
+	own := t.work.perSecond(now)
+	u := unseen{draw: t.self}
+	for origin, p := range t.peers {
+		silent := now.Sub(p.heard)
+		if silent > longestUnseen {
+			delete(t.peers, origin)
 			continue
 		}
-		delete(t.heard, origin)
+		u.age += silent
+		u.peers += p.busy(now, own)
 	}
-	u := unseen{peers: len(t.heard), draw: t.self}
-	if u.peers > 0 {
-		u.age = total / time.Duration(u.peers)
+	if n := len(t.peers); n > 0 {
+		u.age /= time.Duration(n)
 	}
 	if t.period > 0 {
 		u.draw ^= mix(uint64(now.UnixNano() / int64(t.period)))
@@ -74,6 +93,15 @@
 	return u
 }
 
+// busy is the peer's work in parts of the given rate, at most 1.
+func (p *peerState) busy(now time.Time, own float64) float64 {
+	work := p.work.perSecond(now)
+	if work >= own {
+		return min(work, 1) // below a token a second the peer is idle
+	}
+	return work / own
+}
+
 // addUnseen adds an estimate of what peers sent to a runner since their last
 // reports. Each is taken to have done as this gateway did, and a random part of
 // one request more, drawn anew for each runner and report period: when a runner
@@ -85,7 +113,7 @@
 	if u.peers > 0 {
 		requests, sent := r.journal.ownSince(now.Add(-u.age), now)
 		part := unit(r.seed ^ u.draw)
-		peers := float64(u.peers)
+		peers := u.peers
 		out.Mirrored = peers
 		out.Running += peers * max(requests, 0)
 		out.Crowd = peers * part
--- a/internal/request/route/score.go
+++ b/internal/request/route/score.go
@@ -17,7 +17,7 @@
 // stall. The calls are direct, not through a table, so that nothing escapes to
 // the heap.
 func cost(q *Request, runners []Runner, c *candidate) float64 {
-	return scoreTime(c) + scoreHarm(q, runners, c)
+	return scoreTime(c) + scoreHarm(q, runners, c) + scoreQueue(runners, c)
 }
 
 // scoreTime is the predicted time of the whole answer.
@@ -37,3 +37,12 @@
 	}
 	return harm
 }
+
+// queueSeconds is what one stream at a runner counts, in seconds.
+const queueSeconds = 0.05
+
+// scoreQueue evens out the number of streams, which says more of a runner's
+// near future than the predictions do: answers may turn out longer.
+func scoreQueue(runners []Runner, c *candidate) float64 {
+	return queueSeconds * runners[c.decode].Running
+}
--- a/internal/request/route/tracker.go
+++ b/internal/request/route/tracker.go
@@ -32,7 +32,8 @@
 	byModel  map[string][]string
 	promised map[string]time.Duration // by model
 	indexed  *config.Snapshot         // the snapshot that byModel was built from
-	heard    map[string]time.Time     // last use report of each peer
+	peers    map[string]*peerState    // by origin of their use reports
+	work     peerRate                 // this gateway's own, as in peerState
 	period   time.Duration            // mean time between two reports of a peer
 	classes  map[string]*factors      // measured, by engine class
 }
@@ -76,7 +77,7 @@
 		Prefixes: NewPrefixIndex(0),
 		runners:  make(map[string]*tracked),
 		inFlight: make(map[string]*flight),
-		heard:    make(map[string]time.Time),
+		peers:    make(map[string]*peerState),
 		classes:  make(map[string]*factors),
 	}
 }
@@ -137,6 +138,7 @@
 	if prefill != decode {
 		decode.meanPrompt -= promptWeight * decode.meanPrompt
 	}
+	t.work.add(now, need+float64(s.ExpectedOut))
 	decode.own.requests++
 	decode.own.decode += float64(s.ExpectedOut)
 	decode.own.kv += float64(s.PromptTokens + s.ExpectedOut)
@@ -185,7 +187,7 @@
 
 // PeerUse takes in what another gateway sent since its previous report.
 func (t *Tracker) PeerUse(now time.Time, origin string, rows []peer.UseRow) {
-	since := t.hear(now, origin)
+	since := t.hear(now, origin, rows)
 	for _, row := range rows {
 		r, ok := t.runners[row.Runner]
 		if !ok {
--- a/internal/request/route/tracker_test.go
+++ b/internal/request/route/tracker_test.go
@@ -131,16 +131,18 @@
 	tr.Stated(state())
 	tr.Reported(now, upstream.LoadReport{Runner: "r"})
 	for i := range 20 {
+		at := now.Add(time.Duration(i) * time.Second)
 		for g := range 4 {
-			tr.PeerUse(now.Add(time.Duration(i)*time.Second), "g"+strconv.Itoa(g), nil)
+			tr.PeerUse(at, "g"+strconv.Itoa(g), []peer.UseRow{{Runner: "r", Prefill: 100, Decode: 10}})
 		}
+		tr.PeerUse(at, "idle", nil)
 	}
 	at := now.Add(19500 * time.Millisecond)
 	tr.Reported(at, upstream.LoadReport{Runner: "r"})
 	tr.Sent(at.Add(200*time.Millisecond), Send{ID: "q", Runner: "r", PromptTokens: 100, ExpectedOut: 10})
 	v := tr.View(at.Add(300*time.Millisecond), fleet())[0]
 	if v.Running != 5 {
-		t.Errorf("running %v, want the own request and one each of 4 peers", v.Running)
+		t.Errorf("running %v, want the own request and one each of the 4 busy peers", v.Running)
 	}
 	if v.Crowd < 0 || v.Crowd >= 4 {
 		t.Errorf("crowd %v, want a part of one for each of 4 peers", v.Crowd)
