Test claim sessions, keepers and their shell; take protections out one by one

The differential test against a naive table found that a keeper took its copy for newer than an ask when both carried the same time. Asks and calls are now ordered by a counter in place of the clock.

mutations.sh takes one protection at a time out of a copy that only the compiler sees (go test -overlay) and requires that the tests fail.

--- a/internal/request/claim/keeper.go
+++ b/internal/request/claim/keeper.go
@@ -130,7 +130,7 @@
 type pendingAsk struct {
 	id      uint64
 	ask     peer.ClaimAsk
-	arrived boottime.Time
+	arrived uint64 // order of arrival among all asks and calls
 	tries   int
 	absent  bool // a read begun after the ask arrived showed no claim
 	written bool // a write for it may have taken effect
@@ -155,9 +155,11 @@
 	content   *content
 	bytes     int           // of the stored value
 	checkedAt boottime.Time // begin of the last call that proved content to be the stored one
+	checked   uint64        // order of that call among all asks and calls
 	sliceFrom boottime.Time // since when the generation has been seen
 	io        bucketIO
 	ioAt      boottime.Time
+	ioOrder   uint64
 	candidate *draft // being written
 	size      int    // of the candidate
 	waiting   []*pendingAsk
@@ -173,6 +175,7 @@
 	cfg     KeeperConfig
 	buckets map[string]*bucketState
 	writes  uint64
+	order   uint64 // counts asks and calls: a time would not tell which of two came first
 }
 
 // NewKeeper makes a keeper that knows nothing.
@@ -210,7 +213,8 @@
 	if len(b.waiting)+len(b.inflight) >= k.cfg.MaxWaiting {
 		return []KeeperAction{Answer{ID: e.ID, Answer: peer.ClaimAnswer{Kind: string(errkind.ClaimUnavailable)}}}
 	}
-	b.waiting = append(b.waiting, &pendingAsk{id: e.ID, ask: e.Ask, arrived: now})
+	k.order++
+	b.waiting = append(b.waiting, &pendingAsk{id: e.ID, ask: e.Ask, arrived: k.order})
 	return k.pump(now, b)
 }
 
@@ -284,7 +288,7 @@
 // keeper's copy: the copy is newer than the ask, or the claim is joined (it never
 // moves) and the copy is at most a slice old.
 func (k *Keeper) provable(now boottime.Time, b *bucketState, p *pendingAsk) bool {
-	if !b.checkedAt.Before(p.arrived) {
+	if b.checked > p.arrived {
 		return true
 	}
 	joined := p.answer.Granted && p.answer.Attempt == attemptJoined
@@ -302,6 +306,8 @@
 func (k *Keeper) startRead(now boottime.Time, b *bucketState) []KeeperAction {
 	b.io = ioReading
 	b.ioAt = now
+	k.order++
+	b.ioOrder = k.order
 	return []KeeperAction{ReadBucket{Name: b.name}}
 }
 
@@ -312,6 +318,8 @@
 	}
 	b.io = ioWriting
 	b.ioAt = now
+	k.order++
+	b.ioOrder = k.order
 	b.candidate = candidate
 	b.size = len(spec)
 	b.inflight = batch
@@ -362,8 +370,9 @@
 	b.content = next
 	b.bytes = len(e.Object.Spec)
 	b.checkedAt = b.ioAt
+	b.checked = b.ioOrder
 	for _, p := range b.waiting {
-		if _, ok := next.claims[Key(p.ask.KeyHash)]; !ok && !b.ioAt.Before(p.arrived) {
+		if _, ok := next.claims[Key(p.ask.KeyHash)]; !ok && b.ioOrder > p.arrived {
 			p.absent = true
 		}
 	}
@@ -404,6 +413,7 @@
 	b.candidate = nil
 	b.bytes = b.size
 	b.checkedAt = b.ioAt
+	b.checked = b.ioOrder
 	var out []KeeperAction
 	for _, p := range b.inflight {
 		out = append(out, Answer{ID: p.id, Answer: p.answer})
--- /dev/null
+++ b/internal/request/claim/keeper_test.go
@@ -0,0 +1,385 @@
+package claim
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+)
+
+// direct is a store that answers at once, for keepers that are stepped by hand.
+type direct struct {
+	now     boottime.Time
+	objects map[string]platform.Object
+	version uint64
+	reads   int
+	writes  int
+	out     bool
+	// unknown is drawn for each write: the answer is lost; effect says whether it took effect.
+	unknown func() (lost, effect bool)
+	answers map[uint64]peer.ClaimAnswer
+	nextID  uint64
+}
+
+func newDirect() *direct {
+	return &direct{
+		now:     boottime.Time(time.Hour),
+		objects: make(map[string]platform.Object),
+		unknown: func() (bool, bool) { return false, true },
+		answers: make(map[uint64]peer.ClaimAnswer),
+	}
+}
+
+// ask steps k until it has answered.
+func (d *direct) ask(k *Keeper, a peer.ClaimAsk) peer.ClaimAnswer {
+	d.nextID++
+	id := d.nextID
+	d.step(k, Asked{ID: id, Ask: a})
+	return d.answers[id]
+}
+
+func (d *direct) step(k *Keeper, e KeeperEvent) {
+	for _, a := range k.Step(d.now, e) {
+		switch a := a.(type) {
+		case Answer:
+			d.answers[a.ID] = a.Answer
+		case ReadBucket:
+			o, err := d.read(a.Name)
+			d.step(k, BucketRead{Name: a.Name, Object: o, Err: err})
+		case WriteBucket:
+			o, err := d.write(a)
+			d.step(k, BucketWritten{Name: a.Name, Object: o, Err: err})
+		case Wake:
+			d.now = max(d.now, a.At)
+			d.step(k, Woken{Name: a.Name})
+		}
+	}
+}
+
+func (d *direct) read(name string) (platform.Object, error) {
+	d.reads++
+	o, ok := d.objects[name]
+	switch {
+	case d.out:
+		return platform.Object{}, platform.ErrUnavailable
+	case !ok:
+		return platform.Object{}, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+func (d *direct) write(a WriteBucket) (platform.Object, error) {
+	d.writes++
+	if d.out {
+		return platform.Object{}, platform.ErrUnavailable
+	}
+	lost, effect := d.unknown()
+	old, ok := d.objects[a.Name]
+	if effect && (a.Create == ok || ok && old.Version != a.Object.Version) {
+		return platform.Object{}, platform.ErrConflict
+	}
+	o := a.Object
+	if effect {
+		d.version++
+		o.Version = d.version
+		d.objects[a.Name] = o
+	}
+	if lost {
+		return platform.Object{}, platform.ErrUnknown
+	}
+	return o, nil
+}
+
+func askOf(op peer.ClaimOp, key, run, runner string) peer.ClaimAsk {
+	k, b := KeyOf("acct", key), HashOf("POST", "/", []byte("body"))
+	return peer.ClaimAsk{
+		Op: op, KeyHash: k[:], BodyHash: b[:], RunID: run, Holder: "gw-" + run, Runner: runner, Incarnation: "1",
+	}
+}
+
+// table is a naive claim table: one claim for each key, asks one after the other.
+type table map[Key]*Claim
+
+func (t table) ask(a peer.ClaimAsk) peer.ClaimAnswer {
+	c := t[Key(a.KeyHash)]
+	if c != nil && c.Body != Hash(a.BodyHash) {
+		return peer.ClaimAnswer{Kind: string(errkind.KeyReused)}
+	}
+	if c == nil {
+		if a.Op != peer.ClaimCreate {
+			return peer.ClaimAnswer{Granted: a.Op == peer.ClaimRelease}
+		}
+		c = &Claim{Key: Key(a.KeyHash), Body: Hash(a.BodyHash), RunID: a.RunID, Holder: a.Holder, Runner: a.Runner, Incarnation: a.Incarnation, Attempt: 1, Serial: 1}
+		t[c.Key] = c
+		return answerOf(*c, true)
+	}
+	mine := c.RunID == a.RunID && c.Attempt == 1
+	granted := c.Attempt == 2
+	switch a.Op {
+	case peer.ClaimCreate:
+		granted = granted || mine
+	case peer.ClaimTakeover:
+		if c.Attempt == 1 {
+			c.Attempt, c.Holder, c.Serial = 2, a.Holder, c.Serial+1
+		}
+		granted = true
+	case peer.ClaimMove:
+		granted = mine && c.Serial == a.ExpectSerial
+		if granted {
+			c.Runner, c.Incarnation, c.Serial = a.Runner, a.Incarnation, c.Serial+1
+		}
+	case peer.ClaimRelease:
+		if mine {
+			delete(t, c.Key)
+			return peer.ClaimAnswer{Granted: true}
+		}
+		granted = false
+	case peer.ClaimLookup:
+		granted = false
+	}
+	return answerOf(*c, granted)
+}
+
+// TestKeepersAgreeWithNaiveTable compares three keepers with caches, conflicts and
+// lost answers with the naive table.
+func TestKeepersAgreeWithNaiveTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDirect()
+		d.unknown = func() (bool, bool) {
+			lost := rapid.IntRange(0, 9).Draw(t, "lost") == 0
+			return lost, !lost || rapid.Bool().Draw(t, "effect")
+		}
+		naive := make(table)
+		var keepers []*Keeper
+		for i := range 3 {
+			keepers = append(keepers, NewKeeper(KeeperConfig{Name: fmt.Sprint(i), MaxTries: 100}))
+		}
+		serial := make(map[string]uint64)
+		for range rapid.IntRange(1, 60).Draw(t, "asks") {
+			run := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "run")
+			key := rapid.SampledFrom([]string{"k1", "k2"}).Draw(t, "key")
+			runner := rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "runner")
+			a := askOf(peer.ClaimOp(rapid.IntRange(1, 5).Draw(t, "op")), key, run, runner)
+			if rapid.IntRange(0, 19).Draw(t, "other body") == 0 {
+				a.BodyHash = make([]byte, hashBytes)
+			}
+			a.ExpectSerial = serial[run+key]
+			if a.Op == peer.ClaimMove && a.ExpectSerial == 0 {
+				continue // a session only moves a claim that it has seen
+			}
+			got := d.ask(rapid.SampledFrom(keepers).Draw(t, "keeper"), a)
+			want := naive.ask(a)
+			got.Absent = false
+			if !slices.Equal(got.BodyHash, want.BodyHash) || fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Fatalf("op %d key %s run %s: got %+v, naive table %+v", a.Op, key, run, got, want)
+			}
+			serial[run+key] = got.Serial
+		}
+	})
+}
+
+func TestKeeperGroupsAsksIntoOneWrite(t *testing.T) {
+	k := NewKeeper(KeeperConfig{Name: "gw"})
+	now := boottime.Time(time.Hour)
+	first := askOf(peer.ClaimCreate, "key-0", "run-0", "r1")
+	name := Bucket(Key(first.KeyHash))
+	k.Step(now, Asked{ID: 0, Ask: first})
+	out := k.Step(now, BucketRead{Name: name, Err: platform.ErrNotFound})
+	w, ok := out[0].(WriteBucket)
+	if !ok || !w.Create {
+		t.Fatalf("after the first read: %+v, want a create", out)
+	}
+	gathered := 0
+	for i := 1; gathered < 20; i++ {
+		a := askOf(peer.ClaimCreate, fmt.Sprint("key-", i), fmt.Sprint("run-", i), "r1")
+		if Bucket(Key(a.KeyHash)) != name {
+			continue
+		}
+		gathered++
+		if out := k.Step(now, Asked{ID: uint64(gathered), Ask: a}); len(out) != 0 {
+			t.Fatalf("ask %d during a write: %+v, want it to wait", i, out)
+		}
+	}
+	w.Object.Version = 1
+	out = k.Step(now, BucketWritten{Name: name, Object: w.Object})
+	wake, ok := out[len(out)-1].(Wake)
+	if !ok || wake.At != now.Add(DefaultMinGap) {
+		t.Fatalf("after the write: %+v, want an answer and a wake after the gap", out)
+	}
+	out = k.Step(wake.At, Woken{Name: name})
+	w, ok = out[0].(WriteBucket)
+	if len(out) != 1 || !ok || w.Object.Version != 1 {
+		t.Fatalf("after the gap: %+v, want one write on version 1", out)
+	}
+	w.Object.Version = 2
+	if out = k.Step(wake.At, BucketWritten{Name: name, Object: w.Object}); len(out) != gathered {
+		t.Errorf("%d answers to one write, want %d", len(out), gathered)
+	}
+}
+
+func TestKeeperBounds(t *testing.T) {
+	t.Run("waiting asks", func(t *testing.T) {
+		k := NewKeeper(KeeperConfig{MaxWaiting: 2})
+		a := askOf(peer.ClaimCreate, "k", "x", "r1")
+		k.Step(0, Asked{ID: 1, Ask: a})
+		k.Step(0, Asked{ID: 2, Ask: a})
+		out := k.Step(0, Asked{ID: 3, Ask: a})
+		if ans, ok := out[0].(Answer); !ok || ans.Answer.Kind != string(errkind.ClaimUnavailable) || ans.Answer.Absent {
+			t.Errorf("third ask: %+v, want claim_unavailable without a word on the key", out)
+		}
+	})
+	t.Run("bucket size", func(t *testing.T) {
+		d := newDirect()
+		k := NewKeeper(KeeperConfig{MaxBytes: 300})
+		d.ask(k, askOf(peer.ClaimCreate, "k", "x", "r1"))
+		refused := 0
+		for i := range 500 {
+			a := d.ask(k, askOf(peer.ClaimCreate, fmt.Sprint(i), fmt.Sprint("run-", i), "r1"))
+			if a.Kind == "" {
+				continue
+			}
+			refused++
+			if a.Kind != string(errkind.ClaimUnavailable) || a.Written {
+				t.Fatalf("full bucket: %+v, want claim_unavailable and nothing written", a)
+			}
+		}
+		if refused == 0 {
+			t.Error("no ask was refused by a full bucket")
+		}
+		if a := d.ask(k, askOf(peer.ClaimRelease, "k", "x", "r1")); !a.Granted {
+			t.Errorf("release in a full bucket: %+v, want it granted", a)
+		}
+	})
+	t.Run("malformed ask", func(t *testing.T) {
+		a := newDirect().ask(NewKeeper(KeeperConfig{}), peer.ClaimAsk{Op: peer.ClaimCreate, KeyHash: []byte{1}})
+		if a.Kind != string(errkind.InvalidRequest) {
+			t.Errorf("answer %+v, want invalid_request", a)
+		}
+	})
+	t.Run("copies", func(t *testing.T) {
+		d := newDirect()
+		k := NewKeeper(KeeperConfig{MaxBuckets: 4})
+		for i := range 300 {
+			d.ask(k, askOf(peer.ClaimCreate, fmt.Sprint(i), fmt.Sprint("run-", i), "r1"))
+		}
+		if n := k.Stats().Buckets; n > 4 {
+			t.Errorf("%d copies held, want at most 4", n)
+		}
+	})
+}
+
+func TestKeeperStoreOut(t *testing.T) {
+	d := newDirect()
+	k := NewKeeper(KeeperConfig{})
+	d.ask(k, askOf(peer.ClaimCreate, "k", "x", "r1"))
+	d.out = true
+	known := d.ask(k, askOf(peer.ClaimCreate, "k", "y", "r2"))
+	if known.Kind != string(errkind.ClaimUnavailable) || known.RunID != "x" || known.Granted || known.Absent {
+		t.Errorf("known key while the store is out: %+v, want the claim to resume by, and no grant", known)
+	}
+	fresh := d.ask(k, askOf(peer.ClaimCreate, "k2", "z", "r2"))
+	if fresh.Kind != string(errkind.ClaimUnavailable) || fresh.Absent || fresh.Written {
+		t.Errorf("new key while the store is out: %+v, want no claim that the key is absent", fresh)
+	}
+}
+
+// TestLateMoveChangesNothing delivers a copy of an earlier move after a later one.
+func TestLateMoveChangesNothing(t *testing.T) {
+	d := newDirect()
+	k := NewKeeper(KeeperConfig{})
+	created := d.ask(k, askOf(peer.ClaimCreate, "k", "x", "r1"))
+	move := askOf(peer.ClaimMove, "k", "x", "r2")
+	move.ExpectSerial = created.Serial
+	moved := d.ask(k, move)
+	again := askOf(peer.ClaimMove, "k", "x", "r3")
+	again.ExpectSerial = moved.Serial
+	d.ask(k, again)
+	if late := d.ask(k, move); late.Granted || late.Runner != "r3" {
+		t.Errorf("late copy of a move: %+v, want the claim to stay at r3", late)
+	}
+}
+
+// TestClaimOutlivesItsSends: a claim is kept at least Generations-1 slices after
+// its last grant, whoever ends the generations, and no joined claim is granted
+// that could be dropped within a send window.
+func TestClaimOutlivesItsSends(t *testing.T) {
+	const keep = 80 * time.Second
+	const slice = keep / Generations
+	d := newDirect()
+	k := NewKeeper(KeeperConfig{Keep: keep, MaxBuckets: 100})
+	bucket := Bucket(KeyOf("acct", "k"))
+	d.ask(k, askOf(peer.ClaimCreate, "k", "x", "r1"))
+	d.ask(k, askOf(peer.ClaimTakeover, "k", "y", "r1"))
+	claimedAt := d.now
+	for i := 0; ; i++ { // other keys of the bucket cause writes
+		a := askOf(peer.ClaimCreate, fmt.Sprint("other-", i), fmt.Sprint("run-", i), "r1")
+		if Bucket(Key(a.KeyHash)) != bucket {
+			continue
+		}
+		d.now = d.now.Add(slice / 4)
+		d.ask(k, a)
+		got := d.ask(k, askOf(peer.ClaimCreate, "k", "z", "r1"))
+		age := d.now.Sub(claimedAt)
+		if got.RunID != "x" {
+			if got.RunID != "z" || age < keep-slice {
+				t.Fatalf("claim gone after %v, want at least %v; got %+v", age, keep-slice, got)
+			}
+			return
+		}
+		if got.Granted && age > keep-3*slice {
+			t.Fatalf("joined claim granted at age %v of %v", age, keep)
+		}
+		if age > 2*keep {
+			t.Fatalf("claim kept for %v, keep time is %v", age, keep)
+		}
+	}
+}
+
+func TestBucketDecodeRefusesWhatItCannotRead(t *testing.T) {
+	for _, spec := range []string{`{`, `{"count":1,"cbor":"oA=="}`, `{"cbor":"AAAA"}`, `{"cbor":"gwCAgYkAAAAAAAAAAAA="}`, ``} {
+		if _, err := decode([]byte(spec)); err == nil {
+			t.Errorf("decode(%q) gave no error", spec)
+		}
+	}
+	d := newDirect()
+	a := askOf(peer.ClaimCreate, "k", "x", "r1")
+	name := Bucket(Key(a.KeyHash))
+	d.objects[name] = platform.Object{Name: name, Version: 7, Spec: []byte(`{"cbor":"AAAA"}`)}
+	if got := d.ask(NewKeeper(KeeperConfig{}), a); got.Granted || d.writes != 0 {
+		t.Errorf("ask on an unreadable bucket: %+v after %d writes, want a refusal and no write", got, d.writes)
+	}
+}
+
+func TestRecordBytes(t *testing.T) {
+	d := newContent().draft()
+	const n = 1000
+	for i := range n {
+		run := NewRunID()
+		d.set(Claim{Key: KeyOf("a", run), Body: HashOf("", "", []byte(run)), RunID: run, Holder: fmt.Sprint("gw-", i%8), Runner: fmt.Sprint("runner-", i%9), Incarnation: fmt.Sprint("incarnation-", i%9), Attempt: 1, Serial: 1, Generation: 1000})
+	}
+	spec, err := d.encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := decode(spec)
+	if err != nil || len(back.claims) != n {
+		t.Fatalf("decoded %d claims, error %v", len(back.claims), err)
+	}
+	for k, v := range d.put {
+		if back.claims[k] != v {
+			t.Fatalf("claim %+v came back as %+v", v, back.claims[k])
+		}
+	}
+	perClaim := float64(len(spec)) / n
+	t.Logf("%.1f bytes a claim", perClaim)
+	if perClaim > 130 {
+		t.Errorf("%.1f bytes a claim, want at most 130", perClaim)
+	}
+}
--- /dev/null
+++ b/internal/request/claim/mutations.sh
@@ -0,0 +1,57 @@
+#!/bin/sh
+# Usage: mutations.sh. Takes one protection out of the claim cores at a time, on a
+# copy that only the compiler sees (go test -overlay), and requires that the tests
+# of this package fail. Prints which test caught it.
+set -u
+cd "$(dirname "$0")" || exit 1
+here=$(pwd)
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+failed=0
+
+# mutate NAME FILE SED: the sed program must change the file.
+mutate() {
+	name=$1 file=$2 program=$3
+	sed "$program" "$file" >"$work/$file"
+	if cmp -s "$file" "$work/$file"; then
+		echo "STALE   $name: nothing to change in $file"
+		failed=1
+		return
+	fi
+	printf '{"Replace":{"%s":"%s"}}' "$here/$file" "$work/$file" >"$work/overlay.json"
+	if go test -count=1 -timeout 120s -overlay "$work/overlay.json" . >"$work/log" 2>&1; then
+		echo "MISSED  $name"
+		failed=1
+	elif grep -q '^--- FAIL' "$work/log"; then
+		echo "caught  $name: $(sed -n 's/^--- FAIL: \([A-Za-z]*\).*/\1/p' "$work/log" | sort | tr '\n' ' ')"
+	else
+		echo "BROKEN  $name: $(head -3 "$work/log")"
+		failed=1
+	fi
+}
+
+mutate "send before the claim" session.go '/return s.startAsk(now, peer.ClaimCreate)/c\
+		s.claim = peer.ClaimAnswer{Runner: e.Runner, Incarnation: e.Incarnation, RunID: s.cfg.RunID, Attempt: 1}\
+		s.own = true\
+		return s.send()'
+mutate "guess that a write with a lost answer took effect" keeper.go 's/return k.tryAgain(now, b, true)/return k.wrote(now, b, e)/'
+mutate "guess that a write with a lost answer had no effect" keeper.go 's/p.written = p.written || unknown \&\& p.changes/_ = unknown/'
+mutate "forget an ask that got no answer" session.go 's/s.lost = s.lost || s.ask.Op != peer.ClaimLookup/_ = s.lost/'
+mutate "move after a take-over" apply.go 's/if !alone || old.Serial != a.ExpectSerial/if old.RunID != a.RunID/'
+mutate "move without the serial" apply.go 's/if !alone || old.Serial != a.ExpectSerial/if !alone/'
+mutate "choose another runner although a send may have run" session.go 's/if !s.own || s.maySent {$/if !s.own {/'
+mutate "run again after a restart" session.go '/if e.Restarted {/,/}/c\
+		if e.Restarted \&\& s.claim.Runner == s.choice.Runner \&\& s.claim.Incarnation != s.choice.Incarnation {\
+			s.claim.Incarnation = s.choice.Incarnation\
+			return s.send()\
+		}'
+mutate "send again at an engine that does not deduplicate" session.go 's/return s.cfg.Traits(a.Runner).Deduplicates \&\& a.Incarnation != ""/return true/'
+mutate "not-run without a read" session.go 's/case s.absent, s.cfg.FirstSend:/default:/'
+mutate "not-run without a release" session.go 's/case s.maySent, s.foreign, s.own, s.lost, s.written:/case s.maySent, s.foreign, s.lost, s.written:/'
+mutate "answer from a stale copy" keeper.go 's/if b.checked > p.arrived {/if b.known {/'
+mutate "send after the window" session.go 's/return s.phase == phaseSending \&\& s.inWindow(now)/return s.phase == phaseSending/'
+mutate "join a claim about to expire" apply.go 's/return v.Attempt == attemptJoined \&\& d.generation-v.Generation <= Generations-joinMargin/return v.Attempt == attemptJoined/'
+mutate "end a generation at once" keeper.go 's/if now.Sub(b.sliceFrom) >= k.cfg.Keep\/Generations {/if true {/'
+mutate "accept another body" apply.go 's/if old.Body != Hash(a.BodyHash) {/if false {/'
+mutate "overwrite a bucket that cannot be read" record.go 's/if err := cbor.Unmarshal(s.CBOR, \&row); err != nil {/if err := cbor.Unmarshal(s.CBOR, \&row); false {\n\t\t_ = err/'
+exit $failed
--- /dev/null
+++ b/internal/request/claim/session_test.go
@@ -0,0 +1,176 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+)
+
+func sessionFor(traits Traits, first bool) *Session {
+	return NewSession(SessionConfig{
+		Gateway: "gw-x", RunID: "x", Key: KeyOf("acct", "k"), Body: HashOf("POST", "/", []byte("body")),
+		Traits: func(string) Traits { return traits }, FirstSend: first, ClaimWait: 2 * time.Nanosecond, MaxMoves: 1,
+	})
+}
+
+// TestSessionRunStates feeds scripts of events and looks at the refusal.
+func TestSessionRunStates(t *testing.T) {
+	own := func(granted bool, serial uint64) Event {
+		return answer(peer.ClaimAnswer{Granted: granted, RunID: "x", Holder: "gw-x", Attempt: 1, Serial: serial, Runner: "r1", Incarnation: "1"})
+	}
+	joined := answer(peer.ClaimAnswer{Granted: true, RunID: "y", Holder: "gw-y", Attempt: 2, Runner: "r1", Incarnation: "1"})
+	other := answer(peer.ClaimAnswer{RunID: "y", Holder: "gw-y", Attempt: 1, Runner: "r1", Incarnation: "1"})
+	out := func(absent, written bool) Event {
+		return ClaimAnswered{Answer: peer.ClaimAnswer{Kind: string(errkind.ClaimUnavailable), Absent: absent, Written: written}}
+	}
+	released := ClaimAnswered{Answer: peer.ClaimAnswer{Granted: true, Absent: true}}
+	chosen := Chosen{Runner: "r1", Incarnation: "1"}
+	full := ChooseFailed{Err: errkind.New(errkind.Overloaded, errkind.NotRun, "full")}
+	engine := Traits{Resumes: true, Deduplicates: true}
+	for _, c := range []struct {
+		name   string
+		traits Traits
+		first  bool
+		events []Event
+		kind   errkind.Kind
+		run    errkind.RunState
+	}{
+		{"store out, key not seen", engine, false, []Event{chosen, out(false, false), WaitOver{}, out(false, false)}, errkind.ClaimUnavailable, errkind.RunUnknown},
+		{"store out, first sending", engine, true, []Event{chosen, out(false, false), WaitOver{}, out(false, false)}, errkind.ClaimUnavailable, errkind.NotRun},
+		{"store out after a read", engine, false, []Event{chosen, out(true, false), WaitOver{}, out(false, false)}, errkind.ClaimUnavailable, errkind.NotRun},
+		{"store out, a write may land", engine, true, []Event{chosen, out(true, true), WaitOver{}, out(false, false)}, errkind.ClaimUnavailable, errkind.RunUnknown},
+		{"keeper lost", engine, true, []Event{chosen, KeeperLost{}, WaitOver{}, out(true, false)}, errkind.ClaimUnavailable, errkind.RunUnknown},
+		{"admission refuses a new key", engine, false, []Event{full, ClaimAnswered{Answer: peer.ClaimAnswer{Absent: true}}}, errkind.Overloaded, errkind.NotRun},
+		{"admission refuses, store out", engine, false, []Event{full, out(false, false), WaitOver{}, out(false, false)}, errkind.Overloaded, errkind.RunUnknown},
+		{"refused, then no other runner", engine, false, []Event{chosen, own(true, 1), SendRefused{}, full, released}, errkind.Overloaded, errkind.NotRun},
+		{"refused, release has no answer", engine, false, []Event{chosen, own(true, 1), SendRefused{}, full, out(false, false), WaitOver{}, out(false, false)}, errkind.Overloaded, errkind.RunUnknown},
+		{"refused, moved, move has no answer", engine, false, []Event{chosen, own(true, 1), SendRefused{}, Chosen{Runner: "r2"}, out(false, true), WaitOver{}, out(false, true)}, errkind.UpstreamRefused, errkind.RunUnknown},
+		{"held up past the window", engine, false, []Event{chosen, own(true, 1), SendLate{}, released}, errkind.DeadlineExceeded, errkind.NotRun},
+		{"ambiguous send at a plain service", Traits{}, false, []Event{chosen, own(true, 1), SendAmbiguous{}, WaitOver{}}, errkind.OutcomeUnknown, errkind.RunUnknown},
+		{"second caller at a plain service", Traits{}, false, []Event{chosen, other}, errkind.OutcomeUnknown, errkind.RunUnknown},
+		{"joined, engine restarted", engine, false, []Event{chosen, joined, SendRefused{Restarted: true}}, errkind.OutcomeUnknown, errkind.RunUnknown},
+		{"ambiguous, then restarted", engine, false, []Event{chosen, own(true, 1), SendAmbiguous{}, WaitOver{}, SendRefused{Restarted: true}}, errkind.OutcomeUnknown, errkind.RunUnknown},
+		{"stream broken, run forgotten", engine, false, []Event{chosen, own(true, 1), Started{}, StreamBroken{}, WaitOver{}, ResumeUnknownRun{}}, errkind.AnswerIncomplete, errkind.Ran},
+		{"deadline before the claim is granted", engine, false, []Event{chosen, DeadlinePassed{}, own(true, 1), released}, errkind.DeadlineExceeded, errkind.NotRun},
+		{"deadline while sending", engine, false, []Event{chosen, own(true, 1), DeadlinePassed{}}, errkind.DeadlineExceeded, errkind.RunUnknown},
+		{"caller leaves twice", engine, true, []Event{chosen, Canceled{}, Canceled{}}, errkind.Canceled, errkind.RunUnknown},
+		{"another body", engine, false, []Event{chosen, ClaimAnswered{Answer: peer.ClaimAnswer{Kind: string(errkind.KeyReused)}}}, errkind.KeyReused, errkind.NotRun},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := sessionFor(c.traits, c.first)
+			var last Action
+			for i, e := range c.events {
+				last = s.Step(boottime.Time(i), e)
+			}
+			r, ok := last.(Refuse)
+			if !ok || r.Err.Kind != c.kind || r.Err.Run != c.run {
+				t.Errorf("last action %+v, want a refusal %s, %s", last, c.kind, c.run)
+			}
+			if s.Step(99, chosen) != nil || !s.Over() {
+				t.Error("the session goes on after its refusal")
+			}
+		})
+	}
+}
+
+func answer(a peer.ClaimAnswer) Event {
+	body := HashOf("POST", "/", []byte("body"))
+	a.BodyHash = body[:]
+	return ClaimAnswered{Answer: a}
+}
+
+// TestPausedHolderSendsNothingAfterTheWindow: a holder wakes after its claim has
+// expired and the key has run under another claim.
+func TestPausedHolderSendsNothingAfterTheWindow(t *testing.T) {
+	s := sessionFor(Traits{Resumes: true, Deduplicates: true}, false)
+	s.Step(0, Chosen{Runner: "r1", Incarnation: "1"})
+	a := s.Step(1, answer(peer.ClaimAnswer{Granted: true, RunID: "x", Attempt: 1, Serial: 1, Runner: "r1", Incarnation: "1"}))
+	if _, ok := a.(Send); !ok || !s.MaySend(2) {
+		t.Fatalf("action %+v, want a send that may go out", a)
+	}
+	if s.MaySend(boottime.Time(DefaultSendWindow)) {
+		t.Error("a send may go out after the window")
+	}
+}
+
+// lossyPeers is a Caller whose peers answer from a keeper, or not at all.
+type lossyPeers struct {
+	mu     sync.Mutex
+	keeper *KeeperService
+	down   bool
+}
+
+func (p *lossyPeers) Call(ctx context.Context, _ string, e peer.Envelope) (peer.Envelope, error) {
+	p.mu.Lock()
+	down := p.down
+	p.mu.Unlock()
+	if down {
+		return peer.Envelope{}, errors.New("no connection")
+	}
+	ch := make(chan peer.ClaimAnswer, 1)
+	p.keeper.Submit(*e.Claim, func(a peer.ClaimAnswer) { ch <- a })
+	select {
+	case a := <-ch:
+		return peer.Envelope{Claimed: &a}, nil
+	case <-ctx.Done():
+		return peer.Envelope{}, ctx.Err()
+	}
+}
+
+// TestServiceAndClient runs two keeper services over the stand-in store: many
+// callers of a few keys, each key granted once; then with the remote keeper gone,
+// and with the store out.
+func TestServiceAndClient(t *testing.T) {
+	store := platform.New(platform.Config{})
+	far := NewKeeperService(KeeperConfig{Name: "gw-far", MinGap: time.Millisecond}, store, 0)
+	near := NewKeeperService(KeeperConfig{Name: "gw-near", MinGap: time.Millisecond}, store, 0)
+	defer far.Close(time.Second)
+	defer near.Close(time.Second)
+	peers := &lossyPeers{keeper: far}
+	client := &Client{Self: "gw-near", Local: near, Peers: peers, Live: func() []string { return []string{"gw-near", "gw-far"} }}
+	for round, down := range []bool{false, true} {
+		peers.mu.Lock()
+		peers.down = down
+		peers.mu.Unlock()
+		granted := make(map[string]int)
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for i := range 60 {
+			wg.Go(func() {
+				key := fmt.Sprint("key-", round, i%6)
+				a := client.Ask(t.Context(), askOf(peer.ClaimCreate, key, fmt.Sprint("run-", i), "r1"))
+				mu.Lock()
+				defer mu.Unlock()
+				if a.Granted {
+					granted[key]++
+				}
+				if a.Kind != "" {
+					t.Errorf("peer down %v: answer %+v", down, a)
+				}
+			})
+		}
+		wg.Wait()
+		for key, n := range granted {
+			if n != 1 {
+				t.Errorf("peer down %v: key %s granted %d times", down, key, n)
+			}
+		}
+		if len(granted) != 6 {
+			t.Errorf("peer down %v: %d keys granted, want 6", down, len(granted))
+		}
+	}
+	store.SetFault(platform.Fault{Outage: true})
+	a := client.Ask(t.Context(), askOf(peer.ClaimCreate, "key-out", "run-out", "r1"))
+	if a.Kind != string(errkind.ClaimUnavailable) || a.Absent {
+		t.Errorf("store out: %+v, want claim_unavailable", a)
+	}
+}
