--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -13,6 +13,7 @@
 
 	"go.uber.org/goleak"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/audit"
@@ -73,13 +74,13 @@
 
 func (s *site) addRunner(name string, checksFencing bool) {
 	s.t.Helper()
-	s.addRunnerIn(testZone, name, checksFencing)
+	s.addRunnerIn(testZone, name, checksFencing, upstream.RoleBoth)
 }
 
-func (s *site) addRunnerIn(zone, name string, checksFencing bool) {
+func (s *site) addRunnerIn(zone, name string, checksFencing bool, role upstream.Role) {
 	s.t.Helper()
 	r := runner.New(runner.Config{
-		Name: name, ChecksFencing: checksFencing,
+		Name: name, ChecksFencing: checksFencing, Role: role,
 		Loaded: []upstream.Loaded{{Model: "smoke", Version: "v1"}},
 		Cost: runner.Cost{
 			PrefillRate: 1e6, StreamRate: 100, DecodeRate: 1e4, MaxBatch: 64, KVTokens: 1 << 20, KVTransferRate: 1e6,
@@ -94,7 +95,7 @@
 	s.runners[name] = r
 	s.put(resource.KindRunner, name, resource.Runner{
 		Engine: "engine", Address: address, Zone: zone, Model: "smoke",
-		Role: string(upstream.RoleBoth), State: resource.RunnerServing,
+		Role: string(role), State: resource.RunnerServing,
 	})
 }
 
@@ -531,10 +532,48 @@
 
 func TestZoneWithoutControllers(t *testing.T) {
 	s := newSite(t, true, "r1")
-	s.addRunnerIn("zone-b", "r2", true)
+	s.addRunnerIn("zone-b", "r2", true, upstream.RoleBoth)
 	p := s.start("c-a")
 	s.leader(p)
 	s.edit("r2", setRole(upstream.RoleDecode))
 	s.untilRole("r2", upstream.RoleDecode)
 	s.untilPhase("r2", "serving")
 }
+
+// TestDemandChangesARole feeds the role policy a demand for output tokens that the
+// decode engines cannot meet.
+func TestDemandChangesARole(t *testing.T) {
+	s := newSite(t, true)
+	for _, name := range []string{"r1", "r2", "r3"} {
+		s.addRunnerIn(testZone, name, true, upstream.RolePrefill)
+	}
+	s.addRunnerIn(testZone, "r4", true, upstream.RoleDecode)
+	s.put(resource.KindEngine, "engine", resource.Engine{
+		ChecksFencing: true, KVTokens: 100_000, PrefillRate: 8000, DecodeRate: 1200, StreamRate: 60,
+		MaxBatch: 32, RoleChangeSeconds: 1, LoadSeconds: 1, KVTransferRate: 1e5,
+	})
+	s.put(resource.KindRoute, "chat", resource.Route{Model: "smoke", OnTime: resource.OnTime{FirstTokenMS: 1800, BetweenMS: 30}, Idempotent: true})
+	p := s.start("c-a")
+	s.leader(p)
+	for name := range s.runners {
+		s.edit(name, func(r *resource.Runner) { r.Role = resource.RoleAuto })
+	}
+	rows := []peer.DemandRow{{Model: "smoke", Route: "chat", Arrived: 2, Prefill: 200, Decode: 400}}
+	decided := func() bool {
+		p.post(func() { p.roles.Observe(time.Now(), rows) })
+		time.Sleep(90 * time.Millisecond) // about 20 requests and 4,000 output tokens a second
+		c, ok := p.audit.find(audit.WhatRole, "decided")
+		return ok && c.From == string(upstream.RolePrefill) && c.To != c.From
+	}
+	s.until("a role change is decided", decided)
+	s.until("the change is carried out", func() bool {
+		decided()
+		left := 0
+		for _, r := range s.runners {
+			if r.State().Role == upstream.RolePrefill {
+				left++
+			}
+		}
+		return left < 3
+	})
+}
