Let one zone's demand stand for the fleet's

Cause: use reports do not leave their zone, but the role policy weighs all runners of a model; each holder saw a third of the demand against the whole capacity.

Change: reported demand is multiplied by live gateways of the fleet over live gateways of the zone.

--- a/internal/process/controller/peers.go
+++ b/internal/process/controller/peers.go
@@ -62,7 +62,7 @@
 // UseReceived implements member.Handler.
 func (h peerHandler) UseReceived(r peer.UseReport) {
 	select {
-	case h.c.events <- func() { h.c.roles.Observe(time.Now(), r.Demand) }:
+	case h.c.events <- func() { h.c.observe(r.Demand) }:
 	default: // a loop that is behind loses a second of demand, not its turn
 	}
 }
--- a/internal/process/controller/roles.go
+++ b/internal/process/controller/roles.go
@@ -1,12 +1,15 @@
 package controller
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/audit"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/policy"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/reconcile"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
@@ -137,3 +140,44 @@
 		Why: d.ID + ": " + d.Reason, Outcome: "decided",
 	})
 }
+
+// observe takes in the demand that a gateway of this zone reported.
+func (c *Controller) observe(rows []peer.DemandRow) {
+	c.roles.Observe(time.Now(), scaled(rows, fleetShare(c.self.Zone, c.members.Members())))
+}
+
+// fleetShare is by how much the demand at this zone's gateways has to be multiplied
+// to stand for the whole fleet's. Reports do not leave their zone, while a model's
+// runners in all zones serve it together; the balancer spreads callers evenly over
+// gateways, so the ratio of their numbers serves.
+func fleetShare(zone string, members []member.Member) float64 {
+	all, own := 0, 0
+	for _, m := range members {
+		if m.Role != member.RoleGateway || m.State != member.Live {
+			continue
+		}
+		all++
+		if m.Zone == zone {
+			own++
+		}
+	}
+	if own == 0 {
+		return 1
+	}
+	return float64(all) / float64(own)
+}
+
+// scaled multiplies demand.
+func scaled(rows []peer.DemandRow, by float64) []peer.DemandRow {
+	if by == 1 {
+		return rows
+	}
+	times := func(n int) int { return int(math.Round(float64(n) * by)) }
+	out := make([]peer.DemandRow, len(rows))
+	for i, r := range rows {
+		r.Prefill, r.Decode = times(r.Prefill), times(r.Decode)
+		r.Arrived, r.Late = times(r.Arrived), times(r.Late)
+		out[i] = r
+	}
+	return out
+}
