Remove the status of a runner that is not configured any more

A deleted object left its status behind until somebody deleted it; the holder of the first zone now removes those of runners, if its configuration is new enough to know.

--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -528,6 +528,13 @@
 		t.Fatal(err)
 	}
 	s.until("the runner's status speaks of its newest version", func() bool { return s.status("r1").Version == o.Version })
+	if err := s.store.Delete(context.Background(), resource.KindRunner, "r1", 0, "operator", platform.NewNonce()); err != nil {
+		t.Fatal(err)
+	}
+	s.until("the status of the deleted runner is removed", func() bool {
+		_, err := s.store.Get(context.Background(), resource.KindStatus, "Runner/r1")
+		return err != nil
+	})
 }
 
 func TestZoneWithoutControllers(t *testing.T) {
--- a/internal/process/controller/status.go
+++ b/internal/process/controller/status.go
@@ -65,7 +65,8 @@
 }
 
 // setRejections publishes which objects other than runners are not in force in
-// their newest version. One holder does it: that of the first zone by name.
+// their newest version, and removes statuses of runners that are gone. One holder
+// does it: that of the first zone by name.
 func (c *Controller) setRejections() {
 	s := c.config.Current()
 	if s == nil || !c.statuses.listed || len(c.zones) == 0 {
@@ -82,12 +83,40 @@
 	}
 	for name, st := range c.statuses.stored {
 		_, rejected := s.Rejected[name]
-		if !rejected && !st.spec.Accepted && !strings.HasPrefix(name, resource.KindRunner+"/") {
+		runner, ofRunner := strings.CutPrefix(name, resource.KindRunner+"/")
+		_, configured := s.Runners[runner]
+		switch {
+		case rejected:
+		case ofRunner && !configured && st.spec.Version <= s.Version: // else our configuration is behind
+			c.removeStatus(name, st.object.Version)
+		case !ofRunner && !st.spec.Accepted:
 			c.statuses.set(name, resource.Status{Accepted: true, Version: s.Version, InForce: s.Version})
 		}
 	}
 }
 
+// removeStatus removes the status of a runner that is not configured any more.
+func (c *Controller) removeStatus(name string, version uint64) {
+	s := &c.statuses
+	if s.writing[name] || s.spent >= statusWrites {
+		return
+	}
+	s.spent++
+	s.writing[name] = true
+	s.forget(name)
+	c.do(func(ctx context.Context) func() {
+		c.meters.storeCalls.Inc(1)
+		err := platform.ResolveDelete(ctx, c.store, resource.KindStatus, name, version, c.self.Name)
+		return func() {
+			delete(s.writing, name)
+			delete(s.stored, name)
+			if err != nil {
+				s.stale()
+			}
+		}
+	})
+}
+
 // forget drops what was wanted while this process led.
 func (s *statuses) forget(name string) {
 	delete(s.wanted, name)
