--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -7,6 +7,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/authority"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/capacity"
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/claims"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/fanout"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/faults"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/goodput"
@@ -18,6 +19,7 @@
 func Register(p *flags.Parser) {
 	add(p, "authority", "failover of leases and orders, and calls for leases", &authority.Command{})
 	add(p, "capacity", "the counts that docs/CAPACITY.md is worked out from, checked against the page", &capacity.Command{})
+	add(p, "claims", "what run-once by Idempotency-Key costs at the platform, and what it refuses in faults", &claims.Command{})
 	add(p, "fanout", "spread of a configuration change and cost of control traffic", &fanout.Command{})
 	add(p, "faults", "what becomes of streams when a runner, a gateway or a zone fails in their middle", &faults.Command{})
 	add(p, "goodput", "useful answers a second against least-outstanding routing", &goodput.Command{})
--- /dev/null
+++ b/internal/bench/claims/world.go
@@ -0,0 +1,275 @@
+package claims
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/claim"
+)
+
+// Fixed parts of the measured world.
+const (
+	storeLatency = 2500 * time.Microsecond // one way
+	peerLatency  = 500 * time.Microsecond  // one way
+	engineName   = "runner-1"
+)
+
+// scenario is what happens in a run.
+type scenario struct {
+	gateways  int
+	rate      float64 // new keys a second
+	length    time.Duration
+	keep      time.Duration
+	seed      int64
+	outFrom   time.Duration // the store is out from then
+	outFor    time.Duration
+	pauseFrom time.Duration // the first gateway is paused from then
+	pauseFor  time.Duration
+	first     bool          // callers state that they never sent the key before
+	removed   time.Duration // the others stop asking the paused gateway so long after the pause began
+}
+
+// tally is what a run counted.
+type tally struct {
+	keys, granted      int
+	refused            map[errkind.RunState]int
+	writes, reads      int
+	bytes              int
+	waits              []time.Duration // from ask to grant
+	slowest            time.Duration
+	lastRefusal        time.Duration // since the begin of the outage
+	firstGrantAfterOut time.Duration // since the end of the outage
+	stored             int           // bytes of all buckets at the end
+}
+
+type event struct {
+	at  boottime.Time
+	seq int
+	do  func()
+}
+
+type queue []event
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+type world struct {
+	scenario
+	now     boottime.Time
+	seq     int
+	queue   queue
+	rng     *rand.Rand
+	names   []string
+	keepers []*claim.Keeper
+	replies map[uint64]func(peer.ClaimAnswer)
+	objects map[string]platform.Object
+	version uint64
+	tally
+}
+
+// run plays a scenario to its end.
+func run(sc scenario) tally {
+	w := &world{
+		scenario: sc,
+		rng:      rand.New(rand.NewSource(sc.seed)),
+		replies:  make(map[uint64]func(peer.ClaimAnswer)),
+		objects:  make(map[string]platform.Object),
+	}
+	w.refused = make(map[errkind.RunState]int)
+	for i := range sc.gateways {
+		name := fmt.Sprintf("gateway-%d", i)
+		w.names = append(w.names, name)
+		w.keepers = append(w.keepers, claim.NewKeeper(claim.KeeperConfig{Name: name, NoncePrefix: name, Keep: sc.keep}))
+	}
+	w.arrive()
+	for len(w.queue) > 0 {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.do()
+	}
+	for _, o := range w.objects {
+		w.stored += len(o.Spec)
+	}
+	return w.tally
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.seq++
+	heap.Push(&w.queue, event{w.now.Add(d), w.seq, do})
+}
+
+func (w *world) within(from, length time.Duration) bool {
+	return length > 0 && w.now >= boottime.Time(from) && w.now < boottime.Time(from+length)
+}
+
+func (w *world) out() bool          { return w.within(w.outFrom, w.outFor) }
+func (w *world) paused(gw int) bool { return gw == 0 && w.within(w.pauseFrom, w.pauseFor) }
+func (w *world) delisted() bool     { return w.within(w.pauseFrom+w.removed, w.pauseFor-w.removed) }
+func (w *world) alive() []string    { return w.names[w.firstAlive():] }
+func (w *world) gatewayForKey() int { return w.firstAlive() + w.rng.Intn(len(w.alive())) }
+func (w *world) index(n string) (gw int) {
+	for i, name := range w.names {
+		if name == n {
+			gw = i
+		}
+	}
+	return gw
+}
+
+func (w *world) firstAlive() int {
+	if w.delisted() {
+		return 1
+	}
+	return 0
+}
+
+// arrive lets new keys come in, one after the other, at random gateways.
+func (w *world) arrive() {
+	gap := time.Duration(w.rng.ExpFloat64() / w.rate * float64(time.Second))
+	if w.now.Add(gap) >= boottime.Time(w.length) {
+		return
+	}
+	w.after(gap, func() {
+		gw := w.gatewayForKey()
+		if !w.paused(gw) { // a paused gateway takes no request; its caller waits
+			w.request(gw)
+		}
+		w.arrive()
+	})
+}
+
+// request is one keyed request: it ends when it may send, or is refused.
+func (w *world) request(gw int) {
+	w.keys++
+	id := fmt.Sprintf("%032x", w.rng.Uint64())
+	s := claim.NewSession(claim.SessionConfig{
+		Gateway: w.names[gw], Account: "account", RunID: id,
+		Key: claim.KeyOf("account", id), Body: claim.HashOf("POST", "/v1/completions", []byte(id)),
+		Traits:    func(string) claim.Traits { return claim.Traits{Resumes: true, Deduplicates: true} },
+		FirstSend: w.first,
+	})
+	began := w.now
+	var feed func(e claim.Event)
+	feed = func(e claim.Event) {
+		switch a := s.Step(w.now, e).(type) {
+		case claim.Ask:
+			w.ask(gw, a.Ask, func(ans peer.ClaimAnswer) { feed(claim.ClaimAnswered{Answer: ans}) })
+		case claim.Wait:
+			w.after(a.For, func() { feed(claim.WaitOver{}) })
+		case claim.Send:
+			w.grant(began)
+		case claim.Refuse:
+			w.refused[a.Err.Run]++
+			w.lastRefusal = w.now.Sub(boottime.Time(w.outFrom))
+		}
+	}
+	feed(claim.Chosen{Runner: engineName, Incarnation: "incarnation-1"})
+}
+
+func (w *world) grant(began boottime.Time) {
+	w.granted++
+	wait := w.now.Sub(began)
+	w.waits = append(w.waits, wait)
+	w.slowest = max(w.slowest, wait)
+	outEnd := boottime.Time(w.outFrom + w.outFor)
+	if w.outFor > 0 && w.now >= outEnd && w.firstGrantAfterOut == 0 {
+		w.firstGrantAfterOut = w.now.Sub(outEnd)
+	}
+}
+
+// ask asks the bucket's keeper and, after its timeout, this gateway's own.
+func (w *world) ask(gw int, ask peer.ClaimAsk, reply func(peer.ClaimAnswer)) {
+	ranked := claim.KeeperOf(claim.Bucket(claim.Key(ask.KeyHash)), w.alive())
+	first := w.index(ranked[0])
+	done := false
+	once := func(a peer.ClaimAnswer) {
+		if !done {
+			done = true
+			reply(a)
+		}
+	}
+	delay := peerLatency
+	if first == gw {
+		delay = 0
+	}
+	if w.paused(first) {
+		w.after(claim.DefaultAskTimeout, func() { w.serve(gw, ask, once) })
+		return
+	}
+	w.after(delay, func() {
+		w.serve(first, ask, func(a peer.ClaimAnswer) { w.after(delay, func() { once(a) }) })
+	})
+}
+
+func (w *world) serve(gw int, ask peer.ClaimAsk, reply func(peer.ClaimAnswer)) {
+	id := uint64(len(w.replies) + 1)
+	w.replies[id] = reply
+	w.keep(gw, claim.Asked{ID: id, Ask: ask})
+}
+
+func (w *world) keep(gw int, e claim.KeeperEvent) {
+	for _, a := range w.keepers[gw].Step(w.now, e) {
+		switch a := a.(type) {
+		case claim.Answer:
+			w.replies[a.ID](a.Answer)
+		case claim.Wake:
+			w.after(a.At.Sub(w.now), func() { w.keep(gw, claim.Woken{Name: a.Name}) })
+		case claim.ReadBucket:
+			w.reads++
+			w.call(func() (platform.Object, error) { return w.get(a.Name) },
+				func(o platform.Object, err error) { w.keep(gw, claim.BucketRead{Name: a.Name, Object: o, Err: err}) })
+		case claim.WriteBucket:
+			w.writes++
+			w.bytes += len(a.Object.Spec)
+			w.call(func() (platform.Object, error) { return w.put(a) },
+				func(o platform.Object, err error) { w.keep(gw, claim.BucketWritten{Name: a.Name, Object: o, Err: err}) })
+		}
+	}
+}
+
+// call carries a call to the store and back.
+func (w *world) call(do func() (platform.Object, error), reply func(platform.Object, error)) {
+	w.after(storeLatency, func() {
+		o, err := platform.Object{}, error(platform.ErrUnavailable)
+		if !w.out() {
+			o, err = do()
+		}
+		w.after(storeLatency, func() { reply(o, err) })
+	})
+}
+
+func (w *world) get(name string) (platform.Object, error) {
+	o, ok := w.objects[name]
+	if !ok {
+		return o, platform.ErrNotFound
+	}
+	return o, nil
+}
+
+func (w *world) put(a claim.WriteBucket) (platform.Object, error) {
+	old, ok := w.objects[a.Name]
+	if a.Create == ok || ok && old.Version != a.Object.Version {
+		return platform.Object{}, platform.ErrConflict
+	}
+	w.version++
+	o := a.Object
+	o.Version = w.version
+	w.objects[a.Name] = o
+	return o, nil
+}
--- a/internal/request/claim/keeper.go
+++ b/internal/request/claim/keeper.go
@@ -16,7 +16,7 @@
 // Defaults of a KeeperConfig.
 const (
 	DefaultKeep       = time.Hour
-	DefaultMinGap     = 100 * time.Millisecond
+	DefaultMinGap     = 200 * time.Millisecond
 	DefaultMaxWaiting = 1024
 	DefaultMaxBytes   = 900 << 10 // the platform's bound is platform.MaxValueBytes
 	DefaultMaxTries   = 6
