--- a/internal/request/claim/keeper.go
+++ b/internal/request/claim/keeper.go
@@ -16,6 +16,7 @@
 // Defaults of a KeeperConfig.
 const (
 	DefaultKeep       = time.Hour
+	DefaultSendLife   = 15 * time.Second
 	DefaultMinGap     = 200 * time.Millisecond
 	DefaultMaxWaiting = 1024
 	DefaultMaxBytes   = 900 << 10 // the platform's bound is platform.MaxValueBytes
@@ -27,7 +28,9 @@
 type KeeperConfig struct {
 	Name        string        // of this gateway, written as the writer
 	NoncePrefix string        // unique for each process start
-	Keep        time.Duration // a claim is kept about this long; at least Generations times twice the send window
+	Keep        time.Duration // a claim is kept about this long; raised to MinKeep(SendWindow, SendLife)
+	SendWindow  time.Duration // of the sessions of all gateways
+	SendLife    time.Duration // a run that was sent arrives within it, or never
 	MinGap      time.Duration // between two writes of one bucket; what arrives meanwhile shares the next write
 	MaxWaiting  int           // asks waiting, per bucket
 	MaxBytes    int           // of a bucket's value
@@ -39,6 +42,13 @@
 	if c.Keep == 0 {
 		c.Keep = DefaultKeep
 	}
+	if c.SendWindow == 0 {
+		c.SendWindow = DefaultSendWindow
+	}
+	if c.SendLife == 0 {
+		c.SendLife = DefaultSendLife
+	}
+	c.Keep = max(c.Keep, MinKeep(c.SendWindow, c.SendLife))
 	if c.MinGap == 0 {
 		c.MinGap = DefaultMinGap
 	}
--- a/internal/request/claim/keeper_test.go
+++ b/internal/request/claim/keeper_test.go
@@ -313,7 +313,7 @@
 	const keep = 80 * time.Second
 	const slice = keep / Generations
 	d := newDirect()
-	k := NewKeeper(KeeperConfig{Keep: keep, MaxBuckets: 100})
+	k := NewKeeper(KeeperConfig{Keep: keep, SendWindow: 9 * time.Second, SendLife: time.Second, MaxBuckets: 100})
 	bucket := Bucket(KeyOf("acct", "k"))
 	d.ask(k, askOf(peer.ClaimCreate, "k", "x", "r1"))
 	d.ask(k, askOf(peer.ClaimTakeover, "k", "y", "r1"))
@@ -342,6 +342,13 @@
 	}
 }
 
+func TestKeepIsRaisedToOutliveSends(t *testing.T) {
+	k := NewKeeper(KeeperConfig{Keep: time.Second})
+	if want := MinKeep(DefaultSendWindow, DefaultSendLife); k.cfg.Keep != want {
+		t.Errorf("keep time %v, want %v", k.cfg.Keep, want)
+	}
+}
+
 func TestBucketDecodeRefusesWhatItCannotRead(t *testing.T) {
 	for _, spec := range []string{`{`, `{"count":1,"cbor":"oA=="}`, `{"cbor":"AAAA"}`, `{"cbor":"gwCAgYkAAAAAAAAAAAA="}`, ``} {
 		if _, err := decode([]byte(spec)); err == nil {
--- a/internal/request/claim/sim_test.go
+++ b/internal/request/claim/sim_test.go
@@ -191,6 +191,8 @@
 	g.keeper = NewKeeper(KeeperConfig{
 		Name:        g.name,
 		NoncePrefix: fmt.Sprintf("%s-%d", g.name, g.life),
+		SendWindow:  simSendWindow,
+		SendLife:    simSendLife,
 		Keep:        MinKeep(simSendWindow, simSendLife),
 		MinGap:      5 * time.Millisecond,
 	})
