--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -584,3 +584,28 @@
 		return left < 3
 	})
 }
+
+func TestLostAnswersOfThePlatform(t *testing.T) {
+	s := newSite(t, true, "r1", "r2")
+	a := s.start("c-a")
+	b := s.start("c-b", a.Addresses().Peers.String())
+	s.leader(a, b)
+	roles := []upstream.Role{upstream.RoleDecode, upstream.RolePrefill, upstream.RoleBoth}
+	for i := range 12 {
+		s.edit("r1", setRole(roles[i%len(roles)]))
+		s.store.SetFault(standinplatform.Fault{LoseAnswers: 1 + i%2, LoseWrites: i % 3})
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.store.SetFault(standinplatform.Fault{})
+	s.edit("r1", setRole(upstream.RoleDecode))
+	s.untilRole("r1", upstream.RoleDecode)
+	s.untilPhase("r1", "serving")
+	s.orders("r1")
+	seen := map[string]bool{}
+	for _, o := range s.runners["r1"].OrderLog() {
+		if o.Stale || seen[o.Order.ID] {
+			t.Errorf("order %+v: stale or begun twice", o)
+		}
+		seen[o.Order.ID] = true
+	}
+}
--- a/internal/process/controller/status.go
+++ b/internal/process/controller/status.go
@@ -18,6 +18,9 @@
 const (
 	// statusWrites bounds how many statuses one holder writes in a second.
 	statusWrites = 5
+	// reasonEvery bounds how often a status is written for a new reason alone, such
+	// as the number of requests that still run.
+	reasonEvery = 5 * time.Second
 	// listEvery is how often a holder reads all statuses and all slots.
 	listEvery = time.Minute
 )
@@ -28,6 +31,7 @@
 	stored  map[string]stored[resource.Status]
 	dirty   map[string]bool // wanted differs from stored, as far as is known
 	writing map[string]bool
+	wroteAt map[string]boottime.Time
 	listing bool
 	listed  bool
 	readAt  boottime.Time
@@ -39,6 +43,7 @@
 	return statuses{
 		wanted: map[string]resource.Status{}, stored: map[string]stored[resource.Status]{},
 		dirty: map[string]bool{}, writing: map[string]bool{},
+		wroteAt: map[string]boottime.Time{},
 	}
 }
 
@@ -121,6 +126,7 @@
 func (s *statuses) forget(name string) {
 	delete(s.wanted, name)
 	delete(s.dirty, name)
+	delete(s.wroteAt, name)
 }
 
 // set notes a wanted status.
@@ -184,13 +190,21 @@
 		if s.spent >= statusWrites {
 			return
 		}
-		if !s.writing[name] {
+		if !s.writing[name] && !s.canWait(name, now) {
 			s.spent++
+			s.wroteAt[name] = now
 			c.writeStatus(name, s.wanted[name], s.stored[name].object.Version)
 		}
 	}
 }
 
+// canWait reports whether only the reason changed, and the last write was just now.
+func (s *statuses) canWait(name string, now boottime.Time) bool {
+	old, next := s.stored[name].spec, s.wanted[name]
+	old.Reason = next.Reason
+	return old == next && now.Sub(s.wroteAt[name]) < reasonEvery
+}
+
 func (c *Controller) writeStatus(name string, status resource.Status, base uint64) {
 	s := &c.statuses
 	s.writing[name] = true
