Draw the jitter's seed at random where none is given

No daemon gave a seed, so every process drew the same jitter: processes that failed together came back to the platform together. A zero seed now means a random one, for the platform's client and for the audit trail.

--- a/internal/connection/platform/client.go
+++ b/internal/connection/platform/client.go
@@ -7,6 +7,7 @@
 	"crypto/x509"
 	"encoding/json"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -50,7 +51,7 @@
 	Backoff        Backoff       // between attempts to reopen a watch
 	WatchIdle      time.Duration // a watch without event or bookmark for so long is taken for cut
 	WatchGiveUp    time.Duration // Next reports ErrUnavailable after failing to reopen for so long
-	Seed           uint64        // of the jitter
+	Seed           uint64        // of the jitter; zero: random, so that processes that failed together don't come back together
 }
 
 // Client is the HTTP+JSON implementation of Store. It is safe for concurrent use.
@@ -114,6 +115,9 @@
 	if cfg.WatchGiveUp <= 0 {
 		cfg.WatchGiveUp = DefaultWatchGiveUp
 	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
 	return cfg
 }
 
--- a/internal/process/audit/trail.go
+++ b/internal/process/audit/trail.go
@@ -35,7 +35,7 @@
 	MaxEntries   int           // that wait for the platform
 	MaxBytes     int           // that wait for the platform
 	SegmentBytes int           // of one segment; at most half of platform.MaxValueBytes
-	Seed         uint64        // of the jitter between attempts
+	Seed         uint64        // of the jitter between attempts; zero: random, so that writers don't come back together
 	Now          func() time.Time
 }
 
@@ -67,6 +67,9 @@
 	if cfg.FlushEvery <= 0 {
 		cfg.FlushEvery = DefaultFlushEvery
 	}
+	if cfg.Seed == 0 {
+		cfg.Seed = rand.Uint64()
+	}
 	if cfg.MaxEntries <= 1 {
 		cfg.MaxEntries = DefaultMaxEntries
 	}
