Leave engines that do both alone, and judge gaps by the tightest route

Cause: a prefill engine beside engines that do both has nothing to do, which the capacity model did not know: it would have made such pools worse. Demand that gateways do not tell by route had no bound on gaps. Conclusion: operators have to give the first split; the policy moves it.

--- a/internal/bench/policy/command.go
+++ b/internal/bench/policy/command.go
@@ -25,6 +25,7 @@
 	Price      *float64      `long:"price" description:"price of a role change in useful answers; default: the deployment's"`
 	Horizon    time.Duration `long:"horizon" description:"horizon of the policy; default: the deployment's"`
 	Without    []string      `long:"without" description:"a lever taken out, see policy-table"`
+	StartBoth  bool          `long:"start-both" description:"all engines begin with role both"`
 	JSON       bool          `long:"json" description:"print JSON"`
 	Explain    bool          `long:"explain" description:"print the decisions of ragwort"`
 }
@@ -61,6 +62,9 @@
 		Deployment: c.Deployment, Trace: t, Seed: c.Seed, Prefill: deployments[c.Deployment].prefill,
 		Gateways: c.Gateways, ReportLag: c.ReportLag, ChangeTime: c.ChangeTime, CostError: c.CostError, Without: map[string]bool{},
 	}
+	if c.StartBoth {
+		o.Prefill = startBoth
+	}
 	for _, lever := range c.Without {
 		o.Without[lever] = true
 	}
--- a/internal/bench/policy/fleet.go
+++ b/internal/bench/policy/fleet.go
@@ -29,7 +29,7 @@
 	Deployment string
 	Trace      *trace
 	Seed       uint64
-	Prefill    int // engines that prefill at the start
+	Prefill    int // engines that prefill at the start; startBoth: none is split
 	Gateways   int // that share the requests; each knows at once only what it sent itself
 	ReportLag  time.Duration
 	ChangeTime time.Duration   // zero: the engine class's
@@ -38,6 +38,9 @@
 	Chooser    chooser
 }
 
+// startBoth as options.Prefill lets all engines begin with role both.
+const startBoth = -1
+
 // counts is what became of the requests of a route.
 type counts struct {
 	Useful, Late, Refused, Lost int
@@ -111,7 +114,10 @@
 	for i, name := range interleaved(f.snapshot) {
 		spec := f.snapshot.Runners[name]
 		role := f.dep.partner
-		if i < o.Prefill {
+		switch {
+		case o.Prefill == startBoth:
+			role = upstream.RoleBoth
+		case i < o.Prefill:
 			role = upstream.RolePrefill
 		}
 		loaded := upstream.Loaded{Model: f.dep.model, Version: f.snapshot.Routes[f.dep.heavy].Weights[0].Version}
--- a/internal/bench/policy/table.go
+++ b/internal/bench/policy/table.go
@@ -207,13 +207,13 @@
 }
 
 func (c *TableCommand) robustness(w io.Writer) error {
-	names := []string{"as it is", "report lag 0s", "report lag 5s", "report lag 10s", "change time 2s", "change time 15s", "change time 30s", "cost model 30% low", "cost model 30% high", "4 gateways"}
+	names := []string{"as it is", "report lag 0s", "report lag 5s", "report lag 10s", "change time 2s", "change time 15s", "change time 30s", "cost model 30% low", "cost model 30% high", "4 gateways", "all engines begin as both"}
 	vary := []func(*Command){
 		func(*Command) {},
 		func(c *Command) { c.ReportLag = 0 }, func(c *Command) { c.ReportLag = 5 * time.Second }, func(c *Command) { c.ReportLag = 10 * time.Second },
 		func(c *Command) { c.ChangeTime = 2 * time.Second }, func(c *Command) { c.ChangeTime = 15 * time.Second }, func(c *Command) { c.ChangeTime = 30 * time.Second },
 		func(c *Command) { c.CostError = -0.3 }, func(c *Command) { c.CostError = 0.3 },
-		func(c *Command) { c.Gateways = 4 },
+		func(c *Command) { c.Gateways = 4 }, func(c *Command) { c.StartBoth = true },
 	}
 	return c.variants(w, "setting", names, func(i int, command *Command) { vary[i](command) })
 }
--- a/internal/process/policy/capacity.go
+++ b/internal/process/policy/capacity.go
@@ -27,6 +27,10 @@
 	bothChunkShare   = 0.60
 )
 
+// bothBudget is the share of its time that an engine of role both makes use of,
+// against a decode engine: its larger chunks stall the streams.
+const bothBudget = 0.75
+
 // load is the demand of one route as the capacity model sees it.
 type load struct {
 	requests float64 // a second
@@ -42,6 +46,7 @@
 // have. This is a fluid model: it knows no queues.
 type capacity struct {
 	prefill float64 // prompt tokens a second at prefill engines
+	fed     float64 // decode engines, which prefill engines compute prompts for
 	engines []decoder
 }
 
@@ -50,6 +55,7 @@
 	count      float64
 	class      resource.Engine
 	chunkShare float64
+	budget     float64 // against a decode engine
 }
 
 // countOf adds up the capacity of runners.
@@ -65,22 +71,23 @@
 			if without.Slack {
 				share = 0
 			}
-			c.addDecoder(r.Class, share)
+			c.fed++
+			c.addDecoder(r.Class, share, 1)
 		default:
-			c.addDecoder(r.Class, bothChunkShare)
+			c.addDecoder(r.Class, bothChunkShare, bothBudget)
 		}
 	}
 	return c
 }
 
-func (c *capacity) addDecoder(class resource.Engine, share float64) {
+func (c *capacity) addDecoder(class resource.Engine, share, budget float64) {
 	for i := range c.engines {
-		if c.engines[i].class == class && c.engines[i].chunkShare == share {
+		if c.engines[i].class == class && c.engines[i].budget == budget {
 			c.engines[i].count++
 			return
 		}
 	}
-	c.engines = append(c.engines, decoder{count: 1, class: class, chunkShare: share})
+	c.engines = append(c.engines, decoder{count: 1, class: class, chunkShare: share, budget: budget})
 }
 
 // step gives the fixed time of a decode step and that of each stream, seconds.
@@ -104,7 +111,7 @@
 	return math.Max(0, 1-fixed/gap) * usableDecode
 }
 
-// decodeRate is the most output tokens a second of an engine that keeps the gap.
+// decodeRate is the most output tokens a second of a decode engine that keeps the gap.
 func decodeRate(class resource.Engine, gap float64) float64 {
 	_, perStream := step(class)
 	rate := class.DecodeRate * usableDecode
@@ -120,9 +127,10 @@
 	if gap <= 0 {
 		gap = unboundGap
 	}
-	total := 0.0
+	total, decoders := 0.0, 0.0
 	for i := range c.engines {
-		total += c.engines[i].count * decodeRate(c.engines[i].class, gap)
+		total += c.engines[i].count * c.engines[i].rate(gap)
+		decoders += c.engines[i].count
 	}
 	if decode > total {
 		return false
@@ -133,14 +141,22 @@
 		busy := 0.0
 		if total > 0 {
 			_, perStream := step(d.class)
-			busy = decode / total * decodeRate(d.class, gap) * perStream
+			busy = decode / total * d.rate(gap) * perStream
 		}
-		share := math.Min(budget(d.class, gap)-busy, d.chunkShare)
+		share := math.Min(d.budget*budget(d.class, gap)-busy, d.chunkShare)
 		spare += d.count * math.Max(0, share) * d.class.PrefillRate
 	}
-	return prefill <= c.prefill+spare
+	if decoders == 0 {
+		return prefill <= 0
+	}
+	// Only requests that go to decode engines have their prompts computed elsewhere.
+	elsewhere := math.Min(c.prefill, prefill*c.fed/decoders)
+	return prefill <= elsewhere+spare
 }
 
+// rate is the most output tokens a second of one engine of the group.
+func (d *decoder) rate(gap float64) float64 { return d.budget * decodeRate(d.class, gap) }
+
 // bisections gives the served share of a load to better than a thousandth.
 const bisections = 11
 
@@ -150,12 +166,9 @@
 	sorted := append([]load(nil), loads...)
 	sort.SliceStable(sorted, func(i, k int) bool { return sorted[i].priority > sorted[k].priority })
 	var prefill, decode, answers float64
-	gap := 0.0
+	gap := tightestGap(loads)
 	for i := range sorted {
 		l := &sorted[i]
-		if l.gap > 0 && (gap == 0 || l.gap < gap) {
-			gap = l.gap
-		}
 		share := c.share(l, prefill, decode, gap)
 		prefill += share * l.prefill
 		decode += share * l.decode
@@ -164,6 +177,18 @@
 	return answers
 }
 
+// tightestGap is the gap that every engine keeps, since streams of all routes
+// share its steps; zero: none is bound.
+func tightestGap(loads []load) float64 {
+	gap := 0.0
+	for i := range loads {
+		if l := &loads[i]; l.gap > 0 && l.decode > 0 && (gap == 0 || l.gap < gap) {
+			gap = l.gap
+		}
+	}
+	return gap
+}
+
 // share is the largest share of a load that fits beside what is served already.
 func (c *capacity) share(l *load, prefill, decode, gap float64) float64 {
 	if c.fits(prefill+l.prefill, decode+l.decode, gap) {
@@ -214,12 +239,29 @@
 	return (f(reach) + f(-reach)) / 6
 }
 
+// tightest is the route to a model with the shortest gap between tokens.
+func tightest(routes map[string]resource.Route, model string) resource.Route {
+	var best resource.Route
+	for _, r := range routes {
+		ms := r.OnTime.BetweenMS
+		if r.Model == model && ms > 0 && (best.OnTime.BetweenMS == 0 || ms < best.OnTime.BetweenMS) {
+			best = r
+		}
+	}
+	best.Priority = 0
+	return best
+}
+
 // loadsOf turns demand into loads with the bounds of their routes.
-func loadsOf(demand []Demand, routes map[string]resource.Route) []load {
+// Demand that is not told by route has the tightest gap of the model's routes.
+func loadsOf(demand []Demand, routes map[string]resource.Route, model string) []load {
 	loads := make([]load, len(demand))
 	for i := range demand {
 		d := &demand[i]
-		route := routes[d.Route]
+		route, ok := routes[d.Route]
+		if !ok {
+			route = tightest(routes, model)
+		}
 		loads[i] = load{
 			requests: d.Requests.Forecast,
 			prefill:  d.Prefill.Forecast,
--- a/internal/process/policy/core.go
+++ b/internal/process/policy/core.go
@@ -11,7 +11,7 @@
 const (
 	warmUp        = 15 * time.Second // no change before demand was seen this long
 	rankWait      = 3 * time.Second  // a controller of the next rank acts this much later
-	recentChanges = 10 * time.Minute  // turning back within this time costs more
+	recentChanges = 10 * time.Minute // turning back within this time costs more
 	keptDecisions = 512              // decisions kept for explain
 )
 
@@ -158,7 +158,7 @@
 		return
 	}
 	if len(d.Options) == 0 {
-		d.Reason = "kept: no serving runner's role may be changed"
+		d.Reason = "kept: no serving runner's role may be changed (fixed, or both)"
 		return
 	}
 	best := d.Options[0]
--- a/internal/process/policy/core_test.go
+++ b/internal/process/policy/core_test.go
@@ -103,6 +103,23 @@
 	}
 }
 
+func TestEnginesThatDoBothAreLeftAlone(t *testing.T) {
+	runners := pool(3, 6)
+	runners[8].Role = upstream.RoleBoth
+	runners[7].Role = upstream.RoleBoth
+	p := newPlayer(Defaults(), runners)
+	p.play(surge, 60)
+	p.play(evening, 120)
+	if len(p.changes) == 0 {
+		t.Error("no change beside engines that do both")
+	}
+	for _, c := range p.changes {
+		if c.From == upstream.RoleBoth || c.To == upstream.RoleBoth {
+			t.Errorf("change %v", c)
+		}
+	}
+}
+
 func TestSwingsNearTheChangeTimeSettle(t *testing.T) {
 	for _, half := range []int{5, 10, 15} {
 		p := newPlayer(Defaults(), pool(5, 4))
@@ -121,6 +138,24 @@
 	}
 }
 
+// TestDemandWithoutRoutes: gateways that do not tell routes apart must not make
+// the policy take longer gaps for useful than the model's routes do.
+func TestDemandWithoutRoutes(t *testing.T) {
+	told, untold := newPlayer(Defaults(), pool(5, 4)), newPlayer(Defaults(), pool(5, 4))
+	told.play(mix{0, 29}, 16)
+	for range 16 {
+		untold.core.Observe(untold.now, []peer.DemandRow{{Model: "m", Arrived: 29, Prefill: 300 * 29, Decode: 450 * 29}})
+		untold.last = untold.core.Decide(untold.now, untold.in)[0]
+		untold.now = untold.now.Add(time.Second)
+	}
+	if told.changes == nil || untold.last.Change == nil {
+		t.Fatalf("no change: told %v, untold %v", told.changes, untold.last.Reason)
+	}
+	if a, b := told.last.Useful, untold.last.Useful; a < 0.99*b || b < 0.99*a {
+		t.Errorf("useful answers expected with routes %.2f, without %.2f", a, b)
+	}
+}
+
 func TestPriceStopsChanges(t *testing.T) {
 	p := newPlayer(Config{RoleChangePrice: 1e6, Horizon: time.Minute}, pool(5, 4))
 	p.play(balanced, 60)
--- a/internal/process/policy/options.go
+++ b/internal/process/policy/options.go
@@ -35,7 +35,7 @@
 
 func newWeighing(cfg Config, in *Input, model string, runners []Runner, demand []Demand, recent []Change) *weighing {
 	w := &weighing{cfg: cfg, in: in, model: model, runners: runners, demand: demand, recent: recent}
-	w.loads = loadsOf(demand, in.Routes)
+	w.loads = loadsOf(demand, in.Routes, model)
 	for i := range runners {
 		if countsOver(&runners[i], cfg.Horizon) {
 			w.present = append(w.present, runners[i])
@@ -70,7 +70,7 @@
 		if i < 0 {
 			continue
 		}
-		for _, to := range targets {
+		for _, to := range roles {
 			if to != from {
 				out = append(out, w.weigh(i, to))
 			}
@@ -85,13 +85,10 @@
 	return out
 }
 
-// roles are those that a runner may have; targets are those that it may be
-// changed to. An engine that does both delays its streams by the prompts, and
-// measured worse than a split in every mix; it stays as it is until a split gains.
-var (
-	roles   = []upstream.Role{upstream.RolePrefill, upstream.RoleDecode, upstream.RoleBoth}
-	targets = []upstream.Role{upstream.RolePrefill, upstream.RoleDecode}
-)
+// roles are those that a runner may be changed from and to. An engine that does
+// both is left alone: it delays its streams by the prompts, and a prefill engine
+// beside it has nothing to do until another engine only decodes.
+var roles = []upstream.Role{upstream.RolePrefill, upstream.RoleDecode}
 
 // cheapest finds the runner of a role that is soonest drained, in a zone that
 // this controller holds if there is one; -1: none.
@@ -127,10 +124,10 @@
 
 // weigh works out gain and loss of changing one present runner.
 func (w *weighing) weigh(i int, to upstream.Role) Option {
-	r := w.present[i]
-	o := Option{Change: Change{Model: w.model, Runner: r.Name, From: r.Role, To: to}, Price: w.cfg.RoleChangePrice}
 	changed := append([]Runner(nil), w.present...)
 	changed[i].Role = to
+	r := w.present[i]
+	o := Option{Change: Change{Model: w.model, Runner: r.Name, From: r.Role, To: to}, Price: w.cfg.RoleChangePrice}
 	gone := append(append([]Runner(nil), w.present[:i]...), w.present[i+1:]...)
 	away := w.awayFor(&r)
 	lasting := max(0, w.cfg.Horizon-away).Seconds()
