Share the work of use reports evenly

The trees bound the copies that a daemon sends of one report and order children by a hash of the origin. Readers of packed messages are kept.

--- a/internal/connection/peer/pack.go
+++ b/internal/connection/peer/pack.go
@@ -37,9 +37,16 @@
 	return out.Bytes(), nil
 }
 
+// unpackers are kept because each holds a window of some ten kilobytes.
+var unpackers = sync.Pool{New: func() any { return flate.NewReader(bytes.NewReader(nil)) }}
+
 // unpack gives the encoded message back, no more than MaxMessageBytes of it.
 func unpack(packed []byte) ([]byte, error) {
-	r := flate.NewReader(bytes.NewReader(packed))
+	r := unpackers.Get().(io.Reader)
+	defer unpackers.Put(r)
+	if err := r.(flate.Resetter).Reset(bytes.NewReader(packed), nil); err != nil {
+		return nil, errors.Wrap(err, "unpack peer message")
+	}
 	data, err := io.ReadAll(io.LimitReader(r, MaxMessageBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(ErrMalformed, err.Error())
--- a/internal/process/member/tree.go
+++ b/internal/process/member/tree.go
@@ -1,28 +1,43 @@
 package member
 
-// tree is the breadth-first tree over a zone's links by which the messages of one
-// daemon reach its zone. Where a daemon could get them from several others, a hash
-// of the origin decides, so that the trees of different origins load the daemons
-// evenly. With the same view everywhere each daemon gets each message once.
-type tree map[string][]string // daemon to those that it passes messages on to
+// maxChildren bounds the copies of one message that a daemon sends, so that the
+// work is shared evenly.
+const maxChildren = 4
+
+// tree is a breadth-first tree over a zone's links by which the messages of one
+// daemon reach its zone: daemon to those that it passes messages on to. Where a
+// daemon could get them from several others, a hash of the origin decides, so that
+// the trees of different origins load the daemons evenly. With the same view
+// everywhere each daemon gets each message once.
+type tree map[string][]string
 
 // treeFrom computes the tree of an origin.
 func (g topology) treeFrom(origin string, zoneOf map[string]string) tree {
-	zone := zoneOf[origin]
-	seen := map[string]bool{origin: true}
 	t := tree{}
-	for level := []string{origin}; len(level) > 0; {
+	seen := map[string]bool{origin: true}
+	t.grow(g, origin, zoneOf, seen, maxChildren)
+	t.grow(g, origin, zoneOf, seen, len(zoneOf)) // those whose neighbors are all full
+	return t
+}
+
+// grow adds the daemons of the origin's zone that are not seen yet, level by level.
+func (t tree) grow(g topology, origin string, zoneOf map[string]string, seen map[string]bool, most int) {
+	var level []string
+	for name := range seen {
+		level = append(level, name)
+	}
+	for len(level) > 0 {
 		var next []string
 		for _, name := range ranked(level, origin) {
-			for _, child := range g[name] {
-				if !seen[child] && zoneOf[child] == zone {
-					seen[child] = true
-					t[name] = append(t[name], child)
-					next = append(next, child)
+			for _, child := range ranked(g[name], origin) {
+				if seen[child] || zoneOf[child] != zoneOf[origin] || len(t[name]) >= most {
+					continue
 				}
+				seen[child] = true
+				t[name] = append(t[name], child)
+				next = append(next, child)
 			}
 		}
 		level = next
 	}
-	return t
 }
