Keep the recent prompt rate as a running sum, and fade in steps

The sum over the rate window was built anew for every view, and every look at a rate took an exponential.

--- a/internal/bench/goodput/cost.go
+++ b/internal/bench/goodput/cost.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/limit"
@@ -26,7 +28,7 @@
 type costRow struct {
 	Runners     int     `json:"runners"`
 	Models      int     `json:"models"`
-	NS          float64 `json:"ns_per_decision"`
+	NS          float64 `json:"cpu_ns_per_decision"`
 	Allocations float64 `json:"allocations_per_decision"`
 	RunnerBytes float64 `json:"bytes_per_runner"`
 	PrefixBytes float64 `json:"bytes_of_full_prefix_index_per_runner"`
@@ -46,11 +48,11 @@
 		}{rows, account})
 	}
 	for _, r := range rows {
-		fmt.Printf("%3d runners of %2d models: %8.0f ns and %.2f allocations a decision; %.0f bytes a runner, %.0f more with a full prefix index\n",
+		fmt.Printf("%3d runners of %2d models: %8.0f ns of processor time and %.2f allocations a decision; %.0f bytes a runner, %.0f more with a full prefix index\n",
 			r.Runners, r.Models, r.NS, r.Allocations, r.RunnerBytes, r.PrefixBytes)
 	}
 	slope := (rows[2].NS - rows[0].NS) / float64(rows[2].Runners-rows[0].Runners)
-	fmt.Printf("slope: %.0f ns for each runner of the model; %.0f bytes an account with 8 gateways\n", slope, account)
+	fmt.Printf("slope: %.0f ns of processor time for each runner of the model; %.0f bytes an account with 8 gateways\n", slope, account)
 	return nil
 }
 
@@ -76,6 +78,16 @@
 	return s, t
 }
 
+// processorTime is the time that this process has computed. Unlike the wall
+// clock it tells the cost of a decision on a busy machine too.
+func processorTime() time.Duration {
+	var u unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 func heapBytes() float64 {
 	runtime.GC()
 	var m runtime.MemStats
@@ -102,7 +114,7 @@
 	t.Prefixes.Sent("runner-0", hashes)
 	var start, end runtime.MemStats
 	runtime.ReadMemStats(&start)
-	from := time.Now()
+	from := processorTime()
 	for i := range c.Decisions {
 		q.Seed = uint64(i)
 		at := epoch.Add(time.Duration(i) * time.Microsecond)
@@ -111,7 +123,7 @@
 			panic("the fleet of the measurement has no runner for the request")
 		}
 	}
-	row.NS = float64(time.Since(from).Nanoseconds()) / float64(c.Decisions)
+	row.NS = float64((processorTime() - from).Nanoseconds()) / float64(c.Decisions)
 	runtime.ReadMemStats(&end)
 	row.Allocations = float64(end.Mallocs-start.Mallocs) / float64(c.Decisions)
 	row.PrefixBytes = prefixBytes(n, t)
--- a/internal/request/route/calibration.go
+++ b/internal/request/route/calibration.go
@@ -12,9 +12,10 @@
 	runnerWeight    = 0.02 // weight of one answer in the factors of its runner; less, so that the class explains what it can
 	leastFactor     = 0.5
 	mostFactor      = 4.0
-	wrongAbove      = 1.25 // the factors of a class count from here on
-	wrongBelow      = 0.7  // and down from here
-	slowAbove       = 1.5  // a runner's own factor counts from here on
+	wrongAbove      = 1.25        // the factors of a class count from here on
+	wrongBelow      = 0.7         // and down from here
+	slowAbove       = 1.5         // a runner's own factor counts from here on
+	fadeEvery       = time.Second // finer steps would only cost time
 	factorHalfLife  = 5 * time.Minute
 	leastPromptTime = 100 * time.Millisecond // shorter prompts say more of the network than of the engine
 	mostQueued      = 0.5                    // prompts ahead in parts of the own one; more of them say more of the queue
@@ -26,17 +27,19 @@
 // measured on the answers that this gateway received. Zero: nothing measured.
 type factors struct {
 	prompt, decode float64
-	learned        time.Time
+	learned        time.Time // when they last faded
 }
 
 // fade moves the factors back to 1 with the time without answers, so that a
 // gateway that admits little because of them finds out when they no longer hold.
 func (f *factors) fade(now time.Time) {
-	if !f.learned.IsZero() && now.After(f.learned) {
-		keep := math.Exp2(-now.Sub(f.learned).Seconds() / factorHalfLife.Seconds())
-		f.prompt = 1 + (orOne(f.prompt)-1)*keep
-		f.decode = 1 + (orOne(f.decode)-1)*keep
+	elapsed := now.Sub(f.learned)
+	if elapsed < fadeEvery {
+		return
 	}
+	keep := math.Exp2(-elapsed.Seconds() / factorHalfLife.Seconds())
+	f.prompt = 1 + (orOne(f.prompt)-1)*keep
+	f.decode = 1 + (orOne(f.decode)-1)*keep
 	f.learned = now
 }
 
--- a/internal/request/route/journal.go
+++ b/internal/request/route/journal.go
@@ -5,8 +5,9 @@
 // The journal of one runner is a ring of bins.
 const (
 	binLength  = 100 * time.Millisecond
-	binCount   = 128
+	binCount   = 128             // a power of two, see slot
 	rateWindow = 4 * time.Second // over which recent rates are taken
+	windowBins = int64(rateWindow / binLength)
 )
 
 // journal counts what gateways sent to one runner, by time of sending, over the
@@ -14,7 +15,8 @@
 // is too old to be corrected.
 type journal struct {
 	bins   [binCount]bin
-	newest int64 // number of the newest bin since the epoch of time
+	newest int64   // number of the newest bin since the epoch of time
+	recent float64 // prompt tokens of the bins in the rate window
 }
 
 type bin struct {
@@ -27,7 +29,7 @@
 
 func binOf(t time.Time) int64 { return t.UnixNano() / int64(binLength) }
 
-func slot(number int64) int { return int(((number % binCount) + binCount) % binCount) }
+func slot(number int64) int { return int(number & (binCount - 1)) }
 
 // at gives the bin for time t, or nil if t is before the ring.
 func (j *journal) at(t time.Time) *bin {
@@ -39,17 +41,21 @@
 	return &j.bins[slot(n)]
 }
 
-// advance clears the bins between the newest one and n.
+// advance clears the bins between the newest one and n, and takes those that
+// leave the rate window off its sum.
 func (j *journal) advance(n int64) {
 	if n <= j.newest {
 		return
 	}
 	if n-j.newest >= binCount {
 		j.bins = [binCount]bin{}
-	} else {
-		for i := j.newest + 1; i <= n; i++ {
-			j.bins[slot(i)] = bin{}
-		}
+		j.recent = 0
+		j.newest = n
+		return
+	}
+	for i := j.newest + 1; i <= n; i++ {
+		j.recent -= float64(j.bins[slot(i-windowBins)].prefill)
+		j.bins[slot(i)] = bin{}
 	}
 	j.newest = n
 }
@@ -69,8 +75,12 @@
 		return
 	}
 	b.requests += float32(requests)
+	before := b.prefill
 	b.prefill += float32(prefill)
 	b.decode += float32(decode)
+	if binOf(t) > j.newest-windowBins {
+		j.recent += float64(b.prefill - before)
+	}
 }
 
 // addSpread counts what was sent evenly between two times.
@@ -138,14 +148,8 @@
 
 // prefillPerSecond is the mean rate of prompt tokens sent over the rate window.
 func (j *journal) prefillPerSecond(now time.Time) float64 {
-	last := binOf(now)
-	total := 0.0
-	for n := last - int64(rateWindow/binLength) + 1; n <= last && n <= j.newest; n++ {
-		if n > j.newest-binCount {
-			total += float64(j.bins[slot(n)].prefill)
-		}
-	}
-	return total / rateWindow.Seconds()
+	j.advance(binOf(now))
+	return max(j.recent, 0) / rateWindow.Seconds()
 }
 
 // ownSince sums what this gateway sent since a time: the change of requests in
--- a/internal/request/route/peers.go
+++ b/internal/request/route/peers.go
@@ -10,7 +10,8 @@
 // Bounds on what is estimated of peers.
 const (
 	peerRateHalfLife = 3 * time.Second
-	longestUnseen    = 3 * time.Second // a peer that is silent for longer is taken as gone
+	rateFadeEvery    = 20 * time.Millisecond // finer steps would only cost time
+	longestUnseen    = 3 * time.Second       // a peer that is silent for longer is taken as gone
 )
 
 // peerRate is a fading rate of tokens.
@@ -20,8 +21,12 @@
 }
 
 func (p *peerRate) fade(now time.Time) {
-	if !p.at.IsZero() && now.After(p.at) {
-		p.tokens *= math.Exp2(-now.Sub(p.at).Seconds() / peerRateHalfLife.Seconds())
+	elapsed := now.Sub(p.at)
+	if elapsed < rateFadeEvery {
+		return
+	}
+	if p.tokens != 0 {
+		p.tokens *= math.Exp2(-elapsed.Seconds() / peerRateHalfLife.Seconds())
 	}
 	p.at = now
 }
--- a/internal/request/route/tracker_test.go
+++ b/internal/request/route/tracker_test.go
@@ -185,7 +185,7 @@
 		for range rapid.IntRange(0, 60).Draw(t, "entries") {
 			at += rapid.IntRange(0, 10).Draw(t, "bins")
 			n := rapid.IntRange(-2, 5).Draw(t, "requests")
-			j.add(now.Add(time.Duration(at)*binLength), float64(n), 0, 0)
+			j.add(now.Add(time.Duration(at)*binLength), float64(n), float64(10*n), 0)
 			plain = append(plain, entry{at, n})
 		}
 		age := rapid.IntRange(0, binCount-1).Draw(t, "age")
@@ -195,7 +195,16 @@
 				want += e.requests
 			}
 		}
+		recent := 0
+		for _, e := range plain {
+			if int64(e.at) > int64(at)-windowBins {
+				recent += 10 * e.requests
+			}
+		}
 		end := now.Add(time.Duration(at) * binLength)
+		if got := j.prefillPerSecond(end) * rateWindow.Seconds(); math.Abs(got-max(float64(recent), 0)) > 1e-3 {
+			t.Fatalf("prompt tokens in the window %v, plain %v", got, recent)
+		}
 		if got := j.since(end.Add(-time.Duration(age)*binLength), end, 0, 0).requests; got != float64(want) && age > 0 {
 			t.Fatalf("sum %v, plain %v", got, want)
 		}
