Split account limits between zones by their gateways

Cause: use reports stay in their zone, but the limits counted the gateways of all zones, which are never heard. So in a fleet of several zones every gateway took itself for cut off and kept to its own share of 1/N for good. Change: the gateways of a zone share the zone's part of the limits, which is their share of all gateways. A test of two gateways shows that tokens in flight at one are counted at the other; another that the zone's part does not shrink.

--- a/internal/process/gateway/cores.go
+++ b/internal/process/gateway/cores.go
@@ -18,9 +18,10 @@
 // cores owns the pure cores of the request path. Each method holds the mutex for
 // one decision and does no I/O, so that the lock is short.
 type cores struct {
-	mu       sync.Mutex
-	zone     string
-	snapshot *config.Snapshot // newest in force
+	mu        sync.Mutex
+	zone      string
+	zoneShare float64          // part of the account limits that holds in this zone
+	snapshot  *config.Snapshot // newest in force
 
 	tracker  *route.Tracker
 	admit    *admit.Core
@@ -46,6 +47,7 @@
 func newCores(self settings.Instance, limits settings.Limits) *cores {
 	return &cores{
 		zone:        self.Zone,
+		zoneShare:   1,
 		tracker:     route.NewTracker(),
 		admit:       admit.New(admit.Config{QueueRequests: limits.QueueRequests, QueueTokens: limits.QueueTokens}),
 		limit:       limit.New(limit.Config{Self: self.Name}),
@@ -98,7 +100,7 @@
 func (c *cores) reserve(now time.Time, account string, spec resource.ClientAccount, tokens int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if refusal := c.limit.Admit(now, account, spec, tokens); refusal != nil {
+	if refusal := c.limit.Admit(now, account, c.zoneLimits(spec), tokens); refusal != nil {
 		return refusal
 	}
 	c.budget.Request(now)
--- a/internal/process/gateway/coreshare.go
+++ b/internal/process/gateway/coreshare.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
 func (c *cores) demandOf(model string) *peer.DemandRow {
@@ -35,9 +37,23 @@
 	c.limit.PeerUse(now, r.Origin, r.Accounts)
 }
 
-// setGateways tells which gateways share the account limits.
-func (c *cores) setGateways(now time.Time, names []string) {
+// setGateways tells which gateways of this zone share the account limits, and how
+// many there are in all zones. Use reports stay in their zone, so that the limits
+// are split between zones by their gateways and shared within a zone.
+func (c *cores) setGateways(now time.Time, zone []string, all int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.limit.SetGateways(now, names)
+	c.zoneShare = 1
+	if len(zone) > 0 && all > len(zone) {
+		c.zoneShare = float64(len(zone)) / float64(all)
+	}
+	c.limit.SetGateways(now, zone)
+}
+
+// zoneLimits gives an account's limits in this zone.
+func (c *cores) zoneLimits(spec resource.ClientAccount) resource.ClientAccount {
+	spec.RequestsPerSec *= c.zoneShare
+	spec.Burst = int(math.Ceil(float64(spec.Burst) * c.zoneShare))
+	spec.TokensInFlight = int(math.Ceil(float64(spec.TokensInFlight) * c.zoneShare))
+	return spec
 }
--- a/internal/process/gateway/network.go
+++ b/internal/process/gateway/network.go
@@ -91,19 +91,23 @@
 
 // MembersChanged implements member.Handler.
 func (n network) MembersChanged(members []member.Member) {
-	n.g.cores.setGateways(time.Now(), gatewaysOf(members))
+	zone, all := gatewaysOf(members, n.g.cfg.Settings.Instance.Zone)
+	n.g.cores.setGateways(time.Now(), zone, all)
 }
 
-// gatewaysOf lists the gateways that may be serving callers. A suspected one may
-// be cut off and go on serving.
-func gatewaysOf(members []member.Member) []string {
-	var names []string
+// gatewaysOf lists the gateways of a zone that may be serving callers, and counts
+// those of all zones. A suspected one may be cut off and go on serving.
+func gatewaysOf(members []member.Member, zone string) (names []string, all int) {
 	for _, m := range members {
-		if m.Role == member.RoleGateway && m.State != member.Gone {
+		if m.Role != member.RoleGateway || m.State == member.Gone {
+			continue
+		}
+		all++
+		if m.Zone == zone {
 			names = append(names, m.Name)
 		}
 	}
-	return names
+	return names, all
 }
 
 // keepers lists the live gateways, among which the keepers of claims are ranked.
--- a/internal/process/gateway/service_test.go
+++ b/internal/process/gateway/service_test.go
@@ -35,13 +35,14 @@
 		}
 	})
 	t.Run("a lost answer is asked for again only if idempotent", func(t *testing.T) {
-		for range 4 {
+		const calls = 24 // some of them go to the first upstream
+		for range calls {
 			tiles.upstreams[0].SetFaults(lose)
 			if p := g.get(call(http.MethodGet, "/tiles/1", "lost")); p.status != http.StatusOK {
 				t.Errorf("idempotent: status %d %s", p.status, p.raw)
 			}
 		}
-		if n := tiles.calls("lost"); n < 5 {
+		if n := tiles.calls("lost"); n <= calls {
 			t.Errorf("%d calls acted upon: no answer was lost", n)
 		}
 		vans.each(lose)
--- /dev/null
+++ b/internal/process/gateway/share_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// What one gateway has in flight for an account counts at the others.
+func TestAccountLimitIsSharedByGateways(t *testing.T) {
+	slow := fastCost
+	slow.StreamRate = 150 // the request holds its tokens for two seconds
+	f := newFleet(t, runner.Config{Name: "r1", Cost: slow})
+	f.put(resource.KindRoute, "alert", resource.Route{Model: testModel, Priority: 5, ExpectedOut: 300})
+	f.put(resource.KindClientAccount, "school", resource.ClientAccount{
+		KeyHashes: []string{hashOf("school-key")}, TokensInFlight: 400, MaxPriority: 5,
+	})
+	one, two := f.start(f.settings("gw-1")), f.start(f.settings("gw-2"))
+	body := completion("alert", "[out=300] p", 300, true)
+	held := make(chan reply, 1)
+	go func() { held <- one.get(ask{key: "school-key", body: body}) }()
+	// A request that passes the limit is refused next, by its deadline.
+	kind := func() errkind.Kind {
+		p := two.get(ask{key: "school-key", body: body, header: map[string]string{headerDeadline: "10"}})
+		if p.err.Run != errkind.NotRun || p.err.Kind == errkind.RateLimited && p.header.Get(headerRetryAfter) == "" {
+			t.Errorf("%+v", p.err)
+		}
+		return p.err.Kind
+	}
+	two.eventually("the other gateway refuses", func() bool { return kind() == errkind.RateLimited })
+	(<-held).wantWhole(t, answerTo("[out=300] p", 300))
+	two.eventually("the other gateway admits again", func() bool { return kind() == errkind.DeadlineUnmeetable })
+}
+
+// Gateways of other zones don't report here. The zone's part of a limit must not
+// shrink further because nothing is heard of them.
+func TestAccountLimitIsSplitBetweenZones(t *testing.T) {
+	c := newCores(settings.Instance{Name: "a-1", Zone: "a"}, settings.Limits{})
+	zone, all := gatewaysOf([]member.Member{
+		{Name: "a-1", Role: member.RoleGateway, Zone: "a", State: member.Live},
+		{Name: "b-1", Role: member.RoleGateway, Zone: "b", State: member.Suspected},
+		{Name: "b-2", Role: member.RoleGateway, Zone: "b", State: member.Gone},
+		{Name: "c-1", Role: member.RoleController, Zone: "a", State: member.Live},
+	}, "a")
+	now := time.Now()
+	c.setGateways(now, zone, all)
+	later := now.Add(time.Minute)
+	spec := resource.ClientAccount{TokensInFlight: 401}
+	if err := c.reserve(later, "school", spec, 201); err != nil {
+		t.Errorf("half of the limit in one of two zones: %v", err)
+	}
+	if err := c.reserve(later, "school", spec, 1); !errkind.Is(err, errkind.RateLimited) {
+		t.Errorf("beyond the zone's half: %v", err)
+	}
+}
