Print a number where a baseline answers nothing in time

The ratio was infinite there and could not be encoded as JSON; a baseline now counts as at least one answer.

--- a/internal/bench/goodput/command.go
+++ b/internal/bench/goodput/command.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math"
 	"os"
 	"time"
 )
@@ -120,7 +119,9 @@
 	out.Chats /= n
 	out.Own /= n
 	out.Reported /= n
-	out.Ratio = out.Goodput / math.Max(out.Own, out.Reported)
+	// A baseline without a useful answer counts as one answer, so that the ratio is a number.
+	one := 1 / (s.length - s.warm).Seconds()
+	out.Ratio = out.Goodput / max(out.Own, out.Reported, one)
 	out.Refused = float64(refused) / float64(arrived)
 	out.Late = 1 - float64(useful)/float64(max(admitted, 1))
 	out.Spilled = float64(spilled) / float64(max(admitted, 1))
--- a/internal/bench/goodput/goodput_test.go
+++ b/internal/bench/goodput/goodput_test.go
@@ -1,6 +1,7 @@
 package goodput
 
 import (
+	"encoding/json"
 	"math"
 	"reflect"
 	"testing"
@@ -71,6 +72,18 @@
 	}
 }
 
+// TestRowsEncode checks that a row is JSON also where the baselines answer nothing in time.
+func TestRowsEncode(t *testing.T) {
+	c := &Command{Seeds: []uint64{1}, Seconds: 12, UseMS: 250, Used: fleetGateways}
+	row := c.cell(3, 0)
+	if _, err := json.Marshal(row); err != nil {
+		t.Fatalf("%+v: %v", row, err)
+	}
+	if row.Own > 5 || row.Ratio < 3 {
+		t.Errorf("at 3.0 load: baseline %v, ratio %v", row.Own, row.Ratio)
+	}
+}
+
 func TestPairsBeatPrefillOnDecodeEngines(t *testing.T) {
 	c := &PairsCommand{Seeds: []uint64{1}, Seconds: 12, Load: 0.8, Prefills: 3}
 	weighed, never := c.way("weighed", class.KVTransferRate), c.way("never", class.KVTransferRate)
