--- /dev/null
+++ b/internal/process/controller/underload_test.go
@@ -0,0 +1,151 @@
+package controller
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/gateway"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const clientKey = "key-of-the-test"
+
+// startGateway runs a gateway beside the controllers and gives its base URL.
+func (s *site) startGateway(name string, seeds ...string) string {
+	s.t.Helper()
+	sum := sha256.Sum256([]byte(clientKey))
+	s.put(resource.KindClientAccount, "test", resource.ClientAccount{KeyHashes: []string{hex.EncodeToString(sum[:])}, MaxPriority: 9})
+	s.put(resource.KindRoute, "chat", resource.Route{Model: "smoke", MaxTokens: 250})
+	set := &settings.Gateway{
+		Instance:  settings.Instance{Name: name, Zone: testZone},
+		Listen:    settings.Listener{Address: "127.0.0.1:0"},
+		Platform:  settings.Platform{Address: "http://127.0.0.1:1"},
+		Peer:      settings.Peer{Listen: settings.Listener{Address: "127.0.0.1:0"}, SharedKey: settings.Secret{File: s.peerKey}, HeartbeatMS: 100, Seeds: seeds},
+		Operators: settings.Operators{Listen: settings.Listener{Address: "127.0.0.1:0"}},
+		Stop:      settings.Stop{BalancerMS: 50, DrainMS: 10_000},
+	}
+	set.SetDefaults()
+	g, err := gateway.New(gateway.Config{Settings: set, Store: s.store})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- g.Run(ctx) }()
+	s.t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			s.t.Errorf("gateway: %v", err)
+		}
+	})
+	return "http://" + g.Addresses().Callers.String()
+}
+
+// callers send requests one after the other until stopped.
+type callers struct {
+	whole    atomic.Int32
+	bad      atomic.Int32
+	firstBad atomic.Value
+	stop     func()
+}
+
+func startCallers(base string, n int) *callers {
+	c := &callers{}
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	for range n {
+		done.Go(func() {
+			for ctx.Err() == nil {
+				c.call(base)
+			}
+		})
+	}
+	c.stop = sync.OnceFunc(func() {
+		cancel()
+		done.Wait()
+	})
+	return c
+}
+
+// call sends one request and judges its answer. It runs for two seconds, longer than
+// a drain mark takes to be in force.
+func (c *callers) call(base string) {
+	body := `{"model":"chat","prompt":"how is the air [out=200]","max_tokens":250,"stream":true}`
+	req, err := http.NewRequest(http.MethodPost, base+"/v1/completions", strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+clientKey)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(req)
+	if err != nil {
+		c.failed(err.Error())
+		return
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	text := string(raw)
+	if err != nil || resp.StatusCode != http.StatusOK || !strings.Contains(text, "[DONE]") || strings.Contains(text, `"error"`) {
+		c.failed(resp.Status + " " + text)
+		return
+	}
+	c.whole.Add(1)
+}
+
+func (c *callers) failed(why string) {
+	if c.bad.Add(1) == 1 {
+		c.firstBad.Store(why)
+	}
+}
+
+// TestNoRequestIsCutByARollOut rolls a version out under load.
+func TestNoRequestIsCutByARollOut(t *testing.T) {
+	s := newSite(t, false, "r1", "r2", "r3")
+	p := s.start("c-a")
+	s.leader(p)
+	base := s.startGateway("g-a", p.Addresses().Peers.String())
+	for name := range s.runners {
+		s.untilPhase(name, "serving")
+	}
+	s.until("the gateway serves", func() bool {
+		probe := &callers{}
+		probe.call(base)
+		return probe.whole.Load() == 1
+	})
+	load := startCallers(base, 6)
+	t.Cleanup(load.stop)
+	for name := range s.runners {
+		s.edit(name, func(r *resource.Runner) { r.Versions = []string{"v2"} })
+	}
+	s.until("every runner holds v2 alone", func() bool {
+		for _, r := range s.runners {
+			l := r.State().Loaded
+			if len(l) != 1 || l[0].Version != "v2" {
+				return false
+			}
+		}
+		return true
+	})
+	time.Sleep(500 * time.Millisecond)
+	load.stop()
+	cut := 0
+	for name, r := range s.runners {
+		cut += r.Stats().CutByOrders
+		if n := s.orders(name); n != 2 {
+			t.Errorf("%d orders at %s, want a load and an unload", n, name)
+		}
+	}
+	t.Logf("%d whole answers, %d bad, %d runs cut by orders", load.whole.Load(), load.bad.Load(), cut)
+	if load.bad.Load() > 0 || cut > 0 {
+		t.Errorf("bad answers %d, first: %v; cut by orders %d", load.bad.Load(), load.firstBad.Load(), cut)
+	}
+}
