Let a refused caller read the refusal while it still sends

Cause: a request refused before its body was read had its connection closed with data unread; the caller could see a reset in place of the refusal (2 of 6 runs of the test of oversized bodies). Change: the refusal goes out, then at most 1 MiB of the body is read for at most 1 s.

--- a/internal/process/gateway/callerbody.go
+++ b/internal/process/gateway/callerbody.go
@@ -6,9 +6,39 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 )
 
+// Bounds on what is read of the body of a refused request.
+const (
+	drainBytes   = 1 << 20
+	drainTimeout = time.Second
+)
+
+// limitBody bounds a body. The writer of net/http itself is given, so that it
+// closes a connection whose body is too long in a way that lets the caller read
+// the answer.
+func limitBody(w http.ResponseWriter, body io.ReadCloser, limit int64) io.ReadCloser {
+	if r, ok := w.(*echo.Response); ok {
+		w = r.Writer
+	}
+	return http.MaxBytesReader(w, body, limit)
+}
+
+// drainBody reads what a refused caller is still sending, after the refusal has
+// gone out. If the connection were closed before, the caller could see a reset in
+// its place. A caller that asked whether to send its body hasn't begun.
+func drainBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength == 0 || r.Header.Get("Expect") != "" {
+		return
+	}
+	_ = http.NewResponseController(w).Flush()
+	limitBodyTime(w, time.Now().Add(drainTimeout))
+	_, _ = io.Copy(io.Discard, limitBody(w, r.Body, drainBytes))
+	limitBodyTime(w, time.Time{})
+}
+
 // callerBody is a caller's body that streams through to an upstream. It can be
 // read once, so a call may only be sent again while nothing was read.
 type callerBody struct {
@@ -18,7 +48,7 @@
 }
 
 func newCallerBody(w http.ResponseWriter, body io.ReadCloser, limit int64) *callerBody {
-	return &callerBody{body: http.MaxBytesReader(w, body, limit), w: w}
+	return &callerBody{body: limitBody(w, body, limit), w: w}
 }
 
 // begun tells whether something was read.
--- a/internal/process/gateway/guard.go
+++ b/internal/process/gateway/guard.go
@@ -31,6 +31,7 @@
 			if err != nil {
 				// Written here and not by echo afterwards, so that a stop waits for it.
 				writeError(err, c)
+				drainBody(c.Response(), c.Request())
 				err = nil
 			}
 		}()
--- a/internal/process/gateway/parse.go
+++ b/internal/process/gateway/parse.go
@@ -102,7 +102,7 @@
 	if r.ContentLength > limit {
 		return nil, tooLarge(limit)
 	}
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	raw, err := io.ReadAll(limitBody(w, r.Body, limit))
 	var over *http.MaxBytesError
 	if errors.As(err, &over) {
 		return nil, tooLarge(limit)
