--- a/internal/process/controller/status.go
+++ b/internal/process/controller/status.go
@@ -10,7 +10,6 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/order"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/reconcile"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
@@ -240,22 +239,3 @@
 	}
 	return false
 }
-
-// lookAtSlots lists all slots now and then: a slot that a former holder's late
-// write opened would else be found only at the next order.
-func (z *zone) lookAtSlots(now boottime.Time) {
-	if now.Sub(z.slotAt) < listEvery {
-		return
-	}
-	z.slotAt = now
-	z.c.do(func(ctx context.Context) func() {
-		slots, ok := list[resource.OrderSlot](ctx, z.c, resource.KindOrderSlot)
-		return func() {
-			for name, s := range slots {
-				if e := z.c.engines[name]; ok && e != nil && e.zone == z.name {
-					e.step(order.SlotSeen{SlotRead: slotOf(s.object, s.spec)})
-				}
-			}
-		}
-	})
-}
