Test what is taken of unseen peers

With the random part, its drawing anew, or the weight of a peer's work taken out no test failed; now each of them does.

--- a/internal/request/route/tracker_test.go
+++ b/internal/request/route/tracker_test.go
@@ -154,6 +154,34 @@
 	}
 }
 
+// TestPeersCountByTheirWork has one peer that sends half as much as this
+// gateway, one that sends more and one that sends nothing, and looks at the random
+// part over many report periods.
+func TestPeersCountByTheirWork(t *testing.T) {
+	tr := NewTracker()
+	tr.Stated(state())
+	const seconds = 300
+	sum, most := 0.0, 0.0
+	for i := range seconds {
+		at := now.Add(time.Duration(i) * time.Second)
+		tr.Reported(at, upstream.LoadReport{Runner: "r"})
+		tr.Sent(at, Send{ID: strconv.Itoa(i), Runner: "r", PromptTokens: 900, ExpectedOut: 100})
+		tr.Finished(at, strconv.Itoa(i))
+		for origin, work := range map[string]int{"half": 500, "busy": 5000, "idle": 0} {
+			tr.PeerUse(at, origin, []peer.UseRow{{Runner: "other", Prefill: work}})
+		}
+		v := tr.View(at.Add(500*time.Millisecond), fleet())[0]
+		if i > 20 && math.Abs(v.Mirrored-1.5) > 0.05 {
+			t.Fatalf("after %ds %v peers, want half of one and one", i, v.Mirrored)
+		}
+		sum += v.Crowd
+		most = max(most, v.Crowd)
+	}
+	if mean := sum / seconds; mean < 0.6 || mean > 0.9 || most < 1.3 || most > 1.55 {
+		t.Errorf("crowd: mean %v and most %v, want evenly between 0 and 1.5", mean, most)
+	}
+}
+
 func TestReportForPeersAddsUp(t *testing.T) {
 	tr := NewTracker()
 	tr.Sent(now, Send{ID: "q", Runner: "r", Prefill: "p", PromptTokens: 100, CachedTokens: 30, ExpectedOut: 10})
