Open the controller's ports, keys and store by the shared package

Cause: listeners, keys and the platform client stood twice; an instance that listens on every address would have told its peers to dial 0.0.0.0. Change: the controller uses package daemon; settings refuse an address that stands for every address as peer.advertise. The refusal was checked by a new table row.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -14,6 +14,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
@@ -94,7 +95,7 @@
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
-	keys, err := readSecrets(s)
+	keys, err := daemon.ReadKeys(s.Platform, s.Operators, s.Peer)
 	if err != nil {
 		return nil, err
 	}
@@ -119,13 +120,13 @@
 }
 
 // open connects to the platform and makes what listens.
-func (c *Controller) open(keys secrets) error {
+func (c *Controller) open(keys daemon.Keys) error {
 	s := c.cfg.Settings
 	var err error
 	if err = c.openStore(keys); err != nil {
 		return err
 	}
-	if c.listeners, err = listen(s); err != nil {
+	if err = daemon.Listen(c.listeners.ports(s)...); err != nil {
 		return err
 	}
 	c.exporter = metrics.New("ragwort_controller", map[string]string{"zone": c.self.Zone})
@@ -136,25 +137,18 @@
 	c.config = config.NewDistributor(config.DistributorConfig{
 		Name: c.self.Name, Zone: c.self.Zone, Store: c.store, Network: c.members,
 	})
-	c.ops = ops.New(ops.Config{Source: opsSource{c}, Metrics: c.exporter.Handler(), Key: keys.operators})
+	c.ops = ops.New(ops.Config{Source: opsSource{c}, Metrics: c.exporter.Handler(), Key: keys.Operators})
 	c.openAudit()
 	return nil
 }
 
-func (c *Controller) openStore(keys secrets) error {
+func (c *Controller) openStore(keys daemon.Keys) error {
 	c.closeStore = func() {}
 	if c.cfg.Store != nil {
 		c.store = c.cfg.Store
 		return nil
 	}
-	p := c.cfg.Settings.Platform
-	client, err := platform.NewClient(platform.ClientConfig{
-		Address:        p.Address,
-		Key:            keys.platform,
-		CAFile:         p.CAFile,
-		Timeout:        time.Duration(p.TimeoutMS) * time.Millisecond,
-		CallsPerSecond: p.CallsPerSecond,
-	})
+	client, err := daemon.OpenStore(c.cfg.Settings.Platform, c.self, keys.Platform)
 	if err != nil {
 		return err
 	}
--- a/internal/process/controller/peers.go
+++ b/internal/process/controller/peers.go
@@ -2,25 +2,24 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/authority"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 )
 
 // newMembers makes the connections to peers.
-func (c *Controller) newMembers(keys secrets) (*member.Service, error) {
+func (c *Controller) newMembers(keys daemon.Keys) (*member.Service, error) {
 	s := c.cfg.Settings
 	hub := peer.HubConfig{
 		Self: peer.Hello{
 			Name: c.self.Name, Role: member.RoleController, Zone: c.self.Zone,
-			PeerAddress: advertised(s.Peer, c.listeners.peers.Addr()),
+			PeerAddress: daemon.Advertised(s.Peer, c.listeners.peers.Addr()),
 			Incarnation: member.NewIncarnation(time.Now()),
 		},
-		SharedKey: []byte(keys.peers),
+		SharedKey: []byte(keys.Peers),
 		MutualTLS: s.Peer.Listen.TLS.ClientCAFile != "",
 	}
 	if s.Peer.Listen.TLS.Enabled() {
@@ -41,16 +40,6 @@
 	})
 }
 
-// advertised is the address that peers dial. Port 0 stands for the port that was opened.
-func advertised(p settings.Peer, listening net.Addr) string {
-	host, port, err := net.SplitHostPort(p.Advertise)
-	if err != nil || port == "0" {
-		_, opened, _ := net.SplitHostPort(listening.String())
-		return net.JoinHostPort(host, opened)
-	}
-	return p.Advertise
-}
-
 // peerHandler gets what peers send.
 type peerHandler struct{ c *Controller }
 
--- a/internal/process/controller/stop.go
+++ b/internal/process/controller/stop.go
@@ -6,6 +6,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/authority"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 )
 
@@ -83,7 +84,7 @@
 // close frees what New opened.
 func (c *Controller) close() {
 	c.cancel()
-	c.listeners.close()
+	daemon.Close(c.listeners.ports(c.cfg.Settings)...)
 	if c.exporter != nil {
 		c.exporter.Close()
 	}
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -42,3 +42,17 @@
 		t.Errorf("error %v does not name the field", err)
 	}
 }
+
+func TestAdvertised(t *testing.T) {
+	opened := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: 7123}
+	tests := []struct{ advertise, want string }{
+		{"192.0.2.1:7000", "192.0.2.1:7000"},
+		{"192.0.2.1:0", "192.0.2.1:7123"},
+		{"", "127.0.0.1:7123"},
+	}
+	for _, tt := range tests {
+		if got := Advertised(settings.Peer{Advertise: tt.advertise}, opened); got != tt.want {
+			t.Errorf("%q: got %q, want %q", tt.advertise, got, tt.want)
+		}
+	}
+}
--- a/internal/process/daemon/listen.go
+++ b/internal/process/daemon/listen.go
@@ -53,3 +53,17 @@
 	}
 	return l, nil
 }
+
+// Advertised is the address that peers dial: the one of the settings, with the port
+// that was opened if the settings leave it to the kernel (port 0, in tests).
+func Advertised(p settings.Peer, opened net.Addr) string {
+	host, port, err := net.SplitHostPort(p.Advertise)
+	if err != nil {
+		return opened.String()
+	}
+	if port != "0" {
+		return p.Advertise
+	}
+	_, port, _ = net.SplitHostPort(opened.String())
+	return net.JoinHostPort(host, port)
+}
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -59,6 +59,7 @@
 		{"port too high", `"127.0.0.1:8080"`, `"127.0.0.1:99999"`, "listen.address"},
 		{"platform not a URL", `"http://127.0.0.1:9000"`, `"here"`, "platform.address"},
 		{"no peer key", `, "sharedKey": {"env": "KEY"}`, ``, "peer.sharedKey"},
+		{"nothing to dial", `"127.0.0.1:7000"`, `"0.0.0.0:7000"`, "peer.advertise"},
 		{"two key sources", `{"env": "KEY"}`, `{"env": "KEY", "file": "f"}`, "peer.sharedKey"},
 		{"negative limit", `"operators"`, `"limits": {"queueRequests": -1}, "operators"`, "limits.queueRequests"},
 		{"share above one", `"operators"`, `"limits": {"retryShare": 1.5}, "operators"`, "limits.retryShare"},
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -81,6 +81,7 @@
 func (c *checker) peer(p Peer) {
 	c.listener("peer.listen", p.Listen)
 	c.address("peer.advertise", p.Advertise)
+	c.require(!anyHost(p.Advertise), "peer.advertise", p.Advertise, "must be an address that peers can dial; peer.listen.address stands for every address")
 	c.secret("peer.sharedKey", p.SharedKey)
 	c.require(p.MaxLinks > 0 && p.MaxLinks <= maxLinks, "peer.maxLinks", p.MaxLinks, "must lie between 1 and 1024")
 	c.milliseconds("peer.heartbeatMS", p.HeartbeatMS, minHeartbeatMS)
@@ -140,6 +141,16 @@
 	c.require(ok, field, value, "must be host:port")
 }
 
+// anyHost reports whether an address stands for every address of the machine.
+func anyHost(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return host == "" || (ip != nil && ip.IsUnspecified())
+}
+
 func (c *checker) milliseconds(field string, value, least int) {
 	ok := value >= least && value <= maxDurationMS
 	c.require(ok, field, value, fmt.Sprintf("must lie between %d and %d", least, maxDurationMS))
