Let make bench run each measurement in turn

Cause: make bench called a measurement that does not exist. Change: a list of measurements, stopping at the first that fails.

--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,11 @@
 spec: setup
 	$(MAKE) -C spec
 
-bench:
-	$(GO) run ./cmd/ragwort-bench all
+# Measurements of the request path and the control side, one after the other.
+BENCHES := goodput affinity pairs routecost claims authority faults latency
+
+bench: build
+	@for b in $(BENCHES); do echo "== ragwort-bench $$b"; $(BIN)/ragwort-bench $$b 2>/dev/null || exit 1; done
 
 bench-policy:
 	$(GO) run ./cmd/ragwort-bench policy-table
