Walk schedules of lease and orders over the real cores

Two controllers, one engine that checks or ignores fencing. All schedules of 7 steps with one fault from a sender about to send, and of 9 steps from an order held up on its way while the lease runs out. No order begins but the one in the open slot, and never may two controllers order at once. A guess after a lost answer needs longer schedules; the Promela model catches that one.

--- /dev/null
+++ b/spec/walk_test.go
@@ -0,0 +1,369 @@
+package spec
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/authority"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/order"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// The world of lease.pml over the real cores: two controllers, one lease, one
+// order slot, one engine. Controller 0 holds the lease at time 0.
+
+const (
+	ttl    = 3 * time.Second
+	margin = time.Second
+	life   = 2 * time.Second
+	tick   = time.Second
+)
+
+type step struct {
+	name     string
+	variants []func() // every one after the first is a fault
+}
+
+type controller struct {
+	lease *authority.Core
+	slot  *order.Core
+	wants int
+}
+
+type message struct {
+	order upstream.Order
+	sent  boottime.Time
+}
+
+type world struct {
+	fencing bool
+	now     boottime.Time
+	ends    boottime.Time // the walk stops the clock here
+	faults  int
+	all     [2]*controller
+	pending []*step
+
+	version uint64
+	lease   *authority.Read
+	slot    *order.SlotRead
+
+	state upstream.State
+	err   string
+}
+
+func newWorld(fencing, late bool, faults int, ends time.Duration) *world {
+	w := &world{fencing: fencing, faults: faults, now: boottime.Time(time.Hour)}
+	w.ends = w.now.Add(ends)
+	w.state = upstream.State{Runner: "r", Incarnation: "0"}
+	for i := range w.all {
+		name := fmt.Sprint("c", i)
+		c := &controller{
+			lease: authority.New(authority.Config{Holder: name, Incarnation: "1", TTL: ttl, Margin: margin, RenewEvery: ttl, Stagger: time.Nanosecond, WatchEvery: tick, RetryEvery: tick}),
+			slot:  order.New(order.Config{Runner: "r", Holder: name, Incarnation: "1", OrderLife: life, PollEvery: tick, RetryEvery: tick}),
+			wants: 1,
+		}
+		c.slot.Step(w.now, order.Engine{ChecksFencing: fencing})
+		w.all[i] = c
+	}
+	w.begin()
+	if late {
+		w.sendLate()
+	}
+	return w
+}
+
+// begin plays the first moves in order: controller 0 takes the released lease and
+// opens the slot, controller 1 sees the lease taken.
+func (w *world) begin() {
+	w.version = 1
+	w.lease = &authority.Read{Found: true, Version: 1, Lease: resource.Lease{Epoch: 1, TTLMS: ttl.Milliseconds()}}
+	w.stepLease(0, authority.Standing{Home: true, HomeLive: true})
+	for w.all[0].slot.Phase() != "sending" {
+		w.steps()[0]()
+	}
+	w.stepLease(1, authority.Standing{Home: true, Rank: 1, HomeLive: true})
+	first := w.pending[len(w.pending)-1]
+	w.pending = w.pending[:len(w.pending)-1]
+	first.variants[0]()
+}
+
+// sendLate goes on: the order is on its way, its sender hears nothing more and is
+// paused, and the lease runs out for the other controller.
+func (w *world) sendLate() {
+	w.now = w.now.Add(tick)
+	send := w.pending[0]
+	w.pending = w.pending[1:]
+	send.variants[1]()
+	w.now = w.now.Add(ttl - tick)
+}
+
+func (w *world) add(name string, v ...func()) {
+	w.pending = append(w.pending, &step{name, v})
+}
+
+func (w *world) stepLease(i int, e authority.Event) {
+	for _, a := range w.all[i].lease.Step(w.now, e) {
+		switch a := a.(type) {
+		case authority.ReadLease:
+			w.add(fmt.Sprint("read lease ", i), func() { w.stepLease(i, w.readLease()) })
+		case authority.WriteLease:
+			answer := func(e authority.Event) func() { return func() { w.stepLease(i, e) } }
+			w.add(fmt.Sprint("write lease ", i, a.Nonce),
+				func() { w.add(fmt.Sprint("lease answer ", i, a.Nonce), answer(w.writeLease(a))) },
+				func() { w.writeLease(a); w.stepLease(i, authority.WriteFailed{Failure: authority.FailedUnknown}) },
+				func() {
+					w.add(fmt.Sprint("late lease ", a.Nonce), func() { w.writeLease(a) })
+					w.stepLease(i, authority.WriteFailed{Failure: authority.FailedUnknown})
+				})
+		case authority.Gained:
+			w.stepSlot(i, order.Granted{Epoch: a.Epoch, At: a.At})
+		case authority.Renewed:
+			w.stepSlot(i, order.Granted{Epoch: a.Epoch, At: w.now})
+		case authority.Lost, authority.Lapsed:
+			w.stepSlot(i, order.Revoked{})
+		}
+	}
+}
+
+func (w *world) readLease() authority.Event {
+	if w.lease == nil {
+		return authority.Read{StoreVersion: w.version}
+	}
+	r := *w.lease
+	r.StoreVersion = w.version
+	return r
+}
+
+func (w *world) writeLease(a authority.WriteLease) authority.Event {
+	if (w.lease == nil) != (a.Base == 0) || w.lease != nil && w.lease.Version != a.Base {
+		return authority.WriteFailed{Failure: authority.FailedConflict}
+	}
+	w.version++
+	w.lease = &authority.Read{Found: true, Version: w.version, Nonce: a.Nonce, Lease: a.Lease}
+	return authority.Wrote{Version: w.version}
+}
+
+func (w *world) stepSlot(i int, e order.Event) {
+	for _, a := range w.all[i].slot.Step(w.now, e) {
+		switch a := a.(type) {
+		case order.ReadSlot:
+			w.add(fmt.Sprint("read slot ", i), func() { w.stepSlot(i, w.readSlot()) })
+		case order.WriteSlot:
+			w.add(fmt.Sprint("write slot ", i, a.Nonce),
+				func() { w.stepSlot(i, w.writeSlot(a)) },
+				func() { w.writeSlot(a); w.stepSlot(i, order.SlotWriteFailed{Failure: order.FailedUnknown}) },
+				func() {
+					w.add(fmt.Sprint("late slot ", a.Nonce), func() { w.writeSlot(a) })
+					w.stepSlot(i, order.SlotWriteFailed{Failure: order.FailedUnknown})
+				})
+		case order.SendOrder:
+			w.add(fmt.Sprint("send ", i, a.Order.ID, a.Order.Fence), w.send(i, a.Order, false), w.send(i, a.Order, true))
+		case order.ReadState:
+			w.add(fmt.Sprint("read state ", i), func() { w.stepSlot(i, order.StateRead{State: w.state}) })
+		case order.Adopted:
+			w.add(fmt.Sprint("abandon ", i), func() { w.stepSlot(i, order.Abandon{Reason: "no longer wanted"}) })
+		}
+	}
+	c := w.all[i]
+	if _, _, ok := c.lease.MayOrder(w.now); ok && c.wants > 0 && !c.slot.Busy() {
+		c.wants--
+		role := []upstream.Role{upstream.RolePrefill, upstream.RoleDecode}[i]
+		w.stepSlot(i, order.Want{Order: upstream.Order{Action: upstream.SetRole, Role: role}})
+	}
+}
+
+func (w *world) readSlot() order.Event {
+	if w.slot == nil {
+		return order.SlotRead{}
+	}
+	return *w.slot
+}
+
+func (w *world) writeSlot(a order.WriteSlot) order.Event {
+	if (w.slot == nil) != (a.Base == 0) || w.slot != nil && w.slot.Version != a.Base {
+		return order.SlotWriteFailed{Failure: order.FailedConflict}
+	}
+	w.version++
+	w.slot = &order.SlotRead{Found: true, Version: w.version, Nonce: a.Nonce, Slot: a.Slot}
+	return order.SlotWrote{Version: w.version}
+}
+
+// send asks MayOrder, as a shell does, and sends; broken: it arrives within its life.
+func (w *world) send(i int, o upstream.Order, broken bool) func() {
+	return func() {
+		epoch, _, ok := w.all[i].lease.MayOrder(w.now)
+		if !ok || epoch != o.Fence {
+			w.stepSlot(i, order.Sent{Result: order.SendNotSent})
+			return
+		}
+		if _, _, both := w.all[1-i].lease.MayOrder(w.now); both {
+			w.err = "two controllers may order at once"
+		}
+		m := message{o, w.now}
+		if broken {
+			w.add(fmt.Sprint("late order ", o.ID, o.Fence), func() { w.arrive(m) })
+			w.stepSlot(i, order.Sent{Result: order.SendBroken})
+			return
+		}
+		w.stepSlot(i, order.Sent{Result: w.arrive(m), State: w.state})
+	}
+}
+
+// arrive is the engine: it begins an order, or refuses it.
+func (w *world) arrive(m message) order.SendResult {
+	o := m.order
+	switch {
+	case w.now.Sub(m.sent) > life:
+		return order.SendBroken
+	case w.fencing && o.Fence < w.state.Fence:
+		return order.SendStaleFence
+	case o.ID == w.state.OrderID:
+		return order.SendAnswered
+	case w.state.OrderStatus == upstream.OrderRunning:
+		return order.SendBusy
+	}
+	if w.fencing {
+		w.state.Fence = o.Fence
+	}
+	if w.slot == nil || w.slot.Slot.State != resource.SlotOpen || w.slot.Slot.Order.ID != o.ID || w.slot.Slot.Order.Role != o.Role {
+		w.err = fmt.Sprintf("the engine begins order %s of epoch %d, which is not the one in the open slot", o.ID, o.Fence)
+	}
+	w.state.OrderID, w.state.Role, w.state.OrderStatus = o.ID, o.Role, upstream.OrderRunning
+	w.add("done "+o.ID, func() {
+		if w.state.OrderID == o.ID {
+			w.state.OrderStatus = upstream.OrderDone
+		}
+	})
+	return order.SendAnswered
+}
+
+// steps lists what can happen next. A controller that is not woken is paused.
+func (w *world) steps() []func() {
+	var out []func()
+	for n, st := range w.pending {
+		for v, do := range st.variants {
+			if v > 0 && w.faults == 0 {
+				break
+			}
+			out = append(out, func() {
+				if v > 0 {
+					w.faults--
+				}
+				w.pending = slices.Delete(w.pending, n, n+1)
+				do()
+			})
+		}
+	}
+	for i, c := range w.all {
+		if c.lease.Wake() <= w.now {
+			out = append(out, func() { w.stepLease(i, authority.Tick{}) })
+		}
+		if c.slot.Wake() <= w.now {
+			out = append(out, func() { w.stepSlot(i, order.Tick{}) })
+		}
+	}
+	if w.now < w.ends {
+		out = append(out, func() { w.now = w.now.Add(tick) })
+	}
+	return out
+}
+
+func (w *world) fingerprint() uint64 {
+	var b strings.Builder
+	for _, c := range w.all {
+		dump(&b, reflect.ValueOf(c))
+	}
+	var names []string
+	for _, p := range w.pending {
+		names = append(names, p.name)
+	}
+	slices.Sort(names)
+	dump(&b, reflect.ValueOf(w.lease))
+	dump(&b, reflect.ValueOf(w.slot))
+	fmt.Fprintf(&b, "%v %+v %v %v", names, w.state, w.now, w.faults)
+	return xxhash.Sum64String(b.String())
+}
+
+// dump writes all fields of a value, also unexported ones, through pointers.
+func dump(b *strings.Builder, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Pointer:
+		if v.IsNil() {
+			b.WriteString("nil;")
+			return
+		}
+		dump(b, v.Elem())
+	case reflect.Struct:
+		for i := range v.NumField() {
+			dump(b, v.Field(i))
+		}
+	default:
+		fmt.Fprintf(b, "%v;", v)
+	}
+}
+
+// walk visits every world that up to depth steps reach, level by level.
+func walk(fencing, late bool, faults, depth int, ends time.Duration) (states, orders int, failure string) {
+	seen := make(map[uint64]struct{})
+	level := [][]int{nil}
+	for d := 0; d <= depth && len(level) > 0; d++ {
+		var next [][]int
+		for _, path := range level {
+			w := newWorld(fencing, late, faults, ends)
+			for _, c := range path {
+				w.steps()[c]()
+			}
+			if w.err != "" {
+				return len(seen), orders, fmt.Sprint(w.err, " after ", path)
+			}
+			f := w.fingerprint()
+			if _, ok := seen[f]; ok {
+				continue
+			}
+			seen[f] = struct{}{}
+			if w.state.OrderID != "" {
+				orders++
+			}
+			for c := range w.steps() {
+				next = append(next, append(slices.Clone(path), c))
+			}
+		}
+		level = next
+	}
+	return len(seen), orders, ""
+}
+
+// TestWalkLeaseAndOrders walks all schedules of a bounded length, from a sender
+// about to send and from an order that is held up on its way.
+func TestWalkLeaseAndOrders(t *testing.T) {
+	for _, fencing := range []bool{true, false} {
+		for _, late := range []bool{false, true} {
+			t.Run(fmt.Sprintf("fencing %v, late order %v", fencing, late), func(t *testing.T) {
+				t.Parallel()
+				faults, depth := 1, walkDepth-2
+				if late {
+					faults, depth = 0, walkDepth // it has had its fault
+				}
+				states, orders, failure := walk(fencing, late, faults, depth, 6*time.Second)
+				t.Logf("%d states, %d with an order begun", states, orders)
+				if failure != "" {
+					t.Error(failure)
+				}
+				if orders == 0 {
+					t.Error("no order was ever begun")
+				}
+			})
+		}
+	}
+}
+
+// walkDepth bounds the walk so that it takes seconds under the race detector.
+const walkDepth = 9
