--- a/internal/bench/policy/table.go
+++ b/internal/bench/policy/table.go
@@ -198,7 +198,7 @@
 }
 
 func (c *TableCommand) ablation(w io.Writer) error {
-	names := append(append([]string{"everything"}, policyLevers...), routingLevers...)
+	names := append(append([]string{"nothing"}, policyLevers...), routingLevers...)
 	return c.variants(w, "without", names, func(i int, command *Command) {
 		if i > 0 {
 			command.Without = []string{names[i]}
