Tell demand by route, as the role policy needs it

Cause: gateways reported demand by model only, so the policy saw one class of requests, without priorities and with the tightest gap for all. Change: demand rows are kept by model and route. A test fails without the route.

--- a/internal/process/gateway/cores.go
+++ b/internal/process/gateway/cores.go
@@ -31,11 +31,11 @@
 	learner  route.Learner
 	services serviceLoad
 
-	unreachable map[string]bool            // runners whose polls fail
-	watched     watchedAttempts            // attempts that can go elsewhere
-	waiting     map[string]waiter          // calls in the admission queue
-	demand      map[string]*peer.DemandRow // by model, since the last report
-	kick        chan struct{}              // tells the queue loop that calls wait
+	unreachable map[string]bool               // runners whose polls fail
+	watched     watchedAttempts               // attempts that can go elsewhere
+	waiting     map[string]waiter             // calls in the admission queue
+	demand      map[demandKey]*peer.DemandRow // since the last report
+	kick        chan struct{}                 // tells the queue loop that calls wait
 }
 
 // waiter is a call in the admission queue.
@@ -57,7 +57,7 @@
 		unreachable: make(map[string]bool),
 		watched:     make(watchedAttempts),
 		waiting:     make(map[string]waiter),
-		demand:      make(map[string]*peer.DemandRow),
+		demand:      make(map[demandKey]*peer.DemandRow),
 		kick:        make(chan struct{}, 1),
 	}
 }
@@ -121,7 +121,7 @@
 	defer c.mu.Unlock()
 	w := waiter{request: q, decision: make(chan admit.Action, 1)}
 	c.waiting[q.ID] = w
-	row := c.demandOf(q.Model)
+	row := c.demandOf(&q)
 	row.Arrived++
 	row.Prefill += q.PromptTokens
 	row.Decode += q.ExpectedOut
@@ -169,7 +169,7 @@
 		if a.Choice != nil {
 			c.sent(now, w.request, *a.Choice)
 		} else {
-			c.demandOf(w.request.Model).Late++
+			c.demandOf(&w.request).Late++
 		}
 		w.decision <- a
 	}
@@ -237,7 +237,7 @@
 		c.learner.Finished(q.Route, first, out)
 	}
 	if late {
-		c.demandOf(q.Model).Late++
+		c.demandOf(&q).Late++
 	}
 	c.tickLocked(now)
 }
--- a/internal/process/gateway/coreshare.go
+++ b/internal/process/gateway/coreshare.go
@@ -5,14 +5,21 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
-func (c *cores) demandOf(model string) *peer.DemandRow {
-	row, ok := c.demand[model]
+// demandKey names one row of the demand that is reported to peers.
+type demandKey struct{ model, route string }
+
+// demandOf gives the row for a request's model and route. The role policy needs the
+// route: it tells what counts as on time, and which requests go first.
+func (c *cores) demandOf(q *route.Request) *peer.DemandRow {
+	key := demandKey{q.Model, q.Route}
+	row, ok := c.demand[key]
 	if !ok {
-		row = &peer.DemandRow{Model: model}
-		c.demand[model] = row
+		row = &peer.DemandRow{Model: q.Model, Route: q.Route}
+		c.demand[key] = row
 	}
 	return row
 }
--- a/internal/process/gateway/share_test.go
+++ b/internal/process/gateway/share_test.go
@@ -7,6 +7,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
@@ -58,3 +59,19 @@
 		t.Errorf("beyond the zone's half: %v", err)
 	}
 }
+
+// The role policy weighs routes by what counts as on time, so demand is told by route.
+func TestDemandIsToldByRoute(t *testing.T) {
+	c := newCores(settings.Instance{Name: "a-1", Zone: "a"}, settings.Limits{})
+	now := time.Unix(1000, 0)
+	for _, name := range []string{"alert", "chat", "chat"} {
+		c.demandOf(&route.Request{Model: "m", Route: name}).Arrived++
+	}
+	arrived := map[string]int{}
+	for _, row := range c.report(now).Demand {
+		arrived[row.Model+"/"+row.Route] += row.Arrived
+	}
+	if arrived["m/alert"] != 1 || arrived["m/chat"] != 2 {
+		t.Errorf("got %v", arrived)
+	}
+}
