Send nothing to an upstream marked after its choice

A request may wait for its claim, or for a prefill at another runner, after its runner was chosen. If the runner was marked for a planned change in between, the request was sent all the same and could be cut by the change.

The gateway now asks the newest configuration right before it sends, keyed and unkeyed, to a model's runner, to a prefill runner and to a plain service. An unkeyed request chooses again; a keyed one tells its session of a refusal with nothing sent, so the claim moves or is released. Neither counts as a retry. A run that another sender or an earlier send may have begun at the marked runner is joined, not begun.

--- a/internal/process/gateway/execution.go
+++ b/internal/process/gateway/execution.go
@@ -89,6 +89,9 @@
 	}
 	r := x.runRequest(time.Now(), runID, incarnation)
 	x.prefill(ctx, choice.Prefill, &r)
+	if err := x.g.mayStillSend(choice.Runner); err != nil {
+		return nil, err
+	}
 	x.attempts++
 	return engine.Run(ctx, r)
 }
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -177,6 +177,9 @@
 
 // upstreamFailed counts a failure against an upstream, if it is the upstream's own.
 func (g *Gateway) upstreamFailed(name string, err error) {
+	if errors.Is(err, errNowLeaving) {
+		return // it was not asked
+	}
 	if _, refused := upstream.RefusedWith(err); refused {
 		return // an engine that refuses is alive and says why
 	}
--- a/internal/process/gateway/keyed.go
+++ b/internal/process/gateway/keyed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,12 +22,15 @@
 	chosen route.Choice
 	asm    *stream.Assembler // of the present run
 	stream upstream.Stream   // open, not followed yet
+	ownRun string            // the run id of this request's own claim
+	sends  []claim.Send      // that may have gone out
+	unsent bool              // the last send was held back, as its runner leaves
 }
 
 // runKeyed carries a call with an Idempotency-Key to its end. A refusal by
 // admission is not final: the key may have run before.
 func (x *execution) runKeyed(ctx context.Context, choice route.Choice, refusal *errkind.Error) *errkind.Error {
-	k := &keyed{execution: x}
+	k := &keyed{execution: x, ownRun: claim.NewRunID()}
 	d := &claimDriver{
 		claims:   x.g.claims,
 		steps:    k,
@@ -37,7 +41,7 @@
 			Account: x.call.account,
 			Key:     claim.KeyOf(x.call.account, x.call.key),
 			Body:    claim.HashOf(http.MethodPost, x.call.body.form.path(), x.call.raw),
-			RunID:   claim.NewRunID(),
+			RunID:   k.ownRun,
 			Traits:  x.traits,
 		}),
 	}
@@ -65,7 +69,7 @@
 func (k *keyed) choose(exclude []string) claim.Event {
 	now := time.Now()
 	k.request.Excluded = append(k.request.Excluded, exclude...)
-	if !k.g.cores.mayRetry(now) {
+	if !k.unsent && !k.g.cores.mayRetry(now) {
 		return claim.ChooseFailed{Err: errkind.New(errkind.UpstreamRefused, errkind.NotRun,
 			"the upstream refused and the retry budget is used up").After(retryAfterRefusal)}
 	}
@@ -97,6 +101,12 @@
 	}
 	s, err := k.start(ctx, k.chosen, a.RunID, a.Incarnation)
 	now := time.Now()
+	k.unsent = errors.Is(err, errNowLeaving)
+	if k.unsent {
+		k.why.add(now, "not sent to %s: %v", a.Runner, err)
+		return k.heldBack(a, err)
+	}
+	k.sends = append(k.sends, a)
 	if err == nil {
 		k.why.add(now, "sent to %s as run %s", a.Runner, a.RunID)
 		k.stream = s
@@ -118,6 +128,17 @@
 	return claim.SendAmbiguous{}
 }
 
+// heldBack tells the session that a send did not go out because its runner leaves.
+// The first send of the own claim is a refusal, so the claim moves elsewhere. Any
+// other run may be under way at that runner by another sender or an earlier send:
+// it may be joined, but not begun.
+func (k *keyed) heldBack(a claim.Send, err error) claim.Event {
+	if a.RunID != k.ownRun || slices.Contains(k.sends, a) {
+		return claim.SendLate{}
+	}
+	return claim.SendRefused{Err: notRunAnswer(err)}
+}
+
 func (k *keyed) resume(ctx context.Context, a claim.Resume) claim.Event {
 	k.at(a.Runner, a.RunID)
 	k.resumes++
--- a/internal/process/gateway/prefill.go
+++ b/internal/process/gateway/prefill.go
@@ -19,6 +19,11 @@
 	if !ok {
 		return
 	}
+	if x.g.mayStillSend(at) != nil {
+		x.why.add(time.Now(), "prefill runner %s leaves by now, the decode runner computes the prompt", at)
+		x.g.metrics.prefillFallbacks.Inc(1)
+		return
+	}
 	ask := *r
 	ask.Incarnation = "" // the decode runner's
 	handle, err := engine.Prefill(ctx, ask)
--- a/internal/process/gateway/prefill_test.go
+++ b/internal/process/gateway/prefill_test.go
@@ -8,24 +8,37 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
 )
 
 // executeAt runs a call with a given choice, whatever routing would choose.
 func (r *running) executeAt(prompt string, choice route.Choice) reply {
+	return r.executeKeyedAt("", prompt, choice)
+}
+
+// executeKeyedAt is executeAt for a call with an Idempotency-Key.
+func (r *running) executeKeyedAt(key, prompt string, choice route.Choice) reply {
 	now := time.Now()
 	s := r.snapshot()
 	c := &call{
 		id: prompt, arrived: now, snapshot: s, account: "clinic", routeName: "alert", route: s.Routes["alert"],
 		body: requestBody{form: formCompletion, prompt: prompt, stream: true}, deadline: now.Add(time.Minute),
-		promptTokens: route.EstimateTokens(prompt), maxTokens: 20,
+		promptTokens: route.EstimateTokens(prompt), maxTokens: 20, key: key,
 	}
 	w := httptest.NewRecorder()
 	x := newExecution(r.Gateway, c, newAnswer(context.Background(), c, w), r.explain.begin(c.id, now), c.request(testZone))
-	u := &unkeyed{execution: x}
-	final := u.run(context.Background(), choice)
+	var final *errkind.Error
+	if key != "" {
+		final = x.runKeyed(context.Background(), choice, nil)
+	} else {
+		final = (&unkeyed{execution: x}).run(context.Background(), choice)
+	}
 	r.finish(c, x, x.why, final)
+	if final != nil {
+		x.out.Fail(final)
+	}
 	return readReply(w.Result())
 }
 
--- a/internal/process/gateway/service.go
+++ b/internal/process/gateway/service.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/uuid"
 	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
@@ -171,6 +172,10 @@
 		}
 		now := time.Now()
 		c.excluded = append(c.excluded, picked.Name)
+		if errors.Is(err, errNowLeaving) {
+			c.why.add(now, "not sent to %s: %v", picked.Name, err)
+			continue // no retry, as nothing was sent
+		}
 		action := c.decide(now)
 		c.why.add(now, "%s after failure at %s: %v", action, picked.Name, err)
 		if action != retry.SendElsewhere && action != retry.RunAgain || !c.g.cores.mayRetry(now) {
@@ -219,6 +224,9 @@
 // attempt sends the call to one upstream and relays its answer.
 func (c *serviceCall) attempt(ctx context.Context, u resource.ServiceUpstream) error {
 	defer c.g.cores.doneService(u.Name)
+	if err := c.g.mayStillCall(c.route.Service, u.Name); err != nil {
+		return err
+	}
 	answer, err := c.forward(ctx, u)
 	if err != nil {
 		return err
--- a/internal/process/gateway/serviceclaim.go
+++ b/internal/process/gateway/serviceclaim.go
@@ -24,11 +24,14 @@
 	picked string // counted by pickService
 	answer upstream.ServiceAnswer
 	open   bool
+	ownRun string // the run id of this request's own claim
+	unsent bool   // the last send was held back, as its upstream leaves
+	sent   bool   // a send may have gone out
 }
 
 // runKeyed carries a call with an Idempotency-Key to its end.
 func (c *serviceCall) runKeyed(ctx context.Context) *errkind.Error {
-	k := &keyedService{serviceCall: c}
+	k := &keyedService{serviceCall: c, ownRun: claim.NewRunID()}
 	defer k.release()
 	d := &claimDriver{
 		claims:   c.g.claims,
@@ -40,7 +43,7 @@
 			Account: c.account,
 			Key:     claim.KeyOf(c.account, c.key),
 			Body:    claim.HashOf(c.r.Method, c.r.URL.RequestURI(), c.body),
-			RunID:   claim.NewRunID(),
+			RunID:   k.ownRun,
 			Traits:  func(string) claim.Traits { return claim.Traits{Deduplicates: c.service.HonoursKey} },
 		}),
 	}
@@ -51,7 +54,7 @@
 func (k *keyedService) choose(exclude []string) claim.Event {
 	k.release()
 	k.excluded = append(k.excluded, exclude...)
-	if len(exclude) > 0 && !k.g.cores.mayRetry(time.Now()) {
+	if len(exclude) > 0 && !k.unsent && !k.g.cores.mayRetry(time.Now()) {
 		return claim.ChooseFailed{Err: errkind.New(errkind.UpstreamRefused, errkind.NotRun,
 			"the upstream could not be reached and the retry budget is used up").After(retryAfterRefusal)}
 	}
@@ -84,6 +87,11 @@
 	if !maySend() {
 		return claim.SendLate{}
 	}
+	if k.unsent = k.heldBack(a); k.unsent {
+		k.why.add(time.Now(), "not sent to %s: %v", a.Runner, errNowLeaving)
+		return claim.SendRefused{Err: notRunAnswer(errNowLeaving)}
+	}
+	k.sent = true
 	answer, err := k.forward(ctx, u)
 	if err == nil {
 		k.answer, k.open = answer, true
@@ -96,6 +104,13 @@
 	return claim.SendAmbiguous{}
 }
 
+// heldBack tells whether a send is new work for an upstream that leaves by now. Any
+// send but the first of the own claim asks for the answer of a call that may have run
+// there: it goes out, since a service that honours the key runs it once.
+func (k *keyedService) heldBack(a claim.Send) bool {
+	return !k.sent && a.RunID == k.ownRun && k.g.mayStillCall(k.route.Service, a.Runner) != nil
+}
+
 // resume is never asked for, because Traits denies it.
 func (k *keyedService) resume(context.Context, claim.Resume) claim.Event {
 	return claim.ResumeUnknownRun{}
--- /dev/null
+++ b/internal/process/gateway/stillserving_test.go
@@ -0,0 +1,112 @@
+package gateway
+
+import (
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/claim"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// drain marks a runner and waits until the gateway knows.
+func (r *running) drain(name string) {
+	r.f.t.Helper()
+	r.f.put(resource.KindDrain, name, resource.Drain{Zone: testZone, Reason: "role change"})
+	r.eventually("the mark of "+name+" is known", func() bool {
+		r.cores.mu.Lock()
+		defer r.cores.mu.Unlock()
+		return r.cores.snapshot.Leaving(name)
+	})
+}
+
+// noRetries is a fleet's settings whose retry budget is used up at once, since going
+// elsewhere with a request that was not sent is no retry.
+func (f *fleet) noRetries() *running {
+	s := f.settings("gw-1")
+	s.Limits.RetryShare = 1e-9
+	g := f.start(s)
+	for g.cores.mayRetry(time.Now()) {
+	}
+	return g
+}
+
+func TestNothingIsSentToARunnerMarkedAfterItsChoice(t *testing.T) {
+	for _, key := range []string{"", "k"} {
+		f := newFleet(t, runner.Config{Name: "r1"}, runner.Config{Name: "r2"})
+		g := f.noRetries()
+		g.drain("r1")
+		for i := range 3 {
+			if key != "" {
+				key += strconv.Itoa(i)
+			}
+			g.executeKeyedAt(key, "p", route.Choice{Runner: "r1"}).wantWhole(t, answerTo("p", 20))
+		}
+		if a, b := f.runners["r1"].Stats().Accepted, f.runners["r2"].Stats().Accepted; a != 0 || b != 3 {
+			t.Errorf("key %q: %d runs at the marked runner, %d at the other", key, a, b)
+		}
+		g.drain("r2")
+		if key != "" {
+			key += "last"
+		}
+		g.executeKeyedAt(key, "p", route.Choice{Runner: "r2"}).wantError(t, errkind.NoUpstream, errkind.NotRun)
+		if key != "" { // the claim was released, so the key is free
+			f.addRunner(runner.Config{Name: "r3"})
+			g.eventually("r3 serves", func() bool { return g.executeKeyedAt(key, "p", route.Choice{Runner: "r3"}).done })
+		}
+	}
+}
+
+func TestARunnerMarkedDuringThePrefillElsewhereGetsNothing(t *testing.T) {
+	slow := fastCost
+	slow.PrefillRate = 4000
+	f := newFleet(t, runner.Config{Name: "dec", Role: upstream.RoleDecode}, runner.Config{Name: "both"},
+		runner.Config{Name: "pre", Role: upstream.RolePrefill, Cost: slow})
+	g := f.start(f.settings("gw-1"))
+	prompt := strings.Repeat("fire season briefing ", 800)
+	answered := make(chan reply, 1)
+	go func() { answered <- g.executeAt(prompt, route.Choice{Runner: "dec", Prefill: "pre"}) }()
+	g.eventually("the prefill has begun", func() bool {
+		return strings.Contains(strings.Join(g.explain.lines(prompt), "\n"), "sent to dec")
+	})
+	g.drain("dec")
+	(<-answered).wantWhole(t, answerTo(prompt, 20))
+	if n := f.runners["dec"].Stats().Accepted; n != 0 {
+		t.Errorf("%d runs at the runner marked meanwhile", n)
+	}
+	g.drain("pre")
+	before := f.runners["pre"].Stats().PrefillTokens
+	g.executeAt("b"+prompt, route.Choice{Runner: "both", Prefill: "pre"}).wantWhole(t, answerTo("b"+prompt, 20))
+	if n := f.runners["pre"].Stats().PrefillTokens; n != before {
+		t.Errorf("%d tokens computed at the marked prefill runner", n-before)
+	}
+}
+
+func TestNothingIsSentToAServiceUpstreamMarkedAfterItsChoice(t *testing.T) {
+	f := newFleet(t)
+	f.addService("vans", true)
+	g := f.start(f.settings("gw-1"))
+	g.eventually("the service is known", func() bool { return len(g.snapshot().Services) == 1 })
+	if err := g.mayStillCall("vans", "vans-0"); err != nil {
+		t.Fatal(err)
+	}
+	g.drain("vans-0")
+	if err := g.mayStillCall("vans", "vans-0"); err == nil || !provesNotRun(err) {
+		t.Errorf("error %v; want a proof of not-run", err)
+	}
+	k := &keyedService{serviceCall: &serviceCall{g: g.Gateway, route: resource.Route{Service: "vans"}}, ownRun: "own"}
+	for _, tt := range []struct {
+		run      string
+		sent, to bool
+	}{{"own", false, true}, {"own", true, false}, {"other", false, false}} {
+		k.sent = tt.sent
+		if got := k.heldBack(claim.Send{Runner: "vans-0", RunID: tt.run}); got != tt.to {
+			t.Errorf("%+v: held back %v", tt, got)
+		}
+	}
+}
--- a/internal/process/gateway/unkeyed.go
+++ b/internal/process/gateway/unkeyed.go
@@ -64,6 +64,13 @@
 			return attempt, final
 		}
 		now := time.Now()
+		if errors.Is(err, errNowLeaving) {
+			u.why.add(now, "not sent to %s: %v", u.runner, err)
+			if choice = u.chooseAgain(now); choice.Runner == "" {
+				return attempt, u.finalAnswer(err)
+			}
+			continue
+		}
 		action := u.decide(now, !provesNotRun(err))
 		u.why.add(now, "%s after failure at %s: %v", action, u.runner, err)
 		switch action {
@@ -229,6 +236,13 @@
 	return u.g.cores.reroute(now, u.request)
 }
 
+// chooseAgain is reroute for a request that was not sent: that is no retry, so it
+// takes nothing of the budget.
+func (u *unkeyed) chooseAgain(now time.Time) route.Choice {
+	u.request.Excluded = append(u.request.Excluded, u.runner)
+	return u.g.cores.reroute(now, u.request)
+}
+
 // finalAnswer is the caller's error after the last attempt.
 func (u *unkeyed) finalAnswer(err error) *errkind.Error {
 	switch {
