Refuse a claim keep time that keepers would raise in silence

Cause: the keepers of claims keep at least 10 minutes; a shorter setting was accepted and raised without a word. Change: settings refuse less than 600 s, naming field and value; a table row tests 599. Conclusion: what is set is what holds.

--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -64,6 +64,7 @@
 		{"negative limit", `"operators"`, `"limits": {"queueRequests": -1}, "operators"`, "limits.queueRequests"},
 		{"share above one", `"operators"`, `"limits": {"retryShare": 1.5}, "operators"`, "limits.retryShare"},
 		{"claim too short", `"operators"`, `"limits": {"claimKeepSeconds": 1}, "operators"`, "limits.claimKeepSeconds"},
+		{"claim shorter than keepers keep", `"operators"`, `"limits": {"claimKeepSeconds": 599, "defaultDeadlineMS": 1000}, "operators"`, "limits.claimKeepSeconds"},
 		{"half a certificate", `"127.0.0.1:8080"`, `"127.0.0.1:8080", "tls": {"certFile": "c"}`, "listen.tls.keyFile"},
 		{"not JSON", `{`, `<`, ""},
 	}
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -16,6 +16,9 @@
 	maxDurationMS  = 24 * 60 * 60 * 1000
 	maxLinks       = 1024
 	maxPort        = 65535
+
+	// minClaimKeepSeconds is what the keepers of claims need at least (claim.MinKeep).
+	minClaimKeepSeconds = 600
 )
 
 var instanceName = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]{0,62}[a-z0-9])?$`)
@@ -100,7 +103,7 @@
 	c.milliseconds("limits.defaultDeadlineMS", l.DefaultDeadlineMS, 1)
 	c.share("limits.retryShare", l.RetryShare)
 	c.share("limits.ejectShare", l.EjectShare)
-	c.require(l.ClaimKeepSeconds > 0, "limits.claimKeepSeconds", l.ClaimKeepSeconds, "must be greater than zero")
+	c.require(l.ClaimKeepSeconds >= minClaimKeepSeconds, "limits.claimKeepSeconds", l.ClaimKeepSeconds, "must be 600 or more, so that a claim outlives every send of its run")
 	claimMS := l.ClaimKeepSeconds * 1000
 	c.require(claimMS > 2*l.DefaultDeadlineMS, "limits.claimKeepSeconds", l.ClaimKeepSeconds, "a claim must outlive its run: more than twice limits.defaultDeadlineMS")
 }
