Let the routing view know drain marks as leaving

A runner that a controller takes away for a planned change was shown by the routing view as in work; the gateway marked it suspected instead, so explanations gave the wrong reason. The tests accept nothing but leaving for a marked runner now.

--- a/internal/process/gateway/corehealth.go
+++ b/internal/process/gateway/corehealth.go
@@ -24,14 +24,13 @@
 	c.refreshSuspect(now, name)
 }
 
-// refreshSuspect joins what polls, the configuration (a controller's drain mark
-// included) and outlier ejection say of a runner.
+// refreshSuspect joins what polls and outlier ejection say of a runner.
 func (c *cores) refreshSuspect(now time.Time, name string) {
 	if c.snapshot == nil {
 		return
 	}
 	if _, ok := c.snapshot.Runners[name]; ok {
-		c.tracker.Suspect(name, c.unreachable[name] || c.snapshot.Leaving(name) || c.outliers.Ejected(now, name))
+		c.tracker.Suspect(name, c.unreachable[name] || c.outliers.Ejected(now, name))
 	}
 }
 
--- a/internal/process/gateway/failure_test.go
+++ b/internal/process/gateway/failure_test.go
@@ -284,7 +284,7 @@
 	defer r.cores.mu.Unlock()
 	for _, v := range r.cores.tracker.View(time.Now(), r.cores.snapshot) {
 		if v.Name == name {
-			return v.Leaving || v.Suspected
+			return v.Leaving
 		}
 	}
 	return false
--- a/internal/request/route/tracker_test.go
+++ b/internal/request/route/tracker_test.go
@@ -46,6 +46,9 @@
 		"withdrawn":         func(s *config.Snapshot, _ *upstream.State) { setState(s, resource.RunnerWithdrawn) },
 		"says so":           func(_ *config.Snapshot, st *upstream.State) { st.Leaving = true },
 		"away for an order": func(_ *config.Snapshot, st *upstream.State) { st.OrderStatus = upstream.OrderRunning },
+		"marked by a controller": func(s *config.Snapshot, _ *upstream.State) {
+			s.Drains = map[string]resource.Drain{"r": {}}
+		},
 		"platform says so": func(s *config.Snapshot, _ *upstream.State) {
 			s.Instances = map[string]resource.Instance{"r": {State: resource.InstanceLeaving}}
 		},
--- a/internal/request/route/view.go
+++ b/internal/request/route/view.go
@@ -92,7 +92,7 @@
 	out.Role = r.role(spec)
 	out.Incarnation = r.state.Incarnation
 	out.Loaded = r.state.Loaded
-	out.Leaving = r.leaving(spec) || snapshot.Instances[name].State == resource.InstanceLeaving
+	out.Leaving = r.leaving() || snapshot.Leaving(name)
 	out.Suspected = r.suspected || !r.hasState
 	out.CachedPrefix = r.cached
 	r.fillLoad(out, now)
@@ -110,11 +110,8 @@
 	return upstream.Role(spec.Role)
 }
 
-// leaving tells whether the runner must get no new work.
-func (r *tracked) leaving(spec *resource.Runner) bool {
-	if spec.State == resource.RunnerDrained || spec.State == resource.RunnerWithdrawn {
-		return true
-	}
+// leaving tells whether the runner itself says that it must get no new work.
+func (r *tracked) leaving() bool {
 	return r.state.Leaving || r.report.Leaving || r.state.OrderStatus == upstream.OrderRunning
 }
 
