Look only at the models that wait in each tick of the queue

A tick of the admission queue built the view of every runner, though calls waited for one model only. It now builds the views of the models for which calls wait.

--- a/internal/process/gateway/cores.go
+++ b/internal/process/gateway/cores.go
@@ -152,9 +152,13 @@
 	return len(c.waiting)
 }
 
+// tickLocked looks only at the runners of models for which calls wait.
 func (c *cores) tickLocked(now time.Time) {
-	if len(c.waiting) > 0 {
-		c.carryOut(now, c.admit.Tick(now, c.tracker.View(now, c.snapshot)))
+	if len(c.waiting) == 0 {
+		return
+	}
+	for _, model := range c.admit.Waiting() {
+		c.carryOut(now, c.admit.TickModel(now, model, c.tracker.ViewModel(now, c.snapshot, model)))
 	}
 }
 
