Bound the prefix index over all runners, and poll caches in the own zone

The prefix index was bounded for each runner only, so its memory grew with the fleet. Now all runners share 131,072 blocks equally, rounded down to 64 so that a new runner seldom makes the others give up blocks; a share that shrinks forgets the blocks used least recently and frees their memory.

Cache events are polled of the own zone's runners only. Of the others the index knows what this gateway sent them. Connections to runners that are polled every 10 s or more rarely are closed after each poll.

--- a/internal/process/gateway/engines.go
+++ b/internal/process/gateway/engines.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// closeIdle drops the idle connections to a runner.
+func (e *engines) closeIdle(runner string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if have, ok := e.byRun[runner]; ok {
+		closeIdle(have.engine)
+	}
+}
+
 // close drops every client's idle connections.
 func (e *engines) close() {
 	e.mu.Lock()
--- a/internal/process/gateway/failure_test.go
+++ b/internal/process/gateway/failure_test.go
@@ -266,6 +266,11 @@
 }
 
 func (f *fleet) setState(name string, state resource.RunnerState) {
+	f.t.Helper()
+	f.changeRunner(name, func(r *resource.Runner) { r.State = state })
+}
+
+func (f *fleet) changeRunner(name string, change func(*resource.Runner)) {
 	f.t.Helper()
 	o, err := f.store.Get(context.Background(), resource.KindRunner, name)
 	if err != nil {
@@ -275,7 +280,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	spec.State = state
+	change(&spec)
 	f.put(resource.KindRunner, name, spec)
 }
 
--- a/internal/process/gateway/poll.go
+++ b/internal/process/gateway/poll.go
@@ -30,6 +30,8 @@
 	pollConcurrency = 16 // for each of own and other zones, so that a cut-off zone holds up nobody else
 	pollJitter      = 0.2
 	pollFailures    = 2 // in a row, before a runner counts as unreachable
+	// pollRare is the interval from which on a connection isn't kept until the next poll.
+	pollRare = 10 * time.Second
 )
 
 // What is read in which poll. The load is read in each. The state changes by
@@ -127,7 +129,11 @@
 			seen = polledRunner{}
 			p.failed(name, failed, err)
 		}
-		if sleep(ctx, p.interval(name)) != nil {
+		wait := p.interval(name)
+		if wait >= pollRare {
+			p.engines.closeIdle(name)
+		}
+		if sleep(ctx, wait) != nil {
 			return
 		}
 	}
@@ -200,14 +206,16 @@
 		p.g.cores.stated(name, state)
 	}
 	p.g.cores.reported(time.Now(), name, load)
-	if seen.polls%cacheEvery == 0 {
+	if p.isOwn(spec) && seen.polls%cacheEvery == 0 {
 		p.pollCache(ctx, name, engine)
 	}
 	seen.polls++
 	return nil
 }
 
-// pollCache reads cache events. They are a hint only, so a failure is none of the poll.
+// pollCache reads cache events of a runner of the own zone; of the others it is enough
+// to know what this gateway sent them. They are a hint only, so a failure is none of
+// the poll.
 func (p *poller) pollCache(ctx context.Context, name string, engine upstream.Engine) {
 	since := p.g.cores.cacheSince(name)
 	events, err := engine.CacheEvents(ctx, since)
--- a/internal/request/route/lru.go
+++ b/internal/request/route/lru.go
@@ -52,6 +52,23 @@
 	l.free = i
 }
 
+// resize sets another limit. What is too much is forgotten, and its memory freed.
+func (l *lru) resize(limit int) {
+	old := *l
+	l.limit = limit
+	if len(old.at) <= limit {
+		return
+	}
+	*l = *newLRU(limit)
+	i := old.entries[0].next
+	for range limit - 1 {
+		i = old.entries[i].next
+	}
+	for ; i != 0; i = old.entries[i].prev { // the oldest that is kept first
+		l.touch(old.entries[i].block)
+	}
+}
+
 func (l *lru) clear() {
 	clear(l.at)
 	l.entries = l.entries[:1]
--- a/internal/request/route/prefix.go
+++ b/internal/request/route/prefix.go
@@ -2,15 +2,23 @@
 
 import "github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 
-// DefaultPrefixBlocks bounds the blocks remembered for one runner.
-const DefaultPrefixBlocks = 1024
+// Bounds of the blocks remembered.
+const (
+	DefaultPrefixBlocks = 1024    // for one runner
+	totalPrefixBlocks   = 1 << 17 // for all, shared equally
+	// prefixShareStep rounds the shares down, so that not every new runner makes all
+	// others give up some blocks.
+	prefixShareStep = 64
+)
 
 // PrefixIndex holds which prefix blocks each runner is believed to cache. It is
 // built from events that come late and with gaps, so it is a hint only: a wrong
-// one costs time, never an answer. Memory is bounded for each runner; the block
-// used least recently is forgotten first. Not safe for concurrent use.
+// one costs time, never an answer. Memory is bounded for each runner and in
+// all; the block of a runner used least recently is forgotten first. Not safe for concurrent use.
 type PrefixIndex struct {
 	perRunner int
+	total     int
+	share     int // what each runner may have now
 	runners   map[string]*prefixSet
 }
 
@@ -27,18 +35,35 @@
 	if perRunner <= 0 {
 		perRunner = DefaultPrefixBlocks
 	}
-	return &PrefixIndex{perRunner: perRunner, runners: make(map[string]*prefixSet)}
+	return &PrefixIndex{perRunner: perRunner, total: totalPrefixBlocks, share: perRunner, runners: make(map[string]*prefixSet)}
 }
 
 func (x *PrefixIndex) set(runner string) *prefixSet {
 	s, ok := x.runners[runner]
 	if !ok {
-		s = &prefixSet{blocks: newLRU(x.perRunner)}
+		s = &prefixSet{blocks: newLRU(x.share)}
 		x.runners[runner] = s
+		x.shareOut()
 	}
 	return s
 }
 
+// shareOut gives every runner its share of the total.
+func (x *PrefixIndex) shareOut() {
+	share := x.total / max(len(x.runners), 1)
+	if share > prefixShareStep {
+		share -= share % prefixShareStep
+	}
+	share = max(1, min(share, x.perRunner))
+	if share == x.share {
+		return
+	}
+	x.share = share
+	for _, s := range x.runners {
+		s.blocks.resize(share)
+	}
+}
+
 // Since gives the sequence to ask the runner's events from. It is zero after a
 // gap, which asks for everything.
 func (x *PrefixIndex) Since(runner string) uint64 {
@@ -156,4 +181,7 @@
 }
 
 // Forget drops what is known of a runner.
-func (x *PrefixIndex) Forget(runner string) { delete(x.runners, runner) }
+func (x *PrefixIndex) Forget(runner string) {
+	delete(x.runners, runner)
+	x.shareOut()
+}
--- a/internal/request/route/prefix_test.go
+++ b/internal/request/route/prefix_test.go
@@ -148,3 +148,35 @@
 		t.Error("forgotten routes start anew")
 	}
 }
+
+func TestPrefixIndexSharesItsTotalEqually(t *testing.T) {
+	x := NewPrefixIndex(16)
+	x.total = 40
+	hashes := make([]uint64, 16)
+	for i := range hashes {
+		hashes[i] = uint64(i + 1)
+	}
+	for n, want := range []int{16, 16, 13, 10, 8} {
+		x.Sent(string(rune('a'+n)), hashes)
+		all := 0
+		for name := range x.runners {
+			if got := x.Len(name); got != want {
+				t.Errorf("%d runners: %s has %d blocks, want %d", n+1, name, got, want)
+			}
+			if got := x.Cached(name, hashes); got != want { // the starts of chains are kept
+				t.Errorf("%d runners: %s has %d leading blocks, want %d", n+1, name, got, want)
+			}
+			all += x.Len(name)
+		}
+		if all > x.total {
+			t.Errorf("%d runners: %d blocks in all", n+1, all)
+		}
+	}
+	for _, name := range []string{"b", "c", "d", "e"} {
+		x.Forget(name)
+	}
+	x.Sent("a", hashes)
+	if got := x.Cached("a", hashes); got != 16 {
+		t.Errorf("alone again: %d blocks", got)
+	}
+}
