Let callers state that they never sent a key before

While the platform is out a new key is refused as run unknown, since an earlier request with it may have run and the claim can't be looked up. A caller that knows better had no way to say so. "Idempotency-Attempt: first" says it, for models and plain services: the refusal is not-run then, unless a write of the claim may have landed. Any other value, a repeated header or one without a key is refused. The test asks both ways in one outage.

--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -25,6 +25,8 @@
 	raw  []byte // the body as sent
 	key  string // Idempotency-Key; empty: none
 
+	firstSend bool // the caller states that it never sent the key before
+
 	priority      int
 	deadline      time.Time
 	deadlineAsked bool // the caller stated it; only then is the run ended at it
--- a/internal/process/gateway/headers.go
+++ b/internal/process/gateway/headers.go
@@ -69,3 +69,19 @@
 	}
 	return key, nil
 }
+
+// firstSend tells whether the caller states that it never sent its key before.
+func firstSend(h http.Header, key string) (bool, error) {
+	values := h.Values(headerAttempt)
+	switch {
+	case len(values) == 0:
+		return false, nil
+	case len(values) > 1:
+		return false, invalid(headerAttempt, "is given more than once")
+	case values[0] != attemptFirst:
+		return false, invalid(headerAttempt, "is "+strconv.Quote(shorten(values[0]))+"; allowed is "+strconv.Quote(attemptFirst))
+	case key == "":
+		return false, invalid(headerAttempt, "is given without "+headerIdempotencyKey)
+	}
+	return true, nil
+}
--- a/internal/process/gateway/input_test.go
+++ b/internal/process/gateway/input_test.go
@@ -52,6 +52,8 @@
 		{"wrong key", ask{key: "guess", body: good}, errkind.Unauthenticated, "Authorization"},
 		{"empty Idempotency-Key", ask{body: good, header: header(headerIdempotencyKey, "")}, errkind.InvalidRequest, headerIdempotencyKey},
 		{"overlong Idempotency-Key", ask{body: good, header: header(headerIdempotencyKey, strings.Repeat("k", 300))}, errkind.InvalidRequest, headerIdempotencyKey},
+		{"unknown Idempotency-Attempt", ask{body: good, header: map[string]string{headerIdempotencyKey: "k", headerAttempt: "second"}}, errkind.InvalidRequest, headerAttempt},
+		{"Idempotency-Attempt without a key", ask{body: good, header: header(headerAttempt, attemptFirst)}, errkind.InvalidRequest, headerAttempt},
 		{"unknown path", ask{method: http.MethodGet, path: "/nowhere"}, errkind.NotFound, "path"},
 	}
 	for _, c := range cases {
--- a/internal/process/gateway/keyed.go
+++ b/internal/process/gateway/keyed.go
@@ -37,12 +37,13 @@
 		why:      x.why,
 		deadline: x.call.deadline,
 		session: claim.NewSession(claim.SessionConfig{
-			Gateway: x.g.cfg.Settings.Instance.Name,
-			Account: x.call.account,
-			Key:     claim.KeyOf(x.call.account, x.call.key),
-			Body:    claim.HashOf(http.MethodPost, x.call.body.form.path(), x.call.raw),
-			RunID:   k.ownRun,
-			Traits:  x.traits,
+			Gateway:   x.g.cfg.Settings.Instance.Name,
+			Account:   x.call.account,
+			Key:       claim.KeyOf(x.call.account, x.call.key),
+			Body:      claim.HashOf(http.MethodPost, x.call.body.form.path(), x.call.raw),
+			RunID:     k.ownRun,
+			FirstSend: x.call.firstSend,
+			Traits:    x.traits,
 		}),
 	}
 	if refusal != nil {
--- a/internal/process/gateway/keyed_test.go
+++ b/internal/process/gateway/keyed_test.go
@@ -83,3 +83,24 @@
 		t.Errorf("%d runs of 6 keys", n)
 	}
 }
+
+// TestFirstSendingIsNotRunWhileThePlatformIsOut: the caller's word makes up for the
+// claim that can't be looked up. Without it the run state is not known.
+func TestFirstSendingIsNotRunWhileThePlatformIsOut(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"})
+	f.addService("vans", true)
+	f.putServiceRoute("vans", "/vans", "")
+	g := f.start(f.settings("gw-1"))
+	g.eventually("the service is known", func() bool { return len(g.snapshot().Services) == 1 })
+	f.store.SetFault(standinplatform.Fault{Outage: true})
+	for path, body := range map[string]string{pathCompletion: completion("alert", "p", 5, true), "/vans": "x"} {
+		a := keyedAsk("k", body)
+		a.path = path
+		g.get(a).wantError(t, errkind.ClaimUnavailable, errkind.RunUnknown)
+		a.header[headerAttempt] = attemptFirst
+		g.get(a).wantError(t, errkind.ClaimUnavailable, errkind.NotRun)
+	}
+	if n := f.runs(); n != 0 {
+		t.Errorf("%d runs without a claim", n)
+	}
+}
--- a/internal/process/gateway/parse.go
+++ b/internal/process/gateway/parse.go
@@ -19,6 +19,7 @@
 	headerDeadline       = "X-Deadline-Ms"
 	headerPriority       = "X-Priority"
 	headerIdempotencyKey = "Idempotency-Key"
+	headerAttempt        = "Idempotency-Attempt"
 	headerRequestID      = "X-Request-Id"
 )
 
@@ -37,6 +38,10 @@
 	fieldMaxCompleted = "max_completion_tokens"
 )
 
+// attemptFirst in the Idempotency-Attempt header states that the caller never sent
+// the key before.
+const attemptFirst = "first"
+
 // form is one of the two request forms of the API.
 type form int
 
--- a/internal/process/gateway/prepare.go
+++ b/internal/process/gateway/prepare.go
@@ -33,6 +33,9 @@
 	if c.key, err = idempotencyKey(r.Header); err != nil {
 		return nil, err
 	}
+	if c.firstSend, err = firstSend(r.Header, c.key); err != nil {
+		return nil, err
+	}
 	if err := c.findRoute(s); err != nil {
 		return nil, err
 	}
--- a/internal/process/gateway/service.go
+++ b/internal/process/gateway/service.go
@@ -37,6 +37,7 @@
 	service    resource.Service
 	idempotent bool
 	key        string
+	firstSend  bool // the caller states that it never sent the key before
 
 	w      http.ResponseWriter
 	r      *http.Request
@@ -96,6 +97,9 @@
 	if c.key, err = idempotencyKey(r.Header); err != nil {
 		return nil, account, err
 	}
+	if c.firstSend, err = firstSend(r.Header, c.key); err != nil {
+		return nil, account, err
+	}
 	return c, account, c.takeBody()
 }
 
--- a/internal/process/gateway/serviceclaim.go
+++ b/internal/process/gateway/serviceclaim.go
@@ -39,12 +39,13 @@
 		why:      c.why,
 		deadline: c.arrived.Add(time.Duration(c.g.cfg.Settings.Limits.DefaultDeadlineMS) * time.Millisecond),
 		session: claim.NewSession(claim.SessionConfig{
-			Gateway: c.g.cfg.Settings.Instance.Name,
-			Account: c.account,
-			Key:     claim.KeyOf(c.account, c.key),
-			Body:    claim.HashOf(c.r.Method, c.r.URL.RequestURI(), c.body),
-			RunID:   k.ownRun,
-			Traits:  func(string) claim.Traits { return claim.Traits{Deduplicates: c.service.HonoursKey} },
+			Gateway:   c.g.cfg.Settings.Instance.Name,
+			Account:   c.account,
+			Key:       claim.KeyOf(c.account, c.key),
+			Body:      claim.HashOf(c.r.Method, c.r.URL.RequestURI(), c.body),
+			RunID:     k.ownRun,
+			FirstSend: c.firstSend,
+			Traits:    func(string) claim.Traits { return claim.Traits{Deduplicates: c.service.HonoursKey} },
 		}),
 	}
 	return d.drive(ctx, k.choose(nil))
