Spread the retries of writers that lost answers together

A cut loses the answers of many writers at once. Their first sending again followed at once, and the later ones after fixed pauses, so all of them came back in step, each time.

Every sending again of a write or a delete now waits with the full jitter of Backoff.Wait.

--- a/internal/connection/platform/backoff.go
+++ b/internal/connection/platform/backoff.go
@@ -35,6 +35,11 @@
 	return time.Duration(draw * float64(b.Ceiling(attempt)))
 }
 
+// Wait sleeps a random delay before retry number attempt, or until ctx ends.
+func (b Backoff) Wait(ctx context.Context, attempt int) error {
+	return Sleep(ctx, b.Delay(attempt, rand.Float64()))
+}
+
 // jitter is a seeded source of uniform draws for many goroutines.
 type jitter struct {
 	mu  sync.Mutex
--- a/internal/connection/platform/resolve.go
+++ b/internal/connection/platform/resolve.go
@@ -26,7 +26,8 @@
 // A read that shows the old version does not prove that a lost write had no
 // effect: the write may still be under way and land later. So an unsettled write
 // is sent again with the same nonce and the same expected version: whichever of
-// the two lands first makes the other one conflict.
+// the two lands first makes the other one conflict. Each sending again waits with
+// full jitter, since one cut loses the answers of many writers.
 //
 // What is returned:
 //   - the stored object and nil: the write took effect and is the newest version.
@@ -69,7 +70,7 @@
 	nonce := NewNonce()
 	err := s.Delete(ctx, kind, name, ifVersion, writer, nonce)
 	for attempt := 0; errors.Is(err, ErrUnknown) && attempt < resolveAttempts; attempt++ {
-		if Sleep(ctx, DefaultBackoff.Ceiling(attempt)) != nil {
+		if DefaultBackoff.Wait(ctx, attempt) != nil {
 			return err
 		}
 		again := s.Delete(ctx, kind, name, ifVersion, writer, nonce)
@@ -87,7 +88,7 @@
 func settle(ctx context.Context, s Store, o Object, write WriteFunc) (Object, error) {
 	cause := ErrUnknown
 	for attempt := range resolveAttempts {
-		if attempt > 0 && Sleep(ctx, DefaultBackoff.Ceiling(attempt-1)) != nil {
+		if DefaultBackoff.Wait(ctx, attempt) != nil {
 			break
 		}
 		stored, err := write(ctx, o)
