Measure idle daemons at three sizes of fleet

Change: ragwort-bench idle runs a gateway or a controller with 9, 70 and 630 runners, stand-ins in the same process (upper bounds).

--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -11,6 +11,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/fanout"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/faults"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/goodput"
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/idle"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/latency"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/policy"
 )
@@ -26,6 +27,7 @@
 	add(p, "affinity", "prompt tokens computed with shared briefings, and the load of runners", &goodput.AffinityCommand{})
 	add(p, "pairs", "prefill and decode apart: always, never, or as predicted", &goodput.PairsCommand{})
 	add(p, "routecost", "time and memory of routing decisions", &goodput.CostCommand{})
+	add(p, "idle", "processor time and memory of an idle gateway and controller", &idle.Command{})
 	add(p, "latency", "what a gateway adds to a direct call of a runner", &latency.Command{})
 	add(p, "policy", "goodput and role changes of one trace under one policy", &policy.Command{})
 	add(p, "policy-table", "the role policy over all built-in traces, with ablation, robustness and prices", &policy.TableCommand{})
--- /dev/null
+++ b/internal/bench/idle/idle.go
@@ -0,0 +1,165 @@
+package idle
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/controller"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/gateway"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const (
+	anyPort    = "127.0.0.1:0"
+	homeZone   = "zone-0"
+	peerKeyEnv = "RAGWORT_IDLE_PEER_KEY"
+	warmUp     = 12 * time.Second // first polls, and the lease
+	percent    = 100
+)
+
+// fleet is a size to measure.
+type fleet struct{ runners, zones int }
+
+var fleets = []fleet{{9, 3}, {70, 9}, {630, 9}}
+
+// Command is the measurement "idle" of ragwort-bench.
+type Command struct {
+	Seconds int `long:"seconds" default:"15" description:"time that each daemon is measured"`
+}
+
+// Execute implements flags.Commander.
+func (c *Command) Execute([]string) error {
+	if err := os.Setenv(peerKeyEnv, "idle"); err != nil {
+		return errors.Wrap(err, "set the peers' key")
+	}
+	fmt.Println("an idle daemon with its stand-ins in one process (upper bounds); the controller alone holds every zone's lease")
+	fmt.Printf("%-11s %8s %6s %12s %12s\n", "daemon", "runners", "zones", "% of a core", "bytes")
+	for _, f := range fleets {
+		for _, d := range []daemon{gatewayDaemon, controllerDaemon} {
+			if err := c.measure(f, d); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// daemon makes one kind of daemon on a store.
+type daemon struct {
+	name string
+	make func(platform.Store) (interface{ Run(context.Context) error }, error)
+}
+
+var gatewayDaemon = daemon{"gateway", func(store platform.Store) (interface{ Run(context.Context) error }, error) {
+	s := &settings.Gateway{Instance: self(), Listen: port(), Platform: unused(), Peer: peers(), Operators: operators()}
+	s.SetDefaults()
+	return gateway.New(gateway.Config{Settings: s, Store: store})
+}}
+
+var controllerDaemon = daemon{"controller", func(store platform.Store) (interface{ Run(context.Context) error }, error) {
+	s := &settings.Controller{Instance: self(), Platform: unused(), Peer: peers(), Operators: operators()}
+	s.SetDefaults()
+	return controller.New(controller.Config{Settings: s, Store: store})
+}}
+
+func self() settings.Instance       { return settings.Instance{Name: "idle-1", Zone: homeZone} }
+func port() settings.Listener       { return settings.Listener{Address: anyPort} }
+func operators() settings.Operators { return settings.Operators{Listen: port()} }
+
+// unused stands for the platform's address, which is not dialed: the store is given.
+func unused() settings.Platform { return settings.Platform{Address: "http://127.0.0.1:1"} }
+
+func peers() settings.Peer {
+	return settings.Peer{Listen: port(), SharedKey: settings.Secret{Env: peerKeyEnv}}
+}
+
+func (c *Command) measure(f fleet, d daemon) error {
+	engine := runner.New(runner.Config{Name: "runner-0"})
+	defer engine.Close()
+	address, err := engine.Listen(anyPort)
+	if err != nil {
+		return errors.Wrap(err, "listen for the runner")
+	}
+	store := standin.New(standin.Config{})
+	if err := configure(store, f, address); err != nil {
+		return err
+	}
+	before := memory()
+	process, err := d.make(store)
+	if err != nil {
+		return errors.Wrap(err, d.name)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- process.Run(ctx) }()
+	time.Sleep(warmUp)
+	start := cpu()
+	time.Sleep(time.Duration(c.Seconds) * time.Second)
+	share := (cpu() - start).Seconds() / float64(c.Seconds)
+	taken := memory() - before
+	stop()
+	fmt.Printf("%-11s %8d %6d %12.2f %12d\n", d.name, f.runners, f.zones, share*percent, taken)
+	return <-done
+}
+
+// configure writes a fleet whose runners are all the one stand-in.
+func configure(store platform.Store, f fleet, address string) error {
+	cost := runner.DefaultCost
+	err := put(store, resource.KindEngine, "engine", resource.Engine{
+		KVTokens: cost.KVTokens, PrefillRate: cost.PrefillRate, DecodeRate: cost.DecodeRate,
+		StreamRate: cost.StreamRate, MaxBatch: cost.MaxBatch,
+	})
+	if err != nil {
+		return err
+	}
+	if err := put(store, resource.KindModel, "model", resource.Model{ContextTokens: cost.KVTokens}); err != nil {
+		return err
+	}
+	for i := range f.runners {
+		err := put(store, resource.KindRunner, fmt.Sprintf("runner-%d", i), resource.Runner{
+			Engine: "engine", Address: address, Zone: fmt.Sprintf("zone-%d", i%f.zones), Model: "model",
+			Role: "both", State: resource.RunnerServing,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func put(store platform.Store, kind, name string, spec any) error {
+	o, err := resource.Encode(kind, name, spec)
+	if err != nil {
+		return err
+	}
+	o.Writer, o.Nonce = "idle", platform.NewNonce()
+	_, err = store.Create(context.Background(), o)
+	return errors.Wrapf(err, "create %s/%s", kind, name)
+}
+
+// memory is heap and stacks in use.
+func memory() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+// cpu is the processor time of this process so far.
+func cpu() time.Duration {
+	var use unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &use); err != nil {
+		return 0
+	}
+	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
+}
