Open the gateway's ports, keys and store by the shared package

The gateway had its own copies of what package daemon does for both processes: listening on all ports or none, reading the keys, connecting to the platform, and the address to advertise. They are gone.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -15,6 +15,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
@@ -77,7 +78,7 @@
 	if err := cfg.Settings.Validate(); err != nil {
 		return nil, err
 	}
-	keys, err := readSecrets(cfg.Settings)
+	keys, err := daemon.ReadKeys(cfg.Settings.Platform, cfg.Settings.Operators, cfg.Settings.Peer)
 	if err != nil {
 		return nil, err
 	}
@@ -85,14 +86,14 @@
 	if err := g.openStore(keys); err != nil {
 		return nil, err
 	}
-	if g.listeners, err = listen(cfg.Settings); err != nil {
+	if err := daemon.Listen(g.listeners.ports(cfg.Settings)...); err != nil {
 		g.closeAll()
 		return nil, err
 	}
 	g.hardStop, g.stopHard = context.WithCancel(context.Background())
 	g.work, g.stopWork = context.WithCancel(context.Background())
 	if err := g.openPeers(keys); err != nil {
-		g.listeners.close()
+		daemon.Close(g.listeners.ports(cfg.Settings)...)
 		g.closeAll()
 		return nil, err
 	}
@@ -108,15 +109,15 @@
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0), // what concerns a request is in its log line
 	}
-	g.ops = ops.New(ops.Config{Source: opsSource{g}, Metrics: g.exporter.Handler(), Key: keys.operators})
+	g.ops = ops.New(ops.Config{Source: opsSource{g}, Metrics: g.exporter.Handler(), Key: keys.Operators})
 	return g, nil
 }
 
 // openPeers makes what runs over the connections to peers: membership, the
 // distribution of the configuration, and claims.
-func (g *Gateway) openPeers(keys secrets) error {
+func (g *Gateway) openPeers(keys daemon.Keys) error {
 	s := g.cfg.Settings
-	members, err := newMembers(g, s, keys.peers, g.listeners.peers.Addr())
+	members, err := newMembers(g, s, keys.Peers, g.listeners.peers.Addr())
 	if err != nil {
 		return err
 	}
@@ -137,20 +138,13 @@
 }
 
 // openStore connects to the platform, unless the store was given.
-func (g *Gateway) openStore(keys secrets) error {
+func (g *Gateway) openStore(keys daemon.Keys) error {
 	g.closeAll = func() {}
 	if g.cfg.Store != nil {
 		g.store = g.cfg.Store
 		return nil
 	}
-	p := g.cfg.Settings.Platform
-	client, err := platform.NewClient(platform.ClientConfig{
-		Address:        p.Address,
-		Key:            keys.platform,
-		CAFile:         p.CAFile,
-		Timeout:        time.Duration(p.TimeoutMS) * time.Millisecond,
-		CallsPerSecond: p.CallsPerSecond,
-	})
+	client, err := daemon.OpenStore(g.cfg.Settings.Platform, g.cfg.Settings.Instance, keys.Platform)
 	if err != nil {
 		return err
 	}
--- a/internal/process/gateway/listen.go
+++ b/internal/process/gateway/listen.go
@@ -1,12 +1,10 @@
 package gateway
 
 import (
-	"crypto/tls"
 	"net"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 )
 
@@ -23,70 +21,14 @@
 	peers     net.Listener
 }
 
-// listen opens every port of the settings, or none.
-func listen(s *settings.Gateway) (listeners, error) {
-	var l listeners
-	var err error
-	if l.callers, err = open(s.Listen); err != nil {
-		return l, errors.Wrap(err, "listen")
-	}
-	if l.operators, err = open(s.Operators.Listen); err != nil {
-		l.close()
-		return l, errors.Wrap(err, "operators.listen")
-	}
-	if l.peers, err = open(s.Peer.Listen); err != nil {
-		l.close()
-		return l, errors.Wrap(err, "peer.listen")
-	}
-	return l, nil
-}
-
-// open opens one port, with TLS if its settings name a certificate.
-func open(s settings.Listener) (net.Listener, error) {
-	config, err := s.TLS.Server()
-	if err != nil {
-		return nil, err
-	}
-	l, err := net.Listen("tcp", s.Address)
-	if err != nil {
-		return nil, err
-	}
-	if config != nil {
-		return tls.NewListener(l, config), nil
-	}
-	return l, nil
-}
-
-func (l listeners) close() {
-	for _, one := range []net.Listener{l.callers, l.operators, l.peers} {
-		if one != nil {
-			one.Close()
-		}
+func (l *listeners) ports(s *settings.Gateway) []daemon.Port {
+	return []daemon.Port{
+		{Field: "listen", Settings: s.Listen, Into: &l.callers},
+		{Field: "operators.listen", Settings: s.Operators.Listen, Into: &l.operators},
+		{Field: "peer.listen", Settings: s.Peer.Listen, Into: &l.peers},
 	}
 }
 
-func (l listeners) addresses() Addresses {
+func (l *listeners) addresses() Addresses {
 	return Addresses{Callers: l.callers.Addr(), Operators: l.operators.Addr(), Peers: l.peers.Addr()}
 }
-
-// secrets are the keys that the settings name.
-type secrets struct {
-	platform  string
-	operators string
-	peers     string
-}
-
-func readSecrets(s *settings.Gateway) (secrets, error) {
-	var out secrets
-	var err error
-	if out.platform, err = s.Platform.Key.Read(); err != nil {
-		return out, errors.Wrap(err, "platform.key")
-	}
-	if out.operators, err = s.Operators.Key.Read(); err != nil {
-		return out, errors.Wrap(err, "operators.key")
-	}
-	if out.peers, err = s.Peer.SharedKey.Read(); err != nil {
-		return out, errors.Wrap(err, "peer.sharedKey")
-	}
-	return out, nil
-}
--- a/internal/process/gateway/network.go
+++ b/internal/process/gateway/network.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
@@ -23,7 +24,7 @@
 			Name:        s.Instance.Name,
 			Role:        member.RoleGateway,
 			Zone:        s.Instance.Zone,
-			PeerAddress: advertised(s.Peer, listening),
+			PeerAddress: daemon.Advertised(s.Peer, listening),
 			Incarnation: member.NewIncarnation(time.Now()),
 		},
 		SharedKey: []byte(sharedKey),
@@ -46,15 +47,6 @@
 	return member.NewService(member.ServiceConfig{Hub: hub, Core: core, Handler: network{g}})
 }
 
-// advertised is the address that others dial. A listening port of zero stands
-// for the port that the system chose.
-func advertised(p settings.Peer, listening net.Addr) string {
-	if p.Advertise == "" || p.Advertise == p.Listen.Address {
-		return listening.String()
-	}
-	return p.Advertise
-}
-
 // PeerVersion implements member.Handler.
 func (n network) PeerVersion(from string, applied uint64) { n.g.config.PeerVersion(from, applied) }
 
