Let a controller prune the audit trail

Segments stayed at the platform until an operator deleted them, so a fleet that nobody tidied filled it up in the end.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -83,6 +83,7 @@
 	roles          *policy.Core
 	chosen         map[string]choice
 	slotReads      []slotRead
+	pruning        pruning
 	reconcileAt    boottime.Time
 	stopping       bool
 	drainBy        boottime.Time // open orders may go on until then
@@ -105,6 +106,7 @@
 		events: make(chan func(), eventQueue), kick: make(chan struct{}, 1),
 		zones: map[string]*zone{}, engines: map[string]*engine{}, chosen: map[string]choice{},
 		marks: marks{known: map[string]*mark{}, writing: map[string]bool{}}, statuses: newStatuses(),
+		pruning: pruning{at: boottime.Now().Add(pruneFirst)},
 		roles: policy.New(policy.Config{
 			Origin:          s.Instance.Name,
 			RoleChangePrice: s.Policy.RoleChangePrice,
@@ -264,6 +266,7 @@
 	c.meters.leads.Update(float64(leads))
 	c.setRejections()
 	c.writeStatuses()
+	c.pruneAudit(now)
 }
 
 // wake is when the next core is due.
--- a/internal/process/controller/status.go
+++ b/internal/process/controller/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -73,11 +72,7 @@
 // does it: that of the first zone by name.
 func (c *Controller) setRejections() {
 	s := c.config.Current()
-	if s == nil || !c.statuses.listed || len(c.zones) == 0 {
-		return
-	}
-	first := slices.Min(slices.Collect(maps.Keys(c.zones)))
-	if !c.zones[first].leads() {
+	if s == nil || !c.statuses.listed || !c.leadsFirstZone() {
 		return
 	}
 	for name, r := range s.Rejected {
