--- a/internal/bench/capacity/figures.go
+++ b/internal/bench/capacity/figures.go
@@ -5,6 +5,7 @@
 	"runtime"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/authority"
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/claims"
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/fanout"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
@@ -22,6 +23,9 @@
 // the last is the target's: half of 370 daemons over 9 availability zones.
 var controllersOfZone = []int{2, 8, 21}
 
+// claimRates are new keys a second at which the keepers' writes are counted.
+var claimRates = []int{10, 100, 1000}
+
 // fleetSize is a configuration at which a snapshot's memory is measured.
 type fleetSize struct{ runners, accounts, models int }
 
@@ -41,6 +45,12 @@
 		calls := authority.CountCalls(n)
 		out = append(out, figure{fmt.Sprintf("lease.calls.%d", n), calls.Total, "platform calls/s of a zone"})
 	}
+	for _, rate := range claimRates {
+		counts := claims.Count(rate)
+		out = append(out,
+			figure{fmt.Sprintf("claims.writes.%d", rate), counts.WritesPerSecond, "platform writes/s of the fleet"},
+			figure{fmt.Sprintf("claims.bytes.%d", rate), counts.BytesPerClaim, "bytes stored for a claim"})
+	}
 	for _, s := range fleetSizes {
 		out = append(out, figure{fmt.Sprintf("state.snapshot.%d", s.runners), snapshotBytes(s), "bytes"})
 	}
