Join run states of attempts by retry.Worst, and test it

The gateway already kept the worst run state over all attempts, by a function of its own that did the same as retry.Worst; it uses that one now. A new test lets the first run break and the second runner refuse, and wants the first one's run state.

--- a/internal/process/gateway/failure_test.go
+++ b/internal/process/gateway/failure_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
@@ -294,3 +295,28 @@
 	}
 	return false
 }
+
+// A refusal by the second runner proves nothing of the run at the first one.
+func TestRunStateCoversAllAttempts(t *testing.T) {
+	for _, c := range []struct {
+		first runner.Faults
+		kind  errkind.Kind
+		run   errkind.RunState
+	}{
+		{runner.Faults{CrossAnswers: 1000}, errkind.OutcomeUnknown, errkind.RunUnknown},
+		{runner.Faults{CutStreams: 1000}, errkind.AnswerIncomplete, errkind.Ran},
+	} {
+		f := newFleet(t, runner.Config{Name: "r1"}, runner.Config{Name: "r2"})
+		f.put(resource.KindRoute, "alert", resource.Route{Model: testModel, Idempotent: true})
+		f.runners["r1"].SetFaults(c.first)
+		f.runners["r2"].SetFaults(runner.Faults{RefuseRuns: 1000})
+		s := f.settings("gw-1")
+		s.Limits.RetryShare = 1
+		g := f.start(s)
+		g.executeAt("p", route.Choice{Runner: "r1"}).wantError(t, c.kind, c.run)
+		lines := strings.Join(g.explain.lines("p"), "\n")
+		if !strings.Contains(lines, "sent to r1") || !strings.Contains(lines, "sent to r2") {
+			t.Errorf("not both runners were tried:\n%s", lines)
+		}
+	}
+}
--- a/internal/process/gateway/keyed.go
+++ b/internal/process/gateway/keyed.go
@@ -11,6 +11,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/claim"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/stream"
 )
@@ -125,7 +126,7 @@
 				"the upstream refused before running").After(retryAfterRefusal),
 		}
 	}
-	k.state = worse(k.state, errkind.RunUnknown)
+	k.state = retry.Worst(k.state, errkind.RunUnknown)
 	return claim.SendAmbiguous{}
 }
 
--- a/internal/process/gateway/service.go
+++ b/internal/process/gateway/service.go
@@ -251,7 +251,7 @@
 		return answer, nil
 	}
 	if !provesNotRun(err) {
-		c.state = worse(c.state, errkind.RunUnknown)
+		c.state = retry.Worst(c.state, errkind.RunUnknown)
 	}
 	if ctx.Err() == nil && !callersFault(err) {
 		c.g.upstreamFailed(u.Name, err)
--- a/internal/process/gateway/unkeyed.go
+++ b/internal/process/gateway/unkeyed.go
@@ -105,7 +105,7 @@
 		return attempt, nil
 	}
 	if !provesNotRun(err) {
-		u.state = worse(u.state, errkind.RunUnknown)
+		u.state = retry.Worst(u.state, errkind.RunUnknown)
 	}
 	if ctx.Err() == nil {
 		u.g.upstreamFailed(u.runner, err)
@@ -265,14 +265,6 @@
 	return errkind.Wrap(err, kind, errkind.NotRun, message).After(retryAfterRefusal)
 }
 
-// worse gives the run state that promises less.
-func worse(a, b errkind.RunState) errkind.RunState {
-	if a == errkind.Ran || b == errkind.NotRun {
-		return a
-	}
-	return b
-}
-
 func sleep(ctx context.Context, d time.Duration) error {
 	t := time.NewTimer(d)
 	defer t.Stop()
