Poll quiet engines seldom and evenly

A holder read the state of each engine every n/10 s for n runners of a zone, in one burst for all of them, although nothing was under way: about 10 reads a second for each zone led.

An engine is quiet when its state is known, its last poll worked, its order slot is idle and the last plan was content with it. All quiet engines of a holder together are read 4 times a second, each at its own place in the pause, and each at least once a minute. Any other engine keeps the former pauses, and the first poll after quiet comes within a second. The order core still reads the state afresh before it opens an order.

An older state must not let "drained" or "withdrawn" be published too soon: these phases now wait for a read that began after the plan that first said so.

--- a/internal/process/controller/engine.go
+++ b/internal/process/controller/engine.go
@@ -17,16 +17,6 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
-// Polling of engines' states. The pause grows with the number of runners, so that a
-// holder's cost has a bound; a runner in the middle of a change is read each time.
-const (
-	pollLeast     = time.Second
-	pollPerRunner = 100 * time.Millisecond
-	pollChanging  = 250 * time.Millisecond
-	pollTimeout   = 2 * time.Second
-	pollFailures  = 2 // in a row, before a runner counts as unreachable
-)
-
 // A failed order is tried again after a pause that doubles up to a bound.
 const (
 	retryFirst = 10 * time.Second
@@ -43,10 +33,15 @@
 	core    *order.Core
 
 	state    upstream.State
-	polled   bool // state was read at least once since the zone was last taken
-	failures int  // polls that failed in a row
+	polled   bool          // state was read at least once since the zone was last taken
+	readAt   boottime.Time // when the read that gave state was begun
+	failures int           // polls that failed in a row
 	polling  bool
-	pollAt   boottime.Time
+	pollAt   boottime.Time // when the next poll is due
+
+	phase   reconcile.Phase // of the last plan
+	phaseAt boottime.Time   // when a plan first gave it
+	quiet   bool            // the last plan had nothing to do and nothing to wait for
 
 	failed    upstream.Order // the last order that failed, without ID and Fence
 	failedWhy string
@@ -159,6 +154,7 @@
 
 func (e *engine) readState() {
 	client := e.client
+	begun := boottime.Now()
 	e.c.do(func(ctx context.Context) func() {
 		ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 		defer cancel()
@@ -168,7 +164,7 @@
 				e.step(order.StateFailed{})
 				return
 			}
-			e.saw(state)
+			e.saw(state, begun)
 			e.step(order.StateRead{State: state})
 		}
 	})
@@ -287,61 +283,3 @@
 	}
 	return o
 }
-
-// poll reads the states that are due.
-func (z *zone) poll(now boottime.Time) {
-	if z.grant == nil {
-		return
-	}
-	engines := z.engines()
-	pause := max(pollLeast, time.Duration(len(engines))*pollPerRunner)
-	for _, e := range engines {
-		if e.polling || now.Before(e.pollAt) {
-			continue
-		}
-		e.pollAt = now.Add(pause)
-		if z.c.marks.has(e.name) {
-			e.pollAt = now.Add(pollChanging)
-		}
-		e.poll()
-	}
-}
-
-func (e *engine) poll() {
-	e.polling = true
-	client := e.client
-	e.c.do(func(ctx context.Context) func() {
-		state, err := e.c.pollState(ctx, client)
-		return func() {
-			e.polling = false
-			if err != nil {
-				e.missed(err)
-				return
-			}
-			e.saw(state)
-		}
-	})
-}
-
-func (c *Controller) pollState(ctx context.Context, client upstream.Engine) (upstream.State, error) {
-	if err := c.polls.Acquire(ctx, 1); err != nil {
-		return upstream.State{}, err
-	}
-	defer c.polls.Release(1)
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
-	c.meters.enginePolls.Inc(1)
-	return client.State(ctx)
-}
-
-func (e *engine) saw(s upstream.State) {
-	e.polled, e.failures, e.state = true, 0, s
-}
-
-func (e *engine) missed(err error) {
-	e.c.meters.pollErrors.Inc(1)
-	e.failures++
-	if e.failures == pollFailures {
-		logline.Info("runner unreachable", "runner", e.name, "error", err)
-	}
-}
--- a/internal/process/controller/plan.go
+++ b/internal/process/controller/plan.go
@@ -31,13 +31,33 @@
 	}
 	c.readStatuses(now)
 	z.lookAtSlots(now)
-	plan := reconcile.Plan(z.desired(s), z.actual(now))
+	unconfirmed := z.follow(reconcile.Plan(z.desired(s), z.actual(now)), now)
+	if unconfirmed || len(c.marks.known)+len(c.marks.writing) > 0 {
+		c.reconcileAt = min(c.reconcileAt, now.Add(changingEvery))
+	}
+}
+
+// follow takes the steps of a plan. It reports whether it left out a status that has
+// to be confirmed first.
+func (z *zone) follow(plan []reconcile.Step, now boottime.Time) (unconfirmed bool) {
+	stirred := map[string]bool{}
 	for _, step := range plan {
+		if step.Kind != reconcile.MarkStatus || step.Phase != reconcile.PhaseServing {
+			stirred[step.Runner] = true
+		}
+		if e := z.c.engines[step.Runner]; e != nil && step.Kind == reconcile.MarkStatus {
+			e.setPhase(step.Phase, now)
+			if e.unconfirmed() {
+				e.pollAt, unconfirmed = 0, true
+				continue
+			}
+		}
 		z.take(step)
 	}
-	if len(c.marks.known)+len(c.marks.writing) > 0 {
-		c.reconcileAt = min(c.reconcileAt, now.Add(changingEvery))
+	for _, e := range z.engines() {
+		e.setQuiet(!stirred[e.name], now)
 	}
+	return unconfirmed
 }
 
 // desired is what the configuration and the role policy want.
