Choose the prefill runner of pairs with peers' unseen sends

With several gateways before a split pool large prompts were refused while prefill engines were idle. One prefill runner stands for all pairs of a decision. It was chosen by the queue seen, but the pair was judged with the allowance for peers' unseen sends, whose random part is drawn for each runner: one unlucky draw refused the prompt although the other prefill runners had room. Engines that do both have a draw each, so one lucky one is enough there. Now the allowance counts in the choice too, and since the draws differ between gateways, these take different prefill runners.

The new test fails without the change (prefill at the short queue, late).

--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -131,7 +131,10 @@
 	r.assumePrompt(r.CrowdPrefill)
 }
 
-// bestPrefill finds the prefill runner that would have the prompt computed first.
+// bestPrefill finds the prefill runner that would have the prompt computed first
+// if peers have sent unseen. Every candidate pair gets this one runner, so it has to be
+// the one that is likeliest to be judged on time; and as the random part differs
+// between gateways, they take different runners when several look alike.
 func bestPrefill(q *Request, runners []Runner) int {
 	best, bestTime := none, math.Inf(1)
 	for i := range runners {
@@ -140,7 +143,7 @@
 			continue
 		}
 		need := float64(q.PromptTokens - cachedTokens(q, r))
-		t := (r.QueuedPrefill + need) / r.prefillRate()
+		t := (r.QueuedPrefill + r.CrowdPrefill + need) / r.prefillRate()
 		if r.Zone != q.Zone {
 			t += otherZonePenalty
 		}
--- a/internal/request/route/route_test.go
+++ b/internal/request/route/route_test.go
@@ -166,6 +166,35 @@
 	}
 }
 
+// TestPairTakesThePrefillRunnerWithLeastUnseen has two prefill runners whose seen
+// queues say the opposite of what peers may have sent to them.
+func TestPairTakesThePrefillRunnerWithLeastUnseen(t *testing.T) {
+	q := ask()
+	q.PromptTokens = 8000
+	tests := []struct {
+		name        string
+		crowd       float64 // prompt tokens at the runner with the shorter queue
+		want        string
+		wantsOnTime bool
+	}{
+		{"nothing unseen", 0, "short", true},
+		{"unseen, but still first", 1500, "short", true},
+		{"unseen, and late with it", 20_000, "long", true},
+	}
+	for _, tt := range tests {
+		decode, short, long := idle("d"), idle("short"), idle("long")
+		decode.Role, short.Role, long.Role = upstream.RoleDecode, upstream.RolePrefill, upstream.RolePrefill
+		decode.Engine.PrefillRate = 1000 // so that a pair is the only way in time
+		long.QueuedPrefill = 2000
+		decode.Crowd, short.Crowd, long.Crowd = 1, 1, 1
+		short.CrowdPrefill = tt.crowd
+		c := Route(now, q, []Runner{decode, short, long})
+		if c.Prefill != tt.want || c.OnTime != tt.wantsOnTime {
+			t.Errorf("%s: prefill at %q, on time %t; want %s, %t", tt.name, c.Prefill, c.OnTime, tt.want, tt.wantsOnTime)
+		}
+	}
+}
+
 func drawRunner(t *rapid.T, i int) Runner {
 	r := idle(string(rune('a' + i)))
 	r.Zone = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "zone")
@@ -178,6 +207,7 @@
 	r.DecodeLeft = r.Running * 60
 	r.QueuedPrefill = float64(rapid.IntRange(0, 50_000).Draw(t, "queued"))
 	r.Crowd = float64(rapid.IntRange(0, 10).Draw(t, "crowd"))
+	r.CrowdPrefill = float64(rapid.IntRange(0, 50_000).Draw(t, "crowd prefill"))
 	return r
 }
 
