--- a/internal/process/gateway/stillserving_test.go
+++ b/internal/process/gateway/stillserving_test.go
@@ -110,3 +110,22 @@
 		}
 	}
 }
+
+// Only the first send of the own claim may be told as refused: any other run may be
+// under way at the runner, so it is joined.
+func TestHeldBackSendsJoinARunThatMayExist(t *testing.T) {
+	k := &keyed{ownRun: "own", sends: []claim.Send{{Runner: "r1", RunID: "own"}}}
+	for _, c := range []struct {
+		send claim.Send
+		join bool
+	}{
+		{claim.Send{Runner: "r2", RunID: "own"}, false},
+		{claim.Send{Runner: "r1", RunID: "own"}, true},
+		{claim.Send{Runner: "r1", RunID: "other"}, true},
+	} {
+		event := k.heldBack(c.send, errNowLeaving)
+		if _, late := event.(claim.SendLate); late != c.join {
+			t.Errorf("%+v: %T", c.send, event)
+		}
+	}
+}
