Give the order core's calls files of their own

What it does with answers about its stored slot is now in slot.go, what it does with answers of the engine in engine.go; core.go keeps the phases and the choice of the next call. The code is moved, not changed.

The kinds that operators may delete are checked in a function of their own, and the stand-in platform waits by the pause that the client's package has.

--- a/internal/command/delete.go
+++ b/internal/command/delete.go
@@ -33,13 +33,10 @@
 	if err := noMore(args); err != nil {
 		return err
 	}
-	kind, err := findKind(c.Args.Kind)
+	kind, err := c.kind()
 	if err != nil {
 		return err
 	}
-	if !slices.Contains(resource.ConfigKinds, kind) {
-		return usagef("kind %q is the system's own: operators delete %s", kind, strings.Join(resource.ConfigKinds, ", "))
-	}
 	store, err := s.store()
 	if err != nil {
 		return err
@@ -73,6 +70,18 @@
 	return s.waitInForce(deleted, c.WaitTimeout)
 }
 
+// kind gives the kind named, which has to be one that operators write.
+func (c *deleteCommand) kind() (string, error) {
+	kind, err := findKind(c.Args.Kind)
+	if err != nil {
+		return "", err
+	}
+	if !slices.Contains(resource.ConfigKinds, kind) {
+		return "", usagef("kind %q is the system's own: operators delete %s", kind, strings.Join(resource.ConfigKinds, ", "))
+	}
+	return kind, nil
+}
+
 // listForDelete lists the objects of a kind and all that may name them, and gives
 // the version of the first read.
 func listForDelete(ctx context.Context, store platform.Store, kind string) ([]platform.Object, uint64, error) {
--- /dev/null
+++ b/internal/process/order/engine.go
@@ -0,0 +1,194 @@
+package order
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// noteSend remembers until when a copy of a broken send may arrive.
+func (c *Core) noteSend(s Sent) {
+	if s.Result == SendBroken {
+		c.doubtful = max(c.doubtful, c.sentAt.Add(c.cfg.OrderLife))
+	}
+}
+
+// sent takes in the result of a send.
+func (c *Core) sent(now boottime.Time, s Sent) []Action {
+	if c.phase != phaseSend {
+		return nil
+	}
+	switch s.Result {
+	case SendAnswered:
+		c.raised = true
+		c.goTo(phaseObserve)
+		out := c.stateRead(now, s.State)
+		if c.phase == phaseSend {
+			c.backOff(now) // answered, and yet not taken on
+		}
+		return out
+	case SendNotSent:
+		c.backOff(now)
+	case SendBroken:
+		c.goTo(phaseObserve)
+		c.nextAt = now.Add(c.cfg.PollEvery)
+	case SendStaleFence:
+		c.phase = phaseSuperseded
+	case SendBusy:
+		c.goTo(phaseObserve)
+		c.nextAt = now.Add(c.cfg.PollEvery)
+	case SendRefused:
+		c.raised = true // a copy of it is refused as well
+		return c.close(now, OutcomeFailed, "the engine refused the order: "+s.Detail)
+	}
+	return nil
+}
+
+// stateRead takes in the engine's state.
+func (c *Core) stateRead(now boottime.Time, s upstream.State) []Action {
+	switch c.phase {
+	case phaseCheck:
+		return c.check(s)
+	case phaseObserve:
+		return c.observe(now, s)
+	}
+	return nil
+}
+
+// check opens the slot for the wanted order if the engine is free.
+func (c *Core) check(s upstream.State) []Action {
+	busy := ""
+	switch {
+	case c.abandon != "":
+		busy = c.abandon
+	case s.OrderStatus == upstream.OrderRunning:
+		busy = "the engine executes order " + s.OrderID
+	case s.Streams > 0:
+		busy = fmt.Sprintf("%d requests are queued or running", s.Streams)
+	}
+	w := c.want
+	if busy != "" {
+		c.goTo(phaseIdle)
+		c.want = nil
+		return []Action{Finished{Order: w.Order, Outcome: OutcomeRefused, Reason: busy}}
+	}
+	order := w.Order
+	serial := max(c.slot.Serial, serialOf(c.cfg.Runner, s.OrderID)) + 1
+	order.ID = c.cfg.Runner + "-" + strconv.FormatUint(serial, 10)
+	order.Fence = c.granted.Epoch
+	c.slot = resource.OrderSlot{
+		State: resource.SlotOpen, Epoch: c.granted.Epoch, Holder: c.cfg.Holder,
+		Order: order, Reason: w.Reason, Serial: serial,
+	}
+	c.accepted, c.restarts, c.raised = "", 0, false
+	c.goTo(phaseOpen)
+	return nil
+}
+
+// serialOf gives the serial of an order id of the runner; zero: not one.
+func serialOf(runner, id string) uint64 {
+	digits, ok := strings.CutPrefix(id, runner+"-")
+	if !ok {
+		return 0
+	}
+	serial, err := strconv.ParseUint(digits, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return serial
+}
+
+// observe judges the open order by the state read back.
+func (c *Core) observe(now boottime.Time, s upstream.State) []Action {
+	c.retryWait = 0
+	c.nextAt = now.Add(c.cfg.PollEvery)
+	c.raised = c.raised || s.Fence >= c.granted.Epoch
+	if s.OrderID == c.slot.Order.ID {
+		c.accepted = s.Incarnation
+		switch s.OrderStatus {
+		case upstream.OrderDone:
+			return c.close(now, OutcomeDone, c.slot.Reason)
+		case upstream.OrderFailed:
+			return c.close(now, OutcomeFailed, "the engine failed the order")
+		}
+		return nil
+	}
+	if s.OrderStatus == upstream.OrderRunning {
+		return nil // another order has to end first
+	}
+	if c.accepted != "" && c.accepted != s.Incarnation {
+		c.accepted = ""
+		c.restarts++
+	}
+	if c.restarts >= maxRestarts {
+		return c.close(now, OutcomeFailed, fmt.Sprintf("the engine restarted %d times in the middle of the order", c.restarts))
+	}
+	if c.abandon != "" && c.settled(now) {
+		return c.close(now, OutcomeRolledBack, c.abandon)
+	}
+	if !c.fencing && c.adopted && now.Before(c.formerEnds()) {
+		c.nextAt = c.formerEnds()
+		return nil
+	}
+	if s.Streams > 0 {
+		return c.inTheWay(now, s.Streams)
+	}
+	c.goTo(phaseSend)
+	return nil
+}
+
+// inTheWay handles requests that came in after the slot was opened: an order would
+// cut them. An order that nobody sent yet is rolled back; another one waits.
+func (c *Core) inTheWay(now boottime.Time, requests int) []Action {
+	if c.sends == 0 && !c.adopted {
+		return c.close(now, OutcomeRolledBack, fmt.Sprintf("%d requests came in before the order was sent", requests))
+	}
+	return nil
+}
+
+// settled reports whether no copy of the open order can arrive any more.
+func (c *Core) settled(now boottime.Time) bool {
+	if now.Before(c.doubtful) {
+		return false
+	}
+	if !c.adopted {
+		return true
+	}
+	if c.fencing {
+		return c.raised
+	}
+	return !now.Before(c.formerEnds())
+}
+
+// close ends the open order, as soon as no copy of it can arrive any more.
+func (c *Core) close(now boottime.Time, outcome Outcome, reason string) []Action {
+	if c.adopted && c.fencing && !c.raised {
+		// Sending again raises the engine's fencing number, which makes it refuse
+		// the former holder's copies; the id makes it harmless.
+		c.goTo(phaseSend)
+		return nil
+	}
+	if !c.settled(now) {
+		c.phase = phaseObserve
+		c.nextAt = c.settles(now)
+		return nil
+	}
+	c.slot.State = resource.SlotClosed
+	c.slot.Outcome = string(outcome)
+	c.slot.Reason = reason
+	c.goTo(phaseClose)
+	return nil
+}
+
+// settles is when to look again at an order that is not settled.
+func (c *Core) settles(now boottime.Time) boottime.Time {
+	at := max(c.doubtful, now.Add(c.cfg.PollEvery))
+	if c.adopted && !c.fencing {
+		at = max(at, c.formerEnds())
+	}
+	return at
+}
--- /dev/null
+++ b/internal/process/order/slot.go
@@ -0,0 +1,114 @@
+package order
+
+import (
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settle"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// slotRead takes in the stored slot.
+func (c *Core) slotRead(now boottime.Time, r SlotRead) []Action {
+	if c.pending != nil {
+		return c.resolve(now, r)
+	}
+	if c.phase != phaseReadSlot {
+		return nil
+	}
+	return c.begin(r)
+}
+
+// begin starts from a slot that was read.
+func (c *Core) begin(r SlotRead) []Action {
+	c.version, c.slot = 0, resource.OrderSlot{State: resource.SlotClosed}
+	if r.Found {
+		c.version, c.slot = r.Version, r.Slot
+	}
+	c.accepted, c.restarts, c.raised = "", 0, false
+	c.want, c.abandon = nil, ""
+	switch {
+	case c.slot.Epoch > c.granted.Epoch:
+		c.phase = phaseSuperseded
+		return nil
+	case c.slot.State != resource.SlotOpen:
+		c.goTo(phaseIdle)
+		return nil
+	}
+	former, epoch := c.slot.Holder, c.slot.Epoch
+	c.adopted = true
+	c.slot.Epoch, c.slot.Holder = c.granted.Epoch, c.cfg.Holder
+	c.slot.Order.Fence = c.granted.Epoch
+	c.goTo(phaseAdopt)
+	return []Action{Adopted{Order: c.slot.Order, Former: former, Epoch: epoch}}
+}
+
+// resolve settles a write of the slot whose answer was lost.
+func (c *Core) resolve(now boottime.Time, r SlotRead) []Action {
+	p := c.pending
+	write := settle.Write{Base: p.Base, Nonce: p.Nonce}
+	switch settle.Judge(write, settle.Read{Found: r.Found, Version: r.Version, Nonce: r.Nonce}) {
+	case settle.TookEffect:
+		return c.slotWrote(now, r.Version)
+	case settle.Repeat:
+		c.calling = true
+		return []Action{p.WriteSlot}
+	}
+	c.pending = nil
+	return c.begin(r)
+}
+
+func (c *Core) slotWriteFailed(now boottime.Time, f Failure) {
+	p := c.pending
+	if p == nil {
+		return
+	}
+	switch f {
+	case FailedUnknown:
+		if p.uncertain {
+			c.backOff(now)
+		}
+		p.uncertain = true
+	case FailedUnavailable:
+		if !p.uncertain {
+			c.pending = nil
+		}
+		c.backOff(now)
+	case FailedConflict:
+		if p.uncertain {
+			return // perhaps an earlier copy of it took effect: read and compare
+		}
+		c.pending = nil
+		c.goTo(phaseReadSlot)
+	}
+}
+
+// slotWrote takes in a write of the slot.
+func (c *Core) slotWrote(now boottime.Time, version uint64) []Action {
+	p := c.pending
+	c.pending = nil
+	if p == nil {
+		return nil
+	}
+	c.version, c.slot = version, p.Slot
+	switch c.phase {
+	case phaseOpen:
+		// Read the state once more: a request may have come in while the slot was written.
+		c.adopted, c.sends = false, 0
+		c.goTo(phaseObserve)
+		return []Action{Opened{Order: c.slot.Order, Reason: c.slot.Reason}}
+	case phaseAdopt:
+		c.goTo(phaseObserve)
+		if !c.fencing {
+			c.nextAt = c.formerEnds()
+		}
+	case phaseClose:
+		c.goTo(phaseIdle)
+		c.want, c.abandon = nil, ""
+		return []Action{Finished{Order: c.slot.Order, Outcome: Outcome(c.slot.Outcome), Reason: c.slot.Reason}}
+	}
+	return nil
+}
+
+// formerEnds is when the last copy of a former holder's order can have arrived.
+func (c *Core) formerEnds() boottime.Time {
+	return c.granted.At.Add(c.cfg.OrderLife)
+}
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -83,14 +83,7 @@
 	if d <= 0 {
 		return ctx.Err()
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return platform.Sleep(ctx, d)
 }
 
 // write admits a write, applies it under the lock and answers or loses the answer.
