--- a/spec/mutations.sh
+++ b/spec/mutations.sh
@@ -30,7 +30,7 @@
 	fi
 }
 
-mutate "no wait for the former holder's orders" order/core.go 's/return c.granted.At.Add(c.cfg.OrderLife)/return c.granted.At/'
-mutate "a slot closed before the fence is raised" order/core.go 's/if c.adopted \&\& c.fencing \&\& !c.raised {/if false {/; s/^\t\treturn c.raised$/\t\treturn true/'
+mutate "no wait for the former holder's orders" order/slot.go 's/return c.granted.At.Add(c.cfg.OrderLife)/return c.granted.At/'
+mutate "a slot closed before the fence is raised" order/engine.go 's/if c.adopted \&\& c.fencing \&\& !c.raised {/if false {/; s/^\t\treturn c.raised$/\t\treturn true/'
 mutate "a lease taken before its end" authority/core.go 's/return time.Duration(c.seen.lease.TTLMS) \* time.Millisecond/return 0/'
 exit $failed
