--- /dev/null
+++ b/internal/bench/faults/configure.go
@@ -0,0 +1,100 @@
+package faults
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// spec is one object that an operator would write.
+type spec struct {
+	kind, name string
+	body       any
+}
+
+// configure writes the objects that operators would.
+func (f *fleet) configure(ctx context.Context, p profile, to upstreams) error {
+	specs := append(modelSpecs(p), runnerSpecs(to)...)
+	for i, m := range f.gateways {
+		specs = append(specs, serviceSpecs(i, m)...)
+	}
+	for _, s := range specs {
+		if err := f.create(ctx, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// create validates and writes one object.
+func (f *fleet) create(ctx context.Context, s spec) error {
+	o, err := resource.Encode(s.kind, s.name, s.body)
+	if err == nil {
+		err = resource.Validate(o)
+	}
+	if err != nil {
+		return err
+	}
+	o.Writer, o.Nonce = writer, platform.NewNonce()
+	_, err = f.store.Create(ctx, o)
+	return errors.Wrapf(err, "create %s/%s", s.kind, s.name)
+}
+
+// modelSpecs are the model, its engine class, its two routes and the caller's account.
+func modelSpecs(p profile) []spec {
+	cost := p.cost()
+	sum := sha256.Sum256([]byte(apiKey))
+	weights := []resource.VersionWeight{{Version: versionName, Weight: 1}}
+	onTime := resource.OnTime{FirstTokenMS: firstTokenMS}
+	return []spec{
+		{resource.KindEngine, engineName, resource.Engine{
+			ChecksFencing: true, DeduplicatesRuns: true, KVTokens: cost.KVTokens, PrefillRate: cost.PrefillRate,
+			DecodeRate: cost.DecodeRate, StreamRate: cost.StreamRate, MaxBatch: cost.MaxBatch,
+			RoleChangeSeconds: 1, LoadSeconds: 1, KVTransferRate: cost.KVTransferRate,
+		}},
+		{resource.KindModel, modelName, resource.Model{ContextTokens: contextTokens, WeightsGB: 1, MinPrefill: 1, MinDecode: 1, MinServing: 1}},
+		{resource.KindVersion, versionName, resource.Version{Model: modelName, Source: versionName}},
+		{resource.KindRoute, onceRoute, resource.Route{Model: modelName, Weights: weights, OnTime: onTime, Priority: 5, ExpectedOut: p.tokens}},
+		{resource.KindRoute, againRoute, resource.Route{Model: modelName, Weights: weights, OnTime: onTime, Priority: 3, Idempotent: true, ExpectedOut: p.tokens}},
+		{resource.KindClientAccount, accountName, resource.ClientAccount{
+			KeyHashes: []string{hex.EncodeToString(sum[:])}, RequestsPerSec: plentyPerSec, Burst: plentyPerSec, MaxPriority: 9,
+		}},
+	}
+}
+
+// runnerSpecs are the runners, spread over the zones.
+func runnerSpecs(to upstreams) []spec {
+	var specs []spec
+	for i, address := range to.runners {
+		specs = append(specs, spec{resource.KindRunner, runnerName(i), resource.Runner{
+			Engine: engineName, Address: "http://" + address, Zone: zoneName(zoneOf(i)), Model: modelName,
+			Versions: []string{versionName}, Role: resource.RoleAuto, State: resource.RunnerServing,
+		}})
+	}
+	return specs
+}
+
+// serviceSpecs are the plain service and its route that gateway i serves. Each
+// gateway reaches the service's upstreams through links of its own, hence a service
+// for each.
+func serviceSpecs(i int, m *member) []spec {
+	name := "van-" + zoneName(i)
+	view := resource.Service{}
+	for s, l := range m.services {
+		view.Upstreams = append(view.Upstreams, resource.ServiceUpstream{
+			Name: name + "-" + serviceName(s), Address: l.url(), Zone: zoneName(zoneOfService(s)), State: resource.RunnerServing,
+		})
+	}
+	return []spec{
+		{resource.KindService, name, view},
+		{resource.KindRoute, name, resource.Route{PathPrefix: servicePath(i), Service: name, Methods: []resource.MethodRule{
+			{Method: http.MethodPost}, {Method: http.MethodGet, Idempotent: true},
+		}}},
+	}
+}
--- a/internal/bench/faults/fleet.go
+++ b/internal/bench/faults/fleet.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -14,7 +12,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/gateway"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/ops"
@@ -239,66 +236,6 @@
 	return nil
 }
 
-// configure writes the objects that operators would.
-func (f *fleet) configure(ctx context.Context, p profile, to upstreams) error {
-	cost := p.cost()
-	sum := sha256.Sum256([]byte(apiKey))
-	weights := []resource.VersionWeight{{Version: versionName, Weight: 1}}
-	onTime := resource.OnTime{FirstTokenMS: firstTokenMS}
-	type spec struct {
-		kind, name string
-		body       any
-	}
-	specs := []spec{
-		{resource.KindEngine, engineName, resource.Engine{
-			ChecksFencing: true, DeduplicatesRuns: true, KVTokens: cost.KVTokens, PrefillRate: cost.PrefillRate,
-			DecodeRate: cost.DecodeRate, StreamRate: cost.StreamRate, MaxBatch: cost.MaxBatch,
-			RoleChangeSeconds: 1, LoadSeconds: 1, KVTransferRate: cost.KVTransferRate,
-		}},
-		{resource.KindModel, modelName, resource.Model{ContextTokens: contextTokens, WeightsGB: 1, MinPrefill: 1, MinDecode: 1, MinServing: 1}},
-		{resource.KindVersion, versionName, resource.Version{Model: modelName, Source: versionName}},
-		{resource.KindRoute, onceRoute, resource.Route{Model: modelName, Weights: weights, OnTime: onTime, Priority: 5, ExpectedOut: p.tokens}},
-		{resource.KindRoute, againRoute, resource.Route{Model: modelName, Weights: weights, OnTime: onTime, Priority: 3, Idempotent: true, ExpectedOut: p.tokens}},
-		{resource.KindClientAccount, accountName, resource.ClientAccount{
-			KeyHashes: []string{hex.EncodeToString(sum[:])}, RequestsPerSec: plentyPerSec, Burst: plentyPerSec, MaxPriority: 9,
-		}},
-	}
-	for i, address := range to.runners {
-		specs = append(specs, spec{resource.KindRunner, runnerName(i), resource.Runner{
-			Engine: engineName, Address: "http://" + address, Zone: zoneName(zoneOf(i)), Model: modelName,
-			Versions: []string{versionName}, Role: resource.RoleAuto, State: resource.RunnerServing,
-		}})
-	}
-	for i, m := range f.gateways {
-		name := "van-" + zoneName(i)
-		view := resource.Service{}
-		for s, l := range m.services {
-			view.Upstreams = append(view.Upstreams, resource.ServiceUpstream{
-				Name: name + "-" + serviceName(s), Address: l.url(), Zone: zoneName(zoneOfService(s)), State: resource.RunnerServing,
-			})
-		}
-		specs = append(specs,
-			spec{resource.KindService, name, view},
-			spec{resource.KindRoute, name, resource.Route{PathPrefix: servicePath(i), Service: name, Methods: []resource.MethodRule{
-				{Method: http.MethodPost}, {Method: http.MethodGet, Idempotent: true},
-			}}})
-	}
-	for _, s := range specs {
-		o, err := resource.Encode(s.kind, s.name, s.body)
-		if err == nil {
-			err = resource.Validate(o)
-		}
-		if err != nil {
-			return err
-		}
-		o.Writer, o.Nonce = writer, platform.NewNonce()
-		if _, err := f.store.Create(ctx, o); err != nil {
-			return errors.Wrapf(err, "create %s/%s", s.kind, s.name)
-		}
-	}
-	return nil
-}
-
 // ready waits until every gateway knows the others and has spoken to every runner.
 func (f *fleet) ready(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
