Keep the list of a zone's engines between changes

With each event the loop asked every zone for its engines, and each zone looked through those of all zones: a holder of 9 leases with 630 engines spent a good part of its time on that. A zone now keeps its list until the configuration changes the engines. The pause of quiet engines counts those of zones led now, not of zones led once.

With the renewal of the lists removed, three tests of the controller did not pass within 60 s, when the run was ended.

--- a/internal/process/controller/engine.go
+++ b/internal/process/controller/engine.go
@@ -51,6 +51,7 @@
 
 // keepEngines has an engine for each runner of the zones that this process leads.
 func (c *Controller) keepEngines(s *config.Snapshot) {
+	defer c.regroup()
 	for name, e := range c.engines {
 		if _, ok := s.Runners[name]; !ok {
 			e.step(order.Revoked{})
@@ -75,6 +76,13 @@
 	}
 }
 
+// regroup has each zone gather its engines anew.
+func (c *Controller) regroup() {
+	for _, z := range c.zones {
+		z.own = nil
+	}
+}
+
 func (c *Controller) newEngine(name, zone string) *engine {
 	return &engine{c: c, name: name, zone: zone, core: order.New(order.Config{
 		Runner:      name,
--- a/internal/process/controller/poll.go
+++ b/internal/process/controller/poll.go
@@ -54,7 +54,7 @@
 	}
 	engines := z.engines()
 	often := max(pollLeast, time.Duration(len(engines))*pollPerRunner)
-	seldom := quietPause(len(z.c.engines))
+	seldom := quietPause(z.c.led())
 	for _, e := range engines {
 		if e.polling || now.Before(e.pollAt) {
 			continue
@@ -71,6 +71,17 @@
 	}
 }
 
+// led counts the engines of the zones that this process leads.
+func (c *Controller) led() int {
+	n := 0
+	for _, z := range c.zones {
+		if z.grant != nil {
+			n += len(z.engines())
+		}
+	}
+	return n
+}
+
 // isQuiet reports whether nothing is under way at the engine and its state is known.
 func (e *engine) isQuiet() bool {
 	return e.quiet && e.polled && e.failures == 0 && !e.core.Busy()
--- a/internal/process/controller/zone.go
+++ b/internal/process/controller/zone.go
@@ -23,6 +23,7 @@
 	grant  *order.Granted  // set while this process may order
 	loads  []boottime.Time // begins of weight loads
 	slotAt boottime.Time   // of the last look at all slots
+	own    []*engine       // see engines; nil: to be gathered anew
 }
 
 // keepZones has a lease core for this process's own zone and for every zone that
@@ -191,15 +192,18 @@
 	})
 }
 
-// engines lists the engines of the zone.
+// engines lists the engines of the zone. The loop asks for them with every event, so
+// the list is kept until keepEngines changes them.
 func (z *zone) engines() []*engine {
-	var out []*engine
-	for _, e := range z.c.engines {
-		if e.zone == z.name {
-			out = append(out, e)
+	if z.own == nil {
+		z.own = []*engine{}
+		for _, e := range z.c.engines {
+			if e.zone == z.name {
+				z.own = append(z.own, e)
+			}
 		}
 	}
-	return out
+	return z.own
 }
 
 // describe gives one line for explain.
