Split a pool in which every engine does both

Causes and changes: - Routing never paired a prefill runner with a runner of role both, so a first prefill engine idled. Pairs are now weighed for these too; the way that is on time goes before cost. Decode-only runners are compared as before. - A runner's measured rates outlived its role: a new prefill engine was taken for as slow as prompts had been beside streams (3732 in place of 9000 tokens a second). A changed role forgets them, and class factors are kept by role. - The first steps of a split may lose. A step from both to prefill is weighed with the steps that may follow, made one at a time and weighed anew. - The capacity model counts engines that do both as fed by prefill engines.

--- a/internal/process/policy/capacity.go
+++ b/internal/process/policy/capacity.go
@@ -28,8 +28,13 @@
 )
 
 // bothBudget is the share of its time that an engine of role both makes use of,
-// against a decode engine: its larger chunks stall the streams.
-const bothBudget = 0.75
+// against a decode engine, if all prompts are computed beside the streams: its
+// larger chunks stall them. With prompts computed at prefill engines it loses less.
+const bothBudget = 0.6
+
+// fullStall is the share of prompts computed beside streams from which on an
+// engine of role both loses all of that: a few large prompts already stall it.
+const fullStall = 0.5
 
 // load is the demand of one route as the capacity model sees it.
 type load struct {
@@ -46,7 +51,6 @@
 // have. This is a fluid model: it knows no queues.
 type capacity struct {
 	prefill float64 // prompt tokens a second at prefill engines
-	fed     float64 // decode engines, which prefill engines compute prompts for
 	engines []decoder
 }
 
@@ -55,7 +59,7 @@
 	count      float64
 	class      resource.Engine
 	chunkShare float64
-	budget     float64 // against a decode engine
+	budget     float64 // against a decode engine, if all prompts are computed beside the streams
 }
 
 // countOf adds up the capacity of runners.
@@ -71,7 +75,6 @@
 			if without.Slack {
 				share = 0
 			}
-			c.fed++
 			c.addDecoder(r.Class, share, 1)
 		default:
 			c.addDecoder(r.Class, bothChunkShare, bothBudget)
@@ -127,10 +130,17 @@
 	if gap <= 0 {
 		gap = unboundGap
 	}
-	total, decoders := 0.0, 0.0
+	if len(c.engines) == 0 {
+		return prefill <= 0 && decode <= 0
+	}
+	elsewhere := math.Min(c.prefill, prefill)
+	beside := 0.0 // share of the prompts that are computed beside streams
+	if prefill > 0 {
+		beside = (prefill - elsewhere) / prefill
+	}
+	total := 0.0
 	for i := range c.engines {
-		total += c.engines[i].count * c.engines[i].rate(gap)
-		decoders += c.engines[i].count
+		total += c.engines[i].count * c.engines[i].rate(gap, beside)
 	}
 	if decode > total {
 		return false
@@ -141,21 +151,24 @@
 		busy := 0.0
 		if total > 0 {
 			_, perStream := step(d.class)
-			busy = decode / total * d.rate(gap) * perStream
+			busy = decode / total * d.rate(gap, beside) * perStream
 		}
-		share := math.Min(d.budget*budget(d.class, gap)-busy, d.chunkShare)
+		share := math.Min(d.usable(beside)*budget(d.class, gap)-busy, d.chunkShare)
 		spare += d.count * math.Max(0, share) * d.class.PrefillRate
 	}
-	if decoders == 0 {
-		return prefill <= 0
-	}
-	// Only requests that go to decode engines have their prompts computed elsewhere.
-	elsewhere := math.Min(c.prefill, prefill*c.fed/decoders)
 	return prefill <= elsewhere+spare
 }
 
+// usable is the share of its time that an engine of the group makes use of,
+// against a decode engine, if a share of the prompts is computed beside streams.
+func (d *decoder) usable(beside float64) float64 {
+	return 1 - math.Min(1, beside/fullStall)*(1-d.budget)
+}
+
 // rate is the most output tokens a second of one engine of the group.
-func (d *decoder) rate(gap float64) float64 { return d.budget * decodeRate(d.class, gap) }
+func (d *decoder) rate(gap, beside float64) float64 {
+	return d.usable(beside) * decodeRate(d.class, gap)
+}
 
 // bisections gives the served share of a load to better than a thousandth.
 const bisections = 11
--- a/internal/process/policy/core.go
+++ b/internal/process/policy/core.go
@@ -158,7 +158,7 @@
 		return
 	}
 	if len(d.Options) == 0 {
-		d.Reason = "kept: no serving runner's role may be changed (fixed, or both)"
+		d.Reason = "kept: no serving runner's role may be changed (fixed or away)"
 		return
 	}
 	best := d.Options[0]
--- a/internal/process/policy/explain.go
+++ b/internal/process/policy/explain.go
@@ -40,6 +40,10 @@
 	if o.Refused != "" {
 		verdict = "refused: " + o.Refused
 	}
-	return fmt.Sprintf("option %s %s->%s: gain %.1f loss %.1f price %.1f doubt %.1f net %.1f useful answers; %s",
-		o.Change.Runner, o.Change.From, o.Change.To, o.Gain, o.Loss, o.Price, o.Doubt, o.Net(), verdict)
+	steps := ""
+	if o.Steps > 1 {
+		steps = fmt.Sprintf(" (first of %d)", o.Steps)
+	}
+	return fmt.Sprintf("option %s %s->%s%s: gain %.1f loss %.1f price %.1f doubt %.1f net %.1f useful answers; %s",
+		o.Change.Runner, o.Change.From, o.Change.To, steps, o.Gain, o.Loss, o.Price, o.Doubt, o.Net(), verdict)
 }
--- a/internal/process/policy/options.go
+++ b/internal/process/policy/options.go
@@ -70,10 +70,8 @@
 		if i < 0 {
 			continue
 		}
-		for _, to := range roles {
-			if to != from {
-				out = append(out, w.weigh(i, to))
-			}
+		for _, to := range changes[from] {
+			out = append(out, w.weigh(i, to))
 		}
 	}
 	sort.SliceStable(out, func(i, k int) bool {
@@ -85,10 +83,18 @@
 	return out
 }
 
-// roles are those that a runner may be changed from and to. An engine that does
-// both is left alone: it delays its streams by the prompts, and a prefill engine
-// beside it has nothing to do until another engine only decodes.
-var roles = []upstream.Role{upstream.RolePrefill, upstream.RoleDecode}
+// roles are those that a runner may be changed from, changes the roles that each
+// may get. An engine of role both becomes a prefill engine, never a decode
+// engine: beside prefill engines it decodes as well as one, and computes prompts
+// faster if they have too much to do. No engine is changed to role both.
+var (
+	roles   = []upstream.Role{upstream.RoleBoth, upstream.RolePrefill, upstream.RoleDecode}
+	changes = map[upstream.Role][]upstream.Role{
+		upstream.RoleBoth:    {upstream.RolePrefill},
+		upstream.RolePrefill: {upstream.RoleDecode},
+		upstream.RoleDecode:  {upstream.RolePrefill},
+	}
+)
 
 // cheapest finds the runner of a role that is soonest drained, in a zone that
 // this controller holds if there is one; -1: none.
@@ -122,17 +128,54 @@
 // even where it is good; smaller gains are not told from none.
 const resolution = 0.02
 
-// weigh works out gain and loss of changing one present runner.
+// weigh works out gain and loss of changing one present runner. For an engine of
+// role both that is the best split that it is the first step of.
 func (w *weighing) weigh(i int, to upstream.Role) Option {
-	changed := append([]Runner(nil), w.present...)
-	changed[i].Role = to
-	r := w.present[i]
-	o := Option{Change: Change{Model: w.model, Runner: r.Name, From: r.Role, To: to}, Price: w.cfg.RoleChangePrice}
-	gone := append(append([]Runner(nil), w.present[:i]...), w.present[i+1:]...)
-	away := w.awayFor(&r)
-	lasting := max(0, w.cfg.Horizon-away).Seconds()
-	o.Gain = (w.value(changed) - w.useful) * lasting
-	o.Loss = (w.useful - w.value(gone)) * away.Seconds()
+	p := plan{changed: append([]Runner(nil), w.present...)}
+	w.step(&p, i, to)
+	best := w.weighPlan(i, to, &p)
+	if w.present[i].Role != upstream.RoleBoth {
+		return best
+	}
+	for k := range w.present {
+		r := &w.present[k]
+		if k == i || r.Role != upstream.RoleBoth || !r.Auto || r.Phase != PhaseServing {
+			continue
+		}
+		w.step(&p, k, to)
+		if o := w.weighPlan(i, to, &p); o.Net() > best.Net() {
+			best = o
+		}
+	}
+	return best
+}
+
+// plan is a number of changes to the same role, made one after the other.
+type plan struct {
+	changed []Runner // the present runners with all steps made
+	steps   int
+	loss    float64       // useful answers until the last runner is back
+	away    time.Duration // of the last step
+}
+
+// step adds the change of a runner. What the states between lose or gain against
+// the roles kept counts as loss.
+func (w *weighing) step(p *plan, i int, to upstream.Role) {
+	gone := append(append([]Runner(nil), p.changed[:i]...), p.changed[i+1:]...)
+	p.away = w.awayFor(&w.present[i])
+	p.loss += (w.useful - w.value(gone)) * p.away.Seconds()
+	p.changed[i].Role = to
+	p.steps++
+}
+
+// weighPlan works out gain and loss of a plan whose first step changes a runner.
+// The horizon begins with the last step.
+func (w *weighing) weighPlan(first int, to upstream.Role, p *plan) Option {
+	r := w.present[first]
+	o := Option{Change: Change{Model: w.model, Runner: r.Name, From: r.Role, To: to}, Steps: p.steps, Loss: p.loss}
+	o.Price = w.cfg.RoleChangePrice * float64(p.steps)
+	lasting := max(0, w.cfg.Horizon-p.away).Seconds()
+	o.Gain = (w.value(p.changed) - w.useful) * lasting
 	if !w.cfg.Without.Uncertainty {
 		o.Doubt = resolution * w.useful * w.cfg.Horizon.Seconds()
 	}
--- a/internal/process/policy/types.go
+++ b/internal/process/policy/types.go
@@ -83,6 +83,7 @@
 // Option is one way that was weighed.
 type Option struct {
 	Change  Change
+	Steps   int     // role changes weighed together, this one first: a pool in which engines do both is split as a whole
 	Gain    float64 // useful answers gained over the horizon against keeping the roles
 	Loss    float64 // useful answers lost in drain and change
 	Price   float64 // of a role change, in useful answers
--- a/internal/request/route/calibration.go
+++ b/internal/request/route/calibration.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 )
 
 // Bounds of the calibration.
@@ -151,7 +153,7 @@
 		return false
 	}
 	r := t.runner(name)
-	r.rates.class = t.classFactors(spec.Engine)
+	r.rates.class = t.classFactors(spec.Engine, r.role(&spec))
 	r.fill(out, now, t.lookUnseen(now), name, &spec, t.indexed)
 	return true
 }
@@ -174,12 +176,20 @@
 	return e
 }
 
-// classFactors gives the shared factors of an engine class.
-func (t *Tracker) classFactors(class string) *factors {
-	f, ok := t.classes[class]
+// classAndRole names what shares factors. How far prompts beside streams are
+// mispredicted at engines that do both says nothing of engines that prefill.
+type classAndRole struct {
+	class string
+	role  upstream.Role
+}
+
+// classFactors gives the shared factors of an engine class in a role.
+func (t *Tracker) classFactors(class string, role upstream.Role) *factors {
+	key := classAndRole{class, role}
+	f, ok := t.classes[key]
 	if !ok {
 		f = &factors{}
-		t.classes[class] = f
+		t.classes[key] = f
 	}
 	return f
 }
--- a/internal/request/route/calibration_test.go
+++ b/internal/request/route/calibration_test.go
@@ -101,3 +101,30 @@
 		t.Errorf("rates %.0f and %.0f: a report of little work says nothing of what the engine can do", r.PrefillRate, r.DecodeRate)
 	}
 }
+
+// TestAChangedRoleForgetsWhatWasMeasured wants a prefill engine to be predicted
+// by its declared rate, not by how slow its prompts were beside streams.
+func TestAChangedRoleForgetsWhatWasMeasured(t *testing.T) {
+	tracker := NewTracker()
+	s := classFleet(tracker)
+	at := now
+	for i := range 200 {
+		at = at.Add(time.Second)
+		answer(tracker, at, fmt.Sprint("r", i%3), 2)
+	}
+	if got := tracker.View(at, s)[0].PrefillRate; got > 0.8*class.PrefillRate {
+		t.Fatalf("rate %.0f: the slow prompts were not measured", got)
+	}
+	for _, role := range []upstream.Role{upstream.RolePrefill, upstream.RoleDecode} {
+		st := state()
+		st.Runner, st.Role = "r0", role
+		tracker.Stated(st)
+		if got := tracker.View(at, s)[0].PrefillRate; got != class.PrefillRate {
+			t.Errorf("%s: rate %.0f after the change, want %.0f", role, got, class.PrefillRate)
+		}
+		tracker.Sent(at, Send{ID: "q", Runner: "r0", PromptTokens: 100, ExpectedOut: 10})
+		if got := tracker.View(at, s)[0].PrefillRate; got != class.PrefillRate {
+			t.Errorf("%s: rate %.0f after a request, want %.0f", role, got, class.PrefillRate)
+		}
+	}
+}
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -82,26 +82,22 @@
 const unsafeFactor = 1.5
 
 // appendCandidates gives one candidate for each runner that passes the filters:
-// for a decode-only runner the better of prefilling there and of a pair.
+// the better of prefilling there and of a pair with a prefill runner.
 func appendCandidates(cands []candidate, q *Request, runners []Runner, bounds *budget) []candidate {
 	prefill := none
 	searched := false
 	for i := range runners {
-		r := &runners[i]
-		if refusedBy(q, r) != "" {
+		if refusedBy(q, &runners[i]) != "" {
 			continue
 		}
-		c := candidate{decode: i, prefill: none, predicted: Predict(q, r)}
-		c.cost = cost(q, runners, &c)
-		if isDecodeOnly(r) {
-			if !searched {
-				prefill, searched = bestPrefill(q, runners), true
-			}
-			c = betterOfPair(q, runners, c, prefill)
+		if !searched {
+			prefill, searched = bestPrefill(q, runners), true
+		}
+		c := candidate{decode: i, prefill: none, predicted: Predict(q, &runners[i])}
+		judge(q, runners, bounds, &c)
+		if prefill != none {
+			c = betterOfPair(q, runners, bounds, c, prefill)
 		}
-		judged := crowded(q, runners, &c)
-		c.onTime = bounds.meets(&judged, r.Promised, betweenMargin)
-		c.safe = c.onTime && bounds.meets(&judged, r.Promised, spillMargin)
 		if !c.safe {
 			c.cost *= unsafeFactor
 		}
@@ -110,6 +106,15 @@
 	return cands
 }
 
+// judge fills in the cost of a candidate and whether it is on time.
+func judge(q *Request, runners []Runner, bounds *budget, c *candidate) {
+	promised := runners[c.decode].Promised
+	judged := crowded(q, runners, c)
+	c.cost = cost(q, runners, c)
+	c.onTime = bounds.meets(&judged, promised, betweenMargin)
+	c.safe = c.onTime && bounds.meets(&judged, promised, spillMargin)
+}
+
 // crowded is the prediction for a candidate if peers have sent to its runners unseen.
 func crowded(q *Request, runners []Runner, c *candidate) Prediction {
 	if runners[c.decode].Crowd == 0 {
@@ -157,15 +162,20 @@
 // otherZonePenalty in seconds keeps KV transfers within a zone unless that costs time.
 const otherZonePenalty = 0.1
 
-// betterOfPair compares prefilling at the decode side with the pair.
-func betterOfPair(q *Request, runners []Runner, alone candidate, prefill int) candidate {
-	if prefill == none {
-		return alone
-	}
+// betterOfPair compares prefilling at the decode side with the pair by cost. A
+// pair spares the streams of the decode side a stall, so by cost alone requests
+// queue for the prefill runners until they are late. A decode-only runner is no
+// way out of that, since prompts take long there; at a runner of role both the
+// way that is on time goes before cost.
+func betterOfPair(q *Request, runners []Runner, bounds *budget, alone candidate, prefill int) candidate {
 	pair := candidate{decode: alone.decode, prefill: prefill}
 	pair.predicted = predictPair(q, &runners[prefill], &runners[alone.decode])
-	pair.cost = cost(q, runners, &pair)
-	if pair.cost < alone.cost {
+	judge(q, runners, bounds, &pair)
+	byCost := isDecodeOnly(&runners[alone.decode]) || pair.onTime == alone.onTime
+	if byCost && pair.cost < alone.cost {
+		return pair
+	}
+	if !byCost && pair.onTime {
 		return pair
 	}
 	return alone
--- a/internal/request/route/route_test.go
+++ b/internal/request/route/route_test.go
@@ -285,3 +285,24 @@
 		}
 	})
 }
+
+// TestPairWithARunnerOfBothRoles wants the prompt at the prefill runner while
+// that is on time, and beside the streams once it is not.
+func TestPairWithARunnerOfBothRoles(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		queued float64
+		want   string
+	}{
+		{"idle prefill runner", 0, "p"},
+		{"prefill runner too busy to be on time", 1.6 * class.PrefillRate, ""},
+	} {
+		p, d := idle("p"), idle("d")
+		p.Role, p.QueuedPrefill = upstream.RolePrefill, tt.queued
+		d.Running, d.DecodeLeft = 20, 1000
+		choice := Route(now, ask(), []Runner{p, d})
+		if choice.Prefill != tt.want || choice.Runner != "d" || !choice.OnTime {
+			t.Errorf("%s: %+v", tt.name, choice)
+		}
+	}
+}
--- a/internal/request/route/tracker.go
+++ b/internal/request/route/tracker.go
@@ -29,12 +29,12 @@
 	inFlight map[string]*flight
 	view     []Runner
 	byModel  map[string][]string
-	promised map[string]time.Duration // by model
-	indexed  *config.Snapshot         // the snapshot that byModel was built from
-	peers    map[string]*peerState    // by origin of their use reports
-	work     peerRate                 // this gateway's own, as in peerState
-	period   time.Duration            // mean time between two reports of a peer
-	classes  map[string]*factors      // measured, by engine class
+	promised map[string]time.Duration  // by model
+	indexed  *config.Snapshot          // the snapshot that byModel was built from
+	peers    map[string]*peerState     // by origin of their use reports
+	work     peerRate                  // this gateway's own, as in peerState
+	period   time.Duration             // mean time between two reports of a peer
+	classes  map[classAndRole]*factors // measured, by engine class and role
 }
 
 // tracked is what is known of one runner.
@@ -77,7 +77,7 @@
 		runners:  make(map[string]*tracked),
 		inFlight: make(map[string]*flight),
 		peers:    make(map[string]*peerState),
-		classes:  make(map[string]*factors),
+		classes:  make(map[classAndRole]*factors),
 	}
 }
 
@@ -105,6 +105,9 @@
 // Stated takes in a runner's actual state.
 func (t *Tracker) Stated(state upstream.State) {
 	r := t.runner(state.Runner)
+	if r.hasState && r.state.Role != state.Role { // what was measured holds for the role before
+		r.rates.class, r.rates.runner = nil, factors{}
+	}
 	r.state = state
 	r.hasState = true
 }
