Test that the trial answers and stops whole

Cause: make run had no test of its own. Change: a test asks a plain service and a stream, and stops the trial after the stream's first token; another checks what is printed. Conclusion: the first thing a newcomer runs is tested.

--- /dev/null
+++ b/internal/trial/trial_test.go
@@ -0,0 +1,103 @@
+package trial
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	waitLimit = 30 * time.Second // ends a test that hangs; nothing is asserted about time
+	pollEvery = 20 * time.Millisecond
+)
+
+func startTrial(t *testing.T) (tr *Trial, stop context.CancelFunc, ended chan error) {
+	t.Helper()
+	ctx, stop := context.WithCancel(context.Background())
+	tr, err := New(ctx, Config{Listen: anyPort})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended = make(chan error, 1)
+	go func() { ended <- tr.Run(ctx) }()
+	t.Cleanup(stop)
+	deadline := time.Now().Add(waitLimit)
+	for time.Now().Before(deadline) {
+		response, err := http.Get(tr.OperatorsURL() + "/ready")
+		if err == nil {
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return tr, stop, ended
+			}
+		}
+		time.Sleep(pollEvery)
+	}
+	t.Fatal("the first gateway is not ready")
+	return nil, nil, nil
+}
+
+func ask(t *testing.T, tr *Trial, method, path, body string) *http.Response {
+	t.Helper()
+	request, err := http.NewRequest(method, tr.CallersURL()+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+tr.APIKey())
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response
+}
+
+// TestTrialAnswersAndStopsWhole asks what the printed commands ask, and stops the
+// trial while a stream runs: the stream still comes to its end.
+func TestTrialAnswersAndStopsWhole(t *testing.T) {
+	tr, stop, ended := startTrial(t)
+	tile := ask(t, tr, http.MethodGet, "/maps/7/40/77", "")
+	body, err := io.ReadAll(tile.Body)
+	tile.Body.Close()
+	if err != nil || !strings.Contains(string(body), "/maps/7/40/77") {
+		t.Errorf("plain service: %q, %v", body, err)
+	}
+	stream := ask(t, tr, http.MethodPost, "/v1/chat/completions",
+		`{"model": "chat", "stream": true, "max_tokens": 60, "messages": [{"role": "user", "content": "Air?"}]}`)
+	defer stream.Body.Close()
+	lines := bufio.NewScanner(stream.Body)
+	tokens, whole := 0, false
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), `"content":"`) {
+			tokens++
+		}
+		if tokens == 1 {
+			stop()
+		}
+		whole = whole || lines.Text() == "data: [DONE]"
+	}
+	if !whole {
+		t.Errorf("the stop cut the stream after %d tokens: %v", tokens, lines.Err())
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Errorf("the trial ended with %v", err)
+		}
+	case <-time.After(waitLimit):
+		t.Error("the trial does not stop")
+	}
+}
+
+func TestHelpNamesWhatIsNeeded(t *testing.T) {
+	tr, _, _ := startTrial(t)
+	var text strings.Builder
+	tr.Help(&text)
+	for _, want := range []string{tr.APIKey(), tr.CallersURL(), "ragwortctl apply --wait", "RAGWORT_PLATFORM="} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("%q is not named", want)
+		}
+	}
+}
