Work out the capacity at the target from measured slopes

The memory column of that run was useless (one figure negative), because what an earlier daemon left was counted; it now counts live objects, and was not run again.

--- a/internal/bench/idle/idle.go
+++ b/internal/bench/idle/idle.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/controller"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/gateway"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
@@ -44,8 +45,8 @@
 	}
 	fmt.Println("an idle daemon with its stand-ins in one process (upper bounds); the controller alone holds every zone's lease")
 	fmt.Printf("%-11s %8s %6s %12s %12s\n", "daemon", "runners", "zones", "% of a core", "bytes")
-	for _, f := range fleets {
-		for _, d := range []daemon{gatewayDaemon, controllerDaemon} {
+	for _, d := range []daemon{gatewayDaemon, controllerDaemon} {
+		for _, f := range fleets {
 			if err := c.measure(f, d); err != nil {
 				return err
 			}
@@ -56,22 +57,48 @@
 
 // daemon makes one kind of daemon on a store.
 type daemon struct {
-	name string
-	make func(platform.Store) (interface{ Run(context.Context) error }, error)
+	name      string
+	perRunner time.Duration // of warm-up: a controller writes 5 statuses a second
+	make      func(platform.Store) (interface{ Run(context.Context) error }, error)
 }
 
-var gatewayDaemon = daemon{"gateway", func(store platform.Store) (interface{ Run(context.Context) error }, error) {
+var gatewayDaemon = daemon{"gateway", 0, func(store platform.Store) (interface{ Run(context.Context) error }, error) {
 	s := &settings.Gateway{Instance: self(), Listen: port(), Platform: unused(), Peer: peers(), Operators: operators()}
 	s.SetDefaults()
-	return gateway.New(gateway.Config{Settings: s, Store: store})
+	return gateway.New(gateway.Config{Settings: s, Store: store, Engine: named})
 }}
 
-var controllerDaemon = daemon{"controller", func(store platform.Store) (interface{ Run(context.Context) error }, error) {
+var controllerDaemon = daemon{"controller", 230 * time.Millisecond, func(store platform.Store) (interface{ Run(context.Context) error }, error) {
 	s := &settings.Controller{Instance: self(), Platform: unused(), Peer: peers(), Operators: operators()}
 	s.SetDefaults()
-	return controller.New(controller.Config{Settings: s, Store: store})
+	return controller.New(controller.Config{Settings: s, Store: store, Engine: named})
 }}
 
+// namedEngine gives the one stand-in the name of each runner of the fleet, so that
+// none of them is taken for another runner.
+type namedEngine struct {
+	upstream.Engine
+	name string
+}
+
+func named(runner, address string) upstream.Engine {
+	return namedEngine{upstream.NewHTTP(address, upstream.HTTPOptions{}), runner}
+}
+
+// Load implements upstream.Engine.
+func (e namedEngine) Load(ctx context.Context) (upstream.LoadReport, error) {
+	report, err := e.Engine.Load(ctx)
+	report.Runner = e.name
+	return report, err
+}
+
+// State implements upstream.Engine.
+func (e namedEngine) State(ctx context.Context) (upstream.State, error) {
+	state, err := e.Engine.State(ctx)
+	state.Runner = e.name
+	return state, err
+}
+
 func self() settings.Instance       { return settings.Instance{Name: "idle-1", Zone: homeZone} }
 func port() settings.Listener       { return settings.Listener{Address: anyPort} }
 func operators() settings.Operators { return settings.Operators{Listen: port()} }
@@ -84,7 +111,7 @@
 }
 
 func (c *Command) measure(f fleet, d daemon) error {
-	engine := runner.New(runner.Config{Name: "runner-0"})
+	engine := runner.New(runner.Config{Name: "runner-0", Loaded: []upstream.Loaded{{Model: "model", Version: "version"}}})
 	defer engine.Close()
 	address, err := engine.Listen(anyPort)
 	if err != nil {
@@ -102,7 +129,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- process.Run(ctx) }()
-	time.Sleep(warmUp)
+	time.Sleep(warmUp + time.Duration(f.runners)*d.perRunner)
 	start := cpu()
 	time.Sleep(time.Duration(c.Seconds) * time.Second)
 	share := (cpu() - start).Seconds() / float64(c.Seconds)
@@ -125,9 +152,12 @@
 	if err := put(store, resource.KindModel, "model", resource.Model{ContextTokens: cost.KVTokens}); err != nil {
 		return err
 	}
+	if err := put(store, resource.KindVersion, "version", resource.Version{Model: "model", Source: "v"}); err != nil {
+		return err
+	}
 	for i := range f.runners {
 		err := put(store, resource.KindRunner, fmt.Sprintf("runner-%d", i), resource.Runner{
-			Engine: "engine", Address: address, Zone: fmt.Sprintf("zone-%d", i%f.zones), Model: "model",
+			Engine: "engine", Address: address, Versions: []string{"version"}, Zone: fmt.Sprintf("zone-%d", i%f.zones), Model: "model",
 			Role: "both", State: resource.RunnerServing,
 		})
 		if err != nil {
@@ -147,12 +177,14 @@
 	return errors.Wrapf(err, "create %s/%s", kind, name)
 }
 
-// memory is heap and stacks in use.
+// memory is what live objects and stacks take. Two collections free what an earlier
+// daemon of this process left behind its finalizers.
 func memory() int64 {
+	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
 	runtime.ReadMemStats(&m)
-	return int64(m.HeapInuse + m.StackInuse)
+	return int64(m.HeapAlloc + m.StackInuse)
 }
 
 // cpu is the processor time of this process so far.
