Test a leaving runner and a plain service with the real binaries

Cause: the time for a leaving upstream to lose new work was not measured, and no real process of a plain service was in the end-to-end tests. Change: a runner is marked as leaving in the platform's list under load; the time to its last new run is printed and that it gets none afterwards is asserted. A plain service's route, written while the gateways run, is served by both.

--- /dev/null
+++ b/internal/e2e/upstreams_test.go
@@ -0,0 +1,116 @@
+package e2e
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const (
+	quietFor  = 2 * time.Second // no new work for this long, under load
+	mapPath   = "/maps/7/40/77"
+	mapsRoute = "maps"
+)
+
+// startService starts the plain service and routes its path to it.
+func (s *stack) startService() {
+	s.t.Helper()
+	address := freePort(s.t)
+	url := "http://" + address
+	start(s.t, "service", binary(s.t, "ragwort-standin"), url+"/", "service", "--listen", address, "--name", "maps-1")
+	s.put(resource.KindService, "map-sensor", resource.Service{Upstreams: []resource.ServiceUpstream{
+		{Name: "maps-1", Address: url, Zone: zone(0), State: resource.RunnerServing},
+	}})
+	s.put(resource.KindRoute, mapsRoute, resource.Route{
+		PathPrefix: "/maps/", Service: "map-sensor", Methods: []resource.MethodRule{{Method: http.MethodGet, Idempotent: true}},
+	})
+}
+
+func TestPlainServiceIsServed(t *testing.T) {
+	s := newStack(t)
+	s.startService()
+	for _, g := range s.gateways {
+		eventually(t, g.process.name+" serves the new route", func() bool {
+			request, err := http.NewRequest(http.MethodGet, g.url+mapPath, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Header.Set("Authorization", "Bearer "+apiKey)
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				return false
+			}
+			defer response.Body.Close()
+			body, err := io.ReadAll(response.Body)
+			return err == nil && response.StatusCode == http.StatusOK && strings.Contains(string(body), mapPath)
+		})
+	}
+}
+
+func (r *runnerProcess) stats(t *testing.T) runner.Stats {
+	t.Helper()
+	response, err := http.Get(r.url + "/admin/stats")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	var out runner.Stats
+	if err := json.NewDecoder(response.Body).Decode(&out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// markLeaving tells through the platform's list that a runner is leaving.
+func (s *stack) markLeaving(name, zone string) {
+	s.t.Helper()
+	body, err := json.Marshal(resource.Instance{Role: resource.RoleUpstream, Zone: zone, State: resource.InstanceLeaving})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	request, err := http.NewRequest(http.MethodPut, s.platformURL+"/admin/instances/"+name, bytes.NewReader(body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		s.t.Fatalf("mark leaving: status %d", response.StatusCode)
+	}
+}
+
+// TestLeavingRunnerGetsNoNewWork marks a runner as leaving under load. The time to
+// its last new run is printed; that it then gets none is asserted.
+func TestLeavingRunnerGetsNoNewWork(t *testing.T) {
+	s := newStack(t)
+	l := startLoad(s.gateways, loadCallers)
+	leaving := s.runners[0]
+	eventually(t, "the runner has work", func() bool { return leaving.stats(t).Accepted > 0 })
+	s.markLeaving(leaving.process.name, zone(0))
+	marked := time.Now()
+	count, last := leaving.stats(t).Accepted, marked
+	eventually(t, "the runner gets no new work", func() bool {
+		if now := leaving.stats(t).Accepted; now != count {
+			count, last = now, time.Now()
+		}
+		return time.Since(last) > quietFor
+	})
+	t.Logf("last new run %s after the platform's list said leaving", last.Sub(marked).Round(time.Millisecond))
+	before := l.whole.Load()
+	eventually(t, "the others go on", func() bool { return l.whole.Load() > before })
+	l.finish()
+	report(t, l, s)
+	if now := leaving.stats(t).Accepted; now != count {
+		t.Errorf("%d new runs later", now-count)
+	}
+}
