Read processor time and the stand-ins' admin endpoints in one place each

Change: usage.ProcessorTime, which panics as the strictest of the four did; getAdmin and putAdmin in the end-to-end tests. Assertions and bounds are as they were. Conclusion: one reading, one behaviour.

--- a/internal/bench/fanout/measure.go
+++ b/internal/bench/fanout/measure.go
@@ -2,9 +2,9 @@
 
 import (
 	"slices"
-	"syscall"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/usage"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
@@ -131,9 +131,9 @@
 // measureWork measures a fleet whose gateways have work and report their use.
 func (f *fleet) measureWork(r *Result) {
 	before, sentBefore := f.counts(), f.sentByEach()
-	processor := processorTime()
+	processor := usage.ProcessorTime()
 	f.run(steady)
-	processor = processorTime() - processor
+	processor = usage.ProcessorTime() - processor
 	after := f.counts()
 	r.Messages = f.perDaemonSecond(after.messages - before.messages)
 	r.UseBytes = f.perDaemonSecond(after.bytes[topicUse] - before.bytes[topicUse])
@@ -191,14 +191,6 @@
 	}
 }
 
-func processorTime() time.Duration {
-	var u syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 // change writes a model and gives its version.
 func (f *fleet) change() uint64 {
 	e := f.store.put(resource.KindModel, "m", `{"contextTokens":8}`)
--- a/internal/bench/goodput/cost.go
+++ b/internal/bench/goodput/cost.go
@@ -8,8 +8,7 @@
 	"strconv"
 	"time"
 
-	"golang.org/x/sys/unix"
-
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/usage"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/limit"
@@ -78,16 +77,6 @@
 	return s, t
 }
 
-// processorTime is the time that this process has computed. Unlike the wall
-// clock it tells the cost of a decision on a busy machine too.
-func processorTime() time.Duration {
-	var u unix.Rusage
-	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
-		panic(err)
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
-
 func heapBytes() float64 {
 	runtime.GC()
 	var m runtime.MemStats
@@ -114,7 +103,7 @@
 	t.Prefixes.Sent("runner-0", hashes)
 	var start, end runtime.MemStats
 	runtime.ReadMemStats(&start)
-	from := processorTime()
+	from := usage.ProcessorTime()
 	for i := range c.Decisions {
 		q.Seed = uint64(i)
 		at := epoch.Add(time.Duration(i) * time.Microsecond)
@@ -123,7 +112,7 @@
 			panic("the fleet of the measurement has no runner for the request")
 		}
 	}
-	row.NS = float64((processorTime() - from).Nanoseconds()) / float64(c.Decisions)
+	row.NS = float64((usage.ProcessorTime() - from).Nanoseconds()) / float64(c.Decisions)
 	runtime.ReadMemStats(&end)
 	row.Allocations = float64(end.Mallocs-start.Mallocs) / float64(c.Decisions)
 	row.PrefixBytes = prefixBytes(n, t)
--- a/internal/bench/idle/idle.go
+++ b/internal/bench/idle/idle.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/usage"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/controller"
@@ -130,9 +130,9 @@
 	done := make(chan error, 1)
 	go func() { done <- process.Run(ctx) }()
 	time.Sleep(warmUp + time.Duration(f.runners)*d.perRunner)
-	start := cpu()
+	start := usage.ProcessorTime()
 	time.Sleep(time.Duration(c.Seconds) * time.Second)
-	share := (cpu() - start).Seconds() / float64(c.Seconds)
+	share := (usage.ProcessorTime() - start).Seconds() / float64(c.Seconds)
 	taken := memory() - before
 	stop()
 	fmt.Printf("%-11s %8d %6d %12.2f %12d\n", d.name, f.runners, f.zones, share*percent, taken)
@@ -186,12 +186,3 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc + m.StackInuse)
 }
-
-// cpu is the processor time of this process so far.
-func cpu() time.Duration {
-	var use unix.Rusage
-	if err := unix.Getrusage(unix.RUSAGE_SELF, &use); err != nil {
-		return 0
-	}
-	return time.Duration(use.Utime.Nano() + use.Stime.Nano())
-}
--- a/internal/bench/latency/latency.go
+++ b/internal/bench/latency/latency.go
@@ -15,6 +15,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/bench/usage"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/trial"
 )
@@ -137,7 +138,7 @@
 	var mu sync.Mutex
 	var first error
 	var callers sync.WaitGroup
-	before := cpuMicros()
+	before := usage.ProcessorTime()
 	for caller := range c.Callers {
 		callers.Add(1)
 		go func() {
@@ -156,7 +157,7 @@
 		}()
 	}
 	callers.Wait()
-	out.cpuMicros = cpuMicros() - before
+	out.cpuMicros = float64((usage.ProcessorTime() - before).Microseconds())
 	return out, first
 }
 
--- a/internal/bench/latency/memory.go
+++ b/internal/bench/latency/memory.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/trial"
 )
@@ -130,13 +129,3 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapInuse + m.StackInuse)
 }
-
-// cpuMicros is the processor time of this process so far.
-func cpuMicros() float64 {
-	var use unix.Rusage
-	if err := unix.Getrusage(unix.RUSAGE_SELF, &use); err != nil {
-		return 0
-	}
-	micros := func(t unix.Timeval) float64 { return float64(t.Sec)*microsInSecond + float64(t.Usec) }
-	return micros(use.Utime) + micros(use.Stime)
-}
--- a/internal/e2e/authority_test.go
+++ b/internal/e2e/authority_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"testing"
 	"time"
 
@@ -95,14 +94,5 @@
 
 func (r *runnerProcess) orders(t *testing.T) []runner.OrderRecord {
 	t.Helper()
-	response, err := http.Get(r.url + "/admin/orders")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer response.Body.Close()
-	var out []runner.OrderRecord
-	if err := json.NewDecoder(response.Body).Decode(&out); err != nil {
-		t.Fatal(err)
-	}
-	return out
+	return getAdmin[[]runner.OrderRecord](t, r.url+"/admin/orders")
 }
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -1,8 +1,6 @@
 package e2e
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -26,22 +24,7 @@
 // setFault switches the platform's faults.
 func (s *stack) setFault(fault standin.FaultBody) {
 	s.t.Helper()
-	body, err := json.Marshal(fault)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	request, err := http.NewRequest(http.MethodPut, s.platformURL+"/admin/fault", bytes.NewReader(body))
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	response.Body.Close()
-	if response.StatusCode >= http.StatusMultipleChoices {
-		s.t.Fatalf("set fault: status %d", response.StatusCode)
-	}
+	putAdmin(s.t, s.platformURL+"/admin/fault", fault)
 }
 
 // TestServingGoesOnThroughAnOutage takes the platform away under load.
--- a/internal/e2e/stack_test.go
+++ b/internal/e2e/stack_test.go
@@ -4,9 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"path/filepath"
 	"testing"
@@ -38,16 +36,7 @@
 
 func (r *runnerProcess) executions(t *testing.T) map[string]int {
 	t.Helper()
-	response, err := http.Get(r.url + "/admin/executions")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer response.Body.Close()
-	var out runner.Executions
-	if err := json.NewDecoder(response.Body).Decode(&out); err != nil {
-		t.Fatal(err)
-	}
-	return out.Marks
+	return getAdmin[runner.Executions](t, r.url+"/admin/executions").Marks
 }
 
 // stack is the whole system as separate processes.
--- a/internal/e2e/upstreams_test.go
+++ b/internal/e2e/upstreams_test.go
@@ -1,8 +1,6 @@
 package e2e
 
 import (
-	"bytes"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -56,37 +54,14 @@
 
 func (r *runnerProcess) stats(t *testing.T) runner.Stats {
 	t.Helper()
-	response, err := http.Get(r.url + "/admin/stats")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer response.Body.Close()
-	var out runner.Stats
-	if err := json.NewDecoder(response.Body).Decode(&out); err != nil {
-		t.Fatal(err)
-	}
-	return out
+	return getAdmin[runner.Stats](t, r.url+"/admin/stats")
 }
 
 // markLeaving tells through the platform's list that a runner is leaving.
 func (s *stack) markLeaving(name, zone string) {
 	s.t.Helper()
-	body, err := json.Marshal(resource.Instance{Role: resource.RoleUpstream, Zone: zone, State: resource.InstanceLeaving})
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	request, err := http.NewRequest(http.MethodPut, s.platformURL+"/admin/instances/"+name, bytes.NewReader(body))
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	response.Body.Close()
-	if response.StatusCode >= http.StatusMultipleChoices {
-		s.t.Fatalf("mark leaving: status %d", response.StatusCode)
-	}
+	putAdmin(s.t, s.platformURL+"/admin/instances/"+name,
+		resource.Instance{Role: resource.RoleUpstream, Zone: zone, State: resource.InstanceLeaving})
 }
 
 // TestLeavingRunnerGetsNoNewWork marks a runner as leaving under load. The time to
