--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -62,9 +62,9 @@
 	return true
 }
 
-// exchange sends one request and returns its response. The request must carry a
+// Exchange sends one request and returns its response. The request must carry a
 // onceBody. An error matches ErrNotRun if no byte was sent, else ErrBroken.
-func exchange(rt http.RoundTripper, req *http.Request, op, address string) (*http.Response, error) {
+func Exchange(rt http.RoundTripper, req *http.Request, op, address string) (*http.Response, error) {
 	var log sendLog
 	resp, err := rt.RoundTrip(req.WithContext(log.trace(req.Context())))
 	if err == nil {
@@ -80,8 +80,8 @@
 	return nil, &CallError{Op: op, Address: address, matches: []error{outcome}, cause: err}
 }
 
-// newRequest builds a request with a JSON body (nil: none) that is sent at most once.
-func newRequest(ctx context.Context, method, url string, body any) (*http.Request, error) {
+// NewRequest builds a request with a JSON body (nil: none) that is sent at most once.
+func NewRequest(ctx context.Context, method, url string, body any) (*http.Request, error) {
 	var data []byte
 	if body != nil {
 		var err error
--- a/internal/connection/upstream/http.go
+++ b/internal/connection/upstream/http.go
@@ -66,10 +66,10 @@
 	}
 }
 
-// newTransport makes a pool of connections. It speaks HTTP/1.1 only, because
+// NewTransport makes a pool of connections. It speaks HTTP/1.1 only, because
 // there one connection carries one request at a time, which is what makes
 // "no byte was written" provable, and it never follows a proxy setting.
-func newTransport(o HTTPOptions) *http.Transport {
+func NewTransport(o HTTPOptions) *http.Transport {
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	return &http.Transport{
@@ -100,7 +100,7 @@
 func NewHTTP(address string, opts HTTPOptions) Engine {
 	e := &httpEngine{address: address, opts: opts.withDefaults()}
 	e.base, e.baseErr = parseBase(address)
-	e.pool = newTransport(e.opts)
+	e.pool = NewTransport(e.opts)
 	return e
 }
 
@@ -210,11 +210,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, e.opts.CallTimeout)
 	defer cancel()
-	req, err := newRequest(ctx, method, e.base.String()+path, body)
+	req, err := NewRequest(ctx, method, e.base.String()+path, body)
 	if err != nil {
 		return notRun(op, e.address, err)
 	}
-	resp, err := exchange(e.pool, req, op, e.address)
+	resp, err := Exchange(e.pool, req, op, e.address)
 	if err != nil {
 		return err
 	}
--- a/internal/connection/upstream/order.go
+++ b/internal/connection/upstream/order.go
@@ -118,7 +118,7 @@
 		return State{}, notRun(op, e.address, err) // a handshake carries no order
 	}
 	raw.begun = false
-	req, err := newRequest(ctx, http.MethodPost, e.base.String()+PathOrders, o)
+	req, err := NewRequest(ctx, http.MethodPost, e.base.String()+PathOrders, o)
 	if err != nil {
 		return State{}, notRun(op, e.address, err)
 	}
--- a/internal/connection/upstream/service.go
+++ b/internal/connection/upstream/service.go
@@ -47,7 +47,7 @@
 // connections apply; a call lives as long as its context.
 func NewServices(opts HTTPOptions) *Services {
 	setDefault(&opts.UserTimeout, DefaultServiceUserTimeout)
-	return &Services{pool: newTransport(opts.withDefaults())}
+	return &Services{pool: NewTransport(opts.withDefaults())}
 }
 
 // Close drops idle connections.
@@ -65,7 +65,7 @@
 	if err != nil {
 		return ServiceAnswer{}, notRun(op, call.Address, err)
 	}
-	resp, err := exchange(s.pool, req, op, call.Address)
+	resp, err := Exchange(s.pool, req, op, call.Address)
 	if err != nil {
 		return ServiceAnswer{}, err
 	}
--- a/internal/connection/upstream/stream.go
+++ b/internal/connection/upstream/stream.go
@@ -61,12 +61,12 @@
 }
 
 func (e *httpEngine) openResponse(ctx context.Context, op, method, path string, body any, runID string) (*http.Response, error) {
-	req, err := newRequest(ctx, method, e.base.String()+path, body)
+	req, err := NewRequest(ctx, method, e.base.String()+path, body)
 	if err != nil {
 		return nil, notRun(op, e.address, err)
 	}
 	req.Header.Set("Accept", ContentTypeStream)
-	resp, err := exchange(e.pool, req, op, e.address)
+	resp, err := Exchange(e.pool, req, op, e.address)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/process/entry/entry.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
+)
+
+const (
+	// defaultBodyBytes bounds a body where the configuration doesn't.
+	defaultBodyBytes = 4 << 20
+	// defaultBodyTimeout bounds the reading of a body of a request without a time limit.
+	defaultBodyTimeout = 30 * time.Second
+	// defaultStartWait is how long a request of a route without an objective may wait
+	// for a place.
+	defaultStartWait = time.Second
+	// refusedRetryAfter is told with refusals for which no better time is known: about
+	// the time in which a lost connection or a missing configuration is back.
+	refusedRetryAfter = 500 * time.Millisecond
+	// tickEvery is how often waiting requests are looked at when nothing happens; it
+	// bounds how late a refusal for want of time is.
+	tickEvery = 10 * time.Millisecond
+	// headerTimeout and idleTimeout bound callers' connections. They are longer than
+	// what configurations allow callers, who go by the configuration's limits.
+	headerTimeout  = 15 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+	// Times of connections to upstreams: the network's delays are some ms.
+	upstreamDialTimeout = 500 * time.Millisecond
+	upstreamUserTimeout = 1500 * time.Millisecond
+	upstreamIdleTimeout = 4 * time.Second
+)
+
+// Entry is one ragwort-entry process.
+type Entry struct {
+	cfg    Config
+	state  *state
+	client *upstream.Services
+	meters *meters
+	log    *requestLog
+
+	exporter  *metrics.Exporter
+	callers   *http.Server
+	ready     *http.Server
+	operators *http.Server
+
+	stage    atomic.Int32
+	running  activity
+	hardStop context.Context // ends when a planned stop reaches its bound
+	stopHard context.CancelFunc
+	loops    sync.WaitGroup
+}
+
+// New makes an entry process; Run serves.
+func New(cfg Config) *Entry {
+	e := &Entry{
+		cfg:   cfg,
+		state: newState(cfg.Settings),
+		client: upstream.NewServices(upstream.HTTPOptions{
+			DialTimeout: upstreamDialTimeout,
+			UserTimeout: upstreamUserTimeout,
+			IdleTimeout: upstreamIdleTimeout,
+		}),
+		log: newRequestLog(cfg.Settings.Logging.LinesPerSecond),
+	}
+	e.exporter = metrics.New("ragwort_entry", map[string]string{"zone": cfg.Settings.Instance.Zone})
+	e.meters = newMeters(e.exporter.Scope())
+	e.hardStop, e.stopHard = context.WithCancel(context.Background())
+	e.callers = e.server(e.callerHandler())
+	e.ready = e.server(e.readyHandler())
+	e.operators = e.server(e.operatorsHandler())
+	return e
+}
+
+func (e *Entry) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(io.Discard, "", 0), // what concerns a request is in its log line
+	}
+}
+
+// callerHandler serves every path of the callers' port.
+func (e *Entry) callerHandler() http.Handler {
+	router := newRouter()
+	router.Any("/*", func(c echo.Context) error {
+		e.serve(c.Response().Writer, c.Request())
+		return nil
+	})
+	return router
+}
+
+func newRouter() *echo.Echo {
+	router := echo.New()
+	router.HideBanner = true
+	router.HidePort = true
+	return router
+}
+
+// readyHandler answers the balancer.
+func (e *Entry) readyHandler() http.Handler {
+	router := newRouter()
+	router.GET(e.cfg.ReadyPath, func(c echo.Context) error {
+		if why := e.notReady(); why != "" {
+			return c.String(http.StatusServiceUnavailable, why)
+		}
+		return c.String(http.StatusOK, "ready")
+	})
+	return router
+}
+
+// notReady tells why new callers should go elsewhere; empty: they may come.
+func (e *Entry) notReady() string {
+	switch {
+	case e.stage.Load() != stageServing:
+		return "stopping"
+	case e.state.config.Load() == nil:
+		return "no configuration yet"
+	case !e.state.upstreamsListed():
+		return "no list of upstreams yet"
+	}
+	return ""
+}
+
+func (e *Entry) operatorsHandler() http.Handler {
+	router := newRouter()
+	router.GET("/metrics", echo.WrapHandler(e.exporter.Handler()))
+	return router
+}
+
+// Run serves until ctx ends, then stops gracefully and returns.
+func (e *Entry) Run(ctx context.Context) error {
+	s := e.cfg.Settings
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	failed := make(chan error, 3)
+	for _, p := range []struct {
+		address string
+		server  *http.Server
+	}{{s.Listen.Callers, e.callers}, {s.Listen.Ready, e.ready}, {s.Listen.Operators, e.operators}} {
+		if p.address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", p.address)
+		if err != nil {
+			return errors.Wrapf(err, "listen on %s", p.address)
+		}
+		e.loop(func() { failed <- e.listen(p.server, l) })
+	}
+	e.loop(func() { e.followUpstreams(work) })
+	e.loop(func() { e.followConfig(work) })
+	e.loop(func() { e.tickLoop(work) })
+	logline.Info("entry started", "instance", s.Instance.Name, "zone", s.Instance.Zone,
+		"callers", s.Listen.Callers, "ready", s.Listen.Ready, "store", s.Store)
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	e.stop()
+	stopWork()
+	e.loops.Wait()
+	e.client.Close()
+	logline.Info("entry stopped")
+	return errors.Wrap(err, "serving")
+}
+
+func (e *Entry) listen(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (e *Entry) loop(f func()) {
+	e.loops.Add(1)
+	go func() {
+		defer e.loops.Done()
+		f()
+	}()
+}
+
+// tickLoop refuses waiting requests whose time is over, and does what is due about
+// once a second.
+func (e *Entry) tickLoop(ctx context.Context) {
+	every := tickEvery
+	for sleep(ctx, every) == nil {
+		e.state.tick(time.Now())
+		e.log.tick(time.Now())
+		every = idleTick
+		if e.state.waiting() > 0 {
+			every = tickEvery
+		}
+	}
+}
+
+// idleTick is the pause when nothing waits.
+const idleTick = 50 * time.Millisecond
--- /dev/null
+++ b/internal/process/entry/execute.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
+)
+
+// refusalsAllowed is how many upstreams may refuse a request before it is given
+// up, beyond the attempts of its route: a refused request has not run, but each
+// try takes time and counts against the bound on repeats.
+const refusalsAllowed = 2
+
+// errLeaving means that the upstream chosen began to leave before the send.
+var errLeaving = errors.New("the upstream is leaving")
+
+// outcome is how one send ended.
+type outcome struct {
+	run  errkind.RunState
+	err  error // nil: the answer was passed on whole
+	sent bool  // a byte may have reached the upstream
+}
+
+// execute runs a request: it asks for a place, sends, and sends again where that
+// is allowed, until there is a final answer. nil: the whole answer was passed on.
+func (q *request) execute(ctx context.Context) *errkind.Error {
+	q.e.state.firstSend(q.arrived, q.service)
+	a := &answer{q: q}
+	for {
+		choice, refusal := q.placed(ctx)
+		if refusal != nil {
+			return q.refusedPlace(refusal, a)
+		}
+		out := q.attempt(ctx, choice, a)
+		if out.err == nil {
+			return nil
+		}
+		q.run = retry.Worst(q.run, out.run)
+		if final := q.interrupted(ctx); final != nil {
+			return final
+		}
+		q.excluded = append(q.excluded, choice.Upstream.ID)
+		action := q.decide(out, a)
+		q.logFailedSend(choice, out, action)
+		if action != retry.SendElsewhere && action != retry.RunAgain {
+			return q.finalAnswer(out, a)
+		}
+	}
+}
+
+// placed waits for a place.
+func (q *request) placed(ctx context.Context) (place.Choice, *errkind.Error) {
+	now := time.Now()
+	query := q.query()
+	decision := q.e.state.arrive(now, query)
+	var d place.Decision
+	select {
+	case d = <-decision:
+	default:
+		select {
+		case d = <-decision:
+		case <-ctx.Done():
+			if q.e.state.leave(query) {
+				return place.Choice{}, q.interrupted(ctx)
+			}
+			d = <-decision // it came first
+		}
+		q.waited += time.Since(now)
+	}
+	if d.Refused != "" {
+		kind := errkind.Overloaded
+		if d.Refused == place.NoUpstream {
+			kind = errkind.NoUpstream
+		}
+		return place.Choice{}, errkind.New(kind, q.run, string(d.Refused)).After(d.RetryAfter)
+	}
+	return d.Choice, nil
+}
+
+// refusedPlace is the final answer of a request that found no place. If it was
+// sent before, what is known of that send decides.
+func (q *request) refusedPlace(refusal *errkind.Error, a *answer) *errkind.Error {
+	if q.run == errkind.NotRun || refusal.Kind == errkind.Canceled {
+		return refusal
+	}
+	if a.kept != nil {
+		return a.passKept()
+	}
+	return errkind.Wrap(refusal, errkind.OutcomeUnknown, q.run, "the request may have run and no other upstream can serve it")
+}
+
+// attempt sends a request to one upstream and passes its answer on.
+func (q *request) attempt(ctx context.Context, choice place.Choice, a *answer) outcome {
+	st, id := q.e.state, choice.Upstream.ID
+	defer func() {
+		now := time.Now()
+		st.withBook(now, func(b *place.Book) { b.Ended(id) })
+	}()
+	if !st.usable(id) {
+		st.withBook(time.Now(), func(b *place.Book) { b.GaveUp(time.Now(), id) })
+		return outcome{run: errkind.NotRun, err: errLeaving}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel() // ends what an upstream still does for an answer that was given up
+	q.upstream = id
+	q.sends++
+	resp, err := q.e.client.Forward(ctx, q.call(choice, a))
+	now := time.Now()
+	if err != nil {
+		return q.sendFailed(ctx, now, id, err)
+	}
+	defer resp.Body.Close()
+	st.withBook(now, func(b *place.Book) { b.Heard(now, id, true) })
+	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
+	st.reported(now, id, told.Load)
+	out := a.take(ctx, id, resp, told)
+	q.judge(ctx, id, out, told)
+	return out
+}
+
+// call builds what is sent.
+func (q *request) call(choice place.Choice, a *answer) upstream.ServiceCall {
+	send := exchange.Send{Incarnation: choice.Upstream.ID, Urgency: q.route.Priority}
+	if left, ok := q.left(time.Now()); ok {
+		send.TimeLeft = max(left, time.Millisecond)
+	}
+	if last, ok := a.order.Last(); ok && q.begun {
+		send.LastEvent = last
+	}
+	return upstream.ServiceCall{
+		Address:       "http://" + choice.Upstream.Address,
+		Method:        q.r.Method,
+		Path:          q.r.URL.EscapedPath(),
+		RawQuery:      q.r.URL.RawQuery,
+		Host:          q.r.Host,
+		Header:        q.e.cfg.Dialect.Outbound(q.r.Header, send),
+		Body:          bytes.NewReader(q.body),
+		ContentLength: int64(len(q.body)),
+	}
+}
+
+// sendFailed judges a send without an answer.
+func (q *request) sendFailed(ctx context.Context, now time.Time, id string, err error) outcome {
+	out := outcome{run: errkind.RunUnknown, err: err, sent: true}
+	if errors.Is(err, upstream.ErrNotRun) {
+		out.run, out.sent = errkind.NotRun, false
+	} else {
+		q.ranSends++
+	}
+	q.e.state.withBook(now, func(b *place.Book) {
+		if ctx.Err() != nil {
+			b.GaveUp(now, id)
+			return
+		}
+		b.Failed(now, id, true)
+	})
+	return out
+}
+
+// judge counts the outcome of an answered send for the upstream's health.
+func (q *request) judge(ctx context.Context, id string, out outcome, told exchange.Told) {
+	now := time.Now()
+	q.e.state.withBook(now, func(b *place.Book) {
+		switch {
+		case out.err == nil:
+			b.Succeeded(now, id)
+		case told.NotRun || ctx.Err() != nil:
+			// It is alive and says why, or the request ended for a reason of its own.
+		default:
+			b.Failed(now, id, false)
+		}
+	})
+}
+
+// decide whether a failed send is followed by another one.
+func (q *request) decide(out outcome, a *answer) retry.Action {
+	f := retry.Failure{
+		Run:        q.run,
+		Idempotent: q.route.Repeatable() && a.canGoOn(),
+		Budget:     true,
+		TimeLeft:   true, // the context ends with the time
+		Elsewhere:  q.ranSends < q.route.MaxAttempts && q.sends < q.route.MaxAttempts+refusalsAllowed,
+	}
+	if q.begun {
+		f.TokensGiven = 1
+	}
+	action := retry.Decide(f)
+	if action != retry.SendElsewhere && action != retry.RunAgain {
+		return action
+	}
+	if out.sent && !q.e.state.mayRepeat(time.Now(), q.service) {
+		f.Budget = false
+		return retry.Decide(f)
+	}
+	return action
+}
+
+// finalAnswer turns the last failure into the answer.
+func (q *request) finalAnswer(out outcome, a *answer) *errkind.Error {
+	if a.kept != nil {
+		return a.passKept()
+	}
+	switch {
+	case q.begun:
+		return errkind.Wrap(out.err, errkind.AnswerIncomplete, errkind.Ran, "the answer broke off")
+	case q.run == errkind.NotRun:
+		return errkind.Wrap(out.err, errkind.UpstreamRefused, errkind.NotRun, "no upstream took the request").After(refusedRetryAfter)
+	case q.run == errkind.Ran:
+		return errkind.Wrap(out.err, errkind.UpstreamFailed, errkind.Ran, "the upstream failed while the request ran")
+	}
+	return errkind.Wrap(out.err, errkind.OutcomeUnknown, errkind.RunUnknown, "the request may or may not have run")
+}
+
+// role is what an upstream's engine has to do for the request.
+func (q *request) role() upstream.Role {
+	if s, ok := q.config.Services[q.service]; ok && s.Engine != nil {
+		return upstream.RoleDecode
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/process/entry/request.go
@@ -0,0 +1,184 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
+)
+
+// Causes of the end of a request's context.
+var (
+	errTimeLimit  = errors.New("the time limit of the request has passed")
+	errStopBound  = errors.New("the process stops")
+	errCallerLeft = errors.New("the caller left")
+)
+
+// request is one request of a caller.
+type request struct {
+	e        *Entry
+	w        http.ResponseWriter
+	r        *http.Request
+	arrived  time.Time
+	config   *routing.Config
+	route    *routing.Route
+	service  string
+	declared exchange.Declared
+	body     []byte
+	until    time.Time // when the caller or the operator stops waiting; zero: never
+
+	upstream string // last one sent to
+	sends    int
+	ranSends int // sends that were not provably without effect
+	excluded []string
+	run      errkind.RunState // worst over all sends
+	begun    bool             // the caller has seen a part of the answer
+	waited   time.Duration    // in the room
+	first    time.Duration    // until the first piece of the answer
+}
+
+// prepare reads and checks a request. Nothing is sent before it succeeds.
+func (e *Entry) prepare(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, error) {
+	q := &request{e: e, w: w, r: r, arrived: arrived, run: errkind.NotRun}
+	q.config = e.state.config.Load()
+	if q.config == nil {
+		return q, errkind.New(errkind.ConfigUnavailable, errkind.NotRun, "this instance has no configuration yet").After(refusedRetryAfter)
+	}
+	var ok bool
+	if q.route, ok = q.config.Match(r.Host, r.URL.Path); !ok {
+		return q, errkind.Field(errkind.NotFound, "path", "no route serves this host and path")
+	}
+	var err error
+	if q.declared, err = e.cfg.Dialect.Declared(r.Header); err != nil {
+		return q, err
+	}
+	q.service = q.route.Pick(q.declared.ID)
+	q.until = q.limit()
+	return q, q.readBody()
+}
+
+// limit is the earlier of the caller's and the operator's time limits.
+func (q *request) limit() time.Time {
+	left := q.route.Timeout
+	if d := q.declared.TimeLeft; d > 0 && (left == 0 || d < left) {
+		left = d
+	}
+	if left == 0 {
+		return time.Time{}
+	}
+	return q.arrived.Add(left)
+}
+
+// readBody reads the whole body, so that it can be sent again and so that nothing
+// of a request is sent whose body doesn't come.
+func (q *request) readBody() error {
+	limit := q.config.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if q.r.ContentLength > limit {
+		return tooLarge()
+	}
+	if t := q.bodyLimit(); !t.IsZero() {
+		// Not every writer has deadlines (a test's recorder has none).
+		_ = http.NewResponseController(q.w).SetReadDeadline(t)
+		defer func() { _ = http.NewResponseController(q.w).SetReadDeadline(time.Time{}) }()
+	}
+	var err error
+	if q.r.ContentLength > 0 {
+		q.body = make([]byte, q.r.ContentLength)
+		_, err = io.ReadFull(q.r.Body, q.body)
+	} else {
+		q.body, err = io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	}
+	var over *http.MaxBytesError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &over):
+		return tooLarge()
+	}
+	return errkind.Wrap(err, errkind.Canceled, errkind.NotRun, "the body did not come whole")
+}
+
+// bodyLimit is when a body has to be there.
+func (q *request) bodyLimit() time.Time {
+	if q.until.IsZero() {
+		return q.arrived.Add(defaultBodyTimeout)
+	}
+	return q.until
+}
+
+func tooLarge() error {
+	return errkind.Field(errkind.RequestTooLarge, "body", "the body is larger than the configuration allows")
+}
+
+// context ends when the caller leaves, when the time limit passes, and when a
+// planned stop reaches its bound.
+func (q *request) context() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(q.r.Context())
+	stop := context.AfterFunc(q.e.hardStop, func() { cancel(errStopBound) })
+	var timer *time.Timer
+	if !q.until.IsZero() {
+		timer = time.AfterFunc(time.Until(q.until), func() { cancel(errTimeLimit) })
+	}
+	return ctx, func() {
+		stop()
+		if timer != nil {
+			timer.Stop()
+		}
+		cancel(context.Canceled)
+	}
+}
+
+// left is the time that the request has; ok is false if it has no limit.
+func (q *request) left(now time.Time) (time.Duration, bool) {
+	if q.until.IsZero() {
+		return 0, false
+	}
+	return q.until.Sub(now), true
+}
+
+// startShare is the part of its objective that a request may wait for a place.
+// The rest is for the work itself; an answer that would start later than this
+// would be late even at an idle upstream.
+const startShare = 0.6
+
+// query is what placement needs.
+func (q *request) query() place.Query {
+	key, _ := q.declared.Shared()
+	wait := time.Duration(float64(q.route.Objective) * startShare)
+	if wait <= 0 {
+		wait = defaultStartWait
+	}
+	startBy := q.arrived.Add(wait)
+	if !q.until.IsZero() && q.until.Before(startBy) {
+		startBy = q.until
+	}
+	return place.Query{
+		ID: q.declared.ID, Service: q.service, Zone: q.e.cfg.Settings.Instance.Zone,
+		Urgency: q.route.Priority, Key: key, Role: q.role(),
+		Arrived: q.arrived, StartBy: startBy, Excluded: q.excluded,
+	}
+}
+
+// interrupted gives the final answer if the context has ended.
+func (q *request) interrupted(ctx context.Context) *errkind.Error {
+	if ctx.Err() == nil {
+		return nil
+	}
+	switch context.Cause(ctx) {
+	case errTimeLimit:
+		return errkind.New(errkind.DeadlineExceeded, q.run, "the time limit of the request has passed")
+	case errStopBound:
+		return errkind.New(errkind.Draining, q.run, "this instance stops")
+	}
+	return errkind.Wrap(errCallerLeft, errkind.Canceled, q.run, "the caller closed the connection")
+}
--- /dev/null
+++ b/internal/process/entry/state.go
@@ -0,0 +1,204 @@
+package entry
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
+)
+
+// instancesAssumed is how many instances a process takes the deployment to have
+// when it takes its part of the retry slack. It is more than any deployment has,
+// so that the parts never add up to more than the whole; the ratio grows with the
+// requests, whoever serves them.
+const instancesAssumed = 400
+
+// ratioPart is the part of the allowed ratio that is used. Instances count
+// requests and repeats by their own clocks, and a request counts where its first
+// send arrives, so the windows of instances don't coincide exactly.
+const ratioPart = 0.85
+
+// state joins the cores that requests share. Its methods may be called from
+// several goroutines.
+type state struct {
+	config atomic.Pointer[routing.Config]
+
+	mu      sync.Mutex
+	fleet   *fleet.Core
+	book    *place.Book
+	room    *place.Room
+	waiters map[string]chan place.Decision
+	repeats map[string]*retry.Window // by service
+	bounds  settings.EntryBounds
+	seen    uint64 // version of fleet that book has
+	listed  bool   // the list of upstreams was read once
+}
+
+func newState(s *settings.Entry) *state {
+	book := place.NewBook(s.Instance.Zone)
+	return &state{
+		fleet:   fleet.New(),
+		book:    book,
+		room:    place.NewRoom(book),
+		waiters: make(map[string]chan place.Decision),
+		repeats: make(map[string]*retry.Window),
+		bounds:  s.Bounds,
+	}
+}
+
+// install puts a version in force. An older one than that in force is passed over:
+// reads of the platform may come late.
+func (s *state) install(c *routing.Config) bool {
+	for {
+		old := s.config.Load()
+		if old != nil && old.Version >= c.Version {
+			return false
+		}
+		if s.config.CompareAndSwap(old, c) {
+			return true
+		}
+	}
+}
+
+// changeFleet applies a change and lets placement know.
+func (s *state) changeFleet(now time.Time, change func(f *fleet.Core)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s.fleet)
+	s.expire(now)
+	s.syncBook(now)
+}
+
+// expire forgets entries that did not come back after an outage.
+func (s *state) expire(now time.Time) {
+	for _, id := range s.fleet.Expire(now) {
+		logline.Info("upstream gone", "upstream", id, "why", "still missing after the platform's return")
+	}
+}
+
+func (s *state) syncBook(now time.Time) {
+	if s.seen == s.fleet.Version() {
+		return
+	}
+	s.seen = s.fleet.Version()
+	s.book.SetUpstreams(s.fleet.Usable())
+	s.decideWaiting(now)
+}
+
+// tick decides on what waits.
+func (s *state) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	s.syncBook(now)
+	s.decideWaiting(now)
+}
+
+// decideWaiting hands the room's decisions to the requests. Callers hold mu.
+func (s *state) decideWaiting(now time.Time) {
+	if s.room.Len() == 0 {
+		return
+	}
+	for _, d := range s.room.Tick(now) {
+		if w, ok := s.waiters[d.ID]; ok {
+			delete(s.waiters, d.ID)
+			w <- d
+		}
+	}
+}
+
+// arrive asks for a place. The decision comes on the channel, perhaps at once.
+func (s *state) arrive(now time.Time, q place.Query) <-chan place.Decision {
+	out := make(chan place.Decision, 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d, decided := s.room.Arrive(now, q)
+	if decided {
+		out <- d
+		return out
+	}
+	s.waiters[q.ID] = out
+	return out
+}
+
+// leave takes a request out of the room. It reports false if a decision came first.
+func (s *state) leave(q place.Query) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.room.Leave(q.Service, q.ID) {
+		return false
+	}
+	delete(s.waiters, q.ID)
+	return true
+}
+
+// withBook runs f over the book, and gives places that came free to waiting requests.
+func (s *state) withBook(now time.Time, f func(b *place.Book)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.book)
+	s.decideWaiting(now)
+}
+
+// usable reports whether an upstream may get work right now.
+func (s *state) usable(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Usable(id)
+}
+
+// reported takes the load that came with an answer.
+func (s *state) reported(now time.Time, id string, l *exchange.Load) {
+	if l == nil {
+		return
+	}
+	s.withBook(now, func(b *place.Book) { b.Reported(now, id, l.Running, l.Waiting, l.Slots) })
+}
+
+// firstSend counts a request of a service.
+func (s *state) firstSend(now time.Time, service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.window(service).Request(now)
+}
+
+// mayRepeat counts a further send of a request if the service's bound allows it.
+func (s *state) mayRepeat(now time.Time, service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.window(service).Repeat(now)
+}
+
+func (s *state) window(service string) *retry.Window {
+	w, ok := s.repeats[service]
+	if !ok {
+		w = retry.NewWindow(retry.WindowConfig{
+			Ratio:  s.bounds.RetryRatio * ratioPart,
+			Slack:  s.bounds.RetrySlack / instancesAssumed,
+			Window: s.bounds.RetryWindow(),
+		})
+		s.repeats[service] = w
+	}
+	return w
+}
+
+// waiting counts the requests in the room.
+func (s *state) waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.room.Len()
+}
+
+// upstreamsListed reports whether the list of upstreams was read once.
+func (s *state) upstreamsListed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listed
+}
--- /dev/null
+++ b/internal/process/entry/stop.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+)
+
+// Stages of a planned stop.
+const (
+	stageServing = int32(iota)
+	stageLeaving // the balancer is told, requests are still served
+	stageStopped
+)
+
+const (
+	// leaveShare is the part of the grace in which new requests are still served: the
+	// balancer asks once a second and acts on the second miss.
+	leaveShare = 0.4
+	// hardShare is the part of the grace after which running requests are ended.
+	hardShare = 0.92
+)
+
+// activity counts running requests.
+type activity struct {
+	mu   sync.Mutex
+	n    int
+	idle chan struct{} // closed when n falls to zero; nil: nobody waits
+}
+
+func (a *activity) begin() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.n++
+}
+
+func (a *activity) end() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.n--
+	if a.n == 0 && a.idle != nil {
+		close(a.idle)
+		a.idle = nil
+	}
+}
+
+func (a *activity) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.n
+}
+
+// stop is a planned stop: the balancer is told, callers are asked to close their
+// connections, and running requests go to their end within the grace.
+func (e *Entry) stop() {
+	begun := time.Now()
+	grace := e.cfg.Settings.Bounds.Grace()
+	e.stage.Store(stageLeaving)
+	e.callers.SetKeepAlivesEnabled(false)
+	logline.Info("entry stopping", "running", e.running.count(), "grace", grace)
+	time.Sleep(time.Duration(float64(grace) * leaveShare))
+	bound := begun.Add(time.Duration(float64(grace) * hardShare))
+	ctx, cancel := context.WithDeadline(context.Background(), bound)
+	defer cancel()
+	if err := e.callers.Shutdown(ctx); err != nil {
+		logline.Info("bound on stopping reached", "running", e.running.count(), "error", err)
+		e.stopHard()
+		e.callers.Close()
+	}
+	e.stage.Store(stageStopped)
+	e.ready.Close()
+	e.operators.Close()
+}
--- /dev/null
+++ b/internal/process/fleet/doc.go
@@ -0,0 +1,12 @@
+// Package fleet keeps what a process believes of the upstreams: which exist,
+// which are leaving, and which may get new work. It joins the platform's list
+// with the times at which the platform could not be read. Pure.
+//
+// Invariants:
+//
+//   - An upstream that was once seen leaving never gets new work again; an upstream
+//     that restarts comes back under another id.
+//   - An entry that disappears while the platform can be read is gone at once. One
+//     that disappears around an outage may only have lapsed, because its upstream
+//     could not renew it: it stays for ReturnGrace after the platform's return.
+package fleet
--- /dev/null
+++ b/internal/process/fleet/fleet_test.go
@@ -0,0 +1,95 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func listed(c *Core, id string) bool {
+	for _, list := range c.Usable() {
+		for _, u := range list {
+			if u.ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func TestLeavingIsNeverTakenBack(t *testing.T) {
+	c := New()
+	c.Put(Upstream{ID: "a", Service: "s"})
+	c.Put(Upstream{ID: "a", Service: "s", Leaving: true})
+	c.Put(Upstream{ID: "a", Service: "s"}) // an older answer that came late
+	if listed(c, "a") {
+		t.Error("a leaving upstream gets work again")
+	}
+}
+
+func TestRemovalWithoutAnOutageIsImmediate(t *testing.T) {
+	c := New()
+	c.Replace(at(0), []Upstream{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}})
+	c.Replace(at(time.Second), []Upstream{{ID: "b", Service: "s"}})
+	if listed(c, "a") || !listed(c, "b") {
+		t.Error("the list is not followed")
+	}
+}
+
+func TestLapsedEntriesOutliveAnOutage(t *testing.T) {
+	c := New()
+	c.Replace(at(0), []Upstream{{ID: "a", Service: "s"}, {ID: "b", Service: "s"}, {ID: "leaving", Service: "s", Leaving: true}})
+	c.Lost()
+	if !c.Back(at(10 * time.Second)) {
+		t.Fatal("the return was not noticed")
+	}
+	c.Replace(at(10*time.Second), nil)
+	if !listed(c, "a") || !listed(c, "b") {
+		t.Error("entries that lapsed in an outage lost their work at once")
+	}
+	c.Put(Upstream{ID: "b", Service: "s"})
+	if gone := c.Expire(at(10*time.Second + ReturnGrace)); len(gone) != 1 || gone[0] != "a" {
+		t.Errorf("gone after the grace: %v, want a", gone)
+	}
+	if listed(c, "a") || !listed(c, "b") {
+		t.Error("the grace does not end, or takes along one that came back")
+	}
+}
+
+func TestRemovalAfterTheGraceIsImmediate(t *testing.T) {
+	c := New()
+	c.Put(Upstream{ID: "a", Service: "s"})
+	c.Lost()
+	c.Back(at(0))
+	c.Remove(at(ReturnGrace), "a")
+	if listed(c, "a") {
+		t.Error("a removal long after an outage waits")
+	}
+}
+
+func TestNothingExpiresWhileThePlatformIsAway(t *testing.T) {
+	c := New()
+	c.Put(Upstream{ID: "a", Service: "s"})
+	c.Lost()
+	c.Remove(at(0), "a")
+	if gone := c.Expire(at(time.Minute)); len(gone) != 0 || !listed(c, "a") {
+		t.Errorf("expired in an outage: %v", gone)
+	}
+}
+
+func TestGraceCountsFromTheReturn(t *testing.T) {
+	c := New()
+	c.Put(Upstream{ID: "a", Service: "s"})
+	c.Lost()
+	c.Remove(at(0), "a")
+	c.Back(at(time.Minute))
+	if gone := c.Expire(at(time.Minute + time.Second)); len(gone) != 0 {
+		t.Errorf("gone one second after the return: %v", gone)
+	}
+	if gone := c.Expire(at(time.Minute + ReturnGrace)); len(gone) != 1 {
+		t.Errorf("gone after the grace: %v, want a", gone)
+	}
+}
--- /dev/null
+++ b/internal/process/settings/entry.go
@@ -0,0 +1,120 @@
+package settings
+
+import (
+	"time"
+)
+
+// Entry is the settings file of ragwort-entry.
+type Entry struct {
+	Instance Instance     `json:"instance"`
+	Listen   EntryListen  `json:"listen"`
+	Store    string       `json:"store"` // host:port of the platform's object store
+	Bounds   EntryBounds  `json:"bounds"`
+	Limits   EntryLimits  `json:"limits"`
+	Logging  EntryLogging `json:"logging"`
+}
+
+// EntryListen are the listening addresses, each host:port.
+type EntryListen struct {
+	Callers   string `json:"callers"`
+	Ready     string `json:"ready"`     // for the balancer
+	Operators string `json:"operators"` // metrics; empty: none
+}
+
+// EntryBounds are what the deployment promises and asks for.
+type EntryBounds struct {
+	GraceSeconds       float64 `json:"graceSeconds"`       // from SIGTERM to SIGKILL
+	RetryRatio         float64 `json:"retryRatio"`         // repeats for each request of a service, over all instances
+	RetryWindowSeconds float64 `json:"retryWindowSeconds"` // over which repeats are counted
+	RetrySlack         float64 `json:"retrySlack"`         // repeats in a window that need no request, over all instances
+	LeaseMS            int     `json:"leaseMS"`            // holders of authority over engines may not take turns faster
+	FencingEnforced    bool    `json:"fencingEnforced"`    // engines refuse orders with an old fencing number
+}
+
+// EntryLimits are what the instance may use.
+type EntryLimits struct {
+	MemoryMB int `json:"memoryMB"`
+	OpenFds  int `json:"openFds"`
+}
+
+// EntryLogging bounds the log.
+type EntryLogging struct {
+	LinesPerSecond int `json:"linesPerSecond"` // of plain successes; the rest are counted and left out
+}
+
+// Defaults of Entry beyond those of the other daemons.
+const (
+	DefaultGraceSeconds       = 8
+	DefaultRetryRatio         = 0.1
+	DefaultRetryWindowSeconds = 10
+	DefaultRetrySlack         = 20
+	DefaultLeaseMS            = 3000
+	DefaultMemoryMB           = 256
+	DefaultOpenFds            = 1024
+	DefaultLinesPerSecond     = 20
+)
+
+// LoadEntry reads, completes and checks the settings of an entry process.
+func LoadEntry(path string) (*Entry, error) {
+	s := &Entry{}
+	if err := readFile(path, s); err != nil {
+		return nil, err
+	}
+	s.SetDefaults()
+	return s, s.Validate()
+}
+
+// SetDefaults fills fields that the file leaves out.
+func (s *Entry) SetDefaults() {
+	setDefault(&s.Bounds.GraceSeconds, DefaultGraceSeconds)
+	setDefault(&s.Bounds.RetryRatio, DefaultRetryRatio)
+	setDefault(&s.Bounds.RetryWindowSeconds, DefaultRetryWindowSeconds)
+	setDefault(&s.Bounds.RetrySlack, DefaultRetrySlack)
+	setDefault(&s.Bounds.LeaseMS, DefaultLeaseMS)
+	setDefault(&s.Limits.MemoryMB, DefaultMemoryMB)
+	setDefault(&s.Limits.OpenFds, DefaultOpenFds)
+	setDefault(&s.Logging.LinesPerSecond, DefaultLinesPerSecond)
+}
+
+// Validate checks the settings whole.
+func (s *Entry) Validate() error {
+	var c checker
+	c.require(s.Instance.Name != "", "instance.name", s.Instance.Name, "must not be empty")
+	c.require(s.Instance.Zone != "", "instance.zone", s.Instance.Zone, "must not be empty")
+	c.address("listen.callers", s.Listen.Callers)
+	c.address("listen.ready", s.Listen.Ready)
+	c.address("store", s.Store)
+	if s.Listen.Operators != "" {
+		c.address("listen.operators", s.Listen.Operators)
+	}
+	b := s.Bounds
+	c.require(b.GraceSeconds > 0, "bounds.graceSeconds", b.GraceSeconds, "must be greater than zero")
+	c.require(b.RetryRatio >= 0, "bounds.retryRatio", b.RetryRatio, "must not be negative")
+	c.require(b.RetryWindowSeconds > 0, "bounds.retryWindowSeconds", b.RetryWindowSeconds, "must be greater than zero")
+	c.require(b.RetrySlack >= 0, "bounds.retrySlack", b.RetrySlack, "must not be negative")
+	c.require(b.LeaseMS > 0, "bounds.leaseMS", b.LeaseMS, "must be greater than zero")
+	c.require(s.Limits.MemoryMB > 0, "limits.memoryMB", s.Limits.MemoryMB, "must be greater than zero")
+	c.require(s.Limits.OpenFds > 0, "limits.openFds", s.Limits.OpenFds, "must be greater than zero")
+	c.require(s.Logging.LinesPerSecond > 0, "logging.linesPerSecond", s.Logging.LinesPerSecond, "must be greater than zero")
+	return c.result()
+}
+
+// Grace is the time from SIGTERM to SIGKILL.
+func (b EntryBounds) Grace() time.Duration {
+	return time.Duration(b.GraceSeconds * float64(time.Second))
+}
+
+// RetryWindow is the time over which repeats are counted.
+func (b EntryBounds) RetryWindow() time.Duration {
+	return time.Duration(b.RetryWindowSeconds * float64(time.Second))
+}
+
+// ParseEntry reads settings that are already in memory, for tests and tools.
+func ParseEntry(raw []byte) (*Entry, error) {
+	s := &Entry{}
+	if err := Parse(raw, s); err != nil {
+		return nil, err
+	}
+	s.SetDefaults()
+	return s, s.Validate()
+}
--- /dev/null
+++ b/internal/request/exchange/exchange.go
@@ -0,0 +1,87 @@
+// Package exchange holds what one request and its answers say about themselves
+// besides method, path and body, in the project's own terms. Adapters read and
+// write the headers that carry it.
+package exchange
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Part is one part of a prompt. Requests that share a part name it alike.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Declared is what a caller declares with a request.
+type Declared struct {
+	ID             string        // of this attempt of the caller; every attempt has its own
+	TimeLeft       time.Duration // the caller waits so long; zero: not stated
+	PromptTokens   int
+	MaxOutput      int // output tokens
+	ExpectedOutput int // the caller's estimate; zero: none
+	Parts          []Part
+	LastEvent      string // the caller goes on after this event of an earlier answer; empty: from the start
+}
+
+// Shared gives the key of the parts that other requests may share, and their
+// tokens. The last part belongs to the request itself.
+func (d *Declared) Shared() (key uint64, tokens int) {
+	if len(d.Parts) < 2 {
+		return 0, 0
+	}
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, p := range d.Parts[:len(d.Parts)-1] {
+		_, _ = digest.WriteString(p.ID) // a digest's writes never fail
+		_, _ = digest.Write([]byte{0})
+		tokens += p.Tokens
+	}
+	return digest.Sum64(), tokens
+}
+
+// Send is what this process sets on a request that it passes to an upstream.
+type Send struct {
+	Incarnation string        // the upstream refuses the request if it isn't this one
+	TimeLeft    time.Duration // zero: none
+	Urgency     int           // 0 goes first at the upstream
+	LastEvent   string        // go on after this event; empty: as the caller sent it
+	PrefillOnly bool          // compute the prompt and keep its KV cache
+	KVFrom      string        // where the prompt's KV cache is to be fetched from; empty: nowhere
+}
+
+// Load is what an upstream tells of its load.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Told is what an answer says besides its status and body.
+type Told struct {
+	RequestID string // the request that it answers
+	NotRun    bool   // the upstream did not and will not run the request
+	Sealed    bool   // an upstream's own answer to a request that it ran
+	Load      *Load  // nil: not told
+	Upstream  string // id of the upstream; empty: not told
+}
+
+// Prefilled is the answer to a request of which only the prompt was computed.
+type Prefilled struct {
+	Handle string
+	Tokens int
+}
+
+// Dialect reads and writes the headers of a deployment's conventions.
+type Dialect interface {
+	// Declared reads what a caller declares. An error names the header and value.
+	Declared(h http.Header) (Declared, error)
+	// Outbound gives the headers to send: the caller's, without those that only the
+	// system sets, and what s says.
+	Outbound(caller http.Header, s Send) http.Header
+	// Told reads the headers of an answer.
+	Told(status int, h http.Header) Told
+}
--- /dev/null
+++ b/internal/request/place/book.go
@@ -0,0 +1,316 @@
+package place
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+)
+
+// Weights of the parts of a cost. All are in units of the time that one request
+// takes at an idle upstream of its service, so that they hold for any service.
+const (
+	// awayCost is what crossing to another availability zone is worth: it only
+	// breaks ties between upstreams that are about equally loaded.
+	awayCost = 0.15
+	// missCost is what reading all shared parts of a prompt again is worth. At equal
+	// load a request stays where its shared parts are kept.
+	missCost = 0.6
+	// fullCost is added for each request beyond the slots: it has to wait for another
+	// one to end.
+	fullCost = 2.0
+	// coldCost is added for an upstream that is still slow after its start.
+	coldCost = 1.0
+	// failCost is for an upstream all of whose recent requests failed, beyond the one
+	// of its service that fails least: some kinds of request fail everywhere.
+	failCost = 4.0
+)
+
+// othersHalfLife is how fast a reported load of other processes is forgotten.
+// Requests take tens to hundreds of ms, and every upstream answers several times
+// a second, so an older report says little.
+const othersHalfLife = 400 * time.Millisecond
+
+// queueShare is the part of the slots that may wait at an upstream before it
+// counts as full: one that ends then finds the next request already there. A
+// longer queue at the upstream would only take away the choice of the next one.
+const queueShare = 0.25
+
+// Query is what placement needs to know of a request.
+type Query struct {
+	ID       string
+	Service  string
+	Zone     string // of this process
+	Urgency  int    // 0 goes first
+	Key      uint64 // of the shared parts of the prompt; 0: none
+	Role     upstream.Role
+	Arrived  time.Time
+	StartBy  time.Time // a start after this is of no use
+	Excluded []string  // ids of upstreams tried before
+}
+
+// Choice is the outcome of a pick.
+type Choice struct {
+	Upstream fleet.Upstream
+	Load     float64       // requests believed running or waiting there, of all processes
+	Age      time.Duration // of the report behind Load; negative: none
+	Cost     float64
+}
+
+// load is what is believed of one upstream.
+type load struct {
+	up         fleet.Upstream
+	own        int // requests of this process under way
+	others     float64
+	reportedAt time.Time // zero: never
+	health     health
+}
+
+// Book keeps the load of every upstream. It is not safe for concurrent use.
+type Book struct {
+	zone     string
+	services map[string][]*load
+	byID     map[string]*load
+}
+
+// NewBook makes an empty book for a process of an availability zone.
+func NewBook(zone string) *Book {
+	return &Book{zone: zone, services: make(map[string][]*load), byID: make(map[string]*load)}
+}
+
+// SetUpstreams replaces the upstreams that may get new work. What is under way at
+// others is still counted, so that its end finds it.
+func (b *Book) SetUpstreams(services map[string][]fleet.Upstream) {
+	b.services = make(map[string][]*load, len(services))
+	kept := make(map[string]*load)
+	for service, list := range services {
+		for _, u := range list {
+			l, ok := b.byID[u.ID]
+			if !ok {
+				l = &load{}
+			}
+			l.up = u
+			kept[u.ID] = l
+			b.services[service] = append(b.services[service], l)
+		}
+	}
+	for id, l := range b.byID {
+		if kept[id] == nil && l.own > 0 {
+			kept[id] = l
+		}
+	}
+	b.byID = kept
+}
+
+// Usable reports whether an upstream may still get new work.
+func (b *Book) Usable(id string) bool {
+	l, ok := b.byID[id]
+	if !ok {
+		return false
+	}
+	for _, other := range b.services[l.up.Service] {
+		if other == l {
+			return true
+		}
+	}
+	return false
+}
+
+// Sent counts a request that goes to an upstream.
+func (b *Book) Sent(now time.Time, id string) {
+	if l, ok := b.byID[id]; ok {
+		l.own++
+		l.health.sent(now)
+	}
+}
+
+// Ended counts the end of a request at an upstream.
+func (b *Book) Ended(id string) {
+	if l, ok := b.byID[id]; ok {
+		l.own = max(l.own-1, 0)
+	}
+}
+
+// Reported takes the load that an upstream told with an answer: the requests that
+// it runs and that wait there, from all processes.
+func (b *Book) Reported(now time.Time, id string, running, waiting, slots int) {
+	l, ok := b.byID[id]
+	if !ok {
+		return
+	}
+	l.others = max(0, float64(running+waiting-l.own))
+	l.reportedAt = now
+	if slots > 0 {
+		l.up.Slots = slots
+	}
+}
+
+// Heard notes a sign of life of an upstream: the head or a piece of an answer.
+// answered tells that it is the head, so that one request less waits for it.
+func (b *Book) Heard(now time.Time, id string, answered bool) {
+	if l, ok := b.byID[id]; ok {
+		l.health.heard(now, answered)
+	}
+}
+
+// Succeeded notes an answer that is no failure.
+func (b *Book) Succeeded(now time.Time, id string) {
+	if l, ok := b.byID[id]; ok {
+		l.health.succeeded(now)
+	}
+}
+
+// Failed notes a failure that is the upstream's own. unanswered tells that no head
+// of an answer came.
+func (b *Book) Failed(now time.Time, id string, unanswered bool) {
+	if l, ok := b.byID[id]; ok {
+		l.health.failed(now, unanswered)
+	}
+}
+
+// GaveUp notes that this process stopped waiting for the head of an answer.
+func (b *Book) GaveUp(now time.Time, id string) {
+	if l, ok := b.byID[id]; ok {
+		l.health.gaveUp(now)
+	}
+}
+
+// total estimates the requests at an upstream.
+func (l *load) total(now time.Time) float64 {
+	if l.reportedAt.IsZero() {
+		return float64(l.own)
+	}
+	age := now.Sub(l.reportedAt).Seconds() / othersHalfLife.Seconds()
+	return float64(l.own) + l.others*math.Exp2(-max(age, 0))
+}
+
+func (l *load) slots() float64 { return max(float64(l.up.Slots), 1) }
+
+// full reports whether a further request would only wait at the upstream.
+func (l *load) full(now time.Time) bool {
+	return l.total(now)+1 > l.slots()+math.Ceil(l.slots()*queueShare)
+}
+
+// Eligible counts the upstreams that could serve the request, whatever their load.
+func (b *Book) Eligible(now time.Time, q *Query) int {
+	n := 0
+	for _, l := range b.services[q.Service] {
+		if l.serves(now, q) {
+			n++
+		}
+	}
+	return n
+}
+
+// serves applies the filters of a pick.
+func (l *load) serves(now time.Time, q *Query) bool {
+	if l.health.silent(now) || !canDo(l.up.Role, q.Role) {
+		return false
+	}
+	for _, id := range q.Excluded {
+		if id == l.up.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// canDo reports whether an engine of a role does the work of another.
+func canDo(has, wants upstream.Role) bool {
+	return wants == "" || has == "" || has == wants || has == upstream.RoleBoth
+}
+
+// Pick chooses the upstream with the least cost. ok is false if none is eligible
+// or all eligible ones are full.
+func (b *Book) Pick(now time.Time, q *Query) (choice Choice, ok bool) {
+	best, bestCost := (*load)(nil), math.Inf(1)
+	list := b.services[q.Service]
+	home := b.home(now, q)
+	least := leastFailing(now, list)
+	for _, l := range list {
+		if !l.serves(now, q) || l.full(now) {
+			continue
+		}
+		c := l.cost(now, q, l == home) + failCost*(l.health.failing(now)-least)
+		if c < bestCost {
+			best, bestCost = l, c
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return Choice{Upstream: best.up, Load: best.total(now), Age: best.age(now), Cost: bestCost}, true
+}
+
+func (l *load) age(now time.Time) time.Duration {
+	if l.reportedAt.IsZero() {
+		return -1
+	}
+	return now.Sub(l.reportedAt)
+}
+
+// home is the upstream where the shared parts of a prompt are kept: the first by
+// rendezvous hashing, so that all processes agree without asking and a leaving
+// upstream moves only its own keys.
+func (b *Book) home(now time.Time, q *Query) *load {
+	if q.Key == 0 {
+		return nil
+	}
+	var best *load
+	bestWeight := uint64(0)
+	for _, l := range b.services[q.Service] {
+		if l.health.silent(now) || !canDo(l.up.Role, q.Role) {
+			continue
+		}
+		if w := rank(q.Key, l.up.ID); best == nil || w > bestWeight {
+			best, bestWeight = l, w
+		}
+	}
+	return best
+}
+
+// leastFailing is the share of failures that is usual for a service.
+func leastFailing(now time.Time, list []*load) float64 {
+	least := 1.0
+	for _, l := range list {
+		least = min(least, l.health.failing(now))
+	}
+	return least
+}
+
+func rank(key uint64, id string) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(key)
+	_, _ = d.WriteString(id) // a digest's writes never fail
+	return d.Sum64()
+}
+
+// cost of a request at an upstream.
+func (l *load) cost(now time.Time, q *Query, home bool) float64 {
+	total := l.total(now)
+	c := (total + 1) / l.slots()
+	if over := total + 1 - l.slots(); over > 0 {
+		c += over / l.slots() * fullCost
+	}
+	if l.up.Zone != q.Zone {
+		c += awayCost
+	}
+	if q.Key != 0 && !home {
+		c += missCost
+	}
+	if l.up.Cold > 0 {
+		c += coldCost
+	}
+	// A deterministic tie break that differs between requests.
+	return c + float64(rank(uint64(q.Arrived.UnixNano()), l.up.ID)%1000)*1e-6
+}
+
+const ln2 = math.Ln2
+
+// halved is the factor by which a count fades in elapsed time.
+func halved(elapsed, halfLife time.Duration) float64 {
+	return math.Exp2(-max(elapsed, 0).Seconds() / halfLife.Seconds())
+}
--- /dev/null
+++ b/internal/request/place/health.go
@@ -0,0 +1,88 @@
+package place
+
+import "time"
+
+const (
+	// stallAfter is how long an upstream with unanswered requests may give no sign of
+	// life before it gets no more. Prompts are read in some ten ms and events come
+	// every few ten; a full upstream still answers others in between.
+	stallAfter = 500 * time.Millisecond
+	// trialAfter is the pause before a request tries an upstream that fell silent or
+	// refused connections, so that a restart of a second or two costs few requests.
+	trialAfter = 400 * time.Millisecond
+	// failHalfLife is how fast failures are forgotten.
+	failHalfLife = 2 * time.Second
+	// failStep is the weight of one more outcome in the share of failures: five
+	// failures in a row take the share to about two thirds.
+	failStep = 0.2
+)
+
+// health is what the answers of an upstream tell of it.
+type health struct {
+	unanswered int       // requests whose answer has not begun
+	lifeAt     time.Time // last sign of life, or the first send after a time without requests
+	trial      bool      // one request at a time until an answer comes
+	trialAt    time.Time // no request before this
+	share      float64   // of recent requests that failed
+	shareAt    time.Time
+}
+
+func (h *health) sent(now time.Time) {
+	if h.unanswered == 0 {
+		h.lifeAt = now
+	}
+	h.unanswered++
+}
+
+func (h *health) heard(now time.Time, answered bool) {
+	h.lifeAt = now
+	h.trial = false
+	if answered {
+		h.unanswered = max(h.unanswered-1, 0)
+	}
+}
+
+func (h *health) succeeded(now time.Time) {
+	h.trial = false
+	h.count(now, 0)
+}
+
+// failed takes a failure. One without an answer, a reset say, may mean that the
+// upstream is gone.
+func (h *health) failed(now time.Time, unanswered bool) {
+	h.count(now, 1)
+	if unanswered {
+		h.unanswered = max(h.unanswered-1, 0)
+		h.trial, h.trialAt = true, now.Add(trialAfter)
+	}
+}
+
+// gaveUp takes a request that is no longer waited for. It says nothing of an
+// upstream that answers others.
+func (h *health) gaveUp(now time.Time) {
+	h.unanswered = max(h.unanswered-1, 0)
+	if now.Sub(h.lifeAt) > stallAfter {
+		h.trial, h.trialAt = true, now.Add(trialAfter)
+	}
+}
+
+func (h *health) count(now time.Time, failure float64) {
+	h.share = h.failing(now)*(1-failStep) + failure*failStep
+	h.shareAt = now
+}
+
+// failing is the share of recent requests that failed.
+func (h *health) failing(now time.Time) float64 {
+	if h.share == 0 {
+		return 0
+	}
+	return h.share * halved(now.Sub(h.shareAt), failHalfLife)
+}
+
+// silent reports whether the upstream gets no request now.
+func (h *health) silent(now time.Time) bool {
+	if h.trial {
+		return h.unanswered > 0 || now.Before(h.trialAt)
+	}
+	return h.unanswered > 0 && now.Sub(h.lifeAt) > stallAfter
+}
--- /dev/null
+++ b/internal/request/place/place_test.go
@@ -0,0 +1,227 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func bookOf(list ...fleet.Upstream) *Book {
+	b := NewBook("z1")
+	b.SetUpstreams(map[string][]fleet.Upstream{"s": list})
+	return b
+}
+
+func up(id, zone string, slots int) fleet.Upstream {
+	return fleet.Upstream{ID: id, Service: "s", Zone: zone, Slots: slots}
+}
+
+func query(id string) Query {
+	return Query{ID: id, Service: "s", Zone: "z1", Arrived: at(0), StartBy: at(time.Second)}
+}
+
+func TestPickPrefersTheOwnZoneAtEqualLoad(t *testing.T) {
+	b := bookOf(up("a", "z2", 8), up("b", "z1", 8), up("c", "z2", 8))
+	q := query("r")
+	if c, ok := b.Pick(at(0), &q); !ok || c.Upstream.ID != "b" {
+		t.Errorf("picked %q, want the upstream of the own zone", c.Upstream.ID)
+	}
+	for range 3 {
+		b.Sent(at(0), "b")
+	}
+	if c, _ := b.Pick(at(0), &q); c.Upstream.ID == "b" {
+		t.Error("the own zone's upstream is taken although others are idle")
+	}
+}
+
+func TestPickKeepsSharedPromptsTogether(t *testing.T) {
+	b := bookOf(up("a", "z2", 8), up("b", "z1", 8), up("c", "z3", 8))
+	first := map[uint64]string{}
+	for key := uint64(1); key < 50; key++ {
+		q := query("r")
+		q.Key = key
+		c, _ := b.Pick(at(0), &q)
+		first[key] = c.Upstream.ID
+	}
+	other := NewBook("z3")
+	other.SetUpstreams(map[string][]fleet.Upstream{"s": {up("c", "z3", 8), up("b", "z1", 8), up("a", "z2", 8)}})
+	for key, want := range first {
+		q := query("r")
+		q.Key, q.Zone = key, "z3"
+		if c, _ := other.Pick(at(0), &q); c.Upstream.ID != want {
+			t.Errorf("key %d: %q at another process, %q here", key, c.Upstream.ID, want)
+		}
+	}
+}
+
+func TestPickCountsWhatOtherProcessesSent(t *testing.T) {
+	b := bookOf(up("a", "z1", 8), up("b", "z1", 8))
+	b.Reported(at(0), "a", 8, 5, 8)
+	q := query("r")
+	if c, _ := b.Pick(at(10*time.Millisecond), &q); c.Upstream.ID != "b" {
+		t.Error("picked an upstream that told it is full")
+	}
+	b.Reported(at(0), "b", 8, 5, 8)
+	if _, ok := b.Pick(at(10*time.Millisecond), &q); ok {
+		t.Error("picked although all are full")
+	}
+	if _, ok := b.Pick(at(5*time.Second), &q); !ok {
+		t.Error("old reports are believed for ever")
+	}
+}
+
+func TestFilters(t *testing.T) {
+	prefill := up("p", "z1", 8)
+	prefill.Role = upstream.RolePrefill
+	decode := up("d", "z1", 8)
+	decode.Role = upstream.RoleDecode
+	b := bookOf(prefill, decode)
+	q := query("r")
+	q.Role = upstream.RoleDecode
+	if c, _ := b.Pick(at(0), &q); c.Upstream.ID != "d" {
+		t.Errorf("picked %q for a decode", c.Upstream.ID)
+	}
+	b.Failed(at(0), "d", true)
+	if n := b.Eligible(at(0), &q); n != 0 {
+		t.Errorf("%d eligible, want none", n)
+	}
+	b.Succeeded(at(0), "d")
+	q.Excluded = []string{"d"}
+	if _, ok := b.Pick(at(0), &q); ok {
+		t.Error("an upstream that was tried is picked again")
+	}
+}
+
+func TestLeavingUpstreamIsNotUsable(t *testing.T) {
+	b := bookOf(up("a", "z1", 8))
+	b.Sent(at(0), "a")
+	b.SetUpstreams(map[string][]fleet.Upstream{"s": {up("b", "z1", 8)}})
+	if b.Usable("a") || !b.Usable("b") {
+		t.Error("usable does not follow the list")
+	}
+	b.Ended("a") // must find what is still under way
+}
+
+// TestOverloadServesTheUrgentFirst fills all places and checks who starts and who
+// is refused when.
+func TestOverloadServesTheUrgentFirst(t *testing.T) {
+	b := bookOf(up("a", "z1", 1))
+	r := NewRoom(b)
+	for i := range 2 { // one slot and one that waits at the upstream
+		if d, decided := r.Arrive(at(0), query(fmt.Sprint("first", i))); !decided || d.Refused != "" {
+			t.Fatalf("no place at an idle upstream: %+v", d)
+		}
+	}
+	later, urgent := query("later"), query("urgent")
+	later.Urgency, urgent.Urgency = 1, 0
+	for _, q := range []Query{later, urgent} {
+		if _, decided := r.Arrive(at(0), q); decided {
+			t.Fatalf("%s did not wait", q.ID)
+		}
+	}
+	b.Ended("a")
+	out := r.Tick(at(10 * time.Millisecond))
+	if len(out) != 1 || out[0].ID != "urgent" || out[0].Refused != "" {
+		t.Fatalf("started %+v, want the urgent one", out)
+	}
+	out = r.Tick(at(time.Second))
+	if len(out) != 1 || out[0].ID != "later" || out[0].Refused != NoPlace {
+		t.Fatalf("at its latest start: %+v", out)
+	}
+	if out[0].RetryAfter < minRetryAfter || out[0].RetryAfter > maxRetryAfter {
+		t.Errorf("retry after %v", out[0].RetryAfter)
+	}
+	if r.Len() != 0 {
+		t.Errorf("%d still wait", r.Len())
+	}
+}
+
+func TestRefusedAtOnceWithoutAnyUpstream(t *testing.T) {
+	r := NewRoom(bookOf())
+	if d, decided := r.Arrive(at(0), query("r")); !decided || d.Refused != NoUpstream {
+		t.Errorf("%+v, want a refusal at once", d)
+	}
+}
+
+func TestLeave(t *testing.T) {
+	b := bookOf(up("a", "z1", 1))
+	b.Reported(at(0), "a", 9, 9, 1)
+	r := NewRoom(b)
+	if _, decided := r.Arrive(at(0), query("r")); decided {
+		t.Fatal("did not wait")
+	}
+	if !r.Leave("s", "r") || r.Leave("s", "r") || r.Len() != 0 {
+		t.Error("a request leaves once")
+	}
+}
+
+func TestSilentUpstreamGetsOneTrialAtATime(t *testing.T) {
+	b := bookOf(up("a", "z1", 8))
+	q := query("r")
+	serves := func(d time.Duration) bool { return b.Eligible(at(d), &q) == 1 }
+	b.Sent(at(0), "a")
+	b.Sent(at(0), "a")
+	if !serves(stallAfter) || serves(stallAfter+time.Millisecond) {
+		t.Fatal("an upstream that doesn't answer is silent after a while")
+	}
+	b.Heard(at(stallAfter+2*time.Millisecond), "a", false)
+	if !serves(stallAfter + 3*time.Millisecond) {
+		t.Error("a sign of life does not lift the suspicion")
+	}
+	b.GaveUp(at(2*time.Second), "a")
+	b.GaveUp(at(2*time.Second), "a")
+	if serves(2*time.Second) || !serves(2*time.Second+trialAfter) {
+		t.Error("after requests were given up a trial is due, and not before")
+	}
+	b.Sent(at(2*time.Second+trialAfter), "a")
+	if serves(2*time.Second + trialAfter) {
+		t.Error("a second request goes along with the trial")
+	}
+	b.Heard(at(2*time.Second+trialAfter+time.Millisecond), "a", true)
+	b.Succeeded(at(2*time.Second+trialAfter+time.Millisecond), "a")
+	if !serves(2*time.Second + trialAfter + time.Millisecond) {
+		t.Error("an answered trial does not bring the upstream back")
+	}
+}
+
+func TestFailingUpstreamIsAvoidedAndComesBack(t *testing.T) {
+	b := bookOf(up("a", "z1", 8), up("b", "z1", 8))
+	q := query("r")
+	for range 5 {
+		b.Sent(at(0), "a")
+		b.Heard(at(0), "a", true)
+		b.Failed(at(0), "a", false)
+		b.Ended("a")
+	}
+	for range 3 {
+		b.Sent(at(0), "b")
+		b.Heard(at(0), "b", true)
+	}
+	if c, _ := b.Pick(at(0), &q); c.Upstream.ID != "b" {
+		t.Error("an upstream that fails its requests is preferred")
+	}
+	if c, _ := b.Pick(at(20*time.Second), &q); c.Upstream.ID != "a" {
+		t.Error("failures are remembered for ever")
+	}
+}
+
+func TestFailuresOfAllAreTheRequests(t *testing.T) {
+	b := bookOf(up("a", "z2", 8), up("b", "z1", 8))
+	q := query("r")
+	for _, id := range []string{"a", "b", "a", "b"} {
+		b.Sent(at(0), id)
+		b.Heard(at(0), id, true)
+		b.Failed(at(0), id, false)
+		b.Ended(id)
+	}
+	if c, ok := b.Pick(at(0), &q); !ok || c.Upstream.ID != "b" {
+		t.Errorf("%q %v, want the own zone as ever", c.Upstream.ID, ok)
+	}
+}
--- /dev/null
+++ b/internal/request/place/room.go
@@ -0,0 +1,214 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Why a request is refused without having been sent.
+type Why string
+
+// The reasons of a refusal.
+const (
+	NoUpstream Why = "no upstream can serve the request"
+	NoPlace    Why = "no place came free in time"
+	Overtaken  Why = "more urgent requests fill the waiting room"
+)
+
+// maxWaiting bounds the requests that wait in one process. It is far more than a
+// process can start within the time a request may wait, and keeps a flood from
+// growing the memory.
+const maxWaiting = 512
+
+// Decision is the outcome for one request: a place, or a refusal with the time
+// after which a place is likely.
+type Decision struct {
+	ID         string
+	Choice     Choice
+	Refused    Why // empty: placed
+	RetryAfter time.Duration
+}
+
+// waiting is a request in the room.
+type waiting struct {
+	q Query
+}
+
+// Room keeps requests until there is a place for them. It is not safe for
+// concurrent use.
+type Room struct {
+	book   *Book
+	queues map[string][]waiting // by service, in the order of starting
+	count  int
+	starts map[string]*startRate
+}
+
+// NewRoom makes an empty room over a book.
+func NewRoom(book *Book) *Room {
+	return &Room{book: book, queues: make(map[string][]waiting), starts: make(map[string]*startRate)}
+}
+
+// Len counts the requests that wait.
+func (r *Room) Len() int { return r.count }
+
+// Waiting counts the requests that wait for a service.
+func (r *Room) Waiting(service string) int { return len(r.queues[service]) }
+
+// Arrive decides on a request at once, or lets it wait (decided is false).
+func (r *Room) Arrive(now time.Time, q Query) (d Decision, decided bool) {
+	if r.book.Eligible(now, &q) == 0 {
+		return Decision{ID: q.ID, Refused: NoUpstream, RetryAfter: r.retryAfter(now, q.Service)}, true
+	}
+	if len(r.queues[q.Service]) == 0 || q.Urgency < r.queues[q.Service][0].q.Urgency {
+		if choice, ok := r.place(now, &q); ok {
+			return Decision{ID: q.ID, Choice: choice}, true
+		}
+	}
+	if r.count >= maxWaiting {
+		return Decision{ID: q.ID, Refused: Overtaken, RetryAfter: r.retryAfter(now, q.Service)}, true
+	}
+	if !q.StartBy.After(now) {
+		return Decision{ID: q.ID, Refused: NoPlace, RetryAfter: r.retryAfter(now, q.Service)}, true
+	}
+	r.insert(q)
+	return Decision{}, false
+}
+
+// place picks an upstream and counts the start.
+func (r *Room) place(now time.Time, q *Query) (Choice, bool) {
+	choice, ok := r.book.Pick(now, q)
+	if !ok {
+		return choice, false
+	}
+	r.book.Sent(now, choice.Upstream.ID)
+	r.rate(q.Service).started(now)
+	return choice, true
+}
+
+// insert keeps the queue in the order of urgency, then of arrival.
+func (r *Room) insert(q Query) {
+	list := r.queues[q.Service]
+	at, _ := slices.BinarySearchFunc(list, q, func(w waiting, q Query) int {
+		if c := cmp.Compare(w.q.Urgency, q.Urgency); c != 0 {
+			return c
+		}
+		if w.q.Arrived.After(q.Arrived) {
+			return 1
+		}
+		return -1
+	})
+	r.queues[q.Service] = slices.Insert(list, at, waiting{q: q})
+	r.count++
+}
+
+// Tick decides on waiting requests: the first ones get the places that came free,
+// and those that can't start in time any more are refused.
+func (r *Room) Tick(now time.Time) []Decision {
+	var out []Decision
+	for service, list := range r.queues {
+		kept := list[:0]
+		blocked := false
+		for _, w := range list {
+			d, decided := r.decide(now, &w.q, &blocked)
+			if !decided {
+				kept = append(kept, w)
+				continue
+			}
+			out = append(out, d)
+			r.count--
+		}
+		r.queues[service] = kept
+	}
+	return out
+}
+
+// decide on one waiting request. blocked tells that a more urgent one found no
+// place; a request that has tried upstreams before has fewer to choose from and
+// doesn't block others.
+func (r *Room) decide(now time.Time, q *Query, blocked *bool) (Decision, bool) {
+	if !q.StartBy.After(now) {
+		return Decision{ID: q.ID, Refused: NoPlace, RetryAfter: r.retryAfter(now, q.Service)}, true
+	}
+	if *blocked {
+		return Decision{}, false
+	}
+	if choice, ok := r.place(now, q); ok {
+		return Decision{ID: q.ID, Choice: choice}, true
+	}
+	if r.book.Eligible(now, q) == 0 {
+		return Decision{ID: q.ID, Refused: NoUpstream, RetryAfter: r.retryAfter(now, q.Service)}, true
+	}
+	*blocked = len(q.Excluded) == 0
+	return Decision{}, false
+}
+
+// Leave takes a request out that needs no place any more. It reports false if
+// the request isn't waiting.
+func (r *Room) Leave(service, id string) bool {
+	list := r.queues[service]
+	for i := range list {
+		if list[i].q.ID == id {
+			r.queues[service] = slices.Delete(list, i, i+1)
+			r.count--
+			return true
+		}
+	}
+	return false
+}
+
+// retryAfter is when a refused request is likely to find a place: the time that
+// the requests before it take at the rate of recent starts.
+func (r *Room) retryAfter(now time.Time, service string) time.Duration {
+	return r.rate(service).wait(now, len(r.queues[service])+1)
+}
+
+func (r *Room) rate(service string) *startRate {
+	s, ok := r.starts[service]
+	if !ok {
+		s = &startRate{}
+		r.starts[service] = s
+	}
+	return s
+}
+
+// Bounds of a suggested return. Less than the least one brings a client back
+// before anything has changed; the most is about the time in which a burst ends
+// or a lost upstream is replaced.
+const (
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+)
+
+// startRateWindow is how fast older starts are forgotten.
+const startRateWindow = time.Second
+
+// startRate estimates how many requests start in a second.
+type startRate struct {
+	count float64
+	at    time.Time
+}
+
+func (s *startRate) started(now time.Time) {
+	s.fade(now)
+	s.count++
+}
+
+func (s *startRate) fade(now time.Time) {
+	if !s.at.IsZero() {
+		s.count *= halved(now.Sub(s.at), startRateWindow)
+	}
+	s.at = now
+}
+
+// wait is the time in which n requests start.
+func (s *startRate) wait(now time.Time, n int) time.Duration {
+	s.fade(now)
+	if s.count < 1 {
+		return maxRetryAfter
+	}
+	// A count that halves each window, fed at rate r a second, settles at r*window/ln 2.
+	perSecond := s.count * ln2 / startRateWindow.Seconds()
+	wait := time.Duration(float64(n) / perSecond * float64(time.Second))
+	return min(max(wait, minRetryAfter), maxRetryAfter)
+}
--- /dev/null
+++ b/internal/version/routing/config.go
@@ -0,0 +1,139 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Kind says how often a request of a route may run.
+type Kind string
+
+// The kinds of a route.
+const (
+	Idempotent Kind = "idempotent"   // may run more than once
+	AtMostOnce Kind = "at-most-once" // may run once for each request id
+	Streaming  Kind = "streaming"    // answered by events; at most once unless the route is resumable
+)
+
+// Target is a service that gets a share of a route's requests.
+type Target struct {
+	Service string
+	Weight  int // relative to the other targets of the route
+}
+
+// Route is one rule of the configuration.
+type Route struct {
+	Name        string
+	Host        string
+	PathPrefix  string // begins and ends with a slash
+	Kind        Kind
+	Timeout     time.Duration // from arrival to the end of the answer; zero: none
+	Objective   time.Duration // an answer within it earns its full value
+	MaxGap      time.Duration // longest pause between events of an answer on time
+	Priority    int           // 0 is the most urgent
+	MaxAttempts int           // upstreams that one request may be sent to
+	Resumable   bool          // a stream may go on at another upstream after an event
+	SharesState bool          // requests name the parts of their prompt
+	Targets     []Target
+}
+
+// Repeatable reports whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
+}
+
+// Pick chooses a target by weight. The same seed gives the same choice in one version.
+func (r *Route) Pick(seed string) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	if total <= 0 {
+		if len(r.Targets) == 0 {
+			return ""
+		}
+		return r.Targets[0].Service
+	}
+	at := int(xxhash.Sum64String(seed) % uint64(total))
+	for _, t := range r.Targets {
+		if at -= t.Weight; at < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Engine is what the configuration says of the model engines of a service.
+type Engine struct {
+	Slots       int           // requests of one batch
+	KVTokens    int           // KV cache memory, tokens
+	HandleLife  time.Duration // how long a prefilled prompt waits for its decode
+	RoleSwitch  time.Duration // an engine is away this long for a change of role
+	EventStride int           // output tokens in one event
+}
+
+// Service is a group of upstreams that stand in for each other.
+type Service struct {
+	Name           string
+	HealthPath     string
+	MaxConnections int     // that one upstream accepts from all callers together
+	Engine         *Engine // nil: a plain service
+}
+
+// Limits bound what a caller may send. Zero fields do not bind.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version  uint64
+	Routes   []Route
+	Services map[string]Service
+	Limits   Limits
+	byHost   map[string][]int // indices of Routes, longest prefix first
+}
+
+// New makes a version and indexes its routes.
+func New(version uint64, routes []Route, services []Service, limits Limits) *Config {
+	c := &Config{
+		Version: version, Routes: routes, Limits: limits,
+		Services: make(map[string]Service, len(services)),
+		byHost:   make(map[string][]int),
+	}
+	for _, s := range services {
+		c.Services[s.Name] = s
+	}
+	for i, r := range routes {
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], i)
+	}
+	for _, list := range c.byHost {
+		slices.SortStableFunc(list, func(a, b int) int {
+			return cmp.Compare(len(routes[b].PathPrefix), len(routes[a].PathPrefix))
+		})
+	}
+	return c
+}
+
+// Match finds the route of a request: among the routes of its host the one with
+// the longest prefix of the path.
+func (c *Config) Match(host, path string) (*Route, bool) {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, i := range c.byHost[host] {
+		if strings.HasPrefix(path, c.Routes[i].PathPrefix) {
+			return &c.Routes[i], true
+		}
+	}
+	return nil, false
+}
