Read long prompts at engines that prefill, and fetch them from there

Change: a request with a long prompt first takes a place at a decoding engine, then has its prompt read at the engine that keeps its shared parts (rendezvous hashing, elsewhere once that one is busier than reading them anew costs), then runs with the KV cache fetched from there. A cache that is not fetched is released.

--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -9,6 +9,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
@@ -27,22 +28,29 @@
 	run  errkind.RunState
 	err  error // nil: the answer was passed on whole
 	sent bool  // a byte may have reached the upstream
+
+	noPlace *errkind.Error // set if the send needed a place elsewhere and found none
 }
 
-// execute runs a request: it asks for a place, sends, and sends again where that
-// is allowed, until there is a final answer. nil: the whole answer was passed on.
+// execute runs a request: it asks for a place, has the prompt read elsewhere if
+// that is better, sends, and sends again where that is allowed, until there is a
+// final answer. nil: the whole answer was passed on.
 func (q *request) execute(ctx context.Context) *errkind.Error {
 	q.e.state.firstSend(q.arrived, q.service)
 	a := &answer{q: q}
 	for {
-		choice, refusal := q.placed(ctx)
+		choice, refusal := q.placed(ctx, q.role())
 		if refusal != nil {
 			return q.refusedPlace(refusal, a)
 		}
 		out := q.attempt(ctx, choice, a)
+		q.e.state.ended(choice.Upstream.ID)
 		if out.err == nil {
 			return nil
 		}
+		if out.noPlace != nil {
+			return q.refusedPlace(out.noPlace, a)
+		}
 		q.run = retry.Worst(q.run, out.run)
 		if final := q.interrupted(ctx); final != nil {
 			return final
@@ -56,10 +64,28 @@
 	}
 }
 
+// attempt has the prompt read where that is better, and runs the request.
+func (q *request) attempt(ctx context.Context, choice place.Choice, a *answer) outcome {
+	var kv *prefilled
+	if q.prefillsApart() {
+		var out outcome
+		if kv, out = q.prefill(ctx); out.noPlace != nil || ctx.Err() != nil {
+			return out
+		}
+		q.readHere = kv == nil // the decoding engine reads the prompt, slowly
+	}
+	out := q.send(ctx, choice, kv, a)
+	if kv != nil && out.run == errkind.NotRun {
+		kv.release(q.e)
+		q.readHere = true // a second prefill would count as a repeat
+	}
+	return out
+}
+
 // placed waits for a place.
-func (q *request) placed(ctx context.Context) (place.Choice, *errkind.Error) {
+func (q *request) placed(ctx context.Context, role upstream.Role) (place.Choice, *errkind.Error) {
 	now := time.Now()
-	query := q.query()
+	query := q.query(role)
 	decision := q.e.state.arrive(now, query)
 	var d place.Decision
 	select {
@@ -97,13 +123,10 @@
 	return errkind.Wrap(refusal, errkind.OutcomeUnknown, q.run, "the request may have run and no other upstream can serve it")
 }
 
-// attempt sends a request to one upstream and passes its answer on.
-func (q *request) attempt(ctx context.Context, choice place.Choice, a *answer) outcome {
+// send sends a request to one upstream and passes its answer on. kv is where the
+// upstream fetches the prompt's KV cache; nil: it reads the prompt itself.
+func (q *request) send(ctx context.Context, choice place.Choice, kv *prefilled, a *answer) outcome {
 	st, id := q.e.state, choice.Upstream.ID
-	defer func() {
-		now := time.Now()
-		st.withBook(now, func(b *place.Book) { b.Ended(id) })
-	}()
 	if !st.usable(id) {
 		st.withBook(time.Now(), func(b *place.Book) { b.GaveUp(time.Now(), id) })
 		return outcome{run: errkind.NotRun, err: errLeaving}
@@ -112,10 +135,14 @@
 	defer cancel() // ends what an upstream still does for an answer that was given up
 	q.upstream = id
 	q.sends++
-	resp, err := q.e.client.Forward(ctx, q.call(choice, a))
+	resp, err := q.e.client.Forward(ctx, q.call(choice.Upstream, q.sendHeaders(kv, a)))
 	now := time.Now()
 	if err != nil {
-		return q.sendFailed(ctx, now, id, err)
+		out := q.sendFailed(ctx, now, id, err)
+		if out.sent {
+			q.ranSends++
+		}
+		return out
 	}
 	defer resp.Body.Close()
 	st.withBook(now, func(b *place.Book) { b.Heard(now, id, true) })
@@ -126,17 +153,26 @@
 	return out
 }
 
-// call builds what is sent.
-func (q *request) call(choice place.Choice, a *answer) upstream.ServiceCall {
-	send := exchange.Send{Incarnation: choice.Upstream.ID, Urgency: q.route.Priority}
-	if left, ok := q.left(time.Now()); ok {
-		send.TimeLeft = max(left, time.Millisecond)
-	}
+// sendHeaders is what this process sets on a send that runs the request.
+func (q *request) sendHeaders(kv *prefilled, a *answer) exchange.Send {
+	send := exchange.Send{}
 	if last, ok := a.order.Last(); ok && q.begun {
 		send.LastEvent = last
 	}
+	if kv != nil {
+		send.KVFrom = q.e.cfg.Dialect.KVSource(kv.at.Address, kv.handle)
+	}
+	return send
+}
+
+// call builds what is sent to an upstream.
+func (q *request) call(u fleet.Upstream, send exchange.Send) upstream.ServiceCall {
+	send.Incarnation, send.Urgency = u.ID, q.route.Priority
+	if left, ok := q.left(time.Now()); ok {
+		send.TimeLeft = max(left, time.Millisecond)
+	}
 	return upstream.ServiceCall{
-		Address:       "http://" + choice.Upstream.Address,
+		Address:       "http://" + u.Address,
 		Method:        q.r.Method,
 		Path:          q.r.URL.EscapedPath(),
 		RawQuery:      q.r.URL.RawQuery,
@@ -152,8 +188,6 @@
 	out := outcome{run: errkind.RunUnknown, err: err, sent: true}
 	if errors.Is(err, upstream.ErrNotRun) {
 		out.run, out.sent = errkind.NotRun, false
-	} else {
-		q.ranSends++
 	}
 	q.e.state.withBook(now, func(b *place.Book) {
 		if ctx.Err() != nil {
--- a/internal/process/entry/ports.go
+++ b/internal/process/entry/ports.go
@@ -27,12 +27,19 @@
 	Watch(ctx context.Context, from uint64, wait time.Duration) (*routing.Config, uint64, error)
 }
 
+// Engines calls engines beside the requests of callers.
+type Engines interface {
+	// Release lets an engine forget the KV cache of a prompt that nobody will fetch.
+	Release(ctx context.Context, u fleet.Upstream, handle string) error
+}
+
 // Config of an entry process.
 type Config struct {
 	Settings  *settings.Entry
 	Upstreams UpstreamFeed
 	Configs   ConfigFeed
 	Dialect   exchange.Dialect
+	Engines   Engines
 	ReadyPath string                          // of the balancer's question
 	Reload    func() (*settings.Entry, error) // reads the settings again; nil: they don't change
 }
--- /dev/null
+++ b/internal/process/entry/prefill.go
@@ -0,0 +1,129 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+)
+
+const (
+	// apartTokens is the shortest prompt that is read apart from its decode. A shorter
+	// one takes the decoding engine a step or two, less than the second send.
+	apartTokens = 512
+	// prefillTries bounds the engines that are asked to read one prompt.
+	prefillTries = 2
+	// prefillAnswerBytes bounds the answer to a prefill, which is some hundred bytes.
+	prefillAnswerBytes = 64 << 10
+)
+
+// prefilled is the KV cache of a prompt that waits at an engine.
+type prefilled struct {
+	at     fleet.Upstream
+	handle string
+}
+
+// release lets the engine forget the cache. Nobody waits for it.
+func (p *prefilled) release(e *Entry) {
+	e.loop(func() {
+		if err := e.cfg.Engines.Release(e.hardStop, p.at, p.handle); err != nil {
+			logline.Info("prompt not released", "upstream", p.at.ID, "error", err)
+		}
+	})
+}
+
+// prefillsApart reports whether the prompt is to be read at an engine for prompts.
+func (q *request) prefillsApart() bool {
+	if q.role() != upstream.RoleDecode || q.begun || q.declared.LastEvent != "" {
+		return false
+	}
+	if q.prompt.Own < apartTokens || q.readHere {
+		return false
+	}
+	query := q.query(upstream.RolePrefill)
+	return q.e.state.eligible(time.Now(), &query) > 0
+}
+
+// prefill has the prompt read. An outcome with an error is the end of the attempt;
+// the request has not run then.
+func (q *request) prefill(ctx context.Context) (*prefilled, outcome) {
+	var out outcome
+	for try := range prefillTries {
+		choice, refusal := q.placed(ctx, upstream.RolePrefill)
+		if refusal != nil {
+			return nil, outcome{run: errkind.NotRun, err: refusal, noPlace: refusal}
+		}
+		var kv *prefilled
+		kv, out = q.sendPrefill(ctx, choice)
+		q.e.state.ended(choice.Upstream.ID)
+		if out.err == nil {
+			return kv, out
+		}
+		q.excluded = append(q.excluded, choice.Upstream.ID)
+		logline.Info("prefill failed", "request", q.declared.ID, "upstream", choice.Upstream.ID, "try", try,
+			"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", out.err)
+		if ctx.Err() != nil || (out.sent && !q.e.state.mayRepeat(time.Now(), q.service)) {
+			break
+		}
+	}
+	return nil, out
+}
+
+// sendPrefill has one engine read the prompt. Whatever comes of it, the request has
+// not run.
+func (q *request) sendPrefill(ctx context.Context, choice place.Choice) (*prefilled, outcome) {
+	st, u := q.e.state, choice.Upstream
+	if !st.usable(u.ID) {
+		st.withBook(time.Now(), func(b *place.Book) { b.GaveUp(time.Now(), u.ID) })
+		return nil, outcome{run: errkind.NotRun, err: errLeaving}
+	}
+	begun := time.Now()
+	resp, err := q.e.client.Forward(ctx, q.call(u, exchange.Send{PrefillOnly: true}))
+	now := time.Now()
+	if err != nil {
+		out := q.sendFailed(ctx, now, u.ID, err)
+		out.run = errkind.NotRun
+		return nil, out
+	}
+	defer resp.Body.Close()
+	st.withBook(now, func(b *place.Book) { b.Heard(now, u.ID, true) })
+	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
+	st.reported(now, u.ID, told.Load)
+	kv, err := q.readPrefilled(u, resp, told)
+	out := outcome{run: errkind.NotRun, err: err, sent: true}
+	q.judge(ctx, u.ID, out, told)
+	if err == nil {
+		st.withBook(now, func(b *place.Book) { b.Prefilled(now, u.ID, &q.prompt, now.Sub(begun), choice.Load) })
+	}
+	return kv, out
+}
+
+func (q *request) readPrefilled(u fleet.Upstream, resp upstream.ServiceAnswer, told exchange.Told) (*prefilled, error) {
+	if told.RequestID != "" && told.RequestID != q.declared.ID {
+		return nil, errCrossed
+	}
+	if told.NotRun {
+		return nil, errRefused
+	}
+	if resp.Status != http.StatusOK {
+		return nil, errors.Wrapf(errServer, "status %d", resp.Status)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, prefillAnswerBytes))
+	if err != nil {
+		return nil, errors.Wrap(errNotWhole, err.Error())
+	}
+	p, err := q.e.cfg.Dialect.Prefilled(body)
+	if err != nil {
+		return nil, err
+	}
+	return &prefilled{at: u, handle: p.Handle}, nil
+}
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
@@ -31,6 +32,7 @@
 	route    *routing.Route
 	service  string
 	declared exchange.Declared
+	prompt   place.Prompt
 	body     []byte
 	until    time.Time // when the caller or the operator stops waiting; zero: never
 
@@ -39,6 +41,7 @@
 	ranSends int // sends that were not provably without effect
 	excluded []string
 	run      errkind.RunState // worst over all sends
+	readHere bool             // the prompt is read by the engine that decodes
 	begun    bool             // the caller has seen a part of the answer
 	waited   time.Duration    // in the room
 	first    time.Duration    // until the first piece of the answer
@@ -60,6 +63,7 @@
 		return q, err
 	}
 	q.service = q.route.Pick(q.declared.ID)
+	q.prompt = promptOf(&q.declared)
 	q.until = q.limit()
 	return q, q.readBody()
 }
@@ -151,9 +155,8 @@
 // would be late even at an idle upstream.
 const startShare = 0.6
 
-// query is what placement needs.
-func (q *request) query() place.Query {
-	key, _ := q.declared.Shared()
+// query is what placement needs to find an engine of a role.
+func (q *request) query(role upstream.Role) place.Query {
 	wait := time.Duration(float64(q.route.Objective) * startShare)
 	if wait <= 0 {
 		wait = defaultStartWait
@@ -164,11 +167,21 @@
 	}
 	return place.Query{
 		ID: q.declared.ID, Service: q.service, Zone: q.e.cfg.Settings.Instance.Zone,
-		Urgency: q.route.Priority, Key: key, Role: q.role(),
+		Urgency: q.route.Priority, Prompt: q.prompt, Role: role,
 		Arrived: q.arrived, StartBy: startBy, Excluded: q.excluded,
 	}
 }
 
+// promptOf is what placement needs to know of a prompt.
+func promptOf(d *exchange.Declared) place.Prompt {
+	key, shared, own := d.Shared()
+	p := place.Prompt{Key: key, Own: own, Parts: make([]place.Part, len(shared))}
+	for i, part := range shared {
+		p.Parts[i] = place.Part{ID: part.ID, Tokens: part.Tokens}
+	}
+	return p
+}
+
 // interrupted gives the final answer if the context has ended.
 func (q *request) interrupted(ctx context.Context) *errkind.Error {
 	if ctx.Err() == nil {
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -132,7 +132,7 @@
 func (s *state) leave(q place.Query) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.room.Leave(q.Service, q.ID) {
+	if !s.room.Leave(&q) {
 		return false
 	}
 	delete(s.waiters, q.ID)
@@ -154,6 +154,18 @@
 	return s.book.Usable(id)
 }
 
+// ended counts the end of a request at an upstream.
+func (s *state) ended(id string) {
+	s.withBook(time.Now(), func(b *place.Book) { b.Ended(id) })
+}
+
+// eligible counts the upstreams that could serve a request, whatever their load.
+func (s *state) eligible(now time.Time, q *place.Query) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Eligible(now, q)
+}
+
 // reported takes the load that came with an answer.
 func (s *state) reported(now time.Time, id string, l *exchange.Load) {
 	if l == nil {
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -27,20 +27,23 @@
 	LastEvent      string // the caller goes on after this event of an earlier answer; empty: from the start
 }
 
-// Shared gives the key of the parts that other requests may share, and their
-// tokens. The last part belongs to the request itself.
-func (d *Declared) Shared() (key uint64, tokens int) {
-	if len(d.Parts) < 2 {
-		return 0, 0
+// Shared gives the parts that other requests may share, and a key of them. The last
+// part belongs to the request itself.
+func (d *Declared) Shared() (key uint64, shared []Part, own int) {
+	if len(d.Parts) == 0 {
+		return 0, nil, d.PromptTokens
+	}
+	last := len(d.Parts) - 1
+	if last == 0 {
+		return 0, nil, d.Parts[0].Tokens
 	}
 	var digest xxhash.Digest
 	digest.Reset()
-	for _, p := range d.Parts[:len(d.Parts)-1] {
+	for _, p := range d.Parts[:last] {
 		_, _ = digest.WriteString(p.ID) // a digest's writes never fail
 		_, _ = digest.Write([]byte{0})
-		tokens += p.Tokens
 	}
-	return digest.Sum64(), tokens
+	return digest.Sum64(), d.Parts[:last], d.Parts[last].Tokens
 }
 
 // Send is what this process sets on a request that it passes to an upstream.
@@ -84,4 +87,9 @@
 	Outbound(caller http.Header, s Send) http.Header
 	// Told reads the headers of an answer.
 	Told(status int, h http.Header) Told
+	// Prefilled reads the body of the answer to a request of which only the prompt
+	// was computed.
+	Prefilled(body []byte) (Prefilled, error)
+	// KVSource names the KV cache of a prompt that the upstream at address keeps.
+	KVSource(address, handle string) string
 }
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -16,9 +16,6 @@
 	// awayCost is what crossing to another availability zone is worth: it only
 	// breaks ties between upstreams that are about equally loaded.
 	awayCost = 0.15
-	// missCost is what reading all shared parts of a prompt again is worth. At equal
-	// load a request stays where its shared parts are kept.
-	missCost = 0.6
 	// fullCost is added for each request beyond the slots: it has to wait for another
 	// one to end.
 	fullCost = 2.0
@@ -45,13 +42,29 @@
 	Service  string
 	Zone     string // of this process
 	Urgency  int    // 0 goes first
-	Key      uint64 // of the shared parts of the prompt; 0: none
-	Role     upstream.Role
+	Prompt   Prompt
+	Role     upstream.Role // what an engine has to do; empty: anything
 	Arrived  time.Time
 	StartBy  time.Time // a start after this is of no use
 	Excluded []string  // ids of upstreams tried before
 }
 
+// Prompt is what placement needs to know of a prompt.
+type Prompt struct {
+	Key   uint64 // of the parts that other requests share; 0: none
+	Parts []Part // the shared ones, in order
+	Own   int    // tokens of the request's own part
+}
+
+// Part is a shared part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// queue names the group of requests that wait for the same upstreams.
+func (q *Query) queue() string { return q.Service + "/" + string(q.Role) }
+
 // Choice is the outcome of a pick.
 type Choice struct {
 	Upstream fleet.Upstream
@@ -67,6 +80,8 @@
 	others     float64
 	reportedAt time.Time // zero: never
 	health     health
+	cached     partCache
+	perRequest time.Duration // of a prefill: how long one takes, the ones before it aside
 }
 
 // Book keeps the load of every upstream. It is not safe for concurrent use.
@@ -134,6 +149,28 @@
 	}
 }
 
+// Prefilled notes that an upstream read a prompt, and how long that took with how
+// many requests there at its start.
+func (b *Book) Prefilled(now time.Time, id string, p *Prompt, took time.Duration, load float64) {
+	l, ok := b.byID[id]
+	if !ok {
+		return
+	}
+	for i := range p.Parts {
+		l.cached.add(now, p.Parts[i].ID)
+	}
+	each := time.Duration(float64(took) / (max(load, 0) + 1))
+	if l.perRequest == 0 {
+		l.perRequest = each
+		return
+	}
+	l.perRequest += time.Duration(perRequestStep * float64(each-l.perRequest))
+}
+
+// perRequestStep is the weight of the newest prefill in the estimate of how long
+// one takes: prompts differ by a factor of ten, so a few dozen have to count.
+const perRequestStep = 0.05
+
 // Reported takes the load that an upstream told with an answer: the requests that
 // it runs and that wait there, from all processes.
 func (b *Book) Reported(now time.Time, id string, running, waiting, slots int) {
@@ -189,9 +226,22 @@
 
 func (l *load) slots() float64 { return max(float64(l.up.Slots), 1) }
 
-// full reports whether a further request would only wait at the upstream.
-func (l *load) full(now time.Time) bool {
-	return l.total(now)+1 > l.slots()+math.Ceil(l.slots()*queueShare)
+// full reports whether a further request would only wait at the upstream, or as a
+// prefill wait there for too long.
+func (l *load) full(now time.Time, q *Query) bool {
+	if l.total(now)+1 > l.slots()+math.Ceil(l.slots()*queueShare) {
+		return true
+	}
+	if q.Role != upstream.RolePrefill {
+		return false
+	}
+	return l.total(now) >= 1 && now.Add(l.prefillWait(now)).After(q.StartBy)
+}
+
+// prefillWait is how long the prompts at an upstream take. They are read one after
+// the other.
+func (l *load) prefillWait(now time.Time) time.Duration {
+	return time.Duration(l.total(now) * float64(l.perRequest))
 }
 
 // Eligible counts the upstreams that could serve the request, whatever their load.
@@ -231,7 +281,7 @@
 	home := b.home(now, q)
 	least := leastFailing(now, list)
 	for _, l := range list {
-		if !l.serves(now, q) || l.full(now) {
+		if !l.serves(now, q) || l.full(now, q) {
 			continue
 		}
 		c := l.cost(now, q, l == home) + failCost*(l.health.failing(now)-least)
@@ -252,11 +302,11 @@
 	return now.Sub(l.reportedAt)
 }
 
-// home is the upstream where the shared parts of a prompt are kept: the first by
-// rendezvous hashing, so that all processes agree without asking and a leaving
+// home is the upstream that reads the prompts with the same shared parts: the first
+// by rendezvous hashing, so that all processes agree without asking and a leaving
 // upstream moves only its own keys.
 func (b *Book) home(now time.Time, q *Query) *load {
-	if q.Key == 0 {
+	if q.Prompt.Key == 0 || q.Role == upstream.RoleDecode {
 		return nil
 	}
 	var best *load
@@ -265,7 +315,7 @@
 		if l.health.silent(now) || !canDo(l.up.Role, q.Role) {
 			continue
 		}
-		if w := rank(q.Key, l.up.ID); best == nil || w > bestWeight {
+		if w := rank(q.Prompt.Key, l.up.ID); best == nil || w > bestWeight {
 			best, bestWeight = l, w
 		}
 	}
@@ -291,16 +341,18 @@
 // cost of a request at an upstream.
 func (l *load) cost(now time.Time, q *Query, home bool) float64 {
 	total := l.total(now)
-	c := (total + 1) / l.slots()
-	if over := total + 1 - l.slots(); over > 0 {
-		c += over / l.slots() * fullCost
+	c := 0.0
+	if q.Role == upstream.RolePrefill {
+		c = total + l.readingCost(now, &q.Prompt, home)
+	} else {
+		c = (total + 1) / l.slots()
+		if over := total + 1 - l.slots(); over > 0 {
+			c += over / l.slots() * fullCost
+		}
 	}
 	if l.up.Zone != q.Zone {
 		c += awayCost
 	}
-	if q.Key != 0 && !home {
-		c += missCost
-	}
 	if l.up.Cold > 0 {
 		c += coldCost
 	}
@@ -308,6 +360,24 @@
 	return c + float64(rank(uint64(q.Arrived.UnixNano()), l.up.ID)%1000)*1e-6
 }
 
+// readingCost is the part of a prompt that has to be read, in units of a request's
+// own part: what the upstream is believed to keep is not read again.
+func (l *load) readingCost(now time.Time, p *Prompt, home bool) float64 {
+	if home || p.Key == 0 {
+		return 1
+	}
+	missing := 0
+	for i := range p.Parts {
+		if !l.cached.has(now, p.Parts[i].ID) {
+			missing += p.Parts[i].Tokens
+		}
+	}
+	return 1 + float64(missing)/float64(max(p.Own, minOwnTokens))
+}
+
+// minOwnTokens keeps the ratio of shared to own tokens within bounds.
+const minOwnTokens = 64
+
 const ln2 = math.Ln2
 
 // halved is the factor by which a count fades in elapsed time.
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -44,9 +44,12 @@
 func TestPickKeepsSharedPromptsTogether(t *testing.T) {
 	b := bookOf(up("a", "z2", 8), up("b", "z1", 8), up("c", "z3", 8))
 	first := map[uint64]string{}
+	prompt := func(key uint64) Prompt {
+		return Prompt{Key: key, Parts: []Part{{"p", 3000}}, Own: 1000}
+	}
 	for key := uint64(1); key < 50; key++ {
 		q := query("r")
-		q.Key = key
+		q.Role, q.Prompt = upstream.RolePrefill, prompt(key)
 		c, _ := b.Pick(at(0), &q)
 		first[key] = c.Upstream.ID
 	}
@@ -54,7 +57,7 @@
 	other.SetUpstreams(map[string][]fleet.Upstream{"s": {up("c", "z3", 8), up("b", "z1", 8), up("a", "z2", 8)}})
 	for key, want := range first {
 		q := query("r")
-		q.Key, q.Zone = key, "z3"
+		q.Role, q.Prompt, q.Zone = upstream.RolePrefill, prompt(key), "z3"
 		if c, _ := other.Pick(at(0), &q); c.Upstream.ID != want {
 			t.Errorf("key %d: %q at another process, %q here", key, c.Upstream.ID, want)
 		}
@@ -157,7 +160,8 @@
 	if _, decided := r.Arrive(at(0), query("r")); decided {
 		t.Fatal("did not wait")
 	}
-	if !r.Leave("s", "r") || r.Leave("s", "r") || r.Len() != 0 {
+	q := query("r")
+	if !r.Leave(&q) || r.Leave(&q) || r.Len() != 0 {
 		t.Error("a request leaves once")
 	}
 }
@@ -225,3 +229,39 @@
 		t.Errorf("%q %v, want the own zone as ever", c.Upstream.ID, ok)
 	}
 }
+
+// TestPromptGoesElsewhereOnceItsHomeIsBusier counts the requests that have to wait
+// at the home of a prompt before reading its shared parts anew elsewhere is better.
+func TestPromptGoesElsewhereOnceItsHomeIsBusier(t *testing.T) {
+	b := bookOf(up("a", "z1", 64), up("b", "z1", 64))
+	q := query("r")
+	q.Role, q.Prompt = upstream.RolePrefill, Prompt{Key: 7, Parts: []Part{{"p", 3000}}, Own: 1000}
+	home, _ := b.Pick(at(0), &q)
+	sent := 0
+	for ; sent < 10; sent++ {
+		if c, _ := b.Pick(at(0), &q); c.Upstream.ID != home.Upstream.ID {
+			break
+		}
+		b.Sent(at(0), home.Upstream.ID)
+	}
+	if sent < 3 || sent > 4 {
+		t.Errorf("left its home behind %d requests; the shared parts are 3 times its own", sent)
+	}
+}
+
+func TestPrefillsDontQueueBeyondTheLatestStart(t *testing.T) {
+	b := bookOf(up("a", "z1", 64))
+	q := query("r")
+	q.Role, q.StartBy = upstream.RolePrefill, at(100*time.Millisecond)
+	b.Prefilled(at(0), "a", &q.Prompt, 30*time.Millisecond, 0)
+	for range 3 {
+		if _, ok := b.Pick(at(0), &q); !ok {
+			t.Fatal("no place although the prompts there are read in time")
+		}
+		b.Sent(at(0), "a")
+	}
+	b.Sent(at(0), "a")
+	if _, ok := b.Pick(at(0), &q); ok {
+		t.Error("a place behind 120 ms of prompts for a request that has 100")
+	}
+}
--- a/internal/request/place/room.go
+++ b/internal/request/place/room.go
@@ -39,7 +39,7 @@
 // concurrent use.
 type Room struct {
 	book   *Book
-	queues map[string][]waiting // by service, in the order of starting
+	queues map[string][]waiting // by service and role, in the order of starting
 	count  int
 	starts map[string]*startRate
 }
@@ -52,24 +52,21 @@
 // Len counts the requests that wait.
 func (r *Room) Len() int { return r.count }
 
-// Waiting counts the requests that wait for a service.
-func (r *Room) Waiting(service string) int { return len(r.queues[service]) }
-
 // Arrive decides on a request at once, or lets it wait (decided is false).
 func (r *Room) Arrive(now time.Time, q Query) (d Decision, decided bool) {
 	if r.book.Eligible(now, &q) == 0 {
-		return Decision{ID: q.ID, Refused: NoUpstream, RetryAfter: r.retryAfter(now, q.Service)}, true
+		return Decision{ID: q.ID, Refused: NoUpstream, RetryAfter: r.retryAfter(now, q.queue())}, true
 	}
-	if len(r.queues[q.Service]) == 0 || q.Urgency < r.queues[q.Service][0].q.Urgency {
+	if len(r.queues[q.queue()]) == 0 || q.Urgency < r.queues[q.queue()][0].q.Urgency {
 		if choice, ok := r.place(now, &q); ok {
 			return Decision{ID: q.ID, Choice: choice}, true
 		}
 	}
 	if r.count >= maxWaiting {
-		return Decision{ID: q.ID, Refused: Overtaken, RetryAfter: r.retryAfter(now, q.Service)}, true
+		return Decision{ID: q.ID, Refused: Overtaken, RetryAfter: r.retryAfter(now, q.queue())}, true
 	}
 	if !q.StartBy.After(now) {
-		return Decision{ID: q.ID, Refused: NoPlace, RetryAfter: r.retryAfter(now, q.Service)}, true
+		return Decision{ID: q.ID, Refused: NoPlace, RetryAfter: r.retryAfter(now, q.queue())}, true
 	}
 	r.insert(q)
 	return Decision{}, false
@@ -82,13 +79,13 @@
 		return choice, false
 	}
 	r.book.Sent(now, choice.Upstream.ID)
-	r.rate(q.Service).started(now)
+	r.rate(q.queue()).started(now)
 	return choice, true
 }
 
 // insert keeps the queue in the order of urgency, then of arrival.
 func (r *Room) insert(q Query) {
-	list := r.queues[q.Service]
+	list := r.queues[q.queue()]
 	at, _ := slices.BinarySearchFunc(list, q, func(w waiting, q Query) int {
 		if c := cmp.Compare(w.q.Urgency, q.Urgency); c != 0 {
 			return c
@@ -98,7 +95,7 @@
 		}
 		return -1
 	})
-	r.queues[q.Service] = slices.Insert(list, at, waiting{q: q})
+	r.queues[q.queue()] = slices.Insert(list, at, waiting{q: q})
 	r.count++
 }
 
@@ -106,7 +103,7 @@
 // and those that can't start in time any more are refused.
 func (r *Room) Tick(now time.Time) []Decision {
 	var out []Decision
-	for service, list := range r.queues {
+	for name, list := range r.queues {
 		kept := list[:0]
 		blocked := false
 		for _, w := range list {
@@ -118,7 +115,7 @@
 			out = append(out, d)
 			r.count--
 		}
-		r.queues[service] = kept
+		r.queues[name] = kept
 	}
 	return out
 }
@@ -128,7 +125,7 @@
 // doesn't block others.
 func (r *Room) decide(now time.Time, q *Query, blocked *bool) (Decision, bool) {
 	if !q.StartBy.After(now) {
-		return Decision{ID: q.ID, Refused: NoPlace, RetryAfter: r.retryAfter(now, q.Service)}, true
+		return Decision{ID: q.ID, Refused: NoPlace, RetryAfter: r.retryAfter(now, q.queue())}, true
 	}
 	if *blocked {
 		return Decision{}, false
@@ -137,7 +134,7 @@
 		return Decision{ID: q.ID, Choice: choice}, true
 	}
 	if r.book.Eligible(now, q) == 0 {
-		return Decision{ID: q.ID, Refused: NoUpstream, RetryAfter: r.retryAfter(now, q.Service)}, true
+		return Decision{ID: q.ID, Refused: NoUpstream, RetryAfter: r.retryAfter(now, q.queue())}, true
 	}
 	*blocked = len(q.Excluded) == 0
 	return Decision{}, false
@@ -145,11 +142,11 @@
 
 // Leave takes a request out that needs no place any more. It reports false if
 // the request isn't waiting.
-func (r *Room) Leave(service, id string) bool {
-	list := r.queues[service]
+func (r *Room) Leave(q *Query) bool {
+	list := r.queues[q.queue()]
 	for i := range list {
-		if list[i].q.ID == id {
-			r.queues[service] = slices.Delete(list, i, i+1)
+		if list[i].q.ID == q.ID {
+			r.queues[q.queue()] = slices.Delete(list, i, i+1)
 			r.count--
 			return true
 		}
@@ -159,15 +156,15 @@
 
 // retryAfter is when a refused request is likely to find a place: the time that
 // the requests before it take at the rate of recent starts.
-func (r *Room) retryAfter(now time.Time, service string) time.Duration {
-	return r.rate(service).wait(now, len(r.queues[service])+1)
+func (r *Room) retryAfter(now time.Time, queue string) time.Duration {
+	return r.rate(queue).wait(now, len(r.queues[queue])+1)
 }
 
-func (r *Room) rate(service string) *startRate {
-	s, ok := r.starts[service]
+func (r *Room) rate(queue string) *startRate {
+	s, ok := r.starts[queue]
 	if !ok {
 		s = &startRate{}
-		r.starts[service] = s
+		r.starts[queue] = s
 	}
 	return s
 }
