--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -49,6 +49,7 @@
 	state  *state
 	client *upstream.Services
 	meters *meters
+	demand *demand
 	log    *requestLog
 
 	exporter  *metrics.Exporter
@@ -73,7 +74,8 @@
 			UserTimeout: upstreamUserTimeout,
 			IdleTimeout: upstreamIdleTimeout,
 		}),
-		log: newRequestLog(cfg.Settings.Logging.LinesPerSecond),
+		demand: newDemand(),
+		log:    newRequestLog(cfg.Settings.Logging.LinesPerSecond),
 	}
 	e.exporter = metrics.New("ragwort_entry", map[string]string{"zone": cfg.Settings.Instance.Zone})
 	e.meters = newMeters(e.exporter.Scope())
@@ -164,6 +166,7 @@
 	e.loop(func() { e.followUpstreams(work) })
 	e.loop(func() { e.followConfig(work) })
 	e.loop(func() { e.tickLoop(work) })
+	e.loop(func() { newHolder(e).run(work) })
 	logline.Info("entry started", "instance", s.Instance.Name, "zone", s.Instance.Zone,
 		"callers", s.Listen.Callers, "ready", s.Listen.Ready, "store", s.Store)
 	var err error
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -37,6 +37,7 @@
 // final answer. nil: the whole answer was passed on.
 func (q *request) execute(ctx context.Context) *errkind.Error {
 	q.e.state.firstSend(q.arrived, q.service)
+	q.countDemand()
 	a := &answer{q: q}
 	for {
 		choice, refusal := q.placed(ctx, q.role())
@@ -82,6 +83,18 @@
 	return out
 }
 
+// countDemand counts what the request asks of engines.
+func (q *request) countDemand() {
+	if q.role() == "" {
+		return
+	}
+	prefill := time.Duration(0)
+	if q.prompt.Own >= apartTokens {
+		prefill = q.e.state.prefillTime(q.service)
+	}
+	q.e.demand.arrived(q.service, q.route.Name, prefill)
+}
+
 // placed waits for a place.
 func (q *request) placed(ctx context.Context, role upstream.Role) (place.Choice, *errkind.Error) {
 	now := time.Now()
@@ -135,6 +148,7 @@
 	defer cancel() // ends what an upstream still does for an answer that was given up
 	q.upstream = id
 	q.sends++
+	begun := time.Now()
 	resp, err := q.e.client.Forward(ctx, q.call(choice.Upstream, q.sendHeaders(kv, a)))
 	now := time.Now()
 	if err != nil {
@@ -149,6 +163,9 @@
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	st.reported(now, id, told.Load)
 	out := a.take(ctx, id, resp, told)
+	if out.err == nil && q.role() != "" {
+		q.e.demand.decoded(q.route.Name, time.Since(begun))
+	}
 	q.judge(ctx, id, out, told)
 	return out
 }
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -117,9 +117,9 @@
 // applyUpstreams applies the changes of one watch call.
 func applyUpstreams(now time.Time, f *fleet.Core, revision uint64, put []fleet.Upstream, gone []string) {
 	for _, u := range put {
-		f.Put(u)
+		f.Put(now, u)
 		logline.Info("upstream changed", "upstream", u.ID, "service", u.Service, "address", u.Address,
-			"leaving", u.Leaving, "role", u.Role, "revision", revision)
+			"leaving", u.Leaving, "role", u.Role, "becomes", u.Becomes, "revision", revision)
 	}
 	for _, id := range gone {
 		f.Remove(now, id)
--- /dev/null
+++ b/internal/process/entry/holder.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/roles"
+)
+
+const (
+	// holderTick is how often the lease and the split of roles are looked at.
+	holderTick = 100 * time.Millisecond
+	// decideEvery is how often the split of roles is weighed.
+	decideEvery = time.Second
+	// announceWait is how long an announced change of role waits before its order, so
+	// that instances see it and send nothing more to the engine. A watch answers
+	// within some ms.
+	announceWait = 150 * time.Millisecond
+)
+
+// holder gives orders to engines while this process holds the lease. It is for one
+// goroutine.
+type holder struct {
+	e        *Entry
+	lease    *lease
+	demand   heardDemand
+	cores    map[string]*roles.Core // by service
+	decideAt time.Time
+	tellAt   time.Time
+	why      map[string]string // last reason told, by service
+}
+
+func newHolder(e *Entry) *holder {
+	s := e.cfg.Settings
+	return &holder{
+		e:     e,
+		lease: newLease(e.cfg.Records, s.Instance.Name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond),
+		cores: make(map[string]*roles.Core),
+		why:   make(map[string]string),
+	}
+}
+
+// run keeps the lease and the split of roles until ctx ends.
+func (h *holder) run(ctx context.Context) {
+	for !h.e.state.hasEngines() {
+		if sleep(ctx, holderTick) != nil {
+			return
+		}
+	}
+	h.lease.start(ctx, h.e.cfg.Settings.Instance.Name)
+	for sleep(ctx, holderTick) == nil {
+		h.lease.tick(ctx)
+		now := time.Now()
+		if !now.Before(h.tellAt) {
+			h.tellAt = now.Add(demandEvery)
+			h.e.tellDemand(ctx)
+		}
+		if _, ok := h.lease.mayOrder(); ok && !now.Before(h.decideAt) {
+			h.decideAt = now.Add(decideEvery)
+			h.decide(ctx)
+		}
+	}
+	end, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	h.lease.release(end)
+}
+
+// decide weighs the split of every service with engines.
+func (h *holder) decide(ctx context.Context) {
+	asked, err := h.demand.read(ctx, h.e.cfg.Records)
+	if err != nil {
+		logline.Info("demand not read", "error", err)
+		return
+	}
+	for service, engines := range h.e.state.engines() {
+		core, ok := h.cores[service]
+		if !ok {
+			core = roles.New()
+			h.cores[service] = core
+		}
+		d := core.Decide(time.Now(), describe(engines), asked[service])
+		h.tell(service, asked[service], d)
+		if len(d.Changes) > 0 {
+			h.change(ctx, engines, d)
+		}
+	}
+}
+
+// describe gives what the split needs to know of engines.
+func describe(engines []fleet.Upstream) []roles.Engine {
+	out := make([]roles.Engine, 0, len(engines))
+	for _, u := range engines {
+		e := roles.Engine{ID: u.ID, Zone: u.Zone, Role: u.Role, Slots: u.Slots, Changing: u.Changing()}
+		if e.Changing {
+			e.Role = u.Becomes
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// tell writes a decision down, unless it says what the last one said.
+func (h *holder) tell(service string, asked roles.Demand, d roles.Decision) {
+	if len(d.Changes) == 0 && h.why[service] == d.Why {
+		return
+	}
+	h.why[service] = d.Why
+	logline.Info("roles", "service", service, "prefill_now", d.Prefill, "prefill_wanted", d.Want,
+		"utilization_now", d.Now, "utilization_then", d.Then, "prompts_asked", asked.Prefill, "decodes_asked", asked.Decode,
+		"changes", len(d.Changes), "why", d.Why)
+}
+
+// change announces a round of changes and orders them.
+func (h *holder) change(ctx context.Context, engines []fleet.Upstream, d roles.Decision) {
+	var marked []roles.Change
+	for _, c := range d.Changes {
+		if err := h.e.cfg.Upstreams.Mark(ctx, c.ID, c.To); err != nil {
+			logline.Info("change of role not announced", "upstream", c.ID, "to", c.To, "error", err)
+			continue
+		}
+		marked = append(marked, c)
+	}
+	if sleep(ctx, announceWait) != nil {
+		return
+	}
+	for _, c := range marked {
+		i := slices.IndexFunc(engines, func(u fleet.Upstream) bool { return u.ID == c.ID })
+		if i >= 0 && !h.order(ctx, engines[i], c) {
+			h.unmark(ctx, c)
+		}
+	}
+}
+
+// order gives one order. It reports false if the engine certainly doesn't change.
+func (h *holder) order(ctx context.Context, u fleet.Upstream, c roles.Change) bool {
+	state, err := h.e.cfg.Engines.State(ctx, u)
+	if err != nil || state.Busy {
+		logline.Info("order not given", "upstream", u.ID, "to", c.To, "busy", state.Busy, "error", err)
+		return false
+	}
+	fence, ok := h.lease.mayOrder()
+	if !ok {
+		logline.Info("order not given", "upstream", u.ID, "to", c.To, "why", "the lease has run out")
+		return false
+	}
+	result, err := h.e.cfg.Engines.SetRole(ctx, u, c.To, state.Orders, h.e.cfg.Settings.Instance.Name, fence)
+	logline.Info("order", "upstream", u.ID, "from", u.Role, "to", c.To, "fence", fence, "after", state.Orders, "result", result, "error", err)
+	return result != OrderRefused && result != OrderNotSent
+}
+
+func (h *holder) unmark(ctx context.Context, c roles.Change) {
+	if err := h.e.cfg.Upstreams.Mark(ctx, c.ID, ""); err != nil {
+		logline.Info("announcement not taken back", "upstream", c.ID, "error", err)
+	}
+}
--- /dev/null
+++ b/internal/process/entry/lease.go
@@ -0,0 +1,159 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/authority"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const (
+	// leaseName is the one lease over all engines: a few orders a minute need no more.
+	leaseName = "engines"
+	// rankSpread is how many ranks candidates draw from, by a hash of their names:
+	// candidates don't know each other. Few of them then look at the lease often.
+	rankSpread = 16
+	// marginShare is the part of the lease's time after which its holder stops before
+	// the end.
+	marginShare = 0.3
+	// lateOrders is how long after its sending an order may still be carried out. A
+	// new holder waits for it, so that no order of a former one comes after its own.
+	lateOrders = 13 * time.Second
+)
+
+// lease is this process's part in the authority over engines. It is for one goroutine.
+type lease struct {
+	records  platform.Store
+	core     *authority.Core
+	minTurn  time.Duration // holders may not take turns faster
+	formerAt boottime.Time // when another process was last seen to hold the lease; 0: never
+	mayFrom  boottime.Time // no order before this
+}
+
+func newLease(records platform.Store, name string, ttl time.Duration) *lease {
+	l := &lease{records: records, minTurn: ttl}
+	l.core = authority.New(authority.Config{
+		Holder:      name,
+		Incarnation: platform.NewNonce(),
+		TTL:         ttl,
+		Margin:      time.Duration(float64(ttl) * marginShare),
+		SlowEvery:   3 * ttl,
+	})
+	return l
+}
+
+// start makes this process a candidate.
+func (l *lease) start(ctx context.Context, name string) {
+	l.step(ctx, authority.Standing{Home: true, Rank: int(xxhash.Sum64String(name) % rankSpread)})
+}
+
+// mayOrder gives the fencing number under which an order may be sent right now.
+func (l *lease) mayOrder() (fence uint64, ok bool) {
+	now := boottime.Now()
+	fence, _, ok = l.core.MayOrder(now)
+	return fence, ok && !now.Before(l.mayFrom)
+}
+
+// tick does what is due.
+func (l *lease) tick(ctx context.Context) {
+	if l.core.Wake() <= boottime.Now() {
+		l.step(ctx, authority.Tick{})
+	}
+}
+
+// release gives a held lease up at a planned stop.
+func (l *lease) release(ctx context.Context) { l.step(ctx, authority.Stop{}) }
+
+// step steps the core and carries its actions out, until nothing is left to do.
+func (l *lease) step(ctx context.Context, e authority.Event) {
+	pending := l.core.Step(boottime.Now(), e)
+	for len(pending) > 0 && ctx.Err() == nil {
+		action := pending[0]
+		pending = pending[1:]
+		switch a := action.(type) {
+		case authority.ReadLease:
+			pending = append(pending, l.core.Step(boottime.Now(), l.read(ctx))...)
+		case authority.WriteLease:
+			answer := l.write(ctx, a)
+			pending = append(pending, l.core.Step(boottime.Now(), answer)...)
+		case authority.Gained:
+			l.gained(a)
+		case authority.Lost:
+			logline.Info("lease lost", "lease", leaseName, "epoch", a.Epoch, "why", a.Why)
+		case authority.Lapsed:
+			logline.Info("lease lapsed", "lease", leaseName, "epoch", a.Epoch)
+		case authority.Renewed:
+			logline.Info("lease renewed after a lapse", "lease", leaseName, "epoch", a.Epoch)
+		}
+	}
+}
+
+// gained begins to hold. If there was another holder, its last order may be carried
+// out late, and holders may not take turns too fast.
+func (l *lease) gained(a authority.Gained) {
+	l.mayFrom = 0
+	if l.formerAt != 0 {
+		l.mayFrom = boottime.Now().Add(lateOrders + l.minTurn)
+	}
+	logline.Info("lease taken", "lease", leaseName, "epoch", a.Epoch, "why", a.Why, "after_another", l.formerAt != 0)
+}
+
+func (l *lease) read(ctx context.Context) authority.Event {
+	o, err := l.records.Get(ctx, resource.KindLease, leaseName)
+	switch {
+	case errors.Is(err, platform.ErrNotFound):
+		return l.readMissing(ctx)
+	case err != nil:
+		logline.Info("lease not read", "lease", leaseName, "error", err)
+		return authority.ReadFailed{}
+	}
+	spec, err := resource.Decode[resource.Lease](o)
+	if err != nil {
+		logline.Error(err, "lease unreadable", "lease", leaseName)
+		return authority.ReadFailed{}
+	}
+	l.formerAt = boottime.Now() // whoever held it last, this life of the process did not
+	return authority.Read{Found: true, Version: o.Version, Nonce: o.Nonce, Lease: spec}
+}
+
+// readMissing gives the store's version in place of a lease that doesn't exist.
+func (l *lease) readMissing(ctx context.Context) authority.Event {
+	objects, version, err := l.records.List(ctx, resource.KindLease)
+	if err != nil {
+		logline.Info("lease not read", "lease", leaseName, "error", err)
+	}
+	if err != nil || len(objects) > 0 {
+		return authority.ReadFailed{} // created in between, or no answer: read again
+	}
+	return authority.Read{StoreVersion: version}
+}
+
+func (l *lease) write(ctx context.Context, a authority.WriteLease) authority.Event {
+	o, err := resource.Encode(resource.KindLease, leaseName, a.Lease)
+	if err != nil {
+		logline.Error(err, "lease not encoded", "lease", leaseName)
+		return authority.WriteFailed{Failure: authority.FailedUnavailable}
+	}
+	o.Version, o.Nonce, o.Writer = a.Base, a.Nonce, a.Lease.Holder
+	write := l.records.Update
+	if a.Base == 0 {
+		write = l.records.Create
+	}
+	stored, err := write(ctx, o)
+	switch {
+	case err == nil:
+		return authority.Wrote{Version: stored.Version}
+	case errors.Is(err, platform.ErrConflict), errors.Is(err, platform.ErrNotFound):
+		return authority.WriteFailed{Failure: authority.FailedConflict}
+	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrInvalid), errors.Is(err, platform.ErrTooLarge):
+		return authority.WriteFailed{Failure: authority.FailedUnavailable}
+	}
+	return authority.WriteFailed{Failure: authority.FailedUnknown}
+}
--- a/internal/process/entry/ports.go
+++ b/internal/process/entry/ports.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
@@ -17,6 +19,9 @@
 	List(ctx context.Context) ([]fleet.Upstream, uint64, error)
 	// Watch waits for changes after a revision: entries put, ids of entries gone.
 	Watch(ctx context.Context, from uint64, wait time.Duration) (put []fleet.Upstream, gone []string, revision uint64, err error)
+	// Mark tells all instances that an upstream is about to change its role; an empty
+	// role takes the mark back.
+	Mark(ctx context.Context, id string, role upstream.Role) error
 }
 
 // ConfigFeed reads the configuration. Errors are those of the project's store.
@@ -31,8 +36,34 @@
 type Engines interface {
 	// Release lets an engine forget the KV cache of a prompt that nobody will fetch.
 	Release(ctx context.Context, u fleet.Upstream, handle string) error
+	// State reads what an engine tells of itself, some hundred ms old.
+	State(ctx context.Context, u fleet.Upstream) (EngineState, error)
+	// SetRole orders an engine to change its role, if it accepted exactly so many
+	// orders before. The error tells why the result is not OrderAccepted or OrderHolds.
+	SetRole(ctx context.Context, u fleet.Upstream, role upstream.Role, after uint64, holder string, fence uint64) (OrderResult, error)
 }
 
+// EngineState is what an engine tells of itself.
+type EngineState struct {
+	Role    upstream.Role
+	Busy    bool   // an order is in progress
+	Orders  uint64 // accepted since its start
+	Queued  int
+	Running int
+}
+
+// OrderResult is what became of an order.
+type OrderResult string
+
+// The results of an order.
+const (
+	OrderAccepted OrderResult = "accepted"
+	OrderHolds    OrderResult = "holds already"
+	OrderRefused  OrderResult = "refused" // had no effect
+	OrderNotSent  OrderResult = "not sent"
+	OrderUnknown  OrderResult = "unknown" // may take effect, also seconds later
+)
+
 // Config of an entry process.
 type Config struct {
 	Settings  *settings.Entry
@@ -40,6 +71,7 @@
 	Configs   ConfigFeed
 	Dialect   exchange.Dialect
 	Engines   Engines
+	Records   platform.Store                  // the system's own objects
 	ReadyPath string                          // of the balancer's question
 	Reload    func() (*settings.Entry, error) // reads the settings again; nil: they don't change
 }
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -214,3 +214,20 @@
 	defer s.mu.Unlock()
 	return s.listed
 }
+
+// engines lists the engines by service.
+func (s *state) engines() map[string][]fleet.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Engines()
+}
+
+// hasEngines reports whether any engine is known.
+func (s *state) hasEngines() bool { return len(s.engines()) > 0 }
+
+// prefillTime is how long one prompt of a service takes an engine.
+func (s *state) prefillTime(service string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.PrefillTime(service)
+}
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -16,8 +16,12 @@
 	Leaving bool
 	Cold    time.Duration // it is slow for so long after its start
 	Role    upstream.Role // of a model engine; empty: a plain service
+	Becomes upstream.Role // role that it is about to change to; empty: none
 }
 
+// Changing reports whether the upstream is about to change its role, or does so.
+func (u *Upstream) Changing() bool { return u.Becomes != "" && u.Becomes != u.Role }
+
 // ReturnGrace is how long a missing entry stays after the platform's return: live
 // upstreams are listed again within about two seconds of it.
 const ReturnGrace = 2200 * time.Millisecond
@@ -25,8 +29,9 @@
 // entry is an upstream with the time at which it is to be forgotten.
 type entry struct {
 	Upstream
-	missing bool
-	until   time.Time // only if missing
+	missing  bool
+	until    time.Time // only if missing
+	markedAt time.Time // when Becomes was first seen
 }
 
 // Core is the state. It is not safe for concurrent use.
@@ -65,7 +70,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, u := range list {
 		listed[u.ID] = true
-		c.Put(u)
+		c.Put(now, u)
 	}
 	for id := range c.entries {
 		if !listed[id] {
@@ -75,14 +80,18 @@
 }
 
 // Put takes a new or changed entry.
-func (c *Core) Put(u Upstream) {
+func (c *Core) Put(now time.Time, u Upstream) {
+	e := &entry{Upstream: u, markedAt: now}
 	if old, ok := c.entries[u.ID]; ok {
-		u.Leaving = u.Leaving || old.Leaving
-		if old.Upstream == u && !old.missing {
+		e.Leaving = u.Leaving || old.Leaving
+		if old.Upstream == e.Upstream && !old.missing {
 			return
 		}
+		if old.Becomes == u.Becomes && old.Role == u.Role {
+			e.markedAt = old.markedAt
+		}
 	}
-	c.entries[u.ID] = &entry{Upstream: u}
+	c.entries[u.ID] = e
 	c.version++
 }
 
@@ -112,10 +121,19 @@
 	return c.back.Add(ReturnGrace)
 }
 
+// MarkLife is how long an announced change of role is believed. An engine is away
+// for some seconds; one that did not change by then was never told to, because the
+// process that announced it ended in between.
+const MarkLife = 8 * time.Second
+
 // Expire forgets missing entries whose grace is over and gives their ids.
 func (c *Core) Expire(now time.Time) []string {
 	var gone []string
 	for id, e := range c.entries {
+		if e.Changing() && now.Sub(e.markedAt) >= MarkLife {
+			e.Becomes = ""
+			c.version++
+		}
 		if !e.missing || now.Before(e.until) {
 			continue
 		}
@@ -143,7 +161,18 @@
 func (c *Core) Usable() map[string][]Upstream {
 	out := make(map[string][]Upstream)
 	for _, e := range c.entries {
-		if !e.Leaving {
+		if !e.Leaving && !e.Changing() {
+			out[e.Service] = append(out[e.Service], e.Upstream)
+		}
+	}
+	return out
+}
+
+// Engines lists the engines of all services, those that change their role included.
+func (c *Core) Engines() map[string][]Upstream {
+	out := make(map[string][]Upstream)
+	for _, e := range c.entries {
+		if !e.Leaving && e.Role != "" {
 			out[e.Service] = append(out[e.Service], e.Upstream)
 		}
 	}
--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -22,9 +24,9 @@
 
 func TestLeavingIsNeverTakenBack(t *testing.T) {
 	c := New()
-	c.Put(Upstream{ID: "a", Service: "s"})
-	c.Put(Upstream{ID: "a", Service: "s", Leaving: true})
-	c.Put(Upstream{ID: "a", Service: "s"}) // an older answer that came late
+	c.Put(at(0), Upstream{ID: "a", Service: "s"})
+	c.Put(at(0), Upstream{ID: "a", Service: "s", Leaving: true})
+	c.Put(at(0), Upstream{ID: "a", Service: "s"}) // an older answer that came late
 	if listed(c, "a") {
 		t.Error("a leaving upstream gets work again")
 	}
@@ -50,7 +52,7 @@
 	if !listed(c, "a") || !listed(c, "b") {
 		t.Error("entries that lapsed in an outage lost their work at once")
 	}
-	c.Put(Upstream{ID: "b", Service: "s"})
+	c.Put(at(0), Upstream{ID: "b", Service: "s"})
 	if gone := c.Expire(at(10*time.Second + ReturnGrace)); len(gone) != 1 || gone[0] != "a" {
 		t.Errorf("gone after the grace: %v, want a", gone)
 	}
@@ -61,7 +63,7 @@
 
 func TestRemovalAfterTheGraceIsImmediate(t *testing.T) {
 	c := New()
-	c.Put(Upstream{ID: "a", Service: "s"})
+	c.Put(at(0), Upstream{ID: "a", Service: "s"})
 	c.Lost()
 	c.Back(at(0))
 	c.Remove(at(ReturnGrace), "a")
@@ -72,7 +74,7 @@
 
 func TestNothingExpiresWhileThePlatformIsAway(t *testing.T) {
 	c := New()
-	c.Put(Upstream{ID: "a", Service: "s"})
+	c.Put(at(0), Upstream{ID: "a", Service: "s"})
 	c.Lost()
 	c.Remove(at(0), "a")
 	if gone := c.Expire(at(time.Minute)); len(gone) != 0 || !listed(c, "a") {
@@ -82,7 +84,7 @@
 
 func TestGraceCountsFromTheReturn(t *testing.T) {
 	c := New()
-	c.Put(Upstream{ID: "a", Service: "s"})
+	c.Put(at(0), Upstream{ID: "a", Service: "s"})
 	c.Lost()
 	c.Remove(at(0), "a")
 	c.Back(at(time.Minute))
@@ -93,3 +95,30 @@
 		t.Errorf("gone after the grace: %v, want a", gone)
 	}
 }
+
+func TestAnnouncedChangeOfRole(t *testing.T) {
+	c := New()
+	decode := Upstream{ID: "a", Service: "s", Role: upstream.RoleDecode}
+	c.Put(at(0), decode)
+	marked := decode
+	marked.Becomes = upstream.RolePrefill
+	c.Put(at(0), marked)
+	if listed(c, "a") || len(c.Engines()["s"]) != 1 {
+		t.Error("an engine that is about to change gets new work")
+	}
+	c.Put(at(MarkLife-1), marked) // a heartbeat says the same again
+	c.Expire(at(MarkLife - 1))
+	if listed(c, "a") {
+		t.Error("the announcement is forgotten too early")
+	}
+	c.Expire(at(MarkLife))
+	if !listed(c, "a") {
+		t.Error("an engine that never changed stays without work")
+	}
+	changed := marked
+	changed.Role = upstream.RolePrefill
+	c.Put(at(MarkLife+1), changed)
+	if !listed(c, "a") {
+		t.Error("an engine in its new role gets no work")
+	}
+}
--- /dev/null
+++ b/internal/process/roles/roles.go
@@ -0,0 +1,197 @@
+package roles
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+// Demand is what requests ask of the engines of a service, refused ones included.
+type Demand struct {
+	Prefill float64 `json:"prefill"` // seconds of one engine's time for prompts, a second
+	Decode  float64 `json:"decode"`  // requests that decode at a time
+}
+
+// Add adds up the demand of instances.
+func (d Demand) Add(o Demand) Demand {
+	return Demand{Prefill: d.Prefill + o.Prefill, Decode: d.Decode + o.Decode}
+}
+
+// Engine is one engine as the holder of the authority knows it.
+type Engine struct {
+	ID       string
+	Zone     string
+	Role     upstream.Role // while changing, the one to come
+	Slots    int
+	Changing bool
+	Load     float64 // requests there
+}
+
+// Change is an order to give.
+type Change struct {
+	ID string
+	To upstream.Role
+}
+
+// Decision is the outcome with what led to it.
+type Decision struct {
+	Changes []Change
+	Prefill int     // engines that prefill now, those to come included
+	Want    int     // that would be best
+	Now     float64 // utilization of the busier role now
+	Then    float64 // with Want
+	Why     string
+}
+
+const (
+	// settle is the least time between two rounds of changes: a change shows in the
+	// demand's effects only once the engine is back.
+	settle = 1500 * time.Millisecond
+	// idleBelow is the utilization under which no change is worth it: nothing waits.
+	idleBelow = 0.5
+	// gainAtLeast is the factor by which the utilization of the busier role has to
+	// fall. An engine that changes is away for seconds, and demand is measured with
+	// an error of some ten in a hundred.
+	gainAtLeast = 1.2
+	// roundShare is the part of the engines that may change in one round, so that
+	// most of a service is there at any time.
+	roundShare = 0.25
+	// usablePrefill and usableDecode are the parts of an engine's time and slots that
+	// can be used before requests wait too long.
+	usablePrefill = 0.8
+	usableDecode  = 0.8
+)
+
+// Core decides for one service. It is not safe for concurrent use.
+type Core struct {
+	changedAt time.Time
+}
+
+// New makes a core that has changed nothing.
+func New() *Core { return &Core{} }
+
+// Decide weighs the split of the engines. Call it about once a second.
+func (c *Core) Decide(now time.Time, engines []Engine, d Demand) Decision {
+	s := newSplit(engines, d)
+	out := Decision{Prefill: s.prefill, Want: s.prefill, Now: s.utilization(s.prefill)}
+	out.Then = out.Now
+	switch {
+	case len(engines) < 2:
+		out.Why = "fewer than two engines"
+		return out
+	case s.changing:
+		out.Why = "a change is under way"
+		return out
+	case !c.changedAt.IsZero() && now.Sub(c.changedAt) < settle:
+		out.Why = "the last change is too recent"
+		return out
+	}
+	out.Want = s.best()
+	out.Then = s.utilization(out.Want)
+	switch {
+	case out.Want == s.prefill:
+		out.Why = "the split is the best one"
+	case out.Now < idleBelow:
+		out.Why = "nothing is busy"
+	case out.Now < gainAtLeast*out.Then:
+		out.Why = "another split gains too little"
+	default:
+		out.Changes = s.round(out.Want)
+		out.Why = fmt.Sprintf("utilization of the busier role from %.2f to %.2f", out.Now, out.Then)
+		c.changedAt = now
+	}
+	return out
+}
+
+// split is how the engines are divided.
+type split struct {
+	engines  []Engine
+	demand   Demand
+	prefill  int
+	slots    float64 // of one engine, on average
+	changing bool
+}
+
+func newSplit(engines []Engine, d Demand) split {
+	s := split{engines: engines, demand: d}
+	for _, e := range engines {
+		if e.Role == upstream.RolePrefill {
+			s.prefill++
+		}
+		s.changing = s.changing || e.Changing
+		s.slots += float64(max(e.Slots, 1))
+	}
+	s.slots /= float64(max(len(engines), 1))
+	return s
+}
+
+// utilization of the busier role if so many engines prefill.
+func (s *split) utilization(prefill int) float64 {
+	p := ratio(s.demand.Prefill, float64(prefill)*usablePrefill)
+	d := ratio(s.demand.Decode, float64(len(s.engines)-prefill)*s.slots*usableDecode)
+	return max(p, d)
+}
+
+func ratio(need, have float64) float64 {
+	switch {
+	case need <= 0:
+		return 0
+	case have <= 0:
+		return math.Inf(1)
+	}
+	return need / have
+}
+
+// best is the number of engines that prefill with the least utilization of the
+// busier role. One engine of each role always stays.
+func (s *split) best() int {
+	best, least := s.prefill, math.Inf(1)
+	for k := 1; k < len(s.engines); k++ {
+		if u := s.utilization(k); u < least {
+			best, least = k, u
+		}
+	}
+	return best
+}
+
+// round picks the engines to change: the least loaded of the zones that have most
+// of the role.
+func (s *split) round(want int) []Change {
+	from, to, n := upstream.RoleDecode, upstream.RolePrefill, want-s.prefill
+	if n < 0 {
+		from, to, n = to, from, -n
+	}
+	n = min(n, int(math.Ceil(float64(len(s.engines))*roundShare)))
+	inZone := make(map[string]int)
+	var candidates []Engine
+	for _, e := range s.engines {
+		if (e.Role == upstream.RolePrefill) == (from == upstream.RolePrefill) {
+			inZone[e.Zone]++
+			candidates = append(candidates, e)
+		}
+	}
+	var out []Change
+	for ; n > 0 && len(candidates) > 1; n-- {
+		i := pickOne(candidates, inZone)
+		out = append(out, Change{ID: candidates[i].ID, To: to})
+		inZone[candidates[i].Zone]--
+		candidates = slices.Delete(candidates, i, i+1)
+	}
+	return out
+}
+
+func pickOne(candidates []Engine, inZone map[string]int) int {
+	best := 0
+	for i := range candidates {
+		a, b := &candidates[i], &candidates[best]
+		c := cmp.Or(cmp.Compare(inZone[b.Zone], inZone[a.Zone]), cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
+		if c < 0 {
+			best = i
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/process/roles/roles_test.go
@@ -0,0 +1,106 @@
+package roles
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// engines makes n engines in 3 zones of which the first ones prefill.
+func engines(n, prefill int) []Engine {
+	out := make([]Engine, n)
+	for i := range out {
+		out[i] = Engine{ID: fmt.Sprintf("e%02d", i), Zone: fmt.Sprint("z", i%3), Slots: 8, Role: upstream.RoleDecode}
+		if i < prefill {
+			out[i].Role = upstream.RolePrefill
+		}
+	}
+	return out
+}
+
+func TestPromptsSurge(t *testing.T) {
+	d := New().Decide(start, engines(9, 3), Demand{Prefill: 4.5, Decode: 12})
+	if d.Want != 6 || len(d.Changes) != 3 {
+		t.Fatalf("%+v, want 6 engines that prefill", d)
+	}
+	for _, c := range d.Changes {
+		if c.To != upstream.RolePrefill {
+			t.Errorf("changed to %s", c.To)
+		}
+	}
+}
+
+func TestAnswersSurge(t *testing.T) {
+	d := New().Decide(start, engines(9, 6), Demand{Prefill: 1, Decode: 40})
+	if d.Want > 3 || len(d.Changes) != 3 || d.Changes[0].To != upstream.RoleDecode {
+		t.Errorf("%+v, want engines changed to decode, three at a time", d)
+	}
+}
+
+func TestNothingIsChanged(t *testing.T) {
+	changing := engines(9, 3)
+	changing[8].Changing = true
+	tests := map[string]struct {
+		engines []Engine
+		d       Demand
+	}{
+		"idle":             {engines(9, 3), Demand{Prefill: 0.3, Decode: 0.1}},
+		"balanced":         {engines(9, 5), Demand{Prefill: 3.6, Decode: 20}},
+		"a change pending": {changing, Demand{Prefill: 6, Decode: 10}},
+		"one engine":       {engines(1, 0), Demand{Prefill: 6, Decode: 10}},
+		"no demand":        {engines(9, 3), Demand{}},
+	}
+	for name, tt := range tests {
+		if d := New().Decide(start, tt.engines, tt.d); len(d.Changes) > 0 {
+			t.Errorf("%s: %+v", name, d)
+		}
+	}
+}
+
+func TestRoundsAreApart(t *testing.T) {
+	c := New()
+	surge := Demand{Prefill: 6, Decode: 5}
+	if d := c.Decide(start, engines(9, 2), surge); len(d.Changes) == 0 {
+		t.Fatal("no change")
+	}
+	if d := c.Decide(start.Add(time.Second), engines(9, 2), surge); len(d.Changes) > 0 {
+		t.Error("a second round before the first could show")
+	}
+}
+
+// TestBothRolesStay changes engines until nothing changes any more, for any demand.
+func TestBothRolesStay(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 40).Draw(t, "engines")
+		list := engines(n, rapid.IntRange(0, n).Draw(t, "prefill"))
+		d := Demand{Prefill: rapid.Float64Range(0.1, 80).Draw(t, "prompts"), Decode: rapid.Float64Range(0.1, 400).Draw(t, "answers")}
+		c, now, rounds := New(), start, 0
+		for ; rounds < 20; rounds++ {
+			now = now.Add(2 * time.Second)
+			out := c.Decide(now, list, d)
+			if len(out.Changes) == 0 {
+				break
+			}
+			for _, ch := range out.Changes {
+				for i := range list {
+					if list[i].ID == ch.ID {
+						list[i].Role = ch.To
+					}
+				}
+			}
+		}
+		if rounds == 20 {
+			t.Fatalf("it never settles")
+		}
+		s := newSplit(list, d)
+		if s.utilization(s.prefill) > max(gainAtLeast*s.utilization(s.best()), idleBelow)+1e-9 {
+			t.Fatalf("settled at %d of %d engines, %d is much better", s.prefill, n, s.best())
+		}
+	})
+}
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -164,12 +164,37 @@
 		l.perRequest = each
 		return
 	}
-	l.perRequest += time.Duration(perRequestStep * float64(each-l.perRequest))
+	step := perRequestUp
+	if each < l.perRequest {
+		step = perRequestDown
+	}
+	l.perRequest += time.Duration(step * float64(each-l.perRequest))
 }
 
-// perRequestStep is the weight of the newest prefill in the estimate of how long
-// one takes: prompts differ by a factor of ten, so a few dozen have to count.
-const perRequestStep = 0.05
+// Weights of the newest prefill in the estimate of how long one takes an engine.
+// At an idle engine the way there and back counts too, while behind others it is
+// spread over them, so the estimate leans to the shorter times.
+const (
+	perRequestUp   = 0.02
+	perRequestDown = 0.06
+)
+
+// PrefillTime is how long one prompt of a service takes an engine, on average over
+// its upstreams; zero: not known yet.
+func (b *Book) PrefillTime(service string) time.Duration {
+	var sum time.Duration
+	n := 0
+	for _, l := range b.services[service] {
+		if l.perRequest > 0 {
+			sum += l.perRequest
+			n++
+		}
+	}
+	if n == 0 {
+		return 0
+	}
+	return sum / time.Duration(n)
+}
 
 // Reported takes the load that an upstream told with an answer: the requests that
 // it runs and that wait there, from all processes.
