--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -78,7 +78,7 @@
 	for service, engines := range h.e.state.engines() {
 		core, ok := h.cores[service]
 		if !ok {
-			core = roles.New()
+			core = roles.New(h.e.cfg.Settings.Roles.PrefillShare)
 			h.cores[service] = core
 		}
 		d := core.Decide(time.Now(), describe(engines), asked[service])
--- a/internal/process/roles/roles.go
+++ b/internal/process/roles/roles.go
@@ -68,11 +68,13 @@
 
 // Core decides for one service. It is not safe for concurrent use.
 type Core struct {
-	changedAt time.Time
+	fixedShare float64
+	changedAt  time.Time
 }
 
-// New makes a core that has changed nothing.
-func New() *Core { return &Core{} }
+// New makes a core that has changed nothing. fixedShare is the share of engines that
+// an operator wants to prefill; 0: the demand decides.
+func New(fixedShare float64) *Core { return &Core{fixedShare: fixedShare} }
 
 // Decide weighs the split of the engines. Call it about once a second.
 func (c *Core) Decide(now time.Time, engines []Engine, d Demand) Decision {
@@ -90,9 +92,13 @@
 		out.Why = "the last change is too recent"
 		return out
 	}
-	out.Want = s.best()
+	out.Want = c.want(&s)
 	out.Then = s.utilization(out.Want)
 	switch {
+	case c.fixedShare > 0 && out.Want != s.prefill:
+		out.Changes = s.round(out.Want)
+		out.Why = "the operator's share"
+		c.changedAt = now
 	case out.Want == s.prefill:
 		out.Why = "the split is the best one"
 	case out.Now < idleBelow:
@@ -107,6 +113,14 @@
 	return out
 }
 
+func (c *Core) want(s *split) int {
+	if c.fixedShare <= 0 {
+		return s.best()
+	}
+	n := int(math.Round(c.fixedShare * float64(len(s.engines))))
+	return min(max(n, 1), len(s.engines)-1)
+}
+
 // split is how the engines are divided.
 type split struct {
 	engines  []Engine
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -12,6 +12,14 @@
 	Bounds   EntryBounds  `json:"bounds"`
 	Limits   EntryLimits  `json:"limits"`
 	Logging  EntryLogging `json:"logging"`
+	Roles    EntryRoles   `json:"roles"`
+}
+
+// EntryRoles says how the engines of a service are divided.
+type EntryRoles struct {
+	// PrefillShare is the share of a service's engines that prefill, from 0 to 1;
+	// 0: the demand decides.
+	PrefillShare float64 `json:"prefillShare"`
 }
 
 // EntryListen are the listening addresses, each host:port.
@@ -95,6 +103,7 @@
 	c.require(b.LeaseMS > 0, "bounds.leaseMS", b.LeaseMS, "must be greater than zero")
 	c.require(s.Limits.MemoryMB > 0, "limits.memoryMB", s.Limits.MemoryMB, "must be greater than zero")
 	c.require(s.Limits.OpenFds > 0, "limits.openFds", s.Limits.OpenFds, "must be greater than zero")
+	c.share("roles.prefillShare", s.Roles.PrefillShare)
 	c.require(s.Logging.LinesPerSecond > 0, "logging.linesPerSecond", s.Logging.LinesPerSecond, "must be greater than zero")
 	return c.result()
 }
