Write the log through a bounded buffer, reload settings, refuse hopeless requests at once, find silent store connections by probes

Change: logline.ToStandardOutput; entry watches SIGHUP and its settings file; place.Room refuses by the rate of recent starts; keep-alive probes on connections to the store and to upstreams, watches wait 10 s; no demand is told where an operator sets the share; the lease is looked at less often.

--- a/internal/connection/upstream/conn.go
+++ b/internal/connection/upstream/conn.go
@@ -96,12 +96,19 @@
 	return nil, false
 }
 
-// dialer makes connections whose unacknowledged bytes live at most userTimeout.
-func dialer(timeout, userTimeout time.Duration) *net.Dialer {
+// dialer makes connections whose unacknowledged bytes live at most userTimeout, and
+// whose peer is probed while nothing is sent: a peer that lost its power or is cut
+// off sends no reset, so a connection on which an answer is awaited would hang.
+func dialer(timeout, userTimeout, keepAlive time.Duration) *net.Dialer {
 	return &net.Dialer{
-		Timeout:   timeout,
-		KeepAlive: keepAlivePeriod,
-		Control:   controlUserTimeout(userTimeout),
+		Timeout: timeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAlive,
+			Interval: keepAlive / 2,
+			Count:    keepAliveProbes,
+		},
+		Control: controlUserTimeout(userTimeout),
 	}
 }
 
--- a/internal/connection/upstream/http.go
+++ b/internal/connection/upstream/http.go
@@ -21,13 +21,14 @@
 	DefaultUserTimeout = 5 * time.Second
 	DefaultOrderLife   = 2 * time.Second
 	DefaultIdleTimeout = 2 * time.Second
+	DefaultKeepAlive   = 10 * time.Second
 	DefaultMaxIdle     = 512
 	DefaultMaxLine     = 256 << 10
 	DefaultMaxBody     = 8 << 20
 )
 
 const (
-	keepAlivePeriod = 10 * time.Second
+	keepAliveProbes = 2 // unanswered ones end a connection
 	maxHeaderBytes  = 64 << 10
 )
 
@@ -40,6 +41,7 @@
 	Silence     time.Duration // a stream without a byte for so long is broken
 	UserTimeout time.Duration // sent bytes may stay unacknowledged this long
 	OrderLife   time.Duration // longest life of an order's connection
+	KeepAlive   time.Duration // a peer that is silent for so long is probed, once a second at most
 	IdleTimeout time.Duration // an idle connection is not reused after this long
 	MaxIdle     int           // idle connections kept
 	MaxLine     int           // bytes of one event of a stream
@@ -53,6 +55,7 @@
 	setDefault(&o.UserTimeout, DefaultUserTimeout)
 	setDefault(&o.OrderLife, DefaultOrderLife)
 	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.KeepAlive, DefaultKeepAlive)
 	setDefault(&o.MaxIdle, DefaultMaxIdle)
 	setDefault(&o.MaxLine, DefaultMaxLine)
 	setDefault(&o.MaxBody, int64(DefaultMaxBody))
@@ -70,10 +73,11 @@
 // there one connection carries one request at a time, which is what makes
 // "no byte was written" provable, and it never follows a proxy setting.
 func NewTransport(o HTTPOptions) *http.Transport {
+	o = o.withDefaults()
 	var protocols http.Protocols
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:            dialSealed(dialer(o.DialTimeout, o.UserTimeout)),
+		DialContext:            dialSealed(dialer(o.DialTimeout, o.UserTimeout, o.KeepAlive)),
 		TLSClientConfig:        o.TLS,
 		TLSHandshakeTimeout:    o.DialTimeout,
 		Protocols:              &protocols,
--- a/internal/connection/upstream/order.go
+++ b/internal/connection/upstream/order.go
@@ -93,7 +93,7 @@
 // dialOrder makes the connection of one order.
 func (e *httpEngine) dialOrder(ctx context.Context, until boottime.Time, left time.Duration) (*orderConn, error) {
 	userTimeout := max(min(e.opts.UserTimeout, left), minUserTimeout)
-	c, err := dialer(min(e.opts.DialTimeout, left), userTimeout).DialContext(ctx, "tcp", hostPort(e.base))
+	c, err := dialer(min(e.opts.DialTimeout, left), userTimeout, e.opts.KeepAlive).DialContext(ctx, "tcp", hostPort(e.base))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/daemon/main.go
+++ b/internal/process/daemon/main.go
@@ -34,8 +34,17 @@
 		}
 		os.Exit(errkind.ExitUsage)
 	}
-	if err := run(opts, make); err != nil {
+	flush, err := logline.ToStandardOutput()
+	if err != nil {
+		logline.Error(err, "logging not set up")
+		os.Exit(errkind.ExitInternal)
+	}
+	err = run(opts, make)
+	if err != nil {
 		logline.Error(err, "daemon failed")
+	}
+	flush()
+	if err != nil {
 		os.Exit(errkind.Lookup(errkind.From(err).Kind).ExitCode)
 	}
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -41,6 +41,7 @@
 	upstreamDialTimeout = 500 * time.Millisecond
 	upstreamUserTimeout = 1500 * time.Millisecond
 	upstreamIdleTimeout = 4 * time.Second
+	upstreamKeepAlive   = time.Second
 )
 
 // Entry is one ragwort-entry process.
@@ -50,6 +51,7 @@
 	client *upstream.Services
 	meters *meters
 	demand *demand
+	live   atomic.Pointer[liveSettings]
 	log    *requestLog
 
 	exporter  *metrics.Exporter
@@ -73,10 +75,12 @@
 			DialTimeout: upstreamDialTimeout,
 			UserTimeout: upstreamUserTimeout,
 			IdleTimeout: upstreamIdleTimeout,
+			KeepAlive:   upstreamKeepAlive,
 		}),
 		demand: newDemand(),
 		log:    newRequestLog(cfg.Settings.Logging.LinesPerSecond),
 	}
+	e.live.Store(&liveSettings{bounds: cfg.Settings.Bounds, roles: cfg.Settings.Roles})
 	e.exporter = metrics.New("ragwort_entry", map[string]string{"zone": cfg.Settings.Instance.Zone})
 	e.meters = newMeters(e.exporter.Scope())
 	e.hardStop, e.stopHard = context.WithCancel(context.Background())
@@ -167,6 +171,7 @@
 	e.loop(func() { e.followConfig(work) })
 	e.loop(func() { e.tickLoop(work) })
 	e.loop(func() { newHolder(e).run(work) })
+	e.loop(func() { e.watchSettings(work) })
 	logline.Info("entry started", "instance", s.Instance.Name, "zone", s.Instance.Zone,
 		"callers", s.Listen.Callers, "ready", s.Listen.Ready, "store", s.Store)
 	var err error
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -14,11 +14,9 @@
 )
 
 const (
-	// watchWait is how long one call of a watch waits. A connection that fell silent
-	// shows only by its end, and a change has to be in force within about two
-	// seconds, so it can't be long; each call costs the platform something, so it
-	// can't be short.
-	watchWait = 2 * time.Second
+	// watchWait is how long one call of a watch waits. Each call costs the platform
+	// something; a connection that fell silent is found by its keep-alive probes.
+	watchWait = 10 * time.Second
 	// retryPause is the pause after a call that failed, and retryPauseMost its bound
 	// when calls keep failing.
 	retryPause     = 100 * time.Millisecond
--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -54,7 +54,7 @@
 	for sleep(ctx, holderTick) == nil {
 		h.lease.tick(ctx)
 		now := time.Now()
-		if !now.Before(h.tellAt) {
+		if !now.Before(h.tellAt) && h.share() == 0 {
 			h.tellAt = now.Add(demandEvery)
 			h.e.tellDemand(ctx)
 		}
@@ -70,17 +70,17 @@
 
 // decide weighs the split of every service with engines.
 func (h *holder) decide(ctx context.Context) {
-	asked, err := h.demand.read(ctx, h.e.cfg.Records)
-	if err != nil {
-		logline.Info("demand not read", "error", err)
+	asked, ok := h.asked(ctx)
+	if !ok {
 		return
 	}
 	for service, engines := range h.e.state.engines() {
 		core, ok := h.cores[service]
 		if !ok {
-			core = roles.New(h.e.cfg.Settings.Roles.PrefillShare)
+			core = roles.New()
 			h.cores[service] = core
 		}
+		core.SetShare(h.share())
 		d := core.Decide(time.Now(), describe(engines), asked[service])
 		h.tell(service, asked[service], d)
 		if len(d.Changes) > 0 {
@@ -89,6 +89,23 @@
 	}
 }
 
+// share is the share of engines that an operator wants to prefill; 0: the demand
+// decides.
+func (h *holder) share() float64 { return h.e.live.Load().roles.PrefillShare }
+
+// asked gives the demand of all instances, if it decides.
+func (h *holder) asked(ctx context.Context) (map[string]roles.Demand, bool) {
+	if h.share() > 0 {
+		return nil, true
+	}
+	asked, err := h.demand.read(ctx, h.e.cfg.Records)
+	if err != nil {
+		logline.Info("demand not read", "error", err)
+		return nil, false
+	}
+	return asked, true
+}
+
 // describe gives what the split needs to know of engines.
 func describe(engines []fleet.Upstream) []roles.Engine {
 	out := make([]roles.Engine, 0, len(engines))
--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -19,7 +19,9 @@
 	leaseName = "engines"
 	// rankSpread is how many ranks candidates draw from, by a hash of their names:
 	// candidates don't know each other. Few of them then look at the lease often.
-	rankSpread = 16
+	rankSpread = 32
+	// slowTurns is how often the other candidates look at the lease, in times of it.
+	slowTurns = 5
 	// marginShare is the part of the lease's time after which its holder stops before
 	// the end.
 	marginShare = 0.3
@@ -44,7 +46,7 @@
 		Incarnation: platform.NewNonce(),
 		TTL:         ttl,
 		Margin:      time.Duration(float64(ttl) * marginShare),
-		SlowEvery:   3 * ttl,
+		SlowEvery:   slowTurns * ttl,
 	})
 	return l
 }
--- a/internal/process/entry/record.go
+++ b/internal/process/entry/record.go
@@ -63,6 +63,12 @@
 
 func newRequestLog(perSecond int) *requestLog { return &requestLog{perSec: perSecond} }
 
+func (l *requestLog) setRate(perSecond int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.perSec = perSecond
+}
+
 // admit reports whether a plain success is written.
 func (l *requestLog) admit(now time.Time) bool {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/process/entry/reload.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+)
+
+// settingsEvery is how often the settings are read for a change that no signal told.
+const settingsEvery = 5 * time.Second
+
+// watchSettings takes changed settings, at SIGHUP and when the file has changed
+// without one. What can't change while the process runs (its name, zone, addresses)
+// stays as it is until the next start.
+func (e *Entry) watchSettings(ctx context.Context) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	if e.cfg.Reload == nil {
+		<-ctx.Done()
+		return
+	}
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	for {
+		signaled := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			signaled = true
+		case <-ticker.C:
+		}
+		e.reload(signaled)
+	}
+}
+
+// reload reads the settings and takes what may change.
+func (e *Entry) reload(signaled bool) {
+	s, err := e.cfg.Reload()
+	if err != nil {
+		logline.Info("settings refused", "error", err, "signal", signaled)
+		return
+	}
+	changed := e.applySettings(s)
+	if changed || signaled {
+		logline.Info("settings read", "changed", changed, "signal", signaled)
+	}
+}
+
+// applySettings takes what may change in a running process.
+func (e *Entry) applySettings(s *settings.Entry) bool {
+	old := e.live.Swap(&liveSettings{bounds: s.Bounds, roles: s.Roles})
+	changed := old.bounds != s.Bounds || old.roles != s.Roles
+	if changed {
+		e.state.setBounds(s.Bounds)
+	}
+	e.log.setRate(s.Logging.LinesPerSecond)
+	return changed
+}
+
+// liveSettings are the settings that may change while the process runs.
+type liveSettings struct {
+	bounds settings.EntryBounds
+	roles  settings.EntryRoles
+}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -188,6 +188,15 @@
 	return s.window(service).Repeat(now)
 }
 
+// setBounds takes changed bounds; what was counted so far is forgotten, on the safe
+// side: nothing may be repeated until new requests are counted.
+func (s *state) setBounds(b settings.EntryBounds) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bounds = b
+	clear(s.repeats)
+}
+
 func (s *state) window(service string) *retry.Window {
 	w, ok := s.repeats[service]
 	if !ok {
--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -56,7 +56,7 @@
 // connections, and running requests go to their end within the grace.
 func (e *Entry) stop() {
 	begun := time.Now()
-	grace := e.cfg.Settings.Bounds.Grace()
+	grace := e.live.Load().bounds.Grace()
 	e.stage.Store(stageLeaving)
 	e.callers.SetKeepAlivesEnabled(false)
 	logline.Info("entry stopping", "running", e.running.count(), "grace", grace)
--- /dev/null
+++ b/internal/process/logline/stdout_test.go
@@ -0,0 +1,62 @@
+package logline
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// gate is a writer that blocks until it is opened.
+type gate struct {
+	open chan struct{}
+	mu   sync.Mutex
+	buf  bytes.Buffer
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.buf.Write(p)
+}
+
+func TestLinesNeverBlockAndLossIsTold(t *testing.T) {
+	g := &gate{open: make(chan struct{})}
+	w := newWriter(g, 8)
+	const lines = 1000
+	for i := range lines { // returns although nobody reads
+		fmt.Fprintf(w, "line %d\n", i)
+	}
+	close(g.open)
+	w.close()
+	text := g.buf.String()
+	written := strings.Count(text, "line ")
+	var dropped int
+	for _, l := range strings.Split(text, "\n") {
+		var n int
+		if _, err := fmt.Sscanf(l, "\"log lines left out\" count=%d", &n); err == nil {
+			dropped += n
+		}
+	}
+	if dropped == 0 || written+dropped != lines {
+		t.Errorf("%d written and %d told as left out of %d", written, dropped, lines)
+	}
+}
+
+func TestLinesAreWrittenInOrder(t *testing.T) {
+	g := &gate{open: make(chan struct{})}
+	close(g.open)
+	w := newWriter(g, 64)
+	var want strings.Builder
+	for i := range 50 {
+		line := fmt.Sprintf("line %d\n", i)
+		want.WriteString(line)
+		fmt.Fprint(w, line)
+	}
+	w.close()
+	if g.buf.String() != want.String() {
+		t.Errorf("wrote %q", g.buf.String())
+	}
+}
--- a/internal/process/roles/roles.go
+++ b/internal/process/roles/roles.go
@@ -72,9 +72,12 @@
 	changedAt  time.Time
 }
 
-// New makes a core that has changed nothing. fixedShare is the share of engines that
-// an operator wants to prefill; 0: the demand decides.
-func New(fixedShare float64) *Core { return &Core{fixedShare: fixedShare} }
+// New makes a core that has changed nothing.
+func New() *Core { return &Core{} }
+
+// SetShare sets the share of engines that an operator wants to prefill; 0: the
+// demand decides.
+func (c *Core) SetShare(share float64) { c.fixedShare = share }
 
 // Decide weighs the split of the engines. Call it about once a second.
 func (c *Core) Decide(now time.Time, engines []Engine, d Demand) Decision {
--- a/internal/process/roles/roles_test.go
+++ b/internal/process/roles/roles_test.go
@@ -25,7 +25,7 @@
 }
 
 func TestPromptsSurge(t *testing.T) {
-	d := New(0).Decide(start, engines(9, 3), Demand{Prefill: 4.5, Decode: 12})
+	d := New().Decide(start, engines(9, 3), Demand{Prefill: 4.5, Decode: 12})
 	if d.Want != 6 || len(d.Changes) != 3 {
 		t.Fatalf("%+v, want 6 engines that prefill", d)
 	}
@@ -37,7 +37,7 @@
 }
 
 func TestAnswersSurge(t *testing.T) {
-	d := New(0).Decide(start, engines(9, 6), Demand{Prefill: 1, Decode: 40})
+	d := New().Decide(start, engines(9, 6), Demand{Prefill: 1, Decode: 40})
 	if d.Want > 3 || len(d.Changes) != 3 || d.Changes[0].To != upstream.RoleDecode {
 		t.Errorf("%+v, want engines changed to decode, three at a time", d)
 	}
@@ -57,14 +57,14 @@
 		"no demand":        {engines(9, 3), Demand{}},
 	}
 	for name, tt := range tests {
-		if d := New(0).Decide(start, tt.engines, tt.d); len(d.Changes) > 0 {
+		if d := New().Decide(start, tt.engines, tt.d); len(d.Changes) > 0 {
 			t.Errorf("%s: %+v", name, d)
 		}
 	}
 }
 
 func TestRoundsAreApart(t *testing.T) {
-	c := New(0)
+	c := New()
 	surge := Demand{Prefill: 6, Decode: 5}
 	if d := c.Decide(start, engines(9, 2), surge); len(d.Changes) == 0 {
 		t.Fatal("no change")
@@ -80,7 +80,7 @@
 		n := rapid.IntRange(2, 40).Draw(t, "engines")
 		list := engines(n, rapid.IntRange(0, n).Draw(t, "prefill"))
 		d := Demand{Prefill: rapid.Float64Range(0.1, 80).Draw(t, "prompts"), Decode: rapid.Float64Range(0.1, 400).Draw(t, "answers")}
-		c, now, rounds := New(0), start, 0
+		c, now, rounds := New(), start, 0
 		for ; rounds < 20; rounds++ {
 			now = now.Add(2 * time.Second)
 			out := c.Decide(now, list, d)
@@ -106,11 +106,14 @@
 }
 
 func TestOperatorsShare(t *testing.T) {
-	d := New(0.5).Decide(start, engines(8, 3), Demand{Prefill: 6, Decode: 1})
+	c := New()
+	c.SetShare(0.5)
+	d := c.Decide(start, engines(8, 3), Demand{Prefill: 6, Decode: 1})
 	if d.Want != 4 || len(d.Changes) != 1 {
 		t.Errorf("%+v, want 4 engines that prefill whatever the demand", d)
 	}
-	if d := New(0.01).Decide(start, engines(3, 1), Demand{}); len(d.Changes) != 0 {
+	c.SetShare(0.01)
+	if d := c.Decide(start, engines(3, 1), Demand{}); len(d.Changes) != 0 {
 		t.Errorf("%+v, want one engine of each role to stay", d)
 	}
 }
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -265,3 +265,35 @@
 		t.Error("a place behind 120 ms of prompts for a request that has 100")
 	}
 }
+
+// TestHopelessRequestsAreRefusedAtOnce replays a surge at one upstream that starts
+// a hundred requests a second: who could only start too late is told so on arrival.
+func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
+	b := bookOf(up("a", "z1", 1))
+	r := NewRoom(b)
+	now := at(0)
+	for i := range 200 { // a hundred starts a second for two seconds
+		now = at(time.Duration(i) * 10 * time.Millisecond)
+		q := query(fmt.Sprint("steady", i))
+		q.Arrived, q.StartBy = now, now.Add(time.Second)
+		if d, decided := r.Arrive(now, q); !decided || d.Refused != "" {
+			t.Fatalf("request %d: %+v", i, d)
+		}
+		b.Heard(now, "a", true)
+		b.Ended("a")
+	}
+	b.Reported(now, "a", 9, 9, 1) // full from now on
+	waiting, refused := 0, 0
+	for i := range 50 {
+		q := query(fmt.Sprint("surge", i))
+		q.Arrived, q.StartBy = now, now.Add(100*time.Millisecond)
+		if d, decided := r.Arrive(now, q); !decided {
+			waiting++
+		} else if d.Refused == NoPlace && d.RetryAfter > 0 {
+			refused++
+		}
+	}
+	if waiting < 7 || waiting > 13 || waiting+refused != 50 {
+		t.Errorf("%d wait and %d were refused; about ten can start in 100 ms", waiting, refused)
+	}
+}
--- a/internal/request/place/room.go
+++ b/internal/request/place/room.go
@@ -65,13 +65,34 @@
 	if r.count >= maxWaiting {
 		return Decision{ID: q.ID, Refused: Overtaken, RetryAfter: r.retryAfter(now, q.queue())}, true
 	}
-	if !q.StartBy.After(now) {
+	if !q.StartBy.After(now.Add(r.wait(now, &q))) {
 		return Decision{ID: q.ID, Refused: NoPlace, RetryAfter: r.retryAfter(now, q.queue())}, true
 	}
 	r.insert(q)
 	return Decision{}, false
 }
 
+// wait estimates how long a request would wait: until those before it have started,
+// at the rate of recent starts. Zero if that rate isn't known.
+func (r *Room) wait(now time.Time, q *Query) time.Duration {
+	ahead := 0
+	for _, w := range r.queues[q.queue()] {
+		if w.q.Urgency > q.Urgency {
+			break
+		}
+		ahead++
+	}
+	perSecond := r.rate(q.queue()).perSecond(now)
+	if perSecond < minKnownRate {
+		return 0
+	}
+	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
+}
+
+// minKnownRate in starts a second: below it a few requests more or less change the
+// estimate too much to refuse by it.
+const minKnownRate = 5
+
 // place picks an upstream and counts the start.
 func (r *Room) place(now time.Time, q *Query) (Choice, bool) {
 	choice, ok := r.book.Pick(now, q)
@@ -198,14 +219,19 @@
 	s.at = now
 }
 
+// perSecond is the rate of starts. A count that halves each window, fed at rate r a
+// second, settles at r*window/ln 2.
+func (s *startRate) perSecond(now time.Time) float64 {
+	s.fade(now)
+	return s.count * ln2 / startRateWindow.Seconds()
+}
+
 // wait is the time in which n requests start.
 func (s *startRate) wait(now time.Time, n int) time.Duration {
-	s.fade(now)
-	if s.count < 1 {
+	perSecond := s.perSecond(now)
+	if perSecond < 1 {
 		return maxRetryAfter
 	}
-	// A count that halves each window, fed at rate r a second, settles at r*window/ln 2.
-	perSecond := s.count * ln2 / startRateWindow.Seconds()
 	wait := time.Duration(float64(n) / perSecond * float64(time.Second))
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
