Notice the store's return by a cheap probe, and ask anew for changes then

Ruled out: keep-alive probes, which the store's machine answers while the store doesn't. Change: each instance asks the store once a second for a sign of life (a read that may be old, a tenth of a call's price); when it is back, waiting calls begin anew. Conclusion: long watches are kept.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -52,6 +52,7 @@
 	meters *meters
 	demand *demand
 	live   atomic.Pointer[liveSettings]
+	rounds rounds
 	log    *requestLog
 
 	exporter  *metrics.Exporter
@@ -169,6 +170,7 @@
 	}
 	e.loop(func() { e.followUpstreams(work) })
 	e.loop(func() { e.followConfig(work) })
+	e.loop(func() { e.probeStore(work) })
 	e.loop(func() { e.tickLoop(work) })
 	e.loop(func() { newHolder(e).run(work) })
 	e.loop(func() { e.watchSettings(work) })
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,8 +16,13 @@
 
 const (
 	// watchWait is how long one call of a watch waits. Each call costs the platform
-	// something; a connection that fell silent is found by its keep-alive probes.
+	// something; a connection that fell silent is found by its keep-alive probes, and a
+	// platform that was away by probeStore.
 	watchWait = 10 * time.Second
+	// probeEvery and probeTimeout: an outage has to be noticed, and its end too, within
+	// about two seconds. A slow platform answers within some hundred ms.
+	probeEvery   = time.Second
+	probeTimeout = 800 * time.Millisecond
 	// retryPause is the pause after a call that failed, and retryPauseMost its bound
 	// when calls keep failing.
 	retryPause     = 100 * time.Millisecond
@@ -35,34 +41,95 @@
 	}
 }
 
-func (d *dependency) worked() {
-	if d.lost.Swap(false) {
+// worked notes a call that was answered. It tells whether calls failed before.
+func (d *dependency) worked() bool {
+	regained := d.lost.Swap(false)
+	if regained {
 		logline.Info("dependency regained", "dependency", d.name)
 	}
+	return regained
 }
 
-// follow keeps up with a feed: list gives the revision to watch from, watch the
-// next one. It returns when ctx ends.
-func follow(ctx context.Context, d *dependency, list func() (uint64, error), watch func(from uint64) (uint64, error), lost func()) {
+// rounds hands out contexts for calls that may wait long, and ends all of them when
+// the platform is back after an outage: what was asked in between may never be
+// answered, although the connection lives.
+type rounds struct {
+	mu  sync.Mutex
+	ctx context.Context
+	end context.CancelFunc
+}
+
+// current gives the context of the calls of this round.
+func (r *rounds) current(parent context.Context) context.Context {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ctx == nil || r.ctx.Err() != nil {
+		r.ctx, r.end = context.WithCancel(parent)
+	}
+	return r.ctx
+}
+
+// next ends the calls of this round.
+func (r *rounds) next() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.end != nil {
+		r.end()
+	}
+}
+
+// probeStore asks the store for a sign of life now and then, and begins the waiting
+// calls anew when it is back.
+func (e *Entry) probeStore(ctx context.Context) {
+	d := &dependency{name: "platform"}
+	for sleep(ctx, probeEvery) == nil {
+		call, cancel := context.WithTimeout(ctx, probeTimeout)
+		err := e.cfg.Alive(call)
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			d.failed(err)
+			e.changeFleet(func(_ time.Time, f *fleet.Core) { f.Lost() })
+		}
+		if err == nil && d.worked() {
+			e.rounds.next()
+		}
+	}
+}
+
+// feed is what follow keeps up with. list gives the revision to watch from, watch
+// the next one.
+type feed struct {
+	name  string
+	list  func(ctx context.Context) (uint64, error)
+	watch func(ctx context.Context, from uint64) (uint64, error)
+	lost  func() // called when a call failed
+}
+
+// follow keeps up with a feed until ctx ends.
+func (e *Entry) follow(ctx context.Context, f feed) {
+	d := &dependency{name: f.name}
 	revision, known := uint64(0), false
 	pause := retryPause
 	for ctx.Err() == nil {
-		next, err := step(revision, known, list, watch)
-		if ctx.Err() != nil {
+		round := e.rounds.current(ctx)
+		next, err := f.step(round, revision, known)
+		switch {
+		case ctx.Err() != nil:
 			return
-		}
-		if err == nil {
+		case err == nil:
 			d.worked()
 			revision, known, pause = next, true, retryPause
 			continue
-		}
-		if errors.Is(err, platform.ErrHistoryGone) {
-			logline.Info("history gone", "dependency", d.name, "revision", revision)
+		case round.Err() != nil:
+			pause = retryPause
+			continue // the platform is back: ask anew at once
+		case errors.Is(err, platform.ErrHistoryGone):
+			logline.Info("history gone", "dependency", f.name, "revision", revision)
 			known = false
 			continue
 		}
 		d.failed(err)
-		lost()
+		f.lost()
 		if sleep(ctx, pause) != nil {
 			return
 		}
@@ -70,16 +137,16 @@
 	}
 }
 
-func step(revision uint64, known bool, list func() (uint64, error), watch func(uint64) (uint64, error)) (uint64, error) {
+func (f feed) step(ctx context.Context, revision uint64, known bool) (uint64, error) {
 	if known {
-		return watch(revision)
+		return f.watch(ctx, revision)
 	}
-	return list()
+	return f.list(ctx)
 }
 
 // followUpstreams keeps the list of upstreams.
 func (e *Entry) followUpstreams(ctx context.Context) {
-	list := func() (uint64, error) {
+	list := func(ctx context.Context) (uint64, error) {
 		ups, revision, err := e.cfg.Upstreams.List(ctx)
 		if err != nil {
 			return 0, err
@@ -92,7 +159,7 @@
 		logline.Info("upstreams listed", "revision", revision, "count", len(ups))
 		return revision, nil
 	}
-	watch := func(from uint64) (uint64, error) {
+	watch := func(ctx context.Context, from uint64) (uint64, error) {
 		put, gone, revision, err := e.cfg.Upstreams.Watch(ctx, from, watchWait)
 		if err != nil {
 			return 0, err
@@ -104,7 +171,7 @@
 		return revision, nil
 	}
 	lost := func() { e.changeFleet(func(_ time.Time, f *fleet.Core) { f.Lost() }) }
-	follow(ctx, &dependency{name: "platform upstreams"}, list, watch, lost)
+	e.follow(ctx, feed{name: "platform upstreams", list: list, watch: watch, lost: lost})
 }
 
 func (e *Entry) changeFleet(change func(now time.Time, f *fleet.Core)) {
@@ -128,7 +195,7 @@
 
 // followConfig keeps the configuration.
 func (e *Entry) followConfig(ctx context.Context) {
-	list := func() (uint64, error) {
+	list := func(ctx context.Context) (uint64, error) {
 		c, revision, err := e.cfg.Configs.List(ctx)
 		if err != nil {
 			return 0, err
@@ -136,7 +203,7 @@
 		e.installConfig(c, revision)
 		return revision, nil
 	}
-	watch := func(from uint64) (uint64, error) {
+	watch := func(ctx context.Context, from uint64) (uint64, error) {
 		c, revision, err := e.cfg.Configs.Watch(ctx, from, watchWait)
 		if err != nil {
 			return 0, err
@@ -144,7 +211,7 @@
 		e.installConfig(c, revision)
 		return revision, nil
 	}
-	follow(ctx, &dependency{name: "platform configuration"}, list, watch, func() {})
+	e.follow(ctx, feed{name: "platform configuration", list: list, watch: watch, lost: func() {}})
 }
 
 func (e *Entry) installConfig(c *routing.Config, revision uint64) {
--- a/internal/process/entry/ports.go
+++ b/internal/process/entry/ports.go
@@ -72,6 +72,7 @@
 	Dialect   exchange.Dialect
 	Engines   Engines
 	Records   platform.Store                  // the system's own objects
+	Alive     func(ctx context.Context) error // a cheap call of the platform\'s store
 	ReadyPath string                          // of the balancer's question
 	Reload    func() (*settings.Entry, error) // reads the settings again; nil: they don't change
 }
