Gather changes of upstreams, wait for the probe in outages; test the entry process among stand-ins

Cause: on the grown deployments the platform's calls were the largest price: each change of one engine woke the watches of all instances, and calls were repeated through outages. Change: a pause of 250 ms after a change; fewer repeats while the store is away, ended by the probe.

--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -19,14 +19,20 @@
 	// something; a connection that fell silent is found by its keep-alive probes, and a
 	// platform that was away by probeStore.
 	watchWait = 10 * time.Second
+	// gatherFor is the pause after a change, in which further ones gather: they come in
+	// groups, and each one alone would cost the platform a call of every instance. It
+	// is far less than the two seconds in which a change has to be in force.
+	gatherFor = 250 * time.Millisecond
 	// probeEvery and probeTimeout: an outage has to be noticed, and its end too, within
 	// about two seconds. A slow platform answers within some hundred ms.
 	probeEvery   = time.Second
 	probeTimeout = 800 * time.Millisecond
-	// retryPause is the pause after a call that failed, and retryPauseMost its bound
-	// when calls keep failing.
-	retryPause     = 100 * time.Millisecond
-	retryPauseMost = 800 * time.Millisecond
+	// retryPause is the pause after a call that failed; it grows up to retryPauseMost
+	// while calls keep failing. The end of an outage is found by the probe, which is
+	// cheaper.
+	retryPause       = 100 * time.Millisecond
+	retryPauseMost   = 2 * time.Second
+	retryPauseGrowth = 4
 )
 
 // dependency tells the log once when the platform is lost or regained.
@@ -118,7 +124,11 @@
 			return
 		case err == nil:
 			d.worked()
+			changed := next != revision
 			revision, known, pause = next, true, retryPause
+			if changed && sleep(ctx, gatherFor) != nil {
+				return
+			}
 			continue
 		case round.Err() != nil:
 			pause = retryPause
@@ -130,10 +140,8 @@
 		}
 		d.failed(err)
 		f.lost()
-		if sleep(ctx, pause) != nil {
-			return
-		}
-		pause = min(2*pause, retryPauseMost)
+		_ = sleep(round, pause) // ends early when the platform is back
+		pause = min(retryPauseGrowth*pause, retryPauseMost)
 	}
 }
 
--- /dev/null
+++ b/internal/process/entry/feeds_test.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
+)
+
+// fakePlatform answers the feeds from memory, in virtual time.
+type fakePlatform struct {
+	away   func() bool // calls fail, and watches begun meanwhile are never answered
+	config func() *routing.Config
+	wake   chan struct{} // a new configuration is there
+	lists  int
+}
+
+func (p *fakePlatform) alive(context.Context) error {
+	if p.away() {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// List implements ConfigFeed.
+func (p *fakePlatform) List(context.Context) (*routing.Config, uint64, error) {
+	p.lists++
+	if p.away() {
+		return nil, 0, platform.ErrUnavailable
+	}
+	c := p.config()
+	return c, c.Version, nil
+}
+
+// Watch implements ConfigFeed.
+func (p *fakePlatform) Watch(ctx context.Context, from uint64, wait time.Duration) (*routing.Config, uint64, error) {
+	if p.away() { // the connection lives, and nothing comes on it
+		<-ctx.Done()
+		return nil, 0, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+	}
+	if c := p.config(); c.Version > from {
+		return c, c.Version, nil
+	}
+	select {
+	case <-p.wake:
+		return p.config(), p.config().Version, nil
+	case <-time.After(wait):
+		return nil, from, nil
+	case <-ctx.Done():
+		return nil, 0, errors.Wrap(platform.ErrUnavailable, ctx.Err().Error())
+	}
+}
+
+func newTestEntry(configs ConfigFeed, alive func(context.Context) error) *Entry {
+	s := &settings.Entry{Instance: settings.Instance{Name: "i-1", Zone: "z1"}}
+	s.SetDefaults()
+	e := &Entry{state: newState(s)}
+	e.cfg = Config{Settings: s, Configs: configs, Alive: alive}
+	return e
+}
+
+// TestConfigurationAfterASilentOutage has the platform fall silent while a watch is
+// asked anew, change the configuration and come back: the change is in force within
+// two seconds of the return, although the watch asked in the silence hangs for ever.
+func TestConfigurationAfterASilentOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		since := func() time.Duration { return time.Since(begun) }
+		const goes, returns = 9 * time.Second, 19 * time.Second
+		p := &fakePlatform{
+			away: func() bool { return since() > goes && since() < returns },
+			config: func() *routing.Config {
+				if since() > goes {
+					return routing.New(9, nil, nil, routing.Limits{})
+				}
+				return routing.New(6, nil, nil, routing.Limits{})
+			},
+			wake: make(chan struct{}),
+		}
+		e := newTestEntry(p, p.alive)
+		ctx, cancel := context.WithCancel(context.Background())
+		go e.probeStore(ctx)
+		go e.followConfig(ctx)
+		time.Sleep(returns + 2*time.Second)
+		if got := e.state.config.Load().Version; got != 9 {
+			t.Errorf("two seconds after the return version %d is in force, want 9", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestAnOlderConfigurationIsNeverInstalled(t *testing.T) {
+	e := newTestEntry(nil, nil)
+	e.installConfig(routing.New(9, nil, nil, routing.Limits{}), 1)
+	e.installConfig(routing.New(6, nil, nil, routing.Limits{}), 2)
+	if got := e.state.config.Load().Version; got != 9 {
+		t.Errorf("version %d in force, want 9", got)
+	}
+}
+
+func TestUpstreamsThatLapseInAnOutageStay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newTestEntry(nil, nil)
+		listed := func() int { return len(e.state.fleet.Usable()["s"]) }
+		e.changeFleet(func(now time.Time, f *fleet.Core) { f.Put(now, fleet.Upstream{ID: "a", Service: "s"}) })
+		e.changeFleet(func(_ time.Time, f *fleet.Core) { f.Lost() })
+		time.Sleep(10 * time.Second)
+		e.changeFleet(func(now time.Time, f *fleet.Core) {
+			f.Back(now)
+			f.Replace(now, nil)
+		})
+		time.Sleep(2 * time.Second)
+		e.state.tick(time.Now())
+		if listed() != 1 {
+			t.Error("an upstream that lapsed in an outage is gone within two seconds of the return")
+		}
+		time.Sleep(time.Second)
+		e.state.tick(time.Now())
+		if listed() != 0 {
+			t.Error("an upstream that never came back gets work for ever")
+		}
+	})
+}
--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -16,9 +16,8 @@
 	// decideEvery is how often the split of roles is weighed.
 	decideEvery = time.Second
 	// announceWait is how long an announced change of role waits before its order, so
-	// that instances see it and send nothing more to the engine. A watch answers
-	// within some ms.
-	announceWait = 150 * time.Millisecond
+	// that instances see it and send nothing more to the engine.
+	announceWait = gatherFor + 150*time.Millisecond
 )
 
 // holder gives orders to engines while this process holds the lease. It is for one
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -59,6 +59,9 @@
 	var out outcome
 	for try := range prefillTries {
 		choice, refusal := q.placed(ctx, upstream.RolePrefill)
+		if refusal != nil && refusal.Kind == errkind.NoUpstream {
+			return nil, outcome{run: errkind.NotRun, err: refusal} // the decoding engine can still read it
+		}
 		if refusal != nil {
 			return nil, outcome{run: errkind.NotRun, err: refusal, noPlace: refusal}
 		}
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -88,6 +88,7 @@
 		limit = defaultBodyBytes
 	}
 	if q.r.ContentLength > limit {
+		q.drainBody()
 		return tooLarge()
 	}
 	if t := q.bodyLimit(); !t.IsZero() {
@@ -112,6 +113,21 @@
 	return errkind.Wrap(err, errkind.Canceled, errkind.NotRun, "the body did not come whole")
 }
 
+// drainBody reads what is left of a body that is refused, within bounds: a
+// connection that is closed with unread bytes is reset, and the caller may never see
+// the answer.
+func (q *request) drainBody() {
+	_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(drainTime))
+	_, _ = io.CopyN(io.Discard, q.r.Body, drainBytes) // whatever comes, the refusal follows
+	_ = http.NewResponseController(q.w).SetReadDeadline(time.Time{})
+}
+
+// Bounds of drainBody: what a caller on a slow link sends in about a second.
+const (
+	drainBytes = 8 << 20
+	drainTime  = time.Second
+)
+
 // bodyLimit is when a body has to be there.
 func (q *request) bodyLimit() time.Time {
 	if q.until.IsZero() {
