Take an engine that was not heard of to be as full as the others

Cause: with many instances each one hears of an engine about once a second; the load of others was forgotten within 0.4 s, so crowded engines looked idle and requests queued there, chats for longer than their clients wait. Change: what is reported fades towards the mean of recent reports of the group, in place of towards nothing.

--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -26,11 +26,15 @@
 	failCost = 4.0
 )
 
-// othersHalfLife is how fast a reported load of other processes is forgotten.
-// Requests take tens to hundreds of ms, and every upstream answers several times
-// a second, so an older report says little.
+// othersHalfLife is how fast a reported load of other processes is forgotten in
+// favour of the mean of all such reports. Requests take tens to hundreds of ms, so
+// an older report says little of one upstream; the mean still tells how full the
+// service is, also to a process that hears of each upstream only now and then.
 const othersHalfLife = 400 * time.Millisecond
 
+// meanHalfLife is how fast older reports leave the mean.
+const meanHalfLife = time.Second
+
 // queueShare is the part of the slots that may wait at an upstream before it
 // counts as full: one that ends then finds the next request already there. A
 // longer queue at the upstream would only take away the choice of the next one.
@@ -76,9 +80,10 @@
 // load is what is believed of one upstream.
 type load struct {
 	up         fleet.Upstream
-	own        int // requests of this process under way
-	others     float64
+	own        int       // requests of this process under way
+	others     float64   // requests of other processes, as last reported
 	reportedAt time.Time // zero: never
+	mean       *mean     // of the upstream's group
 	health     health
 	cached     partCache
 	perRequest time.Duration // of a prefill: how long one takes, the ones before it aside
@@ -89,11 +94,54 @@
 	zone     string
 	services map[string][]*load
 	byID     map[string]*load
+	means    map[group]*mean
+}
+
+// group is the upstreams of a service that do the same work.
+type group struct {
+	service string
+	role    upstream.Role
+}
+
+// mean is the mean of what upstreams of a group reported lately.
+type mean struct {
+	value  float64
+	weight float64 // of the reports in it
+	at     time.Time
+}
+
+func (m *mean) add(now time.Time, value float64) {
+	m.weight = m.weight*halved(now.Sub(m.at), meanHalfLife) + 1
+	m.at = now
+	m.value += (value - m.value) / m.weight
+}
+
+// guess is what an upstream that was not heard of is taken to have. One idle
+// upstream is reckoned in, so that a single report doesn't speak for all.
+func (m *mean) guess(now time.Time) float64 {
+	weight := m.weight * halved(now.Sub(m.at), meanHalfLife)
+	return m.value * weight / (weight + 1)
+}
+
+// mean gives the mean of an upstream's group.
+func (b *Book) mean(l *load) *mean {
+	g := group{l.up.Service, l.up.Role}
+	m, ok := b.means[g]
+	if !ok {
+		m = &mean{}
+		b.means[g] = m
+	}
+	return m
 }
 
 // NewBook makes an empty book for a process of an availability zone.
 func NewBook(zone string) *Book {
-	return &Book{zone: zone, services: make(map[string][]*load), byID: make(map[string]*load)}
+	return &Book{
+		zone:     zone,
+		services: make(map[string][]*load),
+		byID:     make(map[string]*load),
+		means:    make(map[group]*mean),
+	}
 }
 
 // SetUpstreams replaces the upstreams that may get new work. What is under way at
@@ -108,6 +156,7 @@
 				l = &load{}
 			}
 			l.up = u
+			l.mean = b.mean(l)
 			kept[u.ID] = l
 			b.services[service] = append(b.services[service], l)
 		}
@@ -205,6 +254,7 @@
 	}
 	l.others = max(0, float64(running+waiting-l.own))
 	l.reportedAt = now
+	l.mean.add(now, l.others)
 	if slots > 0 {
 		l.up.Slots = slots
 	}
@@ -242,11 +292,11 @@
 
 // total estimates the requests at an upstream.
 func (l *load) total(now time.Time) float64 {
-	if l.reportedAt.IsZero() {
-		return float64(l.own)
+	others := l.mean.guess(now)
+	if !l.reportedAt.IsZero() {
+		others += (l.others - others) * halved(now.Sub(l.reportedAt), othersHalfLife)
 	}
-	age := now.Sub(l.reportedAt).Seconds() / othersHalfLife.Seconds()
-	return float64(l.own) + l.others*math.Exp2(-max(age, 0))
+	return float64(l.own) + max(others, 0)
 }
 
 func (l *load) slots() float64 { return max(float64(l.up.Slots), 1) }
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -297,3 +297,23 @@
 		t.Errorf("%d wait and %d were refused; about ten can start in 100 ms", waiting, refused)
 	}
 }
+
+// TestUnheardUpstreamIsTakenToBeAsFullAsTheOthers has a process that hears of few
+// upstreams of a crowded service.
+func TestUnheardUpstreamIsTakenToBeAsFullAsTheOthers(t *testing.T) {
+	var list []fleet.Upstream
+	for i := range 10 {
+		list = append(list, up(fmt.Sprint("u", i), "z1", 8))
+	}
+	b := bookOf(list...)
+	q := query("r")
+	for _, id := range []string{"u0", "u1", "u2", "u3", "u4", "u5"} {
+		b.Reported(at(0), id, 8, 4, 8)
+	}
+	if c, ok := b.Pick(at(100*time.Millisecond), &q); ok {
+		t.Errorf("picked %s, which was not heard of, while all others are full", c.Upstream.ID)
+	}
+	if _, ok := b.Pick(at(10*time.Second), &q); !ok {
+		t.Error("the service is taken as full for ever")
+	}
+}
