Trial: bound the prompts under way by how long they take

Cause: in surges of prompts on the grown deployments reading took 280 to 380 ms at the median, beyond the objective's rest. Change: a bound learned by each process (place/limit.go). Conclusion: engines that prefill are at their limit while those that decode idle, and the other way round 10 s earlier; the place for more is there.

--- a/internal/process/entry/answer.go
+++ b/internal/process/entry/answer.go
@@ -136,6 +136,7 @@
 	if !q.begun {
 		q.begun = true
 		q.first = time.Since(q.arrived)
+		q.e.demand.served(q.route.Name, time.Since(q.placedAt))
 	}
 }
 
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -45,7 +45,7 @@
 			return q.refusedPlace(refusal, a)
 		}
 		out := q.attempt(ctx, choice, a)
-		q.e.state.ended(choice.Upstream.ID)
+		q.e.state.ended(choice.Upstream.ID, q.role())
 		if out.err == nil {
 			return nil
 		}
@@ -70,7 +70,7 @@
 	var kv *prefilled
 	if q.prefillsApart() {
 		var out outcome
-		if kv, out = q.prefill(ctx); out.noPlace != nil || ctx.Err() != nil {
+		if kv, out = q.readApart(ctx); out.noPlace != nil || ctx.Err() != nil {
 			return out
 		}
 		q.readHere = kv == nil // the decoding engine reads the prompt, slowly
@@ -121,6 +121,9 @@
 		}
 		return place.Choice{}, errkind.New(kind, q.run, string(d.Refused)).After(d.RetryAfter)
 	}
+	if q.placedAt.IsZero() {
+		q.placedAt = time.Now()
+	}
 	return d.Choice, nil
 }
 
@@ -184,7 +187,7 @@
 
 // call builds what is sent to an upstream.
 func (q *request) call(u fleet.Upstream, send exchange.Send) upstream.ServiceCall {
-	send.Incarnation, send.Urgency = u.ID, q.route.Priority
+	send.Incarnation = u.ID
 	if left, ok := q.left(time.Now()); ok {
 		send.TimeLeft = max(left, time.Millisecond)
 	}
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -26,6 +26,15 @@
 	prefillAnswerBytes = 64 << 10
 )
 
+// prefillShare is the part of a request's objective that reading its prompt should
+// take at most; the rest is for the decode and the ways.
+const prefillShare = 0.5
+
+// prefillTarget is how long reading the prompt should take at most.
+func (q *request) prefillTarget() time.Duration {
+	return time.Duration(prefillShare * float64(q.route.Objective))
+}
+
 // prefilled is the KV cache of a prompt that waits at an engine.
 type prefilled struct {
 	at     fleet.Upstream
@@ -53,9 +62,9 @@
 	return q.e.state.eligible(time.Now(), &query) > 0
 }
 
-// prefill has the prompt read. An outcome with an error is the end of the attempt;
+// readApart has the prompt read. An outcome with an error is the end of the attempt;
 // the request has not run then.
-func (q *request) prefill(ctx context.Context) (*prefilled, outcome) {
+func (q *request) readApart(ctx context.Context) (*prefilled, outcome) {
 	var out outcome
 	for try := range prefillTries {
 		choice, refusal := q.placed(ctx, upstream.RolePrefill)
@@ -67,7 +76,7 @@
 		}
 		var kv *prefilled
 		kv, out = q.sendPrefill(ctx, choice)
-		q.e.state.ended(choice.Upstream.ID)
+		q.e.state.ended(choice.Upstream.ID, upstream.RolePrefill)
 		if out.err == nil {
 			return kv, out
 		}
@@ -92,6 +101,7 @@
 	begun := time.Now()
 	resp, err := q.e.client.Forward(ctx, q.call(u, exchange.Send{PrefillOnly: true}))
 	now := time.Now()
+	q.prefill += now.Sub(begun)
 	if err != nil {
 		out := q.sendFailed(ctx, now, u.ID, err)
 		out.run = errkind.NotRun
@@ -105,7 +115,7 @@
 	out := outcome{run: errkind.NotRun, err: err, sent: true}
 	q.judge(ctx, u.ID, out, told)
 	if err == nil {
-		st.withBook(now, func(b *place.Book) { b.Prefilled(now, u.ID, &q.prompt, now.Sub(begun), choice.Load) })
+		st.withBook(now, func(b *place.Book) { b.Prefilled(now, u.ID, &q.prompt, now.Sub(begun), q.prefillTarget(), choice.Load) })
 	}
 	return kv, out
 }
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -44,6 +44,8 @@
 	readHere bool             // the prompt is read by the engine that decodes
 	begun    bool             // the caller has seen a part of the answer
 	waited   time.Duration    // in the room
+	placedAt time.Time        // when the first place was found
+	prefill  time.Duration    // the prompt was read apart for so long, waits for a place aside
 	first    time.Duration    // until the first piece of the answer
 }
 
@@ -171,13 +173,18 @@
 // would be late even at an idle upstream.
 const startShare = 0.6
 
-// query is what placement needs to find an engine of a role.
-func (q *request) query(role upstream.Role) place.Query {
+// startBy is the latest useful start.
+func (q *request) startBy() time.Time {
 	wait := time.Duration(float64(q.route.Objective) * startShare)
 	if wait <= 0 {
 		wait = defaultStartWait
 	}
-	startBy := q.arrived.Add(wait)
+	return q.arrived.Add(wait)
+}
+
+// query is what placement needs to find an engine of a role.
+func (q *request) query(role upstream.Role) place.Query {
+	startBy := q.startBy()
 	if !q.until.IsZero() && q.until.Before(startBy) {
 		startBy = q.until
 	}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
@@ -155,8 +156,8 @@
 }
 
 // ended counts the end of a request at an upstream.
-func (s *state) ended(id string) {
-	s.withBook(time.Now(), func(b *place.Book) { b.Ended(id) })
+func (s *state) ended(id string, role upstream.Role) {
+	s.withBook(time.Now(), func(b *place.Book) { b.Ended(id, role) })
 }
 
 // eligible counts the upstreams that could serve a request, whatever their load.
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -46,11 +46,12 @@
 	return digest.Sum64(), d.Parts[:last], d.Parts[last].Tokens
 }
 
-// Send is what this process sets on a request that it passes to an upstream.
+// Send is what this process sets on a request that it passes to an upstream. It sets
+// no priority there: who goes first is decided by the waiting room, and a request
+// that has a place must not be put back for another one.
 type Send struct {
 	Incarnation string        // the upstream refuses the request if it isn't this one
 	TimeLeft    time.Duration // zero: none
-	Urgency     int           // 0 goes first at the upstream
 	LastEvent   string        // go on after this event; empty: as the caller sent it
 	PrefillOnly bool          // compute the prompt and keep its KV cache
 	KVFrom      string        // where the prompt's KV cache is to be fetched from; empty: nowhere
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -95,6 +95,7 @@
 	services map[string][]*load
 	byID     map[string]*load
 	means    map[group]*mean
+	limiters map[group]*limiter
 }
 
 // group is the upstreams of a service that do the same work.
@@ -141,6 +142,7 @@
 		services: make(map[string][]*load),
 		byID:     make(map[string]*load),
 		means:    make(map[group]*mean),
+		limiters: make(map[group]*limiter),
 	}
 }
 
@@ -169,6 +171,17 @@
 	b.byID = kept
 }
 
+// limiter gives the bound of what this process has under way for a role.
+func (b *Book) limiter(service string, role upstream.Role) *limiter {
+	g := group{service, role}
+	l, ok := b.limiters[g]
+	if !ok {
+		l = newLimiter()
+		b.limiters[g] = l
+	}
+	return l
+}
+
 // Usable reports whether an upstream may still get new work.
 func (b *Book) Usable(id string) bool {
 	l, ok := b.byID[id]
@@ -183,28 +196,31 @@
 	return false
 }
 
-// Sent counts a request that goes to an upstream.
-func (b *Book) Sent(now time.Time, id string) {
+// Sent counts a request that goes to an upstream for the work of a role.
+func (b *Book) Sent(now time.Time, id string, role upstream.Role) {
 	if l, ok := b.byID[id]; ok {
 		l.own++
 		l.health.sent(now)
+		b.limiter(l.up.Service, role).begin()
 	}
 }
 
-// Ended counts the end of a request at an upstream.
-func (b *Book) Ended(id string) {
+// Ended counts the end of a request at an upstream for the work of a role.
+func (b *Book) Ended(id string, role upstream.Role) {
 	if l, ok := b.byID[id]; ok {
 		l.own = max(l.own-1, 0)
+		b.limiter(l.up.Service, role).end()
 	}
 }
 
-// Prefilled notes that an upstream read a prompt, and how long that took with how
-// many requests there at its start.
-func (b *Book) Prefilled(now time.Time, id string, p *Prompt, took time.Duration, load float64) {
+// Prefilled notes that an upstream read a prompt, how long that took with how many
+// requests there at its start, and how long it was wanted to take at most.
+func (b *Book) Prefilled(now time.Time, id string, p *Prompt, took, target time.Duration, load float64) {
 	l, ok := b.byID[id]
 	if !ok {
 		return
 	}
+	b.limiter(l.up.Service, upstream.RolePrefill).took(now, took, target)
 	for i := range p.Parts {
 		l.cached.add(now, p.Parts[i].ID)
 	}
@@ -351,6 +367,9 @@
 // Pick chooses the upstream with the least cost. ok is false if none is eligible
 // or all eligible ones are full.
 func (b *Book) Pick(now time.Time, q *Query) (choice Choice, ok bool) {
+	if q.Role == upstream.RolePrefill && b.limiter(q.Service, q.Role).full() {
+		return Choice{}, false
+	}
 	best, bestCost := (*load)(nil), math.Inf(1)
 	list := b.services[q.Service]
 	home := b.home(now, q)
--- /dev/null
+++ b/internal/request/place/limit.go
@@ -0,0 +1,57 @@
+package place
+
+import "time"
+
+// limiter bounds the requests that this process has under way at a group of
+// upstreams, so that they take about as long as wanted. It learns the bound from how
+// long they take: each process sees only its own part of the load, and what upstreams
+// report of the rest is old. The bound falls by a share and rises by a step, so
+// processes that share upstreams come to share them evenly.
+type limiter struct {
+	bound     float64 // requests
+	loweredAt time.Time
+	under     int
+}
+
+const (
+	// firstBound lets a process begin without having measured anything.
+	firstBound = 16
+	// leastBound keeps one request under way, from which the next bound is learned.
+	leastBound = 1
+	// mostBound is more than any process needs.
+	mostBound = 4096
+	// lowerBy is the factor by which the bound falls when a request took too long, at
+	// most once in the time that it took: all requests under way then tell the same.
+	lowerBy = 0.85
+	// raiseBy is the step by which the bound rises, in requests, for as many requests
+	// in time as are under way.
+	raiseBy = 1.0
+	// nearBound is the part of the bound that has to be in use for it to rise.
+	nearBound = 0.7
+)
+
+func newLimiter() *limiter { return &limiter{bound: firstBound} }
+
+// full reports whether another request would be beyond the bound.
+func (l *limiter) full() bool { return float64(l.under+1) > l.bound }
+
+func (l *limiter) begin() { l.under++ }
+
+func (l *limiter) end() { l.under = max(l.under-1, 0) }
+
+// took learns from a request that took so long and was wanted to take at most target.
+func (l *limiter) took(now time.Time, took, target time.Duration) {
+	if target <= 0 {
+		return
+	}
+	if took > target {
+		if now.Sub(l.loweredAt) >= took {
+			l.loweredAt = now
+			l.bound = max(min(l.bound, float64(l.under+1))*lowerBy, leastBound)
+		}
+		return
+	}
+	if float64(l.under) >= nearBound*l.bound-1 {
+		l.bound = min(l.bound+raiseBy/l.bound, mostBound)
+	}
+}
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -34,7 +34,7 @@
 		t.Errorf("picked %q, want the upstream of the own zone", c.Upstream.ID)
 	}
 	for range 3 {
-		b.Sent(at(0), "b")
+		b.Sent(at(0), "b", "")
 	}
 	if c, _ := b.Pick(at(0), &q); c.Upstream.ID == "b" {
 		t.Error("the own zone's upstream is taken although others are idle")
@@ -104,12 +104,12 @@
 
 func TestLeavingUpstreamIsNotUsable(t *testing.T) {
 	b := bookOf(up("a", "z1", 8))
-	b.Sent(at(0), "a")
+	b.Sent(at(0), "a", "")
 	b.SetUpstreams(map[string][]fleet.Upstream{"s": {up("b", "z1", 8)}})
 	if b.Usable("a") || !b.Usable("b") {
 		t.Error("usable does not follow the list")
 	}
-	b.Ended("a") // must find what is still under way
+	b.Ended("a", "") // must find what is still under way
 }
 
 // TestOverloadServesTheUrgentFirst fills all places and checks who starts and who
@@ -129,7 +129,7 @@
 			t.Fatalf("%s did not wait", q.ID)
 		}
 	}
-	b.Ended("a")
+	b.Ended("a", "")
 	out := r.Tick(at(10 * time.Millisecond))
 	if len(out) != 1 || out[0].ID != "urgent" || out[0].Refused != "" {
 		t.Fatalf("started %+v, want the urgent one", out)
@@ -170,8 +170,8 @@
 	b := bookOf(up("a", "z1", 8))
 	q := query("r")
 	serves := func(d time.Duration) bool { return b.Eligible(at(d), &q) == 1 }
-	b.Sent(at(0), "a")
-	b.Sent(at(0), "a")
+	b.Sent(at(0), "a", "")
+	b.Sent(at(0), "a", "")
 	if !serves(stallAfter) || serves(stallAfter+time.Millisecond) {
 		t.Fatal("an upstream that doesn't answer is silent after a while")
 	}
@@ -184,7 +184,7 @@
 	if serves(2*time.Second) || !serves(2*time.Second+trialAfter) {
 		t.Error("after requests were given up a trial is due, and not before")
 	}
-	b.Sent(at(2*time.Second+trialAfter), "a")
+	b.Sent(at(2*time.Second+trialAfter), "a", "")
 	if serves(2*time.Second + trialAfter) {
 		t.Error("a second request goes along with the trial")
 	}
@@ -199,13 +199,13 @@
 	b := bookOf(up("a", "z1", 8), up("b", "z1", 8))
 	q := query("r")
 	for range 5 {
-		b.Sent(at(0), "a")
+		b.Sent(at(0), "a", "")
 		b.Heard(at(0), "a", true)
 		b.Failed(at(0), "a", false)
-		b.Ended("a")
+		b.Ended("a", "")
 	}
 	for range 3 {
-		b.Sent(at(0), "b")
+		b.Sent(at(0), "b", "")
 		b.Heard(at(0), "b", true)
 	}
 	if c, _ := b.Pick(at(0), &q); c.Upstream.ID != "b" {
@@ -220,10 +220,10 @@
 	b := bookOf(up("a", "z2", 8), up("b", "z1", 8))
 	q := query("r")
 	for _, id := range []string{"a", "b", "a", "b"} {
-		b.Sent(at(0), id)
+		b.Sent(at(0), id, "")
 		b.Heard(at(0), id, true)
 		b.Failed(at(0), id, false)
-		b.Ended(id)
+		b.Ended(id, "")
 	}
 	if c, ok := b.Pick(at(0), &q); !ok || c.Upstream.ID != "b" {
 		t.Errorf("%q %v, want the own zone as ever", c.Upstream.ID, ok)
@@ -242,7 +242,7 @@
 		if c, _ := b.Pick(at(0), &q); c.Upstream.ID != home.Upstream.ID {
 			break
 		}
-		b.Sent(at(0), home.Upstream.ID)
+		b.Sent(at(0), home.Upstream.ID, "")
 	}
 	if sent < 3 || sent > 4 {
 		t.Errorf("left its home behind %d requests; the shared parts are 3 times its own", sent)
@@ -253,14 +253,14 @@
 	b := bookOf(up("a", "z1", 64))
 	q := query("r")
 	q.Role, q.StartBy = upstream.RolePrefill, at(100*time.Millisecond)
-	b.Prefilled(at(0), "a", &q.Prompt, 30*time.Millisecond, 0)
+	b.Prefilled(at(0), "a", &q.Prompt, 30*time.Millisecond, 0, 0)
 	for range 3 {
 		if _, ok := b.Pick(at(0), &q); !ok {
 			t.Fatal("no place although the prompts there are read in time")
 		}
-		b.Sent(at(0), "a")
+		b.Sent(at(0), "a", "")
 	}
-	b.Sent(at(0), "a")
+	b.Sent(at(0), "a", "")
 	if _, ok := b.Pick(at(0), &q); ok {
 		t.Error("a place behind 120 ms of prompts for a request that has 100")
 	}
@@ -280,7 +280,7 @@
 			t.Fatalf("request %d: %+v", i, d)
 		}
 		b.Heard(now, "a", true)
-		b.Ended("a")
+		b.Ended("a", "")
 	}
 	b.Reported(now, "a", 9, 9, 1) // full from now on
 	waiting, refused := 0, 0
--- a/internal/request/place/room.go
+++ b/internal/request/place/room.go
@@ -99,7 +99,7 @@
 	if !ok {
 		return choice, false
 	}
-	r.book.Sent(now, choice.Upstream.ID)
+	r.book.Sent(now, choice.Upstream.ID, q.Role)
 	r.rate(q.queue()).started(now)
 	return choice, true
 }
