--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -16,13 +16,23 @@
 )
 
 const (
-	// leaveShare is the part of the grace in which new requests are still served: the
-	// balancer asks once a second and acts on the second miss.
-	leaveShare = 0.4
-	// hardShare is the part of the grace after which running requests are ended.
+	// leaveShare is the part of the grace in which new requests are still served. The
+	// balancer asks once a second and acts on the second miss, so it has to be over two
+	// seconds of an ordinary grace; a long answer that begins later than three eighths
+	// of it would be cut at its end.
+	leaveShare = 0.33
+	// hardShare is the part of the grace after which running requests are ended: in its
+	// last sixth, with time left to close the connections.
 	hardShare = 0.92
 )
 
+// stopTimes gives when a process that was asked to stop takes no new requests any
+// more, and when it ends the ones that still run.
+func stopTimes(asked time.Time, grace time.Duration) (closeAt, endAt time.Time) {
+	closeAt = asked.Add(time.Duration(float64(grace) * leaveShare))
+	return closeAt, asked.Add(time.Duration(float64(grace) * hardShare))
+}
+
 // activity counts running requests.
 type activity struct {
 	mu   sync.Mutex
@@ -60,9 +70,9 @@
 	e.stage.Store(stageLeaving)
 	e.callers.SetKeepAlivesEnabled(false)
 	logline.Info("entry stopping", "running", e.running.count(), "grace", grace)
-	time.Sleep(time.Duration(float64(grace) * leaveShare))
-	bound := begun.Add(time.Duration(float64(grace) * hardShare))
-	ctx, cancel := context.WithDeadline(context.Background(), bound)
+	closeAt, endAt := stopTimes(begun, grace)
+	time.Sleep(time.Until(closeAt))
+	ctx, cancel := context.WithDeadline(context.Background(), endAt)
 	defer cancel()
 	if err := e.callers.Shutdown(ctx); err != nil {
 		logline.Info("bound on stopping reached", "running", e.running.count(), "error", err)
