--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -6,6 +6,7 @@
 	"log"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +14,9 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
 )
@@ -61,7 +64,7 @@
 	operators *http.Server
 
 	stage    atomic.Int32
-	running  activity
+	running  daemon.Activity
 	hardStop context.Context // ends when a planned stop reaches its bound
 	stopHard context.CancelFunc
 	loops    sync.WaitGroup
@@ -149,9 +152,14 @@
 	return router
 }
 
+// memoryShare is the part of the memory allowed at which the garbage collector works
+// harder; the rest is for what it doesn't count, such as the buffers of sockets.
+const memoryShare = 0.9
+
 // Run serves until ctx ends, then stops gracefully and returns.
 func (e *Entry) Run(ctx context.Context) error {
 	s := e.cfg.Settings
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	failed := make(chan error, 3)
@@ -208,7 +216,7 @@
 // once a second.
 func (e *Entry) tickLoop(ctx context.Context) {
 	every := tickEvery
-	for sleep(ctx, every) == nil {
+	for platform.Sleep(ctx, every) == nil {
 		e.state.tick(time.Now())
 		e.log.tick(time.Now())
 		every = idleTick
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -91,7 +91,7 @@
 // calls anew when it is back.
 func (e *Entry) probeStore(ctx context.Context) {
 	d := &dependency{name: "platform"}
-	for sleep(ctx, probeEvery) == nil {
+	for platform.Sleep(ctx, probeEvery) == nil {
 		call, cancel := context.WithTimeout(ctx, probeTimeout)
 		err := e.cfg.Alive(call)
 		cancel()
@@ -134,7 +134,7 @@
 			d.worked()
 			changed := next != revision
 			revision, known, pause = next, true, retryPause
-			if changed && sleep(ctx, gatherFor) != nil {
+			if changed && platform.Sleep(ctx, gatherFor) != nil {
 				return
 			}
 			continue
@@ -148,7 +148,7 @@
 		}
 		d.failed(err)
 		f.lost()
-		_ = sleep(round, pause) // ends early when the platform is back
+		_ = platform.Sleep(round, pause) // ends early when the platform is back
 		pause = min(retryPauseGrowth*pause, retryPauseMost)
 	}
 }
@@ -236,15 +236,3 @@
 	}
 	logline.Info("configuration in force", "version", c.Version, "revision", revision, "routes", len(c.Routes))
 }
-
-// sleep waits, or returns the context's error.
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/roles"
@@ -36,7 +37,7 @@
 	s := e.cfg.Settings
 	return &holder{
 		e:     e,
-		lease: newLease(e.cfg.Records, s.Instance.Name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond),
+		lease: newLease(e.cfg.Records, s.Instance.Name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond, s.Bounds.FencingEnforced),
 		cores: make(map[string]*roles.Core),
 		why:   make(map[string]string),
 	}
@@ -45,12 +46,12 @@
 // run keeps the lease and the split of roles until ctx ends.
 func (h *holder) run(ctx context.Context) {
 	for !h.e.state.hasEngines() {
-		if sleep(ctx, holderTick) != nil {
+		if platform.Sleep(ctx, holderTick) != nil {
 			return
 		}
 	}
 	h.lease.start(ctx, h.e.cfg.Settings.Instance.Name)
-	for sleep(ctx, holderTick) == nil {
+	for platform.Sleep(ctx, holderTick) == nil {
 		h.lease.tick(ctx)
 		now := time.Now()
 		if !now.Before(h.tellAt) && h.share() == 0 {
@@ -139,7 +140,7 @@
 		}
 		marked = append(marked, c)
 	}
-	if sleep(ctx, announceWait) != nil {
+	if platform.Sleep(ctx, announceWait) != nil {
 		return
 	}
 	for _, c := range marked {
--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -25,8 +25,9 @@
 	// marginShare is the part of the lease's time after which its holder stops before
 	// the end.
 	marginShare = 0.3
-	// lateOrders is how long after its sending an order may still be carried out. A
-	// new holder waits for it, so that no order of a former one comes after its own.
+	// lateOrders is how long after its sending an order may still be carried out. Where
+	// engines don't refuse old fencing numbers, a new holder waits for it, so that no
+	// order of a former one comes after its own.
 	lateOrders = 13 * time.Second
 )
 
@@ -34,13 +35,16 @@
 type lease struct {
 	records  platform.Store
 	core     *authority.Core
-	minTurn  time.Duration // holders may not take turns faster
+	turnWait time.Duration // a holder after another one waits so long with its first order
 	formerAt boottime.Time // when another process was last seen to hold the lease; 0: never
 	mayFrom  boottime.Time // no order before this
 }
 
-func newLease(records platform.Store, name string, ttl time.Duration) *lease {
-	l := &lease{records: records, minTurn: ttl}
+func newLease(records platform.Store, name string, ttl time.Duration, fencing bool) *lease {
+	l := &lease{records: records, turnWait: ttl}
+	if !fencing {
+		l.turnWait += lateOrders
+	}
 	l.core = authority.New(authority.Config{
 		Holder:      name,
 		Incarnation: platform.NewNonce(),
@@ -102,7 +106,7 @@
 func (l *lease) gained(a authority.Gained) {
 	l.mayFrom = 0
 	if l.formerAt != 0 {
-		l.mayFrom = boottime.Now().Add(lateOrders + l.minTurn)
+		l.mayFrom = boottime.Now().Add(l.turnWait)
 	}
 	logline.Info("lease taken", "lease", leaseName, "epoch", a.Epoch, "why", a.Why, "after_another", l.formerAt != 0)
 }
--- a/internal/process/entry/record.go
+++ b/internal/process/entry/record.go
@@ -29,7 +29,7 @@
 }
 
 // request counts the end of a request.
-func (m *meters) request(route, outcome string, took, first time.Duration) {
+func (m *meters) request(route, outcome string, first time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	key := route + "\x00" + outcome
@@ -48,7 +48,6 @@
 		m.latency[route] = h
 	}
 	h.RecordDuration(first)
-	_ = took
 }
 
 // requestLog writes a line for each request. Plain successes above a rate are
@@ -113,7 +112,7 @@
 		version = q.config.Version
 	}
 	took := now.Sub(q.arrived)
-	q.e.meters.request(route, outcome, took, q.first)
+	q.e.meters.request(route, outcome, q.first)
 	plain := final == nil && q.sends == 1
 	if plain && !q.e.log.admit(now) {
 		return
--- a/internal/process/entry/serve.go
+++ b/internal/process/entry/serve.go
@@ -11,8 +11,8 @@
 // serve carries one request of a caller to its end.
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	e.running.begin()
-	defer e.running.end()
+	e.running.Begin()
+	defer e.running.End()
 	q, err := e.prepare(w, r, arrived)
 	if err != nil {
 		q.finish(errkind.From(err))
--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
@@ -33,35 +32,6 @@
 	return closeAt, asked.Add(time.Duration(float64(grace) * hardShare))
 }
 
-// activity counts running requests.
-type activity struct {
-	mu   sync.Mutex
-	n    int
-	idle chan struct{} // closed when n falls to zero; nil: nobody waits
-}
-
-func (a *activity) begin() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.n++
-}
-
-func (a *activity) end() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.n--
-	if a.n == 0 && a.idle != nil {
-		close(a.idle)
-		a.idle = nil
-	}
-}
-
-func (a *activity) count() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.n
-}
-
 // stop is a planned stop: the balancer is told, callers are asked to close their
 // connections, and running requests go to their end within the grace.
 func (e *Entry) stop() {
@@ -69,13 +39,13 @@
 	grace := e.live.Load().bounds.Grace()
 	e.stage.Store(stageLeaving)
 	e.callers.SetKeepAlivesEnabled(false)
-	logline.Info("entry stopping", "running", e.running.count(), "grace", grace)
+	logline.Info("entry stopping", "running", e.running.Count(), "grace", grace)
 	closeAt, endAt := stopTimes(begun, grace)
 	time.Sleep(time.Until(closeAt))
 	ctx, cancel := context.WithDeadline(context.Background(), endAt)
 	defer cancel()
 	if err := e.callers.Shutdown(ctx); err != nil {
-		logline.Info("bound on stopping reached", "running", e.running.count(), "error", err)
+		logline.Info("bound on stopping reached", "running", e.running.Count(), "error", err)
 		e.stopHard()
 		e.callers.Close()
 	}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -64,7 +64,7 @@
 	ops     *ops.Server
 
 	stage    atomic.Int32 // of a planned stop
-	running  activity
+	running  daemon.Activity
 	hardStop context.Context // ends when a planned stop reaches its bound
 	stopHard context.CancelFunc
 	work     context.Context // of background work
@@ -250,7 +250,7 @@
 	for sleep(ctx, time.Second) == nil {
 		now := time.Now()
 		g.cores.refreshSuspects(now)
-		g.metrics.running.Update(float64(g.running.count()))
+		g.metrics.running.Update(float64(g.running.Count()))
 		g.metrics.queued.Update(float64(g.cores.queued()))
 	}
 }
--- a/internal/process/gateway/guard.go
+++ b/internal/process/gateway/guard.go
@@ -14,8 +14,8 @@
 // stop, and answers a panic as a defect of ours whose run state is unknown.
 func (g *Gateway) guard(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) (err error) {
-		g.running.begin()
-		defer g.running.end()
+		g.running.Begin()
+		defer g.running.End()
 		if g.stage.Load() != stageServing {
 			c.Response().Header().Set("Connection", "close")
 		}
--- a/internal/process/gateway/source.go
+++ b/internal/process/gateway/source.go
@@ -22,7 +22,7 @@
 
 // Drain implements ops.Source.
 func (s opsSource) Drain() ops.DrainState {
-	return ops.DrainState{State: stageNames[s.g.stage.Load()], Running: s.g.running.count()}
+	return ops.DrainState{State: stageNames[s.g.stage.Load()], Running: s.g.running.Count()}
 }
 
 // Members implements ops.Source.
--- a/internal/process/gateway/stop.go
+++ b/internal/process/gateway/stop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
@@ -25,56 +24,6 @@
 	linger      = 200 * time.Millisecond // connections may bring a last request after the listener closed
 )
 
-// activity counts running requests.
-type activity struct {
-	mu   sync.Mutex
-	n    int
-	idle chan struct{} // closed when n falls to zero; nil: nobody waits
-}
-
-func (a *activity) begin() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.n++
-}
-
-func (a *activity) end() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.n--
-	if a.n == 0 && a.idle != nil {
-		close(a.idle)
-		a.idle = nil
-	}
-}
-
-func (a *activity) count() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.n
-}
-
-// wait returns when no request runs, or false when ctx ends first.
-func (a *activity) wait(ctx context.Context) bool {
-	for {
-		a.mu.Lock()
-		if a.n == 0 {
-			a.mu.Unlock()
-			return true
-		}
-		if a.idle == nil {
-			a.idle = make(chan struct{})
-		}
-		idle := a.idle
-		a.mu.Unlock()
-		select {
-		case <-idle:
-		case <-ctx.Done():
-			return false
-		}
-	}
-}
-
 // stop is a planned stop. Readiness fails first, so that the balancer sends new
 // callers elsewhere while those on their way are still served. Then the listeners
 // close and running requests go to their end. At the bound on draining each one
@@ -82,13 +31,13 @@
 func (g *Gateway) stop() {
 	s := g.cfg.Settings.Stop
 	g.stage.Store(stageLeaving)
-	logline.Info("gateway stopping", "running", g.running.count())
+	logline.Info("gateway stopping", "running", g.running.Count())
 	time.Sleep(time.Duration(s.BalancerMS) * time.Millisecond)
 	g.stage.Store(stageDraining)
 	g.listeners.callers.Close()
 	g.members.SetLeaving()
 	if !g.drain(time.Duration(s.DrainMS) * time.Millisecond) {
-		logline.Info("bound on draining reached", "running", g.running.count())
+		logline.Info("bound on draining reached", "running", g.running.Count())
 		g.stopHard()
 		g.drain(lastAnswers)
 	}
@@ -102,11 +51,11 @@
 func (g *Gateway) drain(bound time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
-	if !g.running.wait(ctx) {
+	if !g.running.Wait(ctx) {
 		return false
 	}
 	_ = sleep(ctx, linger)
-	return g.running.wait(ctx)
+	return g.running.Wait(ctx)
 }
 
 // closeDown ends everything that is left, in the reverse order of its start.
--- a/internal/process/order/core.go
+++ b/internal/process/order/core.go
@@ -102,9 +102,10 @@
 // Busy reports whether a Want would be passed over.
 func (c *Core) Busy() bool { return c.phase != phaseIdle }
 
-// Open gives the order of the slot if it is open as far as is known.
+// Open gives the order of the slot if it is open as far as is known. One that is to
+// be closed is open until the store has it closed.
 func (c *Core) Open() (upstream.Order, bool) {
-	return c.slot.Order, c.slot.State == resource.SlotOpen
+	return c.slot.Order, c.slot.State == resource.SlotOpen || c.phase == phaseClose
 }
 
 // Phase names where the core stands, for explain.
--- a/internal/process/order/core_test.go
+++ b/internal/process/order/core_test.go
@@ -65,9 +65,15 @@
 	if closing.Base != 21 || closing.Slot.State != resource.SlotClosed || closing.Slot.Outcome != string(OutcomeDone) {
 		t.Fatalf("closes with %+v", closing)
 	}
+	if _, open := c.Open(); !open {
+		t.Error("the slot counts as closed before the store has it so")
+	}
 	if f := expect[Finished](t, c.Step(at(time.Second), SlotWrote{Version: 22})); f.Outcome != OutcomeDone || c.Busy() {
 		t.Errorf("finished %+v", f)
 	}
+	if _, open := c.Open(); open {
+		t.Error("the slot counts as open after the store has it closed")
+	}
 }
 
 func TestNoOrderWhileRequestsRun(t *testing.T) {
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -41,8 +41,7 @@
 
 // EntryLimits are what the instance may use.
 type EntryLimits struct {
-	MemoryMB int `json:"memoryMB"`
-	OpenFds  int `json:"openFds"`
+	MemoryMB int `json:"memoryMB"` // the garbage collector works harder near it
 }
 
 // EntryLogging bounds the log.
@@ -58,7 +57,6 @@
 	DefaultRetrySlack         = 20
 	DefaultLeaseMS            = 3000
 	DefaultMemoryMB           = 256
-	DefaultOpenFds            = 1024
 	DefaultLinesPerSecond     = 20
 )
 
@@ -80,7 +78,6 @@
 	setDefault(&s.Bounds.RetrySlack, DefaultRetrySlack)
 	setDefault(&s.Bounds.LeaseMS, DefaultLeaseMS)
 	setDefault(&s.Limits.MemoryMB, DefaultMemoryMB)
-	setDefault(&s.Limits.OpenFds, DefaultOpenFds)
 	setDefault(&s.Logging.LinesPerSecond, DefaultLinesPerSecond)
 }
 
@@ -102,7 +99,6 @@
 	c.require(b.RetrySlack >= 0, "bounds.retrySlack", b.RetrySlack, "must not be negative")
 	c.require(b.LeaseMS > 0, "bounds.leaseMS", b.LeaseMS, "must be greater than zero")
 	c.require(s.Limits.MemoryMB > 0, "limits.memoryMB", s.Limits.MemoryMB, "must be greater than zero")
-	c.require(s.Limits.OpenFds > 0, "limits.openFds", s.Limits.OpenFds, "must be greater than zero")
 	c.share("roles.prefillShare", s.Roles.PrefillShare)
 	c.require(s.Logging.LinesPerSecond > 0, "logging.linesPerSecond", s.Logging.LinesPerSecond, "must be greater than zero")
 	return c.result()
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -10,111 +10,12 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 )
 
-// Weights of the parts of a cost. All are in units of the time that one request
-// takes at an idle upstream of its service, so that they hold for any service.
-const (
-	// awayCost is what crossing to another availability zone is worth: it only
-	// breaks ties between upstreams that are about equally loaded.
-	awayCost = 0.15
-	// fullCost is added for each request beyond the slots: it has to wait for another
-	// one to end.
-	fullCost = 2.0
-	// coldCost is added for an upstream that is still slow after its start.
-	coldCost = 1.0
-	// slowCost is for an engine whose pace is just what the longest answers need to end
-	// in time: those go where the pace is best, short answers where there is room.
-	slowCost = 1.0
-	// failCost is for an upstream all of whose recent requests failed, beyond the one
-	// of its service that fails least: some kinds of request fail everywhere.
-	failCost = 4.0
-)
-
 // othersHalfLife is how fast a reported load of other processes is forgotten in
 // favour of the mean of all such reports. Requests take tens to hundreds of ms, so
 // an older report says little of one upstream; the mean still tells how full the
 // service is, also to a process that hears of each upstream only now and then.
 const othersHalfLife = 400 * time.Millisecond
 
-// meanHalfLife is how fast older reports leave the mean.
-const meanHalfLife = time.Second
-
-// queueShare is the part of the slots that may wait at an upstream before it
-// counts as full: one that ends then finds the next request already there. A
-// longer queue at the upstream would only take away the choice of the next one.
-// None may wait at an engine that decodes: long answers hold its slots for seconds.
-const queueShare = 0.25
-
-// readHereShare is the part of the slots of a decoding engine up to which it may be
-// given a long prompt to read: every step of its other requests then takes longer.
-const readHereShare = 0.6
-
-// readHereCrowd is what a full decoding engine is worth when one is chosen to read a
-// prompt, in units of reading the request's own part.
-const readHereCrowd = 2.0
-
-// Query is what placement needs to know of a request.
-type Query struct {
-	ID       string
-	Service  string
-	Zone     string // of this process
-	Urgency  int    // 0 goes first
-	Prompt   Prompt
-	Work     Work
-	Gap      time.Duration // between events, with which its answer ends in time if it is long; 0: any
-	Arrived  time.Time
-	StartBy  time.Time // a start after this is of no use
-	Excluded []string  // ids of upstreams tried before
-}
-
-// Work is what an upstream is wanted for.
-type Work string
-
-// The kinds of work.
-const (
-	Serve    Work = ""         // a whole request at a plain service
-	Prefill  Work = "prefill"  // reading a prompt whose KV cache is fetched by another engine
-	Decode   Work = "decode"   // decoding; the prompt is short or read elsewhere
-	ReadHere Work = "readhere" // reading a long prompt and decoding, at an engine that decodes
-)
-
-// reads reports whether the work is reading a long prompt.
-func (w Work) reads() bool { return w == Prefill || w == ReadHere }
-
-// role is the role that an engine needs for the work.
-func (w Work) role() upstream.Role {
-	switch w {
-	case Prefill:
-		return upstream.RolePrefill
-	case Decode, ReadHere:
-		return upstream.RoleDecode
-	}
-	return ""
-}
-
-// Prompt is what placement needs to know of a prompt.
-type Prompt struct {
-	Key   uint64 // of the parts that other requests share; 0: none
-	Parts []Part // the shared ones, in order
-	Own   int    // tokens of the request's own part
-}
-
-// Part is a shared part of a prompt.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
-// queue names the group of requests that wait for the same upstreams.
-func (q *Query) queue() string { return q.Service + "/" + string(q.Work) }
-
-// Choice is the outcome of a pick.
-type Choice struct {
-	Upstream fleet.Upstream
-	Load     float64       // requests believed running or waiting there, of all processes
-	Age      time.Duration // of the report behind Load; negative: none
-	Cost     float64
-}
-
 // load is what is believed of one upstream.
 type load struct {
 	up         fleet.Upstream
@@ -137,38 +38,12 @@
 	limiters map[task]*limiter
 }
 
-// group is the upstreams of a service that do the same work.
-type group struct {
-	service string
-	role    upstream.Role
-}
-
 // task is the work of one kind for a service.
 type task struct {
 	service string
 	work    Work
 }
 
-// mean is the mean of what upstreams of a group reported lately.
-type mean struct {
-	value  float64
-	weight float64 // of the reports in it
-	at     time.Time
-}
-
-func (m *mean) add(now time.Time, value float64) {
-	m.weight = m.weight*halved(now.Sub(m.at), meanHalfLife) + 1
-	m.at = now
-	m.value += (value - m.value) / m.weight
-}
-
-// guess is what an upstream that was not heard of is taken to have. One idle
-// upstream is reckoned in, so that a single report doesn't speak for all.
-func (m *mean) guess(now time.Time) float64 {
-	weight := m.weight * halved(now.Sub(m.at), meanHalfLife)
-	return m.value * weight / (weight + 1)
-}
-
 // mean gives the mean of an upstream's group.
 func (b *Book) mean(l *load) *mean {
 	g := group{l.up.Service, l.up.Role}
@@ -382,30 +257,6 @@
 
 func (l *load) slots() float64 { return max(float64(l.up.Slots), 1) }
 
-// full reports whether a further request would only wait at the upstream, or as a
-// prefill wait there for too long.
-func (l *load) full(now time.Time, q *Query) bool {
-	switch q.Work {
-	case ReadHere:
-		return l.total(now)+1 > l.slots()*readHereShare
-	case Decode:
-		return l.total(now)+1 > l.slots()
-	}
-	if l.total(now)+1 > l.slots()+math.Ceil(l.slots()*queueShare) {
-		return true
-	}
-	if q.Work != Prefill {
-		return false
-	}
-	return l.total(now) >= 1 && now.Add(l.prefillWait(now)).After(q.StartBy)
-}
-
-// prefillWait is how long the prompts at an upstream take. They are read one after
-// the other.
-func (l *load) prefillWait(now time.Time) time.Duration {
-	return time.Duration(l.total(now) * float64(l.perRequest))
-}
-
 // Eligible counts the upstreams that could serve the request, whatever their load.
 func (b *Book) Eligible(now time.Time, q *Query) int {
 	n := 0
@@ -502,56 +353,3 @@
 	_, _ = d.WriteString(id) // a digest's writes never fail
 	return d.Sum64()
 }
-
-// cost of a request at an upstream.
-func (l *load) cost(now time.Time, q *Query, home bool) float64 {
-	total := l.total(now)
-	c := 0.0
-	switch q.Work {
-	case Prefill:
-		c = total + l.readingCost(now, &q.Prompt, home)
-	case ReadHere:
-		c = total/l.slots()*readHereCrowd + l.readingCost(now, &q.Prompt, home)
-	default:
-		c = (total + 1) / l.slots()
-		if over := total + 1 - l.slots(); over > 0 {
-			c += over / l.slots() * fullCost
-		}
-	}
-	if q.Gap > 0 {
-		c += slowCost * l.pace.current(now).Seconds() / q.Gap.Seconds()
-	}
-	if l.up.Zone != q.Zone {
-		c += awayCost
-	}
-	if l.up.Cold > 0 {
-		c += coldCost
-	}
-	// A deterministic tie break that differs between requests.
-	return c + float64(rank(uint64(q.Arrived.UnixNano()), l.up.ID)%1000)*1e-6
-}
-
-// readingCost is the part of a prompt that has to be read, in units of a request's
-// own part: what the upstream is believed to keep is not read again.
-func (l *load) readingCost(now time.Time, p *Prompt, home bool) float64 {
-	if home || p.Key == 0 {
-		return 1
-	}
-	missing := 0
-	for i := range p.Parts {
-		if !l.cached.has(now, p.Parts[i].ID) {
-			missing += p.Parts[i].Tokens
-		}
-	}
-	return 1 + float64(missing)/float64(max(p.Own, minOwnTokens))
-}
-
-// minOwnTokens keeps the ratio of shared to own tokens within bounds.
-const minOwnTokens = 64
-
-const ln2 = math.Ln2
-
-// halved is the factor by which a count fades in elapsed time.
-func halved(elapsed, halfLife time.Duration) float64 {
-	return math.Exp2(-max(elapsed, 0).Seconds() / halfLife.Seconds())
-}
--- /dev/null
+++ b/internal/request/place/mean.go
@@ -0,0 +1,44 @@
+package place
+
+import (
+	"math"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+// meanHalfLife is how fast older reports leave the mean.
+const meanHalfLife = time.Second
+
+// group is the upstreams of a service that do the same work.
+type group struct {
+	service string
+	role    upstream.Role
+}
+
+// mean is the mean of what upstreams of a group reported lately.
+type mean struct {
+	value  float64
+	weight float64 // of the reports in it
+	at     time.Time
+}
+
+func (m *mean) add(now time.Time, value float64) {
+	m.weight = m.weight*halved(now.Sub(m.at), meanHalfLife) + 1
+	m.at = now
+	m.value += (value - m.value) / m.weight
+}
+
+// guess is what an upstream that was not heard of is taken to have. One idle
+// upstream is reckoned in, so that a single report doesn't speak for all.
+func (m *mean) guess(now time.Time) float64 {
+	weight := m.weight * halved(now.Sub(m.at), meanHalfLife)
+	return m.value * weight / (weight + 1)
+}
+
+const ln2 = math.Ln2
+
+// halved is the factor by which a count fades in elapsed time.
+func halved(elapsed, halfLife time.Duration) float64 {
+	return math.Exp2(-max(elapsed, 0).Seconds() / halfLife.Seconds())
+}
--- /dev/null
+++ b/internal/request/place/query.go
@@ -0,0 +1,71 @@
+package place
+
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+)
+
+// Query is what placement needs to know of a request.
+type Query struct {
+	ID       string
+	Service  string
+	Zone     string // of this process
+	Urgency  int    // 0 goes first
+	Prompt   Prompt
+	Work     Work
+	Gap      time.Duration // between events, with which its answer ends in time if it is long; 0: any
+	Arrived  time.Time
+	StartBy  time.Time // a start after this is of no use
+	Excluded []string  // ids of upstreams tried before
+}
+
+// Work is what an upstream is wanted for.
+type Work string
+
+// The kinds of work.
+const (
+	Serve    Work = ""         // a whole request at a plain service
+	Prefill  Work = "prefill"  // reading a prompt whose KV cache is fetched by another engine
+	Decode   Work = "decode"   // decoding; the prompt is short or read elsewhere
+	ReadHere Work = "readhere" // reading a long prompt and decoding, at an engine that decodes
+)
+
+// reads reports whether the work is reading a long prompt.
+func (w Work) reads() bool { return w == Prefill || w == ReadHere }
+
+// role is the role that an engine needs for the work.
+func (w Work) role() upstream.Role {
+	switch w {
+	case Prefill:
+		return upstream.RolePrefill
+	case Decode, ReadHere:
+		return upstream.RoleDecode
+	}
+	return ""
+}
+
+// Prompt is what placement needs to know of a prompt.
+type Prompt struct {
+	Key   uint64 // of the parts that other requests share; 0: none
+	Parts []Part // the shared ones, in order
+	Own   int    // tokens of the request's own part
+}
+
+// Part is a shared part of a prompt.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// queue names the group of requests that wait for the same upstreams.
+func (q *Query) queue() string { return q.Service + "/" + string(q.Work) }
+
+// Choice is the outcome of a pick.
+type Choice struct {
+	Upstream fleet.Upstream
+	Load     float64       // requests believed running or waiting there, of all processes
+	Age      time.Duration // of the report behind Load; negative: none
+	Cost     float64
+}
