--- a/internal/process/entry/answer.go
+++ b/internal/process/entry/answer.go
@@ -136,7 +136,6 @@
 	if !q.begun {
 		q.begun = true
 		q.first = time.Since(q.arrived)
-		q.e.demand.served(q.route.Name, time.Since(q.placedAt))
 	}
 }
 
--- a/internal/process/entry/demand.go
+++ b/internal/process/entry/demand.go
@@ -24,10 +24,6 @@
 	// occupancyStep is the weight of the newest request in the estimate of how long
 	// requests of a route decode.
 	occupancyStep = 0.1
-	// serviceStep is the weight of the newest request in the estimate of how long
-	// requests take to the first piece of their answer: a few dozen count, so that it
-	// follows a surge within a second.
-	serviceStep = 0.05
 	// firstOccupancy is taken before the first request of a route has ended.
 	firstOccupancy = 100 * time.Millisecond
 )
@@ -39,14 +35,12 @@
 	since     time.Time
 	asked     map[string]roles.Demand  // by service, since the last telling
 	occupancy map[string]time.Duration // by route
-	service   map[string]time.Duration // by route
 }
 
 func newDemand() *demand {
 	return &demand{
 		asked:     make(map[string]roles.Demand),
 		occupancy: make(map[string]time.Duration),
-		service:   make(map[string]time.Duration),
 	}
 }
 
@@ -73,26 +67,6 @@
 	d.occupancy[route] = old + time.Duration(occupancyStep*float64(took-old))
 }
 
-// served notes how long a request took from its place to the first piece of its
-// answer.
-func (d *demand) served(route string, took time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	old, ok := d.service[route]
-	if !ok {
-		old = took
-	}
-	d.service[route] = old + time.Duration(serviceStep*float64(took-old))
-}
-
-// serviceTime is how long requests of a route take from their place to the first
-// piece of their answer; zero: not known yet.
-func (d *demand) serviceTime(route string) time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.service[route]
-}
-
 // take gives the demand a second since the last call.
 func (d *demand) take(now time.Time) map[string]roles.Demand {
 	d.mu.Lock()
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -63,6 +63,7 @@
 	ready     *http.Server
 	operators *http.Server
 
+	tickets  atomic.Uint64 // given to requests so far
 	stage    atomic.Int32
 	running  daemon.Activity
 	hardStop context.Context // ends when a planned stop reaches its bound
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -40,11 +40,11 @@
 	q.countDemand()
 	a := &answer{q: q}
 	for {
-		place, refusal := q.placed(ctx, q.work())
+		found, refusal := q.placed(ctx, q.work())
 		if refusal != nil {
 			return q.refusedPlace(refusal, a)
 		}
-		choice, out := q.attempt(ctx, place, a)
+		choice, out := q.attempt(ctx, found, a)
 		if out.err == nil {
 			return nil
 		}
@@ -133,9 +133,6 @@
 		}
 		return place.Choice{}, errkind.New(kind, q.run, string(d.Refused)).After(d.RetryAfter)
 	}
-	if q.placedAt.IsZero() {
-		q.placedAt = time.Now()
-	}
 	return d.Choice, nil
 }
 
