--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -6,6 +6,7 @@
 	"log"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -63,6 +64,7 @@
 	ready     *http.Server
 	operators *http.Server
 
+	reloads  chan os.Signal
 	tickets  atomic.Uint64 // given to requests so far
 	stage    atomic.Int32
 	running  daemon.Activity
@@ -82,8 +84,9 @@
 			IdleTimeout: upstreamIdleTimeout,
 			KeepAlive:   upstreamKeepAlive,
 		}),
-		demand: newDemand(),
-		log:    newRequestLog(cfg.Settings.Logging.LinesPerSecond),
+		demand:  newDemand(),
+		reloads: catchReloads(),
+		log:     newRequestLog(cfg.Settings.Logging.LinesPerSecond),
 	}
 	e.live.Store(&liveSettings{bounds: cfg.Settings.Bounds, roles: cfg.Settings.Roles})
 	e.exporter = metrics.New("ragwort_entry", map[string]string{"zone": cfg.Settings.Instance.Zone})
--- a/internal/process/entry/reload.go
+++ b/internal/process/entry/reload.go
@@ -14,13 +14,18 @@
 // settingsEvery is how often the settings are read for a change that no signal told.
 const settingsEvery = 5 * time.Second
 
+// catchReloads begins to catch SIGHUP, which would end the process otherwise.
+func catchReloads() chan os.Signal {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	return c
+}
+
 // watchSettings takes changed settings, at SIGHUP and when the file has changed
 // without one. What can't change while the process runs (its name, zone, addresses)
 // stays as it is until the next start.
 func (e *Entry) watchSettings(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+	defer signal.Stop(e.reloads)
 	if e.cfg.Reload == nil {
 		<-ctx.Done()
 		return
@@ -32,7 +37,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-e.reloads:
 			signaled = true
 		case <-ticker.C:
 		}
