--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -65,7 +65,7 @@
 	operators *http.Server
 
 	reloads  chan os.Signal
-	tickets  atomic.Uint64 // given to requests so far
+	queueIDs atomic.Uint64 // given to requests so far
 	stage    atomic.Int32
 	running  daemon.Activity
 	hardStop context.Context // ends when a planned stop reaches its bound
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -25,7 +25,7 @@
 // request is one request of a caller.
 type request struct {
 	e        *Entry
-	ticket   string // names the request in the waiting room; callers' ids may not be unique
+	queueID  string // id in the queue; callers' ids may not be unique
 	w        http.ResponseWriter
 	r        *http.Request
 	arrived  time.Time
@@ -45,15 +45,15 @@
 	sentAt   time.Time        // when the last send began
 	readHere bool             // the prompt is read by the engine that decodes
 	begun    bool             // the caller has seen a part of the answer
-	waited   time.Duration    // in the room
+	waited   time.Duration    // in the queue
 	prefill  time.Duration    // the prompt was read apart for so long, waits for a place aside
 	first    time.Duration    // until the first piece of the answer
 }
 
 // prepare reads and checks a request. Nothing is sent before it succeeds.
 func (e *Entry) prepare(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, error) {
-	ticket := strconv.FormatUint(e.tickets.Add(1), 10)
-	q := &request{e: e, ticket: ticket, w: w, r: r, arrived: arrived, run: errkind.NotRun}
+	queueID := strconv.FormatUint(e.queueIDs.Add(1), 10)
+	q := &request{e: e, queueID: queueID, w: w, r: r, arrived: arrived, run: errkind.NotRun}
 	q.config = e.state.config.Load()
 	if q.config == nil {
 		return q, errkind.New(errkind.ConfigUnavailable, errkind.NotRun, "this instance has no configuration yet").After(refusedRetryAfter)
@@ -191,7 +191,7 @@
 		startBy = q.until
 	}
 	return place.Query{
-		ID: q.ticket, Service: q.service, Zone: q.e.cfg.Settings.Instance.Zone,
+		ID: q.queueID, Service: q.service, Zone: q.e.cfg.Settings.Instance.Zone,
 		Urgency: q.route.Priority, Prompt: q.prompt, Work: work,
 		Arrived: q.arrived, StartBy: startBy, Excluded: q.excluded, Gap: q.gap(),
 	}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -33,7 +33,7 @@
 	mu      sync.Mutex
 	fleet   *fleet.Core
 	book    *place.Book
-	room    *place.Room
+	queue   *place.Queue
 	waiters map[string]chan place.Decision
 	repeats map[string]*retry.Window // by service
 	bounds  settings.EntryBounds
@@ -46,7 +46,7 @@
 	return &state{
 		fleet:   fleet.New(),
 		book:    book,
-		room:    place.NewRoom(book),
+		queue:   place.NewQueue(book),
 		waiters: make(map[string]chan place.Decision),
 		repeats: make(map[string]*retry.Window),
 		bounds:  s.Bounds,
@@ -101,12 +101,12 @@
 	s.decideWaiting(now)
 }
 
-// decideWaiting hands the room's decisions to the requests. Callers hold mu.
+// decideWaiting hands the queue's decisions to the requests. Callers hold mu.
 func (s *state) decideWaiting(now time.Time) {
-	if s.room.Len() == 0 {
+	if s.queue.Len() == 0 {
 		return
 	}
-	for _, d := range s.room.Tick(now) {
+	for _, d := range s.queue.Tick(now) {
 		if w, ok := s.waiters[d.ID]; ok {
 			delete(s.waiters, d.ID)
 			w <- d
@@ -119,7 +119,7 @@
 	out := make(chan place.Decision, 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d, decided := s.room.Arrive(now, q)
+	d, decided := s.queue.Arrive(now, q)
 	if decided {
 		out <- d
 		return out
@@ -132,14 +132,14 @@
 func (s *state) try(now time.Time, q *place.Query) (place.Choice, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.room.Try(now, q)
+	return s.queue.Try(now, q)
 }
 
-// leave takes a request out of the room. It reports false if a decision came first.
+// leave takes a request out of the queue. It reports false if a decision came first.
 func (s *state) leave(q place.Query) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.room.Leave(&q) {
+	if !s.queue.Leave(&q) {
 		return false
 	}
 	delete(s.waiters, q.ID)
@@ -217,11 +217,11 @@
 	return w
 }
 
-// waiting counts the requests in the room.
+// waiting counts the requests that wait.
 func (s *state) waiting() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.room.Len()
+	return s.queue.Len()
 }
 
 // upstreamsListed reports whether the list of upstreams was read once.
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -47,7 +47,7 @@
 }
 
 // Send is what this process sets on a request that it passes to an upstream. It sets
-// no priority there: who goes first is decided by the waiting room, and a request
+// no priority there: who goes first is decided by the queue, and a request
 // that has a place must not be put back for another one.
 type Send struct {
 	Incarnation string        // the upstream refuses the request if it isn't this one
--- a/internal/request/place/doc.go
+++ b/internal/request/place/doc.go
@@ -3,7 +3,7 @@
 // requests that it has under way and the load that upstreams tell with their
 // answers. Pure.
 //
-// Book keeps the load of each upstream and picks one for a request. Room keeps
+// Book keeps the load of each upstream and picks one for a request. Queue keeps
 // the requests for which there is no place yet, most urgent first, and refuses
 // the ones whose latest useful start has passed.
 package place
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -116,7 +116,7 @@
 // is refused when.
 func TestOverloadServesTheUrgentFirst(t *testing.T) {
 	b := bookOf(up("a", "z1", 1))
-	r := NewRoom(b)
+	r := NewQueue(b)
 	for i := range 2 { // one slot and one that waits at the upstream
 		if d, decided := r.Arrive(at(0), query(fmt.Sprint("first", i))); !decided || d.Refused != "" {
 			t.Fatalf("no place at an idle upstream: %+v", d)
@@ -147,7 +147,7 @@
 }
 
 func TestRefusedAtOnceWithoutAnyUpstream(t *testing.T) {
-	r := NewRoom(bookOf())
+	r := NewQueue(bookOf())
 	if d, decided := r.Arrive(at(0), query("r")); !decided || d.Refused != NoUpstream {
 		t.Errorf("%+v, want a refusal at once", d)
 	}
@@ -156,7 +156,7 @@
 func TestLeave(t *testing.T) {
 	b := bookOf(up("a", "z1", 1))
 	b.Reported(at(0), "a", 9, 9, 1)
-	r := NewRoom(b)
+	r := NewQueue(b)
 	if _, decided := r.Arrive(at(0), query("r")); decided {
 		t.Fatal("did not wait")
 	}
@@ -270,7 +270,7 @@
 // a hundred requests a second: who could only start too late is told so on arrival.
 func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
 	b := bookOf(up("a", "z1", 1))
-	r := NewRoom(b)
+	r := NewQueue(b)
 	now := at(0)
 	for i := range 200 { // a hundred starts a second for two seconds
 		now = at(time.Duration(i) * 10 * time.Millisecond)
--- a/internal/request/place/room.go
+++ b/internal/request/place/queue.go
@@ -13,7 +13,7 @@
 const (
 	NoUpstream Why = "no upstream can serve the request"
 	NoPlace    Why = "no place came free in time"
-	Overtaken  Why = "more urgent requests fill the waiting room"
+	Overtaken  Why = "more urgent requests fill the queue"
 )
 
 // maxWaiting bounds the requests that wait in one process. It is far more than a
@@ -30,30 +30,30 @@
 	RetryAfter time.Duration
 }
 
-// waiting is a request in the room.
+// waiting is a request in the queue.
 type waiting struct {
 	q Query
 }
 
-// Room keeps requests until there is a place for them. It is not safe for
+// Queue keeps requests until there is a place for them. It is not safe for
 // concurrent use.
-type Room struct {
+type Queue struct {
 	book   *Book
 	queues map[string][]waiting // by service and role, in the order of starting
 	count  int
 	starts map[string]*startRate
 }
 
-// NewRoom makes an empty room over a book.
-func NewRoom(book *Book) *Room {
-	return &Room{book: book, queues: make(map[string][]waiting), starts: make(map[string]*startRate)}
+// NewQueue makes an empty queue over a book.
+func NewQueue(book *Book) *Queue {
+	return &Queue{book: book, queues: make(map[string][]waiting), starts: make(map[string]*startRate)}
 }
 
 // Len counts the requests that wait.
-func (r *Room) Len() int { return r.count }
+func (r *Queue) Len() int { return r.count }
 
 // Arrive decides on a request at once, or lets it wait (decided is false).
-func (r *Room) Arrive(now time.Time, q Query) (d Decision, decided bool) {
+func (r *Queue) Arrive(now time.Time, q Query) (d Decision, decided bool) {
 	if r.book.Eligible(now, &q) == 0 {
 		return Decision{ID: q.ID, Refused: NoUpstream, RetryAfter: r.retryAfter(now, q.queue())}, true
 	}
@@ -74,7 +74,7 @@
 
 // wait estimates how long a request would wait: until those before it have started,
 // at the rate of recent starts. Zero if that rate isn't known.
-func (r *Room) wait(now time.Time, q *Query) time.Duration {
+func (r *Queue) wait(now time.Time, q *Query) time.Duration {
 	ahead := 0
 	for _, w := range r.queues[q.queue()] {
 		if w.q.Urgency > q.Urgency {
@@ -94,10 +94,10 @@
 const minKnownRate = 5
 
 // Try gives a place at once or not at all.
-func (r *Room) Try(now time.Time, q *Query) (Choice, bool) { return r.place(now, q) }
+func (r *Queue) Try(now time.Time, q *Query) (Choice, bool) { return r.place(now, q) }
 
 // place picks an upstream and counts the start.
-func (r *Room) place(now time.Time, q *Query) (Choice, bool) {
+func (r *Queue) place(now time.Time, q *Query) (Choice, bool) {
 	choice, ok := r.book.Pick(now, q)
 	if !ok {
 		return choice, false
@@ -108,7 +108,7 @@
 }
 
 // insert keeps the queue in the order of urgency, then of arrival.
-func (r *Room) insert(q Query) {
+func (r *Queue) insert(q Query) {
 	list := r.queues[q.queue()]
 	at, _ := slices.BinarySearchFunc(list, q, func(w waiting, q Query) int {
 		if c := cmp.Compare(w.q.Urgency, q.Urgency); c != 0 {
@@ -125,7 +125,7 @@
 
 // Tick decides on waiting requests: the first ones get the places that came free,
 // and those that can't start in time any more are refused.
-func (r *Room) Tick(now time.Time) []Decision {
+func (r *Queue) Tick(now time.Time) []Decision {
 	var out []Decision
 	for name, list := range r.queues {
 		kept := list[:0]
@@ -147,7 +147,7 @@
 // decide on one waiting request. blocked tells that a more urgent one found no
 // place; a request that has tried upstreams before has fewer to choose from and
 // doesn't block others.
-func (r *Room) decide(now time.Time, q *Query, blocked *bool) (Decision, bool) {
+func (r *Queue) decide(now time.Time, q *Query, blocked *bool) (Decision, bool) {
 	if !q.StartBy.After(now) {
 		return Decision{ID: q.ID, Refused: NoPlace, RetryAfter: r.retryAfter(now, q.queue())}, true
 	}
@@ -166,7 +166,7 @@
 
 // Leave takes a request out that needs no place any more. It reports false if
 // the request isn't waiting.
-func (r *Room) Leave(q *Query) bool {
+func (r *Queue) Leave(q *Query) bool {
 	list := r.queues[q.queue()]
 	for i := range list {
 		if list[i].q.ID == q.ID {
@@ -180,11 +180,11 @@
 
 // retryAfter is when a refused request is likely to find a place: the time that
 // the requests before it take at the rate of recent starts.
-func (r *Room) retryAfter(now time.Time, queue string) time.Duration {
+func (r *Queue) retryAfter(now time.Time, queue string) time.Duration {
 	return r.rate(queue).wait(now, len(r.queues[queue])+1)
 }
 
-func (r *Room) rate(queue string) *startRate {
+func (r *Queue) rate(queue string) *startRate {
 	s, ok := r.starts[queue]
 	if !ok {
 		s = &startRate{}
