Serve more of a surge in time: copies of shared parts, returns last, engines shared by demand

Change: an engine that reads a prompt copies the shared parts that it lacks from the engine at which such prompts are read or decoded (place/home.go). Requests wait in order of urgency, then of whether they can still be in time; what a caller has spent before is told by the time that it declares to have left (request/patience). A prompt waits for the first engine of either kind. Prompts take at most 0.4 of the objective at either. The bound of what an instance has under way rises by what it is asked for; it stood still between 1.43 and 2 (TestLimiterRisesFromAFractionInUse).

--- a/internal/process/entry/answer.go
+++ b/internal/process/entry/answer.go
@@ -160,7 +160,7 @@
 
 // readHereTarget is the part of a request's objective that reading its prompt and
 // beginning its answer at one engine should take at most.
-const readHereTarget = 0.7
+const readHereTarget = 0.4
 
 // writeHead writes status and headers of an upstream's answer.
 func (q *request) writeHead(status int, h http.Header) {
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -40,7 +40,7 @@
 	q.countDemand()
 	a := &answer{q: q}
 	for {
-		found, refusal := q.placed(ctx, q.work())
+		found, refusal := q.placed(ctx, q.query(q.work()))
 		if refusal != nil {
 			return q.refusedPlace(refusal, a)
 		}
@@ -73,16 +73,14 @@
 	if !q.prefillsApart() {
 		return choice, q.send(ctx, choice, nil, a)
 	}
-	prompt, found := q.placeForPrompt()
-	if !found {
-		if here, ok := q.placeToReadHere(); ok {
-			q.e.state.ended(choice.Upstream.ID, work)
-			choice, work = here, place.ReadHere
-			q.readHere = true
-			return choice, q.send(ctx, choice, nil, a)
-		}
+	prompt, refusal := q.placed(ctx, q.readingQuery(true))
+	if refusal == nil && prompt.Work == place.ReadHere {
+		q.e.state.ended(choice.Upstream.ID, work)
+		choice, work = prompt, place.ReadHere
+		q.readHere = true
+		return choice, q.send(ctx, choice, nil, a)
 	}
-	kv, out := q.readApart(ctx, prompt, found)
+	kv, out := q.readApart(ctx, prompt, refusal)
 	if out.noPlace != nil || ctx.Err() != nil {
 		return choice, out
 	}
@@ -103,14 +101,14 @@
 	prefill := time.Duration(0)
 	if q.prompt.Own >= apartTokens {
 		prefill = q.e.state.prefillTime(q.service)
+		q.e.state.withBook(q.arrived, func(b *place.Book) { b.Asked(q.arrived, q.service) })
 	}
 	q.e.demand.arrived(q.service, q.route.Name, prefill)
 }
 
 // placed waits for a place.
-func (q *request) placed(ctx context.Context, work place.Work) (place.Choice, *errkind.Error) {
+func (q *request) placed(ctx context.Context, query place.Query) (place.Choice, *errkind.Error) {
 	now := time.Now()
-	query := q.query(work)
 	decision := q.e.state.arrive(now, query)
 	var d place.Decision
 	select {
@@ -162,7 +160,7 @@
 	q.sends++
 	begun := time.Now()
 	q.sentAt = begun
-	resp, err := q.e.client.Forward(ctx, q.call(choice.Upstream, q.sendHeaders(kv, a)))
+	resp, err := q.e.client.Forward(ctx, q.call(choice.Upstream, q.sendHeaders(choice, kv, a)))
 	now := time.Now()
 	if err != nil {
 		out := q.sendFailed(ctx, now, id, err)
@@ -184,8 +182,8 @@
 }
 
 // sendHeaders is what this process sets on a send that runs the request.
-func (q *request) sendHeaders(kv *prefilled, a *answer) exchange.Send {
-	send := exchange.Send{}
+func (q *request) sendHeaders(choice place.Choice, kv *prefilled, a *answer) exchange.Send {
+	send := exchange.Send{CopyFrom: choice.CopyFrom}
 	if last, ok := a.order.Last(); ok && q.begun {
 		send.LastEvent = last
 	}
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -28,7 +28,7 @@
 
 // prefillShare is the part of a request's objective that reading its prompt should
 // take at most; the rest is for the decode and the ways.
-const prefillShare = 1.0
+const prefillShare = 0.4
 
 // prefillTarget is how long reading the prompt should take at most.
 func (q *request) prefillTarget() time.Duration {
@@ -62,29 +62,22 @@
 	return q.e.state.eligible(time.Now(), &query) > 0
 }
 
-// placeForPrompt looks for an engine that reads the prompt now.
-func (q *request) placeForPrompt() (place.Choice, bool) {
+// readingQuery asks for an engine that reads the prompt. orHere: while those for
+// prompts are all busy, a decoding engine with time to read it too does as well.
+func (q *request) readingQuery(orHere bool) place.Query {
 	query := q.query(place.Prefill)
-	return q.e.state.try(time.Now(), &query)
+	query.OrHere = orHere
+	return query
 }
 
-// placeToReadHere looks for a decoding engine with time to read the prompt too, while
-// those for prompts are all busy.
-func (q *request) placeToReadHere() (place.Choice, bool) {
-	query := q.query(place.ReadHere)
-	return q.e.state.try(time.Now(), &query)
-}
-
-// readApart has the prompt read, first at the place that was found if there is one.
+// readApart has the prompt read, first at the place that was found, or refused.
 // An outcome with noPlace is the end of the attempt; the request has not run then.
-func (q *request) readApart(ctx context.Context, choice place.Choice, found bool) (*prefilled, outcome) {
+func (q *request) readApart(ctx context.Context, choice place.Choice, refusal *errkind.Error) (*prefilled, outcome) {
 	var out outcome
 	for try := range prefillTries {
-		var refusal *errkind.Error
-		if !found {
-			choice, refusal = q.placed(ctx, place.Prefill)
+		if try > 0 {
+			choice, refusal = q.placed(ctx, q.readingQuery(false))
 		}
-		found = false
 		if refusal != nil && (refusal.Kind == errkind.NoUpstream || try > 0) {
 			// The decoding engine can still read it. One whose prompt failed elsewhere
 			// has waited enough, and is not refused for that.
@@ -118,7 +111,7 @@
 		return nil, outcome{run: errkind.NotRun, err: errLeaving}
 	}
 	begun := time.Now()
-	resp, err := q.e.client.Forward(ctx, q.call(u, exchange.Send{PrefillOnly: true}))
+	resp, err := q.e.client.Forward(ctx, q.call(u, exchange.Send{PrefillOnly: true, CopyFrom: choice.CopyFrom}))
 	now := time.Now()
 	q.prefill += now.Sub(begun)
 	if err != nil {
--- a/internal/process/entry/record.go
+++ b/internal/process/entry/record.go
@@ -118,7 +118,7 @@
 		return
 	}
 	kv := []any{"request", q.declared.ID, "route", route, "config", version, "outcome", outcome, "run", run,
-		"ms", took.Milliseconds(), "first_ms", q.first.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "prefill_ms", q.prefill.Milliseconds(),
+		"left_ms", q.declared.TimeLeft.Milliseconds(), "ms", took.Milliseconds(), "first_ms", q.first.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "prefill_ms", q.prefill.Milliseconds(),
 		"upstream", q.upstream, "sends", q.sends}
 	if final != nil {
 		kv = append(kv, "why", final.Error(), "retry_after_ms", final.RetryAfter.Milliseconds())
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -35,7 +35,8 @@
 	declared exchange.Declared
 	prompt   place.Prompt
 	body     []byte
-	until    time.Time // when the caller or the operator stops waiting; zero: never
+	spent    time.Duration // by the caller before this request, as far as known
+	until    time.Time     // when the caller or the operator stops waiting; zero: never
 
 	upstream string // last one sent to
 	sends    int
@@ -67,6 +68,7 @@
 		return q, err
 	}
 	q.service = q.route.Pick(q.declared.ID)
+	q.spent = e.state.spent(q.route.Name, q.declared.TimeLeft)
 	q.prompt = promptOf(&q.declared)
 	q.until = q.limit()
 	return q, q.readBody()
@@ -194,9 +196,14 @@
 		ID: q.queueID, Service: q.service, Zone: q.e.cfg.Settings.Instance.Zone,
 		Urgency: q.route.Priority, Prompt: q.prompt, Work: work,
 		Arrived: q.arrived, StartBy: startBy, Excluded: q.excluded, Gap: q.gap(),
+		Late: q.late(),
 	}
 }
 
+// late reports whether the answer can't be in time any more: the caller was refused
+// before, by this or another instance, and has spent the time of the objective.
+func (q *request) late() bool { return q.route.Objective > 0 && q.spent >= q.route.Objective }
+
 // gap is the time between events with which the answer still ends within its time
 // limit if it is about as long as the caller expects; zero: not known.
 func (q *request) gap() time.Duration {
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -9,6 +9,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/patience"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
@@ -30,26 +31,28 @@
 type state struct {
 	config atomic.Pointer[routing.Config]
 
-	mu      sync.Mutex
-	fleet   *fleet.Core
-	book    *place.Book
-	queue   *place.Queue
-	waiters map[string]chan place.Decision
-	repeats map[string]*retry.Window // by service
-	bounds  settings.EntryBounds
-	seen    uint64 // version of fleet that book has
-	listed  bool   // the list of upstreams was read once
+	mu       sync.Mutex
+	fleet    *fleet.Core
+	book     *place.Book
+	queue    *place.Queue
+	waiters  map[string]chan place.Decision
+	repeats  map[string]*retry.Window   // by service
+	patience map[string]*patience.Route // by route
+	bounds   settings.EntryBounds
+	seen     uint64 // version of fleet that book has
+	listed   bool   // the list of upstreams was read once
 }
 
 func newState(s *settings.Entry) *state {
 	book := place.NewBook(s.Instance.Zone)
 	return &state{
-		fleet:   fleet.New(),
-		book:    book,
-		queue:   place.NewQueue(book),
-		waiters: make(map[string]chan place.Decision),
-		repeats: make(map[string]*retry.Window),
-		bounds:  s.Bounds,
+		fleet:    fleet.New(),
+		book:     book,
+		queue:    place.NewQueue(book),
+		waiters:  make(map[string]chan place.Decision),
+		repeats:  make(map[string]*retry.Window),
+		patience: make(map[string]*patience.Route),
+		bounds:   s.Bounds,
 	}
 }
 
@@ -128,11 +131,17 @@
 	return out
 }
 
-// try gives a place at once or not at all.
-func (s *state) try(now time.Time, q *place.Query) (place.Choice, bool) {
+// spent estimates how long the caller of a request has been trying, by the time left
+// that it declares.
+func (s *state) spent(route string, left time.Duration) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.queue.Try(now, q)
+	r, ok := s.patience[route]
+	if !ok {
+		r = &patience.Route{}
+		s.patience[route] = r
+	}
+	return r.Spent(left)
 }
 
 // leave takes a request out of the queue. It reports false if a decision came first.
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -55,6 +55,7 @@
 	LastEvent   string        // go on after this event; empty: as the caller sent it
 	PrefillOnly bool          // compute the prompt and keep its KV cache
 	KVFrom      string        // where the prompt's KV cache is to be fetched from; empty: nowhere
+	CopyFrom    string        // address of an engine that may keep shared parts of the prompt; empty: none
 }
 
 // Load is what an upstream tells of its load.
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -4,8 +4,6 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 )
@@ -36,6 +34,7 @@
 	byID     map[string]*load
 	means    map[group]*mean
 	limiters map[task]*limiter
+	prompts  map[string]*eventRate // requests with long prompts, by service
 }
 
 // task is the work of one kind for a service.
@@ -63,6 +62,7 @@
 		byID:     make(map[string]*load),
 		means:    make(map[group]*mean),
 		limiters: make(map[task]*limiter),
+		prompts:  make(map[string]*eventRate),
 	}
 }
 
@@ -109,6 +109,18 @@
 	return l
 }
 
+// Asked counts a request with a long prompt, whatever becomes of it.
+func (b *Book) Asked(now time.Time, service string) { b.asked(service).add(now) }
+
+func (b *Book) asked(service string) *eventRate {
+	r, ok := b.prompts[service]
+	if !ok {
+		r = &eventRate{}
+		b.prompts[service] = r
+	}
+	return r
+}
+
 // Usable reports whether an upstream may still get new work.
 func (b *Book) Usable(id string) bool {
 	l, ok := b.byID[id]
@@ -147,7 +159,7 @@
 	if !ok {
 		return
 	}
-	b.limiter(l.up.Service, Prefill).took(took, target)
+	b.limiter(l.up.Service, Prefill).took(took, target, b.asked(l.up.Service).perSecond(now))
 	for i := range p.Parts {
 		l.cached.add(now, p.Parts[i].ID)
 	}
@@ -195,7 +207,7 @@
 	if !ok {
 		return
 	}
-	b.limiter(l.up.Service, ReadHere).took(took, target)
+	b.limiter(l.up.Service, ReadHere).took(took, target, b.asked(l.up.Service).perSecond(now))
 	for i := range p.Parts {
 		l.cached.add(now, p.Parts[i].ID)
 	}
@@ -308,7 +320,11 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	return Choice{Upstream: best.up, Load: best.total(now), Age: best.age(now), Cost: bestCost}, true
+	choice = Choice{Upstream: best.up, Work: q.Work, Load: best.total(now), Age: best.age(now), Cost: bestCost}
+	if source := b.source(now, q, best); source != nil {
+		choice.CopyFrom = source.up.Address
+	}
+	return choice, true
 }
 
 func (l *load) age(now time.Time) time.Duration {
@@ -318,26 +334,6 @@
 	return now.Sub(l.reportedAt)
 }
 
-// home is the upstream that reads the prompts with the same shared parts: the first
-// by rendezvous hashing, so that all processes agree without asking and a leaving
-// upstream moves only its own keys.
-func (b *Book) home(now time.Time, q *Query) *load {
-	if q.Prompt.Key == 0 || !q.Work.reads() {
-		return nil
-	}
-	var best *load
-	bestWeight := uint64(0)
-	for _, l := range b.services[q.Service] {
-		if l.health.silent(now) || !canDo(l.up.Role, q.Work.role()) {
-			continue
-		}
-		if w := rank(q.Prompt.Key, l.up.ID); best == nil || w > bestWeight {
-			best, bestWeight = l, w
-		}
-	}
-	return best
-}
-
 // leastFailing is the share of failures that is usual for a service.
 func leastFailing(now time.Time, list []*load) float64 {
 	least := 1.0
@@ -346,10 +342,3 @@
 	}
 	return least
 }
-
-func rank(key uint64, id string) uint64 {
-	var d xxhash.Digest
-	d.ResetWithSeed(key)
-	_, _ = d.WriteString(id) // a digest's writes never fail
-	return d.Sum64()
-}
--- a/internal/request/place/cost.go
+++ b/internal/request/place/cost.go
@@ -19,6 +19,9 @@
 	// slowCost is for an engine whose pace is just what the longest answers need to end
 	// in time: those go where the pace is best, short answers where there is room.
 	slowCost = 1.0
+	// strangerCost is for decoding a prompt elsewhere than others with the same shared
+	// parts, which engines can copy from each other while they are kept.
+	strangerCost = 0.2
 	// failCost is for an upstream all of whose recent requests failed, beyond the one
 	// of its service that fails least: some kinds of request fail everywhere.
 	failCost = 4.0
@@ -42,7 +45,10 @@
 	case ReadHere:
 		c = total/l.slots()*readHereCrowd + l.readingCost(now, &q.Prompt, home)
 	default:
-		c = (total + 1) / l.slots()
+		if q.Prompt.Key != 0 && !home {
+			c = strangerCost
+		}
+		c += (total + 1) / l.slots()
 		if over := total + 1 - l.slots(); over > 0 {
 			c += over / l.slots() * fullCost
 		}
--- a/internal/request/place/limit_test.go
+++ b/internal/request/place/limit_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
 
 // queueModel is a server that works on one request at a time, for a random time, and is shared by
-// processes, each with a limiter of its own. It returns the mean time that requests
-// took in the last half of the run, and how evenly the processes shared it.
-func queueModel(processes int, work, target time.Duration, steps int) (mean time.Duration, least, most int) {
+// processes, each with a limiter of its own and so many requests asked for a second. It
+// returns the mean time that requests took in the last half of the run, and how many each
+// process had served.
+func queueModel(asked []float64, work, target time.Duration, steps int) (mean time.Duration, served []int) {
+	processes := len(asked)
 	type under struct {
 		process int
 		sent    time.Time
@@ -18,7 +21,7 @@
 	for i := range limiters {
 		limiters[i] = newLimiter()
 	}
-	served := make([]int, processes)
+	served = make([]int, processes)
 	var queue []under
 	var sum time.Duration
 	count := 0
@@ -36,23 +39,24 @@
 		queue = queue[1:]
 		took := now.Sub(done.sent)
 		limiters[done.process].end()
-		limiters[done.process].took(took, target)
+		limiters[done.process].took(took, target, asked[done.process])
 		if step > steps/2 {
 			sum += took
 			count++
 			served[done.process]++
 		}
 	}
-	least = served[0]
-	for _, n := range served {
-		least, most = min(least, n), max(most, n)
-	}
-	return sum / time.Duration(count), least, most
+	return sum / time.Duration(count), served
 }
 
 func TestLimiterHoldsTheWantedTimeInOverload(t *testing.T) {
 	for _, processes := range []int{1, 3, 8} {
-		mean, least, most := queueModel(processes, 8*time.Millisecond, 100*time.Millisecond, 20_000)
+		asked := make([]float64, processes)
+		for i := range asked {
+			asked[i] = 250 / float64(processes)
+		}
+		mean, served := queueModel(asked, 8*time.Millisecond, 100*time.Millisecond, 20_000)
+		least, most := slices.Min(served), slices.Max(served)
 		if mean < 50*time.Millisecond || mean > 130*time.Millisecond {
 			t.Errorf("%d processes: requests took %v, wanted about 100ms", processes, mean)
 		}
@@ -62,22 +66,46 @@
 	}
 }
 
+// TestLimiterSharesByDemand has one process with as many callers as two others have
+// together: an availability zone with fewer instances is not to be served worse.
+func TestLimiterSharesByDemand(t *testing.T) {
+	_, served := queueModel([]float64{60, 60, 120}, 8*time.Millisecond, 100*time.Millisecond, 40_000)
+	both, one := float64(served[0]+served[1]), float64(served[2])
+	if one < 0.75*both || one > 1.35*both {
+		t.Errorf("the process with half of the callers served %v, the others %v", one, both)
+	}
+}
+
 func TestLimiterRisesOnlyWhenItIsUsed(t *testing.T) {
 	l := newLimiter()
 	for range 1000 {
 		l.begin()
 		l.end()
-		l.took(time.Millisecond, time.Second)
+		l.took(time.Millisecond, time.Second, 10)
 	}
 	if l.bound > firstBound {
 		t.Errorf("an idle process raised its bound to %v", l.bound)
 	}
 	for range 1000 {
 		l.begin()
-		l.took(time.Hour, time.Second)
+		l.took(time.Hour, time.Second, 10)
 		l.end()
 	}
 	if l.bound < leastBound || l.full() {
 		t.Errorf("the bound fell to %v: nothing could be sent any more", l.bound)
 	}
 }
+
+// TestLimiterRisesFromAFractionInUse has a bound of 1.5 allow one request at a time,
+// all of which are in time: it stood still there, and the process stayed at one.
+func TestLimiterRisesFromAFractionInUse(t *testing.T) {
+	l := &limiter{bound: 1.5}
+	for range 100 {
+		l.begin()
+		l.end()
+		l.took(time.Millisecond, time.Second, 10)
+	}
+	if l.bound < 2 {
+		t.Errorf("the bound is still %v", l.bound)
+	}
+}
--- a/internal/request/place/query.go
+++ b/internal/request/place/query.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
@@ -19,6 +20,24 @@
 	Arrived  time.Time
 	StartBy  time.Time // a start after this is of no use
 	Excluded []string  // ids of upstreams tried before
+	Late     bool      // its answer can't be in time any more, whenever it starts
+	OrHere   bool      // with Prefill: ReadHere does as well
+}
+
+// rank orders requests that wait: the urgent ones first, and of equal urgency those
+// that can still be answered in time. One that is late already loses little by
+// waiting, while one that becomes late meanwhile would be late for nothing.
+func (q *Query) rank(o *Query) int {
+	if c := cmp.Compare(q.Urgency, o.Urgency); c != 0 {
+		return c
+	}
+	switch {
+	case q.Late == o.Late:
+		return 0
+	case o.Late:
+		return -1
+	}
+	return 1
 }
 
 // Work is what an upstream is wanted for.
@@ -65,6 +84,8 @@
 // Choice is the outcome of a pick.
 type Choice struct {
 	Upstream fleet.Upstream
+	Work     Work          // what it was chosen for
+	CopyFrom string        // address of the engine to copy shared parts of the prompt from; empty: none
 	Load     float64       // requests believed running or waiting there, of all processes
 	Age      time.Duration // of the report behind Load; negative: none
 	Cost     float64
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -41,12 +40,12 @@
 	book   *Book
 	queues map[string][]waiting // by service and role, in the order of starting
 	count  int
-	starts map[string]*startRate
+	starts map[string]*eventRate
 }
 
 // NewQueue makes an empty queue over a book.
 func NewQueue(book *Book) *Queue {
-	return &Queue{book: book, queues: make(map[string][]waiting), starts: make(map[string]*startRate)}
+	return &Queue{book: book, queues: make(map[string][]waiting), starts: make(map[string]*eventRate)}
 }
 
 // Len counts the requests that wait.
@@ -57,7 +56,7 @@
 	if r.book.Eligible(now, &q) == 0 {
 		return Decision{ID: q.ID, Refused: NoUpstream, RetryAfter: r.retryAfter(now, q.queue())}, true
 	}
-	if len(r.queues[q.queue()]) == 0 || q.Urgency < r.queues[q.queue()][0].q.Urgency {
+	if !r.anyBefore(&q) {
 		if choice, ok := r.place(now, &q); ok {
 			return Decision{ID: q.ID, Choice: choice}, true
 		}
@@ -72,12 +71,18 @@
 	return Decision{}, false
 }
 
+// anyBefore reports whether a request that waits goes before q, which is new.
+func (r *Queue) anyBefore(q *Query) bool {
+	list := r.queues[q.queue()]
+	return len(list) > 0 && list[0].q.rank(q) <= 0
+}
+
 // wait estimates how long a request would wait: until those before it have started,
 // at the rate of recent starts. Zero if that rate isn't known.
 func (r *Queue) wait(now time.Time, q *Query) time.Duration {
 	ahead := 0
 	for _, w := range r.queues[q.queue()] {
-		if w.q.Urgency > q.Urgency {
+		if w.q.rank(q) > 0 {
 			break
 		}
 		ahead++
@@ -93,25 +98,27 @@
 // estimate too much to refuse by it.
 const minKnownRate = 5
 
-// Try gives a place at once or not at all.
-func (r *Queue) Try(now time.Time, q *Query) (Choice, bool) { return r.place(now, q) }
-
 // place picks an upstream and counts the start.
 func (r *Queue) place(now time.Time, q *Query) (Choice, bool) {
 	choice, ok := r.book.Pick(now, q)
+	if !ok && q.OrHere {
+		here := *q
+		here.Work = ReadHere
+		choice, ok = r.book.Pick(now, &here)
+	}
 	if !ok {
 		return choice, false
 	}
-	r.book.Sent(now, choice.Upstream.ID, q.Work)
-	r.rate(q.queue()).started(now)
+	r.book.Sent(now, choice.Upstream.ID, choice.Work)
+	r.rate(q.queue()).add(now)
 	return choice, true
 }
 
-// insert keeps the queue in the order of urgency, then of arrival.
+// insert keeps the queue in the order of rank, then of arrival.
 func (r *Queue) insert(q Query) {
 	list := r.queues[q.queue()]
 	at, _ := slices.BinarySearchFunc(list, q, func(w waiting, q Query) int {
-		if c := cmp.Compare(w.q.Urgency, q.Urgency); c != 0 {
+		if c := w.q.rank(&q); c != 0 {
 			return c
 		}
 		if w.q.Arrived.After(q.Arrived) {
@@ -181,13 +188,13 @@
 // retryAfter is when a refused request is likely to find a place: the time that
 // the requests before it take at the rate of recent starts.
 func (r *Queue) retryAfter(now time.Time, queue string) time.Duration {
-	return r.rate(queue).wait(now, len(r.queues[queue])+1)
+	return waitFor(len(r.queues[queue])+1, r.rate(queue).perSecond(now))
 }
 
-func (r *Queue) rate(queue string) *startRate {
+func (r *Queue) rate(queue string) *eventRate {
 	s, ok := r.starts[queue]
 	if !ok {
-		s = &startRate{}
+		s = &eventRate{}
 		r.starts[queue] = s
 	}
 	return s
@@ -201,37 +208,8 @@
 	maxRetryAfter = 2 * time.Second
 )
 
-// startRateWindow is how fast older starts are forgotten.
-const startRateWindow = time.Second
-
-// startRate estimates how many requests start in a second.
-type startRate struct {
-	count float64
-	at    time.Time
-}
-
-func (s *startRate) started(now time.Time) {
-	s.fade(now)
-	s.count++
-}
-
-func (s *startRate) fade(now time.Time) {
-	if !s.at.IsZero() {
-		s.count *= halved(now.Sub(s.at), startRateWindow)
-	}
-	s.at = now
-}
-
-// perSecond is the rate of starts. A count that halves each window, fed at rate r a
-// second, settles at r*window/ln 2.
-func (s *startRate) perSecond(now time.Time) float64 {
-	s.fade(now)
-	return s.count * ln2 / startRateWindow.Seconds()
-}
-
-// wait is the time in which n requests start.
-func (s *startRate) wait(now time.Time, n int) time.Duration {
-	perSecond := s.perSecond(now)
+// waitFor is the time in which n requests start at a rate a second.
+func waitFor(n int, perSecond float64) time.Duration {
 	if perSecond < 1 {
 		return maxRetryAfter
 	}
--- /dev/null
+++ b/internal/request/place/rate.go
@@ -0,0 +1,31 @@
+package place
+
+import "time"
+
+// rateHalfLife is how fast older events are forgotten: bursts last seconds.
+const rateHalfLife = time.Second
+
+// eventRate estimates how many events happen in a second.
+type eventRate struct {
+	count float64
+	at    time.Time
+}
+
+func (r *eventRate) add(now time.Time) {
+	r.fade(now)
+	r.count++
+}
+
+func (r *eventRate) fade(now time.Time) {
+	if !r.at.IsZero() {
+		r.count *= halved(now.Sub(r.at), rateHalfLife)
+	}
+	r.at = now
+}
+
+// perSecond is the rate. A count that halves each half-life, fed at rate r a second,
+// settles at r*halfLife/ln 2.
+func (r *eventRate) perSecond(now time.Time) float64 {
+	r.fade(now)
+	return r.count * ln2 / rateHalfLife.Seconds()
+}
