A runner whose drain mark is being written counts as away

Ruled out: the test's own two reads; the count of marks is now taken at the store. Change: marks that are being written, and those whose write failed and may have taken effect, count as not in force yet until a list tells.

--- a/internal/process/controller/controller.go
+++ b/internal/process/controller/controller.go
@@ -105,7 +105,7 @@
 		explain: newExplainRing(), polls: semaphore.NewWeighted(maxPolls),
 		events: make(chan func(), eventQueue), kick: make(chan struct{}, 1),
 		zones: map[string]*zone{}, engines: map[string]*engine{}, chosen: map[string]choice{},
-		marks: marks{known: map[string]*mark{}, writing: map[string]bool{}}, statuses: newStatuses(),
+		marks: marks{known: map[string]*mark{}, writing: map[string]bool{}, unsure: map[string]boottime.Time{}}, statuses: newStatuses(),
 		pruning: pruning{at: boottime.Now().Add(pruneFirst)},
 		roles: policy.New(policy.Config{
 			Origin:          s.Instance.Name,
--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -157,11 +157,40 @@
 	return audit.Entry{}, false
 }
 
-// cutStore refuses everything once it is cut.
+// cutStore refuses everything once it is cut, and writes drain marks late if slowMarks
+// is set.
 type cutStore struct {
 	platform.Store
-	mu  sync.Mutex
-	cut bool
+	mu          sync.Mutex
+	cut         bool
+	slowMarks   time.Duration
+	marksBegun  int
+	marksAtOnce int
+}
+
+// Create waits before a drain mark is written, and counts the marks that stand then.
+func (s *cutStore) Create(ctx context.Context, o platform.Object) (platform.Object, error) {
+	if o.Kind != resource.KindDrain {
+		return s.Store.Create(ctx, o)
+	}
+	if err := platform.Sleep(ctx, s.countMark()); err != nil {
+		return platform.Object{}, err
+	}
+	created, err := s.Store.Create(ctx, o)
+	if marks, _, listErr := s.Store.List(ctx, resource.KindDrain); listErr == nil {
+		s.mu.Lock()
+		s.marksAtOnce = max(s.marksAtOnce, len(marks))
+		s.mu.Unlock()
+	}
+	return created, err
+}
+
+// countMark counts a mark that is about to be written and gives the pause before it.
+func (s *cutStore) countMark() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.marksBegun++
+	return s.slowMarks
 }
 
 func (s *cutStore) setCut(cut bool) {
@@ -170,6 +199,19 @@
 	s.cut = cut
 }
 
+func (s *cutStore) setSlowMarks(pause time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slowMarks = pause
+}
+
+// marks gives how many drain marks were begun, and the most that stood at once.
+func (s *cutStore) marks() (begun, atOnce int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.marksBegun, s.marksAtOnce
+}
+
 func (s *cutStore) refused() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -509,6 +551,29 @@
 	})
 }
 
+// TestOneRunnerAwayWhileItsMarkIsWritten has a drain mark take a second to be written,
+// while a runner that comes first by name is to be changed too.
+func TestOneRunnerAwayWhileItsMarkIsWritten(t *testing.T) {
+	s := newSite(t, true, "r1", "r2", "r3")
+	s.put(resource.KindModel, "smoke", resource.Model{ContextTokens: 4096, MinServing: 2})
+	p := s.start("c-a")
+	p.store.setSlowMarks(time.Second)
+	s.leader(p)
+	s.edit("r3", func(r *resource.Runner) { r.Versions = []string{"v2"} })
+	s.until("the mark of r3 is on its way", func() bool {
+		begun, _ := p.store.marks()
+		return begun > 0
+	})
+	s.edit("r1", func(r *resource.Runner) { r.Versions = []string{"v2"} })
+	s.until("r1 and r3 hold v2 alone", func() bool {
+		if _, atOnce := p.store.marks(); atOnce > 1 {
+			t.Fatalf("%d runners away at once", atOnce)
+		}
+		one, three := s.runners["r1"].State().Loaded, s.runners["r3"].State().Loaded
+		return len(one) == 1 && one[0].Version == "v2" && len(three) == 1 && three[0].Version == "v2"
+	})
+}
+
 func TestRefusedObjectsArePublished(t *testing.T) {
 	s := newSite(t, true, "r1")
 	p := s.start("c-a")
--- a/internal/process/controller/marks.go
+++ b/internal/process/controller/marks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
@@ -37,6 +38,7 @@
 type marks struct {
 	known   map[string]*mark
 	writing map[string]bool
+	unsure  map[string]boottime.Time // when a write failed that may have taken effect
 	listing bool
 	begun   boottime.Time // of the last list that was answered
 	again   bool          // list as soon as possible
@@ -88,11 +90,26 @@
 		}
 	}
 	m.known, m.begun = known, begun
+	for name, failed := range m.unsure {
+		if failed <= begun {
+			delete(m.unsure, name)
+		}
+	}
 }
 
-// drains gives the marks to the reconciler.
-func (c *Controller) drains(now boottime.Time) map[string]reconcile.Drain {
-	out := make(map[string]reconcile.Drain, len(c.marks.known))
+// drains gives the marks of a zone's reconciler. A mark that is being written counts
+// as one that is not in force yet, and as the latest: the runner may be away already,
+// and another one must not be taken away beside it.
+func (z *zone) drains(now boottime.Time) map[string]reconcile.Drain {
+	c := z.c
+	out := make(map[string]reconcile.Drain, len(c.marks.known)+len(c.marks.writing)+len(c.marks.unsure))
+	notKnown := reconcile.Drain{Zone: z.name, Epoch: z.grant.Epoch, Version: math.MaxUint64}
+	for _, e := range z.engines() {
+		_, unsure := c.marks.unsure[e.name]
+		if unsure || c.marks.writing[e.name] {
+			out[e.name] = notKnown
+		}
+	}
 	applied := c.gatewaysApplied()
 	for name, m := range c.marks.known {
 		out[name] = reconcile.Drain{
@@ -162,6 +179,7 @@
 	delete(c.marks.writing, runner)
 	if err != nil {
 		logline.Info("drain mark not written", "runner", runner, "error", err)
+		c.marks.unsure[runner] = boottime.Now()
 		c.marks.stale()
 		return
 	}
--- a/internal/process/controller/plan.go
+++ b/internal/process/controller/plan.go
@@ -80,7 +80,7 @@
 func (z *zone) actual(now boottime.Time) reconcile.Actual {
 	a := reconcile.Actual{
 		Zone: z.name, Epoch: z.grant.Epoch, Now: now,
-		Runners: map[string]reconcile.Observed{}, Drains: z.c.drains(now),
+		Runners: map[string]reconcile.Observed{}, Drains: z.drains(now),
 	}
 	for _, e := range z.engines() {
 		a.Runners[e.name] = e.observed()
