Tell a long prompt's own time from its wait; keep prompts away from engines with strained long answers

Change: place.readingPace; Promised, Kept and strained; the work Reserve. Waits of at most 0.45 of the objective, 0.2 in a queue of prompts. Tests: TestStrainedEngineReadsNoPrompts, TestReservedPlacesCountInPart, TestLongPromptsAloneDontLowerTheBound (fails without the change).

--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -40,7 +40,7 @@
 	q.countDemand()
 	a := &answer{q: q}
 	for {
-		found, refusal := q.placed(ctx, q.query(q.work()))
+		found, refusal := q.placed(ctx, q.firstQuery())
 		if refusal != nil {
 			return q.refusedPlace(refusal, a)
 		}
@@ -64,26 +64,33 @@
 	}
 }
 
-// attempt has the prompt read where that is better, and runs the request, at the
-// place that was found or a better one for reading the prompt there too. It gives the
-// place that was used.
+// attempt runs the request at the place that was found, or has its prompt read first
+// if the place is only reserved. It gives the place that was used.
 func (q *request) attempt(ctx context.Context, choice place.Choice, a *answer) (place.Choice, outcome) {
-	work := q.work()
-	defer func() { q.e.state.ended(choice.Upstream.ID, work) }()
-	if !q.prefillsApart() {
-		return choice, q.send(ctx, choice, nil, a)
+	if choice.Work == place.Reserve {
+		return q.attemptReading(ctx, choice, a)
 	}
-	prompt, refusal := q.placed(ctx, q.readingQuery(true))
-	if refusal == nil && prompt.Work == place.ReadHere {
-		q.e.state.ended(choice.Upstream.ID, work)
-		choice, work = prompt, place.ReadHere
+	defer q.e.state.ended(choice.Upstream.ID, choice.Work)
+	return choice, q.send(ctx, choice, nil, a)
+}
+
+// attemptReading has the prompt read, by an engine for prompts or by a decoding one
+// that has time for it, and runs the request there or at the reserved place.
+func (q *request) attemptReading(ctx context.Context, reserved place.Choice, a *answer) (place.Choice, outcome) {
+	reading, refusal := q.placed(ctx, q.readingQuery(true))
+	if refusal == nil && reading.Work == place.ReadHere {
+		q.e.state.ended(reserved.Upstream.ID, place.Reserve)
+		defer q.e.state.ended(reading.Upstream.ID, place.ReadHere)
 		q.readHere = true
-		return choice, q.send(ctx, choice, nil, a)
+		return reading, q.send(ctx, reading, nil, a)
 	}
-	kv, out := q.readApart(ctx, prompt, refusal)
+	kv, out := q.readApart(ctx, reading, refusal)
 	if out.noPlace != nil || ctx.Err() != nil {
-		return choice, out
+		q.e.state.ended(reserved.Upstream.ID, place.Reserve)
+		return reserved, out
 	}
+	choice := q.e.state.claim(reserved)
+	defer q.e.state.ended(choice.Upstream.ID, choice.Work)
 	q.readHere = kv == nil // the decoding engine reads the prompt, slowly
 	out = q.send(ctx, choice, kv, a)
 	if kv != nil && out.run == errkind.NotRun {
@@ -93,6 +100,14 @@
 	return choice, out
 }
 
+// firstQuery asks for an engine to run the request, or to run it once its prompt is read.
+func (q *request) firstQuery() place.Query {
+	if q.prefillsApart() {
+		return q.query(place.Reserve)
+	}
+	return q.query(q.work())
+}
+
 // countDemand counts what the request asks of engines.
 func (q *request) countDemand() {
 	if q.work() != place.Decode {
@@ -158,6 +173,10 @@
 	defer cancel() // ends what an upstream still does for an answer that was given up
 	q.upstream = id
 	q.sends++
+	if gap := q.gap(); gap > 0 {
+		st.withBook(time.Now(), func(b *place.Book) { b.Promised(id, gap) })
+		defer func() { st.withBook(time.Now(), func(b *place.Book) { b.Kept(id, gap) }) }()
+	}
 	begun := time.Now()
 	q.sentAt = begun
 	resp, err := q.e.client.Forward(ctx, q.call(choice.Upstream, q.sendHeaders(choice, kv, a)))
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -28,7 +28,7 @@
 
 // prefillShare is the part of a request's objective that reading its prompt should
 // take at most; the rest is for the decode and the ways.
-const prefillShare = 0.4
+const prefillShare = 0.2
 
 // prefillTarget is how long reading the prompt should take at most.
 func (q *request) prefillTarget() time.Duration {
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -175,7 +175,7 @@
 // startShare is the part of its objective that a request may wait for a place.
 // The rest is for the work itself; an answer that would start later than this
 // would be late even at an idle upstream.
-const startShare = 0.6
+const startShare = 0.45
 
 // startBy is the latest useful start.
 func (q *request) startBy() time.Time {
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -175,6 +175,17 @@
 	s.withBook(time.Now(), func(b *place.Book) { b.Ended(id, work) })
 }
 
+// claim turns a reserved place into one in use.
+func (s *state) claim(reserved place.Choice) place.Choice {
+	now := time.Now()
+	s.withBook(now, func(b *place.Book) {
+		b.Ended(reserved.Upstream.ID, place.Reserve)
+		b.Sent(now, reserved.Upstream.ID, place.Decode)
+	})
+	reserved.Work = place.Decode
+	return reserved
+}
+
 // eligible counts the upstreams that could serve a request, whatever their load.
 func (s *state) eligible(now time.Time, q *place.Query) int {
 	s.mu.Lock()
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
@@ -18,12 +19,15 @@
 type load struct {
 	up         fleet.Upstream
 	own        int       // requests of this process under way
+	reserved   int       // requests of this process that will decode there soon
 	others     float64   // requests of other processes, as last reported
 	reportedAt time.Time // zero: never
 	mean       *mean     // of the upstream's group
 	health     health
 	cached     partCache
 	pace       pace
+	needs      []time.Duration // between events, of this process's long answers there
+	reading    readingPace
 	perRequest time.Duration // of a prefill: how long one takes, the ones before it aside
 }
 
@@ -84,7 +88,7 @@
 		}
 	}
 	for id, l := range b.byID {
-		if kept[id] == nil && l.own > 0 {
+		if kept[id] == nil && l.own+l.reserved > 0 {
 			kept[id] = l
 		}
 	}
@@ -98,6 +102,23 @@
 	}
 }
 
+// Promised notes that a long answer begins at an upstream, and the gap between events
+// with which it ends in time. Kept notes its end.
+func (b *Book) Promised(id string, gap time.Duration) {
+	if l, ok := b.byID[id]; ok {
+		l.needs = append(l.needs, gap)
+	}
+}
+
+// Kept notes the end of an answer that Promised noted.
+func (b *Book) Kept(id string, gap time.Duration) {
+	if l, ok := b.byID[id]; ok {
+		if i := slices.Index(l.needs, gap); i >= 0 {
+			l.needs = slices.Delete(l.needs, i, i+1)
+		}
+	}
+}
+
 // limiter gives the bound of what this process has under way of one kind of work.
 func (b *Book) limiter(service string, work Work) *limiter {
 	t := task{service, work}
@@ -137,7 +158,12 @@
 
 // Sent counts a request that goes to an upstream.
 func (b *Book) Sent(now time.Time, id string, work Work) {
-	if l, ok := b.byID[id]; ok {
+	l, ok := b.byID[id]
+	switch {
+	case !ok:
+	case work == Reserve:
+		l.reserved++
+	default:
 		l.own++
 		l.health.sent(now)
 		b.limiter(l.up.Service, work).begin()
@@ -146,7 +172,12 @@
 
 // Ended counts the end of a request at an upstream.
 func (b *Book) Ended(id string, work Work) {
-	if l, ok := b.byID[id]; ok {
+	l, ok := b.byID[id]
+	switch {
+	case !ok:
+	case work == Reserve:
+		l.reserved = max(l.reserved-1, 0)
+	default:
 		l.own = max(l.own-1, 0)
 		b.limiter(l.up.Service, work).end()
 	}
@@ -159,11 +190,13 @@
 	if !ok {
 		return
 	}
-	b.limiter(l.up.Service, Prefill).took(took, target, b.asked(l.up.Service).perSecond(now))
+	each := time.Duration(float64(took) / (max(load, 0) + 1))
+	own := l.reading.time(p.Own)
+	l.reading.add(each, p.Own)
+	b.limiter(l.up.Service, Prefill).took(took-own, target, b.asked(l.up.Service).perSecond(now))
 	for i := range p.Parts {
 		l.cached.add(now, p.Parts[i].ID)
 	}
-	each := time.Duration(float64(took) / (max(load, 0) + 1))
 	if l.perRequest == 0 {
 		l.perRequest = each
 		return
@@ -264,9 +297,14 @@
 	if !l.reportedAt.IsZero() {
 		others += (l.others - others) * halved(now.Sub(l.reportedAt), othersHalfLife)
 	}
-	return float64(l.own) + max(others, 0)
+	return float64(l.own) + reservedShare*float64(l.reserved) + max(others, 0)
 }
 
+// reservedShare is what a request whose prompt is being read elsewhere counts at the
+// engine that will decode it: a short answer takes about as long as its prompt and the
+// wait for it together, and a few too many wait at the engine only for some ms.
+const reservedShare = 0.3
+
 func (l *load) slots() float64 { return max(float64(l.up.Slots), 1) }
 
 // Eligible counts the upstreams that could serve the request, whatever their load.
--- a/internal/request/place/cost.go
+++ b/internal/request/place/cost.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -95,8 +96,8 @@
 func (l *load) full(now time.Time, q *Query) bool {
 	switch q.Work {
 	case ReadHere:
-		return l.total(now)+1 > l.slots()*readHereShare
-	case Decode:
+		return l.total(now)+1 > l.slots()*readHereShare || l.strained(now)
+	case Decode, Reserve:
 		return l.total(now)+1 > l.slots()
 	}
 	if l.total(now)+1 > l.slots()+math.Ceil(l.slots()*queueShare) {
@@ -108,6 +109,19 @@
 	return l.total(now) >= 1 && now.Add(l.prefillWait(now)).After(q.StartBy)
 }
 
+// strainedShare is the part of the pace that a long answer needs at which its engine
+// takes no prompts to read: each of them makes every step several times as long.
+const strainedShare = 0.6
+
+// strained reports whether long answers of this process at an engine are close to
+// ending too late at its present pace.
+func (l *load) strained(now time.Time) bool {
+	if len(l.needs) == 0 {
+		return false
+	}
+	return float64(l.pace.current(now)) > strainedShare*float64(slices.Min(l.needs))
+}
+
 // prefillWait is how long the prompts at an upstream take. They are read one after
 // the other.
 func (l *load) prefillWait(now time.Time) time.Duration {
--- a/internal/request/place/query.go
+++ b/internal/request/place/query.go
@@ -49,6 +49,7 @@
 	Prefill  Work = "prefill"  // reading a prompt whose KV cache is fetched by another engine
 	Decode   Work = "decode"   // decoding; the prompt is short or read elsewhere
 	ReadHere Work = "readhere" // reading a long prompt and decoding, at an engine that decodes
+	Reserve  Work = "reserve"  // decoding later: the prompt is being read elsewhere meanwhile
 )
 
 // reads reports whether the work is reading a long prompt.
@@ -59,7 +60,7 @@
 	switch w {
 	case Prefill:
 		return upstream.RolePrefill
-	case Decode, ReadHere:
+	case Decode, ReadHere, Reserve:
 		return upstream.RoleDecode
 	}
 	return ""
@@ -79,7 +80,13 @@
 }
 
 // queue names the group of requests that wait for the same upstreams.
-func (q *Query) queue() string { return q.Service + "/" + string(q.Work) }
+func (q *Query) queue() string {
+	work := q.Work
+	if work == Reserve {
+		work = Decode
+	}
+	return q.Service + "/" + string(work)
+}
 
 // Choice is the outcome of a pick.
 type Choice struct {
--- a/internal/request/place/surge_test.go
+++ b/internal/request/place/surge_test.go
@@ -153,3 +153,80 @@
 		t.Errorf("copied from %q after it failed", second.CopyFrom)
 	}
 }
+
+// TestStrainedEngineReadsNoPrompts has a long answer at each of two decoding engines,
+// one of which makes events nearly as slowly as that answer can bear. With prompts read
+// beside them more than half of the longest answers ran into their time limits.
+func TestStrainedEngineReadsNoPrompts(t *testing.T) {
+	_, _, b := engines()
+	for id, gap := range map[string]time.Duration{"d1": 60 * time.Millisecond, "d2": 20 * time.Millisecond} {
+		b.Promised(id, 70*time.Millisecond)
+		for range 20 {
+			b.Paced(at(0), id, gap)
+		}
+	}
+	q := query("r")
+	q.Work, q.Prompt = ReadHere, Prompt{Own: 2000}
+	for range 4 {
+		c, ok := b.Pick(at(time.Millisecond), &q)
+		if !ok || c.Upstream.ID != "d2" {
+			t.Fatalf("picked %q (%v), want d2 alone", c.Upstream.ID, ok)
+		}
+		b.Sent(at(time.Millisecond), "d2", ReadHere)
+	}
+	b.Kept("d1", 70*time.Millisecond)
+	if c, ok := b.Pick(at(time.Millisecond), &q); !ok || c.Upstream.ID != "d1" {
+		t.Errorf("picked %q (%v) after the long answer has ended", c.Upstream.ID, ok)
+	}
+}
+
+// TestReservedPlacesCountInPart fills an engine of 16 slots with requests whose
+// prompts are still being read elsewhere: more than 16 find a place, as each will use
+// its slot for a part of the time only; not without bound.
+func TestReservedPlacesCountInPart(t *testing.T) {
+	d := up("d1", "z1", 16)
+	d.Role = upstream.RoleDecode
+	b := bookOf(d)
+	r := NewQueue(b)
+	placed := 0
+	for i := range 200 {
+		q := query(fmt.Sprint("r", i))
+		q.Work, q.StartBy = Reserve, at(time.Millisecond)
+		if d, decided := r.Arrive(at(0), q); decided && d.Refused == "" && d.Choice.Work == Reserve {
+			placed++
+		}
+	}
+	if placed < 40 || placed > 60 {
+		t.Errorf("%d reserved; 16 slots at a share of %v", placed, reservedShare)
+	}
+	for range placed {
+		b.Ended("d1", Reserve)
+	}
+	if got := b.byID["d1"].total(at(0)); got != 0 {
+		t.Errorf("%v requests counted after all have ended", got)
+	}
+}
+
+// TestLongPromptsAloneDontLowerTheBound has prompts of all sizes read one by one at an
+// idle engine: the long ones take longer than the wait that is aimed at, but wait for
+// nothing.
+func TestLongPromptsAloneDontLowerTheBound(t *testing.T) {
+	p := up("p1", "z1", 8)
+	p.Role = upstream.RolePrefill
+	b := bookOf(p)
+	const target, perToken = 20 * time.Millisecond, 2 * time.Microsecond
+	for i := range 500 {
+		tokens := 1000
+		if i%5 == 4 {
+			tokens = 20_000 // 40 ms
+		}
+		now := at(time.Duration(i) * 100 * time.Millisecond)
+		b.Sent(now, "p1", Prefill)
+		b.Heard(now, "p1", true)
+		b.Ended("p1", Prefill)
+		b.Prefilled(now, "p1", &Prompt{Own: tokens}, time.Duration(tokens)*perToken, target, 0)
+	}
+	if got := b.limiter("s", Prefill).bound; got < firstBound {
+		t.Errorf("the bound fell to %v although no prompt waited", got)
+	}
+}
