Leave a split of roles alone that may come right by itself

Engines to change were chosen without regard to their load, which was never filled in. Change: engines in use are changed only if the split stays off for 4 s, or for 1.5 s if it is off by a fifth; those without work go first. Tests: TestReleaseDoesNotFlapRoles, TestIdleEnginesAreChangedFirst fail without it; TestLastingSplitIsMended.

--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -81,7 +81,7 @@
 			h.cores[service] = core
 		}
 		core.SetShare(h.share())
-		d := core.Decide(time.Now(), describe(engines), asked[service])
+		d := core.Decide(time.Now(), describe(engines, h.e.state.loads(time.Now())), asked[service])
 		h.tell(service, asked[service], d)
 		if len(d.Changes) > 0 {
 			h.change(ctx, engines, d)
@@ -106,11 +106,11 @@
 	return asked, true
 }
 
-// describe gives what the split needs to know of engines.
-func describe(engines []fleet.Upstream) []roles.Engine {
+// describe gives what the split needs to know of engines; loads is by id.
+func describe(engines []fleet.Upstream, loads map[string]float64) []roles.Engine {
 	out := make([]roles.Engine, 0, len(engines))
 	for _, u := range engines {
-		e := roles.Engine{ID: u.ID, Zone: u.Zone, Role: u.Role, Slots: u.Slots, Changing: u.Changing()}
+		e := roles.Engine{ID: u.ID, Zone: u.Zone, Role: u.Role, Slots: u.Slots, Changing: u.Changing(), Load: loads[u.ID]}
 		if e.Changing {
 			e.Role = u.Becomes
 		}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -163,6 +163,13 @@
 	s.decideWaiting(now)
 }
 
+// loads gives the requests believed at each upstream.
+func (s *state) loads(now time.Time) map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Loads(now)
+}
+
 // usable reports whether an upstream may get work right now.
 func (s *state) usable(id string) bool {
 	s.mu.Lock()
--- a/internal/process/roles/roles.go
+++ b/internal/process/roles/roles.go
@@ -60,6 +60,18 @@
 	// roundShare is the part of the engines that may change in one round, so that
 	// most of a service is there at any time.
 	roundShare = 0.25
+	// passing is for how long a split has to be off the operator's share before engines
+	// in use are changed for it. While the engines of a service are replaced one by one, the
+	// new ones come with any role and before the old ones leave: a release was seen to
+	// be off by one for two seconds each time, and an engine that changes for it is away
+	// for three seconds at least, a decoding one until its last answer has ended.
+	passing = 4 * time.Second
+	// farOff is the part of the engines by which a split may be off no longer than
+	// farOffPassing: a crash or a cut took engines of one role.
+	farOff        = 0.2
+	farOffPassing = 1500 * time.Millisecond
+	// idleLoad is the load of an engine that has nothing to lose by a change.
+	idleLoad = 0.5
 	// usablePrefill and usableDecode are the parts of an engine's time and slots that
 	// can be used before requests wait too long.
 	usablePrefill = 0.8
@@ -70,6 +82,8 @@
 type Core struct {
 	fixedShare float64
 	changedAt  time.Time
+	offBy      int       // engines that prefill too many (negative) or too few
+	offSince   time.Time // when the split began to be off in that direction
 }
 
 // New makes a core that has changed nothing.
@@ -97,7 +111,10 @@
 	}
 	out.Want = c.want(&s)
 	out.Then = s.utilization(out.Want)
+	c.noteOff(now, out.Want-s.prefill)
 	switch {
+	case c.fixedShare > 0 && out.Want != s.prefill && c.mayPass(now, &s):
+		out.Why = "the split may be passing"
 	case c.fixedShare > 0 && out.Want != s.prefill:
 		out.Changes = s.round(out.Want)
 		out.Why = "the operator's share"
@@ -116,6 +133,27 @@
 	return out
 }
 
+// noteOff notes by how much the split is off.
+func (c *Core) noteOff(now time.Time, by int) {
+	if by == 0 || (by > 0) != (c.offBy > 0) || c.offBy == 0 {
+		c.offSince = now
+	}
+	c.offBy = by
+}
+
+// mayPass reports whether a split that is off may be right again by itself. While no
+// engine has anything to do, as before the first requests, a change costs nothing.
+func (c *Core) mayPass(now time.Time, s *split) bool {
+	if s.idle() {
+		return false
+	}
+	lasts := now.Sub(c.offSince)
+	if math.Abs(float64(c.offBy)) >= farOff*float64(len(s.engines)) {
+		return lasts < farOffPassing
+	}
+	return lasts < passing
+}
+
 func (c *Core) want(s *split) int {
 	if c.fixedShare <= 0 {
 		return s.best()
@@ -153,6 +191,11 @@
 	return max(p, d)
 }
 
+// idle reports whether no engine has anything to do.
+func (s *split) idle() bool {
+	return !slices.ContainsFunc(s.engines, func(e Engine) bool { return e.Load >= idleLoad })
+}
+
 func ratio(need, have float64) float64 {
 	switch {
 	case need <= 0:
@@ -175,8 +218,8 @@
 	return best
 }
 
-// round picks the engines to change: the least loaded of the zones that have most
-// of the role.
+// round picks the engines to change: those without work first, then the least loaded
+// of the zones that have most of the role.
 func (s *split) round(want int) []Change {
 	from, to, n := upstream.RoleDecode, upstream.RolePrefill, want-s.prefill
 	if n < 0 {
@@ -201,11 +244,18 @@
 	return out
 }
 
+func busy(e *Engine) int {
+	if e.Load < idleLoad {
+		return 0
+	}
+	return 1
+}
+
 func pickOne(candidates []Engine, inZone map[string]int) int {
 	best := 0
 	for i := range candidates {
 		a, b := &candidates[i], &candidates[best]
-		c := cmp.Or(cmp.Compare(inZone[b.Zone], inZone[a.Zone]), cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
+		c := cmp.Or(cmp.Compare(busy(a), busy(b)), cmp.Compare(inZone[b.Zone], inZone[a.Zone]), cmp.Compare(a.Load, b.Load), cmp.Compare(a.ID, b.ID))
 		if c < 0 {
 			best = i
 		}
--- a/internal/process/roles/roles_test.go
+++ b/internal/process/roles/roles_test.go
@@ -117,3 +117,66 @@
 		t.Errorf("%+v, want one engine of each role to stay", d)
 	}
 }
+
+// TestReleaseDoesNotFlapRoles replays the release of a busy service: each new engine
+// comes with some role two seconds before an old one of some role leaves, so that the split
+// is off by one again and again. Nothing is changed as long as it comes right again.
+func TestReleaseDoesNotFlapRoles(t *testing.T) {
+	c := New()
+	c.SetShare(0.45)
+	now := start
+	for range 6 {
+		for _, prefill := range []int{6, 6, 4, 4} { // ten engines, then nine
+			list := busyEngines(9, prefill)
+			if prefill == 6 {
+				list = append(list, Engine{ID: "new", Zone: "z0", Slots: 8, Role: upstream.RoleDecode})
+			}
+			if d := c.Decide(now, list, Demand{}); len(d.Changes) > 0 {
+				t.Fatalf("%v after the start: %+v", now.Sub(start), d)
+			}
+			now = now.Add(time.Second)
+		}
+	}
+}
+
+func busyEngines(n, prefill int) []Engine {
+	list := engines(n, prefill)
+	for i := range list {
+		list[i].Load = 6
+	}
+	return list
+}
+
+// TestLastingSplitIsMended has a split that stays off, by one engine and by a third.
+func TestLastingSplitIsMended(t *testing.T) {
+	for prefill, within := range map[int]time.Duration{3: passing, 1: farOffPassing} {
+		c := New()
+		c.SetShare(0.45)
+		for at := time.Duration(0); ; at += 500 * time.Millisecond {
+			d := c.Decide(start.Add(at), busyEngines(9, prefill), Demand{})
+			if len(d.Changes) > 0 {
+				if at < within {
+					t.Errorf("%d prefill: changed after %v", prefill, at)
+				}
+				break
+			}
+			if at > within+time.Second {
+				t.Errorf("%d prefill: unchanged after %v", prefill, at)
+				break
+			}
+		}
+	}
+}
+
+// TestIdleEnginesAreChangedFirst: a new engine has nothing to lose, wherever it is.
+func TestIdleEnginesAreChangedFirst(t *testing.T) {
+	list := busyEngines(9, 3)
+	list[7].Load = 0
+	c := New()
+	c.SetShare(0.45)
+	c.Decide(start, list, Demand{})
+	d := c.Decide(start.Add(passing), list, Demand{})
+	if len(d.Changes) != 1 || d.Changes[0].ID != list[7].ID {
+		t.Errorf("%+v, want the idle one", d)
+	}
+}
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -305,6 +305,15 @@
 // wait for it together, and a few too many wait at the engine only for some ms.
 const reservedShare = 0.3
 
+// Loads gives the requests believed at each upstream, by id.
+func (b *Book) Loads(now time.Time) map[string]float64 {
+	out := make(map[string]float64, len(b.byID))
+	for id, l := range b.byID {
+		out[id] = l.total(now)
+	}
+	return out
+}
+
 func (l *load) slots() float64 { return max(float64(l.up.Slots), 1) }
 
 // Eligible counts the upstreams that could serve the request, whatever their load.
