Count a split's lack against the role that lacks; later returns for those that are late anyway

Requests that are refused in a surge were told to come back after 0.2 s, within the same surge, and were refused again. Change: roles: a lack of more than 0.3 of the engines that a role has is mended after 1.5 s. A refused request that is late in any case is told 0.2 to 0.33 of its time, 2 s at most; one that can still be in time is told as before.

--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -5,6 +5,7 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
@@ -144,11 +145,35 @@
 		if d.Refused == place.NoUpstream {
 			kind = errkind.NoUpstream
 		}
-		return place.Choice{}, errkind.New(kind, q.run, string(d.Refused)).After(d.RetryAfter)
+		return place.Choice{}, errkind.New(kind, q.run, string(d.Refused)).After(q.returnAfter(now, d.RetryAfter))
 	}
 	return d.Choice, nil
 }
 
+// returnAfter is when a caller whose request was refused should come back: when a place
+// is likely. A request that is late by then in any case loses nothing by waiting
+// longer, and finds a place more likely the later it comes, so it is told a good part of
+// its time; how much differs between requests, so that they don't come back together.
+func (q *request) returnAfter(now time.Time, likely time.Duration) time.Duration {
+	left, limited := q.left(now)
+	if !limited || (q.route.Objective > 0 && now.Add(likely).Sub(q.arrived)+q.spent < q.route.Objective) {
+		return likely
+	}
+	spread := float64(xxhash.Sum64String(q.queueID)%1000) / 1000
+	share := leastReturnShare + (mostReturnShare-leastReturnShare)*spread
+	return max(likely, min(time.Duration(share*float64(left)), mostReturn))
+}
+
+// Bounds of the part of its time after which a late request is told to come back. Callers
+// wait for a third of it at most, and two thirds are enough for any answer. A person
+// who waits for a long answer isn't kept for longer than mostReturn, about as long as a
+// burst lasts.
+const (
+	leastReturnShare = 0.2
+	mostReturnShare  = 0.33
+	mostReturn       = 2 * time.Second
+)
+
 // refusedPlace is the final answer of a request that found no place. If it was
 // sent before, what is known of that send decides.
 func (q *request) refusedPlace(refusal *errkind.Error, a *answer) *errkind.Error {
--- a/internal/process/roles/roles.go
+++ b/internal/process/roles/roles.go
@@ -66,9 +66,10 @@
 	// be off by one for two seconds each time, and an engine that changes for it is away
 	// for three seconds at least, a decoding one until its last answer has ended.
 	passing = 4 * time.Second
-	// farOff is the part of the engines by which a split may be off no longer than
-	// farOffPassing: a crash or a cut took engines of one role.
-	farOff        = 0.2
+	// farOff is how many engines a role may lack, as a part of those that it has, without
+	// being off by more than a release makes it. Beyond it, engines of one role were lost
+	// or taken away, and farOffPassing is the wait.
+	farOff        = 0.3
 	farOffPassing = 1500 * time.Millisecond
 	// idleLoad is the load of an engine that has nothing to lose by a change.
 	idleLoad = 0.5
@@ -148,7 +149,7 @@
 		return false
 	}
 	lasts := now.Sub(c.offSince)
-	if math.Abs(float64(c.offBy)) >= farOff*float64(len(s.engines)) {
+	if s.lacking(c.offBy) > farOff {
 		return lasts < farOffPassing
 	}
 	return lasts < passing
@@ -191,6 +192,16 @@
 	return max(p, d)
 }
 
+// lacking is how many engines the role that has too few lacks, as a part of those that
+// it has. by is how many should prefill beyond those that do.
+func (s *split) lacking(by int) float64 {
+	has := s.prefill
+	if by < 0 {
+		has, by = len(s.engines)-s.prefill, -by
+	}
+	return float64(by) / float64(max(has, 1))
+}
+
 // idle reports whether no engine has anything to do.
 func (s *split) idle() bool {
 	return !slices.ContainsFunc(s.engines, func(e Engine) bool { return e.Load >= idleLoad })
--- a/internal/process/roles/roles_test.go
+++ b/internal/process/roles/roles_test.go
@@ -147,21 +147,30 @@
 	return list
 }
 
-// TestLastingSplitIsMended has a split that stays off, by one engine and by a third.
+// TestLastingSplitIsMended has splits that stay off: by as much as a release makes them
+// off, and after engines of one role were lost.
 func TestLastingSplitIsMended(t *testing.T) {
-	for prefill, within := range map[int]time.Duration{3: passing, 1: farOffPassing} {
+	for _, tt := range []struct {
+		engines, prefill int
+		within           time.Duration
+	}{
+		{10, 6, passing},      // one of four decoding ones is lacking
+		{9, 1, farOffPassing}, // three crashed
+		{6, 4, farOffPassing}, // three decoding ones were taken away: two are left
+		{20, 11, passing},     // two of nine
+	} {
 		c := New()
 		c.SetShare(0.45)
 		for at := time.Duration(0); ; at += 500 * time.Millisecond {
-			d := c.Decide(start.Add(at), busyEngines(9, prefill), Demand{})
+			d := c.Decide(start.Add(at), busyEngines(tt.engines, tt.prefill), Demand{})
 			if len(d.Changes) > 0 {
-				if at < within {
-					t.Errorf("%d prefill: changed after %v", prefill, at)
+				if at < tt.within {
+					t.Errorf("%+v: changed after %v", tt, at)
 				}
 				break
 			}
-			if at > within+time.Second {
-				t.Errorf("%d prefill: unchanged after %v", prefill, at)
+			if at > tt.within+time.Second {
+				t.Errorf("%+v: unchanged after %v", tt, at)
 				break
 			}
 		}
