Probe suspected upstreams by a connection before a request tries them

Change: a connection has to be made first (upstream.Reach, Book.ProbesDue); after it one request at a time until an answer, as before. TestSilentUpstreamGetsOneTrialAtATime said that a request goes after 0.4 s; it says now that a probe goes then, and a request after it has connected, and holds the rest as before. TestFailedTrialIsFollowedByAProbe is new.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -223,6 +223,7 @@
 	for platform.Sleep(ctx, every) == nil {
 		e.state.tick(time.Now())
 		e.log.tick(time.Now())
+		e.probeUpstreams(ctx)
 		every = idleTick
 		if e.state.waiting() > 0 {
 			every = tickEvery
--- /dev/null
+++ b/internal/process/entry/probe.go
@@ -0,0 +1,28 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+)
+
+// probeUpstreams begins the probes that are due.
+func (e *Entry) probeUpstreams(ctx context.Context) {
+	for _, u := range e.state.probesDue(time.Now()) {
+		e.loop(func() { e.probe(ctx, u) })
+	}
+}
+
+// probe finds out whether an upstream takes connections again.
+func (e *Entry) probe(ctx context.Context, u fleet.Upstream) {
+	err := upstream.Reach(ctx, u.Address, upstreamDialTimeout)
+	now := time.Now()
+	e.state.withBook(now, func(b *place.Book) { b.Probed(now, u.ID, err == nil) })
+	if err == nil {
+		logline.Info("upstream reached again", "upstream", u.ID, "address", u.Address)
+	}
+}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -163,6 +163,13 @@
 	s.decideWaiting(now)
 }
 
+// probesDue gives the upstreams to probe now.
+func (s *state) probesDue(now time.Time) []fleet.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.ProbesDue(now)
+}
+
 // loads gives the requests believed at each upstream.
 func (s *state) loads(now time.Time) map[string]float64 {
 	s.mu.Lock()
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -291,6 +291,27 @@
 	}
 }
 
+// ProbesDue gives the upstreams that are suspected to be gone and whose turn it is to be
+// probed. Each counts as being probed until Probed.
+func (b *Book) ProbesDue(now time.Time) []fleet.Upstream {
+	var out []fleet.Upstream
+	for _, list := range b.services {
+		for _, l := range list {
+			if l.health.probeDue(now) {
+				out = append(out, l.up)
+			}
+		}
+	}
+	return out
+}
+
+// Probed takes the outcome of a probe: whether a connection was made.
+func (b *Book) Probed(now time.Time, id string, reached bool) {
+	if l, ok := b.byID[id]; ok {
+		l.health.probed(now, reached)
+	}
+}
+
 // total estimates the requests at an upstream.
 func (l *load) total(now time.Time) float64 {
 	others := l.mean.guess(now)
--- a/internal/request/place/health.go
+++ b/internal/request/place/health.go
@@ -7,9 +7,10 @@
 	// life before it gets no more. Prompts are read in some ten ms and events come
 	// every few ten; a full upstream still answers others in between.
 	stallAfter = 500 * time.Millisecond
-	// trialAfter is the pause before a request tries an upstream that fell silent or
-	// refused connections, so that a restart of a second or two costs few requests.
-	trialAfter = 400 * time.Millisecond
+	// probeAfter is the pause before an upstream that fell silent or refused
+	// connections is probed, and between two probes: short against a restart of a
+	// second or two, long against the way there.
+	probeAfter = 400 * time.Millisecond
 	// failHalfLife is how fast failures are forgotten.
 	failHalfLife = 2 * time.Second
 	// failStep is the weight of one more outcome in the share of failures: five
@@ -21,8 +22,10 @@
 type health struct {
 	unanswered int       // requests whose answer has not begun
 	lifeAt     time.Time // last sign of life, or the first send after a time without requests
-	trial      bool      // one request at a time until an answer comes
-	trialAt    time.Time // no request before this
+	trial      bool      // one request at a time until an answer comes, and none before reached
+	reached    bool      // a probe has connected since the trial began
+	probing    bool      // a probe is under way
+	probeAt    time.Time // no probe before this
 	share      float64   // of recent requests that failed
 	shareAt    time.Time
 }
@@ -53,16 +56,40 @@
 	h.count(now, 1)
 	if unanswered {
 		h.unanswered = max(h.unanswered-1, 0)
-		h.trial, h.trialAt = true, now.Add(trialAfter)
+		h.suspect(now)
 	}
 }
 
+// suspect takes the upstream out of service until a probe reaches it. Requests aren't used
+// to find out whether it is back: one that may not be repeated would be lost.
+func (h *health) suspect(now time.Time) {
+	if !h.trial || h.reached {
+		h.probeAt = now.Add(probeAfter)
+	}
+	h.trial, h.reached = true, false
+}
+
+// probeDue reports whether a probe should begin, and counts it as begun.
+func (h *health) probeDue(now time.Time) bool {
+	if !h.trial || h.reached || h.probing || now.Before(h.probeAt) {
+		return false
+	}
+	h.probing = true
+	return true
+}
+
+// probed takes the outcome of a probe.
+func (h *health) probed(now time.Time, reached bool) {
+	h.probing, h.reached = false, reached
+	h.probeAt = now.Add(probeAfter)
+}
+
 // gaveUp takes a request that is no longer waited for. It says nothing of an
 // upstream that answers others.
 func (h *health) gaveUp(now time.Time) {
 	h.unanswered = max(h.unanswered-1, 0)
 	if now.Sub(h.lifeAt) > stallAfter {
-		h.trial, h.trialAt = true, now.Add(trialAfter)
+		h.suspect(now)
 	}
 }
 
@@ -82,7 +109,7 @@
 // silent reports whether the upstream gets no request now.
 func (h *health) silent(now time.Time) bool {
 	if h.trial {
-		return h.unanswered > 0 || now.Before(h.trialAt)
+		return h.unanswered > 0 || !h.reached
 	}
 	return h.unanswered > 0 && now.Sub(h.lifeAt) > stallAfter
 }
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -166,6 +166,7 @@
 	}
 }
 
+// TestSilentUpstreamGetsOneTrialAtATime: a probe first, then one request at a time.
 func TestSilentUpstreamGetsOneTrialAtATime(t *testing.T) {
 	b := bookOf(up("a", "z1", 8))
 	q := query("r")
@@ -181,20 +182,51 @@
 	}
 	b.GaveUp(at(2*time.Second), "a")
 	b.GaveUp(at(2*time.Second), "a")
-	if serves(2*time.Second) || !serves(2*time.Second+trialAfter) {
-		t.Error("after requests were given up a trial is due, and not before")
+	if len(b.ProbesDue(at(2*time.Second))) > 0 || len(b.ProbesDue(at(2*time.Second+probeAfter))) != 1 {
+		t.Fatal("after requests were given up a probe is due, and not before")
 	}
-	b.Sent(at(2*time.Second+trialAfter), "a", Serve)
-	if serves(2*time.Second + trialAfter) {
+	if serves(2*time.Second+probeAfter) || len(b.ProbesDue(at(2*time.Second+2*probeAfter))) > 0 {
+		t.Error("a request, or a second probe, goes along with the first probe")
+	}
+	b.Probed(at(3*time.Second), "a", false)
+	if serves(3*time.Second) || serves(time.Minute) || len(b.ProbesDue(at(3*time.Second+probeAfter))) != 1 {
+		t.Error("an upstream that a probe didn't reach gets a request, or no further probe")
+	}
+	b.Probed(at(4*time.Second), "a", true)
+	if !serves(4 * time.Second) {
+		t.Error("no trial after a probe has reached the upstream")
+	}
+	b.Sent(at(4*time.Second), "a", Serve)
+	if serves(4 * time.Second) {
 		t.Error("a second request goes along with the trial")
 	}
-	b.Heard(at(2*time.Second+trialAfter+time.Millisecond), "a", true)
-	b.Succeeded(at(2*time.Second+trialAfter+time.Millisecond), "a")
-	if !serves(2*time.Second + trialAfter + time.Millisecond) {
+	b.Heard(at(4*time.Second+time.Millisecond), "a", true)
+	b.Succeeded(at(4*time.Second+time.Millisecond), "a")
+	if !serves(4*time.Second+time.Millisecond) || len(b.ProbesDue(at(time.Minute))) > 0 {
 		t.Error("an answered trial does not bring the upstream back")
 	}
 }
 
+// TestFailedTrialIsFollowedByAProbe: an upstream that takes connections and resets them.
+func TestFailedTrialIsFollowedByAProbe(t *testing.T) {
+	b := bookOf(up("a", "z1", 8))
+	q := query("r")
+	b.Sent(at(0), "a", Serve)
+	b.Failed(at(0), "a", true)
+	for i := range 3 {
+		now := at(time.Duration(i+1) * time.Second)
+		if b.Eligible(now, &q) != 0 || len(b.ProbesDue(now)) != 1 {
+			t.Fatalf("round %d: no probe, or a request without one", i)
+		}
+		b.Probed(now, "a", true)
+		if b.Eligible(now, &q) != 1 {
+			t.Fatalf("round %d: no trial after the probe", i)
+		}
+		b.Sent(now, "a", Serve)
+		b.Failed(now, "a", true)
+	}
+}
+
 func TestFailingUpstreamIsAvoidedAndComesBack(t *testing.T) {
 	b := bookOf(up("a", "z1", 8), up("b", "z1", 8))
 	q := query("r")
