Tolerate one engine in ten more or less of a role in use

Change: a role in use that lacks at most a tenth of the engines that it has is left as it is; while nothing is in use it is set right. Test: TestLargeFleetsTolerateOneMoreOrLess.

--- a/internal/process/roles/roles.go
+++ b/internal/process/roles/roles.go
@@ -71,6 +71,10 @@
 	// or taken away, and farOffPassing is the wait.
 	farOff        = 0.3
 	farOffPassing = 1500 * time.Millisecond
+	// tolerated is how many engines a role may lack, as a part of those that it has, for
+	// good: an engine in use that changes is away for some seconds, which is dearer than
+	// one in ten more or less.
+	tolerated = 0.1
 	// idleLoad is the load of an engine that has nothing to lose by a change.
 	idleLoad = 0.5
 	// usablePrefill and usableDecode are the parts of an engine's time and slots that
@@ -114,6 +118,8 @@
 	out.Then = s.utilization(out.Want)
 	c.noteOff(now, out.Want-s.prefill)
 	switch {
+	case c.fixedShare > 0 && out.Want != s.prefill && !s.idle() && s.lacking(c.offBy) <= tolerated:
+		out.Why = "the split is close to the operator's share"
 	case c.fixedShare > 0 && out.Want != s.prefill && c.mayPass(now, &s):
 		out.Why = "the split may be passing"
 	case c.fixedShare > 0 && out.Want != s.prefill:
--- a/internal/process/roles/roles_test.go
+++ b/internal/process/roles/roles_test.go
@@ -177,6 +177,21 @@
 	}
 }
 
+// TestLargeFleetsTolerateOneMoreOrLess: one of seventeen isn't worth an engine's absence,
+// but is set right while nothing is in use.
+func TestLargeFleetsTolerateOneMoreOrLess(t *testing.T) {
+	c := New()
+	c.SetShare(0.45)
+	for at := time.Duration(0); at < time.Minute; at += time.Second {
+		if d := c.Decide(start.Add(at), busyEngines(38, 16), Demand{}); len(d.Changes) > 0 {
+			t.Fatalf("changed after %v: %+v", at, d)
+		}
+	}
+	if d := c.Decide(start.Add(time.Minute), engines(38, 16), Demand{}); len(d.Changes) != 1 {
+		t.Errorf("idle: %+v, want one change", d)
+	}
+}
+
 // TestIdleEnginesAreChangedFirst: a new engine has nothing to lose, wherever it is.
 func TestIdleEnginesAreChangedFirst(t *testing.T) {
 	list := busyEngines(9, 3)
