--- a/internal/process/entry/record.go
+++ b/internal/process/entry/record.go
@@ -50,45 +50,77 @@
 	h.RecordDuration(first)
 }
 
-// requestLog writes a line for each request. Plain successes above a rate are
-// counted and left out.
+// otherLinesPerSecond bounds the lines of requests that are no plain successes: more
+// than an instance was seen to write at three times the usual load (425).
+const otherLinesPerSecond = 500
+
+// requestLog bounds the lines about the ends of requests in each second: plain successes
+// by the settings, all others by otherLinesPerSecond. What is left out is counted by
+// outcome and told in the next second.
 type requestLog struct {
-	mu      sync.Mutex
-	perSec  int
-	second  int64
+	mu     sync.Mutex
+	plain  lineBudget
+	others lineBudget
+	second int64
+	left   map[string]int // by outcome
+}
+
+// lineBudget is the lines of one second.
+type lineBudget struct {
+	allowed int
 	written int
-	left    int
 }
 
-func newRequestLog(perSecond int) *requestLog { return &requestLog{perSec: perSecond} }
+func (b *lineBudget) take() bool {
+	if b.written >= b.allowed {
+		return false
+	}
+	b.written++
+	return true
+}
+
+func newRequestLog(perSecond int) *requestLog {
+	return &requestLog{
+		plain:  lineBudget{allowed: perSecond},
+		others: lineBudget{allowed: otherLinesPerSecond},
+		left:   make(map[string]int),
+	}
+}
 
 func (l *requestLog) setRate(perSecond int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.perSec = perSecond
+	l.plain.allowed = perSecond
 }
 
-// admit reports whether a plain success is written.
-func (l *requestLog) admit(now time.Time) bool {
+// admit reports whether the line of a request is written. plain tells that it was
+// answered whole after one send.
+func (l *requestLog) admit(now time.Time, outcome string, plain bool) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.turn(now)
-	if l.written >= l.perSec {
-		l.left++
-		return false
+	budget := &l.others
+	if plain {
+		budget = &l.plain
 	}
-	l.written++
-	return true
+	if budget.take() {
+		return true
+	}
+	l.left[outcome]++
+	return false
 }
 
 // turn begins a new second and tells what the last one left out.
 func (l *requestLog) turn(now time.Time) {
-	if second := now.Unix(); second != l.second {
-		if l.left > 0 {
-			logline.Info("request lines left out", "count", l.left, "outcome", outcomeWhole)
-		}
-		l.second, l.written, l.left = second, 0, 0
+	second := now.Unix()
+	if second == l.second {
+		return
+	}
+	for outcome, n := range l.left {
+		logline.Info("request lines left out", "count", n, "outcome", outcome)
 	}
+	clear(l.left)
+	l.second, l.plain.written, l.others.written = second, 0, 0
 }
 
 func (l *requestLog) tick(now time.Time) {
@@ -113,8 +145,7 @@
 	}
 	took := now.Sub(q.arrived)
 	q.e.meters.request(route, outcome, q.first)
-	plain := final == nil && q.sends == 1
-	if plain && !q.e.log.admit(now) {
+	if !q.e.log.admit(now, outcome, final == nil && q.sends == 1) {
 		return
 	}
 	kv := []any{"request", q.declared.ID, "route", route, "config", version, "outcome", outcome, "run", run,
