Changes that come in series gather for longer before the platform is asked again

Change: 0.6 s in place of 0.25 s while changes follow one another within a second; an announced change of role waits accordingly. Test: TestChangesInSeriesGatherLonger.

--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -26,6 +26,10 @@
 	// groups, and each one alone would cost the platform a call of every instance. It
 	// is far less than the two seconds in which a change has to be in force.
 	gatherFor = 250 * time.Millisecond
+	// gatherMost is the pause while changes follow one another within gatherSeries, as
+	// in a release of many upstreams or when all of them start.
+	gatherMost   = 600 * time.Millisecond
+	gatherSeries = time.Second
 	// probeEvery and probeTimeout: an outage has to be noticed, and its end too, within
 	// about two seconds. A slow platform answers within some hundred ms.
 	probeEvery   = time.Second
@@ -119,6 +123,7 @@
 	d := &dependency{name: f.name}
 	revision, known := uint64(0), false
 	pause, wait := retryPause, firstWatchWait
+	var gather gathering
 	for ctx.Err() == nil {
 		round := e.rounds.current(ctx)
 		watching := known
@@ -134,7 +139,7 @@
 			d.worked()
 			changed := next != revision
 			revision, known, pause = next, true, retryPause
-			if changed && platform.Sleep(ctx, gatherFor) != nil {
+			if changed && platform.Sleep(ctx, gather.pause(time.Now())) != nil {
 				return
 			}
 			continue
@@ -153,6 +158,20 @@
 	}
 }
 
+// gathering chooses the pause after changes of one feed.
+type gathering struct {
+	last time.Time // end of the pause after the last change
+}
+
+func (g *gathering) pause(now time.Time) time.Duration {
+	pause := gatherFor
+	if !g.last.IsZero() && now.Sub(g.last) < gatherSeries {
+		pause = gatherMost
+	}
+	g.last = now.Add(pause)
+	return pause
+}
+
 func (f feed) step(ctx context.Context, revision uint64, known bool, wait time.Duration) (uint64, error) {
 	if known {
 		return f.watch(ctx, revision, wait)
--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -18,7 +18,7 @@
 	decideEvery = time.Second
 	// announceWait is how long an announced change of role waits before its order, so
 	// that instances see it and send nothing more to the engine.
-	announceWait = gatherFor + 150*time.Millisecond
+	announceWait = gatherMost + 150*time.Millisecond
 )
 
 // holder gives orders to engines while this process holds the lease. It is for one
