--- a/internal/connection/upstream/http.go
+++ b/internal/connection/upstream/http.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/defaults"
 )
 
 // Defaults of HTTPOptions.
@@ -49,26 +51,19 @@
 }
 
 func (o HTTPOptions) withDefaults() HTTPOptions {
-	setDefault(&o.DialTimeout, DefaultDialTimeout)
-	setDefault(&o.CallTimeout, DefaultCallTimeout)
-	setDefault(&o.Silence, DefaultSilence)
-	setDefault(&o.UserTimeout, DefaultUserTimeout)
-	setDefault(&o.OrderLife, DefaultOrderLife)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&o.KeepAlive, DefaultKeepAlive)
-	setDefault(&o.MaxIdle, DefaultMaxIdle)
-	setDefault(&o.MaxLine, DefaultMaxLine)
-	setDefault(&o.MaxBody, int64(DefaultMaxBody))
+	defaults.Set(&o.DialTimeout, DefaultDialTimeout)
+	defaults.Set(&o.CallTimeout, DefaultCallTimeout)
+	defaults.Set(&o.Silence, DefaultSilence)
+	defaults.Set(&o.UserTimeout, DefaultUserTimeout)
+	defaults.Set(&o.OrderLife, DefaultOrderLife)
+	defaults.Set(&o.IdleTimeout, DefaultIdleTimeout)
+	defaults.Set(&o.KeepAlive, DefaultKeepAlive)
+	defaults.Set(&o.MaxIdle, DefaultMaxIdle)
+	defaults.Set(&o.MaxLine, DefaultMaxLine)
+	defaults.Set(&o.MaxBody, int64(DefaultMaxBody))
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // NewTransport makes a pool of connections. It speaks HTTP/1.1 only, because
 // there one connection carries one request at a time, which is what makes
 // "no byte was written" provable, and it never follows a proxy setting.
--- a/internal/connection/upstream/service.go
+++ b/internal/connection/upstream/service.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/defaults"
 )
 
 // ServiceCall is one call of a plain service. The caller decides which headers
@@ -46,7 +48,7 @@
 // NewServices makes a client for plain services. Of the options, those of
 // connections apply; a call lives as long as its context.
 func NewServices(opts HTTPOptions) *Services {
-	setDefault(&opts.UserTimeout, DefaultServiceUserTimeout)
+	defaults.Set(&opts.UserTimeout, DefaultServiceUserTimeout)
 	return &Services{pool: NewTransport(opts.withDefaults())}
 }
 
--- /dev/null
+++ b/internal/defaults/defaults_test.go
@@ -0,0 +1,12 @@
+package defaults
+
+import "testing"
+
+func TestSet(t *testing.T) {
+	empty, given := 0, 3
+	Set(&empty, 7)
+	Set(&given, 7)
+	if empty != 7 || given != 3 {
+		t.Errorf("%d and %d, want 7 and 3", empty, given)
+	}
+}
--- a/internal/process/authority/core.go
+++ b/internal/process/authority/core.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/defaults"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settle"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
@@ -34,22 +35,16 @@
 
 // withDefaults fills in zero durations.
 func (c Config) withDefaults() Config {
-	setDefault(&c.RenewEvery, c.TTL/3)
-	setDefault(&c.WatchEvery, c.TTL/3)
-	setDefault(&c.SlowEvery, 10*c.TTL)
-	setDefault(&c.AwayWait, 2*c.TTL)
-	setDefault(&c.Stagger, c.TTL/20)
-	setDefault(&c.HandBack, 10*c.TTL)
-	setDefault(&c.RetryEvery, c.TTL/6)
+	defaults.Set(&c.RenewEvery, c.TTL/3)
+	defaults.Set(&c.WatchEvery, c.TTL/3)
+	defaults.Set(&c.SlowEvery, 10*c.TTL)
+	defaults.Set(&c.AwayWait, 2*c.TTL)
+	defaults.Set(&c.Stagger, c.TTL/20)
+	defaults.Set(&c.HandBack, 10*c.TTL)
+	defaults.Set(&c.RetryEvery, c.TTL/6)
 	return c
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // view is what was read of the lease.
 type view struct {
 	found        bool
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,7 +45,7 @@
 }
 
 func newState(s *settings.Entry) *state {
-	book := place.NewBook(s.Instance.Zone)
+	book := place.NewBook()
 	return &state{
 		fleet:    fleet.New(),
 		book:     book,
@@ -65,11 +66,19 @@
 			return false
 		}
 		if s.config.CompareAndSwap(old, c) {
+			s.forgetRoutes(c)
 			return true
 		}
 	}
 }
 
+// forgetRoutes drops what was learned of callers of routes that are gone.
+func (s *state) forgetRoutes(c *routing.Config) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.patience, func(route string, _ *patience.Route) bool { return !c.HasRoute(route) })
+}
+
 // changeFleet applies a change and lets placement know.
 func (s *state) changeFleet(now time.Time, change func(f *fleet.Core)) {
 	s.mu.Lock()
--- a/internal/process/order/core.go
+++ b/internal/process/order/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/defaults"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
@@ -32,18 +33,12 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.PollEvery, defaultPollEvery)
-	setDefault(&c.RetryEvery, defaultRetryEvery)
-	setDefault(&c.RetryMost, defaultRetryMost)
+	defaults.Set(&c.PollEvery, defaultPollEvery)
+	defaults.Set(&c.RetryEvery, defaultRetryEvery)
+	defaults.Set(&c.RetryMost, defaultRetryMost)
 	return c
 }
 
-func setDefault(d *time.Duration, value time.Duration) {
-	if *d == 0 {
-		*d = value
-	}
-}
-
 // phase is where the core stands.
 type phase int
 
--- a/internal/process/settings/defaults.go
+++ b/internal/process/settings/defaults.go
@@ -1,5 +1,7 @@
 package settings
 
+import "github.com/ragworttrestle/ragworttrestle/internal/defaults"
+
 // Defaults. Each can be set in the file; docs/operators/settings.md lists them.
 const (
 	DefaultCallsPerSecond       = 50
@@ -23,42 +25,35 @@
 	DefaultWeightLoadsPerMinute = 6
 )
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // SetDefaults fills fields that the file leaves out.
 func (g *Gateway) SetDefaults() {
 	setCommonDefaults(&g.Platform, &g.Peer, &g.Stop)
-	setDefault(&g.Limits.BodyBytes, DefaultBodyBytes)
-	setDefault(&g.Limits.QueueRequests, DefaultQueueRequests)
-	setDefault(&g.Limits.QueueTokens, DefaultQueueTokens)
-	setDefault(&g.Limits.DefaultDeadlineMS, DefaultDeadlineMS)
-	setDefault(&g.Limits.RetryShare, DefaultRetryShare)
-	setDefault(&g.Limits.EjectShare, DefaultEjectShare)
-	setDefault(&g.Limits.ClaimKeepSeconds, DefaultClaimKeepSeconds)
+	defaults.Set(&g.Limits.BodyBytes, DefaultBodyBytes)
+	defaults.Set(&g.Limits.QueueRequests, DefaultQueueRequests)
+	defaults.Set(&g.Limits.QueueTokens, DefaultQueueTokens)
+	defaults.Set(&g.Limits.DefaultDeadlineMS, DefaultDeadlineMS)
+	defaults.Set(&g.Limits.RetryShare, DefaultRetryShare)
+	defaults.Set(&g.Limits.EjectShare, DefaultEjectShare)
+	defaults.Set(&g.Limits.ClaimKeepSeconds, DefaultClaimKeepSeconds)
 }
 
 // SetDefaults fills fields that the file leaves out.
 func (c *Controller) SetDefaults() {
 	setCommonDefaults(&c.Platform, &c.Peer, &c.Stop)
-	setDefault(&c.Lease.TTLMS, DefaultLeaseTTLMS)
-	setDefault(&c.Lease.MarginMS, DefaultLeaseMarginMS)
-	setDefault(&c.Lease.OrderLifeMS, DefaultOrderLifeMS)
-	setDefault(&c.Policy.RoleChangePrice, DefaultRoleChangePrice)
-	setDefault(&c.Policy.HorizonSeconds, DefaultHorizonSeconds)
-	setDefault(&c.Policy.WeightLoadsPerMinute, DefaultWeightLoadsPerMinute)
+	defaults.Set(&c.Lease.TTLMS, DefaultLeaseTTLMS)
+	defaults.Set(&c.Lease.MarginMS, DefaultLeaseMarginMS)
+	defaults.Set(&c.Lease.OrderLifeMS, DefaultOrderLifeMS)
+	defaults.Set(&c.Policy.RoleChangePrice, DefaultRoleChangePrice)
+	defaults.Set(&c.Policy.HorizonSeconds, DefaultHorizonSeconds)
+	defaults.Set(&c.Policy.WeightLoadsPerMinute, DefaultWeightLoadsPerMinute)
 }
 
 func setCommonDefaults(p *Platform, peer *Peer, stop *Stop) {
-	setDefault(&p.CallsPerSecond, DefaultCallsPerSecond)
-	setDefault(&p.TimeoutMS, DefaultPlatformTimeoutMS)
-	setDefault(&peer.MaxLinks, DefaultMaxLinks)
-	setDefault(&peer.HeartbeatMS, DefaultHeartbeatMS)
-	setDefault(&peer.Advertise, peer.Listen.Address)
-	setDefault(&stop.BalancerMS, DefaultBalancerMS)
-	setDefault(&stop.DrainMS, DefaultDrainMS)
+	defaults.Set(&p.CallsPerSecond, DefaultCallsPerSecond)
+	defaults.Set(&p.TimeoutMS, DefaultPlatformTimeoutMS)
+	defaults.Set(&peer.MaxLinks, DefaultMaxLinks)
+	defaults.Set(&peer.HeartbeatMS, DefaultHeartbeatMS)
+	defaults.Set(&peer.Advertise, peer.Listen.Address)
+	defaults.Set(&stop.BalancerMS, DefaultBalancerMS)
+	defaults.Set(&stop.DrainMS, DefaultDrainMS)
 }
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/defaults"
 )
 
 // Entry is the settings file of ragwort-entry.
@@ -72,13 +74,13 @@
 
 // SetDefaults fills fields that the file leaves out.
 func (s *Entry) SetDefaults() {
-	setDefault(&s.Bounds.GraceSeconds, DefaultGraceSeconds)
-	setDefault(&s.Bounds.RetryRatio, DefaultRetryRatio)
-	setDefault(&s.Bounds.RetryWindowSeconds, DefaultRetryWindowSeconds)
-	setDefault(&s.Bounds.RetrySlack, DefaultRetrySlack)
-	setDefault(&s.Bounds.LeaseMS, DefaultLeaseMS)
-	setDefault(&s.Limits.MemoryMB, DefaultMemoryMB)
-	setDefault(&s.Logging.LinesPerSecond, DefaultLinesPerSecond)
+	defaults.Set(&s.Bounds.GraceSeconds, DefaultGraceSeconds)
+	defaults.Set(&s.Bounds.RetryRatio, DefaultRetryRatio)
+	defaults.Set(&s.Bounds.RetryWindowSeconds, DefaultRetryWindowSeconds)
+	defaults.Set(&s.Bounds.RetrySlack, DefaultRetrySlack)
+	defaults.Set(&s.Bounds.LeaseMS, DefaultLeaseMS)
+	defaults.Set(&s.Limits.MemoryMB, DefaultMemoryMB)
+	defaults.Set(&s.Logging.LinesPerSecond, DefaultLinesPerSecond)
 }
 
 // Validate checks the settings whole.
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/decay"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 )
 
@@ -33,7 +34,6 @@
 
 // Book keeps the load of every upstream. It is not safe for concurrent use.
 type Book struct {
-	zone     string
 	services map[string][]*load
 	byID     map[string]*load
 	means    map[group]*mean
@@ -58,10 +58,9 @@
 	return m
 }
 
-// NewBook makes an empty book for a process of an availability zone.
-func NewBook(zone string) *Book {
+// NewBook makes an empty book.
+func NewBook() *Book {
 	return &Book{
-		zone:     zone,
 		services: make(map[string][]*load),
 		byID:     make(map[string]*load),
 		means:    make(map[group]*mean),
@@ -316,7 +315,7 @@
 func (l *load) total(now time.Time) float64 {
 	others := l.mean.guess(now)
 	if !l.reportedAt.IsZero() {
-		others += (l.others - others) * halved(now.Sub(l.reportedAt), othersHalfLife)
+		others += (l.others - others) * decay.Factor(now.Sub(l.reportedAt), othersHalfLife)
 	}
 	return float64(l.own) + reservedShare*float64(l.reserved) + max(others, 0)
 }
--- a/internal/request/place/health.go
+++ b/internal/request/place/health.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/decay"
+)
 
 const (
 	// stallAfter is how long an upstream with unanswered requests may give no sign of
@@ -103,7 +107,7 @@
 	if h.share == 0 {
 		return 0
 	}
-	return h.share * halved(now.Sub(h.shareAt), failHalfLife)
+	return h.share * decay.Factor(now.Sub(h.shareAt), failHalfLife)
 }
 
 // silent reports whether the upstream gets no request now.
--- a/internal/request/place/mean.go
+++ b/internal/request/place/mean.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/decay"
 )
 
 // meanHalfLife is how fast older reports leave the mean.
@@ -24,7 +25,7 @@
 }
 
 func (m *mean) add(now time.Time, value float64) {
-	m.weight = m.weight*halved(now.Sub(m.at), meanHalfLife) + 1
+	m.weight = m.weight*decay.Factor(now.Sub(m.at), meanHalfLife) + 1
 	m.at = now
 	m.value += (value - m.value) / m.weight
 }
@@ -32,13 +33,8 @@
 // guess is what an upstream that was not heard of is taken to have. One idle
 // upstream is reckoned in, so that a single report doesn't speak for all.
 func (m *mean) guess(now time.Time) float64 {
-	weight := m.weight * halved(now.Sub(m.at), meanHalfLife)
+	weight := m.weight * decay.Factor(now.Sub(m.at), meanHalfLife)
 	return m.value * weight / (weight + 1)
 }
 
 const ln2 = math.Ln2
-
-// halved is the factor by which a count fades in elapsed time.
-func halved(elapsed, halfLife time.Duration) float64 {
-	return math.Exp2(-max(elapsed, 0).Seconds() / halfLife.Seconds())
-}
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -14,7 +14,7 @@
 func at(d time.Duration) time.Time { return start.Add(d) }
 
 func bookOf(list ...fleet.Upstream) *Book {
-	b := NewBook("z1")
+	b := NewBook()
 	b.SetUpstreams(map[string][]fleet.Upstream{"s": list})
 	return b
 }
@@ -53,7 +53,7 @@
 		c, _ := b.Pick(at(0), &q)
 		first[key] = c.Upstream.ID
 	}
-	other := NewBook("z3")
+	other := NewBook()
 	other.SetUpstreams(map[string][]fleet.Upstream{"s": {up("c", "z3", 8), up("b", "z1", 8), up("a", "z2", 8)}})
 	for key, want := range first {
 		q := query("r")
--- a/internal/request/place/rate.go
+++ b/internal/request/place/rate.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/decay"
+)
 
 // rateHalfLife is how fast older events are forgotten: bursts last seconds.
 const rateHalfLife = time.Second
@@ -18,7 +22,7 @@
 
 func (r *eventRate) fade(now time.Time) {
 	if !r.at.IsZero() {
-		r.count *= halved(now.Sub(r.at), rateHalfLife)
+		r.count *= decay.Factor(now.Sub(r.at), rateHalfLife)
 	}
 	r.at = now
 }
--- a/internal/request/retry/decay.go
+++ b/internal/request/retry/decay.go
@@ -1,8 +1,9 @@
 package retry
 
 import (
-	"math"
 	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/decay"
 )
 
 // decay lets old counts fade.
@@ -11,13 +12,8 @@
 		b.at = now
 		return
 	}
-	f := halved(now.Sub(b.at), budgetWindow)
+	f := decay.Factor(now.Sub(b.at), budgetWindow)
 	b.requests *= f
 	b.retries *= f
 	b.at = now
 }
-
-// halved is the factor by which a count fades in elapsed time.
-func halved(elapsed, halfLife time.Duration) float64 {
-	return math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
-}
--- a/internal/request/stream/relay.go
+++ b/internal/request/stream/relay.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/defaults"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 )
 
@@ -68,20 +69,13 @@
 
 // NewRelay makes a relay of the answer of an attempt.
 func NewRelay(c RelayConfig) *Relay {
-	setDefault(&c.Tries, DefaultTries)
-	setDefault(&c.Breaks, DefaultBreaks)
-	setDefault(&c.Again, DefaultRestarts)
-	setDefault(&c.Backoff, DefaultBackoff)
+	defaults.Set(&c.Tries, DefaultTries)
+	defaults.Set(&c.Breaks, DefaultBreaks)
+	defaults.Set(&c.Again, DefaultRestarts)
+	defaults.Set(&c.Backoff, DefaultBackoff)
 	return &Relay{config: c, current: c.Attempt, assemble: New(c.Attempt.RunID)}
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Next gives the next token, then the End, then io.EOF. Any other error is an
 // *errkind.Error and final: Canceled or DeadlineExceeded if ctx ended,
 // AnswerIncomplete if the answer could not be completed, or what Restart returned.
--- a/internal/version/routing/config.go
+++ b/internal/version/routing/config.go
@@ -101,6 +101,11 @@
 	byHost   map[string][]int // indices of Routes, longest prefix first
 }
 
+// HasRoute reports whether a route of the name exists.
+func (c *Config) HasRoute(name string) bool {
+	return slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Name == name })
+}
+
 // New makes a version and indexes its routes.
 func New(version uint64, routes []Route, services []Service, limits Limits) *Config {
 	c := &Config{
