--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -184,7 +184,9 @@
 	e.loop(func() { e.followConfig(work) })
 	e.loop(func() { e.probeStore(work) })
 	e.loop(func() { e.tickLoop(work) })
-	e.loop(func() { newHolder(e).run(work) })
+	authority, giveUp := context.WithCancel(work)
+	defer giveUp()
+	e.loop(func() { newHolder(e).run(authority) })
 	e.loop(func() { e.watchSettings(work) })
 	logline.Info("entry started", "instance", s.Instance.Name, "zone", s.Instance.Zone,
 		"callers", s.Listen.Callers, "ready", s.Listen.Ready, "store", s.Store)
@@ -193,6 +195,7 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
+	giveUp() // others may give orders while requests still run here
 	e.stop()
 	stopWork()
 	e.loops.Wait()
