--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -196,25 +196,9 @@
 	for i := range p.Parts {
 		l.cached.add(now, p.Parts[i].ID)
 	}
-	if l.perRequest == 0 {
-		l.perRequest = each
-		return
-	}
-	step := perRequestUp
-	if each < l.perRequest {
-		step = perRequestDown
-	}
-	l.perRequest += time.Duration(step * float64(each-l.perRequest))
+	lean(&l.perRequest, each)
 }
 
-// Weights of the newest prefill in the estimate of how long one takes an engine.
-// At an idle engine the way there and back counts too, while behind others it is
-// spread over them, so the estimate leans to the shorter times.
-const (
-	perRequestUp   = 0.02
-	perRequestDown = 0.06
-)
-
 // PrefillTime is how long one prompt of a service takes an engine, on average over
 // its upstreams; zero: not known yet.
 func (b *Book) PrefillTime(service string) time.Duration {
