--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -128,7 +128,9 @@
 	out := outcome{run: errkind.NotRun, err: err, sent: true}
 	q.judge(ctx, u.ID, out, told)
 	if err == nil {
-		st.withBook(now, func(b *place.Book) { b.Prefilled(now, u.ID, &q.prompt, now.Sub(begun), q.behindOthersTarget(), choice.Load) })
+		st.withBook(now, func(b *place.Book) {
+			b.Prefilled(now, u.ID, &q.prompt, now.Sub(begun), q.behindOthersTarget(), choice.Load)
+		})
 	}
 	return kv, out
 }
