A gateway is ready once its zone's runners were asked

Change: a gateway is ready after one poll of each runner of its zone that is configured at its start, answered or not; runners that come later don't take it back.

--- a/internal/process/gateway/poll.go
+++ b/internal/process/gateway/poll.go
@@ -52,6 +52,8 @@
 
 	mu      sync.Mutex
 	running map[string]context.CancelFunc // by runner
+	unasked map[string]bool               // runners of the own zone whose first poll has not ended
+	ready   bool                          // unasked was empty once
 	own     int                           // runners of this gateway's zone
 	others  int
 	done    sync.WaitGroup
@@ -65,9 +67,27 @@
 		ownSlots:   semaphore.NewWeighted(pollConcurrency),
 		otherSlots: semaphore.NewWeighted(pollConcurrency),
 		running:    make(map[string]context.CancelFunc),
+		unasked:    make(map[string]bool),
 	}
 }
 
+// firstAsked reports whether every runner of the own zone that was configured at the start
+// was polled once, with or without an answer. Before that, requests would be refused for want
+// of runners that are there.
+func (p *poller) firstAsked() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ready = p.ready || len(p.unasked) == 0
+	return p.ready
+}
+
+// asked notes the end of a runner's first poll.
+func (p *poller) asked(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.unasked, name)
+}
+
 // install starts a loop for each new runner and ends those of runners gone.
 func (p *poller) install(ctx context.Context, s *config.Snapshot) {
 	p.mu.Lock()
@@ -80,10 +100,14 @@
 		if _, ok := s.Runners[name]; !ok {
 			stop()
 			delete(p.running, name)
+			delete(p.unasked, name)
 		}
 	}
-	for name := range s.Runners {
+	for name, r := range s.Runners {
 		if _, ok := p.running[name]; !ok {
+			if p.isOwn(r) {
+				p.unasked[name] = true
+			}
 			p.start(ctx, name)
 		}
 	}
@@ -122,6 +146,7 @@
 		if ctx.Err() != nil {
 			return
 		}
+		p.asked(name)
 		if err == nil {
 			failed = 0
 		} else {
--- a/internal/process/gateway/source.go
+++ b/internal/process/gateway/source.go
@@ -17,6 +17,9 @@
 	if s.g.snapshot() == nil {
 		return false, "no configuration yet"
 	}
+	if !s.g.poller.firstAsked() {
+		return false, "not all runners were asked yet"
+	}
 	return true, ""
 }
 
