A request that ends while its prompt is read is answered or refused, never left empty

Cause: the outcome of reading a prompt and that of an answer were one type in which a nil error meant "answered". A request whose context ended just as its prompt had been read gave the reading's nil to execute, which took it for a whole answer, and the server wrote an empty 200 by itself. The handle was not released either.

Ruled out: an upstream that answered nothing (its answer is never passed on without its headers).

Change: a reading has a type of its own; an outcome says answered in so many words; a reading that is not fetched is released; a request that ends with nothing written becomes an internal error, not a success.

--- a/internal/process/entry/answer.go
+++ b/internal/process/entry/answer.go
@@ -63,7 +63,7 @@
 	return ok
 }
 
-// take passes one answer on. The outcome's error is nil if it was passed on whole.
+// take passes one answer on.
 func (a *answer) take(ctx context.Context, id string, resp upstream.ServiceAnswer, told exchange.Told) outcome {
 	q := a.q
 	if told.RequestID != "" && told.RequestID != q.declared.ID {
@@ -125,7 +125,7 @@
 // passKept passes on the failure that an upstream answered with.
 func (a *answer) passKept() *errkind.Error {
 	a.q.begin()
-	if out := a.q.writeWhole(a.kept.status, a.kept.header, a.kept.body); out.err != nil {
+	if out := a.q.writeWhole(a.kept.status, a.kept.header, a.kept.body); !out.answered {
 		return errkind.Wrap(out.err, errkind.Canceled, errkind.Ran, "the caller closed the connection")
 	}
 	return nil
@@ -183,19 +183,19 @@
 
 func (q *request) writeLong(resp upstream.ServiceAnswer, head []byte) outcome {
 	q.writeHead(resp.Status, resp.Header)
-	if out := q.write(head); out.err != nil {
+	if out := q.write(head); !out.answered {
 		return out
 	}
 	buf := make([]byte, relayBuffer)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			if out := q.write(buf[:n]); out.err != nil {
+			if out := q.write(buf[:n]); !out.answered {
 				return out
 			}
 		}
 		if err == io.EOF {
-			return outcome{run: errkind.Ran}
+			return answeredWhole()
 		}
 		if err != nil {
 			return outcome{run: errkind.Ran, err: errors.Wrap(errNotWhole, err.Error()), sent: true}
@@ -206,14 +206,14 @@
 // write writes to the caller.
 func (q *request) write(data []byte) outcome {
 	if len(data) == 0 {
-		return outcome{run: errkind.Ran}
+		return answeredWhole()
 	}
 	// Not every writer has deadlines (a test's recorder has none).
 	_ = http.NewResponseController(q.w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	if _, err := q.w.Write(data); err != nil {
 		return outcome{run: errkind.Ran, err: errors.Wrap(errCallerEnd, err.Error()), sent: true}
 	}
-	return outcome{run: errkind.Ran}
+	return answeredWhole()
 }
 
 // takeStream passes a stream on, event by event. The head goes with the first
@@ -226,7 +226,7 @@
 	for {
 		event, err := events.Next()
 		if err == io.EOF && (q.begun || a.order.Started()) {
-			return outcome{run: errkind.Ran}
+			return answeredWhole()
 		}
 		if err != nil {
 			return outcome{run: errkind.Ran, err: errors.Wrap(errNotWhole, err.Error()), sent: true}
@@ -245,7 +245,7 @@
 			q.learn(now, id)
 			q.writeHead(resp.Status, resp.Header)
 		}
-		if out := q.write(event.Raw); out.err != nil {
+		if out := q.write(event.Raw); !out.answered {
 			return out
 		}
 		if err := flusher.Flush(); err != nil {
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -24,15 +24,18 @@
 // errLeaving means that the upstream chosen began to leave before the send.
 var errLeaving = errors.New("the upstream is leaving")
 
-// outcome is how one send ended.
+// outcome is how one send of a request that is to run ended. Only answered says that
+// the caller has its answer: an outcome that says nothing is a failure.
 type outcome struct {
-	run  errkind.RunState
-	err  error // nil: the answer was passed on whole
-	sent bool  // a byte may have reached the upstream
-
-	noPlace *errkind.Error // set if the send needed a place elsewhere and found none
+	answered bool // the answer was passed on whole
+	run      errkind.RunState
+	err      error // nil if and only if answered
+	sent     bool  // a byte may have reached the upstream
 }
 
+// answeredWhole is the outcome of a send whose answer was passed on whole.
+func answeredWhole() outcome { return outcome{answered: true, run: errkind.Ran} }
+
 // execute runs a request: it asks for a place, has the prompt read elsewhere if
 // that is better, sends, and sends again where that is allowed, until there is a
 // final answer. nil: the whole answer was passed on.
@@ -45,12 +48,12 @@
 		if refusal != nil {
 			return q.refusedPlace(refusal, a)
 		}
-		choice, out := q.attempt(ctx, found, a)
-		if out.err == nil {
-			return nil
+		choice, out, refusal := q.attempt(ctx, found, a)
+		if refusal != nil {
+			return q.refusedPlace(refusal, a)
 		}
-		if out.noPlace != nil {
-			return q.refusedPlace(out.noPlace, a)
+		if out.answered {
+			return nil
 		}
 		q.run = retry.Worst(q.run, out.run)
 		if final := q.interrupted(ctx); final != nil {
@@ -66,39 +69,45 @@
 }
 
 // attempt runs the request at the place that was found, or has its prompt read first
-// if the place is only reserved. It gives the place that was used.
-func (q *request) attempt(ctx context.Context, choice place.Choice, a *answer) (place.Choice, outcome) {
+// if the place is only reserved. It gives the place that was used, or the refusal of a
+// request that found no engine to read its prompt.
+func (q *request) attempt(ctx context.Context, choice place.Choice, a *answer) (place.Choice, outcome, *errkind.Error) {
 	if choice.Work == place.Reserve {
 		return q.attemptReading(ctx, choice, a)
 	}
-	defer q.e.state.ended(choice.Upstream.ID, choice.Work)
-	return choice, q.send(ctx, choice, nil, a)
+	defer q.e.state.ended(choice)
+	return choice, q.send(ctx, choice, nil, a), nil
 }
 
 // attemptReading has the prompt read, by an engine for prompts or by a decoding one
 // that has time for it, and runs the request there or at the reserved place.
-func (q *request) attemptReading(ctx context.Context, reserved place.Choice, a *answer) (place.Choice, outcome) {
-	reading, refusal := q.placed(ctx, q.readingQuery(true))
-	if refusal == nil && reading.Work == place.ReadHere {
-		q.e.state.ended(reserved.Upstream.ID, place.Reserve)
-		defer q.e.state.ended(reading.Upstream.ID, place.ReadHere)
+func (q *request) attemptReading(ctx context.Context, reserved place.Choice, a *answer) (place.Choice, outcome, *errkind.Error) {
+	found, refusal := q.placed(ctx, q.readingQuery(true))
+	if refusal == nil && found.Work == place.ReadHere {
+		q.e.state.ended(reserved)
+		defer q.e.state.ended(found)
 		q.readHere = true
-		return reading, q.send(ctx, reading, nil, a)
+		return found, q.send(ctx, found, nil, a), nil
+	}
+	read := q.readApart(ctx, found, refusal)
+	if read.refusal != nil {
+		q.e.state.ended(reserved)
+		return reserved, outcome{}, read.refusal
 	}
-	kv, out := q.readApart(ctx, reading, refusal)
-	if out.noPlace != nil || ctx.Err() != nil {
-		q.e.state.ended(reserved.Upstream.ID, place.Reserve)
-		return reserved, out
+	if ctx.Err() != nil {
+		q.e.state.ended(reserved)
+		read.kv.release(q.e)
+		return reserved, outcome{run: errkind.NotRun, err: context.Cause(ctx)}, nil
 	}
 	choice := q.e.state.claim(reserved)
-	defer q.e.state.ended(choice.Upstream.ID, choice.Work)
-	q.readHere = kv == nil // the decoding engine reads the prompt, slowly
-	out = q.send(ctx, choice, kv, a)
-	if kv != nil && out.run == errkind.NotRun {
-		kv.release(q.e)
+	defer q.e.state.ended(choice)
+	q.readHere = read.kv == nil // the decoding engine reads the prompt, slowly
+	out := q.send(ctx, choice, read.kv, a)
+	if read.kv != nil && out.run == errkind.NotRun {
+		read.kv.release(q.e)
 		q.readHere = true // a second prefill would count as a repeat
 	}
-	return choice, out
+	return choice, out, nil
 }
 
 // firstQuery asks for an engine to run the request, or to run it once its prompt is read.
@@ -218,10 +227,10 @@
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	st.reported(now, id, told.Load)
 	out := a.take(ctx, id, resp, told)
-	if out.err == nil && q.work() == place.Decode {
+	if out.answered && q.work() == place.Decode {
 		q.e.demand.decoded(q.route.Name, time.Since(begun))
 	}
-	q.judge(ctx, id, out, told)
+	q.judge(ctx, id, out.answered, told)
 	return out
 }
 
@@ -272,11 +281,11 @@
 }
 
 // judge counts the outcome of an answered send for the upstream's health.
-func (q *request) judge(ctx context.Context, id string, out outcome, told exchange.Told) {
+func (q *request) judge(ctx context.Context, id string, succeeded bool, told exchange.Told) {
 	now := time.Now()
 	q.e.state.withBook(now, func(b *place.Book) {
 		switch {
-		case out.err == nil:
+		case succeeded:
 			b.Succeeded(now, id)
 		case told.NotRun || ctx.Err() != nil:
 			// It is alive and says why, or the request ended for a reason of its own.
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -42,8 +42,11 @@
 	handle string
 }
 
-// release lets the engine forget the cache. Nobody waits for it.
+// release lets the engine forget the cache, if there is one. Nobody waits for it.
 func (p *prefilled) release(e *Entry) {
+	if p == nil {
+		return
+	}
 	e.loop(func() {
 		if err := e.cfg.Engines.Release(e.hardStop, p.at, p.handle); err != nil {
 			logline.Info("prompt not released", "upstream", p.at.ID, "error", err)
@@ -71,10 +74,15 @@
 	return query
 }
 
+// reading is what came of having a prompt read apart. The request has not run then,
+// and nothing of its answer exists.
+type reading struct {
+	kv      *prefilled     // nil: no engine read it, and the one that decodes still can
+	refusal *errkind.Error // no engine had a place for the prompt
+}
+
 // readApart has the prompt read, first at the place that was found, or refused.
-// An outcome with noPlace is the end of the attempt; the request has not run then.
-func (q *request) readApart(ctx context.Context, choice place.Choice, refusal *errkind.Error) (*prefilled, outcome) {
-	var out outcome
+func (q *request) readApart(ctx context.Context, choice place.Choice, refusal *errkind.Error) reading {
 	for try := range prefillTries {
 		if try > 0 {
 			choice, refusal = q.placed(ctx, q.readingQuery(false))
@@ -82,34 +90,32 @@
 		if refusal != nil && (refusal.Kind == errkind.NoUpstream || try > 0) {
 			// The decoding engine can still read it. One whose prompt failed elsewhere
 			// has waited enough, and is not refused for that.
-			return nil, outcome{run: errkind.NotRun, err: refusal}
+			return reading{}
 		}
 		if refusal != nil {
-			return nil, outcome{run: errkind.NotRun, err: refusal, noPlace: refusal}
+			return reading{refusal: refusal}
 		}
-		var kv *prefilled
-		kv, out = q.sendPrefill(ctx, choice)
-		q.e.state.ended(choice.Upstream.ID, place.Prefill)
-		if out.err == nil {
-			return kv, out
+		kv, sent, err := q.sendPrefill(ctx, choice)
+		q.e.state.ended(choice)
+		if err == nil {
+			return reading{kv: kv}
 		}
 		q.excluded = append(q.excluded, choice.Upstream.ID)
 		logline.Info("prefill failed", "request", q.declared.ID, "upstream", choice.Upstream.ID, "try", try,
-			"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", out.err)
-		if ctx.Err() != nil || (out.sent && !q.e.state.mayRepeat(time.Now(), q.service)) {
+			"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", err)
+		if ctx.Err() != nil || (sent && !q.e.state.mayRepeat(time.Now(), q.service)) {
 			break
 		}
 	}
-	return nil, out
+	return reading{}
 }
 
-// sendPrefill has one engine read the prompt. Whatever comes of it, the request has
-// not run.
-func (q *request) sendPrefill(ctx context.Context, choice place.Choice) (*prefilled, outcome) {
+// sendPrefill has one engine read the prompt. sent: a byte may have reached it.
+func (q *request) sendPrefill(ctx context.Context, choice place.Choice) (kv *prefilled, sent bool, err error) {
 	st, u := q.e.state, choice.Upstream
 	if !st.usable(u.ID) {
 		st.withBook(time.Now(), func(b *place.Book) { b.GaveUp(time.Now(), u.ID) })
-		return nil, outcome{run: errkind.NotRun, err: errLeaving}
+		return nil, false, errLeaving
 	}
 	begun := time.Now()
 	resp, err := q.e.client.Forward(ctx, q.call(u, exchange.Send{PrefillOnly: true, CopyFrom: choice.CopyFrom}))
@@ -117,22 +123,20 @@
 	q.prefill += now.Sub(begun)
 	if err != nil {
 		out := q.sendFailed(ctx, now, u.ID, err)
-		out.run = errkind.NotRun
-		return nil, out
+		return nil, out.sent, out.err
 	}
 	defer resp.Body.Close()
 	st.withBook(now, func(b *place.Book) { b.Heard(now, u.ID, true) })
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	st.reported(now, u.ID, told.Load)
-	kv, err := q.readPrefilled(u, resp, told)
-	out := outcome{run: errkind.NotRun, err: err, sent: true}
-	q.judge(ctx, u.ID, out, told)
+	kv, err = q.readPrefilled(u, resp, told)
+	q.judge(ctx, u.ID, err == nil, told)
 	if err == nil {
 		st.withBook(now, func(b *place.Book) {
 			b.Prefilled(now, u.ID, &q.prompt, now.Sub(begun), q.behindOthersTarget(), choice.Load)
 		})
 	}
-	return kv, out
+	return kv, true, err
 }
 
 func (q *request) readPrefilled(u fleet.Upstream, resp upstream.ServiceAnswer, told exchange.Told) (*prefilled, error) {
--- a/internal/process/entry/serve.go
+++ b/internal/process/entry/serve.go
@@ -25,6 +25,10 @@
 
 // finish answers a request that has no whole answer yet, and records its end.
 func (q *request) finish(final *errkind.Error) {
+	if final == nil && !q.begun {
+		// The server would write an empty success by itself.
+		final = errkind.New(errkind.Internal, q.run, "the request ended without an answer")
+	}
 	q.record(final)
 	if final == nil {
 		return
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -193,9 +193,9 @@
 	return s.book.Usable(id)
 }
 
-// ended counts the end of a request at an upstream.
-func (s *state) ended(id string, work place.Work) {
-	s.withBook(time.Now(), func(b *place.Book) { b.Ended(id, work) })
+// ended gives a place up.
+func (s *state) ended(c place.Choice) {
+	s.withBook(time.Now(), func(b *place.Book) { b.Ended(c.Upstream.ID, c.Work) })
 }
 
 // claim turns a reserved place into one in use.
