--- a/internal/process/entry/answer.go
+++ b/internal/process/entry/answer.go
@@ -150,12 +150,16 @@
 }
 
 // learn notes how long it took to read the prompt and begin the answer.
-func (q *request) learn(now time.Time, id string) {
-	if !q.readHere {
+func (q *request) learn(now time.Time) {
+	if q.reading == nil {
 		return
 	}
 	target := time.Duration(readHereTarget * float64(q.route.Objective))
-	q.e.state.withBook(now, func(b *place.Book) { b.ReadAndBegun(now, id, &q.prompt, now.Sub(q.sentAt), target) })
+	q.e.state.withBook(now, func(b *place.Book) {
+		b.ReadAndBegun(now, q.reading, &q.prompt, now.Sub(q.sentAt), target)
+		b.Read(q.reading.Upstream.ID, q.reading.Tokens)
+	})
+	q.reading.Tokens = 0 // nothing is left to read
 }
 
 // readHereTarget is the part of a request's objective that reading its prompt and
@@ -242,7 +246,7 @@
 		}
 		if !q.begun {
 			q.begin()
-			q.learn(now, id)
+			q.learn(now)
 			q.writeHead(resp.Status, resp.Header)
 		}
 		if out := q.write(event.Raw); !out.answered {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -184,6 +184,13 @@
 	e.loop(func() { e.followConfig(work) })
 	e.loop(func() { e.probeStore(work) })
 	e.loop(func() { e.tickLoop(work) })
+	if s.Listen.Peers != "" {
+		shared, err := newSharing(e)
+		if err != nil {
+			return err
+		}
+		e.loop(func() { shared.run(work) })
+	}
 	authority, giveUp := context.WithCancel(work)
 	defer giveUp()
 	e.loop(func() { newHolder(e).run(authority) })
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -85,8 +86,11 @@
 	found, refusal := q.placed(ctx, q.readingQuery(true))
 	if refusal == nil && found.Work == place.ReadHere {
 		q.e.state.ended(reserved)
-		defer q.e.state.ended(found)
-		q.readHere = true
+		q.readHere, q.reading = true, &found
+		defer func() {
+			q.e.state.ended(found)
+			q.reading = nil
+		}()
 		return found, q.send(ctx, found, nil, a), nil
 	}
 	read := q.readApart(ctx, found, refusal)
@@ -125,7 +129,7 @@
 	}
 	prefill := time.Duration(0)
 	if q.prompt.Own >= apartTokens {
-		prefill = q.e.state.prefillTime(q.service)
+		prefill = q.e.state.readingTime(q.service, q.prompt.Own)
 		q.e.state.withBook(q.arrived, func(b *place.Book) { b.Asked(q.arrived, q.service) })
 	}
 	q.e.demand.arrived(q.service, q.route.Name, prefill)
@@ -223,7 +227,12 @@
 		return out
 	}
 	defer resp.Body.Close()
-	st.withBook(now, func(b *place.Book) { b.Heard(now, id, true) })
+	st.withBook(now, func(b *place.Book) {
+		b.Heard(now, id, true)
+		if kv != nil && resp.Status == http.StatusOK {
+			b.Fetched(now, id, &q.prompt, q.memory())
+		}
+	})
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	st.reported(now, id, told.Load)
 	out := a.take(ctx, id, resp, told)
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -26,16 +26,6 @@
 	prefillAnswerBytes = 64 << 10
 )
 
-// behindOthersShare is the part of a request's objective for which its prompt should wait
-// at most behind others at the engine that reads it; the rest is for a place, the
-// reading itself and the decode. Of 0.12, 0.2 and 0.3 it served most on the standard days.
-const behindOthersShare = 0.2
-
-// behindOthersTarget is how long the prompt should wait at most at its engine.
-func (q *request) behindOthersTarget() time.Duration {
-	return time.Duration(behindOthersShare * float64(q.route.Objective))
-}
-
 // prefilled is the KV cache of a prompt that waits at an engine.
 type prefilled struct {
 	at     fleet.Upstream
@@ -133,7 +123,7 @@
 	q.judge(ctx, u.ID, err == nil, told)
 	if err == nil {
 		st.withBook(now, func(b *place.Book) {
-			b.Prefilled(now, u.ID, &q.prompt, now.Sub(begun), q.behindOthersTarget(), choice.Load)
+			b.Prefilled(now, &choice, &q.prompt, now.Sub(begun))
 		})
 	}
 	return kv, true, err
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -45,6 +45,7 @@
 	run      errkind.RunState // worst over all sends
 	sentAt   time.Time        // when the last send began
 	readHere bool             // the prompt is read by the engine that decodes
+	reading  *place.Choice    // the place of the engine that reads the prompt and decodes; nil: none
 	begun    bool             // the caller has seen a part of the answer
 	waited   time.Duration    // in the queue
 	prefill  time.Duration    // the prompt was read apart for so long, waits for a place aside
@@ -196,10 +197,18 @@
 		ID: q.queueID, Service: q.service, Zone: q.e.cfg.Settings.Instance.Zone,
 		Urgency: q.route.Priority, Prompt: q.prompt, Work: work,
 		Arrived: q.arrived, StartBy: startBy, Excluded: q.excluded, Gap: q.gap(),
-		Late: q.late(),
+		Late: q.late(), Objective: q.route.Objective, Memory: q.memory(),
 	}
 }
 
+// memory is how many tokens an engine of the service keeps; 0: not known.
+func (q *request) memory() int {
+	if s, ok := q.config.Services[q.service]; ok && s.Engine != nil {
+		return s.Engine.KVTokens
+	}
+	return 0
+}
+
 // late reports whether the answer can't be in time any more: the caller was refused
 // before, by this or another instance, and has spent the time of the objective.
 func (q *request) late() bool { return q.route.Objective > 0 && q.spent >= q.route.Objective }
@@ -233,7 +242,7 @@
 	key, shared, own := d.Shared()
 	p := place.Prompt{Key: key, Own: own, Parts: make([]place.Part, len(shared))}
 	for i, part := range shared {
-		p.Parts[i] = place.Part{ID: part.ID, Tokens: part.Tokens}
+		p.Parts[i] = place.Part{Key: place.KeyOfPart(part.ID), Tokens: part.Tokens}
 	}
 	return p
 }
--- /dev/null
+++ b/internal/process/entry/sharing_test.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+)
+
+// newSharingEntry has one engine and shares with others over loopback.
+func newSharingEntry(t *testing.T, name string, store *platform.Store) (*Entry, *sharing) {
+	s := &settings.Entry{Instance: settings.Instance{Name: name, Zone: "z1"}, Listen: settings.EntryListen{Peers: "127.0.0.1:0"}}
+	s.SetDefaults()
+	e := New(Config{Settings: s, Records: store})
+	e.changeFleet(func(now time.Time, f *fleet.Core) { f.Put(now, fleet.Upstream{ID: "a", Service: "s", Slots: 8}) })
+	shared, err := newSharing(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e, shared
+}
+
+// TestInstancesLearnOfEachOthersWork starts two instances that know each other from the
+// platform's list alone: what one sends, the other one counts, until the first has gone.
+func TestInstancesLearnOfEachOthersWork(t *testing.T) {
+	store := platform.New(platform.Config{})
+	sender, first := newSharingEntry(t, "i-1", store)
+	receiver, second := newSharingEntry(t, "i-2", store)
+	ctx, cancel := context.WithCancel(context.Background())
+	firstCtx, stopFirst := context.WithCancel(ctx)
+	sender.loop(func() { first.run(firstCtx) })
+	receiver.loop(func() { second.run(ctx) })
+	sender.state.withBook(time.Now(), func(b *place.Book) { b.Sent(time.Now(), "a", place.Serve) })
+	sees := func(want float64) {
+		t.Helper()
+		for range 1000 {
+			receiver.state.tick(time.Now())
+			if receiver.state.loads(time.Now())["a"] == want {
+				return
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Errorf("the other instance never saw %v requests", want)
+	}
+	sees(1)
+	stopFirst()
+	sender.loops.Wait()
+	if objects, _, err := store.List(ctx, kindPeer); err != nil || len(objects) != 1 {
+		t.Errorf("%d instances listed after one has stopped (%v)", len(objects), err)
+	}
+	sees(0)
+	cancel()
+	receiver.loops.Wait()
+}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -110,6 +110,7 @@
 	defer s.mu.Unlock()
 	s.expire(now)
 	s.syncBook(now)
+	s.book.ForgetOldTold(now)
 	s.decideWaiting(now)
 }
 
@@ -195,7 +196,10 @@
 
 // ended gives a place up.
 func (s *state) ended(c place.Choice) {
-	s.withBook(time.Now(), func(b *place.Book) { b.Ended(c.Upstream.ID, c.Work) })
+	s.withBook(time.Now(), func(b *place.Book) {
+		b.Ended(c.Upstream.ID, c.Work)
+		b.Read(c.Upstream.ID, c.Tokens)
+	})
 }
 
 // claim turns a reserved place into one in use.
@@ -260,6 +264,16 @@
 	return w
 }
 
+// share gives what other instances are told: what this process has under way, by
+// upstream, and the prompts read since the last call. allTold: every other instance
+// tells the same of itself.
+func (s *state) share(allTold bool) (map[place.UpstreamKey]place.InFlight, []place.PartsRead) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.AllTold(allTold)
+	return s.book.Own(), s.book.TakeReads()
+}
+
 // waiting counts the requests that wait.
 func (s *state) waiting() int {
 	s.mu.Lock()
@@ -284,9 +298,9 @@
 // hasEngines reports whether any engine is known.
 func (s *state) hasEngines() bool { return len(s.engines()) > 0 }
 
-// prefillTime is how long one prompt of a service takes an engine.
-func (s *state) prefillTime(service string) time.Duration {
+// readingTime is how long a prompt of so many tokens takes an engine that prefills.
+func (s *state) readingTime(service string, tokens int) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.book.PrefillTime(service)
+	return s.book.ReadingTime(service, tokens)
 }
--- /dev/null
+++ b/internal/process/peers/core_test.go
@@ -0,0 +1,224 @@
+package peers
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func peer(i int, zone string) Peer {
+	return Peer{Name: fmt.Sprintf("i%02d", i), Zone: zone, Address: fmt.Sprintf("10.0.0.%d:7", i)}
+}
+
+func work(n int) map[place.UpstreamKey]place.InFlight {
+	return map[place.UpstreamKey]place.InFlight{1: {Requests: n}}
+}
+
+// TestASmallFleetTellsAllAndALargeOneItsZone: in a large fleet each instance tells some of
+// its availability zone, and each is told by somebody.
+func TestASmallFleetTellsAllAndALargeOneItsZone(t *testing.T) {
+	fleet := func(n int) map[string][]string {
+		told := map[string][]string{}
+		var all []Peer
+		for i := range n {
+			all = append(all, peer(i, fmt.Sprint("z", i%3)))
+		}
+		for i := range n {
+			c := New(all[i], 1)
+			c.Listed(at(0), all)
+			for _, to := range c.Recipients(at(0)) {
+				told[to] = append(told[to], fmt.Sprint("z", i%3))
+			}
+		}
+		return told
+	}
+	for to, by := range fleet(9) {
+		if len(by) != 8 {
+			t.Errorf("%s of nine is told by %d", to, len(by))
+		}
+	}
+	large := fleet(90)
+	for i := range 90 {
+		p := peer(i, fmt.Sprint("z", i%3))
+		by := large[p.Address]
+		if len(by) == 0 || len(by) > 29 {
+			t.Errorf("%s of ninety is told by %d", p.Name, len(by))
+		}
+		if slices.ContainsFunc(by, func(zone string) bool { return zone != p.Zone }) {
+			t.Errorf("%s of %s is told by %v", p.Name, p.Zone, by)
+		}
+	}
+}
+
+func TestMessagesArePacedByChangesAndRecipients(t *testing.T) {
+	c := New(peer(0, "z"), 1)
+	for i := 1; i <= 8; i++ {
+		c.Listed(at(0), []Peer{peer(i, "z")})
+	}
+	if c.Next(at(time.Second), work(1)) == nil {
+		t.Fatal("the first change isn't told")
+	}
+	if c.Next(at(time.Second+30*time.Millisecond), work(2)) != nil {
+		t.Error("told again within 40 ms by one of nine")
+	}
+	if m := c.Next(at(time.Second+40*time.Millisecond), work(2)); m == nil || m.Rows[0].Requests != 2 || m.Sender != nil {
+		t.Errorf("%+v, want the change alone", m)
+	}
+	if c.Next(at(time.Second+500*time.Millisecond), work(2)) != nil {
+		t.Error("told again although nothing changed")
+	}
+	if m := c.Next(at(2100*time.Millisecond), work(2)); m == nil || m.Sender == nil {
+		t.Errorf("%+v, want word of the sender after a second", m)
+	}
+}
+
+// TestReadsAreTakenOnceThoughMessagesAreLostTwiceOrLate plays every loss of one message
+// of a series, and each message twice and late.
+func TestReadsAreTakenOnceThoughMessagesAreLostTwiceOrLate(t *testing.T) {
+	for lost := -1; lost < 6; lost++ {
+		from, to := New(peer(1, "z"), 100), New(peer(2, "z"), 1)
+		to.Listed(at(0), []Peer{peer(1, "z")})
+		var got []int
+		var before *Message
+		for i := range 8 {
+			now := at(time.Duration(i) * time.Second)
+			if i < 6 {
+				from.Note([]place.PartsRead{{Upstream: 1, Written: i}})
+			}
+			m := from.Next(now, work(i))
+			if i != lost {
+				for _, r := range take(t, to, now, m) {
+					got = append(got, r.Written)
+				}
+				if reads := take(t, to, now, m); len(reads) > 0 {
+					t.Errorf("message %d was taken twice", i)
+				}
+			}
+			if before != nil {
+				if news, _ := to.Heard(now, peer(1, "z").Address, before); news {
+					t.Errorf("message %d was taken after a newer one", i-1)
+				}
+			}
+			before = m
+		}
+		if want := []int{0, 1, 2, 3, 4, 5}; !slices.Equal(got, want) {
+			t.Errorf("with message %d lost: %v, want %v", lost, got, want)
+		}
+	}
+}
+
+func take(t *testing.T, c *Core, now time.Time, m *Message) []Read {
+	data, err := Encode(*m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded, err := Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, reads := c.Heard(now, peer(1, "z").Address, &decoded)
+	return reads
+}
+
+// TestARestartedInstanceIsHeardAgain: its numbers begin beyond those of the life before.
+func TestARestartedInstanceIsHeardAgain(t *testing.T) {
+	to := New(peer(2, "z"), 1)
+	for life := range uint64(2) {
+		from := New(peer(1, "z"), 1_000*(life+1))
+		from.Note([]place.PartsRead{{Upstream: 1, Written: 7}})
+		if reads := take(t, to, at(0), from.Next(at(0), work(1))); len(reads) != 1 {
+			t.Errorf("life %d: %d reads taken", life, len(reads))
+		}
+	}
+}
+
+func TestUnknownSendersArePassedOverUntilTheyIntroduceThemselves(t *testing.T) {
+	c, p := New(peer(0, "z"), 1), peer(1, "z")
+	if news, _ := c.Heard(at(0), p.Address, &Message{Sequence: 5}); news {
+		t.Error("an unknown sender was taken")
+	}
+	if news, _ := c.Heard(at(0), "10.9.9.9:7", &Message{Sequence: 6, Sender: &p}); news {
+		t.Error("a sender was taken that isn't where it says it is")
+	}
+	if news, _ := c.Heard(at(0), p.Address, &Message{Sequence: 6, Sender: &p}); !news {
+		t.Error("a sender that introduces itself was passed over")
+	}
+}
+
+// TestAllAreHeardUnlessOneFallsSilent: one that is silent for long counts as gone.
+func TestAllAreHeardUnlessOneFallsSilent(t *testing.T) {
+	c := New(peer(0, "z"), 1)
+	if c.AllHeard(at(0)) {
+		t.Error("alone, it takes itself to have heard all")
+	}
+	c.Listed(at(0), []Peer{peer(1, "z"), peer(2, "z")})
+	hear := func(i int, now time.Time) {
+		p := peer(i, "z")
+		c.Heard(now, p.Address, &Message{Sequence: uint64(now.UnixMicro()), Sender: &p})
+	}
+	for s := range 40 {
+		now := at(time.Duration(s) * time.Second)
+		hear(1, now)
+		if s < 5 {
+			hear(2, now)
+		}
+		if s%10 == 0 {
+			c.Listed(now, []Peer{peer(1, "z"), peer(2, "z")})
+		}
+		want := s < 6 || s >= 34
+		if got := c.AllHeard(now); got != want {
+			t.Errorf("after %d s: %v; one of two was silent from 4 s on", s, got)
+		}
+	}
+}
+
+// TestTheFirstInstanceRemovesThoseThatAreGone: each of the others leaves it to it.
+func TestTheFirstInstanceRemovesThoseThatAreGone(t *testing.T) {
+	for i, want := range map[int]int{0: 1, 1: 0} {
+		c := New(peer(i, "z"), 1)
+		c.Listed(at(0), []Peer{peer(0, "z"), peer(1, "z"), peer(2, "z")})
+		now := at(forgetAfter)
+		other := peer(1-i, "z")
+		c.Heard(now, other.Address, &Message{Sequence: 1, Sender: &other})
+		if got := c.Abandoned(now); len(got) != want {
+			t.Errorf("instance %d removes %v", i, got)
+		}
+	}
+}
+
+// TestTheLargestMessageFitsOneDatagram has more under way and read than one message tells.
+func TestTheLargestMessageFitsOneDatagram(t *testing.T) {
+	c := New(Peer{Name: "an-instance-with-a-long-name", Zone: "a-zone-with-a-long-name", Address: "255.255.255.255:65535"}, uint64(time.Now().UnixMicro()))
+	big := make(map[place.UpstreamKey]place.InFlight)
+	for i := range place.UpstreamKey(200) {
+		big[1<<31+i] = place.InFlight{Requests: 300, Reserved: 300, Tokens: 1 << 20}
+		c.Note([]place.PartsRead{{Upstream: 1<<31 + i, Written: 1 << 20, Parts: []place.PartKey{1 << 31, 1 << 31, 1 << 31}}})
+	}
+	data, err := Encode(*c.Next(time.Now(), big))
+	if err != nil || len(data) > MaxMessageBytes {
+		t.Errorf("%d bytes (%v), want at most %d", len(data), err, MaxMessageBytes)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	data, _ := Encode(Message{Sequence: 1, Rows: []Row{{Upstream: 1, Requests: 2}}, Reads: []Read{{Upstream: 3, Parts: []uint32{4}}}})
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m, err := Decode(data)
+		if err != nil {
+			return
+		}
+		for _, w := range m.Work() {
+			if w.Requests < 0 || w.Reserved < 0 || w.Tokens < 0 {
+				t.Errorf("negative work: %+v", w)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/process/peers/message.go
@@ -0,0 +1,109 @@
+package peers
+
+import (
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+)
+
+// MaxMessageBytes is the largest message: one datagram that no usual link splits.
+const MaxMessageBytes = 1400
+
+// Bounds of one message. What upstreams report makes up for the rest of the rows, and
+// a prompt that isn't told is read again at worst.
+const (
+	maxRows  = 40
+	maxReads = 20
+)
+
+// Message is what one instance tells another one, in one datagram. Its rows hold all
+// that the sender has under way, so each message replaces the ones before. Each read
+// is told in a few messages, in case that one is lost.
+type Message struct {
+	Sequence  uint64 `cbor:"1,keyasint"` // grows over the lives of an instance; an older message is passed over
+	Sender    *Peer  `cbor:"2,keyasint,omitempty"`
+	Rows      []Row  `cbor:"3,keyasint,omitempty"`
+	FirstRead uint64 `cbor:"4,keyasint,omitempty"` // number of the first of Reads; grows like Sequence
+	Reads     []Read `cbor:"5,keyasint,omitempty"`
+}
+
+// Row is what the sender has under way at one upstream.
+type Row struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream uint32   // place.UpstreamKey
+	Requests int
+	Reserved int
+	Tokens   int // of prompts
+}
+
+// Read is a prompt that an upstream read or fetched for the sender.
+type Read struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream uint32   // place.UpstreamKey
+	Written  int      // tokens
+	Parts    []uint32 // place.PartKey
+}
+
+// rowsOf tells what is under way.
+func rowsOf(work map[place.UpstreamKey]place.InFlight) []Row {
+	out := make([]Row, 0, len(work))
+	for key, f := range work {
+		if len(out) == maxRows {
+			break
+		}
+		out = append(out, Row{Upstream: uint32(key), Requests: f.Requests, Reserved: f.Reserved, Tokens: f.Tokens})
+	}
+	return out
+}
+
+func readOf(r place.PartsRead) Read {
+	out := Read{Upstream: uint32(r.Upstream), Written: r.Written, Parts: make([]uint32, len(r.Parts))}
+	for i, key := range r.Parts {
+		out.Parts[i] = uint32(key)
+	}
+	return out
+}
+
+// PartsRead gives what a read tells.
+func (r *Read) PartsRead() place.PartsRead {
+	out := place.PartsRead{Upstream: place.UpstreamKey(r.Upstream), Written: r.Written, Parts: make([]place.PartKey, len(r.Parts))}
+	for i, key := range r.Parts {
+		out.Parts[i] = place.PartKey(key)
+	}
+	return out
+}
+
+// Work gives what a message tells.
+func (m *Message) Work() map[place.UpstreamKey]place.InFlight {
+	out := make(map[place.UpstreamKey]place.InFlight, len(m.Rows))
+	for _, r := range m.Rows {
+		out[place.UpstreamKey(r.Upstream)] = place.InFlight{Requests: r.Requests, Reserved: r.Reserved, Tokens: r.Tokens}
+	}
+	return out
+}
+
+// Encode gives the bytes of a message.
+func Encode(m Message) ([]byte, error) {
+	data, err := cbor.Marshal(m)
+	return data, errors.Wrap(err, "message to a peer")
+}
+
+// Decode reads a message and checks it.
+func Decode(data []byte) (Message, error) {
+	var m Message
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		return m, errors.Wrap(err, "message of a peer")
+	}
+	for _, r := range m.Rows {
+		if r.Requests < 0 || r.Reserved < 0 || r.Tokens < 0 {
+			return m, errors.Errorf("message of a peer: negative work at upstream %d", r.Upstream)
+		}
+	}
+	for _, r := range m.Reads {
+		if r.Written < 0 {
+			return m, errors.Errorf("message of a peer: negative tokens at upstream %d", r.Upstream)
+		}
+	}
+	return m, nil
+}
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -29,6 +29,7 @@
 	Callers   string `json:"callers"`
 	Ready     string `json:"ready"`     // for the balancer
 	Operators string `json:"operators"` // metrics; empty: none
+	Peers     string `json:"peers"`     // UDP, for other instances; empty: nothing is shared with them
 }
 
 // EntryBounds are what the deployment promises and asks for.
@@ -94,6 +95,9 @@
 	if s.Listen.Operators != "" {
 		c.address("listen.operators", s.Listen.Operators)
 	}
+	if s.Listen.Peers != "" {
+		c.address("listen.peers", s.Listen.Peers)
+	}
 	b := s.Bounds
 	c.require(b.GraceSeconds > 0, "bounds.graceSeconds", b.GraceSeconds, "must be greater than zero")
 	c.require(b.RetryRatio >= 0, "bounds.retryRatio", b.RetryRatio, "must not be negative")
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -21,24 +21,31 @@
 	up         fleet.Upstream
 	own        int       // requests of this process under way
 	reserved   int       // requests of this process that will decode there soon
-	others     float64   // requests of other processes, as last reported
+	ownTokens  int       // of prompts that this process has read there and that aren't read yet
+	told       InFlight  // what other instances told that they have under way there
+	others     float64   // requests of others that were not told, by the last report
 	reportedAt time.Time // zero: never
 	mean       *mean     // of the upstream's group
+	allTold    *bool     // see Book.AllTold
 	health     health
 	cached     partCache
 	pace       pace
 	needs      []time.Duration // between events, of this process's long answers there
-	reading    readingPace
-	perRequest time.Duration // of a prefill: how long one takes, the ones before it aside
+	slow       slowness
 }
 
 // Book keeps the load of every upstream. It is not safe for concurrent use.
 type Book struct {
-	services map[string][]*load
-	byID     map[string]*load
-	means    map[group]*mean
-	limiters map[task]*limiter
-	prompts  map[string]*eventRate // requests with long prompts, by service
+	services    map[string][]*load
+	byID        map[string]*load
+	means       map[group]*mean
+	limiters    map[task]*limiter
+	prompts     map[string]*eventRate // requests with long prompts, by service
+	models      map[group]*readingModel
+	byKey       map[UpstreamKey]*load
+	tellings    map[string]telling // by instance
+	untoldReads []PartsRead
+	allTold     bool
 }
 
 // task is the work of one kind for a service.
@@ -66,9 +73,22 @@
 		means:    make(map[group]*mean),
 		limiters: make(map[task]*limiter),
 		prompts:  make(map[string]*eventRate),
+		tellings: make(map[string]telling),
+		models:   make(map[group]*readingModel),
 	}
 }
 
+// model gives how long engines like one take to read prompts.
+func (b *Book) model(l *load) *readingModel {
+	g := group{l.up.Service, l.up.Role}
+	m, ok := b.models[g]
+	if !ok {
+		m = &readingModel{}
+		b.models[g] = m
+	}
+	return m
+}
+
 // SetUpstreams replaces the upstreams that may get new work. What is under way at
 // others is still counted, so that its end finds it.
 func (b *Book) SetUpstreams(services map[string][]fleet.Upstream) {
@@ -81,7 +101,7 @@
 				l = &load{}
 			}
 			l.up = u
-			l.mean = b.mean(l)
+			l.mean, l.allTold = b.mean(l), &b.allTold
 			kept[u.ID] = l
 			b.services[service] = append(b.services[service], l)
 		}
@@ -92,6 +112,7 @@
 		}
 	}
 	b.byID = kept
+	b.indexKeys()
 }
 
 // Paced notes the gap between two events of a stream of an upstream.
@@ -182,51 +203,61 @@
 	}
 }
 
-// Prefilled notes that an upstream read a prompt, how long that took with how many
-// requests there at its start, and how long it was wanted to wait behind them at most.
-func (b *Book) Prefilled(now time.Time, id string, p *Prompt, took, target time.Duration, load float64) {
-	l, ok := b.byID[id]
+// Prefilled notes that an upstream read a prompt, and how long that took.
+func (b *Book) Prefilled(now time.Time, c *Choice, p *Prompt, took time.Duration) {
+	l, ok := b.byID[c.Upstream.ID]
 	if !ok {
 		return
 	}
-	each := time.Duration(float64(took) / (max(load, 0) + 1))
-	own := l.reading.time(p.Own)
-	l.reading.add(each, p.Own)
-	b.limiter(l.up.Service, Prefill).took(took-own, target, b.asked(l.up.Service).perSecond(now))
-	for i := range p.Parts {
-		l.cached.add(now, p.Parts[i].ID)
+	m := b.model(l)
+	if c.Alone {
+		expected := m.time(c.Tokens)
+		m.add(c.Tokens, took)
+		if expected > 0 {
+			l.slow.add(float64(took) / float64(expected))
+		}
 	}
-	lean(&l.perRequest, each)
+	b.noteRead(now, l, p, c.Tokens)
 }
 
-// PrefillTime is how long one prompt of a service takes an engine, on average over
-// its upstreams; zero: not known yet.
-func (b *Book) PrefillTime(service string) time.Duration {
-	var sum time.Duration
-	n := 0
-	for _, l := range b.services[service] {
-		if l.perRequest > 0 {
-			sum += l.perRequest
-			n++
-		}
+// Fetched notes that a decoding engine fetched the KV cache of a prompt.
+func (b *Book) Fetched(now time.Time, id string, p *Prompt, memory int) {
+	if l, ok := b.byID[id]; ok {
+		b.noteRead(now, l, p, p.Own+l.cached.missing(now, p, memory))
 	}
-	if n == 0 {
-		return 0
+}
+
+// noteRead notes which shared parts an upstream keeps now, to be told to others.
+func (b *Book) noteRead(now time.Time, l *load, p *Prompt, written int) {
+	parts := p.keys()
+	l.cached.use(now, parts, written)
+	if len(b.untoldReads) < mostUntoldReads {
+		b.untoldReads = append(b.untoldReads, PartsRead{Upstream: KeyOf(l.up.ID), Written: written, Parts: parts})
 	}
-	return sum / time.Duration(n)
 }
 
-// ReadAndBegun notes how long a request whose prompt was read by the decoding engine
-// took to the first piece of its answer, and how long it was wanted to take at most.
-func (b *Book) ReadAndBegun(now time.Time, id string, p *Prompt, took, target time.Duration) {
-	l, ok := b.byID[id]
+// ReadingTime is how long a prompt of so many tokens takes an engine of a service that
+// prefills.
+func (b *Book) ReadingTime(service string, tokens int) time.Duration {
+	m, ok := b.models[group{service, upstream.RolePrefill}]
+	if !ok {
+		m = &readingModel{}
+	}
+	return m.time(tokens)
+}
+
+// ReadAndBegun notes that a decoding engine read a prompt and began its answer, how
+// long that took and how long it was wanted to take at most.
+func (b *Book) ReadAndBegun(now time.Time, c *Choice, p *Prompt, took, target time.Duration) {
+	l, ok := b.byID[c.Upstream.ID]
 	if !ok {
 		return
 	}
-	b.limiter(l.up.Service, ReadHere).took(took, target, b.asked(l.up.Service).perSecond(now))
-	for i := range p.Parts {
-		l.cached.add(now, p.Parts[i].ID)
+	if c.Alone {
+		b.model(l).add(c.Tokens, took)
 	}
+	b.limiter(l.up.Service, ReadHere).took(took, target, b.asked(l.up.Service).perSecond(now))
+	b.noteRead(now, l, p, c.Tokens)
 }
 
 // Reported takes the load that an upstream told with an answer: the requests that
@@ -236,7 +267,7 @@
 	if !ok {
 		return
 	}
-	l.others = max(0, float64(running+waiting-l.own))
+	l.others = max(0, float64(running+waiting-l.own-l.told.Requests))
 	l.reportedAt = now
 	l.mean.add(now, l.others)
 	if slots > 0 {
@@ -297,11 +328,20 @@
 
 // total estimates the requests at an upstream.
 func (l *load) total(now time.Time) float64 {
+	known := float64(l.own+l.told.Requests) + reservedShare*float64(l.reserved+l.told.Reserved)
+	return known + l.untold(now)
+}
+
+// untold estimates the requests there of instances that don't tell theirs.
+func (l *load) untold(now time.Time) float64 {
+	if *l.allTold {
+		return 0
+	}
 	others := l.mean.guess(now)
 	if !l.reportedAt.IsZero() {
 		others += (l.others - others) * decay.Factor(now.Sub(l.reportedAt), othersHalfLife)
 	}
-	return float64(l.own) + reservedShare*float64(l.reserved) + max(others, 0)
+	return max(others, 0)
 }
 
 // reservedShare is what a request whose prompt is being read elsewhere counts at the
@@ -352,18 +392,18 @@
 // Pick chooses the upstream with the least cost. ok is false if none is eligible
 // or all eligible ones are full.
 func (b *Book) Pick(now time.Time, q *Query) (choice Choice, ok bool) {
-	if q.Work.reads() && b.limiter(q.Service, q.Work).full() {
+	if q.Work == ReadHere && b.limiter(q.Service, q.Work).full() {
 		return Choice{}, false
 	}
 	best, bestCost := (*load)(nil), math.Inf(1)
 	list := b.services[q.Service]
-	home := b.home(now, q)
+	v := b.view(now, q)
 	least := leastFailing(now, list)
 	for _, l := range list {
-		if !l.serves(now, q) || l.full(now, q) {
+		if !l.serves(now, q) || v.full(l) {
 			continue
 		}
-		c := l.cost(now, q, l == home) + failCost*(l.health.failing(now)-least)
+		c := v.cost(l) + failCost*(l.health.failing(now)-least)
 		if c < bestCost {
 			best, bestCost = l, c
 		}
@@ -372,12 +412,19 @@
 		return Choice{}, false
 	}
 	choice = Choice{Upstream: best.up, Work: q.Work, Load: best.total(now), Age: best.age(now), Cost: bestCost}
-	if source := b.source(now, q, best); source != nil {
-		choice.CopyFrom = source.up.Address
+	if q.Work.reads() {
+		choice.Tokens = v.toRead(best)
+		choice.Alone = best.backlog() == 0 && best.total(now) < idleLoad
+		if v.source != nil && v.source != best && best.cached.missing(now, &q.Prompt, q.Memory) > 0 {
+			choice.CopyFrom = v.source.up.Address
+		}
 	}
 	return choice, true
 }
 
+// idleLoad in requests: an upstream with less is taken to have none.
+const idleLoad = 0.5
+
 func (l *load) age(now time.Time) time.Duration {
 	if l.reportedAt.IsZero() {
 		return -1
--- a/internal/request/place/cost.go
+++ b/internal/request/place/cost.go
@@ -4,14 +4,21 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 )
 
-// Weights of the parts of a cost. All are in units of the time that one request
-// takes at an idle upstream of its service, so that they hold for any service.
+// Weights of the parts of a cost. Reading a prompt costs seconds until it is read. Other
+// work costs the share of an upstream's slots that is in use, so that weights hold for
+// any service.
 const (
 	// awayCost is what crossing to another availability zone is worth: it only
 	// breaks ties between upstreams that are about equally loaded.
 	awayCost = 0.15
+	// awayShare is the part of a request's objective that its prompt may rather wait for
+	// an engine of its own availability zone: bytes between zones cost money and take
+	// the links' time twice.
+	awayShare = 0.1
 	// fullCost is added for each request beyond the slots: it has to wait for another
 	// one to end.
 	fullCost = 2.0
@@ -26,64 +33,113 @@
 	// failCost is for an upstream all of whose recent requests failed, beyond the one
 	// of its service that fails least: some kinds of request fail everywhere.
 	failCost = 4.0
+	// copyShare is what copying a token's KV cache from another engine costs as a part of
+	// reading the token: links move it in a tenth of that time, twice that between zones.
+	copyShare = 0.15
+	// behindOthersShare is the part of a request's objective for which its prompt should
+	// wait at most behind others at the engine that reads it; the rest is for a place, the
+	// reading itself and the decode.
+	behindOthersShare = 0.2
+	// minOwnTokens is the least that reading a prompt counts for.
+	minOwnTokens = 64
 )
 
-// readHereCrowd is what a full decoding engine is worth when one is chosen to read a
-// prompt, in units of reading the request's own part.
-const readHereCrowd = 2.0
+// view is what one pick looks at.
+type view struct {
+	b      *Book
+	now    time.Time
+	q      *Query
+	home   *load // where requests with the same shared parts come together; nil: nowhere
+	source *load // keeps the shared parts, or the most of them; nil: none
+	lacks  int   // tokens of the shared parts that the source lacks
+}
 
-// readHereShare is the part of the slots of a decoding engine up to which it may be
-// given a long prompt to read: every step of its other requests then takes longer.
-const readHereShare = 0.6
+func (b *Book) view(now time.Time, q *Query) view {
+	v := view{b: b, now: now, q: q, home: b.home(now, q)}
+	if q.Work.reads() {
+		v.source, v.lacks = b.source(now, q)
+	}
+	return v
+}
 
-// cost of a request at an upstream.
-func (l *load) cost(now time.Time, q *Query, home bool) float64 {
-	total := l.total(now)
+// cost of the request at an upstream.
+func (v *view) cost(l *load) float64 {
 	c := 0.0
-	switch q.Work {
-	case Prefill:
-		c = total + l.readingCost(now, &q.Prompt, home)
-	case ReadHere:
-		c = total/l.slots()*readHereCrowd + l.readingCost(now, &q.Prompt, home)
-	default:
-		if q.Prompt.Key != 0 && !home {
-			c = strangerCost
-		}
-		c += (total + 1) / l.slots()
-		if over := total + 1 - l.slots(); over > 0 {
-			c += over / l.slots() * fullCost
-		}
-	}
-	if q.Gap > 0 {
-		c += slowCost * l.pace.current(now).Seconds() / q.Gap.Seconds()
-	}
-	if l.up.Zone != q.Zone {
-		c += awayCost
+	if v.q.Work.reads() {
+		c = v.readingCost(l)
+	} else {
+		c = v.runningCost(l)
 	}
 	if l.up.Cold > 0 {
 		c += coldCost
 	}
 	// A deterministic tie break that differs between requests.
-	return c + float64(rank(uint64(q.Arrived.UnixNano()), l.up.ID)%1000)*1e-6
+	return c + float64(rank(uint64(v.q.Arrived.UnixNano()), l.up.ID)%1000)*1e-6
 }
 
-// readingCost is the part of a prompt that has to be read, in units of a request's
-// own part: what the upstream is believed to keep is not read again.
-func (l *load) readingCost(now time.Time, p *Prompt, home bool) float64 {
-	if home || p.Key == 0 {
-		return 1
+// readingCost is the time in seconds until the prompt is read.
+func (v *view) readingCost(l *load) float64 {
+	c := (v.wait(l) + v.reading(l)).Seconds()
+	if l.up.Zone != v.q.Zone {
+		c += awayShare * v.q.Objective.Seconds()
 	}
-	missing := 0
-	for i := range p.Parts {
-		if !l.cached.has(now, p.Parts[i].ID) {
-			missing += p.Parts[i].Tokens
-		}
+	if v.home != nil && v.home != l && v.source == nil {
+		// Nobody keeps the shared parts: all processes have them read first at one engine.
+		c += awayShare * v.q.Objective.Seconds()
 	}
-	return 1 + float64(missing)/float64(max(p.Own, minOwnTokens))
+	return c
 }
 
-// minOwnTokens keeps the ratio of shared to own tokens within bounds.
-const minOwnTokens = 64
+// runningCost is the share of the slots that is in use, with what makes the upstream
+// less fit for the request.
+func (v *view) runningCost(l *load) float64 {
+	total := l.total(v.now)
+	c := (total + 1) / l.slots()
+	if v.q.Prompt.Key != 0 && l != v.home {
+		c += strangerCost
+	}
+	if over := total + 1 - l.slots(); over > 0 {
+		c += over / l.slots() * fullCost
+	}
+	if v.q.Gap > 0 {
+		c += slowCost * l.pace.current(v.now).Seconds() / v.q.Gap.Seconds()
+	}
+	if v.q.Objective > 0 && l.up.Role != "" {
+		c += v.wait(l).Seconds() / v.q.Objective.Seconds()
+	}
+	if l.up.Zone != v.q.Zone {
+		c += awayCost
+	}
+	return c
+}
+
+// toRead is how many tokens of the prompt have to be read at an engine. Those that are
+// copied from another one count in part.
+func (v *view) toRead(l *load) int {
+	own := max(v.q.Prompt.Own, minOwnTokens)
+	missing := l.cached.missing(v.now, &v.q.Prompt, v.q.Memory)
+	if v.source == nil || v.source == l || missing <= v.lacks {
+		return own + missing
+	}
+	return own + v.lacks + int(copyShare*float64(missing-v.lacks))
+}
+
+// reading is how long the prompt takes by itself.
+func (v *view) reading(l *load) time.Duration {
+	return time.Duration(l.slow.value() * float64(v.b.model(l).time(v.toRead(l))))
+}
+
+// wait is how long the prompts before it take, which are read one after the other.
+func (v *view) wait(l *load) time.Duration {
+	tokens := float64(l.backlog())
+	if untold := l.untold(v.now); untold > 0 {
+		tokens += untold * float64(max(v.q.Prompt.Own, minOwnTokens))
+	}
+	return time.Duration(l.slow.value() * tokens * float64(v.b.model(l).perToken()))
+}
+
+// backlog is the tokens of prompts that the upstream has yet to read.
+func (l *load) backlog() int { return max(l.ownTokens+l.told.Tokens, 0) }
 
 // queueShare is the part of the slots that may wait at an upstream before it
 // counts as full: one that ends then finds the next request already there. A
@@ -91,22 +147,42 @@
 // None may wait at an engine that decodes: long answers hold its slots for seconds.
 const queueShare = 0.25
 
+// readHereShare is the part of the slots of a decoding engine up to which it may be
+// given a long prompt to read: every step of its other requests then takes longer.
+const readHereShare = 0.6
+
 // full reports whether a further request would only wait at the upstream, or as a
-// prefill wait there for too long.
-func (l *load) full(now time.Time, q *Query) bool {
-	switch q.Work {
+// prompt wait there for too long.
+func (v *view) full(l *load) bool {
+	total := l.total(v.now)
+	switch v.q.Work {
 	case ReadHere:
-		return l.total(now)+1 > l.slots()*readHereShare || l.strained(now)
+		return total+1 > l.slots()*readHereShare || l.strained(v.now) || v.delays(l)
 	case Decode, Reserve:
-		return l.total(now)+1 > l.slots()
+		return total+1 > l.slots()
 	}
-	if l.total(now)+1 > l.slots()+math.Ceil(l.slots()*queueShare) {
+	if total+1 > l.slots()+math.Ceil(l.slots()*queueShare) {
 		return true
 	}
-	if q.Work != Prefill {
-		return false
-	}
-	return l.total(now) >= 1 && now.Add(l.prefillWait(now)).After(q.StartBy)
+	return v.q.Work == Prefill && total >= idleLoad && v.startsTooLate(l)
+}
+
+// startsTooLate reports whether the prompts at an engine would keep this one waiting
+// beyond its latest start, or for more of its objective than they should.
+func (v *view) startsTooLate(l *load) bool {
+	wait := v.wait(l)
+	return v.now.Add(wait).After(v.q.StartBy) || (v.q.Objective > 0 && wait > v.behindOthers())
+}
+
+// behindOthers is how long the prompt may wait behind others.
+func (v *view) behindOthers() time.Duration {
+	return time.Duration(behindOthersShare * float64(v.q.Objective))
+}
+
+// delays reports whether reading the prompt at a decoding engine would hold up the
+// answers that begin there meanwhile.
+func (v *view) delays(l *load) bool {
+	return v.q.Objective > 0 && v.wait(l)+v.reading(l) > v.behindOthers()
 }
 
 // strainedShare is the part of the pace that a long answer needs at which its engine
@@ -116,14 +192,8 @@
 // strained reports whether long answers of this process at an engine are close to
 // ending too late at its present pace.
 func (l *load) strained(now time.Time) bool {
-	if len(l.needs) == 0 {
+	if l.up.Role == upstream.RolePrefill || len(l.needs) == 0 {
 		return false
 	}
 	return float64(l.pace.current(now)) > strainedShare*float64(slices.Min(l.needs))
 }
-
-// prefillWait is how long the prompts at an upstream take. They are read one after
-// the other.
-func (l *load) prefillWait(now time.Time) time.Duration {
-	return time.Duration(l.total(now) * float64(l.perRequest))
-}
--- a/internal/request/place/home.go
+++ b/internal/request/place/home.go
@@ -33,18 +33,32 @@
 	return best
 }
 
-// source is the engine from which another one that reads a prompt should copy the
-// shared parts that it lacks: copying a part takes a small fraction of the time of
-// reading it. Prompts with the same parts are read at one engine and decoded at
-// another one, so each is the other's source. nil: there is none.
-func (b *Book) source(now time.Time, q *Query, reader *load) *load {
-	if q.Prompt.Key == 0 || !q.Work.reads() {
-		return nil
+// source is the engine that keeps the most of the shared parts of a prompt, the one that
+// used them last among equals, and how many tokens of them it lacks. Copying a part from
+// it takes a small fraction of the time of reading it. nil: none keeps any.
+func (b *Book) source(now time.Time, q *Query) (best *load, lacks int) {
+	if q.Prompt.Key == 0 {
+		return nil, 0
+	}
+	all := 0
+	for i := range q.Prompt.Parts {
+		all += q.Prompt.Parts[i].Tokens
 	}
-	if home := b.first(now, q, upstream.RolePrefill, nil); home != nil && home != reader {
-		return home
+	lacks = all
+	var usedAt time.Time
+	for _, l := range b.services[q.Service] {
+		if l.health.silent(now) {
+			continue
+		}
+		missing := l.cached.missing(now, &q.Prompt, q.Memory)
+		if missing == all || missing > lacks {
+			continue
+		}
+		if at := l.cached.uses[q.Prompt.Parts[0].Key].at; missing < lacks || at.After(usedAt) {
+			best, lacks, usedAt = l, missing, at
+		}
 	}
-	return b.first(now, q, upstream.RoleDecode, reader)
+	return best, lacks
 }
 
 func rank(key uint64, id string) uint64 {
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -45,7 +45,7 @@
 	b := bookOf(up("a", "z2", 8), up("b", "z1", 8), up("c", "z3", 8))
 	first := map[uint64]string{}
 	prompt := func(key uint64) Prompt {
-		return Prompt{Key: key, Parts: []Part{{"p", 3000}}, Own: 1000}
+		return Prompt{Key: key, Parts: []Part{{KeyOfPart("p"), 3000}}, Own: 1000}
 	}
 	for key := uint64(1); key < 50; key++ {
 		q := query("r")
@@ -262,42 +262,95 @@
 	}
 }
 
-// TestPromptGoesElsewhereOnceItsHomeIsBusier counts the requests that have to wait
-// at the home of a prompt before reading its shared parts anew elsewhere is better.
+// reader is an engine that prefills.
+func reader(id, zone string) fleet.Upstream {
+	u := up(id, zone, 64)
+	u.Role = upstream.RolePrefill
+	return u
+}
+
+// readAlone has an engine read prompts of several sizes by themselves, at so much a token.
+func readAlone(b *Book, id string, perToken time.Duration) {
+	for i := range 50 {
+		tokens := 500 + 100*i
+		c := Choice{Upstream: b.byID[id].up, Tokens: tokens, Alone: true}
+		b.Prefilled(at(0), &c, &Prompt{Own: tokens}, time.Duration(tokens)*perToken)
+	}
+}
+
+// TestPromptGoesElsewhereOnceItsHomeIsBusier counts the prompts that have to wait
+// at the home of a prompt before reading its shared parts anew elsewhere is sooner.
 func TestPromptGoesElsewhereOnceItsHomeIsBusier(t *testing.T) {
-	b := bookOf(up("a", "z1", 64), up("b", "z1", 64))
+	b := bookOf(reader("a", "z1"), reader("b", "z1"))
+	readAlone(b, "a", 10*time.Microsecond)
 	q := query("r")
-	q.Work, q.Prompt = Prefill, Prompt{Key: 7, Parts: []Part{{"p", 3000}}, Own: 1000}
+	q.Work, q.Prompt = Prefill, Prompt{Key: 7, Parts: []Part{{KeyOfPart("p"), 3000}}, Own: 1000}
 	home, _ := b.Pick(at(0), &q)
+	b.Prefilled(at(0), &home, &q.Prompt, 40*time.Millisecond)
+	other := "a"
+	if home.Upstream.ID == "a" {
+		other = "b"
+	}
+	b.byID[other].health.suspect(at(0)) // out of service: nothing can be copied from the home then
 	sent := 0
 	for ; sent < 10; sent++ {
-		if c, _ := b.Pick(at(0), &q); c.Upstream.ID != home.Upstream.ID {
+		b.byID[other].health = health{}
+		c, _ := b.Pick(at(0), &q)
+		if c.Upstream.ID != home.Upstream.ID {
+			if c.CopyFrom != home.Upstream.Address {
+				t.Errorf("read elsewhere without a copy from its home: %+v", c)
+			}
 			break
 		}
-		b.Sent(at(0), home.Upstream.ID, Serve)
+		b.Sent(at(0), home.Upstream.ID, Prefill)
+		b.Reading(home.Upstream.ID, c.Tokens)
 	}
-	if sent < 3 || sent > 4 {
-		t.Errorf("left its home behind %d requests; the shared parts are 3 times its own", sent)
+	if sent < 1 || sent > 2 {
+		t.Errorf("left its home behind %d prompts of 10 ms each; copying the shared parts takes 4.5 ms", sent)
 	}
 }
 
 func TestPrefillsDontQueueBeyondTheLatestStart(t *testing.T) {
-	b := bookOf(up("a", "z1", 64))
+	b := bookOf(reader("a", "z1"))
+	readAlone(b, "a", 10*time.Microsecond)
 	q := query("r")
-	q.Work, q.StartBy = Prefill, at(100*time.Millisecond)
-	b.Prefilled(at(0), "a", &q.Prompt, 30*time.Millisecond, 0, 0)
+	q.Work, q.StartBy, q.Prompt.Own = Prefill, at(100*time.Millisecond), 3000
+	send := func() {
+		b.Sent(at(0), "a", Prefill)
+		b.Reading("a", 3000)
+	}
 	for range 3 {
 		if _, ok := b.Pick(at(0), &q); !ok {
 			t.Fatal("no place although the prompts there are read in time")
 		}
-		b.Sent(at(0), "a", Serve)
+		send()
 	}
-	b.Sent(at(0), "a", Serve)
+	send()
 	if _, ok := b.Pick(at(0), &q); ok {
 		t.Error("a place behind 120 ms of prompts for a request that has 100")
 	}
 }
 
+// TestPromptsWaitInTheQueueRatherThanBehindOthers has prompts of 30 ms before an engine
+// that could hold many more of them: beyond a fifth of the objective they stay where
+// urgent ones can still pass them.
+func TestPromptsWaitInTheQueueRatherThanBehindOthers(t *testing.T) {
+	b := bookOf(reader("a", "z1"))
+	readAlone(b, "a", 10*time.Microsecond)
+	r := NewQueue(b)
+	placed := 0
+	for i := range 20 {
+		q := query(fmt.Sprint("r", i))
+		q.Work, q.Objective, q.Prompt.Own = Prefill, 300*time.Millisecond, 3000
+		if _, decided := r.Arrive(at(0), q); decided {
+			placed++
+		}
+	}
+	if placed < 2 || placed > 4 {
+		t.Errorf("%d prompts of 30 ms were sent at once; 60 ms behind others is the bound", placed)
+	}
+}
+
 // TestHopelessRequestsAreRefusedAtOnce replays a surge at one upstream that starts
 // a hundred requests a second: who could only start too late is told so on arrival.
 func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
--- a/internal/request/place/query.go
+++ b/internal/request/place/query.go
@@ -10,18 +10,20 @@
 
 // Query is what placement needs to know of a request.
 type Query struct {
-	ID       string
-	Service  string
-	Zone     string // of this process
-	Urgency  int    // 0 goes first
-	Prompt   Prompt
-	Work     Work
-	Gap      time.Duration // between events, with which its answer ends in time if it is long; 0: any
-	Arrived  time.Time
-	StartBy  time.Time // a start after this is of no use
-	Excluded []string  // ids of upstreams tried before
-	Late     bool      // its answer can't be in time any more, whenever it starts
-	OrHere   bool      // with Prefill: ReadHere does as well
+	ID        string
+	Service   string
+	Zone      string // of this process
+	Urgency   int    // 0 goes first
+	Prompt    Prompt
+	Work      Work
+	Gap       time.Duration // between events, with which its answer ends in time if it is long; 0: any
+	Arrived   time.Time
+	StartBy   time.Time     // a start after this is of no use
+	Objective time.Duration // for the answer to begin; 0: none
+	Memory    int           // tokens that the memory of an engine of the service holds; 0: not known
+	Excluded  []string      // ids of upstreams tried before
+	Late      bool          // its answer can't be in time any more, whenever it starts
+	OrHere    bool          // with Prefill: ReadHere does as well
 }
 
 // rank orders requests that wait: the urgent ones first, and of equal urgency those
@@ -75,10 +77,19 @@
 
 // Part is a shared part of a prompt.
 type Part struct {
-	ID     string
+	Key    PartKey
 	Tokens int
 }
 
+// keys gives the keys of the shared parts.
+func (p *Prompt) keys() []PartKey {
+	out := make([]PartKey, len(p.Parts))
+	for i := range p.Parts {
+		out[i] = p.Parts[i].Key
+	}
+	return out
+}
+
 // queue names the group of requests that wait for the same upstreams.
 func (q *Query) queue() string {
 	work := q.Work
@@ -93,6 +104,8 @@
 	Upstream fleet.Upstream
 	Work     Work          // what it was chosen for
 	CopyFrom string        // address of the engine to copy shared parts of the prompt from; empty: none
+	Tokens   int           // of the prompt that have to be read there; 0: none
+	Alone    bool          // with Tokens: nothing else is believed to be there
 	Load     float64       // requests believed running or waiting there, of all processes
 	Age      time.Duration // of the report behind Load; negative: none
 	Cost     float64
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -110,6 +110,7 @@
 		return choice, false
 	}
 	r.book.Sent(now, choice.Upstream.ID, choice.Work)
+	r.book.Reading(choice.Upstream.ID, choice.Tokens)
 	r.rate(q.queue()).add(now)
 	return choice, true
 }
--- a/internal/request/place/reading.go
+++ b/internal/request/place/reading.go
@@ -2,40 +2,88 @@
 
 import "time"
 
-// readingPace is how long an engine takes to read a token of a prompt, the requests
-// before it aside. With it, the time that a long prompt takes by itself is told from
-// the time for which it waited behind others.
-type readingPace struct {
-	perToken time.Duration
+const (
+	// firstPerToken is taken for the time to read a token before any was measured: about
+	// what the engines of today take. The first few prompts replace it.
+	firstPerToken = 8 * time.Microsecond
+	// readingMemory is by how much older samples count less with each new one: the last
+	// fifty make the estimate.
+	readingMemory = 0.98
+	// readingSamples is how many samples an estimate needs.
+	readingSamples = 8
+	// outlier is the multiple of the expected time beyond which a sample tells of
+	// something else than reading.
+	outlier = 4.0
+	// speedStep is the weight of the newest sample in the estimate of one engine's speed.
+	speedStep = 0.1
+	// Bounds of how much slower or faster than others of its role one engine may be taken
+	// to be, so that a few odd samples don't take it out of use.
+	leastSlowness = 0.5
+	mostSlowness  = 3.0
+)
+
+// readingModel is how long engines of one role take to read prompts that wait for
+// nothing: a fixed time and one for each token, fitted to what was seen.
+type readingModel struct {
+	n, x, y, xx, xy float64 // weighted sums: samples, tokens, seconds
 }
 
-// add learns from a prompt with so many tokens of its own.
-func (r *readingPace) add(took time.Duration, tokens int) {
-	lean(&r.perToken, took/time.Duration(max(tokens, minOwnTokens)))
+func (m *readingModel) add(tokens int, took time.Duration) {
+	x, y := float64(tokens), took.Seconds()
+	if m.n >= readingSamples && y > outlier*m.time(tokens).Seconds() {
+		y = outlier * m.time(tokens).Seconds()
+	}
+	m.n = m.n*readingMemory + 1
+	m.x = m.x*readingMemory + x
+	m.y = m.y*readingMemory + y
+	m.xx = m.xx*readingMemory + x*x
+	m.xy = m.xy*readingMemory + x*y
 }
 
-// time is how long a prompt with so many tokens of its own takes; zero: not known yet.
-func (r *readingPace) time(tokens int) time.Duration {
-	return r.perToken * time.Duration(tokens)
+// fit gives the fixed time and the time for a token, in seconds.
+func (m *readingModel) fit() (fixed, perToken float64) {
+	if m.n < readingSamples {
+		return 0, firstPerToken.Seconds()
+	}
+	spread := m.n*m.xx - m.x*m.x
+	if spread > 0 {
+		perToken = (m.n*m.xy - m.x*m.y) / spread
+	}
+	fixed = (m.y - perToken*m.x) / m.n
+	if perToken <= 0 || fixed < 0 { // prompts of one size, or a few odd ones
+		return 0, m.y / max(m.x, 1)
+	}
+	return fixed, perToken
 }
 
-// Weights of the newest prefill in the estimate of how long one takes an engine.
-// At an idle engine the way there and back counts too, while behind others it is
-// spread over them, so the estimate leans to the shorter times.
-const (
-	leanUp   = 0.02
-	leanDown = 0.06
-)
+// time is how long a prompt of so many tokens takes.
+func (m *readingModel) time(tokens int) time.Duration {
+	fixed, perToken := m.fit()
+	return time.Duration((fixed + perToken*float64(tokens)) * float64(time.Second))
+}
+
+// perToken is the time that a token takes an engine that has more to read.
+func (m *readingModel) perToken() time.Duration {
+	_, perToken := m.fit()
+	return time.Duration(perToken * float64(time.Second))
+}
 
-// lean moves an estimate of how long a prompt takes towards the newest one; zero: none yet.
-func lean(estimate *time.Duration, newest time.Duration) {
-	if *estimate == 0 {
-		*estimate = newest
-		return
+// slowness is how much longer one engine takes than others of its role.
+type slowness struct {
+	factor float64 // 0: not known
+}
+
+func (s *slowness) add(ratio float64) {
+	ratio = min(max(ratio, leastSlowness), mostSlowness)
+	if s.factor == 0 {
+		s.factor = 1
 	}
-	step := leanUp
-	if newest < *estimate {
-		step = leanDown
+	s.factor += speedStep * (ratio - s.factor)
+}
+
+func (s *slowness) value() float64 {
+	if s.factor == 0 {
+		return 1
 	}
-	*estimate += time.Duration(step * float64(newest-*estimate))
+	return s.factor
 }
--- a/internal/request/place/surge_test.go
+++ b/internal/request/place/surge_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 )
 
 // TestSurgeServesThoseInTimeBeforeReturns replays a surge of twice what one upstream
@@ -106,36 +107,49 @@
 	}
 }
 
-// TestPartsAreCopiedFromWhereOthersReadOrDecodeThem: the engine that reads a prompt is
-// told of the other engine at which prompts with the same parts come together.
-func TestPartsAreCopiedFromWhereOthersReadOrDecodeThem(t *testing.T) {
+// TestPartsAreCopiedFromWhoeverKeepsThem: an engine that reads a prompt is told of one
+// that read or fetched the same parts before, for this process or for another one.
+func TestPartsAreCopiedFromWhoeverKeepsThem(t *testing.T) {
 	_, _, b := engines()
 	for id, l := range b.byID {
 		l.up.Address = id + ":1"
 	}
 	q := query("r")
-	q.Prompt = Prompt{Key: 7, Parts: []Part{{"p", 3000}}, Own: 1000}
-	q.Work = Decode
-	decodes, _ := b.Pick(at(0), &q)
-	if decodes.CopyFrom != "" {
-		t.Errorf("a decode copies from %q; it fetches the whole prompt", decodes.CopyFrom)
-	}
+	q.Memory, q.Prompt = 100_000, Prompt{Key: 7, Parts: []Part{{KeyOfPart("p"), 3000}}, Own: 1000}
 	q.Work = Prefill
+	if first, _ := b.Pick(at(0), &q); first.CopyFrom != "" || first.Tokens != 4000 {
+		t.Errorf("the first of its kind: %+v, want all of it read", first)
+	}
+	b.ToldRead(at(0), PartsRead{Upstream: KeyOf("d2"), Written: 4000, Parts: q.Prompt.keys()})
 	reads, _ := b.Pick(at(0), &q)
-	if reads.CopyFrom != decodes.Upstream.Address {
-		t.Errorf("read at its home, copied from %q, want the engine that decodes such prompts, %q", reads.CopyFrom, decodes.Upstream.Address)
+	if reads.CopyFrom != "d2:1" || reads.Tokens >= 2000 {
+		t.Errorf("%+v, want the shared part copied from the engine that fetched it for others", reads)
+	}
+	b.Prefilled(at(time.Second), &reads, &q.Prompt, 10*time.Millisecond)
+	if again, _ := b.Pick(at(time.Second), &q); again.Upstream.ID != reads.Upstream.ID || again.CopyFrom != "" || again.Tokens != 1000 {
+		t.Errorf("%+v, want it read where the shared part is, without a copy", again)
 	}
-	q.Excluded = []string{reads.Upstream.ID}
-	if c, _ := b.Pick(at(0), &q); c.CopyFrom != reads.Upstream.Address {
-		t.Errorf("read elsewhere, copied from %q, want its home %q", c.CopyFrom, reads.Upstream.Address)
+	q.Work = Decode
+	if c, _ := b.Pick(at(time.Second), &q); c.CopyFrom != "" {
+		t.Errorf("a decode copies from %q; it fetches the whole prompt", c.CopyFrom)
+	}
+}
+
+// TestPartsAreForgottenOnceTheMemoryWasWrittenAnew has an engine read so many other
+// prompts that it can't have kept the first one's parts.
+func TestPartsAreForgottenOnceTheMemoryWasWrittenAnew(t *testing.T) {
+	b := bookOf(up("a", "z1", 4))
+	part := KeyOfPart("p")
+	b.ToldRead(at(0), PartsRead{Upstream: KeyOf("a"), Written: 4000, Parts: []PartKey{part}})
+	for range 6 {
+		b.ToldRead(at(0), PartsRead{Upstream: KeyOf("a"), Written: 10_000})
 	}
-	q.Work, q.Excluded = ReadHere, nil
-	if c, _ := b.Pick(at(0), &q); c.CopyFrom != reads.Upstream.Address {
-		t.Errorf("read by a decoding engine, copied from %q, want its home %q", c.CopyFrom, reads.Upstream.Address)
+	cache := &b.byID["a"].cached
+	if !cache.has(at(time.Minute), part, 100_000) {
+		t.Error("forgotten although there was room for all")
 	}
-	q.Prompt.Key = 0
-	if c, _ := b.Pick(at(0), &q); c.CopyFrom != "" {
-		t.Errorf("a prompt without shared parts copies from %q", c.CopyFrom)
+	if cache.has(at(0), part, 80_000) {
+		t.Error("believed to be kept after 60,000 of 80,000 tokens were written")
 	}
 }
 
@@ -146,8 +160,14 @@
 		l.up.Address = id + ":1"
 	}
 	q := query("r")
-	q.Work, q.Prompt = Prefill, Prompt{Key: 7, Parts: []Part{{"p", 3000}}, Own: 1000}
+	q.Work, q.Prompt = Prefill, Prompt{Key: 7, Parts: []Part{{KeyOfPart("p"), 3000}}, Own: 1000}
+	for i, id := range []string{"d1", "d2"} {
+		b.ToldRead(at(time.Duration(i)), PartsRead{Upstream: KeyOf(id), Written: 4000, Parts: q.Prompt.keys()})
+	}
 	first, _ := b.Pick(at(0), &q)
+	if first.CopyFrom == "" {
+		t.Fatal("nothing is copied although two engines keep the part")
+	}
 	b.Failed(at(0), first.CopyFrom[:2], true)
 	if second, _ := b.Pick(at(time.Millisecond), &q); second.CopyFrom == first.CopyFrom || second.CopyFrom == "" {
 		t.Errorf("copied from %q after it failed", second.CopyFrom)
@@ -173,6 +193,7 @@
 			t.Fatalf("picked %q (%v), want d2 alone", c.Upstream.ID, ok)
 		}
 		b.Sent(at(time.Millisecond), "d2", ReadHere)
+		b.Reading("d2", c.Tokens)
 	}
 	b.Kept("d1", 70*time.Millisecond)
 	if c, ok := b.Pick(at(time.Millisecond), &q); !ok || c.Upstream.ID != "d1" {
@@ -207,26 +228,100 @@
 	}
 }
 
-// TestLongPromptsAloneDontLowerTheBound has prompts of all sizes read one by one at an
-// idle engine: the long ones take longer than the wait that is aimed at, but wait for
-// nothing.
-func TestLongPromptsAloneDontLowerTheBound(t *testing.T) {
-	p := up("p1", "z1", 8)
-	p.Role = upstream.RolePrefill
-	b := bookOf(p)
-	const target, perToken = 20 * time.Millisecond, 2 * time.Microsecond
+// TestLongPromptsAloneTakeNoPlaces has prompts of all sizes read one by one at an idle
+// engine: the long ones take longer than a prompt should wait behind others, but nothing
+// waits for anything, and a token is known to take as long as it does.
+func TestLongPromptsAloneTakeNoPlaces(t *testing.T) {
+	b := bookOf(reader("p1", "z1"))
+	const perToken = 2 * time.Microsecond
 	for i := range 500 {
 		tokens := 1000
 		if i%5 == 4 {
 			tokens = 20_000 // 40 ms
 		}
+		q := query("r")
 		now := at(time.Duration(i) * 100 * time.Millisecond)
-		b.Sent(now, "p1", Prefill)
-		b.Heard(now, "p1", true)
-		b.Ended("p1", Prefill)
-		b.Prefilled(now, "p1", &Prompt{Own: tokens}, time.Duration(tokens)*perToken, target, 0)
+		q.Work, q.Objective, q.StartBy, q.Prompt.Own = Prefill, 100*time.Millisecond, now.Add(time.Millisecond), tokens
+		c, ok := b.Pick(now, &q)
+		if !ok {
+			t.Fatalf("prompt %d finds no place at an idle engine", i)
+		}
+		b.Prefilled(now, &c, &q.Prompt, time.Duration(tokens)*perToken)
+	}
+	if got := b.ReadingTime("s", 10_000); got < 19*time.Millisecond || got > 21*time.Millisecond {
+		t.Errorf("10,000 tokens are taken to last %v, want 20 ms", got)
+	}
+}
+
+// TestInstancesThatTellEachOtherDontCrowdOneEngine replays a surge that three instances
+// send to six engines within the time in which nothing is reported. Each of them alone
+// sees idle engines and takes the same ones; told of each other, they spread.
+func TestInstancesThatTellEachOtherDontCrowdOneEngine(t *testing.T) {
+	most := func(tell bool) int {
+		books := make([]*Book, 3)
+		for i := range books {
+			books[i] = bookOf(reader("a", "z1"), reader("b", "z1"), reader("c", "z1"), reader("d", "z1"), reader("e", "z1"), reader("f", "z1"))
+			readAlone(books[i], "a", 10*time.Microsecond)
+		}
+		sent := map[string]int{}
+		for i := range 24 {
+			b := books[i%3]
+			q := query(fmt.Sprint("r", i))
+			q.Work, q.Prompt.Own, q.Arrived = Prefill, 3000, at(0)
+			c, ok := b.Pick(at(0), &q)
+			if !ok {
+				continue
+			}
+			b.Sent(at(0), c.Upstream.ID, Prefill)
+			b.Reading(c.Upstream.ID, c.Tokens)
+			sent[c.Upstream.ID]++
+			for j := range books {
+				if tell && j != i%3 {
+					books[j].Told(at(0), fmt.Sprint("peer", i%3), b.Own())
+				}
+			}
+		}
+		most := 0
+		for _, n := range sent {
+			most = max(most, n)
+		}
+		return most
+	}
+	if alone, told := most(false), most(true); told != 4 || alone <= told {
+		t.Errorf("the busiest of six engines got %d of 24 prompts, %d without telling; want 4 and more", told, alone)
+	}
+}
+
+// TestWordsOfAnInstanceAreForgottenAndReplaced: a newer word replaces the one before, and
+// an instance that falls silent has nothing under way any more.
+func TestWordsOfAnInstanceAreForgottenAndReplaced(t *testing.T) {
+	b := bookOf(reader("a", "z1"))
+	b.Told(at(0), "peer", map[UpstreamKey]InFlight{KeyOf("a"): {Requests: 5, Tokens: 9000}})
+	b.Told(at(0), "peer", map[UpstreamKey]InFlight{KeyOf("a"): {Requests: 2, Tokens: 3000}})
+	if l := b.byID["a"]; l.total(at(0)) != 2 || l.backlog() != 3000 {
+		t.Errorf("%v requests and %d tokens, want those of the newer word", l.total(at(0)), l.backlog())
+	}
+	b.SetUpstreams(map[string][]fleet.Upstream{"s": {reader("a", "z1"), reader("b", "z1")}})
+	if l := b.byID["a"]; l.backlog() != 3000 {
+		t.Errorf("%d tokens after a change of the list", l.backlog())
+	}
+	b.ForgetOldTold(at(toldLife))
+	if l := b.byID["a"]; l.total(at(0)) != 0 || l.backlog() != 0 {
+		t.Errorf("%v requests and %d tokens of an instance that is silent", l.total(at(0)), l.backlog())
+	}
+}
+
+// TestReportsCountBesidesWhatIsTold: an instance that doesn't tell is known by what
+// upstreams report, unless all are known to tell.
+func TestReportsCountBesidesWhatIsTold(t *testing.T) {
+	b := bookOf(reader("a", "z1"))
+	b.Told(at(0), "peer", map[UpstreamKey]InFlight{KeyOf("a"): {Requests: 3}})
+	b.Reported(at(0), "a", 4, 6, 64)
+	if got := b.byID["a"].total(at(0)); got != 10 {
+		t.Errorf("%v requests, want the ten reported", got)
 	}
-	if got := b.limiter("s", Prefill).bound; got < firstBound {
-		t.Errorf("the bound fell to %v although no prompt waited", got)
+	b.AllTold(true)
+	if got := b.byID["a"].total(at(0)); got != 3 {
+		t.Errorf("%v requests, want the three told: the report is older", got)
 	}
 }
