The split of engines follows what is observed; copies come from whoever keeps the parts

Cause: 0.45 of the engines prefilled whatever was asked.

Change: instances tell what is asked of engines: reading (tokens that nobody keeps), fetching (the shortest times seen from send to first piece) and slots held, reservations in part. The split is the one whose busier role is least busy, where engines that decode read in the time they have left; before anything is asked, half. It changes for a fifth less utilization that lasts. The telling through the store every two seconds is gone. Where only a part of a fleet tells, the learned bound of prompts stays, and a home is taken to keep the parts.

--- a/internal/decay/decay.go
+++ b/internal/decay/decay.go
@@ -11,3 +11,6 @@
 func Factor(elapsed, halfLife time.Duration) float64 {
 	return math.Exp2(-max(elapsed, 0).Seconds() / halfLife.Seconds())
 }
+
+// Rate turns a count that fades, fed evenly, into events a second.
+func Rate(halfLife time.Duration) float64 { return math.Ln2 / halfLife.Seconds() }
--- a/internal/process/entry/answer.go
+++ b/internal/process/entry/answer.go
@@ -149,8 +149,11 @@
 	})
 }
 
-// learn notes how long it took to read the prompt and begin the answer.
+// learn notes how long it took to fetch or read the prompt and begin the answer.
 func (q *request) learn(now time.Time) {
+	if q.fetching {
+		q.e.demand.fetched(q.service, now.Sub(q.sentAt))
+	}
 	if q.reading == nil {
 		return
 	}
--- a/internal/process/entry/demand.go
+++ b/internal/process/entry/demand.go
@@ -1,152 +1,117 @@
 package entry
 
 import (
-	"context"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/decay"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/roles"
-	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
 const (
-	kindDemand = "Demand" // one object an instance: the demand that it saw lately
-	// demandEvery is how often an instance tells its demand. The mix swings within
-	// seconds; each telling costs the platform a write.
-	demandEvery = 2 * time.Second
-	// demandLife is how long a telling counts: three missed ones are an instance that
-	// is gone.
-	demandLife = 3 * demandEvery
-	// occupancyStep is the weight of the newest request in the estimate of how long
-	// requests of a route decode.
-	occupancyStep = 0.1
-	// firstOccupancy is taken before the first request of a route has ended.
-	firstOccupancy = 100 * time.Millisecond
+	// demandHalfLife is how fast older requests are forgotten in the demand. An engine is
+	// away for some seconds when it changes its role, and a surge that is over by then is
+	// not to be changed for.
+	demandHalfLife = 10 * time.Second
+	// holdingStep is the weight of the newest request in the estimate of how long
+	// requests of a route hold a slot.
+	holdingStep = 0.1
+	// firstHolding is taken before the first request of a route has ended.
+	firstHolding = 100 * time.Millisecond
+	// Weights of the newest request in the estimate of how long fetching a prompt's KV
+	// cache and beginning its answer take an engine. Most of them wait for others there
+	// too, so the estimate leans to the shorter ones.
+	fetchingUp   = 0.002
+	fetchingDown = 0.1
 )
 
 // demand gathers what callers ask of engines. Its methods may be called from
 // several goroutines.
 type demand struct {
-	mu        sync.Mutex
-	since     time.Time
-	asked     map[string]roles.Demand  // by service, since the last telling
-	occupancy map[string]time.Duration // by route
+	mu       sync.Mutex
+	asked    map[string]*fading       // by service
+	holding  map[string]time.Duration // of a slot, by route
+	fetching map[string]time.Duration // by service
+}
+
+// fading is the time of engines that was asked for, older requests counting less.
+type fading struct {
+	sum roles.Demand // seconds
+	at  time.Time
+}
+
+func (f *fading) fade(now time.Time) {
+	if !f.at.IsZero() {
+		f.sum = f.sum.Scale(decay.Factor(now.Sub(f.at), demandHalfLife))
+	}
+	f.at = now
 }
 
 func newDemand() *demand {
 	return &demand{
-		asked:     make(map[string]roles.Demand),
-		occupancy: make(map[string]time.Duration),
+		asked:    make(map[string]*fading),
+		holding:  make(map[string]time.Duration),
+		fetching: make(map[string]time.Duration),
 	}
 }
 
-// arrived counts a request, whatever becomes of it. prefill is the time of one
-// engine that its prompt takes.
-func (d *demand) arrived(service, route string, prefill time.Duration) {
+// arrived counts a request, whatever becomes of it. apart is the time for which its
+// prompt keeps an engine that prefills busy, here the same for one that decodes.
+func (d *demand) arrived(now time.Time, service, route string, apart, here time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	decodes, ok := d.occupancy[route]
+	f, ok := d.asked[service]
+	if !ok {
+		f = &fading{}
+		d.asked[service] = f
+	}
+	f.fade(now)
+	holding, ok := d.holding[route]
 	if !ok {
-		decodes = firstOccupancy
+		holding = firstHolding
 	}
-	d.asked[service] = d.asked[service].Add(roles.Demand{Prefill: prefill.Seconds(), Decode: decodes.Seconds()})
+	fetching := here
+	if apart > 0 {
+		fetching += d.fetching[service]
+	}
+	f.sum = f.sum.Add(roles.Demand{Reading: apart.Seconds(), Fetching: fetching.Seconds(), Holding: holding.Seconds()})
 }
 
-// decoded notes how long a request decoded.
+// decoded notes how long a request held a slot.
 func (d *demand) decoded(route string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old, ok := d.occupancy[route]
+	old, ok := d.holding[route]
 	if !ok {
 		old = took
 	}
-	d.occupancy[route] = old + time.Duration(occupancyStep*float64(took-old))
+	d.holding[route] = old + time.Duration(holdingStep*float64(took-old))
 }
 
-// take gives the demand a second since the last call.
-func (d *demand) take(now time.Time) map[string]roles.Demand {
+// fetched notes how long it took from sending a request whose prompt was read to the
+// first piece of its answer.
+func (d *demand) fetched(service string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	span := now.Sub(d.since).Seconds()
-	first := d.since.IsZero()
-	d.since = now
-	out := make(map[string]roles.Demand, len(d.asked))
-	for service, asked := range d.asked {
-		if !first && span > 0 {
-			out[service] = roles.Demand{Prefill: asked.Prefill / span, Decode: asked.Decode / span}
-		}
-		d.asked[service] = roles.Demand{}
-	}
-	return out
-}
-
-// demandSpec is how an instance tells its demand.
-type demandSpec struct {
-	Services map[string]roles.Demand `json:"services"`
-}
-
-// tellDemand writes this instance's demand, if there is any engine to divide.
-func (e *Entry) tellDemand(ctx context.Context) {
-	now := time.Now()
-	asked := e.demand.take(now)
-	if len(asked) == 0 {
-		return
-	}
-	o, err := resource.Encode(kindDemand, e.cfg.Settings.Instance.Name, demandSpec{Services: asked})
-	if err != nil {
-		logline.Error(err, "demand not encoded")
-		return
-	}
-	o.Writer = e.cfg.Settings.Instance.Name
-	_, err = e.cfg.Records.Update(ctx, o)
-	if errors.Is(err, platform.ErrNotFound) {
-		_, err = e.cfg.Records.Create(ctx, o)
+	old, ok := d.fetching[service]
+	if !ok {
+		old = took
 	}
-	if err != nil {
-		logline.Debug("demand not told", "error", err)
+	step := fetchingUp
+	if took < old {
+		step = fetchingDown
 	}
+	d.fetching[service] = old + time.Duration(step*float64(took-old))
 }
 
-// heardDemand sums what instances told.
-type heardDemand struct {
-	seen map[string]heard // by instance
-}
-
-type heard struct {
-	version uint64
-	at      time.Time // when this version was first seen, by this process's clock
-}
-
-// read sums the demand of the instances whose telling is fresh.
-func (h *heardDemand) read(ctx context.Context, records platform.Store) (map[string]roles.Demand, error) {
-	objects, _, err := records.List(ctx, kindDemand)
-	if err != nil {
-		return nil, err
-	}
-	now := time.Now()
-	seen := make(map[string]heard, len(objects))
-	out := make(map[string]roles.Demand)
-	for _, o := range objects {
-		was, ok := h.seen[o.Name]
-		if !ok || was.version != o.Version {
-			was = heard{version: o.Version, at: now}
-		}
-		seen[o.Name] = was
-		if now.Sub(was.at) > demandLife {
-			continue
-		}
-		spec, err := resource.Decode[demandSpec](o)
-		if err != nil {
-			return nil, err
-		}
-		for service, d := range spec.Services {
-			out[service] = out[service].Add(d)
-		}
+// perSecond gives the engines and slots that requests keep busy, by service.
+func (d *demand) perSecond(now time.Time) map[string]roles.Demand {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string]roles.Demand, len(d.asked))
+	for service, f := range d.asked {
+		f.fade(now)
+		out[service] = f.sum.Scale(decay.Rate(demandHalfLife))
 	}
-	h.seen = seen
-	return out, nil
+	return out
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -55,6 +55,7 @@
 	client *upstream.Services
 	meters *meters
 	demand *demand
+	shared *sharing // nil: nothing is shared with other instances
 	live   atomic.Pointer[liveSettings]
 	rounds rounds
 	log    *requestLog
@@ -185,11 +186,11 @@
 	e.loop(func() { e.probeStore(work) })
 	e.loop(func() { e.tickLoop(work) })
 	if s.Listen.Peers != "" {
-		shared, err := newSharing(e)
-		if err != nil {
+		var err error
+		if e.shared, err = newSharing(e); err != nil {
 			return err
 		}
-		e.loop(func() { shared.run(work) })
+		e.loop(func() { e.shared.run(work) })
 	}
 	authority, giveUp := context.WithCancel(work)
 	defer giveUp()
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -83,6 +83,7 @@
 // attemptReading has the prompt read, by an engine for prompts or by a decoding one
 // that has time for it, and runs the request there or at the reserved place.
 func (q *request) attemptReading(ctx context.Context, reserved place.Choice, a *answer) (place.Choice, outcome, *errkind.Error) {
+	reservedAt := time.Now()
 	found, refusal := q.placed(ctx, q.readingQuery(true))
 	if refusal == nil && found.Work == place.ReadHere {
 		q.e.state.ended(reserved)
@@ -103,6 +104,7 @@
 		read.kv.release(q.e)
 		return reserved, outcome{run: errkind.NotRun, err: context.Cause(ctx)}, nil
 	}
+	q.reservedFor = time.Since(reservedAt)
 	choice := q.e.state.claim(reserved)
 	defer q.e.state.ended(choice)
 	q.readHere = read.kv == nil // the decoding engine reads the prompt, slowly
@@ -127,12 +129,17 @@
 	if q.work() != place.Decode {
 		return
 	}
-	prefill := time.Duration(0)
+	st := q.e.state
+	st.withBook(q.arrived, func(b *place.Book) { b.Asked(q.arrived, q.service) })
+	var apart, here time.Duration
+	query := q.query(place.Prefill)
 	if q.prompt.Own >= apartTokens {
-		prefill = q.e.state.readingTime(q.service, q.prompt.Own)
-		q.e.state.withBook(q.arrived, func(b *place.Book) { b.Asked(q.arrived, q.service) })
+		apart = st.engineTime(q.arrived, &query)
+	} else {
+		query.Work = place.ReadHere
+		here = st.engineTime(q.arrived, &query)
 	}
-	q.e.demand.arrived(q.service, q.route.Name, prefill)
+	q.e.demand.arrived(q.arrived, q.service, q.route.Name, apart, here)
 }
 
 // placed waits for a place.
@@ -216,7 +223,7 @@
 		defer func() { st.withBook(time.Now(), func(b *place.Book) { b.Kept(id, gap) }) }()
 	}
 	begun := time.Now()
-	q.sentAt = begun
+	q.sentAt, q.fetching = begun, kv != nil
 	resp, err := q.e.client.Forward(ctx, q.call(choice.Upstream, q.sendHeaders(choice, kv, a)))
 	now := time.Now()
 	if err != nil {
@@ -237,7 +244,7 @@
 	st.reported(now, id, told.Load)
 	out := a.take(ctx, id, resp, told)
 	if out.answered && q.work() == place.Decode {
-		q.e.demand.decoded(q.route.Name, time.Since(begun))
+		q.e.demand.decoded(q.route.Name, time.Since(begun)+time.Duration(place.ReservedShare*float64(q.reservedFor)))
 	}
 	q.judge(ctx, id, out.answered, told)
 	return out
--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -26,10 +26,8 @@
 type holder struct {
 	e        *Entry
 	lease    *lease
-	demand   heardDemand
 	cores    map[string]*roles.Core // by service
 	decideAt time.Time
-	tellAt   time.Time
 	why      map[string]string // last reason told, by service
 }
 
@@ -54,10 +52,6 @@
 	for platform.Sleep(ctx, holderTick) == nil {
 		h.lease.tick(ctx)
 		now := time.Now()
-		if !now.Before(h.tellAt) && h.share() == 0 {
-			h.tellAt = now.Add(demandEvery)
-			h.e.tellDemand(ctx)
-		}
 		if _, ok := h.lease.mayOrder(); ok && !now.Before(h.decideAt) {
 			h.decideAt = now.Add(decideEvery)
 			h.decide(ctx)
@@ -70,10 +64,7 @@
 
 // decide weighs the split of every service with engines.
 func (h *holder) decide(ctx context.Context) {
-	asked, ok := h.asked(ctx)
-	if !ok {
-		return
-	}
+	asked := h.asked(time.Now())
 	for service, engines := range h.e.state.engines() {
 		core, ok := h.cores[service]
 		if !ok {
@@ -93,17 +84,12 @@
 // decides.
 func (h *holder) share() float64 { return h.e.live.Load().roles.PrefillShare }
 
-// asked gives the demand of all instances, if it decides.
-func (h *holder) asked(ctx context.Context) (map[string]roles.Demand, bool) {
-	if h.share() > 0 {
-		return nil, true
-	}
-	asked, err := h.demand.read(ctx, h.e.cfg.Records)
-	if err != nil {
-		logline.Info("demand not read", "error", err)
-		return nil, false
+// asked gives the demand of all instances, or this one's where nothing is shared.
+func (h *holder) asked(now time.Time) map[string]roles.Demand {
+	if h.e.shared == nil {
+		return h.e.demand.perSecond(now)
 	}
-	return asked, true
+	return h.e.shared.asked(now)
 }
 
 // describe gives what the split needs to know of engines; loads is by id.
@@ -126,7 +112,7 @@
 	}
 	h.why[service] = d.Why
 	logline.Info("roles", "service", service, "prefill_now", d.Prefill, "prefill_wanted", d.Want,
-		"utilization_now", d.Now, "utilization_then", d.Then, "prompts_asked", asked.Prefill, "decodes_asked", asked.Decode,
+		"utilization_now", d.Now, "utilization_then", d.Then, "reading", asked.Reading, "fetching", asked.Fetching, "slots_held", asked.Holding,
 		"changes", len(d.Changes), "why", d.Why)
 }
 
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -122,8 +122,10 @@
 	kv, err = q.readPrefilled(u, resp, told)
 	q.judge(ctx, u.ID, err == nil, told)
 	if err == nil {
+		query := q.query(place.Prefill)
+		target := query.BehindOthers()
 		st.withBook(now, func(b *place.Book) {
-			b.Prefilled(now, &choice, &q.prompt, now.Sub(begun))
+			b.Prefilled(now, &choice, &q.prompt, now.Sub(begun), target)
 		})
 	}
 	return kv, true, err
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -38,18 +38,20 @@
 	spent    time.Duration // by the caller before this request, as far as known
 	until    time.Time     // when the caller or the operator stops waiting; zero: never
 
-	upstream string // last one sent to
-	sends    int
-	ranSends int // sends that were not provably without effect
-	excluded []string
-	run      errkind.RunState // worst over all sends
-	sentAt   time.Time        // when the last send began
-	readHere bool             // the prompt is read by the engine that decodes
-	reading  *place.Choice    // the place of the engine that reads the prompt and decodes; nil: none
-	begun    bool             // the caller has seen a part of the answer
-	waited   time.Duration    // in the queue
-	prefill  time.Duration    // the prompt was read apart for so long, waits for a place aside
-	first    time.Duration    // until the first piece of the answer
+	upstream    string // last one sent to
+	sends       int
+	ranSends    int // sends that were not provably without effect
+	excluded    []string
+	run         errkind.RunState // worst over all sends
+	sentAt      time.Time        // when the last send began
+	readHere    bool             // the prompt is read by the engine that decodes
+	reading     *place.Choice    // the place of the engine that reads the prompt and decodes; nil: none
+	fetching    bool             // the last send has the upstream fetch the prompt's KV cache
+	begun       bool             // the caller has seen a part of the answer
+	waited      time.Duration    // in the queue
+	reservedFor time.Duration    // a place to decode was reserved for so long while the prompt was read
+	prefill     time.Duration    // the prompt was read apart for so long, waits for a place aside
+	first       time.Duration    // until the first piece of the answer
 }
 
 // prepare reads and checks a request. Nothing is sent before it succeeds.
--- a/internal/process/entry/sharing.go
+++ b/internal/process/entry/sharing.go
@@ -11,6 +11,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/roles"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
@@ -148,13 +149,20 @@
 func (s *sharing) tell(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	work, reads := s.e.state.share(s.core.AllHeard(now))
+	work, reads := s.e.state.share(s.core.MostHeard(now))
 	s.core.Note(reads)
-	if m := s.core.Next(now, work); m != nil {
+	if m := s.core.Next(now, work, s.e.demand.perSecond(now)); m != nil {
 		s.send(*m, s.core.Recipients(now))
 	}
 }
 
+// asked adds up what callers ask of all instances.
+func (s *sharing) asked(now time.Time) map[string]roles.Demand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.Demand(now, s.e.demand.perSecond(now))
+}
+
 func (s *sharing) send(m peers.Message, to []string) {
 	data, err := peers.Encode(m)
 	if err != nil {
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -265,12 +265,12 @@
 }
 
 // share gives what other instances are told: what this process has under way, by
-// upstream, and the prompts read since the last call. allTold: every other instance
+// upstream, and the prompts read since the last call. mostTold: every other instance
 // tells the same of itself.
-func (s *state) share(allTold bool) (map[place.UpstreamKey]place.InFlight, []place.PartsRead) {
+func (s *state) share(mostTold bool) (map[place.UpstreamKey]place.InFlight, []place.PartsRead) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.book.AllTold(allTold)
+	s.book.MostTold(mostTold)
 	return s.book.Own(), s.book.TakeReads()
 }
 
@@ -298,9 +298,9 @@
 // hasEngines reports whether any engine is known.
 func (s *state) hasEngines() bool { return len(s.engines()) > 0 }
 
-// readingTime is how long a prompt of so many tokens takes an engine that prefills.
-func (s *state) readingTime(service string, tokens int) time.Duration {
+// engineTime is how long reading a request's prompt keeps an engine busy.
+func (s *state) engineTime(now time.Time, q *place.Query) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.book.ReadingTime(service, tokens)
+	return s.book.EngineTime(now, q)
 }
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/process/roles"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
 
@@ -47,6 +48,7 @@
 	heardAt  time.Time
 	sequence uint64
 	nextRead uint64 // number of the first read that is news
+	demand   []Ask
 }
 
 // Core is the state. It is not safe for concurrent use.
@@ -124,6 +126,9 @@
 		return false, nil
 	}
 	k.sequence, k.heardAt = m.Sequence, now
+	if m.Sender != nil {
+		k.demand = m.Demand
+	}
 	for i, r := range m.Reads {
 		if number := m.FirstRead + uint64(i); number >= k.nextRead {
 			reads = append(reads, r)
@@ -142,7 +147,7 @@
 }
 
 // Next gives the message to send now; nil: none is due.
-func (c *Core) Next(now time.Time, work map[place.UpstreamKey]place.InFlight) *Message {
+func (c *Core) Next(now time.Time, work map[place.UpstreamKey]place.InFlight, demand map[string]roles.Demand) *Message {
 	since := now.Sub(c.sentAt)
 	gap := max(leastGap, time.Duration(min(len(c.known), mostRecipients))*gapEach)
 	if since < gap || (since < repeatEvery && maps.Equal(work, c.told)) {
@@ -154,7 +159,7 @@
 	m.FirstRead, m.Reads = c.takeReads()
 	if now.Sub(c.introducedAt) >= introduceEvery {
 		c.introducedAt = now
-		m.Sender = &c.self
+		m.Sender, m.Demand = &c.self, asksOf(demand)
 	}
 	return m
 }
@@ -209,17 +214,43 @@
 	return 1
 }
 
-// AllHeard reports whether every other instance that is known tells what it does.
-func (c *Core) AllHeard(now time.Time) bool {
-	heard := 0
+// Demand adds up what callers ask, from own and from what others tell. Instances that
+// are known and not heard are taken to be asked as much as those that are.
+func (c *Core) Demand(now time.Time, own map[string]roles.Demand) map[string]roles.Demand {
+	out := maps.Clone(own)
+	heard, all := 1, 1
 	for _, k := range c.known {
-		switch silent := now.Sub(k.heardAt); {
+		if k.gone(now) {
+			continue
+		}
+		all++
+		if now.Sub(k.heardAt) >= fresh {
+			continue
+		}
+		heard++
+		for i := range k.demand {
+			out[k.demand[i].Service] = out[k.demand[i].Service].Add(k.demand[i].demand())
+		}
+	}
+	for service, d := range out {
+		out[service] = d.Scale(float64(all) / float64(heard))
+	}
+	return out
+}
+
+// MostHeard reports whether most of the other instances tell what they do. One that
+// is silent has crashed or is cut off: in both cases it sends little to upstreams
+// that this instance reaches.
+func (c *Core) MostHeard(now time.Time) bool {
+	heard, silent := 0, 0
+	for _, k := range c.known {
+		switch {
 		case k.gone(now):
-		case silent >= fresh:
-			return false
+		case now.Sub(k.heardAt) >= fresh:
+			silent++
 		default:
 			heard++
 		}
 	}
-	return heard > 0
+	return heard > silent
 }
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -4,6 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/process/roles"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
 
@@ -13,8 +14,9 @@
 // Bounds of one message. What upstreams report makes up for the rest of the rows, and
 // a prompt that isn't told is read again at worst.
 const (
-	maxRows  = 40
-	maxReads = 20
+	maxRows  = 36
+	maxReads = 16
+	maxAsks  = 4
 )
 
 // Message is what one instance tells another one, in one datagram. Its rows hold all
@@ -26,6 +28,32 @@
 	Rows      []Row  `cbor:"3,keyasint,omitempty"`
 	FirstRead uint64 `cbor:"4,keyasint,omitempty"` // number of the first of Reads; grows like Sequence
 	Reads     []Read `cbor:"5,keyasint,omitempty"`
+	Demand    []Ask  `cbor:"6,keyasint,omitempty"` // with Sender
+}
+
+// Ask is what the sender's callers ask of a service's engines.
+type Ask struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Reading  float32 // see roles.Demand
+	Fetching float32
+	Holding  float32
+}
+
+// demand gives what is asked.
+func (a *Ask) demand() roles.Demand {
+	return roles.Demand{Reading: float64(a.Reading), Fetching: float64(a.Fetching), Holding: float64(a.Holding)}
+}
+
+func asksOf(demand map[string]roles.Demand) []Ask {
+	out := make([]Ask, 0, len(demand))
+	for service, d := range demand {
+		if len(out) == maxAsks {
+			break
+		}
+		out = append(out, Ask{Service: service, Reading: float32(d.Reading), Fetching: float32(d.Fetching), Holding: float32(d.Holding)})
+	}
+	return out
 }
 
 // Row is what the sender has under way at one upstream.
@@ -100,6 +128,11 @@
 			return m, errors.Errorf("message of a peer: negative work at upstream %d", r.Upstream)
 		}
 	}
+	for i := range m.Demand {
+		if d := m.Demand[i].demand(); !(d.Reading >= 0 && d.Fetching >= 0 && d.Holding >= 0) {
+			return m, errors.Errorf("message of a peer: demand %+v of service %q", d, m.Demand[i].Service)
+		}
+	}
 	for _, r := range m.Reads {
 		if r.Written < 0 {
 			return m, errors.Errorf("message of a peer: negative tokens at upstream %d", r.Upstream)
--- a/internal/process/roles/roles.go
+++ b/internal/process/roles/roles.go
@@ -10,17 +10,27 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 )
 
-// Demand is what requests ask of the engines of a service, refused ones included.
+// Demand is what requests ask of the engines of a service, refused ones included. All
+// three are measured in engines, or slots of engines, that it keeps busy.
 type Demand struct {
-	Prefill float64 `json:"prefill"` // seconds of one engine's time for prompts, a second
-	Decode  float64 `json:"decode"`  // requests that decode at a time
+	Reading  float64 // engines that read prompts
+	Fetching float64 // engines that fetch the KV cache of prompts and begin answers, one after the other
+	Holding  float64 // slots that answers hold
 }
 
 // Add adds up the demand of instances.
 func (d Demand) Add(o Demand) Demand {
-	return Demand{Prefill: d.Prefill + o.Prefill, Decode: d.Decode + o.Decode}
+	return Demand{Reading: d.Reading + o.Reading, Fetching: d.Fetching + o.Fetching, Holding: d.Holding + o.Holding}
 }
 
+// Scale multiplies a demand.
+func (d Demand) Scale(by float64) Demand {
+	return Demand{Reading: d.Reading * by, Fetching: d.Fetching * by, Holding: d.Holding * by}
+}
+
+// known reports whether anything was asked at all.
+func (d Demand) known() bool { return d != Demand{} }
+
 // Engine is one engine as the holder of the authority knows it.
 type Engine struct {
 	ID       string
@@ -51,8 +61,8 @@
 	// settle is the least time between two rounds of changes: a change shows in the
 	// demand's effects only once the engine is back.
 	settle = 1500 * time.Millisecond
-	// idleBelow is the utilization under which no change is worth it: nothing waits.
-	idleBelow = 0.5
+	// idleBelow is the utilization under which no change is worth it: next to nothing waits.
+	idleBelow = 0.35
 	// gainAtLeast is the factor by which the utilization of the busier role has to
 	// fall. An engine that changes is away for seconds, and demand is measured with
 	// an error of some ten in a hundred.
@@ -77,10 +87,15 @@
 	tolerated = 0.1
 	// idleLoad is the load of an engine that has nothing to lose by a change.
 	idleLoad = 0.5
-	// usablePrefill and usableDecode are the parts of an engine's time and slots that
-	// can be used before requests wait too long.
-	usablePrefill = 0.8
-	usableDecode  = 0.8
+	// hereSpeed is how fast an engine that decodes reads prompts beside its answers,
+	// against one that prefills, as the platform gives it.
+	hereSpeed = 0.5
+	// usable is the part of the time of an engine that decodes beyond which it has none
+	// left to read prompts in.
+	usable = 0.8
+	// firstShare is the share of engines that prefill before anything is known of the
+	// demand: neither role is better then.
+	firstShare = 0.5
 )
 
 // Core decides for one service. It is not safe for concurrent use.
@@ -114,27 +129,20 @@
 		out.Why = "the last change is too recent"
 		return out
 	}
-	out.Want = c.want(&s)
+	var why string
+	out.Want, why = c.want(&s)
 	out.Then = s.utilization(out.Want)
 	c.noteOff(now, out.Want-s.prefill)
 	switch {
-	case c.fixedShare > 0 && out.Want != s.prefill && !s.idle() && s.lacking(c.offBy) <= tolerated:
-		out.Why = "the split is close to the operator's share"
-	case c.fixedShare > 0 && out.Want != s.prefill && c.mayPass(now, &s):
-		out.Why = "the split may be passing"
-	case c.fixedShare > 0 && out.Want != s.prefill:
-		out.Changes = s.round(out.Want)
-		out.Why = "the operator's share"
-		c.changedAt = now
 	case out.Want == s.prefill:
-		out.Why = "the split is the best one"
-	case out.Now < idleBelow:
-		out.Why = "nothing is busy"
-	case out.Now < gainAtLeast*out.Then:
-		out.Why = "another split gains too little"
+		out.Why = why
+	case !s.idle() && s.lacking(c.offBy) <= tolerated:
+		out.Why = "the split is close to the best one"
+	case c.mayPass(now, &s):
+		out.Why = "the split may be passing"
 	default:
 		out.Changes = s.round(out.Want)
-		out.Why = fmt.Sprintf("utilization of the busier role from %.2f to %.2f", out.Now, out.Then)
+		out.Why = why
 		c.changedAt = now
 	}
 	return out
@@ -161,11 +169,33 @@
 	return lasts < passing
 }
 
-func (c *Core) want(s *split) int {
-	if c.fixedShare <= 0 {
-		return s.best()
+// want gives how many engines should prefill, and why.
+func (c *Core) want(s *split) (int, string) {
+	switch {
+	case c.fixedShare > 0:
+		return s.share(c.fixedShare), "the operator's share"
+	case !s.demand.known():
+		if s.idle() {
+			return s.share(firstShare), "nothing is asked yet"
+		}
+		return s.prefill, "the demand isn't known"
+	}
+	best := s.best()
+	now, then := s.utilization(s.prefill), s.utilization(best)
+	switch {
+	case best == s.prefill:
+		return best, "the split is the best one"
+	case now < idleBelow:
+		return s.prefill, "nothing is busy"
+	case now < gainAtLeast*then:
+		return s.prefill, "another split gains too little"
 	}
-	n := int(math.Round(c.fixedShare * float64(len(s.engines))))
+	return best, fmt.Sprintf("utilization of the busier role from %.2f to %.2f", now, then)
+}
+
+// share is a share of the engines, at least one of each role.
+func (s *split) share(share float64) int {
+	n := int(math.Round(share * float64(len(s.engines))))
 	return min(max(n, 1), len(s.engines)-1)
 }
 
@@ -191,11 +221,14 @@
 	return s
 }
 
-// utilization of the busier role if so many engines prefill.
+// utilization of the busier role if so many engines prefill. Engines that decode are as
+// busy as their links and first steps or as their slots, whichever is more; in the time
+// that is left they read prompts too.
 func (s *split) utilization(prefill int) float64 {
-	p := ratio(s.demand.Prefill, float64(prefill)*usablePrefill)
-	d := ratio(s.demand.Decode, float64(len(s.engines)-prefill)*s.slots*usableDecode)
-	return max(p, d)
+	decode := float64(len(s.engines) - prefill)
+	busy := max(s.demand.Fetching, s.demand.Holding/s.slots)
+	spare := max(decode-busy/usable, 0)
+	return max(ratio(s.demand.Reading, float64(prefill)+hereSpeed*spare), ratio(busy, decode))
 }
 
 // lacking is how many engines the role that has too few lacks, as a part of those that
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -26,7 +26,7 @@
 	others     float64   // requests of others that were not told, by the last report
 	reportedAt time.Time // zero: never
 	mean       *mean     // of the upstream's group
-	allTold    *bool     // see Book.AllTold
+	mostTold   *bool     // see Book.MostTold
 	health     health
 	cached     partCache
 	pace       pace
@@ -45,7 +45,7 @@
 	byKey       map[UpstreamKey]*load
 	tellings    map[string]telling // by instance
 	untoldReads []PartsRead
-	allTold     bool
+	mostTold    bool
 }
 
 // task is the work of one kind for a service.
@@ -101,7 +101,7 @@
 				l = &load{}
 			}
 			l.up = u
-			l.mean, l.allTold = b.mean(l), &b.allTold
+			l.mean, l.mostTold = b.mean(l), &b.mostTold
 			kept[u.ID] = l
 			b.services[service] = append(b.services[service], l)
 		}
@@ -203,19 +203,21 @@
 	}
 }
 
-// Prefilled notes that an upstream read a prompt, and how long that took.
-func (b *Book) Prefilled(now time.Time, c *Choice, p *Prompt, took time.Duration) {
+// Prefilled notes that an upstream read a prompt, how long that took, and how long it was
+// wanted to wait behind others at most.
+func (b *Book) Prefilled(now time.Time, c *Choice, p *Prompt, took, target time.Duration) {
 	l, ok := b.byID[c.Upstream.ID]
 	if !ok {
 		return
 	}
 	m := b.model(l)
-	if c.Alone {
-		expected := m.time(c.Tokens)
-		m.add(c.Tokens, took)
-		if expected > 0 {
-			l.slow.add(float64(took) / float64(expected))
-		}
+	b.limiter(l.up.Service, Prefill).took(took-m.time(c.Tokens), target, b.asked(l.up.Service).perSecond(now))
+	alone := c.Alone && b.mostTold
+	if expected := m.time(c.Tokens); alone && expected > 0 {
+		l.slow.add(float64(took) / float64(expected))
+	}
+	if alone || !b.mostTold {
+		m.add(c.Tokens, took, alone)
 	}
 	b.noteRead(now, l, p, c.Tokens)
 }
@@ -236,14 +238,15 @@
 	}
 }
 
-// ReadingTime is how long a prompt of so many tokens takes an engine of a service that
-// prefills.
-func (b *Book) ReadingTime(service string, tokens int) time.Duration {
-	m, ok := b.models[group{service, upstream.RolePrefill}]
+// EngineTime is how long reading a request's prompt keeps an engine of its work's role
+// busy, where the most of its shared parts are kept.
+func (b *Book) EngineTime(now time.Time, q *Query) time.Duration {
+	m, ok := b.models[group{q.Service, q.Work.role()}]
 	if !ok {
 		m = &readingModel{}
 	}
-	return m.time(tokens)
+	_, lacks := b.sources(now, q)
+	return time.Duration(q.Prompt.Own+lacks) * m.perToken()
 }
 
 // ReadAndBegun notes that a decoding engine read a prompt and began its answer, how
@@ -253,8 +256,8 @@
 	if !ok {
 		return
 	}
-	if c.Alone {
-		b.model(l).add(c.Tokens, took)
+	if c.Alone || !b.mostTold {
+		b.model(l).add(c.Tokens, took, c.Alone && b.mostTold)
 	}
 	b.limiter(l.up.Service, ReadHere).took(took, target, b.asked(l.up.Service).perSecond(now))
 	b.noteRead(now, l, p, c.Tokens)
@@ -328,13 +331,13 @@
 
 // total estimates the requests at an upstream.
 func (l *load) total(now time.Time) float64 {
-	known := float64(l.own+l.told.Requests) + reservedShare*float64(l.reserved+l.told.Reserved)
+	known := float64(l.own+l.told.Requests) + ReservedShare*float64(l.reserved+l.told.Reserved)
 	return known + l.untold(now)
 }
 
 // untold estimates the requests there of instances that don't tell theirs.
 func (l *load) untold(now time.Time) float64 {
-	if *l.allTold {
+	if *l.mostTold {
 		return 0
 	}
 	others := l.mean.guess(now)
@@ -344,10 +347,10 @@
 	return max(others, 0)
 }
 
-// reservedShare is what a request whose prompt is being read elsewhere counts at the
+// ReservedShare is what a request whose prompt is being read elsewhere counts at the
 // engine that will decode it: a short answer takes about as long as its prompt and the
 // wait for it together, and a few too many wait at the engine only for some ms.
-const reservedShare = 0.3
+const ReservedShare = 0.3
 
 // Loads gives the requests believed at each upstream, by id.
 func (b *Book) Loads(now time.Time) map[string]float64 {
@@ -392,7 +395,7 @@
 // Pick chooses the upstream with the least cost. ok is false if none is eligible
 // or all eligible ones are full.
 func (b *Book) Pick(now time.Time, q *Query) (choice Choice, ok bool) {
-	if q.Work == ReadHere && b.limiter(q.Service, q.Work).full() {
+	if b.bounded(q.Work) && b.limiter(q.Service, q.Work).full() {
 		return Choice{}, false
 	}
 	best, bestCost := (*load)(nil), math.Inf(1)
@@ -415,13 +418,18 @@
 	if q.Work.reads() {
 		choice.Tokens = v.toRead(best)
 		choice.Alone = best.backlog() == 0 && best.total(now) < idleLoad
-		if v.source != nil && v.source != best && best.cached.missing(now, &q.Prompt, q.Memory) > 0 {
-			choice.CopyFrom = v.source.up.Address
+		if source := v.sourceFor(best); source != nil {
+			choice.CopyFrom = source.up.Address
 		}
 	}
 	return choice, true
 }
 
+// bounded reports whether work of a kind is held to the bound that is learned from how
+// long it takes. Where every instance tells what it has under way, the time that a prompt
+// will wait behind others is known beforehand.
+func (b *Book) bounded(w Work) bool { return w == ReadHere || (w == Prefill && !b.mostTold) }
+
 // idleLoad in requests: an upstream with less is taken to have none.
 const idleLoad = 0.5
 
--- a/internal/request/place/cost.go
+++ b/internal/request/place/cost.go
@@ -46,18 +46,18 @@
 
 // view is what one pick looks at.
 type view struct {
-	b      *Book
-	now    time.Time
-	q      *Query
-	home   *load // where requests with the same shared parts come together; nil: nowhere
-	source *load // keeps the shared parts, or the most of them; nil: none
-	lacks  int   // tokens of the shared parts that the source lacks
+	b       *Book
+	now     time.Time
+	q       *Query
+	home    *load   // where requests with the same shared parts come together; nil: nowhere
+	sources []*load // keep the most of the shared parts
+	lacks   int     // tokens of the shared parts that the sources lack
 }
 
 func (b *Book) view(now time.Time, q *Query) view {
 	v := view{b: b, now: now, q: q, home: b.home(now, q)}
 	if q.Work.reads() {
-		v.source, v.lacks = b.source(now, q)
+		v.sources, v.lacks = b.sources(now, q)
 	}
 	return v
 }
@@ -83,7 +83,7 @@
 	if l.up.Zone != v.q.Zone {
 		c += awayShare * v.q.Objective.Seconds()
 	}
-	if v.home != nil && v.home != l && v.source == nil {
+	if v.home != nil && v.home != l && len(v.sources) == 0 {
 		// Nobody keeps the shared parts: all processes have them read first at one engine.
 		c += awayShare * v.q.Objective.Seconds()
 	}
@@ -117,13 +117,23 @@
 // copied from another one count in part.
 func (v *view) toRead(l *load) int {
 	own := max(v.q.Prompt.Own, minOwnTokens)
-	missing := l.cached.missing(v.now, &v.q.Prompt, v.q.Memory)
-	if v.source == nil || v.source == l || missing <= v.lacks {
+	missing := v.missing(l)
+	if len(v.sources) == 0 || missing <= v.lacks {
 		return own + missing
 	}
 	return own + v.lacks + int(copyShare*float64(missing-v.lacks))
 }
 
+// missing is how many tokens of the shared parts an engine isn't believed to keep. Where
+// not all instances tell what was read for them, the home is taken to keep what nobody
+// is known to: others will have had it read there.
+func (v *view) missing(l *load) int {
+	if l == v.home && !v.b.mostTold && len(v.sources) == 0 {
+		return 0
+	}
+	return l.cached.missing(v.now, &v.q.Prompt, v.q.Memory)
+}
+
 // reading is how long the prompt takes by itself.
 func (v *view) reading(l *load) time.Duration {
 	return time.Duration(l.slow.value() * float64(v.b.model(l).time(v.toRead(l))))
@@ -175,9 +185,7 @@
 }
 
 // behindOthers is how long the prompt may wait behind others.
-func (v *view) behindOthers() time.Duration {
-	return time.Duration(behindOthersShare * float64(v.q.Objective))
-}
+func (v *view) behindOthers() time.Duration { return v.q.BehindOthers() }
 
 // delays reports whether reading the prompt at a decoding engine would hold up the
 // answers that begin there meanwhile.
--- a/internal/request/place/home.go
+++ b/internal/request/place/home.go
@@ -33,10 +33,10 @@
 	return best
 }
 
-// source is the engine that keeps the most of the shared parts of a prompt, the one that
-// used them last among equals, and how many tokens of them it lacks. Copying a part from
-// it takes a small fraction of the time of reading it. nil: none keeps any.
-func (b *Book) source(now time.Time, q *Query) (best *load, lacks int) {
+// sources gives the engines that keep the most of the shared parts of a prompt, and how
+// many tokens of them they lack. Copying a part from one takes a small fraction of the
+// time of reading it.
+func (b *Book) sources(now time.Time, q *Query) (list []*load, lacks int) {
 	if q.Prompt.Key == 0 {
 		return nil, 0
 	}
@@ -45,7 +45,6 @@
 		all += q.Prompt.Parts[i].Tokens
 	}
 	lacks = all
-	var usedAt time.Time
 	for _, l := range b.services[q.Service] {
 		if l.health.silent(now) {
 			continue
@@ -54,11 +53,30 @@
 		if missing == all || missing > lacks {
 			continue
 		}
-		if at := l.cached.uses[q.Prompt.Parts[0].Key].at; missing < lacks || at.After(usedAt) {
-			best, lacks, usedAt = l, missing, at
+		if missing < lacks {
+			list, lacks = list[:0], missing
 		}
+		list = append(list, l)
 	}
-	return best, lacks
+	return list, lacks
+}
+
+// sourceFor picks the source for one reader: of its own availability zone if there is
+// one, as links between zones take twice the time; among equals each request takes
+// another one, so that the link of none is crowded. nil: there is nothing to copy.
+func (v *view) sourceFor(reader *load) *load {
+	if len(v.sources) == 0 || v.missing(reader) <= v.lacks {
+		return nil
+	}
+	var best *load
+	bestNear, bestWeight := false, uint64(0)
+	for _, l := range v.sources {
+		near, weight := l.up.Zone == reader.up.Zone, rank(uint64(v.q.Arrived.UnixNano()), l.up.ID)
+		if best == nil || (near && !bestNear) || (near == bestNear && weight > bestWeight) {
+			best, bestNear, bestWeight = l, near, weight
+		}
+	}
+	return best
 }
 
 func rank(key uint64, id string) uint64 {
--- a/internal/request/place/mean.go
+++ b/internal/request/place/mean.go
@@ -1,7 +1,6 @@
 package place
 
 import (
-	"math"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
@@ -36,5 +35,3 @@
 	weight := m.weight * decay.Factor(now.Sub(m.at), meanHalfLife)
 	return m.value * weight / (weight + 1)
 }
-
-const ln2 = math.Ln2
--- a/internal/request/place/query.go
+++ b/internal/request/place/query.go
@@ -26,6 +26,11 @@
 	OrHere    bool          // with Prefill: ReadHere does as well
 }
 
+// BehindOthers is how long a prompt should wait behind others at most; 0: not bounded.
+func (q *Query) BehindOthers() time.Duration {
+	return time.Duration(behindOthersShare * float64(q.Objective))
+}
+
 // rank orders requests that wait: the urgent ones first, and of equal urgency those
 // that can still be answered in time. One that is late already loses little by
 // waiting, while one that becomes late meanwhile would be late for nothing.
--- a/internal/request/place/rate.go
+++ b/internal/request/place/rate.go
@@ -27,9 +27,8 @@
 	r.at = now
 }
 
-// perSecond is the rate. A count that halves each half-life, fed at rate r a second,
-// settles at r*halfLife/ln 2.
+// perSecond is the rate.
 func (r *eventRate) perSecond(now time.Time) float64 {
 	r.fade(now)
-	return r.count * ln2 / rateHalfLife.Seconds()
+	return r.count * decay.Rate(rateHalfLife)
 }
--- a/internal/request/place/reading.go
+++ b/internal/request/place/reading.go
@@ -11,6 +11,10 @@
 	readingMemory = 0.98
 	// readingSamples is how many samples an estimate needs.
 	readingSamples = 8
+	// waitedWeight is the weight of a prompt that took longer than expected and may have
+	// waited: small, so that the estimate follows the shorter times, and above zero, so
+	// that it rises if engines get slower.
+	waitedWeight = 0.05
 	// outlier is the multiple of the expected time beyond which a sample tells of
 	// something else than reading.
 	outlier = 4.0
@@ -28,16 +32,21 @@
 	n, x, y, xx, xy float64 // weighted sums: samples, tokens, seconds
 }
 
-func (m *readingModel) add(tokens int, took time.Duration) {
-	x, y := float64(tokens), took.Seconds()
-	if m.n >= readingSamples && y > outlier*m.time(tokens).Seconds() {
-		y = outlier * m.time(tokens).Seconds()
+// add learns from a prompt. alone tells that nothing else was known to be there; one
+// that may have waited counts little where it took longer than expected.
+func (m *readingModel) add(tokens int, took time.Duration, alone bool) {
+	x, y, weight := float64(tokens), took.Seconds(), 1.0
+	if expected := m.time(tokens).Seconds(); m.n >= readingSamples && y > expected {
+		y = min(y, outlier*expected)
+		if !alone {
+			weight = waitedWeight
+		}
 	}
-	m.n = m.n*readingMemory + 1
-	m.x = m.x*readingMemory + x
-	m.y = m.y*readingMemory + y
-	m.xx = m.xx*readingMemory + x*x
-	m.xy = m.xy*readingMemory + x*y
+	m.n = m.n*readingMemory + weight
+	m.x = m.x*readingMemory + weight*x
+	m.y = m.y*readingMemory + weight*y
+	m.xx = m.xx*readingMemory + weight*x*x
+	m.xy = m.xy*readingMemory + weight*x*y
 }
 
 // fit gives the fixed time and the time for a token, in seconds.
--- a/internal/request/place/told.go
+++ b/internal/request/place/told.go
@@ -87,9 +87,9 @@
 	}
 }
 
-// AllTold sets whether every other instance tells what it has under way. If so,
+// MostTold sets whether every other instance tells what it has under way. If so,
 // what upstreams report of others is known already, and newer.
-func (b *Book) AllTold(all bool) { b.allTold = all }
+func (b *Book) MostTold(all bool) { b.mostTold = all }
 
 // Own gives what this process has under way, by upstream; idle upstreams are left out.
 func (b *Book) Own() map[UpstreamKey]InFlight {
