All instances of a larger fleet tell each other, those far less often

What other zones had sent to an engine was not known at all: prompts waited for a second at engines that looked idle.

Change: two groups, near ones told within 80 ms and far ones within some 500 ms; copying counts half of reading, as it takes room from what others keep; the learned bound of prompts holds always, as what is known beforehand is some hundred ms old in large fleets; no change of roles below 0.7 of utilization.

--- a/internal/process/entry/sharing.go
+++ b/internal/process/entry/sharing.go
@@ -151,8 +151,8 @@
 	defer s.mu.Unlock()
 	work, reads := s.e.state.share(s.core.MostHeard(now))
 	s.core.Note(reads)
-	if m := s.core.Next(now, work, s.e.demand.perSecond(now)); m != nil {
-		s.send(*m, s.core.Recipients(now))
+	for _, out := range s.core.Next(now, work, s.e.demand.perSecond(now)) {
+		s.send(out.Message, out.To)
 	}
 }
 
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -18,21 +18,24 @@
 }
 
 const (
-	// mostRecipients bounds the instances that one tells. A fleet up to this size shares
-	// everything; in a larger one, instances tell others of their availability zone,
-	// which mostly use the same upstreams.
-	mostRecipients = 16
-	// gapEach is the least pause between two messages, for each recipient: at most 200
-	// messages a second leave an instance, some 12 KB/s at 60 B each.
-	gapEach = 5 * time.Millisecond
+	// mostNear bounds the instances that one tells of each change. A fleet up to this size
+	// is near as a whole; in a larger one, near are others of the availability zone.
+	mostNear = 16
+	// mostFar bounds the instances that are told less often.
+	mostFar = 96
+	// nearGap and farGap are the least pauses between two messages, for each recipient:
+	// some 200 messages a second leave an instance for those near, and 100 for those far.
+	nearGap = 5 * time.Millisecond
+	farGap  = 10 * time.Millisecond
 	// leastGap keeps the changes of one moment in one message.
 	leastGap = 10 * time.Millisecond
 	// repeatEvery is the pause between messages while nothing changes.
 	repeatEvery = 500 * time.Millisecond
 	// introduceEvery is how often a message says who its sender is.
 	introduceEvery = time.Second
-	// fresh is how long an instance counts as heard.
-	fresh = 1200 * time.Millisecond
+	// fresh is how long an instance counts as heard: longer than the pause between
+	// messages to those far.
+	fresh = 1500 * time.Millisecond
 	// tellTimes is in how many messages a read is told: datagrams are lost now and then.
 	tellTimes = 2
 	// mostUntold bounds the reads that wait to be told.
@@ -53,14 +56,21 @@
 
 // Core is the state. It is not safe for concurrent use.
 type Core struct {
-	self         Peer
-	known        map[string]*known // by address
+	self     Peer
+	known    map[string]*known // by address
+	sequence uint64
+	nextRead uint64
+	near     channel
+	far      channel
+}
+
+// channel is what was told, and is to be told, to one group of instances.
+type channel struct {
+	gap          time.Duration // for each recipient
 	sentAt       time.Time
 	introducedAt time.Time
-	sequence     uint64
 	told         map[place.UpstreamKey]place.InFlight // in the last message
 	reads        []untold
-	nextRead     uint64
 }
 
 // untold is a read that is still to be told in so many messages.
@@ -69,9 +79,18 @@
 	times int
 }
 
+// Outgoing is a message with the addresses to send it to.
+type Outgoing struct {
+	Message Message
+	To      []string
+}
+
 // New makes a core that knows nobody else. life is greater for each life of the instance.
 func New(self Peer, life uint64) *Core {
-	return &Core{self: self, known: make(map[string]*known), sequence: life, nextRead: life}
+	return &Core{
+		self: self, known: make(map[string]*known), sequence: life, nextRead: life,
+		near: channel{gap: nearGap}, far: channel{gap: farGap},
+	}
 }
 
 // Listed takes the instances that the platform lists. One that was silent for too long
@@ -140,69 +159,102 @@
 
 // Note takes what was read since the last call.
 func (c *Core) Note(reads []place.PartsRead) {
-	for _, r := range reads {
-		c.reads = append(c.reads, untold{read: readOf(r), times: tellTimes})
+	for i := range reads {
+		u := untold{read: readOf(reads[i]), times: tellTimes}
+		c.near.reads = append(c.near.reads, u)
+		c.far.reads = append(c.far.reads, u)
 	}
 	c.nextRead += uint64(len(reads))
 }
 
-// Next gives the message to send now; nil: none is due.
-func (c *Core) Next(now time.Time, work map[place.UpstreamKey]place.InFlight, demand map[string]roles.Demand) *Message {
-	since := now.Sub(c.sentAt)
-	gap := max(leastGap, time.Duration(min(len(c.known), mostRecipients))*gapEach)
-	if since < gap || (since < repeatEvery && maps.Equal(work, c.told)) {
+// Next gives the messages to send now.
+func (c *Core) Next(now time.Time, work map[place.UpstreamKey]place.InFlight, demand map[string]roles.Demand) []Outgoing {
+	near, far := c.recipients(now)
+	var out []Outgoing
+	for _, group := range []struct {
+		ch *channel
+		to []string
+	}{{&c.near, near}, {&c.far, far}} {
+		if len(group.to) == 0 {
+			group.ch.reads = nil
+			continue
+		}
+		if m := c.next(now, group.ch, len(group.to), work, demand); m != nil {
+			out = append(out, Outgoing{Message: *m, To: group.to})
+		}
+	}
+	return out
+}
+
+// next gives the message to one group; nil: none is due.
+func (c *Core) next(now time.Time, ch *channel, recipients int, work map[place.UpstreamKey]place.InFlight, demand map[string]roles.Demand) *Message {
+	since := now.Sub(ch.sentAt)
+	gap := max(leastGap, time.Duration(recipients)*ch.gap)
+	if since < gap || (since < repeatEvery && maps.Equal(work, ch.told)) {
 		return nil
 	}
-	c.sentAt, c.told = now, work
+	ch.sentAt, ch.told = now, work
 	c.sequence++
 	m := &Message{Sequence: c.sequence, Rows: rowsOf(work)}
-	m.FirstRead, m.Reads = c.takeReads()
-	if now.Sub(c.introducedAt) >= introduceEvery {
-		c.introducedAt = now
+	m.FirstRead, m.Reads = ch.takeReads(c.nextRead)
+	if now.Sub(ch.introducedAt) >= introduceEvery {
+		ch.introducedAt = now
 		m.Sender, m.Demand = &c.self, asksOf(demand)
 	}
 	return m
 }
 
-// takeReads gives the reads of the next message. Those beyond its bound are left to
+// takeReads gives the reads of the next message and the number of the first of them;
+// end is the number after the newest. Those beyond the bound of a message are left to
 // later ones, and the oldest are dropped if there are too many for that.
-func (c *Core) takeReads() (first uint64, reads []Read) {
-	if over := len(c.reads) - mostUntold; over > 0 {
-		c.reads = c.reads[over:]
+func (ch *channel) takeReads(end uint64) (first uint64, reads []Read) {
+	if over := len(ch.reads) - mostUntold; over > 0 {
+		ch.reads = ch.reads[over:]
 	}
-	first = c.nextRead - uint64(len(c.reads))
-	for i := range c.reads[:min(len(c.reads), maxReads)] {
-		reads = append(reads, c.reads[i].read)
-		c.reads[i].times--
+	first = end - uint64(len(ch.reads))
+	for i := range ch.reads[:min(len(ch.reads), maxReads)] {
+		reads = append(reads, ch.reads[i].read)
+		ch.reads[i].times--
 	}
 	done := 0
-	for done < len(c.reads) && c.reads[done].times <= 0 {
+	for done < len(ch.reads) && ch.reads[done].times <= 0 {
 		done++
 	}
-	c.reads = slices.Clone(c.reads[done:])
+	ch.reads = slices.Clone(ch.reads[done:])
 	return first, reads
 }
 
-// Recipients gives the addresses to tell: all others, or in a large fleet those of the
-// own availability zone that follow in the order of names.
-func (c *Core) Recipients(now time.Time) []string {
+// recipients gives the addresses to tell of each change, and those to tell less often. In
+// a large fleet those near are the ones of the own availability zone that follow
+// in the order of names.
+func (c *Core) recipients(now time.Time) (near, far []string) {
 	list := make([]*known, 0, len(c.known))
 	for _, k := range c.known {
 		if !k.gone(now) {
 			list = append(list, k)
 		}
 	}
-	if len(list) > mostRecipients {
-		list = slices.DeleteFunc(list, func(k *known) bool { return k.Zone != c.self.Zone })
-	}
 	slices.SortFunc(list, func(a, b *known) int {
-		return cmp.Or(cmp.Compare(c.turn(a), c.turn(b)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(c.away(a), c.away(b)), cmp.Compare(c.turn(a), c.turn(b)), cmp.Compare(a.Name, b.Name))
 	})
-	out := make([]string, 0, min(len(list), mostRecipients))
-	for _, k := range list[:min(len(list), mostRecipients)] {
-		out = append(out, k.Address)
+	small := len(list) <= mostNear
+	for _, k := range list {
+		switch {
+		case len(near) < mostNear && (small || c.away(k) == 0):
+			near = append(near, k.Address)
+		case len(far) < mostFar:
+			far = append(far, k.Address)
+		}
 	}
-	return out
+	return near, far
+}
+
+// away puts the instances of the own availability zone before the others.
+func (c *Core) away(k *known) int {
+	if k.Zone == c.self.Zone {
+		return 0
+	}
+	return 1
 }
 
 // turn puts the instances that follow this one in the order of names before the others,
--- a/internal/process/roles/roles.go
+++ b/internal/process/roles/roles.go
@@ -61,8 +61,9 @@
 	// settle is the least time between two rounds of changes: a change shows in the
 	// demand's effects only once the engine is back.
 	settle = 1500 * time.Millisecond
-	// idleBelow is the utilization under which no change is worth it: next to nothing waits.
-	idleBelow = 0.35
+	// idleBelow is the utilization under which no change is worth it: little waits, and
+	// the next surge may be one of the other kind before the engines are back.
+	idleBelow = 0.7
 	// gainAtLeast is the factor by which the utilization of the busier role has to
 	// fall. An engine that changes is away for seconds, and demand is measured with
 	// an error of some ten in a hundred.
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -395,7 +395,7 @@
 // Pick chooses the upstream with the least cost. ok is false if none is eligible
 // or all eligible ones are full.
 func (b *Book) Pick(now time.Time, q *Query) (choice Choice, ok bool) {
-	if b.bounded(q.Work) && b.limiter(q.Service, q.Work).full() {
+	if q.Work.reads() && b.limiter(q.Service, q.Work).full() {
 		return Choice{}, false
 	}
 	best, bestCost := (*load)(nil), math.Inf(1)
@@ -425,11 +425,6 @@
 	return choice, true
 }
 
-// bounded reports whether work of a kind is held to the bound that is learned from how
-// long it takes. Where every instance tells what it has under way, the time that a prompt
-// will wait behind others is known beforehand.
-func (b *Book) bounded(w Work) bool { return w == ReadHere || (w == Prefill && !b.mostTold) }
-
 // idleLoad in requests: an upstream with less is taken to have none.
 const idleLoad = 0.5
 
--- a/internal/request/place/cost.go
+++ b/internal/request/place/cost.go
@@ -35,7 +35,7 @@
 	failCost = 4.0
 	// copyShare is what copying a token's KV cache from another engine costs as a part of
 	// reading the token: links move it in a tenth of that time, twice that between zones.
-	copyShare = 0.15
+	copyShare = 0.5
 	// behindOthersShare is the part of a request's objective for which its prompt should
 	// wait at most behind others at the engine that reads it; the rest is for a place, the
 	// reading itself and the decode.
@@ -128,7 +128,7 @@
 // not all instances tell what was read for them, the home is taken to keep what nobody
 // is known to: others will have had it read there.
 func (v *view) missing(l *load) int {
-	if l == v.home && !v.b.mostTold && len(v.sources) == 0 {
+	if l == v.home && !v.b.mostTold {
 		return 0
 	}
 	return l.cached.missing(v.now, &v.q.Prompt, v.q.Memory)
