--- a/internal/process/entry/demand.go
+++ b/internal/process/entry/demand.go
@@ -13,9 +13,11 @@
 	// away for some seconds when it changes its role, and a surge that is over by then is
 	// not to be changed for.
 	demandHalfLife = 10 * time.Second
-	// holdingStep is the weight of the newest request in the estimate of how long
-	// requests of a route hold a slot.
-	holdingStep = 0.1
+	// Weights of the newest request in the estimate of how long requests of a route hold a
+	// slot. Those that wait at an engine that crashed or is crowded hold one for seconds,
+	// which no split of the engines would change, so the estimate leans to the shorter ones.
+	holdingUp   = 0.02
+	holdingDown = 0.06
 	// firstHolding is taken before the first request of a route has ended.
 	firstHolding = 100 * time.Millisecond
 	// Weights of the newest request in the estimate of how long fetching a prompt's KV
@@ -81,11 +83,7 @@
 func (d *demand) decoded(route string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old, ok := d.holding[route]
-	if !ok {
-		old = took
-	}
-	d.holding[route] = old + time.Duration(holdingStep*float64(took-old))
+	learn(d.holding, route, took, holdingUp, holdingDown)
 }
 
 // fetched notes how long it took from sending a request whose prompt was read to the
@@ -93,15 +91,22 @@
 func (d *demand) fetched(service string, took time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	old, ok := d.fetching[service]
+	learn(d.fetching, service, took, fetchingUp, fetchingDown)
+}
+
+// learn moves an estimate towards the newest time, by one weight if that is longer and
+// by another one if it is shorter.
+func learn(estimates map[string]time.Duration, name string, newest time.Duration, up, down float64) {
+	old, ok := estimates[name]
 	if !ok {
-		old = took
+		estimates[name] = newest
+		return
 	}
-	step := fetchingUp
-	if took < old {
-		step = fetchingDown
+	step := up
+	if newest < old {
+		step = down
 	}
-	d.fetching[service] = old + time.Duration(step*float64(took-old))
+	estimates[name] = old + time.Duration(step*float64(newest-old))
 }
 
 // perSecond gives the engines and slots that requests keep busy, by service.
--- a/internal/process/roles/roles.go
+++ b/internal/process/roles/roles.go
@@ -164,7 +164,7 @@
 		return false
 	}
 	lasts := now.Sub(c.offSince)
-	if s.lacking(c.offBy) > farOff {
+	if c.fixedShare > 0 && s.lacking(c.offBy) > farOff {
 		return lasts < farOffPassing
 	}
 	return lasts < passing
