An upstream that says it is another one gets nothing for two seconds

Ruled out, reverted: placing decodes by the time that each engine takes to fetch a KV cache, learned and told between instances.

--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -242,6 +242,7 @@
 	})
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	st.reported(now, id, told.Load)
+	q.noteMisdirected(now, id, resp.Status)
 	out := a.take(ctx, id, resp, told)
 	if out.answered && q.work() == place.Decode {
 		q.e.demand.decoded(q.route.Name, time.Since(begun)+time.Duration(place.ReservedShare*float64(q.reservedFor)))
@@ -250,6 +251,13 @@
 	return out
 }
 
+// noteMisdirected notes an answer of an upstream that is not the one that was meant.
+func (q *request) noteMisdirected(now time.Time, id string, status int) {
+	if status == http.StatusMisdirectedRequest {
+		q.e.state.withBook(now, func(b *place.Book) { b.Misdirected(now, id) })
+	}
+}
+
 // sendHeaders is what this process sets on a send that runs the request.
 func (q *request) sendHeaders(choice place.Choice, kv *prefilled, a *answer) exchange.Send {
 	send := exchange.Send{CopyFrom: choice.CopyFrom}
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -119,6 +119,7 @@
 	st.withBook(now, func(b *place.Book) { b.Heard(now, u.ID, true) })
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	st.reported(now, u.ID, told.Load)
+	q.noteMisdirected(now, u.ID, resp.Status)
 	kv, err = q.readPrefilled(u, resp, told)
 	q.judge(ctx, u.ID, err == nil, told)
 	if err == nil {
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -162,6 +162,14 @@
 	return r
 }
 
+// Misdirected notes that an upstream's address answered that it is not that upstream, or
+// does not do that work any more: the list that this process has is behind.
+func (b *Book) Misdirected(now time.Time, id string) {
+	if l, ok := b.byID[id]; ok {
+		l.health.misdirected(now)
+	}
+}
+
 // Usable reports whether an upstream may still get new work.
 func (b *Book) Usable(id string) bool {
 	l, ok := b.byID[id]
--- a/internal/request/place/health.go
+++ b/internal/request/place/health.go
@@ -15,6 +15,9 @@
 	// connections is probed, and between two probes: short against a restart of a
 	// second or two, long against the way there.
 	probeAfter = 400 * time.Millisecond
+	// misdirectedFor is how long an upstream that said it is another one gets nothing: about
+	// as long as a list that is behind takes to be read anew.
+	misdirectedFor = 2 * time.Second
 	// failHalfLife is how fast failures are forgotten.
 	failHalfLife = 2 * time.Second
 	// failStep is the weight of one more outcome in the share of failures: five
@@ -32,8 +35,11 @@
 	probeAt    time.Time // no probe before this
 	share      float64   // of recent requests that failed
 	shareAt    time.Time
+	awayUntil  time.Time // it said that it is another one
 }
 
+func (h *health) misdirected(now time.Time) { h.awayUntil = now.Add(misdirectedFor) }
+
 func (h *health) sent(now time.Time) {
 	if h.unanswered == 0 {
 		h.lifeAt = now
@@ -112,6 +118,9 @@
 
 // silent reports whether the upstream gets no request now.
 func (h *health) silent(now time.Time) bool {
+	if now.Before(h.awayUntil) {
+		return true
+	}
 	if h.trial {
 		return h.unanswered > 0 || !h.reached
 	}
--- a/internal/request/place/place_test.go
+++ b/internal/request/place/place_test.go
@@ -102,6 +102,33 @@
 	}
 }
 
+// TestMisdirectedUpstreamIsLeftAlone replays what an instance does that was cut off from the
+// platform while an upstream crashed and another one took its address: the list still
+// names the old one, whose address refuses every request at once.
+func TestMisdirectedUpstreamIsLeftAlone(t *testing.T) {
+	b := bookOf(up("old", "z1", 8), up("other", "z2", 8))
+	refused := 0
+	for i := range 50 {
+		now := at(time.Duration(i) * 20 * time.Millisecond)
+		q := query(fmt.Sprint("r", i))
+		c, ok := b.Pick(now, &q)
+		if !ok {
+			t.Fatal("no place although one upstream is idle")
+		}
+		if c.Upstream.ID == "old" {
+			refused++
+			b.Misdirected(now, "old")
+		}
+	}
+	if refused != 1 {
+		t.Errorf("%d of 50 requests went to an upstream that is gone", refused)
+	}
+	q := query("later")
+	if c, _ := b.Pick(at(5*time.Second), &q); c.Upstream.ID != "old" {
+		t.Error("it is never tried again, though a list that is right may name it")
+	}
+}
+
 func TestLeavingUpstreamIsNotUsable(t *testing.T) {
 	b := bookOf(up("a", "z1", 8))
 	b.Sent(at(0), "a", Serve)
