--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -161,6 +161,7 @@
 		q.waited += time.Since(now)
 	}
 	if d.Refused != "" {
+		q.refused = &d
 		kind := errkind.Overloaded
 		if d.Refused == place.NoUpstream {
 			kind = errkind.NoUpstream
--- a/internal/process/entry/record.go
+++ b/internal/process/entry/record.go
@@ -21,11 +21,12 @@
 
 	mu       sync.Mutex
 	counters map[string]tally.Counter
+	refusals map[string]tally.Counter
 	latency  map[string]tally.Histogram
 }
 
 func newMeters(scope tally.Scope) *meters {
-	return &meters{scope: scope, counters: make(map[string]tally.Counter), latency: make(map[string]tally.Histogram)}
+	return &meters{scope: scope, counters: make(map[string]tally.Counter), refusals: make(map[string]tally.Counter), latency: make(map[string]tally.Histogram)}
 }
 
 // request counts the end of a request.
@@ -50,6 +51,19 @@
 	h.RecordDuration(first)
 }
 
+// refusal counts a place that was refused, by its work and reason.
+func (m *meters) refusal(route string, d *place.Decision) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := route + "\x00" + string(d.Grounds.Work) + "\x00" + string(d.Refused)
+	c, ok := m.refusals[key]
+	if !ok {
+		c = m.scope.Tagged(map[string]string{"route": route, "work": string(d.Grounds.Work), "reason": string(d.Refused)}).Counter("places_refused")
+		m.refusals[key] = c
+	}
+	c.Inc(1)
+}
+
 // otherLinesPerSecond bounds the lines of requests that are no plain successes: more
 // than an instance was seen to write at three times the usual load (425).
 const otherLinesPerSecond = 500
@@ -145,6 +159,9 @@
 	}
 	took := now.Sub(q.arrived)
 	q.e.meters.request(route, outcome, q.first)
+	if q.refused != nil {
+		q.e.meters.refusal(route, q.refused)
+	}
 	if !q.e.log.admit(now, outcome, final == nil && q.sends == 1) {
 		return
 	}
@@ -154,9 +171,18 @@
 	if final != nil {
 		kv = append(kv, "why", final.Error(), "retry_after_ms", final.RetryAfter.Milliseconds())
 	}
+	if q.refused != nil {
+		kv = append(kv, refusalFields(&q.refused.Grounds)...)
+	}
 	logline.Info("request", kv...)
 }
 
+// refusalFields tells what the refusal of a place was decided by.
+func refusalFields(g *place.Grounds) []any {
+	return []any{"no_place_for", g.Work, "eligible", g.Eligible, "ahead", g.Ahead, "wait_expected_ms", g.Wait.Milliseconds(),
+		"bound", g.Bound, "oldest_report_ms", g.Oldest.Milliseconds()}
+}
+
 // logFailedSend writes the decision after a failed send.
 func (q *request) logFailedSend(choice place.Choice, out outcome, action retry.Action) {
 	logline.Info("send failed", "request", q.declared.ID, "upstream", choice.Upstream.ID, "run", out.run,
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -38,7 +38,8 @@
 	spent    time.Duration // by the caller before this request, as far as known
 	until    time.Time     // when the caller or the operator stops waiting; zero: never
 
-	upstream    string // last one sent to
+	refused     *place.Decision // the last refusal of a place; nil: none
+	upstream    string          // last one sent to
 	sends       int
 	ranSends    int // sends that were not provably without effect
 	excluded    []string
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -382,6 +382,26 @@
 	return n
 }
 
+// grounds gives what a refusal is decided by.
+func (b *Book) grounds(now time.Time, q *Query, ahead int, wait time.Duration) Grounds {
+	g := Grounds{Work: q.Work, Ahead: ahead, Wait: wait}
+	if q.Work.reads() {
+		g.Bound = b.limiter(q.Service, q.Work).bound
+	}
+	for _, l := range b.services[q.Service] {
+		if !l.serves(now, q) {
+			continue
+		}
+		g.Eligible++
+		if age := l.age(now); age < 0 || g.Oldest < 0 {
+			g.Oldest = -1
+		} else {
+			g.Oldest = max(g.Oldest, age)
+		}
+	}
+	return g
+}
+
 // serves applies the filters of a pick.
 func (l *load) serves(now time.Time, q *Query) bool {
 	if l.health.silent(now) || !canDo(l.up.Role, q.Work.role()) {
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -27,6 +27,25 @@
 	Choice     Choice
 	Refused    Why // empty: placed
 	RetryAfter time.Duration
+	Grounds    Grounds // of a refusal
+}
+
+// Grounds is what a refusal was decided by.
+type Grounds struct {
+	Work     Work
+	Eligible int           // upstreams that could do the work, whatever their load
+	Ahead    int           // requests that wait before this one
+	Wait     time.Duration // estimated, for a place; 0: not known
+	Bound    float64       // learned bound of prompts under way in this process; 0: none holds for the work
+	Oldest   time.Duration // age of the oldest report or word of the eligible upstreams; negative: nothing is known of one
+}
+
+// refuse makes a refusal.
+func (r *Queue) refuse(now time.Time, q *Query, why Why) Decision {
+	return Decision{
+		ID: q.ID, Refused: why, RetryAfter: r.retryAfter(now, q.queue()),
+		Grounds: r.book.grounds(now, q, r.ahead(q), r.wait(now, q)),
+	}
 }
 
 // waiting is a request in the queue.
@@ -54,7 +73,7 @@
 // Arrive decides on a request at once, or lets it wait (decided is false).
 func (r *Queue) Arrive(now time.Time, q Query) (d Decision, decided bool) {
 	if r.book.Eligible(now, &q) == 0 {
-		return Decision{ID: q.ID, Refused: NoUpstream, RetryAfter: r.retryAfter(now, q.queue())}, true
+		return r.refuse(now, &q, NoUpstream), true
 	}
 	if !r.anyBefore(&q) {
 		if choice, ok := r.place(now, &q); ok {
@@ -62,10 +81,10 @@
 		}
 	}
 	if r.count >= maxWaiting {
-		return Decision{ID: q.ID, Refused: Overtaken, RetryAfter: r.retryAfter(now, q.queue())}, true
+		return r.refuse(now, &q, Overtaken), true
 	}
 	if !q.StartBy.After(now.Add(r.wait(now, &q))) {
-		return Decision{ID: q.ID, Refused: NoPlace, RetryAfter: r.retryAfter(now, q.queue())}, true
+		return r.refuse(now, &q, NoPlace), true
 	}
 	r.insert(q)
 	return Decision{}, false
@@ -77,21 +96,26 @@
 	return len(list) > 0 && list[0].q.rank(q) <= 0
 }
 
-// wait estimates how long a request would wait: until those before it have started,
-// at the rate of recent starts. Zero if that rate isn't known.
-func (r *Queue) wait(now time.Time, q *Query) time.Duration {
-	ahead := 0
+// ahead counts the requests that wait before q.
+func (r *Queue) ahead(q *Query) int {
+	n := 0
 	for _, w := range r.queues[q.queue()] {
 		if w.q.rank(q) > 0 {
 			break
 		}
-		ahead++
+		n++
 	}
+	return n
+}
+
+// wait estimates how long a request would wait: until those before it have started,
+// at the rate of recent starts. Zero if that rate isn't known.
+func (r *Queue) wait(now time.Time, q *Query) time.Duration {
 	perSecond := r.rate(q.queue()).perSecond(now)
 	if perSecond < minKnownRate {
 		return 0
 	}
-	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
+	return time.Duration(float64(r.ahead(q)+1) / perSecond * float64(time.Second))
 }
 
 // minKnownRate in starts a second: below it a few requests more or less change the
@@ -157,7 +181,7 @@
 // doesn't block others.
 func (r *Queue) decide(now time.Time, q *Query, blocked *bool) (Decision, bool) {
 	if !q.StartBy.After(now) {
-		return Decision{ID: q.ID, Refused: NoPlace, RetryAfter: r.retryAfter(now, q.queue())}, true
+		return r.refuse(now, q, NoPlace), true
 	}
 	if *blocked {
 		return Decision{}, false
@@ -166,7 +190,7 @@
 		return Decision{ID: q.ID, Choice: choice}, true
 	}
 	if r.book.Eligible(now, q) == 0 {
-		return Decision{ID: q.ID, Refused: NoUpstream, RetryAfter: r.retryAfter(now, q.queue())}, true
+		return r.refuse(now, q, NoUpstream), true
 	}
 	*blocked = len(q.Excluded) == 0
 	return Decision{}, false
--- a/internal/request/place/surge_test.go
+++ b/internal/request/place/surge_test.go
@@ -329,3 +329,25 @@
 		t.Errorf("%v requests, want the three told: the report is older", got)
 	}
 }
+
+// TestRefusalsTellWhatDecidedThem fills a queue and the engine before it.
+func TestRefusalsTellWhatDecidedThem(t *testing.T) {
+	b := bookOf(reader("p1", "z1"))
+	readAlone(b, "p1", 10*time.Microsecond)
+	r := NewQueue(b)
+	var last Decision
+	for i := range 20 {
+		q := query(fmt.Sprint("r", i))
+		q.Work, q.Objective, q.Prompt.Own, q.StartBy = Prefill, 100*time.Millisecond, 3000, at(40*time.Millisecond)
+		if d, decided := r.Arrive(at(0), q); decided {
+			last = d
+		}
+	}
+	for _, d := range r.Tick(at(50 * time.Millisecond)) {
+		last = d
+	}
+	g := last.Grounds
+	if last.Refused != NoPlace || g.Work != Prefill || g.Eligible != 1 || g.Bound < leastBound || g.Oldest >= 0 {
+		t.Errorf("%+v, want the work, the engines weighed, the bound and that nothing was reported", last)
+	}
+}
