--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -1,39 +1,12 @@
 package place
 
 import (
-	"math"
 	"slices"
 	"time"
 
-	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
-	"github.com/ragworttrestle/ragworttrestle/internal/decay"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 )
 
-// othersHalfLife is how fast a reported load of other processes is forgotten in
-// favour of the mean of all such reports. Requests take tens to hundreds of ms, so
-// an older report says little of one upstream; the mean still tells how full the
-// service is, also to a process that hears of each upstream only now and then.
-const othersHalfLife = 400 * time.Millisecond
-
-// load is what is believed of one upstream.
-type load struct {
-	up         fleet.Upstream
-	own        int       // requests of this process under way
-	reserved   int       // requests of this process that will decode there soon
-	ownTokens  int       // of prompts that this process has read there and that aren't read yet
-	told       InFlight  // what other instances told that they have under way there
-	others     float64   // requests of others that were not told, by the last report
-	reportedAt time.Time // zero: never
-	mean       *mean     // of the upstream's group
-	mostTold   *bool     // see Book.MostTold
-	health     health
-	cached     partCache
-	pace       pace
-	needs      []time.Duration // between events, of this process's long answers there
-	slow       slowness
-}
-
 // Book keeps the load of every upstream. It is not safe for concurrent use.
 type Book struct {
 	services    map[string][]*load
@@ -56,13 +29,7 @@
 
 // mean gives the mean of an upstream's group.
 func (b *Book) mean(l *load) *mean {
-	g := group{l.up.Service, l.up.Role}
-	m, ok := b.means[g]
-	if !ok {
-		m = &mean{}
-		b.means[g] = m
-	}
-	return m
+	return entryOf(b.means, group{l.up.Service, l.up.Role}, newZero[mean])
 }
 
 // NewBook makes an empty book.
@@ -80,13 +47,7 @@
 
 // model gives how long engines like one take to read prompts.
 func (b *Book) model(l *load) *readingModel {
-	g := group{l.up.Service, l.up.Role}
-	m, ok := b.models[g]
-	if !ok {
-		m = &readingModel{}
-		b.models[g] = m
-	}
-	return m
+	return entryOf(b.models, group{l.up.Service, l.up.Role}, newZero[readingModel])
 }
 
 // SetUpstreams replaces the upstreams that may get new work. What is under way at
@@ -141,25 +102,14 @@
 
 // limiter gives the bound of what this process has under way of one kind of work.
 func (b *Book) limiter(service string, work Work) *limiter {
-	t := task{service, work}
-	l, ok := b.limiters[t]
-	if !ok {
-		l = newLimiter()
-		b.limiters[t] = l
-	}
-	return l
+	return entryOf(b.limiters, task{service, work}, newLimiter)
 }
 
 // Asked counts a request with a long prompt, whatever becomes of it.
 func (b *Book) Asked(now time.Time, service string) { b.asked(service).add(now) }
 
 func (b *Book) asked(service string) *eventRate {
-	r, ok := b.prompts[service]
-	if !ok {
-		r = &eventRate{}
-		b.prompts[service] = r
-	}
-	return r
+	return entryOf(b.prompts, service, newZero[eventRate])
 }
 
 // Misdirected notes that an upstream's address answered that it is not that upstream, or
@@ -337,29 +287,6 @@
 	}
 }
 
-// total estimates the requests at an upstream.
-func (l *load) total(now time.Time) float64 {
-	known := float64(l.own+l.told.Requests) + ReservedShare*float64(l.reserved+l.told.Reserved)
-	return known + l.untold(now)
-}
-
-// untold estimates the requests there of instances that don't tell theirs.
-func (l *load) untold(now time.Time) float64 {
-	if *l.mostTold {
-		return 0
-	}
-	others := l.mean.guess(now)
-	if !l.reportedAt.IsZero() {
-		others += (l.others - others) * decay.Factor(now.Sub(l.reportedAt), othersHalfLife)
-	}
-	return max(others, 0)
-}
-
-// ReservedShare is what a request whose prompt is being read elsewhere counts at the
-// engine that will decode it: a short answer takes about as long as its prompt and the
-// wait for it together, and a few too many wait at the engine only for some ms.
-const ReservedShare = 0.3
-
 // Loads gives the requests believed at each upstream, by id.
 func (b *Book) Loads(now time.Time) map[string]float64 {
 	out := make(map[string]float64, len(b.byID))
@@ -368,106 +295,3 @@
 	}
 	return out
 }
-
-func (l *load) slots() float64 { return max(float64(l.up.Slots), 1) }
-
-// Eligible counts the upstreams that could serve the request, whatever their load.
-func (b *Book) Eligible(now time.Time, q *Query) int {
-	n := 0
-	for _, l := range b.services[q.Service] {
-		if l.serves(now, q) {
-			n++
-		}
-	}
-	return n
-}
-
-// grounds gives what a refusal is decided by.
-func (b *Book) grounds(now time.Time, q *Query, ahead int, wait time.Duration) Grounds {
-	g := Grounds{Work: q.Work, Ahead: ahead, Wait: wait}
-	if q.Work.reads() {
-		g.Bound = b.limiter(q.Service, q.Work).bound
-	}
-	for _, l := range b.services[q.Service] {
-		if !l.serves(now, q) {
-			continue
-		}
-		g.Eligible++
-		if age := l.age(now); age < 0 || g.Oldest < 0 {
-			g.Oldest = -1
-		} else {
-			g.Oldest = max(g.Oldest, age)
-		}
-	}
-	return g
-}
-
-// serves applies the filters of a pick.
-func (l *load) serves(now time.Time, q *Query) bool {
-	if l.health.silent(now) || !canDo(l.up.Role, q.Work.role()) {
-		return false
-	}
-	for _, id := range q.Excluded {
-		if id == l.up.ID {
-			return false
-		}
-	}
-	return true
-}
-
-// canDo reports whether an engine of a role does the work of another.
-func canDo(has, wants upstream.Role) bool {
-	return wants == "" || has == "" || has == wants || has == upstream.RoleBoth
-}
-
-// Pick chooses the upstream with the least cost. ok is false if none is eligible
-// or all eligible ones are full.
-func (b *Book) Pick(now time.Time, q *Query) (choice Choice, ok bool) {
-	if q.Work.reads() && b.limiter(q.Service, q.Work).full() {
-		return Choice{}, false
-	}
-	best, bestCost := (*load)(nil), math.Inf(1)
-	list := b.services[q.Service]
-	v := b.view(now, q)
-	least := leastFailing(now, list)
-	for _, l := range list {
-		if !l.serves(now, q) || v.full(l) {
-			continue
-		}
-		c := v.cost(l) + failCost*(l.health.failing(now)-least)
-		if c < bestCost {
-			best, bestCost = l, c
-		}
-	}
-	if best == nil {
-		return Choice{}, false
-	}
-	choice = Choice{Upstream: best.up, Work: q.Work, Load: best.total(now), Age: best.age(now), Cost: bestCost}
-	if q.Work.reads() {
-		choice.Tokens = v.toRead(best)
-		choice.Alone = best.backlog() == 0 && best.total(now) < idleLoad
-		if source := v.sourceFor(best); source != nil {
-			choice.CopyFrom = source.up.Address
-		}
-	}
-	return choice, true
-}
-
-// idleLoad in requests: an upstream with less is taken to have none.
-const idleLoad = 0.5
-
-func (l *load) age(now time.Time) time.Duration {
-	if l.reportedAt.IsZero() {
-		return -1
-	}
-	return now.Sub(l.reportedAt)
-}
-
-// leastFailing is the share of failures that is usual for a service.
-func leastFailing(now time.Time, list []*load) float64 {
-	least := 1.0
-	for _, l := range list {
-		least = min(least, l.health.failing(now))
-	}
-	return least
-}
--- /dev/null
+++ b/internal/request/place/pick.go
@@ -0,0 +1,102 @@
+package place
+
+import (
+	"math"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+)
+
+// Eligible counts the upstreams that could serve the request, whatever their load.
+func (b *Book) Eligible(now time.Time, q *Query) int {
+	n := 0
+	for _, l := range b.services[q.Service] {
+		if l.serves(now, q) {
+			n++
+		}
+	}
+	return n
+}
+
+// grounds gives what a refusal is decided by.
+func (b *Book) grounds(now time.Time, q *Query, ahead int, wait time.Duration) Grounds {
+	g := Grounds{Work: q.Work, Ahead: ahead, Wait: wait}
+	if q.Work.reads() {
+		g.Bound = b.limiter(q.Service, q.Work).bound
+	}
+	for _, l := range b.services[q.Service] {
+		if !l.serves(now, q) {
+			continue
+		}
+		g.Eligible++
+		if age := l.age(now); age < 0 || g.Oldest < 0 {
+			g.Oldest = -1
+		} else {
+			g.Oldest = max(g.Oldest, age)
+		}
+	}
+	return g
+}
+
+// serves applies the filters of a pick.
+func (l *load) serves(now time.Time, q *Query) bool {
+	if l.health.silent(now) || !canDo(l.up.Role, q.Work.role()) {
+		return false
+	}
+	for _, id := range q.Excluded {
+		if id == l.up.ID {
+			return false
+		}
+	}
+	return true
+}
+
+// canDo reports whether an engine of a role does the work of another.
+func canDo(has, wants upstream.Role) bool {
+	return wants == "" || has == "" || has == wants || has == upstream.RoleBoth
+}
+
+// Pick chooses the upstream with the least cost. ok is false if none is eligible
+// or all eligible ones are full.
+func (b *Book) Pick(now time.Time, q *Query) (choice Choice, ok bool) {
+	if q.Work.reads() && b.limiter(q.Service, q.Work).full() {
+		return Choice{}, false
+	}
+	best, bestCost := (*load)(nil), math.Inf(1)
+	list := b.services[q.Service]
+	v := b.view(now, q)
+	least := leastFailing(now, list)
+	for _, l := range list {
+		if !l.serves(now, q) || v.full(l) {
+			continue
+		}
+		c := v.cost(l) + failCost*(l.health.failing(now)-least)
+		if c < bestCost {
+			best, bestCost = l, c
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	choice = Choice{Upstream: best.up, Work: q.Work, Load: best.total(now), Age: best.age(now), Cost: bestCost}
+	if q.Work.reads() {
+		choice.Tokens = v.toRead(best)
+		choice.Alone = best.backlog() == 0 && best.total(now) < idleLoad
+		if source := v.sourceFor(best); source != nil {
+			choice.CopyFrom = source.up.Address
+		}
+	}
+	return choice, true
+}
+
+// idleLoad in requests: an upstream with less is taken to have none.
+const idleLoad = 0.5
+
+// leastFailing is the share of failures that is usual for a service.
+func leastFailing(now time.Time, list []*load) float64 {
+	least := 1.0
+	for _, l := range list {
+		least = min(least, l.health.failing(now))
+	}
+	return least
+}
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -217,12 +217,7 @@
 }
 
 func (r *Queue) rate(queue string) *eventRate {
-	s, ok := r.starts[queue]
-	if !ok {
-		s = &eventRate{}
-		r.starts[queue] = s
-	}
-	return s
+	return entryOf(r.starts, queue, newZero[eventRate])
 }
 
 // Bounds of a suggested return. Less than the least one brings a client back
