An instance whose socket for others can't be opened serves all the same; bound the last call of a stop

A port in use would have ended the process for a matter of advice. The call that takes a stopping instance off the list had a second of a grace that is nearly over by then; it has 300 ms. Comments on what copies cost.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -186,11 +186,7 @@
 	e.loop(func() { e.probeStore(work) })
 	e.loop(func() { e.tickLoop(work) })
 	if s.Listen.Peers != "" {
-		var err error
-		if e.shared, err = newSharing(e); err != nil {
-			return err
-		}
-		e.loop(func() { e.shared.run(work) })
+		e.startSharing(work)
 	}
 	authority, giveUp := context.WithCancel(work)
 	defer giveUp()
--- a/internal/process/entry/sharing.go
+++ b/internal/process/entry/sharing.go
@@ -25,6 +25,8 @@
 	listEvery = 20 * time.Second
 	// listAgain is the pause after a list that failed.
 	listAgain = 2 * time.Second
+	// removeTimeout bounds the last call of a stopping process, whose grace is nearly over.
+	removeTimeout = 300 * time.Millisecond
 )
 
 // sharing tells other instances what this one has under way at upstreams, by
@@ -38,6 +40,18 @@
 	core *peers.Core
 }
 
+// startSharing shares until ctx ends. Without a socket the process serves all the same,
+// by what upstreams report.
+func (e *Entry) startSharing(ctx context.Context) {
+	shared, err := newSharing(e)
+	if err != nil {
+		logline.Error(err, "nothing is shared with other instances")
+		return
+	}
+	e.shared = shared
+	e.loop(func() { shared.run(ctx) })
+}
+
 // newSharing opens the socket.
 func newSharing(e *Entry) (*sharing, error) {
 	s := e.cfg.Settings
@@ -62,7 +76,7 @@
 		s.tell(time.Now())
 	}
 	s.conn.Close()
-	end, cancel := context.WithTimeout(context.Background(), time.Second)
+	end, cancel := context.WithTimeout(context.Background(), removeTimeout)
 	defer cancel()
 	s.remove(end, s.self.Name)
 }
--- a/internal/request/place/cost.go
+++ b/internal/request/place/cost.go
@@ -34,7 +34,8 @@
 	// of its service that fails least: some kinds of request fail everywhere.
 	failCost = 4.0
 	// copyShare is what copying a token's KV cache from another engine costs as a part of
-	// reading the token: links move it in a tenth of that time, twice that between zones.
+	// reading the token. Links move it in a tenth of that time, but the copy takes room from
+	// what the engine keeps for others, which is then read again.
 	copyShare = 0.5
 	// behindOthersShare is the part of a request's objective for which its prompt should
 	// wait at most behind others at the engine that reads it; the rest is for a place, the
@@ -105,6 +106,7 @@
 		c += slowCost * l.pace.current(v.now).Seconds() / v.q.Gap.Seconds()
 	}
 	if v.q.Objective > 0 && l.up.Role != "" {
+		// Prompts that the engine reads itself hold up the answers that begin there.
 		c += v.wait(l).Seconds() / v.q.Objective.Seconds()
 	}
 	if l.up.Zone != v.q.Zone {
@@ -181,16 +183,13 @@
 // beyond its latest start, or for more of its objective than they should.
 func (v *view) startsTooLate(l *load) bool {
 	wait := v.wait(l)
-	return v.now.Add(wait).After(v.q.StartBy) || (v.q.Objective > 0 && wait > v.behindOthers())
+	return v.now.Add(wait).After(v.q.StartBy) || (v.q.Objective > 0 && wait > v.q.BehindOthers())
 }
 
-// behindOthers is how long the prompt may wait behind others.
-func (v *view) behindOthers() time.Duration { return v.q.BehindOthers() }
-
 // delays reports whether reading the prompt at a decoding engine would hold up the
 // answers that begin there meanwhile.
 func (v *view) delays(l *load) bool {
-	return v.q.Objective > 0 && v.wait(l)+v.reading(l) > v.behindOthers()
+	return v.q.Objective > 0 && v.wait(l)+v.reading(l) > v.q.BehindOthers()
 }
 
 // strainedShare is the part of the pace that a long answer needs at which its engine
