Far instances tell what was read, not what is under way

What an instance far away had under way at the moment of its message was counted for half a second, and prompts were refused for work that had long ended.

Change: messages to those far hold no rows; the bound on a prompt's wait at an engine holds where most others tell each change, elsewhere the learned bound does.

Left: rows to those far where requests outlast the pause.

--- a/internal/process/entry/sharing.go
+++ b/internal/process/entry/sharing.go
@@ -163,7 +163,7 @@
 func (s *sharing) tell(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	work, reads := s.e.state.share(s.core.MostHeard(now))
+	work, reads := s.e.state.share(s.core.MostHeard(now), s.core.MostNear(now))
 	s.core.Note(reads)
 	for _, out := range s.core.Next(now, work, s.e.demand.perSecond(now)) {
 		s.send(out.Message, out.To)
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -265,12 +265,12 @@
 }
 
 // share gives what other instances are told: what this process has under way, by
-// upstream, and the prompts read since the last call. mostTold: every other instance
-// tells the same of itself.
-func (s *state) share(mostTold bool) (map[place.UpstreamKey]place.InFlight, []place.PartsRead) {
+// upstream, and the prompts read since the last call. heard: most of the others tell what
+// they had read; near: most tell each change of what they have under way.
+func (s *state) share(heard, near bool) (map[place.UpstreamKey]place.InFlight, []place.PartsRead) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.book.MostTold(mostTold)
+	s.book.MostTold(heard, near)
 	return s.book.Own(), s.book.TakeReads()
 }
 
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -52,6 +52,7 @@
 	sequence uint64
 	nextRead uint64 // number of the first read that is news
 	demand   []Ask
+	near     bool // it tells this one of each change
 }
 
 // Core is the state. It is not safe for concurrent use.
@@ -64,8 +65,11 @@
 	far      channel
 }
 
-// channel is what was told, and is to be told, to one group of instances.
+// channel is what was told, and is to be told, to one group of instances. Those far are
+// told what was read and what is asked for, but not what is under way: most of it has
+// ended before the next message.
 type channel struct {
+	near         bool
 	gap          time.Duration // for each recipient
 	sentAt       time.Time
 	introducedAt time.Time
@@ -89,7 +93,7 @@
 func New(self Peer, life uint64) *Core {
 	return &Core{
 		self: self, known: make(map[string]*known), sequence: life, nextRead: life,
-		near: channel{gap: nearGap}, far: channel{gap: farGap},
+		near: channel{near: true, gap: nearGap}, far: channel{gap: farGap},
 	}
 }
 
@@ -144,7 +148,7 @@
 	if !ok || m.Sequence <= k.sequence {
 		return false, nil
 	}
-	k.sequence, k.heardAt = m.Sequence, now
+	k.sequence, k.heardAt, k.near = m.Sequence, now, m.Near
 	if m.Sender != nil {
 		k.demand = m.Demand
 	}
@@ -195,7 +199,10 @@
 	}
 	ch.sentAt, ch.told = now, work
 	c.sequence++
-	m := &Message{Sequence: c.sequence, Rows: rowsOf(work)}
+	m := &Message{Sequence: c.sequence, Near: ch.near}
+	if ch.near {
+		m.Rows = rowsOf(work)
+	}
 	m.FirstRead, m.Reads = ch.takeReads(c.nextRead)
 	if now.Sub(ch.introducedAt) >= introduceEvery {
 		ch.introducedAt = now
@@ -290,19 +297,36 @@
 	return out
 }
 
-// MostHeard reports whether most of the other instances tell what they do. One that
+// MostHeard reports whether most of the other instances are heard. One that
 // is silent has crashed or is cut off: in both cases it sends little to upstreams
 // that this instance reaches.
 func (c *Core) MostHeard(now time.Time) bool {
-	heard, silent := 0, 0
+	heard, all := c.count(now)
+	return 2*heard > all
+}
+
+// MostNear reports whether most of the other instances tell this one of each change.
+func (c *Core) MostNear(now time.Time) bool {
+	near := 0
 	for _, k := range c.known {
-		switch {
-		case k.gone(now):
-		case now.Sub(k.heardAt) >= fresh:
-			silent++
-		default:
+		if k.near && now.Sub(k.heardAt) < fresh {
+			near++
+		}
+	}
+	_, all := c.count(now)
+	return 2*near > all
+}
+
+// count gives how many of the other instances are heard, and how many there are.
+func (c *Core) count(now time.Time) (heard, all int) {
+	for _, k := range c.known {
+		if k.gone(now) {
+			continue
+		}
+		all++
+		if now.Sub(k.heardAt) < fresh {
 			heard++
 		}
 	}
-	return heard > silent
+	return heard, all
 }
--- a/internal/process/peers/core_test.go
+++ b/internal/process/peers/core_test.go
@@ -197,6 +197,31 @@
 	}
 }
 
+// TestFarInstancesAreToldWhatWasReadButNotWhatIsUnderWay: requests of some ten ms have
+// ended before the next message to those far, and would be counted for half a second.
+func TestFarInstancesAreToldWhatWasReadButNotWhatIsUnderWay(t *testing.T) {
+	c := New(peer(0, "z0"), 1)
+	var all []Peer
+	for i := 1; i < 40; i++ {
+		all = append(all, peer(i, fmt.Sprint("z", i%2)))
+	}
+	c.Listed(at(0), all)
+	c.Note([]place.PartsRead{{Upstream: 1, Written: 7}})
+	out := c.Next(at(time.Second), work(3), nil)
+	if len(out) != 2 {
+		t.Fatalf("%d messages, want one to those near and one to those far", len(out))
+	}
+	near, far := out[0].Message, out[1].Message
+	if !near.Near || len(near.Rows) != 1 || far.Near || len(far.Rows) > 0 || len(far.Reads) != 1 {
+		t.Errorf("near %+v, far %+v", near, far)
+	}
+	receiver := New(all[0], 1)
+	receiver.Heard(at(time.Second), c.self.Address, &far)
+	if receiver.MostNear(at(time.Second)) || !receiver.MostHeard(at(time.Second)) {
+		t.Error("a far instance counts as one that tells what it has under way")
+	}
+}
+
 // TestTheFirstInstanceRemovesThoseThatAreGone: each of the others leaves it to it.
 func TestTheFirstInstanceRemovesThoseThatAreGone(t *testing.T) {
 	for i, want := range map[int]int{0: 1, 1: 0} {
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -19,8 +19,8 @@
 	maxAsks  = 4
 )
 
-// Message is what one instance tells another one, in one datagram. Its rows hold all
-// that the sender has under way, so each message replaces the ones before. Each read
+// Message is what one instance tells another one, in one datagram. To near ones its rows
+// hold all that the sender has under way, so each message replaces the ones before. Each read
 // is told in a few messages, in case that one is lost.
 type Message struct {
 	Sequence  uint64 `cbor:"1,keyasint"` // grows over the lives of an instance; an older message is passed over
@@ -29,6 +29,7 @@
 	FirstRead uint64 `cbor:"4,keyasint,omitempty"` // number of the first of Reads; grows like Sequence
 	Reads     []Read `cbor:"5,keyasint,omitempty"`
 	Demand    []Ask  `cbor:"6,keyasint,omitempty"` // with Sender
+	Near      bool   `cbor:"7,keyasint,omitempty"` // the receiver is told of each change; otherwise there are no rows
 }
 
 // Ask is what the sender's callers ask of a service's engines.
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -18,7 +18,8 @@
 	byKey       map[UpstreamKey]*load
 	tellings    map[string]telling // by instance
 	untoldReads []PartsRead
-	mostTold    bool
+	readsTold   bool // see MostTold
+	workTold    bool
 }
 
 // task is the work of one kind for a service.
@@ -62,7 +63,7 @@
 				l = &load{}
 			}
 			l.up = u
-			l.mean, l.mostTold = b.mean(l), &b.mostTold
+			l.mean, l.workTold = b.mean(l), &b.workTold
 			kept[u.ID] = l
 			b.services[service] = append(b.services[service], l)
 		}
@@ -170,11 +171,11 @@
 	}
 	m := b.model(l)
 	b.limiter(l.up.Service, Prefill).took(took-m.time(c.Tokens), target, b.asked(l.up.Service).perSecond(now))
-	alone := c.Alone && b.mostTold
+	alone := c.Alone && b.workTold
 	if expected := m.time(c.Tokens); alone && expected > 0 {
 		l.slow.add(float64(took) / float64(expected))
 	}
-	if alone || !b.mostTold {
+	if alone || !b.workTold {
 		m.add(c.Tokens, took, alone)
 	}
 	b.noteRead(now, l, p, c.Tokens)
@@ -214,8 +215,8 @@
 	if !ok {
 		return
 	}
-	if c.Alone || !b.mostTold {
-		b.model(l).add(c.Tokens, took, c.Alone && b.mostTold)
+	if c.Alone || !b.workTold {
+		b.model(l).add(c.Tokens, took, c.Alone && b.workTold)
 	}
 	b.limiter(l.up.Service, ReadHere).took(took, target, b.asked(l.up.Service).perSecond(now))
 	b.noteRead(now, l, p, c.Tokens)
--- a/internal/request/place/cost.go
+++ b/internal/request/place/cost.go
@@ -130,7 +130,7 @@
 // not all instances tell what was read for them, the home is taken to keep what nobody
 // is known to: others will have had it read there.
 func (v *view) missing(l *load) int {
-	if l == v.home && !v.b.mostTold {
+	if l == v.home && !v.b.readsTold {
 		return 0
 	}
 	return l.cached.missing(v.now, &v.q.Prompt, v.q.Memory)
@@ -180,10 +180,14 @@
 }
 
 // startsTooLate reports whether the prompts at an engine would keep this one waiting
-// beyond its latest start, or for more of its objective than they should.
+// beyond its latest start, or for more of its objective than they should. The latter is
+// left to the learned bound where it isn't known what others have under way.
 func (v *view) startsTooLate(l *load) bool {
 	wait := v.wait(l)
-	return v.now.Add(wait).After(v.q.StartBy) || (v.q.Objective > 0 && wait > v.q.BehindOthers())
+	if v.now.Add(wait).After(v.q.StartBy) {
+		return true
+	}
+	return v.b.workTold && v.q.Objective > 0 && wait > v.q.BehindOthers()
 }
 
 // delays reports whether reading the prompt at a decoding engine would hold up the
--- a/internal/request/place/load.go
+++ b/internal/request/place/load.go
@@ -23,7 +23,7 @@
 	others     float64   // requests of others that were not told, by the last report
 	reportedAt time.Time // zero: never
 	mean       *mean     // of the upstream's group
-	mostTold   *bool     // see Book.MostTold
+	workTold   *bool     // see Book.MostTold
 	health     health
 	cached     partCache
 	pace       pace
@@ -39,7 +39,7 @@
 
 // untold estimates the requests there of instances that don't tell theirs.
 func (l *load) untold(now time.Time) float64 {
-	if *l.mostTold {
+	if *l.workTold {
 		return 0
 	}
 	others := l.mean.guess(now)
--- a/internal/request/place/surge_test.go
+++ b/internal/request/place/surge_test.go
@@ -111,7 +111,7 @@
 // that read or fetched the same parts before, for this process or for another one.
 func TestPartsAreCopiedFromWhoeverKeepsThem(t *testing.T) {
 	_, _, b := engines()
-	b.MostTold(true)
+	b.MostTold(true, true)
 	for id, l := range b.byID {
 		l.up.Address = id + ":1"
 	}
@@ -157,7 +157,7 @@
 // TestNothingIsCopiedFromASilentEngine: the reader would wait for it.
 func TestNothingIsCopiedFromASilentEngine(t *testing.T) {
 	_, _, b := engines()
-	b.MostTold(true)
+	b.MostTold(true, true)
 	for id, l := range b.byID {
 		l.up.Address = id + ":1"
 	}
@@ -324,7 +324,7 @@
 	if got := b.byID["a"].total(at(0)); got != 10 {
 		t.Errorf("%v requests, want the ten reported", got)
 	}
-	b.MostTold(true)
+	b.MostTold(true, true)
 	if got := b.byID["a"].total(at(0)); got != 3 {
 		t.Errorf("%v requests, want the three told: the report is older", got)
 	}
--- a/internal/request/place/told.go
+++ b/internal/request/place/told.go
@@ -87,9 +87,10 @@
 	}
 }
 
-// MostTold sets whether every other instance tells what it has under way. If so,
-// what upstreams report of others is known already, and newer.
-func (b *Book) MostTold(all bool) { b.mostTold = all }
+// MostTold sets whether most other instances tell which prompts were read for them, and
+// whether most tell each change of what they have under way. If so, what upstreams report
+// of others is known already, and newer.
+func (b *Book) MostTold(reads, work bool) { b.readsTold, b.workTold = reads, work }
 
 // Own gives what this process has under way, by upstream; idle upstreams are left out.
 func (b *Book) Own() map[UpstreamKey]InFlight {
