Of an odd number of engines one more decodes before anything is asked

With five of nine engines prefilling, answers of 11,000 tokens at the other four did not end within 15 s beside the prompts read there. An engine that decodes can read prompts too, one that prefills can't decode.

Change: half of the engines, rounded down, prefill first.

--- a/internal/process/roles/roles.go
+++ b/internal/process/roles/roles.go
@@ -177,7 +177,7 @@
 		return s.share(c.fixedShare), "the operator's share"
 	case !s.demand.known():
 		if s.idle() {
-			return s.share(firstShare), "nothing is asked yet"
+			return s.firstSplit(), "nothing is asked yet"
 		}
 		return s.prefill, "the demand isn't known"
 	}
@@ -194,6 +194,12 @@
 	return best, fmt.Sprintf("utilization of the busier role from %.2f to %.2f", now, then)
 }
 
+// firstSplit is the split before anything is known. Of an odd number one more decodes:
+// it can read prompts too, while one that prefills can't decode.
+func (s *split) firstSplit() int {
+	return min(max(int(firstShare*float64(len(s.engines))), 1), len(s.engines)-1)
+}
+
 // share is a share of the engines, at least one of each role.
 func (s *split) share(share float64) int {
 	n := int(math.Round(share * float64(len(s.engines))))
