A prompt that was read is released when its request ends before it was fetched

The log shows the timer firing some ms late, so that the run had just been sent when the request ended; a send cut like that may have run, and only prompts of sends that certainly did not run were released.

Ruled out: the timing of the test alone; with the cut placed at that step it fails each time, for all three ends.

Change: a request that has ended before its answer began releases its prompt whatever became of the send; an engine that has fetched it answers that it knows no such prompt. The step is a case of the test: three fail before, none after.

--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -109,8 +109,10 @@
 	defer q.e.state.ended(choice)
 	q.readHere = read.kv == nil // the decoding engine reads the prompt, slowly
 	out := q.send(ctx, choice, read.kv, a)
+	if out.run == errkind.NotRun || (ctx.Err() != nil && !q.begun) {
+		read.kv.release(q.e) // nobody will fetch it any more
+	}
 	if read.kv != nil && out.run == errkind.NotRun {
-		read.kv.release(q.e)
 		q.readHere = true // a second prefill would count as a repeat
 	}
 	return choice, out, nil
--- a/internal/process/entry/steps_test.go
+++ b/internal/process/entry/steps_test.go
@@ -27,6 +27,7 @@
 	promptAnswered step = "the prompt's answer begins"
 	promptRead     step = "the prompt was read"
 	runLeaves      step = "the request is sent"
+	runUnderWay    step = "the request is on its way"
 	runAnswered    step = "the answer begins"
 )
 
@@ -80,7 +81,7 @@
 }
 
 // engineServer reads prompts and answers with a short stream.
-func engineServer(t *testing.T, fetched *atomic.Int32) string {
+func engineServer(t *testing.T, fetched *atomic.Int32, underWay func() (cut bool)) string {
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		if r.Header.Get("Prompt-Only") != "" {
@@ -88,6 +89,9 @@
 			_, _ = io.WriteString(w, `{"Handle":"h1","Tokens":4000}`)
 			return
 		}
+		if underWay() {
+			return // its caller has gone before the engine fetched anything
+		}
 		fetched.Add(1)
 		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
@@ -107,7 +111,7 @@
 		"the process ends": func(e *Entry, _ context.CancelFunc) { e.stopHard(); time.Sleep(time.Millisecond) },
 	}
 	for how, end := range ends {
-		for _, at := range []step{promptLeaves, promptAnswered, promptRead, runLeaves, runAnswered} {
+		for _, at := range []step{promptLeaves, promptAnswered, promptRead, runLeaves, runUnderWay, runAnswered} {
 			t.Run(how+" as "+string(at), func(t *testing.T) { endAtStep(t, at, end, how == "its time passes") })
 		}
 	}
@@ -115,8 +119,11 @@
 
 func endAtStep(t *testing.T, at step, end func(*Entry, context.CancelFunc), byTime bool) {
 	var fetched atomic.Int32
-	address := engineServer(t, &fetched)
 	d := &stepDialect{timeout: 30 * time.Second}
+	address := engineServer(t, &fetched, func() bool {
+		d.reached(runUnderWay)
+		return at == runUnderWay
+	})
 	if byTime {
 		d.timeout = 50 * time.Millisecond
 	}
@@ -139,7 +146,7 @@
 		}
 	}()
 	e.loops.Wait()
-	if at == promptRead && engines.released.Load() == 0 && fetched.Load() == 0 {
+	if (at == promptRead || at == runUnderWay) && engines.released.Load() == 0 && fetched.Load() == 0 {
 		t.Error("the prompt that was read is neither fetched nor released")
 	}
 }
