Lines of failed sends and of requests name the content that was asked for

Two attempts at the same work could not be recognised in the logs: each has an id of its own. The content is a hash of method, host, path, query and body; it is computed only for a line that needs it.

--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -93,7 +93,7 @@
 		choice := &found.grant.Choice
 		q.excluded = append(q.excluded, choice.Upstream.Life())
 		logline.Info("prefill failed", "request", q.declared.ID, "upstream", choice.Upstream.ID, "try", try,
-			"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", err)
+			"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", err, "content", q.content())
 		if ctx.Err() != nil || (sent && !q.e.state.mayRepeat(time.Now(), q.service)) {
 			break
 		}
--- a/internal/process/entry/record.go
+++ b/internal/process/entry/record.go
@@ -182,6 +182,9 @@
 	if final != nil {
 		kv = append(kv, "why", final.Error(), "retry_after_ms", final.RetryAfter.Milliseconds())
 	}
+	if q.sends > 1 || (final != nil && q.sends > 0) {
+		kv = append(kv, "content", q.content()) // by which lines of other attempts at the same work are found
+	}
 	if q.refused != nil {
 		kv = append(kv, refusalFields(&q.refused.Grounds)...)
 	}
@@ -197,5 +200,5 @@
 // logFailedSend writes the decision after a failed send.
 func (q *request) logFailedSend(choice *place.Choice, out outcome, action retry.Action) {
 	logline.Info("send failed", "request", q.declared.ID, "upstream", choice.Upstream.ID, "run", out.run,
-		"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", out.err, "then", action, "sends", q.sends)
+		"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", out.err, "then", action, "sends", q.sends, "content", q.content())
 }
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -13,6 +13,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
 
@@ -36,8 +37,9 @@
 	declared exchange.Declared
 	prompt   place.Prompt
 	body     []byte
-	spent    time.Duration // by the caller before this request, as far as known
-	until    time.Time     // when the caller or the operator stops waiting; zero: never
+	named    quarantine.Content // see content; zero: not computed yet
+	spent    time.Duration      // by the caller before this request, as far as known
+	until    time.Time          // when the caller or the operator stops waiting; zero: never
 
 	refused     *place.Decision // the last refusal of a place; nil: none
 	upstream    string          // last one sent to
@@ -79,6 +81,14 @@
 	return q, q.readBody()
 }
 
+// content names the work that the request asks for, the same one for each attempt at it.
+func (q *request) content() quarantine.Content {
+	if q.named == (quarantine.Content{}) {
+		q.named = quarantine.ContentOf(q.r.Method, q.r.Host, q.r.URL.RequestURI(), q.body)
+	}
+	return q.named
+}
+
 // limit is the earlier of the caller's and the operator's time limits.
 func (q *request) limit() time.Time {
 	left := q.route.Timeout
--- /dev/null
+++ b/internal/request/quarantine/content_test.go
@@ -0,0 +1,34 @@
+package quarantine
+
+import "testing"
+
+func TestContentIsTheSameForTheSameWorkOnly(t *testing.T) {
+	one := ContentOf("POST", "h.example", "/a/b?c=d", []byte("body"))
+	if again := ContentOf("POST", "h.example", "/a/b?c=d", []byte("body")); again != one {
+		t.Errorf("%s and %s for the same work", one, again)
+	}
+	for name, other := range map[string]Content{
+		"method":      ContentOf("PUT", "h.example", "/a/b?c=d", []byte("body")),
+		"host":        ContentOf("POST", "i.example", "/a/b?c=d", []byte("body")),
+		"path":        ContentOf("POST", "h.example", "/a/c?c=d", []byte("body")),
+		"query":       ContentOf("POST", "h.example", "/a/b?c=e", []byte("body")),
+		"body":        ContentOf("POST", "h.example", "/a/b?c=d", []byte("bodies")),
+		"parts moved": ContentOf("POST", "h.example/a", "/b?c=d", []byte("body")),
+	} {
+		if other == one {
+			t.Errorf("another %s has the same content", name)
+		}
+	}
+}
+
+func TestContentIsReadAsItWasWritten(t *testing.T) {
+	one := ContentOf("GET", "h.example", "/a", nil)
+	if again, err := ParseContent(one.String()); err != nil || again != one {
+		t.Errorf("%s read as %s (%v)", one, again, err)
+	}
+	for _, s := range []string{"", "zz", one.String()[2:], one.String() + "00"} {
+		if _, err := ParseContent(s); err == nil {
+			t.Errorf("%q is taken for a content", s)
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/quarantine/doc.go
@@ -0,0 +1,2 @@
+// Package quarantine recognises requests that ask the same work.
+package quarantine
