Work under which upstreams crash twice is held by all instances

Cause: an instance knew a request for one attempt only. Work that crashes whatever runs it comes again under a new id and at another instance, and each attempt was sent on like a first one, to a second upstream too where its route allows that.

Change: internal/request/quarantine, a pure core, remembers crashes by the content of the work: a send that broke off, at an upstream whose port then refuses connections or whose entry goes. Instances tell each other of crashes by way of those that give places. Work with two crashes, each of a send of its own and no whole answer in between, is refused everywhere (new kind quarantined, 503, not run) for ten minutes, four times longer each time it is found again; the platform keeps the hold, for instances that start later or hear no others. An operator ends one by removing its object.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -26,6 +26,7 @@
 	ClaimUnavailable    Kind = "claim_unavailable"    // the claim could not be recorded; the platform is out
 	ConfigUnavailable   Kind = "config_unavailable"   // no configuration has been received yet
 	UpstreamRefused     Kind = "upstream_refused"     // the upstream refused before running
+	Quarantined         Kind = "quarantined"          // upstreams crashed under this work; it is held
 	UpstreamFailed      Kind = "upstream_failed"      // the upstream failed in the middle
 	AnswerIncomplete    Kind = "answer_incomplete"    // the stream ended without its whole answer
 	AnswerGone          Kind = "answer_gone"          // the run finished but its answer is no longer kept
@@ -94,6 +95,7 @@
 	ClaimUnavailable:    {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "The idempotency claim cannot be recorded while the platform is out."},
 	ConfigUnavailable:   {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "This instance has no configuration yet."},
 	UpstreamRefused:     {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "The upstream refused the request before running it."},
+	Quarantined:         {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "Upstreams crashed under the same work; it isn't sent to any for a while."},
 	UpstreamFailed:      {http.StatusBadGateway, typeServer, true, ExitUnavailable, "The upstream failed while the request ran."},
 	AnswerIncomplete:    {http.StatusBadGateway, typeServer, true, ExitUnavailable, "The answer broke off and could not be completed."},
 	AnswerGone:          {http.StatusGone, typeServer, false, ExitUnavailable, "The request ran; its answer is no longer kept."},
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -69,6 +69,8 @@
 	queueIDs atomic.Uint64 // given to requests so far
 	stage    atomic.Int32
 	running  daemon.Activity
+	work     context.Context // ends when requests have, with what goes on beside them
+	stopWork context.CancelFunc
 	hardStop context.Context // ends when a planned stop reaches its bound
 	stopHard context.CancelFunc
 	loops    sync.WaitGroup
@@ -92,6 +94,7 @@
 	e.live.Store(&liveSettings{bounds: cfg.Settings.Bounds, roles: cfg.Settings.Roles})
 	e.exporter = metrics.New("ragwort_entry", map[string]string{"zone": cfg.Settings.Instance.Zone})
 	e.meters = newMeters(e.exporter.Scope())
+	e.work, e.stopWork = context.WithCancel(context.Background())
 	e.hardStop, e.stopHard = context.WithCancel(context.Background())
 	e.callers = e.server(e.callerHandler())
 	e.ready = e.server(e.readyHandler())
@@ -165,8 +168,8 @@
 func (e *Entry) Run(ctx context.Context) error {
 	s := e.cfg.Settings
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
-	work, stopWork := context.WithCancel(context.Background())
-	defer stopWork()
+	work := e.work
+	defer e.stopWork()
 	failed := make(chan error, 3)
 	for _, p := range []struct {
 		address string
@@ -184,6 +187,8 @@
 	e.loop(func() { e.followUpstreams(work) })
 	e.loop(func() { e.followConfig(work) })
 	e.loop(func() { e.probeStore(work) })
+	e.loop(func() { e.followHolds(work) })
+	e.loop(func() { e.cleanHolds(work) })
 	e.loop(func() { e.tickLoop(work) })
 	if s.Listen.Peers != "" {
 		e.startSharing(work)
@@ -201,7 +206,7 @@
 	}
 	giveUp() // others may give orders while requests still run here
 	e.stop()
-	stopWork()
+	e.stopWork()
 	e.loops.Wait()
 	e.client.Close()
 	logline.Info("entry stopped")
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -44,6 +44,9 @@
 	q.e.state.firstSend(q.arrived, q.service)
 	a := &answer{q: q}
 	for {
+		if refusal := q.quarantined(); refusal != nil {
+			return q.refusedPlace(refusal, a)
+		}
 		found, refusal := q.placed(ctx, q.firstQuery())
 		if refusal != nil {
 			return q.refusedPlace(refusal, a)
@@ -205,6 +208,10 @@
 		e.happened(at, place.Event{Kind: place.GivenUp})
 		return outcome{run: errkind.NotRun, err: errLeaving}
 	}
+	if _, held := q.held(); held {
+		e.happened(at, place.Event{Kind: place.GivenUp})
+		return outcome{run: errkind.NotRun, err: errHeld}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // ends what an upstream still does for an answer that was given up
 	q.upstream = u.ID
@@ -217,7 +224,7 @@
 	q.sentAt, q.fetching = begun, kv != nil
 	resp, err := q.e.client.Forward(ctx, q.call(u, q.sendHeaders(&at.grant.Choice, kv, a)))
 	if err != nil {
-		out := q.sendFailed(ctx, at, err)
+		out := q.sendFailed(ctx, at, begun, err)
 		if out.sent {
 			q.ranSends++
 		}
@@ -235,6 +242,12 @@
 		q.e.demand.decoded(q.route.Name, time.Since(begun)+time.Duration(place.ReservedShare*float64(q.reservedFor)))
 	}
 	q.judge(ctx, at, out.answered, told)
+	switch {
+	case out.answered:
+		q.wasWhole()
+	case cutShort(ctx, out.err):
+		q.brokeOff(u, begun)
+	}
 	return out
 }
 
@@ -281,7 +294,7 @@
 }
 
 // sendFailed judges a send without an answer.
-func (q *request) sendFailed(ctx context.Context, at *held, err error) outcome {
+func (q *request) sendFailed(ctx context.Context, at *held, begun time.Time, err error) outcome {
 	out := outcome{run: errkind.RunUnknown, err: err, sent: true}
 	if errors.Is(err, upstream.ErrNotRun) {
 		out.run, out.sent = errkind.NotRun, false
@@ -291,6 +304,13 @@
 		e.Kind = place.GivenUp
 	}
 	q.e.happened(at, e)
+	switch {
+	case ctx.Err() != nil:
+	case out.sent:
+		q.brokeOff(at.upstream(), begun)
+	case refusedConnection(err):
+		q.e.upstreamEnded(at.upstream().Life())
+	}
 	return out
 }
 
@@ -315,6 +335,9 @@
 		TimeLeft:   true, // the context ends with the time
 		Elsewhere:  q.ranSends < q.route.MaxAttempts && q.sends < q.route.MaxAttempts+refusalsAllowed,
 	}
+	if _, held := q.held(); held {
+		f.Elsewhere = false
+	}
 	if q.begun {
 		f.TokensGiven = 1
 	}
@@ -338,6 +361,9 @@
 	case q.begun:
 		return errkind.Wrap(out.err, errkind.AnswerIncomplete, errkind.Ran, "the answer broke off")
 	case q.run == errkind.NotRun:
+		if refusal := q.quarantined(); refusal != nil {
+			return refusal
+		}
 		return errkind.Wrap(out.err, errkind.UpstreamRefused, errkind.NotRun, "no upstream took the request").After(refusedRetryAfter)
 	case q.run == errkind.Ran:
 		return errkind.Wrap(out.err, errkind.UpstreamFailed, errkind.Ran, "the upstream failed while the request ran")
--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -54,7 +54,7 @@
 		}
 	}
 	for platform.Sleep(ctx, holderTick) == nil {
-		rank, candidate := h.rank(time.Now())
+		rank, candidate := h.e.rank(time.Now())
 		h.lease.stand(ctx, rank, candidate)
 		h.lease.tick(ctx)
 		now := time.Now()
@@ -93,11 +93,11 @@
 // is asked of all, without which engines can't be divided. Few reads of the platform are
 // made for the lease then: 500 of 1,740 calls of a fleet of 24 in a minute were such
 // reads when candidates drew their ranks by a hash.
-func (h *holder) rank(now time.Time) (rank int, candidate bool) {
-	if h.e.shared == nil {
+func (e *Entry) rank(now time.Time) (rank int, candidate bool) {
+	if e.shared == nil {
 		return 0, true
 	}
-	return h.e.shared.rank(now)
+	return e.shared.rank(now)
 }
 
 // asked gives the demand of all instances, or this one's where nothing is shared.
--- a/internal/process/entry/ports.go
+++ b/internal/process/entry/ports.go
@@ -33,6 +33,12 @@
 	Watch(ctx context.Context, from uint64, wait time.Duration) (*routing.Config, uint64, error)
 }
 
+// RecordWatcher watches the system's own objects.
+type RecordWatcher interface {
+	// Changes waits for changes of a kind after a revision, and gives the revision to go on from.
+	Changes(ctx context.Context, kind string, from uint64, wait time.Duration) ([]platform.Event, uint64, error)
+}
+
 // Engines calls engines beside the requests of callers.
 type Engines interface {
 	// Release lets an engine forget the KV cache of a prompt that nobody will fetch.
@@ -74,6 +80,7 @@
 	Dialect   exchange.Dialect
 	Engines   Engines
 	Records   platform.Store                  // the system's own objects
+	Watcher   RecordWatcher                   // of the same objects
 	Alive     func(ctx context.Context) error // a cheap call of the platform\'s store
 	ReadyPath string                          // of the balancer's question
 	Reload    func() (*settings.Entry, error) // reads the settings again; nil: they don't change
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -108,12 +108,16 @@
 		e.happened(at, place.Event{Kind: place.GivenUp})
 		return nil, false, errLeaving
 	}
+	if _, held := q.held(); held {
+		e.happened(at, place.Event{Kind: place.GivenUp})
+		return nil, false, errHeld
+	}
 	begun := time.Now()
 	resp, err := q.e.client.Forward(ctx, q.call(u, exchange.Send{PrefillOnly: true, CopyFrom: at.grant.Choice.CopyFrom.Address}))
 	took := time.Since(begun)
 	q.prefill += took
 	if err != nil {
-		out := q.sendFailed(ctx, at, err)
+		out := q.sendFailed(ctx, at, begun, err)
 		return nil, out.sent, out.err
 	}
 	defer resp.Body.Close()
@@ -121,6 +125,9 @@
 	e.happened(at, headEvents(resp.Status, told)...)
 	kv, err = q.readPrefilled(*u, resp, told)
 	q.judge(ctx, at, err == nil, told)
+	if cutShort(ctx, err) {
+		q.brokeOff(u, begun)
+	}
 	if err == nil {
 		e.happened(at, place.Event{Kind: place.WasRead, Took: took})
 	}
--- a/internal/process/entry/sharing.go
+++ b/internal/process/entry/sharing.go
@@ -33,6 +33,8 @@
 	asks  *asking
 	gives *granting
 
+	crashes *crashNews
+
 	introduced atomic.Bool   // to the own availability zone
 	ended      chan struct{} // closed when nothing is shared any more
 
@@ -67,7 +69,7 @@
 	life := uint64(time.Now().UnixMicro()) // an instance sends far fewer than a million messages a second
 	return &sharing{
 		e: e, self: self, conn: conn, core: peers.New(self, life),
-		asks: newAsking(life), gives: newGranting(), ended: make(chan struct{}),
+		asks: newAsking(life), gives: newGranting(), crashes: &crashNews{}, ended: make(chan struct{}),
 	}, nil
 }
 
@@ -97,6 +99,7 @@
 func (s *sharing) tell(now time.Time) bool {
 	s.expireGrants(now)
 	s.flushNotes()
+	s.flushCrashes(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, to := range s.core.Visits(now) {
@@ -128,6 +131,13 @@
 	return s.core.Rank(now)
 }
 
+// isPlacer reports whether this instance is one of those that give places by rank.
+func (s *sharing) isPlacer() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.IsPlacer()
+}
+
 // asked adds up what callers ask of all instances.
 func (s *sharing) asked(now time.Time) map[string]roles.Demand {
 	s.mu.Lock()
@@ -189,6 +199,7 @@
 	s.takeNotes(from, m.Notes)
 	s.takeQuestions(now, from, m.Questions)
 	s.takeAnswers(from, m.Answers)
+	s.takeCrashes(now, m.Told(now))
 	if !news {
 		return
 	}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -13,6 +13,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/patience"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
@@ -40,6 +41,7 @@
 	waiters  map[string]chan place.Decision
 	repeats  map[string]*retry.Window   // by service
 	patience map[string]*patience.Route // by route
+	crashes  *quarantine.Core
 	bounds   settings.EntryBounds
 	seen     uint64 // version of fleet that book has
 	listed   bool   // the list of upstreams was read once
@@ -54,6 +56,7 @@
 		waiters:  make(map[string]chan place.Decision),
 		repeats:  make(map[string]*retry.Window),
 		patience: make(map[string]*patience.Route),
+		crashes:  quarantine.New(),
 		bounds:   s.Bounds,
 	}
 }
@@ -134,6 +137,7 @@
 	s.expire(now)
 	s.syncBook(now)
 	s.book.ForgetOldTold(now)
+	s.crashes.Forget(now)
 	s.decideWaiting(now)
 }
 
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -212,6 +212,16 @@
 	return e.Upstream, true
 }
 
+// Has reports whether a life of an upstream is listed, and whether it has said that it leaves.
+func (c *Core) Has(life LifeID) (listed, leaving bool) {
+	for _, e := range c.entries {
+		if e.Life() == life {
+			return true, e.Leaving
+		}
+	}
+	return false, false
+}
+
 // Usable lists the upstreams that may get new work, by service. Where several entries have
 // one address, the newest life has it.
 func (c *Core) Usable() map[string][]Upstream {
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -40,6 +40,8 @@
 	Questions []Question    `cbor:"8,keyasint,omitempty"`
 	Answers   []PlaceAnswer `cbor:"9,keyasint,omitempty"`
 	Notes     []Note        `cbor:"10,keyasint,omitempty"`
+
+	Crashes []Crash `cbor:"12,keyasint,omitempty"` // at most MaxCrashes
 }
 
 // Ask is what the sender's callers ask of a service's engines.
@@ -162,5 +164,10 @@
 			return m, errors.Wrap(err, "message of a peer")
 		}
 	}
+	for i := range m.Crashes {
+		if err := m.Crashes[i].check(); err != nil {
+			return m, errors.Wrap(err, "message of a peer")
+		}
+	}
 	return m, nil
 }
--- /dev/null
+++ b/internal/request/quarantine/core.go
@@ -0,0 +1,205 @@
+package quarantine
+
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/mapentry"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+)
+
+const (
+	// crashesToHold is how often upstreams have to end under some work before it is held.
+	// Every one ends work of others too, and more may be sent until all know.
+	crashesToHold = 2
+	// endWithin is how long after a send broke off the end of its upstream may be
+	// noticed: the entry of a silent one lapses after some heartbeats, and the list lags.
+	endWithin = 10 * time.Second
+	// rememberFor is how long a crash counts. Callers that have the same work done again
+	// do so within seconds to minutes.
+	rememberFor = 10 * time.Minute
+	// mostSuspects bounds the work that is remembered, some hundred bytes each.
+	mostSuspects = 4096
+	// mostBroken bounds the broken sends of one upstream that wait for its end: more
+	// than any has under way from one instance.
+	mostBroken = 1024
+)
+
+// brokenSend is a send that broke off at an upstream that may have ended.
+type brokenSend struct {
+	content  Content
+	sent, at time.Time
+}
+
+// suspect is what is known of some work.
+type suspect struct {
+	crashes   map[place.UpstreamKey]*Crash
+	newest    time.Time // when anything was last learned of it
+	hold      Hold      // the present or the last one
+	before    Hold      // the one before it
+	byCrashes bool      // the hold began by crashes that are known here
+	recorded  bool      // the platform has the hold
+}
+
+// Core is the state. It is not safe for concurrent use.
+type Core struct {
+	suspects map[Content]*suspect
+	broken   map[fleet.LifeID][]brokenSend
+	ended    map[fleet.LifeID]time.Time
+	begun    []Content // holds that began since the last call of Begun
+}
+
+// New makes a core that suspects nothing.
+func New() *Core {
+	return &Core{
+		suspects: make(map[Content]*suspect),
+		broken:   make(map[fleet.LifeID][]brokenSend),
+		ended:    make(map[fleet.LifeID]time.Time),
+	}
+}
+
+// Suspects reports whether any work is suspected. While none is, requests need no Content.
+func (c *Core) Suspects() bool { return len(c.suspects) > 0 }
+
+// Broke takes a send that broke off without its whole answer. It gives the crashes that are
+// news; check: whether the upstream has ended is to be found out.
+func (c *Core) Broke(now time.Time, content Content, life fleet.LifeID, sent time.Time) (news []Crash, check bool) {
+	b := brokenSend{content: content, sent: sent, at: now}
+	if _, ended := c.ended[life]; ended {
+		return c.count(now, life, []brokenSend{b}), false
+	}
+	waiting := c.broken[life]
+	if len(waiting) < mostBroken {
+		c.broken[life] = append(waiting, b)
+	}
+	return nil, len(waiting) == 0
+}
+
+// Ended notes that the process of an upstream is gone, other than by a planned stop. It
+// gives the crashes that are news.
+func (c *Core) Ended(now time.Time, life fleet.LifeID) []Crash {
+	broken := c.broken[life]
+	delete(c.broken, life)
+	c.ended[life] = now
+	return c.count(now, life, broken)
+}
+
+// Lives notes that an upstream answered what was sent at a time, or is there after all: what
+// broke off before was no crash.
+func (c *Core) Lives(life fleet.LifeID, sent time.Time) {
+	if broken := c.broken[life]; len(broken) > 0 && broken[len(broken)-1].at.Before(sent) {
+		delete(c.broken, life)
+	}
+	if at, ok := c.ended[life]; ok && at.Before(sent) {
+		delete(c.ended, life)
+	}
+}
+
+// Waiting gives the upstreams at which sends broke off and that may have ended.
+func (c *Core) Waiting() []fleet.LifeID {
+	out := make([]fleet.LifeID, 0, len(c.broken))
+	for life := range c.broken {
+		out = append(out, life)
+	}
+	return out
+}
+
+// count makes crashes of broken sends.
+func (c *Core) count(now time.Time, life fleet.LifeID, broken []brokenSend) []Crash {
+	var news []Crash
+	for _, b := range broken {
+		crash := Crash{Content: b.content, Upstream: place.KeyOf(life), Sent: b.sent, At: b.at}
+		if now.Sub(b.at) < endWithin && c.add(now, crash) {
+			news = append(news, crash)
+		}
+	}
+	return news
+}
+
+// Heard takes what another instance tells, and gives what is news.
+func (c *Core) Heard(now time.Time, crashes []Crash) []Crash {
+	var news []Crash
+	for _, crash := range crashes {
+		if c.add(now, crash) {
+			news = append(news, crash)
+		}
+	}
+	return news
+}
+
+// add takes a crash, or that one is void. It reports whether that is news.
+func (c *Core) add(now time.Time, crash Crash) bool {
+	if now.Sub(crash.At) >= rememberFor {
+		return false
+	}
+	s := c.suspect(now, crash.Content)
+	old, ok := s.crashes[crash.Upstream]
+	if !ok {
+		s.crashes[crash.Upstream] = &crash
+	} else {
+		wasVoid := old.Void
+		old.merge(&crash)
+		ok = old.Void == wasVoid
+	}
+	c.weigh(now, crash.Content, s)
+	return !ok
+}
+
+func (c *Core) suspect(now time.Time, content Content) *suspect {
+	if len(c.suspects) >= mostSuspects && c.suspects[content] == nil {
+		c.dropOldest(now)
+	}
+	s := mapentry.Of(c.suspects, content, func() *suspect { return &suspect{crashes: make(map[place.UpstreamKey]*Crash)} })
+	s.newest = now
+	return s
+}
+
+// dropOldest makes room for one more suspect.
+func (c *Core) dropOldest(now time.Time) {
+	var oldest Content
+	var at time.Time
+	for content, s := range c.suspects {
+		if !s.hold.covers(now) && (at.IsZero() || s.newest.Before(at)) {
+			oldest, at = content, s.newest
+		}
+	}
+	delete(c.suspects, oldest)
+}
+
+// Succeeded notes that some work was answered whole, and gives the crashes that are void by
+// that. lifted: it was held.
+func (c *Core) Succeeded(now time.Time, content Content) (voided []Crash, lifted bool) {
+	s, ok := c.suspects[content]
+	if !ok {
+		return nil, false
+	}
+	for _, crash := range s.crashes {
+		if !crash.Void {
+			crash.Void = true
+			voided = append(voided, *crash)
+		}
+	}
+	if lifted = s.hold.covers(now); lifted {
+		s.lift()
+	}
+	return voided, lifted
+}
+
+// Forget drops what is too old to count.
+func (c *Core) Forget(now time.Time) {
+	for content, s := range c.suspects {
+		if !s.recorded && now.Sub(s.newest) >= rememberFor && !now.Before(s.hold.Until.Add(rememberFor)) {
+			delete(c.suspects, content)
+		}
+	}
+	for life, broken := range c.broken {
+		if now.Sub(broken[len(broken)-1].at) >= endWithin {
+			delete(c.broken, life)
+		}
+	}
+	for life, at := range c.ended {
+		if now.Sub(at) >= endWithin {
+			delete(c.ended, life)
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/quarantine/core_test.go
@@ -0,0 +1,265 @@
+package quarantine
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+const ms = time.Millisecond
+
+var work = ContentOf("POST", "h", "/work", nil)
+
+// crash ends an upstream under some work that was sent at a time and broke off at another.
+func crash(c *Core, content Content, life string, sent, broke time.Duration) []Crash {
+	news, _ := c.Broke(at(broke), content, fleet.LifeID(life), at(sent))
+	return append(news, c.Ended(at(broke+5*ms), fleet.LifeID(life))...)
+}
+
+func held(c *Core, content Content, now time.Duration) bool {
+	_, ok := c.Held(at(now), content)
+	return ok
+}
+
+// TestWorkIsHeldAfterItsSecondCrash has upstreams end under some work, as in a series of
+// eleven ends in 13 s. The next one was sent after the one before had ended.
+func TestWorkIsHeldAfterItsSecondCrash(t *testing.T) {
+	c := New()
+	if news := crash(c, work, "a", 0, 90*ms); len(news) != 1 {
+		t.Errorf("%d crashes are news, want 1", len(news))
+	}
+	if held(c, work, 100*ms) {
+		t.Error("held after one crash, which may be an accident")
+	}
+	crash(c, work, "b", 100*ms, 200*ms)
+	if !held(c, work, 210*ms) {
+		t.Error("not held after two crashes")
+	}
+	if got := c.Begun(); len(got) != 1 || got[0] != work {
+		t.Errorf("holds begun: %v", got)
+	}
+	if other := ContentOf("POST", "h", "/other", nil); held(c, other, 210*ms) {
+		t.Error("other work is held")
+	}
+}
+
+// TestASendThatBreaksOffIsNoCrash has sends break off at upstreams that live on.
+func TestASendThatBreaksOffIsNoCrash(t *testing.T) {
+	for name, tell := range map[string]func(*Core, fleet.LifeID){
+		"never heard of again":     func(c *Core, _ fleet.LifeID) { c.Forget(at(endWithin + time.Second)) },
+		"answers what came later":  func(c *Core, l fleet.LifeID) { c.Lives(l, at(200*ms)) },
+		"ends long after the send": func(c *Core, l fleet.LifeID) { c.Ended(at(endWithin+time.Second), l) },
+	} {
+		c := New()
+		for _, life := range []fleet.LifeID{"a", "b", "c"} {
+			if _, check := c.Broke(at(100*ms), work, life, at(0)); !check {
+				t.Errorf("%s: nobody looks whether %s has ended", name, life)
+			}
+			tell(c, life)
+			c.Ended(at(endWithin+2*time.Second), life)
+		}
+		if held(c, work, endWithin+3*time.Second) {
+			t.Errorf("%s: held", name)
+		}
+	}
+}
+
+// TestASendThatBreaksOffAfterItsUpstreamsEndIsACrash has the end known before the break.
+func TestASendThatBreaksOffAfterItsUpstreamsEndIsACrash(t *testing.T) {
+	c := New()
+	c.Ended(at(0), "a")
+	if news, check := c.Broke(at(5*ms), work, "a", at(-50*ms)); len(news) != 1 || check {
+		t.Errorf("%d crashes, check %t", len(news), check)
+	}
+}
+
+// TestUpstreamsThatEndTogetherAreOneAccident has five of them end in a loss of power, each
+// with the same work under way; it takes another crash for a hold.
+func TestUpstreamsThatEndTogetherAreOneAccident(t *testing.T) {
+	c := New()
+	for i := range 5 {
+		crash(c, work, fmt.Sprint(i), time.Duration(i)*ms, 100*ms+time.Duration(5-i)*ms)
+	}
+	if held(c, work, 200*ms) {
+		t.Error("held after one accident")
+	}
+	crash(c, work, "later", 300*ms, 400*ms)
+	if !held(c, work, 410*ms) {
+		t.Error("not held after a second crash")
+	}
+}
+
+// TestWorkThatIsAnsweredWholeIsCleared has work that is asked for often be under way at
+// two crashes that are no doing of its own: it is answered whole in between.
+func TestWorkThatIsAnsweredWholeIsCleared(t *testing.T) {
+	c, other := New(), New()
+	crashes := crash(c, work, "a", 0, 90*ms)
+	other.Heard(at(90*ms), crashes)
+	voided, lifted := other.Succeeded(at(time.Second), work)
+	if len(voided) != 1 || lifted {
+		t.Errorf("%d crashes void, lifted %t", len(voided), lifted)
+	}
+	c.Heard(at(time.Second), voided)
+	for _, core := range []*Core{c, other} {
+		crash(core, work, "b", 2*time.Second, 2090*ms)
+		if held(core, work, 3*time.Second) {
+			t.Error("held although it was answered whole in between")
+		}
+	}
+}
+
+// TestAHoldEndsWhenTheWorkIsAnsweredWhole has an attempt that was under way succeed.
+func TestAHoldEndsWhenTheWorkIsAnsweredWhole(t *testing.T) {
+	c, other := New(), New()
+	crashes := append(crash(c, work, "a", 0, 90*ms), crash(c, work, "b", 100*ms, 190*ms)...)
+	other.Heard(at(190*ms), crashes)
+	if !held(c, work, 200*ms) || !held(other, work, 200*ms) {
+		t.Fatal("not held")
+	}
+	voided, lifted := c.Succeeded(at(300*ms), work)
+	other.Heard(at(300*ms), voided)
+	if !lifted || held(c, work, 310*ms) || held(other, work, 310*ms) {
+		t.Errorf("lifted %t, held here %t, there %t", lifted, held(c, work, 310*ms), held(other, work, 310*ms))
+	}
+}
+
+// TestWorkThatWasHeldIsHeldAgainAtItsNextCrash has holds end, and the work crash one more.
+func TestWorkThatWasHeldIsHeldAgainAtItsNextCrash(t *testing.T) {
+	c := New()
+	crash(c, work, "a", 0, 90*ms)
+	crash(c, work, "b", 100*ms, 190*ms)
+	now := 200 * ms
+	for i, want := range []time.Duration{10 * time.Minute, 40 * time.Minute, 160 * time.Minute, MostHold, MostHold} {
+		hold, ok := c.Held(at(now), work)
+		if length := hold.Until.Sub(at(now)); !ok || length > want || length < want-time.Second {
+			t.Errorf("hold %d: %v, want about %v", i+1, length, want)
+		}
+		now = hold.Until.Sub(start) + time.Minute
+		c.Forget(at(now))
+		if held(c, work, now) {
+			t.Errorf("hold %d doesn't end", i+1)
+		}
+		crash(c, work, fmt.Sprint("again", i), now, now+90*ms)
+		now += 100 * ms
+	}
+}
+
+// TestAHoldIsForgotten has the work never come again.
+func TestAHoldIsForgotten(t *testing.T) {
+	c := New()
+	crash(c, work, "a", 0, 90*ms)
+	crash(c, work, "b", 100*ms, 190*ms)
+	c.Forget(at(firstHold + rememberFor + time.Second))
+	if c.Suspects() {
+		t.Error("still suspected")
+	}
+}
+
+// TestAHoldOfThePlatform is known to an instance that saw no crash.
+func TestAHoldOfThePlatform(t *testing.T) {
+	c := New()
+	if !c.Recorded(at(0), work, Hold{Until: at(time.Minute), Times: 1}) || !held(c, work, time.Second) {
+		t.Error("not held")
+	}
+	if c.Recorded(at(time.Second), work, Hold{Until: at(time.Minute), Times: 1}) {
+		t.Error("the same hold is news again")
+	}
+	if _, ok := c.Unrecorded(at(time.Second), work); ok {
+		t.Error("it is to be recorded again")
+	}
+	if !c.Lift(work) || held(c, work, time.Second) {
+		t.Error("held after it was lifted")
+	}
+	crash(c, work, "a", 2*time.Second, 3*time.Second)
+	if held(c, work, 4*time.Second) {
+		t.Error("held after one crash since it was lifted")
+	}
+}
+
+// TestAHoldOfOnesOwnIsNotLiftedBeforeItIsRecorded reads a list without it.
+func TestAHoldOfOnesOwnIsNotLiftedBeforeItIsRecorded(t *testing.T) {
+	c := New()
+	crash(c, work, "a", 0, 90*ms)
+	crash(c, work, "b", 100*ms, 190*ms)
+	if got := c.OnRecord(); len(got) != 0 {
+		t.Errorf("on record: %v", got)
+	}
+	if c.Lift(work) || !held(c, work, 200*ms) {
+		t.Error("lifted")
+	}
+}
+
+// TestARecordThatIsLongOverIsRemoved gives it to be removed, once its hold counts no more.
+func TestARecordThatIsLongOverIsRemoved(t *testing.T) {
+	c := New()
+	c.Recorded(at(0), work, Hold{Until: at(time.Minute), Times: 1})
+	if got := c.Over(at(time.Minute + time.Second)); len(got) != 0 {
+		t.Errorf("over: %v, which still counts", got)
+	}
+	if got := c.Over(at(time.Minute + rememberFor)); len(got) != 1 {
+		t.Errorf("over: %v, want the one", got)
+	}
+}
+
+// TestSuspectsAreBounded has upstreams with very much under way end.
+func TestSuspectsAreBounded(t *testing.T) {
+	c := New()
+	crash(c, work, "a", 0, 90*ms)
+	crash(c, work, "b", 100*ms, 190*ms)
+	for i := range 2 * mostSuspects {
+		c.Heard(at(time.Duration(i)*ms), []Crash{{Content: ContentOf("GET", "h", fmt.Sprint(i), nil), Upstream: 1, Sent: at(0), At: at(time.Duration(i) * ms)}})
+	}
+	if n := len(c.suspects); n > mostSuspects {
+		t.Errorf("%d suspects", n)
+	}
+	if !held(c, work, time.Second) {
+		t.Error("what is held was dropped for what is only suspected")
+	}
+}
+
+// TestAllInstancesHoldTheSame tells crashes in any order and more than once: what is held
+// doesn't depend on it.
+func TestAllInstancesHoldTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "crashes")
+		told := make([]Crash, 0, 2*n)
+		for i := range n {
+			broke := time.Duration(rapid.IntRange(1, 1000).Draw(t, "broke")) * ms
+			sent := broke - time.Duration(rapid.IntRange(1, 200).Draw(t, "ran"))*ms
+			told = append(told, Crash{
+				Content:  ContentOf("GET", "h", fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "work")), nil),
+				Upstream: place.UpstreamKey(rapid.IntRange(0, 3).Draw(t, "upstream")), Sent: at(sent), At: at(broke),
+				Void: rapid.IntRange(0, 9).Draw(t, "void") == 0,
+			})
+			if i%3 == 0 {
+				told = append(told, told[len(told)-1])
+			}
+		}
+		want := holdsOf(told)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 0))
+		rng.Shuffle(len(told), func(i, j int) { told[i], told[j] = told[j], told[i] })
+		if got := holdsOf(told); got != want {
+			t.Fatalf("held %v in one order and %v in another", want, got)
+		}
+	})
+}
+
+// holdsOf tells which of two pieces of work are held when all crashes were told.
+func holdsOf(told []Crash) (out [2]bool) {
+	c := New()
+	c.Heard(at(time.Second), told)
+	for i := range out {
+		out[i] = held(c, ContentOf("GET", "h", fmt.Sprint(i), nil), time.Second)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/request/quarantine/crash.go
@@ -0,0 +1,44 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+)
+
+// Crash is the end of an upstream that had some work under way.
+type Crash struct {
+	Content  Content
+	Upstream place.UpstreamKey // the life that ended
+	Sent     time.Time         // when the work was sent there
+	At       time.Time         // when it broke off
+	Void     bool              // the work was answered whole since: it isn't what ended the upstream
+}
+
+// merge takes the word of another instance on the same end. Several attempts at the work may
+// have been under way; the one that was sent last tells most.
+func (c *Crash) merge(o *Crash) {
+	c.Void = c.Void || o.Void
+	if o.Sent.After(c.Sent) {
+		c.Sent = o.Sent
+	}
+	if o.At.Before(c.At) {
+		c.At = o.At
+	}
+}
+
+// independent counts the crashes that each came of a send of its own: one that was sent
+// after the crash before. Upstreams that end together, in a loss of power say, end
+// under work that is asked for often as well, and are one accident.
+func independent(crashes []Crash) int {
+	slices.SortFunc(crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	n := 0
+	var last time.Time
+	for i := range crashes {
+		if c := &crashes[i]; !c.Void && c.Sent.After(last) {
+			n, last = n+1, c.At
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/request/quarantine/hold.go
@@ -0,0 +1,135 @@
+package quarantine
+
+import "time"
+
+const (
+	// firstHold is how long work is held at first. It is longer than callers go on with the
+	// same work, and short enough that work which was held in error is done the same hour.
+	firstHold = 10 * time.Minute
+	// holdGrowth is by how much each further hold of the same work is longer, up to MostHold:
+	// each costs an upstream, and all that it has under way.
+	holdGrowth = 4
+)
+
+// MostHold is the longest hold.
+const MostHold = 4 * time.Hour
+
+// Hold is a time in which some work isn't sent to any upstream.
+type Hold struct {
+	Until time.Time // zero: there is none
+	Times int       // holds of this work so far, this one included
+}
+
+func (h Hold) covers(now time.Time) bool { return now.Before(h.Until) }
+
+// next gives the hold that follows.
+func (h Hold) next(now time.Time) Hold {
+	length := firstHold
+	for range h.Times {
+		length = min(length*holdGrowth, MostHold)
+	}
+	return Hold{Until: now.Add(length), Times: h.Times + 1}
+}
+
+// weigh begins a hold if enough speaks for it, and ends one for which not enough speaks any
+// more. Work that was held before is held again at its next crash.
+func (c *Core) weigh(now time.Time, content Content, s *suspect) {
+	switch covered := s.hold.covers(now); {
+	case !covered && s.enough(now, s.hold):
+		s.before, s.hold = s.hold, s.hold.next(now)
+		s.byCrashes, s.recorded = true, false
+		c.begun = append(c.begun, content)
+	case covered && s.byCrashes && !s.enough(now, s.before):
+		s.lift()
+	}
+}
+
+// enough reports whether crashes since the last hold speak for a further one.
+func (s *suspect) enough(now time.Time, last Hold) bool {
+	need := crashesToHold
+	if last.Times > 0 {
+		need = 1
+	}
+	counted := make([]Crash, 0, len(s.crashes))
+	for _, crash := range s.crashes {
+		if crash.At.After(last.Until) && now.Sub(crash.At) < rememberFor {
+			counted = append(counted, *crash)
+		}
+	}
+	return independent(counted) >= need
+}
+
+// lift ends a hold that was wrong.
+func (s *suspect) lift() {
+	s.hold, s.before = s.before, Hold{}
+	s.byCrashes, s.recorded = false, false
+}
+
+// Held gives the hold of some work; ok is false if there is none now.
+func (c *Core) Held(now time.Time, content Content) (hold Hold, ok bool) {
+	s, known := c.suspects[content]
+	if !known || !s.hold.covers(now) {
+		return Hold{}, false
+	}
+	return s.hold, true
+}
+
+// Begun gives the work whose holds began by crashes since the last call.
+func (c *Core) Begun() []Content {
+	out := c.begun
+	c.begun = nil
+	return out
+}
+
+// Unrecorded gives the hold of some work if the platform doesn't have it yet.
+func (c *Core) Unrecorded(now time.Time, content Content) (hold Hold, ok bool) {
+	hold, ok = c.Held(now, content)
+	return hold, ok && !c.suspects[content].recorded
+}
+
+// Recorded takes a hold that the platform has. news: it was not known here.
+func (c *Core) Recorded(now time.Time, content Content, hold Hold) (news bool) {
+	s := c.suspect(now, content)
+	if !s.hold.covers(now) {
+		news = hold.covers(now)
+		s.byCrashes = false
+	}
+	if !s.hold.Until.After(hold.Until) {
+		s.hold = hold
+	}
+	s.recorded = true
+	return news
+}
+
+// Lift ends a hold that the platform no longer has, and forgets what led to it. It reports
+// whether there was one that the platform had.
+func (c *Core) Lift(content Content) bool {
+	s, ok := c.suspects[content]
+	if !ok || !s.recorded {
+		return false
+	}
+	delete(c.suspects, content)
+	return true
+}
+
+// Over gives the work whose hold the platform has although it counts no more.
+func (c *Core) Over(now time.Time) []Content {
+	var out []Content
+	for content, s := range c.suspects {
+		if s.recorded && !now.Before(s.hold.Until.Add(rememberFor)) {
+			out = append(out, content)
+		}
+	}
+	return out
+}
+
+// OnRecord gives the work whose hold the platform has.
+func (c *Core) OnRecord() []Content {
+	var out []Content
+	for content, s := range c.suspects {
+		if s.recorded {
+			out = append(out, content)
+		}
+	}
+	return out
+}
--- a/internal/version/resource/kinds.go
+++ b/internal/version/resource/kinds.go
@@ -23,6 +23,7 @@
 	KindOrderSlot   = "OrderSlot"   // one per runner
 	KindClaimBucket = "ClaimBucket" // idempotency claims, grouped
 	KindAudit       = "Audit"       // bounded segments of the audit trail
+	KindHold        = "Hold"        // work that is sent to no upstream, named by its content
 	KindStatus      = "Status"      // named "<Kind>/<name>"
 )
 
@@ -188,6 +189,12 @@
 	TTLMS  int64  `json:"ttlMS"`
 }
 
+// Hold is a time in which some work isn't sent to any upstream, as upstreams crashed under it.
+type Hold struct {
+	UntilMS int64 `json:"untilMS"` // Unix ms
+	Times   int   `json:"times"`   // holds of this work so far
+}
+
 // SlotState is whether an order is under way.
 type SlotState string
 
