A crash counts for an hour, under a name that lives share as well

Crashes further apart than ten minutes were never joined, so work that comes every quarter of an hour would have gone on for ever; a process that starts again under its name, of a deployment that tells no start of lives, was taken for one end. After a loss of power with more than 16 ends the newest are kept.

--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -45,6 +45,11 @@
 	return s.crashes.Broke(now, content, life, sent)
 }
 
+// answered notes that an upstream began to answer what was sent to it.
+func (s *state) answered(life fleet.LifeID, sent time.Time) {
+	s.withCrashes(func(c *quarantine.Core) { c.Lives(life, sent) })
+}
+
 // endedUnlisted gives the crashes at upstreams that are listed no more.
 func (s *state) endedUnlisted(now time.Time) (news []quarantine.Crash) {
 	s.mu.Lock()
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -231,6 +231,7 @@
 		return out
 	}
 	defer resp.Body.Close()
+	e.state.answered(u.Life(), begun)
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	events := headEvents(resp.Status, told)
 	if kv != nil && resp.Status == http.StatusOK {
--- a/internal/process/peers/crash.go
+++ b/internal/process/peers/crash.go
@@ -28,10 +28,9 @@
 	out := make([]Crash, len(crashes))
 	for i := range crashes {
 		c := &crashes[i]
-		out[i] = Crash{
-			Content: c.Content[:], Upstream: uint32(c.Upstream), Void: c.Void,
-			SentUS: now.Sub(c.Sent).Microseconds(), AtUS: now.Sub(c.At).Microseconds(),
-		}
+		at := max(now.Sub(c.At).Microseconds(), 0)
+		sent := max(now.Sub(c.Sent).Microseconds(), at) // words of several instances may be in it
+		out[i] = Crash{Content: c.Content[:], Upstream: uint32(c.Upstream), Void: c.Void, SentUS: sent, AtUS: at}
 	}
 	return out
 }
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/mapentry"
@@ -16,8 +17,11 @@
 	// noticed: the entry of a silent one lapses after some heartbeats, and the list lags.
 	endWithin = 10 * time.Second
 	// rememberFor is how long a crash counts. Callers that have the same work done again
-	// do so within seconds to minutes.
-	rememberFor = 10 * time.Minute
+	// do so within seconds to minutes, scheduled ones within an hour.
+	rememberFor = time.Hour
+	// mostCrashes bounds the crashes under one work, the newest are kept: in a loss of power
+	// hundreds of upstreams end at once, which say no more than a few of them.
+	mostCrashes = 16
 	// mostSuspects bounds the work that is remembered, some hundred bytes each.
 	mostSuspects = 4096
 	// mostBroken bounds the broken sends of one upstream that wait for its end: more
@@ -33,7 +37,7 @@
 
 // suspect is what is known of some work.
 type suspect struct {
-	crashes   map[place.UpstreamKey]*Crash
+	crashes   []*Crash
 	newest    time.Time // when anything was last learned of it
 	hold      Hold      // the present or the last one
 	before    Hold      // the one before it
@@ -133,23 +137,33 @@
 		return false
 	}
 	s := c.suspect(now, crash.Content)
-	old, ok := s.crashes[crash.Upstream]
-	if !ok {
-		s.crashes[crash.Upstream] = &crash
-	} else {
+	news := s.take(&crash)
+	c.weigh(now, crash.Content, s)
+	return news
+}
+
+// take notes a crash, or that one is void. It reports whether that is news.
+func (s *suspect) take(crash *Crash) bool {
+	i := slices.IndexFunc(s.crashes, crash.same)
+	if i >= 0 {
+		old := s.crashes[i]
 		wasVoid := old.Void
-		old.merge(&crash)
-		ok = old.Void == wasVoid
+		old.merge(crash)
+		return old.Void != wasVoid
 	}
-	c.weigh(now, crash.Content, s)
-	return !ok
+	s.crashes = append(s.crashes, crash)
+	if len(s.crashes) > mostCrashes {
+		oldest := slices.MinFunc(s.crashes, func(a, b *Crash) int { return a.At.Compare(b.At) })
+		s.crashes = slices.DeleteFunc(s.crashes, func(c *Crash) bool { return c == oldest })
+	}
+	return true
 }
 
 func (c *Core) suspect(now time.Time, content Content) *suspect {
 	if len(c.suspects) >= mostSuspects && c.suspects[content] == nil {
 		c.dropOldest(now)
 	}
-	s := mapentry.Of(c.suspects, content, func() *suspect { return &suspect{crashes: make(map[place.UpstreamKey]*Crash)} })
+	s := mapentry.Of(c.suspects, content, mapentry.Zero[suspect])
 	s.newest = now
 	return s
 }
--- a/internal/request/quarantine/core_test.go
+++ b/internal/request/quarantine/core_test.go
@@ -99,6 +99,32 @@
 	}
 }
 
+// TestLivesWithoutAStartOfTheirOwn has an upstream come back under the name that it had.
+func TestLivesWithoutAStartOfTheirOwn(t *testing.T) {
+	c := New()
+	crash(c, work, "a", 0, 90*ms)
+	c.Lives("a", at(3*time.Second))
+	crash(c, work, "a", 4*time.Second, 4100*ms)
+	if !held(c, work, 5*time.Second) {
+		t.Error("not held after the same upstream ended twice")
+	}
+}
+
+// TestAnAccidentOfManyUpstreamsIsBounded has hundreds of them end at once under some work.
+func TestAnAccidentOfManyUpstreamsIsBounded(t *testing.T) {
+	c := New()
+	for i := range 300 {
+		crash(c, work, fmt.Sprint(i), 0, 100*ms)
+	}
+	if n := len(c.suspects[work].crashes); n > mostCrashes {
+		t.Errorf("%d crashes are remembered", n)
+	}
+	crash(c, work, "later", 300*ms, 400*ms)
+	if !held(c, work, 410*ms) {
+		t.Error("not held after a second crash")
+	}
+}
+
 // TestWorkThatIsAnsweredWholeIsCleared has work that is asked for often be under way at
 // two crashes that are no doing of its own: it is answered whole in between.
 func TestWorkThatIsAnsweredWholeIsCleared(t *testing.T) {
@@ -234,11 +260,12 @@
 		n := rapid.IntRange(1, 8).Draw(t, "crashes")
 		told := make([]Crash, 0, 2*n)
 		for i := range n {
-			broke := time.Duration(rapid.IntRange(1, 1000).Draw(t, "broke")) * ms
+			upstream := rapid.IntRange(0, 3).Draw(t, "upstream") // each ends twice at most
+			broke := time.Duration(rapid.IntRange(0, 1).Draw(t, "life"))*3*time.Second + time.Duration(rapid.IntRange(1, 900).Draw(t, "broke"))*ms
 			sent := broke - time.Duration(rapid.IntRange(1, 200).Draw(t, "ran"))*ms
 			told = append(told, Crash{
 				Content:  ContentOf("GET", "h", fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "work")), nil),
-				Upstream: place.UpstreamKey(rapid.IntRange(0, 3).Draw(t, "upstream")), Sent: at(sent), At: at(broke),
+				Upstream: place.UpstreamKey(upstream), Sent: at(sent), At: at(broke),
 				Void: rapid.IntRange(0, 9).Draw(t, "void") == 0,
 			})
 			if i%3 == 0 {
@@ -257,9 +284,9 @@
 // holdsOf tells which of two pieces of work are held when all crashes were told.
 func holdsOf(told []Crash) (out [2]bool) {
 	c := New()
-	c.Heard(at(time.Second), told)
+	c.Heard(at(5*time.Second), told)
 	for i := range out {
-		out[i] = held(c, ContentOf("GET", "h", fmt.Sprint(i), nil), time.Second)
+		out[i] = held(c, ContentOf("GET", "h", fmt.Sprint(i), nil), 5*time.Second)
 	}
 	return out
 }
--- a/internal/request/quarantine/crash.go
+++ b/internal/request/quarantine/crash.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -10,12 +11,21 @@
 // Crash is the end of an upstream that had some work under way.
 type Crash struct {
 	Content  Content
-	Upstream place.UpstreamKey // the life that ended
+	Upstream place.UpstreamKey // the life that ended; without a start of lives it is the id
 	Sent     time.Time         // when the work was sent there
 	At       time.Time         // when it broke off
 	Void     bool              // the work was answered whole since: it isn't what ended the upstream
 }
 
+// sameEnd is how far apart instances notice one end of an upstream. A process takes longer to
+// start again, so what is further apart is the end of another life under the same name.
+const sameEnd = time.Second
+
+// same reports whether both tell of one end under the same work.
+func (c *Crash) same(o *Crash) bool {
+	return c.Content == o.Content && c.Upstream == o.Upstream && c.At.Sub(o.At).Abs() < sameEnd
+}
+
 // merge takes the word of another instance on the same end. Several attempts at the work may
 // have been under way; the one that was sent last tells most.
 func (c *Crash) merge(o *Crash) {
@@ -32,7 +42,7 @@
 // after the crash before. Upstreams that end together, in a loss of power say, end
 // under work that is asked for often as well, and are one accident.
 func independent(crashes []Crash) int {
-	slices.SortFunc(crashes, func(a, b Crash) int { return a.At.Compare(b.At) })
+	slices.SortFunc(crashes, func(a, b Crash) int { return cmp.Or(a.At.Compare(b.At), a.Sent.Compare(b.Sent)) })
 	n := 0
 	var last time.Time
 	for i := range crashes {
