What a process does about crashes under work is a package of its own

holds.Keeper joins the core with the platform and with other instances; ragwort-entry keeps only what is its own: the list of upstreams and whom to tell. Tests of the record: an outage, two writers, records of other writers, work that is answered whole after all.

--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"syscall"
 	"time"
 
@@ -9,8 +10,9 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
 const (
@@ -19,50 +21,58 @@
 	// time of its connections. One that is found later is found by the list.
 	endChecks     = 2
 	endCheckPause = 100 * time.Millisecond
+	// recordByPlacer and recordByAny are how long those wait with the record of a hold that
+	// did not find its last crash. The one that did writes at once; the others only if
+	// that didn't reach the platform.
+	recordByPlacer = 500 * time.Millisecond
+	recordByAny    = 2 * time.Second
 )
 
-// withCrashes runs f over what is known of crashes.
-func (s *state) withCrashes(f func(c *quarantine.Core)) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f(s.crashes)
+// newHolds makes the process's part in keeping work away from upstreams that crash under it.
+func (e *Entry) newHolds() *holds.Keeper {
+	return holds.New(holds.Config{
+		Instance: e.cfg.Settings.Instance.Name,
+		Store:    e.cfg.Records,
+		Scope:    e.exporter.Scope(),
+		Work:     e.work,
+		Loop:     e.loop,
+		Delay:    e.recordDelay,
+		Tell:     e.tellCrashes,
+	})
 }
 
-// suspects reports whether any work is suspected of crashing upstreams.
-func (s *state) suspects() (any bool) {
-	s.withCrashes(func(c *quarantine.Core) { any = c.Suspects() })
-	return any
+func (e *Entry) recordDelay(own bool) time.Duration {
+	switch {
+	case own || e.shared == nil:
+		return 0
+	case e.shared.isPlacer():
+		return spread(recordByPlacer)
+	}
+	return spread(recordByAny)
 }
 
-// brokeOff notes a send that broke off. An upstream that leaves ends what it has as
-// planned, so that is no crash.
-func (s *state) brokeOff(now time.Time, content quarantine.Content, life fleet.LifeID, sent time.Time) (news []quarantine.Crash, check bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if listed, leaving := s.fleet.Has(life); !listed || leaving {
-		return nil, false
+// tellCrashes lets other instances know.
+func (e *Entry) tellCrashes(crashes []quarantine.Crash) {
+	if e.shared != nil {
+		e.shared.tellCrashes(crashes)
 	}
-	return s.crashes.Broke(now, content, life, sent)
 }
 
-// answered notes that an upstream began to answer what was sent to it.
-func (s *state) answered(life fleet.LifeID, sent time.Time) {
-	s.withCrashes(func(c *quarantine.Core) { c.Lives(life, sent) })
+// brokeOff notes that an upstream ended a send before its answer was whole, and has it found
+// out whether it crashed. One that leaves ends what it has as planned.
+func (q *request) brokeOff(u *fleet.Upstream, sent time.Time) {
+	e := q.e
+	if listed, leaving := e.state.lists(u.Life()); !listed || leaving {
+		return
+	}
+	if e.holds.Broke(q.content(), u.Life(), sent) {
+		e.loop(func() { e.checkEnd(*u) })
+	}
 }
 
-// endedUnlisted gives the crashes at upstreams that are listed no more.
-func (s *state) endedUnlisted(now time.Time) (news []quarantine.Crash) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, life := range s.crashes.Waiting() {
-		switch listed, leaving := s.fleet.Has(life); {
-		case leaving:
-			s.crashes.Lives(life, now)
-		case !listed:
-			news = append(news, s.crashes.Ended(now, life)...)
-		}
-	}
-	return news
+// cutShort reports whether an answer ended before it was whole, by its upstream's doing.
+func cutShort(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && errors.Is(err, errNotWhole)
 }
 
 // checkEnd finds out whether the process of an upstream has ended.
@@ -82,47 +92,46 @@
 func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // upstreamEnded takes the end of an upstream whose address refuses connections.
-func (e *Entry) upstreamEnded(life fleet.LifeID) {
-	var news []quarantine.Crash
-	e.state.withCrashes(func(c *quarantine.Core) { news = c.Ended(time.Now(), life) })
-	e.crashed(news, life, "connection refused")
-}
-
-// upstreamsUnlisted looks for crashes after a change of the list.
-func (e *Entry) upstreamsUnlisted() {
-	e.crashed(e.state.endedUnlisted(time.Now()), "", "not listed any more")
-}
+func (e *Entry) upstreamEnded(life fleet.LifeID) { e.holds.Ended(life, "connection refused") }
 
-// crashed writes down the crashes that this process found, and lets others know. life is the
-// upstream that crashed; empty: one or more that the list tells.
-func (e *Entry) crashed(news []quarantine.Crash, life fleet.LifeID, why string) {
-	if len(news) == 0 {
-		return
-	}
-	now := time.Now()
-	e.meters.crashes.Inc(int64(len(news)))
-	for i := range news {
-		c := &news[i]
-		logline.Info("upstream crashed", "upstream", life, "key", c.Upstream, "content", c.Content,
-			"sent_ms", now.Sub(c.Sent).Milliseconds(), "broke_off_ms", now.Sub(c.At).Milliseconds(), "why", why)
+// checkUnlisted looks, after a change of the list, whether upstreams at which sends broke off
+// have ended.
+func (e *Entry) checkUnlisted() {
+	for _, life := range e.holds.Waiting() {
+		switch listed, leaving := e.state.lists(life); {
+		case leaving:
+			e.holds.Left(life)
+		case !listed:
+			e.holds.Ended(life, "not listed any more")
+		}
 	}
-	e.tellCrashes(news)
-	e.holdsBegun(true)
 }
 
-// tellCrashes lets other instances know.
-func (e *Entry) tellCrashes(news []quarantine.Crash) {
-	if e.shared != nil {
-		e.shared.tellCrashes(news)
+// followHolds keeps up with the holds that the platform has.
+func (e *Entry) followHolds(ctx context.Context) {
+	list := func(ctx context.Context) (uint64, error) {
+		objects, revision, err := e.cfg.Records.List(ctx, resource.KindHold)
+		if err != nil {
+			return 0, err
+		}
+		e.holds.Replace(objects)
+		return revision, nil
+	}
+	watch := func(ctx context.Context, from uint64, wait time.Duration) (uint64, error) {
+		events, revision, err := e.cfg.Watcher.Changes(ctx, resource.KindHold, from, wait)
+		if err != nil {
+			return 0, err
+		}
+		for _, ev := range events {
+			e.holds.Change(ev)
+		}
+		return revision, nil
 	}
+	e.follow(ctx, feed{name: "platform holds", list: list, watch: watch, lost: func() {}})
 }
 
-// hearCrashes takes what another instance tells, and gives what is news.
-func (e *Entry) hearCrashes(now time.Time, told []quarantine.Crash) []quarantine.Crash {
-	var news []quarantine.Crash
-	e.state.withCrashes(func(c *quarantine.Core) { news = c.Heard(now, told) })
-	if len(news) > 0 {
-		e.holdsBegun(false)
-	}
-	return news
+// cleansHolds reports whether this instance removes records of holds that are over.
+func (e *Entry) cleansHolds() bool {
+	rank, ok := e.rank(time.Now())
+	return ok && rank == 0
 }
--- a/internal/process/entry/crashnews.go
+++ b/internal/process/entry/crashnews.go
@@ -62,7 +62,7 @@
 	if len(told) == 0 {
 		return
 	}
-	news := s.e.hearCrashes(now, told)
+	news := s.e.holds.Heard(now, told)
 	if len(news) > 0 && s.isPlacer() {
 		s.crashes.put(news, false)
 		s.flushCrashes(now)
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
 )
@@ -56,6 +57,7 @@
 	meters *meters
 	demand *demand
 	shared *sharing // nil: nothing is shared with other instances
+	holds  *holds.Keeper
 	live   atomic.Pointer[liveSettings]
 	rounds rounds
 	log    *requestLog
@@ -96,6 +98,7 @@
 	e.meters = newMeters(e.exporter.Scope())
 	e.work, e.stopWork = context.WithCancel(context.Background())
 	e.hardStop, e.stopHard = context.WithCancel(context.Background())
+	e.holds = e.newHolds()
 	e.callers = e.server(e.callerHandler())
 	e.ready = e.server(e.readyHandler())
 	e.operators = e.server(e.operatorsHandler())
@@ -188,7 +191,7 @@
 	e.loop(func() { e.followConfig(work) })
 	e.loop(func() { e.probeStore(work) })
 	e.loop(func() { e.followHolds(work) })
-	e.loop(func() { e.cleanHolds(work) })
+	e.loop(func() { e.holds.Clean(work, e.cleansHolds) })
 	e.loop(func() { e.tickLoop(work) })
 	if s.Listen.Peers != "" {
 		e.startSharing(work)
@@ -234,6 +237,7 @@
 	every := tickEvery
 	for platform.Sleep(ctx, every) == nil {
 		e.state.tick(time.Now())
+		e.holds.Forget(time.Now())
 		e.log.tick(time.Now())
 		e.probeUpstreams(ctx)
 		every = idleTick
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -208,7 +208,7 @@
 		e.happened(at, place.Event{Kind: place.GivenUp})
 		return outcome{run: errkind.NotRun, err: errLeaving}
 	}
-	if _, held := q.held(); held {
+	if q.held() {
 		e.happened(at, place.Event{Kind: place.GivenUp})
 		return outcome{run: errkind.NotRun, err: errHeld}
 	}
@@ -231,7 +231,7 @@
 		return out
 	}
 	defer resp.Body.Close()
-	e.state.answered(u.Life(), begun)
+	e.holds.Answered(u.Life(), begun)
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	events := headEvents(resp.Status, told)
 	if kv != nil && resp.Status == http.StatusOK {
@@ -336,7 +336,7 @@
 		TimeLeft:   true, // the context ends with the time
 		Elsewhere:  q.ranSends < q.route.MaxAttempts && q.sends < q.route.MaxAttempts+refusalsAllowed,
 	}
-	if _, held := q.held(); held {
+	if q.held() {
 		f.Elsewhere = false
 	}
 	if q.begun {
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -231,7 +231,7 @@
 func (e *Entry) changeFleet(change func(now time.Time, f *fleet.Core)) {
 	now := time.Now()
 	e.state.changeFleet(now, func(f *fleet.Core) { change(now, f) })
-	e.upstreamsUnlisted()
+	e.checkUnlisted()
 }
 
 // logUpstreams writes down the changes of one watch call.
--- a/internal/process/entry/feeds_test.go
+++ b/internal/process/entry/feeds_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
@@ -65,7 +66,7 @@
 func newTestEntry(configs ConfigFeed, alive func(context.Context) error) *Entry {
 	s := &settings.Entry{Instance: settings.Instance{Name: "i-1", Zone: "z1"}}
 	s.SetDefaults()
-	e := &Entry{state: newState(s), meters: newMeters(tally.NoopScope)}
+	e := &Entry{holds: holds.New(holds.Config{Scope: tally.NoopScope}), state: newState(s), meters: newMeters(tally.NoopScope)}
 	e.live.Store(&liveSettings{bounds: s.Bounds})
 	e.cfg = Config{Settings: s, Configs: configs, Alive: alive}
 	return e
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -108,7 +108,7 @@
 		e.happened(at, place.Event{Kind: place.GivenUp})
 		return nil, false, errLeaving
 	}
-	if _, held := q.held(); held {
+	if q.held() {
 		e.happened(at, place.Event{Kind: place.GivenUp})
 		return nil, false, errHeld
 	}
@@ -121,7 +121,7 @@
 		return nil, out.sent, out.err
 	}
 	defer resp.Body.Close()
-	e.state.answered(u.Life(), begun)
+	e.holds.Answered(u.Life(), begun)
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	e.happened(at, headEvents(resp.Status, told)...)
 	kv, err = q.readPrefilled(*u, resp, told)
--- a/internal/process/entry/record.go
+++ b/internal/process/entry/record.go
@@ -17,9 +17,7 @@
 
 // meters are the process's metrics.
 type meters struct {
-	scope   tally.Scope
-	crashes tally.Counter // of upstreams under some work, found by this process
-	holds   tally.Counter // that began by crashes
+	scope tally.Scope
 
 	mu       sync.Mutex
 	counters map[string]tally.Counter
@@ -28,7 +26,7 @@
 }
 
 func newMeters(scope tally.Scope) *meters {
-	return &meters{scope: scope, crashes: scope.Counter("upstream_crashes"), holds: scope.Counter("work_held"), counters: make(map[string]tally.Counter), refusals: make(map[string]tally.Counter), latency: make(map[string]tally.Histogram)}
+	return &meters{scope: scope, counters: make(map[string]tally.Counter), refusals: make(map[string]tally.Counter), latency: make(map[string]tally.Histogram)}
 }
 
 // request counts the end of a request.
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -13,7 +13,6 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/patience"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
-	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
@@ -41,7 +40,6 @@
 	waiters  map[string]chan place.Decision
 	repeats  map[string]*retry.Window   // by service
 	patience map[string]*patience.Route // by route
-	crashes  *quarantine.Core
 	bounds   settings.EntryBounds
 	seen     uint64 // version of fleet that book has
 	listed   bool   // the list of upstreams was read once
@@ -56,7 +54,6 @@
 		waiters:  make(map[string]chan place.Decision),
 		repeats:  make(map[string]*retry.Window),
 		patience: make(map[string]*patience.Route),
-		crashes:  quarantine.New(),
 		bounds:   s.Bounds,
 	}
 }
@@ -137,7 +134,6 @@
 	s.expire(now)
 	s.syncBook(now)
 	s.book.ForgetOldTold(now)
-	s.crashes.Forget(now)
 	s.decideWaiting(now)
 }
 
@@ -218,6 +214,13 @@
 	return s.book.Usable(id)
 }
 
+// lists reports whether a life of an upstream is listed, and whether it leaves.
+func (s *state) lists(life fleet.LifeID) (listed, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Has(life)
+}
+
 // eligible counts the upstreams that could serve a request, whatever their load.
 func (s *state) eligible(now time.Time, q *place.Query) int {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/process/holds/keeper.go
@@ -0,0 +1,151 @@
+package holds
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
+)
+
+// Config of a keeper.
+type Config struct {
+	Instance string
+	Store    platform.Store
+	Scope    tally.Scope
+	Work     context.Context                  // ends with the process's background work
+	Loop     func(func())                     // runs a function beside the requests; the process waits for its end
+	Delay    func(own bool) time.Duration     // before a hold is recorded; nil: none
+	Tell     func(crashes []quarantine.Crash) // lets other instances know; nil: nobody is told
+}
+
+// Keeper is safe for concurrent use.
+type Keeper struct {
+	cfg     Config
+	crashes tally.Counter // under some work, found by this process
+	held    tally.Counter // holds that began by crashes
+
+	mu   sync.Mutex
+	core *quarantine.Core
+}
+
+// New makes a keeper that suspects nothing.
+func New(cfg Config) *Keeper {
+	return &Keeper{cfg: cfg, core: quarantine.New(), crashes: cfg.Scope.Counter("upstream_crashes"), held: cfg.Scope.Counter("work_held")}
+}
+
+func (k *Keeper) with(f func(c *quarantine.Core)) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	f(k.core)
+}
+
+// Suspects reports whether any work is suspected. While none is, no request needs a Content.
+func (k *Keeper) Suspects() (any bool) {
+	k.with(func(c *quarantine.Core) { any = c.Suspects() })
+	return any
+}
+
+// Held reports whether some work is held now.
+func (k *Keeper) Held(content quarantine.Content) (ok bool) {
+	k.with(func(c *quarantine.Core) { _, ok = c.Held(time.Now(), content) })
+	return ok
+}
+
+// Refusal refuses work that is held; nil: it isn't. The caller is told when it may be tried
+// again, which is long after most requests' time.
+func (k *Keeper) Refusal(content quarantine.Content) *errkind.Error {
+	var hold quarantine.Hold
+	ok, now := false, time.Now()
+	k.with(func(c *quarantine.Core) { hold, ok = c.Held(now, content) })
+	if !ok {
+		return nil
+	}
+	return errkind.New(errkind.Quarantined, errkind.NotRun, "upstreams crashed under the same work").After(hold.Until.Sub(now))
+}
+
+// Whole notes that some work was answered whole.
+func (k *Keeper) Whole(content quarantine.Content) {
+	var voided []quarantine.Crash
+	lifted := false
+	k.with(func(c *quarantine.Core) { voided, lifted = c.Succeeded(time.Now(), content) })
+	if len(voided) > 0 {
+		logline.Info("work cleared", "content", content, "crashes", len(voided), "held", lifted, "why", "it was answered whole")
+		k.tell(voided)
+	}
+	if lifted {
+		k.cfg.Loop(func() { k.remove(k.cfg.Work, content) })
+	}
+}
+
+// Broke notes that an upstream ended a send before its answer was whole. check: it is to be
+// found out whether the upstream has ended.
+func (k *Keeper) Broke(content quarantine.Content, life fleet.LifeID, sent time.Time) (check bool) {
+	var news []quarantine.Crash
+	k.with(func(c *quarantine.Core) { news, check = c.Broke(time.Now(), content, life, sent) })
+	k.found(news, life, "it had ended before")
+	return check
+}
+
+// Ended takes the end of an upstream's process, other than by a planned stop.
+func (k *Keeper) Ended(life fleet.LifeID, why string) {
+	var news []quarantine.Crash
+	k.with(func(c *quarantine.Core) { news = c.Ended(time.Now(), life) })
+	k.found(news, life, why)
+}
+
+// Answered notes that an upstream began to answer what was sent to it.
+func (k *Keeper) Answered(life fleet.LifeID, sent time.Time) {
+	k.with(func(c *quarantine.Core) { c.Lives(life, sent) })
+}
+
+// Left notes that an upstream leaves: it ends what it has as planned.
+func (k *Keeper) Left(life fleet.LifeID) { k.Answered(life, time.Now()) }
+
+// Waiting gives the upstreams at which sends broke off and that may have ended.
+func (k *Keeper) Waiting() (lives []fleet.LifeID) {
+	k.with(func(c *quarantine.Core) { lives = c.Waiting() })
+	return lives
+}
+
+// Forget drops what is too old to count.
+func (k *Keeper) Forget(now time.Time) {
+	k.with(func(c *quarantine.Core) { c.Forget(now) })
+}
+
+// found writes down the crashes that this process found, and lets others know.
+func (k *Keeper) found(news []quarantine.Crash, life fleet.LifeID, why string) {
+	if len(news) == 0 {
+		return
+	}
+	now := time.Now()
+	k.crashes.Inc(int64(len(news)))
+	for i := range news {
+		c := &news[i]
+		logline.Info("upstream crashed", "upstream", life, "content", c.Content,
+			"sent_ms", now.Sub(c.Sent).Milliseconds(), "broke_off_ms", now.Sub(c.At).Milliseconds(), "why", why)
+	}
+	k.tell(news)
+	k.begun(true)
+}
+
+func (k *Keeper) tell(crashes []quarantine.Crash) {
+	if k.cfg.Tell != nil {
+		k.cfg.Tell(crashes)
+	}
+}
+
+// Heard takes what another instance tells, and gives what is news.
+func (k *Keeper) Heard(now time.Time, told []quarantine.Crash) (news []quarantine.Crash) {
+	k.with(func(c *quarantine.Core) { news = c.Heard(now, told) })
+	if len(news) > 0 {
+		k.begun(false)
+	}
+	return news
+}
--- /dev/null
+++ b/internal/process/holds/keeper_test.go
@@ -0,0 +1,217 @@
+package holds
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
+	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+var work = quarantine.ContentOf("POST", "h", "/work", nil)
+
+// failing is a store whose writes fail until it is mended.
+type failing struct {
+	platform.Store
+	mu     sync.Mutex
+	mended bool
+	tries  int
+}
+
+func (f *failing) Create(ctx context.Context, o platform.Object) (platform.Object, error) {
+	f.mu.Lock()
+	f.tries++
+	mended := f.mended
+	f.mu.Unlock()
+	if !mended {
+		return o, errors.Wrap(platform.ErrUnavailable, "test")
+	}
+	return f.Store.Create(ctx, o)
+}
+
+func (f *failing) mend() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mended = true
+	return f.tries
+}
+
+// instance is a keeper of one instance.
+type instance struct {
+	*Keeper
+	told []quarantine.Crash
+}
+
+// newInstance makes a keeper whose background work ends with the test.
+func newInstance(t *testing.T, name string, store platform.Store) *instance {
+	ctx, cancel := context.WithCancel(context.Background())
+	var loops sync.WaitGroup
+	t.Cleanup(loops.Wait)
+	t.Cleanup(cancel)
+	i := &instance{}
+	i.Keeper = New(Config{
+		Instance: name, Store: store, Scope: tally.NoopScope, Work: ctx,
+		Loop: func(f func()) { loops.Go(f) },
+		Tell: func(crashes []quarantine.Crash) { i.told = append(i.told, crashes...) },
+	})
+	return i
+}
+
+// crash has upstreams end under the work, each of a send of its own.
+func (i *instance) crash(n int) {
+	for k := range n {
+		life := fleet.LifeID(fmt.Sprint("upstream", k))
+		sent := time.Now()
+		time.Sleep(time.Millisecond)
+		i.Broke(work, life, sent)
+		i.Ended(life, "test")
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// eventually waits for a condition, generously.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// recorded gives the holds that a store has.
+func recorded(t *testing.T, store platform.Store) []platform.Object {
+	t.Helper()
+	objects, _, err := store.List(context.Background(), resource.KindHold)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return objects
+}
+
+// TestAHoldReachesOthersByThePlatform has one instance find crashes and another one, which
+// hears nothing of it, read the platform.
+func TestAHoldReachesOthersByThePlatform(t *testing.T) {
+	store := standin.New(standin.Config{})
+	one, other := newInstance(t, "one", store), newInstance(t, "other", store)
+	one.crash(2)
+	refusal := one.Refusal(work)
+	if refusal == nil || refusal.Kind != errkind.Quarantined || refusal.Run != errkind.NotRun || refusal.RetryAfter < time.Minute {
+		t.Fatalf("refusal %+v", refusal)
+	}
+	if len(one.told) != 2 {
+		t.Errorf("%d crashes told, want 2", len(one.told))
+	}
+	eventually(t, "the hold is recorded", func() bool { return len(recorded(t, store)) == 1 })
+	other.Replace(recorded(t, store))
+	if !other.Held(work) {
+		t.Error("not held at the other instance")
+	}
+	other.Replace(nil) // an operator took it away
+	if other.Held(work) {
+		t.Error("held although the platform has it no more")
+	}
+}
+
+// TestAHoldIsRecordedAfterAnOutage has the platform refuse writes for a while.
+func TestAHoldIsRecordedAfterAnOutage(t *testing.T) {
+	store := &failing{Store: standin.New(standin.Config{})}
+	one := newInstance(t, "one", store)
+	one.crash(2)
+	eventually(t, "it is tried", func() bool { store.mu.Lock(); defer store.mu.Unlock(); return store.tries > 1 })
+	if !one.Held(work) {
+		t.Error("not held in the outage")
+	}
+	store.mend()
+	eventually(t, "the hold is recorded", func() bool { return len(recorded(t, store)) == 1 })
+}
+
+// TestAHoldThatIsRecordedTwice has two instances write it at once: the first one stands.
+func TestAHoldThatIsRecordedTwice(t *testing.T) {
+	store := standin.New(standin.Config{})
+	one, other := newInstance(t, "one", store), newInstance(t, "other", store)
+	one.crash(2)
+	eventually(t, "the hold is recorded", func() bool { return len(recorded(t, store)) == 1 })
+	before := recorded(t, store)[0]
+	other.crash(2)
+	eventually(t, "the other instance knows", func() bool { _, ok := other.unrecorded(work); return !ok })
+	if after := recorded(t, store)[0]; after.Version != before.Version {
+		t.Errorf("version %d became %d", before.Version, after.Version)
+	}
+}
+
+// TestARecordThatIsOverOrOddIsReplaced finds it in the place of a new one.
+func TestARecordThatIsOverOrOddIsReplaced(t *testing.T) {
+	for name, spec := range map[string]any{
+		"over":       resource.Hold{UntilMS: time.Now().Add(-time.Hour).UnixMilli(), Times: 1},
+		"no times":   resource.Hold{UntilMS: time.Now().Add(time.Minute).UnixMilli()},
+		"for years":  resource.Hold{UntilMS: time.Now().Add(10000 * time.Hour).UnixMilli(), Times: 1},
+		"other type": []int{1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			store := standin.New(standin.Config{})
+			o, err := resource.Encode(resource.KindHold, work.String(), spec)
+			if err != nil {
+				t.Fatal(err)
+			}
+			old, err := store.Create(context.Background(), o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			one := newInstance(t, "one", store)
+			one.Replace(recorded(t, store))
+			if one.Held(work) {
+				t.Error("held by it")
+			}
+			one.crash(2)
+			eventually(t, "it is replaced", func() bool { return recorded(t, store)[0].Version > old.Version })
+			if !one.Held(work) {
+				t.Error("not held")
+			}
+		})
+	}
+}
+
+// TestWorkThatIsAnsweredWholeIsHeldNoMore removes its record too.
+func TestWorkThatIsAnsweredWholeIsHeldNoMore(t *testing.T) {
+	store := standin.New(standin.Config{})
+	one, other := newInstance(t, "one", store), newInstance(t, "other", store)
+	one.crash(2)
+	other.Heard(time.Now(), one.told)
+	eventually(t, "the hold is recorded", func() bool { return len(recorded(t, store)) == 1 })
+	if !other.Held(work) {
+		t.Fatal("not held at the other instance")
+	}
+	one.told = nil
+	one.Whole(work)
+	other.Heard(time.Now(), one.told)
+	if one.Held(work) || other.Held(work) {
+		t.Errorf("held here %t, there %t", one.Held(work), other.Held(work))
+	}
+	eventually(t, "the record is removed", func() bool { return len(recorded(t, store)) == 0 })
+}
+
+// TestNothingIsSuspectedAtRest needs no request to be hashed.
+func TestNothingIsSuspectedAtRest(t *testing.T) {
+	one := newInstance(t, "one", standin.New(standin.Config{}))
+	if one.Suspects() || one.Held(work) || one.Refusal(work) != nil {
+		t.Error("something is")
+	}
+	one.Broke(work, "a", time.Now())
+	one.Left("a")
+	one.Ended("a", "test")
+	if one.Suspects() {
+		t.Error("the planned end of an upstream is suspected")
+	}
+}
