--- a/internal/standin/runner/faults.go
+++ b/internal/standin/runner/faults.go
@@ -1,6 +1,9 @@
 package runner
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Faults are the switchable faults. Counters count down as the fault strikes.
 type Faults struct {
@@ -18,6 +21,9 @@
 	Plain503Runs     int `json:"plain_503_runs"`     // the next N runs begin and are answered by a bare 503
 	LoseOrderAnswers int `json:"lose_order_answers"` // the next N orders are accepted, then the connection drops
 	CrashInOrders    int `json:"crash_in_orders"`    // the engine crashes in the middle of the next N orders
+
+	CrashPrompt string `json:"crash_prompt"`  // the engine crashes when it begins a run whose prompt holds this; empty: none
+	CrashDownMS int    `json:"crash_down_ms"` // it is away for so long then
 }
 
 // SetFaults replaces the faults in force.
@@ -49,6 +55,12 @@
 	return true
 }
 
+// crashesUnder tells whether a run ends the engine, and for how long.
+func (r *Runner) crashesUnder(prompt string) (down time.Duration, crashes bool) {
+	f := r.Faults()
+	return time.Duration(f.CrashDownMS) * time.Millisecond, f.CrashPrompt != "" && strings.Contains(prompt, f.CrashPrompt)
+}
+
 // Crash drops everything but the ledger, cuts every connection and comes back as
 // a new incarnation, not frozen, after down.
 func (r *Runner) Crash(down time.Duration) {
--- a/internal/standin/runner/http.go
+++ b/internal/standin/runner/http.go
@@ -112,6 +112,11 @@
 		writeRefusal(w, f)
 		return
 	}
+	if down, crashes := r.crashesUnder(req.Prompt); crashes {
+		go r.Crash(down)
+		<-q.Context().Done()
+		return
+	}
 	if r.strike(&r.faults.LoseRunAnswers) {
 		panic(http.ErrAbortHandler)
 	}
