ragwort-gateway keeps work away from upstreams that crash under it

Cause: as in the entry process; an idempotent call went from runner to runner for as long as one was left.

Change: the gateway uses the same keeper of holds. A run that is lost, a send that breaks off and an answer that is cut are crashes if the upstream's port refuses connections, another incarnation answers, or the run is not known there any more. Gateways pass crashes on over their connections, and read holds from the platform.

--- a/internal/connection/peer/message.go
+++ b/internal/connection/peer/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 )
 
 // ProtocolVersion is the version of the messages below. A peer accepts its own
@@ -29,6 +30,8 @@
 	Explain   *ExplainAsk     `cbor:"18,keyasint,omitempty"`
 	Explained *ExplainAnswer  `cbor:"19,keyasint,omitempty"`
 
+	Crashes []quarantine.Told `cbor:"21,keyasint,omitempty"`
+
 	// Packed is a whole compressed Envelope, in place of any other field but V.
 	// Encode and Decode see to it.
 	Packed []byte `cbor:"20,keyasint,omitempty"`
--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -65,7 +65,7 @@
 	if listed, leaving := e.state.lists(u.Life()); !listed || leaving {
 		return
 	}
-	if e.holds.Broke(q.content(), u.Life(), sent) {
+	if e.holds.Broke(q.content(), lifeName(u), sent) {
 		e.loop(func() { e.checkEnd(*u) })
 	}
 }
@@ -79,7 +79,7 @@
 func (e *Entry) checkEnd(u fleet.Upstream) {
 	for range endChecks {
 		if err := upstream.Reach(e.work, u.Address, upstreamDialTimeout); refusedConnection(err) {
-			e.upstreamEnded(u.Life())
+			e.upstreamEnded(&u)
 			return
 		}
 		if platform.Sleep(e.work, endCheckPause) != nil {
@@ -92,13 +92,16 @@
 func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // upstreamEnded takes the end of an upstream whose address refuses connections.
-func (e *Entry) upstreamEnded(life fleet.LifeID) { e.holds.Ended(life, "connection refused") }
+func (e *Entry) upstreamEnded(u *fleet.Upstream) { e.holds.Ended(lifeName(u), "connection refused") }
+
+// lifeName names the life of an upstream.
+func lifeName(u *fleet.Upstream) quarantine.Life { return quarantine.Life(u.Life()) }
 
 // checkUnlisted looks, after a change of the list, whether upstreams at which sends broke off
 // have ended.
 func (e *Entry) checkUnlisted() {
 	for _, life := range e.holds.Waiting() {
-		switch listed, leaving := e.state.lists(life); {
+		switch listed, leaving := e.state.lists(fleet.LifeID(life)); {
 		case leaving:
 			e.holds.Left(life)
 		case !listed:
--- a/internal/process/entry/crashnews.go
+++ b/internal/process/entry/crashnews.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 )
@@ -57,12 +58,17 @@
 	s.flushCrashes(time.Now())
 }
 
-// takeCrashes takes what others tell.
-func (s *sharing) takeCrashes(now time.Time, told []quarantine.Crash) {
+// takeCrashes takes what another instance tells.
+func (s *sharing) takeCrashes(now time.Time, from string, told []quarantine.Told) {
 	if len(told) == 0 {
 		return
 	}
-	news := s.e.holds.Heard(now, told)
+	heard, err := quarantine.Hear(now, told)
+	if err != nil {
+		logline.Info("crashes passed over", "from", from, "error", err)
+		return
+	}
+	news := s.e.holds.Heard(now, heard)
 	if len(news) > 0 && s.isPlacer() {
 		s.crashes.put(news, false)
 		s.flushCrashes(now)
@@ -87,8 +93,8 @@
 // sendCrashes sends crashes, in as many messages as they need.
 func (s *sharing) sendCrashes(now time.Time, crashes []quarantine.Crash, to []string) {
 	for len(crashes) > 0 && len(to) > 0 {
-		n := min(len(crashes), peers.MaxCrashes)
-		s.send(peers.Message{Crashes: peers.CrashesOf(now, crashes[:n])}, to...)
+		n := min(len(crashes), quarantine.MaxTold)
+		s.send(peers.Message{Crashes: quarantine.Tell(now, crashes[:n])}, to...)
 		crashes = crashes[n:]
 	}
 }
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -231,7 +231,7 @@
 		return out
 	}
 	defer resp.Body.Close()
-	e.holds.Answered(u.Life(), begun)
+	e.holds.Answered(lifeName(u), begun)
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	events := headEvents(resp.Status, told)
 	if kv != nil && resp.Status == http.StatusOK {
@@ -310,7 +310,7 @@
 	case out.sent:
 		q.brokeOff(at.upstream(), begun)
 	case refusedConnection(err):
-		q.e.upstreamEnded(at.upstream().Life())
+		q.e.upstreamEnded(at.upstream())
 	}
 	return out
 }
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -121,7 +121,7 @@
 		return nil, out.sent, out.err
 	}
 	defer resp.Body.Close()
-	e.holds.Answered(u.Life(), begun)
+	e.holds.Answered(lifeName(u), begun)
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	e.happened(at, headEvents(resp.Status, told)...)
 	kv, err = q.readPrefilled(*u, resp, told)
--- a/internal/process/entry/sharing.go
+++ b/internal/process/entry/sharing.go
@@ -199,7 +199,7 @@
 	s.takeNotes(from, m.Notes)
 	s.takeQuestions(now, from, m.Questions)
 	s.takeAnswers(from, m.Answers)
-	s.takeCrashes(now, m.Told(now))
+	s.takeCrashes(now, from, m.Crashes)
 	if !news {
 		return
 	}
--- a/internal/process/gateway/call.go
+++ b/internal/process/gateway/call.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/config"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
@@ -21,9 +22,10 @@
 	route       resource.Route
 	version     string // of the model, chosen by weight; empty: any
 
-	body requestBody
-	raw  []byte // the body as sent
-	key  string // Idempotency-Key; empty: none
+	body  requestBody
+	raw   []byte             // the body as sent
+	named quarantine.Content // see content; zero: not computed yet
+	key   string             // Idempotency-Key; empty: none
 
 	firstSend bool // the caller states that it never sent the key before
 
--- /dev/null
+++ b/internal/process/gateway/crashes.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
+)
+
+// endCheckTimeout bounds one connection to an upstream that may have ended.
+const endCheckTimeout = time.Second
+
+// newHolds makes the gateway's part in keeping work away from upstreams that crash under it.
+func (g *Gateway) newHolds() *holds.Keeper {
+	return holds.New(holds.Config{
+		Instance: g.cfg.Settings.Instance.Name,
+		Store:    g.store,
+		Scope:    g.exporter.Scope(),
+		Work:     g.work,
+		Loop:     func(f func()) { g.loop(func(context.Context) { f() }) },
+		Tell:     func(crashes []quarantine.Crash) { g.passOn(crashes, "") },
+	})
+}
+
+// passOn tells crashes to the peers that this gateway is connected to, but for the one
+// that told them. Each passes on what is news to it, so all learn of it.
+func (g *Gateway) passOn(crashes []quarantine.Crash, but string) {
+	e := peer.Envelope{Crashes: quarantine.Tell(time.Now(), crashes)}
+	for _, name := range g.members.Connected() {
+		if name == but {
+			continue
+		}
+		if err := g.members.Send(name, e); err != nil {
+			logline.Debug("crashes not told", "peer", name, "error", err)
+		}
+	}
+}
+
+// hearCrashes takes what a peer tells.
+func (g *Gateway) hearCrashes(from string, told []quarantine.Told) {
+	now := time.Now()
+	crashes, err := quarantine.Hear(now, told)
+	if err != nil {
+		logline.Info("crashes passed over", "peer", from, "error", err)
+		return
+	}
+	if news := g.holds.Heard(now, crashes); len(news) > 0 {
+		g.passOn(news, from)
+	}
+}
+
+// cleansHolds reports whether this gateway removes records of holds that are over.
+func (g *Gateway) cleansHolds() bool {
+	names := g.keepers()
+	return len(names) > 0 && slices.Min(names) == g.cfg.Settings.Instance.Name
+}
+
+// lifeOf names the life of a runner that has an incarnation; empty: not known yet.
+func lifeOf(runner, incarnation string) quarantine.Life {
+	return quarantine.Life(runner + "@" + incarnation)
+}
+
+// lost notes that an upstream ended a send before its answer was whole, and has it found out
+// whether it crashed. address is its base URL.
+func (g *Gateway) lost(content quarantine.Content, life quarantine.Life, address string, sent time.Time, err error) {
+	check := g.holds.Broke(content, life, sent)
+	switch {
+	case refusesConnections(err):
+		g.holds.Ended(life, "connection refused")
+	case errors.Is(err, upstream.ErrUnknownRun):
+		g.holds.Ended(life, "it doesn't know the run")
+	case check:
+		g.loop(func(ctx context.Context) { g.checkEnd(ctx, life, address) })
+	}
+}
+
+// checkEnd finds out whether the process of an upstream has ended.
+func (g *Gateway) checkEnd(ctx context.Context, life quarantine.Life, address string) {
+	u, err := url.Parse(address)
+	if err != nil {
+		logline.Info("upstream not asked whether it has ended", "upstream", life, "error", err)
+		return
+	}
+	if refusesConnections(upstream.Reach(ctx, u.Host, endCheckTimeout)) {
+		g.holds.Ended(life, "connection refused")
+	}
+}
+
+// refusesConnections reports whether nothing listens at an upstream's address.
+func refusesConnections(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// restarted takes a runner's incarnation from a poll; before is the last one known.
+func (g *Gateway) restarted(runner, before, now string) {
+	if before != "" && before != now {
+		g.holds.Ended(lifeOf(runner, before), "another incarnation answers")
+	}
+}
+
+// content names the work that a call asks for.
+func (c *call) content() quarantine.Content {
+	if c.named == (quarantine.Content{}) {
+		c.named = quarantine.ContentOf(http.MethodPost, "", c.body.form.path(), c.raw)
+	}
+	return c.named
+}
+
+// held refuses a call whose work is held; nil: it isn't.
+func (x *execution) held() *errkind.Error {
+	if !x.g.holds.Suspects() {
+		return nil
+	}
+	return x.g.holds.Refusal(x.call.content())
+}
+
+// lost notes that the present run was ended by its runner.
+func (x *execution) lost(err error) {
+	if x.life == "" {
+		return
+	}
+	_, address, _ := x.engine(x.runner)
+	x.g.lost(x.call.content(), x.life, address, x.sentAt, err)
+}
+
+// whole notes that the call was answered whole.
+func (x *execution) whole() {
+	if x.g.holds.Suspects() {
+		x.g.holds.Whole(x.call.content())
+	}
+}
+
+// content names the work that a call asks for; ok is false if its body streams through.
+func (c *serviceCall) content() (content quarantine.Content, ok bool) {
+	if !c.replay {
+		return content, false
+	}
+	return quarantine.ContentOf(c.r.Method, c.r.Host, c.r.URL.RequestURI(), c.body), true
+}
+
+// held refuses a call whose work is held; nil: it isn't.
+func (c *serviceCall) held() *errkind.Error {
+	if !c.g.holds.Suspects() {
+		return nil
+	}
+	content, ok := c.content()
+	if !ok {
+		return nil
+	}
+	return c.g.holds.Refusal(content)
+}
+
+// lost notes that the present send was ended by its upstream.
+func (c *serviceCall) lost(err error) {
+	if content, ok := c.content(); ok {
+		c.g.lost(content, quarantine.Life(c.upstream), c.address, c.sentAt, err)
+	}
+}
+
+// whole notes that the call was answered whole.
+func (c *serviceCall) whole() {
+	if !c.g.holds.Suspects() {
+		return
+	}
+	if content, ok := c.content(); ok {
+		c.g.holds.Whole(content)
+	}
+}
--- a/internal/process/gateway/crashing_test.go
+++ b/internal/process/gateway/crashing_test.go
@@ -2,10 +2,16 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
 // Work that crashes each runner that begins to run it comes again, at any gateway. A gateway knew
@@ -70,3 +76,95 @@
 		})
 	}
 }
+
+// crashingUpstream is an upstream of a plain service that crashes under some work.
+type crashingUpstream struct {
+	address string
+
+	mu      sync.Mutex
+	server  *http.Server
+	crashes int
+	closed  bool
+}
+
+func newCrashingUpstream(t *testing.T) *crashingUpstream {
+	u := &crashingUpstream{address: "127.0.0.1:0"}
+	if err := u.listen(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.closed = true
+		u.server.Close()
+	})
+	return u
+}
+
+func (u *crashingUpstream) listen() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.closed {
+		return nil
+	}
+	l, err := net.Listen("tcp", u.address)
+	if err != nil {
+		return err
+	}
+	u.address, u.server = l.Addr().String(), &http.Server{Handler: u}
+	go u.server.Serve(l)
+	return nil
+}
+
+// ServeHTTP implements http.Handler.
+func (u *crashingUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if string(body) != crashingPrompt {
+		_, _ = io.WriteString(w, "answer")
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.crashes++
+	go u.server.Close()
+	time.AfterFunc(200*time.Millisecond, func() { _ = u.listen() }) // it stays away if its port was taken
+	panic(http.ErrAbortHandler)
+}
+
+func (u *crashingUpstream) count() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.crashes
+}
+
+// TestWorkThatCrashesServicesIsKeptFromThem has the work come to a plain service.
+func TestWorkThatCrashesServicesIsKeptFromThem(t *testing.T) {
+	f := newFleet(t)
+	spec := resource.Service{}
+	var upstreams []*crashingUpstream
+	for i := range 3 {
+		u := newCrashingUpstream(t)
+		upstreams = append(upstreams, u)
+		spec.Upstreams = append(spec.Upstreams, resource.ServiceUpstream{
+			Name: fmt.Sprint("u", i), Address: "http://" + u.address, Zone: testZone, State: resource.RunnerServing,
+		})
+	}
+	f.put(resource.KindService, "board", spec)
+	f.putServiceRoute("board", "/board/", "")
+	g := f.start(f.settings("gw-1"))
+	g.eventually("the service answers", func() bool { return g.get(ask{path: "/board/x", body: "other"}).status == http.StatusOK })
+	crashes := func() (n int) {
+		for _, u := range upstreams {
+			n += u.count()
+		}
+		return n
+	}
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		g.get(ask{path: "/board/x", body: crashingPrompt})
+	}
+	if n := crashes(); n == 0 || n > 3+crashesAfter {
+		t.Errorf("%d crashes under one piece of work", n)
+	}
+	g.get(ask{path: "/board/x", body: crashingPrompt}).wantError(t, errkind.Quarantined, errkind.NotRun)
+	g.eventually("other work is served", func() bool { return g.get(ask{path: "/board/x", body: "other"}).status == http.StatusOK })
+}
--- a/internal/process/gateway/execution.go
+++ b/internal/process/gateway/execution.go
@@ -8,6 +8,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
 )
 
@@ -31,9 +32,11 @@
 	out  answer
 	why  *explanation
 
-	request route.Request    // with the runners tried so far excluded
-	runID   string           // of the present run
-	runner  string           // of the present run
+	request route.Request   // with the runners tried so far excluded
+	runID   string          // of the present run
+	runner  string          // of the present run
+	life    quarantine.Life // of that runner, when the run was sent
+	sentAt  time.Time
 	state   errkind.RunState // worst over all attempts: only ever moves away from not-run
 
 	attempts   int
@@ -93,6 +96,8 @@
 		return nil, err
 	}
 	x.attempts++
+	x.life = lifeOf(choice.Runner, x.g.cores.incarnation(time.Now(), x.call.route.Model, choice.Runner))
+	x.sentAt = time.Now()
 	return engine.Run(ctx, r)
 }
 
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
@@ -59,6 +60,7 @@
 	members  *member.Service
 	keeper   *claim.KeeperService
 	claims   claim.Asker
+	holds    *holds.Keeper
 
 	callers *http.Server
 	ops     *ops.Server
@@ -99,6 +101,7 @@
 	}
 	g.exporter = metrics.New("ragwort_gateway", map[string]string{"zone": cfg.Settings.Instance.Zone})
 	g.metrics = newMeters(g.exporter.Scope())
+	g.holds = g.newHolds()
 	g.cores = newCores(cfg.Settings.Instance, cfg.Settings.Limits)
 	g.engines = newEngines(cfg.Engine, 0)
 	g.services = upstream.NewServices(upstream.HTTPOptions{})
@@ -192,6 +195,8 @@
 	g.config.Start()
 	g.loop(g.queueLoop)
 	g.loop(g.secondLoop)
+	g.loop(g.holds.Follow)
+	g.loop(func(ctx context.Context) { g.holds.Clean(ctx, g.cleansHolds) })
 	failed := make(chan error, 2)
 	g.loop(func(context.Context) { failed <- g.ops.Serve(g.listeners.operators) })
 	g.loop(func(context.Context) { failed <- g.serveCallers() })
@@ -250,6 +255,7 @@
 	for sleep(ctx, time.Second) == nil {
 		now := time.Now()
 		g.cores.refreshSuspects(now)
+		g.holds.Forget(now)
 		g.metrics.running.Update(float64(g.running.Count()))
 		g.metrics.queued.Update(float64(g.cores.queued()))
 	}
--- a/internal/process/gateway/keyed.go
+++ b/internal/process/gateway/keyed.go
@@ -70,6 +70,9 @@
 
 func (k *keyed) choose(exclude []string) claim.Event {
 	now := time.Now()
+	if refusal := k.held(); refusal != nil {
+		return claim.ChooseFailed{Err: refusal}
+	}
 	k.request.Excluded = append(k.request.Excluded, exclude...)
 	if !k.unsent && !k.g.cores.mayRetry(now) {
 		return claim.ChooseFailed{Err: errkind.New(errkind.UpstreamRefused, errkind.NotRun,
@@ -101,9 +104,9 @@
 	if !maySend() {
 		return claim.SendLate{}
 	}
-	s, err := k.start(ctx, k.chosen, a.RunID, a.Incarnation)
+	s, err := k.startUnheld(ctx, a)
 	now := time.Now()
-	k.unsent = errors.Is(err, errNowLeaving)
+	k.unsent = errors.Is(err, errNowLeaving) || errors.Is(err, errHeld)
 	if k.unsent {
 		k.why.add(now, "not sent to %s: %v", a.Runner, err)
 		return k.heldBack(a, err)
@@ -118,6 +121,7 @@
 	k.why.add(now, "send to %s failed: %v", a.Runner, err)
 	if ctx.Err() == nil {
 		k.g.upstreamFailed(a.Runner, err)
+		k.lost(err)
 	}
 	if provesNotRun(err) {
 		return claim.SendRefused{
@@ -130,6 +134,14 @@
 	return claim.SendAmbiguous{}
 }
 
+// startUnheld starts a run unless its work is held.
+func (k *keyed) startUnheld(ctx context.Context, a claim.Send) (upstream.Stream, error) {
+	if k.held() != nil {
+		return nil, errHeld
+	}
+	return k.start(ctx, k.chosen, a.RunID, a.Incarnation)
+}
+
 // heldBack tells the session that a send did not go out because its runner leaves.
 // The first send of the own claim is a refusal, so the claim moves elsewhere. Any
 // other run may be under way at that runner by another sender or an earlier send:
@@ -158,6 +170,7 @@
 		return claim.Started{}
 	}
 	k.why.add(time.Now(), "resume at %s failed: %v", a.Runner, err)
+	k.lost(err)
 	if errors.Is(err, upstream.ErrUnknownRun) {
 		return claim.ResumeUnknownRun{}
 	}
@@ -182,6 +195,7 @@
 	case errors.Is(err, stream.ErrCanceled):
 		return claim.ResumeUnknownRun{} // a canceled run can't be completed
 	}
+	k.lost(err)
 	return claim.StreamBroken{}
 }
 
--- a/internal/process/gateway/network.go
+++ b/internal/process/gateway/network.go
@@ -63,6 +63,8 @@
 func (n network) Receive(from peer.Hello, e peer.Envelope) *peer.Envelope {
 	switch {
 	case n.g.config.Receive(from.Name, e):
+	case e.Crashes != nil:
+		n.g.hearCrashes(from.Name, e.Crashes)
 	case e.Claim != nil:
 		n.keep(from.Name, e)
 	case e.Explain != nil:
--- a/internal/process/gateway/poll.go
+++ b/internal/process/gateway/poll.go
@@ -53,6 +53,7 @@
 	mu      sync.Mutex
 	running map[string]context.CancelFunc // by runner
 	unasked map[string]bool               // runners of the own zone whose first poll has not ended
+	lives   map[string]string             // incarnations last seen, by runner
 	ready   bool                          // unasked was empty once
 	own     int                           // runners of this gateway's zone
 	others  int
@@ -68,6 +69,7 @@
 		otherSlots: semaphore.NewWeighted(pollConcurrency),
 		running:    make(map[string]context.CancelFunc),
 		unasked:    make(map[string]bool),
+		lives:      make(map[string]string),
 	}
 }
 
@@ -101,6 +103,7 @@
 			stop()
 			delete(p.running, name)
 			delete(p.unasked, name)
+			delete(p.lives, name)
 		}
 	}
 	for name, r := range s.Runners {
@@ -227,6 +230,7 @@
 		if err != nil {
 			return err
 		}
+		p.g.restarted(name, p.swapIncarnation(name, state.Incarnation), state.Incarnation)
 		seen.incarnation = state.Incarnation
 		p.g.cores.stated(name, state)
 	}
@@ -238,6 +242,14 @@
 	return nil
 }
 
+// swapIncarnation notes the incarnation of a runner and gives the one before; empty: none.
+func (p *poller) swapIncarnation(name, now string) (before string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	before, p.lives[name] = p.lives[name], now
+	return before
+}
+
 // pollCache reads cache events of a runner of the own zone; of the others it is enough
 // to know what this gateway sent them. They are a hint only, so a failure is none of
 // the poll.
--- a/internal/process/gateway/serve.go
+++ b/internal/process/gateway/serve.go
@@ -56,6 +56,7 @@
 	final := x.run(ctx)
 	g.finish(c, x, why, final)
 	if final == nil {
+		x.whole()
 		return nil
 	}
 	if x.out.Begun() {
@@ -86,7 +87,10 @@
 
 // run admits the call and executes it.
 func (x *execution) run(ctx context.Context) *errkind.Error {
-	choice, refusal := x.admitted(ctx)
+	choice, refusal := route.Choice{}, x.held()
+	if refusal == nil {
+		choice, refusal = x.admitted(ctx)
+	}
 	if x.call.key != "" {
 		return x.runKeyed(ctx, choice, refusal)
 	}
--- a/internal/process/gateway/service.go
+++ b/internal/process/gateway/service.go
@@ -14,6 +14,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/route"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
@@ -49,6 +50,8 @@
 	excluded []string
 	upstream string
 	attempts int
+	sentAt   time.Time        // the last send
+	address  string           // where that went
 	state    errkind.RunState // worst over all attempts
 	begun    bool             // the caller has seen a part of the answer
 }
@@ -151,6 +154,7 @@
 	}
 	c.finish(final)
 	if final == nil {
+		c.whole()
 		return nil
 	}
 	if c.begun {
@@ -163,6 +167,9 @@
 // run sends the call, elsewhere again if that is safe.
 func (c *serviceCall) run(ctx context.Context) *errkind.Error {
 	for {
+		if refusal := c.held(); refusal != nil {
+			return c.notSent(refusal)
+		}
 		picked, ok := c.g.cores.pickService(time.Now(), c.service, c.excluded, route.SeedOf(c.id))
 		if !ok {
 			return c.nowhere()
@@ -189,6 +196,15 @@
 	}
 }
 
+// notSent is the answer to a call that isn't sent any more. What is known of earlier sends
+// decides.
+func (c *serviceCall) notSent(refusal *errkind.Error) *errkind.Error {
+	if c.state == errkind.NotRun {
+		return refusal
+	}
+	return errkind.Wrap(refusal, errkind.OutcomeUnknown, c.state, "the call may have run")
+}
+
 // nowhere is the answer if no upstream is left.
 func (c *serviceCall) nowhere() *errkind.Error {
 	if c.state == errkind.NotRun {
@@ -243,11 +259,13 @@
 	c.upstream = u.Name
 	c.attempts++
 	c.why.add(time.Now(), "sent to %s", u.Name)
+	c.sentAt, c.address = time.Now(), u.Address
 	answer, err := c.g.services.Forward(ctx, c.upstreamCall(u))
 	now := time.Now()
 	if err == nil {
 		c.state = errkind.Ran
 		c.g.cores.upstreamWorked(now, u.Name)
+		c.g.holds.Answered(quarantine.Life(u.Name), c.sentAt)
 		return answer, nil
 	}
 	if !provesNotRun(err) {
@@ -255,6 +273,7 @@
 	}
 	if ctx.Err() == nil && !callersFault(err) {
 		c.g.upstreamFailed(u.Name, err)
+		c.lost(err)
 	}
 	return answer, err
 }
@@ -306,6 +325,9 @@
 			return nil
 		}
 		if err != nil {
+			if c.r.Context().Err() == nil {
+				c.lost(err)
+			}
 			return err
 		}
 	}
--- a/internal/process/gateway/serviceclaim.go
+++ b/internal/process/gateway/serviceclaim.go
@@ -54,6 +54,9 @@
 // choose picks another upstream and counts the call there.
 func (k *keyedService) choose(exclude []string) claim.Event {
 	k.release()
+	if refusal := k.held(); refusal != nil {
+		return claim.ChooseFailed{Err: refusal}
+	}
 	k.excluded = append(k.excluded, exclude...)
 	if len(exclude) > 0 && !k.unsent && !k.g.cores.mayRetry(time.Now()) {
 		return claim.ChooseFailed{Err: errkind.New(errkind.UpstreamRefused, errkind.NotRun,
@@ -92,6 +95,9 @@
 		k.why.add(time.Now(), "not sent to %s: %v", a.Runner, errNowLeaving)
 		return claim.SendRefused{Err: notRunAnswer(errNowLeaving)}
 	}
+	if refusal := k.held(); refusal != nil {
+		return k.heldEvent(a, refusal)
+	}
 	k.sent = true
 	answer, err := k.forward(ctx, u)
 	if err == nil {
@@ -112,6 +118,16 @@
 	return !k.sent && a.RunID == k.ownRun && k.g.mayStillCall(k.route.Service, a.Runner) != nil
 }
 
+// heldEvent tells the session that a send did not go out because its work is held. Only the
+// first send of the own claim certainly did not run.
+func (k *keyedService) heldEvent(a claim.Send, refusal *errkind.Error) claim.Event {
+	if k.sent || a.RunID != k.ownRun {
+		return claim.SendLate{}
+	}
+	k.unsent = true
+	return claim.SendRefused{Err: refusal}
+}
+
 // resume is never asked for, because Traits denies it.
 func (k *keyedService) resume(context.Context, claim.Resume) claim.Event {
 	return claim.ResumeUnknownRun{}
--- a/internal/process/gateway/stillserving.go
+++ b/internal/process/gateway/stillserving.go
@@ -11,6 +11,10 @@
 // Nothing was sent to it.
 var errNowLeaving = errors.Wrap(upstream.ErrNotRun, "the upstream leaves since it was chosen")
 
+// errHeld says that upstreams crashed under the same work since the upstream was chosen.
+// Nothing was sent to it.
+var errHeld = errors.Wrap(upstream.ErrNotRun, "upstreams crashed under the same work")
+
 // mayStillSend is asked right before a request goes out. Between choice and send a
 // request may wait for its claim or for a prefill at another runner; meanwhile the
 // upstream may be taken away for a planned change, which must not meet it. So the
--- a/internal/process/gateway/unkeyed.go
+++ b/internal/process/gateway/unkeyed.go
@@ -56,6 +56,9 @@
 // begin sends the request until a runner has taken it or may have taken it.
 func (u *unkeyed) begin(ctx context.Context, choice route.Choice) (stream.Attempt, *errkind.Error) {
 	for {
+		if u.held() != nil {
+			return stream.Attempt{}, u.finalAnswer(errHeld)
+		}
 		attempt, err := u.send(ctx, choice)
 		if err == nil {
 			return attempt, nil
@@ -109,6 +112,7 @@
 	}
 	if ctx.Err() == nil {
 		u.g.upstreamFailed(u.runner, err)
+		u.lost(err)
 	}
 	return attempt, err
 }
@@ -165,6 +169,7 @@
 	}
 	u.why.add(time.Now(), "answer of run %s at %s broke at token %d: %v", u.runID, u.runner, u.tokens, err)
 	u.g.upstreamFailed(u.runner, err)
+	u.lost(err)
 	final := errkind.From(err)
 	if final.Kind != errkind.AnswerIncomplete {
 		return final
@@ -174,6 +179,7 @@
 
 // restart is called by the relay when the present run is lost.
 func (u *unkeyed) restart(ctx context.Context, why error) (stream.Attempt, error) {
+	u.lost(why)
 	attempt, final := u.elsewhere(ctx, why)
 	if final != nil {
 		return attempt, final
@@ -221,7 +227,7 @@
 		TokensGiven: u.tokens,
 		Budget:      u.g.cores.allowsRetry(now),
 		TimeLeft:    u.call.timeLeft(now),
-		Elsewhere:   u.g.cores.elsewhere(now, q),
+		Elsewhere:   u.held() == nil && u.g.cores.elsewhere(now, q),
 	})
 }
 
@@ -247,6 +253,9 @@
 func (u *unkeyed) finalAnswer(err error) *errkind.Error {
 	switch {
 	case u.state == errkind.NotRun:
+		if refusal := u.held(); refusal != nil {
+			return refusal
+		}
 		return notRunAnswer(err)
 	case u.state == errkind.RunUnknown:
 		return errkind.Wrap(err, errkind.OutcomeUnknown, errkind.RunUnknown, "the request may or may not have run")
--- a/internal/process/holds/keeper.go
+++ b/internal/process/holds/keeper.go
@@ -9,7 +9,6 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 )
@@ -86,7 +85,7 @@
 
 // Broke notes that an upstream ended a send before its answer was whole. check: it is to be
 // found out whether the upstream has ended.
-func (k *Keeper) Broke(content quarantine.Content, life fleet.LifeID, sent time.Time) (check bool) {
+func (k *Keeper) Broke(content quarantine.Content, life quarantine.Life, sent time.Time) (check bool) {
 	var news []quarantine.Crash
 	k.with(func(c *quarantine.Core) { news, check = c.Broke(time.Now(), content, life, sent) })
 	k.found(news, life, "it had ended before")
@@ -94,22 +93,22 @@
 }
 
 // Ended takes the end of an upstream's process, other than by a planned stop.
-func (k *Keeper) Ended(life fleet.LifeID, why string) {
+func (k *Keeper) Ended(life quarantine.Life, why string) {
 	var news []quarantine.Crash
 	k.with(func(c *quarantine.Core) { news = c.Ended(time.Now(), life) })
 	k.found(news, life, why)
 }
 
 // Answered notes that an upstream began to answer what was sent to it.
-func (k *Keeper) Answered(life fleet.LifeID, sent time.Time) {
+func (k *Keeper) Answered(life quarantine.Life, sent time.Time) {
 	k.with(func(c *quarantine.Core) { c.Lives(life, sent) })
 }
 
 // Left notes that an upstream leaves: it ends what it has as planned.
-func (k *Keeper) Left(life fleet.LifeID) { k.Answered(life, time.Now()) }
+func (k *Keeper) Left(life quarantine.Life) { k.Answered(life, time.Now()) }
 
 // Waiting gives the upstreams at which sends broke off and that may have ended.
-func (k *Keeper) Waiting() (lives []fleet.LifeID) {
+func (k *Keeper) Waiting() (lives []quarantine.Life) {
 	k.with(func(c *quarantine.Core) { lives = c.Waiting() })
 	return lives
 }
@@ -120,7 +119,7 @@
 }
 
 // found writes down the crashes that this process found, and lets others know.
-func (k *Keeper) found(news []quarantine.Crash, life fleet.LifeID, why string) {
+func (k *Keeper) found(news []quarantine.Crash, life quarantine.Life, why string) {
 	if len(news) == 0 {
 		return
 	}
--- a/internal/process/holds/keeper_test.go
+++ b/internal/process/holds/keeper_test.go
@@ -12,7 +12,6 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
@@ -70,7 +69,7 @@
 // crash has upstreams end under the work, each of a send of its own.
 func (i *instance) crash(n int) {
 	for k := range n {
-		life := fleet.LifeID(fmt.Sprint("upstream", k))
+		life := quarantine.Life(fmt.Sprint("upstream", k))
 		sent := time.Now()
 		time.Sleep(time.Millisecond)
 		i.Broke(work, life, sent)
--- a/internal/process/holds/record.go
+++ b/internal/process/holds/record.go
@@ -197,3 +197,43 @@
 	err := k.cfg.Store.Delete(ctx, resource.KindHold, content.String(), 0, k.cfg.Instance, platform.NewNonce())
 	logline.Info("hold removed", "content", content, "error", err)
 }
+
+// Follow keeps up with the holds that the platform has, until ctx ends.
+func (k *Keeper) Follow(ctx context.Context) {
+	lost := false
+	for pause := firstPause; ctx.Err() == nil; pause = min(pauseGrowth*pause, mostPause) {
+		listed, err := k.followOnce(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if listed {
+			lost, pause = false, firstPause
+		}
+		if !lost {
+			lost = true
+			logline.Info("dependency lost", "dependency", "platform holds", "error", err)
+		}
+		_ = platform.Sleep(ctx, pause+rand.N(pause)) // ends with ctx, as the loop does
+	}
+}
+
+// followOnce reads the holds and then their changes, until a call fails.
+func (k *Keeper) followOnce(ctx context.Context) (listed bool, err error) {
+	objects, version, err := k.cfg.Store.List(ctx, resource.KindHold)
+	if err != nil {
+		return false, err
+	}
+	k.Replace(objects)
+	w, err := k.cfg.Store.Watch(ctx, []string{resource.KindHold}, version)
+	if err != nil {
+		return true, err
+	}
+	defer w.Close()
+	for {
+		e, err := w.Next(ctx)
+		if err != nil {
+			return true, err
+		}
+		k.Change(e)
+	}
+}
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -271,6 +271,9 @@
 	return slices.Sorted(maps.Keys(to))
 }
 
+// Placers gives the addresses of the other instances that give places, of all availability zones.
+func (c *Core) Placers(now time.Time) []string { return c.recipients(now) }
+
 // rank orders the instances of each availability zone: those with the larger machines
 // first, and equal ones by a hash, so that all agree without asking.
 func (c *Core) rank() {
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -9,6 +9,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/roles"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 )
 
 // MaxMessageBytes is the largest message: one datagram that no usual link splits.
@@ -41,7 +42,7 @@
 	Answers   []PlaceAnswer `cbor:"9,keyasint,omitempty"`
 	Notes     []Note        `cbor:"10,keyasint,omitempty"`
 
-	Crashes []Crash `cbor:"12,keyasint,omitempty"` // at most MaxCrashes
+	Crashes []quarantine.Told `cbor:"12,keyasint,omitempty"` // at most quarantine.MaxTold
 }
 
 // Ask is what the sender's callers ask of a service's engines.
@@ -164,10 +165,5 @@
 			return m, errors.Wrap(err, "message of a peer")
 		}
 	}
-	for i := range m.Crashes {
-		if err := m.Crashes[i].check(); err != nil {
-			return m, errors.Wrap(err, "message of a peer")
-		}
-	}
 	return m, nil
 }
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/mapentry"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
-	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
 
 const (
@@ -48,8 +46,8 @@
 // Core is the state. It is not safe for concurrent use.
 type Core struct {
 	suspects map[Content]*suspect
-	broken   map[fleet.LifeID][]brokenSend
-	ended    map[fleet.LifeID]time.Time
+	broken   map[Life][]brokenSend
+	ended    map[Life]time.Time
 	begun    []Content // holds that began since the last call of Begun
 }
 
@@ -57,8 +55,8 @@
 func New() *Core {
 	return &Core{
 		suspects: make(map[Content]*suspect),
-		broken:   make(map[fleet.LifeID][]brokenSend),
-		ended:    make(map[fleet.LifeID]time.Time),
+		broken:   make(map[Life][]brokenSend),
+		ended:    make(map[Life]time.Time),
 	}
 }
 
@@ -67,7 +65,7 @@
 
 // Broke takes a send that broke off without its whole answer. It gives the crashes that are
 // news; check: whether the upstream has ended is to be found out.
-func (c *Core) Broke(now time.Time, content Content, life fleet.LifeID, sent time.Time) (news []Crash, check bool) {
+func (c *Core) Broke(now time.Time, content Content, life Life, sent time.Time) (news []Crash, check bool) {
 	b := brokenSend{content: content, sent: sent, at: now}
 	if _, ended := c.ended[life]; ended {
 		return c.count(now, life, []brokenSend{b}), false
@@ -81,7 +79,7 @@
 
 // Ended notes that the process of an upstream is gone, other than by a planned stop. It
 // gives the crashes that are news.
-func (c *Core) Ended(now time.Time, life fleet.LifeID) []Crash {
+func (c *Core) Ended(now time.Time, life Life) []Crash {
 	broken := c.broken[life]
 	delete(c.broken, life)
 	c.ended[life] = now
@@ -90,7 +88,7 @@
 
 // Lives notes that an upstream answered what was sent at a time, or is there after all: what
 // broke off before was no crash.
-func (c *Core) Lives(life fleet.LifeID, sent time.Time) {
+func (c *Core) Lives(life Life, sent time.Time) {
 	if broken := c.broken[life]; len(broken) > 0 && broken[len(broken)-1].at.Before(sent) {
 		delete(c.broken, life)
 	}
@@ -100,8 +98,8 @@
 }
 
 // Waiting gives the upstreams at which sends broke off and that may have ended.
-func (c *Core) Waiting() []fleet.LifeID {
-	out := make([]fleet.LifeID, 0, len(c.broken))
+func (c *Core) Waiting() []Life {
+	out := make([]Life, 0, len(c.broken))
 	for life := range c.broken {
 		out = append(out, life)
 	}
@@ -109,10 +107,10 @@
 }
 
 // count makes crashes of broken sends.
-func (c *Core) count(now time.Time, life fleet.LifeID, broken []brokenSend) []Crash {
+func (c *Core) count(now time.Time, life Life, broken []brokenSend) []Crash {
 	var news []Crash
 	for _, b := range broken {
-		crash := Crash{Content: b.content, Upstream: place.KeyOf(life), Sent: b.sent, At: b.at}
+		crash := Crash{Content: b.content, Upstream: UpstreamOf(life), Sent: b.sent, At: b.at}
 		if now.Sub(b.at) < endWithin && c.add(now, crash) {
 			news = append(news, crash)
 		}
--- a/internal/request/quarantine/core_test.go
+++ b/internal/request/quarantine/core_test.go
@@ -7,9 +7,6 @@
 	"time"
 
 	"pgregory.net/rapid"
-
-	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
-	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -22,8 +19,8 @@
 
 // crash ends an upstream under some work that was sent at a time and broke off at another.
 func crash(c *Core, content Content, life string, sent, broke time.Duration) []Crash {
-	news, _ := c.Broke(at(broke), content, fleet.LifeID(life), at(sent))
-	return append(news, c.Ended(at(broke+5*ms), fleet.LifeID(life))...)
+	news, _ := c.Broke(at(broke), content, Life(life), at(sent))
+	return append(news, c.Ended(at(broke+5*ms), Life(life))...)
 }
 
 func held(c *Core, content Content, now time.Duration) bool {
@@ -55,13 +52,13 @@
 
 // TestASendThatBreaksOffIsNoCrash has sends break off at upstreams that live on.
 func TestASendThatBreaksOffIsNoCrash(t *testing.T) {
-	for name, tell := range map[string]func(*Core, fleet.LifeID){
-		"never heard of again":     func(c *Core, _ fleet.LifeID) { c.Forget(at(endWithin + time.Second)) },
-		"answers what came later":  func(c *Core, l fleet.LifeID) { c.Lives(l, at(200*ms)) },
-		"ends long after the send": func(c *Core, l fleet.LifeID) { c.Ended(at(endWithin+time.Second), l) },
+	for name, tell := range map[string]func(*Core, Life){
+		"never heard of again":     func(c *Core, _ Life) { c.Forget(at(endWithin + time.Second)) },
+		"answers what came later":  func(c *Core, l Life) { c.Lives(l, at(200*ms)) },
+		"ends long after the send": func(c *Core, l Life) { c.Ended(at(endWithin+time.Second), l) },
 	} {
 		c := New()
-		for _, life := range []fleet.LifeID{"a", "b", "c"} {
+		for _, life := range []Life{"a", "b", "c"} {
 			if _, check := c.Broke(at(100*ms), work, life, at(0)); !check {
 				t.Errorf("%s: nobody looks whether %s has ended", name, life)
 			}
@@ -265,7 +262,7 @@
 			sent := broke - time.Duration(rapid.IntRange(1, 200).Draw(t, "ran"))*ms
 			told = append(told, Crash{
 				Content:  ContentOf("GET", "h", fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "work")), nil),
-				Upstream: place.UpstreamKey(upstream), Sent: at(sent), At: at(broke),
+				Upstream: Upstream(upstream), Sent: at(sent), At: at(broke),
 				Void: rapid.IntRange(0, 9).Draw(t, "void") == 0,
 			})
 			if i%3 == 0 {
--- a/internal/request/quarantine/crash.go
+++ b/internal/request/quarantine/crash.go
@@ -4,17 +4,15 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
 
 // Crash is the end of an upstream that had some work under way.
 type Crash struct {
 	Content  Content
-	Upstream place.UpstreamKey // the life that ended; without a start of lives it is the id
-	Sent     time.Time         // when the work was sent there
-	At       time.Time         // when it broke off
-	Void     bool              // the work was answered whole since: it isn't what ended the upstream
+	Upstream Upstream  // the life that ended; without a start of lives it is the id
+	Sent     time.Time // when the work was sent there
+	At       time.Time // when it broke off
+	Void     bool      // the work was answered whole since: it isn't what ended the upstream
 }
 
 // sameEnd is how far apart instances notice one end of an upstream. A process takes longer to
--- /dev/null
+++ b/internal/request/quarantine/told_test.go
@@ -0,0 +1,65 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+func crashes(n int) []Crash {
+	out := make([]Crash, n)
+	for i := range out {
+		out[i] = Crash{
+			Content: ContentOf("POST", "h", "/a", []byte{byte(i)}), Upstream: 1 << 31,
+			Sent: at(-time.Minute), At: at(-time.Second), Void: i%2 == 0,
+		}
+	}
+	return out
+}
+
+// TestCrashesAreToldByTheirAge has the receiver's clock be an hour ahead.
+func TestCrashesAreToldByTheirAge(t *testing.T) {
+	told := crashes(2)
+	data, err := cbor.Marshal(Tell(at(0), told))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m []Told
+	if err := cbor.Unmarshal(data, &m); err != nil {
+		t.Fatal(err)
+	}
+	heard, err := Hear(at(time.Hour), m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range heard {
+		want := told[i]
+		want.Sent, want.At = want.Sent.Add(time.Hour), want.At.Add(time.Hour)
+		if !c.Sent.Equal(want.Sent) || !c.At.Equal(want.At) || c.Content != want.Content || c.Upstream != want.Upstream || c.Void != want.Void {
+			t.Errorf("told %+v, heard %+v", want, c)
+		}
+	}
+}
+
+// TestACrashOfSeveralWordsIsUnderstood has its newest send be later than its earliest break.
+func TestACrashOfSeveralWordsIsUnderstood(t *testing.T) {
+	told := crashes(1)
+	told[0].Sent = told[0].At.Add(time.Millisecond)
+	if _, err := Hear(at(0), Tell(at(0), told)); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestCrashesThatMakeNoSenseAreRefused(t *testing.T) {
+	for name, c := range map[string]Told{
+		"no content":        {SentUS: 2, AtUS: 1},
+		"a long content":    {Content: make([]byte, contentBytes+1), SentUS: 2, AtUS: 1},
+		"in the future":     {Content: make([]byte, contentBytes), SentUS: 2, AtUS: -1},
+		"sent after it was": {Content: make([]byte, contentBytes), SentUS: 1, AtUS: 2},
+	} {
+		if _, err := Hear(at(0), []Told{c}); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
