Fleets of tests have keys of their own for their peers

Packages are tested in processes side by side; a port of one's daemon had become the controller's, all used the key "peers", so a daemon of the other test joined and its newer configuration came over the test's own.

--- a/internal/bench/faults/fleet.go
+++ b/internal/bench/faults/fleet.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
@@ -98,6 +99,10 @@
 	killed   bool
 }
 
+// peerKey is this process's own: a port that was another process's daemon's may be one of
+// these daemons' now, and with one key for all, its configuration would come over it.
+var peerKey = uuid.NewString()
+
 // newFleet starts everything and waits until all gateways know all upstreams and
 // each other.
 func newFleet(ctx context.Context, p profile) (*fleet, error) {
@@ -110,7 +115,7 @@
 }
 
 func (f *fleet) start(ctx context.Context, p profile) error {
-	if err := os.Setenv(peerKeyEnv, "peers"); err != nil {
+	if err := os.Setenv(peerKeyEnv, peerKey); err != nil {
 		return errors.Wrap(err, "set the peers' key")
 	}
 	var err error
--- a/internal/bench/idle/idle.go
+++ b/internal/bench/idle/idle.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/bench/usage"
@@ -40,7 +41,7 @@
 
 // Execute implements flags.Commander.
 func (c *Command) Execute([]string) error {
-	if err := os.Setenv(peerKeyEnv, "idle"); err != nil {
+	if err := os.Setenv(peerKeyEnv, uuid.NewString()); err != nil {
 		return errors.Wrap(err, "set the peers' key")
 	}
 	fmt.Println("an idle daemon with its stand-ins in one process (upper bounds); the controller alone holds every zone's lease")
--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -42,7 +42,9 @@
 	t.Helper()
 	t.Parallel()
 	key := filepath.Join(t.TempDir(), "peer.key")
-	if err := os.WriteFile(key, []byte("peers"), 0o600); err != nil {
+	// A key of its own: a port that was a daemon's of another test may be this one's now, and with
+	// one key for all, that test's configuration came over it.
+	if err := os.WriteFile(key, []byte(platform.NewNonce()), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	s := &site{t: t, peerKey: key, store: standinplatform.New(standinplatform.Config{}), runners: map[string]*runner.Runner{}}
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -50,7 +50,7 @@
 
 func newFleet(t *testing.T, runners ...runner.Config) *fleet {
 	t.Helper()
-	t.Setenv("TEST_PEER_KEY", "peers")
+	t.Setenv("TEST_PEER_KEY", platform.NewNonce()) // ports pass from test to test, see the controller's newSite
 	f := &fleet{t: t, store: standinplatform.New(standinplatform.Config{}), runners: map[string]*runner.Runner{}}
 	f.put(resource.KindEngine, "engine", resource.Engine{
 		ChecksFencing: true, DeduplicatesRuns: true, KVTokens: 1 << 20, PrefillRate: 1e6, DecodeRate: 40000,
