--- a/internal/request/quarantine/core_test.go
+++ b/internal/request/quarantine/core_test.go
@@ -122,6 +122,23 @@
 	}
 }
 
+// TestUpstreamsThatAreCutOffTogetherAreOneAccident has a link between zones cut, by which sends are
+// reset: on a day with one, five pieces of work were sent on to a second upstream
+// behind the cut, which was reset 1 to 5 ms later, and were held.
+func TestUpstreamsThatAreCutOffTogetherAreOneAccident(t *testing.T) {
+	c := New()
+	crash(c, work, "a", 0, 5392*ms)
+	crash(c, work, "b", 5393*ms, 5395*ms)
+	crash(c, work, "c", 5396*ms, 5398*ms)
+	if held(c, work, 5400*ms) {
+		t.Error("held after one accident")
+	}
+	crash(c, work, "d", 9000*ms, 9002*ms)
+	if !held(c, work, 9010*ms) {
+		t.Error("not held after a second crash")
+	}
+}
+
 // TestWorkThatIsAnsweredWholeIsCleared has work that is asked for often be under way at
 // two crashes that are no doing of its own: it is answered whole in between.
 func TestWorkThatIsAnsweredWholeIsCleared(t *testing.T) {
--- a/internal/request/quarantine/crash.go
+++ b/internal/request/quarantine/crash.go
@@ -36,15 +36,21 @@
 	}
 }
 
+// apart is the least time between two crashes that aren't one accident. It is longer than the way
+// there and back between regions: where a link is cut, each send breaks off and each
+// connection is refused by then, as if the upstreams had ended.
+const apart = 100 * time.Millisecond
+
 // independent counts the crashes that each came of a send of its own: one that was sent
-// after the crash before. Upstreams that end together, in a loss of power say, end
-// under work that is asked for often as well, and are one accident.
+// after the crash before. Upstreams that end together, in a loss of power say, or
+// that are cut off together, have work under way that is asked for often as well, or
+// that was sent from one to the next: that is one accident.
 func independent(crashes []Crash) int {
 	slices.SortFunc(crashes, func(a, b Crash) int { return cmp.Or(a.At.Compare(b.At), a.Sent.Compare(b.Sent)) })
 	n := 0
 	var last time.Time
 	for i := range crashes {
-		if c := &crashes[i]; !c.Void && c.Sent.After(last) {
+		if c := &crashes[i]; !c.Void && c.Sent.After(last) && c.At.Sub(last) >= apart {
 			n, last = n+1, c.At
 		}
 	}
