--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -88,6 +88,20 @@
 	d.must(d.run("ada", "", "audit"), errkind.ExitOK, "deleted")
 }
 
+// TestAHoldCanBeSeenAndTakenAway is the operators' way to have work sent again that was held.
+func TestAHoldCanBeSeenAndTakenAway(t *testing.T) {
+	d := newDesk(t)
+	const name = "bc8decc3f213de40c082c27121d196e5"
+	d.put("Hold", name, `{"untilMS": 1796269747126, "times": 1}`)
+	d.must(d.run("ada", "", "get", "hold"), errkind.ExitOK, name)
+	d.must(d.run("ada", "", "delete", "hold", name, "--wait"), errkind.ExitUsage, "--wait")
+	d.must(d.run("ada", "", "delete", "hold", name, "--reason", "the engine is mended"), errkind.ExitOK)
+	if _, err := d.store.Get(t.Context(), "Hold", name); err == nil {
+		t.Error("it is still there")
+	}
+	d.must(d.run("ada", "", "delete", "Lease", "zone-a"), errkind.ExitUsage, "Hold")
+}
+
 func TestDeleteWaitsForItsOwnVersion(t *testing.T) {
 	d := newDesk(t)
 	d.put("Model", "m", modelSpec)
--- a/internal/command/delete.go
+++ b/internal/command/delete.go
@@ -70,14 +70,19 @@
 	return s.waitInForce(deleted, c.WaitTimeout)
 }
 
-// kind gives the kind named, which has to be one that operators write.
+// deletableKinds are the kinds that operators write, and those that they may take away.
+var deletableKinds = slices.Concat(resource.ConfigKinds, []string{resource.KindHold})
+
+// kind gives the kind named, which has to be one that operators may delete.
 func (c *deleteCommand) kind() (string, error) {
 	kind, err := findKind(c.Args.Kind)
-	if err != nil {
+	switch {
+	case err != nil:
 		return "", err
-	}
-	if !slices.Contains(resource.ConfigKinds, kind) {
-		return "", usagef("kind %q is the system's own: operators delete %s", kind, strings.Join(resource.ConfigKinds, ", "))
+	case !slices.Contains(deletableKinds, kind):
+		return "", usagef("kind %q is the system's own: operators delete %s", kind, strings.Join(deletableKinds, ", "))
+	case kind == resource.KindHold && c.Wait:
+		return "", usagef("--wait waits for a version of the configuration, of which a %s is no part", kind)
 	}
 	return kind, nil
 }
--- a/internal/command/get.go
+++ b/internal/command/get.go
@@ -15,7 +15,7 @@
 // systemKinds are the kinds that only the system and the platform write.
 var systemKinds = []string{
 	resource.KindInstance, resource.KindDrain, resource.KindStatus, resource.KindLease,
-	resource.KindOrderSlot, resource.KindClaimBucket, resource.KindAudit,
+	resource.KindOrderSlot, resource.KindClaimBucket, resource.KindAudit, resource.KindHold,
 }
 
 // findKind gives a kind by its name in any case.
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -173,6 +173,9 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(s.Limits.MemoryMB<<20)))
 	work := e.work
 	defer e.stopWork()
+	if s.Listen.Peers != "" {
+		e.startSharing(work) // before anything that tells others
+	}
 	failed := make(chan error, 3)
 	for _, p := range []struct {
 		address string
@@ -193,9 +196,6 @@
 	e.loop(func() { e.followHolds(work) })
 	e.loop(func() { e.holds.Clean(work, e.cleansHolds) })
 	e.loop(func() { e.tickLoop(work) })
-	if s.Listen.Peers != "" {
-		e.startSharing(work)
-	}
 	authority, giveUp := context.WithCancel(work)
 	defer giveUp()
 	e.loop(func() { newHolder(e).run(authority) })
--- a/internal/process/holds/keeper.go
+++ b/internal/process/holds/keeper.go
@@ -30,10 +30,15 @@
 	crashes tally.Counter // under some work, found by this process
 	held    tally.Counter // holds that began by crashes
 
-	mu   sync.Mutex
-	core *quarantine.Core
+	mu       sync.Mutex
+	core     *quarantine.Core
+	forgotAt time.Time
 }
 
+// forgetEvery is the pause between two looks for what is too old to count: each passes over
+// thousands of suspects at most.
+const forgetEvery = time.Second
+
 // New makes a keeper that suspects nothing.
 func New(cfg Config) *Keeper {
 	return &Keeper{cfg: cfg, core: quarantine.New(), crashes: cfg.Scope.Counter("upstream_crashes"), held: cfg.Scope.Counter("work_held")}
@@ -113,9 +118,14 @@
 	return lives
 }
 
-// Forget drops what is too old to count.
+// Forget drops what is too old to count. It may be called often.
 func (k *Keeper) Forget(now time.Time) {
-	k.with(func(c *quarantine.Core) { c.Forget(now) })
+	k.with(func(c *quarantine.Core) {
+		if now.Sub(k.forgotAt) >= forgetEvery {
+			k.forgotAt = now
+			c.Forget(now)
+		}
+	})
 }
 
 // found writes down the crashes that this process found, and lets others know.
