--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -44,6 +44,8 @@
 	q.e.state.firstSend(q.arrived, q.service)
 	a := &answer{q: q}
 	for {
+		// Work that crashes upstreams comes again under new ids, at any instance. Without this
+		// each attempt ended one more of them: 11 in 13 s, with all that they had under way.
 		if refusal := q.quarantined(); refusal != nil {
 			return q.refusedPlace(refusal, a)
 		}
@@ -208,7 +210,7 @@
 		e.happened(at, place.Event{Kind: place.GivenUp})
 		return outcome{run: errkind.NotRun, err: errLeaving}
 	}
-	if q.held() {
+	if q.workHeld() { // since it asked for the place
 		e.happened(at, place.Event{Kind: place.GivenUp})
 		return outcome{run: errkind.NotRun, err: errHeld}
 	}
@@ -336,7 +338,7 @@
 		TimeLeft:   true, // the context ends with the time
 		Elsewhere:  q.ranSends < q.route.MaxAttempts && q.sends < q.route.MaxAttempts+refusalsAllowed,
 	}
-	if q.held() {
+	if q.workHeld() {
 		f.Elsewhere = false
 	}
 	if q.begun {
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -108,7 +108,7 @@
 		e.happened(at, place.Event{Kind: place.GivenUp})
 		return nil, false, errLeaving
 	}
-	if q.held() {
+	if q.workHeld() {
 		e.happened(at, place.Event{Kind: place.GivenUp})
 		return nil, false, errHeld
 	}
--- a/internal/process/entry/quarantine.go
+++ b/internal/process/entry/quarantine.go
@@ -9,9 +9,9 @@
 // errHeld means that the work was held before the send.
 var errHeld = errors.New("upstreams crashed under the same work")
 
-// held reports whether the request's work is held. A request is only hashed while some work
+// workHeld reports whether the request's work is held. A request is only hashed while some work
 // is suspected.
-func (q *request) held() bool {
+func (q *request) workHeld() bool {
 	return q.e.holds.Suspects() && q.e.holds.Held(q.content())
 }
 
--- a/internal/process/gateway/unkeyed.go
+++ b/internal/process/gateway/unkeyed.go
@@ -56,6 +56,8 @@
 // begin sends the request until a runner has taken it or may have taken it.
 func (u *unkeyed) begin(ctx context.Context, choice route.Choice) (stream.Attempt, *errkind.Error) {
 	for {
+		// Without this an idempotent run went on from runner to runner for as long as one was
+		// left: 68 crashes in 7 s under one piece of work.
 		if u.held() != nil {
 			return stream.Attempt{}, u.finalAnswer(errHeld)
 		}
