Orders under which engines end are held

Cause: the holder of the authority remembered no harm of an order; one that ends its engine leaves the split of roles as it was, so it went to the next engines in each round.

Change: what was ordered is judged like work, by the same core, from the list alone: an engine that is unlisted within ten seconds of an order, without a word of leaving. After one end the next order of the kind goes to one engine alone, after a second one to none for ten minutes; an order that is carried out clears what was before it.

Before, in 12 s with six engines that end when they are ordered: 8 ended.

--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -32,6 +32,7 @@
 	decideAt time.Time
 	why      map[string]string // last reason told, by service
 	unknown  unknownOrders
+	crashes  *orderCrashes
 }
 
 func newHolder(e *Entry) *holder {
@@ -43,6 +44,7 @@
 		why:   make(map[string]string),
 
 		unknown: make(unknownOrders),
+		crashes: newOrderCrashes(),
 	}
 }
 
@@ -74,10 +76,15 @@
 // decide weighs the split of every service with engines.
 func (h *holder) decide(ctx context.Context) {
 	asked := h.asked(time.Now())
-	for service, engines := range h.e.state.engines() {
+	all := h.e.state.engines()
+	h.crashes.look(time.Now(), all, h.e.state.lists)
+	for service, engines := range all {
 		core := mapentry.Of(h.cores, service, roles.New)
 		core.SetShare(h.share())
 		d := core.Decide(time.Now(), describe(engines, h.e.state.loads(time.Now())), asked[service])
+		if allowed := h.crashes.allowed(time.Now(), service, d.Changes); len(allowed) < len(d.Changes) {
+			d.Changes, d.Why = allowed, "engines ended under such orders"
+		}
 		h.tell(service, asked[service], d)
 		if len(d.Changes) > 0 {
 			h.change(ctx, engines, d)
@@ -184,6 +191,9 @@
 	if result == OrderUnknown {
 		h.unknown.note(now, &u)
 	}
+	if result == OrderUnknown || result == OrderAccepted {
+		h.crashes.given(time.Now(), &u, c.To)
+	}
 	logline.Info("order", "upstream", u.ID, "born", u.Born, "from", u.Role, "to", c.To, "fence", fence, "after", state.Orders, "result", result, "error", err)
 	return result != OrderRefused && result != OrderNotSent
 }
--- /dev/null
+++ b/internal/process/entry/ordercrashes.go
@@ -0,0 +1,88 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/roles"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
+)
+
+// orderCrashes remembers the engines that ended under orders, by what was ordered. An order
+// that ends engines would be given to one after the other, as each that is lost leaves
+// the split as it was: in a test 8 of them in 12 s. Orders of a kind are held like work.
+type orderCrashes struct {
+	core  *quarantine.Core
+	under map[fleet.LifeID]upstream.Role // ordered and not seen since
+}
+
+func newOrderCrashes() *orderCrashes {
+	return &orderCrashes{core: quarantine.New(), under: make(map[fleet.LifeID]upstream.Role)}
+}
+
+// orderContent names the orders to engines of a service to take a role.
+func orderContent(service string, to upstream.Role) quarantine.Content {
+	return quarantine.ContentOf("ORDER", service, string(to), nil)
+}
+
+// given notes an order that an engine got, or may get yet.
+func (o *orderCrashes) given(now time.Time, u *fleet.Upstream, to upstream.Role) {
+	o.core.Broke(now, orderContent(u.Service, to), lifeName(u), now)
+	o.under[u.Life()] = to
+}
+
+// allowed gives the changes of a round that may be ordered. After one end under a kind of order,
+// the next of the kind goes to one engine alone; after a second one, to none for a while.
+func (o *orderCrashes) allowed(now time.Time, service string, changes []roles.Change) (allowed []roles.Change) {
+	for _, c := range changes {
+		content := orderContent(service, c.To)
+		_, held := o.core.Held(now, content)
+		if !held && (len(allowed) == 0 || !o.core.Suspected(content)) {
+			allowed = append(allowed, c)
+		}
+	}
+	return allowed
+}
+
+// look finds out what became of the engines under orders. lists tells whether a life is
+// listed, and whether it leaves.
+func (o *orderCrashes) look(now time.Time, engines map[string][]fleet.Upstream, lists func(fleet.LifeID) (listed, leaving bool)) {
+	for _, list := range engines {
+		for i := range list {
+			o.changed(now, &list[i])
+		}
+	}
+	for life, to := range o.under {
+		switch listed, leaving := lists(life); {
+		case leaving:
+			delete(o.under, life)
+			o.core.Lives(quarantine.Life(life), now)
+		case !listed:
+			delete(o.under, life)
+			o.ended(now, life, to)
+		}
+	}
+	o.core.Forget(now)
+}
+
+// changed clears an order that an engine was seen to have carried out.
+func (o *orderCrashes) changed(now time.Time, u *fleet.Upstream) {
+	if to, ok := o.under[u.Life()]; ok && u.Role == to {
+		delete(o.under, u.Life())
+		o.core.Lives(lifeName(u), now)
+		o.core.Succeeded(now, orderContent(u.Service, to))
+	}
+}
+
+func (o *orderCrashes) ended(now time.Time, life fleet.LifeID, to upstream.Role) {
+	if len(o.core.Ended(now, quarantine.Life(life))) == 0 {
+		return // its order was too long ago
+	}
+	logline.Info("engine ended under an order", "upstream", life, "to", to)
+	for _, content := range o.core.Begun() {
+		hold, _ := o.core.Held(now, content)
+		logline.Info("orders held", "to", to, "until", hold.Until.Format(time.RFC3339), "times", hold.Times)
+	}
+}
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -63,6 +63,12 @@
 // Suspects reports whether any work is suspected. While none is, requests need no Content.
 func (c *Core) Suspects() bool { return len(c.suspects) > 0 }
 
+// Suspected reports whether upstreams ended under some work that was not cleared since.
+func (c *Core) Suspected(content Content) bool {
+	s, ok := c.suspects[content]
+	return ok && slices.ContainsFunc(s.crashes, func(crash *Crash) bool { return !crash.Void })
+}
+
 // Broke takes a send that broke off without its whole answer. It gives the crashes that are
 // news; check: whether the upstream has ended is to be found out.
 func (c *Core) Broke(now time.Time, content Content, life Life, sent time.Time) (news []Crash, check bool) {
--- a/internal/request/quarantine/core_test.go
+++ b/internal/request/quarantine/core_test.go
@@ -35,8 +35,8 @@
 	if news := crash(c, work, "a", 0, 90*ms); len(news) != 1 {
 		t.Errorf("%d crashes are news, want 1", len(news))
 	}
-	if held(c, work, 100*ms) {
-		t.Error("held after one crash, which may be an accident")
+	if held(c, work, 100*ms) || !c.Suspected(work) {
+		t.Errorf("after one crash, which may be an accident: held %t, suspected %t", held(c, work, 100*ms), c.Suspected(work))
 	}
 	crash(c, work, "b", 100*ms, 200*ms)
 	if !held(c, work, 210*ms) {
@@ -146,7 +146,7 @@
 	crashes := crash(c, work, "a", 0, 90*ms)
 	other.Heard(at(90*ms), crashes)
 	voided, lifted := other.Succeeded(at(time.Second), work)
-	if len(voided) != 1 || lifted {
+	if len(voided) != 1 || lifted || other.Suspected(work) {
 		t.Errorf("%d crashes void, lifted %t", len(voided), lifted)
 	}
 	c.Heard(at(time.Second), voided)
