--- a/internal/process/gateway/crashes.go
+++ b/internal/process/gateway/crashes.go
@@ -66,7 +66,7 @@
 	return len(names) > 0 && slices.Min(names) == g.cfg.Settings.Instance.Name
 }
 
-// lifeOf names the life of a runner that has an incarnation; empty: not known yet.
+// lifeOf names the life of a runner that has an incarnation.
 func lifeOf(runner, incarnation string) quarantine.Life {
 	return quarantine.Life(runner + "@" + incarnation)
 }
--- a/internal/process/holds/keeper_test.go
+++ b/internal/process/holds/keeper_test.go
@@ -201,6 +201,19 @@
 	eventually(t, "the record is removed", func() bool { return len(recorded(t, store)) == 0 })
 }
 
+// TestHoldsOfThePlatformAreFollowed has an instance follow them, one being written and removed.
+func TestHoldsOfThePlatformAreFollowed(t *testing.T) {
+	store := standin.New(standin.Config{})
+	one, other := newInstance(t, "one", store), newInstance(t, "other", store)
+	other.cfg.Loop(func() { other.Follow(other.cfg.Work) })
+	one.crash(2)
+	eventually(t, "the other instance holds the work", func() bool { return other.Held(work) })
+	if err := store.Delete(context.Background(), resource.KindHold, work.String(), 0, "operator", "n"); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "it holds the work no more", func() bool { return !other.Held(work) })
+}
+
 // TestNothingIsSuspectedAtRest needs no request to be hashed.
 func TestNothingIsSuspectedAtRest(t *testing.T) {
 	one := newInstance(t, "one", standin.New(standin.Config{}))
--- a/internal/process/holds/record.go
+++ b/internal/process/holds/record.go
@@ -200,39 +200,41 @@
 
 // Follow keeps up with the holds that the platform has, until ctx ends.
 func (k *Keeper) Follow(ctx context.Context) {
-	lost := false
-	for pause := firstPause; ctx.Err() == nil; pause = min(pauseGrowth*pause, mostPause) {
-		listed, err := k.followOnce(ctx)
-		if ctx.Err() != nil {
-			return
-		}
-		if listed {
-			lost, pause = false, firstPause
+	lost, pause := false, firstPause
+	listed := func() {
+		if lost {
+			logline.Info("dependency regained", "dependency", "platform holds")
 		}
-		if !lost {
-			lost = true
+		lost, pause = false, firstPause
+	}
+	for ctx.Err() == nil {
+		err := k.followOnce(ctx, listed)
+		if ctx.Err() == nil && !lost {
 			logline.Info("dependency lost", "dependency", "platform holds", "error", err)
 		}
+		lost = true
 		_ = platform.Sleep(ctx, pause+rand.N(pause)) // ends with ctx, as the loop does
+		pause = min(pauseGrowth*pause, mostPause)
 	}
 }
 
-// followOnce reads the holds and then their changes, until a call fails.
-func (k *Keeper) followOnce(ctx context.Context) (listed bool, err error) {
+// followOnce reads the holds, calls listed, and then reads their changes, until a call fails.
+func (k *Keeper) followOnce(ctx context.Context, listed func()) error {
 	objects, version, err := k.cfg.Store.List(ctx, resource.KindHold)
 	if err != nil {
-		return false, err
+		return err
 	}
 	k.Replace(objects)
+	listed()
 	w, err := k.cfg.Store.Watch(ctx, []string{resource.KindHold}, version)
 	if err != nil {
-		return true, err
+		return err
 	}
 	defer w.Close()
 	for {
 		e, err := w.Next(ctx)
 		if err != nil {
-			return true, err
+			return err
 		}
 		k.Change(e)
 	}
