A gateway takes refused connections for the end of an upstream within its own zone only

Across a cut between zones every upstream refuses connections, and an engine that never got a run doesn't know it; both were taken for ends, so keyed requests that were sent again were held or ended unknown.

--- a/internal/process/gateway/crashes.go
+++ b/internal/process/gateway/crashes.go
@@ -73,13 +73,17 @@
 
 // lost notes that an upstream ended a send before its answer was whole, and has it found out
 // whether it crashed. address is its base URL.
-func (g *Gateway) lost(content quarantine.Content, life quarantine.Life, address string, sent time.Time, err error) {
+//
+// That it refuses connections tells so only within the gateway's own availability zone: across a cut
+// between zones all do, and work that was asked for again meanwhile was held. Of other zones
+// a runner's next incarnation tells. That a runner doesn't know the run tells nothing: the send
+// may never have reached it.
+func (g *Gateway) lost(content quarantine.Content, life quarantine.Life, address, zone string, sent time.Time, err error) {
 	check := g.holds.Broke(content, life, sent)
 	switch {
+	case zone != g.cfg.Settings.Instance.Zone:
 	case refusesConnections(err):
 		g.holds.Ended(life, "connection refused")
-	case errors.Is(err, upstream.ErrUnknownRun):
-		g.holds.Ended(life, "it doesn't know the run")
 	case check:
 		g.loop(func(ctx context.Context) { g.checkEnd(ctx, life, address) })
 	}
@@ -129,7 +133,7 @@
 		return
 	}
 	_, address, _ := x.engine(x.runner)
-	x.g.lost(x.call.content(), x.life, address, x.sentAt, err)
+	x.g.lost(x.call.content(), x.life, address, x.call.snapshot.Runners[x.runner].Zone, x.sentAt, err)
 }
 
 // whole notes that the call was answered whole.
@@ -162,7 +166,7 @@
 // lost notes that the present send was ended by its upstream.
 func (c *serviceCall) lost(err error) {
 	if content, ok := c.content(); ok {
-		c.g.lost(content, quarantine.Life(c.upstream), c.address, c.sentAt, err)
+		c.g.lost(content, quarantine.Life(c.upstream), c.address, c.zone, c.sentAt, err)
 	}
 }
 
--- a/internal/process/gateway/service.go
+++ b/internal/process/gateway/service.go
@@ -52,6 +52,7 @@
 	attempts int
 	sentAt   time.Time        // the last send
 	address  string           // where that went
+	zone     string           // of that upstream
 	state    errkind.RunState // worst over all attempts
 	begun    bool             // the caller has seen a part of the answer
 }
@@ -259,7 +260,7 @@
 	c.upstream = u.Name
 	c.attempts++
 	c.why.add(time.Now(), "sent to %s", u.Name)
-	c.sentAt, c.address = time.Now(), u.Address
+	c.sentAt, c.address, c.zone = time.Now(), u.Address, u.Zone
 	answer, err := c.g.services.Forward(ctx, c.upstreamCall(u))
 	now := time.Now()
 	if err == nil {
