Client accounts by API key: checked at the entry, hidden from upstreams

Change: a version of the configuration keeps accounts by the digests of their keys; a request is refused with 401 before anything is read or sent, on open connections too; the key is taken off and the account is named on every send; an account's priority goes before that of its route in every queue.

--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -281,6 +281,8 @@
 // call builds what is sent to an upstream.
 func (q *request) call(u *fleet.Upstream, send exchange.Send) upstream.ServiceCall {
 	send.Incarnation = u.ID
+	send.HideKey = q.config.NeedsKeys()
+	send.Account = q.account.NameOrNone()
 	if left, ok := q.left(time.Now()); ok {
 		send.TimeLeft = max(left, time.Millisecond)
 	}
--- a/internal/process/entry/record.go
+++ b/internal/process/entry/record.go
@@ -176,7 +176,7 @@
 	if !q.e.log.admit(now, outcome, final == nil && q.sends == 1) {
 		return
 	}
-	kv := []any{"request", q.declared.ID, "route", route, "config", version, "outcome", outcome, "run", run,
+	kv := []any{"request", q.declared.ID, "route", route, "account", q.account.NameOrNone(), "config", version, "outcome", outcome, "run", run,
 		"left_ms", q.declared.TimeLeft.Milliseconds(), "ms", took.Milliseconds(), "first_ms", q.first.Milliseconds(), "waited_ms", q.waited.Milliseconds(), "prefill_ms", q.prefill.Milliseconds(),
 		"upstream", q.upstream, "sends", q.sends}
 	if final != nil {
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -34,6 +34,7 @@
 	config   *routing.Config
 	route    *routing.Route
 	service  string
+	account  *routing.Account // of the caller; nil: none
 	declared exchange.Declared
 	prompt   place.Prompt
 	body     []byte
@@ -70,6 +71,9 @@
 	if q.route, ok = q.config.Match(r.Host, r.URL.Path); !ok {
 		return q, errkind.Field(errkind.NotFound, "path", "no route serves this host and path")
 	}
+	if err := q.authenticate(); err != nil {
+		return q, err
+	}
 	var err error
 	if q.declared, err = e.cfg.Dialect.Declared(r.Header); err != nil {
 		return q, err
@@ -81,6 +85,25 @@
 	return q, q.readBody()
 }
 
+// authenticate finds the client account of the caller by its API key. A key that the
+// configuration doesn't have is refused on routes that need none, too: it may have been
+// taken away.
+func (q *request) authenticate() error {
+	if !q.config.NeedsKeys() {
+		return nil
+	}
+	key, shown := q.e.cfg.Dialect.Key(q.r.Header)
+	if !shown && q.route.Anonymous {
+		return nil
+	}
+	account, known := q.config.Account(routing.DigestOf(key))
+	if !known {
+		return errkind.New(errkind.Unauthenticated, errkind.NotRun, "the API key is missing or unknown")
+	}
+	q.account = account
+	return nil
+}
+
 // content names the work that the request asks for, the same one for each attempt at it.
 func (q *request) content() quarantine.Content {
 	if q.named == (quarantine.Content{}) {
@@ -209,7 +232,7 @@
 	}
 	return place.Query{
 		ID: q.queueID, Service: q.service, Zone: q.e.cfg.Settings.Instance.Zone,
-		Urgency: q.route.Priority, Prompt: q.prompt, Work: work,
+		Urgency: q.account.Urgency(q.route), Prompt: q.prompt, Work: work,
 		Arrived: q.arrived, StartBy: startBy, Excluded: q.excluded, Gap: q.gap(),
 		Late: q.late(), Objective: q.route.Objective, Memory: q.memory(),
 	}
--- a/internal/process/entry/steps_test.go
+++ b/internal/process/entry/steps_test.go
@@ -41,6 +41,8 @@
 	return exchange.Declared{ID: "r1", TimeLeft: d.timeout, PromptTokens: 4000, MaxOutput: 10}, nil
 }
 
+func (d *stepDialect) Key(http.Header) (string, bool) { return "", false }
+
 func (d *stepDialect) Outbound(h http.Header, s exchange.Send) http.Header {
 	out := h.Clone()
 	if s.PrefillOnly {
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -56,6 +56,8 @@
 	PrefillOnly bool          // compute the prompt and keep its KV cache
 	KVFrom      string        // where the prompt's KV cache is to be fetched from; empty: nowhere
 	CopyFrom    string        // address of an engine that may keep shared parts of the prompt; empty: none
+	HideKey     bool          // the caller's API key is for this system and is not passed on
+	Account     string        // client account of the caller; empty: none
 }
 
 // Load is what an upstream tells of its load.
@@ -84,6 +86,9 @@
 type Dialect interface {
 	// Declared reads what a caller declares. An error names the header and value.
 	Declared(h http.Header) (Declared, error)
+	// Key gives the API key that a caller shows. ok is false if it shows none; a key that
+	// can't be read is an empty one, which nobody has.
+	Key(h http.Header) (key string, ok bool)
 	// Outbound gives the headers to send: the caller's, without those that only the
 	// system sets, and what s says.
 	Outbound(caller http.Header, s Send) http.Header
--- /dev/null
+++ b/internal/version/routing/account_test.go
@@ -0,0 +1,33 @@
+package routing
+
+import "testing"
+
+func TestAccountsByKey(t *testing.T) {
+	c := New(1, nil, nil, Limits{}, Account{Name: "a", Keys: []KeyDigest{DigestOf("k1"), DigestOf("k2")}}, Account{Name: "b", Keys: []KeyDigest{DigestOf("k3")}})
+	for key, want := range map[string]string{"k1": "a", "k2": "a", "k3": "b", "k4": "", "": ""} {
+		account, ok := c.Account(DigestOf(key))
+		if ok != (want != "") || account.NameOrNone() != want {
+			t.Errorf("key %q: account %q, %v", key, account.NameOrNone(), ok)
+		}
+	}
+	if !c.NeedsKeys() || New(1, nil, nil, Limits{}).NeedsKeys() {
+		t.Error("keys are needed where there are accounts, and only there")
+	}
+}
+
+// TestUrgency has the priority of an account go before that of a route.
+func TestUrgency(t *testing.T) {
+	priority := func(n int) *int { return &n }
+	first, second := &Account{Priority: priority(0)}, &Account{Priority: priority(1)}
+	urgent, routine := &Route{Priority: 0}, &Route{Priority: 2}
+	order := []int{first.Urgency(urgent), first.Urgency(routine), second.Urgency(urgent), second.Urgency(routine)}
+	for i := 1; i < len(order); i++ {
+		if order[i-1] >= order[i] {
+			t.Errorf("urgencies %v don't grow", order)
+		}
+	}
+	var none *Account
+	if none.Urgency(urgent) >= none.Urgency(routine) || (&Account{}).Urgency(routine) != none.Urgency(routine) {
+		t.Error("without an account's priority that of the route doesn't decide")
+	}
+}
--- a/internal/version/routing/config.go
+++ b/internal/version/routing/config.go
@@ -38,6 +38,7 @@
 	MaxAttempts int           // upstreams that one request may be sent to
 	Resumable   bool          // a stream may go on at another upstream after an event
 	SharesState bool          // requests name the parts of their prompt
+	Anonymous   bool          // callers need no API key
 	Targets     []Target
 }
 
@@ -98,7 +99,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
-	byHost   map[string][]int // indices of Routes, longest prefix first
+	byHost   map[string][]int       // indices of Routes, longest prefix first
+	byKey    map[KeyDigest]*Account // nil: callers need no keys
 }
 
 // HasRoute reports whether a route of the name exists.
@@ -106,12 +108,13 @@
 	return slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Name == name })
 }
 
-// New makes a version and indexes its routes.
-func New(version uint64, routes []Route, services []Service, limits Limits) *Config {
+// New makes a version and indexes its routes and accounts. Without accounts callers need no keys.
+func New(version uint64, routes []Route, services []Service, limits Limits, accounts ...Account) *Config {
 	c := &Config{
 		Version: version, Routes: routes, Limits: limits,
 		Services: make(map[string]Service, len(services)),
 		byHost:   make(map[string][]int),
+		byKey:    indexAccounts(accounts),
 	}
 	for _, s := range services {
 		c.Services[s.Name] = s
