A platform that comes back from an older copy: versions hold its era

Cause: revisions, leases and fencing numbers were compared as if the platform lost nothing. After a return from an older copy a revision names another state, a lease may have been granted to another by what is lost, and the number of the next holder could fall below one that was used. A holder stops at the first answer of a new era and holds anew after a lease's time. Upstreams that had gone are put aside until they say something themselves, ones that the copy lacks stay for the time of an outage's return; holds and the instance's own entry are written again.

--- a/internal/connection/platform/store.go
+++ b/internal/connection/platform/store.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 )
 
-// Object is one stored object. Version is store-wide and only grows; UID differs
+// Object is one stored object. Version is store-wide and only grows, see VersionOf; UID differs
 // between two objects that had the same name one after the other.
 type Object struct {
 	Kind    string          `json:"kind"`
--- a/internal/process/authority/core.go
+++ b/internal/process/authority/core.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/defaults"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settle"
@@ -67,6 +68,7 @@
 	stopping bool
 
 	known    bool
+	era      uint64 // of the platform, as heard last
 	seen     view
 	seenAt   boottime.Time // when seen.version was first read
 	readAt   boottime.Time
@@ -109,6 +111,9 @@
 // Epoch gives the epoch that was last read or written.
 func (c *Core) Epoch() uint64 { return c.seen.lease.Epoch }
 
+// Era gives the platform's era in which the lease was read or written last.
+func (c *Core) Era() uint64 { return c.era }
+
 // Stopped reports whether a stopping core has nothing left to do.
 func (c *Core) Stopped() bool {
 	return c.stopping && !c.holding && c.pending == nil && !c.calling
@@ -131,7 +136,9 @@
 		c.retryAt = now.Add(c.cfg.RetryEvery)
 	case Wrote:
 		c.calling = false
-		out = c.tookEffect(now, e.Version)
+		if out = c.returned(e.Version); len(out) == 0 {
+			out = c.tookEffect(now, e.Version)
+		}
 	case WriteFailed:
 		c.calling = false
 		out = c.writeFailed(now, e.Failure)
@@ -206,6 +213,11 @@
 // read takes what the platform answered.
 func (c *Core) read(now boottime.Time, r Read) []Action {
 	c.readAt, c.readOnce = now, true
+	if out := c.returned(max(r.Version, r.StoreVersion)); len(out) > 0 {
+		c.observe(now, r)
+		c.readOnce = true
+		return out
+	}
 	if p := c.pending; p != nil {
 		return c.resolve(now, r)
 	}
@@ -218,6 +230,23 @@
 	return c.callWrite(now, resource.Lease{Holder: c.cfg.Holder, Epoch: c.nextEpoch()})
 }
 
+// returned takes the era of an answer. After the platform's return from an older copy whatever
+// was granted is void: others may hold by what the copy lacks. A write that was under way
+// proves nothing either, and a lease that is held is to be taken anew.
+func (c *Core) returned(version uint64) []Action {
+	era, known := platform.EraOf(version), c.known
+	if version == 0 || era == c.era {
+		return nil
+	}
+	c.era = era
+	if !known {
+		return nil
+	}
+	c.pending, c.known, c.readOnce = nil, false, false
+	out := c.lose("the platform returned from an older copy")
+	return append(out, Returned{Era: era})
+}
+
 // resolve settles a write whose answer was lost: by nonce, never by guessing.
 func (c *Core) resolve(now boottime.Time, r Read) []Action {
 	p := c.pending
@@ -271,14 +300,23 @@
 	case !c.seen.found:
 		// A holder may have had the object that an operator deleted.
 		return c.cfg.TTL
+	case c.beforeReturn():
+		return max(c.cfg.TTL, time.Duration(c.seen.lease.TTLMS)*time.Millisecond)
 	case c.seen.lease.Holder == "":
 		return 0
 	}
 	return time.Duration(c.seen.lease.TTLMS) * time.Millisecond
 }
 
+// beforeReturn reports whether the lease as seen is from before the platform's last return. Who
+// took it since then, by a write that is lost, may still hold it.
+func (c *Core) beforeReturn() bool {
+	return platform.EraOf(c.seen.lease.Epoch) < platform.EraOf(c.seen.version)
+}
+
 // nextEpoch is above every epoch that was ever used: a former epoch is at most the
-// store version of its time, and the store version only grows.
+// store version of its time, and the store version only grows, over the platform's returns
+// from older copies too.
 func (c *Core) nextEpoch() uint64 {
 	if !c.seen.found {
 		return c.seen.storeVersion + 1
--- a/internal/process/authority/core_test.go
+++ b/internal/process/authority/core_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
@@ -243,3 +244,79 @@
 		}
 	}
 }
+
+// inEra gives a version of an era.
+func inEra(era, revision uint64) uint64 { return platform.VersionOf(era, revision) }
+
+// TestAHolderLosesItsLeaseWhenThePlatformReturns has the platform come back from an older copy:
+// however the holder learns of it, it stops, and holds again only after the time that a lease
+// has which the copy lacks, under a number above all that were given before.
+func TestAHolderLosesItsLeaseWhenThePlatformReturns(t *testing.T) {
+	copied := resource.Lease{Holder: "me", Epoch: inEra(1, 10), TTLMS: ttl.Milliseconds()}
+	ways := map[string][]Event{
+		"its write is answered in the new era": {Wrote{Version: inEra(2, 11)}},
+		"its write conflicts":                  {WriteFailed{Failure: FailedConflict}},
+		"the answer to its write is lost":      {WriteFailed{Failure: FailedUnknown}},
+	}
+	for name, events := range ways {
+		t.Run(name, func(t *testing.T) {
+			c := testCore(home)
+			c.Step(at(0), Tick{})
+			c.Step(at(0), Read{Found: true, Version: inEra(1, 10), Lease: resource.Lease{Epoch: inEra(1, 4)}})
+			c.Step(at(1), Wrote{Version: inEra(1, 11)})
+			if !mayOrder(c, time.Second) {
+				t.Fatal("doesn't hold the lease")
+			}
+			begun := at(2 * time.Second)
+			c.Step(begun, Tick{}) // renews
+			nonce := c.pending.Nonce
+			for _, e := range events {
+				c.Step(begun.Add(time.Millisecond), e)
+			}
+			returned := begun.Add(2 * time.Millisecond)
+			c.Step(returned, Tick{})
+			c.Step(returned, Read{Found: true, Version: inEra(2, 11), Nonce: nonce, Lease: copied})
+			if c.Holding() || mayOrder(c, 2*time.Second+3*time.Millisecond) {
+				t.Fatal("acts by a lease of before the return")
+			}
+			var write WriteLease
+			for now := returned; now.Before(returned.Add(3 * ttl)); now = now.Add(10 * time.Millisecond) {
+				for _, a := range c.Step(now, Tick{}) {
+					if _, ok := a.(ReadLease); !ok {
+						continue
+					}
+					for _, a := range c.Step(now, Read{Found: true, Version: inEra(2, 11), Nonce: nonce, Lease: copied}) {
+						if w, ok := a.(WriteLease); ok && write.Nonce == "" {
+							write = w
+							if now.Before(returned.Add(ttl)) {
+								t.Errorf("taken %v after the return was noticed, before a lost lease can have run out", now.Sub(returned))
+							}
+						}
+					}
+				}
+			}
+			if write.Lease.Epoch <= inEra(1, platform.MostRevision) {
+				t.Errorf("write %+v: the number isn't above every one of the era before", write)
+			}
+		})
+	}
+}
+
+// TestAReleasedLeaseOfBeforeTheReturnIsWaitedFor starts a process that saw nothing of the
+// return: who took the lease in the time that is lost may still hold it.
+func TestAReleasedLeaseOfBeforeTheReturnIsWaitedFor(t *testing.T) {
+	c := testCore(home)
+	c.Step(at(0), Tick{})
+	released := Read{Found: true, Version: inEra(2, 11), Lease: resource.Lease{Epoch: inEra(1, 10), TTLMS: ttl.Milliseconds()}}
+	if a := only(t, c.Step(at(0), released)); a != nil {
+		t.Fatalf("%#v at once", a)
+	}
+	c.Step(at(ttl-1), Tick{})
+	if a := only(t, c.Step(at(ttl-1), released)); a != nil {
+		t.Fatalf("%#v before a time to live", a)
+	}
+	c.Step(at(2*ttl), Tick{})
+	if _, ok := only(t, c.Step(at(2*ttl), released)).(WriteLease); !ok {
+		t.Error("never taken")
+	}
+}
--- a/internal/process/authority/event.go
+++ b/internal/process/authority/event.go
@@ -84,6 +84,10 @@
 	Why   string
 }
 
+// Returned tells that the platform came back from an older copy: another process may have
+// held the lease by what it lost.
+type Returned struct{ Era uint64 }
+
 // Lapsed tells that the window ran out while the lease may still be renewed.
 type Lapsed struct{ Epoch uint64 }
 
@@ -94,5 +98,6 @@
 func (WriteLease) authorityAction() {}
 func (Gained) authorityAction()     {}
 func (Lost) authorityAction()       {}
+func (Returned) authorityAction()   {}
 func (Lapsed) authorityAction()     {}
 func (Renewed) authorityAction()    {}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -51,16 +51,18 @@
 
 // Entry is one ragwort-entry process.
 type Entry struct {
-	cfg    Config
-	state  *state
-	client *upstream.Services
-	meters *meters
-	demand *demand
-	shared *sharing // nil: nothing is shared with other instances
-	holds  *holds.Keeper
-	live   atomic.Pointer[liveSettings]
-	rounds rounds
-	log    *requestLog
+	cfg     Config
+	state   *state
+	client  *upstream.Services
+	meters  *meters
+	demand  *demand
+	shared  *sharing // nil: nothing is shared with other instances
+	holds   *holds.Keeper
+	live    atomic.Pointer[liveSettings]
+	rounds  rounds
+	era     atomic.Uint64 // of the platform, as noted last
+	returns rounds        // each ends when the platform comes back from an older copy
+	log     *requestLog
 
 	exporter  *metrics.Exporter
 	callers   *http.Server
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -117,12 +117,33 @@
 			d.failed(err)
 			e.changeFleet(func(_ time.Time, f *fleet.Core) { f.Lost() })
 		}
-		if err == nil && d.worked() {
+		regained := err == nil && d.worked()
+		if returned := e.noteEra(); returned || regained {
 			e.rounds.next()
 		}
 	}
 }
 
+// noteEra looks whether the platform came back from an older copy since the last call. What was
+// asked of it before is then asked anew, and what this process wrote is written again.
+func (e *Entry) noteEra() (returned bool) {
+	era := e.storeEra()
+	if old := e.era.Swap(era); old == era {
+		return false
+	}
+	logline.Info("platform returned from an older copy", "era", era)
+	e.returns.next()
+	return true
+}
+
+// storeEra gives the newest era of the platform that is known.
+func (e *Entry) storeEra() uint64 {
+	if e.cfg.Era == nil {
+		return 0
+	}
+	return e.cfg.Era()
+}
+
 // feed is what follow keeps up with. list gives the revision to watch from, watch
 // the next one.
 type feed struct {
@@ -218,7 +239,7 @@
 		}
 		e.changeFleet(func(now time.Time, f *fleet.Core) {
 			f.Back(now)
-			e.noteUnreadable(f.Replace(now, entries))
+			e.noteUnreadable(f.Replace(now, platform.EraOf(revision), entries))
 			e.state.listed = true
 		})
 		logline.Info("upstreams listed", "revision", revision, "count", len(entries))
--- a/internal/process/entry/feeds_test.go
+++ b/internal/process/entry/feeds_test.go
@@ -154,7 +154,7 @@
 		time.Sleep(10 * time.Second)
 		e.changeFleet(func(now time.Time, f *fleet.Core) {
 			f.Back(now)
-			f.Replace(now, nil)
+			f.Replace(now, 0, nil)
 		})
 		time.Sleep(2 * time.Second)
 		e.state.tick(time.Now())
--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -39,7 +39,7 @@
 	s := e.cfg.Settings
 	return &holder{
 		e:     e,
-		lease: newLease(e.cfg.Records, s.Instance.Name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond, s.Bounds.FencingEnforced),
+		lease: newLease(e.cfg.Records, e.storeEra, s.Instance.Name, time.Duration(s.Bounds.LeaseMS)*time.Millisecond, s.Bounds.FencingEnforced),
 		cores: make(map[string]*roles.Core),
 		why:   make(map[string]string),
 
--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -30,6 +30,7 @@
 // lease is this process's part in the authority over engines. It is for one goroutine.
 type lease struct {
 	records  platform.Store
+	era      func() uint64 // newest of the platform that is known
 	ttl      time.Duration
 	standing authority.Standing // told last
 	core     *authority.Core
@@ -40,8 +41,8 @@
 	oddVersion uint64 // of the unreadable lease that was told last
 }
 
-func newLease(records platform.Store, name string, ttl time.Duration, fencing bool) *lease {
-	l := &lease{records: records, ttl: ttl, turnWait: ttl}
+func newLease(records platform.Store, era func() uint64, name string, ttl time.Duration, fencing bool) *lease {
+	l := &lease{records: records, era: era, ttl: ttl, turnWait: ttl}
 	if !fencing {
 		l.turnWait += lateOrders
 	}
@@ -69,11 +70,12 @@
 	l.step(ctx, standing)
 }
 
-// mayOrder gives the fencing number under which an order may be sent right now.
+// mayOrder gives the fencing number under which an order may be sent right now. What any call
+// of this process learned of the platform's return counts, not only the lease's own.
 func (l *lease) mayOrder() (fence uint64, ok bool) {
 	now := boottime.Now()
 	fence, _, ok = l.core.MayOrder(now)
-	return fence, ok && !now.Before(l.mayFrom)
+	return fence, ok && !now.Before(l.mayFrom) && l.era() == l.core.Era()
 }
 
 // tick does what is due.
@@ -106,6 +108,9 @@
 			l.gained(a)
 		case authority.Lost:
 			logline.Info("lease lost", "lease", leaseName, "epoch", a.Epoch, "why", a.Why)
+		case authority.Returned:
+			l.formerAt = boottime.Now()
+			logline.Info("lease to be taken anew", "lease", leaseName, "era", a.Era, "why", "the platform returned from an older copy")
 		case authority.Lapsed:
 			logline.Info("lease lapsed", "lease", leaseName, "epoch", a.Epoch)
 		case authority.Renewed:
--- a/internal/process/entry/lease_test.go
+++ b/internal/process/entry/lease_test.go
@@ -47,7 +47,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel() // the lease counts by the boot-time clock, which is real
 			ctx := context.Background()
-			l := newLease(s, "i-1", ttl, true)
+			l := newLease(s, func() uint64 { return 0 }, "i-1", ttl, true)
 			begun := boottime.Now()
 			l.stand(ctx, 0, true)
 			for !l.core.Holding() && boottime.Now().Sub(begun) < time.Minute {
--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -26,15 +26,16 @@
 
 // follow announces this instance and learns of the others.
 func (s *sharing) follow(ctx context.Context) {
-	announced := false
-	for {
+	announced, era := false, uint64(0)
+	for ctx.Err() == nil {
+		round := s.e.returns.current(ctx) // a platform that returned may have lost what was announced
+		if now := s.e.storeEra(); now != era {
+			announced, era = false, now
+		}
 		announced = announced || s.announce(ctx)
 		listed := announced && s.list(ctx)
-		if platform.Sleep(ctx, listAgain) != nil {
-			return
-		}
-		if listed && !s.strangers() && platform.Sleep(ctx, listEvery) != nil {
-			return
+		if platform.Sleep(ctx, listAgain) == nil && listed && !s.strangers() {
+			_ = platform.Sleep(round, listEvery) // ends with ctx too, which the loop asks
 		}
 	}
 }
--- a/internal/process/entry/ports.go
+++ b/internal/process/entry/ports.go
@@ -15,9 +15,9 @@
 // UpstreamFeed reads the platform's list of upstreams. Errors are those of the
 // project's store: ErrHistoryGone asks for a new list.
 type UpstreamFeed interface {
-	// List gives all entries and the revision to watch from.
+	// List gives all entries and the version to watch from.
 	List(ctx context.Context) ([]fleet.Change, uint64, error)
-	// Watch waits for changes after a revision.
+	// Watch waits for changes after a version.
 	Watch(ctx context.Context, from uint64, wait time.Duration) ([]fleet.Change, uint64, error)
 	// Mark tells all instances that a life of an upstream is about to change its role; an
 	// empty role takes the mark back.
@@ -25,17 +25,17 @@
 }
 
 // ConfigFeed reads the configuration. Errors are those of the project's store; ErrInvalid
-// comes with the revision to watch from, and the version before stays in force.
+// comes with the store's version to watch from, and the version before stays in force.
 type ConfigFeed interface {
-	// List gives the newest version, nil if there is none yet, and the revision to watch from.
+	// List gives the newest version, nil if there is none yet, and the store's version to watch from.
 	List(ctx context.Context) (*routing.Config, uint64, error)
-	// Watch waits for a newer version after a revision; nil if none came.
+	// Watch waits for a newer version after a version of the store; nil if none came.
 	Watch(ctx context.Context, from uint64, wait time.Duration) (*routing.Config, uint64, error)
 }
 
 // RecordWatcher watches the system's own objects.
 type RecordWatcher interface {
-	// Changes waits for changes of a kind after a revision, and gives the revision to go on from.
+	// Changes waits for changes of a kind after a version, and gives the version to go on from.
 	Changes(ctx context.Context, kind string, from uint64, wait time.Duration) ([]platform.Event, uint64, error)
 }
 
@@ -81,7 +81,8 @@
 	Engines   Engines
 	Records   platform.Store                  // the system's own objects
 	Watcher   RecordWatcher                   // of the same objects
-	Alive     func(ctx context.Context) error // a cheap call of the platform\'s store
+	Alive     func(ctx context.Context) error // a cheap call of the platform's store
+	Era       func() uint64                   // newest era of the store that any answer told; nil: it never returns from a copy
 	ReadyPath string                          // of the balancer's question
 	Reload    func() (*settings.Entry, error) // reads the settings again; nil: they don't change
 }
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -20,11 +21,14 @@
 // Core is the state. It is not safe for concurrent use.
 type Core struct {
 	entries    map[string]*entry
-	former     map[string]former // entries that are gone, by id
-	unreadable map[string]string // why, by id
-	away       bool              // the platform cannot be read
-	back       time.Time         // when it could be read again; zero: it never was away
-	version    uint64            // counts changes
+	former     map[string]former   // entries that are gone, by id
+	unreadable map[string]string   // why, by id
+	aside      map[string]Upstream // listed by an older copy after they had gone, by id
+	listed     bool                // a whole list was taken
+	era        uint64              // of the last list
+	away       bool                // the platform cannot be read
+	back       time.Time           // when it could be read again; zero: it never was away
+	version    uint64              // counts changes
 }
 
 // former is what is remembered of an entry that is gone.
@@ -40,7 +44,10 @@
 
 // New makes an empty state.
 func New() *Core {
-	return &Core{entries: make(map[string]*entry), former: make(map[string]former), unreadable: make(map[string]string)}
+	return &Core{
+		entries: make(map[string]*entry), former: make(map[string]former),
+		unreadable: make(map[string]string), aside: make(map[string]Upstream),
+	}
 }
 
 // Version changes with every change of what Usable gives.
@@ -63,13 +70,25 @@
 	return true
 }
 
-// Replace takes a whole list. What isn't on it is gone. It gives those of its entries
-// that are newly unreadable.
-func (c *Core) Replace(now time.Time, list []Change) []Change {
+// Replace takes a whole list of an era of the platform. What isn't on it is gone. It gives those
+// of its entries that are newly unreadable.
+//
+// The first list of a new era is that of an older copy: it may lack upstreams that came since,
+// which write their entries again within the time of an outage's return, and it may hold ones that
+// have gone since. These are put aside until they say something themselves.
+func (c *Core) Replace(now time.Time, era uint64, list []Change) []Change {
 	listed := make(map[string]bool, len(list))
 	for i := range list {
 		listed[list[i].ID] = true
 	}
+	clear(c.aside)
+	returned := c.listed && era != c.era
+	c.listed, c.era = true, era
+	if returned {
+		c.Lost()
+		c.Back(now)
+		list = slices.DeleteFunc(slices.Clone(list), c.setAside)
+	}
 	news := c.Apply(now, list)
 	for id := range c.entries {
 		if !listed[id] {
@@ -80,6 +99,16 @@
 	return news
 }
 
+// setAside puts an entry aside if the life that it tells of had gone.
+func (c *Core) setAside(ch Change) bool {
+	f, gone := c.former[ch.ID]
+	if ch.Kind != Listed || !gone || ch.Upstream.Born > f.born {
+		return false
+	}
+	c.aside[ch.ID] = ch.Upstream
+	return true
+}
+
 // Apply takes changes in their order. It gives the entries that are newly unreadable.
 func (c *Core) Apply(now time.Time, changes []Change) []Change {
 	var news []Change
@@ -101,6 +130,7 @@
 // Put takes a new or changed entry. One of an older life than was seen is old news.
 func (c *Core) Put(now time.Time, u Upstream) {
 	delete(c.unreadable, u.ID)
+	delete(c.aside, u.ID)
 	e := &entry{Upstream: u, markedAt: now}
 	if old, ok := c.entries[u.ID]; ok {
 		if u.Born < old.Born {
@@ -129,6 +159,7 @@
 // Drop takes an entry that can't be read: it names no upstream to use, whatever it said
 // before, also in an outage. It reports whether that is news.
 func (c *Core) Drop(now time.Time, id, why string) bool {
+	delete(c.aside, id)
 	if e, ok := c.entries[id]; ok {
 		c.delete(now, e)
 	}
@@ -149,6 +180,7 @@
 // Remove takes the disappearance of an entry.
 func (c *Core) Remove(now time.Time, id string) {
 	delete(c.unreadable, id)
+	delete(c.aside, id)
 	e, ok := c.entries[id]
 	if !ok || e.missing {
 		return
@@ -196,8 +228,12 @@
 		gone = append(gone, id)
 	}
 	for id, f := range c.former {
-		if !now.Before(f.until) {
-			delete(c.former, id)
+		if now.Before(f.until) {
+			continue
+		}
+		delete(c.former, id)
+		if u, ok := c.aside[id]; ok {
+			c.Put(now, u) // still listed: a runner that had gone would have lapsed again by now
 		}
 	}
 	return gone
--- a/internal/process/fleet/fleet_test.go
+++ b/internal/process/fleet/fleet_test.go
@@ -43,8 +43,8 @@
 
 func TestRemovalWithoutAnOutageIsImmediate(t *testing.T) {
 	c := New()
-	c.Replace(at(0), list(Upstream{ID: "a", Service: "s"}, Upstream{ID: "b", Service: "s"}))
-	c.Replace(at(time.Second), list(Upstream{ID: "b", Service: "s"}))
+	c.Replace(at(0), 0, list(Upstream{ID: "a", Service: "s"}, Upstream{ID: "b", Service: "s"}))
+	c.Replace(at(time.Second), 0, list(Upstream{ID: "b", Service: "s"}))
 	if listed(c, "a") || !listed(c, "b") {
 		t.Error("the list is not followed")
 	}
@@ -52,12 +52,12 @@
 
 func TestLapsedEntriesOutliveAnOutage(t *testing.T) {
 	c := New()
-	c.Replace(at(0), list(Upstream{ID: "a", Service: "s"}, Upstream{ID: "b", Service: "s"}, Upstream{ID: "leaving", Service: "s", Leaving: true}))
+	c.Replace(at(0), 0, list(Upstream{ID: "a", Service: "s"}, Upstream{ID: "b", Service: "s"}, Upstream{ID: "leaving", Service: "s", Leaving: true}))
 	c.Lost()
 	if !c.Back(at(10 * time.Second)) {
 		t.Fatal("the return was not noticed")
 	}
-	c.Replace(at(10*time.Second), nil)
+	c.Replace(at(10*time.Second), 0, nil)
 	if !listed(c, "a") || !listed(c, "b") {
 		t.Error("entries that lapsed in an outage lost their work at once")
 	}
--- a/internal/process/fleet/life_test.go
+++ b/internal/process/fleet/life_test.go
@@ -69,7 +69,7 @@
 	c.Put(at(0), life(1))
 	c.Lost()
 	c.Back(at(time.Minute))
-	c.Replace(at(time.Minute), list(life(2)))
+	c.Replace(at(time.Minute), 0, list(life(2)))
 	if got := usableLife(c); got != "a@2" {
 		t.Errorf("in use: %q, want the second life", got)
 	}
--- /dev/null
+++ b/internal/process/fleet/return_test.go
@@ -0,0 +1,64 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+// TestThePlatformReturnsFromAnOlderCopy lists upstreams by a copy that is some seconds old: what
+// it lacks stays for a while, what it says too much of gets no work.
+func TestThePlatformReturnsFromAnOlderCopy(t *testing.T) {
+	c := New()
+	old := list(
+		Upstream{ID: "stays", Address: "stays:1", Service: "s"}, Upstream{ID: "left", Address: "left:1", Service: "s"},
+		Upstream{ID: "drains", Address: "drains:1", Service: "s"}, Upstream{ID: "restarted", Address: "restarted:1", Service: "s", Born: 5},
+	)
+	c.Replace(at(0), 1, old)
+	c.Apply(at(time.Second), list(Upstream{ID: "came", Address: "came:1", Service: "s"}, Upstream{ID: "drains", Address: "drains:1", Service: "s", Leaving: true}))
+	c.Apply(at(time.Second), []Change{{Kind: Unlisted, ID: "left"}})
+	c.Apply(at(time.Second), list(Upstream{ID: "restarted", Address: "restarted:1", Service: "s", Born: 9}))
+
+	c.Replace(at(2*time.Second), 2, old)
+	if !listed(c, "stays") || !listed(c, "came") || !listed(c, "restarted") {
+		t.Error("an upstream that the copy lacks, or knows an older life of, is out of use")
+	}
+	if listed(c, "left") || listed(c, "drains") {
+		t.Error("an upstream that had left gets work again")
+	}
+	c.Expire(at(2*time.Second + ReturnGrace - 1))
+	if !listed(c, "came") {
+		t.Error("gone before it could write its entry again")
+	}
+	c.Expire(at(2*time.Second + ReturnGrace))
+	if listed(c, "came") {
+		t.Error("an upstream that never writes its entry again gets work for ever")
+	}
+	c.Apply(at(5*time.Second), list(Upstream{ID: "left", Address: "left:1", Service: "s"}))
+	if !listed(c, "left") {
+		t.Error("an upstream that says that it is there gets no work")
+	}
+}
+
+// TestAnEntryPutAsideIsTakenUpInTheEnd has an upstream come back in the span that the copy lacks,
+// and say nothing new: its entry reads as before.
+func TestAnEntryPutAsideIsTakenUpInTheEnd(t *testing.T) {
+	c := New()
+	c.Replace(at(0), 1, list(Upstream{ID: "a", Address: "a:1", Service: "s"}, Upstream{ID: "gone", Address: "gone:1", Service: "s"}))
+	c.Apply(at(time.Second), []Change{{Kind: Unlisted, ID: "a"}, {Kind: Unlisted, ID: "gone"}})
+	c.Replace(at(2*time.Second), 2, list(Upstream{ID: "a", Address: "a:1", Service: "s"}, Upstream{ID: "gone", Address: "gone:1", Service: "s"}))
+	c.Apply(at(6*time.Second), []Change{{Kind: Unlisted, ID: "gone"}}) // lapsed
+	c.Expire(at(2*time.Second + formerLife))
+	if !listed(c, "a") || listed(c, "gone") {
+		t.Errorf("listed: a %v, gone %v", listed(c, "a"), listed(c, "gone"))
+	}
+}
+
+// TestTheFirstListIsNoReturn starts under a platform that returned long ago.
+func TestTheFirstListIsNoReturn(t *testing.T) {
+	c := New()
+	c.Replace(at(0), 3, list(Upstream{ID: "a", Address: "a:1", Service: "s"}))
+	c.Apply(at(time.Second), []Change{{Kind: Unlisted, ID: "a"}})
+	if listed(c, "a") {
+		t.Error("an upstream that left stays in use")
+	}
+}
--- a/internal/process/holds/keeper_test.go
+++ b/internal/process/holds/keeper_test.go
@@ -227,3 +227,21 @@
 		t.Error("the planned end of an upstream is suspected")
 	}
 }
+
+// TestHoldsOutliveTheReturnOfAnOlderCopy has the platform lose a hold that it had: it holds all
+// the same, and is written again.
+func TestHoldsOutliveTheReturnOfAnOlderCopy(t *testing.T) {
+	k := newInstance(t, "i-1", standin.New(standin.Config{}))
+	now := time.Now()
+	k.recorded(work, quarantine.Hold{Until: now.Add(time.Minute), Times: 1})
+	k.recordAgain()
+	k.Replace(nil) // the copy lacks it
+	if !k.Held(work) {
+		t.Fatal("the hold ended with its record")
+	}
+	for end := now.Add(10 * time.Second); len(recorded(t, k.cfg.Store)) == 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the hold was never written again")
+		}
+	}
+}
--- a/internal/process/holds/record.go
+++ b/internal/process/holds/record.go
@@ -218,12 +218,30 @@
 	}
 }
 
+// recordAgain has the platform keep all holds once more: it came back from an older copy, which
+// may lack them. Whichever instance is first writes one, the others find it there.
+func (k *Keeper) recordAgain() {
+	var lost []quarantine.Content
+	k.with(func(c *quarantine.Core) { lost = c.Unrecord(time.Now()) })
+	for _, content := range lost {
+		delay := time.Duration(0)
+		if k.cfg.Delay != nil {
+			delay = k.cfg.Delay(false)
+		}
+		k.cfg.Loop(func() { k.record(k.cfg.Work, content, delay) })
+	}
+}
+
 // followOnce reads the holds, calls listed, and then reads their changes, until a call fails.
 func (k *Keeper) followOnce(ctx context.Context, listed func()) error {
 	objects, version, err := k.cfg.Store.List(ctx, resource.KindHold)
 	if err != nil {
 		return err
 	}
+	if era := platform.EraOf(version); version != 0 && era != k.era {
+		k.era = era
+		k.recordAgain() // before the list is taken: what it lacks is not lifted
+	}
 	k.Replace(objects)
 	listed()
 	w, err := k.cfg.Store.Watch(ctx, []string{resource.KindHold}, version)
--- a/internal/request/quarantine/hold.go
+++ b/internal/request/quarantine/hold.go
@@ -123,6 +123,19 @@
 	return out
 }
 
+// Unrecord notes that the platform may have lost what it had, and gives the work whose hold it
+// is to be told of again.
+func (c *Core) Unrecord(now time.Time) []Content {
+	var out []Content
+	for content, s := range c.suspects {
+		if s.recorded && s.hold.covers(now) {
+			s.recorded = false
+			out = append(out, content)
+		}
+	}
+	return out
+}
+
 // OnRecord gives the work whose hold the platform has.
 func (c *Core) OnRecord() []Content {
 	var out []Content
