Usage of client accounts is reported once for each window

Change: each instance counts the requests whose first token or answer came, and tells sums that only grow to those that may hold the duty, each second, at a window's close, at a planned stop and when asked. The holder of the lease adds them up, writes the window's counts to the platform under a condition, and then reports them; whoever holds the lease next repeats what is written and counts nothing anew. After a return of the platform windows that may have been reported are left alone.

--- a/internal/process/entry/answer.go
+++ b/internal/process/entry/answer.go
@@ -77,6 +77,7 @@
 	if isEventStream(resp) {
 		return a.takeStream(ctx, at, resp)
 	}
+	q.countUsage(q.sentAt)
 	if q.begun {
 		return outcome{run: errkind.Ran, err: errServer, sent: true}
 	}
@@ -228,6 +229,9 @@
 		}
 		now := time.Now()
 		q.heardEvent(now, last, at)
+		if last.IsZero() {
+			q.countUsage(now)
+		}
 		last = now
 		switch a.order.Judge(event.ID) {
 		case eventstream.Skip:
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -60,8 +60,10 @@
 	holds   *holds.Keeper
 	live    atomic.Pointer[liveSettings]
 	rounds  rounds
-	era     atomic.Uint64 // of the platform, as noted last
-	returns rounds        // each ends when the platform comes back from an older copy
+	era     atomic.Uint64         // of the platform, as noted last
+	usage   *usageBook            // nil: usage isn't reported
+	duties  atomic.Pointer[grant] // nil: this process doesn't hold them
+	returns rounds                // each ends when the platform comes back from an older copy
 	log     *requestLog
 
 	exporter  *metrics.Exporter
@@ -96,6 +98,9 @@
 		log:     newRequestLog(cfg.Settings.Logging.LinesPerSecond),
 	}
 	e.live.Store(&liveSettings{bounds: cfg.Settings.Bounds, roles: cfg.Settings.Roles})
+	if u := cfg.Settings.Usage; cfg.Duties != nil && u.WindowSeconds > 0 {
+		e.usage = newUsageBook(u)
+	}
 	e.exporter = metrics.New("ragwort_entry", map[string]string{"zone": cfg.Settings.Instance.Zone})
 	e.meters = newMeters(e.exporter.Scope())
 	e.work, e.stopWork = context.WithCancel(context.Background())
@@ -201,6 +206,9 @@
 	authority, giveUp := context.WithCancel(work)
 	defer giveUp()
 	e.loop(func() { newHolder(e).run(authority) })
+	if e.usage != nil {
+		e.loop(func() { newUsageDuty(e).run(authority) })
+	}
 	e.loop(func() { e.watchSettings(work) })
 	logline.Info("entry started", "instance", s.Instance.Name, "zone", s.Instance.Zone,
 		"callers", s.Listen.Callers, "ready", s.Listen.Ready, "store", s.Store)
--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -50,7 +50,7 @@
 
 // run keeps the lease and the split of roles until ctx ends.
 func (h *holder) run(ctx context.Context) {
-	for !h.e.state.hasEngines() {
+	for !h.e.state.hasEngines() && h.e.usage == nil {
 		if platform.Sleep(ctx, holderTick) != nil {
 			return
 		}
@@ -59,12 +59,14 @@
 		rank, candidate := h.e.rank(time.Now())
 		h.lease.stand(ctx, rank, candidate)
 		h.lease.tick(ctx)
+		h.e.duties.Store(h.lease.duties())
 		now := time.Now()
 		if _, ok := h.lease.mayOrder(); ok && !now.Before(h.decideAt) {
 			h.decideAt = now.Add(decideEvery)
 			h.decide(ctx)
 		}
 	}
+	h.e.duties.Store(nil)
 	end, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	h.lease.release(end)
--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -10,6 +10,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/authority"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/usage"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
@@ -37,6 +38,7 @@
 	turnWait time.Duration // a holder after another one waits so long with its first order
 	formerAt boottime.Time // when another process was last seen to hold the lease; 0: never
 	mayFrom  boottime.Time // no order before this
+	dutyFrom boottime.Time // no duty before this
 
 	oddVersion uint64 // of the unreadable lease that was told last
 }
@@ -78,6 +80,27 @@
 	return fence, ok && !now.Before(l.mayFrom) && l.era() == l.core.Era()
 }
 
+// grant is the authority to carry out duties at the platform.
+type grant struct {
+	under usage.Authority
+	until boottime.Time
+}
+
+// holds reports whether the authority still holds.
+func (g *grant) holds(era uint64) bool {
+	return g != nil && boottime.Now().Before(g.until) && era == g.under.Era
+}
+
+// duties gives the authority over duties; nil: another process may have it.
+func (l *lease) duties() *grant {
+	now := boottime.Now()
+	fence, until, ok := l.core.MayOrder(now)
+	if !ok || now.Before(l.dutyFrom) || l.era() != l.core.Era() {
+		return nil
+	}
+	return &grant{under: usage.Authority{Fence: fence, Era: l.core.Era()}, until: until}
+}
+
 // tick does what is due.
 func (l *lease) tick(ctx context.Context) {
 	if l.core.Wake() <= boottime.Now() {
@@ -134,9 +157,10 @@
 // gained begins to hold. If there was another holder, its last order may be carried
 // out late, and holders may not take turns too fast.
 func (l *lease) gained(a authority.Gained) {
-	l.mayFrom = 0
+	l.mayFrom, l.dutyFrom = 0, 0
 	if l.formerAt != 0 {
-		l.mayFrom = boottime.Now().Add(l.turnWait)
+		// A call of a duty is under way for less than a lease's time, an order may come later.
+		l.mayFrom, l.dutyFrom = boottime.Now().Add(l.turnWait), boottime.Now().Add(l.ttl)
 	}
 	logline.Info("lease taken", "lease", leaseName, "epoch", a.Epoch, "why", a.Why, "after_another", l.formerAt != 0)
 }
--- a/internal/process/entry/ports.go
+++ b/internal/process/entry/ports.go
@@ -72,6 +72,23 @@
 	OrderUnknown  OrderResult = "unknown" // may take effect, also seconds later
 )
 
+// Duties are calls to the platform that one instance makes for all of the deployment.
+type Duties interface {
+	// ReportUsage reports the requests of client accounts that began to run in a window. The
+	// error tells why the result is not DutyDone.
+	ReportUsage(ctx context.Context, holder string, fence uint64, window int64, counts map[string]int) (DutyResult, error)
+}
+
+// DutyResult is what became of a call of a duty.
+type DutyResult string
+
+// The results of a call of a duty.
+const (
+	DutyDone    DutyResult = "done"
+	DutyRefused DutyResult = "refused" // for good
+	DutyAgain   DutyResult = "again"   // not done, or not known to be
+)
+
 // Config of an entry process.
 type Config struct {
 	Settings  *settings.Entry
@@ -79,6 +96,7 @@
 	Configs   ConfigFeed
 	Dialect   exchange.Dialect
 	Engines   Engines
+	Duties    Duties                          // nil: none
 	Records   platform.Store                  // the system's own objects
 	Watcher   RecordWatcher                   // of the same objects
 	Alive     func(ctx context.Context) error // a cheap call of the platform's store
--- a/internal/process/entry/record.go
+++ b/internal/process/entry/record.go
@@ -62,6 +62,14 @@
 	m.scope.Tagged(map[string]string{"kind": kind}).Counter("entries_unreadable").Inc(1)
 }
 
+// meterUsage names the duty to report usage.
+const meterUsage = "usage"
+
+// duty counts a call of a duty by its result.
+func (m *meters) duty(name, result string) {
+	m.scope.Tagged(map[string]string{"duty": name, "result": result}).Counter("duty_calls").Inc(1)
+}
+
 // refusal counts a place that was refused, by its work and reason.
 func (m *meters) refusal(route string, d *place.Decision) {
 	m.mu.Lock()
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -51,6 +51,7 @@
 	sentAt      time.Time        // when the last send began
 	readHere    bool             // the prompt is read by the engine that decodes
 	counted     bool             // what it asks of engines is counted
+	used        bool             // it counts as usage of its account
 	fetching    bool             // the last send has the upstream fetch the prompt's KV cache
 	begun       bool             // the caller has seen a part of the answer
 	waited      time.Duration    // in the queue
--- a/internal/process/entry/sharing.go
+++ b/internal/process/entry/sharing.go
@@ -34,6 +34,8 @@
 	gives *granting
 
 	crashes *crashNews
+	usage   usageNews
+	life    uint64
 
 	introduced atomic.Bool   // to the own availability zone
 	ended      chan struct{} // closed when nothing is shared any more
@@ -69,7 +71,7 @@
 	life := uint64(time.Now().UnixMicro()) // an instance sends far fewer than a million messages a second
 	return &sharing{
 		e: e, self: self, conn: conn, core: peers.New(self, life),
-		asks: newAsking(life), gives: newGranting(), crashes: &crashNews{}, ended: make(chan struct{}),
+		asks: newAsking(life), gives: newGranting(), crashes: &crashNews{}, life: life, ended: make(chan struct{}),
 	}, nil
 }
 
@@ -83,6 +85,7 @@
 			pause = lookEvery
 		}
 	}
+	s.endUsage(time.Now())
 	s.mu.Lock()
 	zone := s.core.Zone()
 	s.mu.Unlock()
@@ -100,6 +103,7 @@
 	s.expireGrants(now)
 	s.flushNotes()
 	s.flushCrashes(now)
+	s.tellUsage(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, to := range s.core.Visits(now) {
@@ -200,6 +204,7 @@
 	s.takeQuestions(now, from, m.Questions)
 	s.takeAnswers(from, m.Answers)
 	s.takeCrashes(now, from, m.Crashes)
+	s.takeUsage(now, from, m)
 	if !news {
 		return
 	}
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -274,6 +274,19 @@
 // Placers gives the addresses of the other instances that give places, of all availability zones.
 func (c *Core) Placers(now time.Time) []string { return c.recipients(now) }
 
+// Heirs gives the addresses of the other instances that give places, and of those that would in
+// the own availability zone if one of them were gone: what these know outlives any of them.
+func (c *Core) Heirs(now time.Time) []string {
+	to := c.recipients(now)
+	list := c.ranking[c.self.Zone]
+	for _, k := range list[:min(len(list), placersOf(list)+1)] {
+		if k != c.me && !k.gone(now) && !slices.Contains(to, k.Address) {
+			to = append(to, k.Address)
+		}
+	}
+	return to
+}
+
 // rank orders the instances of each availability zone: those with the larger machines
 // first, and equal ones by a hash, so that all agree without asking.
 func (c *Core) rank() {
@@ -387,6 +400,17 @@
 	return out
 }
 
+// HeardWithin gives the addresses of the others that were heard lately.
+func (c *Core) HeardWithin(now time.Time, within time.Duration) []string {
+	var out []string
+	for address, k := range c.known {
+		if now.Sub(k.heardAt) < within {
+			out = append(out, address)
+		}
+	}
+	return out
+}
+
 // Zone gives the addresses of all others of the own availability zone.
 func (c *Core) Zone() []string {
 	var out []string
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/roles"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/usage"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 )
@@ -43,6 +44,10 @@
 	Notes     []Note        `cbor:"10,keyasint,omitempty"`
 
 	Crashes []quarantine.Told `cbor:"12,keyasint,omitempty"` // at most quarantine.MaxTold
+
+	Life        uint64       `cbor:"13,keyasint,omitempty"` // of the sender, with Usage
+	Usage       []usage.Part `cbor:"14,keyasint,omitempty"` // what the sender's callers used
+	UsageWanted []int64      `cbor:"15,keyasint,omitempty"` // windows of which the receiver is to tell its usage
 }
 
 // Ask is what the sender's callers ask of a service's engines.
@@ -165,5 +170,13 @@
 			return m, errors.Wrap(err, "message of a peer")
 		}
 	}
+	for i := range m.Usage {
+		if err := m.Usage[i].Check(); err != nil {
+			return m, errors.Wrap(err, "message of a peer")
+		}
+	}
+	if len(m.UsageWanted) > usage.KeepWindows {
+		return m, errors.Errorf("message of a peer: usage of %d windows wanted", len(m.UsageWanted))
+	}
 	return m, nil
 }
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -15,6 +15,30 @@
 	Limits   EntryLimits  `json:"limits"`
 	Logging  EntryLogging `json:"logging"`
 	Roles    EntryRoles   `json:"roles"`
+	Duties   EntryDuties  `json:"duties"`
+	Usage    EntryUsage   `json:"usage"`
+}
+
+// EntryDuties says which calls to the platform one instance makes for all.
+type EntryDuties struct {
+	Address string   `json:"address"` // host:port; empty: none
+	Kinds   []string `json:"kinds"`   // in the platform's words
+}
+
+// EntryUsage says how the usage of client accounts is reported.
+type EntryUsage struct {
+	WindowSeconds float64 `json:"windowSeconds"` // length of a window of true time; 0: nothing is reported
+	LateSeconds   float64 `json:"lateSeconds"`   // a report later than this after its window's end is worth nothing
+}
+
+// Window is the length of a window.
+func (u EntryUsage) Window() time.Duration {
+	return time.Duration(u.WindowSeconds * float64(time.Second))
+}
+
+// Late is how long after a window's end its report counts.
+func (u EntryUsage) Late() time.Duration {
+	return time.Duration(u.LateSeconds * float64(time.Second))
 }
 
 // EntryRoles says how the engines of a service are divided.
@@ -66,6 +90,7 @@
 	DefaultEntryConfigMS      = 2000
 	DefaultMemoryMB           = 256
 	DefaultLinesPerSecond     = 20
+	DefaultUsageLateSeconds   = 10
 )
 
 // LoadEntry reads, completes and checks the settings of an entry process.
@@ -88,6 +113,7 @@
 	defaults.Set(&s.Bounds.DrainMS, DefaultEntryDrainMS)
 	defaults.Set(&s.Bounds.ConfigMS, DefaultEntryConfigMS)
 	defaults.Set(&s.Limits.MemoryMB, DefaultMemoryMB)
+	defaults.Set(&s.Usage.LateSeconds, DefaultUsageLateSeconds)
 	defaults.Set(&s.Logging.LinesPerSecond, DefaultLinesPerSecond)
 }
 
@@ -115,6 +141,11 @@
 	c.require(b.ConfigMS > 0, "bounds.configMS", b.ConfigMS, "must be greater than zero")
 	c.require(s.Limits.Cores >= 0, "limits.cores", s.Limits.Cores, "must not be negative")
 	c.require(s.Limits.MemoryMB > 0, "limits.memoryMB", s.Limits.MemoryMB, "must be greater than zero")
+	if s.Duties.Address != "" {
+		c.address("duties.address", s.Duties.Address)
+	}
+	c.require(s.Usage.WindowSeconds >= 0, "usage.windowSeconds", s.Usage.WindowSeconds, "must not be negative")
+	c.require(s.Usage.LateSeconds > 0, "usage.lateSeconds", s.Usage.LateSeconds, "must be greater than zero")
 	c.share("roles.prefillShare", s.Roles.PrefillShare)
 	c.require(s.Logging.LinesPerSecond > 0, "logging.linesPerSecond", s.Logging.LinesPerSecond, "must be greater than zero")
 	return c.result()
--- /dev/null
+++ b/internal/process/usage/ledger.go
@@ -0,0 +1,86 @@
+package usage
+
+import (
+	"maps"
+	"time"
+)
+
+// Source names one life of an instance: one that starts again counts from nothing.
+type Source struct {
+	Address string
+	Life    uint64
+}
+
+// told is what one source told of a window.
+type told struct {
+	counts Counts
+	total  int
+	closed bool
+}
+
+// whole reports whether everything that the source has of the window was told.
+func (t *told) whole() bool { return t.closed && t.counts.total() == t.total }
+
+// Ledger adds up what instances tell. It is not safe for concurrent use.
+type Ledger struct {
+	windows Windows
+	told    map[int64]map[Source]*told
+}
+
+// NewLedger makes a ledger of nothing.
+func NewLedger(windows Windows) *Ledger {
+	return &Ledger{windows: windows, told: make(map[int64]map[Source]*told)}
+}
+
+// Take takes a part. Parts may come twice and in any order: counts only grow, so the greater
+// one of an account is the newer one.
+func (l *Ledger) Take(now time.Time, from Source, p *Part) {
+	present := l.windows.At(now)
+	if p.Window < present-KeepWindows || p.Window > present+1 {
+		return // too old to be reported, or of a clock that is far off
+	}
+	sources, ok := l.told[p.Window]
+	if !ok {
+		sources = make(map[Source]*told)
+		l.told[p.Window] = sources
+		maps.DeleteFunc(l.told, func(window int64, _ map[Source]*told) bool { return window < present-KeepWindows })
+	}
+	t, ok := sources[from]
+	if !ok {
+		t = &told{counts: make(Counts)}
+		sources[from] = t
+	}
+	t.closed = t.closed || p.Closed
+	t.total = max(t.total, p.Total)
+	for _, r := range p.Rows {
+		t.counts[r.Account] = max(t.counts[r.Account], r.Count)
+	}
+}
+
+// Missing gives those of the instances, by address, of which not all is told of a window.
+func (l *Ledger) Missing(window int64, addresses []string) []string {
+	whole := make(map[string]bool)
+	for source, t := range l.told[window] {
+		if t.whole() {
+			whole[source.Address] = true
+		}
+	}
+	var out []string
+	for _, a := range addresses {
+		if !whole[a] {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// Sum adds up a window over all that told of it.
+func (l *Ledger) Sum(window int64) Counts {
+	sum := make(Counts)
+	for _, t := range l.told[window] {
+		for account, n := range t.counts {
+			sum[account] += n
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/process/usage/usage_test.go
@@ -0,0 +1,192 @@
+package usage
+
+import (
+	"maps"
+	"testing"
+	"time"
+)
+
+var (
+	windows = Windows{Length: 5 * time.Second}
+	epoch   = time.Unix(1_000_000, 0) // the beginning of a window
+	first   = windows.At(epoch)
+)
+
+func at(d time.Duration) time.Time { return epoch.Add(d) }
+
+// TestCounterByWindows counts where a request began, until that window has closed.
+func TestCounterByWindows(t *testing.T) {
+	c := NewCounter(windows)
+	c.Began(at(time.Second), at(time.Second), "a")
+	c.Began(at(5500*time.Millisecond), at(4900*time.Millisecond), "a") // answered after the window's end
+	c.Began(at(6100*time.Millisecond), at(4900*time.Millisecond), "b") // the window has closed
+	parts := c.Parts(at(6100*time.Millisecond), first)
+	if len(parts) != 1 || !parts[0].Closed || parts[0].Total != 2 || len(parts[0].Rows) != 1 || parts[0].Rows[0].Count != 2 {
+		t.Errorf("%+v", parts)
+	}
+	if next := c.Parts(at(6100*time.Millisecond), first+1); next[0].Closed || next[0].Total != 1 {
+		t.Errorf("%+v", next)
+	}
+	if none := c.Parts(at(6100*time.Millisecond), first-1); len(none) != 1 || !none[0].Closed || none[0].Total != 0 {
+		t.Errorf("a window in which nothing began is to be told too: %+v", none)
+	}
+}
+
+// TestLedgerAddsUp takes parts twice, in the wrong order, with one lost at first, from lives of
+// one instance.
+func TestLedgerAddsUp(t *testing.T) {
+	c := NewCounter(windows)
+	for i := range 3 * rowsInPart {
+		for range i%3 + 1 {
+			c.Began(at(time.Second), at(time.Second), string(rune('A'+i)))
+		}
+	}
+	early := c.Parts(at(time.Second), first)
+	c.Began(at(2*time.Second), at(2*time.Second), "A")
+	parts := c.Parts(at(7*time.Second), first)
+	l := NewLedger(windows)
+	one, other := Source{Address: "i-1", Life: 1}, Source{Address: "i-1", Life: 2}
+	for _, list := range [][]Part{parts[1:], early, parts[1:]} {
+		for i := range list {
+			l.Take(at(7*time.Second), one, &list[i])
+		}
+	}
+	l.Take(at(7*time.Second), Source{Address: "i-2"}, &Part{Window: first, Closed: true, Total: 1, Rows: []Row{{Account: "A", Count: 1}}})
+	if got := l.Missing(first, []string{"i-1", "i-2", "i-3"}); len(got) != 2 || got[0] != "i-1" || got[1] != "i-3" {
+		t.Errorf("missing %v while a part is lost", got)
+	}
+	l.Take(at(7*time.Second), one, &parts[0])
+	l.Take(at(7*time.Second), other, &Part{Window: first, Total: 2, Rows: []Row{{Account: "B", Count: 2}}})
+	if got := l.Missing(first, []string{"i-1", "i-2"}); len(got) != 0 {
+		t.Errorf("missing %v", got)
+	}
+	sum := l.Sum(first)
+	if sum["A"] != 3 || sum["B"] != 4 || sum["C"] != 3 || len(sum) != 3*rowsInPart {
+		t.Errorf("A %d, B %d, C %d of %d accounts", sum["A"], sum["B"], sum["C"], len(sum))
+	}
+}
+
+// duty drives a reporter by hand.
+type duty struct {
+	*Reporter
+	sums    map[int64]Counts
+	missing []string
+	under   Authority
+}
+
+func newDuty() *duty {
+	return &duty{
+		Reporter: NewReporter(Config{Windows: windows, Late: 10 * time.Second}),
+		sums:     map[int64]Counts{first: {"a": 3}, first + 1: {"a": 4}, first + 2: {"a": 5}},
+		under:    Authority{Fence: 7},
+	}
+}
+
+func (d *duty) next(t *testing.T, now time.Time) Action {
+	t.Helper()
+	out := d.Next(now, d.under, func(w int64) Counts { return d.sums[w] }, func(int64) []string { return d.missing })
+	switch len(out) {
+	case 0:
+		return nil
+	case 1:
+		return out[0]
+	}
+	t.Fatalf("%#v", out)
+	return nil
+}
+
+// reads answers the first action, which asks for the record.
+func (d *duty) reads(t *testing.T, now time.Time, version uint64, record Record) {
+	t.Helper()
+	if a, ok := d.next(t, now).(ReadRecord); !ok {
+		t.Fatalf("%#v: want the record read", a)
+	}
+	d.Read(now, version, record)
+}
+
+// TestAWindowIsReportedAfterItsRecord follows a window from its end to its report.
+func TestAWindowIsReportedAfterItsRecord(t *testing.T) {
+	d := newDuty()
+	d.reads(t, at(0), 0, Record{})
+	if a := d.next(t, at(5900*time.Millisecond)); a != nil {
+		t.Fatalf("%#v before the window closed", a)
+	}
+	d.missing = []string{"i-2"}
+	if a, ok := d.next(t, at(6*time.Second)).(Ask); !ok || a.Window != first {
+		t.Fatalf("%#v: want the missing instance asked", a)
+	}
+	if a := d.next(t, at(6*time.Second+askEvery/2)); a != nil {
+		t.Fatalf("%#v at once after a question", a)
+	}
+	a, ok := d.next(t, at(5*time.Second+waitForAll)).(WriteRecord)
+	if !ok || a.Base != 0 || len(a.Record.Intents) != 1 {
+		t.Fatalf("%#v: want the record written", a)
+	}
+	if x := d.next(t, at(9*time.Second)); x != nil {
+		t.Fatalf("%#v while a call is under way", x)
+	}
+	d.Wrote(20)
+	d.sums[first] = Counts{"a": 99} // what is told now comes too late
+	for range 2 {
+		r, ok := d.next(t, at(9*time.Second)).(Report)
+		if !ok || r.Window != first || !maps.Equal(r.Counts, Counts{"a": 3}) || r.Authority != d.under {
+			t.Fatalf("%#v: want the window reported as written", r)
+		}
+		d.ReportFailed(at(8 * time.Second)) // the answer is lost
+	}
+	if _, ok := d.next(t, at(9*time.Second)).(Report); !ok {
+		t.Fatal("not repeated")
+	}
+	d.Reported(first)
+	d.missing = nil
+	if a := d.next(t, at(9*time.Second)); a != nil {
+		t.Fatalf("%#v after the report", a)
+	}
+	if a, ok := d.next(t, at(11*time.Second)).(WriteRecord); !ok || a.Base != 20 || len(a.Record.Intents) != 2 || !a.Record.Intents[0].Reported {
+		t.Fatalf("%#v: want the next window", a)
+	}
+}
+
+// TestANewHolderRepeatsWhatWasWritten takes the duty over between a record and its report.
+func TestANewHolderRepeatsWhatWasWritten(t *testing.T) {
+	d := newDuty()
+	d.reads(t, at(7*time.Second), 20, Record{Intents: []Intent{{Window: first, Counts: Counts{"a": 1}}}})
+	if r, ok := d.next(t, at(7*time.Second)).(Report); !ok || !maps.Equal(r.Counts, Counts{"a": 1}) {
+		t.Fatalf("%#v: want the window reported as the record has it", r)
+	}
+	d.Reported(first)
+	if a, ok := d.next(t, at(11*time.Second)).(WriteRecord); !ok || a.Base != 20 {
+		t.Fatalf("%#v: want the next window", a)
+	}
+	d.WriteFailed(at(11 * time.Second)) // another holder was first
+	d.reads(t, at(12*time.Second), 21, Record{Intents: []Intent{{Window: first + 1, Counts: Counts{"a": 2}}}})
+	if r, ok := d.next(t, at(12*time.Second)).(Report); !ok || r.Window != first+1 || !maps.Equal(r.Counts, Counts{"a": 2}) {
+		t.Fatalf("%#v: want what the other one wrote", r)
+	}
+}
+
+// TestWindowsThatMayHaveBeenReportedAreLeftAlone has the store return from a copy that may
+// lack an intent: nobody knows what was reported of windows that had ended by then.
+func TestWindowsThatMayHaveBeenReportedAreLeftAlone(t *testing.T) {
+	d := newDuty()
+	d.under.Era = 2
+	d.reads(t, at(11*time.Second), 20, Record{Era: 1, Intents: []Intent{{Window: first - 1, Counts: Counts{}, Reported: true}}})
+	if a := d.next(t, at(11*time.Second)); a != nil {
+		t.Fatalf("%#v of a window that may have been reported", a)
+	}
+	if a, ok := d.next(t, at(16*time.Second)).(WriteRecord); !ok || a.Record.Intents[len(a.Record.Intents)-1].Window != first+2 || a.Record.Era != 2 {
+		t.Fatalf("%#v: want the window that ended after the return", a)
+	}
+}
+
+// TestALateWindowIsMissed leaves a window alone that could not be reported in time.
+func TestALateWindowIsMissed(t *testing.T) {
+	d := newDuty()
+	d.reads(t, at(0), 0, Record{})
+	if a, ok := d.next(t, at(15*time.Second)).(Missed); !ok || a.Window != first {
+		t.Fatalf("%#v: want the window missed", a)
+	}
+	if a, ok := d.next(t, at(15*time.Second)).(WriteRecord); !ok || a.Record.Intents[0].Window != first+1 {
+		t.Fatalf("%#v: want the next window", a)
+	}
+}
