--- a/internal/process/entry/usage.go
+++ b/internal/process/entry/usage.go
@@ -74,6 +74,12 @@
 	return b.ledger.Missing(window, addresses)
 }
 
+func (b *usageBook) sources(window int64) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ledger.Sources(window)
+}
+
 func (b *usageBook) sum(window int64) usage.Counts {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/process/entry/usageduty.go
+++ b/internal/process/entry/usageduty.go
@@ -139,6 +139,7 @@
 	}
 	d.e.meters.duty(meterUsage, string(result))
 	logline.Info("usage reported", "window", a.Window, "accounts", len(a.Counts), "requests", requests,
+		"told_by", d.e.usage.sources(a.Window), "missing", len(d.e.usageMissing(a.Window)),
 		"fence", a.Authority.Fence, "result", result, "error", err)
 	if result == DutyAgain {
 		d.core.ReportFailed(wall())
--- a/internal/process/usage/ledger.go
+++ b/internal/process/usage/ledger.go
@@ -74,6 +74,9 @@
 	return out
 }
 
+// Sources gives how many lives of instances have told something of a window.
+func (l *Ledger) Sources(window int64) int { return len(l.told[window]) }
+
 // Sum adds up a window over all that told of it.
 func (l *Ledger) Sum(window int64) Counts {
 	sum := make(Counts)
