An instance that the platform turns away gets the configuration from another one

Cause: a key that is taken away, or a route that moves, while the platform turns some instances away and serves the others was not in force at those it turned away before it served them again. One that hears of an older version tells the newer one back.

--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -327,4 +327,7 @@
 		return
 	}
 	logline.Info("configuration in force", "version", c.Version, "revision", revision, "routes", len(c.Routes))
+	if e.shared != nil {
+		e.loop(func() { e.shared.tellVersion(e.work) })
+	}
 }
--- a/internal/process/entry/sharing.go
+++ b/internal/process/entry/sharing.go
@@ -40,8 +40,9 @@
 	introduced atomic.Bool   // to the own availability zone
 	ended      chan struct{} // closed when nothing is shared any more
 
-	mu   sync.Mutex
-	core *peers.Core
+	mu     sync.Mutex
+	core   *peers.Core
+	newest *peers.Newest
 }
 
 // startSharing shares until ctx ends. Without a socket the process serves all the same,
@@ -71,7 +72,7 @@
 	life := uint64(time.Now().UnixMicro()) // an instance sends far fewer than a million messages a second
 	return &sharing{
 		e: e, self: self, conn: conn, core: peers.New(self, life),
-		asks: newAsking(life), gives: newGranting(), crashes: &crashNews{}, life: life, ended: make(chan struct{}),
+		asks: newAsking(life), gives: newGranting(), crashes: &crashNews{}, newest: peers.NewNewest(), life: life, ended: make(chan struct{}),
 	}, nil
 }
 
@@ -79,11 +80,13 @@
 func (s *sharing) run(ctx context.Context) {
 	s.e.loop(func() { s.receive() })
 	s.e.loop(func() { s.follow(ctx) })
+	s.serveRelay(ctx)
 	for pause := lookEvery; platform.Sleep(ctx, pause) == nil; {
 		pause = restingLook
 		if s.tell(time.Now()) {
 			pause = lookEvery
 		}
+		s.fetchVersion(ctx, time.Now())
 	}
 	s.endUsage()
 	s.mu.Lock()
@@ -153,6 +156,7 @@
 // that stops, or knows no upstreams yet, would refuse what others can serve.
 func (s *sharing) send(m peers.Message, to ...string) {
 	m.Unready = s.e.notReady() != ""
+	m.Config = s.e.configVersion()
 	data, err := peers.Encode(m)
 	if err != nil {
 		logline.Error(err, "nothing told")
@@ -200,6 +204,7 @@
 	if m.Answer {
 		s.send(s.introduction(false), from)
 	}
+	s.heardVersion(now, from, m.Config)
 	s.takeNotes(from, m.Notes)
 	s.takeQuestions(now, from, m.Questions)
 	s.takeAnswers(from, m.Answers)
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -45,6 +45,8 @@
 
 	Crashes []quarantine.Told `cbor:"12,keyasint,omitempty"` // at most quarantine.MaxTold
 
+	Config uint64 `cbor:"16,keyasint,omitempty"` // version of the configuration that the sender has in force; 0: none
+
 	Life        uint64       `cbor:"13,keyasint,omitempty"` // of the sender, with Usage
 	Usage       []usage.Part `cbor:"14,keyasint,omitempty"` // what the sender's callers used
 	UsageWanted []int64      `cbor:"15,keyasint,omitempty"` // windows of which the receiver is to tell its usage
--- /dev/null
+++ b/internal/process/peers/newest_test.go
@@ -0,0 +1,45 @@
+package peers
+
+import (
+	"testing"
+	"time"
+)
+
+// TestNewerVersionsAreFetched lets an instance fall behind: it waits for the platform first, then
+// asks a peer that has the version, and again if that fails.
+func TestNewerVersionsAreFetched(t *testing.T) {
+	n, begun := NewNewest(), time.Unix(1000, 0)
+	n.Heard(begun, "a", 7, 7)
+	n.Heard(begun, "b", 9, 7)
+	n.Heard(begun, "a", 7, 7)
+	n.Heard(begun.Add(time.Second), "c", 9, 7)
+	if _, ok := n.Fetch(begun.Add(fetchAfter-1), 7); ok {
+		t.Error("asked before the platform could tell")
+	}
+	if from, ok := n.Fetch(begun.Add(fetchAfter), 7); !ok || from != "c" {
+		t.Errorf("asked of %q (%v)", from, ok)
+	}
+	if _, ok := n.Fetch(begun.Add(fetchAfter+fetchAgain-1), 7); ok {
+		t.Error("asked twice at once")
+	}
+	if _, ok := n.Fetch(begun.Add(fetchAfter+fetchAgain), 7); !ok {
+		t.Error("not asked again")
+	}
+	if _, ok := n.Fetch(begun.Add(time.Minute), 9); ok {
+		t.Error("asked for a version that is in force")
+	}
+}
+
+// TestPeersBehindAreTold tells a peer of a newer version, and not with each of its messages.
+func TestPeersBehindAreTold(t *testing.T) {
+	n, begun := NewNewest(), time.Unix(1000, 0)
+	if !n.Heard(begun, "a", 3, 7) || !n.Heard(begun, "b", 0, 7) {
+		t.Error("a peer that is behind isn't told")
+	}
+	if n.Heard(begun.Add(time.Millisecond), "a", 3, 7) || n.Heard(begun, "c", 7, 7) || n.Heard(begun, "d", 9, 7) {
+		t.Error("told too often, or one that isn't behind")
+	}
+	if !n.Heard(begun.Add(tellBackEvery), "a", 3, 7) {
+		t.Error("not told again")
+	}
+}
--- a/internal/version/routing/config.go
+++ b/internal/version/routing/config.go
@@ -99,7 +99,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
-	byHost   map[string][]int       // indices of Routes, longest prefix first
+	byHost   map[string][]int // indices of Routes, longest prefix first
+	accounts []Account
 	byKey    map[KeyDigest]*Account // nil: callers need no keys
 }
 
@@ -114,6 +115,7 @@
 		Version: version, Routes: routes, Limits: limits,
 		Services: make(map[string]Service, len(services)),
 		byHost:   make(map[string][]int),
+		accounts: accounts,
 		byKey:    indexAccounts(accounts),
 	}
 	for _, s := range services {
--- /dev/null
+++ b/internal/version/routing/wire_test.go
@@ -0,0 +1,33 @@
+package routing
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+	"time"
+)
+
+func TestVersionsArePassedOnWhole(t *testing.T) {
+	priority := 2
+	c := New(7, []Route{{
+		Name: "r", Host: "H.example", PathPrefix: "/a/", Kind: Streaming, Timeout: time.Second, MaxAttempts: 2,
+		Resumable: true, Anonymous: true, Targets: []Target{{Service: "s", Weight: 3}},
+	}}, []Service{{Name: "s", MaxConnections: 9, Engine: &Engine{Slots: 8, HandleLife: time.Minute}}}, Limits{BodyBytes: 10},
+		Account{Name: "a", Priority: &priority, Keys: []KeyDigest{DigestOf("the key")}})
+	data, err := Encode(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if bytes.Contains(data, []byte("the key")) {
+		t.Error("a key is passed on")
+	}
+	got, err := Decode(data)
+	if err != nil || !reflect.DeepEqual(got, c) {
+		t.Errorf("%+v (%v), want %+v", got, err, c)
+	}
+	for _, odd := range [][]byte{nil, {1}, data[:len(data)/2], {0xa0}} {
+		if c, err := Decode(odd); err == nil {
+			t.Errorf("%x was taken as %+v", odd, c)
+		}
+	}
+}
