Engines that can be ordered are replaced by cheaper ones

Change: the holder of the lease keeps the fleet that it found, but for most of it in cheaper engines, as many as half of the found fleet's price buys; lasting ones go once others make up for them in any zone, and stand in for ones that can't be had if engines lack. What is ordered is written to the platform first; nothing is ordered until the fleet has stayed the same for 4 s and the list is whole.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -209,6 +209,9 @@
 	if e.usage != nil {
 		e.loop(func() { newUsageDuty(e).run(authority) })
 	}
+	if cfg := e.cfg; cfg.Scaler != nil {
+		e.loop(func() { newScalingDuty(e).run(authority) })
+	}
 	e.loop(func() { e.watchSettings(work) })
 	logline.Info("entry started", "instance", s.Instance.Name, "zone", s.Instance.Zone,
 		"callers", s.Listen.Callers, "ready", s.Listen.Ready, "store", s.Store)
--- a/internal/process/entry/lease.go
+++ b/internal/process/entry/lease.go
@@ -223,6 +223,9 @@
 	if err != nil || len(objects) > 0 {
 		return authority.ReadFailed{} // created in between, or no answer: read again
 	}
+	if platform.EraOf(version) > 0 {
+		l.formerAt = boottime.Now() // whoever held it may be what an older copy lacks
+	}
 	return authority.Read{StoreVersion: version}
 }
 
--- a/internal/process/entry/ports.go
+++ b/internal/process/entry/ports.go
@@ -7,6 +7,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/scaling"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
@@ -79,6 +80,12 @@
 	ReportUsage(ctx context.Context, holder string, fence uint64, window int64, counts map[string]int) (DutyResult, error)
 }
 
+// Scaler orders upstreams of a service from the platform, for all of the deployment.
+type Scaler interface {
+	// Scale orders a number of upstreams. The error tells why the result is not DutyDone.
+	Scale(ctx context.Context, holder string, fence uint64, service string, o scaling.Order) (DutyResult, error)
+}
+
 // DutyResult is what became of a call of a duty.
 type DutyResult string
 
@@ -97,6 +104,7 @@
 	Dialect   exchange.Dialect
 	Engines   Engines
 	Duties    Duties                          // nil: none
+	Scaler    Scaler                          // nil: no upstreams are ordered
 	Records   platform.Store                  // the system's own objects
 	Watcher   RecordWatcher                   // of the same objects
 	Alive     func(ctx context.Context) error // a cheap call of the platform's store
--- /dev/null
+++ b/internal/process/entry/scalingduty.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/scaling"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/usage"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
+)
+
+const (
+	kindScaling = "Scaling" // one object a service: what was found and ordered
+	// scaleEvery is how often it is weighed how many engines there should be.
+	scaleEvery = 500 * time.Millisecond
+	// wholeAfter is how long the list of upstreams has to be up to date before orders are
+	// given by it: those that start register within seconds, and after an outage or a return of
+	// the platform entries are missing that come back.
+	wholeAfter = 3 * time.Second
+	// meterScaling names the duty to order engines.
+	meterScaling = "scaling"
+)
+
+// scalingRecord is what the platform's store keeps of a service, written before each order.
+type scalingRecord struct {
+	Era  uint64       `json:"era"`
+	Plan scaling.Plan `json:"plan"`
+}
+
+// scaledService is a service whose engines this process orders.
+type scaledService struct {
+	core    *scaling.Core
+	version uint64 // of the record; 0: there is none
+}
+
+// scalingDuty orders engines while this process holds the authority. It is for one goroutine.
+type scalingDuty struct {
+	e        *Entry
+	under    usage.Authority
+	services map[string]*scaledService // read under this authority
+}
+
+func newScalingDuty(e *Entry) *scalingDuty { return &scalingDuty{e: e} }
+
+func (d *scalingDuty) run(ctx context.Context) {
+	for platform.Sleep(ctx, scaleEvery) == nil {
+		g := d.e.duties.Load()
+		c := d.e.state.config.Load()
+		if !g.holds(d.e.storeEra()) || c == nil || !d.e.state.whole(time.Now()) {
+			continue
+		}
+		if d.under != g.under {
+			d.under, d.services = g.under, make(map[string]*scaledService)
+		}
+		engines := d.e.state.engines()
+		for name, s := range c.Services {
+			if s.Scaling != nil {
+				d.weigh(ctx, name, s.Scaling, engines[name])
+			}
+		}
+	}
+}
+
+// weigh gives the orders for one service that are due.
+func (d *scalingDuty) weigh(ctx context.Context, service string, terms *routing.Scaling, engines []fleet.Upstream) {
+	s, ok := d.services[service]
+	if !ok {
+		if s, ok = d.read(ctx, service); !ok {
+			return
+		}
+		d.services[service] = s
+	}
+	orders := s.core.Decide(time.Now(), termsOf(terms), d.policy(), kindsOf(engines))
+	if len(orders) == 0 {
+		return
+	}
+	if !d.write(ctx, service, s) {
+		delete(d.services, service) // another holder may have written it: go on from that
+		return
+	}
+	for _, o := range orders {
+		d.order(ctx, service, s, o)
+	}
+}
+
+func (d *scalingDuty) policy() scaling.Policy {
+	p := d.e.cfg.Settings.Scaling
+	return scaling.Policy{LastingShare: p.LastingShare, CostShare: p.CostShare}
+}
+
+func termsOf(s *routing.Scaling) scaling.Terms {
+	return scaling.Terms{Min: s.Min, Max: s.Max, Boot: s.Boot, RevocablePrice: s.RevocablePrice}
+}
+
+func kindsOf(engines []fleet.Upstream) []scaling.Engine {
+	out := make([]scaling.Engine, 0, len(engines))
+	for i := range engines {
+		kind := scaling.Lasting
+		if engines[i].Revocable {
+			kind = scaling.Revocable
+		}
+		out = append(out, scaling.Engine{Zone: engines[i].Zone, Kind: kind})
+	}
+	return out
+}
+
+// read gives the service as the last holder left it.
+func (d *scalingDuty) read(ctx context.Context, service string) (*scaledService, bool) {
+	o, err := d.e.cfg.Records.Get(ctx, kindScaling, service)
+	if errors.Is(err, platform.ErrNotFound) {
+		return &scaledService{core: scaling.New(scaling.Plan{})}, true
+	}
+	var record scalingRecord
+	if err == nil {
+		err = json.Unmarshal(o.Spec, &record)
+	}
+	if err != nil && o.Version == 0 {
+		logline.Info("record of orders not read", "service", service, "error", err)
+		return nil, false
+	}
+	if err != nil {
+		logline.Info("entry unreadable", "kind", kindScaling, "name", service, "why", err)
+		record = scalingRecord{}
+	}
+	if record.Era != d.under.Era {
+		record.Plan.Desired = nil // later orders may be lost
+	}
+	return &scaledService{core: scaling.New(record.Plan), version: o.Version}, true
+}
+
+// write keeps what is about to be ordered.
+func (d *scalingDuty) write(ctx context.Context, service string, s *scaledService) bool {
+	spec, err := json.Marshal(scalingRecord{Era: d.under.Era, Plan: s.core.Plan()})
+	if err != nil {
+		logline.Error(err, "record of orders not encoded")
+		return false
+	}
+	o := platform.Object{Kind: kindScaling, Name: service, Version: s.version, Writer: d.e.cfg.Settings.Instance.Name, Nonce: platform.NewNonce(), Spec: spec}
+	write := d.e.cfg.Records.Update
+	if s.version == 0 {
+		write = d.e.cfg.Records.Create
+	}
+	stored, err := write(ctx, o)
+	if err == nil && platform.EraOf(stored.Version) != d.under.Era {
+		err = errors.New("the platform returned from an older copy meanwhile")
+	}
+	if err != nil {
+		logline.Info("record of orders not written", "service", service, "error", err)
+		return false
+	}
+	s.version = stored.Version
+	return true
+}
+
+// order gives one order if the authority still holds.
+func (d *scalingDuty) order(ctx context.Context, service string, s *scaledService, o scaling.Order) {
+	g := d.e.duties.Load()
+	if !g.holds(d.e.storeEra()) || g.under != d.under {
+		return
+	}
+	result, err := d.e.cfg.Scaler.Scale(ctx, d.e.cfg.Settings.Instance.Name, d.under.Fence, service, o)
+	d.e.meters.duty(meterScaling, string(result))
+	logline.Info("engines ordered", "service", service, "zone", o.Zone, "kind", o.Kind, "desired", o.Desired, "why", o.Why,
+		"fence", d.under.Fence, "result", result, "error", err)
+	if result != DutyDone {
+		s.core.Refused(time.Now(), o)
+	}
+}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -294,6 +294,13 @@
 	return s.listed
 }
 
+// whole reports whether the list of upstreams has been up to date for a while.
+func (s *state) whole(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listed && s.fleet.WholeFor(now) >= wholeAfter
+}
+
 // engines lists the engines by service.
 func (s *state) engines() map[string][]fleet.Upstream {
 	s.mu.Lock()
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -28,6 +28,7 @@
 	era        uint64              // of the last list
 	away       bool                // the platform cannot be read
 	back       time.Time           // when it could be read again; zero: it never was away
+	wholeSince time.Time           // when the first list came, or it could be read again
 	version    uint64              // counts changes
 }
 
@@ -61,7 +62,7 @@
 	if !c.away {
 		return false
 	}
-	c.away, c.back = false, now
+	c.away, c.back, c.wholeSince = false, now, now
 	for _, e := range c.entries {
 		if e.missing {
 			e.until = now.Add(ReturnGrace)
@@ -70,6 +71,14 @@
 	return true
 }
 
+// WholeFor is for how long the platform could be read without a break; 0: it can't be read now.
+func (c *Core) WholeFor(now time.Time) time.Duration {
+	if c.away || c.wholeSince.IsZero() {
+		return 0
+	}
+	return now.Sub(c.wholeSince)
+}
+
 // Replace takes a whole list of an era of the platform. What isn't on it is gone. It gives those
 // of its entries that are newly unreadable.
 //
@@ -82,6 +91,9 @@
 		listed[list[i].ID] = true
 	}
 	clear(c.aside)
+	if !c.listed {
+		c.wholeSince = now
+	}
 	returned := c.listed && era != c.era
 	c.listed, c.era = true, era
 	if returned {
--- a/internal/process/fleet/upstream.go
+++ b/internal/process/fleet/upstream.go
@@ -13,16 +13,17 @@
 
 // Upstream is one entry of the platform's list.
 type Upstream struct {
-	ID      string // may be that of a former life
-	Born    int64  // start of this life, ms since the Unix epoch; 0: not told, the id alone is the life
-	Service string
-	Address string // host:port
-	Zone    string
-	Slots   int // requests that it runs at a time
-	Leaving bool
-	Cold    time.Duration // it is slow for so long after its start
-	Role    upstream.Role // of a model engine; empty: a plain service
-	Becomes upstream.Role // role that it is about to change to; empty: none
+	ID        string // may be that of a former life
+	Born      int64  // start of this life, ms since the Unix epoch; 0: not told, the id alone is the life
+	Service   string
+	Address   string // host:port
+	Zone      string
+	Slots     int // requests that it runs at a time
+	Leaving   bool
+	Cold      time.Duration // it is slow for so long after its start
+	Role      upstream.Role // of a model engine; empty: a plain service
+	Revocable bool          // the platform may take it back at short notice
+	Becomes   upstream.Role // role that it is about to change to; empty: none
 }
 
 // Life gives the name of the upstream's present life.
--- /dev/null
+++ b/internal/process/scaling/scaling.go
@@ -0,0 +1,241 @@
+package scaling
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Kind says whether an engine may be taken back.
+type Kind string
+
+// The kinds of engines.
+const (
+	Lasting   Kind = "lasting"
+	Revocable Kind = "revocable" // cheaper; all of a zone may be taken back at once
+)
+
+// Terms are what the configuration says of ordering engines of a service.
+type Terms struct {
+	Min, Max       int           // engines in an availability zone, both kinds together
+	Boot           time.Duration // from an order until a new engine serves
+	RevocablePrice float64       // against a lasting engine
+}
+
+// Policy is what the operator wants.
+type Policy struct {
+	// LastingShare is the part of the fleet as it was found that stays lasting.
+	LastingShare float64
+	// CostShare is the part of the price of the fleet as it was found that may be spent, if that
+	// buys as many engines at least: cheaper engines are had in greater number.
+	CostShare float64
+}
+
+// Engine is one engine as the holder of the duty knows it.
+type Engine struct {
+	Zone string
+	Kind Kind
+}
+
+// Counts are engines of each kind.
+type Counts struct {
+	Lasting   int `json:"lasting"`
+	Revocable int `json:"revocable"`
+}
+
+func (c Counts) of(kind Kind) int {
+	if kind == Revocable {
+		return c.Revocable
+	}
+	return c.Lasting
+}
+
+func (c Counts) with(kind Kind, n int) Counts {
+	if kind == Revocable {
+		c.Revocable = n
+	} else {
+		c.Lasting = n
+	}
+	return c
+}
+
+// Plan is what the holder of the duty has found and ordered for a service.
+type Plan struct {
+	Found   map[string]int    `json:"found"`   // engines by zone before anything was ordered
+	Desired map[string]Counts `json:"desired"` // ordered last, by zone
+}
+
+// Order asks for a number of engines of a kind in a zone.
+type Order struct {
+	Zone    string
+	Kind    Kind
+	Desired int
+	Why     string
+}
+
+const (
+	// dryFor is how long a zone that had no engine of a kind to give is not asked again.
+	dryFor = 2 * time.Second
+	// steadyFor is how long a fleet has to stay the same before it is taken for whole.
+	steadyFor = 4 * time.Second
+	// missingFor is how long engines may be fewer than ordered, beyond their boot, before they
+	// count as taken back and are ordered again.
+	missingFor = time.Second
+	// leastPrice is the price of revocable engines above which they aren't worth their loss.
+	leastPrice = 0.7
+	// leastCounted is the least price by which a number is worked out.
+	leastCounted = 0.05
+)
+
+// zone is what the core remembers of a zone.
+type zone struct {
+	shortSince time.Time          // fewer revocable engines than wanted since then; zero: enough
+	orderedAt  map[Kind]time.Time // last order
+	dryUntil   map[Kind]time.Time
+}
+
+// Core decides for one service. It is not safe for concurrent use.
+type Core struct {
+	plan  Plan
+	zones map[string]*zone
+
+	seen      map[string]Counts // before there is a plan
+	seenSince time.Time
+}
+
+// New makes a core that goes on from a plan; one without engines found begins with those that
+// it sees.
+func New(plan Plan) *Core {
+	if plan.Desired == nil {
+		plan.Desired = make(map[string]Counts)
+	}
+	return &Core{plan: plan, zones: make(map[string]*zone)}
+}
+
+// Plan gives what is to be kept before an order is given.
+func (c *Core) Plan() Plan { return c.plan }
+
+// Refused notes that a zone has no engine of the kind now.
+func (c *Core) Refused(now time.Time, o Order) {
+	c.zone(o.Zone).dryUntil[o.Kind] = now.Add(dryFor)
+	c.plan.Desired[o.Zone] = c.plan.Desired[o.Zone].with(o.Kind, -1) // not known to hold
+}
+
+func (c *Core) zone(name string) *zone {
+	z, ok := c.zones[name]
+	if !ok {
+		z = &zone{orderedAt: make(map[Kind]time.Time), dryUntil: make(map[Kind]time.Time)}
+		c.zones[name] = z
+	}
+	return z
+}
+
+// Decide gives the orders to give now. engines are all that are there, without those that leave.
+func (c *Core) Decide(now time.Time, terms Terms, policy Policy, engines []Engine) []Order {
+	have := count(engines)
+	if len(c.plan.Found) == 0 && !c.begin(now, have) {
+		return nil
+	}
+	spare := 0 // engines of all zones beyond those that were found
+	for name, found := range c.plan.Found {
+		spare += have[name].Lasting + have[name].Revocable - found
+	}
+	var out []Order
+	for _, name := range slices.Sorted(maps.Keys(c.plan.Found)) {
+		lasting := c.plan.Desired[name].Lasting
+		out = append(out, c.decideZone(now, name, terms, policy, have[name], spare)...)
+		spare -= lasting - c.plan.Desired[name].Lasting // those that go can't go elsewhere too
+	}
+	return out
+}
+
+// begin takes the fleet as it is for what the operator wants, once it has stayed the same for a
+// while: the engines of a deployment that starts appear one by one.
+func (c *Core) begin(now time.Time, have map[string]Counts) bool {
+	if !maps.Equal(have, c.seen) {
+		c.seen, c.seenSince = have, now
+	}
+	if len(have) == 0 || now.Sub(c.seenSince) < steadyFor {
+		return false
+	}
+	c.plan = Plan{Found: make(map[string]int), Desired: make(map[string]Counts)}
+	for name, n := range have {
+		c.plan.Found[name] = n.Lasting + n.Revocable
+		c.plan.Desired[name] = n
+	}
+	return true
+}
+
+// decideZone weighs one availability zone. spare is how many engines all zones together have beyond
+// those that were found; negative: they lack so many.
+func (c *Core) decideZone(now time.Time, name string, terms Terms, policy Policy, have Counts, spare int) []Order {
+	found, z := c.plan.Found[name], c.zone(name)
+	want := wanted(found, terms, policy)
+	short := have.Revocable < want.Revocable
+	switch {
+	case !short:
+		z.shortSince = time.Time{}
+	case z.shortSince.IsZero():
+		z.shortSince = now
+	}
+	var out []Order
+	if o, ok := c.order(now, z, name, Revocable, want, have, terms); ok {
+		out = append(out, o)
+	}
+	// Lasting engines go once others make up for them, in whatever zone, and stand in for ones that
+	// can't be had.
+	want.Lasting = max(want.Lasting, c.plan.Desired[name].Lasting-max(spare, 0))
+	cantBeHad := now.Before(z.dryUntil[Revocable]) || now.Sub(z.shortSince) >= terms.Boot+missingFor
+	if short && cantBeHad && spare < 0 {
+		want.Lasting = max(want.Lasting, min(have.Lasting-spare, found, terms.Max-have.Revocable))
+	}
+	if o, ok := c.order(now, z, name, Lasting, want, have, terms); ok {
+		out = append(out, o)
+	}
+	return out
+}
+
+// wanted is the fleet of a zone when all is well.
+func wanted(found int, terms Terms, policy Policy) Counts {
+	if terms.RevocablePrice >= leastPrice {
+		return Counts{Lasting: found}
+	}
+	growth := policy.LastingShare + (policy.CostShare-policy.LastingShare)/max(terms.RevocablePrice, leastCounted)
+	all := min(max(int(math.Ceil(max(growth, 1)*float64(found))), terms.Min), terms.Max)
+	lasting := min(int(math.Ceil(policy.LastingShare*float64(found))), all)
+	return Counts{Lasting: lasting, Revocable: all - lasting}
+}
+
+// order gives the order for a kind if one is needed: the number differs from the one that was
+// ordered last, or engines that should be there by now are missing.
+func (c *Core) order(now time.Time, z *zone, name string, kind Kind, want, have Counts, terms Terms) (Order, bool) {
+	if now.Before(z.dryUntil[kind]) {
+		return Order{}, false
+	}
+	desired, last := c.plan.Desired[name], want.of(kind)
+	due := now.Sub(z.orderedAt[kind]) >= terms.Boot+missingFor
+	why := ""
+	switch {
+	case desired.of(kind) != last && (due || last > desired.of(kind)):
+		why = fmt.Sprintf("ordered %d before, %d are there", desired.of(kind), have.of(kind))
+	case have.of(kind) < last && due:
+		why = fmt.Sprintf("%d of %d are missing", last-have.of(kind), last)
+	default:
+		return Order{}, false
+	}
+	z.orderedAt[kind] = now
+	c.plan.Desired[name] = desired.with(kind, last)
+	return Order{Zone: name, Kind: kind, Desired: last, Why: why}, true
+}
+
+// count adds engines up by zone.
+func count(engines []Engine) map[string]Counts {
+	out := make(map[string]Counts)
+	for _, e := range engines {
+		n := out[e.Zone]
+		out[e.Zone] = n.with(e.Kind, n.of(e.Kind)+1)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/scaling/scaling_test.go
@@ -0,0 +1,218 @@
+package scaling
+
+import (
+	"testing"
+	"time"
+)
+
+var (
+	terms  = Terms{Min: 1, Max: 24, Boot: 4 * time.Second, RevocablePrice: 0.15}
+	policy = Policy{LastingShare: 0.25, CostShare: 0.25}
+	start  = time.Unix(1_000_000, 0)
+)
+
+// platformOf is a platform that gives engines after their boot, and may have none to give.
+type platformOf struct {
+	fleet map[string]Counts
+	boots []boot
+	dry   map[string]bool // zones without revocable engines to give
+	calls int
+}
+
+type boot struct {
+	at    time.Time
+	order Order
+}
+
+func (p *platformOf) engines() []Engine {
+	var out []Engine
+	for zone, n := range p.fleet {
+		for range n.Lasting {
+			out = append(out, Engine{Zone: zone, Kind: Lasting})
+		}
+		for range n.Revocable {
+			out = append(out, Engine{Zone: zone, Kind: Revocable})
+		}
+	}
+	return out
+}
+
+// order takes an order: fewer engines leave at once, more are there after their boot.
+func (p *platformOf) order(now time.Time, o Order) bool {
+	p.calls++
+	if o.Kind == Revocable && p.dry[o.Zone] {
+		return false
+	}
+	if have := p.fleet[o.Zone]; o.Desired <= have.of(o.Kind) {
+		p.fleet[o.Zone] = have.with(o.Kind, o.Desired)
+		return true
+	}
+	p.boots = append(p.boots, boot{now.Add(terms.Boot), o})
+	return true
+}
+
+func (p *platformOf) tick(now time.Time) {
+	var left []boot
+	for _, b := range p.boots {
+		if now.Before(b.at) {
+			left = append(left, b)
+			continue
+		}
+		if have := p.fleet[b.order.Zone]; have.of(b.order.Kind) < b.order.Desired {
+			p.fleet[b.order.Zone] = have.with(b.order.Kind, b.order.Desired)
+		}
+	}
+	p.boots = left
+}
+
+// play decides each half second and gives the least number of engines that there were.
+func play(t *testing.T, c *Core, p *platformOf, from, to time.Duration) (least int) {
+	t.Helper()
+	least = len(p.engines())
+	for d := from; d < to; d += 500 * time.Millisecond {
+		now := start.Add(d)
+		p.tick(now)
+		for _, o := range c.Decide(now, terms, policy, p.engines()) {
+			if !p.order(now, o) {
+				c.Refused(now, o)
+			}
+		}
+		least = min(least, len(p.engines()))
+		for zone, n := range p.fleet {
+			if all := n.Lasting + n.Revocable; all > terms.Max || all < terms.Min {
+				t.Fatalf("%v: %d engines in %s", d, all, zone)
+			}
+		}
+	}
+	return least
+}
+
+func newFleet() *platformOf {
+	return &platformOf{fleet: map[string]Counts{"a": {Lasting: 12}, "b": {Lasting: 8}}, dry: make(map[string]bool)}
+}
+
+// TestLastingEnginesAreReplacedOnceOthersServe replaces most of a fleet without ever having fewer
+// engines than were found, and then gives no more orders.
+func TestLastingEnginesAreReplacedOnceOthersServe(t *testing.T) {
+	p, c := newFleet(), New(Plan{})
+	if least := play(t, c, p, 0, 20*time.Second); least < 20 {
+		t.Errorf("%d engines at a time, 20 were found", least)
+	}
+	if p.fleet["a"] != (Counts{3, 9}) || p.fleet["b"] != (Counts{2, 6}) {
+		t.Errorf("%+v", p.fleet)
+	}
+	calls := p.calls
+	if play(t, c, p, 20*time.Second, 60*time.Second); p.calls != calls || calls != 4 {
+		t.Errorf("%d orders, then %d more", calls, p.calls-calls)
+	}
+}
+
+// TestEnginesThatAreTakenBackAreOrderedAgain takes all revocable engines of a zone back: they are
+// ordered again, and lasting ones stand in as long as the zone has none to give.
+func TestEnginesThatAreTakenBackAreOrderedAgain(t *testing.T) {
+	p, c := newFleet(), New(Plan{})
+	play(t, c, p, 0, 20*time.Second)
+	p.fleet["a"] = Counts{Lasting: 3}
+	play(t, c, p, 20*time.Second, 26*time.Second)
+	if p.fleet["a"] != (Counts{3, 9}) {
+		t.Errorf("6 s after they were taken back: %+v", p.fleet["a"])
+	}
+	p.fleet["a"], p.dry["a"] = Counts{Lasting: 3}, true
+	play(t, c, p, 26*time.Second, 33*time.Second)
+	if p.fleet["a"].Lasting != 12 {
+		t.Errorf("none to give: %+v", p.fleet["a"])
+	}
+	if least := len(p.engines()); least < 20 {
+		t.Errorf("%d engines, 20 were found", least)
+	}
+	p.dry["a"] = false
+	play(t, c, p, 33*time.Second, 60*time.Second)
+	if p.fleet["a"] != (Counts{3, 9}) {
+		t.Errorf("they can be had again: %+v", p.fleet["a"])
+	}
+}
+
+// TestOtherZonesMakeUpForATakenOne takes all revocable engines of a zone back that has none to
+// give, of a fleet that has grown: what is left is as many as were found, and nothing dearer is ordered.
+func TestOtherZonesMakeUpForATakenOne(t *testing.T) {
+	p, c := newFleet(), New(Plan{})
+	p.fleet["c"] = Counts{Lasting: 12}
+	grown := Policy{LastingShare: 0.25, CostShare: 0.52}
+	step := func(from, to time.Duration) {
+		for d := from; d < to; d += 500 * time.Millisecond {
+			p.tick(start.Add(d))
+			for _, o := range c.Decide(start.Add(d), terms, grown, p.engines()) {
+				if !p.order(start.Add(d), o) {
+					c.Refused(start.Add(d), o)
+				}
+			}
+		}
+	}
+	step(0, 20*time.Second)
+	if p.fleet["a"] != (Counts{3, 21}) {
+		t.Fatalf("%+v", p.fleet)
+	}
+	p.fleet["a"], p.dry["a"] = Counts{Lasting: 3}, true
+	step(20*time.Second, 40*time.Second)
+	if p.fleet["a"] != (Counts{Lasting: 3}) || len(p.engines()) < 32 {
+		t.Errorf("%+v", p.fleet)
+	}
+}
+
+// TestTheNextHolderGoesOn gives the plan to another core: it orders nothing.
+func TestTheNextHolderGoesOn(t *testing.T) {
+	p, c := newFleet(), New(Plan{})
+	play(t, c, p, 0, 20*time.Second)
+	calls := p.calls
+	if play(t, New(c.Plan()), p, 20*time.Second, 30*time.Second); p.calls != calls {
+		t.Errorf("%d orders of the next holder", p.calls-calls)
+	}
+}
+
+// TestTheFleetStaysAsFound where others are hardly cheaper, or the operator wants lasting ones.
+func TestTheFleetStaysAsFound(t *testing.T) {
+	dear := terms
+	dear.RevocablePrice = 0.9
+	for name, ordered := range map[string]func(*Core, time.Time) []Order{
+		"hardly cheaper": func(c *Core, now time.Time) []Order { return c.Decide(now, dear, policy, newFleet().engines()) },
+		"wanted lasting": func(c *Core, now time.Time) []Order {
+			return c.Decide(now, terms, Policy{LastingShare: 1, CostShare: 1}, newFleet().engines())
+		},
+		"no engines are there": func(c *Core, now time.Time) []Order { return c.Decide(now, terms, policy, nil) },
+	} {
+		c := New(Plan{})
+		for d := time.Duration(0); d < 20*time.Second; d += time.Second {
+			if out := ordered(c, start.Add(d)); len(out) > 0 {
+				t.Errorf("%s: ordered %+v", name, out)
+			}
+		}
+	}
+}
+
+// TestCheaperEnginesAreMore works the number of engines out by their price.
+func TestCheaperEnginesAreMore(t *testing.T) {
+	half := Policy{LastingShare: 0.2, CostShare: 0.5}
+	for _, tt := range []struct {
+		price float64
+		want  Counts
+	}{{0.15, Counts{2, 20}}, {0.3, Counts{2, 10}}, {0.5, Counts{2, 8}}, {0.69, Counts{2, 8}}, {0.7, Counts{Lasting: 10}}, {0, Counts{2, 22}}} {
+		if got := wanted(10, Terms{Min: 1, Max: 24, RevocablePrice: tt.price}, half); got != tt.want {
+			t.Errorf("price %v: %+v, want %+v", tt.price, got, tt.want)
+		}
+	}
+}
+
+// TestAFleetThatStartsIsWaitedFor has engines appear one after the other: all of them are found.
+func TestAFleetThatStartsIsWaitedFor(t *testing.T) {
+	c := New(Plan{})
+	for i := range 10 {
+		engines := newFleet().engines()[:2*(i+1)]
+		if out := c.Decide(start.Add(time.Duration(i)*time.Second), terms, policy, engines); len(out) > 0 {
+			t.Fatalf("%+v with %d of 20 engines there", out, len(engines))
+		}
+	}
+	c.Decide(start.Add(20*time.Second), terms, policy, newFleet().engines())
+	if found := c.Plan().Found; found["a"] != 12 || found["b"] != 8 {
+		t.Errorf("found %v", found)
+	}
+}
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -17,6 +17,17 @@
 	Roles    EntryRoles   `json:"roles"`
 	Duties   EntryDuties  `json:"duties"`
 	Usage    EntryUsage   `json:"usage"`
+	Scaling  EntryScaling `json:"scaling"`
+}
+
+// EntryScaling says how many engines are ordered where they can be.
+type EntryScaling struct {
+	// LastingShare is the part of the engines as they were found that the platform may not take
+	// back, from 0 to 1; 1: none is replaced by a cheaper one.
+	LastingShare float64 `json:"lastingShare"`
+	// CostShare is the part of the price of the engines as they were found that is spent at most,
+	// from 0 to 1, if that buys as many engines.
+	CostShare float64 `json:"costShare"`
 }
 
 // EntryDuties says which calls to the platform one instance makes for all.
@@ -91,6 +102,8 @@
 	DefaultMemoryMB           = 256
 	DefaultLinesPerSecond     = 20
 	DefaultUsageLateSeconds   = 10
+	DefaultLastingShare       = 0.2
+	DefaultCostShare          = 0.5
 )
 
 // LoadEntry reads, completes and checks the settings of an entry process.
@@ -114,6 +127,8 @@
 	defaults.Set(&s.Bounds.ConfigMS, DefaultEntryConfigMS)
 	defaults.Set(&s.Limits.MemoryMB, DefaultMemoryMB)
 	defaults.Set(&s.Usage.LateSeconds, DefaultUsageLateSeconds)
+	defaults.Set(&s.Scaling.LastingShare, DefaultLastingShare)
+	defaults.Set(&s.Scaling.CostShare, DefaultCostShare)
 	defaults.Set(&s.Logging.LinesPerSecond, DefaultLinesPerSecond)
 }
 
@@ -146,6 +161,8 @@
 	}
 	c.require(s.Usage.WindowSeconds >= 0, "usage.windowSeconds", s.Usage.WindowSeconds, "must not be negative")
 	c.require(s.Usage.LateSeconds > 0, "usage.lateSeconds", s.Usage.LateSeconds, "must be greater than zero")
+	c.share("scaling.lastingShare", s.Scaling.LastingShare)
+	c.share("scaling.costShare", s.Scaling.CostShare)
 	c.share("roles.prefillShare", s.Roles.PrefillShare)
 	c.require(s.Logging.LinesPerSecond > 0, "logging.linesPerSecond", s.Logging.LinesPerSecond, "must be greater than zero")
 	return c.result()
--- a/internal/version/routing/config.go
+++ b/internal/version/routing/config.go
@@ -77,12 +77,20 @@
 	EventStride int           // output tokens in one event
 }
 
+// Scaling says how upstreams of a service can be ordered.
+type Scaling struct {
+	Min, Max       int           // in an availability zone, of all kinds
+	Boot           time.Duration // until a new one serves
+	RevocablePrice float64       // of one that may be taken back, against another one
+}
+
 // Service is a group of upstreams that stand in for each other.
 type Service struct {
 	Name           string
 	HealthPath     string
-	MaxConnections int     // that one upstream accepts from all callers together
-	Engine         *Engine // nil: a plain service
+	MaxConnections int      // that one upstream accepts from all callers together
+	Engine         *Engine  // nil: a plain service
+	Scaling        *Scaling // nil: its upstreams can't be ordered
 }
 
 // Limits bound what a caller may send. Zero fields do not bind.
