--- a/internal/process/usage/reporter.go
+++ b/internal/process/usage/reporter.go
@@ -189,19 +189,23 @@
 // Read takes the record; version 0: there is none. What it says of a window goes before what is
 // remembered here. It was written before every report, so a window without an intent
 // was never reported, unless the store has lost the intent: of windows that had ended when
-// the record was first read in an era, nothing is known then, and they are left alone.
+// the record was first read in an era, nothing is known then, and they are left alone. A record of
+// an older era may also have been written by a call that came late, over a newer one: what it
+// intends is not reported.
 func (r *Reporter) Read(now time.Time, version uint64, record Record) {
 	r.calling, r.known, r.version, r.pending = false, true, version, nil
+	older := version == 0 || record.Era != r.under.Era
+	if older {
+		r.from = max(r.from, r.cfg.Windows.At(now))
+	}
 	for _, intent := range record.Intents {
-		if old, ok := r.intents[intent.Window]; ok && old.Reported {
+		if _, ok := r.intents[intent.Window]; ok && (older || r.intents[intent.Window].Reported) {
 			continue
 		}
+		intent.Reported = intent.Reported || older
 		r.intents[intent.Window] = intent
 		r.from = max(r.from, intent.Window+1)
 	}
-	if version == 0 || record.Era != r.under.Era {
-		r.from = max(r.from, r.cfg.Windows.At(now))
-	}
 	oldest := r.cfg.Windows.At(now) - KeepWindows
 	maps.DeleteFunc(r.intents, func(window int64, _ Intent) bool { return window < oldest })
 }
