Holds are written again by ragwort-entry after a return of the platform

Cause: the entry follows holds by its own feed, which took a list of the copy for the end of the holds that it lacks. Change: the keeper learns the era with each list.

--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -117,7 +117,7 @@
 		if err != nil {
 			return 0, err
 		}
-		e.holds.Replace(objects)
+		e.holds.Replace(revision, objects)
 		return revision, nil
 	}
 	watch := func(ctx context.Context, from uint64, wait time.Duration) (uint64, error) {
--- a/internal/process/holds/keeper.go
+++ b/internal/process/holds/keeper.go
@@ -30,9 +30,8 @@
 	crashes tally.Counter // under some work, found by this process
 	held    tally.Counter // holds that began by crashes
 
-	era uint64 // of the platform's list that was taken last; for Follow alone
-
 	mu       sync.Mutex
+	era      uint64 // of the platform's list that was taken last
 	core     *quarantine.Core
 	forgotAt time.Time
 }
--- a/internal/process/holds/keeper_test.go
+++ b/internal/process/holds/keeper_test.go
@@ -113,11 +113,11 @@
 		t.Errorf("%d crashes told, want 2", len(one.told))
 	}
 	eventually(t, "the hold is recorded", func() bool { return len(recorded(t, store)) == 1 })
-	other.Replace(recorded(t, store))
+	other.Replace(1, recorded(t, store))
 	if !other.Held(work) {
 		t.Error("not held at the other instance")
 	}
-	other.Replace(nil) // an operator took it away
+	other.Replace(2, nil) // an operator took it away
 	if other.Held(work) {
 		t.Error("held although the platform has it no more")
 	}
@@ -169,7 +169,7 @@
 				t.Fatal(err)
 			}
 			one := newInstance(t, "one", store)
-			one.Replace(recorded(t, store))
+			one.Replace(1, recorded(t, store))
 			if one.Held(work) {
 				t.Error("held by it")
 			}
@@ -234,8 +234,7 @@
 	k := newInstance(t, "i-1", standin.New(standin.Config{}))
 	now := time.Now()
 	k.recorded(work, quarantine.Hold{Until: now.Add(time.Minute), Times: 1})
-	k.recordAgain()
-	k.Replace(nil) // the copy lacks it
+	k.Replace(platform.VersionOf(1, 7), nil) // the copy lacks it
 	if !k.Held(work) {
 		t.Fatal("the hold ended with its record")
 	}
--- a/internal/process/holds/record.go
+++ b/internal/process/holds/record.go
@@ -129,8 +129,12 @@
 	}
 }
 
-// Replace takes all holds that the platform has.
-func (k *Keeper) Replace(objects []platform.Object) {
+// Replace takes all holds that the platform has at a version. After its return from an older copy
+// it may lack some: these hold on and are written again.
+func (k *Keeper) Replace(version uint64, objects []platform.Object) {
+	if era := platform.EraOf(version); version != 0 && k.newEra(era) {
+		k.recordAgain()
+	}
 	listed := make(map[string]bool, len(objects))
 	for i := range objects {
 		listed[objects[i].Name] = true
@@ -218,6 +222,15 @@
 	}
 }
 
+// newEra notes the era of a list. It reports whether the platform has returned since the last one.
+func (k *Keeper) newEra(era uint64) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	old := k.era
+	k.era = era
+	return era != old
+}
+
 // recordAgain has the platform keep all holds once more: it came back from an older copy, which
 // may lack them. Whichever instance is first writes one, the others find it there.
 func (k *Keeper) recordAgain() {
@@ -238,11 +251,7 @@
 	if err != nil {
 		return err
 	}
-	if era := platform.EraOf(version); version != 0 && era != k.era {
-		k.era = era
-		k.recordAgain() // before the list is taken: what it lacks is not lifted
-	}
-	k.Replace(objects)
+	k.Replace(version, objects)
 	listed()
 	w, err := k.cfg.Store.Watch(ctx, []string{resource.KindHold}, version)
 	if err != nil {
