--- a/internal/process/usage/reporter.go
+++ b/internal/process/usage/reporter.go
@@ -137,7 +137,7 @@
 		return nil
 	case decided && tooLate:
 		r.Reported(window) // nothing more is done for it
-		return []Action{Missed{Window: window, Why: "not taken in time"}}
+		return []Action{Missed{Window: window, Why: "not known to be taken in time"}}
 	case decided:
 		r.calling = true
 		return []Action{Report{Intent: intent, Authority: r.under}}
