--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -45,7 +45,7 @@
 	a := &answer{q: q}
 	for {
 		// Work that crashes upstreams comes again under new ids, at any instance. Without this
-		// each attempt ended one more of them: 11 in 13 s, with all that they had under way.
+		// each attempt ends one more of them, with all that it has under way.
 		if refusal := q.quarantined(); refusal != nil {
 			return q.refusedPlace(refusal, a)
 		}
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -37,8 +37,7 @@
 	probeEvery   = time.Second
 	probeTimeout = 800 * time.Millisecond
 	// probeAway is the same while the platform is away. An upstream that left in an outage stays in
-	// use for ReturnGrace after the return is noticed, and may get nothing new 3 s after
-	// the return: noticed 0.93 s late, one got requests 3.4 s after it had left.
+	// use for ReturnGrace after the return is noticed, and gets new work too long if that is late.
 	probeAway = 300 * time.Millisecond
 	// retryPause is the pause after a call that failed; it grows up to retryPauseMost
 	// while calls keep failing. The end of an outage is found by the probe, which is
@@ -196,9 +195,8 @@
 
 // spread lengthens a pause by up to as much again. Sooner, a call may still fall into a
 // short silence of the platform, and one that is asked in it is never answered. It differs,
-// so that instances that were turned away together don't come back together: of 300 that
-// start at once before a platform that takes 200 calls a second, the last one is served
-// after 8 s, and after 26 s with pauses of up to 3 s that are all alike (TestInstancesThatStartTogether).
+// so that instances that were turned away together don't come back together, and are turned
+// away again.
 func spread(pause time.Duration) time.Duration {
 	return pause + rand.N(pause)
 }
--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -99,9 +99,8 @@
 func (h *holder) share() float64 { return h.e.live.Load().roles.PrefillShare }
 
 // rank gives this instance's place among those that may hold the lease: those that hear what
-// is asked of all, without which engines can't be divided. Few reads of the platform are
-// made for the lease then: 500 of 1,740 calls of a fleet of 24 in a minute were such
-// reads when candidates drew their ranks by a hash.
+// is asked of all, without which engines can't be divided. Few candidates also mean few reads of
+// the platform for the lease.
 func (e *Entry) rank(now time.Time) (rank int, candidate bool) {
 	if e.shared == nil {
 		return 0, true
--- a/internal/process/entry/ordercrashes.go
+++ b/internal/process/entry/ordercrashes.go
@@ -12,7 +12,7 @@
 
 // orderCrashes remembers the engines that ended under orders, by what was ordered. An order
 // that ends engines would be given to one after the other, as each that is lost leaves
-// the split as it was: in a test 8 of them in 12 s. Orders of a kind are held like work.
+// the split as it was. Orders of a kind are held like work.
 type orderCrashes struct {
 	core  *quarantine.Core
 	under map[fleet.LifeID]upstream.Role // ordered and not seen since
--- a/internal/process/entry/record.go
+++ b/internal/process/entry/record.go
@@ -83,8 +83,8 @@
 	c.Inc(1)
 }
 
-// otherLinesPerSecond bounds the lines of requests that are no plain successes: more
-// than an instance was seen to write at three times the usual load (425).
+// otherLinesPerSecond bounds the lines of requests that are no plain successes. An instance
+// writes fewer in a surge of three times its usual load.
 const otherLinesPerSecond = 500
 
 // requestLog bounds the lines about the ends of requests in each second: plain successes
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -212,8 +212,7 @@
 }
 
 // startShare is the part of its objective that a request may wait for a place.
-// The rest is for the work itself, and for the waits at upstreams. Of 0.3, 0.45 and 0.6 it
-// served most on the standard days.
+// The rest is for the work itself, and for the waits at upstreams.
 const startShare = 0.45
 
 // startBy is the latest useful start.
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -22,10 +22,8 @@
 
 const (
 	// mostAskers is how many instances of an availability zone one placer gives places for.
-	// The fewer placers, the more each knows: of 67 instances in four zones before 140
-	// engines, one placer a zone brought a worth of 0.50 on a day of surges, two 0.47 and four
-	// 0.45 (one play each; 0.20 where each instance told all others). At a hundred
-	// askers with seven requests a second each, a placer takes some thousands of datagrams a second.
+	// The fewer placers, the more each knows of what all send; more askers would be more datagrams
+	// than one instance can take.
 	mostAskers = 100
 	// mostRecipients bounds the instances that are told: the placers that the platform's list
 	// gives, and others that took the part of one that fell silent.
--- a/internal/process/roles/roles.go
+++ b/internal/process/roles/roles.go
@@ -73,9 +73,8 @@
 	roundShare = 0.25
 	// passing is for how long a split has to be off the operator's share before engines
 	// in use are changed for it. While the engines of a service are replaced one by one, the
-	// new ones come with any role and before the old ones leave: a release was seen to
-	// be off by one for two seconds each time, and an engine that changes for it is away
-	// for three seconds at least, a decoding one until its last answer has ended.
+	// new ones come with any role and before the old ones leave, so the split is off for a
+	// while by itself; an engine that changes for it is away for longer.
 	passing = 4 * time.Second
 	// farOff is how many engines a role may lack, as a part of those that it has, without
 	// being off by more than a release makes it. Beyond it, engines of one role were lost
--- a/internal/request/place/event.go
+++ b/internal/request/place/event.go
@@ -16,8 +16,7 @@
 }
 
 // readHereTarget is the part of a request's objective that reading its prompt and
-// beginning its answer at one engine should take at most, its waits there included. Of
-// 0.2, 0.3 and 0.4 it served most on the standard days.
+// beginning its answer at one engine should take at most, its waits there included.
 const readHereTarget = 0.4
 
 // NewGrant gives a place that was chosen for a request.
