The first era that is heard is no return of the platform

Cause: a process that started under a platform which tells an era took it for a return: a wrong line, and its calls were asked anew once.

--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -127,7 +127,8 @@
 // asked of it before is then asked anew, and what this process wrote is written again.
 func (e *Entry) noteEra() (returned bool) {
 	era := e.storeEra()
-	if old := e.era.Swap(era); old == era {
+	old, known := e.era.Swap(era), e.eraKnown.Swap(true)
+	if !known || old == era {
 		return false
 	}
 	logline.Info("platform returned from an older copy", "era", era)
--- a/internal/process/entry/feeds_test.go
+++ b/internal/process/entry/feeds_test.go
@@ -136,6 +136,19 @@
 	})
 }
 
+// TestTheFirstEraIsNoReturn starts under a platform that returned long ago.
+func TestTheFirstEraIsNoReturn(t *testing.T) {
+	e := newTestEntry(nil, nil)
+	era := uint64(3)
+	e.cfg.Era = func() uint64 { return era }
+	if e.noteEra() || e.noteEra() {
+		t.Error("a return is noted where there was none")
+	}
+	if era = 4; !e.noteEra() || e.noteEra() {
+		t.Error("a return isn't noted once")
+	}
+}
+
 func TestAnOlderConfigurationIsNeverInstalled(t *testing.T) {
 	e := newTestEntry(nil, nil)
 	e.installConfig(routing.New(9, nil, nil, routing.Limits{}), 1)
