The first era that is heard is no return of the platform

Cause: a process that started under a platform which tells an era took it for a return: a wrong line, and its calls were asked anew once.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -51,20 +51,21 @@
 
 // Entry is one ragwort-entry process.
 type Entry struct {
-	cfg     Config
-	state   *state
-	client  *upstream.Services
-	meters  *meters
-	demand  *demand
-	shared  *sharing // nil: nothing is shared with other instances
-	holds   *holds.Keeper
-	live    atomic.Pointer[liveSettings]
-	rounds  rounds
-	era     atomic.Uint64         // of the platform, as noted last
-	usage   *usageBook            // nil: usage isn't reported
-	duties  atomic.Pointer[grant] // nil: this process doesn't hold them
-	returns rounds                // each ends when the platform comes back from an older copy
-	log     *requestLog
+	cfg      Config
+	state    *state
+	client   *upstream.Services
+	meters   *meters
+	demand   *demand
+	shared   *sharing // nil: nothing is shared with other instances
+	holds    *holds.Keeper
+	live     atomic.Pointer[liveSettings]
+	rounds   rounds
+	era      atomic.Uint64         // of the platform, as noted last
+	eraKnown atomic.Bool           // the era was noted once
+	usage    *usageBook            // nil: usage isn't reported
+	duties   atomic.Pointer[grant] // nil: this process doesn't hold them
+	returns  rounds                // each ends when the platform comes back from an older copy
+	log      *requestLog
 
 	exporter  *metrics.Exporter
 	callers   *http.Server
