--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -61,7 +61,7 @@
 	live     atomic.Pointer[liveSettings]
 	rounds   rounds
 	era      atomic.Uint64         // of the platform, as noted last
-	eraKnown atomic.Bool           // the era was noted once
+	eraKnown atomic.Bool           // of the first answer
 	usage    *usageBook            // nil: usage isn't reported
 	duties   atomic.Pointer[grant] // nil: this process doesn't hold them
 	returns  rounds                // each ends when the platform comes back from an older copy
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -127,8 +127,7 @@
 // asked of it before is then asked anew, and what this process wrote is written again.
 func (e *Entry) noteEra() (returned bool) {
 	era := e.storeEra()
-	old, known := e.era.Swap(era), e.eraKnown.Swap(true)
-	if !known || old == era {
+	if !e.eraKnown.Load() || e.era.Swap(era) == era {
 		return false
 	}
 	logline.Info("platform returned from an older copy", "era", era)
@@ -136,6 +135,14 @@
 	return true
 }
 
+// firstEra takes the era of the first answer, which is no return.
+func (e *Entry) firstEra(era uint64) {
+	if !e.eraKnown.Load() {
+		e.era.Store(era)
+		e.eraKnown.Store(true)
+	}
+}
+
 // storeEra gives the newest era of the platform that is known.
 func (e *Entry) storeEra() uint64 {
 	if e.cfg.Era == nil {
@@ -236,6 +243,7 @@
 		if err != nil {
 			return 0, err
 		}
+		e.firstEra(platform.EraOf(revision))
 		e.changeFleet(func(now time.Time, f *fleet.Core) {
 			f.Back(now)
 			e.noteUnreadable(f.Replace(now, platform.EraOf(revision), entries))
--- a/internal/process/entry/feeds_test.go
+++ b/internal/process/entry/feeds_test.go
@@ -141,7 +141,9 @@
 	e := newTestEntry(nil, nil)
 	era := uint64(3)
 	e.cfg.Era = func() uint64 { return era }
-	if e.noteEra() || e.noteEra() {
+	early := e.noteEra() // before any answer was taken
+	e.firstEra(era)
+	if early || e.noteEra() {
 		t.Error("a return is noted where there was none")
 	}
 	if era = 4; !e.noteEra() || e.noteEra() {
