--- a/internal/process/entry/usage.go
+++ b/internal/process/entry/usage.go
@@ -129,7 +129,7 @@
 // sendAllUsage tells the windows from one on to those that may hold the duty.
 func (s *sharing) sendAllUsage(from int64) {
 	s.mu.Lock()
-	to := s.core.Heirs()
+	to := s.core.Successors()
 	s.mu.Unlock()
 	book := s.e.usage
 	for window := from; window <= book.windows.At(wall()); window++ {
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -272,11 +272,11 @@
 // Placers gives the addresses of the other instances that give places, of all availability zones.
 func (c *Core) Placers(now time.Time) []string { return c.recipients(now) }
 
-// Heirs gives the addresses of the other instances that give places by rank, and of those that
+// Successors gives the addresses of the other instances that give places by rank, and of those that
 // would if one of them were gone, of all availability zones: what these know outlives any of
 // them. Instances of other zones are told whether they are heard or not, as most tell this one
 // nothing.
-func (c *Core) Heirs() []string {
+func (c *Core) Successors() []string {
 	c.rank()
 	var to []string
 	for _, list := range c.ranking {
--- a/internal/process/peers/core_test.go
+++ b/internal/process/peers/core_test.go
@@ -39,16 +39,16 @@
 // TestWhoGivesPlaces: in a fleet of any size one instance in a hundred of each
 // availability zone gives places, the others of the zone ask them evenly, and those few tell
 // each other all that is under way.
-// TestHeirsAreToldUnheard tells instances of another availability zone that never say anything
+// TestSuccessorsAreToldUnheard tells instances of another availability zone that never say anything
 // to this one, long after they were listed.
-func TestHeirsAreToldUnheard(t *testing.T) {
+func TestSuccessorsAreToldUnheard(t *testing.T) {
 	now := time.Unix(1000, 0)
 	c := New(Peer{Name: "a-1", Zone: "a", Address: "a-1:1", Cores: 1}, 1)
 	c.Listed(now, []Peer{
 		{Name: "a-2", Zone: "a", Address: "a-2:1", Cores: 8}, {Name: "b-1", Zone: "b", Address: "b-1:1", Cores: 8},
 		{Name: "b-2", Zone: "b", Address: "b-2:1", Cores: 4}, {Name: "b-3", Zone: "b", Address: "b-3:1", Cores: 2},
 	})
-	got := c.Heirs()
+	got := c.Successors()
 	slices.Sort(got)
 	if !slices.Equal(got, []string{"a-2:1", "b-1:1", "b-2:1"}) {
 		t.Errorf("told: %v", got)
--- a/internal/process/scaling/scaling.go
+++ b/internal/process/scaling/scaling.go
@@ -76,8 +76,8 @@
 }
 
 const (
-	// dryFor is how long a zone that had no engine of a kind to give is not asked again.
-	dryFor = 2 * time.Second
+	// unavailableFor is how long a zone that had no engine of a kind to give is not asked again.
+	unavailableFor = 2 * time.Second
 	// steadyFor is how long a fleet has to stay the same before it is taken for whole.
 	steadyFor = 4 * time.Second
 	// missingFor is how long engines may be fewer than ordered, beyond their boot, before they
@@ -91,9 +91,9 @@
 
 // zone is what the core remembers of a zone.
 type zone struct {
-	shortSince time.Time          // fewer revocable engines than wanted since then; zero: enough
-	orderedAt  map[Kind]time.Time // last order
-	dryUntil   map[Kind]time.Time
+	shortSince       time.Time          // fewer revocable engines than wanted since then; zero: enough
+	orderedAt        map[Kind]time.Time // last order
+	unavailableUntil map[Kind]time.Time
 }
 
 // Core decides for one service. It is not safe for concurrent use.
@@ -119,14 +119,14 @@
 
 // Refused notes that a zone has no engine of the kind now.
 func (c *Core) Refused(now time.Time, o Order) {
-	c.zone(o.Zone).dryUntil[o.Kind] = now.Add(dryFor)
+	c.zone(o.Zone).unavailableUntil[o.Kind] = now.Add(unavailableFor)
 	c.plan.Desired[o.Zone] = c.plan.Desired[o.Zone].with(o.Kind, -1) // not known to hold
 }
 
 func (c *Core) zone(name string) *zone {
 	z, ok := c.zones[name]
 	if !ok {
-		z = &zone{orderedAt: make(map[Kind]time.Time), dryUntil: make(map[Kind]time.Time)}
+		z = &zone{orderedAt: make(map[Kind]time.Time), unavailableUntil: make(map[Kind]time.Time)}
 		c.zones[name] = z
 	}
 	return z
@@ -187,7 +187,7 @@
 	// Lasting engines go once others make up for them, in whatever zone, and stand in for ones that
 	// can't be had.
 	want.Lasting = max(want.Lasting, c.plan.Desired[name].Lasting-max(spare, 0))
-	cantBeHad := now.Before(z.dryUntil[Revocable]) || now.Sub(z.shortSince) >= terms.Boot+missingFor
+	cantBeHad := now.Before(z.unavailableUntil[Revocable]) || now.Sub(z.shortSince) >= terms.Boot+missingFor
 	if short && cantBeHad && spare < 0 {
 		want.Lasting = max(want.Lasting, min(have.Lasting-spare, found, terms.Max-have.Revocable))
 	}
@@ -211,7 +211,7 @@
 // order gives the order for a kind if one is needed: the number differs from the one that was
 // ordered last, or engines that should be there by now are missing.
 func (c *Core) order(now time.Time, z *zone, name string, kind Kind, want, have Counts, terms Terms) (Order, bool) {
-	if now.Before(z.dryUntil[kind]) {
+	if now.Before(z.unavailableUntil[kind]) {
 		return Order{}, false
 	}
 	desired, last := c.plan.Desired[name], want.of(kind)
--- a/internal/process/scaling/scaling_test.go
+++ b/internal/process/scaling/scaling_test.go
@@ -13,10 +13,10 @@
 
 // platformOf is a platform that gives engines after their boot, and may have none to give.
 type platformOf struct {
-	fleet map[string]Counts
-	boots []boot
-	dry   map[string]bool // zones without revocable engines to give
-	calls int
+	fleet       map[string]Counts
+	boots       []boot
+	unavailable map[string]bool // zones without revocable engines to give
+	calls       int
 }
 
 type boot struct {
@@ -40,7 +40,7 @@
 // order takes an order: fewer engines leave at once, more are there after their boot.
 func (p *platformOf) order(now time.Time, o Order) bool {
 	p.calls++
-	if o.Kind == Revocable && p.dry[o.Zone] {
+	if o.Kind == Revocable && p.unavailable[o.Zone] {
 		return false
 	}
 	if have := p.fleet[o.Zone]; o.Desired <= have.of(o.Kind) {
@@ -88,7 +88,7 @@
 }
 
 func newFleet() *platformOf {
-	return &platformOf{fleet: map[string]Counts{"a": {Lasting: 12}, "b": {Lasting: 8}}, dry: make(map[string]bool)}
+	return &platformOf{fleet: map[string]Counts{"a": {Lasting: 12}, "b": {Lasting: 8}}, unavailable: make(map[string]bool)}
 }
 
 // TestLastingEnginesAreReplacedOnceOthersServe replaces most of a fleet without ever having fewer
@@ -117,7 +117,7 @@
 	if p.fleet["a"] != (Counts{3, 9}) {
 		t.Errorf("6 s after they were taken back: %+v", p.fleet["a"])
 	}
-	p.fleet["a"], p.dry["a"] = Counts{Lasting: 3}, true
+	p.fleet["a"], p.unavailable["a"] = Counts{Lasting: 3}, true
 	play(t, c, p, 26*time.Second, 33*time.Second)
 	if p.fleet["a"].Lasting != 12 {
 		t.Errorf("none to give: %+v", p.fleet["a"])
@@ -125,7 +125,7 @@
 	if least := len(p.engines()); least < 20 {
 		t.Errorf("%d engines, 20 were found", least)
 	}
-	p.dry["a"] = false
+	p.unavailable["a"] = false
 	play(t, c, p, 33*time.Second, 60*time.Second)
 	if p.fleet["a"] != (Counts{3, 9}) {
 		t.Errorf("they can be had again: %+v", p.fleet["a"])
@@ -152,7 +152,7 @@
 	if p.fleet["a"] != (Counts{3, 21}) {
 		t.Fatalf("%+v", p.fleet)
 	}
-	p.fleet["a"], p.dry["a"] = Counts{Lasting: 3}, true
+	p.fleet["a"], p.unavailable["a"] = Counts{Lasting: 3}, true
 	step(20*time.Second, 40*time.Second)
 	if p.fleet["a"] != (Counts{Lasting: 3}) || len(p.engines()) < 32 {
 		t.Errorf("%+v", p.fleet)
