An order brings or takes at most 24 engines of a zone

Suspected: ordering engines by hundreds changes the list faster than instances with a fifth of a core can follow (12.8% of a core in the middle). Change: steps of 24; fleets of up to 24 engines a zone are ordered as before.

--- a/internal/process/scaling/scaling.go
+++ b/internal/process/scaling/scaling.go
@@ -83,6 +83,10 @@
 	// missingFor is how long engines may be fewer than ordered, beyond their boot, before they
 	// count as taken back and are ordered again.
 	missingFor = time.Second
+	// mostAtOnce is how many engines of a zone one order may bring or take away: each wakes every
+	// instance, and small ones fall behind a list that changes by hundreds at a time, so that
+	// engines which leave stay in use for too long.
+	mostAtOnce = 24
 	// leastPrice is the price of revocable engines above which they aren't worth their loss.
 	leastPrice = 0.7
 	// leastCounted is the least price by which a number is worked out.
@@ -214,7 +218,8 @@
 	if now.Before(z.unavailableUntil[kind]) {
 		return Order{}, false
 	}
-	desired, last := c.plan.Desired[name], want.of(kind)
+	desired := c.plan.Desired[name]
+	last := min(max(want.of(kind), have.of(kind)-mostAtOnce), have.of(kind)+mostAtOnce)
 	due := now.Sub(z.orderedAt[kind]) >= terms.Boot+missingFor
 	why := ""
 	switch {
--- a/internal/process/scaling/scaling_test.go
+++ b/internal/process/scaling/scaling_test.go
@@ -189,6 +189,29 @@
 	}
 }
 
+// TestALargeFleetIsReplacedInSteps has hundreds of engines in a zone: each order brings or takes a
+// few of them, so that instances can follow the list.
+func TestALargeFleetIsReplacedInSteps(t *testing.T) {
+	p, c := &platformOf{fleet: map[string]Counts{"a": {Lasting: 300}}, unavailable: make(map[string]bool)}, New(Plan{})
+	large := terms
+	large.Max = 1000
+	steps := 0
+	for d := time.Duration(0); d < 5*time.Minute; d += 500 * time.Millisecond {
+		now := start.Add(d)
+		p.tick(now)
+		for _, o := range c.Decide(now, large, policy, p.engines()) {
+			if by := o.Desired - p.fleet["a"].of(o.Kind); max(by, -by) > mostAtOnce {
+				t.Fatalf("%v: %+v changes %d engines", d, o, by)
+			}
+			p.order(now, o)
+			steps++
+		}
+	}
+	if p.fleet["a"] != (Counts{75, 225}) {
+		t.Errorf("%+v after %d orders", p.fleet["a"], steps)
+	}
+}
+
 // TestCheaperEnginesAreMore works the number of engines out by their price.
 func TestCheaperEnginesAreMore(t *testing.T) {
 	half := Policy{LastingShare: 0.2, CostShare: 0.5}
