--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -67,6 +67,12 @@
 	Slots   int
 }
 
+// RateLimit is the requests a second that an upstream takes from all instances together.
+type RateLimit struct {
+	PerSecond float64
+	Readable  bool // false: it has a limit, and it can't be read which
+}
+
 // Told is what an answer says besides its status and body.
 type Told struct {
 	RequestID string // the request that it answers
@@ -74,6 +80,8 @@
 	Sealed    bool   // an upstream's own answer to a request that it ran
 	Load      *Load  // nil: not told
 	Upstream  string // id of the upstream; empty: not told
+
+	RateLimit *RateLimit // of the upstream; nil: the answer names none
 }
 
 // Prefilled is the answer to a request of which only the prompt was computed.
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -20,6 +20,7 @@
 	tellings    map[string]telling // by instance
 	untoldReads []PartsRead
 	told        bool // see MostTold
+	rateLimits  map[UpstreamKey]*rateLimit
 }
 
 // task is the work of one kind for a service.
@@ -43,6 +44,8 @@
 		prompts:  make(map[string]*eventRate),
 		tellings: make(map[string]telling),
 		models:   make(map[group]*readingModel),
+
+		rateLimits: make(map[UpstreamKey]*rateLimit),
 	}
 }
 
