Limits that upstreams name hold for all instances together

Callers saw nothing; the upstream in need got three times what it took. Cause: an instance decided by what it saw itself, and what an upstream told one instance was not read at all. Two further ways to fail are closed with it: each instance keeping the whole limit, and sends other than first ones going round it.

Each instance has an equal part of every limit. While limits are in force it lends its part, for 2.5 s at a time, to the instance that gives places in its availability zone; the loan counts from the question at the borrower and from the answer at the lender, so the parts in use never add up to more than one. Limits are told to those that give places, and by them to all. A place is given at a limited upstream only against credit of the part, for each kind of work and each repeat; credit that isn't used lapses. Where all upstreams of a service have limits, a request that can't start in time is refused at once and told the next time that nobody else was told; that time is kept for callers that come back.

--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
@@ -89,9 +90,10 @@
 	s.mu.Lock()
 	now := time.Now()
 	s.core.Listed(now, list)
-	abandoned, zone := s.core.Abandoned(now), s.core.Zone()
+	s.core.Settle(boottime.Now())
+	abandoned, known := s.core.Abandoned(now), s.core.Known()
 	s.mu.Unlock()
-	s.introduce(zone)
+	s.introduce(known)
 	for _, name := range abandoned {
 		s.remove(ctx, name)
 	}
@@ -111,9 +113,14 @@
 	return s.core.Strangers()
 }
 
-// introduce tells the instances of the own availability zone, once, that this one is there.
-func (s *sharing) introduce(zone []string) {
-	if !s.introduced.Swap(true) {
-		s.send(s.introduction(false), zone...)
+// introduceTimes is with how many lists an instance tells others that it is there: those that start
+// with it aren't all on the first one, and datagrams are lost now and then.
+const introduceTimes = 2
+
+// introduce tells the instances that are known that this one is there. All count those that have a
+// part of the limits that upstreams name.
+func (s *sharing) introduce(known []string) {
+	if s.introduced.Add(1) <= introduceTimes {
+		s.send(s.introduction(false), known...)
 	}
 }
--- a/internal/process/entry/ratelimits.go
+++ b/internal/process/entry/ratelimits.go
@@ -2,14 +2,63 @@
 
 import (
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
 
+// rateNewsTimes is in how many messages a limit is told at once, as datagrams are lost now and
+// then. Later those that give places tell all limits again and again.
+const rateNewsTimes = 3
+
+// rateNews is what is still to be told of limits that upstreams name. An instance tells what it
+// heard from an upstream to those that give places, of all availability zones; each of these
+// tells it to the instances of its own.
+type rateNews struct {
+	mu   sync.Mutex
+	left map[place.UpstreamKey]rateNewsItem
+}
+
+type rateNewsItem struct {
+	own   bool // heard from the upstream
+	times int  // messages to come
+}
+
+func (n *rateNews) put(key place.UpstreamKey, own bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.left == nil {
+		n.left = make(map[place.UpstreamKey]rateNewsItem)
+	}
+	n.left[key] = rateNewsItem{own: own, times: rateNewsTimes}
+}
+
+// take gives the upstreams whose limits the next messages tell: those that this instance heard
+// of itself, and all.
+func (n *rateNews) take() (own, all []place.UpstreamKey) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for key, item := range n.left {
+		all = append(all, key)
+		if item.own {
+			own = append(own, key)
+		}
+		if item.times--; item.times == 0 {
+			delete(n.left, key)
+			continue
+		}
+		n.left[key] = item
+	}
+	return own, all
+}
+
 // heardRateLimit takes what an answer to a request that was sent at a time says of its upstream's limit.
 func (e *Entry) heardRateLimit(u *fleet.Upstream, sent time.Time, status int, told exchange.Told, request string) {
 	if status == http.StatusMisdirectedRequest {
@@ -29,7 +78,133 @@
 	}
 	if l := told.RateLimit; l != nil {
 		logline.Info("limit of an upstream heard", "upstream", u.ID, "per_second", l.PerSecond, "readable", l.Readable, "request", request)
+	} else {
+		logline.Info("limit of an upstream ended", "upstream", u.ID, "request", request)
+	}
+	if s := e.shared; s != nil {
+		s.limits.put(place.KeyOf(u.Life()), true)
+		s.flushRateNews(now)
+	}
+}
+
+// flushRateNews sends what is to be told of limits at once.
+func (s *sharing) flushRateNews(now time.Time) {
+	own, all := s.limits.take()
+	if len(all) == 0 {
+		return
+	}
+	s.mu.Lock()
+	placers, zone, placing := s.core.Placers(now), s.core.Zone(), s.core.Placing(now)
+	s.mu.Unlock()
+	s.sendRateLimits(s.e.state.rateLimitsOf(now, own), 0, placers)
+	if placing {
+		s.sendRateLimits(s.e.state.rateLimitsOf(now, all), 0, zone)
+	}
+}
+
+// tellRateLimits tells what is due of limits, and has this process use its part of them.
+func (s *sharing) tellRateLimits(now time.Time) {
+	s.flushRateNews(now)
+	boot := boottime.Now()
+	s.mu.Lock()
+	share := s.core.RateShare(boot)
+	s.mu.Unlock()
+	limits := s.e.state.rateLimits(now, share)
+	if len(limits) == 0 {
 		return
 	}
-	logline.Info("limit of an upstream ended", "upstream", u.ID, "request", request)
+	s.mu.Lock()
+	serial, zone := s.core.AskShares(now, boot)
+	placers := s.core.Placers(now)
+	s.mu.Unlock()
+	if serial != 0 {
+		s.sendRateLimits(limits, serial, zone)
+		s.sendRateLimits(limits, 0, placers)
+	}
+}
+
+// sendRateLimits sends limits, in as many messages as they need. With the first one goes the
+// request for the receivers' parts of them, if it has a serial.
+func (s *sharing) sendRateLimits(limits []place.ToldRateLimit, ask uint64, to []string) {
+	for part := range slices.Chunk(limits, peers.MaxRateLimits) {
+		m := peers.Message{ShareAsk: ask}
+		for _, l := range part {
+			m.RateLimits = append(m.RateLimits, peers.RateLimitOf(l))
+		}
+		s.send(m, to...)
+		ask = 0
+	}
+}
+
+// takeRateLimits takes what another instance tells of limits, asks for this one's part of them or
+// lends its own.
+func (s *sharing) takeRateLimits(now time.Time, from string, m *peers.Message) {
+	if len(m.RateLimits) > 0 {
+		s.hearRateLimits(now, from, m.RateLimits)
+	}
+	if m.ShareAsk != 0 {
+		s.lendShare(now, from, m.ShareAsk)
+	}
+	if l := m.ShareLoan; l != nil {
+		s.mu.Lock()
+		s.core.BorrowShare(boottime.Now(), from, l.Serial, l.Share)
+		s.mu.Unlock()
+	}
+}
+
+func (s *sharing) hearRateLimits(now time.Time, from string, limits []peers.RateLimit) {
+	for _, l := range limits {
+		told, news := l.Told(), false
+		s.e.state.withBook(now, func(b *place.Book) { news = b.HearRateLimit(now, told) })
+		if !news {
+			continue
+		}
+		life, _ := s.e.state.lifeOf(told.Upstream)
+		logline.Info("limit of an upstream told", "upstream", life, "per_second", told.PerSecond, "ended", told.Ended,
+			"age_ms", told.Age.Milliseconds(), "by", from)
+		s.limits.put(told.Upstream, false)
+	}
+	s.flushRateNews(now)
+}
+
+// lendShare lends this instance's part of limits to the one that gives it places. It uses none of
+// it from before the answer on.
+func (s *sharing) lendShare(now time.Time, to string, serial uint64) {
+	boot := boottime.Now()
+	s.mu.Lock()
+	share, ok := s.core.LendShare(now, boot, to)
+	rest := s.core.RateShare(boot)
+	s.mu.Unlock()
+	if ok {
+		s.e.state.setRateShare(now, rest)
+		s.send(peers.Message{ShareLoan: &peers.ShareLoan{Serial: serial, Share: share}}, to)
+	}
+}
+
+// setRateShare sets the part of each limit that this process may use.
+func (s *state) setRateShare(now time.Time, share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.SetRateShare(now, share)
+}
+
+// rateLimits sets the part of each limit that this process may use, and gives all limits.
+func (s *state) rateLimits(now time.Time, share float64) []place.ToldRateLimit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.SetRateShare(now, share)
+	return s.book.RateLimits(now)
+}
+
+// rateLimitsOf gives the limits of some upstreams.
+func (s *state) rateLimitsOf(now time.Time, keys []place.UpstreamKey) []place.ToldRateLimit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []place.ToldRateLimit
+	for _, key := range keys {
+		if l, ok := s.book.RateLimitOf(now, key); ok {
+			out = append(out, l)
+		}
+	}
+	return out
 }
--- a/internal/process/entry/record.go
+++ b/internal/process/entry/record.go
@@ -201,7 +201,7 @@
 
 // refusalFields tells what the refusal of a place was decided by.
 func refusalFields(g *place.Grounds) []any {
-	return []any{"no_place_for", g.Work, "eligible", g.Eligible, "ahead", g.Ahead, "wait_expected_ms", g.Wait.Milliseconds(),
+	return []any{"no_place_for", g.Work, "eligible", g.Eligible, "limited", g.Limited, "ahead", g.Ahead, "wait_expected_ms", g.Wait.Milliseconds(),
 		"bound", g.Bound, "oldest_report_ms", g.Oldest.Milliseconds()}
 }
 
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -234,10 +234,14 @@
 		ID: q.queueID, Service: q.service, Zone: q.e.cfg.Settings.Instance.Zone,
 		Urgency: q.account.Urgency(q.route), Prompt: q.prompt, Work: work,
 		Arrived: q.arrived, StartBy: startBy, Excluded: q.excluded, Gap: q.gap(),
-		Late: q.late(), Objective: q.route.Objective, Memory: q.memory(),
+		Late: q.late(), Returned: q.spent >= returnedAfter, Until: q.until, Objective: q.route.Objective, Memory: q.memory(),
 	}
 }
 
+// returnedAfter is the time spent from which a caller counts as one that was told to come back:
+// callers of one route declare a little more or less, and none is told to come back sooner.
+const returnedAfter = 100 * time.Millisecond
+
 // memory is how many tokens an engine of the service keeps; 0: not known.
 func (q *request) memory() int {
 	if s, ok := q.config.Services[q.service]; ok && s.Engine != nil {
--- a/internal/process/entry/sharing.go
+++ b/internal/process/entry/sharing.go
@@ -34,10 +34,11 @@
 	gives *granting
 
 	crashes *crashNews
+	limits  rateNews
 	usage   usageNews
 	life    uint64
 
-	introduced atomic.Bool   // to the own availability zone
+	introduced atomic.Int32  // so many times to others
 	ended      chan struct{} // closed when nothing is shared any more
 
 	mu     sync.Mutex
@@ -107,6 +108,7 @@
 	s.flushNotes()
 	s.flushCrashes(now)
 	s.tellUsage(now)
+	s.tellRateLimits(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, to := range s.core.Visits(now) {
@@ -210,6 +212,7 @@
 	s.takeAnswers(from, m.Answers)
 	s.takeCrashes(now, from, m.Crashes)
 	s.takeUsage(from, m)
+	s.takeRateLimits(now, from, m)
 	if !news {
 		return
 	}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/mapentry"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/patience"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
@@ -17,12 +19,6 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
 
-// instancesAssumed is how many instances a process takes the deployment to have
-// when it takes its part of the retry slack. It is more than any deployment has,
-// so that the parts never add up to more than the whole; the ratio grows with the
-// requests, whoever serves them.
-const instancesAssumed = 400
-
 // ratioPart is the part of the allowed ratio that is used. Instances count
 // requests and repeats by their own clocks, and a request counts where its first
 // send arrives, so the windows of instances don't coincide exactly.
@@ -47,6 +43,8 @@
 
 func newState(s *settings.Entry) *state {
 	book := place.NewBook()
+	book.SetSalt(rand.Uint64())
+	book.SetRateShare(time.Now(), 1.0/peers.MostInstances) // until it is known how many share the limits
 	return &state{
 		fleet:    fleet.New(),
 		book:     book,
@@ -255,7 +253,7 @@
 	return mapentry.Of(s.repeats, service, func() *retry.Window {
 		return retry.NewWindow(retry.WindowConfig{
 			Ratio:  s.bounds.RetryRatio * ratioPart,
-			Slack:  s.bounds.RetrySlack / instancesAssumed,
+			Slack:  s.bounds.RetrySlack / peers.MostInstances, // the ratio grows with the requests, whoever serves them
 			Window: s.bounds.RetryWindow(),
 		})
 	})
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -82,6 +82,8 @@
 	introducedAt time.Time
 	told         map[place.UpstreamKey]place.InFlight // in the last message
 	reads        []untold
+
+	shares shares
 }
 
 // untold is a read that is still to be told in so many messages.
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
@@ -50,6 +52,52 @@
 	Life        uint64       `cbor:"13,keyasint,omitempty"` // of the sender, with Usage
 	Usage       []usage.Part `cbor:"14,keyasint,omitempty"` // what the sender's callers used
 	UsageWanted []int64      `cbor:"15,keyasint,omitempty"` // windows of which the receiver is to tell its usage
+
+	RateLimits []RateLimit `cbor:"17,keyasint,omitempty"` // at most MaxRateLimits
+	ShareAsk   uint64      `cbor:"18,keyasint,omitempty"` // serial of a request for the receiver's part of limits; 0: none
+	ShareLoan  *ShareLoan  `cbor:"19,keyasint,omitempty"`
+}
+
+// MaxRateLimits is how many limits one message tells.
+const MaxRateLimits = 40
+
+// RateLimit is what the sender knows of the limit that an upstream names.
+type RateLimit struct {
+	_         struct{} `cbor:",toarray"`
+	Upstream  uint32   // place.UpstreamKey
+	PerSecond float64
+	Ended     bool
+	AgeMS     int64 // since an answer said so
+}
+
+// ShareLoan lends the sender's part of all limits to the receiver.
+type ShareLoan struct {
+	_      struct{} `cbor:",toarray"`
+	Serial uint64   // of the request for it
+	Share  float64  // from 0 to 1
+}
+
+// RateLimitOf tells a limit.
+func RateLimitOf(l place.ToldRateLimit) RateLimit {
+	return RateLimit{Upstream: uint32(l.Upstream), PerSecond: l.PerSecond, Ended: l.Ended, AgeMS: l.Age.Milliseconds()}
+}
+
+// Told gives what is told of a limit.
+func (l RateLimit) Told() place.ToldRateLimit {
+	return place.ToldRateLimit{
+		Upstream: place.UpstreamKey(l.Upstream), PerSecond: l.PerSecond, Ended: l.Ended,
+		Age: time.Duration(l.AgeMS) * time.Millisecond,
+	}
+}
+
+// mostAgeMS bounds the age of what is told: a day.
+const mostAgeMS = 24 * 60 * 60 * 1000
+
+func (l RateLimit) check() error {
+	if !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 1) || l.AgeMS < 0 || l.AgeMS > mostAgeMS {
+		return errors.Errorf("limit %g a second of upstream %d, %d ms old", l.PerSecond, l.Upstream, l.AgeMS)
+	}
+	return nil
 }
 
 // Ask is what the sender's callers ask of a service's engines.
@@ -177,6 +225,17 @@
 			return m, errors.Wrap(err, "message of a peer")
 		}
 	}
+	if len(m.RateLimits) > MaxRateLimits {
+		return m, errors.Errorf("message of a peer: %d limits", len(m.RateLimits))
+	}
+	for i := range m.RateLimits {
+		if err := m.RateLimits[i].check(); err != nil {
+			return m, errors.Wrap(err, "message of a peer")
+		}
+	}
+	if l := m.ShareLoan; l != nil && !(l.Share >= 0 && l.Share <= 1) {
+		return m, errors.Errorf("message of a peer: a share of %g", l.Share)
+	}
 	if len(m.UsageWanted) > usage.KeepWindows {
 		return m, errors.Errorf("message of a peer: usage of %d windows wanted", len(m.UsageWanted))
 	}
--- a/internal/process/peers/placing.go
+++ b/internal/process/peers/placing.go
@@ -38,6 +38,7 @@
 	Excluded  []uint32
 	Late      bool
 	OrHere    bool
+	Returned  bool
 }
 
 // QuestionPart is a shared part of a prompt.
@@ -53,7 +54,7 @@
 		ID: id, Service: q.Service, Work: string(q.Work), Urgency: q.Urgency, Key: q.Prompt.Key, Own: q.Prompt.Own,
 		Memory: q.Memory, GapUS: q.Gap.Microseconds(), AgeUS: now.Sub(q.Arrived).Microseconds(),
 		StartInUS: q.StartBy.Sub(now).Microseconds(), LeftUS: left.Microseconds(), AimUS: q.Objective.Microseconds(),
-		Late: q.Late, OrHere: q.OrHere,
+		Late: q.Late, OrHere: q.OrHere, Returned: q.Returned,
 	}
 	for _, p := range q.Prompt.Parts {
 		out.Parts = append(out.Parts, QuestionPart{Key: uint32(p.Key), Tokens: p.Tokens})
@@ -71,9 +72,12 @@
 	q := place.Query{
 		ID: id, Service: a.Service, Zone: zone, Work: place.Work(a.Work), Urgency: a.Urgency, Memory: a.Memory,
 		Gap: micros(a.GapUS), Arrived: now.Add(-micros(a.AgeUS)), StartBy: now.Add(micros(a.StartInUS)),
-		Objective: micros(a.AimUS), Late: a.Late, OrHere: a.OrHere,
+		Objective: micros(a.AimUS), Late: a.Late, OrHere: a.OrHere, Returned: a.Returned,
 		Prompt: place.Prompt{Key: a.Key, Own: a.Own},
 	}
+	if a.LeftUS > 0 {
+		q.Until = now.Add(micros(a.LeftUS))
+	}
 	for _, p := range a.Parts {
 		q.Prompt.Parts = append(q.Prompt.Parts, place.Part{Key: place.PartKey(p.Key), Tokens: p.Tokens})
 	}
@@ -122,6 +126,7 @@
 	_        struct{} `cbor:",toarray"`
 	Work     string
 	Eligible int
+	Limited  int
 	Ahead    int
 	WaitUS   int64
 	Bound    float32
@@ -132,7 +137,7 @@
 func AnswerOf(id uint64, d *place.Decision) PlaceAnswer {
 	g := d.Grounds
 	out := PlaceAnswer{ID: id, Refused: string(d.Refused), RetryUS: d.RetryAfter.Microseconds(), Grounds: AnswerGrounds{
-		Work: string(g.Work), Eligible: g.Eligible, Ahead: g.Ahead, WaitUS: g.Wait.Microseconds(), Bound: float32(g.Bound), OldestUS: g.Oldest.Microseconds(),
+		Work: string(g.Work), Eligible: g.Eligible, Limited: g.Limited, Ahead: g.Ahead, WaitUS: g.Wait.Microseconds(), Bound: float32(g.Bound), OldestUS: g.Oldest.Microseconds(),
 	}}
 	if d.Refused == "" {
 		c := &d.Choice
@@ -148,7 +153,7 @@
 		Refused: place.Why(a.Refused), RetryAfter: micros(a.RetryUS),
 		Choice: place.Choice{Work: place.Work(a.Work), Tokens: max(a.Tokens, 0), Alone: a.Alone, Load: float64(a.Load), Age: micros(a.AgeUS)},
 		Grounds: place.Grounds{
-			Work: place.Work(a.Grounds.Work), Eligible: a.Grounds.Eligible, Ahead: a.Grounds.Ahead,
+			Work: place.Work(a.Grounds.Work), Eligible: a.Grounds.Eligible, Limited: a.Grounds.Limited, Ahead: a.Grounds.Ahead,
 			Wait: micros(a.Grounds.WaitUS), Bound: float64(a.Grounds.Bound), Oldest: micros(a.Grounds.OldestUS),
 		},
 	}
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -21,6 +21,8 @@
 	untoldReads []PartsRead
 	told        bool // see MostTold
 	rateLimits  map[UpstreamKey]*rateLimit
+	rateShare   float64 // see SetRateShare
+	salt        uint64  // see SetSalt
 }
 
 // task is the work of one kind for a service.
@@ -34,7 +36,7 @@
 	return mapentry.Of(b.means, group{l.up.Service, l.up.Role}, mapentry.Zero[mean])
 }
 
-// NewBook makes an empty book.
+// NewBook makes an empty book of a process that uses all of what upstreams take.
 func NewBook() *Book {
 	return &Book{
 		services: make(map[string][]*load),
@@ -46,6 +48,7 @@
 		models:   make(map[group]*readingModel),
 
 		rateLimits: make(map[UpstreamKey]*rateLimit),
+		rateShare:  1,
 	}
 }
 
--- a/internal/request/place/event.go
+++ b/internal/request/place/event.go
@@ -65,6 +65,9 @@
 	life := g.Choice.Upstream.Life()
 	switch e.Kind {
 	case Released:
+		if g.Choice.Work == Reserve {
+			b.refund(&g.Choice)
+		}
 		b.Ended(life, g.Choice.Work)
 		b.Read(life, g.Choice.Tokens)
 	case Claimed:
--- a/internal/request/place/pick.go
+++ b/internal/request/place/pick.go
@@ -21,6 +21,8 @@
 // grounds gives what a refusal is decided by.
 func (b *Book) grounds(now time.Time, q *Query, ahead int, wait time.Duration) Grounds {
 	g := Grounds{Work: q.Work, Ahead: ahead, Wait: wait}
+	p := b.paced(now, q)
+	g.Limited = p.count
 	if q.Work.reads() {
 		g.Bound = b.limiter(q.Service, q.Work).bound
 	}
@@ -67,7 +69,7 @@
 	v := b.view(now, q)
 	least := leastFailing(now, list)
 	for _, l := range list {
-		if !l.serves(now, q) || v.full(l) {
+		if !l.serves(now, q) || v.full(l) || b.mustWait(now, l) {
 			continue
 		}
 		c := v.cost(l) + failCost*(l.health.failing(now)-least)
@@ -89,6 +91,15 @@
 	return choice, true
 }
 
+// mustWait reports whether an upstream's limit keeps this process from sending there now.
+func (b *Book) mustWait(now time.Time, l *load) bool {
+	if len(b.rateLimits) == 0 {
+		return false
+	}
+	wait, _ := b.rateWait(now, l.key)
+	return wait > 0
+}
+
 // idleLoad in requests: an upstream with less is taken to have none.
 const idleLoad = 0.5
 
--- a/internal/request/place/query.go
+++ b/internal/request/place/query.go
@@ -24,6 +24,8 @@
 	Excluded  []fleet.LifeID // upstreams tried before
 	Late      bool           // its answer can't be in time any more, whenever it starts
 	OrHere    bool           // with Prefill: ReadHere does as well
+	Until     time.Time      // when its caller stops waiting; zero: not known
+	Returned  bool           // its caller was refused before and told to come back now
 }
 
 // BehindOthers is how long a prompt should wait behind others at most; 0: not bounded.
@@ -114,6 +116,8 @@
 	Load     float64       // requests believed running or waiting there, of all processes
 	Age      time.Duration // of the report behind Load; negative: none
 	Cost     float64
+
+	charged bool // against the limit of the upstream, in this process's book
 }
 
 // Source is an engine that shared parts of a prompt are copied from. The zero value: none.
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -36,6 +36,7 @@
 type Grounds struct {
 	Work     Work
 	Eligible int           // upstreams that could do the work, whatever their load
+	Limited  int           // of these, that name a limit of requests a second
 	Ahead    int           // requests that wait before this one
 	Wait     time.Duration // estimated, for a place; 0: not known
 	Bound    float64       // learned bound of prompts under way in this process; 0: none holds for the work
@@ -45,7 +46,7 @@
 // refuse makes a refusal.
 func (r *Queue) refuse(now time.Time, q *Query, why Why) Decision {
 	return Decision{
-		ID: q.ID, Refused: why, RetryAfter: r.retryAfter(now, q.queue()),
+		ID: q.ID, Refused: why, RetryAfter: r.retryAfter(now, q),
 		Grounds: r.book.grounds(now, q, r.ahead(q), r.wait(now, q)),
 	}
 }
@@ -62,11 +63,13 @@
 	queues map[string][]waiting // by service and role, in the order of starting
 	count  int
 	starts map[string]*eventRate
+
+	promised map[string]time.Time // by queue: when the next request that is refused may be sent
 }
 
 // NewQueue makes an empty queue over a book.
 func NewQueue(book *Book) *Queue {
-	return &Queue{book: book, queues: make(map[string][]waiting), starts: make(map[string]*eventRate)}
+	return &Queue{book: book, queues: make(map[string][]waiting), starts: make(map[string]*eventRate), promised: make(map[string]time.Time)}
 }
 
 // Len counts the requests that wait.
@@ -77,6 +80,9 @@
 	if r.book.Eligible(now, &q) == 0 {
 		return r.refuse(now, &q, NoUpstream), true
 	}
+	if r.keptBack(now, &q) {
+		return r.refuse(now, &q, NoPlace), true
+	}
 	if !r.anyBefore(&q) {
 		if choice, ok := r.place(now, &q); ok {
 			return Decision{ID: q.ID, Choice: choice}, true
@@ -85,7 +91,7 @@
 	if r.count >= maxWaiting {
 		return r.refuse(now, &q, Overtaken), true
 	}
-	if !q.StartBy.After(now.Add(r.wait(now, &q))) {
+	if !q.StartBy.After(now.Add(r.wait(now, &q))) || r.limitsForbid(now, &q, r.ahead(&q)) {
 		return r.refuse(now, &q, NoPlace), true
 	}
 	r.insert(q)
@@ -135,6 +141,7 @@
 	if !ok {
 		return choice, false
 	}
+	r.book.charge(now, &choice)
 	r.book.Granted(now, &choice)
 	r.rate(q.queue()).add(now)
 	return choice, true
@@ -190,8 +197,11 @@
 	if choice, ok := r.place(now, q); ok {
 		return Decision{ID: q.ID, Choice: choice}, true
 	}
-	if r.book.Eligible(now, q) == 0 {
+	switch {
+	case r.book.Eligible(now, q) == 0:
 		return r.refuse(now, q, NoUpstream), true
+	case r.limitsForbid(now, q, 0):
+		return r.refuse(now, q, NoPlace), true
 	}
 	*blocked = len(q.Excluded) == 0
 	return Decision{}, false
@@ -212,11 +222,70 @@
 }
 
 // retryAfter is when a refused request is likely to find a place: the time that
-// the requests before it take at the rate of recent starts.
-func (r *Queue) retryAfter(now time.Time, queue string) time.Duration {
+// the requests before it take at the rate of recent starts, or the next time that the limits of
+// upstreams allow and that no other one was told.
+func (r *Queue) retryAfter(now time.Time, q *Query) time.Duration {
+	queue := q.queue()
+	if p := r.book.paced(now, q); p.all {
+		return r.promise(now, q, &p)
+	}
 	return waitFor(len(r.queues[queue])+1, r.rate(queue).perSecond(now))
 }
 
+// promise gives the next time at which a request may be sent that no other one was told. It is kept
+// for the request if its caller is likely to wait for so long.
+func (r *Queue) promise(now time.Time, q *Query, p *paced) time.Duration {
+	queue := q.queue()
+	wait := p.after(len(r.queues[queue]))
+	if wait == never {
+		return maxRetryAfter // the share of this process comes back within about that time
+	}
+	at := now.Add(max(wait, minRetryAfter))
+	if told := r.promised[queue]; told.After(at) {
+		at = told
+	}
+	if at.Sub(now) <= q.returnsWithin(now) {
+		r.promised[queue] = at.Add(timeFor(1, p.perSecond))
+	}
+	return at.Sub(now)
+}
+
+// returnsWithin is how long a caller that is refused waits before it returns, at most.
+func (q *Query) returnsWithin(now time.Time) time.Duration {
+	if q.Until.IsZero() {
+		return maxRetryAfter
+	}
+	return time.Duration(returnShare * float64(q.Until.Sub(now)))
+}
+
+// keptBack reports whether what limits allow now is kept for requests that were told to come
+// back for it.
+func (r *Queue) keptBack(now time.Time, q *Query) bool {
+	if q.Returned || !r.promised[q.queue()].After(now) {
+		return false
+	}
+	p := r.book.paced(now, q)
+	return p.all && !p.spare
+}
+
+// limitsForbid reports whether the limits of all upstreams that could serve a request keep it from
+// starting in time behind n others.
+func (r *Queue) limitsForbid(now time.Time, q *Query, n int) bool {
+	p := r.book.paced(now, q)
+	if !p.all {
+		return false
+	}
+	if q.OrHere {
+		here := *q
+		here.OrHere, here.Work = false, ReadHere
+		if !r.limitsForbid(now, &here, n) {
+			return false
+		}
+	}
+	wait := p.after(n)
+	return wait == never || !q.StartBy.After(now.Add(wait))
+}
+
 func (r *Queue) rate(queue string) *eventRate {
 	return mapentry.Of(r.starts, queue, mapentry.Zero[eventRate])
 }
@@ -229,6 +298,9 @@
 	maxRetryAfter = 2 * time.Second
 )
 
+// returnShare is the part of the time that a caller has left for which it waits before it returns.
+const returnShare = 1.0 / 3
+
 // waitFor is the time in which n requests start at a rate a second.
 func waitFor(n int, perSecond float64) time.Duration {
 	if perSecond < 1 {
--- a/internal/request/place/ratelimit.go
+++ b/internal/request/place/ratelimit.go
@@ -1,6 +1,8 @@
 package place
 
 import (
+	"math"
+	"strconv"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
@@ -17,13 +19,74 @@
 	rateStep = 0.05
 	// mostRateLimits bounds the limits that are kept.
 	mostRateLimits = 4096
+	// unusedFor is how long a request that may be sent waits for one that wants to be, at least;
+	// it then lapses, so that instances don't save up requests and send them together.
+	unusedFor = 250 * time.Millisecond
+	// endKept is how long the end of a limit is told to others.
+	endKept = 10 * time.Second
+	// unknownKept is how long the limit of an upstream that isn't known here is kept: the list
+	// of upstreams may be behind.
+	unknownKept = time.Minute
+	// retoldWithin is by how much the word of another instance has to be newer than what is
+	// known, so that a word that goes round doesn't count as newer each time.
+	retoldWithin = 100 * time.Millisecond
 )
 
-// rateLimit is what is known of the limit of one upstream.
+// rateLimit is what is known of the limit of one upstream, and what this process may send there.
 type rateLimit struct {
-	perSecond float64
+	perSecond float64 // of all instances
 	ended     bool
 	at        time.Time // when an answer said so
+	credit    float64   // requests that may be sent
+	counted   time.Time // until when credit is counted
+}
+
+// ToldRateLimit is what one instance tells others of the limit of an upstream.
+type ToldRateLimit struct {
+	Upstream  UpstreamKey
+	PerSecond float64
+	Ended     bool
+	Age       time.Duration // since an answer said so
+}
+
+// SetRateShare sets the part of each limit that this process may use, from 0 to 1. The parts of all
+// processes add up to 1 at most.
+func (b *Book) SetRateShare(now time.Time, share float64) {
+	for _, l := range b.rateLimits {
+		l.refill(now, b.rateShare)
+	}
+	b.rateShare = share
+}
+
+// SetSalt sets what the moments at which this process may send depend on. It should differ between
+// processes, so that these don't send together.
+func (b *Book) SetSalt(salt uint64) { b.salt = salt }
+
+// rate is the requests a second of all instances.
+func (l *rateLimit) rate() float64 { return max(l.perSecond, leastRate) }
+
+// room is the credit that is kept beyond one request.
+func (l *rateLimit) room(share float64) float64 {
+	return max(share, l.rate()*share*unusedFor.Seconds())
+}
+
+// refill counts the credit of a share of the limit until now. What goes unused lapses.
+func (l *rateLimit) refill(now time.Time, share float64) {
+	if elapsed := now.Sub(l.counted); elapsed > 0 {
+		l.credit += l.rate() * share * elapsed.Seconds()
+		l.counted = now
+	}
+	if over := l.credit - 1 - l.room(share); over >= 0 {
+		l.credit -= math.Floor(over) + 1
+	}
+}
+
+// newRateLimit begins a limit at a moment of its cycle that differs between processes and upstreams.
+func (b *Book) newRateLimit(now time.Time, key UpstreamKey, perSecond float64, at time.Time) *rateLimit {
+	l := &rateLimit{perSecond: perSecond, at: at, counted: now}
+	phase := rank(b.salt, strconv.FormatUint(uint64(key), 10))
+	l.credit = l.room(b.rateShare) + float64(phase>>11)/(1<<53)
+	return l
 }
 
 // perSecondOf gives the requests a second that are named; known is what was named before.
@@ -41,24 +104,27 @@
 // news.
 func (b *Book) RateLimited(now time.Time, id fleet.LifeID, named exchange.RateLimit) (news bool) {
 	key := KeyOf(id)
+	return b.limited(now, key, perSecondOf(named, b.rateLimits[key]), now)
+}
+
+// limited takes a limit that an answer named at a time.
+func (b *Book) limited(now time.Time, key UpstreamKey, perSecond float64, at time.Time) (news bool) {
 	l := b.rateLimits[key]
-	perSecond := perSecondOf(named, l)
 	if l == nil {
-		if len(b.rateLimits) >= mostRateLimits {
-			return false
+		if len(b.rateLimits) < mostRateLimits {
+			b.rateLimits[key] = b.newRateLimit(now, key, perSecond, at)
 		}
-		b.rateLimits[key] = &rateLimit{perSecond: perSecond, at: now}
 		return true
 	}
+	l.refill(now, b.rateShare)
 	news = l.differs(perSecond)
-	l.perSecond, l.ended, l.at = perSecond, false, now
+	l.perSecond, l.ended, l.at = perSecond, false, at
 	return news
 }
 
 // differs reports whether a limit of so much is news.
 func (l *rateLimit) differs(perSecond float64) bool {
-	change := perSecond - l.perSecond
-	return l.ended || max(change, -change) > rateStep*l.perSecond
+	return l.ended || math.Abs(perSecond-l.perSecond) > rateStep*l.perSecond
 }
 
 // NotRateLimited notes that an answer of an upstream named no limit, to a request that was sent
@@ -72,3 +138,142 @@
 	l.ended, l.at = true, sent
 	return true
 }
+
+// HearRateLimit takes what another instance tells of a limit. It reports whether that is news.
+func (b *Book) HearRateLimit(now time.Time, told ToldRateLimit) (news bool) {
+	at := now.Add(-told.Age)
+	l := b.rateLimits[told.Upstream]
+	switch {
+	case l == nil && told.Ended:
+		return false
+	case l == nil:
+		return b.limited(now, told.Upstream, told.PerSecond, at)
+	case !at.After(l.at), l.says(told) && at.Sub(l.at) < retoldWithin:
+		return false
+	case told.Ended:
+		news = !l.ended
+		l.ended, l.at = true, at
+		return news
+	}
+	return b.limited(now, told.Upstream, told.PerSecond, at)
+}
+
+// says reports whether this is what is told.
+func (l *rateLimit) says(told ToldRateLimit) bool {
+	return l.ended == told.Ended && l.perSecond == told.PerSecond
+}
+
+// RateLimits gives what is to be told to others of limits, and forgets what is known of upstreams
+// that are gone and of limits that ended long ago.
+func (b *Book) RateLimits(now time.Time) []ToldRateLimit {
+	var out []ToldRateLimit
+	for key, l := range b.rateLimits {
+		age := now.Sub(l.at)
+		_, known := b.byKey[key]
+		if (l.ended && age >= endKept) || (!known && age >= unknownKept) {
+			delete(b.rateLimits, key)
+			continue
+		}
+		out = append(out, ToldRateLimit{Upstream: key, PerSecond: l.perSecond, Ended: l.ended, Age: age})
+	}
+	return out
+}
+
+// RateLimitOf gives what is known of the limit of one upstream; ok is false if nothing is.
+func (b *Book) RateLimitOf(now time.Time, key UpstreamKey) (told ToldRateLimit, ok bool) {
+	l, ok := b.rateLimits[key]
+	if !ok {
+		return told, false
+	}
+	return ToldRateLimit{Upstream: key, PerSecond: l.perSecond, Ended: l.ended, Age: now.Sub(l.at)}, true
+}
+
+// never is the wait for a request that may not be sent at all.
+const never = time.Duration(math.MaxInt64)
+
+// rateWait is how long the limit of an upstream keeps this process from sending there. limited is
+// false if the upstream names no limit.
+func (b *Book) rateWait(now time.Time, key UpstreamKey) (wait time.Duration, limited bool) {
+	l := b.rateLimits[key]
+	if l == nil || l.ended {
+		return 0, false
+	}
+	l.refill(now, b.rateShare)
+	if l.credit >= 1 {
+		return 0, true
+	}
+	return timeFor(1-l.credit, l.rate()*b.rateShare), true
+}
+
+// timeFor is the time in which so many requests may be sent.
+func timeFor(requests, perSecond float64) time.Duration {
+	seconds := requests / perSecond
+	if perSecond <= 0 || seconds > time.Hour.Seconds() {
+		return never
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// charge counts a request against the limit of the upstream that was chosen for it.
+func (b *Book) charge(now time.Time, c *Choice) {
+	l := b.rateLimits[KeyOf(c.Upstream.Life())]
+	if l == nil || l.ended {
+		return
+	}
+	l.refill(now, b.rateShare)
+	l.credit--
+	c.charged = true
+}
+
+// refund takes the charge of a place back at which nothing was sent.
+func (b *Book) refund(c *Choice) {
+	if l := b.rateLimits[KeyOf(c.Upstream.Life())]; l != nil && c.charged {
+		l.credit++
+	}
+}
+
+// paced is what limits make of the upstreams that could serve a request.
+type paced struct {
+	all       bool          // each of them has a limit
+	count     int           // of those that have
+	first     time.Duration // until one of them may get a request
+	perSecond float64       // that this process may send to them
+	spare     bool          // a request that may be sent goes unused
+}
+
+// paced looks at the limits of the upstreams that could serve a request.
+func (b *Book) paced(now time.Time, q *Query) paced {
+	if len(b.rateLimits) == 0 {
+		return paced{}
+	}
+	p, eligible := paced{first: never}, 0
+	for _, u := range b.services[q.Service] {
+		if !u.serves(now, q) {
+			continue
+		}
+		eligible++
+		wait, limited := b.rateWait(now, u.key)
+		if !limited {
+			continue
+		}
+		l := b.rateLimits[u.key]
+		p.count++
+		p.first = min(p.first, wait)
+		p.perSecond += l.rate() * b.rateShare
+		p.spare = p.spare || l.credit >= 1+l.room(b.rateShare)/2
+	}
+	p.all = eligible > 0 && p.count == eligible
+	return p
+}
+
+// after is the wait of a request behind n others.
+func (p *paced) after(n int) time.Duration {
+	if n == 0 || p.first == never {
+		return p.first
+	}
+	wait := timeFor(float64(n), p.perSecond)
+	if wait == never {
+		return never
+	}
+	return p.first + wait
+}
--- /dev/null
+++ b/internal/request/place/ratelimit_test.go
@@ -0,0 +1,275 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
+)
+
+func perSecond(n float64) exchange.RateLimit { return exchange.RateLimit{PerSecond: n, Readable: true} }
+
+// most gives the most moments in any window.
+func most(times []time.Duration, window time.Duration) int {
+	n, from := 0, 0
+	for i := range times {
+		for times[i]-times[from] >= window {
+			from++
+		}
+		n = max(n, i-from+1)
+	}
+	return n
+}
+
+// offer has a queue decide on a request every 5 ms for a while, and gives when one was sent to an
+// upstream.
+func offer(r *Queue, while time.Duration, to fleet.LifeID) (sent []time.Duration, refused int) {
+	for t := time.Duration(0); t < while; t += 5 * time.Millisecond {
+		q := query(fmt.Sprint(t))
+		q.Arrived, q.StartBy = at(t), at(t)
+		d, _ := r.Arrive(at(t), q)
+		switch {
+		case d.Refused != "":
+			refused++
+		case d.Choice.Upstream.Life() == to:
+			sent = append(sent, t)
+		}
+		if d.Refused == "" {
+			served(r.book, t, d.Choice.Upstream.Life())
+		}
+	}
+	return sent, refused
+}
+
+// served has an upstream answer a request.
+func served(b *Book, t time.Duration, id fleet.LifeID) {
+	b.Heard(at(t), id, true)
+	b.Ended(id, Serve)
+}
+
+func TestALimitHoldsInAnyWindowAndIsUsed(t *testing.T) {
+	for _, c := range []struct{ limit, share float64 }{{0.05, 1}, {0.5, 1}, {0.5, 0.25}, {6.9, 1}, {6.9, 0.25}, {50, 0.1}, {100, 1}} {
+		b := bookOf(up("a", "z1", 64))
+		b.SetRateShare(at(0), c.share)
+		b.RateLimited(at(0), "a", perSecond(c.limit))
+		const while, window = 200 * time.Second, 4 * time.Second
+		sent, _ := offer(NewQueue(b), while, "a")
+		rate := max(c.limit, leastRate) * c.share
+		if n, bound := most(sent, window), rate*window.Seconds()+rate*unusedFor.Seconds()+2; float64(n) > bound {
+			t.Errorf("%+v: %d requests in %v, want at most %.1f", c, n, window, bound)
+		}
+		if want := 0.9*rate*while.Seconds() - 1; float64(len(sent)) < want {
+			t.Errorf("%+v: %d requests in %v, want %.0f", c, len(sent), while, want)
+		}
+	}
+}
+
+// TestUnusedRequestsLapse has nobody ask for a while: what could have been sent is not saved up.
+func TestUnusedRequestsLapse(t *testing.T) {
+	b := bookOf(up("a", "z1", 64))
+	b.RateLimited(at(0), "a", perSecond(5))
+	n := 0
+	for q := query("q"); ; n++ {
+		if _, ok := b.Pick(at(time.Hour), &q); !ok {
+			break
+		}
+		b.charge(at(time.Hour), &Choice{Upstream: up("a", "z1", 64)})
+	}
+	if n > 3 {
+		t.Errorf("%d requests at once after an hour, want 3 at most", n)
+	}
+}
+
+func TestRequestsOverALimitGoElsewhere(t *testing.T) {
+	b := bookOf(up("a", "z1", 64), up("b", "z2", 64))
+	b.RateLimited(at(0), "a", perSecond(3))
+	sent, refused := offer(NewQueue(b), 20*time.Second, "a")
+	if refused > 0 {
+		t.Errorf("%d refused, while another upstream had room", refused)
+	}
+	if n := len(sent); n < 50 || n > 62 {
+		t.Errorf("%d of 60 allowed requests were sent", n)
+	}
+}
+
+// TestRefusedRequestsFindAPlaceWhenTheyReturn has far more arrive than the only upstream takes. A
+// request that is refused knows at once, and one that comes back when it was told finds its place.
+func TestRefusedRequestsFindAPlaceWhenTheyReturn(t *testing.T) {
+	b := bookOf(up("a", "z1", 64))
+	b.SetRateShare(at(0), 0.5)
+	b.RateLimited(at(0), "a", perSecond(8))
+	r := NewQueue(b)
+	const while, step = 60 * time.Second, 5 * time.Millisecond
+	returns := make(map[time.Duration]int)
+	returned, placed, sent := 0, 0, 0
+	arrive := func(t time.Duration, again bool) (Decision, bool) {
+		q := query(fmt.Sprint(t, again))
+		q.Arrived, q.StartBy, q.Until, q.Returned = at(t), at(t+30*time.Millisecond), at(t+6*time.Second), again
+		return r.Arrive(at(t), q)
+	}
+	for now := time.Duration(0); now < while; now += step {
+		for range returns[now] {
+			returned++
+			if d, decided := arrive(now, true); decided && d.Refused == "" {
+				placed++
+				sent++
+				served(b, now, "a")
+			}
+		}
+		d, decided := arrive(now, false)
+		switch {
+		case !decided:
+		case d.Refused == "":
+			sent++
+			served(b, now, "a")
+		case d.RetryAfter <= 2*time.Second: // callers don't wait for longer
+			returns[(now + d.RetryAfter + step).Truncate(step)]++
+		}
+		for _, d := range r.Tick(at(now)) {
+			if d.Refused == "" {
+				sent++
+				served(b, now, "a")
+			}
+		}
+	}
+	if returned == 0 || float64(placed) < 0.9*float64(returned) {
+		t.Errorf("%d of %d that came back when they were told found a place", placed, returned)
+	}
+	if allowed := 4 * while.Seconds(); float64(sent) < 0.7*allowed || float64(sent) > 1.05*allowed+2 {
+		t.Errorf("%d requests sent of %.0f allowed", sent, allowed)
+	}
+}
+
+// TestALimitThatForbidsAStartInTimeRefusesAtOnce has requests wait when the limit is heard.
+func TestALimitThatForbidsAStartInTimeRefusesAtOnce(t *testing.T) {
+	b := bookOf(up("a", "z1", 1))
+	r := NewQueue(b)
+	for _, id := range []string{"1", "2", "3", "4"} {
+		r.Arrive(at(0), query(id))
+	}
+	if r.Len() == 0 {
+		t.Fatal("nothing waits")
+	}
+	b.RateLimited(at(0), "a", perSecond(0.2))
+	b.SetRateShare(at(0), 0.01)
+	b.rateLimits[KeyOf("a")].credit = 0
+	b.Ended("a", Serve)
+	b.Ended("a", Serve)
+	for range r.Len() {
+		for _, d := range r.Tick(at(time.Millisecond)) {
+			if d.Refused != NoPlace || d.RetryAfter < minRetryAfter || d.Grounds.Limited != 1 {
+				t.Errorf("%+v", d)
+			}
+		}
+	}
+	if r.Len() != 0 {
+		t.Errorf("%d still wait", r.Len())
+	}
+}
+
+func TestALimitEndsWithAnAnswerToALaterRequest(t *testing.T) {
+	b := bookOf(up("a", "z1", 64))
+	if !b.RateLimited(at(time.Second), "a", perSecond(1)) || b.RateLimited(at(time.Second), "a", perSecond(1)) {
+		t.Error("a limit is news once")
+	}
+	if b.NotRateLimited(at(time.Second), "a") {
+		t.Error("an answer to a request that was sent before the limit was heard ends it")
+	}
+	if !b.NotRateLimited(at(time.Second+1), "a") || b.NotRateLimited(at(time.Second+2), "a") {
+		t.Error("an answer without a limit to a later request is its end, once")
+	}
+	if sent, _ := offer(NewQueue(b), time.Second, "a"); len(sent) != 200 {
+		t.Errorf("%d of 200 requests sent after the end", len(sent))
+	}
+}
+
+// TestLimitsThatCantBeRead has the last one that could be read hold.
+func TestLimitsThatCantBeRead(t *testing.T) {
+	b := bookOf(up("a", "z1", 64), up("b", "z1", 64))
+	b.RateLimited(at(0), "a", perSecond(7))
+	for _, id := range []fleet.LifeID{"a", "b"} {
+		b.RateLimited(at(1), id, exchange.RateLimit{})
+	}
+	for id, want := range map[fleet.LifeID]float64{"a": 7, "b": unreadableRate} {
+		if l, ok := b.RateLimitOf(at(2), KeyOf(id)); !ok || l.PerSecond != want || l.Ended {
+			t.Errorf("%s: %+v, want %g a second", id, l, want)
+		}
+	}
+}
+
+// TestTheNewestWordOnALimitHolds has words of others come in any order.
+func TestTheNewestWordOnALimitHolds(t *testing.T) {
+	b := bookOf(up("a", "z1", 64))
+	key := KeyOf("a")
+	told := func(perSecond float64, ended bool, age time.Duration) ToldRateLimit {
+		return ToldRateLimit{Upstream: key, PerSecond: perSecond, Ended: ended, Age: age}
+	}
+	now := at(10 * time.Second)
+	for i, c := range []struct {
+		told ToldRateLimit
+		news bool
+	}{
+		{told(0, true, 0), false}, // of a limit that isn't known
+		{told(5, false, 3*time.Second), true},
+		{told(9, false, 4*time.Second), false},
+		{told(5, false, 2950*time.Millisecond), false},
+		{told(9, false, 2*time.Second), true},
+		{told(9, true, 3*time.Second), false},
+		{told(9, true, time.Second), true},
+		{told(9, false, 2*time.Second), false},
+		{told(2, false, 500*time.Millisecond), true},
+	} {
+		if news := b.HearRateLimit(now, c.told); news != c.news {
+			t.Errorf("%d: %+v is news: %v", i, c.told, news)
+		}
+	}
+	if l, _ := b.RateLimitOf(now, key); l.PerSecond != 2 || l.Ended {
+		t.Errorf("%+v", l)
+	}
+}
+
+func TestLimitsOfUpstreamsThatAreGoneAreForgotten(t *testing.T) {
+	b := bookOf(up("a", "z1", 64))
+	b.RateLimited(at(0), "a", perSecond(1))
+	b.RateLimited(at(0), "gone", perSecond(1))
+	if got := len(b.RateLimits(at(unknownKept - 1))); got != 2 {
+		t.Errorf("%d limits, want 2", got)
+	}
+	if got := b.RateLimits(at(unknownKept)); len(got) != 1 || got[0].Upstream != KeyOf("a") {
+		t.Errorf("%+v, want the one of the upstream that is there", got)
+	}
+	b.NotRateLimited(at(time.Hour), "a")
+	if got := b.RateLimits(at(time.Hour + endKept)); len(got) != 0 {
+		t.Errorf("%+v is still told", got)
+	}
+}
+
+// TestAReservedPlaceThatIsNotUsedCountsForNothing has a place to decode reserved and given back.
+func TestAReservedPlaceThatIsNotUsedCountsForNothing(t *testing.T) {
+	for _, claimed := range []bool{false, true} {
+		b := bookOf(up("a", "z1", 64))
+		b.RateLimited(at(0), "a", perSecond(1))
+		r := NewQueue(b)
+		q := query("q")
+		q.Work = Reserve
+		d, _ := r.Arrive(at(0), q)
+		if d.Refused != "" {
+			t.Fatalf("%+v", d)
+		}
+		credit := b.rateLimits[KeyOf("a")].credit
+		g := NewGrant(&q, d.Choice)
+		if claimed {
+			b.Apply(at(0), &g, Event{Kind: Claimed})
+		}
+		b.Apply(at(0), &g, Event{Kind: Released})
+		want := credit + 1
+		if claimed {
+			want = credit
+		}
+		if got := b.rateLimits[KeyOf("a")].credit; got != want {
+			t.Errorf("claimed %v: %g requests may be sent, want %g", claimed, got, want)
+		}
+	}
+}
