--- a/internal/request/place/ratelimit_test.go
+++ b/internal/request/place/ratelimit_test.go
@@ -125,7 +125,7 @@
 			sent++
 			served(b, now, "a")
 		case d.RetryAfter <= 2*time.Second: // callers don't wait for longer
-			returns[(now + d.RetryAfter + step).Truncate(step)]++
+			returns[(now+d.RetryAfter+step).Truncate(step)]++
 		}
 		for _, d := range r.Tick(at(now)) {
 			if d.Refused == "" {
