Decoding engines read more while limits keep prompts from those that read

While limits bind they take those of up to two fifths, the bound that reading and beginning an answer has anyway.

--- a/internal/request/place/cost.go
+++ b/internal/request/place/cost.go
@@ -193,7 +193,11 @@
 // delays reports whether reading the prompt at a decoding engine would hold up the
 // answers that begin there meanwhile.
 func (v *view) delays(l *load) bool {
-	return v.q.Objective > 0 && v.wait(l)+v.reading(l) > v.q.BehindOthers()
+	target := v.q.BehindOthers()
+	if v.q.readersLimited {
+		target = v.q.readHereTarget() // it may not find another reader for as long as the limits last
+	}
+	return v.q.Objective > 0 && v.wait(l)+v.reading(l) > target
 }
 
 // strainedShare is the part of the pace that a long answer needs at which its engine
--- a/internal/request/place/event.go
+++ b/internal/request/place/event.go
@@ -15,15 +15,20 @@
 	Target time.Duration // for which its prompt should wait behind others at most; 0: not bounded
 }
 
-// readHereTarget is the part of a request's objective that reading its prompt and
+// readHereShareOfAim is the part of a request's objective that reading its prompt and
 // beginning its answer at one engine should take at most, its waits there included.
-const readHereTarget = 0.4
+const readHereShareOfAim = 0.4
+
+// readHereTarget is how long that should take at most.
+func (q *Query) readHereTarget() time.Duration {
+	return time.Duration(readHereShareOfAim * float64(q.Objective))
+}
 
 // NewGrant gives a place that was chosen for a request.
 func NewGrant(q *Query, c Choice) Grant {
 	g := Grant{Choice: c, Prompt: q.Prompt, Memory: q.Memory, Target: q.BehindOthers()}
 	if c.Work == ReadHere {
-		g.Target = time.Duration(readHereTarget * float64(q.Objective))
+		g.Target = q.readHereTarget()
 	}
 	return g
 }
--- a/internal/request/place/query.go
+++ b/internal/request/place/query.go
@@ -26,6 +26,8 @@
 	OrHere    bool           // with Prefill: ReadHere does as well
 	Until     time.Time      // when its caller stops waiting; zero: not known
 	Returned  bool           // its caller was refused before and told to come back now
+
+	readersLimited bool // with ReadHere: limits keep it from engines that read prompts only
 }
 
 // BehindOthers is how long a prompt should wait behind others at most; 0: not bounded.
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -136,6 +136,8 @@
 	if !ok && q.OrHere {
 		here := *q
 		here.Work = ReadHere
+		p := r.book.paced(now, q)
+		here.readersLimited = p.count > 0
 		choice, ok = r.book.Pick(now, &here)
 	}
 	if !ok {
--- a/internal/request/place/ratelimit_test.go
+++ b/internal/request/place/ratelimit_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 )
@@ -273,3 +274,29 @@
 		}
 	}
 }
+
+// TestDecodingEnginesReadMoreWhileReadersAreLimited has the only engine that reads prompts name a
+// limit. A prompt that a decoding engine would otherwise be spared is read there.
+func TestDecodingEnginesReadMoreWhileReadersAreLimited(t *testing.T) {
+	engine := func(id string, role upstream.Role) fleet.Upstream {
+		u := up(id, "z1", 8)
+		u.Role = role
+		return u
+	}
+	for _, limited := range []bool{false, true} {
+		b := bookOf(engine("reads", upstream.RolePrefill), engine("decodes", upstream.RoleDecode))
+		if limited {
+			b.RateLimited(at(0), "reads", perSecond(1))
+			b.rateLimits[KeyOf("reads")].credit = 0
+		}
+		for range 10 { // it is full
+			b.Sent(at(0), "reads", Prefill)
+		}
+		q := query("q")
+		q.Work, q.OrHere, q.Objective, q.Prompt = Prefill, true, 100*time.Millisecond, Prompt{Own: 3500} // 28 ms
+		d, decided := NewQueue(b).Arrive(at(0), q)
+		if got := decided && d.Refused == "" && d.Choice.Work == ReadHere; got != limited {
+			t.Errorf("limited %v: %+v, decided %v", limited, d, decided)
+		}
+	}
+}
