A placer that needs more of a limit is lent what others don't need

A placer whose requests are held up by limits asks the placers of other zones too; one whose own aren't lends four fifths of its part, for 1.2 s from the request.

--- a/internal/process/entry/ratelimits.go
+++ b/internal/process/entry/ratelimits.go
@@ -117,10 +117,14 @@
 	serial, zone := s.core.AskShares(now, boot)
 	placers := s.core.Placers(now)
 	s.mu.Unlock()
-	if serial != 0 {
-		s.sendRateLimits(limits, serial, zone)
-		s.sendRateLimits(limits, 0, placers)
+	if serial == 0 {
+		return
+	}
+	s.sendRateLimits(limits, serial, zone)
+	if !s.e.state.limitsBind(now) {
+		serial = 0 // others keep what they have
 	}
+	s.sendRateLimits(limits, serial, placers)
 }
 
 // sendRateLimits sends limits, in as many messages as they need. With the first one goes the
@@ -147,7 +151,7 @@
 	}
 	if l := m.ShareLoan; l != nil {
 		s.mu.Lock()
-		s.core.BorrowShare(boottime.Now(), from, l.Serial, l.Share)
+		s.core.BorrowShare(boottime.Now(), from, l.Serial, l.Loan())
 		s.mu.Unlock()
 	}
 }
@@ -167,20 +171,27 @@
 	s.flushRateNews(now)
 }
 
-// lendShare lends this instance's part of limits to the one that gives it places. It uses none of
-// it from before the answer on.
+// lendShare lends a part of limits to another instance. This one uses none of that from before the
+// answer on.
 func (s *sharing) lendShare(now time.Time, to string, serial uint64) {
-	boot := boottime.Now()
+	boot, needed := boottime.Now(), s.e.state.limitsBind(now)
 	s.mu.Lock()
-	share, ok := s.core.LendShare(now, boot, to)
+	loan, ok := s.core.LendShare(now, boot, to, needed)
 	rest := s.core.RateShare(boot)
 	s.mu.Unlock()
 	if ok {
 		s.e.state.setRateShare(now, rest)
-		s.send(peers.Message{ShareLoan: &peers.ShareLoan{Serial: serial, Share: share}}, to)
+		s.send(peers.Message{ShareLoan: &peers.ShareLoan{Serial: serial, Share: loan.Share, TermMS: loan.Term.Milliseconds()}}, to)
 	}
 }
 
+// limitsBind reports whether limits have lately kept requests from upstreams.
+func (s *state) limitsBind(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.LimitsBind(now)
+}
+
 // setRateShare sets the part of each limit that this process may use.
 func (s *state) setRateShare(now time.Time, share float64) {
 	s.mu.Lock()
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -70,11 +70,17 @@
 	AgeMS     int64 // since an answer said so
 }
 
-// ShareLoan lends the sender's part of all limits to the receiver.
+// ShareLoan lends a part of all limits to the receiver.
 type ShareLoan struct {
 	_      struct{} `cbor:",toarray"`
 	Serial uint64   // of the request for it
 	Share  float64  // from 0 to 1
+	TermMS int64
+}
+
+// Loan gives what is lent.
+func (l *ShareLoan) Loan() Loan {
+	return Loan{Share: l.Share, Term: time.Duration(l.TermMS) * time.Millisecond}
 }
 
 // RateLimitOf tells a limit.
@@ -233,8 +239,8 @@
 			return m, errors.Wrap(err, "message of a peer")
 		}
 	}
-	if l := m.ShareLoan; l != nil && !(l.Share >= 0 && l.Share <= 1) {
-		return m, errors.Errorf("message of a peer: a share of %g", l.Share)
+	if l := m.ShareLoan; l != nil && !(l.Share >= 0 && l.Share <= 1 && l.TermMS >= 0 && l.TermMS <= loanTerm.Milliseconds()) {
+		return m, errors.Errorf("message of a peer: a share of %g for %d ms", l.Share, l.TermMS)
 	}
 	if len(m.UsageWanted) > usage.KeepWindows {
 		return m, errors.Errorf("message of a peer: usage of %d windows wanted", len(m.UsageWanted))
--- a/internal/process/peers/rateshare.go
+++ b/internal/process/peers/rateshare.go
@@ -9,8 +9,9 @@
 // Limits that upstreams name hold for all instances together. Each instance has an equal part of
 // every limit, which needs no word from anybody and outlives kills, cuts and freezes. While
 // limits are in force an instance lends its part to the placer of its availability zone, which
-// sends for it, and uses none of it meanwhile; the loan ends by itself. So the parts in use
-// never add up to more than one, whoever gives places to whom.
+// sends for it, and uses none of it meanwhile; the loan ends by itself. A placer that needs more is
+// lent most of what another one, of another availability zone, doesn't need. So the parts in
+// use never add up to more than one, whoever gives places to whom.
 
 // MostInstances is how many instances a process takes the deployment to have where it doesn't
 // know. It is more than any deployment has.
@@ -19,6 +20,12 @@
 const (
 	// loanTerm is how long a part is lent, from the request for it.
 	loanTerm = 2500 * time.Millisecond
+	// spareTerm is how long a placer lends what it doesn't need: a little longer than the pause
+	// between two requests for it. Parts that it has only borrowed outlast that.
+	spareTerm = 1200 * time.Millisecond
+	// spareShare is the part that it lends of what it doesn't need; with the rest it notices a
+	// need of its own.
+	spareShare = 0.8
 	// askSharesEvery is how often a placer asks for the parts of its availability zone.
 	askSharesEvery = time.Second
 	// settledAfter is how long after it first read the list of instances one has its own part:
@@ -33,6 +40,7 @@
 	settledAt boottime.Time // 0: no list was read yet
 	lentTo    string
 	lentUntil boottime.Time
+	spare     map[string]loan // lent to other placers, by their addresses
 	borrowed  map[string]loan // by the lender's address
 	asks      []shareAsk      // the newest last
 	serial    uint64
@@ -67,18 +75,39 @@
 
 // RateShare is the part of each limit that this instance may use now.
 func (c *Core) RateShare(now boottime.Time) float64 {
-	share := 0.0
-	if !now.Before(c.shares.lentUntil) {
-		share = c.ownShare(now)
-	}
-	for from, l := range c.shares.borrowed {
+	s := &c.shares
+	share := c.shareFor(now, 0)
+	return min(max(share-s.spareLent(now), 0), 1)
+}
+
+// spareLent is what other placers have of this one's part.
+func (s *shares) spareLent(now boottime.Time) float64 {
+	sum := 0.0
+	for to, l := range s.spare {
 		if !now.Before(l.until) {
-			delete(c.shares.borrowed, from)
+			delete(s.spare, to)
 			continue
 		}
-		share += l.share
+		sum += l.share
+	}
+	return sum
+}
+
+// shareFor is the part that this instance has for a time to come, what it lends others included.
+func (c *Core) shareFor(now boottime.Time, term time.Duration) float64 {
+	s, share := &c.shares, 0.0
+	if !now.Before(s.lentUntil) {
+		share = c.ownShare(now)
+	}
+	for from, l := range s.borrowed {
+		switch {
+		case !now.Before(l.until):
+			delete(s.borrowed, from)
+		case !l.until.Before(now.Add(term)):
+			share += l.share
+		}
 	}
-	return min(share, 1)
+	return share
 }
 
 // AskShares gives the serial of a request for the parts of other instances, and their addresses, if
@@ -96,34 +125,61 @@
 	return s.serial, c.Zone()
 }
 
-// LendShare answers a request for this instance's part. ok is false if it isn't lent: another
-// instance has it, or this one gives places itself.
-func (c *Core) LendShare(now time.Time, boot boottime.Time, to string) (share float64, ok bool) {
+// Loan is a part of all limits that is lent for a time.
+type Loan struct {
+	Share float64
+	Term  time.Duration // from the request for it
+}
+
+// LendShare answers a request for this instance's part. One that gives places lends what it doesn't
+// need of its part, the others all of theirs to the one that gives them places. ok is false if
+// nothing is lent.
+func (c *Core) LendShare(now time.Time, boot boottime.Time, to string, needed bool) (l Loan, ok bool) {
 	s := &c.shares
 	k, known := c.known[to]
 	switch {
-	case !known || k.Zone != c.self.Zone || c.Placing(now):
-		return 0, false
-	case s.lentTo != to && boot.Before(s.lentUntil):
-		return 0, false
-	case c.Placer() != to:
-		return 0, false
+	case !known:
+		return Loan{}, false
+	case c.Placing(now):
+		return c.lendSpare(boot, k, needed)
+	case c.Placer() != to || (s.lentTo != to && boot.Before(s.lentUntil)):
+		return Loan{}, false
 	}
 	s.lentTo, s.lentUntil = to, boot.Add(loanTerm)
-	return c.ownShare(boot), true
+	return Loan{Share: c.ownShare(boot), Term: loanTerm}, true
+}
+
+func (c *Core) lendSpare(now boottime.Time, to *known, needed bool) (l Loan, ok bool) {
+	if needed || to.Zone == c.self.Zone {
+		return Loan{}, false
+	}
+	s := &c.shares
+	has := c.shareFor(now, spareTerm) - s.spareLent(now)
+	before := s.spare[to.Address].share // which the new loan replaces
+	share := spareShare * (has + before)
+	if share <= 0 {
+		return Loan{}, false
+	}
+	if s.spare == nil {
+		s.spare = make(map[string]loan)
+	}
+	s.spare[to.Address] = loan{share: max(share, before), until: now.Add(spareTerm)}
+	return Loan{Share: share, Term: spareTerm}, true
 }
 
-// BorrowShare takes the part of another instance, the answer to the request with a serial. The loan
+// BorrowShare takes a loan of another instance, the answer to the request with a serial. The loan
 // counts from the request, so that an answer that comes late doesn't make it longer than the
 // lender takes it to be.
-func (c *Core) BorrowShare(now boottime.Time, from string, serial uint64, share float64) {
+func (c *Core) BorrowShare(now boottime.Time, from string, serial uint64, l Loan) {
 	s := &c.shares
 	for _, a := range s.asks {
-		if until := a.at.Add(loanTerm); a.serial == serial && now.Before(until) && share <= 1 {
-			if s.borrowed == nil {
-				s.borrowed = make(map[string]loan)
-			}
-			s.borrowed[from] = loan{share: share, until: until}
+		until := a.at.Add(min(l.Term, loanTerm))
+		if a.serial != serial || !now.Before(until) || l.Share > 1 {
+			continue
+		}
+		if s.borrowed == nil {
+			s.borrowed = make(map[string]loan)
 		}
+		s.borrowed[from] = loan{share: l.Share, until: until}
 	}
 }
--- a/internal/process/peers/rateshare_test.go
+++ b/internal/process/peers/rateshare_test.go
@@ -46,9 +46,9 @@
 	if again, _ := placer.AskShares(at(0), boot(time.Millisecond)); again != 0 {
 		t.Error("asked again at once")
 	}
-	lent, ok := asker.LendShare(at(0), boot(time.Second), placer.self.Address)
-	if !ok || lent != 0.25 || share(asker, time.Second) != 0 {
-		t.Errorf("lent %g (%v), left with %g", lent, ok, share(asker, time.Second))
+	lent, ok := asker.LendShare(at(0), boot(time.Second), placer.self.Address, true)
+	if !ok || lent.Share != 0.25 || share(asker, time.Second) != 0 {
+		t.Errorf("lent %+v (%v), left with %g", lent, ok, share(asker, time.Second))
 	}
 	placer.BorrowShare(boot(time.Second), asker.self.Address, serial+1, lent)
 	if got := share(placer, time.Second); got != 0.25 {
@@ -77,7 +77,7 @@
 			asker = c
 		}
 	}
-	if _, ok := asker.LendShare(at(0), boot(0), placer.self.Address); !ok {
+	if _, ok := asker.LendShare(at(0), boot(0), placer.self.Address, true); !ok {
 		t.Fatal("not lent")
 	}
 	asker.Unanswered(placer.self.Address)
@@ -85,10 +85,10 @@
 	if next == "" {
 		t.Skip("it gives places itself")
 	}
-	if _, ok := asker.LendShare(at(0), boot(time.Second), next); ok {
+	if _, ok := asker.LendShare(at(0), boot(time.Second), next, true); ok {
 		t.Error("lent twice")
 	}
-	if _, ok := asker.LendShare(at(0), boot(loanTerm), next); !ok {
+	if _, ok := asker.LendShare(at(0), boot(loanTerm), next, true); !ok {
 		t.Error("not lent after the first loan")
 	}
 }
@@ -124,7 +124,7 @@
 	}
 	for _, bad := range []Message{
 		{RateLimits: []RateLimit{{PerSecond: math.NaN()}}}, {RateLimits: []RateLimit{{PerSecond: -1}}}, {RateLimits: []RateLimit{{PerSecond: math.Inf(1)}}},
-		{RateLimits: []RateLimit{{AgeMS: -1}}}, {RateLimits: make([]RateLimit, MaxRateLimits+1)}, {ShareLoan: &ShareLoan{Share: 1.5}}, {ShareLoan: &ShareLoan{Share: math.NaN()}},
+		{RateLimits: []RateLimit{{AgeMS: -1}}}, {RateLimits: make([]RateLimit, MaxRateLimits+1)}, {ShareLoan: &ShareLoan{Share: 1.5}}, {ShareLoan: &ShareLoan{Share: math.NaN()}}, {ShareLoan: &ShareLoan{TermMS: loanTerm.Milliseconds() + 1}},
 	} {
 		if data, err := Encode(bad); err == nil {
 			if _, err := Decode(data); err == nil {
@@ -147,6 +147,15 @@
 	arrived []time.Duration
 }
 
+// spread is how requests are divided among instances.
+type spread string
+
+const (
+	even    spread = "even"
+	uneven  spread = "uneven"
+	oneZone spread = "one availability zone only"
+)
+
 // rateInstance is one instance of the fleet.
 type rateInstance struct {
 	core   *Core
@@ -166,7 +175,7 @@
 
 var limitedUpstream = fleet.Upstream{ID: "limited", Service: "s", Zone: "z0", Slots: 10_000}
 
-func newRateFleet(seed uint64, n, zones int, limit float64, loans, even bool) *rateFleet {
+func newRateFleet(seed uint64, n, zones int, limit float64, loans bool, traffic spread) *rateFleet {
 	f := &rateFleet{rng: rand.New(rand.NewPCG(seed, 1)), loans: loans, byName: make(map[string]*rateInstance)}
 	total := 0.0
 	for i, c := range settled(n, zones) {
@@ -175,8 +184,11 @@
 		f.byName[c.self.Address] = in
 		f.start(in, uint64(i)+seed<<32, limit)
 		w := 1.0
-		if !even {
+		switch {
+		case traffic == uneven:
 			w = f.rng.ExpFloat64()
+		case traffic == oneZone && in.zone != f.all[0].zone:
+			w = 0
 		}
 		total += w
 		f.weights = append(f.weights, total)
@@ -239,6 +251,9 @@
 			continue
 		}
 		serial, to := in.core.AskShares(at(now), boot(now))
+		if serial != 0 && in.book.LimitsBind(at(now)) {
+			to = append(to, in.core.Placers(at(now))...)
+		}
 		for _, address := range to {
 			f.post(now, in.core.self.Address, address, Message{ShareAsk: serial})
 		}
@@ -251,12 +266,13 @@
 
 func (f *rateFleet) take(now time.Duration, in *rateInstance, l letter) {
 	if ask := l.message.ShareAsk; ask != 0 {
-		if share, ok := in.core.LendShare(at(now), boot(now), l.from); ok {
-			f.post(now, l.to, l.from, Message{ShareLoan: &ShareLoan{Serial: ask, Share: share}})
+		if loan, ok := in.core.LendShare(at(now), boot(now), l.from, in.book.LimitsBind(at(now))); ok {
+			in.book.SetRateShare(at(now), in.core.RateShare(boot(now)))
+			f.post(now, l.to, l.from, Message{ShareLoan: &ShareLoan{Serial: ask, Share: loan.Share, TermMS: loan.Term.Milliseconds()}})
 		}
 	}
 	if loan := l.message.ShareLoan; loan != nil {
-		in.core.BorrowShare(boot(now), l.from, loan.Serial, loan.Share)
+		in.core.BorrowShare(boot(now), l.from, loan.Serial, loan.Loan())
 	}
 }
 
@@ -313,8 +329,8 @@
 		limit    float64
 	}{{8, 4, 0.5}, {8, 4, 6.9}, {6, 3, 30}, {76, 3, 6.9}, {76, 3, 0.3}, {295, 5, 4}} {
 		for _, loans := range []bool{true, false} {
-			for seed := range uint64(2) {
-				f := newRateFleet(seed, c.n, c.zones, c.limit, loans, seed%2 == 0)
+			for seed := range uint64(3) {
+				f := newRateFleet(seed, c.n, c.zones, c.limit, loans, []spread{even, uneven, oneZone}[seed])
 				f.loss = 0.02
 				for now := time.Duration(0); now < 25*time.Second; now += rateStepTime {
 					f.disturb(now, c.limit)
@@ -356,18 +372,19 @@
 		n, zones int
 		limit    float64
 		requests float64
-		even     bool
+		spread   spread
 		loans    float64 // least part used
 	}{
-		{8, 4, 6.9, 100, true, 0.8}, {8, 4, 6.9, 100, false, 0.7}, {8, 4, 0.5, 100, false, 0.7},
-		{76, 3, 6.9, 300, true, 0.8}, {76, 3, 6.9, 300, false, 0.8}, {76, 3, 50, 100, false, 0.7},
-		{370, 9, 6.9, 2500, true, 0.8}, {370, 9, 6.9, 2500, false, 0.8}, {370, 9, 1, 100, false, 0.7},
+		{8, 4, 6.9, 100, oneZone, 0.7}, {76, 3, 6.9, 300, oneZone, 0.7}, {370, 9, 20, 300, oneZone, 0.6},
+		{8, 4, 6.9, 100, even, 0.8}, {8, 4, 6.9, 100, uneven, 0.7}, {8, 4, 0.5, 100, uneven, 0.7},
+		{76, 3, 6.9, 300, even, 0.8}, {76, 3, 6.9, 300, uneven, 0.8}, {76, 3, 50, 100, uneven, 0.7},
+		{370, 9, 6.9, 2500, even, 0.8}, {370, 9, 6.9, 2500, uneven, 0.8}, {370, 9, 1, 100, uneven, 0.7},
 	} {
 		const while = 30 * time.Second
 		used := make(map[bool]float64)
 		messages := 0.0
 		for _, loans := range []bool{true, false} {
-			f := newRateFleet(7, c.n, c.zones, c.limit, loans, c.even)
+			f := newRateFleet(7, c.n, c.zones, c.limit, loans, c.spread)
 			for now := time.Duration(0); now < while; now += rateStepTime {
 				f.step(now, c.requests)
 			}
@@ -376,8 +393,8 @@
 				messages = float64(f.sent) / while.Seconds() / float64(c.n)
 			}
 		}
-		t.Logf("%d instances in %d zones, %g a second, %.0f requests a second, even %v: %.2f used with loans (%.1f messages a second and instance), %.2f without",
-			c.n, c.zones, c.limit, c.requests, c.even, used[true], messages, used[false])
+		t.Logf("%d instances in %d zones, %g a second, %.0f requests a second, %s: %.2f used with loans (%.1f messages a second and instance), %.2f without",
+			c.n, c.zones, c.limit, c.requests, c.spread, used[true], messages, used[false])
 		if used[true] < c.loans {
 			t.Errorf("%+v: %.2f used", c, used[true])
 		}
--- a/internal/request/place/pick.go
+++ b/internal/request/place/pick.go
@@ -91,15 +91,6 @@
 	return choice, true
 }
 
-// mustWait reports whether an upstream's limit keeps this process from sending there now.
-func (b *Book) mustWait(now time.Time, l *load) bool {
-	if len(b.rateLimits) == 0 {
-		return false
-	}
-	wait, _ := b.rateWait(now, l.key)
-	return wait > 0
-}
-
 // idleLoad in requests: an upstream with less is taken to have none.
 const idleLoad = 0.5
 
--- a/internal/request/place/ratelimit.go
+++ b/internal/request/place/ratelimit.go
@@ -39,6 +39,7 @@
 	at        time.Time // when an answer said so
 	credit    float64   // requests that may be sent
 	counted   time.Time // until when credit is counted
+	heldAt    time.Time // when it last kept a request from the upstream; zero: never
 }
 
 // ToldRateLimit is what one instance tells others of the limit of an upstream.
@@ -191,7 +192,7 @@
 // never is the wait for a request that may not be sent at all.
 const never = time.Duration(math.MaxInt64)
 
-// rateWait is how long the limit of an upstream keeps this process from sending there. limited is
+// rateWait is how long the limit of an upstream keeps a request of this process from it. limited is
 // false if the upstream names no limit.
 func (b *Book) rateWait(now time.Time, key UpstreamKey) (wait time.Duration, limited bool) {
 	l := b.rateLimits[key]
@@ -202,9 +203,33 @@
 	if l.credit >= 1 {
 		return 0, true
 	}
+	l.heldAt = now
 	return timeFor(1-l.credit, l.rate()*b.rateShare), true
 }
 
+// mustWait reports whether an upstream's limit keeps this process from sending there now.
+func (b *Book) mustWait(now time.Time, l *load) bool {
+	if len(b.rateLimits) == 0 {
+		return false
+	}
+	wait, _ := b.rateWait(now, l.key)
+	return wait > 0
+}
+
+// heldLately is how long a limit that kept a request from its upstream counts as one that holds
+// requests up.
+const heldLately = 2 * time.Second
+
+// LimitsBind reports whether limits have lately kept requests from upstreams.
+func (b *Book) LimitsBind(now time.Time) bool {
+	for _, l := range b.rateLimits {
+		if !l.ended && !l.heldAt.IsZero() && now.Sub(l.heldAt) < heldLately {
+			return true
+		}
+	}
+	return false
+}
+
 // timeFor is the time in which so many requests may be sent.
 func timeFor(requests, perSecond float64) time.Duration {
 	seconds := requests / perSecond
