--- a/internal/process/entry/ratelimits.go
+++ b/internal/process/entry/ratelimits.go
@@ -109,7 +109,8 @@
 	s.mu.Lock()
 	share := s.core.RateShare(boot)
 	s.mu.Unlock()
-	limits := s.e.state.rateLimits(now, share)
+	s.e.state.setRateShare(now, share)
+	limits := s.e.state.rateLimits(now)
 	if len(limits) == 0 {
 		return
 	}
@@ -146,6 +147,9 @@
 	if len(m.RateLimits) > 0 {
 		s.hearRateLimits(now, from, m.RateLimits)
 	}
+	if m.Sender != nil && m.Sequence == 0 {
+		s.welcome(now, from)
+	}
 	if m.ShareAsk != 0 {
 		s.lendShare(now, from, m.ShareAsk)
 	}
@@ -156,6 +160,16 @@
 	}
 }
 
+// welcome tells an instance that introduces itself the limits: it may have started just now.
+func (s *sharing) welcome(now time.Time, to string) {
+	s.mu.Lock()
+	placing := s.core.Placing(now)
+	s.mu.Unlock()
+	if placing {
+		s.sendRateLimits(s.e.state.rateLimits(now), 0, []string{to})
+	}
+}
+
 func (s *sharing) hearRateLimits(now time.Time, from string, limits []peers.RateLimit) {
 	for _, l := range limits {
 		told, news := l.Told(), false
@@ -199,11 +213,10 @@
 	s.book.SetRateShare(now, share)
 }
 
-// rateLimits sets the part of each limit that this process may use, and gives all limits.
-func (s *state) rateLimits(now time.Time, share float64) []place.ToldRateLimit {
+// rateLimits gives all limits.
+func (s *state) rateLimits(now time.Time) []place.ToldRateLimit {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.book.SetRateShare(now, share)
 	return s.book.RateLimits(now)
 }
 
