--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -64,12 +64,18 @@
 	count  int
 	starts map[string]*eventRate
 
-	promised map[string]time.Time // by queue: when the next request that is refused may be sent
+	promised map[promiseKey]time.Time // when the next request that is refused may be sent
+}
+
+// promiseKey names the requests of one urgency that wait for the same upstreams.
+type promiseKey struct {
+	queue   string
+	urgency int
 }
 
 // NewQueue makes an empty queue over a book.
 func NewQueue(book *Book) *Queue {
-	return &Queue{book: book, queues: make(map[string][]waiting), starts: make(map[string]*eventRate), promised: make(map[string]time.Time)}
+	return &Queue{book: book, queues: make(map[string][]waiting), starts: make(map[string]*eventRate), promised: make(map[promiseKey]time.Time)}
 }
 
 // Len counts the requests that wait.
@@ -243,15 +249,26 @@
 		return maxRetryAfter // the share of this process comes back within about that time
 	}
 	at := now.Add(max(wait, minRetryAfter))
-	if told := r.promised[queue]; told.After(at) {
+	if told := r.promisedUntil(q); told.After(at) {
 		at = told
 	}
 	if at.Sub(now) <= q.returnsWithin(now) {
-		r.promised[queue] = at.Add(timeFor(1, p.perSecond))
+		r.promised[promiseKey{queue, q.Urgency}] = at.Add(timeFor(1, p.perSecond))
 	}
 	return at.Sub(now)
 }
 
+// promisedUntil is until when what limits allow was told to requests that go before q or beside it.
+func (r *Queue) promisedUntil(q *Query) time.Time {
+	var until time.Time
+	for key, at := range r.promised {
+		if key.queue == q.queue() && key.urgency <= q.Urgency && at.After(until) {
+			until = at
+		}
+	}
+	return until
+}
+
 // returnsWithin is how long a caller that is refused waits before it returns, at most.
 func (q *Query) returnsWithin(now time.Time) time.Duration {
 	if q.Until.IsZero() {
@@ -263,7 +280,7 @@
 // keptBack reports whether what limits allow now is kept for requests that were told to come
 // back for it.
 func (r *Queue) keptBack(now time.Time, q *Query) bool {
-	if q.Returned || !r.promised[q.queue()].After(now) {
+	if q.Returned || !r.promisedUntil(q).After(now) {
 		return false
 	}
 	p := r.book.paced(now, q)
--- a/internal/request/place/ratelimit_test.go
+++ b/internal/request/place/ratelimit_test.go
@@ -300,3 +300,33 @@
 		}
 	}
 }
+
+// TestUrgentRequestsAreNotKeptBackForOthers has less urgent requests be told to come back, and an
+// urgent one come before they do.
+func TestUrgentRequestsAreNotKeptBackForOthers(t *testing.T) {
+	b := bookOf(up("a", "z1", 64))
+	b.RateLimited(at(0), "a", perSecond(2))
+	r := NewQueue(b)
+	ask := func(id string, urgency int, d time.Duration) Decision {
+		q := query(id)
+		q.Urgency, q.Arrived, q.StartBy = urgency, at(d), at(d)
+		decision, _ := r.Arrive(at(d), q)
+		if decision.Refused == "" {
+			served(b, d, "a")
+		}
+		return decision
+	}
+	var last Decision
+	for i := range 4 {
+		last = ask(fmt.Sprint(i), 2, 0)
+	}
+	if last.RetryAfter < 500*time.Millisecond {
+		t.Fatalf("%+v, want a later time than the first one's", last)
+	}
+	if d := ask("less urgent", 2, 600*time.Millisecond); d.Refused == "" {
+		t.Error("one that wasn't told to come back takes the place of another")
+	}
+	if d := ask("urgent", 0, 600*time.Millisecond); d.Refused != "" {
+		t.Errorf("the urgent one: %+v", d)
+	}
+}
