--- a/internal/process/entry/ratelimits.go
+++ b/internal/process/entry/ratelimits.go
@@ -111,6 +111,7 @@
 	s.mu.Unlock()
 	s.e.state.setRateShare(now, share)
 	limits := s.e.state.rateLimits(now)
+	s.tellMeters(limits, share)
 	if len(limits) == 0 {
 		return
 	}
@@ -128,6 +129,21 @@
 	s.sendRateLimits(limits, serial, placers)
 }
 
+// tellMeters notes limits that came or went.
+func (s *sharing) tellMeters(limits []place.ToldRateLimit, share float64) {
+	n := 0
+	for _, l := range limits {
+		if !l.Ended {
+			n++
+		}
+	}
+	if n > 0 || s.limited > 0 {
+		s.e.meters.limitedUpstreams(n)
+		s.e.meters.limitShare(share)
+	}
+	s.limited = n
+}
+
 // sendRateLimits sends limits, in as many messages as they need. With the first one goes the
 // request for the receivers' parts of them, if it has a serial.
 func (s *sharing) sendRateLimits(limits []place.ToldRateLimit, ask uint64, to []string) {
--- a/internal/process/entry/record.go
+++ b/internal/process/entry/record.go
@@ -62,6 +62,12 @@
 	m.scope.Tagged(map[string]string{"kind": kind}).Counter("entries_unreadable").Inc(1)
 }
 
+// limitedUpstreams tells how many upstreams name a limit of requests a second.
+func (m *meters) limitedUpstreams(n int) { m.scope.Gauge("upstreams_limited").Update(float64(n)) }
+
+// limitShare tells the part of each limit that this process may use.
+func (m *meters) limitShare(share float64) { m.scope.Gauge("upstream_limit_share").Update(share) }
+
 // meterUsage names the duty to report usage.
 const meterUsage = "usage"
 
--- a/internal/process/entry/sharing.go
+++ b/internal/process/entry/sharing.go
@@ -35,6 +35,7 @@
 
 	crashes *crashNews
 	limits  rateNews
+	limited int // upstreams with limits, as told to the metrics last; of the loop that tells
 	usage   usageNews
 	life    uint64
 
--- a/internal/process/peers/rateshare.go
+++ b/internal/process/peers/rateshare.go
@@ -30,7 +30,7 @@
 	askSharesEvery = time.Second
 	// settledAfter is how long after it first read the list of instances one has its own part:
 	// until then the list may lack others that started with it, and others may not know of it.
-	settledAfter = 5 * time.Second
+	settledAfter = 3 * time.Second
 	// mostAsksKept bounds the requests for parts whose answers are still of use.
 	mostAsksKept = 4
 )
