A quarter of what limits allow is kept for callers that return

Where all upstreams have limits, all that these allowed was kept for callers that had been told to come back, who are late by then, while new ones were turned away. Now each caller that is told a time within its patience still finds its place then, but only one in four requests is promised; nothing is kept while most promised callers don't come.

--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -64,18 +64,12 @@
 	count  int
 	starts map[string]*eventRate
 
-	promised map[promiseKey]time.Time // when the next request that is refused may be sent
-}
-
-// promiseKey names the requests of one urgency that wait for the same upstreams.
-type promiseKey struct {
-	queue   string
-	urgency int
+	promises promises
 }
 
 // NewQueue makes an empty queue over a book.
 func NewQueue(book *Book) *Queue {
-	return &Queue{book: book, queues: make(map[string][]waiting), starts: make(map[string]*eventRate), promised: make(map[promiseKey]time.Time)}
+	return &Queue{book: book, queues: make(map[string][]waiting), starts: make(map[string]*eventRate)}
 }
 
 // Len counts the requests that wait.
@@ -86,7 +80,9 @@
 	if r.book.Eligible(now, &q) == 0 {
 		return r.refuse(now, &q, NoUpstream), true
 	}
-	if r.keptBack(now, &q) {
+	if p := r.book.paced(now, &q); q.Returned {
+		r.promises.claim(now, &q)
+	} else if p.all && r.promises.keepBack(now, &q, &p) {
 		return r.refuse(now, &q, NoPlace), true
 	}
 	if !r.anyBefore(&q) {
@@ -235,58 +231,11 @@
 func (r *Queue) retryAfter(now time.Time, q *Query) time.Duration {
 	queue := q.queue()
 	if p := r.book.paced(now, q); p.all {
-		return r.promise(now, q, &p)
+		return r.promises.next(now, q, p.after(len(r.queues[queue])), p.perSecond)
 	}
 	return waitFor(len(r.queues[queue])+1, r.rate(queue).perSecond(now))
 }
 
-// promise gives the next time at which a request may be sent that no other one was told. It is kept
-// for the request if its caller is likely to wait for so long.
-func (r *Queue) promise(now time.Time, q *Query, p *paced) time.Duration {
-	queue := q.queue()
-	wait := p.after(len(r.queues[queue]))
-	if wait == never {
-		return maxRetryAfter // the share of this process comes back within about that time
-	}
-	at := now.Add(max(wait, minRetryAfter))
-	if told := r.promisedUntil(q); told.After(at) {
-		at = told
-	}
-	if at.Sub(now) <= q.returnsWithin(now) {
-		r.promised[promiseKey{queue, q.Urgency}] = at.Add(timeFor(1, p.perSecond))
-	}
-	return at.Sub(now)
-}
-
-// promisedUntil is until when what limits allow was told to requests that go before q or beside it.
-func (r *Queue) promisedUntil(q *Query) time.Time {
-	var until time.Time
-	for key, at := range r.promised {
-		if key.queue == q.queue() && key.urgency <= q.Urgency && at.After(until) {
-			until = at
-		}
-	}
-	return until
-}
-
-// returnsWithin is how long a caller that is refused waits before it returns, at most.
-func (q *Query) returnsWithin(now time.Time) time.Duration {
-	if q.Until.IsZero() {
-		return maxRetryAfter
-	}
-	return time.Duration(returnShare * float64(q.Until.Sub(now)))
-}
-
-// keptBack reports whether what limits allow now is kept for requests that were told to come
-// back for it.
-func (r *Queue) keptBack(now time.Time, q *Query) bool {
-	if q.Returned || !r.promisedUntil(q).After(now) {
-		return false
-	}
-	p := r.book.paced(now, q)
-	return p.all && !p.spare
-}
-
 // limitsForbid reports whether the limits of all upstreams that could serve a request keep it from
 // starting in time behind n others.
 func (r *Queue) limitsForbid(now time.Time, q *Query, n int) bool {
@@ -317,9 +266,6 @@
 	maxRetryAfter = 2 * time.Second
 )
 
-// returnShare is the part of the time that a caller has left for which it waits before it returns.
-const returnShare = 1.0 / 3
-
 // waitFor is the time in which n requests start at a rate a second.
 func waitFor(n int, perSecond float64) time.Duration {
 	if perSecond < 1 {
--- a/internal/request/place/ratelimit.go
+++ b/internal/request/place/ratelimit.go
@@ -263,7 +263,7 @@
 	count     int           // of those that have
 	first     time.Duration // until one of them may get a request
 	perSecond float64       // that this process may send to them
-	spare     bool          // a request that may be sent goes unused
+	ready     int           // requests that may be sent now
 }
 
 // paced looks at the limits of the upstreams that could serve a request.
@@ -285,7 +285,7 @@
 		p.count++
 		p.first = min(p.first, wait)
 		p.perSecond += l.rate() * b.rateShare
-		p.spare = p.spare || l.credit >= 1+l.room(b.rateShare)/2
+		p.ready += int(max(l.credit, 0))
 	}
 	p.all = eligible > 0 && p.count == eligible
 	return p
