--- a/internal/request/place/promise.go
+++ b/internal/request/place/promise.go
@@ -13,18 +13,16 @@
 	promiseKept = 250 * time.Millisecond
 	// returnShare is the part of the time that a caller has left for which it waits before it returns.
 	returnShare = 1.0 / 3
-	// mostMissed is the share of callers that don't come beyond which nothing is kept for them.
-	mostMissed = 0.5
-	// missedStep is the weight of the newest one in that share.
-	missedStep = 0.1
+	// comeStep is the weight of the newest promise in the estimate of whether callers come.
+	comeStep = 0.1
 )
 
 // promises are the times that refused callers were told to come back at, where the limits of
 // upstreams decide when that helps. The zero value is ready to use.
 type promises struct {
-	open   []promise // not claimed yet, in no order
-	last   map[promiseKey]time.Time
-	missed float64 // share of the newest ones whose callers didn't come
+	open []promise // not claimed yet, in no order
+	last map[promiseKey]time.Time
+	come float64 // 1: all callers come when they were told, -1: none does, by the newest ones
 }
 
 // promise is a request that is kept for a caller.
@@ -79,8 +77,8 @@
 // before more is allowed.
 func (p *promises) keepBack(now time.Time, q *Query, limits *paced) bool {
 	p.expire(now)
-	if p.missed > mostMissed {
-		return false
+	if p.come <= 0 {
+		return false // most don't come, or it isn't known that they do
 	}
 	due := 0
 	for _, o := range p.open {
@@ -96,7 +94,7 @@
 	p.open = slices.DeleteFunc(p.open, func(o promise) bool {
 		late := now.Sub(o.at) >= promiseKept
 		if late {
-			p.missed += missedStep * (1 - p.missed)
+			p.come -= comeStep * (1 + p.come)
 		}
 		return late
 	})
@@ -111,7 +109,7 @@
 		}
 	}
 	if best >= 0 {
-		p.missed -= missedStep * p.missed
+		p.come += comeStep * (1 - p.come)
 		p.open = slices.Delete(p.open, best, best+1)
 	}
 }
--- a/internal/request/place/ratelimit_test.go
+++ b/internal/request/place/ratelimit_test.go
@@ -323,6 +323,7 @@
 	if last.RetryAfter < 500*time.Millisecond {
 		t.Fatalf("%+v, want a later time than the first one's", last)
 	}
+	r.promises.come = 1
 	if d := ask("less urgent", 2, 600*time.Millisecond); d.Refused == "" {
 		t.Error("one that wasn't told to come back takes the place of another")
 	}
