No caller is told to come back in years; loans of a former life are passed over

A process with a small part of a small limit told refused callers hours or, where a time was beyond an hour, 292 years. Questions for parts are numbered from the life of the process, so that an answer to one of its former life isn't taken for one to the present.

--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -102,7 +102,8 @@
 func New(self Peer, life uint64) *Core {
 	return &Core{
 		self: self, known: make(map[string]*known), sequence: life, nextRead: life,
-		me: &known{Peer: Peer{Name: self.Name, Zone: self.Zone, Cores: self.Cores}},
+		me:     &known{Peer: Peer{Name: self.Name, Zone: self.Zone, Cores: self.Cores}},
+		shares: shares{serial: life}, // answers to questions of an earlier life are passed over
 	}
 }
 
--- a/internal/request/place/promise.go
+++ b/internal/request/place/promise.go
@@ -13,6 +13,8 @@
 	promiseKept = 250 * time.Millisecond
 	// returnShare is the part of the time that a caller has left for which it waits before it returns.
 	returnShare = 1.0 / 3
+	// longestTold bounds what a caller is told: limits change sooner.
+	longestTold = time.Minute
 	// comeStep is the weight of the newest promise in the estimate of whether callers come.
 	comeStep = 0.1
 )
@@ -62,7 +64,7 @@
 		p.last[key] = at
 		p.open = append(p.open, promise{key, at})
 	}
-	return at.Sub(now)
+	return min(at.Sub(now), longestTold)
 }
 
 // returnsWithin is how long a caller that is refused waits before it returns, at most.
--- a/internal/request/place/ratelimit_test.go
+++ b/internal/request/place/ratelimit_test.go
@@ -331,3 +331,18 @@
 		t.Errorf("the urgent one: %+v", d)
 	}
 }
+
+// TestNobodyIsToldToComeBackInYears has a process with a small part of a small limit refuse requests.
+func TestNobodyIsToldToComeBackInYears(t *testing.T) {
+	b := bookOf(up("a", "z1", 64))
+	b.SetRateShare(at(0), 0.01)
+	b.RateLimited(at(0), "a", perSecond(0))
+	r := NewQueue(b)
+	for i := range 20 {
+		q := query(fmt.Sprint(i))
+		q.StartBy = at(0)
+		if d, _ := r.Arrive(at(0), q); d.Refused != "" && (d.RetryAfter < minRetryAfter || d.RetryAfter > longestTold) {
+			t.Errorf("%d: told to come back in %v", i, d.RetryAfter)
+		}
+	}
+}
