Limits of upstreams that are gone are forgotten where nothing is shared, too

An instance that shares nothing never forgot a limit; after 4,096 of them it would have kept no further one. The table that is full is no news for each answer either.

--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -132,6 +132,7 @@
 	s.expire(now)
 	s.syncBook(now)
 	s.book.ForgetOldTold(now)
+	s.book.ForgetRateLimits(now)
 	s.decideWaiting(now)
 }
 
--- a/internal/request/place/ratelimit.go
+++ b/internal/request/place/ratelimit.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"maps"
 	"math"
 	"strconv"
 	"time"
@@ -111,10 +112,12 @@
 // limited takes a limit that an answer named at a time.
 func (b *Book) limited(now time.Time, key UpstreamKey, perSecond float64, at time.Time) (news bool) {
 	l := b.rateLimits[key]
-	if l == nil {
-		if len(b.rateLimits) < mostRateLimits {
-			b.rateLimits[key] = b.newRateLimit(now, key, perSecond, at)
-		}
+	switch {
+	case l != nil:
+	case len(b.rateLimits) >= mostRateLimits:
+		return false
+	default:
+		b.rateLimits[key] = b.newRateLimit(now, key, perSecond, at)
 		return true
 	}
 	l.refill(now, b.rateShare)
@@ -164,29 +167,36 @@
 	return l.ended == told.Ended && l.perSecond == told.PerSecond
 }
 
-// RateLimits gives what is to be told to others of limits, and forgets what is known of upstreams
-// that are gone and of limits that ended long ago.
+// RateLimits gives what is to be told to others of limits.
 func (b *Book) RateLimits(now time.Time) []ToldRateLimit {
 	var out []ToldRateLimit
 	for key, l := range b.rateLimits {
-		age := now.Sub(l.at)
-		_, known := b.byKey[key]
-		if (l.ended && age >= endKept) || (!known && age >= unknownKept) {
-			delete(b.rateLimits, key)
-			continue
-		}
-		out = append(out, ToldRateLimit{Upstream: key, PerSecond: l.perSecond, Ended: l.ended, Age: age})
+		out = append(out, l.told(now, key))
 	}
 	return out
 }
 
+// ForgetRateLimits forgets the limits of upstreams that are gone and those that ended long ago.
+func (b *Book) ForgetRateLimits(now time.Time) {
+	maps.DeleteFunc(b.rateLimits, func(key UpstreamKey, l *rateLimit) bool {
+		age := now.Sub(l.at)
+		_, known := b.byKey[key]
+		return (l.ended && age >= endKept) || (!known && age >= unknownKept)
+	})
+}
+
+// told gives what is told of a limit.
+func (l *rateLimit) told(now time.Time, key UpstreamKey) ToldRateLimit {
+	return ToldRateLimit{Upstream: key, PerSecond: l.perSecond, Ended: l.ended, Age: now.Sub(l.at)}
+}
+
 // RateLimitOf gives what is known of the limit of one upstream; ok is false if nothing is.
 func (b *Book) RateLimitOf(now time.Time, key UpstreamKey) (told ToldRateLimit, ok bool) {
 	l, ok := b.rateLimits[key]
 	if !ok {
 		return told, false
 	}
-	return ToldRateLimit{Upstream: key, PerSecond: l.perSecond, Ended: l.ended, Age: now.Sub(l.at)}, true
+	return l.told(now, key), true
 }
 
 // never is the wait for a request that may not be sent at all.
--- a/internal/request/place/ratelimit_test.go
+++ b/internal/request/place/ratelimit_test.go
@@ -233,16 +233,20 @@
 
 func TestLimitsOfUpstreamsThatAreGoneAreForgotten(t *testing.T) {
 	b := bookOf(up("a", "z1", 64))
+	left := func(d time.Duration) []ToldRateLimit {
+		b.ForgetRateLimits(at(d))
+		return b.RateLimits(at(d))
+	}
 	b.RateLimited(at(0), "a", perSecond(1))
 	b.RateLimited(at(0), "gone", perSecond(1))
-	if got := len(b.RateLimits(at(unknownKept - 1))); got != 2 {
+	if got := len(left(unknownKept - 1)); got != 2 {
 		t.Errorf("%d limits, want 2", got)
 	}
-	if got := b.RateLimits(at(unknownKept)); len(got) != 1 || got[0].Upstream != KeyOf("a") {
+	if got := left(unknownKept); len(got) != 1 || got[0].Upstream != KeyOf("a") {
 		t.Errorf("%+v, want the one of the upstream that is there", got)
 	}
 	b.NotRateLimited(at(time.Hour), "a")
-	if got := b.RateLimits(at(time.Hour + endKept)); len(got) != 0 {
+	if got := left(time.Hour + endKept); len(got) != 0 {
 		t.Errorf("%+v is still told", got)
 	}
 }
