--- a/internal/process/peers/doc.go
+++ b/internal/process/peers/doc.go
@@ -12,4 +12,7 @@
 // is a few ms old.
 // It is advice only: a message that is lost is replaced by the next one, and
 // an instance that is cut off goes on by what upstreams report.
+//
+// Limits of requests a second that upstreams name for all instances together are kept by parts of
+// them, which instances have and lend to each other (RateShare).
 package peers
--- a/internal/request/place/doc.go
+++ b/internal/request/place/doc.go
@@ -7,4 +7,6 @@
 // the requests for which there is no place yet, most urgent first, and refuses
 // the ones whose latest useful start has passed. Apply takes what becomes of a place that was
 // given: what this process saw itself, and what another one tells of a place that it has here.
+// At an upstream that names a limit of requests a second for all instances together, a place is
+// given only against credit of this process's part of it (SetRateShare).
 package place
