An upstream's load with a fourth figure is read; picks look at each upstream for less

Cause: a load with a fourth figure (how long work takes there now, 100: as usual) was passed over whole, as three fields were wanted. Change: three fields or more are read, the fourth makes work take so much longer or shorter in what a pick expects (0.5 to 4 times), forgotten by half every 200 ms as it changes many times a second. Figures that can't be read are no load; ones beyond the fourth are passed over. Stand-ins tell four. In the same files: a pick hashes ids once for all, keeps the model of each upstream's role with it, and stops at the first upstream that serves where only that is asked.

--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -259,7 +259,7 @@
 func headEvents(status int, told exchange.Told) []place.Event {
 	events := []place.Event{{Kind: place.Answered}}
 	if l := told.Load; l != nil {
-		events = append(events, place.Event{Kind: place.Load, Running: l.Running, Waiting: l.Waiting, Slots: l.Slots})
+		events = append(events, place.Event{Kind: place.Load, Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Percent: l.Percent})
 	}
 	if status == http.StatusMisdirectedRequest {
 		events = append(events, place.Event{Kind: place.Elsewhere})
--- a/internal/process/peers/placing.go
+++ b/internal/process/peers/placing.go
@@ -174,13 +174,14 @@
 	Running int
 	Waiting int
 	Slots   int
+	Percent int
 }
 
 // NoteOf tells events.
 func NoteOf(id uint64, events []place.Event) Note {
 	out := Note{ID: id}
 	for _, e := range events {
-		out.Events = append(out.Events, NoteEvent{Kind: uint8(e.Kind), TookUS: e.Took.Microseconds(), Running: e.Running, Waiting: e.Waiting, Slots: e.Slots})
+		out.Events = append(out.Events, NoteEvent{Kind: uint8(e.Kind), TookUS: e.Took.Microseconds(), Running: e.Running, Waiting: e.Waiting, Slots: e.Slots, Percent: e.Percent})
 	}
 	return out
 }
@@ -189,7 +190,7 @@
 func (n *Note) PlaceEvents() []place.Event {
 	out := make([]place.Event, 0, len(n.Events))
 	for _, e := range n.Events {
-		out = append(out, place.Event{Kind: place.EventKind(e.Kind), Took: micros(e.TookUS), Running: e.Running, Waiting: e.Waiting, Slots: e.Slots})
+		out = append(out, place.Event{Kind: place.EventKind(e.Kind), Took: micros(e.TookUS), Running: e.Running, Waiting: e.Waiting, Slots: e.Slots, Percent: e.Percent})
 	}
 	return out
 }
@@ -199,7 +200,7 @@
 		return errors.Errorf("note %d: %d events", n.ID, len(n.Events))
 	}
 	for _, e := range n.Events {
-		if e.TookUS < 0 || e.Running < 0 || e.Waiting < 0 || e.Slots < 0 {
+		if e.TookUS < 0 || e.Running < 0 || e.Waiting < 0 || e.Slots < 0 || e.Percent < 0 {
 			return errors.Errorf("note %d: a negative time or count", n.ID)
 		}
 	}
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -65,6 +65,7 @@
 	Running int
 	Waiting int
 	Slots   int
+	Percent int // how long work takes there at this moment, 100: as usual; 0: not told
 }
 
 // RateLimit is the requests a second that an upstream takes from all instances together.
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -23,6 +23,7 @@
 	rateLimits  map[UpstreamKey]*rateLimit
 	rateShare   float64 // see SetRateShare
 	salt        uint64  // see SetSalt
+	lists       uint64  // of upstreams that were set so far
 }
 
 // task is the work of one kind for a service.
@@ -33,7 +34,7 @@
 
 // mean gives the mean of an upstream's group.
 func (b *Book) mean(l *load) *mean {
-	return mapentry.Of(b.means, group{l.up.Service, l.up.Role}, mapentry.Zero[mean])
+	return mapentry.Of(b.means, l.group(), mapentry.Zero[mean])
 }
 
 // NewBook makes an empty book of a process that uses all of what upstreams take.
@@ -52,9 +53,9 @@
 	}
 }
 
-// model gives how long engines like one take to read prompts.
-func (b *Book) model(l *load) *readingModel {
-	return mapentry.Of(b.models, group{l.up.Service, l.up.Role}, mapentry.Zero[readingModel])
+// model gives how long engines of a group take to read prompts.
+func (b *Book) model(g group) *readingModel {
+	return mapentry.Of(b.models, g, mapentry.Zero[readingModel])
 }
 
 // SetUpstreams replaces the upstreams that may get new work. What is under way at
@@ -62,16 +63,19 @@
 // it; a new life has nothing under way and nothing is known of it.
 func (b *Book) SetUpstreams(services map[string][]fleet.Upstream) {
 	b.services = make(map[string][]*load, len(services))
-	kept := make(map[fleet.LifeID]*load)
+	b.lists++
+	kept := make(map[fleet.LifeID]*load, len(b.byID))
 	for service, list := range services {
 		for _, u := range list {
-			l, ok := b.byID[u.Life()]
+			life := u.Life()
+			l, ok := b.byID[life]
 			if !ok {
-				l = &load{key: KeyOf(u.Life())}
+				l = &load{life: life, key: KeyOf(life), hash: hashOf(u.ID)}
 			}
 			l.up = u
-			l.mean, l.mostTold = b.mean(l), &b.told
-			kept[u.Life()] = l
+			l.mean, l.model, l.mostTold = b.mean(l), b.model(l.group()), &b.told
+			l.listed = b.lists
+			kept[life] = l
 			b.services[service] = append(b.services[service], l)
 		}
 	}
@@ -134,12 +138,7 @@
 	if !ok {
 		return false
 	}
-	for _, other := range b.services[l.up.Service] {
-		if other == l {
-			return true
-		}
-	}
-	return false
+	return l.listed == b.lists
 }
 
 // Sent counts a request that goes to an upstream.
@@ -176,7 +175,7 @@
 	if !ok {
 		return
 	}
-	m := b.model(l)
+	m := l.model
 	b.limiter(l.up.Service, Prefill).took(took-m.time(c.Tokens), target, b.asked(l.up.Service).perSecond(now))
 	alone := c.Alone && b.told
 	if expected := m.time(c.Tokens); alone && expected > 0 {
@@ -223,7 +222,7 @@
 		return
 	}
 	if c.Alone || !b.told {
-		b.model(l).add(c.Tokens, took, c.Alone && b.told)
+		l.model.add(c.Tokens, took, c.Alone && b.told)
 	}
 	b.limiter(l.up.Service, ReadHere).took(took, target, b.asked(l.up.Service).perSecond(now))
 	b.noteRead(now, l, p, c.Tokens)
@@ -244,6 +243,14 @@
 	}
 }
 
+// Slowed notes what an upstream told of how long work takes there at this moment, in percent of the
+// usual time; 0: nothing.
+func (b *Book) Slowed(now time.Time, id fleet.LifeID, percent int) {
+	if l, ok := b.byID[id]; ok && percent > 0 {
+		l.strain.set(now, float64(percent)/100)
+	}
+}
+
 // Heard notes a sign of life of an upstream: the head or a piece of an answer.
 // answered tells that it is the head, so that one request less waits for it.
 func (b *Book) Heard(now time.Time, id fleet.LifeID, answered bool) {
--- a/internal/request/place/cost.go
+++ b/internal/request/place/cost.go
@@ -75,7 +75,7 @@
 		c += coldCost
 	}
 	// A deterministic tie break that differs between requests.
-	return c + float64(rank(uint64(v.q.Arrived.UnixNano()), l.up.ID)%1000)*1e-6
+	return c + float64(rank(uint64(v.q.Arrived.UnixNano()), l.hash)%1000)*1e-6
 }
 
 // readingCost is the time in seconds until the prompt is read.
@@ -95,7 +95,7 @@
 // less fit for the request.
 func (v *view) runningCost(l *load) float64 {
 	total := l.total(v.now)
-	c := (total + 1) / l.slots()
+	c := (total + 1) / l.slots() * l.strain.factor(v.now)
 	if v.q.Prompt.Key != 0 && l != v.home {
 		c += strangerCost
 	}
@@ -138,7 +138,7 @@
 
 // reading is how long the prompt takes by itself.
 func (v *view) reading(l *load) time.Duration {
-	return time.Duration(l.slow.value() * float64(v.b.model(l).time(v.toRead(l))))
+	return time.Duration(l.slowness(v.now) * float64(l.model.time(v.toRead(l))))
 }
 
 // wait is how long the prompts before it take, which are read one after the other.
@@ -147,7 +147,7 @@
 	if untold := l.untold(v.now); untold > 0 {
 		tokens += untold * float64(max(v.q.Prompt.Own, minOwnTokens))
 	}
-	return time.Duration(l.slow.value() * tokens * float64(v.b.model(l).perToken()))
+	return time.Duration(l.slowness(v.now) * tokens * float64(l.model.perToken()))
 }
 
 // backlog is the tokens of prompts that the upstream has yet to read.
--- a/internal/request/place/event.go
+++ b/internal/request/place/event.go
@@ -63,6 +63,7 @@
 	Running int           // Load only, as Waiting and Slots
 	Waiting int
 	Slots   int
+	Percent int // how long work takes there at that moment, 100: as usual; 0: not told
 }
 
 // Apply takes what became of a place.
@@ -89,6 +90,7 @@
 		b.Fetched(now, life, &g.Prompt, g.Memory)
 	case Load:
 		b.Reported(now, life, e.Running, e.Waiting, e.Slots)
+		b.Slowed(now, life, e.Percent)
 	case Promise:
 		b.Promised(life, e.Took)
 	case PromiseEnd:
--- a/internal/request/place/home.go
+++ b/internal/request/place/home.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,7 +20,7 @@
 		if l.health.silent(now) || !canDo(l.up.Role, q.Work.role()) {
 			continue
 		}
-		if w := rank(q.Prompt.Key, l.up.ID); best == nil || w > bestWeight {
+		if w := rank(q.Prompt.Key, l.hash); best == nil || w > bestWeight {
 			best, bestWeight = l, w
 		}
 	}
@@ -64,7 +65,7 @@
 	var best *load
 	bestNear, bestWeight := false, uint64(0)
 	for _, l := range v.sources {
-		near, weight := l.up.Zone == reader.up.Zone, rank(uint64(v.q.Arrived.UnixNano()), l.up.ID)
+		near, weight := l.up.Zone == reader.up.Zone, rank(uint64(v.q.Arrived.UnixNano()), l.hash)
 		if best == nil || (near && !bestNear) || (near == bestNear && weight > bestWeight) {
 			best, bestNear, bestWeight = l, near, weight
 		}
@@ -72,9 +73,13 @@
 	return best
 }
 
-func rank(key uint64, id string) uint64 {
-	var d xxhash.Digest
-	d.ResetWithSeed(key)
-	_, _ = d.WriteString(id) // a digest's writes never fail
-	return d.Sum64()
+func hashOf(id string) uint64 { return xxhash.Sum64String(id) }
+
+// rank gives the place of what has a hash in the order that belongs to a key: the same one in
+// every process.
+func rank(key, hash uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], key)
+	binary.LittleEndian.PutUint64(b[8:], hash)
+	return xxhash.Sum64(b[:])
 }
--- a/internal/request/place/load.go
+++ b/internal/request/place/load.go
@@ -16,7 +16,10 @@
 // load is what is believed of one upstream.
 type load struct {
 	up         fleet.Upstream
-	key        UpstreamKey // of the upstream's life
+	life       fleet.LifeID
+	listed     uint64      // number of the last list that it was on, see Book.lists
+	key        UpstreamKey // of the life
+	hash       uint64      // of the upstream's id, see rank
 	own        int         // requests of this process under way
 	reserved   int         // requests of this process that will decode there soon
 	ownTokens  int         // of prompts that this process has read there and that aren't read yet
@@ -24,12 +27,14 @@
 	others     float64     // requests of others that were not told, by the last report
 	reportedAt time.Time   // zero: never
 	mean       *mean       // of the upstream's group
-	mostTold   *bool       // see Book.MostTold
+	model      *readingModel
+	mostTold   *bool // see Book.MostTold
 	health     health
 	cached     partCache
 	pace       pace
 	needs      []time.Duration // between events, of this process's long answers there
 	slow       slowness
+	strain     strain
 }
 
 // total estimates the requests at an upstream.
@@ -58,6 +63,8 @@
 // source is the engine as one to copy shared parts of a prompt from.
 func (l *load) source() Source { return Source{Key: l.key, Address: l.up.Address} }
 
+func (l *load) group() group { return group{l.up.Service, l.up.Role} }
+
 func (l *load) slots() float64 { return max(float64(l.up.Slots), 1) }
 
 func (l *load) age(now time.Time) time.Duration {
--- a/internal/request/place/pick.go
+++ b/internal/request/place/pick.go
@@ -18,6 +18,16 @@
 	return n
 }
 
+// anyServes reports whether any upstream could serve the request, whatever its load.
+func (b *Book) anyServes(now time.Time, q *Query) bool {
+	for _, l := range b.services[q.Service] {
+		if l.serves(now, q) {
+			return true
+		}
+	}
+	return false
+}
+
 // grounds gives what a refusal is decided by.
 func (b *Book) grounds(now time.Time, q *Query, ahead int, wait time.Duration) Grounds {
 	g := Grounds{Work: q.Work, Ahead: ahead, Wait: wait}
@@ -46,7 +56,7 @@
 		return false
 	}
 	for _, id := range q.Excluded {
-		if id == l.up.Life() {
+		if id == l.life {
 			return false
 		}
 	}
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -77,7 +77,7 @@
 
 // Arrive decides on a request at once, or lets it wait (decided is false).
 func (r *Queue) Arrive(now time.Time, q Query) (d Decision, decided bool) {
-	if r.book.Eligible(now, &q) == 0 {
+	if !r.book.anyServes(now, &q) {
 		return r.refuse(now, &q, NoUpstream), true
 	}
 	if p := r.book.paced(now, &q); q.Returned {
@@ -202,7 +202,7 @@
 		return Decision{ID: q.ID, Choice: choice}, true
 	}
 	switch {
-	case r.book.Eligible(now, q) == 0:
+	case !r.book.anyServes(now, q):
 		return r.refuse(now, q, NoUpstream), true
 	case r.limitsForbid(now, q, 0):
 		return r.refuse(now, q, NoPlace), true
--- a/internal/request/place/ratelimit.go
+++ b/internal/request/place/ratelimit.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 )
@@ -86,11 +88,18 @@
 // newRateLimit begins a limit at a moment of its cycle that differs between processes and upstreams.
 func (b *Book) newRateLimit(now time.Time, key UpstreamKey, perSecond float64, at time.Time) *rateLimit {
 	l := &rateLimit{perSecond: perSecond, at: at, counted: now}
-	phase := rank(b.salt, strconv.FormatUint(uint64(key), 10))
-	l.credit = l.room(b.rateShare) + float64(phase>>11)/(1<<53)
+	l.credit = l.room(b.rateShare) + float64(b.phase(key)>>11)/(1<<53)
 	return l
 }
 
+// phase differs between processes and upstreams.
+func (b *Book) phase(key UpstreamKey) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(b.salt)
+	_, _ = d.WriteString(strconv.FormatUint(uint64(key), 10)) // a digest's writes never fail
+	return d.Sum64()
+}
+
 // perSecondOf gives the requests a second that are named; known is what was named before.
 func perSecondOf(named exchange.RateLimit, known *rateLimit) float64 {
 	switch {
--- /dev/null
+++ b/internal/request/place/strain_test.go
@@ -0,0 +1,63 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+)
+
+// TestAnUpstreamThatIsSlowNowGetsLess has one of two upstreams tell that work takes three times as long:
+// requests go to the other one, until the word is old.
+func TestAnUpstreamThatIsSlowNowGetsLess(t *testing.T) {
+	b := NewBook()
+	b.SetUpstreams(map[string][]fleet.Upstream{"s": {
+		{ID: "a", Service: "s", Zone: "z", Slots: 8}, {ID: "b", Service: "s", Zone: "z", Slots: 8},
+	}})
+	b.MostTold(true)
+	picked := func(now time.Time) map[string]int {
+		n := make(map[string]int)
+		for i := range 40 {
+			c, ok := b.Pick(now, &Query{Service: "s", Zone: "z", Arrived: now.Add(time.Duration(i)), StartBy: now.Add(time.Second)})
+			if !ok {
+				t.Fatal("no place")
+			}
+			n[c.Upstream.ID]++
+		}
+		return n
+	}
+	b.Slowed(at(0), "a", 300)
+	if n := picked(at(50 * time.Millisecond)); n["a"] > 0 {
+		t.Errorf("%d of 40 at the upstream that is slow", n["a"])
+	}
+	b.Sent(at(0), "b", Serve)
+	b.Sent(at(0), "b", Serve)
+	b.Sent(at(0), "b", Serve)
+	if n := picked(at(50 * time.Millisecond)); n["a"] < 40 {
+		t.Errorf("%d of 40 at the upstream that is slow where the other one has four times the work", n["a"])
+	}
+	for range 3 {
+		b.Heard(at(0), "b", true)
+		b.Ended("b", Serve)
+	}
+	if n := picked(at(5 * time.Second)); n["a"] == 0 || n["b"] == 0 {
+		t.Errorf("5 s later: %v", n)
+	}
+	b.Slowed(at(5*time.Second), "a", 0)
+	if f := b.byID["a"].strain.factor(at(5 * time.Second)); f > 1.01 {
+		t.Errorf("an answer that tells nothing counts as %v", f)
+	}
+}
+
+// TestAWordOnSpeedIsBounded: an odd figure doesn't take an upstream out of use.
+func TestAWordOnSpeedIsBounded(t *testing.T) {
+	var s strain
+	if f := s.factor(at(0)); f != 1 {
+		t.Errorf("never told: %v", f)
+	}
+	for told, want := range map[float64]float64{0.01: leastStrain, 1e9: mostStrain, 1.3: 1.3} {
+		if s.set(at(0), told); s.factor(at(0)) != want {
+			t.Errorf("told %v: %v, want %v", told, s.factor(at(0)), want)
+		}
+	}
+}
