Engines that stand in don't come and go

Cause: while two zones had no cheaper engines to give, lasting ones stood in for them, were ordered away as soon as there were some too many, in both zones for the same surplus, since those that had been ordered away were still listed, and were ordered again a second later. Change: engines that were ordered away don't count as surplus while they are still seen. Test: TestStandInsStay, which failed with 30 engines where 36 were found and 11 orders.

--- a/internal/process/scaling/scaling.go
+++ b/internal/process/scaling/scaling.go
@@ -144,7 +144,7 @@
 	}
 	spare := 0 // engines of all zones beyond those that were found
 	for name, found := range c.plan.Found {
-		spare += have[name].Lasting + have[name].Revocable - found
+		spare += staying(have[name], c.plan.Desired[name]) - found
 	}
 	var out []Order
 	for _, name := range slices.Sorted(maps.Keys(c.plan.Found)) {
@@ -155,6 +155,18 @@
 	return out
 }
 
+// staying is how many engines of a zone stay: those that were ordered away are still seen for a while.
+func staying(have, desired Counts) int {
+	n := have.Revocable
+	if desired.Revocable >= 0 {
+		n = min(n, desired.Revocable)
+	}
+	if desired.Lasting >= 0 {
+		return n + min(have.Lasting, desired.Lasting)
+	}
+	return n + have.Lasting
+}
+
 // begin takes the fleet as it is for what the operator wants, once it has stayed the same for a
 // while: the engines of a deployment that starts appear one by one.
 func (c *Core) begin(now time.Time, have map[string]Counts) bool {
--- a/internal/process/scaling/scaling_test.go
+++ b/internal/process/scaling/scaling_test.go
@@ -159,6 +159,61 @@
 	}
 }
 
+// TestStandInsStay takes the revocable engines of two of three zones back, which have none to give for
+// a while, and shows engines that were ordered away for three seconds more, as a list that is behind does.
+// Lasting ones stand in once and go once: what goes in one zone doesn't go in the other one too.
+func TestStandInsStay(t *testing.T) {
+	p := &platformOf{fleet: map[string]Counts{"a": {Lasting: 12}, "b": {Lasting: 12}, "c": {Lasting: 12}}, unavailable: make(map[string]bool)}
+	c, grown := New(Plan{}), Policy{LastingShare: 0.2, CostShare: 0.5}
+	type leaving struct {
+		until  time.Time
+		engine Engine
+	}
+	var seen []leaving // ordered away, and still listed
+	lastingOrders, least := 0, 36
+	step := func(from, to time.Duration) {
+		for d := from; d < to; d += 500 * time.Millisecond {
+			now := start.Add(d)
+			p.tick(now)
+			engines := p.engines()
+			least = min(least, len(engines))
+			for _, l := range seen {
+				if now.Before(l.until) {
+					engines = append(engines, l.engine)
+				}
+			}
+			for _, o := range c.Decide(now, terms, grown, engines) {
+				have := p.fleet[o.Zone].of(o.Kind)
+				if o.Kind == Lasting {
+					lastingOrders++
+				}
+				if !p.order(now, o) {
+					c.Refused(now, o)
+				}
+				for range max(have-o.Desired, 0) {
+					seen = append(seen, leaving{now.Add(3 * time.Second), Engine{o.Zone, o.Kind}})
+				}
+			}
+		}
+	}
+	step(0, 25*time.Second)
+	for _, zone := range []string{"b", "c"} {
+		p.fleet[zone], p.unavailable[zone] = Counts{Lasting: p.fleet[zone].Lasting}, true
+	}
+	step(25*time.Second, 35*time.Second)
+	lastingOrders, least = 0, 36
+	step(35*time.Second, 60*time.Second)
+	if least < 36 || lastingOrders > 2 {
+		t.Errorf("two zones have none to give: %d engines at a time, 36 were found; %d orders of lasting ones", least, lastingOrders)
+	}
+	p.unavailable["b"], p.unavailable["c"] = false, false
+	lastingOrders, least = 0, 36
+	step(60*time.Second, 90*time.Second)
+	if least < 36 || lastingOrders > 3 || p.fleet["b"] != (Counts{3, 21}) || p.fleet["c"] != (Counts{3, 21}) {
+		t.Errorf("they can be had again: %d engines at a time, %d orders of lasting ones, %+v", least, lastingOrders, p.fleet)
+	}
+}
+
 // TestTheNextHolderGoesOn gives the plan to another core: it orders nothing.
 func TestTheNextHolderGoesOn(t *testing.T) {
 	p, c := newFleet(), New(Plan{})
