A stream is read ahead of a caller that reads slowly, within bounds

Cause: an event was read once the caller had taken the one before, so that a slow caller left the upstream's answer unread; upstreams break such answers off after seconds. An event counts as heard when it is read.

--- a/internal/process/entry/answer.go
+++ b/internal/process/entry/answer.go
@@ -216,18 +216,19 @@
 // event, so that a stream that breaks before it can be begun anew elsewhere.
 func (a *answer) takeStream(ctx context.Context, at *held, resp upstream.ServiceAnswer) outcome {
 	q := a.q
-	events := eventstream.NewReader(resp.Body, eventBytes)
+	events := newReadAhead(eventstream.NewReader(resp.Body, eventBytes), &q.e.ahead, q.e.loop)
+	defer events.close()
 	flusher := http.NewResponseController(q.w)
 	var last time.Time // of the event before
 	for {
-		event, err := events.Next()
-		if err == io.EOF && (q.begun || a.order.Started()) {
+		event := events.next()
+		if event.err == io.EOF && (q.begun || a.order.Started()) {
 			return answeredWhole()
 		}
-		if err != nil {
-			return outcome{run: errkind.Ran, err: errors.Wrap(errNotWhole, err.Error()), sent: true}
+		if event.err != nil {
+			return outcome{run: errkind.Ran, err: errors.Wrap(errNotWhole, event.err.Error()), sent: true}
 		}
-		now := time.Now()
+		now := event.at
 		q.heardEvent(now, last, at)
 		if last.IsZero() {
 			q.countUsage(now)
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -66,6 +66,7 @@
 	duties   atomic.Pointer[grant] // nil: this process doesn't hold them
 	returns  rounds                // each ends when the platform comes back from an older copy
 	log      *requestLog
+	ahead    room // for what is read before callers take it
 
 	exporter  *metrics.Exporter
 	callers   *http.Server
@@ -97,6 +98,7 @@
 		demand:  newDemand(),
 		reloads: catchReloads(),
 		log:     newRequestLog(cfg.Settings.Logging.LinesPerSecond),
+		ahead:   room{most: int64(aheadShare * float64(cfg.Settings.Limits.MemoryMB<<20))},
 	}
 	e.live.Store(&liveSettings{bounds: cfg.Settings.Bounds, roles: cfg.Settings.Roles})
 	if u := cfg.Settings.Usage; cfg.Duties != nil && u.WindowSeconds > 0 {
