A full answer of a watch is followed up at once

Cause: the platform gives 500 changes in one answer, and each was followed by a pause of 0.3 of the time in which a change has to be in force. Change: no pause after an answer of 200 changes or more. Test on virtual time: TestAllUpstreamsStart, 10,001 upstreams within 5 s are known after 5.2 s and 34 calls.

--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -120,15 +120,15 @@
 		e.holds.Replace(revision, objects)
 		return revision, nil
 	}
-	watch := func(ctx context.Context, from uint64, wait time.Duration) (uint64, error) {
+	watch := func(ctx context.Context, from uint64, wait time.Duration) (uint64, int, error) {
 		events, revision, err := e.cfg.Watcher.Changes(ctx, resource.KindHold, from, wait)
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
 		for _, ev := range events {
 			e.holds.Change(ev)
 		}
-		return revision, nil
+		return revision, len(events), nil
 	}
 	e.follow(ctx, feed{name: "platform holds", list: list, watch: watch, lost: func() {}})
 }
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -32,6 +32,9 @@
 	// a change has to be in force.
 	gatherShare  = 0.3
 	gatherSeries = 2 * time.Second
+	// manyChanges in one answer are a part of more that are waiting, as when all upstreams start:
+	// the platform gives some hundred at a time, and a pause after each would add up.
+	manyChanges = 200
 	// probeEvery and probeTimeout: an outage has to be noticed, and its end too, within
 	// about two seconds. A slow platform answers within some hundred ms.
 	probeEvery   = time.Second
@@ -152,11 +155,11 @@
 }
 
 // feed is what follow keeps up with. list gives the revision to watch from, watch
-// the next one.
+// the next one and how many changes it brought.
 type feed struct {
 	name  string
 	list  func(ctx context.Context) (uint64, error)
-	watch func(ctx context.Context, from uint64, wait time.Duration) (uint64, error)
+	watch func(ctx context.Context, from uint64, wait time.Duration) (next uint64, changes int, err error)
 	lost  func() // called when a call failed
 }
 
@@ -168,7 +171,7 @@
 	gather, failed := gathering{most: e.gatherMost()}, false
 	for ctx.Err() == nil {
 		round := e.rounds.current(ctx)
-		next, err := f.step(round, revision, known, wait)
+		next, changes, err := f.step(round, revision, known, wait)
 		switch {
 		case err != nil:
 			wait, failed = firstWatchWait, true
@@ -182,7 +185,7 @@
 			d.worked()
 			changed := next != revision
 			revision, known, pause = next, true, retryPause
-			if changed && platform.Sleep(ctx, gather.pause(time.Now())) != nil {
+			if changed && platform.Sleep(ctx, gather.pause(time.Now(), changes)) != nil {
 				return
 			}
 			continue
@@ -220,8 +223,12 @@
 	last time.Time     // end of the pause after the last change
 }
 
-func (g *gathering) pause(now time.Time) time.Duration {
+// pause gives the pause after an answer with so many changes.
+func (g *gathering) pause(now time.Time, changes int) time.Duration {
 	pause := gatherFor
+	if changes >= manyChanges {
+		return 0
+	}
 	if !g.last.IsZero() && now.Sub(g.last) < gatherSeries {
 		pause = g.most
 	}
@@ -229,11 +236,12 @@
 	return pause
 }
 
-func (f feed) step(ctx context.Context, revision uint64, known bool, wait time.Duration) (uint64, error) {
+func (f feed) step(ctx context.Context, revision uint64, known bool, wait time.Duration) (next uint64, changes int, err error) {
 	if known {
 		return f.watch(ctx, revision, wait)
 	}
-	return f.list(ctx)
+	next, err = f.list(ctx)
+	return next, 0, err
 }
 
 // followUpstreams keeps the list of upstreams.
@@ -252,17 +260,17 @@
 		logline.Info("upstreams listed", "revision", revision, "count", len(entries))
 		return revision, nil
 	}
-	watch := func(ctx context.Context, from uint64, wait time.Duration) (uint64, error) {
+	watch := func(ctx context.Context, from uint64, wait time.Duration) (uint64, int, error) {
 		changes, revision, err := e.cfg.Upstreams.Watch(ctx, from, wait)
 		if err != nil {
-			return 0, err
+			return 0, 0, err
 		}
 		e.changeFleet(func(now time.Time, f *fleet.Core) {
 			f.Back(now)
 			e.noteUnreadable(f.Apply(now, changes))
 			logUpstreams(f, revision, changes)
 		})
-		return revision, nil
+		return revision, len(changes), nil
 	}
 	lost := func() { e.changeFleet(func(_ time.Time, f *fleet.Core) { f.Lost() }) }
 	e.follow(ctx, feed{name: "platform upstreams", list: list, watch: watch, lost: lost})
@@ -307,13 +315,13 @@
 		e.installConfig(c, revision)
 		return revision, nil
 	}
-	watch := func(ctx context.Context, from uint64, wait time.Duration) (uint64, error) {
+	watch := func(ctx context.Context, from uint64, wait time.Duration) (uint64, int, error) {
 		c, revision, err := e.cfg.Configs.Watch(ctx, from, wait)
 		if err = e.keepLastGood(err, revision); err != nil {
-			return 0, err
+			return 0, 0, err
 		}
 		e.installConfig(c, revision)
-		return revision, nil
+		return revision, 1, nil
 	}
 	e.follow(ctx, feed{name: "platform configuration", list: list, watch: watch, lost: func() {}})
 }
--- a/internal/process/entry/feeds_test.go
+++ b/internal/process/entry/feeds_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -213,6 +214,43 @@
 	return 1, nil
 }
 
+// TestAllUpstreamsStart has ten thousand upstreams appear one after the other within five seconds, of
+// which the platform tells 500 in one answer: an instance knows all of them soon after, as it asks on
+// at once while answers are full.
+func TestAllUpstreamsStart(t *testing.T) {
+	const upstreams, page, perSecond = 10_001, 500, 2000
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		var calls atomic.Int64
+		ctx, cancel := context.WithCancel(context.Background())
+		known := make(chan struct{})
+		watch := func(ctx context.Context, from uint64, _ time.Duration) (uint64, int, error) {
+			calls.Add(1)
+			time.Sleep(4 * time.Millisecond)
+			there := min(uint64(time.Since(begun).Seconds()*perSecond), upstreams)
+			next := min(there, from+page)
+			if next == upstreams && from < upstreams {
+				close(known)
+			}
+			if from == upstreams {
+				<-ctx.Done()
+			}
+			return next, int(next - from), ctx.Err()
+		}
+		list := func(context.Context) (uint64, error) { return 0, nil }
+		e := newTestEntry(nil, nil)
+		e.loop(func() { e.follow(ctx, feed{name: "test", list: list, watch: watch, lost: func() {}}) })
+		<-known
+		took, made := time.Since(begun), calls.Load()
+		t.Logf("all known after %v and %d calls", took, made)
+		if took > 6*time.Second || made > 2*upstreams/page {
+			t.Errorf("all known after %v and %d calls", took, made)
+		}
+		cancel()
+		e.loops.Wait()
+	})
+}
+
 // TestInstancesThatStartTogether has 300 instances start at once before a platform that
 // takes far fewer calls a second than they make.
 func TestInstancesThatStartTogether(t *testing.T) {
@@ -226,10 +264,10 @@
 			e := newTestEntry(nil, nil)
 			served.Add(1)
 			var once sync.Once
-			watch := func(ctx context.Context, from uint64, _ time.Duration) (uint64, error) {
+			watch := func(ctx context.Context, from uint64, _ time.Duration) (uint64, int, error) {
 				once.Do(served.Done)
 				<-ctx.Done()
-				return from, ctx.Err()
+				return from, 0, ctx.Err()
 			}
 			go e.follow(ctx, feed{name: "test", list: p.list, watch: watch, lost: func() {}})
 		}
