--- a/internal/process/entry/asking.go
+++ b/internal/process/entry/asking.go
@@ -83,16 +83,26 @@
 	return true
 }
 
+// mostAsked bounds the questions of one request for a place, where this instance knows no upstreams
+// itself: those that can't give it say so at once.
+const mostAsked = 24
+
 // place finds a place for a request: this process gives it, or the instance that gives
-// places for it. An instance that doesn't answer is passed over at once.
+// places for it. An instance that doesn't answer is passed over at once, for the next one or, if
+// this process knows the upstreams, for itself.
 func (q *request) place(ctx context.Context, query place.Query) (place.Decision, *held, error) {
 	e := q.e
-	if e.shared != nil {
-		if to := e.shared.placer(); to != "" {
-			d, at, ok := q.ask(ctx, to, query)
-			if ok || ctx.Err() != nil {
-				return d, at, ctx.Err()
-			}
+	for range mostAsked {
+		to := e.shared.placer()
+		if to == "" {
+			break
+		}
+		d, at, ok := q.ask(ctx, to, query)
+		if ok || ctx.Err() != nil {
+			return d, at, ctx.Err()
+		}
+		if e.state.upstreamsListed() {
+			break
 		}
 	}
 	if !q.counted {
@@ -193,22 +203,17 @@
 // accept takes a decision of another instance.
 func (q *request) accept(to string, id uint64, query *place.Query, answer peers.PlaceAnswer) (place.Decision, *held, bool) {
 	st, d := q.e.state, answer.Decision()
+	if d.Refused == peers.NotReady {
+		return d, nil, false // its message has said so, and others are asked from now on
+	}
 	if d.Refused == place.NoUpstream && st.eligible(time.Now(), query) > 0 {
 		return d, nil, false // this instance reaches upstreams that the other one doesn't
 	}
 	if d.Refused != "" {
 		return d, nil, true
 	}
-	now, known := time.Now(), false
-	st.withBook(now, func(b *place.Book) {
-		c := &d.Choice
-		if c.Upstream, known = b.ByKey(place.UpstreamKey(answer.Upstream)); !known {
-			return
-		}
-		c.CopyFrom = b.Source(place.UpstreamKey(answer.CopyFrom))
-		b.Granted(now, c)
-	})
-	if !known {
+	// An upstream may have left since the instance that gave the place could read the platform.
+	if q.e.shared.isAway(to) || !st.takePlace(time.Now(), query.Service, &answer, &d.Choice) {
 		q.e.shared.question(to, peers.Question{ID: id, Cancel: true})
 		return d, nil, false
 	}
@@ -216,6 +221,22 @@
 	return d, &held{grant: place.NewGrant(query, d.Choice), placer: to, ask: id}, true
 }
 
+// takePlace completes a place that another instance gave. ok is false if its upstream may get no work
+// as far as this process knows, which it does only if it keeps up with the list.
+func (s *state) takePlace(now time.Time, service string, answer *peers.PlaceAnswer, c *place.Choice) (ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.listed {
+		return answer.Place(service, c)
+	}
+	if c.Upstream, ok = s.book.ByKey(place.UpstreamKey(answer.Upstream)); !ok {
+		return false
+	}
+	c.CopyFrom = s.book.Source(place.UpstreamKey(answer.CopyFrom))
+	s.book.Granted(now, c)
+	return true
+}
+
 // note lets the instance that gave a place know what became of it. What others wait for is
 // told at once, the rest with it.
 func (s *sharing) note(h *held, events []place.Event) {
@@ -317,12 +338,23 @@
 	}
 }
 
+// placer gives the address of the instance to ask for places; empty: this one gives them itself.
 func (s *sharing) placer() string {
+	if s == nil {
+		return ""
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.core.Placer()
 }
 
+// isAway reports whether an instance can't read the platform while another one may.
+func (s *sharing) isAway(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.IsAway(address) && s.core.Placer() != address
+}
+
 func (s *sharing) patience() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -62,7 +62,7 @@
 // out whether it crashed. One that leaves ends what it has as planned.
 func (q *request) brokeOff(u *fleet.Upstream, sent time.Time) {
 	e := q.e
-	if listed, leaving := e.state.lists(u.Life()); !listed || leaving {
+	if listed, leaving := e.state.lists(u.Life()); leaving || (!listed && e.state.upstreamsListed()) {
 		return
 	}
 	if e.holds.Broke(q.content(), lifeName(u), sent) {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -156,13 +156,25 @@
 
 // notReady tells why new callers should go elsewhere; empty: they may come.
 func (e *Entry) notReady() string {
+	why := e.givesNone()
+	if why == noUpstreamsYet && e.shared != nil && e.shared.placer() != "" {
+		return "" // another instance gives places
+	}
+	return why
+}
+
+// noUpstreamsYet is why an instance that doesn't know the upstreams gives no places.
+const noUpstreamsYet = "no list of upstreams yet"
+
+// givesNone tells why this instance can't give places; empty: it can.
+func (e *Entry) givesNone() string {
 	switch {
 	case e.stage.Load() != stageServing:
 		return "stopping"
 	case e.state.config.Load() == nil:
 		return "no configuration yet"
 	case !e.state.upstreamsListed():
-		return "no list of upstreams yet"
+		return noUpstreamsYet
 	}
 	return ""
 }
@@ -200,10 +212,8 @@
 		}
 		e.loop(func() { failed <- e.listen(p.server, l) })
 	}
-	e.loop(func() { e.followUpstreams(work) })
-	e.loop(func() { e.followConfig(work) })
-	e.loop(func() { e.probeStore(work) })
-	e.loop(func() { e.followHolds(work) })
+	e.readPlatform(work)
+	e.loop(func() { e.pollHolds(work) })
 	e.loop(func() { e.holds.Clean(work, e.cleansHolds) })
 	e.loop(func() { e.tickLoop(work) })
 	authority, giveUp := context.WithCancel(work)
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -206,7 +206,7 @@
 // upstream fetches the prompt's KV cache; nil: it reads the prompt itself.
 func (q *request) send(ctx context.Context, at *held, kv *prefilled, a *answer) outcome {
 	e, u := q.e, at.upstream()
-	if !e.state.usable(u.Life()) {
+	if !e.usable(at) {
 		e.happened(at, place.Event{Kind: place.GivenUp})
 		return outcome{run: errkind.NotRun, err: errLeaving}
 	}
@@ -351,13 +351,18 @@
 	if action != retry.SendElsewhere && action != retry.RunAgain {
 		return action
 	}
-	if out.sent && !q.e.state.mayRepeat(time.Now(), q.service) {
+	if out.sent && !q.e.mayRepeat(q.service) {
 		f.Budget = false
 		return retry.Decide(f)
 	}
 	return action
 }
 
+// mayRepeat counts a further send of a request if the service's bound allows it.
+func (e *Entry) mayRepeat(service string) bool {
+	return e.state.mayRepeat(time.Now(), service, e.shared.instances())
+}
+
 // finalAnswer turns the last failure into the answer.
 func (q *request) finalAnswer(out outcome, a *answer) *errkind.Error {
 	if a.kept != nil {
--- a/internal/process/entry/granting.go
+++ b/internal/process/entry/granting.go
@@ -45,16 +45,15 @@
 
 func newGranting() *granting { return &granting{open: make(map[grantKey]*given)} }
 
-// takeQuestions answers questions of another instance. While this one isn't ready it only
-// says so.
+// takeQuestions answers questions of another instance. While this one isn't ready it says so.
 func (s *sharing) takeQuestions(now time.Time, from string, questions []peers.Question) {
 	for i := range questions {
 		q := &questions[i]
 		switch {
 		case q.Cancel:
 			s.cancel(grantKey{from, q.ID})
-		case s.e.notReady() != "":
-			s.send(peers.Message{}, from)
+		case s.e.givesNone() != "":
+			s.send(peers.Message{Answers: []peers.PlaceAnswer{{ID: q.ID, Refused: string(peers.NotReady)}}}, from)
 		default:
 			s.send(peers.Message{Answers: []peers.PlaceAnswer{s.decide(now, from, q)}}, from)
 		}
--- a/internal/process/entry/held.go
+++ b/internal/process/entry/held.go
@@ -20,6 +20,12 @@
 
 func (h *held) work() place.Work { return h.grant.Choice.Work }
 
+// usable reports whether the upstream may get work right now. A process that doesn't know the
+// upstreams goes by the instance that gave the place, ms ago or while a prompt was read.
+func (e *Entry) usable(h *held) bool {
+	return e.state.usable(h.upstream().Life()) || (h.placer != "" && !e.state.upstreamsListed())
+}
+
 // happened takes what became of a place, and lets the instance know that gave it.
 func (e *Entry) happened(h *held, events ...place.Event) {
 	now := time.Now()
--- /dev/null
+++ b/internal/process/entry/lives.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
+)
+
+// livesEvery is how often an instance that doesn't know the upstreams asks the one that gives it places
+// what became of those at which sends broke off: a crash is told from a planned end by the list.
+const livesEvery = 300 * time.Millisecond
+
+// askForLives asks what became of upstreams at which sends broke off.
+func (s *sharing) askForLives(now time.Time) {
+	if s.e.state.upstreamsListed() || now.Sub(s.livesAsked) < livesEvery {
+		return
+	}
+	waiting := s.e.holds.Waiting()
+	to := s.placer()
+	if len(waiting) == 0 || to == "" {
+		return
+	}
+	s.livesAsked = now
+	var m peers.Message
+	for _, life := range waiting[:min(len(waiting), peers.MaxLives)] {
+		m.LivesAsked = append(m.LivesAsked, fleet.LifeID(life))
+	}
+	s.send(m, to)
+}
+
+// takeLives tells what became of upstreams that another instance asks for, and takes what it tells.
+func (s *sharing) takeLives(from string, m *peers.Message) {
+	if len(m.LivesAsked) > 0 {
+		if states := s.e.state.livesOf(m.LivesAsked); len(states) > 0 {
+			s.send(peers.Message{Lives: states}, from)
+		}
+	}
+	if s.e.state.upstreamsListed() {
+		return // what this instance knows itself goes first
+	}
+	for _, l := range m.Lives {
+		switch life := quarantine.Life(l.Life); {
+		case l.Leaving:
+			s.e.holds.Left(life)
+		case l.Gone:
+			s.e.holds.Ended(life, "not listed any more")
+		}
+	}
+}
+
+// livesOf tells what became of lives of upstreams, of those that leave or have gone.
+func (s *state) livesOf(lives []fleet.LifeID) []peers.LifeState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.listed {
+		return nil
+	}
+	var out []peers.LifeState
+	for _, life := range lives {
+		listed, leaving := s.fleet.Has(life)
+		gone := false
+		if !listed {
+			gone, leaving = s.fleet.Gone(life)
+		}
+		if leaving || gone {
+			out = append(out, peers.LifeState{Life: life, Leaving: leaving, Gone: gone})
+		}
+	}
+	return out
+}
--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -73,7 +73,7 @@
 }
 
 func (s *sharing) list(ctx context.Context) bool {
-	objects, _, err := s.e.cfg.Records.List(ctx, kindPeer)
+	objects, err := s.listed(ctx)
 	if err != nil {
 		logline.Info("instances not listed", "error", err)
 		return false
@@ -91,36 +91,48 @@
 	now := time.Now()
 	s.core.Listed(now, list)
 	s.core.Settle(boottime.Now())
-	abandoned, known := s.core.Abandoned(now), s.core.Known()
+	abandoned, greeted := s.core.Abandoned(now), s.core.Greeted()
 	s.mu.Unlock()
-	s.introduce(known)
+	s.greet(greeted)
 	for _, name := range abandoned {
 		s.remove(ctx, name)
 	}
 	return true
 }
 
+// listed gives the instances that the platform lists. The first list tells whom to ask for places;
+// where others give them, later ones only mend what was lost and may be old.
+func (s *sharing) listed(ctx context.Context) ([]platform.Object, error) {
+	if s.greeted.Load() == 0 || s.reads(time.Now()) {
+		objects, _, err := s.e.cfg.Records.List(ctx, kindPeer)
+		return objects, err
+	}
+	objects, _, err := s.e.cfg.Watcher.ListOld(ctx, kindPeer)
+	return objects, err
+}
+
 // remove takes an instance off the list.
 func (s *sharing) remove(ctx context.Context, name string) {
 	err := s.e.cfg.Records.Delete(ctx, kindPeer, name, 0, s.self.Name, platform.NewNonce())
 	logline.Info("instance taken off the list", "name", name, "error", err)
 }
 
-// strangers reports whether instances were heard that weren't on the last list.
+// strangers reports whether instances were heard that weren't on the last list, and whom this one
+// has to know.
 func (s *sharing) strangers() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Strangers()
+	return s.core.Strangers() && s.core.Reads(time.Now())
 }
 
-// introduceTimes is with how many lists an instance tells others that it is there: those that start
+// greetTimes is with how many lists an instance tells others that it is there: those that start
 // with it aren't all on the first one, and datagrams are lost now and then.
-const introduceTimes = 2
+const greetTimes = 2
 
-// introduce tells the instances that are known that this one is there. All count those that have a
-// part of the limits that upstreams name.
-func (s *sharing) introduce(known []string) {
-	if s.introduced.Add(1) <= introduceTimes {
-		s.send(s.introduction(false), known...)
+// greet tells others that this instance is there. They count those that have a part of the limits
+// that upstreams name.
+func (s *sharing) greet(to []string) {
+	if s.greeted.Add(1) <= greetTimes {
+		s.introduce(to...)
 	}
 }
--- a/internal/process/entry/placing_test.go
+++ b/internal/process/entry/placing_test.go
@@ -17,6 +17,13 @@
 // zoneOf starts instances of one availability zone, which know each other, and gives the one that
 // gives places and one that asks.
 func zoneOf(t *testing.T, n int) (placer, asker *Entry) {
+	t.Helper()
+	placer, askers := zoneOfAll(t, n)
+	return placer, askers[len(askers)-1]
+}
+
+// zoneOfAll does the same, and gives all that ask.
+func zoneOfAll(t *testing.T, n int) (placer *Entry, askers []*Entry) {
 	t.Helper()
 	store := platform.New(platform.Config{})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -34,19 +41,19 @@
 		}
 	})
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
-		placer, asker = nil, nil
+		placer, askers = nil, nil
 		agreed := make(map[string]bool)
 		for _, e := range all {
 			if to := e.shared.placer(); to == "" {
 				placer = e
 				agreed[e.shared.self.Address] = true
 			} else {
-				asker = e
+				askers = append(askers, e)
 				agreed[to] = true
 			}
 		}
-		if placer != nil && asker != nil && len(agreed) == 1 {
-			return placer, asker
+		if placer != nil && len(askers) == n-1 && len(agreed) == 1 {
+			return placer, askers
 		}
 	}
 	t.Fatal("the instances never agreed on who gives places")
--- a/internal/process/entry/ports.go
+++ b/internal/process/entry/ports.go
@@ -38,6 +38,9 @@
 type RecordWatcher interface {
 	// Changes waits for changes of a kind after a version, and gives the version to go on from.
 	Changes(ctx context.Context, kind string, from uint64, wait time.Duration) ([]platform.Event, uint64, error)
+	// ListOld lists objects as they were seconds ago, perhaps, which costs the platform less. The
+	// version that comes with them can't be watched from.
+	ListOld(ctx context.Context, kind string) ([]platform.Object, uint64, error)
 }
 
 // Engines calls engines beside the requests of callers.
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -52,6 +52,9 @@
 	if q.prompt.Own < apartTokens || q.readHere {
 		return false
 	}
+	if !q.e.state.upstreamsListed() {
+		return true // the instance that gives the place knows
+	}
 	query := q.query(place.Prefill)
 	return q.e.state.eligible(time.Now(), &query) > 0
 }
@@ -94,7 +97,7 @@
 		q.excluded = append(q.excluded, choice.Upstream.Life())
 		logline.Info("prefill failed", "request", q.declared.ID, "upstream", choice.Upstream.ID, "try", try,
 			"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", err, "content", q.content())
-		if ctx.Err() != nil || (sent && !q.e.state.mayRepeat(time.Now(), q.service)) {
+		if ctx.Err() != nil || (sent && !q.e.mayRepeat(q.service)) {
 			break
 		}
 	}
@@ -104,7 +107,7 @@
 // sendPrefill has one engine read the prompt. sent: a byte may have reached it.
 func (q *request) sendPrefill(ctx context.Context, at *held) (kv *prefilled, sent bool, err error) {
 	e, u := q.e, at.upstream()
-	if !e.state.usable(u.Life()) {
+	if !e.usable(at) {
 		e.happened(at, place.Event{Kind: place.GivenUp})
 		return nil, false, errLeaving
 	}
--- /dev/null
+++ b/internal/process/entry/reading_test.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+)
+
+// TestAPlaceOfOneThatCannotReadThePlatformIsNotTaken cuts the instance that gives places off from the
+// platform, and has one ask it that knows no upstreams and didn't ask it since. An upstream had left
+// four seconds before, which the first answer of the one that was cut off didn't know: the request was
+// sent there. Now it is asked for a place elsewhere.
+func TestAPlaceOfOneThatCannotReadThePlatformIsNotTaken(t *testing.T) {
+	placer, askers := zoneOfAll(t, 5)
+	var asker *Entry
+	for _, e := range askers {
+		if !e.shared.reads(time.Now()) {
+			asker = e
+		}
+	}
+	placer.changeFleet(func(_ time.Time, f *fleet.Core) { f.Lost() })
+	time.Sleep(awayAfter)
+	restarted(asker)
+	q, query := askFor(asker, "q", 10*time.Second)
+	d, at, err := q.place(context.Background(), query)
+	if err != nil || d.Refused != "" || at == nil {
+		t.Fatalf("%+v %+v %v", d, at, err)
+	}
+	if at.placer == "" || at.placer == placer.shared.self.Address {
+		t.Errorf("a place given by %q; %q can't read the platform", at.placer, placer.shared.self.Address)
+	}
+	if u := at.upstream(); u.ID != "a" || u.Service != "s" {
+		t.Errorf("the place is at %+v", u)
+	}
+	if !asker.usable(at) {
+		t.Error("the place isn't used")
+	}
+	asker.release(at)
+	eventually(t, "the place that wasn't taken is given back", func() bool { return load(placer) == 0 })
+}
+
+// TestOneThatReadsThePlatformAgainIsNotAskedAtOnce: it keeps entries for a while that are missing, as those
+// may only have lapsed. Others know better by then.
+func TestOneThatReadsThePlatformAgainIsNotAskedAtOnce(t *testing.T) {
+	e, _ := newSharingEntry(t, "i-1", "z1", platform.New(platform.Config{}))
+	now := time.Now()
+	after := func(d time.Duration) time.Time { return now.Add(d) }
+	e.state.changeFleet(after(0), func(f *fleet.Core) { f.Lost() })
+	if e.away(after(awayAfter - 1)) {
+		t.Error("a call that failed makes it one that can't read the platform")
+	}
+	e.state.changeFleet(after(5*time.Second), func(f *fleet.Core) { f.Back(after(5 * time.Second)) })
+	if !e.away(after(5*time.Second + fleet.ReturnGrace - 1)) {
+		t.Error("it is asked while it keeps entries that are missing")
+	}
+	if e.away(after(5*time.Second + fleet.ReturnGrace)) {
+		t.Error("it isn't asked any more")
+	}
+	e.state.changeFleet(after(10*time.Second), func(f *fleet.Core) { f.Lost() })
+	if e.away(after(10*time.Second+awayAfter-1)) || !e.away(after(10*time.Second+awayAfter)) {
+		t.Error("the next outage isn't counted from its begin")
+	}
+}
+
+// TestPlacesOfThoseThatCannotReadThePlatformAreTakenWhereNobodyCan: the platform is away for all.
+func TestPlacesOfThoseThatCannotReadThePlatformAreTakenWhereNobodyCan(t *testing.T) {
+	placer, asker := zoneOf(t, 2)
+	for _, e := range []*Entry{placer, asker} {
+		e.changeFleet(func(_ time.Time, f *fleet.Core) { f.Lost() })
+	}
+	time.Sleep(awayAfter)
+	for range 3 {
+		_, _, at := heldBy(t, asker, 10*time.Second)
+		asker.release(at)
+	}
+}
+
+// TestUpstreamsThatAreNotFollowedAreForgotten: an instance that stops to follow the list gives no
+// places, and what is under way at upstreams still comes to its end.
+func TestUpstreamsThatAreNotFollowedAreForgotten(t *testing.T) {
+	placer, _ := zoneOf(t, 2)
+	_, query, at := heldBy(t, placer, 10*time.Second)
+	placer.state.unlist(time.Now())
+	if placer.givesNone() != noUpstreamsYet || placer.state.usable("a") {
+		t.Error("it gives places by a list that it doesn't follow")
+	}
+	if d := <-placer.state.arrive(time.Now(), query); d.Refused != place.NoUpstream {
+		t.Errorf("a place is given: %+v", d)
+	}
+	placer.release(at)
+	if n := load(placer); n != 0 {
+		t.Errorf("%v requests are counted after the last one ended", n)
+	}
+}
--- a/internal/process/entry/relay.go
+++ b/internal/process/entry/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/coder/websocket"
@@ -47,12 +48,11 @@
 
 // giveConfig sends the version in force in one message.
 func (s *sharing) giveConfig(w http.ResponseWriter, r *http.Request) {
-	c := s.e.state.config.Load()
-	if c == nil {
+	data, err := s.encoded.of(s.e.state.config.Load())
+	if errors.Is(err, errNoConfig) {
 		http.Error(w, "no configuration yet", http.StatusServiceUnavailable)
 		return
 	}
-	data, err := routing.Encode(c)
 	if err != nil {
 		logline.Error(err, "configuration not passed on")
 		http.Error(w, "not encoded", http.StatusInternalServerError)
@@ -71,6 +71,35 @@
 	_ = conn.Close(websocket.StatusNormalClosure, "") // the receiver may be gone
 }
 
+// errNoConfig means that no version is in force yet.
+var errNoConfig = errors.New("no configuration yet")
+
+// encodedConfig keeps the bytes of a version: a whole availability zone asks for it at once. It may be
+// used from several goroutines.
+type encodedConfig struct {
+	mu      sync.Mutex
+	version uint64
+	data    []byte
+}
+
+// of gives the bytes of a version.
+func (c *encodedConfig) of(config *routing.Config) ([]byte, error) {
+	if config == nil {
+		return nil, errNoConfig
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.data != nil && c.version == config.Version {
+		return c.data, nil
+	}
+	data, err := routing.Encode(config)
+	if err != nil {
+		return nil, err
+	}
+	c.version, c.data = config.Version, data
+	return data, nil
+}
+
 // getConfig asks an instance for the version that it has in force.
 func getConfig(ctx context.Context, address string) (*routing.Config, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
@@ -110,7 +139,7 @@
 // time: it may turn this instance away while it serves others.
 func (s *sharing) fetchVersion(ctx context.Context, now time.Time) {
 	s.mu.Lock()
-	from, due := s.newest.Fetch(now, s.e.configVersion())
+	from, due := s.newest.Fetch(now, s.e.configVersion(), s.core.Gives(now))
 	s.mu.Unlock()
 	if !due {
 		return
@@ -126,11 +155,11 @@
 	})
 }
 
-// tellVersion tells the availability zone of a new version, if this instance is one that the
-// others listen to.
+// tellVersion tells the availability zone of a new version, if this instance is one that gives
+// places.
 func (s *sharing) tellVersion(ctx context.Context) {
 	for _, pause := range []time.Duration{0, tellAgain} {
-		if platform.Sleep(ctx, pause) != nil || !s.isPlacer() {
+		if platform.Sleep(ctx, pause) != nil || !s.places(time.Now()) {
 			return
 		}
 		s.mu.Lock()
--- a/internal/process/entry/sharing.go
+++ b/internal/process/entry/sharing.go
@@ -39,12 +39,17 @@
 	usage   usageNews
 	life    uint64
 
-	introduced atomic.Int32  // so many times to others
-	ended      chan struct{} // closed when nothing is shared any more
+	greeted atomic.Int32  // so many times others were told that this instance is there
+	ended   chan struct{} // closed when nothing is shared any more
 
-	mu     sync.Mutex
-	core   *peers.Core
-	newest *peers.Newest
+	following atomic.Bool // this instance has to know the upstreams
+
+	encoded encodedConfig
+
+	mu         sync.Mutex
+	core       *peers.Core
+	newest     *peers.Newest
+	livesAsked time.Time // when others were last asked what became of upstreams
 }
 
 // startSharing shares until ctx ends. Without a socket the process serves all the same,
@@ -94,7 +99,7 @@
 	s.mu.Lock()
 	zone := s.core.Zone()
 	s.mu.Unlock()
-	s.send(s.introduction(false), zone...)
+	s.introduce(zone...)
 	s.conn.Close()
 	close(s.ended)
 	end, cancel := context.WithTimeout(context.Background(), removeTimeout)
@@ -110,10 +115,15 @@
 	s.flushCrashes(now)
 	s.tellUsage(now)
 	s.tellRateLimits(now)
+	s.askForLives(now)
+	away, ready := s.e.away(now), s.e.givesNone() == ""
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, to := range s.core.Visits(now) {
-		s.send(s.introduction(true), to)
+	s.core.SetAway(away)
+	s.core.SetReady(ready)
+	s.following.Store(s.core.Reads(now))
+	if to := s.core.Visits(now); len(to) > 0 {
+		s.send(s.introduction(true), to...)
 	}
 	if !s.core.Placing(now) {
 		s.e.state.rest()
@@ -128,9 +138,25 @@
 	return true
 }
 
-// introduction says who this instance is, and asks for the like if answer is set.
+// unready reports whether others should ask this instance for nothing. One that doesn't follow the
+// upstreams, as nobody asks it, may be asked: it then begins to.
+func (s *sharing) unready() bool {
+	why := s.e.givesNone()
+	return why != "" && (why != noUpstreamsYet || s.following.Load())
+}
+
+// introduction says who this instance is and how many it knows, and asks for the like if answer is
+// set. Callers hold mu.
 func (s *sharing) introduction(answer bool) peers.Message {
-	return peers.Message{Sender: &s.self, Answer: answer}
+	return peers.Message{Sender: &s.self, Answer: answer, Instances: s.core.Instances()}
+}
+
+// introduce says who this instance is to others.
+func (s *sharing) introduce(to ...string) {
+	s.mu.Lock()
+	m := s.introduction(false)
+	s.mu.Unlock()
+	s.send(m, to...)
 }
 
 // rank gives the place of this instance among those that give places, and so hear what is
@@ -148,6 +174,16 @@
 	return s.core.IsPlacer()
 }
 
+// instances is how many there are to share what holds for all of them together.
+func (s *sharing) instances() int {
+	if s == nil {
+		return peers.AssumedInstances
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.AssumedInstances()
+}
+
 // asked adds up what callers ask of all instances.
 func (s *sharing) asked(now time.Time) map[string]roles.Demand {
 	s.mu.Lock()
@@ -156,9 +192,11 @@
 }
 
 // send sends a message, which tells whether anything is to be asked of this instance: one
-// that stops, or knows no upstreams yet, would refuse what others can serve.
+// that stops, or knows no upstreams, would refuse what others can serve, and what one that can't
+// read the platform knows of them is old.
 func (s *sharing) send(m peers.Message, to ...string) {
-	m.Unready = s.e.notReady() != ""
+	m.Unready = s.unready()
+	m.Away = s.e.away(time.Now())
 	m.Config = s.e.configVersion()
 	data, err := peers.Encode(m)
 	if err != nil {
@@ -202,10 +240,11 @@
 	news, reads := s.core.Heard(now, from, m)
 	if len(m.Questions) > 0 {
 		s.core.Asked(now)
+		s.following.Store(true)
 	}
 	s.mu.Unlock()
 	if m.Answer {
-		s.send(s.introduction(false), from)
+		s.introduce(from)
 	}
 	s.heardVersion(now, from, m.Config)
 	s.takeNotes(from, m.Notes)
@@ -214,6 +253,7 @@
 	s.takeCrashes(now, from, m.Crashes)
 	s.takeUsage(from, m)
 	s.takeRateLimits(now, from, m)
+	s.takeLives(from, m)
 	if !news {
 		return
 	}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -37,14 +37,15 @@
 	repeats  map[string]*retry.Window   // by service
 	patience map[string]*patience.Route // by route
 	bounds   settings.EntryBounds
-	seen     uint64 // version of fleet that book has
-	listed   bool   // the list of upstreams was read once
+	seen     uint64    // version of fleet that book has
+	listed   bool      // the list of upstreams was read, and is kept up with
+	awayAt   time.Time // when the list of upstreams was up to date last, before the platform couldn't be read
 }
 
 func newState(s *settings.Entry) *state {
 	book := place.NewBook()
 	book.SetSalt(rand.Uint64())
-	book.SetRateShare(time.Now(), 1.0/peers.MostInstances) // until it is known how many share the limits
+	book.SetRateShare(time.Now(), 1.0/peers.AssumedInstances) // until it is known how many share the limits
 	return &state{
 		fleet:    fleet.New(),
 		book:     book,
@@ -85,11 +86,35 @@
 func (s *state) changeFleet(now time.Time, change func(f *fleet.Core)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	sure := s.fleet.Sure(now)
 	change(s.fleet)
+	if sure && !s.fleet.Sure(now) {
+		s.awayAt = now
+	}
 	s.expire(now)
 	s.syncBook(now)
 }
 
+// unlist forgets the upstreams: they aren't kept up with any more.
+func (s *state) unlist(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet, s.listed, s.awayAt, s.seen = fleet.New(), false, time.Time{}, 0
+	s.book.SetUpstreams(nil)
+	s.decideWaiting(now)
+}
+
+// awayFor is for how long the list of upstreams may lack changes, or keep entries that others know to
+// be gone; 0: it is up to date, or isn't followed.
+func (s *state) awayFor(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.listed || s.fleet.Sure(now) {
+		return 0
+	}
+	return now.Sub(s.awayAt)
+}
+
 // expire forgets entries that did not come back after an outage.
 func (s *state) expire(now time.Time) {
 	for _, id := range s.fleet.Expire(now) {
@@ -235,10 +260,13 @@
 }
 
 // mayRepeat counts a further send of a request if the service's bound allows it.
-func (s *state) mayRepeat(now time.Time, service string) bool {
+// instances is how many there are to share the slack of the bound.
+func (s *state) mayRepeat(now time.Time, service string, instances int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.window(service).Repeat(now)
+	w := s.window(service)
+	w.SetSlack(s.bounds.RetrySlack / float64(instances))
+	return w.Repeat(now)
 }
 
 // setBounds takes changed bounds; what was counted so far is forgotten, on the safe
@@ -253,8 +281,7 @@
 func (s *state) window(service string) *retry.Window {
 	return mapentry.Of(s.repeats, service, func() *retry.Window {
 		return retry.NewWindow(retry.WindowConfig{
-			Ratio:  s.bounds.RetryRatio * ratioPart,
-			Slack:  s.bounds.RetrySlack / peers.MostInstances, // the ratio grows with the requests, whoever serves them
+			Ratio:  s.bounds.RetryRatio * ratioPart, // grows with the requests, whoever serves them
 			Window: s.bounds.RetryWindow(),
 		})
 	})
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -57,6 +57,10 @@
 // Lost notes that the platform cannot be read.
 func (c *Core) Lost() { c.away = true }
 
+// Sure reports whether the list is up to date: the platform can be read, and no entry is kept that is
+// missing only because it could not be.
+func (c *Core) Sure(now time.Time) bool { return !c.mayHaveLapsed(now) }
+
 // Back notes that the platform can be read again. It tells whether it was away.
 func (c *Core) Back(now time.Time) bool {
 	if !c.away {
@@ -262,14 +266,25 @@
 
 // Has reports whether a life of an upstream is listed, and whether it has said that it leaves.
 func (c *Core) Has(life LifeID) (listed, leaving bool) {
-	for _, e := range c.entries {
-		if e.Life() == life {
+	for _, id := range life.ids() {
+		if e, ok := c.entries[id]; ok && e.Life() == life {
 			return true, e.Leaving
 		}
 	}
 	return false, false
 }
 
+// Gone reports whether a life of an upstream was listed lately and isn't any more, and whether it
+// had said that it leaves.
+func (c *Core) Gone(life LifeID) (gone, leaving bool) {
+	for _, id := range life.ids() {
+		if f, ok := c.former[id]; ok && (&Upstream{ID: id, Born: f.born}).Life() == life {
+			return true, f.leaving
+		}
+	}
+	return false, false
+}
+
 // Usable lists the upstreams that may get new work, by service. Where several entries have
 // one address, the newest life has it.
 func (c *Core) Usable() map[string][]Upstream {
--- a/internal/process/fleet/upstream.go
+++ b/internal/process/fleet/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
@@ -34,6 +35,15 @@
 	return LifeID(u.ID + "@" + strconv.FormatInt(u.Born, 10))
 }
 
+// ids gives the ids that an upstream of the life may have.
+func (l LifeID) ids() []string {
+	ids := []string{string(l)}
+	if i := strings.LastIndexByte(string(l), '@'); i >= 0 {
+		ids = append(ids, string(l[:i]))
+	}
+	return ids
+}
+
 // Changing reports whether the upstream is about to change its role, or does so.
 func (u *Upstream) Changing() bool { return u.Becomes != "" && u.Becomes != u.Role }
 
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -49,18 +49,25 @@
 	// visitEvery is how often the first placer of an availability zone asks all
 	// instances of it for a sign of life.
 	visitEvery = 5 * time.Second
+	// placerHeardEvery is how long an instance without requests goes without a word of the one
+	// that gives it places, which tells it of a new configuration.
+	placerHeardEvery = time.Second
 )
 
 // known is one other instance.
 type known struct {
 	Peer
+	hash     uint64 // of the name
 	heardAt  time.Time
 	sequence uint64
 	nextRead uint64 // number of the first read that is news
 	demand   []Ask
 	toldAt   time.Time // when it last told what it has under way; zero: never
 	silent   bool      // it left a question unanswered and was not heard since, or isn't ready
-	askedAt  time.Time // when a silent one was last asked for a sign of life
+	away     bool      // it can't read the platform, and what it knows of upstreams is old
+	askedAt  time.Time // when it was last asked for a sign of life
+
+	instances int // that it knows; 0: not told
 }
 
 // Core is the state. It is not safe for concurrent use.
@@ -75,6 +82,7 @@
 	askedAt  time.Time // when another instance last asked for a place
 	visitAt  time.Time
 	patience patience
+	ready    bool // this instance could give places
 	strange  bool // somebody came who wasn't on the last list
 	listed   bool // the platform's list was read once
 
@@ -102,7 +110,7 @@
 func New(self Peer, life uint64) *Core {
 	return &Core{
 		self: self, known: make(map[string]*known), sequence: life, nextRead: life,
-		me:     &known{Peer: Peer{Name: self.Name, Zone: self.Zone, Cores: self.Cores}},
+		me:     &known{Peer: Peer{Name: self.Name, Zone: self.Zone, Cores: self.Cores}, hash: xxhash.Sum64String(self.Name)},
 		shares: shares{serial: life}, // answers to questions of an earlier life are passed over
 	}
 }
@@ -159,7 +167,7 @@
 		c.strange = true
 	}
 	if k.Peer != p {
-		k.Peer = p
+		k.Peer, k.hash = p, xxhash.Sum64String(p.Name)
 		c.ranking = nil
 	}
 }
@@ -178,7 +186,10 @@
 	if !ok {
 		return false, nil
 	}
-	k.heardAt, k.silent = now, m.Unready
+	k.heardAt, k.silent, k.away = now, m.Unready, m.Away
+	if m.Instances > 0 {
+		k.instances = m.Instances
+	}
 	if m.Sequence <= k.sequence {
 		return false, nil
 	}
@@ -295,6 +306,35 @@
 // Known gives the addresses of all others.
 func (c *Core) Known() []string { return slices.Collect(maps.Keys(c.known)) }
 
+// Greeted gives the addresses to which an instance that starts says that it is there: those of its
+// own availability zone that may give places, and those of all zones that hear from each other. The
+// others of its zone hear of it by Visits.
+func (c *Core) Greeted() []string {
+	to := make(map[string]bool)
+	for _, address := range c.Successors() {
+		to[address] = true
+	}
+	for _, k := range c.candidates() {
+		if k != c.me {
+			to[k.Address] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(to))
+}
+
+// Instances is how many instances there are, as far as this one knows or those have told that may
+// give places in its zone, and to which others introduce themselves.
+func (c *Core) Instances() int {
+	n := len(c.known) + 1
+	for _, k := range c.candidates() {
+		n = max(n, k.instances)
+	}
+	return n
+}
+
+// AssumedInstances is how many instances there are at most, as far as is known.
+func (c *Core) AssumedInstances() int { return max(AssumedInstances, c.Instances()) }
+
 // rank orders the instances of each availability zone: those with the larger machines
 // first, and equal ones by a hash, so that all agree without asking.
 func (c *Core) rank() {
@@ -307,7 +347,7 @@
 	}
 	for _, list := range c.ranking {
 		slices.SortFunc(list, func(a, b *known) int {
-			return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)), cmp.Compare(a.Name, b.Name))
+			return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.hash, b.hash), cmp.Compare(a.Name, b.Name))
 		})
 	}
 }
@@ -315,21 +355,70 @@
 // placersOf is how many of the instances of an availability zone give places.
 func placersOf(zone []*known) int { return (len(zone) + mostAskers - 1) / mostAskers }
 
-// placers gives the instances of the own availability zone that give places: the first in
-// rank that aren't silent. Beyond twice their number it is this instance that is cut off.
-func (c *Core) placers() []*known {
+// groupSize is how many instances of an availability zone follow its upstreams, in case that those
+// which give places fall silent or can't read the platform: twice as many as do, and one.
+func groupSize(zone []*known) int { return 2*placersOf(zone) + 1 }
+
+// mostGroups bounds the instances that are asked in turn, in rank, where those before can't read the
+// platform. The first group knows the upstreams; an instance of a later one begins to follow them
+// when it is asked. Beyond them the platform is away for all.
+const mostGroups = 3
+
+// candidates gives the instances of the own availability zone that may come to give places, in rank.
+func (c *Core) candidates() []*known {
 	c.rank()
 	list := c.ranking[c.self.Zone]
-	n := placersOf(list)
+	return list[:min(len(list), groupSize(list))]
+}
+
+// placers gives the instances of the own availability zone that give places: the first in rank
+// that aren't silent and can read the platform. Where none of the first groups can, it is away for all
+// of them, and what the first one knows has to do. If the whole first group is silent it is this
+// instance that is cut off.
+func (c *Core) placers() []*known {
+	heard := slices.DeleteFunc(slices.Clone(c.candidates()), func(k *known) bool { return k.silent })
+	list := c.ranking[c.self.Zone]
+	n, size := placersOf(list), groupSize(list)
+	for group := 1; group <= mostGroups && len(heard) > 0; group++ {
+		some := list[:min(len(list), group*size)]
+		if out := c.giving(some, size); len(out) > 0 {
+			return out[:min(len(out), n)]
+		}
+	}
+	return heard[:min(len(heard), n)]
+}
+
+// giving gives those of a list that could give places. This instance counts beyond the first group only
+// once it knows the upstreams.
+func (c *Core) giving(list []*known, group int) []*known {
 	var out []*known
-	for _, k := range list[:min(len(list), 2*n+1)] {
-		if !k.silent && len(out) < n {
+	for i, k := range list {
+		if !k.silent && !k.away && (k != c.me || i < group || c.ready) {
 			out = append(out, k)
 		}
 	}
 	return out
 }
 
+// SetReady notes whether this instance could give places.
+func (c *Core) SetReady(ready bool) { c.ready = ready }
+
+// SetAway notes whether this instance can't read the platform.
+func (c *Core) SetAway(away bool) { c.me.away = away }
+
+// IsAway reports whether another instance told that it can't read the platform.
+func (c *Core) IsAway(address string) bool {
+	k, ok := c.known[address]
+	return ok && k.away
+}
+
+// Reads reports whether this instance has to know the upstreams itself: it gives places, may soon
+// have to, or has nobody to ask. The others of an availability zone cost the platform no calls,
+// and don't follow changes that concern them only when they ask for a place.
+func (c *Core) Reads(now time.Time) bool {
+	return c.Gives(now) || (c.listed && slices.Contains(c.candidates(), c.me))
+}
+
 // first reports whether this instance is the first placer of its availability zone.
 func (c *Core) first(now time.Time) bool {
 	for _, k := range c.placers() {
@@ -388,20 +477,41 @@
 	return best.Address
 }
 
-// Visits gives the addresses to ask for a sign of life now: those that left a question
-// unanswered or weren't ready, and now and then all of the zone, if this is its first placer.
+// Gives reports whether this instance gives places, to itself at least: it is placing, or all that
+// could give it places are silent.
+func (c *Core) Gives(now time.Time) bool {
+	return c.listed && (c.Placing(now) || len(c.placers()) == 0)
+}
+
+// Visits gives the addresses to ask for a sign of life now: of those that may give places the ones
+// that left a question unanswered or weren't ready, the one that gives places for this instance if
+// it was not heard for a while, and now and then all of the zone, if this is its first placer.
 func (c *Core) Visits(now time.Time) []string {
 	var out []string
-	visitAll := now.Sub(c.visitAt) >= visitEvery && c.first(now)
-	if visitAll {
+	c.rank()
+	list := c.ranking[c.self.Zone]
+	for _, k := range list[:min(len(list), mostGroups*groupSize(list))] {
+		if k != c.me && k.silent && now.Sub(k.askedAt) >= repeatEvery {
+			k.askedAt = now
+			out = append(out, k.Address)
+		}
+	}
+	if k, ok := c.known[c.Placer()]; ok && now.Sub(k.heardAt) >= placerHeardEvery && now.Sub(k.askedAt) >= repeatEvery {
+		k.askedAt = now
+		out = append(out, k.Address)
+	}
+	if now.Sub(c.visitAt) >= visitEvery && c.first(now) {
 		c.visitAt = now
+		out = append(out, c.unheardNeighbors(now)...)
 	}
+	return out
+}
+
+// unheardNeighbors gives the others of the own availability zone that were not heard for a while.
+func (c *Core) unheardNeighbors(now time.Time) []string {
+	var out []string
 	for _, k := range c.neighbors() {
-		switch {
-		case k.silent && now.Sub(k.askedAt) >= repeatEvery:
-			k.askedAt = now
-			out = append(out, k.Address)
-		case visitAll && !k.silent && now.Sub(k.heardAt) >= fresh:
+		if now.Sub(k.heardAt) >= fresh {
 			out = append(out, k.Address)
 		}
 	}
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -9,6 +9,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/roles"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/usage"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
@@ -56,6 +57,23 @@
 	RateLimits []RateLimit `cbor:"17,keyasint,omitempty"` // at most MaxRateLimits
 	ShareAsk   uint64      `cbor:"18,keyasint,omitempty"` // serial of a request for the receiver's part of limits; 0: none
 	ShareLoan  *ShareLoan  `cbor:"19,keyasint,omitempty"`
+
+	Away      bool `cbor:"20,keyasint,omitempty"` // the sender can't read the platform: what it knows of upstreams is old
+	Instances int  `cbor:"21,keyasint,omitempty"` // that the sender knows, itself included; with Sender
+
+	LivesAsked []fleet.LifeID `cbor:"22,keyasint,omitempty"` // the receiver is to tell what became of them; at most MaxLives
+	Lives      []LifeState    `cbor:"23,keyasint,omitempty"` // at most MaxLives
+}
+
+// MaxLives is how many lives of upstreams one message asks for or tells of.
+const MaxLives = 16
+
+// LifeState is what became of one life of an upstream.
+type LifeState struct {
+	_       struct{} `cbor:",toarray"`
+	Life    fleet.LifeID
+	Leaving bool // it said that it leaves
+	Gone    bool // it was listed and isn't any more
 }
 
 // MaxRateLimits is how many limits one message tells.
@@ -96,6 +114,9 @@
 	}
 }
 
+// mostInstancesTold bounds the number of instances that another one may tell.
+const mostInstancesTold = 1 << 20
+
 // mostAgeMS bounds the age of what is told: a day.
 const mostAgeMS = 24 * 60 * 60 * 1000
 
@@ -242,6 +263,12 @@
 	if l := m.ShareLoan; l != nil && !(l.Share >= 0 && l.Share <= 1 && l.TermMS >= 0 && l.TermMS <= loanTerm.Milliseconds()) {
 		return m, errors.Errorf("message of a peer: a share of %g for %d ms", l.Share, l.TermMS)
 	}
+	if m.Instances < 0 || m.Instances > mostInstancesTold {
+		return m, errors.Errorf("message of a peer: %d instances", m.Instances)
+	}
+	if len(m.LivesAsked) > MaxLives || len(m.Lives) > MaxLives {
+		return m, errors.Errorf("message of a peer: %d lives asked for, %d told", len(m.LivesAsked), len(m.Lives))
+	}
 	if len(m.UsageWanted) > usage.KeepWindows {
 		return m, errors.Errorf("message of a peer: usage of %d windows wanted", len(m.UsageWanted))
 	}
--- a/internal/process/peers/newest.go
+++ b/internal/process/peers/newest.go
@@ -47,9 +47,9 @@
 }
 
 // Fetch gives the address from which to get a version that is newer than the own one, if it
-// is time to.
-func (n *Newest) Fetch(now time.Time, own uint64) (from string, ok bool) {
-	if n.version <= own || now.Sub(n.since) < fetchAfter || now.Sub(n.asked) < fetchAgain {
+// is time to. An instance that follows the platform's configuration waits for that first.
+func (n *Newest) Fetch(now time.Time, own uint64, follows bool) (from string, ok bool) {
+	if n.version <= own || now.Sub(n.asked) < fetchAgain || (follows && now.Sub(n.since) < fetchAfter) {
 		return "", false
 	}
 	n.asked = now
--- a/internal/process/peers/newest_test.go
+++ b/internal/process/peers/newest_test.go
@@ -13,19 +13,19 @@
 	n.Heard(begun, "b", 9, 7)
 	n.Heard(begun, "a", 7, 7)
 	n.Heard(begun.Add(time.Second), "c", 9, 7)
-	if _, ok := n.Fetch(begun.Add(fetchAfter-1), 7); ok {
+	if _, ok := n.Fetch(begun.Add(fetchAfter-1), 7, true); ok {
 		t.Error("asked before the platform could tell")
 	}
-	if from, ok := n.Fetch(begun.Add(fetchAfter), 7); !ok || from != "c" {
+	if from, ok := n.Fetch(begun.Add(fetchAfter), 7, true); !ok || from != "c" {
 		t.Errorf("asked of %q (%v)", from, ok)
 	}
-	if _, ok := n.Fetch(begun.Add(fetchAfter+fetchAgain-1), 7); ok {
+	if _, ok := n.Fetch(begun.Add(fetchAfter+fetchAgain-1), 7, true); ok {
 		t.Error("asked twice at once")
 	}
-	if _, ok := n.Fetch(begun.Add(fetchAfter+fetchAgain), 7); !ok {
+	if _, ok := n.Fetch(begun.Add(fetchAfter+fetchAgain), 7, true); !ok {
 		t.Error("not asked again")
 	}
-	if _, ok := n.Fetch(begun.Add(time.Minute), 9); ok {
+	if _, ok := n.Fetch(begun.Add(time.Minute), 9, true); ok {
 		t.Error("asked for a version that is in force")
 	}
 }
--- a/internal/process/peers/placing.go
+++ b/internal/process/peers/placing.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
@@ -104,6 +105,10 @@
 	return nil
 }
 
+// NotReady refuses a question of which nothing was weighed: the instance that was asked doesn't know the
+// upstreams, or stops.
+const NotReady place.Why = "not ready to give places"
+
 // PlaceAnswer answers a question.
 type PlaceAnswer struct {
 	_        struct{} `cbor:",toarray"`
@@ -119,6 +124,37 @@
 	Load     float32
 	AgeUS    int64
 	Grounds  AnswerGrounds
+	At       *PlaceUpstream // where the place is; nil: refused, or waiting
+}
+
+// PlaceUpstream is what is needed to send a request to its place, for an instance that doesn't know
+// the upstreams itself.
+type PlaceUpstream struct {
+	_           struct{} `cbor:",toarray"`
+	ID          string
+	Born        int64
+	Address     string // host:port
+	Zone        string
+	Role        string
+	CopyAddress string // of the engine to copy shared parts of the prompt from; empty: none
+}
+
+// upstreamOf tells the upstream of a choice.
+func upstreamOf(c *place.Choice) *PlaceUpstream {
+	u := &c.Upstream
+	return &PlaceUpstream{ID: u.ID, Born: u.Born, Address: u.Address, Zone: u.Zone, Role: string(u.Role), CopyAddress: c.CopyFrom.Address}
+}
+
+// Place completes a choice by the upstream that was told with it. ok is false if none was.
+func (a *PlaceAnswer) Place(service string, c *place.Choice) (ok bool) {
+	if a.At == nil {
+		return false
+	}
+	c.Upstream = fleet.Upstream{
+		ID: a.At.ID, Born: a.At.Born, Service: service, Address: a.At.Address, Zone: a.At.Zone, Role: upstream.Role(a.At.Role),
+	}
+	c.CopyFrom = place.Source{Key: place.UpstreamKey(a.CopyFrom), Address: a.At.CopyAddress}
+	return true
 }
 
 // AnswerGrounds is what a refusal was decided by, as place.Grounds.
@@ -143,6 +179,7 @@
 		c := &d.Choice
 		out.Upstream, out.Work, out.CopyFrom = uint32(place.KeyOf(c.Upstream.Life())), string(c.Work), uint32(c.CopyFrom.Key)
 		out.Tokens, out.Alone, out.Load, out.AgeUS = c.Tokens, c.Alone, float32(c.Load), c.Age.Microseconds()
+		out.At = upstreamOf(c)
 	}
 	return out
 }
--- a/internal/process/peers/rateshare.go
+++ b/internal/process/peers/rateshare.go
@@ -13,9 +13,9 @@
 // lent most of what another one, of another availability zone, doesn't need. So the parts in
 // use never add up to more than one, whoever gives places to whom.
 
-// MostInstances is how many instances a process takes the deployment to have where it doesn't
-// know. It is more than any deployment has.
-const MostInstances = 400
+// AssumedInstances is how many instances a process takes the deployment to have where it knows of
+// fewer, and can't be sure that these are all.
+const AssumedInstances = 400
 
 const (
 	// loanTerm is how long a part is lent, from the request for it.
@@ -68,9 +68,9 @@
 // ownShare is this instance's part, lent or not.
 func (c *Core) ownShare(now boottime.Time) float64 {
 	if c.shares.settledAt == 0 || now.Before(c.shares.settledAt) {
-		return 1.0 / MostInstances
+		return 1 / float64(c.AssumedInstances())
 	}
-	return 1 / float64(len(c.known)+1)
+	return 1 / float64(c.Instances())
 }
 
 // RateShare is the part of each limit that this instance may use now.
--- a/internal/process/peers/rateshare_test.go
+++ b/internal/process/peers/rateshare_test.go
@@ -96,12 +96,12 @@
 func TestOneThatKnowsNoListHasNextToNoPart(t *testing.T) {
 	c := New(peer(1, "z1"), 1)
 	for _, d := range []time.Duration{0, time.Hour} {
-		if got := c.RateShare(boot(d)); got != 1.0/MostInstances {
+		if got := c.RateShare(boot(d)); got != 1.0/AssumedInstances {
 			t.Errorf("%g", got)
 		}
 	}
 	c.Settle(boot(0))
-	if got := c.RateShare(boot(settledAfter - 1)); got != 1.0/MostInstances {
+	if got := c.RateShare(boot(settledAfter - 1)); got != 1.0/AssumedInstances {
 		t.Errorf("%g before all can be known", got)
 	}
 	if got := c.RateShare(boot(settledAfter)); got != 1 {
--- /dev/null
+++ b/internal/process/peers/reading_test.go
@@ -0,0 +1,168 @@
+package peers
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// oneByOne makes the core of each instance of the first zone of a fleet in turn: all of them at a time
+// would take too much memory for a test.
+func oneByOne(n, zones int, visit func(c *Core)) {
+	var all []Peer
+	for i := range n {
+		all = append(all, Peer{Name: fmt.Sprint("i", i), Zone: fmt.Sprint("z", i%zones), Address: fmt.Sprintf("10.0.%d.%d:7", i/250, i%250)})
+	}
+	for i := 0; i < n; i += zones {
+		c := New(all[i], 1)
+		c.Listed(at(0), all)
+		visit(c)
+	}
+}
+
+// TestFewInstancesReadThePlatform: each zone has two that read for every hundred instances, and one.
+// All others cost the platform nothing at rest, and a change of upstreams makes them no work.
+func TestFewInstancesReadThePlatform(t *testing.T) {
+	for _, tt := range []struct{ n, zones, want int }{{6, 3, 2}, {12, 3, 3}, {84, 3, 3}, {295, 5, 3}, {984, 5, 5}, {1968, 5, 9}} {
+		reading, alone := 0, 0
+		oneByOne(tt.n, tt.zones, func(c *Core) {
+			if c.Reads(at(0)) {
+				reading++
+			} else if c.Placer() == "" {
+				alone++
+			}
+		})
+		if reading != tt.want || alone > 0 {
+			t.Errorf("%d instances in %d zones: %d of a zone read the platform, want %d; %d of the others ask nobody", tt.n, tt.zones, reading, tt.want, alone)
+		}
+	}
+}
+
+// TestAStartTellsFew: an instance that starts tells as many others as may give places, however many
+// there are.
+func TestAStartTellsFew(t *testing.T) {
+	for _, tt := range []struct{ n, most int }{{295, 12}, {984, 20}, {1968, 40}} {
+		oneByOne(tt.n, 5, func(c *Core) {
+			if got := len(c.Greeted()); got > tt.most {
+				t.Fatalf("%d instances: %s tells %d others, want at most %d", tt.n, c.self.Name, got, tt.most)
+			}
+		})
+	}
+}
+
+// TestAnInstanceAtRestSendsLittle: one that asks others for places sends one message a second, to the
+// one that would give them, also while all others of its zone know no upstreams.
+func TestAnInstanceAtRestSendsLittle(t *testing.T) {
+	for _, n := range []int{100, 984} {
+		var asker *Core
+		oneByOne(n, 5, func(c *Core) {
+			if asker == nil && !c.Reads(at(0)) {
+				asker = c
+			}
+		})
+		for _, k := range asker.neighbors()[mostGroups*len(asker.candidates()):] {
+			asker.Heard(at(0), k.Address, &Message{Unready: true})
+		}
+		sent := 0
+		const span = 20 * time.Second
+		for d := time.Duration(0); d < span; d += 50 * time.Millisecond {
+			for _, to := range asker.Visits(at(d)) {
+				sent++
+				asker.Heard(at(d), to, &Message{})
+			}
+		}
+		if sent > int(span/placerHeardEvery) {
+			t.Errorf("%d instances: %d messages in %v", n, sent, span)
+		}
+	}
+}
+
+// TestOneThatCannotReadThePlatformIsPassedOver: its list is old, and the next in rank gives places.
+// Where none can read it, the first goes on.
+func TestOneThatCannotReadThePlatformIsPassedOver(t *testing.T) {
+	cores := whole(8, 1)
+	var asker *Core
+	for _, c := range cores {
+		if !c.Reads(at(0)) {
+			asker = c
+		}
+	}
+	first := asker.Placer()
+	asker.Heard(at(0), first, &Message{Away: true})
+	second := asker.Placer()
+	if second == first || second == "" {
+		t.Fatalf("%q is asked, after %q can't read the platform", second, first)
+	}
+	asker.Heard(at(0), second, &Message{Away: true})
+	third := asker.Placer()
+	asker.Heard(at(0), third, &Message{Away: true})
+	later := asker.Placer()
+	if slices.ContainsFunc(asker.candidates(), func(k *known) bool { return k.Address == later }) || later == "" {
+		t.Errorf("%q is asked, want one that doesn't follow the platform yet", later)
+	}
+	for range 10 {
+		if to := asker.Placer(); to != first {
+			asker.Heard(at(0), to, &Message{Unready: true}) // it can't read the platform either
+		}
+	}
+	if got := asker.Placer(); got != first || third == first || third == second {
+		t.Errorf("nobody reads the platform: %q is asked, want the first in rank, %q", got, first)
+	}
+	asker.Heard(at(0), later, &Message{})
+	if got := asker.Placer(); got != later {
+		t.Errorf("%q is asked, want %q, which follows the platform now", got, later)
+	}
+	asker.Heard(at(0), third, &Message{})
+	if got := asker.Placer(); got != third {
+		t.Errorf("%q is asked, want %q, which reads the platform again", got, third)
+	}
+}
+
+// TestOneThatGivesPlacesAndCannotReadStepsBack, and reads on: it may be the only one that is left.
+func TestOneThatGivesPlacesAndCannotReadStepsBack(t *testing.T) {
+	for _, c := range whole(5, 1) {
+		if !c.IsPlacer() {
+			continue
+		}
+		if c.SetAway(true); c.IsPlacer() || !c.Reads(at(0)) {
+			t.Errorf("gives places: %v, reads: %v", c.IsPlacer(), c.Reads(at(0)))
+		}
+		if c.SetAway(false); !c.IsPlacer() {
+			t.Error("it doesn't give places again")
+		}
+	}
+}
+
+// TestOneThatIsAloneReads: all that could give it places are silent.
+func TestOneThatIsAloneReads(t *testing.T) {
+	for _, c := range whole(8, 1) {
+		if c.Reads(at(0)) {
+			continue
+		}
+		for c.Placer() != "" {
+			c.Unanswered(c.Placer())
+		}
+		if !c.Reads(at(0)) {
+			t.Error("it knows no upstreams and has nobody to ask")
+		}
+	}
+}
+
+// TestTheNumberOfInstancesIsTold: an instance that came first knows few others, and takes the part of
+// limits that those have told which all have introduced themselves to.
+func TestTheNumberOfInstancesIsTold(t *testing.T) {
+	c := New(peer(0, "z"), 1)
+	c.Listed(at(0), []Peer{peer(0, "z"), peer(1, "z"), peer(2, "z")})
+	c.Settle(boot(0))
+	if got := c.RateShare(boot(settledAfter)); got != 1.0/3 {
+		t.Errorf("a part of %v of 3", got)
+	}
+	c.Heard(at(0), peer(1, "z").Address, &Message{Instances: 984})
+	if got := c.RateShare(boot(settledAfter)); got != 1.0/984 {
+		t.Errorf("a part of %v of 984", got)
+	}
+	if got := c.AssumedInstances(); got != 984 {
+		t.Errorf("%d instances", got)
+	}
+}
--- a/internal/request/retry/window.go
+++ b/internal/request/retry/window.go
@@ -29,6 +29,9 @@
 // NewWindow makes a window in which nothing was counted.
 func NewWindow(cfg WindowConfig) *Window { return &Window{cfg: cfg} }
 
+// SetSlack sets this process's part of the slack.
+func (w *Window) SetSlack(slack float64) { w.cfg.Slack = slack }
+
 // Request counts a first send.
 func (w *Window) Request(now time.Time) {
 	w.advance(now)
