Instances that don't follow the platform rest; the next in rank follows it when one before it falls silent

And instances that had ended kept their places in the order for half a minute: those left followed nothing, and refused for 0.1 s when all before them had ended (TestALimitThatChanges, 6 to 30 requests; it passed before only by the longer time for which instances follow the platform). Change: an instance that follows nothing looks four times a second, twice for the lease; what wakes it is told to it (questions, lists, silence). Notes that nobody waits for go 50 ms later by a timer of their own. Who follows the upstreams is counted among those that aren't silent.

--- a/internal/process/entry/asking.go
+++ b/internal/process/entry/asking.go
@@ -260,8 +260,11 @@
 	if len(kept) > 0 {
 		s.asks.put(h, peers.NoteOf(h.ask, kept), released)
 	}
-	if urgent {
+	switch {
+	case urgent:
 		s.flush(h.placer)
+	case len(kept) > 0:
+		time.AfterFunc(noteDelay, func() { s.flush(h.placer) })
 	}
 }
 
@@ -373,6 +376,7 @@
 		s.mu.Lock()
 		s.core.Unanswered(to)
 		s.mu.Unlock()
+		s.lookAgain() // there may be nobody left to ask
 		logline.Info("places not given", "by", to, "why", "no answer in time", "then", "another instance is asked until it is heard")
 	}
 	s.question(to, peers.Question{ID: id, Cancel: true})
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -266,12 +266,19 @@
 		e.holds.Forget(time.Now())
 		e.log.tick(time.Now())
 		e.probeUpstreams(ctx)
-		every = idleTick
-		if e.state.waiting() > 0 {
+		switch {
+		case e.state.waiting() > 0:
 			every = tickEvery
+		case e.state.upstreamsListed():
+			every = idleTick
+		default:
+			every = restTick
 		}
 	}
 }
 
-// idleTick is the pause when nothing waits.
-const idleTick = 50 * time.Millisecond
+// idleTick is the pause when nothing waits, restTick where nothing can.
+const (
+	idleTick = 50 * time.Millisecond
+	restTick = 250 * time.Millisecond
+)
--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -16,6 +16,8 @@
 const (
 	// holderTick is how often the lease and the split of roles are looked at.
 	holderTick = 100 * time.Millisecond
+	// restingHolderTick is the same for an instance that may not hold the lease.
+	restingHolderTick = 500 * time.Millisecond
 	// decideEvery is how often the split of roles is weighed.
 	decideEvery = time.Second
 	// announceSlack is how much longer than the pause after changes an announced change of
@@ -51,11 +53,11 @@
 // run keeps the lease and the split of roles until ctx ends.
 func (h *holder) run(ctx context.Context) {
 	for !h.e.state.hasEngines() && h.e.usage == nil {
-		if platform.Sleep(ctx, holderTick) != nil {
+		if platform.Sleep(ctx, h.pause()) != nil {
 			return
 		}
 	}
-	for platform.Sleep(ctx, holderTick) == nil {
+	for platform.Sleep(ctx, h.pause()) == nil {
 		rank, candidate := h.e.rank(time.Now())
 		h.lease.stand(ctx, rank, candidate)
 		h.lease.tick(ctx)
@@ -75,6 +77,14 @@
 	}
 }
 
+// pause is the time until the lease is looked at again.
+func (h *holder) pause() time.Duration {
+	if _, candidate := h.e.rank(time.Now()); candidate {
+		return holderTick
+	}
+	return restingHolderTick
+}
+
 // decide weighs the split of every service with engines.
 func (h *holder) decide(ctx context.Context) {
 	asked := h.asked(time.Now())
--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -93,6 +93,7 @@
 	s.core.Settle(boottime.Now())
 	abandoned, greeted := s.core.Abandoned(now), s.core.Greeted()
 	s.mu.Unlock()
+	s.lookAgain()
 	s.greet(greeted)
 	for _, name := range abandoned {
 		s.remove(ctx, name)
--- a/internal/process/entry/reading.go
+++ b/internal/process/entry/reading.go
@@ -16,8 +16,9 @@
 // that each change makes, grow with the zones and not with the instances.
 
 const (
-	// readingTick is how often an instance looks whether it has to follow the platform.
-	readingTick = 50 * time.Millisecond
+	// readingTick is how often an instance looks whether it has to follow the platform, if nothing tells
+	// it to.
+	readingTick = 500 * time.Millisecond
 	// keepReading is how long it goes on after it had to: those before it may be only paused.
 	keepReading = 3 * time.Second
 	// holdsEvery is how often an instance that doesn't follow holds looks for them. It is told of
@@ -35,6 +36,7 @@
 	rest := duty{name: "configuration and holds", needed: always, feeds: []func(context.Context){e.followConfig, e.followHolds}}
 	if s := e.shared; s != nil {
 		upstreams.needed, rest.needed = s.reads, s.places
+		upstreams.look, rest.look = s.lookUpstreams, s.lookRest
 	}
 	upstreams.ended = func() { e.state.unlist(time.Now()) }
 	rest.ended = func() {}
@@ -46,6 +48,7 @@
 type duty struct {
 	name   string
 	needed func(now time.Time) bool
+	look   <-chan struct{} // it may have become needed; nil: it always is
 	feeds  []func(ctx context.Context)
 	ended  func()
 }
@@ -58,7 +61,18 @@
 			d.follow(ctx)
 			logline.Info("platform not followed any more", "what", d.name)
 		}
-		_ = platform.Sleep(ctx, readingTick) // ends with ctx, which the loop asks
+		d.wait(ctx)
+	}
+}
+
+// wait waits until it is time to look again.
+func (d *duty) wait(ctx context.Context) {
+	timer := time.NewTimer(readingTick)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-d.look:
 	}
 }
 
@@ -83,6 +97,16 @@
 	d.ended()
 }
 
+// lookAgain has it looked at once whether this instance has to follow the platform.
+func (s *sharing) lookAgain() {
+	for _, look := range []chan struct{}{s.lookUpstreams, s.lookRest} {
+		select {
+		case look <- struct{}{}:
+		default: // it will be looked at already
+		}
+	}
+}
+
 // reads reports whether this instance has to follow the upstreams.
 func (s *sharing) reads(now time.Time) bool {
 	s.mu.Lock()
--- a/internal/process/entry/sharing.go
+++ b/internal/process/entry/sharing.go
@@ -22,6 +22,11 @@
 	// to tell, restingLook the same for the others: each look costs them processor time.
 	lookEvery   = 10 * time.Millisecond
 	restingLook = 50 * time.Millisecond
+	// idleLook is the same for those that don't follow the platform, which are nearly all of a large
+	// deployment.
+	idleLook = 250 * time.Millisecond
+	// noteDelay is how long a note waits that nobody waits for, so that others can go with it.
+	noteDelay = 50 * time.Millisecond
 )
 
 // sharing exchanges datagrams with other instances: what is under way at upstreams, and
@@ -44,6 +49,8 @@
 
 	following atomic.Bool // this instance has to know the upstreams
 
+	lookUpstreams, lookRest chan struct{} // see lookAgain
+
 	encoded encodedConfig
 
 	mu         sync.Mutex
@@ -80,6 +87,7 @@
 	return &sharing{
 		e: e, self: self, conn: conn, core: peers.New(self, life),
 		asks: newAsking(life), gives: newGranting(), crashes: &crashNews{}, newest: peers.NewNewest(), life: life, ended: make(chan struct{}),
+		lookUpstreams: make(chan struct{}, 1), lookRest: make(chan struct{}, 1),
 	}, nil
 }
 
@@ -89,9 +97,13 @@
 	s.e.loop(func() { s.follow(ctx) })
 	s.serveRelay(ctx)
 	for pause := lookEvery; platform.Sleep(ctx, pause) == nil; {
-		pause = restingLook
-		if s.tell(time.Now()) {
+		switch giving := s.tell(time.Now()); {
+		case giving:
 			pause = lookEvery
+		case s.following.Load():
+			pause = restingLook
+		default:
+			pause = idleLook
 		}
 		s.fetchVersion(ctx, time.Now())
 	}
@@ -240,7 +252,9 @@
 	news, reads := s.core.Heard(now, from, m)
 	if len(m.Questions) > 0 {
 		s.core.Asked(now)
-		s.following.Store(true)
+		if !s.following.Swap(true) {
+			s.lookAgain()
+		}
 	}
 	s.mu.Unlock()
 	if m.Answer {
--- a/internal/process/entry/usageduty.go
+++ b/internal/process/entry/usageduty.go
@@ -31,12 +31,20 @@
 }
 
 func (d *usageDuty) run(ctx context.Context) {
-	for platform.Sleep(ctx, dutyTick) == nil {
+	for platform.Sleep(ctx, d.pause()) == nil {
 		for d.step(ctx) {
 		}
 	}
 }
 
+// pause is the time until it is looked again whether something is to be done.
+func (d *usageDuty) pause() time.Duration {
+	if d.e.duties.Load() == nil {
+		return restingHolderTick
+	}
+	return dutyTick
+}
+
 // step does what is next; false: nothing is to be done now.
 func (d *usageDuty) step(ctx context.Context) bool {
 	g := d.e.duties.Load()
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -416,7 +416,24 @@
 // have to, or has nobody to ask. The others of an availability zone cost the platform no calls,
 // and don't follow changes that concern them only when they ask for a place.
 func (c *Core) Reads(now time.Time) bool {
-	return c.Gives(now) || (c.listed && slices.Contains(c.candidates(), c.me))
+	return c.Gives(now) || (c.listed && c.maySucceed())
+}
+
+// maySucceed reports whether this instance is of the first group of its availability zone that isn't
+// silent. Those that have ended stay in the order for a while.
+func (c *Core) maySucceed() bool {
+	c.rank()
+	list := c.ranking[c.self.Zone]
+	before := 0
+	for _, k := range list {
+		if k == c.me {
+			break
+		}
+		if !k.silent {
+			before++
+		}
+	}
+	return before < groupSize(list)
 }
 
 // first reports whether this instance is the first placer of its availability zone.
--- a/internal/process/peers/reading_test.go
+++ b/internal/process/peers/reading_test.go
@@ -134,6 +134,21 @@
 	}
 }
 
+// TestTheNextInRankReads as soon as one before it has fallen silent, so that it knows the upstreams when all
+// before it have.
+func TestTheNextInRankReads(t *testing.T) {
+	for _, c := range whole(8, 1) {
+		if c.Reads(at(0)) {
+			continue
+		}
+		next := c.ranking[c.self.Zone][groupSize(c.ranking[c.self.Zone])]
+		c.Unanswered(c.candidates()[1].Address)
+		if c.Reads(at(0)) != (next == c.me) {
+			t.Errorf("%s reads: %v; the next in rank is %s", c.self.Name, c.Reads(at(0)), next.Name)
+		}
+	}
+}
+
 // TestOneThatIsAloneReads: all that could give it places are silent.
 func TestOneThatIsAloneReads(t *testing.T) {
 	for _, c := range whole(8, 1) {
