One that isn't ready to give places is asked once; feeds that are given up end at once

Causes, both by reading: the answer "not ready" counted as a sign that its sender can be asked, so an instance that knows no upstreams asked the same one 24 times and refused (TestOneThatIsNotReadyIsAskedOnce, which failed). And calls of a feed ended with the context of whichever feed began the round: one that was given up could wait 20 s for its watch's end, and wasn't begun again before. Change: the answer is taken as what it says, and the demand is counted where it is weighed; a call ends with its own feed's context and with the round.

--- a/internal/process/entry/asking.go
+++ b/internal/process/entry/asking.go
@@ -149,6 +149,9 @@
 			s.unanswered(ctx, to, id)
 			return d, nil, false
 		}
+		if answer.Refused == string(peers.NotReady) {
+			return d, nil, false // its message has said so, and others are asked from now on
+		}
 		q.counted = true
 		s.answered(to, time.Since(asked))
 		if answer.Waiting {
@@ -203,9 +206,6 @@
 // accept takes a decision of another instance.
 func (q *request) accept(to string, id uint64, query *place.Query, answer peers.PlaceAnswer) (place.Decision, *held, bool) {
 	st, d := q.e.state, answer.Decision()
-	if d.Refused == peers.NotReady {
-		return d, nil, false // its message has said so, and others are asked from now on
-	}
 	if d.Refused == place.NoUpstream && st.eligible(time.Now(), query) > 0 {
 		return d, nil, false // this instance reaches upstreams that the other one doesn't
 	}
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -170,7 +170,7 @@
 	pause, wait := retryPause, watchWait
 	gather, failed := gathering{most: e.gatherMost()}, false
 	for ctx.Err() == nil {
-		round := e.rounds.current(ctx)
+		round, end := e.round(ctx)
 		next, changes, err := f.step(round, revision, known, wait)
 		switch {
 		case err != nil:
@@ -180,27 +180,38 @@
 		}
 		switch {
 		case ctx.Err() != nil:
+			end()
 			return
 		case err == nil:
 			d.worked()
 			changed := next != revision
 			revision, known, pause = next, true, retryPause
 			if changed && platform.Sleep(ctx, gather.pause(time.Now(), changes)) != nil {
+				end()
 				return
 			}
-			continue
 		case round.Err() != nil:
-			pause = retryPause
-			continue // the platform is back: ask anew at once
+			pause = retryPause // the platform is back: ask anew at once
 		case errors.Is(err, platform.ErrHistoryGone):
 			logline.Info("history gone", "dependency", f.name, "revision", revision)
 			known = false
-			continue
+		default:
+			d.failed(err)
+			f.lost()
+			_ = platform.Sleep(round, spread(pause)) // ends early when the platform is back
+			pause = min(retryPauseGrowth*pause, retryPauseMost)
 		}
-		d.failed(err)
-		f.lost()
-		_ = platform.Sleep(round, spread(pause)) // ends early when the platform is back
-		pause = min(retryPauseGrowth*pause, retryPauseMost)
+		end()
+	}
+}
+
+// round gives the context of one call of a feed: it ends with this round and with ctx. end frees it.
+func (e *Entry) round(ctx context.Context) (round context.Context, end func()) {
+	round, cancel := context.WithCancel(e.rounds.current(context.WithoutCancel(ctx)))
+	stop := context.AfterFunc(ctx, cancel)
+	return round, func() {
+		stop()
+		cancel()
 	}
 }
 
--- a/internal/process/entry/reading_test.go
+++ b/internal/process/entry/reading_test.go
@@ -43,6 +43,29 @@
 	eventually(t, "the place that wasn't taken is given back", func() bool { return load(placer) == 0 })
 }
 
+// TestOneThatIsNotReadyIsAskedOnce: the next one in rank is asked then, also by an instance that knows no
+// upstreams and can't give the place itself.
+func TestOneThatIsNotReadyIsAskedOnce(t *testing.T) {
+	placer, askers := zoneOfAll(t, 5)
+	var asker *Entry
+	for _, e := range askers {
+		if !e.shared.reads(time.Now()) {
+			asker = e
+		}
+	}
+	restarted(placer)
+	restarted(asker)
+	q, query := askFor(asker, "q", 10*time.Second)
+	d, at, err := q.place(context.Background(), query)
+	if err != nil || d.Refused != "" || at == nil || at.placer == placer.shared.self.Address {
+		t.Fatalf("%+v %+v %v, want a place given by the next in rank", d, at, err)
+	}
+	if asked := asker.shared.asks.last - asker.shared.life; asked > 2 {
+		t.Errorf("%d questions", asked)
+	}
+	asker.release(at)
+}
+
 // TestOneThatReadsThePlatformAgainIsNotAskedAtOnce: it keeps entries for a while that are missing, as those
 // may only have lapsed. Others know better by then.
 func TestOneThatReadsThePlatformAgainIsNotAskedAtOnce(t *testing.T) {
