--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -25,18 +25,23 @@
 	removeTimeout = 300 * time.Millisecond
 )
 
-// follow announces this instance and learns of the others.
+// follow announces this instance and learns of the others. Whether it has to follow the platform hangs
+// on the first list, which therefore waits neither for the announcement nor for long after a failure.
 func (s *sharing) follow(ctx context.Context) {
 	announced, era := false, uint64(0)
-	for ctx.Err() == nil {
+	for pause := retryPause; ctx.Err() == nil; {
 		round := s.e.returns.current(ctx) // a platform that returned may have lost what was announced
 		if now := s.e.storeEra(); now != era {
 			announced, era = false, now
 		}
 		announced = announced || s.announce(ctx)
-		listed := announced && s.list(ctx)
-		if platform.Sleep(ctx, listAgain) == nil && listed && !s.strangers() {
-			_ = platform.Sleep(round, listEvery) // ends with ctx too, which the loop asks
+		if listed := s.list(ctx); !listed || !announced {
+			_ = platform.Sleep(ctx, spread(pause)) // ends with ctx, which the loop asks
+			pause = min(retryPauseGrowth*pause, listAgain)
+			continue
+		}
+		if platform.Sleep(ctx, listAgain) == nil && !s.strangers() {
+			_ = platform.Sleep(round, listEvery) // the same
 		}
 	}
 }
