What answers say of their upstream's leaving and rest is read, and told in a line

The output of the instances couldn't tell apart whether nobody reads that an upstream leaves or wants to rest, whether one instance heeds it and another doesn't, or whether some kinds of sends don't. Each instance now writes a line when an answer first says so, with what it was an answer to. Nothing is decided by it yet.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -67,6 +67,7 @@
 	returns  rounds                // each ends when the platform comes back from an older copy
 	log      *requestLog
 	ahead    room // for what is read before callers take it
+	notices  notices
 
 	exporter  *metrics.Exporter
 	callers   *http.Server
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -236,6 +236,7 @@
 	e.holds.Answered(lifeName(u), begun)
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	e.heardRateLimit(u, begun, resp.Status, told, q.declared.ID)
+	e.heardNotices(u, told, q.declared.ID)
 	events := headEvents(resp.Status, told)
 	if kv != nil && resp.Status == http.StatusOK {
 		events = append(events, place.Event{Kind: place.WasGot})
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -74,6 +74,13 @@
 	Readable  bool // false: it has a limit, and it can't be read which
 }
 
+// Rest is how long an upstream that turned a request away wants no more from this instance.
+type Rest struct {
+	For      time.Duration
+	Readable bool   // false: it can't be read for how long
+	Text     string // as it was told
+}
+
 // Told is what an answer says besides its status and body.
 type Told struct {
 	RequestID string // the request that it answers
@@ -83,6 +90,8 @@
 	Upstream  string // id of the upstream; empty: not told
 
 	RateLimit *RateLimit // of the upstream; nil: the answer names none
+	Leaving   bool       // the upstream leaves: it is to get no new work
+	Rest      *Rest      // nil: it was not turned away, or the upstream says nothing of when to come again
 }
 
 // Prefilled is the answer to a request of which only the prompt was computed.
