An upstream whose answers say that it leaves gets no new work

What was seen: with the platform's store away, requests reached an engine up to 12 s after its answers had said that it leaves (DRAIN, 2 s allowed). Callers were answered whole. Cause: nothing read that an answer tells of its upstream's leaving; only the store's list did. Why this works: the life of the upstream counts as leaving from the first such answer on, in the same core that the list goes to, so that whatever asks whether an upstream may get work, decides roles or tells a crash from a planned end heeds it; a list that says ready, an older copy of the store, or a list that isn't followed for a while don't bring it back, a new life starts clean. Answers to prompts, runs, resumptions, refusals, orders and states are read. The one that gave the place is told at once, and again with each place that the asker rejects, which costs the request one more question and no repeat. A reserved decode whose engine leaves while the prompt is read goes to another engine, which fetches the same KV cache: the prompt isn't read twice.

--- a/internal/process/entry/asking.go
+++ b/internal/process/entry/asking.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
@@ -101,6 +102,7 @@
 		if ok || ctx.Err() != nil {
 			return d, at, ctx.Err()
 		}
+		query.Excluded = q.excluded // it may have learned of one
 		if e.state.upstreamsListed() {
 			break
 		}
@@ -212,6 +214,11 @@
 	if d.Refused != "" {
 		return d, nil, true
 	}
+	if life := answer.Life(); st.leaves(life) {
+		q.excluded = append(q.excluded, life)
+		q.e.shared.rejectPlace(to, id, life)
+		return d, nil, false
+	}
 	// An upstream may have left since the instance that gave the place could read the platform.
 	if q.e.shared.isAway(to) || !st.takePlace(time.Now(), query.Service, &answer, &d.Choice) {
 		q.e.shared.question(to, peers.Question{ID: id, Cancel: true})
@@ -221,6 +228,16 @@
 	return d, &held{grant: place.NewGrant(query, d.Choice), placer: to, ask: id}, true
 }
 
+// rejectPlace gives a place back whose upstream leaves, as this process knows, and lets the instance
+// know that gave it.
+func (s *sharing) rejectPlace(to string, id uint64, life fleet.LifeID) {
+	logline.Info("place rejected", "by", to, "upstream", life, "why", "it leaves")
+	s.send(peers.Message{
+		Questions: []peers.Question{{ID: id, Cancel: true}},
+		Lives:     []peers.LifeState{{Life: life, Leaving: true}},
+	}, to)
+}
+
 // takePlace completes a place that another instance gave. ok is false if its upstream may get no work
 // as far as this process knows, which it does only if it keeps up with the list.
 func (s *state) takePlace(now time.Time, service string, answer *peers.PlaceAnswer, c *place.Choice) (ok bool) {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -18,9 +18,11 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 )
 
 const (
@@ -110,6 +112,9 @@
 	e.work, e.stopWork = context.WithCancel(context.Background())
 	e.hardStop, e.stopHard = context.WithCancel(context.Background())
 	e.holds = e.newHolds()
+	if cfg.Engines != nil {
+		cfg.Engines.OnAnswer(func(u fleet.Upstream, told exchange.Told) { e.heardNotices(&u, told, "a call of this process") })
+	}
 	e.callers = e.server(e.callerHandler())
 	e.ready = e.server(e.readyHandler())
 	e.operators = e.server(e.operatorsHandler())
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -99,7 +99,7 @@
 		q.readHere = true
 		return found, q.runAt(ctx, found, a), nil
 	}
-	defer e.release(reserved)
+	defer func() { e.release(reserved) }()
 	read := q.readApart(ctx, found, refusal)
 	if read.refusal != nil {
 		return reserved, outcome{}, read.refusal
@@ -109,7 +109,9 @@
 		return reserved, outcome{run: errkind.NotRun, err: context.Cause(ctx)}, nil
 	}
 	q.reservedFor = time.Since(reservedAt)
-	e.happened(reserved, place.Event{Kind: place.Claimed})
+	if reserved = q.otherIfUnusable(ctx, reserved, read.kv); reserved.work() == place.Reserve {
+		e.happened(reserved, place.Event{Kind: place.Claimed})
+	}
 	q.readHere = read.kv == nil // the decoding engine reads the prompt, slowly
 	out := q.send(ctx, reserved, read.kv, a)
 	if out.run == errkind.NotRun || (ctx.Err() != nil && !q.begun) {
@@ -121,6 +123,22 @@
 	return reserved, out, nil
 }
 
+// otherIfUnusable gives another place for the decode if the upstream of the reserved one began to leave while
+// the prompt was read: its KV cache is still where it was read. If there is none, or no cache to
+// fetch, it gives the reserved one, at which nothing is sent.
+func (q *request) otherIfUnusable(ctx context.Context, reserved *held, kv *prefilled) *held {
+	if kv == nil || q.e.usable(reserved) {
+		return reserved
+	}
+	q.excluded = append(q.excluded, reserved.upstream().Life())
+	other, refusal := q.placed(ctx, q.query(place.Decode))
+	if refusal != nil {
+		return reserved
+	}
+	q.e.release(reserved)
+	return other
+}
+
 // firstQuery asks for an engine to run the request, or to run it once its prompt is read.
 func (q *request) firstQuery() place.Query {
 	if q.prefillsApart() {
@@ -236,7 +254,7 @@
 	e.holds.Answered(lifeName(u), begun)
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	e.heardRateLimit(u, begun, resp.Status, told, q.declared.ID)
-	e.heardNotices(u, told, q.declared.ID)
+	q.heardAt(at, told)
 	events := headEvents(resp.Status, told)
 	if kv != nil && resp.Status == http.StatusOK {
 		events = append(events, place.Event{Kind: place.WasGot})
--- a/internal/process/entry/held.go
+++ b/internal/process/entry/held.go
@@ -21,9 +21,14 @@
 func (h *held) work() place.Work { return h.grant.Choice.Work }
 
 // usable reports whether the upstream may get work right now. A process that doesn't know the
-// upstreams goes by the instance that gave the place, ms ago or while a prompt was read.
+// upstreams goes by the instance that gave the place, ms ago or while a prompt was read, and by what
+// answers said.
 func (e *Entry) usable(h *held) bool {
-	return e.state.usable(h.upstream().Life()) || (h.placer != "" && !e.state.upstreamsListed())
+	life := h.upstream().Life()
+	if e.state.usable(life) {
+		return true
+	}
+	return !e.state.leaves(life) && h.placer != "" && !e.state.upstreamsListed()
 }
 
 // happened takes what became of a place, and lets the instance know that gave it.
--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -188,6 +188,10 @@
 		logline.Info("order not given", "upstream", u.ID, "to", c.To, "busy", state.Busy, "error", err)
 		return false
 	}
+	if h.e.state.leaves(u.Life()) {
+		logline.Info("order not given", "upstream", u.ID, "to", c.To, "why", "it leaves")
+		return false
+	}
 	now := boottime.Now()
 	if why := h.unknown.forbids(now, &u, state.Born); why != "" {
 		logline.Info("order not given", "upstream", u.ID, "to", c.To, "born", u.Born, "born_told", state.Born, "why", why)
--- a/internal/process/entry/lives.go
+++ b/internal/process/entry/lives.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 )
@@ -37,19 +38,25 @@
 			s.send(peers.Message{Lives: states}, from)
 		}
 	}
-	if s.e.state.upstreamsListed() {
-		return // what this instance knows itself goes first
-	}
+	listed := s.e.state.upstreamsListed() // what this instance knows itself goes first
 	for _, l := range m.Lives {
 		switch life := quarantine.Life(l.Life); {
 		case l.Leaving:
+			s.toldLeaving(from, l.Life)
 			s.e.holds.Left(life)
-		case l.Gone:
+		case l.Gone && !listed:
 			s.e.holds.Ended(life, "not listed any more")
 		}
 	}
 }
 
+// toldLeaving takes the word of another instance that an upstream leaves.
+func (s *sharing) toldLeaving(from string, life fleet.LifeID) {
+	if s.e.state.saysItLeaves(time.Now(), life) {
+		logline.Info("upstream told to leave", "upstream", life, "by", from)
+	}
+}
+
 // livesOf tells what became of lives of upstreams, of those that leave or have gone.
 func (s *state) livesOf(lives []fleet.LifeID) []peers.LifeState {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/process/entry/notices_test.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
+)
+
+// TestAPlaceOfWhichTheAskerKnowsBetter: the instance that gives places doesn't know that an upstream says
+// in its answers that it leaves. That costs no request, and it learns of it.
+func TestAPlaceOfWhichTheAskerKnowsBetter(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		t.Run(fmt.Sprintf("asker follows the list %v", listed), func(t *testing.T) {
+			placer, asker := zoneOf(t, 2)
+			for _, e := range []*Entry{placer, asker} {
+				e.changeFleet(func(now time.Time, f *fleet.Core) {
+					f.Put(now, fleet.Upstream{ID: "b", Service: "s", Slots: 8})
+				})
+			}
+			if !listed {
+				asker.state.unlist(time.Now())
+			}
+			asker.state.saysItLeaves(time.Now(), "a")
+			for i := range 6 {
+				q, query := askFor(asker, fmt.Sprint("q", i), 10*time.Second)
+				d, at, err := q.place(context.Background(), query)
+				if err != nil || d.Refused != "" || at.upstream().ID != "b" {
+					t.Fatalf("%+v %+v %v, want a place at the other upstream", d, at, err)
+				}
+			}
+			eventually(t, "the one that gives places knows", func() bool { return placer.state.leaves("a") })
+			eventually(t, "no place is counted at the one that leaves", func() bool { return load(placer) == 0 })
+		})
+	}
+}
+
+// TestLeavingIsToldToTheOneThatGivesPlaces with the answer that says so.
+func TestLeavingIsToldToTheOneThatGivesPlaces(t *testing.T) {
+	placer, asker := zoneOf(t, 2)
+	q, _, at := heldBy(t, asker, 10*time.Second)
+	q.heardAt(at, exchange.Told{Leaving: true})
+	eventually(t, "the one that gives places knows", func() bool { return placer.state.leaves("a") })
+	if asker.usable(at) {
+		t.Error("a place that was given before is still used")
+	}
+	asker.release(at)
+	eventually(t, "no place is counted", func() bool { return load(placer) == 0 })
+}
+
+// TestAPromptIsReadOnceAlthoughItsDecoderLeavesMeanwhile: the engine that was to decode says that it leaves
+// while another one reads the prompt. A third one fetches what was read.
+func TestAPromptIsReadOnceAlthoughItsDecoderLeavesMeanwhile(t *testing.T) {
+	var fetched atomic.Int32
+	d := &stepDialect{timeout: 30 * time.Second}
+	address := engineServer(t, &fetched, func() bool { return false })
+	e := newStepEntry(d, &countingEngines{}, address)
+	e.changeFleet(func(now time.Time, f *fleet.Core) {
+		f.Put(now, fleet.Upstream{ID: "d2", Service: "s", Address: address, Zone: "z1", Slots: 8, Role: upstream.RoleDecode})
+	})
+	reads, leaver := 0, fleet.LifeID("")
+	d.reached = func(s step) {
+		if s != promptRead {
+			return
+		}
+		reads++
+		for life, n := range e.state.loads(time.Now()) {
+			if n > 0 && life != "p" {
+				leaver = life // where the decode has its place
+			}
+		}
+		e.state.saysItLeaves(time.Now(), leaver)
+	}
+	w := httptest.NewRecorder()
+	q, _ := e.prepare(w, httptest.NewRequest(http.MethodPost, "http://example.com/p/x", strings.NewReader("body")), time.Now())
+	q.finish(q.execute(context.Background()))
+	if w.Code != http.StatusOK || reads != 1 || fetched.Load() != 1 || d.kvFrom == "" || q.upstream == string(leaver) || leaver == "" {
+		t.Errorf("status %d, %d prompts read, %d runs, cache from %q, decoded at %q although %q leaves", w.Code, reads, fetched.Load(), d.kvFrom, q.upstream, leaver)
+	}
+	for life, n := range e.state.loads(time.Now()) {
+		if n != 0 {
+			t.Errorf("%v requests are counted at %s in the end", n, life)
+		}
+	}
+}
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -127,7 +127,7 @@
 	e.holds.Answered(lifeName(u), begun)
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	e.heardRateLimit(u, begun, resp.Status, told, q.declared.ID)
-	e.heardNotices(u, told, q.declared.ID)
+	q.heardAt(at, told)
 	e.happened(at, headEvents(resp.Status, told)...)
 	kv, err = q.readPrefilled(*u, resp, told)
 	q.judge(ctx, at, err == nil, told)
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -99,7 +99,8 @@
 func (s *state) unlist(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet, s.listed, s.awayAt, s.seen = fleet.New(), false, time.Time{}, 0
+	s.fleet.Unlist()
+	s.listed, s.awayAt, s.seen = false, time.Time{}, 0
 	s.book.SetUpstreams(nil)
 	s.decideWaiting(now)
 }
@@ -238,6 +239,21 @@
 	return s.book.Usable(id)
 }
 
+// saysItLeaves notes that an answer of an upstream said that it leaves. It reports whether that is news.
+func (s *state) saysItLeaves(now time.Time, life fleet.LifeID) (news bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	news = s.fleet.SaysItLeaves(now, life)
+	s.syncBook(now)
+	return news
+}
+
+// leaves reports whether a life of an upstream said, in the list or in an answer, that it leaves.
+func (s *state) leaves(life fleet.LifeID) bool {
+	_, leaving := s.lists(life)
+	return leaving
+}
+
 // lists reports whether a life of an upstream is listed, and whether it leaves.
 func (s *state) lists(life fleet.LifeID) (listed, leaving bool) {
 	s.mu.Lock()
--- a/internal/process/entry/steps_test.go
+++ b/internal/process/entry/steps_test.go
@@ -35,6 +35,7 @@
 type stepDialect struct {
 	reached func(step)
 	timeout time.Duration // that the caller declares
+	kvFrom  string        // of the newest run that was sent
 }
 
 func (d *stepDialect) Declared(http.Header) (exchange.Declared, error) {
@@ -49,6 +50,7 @@
 		out.Set("Prompt-Only", "1")
 		d.reached(promptLeaves)
 	} else {
+		d.kvFrom = s.KVFrom
 		d.reached(runLeaves)
 	}
 	return out
@@ -77,6 +79,8 @@
 	released atomic.Int32
 }
 
+func (c *countingEngines) OnAnswer(func(fleet.Upstream, exchange.Told)) {}
+
 func (c *countingEngines) Release(context.Context, fleet.Upstream, string) error {
 	c.released.Add(1)
 	return nil
--- a/internal/process/fleet/doc.go
+++ b/internal/process/fleet/doc.go
@@ -4,7 +4,8 @@
 //
 // Invariants:
 //
-//   - A life of an upstream that was once seen leaving never gets new work again. An
+//   - A life of an upstream that was once seen leaving never gets new work again, whether the
+//     list said so or an answer of its own, and whatever the list says later. An
 //     upstream that starts again, perhaps under the same id, is another life, and an entry
 //     of an older life than was seen is old news.
 //   - An entry that can't be read names no upstream, whatever it said before.
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -21,15 +21,17 @@
 // Core is the state. It is not safe for concurrent use.
 type Core struct {
 	entries    map[string]*entry
-	former     map[string]former   // entries that are gone, by id
-	unreadable map[string]string   // why, by id
-	aside      map[string]Upstream // listed by an older copy after they had gone, by id
-	listed     bool                // a whole list was taken
-	era        uint64              // of the last list
-	away       bool                // the platform cannot be read
-	back       time.Time           // when it could be read again; zero: it never was away
-	wholeSince time.Time           // when the first list came, or it could be read again
-	version    uint64              // counts changes
+	former     map[string]former    // entries that are gone, by id
+	unreadable map[string]string    // why, by id
+	aside      map[string]Upstream  // listed by an older copy after they had gone, by id
+	leavers    map[LifeID]time.Time // lives whose answers said that they leave; when that was heard last
+	sweptAt    time.Time            // when leavers were looked through last
+	listed     bool                 // a whole list was taken
+	era        uint64               // of the last list
+	away       bool                 // the platform cannot be read
+	back       time.Time            // when it could be read again; zero: it never was away
+	wholeSince time.Time            // when the first list came, or it could be read again
+	version    uint64               // counts changes
 }
 
 // former is what is remembered of an entry that is gone.
@@ -48,9 +50,17 @@
 	return &Core{
 		entries: make(map[string]*entry), former: make(map[string]former),
 		unreadable: make(map[string]string), aside: make(map[string]Upstream),
+		leavers: make(map[LifeID]time.Time),
 	}
 }
 
+// Unlist forgets the list, but not which lives of upstreams said in their answers that they leave.
+func (c *Core) Unlist() {
+	leavers := c.leavers
+	*c = *New()
+	c.leavers = leavers
+}
+
 // Version changes with every change of what Usable gives.
 func (c *Core) Version() uint64 { return c.version }
 
@@ -148,12 +158,13 @@
 	delete(c.unreadable, u.ID)
 	delete(c.aside, u.ID)
 	e := &entry{Upstream: u, markedAt: now}
+	e.Leaving = u.Leaving || c.saysItLeaves(u.Life())
 	if old, ok := c.entries[u.ID]; ok {
 		if u.Born < old.Born {
 			return
 		}
 		if u.Born == old.Born {
-			e.Leaving = u.Leaving || old.Leaving
+			e.Leaving = e.Leaving || old.Leaving
 			if old.Upstream == e.Upstream && !old.missing {
 				return
 			}
@@ -165,7 +176,7 @@
 		if u.Born < f.born {
 			return
 		}
-		e.Leaving = u.Leaving || (f.leaving && u.Born == f.born)
+		e.Leaving = e.Leaving || (f.leaving && u.Born == f.born)
 	}
 	delete(c.former, u.ID)
 	c.entries[u.ID] = e
@@ -243,6 +254,7 @@
 		c.delete(now, e)
 		gone = append(gone, id)
 	}
+	c.forgetLeavers(now)
 	for id, f := range c.former {
 		if now.Before(f.until) {
 			continue
@@ -264,14 +276,15 @@
 	return e.Upstream, true
 }
 
-// Has reports whether a life of an upstream is listed, and whether it has said that it leaves.
+// Has reports whether a life of an upstream is listed, and whether it has said, there or in its
+// answers, that it leaves.
 func (c *Core) Has(life LifeID) (listed, leaving bool) {
 	for _, id := range life.ids() {
 		if e, ok := c.entries[id]; ok && e.Life() == life {
 			return true, e.Leaving
 		}
 	}
-	return false, false
+	return false, c.saysItLeaves(life)
 }
 
 // Gone reports whether a life of an upstream was listed lately and isn't any more, and whether it
--- /dev/null
+++ b/internal/process/fleet/leaving_test.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// An engine said in its answers that it leaves while the store, which was to say so, was away, and
+// went on to get new work. What an answer says of its upstream's life holds whatever the list says.
+
+func newLife(id string, born int64) Upstream {
+	return Upstream{ID: id, Born: born, Service: "s", Address: "10.0.0.1:80", Slots: 1}
+}
+
+func usableLives(c *Core) map[LifeID]bool {
+	out := make(map[LifeID]bool)
+	for _, list := range c.Usable() {
+		for _, u := range list {
+			out[u.Life()] = true
+		}
+	}
+	return out
+}
+
+func TestAnswersThatSayLeavingWinOverTheList(t *testing.T) {
+	now := time.Unix(100, 0)
+	u := newLife("a", 5)
+	c := New()
+	c.Replace(now, 1, []Change{{Kind: Listed, ID: "a", Upstream: u}})
+	if !c.SaysItLeaves(now, u.Life()) || c.SaysItLeaves(now, u.Life()) {
+		t.Fatal("the first word is news, the second isn't")
+	}
+	steps := []struct {
+		name string
+		do   func()
+	}{
+		{"at once", func() {}},
+		{"listed as ready again", func() { c.Put(now, u) }},
+		{"listed with other slots", func() { v := u; v.Slots = 9; c.Put(now, v) }},
+		{"the platform away and back", func() { c.Lost(); c.Back(now.Add(time.Second)) }},
+		{"back from an older copy", func() { c.Replace(now, 2, []Change{{Kind: Listed, ID: "a", Upstream: u}}) }},
+		{"lapsed and back", func() { c.Remove(now, "a"); c.Put(now, u) }},
+		{"not followed for a while", func() { c.Unlist(); c.Replace(now, 2, []Change{{Kind: Listed, ID: "a", Upstream: u}}) }},
+		{"long after", func() { c.Expire(now.Add(time.Hour)) }},
+	}
+	for _, s := range steps {
+		s.do()
+		if usableLives(c)[u.Life()] {
+			t.Fatalf("%s: it may get work", s.name)
+		}
+		if len(c.Engines()) > 0 {
+			t.Fatalf("%s: counted as an engine", s.name)
+		}
+	}
+	next := newLife("a", 6)
+	c.Put(now, next)
+	if !usableLives(c)[next.Life()] {
+		t.Error("the next life under the id and address starts clean")
+	}
+}
+
+// TestLeavingHeardBeforeTheEntry: the list may be behind, or not followed at all.
+func TestLeavingHeardBeforeTheEntry(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := New()
+	u := newLife("a", 5)
+	c.SaysItLeaves(now, u.Life())
+	if listed, leaving := c.Has(u.Life()); listed || !leaving {
+		t.Errorf("listed %v, leaving %v", listed, leaving)
+	}
+	c.Put(now, u)
+	if usableLives(c)[u.Life()] {
+		t.Error("it may get work once it is listed")
+	}
+	other := newLife("b", 0)
+	c.SaysItLeaves(now, other.Life())
+	c.Put(now, other)
+	if usableLives(c)[other.Life()] {
+		t.Error("one that doesn't tell when it was born may get work")
+	}
+}
+
+// TestLeaversAreForgottenWithTheirLives bounds what is kept.
+func TestLeaversAreForgottenWithTheirLives(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := New()
+	u := newLife("a", 5)
+	c.Replace(now, 1, []Change{{Kind: Listed, ID: "a", Upstream: u}})
+	c.SaysItLeaves(now, u.Life())
+	c.Remove(now, "a")
+	if c.SaysItLeaves(now, u.Life()) {
+		t.Error("a late answer of one that has gone is news")
+	}
+	for i := range mostLeavers + 10 {
+		c.SaysItLeaves(now.Add(time.Duration(i)*time.Millisecond), LifeID(fmt.Sprint("x", i)))
+	}
+	_, oldest := c.Has("x9")
+	_, newest := c.Has(LifeID(fmt.Sprint("x", mostLeavers+9)))
+	if len(c.leavers) > mostLeavers || oldest || !newest {
+		t.Errorf("%d are kept, the oldest %v, the newest %v", len(c.leavers), oldest, newest)
+	}
+	c.Expire(now.Add(leaverKept + time.Hour))
+	if len(c.leavers) != 0 {
+		t.Errorf("%d are kept for ever", len(c.leavers))
+	}
+}
--- a/internal/process/peers/placing.go
+++ b/internal/process/peers/placing.go
@@ -60,7 +60,7 @@
 	for _, p := range q.Prompt.Parts {
 		out.Parts = append(out.Parts, QuestionPart{Key: uint32(p.Key), Tokens: p.Tokens})
 	}
-	for _, life := range q.Excluded {
+	for _, life := range q.Excluded[max(0, len(q.Excluded)-maxExcluded):] {
 		out.Excluded = append(out.Excluded, uint32(place.KeyOf(life)))
 	}
 	return out
@@ -157,6 +157,14 @@
 	return true
 }
 
+// Life gives the life of the upstream where the place is; empty: refused, or waiting.
+func (a *PlaceAnswer) Life() fleet.LifeID {
+	if a.At == nil {
+		return ""
+	}
+	return (&fleet.Upstream{ID: a.At.ID, Born: a.At.Born}).Life()
+}
+
 // AnswerGrounds is what a refusal was decided by, as place.Grounds.
 type AnswerGrounds struct {
 	_        struct{} `cbor:",toarray"`
