Upstreams that turn work away get rest, the one asked for or a short one

Cause: nothing read how long an upstream wants no more, and one that refuses at once has no work, so by its load it was the best place of all, again at once and for each instance. Why this works: what a refusal asks for is kept for the life of the upstream in the core that gives places; nothing is sent there until its end, neither first sends nor repeats, prompts, resumptions or orders. The instance that gives places learns of it with the event of the place, and an asker that knows better rejects a place, which tells it again. A refusal that asks for no rest, or can't be read, gives a pause of 20 ms that doubles from the fourth one in a row, up to a second, and counts as a failure when upstreams are compared. After a rest one request goes first, and more as these are taken; processes end a rest at different moments, within a quarter of it. Where all rest, what can't start in time is refused at once and told when the first is back. A refusal of an engine that was to fetch a KV cache may be for want of the cache: it counts as a failure only.

--- a/internal/process/entry/asking.go
+++ b/internal/process/entry/asking.go
@@ -214,9 +214,7 @@
 	if d.Refused != "" {
 		return d, nil, true
 	}
-	if life := answer.Life(); st.leaves(life) {
-		q.excluded = append(q.excluded, life)
-		q.e.shared.rejectPlace(to, id, life)
+	if q.rejects(to, id, answer.Life()) {
 		return d, nil, false
 	}
 	// An upstream may have left since the instance that gave the place could read the platform.
@@ -228,14 +226,25 @@
 	return d, &held{grant: place.NewGrant(query, d.Choice), placer: to, ask: id}, true
 }
 
-// rejectPlace gives a place back whose upstream leaves, as this process knows, and lets the instance
-// know that gave it.
-func (s *sharing) rejectPlace(to string, id uint64, life fleet.LifeID) {
-	logline.Info("place rejected", "by", to, "upstream", life, "why", "it leaves")
-	s.send(peers.Message{
-		Questions: []peers.Question{{ID: id, Cancel: true}},
-		Lives:     []peers.LifeState{{Life: life, Leaving: true}},
-	}, to)
+// rejects gives a place back whose upstream leaves or wants to rest, as this process knows, and lets the
+// instance know that gave it. It reports whether it does.
+func (q *request) rejects(to string, id uint64, life fleet.LifeID) bool {
+	st := q.e.state
+	leaves, rest := st.leaves(life), st.restOf(time.Now(), life)
+	if !leaves && rest == 0 {
+		return false
+	}
+	q.excluded = append(q.excluded, life)
+	logline.Info("place rejected", "by", to, "upstream", life, "leaves", leaves, "rest_ms", rest.Milliseconds())
+	m := peers.Message{Questions: []peers.Question{{ID: id, Cancel: true}}}
+	if leaves {
+		m.Lives = []peers.LifeState{{Life: life, Leaving: true}}
+	}
+	if rest > 0 {
+		m.Notes = []peers.Note{peers.NoteOf(id, []place.Event{{Kind: place.TurnedAway, Took: rest}})}
+	}
+	q.e.shared.send(m, to)
+	return true
 }
 
 // takePlace completes a place that another instance gave. ok is false if its upstream may get no work
@@ -269,7 +278,7 @@
 			h.pieceAt = now
 		case place.Released:
 			urgent, released = true, true
-		case place.Claimed, place.WasRead, place.WasBegun, place.Unheard, place.Elsewhere:
+		case place.Claimed, place.WasRead, place.WasBegun, place.Unheard, place.Elsewhere, place.TurnedAway:
 			urgent = true
 		}
 		kept = append(kept, e)
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -18,11 +18,9 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
-	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 )
 
 const (
@@ -69,7 +67,6 @@
 	returns  rounds                // each ends when the platform comes back from an older copy
 	log      *requestLog
 	ahead    room // for what is read before callers take it
-	notices  notices
 
 	exporter  *metrics.Exporter
 	callers   *http.Server
@@ -113,7 +110,7 @@
 	e.hardStop, e.stopHard = context.WithCancel(context.Background())
 	e.holds = e.newHolds()
 	if cfg.Engines != nil {
-		cfg.Engines.OnAnswer(func(u fleet.Upstream, told exchange.Told) { e.heardNotices(&u, told, "a call of this process") })
+		cfg.Engines.OnAnswer(e.heardAside)
 	}
 	e.callers = e.server(e.callerHandler())
 	e.ready = e.server(e.readyHandler())
@@ -266,9 +263,13 @@
 // tickLoop refuses waiting requests whose time is over, and does what is due about
 // once a second.
 func (e *Entry) tickLoop(ctx context.Context) {
-	every := tickEvery
+	every, resting := tickEvery, 0
 	for platform.Sleep(ctx, every) == nil {
 		e.state.tick(time.Now())
+		if n := e.state.resting(time.Now()); n != resting {
+			e.meters.restingUpstreams(n)
+			resting = n
+		}
 		e.holds.Forget(time.Now())
 		e.log.tick(time.Now())
 		e.probeUpstreams(ctx)
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -22,8 +22,11 @@
 // try takes time and counts against the bound on repeats.
 const refusalsAllowed = 2
 
-// errLeaving means that the upstream chosen began to leave before the send.
-var errLeaving = errors.New("the upstream is leaving")
+// Why nothing is sent to an upstream that was chosen before.
+var (
+	errLeaving = errors.New("the upstream is leaving")
+	errResting = errors.New("the upstream wants to rest")
+)
 
 // outcome is how one send of a request that is to run ended. Only answered says that
 // the caller has its answer: an outcome that says nothing is a failure.
@@ -123,11 +126,11 @@
 	return reserved, out, nil
 }
 
-// otherIfUnusable gives another place for the decode if the upstream of the reserved one began to leave while
-// the prompt was read: its KV cache is still where it was read. If there is none, or no cache to
+// otherIfUnusable gives another place for the decode if the upstream of the reserved one began to leave or
+// rest while the prompt was read: its KV cache is still where it was read. If there is none, or no cache to
 // fetch, it gives the reserved one, at which nothing is sent.
 func (q *request) otherIfUnusable(ctx context.Context, reserved *held, kv *prefilled) *held {
-	if kv == nil || q.e.usable(reserved) {
+	if kv == nil || q.e.usable(reserved) == nil {
 		return reserved
 	}
 	q.excluded = append(q.excluded, reserved.upstream().Life())
@@ -224,9 +227,9 @@
 // upstream fetches the prompt's KV cache; nil: it reads the prompt itself.
 func (q *request) send(ctx context.Context, at *held, kv *prefilled, a *answer) outcome {
 	e, u := q.e, at.upstream()
-	if !e.usable(at) {
+	if err := e.usable(at); err != nil {
 		e.happened(at, place.Event{Kind: place.GivenUp})
-		return outcome{run: errkind.NotRun, err: errLeaving}
+		return outcome{run: errkind.NotRun, err: err}
 	}
 	if q.workHeld() { // since it asked for the place
 		e.happened(at, place.Event{Kind: place.GivenUp})
@@ -255,7 +258,7 @@
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	e.heardRateLimit(u, begun, resp.Status, told, q.declared.ID)
 	q.heardAt(at, told)
-	events := headEvents(resp.Status, told)
+	events := headEvents(resp.Status, told, kv != nil)
 	if kv != nil && resp.Status == http.StatusOK {
 		events = append(events, place.Event{Kind: place.WasGot})
 	}
@@ -274,9 +277,17 @@
 	return out
 }
 
-// headEvents is what the head of an answer tells of its upstream.
-func headEvents(status int, told exchange.Told) []place.Event {
-	events := []place.Event{{Kind: place.Answered}}
+// headEvents is what the head of an answer tells of its upstream. fetching: the upstream was to fetch the
+// prompt's KV cache.
+func headEvents(status int, told exchange.Told, fetching bool) []place.Event {
+	var events []place.Event
+	switch away, wanted := turnedAway(status, told); {
+	case away && fetching && wanted == 0:
+		events = append(events, place.Event{Kind: place.NotGot})
+	case away:
+		events = append(events, place.Event{Kind: place.TurnedAway, Took: wanted})
+	}
+	events = append(events, place.Event{Kind: place.Answered})
 	if l := told.Load; l != nil {
 		events = append(events, place.Event{Kind: place.Load, Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Percent: l.Percent})
 	}
--- a/internal/process/entry/held.go
+++ b/internal/process/entry/held.go
@@ -20,15 +20,19 @@
 
 func (h *held) work() place.Work { return h.grant.Choice.Work }
 
-// usable reports whether the upstream may get work right now. A process that doesn't know the
+// usable tells why the upstream may get no work right now; nil: it may. A process that doesn't know the
 // upstreams goes by the instance that gave the place, ms ago or while a prompt was read, and by what
 // answers said.
-func (e *Entry) usable(h *held) bool {
+func (e *Entry) usable(h *held) error {
 	life := h.upstream().Life()
-	if e.state.usable(life) {
-		return true
+	given := h.placer != "" && !e.state.upstreamsListed()
+	switch {
+	case !e.state.usable(life) && (!given || e.state.leaves(life)):
+		return errLeaving
+	case e.state.restOf(time.Now(), life) > 0:
+		return errResting
 	}
-	return !e.state.leaves(life) && h.placer != "" && !e.state.upstreamsListed()
+	return nil
 }
 
 // happened takes what became of a place, and lets the instance know that gave it.
--- a/internal/process/entry/holder.go
+++ b/internal/process/entry/holder.go
@@ -183,6 +183,10 @@
 
 // order gives one order. It reports false if the engine certainly doesn't change.
 func (h *holder) order(ctx context.Context, u fleet.Upstream, c roles.Change) bool {
+	if rest := h.e.state.restOf(time.Now(), u.Life()); rest > 0 {
+		logline.Info("order not given", "upstream", u.ID, "to", c.To, "why", "it wants to rest", "rest_ms", rest.Milliseconds())
+		return false
+	}
 	state, err := h.e.cfg.Engines.State(ctx, u)
 	if err != nil || state.Busy {
 		logline.Info("order not given", "upstream", u.ID, "to", c.To, "busy", state.Busy, "error", err)
--- a/internal/process/entry/notices.go
+++ b/internal/process/entry/notices.go
@@ -1,55 +1,64 @@
 package entry
 
 import (
-	"sync"
+	"net/http"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
 
-// mostNotices bounds the lives of upstreams of which it is remembered what was logged.
-const mostNotices = 4096
-
-// notices remembers what was logged of the notices of upstreams, so that each is logged once.
-type notices struct {
-	mu      sync.Mutex
-	resting map[fleet.LifeID]time.Time // until when
-}
-
-// heardAt takes what an answer to a request of a caller says of the upstream at a place.
+// heardAt takes what an answer to a request of a caller says of the upstream at a place. Rests go with the
+// events of the place.
 func (q *request) heardAt(at *held, told exchange.Told) {
-	if q.e.heardNotices(at.upstream(), told, q.declared.ID) && at.placer != "" {
-		q.e.shared.send(peers.Message{Lives: []peers.LifeState{{Life: at.upstream().Life(), Leaving: true}}}, at.placer)
+	u := at.upstream()
+	q.e.logRest(u, told.Rest, q.declared.ID)
+	if q.e.heardLeaving(u, told, q.declared.ID) && at.placer != "" {
+		q.e.shared.send(peers.Message{Lives: []peers.LifeState{{Life: u.Life(), Leaving: true}}}, at.placer)
 	}
 }
 
-// heardNotices takes what an answer says of its upstream: that it leaves, or that it wants to rest.
-// about names what was answered: a request's id, or a call of this process's own. It reports whether the
-// leaving is news.
-func (e *Entry) heardNotices(u *fleet.Upstream, told exchange.Told, about string) (leaving bool) {
-	now := time.Now()
-	if told.Leaving && e.state.saysItLeaves(now, u.Life()) {
-		leaving = true
-		logline.Info("upstream says that it leaves", "upstream", u.ID, "born", u.Born, "answer_to", about)
-		e.holds.Left(lifeName(u))
+// ownCall is logged in place of a request's id for what the answer to a call of this process's own says.
+const ownCall = "a call of this process"
+
+// heardAside takes what an answer to a call of this process's own says of its upstream.
+func (e *Entry) heardAside(u fleet.Upstream, told exchange.Told) {
+	e.heardLeaving(&u, told, ownCall)
+	if r := told.Rest; r != nil && r.Readable {
+		e.logRest(&u, r, ownCall)
+		now := time.Now()
+		e.state.withBook(now, func(b *place.Book) { b.TurnedAway(now, u.Life(), r.For) })
 	}
-	if told.Rest != nil {
-		e.notices.log(now, u, told.Rest, about)
+}
+
+// heardLeaving takes whether an answer says that its upstream leaves. It reports whether that is news.
+func (e *Entry) heardLeaving(u *fleet.Upstream, told exchange.Told, about string) (news bool) {
+	if !told.Leaving || !e.state.saysItLeaves(time.Now(), u.Life()) {
+		return false
 	}
-	return leaving
+	logline.Info("upstream says that it leaves", "upstream", u.ID, "born", u.Born, "answer_to", about)
+	e.holds.Left(lifeName(u))
+	return true
 }
 
-func (n *notices) log(now time.Time, u *fleet.Upstream, r *exchange.Rest, about string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.resting == nil || len(n.resting) >= mostNotices {
-		n.resting = make(map[fleet.LifeID]time.Time)
+// logRest writes down that an upstream asks for rest, once for each rest.
+func (e *Entry) logRest(u *fleet.Upstream, r *exchange.Rest, about string) {
+	if r == nil || e.state.restOf(time.Now(), u.Life()) > 0 {
+		return
 	}
-	if life := u.Life(); now.After(n.resting[life]) {
-		n.resting[life] = now.Add(max(r.For, refusedRetryAfter))
-		logline.Info("upstream asks for rest", "upstream", u.ID, "born", u.Born, "told", r.Text, "readable", r.Readable, "rest_ms", r.For.Milliseconds(), "answer_to", about)
+	logline.Info("upstream asks for rest", "upstream", u.ID, "born", u.Born, "told", r.Text, "readable", r.Readable,
+		"rest_ms", r.For.Milliseconds(), "answer_to", about)
+}
+
+// turnedAway reports whether an answer turns a request away, and for how long its upstream wants no more;
+// 0: it doesn't say.
+func turnedAway(status int, told exchange.Told) (away bool, wanted time.Duration) {
+	if r := told.Rest; r != nil && r.Readable && r.For > 0 {
+		return true, r.For
 	}
+	full := status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+	return full && told.NotRun, 0
 }
--- a/internal/process/entry/notices_test.go
+++ b/internal/process/entry/notices_test.go
@@ -13,6 +13,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
 
 // TestAPlaceOfWhichTheAskerKnowsBetter: the instance that gives places doesn't know that an upstream says
@@ -43,13 +44,83 @@
 	}
 }
 
+// TestAPlaceAtAnUpstreamThatWantsRestFromTheAsker: only the asker was told so.
+func TestAPlaceAtAnUpstreamThatWantsRestFromTheAsker(t *testing.T) {
+	for _, listed := range []bool{true, false} {
+		t.Run(fmt.Sprintf("asker follows the list %v", listed), func(t *testing.T) {
+			placer, asker := zoneOf(t, 2)
+			for _, e := range []*Entry{placer, asker} {
+				e.changeFleet(func(now time.Time, f *fleet.Core) {
+					f.Put(now, fleet.Upstream{ID: "b", Service: "s", Slots: 8})
+				})
+			}
+			if !listed {
+				asker.state.unlist(time.Now())
+			}
+			now := time.Now()
+			asker.state.withBook(now, func(b *place.Book) { b.TurnedAway(now, "a", time.Minute) })
+			for i := range 6 {
+				q, query := askFor(asker, fmt.Sprint("q", i), 10*time.Second)
+				d, at, err := q.place(context.Background(), query)
+				if err != nil || d.Refused != "" || at.upstream().ID != "b" {
+					t.Fatalf("%+v %+v %v, want a place at the other upstream", d, at, err)
+				}
+			}
+			eventually(t, "the one that gives places knows", func() bool { return placer.state.restOf(time.Now(), "a") > 0 })
+			eventually(t, "no place is counted at the one that rests", func() bool { return load(placer) == 0 })
+		})
+	}
+}
+
+// TestATurnedAwayRequestIsToldToTheOneThatGivesPlaces at once, with how long the upstream wants no more. A place
+// that was given before isn't used.
+func TestATurnedAwayRequestIsToldToTheOneThatGivesPlaces(t *testing.T) {
+	placer, asker := zoneOf(t, 2)
+	_, _, before := heldBy(t, asker, 10*time.Second)
+	_, _, at := heldBy(t, asker, 10*time.Second)
+	told := exchange.Told{NotRun: true, Rest: &exchange.Rest{For: time.Minute, Readable: true}}
+	asker.happened(at, headEvents(http.StatusServiceUnavailable, told, false)...)
+	eventually(t, "the one that gives places knows", func() bool { return placer.state.restOf(time.Now(), "a") > 0 })
+	if asker.usable(before) != errResting {
+		t.Error("a place that was given before is still used")
+	}
+}
+
+// TestWhatARefusalTellsOfItsUpstream: an engine that can't fetch a KV cache need not be full.
+func TestWhatARefusalTellsOfItsUpstream(t *testing.T) {
+	rest := &exchange.Rest{For: time.Second, Readable: true}
+	away, nothing := place.Event{Kind: place.TurnedAway}, place.Event{Kind: place.Answered}
+	resting := place.Event{Kind: place.TurnedAway, Took: time.Second}
+	for _, c := range []struct {
+		name     string
+		status   int
+		told     exchange.Told
+		fetching bool
+		want     place.Event // the first one
+	}{
+		{"refused", http.StatusServiceUnavailable, exchange.Told{NotRun: true}, false, away},
+		{"refused with the wish for rest", http.StatusServiceUnavailable, exchange.Told{NotRun: true, Rest: rest}, false, resting},
+		{"perhaps run, with the wish for rest", http.StatusServiceUnavailable, exchange.Told{Rest: rest}, false, resting},
+		{"a rest that can't be read", http.StatusServiceUnavailable, exchange.Told{NotRun: true, Rest: &exchange.Rest{}}, false, away},
+		{"too many", http.StatusTooManyRequests, exchange.Told{NotRun: true}, false, away},
+		{"no KV cache", http.StatusServiceUnavailable, exchange.Told{NotRun: true}, true, place.Event{Kind: place.NotGot}},
+		{"no KV cache, with the wish for rest", http.StatusServiceUnavailable, exchange.Told{NotRun: true, Rest: rest}, true, resting},
+		{"perhaps run", http.StatusServiceUnavailable, exchange.Told{}, false, nothing},
+		{"served", http.StatusOK, exchange.Told{}, false, nothing},
+	} {
+		if got := headEvents(c.status, c.told, c.fetching); got[0] != c.want || got[len(got)-1] != nothing {
+			t.Errorf("%s: %+v, want %+v first", c.name, got, c.want)
+		}
+	}
+}
+
 // TestLeavingIsToldToTheOneThatGivesPlaces with the answer that says so.
 func TestLeavingIsToldToTheOneThatGivesPlaces(t *testing.T) {
 	placer, asker := zoneOf(t, 2)
 	q, _, at := heldBy(t, asker, 10*time.Second)
 	q.heardAt(at, exchange.Told{Leaving: true})
 	eventually(t, "the one that gives places knows", func() bool { return placer.state.leaves("a") })
-	if asker.usable(at) {
+	if asker.usable(at) == nil {
 		t.Error("a place that was given before is still used")
 	}
 	asker.release(at)
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -107,9 +107,9 @@
 // sendPrefill has one engine read the prompt. sent: a byte may have reached it.
 func (q *request) sendPrefill(ctx context.Context, at *held) (kv *prefilled, sent bool, err error) {
 	e, u := q.e, at.upstream()
-	if !e.usable(at) {
+	if err := e.usable(at); err != nil {
 		e.happened(at, place.Event{Kind: place.GivenUp})
-		return nil, false, errLeaving
+		return nil, false, err
 	}
 	if q.workHeld() {
 		e.happened(at, place.Event{Kind: place.GivenUp})
@@ -128,7 +128,7 @@
 	told := q.e.cfg.Dialect.Told(resp.Status, resp.Header)
 	e.heardRateLimit(u, begun, resp.Status, told, q.declared.ID)
 	q.heardAt(at, told)
-	e.happened(at, headEvents(resp.Status, told)...)
+	e.happened(at, headEvents(resp.Status, told, false)...)
 	kv, err = q.readPrefilled(*u, resp, told)
 	q.judge(ctx, at, err == nil, told)
 	if cutShort(ctx, err) {
--- a/internal/process/entry/reading_test.go
+++ b/internal/process/entry/reading_test.go
@@ -36,7 +36,7 @@
 	if u := at.upstream(); u.ID != "a" || u.Service != "s" {
 		t.Errorf("the place is at %+v", u)
 	}
-	if !asker.usable(at) {
+	if asker.usable(at) != nil {
 		t.Error("the place isn't used")
 	}
 	asker.release(at)
--- a/internal/process/entry/record.go
+++ b/internal/process/entry/record.go
@@ -65,6 +65,9 @@
 // limitedUpstreams tells how many upstreams name a limit of requests a second.
 func (m *meters) limitedUpstreams(n int) { m.scope.Gauge("upstreams_limited").Update(float64(n)) }
 
+// restingUpstreams tells how many upstreams asked for rest and have it now.
+func (m *meters) restingUpstreams(n int) { m.scope.Gauge("upstreams_resting").Update(float64(n)) }
+
 // limitShare tells the part of each limit that this process may use.
 func (m *meters) limitShare(share float64) { m.scope.Gauge("upstream_limit_share").Update(share) }
 
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -159,6 +159,7 @@
 	s.syncBook(now)
 	s.book.ForgetOldTold(now)
 	s.book.ForgetRateLimits(now)
+	s.book.ForgetRests(now)
 	s.decideWaiting(now)
 }
 
@@ -254,6 +255,20 @@
 	return leaving
 }
 
+// restOf is for how long an upstream wants nothing, as it said in an answer.
+func (s *state) restOf(now time.Time, life fleet.LifeID) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Rests(now, life)
+}
+
+// resting counts the upstreams that asked for rest and have it now.
+func (s *state) resting(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Resting(now)
+}
+
 // lists reports whether a life of an upstream is listed, and whether it leaves.
 func (s *state) lists(life fleet.LifeID) (listed, leaving bool) {
 	s.mu.Lock()
--- a/internal/request/place/book.go
+++ b/internal/request/place/book.go
@@ -22,8 +22,9 @@
 	told        bool // see MostTold
 	rateLimits  map[UpstreamKey]*rateLimit
 	rateShare   float64 // see SetRateShare
-	salt        uint64  // see SetSalt
-	lists       uint64  // of upstreams that were set so far
+	rests       map[fleet.LifeID]*rest
+	salt        uint64 // see SetSalt
+	lists       uint64 // of upstreams that were set so far
 }
 
 // task is the work of one kind for a service.
@@ -49,6 +50,7 @@
 		models:   make(map[group]*readingModel),
 
 		rateLimits: make(map[UpstreamKey]*rateLimit),
+		rests:      make(map[fleet.LifeID]*rest),
 		rateShare:  1,
 	}
 }
@@ -274,6 +276,14 @@
 	}
 }
 
+// Refused notes that an upstream turned a request away, which counts as a failure where another one of the
+// service would have taken it.
+func (b *Book) Refused(now time.Time, id fleet.LifeID) {
+	if l, ok := b.byID[id]; ok {
+		l.health.count(now, 1)
+	}
+}
+
 // GaveUp notes that this process stopped waiting for the head of an answer.
 func (b *Book) GaveUp(now time.Time, id fleet.LifeID) {
 	if l, ok := b.byID[id]; ok {
--- a/internal/request/place/event.go
+++ b/internal/request/place/event.go
@@ -54,12 +54,14 @@
 	Load                        // the upstream told its load
 	Promise                     // a long answer begins, which ends in time with gaps of Took
 	PromiseEnd                  // it has ended
+	TurnedAway                  // the upstream turned the request away; it comes before Answered
+	NotGot                      // the engine could not fetch the prompt's KV cache, or turned the request away
 )
 
 // Event is what became of a place.
 type Event struct {
 	Kind    EventKind
-	Took    time.Duration // WasRead, WasBegun: the reading; Piece: the gap before it, 0: the first; Promise, PromiseEnd: the gap
+	Took    time.Duration // WasRead, WasBegun: the reading; Piece: the gap before it, 0: the first; Promise, PromiseEnd: the gap; TurnedAway: how long it wants no more, 0: not told
 	Running int           // Load only, as Waiting and Slots
 	Waiting int
 	Slots   int
@@ -74,8 +76,15 @@
 		if g.Choice.Work == Reserve {
 			b.refund(&g.Choice)
 		}
+		b.tried(&g.Choice)
 		b.Ended(life, g.Choice.Work)
 		b.Read(life, g.Choice.Tokens)
+	case TurnedAway:
+		b.tried(&g.Choice)
+		b.TurnedAway(now, life, e.Took)
+		b.Refused(now, life)
+	case NotGot:
+		b.Refused(now, life)
 	case Claimed:
 		b.Ended(life, Reserve)
 		g.Choice.Work = Decode
@@ -95,6 +104,9 @@
 		b.Promised(life, e.Took)
 	case PromiseEnd:
 		b.Kept(life, e.Took)
+	case Answered:
+		b.tookTrial(now, &g.Choice)
+		b.Heard(now, life, true)
 	default:
 		b.applyHealth(now, life, e)
 	}
@@ -103,8 +115,6 @@
 // applyHealth takes what an event tells of an upstream's health and pace.
 func (b *Book) applyHealth(now time.Time, life fleet.LifeID, e Event) {
 	switch e.Kind {
-	case Answered:
-		b.Heard(now, life, true)
 	case Piece:
 		b.Heard(now, life, false)
 		if e.Took > 0 {
--- a/internal/request/place/pick.go
+++ b/internal/request/place/pick.go
@@ -32,7 +32,7 @@
 func (b *Book) grounds(now time.Time, q *Query, ahead int, wait time.Duration) Grounds {
 	g := Grounds{Work: q.Work, Ahead: ahead, Wait: wait}
 	p := b.paced(now, q)
-	g.Limited = p.count
+	g.Limited = p.count + p.resting
 	if q.Work.reads() {
 		g.Bound = b.limiter(q.Service, q.Work).bound
 	}
@@ -79,7 +79,7 @@
 	v := b.view(now, q)
 	least := leastFailing(now, list)
 	for _, l := range list {
-		if !l.serves(now, q) || v.full(l) || b.mustWait(now, l) {
+		if !l.serves(now, q) || v.full(l) || b.restOf(l.life).full(now) || b.mustWait(now, l) {
 			continue
 		}
 		c := v.cost(l) + failCost*(l.health.failing(now)-least)
--- a/internal/request/place/query.go
+++ b/internal/request/place/query.go
@@ -120,6 +120,7 @@
 	Cost     float64
 
 	charged bool // against the limit of the upstream, in this process's book
+	trial   bool // at an upstream that turned others away, in this process's book
 }
 
 // Source is an engine that shared parts of a prompt are copied from. The zero value: none.
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -36,7 +36,7 @@
 type Grounds struct {
 	Work     Work
 	Eligible int           // upstreams that could do the work, whatever their load
-	Limited  int           // of these, that name a limit of requests a second
+	Limited  int           // of these, that name a limit of requests a second, or rest
 	Ahead    int           // requests that wait before this one
 	Wait     time.Duration // estimated, for a place; 0: not known
 	Bound    float64       // learned bound of prompts under way in this process; 0: none holds for the work
@@ -139,13 +139,14 @@
 		here := *q
 		here.Work = ReadHere
 		p := r.book.paced(now, q)
-		here.readersLimited = p.count > 0
+		here.readersLimited = p.count+p.resting > 0
 		choice, ok = r.book.Pick(now, &here)
 	}
 	if !ok {
 		return choice, false
 	}
 	r.book.charge(now, &choice)
+	r.book.try(&choice)
 	r.book.Granted(now, &choice)
 	r.rate(q.queue()).add(now)
 	return choice, true
@@ -226,18 +227,30 @@
 }
 
 // retryAfter is when a refused request is likely to find a place: the time that
-// the requests before it take at the rate of recent starts, or the next time that the limits of
-// upstreams allow and that no other one was told.
+// the requests before it take at the rate of recent starts, the next time that the limits of
+// upstreams allow and that no other one was told, or when the first upstream is back that rests.
 func (r *Queue) retryAfter(now time.Time, q *Query) time.Duration {
 	queue := q.queue()
-	if p := r.book.paced(now, q); p.all {
+	switch p := r.book.paced(now, q); {
+	case p.all && p.count == 0:
+		return afterRest(q, p.first)
+	case p.all:
 		return r.promises.next(now, q, p.after(len(r.queues[queue])), p.perSecond)
 	}
 	return waitFor(len(r.queues[queue])+1, r.rate(queue).perSecond(now))
 }
 
-// limitsForbid reports whether the limits of all upstreams that could serve a request keep it from
-// starting in time behind n others.
+// returnSpread is over how long callers come back after a rest: the upstream takes few at first.
+const returnSpread = 500 * time.Millisecond
+
+// afterRest is when a caller should come back where all upstreams rest, the first of them for so long.
+func afterRest(q *Query, first time.Duration) time.Duration {
+	later := time.Duration(hashOf(q.ID) % uint64(returnSpread))
+	return min(max(first+later, minRetryAfter), longestTold)
+}
+
+// limitsForbid reports whether the limits and rests of all upstreams that could serve a request keep it
+// from starting in time behind n others.
 func (r *Queue) limitsForbid(now time.Time, q *Query, n int) bool {
 	p := r.book.paced(now, q)
 	if !p.all {
--- a/internal/request/place/ratelimit.go
+++ b/internal/request/place/ratelimit.go
@@ -88,16 +88,16 @@
 // newRateLimit begins a limit at a moment of its cycle that differs between processes and upstreams.
 func (b *Book) newRateLimit(now time.Time, key UpstreamKey, perSecond float64, at time.Time) *rateLimit {
 	l := &rateLimit{perSecond: perSecond, at: at, counted: now}
-	l.credit = l.room(b.rateShare) + float64(b.phase(key)>>11)/(1<<53)
+	l.credit = l.room(b.rateShare) + b.fraction(key)
 	return l
 }
 
-// phase differs between processes and upstreams.
-func (b *Book) phase(key UpstreamKey) uint64 {
+// fraction is from 0 to 1 and differs between processes and upstreams.
+func (b *Book) fraction(key UpstreamKey) float64 {
 	var d xxhash.Digest
 	d.ResetWithSeed(b.salt)
 	_, _ = d.WriteString(strconv.FormatUint(uint64(key), 10)) // a digest's writes never fail
-	return d.Sum64()
+	return float64(d.Sum64()>>11) / (1 << 53)
 }
 
 // perSecondOf gives the requests a second that are named; known is what was named before.
@@ -276,18 +276,19 @@
 	}
 }
 
-// paced is what limits make of the upstreams that could serve a request.
+// paced is what limits and rests make of the upstreams that could serve a request.
 type paced struct {
-	all       bool          // each of them has a limit
-	count     int           // of those that have
+	all       bool          // each of them has a limit, or rests
+	count     int           // of those that have a limit
+	resting   int           // of those that rest
 	first     time.Duration // until one of them may get a request
 	perSecond float64       // that this process may send to them
 	ready     int           // requests that may be sent now
 }
 
-// paced looks at the limits of the upstreams that could serve a request.
+// paced looks at the limits and rests of the upstreams that could serve a request.
 func (b *Book) paced(now time.Time, q *Query) paced {
-	if len(b.rateLimits) == 0 {
+	if len(b.rateLimits)+len(b.rests) == 0 {
 		return paced{}
 	}
 	p, eligible := paced{first: never}, 0
@@ -296,6 +297,11 @@
 			continue
 		}
 		eligible++
+		if rest := b.restOf(u.life).wait(now); rest > 0 {
+			p.resting++
+			p.first = min(p.first, rest)
+			continue
+		}
 		wait, limited := b.rateWait(now, u.key)
 		if !limited {
 			continue
@@ -306,13 +312,13 @@
 		p.perSecond += l.rate() * b.rateShare
 		p.ready += int(max(l.credit, 0))
 	}
-	p.all = eligible > 0 && p.count == eligible
+	p.all = eligible > 0 && p.count+p.resting == eligible
 	return p
 }
 
 // after is the wait of a request behind n others.
 func (p *paced) after(n int) time.Duration {
-	if n == 0 || p.first == never {
+	if n == 0 || p.first == never || p.count == 0 { // how many one that rests takes later isn't known
 		return p.first
 	}
 	wait := timeFor(float64(n), p.perSecond)
--- /dev/null
+++ b/internal/request/place/rest.go
@@ -0,0 +1,175 @@
+package place
+
+import (
+	"maps"
+	"math"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+)
+
+const (
+	// firstPause is how long an upstream that turned a request away gets nothing more, if it doesn't
+	// say for how long: less than a request takes, as it may be full just now. Where it took none between
+	// shortPauses of them, each further one is twice as long, up to mostPause.
+	firstPause  = 20 * time.Millisecond
+	shortPauses = 3
+	mostPause   = time.Second
+	// spreadShare is the part of a rest by which processes let it end at different moments,
+	// mostSpread at most, so that they don't come back together.
+	spreadShare = 0.25
+	mostSpread  = time.Second
+	// mostRests bounds the upstreams of which it is kept that they turned requests away.
+	mostRests = 4096
+	// restKept is how long it is kept after the rest that an upstream turned requests away, if
+	// nothing is sent there.
+	restKept = 10 * time.Second
+)
+
+// rest is what is kept of an upstream that turned requests away. After its pause it gets few requests
+// at first, and more as it takes them.
+type rest struct {
+	asked   time.Time // it said that it wants nothing until then
+	until   time.Time // it gets nothing until then; not before asked
+	pauses  int       // since it took a request
+	allowed int       // requests of those sent since that may be under way
+	under   int       // that are
+	fits    int       // that may be under way before it is known to turn any away
+	taken   int       // since allowed rose last
+}
+
+// TurnedAway notes that an upstream turned a request away, and for how long it wants no more; 0: it doesn't
+// say. It reports whether a pause begins by that.
+func (b *Book) TurnedAway(now time.Time, id fleet.LifeID, wanted time.Duration) (begins bool) {
+	r, ok := b.rests[id]
+	if !ok {
+		if len(b.rests) >= mostRests {
+			return false
+		}
+		r = &rest{}
+		b.rests[id] = r
+	}
+	if asked := now.Add(wanted); wanted > 0 && asked.After(r.asked) {
+		r.asked = asked
+	}
+	if begins = !now.Before(r.until); begins {
+		r.until = now.Add(r.nextPause())
+		r.fits = b.accepted(id)
+		r.allowed, r.taken = r.fits, 0
+	}
+	if wanted > 0 {
+		r.allowed, r.fits = 1, math.MaxInt
+	}
+	if !r.until.After(r.asked) {
+		r.until = r.asked.Add(b.restSpread(id, wanted))
+	}
+	return begins
+}
+
+// nextPause gives how long the upstream gets nothing if it doesn't say for how long.
+func (r *rest) nextPause() time.Duration {
+	r.pauses++
+	pause := firstPause
+	for range r.pauses - shortPauses {
+		if pause *= 2; pause >= mostPause {
+			return mostPause
+		}
+	}
+	return pause
+}
+
+// accepted is how many requests an upstream that turned one away is seen to have taken; 1 at least.
+func (b *Book) accepted(id fleet.LifeID) int {
+	if l, ok := b.byID[id]; ok {
+		return max(l.own-1, 1)
+	}
+	return 1
+}
+
+// restSpread is by how much later than asked for this process sends to an upstream again.
+func (b *Book) restSpread(id fleet.LifeID, wanted time.Duration) time.Duration {
+	most := min(time.Duration(spreadShare*float64(wanted)), mostSpread)
+	return time.Duration(b.fraction(KeyOf(id)) * float64(most))
+}
+
+// Rests gives for how long an upstream wants nothing, as it said; 0: it has said nothing of the kind.
+func (b *Book) Rests(now time.Time, id fleet.LifeID) time.Duration {
+	if r, ok := b.rests[id]; ok {
+		return max(r.asked.Sub(now), 0)
+	}
+	return 0
+}
+
+// Resting counts the upstreams that asked for rest and have it now.
+func (b *Book) Resting(now time.Time) int {
+	n := 0
+	for _, r := range b.rests {
+		if now.Before(r.asked) {
+			n++
+		}
+	}
+	return n
+}
+
+// restOf gives what is kept of an upstream that turned requests away; nil: nothing.
+func (b *Book) restOf(id fleet.LifeID) *rest {
+	if len(b.rests) == 0 {
+		return nil // as nearly always
+	}
+	return b.rests[id]
+}
+
+// wait is how long the upstream gets nothing; 0: it may get requests.
+func (r *rest) wait(now time.Time) time.Duration {
+	if r == nil {
+		return 0
+	}
+	return max(r.until.Sub(now), 0)
+}
+
+// full reports whether the upstream gets nothing now.
+func (r *rest) full(now time.Time) bool {
+	return r != nil && (now.Before(r.until) || r.under >= r.allowed)
+}
+
+// try counts a request that goes to an upstream that turned others away before.
+func (b *Book) try(c *Choice) {
+	if r := b.restOf(c.Upstream.Life()); r != nil {
+		r.under++
+		c.trial = true
+	}
+}
+
+// tried counts the end of such a request.
+func (b *Book) tried(c *Choice) {
+	if r := b.restOf(c.Upstream.Life()); r != nil && c.trial {
+		r.under = max(r.under-1, 0)
+	}
+	c.trial = false
+}
+
+// tookTrial notes that an upstream answered such a request and didn't turn it away. It may then have more of
+// them under way: twice as many in the time of one, but one more beyond those at which it turned one away.
+func (b *Book) tookTrial(now time.Time, c *Choice) {
+	life := c.Upstream.Life()
+	r := b.restOf(life)
+	if r == nil || !c.trial || now.Before(r.until) {
+		return
+	}
+	r.pauses = 0
+	if r.taken++; r.allowed < r.fits || r.taken >= r.allowed {
+		r.allowed++
+		r.taken = 0
+	}
+	if l, ok := b.byID[life]; ok && r.allowed > int(l.slots()) {
+		delete(b.rests, life)
+	}
+}
+
+// ForgetRests forgets the rests that are long over, and those of upstreams that are gone.
+func (b *Book) ForgetRests(now time.Time) {
+	maps.DeleteFunc(b.rests, func(id fleet.LifeID, r *rest) bool {
+		_, known := b.byID[id]
+		return now.Sub(r.until) >= restKept || (!known && len(b.byID) > 0 && !now.Before(r.asked))
+	})
+}
