Test: an instance that doesn't follow the upstreams is waited for

TestAPlaceOfOneThatCannotReadThePlatformIsNotTaken ended once with a nil instance, beside all other packages' tests: each of the four that ask followed the upstreams at the moment that it looked, as they had been silent to each other at first. Both tests that pick such an instance now wait until there is one, and fail if there is none.

--- a/internal/process/entry/reading_test.go
+++ b/internal/process/entry/reading_test.go
@@ -10,18 +10,31 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
 )
 
+// notReading gives an instance that doesn't follow the upstreams. On a busy machine the others may be
+// silent to it at first, so that it begins to.
+func notReading(t *testing.T, all []*Entry) (found *Entry) {
+	t.Helper()
+	eventually(t, "one doesn't follow the upstreams", func() bool {
+		for _, e := range all {
+			if !e.shared.reads(time.Now()) {
+				found = e
+			}
+		}
+		return found != nil
+	})
+	if found == nil {
+		t.FailNow()
+	}
+	return found
+}
+
 // TestAPlaceOfOneThatCannotReadThePlatformIsNotTaken cuts the instance that gives places off from the
 // platform, and has one ask it that knows no upstreams and didn't ask it since. An upstream had left
 // four seconds before, which the first answer of the one that was cut off didn't know: the request was
 // sent there. Now it is asked for a place elsewhere.
 func TestAPlaceOfOneThatCannotReadThePlatformIsNotTaken(t *testing.T) {
 	placer, askers := zoneOfAll(t, 5)
-	var asker *Entry
-	for _, e := range askers {
-		if !e.shared.reads(time.Now()) {
-			asker = e
-		}
-	}
+	asker := notReading(t, askers)
 	placer.changeFleet(func(_ time.Time, f *fleet.Core) { f.Lost() })
 	time.Sleep(awayAfter)
 	restarted(asker)
@@ -47,12 +60,7 @@
 // upstreams and can't give the place itself.
 func TestOneThatIsNotReadyIsAskedOnce(t *testing.T) {
 	placer, askers := zoneOfAll(t, 5)
-	var asker *Entry
-	for _, e := range askers {
-		if !e.shared.reads(time.Now()) {
-			asker = e
-		}
-	}
+	asker := notReading(t, askers)
 	restarted(placer)
 	restarted(asker)
 	q, query := askFor(asker, "q", 10*time.Second)
