A prompt that was turned away counts as the first arrival of its request

Cause: a prompt that is read apart and turned away is an arrival; where no repeat was allowed after it, the request went on to the engine that decodes all the same, uncounted. Fix: where no repeat is allowed it is refused at once as not run. A prompt that failed in another way may have been accepted, which isn't counted, and goes on as before. TestARefusedPromptCountsAsARepeat failed before (200 after 2 arrivals, no repeat allowed).

--- a/internal/process/entry/notices_test.go
+++ b/internal/process/entry/notices_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -11,7 +12,9 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
@@ -162,3 +165,49 @@
 		}
 	}
 }
+
+// TestARefusedPromptCountsAsARepeat: a prompt that an engine turns away has arrived there, so that what is
+// sent next is beyond the first arrival of its request. Three times the repeats that are allowed came to a
+// service whose engines turned prompts away.
+func TestARefusedPromptCountsAsARepeat(t *testing.T) {
+	for _, allowed := range []bool{true, false} {
+		t.Run(fmt.Sprintf("a repeat is allowed %v", allowed), func(t *testing.T) {
+			var arrived atomic.Int32
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				arrived.Add(1)
+				if r.Header.Get("Prompt-Only") != "" {
+					w.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				w.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(w, "id: 1\ndata: a\n\n")
+			}))
+			defer s.Close()
+			d := &refusingDialect{stepDialect{timeout: 30 * time.Second, reached: func(step) {}}}
+			e := newStepEntry(d, &countingEngines{}, strings.TrimPrefix(s.URL, "http://"))
+			e.state.bounds.RetryRatio, e.state.bounds.RetrySlack = 0, 0
+			if allowed {
+				e.state.bounds.RetrySlack = 10 * peers.AssumedInstances
+			}
+			w := httptest.NewRecorder()
+			q, _ := e.prepare(w, httptest.NewRequest(http.MethodPost, "http://example.com/p/x", strings.NewReader("body")), time.Now())
+			q.finish(q.execute(context.Background()))
+			status, sends := http.StatusServiceUnavailable, int32(1)
+			if allowed {
+				status, sends = http.StatusOK, 2
+			}
+			if w.Code != status || arrived.Load() != sends || (!allowed && q.run != errkind.NotRun) {
+				t.Errorf("status %d after %d arrivals, %s, want %d after %d", w.Code, arrived.Load(), q.run, status, sends)
+			}
+		})
+	}
+}
+
+// refusingDialect reads from a status alone whether a request was turned away.
+type refusingDialect struct{ stepDialect }
+
+func (d *refusingDialect) Told(status int, h http.Header) exchange.Told {
+	told := d.stepDialect.Told(status, h)
+	told.NotRun = status == http.StatusServiceUnavailable
+	return told
+}
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -97,13 +97,25 @@
 		q.excluded = append(q.excluded, choice.Upstream.Life())
 		logline.Info("prefill failed", "request", q.declared.ID, "upstream", choice.Upstream.ID, "try", try,
 			"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", err, "content", q.content())
-		if ctx.Err() != nil || (sent && !q.e.mayRepeat(q.service)) {
+		if ctx.Err() != nil {
 			break
 		}
+		if sent && !q.e.mayRepeat(q.service) {
+			return q.notReadAgain(err)
+		}
 	}
 	return reading{}
 }
 
+// notReadAgain is what comes of a prompt that an engine failed to read where no repeat is allowed. One that
+// was turned away counts as the first arrival of its request, so that the run would be a repeat.
+func (q *request) notReadAgain(err error) reading {
+	if !errors.Is(err, errRefused) {
+		return reading{}
+	}
+	return reading{refusal: errkind.Wrap(err, errkind.UpstreamRefused, q.run, "no engine took the prompt").After(refusedRetryAfter)}
+}
+
 // sendPrefill has one engine read the prompt. sent: a byte may have reached it.
 func (q *request) sendPrefill(ctx context.Context, at *held) (kv *prefilled, sent bool, err error) {
 	e, u := q.e, at.upstream()
