The KV cache of a run that was turned away is fetched by another engine

Cause: a run that an engine refused gave up the KV cache of its prompt, and another engine read the prompt anew, at half the speed. Change: the cache is kept for the next engine, once. If that one refuses as well the cache is taken to be gone, the engines that refused may read the prompt, and for 2 s no cache is kept after a refusal.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -66,7 +66,8 @@
 	duties   atomic.Pointer[grant] // nil: this process doesn't hold them
 	returns  rounds                // each ends when the platform comes back from an older copy
 	log      *requestLog
-	ahead    room // for what is read before callers take it
+	ahead    room                      // for what is read before callers take it
+	lapsed   atomic.Pointer[time.Time] // when a KV cache was found to be gone last; nil: never
 
 	exporter  *metrics.Exporter
 	callers   *http.Server
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -46,6 +46,7 @@
 func (q *request) execute(ctx context.Context) *errkind.Error {
 	q.e.state.firstSend(q.arrived, q.service)
 	a := &answer{q: q}
+	defer func() { q.kept.release(q.e) }() // nobody will fetch it any more
 	for {
 		// Work that crashes upstreams comes again under new ids, at any instance. Without this
 		// each attempt ends one more of them, with all that it has under way.
@@ -80,8 +81,14 @@
 // if the place is only reserved. It gives the place that was used, or the refusal of a
 // request that found no engine to read its prompt.
 func (q *request) attempt(ctx context.Context, found *held, a *answer) (*held, outcome, *errkind.Error) {
-	if found.work() == place.Reserve {
+	switch {
+	case found.work() == place.Reserve:
 		return q.attemptReading(ctx, found, a)
+	case q.kept != nil:
+		kv := q.kept
+		q.kept = nil
+		defer q.e.release(found)
+		return found, q.runFetching(ctx, found, kv, a), nil
 	}
 	return found, q.runAt(ctx, found, a), nil
 }
@@ -116,14 +123,7 @@
 		e.happened(reserved, place.Event{Kind: place.Claimed})
 	}
 	q.readHere = read.kv == nil // the decoding engine reads the prompt, slowly
-	out := q.send(ctx, reserved, read.kv, a)
-	if out.run == errkind.NotRun || (ctx.Err() != nil && !q.begun) {
-		read.kv.release(e) // nobody will fetch it any more
-	}
-	if read.kv != nil && out.run == errkind.NotRun {
-		q.readHere = true // a second prefill would count as a repeat
-	}
-	return reserved, out, nil
+	return reserved, q.runFetching(ctx, reserved, read.kv, a), nil
 }
 
 // otherIfUnusable gives another place for the decode if the upstream of the reserved one began to leave or
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -44,12 +44,47 @@
 	})
 }
 
+// lapseKnown is how long after a KV cache turned out to be gone others are taken to be gone, too, where an
+// engine that was to fetch one refuses.
+const lapseKnown = 2 * time.Second
+
+// runFetching runs the request at an engine that fetches its prompt's KV cache; nil: it reads the prompt.
+// The cache of one that the engine turned away is kept for another engine, once: the next refusal says
+// that it is gone.
+func (q *request) runFetching(ctx context.Context, at *held, kv *prefilled, a *answer) outcome {
+	out := q.send(ctx, at, kv, a)
+	ended := ctx.Err() != nil
+	switch {
+	case kv == nil:
+	case out.run == errkind.NotRun && !ended && (!out.sent || q.mayKeep()):
+		q.kept, q.wasKept = kv, q.wasKept || out.sent
+		q.mayRead = len(q.excluded)
+	case out.run == errkind.NotRun:
+		if q.wasKept && !ended {
+			now := time.Now()
+			q.e.lapsed.Store(&now)
+			q.excluded = q.excluded[:q.mayRead] // they couldn't fetch it, and may have room
+		}
+		kv.release(q.e)
+		q.readHere = true // a second prefill would count as a repeat
+	case ended && !q.begun:
+		kv.release(q.e)
+	}
+	return out
+}
+
+// mayKeep reports whether a KV cache that an engine refused to fetch may still be there.
+func (q *request) mayKeep() bool {
+	lapsed := q.e.lapsed.Load()
+	return !q.wasKept && (lapsed == nil || time.Since(*lapsed) >= lapseKnown)
+}
+
 // prefillsApart reports whether the prompt is to be read at an engine for prompts.
 func (q *request) prefillsApart() bool {
 	if q.work() != place.Decode || q.begun || q.declared.LastEvent != "" {
 		return false
 	}
-	if q.prompt.Own < apartTokens || q.readHere {
+	if q.prompt.Own < apartTokens || q.readHere || q.kept != nil {
 		return false
 	}
 	if !q.e.state.upstreamsListed() {
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -50,6 +50,9 @@
 	run         errkind.RunState // worst over all sends
 	sentAt      time.Time        // when the last send began
 	readHere    bool             // the prompt is read by the engine that decodes
+	kept        *prefilled       // KV cache of its prompt that waits for another engine to fetch it; nil: none
+	wasKept     bool             // after an engine refused to fetch it
+	mayRead     int              // of excluded, without those that refused to fetch what was kept
 	counted     bool             // what it asks of engines is counted
 	used        bool             // it counts as usage of its account
 	fetching    bool             // the last send has the upstream fetch the prompt's KV cache
