--- a/internal/process/entry/crashnews.go
+++ b/internal/process/entry/crashnews.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"sync"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
@@ -9,52 +8,9 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 )
 
-// crashTimes is in how many messages a crash is told, as datagrams are lost now and then.
-const crashTimes = 3
-
-// crashNews is what is still to be told of crashes. An instance tells what it found to those
-// that give places, of all availability zones; each of these tells what it finds and hears
-// to the instances of its own. So all know, by two messages each.
-type crashNews struct {
-	mu   sync.Mutex
-	list []crashNewsItem
-}
-
-type crashNewsItem struct {
-	crash quarantine.Crash
-	own   bool // found by this instance
-	times int  // messages to come
-}
-
-func (n *crashNews) put(crashes []quarantine.Crash, own bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, c := range crashes {
-		n.list = append(n.list, crashNewsItem{crash: c, own: own, times: crashTimes})
-	}
-}
-
-// take gives what the next messages tell: what this instance found, and all.
-func (n *crashNews) take() (own, all []quarantine.Crash) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	rest := n.list[:0]
-	for _, item := range n.list {
-		all = append(all, item.crash)
-		if item.own {
-			own = append(own, item.crash)
-		}
-		if item.times--; item.times > 0 {
-			rest = append(rest, item)
-		}
-	}
-	n.list = rest
-	return own, all
-}
-
 // tellCrashes tells what this instance found, at once.
 func (s *sharing) tellCrashes(crashes []quarantine.Crash) {
-	s.crashes.put(crashes, true)
+	s.crashes.put(true, crashes...)
 	s.flushCrashes(time.Now())
 }
 
@@ -70,7 +26,7 @@
 	}
 	news := s.e.holds.Heard(now, heard)
 	if len(news) > 0 && s.isPlacer() {
-		s.crashes.put(news, false)
+		s.crashes.put(false, news...)
 		s.flushCrashes(now)
 	}
 }
--- a/internal/process/entry/ratelimits.go
+++ b/internal/process/entry/ratelimits.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
@@ -14,51 +13,6 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
 
-// rateNewsTimes is in how many messages a limit is told at once, as datagrams are lost now and
-// then. Later those that give places tell all limits again and again.
-const rateNewsTimes = 3
-
-// rateNews is what is still to be told of limits that upstreams name. An instance tells what it
-// heard from an upstream to those that give places, of all availability zones; each of these
-// tells it to the instances of its own.
-type rateNews struct {
-	mu   sync.Mutex
-	left map[place.UpstreamKey]rateNewsItem
-}
-
-type rateNewsItem struct {
-	own   bool // heard from the upstream
-	times int  // messages to come
-}
-
-func (n *rateNews) put(key place.UpstreamKey, own bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.left == nil {
-		n.left = make(map[place.UpstreamKey]rateNewsItem)
-	}
-	n.left[key] = rateNewsItem{own: own, times: rateNewsTimes}
-}
-
-// take gives the upstreams whose limits the next messages tell: those that this instance heard
-// of itself, and all.
-func (n *rateNews) take() (own, all []place.UpstreamKey) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for key, item := range n.left {
-		all = append(all, key)
-		if item.own {
-			own = append(own, key)
-		}
-		if item.times--; item.times == 0 {
-			delete(n.left, key)
-			continue
-		}
-		n.left[key] = item
-	}
-	return own, all
-}
-
 // heardRateLimit takes what an answer to a request that was sent at a time says of its upstream's limit.
 func (e *Entry) heardRateLimit(u *fleet.Upstream, sent time.Time, status int, told exchange.Told, request string) {
 	if status == http.StatusMisdirectedRequest {
@@ -82,7 +36,7 @@
 		logline.Info("limit of an upstream ended", "upstream", u.ID, "request", request)
 	}
 	if s := e.shared; s != nil {
-		s.limits.put(place.KeyOf(u.Life()), true)
+		s.limits.put(true, place.KeyOf(u.Life()))
 		s.flushRateNews(now)
 	}
 }
@@ -196,7 +150,7 @@
 		life, _ := s.e.state.lifeOf(told.Upstream)
 		logline.Info("limit of an upstream told", "upstream", life, "per_second", told.PerSecond, "ended", told.Ended,
 			"age_ms", told.Age.Milliseconds(), "by", from)
-		s.limits.put(told.Upstream, false)
+		s.limits.put(false, told.Upstream)
 	}
 	s.flushRateNews(now)
 }
--- a/internal/process/entry/sharing.go
+++ b/internal/process/entry/sharing.go
@@ -15,6 +15,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/roles"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 )
 
 const (
@@ -38,8 +39,8 @@
 	asks  *asking
 	gives *granting
 
-	crashes *crashNews
-	limits  rateNews
+	crashes retelling[quarantine.Crash]
+	limits  retelling[place.UpstreamKey]
 	limited int // upstreams with limits, as told to the metrics last; of the loop that tells
 	usage   usageNews
 	life    uint64
@@ -86,7 +87,7 @@
 	life := uint64(time.Now().UnixMicro()) // an instance sends far fewer than a million messages a second
 	return &sharing{
 		e: e, self: self, conn: conn, core: peers.New(self, life),
-		asks: newAsking(life), gives: newGranting(), crashes: &crashNews{}, newest: peers.NewNewest(), life: life, ended: make(chan struct{}),
+		asks: newAsking(life), gives: newGranting(), newest: peers.NewNewest(), life: life, ended: make(chan struct{}),
 		lookUpstreams: make(chan struct{}, 1), lookRest: make(chan struct{}, 1),
 	}, nil
 }
