A hold that is written again at once isn't lifted by the list read before

Cause: holds that the copy may lack were written again in the background before it was looked which holds on record the list lacks. A write that was done by then put its hold on record, and the list, which was older, lifted it. Fix: they are written after the list was taken. TestAHoldThatIsWrittenAgainAtOnceIsKept, whose writes are done at once, failed before each time.

--- a/internal/process/holds/keeper_test.go
+++ b/internal/process/holds/keeper_test.go
@@ -244,3 +244,15 @@
 		}
 	}
 }
+
+// TestAHoldThatIsWrittenAgainAtOnceIsKept: the record that a hold got back was taken for one that the list, read
+// before, lacked, and the hold ended.
+func TestAHoldThatIsWrittenAgainAtOnceIsKept(t *testing.T) {
+	k := newInstance(t, "i-1", standin.New(standin.Config{}))
+	k.cfg.Loop = func(f func()) { f() }
+	k.recorded(work, quarantine.Hold{Until: time.Now().Add(time.Minute), Times: 1})
+	k.Replace(platform.VersionOf(1, 7), nil)
+	if !k.Held(work) || len(recorded(t, k.cfg.Store)) == 0 {
+		t.Error("the hold ended with its record")
+	}
+}
--- a/internal/process/holds/record.go
+++ b/internal/process/holds/record.go
@@ -132,8 +132,9 @@
 // Replace takes all holds that the platform has at a version. After its return from an older copy
 // it may lack some: these hold on and are written again.
 func (k *Keeper) Replace(version uint64, objects []platform.Object) {
+	var lost []quarantine.Content
 	if era := platform.EraOf(version); version != 0 && k.newEra(era) {
-		k.recordAgain()
+		k.with(func(c *quarantine.Core) { lost = c.Unrecord(time.Now()) })
 	}
 	listed := make(map[string]bool, len(objects))
 	for i := range objects {
@@ -147,6 +148,7 @@
 			k.lift(content)
 		}
 	}
+	k.recordAgain(lost) // only now: what is on record before isn't on the list
 }
 
 // Change takes a change of a hold that the platform has.
@@ -231,11 +233,9 @@
 	return era != old
 }
 
-// recordAgain has the platform keep all holds once more: it came back from an older copy, which
-// may lack them. Whichever instance is first writes one, the others find it there.
-func (k *Keeper) recordAgain() {
-	var lost []quarantine.Content
-	k.with(func(c *quarantine.Core) { lost = c.Unrecord(time.Now()) })
+// recordAgain has the platform keep holds once more that it may lack since it came back from an older copy.
+// Whichever instance is first writes one, the others find it there.
+func (k *Keeper) recordAgain(lost []quarantine.Content) {
 	for _, content := range lost {
 		delay := time.Duration(0)
 		if k.cfg.Delay != nil {
