Test: a fault in the middle of streams waits until answers are under way

TestFaultsMidStream (zone, zone for long) failed when the machine was busy: "the fault met no streams". The strike came at a fixed time after the first request.

--- a/internal/bench/faults/command.go
+++ b/internal/bench/faults/command.go
@@ -169,6 +169,26 @@
 	r.Rows = append(r.Rows, row)
 }
 
+const (
+	// answersWithin is how long a fault waits for answers to strike: on a busy machine the first
+	// begin late.
+	answersWithin = 5 * time.Second
+	answersCheck  = time.Millisecond
+)
+
+// awaitAnswers waits until answers are under way at each gateway and across the zone that faults hit.
+func (f *fleet) awaitAnswers(ctx context.Context) {
+	for end := time.Now().Add(answersWithin); time.Now().Before(end) && ctx.Err() == nil; time.Sleep(answersCheck) {
+		ready := streaming(f.across(hitZone)) > 0
+		for _, m := range f.gateways {
+			ready = ready && streaming(m.runners) > 0
+		}
+		if ready {
+			return
+		}
+	}
+}
+
 // load runs all callers through one fault. The fault strikes when the streams are
 // all under way; further callers come a little before and after it.
 func (f *fleet) load(ctx context.Context, struck fault, p profile) (stories []story, open Open) {
@@ -190,6 +210,7 @@
 		begin(p.streams+i, p.ramp+around*time.Duration(i)/time.Duration(late))
 	}
 	time.Sleep(p.ramp + around/2)
+	f.awaitAnswers(ctx)
 	open.Fault, open.Requests = struck.name, under.Load()
 	open.Broken = struck.strike(f, p.outage)
 	f.healing.Wait()
