An instance isn't up to date while it keeps an upstream that is missing

Change: an instance counts as up to date only once no missing entry is kept. TestNotSureWhileAMissingEntryIsKept failed before (it is sure while it keeps an upstream that is missing).

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -21,6 +21,7 @@
 // Core is the state. It is not safe for concurrent use.
 type Core struct {
 	entries    map[string]*entry
+	missing    int                  // entries that are missing
 	former     map[string]former    // entries that are gone, by id
 	unreadable map[string]string    // why, by id
 	aside      map[string]Upstream  // listed by an older copy after they had gone, by id
@@ -69,7 +70,7 @@
 
 // Sure reports whether the list is up to date: the platform can be read, and no entry is kept that is
 // missing only because it could not be.
-func (c *Core) Sure(now time.Time) bool { return !c.mayHaveLapsed(now) }
+func (c *Core) Sure(now time.Time) bool { return c.missing == 0 && !c.mayHaveLapsed(now) }
 
 // Back notes that the platform can be read again. It tells whether it was away.
 func (c *Core) Back(now time.Time) bool {
@@ -179,10 +180,19 @@
 		e.Leaving = e.Leaving || (f.leaving && u.Born == f.born)
 	}
 	delete(c.former, u.ID)
+	c.drop(u.ID)
 	c.entries[u.ID] = e
 	c.version++
 }
 
+// drop takes an entry out.
+func (c *Core) drop(id string) {
+	if e, ok := c.entries[id]; ok && e.missing {
+		c.missing--
+	}
+	delete(c.entries, id)
+}
+
 // Drop takes an entry that can't be read: it names no upstream to use, whatever it said
 // before, also in an outage. It reports whether that is news.
 func (c *Core) Drop(now time.Time, id, why string) bool {
@@ -200,7 +210,7 @@
 // delete forgets an entry but for its life.
 func (c *Core) delete(now time.Time, e *entry) {
 	c.former[e.ID] = former{born: e.Born, leaving: e.Leaving, until: now.Add(formerLife)}
-	delete(c.entries, e.ID)
+	c.drop(e.ID)
 	c.version++
 }
 
@@ -214,6 +224,7 @@
 	}
 	if c.mayHaveLapsed(now) && !e.Leaving {
 		e.missing, e.until = true, c.graceEnd(now)
+		c.missing++
 		return
 	}
 	c.delete(now, e)
--- a/internal/process/fleet/return_test.go
+++ b/internal/process/fleet/return_test.go
@@ -62,3 +62,32 @@
 		t.Error("an upstream that left stays in use")
 	}
 }
+
+// TestNotSureWhileAMissingEntryIsKept: an instance whose store was away took itself to be up to date from the end of
+// the grace on, and dropped the entry of an upstream that had left four seconds before only with its next look,
+// 30 ms later. In between it gave places there to others.
+func TestNotSureWhileAMissingEntryIsKept(t *testing.T) {
+	now := time.Unix(100, 0)
+	c := New()
+	c.Put(now, Upstream{ID: "a", Service: "s"})
+	c.Put(now, Upstream{ID: "b", Service: "s"})
+	c.Lost()
+	c.Back(now)
+	c.Remove(now, "a")
+	c.Remove(now, "b")
+	c.Put(now, Upstream{ID: "b", Service: "s"}) // it is back
+	end := now.Add(ReturnGrace)
+	if c.Sure(end.Add(-1)) || c.Sure(end) {
+		t.Error("it is sure while it keeps an upstream that is missing")
+	}
+	if gone := c.Expire(end); len(gone) != 1 || gone[0] != "a" || !c.Sure(end) {
+		t.Errorf("gone %v, sure %v", gone, c.Sure(end))
+	}
+	c.Lost()
+	c.Remove(end, "b")
+	c.Drop(end, "b", "unreadable")
+	c.Back(end)
+	if !c.Sure(end.Add(ReturnGrace)) {
+		t.Error("it is never sure again")
+	}
+}
