--- a/internal/process/entry/notices_test.go
+++ b/internal/process/entry/notices_test.go
@@ -15,6 +15,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/roles"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
@@ -211,3 +212,31 @@
 	told.NotRun = status == http.StatusServiceUnavailable
 	return told
 }
+
+// TestNoticesToOwnCallsAreHeeded: the answers to orders, looks at a state and releases say as much as those to
+// requests, and no order is given to one that leaves or rests.
+func TestNoticesToOwnCallsAreHeeded(t *testing.T) {
+	for _, told := range []exchange.Told{
+		{Leaving: true},
+		{Rest: &exchange.Rest{For: time.Minute, Readable: true}},
+	} {
+		e := newStepEntry(&stepDialect{reached: func(step) {}}, &countingEngines{}, "127.0.0.1:1")
+		u := fleet.Upstream{ID: "d", Service: "s", Role: upstream.RoleDecode}
+		e.heardAside(u, told)
+		if c, ok := pickDecoder(e); ok {
+			t.Errorf("%+v: a place at %s", told, c.Upstream.ID)
+		}
+		// The engine's state isn't asked for: the stand-in has none to give.
+		if newHolder(e).order(context.Background(), u, roles.Change{ID: "d", To: upstream.RolePrefill}) {
+			t.Errorf("%+v: an order is given", told)
+		}
+	}
+}
+
+// pickDecoder chooses an engine that decodes, as for a request that comes now.
+func pickDecoder(e *Entry) (c place.Choice, ok bool) {
+	now := time.Now()
+	q := place.Query{ID: "q", Service: "s", Zone: "z1", Work: place.Decode, Arrived: now, StartBy: now.Add(time.Second)}
+	e.state.withBook(now, func(b *place.Book) { c, ok = b.Pick(now, &q) })
+	return c, ok
+}
