--- a/internal/process/entry/notices_test.go
+++ b/internal/process/entry/notices_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	storeplatform "github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
@@ -217,22 +218,56 @@
 // requests, and no order is given to one that leaves or rests.
 func TestNoticesToOwnCallsAreHeeded(t *testing.T) {
 	for _, told := range []exchange.Told{
+		{},
 		{Leaving: true},
 		{Rest: &exchange.Rest{For: time.Minute, Readable: true}},
 	} {
-		e := newStepEntry(&stepDialect{reached: func(step) {}}, &countingEngines{}, "127.0.0.1:1")
+		engines := &orderedEngines{}
+		e := newStepEntry(&stepDialect{reached: func(step) {}}, engines, "127.0.0.1:1")
 		u := fleet.Upstream{ID: "d", Service: "s", Role: upstream.RoleDecode}
 		e.heardAside(u, told)
-		if c, ok := pickDecoder(e); ok {
-			t.Errorf("%+v: a place at %s", told, c.Upstream.ID)
+		heeds := told.Leaving || told.Rest != nil
+		if c, ok := pickDecoder(e); ok == heeds {
+			t.Errorf("%+v: a place %v at %q", told, ok, c.Upstream.ID)
 		}
-		// The engine's state isn't asked for: the stand-in has none to give.
-		if newHolder(e).order(context.Background(), u, roles.Change{ID: "d", To: upstream.RolePrefill}) {
-			t.Errorf("%+v: an order is given", told)
+		h := newHolder(e)
+		h.lease = heldLease(t)
+		given := h.order(context.Background(), u, roles.Change{ID: "d", To: upstream.RolePrefill})
+		if given == heeds || (engines.orders > 0) == heeds {
+			t.Errorf("%+v: an order is given %v, %d arrive", told, given, engines.orders)
 		}
 	}
 }
 
+// heldLease gives a lease that this process has just taken.
+func heldLease(t *testing.T) *lease {
+	t.Helper()
+	record := &oneRecord{o: storeplatform.Object{Version: 1, Spec: []byte(`{"holder":"x","epoch":3,"ttlMS":0}`)}}
+	l := newLease(record, func() uint64 { return 0 }, "i-1", time.Second, true)
+	l.stand(context.Background(), 0, true)
+	eventually(t, "the lease is held", func() bool {
+		l.tick(context.Background())
+		_, ok := l.mayOrder()
+		return ok
+	})
+	return l
+}
+
+// orderedEngines counts orders.
+type orderedEngines struct {
+	countingEngines
+	orders int
+}
+
+func (o *orderedEngines) State(context.Context, fleet.Upstream) (EngineState, error) {
+	return EngineState{Role: upstream.RoleDecode}, nil
+}
+
+func (o *orderedEngines) SetRole(context.Context, fleet.Upstream, upstream.Role, uint64, string, uint64) (OrderResult, error) {
+	o.orders++
+	return OrderAccepted, nil
+}
+
 // pickDecoder chooses an engine that decodes, as for a request that comes now.
 func pickDecoder(e *Entry) (c place.Choice, ok bool) {
 	now := time.Now()
