--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -11,6 +11,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
@@ -78,7 +79,9 @@
 // checkEnd finds out whether the process of an upstream has ended.
 func (e *Entry) checkEnd(u fleet.Upstream) {
 	for range endChecks {
-		if err := upstream.Reach(e.work, u.Address, upstreamDialTimeout); refusedConnection(err) {
+		err := upstream.Reach(e.work, u.Address, upstreamDialTimeout)
+		logline.Info("upstream checked after a broken send", "upstream", u.Life(), "error", err)
+		if refusedConnection(err) {
 			e.upstreamEnded(&u)
 			return
 		}
--- a/internal/process/gateway/crashes.go
+++ b/internal/process/gateway/crashes.go
@@ -80,6 +80,8 @@
 // may never have reached it.
 func (g *Gateway) lost(content quarantine.Content, life quarantine.Life, address, zone string, sent time.Time, err error) {
 	check := g.holds.Broke(content, life, sent)
+	logline.Info("send broke off", "upstream", life, "content", content, "sent_ms", time.Since(sent).Milliseconds(),
+		"error", err, "checked", check)
 	switch {
 	case zone != g.cfg.Settings.Instance.Zone:
 	case refusesConnections(err):
@@ -96,7 +98,10 @@
 		logline.Info("upstream not asked whether it has ended", "upstream", life, "error", err)
 		return
 	}
-	if refusesConnections(upstream.Reach(ctx, u.Host, endCheckTimeout)) {
+	began := time.Now()
+	err = upstream.Reach(ctx, u.Host, endCheckTimeout)
+	logline.Info("upstream checked after a broken send", "upstream", life, "took_ms", time.Since(began).Milliseconds(), "error", err)
+	if refusesConnections(err) {
 		g.holds.Ended(life, "connection refused")
 	}
 }
