Work that crashes upstreams which are back at once is kept from them

The end was looked for by one connection made after the break; the next process took it (error=null). 2. While a send waited for its upstream's end, later ones there weren't looked at (checked=false). 3. A second end of a name within a second was taken for the first one told again. Change: three looks within 100 ms, by one copy of the code for gateway and entry; a look is due after each break; an instance tells its own crashes apart by their times. A send of work that broke off in the last two minutes, or that upstreams ended under, has a witness: a connection beside it that carries nothing. Its close by the other side within a second of the break tells the end of the process, however soon the next one listens. A reset tells nothing (a cut link resets all), nor does a close long before (a planned stop closes what is idle first). Held back by the same reading of the code: one end counts once under each work; a send made after the end of a name counts only if its own process ended. Another fault found on the way: a refused connection counted as a crash under the work that never got there, so that work asked for twice in an outage of a service of more than a second was held for ten minutes (TestWorkForServicesThatAreAwayIsNotHeld fails on: "never: the work is served"). The same in ragwort-entry: engines have lives that the list tells, but late; its sends have witnesses too.

--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -2,26 +2,18 @@
 
 import (
 	"context"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
 const (
-	// endChecks is how often an upstream at which a send broke off is asked for a connection,
-	// with endCheckPause in between: a process that ends closes its port at about the
-	// time of its connections. One that is found later is found by the list.
-	endChecks     = 2
-	endCheckPause = 100 * time.Millisecond
 	// recordByPlacer and recordByAny are how long those wait with the record of a hold that
 	// did not find its last crash. The one that did writes at once; the others only if
 	// that didn't reach the platform.
@@ -59,16 +51,37 @@
 	}
 }
 
+// sending is one send of a request to an upstream.
+type sending struct {
+	begun   time.Time
+	witness *upstream.Witness // at the upstream, if the work is doubted
+}
+
+// beginSend notes the begin of a send.
+func (q *request) beginSend(ctx context.Context, u *fleet.Upstream) *sending {
+	s := &sending{}
+	if q.e.holds.Suspects() {
+		s.witness = q.e.holds.Watch(ctx, q.content(), u.Address)
+	}
+	s.begun = time.Now()
+	return s
+}
+
+// end gives up what watched the send.
+func (s *sending) end() {
+	holds.Unwatch(s.witness)
+	s.witness = nil
+}
+
 // brokeOff notes that an upstream ended a send before its answer was whole, and has it found
 // out whether it crashed. One that leaves ends what it has as planned.
-func (q *request) brokeOff(u *fleet.Upstream, sent time.Time) {
+func (q *request) brokeOff(u *fleet.Upstream, s *sending) {
 	e := q.e
 	if listed, leaving := e.state.lists(u.Life()); leaving || (!listed && e.state.upstreamsListed()) {
 		return
 	}
-	if e.holds.Broke(q.content(), lifeName(u), sent) {
-		e.loop(func() { e.checkEnd(*u) })
-	}
+	e.holds.BrokeOff(holds.Break{Content: q.content(), Life: lifeName(u), Address: u.Address, Sent: s.begun, Witness: s.witness})
+	s.witness = nil // it is closed there
 }
 
 // cutShort reports whether an answer ended before it was whole, by its upstream's doing.
@@ -76,24 +89,6 @@
 	return ctx.Err() == nil && errors.Is(err, errNotWhole)
 }
 
-// checkEnd finds out whether the process of an upstream has ended.
-func (e *Entry) checkEnd(u fleet.Upstream) {
-	for range endChecks {
-		err := upstream.Reach(e.work, u.Address, upstreamDialTimeout)
-		logline.Info("upstream checked after a broken send", "upstream", u.Life(), "error", err)
-		if refusedConnection(err) {
-			e.upstreamEnded(&u)
-			return
-		}
-		if platform.Sleep(e.work, endCheckPause) != nil {
-			return
-		}
-	}
-}
-
-// refusedConnection reports whether nothing listens at an address.
-func refusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
 // upstreamEnded takes the end of an upstream whose address refuses connections.
 func (e *Entry) upstreamEnded(u *fleet.Upstream) { e.holds.Ended(lifeName(u), "connection refused") }
 
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -12,6 +12,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
@@ -243,11 +244,13 @@
 		e.happened(at, place.Event{Kind: place.Promise, Took: gap})
 		defer e.happened(at, place.Event{Kind: place.PromiseEnd, Took: gap})
 	}
-	begun := time.Now()
+	s := q.beginSend(ctx, u)
+	defer s.end()
+	begun := s.begun
 	q.sentAt, q.fetching = begun, kv != nil
 	resp, err := q.e.client.Forward(ctx, q.call(u, q.sendHeaders(&at.grant.Choice, kv, a)))
 	if err != nil {
-		out := q.sendFailed(ctx, at, begun, err)
+		out := q.sendFailed(ctx, at, s, err)
 		if out.sent {
 			q.ranSends++
 		}
@@ -272,7 +275,7 @@
 	case out.answered:
 		q.wasWhole()
 	case cutShort(ctx, out.err):
-		q.brokeOff(u, begun)
+		q.brokeOff(u, s)
 	}
 	return out
 }
@@ -330,7 +333,7 @@
 }
 
 // sendFailed judges a send without an answer.
-func (q *request) sendFailed(ctx context.Context, at *held, begun time.Time, err error) outcome {
+func (q *request) sendFailed(ctx context.Context, at *held, s *sending, err error) outcome {
 	out := outcome{run: errkind.RunUnknown, err: err, sent: true}
 	if errors.Is(err, upstream.ErrNotRun) {
 		out.run, out.sent = errkind.NotRun, false
@@ -343,8 +346,8 @@
 	switch {
 	case ctx.Err() != nil:
 	case out.sent:
-		q.brokeOff(at.upstream(), begun)
-	case refusedConnection(err):
+		q.brokeOff(at.upstream(), s)
+	case holds.RefusedConnection(err):
 		q.e.upstreamEnded(at.upstream())
 	}
 	return out
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -162,12 +162,14 @@
 		e.happened(at, place.Event{Kind: place.GivenUp})
 		return nil, false, errHeld
 	}
-	begun := time.Now()
+	s := q.beginSend(ctx, u)
+	defer s.end()
+	begun := s.begun
 	resp, err := q.e.client.Forward(ctx, q.call(u, exchange.Send{PrefillOnly: true, CopyFrom: at.grant.Choice.CopyFrom.Address}))
 	took := time.Since(begun)
 	q.prefill += took
 	if err != nil {
-		out := q.sendFailed(ctx, at, begun, err)
+		out := q.sendFailed(ctx, at, s, err)
 		return nil, out.sent, out.err
 	}
 	defer resp.Body.Close()
@@ -179,7 +181,7 @@
 	kv, err = q.readPrefilled(*u, resp, told)
 	q.judge(ctx, at, err == nil, told)
 	if cutShort(ctx, err) {
-		q.brokeOff(u, begun)
+		q.brokeOff(u, s)
 	}
 	if err == nil {
 		e.happened(at, place.Event{Kind: place.WasRead, Took: took})
--- a/internal/process/gateway/crashes.go
+++ b/internal/process/gateway/crashes.go
@@ -5,22 +5,15 @@
 	"net/http"
 	"net/url"
 	"slices"
-	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/peer"
-	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 )
 
-// endCheckTimeout bounds one connection to an upstream that may have ended.
-const endCheckTimeout = time.Second
-
 // newHolds makes the gateway's part in keeping work away from upstreams that crash under it.
 func (g *Gateway) newHolds() *holds.Keeper {
 	return holds.New(holds.Config{
@@ -78,37 +71,33 @@
 // between zones all do, and work that was asked for again meanwhile was held. Of other zones
 // a runner's next incarnation tells. That a runner doesn't know the run tells nothing: the send
 // may never have reached it.
-func (g *Gateway) lost(content quarantine.Content, life quarantine.Life, address, zone string, sent time.Time, err error) {
-	check := g.holds.Broke(content, life, sent)
-	logline.Info("send broke off", "upstream", life, "content", content, "sent_ms", time.Since(sent).Milliseconds(),
-		"error", err, "checked", check)
+func (g *Gateway) lost(b holds.Break, zone string, err error) {
+	near := zone == g.cfg.Settings.Instance.Zone
 	switch {
-	case zone != g.cfg.Settings.Instance.Zone:
-	case refusesConnections(err):
-		g.holds.Ended(life, "connection refused")
-	case check:
-		g.loop(func(ctx context.Context) { g.checkEnd(ctx, life, address) })
+	case provesNotRun(err):
+		// The work did not reach the upstream, so it can't be what ended it.
+		holds.Unwatch(b.Witness)
+	case near:
+		g.holds.BrokeOff(b)
+	default:
+		holds.Unwatch(b.Witness)
+		g.holds.Broke(b.Content, b.Life, b.Sent)
+	}
+	if near && holds.RefusedConnection(err) {
+		g.holds.Ended(b.Life, "connection refused")
 	}
 }
 
-// checkEnd finds out whether the process of an upstream has ended.
-func (g *Gateway) checkEnd(ctx context.Context, life quarantine.Life, address string) {
+// hostOf gives host:port of a base URL.
+func hostOf(address string) string {
 	u, err := url.Parse(address)
 	if err != nil {
-		logline.Info("upstream not asked whether it has ended", "upstream", life, "error", err)
-		return
-	}
-	began := time.Now()
-	err = upstream.Reach(ctx, u.Host, endCheckTimeout)
-	logline.Info("upstream checked after a broken send", "upstream", life, "took_ms", time.Since(began).Milliseconds(), "error", err)
-	if refusesConnections(err) {
-		g.holds.Ended(life, "connection refused")
+		logline.Info("address unreadable", "address", address, "error", err)
+		return address
 	}
+	return u.Host
 }
 
-// refusesConnections reports whether nothing listens at an upstream's address.
-func refusesConnections(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
 // restarted takes a runner's incarnation from a poll; before is the last one known.
 func (g *Gateway) restarted(runner, before, now string) {
 	if before != "" && before != now {
@@ -138,7 +127,8 @@
 		return
 	}
 	_, address, _ := x.engine(x.runner)
-	x.g.lost(x.call.content(), x.life, address, x.call.snapshot.Runners[x.runner].Zone, x.sentAt, err)
+	b := holds.Break{Content: x.call.content(), Life: x.life, Address: hostOf(address), Sent: x.sentAt}
+	x.g.lost(b, x.call.snapshot.Runners[x.runner].Zone, err)
 }
 
 // whole notes that the call was answered whole.
@@ -168,11 +158,32 @@
 	return c.g.holds.Refusal(content)
 }
 
+// watch opens a witness at the upstream if the work is doubted: services have no incarnation that tells
+// of a restart.
+func (c *serviceCall) watch(ctx context.Context) {
+	if !c.g.holds.Suspects() {
+		return
+	}
+	if content, ok := c.content(); ok {
+		c.witness = c.g.holds.Watch(ctx, content, hostOf(c.address))
+	}
+}
+
+// unwatch closes the witness, unless the send broke off.
+func (c *serviceCall) unwatch() {
+	holds.Unwatch(c.witness)
+	c.witness = nil
+}
+
 // lost notes that the present send was ended by its upstream.
 func (c *serviceCall) lost(err error) {
-	if content, ok := c.content(); ok {
-		c.g.lost(content, quarantine.Life(c.upstream), c.address, c.zone, c.sentAt, err)
+	content, ok := c.content()
+	if !ok {
+		return
 	}
+	b := holds.Break{Content: content, Life: quarantine.Life(c.upstream), Address: hostOf(c.address), Sent: c.sentAt, Witness: c.witness}
+	c.witness = nil
+	c.g.lost(b, c.zone, err)
 }
 
 // whole notes that the call was answered whole.
--- a/internal/process/gateway/crashing_test.go
+++ b/internal/process/gateway/crashing_test.go
@@ -80,6 +80,7 @@
 // crashingUpstream is an upstream of a plain service that crashes under some work.
 type crashingUpstream struct {
 	address string
+	away    time.Duration // from a crash until it listens again
 
 	mu      sync.Mutex
 	server  *http.Server
@@ -88,7 +89,7 @@
 }
 
 func newCrashingUpstream(t *testing.T) *crashingUpstream {
-	u := &crashingUpstream{address: "127.0.0.1:0"}
+	u := &crashingUpstream{address: "127.0.0.1:0", away: 200 * time.Millisecond}
 	if err := u.listen(); err != nil {
 		t.Fatal(err)
 	}
@@ -127,7 +128,7 @@
 	defer u.mu.Unlock()
 	u.crashes++
 	go u.server.Close()
-	time.AfterFunc(200*time.Millisecond, func() { _ = u.listen() }) // it stays away if its port was taken
+	time.AfterFunc(u.away, func() { _ = u.listen() }) // it stays away if its port was taken
 	panic(http.ErrAbortHandler)
 }
 
@@ -168,3 +169,69 @@
 	g.get(ask{path: "/board/x", body: crashingPrompt}).wantError(t, errkind.Quarantined, errkind.NotRun)
 	g.eventually("other work is served", func() bool { return g.get(ask{path: "/board/x", body: "other"}).status == http.StatusOK })
 }
+
+// serveCrashing serves a plain service by upstreams that crash.
+func (f *fleet) serveCrashing(upstreams []*crashingUpstream) *running {
+	spec := resource.Service{}
+	for i, u := range upstreams {
+		spec.Upstreams = append(spec.Upstreams, resource.ServiceUpstream{
+			Name: fmt.Sprint("u", i), Address: "http://" + u.address, Zone: testZone, State: resource.RunnerServing,
+		})
+	}
+	f.put(resource.KindService, "board", spec)
+	f.putServiceRoute("board", "/board/", "")
+	g := f.start(f.settings("gw-1"))
+	g.eventually("the service answers", func() bool { return g.get(ask{path: "/board/x", body: "other"}).status == http.StatusOK })
+	return g
+}
+
+// TestWorkIsKeptFromServicesThatAreBackAtOnce: the next process listened before the end of the one before was
+// looked for, so most crashes were not seen: 8 to 15 under one piece of work, and with one upstream
+// as many as were sent.
+func TestWorkIsKeptFromServicesThatAreBackAtOnce(t *testing.T) {
+	for name, upstreams := range map[string]int{"one upstream": 1, "three": 3} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t)
+			var all []*crashingUpstream
+			for range upstreams {
+				u := newCrashingUpstream(t)
+				u.away = time.Millisecond
+				all = append(all, u)
+			}
+			g := f.serveCrashing(all)
+			for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+				g.get(ask{path: "/board/x", body: crashingPrompt})
+			}
+			crashes := 0
+			for _, u := range all {
+				crashes += u.count()
+			}
+			if crashes == 0 || crashes > 3+crashesAfter {
+				t.Errorf("%d crashes under one piece of work", crashes)
+			}
+			g.get(ask{path: "/board/x", body: crashingPrompt}).wantError(t, errkind.Quarantined, errkind.NotRun)
+			g.eventually("other work is served", func() bool { return g.get(ask{path: "/board/x", body: "other"}).status == http.StatusOK })
+		})
+	}
+}
+
+// TestWorkForServicesThatAreAwayIsNotHeld: connections that were refused counted as crashes under the work that never
+// reached an upstream, and it was held for ten minutes.
+func TestWorkForServicesThatAreAwayIsNotHeld(t *testing.T) {
+	f := newFleet(t)
+	all := []*crashingUpstream{newCrashingUpstream(t), newCrashingUpstream(t)}
+	g := f.serveCrashing(all)
+	for _, u := range all {
+		u.server.Close()
+	}
+	for range 16 {
+		g.get(ask{path: "/board/x", body: "other"})
+		time.Sleep(150 * time.Millisecond)
+	}
+	for _, u := range all {
+		if err := u.listen(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	g.eventually("the work is served", func() bool { return g.get(ask{path: "/board/x", body: "other"}).status == http.StatusOK })
+}
--- a/internal/process/gateway/service.go
+++ b/internal/process/gateway/service.go
@@ -50,11 +50,12 @@
 	excluded []string
 	upstream string
 	attempts int
-	sentAt   time.Time        // the last send
-	address  string           // where that went
-	zone     string           // of that upstream
-	state    errkind.RunState // worst over all attempts
-	begun    bool             // the caller has seen a part of the answer
+	sentAt   time.Time         // the last send
+	address  string            // where that went
+	zone     string            // of that upstream
+	witness  *upstream.Witness // at that upstream; nil: none
+	state    errkind.RunState  // worst over all attempts
+	begun    bool              // the caller has seen a part of the answer
 }
 
 // service serves every path that is not the API of models.
@@ -248,6 +249,7 @@
 	if err := c.g.mayStillCall(c.route.Service, u.Name); err != nil {
 		return err
 	}
+	defer c.unwatch()
 	answer, err := c.forward(ctx, u)
 	if err != nil {
 		return err
@@ -260,7 +262,9 @@
 	c.upstream = u.Name
 	c.attempts++
 	c.why.add(time.Now(), "sent to %s", u.Name)
-	c.sentAt, c.address, c.zone = time.Now(), u.Address, u.Zone
+	c.address, c.zone = u.Address, u.Zone
+	c.watch(ctx)
+	c.sentAt = time.Now()
 	answer, err := c.g.services.Forward(ctx, c.upstreamCall(u))
 	now := time.Now()
 	if err == nil {
--- /dev/null
+++ b/internal/process/holds/ends.go
@@ -0,0 +1,118 @@
+package holds
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
+)
+
+const (
+	// reachTimeout bounds one connection to an upstream that may have ended.
+	reachTimeout = time.Second
+	// witnessWithin is how far apart a broken answer and the end of a witness may be noticed.
+	witnessWithin = time.Second
+)
+
+// checkPauses are the pauses before the checks of an upstream at which a send broke off. A process closes
+// its port at about the time of its connections, and the next one may listen some
+// milliseconds later.
+var checkPauses = []time.Duration{0, 10 * time.Millisecond, 90 * time.Millisecond}
+
+// Break is a send that broke off before its answer was whole.
+type Break struct {
+	Content quarantine.Content
+	Life    quarantine.Life
+	Address string // host:port of the upstream
+	Sent    time.Time
+	Witness *upstream.Witness // at the upstream since before the send; nil: none. It is closed here
+}
+
+// Watch opens a witness at an upstream to which doubted work is about to be sent. nil: the work isn't
+// doubted, or the upstream can't be reached, which its send will tell.
+func (k *Keeper) Watch(ctx context.Context, content quarantine.Content, address string) *upstream.Witness {
+	doubted := false
+	k.with(func(c *quarantine.Core) { doubted = c.Doubted(time.Now(), content) })
+	if !doubted {
+		return nil
+	}
+	w, err := upstream.OpenWitness(ctx, address, reachTimeout)
+	if err != nil {
+		logline.Info("doubted work is sent without a witness", "content", content, "address", address, "error", err)
+		return nil
+	}
+	return w
+}
+
+// Unwatch closes a witness of a send that did not break off.
+func Unwatch(w *upstream.Witness) {
+	if w == nil {
+		return
+	}
+	if err := w.Close(); err != nil {
+		logline.Debug("witness not closed", "error", err)
+	}
+}
+
+// BrokeOff notes a send that broke off, and has it found out whether its upstream ended.
+func (k *Keeper) BrokeOff(b Break) {
+	broke := time.Now()
+	check := k.Broke(b.Content, b.Life, b.Sent)
+	logline.Info("send broke off", "upstream", b.Life, "content", b.Content, "sent_ms", broke.Sub(b.Sent).Milliseconds(),
+		"checked", check, "witness", b.Witness != nil)
+	if b.Witness != nil {
+		k.cfg.Loop(func() { k.hearWitness(b, broke) })
+	}
+	if check {
+		k.cfg.Loop(func() { k.checkEnd(k.cfg.Work, b.Life, b.Address) })
+	}
+}
+
+// hearWitness takes the end of an upstream if its witness tells it.
+func (k *Keeper) hearWitness(b Break, broke time.Time) {
+	defer Unwatch(b.Witness)
+	if b.Witness.EndedAbout(k.cfg.Work, broke, witnessWithin) {
+		k.Ended(b.Life, "its connections ended together")
+	}
+}
+
+// checkEnd finds out whether the process of an upstream has ended. One that is found later is found by
+// the list, or by what is sent there.
+func (k *Keeper) checkEnd(ctx context.Context, life quarantine.Life, address string) {
+	for again := true; again; {
+		began := time.Now()
+		refused, err := refuses(ctx, address)
+		logline.Info("upstream checked after a broken send", "upstream", life, "took_ms", time.Since(began).Milliseconds(),
+			"refused", refused, "error", err)
+		if refused {
+			k.Ended(life, "connection refused")
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		k.with(func(c *quarantine.Core) { again = c.Checked(life, began) })
+	}
+}
+
+// refuses connects to an address some times, and reports whether it refused once.
+func refuses(ctx context.Context, address string) (refused bool, err error) {
+	for _, pause := range checkPauses {
+		if err = platform.Sleep(ctx, pause); err != nil {
+			return false, err
+		}
+		if err = upstream.Reach(ctx, address, reachTimeout); RefusedConnection(err) {
+			return true, err
+		}
+	}
+	return false, err
+}
+
+// RefusedConnection reports whether nothing listens at an address.
+func RefusedConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- /dev/null
+++ b/internal/process/holds/ends_test.go
@@ -0,0 +1,134 @@
+package holds
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
+	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+)
+
+// host takes connections and ends them in different ways.
+type host struct {
+	listener net.Listener
+	mu       sync.Mutex
+	conns    []net.Conn
+}
+
+func newHost(t *testing.T) *host {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := &host{listener: l}
+	t.Cleanup(func() { l.Close(); h.end() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			h.mu.Lock()
+			h.conns = append(h.conns, c)
+			h.mu.Unlock()
+		}
+	}()
+	return h
+}
+
+func (h *host) address() string { return h.listener.Addr().String() }
+
+// end closes all connections, as the end of a process does, and goes on listening.
+func (h *host) end() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.conns {
+		c.Close()
+	}
+	h.conns = nil
+}
+
+// reset resets all connections, as a link that is cut does.
+func (h *host) reset() {
+	h.mu.Lock()
+	for _, c := range h.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+	}
+	h.mu.Unlock()
+	h.end()
+}
+
+func (h *host) accepted() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.conns)
+}
+
+// TestAWitnessTellsTheEndOfAProcess has sends of the same work break off twice: at processes that end and are back at
+// once, at ones that live on, and by resets of a link, which look like the end of all connections.
+func TestAWitnessTellsTheEndOfAProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		breakOff func(h *host)
+		held     bool
+	}{
+		"ends and is back": {(*host).end, true},
+		"lives on":         {func(*host) {}, false},
+		"link reset":       {(*host).reset, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHost(t)
+			k := newInstance(t, "i-1", standin.New(standin.Config{}))
+			if k.Watch(t.Context(), work, h.address()) != nil {
+				t.Fatal("work that isn't doubted is watched")
+			}
+			for range 3 {
+				sent := time.Now()
+				w := k.Watch(t.Context(), work, h.address())
+				if w != nil {
+					eventually(t, "the witness is accepted", func() bool { return h.accepted() > 0 })
+				}
+				time.Sleep(150 * time.Millisecond) // as long as the work runs
+				c.breakOff(h)
+				k.BrokeOff(Break{Content: work, Life: "u", Address: h.address(), Sent: sent, Witness: w})
+				time.Sleep(50 * time.Millisecond)
+			}
+			if c.held {
+				eventually(t, "the work is held", func() bool { return k.Held(work) })
+				return
+			}
+			time.Sleep(witnessWithin)
+			if k.Held(work) {
+				t.Error("held although no process ended")
+			}
+		})
+	}
+}
+
+// TestAWitnessThatEndedLongBeforeTellsNothing: a process that stops as planned closes idle connections first.
+func TestAWitnessThatEndedLongBeforeTellsNothing(t *testing.T) {
+	h := newHost(t)
+	k := newInstance(t, "i-1", standin.New(standin.Config{}))
+	k.Broke(work, "u", time.Now())
+	w := k.Watch(t.Context(), work, h.address())
+	if w == nil {
+		t.Fatal("doubted work isn't watched")
+	}
+	defer Unwatch(w)
+	eventually(t, "the witness is accepted", func() bool { return h.accepted() > 0 })
+	h.end()
+	if w.EndedAbout(t.Context(), time.Now().Add(2*witnessWithin), witnessWithin) {
+		t.Error("taken for the end of the process")
+	}
+}
+
+// TestAnUpstreamThatIsAwayForAMomentHasEnded: only its first look after a break counted, and a process that closes its port
+// after its connections was taken to live on.
+func TestAnUpstreamThatIsAwayForAMomentHasEnded(t *testing.T) {
+	h := newHost(t)
+	k := newInstance(t, "i-1", standin.New(standin.Config{}))
+	k.BrokeOff(Break{Content: work, Life: quarantine.Life("u"), Address: h.address(), Sent: time.Now()})
+	h.listener.Close()
+	eventually(t, "the end is found", func() bool { return len(k.Waiting()) == 0 })
+}
--- a/internal/process/holds/keeper.go
+++ b/internal/process/holds/keeper.go
@@ -111,7 +111,9 @@
 }
 
 // Left notes that an upstream leaves: it ends what it has as planned.
-func (k *Keeper) Left(life quarantine.Life) { k.Answered(life, time.Now()) }
+func (k *Keeper) Left(life quarantine.Life) {
+	k.with(func(c *quarantine.Core) { c.Left(time.Now(), life) })
+}
 
 // Waiting gives the upstreams at which sends broke off and that may have ended.
 func (k *Keeper) Waiting() (lives []quarantine.Life) {
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -20,7 +20,9 @@
 	// mostCrashes bounds the crashes under one work, the newest are kept: in a loss of power
 	// hundreds of upstreams end at once, which say no more than a few of them.
 	mostCrashes = 16
-	// mostSuspects bounds the work that is remembered, some hundred bytes each.
+	// doubtFor is how long work counts as doubted after a send of it broke off.
+	doubtFor = 2 * time.Minute
+	// mostSuspects bounds the work that is remembered, some hundred bytes each, and that is doubted.
 	mostSuspects = 4096
 	// mostBroken bounds the broken sends of one upstream that wait for its end: more
 	// than any has under way from one instance.
@@ -33,6 +35,12 @@
 	sent, at time.Time
 }
 
+// brokenSends are the sends that broke off at one upstream and wait for its end.
+type brokenSends struct {
+	sends    []brokenSend // by the time of their break
+	checking bool         // it is being found out whether the upstream has ended
+}
+
 // suspect is what is known of some work.
 type suspect struct {
 	crashes   []*Crash
@@ -46,7 +54,8 @@
 // Core is the state. It is not safe for concurrent use.
 type Core struct {
 	suspects map[Content]*suspect
-	broken   map[Life][]brokenSend
+	doubts   map[Content]time.Time // when a send of some work last broke off
+	broken   map[Life]*brokenSends
 	ended    map[Life]time.Time
 	begun    []Content // holds that began since the last call of Begun
 }
@@ -55,13 +64,22 @@
 func New() *Core {
 	return &Core{
 		suspects: make(map[Content]*suspect),
-		broken:   make(map[Life][]brokenSend),
+		doubts:   make(map[Content]time.Time),
+		broken:   make(map[Life]*brokenSends),
 		ended:    make(map[Life]time.Time),
 	}
 }
 
-// Suspects reports whether any work is suspected. While none is, requests need no Content.
-func (c *Core) Suspects() bool { return len(c.suspects) > 0 }
+// Suspects reports whether any work is suspected or doubted. While none is, requests need no Content.
+func (c *Core) Suspects() bool { return len(c.suspects)+len(c.doubts) > 0 }
+
+// Doubted reports whether a send of some work broke off lately, or upstreams ended under it: whether the
+// upstream of its next send ends has to be told for certain.
+func (c *Core) Doubted(now time.Time, content Content) bool {
+	_, suspected := c.suspects[content]
+	at, doubted := c.doubts[content]
+	return suspected || doubted && now.Sub(at) < doubtFor
+}
 
 // Suspected reports whether upstreams ended under some work that was not cleared since.
 func (c *Core) Suspected(content Content) bool {
@@ -70,32 +88,90 @@
 }
 
 // Broke takes a send that broke off without its whole answer. It gives the crashes that are
-// news; check: whether the upstream has ended is to be found out.
+// news; check: whether the upstream has ended is to be found out, and told by Checked.
 func (c *Core) Broke(now time.Time, content Content, life Life, sent time.Time) (news []Crash, check bool) {
+	c.doubt(now, content)
 	b := brokenSend{content: content, sent: sent, at: now}
-	if _, ended := c.ended[life]; ended {
+	if at, ended := c.ended[life]; ended && !sent.After(at) {
 		return c.count(now, life, []brokenSend{b}), false
 	}
-	waiting := c.broken[life]
-	if len(waiting) < mostBroken {
-		c.broken[life] = append(waiting, b)
+	waiting := mapentry.Of(c.broken, life, mapentry.Zero[brokenSends])
+	if len(waiting.sends) < mostBroken {
+		waiting.sends = append(waiting.sends, b)
 	}
-	return nil, len(waiting) == 0
+	check = !waiting.checking
+	waiting.checking = true
+	return nil, check
+}
+
+// doubt notes that a send of some work broke off.
+func (c *Core) doubt(now time.Time, content Content) {
+	if _, known := c.doubts[content]; !known && len(c.doubts) >= mostSuspects {
+		c.forgetDoubts(now)
+	}
+	if len(c.doubts) < mostSuspects {
+		c.doubts[content] = now
+	}
+}
+
+func (c *Core) forgetDoubts(now time.Time) {
+	for content, at := range c.doubts {
+		if now.Sub(at) >= doubtFor {
+			delete(c.doubts, content)
+		}
+	}
+}
+
+// Checked notes that a check that began at a time did not find the end of an upstream. again: sends broke
+// off there since, so another check is due.
+func (c *Core) Checked(life Life, began time.Time) (again bool) {
+	waiting, ok := c.broken[life]
+	if !ok {
+		return false
+	}
+	waiting.checking = waiting.sends[len(waiting.sends)-1].at.After(began)
+	return waiting.checking
 }
 
 // Ended notes that the process of an upstream is gone, other than by a planned stop. It
 // gives the crashes that are news.
 func (c *Core) Ended(now time.Time, life Life) []Crash {
-	broken := c.broken[life]
+	waiting := c.broken[life]
 	delete(c.broken, life)
 	c.ended[life] = now
-	return c.count(now, life, broken)
+	if waiting == nil {
+		return nil
+	}
+	return c.count(now, life, newestOfEach(waiting.sends))
+}
+
+// newestOfEach keeps the newest send of each work: one end is one crash under it.
+func newestOfEach(sends []brokenSend) []brokenSend {
+	var out []brokenSend
+	known := make(map[Content]bool)
+	for _, b := range slices.Backward(sends) {
+		if !known[b.content] {
+			known[b.content] = true
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// Left notes that an upstream ends as planned: what broke off there tells nothing of the work.
+func (c *Core) Left(now time.Time, life Life) {
+	if waiting := c.broken[life]; waiting != nil {
+		for _, b := range waiting.sends {
+			delete(c.doubts, b.content)
+		}
+	}
+	c.Lives(life, now)
 }
 
 // Lives notes that an upstream answered what was sent at a time, or is there after all: what
 // broke off before was no crash.
 func (c *Core) Lives(life Life, sent time.Time) {
-	if broken := c.broken[life]; len(broken) > 0 && broken[len(broken)-1].at.Before(sent) {
+	if waiting := c.broken[life]; waiting != nil && waiting.sends[len(waiting.sends)-1].at.Before(sent) {
 		delete(c.broken, life)
 	}
 	if at, ok := c.ended[life]; ok && at.Before(sent) {
@@ -116,7 +192,7 @@
 func (c *Core) count(now time.Time, life Life, broken []brokenSend) []Crash {
 	var news []Crash
 	for _, b := range broken {
-		crash := Crash{Content: b.content, Upstream: UpstreamOf(life), Sent: b.sent, At: b.at}
+		crash := Crash{Content: b.content, Upstream: UpstreamOf(life), Sent: b.sent, At: b.at, own: true}
 		if now.Sub(b.at) < endWithin && c.add(now, crash) {
 			news = append(news, crash)
 		}
@@ -187,6 +263,7 @@
 // Succeeded notes that some work was answered whole, and gives the crashes that are void by
 // that. lifted: it was held.
 func (c *Core) Succeeded(now time.Time, content Content) (voided []Crash, lifted bool) {
+	delete(c.doubts, content)
 	s, ok := c.suspects[content]
 	if !ok {
 		return nil, false
@@ -210,8 +287,9 @@
 			delete(c.suspects, content)
 		}
 	}
-	for life, broken := range c.broken {
-		if now.Sub(broken[len(broken)-1].at) >= endWithin {
+	c.forgetDoubts(now)
+	for life, waiting := range c.broken {
+		if now.Sub(waiting.sends[len(waiting.sends)-1].at) >= endWithin {
 			delete(c.broken, life)
 		}
 	}
--- a/internal/request/quarantine/core_test.go
+++ b/internal/request/quarantine/core_test.go
@@ -304,3 +304,87 @@
 	}
 	return out
 }
+
+// TestEndsOfOneNameWithinASecondAreTwo has a process start again at once under its name, and end again: an instance
+// that saw both took them for one end.
+func TestEndsOfOneNameWithinASecondAreTwo(t *testing.T) {
+	c := New()
+	crash(c, work, "a", 0, 10*ms)
+	crash(c, work, "a", 150*ms, 160*ms)
+	if !held(c, work, 200*ms) {
+		t.Error("not held after the second crash")
+	}
+}
+
+// TestASendThatBreaksOffAtTheNextProcessIsNoCrash has one that ended answer again under its name, and break off a
+// single answer.
+func TestASendThatBreaksOffAtTheNextProcessIsNoCrash(t *testing.T) {
+	c := New()
+	crash(c, work, "a", 0, 10*ms)
+	if news, check := c.Broke(at(2*time.Second), work, "a", at(1900*ms)); len(news) != 0 || !check {
+		t.Errorf("%d crashes, check %t", len(news), check)
+	}
+	if held(c, work, 2*time.Second) {
+		t.Error("held after one crash and one broken answer")
+	}
+}
+
+// TestOneEndIsOneCrash has sends of the same work break off at one upstream, one after the other, before it ends.
+func TestOneEndIsOneCrash(t *testing.T) {
+	c := New()
+	for i := range time.Duration(3) {
+		c.Broke(at((2*i+1)*time.Second), work, "a", at(2*i*time.Second))
+	}
+	if news := c.Ended(at(6*time.Second), "a"); len(news) != 1 || held(c, work, 6*time.Second) {
+		t.Errorf("%d crashes, held %t", len(news), held(c, work, 6*time.Second))
+	}
+}
+
+// TestEachSendThatBreaksOffIsChecked: while one waited for its upstream's end, later ones were not looked at.
+func TestEachSendThatBreaksOffIsChecked(t *testing.T) {
+	c := New()
+	if _, check := c.Broke(at(0), work, "a", at(0)); !check {
+		t.Error("the first isn't checked")
+	}
+	if _, check := c.Broke(at(5*ms), work, "a", at(2*ms)); check {
+		t.Error("two checks at once")
+	}
+	if !c.Checked("a", at(0)) {
+		t.Error("what broke off after the check began isn't checked")
+	}
+	if c.Checked("a", at(6*ms)) {
+		t.Error("checked again for nothing")
+	}
+	if _, check := c.Broke(at(time.Second), work, "a", at(900*ms)); !check {
+		t.Error("a later one isn't checked")
+	}
+}
+
+// TestDoubtedWork is work of which a send broke off, until it is answered whole, its upstream leaves, or time passes.
+func TestDoubtedWork(t *testing.T) {
+	for name, clear := range map[string]func(c *Core){
+		"answered whole": func(c *Core) { c.Succeeded(at(ms), work) },
+		"planned":        func(c *Core) { c.Left(at(ms), "a") },
+		"long ago":       func(c *Core) { c.Forget(at(doubtFor)) },
+	} {
+		c := New()
+		c.Broke(at(0), work, "a", at(0))
+		if !c.Doubted(at(ms), work) || !c.Suspects() || c.Suspected(work) {
+			t.Errorf("%s: doubted %t", name, c.Doubted(at(ms), work))
+		}
+		if clear(c); c.Doubted(at(doubtFor), work) || c.Suspects() {
+			t.Errorf("%s: still doubted", name)
+		}
+	}
+}
+
+// TestDoubtsAreBounded has sends of very much work break off.
+func TestDoubtsAreBounded(t *testing.T) {
+	c := New()
+	for i := range 2 * mostSuspects {
+		c.Broke(at(0), ContentOf("GET", "h", fmt.Sprint(i), nil), Life(fmt.Sprint(i)), at(0))
+	}
+	if n := len(c.doubts); n > mostSuspects {
+		t.Errorf("%d are doubted", n)
+	}
+}
--- a/internal/request/quarantine/crash.go
+++ b/internal/request/quarantine/crash.go
@@ -13,15 +13,20 @@
 	Sent     time.Time // when the work was sent there
 	At       time.Time // when it broke off
 	Void     bool      // the work was answered whole since: it isn't what ended the upstream
+	own      bool      // found by this process, so its times are exact
 }
 
-// sameEnd is how far apart instances notice one end of an upstream. A process takes longer to
-// start again, so what is further apart is the end of another life under the same name.
+// sameEnd is how far apart instances notice one end of an upstream. What is further apart is the
+// end of another life under the same name.
 const sameEnd = time.Second
 
-// same reports whether both tell of one end under the same work.
+// same reports whether both tell of one end under the same work. A process may start again in less than
+// sameEnd, and end again: among its own crashes an instance knows these two by their times.
 func (c *Crash) same(o *Crash) bool {
-	return c.Content == o.Content && c.Upstream == o.Upstream && c.At.Sub(o.At).Abs() < sameEnd
+	if c.Content != o.Content || c.Upstream != o.Upstream || c.At.Sub(o.At).Abs() >= sameEnd {
+		return false
+	}
+	return !c.own || !o.own || !c.Sent.After(o.At) && !o.Sent.After(c.At)
 }
 
 // merge takes the word of another instance on the same end. Several attempts at the work may
