A placer that is replaced isn't taken for a silent one as well

Cause of this part: the store is away from the three instances that give places of three availability zones (2.5 to 11.5 s); others take their part and tell what they have under way. The first in rank still counted as placers that aren't heard: three heard of six. Change: placers are counted by availability zone; one that tells in the place of another replaces it. TestPlacersThatAreReplacedAreNotMissed fails without it (demand 14 for 8).

--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -595,13 +595,36 @@
 	return 2*heard > all && c.Placing(now)
 }
 
-// count gives how many of the other placers are heard, and how many there are.
+// count gives how many of the other placers are heard, and how many there are. One that tells
+// in the place of another of its availability zone replaces it.
 func (c *Core) count(now time.Time) (heard, all int) {
-	for _, address := range c.recipients(now) {
-		all++
-		if c.known[address].tells(now) {
-			heard++
+	c.rank()
+	for zone, list := range c.ranking {
+		others := c.otherPlacers(now, zone)
+		tell := 0
+		for _, k := range list {
+			if k != c.me && k.tells(now) {
+				tell++
+			}
 		}
+		heard += tell
+		all += max(others, tell)
 	}
 	return heard, all
 }
+
+// otherPlacers is how many instances of an availability zone give places beside this one.
+func (c *Core) otherPlacers(now time.Time, zone string) int {
+	list := c.ranking[zone]
+	there := 0
+	for _, k := range list {
+		if k == c.me || !k.gone(now) {
+			there++
+		}
+	}
+	n := min(placersOf(list), there)
+	if zone == c.self.Zone && c.Placing(now) {
+		n--
+	}
+	return max(n, 0)
+}
--- a/internal/process/peers/core_test.go
+++ b/internal/process/peers/core_test.go
@@ -425,3 +425,34 @@
 		}
 	})
 }
+
+// TestPlacersThatAreReplacedAreNotMissed: an instance that can't read the platform gives its part to the next of its
+// availability zone, and was still taken for a silent one beside it. Others then guessed what they were told, and
+// took demand for up to twice what it was.
+func TestPlacersThatAreReplacedAreNotMissed(t *testing.T) {
+	cores, now := whole(8, 4), at(5*time.Second)
+	asked := map[string]roles.Demand{"s": {Reading: 2, Holding: 3}}
+	told := make(map[*Core]*Message) // by those that took the part of the first of their zones
+	for _, c := range cores {
+		if !c.IsPlacer() {
+			c.Asked(now)
+			told[c] = next(c, now, nil, asked)
+		}
+	}
+	for _, c := range cores {
+		if !c.IsPlacer() {
+			continue
+		}
+		for other, m := range told {
+			if other.self.Zone != c.self.Zone {
+				c.Heard(now, other.self.Address, m)
+			}
+		}
+		if !c.MostHeard(now) {
+			t.Errorf("%s hears one of each other zone, and takes itself to know little", c.self.Name)
+		}
+		if got, want := c.Demand(now, asked)["s"], (roles.Demand{Reading: 8, Holding: 12}); got != want {
+			t.Errorf("%s: %+v, want %+v", c.self.Name, got, want)
+		}
+	}
+}
