One that can't read the platform goes on giving places where all of its zone know the upstreams

Change: where all instances of a zone follow the upstreams, the first in rank goes on; following the configuration and holds, and the duties that are done at the platform, go to the next as before (Follows, Rank). Larger zones are as they were: their askers need one that reads the platform.

--- a/internal/process/entry/reading.go
+++ b/internal/process/entry/reading.go
@@ -35,7 +35,7 @@
 	upstreams := duty{name: "upstreams", needed: always, feeds: []func(context.Context){e.followUpstreams, e.probeStore}}
 	rest := duty{name: "configuration and holds", needed: always, feeds: []func(context.Context){e.followConfig, e.followHolds}}
 	if s := e.shared; s != nil {
-		upstreams.needed, rest.needed = s.reads, s.places
+		upstreams.needed, rest.needed = s.reads, s.followsAll
 		upstreams.look, rest.look = s.lookUpstreams, s.lookRest
 	}
 	upstreams.ended = func() { e.state.unlist(time.Now()) }
@@ -126,11 +126,11 @@
 	return s.core.Reads(now)
 }
 
-// places reports whether this instance gives places, to itself at least.
-func (s *sharing) places(now time.Time) bool {
+// followsAll reports whether this instance has to follow the configuration and the holds.
+func (s *sharing) followsAll(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.Gives(now)
+	return s.core.Follows(now)
 }
 
 // pollHolds looks for holds now and then while this instance doesn't follow them.
@@ -140,7 +140,7 @@
 	}
 	for wait := readingTick; platform.Sleep(ctx, wait) == nil; {
 		wait = readingTick
-		if e.notReady() != "" || e.shared.places(time.Now()) {
+		if e.notReady() != "" || e.shared.followsAll(time.Now()) {
 			continue // it starts, or follows them
 		}
 		if e.listOldHolds(ctx) {
--- a/internal/process/entry/relay.go
+++ b/internal/process/entry/relay.go
@@ -139,7 +139,7 @@
 // time: it may turn this instance away while it serves others.
 func (s *sharing) fetchVersion(ctx context.Context, now time.Time) {
 	s.mu.Lock()
-	from, due := s.newest.Fetch(now, s.e.configVersion(), s.core.Gives(now))
+	from, due := s.newest.Fetch(now, s.e.configVersion(), s.core.Follows(now))
 	s.mu.Unlock()
 	if !due {
 		return
@@ -159,7 +159,7 @@
 // places.
 func (s *sharing) tellVersion(ctx context.Context) {
 	for _, pause := range []time.Duration{0, tellAgain} {
-		if platform.Sleep(ctx, pause) != nil || !s.places(time.Now()) {
+		if platform.Sleep(ctx, pause) != nil || !s.followsAll(time.Now()) {
 			return
 		}
 		s.mu.Lock()
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -366,18 +366,36 @@
 
 // candidates gives the instances of the own availability zone that may come to give places, in rank.
 func (c *Core) candidates() []*known {
-	c.rank()
-	list := c.ranking[c.self.Zone]
+	list := c.zone()
 	return list[:min(len(list), groupSize(list))]
 }
 
-// placers gives the instances of the own availability zone that give places: the first in rank
-// that aren't silent and can read the platform. Where none of the first groups can, it is away for all
+// placers gives the instances of the own availability zone that give places: the first in rank that
+// aren't silent and, where others have to rely on it, can read the platform. Where all of the zone follow the
+// upstreams, each looks itself at a place that it gets, and one that can't read the platform goes
+// on: the next in rank knows nothing of what is under way and which engines keep what.
+func (c *Core) placers() []*known {
+	list := c.zone()
+	if len(list) > groupSize(list) {
+		return c.followers()
+	}
+	heard := slices.DeleteFunc(slices.Clone(list), func(k *known) bool { return k.silent })
+	return heard[:min(len(heard), placersOf(list))]
+}
+
+// zone gives the instances of the own availability zone, in rank.
+func (c *Core) zone() []*known {
+	c.rank()
+	return c.ranking[c.self.Zone]
+}
+
+// followers gives the instances of the own availability zone that follow all of the platform: the first in rank
+// that aren't silent and can read it. Where none of the first groups can, it is away for all
 // of them, and what the first one knows has to do. If the whole first group is silent it is this
 // instance that is cut off.
-func (c *Core) placers() []*known {
+func (c *Core) followers() []*known {
 	heard := slices.DeleteFunc(slices.Clone(c.candidates()), func(k *known) bool { return k.silent })
-	list := c.ranking[c.self.Zone]
+	list := c.zone()
 	n, size := placersOf(list), groupSize(list)
 	for group := 1; group <= mostGroups && len(heard) > 0; group++ {
 		some := list[:min(len(list), group*size)]
@@ -416,7 +434,7 @@
 // have to, or has nobody to ask. The others of an availability zone cost the platform no calls,
 // and don't follow changes that concern them only when they ask for a place.
 func (c *Core) Reads(now time.Time) bool {
-	return c.Gives(now) || (c.listed && c.maySucceed())
+	return c.Gives(now) || c.Follows(now) || (c.listed && c.maySucceed())
 }
 
 // maySucceed reports whether this instance is of the first group of its availability zone that isn't
@@ -452,10 +470,10 @@
 // IsPlacer reports whether this instance is one of those that give places by rank.
 func (c *Core) IsPlacer() bool { return slices.Contains(c.placers(), c.me) }
 
-// Rank gives the place of this instance in the order of those that give places, all
-// availability zones together: how many that are heard go before it. ok is false if it gives none.
+// Rank gives the place of this instance in the order of those that follow all of the platform, all
+// availability zones together: how many that are heard go before it. ok is false if it is none of them.
 func (c *Core) Rank(now time.Time) (rank int, ok bool) {
-	if !c.IsPlacer() {
+	if !slices.Contains(c.followers(), c.me) {
 		return 0, false
 	}
 	own := xxhash.Sum64String(c.self.Name)
@@ -500,6 +518,14 @@
 	return c.listed && (c.Placing(now) || len(c.placers()) == 0)
 }
 
+// Follows reports whether this instance follows all of the platform: it is to by rank, was asked for a
+// place, or all that could are silent.
+func (c *Core) Follows(now time.Time) bool {
+	followers := c.followers()
+	asked := !c.askedAt.IsZero() && now.Sub(c.askedAt) < fresh
+	return c.listed && (asked || len(followers) == 0 || slices.Contains(followers, c.me))
+}
+
 // Visits gives the addresses to ask for a sign of life now: of those that may give places the ones
 // that left a question unanswered or weren't ready, the one that gives places for this instance if
 // it was not heard for a while, and now and then all of the zone, if this is its first placer.
--- a/internal/process/peers/reading_test.go
+++ b/internal/process/peers/reading_test.go
@@ -181,3 +181,33 @@
 		t.Errorf("%d instances", got)
 	}
 }
+
+// TestOneThatCannotReadThePlatformGoesOnWhereAllKnowTheUpstreams: in zones of three it was passed over as well, for one
+// that knew nothing of what is under way, and prompts were refused for as long as the platform was away from it.
+func TestOneThatCannotReadThePlatformGoesOnWhereAllKnowTheUpstreams(t *testing.T) {
+	cores := whole(3, 1)
+	first := slices.IndexFunc(cores, (*Core).IsPlacer)
+	cores[first].SetAway(true)
+	follow := 0
+	for i, c := range cores {
+		if !c.Reads(at(0)) {
+			t.Fatalf("%s doesn't know the upstreams", c.self.Name)
+		}
+		if i != first {
+			c.Heard(at(0), cores[first].self.Address, &Message{Away: true})
+			if got := c.Placer(); got != cores[first].self.Address {
+				t.Errorf("%s asks %q, want the one that knows what is under way", c.self.Name, got)
+			}
+		}
+		if c.Follows(at(0)) {
+			follow++
+		}
+	}
+	if follow != 1 || cores[first].Follows(at(0)) || !cores[first].IsPlacer() {
+		t.Errorf("%d follow the configuration; the first one does: %t, and gives places: %t",
+			follow, cores[first].Follows(at(0)), cores[first].IsPlacer())
+	}
+	if _, ok := cores[first].Rank(at(0)); ok {
+		t.Error("one that can't read the platform may be chosen for what is done there")
+	}
+}
