A request that waits alone and whose turn is near isn't refused at its latest start

Cause, by a trial's lines of what a refusal is decided by: nobody else waited, the bound of prompts was far off (1 of 13), one prompt was at the engine, expected to be read in 32 to 83 ms. The latest start (0.45 of an aim of 500 ms) had passed, as a starved machine took 10 times as long as usual; nothing asked whether the turn was near. Change: one that waits alone waits on, 200 ms (the least it would be told) at a time, while starts come at 5 a second or more or the engine that comes free first has at most 200 ms to read, and its caller waits. It counts as late: what comes meanwhile and can be in time goes first. The same on arrival.

--- a/internal/request/place/pick.go
+++ b/internal/request/place/pick.go
@@ -101,6 +101,24 @@
 	return choice, true
 }
 
+// leastWait is how long the prompts take that are before one at the engine that comes free first. ok is false
+// if the work is no reading of a prompt, or no engine may be given it.
+func (b *Book) leastWait(now time.Time, q *Query) (wait time.Duration, ok bool) {
+	if q.Work != Prefill {
+		return 0, false
+	}
+	v := b.view(now, q)
+	for _, l := range b.services[q.Service] {
+		if !l.serves(now, q) || b.restOf(l.life).full(now) || b.mustWait(now, l) {
+			continue
+		}
+		if w := v.wait(l); !ok || w < wait {
+			wait, ok = w, true
+		}
+	}
+	return wait, ok
+}
+
 // idleLoad in requests: an upstream with less is taken to have none.
 const idleLoad = 0.5
 
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -93,7 +93,12 @@
 	if r.count >= maxWaiting {
 		return r.refuse(now, &q, Overtaken), true
 	}
-	if !q.StartBy.After(now.Add(r.wait(now, &q))) || r.limitsForbid(now, &q, r.ahead(&q)) {
+	tooLate := !q.StartBy.After(now.Add(r.wait(now, &q)))
+	if tooLate && len(r.queues[q.queue()]) == 0 && r.mayWaitOn(now, &q) {
+		q.waitOn(now)
+		tooLate = false
+	}
+	if tooLate || r.limitsForbid(now, &q, r.ahead(&q)) {
 		return r.refuse(now, &q, NoPlace), true
 	}
 	r.insert(q)
@@ -173,6 +178,9 @@
 func (r *Queue) Tick(now time.Time) []Decision {
 	var out []Decision
 	for name, list := range r.queues {
+		if len(list) == 1 && !list[0].q.StartBy.After(now) && r.mayWaitOn(now, &list[0].q) {
+			list[0].q.waitOn(now)
+		}
 		kept := list[:0]
 		blocked := false
 		for _, w := range list {
@@ -189,6 +197,23 @@
 	return out
 }
 
+// mayWaitOn reports whether a request for whose place nobody else waits may do so beyond its latest start: its turn is
+// near, by the rate of recent starts or by what the engine that comes free first has yet to read, and
+// it would be told to come back later than that.
+func (r *Queue) mayWaitOn(now time.Time, q *Query) bool {
+	if !q.Until.IsZero() && !q.Until.After(now.Add(minRetryAfter)) {
+		return false
+	}
+	if r.rate(q.queue()).perSecond(now) >= minKnownRate {
+		return true
+	}
+	wait, ok := r.book.leastWait(now, q)
+	return ok && wait <= minRetryAfter
+}
+
+// waitOn puts the latest start off. What comes meanwhile and can be in time goes first.
+func (q *Query) waitOn(now time.Time) { q.StartBy, q.Late = now.Add(minRetryAfter), true }
+
 // decide on one waiting request. blocked tells that a more urgent one found no
 // place; a request that has tried upstreams before has fewer to choose from and
 // doesn't block others.
--- a/internal/request/place/surge_test.go
+++ b/internal/request/place/surge_test.go
@@ -351,3 +351,73 @@
 		t.Errorf("%+v, want the work, the engines weighed, the bound and that nothing was reported", last)
 	}
 }
+
+// TestOneThatIsNextIsNotSentAway: a prompt that waited alone for the only engine that reads was refused at its latest start
+// and told to come back after 0.2 to 2 s, with 20 s left, although the prompt before it took some
+// ten ms more. With others in the queue it is refused as ever.
+func TestOneThatIsNextIsNotSentAway(t *testing.T) {
+	for _, others := range []int{0, 1} {
+		b := bookOf(fleet.Upstream{ID: "reader", Zone: "z1", Service: "s", Slots: 8, Role: upstream.RolePrefill})
+		b.MostTold(true)
+		r := NewQueue(b)
+		prompt := func(id string, arrived time.Duration) Query {
+			q := query(id)
+			q.Work, q.Prompt, q.Arrived = Prefill, Prompt{Own: 20_000}, at(arrived) // 160 ms to read
+			q.Objective, q.StartBy, q.Until = 500*time.Millisecond, at(arrived+225*time.Millisecond), at(arrived+20*time.Second)
+			return q
+		}
+		first, decided := r.Arrive(at(0), prompt("first", 0))
+		if !decided || first.Refused != "" {
+			t.Fatalf("no place at an idle engine: %+v", first)
+		}
+		if _, decided := r.Arrive(at(0), prompt("next", 0)); decided {
+			t.Fatal("the next one doesn't wait")
+		}
+		for i := range others {
+			if _, decided := r.Arrive(at(0), prompt(fmt.Sprint("other", i), 0)); decided {
+				t.Fatal("another one doesn't wait")
+			}
+		}
+		out := r.Tick(at(230 * time.Millisecond)) // the engine takes longer than thought
+		if want := 0; others == 0 && len(out) != want {
+			t.Fatalf("sent away although it is the next one: %+v", out)
+		}
+		if others > 0 {
+			if len(out) != 1+others || out[0].Refused != NoPlace {
+				t.Errorf("with others in the queue: %+v", out)
+			}
+			continue
+		}
+		g := Grant{Choice: first.Choice, Prompt: Prompt{Own: 20_000}}
+		b.Apply(at(300*time.Millisecond), &g, Event{Kind: Released})
+		if out = r.Tick(at(300 * time.Millisecond)); len(out) != 1 || out[0].Refused != "" || out[0].ID != "next" {
+			t.Errorf("when the engine came free: %+v", out)
+		}
+	}
+}
+
+// TestOneThatWaitsOnLetsOthersGoFirst: what can still be in time goes before what waits beyond its latest start.
+func TestOneThatWaitsOnLetsOthersGoFirst(t *testing.T) {
+	b := bookOf(fleet.Upstream{ID: "reader", Zone: "z1", Service: "s", Slots: 8, Role: upstream.RolePrefill})
+	b.MostTold(true)
+	r := NewQueue(b)
+	prompt := func(id string, arrived time.Duration) Query {
+		q := query(id)
+		q.Work, q.Prompt, q.Arrived = Prefill, Prompt{Own: 20_000}, at(arrived)
+		q.Objective, q.StartBy, q.Until = 500*time.Millisecond, at(arrived+225*time.Millisecond), at(arrived+20*time.Second)
+		return q
+	}
+	first, _ := r.Arrive(at(0), prompt("first", 0))
+	r.Arrive(at(0), prompt("late", 0))
+	if out := r.Tick(at(230 * time.Millisecond)); len(out) != 0 {
+		t.Fatalf("it doesn't wait on: %+v", out)
+	}
+	if _, decided := r.Arrive(at(240*time.Millisecond), prompt("in time", 240*time.Millisecond)); decided {
+		t.Fatal("it doesn't wait")
+	}
+	g := Grant{Choice: first.Choice, Prompt: Prompt{Own: 20_000}}
+	b.Apply(at(300*time.Millisecond), &g, Event{Kind: Released})
+	if out := r.Tick(at(300 * time.Millisecond)); len(out) != 1 || out[0].ID != "in time" {
+		t.Errorf("%+v, want the one that can be in time", out)
+	}
+}
