A hold isn't lifted by a list that was read before it, nor removed by the end of the one before

What callers saw: work that crashes upstreams went on to do so at an instance whose list of holds was on its way, or was allowed to be old, when the hold was written: the list lacked it, and it was taken for one that an operator had taken away, with all crashes that were known of the work. An instance that doesn't follow the holds reads such a list each 20 s. Likewise the removal of a hold, which is slow, removed the next one of the same work. Change: a list says something only of what was on record before it was asked for, less 10 s where it may be old ("seconds" on the platform's page); a removal is of the record that was there while the work isn't held. Both tests fail without: "the hold ended by a list that was read before it began", "a hold that is in force was removed".

--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -111,11 +111,12 @@
 // followHolds keeps up with the holds that the platform has.
 func (e *Entry) followHolds(ctx context.Context) {
 	list := func(ctx context.Context) (uint64, error) {
+		asked := time.Now()
 		objects, revision, err := e.cfg.Records.List(ctx, resource.KindHold)
 		if err != nil {
 			return 0, err
 		}
-		e.holds.Replace(revision, objects)
+		e.holds.ReplaceAsOf(asked, revision, objects)
 		return revision, nil
 	}
 	watch := func(ctx context.Context, from uint64, wait time.Duration) (uint64, int, error) {
--- a/internal/process/entry/reading.go
+++ b/internal/process/entry/reading.go
@@ -24,6 +24,8 @@
 	// holdsEvery is how often an instance that doesn't follow holds looks for them. It is told of
 	// them when they begin.
 	holdsEvery = 20 * time.Second
+	// oldListAge is how old a list may be at most that is allowed to be old, which the platform calls seconds.
+	oldListAge = 10 * time.Second
 	// awayAfter is for how long the platform can't be read before others are told so: one call
 	// whose answer was lost is no reason to ask somebody else for places.
 	awayAfter = 300 * time.Millisecond
@@ -153,6 +155,7 @@
 
 // listOldHolds takes a list of holds that may be old.
 func (e *Entry) listOldHolds(ctx context.Context) bool {
+	asOf := time.Now().Add(-oldListAge)
 	objects, revision, err := e.cfg.Watcher.ListOld(ctx, resource.KindHold)
 	if err != nil {
 		logline.Info("holds not listed", "error", err)
@@ -162,7 +165,7 @@
 	if e.noteEra() {
 		e.rounds.next()
 	}
-	e.holds.Replace(revision, objects)
+	e.holds.ReplaceAsOf(asOf, revision, objects)
 	return true
 }
 
--- a/internal/process/holds/keeper_test.go
+++ b/internal/process/holds/keeper_test.go
@@ -256,3 +256,34 @@
 		t.Error("the hold ended with its record")
 	}
 }
+
+// TestAHoldIsNotLiftedByAListFromBeforeIt: one that was recorded while a list was read, or that a list lacks that may be seconds
+// old, was taken for one that an operator took away, and its work went on to crash upstreams.
+func TestAHoldIsNotLiftedByAListFromBeforeIt(t *testing.T) {
+	store := standin.New(standin.Config{})
+	k := newInstance(t, "i-1", store)
+	asked := time.Now()
+	before := recorded(t, store)
+	k.crash(2)
+	eventually(t, "the hold is recorded", func() bool { _, ok := k.unrecorded(work); return !ok })
+	k.ReplaceAsOf(asked, 1, before)
+	if !k.Held(work) {
+		t.Error("the hold ended by a list that was read before it began")
+	}
+	k.ReplaceAsOf(time.Now(), 2, nil) // an operator took it away
+	if k.Held(work) {
+		t.Error("held although the platform has it no more")
+	}
+}
+
+// TestAHoldThatBeganAgainIsNotRemoved: the removal of the one before it, which is slow, took it away from all instances.
+func TestAHoldThatBeganAgainIsNotRemoved(t *testing.T) {
+	store := standin.New(standin.Config{})
+	k := newInstance(t, "i-1", store)
+	k.crash(2)
+	eventually(t, "the hold is recorded", func() bool { return len(recorded(t, store)) == 1 })
+	k.remove(k.cfg.Work, work)
+	if len(recorded(t, store)) == 0 {
+		t.Error("a hold that is in force was removed")
+	}
+}
--- a/internal/process/holds/record.go
+++ b/internal/process/holds/record.go
@@ -129,9 +129,15 @@
 	}
 }
 
-// Replace takes all holds that the platform has at a version. After its return from an older copy
-// it may lack some: these hold on and are written again.
+// Replace takes all holds that the platform has at a version, right now.
 func (k *Keeper) Replace(version uint64, objects []platform.Object) {
+	k.ReplaceAsOf(time.Now(), version, objects)
+}
+
+// ReplaceAsOf takes all holds that the platform had at a version, at a time or later. One that was written or seen
+// since may be missing on the list, and holds on. After the platform's return from an older copy
+// it may lack some: these hold on too and are written again.
+func (k *Keeper) ReplaceAsOf(at time.Time, version uint64, objects []platform.Object) {
 	var lost []quarantine.Content
 	if era := platform.EraOf(version); version != 0 && k.newEra(era) {
 		k.with(func(c *quarantine.Core) { lost = c.Unrecord(time.Now()) })
@@ -142,7 +148,7 @@
 		k.take(&objects[i])
 	}
 	var known []quarantine.Content
-	k.with(func(c *quarantine.Core) { known = c.OnRecord() })
+	k.with(func(c *quarantine.Core) { known = c.OnRecord(at) })
 	for _, content := range known {
 		if !listed[content.String()] {
 			k.lift(content)
@@ -198,9 +204,16 @@
 	}
 }
 
-// remove has the platform forget a hold. If that fails the hold ends by its time.
+// remove has the platform forget a hold, but for one that was written anew meanwhile. If that fails the hold ends by
+// its time.
 func (k *Keeper) remove(ctx context.Context, content quarantine.Content) {
-	err := k.cfg.Store.Delete(ctx, resource.KindHold, content.String(), 0, k.cfg.Instance, platform.NewNonce())
+	old, err := k.cfg.Store.Get(ctx, resource.KindHold, content.String())
+	if k.Held(content) {
+		return // it began again since
+	}
+	if old.Version != 0 {
+		err = k.cfg.Store.Delete(ctx, resource.KindHold, content.String(), old.Version, k.cfg.Instance, platform.NewNonce())
+	}
 	logline.Info("hold removed", "content", content, "error", err)
 }
 
@@ -247,11 +260,12 @@
 
 // followOnce reads the holds, calls listed, and then reads their changes, until a call fails.
 func (k *Keeper) followOnce(ctx context.Context, listed func()) error {
+	asked := time.Now()
 	objects, version, err := k.cfg.Store.List(ctx, resource.KindHold)
 	if err != nil {
 		return err
 	}
-	k.Replace(version, objects)
+	k.ReplaceAsOf(asked, version, objects)
 	listed()
 	w, err := k.cfg.Store.Watch(ctx, []string{resource.KindHold}, version)
 	if err != nil {
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -43,12 +43,13 @@
 
 // suspect is what is known of some work.
 type suspect struct {
-	crashes   []*Crash
-	newest    time.Time // when anything was last learned of it
-	hold      Hold      // the present or the last one
-	before    Hold      // the one before it
-	byCrashes bool      // the hold began by crashes that are known here
-	recorded  bool      // the platform has the hold
+	crashes    []*Crash
+	newest     time.Time // when anything was last learned of it
+	hold       Hold      // the present or the last one
+	before     Hold      // the one before it
+	byCrashes  bool      // the hold began by crashes that are known here
+	recorded   bool      // the platform has the hold
+	recordedAt time.Time // when that was last learned
 }
 
 // Core is the state. It is not safe for concurrent use.
--- a/internal/request/quarantine/core_test.go
+++ b/internal/request/quarantine/core_test.go
@@ -231,7 +231,7 @@
 	c := New()
 	crash(c, work, "a", 0, 90*ms)
 	crash(c, work, "b", 100*ms, 190*ms)
-	if got := c.OnRecord(); len(got) != 0 {
+	if got := c.OnRecord(at(time.Hour)); len(got) != 0 {
 		t.Errorf("on record: %v", got)
 	}
 	if c.Lift(work) || !held(c, work, 200*ms) {
--- a/internal/request/quarantine/hold.go
+++ b/internal/request/quarantine/hold.go
@@ -97,7 +97,7 @@
 	if !s.hold.Until.After(hold.Until) {
 		s.hold = hold
 	}
-	s.recorded = true
+	s.recorded, s.recordedAt = true, now
 	return news
 }
 
@@ -136,11 +136,12 @@
 	return out
 }
 
-// OnRecord gives the work whose hold the platform has.
-func (c *Core) OnRecord() []Content {
+// OnRecord gives the work whose hold the platform had at a time, as far as was known by then: of what was
+// written or seen later, a list that was read at that time tells nothing.
+func (c *Core) OnRecord(at time.Time) []Content {
 	var out []Content
 	for content, s := range c.suspects {
-		if s.recorded {
+		if s.recorded && !s.recordedAt.After(at) {
 			out = append(out, content)
 		}
 	}
