An instance that was taken off the list announces itself again

What others saw: an instance that was paused or cut off for more than 30 s is removed from the platform's list by the first of its zone, and was not written again when it was back: instances that start later don't find it there. Cause: it announces itself once for each era of the store; that its entry went was not looked at. Change: a list without the own entry has it announced again. TestAnInstanceThatWasTakenOffTheListComesBack fails without (0 instances listed after 20 s).

--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -35,7 +35,9 @@
 			announced, era = false, now
 		}
 		announced = announced || s.announce(ctx)
-		if listed := s.list(ctx); !listed || !announced {
+		listed, found := s.list(ctx)
+		announced = announced && (found || !listed)
+		if !listed || !announced {
 			_ = platform.Sleep(ctx, spread(pause)) // ends with ctx, which the loop asks
 			pause = min(retryPauseGrowth*pause, listAgain)
 			continue
@@ -77,14 +79,17 @@
 	return err
 }
 
-func (s *sharing) list(ctx context.Context) bool {
+// list reads the instances. found: this one is among them. Others remove one that was silent for long, though it
+// may only have been paused or cut off.
+func (s *sharing) list(ctx context.Context) (listed, found bool) {
 	objects, err := s.listed(ctx)
 	if err != nil {
 		logline.Info("instances not listed", "error", err)
-		return false
+		return false, false
 	}
 	list := make([]peers.Peer, 0, len(objects))
 	for _, o := range objects {
+		found = found || o.Name == s.self.Name
 		p, err := resource.Decode[peers.Peer](o)
 		if err != nil {
 			logline.Error(err, "instance unreadable", "name", o.Name)
@@ -103,7 +108,10 @@
 	for _, name := range abandoned {
 		s.remove(ctx, name)
 	}
-	return true
+	if !found {
+		logline.Info("instance not on the list", "name", s.self.Name, "then", "it is announced again")
+	}
+	return true, found
 }
 
 // listed gives the instances that the platform lists. The first list tells whom to ask for places;
--- a/internal/process/entry/sharing_test.go
+++ b/internal/process/entry/sharing_test.go
@@ -61,3 +61,32 @@
 	cancel()
 	receiver.loops.Wait()
 }
+
+// TestAnInstanceThatWasTakenOffTheListComesBack: one that was paused or cut off for long is removed by others, and stayed
+// off the list for the rest of its life, unknown to all that start later.
+func TestAnInstanceThatWasTakenOffTheListComesBack(t *testing.T) {
+	store := platform.New(platform.Config{})
+	e, s := newSharingEntry(t, "i-1", "z1", store)
+	ctx, cancel := context.WithCancel(context.Background())
+	e.loop(func() { s.follow(ctx) })
+	listed := func() {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+			objects, _, err := store.List(ctx, kindPeer)
+			if err == nil && len(objects) == 1 {
+				return
+			}
+			if time.Now().After(end) {
+				t.Fatalf("%d instances listed (%v)", len(objects), err)
+			}
+			e.returns.next() // it looks at the list now, and not a minute later
+		}
+	}
+	listed()
+	if err := store.Delete(ctx, kindPeer, "i-1", 0, "i-2", "n"); err != nil {
+		t.Fatal(err)
+	}
+	listed()
+	cancel()
+	e.loops.Wait()
+}
