A witness is waited for for a tenth of a second at most

With an upstream that is cut off, the send of doubted work would have waited a second more for its witness. Found by reading the change once more.

--- a/internal/process/holds/ends.go
+++ b/internal/process/holds/ends.go
@@ -16,6 +16,9 @@
 const (
 	// reachTimeout bounds one connection to an upstream that may have ended.
 	reachTimeout = time.Second
+	// witnessTimeout bounds the wait for a witness before a send: longer than the way there and back between
+	// regions, and short beside the time of a request whose upstream is cut off.
+	witnessTimeout = 100 * time.Millisecond
 	// witnessWithin is how far apart a broken answer and the end of a witness may be noticed.
 	witnessWithin = time.Second
 )
@@ -42,8 +45,9 @@
 	if !doubted {
 		return nil
 	}
-	w, err := upstream.OpenWitness(ctx, address, reachTimeout)
+	w, err := upstream.OpenWitness(ctx, address, witnessTimeout)
 	if err != nil {
+		// The send tells more, and may do so by a connection that is there.
 		logline.Info("doubted work is sent without a witness", "content", content, "address", address, "error", err)
 		return nil
 	}
