One that can't read the platform isn't counted before those that do the duties there

Since it goes on giving places (zones of three or fewer) it goes on telling, and others counted it before themselves in the order of those that may hold the lease and clean up: where it came first, none was the first. Found by reading the change once more. TestOneThatCannotReadThePlatformIsNotRanked fails without (rank 2 for the only one).

--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -478,7 +478,7 @@
 	}
 	own := xxhash.Sum64String(c.self.Name)
 	for _, address := range c.recipients(now) {
-		if k := c.known[address]; k.tells(now) && xxhash.Sum64String(k.Name) < own {
+		if k := c.known[address]; k.tells(now) && !k.away && xxhash.Sum64String(k.Name) < own {
 			rank++
 		}
 	}
--- a/internal/process/peers/reading_test.go
+++ b/internal/process/peers/reading_test.go
@@ -211,3 +211,25 @@
 		t.Error("one that can't read the platform may be chosen for what is done there")
 	}
 }
+
+// TestOneThatCannotReadThePlatformIsNotRanked: it goes on telling what it has under way, and was counted before those
+// that are to do what is done at the platform, so that none was the first.
+func TestOneThatCannotReadThePlatformIsNotRanked(t *testing.T) {
+	cores, now := whole(4, 4), at(5*time.Second) // one in each zone
+	told := make(map[*Core]*Message)
+	for i, c := range cores {
+		told[c] = next(c, now, nil, nil)
+		told[c].Away = i < 3
+		c.SetAway(i < 3)
+	}
+	for _, c := range cores {
+		for other, m := range told {
+			if other != c {
+				c.Heard(now, other.self.Address, m)
+			}
+		}
+	}
+	if rank, ok := cores[3].Rank(now); !ok || rank != 0 {
+		t.Errorf("the only one that can read the platform has rank %d, %t", rank, ok)
+	}
+}
