After a stall the list of upstreams does not count until a call made since then confirms it

What callers saw: nothing of their own requests, but requests reached upstreams 3.04 to 4.46 s after these had left (3.0 allowed), by places of an instance that had just woken from a freeze.

Cause: what an instance believes was dated by the last call that failed. Time in which the process doesn't run makes no call fail, an answer of the store from before the freeze that lies in the socket's buffer counted as news of now, and its first message brought it back into use.

Change: a detector by CLOCK_BOOTTIME is asked at each use of the list, so that any goroutine may be the first. After a stall, decisions on places wait (500 ms at most) for a call made since then, messages say that the list can't be vouched for, waiting calls are made again at once, and places from before are asked for again.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -111,6 +111,7 @@
 	e.workCtx, e.cancelWork = context.WithCancel(context.Background())
 	e.hardStopCtx, e.cancelHardStop = context.WithCancel(context.Background())
 	e.holds = e.newHolds()
+	e.state.confirmation.onResume = e.handleResume
 	if cfg.Engines != nil {
 		cfg.Engines.OnResponse(e.handleOwnCallNotices)
 	}
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -27,6 +27,8 @@
 var (
 	errLeaving    = errors.New("the upstream is leaving")
 	errBackingOff = errors.New("the upstream asked for a backoff")
+	// errStalePlace: the upstream may have left meanwhile. It isn't excluded from the next choice.
+	errStalePlace = errors.New("the place is from before a stall of this process")
 )
 
 // sendOutcome is the outcome of one send that is to run a request. The zero value is a failure:
@@ -70,7 +72,9 @@
 		if final := q.contextError(ctx); final != nil {
 			return final
 		}
-		q.excluded = append(q.excluded, used.upstream().Incarnation())
+		if !errors.Is(out.err, errStalePlace) {
+			q.excluded = append(q.excluded, used.upstream().Incarnation())
+		}
 		action := q.decideRetry(out, relay)
 		q.logFailedSend(&used.grant.Choice, out, action)
 		if action != retry.SendElsewhere && action != retry.RunAgain {
@@ -136,10 +140,17 @@
 // or no other place, replaceIfUnusable returns the reserved place even if its upstream can't be used. The
 // function send then sends nothing to that upstream.
 func (q *request) replaceIfUnusable(ctx context.Context, reserved *heldPlace, kv *remoteKV) *heldPlace {
-	if kv == nil || q.e.checkUsable(reserved) == nil {
+	if kv == nil {
+		return reserved
+	}
+	q.e.state.awaitConfirmation(ctx)
+	err := q.e.checkUsable(reserved)
+	if err == nil {
 		return reserved
 	}
-	q.excluded = append(q.excluded, reserved.upstream().Incarnation())
+	if !errors.Is(err, errStalePlace) {
+		q.excluded = append(q.excluded, reserved.upstream().Incarnation())
+	}
 	other, refusal := q.acquirePlace(ctx, q.query(place.Decode))
 	if refusal != nil {
 		return reserved
@@ -239,6 +250,7 @@
 // the prompt's KV cache; nil: it prefills the prompt itself.
 func (q *request) send(ctx context.Context, held *heldPlace, kv *remoteKV, relay *responseRelay) sendOutcome {
 	e, u := q.e, held.upstream()
+	e.state.awaitConfirmation(ctx)
 	if err := e.checkUsable(held); err != nil {
 		e.recordEvents(held, place.Event{Kind: place.Abandoned})
 		return sendOutcome{runState: errkind.NotRun, err: err}
--- a/internal/process/entry/heldplace.go
+++ b/internal/process/entry/heldplace.go
@@ -15,6 +15,7 @@
 	grant            place.Grant
 	placer           string    // address of the instance that decided on the place; empty: this instance did
 	placeRequestID   uint64    // id of the place request with which the placer was asked for the place
+	resumes          uint64    // result of resumeCount when the placer was asked
 	streamReportedAt time.Time // when a stream event was last reported to the placer
 }
 
@@ -23,13 +24,16 @@
 func (h *heldPlace) work() place.Work { return h.grant.Choice.Work }
 
 // checkUsable returns nil if the request may now be sent to the upstream of the place h. Otherwise it
-// returns the reason: errLeaving or errBackingOff. A process without a list of upstreams can't check by
-// itself whether the upstream is listed. It relies on the decision of the placer, made milliseconds ago
-// or before a prefill, and on what responses of the upstream said.
+// returns the reason: errLeaving, errBackingOff or errStalePlace. A process without a list of upstreams
+// can't check by itself whether the upstream is listed. It relies on the decision of the placer, made
+// milliseconds ago or before a prefill but not before a stall of this process, and on what responses of the
+// upstream said.
 func (e *Entry) checkUsable(h *heldPlace) error {
 	incarnation := h.upstream().Incarnation()
 	chosenByPeer := h.placer != "" && !e.state.upstreamsListed()
 	switch {
+	case chosenByPeer && h.resumes != e.state.resumeCount():
+		return errStalePlace
 	case !e.state.usable(incarnation) && (!chosenByPeer || e.state.isLeaving(incarnation)):
 		return errLeaving
 	case e.state.backoffLeft(time.Now(), incarnation) > 0:
--- a/internal/process/entry/placementclient.go
+++ b/internal/process/entry/placementclient.go
@@ -149,6 +149,7 @@
 // upstream that this process doesn't know or use, or found none although this process knows some.
 func (q *request) askPlacer(ctx context.Context, to string, query place.Query) (d place.Decision, held *heldPlace, ok bool) {
 	s := q.e.peers
+	resumes := q.e.state.resumeCount()
 	id, answers := s.placementClient.register()
 	defer s.placementClient.unregister(id)
 	for {
@@ -171,7 +172,11 @@
 			s.sendPlaceRequest(to, peers.PlaceRequest{ID: id, Cancel: true})
 			return d, nil, false
 		case received && !answer.Waiting:
-			return q.acceptAnswer(to, id, &query, answer)
+			d, held, ok = q.acceptAnswer(to, id, &query, answer)
+			if held != nil {
+				held.resumes = resumes
+			}
+			return d, held, ok
 		}
 	}
 }
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -133,7 +133,9 @@
 			return prefillResult{kv: kv}
 		}
 		choice := &held.grant.Choice
-		q.excluded = append(q.excluded, choice.Upstream.Incarnation())
+		if !errors.Is(err, errStalePlace) {
+			q.excluded = append(q.excluded, choice.Upstream.Incarnation())
+		}
 		logline.Info("prefill failed", "request", q.info.ID, "upstream", choice.Upstream.ID, "try", attempt,
 			"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", err, "content", q.content())
 		if ctx.Err() != nil {
@@ -159,6 +161,7 @@
 // sendPrefill has one engine prefill the prompt. sent: a byte may have reached the engine.
 func (q *request) sendPrefill(ctx context.Context, held *heldPlace) (kv *remoteKV, sent bool, err error) {
 	e, u := q.e, held.upstream()
+	e.state.awaitConfirmation(ctx)
 	if err := e.checkUsable(held); err != nil {
 		e.recordEvents(held, place.Event{Kind: place.Abandoned})
 		return nil, false, err
--- a/internal/process/entry/requestlog.go
+++ b/internal/process/entry/requestlog.go
@@ -65,6 +65,9 @@
 	m.scope.Tagged(map[string]string{"kind": kind}).Counter("entries_unreadable").Inc(1)
 }
 
+// countStall counts a time in which this process did not run.
+func (m *entryMetrics) countStall() { m.scope.Counter("stalls").Inc(1) }
+
 // setLimitedUpstreams sets the number of upstreams with a limit on requests per second.
 func (m *entryMetrics) setLimitedUpstreams(n int) {
 	m.scope.Gauge("upstreams_limited").Update(float64(n))
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/mapentry"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
@@ -39,7 +40,8 @@
 	bounds         settings.EntryBounds
 	trackedVersion uint64    // version of fleet that tracker was last updated from; 0: update it again
 	listed         bool      // the list of upstreams was read and is followed
-	platformLostAt time.Time // when the list of upstreams was last up to date, before the platform became unreadable
+	platformLostAt time.Time // when the list of upstreams was last up to date, before the platform became unreadable or this process stalled
+	confirmation   confirmation
 }
 
 func newState(s *settings.Entry) *state {
@@ -54,6 +56,7 @@
 		retryWindows: make(map[string]*retry.Window),
 		patience:     make(map[string]*patience.Route),
 		bounds:       s.Bounds,
+		confirmation: confirmation{clock: boottime.Now, onResume: func() {}},
 	}
 }
 
@@ -86,6 +89,7 @@
 func (s *state) updateFleet(now time.Time, change func(f *fleet.Core)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.detectStall()
 	wasUpToDate := s.fleet.UpToDate(now)
 	change(s.fleet)
 	if wasUpToDate && !s.fleet.UpToDate(now) {
@@ -93,6 +97,7 @@
 	}
 	s.expireMissing(now)
 	s.syncTracker(now)
+	s.awaitsConfirmation(now) // decides on the postponed requests if the change confirmed the list
 }
 
 // forgetUpstreams drops the list of upstreams, because this instance no longer follows it.
@@ -102,6 +107,7 @@
 	s.fleet.ClearList()
 	s.listed, s.platformLostAt, s.trackedVersion = false, time.Time{}, 0
 	s.tracker.SetUpstreams(nil)
+	s.awaitsConfirmation(now) // there is nothing left to confirm
 	s.deliverDecisions(now)
 }
 
@@ -110,6 +116,7 @@
 func (s *state) platformLostFor(now time.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.detectStall()
 	if !s.listed || s.fleet.UpToDate(now) {
 		return 0
 	}
@@ -153,10 +160,14 @@
 	return services
 }
 
-// tick removes expired state and decides on waiting requests. It has to be called periodically.
+// tick removes expired state and decides on waiting requests. It has to be called at intervals far shorter
+// than the threshold of detectStall; stalls are detected from the first call on.
 func (s *state) tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.confirmation.start()
+	s.detectStall()
+	s.awaitsConfirmation(now)
 	s.expireMissing(now)
 	s.syncTracker(now)
 	s.tracker.ForgetStalePeers(now)
@@ -170,6 +181,9 @@
 	if s.queue.Len() == 0 {
 		return
 	}
+	if s.detectStall(); s.awaitsConfirmation(now) {
+		return
+	}
 	for _, d := range s.queue.Tick(now) {
 		if waiter, ok := s.waiters[d.ID]; ok {
 			delete(s.waiters, d.ID)
@@ -183,15 +197,24 @@
 	decision := make(chan place.Decision, 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	d, decided := s.queue.Arrive(now, q)
-	if decided {
-		decision <- d
+	s.waiters[q.ID] = decision
+	if s.detectStall(); s.awaitsConfirmation(now) {
+		s.confirmation.postponed = append(s.confirmation.postponed, q)
 		return decision
 	}
-	s.waiters[q.ID] = decision
+	s.arrive(now, q)
 	return decision
 }
 
+// arrive passes a request to the queue. If it is decided on at once, arrive delivers the decision. Callers
+// hold mu.
+func (s *state) arrive(now time.Time, q place.Query) {
+	if d, decided := s.queue.Arrive(now, q); decided {
+		s.waiters[q.ID] <- d
+		delete(s.waiters, q.ID)
+	}
+}
+
 // timeSpent estimates how much time the caller of a request has already spent on earlier attempts. left is
 // the time left that the caller declares.
 func (s *state) timeSpent(route string, left time.Duration) time.Duration {
@@ -205,7 +228,7 @@
 func (s *state) dequeue(q place.Query) chan<- place.Decision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.queue.Remove(&q) {
+	if !s.confirmation.remove(q.ID) && !s.queue.Remove(&q) {
 		return nil
 	}
 	waiter := s.waiters[q.ID]
@@ -345,7 +368,7 @@
 func (s *state) waitingCount() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.queue.Len()
+	return s.queue.Len() + len(s.confirmation.postponed)
 }
 
 // upstreamsListed reports whether the list of upstreams was read and is followed.
@@ -355,10 +378,12 @@
 	return s.listed
 }
 
-// steadilyConnected reports whether the list of upstreams has been up to date for minConnectedTime.
+// steadilyConnected reports whether the list of upstreams has been up to date for minConnectedTime, in which
+// this process ran.
 func (s *state) steadilyConnected(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.detectStall()
 	return s.listed && s.fleet.ConnectedFor(now) >= minConnectedTime
 }
 
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -32,6 +32,8 @@
 	era             uint64                    // of the last list; changes when the platform is restored from an older copy
 	platformLost    bool                      // the platform can't be read
 	restoredAt      time.Time                 // when it could be read again after an outage; zero: there was no outage
+	unconfirmed     bool                      // this process did not run for a while, and the list may lack changes of that time
+	confirmedAt     time.Time                 // when the list was confirmed after that; zero: it never had to be
 	connectedSince  time.Time                 // when the first list came or, if later, when the platform could be read again
 	version         uint64                    // number of changes
 }
@@ -71,9 +73,26 @@
 // PlatformLost records that the platform can't be read.
 func (c *Core) PlatformLost() { c.platformLost = true }
 
+// Resumed records that this process runs again after a time in which it did not run. Until Confirmed is
+// called, the list may lack the changes of that time.
+func (c *Core) Resumed() { c.unconfirmed = c.listed }
+
+// Confirmed records that the list has all changes up to some time after the last call of Resumed.
+func (c *Core) Confirmed(now time.Time) {
+	if c.unconfirmed {
+		c.unconfirmed, c.confirmedAt, c.connectedSince = false, now, now
+	}
+}
+
+// Unconfirmed reports whether the list may lack changes of a time in which this process did not run.
+func (c *Core) Unconfirmed() bool { return c.unconfirmed }
+
 // UpToDate reports whether the list is up to date: the platform can be read, RestoreGrace has passed
-// since the end of the last outage, if there was one, and no missing entry is kept.
-func (c *Core) UpToDate(now time.Time) bool { return c.missingCount == 0 && !c.mayHaveLapsed(now) }
+// since the end of the last outage, if there was one, no missing entry is kept, and the list was confirmed
+// since this process last resumed.
+func (c *Core) UpToDate(now time.Time) bool {
+	return c.missingCount == 0 && !c.unconfirmed && !c.platformLost && !withinGrace(now, c.restoredAt)
+}
 
 // PlatformRestored records that the platform can be read again. It returns false if the platform
 // could be read before, too.
@@ -91,9 +110,9 @@
 }
 
 // ConnectedFor returns for how long the platform could be read without interruption, or 0 if it
-// can't be read now.
+// can't be read now, or was not read since this process resumed.
 func (c *Core) ConnectedFor(now time.Time) time.Duration {
-	if c.platformLost || c.connectedSince.IsZero() {
+	if c.unreliable() || c.connectedSince.IsZero() {
 		return 0
 	}
 	return now.Sub(c.connectedSince)
@@ -242,15 +261,27 @@
 	c.delete(now, e)
 }
 
-// mayHaveLapsed reports whether an entry may have lapsed only because of an outage.
+// mayHaveLapsed reports whether an entry may have lapsed only because of an outage. There may have been
+// an outage while this process did not run, which no call of this process noticed.
 func (c *Core) mayHaveLapsed(now time.Time) bool {
-	return c.platformLost || (!c.restoredAt.IsZero() && now.Before(c.restoredAt.Add(RestoreGrace)))
+	return c.unreliable() || withinGrace(now, c.restoredAt) || withinGrace(now, c.confirmedAt)
+}
+
+// unreliable reports whether the platform can't be read, or was not read since this process resumed.
+func (c *Core) unreliable() bool { return c.platformLost || c.unconfirmed }
+
+// withinGrace reports whether less than RestoreGrace has passed since a time; the zero time: never.
+func withinGrace(now, since time.Time) bool {
+	return !since.IsZero() && now.Before(since.Add(RestoreGrace))
 }
 
 // graceEnd returns when an entry that goes missing now is to be removed.
 func (c *Core) graceEnd(now time.Time) time.Time {
-	if c.platformLost {
+	switch {
+	case c.unreliable():
 		return now.Add(RestoreGrace)
+	case c.confirmedAt.After(c.restoredAt):
+		return c.confirmedAt.Add(RestoreGrace)
 	}
 	return c.restoredAt.Add(RestoreGrace)
 }
@@ -273,7 +304,7 @@
 		if !e.missing || now.Before(e.expiresAt) {
 			continue
 		}
-		if c.platformLost {
+		if c.unreliable() {
 			e.expiresAt = now.Add(RestoreGrace)
 			continue
 		}
