Let the test of idle watches allow every correct reopening

Cause: the test's own fault. Its handler returned after event 8, which ended the connection, and the client reopened the watch from 8, as it must, before the test closed it. The test allowed only 7. Lines of a trial:

47.093 ms handler: connection 3 opened from 7 47.143 ms handler: connection 3 returns 47.511 ms client: delivered 8 47.552 ms client: connection ended: EOF 48.785 ms client: opens from 8 49.106 ms handler: connection 4 opened from 8 -> reopened from "8"

The handler now sends the events after the version that the client names. Every opening, the first one too, must be from a version that can be the last one delivered: at least what Next has returned, at most what was sent. While both are equal, that is one version: 7 for the first three openings, as before, and then 8 and 9. So the check of the idle reopenings is as strict as before, and it goes on: one connection is dead after its event, and one ends after its event. Next must return 8, 9 and 10, each once.

--- a/internal/connection/platform/client_test.go
+++ b/internal/connection/platform/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/pem"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -215,33 +216,47 @@
 	}
 }
 
-// A watch whose connection is dead delivers nothing and doesn't end. It must be
-// reopened after WatchIdle, from the version of the last event (here the version with which
-// it was opened).
+// A watch whose connection is dead delivers nothing and doesn't end. It must be reopened after
+// WatchIdle, from the version of the last event that it delivered (at first the version with
+// which it was opened). Here two connections are dead from the start, one is dead after its
+// event, and one ends after its event.
 func TestIdleWatchIsReopened(t *testing.T) {
+	const from, deadAfter, endAfter, last = 7, 8, 9, 10
 	var opened atomic.Int32
+	var sent, received atomic.Uint64 // versions of the last events
+	sent.Store(from)
+	received.Store(from)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if opened.Add(1) < 3 {
-			w.WriteHeader(http.StatusOK)
-			_ = http.NewResponseController(w).Flush()
-			<-r.Context().Done() // sends nothing, as in a network partition
+		first, highest := received.Load(), sent.Load() // the last event delivered is one of these
+		version, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+		if err != nil || version < first || version > highest {
+			t.Errorf("opened from %q, want %d to %d", r.URL.Query().Get("from"), first, highest)
+			respond(http.StatusBadRequest, `{"code":"invalid"}`)(w, r) // ends the watch
 			return
 		}
-		if r.URL.Query().Get("from") != "7" {
-			t.Errorf("reopened from %q", r.URL.Query().Get("from"))
+		if opened.Add(1) >= 3 && version < last {
+			sent.Store(max(highest, version+1))
+			fmt.Fprintf(w, `{"type":"put","object":{"kind":"Route","name":"a","version":%d}}`+"\n", version+1)
+			if version+1 == endAfter {
+				return
+			}
 		}
-		_, _ = w.Write([]byte(`{"type":"put","object":{"kind":"Route","name":"a","version":8}}` + "\n"))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done() // sends nothing more, as in a network partition
 	}))
 	defer server.Close()
 	client := newClient(t, platform.ClientConfig{Address: server.URL, WatchIdle: 20 * time.Millisecond})
-	w, err := client.Watch(testContext(t), nil, 7)
+	w, err := client.Watch(testContext(t), nil, from)
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer w.Close()
-	e, err := w.Next(testContext(t))
-	if err != nil || e.Object.Version != 8 {
-		t.Fatalf("event %+v, %v", e, err)
+	for _, want := range []uint64{deadAfter, endAfter, last} {
+		e, err := w.Next(testContext(t))
+		if err != nil || e.Object.Version != want {
+			t.Fatalf("event %+v, %v, want version %d", e, err, want)
+		}
+		received.Store(want)
 	}
 }
 
