Tests reserve the ports of their servers

Servers of tests listened on a port that was free a moment before, or that they had given up for a restart. In between the kernel gives it to an outgoing connection, which holds it for a minute after its end.

Two ways were weighed. A socket that stays bound without listening keeps a TCP port for a server that sets SO_REUSEADDR; for UDP it would need that option in the product, and a second test process could bind it as well. So internal/testport takes ports outside the kernel's ephemeral range, which no outgoing connection and no socket on port 0 gets, and holds an abstract Unix socket named after the port, which exists once in a network namespace and ends with its process. Binaries under test are as before.

The trial no longer needs a free port in advance: it lists its daemons at the addresses that they have opened.

Each place is received within 30 s or the test fails and names it.

--- a/internal/bench/faults/fleet.go
+++ b/internal/bench/faults/fleet.go
@@ -20,6 +20,7 @@
 	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/service"
+	"github.com/ragworttrestle/ragworttrestle/internal/testport"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
@@ -75,11 +76,12 @@
 // fleet is the system under test with its stand-ins. mu guards crashed and the killed
 // fields of the gateways.
 type fleet struct {
-	store    *standin.Store
-	platform *standin.Server
-	runners  []*runner.Runner
-	services []*service.Service
-	gateways []*member
+	store       *standin.Store
+	platform    *standin.Server
+	runners     []*runner.Runner
+	runnerPorts []*testport.Port // reserved also while a runner is down
+	services    []*service.Service
+	gateways    []*member
 
 	mu      sync.Mutex
 	crashed []int          // indexes of the runners that a fault crashed
@@ -163,7 +165,12 @@
 			Loaded: []upstream.Loaded{{Model: modelName, Version: versionName}},
 		})
 		f.runners = append(f.runners, r)
-		url, err := r.Listen(anyPort)
+		port, err := testport.Reserve()
+		if err != nil {
+			return out, errors.Wrap(err, "reserve a port for a runner")
+		}
+		f.runnerPorts = append(f.runnerPorts, port)
+		url, err := r.Listen(port.Address())
 		if err != nil {
 			return out, errors.Wrap(err, "listen for a runner")
 		}
@@ -315,6 +322,9 @@
 	for _, r := range f.runners {
 		r.Close()
 	}
+	for _, p := range f.runnerPorts {
+		p.Release()
+	}
 	for _, s := range f.services {
 		s.Close()
 	}
--- a/internal/bench/faults/link.go
+++ b/internal/bench/faults/link.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/testport"
 )
 
 const (
@@ -20,6 +22,7 @@
 // link forwards TCP connections to one target. A cut closes the forwarded connections
 // and makes the link refuse new ones until every cut is healed.
 type link struct {
+	port           *testport.Port // reserved also while the link is cut
 	address        string
 	identifyDialer bool // determine who dials, see dialerName
 
@@ -70,14 +73,21 @@
 // The link can be cut for single dialers.
 func newPeerLink() (*link, error) { return openLink("", true) }
 
-// openLink opens a forwarder on a free port of the loopback interface.
+// openLink opens a forwarder on a reserved port of the loopback interface.
 func openLink(target string, identifyDialer bool) (*link, error) {
-	l := &link{target: target, identifyDialer: identifyDialer, cutsByDialer: map[string]int{}, pairs: map[*pair]bool{}}
-	listener, err := net.Listen("tcp", anyPort)
+	port, err := testport.Reserve()
+	if err != nil {
+		return nil, errors.Wrap(err, "reserve a port for a forwarder")
+	}
+	listener, err := net.Listen("tcp", port.Address())
 	if err != nil {
+		port.Release()
 		return nil, errors.Wrap(err, "listen for a forwarder")
 	}
-	l.address = listener.Addr().String()
+	l := &link{
+		port: port, address: port.Address(), target: target, identifyDialer: identifyDialer,
+		cutsByDialer: map[string]int{}, pairs: map[*pair]bool{},
+	}
 	l.accept(listener)
 	return l, nil
 }
@@ -317,4 +327,5 @@
 	l.closed = true
 	l.mu.Unlock()
 	l.running.Wait()
+	l.port.Release()
 }
--- a/internal/connection/peer/hub_test.go
+++ b/internal/connection/peer/hub_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/testport"
 )
 
 const testTimeout = 15 * time.Second
@@ -74,7 +76,7 @@
 
 func startNode(t *testing.T, name string, change func(*HubConfig)) *node {
 	t.Helper()
-	return startNodeAt(t, name, "127.0.0.1:0", change)
+	return startNodeAt(t, name, testport.Address(t), change)
 }
 
 func startNodeAt(t *testing.T, name, at string, change func(*HubConfig)) *node {
--- a/internal/connection/platform/client_test.go
+++ b/internal/connection/platform/client_test.go
@@ -5,7 +5,6 @@
 	"encoding/pem"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -21,6 +20,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/testport"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
@@ -119,14 +119,8 @@
 // If no connection was made, a write provably had no effect. It must return ErrUnavailable
 // and not ErrOutcomeUnknown.
 func TestFailedConnectionIsUnavailable(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := "http://" + listener.Addr().String()
-	_ = listener.Close()
-	client := newClient(t, platform.ClientConfig{Address: address})
-	_, err = client.Create(testContext(t), platform.Object{Kind: "Route", Name: "a"})
+	client := newClient(t, platform.ClientConfig{Address: "http://" + testport.Address(t)})
+	_, err := client.Create(testContext(t), platform.Object{Kind: "Route", Name: "a"})
 	wantError(t, err, platform.ErrUnavailable)
 }
 
--- a/internal/connection/upstream/outcome_test.go
+++ b/internal/connection/upstream/outcome_test.go
@@ -16,6 +16,8 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/goleak"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/testport"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -196,12 +198,7 @@
 // A call for which no connection was made was never sent. Every method must return
 // ErrNotRun then, so that the caller may send the request to another upstream.
 func TestNoConnectionIsNotRun(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	dead := "http://" + l.Addr().String()
-	l.Close()
+	dead := "http://" + testport.Address(t)
 	canceled, cancel := context.WithCancel(context.Background())
 	cancel()
 	for name, c := range map[string]struct {
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -52,7 +52,7 @@
 // request may run twice.
 func TestKeyedRequestsRunOnceDespiteGatewayKill(t *testing.T) {
 	s := newStack(t)
-	l := &load{gateways: s.gateways, client: &http.Client{}}
+	l := &load{gateways: s.gateways, client: &http.Client{Timeout: testTimeout}}
 	var callers sync.WaitGroup
 	for c := range keyedCallers {
 		callers.Add(1)
@@ -67,7 +67,16 @@
 	s.gateways[0].process.kill()
 	time.Sleep(loadPhase)
 	s.gateways[0].process.start()
-	callers.Wait()
+	ended := make(chan struct{})
+	go func() {
+		callers.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(testTimeout):
+		t.Fatalf("timed out waiting for the callers: %d complete responses, want %d", l.whole.Load(), keyedCallers*keyedRequests)
+	}
 	checkResult(t, l, s)
 	if got := l.whole.Load(); got != keyedCallers*keyedRequests {
 		t.Errorf("%d complete responses, want %d", got, keyedCallers*keyedRequests)
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -54,7 +54,7 @@
 
 // startLoad starts callers that send requests until finish is called.
 func startLoad(gateways []*gatewayProcess, callers int) *load {
-	l := &load{gateways: gateways, client: &http.Client{}, stop: make(chan struct{})}
+	l := &load{gateways: gateways, client: &http.Client{Timeout: testTimeout}, stop: make(chan struct{})}
 	for c := range callers {
 		l.done.Add(1)
 		go func() {
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -45,18 +44,6 @@
 	return filepath.Join(buildDir, name)
 }
 
-// freeAddress returns an address with a free port. The process listens on it later,
-// because addresses must be known before the processes start.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // process is one binary that can be stopped and started again.
 type process struct {
 	t        *testing.T
--- a/internal/e2e/stack_test.go
+++ b/internal/e2e/stack_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/testport"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
@@ -77,7 +78,7 @@
 }
 
 func (s *stack) startPlatform() {
-	address := freeAddress(s.t)
+	address := testport.Address(s.t)
 	s.platformURL = "http://" + address
 	s.platform = start(s.t, "platform", binary(s.t, "ragwort-standin"), s.platformURL+platform.ObjectsPath,
 		"platform", "--listen", address)
@@ -89,7 +90,7 @@
 }
 
 func (s *stack) startRunner(i int) {
-	address := freeAddress(s.t)
+	address := testport.Address(s.t)
 	name := fmt.Sprintf("runner-%d", i)
 	r := &runnerProcess{url: "http://" + address}
 	r.process = start(s.t, name, binary(s.t, "ragwort-standin"), r.url+"/admin/stats",
@@ -160,8 +161,8 @@
 
 func (s *stack) startGateway(i int) {
 	name := fmt.Sprintf("gateway-%d", i)
-	callers, ops := freeAddress(s.t), freeAddress(s.t)
-	path := s.writeSettings(name, resource.RoleGateway, zone(i), freeAddress(s.t),
+	callers, ops := testport.Address(s.t), testport.Address(s.t)
+	path := s.writeSettings(name, resource.RoleGateway, zone(i), testport.Address(s.t),
 		fmt.Sprintf(`"listen": {"address": %q}, "operators": {"listen": {"address": %q}}`, callers, ops))
 	g := &gatewayProcess{url: "http://" + callers, ops: "http://" + ops}
 	g.process = start(s.t, name, binary(s.t, "ragwort-gateway"), g.ops+"/ready", "--settings", path)
@@ -171,8 +172,8 @@
 
 func (s *stack) startController(i int) {
 	name := fmt.Sprintf("controller-%d", i)
-	ops := freeAddress(s.t)
-	path := s.writeSettings(name, resource.RoleController, zone(i), freeAddress(s.t),
+	ops := testport.Address(s.t)
+	path := s.writeSettings(name, resource.RoleController, zone(i), testport.Address(s.t),
 		fmt.Sprintf(`"operators": {"listen": {"address": %q}}, "lease": {"ttlMS": 2000, "marginMS": 500, "orderLifeMS": 500}`, ops))
 	c := start(s.t, name, binary(s.t, "ragwort-controller"), "http://"+ops+"/ready", "--settings", path)
 	s.controllers = append(s.controllers, c)
--- a/internal/e2e/upstreams_test.go
+++ b/internal/e2e/upstreams_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/testport"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
@@ -20,7 +21,7 @@
 // startService starts the plain service and creates a route to it.
 func (s *stack) startService() {
 	s.t.Helper()
-	address := freeAddress(s.t)
+	address := testport.Address(s.t)
 	url := "http://" + address
 	start(s.t, "service", binary(s.t, "ragwort-standin"), url+"/", "service", "--listen", address, "--name", "maps-1")
 	s.put(resource.KindService, "map-sensor", resource.Service{Upstreams: []resource.ServiceUpstream{
--- a/internal/process/controller/controller_test.go
+++ b/internal/process/controller/controller_test.go
@@ -20,6 +20,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	standinplatform "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/testport"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
@@ -96,7 +97,7 @@
 		},
 	})
 	s.t.Cleanup(r.Close)
-	address, err := r.Listen("127.0.0.1:0")
+	address, err := r.Listen(testport.Address(s.t))
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -251,8 +252,8 @@
 	set := &settings.Controller{
 		Instance:  settings.Instance{Name: name, Zone: testZone},
 		Platform:  settings.Platform{Address: "http://127.0.0.1:1"},
-		Peer:      settings.Peer{Listen: settings.Listener{Address: "127.0.0.1:0"}, SharedKey: settings.Secret{File: s.peerKey}, HeartbeatMS: 100, Seeds: seeds},
-		Operators: settings.Operators{Listen: settings.Listener{Address: "127.0.0.1:0"}},
+		Peer:      settings.Peer{Listen: settings.Listener{Address: testport.Address(s.t)}, SharedKey: settings.Secret{File: s.peerKey}, HeartbeatMS: 100, Seeds: seeds},
+		Operators: settings.Operators{Listen: settings.Listener{Address: testport.Address(s.t)}},
 		Stop:      settings.Stop{DrainMS: 10_000},
 		Lease:     settings.Lease{TTLMS: 1500, MarginMS: 300, OrderLifeMS: 500},
 	}
--- a/internal/process/controller/rollingrelease_test.go
+++ b/internal/process/controller/rollingrelease_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/gateway"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	"github.com/ragworttrestle/ragworttrestle/internal/testport"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
@@ -28,10 +29,10 @@
 	s.put(resource.KindRoute, "chat", resource.Route{Model: "smoke", MaxTokens: 250})
 	set := &settings.Gateway{
 		Instance:  settings.Instance{Name: name, Zone: testZone},
-		Listen:    settings.Listener{Address: "127.0.0.1:0"},
+		Listen:    settings.Listener{Address: testport.Address(s.t)},
 		Platform:  settings.Platform{Address: "http://127.0.0.1:1"},
-		Peer:      settings.Peer{Listen: settings.Listener{Address: "127.0.0.1:0"}, SharedKey: settings.Secret{File: s.peerKey}, HeartbeatMS: 100, Seeds: seeds},
-		Operators: settings.Operators{Listen: settings.Listener{Address: "127.0.0.1:0"}},
+		Peer:      settings.Peer{Listen: settings.Listener{Address: testport.Address(s.t)}, SharedKey: settings.Secret{File: s.peerKey}, HeartbeatMS: 100, Seeds: seeds},
+		Operators: settings.Operators{Listen: settings.Listener{Address: testport.Address(s.t)}},
 		Stop:      settings.Stop{BalancerMS: 50, DrainMS: 10_000},
 	}
 	set.SetDefaults()
--- a/internal/process/daemon/daemon_test.go
+++ b/internal/process/daemon/daemon_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	"github.com/ragworttrestle/ragworttrestle/internal/testport"
 )
 
 // If one port is occupied, Listen must name its settings field and close the ports that it opened
@@ -18,7 +19,7 @@
 	defer occupied.Close()
 	var first, second net.Listener
 	err = Listen(
-		Port{"listen", settings.Listener{Address: "127.0.0.1:0"}, &first},
+		Port{"listen", settings.Listener{Address: testport.Address(t)}, &first},
 		Port{"peer.listen", settings.Listener{Address: occupied.Addr().String()}, &second},
 	)
 	if err == nil || !strings.Contains(err.Error(), "peer.listen") {
--- a/internal/process/entry/followplatform_test.go
+++ b/internal/process/entry/followplatform_test.go
@@ -145,7 +145,7 @@
 	if placer.cannotPlaceReason() != reasonNoUpstreams || placer.state.usable("a") {
 		t.Error("the instance still decides by the list that it no longer follows")
 	}
-	if d := <-placer.state.enqueue(time.Now(), query); d.Refused != place.NoUpstream {
+	if d := receive(t, "the decision", placer.state.enqueue(time.Now(), query)); d.Refused != place.NoUpstream {
 		t.Errorf("decision %+v, want a refusal", d)
 	}
 	placer.release(held)
--- a/internal/process/entry/peerexchange.go
+++ b/internal/process/entry/peerexchange.go
@@ -41,6 +41,7 @@
 	conn            *net.UDPConn
 	placementClient *placementClient
 	placementServer *placementServer
+	answerTimeout   func() time.Duration // how long to wait for the answer of a placer
 
 	crashes      broadcastQueue[quarantine.Crash]
 	limits       broadcastQueue[place.UpstreamKey] // upstreams whose rate limits have changed
@@ -90,11 +91,13 @@
 	// The incarnation is the start time in microseconds. Ids of place requests count up from it. An instance
 	// sends far fewer than a million messages a second, so ids don't repeat after a restart.
 	incarnation := uint64(time.Now().UnixMicro())
-	return &peerExchange{
+	exchange := &peerExchange{
 		e: e, self: self, conn: conn, core: peers.New(self, incarnation),
 		placementClient: newPlacementClient(incarnation), placementServer: newPlacementServer(), configVersions: peers.NewConfigVersions(), incarnation: incarnation, stopped: make(chan struct{}),
 		recheckUpstreams: make(chan struct{}, 1), recheckConfig: make(chan struct{}, 1),
-	}, nil
+	}
+	exchange.answerTimeout = exchange.estimatedAnswerTimeout
+	return exchange, nil
 }
 
 // run exchanges messages until ctx ends. Then it tells the availability zone that this instance has
--- a/internal/process/entry/peerexchange_test.go
+++ b/internal/process/entry/peerexchange_test.go
@@ -9,13 +9,14 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/testport"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
 
 // newPeerTestEntry returns an entry process that knows upstream a of service s, and its peer exchange over
 // the loopback interface, which isn't started.
 func newPeerTestEntry(t *testing.T, name, zone string, store *platform.Store) (*Entry, *peerExchange) {
-	s := &settings.Entry{Instance: settings.Instance{Name: name, Zone: zone}, Listen: settings.EntryListen{Peers: "127.0.0.1:0"}}
+	s := &settings.Entry{Instance: settings.Instance{Name: name, Zone: zone}, Listen: settings.EntryListen{Peers: testport.Address(t)}}
 	s.SetDefaults()
 	e := New(Config{Settings: s, Records: store})
 	e.state.install(routing.New(1, nil, []routing.Service{{Name: "s"}}, routing.Limits{}))
@@ -55,13 +56,13 @@
 	}
 	awaitLoad(1)
 	stopSender()
-	sender.goroutines.Wait()
+	awaitEnd(t, sender)
 	if objects, _, err := store.List(ctx, kindPeer); err != nil || len(objects) != 1 {
 		t.Errorf("%d instances listed after one has stopped (%v)", len(objects), err)
 	}
 	awaitLoad(0)
 	cancel()
-	receiver.goroutines.Wait()
+	awaitEnd(t, receiver)
 }
 
 // TestRemovedInstanceIsListedAgain checks that an instance that others have removed from the list, as it was
@@ -91,5 +92,5 @@
 	}
 	awaitListed()
 	cancel()
-	e.goroutines.Wait()
+	awaitEnd(t, e)
 }
--- a/internal/process/entry/placement_test.go
+++ b/internal/process/entry/placement_test.go
@@ -37,7 +37,7 @@
 	t.Cleanup(func() {
 		cancel()
 		for _, e := range all {
-			e.goroutines.Wait()
+			awaitEnd(t, e)
 		}
 	})
 	introduceAll(t, all)
@@ -114,15 +114,47 @@
 	t.Errorf("timed out waiting: %s", what)
 }
 
+// receiveTimeout only ends a test that would hang.
+const receiveTimeout = 30 * time.Second
+
+// receive returns the next value of a channel. It fails the test if none comes within receiveTimeout.
+func receive[T any](t *testing.T, what string, from <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(receiveTimeout):
+		t.Fatalf("timed out waiting: %s", what)
+		panic("unreachable")
+	}
+}
+
+// awaitEnd waits until all goroutines of an instance have ended. It fails the test if they don't end within
+// receiveTimeout.
+func awaitEnd(t *testing.T, e *Entry) {
+	t.Helper()
+	ended := make(chan struct{})
+	go func() {
+		e.goroutines.Wait()
+		close(ended)
+	}()
+	receive(t, "the end of "+e.cfg.Settings.Instance.Name, ended)
+}
+
 // countedLoad returns the number of requests that an instance counts at upstream a.
 func countedLoad(e *Entry) float64 { return e.state.loads(time.Now())["a"] }
 
+// slowAnswerTimeout is for tests that need the decision of the placer, however late it is. With the usual
+// timeout an instance decides itself if the placer gets no processor time for some 50 ms.
+const slowAnswerTimeout = 4 * time.Second
+
 // TestPlacerDecidesForOthers checks the decisions of a placer for an instance that asks for more places than
 // the upstream has. The placer has to count the places that it gives, keep the other requests in its queue,
 // give freed places to them, and count no place once all are released.
 func TestPlacerDecidesForOthers(t *testing.T) {
 	placer, client := startTestZone(t, 3)
 	const slots, queued, wanted = 8, 2, 14
+	client.peers.answerTimeout = func() time.Duration { return slowAnswerTimeout }
 	var wg sync.WaitGroup
 	got := make(chan *heldPlace, wanted)
 	for i := range wanted {
@@ -139,8 +171,8 @@
 		}()
 	}
 	eventually(t, "all places are taken", func() bool { return countedLoad(placer) == slots+queued && countedLoad(client) == slots+queued })
-	for range wanted {
-		client.release(<-got)
+	for i := range wanted {
+		client.release(receive(t, fmt.Sprintf("place %d of %d", i+1, wanted), got))
 	}
 	wg.Wait()
 	eventually(t, "no place is taken any more", func() bool { return countedLoad(placer) == 0 && countedLoad(client) == 0 })
@@ -250,7 +282,7 @@
 	}()
 	eventually(t, "the request waits", func() bool { return placer.state.waitingCount() == 1 })
 	cancel()
-	if err := <-done; err == nil {
+	if err := receive(t, "the end of the canceled request", done); err == nil {
 		t.Error("a request that ended has a place")
 	}
 	eventually(t, "the request has left the queue", func() bool { return placer.state.waitingCount() == 0 })
@@ -261,7 +293,7 @@
 }
 
 // TestProcessStopsWhileOthersWait checks that a process stops although a request of another instance waits
-// for a place in its queue. The cleanup of startTestZone stops both instances; it waits forever if one
+// for a place in its queue. The cleanup of startTestZone stops both instances; it fails the test if one
 // of them doesn't stop.
 func TestProcessStopsWhileOthersWait(t *testing.T) {
 	placer, client := startTestZone(t, 2)
--- a/internal/process/entry/placementclient.go
+++ b/internal/process/entry/placementclient.go
@@ -411,8 +411,9 @@
 	return s.core.IsPlatformLost(address) && s.core.Placer() != address
 }
 
-// answerTimeout returns how long to wait for an answer of the placer.
-func (s *peerExchange) answerTimeout() time.Duration {
+// estimatedAnswerTimeout returns how long to wait for an answer of the placer, from the times that answers
+// have taken.
+func (s *peerExchange) estimatedAnswerTimeout() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.core.AnswerTimeout()
--- a/internal/process/gateway/dispatcherusage_test.go
+++ b/internal/process/gateway/dispatcherusage_test.go
@@ -35,7 +35,7 @@
 		return p.err.Kind
 	}
 	gateway2.eventually("the other gateway refuses", func() bool { return kind() == errkind.RateLimited })
-	(<-first).wantComplete(t, answerTo("[out=300] p", 300))
+	receive(t, "the response to the first request", first).wantComplete(t, answerTo("[out=300] p", 300))
 	gateway2.eventually("the other gateway admits again", func() bool { return kind() == errkind.DeadlineUnmeetable })
 }
 
--- a/internal/process/gateway/failure_test.go
+++ b/internal/process/gateway/failure_test.go
@@ -130,7 +130,7 @@
 	for _, r := range f.runners {
 		r.Crash(0)
 	}
-	p := <-done
+	p := receive(t, "the response", done)
 	if p.err == nil || p.err.Run == errkind.NotRun || p.complete {
 		t.Fatalf("complete %v, error %+v; want an error with a run state other than not-run", p.complete, p.err)
 	}
@@ -201,7 +201,7 @@
 			r.Crash(time.Minute)
 		}
 	}
-	p := <-done
+	p := receive(t, "the response", done)
 	if !p.complete || strings.Count(p.text, " ") != 400 {
 		t.Fatalf("complete %v, %d tokens, error %+v; want 400 tokens", p.complete, strings.Count(p.text, " "), p.err)
 	}
@@ -226,7 +226,7 @@
 				defer r.Thaw()
 			}
 		}
-		(<-done).wantComplete(t, answerTo("[out=400] p", 400))
+		receive(t, "the response", done).wantComplete(t, answerTo("[out=400] p", 400))
 	}
 }
 
--- a/internal/process/gateway/fleet_test.go
+++ b/internal/process/gateway/fleet_test.go
@@ -22,6 +22,7 @@
 	standinplatform "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/service"
+	"github.com/ragworttrestle/ragworttrestle/internal/testport"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
@@ -111,7 +112,7 @@
 	c.Loaded = []upstream.Loaded{{Model: testModel, Version: "smoke-1"}}
 	r := runner.New(c)
 	f.t.Cleanup(r.Close)
-	address, err := r.Listen("127.0.0.1:0")
+	address, err := r.Listen(testport.Address(f.t))
 	if err != nil {
 		f.t.Fatal(err)
 	}
@@ -133,11 +134,11 @@
 func (f *fleet) settings(name string) *settings.Gateway {
 	s := &settings.Gateway{
 		Instance: settings.Instance{Name: name, Zone: testZone},
-		Listen:   settings.Listener{Address: "127.0.0.1:0"},
+		Listen:   settings.Listener{Address: testport.Address(f.t)},
 		Platform: settings.Platform{Address: "http://127.0.0.1:1"},
-		Peer:     settings.Peer{Listen: settings.Listener{Address: "127.0.0.1:0"}, SharedKey: settings.Secret{Env: "TEST_PEER_KEY"}, HeartbeatMS: 100},
+		Peer:     settings.Peer{Listen: settings.Listener{Address: testport.Address(f.t)}, SharedKey: settings.Secret{Env: "TEST_PEER_KEY"}, HeartbeatMS: 100},
 		Operators: settings.Operators{
-			Listen: settings.Listener{Address: "127.0.0.1:0"},
+			Listen: settings.Listener{Address: testport.Address(f.t)},
 		},
 		Stop: settings.Stop{BalancerMS: 50, DrainMS: 5000},
 	}
@@ -169,7 +170,7 @@
 		}
 		stopped = true
 		cancel()
-		if err := <-ended; err != nil {
+		if err := receive(f.t, "the gateway ends", ended); err != nil {
 			f.t.Errorf("gateway ended with %v", err)
 		}
 	}
@@ -203,6 +204,18 @@
 	r.f.t.Fatalf("timed out: %s", what)
 }
 
+// receive returns the next value of a channel. It fails the test if none comes within testTimeout.
+func receive[T any](t *testing.T, what string, from <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(testTimeout):
+		t.Fatalf("timed out: %s", what)
+		panic("unreachable")
+	}
+}
+
 // testRequest describes a caller's request; empty fields have defaults.
 type testRequest struct {
 	method, path, key, body string
@@ -362,7 +375,7 @@
 		upstreamName := name + "-" + strconv.Itoa(i)
 		u := service.New(service.Config{Name: upstreamName, Deduplicates: deduplicates})
 		f.t.Cleanup(u.Close)
-		address, err := u.Listen("127.0.0.1:0")
+		address, err := u.Listen(testport.Address(f.t))
 		if err != nil {
 			f.t.Fatal(err)
 		}
--- a/internal/process/gateway/leaving_test.go
+++ b/internal/process/gateway/leaving_test.go
@@ -80,7 +80,7 @@
 		return strings.Contains(strings.Join(g.explain.lines(prompt), "\n"), "sent to dec")
 	})
 	g.markLeaving("dec")
-	(<-done).wantComplete(t, answerTo(prompt, 20))
+	receive(t, "the response", done).wantComplete(t, answerTo(prompt, 20))
 	if n := f.runners["dec"].Stats().Accepted; n != 0 {
 		t.Errorf("%d runs at the runner that left during the prefill", n)
 	}
--- a/internal/process/gateway/quarantine_test.go
+++ b/internal/process/gateway/quarantine_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/testport"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
@@ -78,6 +79,7 @@
 
 // crashingUpstream is an upstream of a plain service that crashes when it gets crashingPrompt.
 type crashingUpstream struct {
+	t        *testing.T
 	address  string
 	downTime time.Duration // from a crash until it listens again
 
@@ -89,7 +91,7 @@
 
 // newCrashingUpstream starts an upstream that listens again 200 ms after a crash.
 func newCrashingUpstream(t *testing.T) *crashingUpstream {
-	u := &crashingUpstream{address: "127.0.0.1:0", downTime: 200 * time.Millisecond}
+	u := &crashingUpstream{t: t, address: testport.Address(t), downTime: 200 * time.Millisecond}
 	if err := u.listen(); err != nil {
 		t.Fatal(err)
 	}
@@ -106,6 +108,11 @@
 func (u *crashingUpstream) listen() error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	return u.listenLocked()
+}
+
+// listenLocked is listen for callers that hold u.mu.
+func (u *crashingUpstream) listenLocked() error {
 	if u.closed {
 		return nil
 	}
@@ -113,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	u.address, u.server = l.Addr().String(), &http.Server{Handler: u}
+	u.server = &http.Server{Handler: u}
 	go u.server.Serve(l)
 	return nil
 }
@@ -128,11 +135,24 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.crashes++
-	go u.server.Close()
-	time.AfterFunc(u.downTime, func() { _ = u.listen() }) // it stays down if its port is in use
+	go u.restart(u.server)
 	panic(http.ErrAbortHandler)
 }
 
+// restart closes the server that crashed, and listens again downTime after the port is free.
+func (u *crashingUpstream) restart(crashed *http.Server) {
+	crashed.Close()
+	time.Sleep(u.downTime)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.server != crashed {
+		return // another request that crashed the same server has restarted it
+	}
+	if err := u.listenLocked(); err != nil {
+		u.t.Errorf("an upstream doesn't listen again: %v", err)
+	}
+}
+
 // count returns the number of crashes.
 func (u *crashingUpstream) count() int {
 	u.mu.Lock()
--- a/internal/process/gateway/stop_test.go
+++ b/internal/process/gateway/stop_test.go
@@ -70,5 +70,5 @@
 	done := make(chan testResponse, 1)
 	go func() { done <- readResponse(resp) }()
 	g.stop()
-	(<-done).wantError(t, errkind.Draining, errkind.Ran)
+	receive(t, "the response", done).wantError(t, errkind.Draining, errkind.Ran)
 }
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -126,46 +126,34 @@
 	if i > 0 {
 		listen = anyPort
 	}
-	gatewayPeer, err := freeAddress()
-	if err != nil {
-		return err
-	}
-	controllerPeer, err := freeAddress()
-	if err != nil {
-		return err
-	}
 	gatewayName := fmt.Sprintf("gateway-%d", i+1)
 	controllerName := fmt.Sprintf("controller-%d", i+1)
-	err = createObjects(ctx, t.store, []object{
-		{resource.KindInstance, gatewayName, liveInstance(resource.RoleGateway, i, gatewayPeer)},
-		{resource.KindInstance, controllerName, liveInstance(resource.RoleController, i, controllerPeer)},
-	})
-	if err != nil {
-		return err
-	}
-	g, err := gateway.New(gateway.Config{Settings: t.gatewaySettings(gatewayName, zones[i], listen, gatewayPeer)})
+	g, err := gateway.New(gateway.Config{Settings: t.gatewaySettings(gatewayName, zones[i], listen)})
 	if err != nil {
 		return errors.Wrap(err, gatewayName)
 	}
 	t.gateways = append(t.gateways, g)
-	c, err := controller.New(controller.Config{Settings: t.controllerSettings(controllerName, zones[i], controllerPeer)})
+	c, err := controller.New(controller.Config{Settings: t.controllerSettings(controllerName, zones[i])})
 	if err != nil {
 		return errors.Wrap(err, controllerName)
 	}
 	t.controllers = append(t.controllers, c)
-	return nil
+	return createObjects(ctx, t.store, []object{
+		{resource.KindInstance, gatewayName, liveInstance(resource.RoleGateway, i, g.Addresses().Peers)},
+		{resource.KindInstance, controllerName, liveInstance(resource.RoleController, i, c.Addresses().Peers)},
+	})
 }
 
-func liveInstance(role string, zone int, peerAddress string) resource.Instance {
-	return resource.Instance{Role: role, Zone: zones[zone], PeerAddress: peerAddress, State: resource.InstanceLive}
+func liveInstance(role string, zone int, peerAddress net.Addr) resource.Instance {
+	return resource.Instance{Role: role, Zone: zones[zone], PeerAddress: peerAddress.String(), State: resource.InstanceLive}
 }
 
-func (t *Trial) gatewaySettings(name, zone, listen, peerAddress string) *settings.Gateway {
+func (t *Trial) gatewaySettings(name, zone, listen string) *settings.Gateway {
 	s := &settings.Gateway{
 		Instance:  settings.Instance{Name: name, Zone: zone},
 		Listen:    settings.Listener{Address: listen},
 		Platform:  settings.Platform{Address: t.platformURL},
-		Peer:      peerSettings(peerAddress),
+		Peer:      peerSettings(),
 		Operators: settings.Operators{Listen: settings.Listener{Address: anyPort}},
 		Stop:      settings.Stop{BalancerMS: balancerMS, DrainMS: drainMS},
 	}
@@ -173,11 +161,11 @@
 	return s
 }
 
-func (t *Trial) controllerSettings(name, zone, peerAddress string) *settings.Controller {
+func (t *Trial) controllerSettings(name, zone string) *settings.Controller {
 	s := &settings.Controller{
 		Instance:  settings.Instance{Name: name, Zone: zone},
 		Platform:  settings.Platform{Address: t.platformURL},
-		Peer:      peerSettings(peerAddress),
+		Peer:      peerSettings(),
 		Operators: settings.Operators{Listen: settings.Listener{Address: anyPort}},
 		Stop:      settings.Stop{BalancerMS: balancerMS, DrainMS: drainMS},
 	}
@@ -185,24 +173,13 @@
 	return s
 }
 
-func peerSettings(address string) settings.Peer {
+func peerSettings() settings.Peer {
 	return settings.Peer{
-		Listen:    settings.Listener{Address: address},
+		Listen:    settings.Listener{Address: anyPort},
 		SharedKey: settings.Secret{Env: peerKeyEnv},
 	}
 }
 
-// freeAddress returns an address with a free port. The daemon listens on it later,
-// because the instance list must name it before the daemon is created.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", anyPort)
-	if err != nil {
-		return "", errors.Wrap(err, "find a free port")
-	}
-	defer l.Close()
-	return l.Addr().String(), nil
-}
-
 // Run starts the daemons and serves until ctx ends. Then the gateways stop gracefully,
 // after them the controllers, and the stand-ins last, so that no running request loses its
 // runner. It returns the first error of a daemon, gateways first.
