Remove holds that are stored after their work was answered

Callers of work that was answered completely got 503 quarantined at every instance, for up to ten minutes.

Cause: a record on the platform said only until when work is held. Nobody could tell whether it was of crashes that a complete answer had voided or of newer ones, so each instance applied any, and only the one that got the answer removed it, once. A create that took effect after that stayed, and so did a hold that one instance applied after the answer had lifted it (the answer to its own create, or a record that it had read). By the same cause a stored hold ended with crashes that hadn't led to it (HoldStored kept fromCrashes).

Change: the record names the crashes that led to the hold. The core decides for each record that it learns of, by the answer to an own write, a read, a list or the watch, whether its crashes still justify it. If not, it isn't applied and is removed at its version, so that a hold that began again, which has other crashes, stays. After a write whose outcome is unknown the record is looked for until the write can't take effect any more. All instances that know of the answer remove the record, those that neither got it nor wrote the record after a delay. Removal is tried until the hold's end.

Calls of the platform: none at rest, one in place of two for a stored hold that ends by an answer.

--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -16,7 +16,9 @@
 const (
 	// placerRecordDelay and otherRecordDelay are how long placers and other instances wait before they
 	// store a hold whose last crash was found by another instance. The instance that found the crash
-	// stores the hold at once; the others store it only if that write didn't reach the platform.
+	// stores the hold at once; the others store it only if that write didn't reach the platform. In the
+	// same way, the instance that got a complete answer removes the hold at once, and the others only if
+	// it is still there.
 	placerRecordDelay = 500 * time.Millisecond
 	otherRecordDelay  = 2 * time.Second
 )
@@ -35,8 +37,8 @@
 	})
 }
 
-// holdRecordDelay returns how long to wait before a hold is stored. own says that this instance found
-// the last crash that led to the hold.
+// holdRecordDelay returns how long to wait before a hold is stored or removed. own says that this
+// instance found the last crash that led to the hold, or that the removal is up to this instance.
 func (e *Entry) holdRecordDelay(own bool) time.Duration {
 	switch {
 	case own || e.peers == nil:
--- a/internal/process/holds/keeper.go
+++ b/internal/process/holds/keeper.go
@@ -20,7 +20,7 @@
 	Scope           tally.Scope
 	Background      context.Context                  // ends when the process stops its background work
 	RunInBackground func(func())                     // runs a function in the background; the process waits for its end
-	StoreDelay      func(own bool) time.Duration     // delay before a hold is stored; own: this process detected the last crash; nil: no delay
+	StoreDelay      func(own bool) time.Duration     // delay before a hold is stored or removed, see startHolds and startRemovals; nil: no delay
 	Broadcast       func(crashes []quarantine.Crash) // reports new and newly void crashes to other instances; nil: not reported
 }
 
@@ -87,9 +87,7 @@
 		logline.Info("work cleared", "content", content, "crashes", len(voided), "held", lifted, "why", "it was answered completely")
 		k.broadcast(voided)
 	}
-	if lifted {
-		k.cfg.RunInBackground(func() { k.removeHold(k.cfg.Background, content) })
-	}
+	k.startRemovals(true)
 }
 
 // SendBroken records that a send broke off before its answer was complete. It returns true if the caller has to
@@ -159,11 +157,13 @@
 }
 
 // MergeCrashes records the crashes that another instance reported, and returns those that are new here or
-// newly void.
+// newly void. If they are void because the work was answered completely, that ends its hold here. The instance that
+// reports so removes the hold from the platform; this one does so too, somewhat later, if the hold is still there.
 func (k *Keeper) MergeCrashes(now time.Time, crashes []quarantine.Crash) (newCrashes []quarantine.Crash) {
 	k.withCore(func(c *quarantine.Core) { newCrashes = c.MergeCrashes(now, crashes) })
 	if len(newCrashes) > 0 {
 		k.startHolds(false)
+		k.startRemovals(false)
 	}
 	return newCrashes
 }
--- a/internal/process/holds/record.go
+++ b/internal/process/holds/record.go
@@ -23,8 +23,6 @@
 	// maxStoredHold is the maximum remaining time of a valid stored hold. It is longer than MaxHold because the clocks
 	// of instances differ, and it limits how long other writers can hold work.
 	maxStoredHold = 2 * quarantine.MaxHold
-	// cleanInterval is the minimum time between two scans for expired holds; the maximum is twice as long.
-	cleanInterval = time.Minute
 )
 
 // startHolds logs new holds and stores them on the platform, so that instances that are cut off from the others or
@@ -75,37 +73,63 @@
 }
 
 // putHold stores a hold unless one in force is already stored for the work, and applies the one that is stored then.
+// If the work was answered completely since the hold was read from the core, that starts the removal of the record.
 func (k *Keeper) putHold(ctx context.Context, content quarantine.Content, hold quarantine.Hold) error {
-	o, err := resource.Encode(resource.KindHold, content.String(), resource.Hold{UntilMS: hold.Until.UnixMilli(), Times: hold.Times})
+	o, err := encodeHold(content, hold)
 	if err != nil {
 		return err
 	}
 	o.Writer, o.Nonce = k.cfg.Instance, platform.NewNonce()
-	_, err = k.cfg.Store.Create(ctx, o)
+	stored, err := k.cfg.Store.Create(ctx, o)
 	if errors.Is(err, platform.ErrConflict) {
-		hold, err = k.replaceHold(ctx, hold, o)
+		return k.replaceHold(ctx, content, hold, o)
 	}
-	if err == nil {
-		k.applyHold(content, hold)
-	}
-	return err
+	return k.holdWritten(content, hold, stored, err)
 }
 
-// replaceHold overwrites a stored hold that has ended or can't be decoded. It keeps one that is in force, and
-// returns whichever hold is stored afterwards.
-func (k *Keeper) replaceHold(ctx context.Context, hold quarantine.Hold, o platform.Object) (quarantine.Hold, error) {
+// replaceHold overwrites a stored hold that has ended, can't be decoded, or isn't justified any more. It keeps and
+// applies any other.
+func (k *Keeper) replaceHold(ctx context.Context, content quarantine.Content, hold quarantine.Hold, o platform.Object) error {
 	old, err := k.cfg.Store.Get(ctx, resource.KindHold, o.Name)
 	if err != nil && old.Version == 0 {
-		return hold, err
+		return err
 	}
 	if err == nil {
 		if _, stored, err := decodeHold(old); err == nil && stored.Until.After(time.Now()) {
-			return stored, nil
+			k.applyHold(content, stored)
+			k.startRemovals(false)
+			if _, ok := k.unstoredHold(content); !ok {
+				return nil
+			}
 		}
 	}
 	o.Version, o.UID = old.Version, old.UID
-	_, err = k.cfg.Store.Update(ctx, o)
-	return hold, err
+	updated, err := k.cfg.Store.Update(ctx, o)
+	return k.holdWritten(content, hold, updated, err)
+}
+
+// holdWritten handles the result of a write of a hold, and returns its error.
+func (k *Keeper) holdWritten(content quarantine.Content, hold quarantine.Hold, stored platform.Object, err error) error {
+	switch {
+	case err == nil:
+		hold.Version = stored.Version
+		k.applyHold(content, hold)
+		k.startRemovals(true)
+	case errors.Is(err, platform.ErrOutcomeUnknown):
+		k.withCore(func(c *quarantine.Core) { c.WriteUnknown(time.Now(), content, hold) })
+		k.startRemovals(true)
+	}
+	return err
+}
+
+// encodeHold encodes a hold for the platform.
+func encodeHold(content quarantine.Content, hold quarantine.Hold) (platform.Object, error) {
+	spec := resource.Hold{UntilMS: hold.Until.UnixMilli(), Times: hold.Times}
+	for i := range hold.Crashes {
+		c := &hold.Crashes[i]
+		spec.Crashes = append(spec.Crashes, resource.HoldCrash{Upstream: uint32(c.Upstream), SentUS: c.Sent.UnixMicro(), AtUS: c.At.UnixMicro()})
+	}
+	return resource.Encode(resource.KindHold, content.String(), spec)
 }
 
 // decodeHold decodes a stored hold. It returns an error if the object is unreadable, or if its Times is below 1 or its
@@ -116,14 +140,19 @@
 		return content, quarantine.Hold{}, err
 	}
 	spec, err := resource.Decode[resource.Hold](o)
-	hold := quarantine.Hold{Until: time.UnixMilli(spec.UntilMS), Times: spec.Times}
+	hold := quarantine.Hold{Until: time.UnixMilli(spec.UntilMS), Times: spec.Times, Version: o.Version}
+	for _, c := range spec.Crashes {
+		hold.Crashes = append(hold.Crashes, quarantine.Crash{
+			Content: content, Upstream: quarantine.IncarnationHash(c.Upstream), Sent: time.UnixMicro(c.SentUS), At: time.UnixMicro(c.AtUS),
+		})
+	}
 	if err == nil && (spec.Times < 1 || time.Until(hold.Until) > maxStoredHold) {
 		err = errors.Errorf("hold %s: times %d, untilMS %d", o.Name, spec.Times, spec.UntilMS)
 	}
 	return content, hold, err
 }
 
-// applyHold applies a hold that is stored on the platform.
+// applyHold applies a hold that is stored on the platform, unless the core knows that it isn't justified any more.
 func (k *Keeper) applyHold(content quarantine.Content, hold quarantine.Hold) {
 	isNew := false
 	k.withCore(func(c *quarantine.Core) { isNew = c.HoldStored(time.Now(), content, hold) })
@@ -170,12 +199,22 @@
 		k.applyObject(&e.Object)
 	case platform.Deleted:
 		if content, err := quarantine.ParseContent(e.Object.Name); err == nil {
-			k.liftHold(content)
+			k.recordDeleted(content, e.Object.Version)
 		}
 	}
 }
 
-// applyObject applies a stored hold. One that can't be decoded is logged and has no effect.
+// recordDeleted ends a hold whose record was deleted from the platform at the given version.
+func (k *Keeper) recordDeleted(content quarantine.Content, version uint64) {
+	lifted := false
+	k.withCore(func(c *quarantine.Core) { lifted = c.RecordDeleted(time.Now(), content, version) })
+	if lifted {
+		logLifted(content)
+	}
+}
+
+// applyObject applies a stored hold, or starts its removal if it isn't justified any more. One that can't be decoded is
+// logged and has no effect.
 func (k *Keeper) applyObject(o *platform.Object) {
 	content, hold, err := decodeHold(*o)
 	if err != nil {
@@ -183,6 +222,7 @@
 		return
 	}
 	k.applyHold(content, hold)
+	k.startRemovals(false)
 }
 
 // liftHold ends a hold that was removed from the platform, by an operator or because the work was answered
@@ -191,36 +231,13 @@
 	lifted := false
 	k.withCore(func(c *quarantine.Core) { lifted = c.Lift(content) })
 	if lifted {
-		logline.Info("work held no more", "content", content, "why", "the hold was removed from the platform")
-	}
-}
-
-// DeleteExpired regularly removes expired holds from the platform, until ctx ends. mayClean reports whether this
-// instance is the one that has to do it at the moment.
-func (k *Keeper) DeleteExpired(ctx context.Context, mayClean func() bool) {
-	for platform.Sleep(ctx, cleanInterval+rand.N(cleanInterval)) == nil {
-		if !mayClean() {
-			continue
-		}
-		var expired []quarantine.Content
-		k.withCore(func(c *quarantine.Core) { expired = c.ExpiredHolds(time.Now()) })
-		for _, content := range expired {
-			k.removeHold(ctx, content)
-		}
+		logLifted(content)
 	}
 }
 
-// removeHold removes a hold from the platform, unless the work is held again or the stored hold has been written
-// again since it was read. If the removal fails, the hold still ends at its set time.
-func (k *Keeper) removeHold(ctx context.Context, content quarantine.Content) {
-	old, err := k.cfg.Store.Get(ctx, resource.KindHold, content.String())
-	if k.Held(content) {
-		return // held again since
-	}
-	if old.Version != 0 {
-		err = k.cfg.Store.Delete(ctx, resource.KindHold, content.String(), old.Version, k.cfg.Instance, platform.NewNonce())
-	}
-	logline.Info("hold removed", "content", content, "error", err)
+// logLifted logs that a hold ended because it was removed from the platform.
+func logLifted(content quarantine.Content) {
+	logline.Info("work held no more", "content", content, "why", "the hold was removed from the platform")
 }
 
 // Follow applies the holds on the platform and their changes, until ctx ends. After a failed call it pauses and starts
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -58,6 +58,7 @@
 	fromCrashes bool      // hold was begun here because of crashes; false: there is none, or it was read from the platform
 	stored      bool      // hold is known to be stored on the platform
 	storedAt    time.Time // when stored was last confirmed
+	record      recordState
 }
 
 // Core tracks crashes and holds. It is not safe for concurrent use.
@@ -67,6 +68,7 @@
 	pending    map[Incarnation]*pendingSends // broken sends at upstreams that may have ended
 	endedAt    map[Incarnation]time.Time     // when the end of an upstream was noticed
 	newHolds   []Content                     // holds that began since the last call of TakeNewHolds
+	unwanted   []Content                     // work whose record became unwanted since the last call of TakeUnwantedRecords
 }
 
 // New returns a core without suspects.
@@ -87,15 +89,15 @@
 // then needs a liveness connection: a connection without requests that is opened before the send.
 // It shows reliably whether the upstream's process ends, since that closes all of its connections.
 func (c *Core) NeedsLivenessConn(now time.Time, content Content) bool {
-	_, suspected := c.suspects[content]
+	s, suspected := c.suspects[content]
 	at, recent := c.lastBroken[content]
-	return suspected || recent && now.Sub(at) < livenessConnPeriod
+	return suspected && !s.onlyLifted() || recent && now.Sub(at) < livenessConnPeriod
 }
 
-// Suspected reports whether some work has crashes that are not void (see Crash.Void).
+// Suspected reports whether some work has crashes that count against it.
 func (c *Core) Suspected(content Content) bool {
 	s, ok := c.suspects[content]
-	return ok && slices.ContainsFunc(s.crashes, func(crash *Crash) bool { return !crash.Void })
+	return ok && slices.ContainsFunc(s.crashes, (*Crash).counts)
 }
 
 // SendBroken records a send that broke off before its answer was complete. If the end of the upstream is
@@ -286,29 +288,35 @@
 }
 
 // Succeeded records that some work was answered completely. It returns the crashes that are void as a
-// result; lifted is true if the work was held.
+// result, including those that are known only from the record of a hold in force; lifted is true if the work
+// was held. Its record on the platform is then unwanted, whichever instance wrote it (see RecordToRemove).
 func (c *Core) Succeeded(now time.Time, content Content) (voided []Crash, lifted bool) {
 	delete(c.lastBroken, content)
 	s, ok := c.suspects[content]
 	if !ok {
 		return nil, false
 	}
+	if lifted = s.hold.activeAt(now); lifted {
+		s.addCauses()
+	}
 	for _, crash := range s.crashes {
 		if !crash.Void {
 			crash.Void = true
 			voided = append(voided, *crash)
 		}
 	}
-	if lifted = s.hold.activeAt(now); lifted {
-		s.cancelHold()
+	if lifted {
+		c.markUnwanted(now, content, s, 0, s.hold.Until)
+		c.cancelHold(now, content, s)
 	}
 	return voided, lifted
 }
 
-// Forget drops state that is too old to count. It keeps suspects whose hold is stored on the platform.
+// Forget drops state that is too old to count. It keeps suspects whose hold is stored on the platform, or whose
+// record there has to be removed.
 func (c *Core) Forget(now time.Time) {
 	for content, s := range c.suspects {
-		if !s.stored && now.Sub(s.updatedAt) >= crashRetention && !now.Before(s.hold.Until.Add(crashRetention)) {
+		if !s.stored && !s.record.unwantedAt(now) && now.Sub(s.updatedAt) >= crashRetention && !now.Before(s.hold.Until.Add(crashRetention)) {
 			delete(c.suspects, content)
 		}
 	}
--- a/internal/request/quarantine/crash.go
+++ b/internal/request/quarantine/crash.go
@@ -14,8 +14,12 @@
 	At       time.Time       // when the send broke off
 	Void     bool            // doesn't count: the work was answered completely since, so it didn't cause the crash
 	local    bool            // detected by this process, so its times are exact
+	lifted   bool            // doesn't count here: the hold that it led to was removed from the platform
 }
 
+// counts reports whether the crash counts against its work.
+func (c *Crash) counts() bool { return !c.Void && !c.lifted }
+
 // sameEndWindow is the largest difference between the times at which instances notice the same end of
 // an upstream. Crashes that are further apart belong to different incarnations with the same name.
 const sameEndWindow = time.Second
@@ -34,6 +38,7 @@
 // may have been in flight; the latest send is kept because it says most about the cause.
 func (c *Crash) merge(o *Crash) {
 	c.Void = c.Void || o.Void
+	c.lifted = c.lifted || o.lifted
 	if o.Sent.After(c.Sent) {
 		c.Sent = o.Sent
 	}
@@ -48,7 +53,7 @@
 const minCrashInterval = 100 * time.Millisecond
 
 // countIndependent returns the number of independent crashes, and sorts the crashes by time. A crash counts if
-// it isn't void, its work was sent after the last counted crash, and it came at least minCrashInterval after
+// it isn't void or lifted, its work was sent after the last counted crash, and it came at least minCrashInterval after
 // that one. Upstreams that fail together, as in a power loss, or that are cut off together may all have had the
 // same work in flight, because it is requested often or was retried from one to the next. Together these
 // crashes count once.
@@ -57,7 +62,7 @@
 	n := 0
 	var last time.Time
 	for i := range crashes {
-		if c := &crashes[i]; !c.Void && c.Sent.After(last) && c.At.Sub(last) >= minCrashInterval {
+		if c := &crashes[i]; c.counts() && c.Sent.After(last) && c.At.Sub(last) >= minCrashInterval {
 			n, last = n+1, c.At
 		}
 	}
--- a/internal/request/quarantine/doc.go
+++ b/internal/request/quarantine/doc.go
@@ -16,6 +16,8 @@
 //   - A suspect is work that has crashed an upstream or was held.
 //   - A crash is void if it no longer counts against the work, because the work was answered
 //     completely since.
+//   - A record is a hold as stored on the platform. It names the crashes that led to the hold. It is
+//     unwanted, and has to be removed, if these no longer justify the hold (see recordState).
 //   - Two crashes are independent if the work of the second was sent after the first, and
 //     some time lies between the two. Otherwise both may have the same cause, such as a power
 //     loss or a cut link (see countIndependent).
--- a/internal/request/quarantine/hold.go
+++ b/internal/request/quarantine/hold.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// initialHold is the length of the first hold of some work. Callers stop retrying the same work
@@ -17,8 +20,10 @@
 
 // Hold is a period during which some work isn't sent to any upstream.
 type Hold struct {
-	Until time.Time // end of the hold; zero: no hold
-	Times int       // number of holds of this work so far, including this one
+	Until   time.Time // end of the hold; zero: no hold
+	Times   int       // number of holds of this work so far, including this one
+	Crashes []Crash   // crashes that led to the hold; none: not known
+	Version uint64    // version of its record on the platform; 0: not stored, or not known
 }
 
 // activeAt reports whether the hold is in force.
@@ -33,38 +38,65 @@
 	return Hold{Until: now.Add(length), Times: h.Times + 1}
 }
 
-// updateHold begins a hold if the crashes of the work justify one. It cancels the current hold if the hold was
-// begun here because of crashes and these no longer justify it.
+// updateHold cancels the current hold if the crashes no longer justify it, and begins one if there is none and the
+// crashes of the work justify it.
 func (c *Core) updateHold(now time.Time, content Content, s *suspect) {
-	switch active := s.hold.activeAt(now); {
-	case !active && s.justifiesHold(now, s.hold):
+	if s.hold.activeAt(now) && s.unfounded(now) {
+		c.cancelHold(now, content, s)
+	}
+	if !s.hold.activeAt(now) && s.justifiesHold(now, s.hold) {
 		s.previous, s.hold = s.hold, s.hold.next(now)
+		s.hold.Crashes = s.countedSince(now, s.previous)
 		s.fromCrashes, s.stored = true, false
 		c.newHolds = append(c.newHolds, content)
-	case active && s.fromCrashes && !s.justifiesHold(now, s.previous):
-		s.cancelHold()
 	}
 }
 
+// unfounded reports whether the current hold isn't justified any more. A stored hold depends on the crashes in its
+// record, which are the same at all instances. Another one depends on the crashes known here, if it began because of
+// them.
+func (s *suspect) unfounded(now time.Time) bool {
+	if s.stored && len(s.hold.Crashes) > 0 {
+		return s.cleared(s.hold)
+	}
+	return s.fromCrashes && !s.justifiesHold(now, s.previous)
+}
+
 // justifiesHold reports whether the crashes since the end of the earlier hold last justify another hold. If last
-// is zero, there was no earlier one. Work that was held before is held again after a single crash.
+// is zero, there was no earlier one.
 func (s *suspect) justifiesHold(now time.Time, last Hold) bool {
-	threshold := crashesToHold
-	if last.Times > 0 {
-		threshold = 1
-	}
+	return countIndependent(s.countedSince(now, last)) >= crashesNeeded(last.Times+1)
+}
+
+// countedSince returns the crashes since the end of the earlier hold last that count against the work.
+func (s *suspect) countedSince(now time.Time, last Hold) []Crash {
 	counted := make([]Crash, 0, len(s.crashes))
 	for _, crash := range s.crashes {
-		if crash.At.After(last.Until) && now.Sub(crash.At) < crashRetention {
+		if crash.counts() && crash.At.After(last.Until) && now.Sub(crash.At) < crashRetention {
 			counted = append(counted, *crash)
 		}
 	}
-	return countIndependent(counted) >= threshold
+	return counted
+}
+
+// crashesNeeded returns the number of independent crashes that lead to the given hold of some work, counted from
+// one. Work that was held before is held again after a single crash.
+func crashesNeeded(times int) int {
+	if times > 1 {
+		return 1
+	}
+	return crashesToHold
 }
 
 // cancelHold replaces the current hold by the one before it. It is called when the work was answered completely or
-// the crashes no longer justify the current hold.
-func (s *suspect) cancelHold() {
+// the crashes no longer justify the current hold. If the hold is stored, or may still be, its record is unwanted.
+func (c *Core) cancelHold(now time.Time, content Content, s *suspect) {
+	if s.stored {
+		c.markUnwanted(now, content, s, s.hold.Version, s.hold.Until)
+		s.record.cleared = max(s.record.cleared, s.hold.Version)
+	} else if now.Before(s.record.unknownUntil) {
+		c.markUnwanted(now, content, s, 0, s.hold.Until)
+	}
 	s.hold, s.previous = s.previous, Hold{}
 	s.fromCrashes, s.stored = false, false
 }
@@ -85,35 +117,71 @@
 	return out
 }
 
-// UnstoredHold returns the hold of some work if it is in force and not yet stored on the platform.
+// UnstoredHold returns the hold of some work, with the crashes that justify it now, if it is in force and not yet
+// stored on the platform.
 func (c *Core) UnstoredHold(now time.Time, content Content) (hold Hold, ok bool) {
 	hold, ok = c.ActiveHold(now, content)
-	return hold, ok && !c.suspects[content].stored
+	if !ok {
+		return Hold{}, false
+	}
+	s := c.suspects[content]
+	if s.fromCrashes && s.justifiesHold(now, s.previous) {
+		hold.Crashes = s.countedSince(now, s.previous)
+	}
+	return hold, !s.stored
 }
 
-// HoldStored records a hold that is stored on the platform. If the work is held here for longer, that hold is kept.
-// isNew is true if the stored hold is in force and the work was not held here.
+// HoldStored records a hold that is stored on the platform: read there, or written by this instance. If the work is
+// held here for longer, that hold is kept. isNew is true if the stored hold is in force and the work was not held here.
+//
+// The hold isn't applied if its crashes are known not to count any more (see cleared). Its record is then unwanted.
+// Older versions of the record than the newest one known have no effect.
 func (c *Core) HoldStored(now time.Time, content Content, hold Hold) (isNew bool) {
 	s := c.suspectFor(now, content)
+	if s.outdated(hold) {
+		return false
+	}
+	if hold.activeAt(now) && s.cleared(hold) {
+		c.markUnwanted(now, content, s, hold.Version, hold.Until)
+		return false
+	}
+	s.record.unwanted, s.record.unwantedVersion = false, 0
 	if !s.hold.activeAt(now) {
 		isNew = hold.activeAt(now)
 		s.fromCrashes = false
 	}
-	if !s.hold.Until.After(hold.Until) {
+	if isNew {
+		s.previous = s.hold
+	}
+	if s.hold.Until.After(hold.Until) {
+		s.hold.Crashes, s.hold.Version = hold.Crashes, hold.Version
+	} else {
 		s.hold = hold
 	}
 	s.stored, s.storedAt = true, now
 	return isNew
 }
 
-// Lift ends a hold that was removed from the platform, and forgets the crashes that led to it. It does
+// Lift ends a hold that was removed from the platform. Neither the crashes that led to it nor the others that are
+// known count any more. The first are remembered, so that a late write of the same hold is recognized. Lift does
 // nothing and returns false if no hold of the work is known to have been stored.
 func (c *Core) Lift(content Content) bool {
 	s, ok := c.suspects[content]
 	if !ok || !s.stored {
 		return false
 	}
-	delete(c.suspects, content)
+	s.addCauses()
+	s.crashes = slices.DeleteFunc(s.crashes, func(crash *Crash) bool { return crash.counts() && !s.isCause(crash) })
+	if len(s.crashes) == 0 {
+		delete(c.suspects, content)
+		return true
+	}
+	for _, crash := range s.crashes {
+		crash.lifted = true
+	}
+	s.record.gone = max(s.record.gone, s.hold.Version)
+	s.hold, s.previous = Hold{}, Hold{}
+	s.fromCrashes, s.stored = false, false
 	return true
 }
 
@@ -122,13 +190,18 @@
 func (c *Core) ExpiredHolds(now time.Time) []Content {
 	var out []Content
 	for content, s := range c.suspects {
-		if s.stored && !now.Before(s.hold.Until.Add(crashRetention)) {
+		if s.expired(now) {
 			out = append(out, content)
 		}
 	}
 	return out
 }
 
+// expired reports whether the hold is stored and ended so long ago that it no longer affects the next one.
+func (s *suspect) expired(now time.Time) bool {
+	return s.stored && !now.Before(s.hold.Until.Add(crashRetention))
+}
+
 // MarkUnstored records that the platform may have lost stored holds. It returns the work whose hold is
 // in force and has to be stored again.
 func (c *Core) MarkUnstored(now time.Time) []Content {
--- a/internal/version/resource/kinds.go
+++ b/internal/version/resource/kinds.go
@@ -197,8 +197,17 @@
 // Hold records that some work must not be sent to any upstream until a given time, because
 // upstreams crashed while they ran this work.
 type Hold struct {
-	UntilMS int64 `json:"untilMS"` // end of the hold, as Unix time in milliseconds
-	Times   int   `json:"times"`   // number of holds of this work so far, including this one
+	UntilMS int64       `json:"untilMS"`           // end of the hold, as Unix time in milliseconds
+	Times   int         `json:"times"`             // number of holds of this work so far, including this one
+	Crashes []HoldCrash `json:"crashes,omitempty"` // the crashes that led to the hold; none: not known
+}
+
+// HoldCrash identifies a crash that led to a hold. Instances that know that the work was answered completely after
+// the crash thus recognize a hold that is stored although it is over.
+type HoldCrash struct {
+	Upstream uint32 `json:"upstream"` // hash of the upstream's incarnation
+	SentUS   int64  `json:"sentUS"`   // when the work was sent there, as Unix time in microseconds
+	AtUS     int64  `json:"atUS"`     // when the send broke off, as Unix time in microseconds
 }
 
 // SlotState says whether an order is in progress.
