--- a/internal/process/entry/confirmation_test.go
+++ b/internal/process/entry/confirmation_test.go
@@ -2,11 +2,22 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
@@ -166,3 +177,376 @@
 		t.Error("steadily connected right after the stall")
 	}
 }
+
+// TestIdleInstanceDetectsStall guards against an instance that is resumed while nobody asks it for places and
+// doesn't notice: its waiting calls would not be made again, and its next messages could claim a list that is
+// up to date.
+func TestIdleInstanceDetectsStall(t *testing.T) {
+	s := newStallState()
+	s.suspend()
+	s.tick(time.Now())
+	if s.resumed != 1 || !s.fleet.Unconfirmed() {
+		t.Errorf("resumed %d times, unconfirmed: %v", s.resumed, s.fleet.Unconfirmed())
+	}
+}
+
+// TestAnswerFromBeforeStallRemovesNoUpstream checks that the answer to a call from before a stall, which is the
+// first that runs afterwards, is applied as that of a process that may have missed an outage of the platform: an
+// upstream that disappeared is kept for a while.
+func TestAnswerFromBeforeStallRemovesNoUpstream(t *testing.T) {
+	s := newStallState()
+	before := s.resumeCount()
+	s.suspend()
+	s.confirm(before, fleet.Change{Kind: fleet.Unlisted, ID: "a"})
+	if _, kept := s.fleet.Get("a"); !kept || !s.fleet.Unconfirmed() {
+		t.Errorf("kept: %v, unconfirmed: %v", kept, s.fleet.Unconfirmed())
+	}
+}
+
+// testClock is a clock that runs while the machine is suspended. Only the test advances it.
+type testClock struct{ now atomic.Int64 }
+
+// useTestClock has a state detect stalls by a new clock, from now on.
+func useTestClock(s *state) *testClock {
+	c := &testClock{}
+	c.now.Store(int64(time.Hour))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmation.clock = func() boottime.Time { return boottime.Time(c.now.Load()) }
+	s.confirmation.detector.Start(boottime.Time(c.now.Load()))
+	return c
+}
+
+// suspend lets frozenTime pass.
+func (c *testClock) suspend() { c.now.Add(int64(frozenTime)) }
+
+// feedCall is a call of a scriptedFeed, which waits until the test answers it.
+type feedCall struct {
+	wait   time.Duration // of a watch
+	list   bool
+	answer chan feedAnswer
+}
+
+// feedAnswer is the answer to a feedCall.
+type feedAnswer struct {
+	changes  []fleet.Change
+	revision uint64
+	err      error
+}
+
+// scriptedFeed is a list of upstreams whose calls the test answers one by one.
+type scriptedFeed struct{ calls chan feedCall }
+
+// List implements UpstreamFeed.
+func (f *scriptedFeed) List(ctx context.Context) ([]fleet.Change, uint64, error) {
+	return f.call(ctx, feedCall{list: true})
+}
+
+// Watch implements UpstreamFeed.
+func (f *scriptedFeed) Watch(ctx context.Context, _ uint64, wait time.Duration) ([]fleet.Change, uint64, error) {
+	return f.call(ctx, feedCall{wait: wait})
+}
+
+// AnnounceRoleChange implements UpstreamFeed.
+func (f *scriptedFeed) AnnounceRoleChange(context.Context, fleet.Upstream, upstream.Role) error {
+	return nil
+}
+
+// call passes a call to the test and returns the test's answer. A call whose context ends fails.
+func (f *scriptedFeed) call(ctx context.Context, c feedCall) ([]fleet.Change, uint64, error) {
+	c.answer = make(chan feedAnswer)
+	select {
+	case f.calls <- c:
+	case <-ctx.Done():
+		return nil, 0, platform.ErrUnavailable
+	}
+	select {
+	case a := <-c.answer:
+		return a.changes, a.revision, a.err
+	case <-ctx.Done():
+		return nil, 0, platform.ErrUnavailable
+	}
+}
+
+// followScripted has an instance follow a scriptedFeed, whose first list has upstream a, until the returned
+// function is called. Its clock is set by the test.
+func followScripted(t *testing.T, e *Entry) (f *scriptedFeed, clock *testClock, stop func()) {
+	t.Helper()
+	f, clock = &scriptedFeed{calls: make(chan feedCall)}, useTestClock(e.state)
+	e.cfg.Upstreams = f
+	ctx, cancel := context.WithCancel(context.Background())
+	e.spawn(func() { e.followUpstreams(ctx) })
+	f.next(t).answer <- feedAnswer{changes: []fleet.Change{listedUpstream("a", false)}, revision: 5}
+	return f, clock, func() {
+		cancel()
+		e.goroutines.Wait()
+	}
+}
+
+// next returns the next call.
+func (f *scriptedFeed) next(t *testing.T) feedCall {
+	t.Helper()
+	return awaitValue(t, "a call for upstreams", f.calls)
+}
+
+// newFollowingEntry returns an instance whose waiting calls are canceled after a stall.
+func newFollowingEntry() *Entry {
+	e := newTestEntry(nil, nil)
+	e.state.confirmation.onResume = e.callsCtx.cancelCurrent
+	return e
+}
+
+// TestWaitingWatchIsMadeAgainAfterStall guards against a list that stays unconfirmed for as long as a watch from
+// before a stall waits, which is up to 20 s: the watch is canceled and made again, and the new one waits for
+// nothing.
+func TestWaitingWatchIsMadeAgainAfterStall(t *testing.T) {
+	s := &settings.Entry{Instance: settings.Instance{Name: "i-1", Zone: "z1"}}
+	s.SetDefaults()
+	e := New(Config{Settings: s})
+	f, clock, stop := followScripted(t, e)
+	defer stop()
+	if c := f.next(t); c.list || c.wait != watchTimeout {
+		t.Fatalf("%+v before the stall, want a watch that waits", c)
+	}
+	clock.suspend()
+	e.state.tick(time.Now())
+	c := f.next(t)
+	if c.list || c.wait != 0 {
+		t.Errorf("%+v after the stall, want a watch that doesn't wait", c)
+	}
+	c.answer <- feedAnswer{revision: 5}
+	f.next(t)
+	if e.state.upstreamsUnconfirmed() {
+		t.Error("the list is unconfirmed after the answer")
+	}
+}
+
+// TestStallEndsDelayAfterChange guards against a list that stays unconfirmed for as long as the delay between a
+// change and the next watch, although decisions on places wait.
+func TestStallEndsDelayAfterChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := newFollowingEntry()
+		f, clock, stop := followScripted(t, e)
+		defer stop()
+		f.next(t).answer <- feedAnswer{changes: []fleet.Change{listedUpstream("b", false)}, revision: 6}
+		synctest.Wait() // the delay has begun
+		start := time.Now()
+		clock.suspend()
+		e.state.tick(time.Now())
+		f.next(t)
+		if waited := time.Since(start); waited != 0 {
+			t.Errorf("the next watch comes %v after the stall", waited)
+		}
+	})
+}
+
+// TestFullAnswerDoesNotConfirm guards against a list that counts as confirmed by the first of several answers
+// that are needed after a long stall, because each has a limited number of changes.
+func TestFullAnswerDoesNotConfirm(t *testing.T) {
+	e := newFollowingEntry()
+	f, clock, stop := followScripted(t, e)
+	defer stop()
+	f.next(t)
+	clock.suspend()
+	e.state.tick(time.Now())
+	full := make([]fleet.Change, fullAnswerChanges)
+	for i := range full {
+		full[i] = listedUpstream(fmt.Sprint("u", i), false)
+	}
+	f.next(t).answer <- feedAnswer{changes: full, revision: 300}
+	c := f.next(t)
+	if !e.state.upstreamsUnconfirmed() || c.wait != 0 {
+		t.Errorf("unconfirmed: %v, the next watch waits %v", e.state.upstreamsUnconfirmed(), c.wait)
+	}
+	c.answer <- feedAnswer{revision: 300}
+	f.next(t)
+	if e.state.upstreamsUnconfirmed() {
+		t.Error("unconfirmed after the last answer")
+	}
+}
+
+// TestListConfirmsAfterStall checks that a list confirms the upstreams, too, if the platform no longer has the
+// history of the stall, but not if the process stalls while it waits for the list.
+func TestListConfirmsAfterStall(t *testing.T) {
+	e := newFollowingEntry()
+	f, clock, stop := followScripted(t, e)
+	defer stop()
+	f.next(t)
+	clock.suspend()
+	e.state.tick(time.Now())
+	f.next(t).answer <- feedAnswer{err: platform.ErrHistoryGone}
+	c := f.next(t)
+	clock.suspend() // nothing notices until the answer is applied
+	c.answer <- feedAnswer{changes: []fleet.Change{listedUpstream("a", false)}, revision: 9}
+	c = f.next(t)
+	if !e.state.upstreamsUnconfirmed() {
+		t.Error("confirmed by a list from before a stall")
+	}
+	c.answer <- feedAnswer{err: platform.ErrHistoryGone}
+	f.next(t).answer <- feedAnswer{changes: []fleet.Change{listedUpstream("a", false)}, revision: 9}
+	f.next(t)
+	if e.state.upstreamsUnconfirmed() {
+		t.Error("unconfirmed after a list that was read since the last stall")
+	}
+}
+
+// isPlatformLost reports whether calls to the platform count as failed. It confirms the list first, because an
+// unconfirmed list isn't up to date either.
+func isPlatformLost(s *state) bool {
+	resumes, now := s.resumeCount(), time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmUpstreams(now, resumes)
+	return !s.fleet.UpToDate(now)
+}
+
+// TestCallThatTimesOutInStallIsNoOutage guards against an outage that is assumed because a call timed out while
+// this process did not run: upstreams that left would stay in use for longer.
+func TestCallThatTimesOutInStallIsNoOutage(t *testing.T) {
+	t.Run("watch", func(t *testing.T) {
+		e := newFollowingEntry()
+		f, clock, stop := followScripted(t, e)
+		defer stop()
+		c := f.next(t)
+		clock.suspend()
+		c.answer <- feedAnswer{err: platform.ErrUnavailable}
+		f.next(t)
+		if isPlatformLost(e.state) {
+			t.Error("the platform counts as lost")
+		}
+	})
+	t.Run("probe", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			e := newFollowingEntry()
+			e.updateFleet(func(now time.Time, f *fleet.Core) {
+				f.Replace(now, 1, []fleet.Change{listedUpstream("a", false)})
+				e.state.listed = true
+			})
+			clock := useTestClock(e.state)
+			e.cfg.PingStore = func(context.Context) error {
+				clock.suspend()
+				return platform.ErrUnavailable
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), probeInterval+probeInterval/2)
+			defer cancel()
+			e.probePlatform(ctx)
+			if e.state.resumeCount() != 1 || isPlatformLost(e.state) {
+				t.Errorf("%d stalls, lost: %v", e.state.resumeCount(), isPlatformLost(e.state))
+			}
+		})
+	})
+}
+
+// askScripted has an asker request a place, and calls beforeAnswer between the request and the response.
+func askScripted(t *testing.T, a *frozenAsker, beforeAnswer func()) *heldPlace {
+	t.Helper()
+	for range 100 { // a response that comes late on a busy machine is ignored
+		asked := make(chan *heldPlace)
+		go func() {
+			_, held, _ := a.q.askPlacer(context.Background(), a.placer.self.Address, a.query)
+			asked <- held
+		}()
+		m, ok := readTestMessage(t, a.placer.conn, frozenTestWait)
+		for ok && (len(m.PlaceRequests) == 0 || m.PlaceRequests[0].Cancel) {
+			m, ok = readTestMessage(t, a.placer.conn, frozenTestWait)
+		}
+		if !ok {
+			t.Fatal("no place is requested")
+		}
+		beforeAnswer()
+		answer := a.grantPlace(m.PlaceRequests[0].ID)
+		a.s.handleMessage(time.Now(), a.placer.self.Address, &peers.Message{PlaceResponses: []peers.PlaceResponse{answer}})
+		if held := <-asked; held != nil {
+			return held
+		}
+	}
+	t.Fatal("no response was in time")
+	return nil
+}
+
+// TestPlaceIsAsOldAsItsRequest guards against the use of a place that was requested before a stall and arrived
+// afterwards: the response may have lain in the socket's buffer all the while. A place that was requested after
+// the last stall is used.
+func TestPlaceIsAsOldAsItsRequest(t *testing.T) {
+	a := newFrozenAsker(t)
+	clock := useTestClock(a.e.state)
+	clock.suspend()
+	if err := a.e.checkUsable(askScripted(t, a, func() {})); err != nil {
+		t.Errorf("a place from after the stall: %v", err)
+	}
+	if err := a.e.checkUsable(askScripted(t, a, clock.suspend)); !errors.Is(err, errStalePlace) {
+		t.Errorf("a place from before a stall: %v", err)
+	}
+}
+
+// TestSendWaitsForConfirmation guards against a request that got its place before a stall and is sent by the old
+// list afterwards, to an upstream that has left.
+func TestSendWaitsForConfirmation(t *testing.T) {
+	for name, send := range map[string]func(q *request, held *heldPlace) error{
+		"run": func(q *request, held *heldPlace) error {
+			return q.send(context.Background(), held, nil, &responseRelay{req: q}).err
+		},
+		"prefill": func(q *request, held *heldPlace) error {
+			_, _, err := q.sendPrefill(context.Background(), held)
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int32
+			d := &stepDialect{timeout: 30 * time.Second, reached: func(s step) {
+				if s == runSent || s == prefillSent {
+					sent.Add(1)
+				}
+			}}
+			var fetched atomic.Int32
+			e := newStepEntry(d, &countingEngines{}, engineServer(t, &fetched, func() bool { return false }))
+			markListed(e, "p", "d")
+			q, held := acquireDecodePlace(t, e)
+			clock := useTestClock(e.state)
+			e.state.confirmation.onResume = func() { e.spawn(func() { confirmLeaving(e, held) }) }
+			clock.suspend()
+			if err := send(q, held); !errors.Is(err, errLeaving) || sent.Load() != 0 {
+				t.Errorf("%d sends, error %v, want %v", sent.Load(), err, errLeaving)
+			}
+			e.goroutines.Wait()
+		})
+	}
+}
+
+// markListed records that a list of the known upstreams with the given IDs was read and is followed.
+func markListed(e *Entry, ids ...string) {
+	e.updateFleet(func(now time.Time, f *fleet.Core) {
+		var list []fleet.Change
+		for _, id := range ids {
+			u, _ := f.Get(id)
+			list = append(list, fleet.Change{Kind: fleet.Listed, ID: id, Upstream: u})
+		}
+		f.Replace(now, 1, list)
+		e.state.listed = true
+	})
+}
+
+// acquireDecodePlace returns a request of route r of newStepEntry that holds a place.
+func acquireDecodePlace(t *testing.T, e *Entry) (*request, *heldPlace) {
+	t.Helper()
+	q, err := e.prepare(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/p/x", strings.NewReader("body")), time.Now())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, held, err := q.findPlace(context.Background(), q.query(place.Decode))
+	if err != nil || held == nil {
+		t.Fatalf("%+v %v", held, err)
+	}
+	return q, held
+}
+
+// confirmLeaving confirms the list of upstreams with the change that the upstream of a place is leaving.
+func confirmLeaving(e *Entry, held *heldPlace) {
+	resumes := e.state.resumeCount()
+	leaving := *held.upstream()
+	leaving.Leaving = true
+	e.updateFleet(func(now time.Time, f *fleet.Core) {
+		f.Put(now, leaving)
+		e.state.confirmUpstreams(now, resumes)
+	})
+}
