A planned stop that is seen only when the upstream is gone is no crash

After a stall (or any delay of seconds) one answer of the platform tells that an upstream is leaving and that it is gone. A send that broke off there then counted as a crash of its work: checkBrokenSends asked only whether the incarnation is listed, and the tombstone, which says that it was leaving, was not asked. Callers whose work was ended by planned stops at two upstreams could be refused by a hold.

listedLeaving now also reports leaving for an incarnation that was leaving when it was removed.

Before, TestUpstreamThatLeftDuringStallIsNoCrash failed: "upstream crashed" upstream="a" why="no longer listed"; confirmation_test.go:569: 0 upstreams to check, suspects: true. It passes now.

--- a/internal/process/entry/confirmation_test.go
+++ b/internal/process/entry/confirmation_test.go
@@ -20,6 +20,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 )
 
 // stallState is a state with upstream a of service s whose clock the test sets.
@@ -550,3 +551,21 @@
 		e.state.confirmUpstreams(now, resumes)
 	})
 }
+
+// TestUpstreamThatLeftDuringStallIsNoCrash guards against a planned stop that counts as a crash of the work that
+// it ended: after a stall, one answer tells that the upstream is leaving and that it is gone.
+func TestUpstreamThatLeftDuringStallIsNoCrash(t *testing.T) {
+	e := newTestEntry(nil, nil)
+	e.updateFleet(func(now time.Time, f *fleet.Core) {
+		f.Replace(now, 1, []fleet.Change{listedUpstream("a", false)})
+		e.state.listed = true
+	})
+	work := quarantine.ContentOf(http.MethodPost, "h", "/", nil)
+	e.holds.SendBroken(work, "a", time.Now())
+	e.updateFleet(func(now time.Time, f *fleet.Core) {
+		f.Apply(now, []fleet.Change{listedUpstream("a", true), {Kind: fleet.Unlisted, ID: "a"}})
+	})
+	if n := len(e.holds.UpstreamsToCheck()); n != 0 || e.holds.HasSuspects() {
+		t.Errorf("%d upstreams to check, suspects: %v", n, e.holds.HasSuspects())
+	}
+}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -295,11 +295,15 @@
 	return s.tracker.BackingOff(now)
 }
 
-// listedLeaving reports whether an incarnation of an upstream is listed, and whether it is leaving.
+// listedLeaving reports whether an incarnation of an upstream is listed, and whether it is leaving, or was
+// leaving when it was removed from the list.
 func (s *state) listedLeaving(incarnation fleet.Incarnation) (listed, leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.fleet.Listed(incarnation)
+	if listed, leaving = s.fleet.Listed(incarnation); !listed && !leaving {
+		_, leaving = s.fleet.RecentlyGone(incarnation)
+	}
+	return listed, leaving
 }
 
 // eligible returns the number of upstreams that could serve a request, whatever their load.
