Ticks of an instance with short bounds are no stalls

The time that counts as a stall is a quarter of the shorter of drain and configuration bound. An instance without a list of upstreams looks for stalls every 250 ms if nothing else happens. With a bound of 1000 ms or less, which the settings allow, each such tick counted as a stall: places of other instances went stale within a tick, waiting calls were canceled, and a line was logged each time. With 200 ms or less this held for all instances (tick: 50 ms).

A stall now lasts at least two of the longest ticks (500 ms), which is what the default bounds give anyway.

Before, TestTicksAreNoStall failed: "bounds of 1000 ms: a tick counts as a stall", likewise 500 and 100 ms. It passes now.

--- a/internal/process/entry/confirmation.go
+++ b/internal/process/entry/confirmation.go
@@ -21,6 +21,9 @@
 	// stallShare is the time without running after which the list has to be confirmed, as a share of the
 	// time within which a change has to be in force.
 	stallShare = 0.25
+	// minStallTime is the least time without running that counts as a stall. An instance without a list of
+	// upstreams looks for stalls every noUpstreamsTick only, and timers may fire late.
+	minStallTime = 2 * noUpstreamsTick
 	// maxConfirmationWait is how long decisions wait for the list to be confirmed. The platform usually
 	// responds within some milliseconds, and within some hundred if it is slow. If it doesn't respond,
 	// decisions are based on the old list, as in an outage of the platform.
@@ -63,7 +66,7 @@
 func (s *state) detectStall() {
 	c := &s.confirmation
 	threshold := time.Duration(stallShare * float64(s.bounds.ChangeDeadline()))
-	gap, stalled := c.detector.Observe(c.clock(), threshold)
+	gap, stalled := c.detector.Observe(c.clock(), max(threshold, minStallTime))
 	if !stalled {
 		return
 	}
--- a/internal/process/entry/confirmation_test.go
+++ b/internal/process/entry/confirmation_test.go
@@ -569,3 +569,17 @@
 		t.Errorf("%d upstreams to check, suspects: %v", n, e.holds.HasSuspects())
 	}
 }
+
+// TestTicksAreNoStall guards against a stall at every tick of an instance whose bounds are short: its threshold
+// would not exceed the interval of the ticks, and places would never be older than one tick.
+func TestTicksAreNoStall(t *testing.T) {
+	for _, boundMS := range []int{1000, 500, 100} {
+		s := newStallState()
+		s.setBounds(settings.EntryBounds{DrainMS: boundMS, ConfigMS: boundMS})
+		s.clock = s.clock.Add(noUpstreamsTick + noUpstreamsTick/2) // timers fire late
+		s.tick(time.Now())
+		if s.resumed != 0 {
+			t.Errorf("bounds of %d ms: a tick counts as a stall", boundMS)
+		}
+	}
+}
