Refuse overdue requests if the process stalls again before its list is confirmed

At a stall while decisions wait already, the waiting requests whose latest start has passed are refused. No request is placed by the unconfirmed list, and a single stall refuses nothing.

--- a/internal/process/entry/confirmation.go
+++ b/internal/process/entry/confirmation.go
@@ -78,14 +78,32 @@
 			s.platformLostAt = now.Add(-gap)
 		}
 		s.fleet.Resumed()
-		c.deadline = now.Add(maxConfirmationWait)
-		if c.done == nil {
-			c.done = make(chan struct{})
-		}
+		s.postponeDecisions(now)
 	}
 	c.onResume()
 }
 
+// postponeDecisions makes decisions wait for the list to be confirmed. If they wait already, since a stall
+// before, requests that can't start in time any more are refused: an instance that gets hardly any time to
+// run may never confirm its list. Callers hold mu.
+func (s *state) postponeDecisions(now time.Time) {
+	c := &s.confirmation
+	c.deadline = now.Add(maxConfirmationWait)
+	if c.done == nil {
+		c.done = make(chan struct{})
+		return
+	}
+	refused := s.queue.RefuseOverdue(now)
+	c.postponed = slices.DeleteFunc(c.postponed, func(q place.Query) bool {
+		overdue := !q.StartBy.After(now)
+		if overdue {
+			refused = append(refused, s.queue.Refuse(now, &q, place.NoPlaceInTime))
+		}
+		return overdue
+	})
+	s.deliver(refused)
+}
+
 // awaitsConfirmation reports whether decisions have to wait for the list of upstreams to be confirmed. When
 // they no longer have to, it decides on the postponed requests. Callers hold mu.
 func (s *state) awaitsConfirmation(now time.Time) bool {
--- a/internal/process/entry/confirmation_test.go
+++ b/internal/process/entry/confirmation_test.go
@@ -583,3 +583,27 @@
 		}
 	}
 }
+
+// TestRequestsAreDecidedDespiteRepeatedStalls guards against requests that are held until their callers give up: an
+// instance that gets too little time to receive an answer between two stalls never confirms its list, and each
+// stall starts the wait again.
+func TestRequestsAreDecidedDespiteRepeatedStalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStallState()
+		s.suspend()
+		q := testQuery("q")
+		q.StartBy = time.Now().Add(time.Second)
+		decision := s.enqueue(time.Now(), q)
+		for range 5 {
+			time.Sleep(frozenTime)
+			s.clock = s.clock.Add(frozenTime)
+			s.tick(time.Now())
+			time.Sleep(maxConfirmationWait / 2)
+			s.clock = s.clock.Add(maxConfirmationWait / 2)
+			s.tick(time.Now())
+		}
+		if _, ok := decided(decision); !ok {
+			t.Error("neither a place nor a refusal after 5 stalls, although the request had to start within 1 s")
+		}
+	})
+}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -184,7 +184,12 @@
 	if s.detectStall(); s.awaitsConfirmation(now) {
 		return
 	}
-	for _, d := range s.queue.Tick(now) {
+	s.deliver(s.queue.Tick(now))
+}
+
+// deliver delivers decisions to the requests that wait for them. Callers hold mu.
+func (s *state) deliver(decisions []place.Decision) {
+	for _, d := range decisions {
 		if waiter, ok := s.waiters[d.ID]; ok {
 			delete(s.waiters, d.ID)
 			waiter <- d
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -42,8 +42,8 @@
 	Oldest           time.Duration // age of the oldest load report of the eligible upstreams; negative: one of them has none
 }
 
-// refuse returns the refusal of a request.
-func (r *Queue) refuse(now time.Time, q *Query, reason RefusalReason) Decision {
+// Refuse returns the refusal of a request that isn't in the queue.
+func (r *Queue) Refuse(now time.Time, q *Query, reason RefusalReason) Decision {
 	return Decision{
 		ID: q.ID, Refused: reason, RetryAfter: r.retryAfter(now, q),
 		Details: r.tracker.refusalDetails(now, q, r.ahead(q), r.estimatedWait(now, q)),
@@ -77,12 +77,12 @@
 // then decides on it later.
 func (r *Queue) Arrive(now time.Time, q Query) (d Decision, decided bool) {
 	if !r.tracker.hasEligible(now, &q) {
-		return r.refuse(now, &q, NoUpstream), true
+		return r.Refuse(now, &q, NoUpstream), true
 	}
 	if limits := r.tracker.throttling(now, &q); q.Retry {
 		r.retrySlots.claim(now, &q)
 	} else if limits.all && r.retrySlots.mustYield(now, &q, &limits) {
-		return r.refuse(now, &q, NoPlaceInTime), true
+		return r.Refuse(now, &q, NoPlaceInTime), true
 	}
 	if !r.hasPredecessor(&q) {
 		if choice, ok := r.tryPlace(now, &q); ok {
@@ -90,7 +90,7 @@
 		}
 	}
 	if r.count >= maxWaiting {
-		return r.refuse(now, &q, Outranked), true
+		return r.Refuse(now, &q, Outranked), true
 	}
 	tooLate := !q.StartBy.After(now.Add(r.estimatedWait(now, &q)))
 	if tooLate && len(r.queues[q.queueName()]) == 0 && r.mayExtendWait(now, &q) {
@@ -98,7 +98,7 @@
 		tooLate = false
 	}
 	if tooLate || r.limitsPreventStart(now, &q, r.ahead(&q)) {
-		return r.refuse(now, &q, NoPlaceInTime), true
+		return r.Refuse(now, &q, NoPlaceInTime), true
 	}
 	r.insert(q)
 	return Decision{}, false
@@ -198,6 +198,25 @@
 	return out
 }
 
+// RefuseOverdue refuses the waiting requests that can't start in time any more, without placing any
+// request.
+func (r *Queue) RefuseOverdue(now time.Time) []Decision {
+	var out []Decision
+	for name, list := range r.queues {
+		kept := list[:0]
+		for _, w := range list {
+			if w.q.StartBy.After(now) {
+				kept = append(kept, w)
+				continue
+			}
+			out = append(out, r.Refuse(now, &w.q, NoPlaceInTime))
+			r.count--
+		}
+		r.queues[name] = kept
+	}
+	return out
+}
+
 // mayExtendWait reports whether a request that is the only one in its queue may wait for
 // another minRetryAfter beyond its latest start. A refusal would ask the caller to wait at
 // least that long before it retries. The request may not wait if its caller stops waiting
@@ -225,7 +244,7 @@
 // before: it then has fewer upstreams to choose from than others.
 func (r *Queue) decide(now time.Time, q *Query, blocked *bool) (Decision, bool) {
 	if !q.StartBy.After(now) {
-		return r.refuse(now, q, NoPlaceInTime), true
+		return r.Refuse(now, q, NoPlaceInTime), true
 	}
 	if *blocked {
 		return Decision{}, false
@@ -235,9 +254,9 @@
 	}
 	switch {
 	case !r.tracker.hasEligible(now, q):
-		return r.refuse(now, q, NoUpstream), true
+		return r.Refuse(now, q, NoUpstream), true
 	case r.limitsPreventStart(now, q, 0):
-		return r.refuse(now, q, NoPlaceInTime), true
+		return r.Refuse(now, q, NoPlaceInTime), true
 	}
 	*blocked = len(q.Excluded) == 0
 	return Decision{}, false
