A gateway ends if its port for peers fails

The controller ends in the same case. The gateway now ends with an error that names peer.listen; a planned stop closes the listener in a later stage and ends as before.

TestGatewayEndsWithoutItsPeerPort before: `timed out: the gateway ends` after 20 s.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -194,14 +194,14 @@
 // failed, or nil.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.config.OnInstall(g.install)
-	g.runBackground(g.servePeers)
+	failed := make(chan error, 3)
+	g.runBackground(func(context.Context) { failed <- g.servePeers() })
 	g.members.Start()
 	g.config.Start()
 	g.runBackground(g.queueLoop)
 	g.runBackground(g.maintenanceLoop)
 	g.runBackground(g.holds.Follow)
 	g.runBackground(func(ctx context.Context) { g.holds.DeleteExpired(ctx, g.removesEndedHolds) })
-	failed := make(chan error, 2)
 	g.runBackground(func(context.Context) { failed <- g.ops.Serve(g.listeners.operators) })
 	g.runBackground(func(context.Context) { failed <- g.serveCallers() })
 	logline.Info("gateway started", "instance", g.cfg.Settings.Instance.Name, "zone", g.cfg.Settings.Instance.Zone,
@@ -215,11 +215,13 @@
 	return err
 }
 
-// servePeers accepts connections of peers until the listener closes.
-func (g *Gateway) servePeers(context.Context) {
-	if err := g.members.Hub().Serve(g.listeners.peers); err != nil {
-		logline.Error(err, "peers' port")
+// servePeers accepts connections of peers. It returns nil if the server ended because of a shutdown.
+func (g *Gateway) servePeers() error {
+	err := g.members.Hub().Serve(g.listeners.peers)
+	if g.stage.Load() != stageServing {
+		return nil
 	}
+	return errors.Wrap(err, "peer.listen")
 }
 
 // runBackground runs f in a goroutine that shutdown waits for. The context of f ends
--- a/internal/process/gateway/lifecycle_test.go
+++ b/internal/process/gateway/lifecycle_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
@@ -159,3 +160,21 @@
 	}
 	return out
 }
+
+// TestGatewayEndsWithoutItsPeerPort guards against a gateway that goes on as ready after its port for peers has
+// failed: it then had no part in claims and in the limits of client accounts. The error names the setting.
+func TestGatewayEndsWithoutItsPeerPort(t *testing.T) {
+	f := newFleet(t)
+	g, err := New(Config{Settings: f.settings("gw-1"), Store: f.store})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- g.Run(ctx) }()
+	g.listeners.peers.Close()
+	if err := receive(t, "the gateway ends", ended); err == nil || !strings.Contains(err.Error(), "peer.listen") {
+		t.Errorf("error %v, want one with peer.listen", err)
+	}
+}
