An asker leaves a placer whose decisions wait for the platform

A request that waits at a placer is asked for again every 50 ms at the same placer, as long as that placer answers "waiting". A placer that was frozen now answers so for up to 500 ms after it woke, and says in the same message that it lost the platform. Other placers could decide at once, but only requests that came later went to them.

--- a/internal/process/entry/confirmation_test.go
+++ b/internal/process/entry/confirmation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -438,6 +439,20 @@
 	})
 }
 
+// nextPlaceRequest returns the next place request, or its cancellation, that arrives at a socket.
+func nextPlaceRequest(t *testing.T, conn *net.UDPConn) peers.PlaceRequest {
+	t.Helper()
+	for {
+		m, ok := readTestMessage(t, conn, frozenTestWait)
+		if !ok {
+			t.Fatal("timed out waiting: a place request")
+		}
+		if len(m.PlaceRequests) > 0 {
+			return m.PlaceRequests[0]
+		}
+	}
+}
+
 // askScripted has an asker request a place, and calls beforeAnswer between the request and the response.
 func askScripted(t *testing.T, a *frozenAsker, beforeAnswer func()) *heldPlace {
 	t.Helper()
@@ -447,15 +462,12 @@
 			_, held, _ := a.q.askPlacer(context.Background(), a.placer.self.Address, a.query)
 			asked <- held
 		}()
-		m, ok := readTestMessage(t, a.placer.conn, frozenTestWait)
-		for ok && (len(m.PlaceRequests) == 0 || m.PlaceRequests[0].Cancel) {
-			m, ok = readTestMessage(t, a.placer.conn, frozenTestWait)
-		}
-		if !ok {
-			t.Fatal("no place is requested")
+		r := nextPlaceRequest(t, a.placer.conn)
+		for r.Cancel { // of the round before
+			r = nextPlaceRequest(t, a.placer.conn)
 		}
 		beforeAnswer()
-		answer := a.grantPlace(m.PlaceRequests[0].ID)
+		answer := a.grantPlace(r.ID)
 		a.s.handleMessage(time.Now(), a.placer.self.Address, &peers.Message{PlaceResponses: []peers.PlaceResponse{answer}})
 		if held := <-asked; held != nil {
 			return held
@@ -584,6 +596,33 @@
 	}
 }
 
+// TestAskerLeavesPlacerThatLostPlatform guards against a request that waits for as long as the decisions of a placer
+// wait for a confirmation of its list, although another placer could decide at once.
+func TestAskerLeavesPlacerThatLostPlatform(t *testing.T) {
+	a := newFrozenAsker(t)
+	conns := make(map[string]*net.UDPConn)
+	for i := range 9 {
+		conn := listenTestPeer(t)
+		address := conn.LocalAddr().String()
+		conns[address] = conn
+		sender := &peers.Peer{Name: fmt.Sprint("p-", i), Zone: "z1", Address: address}
+		a.s.handleMessage(time.Now(), address, &peers.Message{Sender: sender})
+	}
+	a.s.handleMessage(time.Now(), a.placer.self.Address, &peers.Message{Unready: true}) // one of the others is the placer
+	to := a.s.placer()
+	go a.q.askPlacer(context.Background(), to, a.query)
+	const maxRequests = 4 // the first one, its repetition on a busy machine, and the same at the time of the answer
+	for range maxRequests {
+		r := nextPlaceRequest(t, conns[to])
+		if r.Cancel {
+			return
+		}
+		waiting := peers.PlaceResponse{ID: r.ID, Waiting: true}
+		a.s.handleMessage(time.Now(), to, &peers.Message{PlatformLost: true, PlaceResponses: []peers.PlaceResponse{waiting}})
+	}
+	t.Errorf("%d requests at a placer that lost the platform, the next placer is %s", maxRequests, a.s.placer())
+}
+
 // TestRequestsAreDecidedDespiteRepeatedStalls guards against requests that are held until their callers give up: an
 // instance that gets too little time to receive an answer between two stalls never confirms its list, and each
 // stall starts the wait again.
--- a/internal/process/entry/placementclient.go
+++ b/internal/process/entry/placementclient.go
@@ -164,6 +164,10 @@
 		}
 		q.demandCounted = true
 		s.recordAnswer(to, time.Since(askedAt))
+		if answer.Waiting && s.isPlatformLost(to) {
+			s.sendPlaceRequest(to, peers.PlaceRequest{ID: id, Cancel: true})
+			return d, nil, false // its decisions may wait for the platform
+		}
 		if answer.Waiting {
 			answer, received = s.awaitAnswer(ctx, answers, waitingPollInterval)
 		}
