ragwort-entry waits for its port for other instances

An instance whose port for other instances (listen.peers) was held by another process logged one line and ran on until its end. If only the TCP half failed, it was listed and asked for places, but other instances of its zone couldn't get the configuration from it.

Now both sockets are opened together. While the port is in use, which happens for a moment at a restart, the instance isn't ready (`no socket for other instances yet (listen.peers)`), isn't listed, is no candidate for the lease, and tries again after 0.1 s and then up to every 2 to 4 s; one line at the first failure and one when it has the port, and the gauge peer_sockets_open. An address that can't mend itself (no host or port, another machine's, not permitted) ends the process with an error that names listen.peers and the value. The sockets are set once, before anything is exchanged, and read atomically.

The ports for callers, the readiness check and operators are opened through daemon.Listen: an error names the setting, too (`listen.ready: listen tcp ...`), and ports opened before are closed. They are opened before the exchange starts, so a process that can't serve no longer announces itself. They aren't tried again: without them the process can't even tell that it isn't ready, and it is restarted.

TestUnresponsivePlacerIsSkipped closes the same socket as before, under its new name. awaitPlacer is the second half of startTestZoneAll, for a test that starts its instances itself.

--- a/internal/process/entry/configexchange.go
+++ b/internal/process/entry/configexchange.go
@@ -28,14 +28,8 @@
 	versionRepeatDelay = 300 * time.Millisecond
 )
 
-// serveConfig serves the configuration to other instances until ctx ends. If it can't listen on the
-// address, it serves nothing, and other instances have to get the configuration elsewhere.
-func (s *peerExchange) serveConfig(ctx context.Context) {
-	l, err := net.Listen("tcp", s.self.Address)
-	if err != nil {
-		logline.Error(err, "the configuration isn't passed on", "address", s.self.Address)
-		return
-	}
+// serveConfig serves the configuration to other instances until ctx ends.
+func (s *peerExchange) serveConfig(ctx context.Context, l net.Listener) {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configPath, s.sendConfig)
 	server := s.e.newServer(mux)
--- a/internal/process/entry/confirmation_test.go
+++ b/internal/process/entry/confirmation_test.go
@@ -462,9 +462,9 @@
 			_, held, _ := a.q.askPlacer(context.Background(), a.placer.self.Address, a.query)
 			asked <- held
 		}()
-		r := nextPlaceRequest(t, a.placer.conn)
+		r := nextPlaceRequest(t, a.placer.sockets.Load().datagrams)
 		for r.Cancel { // of the round before
-			r = nextPlaceRequest(t, a.placer.conn)
+			r = nextPlaceRequest(t, a.placer.sockets.Load().datagrams)
 		}
 		beforeAnswer()
 		answer := a.grantPlace(r.ID)
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -21,6 +22,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 )
 
 const (
@@ -175,12 +177,17 @@
 // reasonNoUpstreams is what cannotPlaceReason returns for an instance without a list of upstreams.
 const reasonNoUpstreams = "no list of upstreams yet"
 
+// reasonNotListening is what cannotPlaceReason returns while the sockets for other instances aren't open.
+const reasonNotListening = "no socket for other instances yet (" + fieldPeers + ")"
+
 // cannotPlaceReason returns why this instance can't choose upstreams for requests. It returns "" if it
 // can.
 func (e *Entry) cannotPlaceReason() string {
 	switch {
 	case e.stage.Load() != stageServing:
 		return "stopping"
+	case e.peers != nil && !e.peers.isListening():
+		return reasonNotListening
 	case e.state.config.Load() == nil:
 		return "no configuration yet"
 	case !e.state.upstreamsListed():
@@ -207,22 +214,19 @@
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Limits.MemoryMB<<20)))
 	workCtx := e.workCtx
 	defer e.cancelWork()
-	if s.Listen.Peers != "" {
-		e.startPeerExchange(workCtx) // before anything that sends to other instances
+	servers, err := e.listen()
+	if err != nil {
+		return err
 	}
-	failed := make(chan error, 3)
-	for _, p := range []struct {
-		address string
-		server  *http.Server
-	}{{s.Listen.Callers, e.callerServer}, {s.Listen.Ready, e.readyServer}, {s.Listen.Operators, e.operatorServer}} {
-		if p.address == "" {
-			continue
-		}
-		l, err := net.Listen("tcp", p.address)
-		if err != nil {
-			return errors.Wrapf(err, "listen on %s", p.address)
+	if s.Listen.Peers != "" {
+		if err := e.startPeerExchange(workCtx); err != nil { // before anything that sends to other instances
+			closeListeners(servers)
+			return err
 		}
-		e.spawn(func() { failed <- e.serveListener(p.server, l) })
+	}
+	failed := make(chan error, len(servers))
+	for server, l := range servers {
+		e.spawn(func() { failed <- e.serveListener(server, l) })
 	}
 	e.followPlatform(workCtx)
 	e.spawn(func() { e.pollHolds(workCtx) })
@@ -240,7 +244,6 @@
 	e.spawn(func() { e.watchSettings(workCtx) })
 	logline.Info("entry started", "instance", s.Instance.Name, "zone", s.Instance.Zone,
 		"callers", s.Listen.Callers, "ready", s.Listen.Ready, "store", s.Store)
-	var err error
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
@@ -254,6 +257,36 @@
 	return errors.Wrap(err, "serving")
 }
 
+// listen opens the ports for callers, the readiness check and operators, or none of them. It returns the
+// listener of each server that has an address. An error names the setting and its address.
+func (e *Entry) listen() (map[*http.Server]net.Listener, error) {
+	s := e.cfg.Settings.Listen
+	var callers, ready, operators net.Listener
+	var ports []daemon.Port
+	for _, p := range []daemon.Port{
+		{Field: "listen.callers", Settings: settings.Listener{Address: s.Callers}, Listener: &callers},
+		{Field: "listen.ready", Settings: settings.Listener{Address: s.Ready}, Listener: &ready},
+		{Field: "listen.operators", Settings: settings.Listener{Address: s.Operators}, Listener: &operators},
+	} {
+		if p.Settings.Address != "" {
+			ports = append(ports, p)
+		}
+	}
+	if err := daemon.Listen(ports...); err != nil {
+		return nil, err
+	}
+	servers := map[*http.Server]net.Listener{e.callerServer: callers, e.readyServer: ready, e.operatorServer: operators}
+	maps.DeleteFunc(servers, func(_ *http.Server, l net.Listener) bool { return l == nil })
+	return servers, nil
+}
+
+// closeListeners closes the listeners of servers that haven't begun to serve.
+func closeListeners(servers map[*http.Server]net.Listener) {
+	for _, l := range servers {
+		_ = l.Close()
+	}
+}
+
 // serveListener serves until the server is closed, which is no error.
 func (e *Entry) serveListener(server *http.Server, l net.Listener) error {
 	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/process/entry/frozen_test.go
+++ b/internal/process/entry/frozen_test.go
@@ -106,7 +106,7 @@
 	p.asker = listenTestPeer(t)
 	t.Cleanup(func() {
 		cancel()
-		s.conn.Close()
+		s.sockets.Load().datagrams.Close()
 		close(s.stopped)
 		e.goroutines.Wait()
 	})
@@ -374,8 +374,8 @@
 	e, s := newPeerTestEntry(t, "i-2", "z1", store)
 	placer.peers, e.peers = placerExchange, s
 	t.Cleanup(func() {
-		placerExchange.conn.Close()
-		s.conn.Close()
+		placerExchange.sockets.Load().datagrams.Close()
+		s.sockets.Load().datagrams.Close()
 	})
 	forgetListedUpstreams(e)
 	a := &frozenAsker{e: e, s: s, placer: placerExchange}
@@ -443,7 +443,7 @@
 			a.placer.send(peers.Message{PlaceResponses: []peers.PlaceResponse{a.grantPlace(id)}}, a.s.self.Address)
 			a.freeze()
 			tc.run(a)
-			m, ok := readTestMessage(t, a.s.conn, frozenTestWait)
+			m, ok := readTestMessage(t, a.s.sockets.Load().datagrams, frozenTestWait)
 			if !ok {
 				t.Fatal("no answer is in the socket's buffer")
 			}
--- a/internal/process/entry/peerexchange.go
+++ b/internal/process/entry/peerexchange.go
@@ -38,7 +38,8 @@
 type peerExchange struct {
 	e               *Entry
 	self            peers.Peer
-	conn            *net.UDPConn
+	address         netip.AddrPort
+	sockets         atomic.Pointer[peerSockets] // nil: not open; they are open before anything is exchanged, and stay so until the end
 	placementClient *placementClient
 	placementServer *placementServer
 	answerTimeout   func() time.Duration // how long to wait for the answer of a placer
@@ -64,48 +65,52 @@
 	incarnationsAskedAt time.Time // when the placer was last asked for the state of upstreams
 }
 
-// startPeerExchange starts to exchange messages, until ctx ends. If the socket can't be opened, the
-// process serves nevertheless, based on what upstreams report.
-func (e *Entry) startPeerExchange(ctx context.Context) {
+// startPeerExchange starts to exchange messages, until ctx ends. While the port is in use, this instance
+// isn't ready. An address on which this machine can never listen is an error.
+func (e *Entry) startPeerExchange(ctx context.Context) error {
 	exchange, err := newPeerExchange(e)
 	if err != nil {
-		logline.Error(err, "nothing is shared with other instances")
-		return
+		return err
 	}
 	e.peers = exchange
 	e.spawn(func() { exchange.run(ctx) })
+	return nil
 }
 
-// newPeerExchange creates an exchange and opens its socket.
+// newPeerExchange creates an exchange and opens its sockets, unless their port is in use.
 func newPeerExchange(e *Entry) (*peerExchange, error) {
-	s := e.cfg.Settings
-	address, err := net.ResolveUDPAddr("udp4", s.Listen.Peers)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen.peers %q", s.Listen.Peers)
-	}
-	conn, err := net.ListenUDP("udp4", address)
+	settings := e.cfg.Settings
+	address, err := parsePeerAddress(settings.Listen.Peers)
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen on %s", s.Listen.Peers)
+		return nil, err
 	}
-	self := peers.Peer{Name: s.Instance.Name, Zone: s.Instance.Zone, Address: conn.LocalAddr().String(), Cores: float32(s.Limits.Cores)}
+	self := peers.Peer{Name: settings.Instance.Name, Zone: settings.Instance.Zone, Address: address.String(), Cores: float32(settings.Limits.Cores)}
 	// The incarnation is the start time in microseconds. Ids of place requests count up from it. An instance
 	// sends far fewer than a million messages a second, so ids don't repeat after a restart.
 	incarnation := uint64(time.Now().UnixMicro())
-	exchange := &peerExchange{
-		e: e, self: self, conn: conn, core: peers.New(self, incarnation),
+	s := &peerExchange{
+		e: e, self: self, address: address, core: peers.New(self, incarnation),
 		placementClient: newPlacementClient(incarnation), placementServer: newPlacementServer(), configVersions: peers.NewConfigVersions(), incarnation: incarnation, stopped: make(chan struct{}),
 		recheckUpstreams: make(chan struct{}, 1), recheckConfig: make(chan struct{}, 1),
 	}
-	exchange.answerTimeout = exchange.estimatedAnswerTimeout
-	return exchange, nil
+	s.answerTimeout = s.estimatedAnswerTimeout
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	return s, nil
 }
 
-// run exchanges messages until ctx ends. Then it tells the availability zone that this instance has
-// stopped, and removes the instance from the platform's list.
+// run exchanges messages until ctx ends, once the sockets are open. Then it tells the availability zone that
+// this instance has stopped, and removes the instance from the platform's list.
 func (s *peerExchange) run(ctx context.Context) {
-	s.e.spawn(func() { s.receive() })
+	if !s.awaitSockets(ctx) {
+		close(s.stopped)
+		return
+	}
+	sockets := s.sockets.Load()
+	s.e.spawn(func() { s.receive(sockets.datagrams) })
 	s.e.spawn(func() { s.followMembers(ctx) })
-	s.serveConfig(ctx)
+	s.serveConfig(ctx, sockets.config)
 	for interval := placerTick; platform.Sleep(ctx, interval) == nil; {
 		switch placing := s.sendUpdates(time.Now()); {
 		case placing:
@@ -122,7 +127,7 @@
 	zone := s.core.ZoneAddresses()
 	s.mu.Unlock()
 	s.introduce(zone...)
-	s.conn.Close()
+	_ = sockets.datagrams.Close()
 	close(s.stopped)
 	removeCtx, cancel := context.WithTimeout(context.Background(), removeTimeout)
 	defer cancel()
@@ -185,6 +190,9 @@
 // placerRank returns the rank of this instance among the placers of all availability zones, which know
 // the demand at all instances; ok is false if this instance isn't one of them.
 func (s *peerExchange) placerRank(now time.Time) (rank int, ok bool) {
+	if !s.isListening() {
+		return 0, false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.core.Rank(now)
@@ -220,6 +228,10 @@
 // instance that is stopping or knows no upstreams would refuse requests that others can serve, and an
 // instance that can't read the platform may have an outdated list of upstreams.
 func (s *peerExchange) send(m peers.Message, to ...string) {
+	sockets := s.sockets.Load()
+	if sockets == nil {
+		return // nobody is known yet
+	}
 	m.Unready = s.isUnready()
 	m.PlatformLost = s.e.platformLost(time.Now())
 	m.Config = s.e.configVersion()
@@ -231,7 +243,7 @@
 	for _, address := range to {
 		a, err := netip.ParseAddrPort(address)
 		if err == nil {
-			_, err = s.conn.WriteToUDPAddrPort(data, a)
+			_, err = sockets.datagrams.WriteToUDPAddrPort(data, a)
 		}
 		if err != nil {
 			logline.Debug("nothing told", "to", address, "error", err)
@@ -240,10 +252,10 @@
 }
 
 // receive handles the messages of other instances until the socket is closed.
-func (s *peerExchange) receive() {
+func (s *peerExchange) receive(conn *net.UDPConn) {
 	buf := make([]byte, peers.MaxMessageBytes)
 	for {
-		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
--- a/internal/process/entry/peerexchange_test.go
+++ b/internal/process/entry/peerexchange_test.go
@@ -16,7 +16,12 @@
 // newPeerTestEntry returns an entry process that knows upstream a of service s, and its peer exchange over
 // the loopback interface, which isn't started.
 func newPeerTestEntry(t *testing.T, name, zone string, store *platform.Store) (*Entry, *peerExchange) {
-	s := &settings.Entry{Instance: settings.Instance{Name: name, Zone: zone}, Listen: settings.EntryListen{Peers: testport.Address(t)}}
+	return newPeerTestEntryAt(t, name, zone, testport.Address(t), store)
+}
+
+// newPeerTestEntryAt is like newPeerTestEntry, with the given address for other instances.
+func newPeerTestEntryAt(t *testing.T, name, zone, address string, store *platform.Store) (*Entry, *peerExchange) {
+	s := &settings.Entry{Instance: settings.Instance{Name: name, Zone: zone}, Listen: settings.EntryListen{Peers: address}}
 	s.SetDefaults()
 	e := New(Config{Settings: s, Records: store})
 	e.state.install(routing.New(1, nil, []routing.Service{{Name: "s"}}, routing.Limits{}))
--- /dev/null
+++ b/internal/process/entry/peersockets.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+)
+
+// fieldPeers is the settings field with the address at which other instances reach this one.
+const fieldPeers = "listen.peers"
+
+// peerSockets are the sockets for other instances. Both have the address of the instance.
+type peerSockets struct {
+	datagrams *net.UDPConn
+	config    net.Listener // where other instances get the configuration
+}
+
+// openPeerSockets opens both sockets or none.
+func openPeerSockets(address netip.AddrPort) (peerSockets, error) {
+	datagrams, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address))
+	if err != nil {
+		return peerSockets{}, err
+	}
+	config, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		_ = datagrams.Close()
+		return peerSockets{}, err
+	}
+	return peerSockets{datagrams: datagrams, config: config}, nil
+}
+
+// parsePeerAddress returns the address in listen.peers. Other instances must be able to dial it, so it has
+// to have an IPv4 number and a port.
+func parsePeerAddress(text string) (netip.AddrPort, error) {
+	resolved, err := net.ResolveUDPAddr("udp4", text)
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrapf(err, "%s %q", fieldPeers, text)
+	}
+	address := resolved.AddrPort()
+	address = netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+	if !address.Addr().IsValid() || address.Addr().IsUnspecified() || address.Port() == 0 {
+		return netip.AddrPort{}, errors.Errorf("%s %q: other instances need a host and a port to dial", fieldPeers, text)
+	}
+	return address, nil
+}
+
+// isAddressError reports whether an address can't be listened on until the settings or the machine change.
+// A port in use isn't such an error: an earlier process may hold it for a moment.
+func isAddressError(err error) bool {
+	return errors.Is(err, unix.EADDRNOTAVAIL) || errors.Is(err, unix.EACCES)
+}
+
+// listen opens the sockets for other instances, unless they are in use. It returns an error if the address
+// itself is invalid.
+func (s *peerExchange) listen() error {
+	sockets, err := openPeerSockets(s.address)
+	if err == nil {
+		s.setSockets(&sockets)
+		return nil
+	}
+	if isAddressError(err) {
+		return errors.Wrapf(err, "%s %q", fieldPeers, s.address)
+	}
+	s.setSockets(nil)
+	logline.Error(err, "no exchange with other instances", "setting", fieldPeers, "address", s.address,
+		"then", "this instance isn't ready and tries again")
+	return nil
+}
+
+// awaitSockets tries to open the sockets until it succeeds or ctx ends. It reports whether they are open.
+func (s *peerExchange) awaitSockets(ctx context.Context) bool {
+	startedAt, attempts := time.Now(), 0
+	for pause := minRetryPause; s.sockets.Load() == nil; pause = min(retryPauseGrowth*pause, maxRetryPause) {
+		if platform.Sleep(ctx, addJitter(pause)) != nil {
+			return false
+		}
+		attempts++
+		sockets, err := openPeerSockets(s.address)
+		if err != nil {
+			logline.Debug("no exchange with other instances", "setting", fieldPeers, "address", s.address, "error", err)
+			continue
+		}
+		s.setSockets(&sockets)
+		logline.Info("exchange with other instances from now on", "setting", fieldPeers, "address", s.address,
+			"after", time.Since(startedAt), "attempts", attempts)
+	}
+	return true
+}
+
+// setSockets sets the open sockets; nil: none are open.
+func (s *peerExchange) setSockets(sockets *peerSockets) {
+	s.sockets.Store(sockets)
+	s.e.metrics.setPeersReachable(sockets != nil)
+}
+
+// isListening reports whether other instances can reach this one.
+func (s *peerExchange) isListening() bool { return s.sockets.Load() != nil }
--- a/internal/process/entry/placement_test.go
+++ b/internal/process/entry/placement_test.go
@@ -40,6 +40,13 @@
 			awaitEnd(t, e)
 		}
 	})
+	return awaitPlacer(t, all)
+}
+
+// awaitPlacer waits until the instances of an availability zone agree on a placer. It returns the placer and
+// the other instances.
+func awaitPlacer(t *testing.T, all []*Entry) (placer *Entry, clients []*Entry) {
+	t.Helper()
 	introduceAll(t, all)
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		placer, clients = nil, nil
@@ -53,7 +60,7 @@
 				agreed[to] = true
 			}
 		}
-		if placer != nil && len(clients) == n-1 && len(agreed) == 1 {
+		if placer != nil && len(clients) == len(all)-1 && len(agreed) == 1 {
 			return placer, clients
 		}
 	}
@@ -232,7 +239,7 @@
 // answer as the test closes its socket.
 func TestUnresponsivePlacerIsSkipped(t *testing.T) {
 	placer, client := startTestZone(t, 2)
-	placer.peers.conn.Close()
+	placer.peers.sockets.Load().datagrams.Close()
 	for i := range 3 {
 		q, query := newTestRequest(client, fmt.Sprint("q", i), 10*time.Second)
 		startedAt := time.Now()
--- a/internal/process/entry/requestlog.go
+++ b/internal/process/entry/requestlog.go
@@ -73,6 +73,15 @@
 	m.scope.Gauge("upstreams_limited").Update(float64(n))
 }
 
+// setPeersReachable sets whether the sockets for other instances are open.
+func (m *entryMetrics) setPeersReachable(open bool) {
+	value := 0.0
+	if open {
+		value = 1
+	}
+	m.scope.Gauge("peer_sockets_open").Update(value)
+}
+
 // setBackingOffUpstreams sets the number of upstreams that are backing off.
 func (m *entryMetrics) setBackingOffUpstreams(n int) {
 	m.scope.Gauge("upstreams_resting").Update(float64(n))
