Upstreams that ended while the process didn't run get no work; the review of stalls

It now gets work only if its service has no listed upstream; TestUpstreamThatEndedInStallIsNotUsed fails without that.

Number of stalls: stallCount, as it counts these.

--- a/internal/process/entry/confirmation.go
+++ b/internal/process/entry/confirmation.go
@@ -37,7 +37,7 @@
 	onResume func() // called after each stall, with the lock held
 	detector stall.Detector
 
-	resumes   uint64        // number of stalls so far
+	stalls    uint64        // number of stalls so far
 	deadline  time.Time     // when decisions go on without a confirmation
 	done      chan struct{} // closed when decisions go on; nil: they don't wait
 	postponed []place.Query // requests that arrived while decisions wait
@@ -72,7 +72,7 @@
 	}
 	now := time.Now()
 	logline.Info("process resumed", "stalled_ms", gap.Milliseconds(), "upstreams_listed", s.listed, "waiting", s.queue.Len()+len(c.postponed))
-	c.resumes++
+	c.stalls++
 	if s.listed {
 		if s.fleet.UpToDate(now) {
 			s.platformLostAt = now.Add(-gap)
@@ -133,13 +133,13 @@
 	e.callsCtx.cancelCurrent()
 }
 
-// resumeCount returns the number of stalls so far. A result of before a stall is out of date if the count
+// stallCount returns the number of stalls so far. A result of before a stall is out of date if the count
 // has changed since.
-func (s *state) resumeCount() uint64 {
+func (s *state) stallCount() uint64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.detectStall()
-	return s.confirmation.resumes
+	return s.confirmation.stalls
 }
 
 // upstreamsUnconfirmed reports whether the list of upstreams has to be confirmed after a stall.
@@ -150,10 +150,10 @@
 	return s.listed && s.fleet.Unconfirmed()
 }
 
-// confirmUpstreams records that the platform returned all changes to a call that was made when resumeCount
-// returned resumes. Callers hold mu.
-func (s *state) confirmUpstreams(now time.Time, resumes uint64) {
-	if resumes == s.confirmation.resumes {
+// confirmUpstreams records that the platform returned all changes to a call that was made when stallCount
+// returned stalls. Callers hold mu.
+func (s *state) confirmUpstreams(now time.Time, stalls uint64) {
+	if stalls == s.confirmation.stalls {
 		s.fleet.Confirmed(now)
 	}
 }
--- a/internal/process/entry/confirmation_test.go
+++ b/internal/process/entry/confirmation_test.go
@@ -49,11 +49,11 @@
 // suspend lets time pass on the clock that runs while the machine is suspended, and on no other.
 func (s *stallState) suspend() { s.clock = s.clock.Add(frozenTime) }
 
-// confirm applies the answer to a call that was made when resumeCount returned resumes.
-func (s *stallState) confirm(resumes uint64, changes ...fleet.Change) {
+// confirm applies the answer to a call that was made when stallCount returned stalls.
+func (s *stallState) confirm(stalls uint64, changes ...fleet.Change) {
 	s.updateFleet(time.Now(), func(f *fleet.Core) {
 		f.Apply(time.Now(), changes)
-		s.confirmUpstreams(time.Now(), resumes)
+		s.confirmUpstreams(time.Now(), stalls)
 	})
 }
 
@@ -78,7 +78,7 @@
 // afterwards was answered, and gets no place at an upstream that has left.
 func TestSuspendedInstanceWaitsForConfirmation(t *testing.T) {
 	s := newStallState()
-	before := s.resumeCount()
+	before := s.stallCount()
 	s.suspend()
 	decision := s.enqueue(time.Now(), testQuery("q"))
 	if d, ok := decided(decision); ok {
@@ -91,7 +91,7 @@
 	if d, ok := decided(decision); ok || s.platformLostFor(time.Now()) < frozenTime {
 		t.Fatalf("%+v, out of date for %v after the answer to a call from before", d, s.platformLostFor(time.Now()))
 	}
-	s.confirm(s.resumeCount(), listedUpstream("a", true))
+	s.confirm(s.stallCount(), listedUpstream("a", true))
 	d, ok := decided(decision)
 	if !ok || d.Choice.Upstream.ID != "b" {
 		t.Errorf("%+v %v, want a place at the upstream that stays", d, ok)
@@ -106,9 +106,9 @@
 func TestStallDuringConfirmation(t *testing.T) {
 	s := newStallState()
 	s.suspend()
-	resumes := s.resumeCount()
+	stalls := s.stallCount()
 	s.suspend()
-	s.confirm(resumes)
+	s.confirm(stalls)
 	if !s.upstreamsUnconfirmed() || s.resumed != 2 {
 		t.Errorf("unconfirmed: %v, resumed %d times", s.upstreamsUnconfirmed(), s.resumed)
 	}
@@ -143,7 +143,7 @@
 	if _, err := s.awaitPlace(ctx, testQuery("q")); err == nil {
 		t.Error("no error for a request that ended")
 	}
-	s.confirm(s.resumeCount())
+	s.confirm(s.stallCount())
 	if n := len(s.waiters); n != 0 || s.waitingCount() != 0 {
 		t.Errorf("%d waiters, %d waiting", n, s.waitingCount())
 	}
@@ -154,14 +154,14 @@
 func TestStallWithoutList(t *testing.T) {
 	s := newStallState()
 	s.forgetUpstreams(time.Now())
-	before := s.resumeCount()
+	before := s.stallCount()
 	s.suspend()
 	d, ok := decided(s.enqueue(time.Now(), testQuery("q")))
 	if !ok || d.Refused != place.NoUpstream {
 		t.Errorf("%+v %v, want a refusal at once", d, ok)
 	}
 	s.awaitConfirmation(context.Background())
-	if s.resumeCount() == before {
+	if s.stallCount() == before {
 		t.Error("the stall wasn't detected")
 	}
 }
@@ -197,7 +197,7 @@
 // upstream that disappeared is kept for a while.
 func TestAnswerFromBeforeStallRemovesNoUpstream(t *testing.T) {
 	s := newStallState()
-	before := s.resumeCount()
+	before := s.stallCount()
 	s.suspend()
 	s.confirm(before, fleet.Change{Kind: fleet.Unlisted, ID: "a"})
 	if _, kept := s.fleet.Get("a"); !kept || !s.fleet.Unconfirmed() {
@@ -395,10 +395,10 @@
 // isPlatformLost reports whether calls to the platform count as failed. It confirms the list first, because an
 // unconfirmed list isn't up to date either.
 func isPlatformLost(s *state) bool {
-	resumes, now := s.resumeCount(), time.Now()
+	stalls, now := s.stallCount(), time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.confirmUpstreams(now, resumes)
+	s.confirmUpstreams(now, stalls)
 	return !s.fleet.UpToDate(now)
 }
 
@@ -432,8 +432,8 @@
 			ctx, cancel := context.WithTimeout(context.Background(), probeInterval+probeInterval/2)
 			defer cancel()
 			e.probePlatform(ctx)
-			if e.state.resumeCount() != 1 || isPlatformLost(e.state) {
-				t.Errorf("%d stalls, lost: %v", e.state.resumeCount(), isPlatformLost(e.state))
+			if e.state.stallCount() != 1 || isPlatformLost(e.state) {
+				t.Errorf("%d stalls, lost: %v", e.state.stallCount(), isPlatformLost(e.state))
 			}
 		})
 	})
@@ -555,12 +555,12 @@
 
 // confirmLeaving confirms the list of upstreams with the change that the upstream of a place is leaving.
 func confirmLeaving(e *Entry, held *heldPlace) {
-	resumes := e.state.resumeCount()
+	stalls := e.state.stallCount()
 	leaving := *held.upstream()
 	leaving.Leaving = true
 	e.updateFleet(func(now time.Time, f *fleet.Core) {
 		f.Put(now, leaving)
-		e.state.confirmUpstreams(now, resumes)
+		e.state.confirmUpstreams(now, stalls)
 	})
 }
 
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -120,11 +120,11 @@
 func (e *Entry) probePlatform(ctx context.Context) {
 	d := &dependency{name: "platform"}
 	for platform.Sleep(ctx, d.probeDelay()) == nil {
-		resumes := e.state.resumeCount()
+		stalls := e.state.stallCount()
 		call, cancel := context.WithTimeout(ctx, probeTimeout)
 		err := e.cfg.PingStore(call)
 		cancel()
-		stalled := e.state.resumeCount() != resumes // a timeout that passed while this process didn't run says nothing
+		stalled := e.state.stallCount() != stalls // a timeout that passed while this process didn't run says nothing
 		if err != nil && ctx.Err() == nil && !stalled {
 			d.recordFailure(err)
 			e.updateFleet(func(_ time.Time, f *fleet.Core) { f.PlatformLost() })
@@ -186,7 +186,7 @@
 	for ctx.Err() == nil {
 		callCtx, release := e.callContext(ctx)
 		next, changes, err := f.step(callCtx, revision, listed, wait)
-		e.state.resumeCount() // cancels callCtx after a stall: a timeout that passed meanwhile says nothing
+		e.state.stallCount() // cancels callCtx after a stall: a timeout that passed meanwhile says nothing
 		switch {
 		case err != nil:
 			wait, failed = watchTimeoutAfterFailure, true
@@ -276,7 +276,7 @@
 // followUpstreams follows the platform's list of upstreams.
 func (e *Entry) followUpstreams(ctx context.Context) {
 	list := func(ctx context.Context) (uint64, error) {
-		resumes := e.state.resumeCount()
+		stalls := e.state.stallCount()
 		entries, revision, err := e.cfg.Upstreams.List(ctx)
 		if err != nil {
 			return 0, err
@@ -286,13 +286,13 @@
 			f.PlatformRestored(now)
 			e.recordUnreadable(f.Replace(now, platform.EraOf(revision), entries))
 			e.state.listed = true
-			e.state.confirmUpstreams(now, resumes)
+			e.state.confirmUpstreams(now, stalls)
 		})
 		logline.Info("upstreams listed", "revision", revision, "count", len(entries))
 		return revision, nil
 	}
 	watch := func(ctx context.Context, from uint64, wait time.Duration) (uint64, int, error) {
-		resumes := e.state.resumeCount()
+		stalls := e.state.stallCount()
 		if e.state.upstreamsUnconfirmed() {
 			wait = 0 // the response confirms the list even if there are no changes
 		}
@@ -305,7 +305,7 @@
 			e.recordUnreadable(f.Apply(now, changes))
 			logUpstreamChanges(f, revision, changes)
 			if len(changes) < fullAnswerChanges { // otherwise more changes may be waiting
-				e.state.confirmUpstreams(now, resumes)
+				e.state.confirmUpstreams(now, stalls)
 			}
 		})
 		return revision, len(changes), nil
--- a/internal/process/entry/heldplace.go
+++ b/internal/process/entry/heldplace.go
@@ -15,7 +15,7 @@
 	grant            place.Grant
 	placer           string    // address of the instance that decided on the place; empty: this instance did
 	placeRequestID   uint64    // id of the place request with which the placer was asked for the place
-	resumes          uint64    // result of resumeCount when the placer was asked
+	stalls           uint64    // result of stallCount when the placer was asked
 	streamReportedAt time.Time // when a stream event was last reported to the placer
 }
 
@@ -32,7 +32,7 @@
 	incarnation := h.upstream().Incarnation()
 	chosenByPeer := h.placer != "" && !e.state.upstreamsListed()
 	switch {
-	case chosenByPeer && h.resumes != e.state.resumeCount():
+	case chosenByPeer && h.stalls != e.state.stallCount():
 		return errStalePlace
 	case !e.state.usable(incarnation) && (!chosenByPeer || e.state.isLeaving(incarnation)):
 		return errLeaving
--- a/internal/process/entry/placementclient.go
+++ b/internal/process/entry/placementclient.go
@@ -149,7 +149,7 @@
 // upstream that this process doesn't know or use, or found none although this process knows some.
 func (q *request) askPlacer(ctx context.Context, to string, query place.Query) (d place.Decision, held *heldPlace, ok bool) {
 	s := q.e.peers
-	resumes := q.e.state.resumeCount()
+	stalls := q.e.state.stallCount()
 	id, answers := s.placementClient.register()
 	defer s.placementClient.unregister(id)
 	for {
@@ -178,7 +178,7 @@
 		case received && !answer.Waiting:
 			d, held, ok = q.acceptAnswer(to, id, &query, answer)
 			if held != nil {
-				held.resumes = resumes
+				held.stalls = stalls
 			}
 			return d, held, ok
 		}
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -14,6 +14,7 @@
 type entry struct {
 	Upstream
 	missing       bool
+	afterStall    bool      // it went missing when the list was confirmed after a stall, and no outage was noticed
 	expiresAt     time.Time // set if missing
 	nextRoleSince time.Time // when the current NextRole was first seen
 }
@@ -255,7 +256,9 @@
 	}
 	if c.mayHaveLapsed(now) && !e.Leaving {
 		e.missing, e.expiresAt = true, c.graceEnd(now)
+		e.afterStall = !c.platformLost && !withinGrace(now, c.restoredAt)
 		c.missingCount++
+		c.version++
 		return
 	}
 	c.delete(now, e)
@@ -356,18 +359,29 @@
 }
 
 // Usable returns the upstreams that may get new work, by service. If several entries have the same
-// address, only the one that started last is included.
+// address, only the one that started last is included. An entry that went missing after a stall is included
+// only if no listed upstream of its service is: it has probably ended, and lapsed only if there was an outage
+// that this process didn't notice.
 func (c *Core) Usable() map[string][]Upstream {
 	newest := make(map[string]int64, len(c.entries)) // latest start, by address
 	for _, e := range c.entries {
 		newest[e.Address] = max(newest[e.Address], e.StartedMS)
 	}
-	out := make(map[string][]Upstream)
+	out, afterStall := make(map[string][]Upstream), make(map[string][]Upstream)
 	for _, e := range c.entries {
-		if !e.Leaving && !e.Changing() && e.StartedMS == newest[e.Address] {
+		switch {
+		case e.Leaving || e.Changing() || e.StartedMS != newest[e.Address]:
+		case e.missing && e.afterStall:
+			afterStall[e.Service] = append(afterStall[e.Service], e.Upstream)
+		default:
 			out[e.Service] = append(out[e.Service], e.Upstream)
 		}
 	}
+	for service, upstreams := range afterStall {
+		if len(out[service]) == 0 {
+			out[service] = upstreams
+		}
+	}
 	return out
 }
 
--- a/internal/process/fleet/resume_test.go
+++ b/internal/process/fleet/resume_test.go
@@ -66,3 +66,27 @@
 		t.Error("an entry that disappeared after the grace is kept")
 	}
 }
+
+// TestUpstreamThatEndedInStallIsNotUsed checks that an upstream whose entry is missing after a stall gets no
+// work while its service has a listed one, because it has probably ended. If all entries of the service are
+// missing, they have probably lapsed in an outage, and stay usable.
+func TestUpstreamThatEndedInStallIsNotUsed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := New()
+	c.Replace(now, 1, []Change{
+		{Kind: Listed, ID: "ended", Upstream: Upstream{ID: "ended", Address: "a:1", Service: "s"}},
+		{Kind: Listed, ID: "stays", Upstream: Upstream{ID: "stays", Address: "b:1", Service: "s"}},
+	})
+	now = now.Add(time.Minute)
+	c.Resumed()
+	version := c.Version()
+	c.Apply(now, []Change{{Kind: Unlisted, ID: "ended"}})
+	c.Confirmed(now)
+	if got := c.Usable()["s"]; len(got) != 1 || got[0].ID != "stays" || c.Version() == version {
+		t.Errorf("usable: %v, version %d after %d", got, c.Version(), version)
+	}
+	c.Apply(now, []Change{{Kind: Unlisted, ID: "stays"}})
+	if got := c.Usable()["s"]; len(got) != 2 {
+		t.Errorf("usable: %v after all entries are missing, want both", got)
+	}
+}
--- a/internal/process/stall/stall.go
+++ b/internal/process/stall/stall.go
@@ -1,5 +1,5 @@
 // Package stall detects that a process did not run for a while: because it was frozen, because its
-// machine was suspended, or because it got no processor time. What such a process believes is as old
+// machine was suspended, or because it got no processor time. What such a process knows is as old
 // as the stall, although none of its calls has failed.
 package stall
 
