Don't count a refused request among those ahead of it

Log lines of requests that were refused in the queue said ahead=1 for a request that waited alone, and an expected wait that counted it twice.

Cause: ahead counts the waiting requests that sort before or equal to the request, and Tick asks while the request is still in the queue.

Change: ahead stops at the request itself. Only log fields of refusals change: decisions ask for requests that aren't in the queue yet.

The new test failed before:

Refused:no place came free in time RetryAfter:2s Details:{Work: Eligible:1 Limited:0 Ahead:1 ...}

--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -110,11 +110,11 @@
 	return len(list) > 0 && list[0].q.compare(q) <= 0
 }
 
-// ahead returns the number of waiting requests that go before q.
+// ahead returns the number of waiting requests that go before q, which may be waiting itself.
 func (r *Queue) ahead(q *Query) int {
 	n := 0
 	for _, w := range r.queues[q.queueName()] {
-		if w.q.compare(q) > 0 {
+		if w.q.ID == q.ID || w.q.compare(q) > 0 {
 			break
 		}
 		n++
--- a/internal/request/place/surge_test.go
+++ b/internal/request/place/surge_test.go
@@ -406,6 +406,23 @@
 	}
 }
 
+// TestRefusedRequestIsNotAheadOfItself guards against a log line of a refusal that counts the refused
+// request among those ahead of it. A request that waited alone was logged as the second in its queue.
+func TestRefusedRequestIsNotAheadOfItself(t *testing.T) {
+	tr := newTestTracker(up("a", "z1", 1))
+	tr.LoadReported(at(0), "a", 9, 9, 1)
+	r := NewQueue(tr)
+	q := query("alone")
+	q.Arrived, q.StartBy = at(0), at(100*time.Millisecond)
+	if _, decided := r.Arrive(at(0), q); decided {
+		t.Fatal("the request doesn't wait")
+	}
+	out := r.Tick(at(110 * time.Millisecond))
+	if len(out) != 1 || out[0].Refused != NoPlaceInTime || out[0].Details.Ahead != 0 {
+		t.Errorf("%+v, want a refusal with no request ahead", out)
+	}
+}
+
 // TestRequestWithExtendedWaitYieldsToTimelyOnes guards against a request that may wait beyond its latest
 // start and then delays a request that can still be in time.
 func TestRequestWithExtendedWaitYieldsToTimelyOnes(t *testing.T) {
