bench/faults: the forwarder waits for a gateway's port; a cut names its connection

Cause: the play's own forwarder between callers and gateway. It accepts a caller, dials the gateway with a timeout of one second, and closes the caller's connection when that passes; the request that the caller has sent lies unread, so the kernel resets the connection. On loopback the handshake itself takes microseconds, but this process has to run within the second to see it. The gateway never had the connection.

Change: the forwarder waits 10 s for the port, which is less than an attempt may take, so a gateway whose port takes no connection is still a miss. It passes a half-close on in place of closing both sides, so that a gateway may end its answer while the caller still sends. A miss that is a cut now names both ports, whether the connection was reused, what was sent and received until when, when it ended, and what ended it at the forwarder. No check is changed.

Tests: TestForwarderWaitsForTarget (a target with a full queue for 1.5 s) failed before: "accept tcp: i/o timeout; forwarder: no connection to the target: dial tcp: i/o timeout". TestForwarderPassesHalfClose, TestMissNamesConnection.

--- a/internal/bench/faults/caller.go
+++ b/internal/bench/faults/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -62,6 +63,7 @@
 	killed  bool    // the gateway was killed before the attempt ended
 	before  int     // executions of the marker before a retry of a keyed request was sent
 	after   int     // executions of the marker after a "not run" answer
+	conn    string  // what happened on the connection, if it ended without an answer
 }
 
 // history records all attempts of one caller for one request.
@@ -82,16 +84,22 @@
 	rng      *rand.Rand
 	inFlight *atomic.Int64 // running attempts of all callers
 	client   http.RoundTripper
+	trace    *connTrace // of the present attempt
 }
 
 // newCaller returns the caller with a number.
 func newCaller(f *fleet, p profile, number int, inFlight *atomic.Int64) *caller {
-	return &caller{
+	c := &caller{
 		f: f, p: p, number: number, kind: mix[number%len(mix)], inFlight: inFlight,
 		rng: rand.New(rand.NewPCG(p.seed, uint64(number))),
-		// On a reused connection the transport could resend a request by itself.
-		client: &http.Transport{DisableKeepAlives: true},
 	}
+	c.client = &http.Transport{
+		DisableKeepAlives: true, // on a reused connection the transport could resend a request by itself
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			return c.trace.dial(ctx, network, address)
+		},
+	}
+	return c
 }
 
 // run sends attempts until an answer is complete or final, or until the attempts
@@ -141,13 +149,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.p.perAttempt)
 	defer cancel()
+	c.trace = newTrace()
 	c.inFlight.Add(1)
-	a.outcome, a.detail = c.send(ctx, a.mark, gateway)
+	a.outcome, a.detail = c.send(c.trace.withTrace(ctx), a.mark, gateway)
 	c.inFlight.Add(-1)
 	if a.outcome != outcomeWhole && ctx.Err() != nil {
 		a.outcome = outcomeLeft
 	}
 	a.killed = c.f.isKilled(gateway)
+	if a.outcome == outcomeCut {
+		a.conn = c.trace.String() + "; " + c.f.gateways[gateway].callers.endOf(c.trace.localAddress())
+	}
 	if a.outcome == outcomeNotRun {
 		a.after = c.f.executions(a.mark)
 	}
--- a/internal/bench/faults/faults_test.go
+++ b/internal/bench/faults/faults_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/service"
 )
@@ -232,3 +235,139 @@
 	l.heal()
 	open()
 }
+
+// TestForwarderWaitsForTarget guards against a caller that is reset by the forwarder, and so looks cut by a
+// living gateway, because the forwarder's connection to the gateway takes over a second to open.
+func TestForwarderWaitsForTarget(t *testing.T) {
+	target, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	_ = target.(*net.TCPListener).SetDeadline(time.Now().Add(testLimit))
+	setBacklog(t, target, 0)
+	filling, err := net.Dial("tcp", target.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer filling.Close()
+	l, err := newLink(target.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.close()
+	c, err := net.Dial("tcp", l.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(testLimit))
+	if _, err := io.WriteString(c, "request"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	setBacklog(t, target, 16)
+	for range 2 {
+		accepted, err := target.Accept()
+		if err != nil {
+			t.Fatalf("%v; %s", err, l.endOf(c.LocalAddr().String()))
+		}
+		defer accepted.Close()
+		_, _ = io.WriteString(accepted, "answer") // that of the first connection isn't read
+	}
+	answer := make([]byte, len("answer"))
+	if _, err := io.ReadFull(c, answer); err != nil || string(answer) != "answer" {
+		t.Errorf("answer %q, %v; forwarder %s", answer, err, l.endOf(c.LocalAddr().String()))
+	}
+}
+
+// setBacklog sets how many connections may wait to be accepted by a listener.
+func setBacklog(t *testing.T, l net.Listener, n int) {
+	t.Helper()
+	raw, err := l.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		controlErr := raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), n) })
+		err = errors.Join(err, controlErr)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestForwarderPassesHalfClose guards against an answer that is lost in the forwarder because the target ends
+// its side while the caller still sends.
+func TestForwarderPassesHalfClose(t *testing.T) {
+	target, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer target.Close()
+	_ = target.(*net.TCPListener).SetDeadline(time.Now().Add(testLimit))
+	l, err := newLink(target.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.close()
+	c, err := net.Dial("tcp", l.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(testLimit))
+	accepted, err := target.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer accepted.Close()
+	if _, err := io.WriteString(accepted, "answer"); err != nil {
+		t.Fatal(err)
+	}
+	if err := accepted.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	_ = accepted.SetDeadline(time.Now().Add(testLimit))
+	received := make(chan int64, 1)
+	go func() {
+		n, _ := io.Copy(io.Discard, accepted)
+		received <- n
+	}()
+	const parts, partBytes = 20, 64 << 10
+	for range parts {
+		time.Sleep(5 * time.Millisecond)
+		if _, err := c.Write(make([]byte, partBytes)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if answer, err := io.ReadAll(c); err != nil || string(answer) != "answer" {
+		t.Errorf("answer %q, %v", answer, err)
+	}
+	c.Close()
+	if n := <-received; n != parts*partBytes {
+		t.Errorf("the target got %d bytes, want %d", n, parts*partBytes)
+	}
+}
+
+// TestMissNamesConnection guards against a note on a cut connection that doesn't tell where and when it ended.
+func TestMissNamesConnection(t *testing.T) {
+	refusing, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing.Close()
+	l, err := newLink(refusing.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.close()
+	f := &fleet{gateways: []*member{{callers: l}}}
+	c := newCaller(f, profile{perAttempt: testLimit, tokens: 1}, 1, &atomic.Int64{})
+	a := c.attempt(context.Background(), "r", 0, 0)
+	if a.outcome != outcomeCut {
+		t.Fatalf("%+v, want a cut connection", a)
+	}
+	for _, part := range []string{l.address, "reused false", "sent ", "received 0 bytes", "ended after", "no connection to the target", "refused"} {
+		if !strings.Contains(a.conn, part) {
+			t.Errorf("%q doesn't tell %q", a.conn, part)
+		}
+	}
+}
--- a/internal/bench/faults/link.go
+++ b/internal/bench/faults/link.go
@@ -1,6 +1,7 @@
 package faults
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -12,8 +13,11 @@
 )
 
 const (
-	anyPort         = "127.0.0.1:0"
-	dialTimeout     = time.Second
+	anyPort = "127.0.0.1:0"
+	// dialTimeout is how long a forwarder waits for the target's port. It is shorter than an attempt may take,
+	// so that a port that takes no connections is noticed, and longer than this process may get no
+	// processor time on a busy machine.
+	dialTimeout     = 10 * time.Second
 	relistenEvery   = 10 * time.Millisecond
 	copyBytes       = 16 << 10
 	streamingWindow = 60 * time.Millisecond // a stream sends a few tokens in this time
@@ -29,12 +33,13 @@
 	mu            sync.Mutex
 	target        string // empty: not known yet
 	listener      net.Listener
-	cuts          int            // cuts and stalls that aren't healed
-	closed        bool           // no new connections are accepted, and the port isn't opened again
-	cutsByDialer  map[string]int // cuts and stalls of single dialers that aren't healed, by the dialer's name
-	pairs         map[*pair]bool // the open connections
-	acceptedCount int            // connections forwarded since the start
-	running       sync.WaitGroup // goroutines of the link
+	cuts          int               // cuts and stalls that aren't healed
+	closed        bool              // no new connections are accepted, and the port isn't opened again
+	cutsByDialer  map[string]int    // cuts and stalls of single dialers that aren't healed, by the dialer's name
+	pairs         map[*pair]bool    // the open connections
+	acceptedCount int               // connections forwarded since the start
+	ends          map[string]string // how each connection ended, by the address of the dialer's end
+	running       sync.WaitGroup    // goroutines of the link
 }
 
 // pair is one forwarded connection: near is the dialer's side, far the target's.
@@ -53,6 +58,9 @@
 
 func (g *gate) open() { close(g.opened) }
 
+// errCutFromDialer ends a connection from a dialer for which the link is cut.
+var errCutFromDialer = errors.New("the link is cut for this dialer")
+
 // waitOpen waits until the gate opens if the connection is stalled.
 func (p *pair) waitOpen() {
 	if g := p.gate.Load(); g != nil {
@@ -86,7 +94,7 @@
 	}
 	l := &link{
 		port: port, address: port.Address(), target: target, identifyDialer: identifyDialer,
-		cutsByDialer: map[string]int{}, pairs: map[*pair]bool{},
+		cutsByDialer: map[string]int{}, pairs: map[*pair]bool{}, ends: map[string]string{},
 	}
 	l.accept(listener)
 	return l, nil
@@ -116,36 +124,72 @@
 	})
 }
 
-// forward dials the target and copies data in both directions until one end closes its
-// connection. It closes a connection at once if the link is cut or the target refuses.
+// forward dials the target and copies data in both directions until both ends have closed their
+// connections for writing, or one connection fails. It closes a connection at once if the link is cut or
+// the target refuses.
 func (l *link) forward(near net.Conn) {
 	l.mu.Lock()
 	target := l.target
 	l.mu.Unlock()
 	far, err := net.DialTimeout("tcp", target, dialTimeout)
 	if err != nil {
+		l.recordEnd(near, "forwarder: no connection to the target: "+err.Error())
 		near.Close()
 		return
 	}
 	p := &pair{near: near, far: far}
 	if !l.add(p) {
+		l.recordEnd(near, "forwarder: the link is cut")
 		p.close()
 		return
 	}
 	defer l.remove(p)
 	var back sync.WaitGroup
 	back.Go(func() {
-		defer p.close()
-		p.copyToDialer()
+		err := p.copyToDialer()
+		l.recordEnd(near, "forwarder: "+far.LocalAddr().String()+" from the target: "+err.Error())
+		p.endDirection(near, err)
 	})
-	l.copyToTarget(p)
-	p.close()
+	err = l.copyToTarget(p)
+	l.recordEnd(near, "forwarder: to the target: "+err.Error())
+	p.endDirection(far, err)
 	back.Wait()
+	p.close()
+}
+
+// endDirection passes the end of what one end sent on to the other end, which may still answer. After any
+// other error it closes both connections.
+func (p *pair) endDirection(to net.Conn, err error) {
+	if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF {
+		if tcp.CloseWrite() == nil {
+			return
+		}
+	}
+	p.close()
+}
+
+// recordEnd records how a connection of a dialer ended. Only its first end counts.
+func (l *link) recordEnd(near net.Conn, how string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if dialer := near.RemoteAddr().String(); l.ends[dialer] == "" {
+		l.ends[dialer] = how
+	}
+}
+
+// endOf returns how the connection from a dialer's address ended.
+func (l *link) endOf(dialer string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if how := l.ends[dialer]; how != "" {
+		return how
+	}
+	return "forwarder: no such connection"
 }
 
 // copyToDialer forwards what the target sends until the target or the dialer closes its
-// connection.
-func (p *pair) copyToDialer() {
+// connection. It returns the error that ended it, like copyToTarget.
+func (p *pair) copyToDialer() error {
 	buffer := make([]byte, copyBytes)
 	for {
 		n, err := p.far.Read(buffer)
@@ -153,19 +197,19 @@
 			p.answered.Store(time.Now().UnixNano())
 			p.waitOpen()
 			if _, werr := p.near.Write(buffer[:n]); werr != nil {
-				return
+				return werr
 			}
 		}
 		if err != nil {
 			p.waitOpen()
-			return
+			return err
 		}
 	}
 }
 
 // copyToTarget forwards what the dialer sends. If the link is cut for this dialer, it
 // returns before it forwards the dialer's first message.
-func (l *link) copyToTarget(p *pair) {
+func (l *link) copyToTarget(p *pair) error {
 	var name *dialerName
 	if l.identifyDialer {
 		name = &dialerName{}
@@ -175,19 +219,19 @@
 		n, err := p.near.Read(buffer)
 		if name != nil && name.feed(buffer[:n]) {
 			if !l.identify(p, name.name) {
-				return
+				return errCutFromDialer
 			}
 			name = nil
 		}
 		if n > 0 {
 			p.waitOpen()
 			if _, werr := p.far.Write(buffer[:n]); werr != nil {
-				return
+				return werr
 			}
 		}
 		if err != nil {
 			p.waitOpen()
-			return
+			return err
 		}
 	}
 }
