Callers' ports: a planned stop cuts no request, and no timeout counts bytes that have arrived

What callers saw, each forced on real sockets and failing on: - ragwort-entry, at SIGTERM: an idle kept connection is closed at once; the request on its way to it ends without an answer. TestRequestOnKeptConnectionIsAnsweredWhileLeaving: "no answer: unexpected EOF". - Both, when the port closes: net/http reads a request to the end of its header and then drops it if its Shutdown has begun. TestRequestThatArrivesWhenThePortClosesIsAnswered (entry, gateway): "no answer: unexpected EOF". - Both, when the port closes: connections that wait to be accepted are reset by the kernel. TestConnectionsThatWaitAreServed, with the port closed at once: "connection reset by peer". - ragwort-entry, at the end of its grace period: requests are aborted and their connections closed in the same moment, so nobody is told. TestRequestAbortedByShutdownIsAnswered: "no answer: unexpected EOF". - Both, when the process stood still past a read deadline (header: 10 and 15 s, idle: 2 minutes, body): the runtime reports the deadline before it looks at the socket, the connection is closed with the request unread, and so reset. TestRequestThatArrivedInTimeIsAnswered, without the change: "connection reset by peer" and "unexpected EOF". The shutdown's limits are read deadlines as well, so this is part of the same change.

Change: internal/connection/caller serves the callers' ports of both. Its listener accepts what waits before it closes. Its connections return what lies in the receive buffer before they report a timeout. Its Shutdown doesn't use net/http's: connections without a request get 200 ms (a new one a second) for one, in a read deadline that the first byte ends; those with one are waited for. While ragwort-entry leaves, idle connections stay open and each answer asks to close, as at the gateway. Aborted requests at the entry have 5% of the grace period to be answered.

A request that is sent when the connection has just been closed, over 200 ms after the port, still gets no answer; HTTP/1.1 leaves that to callers.

--- /dev/null
+++ b/internal/connection/caller/conn.go
@@ -0,0 +1,145 @@
+package caller
+
+import (
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// errNothingReceived means that the receive buffer of a connection is empty.
+var errNothingReceived = errors.New("nothing received")
+
+// tcpConn is what conn needs of a *net.TCPConn.
+type tcpConn interface {
+	net.Conn
+	syscall.Conn
+	CloseWrite() error // used by net/http
+}
+
+// conn is a connection of a caller.
+type conn struct {
+	tcpConn
+	tracker    *tracker
+	acceptedAt time.Time
+	tls        bool // the bytes belong to TLS, and don't tell when a request begins
+
+	mu       sync.Mutex
+	deadline time.Time // for reads, as set by net/http; zero: none
+	limit    time.Time // until which the next request has to begin; zero: no limit of the shutdown
+	waiting  bool      // no byte of the next request was read yet; with TLS: its header wasn't read yet
+	closed   bool      // Close was called
+	ended    bool      // the socket was closed
+}
+
+// newConn returns a connection that was just accepted.
+func newConn(c tcpConn, t *tracker, tls bool) *conn {
+	return &conn{tcpConn: c, tracker: t, tls: tls, acceptedAt: time.Now(), waiting: true}
+}
+
+// Read implements net.Conn. When the deadline passes, it returns what has arrived by then. The deadline may
+// have passed while the process was frozen or had no processor time: a timeout then says nothing about the
+// caller, and a connection that is closed with unread bytes is reset.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.tcpConn.Read(p)
+	if n == 0 && len(p) > 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.readAborted() {
+		m, receiveErr := receive(c.tcpConn, p, consume)
+		if receiveErr != errNothingReceived {
+			n, err = m, receiveErr
+		}
+	}
+	if n > 0 && !c.tls {
+		c.requestBegan()
+	}
+	return n, err
+}
+
+// readAborted reports whether the deadline was set to end a pending read at once. For that, net/http uses
+// a time at the beginning of Unix time.
+func (c *conn) readAborted() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.deadline.IsZero() && c.deadline.Unix() <= 1
+}
+
+// requestBegan ends the limit for the beginning of the next request.
+func (c *conn) requestBegan() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	if c.limit.IsZero() {
+		return
+	}
+	c.limit = time.Time{}
+	_ = c.tcpConn.SetReadDeadline(c.deadline) // fails only if the connection is closed, which the next read shows
+}
+
+// waitForRequest is called when the answer to a request is complete: the connection waits for the next one.
+func (c *conn) waitForRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = true
+}
+
+// closeUnlessUsed has net/http close the connection if no further request begins soon after now.
+func (c *conn) closeUnlessUsed(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting || c.closed {
+		return
+	}
+	c.limit = now.Add(nextRequestTimeout)
+	if first := c.acceptedAt.Add(firstRequestTimeout); c.limit.Before(first) {
+		c.limit = first
+	}
+	_ = c.setReadDeadline() // fails only if the connection is closed
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return c.setReadDeadline()
+}
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	if err := c.SetReadDeadline(t); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(t)
+}
+
+// setReadDeadline sets the earlier of deadline and limit. It is called with mu held.
+func (c *conn) setReadDeadline() error {
+	t := c.deadline
+	if !c.limit.IsZero() && (t.IsZero() || c.limit.Before(t)) {
+		t = c.limit
+	}
+	return c.tcpConn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	return c.end()
+}
+
+// end closes the socket.
+func (c *conn) end() error {
+	c.mu.Lock()
+	first := !c.ended
+	c.ended = true
+	c.mu.Unlock()
+	err := c.tcpConn.Close()
+	if first {
+		c.tracker.remove(c)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/connection/caller/tracker.go
@@ -0,0 +1,48 @@
+package caller
+
+import "sync"
+
+// tracker holds the open connections of a port.
+type tracker struct {
+	mu    sync.Mutex
+	conns map[*conn]bool
+}
+
+func newTracker() *tracker { return &tracker{conns: make(map[*conn]bool)} }
+
+func (t *tracker) add(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.conns[c] = true
+}
+
+func (t *tracker) remove(c *conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, c)
+}
+
+// open returns the open connections.
+func (t *tracker) open() []*conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*conn, 0, len(t.conns))
+	for c := range t.conns {
+		out = append(out, c)
+	}
+	return out
+}
+
+// count returns the number of open connections.
+func (t *tracker) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.conns)
+}
+
+// closeAll closes all connections at once.
+func (t *tracker) closeAll() {
+	for _, c := range t.open() {
+		c.end()
+	}
+}
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"log"
-	"maps"
-	"net"
 	"net/http"
 	"os"
 	"runtime/debug"
@@ -16,13 +14,13 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/caller"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 )
 
 const (
@@ -73,7 +71,7 @@
 	kvLostAt        atomic.Pointer[time.Time] // when a KV cache was last found to be gone; nil: never
 
 	exporter       *metrics.Exporter
-	callerServer   *http.Server
+	callerServer   *caller.Server
 	readyServer    *http.Server
 	operatorServer *http.Server
 
@@ -117,7 +115,7 @@
 	if cfg.Engines != nil {
 		cfg.Engines.OnResponse(e.handleOwnCallNotices)
 	}
-	e.callerServer = e.newServer(e.callerHandler())
+	e.callerServer = caller.NewServer(e.newServer(e.callerHandler()))
 	e.readyServer = e.newServer(e.readyHandler())
 	e.operatorServer = e.newServer(e.operatorsHandler())
 	return e
@@ -214,20 +212,17 @@
 	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Limits.MemoryMB<<20)))
 	workCtx := e.workCtx
 	defer e.cancelWork()
-	servers, err := e.listen()
-	if err != nil {
+	var ports listeners
+	if err := ports.open(s.Listen); err != nil {
 		return err
 	}
 	if s.Listen.Peers != "" {
 		if err := e.startPeerExchange(workCtx); err != nil { // before anything that sends to other instances
-			closeListeners(servers)
+			ports.close(s.Listen)
 			return err
 		}
 	}
-	failed := make(chan error, len(servers))
-	for server, l := range servers {
-		e.spawn(func() { failed <- e.serveListener(server, l) })
-	}
+	failed := e.servePorts(&ports)
 	e.followPlatform(workCtx)
 	e.spawn(func() { e.pollHolds(workCtx) })
 	e.spawn(func() { e.holds.DeleteExpired(workCtx, e.removesExpiredHolds) })
@@ -244,6 +239,7 @@
 	e.spawn(func() { e.watchSettings(workCtx) })
 	logline.Info("entry started", "instance", s.Instance.Name, "zone", s.Instance.Zone,
 		"callers", s.Listen.Callers, "ready", s.Listen.Ready, "store", s.Store)
+	var err error
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
@@ -257,44 +253,6 @@
 	return errors.Wrap(err, "serving")
 }
 
-// listen opens the ports for callers, the readiness check and operators, or none of them. It returns the
-// listener of each server that has an address. An error names the setting and its address.
-func (e *Entry) listen() (map[*http.Server]net.Listener, error) {
-	s := e.cfg.Settings.Listen
-	var callers, ready, operators net.Listener
-	var ports []daemon.Port
-	for _, p := range []daemon.Port{
-		{Field: "listen.callers", Settings: settings.Listener{Address: s.Callers}, Listener: &callers},
-		{Field: "listen.ready", Settings: settings.Listener{Address: s.Ready}, Listener: &ready},
-		{Field: "listen.operators", Settings: settings.Listener{Address: s.Operators}, Listener: &operators},
-	} {
-		if p.Settings.Address != "" {
-			ports = append(ports, p)
-		}
-	}
-	if err := daemon.Listen(ports...); err != nil {
-		return nil, err
-	}
-	servers := map[*http.Server]net.Listener{e.callerServer: callers, e.readyServer: ready, e.operatorServer: operators}
-	maps.DeleteFunc(servers, func(_ *http.Server, l net.Listener) bool { return l == nil })
-	return servers, nil
-}
-
-// closeListeners closes the listeners of servers that haven't begun to serve.
-func closeListeners(servers map[*http.Server]net.Listener) {
-	for _, l := range servers {
-		_ = l.Close()
-	}
-}
-
-// serveListener serves until the server is closed, which is no error.
-func (e *Entry) serveListener(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 // spawn runs f in a goroutine that Run waits for.
 func (e *Entry) spawn(f func()) {
 	e.goroutines.Add(1)
--- /dev/null
+++ b/internal/process/entry/listen.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/caller"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+)
+
+// listeners holds the open ports for callers, the readiness check and operators. A port without an address in
+// the settings is nil.
+type listeners struct {
+	callers   *caller.Listener
+	ready     net.Listener
+	operators net.Listener
+}
+
+// open opens all ports that have an address, or none. An error names the setting and its address.
+func (l *listeners) open(s settings.EntryListen) error {
+	if s.Callers != "" {
+		var err error
+		if l.callers, err = caller.Listen(s.Callers); err != nil {
+			return errors.Wrap(err, "listen.callers")
+		}
+	}
+	err := daemon.Listen(l.ports(s)...)
+	if err != nil && l.callers != nil {
+		_ = l.callers.Close()
+	}
+	return err
+}
+
+// close closes all ports.
+func (l *listeners) close(s settings.EntryListen) {
+	if l.callers != nil {
+		_ = l.callers.Close()
+	}
+	daemon.Close(l.ports(s)...)
+}
+
+// ports describes the other ports than the callers' for package daemon.
+func (l *listeners) ports(s settings.EntryListen) []daemon.Port {
+	var ports []daemon.Port
+	if s.Ready != "" {
+		ports = append(ports, daemon.Port{Field: "listen.ready", Settings: settings.Listener{Address: s.Ready}, Listener: &l.ready})
+	}
+	if s.Operators != "" {
+		ports = append(ports, daemon.Port{Field: "listen.operators", Settings: settings.Listener{Address: s.Operators}, Listener: &l.operators})
+	}
+	return ports
+}
+
+// servePorts serves the open ports. The result of each server is sent on the returned channel when it ends.
+func (e *Entry) servePorts(l *listeners) <-chan error {
+	ended := make(chan error, 3)
+	if l.callers != nil {
+		e.spawn(func() { ended <- e.callerServer.Serve(l.callers, nil) })
+	}
+	if l.ready != nil {
+		e.spawn(func() { ended <- e.serveListener(e.readyServer, l.ready) })
+	}
+	if l.operators != nil {
+		e.spawn(func() { ended <- e.serveListener(e.operatorServer, l.operators) })
+	}
+	return ended
+}
+
+// serveListener serves until the server is closed, which is no error.
+func (e *Entry) serveListener(server *http.Server, l net.Listener) error {
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- a/internal/process/entry/peersockets_test.go
+++ b/internal/process/entry/peersockets_test.go
@@ -133,9 +133,8 @@
 		t.Fatal(err)
 	}
 	defer free()
-	s := &settings.Entry{Listen: settings.EntryListen{Callers: callers, Ready: taken}}
-	s.SetDefaults()
-	_, err = New(Config{Settings: s}).listen()
+	var ports listeners
+	err = ports.open(settings.EntryListen{Callers: callers, Ready: taken})
 	if err == nil || !strings.Contains(err.Error(), "listen.ready") || !strings.Contains(err.Error(), taken) {
 		t.Errorf("error %v, want one with listen.ready and %s", err, taken)
 	}
--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -21,8 +21,11 @@
 	// the grace period would be aborted before it is complete.
 	acceptShare = 0.33
 	// hardStopShare is the share of the grace period after which running requests are aborted. The end of
-	// that time is in the last sixth of the grace period, and leaves time to close the connections.
+	// that time is in the last sixth of the grace period.
 	hardStopShare = 0.92
+	// abortShare is the share of the grace period in which aborted requests are answered. After that, all
+	// connections are closed.
+	abortShare = 0.05
 )
 
 // stopTimes returns when a stopping process stops accepting requests (closeAt), and when it aborts the
@@ -32,26 +35,36 @@
 	return closeAt, requestedAt.Add(time.Duration(float64(grace) * hardStopShare))
 }
 
-// stop shuts down gracefully. The load balancer's readiness check fails at once, and callers are asked to
-// close their connections. New requests are accepted, and running ones may finish, for the times that
-// stopTimes returns.
+// stop shuts down gracefully. The load balancer's readiness check fails at once, and each answer asks its
+// caller to close the connection. New requests are accepted, and running ones may finish, for the times
+// that stopTimes returns. Connections on which no request arrives stay open as long as new requests are
+// accepted: a request on its way to a connection that is closed would get no answer.
 func (e *Entry) stop() {
 	startedAt := time.Now()
 	grace := e.liveSettings.Load().bounds.StopGracePeriod()
 	e.stage.Store(stageLeaving)
-	e.callerServer.SetKeepAlivesEnabled(false)
+	e.callerServer.AskToClose()
 	logline.Info("entry stopping", "running", e.activeRequests.Count(), "grace", grace)
 	e.peers.announceStop()
 	closeAt, endAt := stopTimes(startedAt, grace)
 	time.Sleep(time.Until(closeAt))
-	ctx, cancel := context.WithDeadline(context.Background(), endAt)
-	defer cancel()
-	if err := e.callerServer.Shutdown(ctx); err != nil {
+	if err := e.shutdownCallers(endAt); err != nil {
 		logline.Info("bound on stopping reached", "running", e.activeRequests.Count(), "error", err)
 		e.cancelHardStop()
-		e.callerServer.Close()
+		if err := e.shutdownCallers(time.Now().Add(time.Duration(float64(grace) * abortShare))); err != nil {
+			logline.Info("callers' connections closed", "running", e.activeRequests.Count(), "error", err)
+		}
 	}
+	e.callerServer.Close()
 	e.stage.Store(stageStopped)
 	e.readyServer.Close()
 	e.operatorServer.Close()
 }
+
+// shutdownCallers waits until the end of all requests and connections of callers, until the given time at
+// most.
+func (e *Entry) shutdownCallers(until time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	return e.callerServer.Shutdown(ctx)
+}
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/caller"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
@@ -62,7 +63,7 @@
 	claims     claim.Requester
 	holds      *holds.Keeper
 
-	callers *http.Server
+	callers *caller.Server
 	ops     *ops.Server
 
 	stage          atomic.Int32    // stage of the graceful shutdown, one of stageServing to stageStopped
@@ -89,14 +90,14 @@
 	if err := g.openStore(keys); err != nil {
 		return nil, err
 	}
-	if err := daemon.Listen(g.listeners.ports(cfg.Settings)...); err != nil {
+	if err := g.listeners.open(cfg.Settings); err != nil {
 		g.closeStore()
 		return nil, err
 	}
 	g.abortCtx, g.abort = context.WithCancel(context.Background())
 	g.background, g.stopBackground = context.WithCancel(context.Background())
 	if err := g.initPeerServices(keys); err != nil {
-		daemon.Close(g.listeners.ports(cfg.Settings)...)
+		g.listeners.close(cfg.Settings)
 		g.closeStore()
 		return nil, err
 	}
@@ -107,12 +108,12 @@
 	g.engines = newEnginePool(cfg.Engine, 0)
 	g.services = upstream.NewServices(upstream.HTTPOptions{})
 	g.poller = newPoller(g)
-	g.callers = &http.Server{
+	g.callers = caller.NewServer(&http.Server{
 		Handler:           g.callerHandler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0), // errors of requests are in their log lines
-	}
+	})
 	g.ops = ops.New(ops.Config{Source: opsSource{g}, Metrics: g.exporter.Handler(), Key: keys.Operators})
 	return g, nil
 }
@@ -236,11 +237,7 @@
 
 // serveCallers serves the callers' port. It returns nil if the server ended because of a shutdown.
 func (g *Gateway) serveCallers() error {
-	err := g.callers.Serve(g.listeners.callers)
-	if errors.Is(err, http.ErrServerClosed) || g.stage.Load() != stageServing {
-		return nil
-	}
-	return errors.Wrap(err, "serve callers' port")
+	return errors.Wrap(g.callers.Serve(g.listeners.callers, g.listeners.callerTLS), "serve callers' port")
 }
 
 // queueLoop repeats the admission decisions every admit.TickInterval while calls wait in the queue.
--- a/internal/process/gateway/listen.go
+++ b/internal/process/gateway/listen.go
@@ -1,9 +1,13 @@
 package gateway
 
 import (
+	"crypto/tls"
 	"net"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/caller"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 )
@@ -16,15 +20,37 @@
 
 // listeners holds the open ports of a gateway: for callers, operators and peers.
 type listeners struct {
-	callers   net.Listener
+	callers   *caller.Listener
+	callerTLS *tls.Config // nil: plain TCP
 	operators net.Listener
 	peers     net.Listener
 }
 
-// ports describes the ports for daemon.Listen, which sets the listeners. Field names the setting in errors.
+// open opens all ports or none. The error names the setting of a port that can't be opened.
+func (l *listeners) open(s *settings.Gateway) error {
+	var err error
+	if l.callerTLS, err = s.Listen.TLS.Server(); err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	if l.callers, err = caller.Listen(s.Listen.Address); err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	if err = daemon.Listen(l.ports(s)...); err != nil {
+		l.callers.Close()
+	}
+	return err
+}
+
+// close closes all ports.
+func (l *listeners) close(s *settings.Gateway) {
+	l.callers.Close()
+	daemon.Close(l.ports(s)...)
+}
+
+// ports describes the other ports than the callers' for daemon.Listen, which sets the listeners. Field names
+// the setting in errors.
 func (l *listeners) ports(s *settings.Gateway) []daemon.Port {
 	return []daemon.Port{
-		{Field: "listen", Settings: s.Listen, Listener: &l.callers},
 		{Field: "operators.listen", Settings: s.Operators.Listen, Listener: &l.operators},
 		{Field: "peer.listen", Settings: s.Peer.Listen, Listener: &l.peers},
 	}
--- a/internal/process/gateway/middleware.go
+++ b/internal/process/gateway/middleware.go
@@ -10,16 +10,13 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 )
 
-// requestMiddleware wraps every handler of the callers' port. It counts the requests in flight, closes
-// connections during a graceful shutdown, recovers panics and writes errors. A panic is answered as an
+// requestMiddleware wraps every handler of the callers' port. It counts the requests in flight,
+// recovers panics and writes errors. A panic is answered as an
 // internal error whose run state is unknown. http.ErrAbortHandler is passed on to net/http.
 func (g *Gateway) requestMiddleware(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) (err error) {
 		g.inFlight.Begin()
 		defer g.inFlight.End()
-		if g.stage.Load() != stageServing {
-			c.Response().Header().Set("Connection", "close")
-		}
 		defer func() {
 			if p := recover(); p != nil {
 				if p == http.ErrAbortHandler {
--- a/internal/process/gateway/stop.go
+++ b/internal/process/gateway/stop.go
@@ -20,9 +20,8 @@
 
 // Timeouts of a graceful shutdown in addition to those of the settings.
 const (
-	claimCloseTimeout = 2 * time.Second        // for claim requests of peers
-	shutdownTimeout   = 5 * time.Second        // for error answers after the drain timeout, and for closing servers
-	idleConnGrace     = 200 * time.Millisecond // for a last request on an idle connection after the listener closed
+	claimCloseTimeout = 2 * time.Second // for claim requests of peers
+	shutdownTimeout   = 5 * time.Second // for error answers after the drain timeout, and for closing servers
 )
 
 // stop shuts the gateway down gracefully. Readiness fails first, so that the load balancer
@@ -32,32 +31,28 @@
 func (g *Gateway) stop() {
 	s := g.cfg.Settings.Stop
 	g.stage.Store(stageLeaving)
+	g.callers.AskToClose()
 	logline.Info("gateway stopping", "running", g.inFlight.Count())
 	time.Sleep(time.Duration(s.BalancerMS) * time.Millisecond)
 	g.stage.Store(stageDraining)
-	g.listeners.callers.Close()
 	g.members.SetLeaving()
-	if !g.waitInFlight(time.Duration(s.DrainMS) * time.Millisecond) {
-		logline.Info("bound on draining reached", "running", g.inFlight.Count())
+	if err := g.shutdownCallers(time.Duration(s.DrainMS) * time.Millisecond); err != nil {
+		logline.Info("bound on draining reached", "running", g.inFlight.Count(), "error", err)
 		g.abort()
-		g.waitInFlight(shutdownTimeout)
+		if err := g.shutdownCallers(shutdownTimeout); err != nil {
+			logline.Info("callers' connections closed", "running", g.inFlight.Count(), "error", err)
+		}
 	}
 	g.shutdown()
 	g.stage.Store(stageStopped)
 	logline.Info("gateway stopped")
 }
 
-// waitInFlight waits until no request is in flight and returns false on timeout. After that it waits for
-// idleConnGrace and once more until no request is in flight, because callers may have sent requests on idle
-// connections before they noticed the shutdown.
-func (g *Gateway) waitInFlight(timeout time.Duration) bool {
+// shutdownCallers closes the callers' port and waits until the end of all requests and connections of callers.
+func (g *Gateway) shutdownCallers(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	if !g.inFlight.Wait(ctx) {
-		return false
-	}
-	_ = sleep(ctx, idleConnGrace)
-	return g.inFlight.Wait(ctx)
+	return g.callers.Shutdown(ctx)
 }
 
 // shutdown closes the servers and connections that are still open, in the reverse order of their start, and
@@ -65,9 +60,7 @@
 func (g *Gateway) shutdown() {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
-	if err := g.callers.Shutdown(ctx); err != nil {
-		g.callers.Close()
-	}
+	g.callers.Close()
 	g.keeper.Close(claimCloseTimeout)
 	g.config.Close()
 	g.stopBackground()
