Callers' ports: a caller that still sends gets the answer, and isn't reset

What callers saw: a refusal (or any answer) that is given before the request's body has come whole is followed by the close of a connection with bytes unread, or to which bytes still come. The kernel resets it: the caller's writes fail with "broken pipe" or "connection reset by peer", and many clients then never look for the answer. net/http waits half a second after a half-close, and not at all if the caller said Connection: close; ragwort-entry read nothing of the body of most refusals, the gateway 1 MB for a second.

Evidence, on: TestRefusalReachesCallerThatStillSends in entry (1 MB in 1 s, 503) and gateway (4 MB in 2 s, 401), with Connection: close and keep-alive: all four "sending: write: broken pipe".

Change: if the last request wasn't read to its end, Close of a caller's connection half-closes it after the answer, and discards what still comes in the background until the caller closes, for 5 s and 16 MB at most. An answer that broke off isn't followed by that. Server.Close and the limits of a graceful shutdown end it. The drains before and after refusals stay, as they keep connections usable.

Tests: the two above; TestAnswerReachesCallerThatStillSends (six ways), TestLingeringEnds, TestKeptConnectionIsNotLingeredFor, TestAbortedAnswerIsNotLingeredFor. Without the half-close five of the six ways fail ("broken pipe", "connection reset by peer").

--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -5,11 +5,13 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -201,6 +203,128 @@
 // answering answers every request at once, without reading its body.
 var answering = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTooManyRequests) })
 
+// TestAnswerReachesCallerThatStillSends guards against the reset of a connection whose caller still sends a
+// request that is already answered. The reset makes the caller's writes fail, and the caller's kernel may
+// drop the answer.
+func TestAnswerReachesCallerThatStillSends(t *testing.T) {
+	const parts, partBytes = 32, 32 << 10
+	request := func(header string) string { return "POST / HTTP/1.1\r\nHost: example.com\r\n" + header + "\r\n" }
+	length := fmt.Sprintf("Content-Length: %d\r\n", parts*partBytes)
+	tests := map[string]struct {
+		head   string
+		status int
+	}{
+		"caller closes":     {request("Connection: close\r\n" + length), http.StatusTooManyRequests},
+		"caller keeps open": {request(length), http.StatusTooManyRequests},
+		"chunked":           {request("Transfer-Encoding: chunked\r\n") + "1000000\r\n", http.StatusTooManyRequests},
+		"chunked, closes":   {request("Connection: close\r\nTransfer-Encoding: chunked\r\n") + "1000000\r\n", http.StatusTooManyRequests},
+		"bad header":        {request("Content-Length: many\r\n"), http.StatusBadRequest},
+		"long header":       {"POST / HTTP/1.1\r\nHost: example.com\r\nX: ", http.StatusRequestHeaderFieldsTooLarge},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newTestServer(t, &http.Server{Handler: answering, MaxHeaderBytes: 16 << 10})
+			s.start(nil)
+			c := s.dial()
+			c.send(test.head)
+			for range parts {
+				c.send(strings.Repeat("x", partBytes))
+				time.Sleep(30 * time.Millisecond)
+			}
+			c.wantAnswer(test.status)
+			c.wantEnd()
+		})
+	}
+}
+
+// TestLingeringEnds guards against connections that stay half-closed for as long as their callers want, and
+// against a Close of the server that waits for them.
+func TestLingeringEnds(t *testing.T) {
+	head := "POST / HTTP/1.1\r\nHost: example.com\r\nConnection: close\r\nContent-Length: 1000000000\r\n\r\n"
+	t.Run("after some time", func(t *testing.T) {
+		t.Parallel()
+		s := newTestServer(t, &http.Server{Handler: answering})
+		s.start(nil)
+		c := s.dial()
+		c.send(head)
+		c.wantAnswer(http.StatusTooManyRequests)
+		eventually(t, "the connection is closed", func() bool { return s.tracker.count() == 0 })
+	})
+	t.Run("after some bytes", func(t *testing.T) {
+		t.Parallel()
+		s := newTestServer(t, &http.Server{Handler: answering})
+		s.start(nil)
+		c := s.dial()
+		c.send(head)
+		sent := 0
+		for part := []byte(strings.Repeat("x", 1<<20)); sent < 1000; sent++ {
+			if _, err := c.Write(part); err != nil {
+				break
+			}
+		}
+		if sent < lingerBytes>>20 || sent == 1000 {
+			t.Errorf("%d MB could be sent, limit %d bytes", sent, lingerBytes)
+		}
+	})
+	t.Run("by Close", func(t *testing.T) {
+		t.Parallel()
+		s := newTestServer(t, &http.Server{Handler: answering})
+		s.start(nil)
+		c := s.dial()
+		c.send(head)
+		c.wantAnswer(http.StatusTooManyRequests)
+		c.wantEnd()
+		s.Close()
+		if n := s.tracker.count(); n != 0 {
+			t.Errorf("%d connections after Close", n)
+		}
+	})
+}
+
+// TestKeptConnectionIsNotLingeredFor guards against a shutdown that waits for a caller whose request was read
+// to its end by net/http only, and which doesn't close its idle connection.
+func TestKeptConnectionIsNotLingeredFor(t *testing.T) {
+	s := newTestServer(t, &http.Server{Handler: answering})
+	s.start(nil)
+	c := s.dial()
+	c.send("POST / HTTP/1.1\r\nHost: example.com\r\nContent-Length: 4\r\n\r\nbody")
+	c.wantAnswer(http.StatusTooManyRequests)
+	began := time.Now()
+	if err := <-s.shutdown(testTimeout); err != nil {
+		t.Errorf("Shutdown: %v", err)
+	}
+	if took := time.Since(began); took >= lingerTimeout {
+		t.Errorf("Shutdown took %v", took)
+	}
+}
+
+// TestAbortedAnswerIsNotLingeredFor guards against an answer that broke off whose connection stays open.
+func TestAbortedAnswerIsNotLingeredFor(t *testing.T) {
+	s := newTestServer(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		_, _ = io.WriteString(w, "a part")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})})
+	s.start(nil)
+	c := s.dial()
+	c.send("POST / HTTP/1.1\r\nHost: example.com\r\nContent-Length: 1000000\r\n\r\nx")
+	began := time.Now()
+	resp, err := http.ReadResponse(c.answers, nil)
+	if err == nil {
+		defer resp.Body.Close()
+		_, err = io.ReadAll(resp.Body)
+	}
+	if err == nil {
+		t.Error("the answer looks complete")
+	}
+	eventually(t, "the connection is closed", func() bool { return s.tracker.count() == 0 })
+	if took := time.Since(began); took >= lingerTimeout {
+		t.Errorf("closed after %v", took)
+	}
+}
+
 // TestReadAfterDeadline guards against a timeout for bytes that arrived before the deadline and weren't read
 // in time, because the process didn't run. A deadline that aborts a read, and one before which nothing
 // arrived, has to be a timeout.
--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -10,6 +10,15 @@
 	"github.com/pkg/errors"
 )
 
+const (
+	// lingerTimeout and lingerBytes limit how long and how much a half-closed connection may still send.
+	// The time is enough for a caller on a slow link to notice the answer and to stop sending.
+	lingerTimeout = 5 * time.Second
+	lingerBytes   = 16 << 20
+	// lingerBufferBytes is the size of the buffer into which discarded bytes are read.
+	lingerBufferBytes = 32 << 10
+)
+
 // errNothingReceived means that the receive buffer of a connection is empty.
 var errNothingReceived = errors.New("nothing received")
 
@@ -17,7 +26,7 @@
 type tcpConn interface {
 	net.Conn
 	syscall.Conn
-	CloseWrite() error // used by net/http
+	CloseWrite() error
 }
 
 // conn is a connection of a caller.
@@ -31,6 +40,9 @@
 	deadline time.Time // for reads, as set by net/http; zero: none
 	limit    time.Time // until which the next request has to begin; zero: no limit of the shutdown
 	waiting  bool      // no byte of the next request was read yet; with TLS: its header wasn't read yet
+	wrote    bool      // a part of an answer was written
+	unread   bool      // the last request wasn't read to its end
+	aborted  bool      // the answer broke off
 	closed   bool      // Close was called
 	ended    bool      // the socket was closed
 }
@@ -65,11 +77,14 @@
 	return !c.deadline.IsZero() && c.deadline.Unix() <= 1
 }
 
-// requestBegan ends the limit for the beginning of the next request.
+// requestBegan ends the limit for the beginning of the next request. Until endRequest, the request counts as
+// unread: net/http answers one that is malformed without calling the handler.
 func (c *conn) requestBegan() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = false
+	if c.waiting {
+		c.waiting, c.unread = false, true
+	}
 	if c.limit.IsZero() {
 		return
 	}
@@ -82,6 +97,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = true
+	c.unread = false // net/http has read the rest of the body, or it wouldn't keep the connection
 }
 
 // closeUnlessUsed has net/http close the connection if no further request begins soon after now.
@@ -123,12 +139,72 @@
 	return c.tcpConn.SetReadDeadline(t)
 }
 
-// Close implements net.Conn.
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.tcpConn.Write(p)
+	if n > 0 {
+		c.mu.Lock()
+		c.wrote = true
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// endRequest records whether the body of a request wasn't read to its end, and whether its answer broke off.
+func (c *conn) endRequest(unread, aborted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unread, c.aborted = unread, aborted
+}
+
+// CloseWrite half-closes the connection. net/http calls it if the request wasn't read to its end.
+func (c *conn) CloseWrite() error {
+	c.mu.Lock()
+	c.unread = true
+	c.mu.Unlock()
+	return c.tcpConn.CloseWrite()
+}
+
+// Close implements net.Conn. If the caller may still be sending a request that was answered, Close only
+// half-closes the connection and discards in the background what arrives, until the caller closes the
+// connection or a limit is reached. Closing the socket at once would reset the connection, and the reset
+// makes the caller's kernel drop the part of the answer that the caller hasn't read.
 func (c *conn) Close() error {
 	c.mu.Lock()
+	first := !c.closed
 	c.closed = true
+	lingers := first && c.wrote && !c.aborted && (c.unread || c.hasReceived()) && !c.tracker.forced()
 	c.mu.Unlock()
-	return c.end()
+	if !lingers {
+		return c.end()
+	}
+	if err := c.tcpConn.CloseWrite(); err != nil {
+		return c.end()
+	}
+	if err := c.tcpConn.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
+		return c.end()
+	}
+	go c.linger()
+	return nil
+}
+
+// hasReceived reports whether bytes of the caller lie in the receive buffer.
+func (c *conn) hasReceived() bool {
+	n, _ := receive(c.tcpConn, make([]byte, 1), peek)
+	return n > 0
+}
+
+// linger discards what arrives, and then closes the socket.
+func (c *conn) linger() {
+	defer c.end()
+	buffer := make([]byte, lingerBufferBytes)
+	for total := 0; total < lingerBytes; {
+		n, err := c.tcpConn.Read(buffer)
+		if err != nil {
+			return
+		}
+		total += n
+	}
 }
 
 // end closes the socket.
--- a/internal/connection/caller/handler.go
+++ b/internal/connection/caller/handler.go
@@ -1,8 +1,12 @@
 package caller
 
-import "net/http"
+import (
+	"io"
+	"net/http"
+	"sync/atomic"
+)
 
-// handler asks callers to close their connections while the server is leaving.
+// handler records for the connection of each request whether the body was read to its end.
 type handler struct {
 	server *Server
 	next   http.Handler
@@ -13,5 +17,38 @@
 	if h.server.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	h.next.ServeHTTP(w, r)
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok || c == nil {
+		h.next.ServeHTTP(w, r)
+		return
+	}
+	body := &trackedBody{ReadCloser: r.Body}
+	body.ended.Store(r.Body == nil || r.Body == http.NoBody)
+	returned := false
+	defer func() {
+		// After a panic, the answer is incomplete and the connection is closed to show that.
+		c.endRequest(!body.ended.Load(), !returned)
+	}()
+	// net/http checks the type of the body of its own request.
+	tracked := r.WithContext(r.Context())
+	if r.Body != nil && r.Body != http.NoBody {
+		tracked.Body = body
+	}
+	h.next.ServeHTTP(w, tracked)
+	returned = true
+}
+
+// trackedBody is a request body that records whether it was read to its end.
+type trackedBody struct {
+	io.ReadCloser
+	ended atomic.Bool
+}
+
+// Read implements io.Reader.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.ended.Store(true)
+	}
+	return n, err
 }
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -36,6 +36,9 @@
 func NewServer(settings *http.Server) *Server {
 	s := &Server{http: settings, tracker: newTracker(), served: make(chan struct{})}
 	settings.Handler = &handler{server: s, next: settings.Handler}
+	settings.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, callerConn(c))
+	}
 	settings.ConnState = s.connStateChanged
 	return s
 }
@@ -117,6 +120,9 @@
 	}
 }
 
+// connKey is the key of a request's *conn in its context.
+type connKey struct{}
+
 // callerConn returns the connection below c, which may be a TLS connection; nil: it is none of a Listener.
 func callerConn(c net.Conn) *conn {
 	if over, ok := c.(*tls.Conn); ok {
--- a/internal/connection/caller/tracker.go
+++ b/internal/connection/caller/tracker.go
@@ -6,6 +6,7 @@
 type tracker struct {
 	mu    sync.Mutex
 	conns map[*conn]bool
+	force bool // connections are closed at once from now on
 }
 
 func newTracker() *tracker { return &tracker{conns: make(map[*conn]bool)} }
@@ -40,8 +41,18 @@
 	return len(t.conns)
 }
 
+// forced reports whether connections are to be closed at once.
+func (t *tracker) forced() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.force
+}
+
 // closeAll closes all connections at once.
 func (t *tracker) closeAll() {
+	t.mu.Lock()
+	t.force = true
+	t.mu.Unlock()
 	for _, c := range t.open() {
 		c.end()
 	}
--- a/internal/process/entry/callers_test.go
+++ b/internal/process/entry/callers_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,6 +77,24 @@
 	return resp
 }
 
+// TestRefusalReachesCallerThatStillSends guards against a connection that is reset under a caller which still
+// sends the body of a refused request: such a caller may never see the refusal.
+func TestRefusalReachesCallerThatStillSends(t *testing.T) {
+	for _, connection := range []string{"close", "keep-alive"} {
+		t.Run(connection, func(t *testing.T) {
+			_, address := startCallersPort(t, 1500*time.Millisecond)
+			c := dialRaw(t, address)
+			const parts, partBytes = 32, 32 << 10
+			c.send(fmt.Sprintf("POST /p/x HTTP/1.1\r\nHost: example.com\r\nConnection: %s\r\nContent-Length: %d\r\n\r\n", connection, parts*partBytes))
+			for range parts {
+				time.Sleep(30 * time.Millisecond)
+				c.send(strings.Repeat("x", partBytes))
+			}
+			c.wantAnswer(http.StatusServiceUnavailable)
+		})
+	}
+}
+
 // waitUntilStopping waits until the instance has begun its graceful shutdown.
 func waitUntilStopping(t *testing.T, e *Entry) {
 	t.Helper()
--- a/internal/process/gateway/callers_test.go
+++ b/internal/process/gateway/callers_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,6 +49,26 @@
 	}
 }
 
+// TestRefusalReachesCallerThatStillSends guards against a connection that is reset under a caller which still
+// sends the body of a refused request, after the time and bytes for which the body is read: such a caller may
+// never see the refusal.
+func TestRefusalReachesCallerThatStillSends(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"})
+	g := f.start(f.settings("gw-1"))
+	for _, connection := range []string{"close", "keep-alive"} {
+		t.Run(connection, func(t *testing.T) {
+			c := dialCallers(t, g)
+			const parts, partBytes = 60, 64 << 10
+			sendPart(t, c, fmt.Sprintf("POST %s HTTP/1.1\r\nHost: example.com\r\nConnection: %s\r\nContent-Length: %d\r\n\r\n", pathCompletion, connection, parts*partBytes))
+			for range parts {
+				time.Sleep(30 * time.Millisecond)
+				sendPart(t, c, strings.Repeat("x", partBytes))
+			}
+			wantStatus(t, c, http.StatusUnauthorized)
+		})
+	}
+}
+
 // TestRequestThatArrivesWhenThePortClosesIsAnswered guards against a request that is dropped without an answer
 // because the last bytes of its header arrive when the port was just closed.
 func TestRequestThatArrivesWhenThePortClosesIsAnswered(t *testing.T) {
