bench/faults: a cut link keeps its port

What was seen: 1 of 10 plays of TestFaultsMidStream beside six busy loops, gateway+runner: "wrong text ... invalid character 'p' after top-level value killed:true": a caller that asked the killed gateway was answered "404 page not found" by somebody else. That text is inferred from the JSON error; the answerer isn't known. A killed gateway's port is closed for good, so any process that opens a port may get it.

Change: while a link is cut, a bound socket that doesn't listen holds its port. Connections are refused as before, which callers take for "nothing was sent". No check is changed.

--- a/internal/bench/faults/faults_test.go
+++ b/internal/bench/faults/faults_test.go
@@ -170,6 +170,30 @@
 	}
 }
 
+// TestCutLinkKeepsItsPort guards against another process that opens the port of a gateway that was killed, and
+// answers its callers.
+func TestCutLinkKeepsItsPort(t *testing.T) {
+	l, err := newLink(echoServer(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.close()
+	l.cut()
+	if taken, err := net.Listen("tcp", l.address); err == nil {
+		taken.Close()
+		t.Error("the port of a cut link can be opened")
+	}
+	if c, err := net.Dial("tcp", l.address); err == nil || !neverSent(err) {
+		t.Errorf("%v, %v; want a refused dial", c, err)
+	}
+	l.heal()
+	c, err := net.Dial("tcp", l.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+}
+
 // echoServer starts a server that echoes what it receives, and returns its address.
 func echoServer(t *testing.T) string {
 	t.Helper()
--- a/internal/bench/faults/link.go
+++ b/internal/bench/faults/link.go
@@ -33,6 +33,7 @@
 	mu            sync.Mutex
 	target        string // empty: not known yet
 	listener      net.Listener
+	reserved      *reservedPort     // holds the port while nothing listens; nil: not reserved
 	cuts          int               // cuts and stalls that aren't healed
 	closed        bool              // no new connections are accepted, and the port isn't opened again
 	cutsByDialer  map[string]int    // cuts and stalls of single dialers that aren't healed, by the dialer's name
@@ -289,12 +290,25 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cuts++
-	l.listener.Close()
+	l.stopListening()
 	for p := range l.pairs {
 		p.close()
 	}
 }
 
+// stopListening closes the port, and keeps other processes from opening it. It is called with l.mu held.
+func (l *link) stopListening() {
+	l.listener.Close()
+	if l.reserved != nil {
+		return
+	}
+	reserved, err := reservePort(l.address)
+	if err != nil {
+		return // another process may have it already, or a listener of this one is only just closed
+	}
+	l.reserved = reserved
+}
+
 // cutFrom closes the connections of one dialer and refuses new ones from it until healFrom.
 func (l *link) cutFrom(name string) {
 	l.mu.Lock()
@@ -320,7 +334,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.cuts++
-	l.listener.Close()
+	l.stopListening()
 	for p := range l.pairs {
 		p.gate.Store(g)
 	}
@@ -352,6 +366,7 @@
 	if l.cuts > 0 || l.closed {
 		return
 	}
+	l.releasePort()
 	listener, err := net.Listen("tcp", l.address)
 	if err == nil {
 		l.accept(listener)
@@ -364,11 +379,20 @@
 	})
 }
 
+// releasePort ends the reservation of the port. It is called with l.mu held.
+func (l *link) releasePort() {
+	if l.reserved != nil {
+		l.reserved.release()
+		l.reserved = nil
+	}
+}
+
 // close cuts the link permanently and waits for its goroutines.
 func (l *link) close() {
 	l.cut()
 	l.mu.Lock()
 	l.closed = true
+	l.releasePort()
 	l.mu.Unlock()
 	l.running.Wait()
 	l.port.Release()
