--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -23,12 +23,13 @@
 
 // Server serves HTTP/1.1 to callers on one port.
 type Server struct {
-	http     *http.Server
-	tracker  *tracker
-	listener atomic.Pointer[Listener] // nil: Serve wasn't called yet
-	served   chan struct{}            // closed when Serve returns
-	leaving  atomic.Bool              // callers are asked to close their connections
-	stopping atomic.Bool              // Shutdown was called
+	http        *http.Server
+	tracker     *tracker
+	listener    atomic.Pointer[Listener] // nil: Serve wasn't called yet
+	served      chan struct{}            // closed when Serve returns
+	leaving     atomic.Bool              // callers are asked to close their connections
+	closingIdle atomic.Bool              // idle connections are closed
+	stopping    atomic.Bool              // Shutdown was called
 }
 
 // NewServer returns a server with the handler, timeouts and limits of settings, which mustn't be used
@@ -63,10 +64,18 @@
 	return err
 }
 
-// AskToClose makes all answers from now on ask their callers to close the connection. Connections on which
-// no request arrives stay open: a caller may be about to send one.
+// AskToClose makes all answers from now on ask their callers to close the connection.
 func (s *Server) AskToClose() { s.leaving.Store(true) }
 
+// CloseIdle closes idle connections from now on. They stay open for a moment, because their callers may have
+// sent a request.
+func (s *Server) CloseIdle() {
+	s.closingIdle.Store(true)
+	for _, c := range s.tracker.open() {
+		c.closeUnlessUsed(time.Now())
+	}
+}
+
 // Shutdown closes the port after it has accepted the connections that wait for that. It waits until all
 // requests are answered and all connections are closed. Idle connections stay open for a moment, because
 // their callers may have sent a request. If ctx ends first, Shutdown returns its error and closes nothing.
@@ -81,9 +90,7 @@
 			return ctx.Err()
 		}
 	}
-	for _, c := range s.tracker.open() {
-		c.closeUnlessUsed(time.Now())
-	}
+	s.CloseIdle()
 	check := time.NewTicker(shutdownCheckInterval)
 	defer check.Stop()
 	for s.tracker.count() > 0 {
@@ -114,7 +121,7 @@
 		conn.requestBegan()
 	case http.StateIdle:
 		conn.waitForRequest()
-		if s.stopping.Load() {
+		if s.closingIdle.Load() {
 			conn.closeUnlessUsed(time.Now())
 		}
 	}
--- a/internal/process/entry/callers_test.go
+++ b/internal/process/entry/callers_test.go
@@ -99,7 +99,6 @@
 func waitUntilStopping(t *testing.T, e *Entry) {
 	t.Helper()
 	eventually(t, "the shutdown begins", func() bool { return e.stage.Load() == stageLeaving })
-	time.Sleep(20 * time.Millisecond)
 }
 
 const testRequest = "GET /p/x HTTP/1.1\r\nHost: example.com\r\n\r\n"
@@ -138,7 +137,9 @@
 		return err != nil
 	})
 	begun.send(testRequest[len(testRequest)-2:])
-	begun.wantAnswer(http.StatusServiceUnavailable)
+	if resp := begun.wantAnswer(http.StatusServiceUnavailable); resp.Header.Get("Retry-After") == "" || !resp.Close {
+		t.Errorf("header %v, want a Retry-After and the end of the connection", resp.Header)
+	}
 	fresh.Close()
 	<-stopped
 }
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -77,7 +77,7 @@
 
 	reloadSignals  chan os.Signal
 	lastQueueID    atomic.Uint64 // queueID of the newest request
-	stage          atomic.Int32  // stageServing, stageLeaving or stageStopped
+	stage          atomic.Int32  // stage of the graceful shutdown, one of stageServing to stageStopped
 	activeRequests daemon.Activity
 	workCtx        context.Context // of background work; canceled after the last request has ended
 	cancelWork     context.CancelFunc
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -68,6 +68,10 @@
 func (e *Entry) prepare(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, error) {
 	queueID := strconv.FormatUint(e.lastQueueID.Add(1), 10)
 	q := &request{e: e, queueID: queueID, w: w, r: r, arrived: arrived, runState: errkind.NotRun}
+	if e.stage.Load() >= stageClosing {
+		// Its response might be too long for the rest of the grace period.
+		return q, errkind.New(errkind.Draining, errkind.NotRun, "this instance stops").WithRetryAfter(defaultRetryAfter)
+	}
 	q.config = e.state.config.Load()
 	if q.config == nil {
 		return q, errkind.New(errkind.ConfigUnavailable, errkind.NotRun, "this instance has no configuration yet").WithRetryAfter(defaultRetryAfter)
--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -11,6 +11,7 @@
 const (
 	stageServing = int32(iota)
 	stageLeaving // the readiness check fails, and requests are still served
+	stageClosing // the callers' port closes; requests that still arrive are refused, running ones may finish
 	stageStopped // no request is served any more
 )
 
@@ -37,17 +38,19 @@
 
 // stop shuts down gracefully. The load balancer's readiness check fails at once, and each answer asks its
 // caller to close the connection. New requests are accepted, and running ones may finish, for the times
-// that stopTimes returns. Connections on which no request arrives stay open as long as new requests are
-// accepted: a request on its way to a connection that is closed would get no answer.
+// that stopTimes returns. Idle connections are closed early, though not before a request that is on its way
+// has arrived: a request that callers send on them later may be too long for the rest of the grace period.
 func (e *Entry) stop() {
 	startedAt := time.Now()
 	grace := e.liveSettings.Load().bounds.StopGracePeriod()
-	e.stage.Store(stageLeaving)
 	e.callerServer.AskToClose()
+	e.stage.Store(stageLeaving)
+	e.callerServer.CloseIdle()
 	logline.Info("entry stopping", "running", e.activeRequests.Count(), "grace", grace)
 	e.peers.announceStop()
 	closeAt, endAt := stopTimes(startedAt, grace)
 	time.Sleep(time.Until(closeAt))
+	e.stage.Store(stageClosing)
 	if err := e.shutdownCallers(endAt); err != nil {
 		logline.Info("bound on stopping reached", "running", e.activeRequests.Count(), "error", err)
 		e.cancelHardStop()
