Detect stalls from before the list of upstreams is read; a test stops its process for certain

Traced with 96 plays, eight at a time: in 16 the counted response had arrived before the process went on, in 4 one was composed before the stop and sent after, as the request was sent while the process was being stopped; in 1 all 21 were, as the process was stopped before its first tick, which began the detection.

The last one is the product's: an instance that is frozen within its first 10 to 250 ms woke with a list that counted. Detection now begins before the list is read. The rest is the test's: it waits until the process has stopped (wait4 with WUNTRACED) and reads what had been sent before; what it counts from then on is unchanged, so a request that lies in the socket's buffer really does.

--- a/internal/process/entry/confirmation.go
+++ b/internal/process/entry/confirmation.go
@@ -50,6 +50,14 @@
 	}
 }
 
+// startStallDetection begins to detect stalls. It is called before the list of upstreams is read: the first
+// tick comes later. From then on, tick has to be called at short intervals.
+func (s *state) startStallDetection() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.confirmation.start()
+}
+
 // remove removes a postponed request. It returns false if there is none with this ID.
 func (c *confirmation) remove(id string) bool {
 	i := slices.IndexFunc(c.postponed, func(q place.Query) bool { return q.ID == id })
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -223,6 +223,7 @@
 		}
 	}
 	failed := e.servePorts(&ports)
+	e.state.startStallDetection()
 	e.followPlatform(workCtx)
 	e.spawn(func() { e.pollHolds(workCtx) })
 	e.spawn(func() { e.holds.DeleteExpired(workCtx, e.removesExpiredHolds) })
--- a/internal/process/entry/frozenprocess_test.go
+++ b/internal/process/entry/frozenprocess_test.go
@@ -53,6 +53,7 @@
 	e.cfg.PingStore = func(context.Context) error { return nil }
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
+	e.state.startStallDetection()
 	for _, loop := range []func(context.Context){s.run, e.followUpstreams, e.probePlatform, e.tickLoop} {
 		e.spawn(func() { loop(ctx) })
 	}
@@ -86,6 +87,19 @@
 	return nil, ""
 }
 
+// stopProcess stops a child process and waits until none of its threads runs. A place request that is sent
+// before that may still be handled, and is then answered by the list of that time.
+func stopProcess(t *testing.T, child *os.Process) {
+	t.Helper()
+	if err := child.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	var status syscall.WaitStatus
+	if _, err := syscall.Wait4(child.Pid, &status, syscall.WUNTRACED, nil); err != nil || !status.Stopped() {
+		t.Fatalf("the process doesn't stop: %v, status %v", err, status)
+	}
+}
+
 // TestStoppedProcessGivesNoPlaceByOldList guards against places by an old list in the order of events that
 // the scheduler chooses: the whole process is stopped for seconds, with a place request in its socket's
 // buffer, and more of them come when it goes on. Its probes of the platform are answered at once, its calls
@@ -136,9 +150,8 @@
 		ask()
 		return usable(frozenTestSilence/10) > 0
 	})
-	if err := child.Signal(syscall.SIGSTOP); err != nil {
-		t.Fatal(err)
-	}
+	stopProcess(t, child)
+	usable(frozenTestSilence) // responses from before
 	ask()
 	time.Sleep(frozenTime)
 	if err := child.Signal(syscall.SIGCONT); err != nil {
