--- a/internal/process/entry/confirmation_test.go
+++ b/internal/process/entry/confirmation_test.go
@@ -288,7 +288,7 @@
 // next returns the next call.
 func (f *scriptedFeed) next(t *testing.T) feedCall {
 	t.Helper()
-	return awaitValue(t, "a call for upstreams", f.calls)
+	return receive(t, "a call for upstreams", f.calls)
 }
 
 // newFollowingEntry returns an instance whose waiting calls are canceled after a stall.
--- a/internal/process/entry/frozen_test.go
+++ b/internal/process/entry/frozen_test.go
@@ -110,8 +110,8 @@
 		close(s.stopped)
 		e.goroutines.Wait()
 	})
-	awaitValue(t, "the upstreams are watched", p.feed.watching)
-	awaitValue(t, "the platform is probed", p.probed)
+	receive(t, "the upstreams are watched", p.feed.watching)
+	receive(t, "the platform is probed", p.probed)
 	p.ask()
 	if m, r := p.nextResponse(); !isUsablePlace(m, r) {
 		t.Fatalf("%+v %+v before the freeze, want a place", m, r)
@@ -131,17 +131,6 @@
 	return conn
 }
 
-// awaitValue waits for a value on a channel and fails the test if none comes in time.
-func awaitValue[T any](t *testing.T, what string, values <-chan T) (value T) {
-	t.Helper()
-	select {
-	case value = <-values:
-	case <-time.After(frozenTestWait):
-		t.Fatalf("timed out waiting: %s", what)
-	}
-	return value
-}
-
 // freeze runs each periodic task of the instance once, and then nothing for frozenTime.
 func (p *frozenPlacer) freeze() {
 	p.s.sendUpdates(time.Now())
@@ -227,7 +216,7 @@
 		{"an introduction of another instance", func(p *frozenPlacer) { p.receive(peers.Message{ReplyWanted: true}) }},
 		{"an empty answer to the watch, sent before", func(p *frozenPlacer) {
 			p.feed.answers <- watchAnswer{revision: 5}
-			awaitValue(p.t, "the upstreams are watched again", p.feed.watching)
+			receive(p.t, "the upstreams are watched again", p.feed.watching)
 		}},
 		{"an answer with a change, sent before", func(p *frozenPlacer) {
 			p.feed.answers <- watchAnswer{changes: []fleet.Change{listedUpstream("b", true)}, revision: 6}
@@ -235,7 +224,7 @@
 		}},
 		{"the answer to a probe, sent before", func(p *frozenPlacer) {
 			p.alive <- struct{}{}
-			awaitValue(p.t, "the platform is probed again", p.probed)
+			receive(p.t, "the platform is probed again", p.probed)
 		}},
 	} {
 		t.Run(tc.first, func(t *testing.T) {
@@ -448,7 +437,7 @@
 				t.Fatal("no answer is in the socket's buffer")
 			}
 			a.s.handleMessage(time.Now(), a.placer.self.Address, &m)
-			answer := awaitValue(t, "the answer is delivered", answers)
+			answer := receive(t, "the answer is delivered", answers)
 			_, held, ok := a.q.acceptAnswer(a.placer.self.Address, id, &a.query, answer)
 			if ok && a.e.checkUsable(held) == nil {
 				t.Errorf("after %v without running, the place at %s from an answer in the buffer is accepted and counts as usable",
