--- a/internal/process/entry/heldplace.go
+++ b/internal/process/entry/heldplace.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
 
@@ -45,14 +46,26 @@
 // recordEvents records what happened to the request at its place, in this process. If another instance
 // gave the place, recordEvents also reports the events to that instance.
 func (e *Entry) recordEvents(h *heldPlace, events ...place.Event) {
-	now := time.Now()
+	e.recordEventsOf(e.cfg.Settings.Instance.Name, h, events...)
+	if h.placer != "" {
+		e.peers.reportEvents(h, events)
+	}
+}
+
+// recordEventsOf records events in this process. reporter is the name or address of the instance at which
+// they happened.
+func (e *Entry) recordEventsOf(reporter string, h *heldPlace, events ...place.Event) {
+	now, incarnation := time.Now(), h.upstream().Incarnation()
+	suspected := false
 	e.state.withTracker(now, func(t *place.Tracker) {
+		was := t.AwaitsProbe(incarnation)
 		for _, ev := range events {
 			t.Apply(now, &h.grant, ev)
 		}
+		suspected = !was && t.AwaitsProbe(incarnation)
 	})
-	if h.placer != "" {
-		e.peers.reportEvents(h, events)
+	if suspected {
+		logline.Info("upstream suspected", "upstream", incarnation, "reported_by", reporter)
 	}
 }
 
--- a/internal/process/entry/placementserver.go
+++ b/internal/process/entry/placementserver.go
@@ -201,7 +201,7 @@
 			s.releaseGrant(g)
 			return
 		}
-		s.e.recordEvents(g.held, e)
+		s.e.recordEventsOf(key.from, g.held, e)
 	}
 }
 
--- a/internal/request/place/tracker.go
+++ b/internal/request/place/tracker.go
@@ -335,6 +335,13 @@
 	}
 }
 
+// AwaitsProbe reports whether an upstream is suspected to be down and gets no requests until
+// a probe reaches it.
+func (t *Tracker) AwaitsProbe(id fleet.Incarnation) bool {
+	u, ok := t.byIncarnation[id]
+	return ok && u.health.suspected && !u.health.reachable
+}
+
 // Loads returns the estimated number of requests at each upstream, those of all
 // processes included.
 func (t *Tracker) Loads(now time.Time) map[fleet.Incarnation]float64 {
