entry: an instance without a link to an upstream reaches it through another instance

What callers saw: four of eight instances lost their links to all upstreams and served 10 of 545 first attempts; healthy instances of the same availability zones refused a quarter.

Cause: whether a link works is a property of a pair of instance and upstream, but it was kept as the health of the upstream. So (1) an instance had no way to an upstream but its own links; (2) its failures to connect took the upstream out of service at the placer, for all instances of the zone; (3) a connection that was refused on one instance's link counted as the end of the upstream's process, and two such sends of the same work quarantined it everywhere (TestCutLinkIsNoCrash: 503 before). Evidence: 479 failed connections in 12 s at the four instances and none at the others; 'upstream reached again' 160 times at the placers of the zones with a cut instance, which refused for want of an upstream, and never in the zone without one.

Change: package links (a pure core) tracks the own links; another instance's success shows that a link is down, its failure that the upstream is. Requests then go over a connection through another instance (package tunnel, a WebSocket at listen.peers), so all decisions and counts stay with the instance that has the caller. Reports to placers, probes and the check of broken sends tell links from upstreams.

--- a/internal/connection/upstream/conn.go
+++ b/internal/connection/upstream/conn.go
@@ -107,17 +107,33 @@
 // server lost power or network, because such a server sends no reset.
 func newDialer(timeout, userTimeout, keepAlive time.Duration) *net.Dialer {
 	return &net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAlive,
-			Interval: keepAlive / 2,
-			Count:    keepAliveProbes,
-		},
-		Control: controlUserTimeout(userTimeout),
+		Timeout:         timeout,
+		KeepAliveConfig: keepAliveConfig(keepAlive),
+		Control:         controlUserTimeout(userTimeout),
 	}
 }
 
+// DetectDead gives an accepted TCP connection the timeouts that newDialer gives its connections.
+func DetectDead(c net.Conn, userTimeout, keepAlive time.Duration) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return errors.Errorf("%T is no TCP connection", c)
+	}
+	if err := tcp.SetKeepAliveConfig(keepAliveConfig(keepAlive)); err != nil {
+		return err
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return controlUserTimeout(userTimeout)("", "", raw)
+}
+
+// keepAliveConfig returns the settings for probes after a connection was idle for idle.
+func keepAliveConfig(idle time.Duration) net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: idle, Interval: idle / 2, Count: keepAliveProbes}
+}
+
 // dialContext returns a DialContext function for http.Transport that wraps each
 // connection in a sealConn.
 func dialContext(d *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
--- a/internal/connection/upstream/reach.go
+++ b/internal/connection/upstream/reach.go
@@ -8,6 +8,13 @@
 	"github.com/pkg/errors"
 )
 
+// Connect opens a connection to an address (host:port). It uses the options for connections.
+func Connect(ctx context.Context, address string, opts HTTPOptions) (net.Conn, error) {
+	opts = opts.withDefaults()
+	conn, err := newDialer(opts.DialTimeout, opts.UserTimeout, opts.KeepAlive).DialContext(ctx, "tcp", address)
+	return conn, errors.Wrapf(err, "reach %s", address)
+}
+
 // CheckReachable connects to an address (host:port) and closes the connection. A nil error
 // means only that something accepts connections there.
 func CheckReachable(ctx context.Context, address string, timeout time.Duration) error {
--- a/internal/connection/upstream/service.go
+++ b/internal/connection/upstream/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/textproto"
 	"net/url"
@@ -64,12 +65,32 @@
 // The call is sent at most once, whatever its method and headers. An error matches
 // ErrNotRun if no byte of the call was sent, and ErrBroken otherwise.
 func (s *Services) Forward(ctx context.Context, call ServiceCall) (ServiceResponse, error) {
+	return forward(ctx, s.transport, call)
+}
+
+// ForwardOver is Forward over a connection to the upstream that is open already. It closes
+// the connection at the end of the response, or with the error that it returns.
+func ForwardOver(ctx context.Context, conn net.Conn, call ServiceCall) (ServiceResponse, error) {
+	transport := NewTransport(HTTPOptions{})
+	transport.DisableKeepAlives = true
+	transport.DialContext = func(context.Context, string, string) (net.Conn, error) {
+		return &sealConn{Conn: conn}, nil // called once, as the call is sent at most once
+	}
+	resp, err := forward(ctx, transport, call)
+	if err != nil {
+		_ = conn.Close() // the transport may have closed it
+	}
+	return resp, err
+}
+
+// forward sends one call through a transport.
+func forward(ctx context.Context, transport http.RoundTripper, call ServiceCall) (ServiceResponse, error) {
 	const op = "forward"
 	req, err := serviceRequest(ctx, call)
 	if err != nil {
 		return ServiceResponse{}, notRunError(op, call.Address, err)
 	}
-	resp, err := Exchange(s.transport, req, op, call.Address)
+	resp, err := Exchange(transport, req, op, call.Address)
 	if err != nil {
 		return ServiceResponse{}, err
 	}
--- a/internal/process/entry/configexchange.go
+++ b/internal/process/entry/configexchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -28,19 +27,6 @@
 	versionRepeatDelay = 300 * time.Millisecond
 )
 
-// serveConfig serves the configuration to other instances until ctx ends.
-func (s *peerExchange) serveConfig(ctx context.Context, l net.Listener) {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+configPath, s.sendConfig)
-	server := s.e.newServer(mux)
-	s.e.spawn(func() {
-		if err := s.e.serveListener(server, l); err != nil {
-			logline.Error(err, "the configuration isn't passed on any more")
-		}
-	})
-	context.AfterFunc(ctx, func() { _ = server.Close() }) // an error doesn't matter: nothing is served any more
-}
-
 // sendConfig sends the configuration in force as one WebSocket message. It responds with status 503 if
 // there is none yet.
 func (s *peerExchange) sendConfig(w http.ResponseWriter, r *http.Request) {
--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -34,9 +34,24 @@
 		RunInBackground: e.spawn,
 		StoreDelay:      e.holdRecordDelay,
 		Broadcast:       e.broadcastCrashes,
+		CheckReachable:  e.checkUpstreamEnded,
 	})
 }
 
+// checkUpstreamEnded connects to an upstream at which a send broke off. A refused connection shows that the upstream's
+// process has ended, unless another instance reaches the upstream and the own link still refuses: then the link is
+// down.
+func (e *Entry) checkUpstreamEnded(ctx context.Context, incarnation quarantine.Incarnation, address string, timeout time.Duration) error {
+	err := upstream.CheckReachable(ctx, address, timeout)
+	if !holds.IsConnectionRefused(err) || !e.reachesThroughRelay(ctx, &fleet.Upstream{ID: string(incarnation), Address: address}) {
+		return err
+	}
+	if again := upstream.CheckReachable(ctx, address, timeout); again != nil {
+		return errors.New("the link to the upstream is down: " + again.Error())
+	}
+	return err
+}
+
 // holdRecordDelay returns how long to wait before a hold is stored or removed. own says that this
 // instance found the last crash that led to the hold, or that the removal is up to this instance.
 func (e *Entry) holdRecordDelay(own bool) time.Duration {
@@ -67,7 +82,7 @@
 // opens one. It shows whether the upstream's process exits (see the package comment).
 func (q *request) startSend(ctx context.Context, u *fleet.Upstream) *upstreamSend {
 	send := &upstreamSend{}
-	if q.e.holds.HasSuspects() {
+	if q.e.holds.HasSuspects() && q.e.usesOwnLink(u.Address) {
 		send.livenessConn = q.e.holds.OpenLivenessConn(ctx, q.content(), u.Address)
 	}
 	send.startedAt = time.Now()
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/caller"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/tunnel"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
@@ -55,6 +56,9 @@
 	cfg             Config
 	state           *state
 	client          *upstream.Services
+	links           *ownLinks
+	tunnels         *tunnel.Client  // for connections to upstreams through other instances
+	tunnelsServed   daemon.Activity // tunnels that this instance forwards for others
 	metrics         *entryMetrics
 	demand          *demandTracker
 	peers           *peerExchange // nil: no messages are exchanged with other instances
@@ -97,6 +101,7 @@
 			IdleTimeout: upstreamIdleTimeout,
 			KeepAlive:   upstreamKeepAlive,
 		}),
+		tunnels:         tunnel.NewClient(),
 		demand:          newDemandTracker(),
 		reloadSignals:   notifyReloads(),
 		requestLog:      newRequestLog(cfg.Settings.Logging.LinesPerSecond),
@@ -108,6 +113,7 @@
 	}
 	e.exporter = metrics.New("ragwort_entry", map[string]string{"zone": cfg.Settings.Instance.Zone})
 	e.metrics = newEntryMetrics(e.exporter.Scope())
+	e.links = newOwnLinks(e.metrics)
 	e.workCtx, e.cancelWork = context.WithCancel(context.Background())
 	e.hardStopCtx, e.cancelHardStop = context.WithCancel(context.Background())
 	e.holds = e.newHolds()
@@ -250,6 +256,7 @@
 	e.cancelWork()
 	e.goroutines.Wait()
 	e.client.Close()
+	e.tunnels.Close()
 	logline.Info("entry stopped")
 	return errors.Wrap(err, "serving")
 }
@@ -276,6 +283,7 @@
 		e.holds.Forget(time.Now())
 		e.requestLog.tick(time.Now())
 		e.probeUpstreams(ctx)
+		e.probeLinks(ctx)
 		switch {
 		case e.state.waitingCount() > 0:
 			interval = waitingTick
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -271,7 +271,7 @@
 	defer s.closeLivenessConn()
 	startedAt := s.startedAt
 	q.sentAt, q.fetchingKV = startedAt, kv != nil
-	resp, err := q.e.client.Forward(ctx, q.serviceCall(u, q.sendOptions(&held.grant.Choice, kv, relay)))
+	resp, err := q.forward(ctx, held, q.sendOptions(&held.grant.Choice, kv, relay))
 	if err != nil {
 		out := q.handleSendError(ctx, held, s, err)
 		if out.maybeSent {
@@ -363,7 +363,7 @@
 		out.runState, out.maybeSent = errkind.NotRun, false
 	}
 	e := place.Event{Kind: place.FailedUnanswered}
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || q.blamesTheWay(err) {
 		e.Kind = place.Abandoned
 	}
 	q.e.recordEvents(held, e)
@@ -377,6 +377,21 @@
 	return out
 }
 
+// blamesTheWay reports whether the error of a send without a response says more about the way to the upstream than about
+// the upstream: nothing was sent, or the connection or the relay went silent. An upstream that is down answers nobody,
+// which the tracker notices by itself.
+func (q *request) blamesTheWay(err error) bool {
+	if !errors.Is(err, upstream.ErrNotRun) {
+		return q.relay != "" || isLinkFailure(err)
+	}
+	for _, cause := range []error{errNoRelay, errLeaving, errBackingOff, errStalePlace} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordHealth records the outcome of a send that got a response, for the upstream's health.
 func (q *request) recordHealth(ctx context.Context, held *heldPlace, succeeded bool, info exchange.ResponseInfo) {
 	switch {
--- a/internal/process/entry/peerexchange.go
+++ b/internal/process/entry/peerexchange.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/links"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/roles"
@@ -61,6 +62,7 @@
 
 	mu                  sync.Mutex
 	core                *peers.Core
+	relayChoice         links.Relays
 	configVersions      *peers.ConfigVersions
 	incarnationsAskedAt time.Time // when the placer was last asked for the state of upstreams
 }
@@ -110,7 +112,7 @@
 	sockets := s.sockets.Load()
 	s.e.spawn(func() { s.receive(sockets.datagrams) })
 	s.e.spawn(func() { s.followMembers(ctx) })
-	s.serveConfig(ctx, sockets.config)
+	s.servePeers(ctx, sockets.streams)
 	for interval := placerTick; platform.Sleep(ctx, interval) == nil; {
 		switch placing := s.sendUpdates(time.Now()); {
 		case placing:
--- a/internal/process/entry/peersockets.go
+++ b/internal/process/entry/peersockets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
 	"time"
 
@@ -10,6 +11,8 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/tunnel"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 )
 
@@ -19,7 +22,7 @@
 // peerSockets are the sockets for other instances. Both have the address of the instance.
 type peerSockets struct {
 	datagrams *net.UDPConn
-	config    net.Listener // where other instances get the configuration
+	streams   net.Listener // where other instances get the configuration, and connections to upstreams
 }
 
 // openPeerSockets opens both sockets or none.
@@ -28,12 +31,12 @@
 	if err != nil {
 		return peerSockets{}, err
 	}
-	config, err := net.Listen("tcp4", address.String())
+	streams, err := net.Listen("tcp4", address.String())
 	if err != nil {
 		_ = datagrams.Close()
 		return peerSockets{}, err
 	}
-	return peerSockets{datagrams: datagrams, config: config}, nil
+	return peerSockets{datagrams: datagrams, streams: streams}, nil
 }
 
 // parsePeerAddress returns the address in listen.peers. Other instances must be able to dial it, so it has
@@ -102,3 +105,33 @@
 
 // isListening reports whether other instances can reach this one.
 func (s *peerExchange) isListening() bool { return s.sockets.Load() != nil }
+
+// servePeers serves the configuration and tunnels to other instances until ctx ends.
+func (s *peerExchange) servePeers(ctx context.Context, l net.Listener) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+configPath, s.sendConfig)
+	mux.HandleFunc("GET "+tunnel.Path, s.serveTunnel)
+	server := s.e.newServer(mux)
+	server.ConnContext = detectDeadPeer
+	s.e.spawn(func() {
+		if err := s.e.serveListener(server, l); err != nil {
+			logline.Error(err, "other instances aren't served any more")
+		}
+	})
+	context.AfterFunc(ctx, func() { _ = server.Close() }) // an error doesn't matter: nothing is served any more
+}
+
+// Timeouts of connections of other instances. An instance that doesn't read for long, as its caller doesn't, must not
+// lose the connection, so peerUserTimeout is as long as callerWriteTimeout.
+const (
+	peerUserTimeout = callerWriteTimeout
+	peerKeepAlive   = time.Second
+)
+
+// detectDeadPeer makes a connection end if the other instance has lost power or network.
+func detectDeadPeer(ctx context.Context, c net.Conn) context.Context {
+	if err := upstream.DetectDead(c, peerUserTimeout, peerKeepAlive); err != nil {
+		logline.Debug("connection of a peer without timeouts", "error", err)
+	}
+	return ctx
+}
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -173,7 +173,7 @@
 	s := q.startSend(ctx, u)
 	defer s.closeLivenessConn()
 	startedAt := s.startedAt
-	resp, err := q.e.client.Forward(ctx, q.serviceCall(u, exchange.SendOptions{PrefillOnly: true, CopyFrom: held.grant.Choice.CopyFrom.Address}))
+	resp, err := q.forward(ctx, held, exchange.SendOptions{PrefillOnly: true, CopyFrom: held.grant.Choice.CopyFrom.Address})
 	duration := time.Since(startedAt)
 	q.prefillTime += duration
 	if err != nil {
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -44,6 +44,7 @@
 
 	refusal          *place.Decision // the last refusal of a place; nil: none
 	lastUpstream     string          // id of the last upstream that the request was sent to
+	relay            string          // address of the instance through which the last send went; empty: over the own link
 	sends            int
 	possibleRuns     int                 // sends that may have run the request
 	excluded         []fleet.Incarnation // upstreams that it is not to be sent to again
--- a/internal/process/entry/requestlog.go
+++ b/internal/process/entry/requestlog.go
@@ -68,6 +68,18 @@
 // countStall counts a time in which this process did not run.
 func (m *entryMetrics) countStall() { m.scope.Counter("stalls").Inc(1) }
 
+// setCutOff sets whether this instance is cut off from most upstreams.
+func (m *entryMetrics) setCutOff(cutOff bool) {
+	value := 0.0
+	if cutOff {
+		value = 1
+	}
+	m.scope.Gauge("cut_off").Update(value)
+}
+
+// countRelayed counts a send through another instance.
+func (m *entryMetrics) countRelayed() { m.scope.Counter("sends_relayed").Inc(1) }
+
 // setLimitedUpstreams sets the number of upstreams with a limit on requests per second.
 func (m *entryMetrics) setLimitedUpstreams(n int) {
 	m.scope.Gauge("upstreams_limited").Update(float64(n))
@@ -223,6 +235,9 @@
 	if final != nil {
 		fields = append(fields, "why", final.Error(), "retry_after_ms", final.RetryAfter.Milliseconds())
 	}
+	if q.relay != "" {
+		fields = append(fields, "through", q.relay)
+	}
 	if q.sends > 1 || (final != nil && q.sends > 0) {
 		fields = append(fields, "content", q.content()) // identifies lines of other attempts at the same work
 	}
@@ -241,5 +256,5 @@
 // logFailedSend logs a failed send and what is done next.
 func (q *request) logFailedSend(choice *place.Choice, out sendOutcome, action retry.Action) {
 	logline.Info("send failed", "request", q.info.ID, "upstream", choice.Upstream.ID, "run", out.runState,
-		"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", out.err, "then", action, "sends", q.sends, "content", q.content())
+		"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", out.err, "then", action, "sends", q.sends, "through", q.relay, "content", q.content())
 }
--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -58,12 +58,27 @@
 			logline.Info("callers' connections closed", "running", e.activeRequests.Count(), "error", err)
 		}
 	}
+	e.awaitTunnels(endAt)
 	e.callerServer.Close()
 	e.stage.Store(stageStopped)
 	e.readyServer.Close()
 	e.operatorServer.Close()
 }
 
+// tunnelCheckInterval is how often a stopping process checks whether tunnels are left.
+const tunnelCheckInterval = 20 * time.Millisecond
+
+// awaitTunnels waits until the end of all tunnels of other instances, until the given time at most, and then ends them.
+func (e *Entry) awaitTunnels(until time.Time) {
+	for e.tunnelsServed.Count() > 0 && time.Now().Before(until) {
+		time.Sleep(tunnelCheckInterval)
+	}
+	if n := e.tunnelsServed.Count(); n > 0 {
+		logline.Info("tunnels ended", "running", n)
+		e.cancelHardStop()
+	}
+}
+
 // shutdownCallers waits until the end of all requests and connections of callers, until the given time at
 // most.
 func (e *Entry) shutdownCallers(until time.Time) error {
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -336,15 +336,31 @@
 	return e.Upstream, true
 }
 
+// Address returns the address of an incarnation. ok is false if the incarnation isn't listed.
+func (c *Core) Address(incarnation Incarnation) (address string, ok bool) {
+	if e := c.find(incarnation); e != nil {
+		return e.Address, true
+	}
+	return "", false
+}
+
 // Listed reports whether an incarnation is listed, and whether it reported, on the list or in a
 // response, that it is leaving.
 func (c *Core) Listed(incarnation Incarnation) (listed, leaving bool) {
+	if e := c.find(incarnation); e != nil {
+		return true, e.Leaving
+	}
+	return false, c.hasReportedLeaving(incarnation)
+}
+
+// find returns the entry of an incarnation, or nil.
+func (c *Core) find(incarnation Incarnation) *entry {
 	for _, id := range incarnation.possibleIDs() {
 		if e, ok := c.entries[id]; ok && e.Incarnation() == incarnation {
-			return true, e.Leaving
+			return e
 		}
 	}
-	return false, c.hasReportedLeaving(incarnation)
+	return nil
 }
 
 // RecentlyGone reports whether an incarnation was removed from the list within tombstoneTTL, and
--- a/internal/process/holds/brokensend.go
+++ b/internal/process/holds/brokensend.go
@@ -101,7 +101,7 @@
 func (k *Keeper) checkUpstream(ctx context.Context, incarnation quarantine.Incarnation, address string) {
 	for again := true; again; {
 		began := time.Now()
-		refused, err := refusesConnection(ctx, address)
+		refused, err := k.refusesConnection(ctx, incarnation, address)
 		logline.Info("upstream checked after a broken send", "upstream", incarnation, "took_ms", time.Since(began).Milliseconds(),
 			"refused", refused, "error", err)
 		if refused {
@@ -117,12 +117,12 @@
 
 // refusesConnection tries to connect to an address after each of checkDelays, until an attempt is refused. It reports
 // whether one was. err is the error of the last attempt, or that of ctx if ctx ended before.
-func refusesConnection(ctx context.Context, address string) (refused bool, err error) {
+func (k *Keeper) refusesConnection(ctx context.Context, incarnation quarantine.Incarnation, address string) (refused bool, err error) {
 	for _, delay := range checkDelays {
 		if err = platform.Sleep(ctx, delay); err != nil {
 			return false, err
 		}
-		if err = upstream.CheckReachable(ctx, address, connectTimeout); IsConnectionRefused(err) {
+		if err = k.cfg.CheckReachable(ctx, incarnation, address, connectTimeout); IsConnectionRefused(err) {
 			return true, err
 		}
 	}
--- a/internal/process/holds/keeper.go
+++ b/internal/process/holds/keeper.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
@@ -22,6 +23,10 @@
 	RunInBackground func(func())                     // runs a function in the background; the process waits for its end
 	StoreDelay      func(own bool) time.Duration     // delay before a hold is stored or removed, see startHolds and startRemovals; nil: no delay
 	Broadcast       func(crashes []quarantine.Crash) // reports new and newly void crashes to other instances; nil: not reported
+
+	// CheckReachable connects to an upstream's address and closes the connection. An error that matches
+	// syscall.ECONNREFUSED says that nothing listens there; nil: upstream.CheckReachable.
+	CheckReachable func(ctx context.Context, incarnation quarantine.Incarnation, address string, timeout time.Duration) error
 }
 
 // Keeper tracks crashes and holds for one process. It is safe for concurrent use.
@@ -42,6 +47,11 @@
 
 // New returns a keeper without suspects.
 func New(cfg Config) *Keeper {
+	if cfg.CheckReachable == nil {
+		cfg.CheckReachable = func(ctx context.Context, _ quarantine.Incarnation, address string, timeout time.Duration) error {
+			return upstream.CheckReachable(ctx, address, timeout)
+		}
+	}
 	return &Keeper{cfg: cfg, core: quarantine.New(), crashCount: cfg.Scope.Counter("upstream_crashes"), holdCount: cfg.Scope.Counter("work_held")}
 }
 
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -627,6 +628,34 @@
 	return out
 }
 
+// RelayCandidates returns the addresses of the other instances that may forward connections to upstreams: those of the
+// local availability zone and those of the others, without instances that are stopping or don't answer.
+func (c *Core) RelayCandidates() (zone, others []string) {
+	c.ensureRanking()
+	for name, list := range c.ranking {
+		for _, m := range list {
+			switch {
+			case m == c.selfMember || m.unavailable:
+			case name == c.self.Zone:
+				zone = append(zone, m.Address)
+			default:
+				others = append(others, m.Address)
+			}
+		}
+	}
+	return zone, others
+}
+
+// KnowsHost reports whether an instance has the given IP address.
+func (c *Core) KnowsHost(host netip.Addr) bool {
+	for address := range c.members {
+		if a, err := netip.ParseAddrPort(address); err == nil && a.Addr() == host {
+			return true
+		}
+	}
+	return false
+}
+
 // zonePeers returns the other instances of the local availability zone, in rank.
 func (c *Core) zonePeers() []*member {
 	c.ensureRanking()
