--- a/internal/process/entry/relay.go
+++ b/internal/process/entry/relay.go
@@ -30,12 +30,17 @@
 // errNoRelay means that no other instance forwards connections to an upstream now.
 var errNoRelay = errors.New("no other instance forwards connections to the upstream")
 
-// openTunnel opens a connection to an upstream through another instance, the relay. check says that only the upstream's
+// openTunnel opens a connection to an upstream through another instance, the relay. While it isn't known whether the own
+// link is down, several instances are asked at once, otherwise one after the other. check says that only the upstream's
 // reachability matters. An error matches tunnel.ErrUnreachable if no relay reaches the upstream either, and errNoRelay if
 // none could be used.
 func (e *Entry) openTunnel(ctx context.Context, u *fleet.Upstream, check bool) (net.Conn, string, error) {
 	s := &relaySearch{e: e, upstream: u, check: check}
 	candidates := e.peers.relays()
+	if !e.links.isDown(u.Address) {
+		// Only if none of several instances reaches the upstream is it down: a whole availability zone may be cut off.
+		return s.askAll(ctx, candidates)
+	}
 	for i, relay := range candidates {
 		result := s.dial(ctx, relay)
 		switch {
@@ -44,12 +49,9 @@
 			return result.conn, relay, nil
 		case ctx.Err() != nil:
 			return nil, "", ctx.Err()
-		case !errors.Is(result.err, tunnel.ErrUnreachable):
-		case e.links.inDoubt():
+		case errors.Is(result.err, tunnel.ErrUnreachable):
 			// The relay may be cut off as well. The others are asked at once, as the request has waited long enough.
 			return s.askAll(ctx, candidates[i+1:])
-		default:
-			return nil, "", s.noTunnel()
 		}
 	}
 	return nil, "", s.noTunnel()
--- a/internal/process/links/core.go
+++ b/internal/process/links/core.go
@@ -125,8 +125,7 @@
 	}
 }
 
-// InDoubt reports whether a failure may well be due to the own links: no link worked lately, or one is down. Otherwise
-// the word of a single other instance, that it doesn't reach an upstream either, is enough.
+// InDoubt reports whether a failure may well be due to the own links: no link worked lately, or one is down.
 func (c *Core) InDoubt(now time.Time) bool {
 	return c.confirmed > 0 || now.Sub(c.workedAt) >= doubtWindow
 }
