entry: a new instance introduces itself to instances that refuse it tunnels

Instances of a large zone that don't follow the upstreams read the list of instances once a minute, and a new one introduces itself to few of them only. Also tests of what a relay heeds and when it stops; names in package links.

--- a/internal/connection/tunnel/client.go
+++ b/internal/connection/tunnel/client.go
@@ -40,6 +40,8 @@
 	ErrRelay = errors.New("no tunnel through this relay")
 	// ErrUnreachable means that the relay doesn't reach the upstream, although its link to it is thought to work.
 	ErrUnreachable = errors.New("the relay doesn't reach the upstream")
+	// ErrStranger means that the relay doesn't know this instance. It matches ErrRelay, too.
+	ErrStranger = errors.Wrap(ErrRelay, "the relay doesn't know this instance")
 	// ErrUnknown means that the relay doesn't know the upstream as one to use. Other relays may.
 	ErrUnknown = errors.New("the relay doesn't know the upstream as one to use")
 )
@@ -78,6 +80,8 @@
 		return newConn(ws), nil
 	case resp != nil && resp.StatusCode == http.StatusBadGateway:
 		return nil, errors.Wrap(ErrUnreachable, relay)
+	case resp != nil && resp.StatusCode == http.StatusForbidden:
+		return nil, errors.Wrap(ErrStranger, relay)
 	case resp != nil && resp.StatusCode == http.StatusNotFound:
 		return nil, errors.Wrap(ErrUnknown, relay)
 	case resp != nil:
--- a/internal/connection/tunnel/tunnel_test.go
+++ b/internal/connection/tunnel/tunnel_test.go
@@ -236,6 +236,7 @@
 		"upstream refuses":  {r.address, l.Addr().String(), 0, ErrUnreachable},
 		"malformed address": {r.address, "nowhere", 0, ErrRelay},
 		"relay refuses":     {other.Listener.Addr().String(), closed, http.StatusServiceUnavailable, ErrRelay},
+		"unknown instance":  {other.Listener.Addr().String(), closed, http.StatusForbidden, ErrStranger},
 		"unknown upstream":  {other.Listener.Addr().String(), closed, http.StatusNotFound, ErrUnknown},
 		"no relay":          {l.Addr().String(), closed, 0, ErrRelay},
 	} {
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -363,7 +363,7 @@
 		out.runState, out.maybeSent = errkind.NotRun, false
 	}
 	e := place.Event{Kind: place.FailedUnanswered}
-	if ctx.Err() != nil || q.blamesTheWay(err) {
+	if ctx.Err() != nil || q.isPathFailure(err) {
 		e.Kind = place.Abandoned
 	}
 	q.e.recordEvents(held, e)
@@ -377,10 +377,10 @@
 	return out
 }
 
-// blamesTheWay reports whether the error of a send without a response says more about the way to the upstream than about
-// the upstream: nothing was sent, or the connection or the relay went silent. An upstream that is down answers nobody,
-// which the tracker notices by itself.
-func (q *request) blamesTheWay(err error) bool {
+// isPathFailure reports whether a send without a response may have failed on the path to the upstream: nothing was sent, the
+// own link went silent, or the send went through another instance. If the upstream is down, it answers nobody, which
+// the tracker notices without this failure.
+func (q *request) isPathFailure(err error) bool {
 	if !errors.Is(err, upstream.ErrNotRun) {
 		return q.relay != "" || isLinkFailure(err)
 	}
--- a/internal/process/entry/links.go
+++ b/internal/process/entry/links.go
@@ -51,6 +51,12 @@
 	return ok
 }
 
+// isDown reports whether the own link to an address is known to be down.
+func (l *ownLinks) isDown(address string) (down bool) {
+	l.with(func(_ time.Time, core *links.Core) { down = core.IsDown(address) })
+	return down
+}
+
 // worked records that the own link to an address works.
 func (l *ownLinks) worked(address string) {
 	l.with(func(now time.Time, core *links.Core) { core.Worked(now, address) })
--- a/internal/process/entry/relay.go
+++ b/internal/process/entry/relay.go
@@ -13,7 +13,6 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/tunnel"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/links"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 )
 
@@ -23,7 +22,8 @@
 	relayConnectTimeout = 200 * time.Millisecond
 	// tunnelTimeout limits the opening of a tunnel, the relay's connection to the upstream included.
 	tunnelTimeout = 500 * time.Millisecond
-	// maxTunnels limits the tunnels that this instance forwards at once. Each takes two connections and some 50 KB.
+	// maxTunnels limits the tunnels that this instance forwards at once. Each takes two connections and a buffer for each
+	// direction.
 	maxTunnels = 256
 )
 
@@ -129,10 +129,13 @@
 	default:
 		s.lastErr = r.err
 		s.e.peers.relayFailed(r.relay)
+		if errors.Is(r.err, tunnel.ErrStranger) {
+			s.e.peers.introduce(r.relay) // a new instance isn't known everywhere yet
+		}
 	}
 }
 
-// reached records that a relay reaches the upstream. Those that don't have links that are down, too.
+// reached records that a relay reaches the upstream. The relays that don't reach it have links that are down, too.
 func (s *relaySearch) reached(relay string) {
 	s.e.peers.relayWorked(relay)
 	for _, denial := range s.denials {
@@ -283,9 +286,3 @@
 	}
 	return s.fleet.Address(incarnation)
 }
-
-// isDown reports whether the own link to an address is known to be down.
-func (l *ownLinks) isDown(address string) (down bool) {
-	l.with(func(_ time.Time, core *links.Core) { down = core.IsDown(address) })
-	return down
-}
--- a/internal/process/links/core.go
+++ b/internal/process/links/core.go
@@ -50,17 +50,17 @@
 
 // Core tracks the links of this instance. It is not safe for concurrent use.
 type Core struct {
-	links       map[string]*link // by address; those without recent evidence are forgotten
-	downCount   int
-	cutOff      bool
-	probes      int       // limit of the probes that begin at once
-	confirmed   int       // links that are confirmed to be down, as of the last assessment
-	workedAt    time.Time // when any link last worked
-	forgottenAt time.Time
+	links          map[string]*link // by address; those without recent evidence are forgotten
+	downCount      int
+	confirmedCount int // links that are confirmed to be down, as of the last assessment
+	cutOff         bool
+	probeLimit     int       // of the probes that begin at once
+	workedAt       time.Time // when any link last worked
+	forgottenAt    time.Time // when links were last forgotten
 }
 
 // New returns a core that takes all links to work.
-func New() *Core { return &Core{links: make(map[string]*link), probes: minProbes} }
+func New() *Core { return &Core{links: make(map[string]*link), probeLimit: minProbes} }
 
 // UseOwn reports whether a request to an upstream is sent over the own link. While this instance is cut off, links
 // without recent evidence are taken to be down, too.
@@ -69,11 +69,8 @@
 		return true
 	}
 	l := c.links[address]
-	if l != nil && !l.down && (!c.cutOff || now.Sub(l.workedAt) < evidenceWindow) {
-		return true
-	}
 	if l == nil || !l.down {
-		if !c.cutOff {
+		if !c.cutOff || (l != nil && now.Sub(l.workedAt) < evidenceWindow) {
 			return true
 		}
 		l = c.markDown(now, address)
@@ -127,7 +124,7 @@
 
 // InDoubt reports whether a failure may well be due to the own links: no link worked lately, or one is down.
 func (c *Core) InDoubt(now time.Time) bool {
-	return c.confirmed > 0 || now.Sub(c.workedAt) >= doubtWindow
+	return c.confirmedCount > 0 || now.Sub(c.workedAt) >= doubtWindow
 }
 
 // CutOff reports whether this instance is cut off from most upstreams.
@@ -165,7 +162,7 @@
 	slices.SortFunc(due, func(a, b string) int {
 		return cmp.Or(c.links[a].nextProbe.Compare(c.links[b].nextProbe), strings.Compare(a, b))
 	})
-	due = due[:min(len(due), c.probes)]
+	due = due[:min(len(due), c.probeLimit)]
 	for _, address := range due {
 		c.links[address].probing = true
 	}
@@ -185,10 +182,10 @@
 		return false
 	}
 	if !reached {
-		l.failed, l.upSince, c.probes = true, time.Time{}, minProbes
+		l.failed, l.upSince, c.probeLimit = true, time.Time{}, minProbes
 		return false
 	}
-	c.probes = min(2*c.probes, maxProbes)
+	c.probeLimit = min(2*c.probeLimit, maxProbes)
 	if l.upSince.IsZero() {
 		l.upSince = now
 	}
@@ -264,5 +261,5 @@
 			working++
 		}
 	}
-	c.confirmed, c.cutOff = confirmed, confirmed >= minDown && confirmed > working
+	c.confirmedCount, c.cutOff = confirmed, confirmed >= minDown && confirmed > working
 }
--- a/internal/process/links/core_test.go
+++ b/internal/process/links/core_test.go
@@ -121,6 +121,13 @@
 	if n := len(probe(c, 0, end, func(time.Duration) bool { return false })); n > 0 {
 		t.Fatalf("%d links restored during the cut", n)
 	}
+	due := c.ProbesDue(at(end))
+	if len(due) > minProbes {
+		t.Errorf("%d probes begin at once", len(due))
+	}
+	for _, address := range due {
+		c.Probed(at(end), address, true)
+	}
 	restored := probe(c, end, end+5*time.Second, func(time.Duration) bool { return true })
 	if len(restored) != len(all) {
 		t.Fatalf("%d of %d links restored", len(restored), len(all))
