entry: after a cut of all instances, a link whose last probe succeeded counts as a way

Cause, by lines: its own links had answered, but hadn't proved themselves yet; the probe of a suspected upstream then asked only other instances, which were in the same state, refused tunnels and were left alone for up to 8 s. And a link that failed while nobody reached the upstream counted as one that comes and goes, so that its proof took 8 s.

Change: a link whose last probe succeeded is enough for a tunnel of another instance and for bringing a suspected upstream back, as it was for requests already; failures that turn out to be the upstream's don't count against the link.

--- a/internal/process/entry/probe.go
+++ b/internal/process/entry/probe.go
@@ -30,7 +30,8 @@
 // reaches reports whether an upstream accepts connections over any way that requests may take.
 func (e *Entry) reaches(ctx context.Context, u *fleet.Upstream) bool {
 	if !e.usesOwnLink(u.Address) {
-		return e.reachesThroughRelay(ctx, u)
+		// After a cut of all instances, each may still be waiting for its links to prove themselves.
+		return e.reachesThroughRelay(ctx, u) || e.links.mayTry(u.Address)
 	}
 	err := upstream.CheckReachable(ctx, u.Address, upstreamDialTimeout)
 	switch {
--- a/internal/process/entry/relay.go
+++ b/internal/process/entry/relay.go
@@ -224,7 +224,7 @@
 		http.Error(w, "no further tunnels", http.StatusServiceUnavailable)
 		return
 	}
-	if e.links.isDown(address) { // a tunnel never leads through two instances
+	if e.links.isDown(address) && !e.links.mayTry(address) { // a tunnel never leads through two instances
 		http.Error(w, "the link of this instance is down", http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/process/links/core.go
+++ b/internal/process/links/core.go
@@ -117,6 +117,7 @@
 // nothing about the link. A link that is confirmed to be down stays so.
 func (c *Core) Unreachable(now time.Time, address string) {
 	if l := c.links[address]; l != nil && l.down && !l.confirmed {
+		l.failures--
 		c.markUp(l)
 		c.assess(now)
 	}
--- a/internal/process/links/core_test.go
+++ b/internal/process/links/core_test.go
@@ -77,6 +77,21 @@
 	}
 }
 
+// TestUnreachableUpstreamDelaysNoLink guards against a link that stays unused for seconds after a cut of all instances,
+// because it seemed to fail again and again while nobody reached the upstream.
+func TestUnreachableUpstreamDelaysNoLink(t *testing.T) {
+	c, all := New(), addresses(1)
+	for range 10 {
+		c.Failed(start, all[0])
+		c.Unreachable(start, all[0])
+	}
+	cut(c, start, all)
+	restored := probe(c, 0, 5*time.Second, func(d time.Duration) bool { return d >= probeInterval })
+	if at, ok := restored[all[0]]; !ok || at > 2500*time.Millisecond {
+		t.Errorf("restored %v after the cut: %v", at, ok)
+	}
+}
+
 // TestRestartsDoNotCutOff guards against an instance that counts as cut off because two upstreams were just replaced,
 // whose addresses refused connections for a moment, while it reaches the others.
 func TestRestartsDoNotCutOff(t *testing.T) {
