entry: log the versions of upstreams' software and each continued stream

Callers of ORDER got streams with events of two versions of an engine's software. The instances' lines couldn't tell the hypotheses apart: no line had a version, a stream that was continued within one response looked like any other send, and one that a caller took up again like a new request. 'upstream changed' now has the version, 'stream continued' says which stream goes on after which event, at which upstream of which version.

--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -271,7 +271,9 @@
 	defer s.closeLivenessConn()
 	startedAt := s.startedAt
 	q.sentAt, q.fetchingKV = startedAt, kv != nil
-	resp, err := q.forward(ctx, held, q.sendOptions(&held.grant.Choice, kv, relay))
+	send := q.sendOptions(&held.grant.Choice, kv, relay)
+	q.logContinuedStream(u, send.LastEvent)
+	resp, err := q.forward(ctx, held, send)
 	if err != nil {
 		out := q.handleSendError(ctx, held, s, err)
 		if out.maybeSent {
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -327,7 +327,7 @@
 		switch c := &changes[i]; c.Kind {
 		case fleet.Listed:
 			u := &c.Upstream
-			logline.Info("upstream changed", "upstream", u.ID, "born", u.StartedMS, "service", u.Service, "address", u.Address,
+			logline.Info("upstream changed", "upstream", u.ID, "born", u.StartedMS, "service", u.Service, "software", u.Software, "address", u.Address,
 				"leaving", u.Leaving, "role", u.Role, "becomes", u.NextRole, "revision", revision)
 		case fleet.Unlisted:
 			_, kept := f.Get(c.ID)
--- a/internal/process/entry/requestlog.go
+++ b/internal/process/entry/requestlog.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
@@ -247,6 +248,16 @@
 	logline.Info("request", fields...)
 }
 
+// logContinuedStream logs that an upstream is asked to continue a stream: one that this request began at another
+// upstream (lastEvent is set), or one that an earlier attempt of the caller began.
+func (q *request) logContinuedStream(u *fleet.Upstream, lastEvent string) {
+	if lastEvent == "" && q.info.LastEvent == "" {
+		return
+	}
+	logline.Info("stream continued", "request", q.info.ID, "resumes", q.info.Resumes, "after_callers", q.info.LastEvent, "after_own", lastEvent,
+		"upstream", u.Incarnation(), "software", u.Software)
+}
+
 // refusalFields returns the log fields with the data that a refusal was based on.
 func refusalFields(details *place.RefusalDetails) []any {
 	return []any{"no_place_for", details.Work, "eligible", details.Eligible, "limited", details.Limited, "ahead", details.Ahead, "wait_expected_ms", details.Wait.Milliseconds(),
--- a/internal/request/exchange/exchange.go
+++ b/internal/request/exchange/exchange.go
@@ -25,6 +25,7 @@
 	ExpectedOutput int // the caller's estimate; zero: none
 	Parts          []Part
 	LastEvent      string // id of the last event that the caller got of an earlier answer, to continue after; empty: from the start
+	Resumes        string // ID of the caller's attempt that brought the first event of that answer; empty: not declared
 }
 
 // SharedParts returns the parts that other requests may share, which are all but the last, a
