entry: a stream goes on only at the version of software that began it

Cause: the platform lists the version of each upstream, but nothing read it. A stream that broke off went on at any engine with a place, within one response and when its caller resumed it, and nothing remembered a stream beyond one attempt.

An upstream now carries its version, from the platform's list or from the placer's answer. With the first event that a caller gets, the request is bound to that version: queries for a place name it, upstreams of others aren't eligible, and a send is checked once more. For resumption the instance keeps a row (package streams) with the origin of each stream; other instances get copies while there may be several versions (fleet.SoftwareOf), so that nothing is sent at rest, and all rows when that comes into doubt, when it stops, or when routes change. An instance that is asked to resume a stream asks for the row, and believes that there is one version only if an up-to-date list shows it for as long as callers wait. Otherwise, and if no upstream has the version any more, it refuses at once, as not run (cannot_continue). Requests that continue a stream go before new ones and wait 1 s for a place; before, their time to start had passed.

Place requests and their answers keep their encoding; the version is sent beside them, so that instances of the release before read them.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -26,6 +26,7 @@
 	ClaimUnavailable    Kind = "claim_unavailable"    // the claim could not be recorded during an outage of the platform
 	ConfigUnavailable   Kind = "config_unavailable"   // no configuration has been received yet
 	UpstreamRefused     Kind = "upstream_refused"     // the upstream refused before running
+	CannotContinue      Kind = "cannot_continue"      // no upstream can continue the stream that the request resumes
 	Quarantined         Kind = "quarantined"          // upstreams crashed while processing the same work, which is held
 	UpstreamFailed      Kind = "upstream_failed"      // the upstream failed while the request ran
 	AnswerIncomplete    Kind = "answer_incomplete"    // the stream ended before the response was complete
@@ -97,6 +98,7 @@
 	ConfigUnavailable:   {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "This instance has no configuration yet."},
 	UpstreamRefused:     {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "The upstream refused the request before running it."},
 	Quarantined:         {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "Upstreams crashed under the same work; it isn't sent to any for a while."},
+	CannotContinue:      {http.StatusServiceUnavailable, typeServer, false, ExitUnavailable, "The stream can't be continued, as no upstream has the version of software that began it; begin it anew."},
 	UpstreamFailed:      {http.StatusBadGateway, typeServer, true, ExitUnavailable, "The upstream failed while the request ran."},
 	AnswerIncomplete:    {http.StatusBadGateway, typeServer, true, ExitUnavailable, "The answer broke off and could not be completed."},
 	AnswerGone:          {http.StatusGone, typeServer, false, ExitUnavailable, "The request ran; its answer is no longer kept."},
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
 )
 
 const (
@@ -63,6 +64,7 @@
 	demand          *demandTracker
 	peers           *peerExchange // nil: no messages are exchanged with other instances
 	holds           *holds.Keeper
+	streams         *streamOrigins
 	liveSettings    atomic.Pointer[liveSettings]
 	callsCtx        renewableContext          // of calls that list or watch platform objects; canceled when the platform is back after an outage
 	era             atomic.Uint64             // era of the platform at the last checkEra; grows with each restore from a copy
@@ -103,6 +105,7 @@
 		}),
 		tunnels:         tunnel.NewClient(),
 		demand:          newDemandTracker(),
+		streams:         newStreamOrigins(uint64(time.Now().UnixMicro())),
 		reloadSignals:   notifyReloads(),
 		requestLog:      newRequestLog(cfg.Settings.Logging.LinesPerSecond),
 		readAheadBudget: memoryBudget{limit: int64(readAheadMemoryShare * float64(cfg.Settings.Limits.MemoryMB<<20))},
@@ -281,6 +284,7 @@
 			backingOff = n
 		}
 		e.holds.Forget(time.Now())
+		e.streams.with(func(now time.Time, core *streams.Core) { core.Forget(now) })
 		e.requestLog.tick(time.Now())
 		e.probeUpstreams(ctx)
 		e.probeLinks(ctx)
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -29,6 +29,8 @@
 	errBackingOff = errors.New("the upstream asked for a backoff")
 	// errStalePlace: the upstream may have left meanwhile. It isn't excluded from the next choice.
 	errStalePlace = errors.New("the place is from before a stall of this process")
+	// errOtherSoftware: what the upstream writes doesn't fit to the part of the stream that the caller has.
+	errOtherSoftware = errors.New("the upstream has another version of software than the one that began the stream")
 )
 
 // sendOutcome is the outcome of one send that is to run a request. The zero value is a failure:
@@ -50,6 +52,11 @@
 	q.e.state.countRequest(q.arrived, q.service)
 	relay := &responseRelay{req: q}
 	defer func() { q.keptKV.release(q.e) }() // no engine will fetch the KV cache any more
+	if q.continuesStream() {
+		if refusal := q.resolveOrigin(ctx); refusal != nil {
+			return refusal
+		}
+	}
 	for {
 		// Callers retry work that crashed an upstream, with new request ids and at other instances.
 		// Without this check, each attempt would crash one more upstream and fail the requests that
@@ -199,7 +206,10 @@
 	if d.Refused != "" {
 		q.refusal = &d
 		kind := errkind.Overloaded
-		if d.Refused == place.NoUpstream {
+		switch {
+		case query.Continues() && !q.e.state.hasSoftware(query.Service, query.Software):
+			return nil, errkind.New(errkind.CannotContinue, q.runState, "no upstream has the version of software that began the stream any more")
+		case d.Refused == place.NoUpstream:
 			kind = errkind.NoUpstream
 		}
 		return nil, errkind.New(kind, q.runState, string(d.Refused)).WithRetryAfter(q.retryAfter(now, d.RetryAfter))
@@ -255,6 +265,10 @@
 		e.recordEvents(held, place.Event{Kind: place.Abandoned})
 		return sendOutcome{runState: errkind.NotRun, err: err}
 	}
+	if q.origin != nil && q.origin.Software != u.Software {
+		e.recordEvents(held, place.Event{Kind: place.Abandoned})
+		return sendOutcome{runState: errkind.NotRun, err: errOtherSoftware}
+	}
 	if q.workHeld() { // a hold may have begun since the place was requested
 		e.recordEvents(held, place.Event{Kind: place.Abandoned})
 		return sendOutcome{runState: errkind.NotRun, err: errWorkHeld}
@@ -410,7 +424,7 @@
 func (q *request) decideRetry(out sendOutcome, relay *responseRelay) retry.Action {
 	f := retry.Failure{
 		Run:            q.runState,
-		Idempotent:     q.route.Repeatable() && relay.canResume(),
+		Idempotent:     q.route.Repeatable() && relay.canResume() && (q.origin == nil || q.origin.Software != ""),
 		Budget:         true,
 		TimeLeft:       true, // the context ends at the deadline
 		HasAlternative: q.possibleRuns < q.route.MaxAttempts && q.sends < q.route.MaxAttempts+maxExtraRefusals,
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -385,6 +385,7 @@
 	}
 	logline.Info("configuration in force", "version", c.Version, "revision", revision, "routes", len(c.Routes))
 	if e.peers != nil {
+		e.peers.copyAllRows()
 		e.spawn(func() { e.peers.announceVersion(e.workCtx) })
 	}
 }
--- a/internal/process/entry/followplatform.go
+++ b/internal/process/entry/followplatform.go
@@ -115,6 +115,7 @@
 // and so may be a placer. The instances next in rank then begin to follow the upstreams before they are
 // asked for places.
 func (s *peerExchange) announceStop() {
+	s.copyAllRows()
 	if s == nil || !s.following.Load() {
 		return
 	}
--- a/internal/process/entry/heldplace.go
+++ b/internal/process/entry/heldplace.go
@@ -16,6 +16,7 @@
 	grant            place.Grant
 	placer           string    // address of the instance that decided on the place; empty: this instance did
 	placeRequestID   uint64    // id of the place request with which the placer was asked for the place
+	sole             bool      // the placer's answer: see peers.PlaceResponse.Sole
 	stalls           uint64    // result of stallCount when the placer was asked
 	streamReportedAt time.Time // when a stream event was last reported to the placer
 }
--- a/internal/process/entry/peerexchange.go
+++ b/internal/process/entry/peerexchange.go
@@ -125,6 +125,7 @@
 		s.fetchNewerConfig(ctx, time.Now())
 	}
 	s.reportFinalUsage()
+	s.copyAllRows()
 	s.mu.Lock()
 	zone := s.core.ZoneAddresses()
 	s.mu.Unlock()
@@ -145,6 +146,7 @@
 	s.reportUsage(now)
 	s.updateRateLimits(now)
 	s.queryIncarnations(now)
+	s.copyDoubtfulRows(now)
 	platformLost, ready := s.e.platformLost(now), s.e.cannotPlaceReason() == ""
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -296,6 +298,7 @@
 	s.handleUsage(from, m)
 	s.handleRateLimits(now, from, m)
 	s.handleIncarnations(from, m)
+	s.handleStreams(now, from, m)
 	if !changed {
 		return
 	}
--- a/internal/process/entry/placementclient.go
+++ b/internal/process/entry/placementclient.go
@@ -246,7 +246,15 @@
 	// could arrive between the two calls. The function deliver would then return false, and handleAnswers
 	// would cancel the place.
 	q.e.peers.placementClient.markHeld(id)
-	return d, &heldPlace{grant: place.NewGrant(query, d.Choice), placer: to, placeRequestID: id}, true
+	if query.Continues() && d.Choice.Upstream.Software != query.Software {
+		// The placer runs an older program, which passes over the version that is required.
+		q.e.peers.sendPlaceRequest(to, peers.PlaceRequest{ID: id, Cancel: true})
+		return place.Decision{Refused: place.NoUpstream, RetryAfter: defaultRetryAfter}, nil, !st.upstreamsListed()
+	}
+	if !answer.Sole {
+		q.e.peers.copyRows(query.Service)
+	}
+	return d, &heldPlace{grant: place.NewGrant(query, d.Choice), placer: to, placeRequestID: id, sole: answer.Sole}, true
 }
 
 // rejectIfUnusable rejects a place if this process knows that its upstream is leaving or backing off. It
--- a/internal/process/entry/placementserver.go
+++ b/internal/process/entry/placementserver.go
@@ -127,6 +127,9 @@
 		g.expires = time.Now().Add(grantExpirySlack) // the grant is kept only to answer a repeated place request
 	}
 	g.answer = peers.PlaceResponseOf(key.id, d)
+	if g.held != nil {
+		g.answer.Sole = s.e.soleSoftware(g.held)
+	}
 }
 
 // cancelGrant cancels a place request for which the other instance no longer wants a place.
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
@@ -59,6 +60,8 @@
 	fetchingKV       bool                // in the last send, the upstream was to fetch the prompt's KV cache
 	responseStarted  bool                // a part of the response was written to the caller
 	placeWait        time.Duration       // total wait for places
+	resumption       *resumption         // what was found out about the stream that the caller resumes; nil: it resumes none
+	origin           *streams.Origin     // where the stream began that the request continues from now on; nil: none yet
 	reservedFor      time.Duration       // how long a place for the decode was reserved during the prefill
 	prefillTime      time.Duration       // duration of separate prefills, without waits for places
 	firstEventAfter  time.Duration       // from arrived to the first event of the response
@@ -224,6 +227,10 @@
 // the work itself, and for queues at upstreams.
 const startByShare = 0.45
 
+// continueWait is how long a request that continues a stream may wait for a place. Only some upstreams can serve it,
+// and its caller has a part of the response already. Callers abandon a stream after a gap of two seconds or more.
+const continueWait = time.Second
+
 // startBy returns the time until which the request may wait for a place.
 func (q *request) startBy() time.Time {
 	wait := time.Duration(float64(q.route.Objective) * startByShare)
@@ -235,13 +242,16 @@
 
 // query returns the query for a place at an upstream that does the given work.
 func (q *request) query(work place.Work) place.Query {
-	startBy := q.startBy()
+	startBy, software := q.startBy(), ""
+	if q.origin != nil {
+		startBy, software = time.Now().Add(continueWait), q.origin.Software
+	}
 	if !q.deadline.IsZero() && q.deadline.Before(startBy) {
 		startBy = q.deadline
 	}
 	return place.Query{
 		ID: q.queueID, Service: q.service, Zone: q.e.cfg.Settings.Instance.Zone,
-		Urgency: q.account.Rank(q.route), Prompt: q.prompt, Work: work,
+		Urgency: q.account.Rank(q.route), Prompt: q.prompt, Work: work, Software: software,
 		Arrived: q.arrived, StartBy: startBy, Excluded: q.excluded, Gap: q.eventGap(),
 		Late: q.pastObjective(), Retry: q.spentBefore >= minRetrySpent, Deadline: q.deadline, Objective: q.route.Objective, KVCapacity: q.kvTokens(),
 	}
--- a/internal/process/entry/requestlog.go
+++ b/internal/process/entry/requestlog.go
@@ -236,6 +236,9 @@
 	if final != nil {
 		fields = append(fields, "why", final.Error(), "retry_after_ms", final.RetryAfter.Milliseconds())
 	}
+	if q.resumption != nil {
+		fields = append(fields, q.resumption.fields(q.info.Resumes)...)
+	}
 	if q.relay != "" {
 		fields = append(fields, "through", q.relay)
 	}
--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -251,6 +251,7 @@
 		}
 		if !q.responseStarted {
 			q.markResponseStarted()
+			q.recordOrigin(held)
 			q.recordFirstEvent(now, held)
 			q.writeHeader(resp.Status, resp.Header)
 		}
--- /dev/null
+++ b/internal/process/entry/streamorigins.go
@@ -0,0 +1,389 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
+)
+
+const (
+	// rowDelay is how long a row waits for others that are sent to the same holders in one message.
+	rowDelay = 5 * time.Millisecond
+	// originTimeout limits the wait for the answers to the question for a stream's origin. Between regions, an answer
+	// takes some ten milliseconds. Instances that have not answered after half of it are asked again.
+	originTimeout = 80 * time.Millisecond
+	// rowSlack is how long a row is kept after its caller has stopped waiting, as clocks and messages are late.
+	rowSlack = 2 * time.Second
+	// undeclaredWait is how long the callers of a route without a timeout are assumed to wait if they don't declare it.
+	undeclaredWait = time.Minute
+	// maxOriginQueries limits the questions that wait for answers.
+	maxOriginQueries = 1024
+)
+
+// streamOrigins keeps the origins of streams (package streams) and asks other instances for them.
+type streamOrigins struct {
+	mu        sync.Mutex
+	core      *streams.Core
+	pending   map[uint64]chan streams.Answer // where answers are delivered, by query id
+	lastID    uint64                         // of the newest query
+	scheduled bool                           // due rows will be sent after rowDelay
+}
+
+// newStreamOrigins returns an empty streamOrigins whose queries get ids greater than first.
+func newStreamOrigins(first uint64) *streamOrigins {
+	return &streamOrigins{core: streams.New(), pending: make(map[uint64]chan streams.Answer), lastID: first}
+}
+
+// with calls f with the core while holding mu.
+func (s *streamOrigins) with(f func(now time.Time, core *streams.Core)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(time.Now(), s.core)
+}
+
+// register returns the id of a new query and the channel on which at most n answers are delivered; ok is false if too
+// many queries wait.
+func (s *streamOrigins) register(n int) (id uint64, answers chan streams.Answer, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.pending) >= maxOriginQueries {
+		return 0, nil, false
+	}
+	s.lastID++
+	answers = make(chan streams.Answer, 2*n) // each instance may be asked twice
+	s.pending[s.lastID] = answers
+	return s.lastID, answers, true
+}
+
+// unregister ends the delivery of answers to a query.
+func (s *streamOrigins) unregister(id uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.pending, id)
+}
+
+// deliver passes an answer to the request that waits for it, if any.
+func (s *streamOrigins) deliver(id uint64, a streams.Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case s.pending[id] <- a:
+	default: // nobody waits for it, or there are enough answers
+	}
+}
+
+// scheduleRows reports whether the caller has to send the due rows after rowDelay; otherwise somebody else does.
+func (s *streamOrigins) scheduleRows() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	was := s.scheduled
+	s.scheduled = true
+	return !was
+}
+
+// takeDue returns the rows to send to their holders now.
+func (s *streamOrigins) takeDue() []streams.Row {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.scheduled = false
+	return s.core.TakeDue(time.Now())
+}
+
+// softwareOf returns which versions of software the upstreams of a service have had for as long as its callers resume
+// streams, and the version if there was only one.
+func (s *state) softwareOf(now time.Time, service string) (string, fleet.SoftwareState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.detectStall()
+	if !s.listed {
+		return "", fleet.SoftwareUnknown
+	}
+	return s.fleet.SoftwareOf(now, service, s.resumeWindow(service))
+}
+
+// resumeWindow returns for how long after the first event callers of a service may resume a stream. Callers hold mu.
+func (s *state) resumeWindow(service string) time.Duration {
+	window, ok := s.resumeWindows[service]
+	if !ok {
+		window = undeclaredWait
+	}
+	return window
+}
+
+// resumeWindowsOf returns the windows of all services that have resumable routes.
+func resumeWindowsOf(c *routing.Config) map[string]time.Duration {
+	out := make(map[string]time.Duration)
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		if !route.Resumable {
+			continue
+		}
+		wait := route.Timeout
+		if wait == 0 {
+			wait = undeclaredWait
+		}
+		for _, t := range route.Targets {
+			out[t.Service] = max(out[t.Service], wait)
+		}
+	}
+	return out
+}
+
+// hasSoftware reports whether an upstream of a service with a version of software is listed, whether it may get work or
+// not. Without a list of upstreams, it returns true.
+func (s *state) hasSoftware(service, software string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.listed || s.fleet.HasSoftware(service, software)
+}
+
+// ownAnswer returns what this instance knows of the origin of a stream. service is that of the request that resumes it.
+func (e *Entry) ownAnswer(key streams.Key, service string) streams.Answer {
+	var origin streams.Origin
+	found := false
+	e.streams.with(func(now time.Time, core *streams.Core) { origin, found = core.Find(now, key) })
+	if found {
+		return streams.Answer{Basis: streams.ByRow, Origin: origin}
+	}
+	switch software, state := e.state.softwareOf(time.Now(), service); state {
+	case fleet.SoftwareSole:
+		return streams.Answer{Basis: streams.BySole, Origin: streams.Origin{Service: service, Software: software}}
+	case fleet.SoftwareMixed:
+		return streams.Answer{Basis: streams.ByMixed}
+	}
+	return streams.Answer{}
+}
+
+// continuesStream reports whether the caller resumes a stream.
+func (q *request) continuesStream() bool {
+	return q.info.LastEvent != "" && q.route.Kind == routing.Streaming
+}
+
+// streamKey returns the key of the stream that the request begins or resumes.
+func (q *request) streamKey() streams.Key {
+	attempt := q.info.ID
+	if q.continuesStream() {
+		attempt = q.info.Resumes
+	}
+	if attempt == "" {
+		return 0
+	}
+	return streams.KeyOf(q.account.NameOrNone(), attempt)
+}
+
+// resolveOrigin finds where the stream began that the caller resumes, and restricts the request to upstreams that may
+// continue it. It returns an error if the stream can't be continued.
+func (q *request) resolveOrigin(ctx context.Context) *errkind.Error {
+	key := q.streamKey()
+	own := q.e.ownAnswer(key, q.service)
+	var others []streams.Answer
+	asked := 0
+	if own.Basis != streams.ByRow {
+		others, asked = q.e.askOrigin(ctx, key, q.service)
+	}
+	if q.route.IsSplit() {
+		own, others = withoutSole(own, others) // the stream may have begun at another service
+	}
+	origin, basis := streams.Resolve(own, others, asked)
+	q.resumption = &resumption{origin: origin, basis: basis, asked: asked, answered: len(others)}
+	switch {
+	case ctx.Err() != nil:
+		return q.contextError(ctx)
+	case origin.Software == "":
+		return errkind.New(errkind.CannotContinue, errkind.NotRun, "it isn't known with which version of software the stream began")
+	case !q.route.HasTarget(origin.Service):
+		return errkind.New(errkind.CannotContinue, errkind.NotRun, "the route no longer leads to the service at which the stream began")
+	}
+	q.service, q.origin = origin.Service, &origin
+	return nil
+}
+
+// resumption is what was found out about the stream that a request resumes.
+type resumption struct {
+	origin          streams.Origin
+	basis           streams.Basis
+	asked, answered int // other instances
+}
+
+// fields returns the log fields of a resumption of the attempt with the given id.
+func (r *resumption) fields(resumes string) []any {
+	return []any{"resumes", resumes, "began_service", r.origin.Service, "began_software", r.origin.Software,
+		"known_by", r.basis.String(), "asked", r.asked, "answered", r.answered}
+}
+
+// withoutSole returns the answers without those that are based on a service's only version.
+func withoutSole(own streams.Answer, others []streams.Answer) (streams.Answer, []streams.Answer) {
+	drop := func(a streams.Answer) streams.Answer {
+		if a.Basis == streams.BySole {
+			return streams.Answer{}
+		}
+		return a
+	}
+	out := make([]streams.Answer, len(others))
+	for i, a := range others {
+		out[i] = drop(a)
+	}
+	return drop(own), out
+}
+
+// askOrigin asks other instances for the origin of a stream. It returns once one of them has a row or all have
+// answered, at originTimeout at the latest.
+func (e *Entry) askOrigin(ctx context.Context, key streams.Key, service string) (answers []streams.Answer, asked int) {
+	if e.peers == nil {
+		return nil, 0
+	}
+	to := e.peers.streamTargets(key)
+	id, received, ok := e.streams.register(len(to))
+	if len(to) == 0 || !ok {
+		return nil, len(to)
+	}
+	defer e.streams.unregister(id)
+	query := peers.Message{StreamQueries: []peers.StreamQuery{{ID: id, Key: uint64(key), Service: service}}}
+	for range 2 {
+		e.peers.send(query, to...)
+		timer := time.NewTimer(originTimeout / 2)
+		for waiting := true; waiting; {
+			select {
+			case a := <-received:
+				answers = append(answers, a)
+				if a.Basis == streams.ByRow || len(answers) == len(to) {
+					timer.Stop()
+					return answers, len(to)
+				}
+			case <-timer.C:
+				waiting = false
+			case <-ctx.Done():
+				return answers, len(to)
+			}
+		}
+	}
+	return answers, len(to)
+}
+
+// recordOrigin records the origin of a stream of which the caller is about to get the first event of this response.
+func (q *request) recordOrigin(held *heldPlace) {
+	if !q.route.Resumable {
+		return
+	}
+	if q.origin == nil {
+		q.origin = &streams.Origin{Service: q.service, Software: held.upstream().Software}
+	}
+	key := q.streamKey()
+	if key == 0 {
+		return
+	}
+	wait := q.info.TimeLeft
+	if wait == 0 {
+		wait = undeclaredWait
+	}
+	life := wait - time.Since(q.arrived) + rowSlack
+	inDoubt := q.route.IsSplit() || !q.e.soleSoftware(held)
+	q.e.streams.with(func(now time.Time, core *streams.Core) { core.Began(now, key, *q.origin, life, inDoubt) })
+	if inDoubt {
+		q.e.peers.scheduleStreamRows()
+	}
+}
+
+// soleSoftware reports whether the service of a place has had upstreams of only one version of software for as long as
+// callers resume streams. An instance without a list of upstreams relies on the placer.
+func (e *Entry) soleSoftware(h *heldPlace) bool {
+	if h.placer != "" && !e.state.upstreamsListed() {
+		return h.sole
+	}
+	_, state := e.state.softwareOf(time.Now(), h.upstream().Service)
+	return state == fleet.SoftwareSole
+}
+
+// streamTargets returns the addresses of the instances to ask for the origin of a stream.
+func (s *peerExchange) streamTargets(key streams.Key) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.StreamTargets(key)
+}
+
+// scheduleStreamRows sends the due rows to their holders after rowDelay.
+func (s *peerExchange) scheduleStreamRows() {
+	if s != nil && s.e.streams.scheduleRows() {
+		time.AfterFunc(rowDelay, s.sendStreamRows)
+	}
+}
+
+// sendStreamRows sends the due rows to their holders.
+func (s *peerExchange) sendStreamRows() {
+	now, byHolder := time.Now(), make(map[string][]peers.StreamRow)
+	rows := s.e.streams.takeDue()
+	s.mu.Lock()
+	for _, row := range rows {
+		for _, address := range s.core.Holders(row.Key) {
+			byHolder[address] = append(byHolder[address], peers.StreamRowOf(now, row))
+		}
+	}
+	s.mu.Unlock()
+	for address, rows := range byHolder {
+		for len(rows) > 0 {
+			n := min(len(rows), peers.MaxStreamRows)
+			s.send(peers.Message{StreamRows: rows[:n]}, address)
+			rows = rows[n:]
+		}
+	}
+}
+
+// copyDoubtfulRows sends the rows of streams that began while their service had one version of software to their
+// holders, once that is in doubt.
+func (s *peerExchange) copyDoubtfulRows(now time.Time) {
+	var services []string
+	s.e.streams.with(func(_ time.Time, core *streams.Core) { services = core.UncopiedServices() })
+	for _, service := range services {
+		if _, state := s.e.state.softwareOf(now, service); state != fleet.SoftwareSole && s.e.state.upstreamsListed() {
+			s.copyRows(service)
+		}
+	}
+}
+
+// copyRows sends the rows of the given services that holders don't have yet to their holders.
+func (s *peerExchange) copyRows(services ...string) {
+	due := false
+	s.e.streams.with(func(_ time.Time, core *streams.Core) {
+		for _, service := range services {
+			due = core.Doubt(service) || due
+		}
+	})
+	if due {
+		s.sendStreamRows()
+	}
+}
+
+// copyAllRows sends all rows that holders don't have yet to their holders: this instance stops, or routes may lead to
+// other services from now on.
+func (s *peerExchange) copyAllRows() {
+	if s == nil {
+		return
+	}
+	var services []string
+	s.e.streams.with(func(_ time.Time, core *streams.Core) { services = core.UncopiedServices() })
+	s.copyRows(services...)
+}
+
+// handleStreams handles what another instance sends about streams.
+func (s *peerExchange) handleStreams(now time.Time, from string, m *peers.Message) {
+	for i := range m.StreamRows {
+		row := m.StreamRows[i].Row(now)
+		s.e.streams.with(func(now time.Time, core *streams.Core) { core.Merge(now, row) })
+	}
+	if len(m.StreamQueries) > 0 {
+		var answers []peers.StreamAnswer
+		for _, query := range m.StreamQueries {
+			answers = append(answers, peers.StreamAnswerOf(query.ID, s.e.ownAnswer(streams.Key(query.Key), query.Service)))
+		}
+		s.send(peers.Message{StreamAnswers: answers}, from)
+	}
+	for i := range m.StreamAnswers {
+		s.e.streams.deliver(m.StreamAnswers[i].ID, m.StreamAnswers[i].Answer())
+	}
+}
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -23,20 +23,21 @@
 // use.
 type Core struct {
 	entries         map[string]*entry
-	missingCount    int                       // number of entries that are missing
-	tombstones      map[string]tombstone      // removed entries, by ID
-	unreadable      map[string]string         // the invalid field of each unreadable entry, by ID
-	deferred        map[string]Upstream       // by ID; removed entries that are listed again after a restore of the platform from an older copy, see Replace
-	reportedLeaving map[Incarnation]time.Time // when a response last reported that the incarnation is leaving
-	sweptAt         time.Time                 // when reportedLeaving was last swept
-	listed          bool                      // a whole list has been received
-	era             uint64                    // of the last list; changes when the platform is restored from an older copy
-	platformLost    bool                      // the platform can't be read
-	restoredAt      time.Time                 // when it could be read again after an outage; zero: there was no outage
-	unconfirmed     bool                      // this process did not run for a while, and the list may lack changes of that time
-	confirmedAt     time.Time                 // when the list was confirmed after that; zero: it never had to be
-	connectedSince  time.Time                 // when the first list came or, if later, when the platform could be read again
-	version         uint64                    // number of changes
+	missingCount    int                          // number of entries that are missing
+	tombstones      map[string]tombstone         // removed entries, by ID
+	unreadable      map[string]string            // the invalid field of each unreadable entry, by ID
+	software        map[string]*softwareVersions // by service
+	deferred        map[string]Upstream          // by ID; removed entries that are listed again after a restore of the platform from an older copy, see Replace
+	reportedLeaving map[Incarnation]time.Time    // when a response last reported that the incarnation is leaving
+	sweptAt         time.Time                    // when reportedLeaving was last swept
+	listed          bool                         // a whole list has been received
+	era             uint64                       // of the last list; changes when the platform is restored from an older copy
+	platformLost    bool                         // the platform can't be read
+	restoredAt      time.Time                    // when it could be read again after an outage; zero: there was no outage
+	unconfirmed     bool                         // this process did not run for a while, and the list may lack changes of that time
+	confirmedAt     time.Time                    // when the list was confirmed after that; zero: it never had to be
+	connectedSince  time.Time                    // when the first list came or, if later, when the platform could be read again
+	version         uint64                       // number of changes
 }
 
 // tombstone records a removed entry, so that writes of the entry that arrive late are recognized. A late
@@ -56,7 +57,7 @@
 	return &Core{
 		entries: make(map[string]*entry), tombstones: make(map[string]tombstone),
 		unreadable: make(map[string]string), deferred: make(map[string]Upstream),
-		reportedLeaving: make(map[Incarnation]time.Time),
+		reportedLeaving: make(map[Incarnation]time.Time), software: make(map[string]*softwareVersions),
 	}
 }
 
@@ -209,16 +210,22 @@
 		e.Leaving = e.Leaving || (t.leaving && u.StartedMS == t.startedMS)
 	}
 	delete(c.tombstones, u.ID)
-	c.removeEntry(u.ID)
+	c.removeEntry(now, u.ID)
 	c.entries[u.ID] = e
+	c.countSoftware(&e.Upstream)
 	c.version++
 }
 
 // removeEntry removes an entry, if it exists, without adding a tombstone.
-func (c *Core) removeEntry(id string) {
-	if e, ok := c.entries[id]; ok && e.missing {
+func (c *Core) removeEntry(now time.Time, id string) {
+	e, ok := c.entries[id]
+	if !ok {
+		return
+	}
+	if e.missing {
 		c.missingCount--
 	}
+	c.uncountSoftware(now, &e.Upstream)
 	delete(c.entries, id)
 }
 
@@ -240,7 +247,7 @@
 // delete removes an entry and adds a tombstone for it.
 func (c *Core) delete(now time.Time, e *entry) {
 	c.tombstones[e.ID] = tombstone{startedMS: e.StartedMS, leaving: e.Leaving, expiresAt: now.Add(tombstoneTTL)}
-	c.removeEntry(e.ID)
+	c.removeEntry(now, e.ID)
 	c.version++
 }
 
@@ -315,6 +322,7 @@
 		expired = append(expired, id)
 	}
 	c.expireLeavingReports(now)
+	c.forgetSoftware(now)
 	for id, t := range c.tombstones {
 		if now.Before(t.expiresAt) {
 			continue
--- a/internal/process/fleet/upstream.go
+++ b/internal/process/fleet/upstream.go
@@ -24,7 +24,7 @@
 	WarmUp    time.Duration // how long it is slow after its start
 	Role      upstream.Role // of a model engine; empty: a plain service
 	Revocable bool          // the platform may reclaim it at short notice
-	Software  string        // version of its software; empty: not listed
+	Software  string        // version of its software; empty: not known
 	NextRole  upstream.Role // role that it is to change to; empty: none
 }
 
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -67,6 +67,12 @@
 
 	IncarnationsWanted []fleet.Incarnation `cbor:"22,keyasint,omitempty"` // incarnations whose states the receiver is to send; at most MaxIncarnations
 	Incarnations       []IncarnationState  `cbor:"23,keyasint,omitempty"` // at most MaxIncarnations
+
+	StreamRows       []StreamRow        `cbor:"24,keyasint,omitempty"` // at most MaxStreamRows
+	StreamQueries    []StreamQuery      `cbor:"25,keyasint,omitempty"`
+	StreamAnswers    []StreamAnswer     `cbor:"26,keyasint,omitempty"`
+	RequiredSoftware []RequiredSoftware `cbor:"27,keyasint,omitempty"` // of PlaceRequests
+	GrantedSoftware  []GrantedSoftware  `cbor:"28,keyasint,omitempty"` // of PlaceResponses
 }
 
 // MaxIncarnations is how many incarnations of upstreams one message asks for or reports.
@@ -225,6 +231,7 @@
 
 // Encode encodes a message as CBOR.
 func Encode(m Message) ([]byte, error) {
+	m.RequiredSoftware, m.GrantedSoftware = softwareOf(&m)
 	data, err := cbor.Marshal(m)
 	return data, errors.Wrap(err, "encode message to peer")
 }
@@ -283,6 +290,10 @@
 	if len(m.IncarnationsWanted) > MaxIncarnations || len(m.Incarnations) > MaxIncarnations {
 		return m, errors.Errorf("invalid message from peer: %d incarnations asked for, %d reported", len(m.IncarnationsWanted), len(m.Incarnations))
 	}
+	if err := m.checkStreams(); err != nil {
+		return m, errors.Wrap(err, "invalid message from peer")
+	}
+	m.applySoftware()
 	if len(m.UsageWanted) > usage.RetainedWindows {
 		return m, errors.Errorf("invalid message from peer: usage of %d windows requested", len(m.UsageWanted))
 	}
--- a/internal/process/peers/placing.go
+++ b/internal/process/peers/placing.go
@@ -39,6 +39,8 @@
 	Late              bool
 	AllowLocalPrefill bool
 	Retry             bool
+
+	Software string `cbor:"-"` // place.Query.Software; sent as RequiredSoftware, which older instances pass over
 }
 
 // PromptPart is a shared part of a prompt.
@@ -55,7 +57,7 @@
 		ID: id, Service: q.Service, Work: string(q.Work), Urgency: q.Urgency, Key: q.Prompt.Key, UnsharedTokens: q.Prompt.UnsharedTokens,
 		KVCapacity: q.KVCapacity, GapUS: q.Gap.Microseconds(), AgeUS: now.Sub(q.Arrived).Microseconds(),
 		StartInUS: q.StartBy.Sub(now).Microseconds(), LeftUS: left.Microseconds(), ObjectiveUS: q.Objective.Microseconds(),
-		Late: q.Late, AllowLocalPrefill: q.AllowLocalPrefill, Retry: q.Retry,
+		Late: q.Late, AllowLocalPrefill: q.AllowLocalPrefill, Retry: q.Retry, Software: q.Software,
 	}
 	for _, p := range q.Prompt.Parts {
 		out.Parts = append(out.Parts, PromptPart{Key: uint32(p.Key), Tokens: p.Tokens})
@@ -77,7 +79,7 @@
 		ID: id, Service: r.Service, Zone: zone, Work: place.Work(r.Work), Urgency: r.Urgency, KVCapacity: r.KVCapacity,
 		Gap: micros(r.GapUS), Arrived: now.Add(-micros(r.AgeUS)), StartBy: now.Add(micros(r.StartInUS)),
 		Objective: micros(r.ObjectiveUS), Late: r.Late, AllowLocalPrefill: r.AllowLocalPrefill, Retry: r.Retry,
-		Prompt: place.Prompt{Key: r.Key, UnsharedTokens: r.UnsharedTokens},
+		Prompt: place.Prompt{Key: r.Key, UnsharedTokens: r.UnsharedTokens}, Software: r.Software,
 	}
 	if r.LeftUS > 0 {
 		out.Deadline = now.Add(micros(r.LeftUS))
@@ -130,6 +132,10 @@
 	AgeUS    int64
 	Details  RefusalDetails
 	At       *PlaceUpstream // the chosen upstream; nil: refused, or waiting
+
+	// These are sent as GrantedSoftware, which older instances neither send nor read.
+	Software string `cbor:"-"` // version of the chosen upstream's software; empty: unknown
+	Sole     bool   `cbor:"-"` // the service had no upstreams of another version for as long as callers resume streams
 }
 
 // PlaceUpstream describes the upstream that was chosen for a request, so that an instance that doesn't
@@ -158,6 +164,7 @@
 	}
 	c.Upstream = fleet.Upstream{
 		ID: a.At.ID, StartedMS: a.At.StartedMS, Service: service, Address: a.At.Address, Zone: a.At.Zone, Role: upstream.Role(a.At.Role),
+		Software: a.Software,
 	}
 	c.CopyFrom = place.Source{Key: place.UpstreamKey(a.CopyFrom), Address: a.At.CopyAddress}
 	return true
@@ -194,7 +201,7 @@
 		c := &d.Choice
 		out.Upstream, out.Work, out.CopyFrom = uint32(place.KeyOf(c.Upstream.Incarnation())), string(c.Work), uint32(c.CopyFrom.Key)
 		out.Tokens, out.Idle, out.Load, out.AgeUS = c.Tokens, c.Idle, float32(c.Load), c.Age.Microseconds()
-		out.At = placeUpstreamOf(c)
+		out.At, out.Software = placeUpstreamOf(c), c.Upstream.Software
 	}
 	return out
 }
--- /dev/null
+++ b/internal/process/streams/core.go
@@ -0,0 +1,167 @@
+package streams
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// MaxLife is how long a row is kept at most.
+	MaxLife = 10 * time.Minute
+	// maxRows limits the own rows and the copies, each about 150 bytes. Of the copies, further ones are dropped; of the
+	// own ones, any others are.
+	maxRows = 1 << 14
+)
+
+// Key identifies a stream.
+type Key uint64
+
+// KeyOf returns the key of the stream whose first event an attempt of a client account brought.
+func KeyOf(account, attempt string) Key {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(account) // never returns an error
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(attempt)
+	return Key(digest.Sum64())
+}
+
+// Origin is where a stream began.
+type Origin struct {
+	Service  string
+	Software string // version of the upstream's software; empty: not known
+}
+
+// Row is the origin of one stream.
+type Row struct {
+	Key     Key
+	Origin  Origin
+	Expires time.Time
+}
+
+// Core keeps rows. It is not safe for concurrent use.
+type Core struct {
+	own      map[Key]Row             // streams that this instance passed on
+	copies   map[Key]Row             // of other instances
+	uncopied map[string]map[Key]bool // own rows that holders don't have, by service
+	due      []Key                   // own rows to be sent to their holders
+}
+
+// New returns a core without rows.
+func New() *Core {
+	return &Core{own: make(map[Key]Row), copies: make(map[Key]Row), uncopied: make(map[string]map[Key]bool)}
+}
+
+// Began records that this instance passed on the first event of a stream, or continues one. The row expires after life,
+// or MaxLife if that is shorter. inDoubt: there may be upstreams of several versions, so holders need the row.
+func (c *Core) Began(now time.Time, key Key, origin Origin, life time.Duration, inDoubt bool) {
+	if _, known := c.own[key]; !known && len(c.own) >= maxRows {
+		c.makeRoom(now)
+	}
+	c.own[key] = Row{Key: key, Origin: origin, Expires: now.Add(min(life, MaxLife))}
+	if inDoubt {
+		c.due = append(c.due, key)
+		return
+	}
+	if c.uncopied[origin.Service] == nil {
+		c.uncopied[origin.Service] = make(map[Key]bool)
+	}
+	c.uncopied[origin.Service][key] = true
+}
+
+// makeRoom removes the expired own rows, and arbitrary ones if too few have expired: enough for many further rows, so
+// that it isn't called for each of them.
+func (c *Core) makeRoom(now time.Time) {
+	c.Forget(now)
+	for key, row := range c.own {
+		if len(c.own) < maxRows*7/8 {
+			return
+		}
+		c.dropOwn(key, row)
+	}
+}
+
+func (c *Core) dropOwn(key Key, row Row) {
+	delete(c.own, key)
+	delete(c.uncopied[row.Origin.Service], key)
+}
+
+// UncopiedServices returns the services with own rows that holders don't have.
+func (c *Core) UncopiedServices() []string {
+	var out []string
+	for service, keys := range c.uncopied {
+		if len(keys) > 0 {
+			out = append(out, service)
+		}
+	}
+	return out
+}
+
+// Doubt makes the own rows of a service due that holders don't have yet. It reports whether there are any.
+func (c *Core) Doubt(service string) bool {
+	keys := c.uncopied[service]
+	for key := range keys {
+		c.due = append(c.due, key)
+	}
+	delete(c.uncopied, service)
+	return len(keys) > 0
+}
+
+// TakeDue returns the rows to send to their holders now.
+func (c *Core) TakeDue(now time.Time) []Row {
+	var out []Row
+	for _, key := range c.due {
+		if row, ok := c.own[key]; ok && now.Before(row.Expires) {
+			out = append(out, row)
+		}
+	}
+	c.due = nil
+	return out
+}
+
+// Merge records a row that another instance sent. An origin that contradicts a known one makes it unknown.
+func (c *Core) Merge(now time.Time, row Row) {
+	row.Expires = earlier(row.Expires, now.Add(MaxLife))
+	old, known := c.copies[row.Key]
+	switch {
+	case !known && len(c.copies) >= maxRows:
+		return
+	case known && now.Before(old.Expires) && old.Origin != row.Origin:
+		row.Origin = Origin{}
+	}
+	c.copies[row.Key] = row
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// Find returns the origin of a stream. ok is false if there is no row. The origin is empty if what is known of it is
+// contradictory.
+func (c *Core) Find(now time.Time, key Key) (origin Origin, ok bool) {
+	if row, known := c.own[key]; known && now.Before(row.Expires) {
+		return row.Origin, true
+	}
+	if row, known := c.copies[key]; known && now.Before(row.Expires) {
+		return row.Origin, true
+	}
+	return Origin{}, false
+}
+
+// Forget drops the rows that have expired.
+func (c *Core) Forget(now time.Time) {
+	for key, row := range c.own {
+		if !now.Before(row.Expires) {
+			c.dropOwn(key, row)
+		}
+	}
+	for key, row := range c.copies {
+		if !now.Before(row.Expires) {
+			delete(c.copies, key)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/streams/core_test.go
@@ -0,0 +1,127 @@
+package streams
+
+import (
+	"testing"
+	"time"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	old   = Origin{Service: "llm", Software: "v1.1"}
+	other = Origin{Service: "llm", Software: "v1.2"}
+)
+
+// TestRowsWithoutDoubtAreNotCopied checks that a row costs no message while its service has one version, and that rows
+// of streams that began before become due once that is in doubt.
+func TestRowsWithoutDoubtAreNotCopied(t *testing.T) {
+	c := New()
+	c.Began(start, KeyOf("a", "1"), old, time.Minute, false)
+	c.Began(start, KeyOf("a", "2"), Origin{Service: "other", Software: "v1"}, time.Minute, false)
+	if rows := c.TakeDue(start); len(rows) != 0 {
+		t.Fatalf("due without doubt: %v", rows)
+	}
+	if !c.Doubt("llm") || c.Doubt("llm") {
+		t.Error("rows of a service become due not once")
+	}
+	rows := c.TakeDue(start)
+	if len(rows) != 1 || rows[0].Key != KeyOf("a", "1") || rows[0].Origin != old {
+		t.Errorf("due: %v", rows)
+	}
+	if services := c.UncopiedServices(); len(services) != 1 || services[0] != "other" {
+		t.Errorf("uncopied services %v", services)
+	}
+	c.Began(start, KeyOf("a", "3"), other, time.Minute, true)
+	if rows := c.TakeDue(start); len(rows) != 1 || rows[0].Origin != other {
+		t.Errorf("due in doubt: %v", rows)
+	}
+}
+
+// TestRowsExpire checks that rows, own ones and copies, are used until they expire and no longer.
+func TestRowsExpire(t *testing.T) {
+	c := New()
+	own, copied := KeyOf("", "own"), KeyOf("", "copied")
+	c.Began(start, own, old, time.Second, false)
+	c.Merge(start, Row{Key: copied, Origin: other, Expires: start.Add(time.Second)})
+	for key, want := range map[Key]Origin{own: old, copied: other} {
+		if got, ok := c.Find(start, key); !ok || got != want {
+			t.Errorf("found %v %v, want %v", got, ok, want)
+		}
+		if _, ok := c.Find(start.Add(time.Second), key); ok {
+			t.Error("found after its end")
+		}
+	}
+	c.Forget(start.Add(time.Second))
+	if len(c.own)+len(c.copies)+len(c.UncopiedServices()) != 0 {
+		t.Errorf("kept: %v %v", c.own, c.copies)
+	}
+}
+
+// TestContradictoryRowsSayNothing checks that two different origins of one stream make it unknown: it must not be
+// continued anywhere.
+func TestContradictoryRowsSayNothing(t *testing.T) {
+	c, key := New(), KeyOf("", "1")
+	for _, origin := range []Origin{old, old, other} {
+		c.Merge(start, Row{Key: key, Origin: origin, Expires: start.Add(time.Second)})
+	}
+	if got, ok := c.Find(start, key); !ok || got.Software != "" {
+		t.Errorf("found %v %v", got, ok)
+	}
+}
+
+// TestRowsAreBounded checks that a flood of streams, and of copies, takes bounded memory, and that the newest own rows
+// are kept.
+func TestRowsAreBounded(t *testing.T) {
+	c := New()
+	for i := range 2 * maxRows {
+		c.Began(start, Key(i), old, time.Hour, false)
+		c.Merge(start, Row{Key: Key(i), Origin: old, Expires: start.Add(time.Hour)})
+	}
+	if len(c.own) > maxRows || len(c.copies) > maxRows || len(c.uncopied[old.Service]) > maxRows {
+		t.Errorf("%d own rows, %d copies, %d uncopied", len(c.own), len(c.copies), len(c.uncopied[old.Service]))
+	}
+	if _, ok := c.Find(start, Key(2*maxRows-1)); !ok {
+		t.Error("the newest row was dropped")
+	}
+	if _, ok := c.Find(start.Add(MaxLife), Key(2*maxRows-1)); ok {
+		t.Error("a row lives longer than MaxLife")
+	}
+}
+
+// TestAccountsDoNotShareStreams checks that the attempt of one client account says nothing about a stream of another.
+func TestAccountsDoNotShareStreams(t *testing.T) {
+	if KeyOf("a", "1") == KeyOf("b", "1") || KeyOf("a", "b1") == KeyOf("ab", "1") {
+		t.Error("keys of different accounts are equal")
+	}
+}
+
+// TestResolve checks what decides on the origin of a stream.
+func TestResolve(t *testing.T) {
+	row := func(o Origin) Answer { return Answer{Basis: ByRow, Origin: o} }
+	sole := func(o Origin) Answer { return Answer{Basis: BySole, Origin: o} }
+	none, mixed := Answer{}, Answer{Basis: ByMixed}
+	for _, c := range []struct {
+		name   string
+		own    Answer
+		others []Answer
+		asked  int
+		want   Origin
+		basis  Basis
+	}{
+		{"own row", row(old), nil, 0, old, ByRow},
+		{"another instance's row", mixed, []Answer{mixed, row(old), none}, 4, old, ByRow},
+		{"a row beside another list of upstreams", sole(other), []Answer{row(old)}, 1, old, ByRow},
+		{"different rows", none, []Answer{row(old), row(other)}, 2, Origin{}, ByRow},
+		{"a contradictory row", none, []Answer{row(Origin{}), sole(old)}, 2, Origin{}, ByRow},
+		{"one version", sole(old), []Answer{none, sole(old)}, 2, old, BySole},
+		{"one version by another list", none, []Answer{sole(old), none}, 3, old, BySole},
+		{"different single versions", sole(old), []Answer{sole(other)}, 1, Origin{}, BySole},
+		{"several versions", sole(old), []Answer{mixed}, 1, Origin{}, ByMixed},
+		{"no answer, the own list may be old", sole(old), nil, 3, Origin{}, NoOpinion},
+		{"the only instance", sole(old), nil, 0, old, BySole},
+		{"nothing known", none, []Answer{none}, 1, Origin{}, NoOpinion},
+	} {
+		if got, basis := Resolve(c.own, c.others, c.asked); got != c.want || basis != c.basis {
+			t.Errorf("%s: %v by %v, want %v by %v", c.name, got, basis, c.want, c.basis)
+		}
+	}
+}
--- a/internal/request/place/pick.go
+++ b/internal/request/place/pick.go
@@ -52,9 +52,9 @@
 }
 
 // eligible reports whether an upstream could serve the request, whatever its load: it is
-// available, has the required role and isn't excluded.
+// available, has the required role and version of software, and isn't excluded.
 func (u *upstreamState) eligible(now time.Time, q *Query) bool {
-	if u.health.unavailable(now) || !roleFits(u.up.Role, q.Work.requiredRole()) {
+	if u.health.unavailable(now) || !roleFits(u.up.Role, q.Work.requiredRole()) || (q.Continues() && u.up.Software != q.Software) {
 		return false
 	}
 	for _, id := range q.Excluded {
--- a/internal/request/place/query.go
+++ b/internal/request/place/query.go
@@ -26,6 +26,7 @@
 	AllowLocalPrefill bool                // with Prefill: the request may get a place for LocalPrefill instead
 	Deadline          time.Time           // when its caller stops waiting; zero: unknown
 	Retry             bool                // its caller was refused before and retries at the suggested time
+	Software          string              // continues a stream, at an upstream with this version of software; empty: any upstream
 
 	prefillEnginesLimited bool // with LocalPrefill: some prefill engines have rate limits or are backing off
 }
@@ -36,10 +37,21 @@
 	return time.Duration(engineWaitShare * float64(q.Objective))
 }
 
-// compare orders waiting requests: by urgency first, then requests that can still be answered
-// in time before late ones. A late request loses little by waiting, whereas starting it first
-// could make another request late for no benefit. The result is negative if q goes first.
+// Continues reports whether the request continues a stream.
+func (q *Query) Continues() bool { return q.Software != "" }
+
+// compare orders waiting requests: those that continue a stream first, since fewer upstreams can serve
+// them, and they are no more than streams that had a place before. Then by urgency, then requests that
+// can still be answered in time before late ones. A late request loses little by waiting, whereas
+// starting it first could make another request late for no benefit. The result is negative if q goes
+// first.
 func (q *Query) compare(other *Query) int {
+	if q.Continues() != other.Continues() {
+		if q.Continues() {
+			return -1
+		}
+		return 1
+	}
 	if c := cmp.Compare(q.Urgency, other.Urgency); c != 0 {
 		return c
 	}
--- a/internal/request/place/queue.go
+++ b/internal/request/place/queue.go
@@ -104,10 +104,15 @@
 	return Decision{}, false
 }
 
-// hasPredecessor reports whether a waiting request goes before the new request q.
+// hasPredecessor reports whether a waiting request goes before the new request q. Requests that continue a
+// stream don't count: they wait for certain upstreams, and had the first choice of what is free.
 func (r *Queue) hasPredecessor(q *Query) bool {
-	list := r.queues[q.queueName()]
-	return len(list) > 0 && list[0].q.compare(q) <= 0
+	for _, w := range r.queues[q.queueName()] {
+		if !w.q.Continues() {
+			return w.q.compare(q) <= 0
+		}
+	}
+	return false
 }
 
 // ahead returns the number of waiting requests that go before q, which may be waiting itself.
@@ -241,7 +246,7 @@
 // decide decides on one waiting request, and returns false if it keeps waiting. *blocked is
 // true if a request ahead of it found no place; such a request keeps those behind it waiting.
 // decide sets *blocked if this request finds no place, unless the request has tried upstreams
-// before: it then has fewer upstreams to choose from than others.
+// before or continues a stream: it then has fewer upstreams to choose from than others.
 func (r *Queue) decide(now time.Time, q *Query, blocked *bool) (Decision, bool) {
 	if !q.StartBy.After(now) {
 		return r.Refuse(now, q, NoPlaceInTime), true
@@ -258,7 +263,7 @@
 	case r.limitsPreventStart(now, q, 0):
 		return r.Refuse(now, q, NoPlaceInTime), true
 	}
-	*blocked = len(q.Excluded) == 0
+	*blocked = len(q.Excluded) == 0 && !q.Continues()
 	return Decision{}, false
 }
 
--- a/internal/version/routing/config.go
+++ b/internal/version/routing/config.go
@@ -48,6 +48,17 @@
 	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
 }
 
+// HasTarget reports whether requests of the route may go to a service.
+func (r *Route) HasTarget(service string) bool {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service == service
+	}
+	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
+// IsSplit reports whether the requests of the route go to several services.
+func (r *Route) IsSplit() bool { return len(r.Targets) > 1 }
+
 // Pick chooses one of the route's targets by weight and returns its service. The choice depends only
 // on seed and the targets. If no target has a positive weight, Pick returns the service of the first
 // one; without targets it returns an empty string.
