--- a/internal/process/streams/core.go
+++ b/internal/process/streams/core.go
@@ -9,7 +9,7 @@
 const (
 	// MaxLife is how long a row is kept at most.
 	MaxLife = 10 * time.Minute
-	// maxRows limits the own rows and the copies, each about 150 bytes. Of the copies, further ones are dropped; of the
+	// maxRows limits the own rows and the copies, each about 200 bytes. Of the copies, further ones are dropped; of the
 	// own ones, any others are.
 	maxRows = 1 << 14
 )
