holds: log the parts of the prompt of a send that broke off

In BUDGET requests that share one part of their prompts crash engines. The lines have only a hash of the whole request, so that they can't show what the requests at several ends have in common.

--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -103,7 +103,7 @@
 	if listed, leaving := e.state.listedLeaving(u.Incarnation()); leaving || (!listed && e.state.upstreamsListed()) {
 		return
 	}
-	e.holds.HandleBrokenSend(holds.BrokenSend{Content: q.content(), Incarnation: incarnationOf(u), Address: u.Address, Sent: send.startedAt, LivenessConn: send.livenessConn})
+	e.holds.HandleBrokenSend(holds.BrokenSend{Content: q.content(), Parts: q.sharedPartIDs(), Incarnation: incarnationOf(u), Address: u.Address, Sent: send.startedAt, LivenessConn: send.livenessConn})
 	send.livenessConn = nil // HandleBrokenSend closes it
 }
 
--- a/internal/process/entry/quarantine.go
+++ b/internal/process/entry/quarantine.go
@@ -11,6 +11,21 @@
 // for a certain piece of work, because upstreams crashed while they did it (see newHolds).
 var errWorkHeld = errors.New("upstreams crashed under the same work")
 
+// maxCountedParts limits the parts of one request that crashes are counted for. Callers may declare thousands.
+const maxCountedParts = 16
+
+// sharedPartIDs returns the ids of the parts of the prompt that other requests may share, or the last maxCountedParts of
+// them: a prompt begins with the most common parts.
+func (q *request) sharedPartIDs() []string {
+	_, shared, _ := q.info.SharedParts()
+	shared = shared[max(0, len(shared)-maxCountedParts):]
+	ids := make([]string, len(shared))
+	for i, p := range shared {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
 // workHeld reports whether a hold on the request's work is in force. While no work is suspected of
 // crashing upstreams, this is false without computing the hash of the request (see content).
 func (q *request) workHeld() bool {
--- a/internal/process/holds/brokensend.go
+++ b/internal/process/holds/brokensend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"syscall"
 	"time"
 
@@ -35,6 +36,7 @@
 // BrokenSend is a send that broke off before its answer was complete.
 type BrokenSend struct {
 	Content      quarantine.Content
+	Parts        []string // ids of the parts of its prompt that other requests may share
 	Incarnation  quarantine.Incarnation
 	Address      string // host:port of the upstream
 	Sent         time.Time
@@ -76,7 +78,7 @@
 func (k *Keeper) HandleBrokenSend(b BrokenSend) {
 	brokenAt := time.Now()
 	check := k.SendBroken(b.Content, b.Incarnation, b.Sent)
-	logline.Info("send broke off", "upstream", b.Incarnation, "content", b.Content, "sent_ms", brokenAt.Sub(b.Sent).Milliseconds(),
+	logline.Info("send broke off", "upstream", b.Incarnation, "content", b.Content, "parts", strings.Join(b.Parts, ","), "sent_ms", brokenAt.Sub(b.Sent).Milliseconds(),
 		"checked", check, "witness", b.LivenessConn != nil)
 	if b.LivenessConn != nil {
 		k.cfg.RunInBackground(func() { k.awaitLivenessConn(b, brokenAt) })
