holds: parts of prompts under which upstreams crash are held

Cause: work was known by the hash of its whole content. No two of the requests are alike, so each crash was the first of its work and nothing was held but sound work that was under way at two of the ends.

A crash now counts for each shared part of the prompt as well, with the same core, reports and records. A part is held after three independent crashes without a whole answer on it; after six if it was answered in the last ten minutes, or if the process has seen too few answers to tell, so that the parts that all requests share aren't held. A whole answer on a part voids its crashes. Once a part is held, the ends of upstreams at which it was under way no longer count against anything else there, and sound work that they held is free again. The first hold of a part is two minutes, as an error keeps more callers away.

--- a/internal/process/entry/crashbroadcast.go
+++ b/internal/process/entry/crashbroadcast.go
@@ -52,7 +52,20 @@
 func (s *peerExchange) sendCrashes(now time.Time, crashes []quarantine.Crash, to []string) {
 	for len(crashes) > 0 && len(to) > 0 {
 		n := min(len(crashes), quarantine.MaxCrashReports)
-		s.send(peers.Message{Crashes: quarantine.EncodeCrashes(now, crashes[:n])}, to...)
+		parts, work := partition(crashes[:n], func(c quarantine.Crash) bool { return c.Content.IsPart() })
+		s.send(peers.Message{Crashes: quarantine.EncodeCrashes(now, work), PartCrashes: quarantine.EncodeCrashes(now, parts)}, to...)
 		crashes = crashes[n:]
 	}
 }
+
+// partition returns the elements of a list for which f is true, and the others.
+func partition[T any](list []T, f func(T) bool) (yes, no []T) {
+	for _, v := range list {
+		if f(v) {
+			yes = append(yes, v)
+		} else {
+			no = append(no, v)
+		}
+	}
+	return yes, no
+}
--- a/internal/process/entry/peerexchange.go
+++ b/internal/process/entry/peerexchange.go
@@ -294,7 +294,7 @@
 	s.handleEventReports(from, m.EventReports)
 	s.handlePlaceRequests(now, from, m.PlaceRequests)
 	s.handleAnswers(from, m.PlaceResponses)
-	s.handleCrashes(now, from, m.Crashes)
+	s.handleCrashes(now, from, append(m.Crashes, m.PartCrashes...))
 	s.handleUsage(from, m)
 	s.handleRateLimits(now, from, m)
 	s.handleIncarnations(from, m)
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -39,9 +39,10 @@
 	info        exchange.RequestInfo
 	prompt      place.Prompt
 	body        []byte
-	contentID   quarantine.Content // see content; zero: not computed yet
-	spentBefore time.Duration      // time that the caller has spent on earlier attempts, as far as known
-	deadline    time.Time          // the earlier of the caller's deadline and the route's; zero: none
+	contentID   quarantine.Content   // see content; zero: not computed yet
+	partKeys    []quarantine.Content // see partContents; nil: not computed yet
+	spentBefore time.Duration        // time that the caller has spent on earlier attempts, as far as known
+	deadline    time.Time            // the earlier of the caller's deadline and the route's; zero: none
 
 	refusal          *place.Decision // the last refusal of a place; nil: none
 	lastUpstream     string          // id of the last upstream that the request was sent to
--- a/internal/process/holds/brokensend.go
+++ b/internal/process/holds/brokensend.go
@@ -77,7 +77,7 @@
 // whether the upstream refuses new connections, unless such a check of this upstream is in progress already.
 func (k *Keeper) HandleBrokenSend(b BrokenSend) {
 	brokenAt := time.Now()
-	check := k.SendBroken(b.Content, b.Incarnation, b.Sent)
+	check := k.sendWithPartsBroken(&b)
 	logline.Info("send broke off", "upstream", b.Incarnation, "content", b.Content, "parts", strings.Join(b.Parts, ","), "sent_ms", brokenAt.Sub(b.Sent).Milliseconds(),
 		"checked", check, "witness", b.LivenessConn != nil)
 	if b.LivenessConn != nil {
--- a/internal/process/holds/keeper.go
+++ b/internal/process/holds/keeper.go
@@ -38,7 +38,8 @@
 	mu         sync.Mutex
 	era        uint64 // era of the platform's list that was applied last
 	core       *quarantine.Core
-	lastForget time.Time // of the last scan for old state
+	lastForget time.Time                     // of the last scan for old state
+	partNames  map[quarantine.Content]string // ids of parts of prompts at which sends broke off
 }
 
 // forgetInterval is the minimum time between two scans for old state, which read all suspects, up to some
@@ -52,7 +53,7 @@
 			return upstream.CheckReachable(ctx, address, timeout)
 		}
 	}
-	return &Keeper{cfg: cfg, core: quarantine.New(), crashCount: cfg.Scope.Counter("upstream_crashes"), holdCount: cfg.Scope.Counter("work_held")}
+	return &Keeper{cfg: cfg, core: quarantine.New(), partNames: make(map[quarantine.Content]string), crashCount: cfg.Scope.Counter("upstream_crashes"), holdCount: cfg.Scope.Counter("work_held")}
 }
 
 // withCore calls f with the core, under the lock.
@@ -69,22 +70,43 @@
 	return any
 }
 
-// Held reports whether some work is held.
-func (k *Keeper) Held(content quarantine.Content) (ok bool) {
-	k.withCore(func(c *quarantine.Core) { _, ok = c.ActiveHold(time.Now(), content) })
+// Held reports whether some work or one of the parts of its prompt is held.
+func (k *Keeper) Held(content quarantine.Content, parts ...quarantine.Content) bool {
+	_, _, ok := k.activeHold(time.Now(), content, parts)
 	return ok
 }
 
-// Refusal returns the error for work that is held, or nil if it isn't. Its retry-after time is the end of the
-// hold, which is long after the deadline of most requests.
-func (k *Keeper) Refusal(content quarantine.Content) *errkind.Error {
-	var hold quarantine.Hold
-	ok, now := false, time.Now()
-	k.withCore(func(c *quarantine.Core) { hold, ok = c.ActiveHold(now, content) })
+// activeHold returns the hold in force of some work or of a part of its prompt, and which of them is held.
+func (k *Keeper) activeHold(now time.Time, content quarantine.Content, parts []quarantine.Content) (hold quarantine.Hold, held quarantine.Content, ok bool) {
+	k.withCore(func(c *quarantine.Core) {
+		held = content
+		hold, ok = c.ActiveHold(now, content)
+		for i := 0; i < len(parts) && !ok; i++ {
+			held = parts[i]
+			hold, ok = c.ActiveHold(now, parts[i])
+		}
+	})
+	return hold, held, ok
+}
+
+// Refusal returns the error for work that is held, itself or for a part of its prompt, or nil if it isn't. Its
+// retry-after time is the end of the hold, which is long after the deadline of most requests.
+func (k *Keeper) Refusal(content quarantine.Content, parts ...quarantine.Content) *errkind.Error {
+	now := time.Now()
+	hold, held, ok := k.activeHold(now, content, parts)
 	if !ok {
 		return nil
 	}
-	return errkind.New(errkind.Quarantined, errkind.NotRun, "upstreams crashed under the same work").WithRetryAfter(hold.Until.Sub(now))
+	why := "upstreams crashed under the same work"
+	if held.IsPart() {
+		why = "upstreams crashed under requests with the same part of the prompt (" + held.String() + ")"
+	}
+	return errkind.New(errkind.Quarantined, errkind.NotRun, why).WithRetryAfter(hold.Until.Sub(now))
+}
+
+// PartsAnswered records that a request with the given parts of its prompt was answered completely.
+func (k *Keeper) PartsAnswered(parts []quarantine.Content) {
+	k.withCore(func(c *quarantine.Core) { c.PartsAnswered(time.Now(), parts) })
 }
 
 // Succeeded records that some work was answered completely, ends its hold and removes the hold from the platform in the
@@ -109,6 +131,41 @@
 	return check
 }
 
+// sendWithPartsBroken is SendBroken for a request with parts of its prompt.
+func (k *Keeper) sendWithPartsBroken(b *BrokenSend) (check bool) {
+	var newCrashes []quarantine.Crash
+	parts := make([]quarantine.Content, len(b.Parts))
+	for i, id := range b.Parts {
+		parts[i] = quarantine.PartContent(id)
+	}
+	k.withCore(func(c *quarantine.Core) {
+		k.namePartsLocked(b.Parts, parts)
+		newCrashes, check = c.SendWithPartsBroken(time.Now(), b.Content, parts, b.Incarnation, b.Sent)
+	})
+	k.reportCrashes(newCrashes, b.Incarnation, "it had already ended")
+	return check
+}
+
+// maxPartNames limits the parts whose ids are kept for log lines.
+const maxPartNames = 4096
+
+// namePartsLocked keeps the ids of parts for log lines. Callers hold mu.
+func (k *Keeper) namePartsLocked(ids []string, parts []quarantine.Content) {
+	if len(k.partNames) >= maxPartNames {
+		clear(k.partNames)
+	}
+	for i, part := range parts {
+		k.partNames[part] = ids[i]
+	}
+}
+
+// partName returns the id of a part as log lines have it; empty: the content isn't that of a part, or this process sent
+// no request with it that broke off.
+func (k *Keeper) partName(content quarantine.Content) (name string) {
+	k.withCore(func(*quarantine.Core) { name = k.partNames[content] })
+	return name
+}
+
 // UpstreamEnded records that the process of an upstream ended other than by a planned stop. reason is logged.
 func (k *Keeper) UpstreamEnded(incarnation quarantine.Incarnation, reason string) {
 	var newCrashes []quarantine.Crash
@@ -152,11 +209,12 @@
 	k.crashCount.Inc(int64(len(crashes)))
 	for i := range crashes {
 		c := &crashes[i]
-		logline.Info("upstream crashed", "upstream", incarnation, "content", c.Content,
+		logline.Info("upstream crashed", "upstream", incarnation, "content", c.Content, "part", k.partName(c.Content),
 			"sent_ms", now.Sub(c.Sent).Milliseconds(), "broke_off_ms", now.Sub(c.At).Milliseconds(), "why", reason)
 	}
 	k.broadcast(crashes)
 	k.startHolds(true)
+	k.startRemovals(true)
 }
 
 // broadcast reports crashes to other instances.
--- a/internal/process/holds/record.go
+++ b/internal/process/holds/record.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		k.holdCount.Inc(1)
-		logline.Info("work held", "content", content, "until", hold.Until.Format(time.RFC3339), "times", hold.Times, "own", own)
+		logline.Info("work held", "content", content, "part", k.partName(content), "until", hold.Until.Format(time.RFC3339), "times", hold.Times, "own", own)
 		delay := time.Duration(0)
 		if k.cfg.StoreDelay != nil {
 			delay = k.cfg.StoreDelay(own)
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -52,6 +52,8 @@
 
 	Crashes []quarantine.CrashReport `cbor:"12,keyasint,omitempty"` // at most quarantine.MaxCrashReports
 
+	PartCrashes []quarantine.CrashReport `cbor:"29,keyasint,omitempty"` // those of parts of prompts, which older instances pass over; counted with Crashes
+
 	Config uint64 `cbor:"16,keyasint,omitempty"` // configuration version in force at the sender; 0: none
 
 	SenderIncarnation uint64       `cbor:"13,keyasint,omitempty"` // incarnation of the sender; set together with Usage
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -63,12 +63,16 @@
 
 // Core tracks crashes and holds. It is not safe for concurrent use.
 type Core struct {
-	suspects   map[Content]*suspect
-	lastBroken map[Content]time.Time         // when a send of the work last broke off
-	pending    map[Incarnation]*pendingSends // broken sends at upstreams that may have ended
-	endedAt    map[Incarnation]time.Time     // when the end of an upstream was noticed
-	newHolds   []Content                     // holds that began since the last call of TakeNewHolds
-	unwanted   []Content                     // work whose record became unwanted since the last call of TakeUnwantedRecords
+	suspects    map[Content]*suspect
+	lastBroken  map[Content]time.Time         // when a send of the work last broke off
+	pending     map[Incarnation]*pendingSends // broken sends at upstreams that may have ended
+	endedAt     map[Incarnation]time.Time     // when the end of an upstream was noticed
+	newHolds    []Content                     // holds that began since the last call of TakeNewHolds
+	answeredAt  map[Content]time.Time         // when a request with a part was last answered completely
+	answers     int                           // requests answered completely
+	explainDue  bool                          // see explainCrashes
+	partCleared bool                          // a held part was answered, so that it explains nothing any more
+	unwanted    []Content                     // work whose record became unwanted since the last call of TakeUnwantedRecords
 }
 
 // New returns a core without suspects.
@@ -78,6 +82,7 @@
 		lastBroken: make(map[Content]time.Time),
 		pending:    make(map[Incarnation]*pendingSends),
 		endedAt:    make(map[Incarnation]time.Time),
+		answeredAt: make(map[Content]time.Time),
 	}
 }
 
@@ -104,14 +109,22 @@
 // already known, the send counts as a crash at once, and is returned if it is new. If check is true, the
 // caller has to check whether the upstream has ended, and then call UpstreamEnded or Checked.
 func (c *Core) SendBroken(now time.Time, content Content, incarnation Incarnation, sent time.Time) (newCrashes []Crash, check bool) {
+	return c.SendWithPartsBroken(now, content, nil, incarnation, sent)
+}
+
+// SendWithPartsBroken is SendBroken for a request whose prompt has the given parts.
+func (c *Core) SendWithPartsBroken(now time.Time, content Content, parts []Content, incarnation Incarnation, sent time.Time) (newCrashes []Crash, check bool) {
 	c.recordBrokenSend(now, content)
-	b := brokenSend{content: content, sent: sent, at: now}
+	broken := []brokenSend{{content: content, sent: sent, at: now}}
+	for _, part := range parts {
+		broken = append(broken, brokenSend{content: part, sent: sent, at: now})
+	}
 	if at, ended := c.endedAt[incarnation]; ended && !sent.After(at) {
-		return c.recordCrashes(now, incarnation, []brokenSend{b}), false
+		return c.recordCrashes(now, incarnation, broken), false
 	}
 	pending := mapentry.GetOrCreate(c.pending, incarnation, mapentry.Zero[pendingSends])
 	if len(pending.sends) < maxPendingSends {
-		pending.sends = append(pending.sends, b)
+		pending.sends = append(pending.sends, broken...)
 	}
 	check = !pending.checking
 	pending.checking = true
@@ -218,6 +231,7 @@
 			newCrashes = append(newCrashes, crash)
 		}
 	}
+	c.explainCrashes(now)
 	return newCrashes
 }
 
@@ -230,6 +244,7 @@
 			newCrashes = append(newCrashes, crash)
 		}
 	}
+	c.explainCrashes(now)
 	return newCrashes
 }
 
@@ -242,6 +257,7 @@
 	s := c.suspectFor(now, crash.Content)
 	isNew := s.mergeCrash(&crash)
 	c.updateHold(now, crash.Content, s)
+	c.explainDue = c.explainDue || isNew
 	return isNew
 }
 
@@ -308,6 +324,10 @@
 	if lifted {
 		c.markUnwanted(now, content, s, 0, s.hold.Until)
 		c.cancelHold(now, content, s)
+		if content.IsPart() {
+			c.explainDue, c.partCleared = true, true
+			c.explainCrashes(now)
+		}
 	}
 	return voided, lifted
 }
--- a/internal/request/quarantine/crash.go
+++ b/internal/request/quarantine/crash.go
@@ -8,17 +8,18 @@
 
 // Crash is the end of an upstream's process while it had some work in flight.
 type Crash struct {
-	Content  Content
-	Upstream IncarnationHash // the incarnation that ended
-	Sent     time.Time       // when the work was sent there
-	At       time.Time       // when the send broke off
-	Void     bool            // doesn't count: the work was answered completely since, so it didn't cause the crash
-	local    bool            // detected by this process, so its times are exact
-	lifted   bool            // doesn't count here: the hold that it led to was removed from the platform
+	Content   Content
+	Upstream  IncarnationHash // the incarnation that ended
+	Sent      time.Time       // when the work was sent there
+	At        time.Time       // when the send broke off
+	Void      bool            // doesn't count: the work was answered completely since, so it didn't cause the crash
+	local     bool            // detected by this process, so its times are exact
+	explained bool            // doesn't count: a held part of prompts was under way at the same upstream
+	lifted    bool            // doesn't count here: the hold that it led to was removed from the platform
 }
 
 // counts reports whether the crash counts against its work.
-func (c *Crash) counts() bool { return !c.Void && !c.lifted }
+func (c *Crash) counts() bool { return !c.Void && !c.lifted && !c.explained }
 
 // sameEndWindow is the largest difference between the times at which instances notice the same end of
 // an upstream. Crashes that are further apart belong to different incarnations with the same name.
--- a/internal/request/quarantine/hold.go
+++ b/internal/request/quarantine/hold.go
@@ -29,9 +29,9 @@
 // activeAt reports whether the hold is in force.
 func (h Hold) activeAt(now time.Time) bool { return now.Before(h.Until) }
 
-// next returns the hold that begins now and follows h, which has ended. If h is zero, it is the first.
-func (h Hold) next(now time.Time) Hold {
-	length := initialHold
+// next returns the hold that begins now and follows h, which has ended. If h is zero, it is the first, which has the
+// given length.
+func (h Hold) next(now time.Time, length time.Duration) Hold {
 	for range h.Times {
 		length = min(length*holdGrowth, MaxHold)
 	}
@@ -41,11 +41,11 @@
 // updateHold cancels the current hold if the crashes no longer justify it, and begins one if there is none and the
 // crashes of the work justify it.
 func (c *Core) updateHold(now time.Time, content Content, s *suspect) {
-	if s.hold.activeAt(now) && s.unfounded(now) {
+	if s.hold.activeAt(now) && c.unfounded(now, content, s) {
 		c.cancelHold(now, content, s)
 	}
-	if !s.hold.activeAt(now) && s.justifiesHold(now, s.hold) {
-		s.previous, s.hold = s.hold, s.hold.next(now)
+	if !s.hold.activeAt(now) && c.justifiesHold(now, content, s, s.hold) {
+		s.previous, s.hold = s.hold, s.hold.next(now, firstHold(content))
 		s.hold.Crashes = s.countedSince(now, s.previous)
 		s.fromCrashes, s.stored = true, false
 		c.newHolds = append(c.newHolds, content)
@@ -55,17 +55,29 @@
 // unfounded reports whether the current hold isn't justified any more. A stored hold depends on the crashes in its
 // record, which are the same at all instances. Another one depends on the crashes known here, if it began because of
 // them.
-func (s *suspect) unfounded(now time.Time) bool {
+func (c *Core) unfounded(now time.Time, content Content, s *suspect) bool {
 	if s.stored && len(s.hold.Crashes) > 0 {
-		return s.cleared(s.hold)
+		return s.cleared(content, s.hold)
 	}
-	return s.fromCrashes && !s.justifiesHold(now, s.previous)
+	return s.fromCrashes && !c.justifiesHold(now, content, s, s.previous)
+}
+
+// firstHold returns the length of the first hold of some work.
+func firstHold(content Content) time.Duration {
+	if content.IsPart() {
+		return initialPartHold
+	}
+	return initialHold
 }
 
 // justifiesHold reports whether the crashes since the end of the earlier hold last justify another hold. If last
 // is zero, there was no earlier one.
-func (s *suspect) justifiesHold(now time.Time, last Hold) bool {
-	return countIndependent(s.countedSince(now, last)) >= crashesNeeded(last.Times+1)
+func (c *Core) justifiesHold(now time.Time, content Content, s *suspect, last Hold) bool {
+	needed := crashesNeeded(last.Times + 1)
+	if content.IsPart() {
+		needed = c.partCrashesNeeded(now, content, last.Times+1)
+	}
+	return countIndependent(s.countedSince(now, last)) >= needed
 }
 
 // countedSince returns the crashes since the end of the earlier hold last that count against the work.
@@ -125,7 +137,7 @@
 		return Hold{}, false
 	}
 	s := c.suspects[content]
-	if s.fromCrashes && s.justifiesHold(now, s.previous) {
+	if s.fromCrashes && c.justifiesHold(now, content, s, s.previous) {
 		hold.Crashes = s.countedSince(now, s.previous)
 	}
 	return hold, !s.stored
@@ -141,7 +153,7 @@
 	if s.outdated(hold) {
 		return false
 	}
-	if hold.activeAt(now) && s.cleared(hold) {
+	if hold.activeAt(now) && s.cleared(content, hold) {
 		c.markUnwanted(now, content, s, hold.Version, hold.Until)
 		return false
 	}
@@ -159,6 +171,8 @@
 		s.hold = hold
 	}
 	s.stored, s.storedAt = true, now
+	c.explainDue = c.explainDue || content.IsPart()
+	c.explainCrashes(now)
 	return isNew
 }
 
--- /dev/null
+++ b/internal/request/quarantine/part.go
@@ -0,0 +1,150 @@
+package quarantine
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"time"
+)
+
+const (
+	// partCrashesToHold is the number of independent crashes after which a part of prompts is held for the first time. It
+	// is larger than crashesToHold, as a hold of a part keeps all requests with it away.
+	partCrashesToHold = 3
+	// answeredPartCrashesToHold is that number for a part on which whole answers were given lately, or that may have
+	// been. Common parts are under way at most upstreams, and so at most crashes.
+	answeredPartCrashesToHold = 6
+	// answerMemory is how long a whole answer on a part is remembered.
+	answerMemory = 10 * time.Minute
+	// minAnswers is how many answers this process must have seen before it concludes from the lack of answers on a part
+	// that there were none.
+	minAnswers = 100
+	// maxAnsweredParts limits the parts of which answers are remembered, each about 100 bytes.
+	maxAnsweredParts = 8192
+	// initialPartHold is the length of the first hold of a part. It is shorter than initialHold, because a part that is
+	// held in error keeps more callers away.
+	initialPartHold = 2 * time.Minute
+)
+
+// partPrefix begins the Content of each part, so that it differs from that of whole requests.
+var partPrefix = []byte("part")
+
+// PartContent returns the Content of a part of prompts with an id. All requests with the part have it, whatever else
+// they hold.
+func PartContent(id string) Content {
+	digest := sha256.Sum256([]byte(id))
+	var c Content
+	copy(c[:], partPrefix)
+	copy(c[len(partPrefix):], digest[:])
+	return c
+}
+
+// IsPart reports whether the content is that of a part of prompts.
+func (c Content) IsPart() bool { return bytes.HasPrefix(c[:], partPrefix) }
+
+// PartsAnswered records that a request with the given parts was answered completely.
+func (c *Core) PartsAnswered(now time.Time, parts []Content) {
+	c.answers++
+	for _, part := range parts {
+		if _, known := c.answeredAt[part]; !known && len(c.answeredAt) >= maxAnsweredParts {
+			c.forgetAnswers(now)
+		}
+		c.answeredAt[part] = now
+	}
+}
+
+// forgetAnswers drops the answers that are too old, and arbitrary ones if too few are.
+func (c *Core) forgetAnswers(now time.Time) {
+	for part, at := range c.answeredAt {
+		if now.Sub(at) >= answerMemory || len(c.answeredAt) >= maxAnsweredParts*7/8 {
+			delete(c.answeredAt, part)
+		}
+	}
+}
+
+// partCrashesNeeded returns the number of independent crashes that lead to the given hold of a part, counted from one.
+func (c *Core) partCrashesNeeded(now time.Time, part Content, times int) int {
+	at, answered := c.answeredAt[part]
+	switch {
+	case answered && now.Sub(at) < answerMemory:
+		return answeredPartCrashesToHold
+	case times > 1:
+		return 1
+	case c.answers < minAnswers:
+		return answeredPartCrashesToHold
+	}
+	return partCrashesToHold
+}
+
+// end is the end of an upstream's process.
+type end struct {
+	upstream IncarnationHash
+	at       time.Time
+}
+
+// isEndOf reports whether a crash is due to the end.
+func (e end) isEndOf(crash *Crash) bool {
+	return crash.Upstream == e.upstream && crash.At.Sub(e.at).Abs() < sameEndWindow
+}
+
+// ends returns the ends of upstreams that led to the hold of a part or came with requests on it.
+func (s *suspect) ends() []end {
+	var out []end
+	for _, crash := range s.crashes {
+		if !crash.Void && !crash.lifted {
+			out = append(out, end{crash.Upstream, crash.At})
+		}
+	}
+	for i := range s.hold.Crashes {
+		out = append(out, end{s.hold.Crashes[i].Upstream, s.hold.Crashes[i].At})
+	}
+	return out
+}
+
+// heldPart reports whether the suspect is a part that is held.
+func (s *suspect) heldPart(now time.Time, content Content) bool {
+	return content.IsPart() && s.hold.activeAt(now)
+}
+
+// explainCrashes decides anew which crashes are explained by a held part that was under way at the same upstream, after
+// the crashes or the hold of some part changed. They don't count against what else was under way there, and holds that
+// they led to are canceled. Held parts explain nothing of each other.
+func (c *Core) explainCrashes(now time.Time) {
+	if !c.explainDue {
+		return
+	}
+	c.explainDue = false
+	var explained []end
+	for content, s := range c.suspects {
+		if s.heldPart(now, content) {
+			explained = append(explained, s.ends()...)
+		}
+	}
+	if len(explained) == 0 && !c.partCleared {
+		return
+	}
+	for content, s := range c.suspects {
+		if s.heldPart(now, content) {
+			continue
+		}
+		changed := false
+		for _, crash := range s.crashes {
+			was := crash.explained
+			crash.explained = was && !c.partCleared || explains(explained, crash)
+			changed = changed || crash.explained != was
+		}
+		if changed {
+			c.updateHold(now, content, s)
+		}
+	}
+	c.partCleared = false
+}
+
+// explains reports whether one of the ends is that of a crash.
+func explains(ends []end, crash *Crash) bool {
+	for _, e := range ends {
+		if e.isEndOf(crash) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/request/quarantine/part_test.go
@@ -0,0 +1,202 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// partWorld plays sends with parts of prompts at one core, in virtual time.
+type partWorld struct {
+	t    *testing.T
+	core *Core
+	now  time.Time
+	runs int
+}
+
+func newPartWorld(t *testing.T) *partWorld {
+	return &partWorld{t: t, core: New(), now: time.Unix(100_000, 0)}
+}
+
+func partsOf(ids ...string) []Content {
+	out := make([]Content, len(ids))
+	for i, id := range ids {
+		out[i] = PartContent(id)
+	}
+	return out
+}
+
+// answer records n whole answers on each of the given parts.
+func (w *partWorld) answer(n int, ids ...string) {
+	parts := partsOf(ids...)
+	for range n {
+		w.core.PartsAnswered(w.now, parts)
+	}
+	for _, part := range parts {
+		w.core.Succeeded(w.now, part)
+	}
+}
+
+// crash ends an upstream under requests with the given lists of parts, all of which were just sent.
+func (w *partWorld) crash(upstream string, inFlight ...[]string) {
+	for _, ids := range inFlight {
+		w.runs++
+		w.core.SendWithPartsBroken(w.now, ContentOf("POST", "h", fmt.Sprint("/", w.runs), nil), partsOf(ids...), Incarnation(upstream), w.now.Add(-50*time.Millisecond))
+	}
+	w.core.UpstreamEnded(w.now, Incarnation(upstream))
+}
+
+func (w *partWorld) held(id string) bool {
+	_, ok := w.core.ActiveHold(w.now, PartContent(id))
+	return ok
+}
+
+func (w *partWorld) check(what string, held bool, ids ...string) {
+	w.t.Helper()
+	for _, id := range ids {
+		if w.held(id) != held {
+			w.t.Errorf("%s: part %s held %t, want %t", what, id, !held, held)
+		}
+	}
+}
+
+// TestPartIsHeldAfterThreeCrashes checks that a part without any answer is held after three crashes, however far they
+// are apart, and that the parts that the requests share with sound ones aren't.
+func TestPartIsHeldAfterThreeCrashes(t *testing.T) {
+	for _, gap := range []time.Duration{200 * time.Millisecond, time.Second, 10 * time.Second, time.Minute} {
+		w := newPartWorld(t)
+		w.answer(minAnswers, "a", "b")
+		for i := range partCrashesToHold {
+			w.check("before the last crash", false, "dead")
+			w.now = w.now.Add(gap)
+			w.crash(fmt.Sprint("u", i), []string{"a", "dead"}, []string{"a", "b"})
+			w.answer(1, "a")
+		}
+		w.check(fmt.Sprint("crashes ", gap, " apart"), true, "dead")
+		w.check(fmt.Sprint("crashes ", gap, " apart"), false, "a", "b")
+	}
+}
+
+// TestCommonPartsSurviveWaves checks a case without answers in between: all upstreams crash together, again and again,
+// each under requests with the deadly part and sound ones.
+func TestCommonPartsSurviveWaves(t *testing.T) {
+	w := newPartWorld(t)
+	w.answer(minAnswers, "a", "b")
+	for wave := range 12 {
+		w.now = w.now.Add(3 * time.Second)
+		for u := range 6 {
+			w.crash(fmt.Sprint("u", wave, "-", u), []string{"a", "dead"}, []string{"a", "b"}, []string{"a", "b"})
+		}
+	}
+	w.check("after waves of crashes", true, "dead")
+	w.check("after waves of crashes", false, "a", "b")
+}
+
+// TestPowerLossHoldsNoPart checks that upstreams that fail together for another reason hold no part, answered before or
+// not, also if that happens again.
+func TestPowerLossHoldsNoPart(t *testing.T) {
+	w := newPartWorld(t)
+	w.answer(minAnswers, "a", "b")
+	for loss := range 2 {
+		for u := range 30 {
+			w.crash(fmt.Sprint("u", loss, "-", u), []string{"a", "b"}, []string{"a", "new"})
+		}
+		w.now = w.now.Add(20 * time.Second)
+	}
+	w.check("after two losses of power", false, "a", "b", "new")
+}
+
+// TestTwoDeadlyPartsAreHeld checks that the hold of one part doesn't explain away the crashes of another.
+func TestTwoDeadlyPartsAreHeld(t *testing.T) {
+	w := newPartWorld(t)
+	w.answer(minAnswers, "a")
+	for i := range 2 * partCrashesToHold {
+		w.now = w.now.Add(time.Second)
+		w.crash(fmt.Sprint("u", i), []string{"a", "dead"}, []string{"a", "lethal"})
+		w.answer(1, "a")
+	}
+	w.check("both under way at each crash", true, "dead", "lethal")
+	w.check("both under way at each crash", false, "a")
+}
+
+// TestSoundWorkBesideDeadlyPartIsFreed checks that work that was held because it was repeated beside a deadly part is
+// no longer held once that part is.
+func TestSoundWorkBesideDeadlyPartIsFreed(t *testing.T) {
+	w := newPartWorld(t)
+	w.answer(minAnswers, "a")
+	repeated := ContentOf("POST", "h", "/repeated", nil)
+	for i := range partCrashesToHold {
+		w.now = w.now.Add(time.Second)
+		upstream := Incarnation(fmt.Sprint("u", i))
+		w.core.SendWithPartsBroken(w.now, repeated, partsOf("a"), upstream, w.now.Add(-50*time.Millisecond))
+		w.crash(string(upstream), []string{"a", "dead"})
+		_, held := w.core.ActiveHold(w.now, repeated)
+		if want := i == 1; held != want {
+			t.Errorf("after %d crashes the repeated work is held: %t, want %t", i+1, held, want)
+		}
+	}
+	w.check("after three crashes", true, "dead")
+}
+
+// TestWronglyHeldPartIsFreed checks that a whole answer ends the hold of a part, and that it ends by itself otherwise.
+// A part that is deadly is held again after one more crash.
+func TestWronglyHeldPartIsFreed(t *testing.T) {
+	w := newPartWorld(t)
+	hold := func() {
+		w.answer(minAnswers, "a")
+		for i := range partCrashesToHold {
+			w.now = w.now.Add(time.Second)
+			w.crash(fmt.Sprint("u", w.runs, i), []string{"a", "p"})
+		}
+		w.check("after crashes", true, "p")
+	}
+	hold()
+	w.now = w.now.Add(initialPartHold + time.Second)
+	w.check("after its time", false, "p")
+	w.crash("again", []string{"a", "p"})
+	w.check("after another crash", true, "p")
+	w.answer(1, "p")
+	w.check("after an answer", false, "p")
+	w.now = w.now.Add(time.Second)
+	w.crash("once more", []string{"a", "p"})
+	w.check("after a crash beside answers", false, "p")
+}
+
+// TestAnsweredPartNeedsMoreCrashes checks a part that was answered before and crashes upstreams since, as after a
+// release, and a process that has seen too few answers to judge.
+func TestAnsweredPartNeedsMoreCrashes(t *testing.T) {
+	for name, prepare := range map[string]func(w *partWorld){
+		"answered before": func(w *partWorld) { w.answer(minAnswers, "p") },
+		"just started":    func(w *partWorld) {},
+	} {
+		w := newPartWorld(t)
+		prepare(w)
+		for i := range answeredPartCrashesToHold {
+			w.check(name, false, "p")
+			w.now = w.now.Add(time.Second)
+			w.crash(fmt.Sprint("u", i), []string{"p"})
+		}
+		w.check(name, true, "p")
+	}
+}
+
+// TestAnsweredPartsAreBounded checks that a flood of parts takes bounded memory.
+func TestAnsweredPartsAreBounded(t *testing.T) {
+	w := newPartWorld(t)
+	for i := range 3 * maxAnsweredParts {
+		w.core.PartsAnswered(w.now, partsOf(fmt.Sprint(i)))
+	}
+	if n := len(w.core.answeredAt); n > maxAnsweredParts {
+		t.Errorf("%d parts are remembered", n)
+	}
+}
+
+// TestPartContent checks that a part's content is told from that of whole requests.
+func TestPartContent(t *testing.T) {
+	if !PartContent("x").IsPart() || ContentOf("POST", "h", "/", nil).IsPart() || PartContent("x") == PartContent("y") {
+		t.Error("contents of parts aren't told apart")
+	}
+	if got, err := ParseContent(PartContent("x").String()); err != nil || got != PartContent("x") {
+		t.Errorf("parsed %v %v", got, err)
+	}
+}
--- a/internal/request/quarantine/record.go
+++ b/internal/request/quarantine/record.go
@@ -134,7 +134,7 @@
 
 // cleared reports whether a stored hold isn't justified any more: it ended here for that reason before, or too few of
 // the crashes that led to it count now. Crashes that aren't known here count.
-func (s *suspect) cleared(hold Hold) bool {
+func (s *suspect) cleared(content Content, hold Hold) bool {
 	if hold.Version != 0 && hold.Version <= s.record.cleared {
 		return true
 	}
@@ -144,7 +144,11 @@
 			counted = append(counted, *cause)
 		}
 	}
-	return len(counted) < len(hold.Crashes) && countIndependent(counted) < crashesNeeded(hold.Times)
+	needed := crashesNeeded(hold.Times)
+	if content.IsPart() && hold.Times == 1 {
+		needed = partCrashesToHold // that of the instance that began the hold, or less
+	}
+	return len(counted) < len(hold.Crashes) && countIndependent(counted) < needed
 }
 
 // stillCounts reports whether a crash that led to a stored hold counts. It doesn't if it is known here and all
