holds: a part that all requests share isn't held in place of a deadly one

A common part is under way at each crash that a deadly one causes, and at other ends of connections besides, so that it reached its threshold of six crashes first where no answer came in between. Before such a part is held, a likelier one is looked for: under way at half of the crashes or more, at three at least, and without answers or with far fewer broken sends. That one is held, which explains the crashes.

--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -59,6 +59,7 @@
 	stored      bool      // hold is known to be stored on the platform
 	storedAt    time.Time // when stored was last confirmed
 	record      recordState
+	brokenSends int // of a part: requests with it that broke off here while it was a suspect
 }
 
 // Core tracks crashes and holds. It is not safe for concurrent use.
@@ -117,6 +118,9 @@
 	c.recordBrokenSend(now, content)
 	broken := []brokenSend{{content: content, sent: sent, at: now}}
 	for _, part := range parts {
+		if s, ok := c.suspects[part]; ok {
+			s.brokenSends++
+		}
 		broken = append(broken, brokenSend{content: part, sent: sent, at: now})
 	}
 	if at, ended := c.endedAt[incarnation]; ended && !sent.After(at) {
--- a/internal/request/quarantine/hold.go
+++ b/internal/request/quarantine/hold.go
@@ -44,12 +44,24 @@
 	if s.hold.activeAt(now) && c.unfounded(now, content, s) {
 		c.cancelHold(now, content, s)
 	}
-	if !s.hold.activeAt(now) && c.justifiesHold(now, content, s, s.hold) {
-		s.previous, s.hold = s.hold, s.hold.next(now, firstHold(content))
-		s.hold.Crashes = s.countedSince(now, s.previous)
-		s.fromCrashes, s.stored = true, false
-		c.newHolds = append(c.newHolds, content)
+	if s.hold.activeAt(now) || !c.justifiesHold(now, content, s, s.hold) {
+		return
 	}
+	if content.IsPart() && c.partCrashesNeeded(now, content, s.hold.Times+1) == answeredPartCrashesToHold {
+		if likelier, ok := c.likelierPart(now, content, s); ok {
+			content, s = likelier, c.suspects[likelier]
+		}
+	}
+	c.beginHold(now, content, s)
+}
+
+// beginHold begins a hold of some work because of its crashes.
+func (c *Core) beginHold(now time.Time, content Content, s *suspect) {
+	s.previous, s.hold = s.hold, s.hold.next(now, firstHold(content))
+	s.hold.Crashes = s.countedSince(now, s.previous)
+	s.fromCrashes, s.stored = true, false
+	c.newHolds = append(c.newHolds, content)
+	c.explainDue = c.explainDue || content.IsPart()
 }
 
 // unfounded reports whether the current hold isn't justified any more. A stored hold depends on the crashes in its
@@ -59,7 +71,15 @@
 	if s.stored && len(s.hold.Crashes) > 0 {
 		return s.cleared(content, s.hold)
 	}
-	return s.fromCrashes && !c.justifiesHold(now, content, s, s.previous)
+	return s.fromCrashes && countIndependent(s.countedSince(now, s.previous)) < minCrashes(content, s.hold.Times)
+}
+
+// minCrashes returns the least number of independent crashes that may lead to the given hold of some work.
+func minCrashes(content Content, times int) int {
+	if content.IsPart() && times == 1 {
+		return partCrashesToHold
+	}
+	return crashesNeeded(times)
 }
 
 // firstHold returns the length of the first hold of some work.
@@ -137,7 +157,7 @@
 		return Hold{}, false
 	}
 	s := c.suspects[content]
-	if s.fromCrashes && c.justifiesHold(now, content, s, s.previous) {
+	if s.fromCrashes && !c.unfounded(now, content, s) {
 		hold.Crashes = s.countedSince(now, s.previous)
 	}
 	return hold, !s.stored
--- a/internal/request/quarantine/part.go
+++ b/internal/request/quarantine/part.go
@@ -61,11 +61,16 @@
 	}
 }
 
+// answeredLately reports whether this process saw a whole answer on a part lately.
+func (c *Core) answeredLately(now time.Time, part Content) bool {
+	at, answered := c.answeredAt[part]
+	return answered && now.Sub(at) < answerMemory
+}
+
 // partCrashesNeeded returns the number of independent crashes that lead to the given hold of a part, counted from one.
 func (c *Core) partCrashesNeeded(now time.Time, part Content, times int) int {
-	at, answered := c.answeredAt[part]
 	switch {
-	case answered && now.Sub(at) < answerMemory:
+	case c.answeredLately(now, part):
 		return answeredPartCrashesToHold
 	case times > 1:
 		return 1
@@ -75,6 +80,44 @@
 	return partCrashesToHold
 }
 
+// likelierPart returns a part that is a likelier cause of the crashes of the given one, which is about to be held although
+// it may well be sound: it was under way at half of these crashes or more and at enough to be held, and either it alone
+// wasn't answered lately, or far fewer requests with it broke off. A part that all requests share is under way at each
+// crash that a deadly one causes, and at others besides. ok is false if there is none.
+func (c *Core) likelierPart(now time.Time, part Content, s *suspect) (likelier Content, ok bool) {
+	ends := s.ends()
+	best := (len(ends) + 1) / 2
+	for content, other := range c.suspects {
+		if !content.IsPart() || content == part || other.hold.activeAt(now) || !c.isLikelier(now, content, other, part, s) {
+			continue
+		}
+		if n := other.countAt(ends); n >= best && countIndependent(other.countedSince(now, other.hold)) >= partCrashesToHold {
+			likelier, ok, best = content, true, n
+		}
+	}
+	return likelier, ok
+}
+
+// isLikelier reports whether one part is a likelier cause than another one at the same crashes.
+func (c *Core) isLikelier(now time.Time, part Content, s *suspect, than Content, other *suspect) bool {
+	answered, otherAnswered := c.answeredLately(now, part), c.answeredLately(now, than)
+	if answered != otherAnswered {
+		return otherAnswered
+	}
+	return 2*s.brokenSends <= other.brokenSends
+}
+
+// countAt returns the number of crashes that count and are due to one of the ends.
+func (s *suspect) countAt(ends []end) int {
+	n := 0
+	for _, crash := range s.crashes {
+		if crash.counts() && explains(ends, crash) {
+			n++
+		}
+	}
+	return n
+}
+
 // end is the end of an upstream's process.
 type end struct {
 	upstream IncarnationHash
--- a/internal/request/quarantine/part_test.go
+++ b/internal/request/quarantine/part_test.go
@@ -200,3 +200,24 @@
 		t.Errorf("parsed %v %v", got, err)
 	}
 }
+
+// TestLikelierPartIsHeld checks a case of the soak: a part that all requests share is under way at each crash of a deadly
+// one and at some others, and reaches its threshold first, with or without answers before.
+func TestLikelierPartIsHeld(t *testing.T) {
+	for name, answers := range map[string]int{"few answers before": 10, "none before": 0} {
+		w := newPartWorld(t)
+		if answers > 0 {
+			w.answer(answers, "a")
+		}
+		for i := range answeredPartCrashesToHold {
+			w.now = w.now.Add(time.Second)
+			inFlight := [][]string{{"a", fmt.Sprint("b", i)}, {"a", fmt.Sprint("c", i)}, {"a"}}
+			if i%2 == 0 || i > 3 {
+				inFlight = append(inFlight, []string{"a", "dead"})
+			}
+			w.crash(fmt.Sprint("u", i), inFlight...)
+		}
+		w.check(name, true, "dead")
+		w.check(name, false, "a")
+	}
+}
--- a/internal/request/quarantine/record.go
+++ b/internal/request/quarantine/record.go
@@ -144,11 +144,7 @@
 			counted = append(counted, *cause)
 		}
 	}
-	needed := crashesNeeded(hold.Times)
-	if content.IsPart() && hold.Times == 1 {
-		needed = partCrashesToHold // that of the instance that began the hold, or less
-	}
-	return len(counted) < len(hold.Crashes) && countIndependent(counted) < needed
+	return len(counted) < len(hold.Crashes) && countIndependent(counted) < minCrashes(content, hold.Times)
 }
 
 // stillCounts reports whether a crash that led to a stored hold counts. It doesn't if it is known here and all
