--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -22,7 +22,6 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
 )
 
 const (
@@ -284,7 +283,7 @@
 			backingOff = n
 		}
 		e.holds.Forget(time.Now())
-		e.streams.with(func(now time.Time, core *streams.Core) { core.Forget(now) })
+		e.streams.forget()
 		e.requestLog.tick(time.Now())
 		e.probeUpstreams(ctx)
 		e.probeLinks(ctx)
--- a/internal/process/entry/placementclient.go
+++ b/internal/process/entry/placementclient.go
@@ -248,6 +248,7 @@
 	q.e.peers.placementClient.markHeld(id)
 	if query.Continues() && d.Choice.Upstream.Software != query.Software {
 		// The placer runs an older program, which passes over the version that is required.
+		q.e.release(&heldPlace{grant: place.NewGrant(query, d.Choice)}) // adoptPlace counted it
 		q.e.peers.sendPlaceRequest(to, peers.PlaceRequest{ID: id, Cancel: true})
 		return place.Decision{Refused: place.NoUpstream, RetryAfter: defaultRetryAfter}, nil, !st.upstreamsListed()
 	}
--- a/internal/process/entry/streamorigins.go
+++ b/internal/process/entry/streamorigins.go
@@ -33,6 +33,7 @@
 	pending   map[uint64]chan streams.Answer // where answers are delivered, by query id
 	lastID    uint64                         // of the newest query
 	scheduled bool                           // due rows will be sent after rowDelay
+	forgotAt  time.Time                      // when expired rows were last dropped
 }
 
 // newStreamOrigins returns an empty streamOrigins whose queries get ids greater than first.
@@ -47,6 +48,19 @@
 	f(time.Now(), s.core)
 }
 
+// forgetRowsInterval is the minimum time between two scans for expired rows, up to some ten thousand.
+const forgetRowsInterval = time.Second
+
+// forget drops expired rows, at most once per forgetRowsInterval.
+func (s *streamOrigins) forget() {
+	s.with(func(now time.Time, core *streams.Core) {
+		if now.Sub(s.forgotAt) >= forgetRowsInterval {
+			s.forgotAt = now
+			core.Forget(now)
+		}
+	})
+}
+
 // register returns the id of a new query and the channel on which at most n answers are delivered; ok is false if too
 // many queries wait.
 func (s *streamOrigins) register(n int) (id uint64, answers chan streams.Answer, ok bool) {
