--- a/internal/process/entry/streamorigins.go
+++ b/internal/process/entry/streamorigins.go
@@ -7,17 +7,11 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
 
 const (
-	// rowDelay is how long a row waits for others that are sent to the same holders in one message.
-	rowDelay = 5 * time.Millisecond
-	// originTimeout limits the wait for the answers to the question for a stream's origin. Between regions, an answer
-	// takes some ten milliseconds. Instances that have not answered after half of it are asked again.
-	originTimeout = 80 * time.Millisecond
 	// rowSlack is how long a row is kept after its caller has stopped waiting, as clocks and messages are late.
 	rowSlack = 2 * time.Second
 	// undeclaredWait is how long the callers of a route without a timeout are assumed to wait if they don't declare it.
@@ -149,8 +143,7 @@
 	return out
 }
 
-// hasSoftware reports whether an upstream of a service with a version of software is listed, whether it may get work or
-// not. Without a list of upstreams, it returns true.
+// hasSoftware reports whether an upstream of a service with a version of software is listed that isn't leaving. Without a list of upstreams, it returns true.
 func (s *state) hasSoftware(service, software string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -246,40 +239,6 @@
 	return drop(own), out
 }
 
-// askOrigin asks other instances for the origin of a stream. It returns once one of them has a row or all have
-// answered, at originTimeout at the latest.
-func (e *Entry) askOrigin(ctx context.Context, key streams.Key, service string) (answers []streams.Answer, asked int) {
-	if e.peers == nil {
-		return nil, 0
-	}
-	to := e.peers.streamTargets(key)
-	id, received, ok := e.streams.register(len(to))
-	if len(to) == 0 || !ok {
-		return nil, len(to)
-	}
-	defer e.streams.unregister(id)
-	query := peers.Message{StreamQueries: []peers.StreamQuery{{ID: id, Key: uint64(key), Service: service}}}
-	for range 2 {
-		e.peers.send(query, to...)
-		timer := time.NewTimer(originTimeout / 2)
-		for waiting := true; waiting; {
-			select {
-			case a := <-received:
-				answers = append(answers, a)
-				if a.Basis == streams.ByRow || len(answers) == len(to) {
-					timer.Stop()
-					return answers, len(to)
-				}
-			case <-timer.C:
-				waiting = false
-			case <-ctx.Done():
-				return answers, len(to)
-			}
-		}
-	}
-	return answers, len(to)
-}
-
 // recordOrigin records the origin of a stream of which the caller is about to get the first event of this response.
 func (q *request) recordOrigin(held *heldPlace) {
 	if !q.route.Resumable {
@@ -313,91 +272,3 @@
 	_, state := e.state.softwareOf(time.Now(), h.upstream().Service)
 	return state == fleet.SoftwareSole
 }
-
-// streamTargets returns the addresses of the instances to ask for the origin of a stream.
-func (s *peerExchange) streamTargets(key streams.Key) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.core.StreamTargets(key)
-}
-
-// scheduleStreamRows sends the due rows to their holders after rowDelay.
-func (s *peerExchange) scheduleStreamRows() {
-	if s != nil && s.e.streams.scheduleRows() {
-		time.AfterFunc(rowDelay, s.sendStreamRows)
-	}
-}
-
-// sendStreamRows sends the due rows to their holders.
-func (s *peerExchange) sendStreamRows() {
-	now, byHolder := time.Now(), make(map[string][]peers.StreamRow)
-	rows := s.e.streams.takeDue()
-	s.mu.Lock()
-	for _, row := range rows {
-		for _, address := range s.core.Holders(row.Key) {
-			byHolder[address] = append(byHolder[address], peers.StreamRowOf(now, row))
-		}
-	}
-	s.mu.Unlock()
-	for address, rows := range byHolder {
-		for len(rows) > 0 {
-			n := min(len(rows), peers.MaxStreamRows)
-			s.send(peers.Message{StreamRows: rows[:n]}, address)
-			rows = rows[n:]
-		}
-	}
-}
-
-// copyDoubtfulRows sends the rows of streams that began while their service had one version of software to their
-// holders, once that is in doubt.
-func (s *peerExchange) copyDoubtfulRows(now time.Time) {
-	var services []string
-	s.e.streams.with(func(_ time.Time, core *streams.Core) { services = core.UncopiedServices() })
-	for _, service := range services {
-		if _, state := s.e.state.softwareOf(now, service); state != fleet.SoftwareSole && s.e.state.upstreamsListed() {
-			s.copyRows(service)
-		}
-	}
-}
-
-// copyRows sends the rows of the given services that holders don't have yet to their holders.
-func (s *peerExchange) copyRows(services ...string) {
-	due := false
-	s.e.streams.with(func(_ time.Time, core *streams.Core) {
-		for _, service := range services {
-			due = core.Doubt(service) || due
-		}
-	})
-	if due {
-		s.sendStreamRows()
-	}
-}
-
-// copyAllRows sends all rows that holders don't have yet to their holders: this instance stops, or routes may lead to
-// other services from now on.
-func (s *peerExchange) copyAllRows() {
-	if s == nil {
-		return
-	}
-	var services []string
-	s.e.streams.with(func(_ time.Time, core *streams.Core) { services = core.UncopiedServices() })
-	s.copyRows(services...)
-}
-
-// handleStreams handles what another instance sends about streams.
-func (s *peerExchange) handleStreams(now time.Time, from string, m *peers.Message) {
-	for i := range m.StreamRows {
-		row := m.StreamRows[i].Row(now)
-		s.e.streams.with(func(now time.Time, core *streams.Core) { core.Merge(now, row) })
-	}
-	if len(m.StreamQueries) > 0 {
-		var answers []peers.StreamAnswer
-		for _, query := range m.StreamQueries {
-			answers = append(answers, peers.StreamAnswerOf(query.ID, s.e.ownAnswer(streams.Key(query.Key), query.Service)))
-		}
-		s.send(peers.Message{StreamAnswers: answers}, from)
-	}
-	for i := range m.StreamAnswers {
-		s.e.streams.deliver(m.StreamAnswers[i].ID, m.StreamAnswers[i].Answer())
-	}
-}
