--- a/internal/process/entry/quarantine.go
+++ b/internal/process/entry/quarantine.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 )
 
@@ -58,7 +59,7 @@
 // crashed the upstream.
 func (q *request) clearSuspicion() {
 	parts := q.partContents()
-	if len(parts) > 0 {
+	if q.work() == place.Decode {
 		q.e.holds.PartsAnswered(parts)
 	}
 	if !q.e.holds.HasSuspects() {
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -51,15 +51,16 @@
 
 // suspect is the state of work that has crashed upstreams or was held.
 type suspect struct {
-	crashes     []*Crash
-	updatedAt   time.Time // when a crash of the work was last reported or its hold was last read or stored
-	hold        Hold      // the current or last hold
-	previous    Hold      // the hold before that one
-	fromCrashes bool      // hold was begun here because of crashes; false: there is none, or it was read from the platform
-	stored      bool      // hold is known to be stored on the platform
-	storedAt    time.Time // when stored was last confirmed
-	record      recordState
-	brokenSends int // of a part: requests with it that broke off here while it was a suspect
+	crashes       []*Crash
+	updatedAt     time.Time // when a crash of the work was last reported or its hold was last read or stored
+	hold          Hold      // the current or last hold
+	previous      Hold      // the hold before that one
+	fromCrashes   bool      // hold was begun here because of crashes; false: there is none, or it was read from the platform
+	stored        bool      // hold is known to be stored on the platform
+	storedAt      time.Time // when stored was last confirmed
+	record        recordState
+	brokenSends   int // of a part: requests with it that broke off here while it was a suspect
+	answersBefore int // of a part: Core.answers at the first of its crashes that count
 }
 
 // Core tracks crashes and holds. It is not safe for concurrent use.
@@ -259,6 +260,9 @@
 		return false
 	}
 	s := c.suspectFor(now, crash.Content)
+	if !slices.ContainsFunc(s.crashes, (*Crash).counts) {
+		s.answersBefore = c.answers
+	}
 	isNew := s.mergeCrash(&crash)
 	c.updateHold(now, crash.Content, s)
 	c.explainDue = c.explainDue || isNew
--- a/internal/request/quarantine/hold.go
+++ b/internal/request/quarantine/hold.go
@@ -48,8 +48,12 @@
 		return
 	}
 	if content.IsPart() && c.partCrashesNeeded(now, content, s.hold.Times+1) == answeredPartCrashesToHold {
-		if likelier, ok := c.likelierPart(now, content, s); ok {
+		likelier, ok := c.likelierPart(now, content, s)
+		switch {
+		case ok:
 			content, s = likelier, c.suspects[likelier]
+		case !c.mayBlame(content, s):
+			return
 		}
 	}
 	c.beginHold(now, content, s)
--- a/internal/request/quarantine/part.go
+++ b/internal/request/quarantine/part.go
@@ -18,6 +18,9 @@
 	// minAnswers is how many answers this process must have seen before it concludes from the lack of answers on a part
 	// that there were none.
 	minAnswers = 100
+	// minControlAnswers is how many other requests must have been answered since the first crash of a part that may well
+	// be sound, before it is held. If nothing is answered, as in an outage, nothing tells that the part is to blame.
+	minControlAnswers = 5
 	// maxAnsweredParts limits the parts of which answers are remembered, each about 100 bytes.
 	maxAnsweredParts = 8192
 	// initialPartHold is the length of the first hold of a part. It is shorter than initialHold, because a part that is
@@ -41,7 +44,7 @@
 // IsPart reports whether the content is that of a part of prompts.
 func (c Content) IsPart() bool { return bytes.HasPrefix(c[:], partPrefix) }
 
-// PartsAnswered records that a request with the given parts was answered completely.
+// PartsAnswered records that a request with the given parts, if any, was answered completely.
 func (c *Core) PartsAnswered(now time.Time, parts []Content) {
 	c.answers++
 	for _, part := range parts {
@@ -98,6 +101,21 @@
 	return likelier, ok
 }
 
+// mayBlame reports whether a part that may well be sound can be held because of its crashes: requests without it were
+// answered since, or it is one part among others that broke off far more often at the same ends.
+func (c *Core) mayBlame(part Content, s *suspect) bool {
+	if c.answers-s.answersBefore >= minControlAnswers {
+		return true
+	}
+	ends := s.ends()
+	for content, other := range c.suspects {
+		if content.IsPart() && content != part && other.brokenSends >= 2*s.brokenSends && 2*other.countAt(ends) >= len(ends) {
+			return true
+		}
+	}
+	return false
+}
+
 // isLikelier reports whether one part is a likelier cause than another one at the same crashes.
 func (c *Core) isLikelier(now time.Time, part Content, s *suspect, than Content, other *suspect) bool {
 	answered, otherAnswered := c.answeredLately(now, part), c.answeredLately(now, than)
--- a/internal/request/quarantine/part_test.go
+++ b/internal/request/quarantine/part_test.go
@@ -175,6 +175,7 @@
 			w.check(name, false, "p")
 			w.now = w.now.Add(time.Second)
 			w.crash(fmt.Sprint("u", i), []string{"p"})
+			w.answer(1, "other")
 		}
 		w.check(name, true, "p")
 	}
@@ -221,3 +222,17 @@
 		w.check(name, false, "a")
 	}
 }
+
+// TestOutageHoldsNoCommonPart checks a case of the soak: connections end again and again while nothing is answered.
+// Nothing then tells a part that all requests share from the cause.
+func TestOutageHoldsNoCommonPart(t *testing.T) {
+	for name, answers := range map[string]int{"answered before": minAnswers, "just started": 0} {
+		w := newPartWorld(t)
+		w.answer(answers, "a")
+		for i := range 10 {
+			w.now = w.now.Add(300 * time.Millisecond)
+			w.crash(fmt.Sprint("u", i), []string{"a", fmt.Sprint("b", i)}, []string{"a", fmt.Sprint("c", i)})
+		}
+		w.check(name, false, "a")
+	}
+}
