--- a/internal/process/holds/doc.go
+++ b/internal/process/holds/doc.go
@@ -6,6 +6,8 @@
 // Terms:
 //
 //   - Work is what a request asks for, whatever its request id. A hash, its content, identifies it.
+//   - A part of a prompt that requests share has a content of its own. If it is held, all requests
+//     with the part are.
 //   - A hold is a period in which no instance sends requests for some work to any upstream.
 //   - A suspect is work that has crashed upstreams or was held before.
 //   - A broken send is a request to an upstream whose response broke off before it was complete.
--- a/internal/request/quarantine/content.go
+++ b/internal/request/quarantine/content.go
@@ -13,7 +13,7 @@
 // requests with the same Content.
 const contentBytes = 16
 
-// Content is a hash that identifies the work that a request asks for. All attempts at the same
+// Content is a hash that identifies the work that a request asks for, or a part of prompts (see PartContent). All attempts at the same
 // work have the same Content, whichever caller makes them. Headers are not part of it, because most
 // of them belong to one attempt.
 type Content [contentBytes]byte
--- a/internal/request/quarantine/doc.go
+++ b/internal/request/quarantine/doc.go
@@ -11,6 +11,12 @@
 // share their crashes. After two independent crashes without a complete answer in between the
 // work is held: no instance sends it until the hold ends.
 //
+// One part of a prompt may crash upstreams whatever else the request holds, so that no two of these
+// requests have the same Content. Crashes are therefore also counted for each part of the prompt that
+// other requests may share, which has a Content of its own (PartContent) and is held like work, after
+// more crashes. The crashes of a held part are explained: they don't count against anything else that
+// was under way at the same upstreams.
+//
 // Terms of this package:
 //   - A hold is a period during which no instance sends some work to any upstream.
 //   - A suspect is work that has crashed an upstream or was held.
