--- a/internal/process/entry/doc.go
+++ b/internal/process/entry/doc.go
@@ -24,6 +24,8 @@
 //   - A feed is a kind of object on the platform that an instance lists once and then watches.
 //   - A hold is a period in which no instance sends requests for a certain piece of work, because
 //     upstreams crashed while they did that work (package holds).
+//   - The origin of a stream is the service and the version of software of the upstream that sent its
+//     first event. The stream may go on only there (package streams).
 //   - A liveness connection is a second connection to an upstream that carries no request. If it
 //     ends at about the same time as the request's connection, the upstream's process has exited.
 //   - An incarnation is one run of a process, from its start to its end.
--- a/internal/process/peers/doc.go
+++ b/internal/process/peers/doc.go
@@ -29,6 +29,9 @@
 // hints: a lost message is replaced by the next one, and an instance that is cut off continues with
 // the load that upstreams report.
 //
+// Instances keep the origins of streams for each other, so that a caller can resume a stream at any of
+// them (Holders, StreamTargets).
+//
 // A rate limit that an upstream announces applies to all instances together. Each instance owns a
 // share of it, and instances lend each other their shares (RateShare).
 package peers
