--- a/internal/request/quarantine/part_test.go
+++ b/internal/request/quarantine/part_test.go
@@ -236,3 +236,79 @@
 		w.check(name, false, "a")
 	}
 }
+
+// breakOff records requests with the given lists of parts that were sent to an upstream at a time and broke off now.
+func (w *partWorld) breakOff(upstream string, sent time.Time, inFlight ...[]string) {
+	for _, ids := range inFlight {
+		w.runs++
+		w.core.SendWithPartsBroken(w.now, ContentOf("POST", "h", fmt.Sprint("/", w.runs), nil), partsOf(ids...), Incarnation(upstream), sent)
+	}
+}
+
+// TestRarePartBesideDeadlyOneIsNotHeld guards against a sound part that stays held beside the deadly one: requests with
+// the deadly part were sent to all upstreams together, so that their crashes count once, and one with the sound part to
+// each of them just before it ended.
+func TestRarePartBesideDeadlyOneIsNotHeld(t *testing.T) {
+	w := newPartWorld(t)
+	w.answer(minAnswers, "a")
+	burst := w.now
+	for i := range partCrashesToHold + 1 {
+		w.now = w.now.Add(300 * time.Millisecond)
+		upstream := fmt.Sprint("u", i)
+		w.breakOff(upstream, burst, []string{"a", "deadly"})
+		if i > 0 {
+			w.breakOff(upstream, w.now.Add(-50*time.Millisecond), []string{"a", "rare"})
+		}
+		w.core.UpstreamEnded(w.now, Incarnation(upstream))
+		w.answer(1, "a")
+	}
+	w.check("after a burst", false, "a", "rare")
+	for i := range partCrashesToHold {
+		w.now = w.now.Add(time.Second)
+		w.crash(fmt.Sprint("v", i), []string{"a", "deadly"})
+	}
+	w.check("after more crashes", true, "deadly")
+	w.check("after more crashes", false, "a", "rare")
+}
+
+// TestRarePartHeldFirstIsFreed checks a part that was held first as its crashes were known first: it is free again once
+// another part is known to have been under way at all of its ends and at more, however that was learned.
+func TestRarePartHeldFirstIsFreed(t *testing.T) {
+	w := newPartWorld(t)
+	w.answer(minAnswers, "a")
+	var reports []Crash
+	for i := range partCrashesToHold + 1 {
+		w.now = w.now.Add(time.Second)
+		upstream := fmt.Sprint("u", i)
+		if i > 0 {
+			w.crash(upstream, []string{"a", "rare"})
+		}
+		w.answer(1, "a")
+		reports = append(reports, Crash{Content: PartContent("deadly"), Upstream: HashOf(Incarnation(upstream)), Sent: w.now.Add(-50 * time.Millisecond), At: w.now})
+	}
+	w.check("without the reports", true, "rare")
+	w.core.MergeCrashes(w.now, reports)
+	w.check("with the reports", true, "deadly")
+	w.check("with the reports", false, "a", "rare")
+}
+
+// TestPartIsNotShieldedByAnother checks that a deadly part is held although a sound one was under way at most of its
+// ends, at all of them but none else, or an answered one at all and more.
+func TestPartIsNotShieldedByAnother(t *testing.T) {
+	for name, beside := range map[string]func(i int) string{
+		"at most of its ends": func(i int) string { return map[bool]string{true: "other"}[i != 1] },
+		"at the same ends":    func(int) string { return "other" },
+	} {
+		w := newPartWorld(t)
+		w.answer(minAnswers, "a")
+		w.now = w.now.Add(time.Second)
+		w.crash("first", []string{"a"})
+		for i := range partCrashesToHold {
+			w.now = w.now.Add(time.Second)
+			w.crash(fmt.Sprint("u", i), []string{"a", "deadly"}, []string{"a", beside(i)})
+			w.answer(1, "a")
+		}
+		w.check(name, true, "deadly")
+		w.check(name, false, "a")
+	}
+}
