--- a/internal/request/quarantine/hold.go
+++ b/internal/request/quarantine/hold.go
@@ -47,6 +47,9 @@
 	if s.hold.activeAt(now) || !c.justifiesHold(now, content, s, s.hold) {
 		return
 	}
+	if content.IsPart() && c.outranked(now, content, s) {
+		return
+	}
 	if content.IsPart() && c.partCrashesNeeded(now, content, s.hold.Times+1) == answeredPartCrashesToHold {
 		likelier, ok := c.likelierPart(now, content, s)
 		switch {
--- a/internal/request/quarantine/part.go
+++ b/internal/request/quarantine/part.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"slices"
 	"time"
 )
 
@@ -125,6 +126,55 @@
 	return 2*s.brokenSends <= other.brokenSends
 }
 
+// outranked reports whether another part is a likelier cause of all crashes of the given one: it was under way at each of
+// these ends and at more, and is held or would be after as few crashes. Holds whose crashes aren't known are never
+// outranked.
+func (c *Core) outranked(now time.Time, part Content, s *suspect) bool {
+	if s.hold.activeAt(now) && len(s.hold.Crashes) == 0 {
+		return false
+	}
+	ends := s.ends()
+	for content, other := range c.suspects {
+		if !content.IsPart() || content == part {
+			continue
+		}
+		if !other.hold.activeAt(now) && c.partCrashesNeeded(now, content, other.hold.Times+1) > partCrashesToHold {
+			continue
+		}
+		if containsMore(other.blamedEnds(now), ends) {
+			return true
+		}
+	}
+	return false
+}
+
+// blamedEnds returns the ends that may be blamed on a part: those of ends if it is held, and otherwise those that count.
+func (s *suspect) blamedEnds(now time.Time) []end {
+	if s.hold.activeAt(now) {
+		return s.ends()
+	}
+	return s.endsOf((*Crash).counts)
+}
+
+// maxMissingShare is the largest share of the ends of a part that may be missing from those of a likelier one: the reports
+// of an instance that was killed are lost.
+const maxMissingShare = 0.25
+
+// containsMore reports whether all is larger than ends and contains them, but for maxMissingShare. Neither may contain an
+// end twice.
+func containsMore(all, ends []end) bool {
+	if len(ends) == 0 || len(all) <= len(ends) {
+		return false
+	}
+	missing := 0
+	for _, e := range ends {
+		if !slices.ContainsFunc(all, e.same) {
+			missing++
+		}
+	}
+	return float64(missing) <= maxMissingShare*float64(len(ends))
+}
+
 // countAt returns the number of crashes that count and are due to one of the ends.
 func (s *suspect) countAt(ends []end) int {
 	n := 0
@@ -142,25 +192,42 @@
 	at       time.Time
 }
 
-// isEndOf reports whether a crash is due to the end.
-func (e end) isEndOf(crash *Crash) bool {
-	return crash.Upstream == e.upstream && crash.At.Sub(e.at).Abs() < sameEndWindow
+// same reports whether both are the same end, which instances notice at different times.
+func (e end) same(o end) bool {
+	return o.upstream == e.upstream && o.at.Sub(e.at).Abs() < sameEndWindow
 }
 
-// ends returns the ends of upstreams that led to the hold of a part or came with requests on it.
+// isEndOf reports whether a crash is due to the end.
+func (e end) isEndOf(crash *Crash) bool { return e.same(end{crash.Upstream, crash.At}) }
+
+// ends returns the ends of upstreams that led to the hold of a part or came with requests on it, each once.
 func (s *suspect) ends() []end {
+	out := s.endsOf(func(crash *Crash) bool { return !crash.Void && !crash.lifted })
+	for i := range s.hold.Crashes {
+		out = appendEnd(out, &s.hold.Crashes[i])
+	}
+	return out
+}
+
+// endsOf returns the ends of those crashes for which ok returns true, each once.
+func (s *suspect) endsOf(ok func(*Crash) bool) []end {
 	var out []end
 	for _, crash := range s.crashes {
-		if !crash.Void && !crash.lifted {
-			out = append(out, end{crash.Upstream, crash.At})
+		if ok(crash) {
+			out = appendEnd(out, crash)
 		}
 	}
-	for i := range s.hold.Crashes {
-		out = append(out, end{s.hold.Crashes[i].Upstream, s.hold.Crashes[i].At})
-	}
 	return out
 }
 
+// appendEnd adds the end to which a crash is due, unless it is one of the ends already.
+func appendEnd(ends []end, crash *Crash) []end {
+	if explains(ends, crash) {
+		return ends
+	}
+	return append(ends, end{crash.Upstream, crash.At})
+}
+
 // heldPart reports whether the suspect is a part that is held.
 func (s *suspect) heldPart(now time.Time, content Content) bool {
 	return content.IsPart() && s.hold.activeAt(now)
@@ -168,12 +235,13 @@
 
 // explainCrashes decides anew which crashes are explained by a held part that was under way at the same upstream, after
 // the crashes or the hold of some part changed. They don't count against what else was under way there, and holds that
-// they led to are canceled. Held parts explain nothing of each other.
+// they led to are canceled. Held parts explain nothing of each other, but those that are outranked are freed first.
 func (c *Core) explainCrashes(now time.Time) {
 	if !c.explainDue {
 		return
 	}
 	c.explainDue = false
+	c.freeOutranked(now)
 	var explained []end
 	for content, s := range c.suspects {
 		if s.heldPart(now, content) {
@@ -200,6 +268,15 @@
 	c.partCleared = false
 }
 
+// freeOutranked cancels the holds of parts that are outranked.
+func (c *Core) freeOutranked(now time.Time) {
+	for content, s := range c.suspects {
+		if s.heldPart(now, content) && c.outranked(now, content, s) {
+			c.cancelHold(now, content, s)
+		}
+	}
+}
+
 // explains reports whether one of the ends is that of a crash.
 func explains(ends []end, crash *Crash) bool {
 	for _, e := range ends {
--- a/internal/request/quarantine/part_test.go
+++ b/internal/request/quarantine/part_test.go
@@ -292,6 +292,28 @@
 	w.check("with the reports", false, "a", "rare")
 }
 
+// TestPartHeldWithALostReportIsFreed checks a case of the soak: a process that has just started holds a sound part first,
+// and the report of the deadly one at one of its six ends is lost with the instance that saw it.
+func TestPartHeldWithALostReportIsFreed(t *testing.T) {
+	w := newPartWorld(t)
+	var reports []Crash
+	for i := range answeredPartCrashesToHold + 2 {
+		w.now = w.now.Add(time.Second)
+		upstream := fmt.Sprint("u", i)
+		if i > 1 {
+			w.crash(upstream, []string{"a", "rare"})
+		}
+		w.answer(1, "a")
+		if i != 4 {
+			reports = append(reports, Crash{Content: PartContent("deadly"), Upstream: HashOf(Incarnation(upstream)), Sent: w.now.Add(-50 * time.Millisecond), At: w.now})
+		}
+	}
+	w.check("without the reports", true, "rare")
+	w.core.MergeCrashes(w.now, reports)
+	w.check("with the reports", true, "deadly")
+	w.check("with the reports", false, "a", "rare")
+}
+
 // TestPartIsNotShieldedByAnother checks that a deadly part is held although a sound one was under way at most of its
 // ends, at all of them but none else, or an answered one at all and more.
 func TestPartIsNotShieldedByAnother(t *testing.T) {
