A backoff isn't lost when the list of upstreams is late

The rest was recorded for the incarnation that was listed. When the list said which one ran (born 256401, it had asked at 256787), that one began without the backoff.

Now an incarnation that is newly listed takes over the backoff of an earlier one with its id if it had started before the rejection. One that starts later still begins without (TestBackoffsAreForgottenWithTheirIncarnation; its next incarnation started in 1970, before the rejection, and starts after it now, which is what the test means).

TestBackoffOutlivesALateList fails without the change.

--- a/internal/request/place/backoff.go
+++ b/internal/request/place/backoff.go
@@ -31,6 +31,8 @@
 // backoff is the state of an upstream that rejected requests. After the backoff it gets few
 // requests at first (slow start), and more as it accepts them.
 type backoff struct {
+	upstream       string    // id, which later incarnations may share; empty: the upstream wasn't listed
+	rejectedAt     time.Time // last rejection
 	requestedUntil time.Time // end of the backoff that the upstream requested
 	until          time.Time // end of the backoff; not before requestedUntil
 	consecutive    int       // backoffs since it last accepted a request
@@ -50,8 +52,12 @@
 			return false
 		}
 		b = &backoff{}
+		if u, listed := t.byIncarnation[id]; listed {
+			b.upstream = u.up.ID
+		}
 		t.backoffs[id] = b
 	}
+	b.rejectedAt = now
 	if until := now.Add(requested); requested > 0 && until.After(b.requestedUntil) {
 		b.requestedUntil = until
 	}
@@ -69,6 +75,26 @@
 	return started
 }
 
+// inheritBackoff gives an upstream that is newly listed the backoff of an earlier incarnation, if the process started
+// before that rejected a request: the list was late, and this process asked for the backoff.
+func (t *Tracker) inheritBackoff(u *fleet.Upstream) {
+	if u.StartedMS == 0 {
+		return
+	}
+	var latest *backoff
+	for _, b := range t.backoffs {
+		if b.upstream == u.ID && b.rejectedAt.UnixMilli() >= u.StartedMS && (latest == nil || b.rejectedAt.After(latest.rejectedAt)) {
+			latest = b
+		}
+	}
+	if latest == nil || len(t.backoffs) >= maxBackoffs {
+		return
+	}
+	inherited := *latest
+	inherited.inFlight = 0
+	t.backoffs[u.Incarnation()] = &inherited
+}
+
 // nextDelay returns the length of the next backoff if the upstream requests none.
 func (b *backoff) nextDelay() time.Duration {
 	b.consecutive++
--- a/internal/request/place/tracker.go
+++ b/internal/request/place/tracker.go
@@ -65,7 +65,8 @@
 // SetUpstreams replaces the list of upstreams that may get new work. Upstreams that are
 // no longer listed, including earlier incarnations, are kept while they have requests
 // of this process in flight, so that the end of these requests is counted. A new
-// incarnation starts without any state.
+// incarnation starts without any state, but for a backoff that it asked for itself
+// (inheritBackoff).
 func (t *Tracker) SetUpstreams(services map[string][]fleet.Upstream) {
 	t.services = make(map[string][]*upstreamState, len(services))
 	t.listVersion++
@@ -76,6 +77,7 @@
 			u, ok := t.byIncarnation[id]
 			if !ok {
 				u = &upstreamState{incarnation: id, key: KeyOf(id), hash: hashID(up.ID)}
+				t.inheritBackoff(&up)
 			}
 			u.up = up
 			u.groupMean, u.prefillModel, u.peersReporting = t.groupMean(u), t.prefillModel(u.group()), &t.peersReporting
