--- a/internal/request/quarantine/part.go
+++ b/internal/request/quarantine/part.go
@@ -168,7 +168,7 @@
 	}
 	missing := 0
 	for _, e := range ends {
-		if !slices.ContainsFunc(all, e.same) {
+		if !leadTo(all, e) {
 			missing++
 		}
 	}
@@ -200,6 +200,13 @@
 // isEndOf reports whether a crash is due to the end.
 func (e end) isEndOf(crash *Crash) bool { return e.same(end{crash.Upstream, crash.At}) }
 
+// leadsTo reports whether sends that broke off at the other end did so because of this one: it is the same, or later
+// sends met an address whose upstream was gone already.
+func (e end) leadsTo(later end) bool {
+	after := later.at.Sub(e.at)
+	return later.upstream == e.upstream && after > -sameEndWindow && after < maxEndDelay
+}
+
 // ends returns the ends of upstreams that led to the hold of a part or came with requests on it, each once.
 func (s *suspect) ends() []end {
 	out := s.endsOf(func(crash *Crash) bool { return !crash.Void && !crash.lifted })
@@ -258,7 +265,7 @@
 		changed := false
 		for _, crash := range s.crashes {
 			was := crash.explained
-			crash.explained = was && !c.partCleared || explains(explained, crash)
+			crash.explained = was && !c.partCleared || leadTo(explained, end{crash.Upstream, crash.At})
 			changed = changed || crash.explained != was
 		}
 		if changed {
@@ -277,6 +284,11 @@
 	}
 }
 
+// leadTo reports whether one of the ends led to another one.
+func leadTo(ends []end, later end) bool {
+	return slices.ContainsFunc(ends, func(e end) bool { return e.leadsTo(later) })
+}
+
 // explains reports whether one of the ends is that of a crash.
 func explains(ends []end, crash *Crash) bool {
 	for _, e := range ends {
--- a/internal/request/quarantine/part_test.go
+++ b/internal/request/quarantine/part_test.go
@@ -314,6 +314,37 @@
 	w.check("with the reports", false, "a", "rare")
 }
 
+// TestSendsToAGoneUpstreamAreExplained checks a case of the soak: the address of an upstream that crashed under a deadly
+// part still accepts connections for seconds and closes them, until the list says that it is gone.
+func TestSendsToAGoneUpstreamAreExplained(t *testing.T) {
+	for name, held := range map[string]bool{"before the deadly part is held": true, "after": false} {
+		w := newPartWorld(t)
+		w.answer(minAnswers, "a")
+		crashGone := func() {
+			for i := range partCrashesToHold {
+				w.now = w.now.Add(200 * time.Millisecond)
+				w.crash(fmt.Sprint("u", i), []string{"a", "rare"})
+			}
+		}
+		var reports []Crash
+		for i := range partCrashesToHold + 1 {
+			w.now = w.now.Add(200 * time.Millisecond)
+			reports = append(reports, Crash{Content: PartContent("deadly"), Upstream: HashOf(Incarnation(fmt.Sprint("u", i))), Sent: w.now.Add(-50 * time.Millisecond), At: w.now})
+		}
+		w.now = w.now.Add(3 * time.Second)
+		if held {
+			crashGone()
+			w.check(name, true, "rare")
+		}
+		w.core.MergeCrashes(w.now, reports)
+		if !held {
+			crashGone()
+		}
+		w.check(name, true, "deadly")
+		w.check(name, false, "rare", "a")
+	}
+}
+
 // TestPartIsNotShieldedByAnother checks that a deadly part is held although a sound one was under way at most of its
 // ends, at all of them but none else, or an answered one at all and more.
 func TestPartIsNotShieldedByAnother(t *testing.T) {
