A part that is held in error doesn't hide the crashes of the deadly one (BUDGET)

Cause, by lines: an instance held a sound part first, which explained the crashes of the deadly one there. So the deadly part couldn't outrank it, and when another instance stored the right hold, this one took it for unfounded and removed the record.

Now what a held part explains doesn't count for it against one that may outrank it; a part that is freed so explains nothing any more; and a stored hold of a part isn't unfounded because another held part explains its crashes, as held parts explain nothing of each other.

TestRarePartHeldFirstIsFreed (in steps) and TestStoredHoldOfPartIsKept fail before.

--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -73,7 +73,7 @@
 	answeredAt  map[Content]time.Time         // when a request with a part was last answered completely
 	answers     int                           // requests answered completely
 	explainDue  bool                          // see explainCrashes
-	partCleared bool                          // a held part was answered, so that it explains nothing any more
+	partCleared bool                          // a held part turned out to be sound, so that it explains nothing any more
 	unwanted    []Content                     // work whose record became unwanted since the last call of TakeUnwantedRecords
 }
 
--- a/internal/request/quarantine/part.go
+++ b/internal/request/quarantine/part.go
@@ -133,7 +133,7 @@
 	if s.hold.activeAt(now) && len(s.hold.Crashes) == 0 {
 		return false
 	}
-	ends := s.ends()
+	ends, explained := s.ends(), c.heldEnds(now, part)
 	for content, other := range c.suspects {
 		if !content.IsPart() || content == part {
 			continue
@@ -141,19 +141,33 @@
 		if !other.hold.activeAt(now) && c.partCrashesNeeded(now, content, other.hold.Times+1) > partCrashesToHold {
 			continue
 		}
-		if containsMore(other.blamedEnds(now), ends) {
+		if containsMore(other.blamedEnds(now, explained), ends) {
 			return true
 		}
 	}
 	return false
 }
 
-// blamedEnds returns the ends that may be blamed on a part: those of ends if it is held, and otherwise those that count.
-func (s *suspect) blamedEnds(now time.Time) []end {
+// heldEnds returns the ends of all held parts but the given one.
+func (c *Core) heldEnds(now time.Time, except Content) []end {
+	var out []end
+	for content, s := range c.suspects {
+		if content != except && s.heldPart(now, content) {
+			out = append(out, s.ends()...)
+		}
+	}
+	return out
+}
+
+// blamedEnds returns the ends that may be blamed on a part: all of them if it is held, and otherwise those of crashes that
+// the given ends of held parts don't explain.
+func (s *suspect) blamedEnds(now time.Time, explained []end) []end {
 	if s.hold.activeAt(now) {
 		return s.ends()
 	}
-	return s.endsOf((*Crash).counts)
+	return s.endsOf(func(crash *Crash) bool {
+		return !crash.Void && !crash.lifted && !leadTo(explained, end{crash.Upstream, crash.At})
+	})
 }
 
 // maxMissingShare is the largest share of the ends of a part that may be missing from those of a likelier one: the reports
@@ -249,12 +263,7 @@
 	}
 	c.explainDue = false
 	c.freeOutranked(now)
-	var explained []end
-	for content, s := range c.suspects {
-		if s.heldPart(now, content) {
-			explained = append(explained, s.ends()...)
-		}
-	}
+	explained := c.heldEnds(now, Content{})
 	if len(explained) == 0 && !c.partCleared {
 		return
 	}
@@ -275,11 +284,12 @@
 	c.partCleared = false
 }
 
-// freeOutranked cancels the holds of parts that are outranked.
+// freeOutranked cancels the holds of parts that are outranked. They explain nothing any more.
 func (c *Core) freeOutranked(now time.Time) {
 	for content, s := range c.suspects {
 		if s.heldPart(now, content) && c.outranked(now, content, s) {
 			c.cancelHold(now, content, s)
+			c.partCleared = true
 		}
 	}
 }
--- a/internal/request/quarantine/part_test.go
+++ b/internal/request/quarantine/part_test.go
@@ -272,11 +272,29 @@
 }
 
 // TestRarePartHeldFirstIsFreed checks a part that was held first as its crashes were known first: it is free again once
-// another part is known to have been under way at all of its ends and at more, however that was learned.
+// another part is known to have been under way at all of its ends and at more, whether that is learned at once or in
+// steps, with crashes that the first one seems to explain.
 func TestRarePartHeldFirstIsFreed(t *testing.T) {
-	w := newPartWorld(t)
+	for name, atOnce := range map[string]bool{"at once": true, "in steps": false} {
+		w := newPartWorld(t)
+		reports := w.holdRarePart()
+		w.check(name+", without the reports", true, "rare")
+		if atOnce {
+			w.core.MergeCrashes(w.now, reports)
+		} else {
+			for _, report := range reports {
+				w.core.MergeCrashes(w.now, []Crash{report})
+			}
+		}
+		w.check(name, true, "deadly")
+		w.check(name, false, "a", "rare")
+	}
+}
+
+// holdRarePart has a sound part held, and returns the reports of a deadly one that was under way at the same ends and, as
+// the first of them, at another one.
+func (w *partWorld) holdRarePart() (reports []Crash) {
 	w.answer(minAnswers, "a")
-	var reports []Crash
 	for i := range partCrashesToHold + 1 {
 		w.now = w.now.Add(time.Second)
 		upstream := fmt.Sprint("u", i)
@@ -286,10 +304,22 @@
 		w.answer(1, "a")
 		reports = append(reports, Crash{Content: PartContent("deadly"), Upstream: HashOf(Incarnation(upstream)), Sent: w.now.Add(-50 * time.Millisecond), At: w.now})
 	}
-	w.check("without the reports", true, "rare")
-	w.core.MergeCrashes(w.now, reports)
-	w.check("with the reports", true, "deadly")
-	w.check("with the reports", false, "a", "rare")
+	return reports
+}
+
+// TestStoredHoldOfPartIsKept guards against the removal of the right hold: another instance stored it, and here a sound
+// part that was held first seems to explain all of its crashes.
+func TestStoredHoldOfPartIsKept(t *testing.T) {
+	w := newPartWorld(t)
+	reports := w.holdRarePart()[1:]
+	for _, report := range reports {
+		w.core.MergeCrashes(w.now, []Crash{report})
+	}
+	w.core.HoldStored(w.now, PartContent("deadly"), Hold{Until: w.now.Add(time.Minute), Times: 1, Crashes: reports, Version: 7})
+	w.check("once it is stored", true, "deadly")
+	if _, remove := w.core.RecordToRemove(w.now, PartContent("deadly")); remove {
+		t.Error("the record is removed")
+	}
 }
 
 // TestPartHeldWithALostReportIsFreed checks a case of the soak: a process that has just started holds a sound part first,
--- a/internal/request/quarantine/record.go
+++ b/internal/request/quarantine/record.go
@@ -148,14 +148,14 @@
 }
 
 // stillCounts reports whether a crash that led to a stored hold counts. It doesn't if it is known here and all
-// matching crashes don't count.
+// matching crashes don't count. Held parts explain nothing of each other, whichever of them was held first here.
 func (s *suspect) stillCounts(cause *Crash) bool {
 	known := false
 	for _, crash := range s.crashes {
 		if !crash.sameCrash(cause) {
 			continue
 		}
-		if crash.counts() {
+		if crash.counts() || crash.Content.IsPart() && !crash.Void && !crash.lifted {
 			return true
 		}
 		known = true
