--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -60,6 +60,7 @@
 	storedAt      time.Time // when stored was last confirmed
 	record        recordState
 	brokenSends   int // of a part: requests with it that broke off here while it was a suspect
+	brokenBefore  int // of a part: Core.brokenSends when it became a suspect
 	answersBefore int // of a part: Core.answers at the first of its crashes that count
 }
 
@@ -72,6 +73,7 @@
 	newHolds    []Content                     // holds that began since the last call of TakeNewHolds
 	answeredAt  map[Content]time.Time         // when a request with a part was last answered completely
 	answers     int                           // requests answered completely
+	brokenSends int                           // requests with parts that broke off here
 	explainDue  bool                          // see explainCrashes
 	partCleared bool                          // a held part turned out to be sound, so that it explains nothing any more
 	unwanted    []Content                     // work whose record became unwanted since the last call of TakeUnwantedRecords
@@ -118,6 +120,9 @@
 func (c *Core) SendWithPartsBroken(now time.Time, content Content, parts []Content, incarnation Incarnation, sent time.Time) (newCrashes []Crash, check bool) {
 	c.recordBrokenSend(now, content)
 	broken := []brokenSend{{content: content, sent: sent, at: now}}
+	if len(parts) > 0 {
+		c.brokenSends++
+	}
 	for _, part := range parts {
 		if s, ok := c.suspects[part]; ok {
 			s.brokenSends++
@@ -294,7 +299,7 @@
 	if len(c.suspects) >= maxSuspects && c.suspects[content] == nil {
 		c.dropOldest(now)
 	}
-	s := mapentry.GetOrCreate(c.suspects, content, mapentry.Zero[suspect])
+	s := mapentry.GetOrCreate(c.suspects, content, func() *suspect { return &suspect{brokenBefore: c.brokenSends} })
 	s.updatedAt = now
 	return s
 }
--- a/internal/request/quarantine/part.go
+++ b/internal/request/quarantine/part.go
@@ -86,8 +86,8 @@
 
 // likelierPart returns a part that is a likelier cause of the crashes of the given one, which is about to be held although
 // it may well be sound: it was under way at half of these crashes or more and at enough to be held, and either it alone
-// wasn't answered lately, or far fewer requests with it broke off. A part that all requests share is under way at each
-// crash that a deadly one causes, and at others besides. ok is false if there is none.
+// wasn't answered lately, or the given one is common and far fewer requests with the other broke off. A part that all
+// requests share is under way at each crash that a deadly one causes, and at others besides. ok is false if there is none.
 func (c *Core) likelierPart(now time.Time, part Content, s *suspect) (likelier Content, ok bool) {
 	ends := s.ends()
 	best := (len(ends) + 1) / 2
@@ -123,7 +123,13 @@
 	if answered != otherAnswered {
 		return otherAnswered
 	}
-	return 2*s.brokenSends <= other.brokenSends
+	return c.isCommon(other) && 2*s.brokenSends <= other.brokenSends
+}
+
+// isCommon reports whether most requests with parts that broke off here since a part became a suspect had it. Parts that
+// are known only from reports may be common.
+func (c *Core) isCommon(s *suspect) bool {
+	return s.brokenSends == 0 || 2*s.brokenSends > c.brokenSends-s.brokenBefore
 }
 
 // outranked reports whether another part is a likelier cause of all crashes of the given one: it was under way at each of
--- a/internal/request/quarantine/part_test.go
+++ b/internal/request/quarantine/part_test.go
@@ -223,6 +223,23 @@
 	}
 }
 
+// TestPartKnownFromReportsIsNoLikelierCause checks a case of the soak: a process that has just started has never sent a
+// request with a sound part, and so saw none break off, but knows that it was under way at most ends of the deadly one.
+func TestPartKnownFromReportsIsNoLikelierCause(t *testing.T) {
+	w := newPartWorld(t)
+	for i := range answeredPartCrashesToHold {
+		w.now = w.now.Add(time.Second)
+		upstream := fmt.Sprint("u", i)
+		if i > 0 {
+			w.core.MergeCrashes(w.now, []Crash{{Content: PartContent("rare"), Upstream: HashOf(Incarnation(upstream)), Sent: w.now.Add(-50 * time.Millisecond), At: w.now}})
+		}
+		w.crash(upstream, []string{"a", "deadly"}, []string{"a", "b"}, []string{"a", "c"})
+		w.answer(1, "a", "b", "c")
+	}
+	w.check("after its last crash", true, "deadly")
+	w.check("after its last crash", false, "rare", "a", "b", "c")
+}
+
 // TestOutageHoldsNoCommonPart checks a case of the soak: connections end again and again while nothing is answered.
 // Nothing then tells a part that all requests share from the cause.
 func TestOutageHoldsNoCommonPart(t *testing.T) {
