A part that is freed undoes only what it explained itself (BUDGET)

What callers would have seen, by reading of the change before: once any held part was freed, all explanations were made anew from the parts held then. Sound work that was repeated beside an earlier deadly part, whose hold had ended, was held for ten minutes. That was so before after an answer on a held part (rare); freeing parts that are outranked would have made it frequent.

Now the ends of the part that is freed are kept until the explanations are made anew, and only those are undone. TestFreedPartLeavesOtherExplanations fails before, for both ways of freeing.

--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -75,7 +75,7 @@
 	answers     int                           // requests answered completely
 	brokenSends int                           // requests with parts that broke off here
 	explainDue  bool                          // see explainCrashes
-	partCleared bool                          // a held part turned out to be sound, so that it explains nothing any more
+	clearedEnds []end                         // ends of held parts that turned out to be sound, so that they explain nothing any more
 	unwanted    []Content                     // work whose record became unwanted since the last call of TakeUnwantedRecords
 }
 
@@ -328,6 +328,7 @@
 	if lifted = s.hold.activeAt(now); lifted {
 		s.addCauses()
 	}
+	ends := s.ends()
 	for _, crash := range s.crashes {
 		if !crash.Void {
 			crash.Void = true
@@ -338,7 +339,7 @@
 		c.markUnwanted(now, content, s, 0, s.hold.Until)
 		c.cancelHold(now, content, s)
 		if content.IsPart() {
-			c.explainDue, c.partCleared = true, true
+			c.explainDue, c.clearedEnds = true, append(c.clearedEnds, ends...)
 			c.explainCrashes(now)
 		}
 	}
--- a/internal/request/quarantine/part.go
+++ b/internal/request/quarantine/part.go
@@ -270,7 +270,7 @@
 	c.explainDue = false
 	c.freeOutranked(now)
 	explained := c.heldEnds(now, Content{})
-	if len(explained) == 0 && !c.partCleared {
+	if len(explained)+len(c.clearedEnds) == 0 {
 		return
 	}
 	for content, s := range c.suspects {
@@ -279,23 +279,23 @@
 		}
 		changed := false
 		for _, crash := range s.crashes {
-			was := crash.explained
-			crash.explained = was && !c.partCleared || leadTo(explained, end{crash.Upstream, crash.At})
+			was, at := crash.explained, end{crash.Upstream, crash.At}
+			crash.explained = was && !leadTo(c.clearedEnds, at) || leadTo(explained, at)
 			changed = changed || crash.explained != was
 		}
 		if changed {
 			c.updateHold(now, content, s)
 		}
 	}
-	c.partCleared = false
+	c.clearedEnds = nil
 }
 
 // freeOutranked cancels the holds of parts that are outranked. They explain nothing any more.
 func (c *Core) freeOutranked(now time.Time) {
 	for content, s := range c.suspects {
 		if s.heldPart(now, content) && c.outranked(now, content, s) {
+			c.clearedEnds = append(c.clearedEnds, s.ends()...)
 			c.cancelHold(now, content, s)
-			c.partCleared = true
 		}
 	}
 }
--- a/internal/request/quarantine/part_test.go
+++ b/internal/request/quarantine/part_test.go
@@ -324,6 +324,35 @@
 	return reports
 }
 
+// TestFreedPartLeavesOtherExplanations checks that a part that is freed, by a likelier one or by an answer, undoes only
+// what it explained: sound work that was repeated beside an earlier deadly part, whose hold has ended since, isn't held.
+func TestFreedPartLeavesOtherExplanations(t *testing.T) {
+	for name, answered := range map[string]bool{"by a likelier part": false, "by an answer": true} {
+		w := newPartWorld(t)
+		w.answer(minAnswers, "a")
+		repeated := ContentOf("POST", "h", "/repeated", nil)
+		for i := range partCrashesToHold {
+			w.now = w.now.Add(time.Second)
+			upstream := Incarnation(fmt.Sprint("e", i))
+			w.core.SendWithPartsBroken(w.now, repeated, partsOf("a"), upstream, w.now.Add(-50*time.Millisecond))
+			w.crash(string(upstream), []string{"a", "earlier"})
+		}
+		w.check(name, true, "earlier")
+		w.now = w.now.Add(initialPartHold)
+		reports := w.holdRarePart()
+		w.check(name+", before", true, "rare")
+		if answered {
+			w.answer(1, "rare")
+		} else {
+			w.core.MergeCrashes(w.now, reports)
+		}
+		w.check(name, false, "rare", "earlier")
+		if _, held := w.core.ActiveHold(w.now, repeated); held {
+			t.Errorf("%s: the repeated work is held", name)
+		}
+	}
+}
+
 // TestStoredHoldOfPartIsKept guards against the removal of the right hold: another instance stored it, and here a sound
 // part that was held first seems to explain all of its crashes.
 func TestStoredHoldOfPartIsKept(t *testing.T) {
