Upstreams that were missing between two restores are used at once

Cause, by lines: the platform returned from an older copy without the engines. They were missing for RestoreGrace after that and were taken to be gone, while the platform had already returned from another copy, where they had written their entries again before the list was read. That list has them, but entries of upstreams that were removed are deferred for a minute, as a copy may have those that left.

Now only a removal that was seen defers an entry. One that was inferred from a missing entry doesn't. If such an upstream did end, its connections are refused and requests go elsewhere.

TestUpstreamsMissingBetweenTwoRestoresAreUsed fails before.

--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -46,6 +46,7 @@
 type tombstone struct {
 	startedMS int64
 	leaving   bool
+	inferred  bool // the removal wasn't seen: the entry was still missing some time after an outage
 	expiresAt time.Time
 }
 
@@ -127,7 +128,8 @@
 // a new era may lack upstreams that were added after the copy was made. These upstreams write their
 // entries again within RestoreGrace. The list may also contain upstreams that were removed after the
 // copy was made. Their entries are deferred: such an upstream is not used until it has written its
-// entry again, or until its tombstone expires while the upstream is still listed.
+// entry again, or until its tombstone expires while the upstream is still listed. Entries whose removal
+// was only inferred are used, as they may have been written again before the list was read.
 func (c *Core) Replace(now time.Time, era uint64, list []Change) []Change {
 	listed := make(map[string]bool, len(list))
 	for i := range list {
@@ -154,11 +156,11 @@
 	return newlyUnreadable
 }
 
-// deferIfGone defers a listed entry if this or a later incarnation of it was removed. It reports
-// whether it did.
+// deferIfGone defers a listed entry if this or a later incarnation of it was seen to be removed. It
+// reports whether it did.
 func (c *Core) deferIfGone(ch Change) bool {
 	t, removed := c.tombstones[ch.ID]
-	if ch.Kind != Listed || !removed || ch.Upstream.StartedMS > t.startedMS {
+	if ch.Kind != Listed || !removed || t.inferred || ch.Upstream.StartedMS > t.startedMS {
 		return false
 	}
 	c.deferred[ch.ID] = ch.Upstream
@@ -319,6 +321,7 @@
 			continue
 		}
 		c.delete(now, e)
+		c.markInferred(id)
 		expired = append(expired, id)
 	}
 	c.expireLeavingReports(now)
@@ -335,6 +338,13 @@
 	return expired
 }
 
+// markInferred records that the removal of an entry was inferred.
+func (c *Core) markInferred(id string) {
+	t := c.tombstones[id]
+	t.inferred = true
+	c.tombstones[id] = t
+}
+
 // Get returns the upstream with an ID.
 func (c *Core) Get(id string) (Upstream, bool) {
 	e, ok := c.entries[id]
--- a/internal/process/fleet/restore_test.go
+++ b/internal/process/fleet/restore_test.go
@@ -54,6 +54,24 @@
 	}
 }
 
+// TestUpstreamsMissingBetweenTwoRestoresAreUsed guards against upstreams that get no work for a minute: the platform
+// returned twice from older copies, and the upstreams wrote their entries again after the second return, but before the
+// list was read.
+func TestUpstreamsMissingBetweenTwoRestoresAreUsed(t *testing.T) {
+	c := New()
+	list := listOf(Upstream{ID: "a", Address: "a:1", Service: "s"}, Upstream{ID: "left", Address: "left:1", Service: "s"})
+	c.Replace(at(0), 1, list)
+	c.Apply(at(time.Second), []Change{{Kind: Unlisted, ID: "left"}})
+	c.Replace(at(2*time.Second), 2, nil)
+	if expired := c.Expire(at(2*time.Second + RestoreGrace)); len(expired) != 1 || usable(c, "a") {
+		t.Fatalf("expired %v", expired)
+	}
+	c.Replace(at(3*time.Second+RestoreGrace), 3, list)
+	if !usable(c, "a") || usable(c, "left") {
+		t.Errorf("usable: a %v, left %v, want only a", usable(c, "a"), usable(c, "left"))
+	}
+}
+
 // TestFirstListIsNoRestore checks that the first list isn't taken for that of a platform that was just
 // restored, whatever its era.
 func TestFirstListIsNoRestore(t *testing.T) {
