entry: request lines say what the caller got, and how the upstream's response ended

Lines couldn't tell apart the hypotheses on broken-off answers that look complete: they named neither the status that went to the caller, nor the framing of the upstream's response, nor how many events each send brought. No logic changes.

--- a/internal/connection/upstream/service.go
+++ b/internal/connection/upstream/service.go
@@ -28,13 +28,24 @@
 	ContentLength int64     // of Body; -1, or 0 with a Body: unknown
 }
 
+// Framing says how the end of a response body is marked.
+type Framing string
+
+// The framings. Only a body with a length or in chunks shows by itself whether it is complete.
+const (
+	FramedByLength     Framing = "length"
+	FramedByChunks     Framing = "chunks"
+	FramedByConnection Framing = "connection" // the body ends with its connection
+)
+
 // ServiceResponse is the response of a service, with any status. Body must be closed;
 // a read error other than io.EOF matches ErrBroken.
 type ServiceResponse struct {
-	Status int
-	Header http.Header
-	Length int64 // of Body; -1: unknown
-	Body   io.ReadCloser
+	Status  int
+	Header  http.Header
+	Length  int64 // of Body; -1: unknown
+	Framing Framing
+	Body    io.ReadCloser
 }
 
 // Services calls plain services over one connection pool.
@@ -100,7 +111,18 @@
 	}
 	dropHopByHop(resp.Header)
 	body := &serviceBody{ReadCloser: resp.Body, ctx: ctx, address: call.Address}
-	return ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Body: body}, nil
+	return ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp), Body: body}, nil
+}
+
+// framingOf returns the framing of a response's body. A response without a body counts as one of length 0.
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return FramedByChunks
+	case resp.ContentLength >= 0 || resp.Body == http.NoBody:
+		return FramedByLength
+	}
+	return FramedByConnection
 }
 
 // serviceRequest returns the HTTP request for a call. It returns an error if the call is
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -51,6 +51,7 @@
 func (q *request) execute(ctx context.Context) *errkind.Error {
 	q.e.state.countRequest(q.arrived, q.service)
 	relay := &responseRelay{req: q}
+	q.responses = relay
 	defer func() { q.keptKV.release(q.e) }() // no engine will fetch the KV cache any more
 	if q.continuesStream() {
 		if refusal := q.resolveOrigin(ctx); refusal != nil {
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -60,6 +60,8 @@
 	usageCounted     bool                // it was counted as usage of its account
 	fetchingKV       bool                // in the last send, the upstream was to fetch the prompt's KV cache
 	responseStarted  bool                // a part of the response was written to the caller
+	status           int                 // of the upstream's response that was written to the caller; 0: none
+	responses        *responseRelay      // of the upstreams; nil: the request isn't executed
 	placeWait        time.Duration       // total wait for places
 	resumption       *resumption         // what was found out about the stream that the caller resumes; nil: it resumes none
 	origin           *streams.Origin     // where the stream began that the request continues from now on; nil: none yet
--- a/internal/process/entry/requestlog.go
+++ b/internal/process/entry/requestlog.go
@@ -236,6 +236,9 @@
 	if final != nil {
 		fields = append(fields, "why", final.Error(), "retry_after_ms", final.RetryAfter.Milliseconds())
 	}
+	if r := q.responses; r != nil && q.sends > 0 {
+		fields = append(fields, "status", q.status, "framing", r.framing, "events", r.sent, "last_events", r.lastSent)
+	}
 	if q.resumption != nil {
 		fields = append(fields, q.resumption.fields(q.info.Resumes)...)
 	}
--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -52,6 +52,9 @@
 	req         *request
 	sequence    eventstream.Sequence // of the events of all sends
 	serverError *serverErrorResponse // the last one; nil: none
+	framing     upstream.Framing     // of the last response; empty: none yet
+	sent        int                  // events of all sends that were written to the caller
+	lastSent    int                  // events of the last send that were written to the caller
 }
 
 // canResume reports whether another send could continue the response from where it stopped:
@@ -68,6 +71,7 @@
 // that the request was not run.
 func (r *responseRelay) copyResponse(ctx context.Context, held *heldPlace, resp upstream.ServiceResponse, info exchange.ResponseInfo) sendOutcome {
 	q := r.req
+	r.framing, r.lastSent = resp.Framing, 0
 	if info.RequestID != "" && info.RequestID != q.info.ID {
 		q.possibleRuns++
 		return sendOutcome{runState: errkind.RunUnknown, err: errWrongRequest, maybeSent: true}
@@ -168,6 +172,9 @@
 
 // writeHeader writes the status and headers of an upstream's response.
 func (q *request) writeHeader(status int, h http.Header) {
+	if q.status == 0 {
+		q.status = status
+	}
 	header := q.w.Header()
 	for name, values := range h {
 		header[name] = values
@@ -261,5 +268,7 @@
 		if err := flusher.Flush(); err != nil {
 			return sendOutcome{runState: errkind.Ran, err: errors.Wrap(errCallerWrite, err.Error()), maybeSent: true}
 		}
+		r.sent++
+		r.lastSent++
 	}
 }
