--- a/internal/process/entry/confirmation_test.go
+++ b/internal/process/entry/confirmation_test.go
@@ -497,7 +497,7 @@
 func TestSendWaitsForConfirmation(t *testing.T) {
 	for name, send := range map[string]func(q *request, held *heldPlace) error{
 		"run": func(q *request, held *heldPlace) error {
-			return q.send(context.Background(), held, nil, &responseRelay{req: q}).err
+			return q.send(context.Background(), held, nil).err
 		},
 		"prefill": func(q *request, held *heldPlace) error {
 			_, _, err := q.sendPrefill(context.Background(), held)
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -15,6 +15,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/response"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
 )
 
@@ -47,15 +48,13 @@
 
 // execute runs a request: it acquires a place (a slot at an upstream), has the prompt prefilled by
 // another engine if that is better, sends the request, and retries where that is allowed. It
-// returns nil if the whole response was written to the caller.
-func (q *request) execute(ctx context.Context) *errkind.Error {
+// returns why the request ended, and the error for its caller if no response of an upstream can be.
+func (q *request) execute(ctx context.Context) (response.Reason, *errkind.Error) {
 	q.e.state.countRequest(q.arrived, q.service)
-	relay := &responseRelay{req: q}
-	q.responses = relay
 	defer func() { q.keptKV.release(q.e) }() // no engine will fetch the KV cache any more
 	if q.continuesStream() {
 		if refusal := q.resolveOrigin(ctx); refusal != nil {
-			return refusal
+			return response.NotServed, refusal
 		}
 	}
 	for {
@@ -63,30 +62,30 @@
 		// Without this check, each attempt would crash one more upstream and fail the requests that
 		// it serves.
 		if refusal := q.holdRefusal(); refusal != nil {
-			return q.refusedError(refusal, relay)
+			return q.refused(refusal)
 		}
 		held, refusal := q.acquirePlace(ctx, q.firstQuery())
 		if refusal != nil {
-			return q.refusedError(refusal, relay)
+			return q.refused(refusal)
 		}
-		used, out, refusal := q.attempt(ctx, held, relay)
+		used, out, refusal := q.attempt(ctx, held)
 		if refusal != nil {
-			return q.refusedError(refusal, relay)
+			return q.refused(refusal)
 		}
 		if out.completed {
-			return nil
+			return response.Completed, nil
 		}
 		q.runState = retry.CombineRunStates(q.runState, out.runState)
 		if final := q.contextError(ctx); final != nil {
-			return final
+			return response.Interrupted, final
 		}
 		if !errors.Is(out.err, errStalePlace) {
 			q.excluded = append(q.excluded, used.upstream().Incarnation())
 		}
-		action := q.decideRetry(out, relay)
+		action := q.decideRetry(out)
 		q.logFailedSend(&used.grant.Choice, out, action)
 		if action != retry.SendElsewhere && action != retry.RunAgain {
-			return q.finalError(out, relay)
+			return response.NotServed, q.finalError(out)
 		}
 	}
 }
@@ -95,35 +94,35 @@
 // Reserve is at a decoding engine and is reserved for the time after the prefill: attempt then has
 // another engine prefill the prompt first. It returns the place that was used, or a refusal if no engine
 // had a place for the prefill.
-func (q *request) attempt(ctx context.Context, held *heldPlace, relay *responseRelay) (*heldPlace, sendOutcome, *errkind.Error) {
+func (q *request) attempt(ctx context.Context, held *heldPlace) (*heldPlace, sendOutcome, *errkind.Error) {
 	switch {
 	case held.work() == place.Reserve:
-		return q.attemptWithPrefill(ctx, held, relay)
+		return q.attemptWithPrefill(ctx, held)
 	case q.keptKV != nil:
 		kv := q.keptKV
 		q.keptKV = nil
 		defer q.e.release(held)
-		return held, q.runWithKV(ctx, held, kv, relay), nil
+		return held, q.runWithKV(ctx, held, kv), nil
 	}
-	return held, q.runAtPlace(ctx, held, relay), nil
+	return held, q.runAtPlace(ctx, held), nil
 }
 
 // runAtPlace runs the request, prefill included, at one place and releases it.
-func (q *request) runAtPlace(ctx context.Context, held *heldPlace, relay *responseRelay) sendOutcome {
+func (q *request) runAtPlace(ctx context.Context, held *heldPlace) sendOutcome {
 	defer q.e.release(held)
-	return q.send(ctx, held, nil, relay)
+	return q.send(ctx, held, nil)
 }
 
 // attemptWithPrefill has the prompt prefilled by another engine and then runs the request at the
 // reserved place. If the place that was found for the prefill is at a decoding engine that has time for
 // it, that engine runs the whole request, and the reserved place is released.
-func (q *request) attemptWithPrefill(ctx context.Context, reserved *heldPlace, relay *responseRelay) (*heldPlace, sendOutcome, *errkind.Error) {
+func (q *request) attemptWithPrefill(ctx context.Context, reserved *heldPlace) (*heldPlace, sendOutcome, *errkind.Error) {
 	e, reservedAt := q.e, time.Now()
 	held, refusal := q.acquirePlace(ctx, q.prefillQuery(true))
 	if refusal == nil && held.work() == place.LocalPrefill {
 		e.release(reserved)
 		q.decoderPrefills = true
-		return held, q.runAtPlace(ctx, held, relay), nil
+		return held, q.runAtPlace(ctx, held), nil
 	}
 	defer func() { e.release(reserved) }()
 	prefill := q.runPrefill(ctx, held, refusal)
@@ -139,7 +138,7 @@
 		e.recordEvents(reserved, place.Event{Kind: place.Claimed})
 	}
 	q.decoderPrefills = prefill.kv == nil // the decoding engine can prefill the prompt, too, but takes longer
-	return reserved, q.runWithKV(ctx, reserved, prefill.kv, relay), nil
+	return reserved, q.runWithKV(ctx, reserved, prefill.kv), nil
 }
 
 // replaceIfUnusable returns the place for the decode. This is the reserved place, or another one if the
@@ -243,23 +242,23 @@
 	maxRetryAfter      = 2 * time.Second
 )
 
-// refusedError returns the final error of a request that found no place. If the request may have run
-// in an earlier send, there are two cases. If an upstream responded to that send with a server error,
-// refusedError writes this response to the caller and returns nil. Otherwise the error says that the
-// request may have run.
-func (q *request) refusedError(refusal *errkind.Error, relay *responseRelay) *errkind.Error {
-	if q.runState == errkind.NotRun || refusal.Kind == errkind.Canceled {
-		return refusal
-	}
-	if relay.serverError != nil {
-		return relay.sendServerError()
-	}
-	return errkind.Wrap(refusal, errkind.OutcomeUnknown, q.runState, "the request may have run and no other upstream can serve it")
+// refused returns how a request ends that found no place. If it may have run in an earlier send, the error says so; a
+// server error with which an upstream responded to that send says more.
+func (q *request) refused(refusal *errkind.Error) (response.Reason, *errkind.Error) {
+	switch {
+	case refusal.Kind == errkind.Canceled:
+		return response.Interrupted, refusal
+	case q.response.core.Started():
+		return response.NotServed, errkind.Wrap(refusal, errkind.AnswerIncomplete, errkind.Ran, "the answer broke off and no other upstream can continue it")
+	case q.runState == errkind.NotRun:
+		return response.NotServed, refusal
+	}
+	return response.NotServed, errkind.Wrap(refusal, errkind.OutcomeUnknown, q.runState, "the request may have run and no other upstream can serve it")
 }
 
 // send sends a request to one upstream and relays the response. kv is where the upstream fetches
 // the prompt's KV cache; nil: it prefills the prompt itself.
-func (q *request) send(ctx context.Context, held *heldPlace, kv *remoteKV, relay *responseRelay) sendOutcome {
+func (q *request) send(ctx context.Context, held *heldPlace, kv *remoteKV) sendOutcome {
 	e, u := q.e, held.upstream()
 	e.state.awaitConfirmation(ctx)
 	if err := e.checkUsable(held); err != nil {
@@ -278,6 +277,7 @@
 	defer cancel() // makes the upstream stop if it still works on a response that was abandoned
 	q.lastUpstream = u.ID
 	q.sends++
+	q.response.core.BeginSend()
 	if gap := q.eventGap(); gap > 0 {
 		e.recordEvents(held, place.Event{Kind: place.LongStreamStarted, Duration: gap})
 		defer e.recordEvents(held, place.Event{Kind: place.LongStreamEnded, Duration: gap})
@@ -286,7 +286,7 @@
 	defer s.closeLivenessConn()
 	startedAt := s.startedAt
 	q.sentAt, q.fetchingKV = startedAt, kv != nil
-	send := q.sendOptions(&held.grant.Choice, kv, relay)
+	send := q.sendOptions(&held.grant.Choice, kv)
 	q.logContinuedStream(u, send.LastEvent)
 	resp, err := q.forward(ctx, held, send)
 	if err != nil {
@@ -306,7 +306,7 @@
 		events = append(events, place.Event{Kind: place.KVFetched})
 	}
 	e.recordEvents(held, events...)
-	out := relay.copyResponse(ctx, held, resp, info)
+	out := q.response.copyResponse(ctx, held, resp, info)
 	if out.completed && q.work() == place.Decode {
 		q.e.demand.recordDecode(q.route.Name, time.Since(startedAt)+time.Duration(place.ReservedShare*float64(q.reservedFor)))
 	}
@@ -342,9 +342,9 @@
 
 // sendOptions returns what the headers of a send that runs the request have to say: where to copy cached
 // parts of the prompt from, the last event that the caller got, and where the KV cache is.
-func (q *request) sendOptions(choice *place.Choice, kv *remoteKV, relay *responseRelay) exchange.SendOptions {
+func (q *request) sendOptions(choice *place.Choice, kv *remoteKV) exchange.SendOptions {
 	send := exchange.SendOptions{CopyFrom: choice.CopyFrom.Address}
-	if last, ok := relay.sequence.Last(); ok && q.responseStarted {
+	if last, ok := q.response.core.LastEvent(); ok {
 		send.LastEvent = last
 	}
 	if kv != nil {
@@ -422,10 +422,10 @@
 }
 
 // decideRetry decides what follows a failed send: another send or the end of the request.
-func (q *request) decideRetry(out sendOutcome, relay *responseRelay) retry.Action {
+func (q *request) decideRetry(out sendOutcome) retry.Action {
 	f := retry.Failure{
 		Run:            q.runState,
-		Idempotent:     q.route.Repeatable() && relay.canResume() && (q.origin == nil || q.origin.Software != ""),
+		Idempotent:     q.route.Repeatable() && q.response.core.CanContinue() && (q.origin == nil || q.origin.Software != ""),
 		Budget:         true,
 		TimeLeft:       true, // the context ends at the deadline
 		HasAlternative: q.possibleRuns < q.route.MaxAttempts && q.sends < q.route.MaxAttempts+maxExtraRefusals,
@@ -433,7 +433,7 @@
 	if q.workHeld() {
 		f.HasAlternative = false
 	}
-	if q.responseStarted {
+	if q.response.core.Started() {
 		f.TokensSent = 1
 	}
 	action := retry.Decide(f)
@@ -452,14 +452,11 @@
 	return e.state.allowRetry(time.Now(), service, e.peers.instanceCount())
 }
 
-// finalError returns the error with which the request ends after its last failed send. If an upstream
-// responded with a server error, finalError writes that response to the caller instead and returns nil.
-func (q *request) finalError(out sendOutcome, relay *responseRelay) *errkind.Error {
-	if relay.serverError != nil {
-		return relay.sendServerError()
-	}
+// finalError returns the error of a request whose last send failed. A server error with which an upstream responded says
+// more.
+func (q *request) finalError(out sendOutcome) *errkind.Error {
 	switch {
-	case q.responseStarted:
+	case q.response.core.Started():
 		return errkind.Wrap(out.err, errkind.AnswerIncomplete, errkind.Ran, "the answer broke off")
 	case q.runState == errkind.NotRun:
 		if refusal := q.holdRefusal(); refusal != nil {
--- a/internal/process/entry/placement_test.go
+++ b/internal/process/entry/placement_test.go
@@ -96,6 +96,7 @@
 		e: e, arrived: now, deadline: now.Add(left), service: "s", queueID: id,
 		route: &routing.Route{Name: "r"},
 	}
+	q.response = &responseRelay{req: q}
 	return q, place.Query{ID: id, Service: "s", Zone: "z1", Arrived: now, StartBy: now.Add(left)}
 }
 
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -54,8 +54,8 @@
 // runWithKV runs the request at an engine that fetches the KV cache of its prompt from kv, or prefills
 // the prompt if kv is nil. If the engine rejects the request, the KV cache is kept for one more attempt
 // at another engine. If that engine rejects the request, too, the KV cache is assumed to be gone.
-func (q *request) runWithKV(ctx context.Context, held *heldPlace, kv *remoteKV, relay *responseRelay) sendOutcome {
-	out := q.send(ctx, held, kv, relay)
+func (q *request) runWithKV(ctx context.Context, held *heldPlace, kv *remoteKV) sendOutcome {
+	out := q.send(ctx, held, kv)
 	ended := ctx.Err() != nil
 	switch {
 	case kv == nil:
@@ -70,7 +70,7 @@
 		}
 		kv.release(q.e)
 		q.decoderPrefills = true // another separate prefill would count as a retry
-	case ended && !q.responseStarted:
+	case ended && !q.response.core.Started():
 		kv.release(q.e)
 	}
 	return out
@@ -84,7 +84,7 @@
 
 // needsPrefill reports whether the prompt should be prefilled by a prefilling engine.
 func (q *request) needsPrefill() bool {
-	if q.work() != place.Decode || q.responseStarted || q.info.LastEvent != "" {
+	if q.work() != place.Decode || q.response.core.Started() || q.info.LastEvent != "" {
 		return false
 	}
 	if q.prompt.UnsharedTokens < minPrefillTokens || q.decoderPrefills || q.keptKV != nil {
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -59,9 +59,7 @@
 	demandCounted    bool                // its engine time was counted as demand
 	usageCounted     bool                // it was counted as usage of its account
 	fetchingKV       bool                // in the last send, the upstream was to fetch the prompt's KV cache
-	responseStarted  bool                // a part of the response was written to the caller
-	status           int                 // of the upstream's response that was written to the caller; 0: none
-	responses        *responseRelay      // of the upstreams; nil: the request isn't executed
+	response         *responseRelay      // what the caller gets
 	placeWait        time.Duration       // total wait for places
 	resumption       *resumption         // what was found out about the stream that the caller resumes; nil: it resumes none
 	origin           *streams.Origin     // where the stream began that the request continues from now on; nil: none yet
@@ -75,6 +73,7 @@
 func (e *Entry) prepare(w http.ResponseWriter, r *http.Request, arrived time.Time) (*request, error) {
 	queueID := strconv.FormatUint(e.lastQueueID.Add(1), 10)
 	q := &request{e: e, queueID: queueID, w: w, r: r, arrived: arrived, runState: errkind.NotRun}
+	q.response = &responseRelay{req: q}
 	if e.stage.Load() >= stageClosing {
 		// Its response might be too long for the rest of the grace period.
 		return q, errkind.New(errkind.Draining, errkind.NotRun, "this instance stops").WithRetryAfter(defaultRetryAfter)
--- a/internal/process/entry/requestlog.go
+++ b/internal/process/entry/requestlog.go
@@ -11,6 +11,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/response"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
 )
 
@@ -24,12 +25,13 @@
 
 	mu                sync.Mutex
 	counters          map[string]tally.Counter
+	endings           map[response.Ending]tally.Counter
 	refusals          map[string]tally.Counter
 	firstEventLatency map[string]tally.Histogram
 }
 
 func newEntryMetrics(scope tally.Scope) *entryMetrics {
-	return &entryMetrics{scope: scope, counters: make(map[string]tally.Counter), refusals: make(map[string]tally.Counter), firstEventLatency: make(map[string]tally.Histogram)}
+	return &entryMetrics{scope: scope, counters: make(map[string]tally.Counter), endings: make(map[response.Ending]tally.Counter), refusals: make(map[string]tally.Counter), firstEventLatency: make(map[string]tally.Histogram)}
 }
 
 // countRequest counts a finished request. firstEvent is the time until the first event of the response;
@@ -55,6 +57,18 @@
 	h.RecordDuration(firstEvent)
 }
 
+// countEnding counts a response by how it ended.
+func (m *entryMetrics) countEnding(ending response.Ending) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c, ok := m.endings[ending]
+	if !ok {
+		c = m.scope.Tagged(map[string]string{"ended": string(ending)}).Counter("responses")
+		m.endings[ending] = c
+	}
+	c.Inc(1)
+}
+
 // Kinds of platform objects whose unreadable entries are counted.
 const (
 	metricKindUpstreams = "upstreams"
@@ -208,8 +222,8 @@
 	l.startSecond(now)
 }
 
-// recordEnd logs and counts the end of a request.
-func (q *request) recordEnd(final *errkind.Error) {
+// recordEnd logs and counts the end of a request. final is nil if an upstream's response was written to its end.
+func (q *request) recordEnd(ending response.Ending, final *errkind.Error) {
 	now := time.Now()
 	outcome, run := outcomeCompleted, errkind.Ran
 	if final != nil {
@@ -224,20 +238,21 @@
 	}
 	took := now.Sub(q.arrived)
 	q.e.metrics.countRequest(route, outcome, q.firstEventAfter)
+	q.e.metrics.countEnding(ending)
 	if q.refusal != nil {
 		q.e.metrics.countRefusal(route, q.refusal)
 	}
 	if !q.e.requestLog.admit(now, outcome, final == nil && q.sends == 1) {
 		return
 	}
-	fields := []any{"request", q.info.ID, "route", route, "account", q.account.NameOrNone(), "config", version, "outcome", outcome, "run", run,
+	fields := []any{"request", q.info.ID, "route", route, "account", q.account.NameOrNone(), "config", version, "outcome", outcome, "ended", ending, "run", run,
 		"left_ms", q.info.TimeLeft.Milliseconds(), "ms", took.Milliseconds(), "first_ms", q.firstEventAfter.Milliseconds(), "waited_ms", q.placeWait.Milliseconds(), "prefill_ms", q.prefillTime.Milliseconds(),
 		"upstream", q.lastUpstream, "sends", q.sends}
 	if final != nil {
 		fields = append(fields, "why", final.Error(), "retry_after_ms", final.RetryAfter.Milliseconds())
 	}
-	if r := q.responses; r != nil && q.sends > 0 {
-		fields = append(fields, "status", q.status, "framing", r.framing, "events", r.sent, "last_events", r.lastSent)
+	if q.sends > 0 {
+		fields = append(fields, q.response.fields()...)
 	}
 	if q.resumption != nil {
 		fields = append(fields, q.resumption.fields(q.info.Resumes)...)
@@ -254,6 +269,12 @@
 	logline.Info("request", fields...)
 }
 
+// fields returns the log fields with what the caller got of upstreams' responses.
+func (r *responseRelay) fields() []any {
+	events, ofLastSend, statusSend := r.core.Counts()
+	return []any{"status", r.status, "status_send", statusSend, "framing", r.framing, "events", events, "last_events", ofLastSend}
+}
+
 // logContinuedStream logs that an upstream is asked to continue a stream: one that this request began at another
 // upstream (lastEvent is set), or one that an earlier attempt of the caller began.
 func (q *request) logContinuedStream(u *fleet.Upstream, lastEvent string) {
--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -15,6 +15,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/request/eventstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/response"
 )
 
 const (
@@ -36,6 +37,7 @@
 	errServerError     = errors.New("the upstream responded with a server error")
 	errEventGap        = errors.New("an event of the stream is missing")
 	errIncomplete      = errors.New("the response ended early")
+	errNoStream        = errors.New("the response can't continue the one that has begun")
 	errCallerWrite     = errors.New("write to the caller failed")
 )
 
@@ -47,31 +49,21 @@
 	body   []byte
 }
 
-// responseRelay writes the responses of upstreams to the sends of one request to the caller.
+// responseRelay writes the responses of upstreams to the sends of one request to the caller. It writes only what its core
+// allows.
 type responseRelay struct {
 	req         *request
-	sequence    eventstream.Sequence // of the events of all sends
-	serverError *serverErrorResponse // the last one; nil: none
+	core        response.Core        // what the caller has got, and how the response ends
+	serverError *serverErrorResponse // the one that core keeps; nil: none
 	framing     upstream.Framing     // of the last response; empty: none yet
-	sent        int                  // events of all sends that were written to the caller
-	lastSent    int                  // events of the last send that were written to the caller
-}
-
-// canResume reports whether another send could continue the response from where it stopped:
-// nothing was written to the caller yet, or the stream has resumable event ids.
-func (r *responseRelay) canResume() bool {
-	if !r.req.responseStarted {
-		return true
-	}
-	_, ok := r.sequence.Last()
-	return ok
+	status      int                  // that the caller has got from an upstream; 0: none
 }
 
 // copyResponse writes an upstream's response to the caller, unless it belongs to another request or says
 // that the request was not run.
 func (r *responseRelay) copyResponse(ctx context.Context, held *heldPlace, resp upstream.ServiceResponse, info exchange.ResponseInfo) sendOutcome {
 	q := r.req
-	r.framing, r.lastSent = resp.Framing, 0
+	r.framing = resp.Framing
 	if info.RequestID != "" && info.RequestID != q.info.ID {
 		q.possibleRuns++
 		return sendOutcome{runState: errkind.RunUnknown, err: errWrongRequest, maybeSent: true}
@@ -84,9 +76,6 @@
 		return r.copyStream(ctx, held, resp)
 	}
 	q.countUsage(q.sentAt)
-	if q.responseStarted {
-		return sendOutcome{runState: errkind.Ran, err: errServerError, maybeSent: true}
-	}
 	return r.copyBuffered(resp)
 }
 
@@ -105,20 +94,25 @@
 	q := r.req
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
 	if err != nil {
-		return sendOutcome{runState: errkind.Ran, err: errors.Wrap(errIncomplete, err.Error()), maybeSent: true}
+		return incompleteOutcome(err)
 	}
 	if impliesNotRun(resp.Status) {
 		return sendOutcome{runState: errkind.RunUnknown, err: errors.Wrapf(errServerError, "status %d that doesn't say whether the request ran", resp.Status), maybeSent: true}
 	}
 	if resp.Status >= http.StatusInternalServerError {
-		r.serverError = &serverErrorResponse{status: resp.Status, header: resp.Header, body: body}
+		if r.core.KeepServerError() {
+			r.serverError = &serverErrorResponse{status: resp.Status, header: resp.Header, body: body}
+		}
 		return sendOutcome{runState: errkind.Ran, err: errors.Wrapf(errServerError, "status %d", resp.Status), maybeSent: true}
 	}
-	q.markResponseStarted()
+	if !r.core.Body() {
+		return sendOutcome{runState: errkind.Ran, err: errors.Wrapf(errNoStream, "status %d", resp.Status), maybeSent: true}
+	}
+	q.recordResponseStart()
 	if len(body) < maxBufferedBytes {
-		return q.writeBuffered(resp.Status, resp.Header, body)
+		return r.writeBuffered(resp.Status, resp.Header, body)
 	}
-	return q.writeUnbuffered(resp, body)
+	return r.writeUnbuffered(resp, body)
 }
 
 // impliesNotRun reports whether callers conclude from a status that their request has not run. Such a
@@ -132,21 +126,19 @@
 	return false
 }
 
-// sendServerError writes the saved server error of an upstream to the caller.
+// sendServerError writes the kept server error of an upstream to the caller.
 func (r *responseRelay) sendServerError() *errkind.Error {
-	r.req.markResponseStarted()
-	if out := r.req.writeBuffered(r.serverError.status, r.serverError.header, r.serverError.body); !out.completed {
-		return errkind.Wrap(out.err, errkind.Canceled, errkind.Ran, "the caller closed the connection")
+	r.req.recordResponseStart()
+	r.writeHeader(r.serverError.status, withLength(r.serverError.header, r.serverError.body, r.req.r.Method))
+	if err := r.write(r.serverError.body); err != nil {
+		return errkind.Wrap(err, errkind.Canceled, errkind.Ran, "the caller closed the connection")
 	}
 	return nil
 }
 
-// markResponseStarted records that a part of the response is about to be written to the caller.
-func (q *request) markResponseStarted() {
-	if !q.responseStarted {
-		q.responseStarted = true
-		q.firstEventAfter = time.Since(q.arrived)
-	}
+// recordResponseStart records when the first part of the response is written to the caller.
+func (q *request) recordResponseStart() {
+	q.firstEventAfter = time.Since(q.arrived)
 }
 
 // recordStreamEvent records that an event of a stream was read at a time. previous is when the event
@@ -171,61 +163,92 @@
 }
 
 // writeHeader writes the status and headers of an upstream's response.
-func (q *request) writeHeader(status int, h http.Header) {
-	if q.status == 0 {
-		q.status = status
-	}
-	header := q.w.Header()
+func (r *responseRelay) writeHeader(status int, h http.Header) {
+	r.status = status
+	header := r.req.w.Header()
 	for name, values := range h {
 		header[name] = values
 	}
-	q.w.WriteHeader(status)
+	r.req.w.WriteHeader(status)
 }
 
-// writeBuffered writes a complete response.
-func (q *request) writeBuffered(status int, h http.Header, body []byte) sendOutcome {
+// withLength returns the headers of a response whose complete body is known.
+func withLength(h http.Header, body []byte, method string) http.Header {
 	h = h.Clone()
-	if q.r.Method != http.MethodHead {
+	if method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	q.writeHeader(status, h)
-	return q.write(body)
+	return h
+}
+
+// writeBuffered writes a complete response.
+func (r *responseRelay) writeBuffered(status int, h http.Header, body []byte) sendOutcome {
+	r.writeHeader(status, withLength(h, body, r.req.r.Method))
+	if err := r.write(body); err != nil {
+		return writeFailedOutcome(err)
+	}
+	return r.endBody()
 }
 
 // writeUnbuffered writes a response whose first bytes, head, were read already, and copies the rest.
-func (q *request) writeUnbuffered(resp upstream.ServiceResponse, head []byte) sendOutcome {
-	q.writeHeader(resp.Status, resp.Header)
-	if out := q.write(head); !out.completed {
-		return out
+func (r *responseRelay) writeUnbuffered(resp upstream.ServiceResponse, head []byte) sendOutcome {
+	r.writeHeader(resp.Status, resp.Header)
+	if err := r.write(head); err != nil {
+		return writeFailedOutcome(err)
 	}
 	buf := make([]byte, copyBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
-		if n > 0 {
-			if out := q.write(buf[:n]); !out.completed {
-				return out
-			}
+		if writeErr := r.write(buf[:n]); writeErr != nil {
+			return writeFailedOutcome(writeErr)
 		}
 		if err == io.EOF {
-			return completedOutcome()
+			return r.endBody()
 		}
 		if err != nil {
-			return sendOutcome{runState: errkind.Ran, err: errors.Wrap(errIncomplete, err.Error()), maybeSent: true}
+			return incompleteOutcome(err)
 		}
 	}
 }
 
+// endBody returns the outcome of a send whose body was written to its end.
+func (r *responseRelay) endBody() sendOutcome {
+	if !r.core.BodyEnded() {
+		return incompleteOutcome(errNoStream)
+	}
+	return completedOutcome()
+}
+
 // write writes a part of the response to the caller.
-func (q *request) write(data []byte) sendOutcome {
+func (r *responseRelay) write(data []byte) error {
+	err := r.req.write(data)
+	if err != nil {
+		r.core.WriteFailed()
+	}
+	return err
+}
+
+// write writes bytes to the caller.
+func (q *request) write(data []byte) error {
 	if len(data) == 0 {
-		return completedOutcome()
+		return nil
 	}
 	// Some writers don't support deadlines, such as the recorder of httptest.
 	_ = http.NewResponseController(q.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	if _, err := q.w.Write(data); err != nil {
-		return sendOutcome{runState: errkind.Ran, err: errors.Wrap(errCallerWrite, err.Error()), maybeSent: true}
+		return errors.Wrap(errCallerWrite, err.Error())
 	}
-	return completedOutcome()
+	return nil
+}
+
+// writeFailedOutcome returns the outcome of a send whose response can't be written to the caller.
+func writeFailedOutcome(err error) sendOutcome {
+	return sendOutcome{runState: errkind.Ran, err: err, maybeSent: true}
+}
+
+// incompleteOutcome returns the outcome of a send whose response ended early.
+func incompleteOutcome(err error) sendOutcome {
+	return sendOutcome{runState: errkind.Ran, err: errors.Wrap(errIncomplete, err.Error()), maybeSent: true}
 }
 
 // copyStream copies an event stream to the caller. It writes the header only with the first event: if the
@@ -234,15 +257,14 @@
 	q := r.req
 	events := newReadAhead(eventstream.NewReader(resp.Body, maxEventBytes), &q.e.readAheadBudget, q.e.spawn)
 	defer events.close()
-	flusher := http.NewResponseController(q.w)
 	var previous time.Time // of the previous event; zero: none yet
 	for {
 		event := events.next()
-		if event.err == io.EOF && (q.responseStarted || r.sequence.Started()) {
+		if event.err == io.EOF && r.core.StreamEnded() {
 			return completedOutcome()
 		}
 		if event.err != nil {
-			return sendOutcome{runState: errkind.Ran, err: errors.Wrap(errIncomplete, event.err.Error()), maybeSent: true}
+			return incompleteOutcome(event.err)
 		}
 		now := event.readAt
 		q.recordStreamEvent(now, previous, held)
@@ -250,25 +272,33 @@
 			q.countUsage(now)
 		}
 		previous = now
-		switch r.sequence.Check(event.ID) {
+		started := r.core.Started()
+		switch r.core.Event(event.ID) {
 		case eventstream.Skip:
 			continue
 		case eventstream.Gap:
 			return sendOutcome{runState: errkind.Ran, err: errEventGap, maybeSent: true}
 		}
-		if !q.responseStarted {
-			q.markResponseStarted()
+		if !started {
+			q.recordResponseStart()
 			q.recordOrigin(held)
 			q.recordFirstEvent(now, held)
-			q.writeHeader(resp.Status, resp.Header)
+			r.writeHeader(resp.Status, resp.Header)
 		}
-		if out := q.write(event.Raw); !out.completed {
-			return out
+		if err := r.writeEvent(event.Raw); err != nil {
+			return writeFailedOutcome(err)
 		}
-		if err := flusher.Flush(); err != nil {
-			return sendOutcome{runState: errkind.Ran, err: errors.Wrap(errCallerWrite, err.Error()), maybeSent: true}
-		}
-		r.sent++
-		r.lastSent++
 	}
 }
+
+// writeEvent writes an event of a stream to the caller at once.
+func (r *responseRelay) writeEvent(raw []byte) error {
+	if err := r.write(raw); err != nil {
+		return err
+	}
+	if err := http.NewResponseController(r.req.w).Flush(); err != nil {
+		r.core.WriteFailed()
+		return errors.Wrap(errCallerWrite, err.Error())
+	}
+	return nil
+}
--- a/internal/process/entry/serve.go
+++ b/internal/process/entry/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/response"
 )
 
 // serve handles one request of a caller.
@@ -15,7 +16,7 @@
 	defer e.activeRequests.End()
 	q, err := e.prepare(w, r, arrived)
 	if err != nil {
-		q.finish(errkind.From(err))
+		q.finish(response.Interrupted, errkind.From(err))
 		return
 	}
 	ctx, cancel := q.context()
@@ -23,26 +24,33 @@
 	q.finish(q.execute(ctx))
 }
 
-// finish records the end of a request. final is nil if the caller has the complete response. Otherwise
-// finish sends an error response or, if a part of a response was sent or the caller is gone, aborts the
-// connection.
-func (q *request) finish(final *errkind.Error) {
-	if final == nil && !q.responseStarted {
-		// Without a response, the server would write an empty success by itself.
-		final = errkind.New(errkind.Internal, q.runState, "the request ended without an answer")
+// finish ends the response as its core decides, and records the end of the request. final is the error for the caller if
+// no response of an upstream can be written; nil: none is expected.
+func (q *request) finish(reason response.Reason, final *errkind.Error) {
+	if final != nil && final.Kind == errkind.Canceled && q.r.Context().Err() != nil {
+		reason = response.CallerLeft
 	}
-	q.recordEnd(final)
-	if final == nil {
-		return
-	}
-	if q.responseStarted {
-		// The status was sent already. Only an aborted transfer shows that the response is incomplete.
-		panic(http.ErrAbortHandler)
+	ending := q.response.core.End(reason)
+	switch ending {
+	case response.EndWhole:
+		final = nil
+	case response.EndServerError:
+		if final = q.response.sendServerError(); final != nil {
+			ending = response.EndAborted
+		}
+	default:
+		if final == nil {
+			// Without an error, the server would end the response in order by itself.
+			final = errkind.New(errkind.Internal, q.runState, "the request ended without a whole answer")
+		}
 	}
-	if final.Kind == errkind.Canceled && q.r.Context().Err() != nil {
-		panic(http.ErrAbortHandler) // nobody reads a response
+	q.recordEnd(ending, final)
+	switch ending {
+	case response.EndAborted:
+		panic(http.ErrAbortHandler) // only an aborted transfer shows that the response is incomplete
+	case response.EndError:
+		q.writeError(final)
 	}
-	q.writeError(final)
 }
 
 // writeError writes an error response that this process generates.
