entry: a stream isn't whole by a response that ends with its connection before any event (ORDER)

Callers got a part of a stream, framed as complete: the stream had broken off, and the upstream that was to continue it sent headers with neither a length nor chunks and closed the connection without an event.

Cause: the end of a send's stream counted as the end of the response if any send had brought an event. A response that ends with its connection doesn't say whether it is complete, so one without a further event may just as well have been broken off.

Change: such a send has failed, and the stream goes on elsewhere or is aborted. An empty response whose end is marked still is the rest of a stream whose last event the caller has; an unmarked one isn't, even there: that caller sees a broken stream with all events and resumes it, where the other way a caller would take a part for the whole.

--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -260,7 +260,7 @@
 	var previous time.Time // of the previous event; zero: none yet
 	for {
 		event := events.next()
-		if event.err == io.EOF && r.core.StreamEnded() {
+		if event.err == io.EOF && r.core.StreamEnded(resp.Framing != upstream.FramedByConnection) {
 			return completedOutcome()
 		}
 		if event.err != nil {
--- a/internal/request/response/core.go
+++ b/internal/request/response/core.go
@@ -72,9 +72,11 @@
 }
 
 // StreamEnded records that the last send's stream ended in order, and reports whether the caller has the whole response: a
-// stream has at least one event.
-func (c *Core) StreamEnded() bool {
-	if c.progress != someEvents {
+// stream has at least one event. marked says that the upstream marked the end, by a length or in chunks. A stream that
+// ends with its connection is whole as far as anybody can tell if it brought an event that was missing; if it brought
+// none, it may just as well have been broken off.
+func (c *Core) StreamEnded(marked bool) bool {
+	if c.progress != someEvents || (!marked && c.sendEvents == 0) {
 		return false
 	}
 	c.progress = whole
--- a/internal/request/response/core_test.go
+++ b/internal/request/response/core_test.go
@@ -68,11 +68,15 @@
 // outcomes are all ways in which a send can end, as far as the core can tell them apart.
 var outcomes = []outcome{
 	{name: "whole stream", play: func(c *caller, after int) bool {
-		return c.events(rest(after+1, lastEvent)...) && c.core.StreamEnded()
+		return c.events(rest(after+1, lastEvent)...) && c.core.StreamEnded(true)
 	}},
 	{name: "stream that begins anew", play: func(c *caller, _ int) bool {
-		return c.events(rest(1, lastEvent)...) && c.core.StreamEnded()
+		return c.events(rest(1, lastEvent)...) && c.core.StreamEnded(true)
 	}},
+	{name: "stream that ends with its connection", play: func(c *caller, after int) bool {
+		return c.events(rest(after+1, lastEvent)...) && c.core.StreamEnded(false)
+	}},
+	{name: "nothing, but the connection ends in order", play: func(c *caller, _ int) bool { return c.core.StreamEnded(false) }},
 	{name: "whole body", play: func(c *caller, _ int) bool { return c.body(1, true) }},
 	{name: "large body", play: func(c *caller, _ int) bool { return c.body(3, true) }},
 	{name: "large body that breaks off", play: func(c *caller, _ int) bool { return c.body(2, false) }},
@@ -86,9 +90,9 @@
 		c.events(rest(after+1, lastEvent)...)
 		return false
 	}},
-	{name: "gap", play: func(c *caller, after int) bool { return c.events(after+2) && c.core.StreamEnded() }},
+	{name: "gap", play: func(c *caller, after int) bool { return c.events(after+2) && c.core.StreamEnded(true) }},
 	{name: "repeated events", play: func(c *caller, after int) bool {
-		return c.events(1, 1, 1) && c.events(rest(max(after+1, 2), lastEvent)...) && c.core.StreamEnded()
+		return c.events(1, 1, 1) && c.events(rest(max(after+1, 2), lastEvent)...) && c.core.StreamEnded(true)
 	}},
 	{name: "write fails", final: true, play: func(c *caller, after int) bool {
 		c.events(rest(after+1, min(after+1, lastEvent))...)
@@ -206,6 +210,20 @@
 	return last == "body" || last == strconv.Itoa(lastEvent) || pieces[0].text != "1"
 }
 
+// TestEmptyResponseIsWholeOnlyIfMarked guards against a part of a stream that looks whole, since a send that was to continue
+// it ended with its connection before any event.
+func TestEmptyResponseIsWholeOnlyIfMarked(t *testing.T) {
+	for _, marked := range []bool{true, false} {
+		c := &caller{}
+		c.core.BeginSend()
+		c.events(1, 2)
+		c.core.BeginSend()
+		if whole := c.core.StreamEnded(marked); whole != marked {
+			t.Errorf("end marked: %t, whole: %t", marked, whole)
+		}
+	}
+}
+
 // TestServerErrorOfLatestSendIsKept guards against a server error of an earlier send whose status goes with the body of a
 // later one.
 func TestServerErrorOfLatestSendIsKept(t *testing.T) {
