--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -325,6 +325,44 @@
 	}
 }
 
+// TestAbortedAnswerWithoutFramingIsReset guards against an answer that looks complete although it isn't: to an HTTP/1.0
+// caller, an orderly end of the connection is the end of the answer.
+func TestAbortedAnswerWithoutFramingIsReset(t *testing.T) {
+	const part = "a part"
+	for how, end := range map[string]func(s *testServer){
+		"handler returns": func(*testServer) {},
+		"handler aborts":  func(*testServer) { panic(http.ErrAbortHandler) },
+		"server closes":   func(s *testServer) { s.Close() },
+	} {
+		t.Run(how, func(t *testing.T) {
+			var s *testServer
+			read := make(chan struct{})
+			s = newTestServer(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, part)
+				_ = http.NewResponseController(w).Flush()
+				<-read // a reset may discard what the caller hasn't read
+				end(s)
+			})})
+			s.start(nil)
+			c := s.dial()
+			c.send("GET / HTTP/1.0\r\n\r\n")
+			resp, err := http.ReadResponse(c.answers, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			if _, err := io.ReadFull(resp.Body, make([]byte, len(part))); err != nil {
+				t.Fatal(err)
+			}
+			close(read)
+			_, err = io.ReadAll(resp.Body)
+			if whole := err == nil; whole != (how == "handler returns") {
+				t.Errorf("looks complete: %t, %v", whole, err)
+			}
+		})
+	}
+}
+
 // TestReadAfterDeadline guards against a timeout for bytes that arrived before the deadline and weren't read
 // in time, because the process didn't run. A deadline that aborts a read, and one before which nothing
 // arrived, has to be a timeout.
--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -27,6 +27,7 @@
 	net.Conn
 	syscall.Conn
 	CloseWrite() error
+	SetLinger(sec int) error
 }
 
 // conn is a connection of a caller.
@@ -43,6 +44,8 @@
 	wrote    bool      // a part of an answer was written
 	unread   bool      // the last request wasn't read to its end
 	aborted  bool      // the answer broke off
+	unmarked bool      // the answer in progress, or the last one, ends with the connection
+	handled  bool      // the handler has returned
 	closed   bool      // Close was called
 	ended    bool      // the socket was closed
 }
@@ -150,11 +153,18 @@
 	return n, err
 }
 
+// beginAnswer records that the handler answers a request, and whether the end of the connection marks the end of the answer.
+func (c *conn) beginAnswer(unmarked bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unmarked, c.handled = unmarked, false
+}
+
 // endRequest records whether the body of a request wasn't read to its end, and whether its answer broke off.
 func (c *conn) endRequest(unread, aborted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.unread, c.aborted = unread, aborted
+	c.unread, c.aborted, c.handled = unread, aborted, true
 }
 
 // CloseWrite half-closes the connection. net/http calls it if the request wasn't read to its end.
@@ -173,7 +183,7 @@
 	c.mu.Lock()
 	first := !c.closed
 	c.closed = true
-	lingers := first && c.wrote && !c.aborted && (c.unread || c.hasReceived()) && !c.tracker.forced()
+	lingers := first && c.wrote && !c.aborted && !c.looksComplete() && (c.unread || c.hasReceived()) && !c.tracker.forced()
 	c.mu.Unlock()
 	if !lingers {
 		return c.end()
@@ -188,6 +198,12 @@
 	return nil
 }
 
+// looksComplete reports whether an orderly end of the connection would make an incomplete answer look complete. It is
+// called with mu held.
+func (c *conn) looksComplete() bool {
+	return c.wrote && c.unmarked && (c.aborted || !c.handled)
+}
+
 // hasReceived reports whether bytes of the caller lie in the receive buffer.
 func (c *conn) hasReceived() bool {
 	n, _ := receive(c.tcpConn, make([]byte, 1), peek)
@@ -212,7 +228,11 @@
 	c.mu.Lock()
 	first := !c.ended
 	c.ended = true
+	resets := c.looksComplete()
 	c.mu.Unlock()
+	if resets {
+		_ = c.tcpConn.SetLinger(0) // fails only if the connection is closed
+	}
 	err := c.tcpConn.Close()
 	if first {
 		c.tracker.remove(c)
--- a/internal/connection/caller/handler.go
+++ b/internal/connection/caller/handler.go
@@ -24,6 +24,7 @@
 	}
 	body := &trackedBody{ReadCloser: r.Body}
 	body.ended.Store(r.Body == nil || r.Body == http.NoBody)
+	c.beginAnswer(!r.ProtoAtLeast(1, 1))
 	returned := false
 	defer func() {
 		// After a panic, the answer is incomplete and the connection is closed to show that.
