entry: the length of a stream's first run isn't that of the response (ORDER)

Callers got a stream whose end was missing although every event had been made: its first run announced a length and broke off, another run continued it with bytes of another length, and the response was cut at the first one's.

Cause: the headers of the first upstream's response, with its length, were passed on for a response that several runs make up, and from which repeated events are left out. Change: streams are written in chunks, without a length. With equal lengths the response looks as before; a broken one shows it by the missing end of its chunks.

--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -181,6 +181,14 @@
 	return h
 }
 
+// withoutLength returns the headers of a stream, which is written in chunks: the length that an upstream announces is that
+// of its own run, which another run may continue, and which may hold events that aren't written.
+func withoutLength(h http.Header) http.Header {
+	h = h.Clone()
+	h.Del("Content-Length")
+	return h
+}
+
 // writeBuffered writes a complete response.
 func (r *responseRelay) writeBuffered(status int, h http.Header, body []byte) sendOutcome {
 	r.writeHeader(status, withLength(h, body, r.req.r.Method))
@@ -283,7 +291,7 @@
 			q.recordResponseStart()
 			q.recordOrigin(held)
 			q.recordFirstEvent(now, held)
-			r.writeHeader(resp.Status, resp.Header)
+			r.writeHeader(resp.Status, withoutLength(resp.Header))
 		}
 		if err := r.writeEvent(event.Raw); err != nil {
 			return writeFailedOutcome(err)
