--- /dev/null
+++ b/internal/process/entry/endings_test.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
+)
+
+// plainDialect is a stepDialect whose requests need no prefill.
+type plainDialect struct{ stepDialect }
+
+func (d *plainDialect) RequestInfo(http.Header) (exchange.RequestInfo, error) {
+	return exchange.RequestInfo{ID: "r1", TimeLeft: d.timeout}, nil
+}
+
+// startPassingOn starts the callers' port of an instance that sends requests to upstreams of one service. Each upstream
+// is served by one handler. Requests may be sent to each once.
+func startPassingOn(t *testing.T, upstreams ...http.HandlerFunc) (address string) {
+	t.Helper()
+	e, address := startCallersPort(t, time.Minute)
+	e.cfg.Dialect = &plainDialect{stepDialect{reached: func(step) {}, timeout: time.Minute}}
+	e.cfg.Settings.Bounds.RetrySlack = 1e7
+	e.state.setBounds(e.cfg.Settings.Bounds)
+	e.state.install(routing.New(1, []routing.Route{{
+		Name: "r", Host: "example.com", PathPrefix: "/p/", Kind: routing.Streaming, Resumable: true, MaxAttempts: len(upstreams),
+		Objective: 10 * time.Second, Timeout: time.Minute, Targets: []routing.Target{{Service: "s", Weight: 1}},
+	}}, []routing.Service{{Name: "s"}}, routing.Limits{}))
+	for i, handler := range upstreams {
+		server := httptest.NewServer(handler)
+		t.Cleanup(server.Close)
+		u := fleet.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Zone: "z1", Slots: 8, Software: "v1"}
+		e.updateFleet(func(now time.Time, f *fleet.Core) { f.Put(now, u) })
+	}
+	return address
+}
+
+// receivedAnswer is what a caller got.
+type receivedAnswer struct {
+	status int
+	body   string
+	err    error // nil: the answer looks complete
+}
+
+// sendPost sends a request to a callers' port on a new connection.
+func sendPost(t *testing.T, address string) receivedAnswer {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/p/x", strings.NewReader("work"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "example.com"
+	transport := &http.Transport{DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return receivedAnswer{err: err}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return receivedAnswer{status: resp.StatusCode, body: string(body), err: err}
+}
+
+// TestLargeServerErrorIsWholeOrLooksBroken guards against a server error that looks complete although its end is missing:
+// only its first maxBufferedBytes were kept, and they were written with their own length.
+func TestLargeServerErrorIsWholeOrLooksBroken(t *testing.T) {
+	for name, broken := range map[string]bool{"whole": false, "broken off behind the part that is held back": true} {
+		t.Run(name, func(t *testing.T) {
+			whole := strings.Repeat("x", maxBufferedBytes) + strings.Repeat("y", 100<<10)
+			address := startPassingOn(t, func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Length", fmt.Sprint(len(whole)))
+				w.WriteHeader(http.StatusInternalServerError)
+				if broken {
+					_, _ = io.WriteString(w, whole[:maxBufferedBytes+1])
+					panic(http.ErrAbortHandler)
+				}
+				_, _ = io.WriteString(w, whole)
+			})
+			a := sendPost(t, address)
+			if a.err == nil && a.status == http.StatusInternalServerError && a.body != whole {
+				t.Errorf("%d of %d bytes look complete", len(a.body), len(whole))
+			}
+		})
+	}
+}
