Failing test: a whole stream that ends long after its last event looks broken (LOST)

A caller gets all events, and then the end of its connection without the end of the chunks, if the upstream ends the stream more than 10 s after its last event. The request line says whole.

Cause: each write to the caller sets a deadline 10 s ahead, which stays set; net/http writes the end of the chunks after it has passed. The same by reading: plain responses of 256 KiB and more with such a pause before their end, and a process that is frozen that long between its last write and the end of the response.

Measured: TestStreamMayEndLongAfterItsLastEvent fails (unexpected EOF after 10.5 s).

--- a/internal/process/entry/endings_test.go
+++ b/internal/process/entry/endings_test.go
@@ -90,3 +90,27 @@
 		})
 	}
 }
+
+// events returns the events of a stream with the ids from one to another, inclusive.
+func events(from, to int) string {
+	var out strings.Builder
+	for id := from; id <= to; id++ {
+		fmt.Fprintf(&out, "id: %d\ndata: event %d\n\n", id, id)
+	}
+	return out.String()
+}
+
+// TestStreamMayEndLongAfterItsLastEvent guards against a whole stream that looks broken: the time limit of the write of its
+// last event had passed when the end of the stream was written.
+func TestStreamMayEndLongAfterItsLastEvent(t *testing.T) {
+	t.Parallel()
+	address := startPassingOn(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, events(1, 3))
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(callerWriteTimeout + 500*time.Millisecond)
+	})
+	if a := sendPost(t, address); a.err != nil || a.body != events(1, 3) {
+		t.Errorf("%+v", a)
+	}
+}
