Failing test: a comment counts as an event of a stream (ORDER)

Upstreams may send comments to keep a connection open. A caller gets two of six events, framed as complete: the stream broke off, and the upstream that was to continue it sent a comment and ended its connection, without a length or chunks. Another caller's stream, broken off after a comment, is aborted though another upstream could continue it.

Cause: a block of lines without an id counts as an event whose id isn't a number. So it counts as an event that was missing at an unmarked end, and no upstream can continue after it.

--- a/internal/process/entry/endings_test.go
+++ b/internal/process/entry/endings_test.go
@@ -114,3 +114,36 @@
 		t.Errorf("%+v", a)
 	}
 }
+
+// TestCommentIsNoEvent guards against streams that look complete and aren't, or break although they could go on, since a
+// comment, which upstreams send to keep a connection open, counts as an event.
+func TestCommentIsNoEvent(t *testing.T) {
+	const comment = ": still here\n\n"
+	for name, breaks := range map[string]string{"after events": events(1, 2), "after a comment": events(1, 2) + comment} {
+		for next, rest := range map[string]string{"with the rest": events(3, 6), "with a comment only": comment} {
+			t.Run(name+", goes on "+next, func(t *testing.T) {
+				sends := make(chan int, 2)
+				sends <- 1
+				sends <- 2
+				handler := func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set("Content-Type", "text/event-stream")
+					if <-sends == 1 {
+						_, _ = io.WriteString(w, breaks)
+						_ = http.NewResponseController(w).Flush()
+						panic(http.ErrAbortHandler)
+					}
+					w.Header().Set("Transfer-Encoding", "identity") // neither length nor chunks
+					_, _ = io.WriteString(w, rest)
+				}
+				a := sendPost(t, startPassingOn(t, handler, handler))
+				without := strings.ReplaceAll(a.body, comment, "")
+				if a.err == nil && without != events(1, 6) {
+					t.Errorf("looks complete: %q", a.body)
+				}
+				if rest != comment && a.err != nil {
+					t.Errorf("broke although it went on: %v, %q", a.err, a.body)
+				}
+			})
+		}
+	}
+}
