--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -89,10 +89,10 @@
 }
 
 // copyBuffered reads a response, or its first maxBufferedBytes, before it writes anything to the caller.
-// It saves a server error instead of writing it.
+// It keeps a server error instead of writing it, unless it is too large to be held.
 func (r *responseRelay) copyBuffered(resp upstream.ServiceResponse) sendOutcome {
 	q := r.req
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
 		return incompleteOutcome(err)
 	}
@@ -100,7 +100,7 @@
 		return sendOutcome{runState: errkind.RunUnknown, err: errors.Wrapf(errServerError, "status %d that doesn't say whether the request ran", resp.Status), maybeSent: true}
 	}
 	if resp.Status >= http.StatusInternalServerError {
-		if r.core.KeepServerError() {
+		if len(body) <= maxBufferedBytes && r.core.KeepServerError() {
 			r.serverError = &serverErrorResponse{status: resp.Status, header: resp.Header, body: body}
 		}
 		return sendOutcome{runState: errkind.Ran, err: errors.Wrapf(errServerError, "status %d", resp.Status), maybeSent: true}
@@ -109,7 +109,7 @@
 		return sendOutcome{runState: errkind.Ran, err: errors.Wrapf(errNoStream, "status %d", resp.Status), maybeSent: true}
 	}
 	q.recordResponseStart()
-	if len(body) < maxBufferedBytes {
+	if len(body) <= maxBufferedBytes {
 		return r.writeBuffered(resp.Status, resp.Header, body)
 	}
 	return r.writeUnbuffered(resp, body)
