entry: a whole stream that ends long after its last event isn't cut (LOST)

A caller got all events and then the end of its connection without the end of the chunks, if the upstream ended the stream more than 10 s after its last event; the request line said whole.

Cause: each write to a caller sets a deadline 10 s ahead, which stays set, and net/http writes the end of a response after the handler has returned. Change: the deadline is renewed before the handler returns.

--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -241,14 +241,19 @@
 	if len(data) == 0 {
 		return nil
 	}
-	// Some writers don't support deadlines, such as the recorder of httptest.
-	_ = http.NewResponseController(q.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+	q.limitWrite()
 	if _, err := q.w.Write(data); err != nil {
 		return errors.Wrap(errCallerWrite, err.Error())
 	}
 	return nil
 }
 
+// limitWrite limits the time of the next write to the caller.
+func (q *request) limitWrite() {
+	// Some writers don't support deadlines, such as the recorder of httptest.
+	_ = http.NewResponseController(q.w).SetWriteDeadline(time.Now().Add(callerWriteTimeout))
+}
+
 // writeFailedOutcome returns the outcome of a send whose response can't be written to the caller.
 func writeFailedOutcome(err error) sendOutcome {
 	return sendOutcome{runState: errkind.Ran, err: err, maybeSent: true}
--- a/internal/process/entry/serve.go
+++ b/internal/process/entry/serve.go
@@ -45,6 +45,7 @@
 		}
 	}
 	q.recordEnd(ending, final)
+	q.limitWrite() // net/http writes the end of the response after the handler has returned
 	switch ending {
 	case response.EndAborted:
 		panic(http.ErrAbortHandler) // only an aborted transfer shows that the response is incomplete
