entry: a comment is no event of a stream (ORDER)

A caller got two of six events, framed as complete: the stream had broken off, and the upstream that was to continue it sent a comment and ended its connection, without a length or chunks. Another caller's stream that broke off after a comment was aborted although another upstream could have continued it.

Cause: a block of lines without a field counted as an event whose id isn't a number. Change: comments and further blank lines are passed on as they come, with the first event if they come before it, and count for nothing.

--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -5,6 +5,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -57,6 +58,7 @@
 	serverError *serverErrorResponse // the one that core keeps; nil: none
 	framing     upstream.Framing     // of the last response; empty: none yet
 	status      int                  // that the caller has got from an upstream; 0: none
+	comments    []byte               // of the last send's stream that came before its first event
 }
 
 // copyResponse writes an upstream's response to the caller, unless it belongs to another request or says
@@ -270,6 +272,7 @@
 	q := r.req
 	events := newReadAhead(eventstream.NewReader(resp.Body, maxEventBytes), &q.e.readAheadBudget, q.e.spawn)
 	defer events.close()
+	r.comments = nil
 	var previous time.Time // of the previous event; zero: none yet
 	for {
 		event := events.next()
@@ -279,6 +282,12 @@
 		if event.err != nil {
 			return incompleteOutcome(event.err)
 		}
+		if event.Comment {
+			if out, ok := r.writeComment(event.Raw); !ok {
+				return out
+			}
+			continue
+		}
 		now := event.readAt
 		q.recordStreamEvent(now, previous, held)
 		if previous.IsZero() {
@@ -298,9 +307,10 @@
 			q.recordFirstEvent(now, held)
 			r.writeHeader(resp.Status, withoutLength(resp.Header))
 		}
-		if err := r.writeEvent(event.Raw); err != nil {
+		if err := r.writeEvent(slices.Concat(r.comments, event.Raw)); err != nil {
 			return writeFailedOutcome(err)
 		}
+		r.comments = nil
 	}
 }
 
@@ -315,3 +325,17 @@
 	}
 	return nil
 }
+
+// writeComment writes a comment of a stream to the caller at once. One that comes before the first event waits for it, as
+// the response begins with an event. If ok is false, the send ends with the outcome.
+func (r *responseRelay) writeComment(raw []byte) (out sendOutcome, ok bool) {
+	if r.core.Started() {
+		err := r.writeEvent(raw)
+		return writeFailedOutcome(err), err == nil
+	}
+	if len(r.comments)+len(raw) > maxEventBytes {
+		return incompleteOutcome(eventstream.ErrTooLong), false
+	}
+	r.comments = append(r.comments, raw...)
+	return sendOutcome{}, true
+}
--- a/internal/request/eventstream/eventstream.go
+++ b/internal/request/eventstream/eventstream.go
@@ -15,8 +15,9 @@
 
 // Event is one complete event as received, including the blank line that ends it.
 type Event struct {
-	Raw []byte // valid until the next call of Next
-	ID  string // value of its id field; empty: none
+	Raw     []byte // valid until the next call of Next
+	ID      string // value of its id field; empty: none
+	Comment bool   // it has no field: comments, or a further blank line, which keep a connection open and say nothing
 }
 
 // Reader reads events. It is not safe for concurrent use.
@@ -43,7 +44,7 @@
 // underlying reader.
 func (r *Reader) Next() (Event, error) {
 	r.buf = r.buf[:0]
-	id := ""
+	id, comment := "", true
 	for {
 		start := len(r.buf)
 		if err := r.readLine(); err != nil {
@@ -54,8 +55,9 @@
 		}
 		line := bytes.TrimRight(r.buf[start:], "\r\n")
 		if len(line) == 0 {
-			return Event{Raw: r.buf, ID: id}, nil
+			return Event{Raw: r.buf, ID: id, Comment: comment}, nil
 		}
+		comment = comment && line[0] == ':'
 		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
 			id = string(bytes.TrimSpace(value))
 		}
@@ -94,6 +96,17 @@
 	unordered bool  // an id is not a number, so the order can't be checked
 }
 
+// StartAfter makes the answer go on after the event with an id, which its receiver has. ok is false if the id isn't a
+// number: the answer may then begin with any event.
+func (s *Sequence) StartAfter(id string) (ok bool) {
+	n, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	s.started, s.last = true, n
+	return true
+}
+
 // Check returns the verdict on an event by its id. The first event may have any id. An event
 // whose id is not a number passes, but the answer can't be continued elsewhere after it.
 func (s *Sequence) Check(id string) Verdict {
--- a/internal/request/eventstream/eventstream_test.go
+++ b/internal/request/eventstream/eventstream_test.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// TestCommentsAreNoEvents guards against comments and blank lines that count as events of a stream.
+func TestCommentsAreNoEvents(t *testing.T) {
+	events := NewReader(strings.NewReader(": here\n\nid: 1\n: within\n\n\r\n:\n: still\n\nevent: end\n\n"), 1<<10)
+	for i, comment := range []bool{true, false, true, true, false} {
+		if e, err := events.Next(); err != nil || e.Comment != comment {
+			t.Errorf("block %d, %q: comment: %t, %v", i, e.Raw, e.Comment, err)
+		}
+	}
+}
+
 // TestReadErrorIsReturned guards against taking a read error for the regular end of a stream.
 func TestReadErrorIsReturned(t *testing.T) {
 	cause := errors.New("reset")
