--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -52,6 +52,7 @@
 func (q *request) execute(ctx context.Context) (response.Reason, *errkind.Error) {
 	q.e.state.countRequest(q.arrived, q.service)
 	defer func() { q.keptKV.release(q.e) }() // no engine will fetch the KV cache any more
+	q.response.core.ResumeAfter(q.info.LastEvent)
 	if q.continuesStream() {
 		if refusal := q.resolveOrigin(ctx); refusal != nil {
 			return response.NotServed, refusal
--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -276,7 +276,12 @@
 	var previous time.Time // of the previous event; zero: none yet
 	for {
 		event := events.next()
+		started := r.core.Started()
 		if event.err == io.EOF && r.core.StreamEnded(resp.Framing != upstream.FramedByConnection) {
+			if !started { // the rest of a stream that the caller resumes is empty
+				q.recordResponseStart()
+				r.writeHeader(resp.Status, withoutLength(resp.Header))
+			}
 			return completedOutcome()
 		}
 		if event.err != nil {
@@ -294,7 +299,6 @@
 			q.countUsage(now)
 		}
 		previous = now
-		started := r.core.Started()
 		switch r.core.Event(event.ID) {
 		case eventstream.Skip:
 			continue
--- a/internal/request/response/core.go
+++ b/internal/request/response/core.go
@@ -43,6 +43,7 @@
 type Core struct {
 	progress    progress
 	sequence    eventstream.Sequence // of the events of all sends
+	resumed     bool                 // the caller has earlier events of the stream, from an attempt before
 	sends       int                  // number of sends so far
 	events      int                  // events that the caller has got
 	sendEvents  int                  // events that the caller has got of the last send
@@ -50,6 +51,10 @@
 	serverError int                  // number of the send whose server error is kept; 0: none is
 }
 
+// ResumeAfter records that the caller resumes a stream after the event with an id. An id that isn't a number says nothing
+// about the order of events, and is ignored.
+func (c *Core) ResumeAfter(id string) { c.resumed = c.sequence.StartAfter(id) }
+
 // BeginSend records that the request is sent to an upstream, once more or for the first time.
 func (c *Core) BeginSend() {
 	c.sends++
@@ -74,11 +79,13 @@
 // StreamEnded records that the last send's stream ended in order, and reports whether the caller has the whole response: a
 // stream has at least one event. marked says that the upstream marked the end, by a length or in chunks. A stream that
 // ends with its connection is whole as far as anybody can tell if it brought an event that was missing; if it brought
-// none, it may just as well have been broken off.
+// none, it may just as well have been broken off. The rest of a stream that the caller resumes may be empty.
 func (c *Core) StreamEnded(marked bool) bool {
-	if c.progress != someEvents || (!marked && c.sendEvents == 0) {
+	begun := c.progress == someEvents || (c.progress == nothing && c.resumed)
+	if !begun || (!marked && c.sendEvents == 0) {
 		return false
 	}
+	c.begin(someEvents)
 	c.progress = whole
 	return true
 }
--- a/internal/request/response/core_test.go
+++ b/internal/request/response/core_test.go
@@ -224,6 +224,36 @@
 	}
 }
 
+// TestResumedStreamGoesOnAfterCallersEvent guards against events that are missing or come twice in a stream that its caller
+// resumes, and against a rest that counts as a failure because it is empty.
+func TestResumedStreamGoesOnAfterCallersEvent(t *testing.T) {
+	for _, tt := range []struct {
+		after string
+		ids   []int
+		want  []eventstream.Verdict
+		whole bool // if the end is marked
+	}{
+		{"2", []int{3}, []eventstream.Verdict{eventstream.Pass}, true},
+		{"2", []int{1, 2, 3}, []eventstream.Verdict{eventstream.Skip, eventstream.Skip, eventstream.Pass}, true},
+		{"2", []int{4}, []eventstream.Verdict{eventstream.Gap}, true},
+		{"3", nil, nil, true},
+		{"", nil, nil, false},
+		{"x", []int{7}, []eventstream.Verdict{eventstream.Pass}, true},
+	} {
+		var c Core
+		c.ResumeAfter(tt.after)
+		c.BeginSend()
+		for i, id := range tt.ids {
+			if got := c.Event(strconv.Itoa(id)); got != tt.want[i] {
+				t.Errorf("after %q: verdict %v on event %d, want %v", tt.after, got, id, tt.want[i])
+			}
+		}
+		if whole := c.StreamEnded(true); whole != tt.whole {
+			t.Errorf("after %q, events %v: whole: %t", tt.after, tt.ids, whole)
+		}
+	}
+}
+
 // TestServerErrorOfLatestSendIsKept guards against a server error of an earlier send whose status goes with the body of a
 // later one.
 func TestServerErrorOfLatestSendIsKept(t *testing.T) {
