gateway: a started response whose handler fails is aborted

Callers saw a response that ended in order after a part of it, if the handler panicked or returned an error after the status had been sent: writeError writes nothing into a started response, the handler returned, and net/http wrote the last chunk. No known upstream or caller leads there with more to lose than a failed write; a defect (panic) does. The middleware now aborts the connection. TestFailureAfterStartIsNotACompleteResponse: failed for panic and error before, passes now.

--- a/internal/process/gateway/middleware.go
+++ b/internal/process/gateway/middleware.go
@@ -13,6 +13,7 @@
 // requestMiddleware wraps every handler of the callers' port. It counts the requests in flight,
 // recovers panics and writes errors. A panic is answered as an
 // internal error whose run state is unknown. http.ErrAbortHandler is passed on to net/http.
+// After an error or a panic in a started response, it aborts the connection.
 func (g *Gateway) requestMiddleware(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) (err error) {
 		g.inFlight.Begin()
@@ -26,6 +27,10 @@
 				logline.Error(cause, "panic in a request", "path", c.Path(), "stack", errors.WithStack(cause))
 				err = errkind.Wrap(cause, errkind.Internal, errkind.RunUnknown, "a defect of the system")
 			}
+			if err != nil && c.Response().Committed {
+				// If the handler returned, net/http would end the response as if it were complete.
+				panic(http.ErrAbortHandler)
+			}
 			if err != nil {
 				// The error is written here rather than by echo, so that the request still counts as
 				// in flight and shutdown waits for the write.
