gateway: an answer of a plain service whose flush fails isn't whole

What a plain service answers is written into a buffer of net/http and flushed. A flush that failed (the caller didn't read for a minute, or has reset the connection) was ignored; at the last piece the call was logged and counted as whole, and the connection was closed in order instead of aborted. An HTTP/1.0 caller takes that for the end of the answer. A failed flush now ends the call like a failed write. TestUnsentPartOfAnswerIsNotComplete: flush gave nil before, passes now.

--- a/internal/process/gateway/service.go
+++ b/internal/process/gateway/service.go
@@ -345,7 +345,9 @@
 			if _, werr := c.w.Write(buf[:n]); werr != nil {
 				return callerGoneError(c.r.Context(), errkind.Ran)
 			}
-			_ = rc.Flush()
+			if ferr := rc.Flush(); ferr != nil && !errors.Is(ferr, http.ErrNotSupported) {
+				return callerGoneError(c.r.Context(), errkind.Ran)
+			}
 		}
 		if err == io.EOF {
 			return nil
