gateway: a buffered answer tells its length

net/http adds the length only to answers of up to 2 KB; a longer one went out in chunks, and to an HTTP/1.0 caller without any mark of its end, so that a connection that breaks looks like the end of the answer. The whole answer is in memory when it is written; it now has its Content-Length. TestWholeAnswerTellsItsLength: an answer of 3,174 bytes (400 tokens) had none before, passes now.

--- a/internal/process/gateway/response.go
+++ b/internal/process/gateway/response.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -140,6 +141,8 @@
 	}
 	_ = http.NewResponseController(a.w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	a.w.Header().Set("Content-Type", "application/json")
+	// An HTTP/1.0 caller knows no chunks: without the length, a broken connection looks like the end.
+	a.w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 	a.w.WriteHeader(http.StatusOK)
 	if _, err := a.w.Write(raw); err != nil {
 		return callerGoneError(a.ctx, errkind.Ran)
