--- a/internal/process/gateway/endings_test.go
+++ b/internal/process/gateway/endings_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/labstack/echo/v4"
@@ -15,6 +17,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/runner"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/service"
 )
 
 // startPart starts a response and sends a part of it to the caller.
@@ -110,3 +113,94 @@
 		}
 	}
 }
+
+// slowAnswer makes a service send its answer over some seconds.
+var slowAnswer = service.Faults{ChunkDelayMS: 20}
+
+// slowAnswerBytes is the size of a slow answer: 400 chunks, so 8 seconds or more.
+const slowAnswerBytes = 400 * 4 << 10
+
+// readPart reads the beginning of a response's body.
+func readPart(t *testing.T, resp *http.Response) {
+	t.Helper()
+	if _, err := io.ReadFull(resp.Body, make([]byte, 1)); err != nil {
+		t.Fatalf("no part of the answer: %v", err)
+	}
+}
+
+// TestInterruptedAnswerIsVisiblyBroken guards against an answer of a plain service that looks whole although the
+// deadline or the stop of the gateway ended it in the middle: the status was sent, so the transfer has to break.
+func TestInterruptedAnswerIsVisiblyBroken(t *testing.T) {
+	for _, keyed := range []bool{false, true} {
+		for _, cause := range []string{"deadline", "stop"} {
+			t.Run(fmt.Sprintf("%s, keyed %v", cause, keyed), func(t *testing.T) {
+				f := newFleet(t, runner.Config{Name: "r1"})
+				tiles := f.addService("tiles", keyed)
+				tiles.setFaults(slowAnswer)
+				f.putServiceRoute("tiles", "/tiles", http.MethodGet)
+				s := f.settings("gw-1")
+				s.Stop.DrainMS = 100
+				g := f.start(s)
+				a := testRequest{method: http.MethodGet, path: "/tiles/1", header: map[string]string{service.HeaderSize: strconv.Itoa(slowAnswerBytes)}}
+				if keyed {
+					a.header[headerIdempotencyKey] = "k"
+				}
+				if cause == "deadline" {
+					a.header[headerDeadline] = "2000"
+				}
+				resp, err := a.do(g)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer resp.Body.Close()
+				readPart(t, resp)
+				var stopped sync.WaitGroup
+				defer stopped.Wait()
+				if cause == "stop" {
+					stopped.Go(g.stop)
+				}
+				if n, err := io.Copy(io.Discard, resp.Body); err == nil {
+					t.Errorf("the answer looks whole after %d more bytes", n)
+				}
+			})
+		}
+	}
+}
+
+// TestKeyedAnswerThatBrokeOff guards against a stored outcome of a keyed call that hides or joins what an earlier
+// request for the key got: the first answer breaks off and has to look so, and a later request for the key gets the
+// whole answer if the service keeps it, else an error.
+func TestKeyedAnswerThatBrokeOff(t *testing.T) {
+	const size = 3 * relayBufferBytes
+	for _, deduplicates := range []bool{true, false} {
+		t.Run(fmt.Sprintf("deduplicates %v", deduplicates), func(t *testing.T) {
+			f := newFleet(t, runner.Config{Name: "r1"})
+			vans := f.addService("vans", deduplicates)
+			f.putServiceRoute("vans", "/vans", "")
+			g := f.start(f.settings("gw-1"))
+			vans.setFaults(cutAnswer)
+			a := testRequest{path: "/vans", body: "x", header: map[string]string{
+				headerIdempotencyKey: "k", "Standin-Mark": "m", service.HeaderSize: strconv.Itoa(size),
+			}}
+			resp, err := a.do(g)
+			if err == nil {
+				raw, err := io.ReadAll(resp.Body)
+				resp.Body.Close()
+				if err == nil || len(raw) >= size {
+					t.Errorf("%d bytes, error %v; want a broken answer", len(raw), err)
+				}
+			}
+			vans.setFaults(noFaults)
+			p := g.get(a)
+			if deduplicates && (p.status != http.StatusOK || len(p.raw) != size) {
+				t.Errorf("again: status %d, %d bytes; want the whole answer", p.status, len(p.raw))
+			}
+			if !deduplicates {
+				p.wantError(t, errkind.OutcomeUnknown, errkind.RunUnknown)
+			}
+			if n := vans.calls("m"); n != 1 {
+				t.Errorf("executed %d times", n)
+			}
+		})
+	}
+}
