Failing test: an HTTP/1.0 caller takes a broken answer for a whole one

An answer of a plain service in chunks, or one that ends with its connection, has no length; an HTTP/1.0 caller gets it without chunks.

--- a/internal/process/gateway/waysout_test.go
+++ b/internal/process/gateway/waysout_test.go
@@ -272,6 +272,11 @@
 // fills the relay's buffer exactly.
 func TestServiceWaysOut(t *testing.T) { runServiceWaysOut(t, "HTTP/1.1") }
 
+// TestServiceWaysOutForHTTP10 guards against an answer that broke off and looks whole to an HTTP/1.0 caller. Such a
+// caller gets no chunks: without a length the end of the connection is the end of the answer, so that a broken one
+// has to end with a reset.
+func TestServiceWaysOutForHTTP10(t *testing.T) { runServiceWaysOut(t, "HTTP/1.0") }
+
 // engineScript ends the responses of engines to the sends and resumes of each prompt, in their order.
 type engineScript struct {
 	mu      sync.Mutex
