--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -363,6 +363,36 @@
 	}
 }
 
+// TestUnmarkedAnswerWhoseTailWasNotWrittenIsReset guards against an answer that looks complete although its last bytes are
+// missing: they were still buffered when the handler of an HTTP/1.0 caller's request returned, and couldn't be written.
+func TestUnmarkedAnswerWhoseTailWasNotWrittenIsReset(t *testing.T) {
+	const part, tail = "a part", " and the tail"
+	read := make(chan struct{})
+	s := newTestServer(t, &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		control := http.NewResponseController(w)
+		_, _ = io.WriteString(w, part)
+		_ = control.Flush()
+		<-read
+		_, _ = io.WriteString(w, tail)
+		_ = control.SetWriteDeadline(time.Now().Add(-time.Second)) // as one that passed since the last write
+	})})
+	s.start(nil)
+	c := s.dial()
+	c.send("GET / HTTP/1.0\r\n\r\n")
+	resp, err := http.ReadResponse(c.answers, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.ReadFull(resp.Body, make([]byte, len(part))); err != nil {
+		t.Fatal(err)
+	}
+	close(read)
+	if rest, err := io.ReadAll(resp.Body); err == nil && string(rest) != tail {
+		t.Errorf("looks complete after %q and %q", part, rest)
+	}
+}
+
 // TestReadAfterDeadline guards against a timeout for bytes that arrived before the deadline and weren't read
 // in time, because the process didn't run. A deadline that aborts a read, and one before which nothing
 // arrived, has to be a timeout.
