Failing test: a restarted stream that ends before the caller's last event counts as the rest (ORDER)

A caller gets four events, framed as complete: the stream broke off after them, and the upstream that was to continue it began anew and ended in order after its third event. So the response is neither run's whole.

Cause: a marked end completes a stream whatever the last send brought, also if all its events were left out as repeated.

--- a/internal/process/entry/endings_test.go
+++ b/internal/process/entry/endings_test.go
@@ -147,3 +147,23 @@
 		}
 	}
 }
+
+// TestRestartedStreamThatEndsEarlierIsNotTheRest guards against a stream that looks complete and is neither run's whole: it
+// broke off, and the upstream that was to continue it began anew and ended in order before the last event that the caller has.
+func TestRestartedStreamThatEndsEarlierIsNotTheRest(t *testing.T) {
+	sends := make(chan int, 2)
+	sends <- 1
+	sends <- 2
+	handler := func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		if <-sends == 1 {
+			_, _ = io.WriteString(w, events(1, 4))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, events(1, 3))
+	}
+	if a := sendPost(t, startPassingOn(t, handler, handler)); a.err == nil {
+		t.Errorf("looks complete: %+v", a)
+	}
+}
