--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -46,6 +46,7 @@
 	aborted  bool      // the answer broke off
 	unmarked bool      // the answer in progress, or the last one, ends with the connection
 	handled  bool      // the handler has returned
+	failed   bool      // a write failed
 	closed   bool      // Close was called
 	ended    bool      // the socket was closed
 }
@@ -145,11 +146,10 @@
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.tcpConn.Write(p)
-	if n > 0 {
-		c.mu.Lock()
-		c.wrote = true
-		c.mu.Unlock()
-	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.wrote = c.wrote || n > 0
+	c.failed = c.failed || err != nil
 	return n, err
 }
 
@@ -201,7 +201,7 @@
 // looksComplete reports whether an orderly end of the connection would make an incomplete answer look complete. It is
 // called with mu held.
 func (c *conn) looksComplete() bool {
-	return c.wrote && c.unmarked && (c.aborted || !c.handled)
+	return c.wrote && c.unmarked && (c.aborted || c.failed || !c.handled)
 }
 
 // hasReceived reports whether bytes of the caller lie in the receive buffer.
