entry: a stream that began anew and ended early isn't the rest of the one that broke off (ORDER)

A caller got four events, framed as complete: the stream broke off after them, and the upstream that was to continue it began anew and ended in order after its third event. The response was neither run's whole.

Cause: a marked end completed a stream whatever the last send brought, also if all its events were left out as repeated. Change: a send whose last event comes before one that the caller has doesn't complete the response. The model that the core is tested against has the same rule; it plays all sequences of up to six calls.

--- a/internal/request/response/core.go
+++ b/internal/request/response/core.go
@@ -47,6 +47,7 @@
 	sends       int                  // number of sends so far
 	events      int                  // events that the caller has got
 	sendEvents  int                  // events that the caller has got of the last send
+	behind      bool                 // the last event of the last send comes before one that the caller has
 	statusSend  int                  // number of the send whose status the caller has got; 0: none
 	serverError int                  // number of the send whose server error is kept; 0: none is
 }
@@ -58,7 +59,7 @@
 // BeginSend records that the request is sent to an upstream, once more or for the first time.
 func (c *Core) BeginSend() {
 	c.sends++
-	c.sendEvents = 0
+	c.sendEvents, c.behind = 0, false
 }
 
 // Event returns whether an event of the last send's stream is written to the caller. After a part of another body, or the
@@ -68,6 +69,8 @@
 		return eventstream.Gap
 	}
 	verdict := c.sequence.Check(id)
+	last, ok := c.sequence.Last()
+	c.behind = verdict == eventstream.Skip && ok && id != last
 	if verdict == eventstream.Pass {
 		c.begin(someEvents)
 		c.events++
@@ -79,10 +82,11 @@
 // StreamEnded records that the last send's stream ended in order, and reports whether the caller has the whole response: a
 // stream has at least one event. marked says that the upstream marked the end, by a length or in chunks. A stream that
 // ends with its connection is whole as far as anybody can tell if it brought an event that was missing; if it brought
-// none, it may just as well have been broken off. The rest of a stream that the caller resumes may be empty.
+// none, it may just as well have been broken off. The rest of a stream that the caller resumes may be empty. A stream that
+// began anew and ended before an event that the caller has isn't the same.
 func (c *Core) StreamEnded(marked bool) bool {
 	begun := c.progress == someEvents || (c.progress == nothing && c.resumed)
-	if !begun || (!marked && c.sendEvents == 0) {
+	if !begun || c.behind || (!marked && c.sendEvents == 0) {
 		return false
 	}
 	c.begin(someEvents)
--- a/internal/request/response/model_test.go
+++ b/internal/request/response/model_test.go
@@ -15,6 +15,7 @@
 	kept   int // send whose server error is kept; 0: none
 	ended  bool
 	failed bool // a write failed
+	behind bool // the last event of the last send comes before one that the caller has
 }
 
 // writtenPiece is an event (id is its number; 0: the id is no number) or a part of a body.
@@ -55,7 +56,8 @@
 
 // event is the verdict on an event. id is its number; 0: the id is no number.
 func (w *written) event(id int) eventstream.Verdict {
-	last, _ := w.last()
+	last, numbers := w.last()
+	w.behind = w.open() && w.isStream() && numbers && id > 0 && id < last
 	switch {
 	case !w.open() || len(w.pieces) > 0 && !w.isStream():
 		return eventstream.Gap
@@ -69,7 +71,7 @@
 }
 
 func (w *written) streamEnded(marked bool) bool {
-	whole := w.open() && w.isStream() && (marked || w.ofSend() > 0)
+	whole := w.open() && w.isStream() && !w.behind && (marked || w.ofSend() > 0)
 	w.ended = w.ended || whole
 	return whole
 }
@@ -124,7 +126,7 @@
 }
 
 var operations = []operation{
-	{"begin", func(c *Core, w *written) bool { c.BeginSend(); w.send++; return true }},
+	{"begin", func(c *Core, w *written) bool { c.BeginSend(); w.send++; w.behind = false; return true }},
 	eventOperation("event 1", "1", 1),
 	eventOperation("event 2", "2", 2),
 	eventOperation("event 4", "4", 4),
