Request lines say how many prefills were sent and how many retries were counted

The lines of a request didn't tell a retry that took its arrivals from the retry limit from one that didn't. prefills and counted_retries show both.

--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -440,7 +440,7 @@
 	if action != retry.SendElsewhere && action != retry.RunAgain {
 		return action
 	}
-	if out.maybeSent && !q.e.allowRetry(q.service) {
+	if out.maybeSent && !q.allowRetry() {
 		f.Budget = false
 		return retry.Decide(f)
 	}
@@ -448,8 +448,12 @@
 }
 
 // allowRetry reports whether the service's retry limit allows a further send, and counts it.
-func (e *Entry) allowRetry(service string) bool {
-	return e.state.allowRetry(time.Now(), service, e.peers.instanceCount())
+func (q *request) allowRetry() bool {
+	if !q.e.state.allowRetry(time.Now(), q.service, q.e.peers.instanceCount()) {
+		return false
+	}
+	q.countedRetries++
+	return true
 }
 
 // finalError returns the error with which the request ends after its last failed send. If an upstream
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -141,7 +141,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if sent && !q.e.allowRetry(q.service) {
+		if sent && !q.allowRetry() {
 			return q.prefillNotRetried(err)
 		}
 	}
@@ -178,8 +178,12 @@
 	q.prefillTime += duration
 	if err != nil {
 		out := q.handleSendError(ctx, held, s, err)
+		if out.maybeSent {
+			q.prefills++
+		}
 		return nil, out.maybeSent, out.err
 	}
+	q.prefills++
 	defer resp.Body.Close()
 	e.holds.UpstreamAlive(incarnationOf(u), startedAt)
 	info := q.e.cfg.Dialect.ResponseInfo(resp.Status, resp.Header)
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -48,6 +48,8 @@
 	lastUpstream     string          // id of the last upstream that the request was sent to
 	relay            string          // address of the instance through which the last send went; empty: over the own link
 	sends            int
+	prefills         int                 // sends of a prefill that may have reached an engine
+	countedRetries   int                 // further sends that the service's retry limit allowed
 	possibleRuns     int                 // sends that may have run the request
 	excluded         []fleet.Incarnation // upstreams that it is not to be sent to again
 	runState         errkind.RunState    // the worst of all sends
--- a/internal/process/entry/requestlog.go
+++ b/internal/process/entry/requestlog.go
@@ -232,7 +232,7 @@
 	}
 	fields := []any{"request", q.info.ID, "route", route, "account", q.account.NameOrNone(), "config", version, "outcome", outcome, "run", run,
 		"left_ms", q.info.TimeLeft.Milliseconds(), "ms", took.Milliseconds(), "first_ms", q.firstEventAfter.Milliseconds(), "waited_ms", q.placeWait.Milliseconds(), "prefill_ms", q.prefillTime.Milliseconds(),
-		"upstream", q.lastUpstream, "sends", q.sends}
+		"upstream", q.lastUpstream, "sends", q.sends, "prefills", q.prefills, "counted_retries", q.countedRetries}
 	if final != nil {
 		fields = append(fields, "why", final.Error(), "retry_after_ms", final.RetryAfter.Milliseconds())
 	}
