A request whose prefill broke off without a retry left is refused (BUDGET)

What callers saw: under resets alone, a service got 2,269 arrivals beyond the first of each request in 10 s, 1,994 allowed.

Cause: without a retry left, only a rejected prefill ended the request. After a prefill that broke off, the decoding engine got the request all the same, and nothing counted that: 1,051 of 2,945 arrivals beyond the first.

Change: both are refused at once, as not run: a prefill runs nothing. If an earlier send of the request may have run it, refusedError says so as before.

"decodes break off" still fails, for the second accepted prefill.

--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -148,14 +148,12 @@
 	return prefillResult{}
 }
 
-// prefillNotRetried returns the result of a failed prefill if the retry limit allows no further send.
-// The request is refused if the prefill was rejected: the rejected prefill counts as the first arrival
-// of the request, so that running the request elsewhere would be a retry, too.
+// prefillNotRetried returns the result of a failed prefill if the retry limit allows no further send. The
+// request is refused: the failed prefill, rejected or broken off, counts as the first arrival of the request, so
+// that running the request would be a retry, too. A prefill runs nothing, so the request provably did not run
+// because of it.
 func (q *request) prefillNotRetried(err error) prefillResult {
-	if !errors.Is(err, errUpstreamRefused) {
-		return prefillResult{}
-	}
-	return prefillResult{refusal: errkind.Wrap(err, errkind.UpstreamRefused, q.runState, "no engine took the prompt").WithRetryAfter(defaultRetryAfter)}
+	return prefillResult{refusal: errkind.Wrap(err, errkind.UpstreamRefused, q.runState, "no engine prefilled the prompt").WithRetryAfter(defaultRetryAfter)}
 }
 
 // sendPrefill has one engine prefill the prompt. sent: a byte may have reached the engine.
