A further prefill of a request is taken from the retry limit (BUDGET)

What callers saw: under resets alone, a service got 2,269 arrivals beyond the first of each request in 10 s, 1,994 allowed; on top of the decodes after broken prefills, 167 of 2,945 arrivals were second prefills that engines accepted.

Cause: a broken decode took one retry from the limit, and a prefill and a decode followed. Only the first prefill that an engine accepts is free.

Change: a prefill after an accepted one takes a retry of its own before it is sent. If none is left, the decoding engine prefills the prompt itself, so that the request has the one arrival that was counted.

--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -127,9 +127,16 @@
 		if refusal != nil {
 			return prefillResult{refusal: refusal}
 		}
+		if attempt == 0 && q.prefilled && !q.allowRetry() {
+			// The retry limit allowed one further arrival, which is that of the decode.
+			q.e.recordEvents(held, place.Event{Kind: place.Abandoned})
+			q.e.release(held)
+			return prefillResult{}
+		}
 		kv, sent, err := q.sendPrefill(ctx, held)
 		q.e.release(held)
 		if err == nil {
+			q.prefilled = true
 			return prefillResult{kv: kv}
 		}
 		choice := &held.grant.Choice
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -49,6 +49,7 @@
 	relay            string          // address of the instance through which the last send went; empty: over the own link
 	sends            int
 	prefills         int                 // sends of a prefill that may have reached an engine
+	prefilled        bool                // an engine accepted a prefill, so that any further prefill is a retry
 	countedRetries   int                 // further sends that the service's retry limit allowed
 	possibleRuns     int                 // sends that may have run the request
 	excluded         []fleet.Incarnation // upstreams that it is not to be sent to again
