--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -127,9 +127,16 @@
 		if refusal != nil {
 			return prefillResult{refusal: refusal}
 		}
+		if attempt == 0 && q.prefilled && !q.allowRetry() {
+			// The retry limit allowed one further arrival, which is that of the decode.
+			q.e.recordEvents(held, place.Event{Kind: place.Abandoned})
+			q.e.release(held)
+			return prefillResult{}
+		}
 		kv, sent, err := q.sendPrefill(ctx, held)
 		q.e.release(held)
 		if err == nil {
+			q.prefilled = true
 			return prefillResult{kv: kv}
 		}
 		choice := &held.grant.Choice
@@ -141,21 +148,19 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if sent && !q.e.allowRetry(q.service) {
+		if sent && !q.allowRetry() {
 			return q.prefillNotRetried(err)
 		}
 	}
 	return prefillResult{}
 }
 
-// prefillNotRetried returns the result of a failed prefill if the retry limit allows no further send.
-// The request is refused if the prefill was rejected: the rejected prefill counts as the first arrival
-// of the request, so that running the request elsewhere would be a retry, too.
+// prefillNotRetried returns the result of a failed prefill if the retry limit allows no further send. The
+// request is refused: the failed prefill, rejected or broken off, counts as the first arrival of the request, so
+// that running the request would be a retry, too. A prefill runs nothing, so the request provably did not run
+// because of it.
 func (q *request) prefillNotRetried(err error) prefillResult {
-	if !errors.Is(err, errUpstreamRefused) {
-		return prefillResult{}
-	}
-	return prefillResult{refusal: errkind.Wrap(err, errkind.UpstreamRefused, q.runState, "no engine took the prompt").WithRetryAfter(defaultRetryAfter)}
+	return prefillResult{refusal: errkind.Wrap(err, errkind.UpstreamRefused, q.runState, "no engine prefilled the prompt").WithRetryAfter(defaultRetryAfter)}
 }
 
 // sendPrefill has one engine prefill the prompt. sent: a byte may have reached the engine.
@@ -178,8 +183,12 @@
 	q.prefillTime += duration
 	if err != nil {
 		out := q.handleSendError(ctx, held, s, err)
+		if out.maybeSent {
+			q.prefills++
+		}
 		return nil, out.maybeSent, out.err
 	}
+	q.prefills++
 	defer resp.Body.Close()
 	e.holds.UpstreamAlive(incarnationOf(u), startedAt)
 	info := q.e.cfg.Dialect.ResponseInfo(resp.Status, resp.Header)
