Failing test: a limit that is announced before the list changes is lost

Callers see requests refused by an upstream beyond the limit that it announced, until its next answer. Cause: the limit is kept under the incarnation that the list had, while the upstream had restarted under its id. Measured: 2 of 4 cases fail; the two with a limit from before the restart pass.

--- a/internal/request/place/ratelimit_test.go
+++ b/internal/request/place/ratelimit_test.go
@@ -368,3 +368,33 @@
 		}
 	}
 }
+
+// TestRateLimitOutlivesALateList guards against more requests than an upstream allows: it restarted under its id before it
+// announced a limit, and the list said so later, in one or several steps. A limit that was announced before the restart
+// doesn't apply to the new incarnation.
+func TestRateLimitOutlivesALateList(t *testing.T) {
+	incarnation := func(startedAt time.Duration) fleet.Upstream {
+		return fleet.Upstream{ID: "a", StartedMS: at(startedAt).UnixMilli(), Service: "s", Slots: 6}
+	}
+	for name, test := range map[string]struct {
+		announcedAt time.Duration
+		later       []fleet.Upstream
+		limited     bool
+	}{
+		"listed at once":         {3 * time.Second, []fleet.Upstream{incarnation(2 * time.Second)}, true},
+		"listed step by step":    {3 * time.Second, []fleet.Upstream{incarnation(time.Second), incarnation(2 * time.Second)}, true},
+		"by the one that ended":  {time.Second, []fleet.Upstream{incarnation(2 * time.Second)}, false},
+		"before the second step": {1500 * time.Millisecond, []fleet.Upstream{incarnation(time.Second), incarnation(2 * time.Second)}, false},
+	} {
+		listed := incarnation(0)
+		tr := newTestTracker(listed)
+		tr.RateLimited(at(test.announcedAt), listed.Incarnation(), perSecond(2))
+		for _, u := range test.later {
+			tr.SetUpstreams(map[string][]fleet.Upstream{"s": {u}})
+		}
+		newest := test.later[len(test.later)-1].Incarnation()
+		if _, limited := tr.rateWait(at(4*time.Second), KeyOf(newest)); limited != test.limited {
+			t.Errorf("%s: the listed incarnation is limited: %t, want %t", name, limited, test.limited)
+		}
+	}
+}
