Failing test: leaving that is reported before the list changes is lost

Callers see new requests sent to an upstream that said that it leaves; they are cut or refused when it ends. Cause: the report is kept under the incarnation that the list had, while the upstream had restarted under its id.

--- a/internal/process/fleet/leaving_test.go
+++ b/internal/process/fleet/leaving_test.go
@@ -107,3 +107,25 @@
 		t.Errorf("%d reports kept after leavingReportTTL", len(c.reportedLeaving))
 	}
 }
+
+// TestReportedLeavingOutlivesALateList guards against new work for an upstream that is leaving: it restarted under its id
+// before a response said that it leaves, and the list said so later. What a response said before the restart doesn't
+// concern the new incarnation.
+func TestReportedLeavingOutlivesALateList(t *testing.T) {
+	for name, test := range map[string]struct {
+		reportedAt time.Duration
+		usable     bool
+	}{
+		"reported by the new incarnation": {3 * time.Second, false},
+		"reported by the one that ended":  {time.Second, true},
+	} {
+		listed, next := newUpstream("a", at(0).UnixMilli()), newUpstream("a", at(2*time.Second).UnixMilli())
+		c := New()
+		c.Put(at(0), listed)
+		c.MarkLeaving(at(test.reportedAt), listed.Incarnation())
+		c.Put(at(4*time.Second), next)
+		if got := usableIncarnations(c)[next.Incarnation()]; got != test.usable {
+			t.Errorf("%s: the listed incarnation may get work: %t, want %t", name, got, test.usable)
+		}
+	}
+}
