Failing test: a limiter counts the end of a request at another service

Callers see fewer prefills start at an instance, with enough such moves none, until it restarts. Cause: the limiter is looked up by the upstream's service at the end of the request, not by that of its start. Measured: one request stays in flight for good after one move.

--- a/internal/request/place/limit_test.go
+++ b/internal/request/place/limit_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 )
 
 // simulateSharedServer simulates a server that handles one request at a time, with random
@@ -117,3 +119,23 @@
 		t.Errorf("the limit is still %v", l.limit)
 	}
 }
+
+// TestLimiterOfServiceThatUpstreamLeft guards against a service whose requests are refused for good: the entry of an
+// upstream names another service while requests are in flight there, and their ends have to be counted at the service
+// for which they were sent.
+func TestLimiterOfServiceThatUpstreamLeft(t *testing.T) {
+	u := fleet.Upstream{ID: "a", StartedMS: 1, Service: "s", Slots: 6}
+	tr := newTestTracker(u)
+	tr.Sent(at(0), u.Incarnation(), Prefill)
+	moved := u
+	moved.Service = "t"
+	tr.SetUpstreams(map[string][]fleet.Upstream{"t": {moved}})
+	tr.Sent(at(0), moved.Incarnation(), Prefill)
+	tr.Ended(u.Incarnation(), Prefill)
+	tr.Ended(moved.Incarnation(), Prefill)
+	for _, service := range []string{"s", "t"} {
+		if n := tr.concurrencyLimiter(service, Prefill).inFlight; n != 0 {
+			t.Errorf("service %s: %d requests count as in flight after all have ended", service, n)
+		}
+	}
+}
