Failing test: failures of a relay are remembered for good

Callers of an instance without own links see refusals for up to 8 s instead of 1 s after one failure of the only relay. Cause: the length of the last pause is kept until the relay works again, however long ago the failures were.

--- a/internal/process/links/relays_test.go
+++ b/internal/process/links/relays_test.go
@@ -73,3 +73,17 @@
 		t.Error("not asked after it worked")
 	}
 }
+
+// TestRelayFailureLongAgoIsForgotten guards against a relay that isn't asked for many seconds because of failures that are
+// long past: in a small deployment it may be the only way to the upstreams.
+func TestRelayFailureLongAgoIsForgotten(t *testing.T) {
+	var r Relays
+	zone := []string{"a1"}
+	for n := range 5 {
+		failedAt := time.Duration(n) * time.Hour
+		r.Failed(at(failedAt), zone[0])
+		if got := r.Choose(at(failedAt+minRelayBackoff), zone, nil, 0); len(got) != 1 {
+			t.Errorf("failure %d, an hour after the one before: not asked after %v", n+1, minRelayBackoff)
+		}
+	}
+}
