--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -38,7 +38,7 @@
 	errServerError     = errors.New("the upstream responded with a server error")
 	errEventGap        = errors.New("an event of the stream is missing")
 	errIncomplete      = errors.New("the response ended early")
-	errNoStream        = errors.New("the response can't continue the one that has begun")
+	errCannotContinue  = errors.New("the response can't continue the one that has begun")
 	errCallerWrite     = errors.New("write to the caller failed")
 )
 
@@ -108,7 +108,7 @@
 		return sendOutcome{runState: errkind.Ran, err: errors.Wrapf(errServerError, "status %d", resp.Status), maybeSent: true}
 	}
 	if !r.core.Body() {
-		return sendOutcome{runState: errkind.Ran, err: errors.Wrapf(errNoStream, "status %d", resp.Status), maybeSent: true}
+		return sendOutcome{runState: errkind.Ran, err: errors.Wrapf(errCannotContinue, "status %d", resp.Status), maybeSent: true}
 	}
 	q.recordResponseStart()
 	if len(body) <= maxBufferedBytes {
@@ -224,7 +224,7 @@
 // endBody returns the outcome of a send whose body was written to its end.
 func (r *responseRelay) endBody() sendOutcome {
 	if !r.core.BodyEnded() {
-		return incompleteOutcome(errNoStream)
+		return incompleteOutcome(errCannotContinue)
 	}
 	return completedOutcome()
 }
@@ -279,8 +279,7 @@
 		started := r.core.Started()
 		if event.err == io.EOF && r.core.StreamEnded(resp.Framing != upstream.FramedByConnection) {
 			if !started { // the rest of a stream that the caller resumes is empty
-				q.recordResponseStart()
-				r.writeHeader(resp.Status, withoutLength(resp.Header))
+				r.beginStream(resp)
 			}
 			return completedOutcome()
 		}
@@ -306,10 +305,9 @@
 			return sendOutcome{runState: errkind.Ran, err: errEventGap, maybeSent: true}
 		}
 		if !started {
-			q.recordResponseStart()
 			q.recordOrigin(held)
 			q.recordFirstEvent(now, held)
-			r.writeHeader(resp.Status, withoutLength(resp.Header))
+			r.beginStream(resp)
 		}
 		if err := r.writeEvent(slices.Concat(r.comments, event.Raw)); err != nil {
 			return writeFailedOutcome(err)
@@ -318,6 +316,12 @@
 	}
 }
 
+// beginStream writes the status and headers of a stream.
+func (r *responseRelay) beginStream(resp upstream.ServiceResponse) {
+	r.req.recordResponseStart()
+	r.writeHeader(resp.Status, withoutLength(resp.Header))
+}
+
 // writeEvent writes an event of a stream to the caller at once.
 func (r *responseRelay) writeEvent(raw []byte) error {
 	if err := r.write(raw); err != nil {
