Lines say why an instance follows the platform, and how long lists take

The lines of an instance that begins to follow the platform didn't tell a placer from an instance that believes that it can ask nobody. No change of behaviour.

--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -276,7 +276,7 @@
 // followUpstreams follows the platform's list of upstreams.
 func (e *Entry) followUpstreams(ctx context.Context) {
 	list := func(ctx context.Context) (uint64, error) {
-		stalls := e.state.stallCount()
+		stalls, start := e.state.stallCount(), time.Now()
 		entries, revision, err := e.cfg.Upstreams.List(ctx)
 		if err != nil {
 			return 0, err
@@ -288,7 +288,7 @@
 			e.state.listed = true
 			e.state.confirmUpstreams(now, stalls)
 		})
-		logline.Info("upstreams listed", "revision", revision, "count", len(entries))
+		logline.Info("upstreams listed", "revision", revision, "count", len(entries), "ms", time.Since(start).Milliseconds())
 		return revision, nil
 	}
 	watch := func(ctx context.Context, from uint64, wait time.Duration) (uint64, int, error) {
--- a/internal/process/entry/followplatform.go
+++ b/internal/process/entry/followplatform.go
@@ -7,6 +7,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
 )
 
@@ -35,11 +36,11 @@
 
 // followPlatform follows the parts of the platform that this instance needs, until ctx ends.
 func (e *Entry) followPlatform(ctx context.Context) {
-	always := func(time.Time) bool { return true }
-	upstreams := followTask{name: "upstreams", needed: always, feeds: []func(context.Context){e.followUpstreams, e.probePlatform}}
-	configAndHolds := followTask{name: "configuration and holds", needed: always, feeds: []func(context.Context){e.followConfig, e.followHolds}}
+	always := func(time.Time) peers.FollowReason { return peers.ByRank }
+	upstreams := followTask{name: "upstreams", why: always, feeds: []func(context.Context){e.followUpstreams, e.probePlatform}}
+	configAndHolds := followTask{name: "configuration and holds", why: always, feeds: []func(context.Context){e.followConfig, e.followHolds}}
 	if s := e.peers; s != nil {
-		upstreams.needed, configAndHolds.needed = s.needsUpstreams, s.followsPlatform
+		upstreams.why, configAndHolds.why = s.whyUpstreams, s.whyPlatform
 		upstreams.recheck, configAndHolds.recheck = s.recheckUpstreams, s.recheckConfig
 	}
 	upstreams.onStop = func() { e.state.forgetUpstreams(time.Now()) }
@@ -51,8 +52,8 @@
 // followTask is a part of the platform that is followed while it is needed.
 type followTask struct {
 	name    string
-	needed  func(now time.Time) bool
-	recheck <-chan struct{} // signals that the part may have become needed; nil: it is always needed
+	why     func(now time.Time) peers.FollowReason // why the part is needed now
+	recheck <-chan struct{}                        // signals that the part may have become needed; nil: it is always needed
 	feeds   []func(ctx context.Context)
 	onStop  func() // called after the feeds have ended
 }
@@ -60,8 +61,8 @@
 // run follows the feeds while they are needed, until ctx ends.
 func (t *followTask) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if t.needed(time.Now()) {
-			logline.Info("platform followed from now on", "what", t.name)
+		if why := t.why(time.Now()); why != peers.NotNeeded {
+			logline.Info("platform followed from now on", "what", t.name, "why", why)
 			t.follow(ctx)
 			logline.Info("platform not followed any more", "what", t.name)
 		}
@@ -90,7 +91,7 @@
 	}
 	for last := time.Now(); platform.Sleep(ctx, followCheckInterval) == nil; {
 		now := time.Now()
-		if t.needed(now) {
+		if t.why(now) != peers.NotNeeded {
 			last = now
 		} else if now.Sub(last) >= unfollowDelay {
 			break
@@ -125,18 +126,28 @@
 	s.introduce(zone...)
 }
 
-// needsUpstreams reports whether this instance has to follow the upstreams.
-func (s *peerExchange) needsUpstreams(now time.Time) bool {
+// whyUpstreams returns why this instance has to follow the upstreams.
+func (s *peerExchange) whyUpstreams(now time.Time) peers.FollowReason {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.NeedsUpstreams(now)
+	return s.core.WhyUpstreams(now)
 }
 
-// followsPlatform reports whether this instance has to follow the configuration and the holds.
-func (s *peerExchange) followsPlatform(now time.Time) bool {
+// whyPlatform returns why this instance has to follow the configuration and the holds.
+func (s *peerExchange) whyPlatform(now time.Time) peers.FollowReason {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.core.MustFollowPlatform(now)
+	return s.core.WhyPlatform(now)
+}
+
+// needsUpstreams reports whether this instance has to follow the upstreams.
+func (s *peerExchange) needsUpstreams(now time.Time) bool {
+	return s.whyUpstreams(now) != peers.NotNeeded
+}
+
+// followsPlatform reports whether this instance has to follow the configuration and the holds.
+func (s *peerExchange) followsPlatform(now time.Time) bool {
+	return s.whyPlatform(now) != peers.NotNeeded
 }
 
 // pollHolds polls the holds until ctx ends, while this instance is ready and doesn't follow them.
--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -89,11 +89,13 @@
 // read, found whether this instance is on it. Others remove an instance that was silent for long from
 // the list, even if that instance was only paused or partitioned.
 func (s *peerExchange) refreshMembers(ctx context.Context) (listed, found bool) {
+	start := time.Now()
 	objects, err := s.listMembers(ctx)
 	if err != nil {
 		logline.Info("instances not listed", "error", err)
 		return false, false
 	}
+	logline.Info("instances listed", "count", len(objects), "ms", time.Since(start).Milliseconds())
 	list := make([]peers.Peer, 0, len(objects))
 	for _, o := range objects {
 		found = found || o.Name == s.self.Name
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -468,14 +468,33 @@
 	return ok && m.platformLost
 }
 
-// NeedsUpstreams reports whether this instance has to follow the upstreams itself, because it is a
-// placer, may soon become one, or has no other instance to ask. The other instances of an
+// FollowReason says why an instance has to follow a part of the platform's state.
+type FollowReason string
+
+// Reasons to follow a part of the platform's state.
+const (
+	NotNeeded    FollowReason = ""                               // it doesn't have to
+	ByRank       FollowReason = "rank"                           // it is a placer, or may soon become one
+	AskedForWork FollowReason = "asked for places"               // another instance asked it for a place
+	NobodyToAsk  FollowReason = "no other instance can be asked" // no instance that may be asked is available
+)
+
+// WhyUpstreams returns why this instance has to follow the upstreams itself. The other instances of an
 // availability zone make no calls to the platform and don't follow changes of upstreams, because
 // such changes matter to them only when they ask for a place.
-func (c *Core) NeedsUpstreams(now time.Time) bool {
-	return c.DecidesPlaces(now) || c.MustFollowPlatform(now) || (c.listed && c.inFirstGroup())
+func (c *Core) WhyUpstreams(now time.Time) FollowReason {
+	if why := c.WhyPlatform(now); why != NotNeeded {
+		return why
+	}
+	if c.DecidesPlaces(now) || (c.listed && c.inFirstGroup()) {
+		return ByRank
+	}
+	return NotNeeded
 }
 
+// NeedsUpstreams reports whether this instance has to follow the upstreams itself.
+func (c *Core) NeedsUpstreams(now time.Time) bool { return c.WhyUpstreams(now) != NotNeeded }
+
 // inFirstGroup reports whether this instance belongs to the first group of its availability zone
 // when unavailable instances aren't counted. Instances that have stopped stay in the ranking for a
 // while.
@@ -562,15 +581,26 @@
 	return c.listed && (c.ActsAsPlacer(now) || len(c.placers()) == 0)
 }
 
-// MustFollowPlatform reports whether this instance follows all of the platform's state. There are three
-// reasons: its rank, a place request within activeWindow, or that no candidate of its zone is
-// available. MustFollowPlatform returns false until the platform's list has been received.
-func (c *Core) MustFollowPlatform(now time.Time) bool {
+// WhyPlatform returns why this instance has to follow all of the platform's state. It returns NotNeeded
+// until the platform's list of instances has been received.
+func (c *Core) WhyPlatform(now time.Time) FollowReason {
 	followers := c.platformFollowers()
-	asked := !c.lastPlaceRequestAt.IsZero() && now.Sub(c.lastPlaceRequestAt) < activeWindow
-	return c.listed && (asked || len(followers) == 0 || slices.Contains(followers, c.selfMember))
+	switch {
+	case !c.listed:
+		return NotNeeded
+	case slices.Contains(followers, c.selfMember):
+		return ByRank
+	case len(followers) == 0:
+		return NobodyToAsk
+	case !c.lastPlaceRequestAt.IsZero() && now.Sub(c.lastPlaceRequestAt) < activeWindow:
+		return AskedForWork
+	}
+	return NotNeeded
 }
 
+// MustFollowPlatform reports whether this instance has to follow all of the platform's state.
+func (c *Core) MustFollowPlatform(now time.Time) bool { return c.WhyPlatform(now) != NotNeeded }
+
 // ProbeTargets returns the addresses to probe now. These are unavailable instances of the first
 // maxGroups groups, and the placer of this instance if nothing was received from the placer for
 // maxPlacerSilence. If this instance is the first placer of its zone, it also probes all inactive
