An instance whose candidates are starting waits for them in place of reading the platform itself

Cause: a candidate that isn't ready looked like one that is gone. While all candidates start, every instance found none and concluded that it is cut off from the others, or that it is among the first in rank.

Change: messages say whether their sender is starting, that is, reads the platform and gets answers. A starting candidate keeps its rank and isn't replaced. An instance is cut off only if neither a candidate nor, probed all at once, one of the next in rank answers; until now the silence of the candidates was enough, which made all instances of a zone read the platform if its candidates never came back.

--- a/internal/process/entry/peerexchange.go
+++ b/internal/process/entry/peerexchange.go
@@ -156,6 +156,7 @@
 	if to := s.core.ProbeTargets(now); len(to) > 0 {
 		s.send(s.introduction(true), to...)
 	}
+	s.probeSuccessors(now)
 	if !s.core.ActsAsPlacer(now) {
 		s.e.state.clearPeerReports()
 		return false
@@ -177,6 +178,12 @@
 	return reason != "" && (reason != reasonNoUpstreams || s.following.Load())
 }
 
+// isStarting reports whether this instance isn't ready because it is still reading the platform. It is not
+// starting if it stops, or if the platform doesn't answer it: others should then read the platform.
+func (s *peerExchange) isStarting() bool {
+	return s.e.stage.Load() == stageServing && !s.e.state.platformUnreadable()
+}
+
 // introduction returns a message that introduces this instance and contains the number of instances
 // that it knows. replyWanted: receivers should introduce themselves, too. Callers hold mu.
 func (s *peerExchange) introduction(replyWanted bool) peers.Message {
@@ -237,6 +244,7 @@
 		return // nobody is known yet
 	}
 	m.Unready = s.isUnready()
+	m.Starting = m.Unready && s.isStarting()
 	m.PlatformLost = s.e.platformLost(time.Now())
 	m.Config = s.e.configVersion()
 	data, err := peers.Encode(m)
--- a/internal/process/entry/placementclient.go
+++ b/internal/process/entry/placementclient.go
@@ -439,14 +439,23 @@
 	s.core.AnswerReceived(time.Now(), from, latency)
 }
 
+// probeSuccessors probes the instances that can replace the candidates of the zone once none of these answers any
+// more. If nobody answers, this instance begins to follow the platform. Callers hold mu.
+func (s *peerExchange) probeSuccessors(now time.Time) {
+	if to := s.core.ProbeSuccessors(now); len(to) > 0 {
+		s.send(s.introduction(true), to...)
+		time.AfterFunc(peers.IsolationTimeout, s.recheckFollowing)
+	}
+}
+
 // handleNoAnswer cancels a place request that got no answer. Unless that is because the request has ended, the
 // placer isn't asked again until it sends a message.
 func (s *peerExchange) handleNoAnswer(ctx context.Context, to string, id uint64) {
 	if ctx.Err() == nil {
 		s.mu.Lock()
 		s.core.AnswerTimedOut(to)
+		s.probeSuccessors(time.Now())
 		s.mu.Unlock()
-		s.recheckFollowing() // there may be no other placer left to ask
 		logline.Info("places not given", "by", to, "why", "no answer in time", "then", "another instance is asked until this placer sends a message")
 	}
 	s.sendPlaceRequest(to, peers.PlaceRequest{ID: id, Cancel: true})
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -389,6 +389,13 @@
 	return s.listed
 }
 
+// platformUnreadable reports whether the platform didn't answer the last call that reads upstreams.
+func (s *state) platformUnreadable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.IsPlatformLost()
+}
+
 // steadilyConnected reports whether the list of upstreams has been up to date for minConnectedTime, in which
 // this process ran.
 func (s *state) steadilyConnected(now time.Time) bool {
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -76,6 +76,9 @@
 // PlatformLost records that the platform can't be read.
 func (c *Core) PlatformLost() { c.platformLost = true }
 
+// IsPlatformLost reports whether the platform can't be read.
+func (c *Core) IsPlatformLost() bool { return c.platformLost }
+
 // Resumed records that this process runs again after a time in which it did not run. Until Confirmed is
 // called, the list may lack the changes of that time.
 func (c *Core) Resumed() { c.unconfirmed = c.listed }
--- a/internal/process/peers/answertimeout.go
+++ b/internal/process/peers/answertimeout.go
@@ -54,7 +54,7 @@
 func (c *Core) AnswerReceived(now time.Time, from string, rtt time.Duration) {
 	c.answerRTT.observe(rtt)
 	if m, ok := c.members[from]; ok {
-		m.lastSeen, m.unavailable = now, false
+		m.lastSeen, m.unavailable, m.starting, m.silent, m.heard = now, false, false, false, true
 	}
 }
 
@@ -64,6 +64,6 @@
 	// The placer may have answered later than estimated, so the timeout counts as a round-trip time.
 	c.answerRTT.observe(c.answerRTT.timeout())
 	if m, ok := c.members[address]; ok {
-		m.unavailable = true
+		m.unavailable, m.starting, m.silent = true, false, true
 	}
 }
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -73,6 +73,9 @@
 	demand       []ServiceDemand
 	reportedAt   time.Time // when its last load report arrived; zero: never
 	unavailable  bool      // its last message said that it is not ready, or it left a place request unanswered and sent nothing since
+	starting     bool      // it is unavailable only until it has read the platform, according to a message that isn't old
+	silent       bool      // it is unavailable and leaves requests or probes unanswered
+	heard        bool      // it sent a message, since the last ProbeSuccessors if that was called
 	platformLost bool      // it can't read the platform, so its list of upstreams is out of date
 	probedAt     time.Time // when it was last probed
 
@@ -92,9 +95,10 @@
 	lastPlaceRequestAt time.Time            // when another instance last asked for a place
 	zoneProbedAt       time.Time            // when this instance, as the first placer, last probed the zone
 	answerRTT          rttEstimator
-	ready              bool // see SetReady
-	hasUnlisted        bool // an instance that the platform's last list lacks was added
-	listed             bool // the platform's list was received at least once
+	successorsProbedAt time.Time // when ProbeSuccessors returned instances; zero: not since a candidate was last heard
+	ready              bool      // see SetReady
+	hasUnlisted        bool      // an instance that the platform's last list lacks was added
+	listed             bool      // the platform's list was received at least once
 
 	sentAt       time.Time                            // of the last load report
 	introducedAt time.Time                            // of the last load report with Sender and Demand
@@ -202,7 +206,8 @@
 	if !ok {
 		return false, nil
 	}
-	m.lastSeen, m.unavailable, m.platformLost = now, msg.Unready, msg.PlatformLost
+	m.lastSeen, m.platformLost = now, msg.PlatformLost
+	m.unavailable, m.starting, m.silent, m.heard = msg.Unready, msg.Unready && msg.Starting, false, true
 	if msg.Instances > 0 {
 		m.instances = msg.Instances
 	}
@@ -421,33 +426,85 @@
 // platformFollowers returns the instances of the local availability zone that follow all of the
 // platform's state. There are at most as many as the zone has placers. They are the first instances in
 // rank that are available and can read the platform. Instances outside the first group (see groupSize)
-// are included only if no instance of the groups before theirs qualifies.
+// are included only if no instance of the groups before theirs qualifies and none of these is starting:
+// an instance of a later group would have to read the platform, too, and delay the one that is starting.
 //
-// There are two exceptions. If candidates (instances of the first group) are available, but no instance
-// of the first maxGroups groups can read the platform, the platform is assumed to be unreachable for
-// all. The result is then the first available candidates, although their state is out of date. If no
-// candidate is available, this instance is assumed to be cut off from the others, and the result is
-// empty.
+// If no candidate (instance of the first group) answers, an instance of a later group is included only if
+// it does: this instance may be cut off, and asking one silent instance after the other takes long.
+//
+// If candidates are available, but no instance of the first maxGroups groups can read the platform, the
+// platform is assumed to be unreachable for all. The result is then the first available candidates,
+// although their state is out of date.
 func (c *Core) platformFollowers() []*member {
-	available := slices.DeleteFunc(slices.Clone(c.candidates()), func(m *member) bool { return m.unavailable })
 	list := c.rankedZone()
 	n, size := placerCount(list), groupSize(list)
-	for group := 1; group <= maxGroups && len(available) > 0; group++ {
+	for group := 1; group <= maxGroups; group++ {
 		members := list[:min(len(list), group*size)]
 		if out := c.eligiblePlacers(members, size); len(out) > 0 {
 			return out[:min(len(out), n)]
 		}
+		if slices.ContainsFunc(members, func(m *member) bool { return m.starting }) {
+			return nil
+		}
 	}
+	available := slices.DeleteFunc(slices.Clone(c.candidates()), func(m *member) bool { return m.unavailable })
 	return available[:min(len(available), n)]
 }
 
+// candidatesSilent reports whether no candidate answers any more.
+func (c *Core) candidatesSilent() bool {
+	return !slices.ContainsFunc(c.candidates(), func(m *member) bool { return m == c.selfMember || !m.silent })
+}
+
+// successors returns the other instances of the second to maxGroups-th group of the local availability zone.
+func (c *Core) successors() []*member {
+	list := c.rankedZone()
+	size := groupSize(list)
+	out := slices.Clone(list[min(len(list), size):min(len(list), maxGroups*size)])
+	return slices.DeleteFunc(out, func(m *member) bool { return m == c.selfMember })
+}
+
+// IsolationTimeout is how long successors may take to answer the probes that are sent to all of them at once when
+// no candidate answers. It is longer than a placer whose CPU is throttled takes.
+const IsolationTimeout = 2 * maxAnswerTimeout
+
+// ProbeSuccessors returns the addresses of the successors, once no candidate answers any more. If none of them
+// answers a probe within IsolationTimeout, this instance is assumed to be cut off from the others. Further
+// calls return none until a candidate was heard again.
+func (c *Core) ProbeSuccessors(now time.Time) []string {
+	if !c.candidatesSilent() {
+		c.successorsProbedAt = time.Time{}
+		return nil
+	}
+	if !c.successorsProbedAt.IsZero() {
+		return nil
+	}
+	c.successorsProbedAt = now
+	var out []string
+	for _, m := range c.successors() {
+		m.heard, m.probedAt = false, now
+		out = append(out, m.Address)
+	}
+	return out
+}
+
+// isolated reports whether neither a candidate nor a successor answers.
+func (c *Core) isolated(now time.Time) bool {
+	return c.candidatesSilent() && !c.successorsProbedAt.IsZero() && now.Sub(c.successorsProbedAt) >= IsolationTimeout
+}
+
 // eligiblePlacers returns the instances of list that are available and can read the platform. If this
 // instance is not among the first firstGroupSize of the list, it is included only if it is ready
-// (SetReady).
+// (SetReady). If no candidate answers, the others are included only if they were heard.
 func (c *Core) eligiblePlacers(list []*member, firstGroupSize int) []*member {
 	var out []*member
+	silent := c.candidatesSilent()
 	for i, m := range list {
-		if !m.unavailable && !m.platformLost && (m != c.selfMember || i < firstGroupSize || c.ready) {
+		usable := !silent || m.heard
+		if m == c.selfMember {
+			usable = i < firstGroupSize || c.ready
+		}
+		if usable && !m.unavailable && !m.platformLost {
 			out = append(out, m)
 		}
 	}
@@ -486,7 +543,7 @@
 	if why := c.WhyPlatform(now); why != NotNeeded {
 		return why
 	}
-	if c.DecidesPlaces(now) || (c.listed && c.inFirstGroup()) {
+	if c.listed && (c.ActsAsPlacer(now) || c.inFirstGroup()) {
 		return ByRank
 	}
 	return NotNeeded
@@ -496,8 +553,8 @@
 func (c *Core) NeedsUpstreams(now time.Time) bool { return c.WhyUpstreams(now) != NotNeeded }
 
 // inFirstGroup reports whether this instance belongs to the first group of its availability zone
-// when unavailable instances aren't counted. Instances that have stopped stay in the ranking for a
-// while.
+// when unavailable instances that aren't starting aren't counted. Instances that have stopped stay in
+// the ranking for a while.
 func (c *Core) inFirstGroup() bool {
 	c.ensureRanking()
 	list := c.ranking[c.self.Zone]
@@ -506,7 +563,7 @@
 		if m == c.selfMember {
 			break
 		}
-		if !m.unavailable {
+		if !m.unavailable || m.starting {
 			before++
 		}
 	}
@@ -575,12 +632,6 @@
 	return best.Address
 }
 
-// DecidesPlaces reports whether this instance decides on places, at least its own: it acts as a
-// placer, or no placer of its zone is available.
-func (c *Core) DecidesPlaces(now time.Time) bool {
-	return c.listed && (c.ActsAsPlacer(now) || len(c.placers()) == 0)
-}
-
 // WhyPlatform returns why this instance has to follow all of the platform's state. It returns NotNeeded
 // until the platform's list of instances has been received.
 func (c *Core) WhyPlatform(now time.Time) FollowReason {
@@ -590,7 +641,7 @@
 		return NotNeeded
 	case slices.Contains(followers, c.selfMember):
 		return ByRank
-	case len(followers) == 0:
+	case len(followers) == 0 && c.isolated(now):
 		return NobodyToAsk
 	case !c.lastPlaceRequestAt.IsZero() && now.Sub(c.lastPlaceRequestAt) < activeWindow:
 		return AskedForWork
@@ -610,6 +661,9 @@
 	c.ensureRanking()
 	list := c.ranking[c.self.Zone]
 	for _, m := range list[:min(len(list), maxGroups*groupSize(list))] {
+		if m.unavailable && now.Sub(m.lastSeen) >= activeWindow {
+			m.starting, m.silent = false, true // several probes were left unanswered
+		}
 		if m != c.selfMember && m.unavailable && now.Sub(m.probedAt) >= repeatInterval {
 			m.probedAt = now
 			out = append(out, m.Address)
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -44,7 +44,8 @@
 	Demand      []ServiceDemand `cbor:"6,keyasint,omitempty"` // with Sender
 	ReplyWanted bool            `cbor:"7,keyasint,omitempty"` // the receiver is to send a message with its own Sender
 
-	Unready bool `cbor:"11,keyasint,omitempty"` // the sender is stopping or doesn't know the upstreams yet, so it must not be asked for places
+	Unready  bool `cbor:"11,keyasint,omitempty"` // the sender is stopping or doesn't know the upstreams yet, so it must not be asked for places
+	Starting bool `cbor:"30,keyasint,omitempty"` // with Unready: the sender is reading the platform and will be ready after that
 
 	PlaceRequests  []PlaceRequest  `cbor:"8,keyasint,omitempty"`
 	PlaceResponses []PlaceResponse `cbor:"9,keyasint,omitempty"`
