Instances that start read a directory of their zone in place of the whole list of instances

What callers saw: after a loss of power of all instances of the whole fleet, requests were refused for want of a configuration for seconds (5,633 in the first four).

Cause: all 984 instances read the list of 984 instances when they start. At a first start that list is short; when the fleet starts again it is whole, and the lists alone fill the store's link: by the lines, a list took 0.8 s at least and 2.6 s in the middle, also at the candidates, for whom everybody waits. Both the list and its readers grow with the fleet, so that at twice the size it is four times as much.

Change: the first placer of a large zone stores who is first in rank and how many instances the zone has (PeerDirectory, one small object per zone). Others read the directories when they start and know whom to ask; they read the list itself within a minute, each at a random moment, or at once if nobody in the directory answers.

--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
@@ -32,8 +30,13 @@
 // followMembers announces this instance on the platform and keeps its list of the others up to date,
 // until ctx ends. The first list determines whether this instance has to follow the platform. The list
 // is therefore read even if the announcement fails, and both are repeated soon after a failure.
+//
+// An instance that finds the directory of its zone knows whom to ask, and reads the list later.
 func (s *peerExchange) followMembers(ctx context.Context) {
-	announced, era := false, uint64(0)
+	announced, era := false, s.e.platformEra()
+	if s.readDirectories(ctx) {
+		announced = s.announceBeforeList(ctx)
+	}
 	for delay := minRetryPause; ctx.Err() == nil; {
 		eraCtx := s.e.eraCtx.current(ctx) // a platform restored from an older copy may lack the announcement
 		if currentEra := s.e.platformEra(); currentEra != era {
@@ -47,6 +50,7 @@
 			delay = min(retryPauseGrowth*delay, relistPause)
 			continue
 		}
+		s.writeDirectory(ctx)
 		if platform.Sleep(ctx, relistPause) == nil && !s.hasUnlistedPeers() {
 			_ = platform.Sleep(eraCtx, relistInterval) // ends early if the platform was restored
 		}
@@ -61,28 +65,11 @@
 		return false
 	}
 	o.Writer = s.self.Name
-	_, err = s.e.cfg.Records.Create(ctx, o)
-	if errors.Is(err, platform.ErrConflict) {
-		err = s.replaceAnnouncement(ctx, o)
-	}
-	if err != nil {
+	if err := s.createOrReplace(ctx, o); err != nil {
 		logline.Info("instance not announced", "error", err)
+		return false
 	}
-	return err == nil
-}
-
-// replaceAnnouncement replaces the announcement of an earlier incarnation of this process.
-func (s *peerExchange) replaceAnnouncement(ctx context.Context, o platform.Object) error {
-	old, err := s.e.cfg.Records.Get(ctx, kindPeer, s.self.Name)
-	if err != nil {
-		return err
-	}
-	if string(old.Spec) == string(o.Spec) {
-		return nil
-	}
-	o.Version = old.Version
-	_, err = s.e.cfg.Records.Update(ctx, o)
-	return err
+	return true
 }
 
 // refreshMembers reads the list of instances and applies it. listed reports whether the list could be
@@ -124,10 +111,11 @@
 }
 
 // listMembers returns the instances that the platform lists. The first list has to be up to date, as it
-// determines which instances are asked for places, and so have all lists of an instance that follows the
-// upstreams. For any other instance, later lists only make up for lost messages and may be stale.
+// determines which instances are asked for places unless a directory did, and so have all lists of an
+// instance that follows the upstreams. For any other instance, later lists only make up for lost messages and may be stale.
 func (s *peerExchange) listMembers(ctx context.Context) ([]platform.Object, error) {
-	if s.listsRead.Load() == 0 || s.needsUpstreams(time.Now()) {
+	first := s.listsRead.Load() == 0 && !s.directoryRead.Load()
+	if first || s.needsUpstreams(time.Now()) {
 		objects, _, err := s.e.cfg.Records.List(ctx, kindPeer)
 		return objects, err
 	}
--- a/internal/process/entry/peerexchange.go
+++ b/internal/process/entry/peerexchange.go
@@ -51,8 +51,11 @@
 	usage        usageReports
 	incarnation  uint64 // start time in microseconds
 
-	listsRead atomic.Int32  // number of lists of instances read so far
-	stopped   chan struct{} // closed when the exchange has ended
+	listsRead     atomic.Int32    // number of lists of instances read so far
+	directoryRead atomic.Bool     // the directory of the zone was read before the first list
+	directory     peers.Directory // as last stored by this instance; used by followMembers only
+	directoryEra  uint64          // of the platform when directory was stored
+	stopped       chan struct{}   // closed when the exchange has ended
 
 	following atomic.Bool // this instance has to follow the upstreams
 
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -95,10 +95,12 @@
 	lastPlaceRequestAt time.Time            // when another instance last asked for a place
 	zoneProbedAt       time.Time            // when this instance, as the first placer, last probed the zone
 	answerRTT          rttEstimator
-	successorsProbedAt time.Time // when ProbeSuccessors returned instances; zero: not since a candidate was last heard
-	ready              bool      // see SetReady
-	hasUnlisted        bool      // an instance that the platform's last list lacks was added
-	listed             bool      // the platform's list was received at least once
+	successorsProbedAt time.Time      // when ProbeSuccessors returned instances; zero: not since a candidate was last heard
+	ready              bool           // see SetReady
+	hasUnlisted        bool           // an instance that the platform's last list lacks was added
+	listed             bool           // the platform's list, or the directory of the zone, was received at least once
+	listedWhole        bool           // the platform's list was received at least once
+	zoneSizes          map[string]int // number of instances by availability zone, from directories; nil: all instances are known
 
 	sentAt       time.Time                            // of the last load report
 	introducedAt time.Time                            // of the last load report with Sender and Demand
@@ -139,7 +141,7 @@
 		listed[p.Address] = true
 		c.addOrUpdate(now, p)
 	}
-	c.ranking, c.hasUnlisted, c.listed = nil, false, true
+	c.ranking, c.hasUnlisted, c.listed, c.listedWhole, c.zoneSizes = nil, false, true, true, nil
 	maps.DeleteFunc(c.members, func(address string, m *member) bool {
 		return !listed[address] && m.dead(now)
 	})
@@ -293,7 +295,7 @@
 	c.ensureRanking()
 	to := make(map[string]bool)
 	for _, list := range c.ranking {
-		for _, m := range list[:min(len(list), placerCount(list))] {
+		for _, m := range list[:min(len(list), c.placerCount(list))] {
 			if m != c.selfMember && !m.dead(now) {
 				to[m.Address] = true
 			}
@@ -319,7 +321,7 @@
 	c.ensureRanking()
 	var to []string
 	for _, list := range c.ranking {
-		for _, m := range list[:min(len(list), placerCount(list)+1)] {
+		for _, m := range list[:min(len(list), c.placerCount(list)+1)] {
 			if m != c.selfMember {
 				to = append(to, m.Address)
 			}
@@ -351,7 +353,11 @@
 // this instance knows, or the greatest number that a candidate of its zone reported if that is greater.
 // Candidates may know more instances, because new instances introduce themselves to candidates.
 func (c *Core) Instances() int {
-	n := len(c.members) + 1
+	c.ensureRanking()
+	n := 0
+	for _, list := range c.ranking {
+		n += c.zoneSize(list)
+	}
 	for _, m := range c.candidates() {
 		n = max(n, m.instances)
 	}
@@ -379,14 +385,24 @@
 	}
 }
 
+// zoneSize returns the number of instances of an availability zone. zone has those that are known.
+func (c *Core) zoneSize(zone []*member) int {
+	if len(zone) == 0 {
+		return 0
+	}
+	return max(len(zone), c.zoneSizes[zone[0].Zone])
+}
+
 // placerCount returns the number of placers of an availability zone.
-func placerCount(zone []*member) int { return (len(zone) + askersPerPlacer - 1) / askersPerPlacer }
+func (c *Core) placerCount(zone []*member) int {
+	return (c.zoneSize(zone) + askersPerPlacer - 1) / askersPerPlacer
+}
 
 // groupSize returns the size of the groups into which the instances of an availability zone are divided
 // by their rank. The size is twice the number of placers, plus one. The instances of the first group
 // follow the upstreams. They include more instances than placers, so that the others can substitute for
 // placers that are unavailable or can't read the platform.
-func groupSize(zone []*member) int { return 2*placerCount(zone) + 1 }
+func (c *Core) groupSize(zone []*member) int { return 2*c.placerCount(zone) + 1 }
 
 // maxGroups is the number of groups of a zone (see groupSize) whose instances may be asked for places.
 // These are the first groups in rank. A later group is used only if no instance of the groups before it
@@ -399,7 +415,7 @@
 // become placers.
 func (c *Core) candidates() []*member {
 	list := c.rankedZone()
-	return list[:min(len(list), groupSize(list))]
+	return list[:min(len(list), c.groupSize(list))]
 }
 
 // placers returns the placers of the local availability zone: the first available instances in rank.
@@ -410,11 +426,11 @@
 // hold.
 func (c *Core) placers() []*member {
 	list := c.rankedZone()
-	if len(list) > groupSize(list) {
+	if c.zoneSize(list) > c.groupSize(list) {
 		return c.platformFollowers()
 	}
 	available := slices.DeleteFunc(slices.Clone(list), func(m *member) bool { return m.unavailable })
-	return available[:min(len(available), placerCount(list))]
+	return available[:min(len(available), c.placerCount(list))]
 }
 
 // rankedZone returns the instances of the local availability zone, in rank.
@@ -437,7 +453,7 @@
 // although their state is out of date.
 func (c *Core) platformFollowers() []*member {
 	list := c.rankedZone()
-	n, size := placerCount(list), groupSize(list)
+	n, size := c.placerCount(list), c.groupSize(list)
 	for group := 1; group <= maxGroups; group++ {
 		members := list[:min(len(list), group*size)]
 		if out := c.eligiblePlacers(members, size); len(out) > 0 {
@@ -459,7 +475,7 @@
 // successors returns the other instances of the second to maxGroups-th group of the local availability zone.
 func (c *Core) successors() []*member {
 	list := c.rankedZone()
-	size := groupSize(list)
+	size := c.groupSize(list)
 	out := slices.Clone(list[min(len(list), size):min(len(list), maxGroups*size)])
 	return slices.DeleteFunc(out, func(m *member) bool { return m == c.selfMember })
 }
@@ -567,7 +583,7 @@
 			before++
 		}
 	}
-	return before < groupSize(list)
+	return before < c.groupSize(list)
 }
 
 // isFirstPlacer reports whether this instance is the first live placer of its availability zone.
@@ -641,7 +657,7 @@
 		return NotNeeded
 	case slices.Contains(followers, c.selfMember):
 		return ByRank
-	case len(followers) == 0 && c.isolated(now):
+	case len(followers) == 0 && c.listedWhole && c.isolated(now):
 		return NobodyToAsk
 	case !c.lastPlaceRequestAt.IsZero() && now.Sub(c.lastPlaceRequestAt) < activeWindow:
 		return AskedForWork
@@ -660,7 +676,7 @@
 	var out []string
 	c.ensureRanking()
 	list := c.ranking[c.self.Zone]
-	for _, m := range list[:min(len(list), maxGroups*groupSize(list))] {
+	for _, m := range list[:min(len(list), maxGroups*c.groupSize(list))] {
 		if m.unavailable && now.Sub(m.lastSeen) >= activeWindow {
 			m.starting, m.silent = false, true // several probes were left unanswered
 		}
@@ -812,7 +828,7 @@
 			present++
 		}
 	}
-	n := min(placerCount(list), present)
+	n := min(c.placerCount(list), present)
 	if zone == c.self.Zone && c.ActsAsPlacer(now) {
 		n--
 	}
--- a/internal/process/peers/platform_test.go
+++ b/internal/process/peers/platform_test.go
@@ -149,7 +149,7 @@
 		if c.NeedsUpstreams(at(0)) {
 			continue
 		}
-		next := c.ranking[c.self.Zone][groupSize(c.ranking[c.self.Zone])]
+		next := c.ranking[c.self.Zone][c.groupSize(c.ranking[c.self.Zone])]
 		c.AnswerTimedOut(c.candidates()[1].Address)
 		if c.NeedsUpstreams(at(0)) != (next == c.selfMember) {
 			t.Errorf("%s: NeedsUpstreams %v; the next in rank is %s", c.self.Name, c.NeedsUpstreams(at(0)), next.Name)
@@ -166,7 +166,7 @@
 			if c.NeedsUpstreams(at(0)) {
 				continue
 			}
-			next := slices.Index(c.rankedZone(), c.selfMember) < 2*groupSize(c.rankedZone()) // it replaces a candidate in any case
+			next := slices.Index(c.rankedZone(), c.selfMember) < 2*c.groupSize(c.rankedZone()) // it replaces a candidate in any case
 			for c.Placer() != "" {
 				c.AnswerTimedOut(c.Placer())
 			}
