--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -60,6 +60,7 @@
 	tunnels         *tunnel.Client  // for connections to upstreams through other instances
 	tunnelsServed   daemon.Activity // tunnels that this instance forwards for others
 	metrics         *entryMetrics
+	startup         *startup
 	demand          *demandTracker
 	peers           *peerExchange // nil: no messages are exchanged with other instances
 	holds           *holds.Keeper
@@ -115,6 +116,7 @@
 	}
 	e.exporter = metrics.New("ragwort_entry", map[string]string{"zone": cfg.Settings.Instance.Zone})
 	e.metrics = newEntryMetrics(e.exporter.Scope())
+	e.startup = newStartup(e.exporter.Scope())
 	e.links = newOwnLinks(e.metrics)
 	e.workCtx, e.cancelWork = context.WithCancel(context.Background())
 	e.hardStopCtx, e.cancelHardStop = context.WithCancel(context.Background())
@@ -173,9 +175,15 @@
 // "" if this instance is ready. An instance without a list of upstreams is ready if it can ask another
 // instance to choose upstreams for its requests.
 func (e *Entry) notReadyReason() string {
-	reason := e.cannotPlaceReason()
-	if reason == reasonNoUpstreams && e.peers != nil && e.peers.placer() != "" {
-		return ""
+	reason, placer := e.cannotPlaceReason(), ""
+	if reason == reasonNoUpstreams {
+		placer = e.peers.placer()
+	}
+	if placer != "" {
+		reason = ""
+	}
+	if reason == "" {
+		e.startup.recordReady(e.configVersion(), placer == "", placer)
 	}
 	return reason
 }
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -215,6 +215,7 @@
 		}
 		return nil, errkind.New(kind, q.runState, string(d.Refused)).WithRetryAfter(q.retryAfter(now, d.RetryAfter))
 	}
+	q.e.startup.recordPlace(held.placer)
 	return held, nil
 }
 
