--- a/internal/process/peers/return_test.go
+++ b/internal/process/peers/return_test.go
@@ -76,6 +76,17 @@
 	return f
 }
 
+// move gives all instances other addresses than the directories name.
+func (f *returningFleet) move() {
+	f.byAddress = make(map[string]*returningInstance)
+	for i, inst := range f.list {
+		p := &f.all[i]
+		p.Address = fmt.Sprintf("10.9.%d.%d:7", i/250, i%250)
+		inst.core.self.Address = p.Address
+		f.byAddress[p.Address] = inst
+	}
+}
+
 // message is what an instance says of itself.
 func (i *returningInstance) message() *Message {
 	return &Message{Unready: !i.listed && i.core.inFirstGroup(), Starting: !i.listed}
@@ -125,8 +136,8 @@
 		if to == "" {
 			return i.listed
 		}
-		placer := f.byAddress[to]
-		if !placer.started {
+		placer, ok := f.byAddress[to]
+		if !ok || !placer.started {
 			i.core.AnswerTimedOut(to)
 			for _, successor := range i.core.ProbeSuccessors(at(now)) {
 				f.probe(now, i, successor)
@@ -145,7 +156,7 @@
 
 // probe has an instance probe another one, which answers if it runs.
 func (f *returningFleet) probe(now time.Duration, i *returningInstance, to string) {
-	if other := f.byAddress[to]; other.started {
+	if other, ok := f.byAddress[to]; ok && other.started {
 		i.core.Receive(at(now), to, other.message())
 	}
 }
@@ -221,3 +232,19 @@
 		}
 	}
 }
+
+// TestFleetReturnsAtOtherAddresses checks that a deployment whose instances all come back at other addresses, so that
+// nobody in the directories answers, serves again within the time that users allow (18 s), although all instances then
+// read the list of instances at once.
+func TestFleetReturnsAtOtherAddresses(t *testing.T) {
+	const limit = 18 * time.Second
+	for _, n := range []int{100, 300, 984} {
+		f := newReturningFleet(n, func(_, i, _ int) time.Duration { return time.Duration(i%6) * returnStep })
+		f.move()
+		took := f.returnTime(limit)
+		t.Logf("%d instances: %v, %d lists of upstreams, %d of instances", n, took, f.upstreamLists, f.peersLists)
+		if took >= limit {
+			t.Errorf("%d instances: not back %v after the last one started", n, took)
+		}
+	}
+}
