--- a/internal/process/entry/peerexchange_test.go
+++ b/internal/process/entry/peerexchange_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	store "github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
@@ -13,6 +14,20 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
 
+// storeWatcher lists objects of a store that is never stale. There are no changes to watch.
+type storeWatcher struct{ store *platform.Store }
+
+// Changes implements RecordWatcher.
+func (w storeWatcher) Changes(ctx context.Context, _ string, from uint64, _ time.Duration) ([]store.Event, uint64, error) {
+	<-ctx.Done()
+	return nil, from, ctx.Err()
+}
+
+// ListStale implements RecordWatcher.
+func (w storeWatcher) ListStale(ctx context.Context, kind string) ([]store.Object, uint64, error) {
+	return w.store.List(ctx, kind)
+}
+
 // newPeerTestEntry returns an entry process that knows upstream a of service s, and its peer exchange over
 // the loopback interface, which isn't started.
 func newPeerTestEntry(t *testing.T, name, zone string, store *platform.Store) (*Entry, *peerExchange) {
@@ -23,7 +38,7 @@
 func newPeerTestEntryAt(t *testing.T, name, zone, address string, store *platform.Store) (*Entry, *peerExchange) {
 	s := &settings.Entry{Instance: settings.Instance{Name: name, Zone: zone}, Listen: settings.EntryListen{Peers: address}}
 	s.SetDefaults()
-	e := New(Config{Settings: s, Records: store})
+	e := New(Config{Settings: s, Records: store, Watcher: storeWatcher{store}})
 	e.state.install(routing.New(1, nil, []routing.Service{{Name: "s"}}, routing.Limits{}))
 	e.updateFleet(func(now time.Time, f *fleet.Core) {
 		f.Put(now, fleet.Upstream{ID: "a", Service: "s", Slots: 8})
