--- a/internal/process/peers/answertimeout.go
+++ b/internal/process/peers/answertimeout.go
@@ -64,6 +64,6 @@
 	// The placer may have answered later than estimated, so the timeout counts as a round-trip time.
 	c.answerRTT.observe(c.answerRTT.timeout())
 	if m, ok := c.members[address]; ok {
-		m.unavailable, m.starting, m.silent = true, false, true
+		m.unavailable, m.starting, m.silent, m.heard = true, false, true, false
 	}
 }
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -75,7 +75,7 @@
 	unavailable  bool      // its last message said that it is not ready, or it left a place request unanswered and sent nothing since
 	starting     bool      // it is unavailable only until it has read the platform, according to a message that isn't old
 	silent       bool      // it is unavailable and leaves requests or probes unanswered
-	heard        bool      // it sent a message, since the last ProbeSuccessors if that was called
+	heard        bool      // it sent a message since the last unanswered request or ProbeSuccessors
 	platformLost bool      // it can't read the platform, so its list of upstreams is out of date
 	probedAt     time.Time // when it was last probed
 
@@ -560,10 +560,10 @@
 
 // Reasons to follow a part of the platform's state.
 const (
-	NotNeeded    FollowReason = ""                               // it doesn't have to
-	ByRank       FollowReason = "rank"                           // it is a placer, or may soon become one
-	AskedForWork FollowReason = "asked for places"               // another instance asked it for a place
-	NobodyToAsk  FollowReason = "no other instance can be asked" // no instance that may be asked is available
+	NotNeeded      FollowReason = ""                               // it doesn't have to
+	ByRank         FollowReason = "rank"                           // it is a placer, or may soon become one
+	AskedForPlaces FollowReason = "asked for places"               // another instance asked it for a place
+	NobodyToAsk    FollowReason = "no other instance can be asked" // no instance that may be asked is available
 )
 
 // WhyUpstreams returns why this instance has to follow the upstreams itself. The other instances of an
@@ -663,7 +663,7 @@
 }
 
 // WhyPlatform returns why this instance has to follow all of the platform's state. It returns NotNeeded
-// until the platform's list of instances has been received.
+// until this instance knows others from a list or a directory.
 func (c *Core) WhyPlatform(now time.Time) FollowReason {
 	followers := c.platformFollowers()
 	switch {
@@ -674,7 +674,7 @@
 	case len(followers) == 0 && c.listedWhole && c.isolated(now):
 		return NobodyToAsk
 	case !c.lastPlaceRequestAt.IsZero() && now.Sub(c.lastPlaceRequestAt) < activeWindow:
-		return AskedForWork
+		return AskedForPlaces
 	}
 	return NotNeeded
 }
@@ -692,7 +692,7 @@
 	list := c.ranking[c.self.Zone]
 	for _, m := range list[:min(len(list), maxGroups*c.groupSize(list))] {
 		if m.unavailable && now.Sub(m.lastSeen) >= activeWindow {
-			m.starting, m.silent = false, true // several probes were left unanswered
+			m.starting, m.silent, m.heard = false, true, false // several probes were left unanswered
 		}
 		if m != c.selfMember && m.unavailable && now.Sub(m.probedAt) >= repeatInterval {
 			m.probedAt = now
--- a/internal/process/peers/starting_test.go
+++ b/internal/process/peers/starting_test.go
@@ -135,3 +135,22 @@
 		}
 	}
 }
+
+// TestInstanceWhoseSuccessorsFallSilentFollowsPlatform checks that an instance follows the platform itself if the only
+// successor that answered its probes leaves its next request unanswered.
+func TestInstanceWhoseSuccessorsFallSilentFollowsPlatform(t *testing.T) {
+	c, _ := askerOf(t)
+	for c.Placer() != "" {
+		c.AnswerTimedOut(c.Placer())
+	}
+	probed := c.ProbeSuccessors(at(startGrace))
+	c.Receive(at(startGrace), probed[0], &Message{})
+	isolated := at(startGrace + IsolationTimeout)
+	if c.NeedsUpstreams(isolated) {
+		t.Error("the instance follows the upstreams although a successor answered")
+	}
+	c.AnswerTimedOut(probed[0])
+	if !c.NeedsUpstreams(isolated) {
+		t.Error("nobody answers any more, and the instance doesn't follow the upstreams")
+	}
+}
