A candidate that the platform doesn't answer isn't starting, and instances that know upstreams are asked in its place

Cause: a restarted candidate said that it is starting until a list of upstreams failed; in a zone without the store it never got as far as to begin one, and all others waited for it. Those next in rank that still knew upstreams weren't asked, as they couldn't read the platform.

Change: a process is starting while it follows the upstreams or in its first second, unless the platform has not answered it. If none of those that may be asked can read the platform, the ones that know upstreams are asked, candidates first.

--- a/internal/process/entry/directory.go
+++ b/internal/process/entry/directory.go
@@ -26,6 +26,7 @@
 	for delay := minRetryPause; ctx.Err() == nil; delay = min(retryPauseGrowth*delay, relistPause) {
 		start := time.Now()
 		objects, _, err := s.e.cfg.Watcher.ListStale(ctx, kindDirectory) // instances that have moved since are found by the list
+		s.startFailed.Store(err != nil)
 		if err != nil {
 			logline.Info("directories not read", "error", err)
 			_ = platform.Sleep(ctx, addJitter(delay)) // an error means that ctx has ended, which the loop checks
--- a/internal/process/entry/members.go
+++ b/internal/process/entry/members.go
@@ -78,6 +78,7 @@
 func (s *peerExchange) refreshMembers(ctx context.Context) (listed, found bool) {
 	start := time.Now()
 	objects, err := s.listMembers(ctx)
+	s.startFailed.Store(err != nil)
 	if err != nil {
 		logline.Info("instances not listed", "error", err)
 		return false, false
--- a/internal/process/entry/peerexchange.go
+++ b/internal/process/entry/peerexchange.go
@@ -51,6 +51,8 @@
 	usage        usageReports
 	incarnation  uint64 // start time in microseconds
 
+	startedAt     time.Time
+	startFailed   atomic.Bool     // the platform didn't answer the last read of directories or of the list of instances
 	listsRead     atomic.Int32    // number of lists of instances read so far
 	directoryRead atomic.Bool     // the directory of the zone was read before the first list
 	directory     peers.Directory // as last stored by this instance; used by followMembers only
@@ -95,7 +97,7 @@
 	incarnation := uint64(time.Now().UnixMicro())
 	s := &peerExchange{
 		e: e, self: self, address: address, core: peers.New(self, incarnation),
-		placementClient: newPlacementClient(incarnation), placementServer: newPlacementServer(), configVersions: peers.NewConfigVersions(), incarnation: incarnation, stopped: make(chan struct{}),
+		placementClient: newPlacementClient(incarnation), placementServer: newPlacementServer(), configVersions: peers.NewConfigVersions(), incarnation: incarnation, startedAt: time.Now(), stopped: make(chan struct{}),
 		recheckUpstreams: make(chan struct{}, 1), recheckConfig: make(chan struct{}, 1),
 	}
 	s.answerTimeout = s.estimatedAnswerTimeout
@@ -181,10 +183,17 @@
 	return reason != "" && (reason != reasonNoUpstreams || s.following.Load())
 }
 
-// isStarting reports whether this instance isn't ready because it is still reading the platform. It is not
-// starting if it stops, or if the platform doesn't answer it: others should then read the platform.
+// maxUnconfirmedStart is how long a process may take until it has read whom it may ask. It then follows the
+// upstreams if it may be asked for places itself.
+const maxUnconfirmedStart = time.Second
+
+// isStarting reports whether this instance isn't ready only because it is still reading the platform, so that others
+// needn't do that in its place. It is not starting if it stops, or if the platform doesn't answer it.
 func (s *peerExchange) isStarting() bool {
-	return s.e.stage.Load() == stageServing && !s.e.state.platformUnreadable()
+	if s.e.stage.Load() != stageServing || s.startFailed.Load() || s.e.state.platformUnreadable() {
+		return false
+	}
+	return s.following.Load() || time.Since(s.startedAt) < maxUnconfirmedStart
 }
 
 // introduction returns a message that introduces this instance and contains the number of instances
--- a/internal/process/peers/core.go
+++ b/internal/process/peers/core.go
@@ -457,9 +457,9 @@
 // If no candidate (instance of the first group) answers, an instance of a later group is included only if
 // it does: this instance may be cut off, and asking one silent instance after the other takes long.
 //
-// If candidates are available, but no instance of the first maxGroups groups can read the platform, the
-// platform is assumed to be unreachable for all. The result is then the first available candidates,
-// although their state is out of date.
+// If no instance of the first maxGroups groups can read the platform, it is assumed to be unreachable for
+// all. The result is then the first of these instances that are available and know upstreams, although
+// their state is out of date.
 func (c *Core) platformFollowers() []*member {
 	list := c.rankedZone()
 	n, size := c.placerCount(list), c.groupSize(list)
@@ -469,11 +469,11 @@
 			return out[:min(len(out), n)]
 		}
 		if slices.ContainsFunc(members, func(m *member) bool { return m.starting }) {
-			return nil
+			break // it will be ready before an instance of a later group
 		}
 	}
-	available := slices.DeleteFunc(slices.Clone(c.candidates()), func(m *member) bool { return m.unavailable })
-	return available[:min(len(available), n)]
+	withoutPlatform := slices.DeleteFunc(c.availablePlacers(list[:min(len(list), maxGroups*size)], size), func(m *member) bool { return !m.platformLost })
+	return withoutPlatform[:min(len(withoutPlatform), n)]
 }
 
 // candidatesSilent reports whether no candidate answers any more.
@@ -523,10 +523,15 @@
 		now.Sub(c.firstListedAt) >= startGrace && !slices.ContainsFunc(c.successors(), func(m *member) bool { return m.heard })
 }
 
-// eligiblePlacers returns the instances of list that are available and can read the platform. If this
-// instance is not among the first firstGroupSize of the list, it is included only if it is ready
-// (SetReady). If no candidate answers, the others are included only if they were heard.
+// eligiblePlacers returns the instances of list that are available and can read the platform.
 func (c *Core) eligiblePlacers(list []*member, firstGroupSize int) []*member {
+	return slices.DeleteFunc(c.availablePlacers(list, firstGroupSize), func(m *member) bool { return m.platformLost })
+}
+
+// availablePlacers returns the instances of list that are available. If this instance is not among the
+// first firstGroupSize of the list, it is included only if it is ready (SetReady). If no candidate
+// answers, the others are included only if they were heard.
+func (c *Core) availablePlacers(list []*member, firstGroupSize int) []*member {
 	var out []*member
 	silent := c.candidatesSilent()
 	for i, m := range list {
@@ -534,7 +539,7 @@
 		if m == c.selfMember {
 			usable = i < firstGroupSize || c.ready
 		}
-		if usable && !m.unavailable && !m.platformLost {
+		if usable && !m.unavailable {
 			out = append(out, m)
 		}
 	}
--- a/internal/process/peers/starting_test.go
+++ b/internal/process/peers/starting_test.go
@@ -154,3 +154,21 @@
 		t.Error("nobody answers any more, and the instance doesn't follow the upstreams")
 	}
 }
+
+// TestInstanceThatKnowsUpstreamsIsAskedIfCandidatesCannotStart checks that an instance next in rank that knows upstreams
+// but can't read the platform is asked if no candidate knows any: in a zone that is cut off from the platform, candidates
+// that were restarted can't read it.
+func TestInstanceThatKnowsUpstreamsIsAskedIfCandidatesCannotStart(t *testing.T) {
+	c, _ := askerOf(t)
+	successors := slices.Clone(c.successors())
+	for _, starting := range []bool{false, true} {
+		setCandidates(c, at(0), &Message{Unready: true, Starting: starting})
+		for _, m := range successors[1:] {
+			c.Receive(at(0), m.Address, &Message{Unready: true})
+		}
+		c.Receive(at(0), successors[0].Address, &Message{PlatformLost: true})
+		if to := c.Placer(); to != successors[0].Address {
+			t.Errorf("candidates are starting: %t; %q is asked, want the instance that knows upstreams, %q", starting, to, successors[0].Address)
+		}
+	}
+}
