Relays: a failure that is long past doesn't lengthen the pause

Callers of an instance without links of its own were refused for up to 8 s after a single failure of its last relay, if that relay had failed before, however long ago: the length of the pause only ended with a success. Failures are forgotten 30 s after their pause, those of relays that are gone too.

--- a/internal/process/links/relays.go
+++ b/internal/process/links/relays.go
@@ -1,6 +1,9 @@
 package links
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// MaxRelays is the number of instances that are asked for one connection. Those of the own availability zone are at
@@ -11,6 +14,9 @@
 	// maxRelayBackoff, so that few requests are delayed if most instances are cut off.
 	minRelayBackoff = time.Second
 	maxRelayBackoff = 8 * time.Second
+	// relayFailureTTL is how long after its backoff the failure of a relay is remembered. It is longer than a relay goes
+	// unasked while others work.
+	relayFailureTTL = 30 * time.Second
 )
 
 // Relays chooses the instances that are asked to forward connections. The zero value is ready to use.
@@ -50,9 +56,15 @@
 	if r.backoffs == nil {
 		r.backoffs = make(map[string]relayBackoff)
 	}
+	r.forget(now)
 	length := min(max(minRelayBackoff, 2*r.backoffs[address].length), maxRelayBackoff)
 	r.backoffs[address] = relayBackoff{until: now.Add(length), length: length}
 }
 
 // Worked records that a relay could be used.
 func (r *Relays) Worked(address string) { delete(r.backoffs, address) }
+
+// forget drops failures that are long past, also those of relays that are gone.
+func (r *Relays) forget(now time.Time) {
+	maps.DeleteFunc(r.backoffs, func(_ string, b relayBackoff) bool { return now.Sub(b.until) >= relayFailureTTL })
+}
