Holds: an upstream that is missing after an outage isn't taken for one that ended

Callers of sound work were refused (quarantined) after an outage of the platform: entries that lapsed in it and weren't written again within 2.2 s counted as ends of their upstreams, here and at instances that asked, and so did entries that became unreadable. A send that had broken off there was then a crash of its work; an order, one of its kind.

The list now tells what it saw: an entry that was removed, or replaced by that of a later incarnation, is a seen end; a lapse or an unreadable entry isn't (fleet.Core.SeenToEnd). Broken sends, answers to other instances' questions and orders ask for that in place of 'not listed'. Orders at engines that are neither listed nor seen to end are dropped.

--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -100,7 +100,7 @@
 // in this instance's list of upstreams: such an upstream ends its requests as planned.
 func (q *request) reportBrokenSend(u *fleet.Upstream, send *upstreamSend) {
 	e := q.e
-	if listed, leaving := e.state.listedLeaving(u.Incarnation()); leaving || (!listed && e.state.upstreamsListed()) {
+	if status := e.state.incarnationStatus(u.Incarnation()); status.leaving || (!status.listed && e.state.upstreamsListed()) {
 		return
 	}
 	e.holds.HandleBrokenSend(holds.BrokenSend{Content: q.content(), Parts: q.sharedPartIDs(), Incarnation: incarnationOf(u), Address: u.Address, Sent: send.startedAt, LivenessConn: send.livenessConn})
@@ -123,13 +123,13 @@
 }
 
 // checkBrokenSends checks, after a change of the list of upstreams, whether upstreams with broken sends
-// are leaving (a planned stop) or are no longer listed (a crash).
+// are leaving (a planned stop) or were seen to end otherwise (a crash).
 func (e *Entry) checkBrokenSends() {
 	for _, incarnation := range e.holds.UpstreamsToCheck() {
-		switch listed, leaving := e.state.listedLeaving(fleet.Incarnation(incarnation)); {
-		case leaving:
+		switch status := e.state.incarnationStatus(fleet.Incarnation(incarnation)); {
+		case status.leaving:
 			e.holds.UpstreamStopped(incarnation)
-		case !listed:
+		case status.ended:
 			e.holds.UpstreamEnded(incarnation, "no longer listed")
 		}
 	}
--- a/internal/process/entry/incarnations.go
+++ b/internal/process/entry/incarnations.go
@@ -70,13 +70,8 @@
 	}
 	var out []peers.IncarnationState
 	for _, incarnation := range incarnations {
-		listed, leaving := s.fleet.Listed(incarnation)
-		gone := false
-		if !listed {
-			gone, leaving = s.fleet.RecentlyGone(incarnation)
-		}
-		if leaving || gone {
-			out = append(out, peers.IncarnationState{Incarnation: incarnation, Leaving: leaving, Gone: gone})
+		if status := s.incarnationStatusLocked(incarnation); status.leaving || status.ended {
+			out = append(out, peers.IncarnationState{Incarnation: incarnation, Leaving: status.leaving, Gone: status.ended})
 		}
 	}
 	return out
--- a/internal/process/entry/ordercrashes.go
+++ b/internal/process/entry/ordercrashes.go
@@ -49,22 +49,23 @@
 	return allowed
 }
 
-// update checks the outcome of outstanding orders. lookup reports whether an incarnation is listed,
-// and whether it is leaving.
-func (o *orderCrashes) update(now time.Time, engines map[string][]fleet.Upstream, lookup func(fleet.Incarnation) (listed, leaving bool)) {
+// update checks the outcome of outstanding orders. lookup returns what is known of an incarnation.
+func (o *orderCrashes) update(now time.Time, engines map[string][]fleet.Upstream, lookup func(fleet.Incarnation) incarnationStatus) {
 	for _, list := range engines {
 		for i := range list {
 			o.recordRoleChange(now, &list[i])
 		}
 	}
 	for incarnation, to := range o.outstanding {
-		switch listed, leaving := lookup(incarnation); {
-		case leaving:
+		switch status := lookup(incarnation); {
+		case status.leaving:
 			delete(o.outstanding, incarnation)
 			o.core.UpstreamAlive(quarantine.Incarnation(incarnation), now)
-		case !listed:
+		case status.ended:
 			delete(o.outstanding, incarnation)
 			o.recordEnd(now, incarnation, to)
+		case !status.listed:
+			delete(o.outstanding, incarnation)
 		}
 	}
 	o.core.Forget(now)
--- a/internal/process/entry/ordercrashes_test.go
+++ b/internal/process/entry/ordercrashes_test.go
@@ -15,20 +15,21 @@
 	now     time.Time
 	list    map[fleet.Incarnation]fleet.Upstream
 	leaving map[fleet.Incarnation]bool
+	lapsed  map[fleet.Incarnation]bool // unlisted, but not seen to end
 }
 
 // newOrderedFleet returns a fleet of decoding engines.
 func newOrderedFleet(ids ...string) *orderedFleet {
-	f := &orderedFleet{orders: newOrderCrashes(), now: time.Unix(1_000_000, 0), list: make(map[fleet.Incarnation]fleet.Upstream), leaving: make(map[fleet.Incarnation]bool)}
+	f := &orderedFleet{orders: newOrderCrashes(), now: time.Unix(1_000_000, 0), list: make(map[fleet.Incarnation]fleet.Upstream), leaving: make(map[fleet.Incarnation]bool), lapsed: make(map[fleet.Incarnation]bool)}
 	for _, id := range ids {
 		f.list[fleet.Incarnation(id)] = fleet.Upstream{ID: id, Service: "s", Role: upstream.RoleDecode}
 	}
 	return f
 }
 
-func (f *orderedFleet) listedLeaving(incarnation fleet.Incarnation) (listed, leaving bool) {
-	_, listed = f.list[incarnation]
-	return listed, f.leaving[incarnation]
+func (f *orderedFleet) status(incarnation fleet.Incarnation) incarnationStatus {
+	_, listed := f.list[incarnation]
+	return incarnationStatus{listed: listed, leaving: f.leaving[incarnation], ended: !listed && !f.lapsed[incarnation]}
 }
 
 // sendOrder records an order to an engine to prefill, calls outcome, and updates the tracker two seconds
@@ -42,7 +43,7 @@
 	for _, u := range f.list {
 		engines[u.Service] = append(engines[u.Service], u)
 	}
-	f.orders.update(f.now, engines, f.listedLeaving)
+	f.orders.update(f.now, engines, f.status)
 }
 
 // endEngine returns an outcome in which an engine ends.
@@ -112,8 +113,21 @@
 	f.sendOrder("a", func() {})
 	f.now = f.now.Add(time.Minute)
 	f.endEngine("a")()
-	f.orders.update(f.now, nil, f.listedLeaving)
+	f.orders.update(f.now, nil, f.status)
 	if n := f.allowedCount(upstream.RolePrefill); n != 3 {
 		t.Errorf("%d of 3 allowed", n)
 	}
 }
+
+// TestEngineThatLapsedIsNoCrashOfItsOrder guards against orders that are held although no engine ended: the entries of
+// engines lapsed in an outage of the platform after they were ordered.
+func TestEngineThatLapsedIsNoCrashOfItsOrder(t *testing.T) {
+	f := newOrderedFleet("a", "b", "c")
+	for _, id := range []string{"a", "b"} {
+		f.lapsed[fleet.Incarnation(id)] = true
+		f.sendOrder(id, f.endEngine(id))
+	}
+	if n := f.allowedCount(upstream.RolePrefill); n != 3 || len(f.orders.outstanding) != 0 {
+		t.Errorf("%d of 3 allowed, %d orders outstanding", n, len(f.orders.outstanding))
+	}
+}
--- a/internal/process/entry/rolecontroller.go
+++ b/internal/process/entry/rolecontroller.go
@@ -93,7 +93,7 @@
 func (rc *roleController) decide(ctx context.Context) {
 	demand := rc.demand(time.Now())
 	enginesByService := rc.e.state.engines()
-	rc.orderCrashes.update(time.Now(), enginesByService, rc.e.state.listedLeaving)
+	rc.orderCrashes.update(time.Now(), enginesByService, rc.e.state.incarnationStatus)
 	for service, engines := range enginesByService {
 		core := mapentry.GetOrCreate(rc.cores, service, roles.New)
 		core.SetShare(rc.prefillShare())
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -284,8 +284,7 @@
 // isLeaving reports whether an incarnation of an upstream is leaving, according to the list of upstreams or
 // to a response.
 func (s *state) isLeaving(incarnation fleet.Incarnation) bool {
-	_, leaving := s.listedLeaving(incarnation)
-	return leaving
+	return s.incarnationStatus(incarnation).leaving
 }
 
 // backoffLeft returns the rest of the backoff that an upstream requested in a response; 0: none.
@@ -302,15 +301,27 @@
 	return s.tracker.BackingOff(now)
 }
 
-// listedLeaving reports whether an incarnation of an upstream is listed, and whether it is leaving, or was
-// leaving when it was removed from the list.
-func (s *state) listedLeaving(incarnation fleet.Incarnation) (listed, leaving bool) {
+// incarnationStatus is what is known of an incarnation of an upstream.
+type incarnationStatus struct {
+	listed  bool
+	leaving bool // or was leaving when it was removed from the list
+	ended   bool // seen to end (see fleet.Core.SeenToEnd)
+}
+
+// incarnationStatus returns what is known of an incarnation of an upstream.
+func (s *state) incarnationStatus(incarnation fleet.Incarnation) incarnationStatus {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if listed, leaving = s.fleet.Listed(incarnation); !listed && !leaving {
+	return s.incarnationStatusLocked(incarnation)
+}
+
+// incarnationStatusLocked is incarnationStatus for callers that hold mu.
+func (s *state) incarnationStatusLocked(incarnation fleet.Incarnation) incarnationStatus {
+	listed, leaving := s.fleet.Listed(incarnation)
+	if !listed && !leaving {
 		_, leaving = s.fleet.RecentlyGone(incarnation)
 	}
-	return listed, leaving
+	return incarnationStatus{listed: listed, leaving: leaving, ended: !listed && s.fleet.SeenToEnd(incarnation)}
 }
 
 // eligible returns the number of upstreams that could serve a request, whatever their load.
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -395,6 +395,24 @@
 	return false, false
 }
 
+// SeenToEnd reports whether an incarnation was seen to end within tombstoneTTL: its entry was removed, or replaced by that
+// of a later incarnation. Neither an entry that lapsed in an outage nor one that became unreadable shows that.
+func (c *Core) SeenToEnd(incarnation Incarnation) bool {
+	for _, id := range incarnation.possibleIDs() {
+		started, ok := incarnation.startedMS(id)
+		if _, unreadable := c.unreadable[id]; !ok || unreadable {
+			continue
+		}
+		if e, listed := c.entries[id]; listed && e.StartedMS > started {
+			return true
+		}
+		if t, removed := c.tombstones[id]; removed && !t.inferred && t.startedMS >= started {
+			return true
+		}
+	}
+	return false
+}
+
 // Usable returns the upstreams that may get new work, by service. If several entries have the same
 // address, only the one that started last is included. An entry that went missing after a stall is included
 // only if no listed upstream of its service is: it has probably ended, and lapsed only if there was an outage
--- a/internal/process/fleet/incarnation_test.go
+++ b/internal/process/fleet/incarnation_test.go
@@ -149,3 +149,31 @@
 		t.Errorf("in use: %q, want the second incarnation", got)
 	}
 }
+
+// TestOnlyRemovedOrReplacedIncarnationIsSeenToEnd checks which changes of the list show that an incarnation ended.
+func TestOnlyRemovedOrReplacedIncarnationIsSeenToEnd(t *testing.T) {
+	now := time.Unix(100, 0)
+	for name, test := range map[string]struct {
+		change func(*Core)
+		ended  bool
+	}{
+		"still listed":          {func(*Core) {}, false},
+		"removed":               {func(c *Core) { c.Remove(now, "a") }, true},
+		"restarted":             {func(c *Core) { c.Put(now, newUpstream("a", 6)) }, true},
+		"restarted and removed": {func(c *Core) { c.Put(now, newUpstream("a", 6)); c.Remove(now, "a") }, true},
+		"unreadable":            {func(c *Core) { c.RemoveUnreadable(now, "a", "zone") }, false},
+		"lapsed in an outage": {func(c *Core) {
+			c.PlatformLost()
+			c.Remove(now, "a")
+			c.PlatformRestored(now)
+			c.Expire(now.Add(RestoreGrace))
+		}, false},
+	} {
+		c, u := New(), newUpstream("a", 5)
+		c.Put(now, u)
+		test.change(c)
+		if got := c.SeenToEnd(u.Incarnation()); got != test.ended {
+			t.Errorf("%s: seen to end: %t, want %t", name, got, test.ended)
+		}
+	}
+}
--- a/internal/process/fleet/upstream.go
+++ b/internal/process/fleet/upstream.go
@@ -47,6 +47,20 @@
 	return ids
 }
 
+// startedMS returns the start of an incarnation of the upstream with the given ID, 0 if it isn't reported. ok is false if
+// the incarnation isn't one of that upstream.
+func (inc Incarnation) startedMS(id string) (ms int64, ok bool) {
+	if string(inc) == id {
+		return 0, true
+	}
+	started, ok := strings.CutPrefix(string(inc), id+"@")
+	if !ok {
+		return 0, false
+	}
+	ms, err := strconv.ParseInt(started, 10, 64)
+	return ms, err == nil
+}
+
 // Changing reports whether the upstream is changing its role or about to.
 func (u *Upstream) Changing() bool { return u.NextRole != "" && u.NextRole != u.Role }
 
