Rate limits: one that a restarted upstream announced outlives a late list

Callers' requests above the limit were sent and rejected: an upstream restarts under its id and announces a limit before the list names its new start. The limit was kept under the listed incarnation and lost with its entry.

A newly listed incarnation inherits the newest limit that was reported for its id after its start, as it does a backoff (inheritRateLimit). A limit that was reported before the start, or has ended, isn't inherited.

--- a/internal/request/place/ratelimit.go
+++ b/internal/request/place/ratelimit.go
@@ -42,6 +42,7 @@
 // rateLimit is the known rate limit of one upstream and the credit of this process
 // against it, like a token bucket.
 type rateLimit struct {
+	upstream   string    // id, which later incarnations may share; empty: the upstream wasn't listed
 	perSecond  float64   // requests per second that all instances together may send
 	ended      bool      // the upstream has no limit any more
 	reportedAt time.Time // when an answer reported the limit or its end
@@ -97,9 +98,31 @@
 func (t *Tracker) newRateLimit(now time.Time, key UpstreamKey, perSecond float64, at time.Time) *rateLimit {
 	l := &rateLimit{perSecond: perSecond, reportedAt: at, refilledAt: now}
 	l.credit = l.burst(t.rateShare) + t.hashFraction(key)
+	if u, listed := t.byKey[key]; listed {
+		l.upstream = u.up.ID
+	}
 	return l
 }
 
+// inheritRateLimit gives an upstream that is newly listed the limit of an earlier incarnation, if the process started
+// before that limit was reported: the list was late, and this process has the limit.
+func (t *Tracker) inheritRateLimit(u *fleet.Upstream) {
+	key := KeyOf(u.Incarnation())
+	if u.StartedMS == 0 || t.rateLimits[key] != nil || len(t.rateLimits) >= maxRateLimits {
+		return
+	}
+	var latest *rateLimit
+	for _, l := range t.rateLimits {
+		if l.upstream == u.ID && l.reportedAt.UnixMilli() >= u.StartedMS && (latest == nil || l.reportedAt.After(latest.reportedAt)) {
+			latest = l
+		}
+	}
+	if latest != nil && !latest.ended {
+		inherited := *latest
+		t.rateLimits[key] = &inherited
+	}
+}
+
 // hashFraction returns a pseudorandom value from 0 to 1 for this process (see SetSalt) and an
 // upstream.
 func (t *Tracker) hashFraction(key UpstreamKey) float64 {
--- a/internal/request/place/tracker.go
+++ b/internal/request/place/tracker.go
@@ -65,8 +65,8 @@
 // SetUpstreams replaces the list of upstreams that may get new work. Upstreams that are
 // no longer listed, including earlier incarnations, are kept while they have requests
 // of this process in flight, so that the end of these requests is counted. A new
-// incarnation starts without any state, but for a backoff that it asked for itself
-// (inheritBackoff).
+// incarnation starts without any state, but for a backoff and a rate limit that it asked
+// for itself (inheritBackoff, inheritRateLimit).
 func (t *Tracker) SetUpstreams(services map[string][]fleet.Upstream) {
 	t.services = make(map[string][]*upstreamState, len(services))
 	t.listVersion++
@@ -78,6 +78,7 @@
 			if !ok {
 				u = &upstreamState{incarnation: id, key: KeyOf(id), hash: hashID(up.ID)}
 				t.inheritBackoff(&up)
+				t.inheritRateLimit(&up)
 			}
 			u.up = up
 			u.groupMean, u.prefillModel, u.peersReporting = t.groupMean(u), t.prefillModel(u.group()), &t.peersReporting
