Limiter: requests in flight follow an upstream to its new service

Callers of a service got fewer prefills until the process restarted: when the entry of an upstream named another service while requests were in flight there, their ends were counted at the new one, and the old service's limiter counted them as in flight for good.

They are counted at the new service from the change of the entry on, where their ends are counted.

--- a/internal/request/place/tracker.go
+++ b/internal/request/place/tracker.go
@@ -80,6 +80,7 @@
 				t.inheritBackoff(&up)
 				t.inheritRateLimit(&up)
 			}
+			t.moveInFlight(u, up.Service)
 			u.up = up
 			u.groupMean, u.prefillModel, u.peersReporting = t.groupMean(u), t.prefillModel(u.group()), &t.peersReporting
 			u.listVersion = t.listVersion
@@ -127,6 +128,18 @@
 	return mapentry.GetOrCreate(t.concurrencyLimiters, workClass{service, work}, newConcurrencyLimiter)
 }
 
+// moveInFlight counts the requests of this process that are in flight at a listed upstream at the limiters of the service
+// that its entry names now, where their ends will be counted.
+func (t *Tracker) moveInFlight(u *upstreamState, service string) {
+	if u.up.Service == service {
+		return
+	}
+	for work, n := range u.ownByWork {
+		t.concurrencyLimiter(u.up.Service, work).inFlight -= n
+		t.concurrencyLimiter(service, work).inFlight += n
+	}
+}
+
 // RecordLongPrompt counts the arrival of a request with a long prompt, whether or not
 // it is placed.
 func (t *Tracker) RecordLongPrompt(now time.Time, service string) {
@@ -165,6 +178,7 @@
 		u.ownReserved++
 	default:
 		u.ownRequests++
+		u.countInFlight(work, 1)
 		u.health.sent(now)
 		t.concurrencyLimiter(u.up.Service, work).begin()
 	}
@@ -179,6 +193,7 @@
 		u.ownReserved = max(u.ownReserved-1, 0)
 	default:
 		u.ownRequests = max(u.ownRequests-1, 0)
+		u.countInFlight(work, -1)
 		t.concurrencyLimiter(u.up.Service, work).end()
 	}
 }
--- a/internal/request/place/upstream.go
+++ b/internal/request/place/upstream.go
@@ -17,16 +17,17 @@
 type upstreamState struct {
 	up              fleet.Upstream
 	incarnation     fleet.Incarnation
-	listVersion     uint64      // Tracker.listVersion of the last list that it was on
-	key             UpstreamKey // of the incarnation
-	hash            uint64      // of the upstream's ID, see rendezvousWeight
-	ownRequests     int         // requests of this process in flight
-	ownReserved     int         // requests of this process that will decode there once their prompts are prefilled elsewhere
-	ownTokens       int         // prompt tokens of this process's requests that are not prefilled yet
-	peers           InFlight    // load there that peers report
-	untracked       float64     // requests in the last load report that are neither in ownRequests nor in peers
-	reportedAt      time.Time   // of the last load report; zero: none
-	groupMean       *groupMean  // of the upstream's group
+	listVersion     uint64       // Tracker.listVersion of the last list that it was on
+	key             UpstreamKey  // of the incarnation
+	hash            uint64       // of the upstream's ID, see rendezvousWeight
+	ownRequests     int          // requests of this process in flight
+	ownByWork       map[Work]int // ownRequests by work; nil: none yet
+	ownReserved     int          // requests of this process that will decode there once their prompts are prefilled elsewhere
+	ownTokens       int          // prompt tokens of this process's requests that are not prefilled yet
+	peers           InFlight     // load there that peers report
+	untracked       float64      // requests in the last load report that are neither in ownRequests nor in peers
+	reportedAt      time.Time    // of the last load report; zero: none
+	groupMean       *groupMean   // of the upstream's group
 	prefillModel    *prefillModel
 	peersReporting  *bool // see Tracker.SetPeersReporting
 	health          health
@@ -37,6 +38,14 @@
 	slowdown        slowdown
 }
 
+// countInFlight adds n to the requests of this process in flight for a kind of work.
+func (u *upstreamState) countInFlight(work Work, n int) {
+	if u.ownByWork == nil {
+		u.ownByWork = make(map[Work]int)
+	}
+	u.ownByWork[work] = max(u.ownByWork[work]+n, 0)
+}
+
 // totalRequests estimates the number of requests of all processes at an upstream. Reserved
 // requests count with the weight ReservedShare.
 func (u *upstreamState) totalRequests(now time.Time) float64 {
