Leaving: what a restarted upstream reports outlives a late list

Callers' new requests went to an upstream that was leaving: it restarted under its id and said so in a response before the list named its new start, so the report was kept for the incarnation before and lost with it.

A report is kept with the time at which its request was sent. An incarnation that replaces the listed one at the same address inherits it if that was after its start. Reports of other instances don't say when the request was sent, and aren't inherited.

--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -302,7 +302,7 @@
 	e.holds.UpstreamAlive(incarnationOf(u), startedAt)
 	info := q.e.cfg.Dialect.ResponseInfo(resp.Status, resp.Header)
 	e.recordRateLimit(u, startedAt, resp.Status, info, q.info.ID)
-	q.handleNotices(held, info)
+	q.handleNotices(held, startedAt, info)
 	events := responseEvents(resp.Status, info, kv != nil)
 	if kv != nil && resp.Status == http.StatusOK {
 		events = append(events, place.Event{Kind: place.KVFetched})
--- a/internal/process/entry/incarnations.go
+++ b/internal/process/entry/incarnations.go
@@ -55,7 +55,7 @@
 
 // recordPeerLeaving records that another instance reports that an upstream is leaving.
 func (s *peerExchange) recordPeerLeaving(from string, incarnation fleet.Incarnation) {
-	if s.e.state.markLeaving(time.Now(), incarnation) {
+	if s.e.state.markLeaving(time.Now(), time.Time{}, incarnation) {
 		logline.Info("upstream told to leave", "upstream", incarnation, "by", from)
 	}
 }
--- a/internal/process/entry/notices.go
+++ b/internal/process/entry/notices.go
@@ -11,13 +11,13 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 )
 
-// handleNotices records what the response to a caller's request says about its upstream, and informs the
-// placer if the upstream is leaving. A backoff is only logged here; it is recorded with the events of
+// handleNotices records what the response to a caller's request, which was sent at the given time, says about its
+// upstream, and informs the placer if the upstream is leaving. A backoff is only logged here; it is recorded with the events of
 // the place (see responseEvents).
-func (q *request) handleNotices(held *heldPlace, info exchange.ResponseInfo) {
+func (q *request) handleNotices(held *heldPlace, sent time.Time, info exchange.ResponseInfo) {
 	u := held.upstream()
 	q.e.logBackoff(u, info.Backoff, q.info.ID)
-	if q.e.recordLeaving(u, info, q.info.ID) && held.placer != "" {
+	if q.e.recordLeaving(u, sent, info, q.info.ID) && held.placer != "" {
 		q.e.peers.send(peers.Message{Incarnations: []peers.IncarnationState{{Incarnation: u.Incarnation(), Leaving: true}}}, held.placer)
 	}
 }
@@ -28,7 +28,7 @@
 // handleOwnCallNotices records what the response to one of this process's own calls to an engine says
 // about that engine.
 func (e *Entry) handleOwnCallNotices(u fleet.Upstream, info exchange.ResponseInfo) {
-	e.recordLeaving(&u, info, ownCallID)
+	e.recordLeaving(&u, time.Time{}, info, ownCallID)
 	if backoff := info.Backoff; backoff != nil && backoff.Valid {
 		e.logBackoff(&u, backoff, ownCallID)
 		now := time.Now()
@@ -37,9 +37,9 @@
 }
 
 // recordLeaving records that an upstream is leaving, if its response says so. It reports whether that is
-// new. answerTo is the id of the request, for the log.
-func (e *Entry) recordLeaving(u *fleet.Upstream, info exchange.ResponseInfo, answerTo string) (changed bool) {
-	if !info.Leaving || !e.state.markLeaving(time.Now(), u.Incarnation()) {
+// new. sent is when the request was sent (zero: not known), answerTo its id, for the log.
+func (e *Entry) recordLeaving(u *fleet.Upstream, sent time.Time, info exchange.ResponseInfo, answerTo string) (changed bool) {
+	if !info.Leaving || !e.state.markLeaving(time.Now(), sent, u.Incarnation()) {
 		return false
 	}
 	logline.Info("upstream says that it leaves", "upstream", u.ID, "born", u.StartedMS, "answer_to", answerTo)
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -193,7 +193,7 @@
 	e.holds.UpstreamAlive(incarnationOf(u), startedAt)
 	info := q.e.cfg.Dialect.ResponseInfo(resp.Status, resp.Header)
 	e.recordRateLimit(u, startedAt, resp.Status, info, q.info.ID)
-	q.handleNotices(held, info)
+	q.handleNotices(held, startedAt, info)
 	e.recordEvents(held, responseEvents(resp.Status, info, false)...)
 	kv, err = q.parsePrefillResponse(*u, resp, info)
 	q.recordHealth(ctx, held, err == nil, info)
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -272,11 +272,12 @@
 	return s.tracker.Usable(incarnation)
 }
 
-// markLeaving records that an upstream reported that it is leaving. It returns whether that is new.
-func (s *state) markLeaving(now time.Time, incarnation fleet.Incarnation) (changed bool) {
+// markLeaving records that an upstream reported that it is leaving, in response to a request that was sent at the given
+// time (zero: not known). It returns whether that is new.
+func (s *state) markLeaving(now, sent time.Time, incarnation fleet.Incarnation) (changed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changed = s.fleet.MarkLeaving(now, incarnation)
+	changed = s.fleet.MarkLeaving(now, sent, incarnation)
 	s.syncTracker(now)
 	return changed
 }
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -28,16 +28,16 @@
 	unreadable      map[string]string            // the invalid field of each unreadable entry, by ID
 	software        map[string]*softwareVersions // by service
 	deferred        map[string]Upstream          // by ID; removed entries that are listed again after a restore of the platform from an older copy, see Replace
-	reportedLeaving map[Incarnation]time.Time    // when a response last reported that the incarnation is leaving
-	sweptAt         time.Time                    // when reportedLeaving was last swept
-	listed          bool                         // a whole list has been received
-	era             uint64                       // of the last list; changes when the platform is restored from an older copy
-	platformLost    bool                         // the platform can't be read
-	restoredAt      time.Time                    // when it could be read again after an outage; zero: there was no outage
-	unconfirmed     bool                         // this process did not run for a while, and the list may lack changes of that time
-	confirmedAt     time.Time                    // when the list was confirmed after that; zero: it never had to be
-	connectedSince  time.Time                    // when the first list came or, if later, when the platform could be read again
-	version         uint64                       // number of changes
+	reportedLeaving map[Incarnation]leavingReport
+	sweptAt         time.Time // when reportedLeaving was last swept
+	listed          bool      // a whole list has been received
+	era             uint64    // of the last list; changes when the platform is restored from an older copy
+	platformLost    bool      // the platform can't be read
+	restoredAt      time.Time // when it could be read again after an outage; zero: there was no outage
+	unconfirmed     bool      // this process did not run for a while, and the list may lack changes of that time
+	confirmedAt     time.Time // when the list was confirmed after that; zero: it never had to be
+	connectedSince  time.Time // when the first list came or, if later, when the platform could be read again
+	version         uint64    // number of changes
 }
 
 // tombstone records a removed entry, so that writes of the entry that arrive late are recognized. A late
@@ -58,7 +58,7 @@
 	return &Core{
 		entries: make(map[string]*entry), tombstones: make(map[string]tombstone),
 		unreadable: make(map[string]string), deferred: make(map[string]Upstream),
-		reportedLeaving: make(map[Incarnation]time.Time), software: make(map[string]*softwareVersions),
+		reportedLeaving: make(map[Incarnation]leavingReport), software: make(map[string]*softwareVersions),
 	}
 }
 
@@ -193,6 +193,7 @@
 func (c *Core) Put(now time.Time, u Upstream) {
 	delete(c.unreadable, u.ID)
 	delete(c.deferred, u.ID)
+	c.inheritLeavingReport(&u)
 	e := &entry{Upstream: u, nextRoleSince: now}
 	e.Leaving = u.Leaving || c.hasReportedLeaving(u.Incarnation())
 	if old, ok := c.entries[u.ID]; ok {
--- a/internal/process/fleet/leaving.go
+++ b/internal/process/fleet/leaving.go
@@ -17,18 +17,21 @@
 	sweepInterval = time.Second
 )
 
-// MarkLeaving records that a response of an upstream reported that the upstream is leaving. This
-// overrides the list. isNew is true if it wasn't known before that the incarnation is leaving. For
-// an incarnation that was removed recently, MarkLeaving records nothing and returns false.
-func (c *Core) MarkLeaving(now time.Time, incarnation Incarnation) (isNew bool) {
+// leavingReport is a report that an incarnation is leaving.
+type leavingReport struct {
+	at   time.Time // when it was last reported
+	sent time.Time // when the request was sent whose response reported it; zero: not known
+}
+
+// MarkLeaving records that a response of an upstream reported that the upstream is leaving. sent is when its request was
+// sent, zero if that isn't known. The report overrides the list. isNew is true if it wasn't known before that the
+// incarnation is leaving. For an incarnation that was removed recently, MarkLeaving records nothing and returns false.
+func (c *Core) MarkLeaving(now, sent time.Time, incarnation Incarnation) (isNew bool) {
 	if gone, _ := c.RecentlyGone(incarnation); gone {
 		return false // it gets no work, and its tombstone says whether it was leaving
 	}
 	_, alreadyLeaving := c.Listed(incarnation)
-	if _, recorded := c.reportedLeaving[incarnation]; !recorded && len(c.reportedLeaving) >= maxLeavingReports {
-		c.evictOldestReports()
-	}
-	c.reportedLeaving[incarnation] = now
+	c.addLeavingReport(incarnation, leavingReport{at: now, sent: sent})
 	for _, id := range incarnation.possibleIDs() {
 		if e, ok := c.entries[id]; ok && e.Incarnation() == incarnation && !e.Leaving {
 			e.Leaving = true
@@ -38,6 +41,32 @@
 	return !alreadyLeaving
 }
 
+// addLeavingReport keeps a report, in place of an earlier one of the same incarnation.
+func (c *Core) addLeavingReport(incarnation Incarnation, report leavingReport) {
+	old, recorded := c.reportedLeaving[incarnation]
+	if !recorded && len(c.reportedLeaving) >= maxLeavingReports {
+		c.evictOldestReports()
+	}
+	if old.sent.After(report.sent) {
+		report.sent = old.sent
+	}
+	c.reportedLeaving[incarnation] = report
+}
+
+// inheritLeavingReport records that an incarnation that replaces the listed one is leaving, if that was reported at the
+// same address in response to a request that was sent after the start of the new one: the list was late. At another
+// address, both may run at the same time.
+func (c *Core) inheritLeavingReport(next *Upstream) {
+	old, ok := c.entries[next.ID]
+	if !ok || next.StartedMS <= old.StartedMS || next.Address != old.Address {
+		return
+	}
+	report, reported := c.reportedLeaving[old.Incarnation()]
+	if reported && report.sent.UnixMilli() >= next.StartedMS {
+		c.addLeavingReport(next.Incarnation(), report)
+	}
+}
+
 // hasReportedLeaving reports whether a response of the incarnation reported that it is leaving.
 func (c *Core) hasReportedLeaving(incarnation Incarnation) bool {
 	_, ok := c.reportedLeaving[incarnation]
@@ -46,7 +75,7 @@
 
 // evictOldestReports removes the oldest quarter of the reports.
 func (c *Core) evictOldestReports() {
-	oldestFirst := slices.SortedFunc(maps.Keys(c.reportedLeaving), func(a, b Incarnation) int { return c.reportedLeaving[a].Compare(c.reportedLeaving[b]) })
+	oldestFirst := slices.SortedFunc(maps.Keys(c.reportedLeaving), func(a, b Incarnation) int { return c.reportedLeaving[a].at.Compare(c.reportedLeaving[b].at) })
 	for _, incarnation := range oldestFirst[:len(oldestFirst)/4] {
 		delete(c.reportedLeaving, incarnation)
 	}
@@ -59,8 +88,8 @@
 		return
 	}
 	c.sweptAt = now
-	maps.DeleteFunc(c.reportedLeaving, func(incarnation Incarnation, reportedAt time.Time) bool {
+	maps.DeleteFunc(c.reportedLeaving, func(incarnation Incarnation, report leavingReport) bool {
 		listed, _ := c.Listed(incarnation)
-		return !listed && now.Sub(reportedAt) >= leavingReportTTL
+		return !listed && now.Sub(report.at) >= leavingReportTTL
 	})
 }
