Holds: the end of an upstream that restarts under its name isn't lost to a late list

What callers saw: a request that crashes engines went on crashing them, with all that ran beside it, after the crashes that should have held it.

And a send under the listed name that broke off at the next run counted as an end of the run before: one end on two runs.

An answer now only marks the sends that broke off before it. The list's new start decides: answered before it, the earlier run lived on; answered after it, or not at all, it ended; sent after it, the send belongs to the new run. A send whose break is noticed after the list has the new start is counted too. Instances without a list get the new start with the answer to their question (Restarts, a new field, which older instances pass over).

--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -96,12 +96,17 @@
 }
 
 // reportBrokenSend records that a send broke off before the response was complete, and starts a check
-// of whether the upstream crashed. There is no check of an upstream that is leaving, or that is no longer
-// in this instance's list of upstreams: such an upstream ends its requests as planned.
+// of whether the upstream crashed. There is no check of an upstream that is leaving, or whose entry was removed from
+// this instance's list of upstreams: such an upstream ends its requests as planned.
 func (q *request) reportBrokenSend(u *fleet.Upstream, send *upstreamSend) {
 	e := q.e
-	if status := e.state.incarnationStatus(u.Incarnation()); status.leaving || (!status.listed && e.state.upstreamsListed()) {
+	status := e.state.incarnationStatus(u.Incarnation())
+	restarted := status.end.Next != ""
+	switch {
+	case status.leaving, !status.listed && !restarted && e.state.upstreamsListed():
 		return
+	case restarted:
+		e.recordListedEnd(incarnationOf(u), status.end)
 	}
 	e.holds.HandleBrokenSend(holds.BrokenSend{Content: q.content(), Parts: q.sharedPartIDs(), Incarnation: incarnationOf(u), Address: u.Address, Sent: send.startedAt, LivenessConn: send.livenessConn})
 	send.livenessConn = nil // HandleBrokenSend closes it
@@ -126,13 +131,37 @@
 // are leaving (a planned stop) or were seen to end otherwise (a crash).
 func (e *Entry) checkBrokenSends() {
 	for _, incarnation := range e.holds.UpstreamsToCheck() {
-		switch status := e.state.incarnationStatus(fleet.Incarnation(incarnation)); {
-		case status.leaving:
-			e.holds.UpstreamStopped(incarnation)
-		case status.ended:
-			e.holds.UpstreamEnded(incarnation, "no longer listed")
-		}
+		e.checkBrokenSendsAt(incarnation)
+	}
+}
+
+// checkBrokenSendsAt is checkBrokenSends for one upstream.
+func (e *Entry) checkBrokenSendsAt(incarnation quarantine.Incarnation) {
+	switch status := e.state.incarnationStatus(fleet.Incarnation(incarnation)); {
+	case status.leaving:
+		e.holds.UpstreamStopped(incarnation)
+	case status.ended:
+		e.recordListedEnd(incarnation, status.end)
+	}
+}
+
+// recordListedEnd records the end of an upstream that a list of upstreams shows.
+func (e *Entry) recordListedEnd(incarnation quarantine.Incarnation, end fleet.End) {
+	if end.Next == "" {
+		e.holds.UpstreamEnded(incarnation, "no longer listed")
+		return
+	}
+	e.holds.UpstreamRestarted(incarnation, quarantine.Incarnation(end.Next), time.UnixMilli(end.NextStartedMS))
+}
+
+// recordAnswer records that an upstream began to answer a request that was sent at the given time. Without its start, it
+// is taken for the listed process.
+func (e *Entry) recordAnswer(u *fleet.Upstream, sent time.Time) {
+	if u.StartedMS == 0 {
+		e.holds.UpstreamAlive(incarnationOf(u), sent)
+		return
 	}
+	e.holds.UpstreamAnswered(incarnationOf(u), sent)
 }
 
 // followHolds keeps the holds in sync with those stored on the platform.
--- a/internal/process/entry/incarnations.go
+++ b/internal/process/entry/incarnations.go
@@ -37,10 +37,14 @@
 // states that the other instance reports.
 func (s *peerExchange) handleIncarnations(from string, m *peers.Message) {
 	if len(m.IncarnationsWanted) > 0 {
-		if states := s.e.state.incarnationStates(m.IncarnationsWanted); len(states) > 0 {
-			s.send(peers.Message{Incarnations: states}, from)
+		if states, restarts := s.e.state.incarnationStates(m.IncarnationsWanted); len(states) > 0 {
+			s.send(peers.Message{Incarnations: states, Restarts: restarts}, from)
 		}
 	}
+	ends := make(map[fleet.Incarnation]fleet.End, len(m.Restarts))
+	for _, r := range m.Restarts {
+		ends[r.Incarnation] = fleet.End{Next: r.Next, NextStartedMS: r.NextStartedMS}
+	}
 	listed := s.e.state.upstreamsListed() // if so, the list of this instance decides which upstreams are gone
 	for _, state := range m.Incarnations {
 		switch incarnation := quarantine.Incarnation(state.Incarnation); {
@@ -48,7 +52,7 @@
 			s.recordPeerLeaving(from, state.Incarnation)
 			s.e.holds.UpstreamStopped(incarnation)
 		case state.Gone && !listed:
-			s.e.holds.UpstreamEnded(incarnation, "no longer listed")
+			s.e.recordListedEnd(incarnation, ends[state.Incarnation])
 		}
 	}
 }
@@ -60,19 +64,22 @@
 	}
 }
 
-// incarnationStates returns the states of those of the incarnations that are leaving or gone; nil if
-// this instance has no list of upstreams.
-func (s *state) incarnationStates(incarnations []fleet.Incarnation) []peers.IncarnationState {
+// incarnationStates returns the states of those of the incarnations that are leaving or gone, and which of them were
+// replaced by a later incarnation; nil if this instance has no list of upstreams.
+func (s *state) incarnationStates(incarnations []fleet.Incarnation) (states []peers.IncarnationState, restarts []peers.Restart) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.listed {
-		return nil
+		return nil, nil
 	}
-	var out []peers.IncarnationState
 	for _, incarnation := range incarnations {
-		if status := s.incarnationStatusLocked(incarnation); status.leaving || status.ended {
-			out = append(out, peers.IncarnationState{Incarnation: incarnation, Leaving: status.leaving, Gone: status.ended})
+		status := s.incarnationStatusLocked(incarnation)
+		if status.leaving || status.ended {
+			states = append(states, peers.IncarnationState{Incarnation: incarnation, Leaving: status.leaving, Gone: status.ended})
+		}
+		if end := status.end; end.Next != "" {
+			restarts = append(restarts, peers.Restart{Incarnation: incarnation, Next: end.Next, NextStartedMS: end.NextStartedMS})
 		}
 	}
-	return out
+	return states, restarts
 }
--- a/internal/process/entry/incarnations_test.go
+++ b/internal/process/entry/incarnations_test.go
@@ -34,7 +34,7 @@
 		if listed, _ := s.fleet.Listed(u.Incarnation()); listed {
 			t.Fatalf("%s: the upstream is still listed", name)
 		}
-		states := s.incarnationStates([]fleet.Incarnation{u.Incarnation()})
+		states, _ := s.incarnationStates([]fleet.Incarnation{u.Incarnation()})
 		if got := len(states) == 1 && states[0].Gone; got != test.gone {
 			t.Errorf("%s: told as gone: %t, want %t", name, got, test.gone)
 		}
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -190,7 +190,7 @@
 	}
 	q.prefills++
 	defer resp.Body.Close()
-	e.holds.UpstreamAlive(incarnationOf(u), startedAt)
+	e.recordAnswer(u, startedAt)
 	info := q.e.cfg.Dialect.ResponseInfo(resp.Status, resp.Header)
 	e.recordRateLimit(u, startedAt, resp.Status, info, q.info.ID)
 	q.handleNotices(held, startedAt, info)
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -307,6 +307,7 @@
 	listed  bool
 	leaving bool // or was leaving when it was removed from the list
 	ended   bool // seen to end (see fleet.Core.SeenToEnd)
+	end     fleet.End
 }
 
 // incarnationStatus returns what is known of an incarnation of an upstream.
@@ -322,7 +323,8 @@
 	if !listed && !leaving {
 		_, leaving = s.fleet.RecentlyGone(incarnation)
 	}
-	return incarnationStatus{listed: listed, leaving: leaving, ended: !listed && s.fleet.SeenToEnd(incarnation)}
+	end, ended := s.fleet.SeenToEnd(incarnation)
+	return incarnationStatus{listed: listed, leaving: leaving, ended: ended, end: end}
 }
 
 // eligible returns the number of upstreams that could serve a request, whatever their load.
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -396,22 +396,37 @@
 	return false, false
 }
 
+// End is the end of an incarnation as the list shows it.
+type End struct {
+	Next          Incarnation // the newest known incarnation after it; empty: none
+	NextStartedMS int64       // the start of Next, ms since the Unix epoch
+}
+
 // SeenToEnd reports whether an incarnation was seen to end within tombstoneTTL: its entry was removed, or replaced by that
 // of a later incarnation. Neither an entry that lapsed in an outage nor one that became unreadable shows that.
-func (c *Core) SeenToEnd(incarnation Incarnation) bool {
+func (c *Core) SeenToEnd(incarnation Incarnation) (end End, ended bool) {
 	for _, id := range incarnation.possibleIDs() {
 		started, ok := incarnation.startedMS(id)
 		if _, unreadable := c.unreadable[id]; !ok || unreadable {
 			continue
 		}
-		if e, listed := c.entries[id]; listed && e.StartedMS > started {
-			return true
+		if newest, known := c.newestKnown(id); known && newest.StartedMS > started {
+			return End{Next: newest.Incarnation(), NextStartedMS: newest.StartedMS}, true
 		}
-		if t, removed := c.tombstones[id]; removed && !t.inferred && t.startedMS >= started {
-			return true
+		if t, removed := c.tombstones[id]; removed && !t.inferred && t.startedMS == started {
+			return End{}, true
 		}
 	}
-	return false
+	return End{}, false
+}
+
+// newestKnown returns the newest incarnation of an upstream that is listed or was removed within tombstoneTTL.
+func (c *Core) newestKnown(id string) (u Upstream, known bool) {
+	if e, listed := c.entries[id]; listed {
+		return e.Upstream, true
+	}
+	t, removed := c.tombstones[id]
+	return Upstream{ID: id, StartedMS: t.startedMS}, removed
 }
 
 // Usable returns the upstreams that may get new work, by service. If several entries have the same
--- a/internal/process/fleet/incarnation_test.go
+++ b/internal/process/fleet/incarnation_test.go
@@ -156,24 +156,25 @@
 	for name, test := range map[string]struct {
 		change func(*Core)
 		ended  bool
+		next   End
 	}{
-		"still listed":          {func(*Core) {}, false},
-		"removed":               {func(c *Core) { c.Remove(now, "a") }, true},
-		"restarted":             {func(c *Core) { c.Put(now, newUpstream("a", 6)) }, true},
-		"restarted and removed": {func(c *Core) { c.Put(now, newUpstream("a", 6)); c.Remove(now, "a") }, true},
-		"unreadable":            {func(c *Core) { c.RemoveUnreadable(now, "a", "zone") }, false},
+		"still listed":          {func(*Core) {}, false, End{}},
+		"removed":               {func(c *Core) { c.Remove(now, "a") }, true, End{}},
+		"restarted":             {func(c *Core) { c.Put(now, newUpstream("a", 6)) }, true, End{"a@6", 6}},
+		"restarted and removed": {func(c *Core) { c.Put(now, newUpstream("a", 6)); c.Remove(now, "a") }, true, End{"a@6", 6}},
+		"unreadable":            {func(c *Core) { c.RemoveUnreadable(now, "a", "zone") }, false, End{}},
 		"lapsed in an outage": {func(c *Core) {
 			c.PlatformLost()
 			c.Remove(now, "a")
 			c.PlatformRestored(now)
 			c.Expire(now.Add(RestoreGrace))
-		}, false},
+		}, false, End{}},
 	} {
 		c, u := New(), newUpstream("a", 5)
 		c.Put(now, u)
 		test.change(c)
-		if got := c.SeenToEnd(u.Incarnation()); got != test.ended {
-			t.Errorf("%s: seen to end: %t, want %t", name, got, test.ended)
+		if end, ended := c.SeenToEnd(u.Incarnation()); ended != test.ended || end != test.next {
+			t.Errorf("%s: seen to end: %t %+v, want %t %+v", name, ended, end, test.ended, test.next)
 		}
 	}
 }
--- a/internal/process/holds/keeper.go
+++ b/internal/process/holds/keeper.go
@@ -173,11 +173,24 @@
 	k.reportCrashes(newCrashes, incarnation, reason)
 }
 
+// UpstreamRestarted records that the process of an upstream ended other than by a planned stop, as the list of upstreams
+// has the incarnation next, which started at the given time by its own clock.
+func (k *Keeper) UpstreamRestarted(incarnation, next quarantine.Incarnation, startedAt time.Time) {
+	var newCrashes []quarantine.Crash
+	k.withCore(func(c *quarantine.Core) { newCrashes = c.UpstreamRestarted(time.Now(), incarnation, next, startedAt) })
+	k.reportCrashes(newCrashes, incarnation, "it is listed with a later start")
+}
+
 // UpstreamAlive records that an upstream began to answer a request that was sent at the given time.
 func (k *Keeper) UpstreamAlive(incarnation quarantine.Incarnation, sent time.Time) {
 	k.withCore(func(c *quarantine.Core) { c.UpstreamAlive(incarnation, sent) })
 }
 
+// UpstreamAnswered is UpstreamAlive for an answer that a later incarnation of the upstream may have given.
+func (k *Keeper) UpstreamAnswered(incarnation quarantine.Incarnation, sent time.Time) {
+	k.withCore(func(c *quarantine.Core) { c.UpstreamAnswered(time.Now(), incarnation, sent) })
+}
+
 // UpstreamStopped records a planned stop of an upstream.
 func (k *Keeper) UpstreamStopped(incarnation quarantine.Incarnation) {
 	k.withCore(func(c *quarantine.Core) { c.UpstreamStopped(time.Now(), incarnation) })
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -71,6 +71,8 @@
 	IncarnationsWanted []fleet.Incarnation `cbor:"22,keyasint,omitempty"` // incarnations whose states the receiver is to send; at most MaxIncarnations
 	Incarnations       []IncarnationState  `cbor:"23,keyasint,omitempty"` // at most MaxIncarnations
 
+	Restarts []Restart `cbor:"31,keyasint,omitempty"` // of those of Incarnations that are gone
+
 	StreamRows       []StreamRow        `cbor:"24,keyasint,omitempty"` // at most MaxStreamRows
 	StreamQueries    []StreamQuery      `cbor:"25,keyasint,omitempty"`
 	StreamAnswers    []StreamAnswer     `cbor:"26,keyasint,omitempty"`
@@ -89,6 +91,14 @@
 	Gone        bool // the platform listed it earlier and no longer does
 }
 
+// Restart says which incarnation of an upstream replaced an earlier one.
+type Restart struct {
+	_             struct{} `cbor:",toarray"`
+	Incarnation   fleet.Incarnation
+	Next          fleet.Incarnation
+	NextStartedMS int64 // ms since the Unix epoch
+}
+
 // MaxRateLimits is how many rate limits one message holds.
 const MaxRateLimits = 40
 
@@ -290,8 +300,8 @@
 	if m.Instances < 0 || m.Instances > maxInstances {
 		return m, errors.Errorf("invalid message from peer: %d instances", m.Instances)
 	}
-	if len(m.IncarnationsWanted) > MaxIncarnations || len(m.Incarnations) > MaxIncarnations {
-		return m, errors.Errorf("invalid message from peer: %d incarnations asked for, %d reported", len(m.IncarnationsWanted), len(m.Incarnations))
+	if len(m.IncarnationsWanted) > MaxIncarnations || len(m.Incarnations) > MaxIncarnations || len(m.Restarts) > MaxIncarnations {
+		return m, errors.Errorf("invalid message from peer: %d incarnations asked for, %d reported, %d restarted", len(m.IncarnationsWanted), len(m.Incarnations), len(m.Restarts))
 	}
 	if err := m.checkStreams(); err != nil {
 		return m, errors.Wrap(err, "invalid message from peer")
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -39,8 +39,9 @@
 
 // brokenSend is a send that broke off. It isn't known yet whether its upstream has ended.
 type brokenSend struct {
-	content  Content
-	sent, at time.Time // when the work was sent, and when the send broke off
+	content    Content
+	sent, at   time.Time // when the work was sent, and when the send broke off
+	answeredAt time.Time // when the upstream, or a later incarnation of it, first answered a later request; zero: not yet
 }
 
 // pendingSends holds the broken sends of one upstream that count as crashes if the upstream ends.
@@ -49,6 +50,21 @@
 	checking bool         // a check whether the upstream has ended is in progress
 }
 
+// ending is what is known of the end of an upstream's process.
+type ending struct {
+	at   time.Time // when it was noticed
+	next restart   // the process that replaced it; the zero value: not known
+}
+
+// restart is the start of a process under the name of an earlier one.
+type restart struct {
+	incarnation Incarnation
+	at          time.Time // start of the process, by its own clock
+}
+
+// known reports whether a later process is known.
+func (r restart) known() bool { return r.incarnation != "" }
+
 // suspect is the state of work that has crashed upstreams or was held.
 type suspect struct {
 	crashes       []*Crash
@@ -69,7 +85,7 @@
 	suspects    map[Content]*suspect
 	lastBroken  map[Content]time.Time         // when a send of the work last broke off
 	pending     map[Incarnation]*pendingSends // broken sends at upstreams that may have ended
-	endedAt     map[Incarnation]time.Time     // when the end of an upstream was noticed
+	ended       map[Incarnation]ending        // upstreams that have ended
 	newHolds    []Content                     // holds that began since the last call of TakeNewHolds
 	answeredAt  map[Content]time.Time         // when a request with a part was last answered completely
 	answers     int                           // requests answered completely
@@ -85,7 +101,7 @@
 		suspects:   make(map[Content]*suspect),
 		lastBroken: make(map[Content]time.Time),
 		pending:    make(map[Incarnation]*pendingSends),
-		endedAt:    make(map[Incarnation]time.Time),
+		ended:      make(map[Incarnation]ending),
 		answeredAt: make(map[Content]time.Time),
 	}
 }
@@ -129,16 +145,39 @@
 		}
 		broken = append(broken, brokenSend{content: part, sent: sent, at: now})
 	}
-	if at, ended := c.endedAt[incarnation]; ended && !sent.After(at) {
-		return c.recordCrashes(now, incarnation, broken), false
+	incarnation = c.receiver(incarnation, sent)
+	if newCrashes, ended := c.addBrokenSends(now, incarnation, broken); ended {
+		return newCrashes, false
+	}
+	pending := c.pending[incarnation]
+	check = !pending.checking
+	pending.checking = true
+	return nil, check
+}
+
+// addBrokenSends records broken sends that were sent at the same time as crashes, if their upstream is known to have ended
+// since, and otherwise as pending.
+func (c *Core) addBrokenSends(now time.Time, incarnation Incarnation, broken []brokenSend) (newCrashes []Crash, ended bool) {
+	if end, known := c.ended[incarnation]; known && !broken[0].sent.After(end.at) {
+		return c.recordCrashes(now, incarnation, broken), true
 	}
 	pending := mapentry.GetOrCreate(c.pending, incarnation, mapentry.Zero[pendingSends])
 	if len(pending.sends) < maxPendingSends {
 		pending.sends = append(pending.sends, broken...)
 	}
-	check = !pending.checking
-	pending.checking = true
-	return nil, check
+	return nil, false
+}
+
+// receiver returns the incarnation that got a send to the given one: a later one, if that had started by then and the
+// list of upstreams was late.
+func (c *Core) receiver(incarnation Incarnation, sent time.Time) Incarnation {
+	for {
+		end, ended := c.ended[incarnation]
+		if !ended || !end.next.known() || sent.Before(end.next.at) {
+			return incarnation
+		}
+		incarnation = end.next.incarnation
+	}
 }
 
 // recordBrokenSend records the time of a broken send for NeedsLivenessConn, unless there are maxSuspects recent
@@ -175,13 +214,40 @@
 // UpstreamEnded records that the process of an upstream ended other than by a planned stop. It
 // returns the crashes that are new.
 func (c *Core) UpstreamEnded(now time.Time, incarnation Incarnation) []Crash {
+	if c.ended[incarnation].next.known() {
+		return nil
+	}
+	return c.endUpstream(now, incarnation, restart{})
+}
+
+// UpstreamRestarted records that the process of an upstream ended other than by a planned stop, as a later one, the
+// incarnation next, started at the given time by its own clock. Sends that broke off before an answer of the earlier
+// process didn't crash it, and those that were sent after the start of the later one broke off there. UpstreamRestarted
+// returns the crashes that are new.
+func (c *Core) UpstreamRestarted(now time.Time, incarnation, next Incarnation, startedAt time.Time) []Crash {
+	return c.endUpstream(now, incarnation, restart{incarnation: next, at: startedAt})
+}
+
+// endUpstream records the end of an upstream, and the process that replaced it if it is known.
+func (c *Core) endUpstream(now time.Time, incarnation Incarnation, next restart) []Crash {
+	c.ended[incarnation] = ending{at: now, next: next}
 	pending := c.pending[incarnation]
 	delete(c.pending, incarnation)
-	c.endedAt[incarnation] = now
 	if pending == nil {
 		return nil
 	}
-	return c.recordCrashes(now, incarnation, newestPerContent(pending.sends))
+	var crashed []brokenSend
+	var newCrashes []Crash
+	for _, b := range pending.sends {
+		switch {
+		case next.known() && !b.sent.Before(next.at):
+			moved, _ := c.addBrokenSends(now, next.incarnation, []brokenSend{{content: b.content, sent: b.sent, at: b.at}})
+			newCrashes = append(newCrashes, moved...)
+		case b.answeredAt.IsZero() || next.known() && !b.answeredAt.Before(next.at):
+			crashed = append(crashed, b)
+		}
+	}
+	return append(newCrashes, c.recordCrashes(now, incarnation, newestPerContent(crashed))...)
 }
 
 // newestPerContent returns the newest send of each Content: the end of an upstream counts as one crash per Content,
@@ -217,8 +283,28 @@
 	if pending := c.pending[incarnation]; pending != nil && pending.sends[len(pending.sends)-1].at.Before(sent) {
 		delete(c.pending, incarnation)
 	}
-	if at, ok := c.endedAt[incarnation]; ok && at.Before(sent) {
-		delete(c.endedAt, incarnation)
+	c.forgetEnd(incarnation, sent)
+}
+
+// UpstreamAnswered records that an upstream answered a request that was sent at the given time, if a later incarnation of
+// it may have done so: the list of upstreams may be late. What the answer says of pending sends that broke off before is
+// known once that incarnation is (see UpstreamRestarted).
+func (c *Core) UpstreamAnswered(now time.Time, incarnation Incarnation, sent time.Time) {
+	if pending := c.pending[incarnation]; pending != nil {
+		for i := range pending.sends {
+			if b := &pending.sends[i]; b.answeredAt.IsZero() && b.at.Before(sent) {
+				b.answeredAt = now
+			}
+		}
+	}
+	c.forgetEnd(incarnation, sent)
+}
+
+// forgetEnd drops the end of an upstream that was noticed before a request was sent that was answered under the same
+// name, unless the process that answered is known.
+func (c *Core) forgetEnd(incarnation Incarnation, sent time.Time) {
+	if end, ok := c.ended[incarnation]; ok && !end.next.known() && end.at.Before(sent) {
+		delete(c.ended, incarnation)
 	}
 }
 
@@ -360,9 +446,9 @@
 			delete(c.pending, incarnation)
 		}
 	}
-	for incarnation, at := range c.endedAt {
-		if now.Sub(at) >= maxEndDelay {
-			delete(c.endedAt, incarnation)
+	for incarnation, end := range c.ended {
+		if now.Sub(end.at) >= maxEndDelay {
+			delete(c.ended, incarnation)
 		}
 	}
 }
--- a/internal/request/quarantine/core_test.go
+++ b/internal/request/quarantine/core_test.go
@@ -402,3 +402,49 @@
 		t.Errorf("%d pieces of work are kept", n)
 	}
 }
+
+// TestCrashCountsThoughNextIncarnationAnsweredFirst guards against work that goes on crashing upstreams which restart under
+// their names: their later incarnations answered other requests before the list of upstreams had their starts, and the
+// sends that the ends had broken off were taken for sends that an upstream survived.
+func TestCrashCountsThoughNextIncarnationAnsweredFirst(t *testing.T) {
+	for name, test := range map[string]struct {
+		restartedAt time.Duration
+		crashes     int
+	}{
+		"the next incarnation answered": {150 * ms, 1},
+		"the same incarnation answered": {350 * ms, 0},
+	} {
+		c := New()
+		c.SendBroken(at(100*ms), work, "a@1", at(0))
+		c.UpstreamAnswered(at(300*ms), "a@1", at(200*ms))
+		if n := len(c.UpstreamRestarted(at(time.Second), "a@1", "a@2", at(test.restartedAt))); n != test.crashes {
+			t.Errorf("%s: %d crashes, want %d", name, n, test.crashes)
+		}
+	}
+}
+
+// TestSendToNextIncarnationIsNoCrashOfTheEarlierOne guards against one end of an upstream that counts twice, and against
+// ends that didn't happen: a send under the name that a late list has broke off at a later incarnation.
+func TestSendToNextIncarnationIsNoCrashOfTheEarlierOne(t *testing.T) {
+	for name, brokeFirst := range map[string]bool{"broke off before the list": true, "broke off after the list": false} {
+		c := New()
+		breakOff := func() []Crash {
+			newCrashes, _ := c.SendBroken(at(400*ms), work, "a@1", at(300*ms))
+			return newCrashes
+		}
+		var newCrashes []Crash
+		if brokeFirst {
+			newCrashes = breakOff()
+		}
+		newCrashes = append(newCrashes, c.UpstreamRestarted(at(350*ms), "a@1", "a@2", at(200*ms))...)
+		if !brokeFirst {
+			newCrashes = append(newCrashes, breakOff()...)
+		}
+		if len(newCrashes) > 0 {
+			t.Errorf("%s: counted as crashes of the earlier incarnation: %+v", name, newCrashes)
+		}
+		if got := c.UpstreamEnded(at(500*ms), "a@2"); len(got) != 1 || got[0].Upstream != HashOf("a@2") {
+			t.Errorf("%s: crashes of the later incarnation: %+v, want one", name, got)
+		}
+	}
+}
