Holds: a cut-off instance takes no upstream for one that ended

Cut links refuse as a process does that is gone, and where several instances are cut off at once, none can tell that the upstream is alive.

A refusal counts as an end only if, besides no other instance reaching the upstream, this one reaches another upstream of the zone that it used within the last three seconds (up to five are tried). Where it used none, the others' word decides, as before. A send that is refused (never sent) goes through the same check, if sends had broken off there; before, it counted at once. That an address refused and then accepted no longer counts for an upstream with a known start: its restart shows in the list.

--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -38,12 +38,22 @@
 	})
 }
 
+// errOwnLinks is the reason for not concluding from a refused connection that an upstream ended: the links of this
+// instance to others in its zone, which worked lately, fail as well.
+var errOwnLinks = errors.New("the own links to other upstreams in the zone fail, too")
+
 // checkUpstreamEnded connects to an upstream at which a send broke off. A refused connection shows that the upstream's
-// process has ended, unless another instance reaches the upstream and the own link still refuses: then the link is
-// down.
+// process has ended, unless the link is at fault: another instance reaches the upstream and the own link still refuses, or
+// no other instance does, and this one doesn't reach other upstreams of the zone either.
 func (e *Entry) checkUpstreamEnded(ctx context.Context, incarnation quarantine.Incarnation, address string, timeout time.Duration) error {
 	err := upstream.CheckReachable(ctx, address, timeout)
-	if !holds.IsConnectionRefused(err) || !e.reachesThroughRelay(ctx, &fleet.Upstream{ID: string(incarnation), Address: address}) {
+	switch {
+	case !holds.IsConnectionRefused(err):
+		return err
+	case !e.reachesThroughRelay(ctx, &fleet.Upstream{ID: string(incarnation), Address: address}):
+		if !e.reachesNeighbor(ctx, address, timeout) {
+			return errOwnLinks
+		}
 		return err
 	}
 	if again := upstream.CheckReachable(ctx, address, timeout); again != nil {
@@ -52,6 +62,22 @@
 	return err
 }
 
+// reachesNeighbor reports whether this instance reaches another upstream in the zone of the one at an address, or reached
+// none lately that could tell.
+func (e *Entry) reachesNeighbor(ctx context.Context, address string, timeout time.Duration) bool {
+	neighbors := e.links.neighbors(address)
+	reached := make(chan bool, len(neighbors))
+	for _, neighbor := range neighbors {
+		e.spawn(func() { reached <- upstream.CheckReachable(ctx, neighbor, timeout) == nil })
+	}
+	for range neighbors {
+		if <-reached {
+			return true
+		}
+	}
+	return len(neighbors) == 0
+}
+
 // holdRecordDelay returns how long to wait before a hold is stored or removed. own says that this
 // instance found the last crash that led to the hold, or that the removal is up to this instance.
 func (e *Entry) holdRecordDelay(own bool) time.Duration {
@@ -117,11 +143,6 @@
 	return ctx.Err() == nil && errors.Is(err, errIncomplete)
 }
 
-// reportRefusedConnection records that an upstream has ended, as its address refuses connections.
-func (e *Entry) reportRefusedConnection(u *fleet.Upstream) {
-	e.holds.UpstreamEnded(incarnationOf(u), "connection refused")
-}
-
 // incarnationOf returns the incarnation of an upstream in the type of package quarantine.
 func incarnationOf(u *fleet.Upstream) quarantine.Incarnation {
 	return quarantine.Incarnation(u.Incarnation())
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -391,7 +391,8 @@
 	case out.maybeSent:
 		q.reportBrokenSend(held.upstream(), s)
 	case holds.IsConnectionRefused(err):
-		q.e.reportRefusedConnection(held.upstream())
+		u := held.upstream()
+		q.e.holds.CheckUpstream(incarnationOf(u), u.Address)
 	}
 	return out
 }
--- a/internal/process/entry/forward.go
+++ b/internal/process/entry/forward.go
@@ -46,7 +46,7 @@
 	resp, err := e.client.Forward(ctx, q.serviceCall(u, send))
 	switch {
 	case err == nil:
-		e.links.worked(u.Address)
+		e.links.reached(u)
 		resp.Body = &linkBody{ReadCloser: resp.Body, links: e.links, address: u.Address}
 	case ctx.Err() == nil && isLinkFailure(err):
 		e.links.failed(u.Address)
@@ -72,11 +72,12 @@
 	return upstream.ForwardOver(ctx, conn, q.serviceCall(u, send))
 }
 
-// reportIfRestarted records that an upstream has ended if its address, which refused a connection before, now accepts
-// one: another instance reached it since, so its process was replaced. Otherwise the link is at fault.
+// reportIfRestarted records that an upstream without its start has ended if its address, which refused a connection
+// before, now accepts one: another instance reached it since, so its process was replaced. Otherwise the link is at
+// fault. The restart of one with its start shows in the list.
 func (e *Entry) reportIfRestarted(u *fleet.Upstream) {
-	if upstream.CheckReachable(e.workCtx, u.Address, upstreamDialTimeout) == nil {
-		e.reportRefusedConnection(u)
+	if u.StartedMS == 0 && upstream.CheckReachable(e.workCtx, u.Address, upstreamDialTimeout) == nil {
+		e.holds.UpstreamEnded(incarnationOf(u), "it refused a connection and accepts one again")
 	}
 }
 
--- a/internal/process/entry/links.go
+++ b/internal/process/entry/links.go
@@ -16,6 +16,10 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 )
 
+// maxNeighbors is the number of other upstreams that are tried to tell an upstream that ended from own links that are down.
+// A request that crashes upstreams may have ended some of them, too.
+const maxNeighbors = 5
+
 // ownLinks tracks which upstreams this instance reaches over its own network links. It is safe for concurrent use.
 type ownLinks struct {
 	metrics *entryMetrics
@@ -62,6 +66,17 @@
 	l.with(func(now time.Time, core *links.Core) { core.Worked(now, address) })
 }
 
+// reached records that an upstream answered a request over the own link.
+func (l *ownLinks) reached(u *fleet.Upstream) {
+	l.with(func(now time.Time, core *links.Core) { core.Reached(now, u.Address, u.Zone) })
+}
+
+// neighbors returns the addresses of other upstreams in the zone of the one at an address that this instance reached lately.
+func (l *ownLinks) neighbors(address string) (out []string) {
+	l.with(func(now time.Time, core *links.Core) { out = core.Neighbors(now, address, maxNeighbors) })
+	return out
+}
+
 // failed records that the own link to an address failed.
 func (l *ownLinks) failed(address string) {
 	l.with(func(now time.Time, core *links.Core) { core.Failed(now, address) })
--- a/internal/process/holds/brokensend.go
+++ b/internal/process/holds/brokensend.go
@@ -88,6 +88,16 @@
 	}
 }
 
+// CheckUpstream checks in the background whether the process of an upstream has ended that refused a connection, if sends
+// broke off there and no check is in progress.
+func (k *Keeper) CheckUpstream(incarnation quarantine.Incarnation, address string) {
+	wanted := false
+	k.withCore(func(c *quarantine.Core) { wanted = c.CheckWanted(incarnation) })
+	if wanted {
+		k.cfg.RunInBackground(func() { k.checkUpstream(k.cfg.Background, incarnation, address) })
+	}
+}
+
 // awaitLivenessConn records that an upstream's process has ended if the liveness connection ended at about the same
 // time as the send, which broke off at brokenAt.
 func (k *Keeper) awaitLivenessConn(b BrokenSend, brokenAt time.Time) {
--- a/internal/process/links/core.go
+++ b/internal/process/links/core.go
@@ -36,6 +36,7 @@
 
 // link is what is known of one link.
 type link struct {
+	zone      string    // of the upstream; empty: not known
 	down      bool      // requests go through relays
 	confirmed bool      // a relay reached the upstream while the link was down
 	workedAt  time.Time // last evidence that the link works
@@ -92,6 +93,31 @@
 	}
 }
 
+// Reached records that a request over the own link to an upstream in the given zone was answered.
+func (c *Core) Reached(now time.Time, address, zone string) {
+	c.Worked(now, address)
+	c.link(address).zone = zone
+}
+
+// Neighbors returns up to n addresses in the zone of an upstream whose own links worked last, other than its own, the
+// latest first. A link that worked longer than evidenceWindow ago isn't among them.
+func (c *Core) Neighbors(now time.Time, address string, n int) []string {
+	target, ok := c.links[address]
+	if !ok || target.zone == "" {
+		return nil
+	}
+	var out []string
+	for other, l := range c.links {
+		if other != address && l.zone == target.zone && now.Sub(l.workedAt) < evidenceWindow {
+			out = append(out, other)
+		}
+	}
+	slices.SortFunc(out, func(a, b string) int {
+		return cmp.Or(c.links[b].workedAt.Compare(c.links[a].workedAt), strings.Compare(a, b))
+	})
+	return out[:min(len(out), n)]
+}
+
 // Failed records that a connection over the own link couldn't be opened, or became silent. The link is taken to be
 // down until a relay fails to reach the upstream, too (Unreachable), or until it works again.
 func (c *Core) Failed(now time.Time, address string) {
--- a/internal/process/links/core_test.go
+++ b/internal/process/links/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -206,3 +207,24 @@
 		t.Errorf("%d links known, %d down, cut off: %v", n, c.Down(), c.CutOff())
 	}
 }
+
+// TestNeighborsAreOfTheZoneAndWorkedLately checks which upstreams tell whether a failure is due to the own links.
+func TestNeighborsAreOfTheZoneAndWorkedLately(t *testing.T) {
+	c := New()
+	list := addresses(6)
+	for i, address := range list[:4] {
+		c.Reached(at(time.Duration(i)*time.Second), address, "z1")
+	}
+	c.Reached(at(3*time.Second), list[4], "z2")
+	c.Worked(at(3*time.Second), list[5]) // of an unknown zone
+	c.Failed(at(3*time.Second), list[2])
+	now := at(3*time.Second + evidenceWindow/2)
+	for n, want := range map[int][]string{1: {list[2]}, 5: {list[2]}} {
+		if got := c.Neighbors(now, list[3], n); !slices.Equal(got, want) {
+			t.Errorf("of %d: %v, want %v", n, got, want)
+		}
+	}
+	if got := c.Neighbors(now, list[5], 5); got != nil {
+		t.Errorf("of an upstream in an unknown zone: %v", got)
+	}
+}
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -200,6 +200,17 @@
 	}
 }
 
+// CheckWanted reports whether the caller has to check whether an upstream has ended: sends broke off there, and no check is
+// in progress.
+func (c *Core) CheckWanted(incarnation Incarnation) bool {
+	pending, ok := c.pending[incarnation]
+	if !ok || pending.checking {
+		return false
+	}
+	pending.checking = true
+	return true
+}
+
 // Checked records that a check that began at the given time did not find that the upstream has ended. It
 // returns true if sends broke off there since then, so that the caller has to check again.
 func (c *Core) Checked(incarnation Incarnation, began time.Time) (again bool) {
--- a/internal/request/quarantine/core_test.go
+++ b/internal/request/quarantine/core_test.go
@@ -448,3 +448,20 @@
 		}
 	}
 }
+
+// TestRefusedConnectionIsCheckedOnce checks that a refused connection leads to a check whether its upstream has ended only
+// if sends broke off there, and to no second one meanwhile.
+func TestRefusedConnectionIsCheckedOnce(t *testing.T) {
+	c := New()
+	if c.CheckWanted("a") {
+		t.Error("checked although no send broke off")
+	}
+	c.SendBroken(at(100*ms), work, "a", at(0))
+	if c.CheckWanted("a") {
+		t.Error("checked again during the check of the broken send")
+	}
+	c.Checked("a", at(200*ms))
+	if !c.CheckWanted("a") || c.CheckWanted("a") {
+		t.Error("want one check after the first one has ended")
+	}
+}
