Holds: deadly work stays held beside a sound part that met some of its crashes

What callers saw: a request that crashes engines, already held, was sent again and crashed further ones.

Class: an explanation that works in one direction only.

A part is outranked by work that was under way at half of the part's ends or more, if the part is missing from more than a quarter of that work's ends: then it isn't held, nor chosen as the likelier one, and a hold of it ends. A deadly part is under way at all ends of work that has it, so that its holds stay.

TestDeadlyWorkStaysHeldBesideSoundPart failed before (both works freed, the part held).

--- a/internal/request/quarantine/ends.go
+++ b/internal/request/quarantine/ends.go
@@ -88,9 +88,11 @@
 // containsMore reports whether all is larger than ends and contains them, but for maxMissingShare. Neither may contain an
 // end twice.
 func containsMore(all, ends []end) bool {
-	if len(ends) == 0 || len(all) <= len(ends) {
-		return false
-	}
+	return len(ends) > 0 && len(all) > len(ends) && contains(all, ends)
+}
+
+// contains reports whether all contains the ends, but for maxMissingShare.
+func contains(all, ends []end) bool {
 	missing := 0
 	for _, e := range ends {
 		if !leadTo(all, e) {
--- a/internal/request/quarantine/explain.go
+++ b/internal/request/quarantine/explain.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // heldPart reports whether the suspect is a part that is held.
 func (s *suspect) heldPart(now time.Time, content Content) bool {
@@ -62,8 +65,11 @@
 // these ends and at more, and is held or would be after as few crashes. Holds whose crashes aren't known are never
 // outranked.
 func (c *Core) outranked(now time.Time, part Content, s *suspect) bool {
-	if s.hold.activeAt(now) && len(s.hold.Crashes) == 0 {
+	switch {
+	case s.hold.activeAt(now) && len(s.hold.Crashes) == 0:
 		return false
+	case c.outrankedByWork(s):
+		return true
 	}
 	ends, explained := s.ends(), c.heldEnds(now, part)
 	for content, other := range c.suspects {
@@ -79,3 +85,26 @@
 	}
 	return false
 }
+
+// outrankedByWork reports whether some work is a likelier cause of the crashes of a part: it was under way at half of the
+// part's ends or more, and the part is missing from too many of the work's ends to be their cause. Requests of the same
+// work may have different parts. Work counts if its ends would hold it, whatever else explains them.
+func (c *Core) outrankedByWork(part *suspect) bool {
+	ends := part.ends()
+	var due []end
+	for content, work := range c.suspects {
+		if content.IsPart() || len(work.crashes)+len(work.hold.Crashes) < crashesToHold {
+			continue
+		}
+		if workEnds := work.ends(); len(workEnds) >= crashesToHold && !contains(ends, workEnds) {
+			due = append(due, workEnds...)
+		}
+	}
+	explained := 0
+	for _, e := range ends {
+		if slices.ContainsFunc(due, e.same) {
+			explained++
+		}
+	}
+	return explained > 0 && 2*explained >= len(ends)
+}
--- a/internal/request/quarantine/hold.go
+++ b/internal/request/quarantine/hold.go
@@ -68,7 +68,7 @@
 	s.hold.Crashes = s.countedSince(now, s.previous)
 	s.fromCrashes, s.stored = true, false
 	c.newHolds = append(c.newHolds, content)
-	c.explainDue = c.explainDue || content.IsPart()
+	c.explainDue = true
 }
 
 // unfounded reports whether the current hold isn't justified any more. A stored hold depends on the crashes in its
@@ -198,7 +198,7 @@
 		s.hold = hold
 	}
 	s.stored, s.storedAt = true, now
-	c.explainDue = c.explainDue || content.IsPart()
+	c.explainDue = true
 	c.explainCrashes(now)
 	return isNew
 }
--- a/internal/request/quarantine/part.go
+++ b/internal/request/quarantine/part.go
@@ -91,7 +91,7 @@
 	ends := s.ends()
 	best := (len(ends) + 1) / 2
 	for content, other := range c.suspects {
-		if !content.IsPart() || content == part || other.hold.activeAt(now) || !c.isLikelier(now, content, other, part, s) {
+		if !content.IsPart() || content == part || other.hold.activeAt(now) || !c.isLikelier(now, content, other, part, s) || c.outrankedByWork(other) {
 			continue
 		}
 		if n := other.countAt(ends); n >= best && countIndependent(other.countedSince(now, other.hold)) >= partCrashesToHold {
--- a/internal/request/quarantine/part_test.go
+++ b/internal/request/quarantine/part_test.go
@@ -441,3 +441,29 @@
 		w.check(name, false, "a")
 	}
 }
+
+// TestDeadlyWorkStaysHeldBesideSoundPart guards against deadly work that goes on crashing upstreams: a sound part of other
+// requests met some of its crashes, was held for them, and explained them, so that the holds of the work were removed.
+func TestDeadlyWorkStaysHeldBesideSoundPart(t *testing.T) {
+	w := newPartWorld(t)
+	w.answer(minAnswers, "a")
+	first, second := ContentOf("POST", "h", "/first", nil), ContentOf("POST", "h", "/second", nil)
+	for i, crash := range []struct {
+		deadly Content
+		part   string // of a sound request at the same upstream
+	}{{first, "b"}, {first, "c"}, {second, "b"}, {second, "b"}, {second, "d"}} {
+		w.now = w.now.Add(300 * time.Millisecond)
+		upstream := Incarnation(fmt.Sprint("u", i))
+		sent := w.now.Add(-50 * time.Millisecond)
+		w.core.SendWithPartsBroken(w.now, crash.deadly, nil, upstream, sent)
+		w.core.SendWithPartsBroken(w.now, ContentOf("POST", "h", fmt.Sprint("/", i), nil), partsOf("a", crash.part), upstream, sent)
+		w.core.UpstreamEnded(w.now, upstream)
+		w.answer(minControlAnswers, "a")
+	}
+	for _, work := range []Content{first, second} {
+		if _, held := w.core.ActiveHold(w.now, work); !held {
+			t.Errorf("deadly work %v isn't held", work)
+		}
+	}
+	w.check("after crashes of deadly work", false, "a", "b", "c", "d")
+}
