Holds: a deadly part is held although few requests are answered

Cause, by lines added for the trial: at 6 to 11 independent crashes neither was the part outranked nor another one likelier, but the last condition failed: five whole answers since the first crash, or another part that broke off twice as often and was under way at half of the same ends. The deadly part leaves hardly anything that could answer (1 to 4 answers), and one such answer cleared the part that all requests share, whose crashes then didn't count as having been there.

A crash that is void still tells that its part was under way at that end.

TestDeadlyPartIsHeldThoughFewRequestsAreAnswered failed before.

--- a/internal/request/quarantine/ends.go
+++ b/internal/request/quarantine/ends.go
@@ -81,6 +81,18 @@
 	return n
 }
 
+// metAt is countAt with the crashes that are void: an answer shows that the suspect is sound, and not that it wasn't under
+// way at the ends.
+func (s *suspect) metAt(ends []end) int {
+	n := 0
+	for _, crash := range s.crashes {
+		if (crash.counts() || crash.Void) && slices.ContainsFunc(ends, crash.end().same) {
+			n++
+		}
+	}
+	return n
+}
+
 // maxMissingShare is the largest share of the ends of a part that may be missing from those of a likelier one: the reports
 // of an instance that was killed are lost.
 const maxMissingShare = 0.25
--- a/internal/request/quarantine/part.go
+++ b/internal/request/quarantine/part.go
@@ -109,7 +109,7 @@
 	}
 	ends := s.ends()
 	for content, other := range c.suspects {
-		if content.IsPart() && content != part && other.brokenSends >= 2*s.brokenSends && 2*other.countAt(ends) >= len(ends) {
+		if content.IsPart() && content != part && other.brokenSends >= 2*s.brokenSends && 2*other.metAt(ends) >= len(ends) {
 			return true
 		}
 	}
--- a/internal/request/quarantine/part_test.go
+++ b/internal/request/quarantine/part_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -467,3 +468,50 @@
 	}
 	w.check("after crashes of deadly work", false, "a", "b", "c", "d")
 }
+
+// TestDeadlyPartIsHeldThoughFewRequestsAreAnswered guards against a part that goes on crashing upstreams because it leaves
+// few that could answer: the answers cleared the part that all requests share, which then no longer told that others had
+// broken off at the same ends.
+func TestDeadlyPartIsHeldThoughFewRequestsAreAnswered(t *testing.T) {
+	w := newPartWorld(t)
+	for i := range answeredPartCrashesToHold {
+		w.now = w.now.Add(300 * time.Millisecond)
+		w.crash(fmt.Sprint("u", i), []string{"a", "dead"}, []string{"a", fmt.Sprint("b", i)}, []string{"a", fmt.Sprint("c", i)})
+		if i < minControlAnswers-1 {
+			w.answer(1, "a")
+		}
+	}
+	w.check("after six crashes", true, "dead")
+	w.check("after six crashes", false, "a", "b0", "c0")
+}
+
+// TestSoundPartIsNotHeldInOutage guards against callers that are refused after an outage in which nothing was answered:
+// upstreams end one after another for another reason. A third of the many requests that run there share one part, and
+// others are as common as one in seven.
+func TestSoundPartIsNotHeldInOutage(t *testing.T) {
+	held := 0
+	for seed := range uint64(40) {
+		w := newPartWorld(t)
+		rng := rand.New(rand.NewPCG(seed, 1))
+		for i := range 30 {
+			w.now = w.now.Add(200 * time.Millisecond)
+			var inFlight [][]string
+			for range 9 {
+				ids := []string{"a", fmt.Sprint("b", rng.IntN(7))}
+				if rng.IntN(3) == 0 {
+					ids = append(ids, "common")
+				}
+				inFlight = append(inFlight, ids)
+			}
+			w.crash(fmt.Sprint("u", i), inFlight...)
+		}
+		for _, id := range []string{"a", "common", "b0", "b1", "b2", "b3", "b4", "b5", "b6"} {
+			if w.held(id) {
+				held++
+			}
+		}
+	}
+	if held > 0 {
+		t.Errorf("%d sound parts held in 40 outages", held)
+	}
+}
