Holds: links that fail one after another, or end in order, show no end of an upstream

By their lines: the check of another upstream ran 16 to 33 ms after the break, when not all links had failed yet; after seconds of a cut no upstream had been used lately, and the refusal counted; and connections that a cut ended in order counted as the end of the process ('its connections ended together').

Other upstreams are tried 100 ms after the refusal. If none was used in the last three seconds, a link must have worked within the last one. Connections that end together count only if the address accepts a connection, or refuses it in the sense of that check.

TestLivenessConnDetectsProcessEnd and TestCutOffInstanceTakesNoUpstreamForEnded have a further case each.

--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
@@ -38,6 +39,9 @@
 	})
 }
 
+// cutSettleTime is within what time of each other the links of an instance fail that is cut off.
+const cutSettleTime = 100 * time.Millisecond
+
 // errOwnLinks is the reason for not concluding from a refused connection that an upstream ended: the links of this
 // instance to others in its zone, which worked lately, fail as well.
 var errOwnLinks = errors.New("the own links to other upstreams in the zone fail, too")
@@ -62,10 +66,16 @@
 	return err
 }
 
-// reachesNeighbor reports whether this instance reaches another upstream in the zone of the one at an address, or reached
-// none lately that could tell.
+// reachesNeighbor reports whether this instance, after cutSettleTime, still reaches another upstream in the zone of the one
+// at an address. If it used none lately that could tell, its links must have worked elsewhere within the last second.
 func (e *Entry) reachesNeighbor(ctx context.Context, address string, timeout time.Duration) bool {
 	neighbors := e.links.neighbors(address)
+	if len(neighbors) == 0 {
+		return !e.links.inDoubt()
+	}
+	if platform.Sleep(ctx, cutSettleTime) != nil {
+		return false
+	}
 	reached := make(chan bool, len(neighbors))
 	for _, neighbor := range neighbors {
 		e.spawn(func() { reached <- upstream.CheckReachable(ctx, neighbor, timeout) == nil })
@@ -75,7 +85,7 @@
 			return true
 		}
 	}
-	return len(neighbors) == 0
+	return false
 }
 
 // holdRecordDelay returns how long to wait before a hold is stored or removed. own says that this
--- a/internal/process/entry/crashes_test.go
+++ b/internal/process/entry/crashes_test.go
@@ -39,11 +39,14 @@
 		"another upstream of the zone is reached":     {"z1", true, true},
 		"no other upstream of the zone was used":      {"z2", true, true},
 		"nor is any of another zone reached any more": {"z2", false, true},
+		"no link worked in the last second":           {"", false, false},
 	} {
 		e := newStepEntry(&stepDialect{reached: func(step) {}}, &countingEngines{}, "127.0.0.1:1")
 		u := fleet.Upstream{ID: "a", StartedMS: 5, Zone: "z1", Address: listenOrRefuse(t, false)}
-		e.links.reached(&u)
-		e.links.reached(&fleet.Upstream{ID: "b", Zone: test.neighborZone, Address: listenOrRefuse(t, test.neighborAccepts)})
+		if test.neighborZone != "" {
+			e.links.reached(&u)
+			e.links.reached(&fleet.Upstream{ID: "b", Zone: test.neighborZone, Address: listenOrRefuse(t, test.neighborAccepts)})
+		}
 		err := e.checkUpstreamEnded(context.Background(), incarnationOf(&u), u.Address, time.Second)
 		if ended := holds.IsConnectionRefused(err); ended != test.ended {
 			t.Errorf("%s: taken for ended: %t (%v), want %t", name, ended, err, test.ended)
--- a/internal/process/holds/brokensend.go
+++ b/internal/process/holds/brokensend.go
@@ -99,12 +99,19 @@
 }
 
 // awaitLivenessConn records that an upstream's process has ended if the liveness connection ended at about the same
-// time as the send, which broke off at brokenAt.
+// time as the send, which broke off at brokenAt, and the link isn't at fault: the address accepts a connection, or its
+// refusal shows that the process has ended (see Config.CheckReachable).
 func (k *Keeper) awaitLivenessConn(b BrokenSend, brokenAt time.Time) {
 	defer CloseLivenessConn(b.LivenessConn)
-	if b.LivenessConn.ClosedNear(k.cfg.Background, brokenAt, livenessConnTolerance) {
-		k.UpstreamEnded(b.Incarnation, "its connections ended together")
+	if !b.LivenessConn.ClosedNear(k.cfg.Background, brokenAt, livenessConnTolerance) {
+		return
+	}
+	err := k.cfg.CheckReachable(k.cfg.Background, b.Incarnation, b.Address, connectTimeout)
+	if err != nil && !IsConnectionRefused(err) {
+		logline.Info("connections ended together over a link at fault", "upstream", b.Incarnation, "error", err)
+		return
 	}
+	k.UpstreamEnded(b.Incarnation, "its connections ended together")
 }
 
 // checkUpstream checks whether the process of an upstream has ended, and if so records that. It repeats the check if
--- a/internal/process/holds/brokensend_test.go
+++ b/internal/process/holds/brokensend_test.go
@@ -1,11 +1,14 @@
 package holds
 
 import (
+	"context"
 	"net"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
 	standin "github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
 )
@@ -71,15 +74,20 @@
 func TestLivenessConnDetectsProcessEnd(t *testing.T) {
 	for name, c := range map[string]struct {
 		interrupt func(h *testServer)
+		linkErr   error // of the check of the address; nil: it is connected to
 		held      bool
 	}{
-		"restarts at once": {(*testServer).closeConns, true},
-		"keeps running":    {func(*testServer) {}, false},
-		"link reset":       {(*testServer).resetConns, false},
+		"restarts at once": {(*testServer).closeConns, nil, true},
+		"keeps running":    {func(*testServer) {}, nil, false},
+		"link reset":       {(*testServer).resetConns, nil, false},
+		"link closed":      {(*testServer).closeConns, errors.New("the link is down"), false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newTestServer(t)
 			k := newInstance(t, "i-1", standin.New(standin.Config{}))
+			if c.linkErr != nil {
+				k.cfg.CheckReachable = func(context.Context, quarantine.Incarnation, string, time.Duration) error { return c.linkErr }
+			}
 			if k.OpenLivenessConn(t.Context(), work, h.address()) != nil {
 				t.Fatal("witness opened for work that needs none")
 			}
