Retry limit: lines and metrics say how much of it is used

What was missing: the lines of a request say how many retries it counted, but not how near a service is to its limit, nor when a counted retry was sent. A line and metrics a second and service give counted, denied, the window and its limit; retry_wait_ms of a request is the longest time from a count to its send. No decision changes.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -73,6 +73,7 @@
 	duties          atomic.Pointer[dutyGrant] // permission for the calls that are left to the holder of the lease; nil: none
 	eraCtx          renewableContext          // canceled when the platform is restored from an older copy
 	requestLog      *requestLog
+	retryReporter   *retryReporter
 	readAheadBudget memoryBudget              // for the buffers of all streams together
 	kvLostAt        atomic.Pointer[time.Time] // when a KV cache was last found to be gone; nil: never
 
@@ -117,6 +118,7 @@
 	e.exporter = metrics.New("ragwort_entry", map[string]string{"zone": cfg.Settings.Instance.Zone})
 	e.metrics = newEntryMetrics(e.exporter.Scope())
 	e.startup = newStartup(e.exporter.Scope())
+	e.retryReporter = &retryReporter{scope: e.exporter.Scope()}
 	e.links = newOwnLinks(e.metrics)
 	e.workCtx, e.cancelWork = context.WithCancel(context.Background())
 	e.hardStopCtx, e.cancelHardStop = context.WithCancel(context.Background())
@@ -293,6 +295,7 @@
 		e.holds.Forget(time.Now())
 		e.streams.forget()
 		e.requestLog.tick(time.Now())
+		e.retryReporter.report(time.Now(), e.state)
 		e.probeUpstreams(ctx)
 		e.probeLinks(ctx)
 		switch {
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -286,6 +286,7 @@
 	}
 	s := q.startSend(ctx, u)
 	defer s.closeLivenessConn()
+	q.recordRetryWait()
 	startedAt := s.startedAt
 	q.sentAt, q.fetchingKV = startedAt, kv != nil
 	send := q.sendOptions(&held.grant.Choice, kv)
@@ -456,9 +457,19 @@
 		return false
 	}
 	q.countedRetries++
+	q.retryCountedAt = time.Now()
 	return true
 }
 
+// recordRetryWait records that a send starts, for which a retry may have been counted before.
+func (q *request) recordRetryWait() {
+	if q.retryCountedAt.IsZero() {
+		return
+	}
+	q.longestRetryWait = max(q.longestRetryWait, time.Since(q.retryCountedAt))
+	q.retryCountedAt = time.Time{}
+}
+
 // finalError returns the error of a request whose last send failed. A server error with which an upstream responded says
 // more.
 func (q *request) finalError(out sendOutcome) *errkind.Error {
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -177,6 +177,7 @@
 	}
 	s := q.startSend(ctx, u)
 	defer s.closeLivenessConn()
+	q.recordRetryWait()
 	startedAt := s.startedAt
 	resp, err := q.forward(ctx, held, exchange.SendOptions{PrefillOnly: true, CopyFrom: held.grant.Choice.CopyFrom.Address})
 	duration := time.Since(startedAt)
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -51,6 +51,8 @@
 	prefills         int                 // sends of a prefill that may have reached an engine
 	prefilled        bool                // an engine accepted a prefill, so that any further prefill is a retry
 	countedRetries   int                 // further sends that the service's retry limit allowed
+	retryCountedAt   time.Time           // when the last of them was counted that wasn't sent yet; zero: none
+	longestRetryWait time.Duration       // from the count of a further send to its start
 	possibleRuns     int                 // sends that may have run the request
 	excluded         []fleet.Incarnation // upstreams that it is not to be sent to again
 	runState         errkind.RunState    // the worst of all sends
--- a/internal/process/entry/requestlog.go
+++ b/internal/process/entry/requestlog.go
@@ -247,7 +247,7 @@
 	}
 	fields := []any{"request", q.info.ID, "route", route, "account", q.account.NameOrNone(), "config", version, "outcome", outcome, "ended", ending, "run", run,
 		"left_ms", q.info.TimeLeft.Milliseconds(), "ms", took.Milliseconds(), "first_ms", q.firstEventAfter.Milliseconds(), "waited_ms", q.placeWait.Milliseconds(), "prefill_ms", q.prefillTime.Milliseconds(),
-		"upstream", q.lastUpstream, "sends", q.sends, "prefills", q.prefills, "counted_retries", q.countedRetries}
+		"upstream", q.lastUpstream, "sends", q.sends, "prefills", q.prefills, "counted_retries", q.countedRetries, "retry_wait_ms", q.longestRetryWait.Milliseconds()}
 	if final != nil {
 		fields = append(fields, "why", final.Error(), "retry_after_ms", final.RetryAfter.Milliseconds())
 	}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -35,7 +35,7 @@
 	tracker        *place.Tracker
 	queue          *place.Queue
 	waiters        map[string]chan place.Decision // where decisions on waiting requests are sent, by Query.ID
-	retryWindows   map[string]*retry.Window       // by service
+	retryLimits    map[string]*retryLimit         // by service
 	patience       map[string]*patience.Route     // by route
 	resumeWindows  map[string]time.Duration       // see resumeWindow, by service
 	bounds         settings.EntryBounds
@@ -54,7 +54,7 @@
 		tracker:      tracker,
 		queue:        place.NewQueue(tracker),
 		waiters:      make(map[string]chan place.Decision),
-		retryWindows: make(map[string]*retry.Window),
+		retryLimits:  make(map[string]*retryLimit),
 		patience:     make(map[string]*patience.Route),
 		bounds:       s.Bounds,
 		confirmation: confirmation{clock: boottime.Now, onResume: func() {}},
@@ -338,7 +338,7 @@
 func (s *state) countRequest(now time.Time, service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retryWindow(service).Request(now)
+	s.retryLimit(service).window.Request(now)
 }
 
 // allowRetry reports whether the service's retry limit allows a further send of a request, and counts that
@@ -346,9 +346,14 @@
 func (s *state) allowRetry(now time.Time, service string, instances int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	w := s.retryWindow(service)
-	w.SetSlack(s.bounds.RetrySlack / float64(instances))
-	return w.Retry(now)
+	l := s.retryLimit(service)
+	l.window.SetSlack(s.bounds.RetrySlack / float64(instances))
+	if !l.window.Retry(now) {
+		l.denied++
+		return false
+	}
+	l.counted++
+	return true
 }
 
 // setBounds applies changed bounds. It drops the counts of requests and retries, which is safe: no more
@@ -357,19 +362,35 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.bounds = b
-	clear(s.retryWindows)
+	clear(s.retryLimits)
 }
 
-// retryWindow returns the counts for the retry limit of a service. Callers hold mu.
-func (s *state) retryWindow(service string) *retry.Window {
-	return mapentry.GetOrCreate(s.retryWindows, service, func() *retry.Window {
-		return retry.NewWindow(retry.WindowConfig{
+// retryLimit returns the retry limit of a service. Callers hold mu.
+func (s *state) retryLimit(service string) *retryLimit {
+	return mapentry.GetOrCreate(s.retryLimits, service, func() *retryLimit {
+		return &retryLimit{window: retry.NewWindow(retry.WindowConfig{
 			Ratio:  s.bounds.RetryRatio * retryRatioShare, // share of the requests counted here, so not divided among instances
 			Window: s.bounds.RetryWindow(),
-		})
+		})}
 	})
 }
 
+// retryReports returns how the retry limits were used since the last call, for each service of which retries were
+// counted or denied since.
+func (s *state) retryReports(now time.Time) []retryReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var reports []retryReport
+	for service, l := range s.retryLimits {
+		if l.counted == 0 && l.denied == 0 {
+			continue
+		}
+		reports = append(reports, retryReport{service: service, counted: l.counted, denied: l.denied, usage: l.window.Usage(now)})
+		l.counted, l.denied = 0, 0
+	}
+	return reports
+}
+
 // takeOwnLoad returns what a placer sends to others: the load of this process at each upstream, and the
 // prompts prefilled or fetched for it since the last call. mostReport: most of the other placers report
 // their load to this instance.
--- a/internal/request/retry/window.go
+++ b/internal/request/retry/window.go
@@ -50,14 +50,28 @@
 
 // Allows reports whether the limit allows a further send now, without counting one.
 func (w *Window) Allows(now time.Time) bool {
+	usage := w.Usage(now)
+	return float64(usage.Repeats+1) <= usage.Limit
+}
+
+// WindowUsage is how much of the limit is used in the window that ends now.
+type WindowUsage struct {
+	Requests int
+	Repeats  int
+	Limit    float64 // of Repeats
+}
+
+// Usage returns how much of the limit is used now.
+func (w *Window) Usage(now time.Time) WindowUsage {
 	w.advance(now)
-	requests, repeats := 0, 0
+	var u WindowUsage
 	for i := range w.requests {
-		requests += w.requests[i]
-		repeats += w.repeats[i]
+		u.Requests += w.requests[i]
+		u.Repeats += w.repeats[i]
 	}
-	requests -= w.requests[w.slot(w.bucket+1)] // the oldest bucket, which may be outside the window already
-	return float64(repeats+1) <= w.cfg.Ratio*float64(requests)+w.cfg.Slack
+	u.Requests -= w.requests[w.slot(w.bucket+1)] // the oldest bucket, which may be outside the window already
+	u.Limit = w.cfg.Ratio*float64(u.Requests) + w.cfg.Slack
+	return u
 }
 
 // slot returns the array index of a bucket.
