Retry limit: the window runs on the boot-time clock

Cause: the window's buckets were numbered by the time of day, so that a step forward empties it while its repeats still count; a step back keeps it longer. Change: the core takes times of the boot-time clock, which no step moves and which also runs while a process is suspended. The type leaves no other way.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/tunnel"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
@@ -295,7 +296,7 @@
 		e.holds.Forget(time.Now())
 		e.streams.forget()
 		e.requestLog.tick(time.Now())
-		e.retryReporter.report(time.Now(), e.state)
+		e.retryReporter.report(boottime.Now(), e.state)
 		e.probeUpstreams(ctx)
 		e.probeLinks(ctx)
 		switch {
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -11,6 +11,7 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
@@ -50,7 +51,7 @@
 // another engine if that is better, sends the request, and retries where that is allowed. It
 // returns why the request ended, and the error for its caller if no response of an upstream can be.
 func (q *request) execute(ctx context.Context) (response.Reason, *errkind.Error) {
-	q.e.state.countRequest(q.arrived, q.service)
+	q.e.state.countRequest(boottime.Now(), q.service)
 	defer func() { q.keptKV.release(q.e) }() // no engine will fetch the KV cache any more
 	q.response.core.ResumeAfter(q.info.LastEvent)
 	if q.continuesStream() {
@@ -453,7 +454,7 @@
 
 // allowRetry reports whether the service's retry limit allows a further send, and counts it.
 func (q *request) allowRetry() bool {
-	if !q.e.state.allowRetry(time.Now(), q.service, q.e.peers.instanceCount()) {
+	if !q.e.state.allowRetry(boottime.Now(), q.service, q.e.peers.instanceCount()) {
 		return false
 	}
 	q.countedRetries++
--- a/internal/process/entry/retrylimit.go
+++ b/internal/process/entry/retrylimit.go
@@ -5,6 +5,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
 )
@@ -30,13 +31,13 @@
 // retryReporter reports how retry limits are used, in log lines and metrics. It is not safe for concurrent use.
 type retryReporter struct {
 	scope    tally.Scope
-	reported time.Time // when it last reported
+	reported boottime.Time // when it last reported
 }
 
 // report writes a line for each service of which retries were counted or denied, at most once per
 // retryReportInterval.
-func (r *retryReporter) report(now time.Time, s *state) {
-	if now.Sub(r.reported).Abs() < retryReportInterval {
+func (r *retryReporter) report(now boottime.Time, s *state) {
+	if now.Sub(r.reported) < retryReportInterval {
 		return
 	}
 	r.reported = now
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -335,7 +335,7 @@
 }
 
 // countRequest counts a request of a service towards its retry limit.
-func (s *state) countRequest(now time.Time, service string) {
+func (s *state) countRequest(now boottime.Time, service string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.retryLimit(service).window.Request(now)
@@ -343,7 +343,7 @@
 
 // allowRetry reports whether the service's retry limit allows a further send of a request, and counts that
 // send. instances is the number of instances that share the slack of the limit.
-func (s *state) allowRetry(now time.Time, service string, instances int) bool {
+func (s *state) allowRetry(now boottime.Time, service string, instances int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.retryLimit(service)
@@ -377,7 +377,7 @@
 
 // retryReports returns how the retry limits were used since the last call, for each service of which retries were
 // counted or denied since.
-func (s *state) retryReports(now time.Time) []retryReport {
+func (s *state) retryReports(now boottime.Time) []retryReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var reports []retryReport
--- a/internal/request/retry/window.go
+++ b/internal/request/retry/window.go
@@ -1,6 +1,10 @@
 package retry
 
-import "time"
+import (
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+)
 
 // WindowConfig limits the repeats of the requests of one service in any window of time. A
 // repeat is any send of a request after its first. The limit holds for a whole deployment
@@ -18,12 +22,14 @@
 const windowBuckets = 20
 
 // Window allows repeats as a share of the requests in a sliding window. Unlike Budget it
-// never allows more than its limit in any window. It is not safe for concurrent use.
+// never allows more than its limit in any window. Its times are those of the boot-time clock: if the
+// time of day were set forward, repeats would be forgotten that still count. It is not safe for
+// concurrent use.
 type Window struct {
 	cfg      WindowConfig
 	requests [windowBuckets + 1]int
 	repeats  [windowBuckets + 1]int
-	bucket   int64 // number of the newest bucket, counted from the Unix epoch
+	bucket   int64 // number of the newest bucket, counted from the boot
 }
 
 // NewWindow returns an empty window.
@@ -33,14 +39,14 @@
 func (w *Window) SetSlack(slack float64) { w.cfg.Slack = slack }
 
 // Request counts the first send of a request.
-func (w *Window) Request(now time.Time) {
+func (w *Window) Request(now boottime.Time) {
 	w.advance(now)
 	w.requests[w.slot(w.bucket)]++
 }
 
 // Retry counts a further send of a request if the limit allows it, and reports whether it
 // does.
-func (w *Window) Retry(now time.Time) bool {
+func (w *Window) Retry(now boottime.Time) bool {
 	if !w.Allows(now) {
 		return false
 	}
@@ -49,7 +55,7 @@
 }
 
 // Allows reports whether the limit allows a further send now, without counting one.
-func (w *Window) Allows(now time.Time) bool {
+func (w *Window) Allows(now boottime.Time) bool {
 	usage := w.Usage(now)
 	return float64(usage.Repeats+1) <= usage.Limit
 }
@@ -62,7 +68,7 @@
 }
 
 // Usage returns how much of the limit is used now.
-func (w *Window) Usage(now time.Time) WindowUsage {
+func (w *Window) Usage(now boottime.Time) WindowUsage {
 	w.advance(now)
 	var u WindowUsage
 	for i := range w.requests {
@@ -78,8 +84,8 @@
 func (w *Window) slot(bucket int64) int { return int(bucket % int64(len(w.requests))) }
 
 // advance moves to the bucket of now and empties the buckets in between.
-func (w *Window) advance(now time.Time) {
-	bucket := now.UnixNano() / int64(w.cfg.Window/windowBuckets)
+func (w *Window) advance(now boottime.Time) {
+	bucket := int64(now) / int64(w.cfg.Window/windowBuckets)
 	if bucket-w.bucket > int64(len(w.requests)) {
 		w.requests, w.repeats = [windowBuckets + 1]int{}, [windowBuckets + 1]int{}
 		w.bucket = bucket
