Retry limit: a process that starts again keeps to what its predecessor left

Cause: a new process has an empty window. Change: in its first window a process is limited to the part of the ratio that a running one never uses (0.15 of it). Both parts together are the allowed ratio, so that a window that holds the sends of both keeps to it.

--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -20,9 +20,9 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
 
-// retryRatioShare is the share of the allowed retry ratio that is used. The rest is a margin: instances
-// count requests and retries by their own clocks, and a request counts where its first send arrives, so
-// the windows of instances don't coincide exactly.
+// retryRatioShare is the share of the allowed retry ratio that a process uses once it has counted for a
+// whole window. A process in its first window uses only the rest, because a process that ran before it may
+// have used its share within the same window.
 const retryRatioShare = 0.85
 
 // state holds what all requests share: the configuration, the known upstreams, placement and retry limits.
@@ -43,6 +43,7 @@
 	listed         bool      // the list of upstreams was read and is followed
 	platformLostAt time.Time // when the list of upstreams was last up to date, before the platform became unreadable or this process stalled
 	confirmation   confirmation
+	startedAt      boottime.Time
 }
 
 func newState(s *settings.Entry) *state {
@@ -58,6 +59,7 @@
 		patience:     make(map[string]*patience.Route),
 		bounds:       s.Bounds,
 		confirmation: confirmation{clock: boottime.Now, onResume: func() {}},
+		startedAt:    boottime.Now(),
 	}
 }
 
@@ -369,9 +371,10 @@
 func (s *state) retryLimit(service string) *retryLimit {
 	return mapentry.GetOrCreate(s.retryLimits, service, func() *retryLimit {
 		return &retryLimit{window: retry.NewWindow(retry.WindowConfig{
-			Ratio:  s.bounds.RetryRatio * retryRatioShare, // share of the requests counted here, so not divided among instances
-			Window: s.bounds.RetryWindow(),
-		})}
+			Ratio:      s.bounds.RetryRatio * retryRatioShare, // share of the requests counted here, so not divided among instances
+			StartRatio: s.bounds.RetryRatio * (1 - retryRatioShare),
+			Window:     s.bounds.RetryWindow(),
+		}, s.startedAt)}
 	})
 }
 
--- a/internal/request/retry/window.go
+++ b/internal/request/retry/window.go
@@ -10,10 +10,15 @@
 // repeat is any send of a request after its first. The limit holds for a whole deployment
 // although its processes don't coordinate: each process is limited to Ratio times its own
 // requests plus its fixed part of the deployment's slack.
+//
+// A process doesn't know what a process that it replaces sent. In its first window it is
+// therefore limited to StartRatio. A window that holds the sends of both never holds more
+// repeats than Ratio and StartRatio together allow.
 type WindowConfig struct {
-	Ratio  float64       // repeats per request
-	Slack  float64       // repeats that this process may send in addition to the ratio
-	Window time.Duration // length of the window
+	Ratio      float64       // repeats per request
+	StartRatio float64       // repeats per request in the first window
+	Slack      float64       // repeats that this process may send in addition to the ratio
+	Window     time.Duration // length of the window
 }
 
 // windowBuckets is the number of buckets, intervals of equal length, per window. Repeats
@@ -27,13 +32,14 @@
 // concurrent use.
 type Window struct {
 	cfg      WindowConfig
+	since    boottime.Time // repeats before are unknown
 	requests [windowBuckets + 1]int
 	repeats  [windowBuckets + 1]int
 	bucket   int64 // number of the newest bucket, counted from the boot
 }
 
-// NewWindow returns an empty window.
-func NewWindow(cfg WindowConfig) *Window { return &Window{cfg: cfg} }
+// NewWindow returns an empty window of a process that counts since a time, which is that of its start.
+func NewWindow(cfg WindowConfig, since boottime.Time) *Window { return &Window{cfg: cfg, since: since} }
 
 // SetSlack sets this process's part of the slack.
 func (w *Window) SetSlack(slack float64) { w.cfg.Slack = slack }
@@ -76,10 +82,18 @@
 		u.Repeats += w.repeats[i]
 	}
 	u.Requests -= w.requests[w.slot(w.bucket+1)] // the oldest bucket, which may be outside the window already
-	u.Limit = w.cfg.Ratio*float64(u.Requests) + w.cfg.Slack
+	u.Limit = w.ratio(now)*float64(u.Requests) + w.cfg.Slack
 	return u
 }
 
+// ratio returns the repeats per request that are allowed now.
+func (w *Window) ratio(now boottime.Time) float64 {
+	if now.Sub(w.since) < w.cfg.Window {
+		return w.cfg.StartRatio
+	}
+	return w.cfg.Ratio
+}
+
 // slot returns the array index of a bucket.
 func (w *Window) slot(bucket int64) int { return int(bucket % int64(len(w.requests))) }
 
--- a/internal/request/retry/window_test.go
+++ b/internal/request/retry/window_test.go
@@ -18,7 +18,7 @@
 func TestRepeatsStayWithinBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := WindowConfig{Ratio: 0.2, Slack: 2, Window: 10 * time.Second}
-		w := NewWindow(cfg)
+		w := NewWindow(cfg, windowStart.Add(-cfg.Window))
 		var requests, repeats []boottime.Time
 		now := windowStart
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
@@ -53,7 +53,7 @@
 }
 
 func TestWindowExpires(t *testing.T) {
-	w := NewWindow(WindowConfig{Ratio: 0, Slack: 1, Window: 10 * time.Second})
+	w := NewWindow(WindowConfig{Ratio: 0, Slack: 1, Window: 10 * time.Second}, windowStart)
 	if !w.Retry(windowStart) || w.Retry(windowStart) {
 		t.Fatal("a slack of one doesn't allow exactly one repeat")
 	}
@@ -61,3 +61,36 @@
 		t.Error("a repeat counts beyond the window")
 	}
 }
+
+// TestRestartedProcessKeepsToLimit guards against a process that uses the limit anew after its start. A process restarts
+// while requests fail, after a time in which none did. Each window is checked against the ratios of the process that ran
+// and of the one that runs.
+func TestRestartedProcessKeepsToLimit(t *testing.T) {
+	const gap = 100 * time.Millisecond // of requests; a steady rate, as the limit counts requests of other windows, too
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := WindowConfig{Ratio: 0.17, StartRatio: 0.03, Window: 10 * time.Second}
+		steps := func(name string, seconds int) int {
+			return rapid.IntRange(0, seconds*int(time.Second/gap)).Draw(t, name)
+		}
+		failing := steps("failing from", 20)
+		restarting := failing + steps("restart after", 5)
+		w := NewWindow(cfg, windowStart.Add(-cfg.Window))
+		var repeats []boottime.Time
+		for step := range restarting + steps("steps after", 30) {
+			now := windowStart.Add(time.Duration(step) * gap)
+			if step == restarting {
+				w = NewWindow(cfg, now)
+			}
+			w.Request(now)
+			for step >= failing && w.Retry(now) {
+				repeats = append(repeats, now)
+			}
+		}
+		requests := float64(cfg.Window / gap)
+		for _, end := range repeats {
+			if n := countAfter(repeats, end.Add(-cfg.Window), end); float64(n) > (cfg.Ratio+cfg.StartRatio)*requests {
+				t.Fatalf("%d repeats of %v requests in the window that ends at %v", n, requests, end.Sub(windowStart))
+			}
+		}
+	})
+}
