Retry limit: changed bounds keep what was counted

Cause: new bounds dropped the counts of the window, so that a process could use the ratio anew, as after a start. Change: the window takes a new limit and keeps its counts; buckets carry their own times, so that the window's length may change. A longer window begins as that of a new process, as it would need counts that were forgotten. TestChangedLimitKeepsCount and TestLongerWindowBeginsAnew; the latter fails without the new beginning.

--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -358,26 +358,32 @@
 	return true
 }
 
-// setBounds applies changed bounds. It drops the counts of requests and retries, which is safe: no more
-// retries are allowed until new requests are counted.
+// setBounds applies changed bounds.
 func (s *state) setBounds(b settings.EntryBounds) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.bounds = b
-	clear(s.retryLimits)
+	for _, l := range s.retryLimits {
+		l.window.SetConfig(boottime.Now(), s.retryWindowConfig())
+	}
 }
 
 // retryLimit returns the retry limit of a service. Callers hold mu.
 func (s *state) retryLimit(service string) *retryLimit {
 	return mapentry.GetOrCreate(s.retryLimits, service, func() *retryLimit {
-		return &retryLimit{window: retry.NewWindow(retry.WindowConfig{
-			Ratio:      s.bounds.RetryRatio * retryRatioShare, // share of the requests counted here, so not divided among instances
-			StartRatio: s.bounds.RetryRatio * (1 - retryRatioShare),
-			Window:     s.bounds.RetryWindow(),
-		}, s.startedAt)}
+		return &retryLimit{window: retry.NewWindow(s.retryWindowConfig(), s.startedAt)}
 	})
 }
 
+// retryWindowConfig returns the limit of each service without its slack. Callers hold mu.
+func (s *state) retryWindowConfig() retry.WindowConfig {
+	return retry.WindowConfig{
+		Ratio:      s.bounds.RetryRatio * retryRatioShare, // share of the requests counted here, so not divided among instances
+		StartRatio: s.bounds.RetryRatio * (1 - retryRatioShare),
+		Window:     s.bounds.RetryWindow(),
+	}
+}
+
 // retryReports returns how the retry limits were used since the last call, for each service of which retries were
 // counted or denied since.
 func (s *state) retryReports(now boottime.Time) []retryReport {
--- a/internal/request/retry/window.go
+++ b/internal/request/retry/window.go
@@ -1,6 +1,7 @@
 package retry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
@@ -21,51 +22,58 @@
 	Window     time.Duration // length of the window
 }
 
-// windowBuckets is the number of buckets, intervals of equal length, per window. Repeats
-// expire up to one bucket late and requests up to one bucket early, so that the limit is
-// never exceeded.
-const windowBuckets = 20
+// bucketsPerWindow is the number of intervals of a window for which requests and repeats are
+// counted together. Repeats expire up to one interval late and requests up to one interval
+// early, so that the limit is never exceeded.
+const bucketsPerWindow = 20
+
+// bucket counts the requests and repeats of an interval.
+type bucket struct {
+	begin, end boottime.Time
+	requests   int
+	repeats    int
+}
 
 // Window allows repeats as a share of the requests in a sliding window. Unlike Budget it
-// never allows more than its limit in any window. Its times are those of the boot-time clock: if the
-// time of day were set forward, repeats would be forgotten that still count. It is not safe for
-// concurrent use.
+// never allows more than its limit in any window.
+//
+// The times are those of the boot-time clock: if the time of day were set forward, repeats
+// would be forgotten that still count. A Window is not safe for concurrent use.
 type Window struct {
-	cfg      WindowConfig
-	since    boottime.Time // repeats before are unknown
-	requests [windowBuckets + 1]int
-	repeats  [windowBuckets + 1]int
-	bucket   int64 // number of the newest bucket, counted from the boot
+	cfg     WindowConfig
+	since   boottime.Time // repeats before are unknown
+	buckets []bucket      // oldest first
 }
 
 // NewWindow returns an empty window of a process that counts since a time, which is that of its start.
 func NewWindow(cfg WindowConfig, since boottime.Time) *Window { return &Window{cfg: cfg, since: since} }
 
+// SetConfig changes the limit. What was counted still counts. If the window becomes longer,
+// repeats that would count now were forgotten, so that it begins as that of a new process.
+func (w *Window) SetConfig(now boottime.Time, cfg WindowConfig) {
+	if cfg.Window > w.cfg.Window {
+		w.since = now
+	}
+	w.cfg = cfg
+}
+
 // SetSlack sets this process's part of the slack.
 func (w *Window) SetSlack(slack float64) { w.cfg.Slack = slack }
 
 // Request counts the first send of a request.
-func (w *Window) Request(now boottime.Time) {
-	w.advance(now)
-	w.requests[w.slot(w.bucket)]++
-}
+func (w *Window) Request(now boottime.Time) { w.current(now).requests++ }
 
 // Retry counts a further send of a request if the limit allows it, and reports whether it
 // does.
 func (w *Window) Retry(now boottime.Time) bool {
-	if !w.Allows(now) {
+	usage := w.Usage(now)
+	if float64(usage.Repeats+1) > usage.Limit {
 		return false
 	}
-	w.repeats[w.slot(w.bucket)]++
+	w.current(now).repeats++
 	return true
 }
 
-// Allows reports whether the limit allows a further send now, without counting one.
-func (w *Window) Allows(now boottime.Time) bool {
-	usage := w.Usage(now)
-	return float64(usage.Repeats+1) <= usage.Limit
-}
-
 // WindowUsage is how much of the limit is used in the window that ends now.
 type WindowUsage struct {
 	Requests int
@@ -75,13 +83,15 @@
 
 // Usage returns how much of the limit is used now.
 func (w *Window) Usage(now boottime.Time) WindowUsage {
-	w.advance(now)
+	w.forget(now)
 	var u WindowUsage
-	for i := range w.requests {
-		u.Requests += w.requests[i]
-		u.Repeats += w.repeats[i]
+	from := now.Add(-w.cfg.Window)
+	for _, b := range w.buckets {
+		u.Repeats += b.repeats
+		if from.Before(b.begin) {
+			u.Requests += b.requests
+		}
 	}
-	u.Requests -= w.requests[w.slot(w.bucket+1)] // the oldest bucket, which may be outside the window already
 	u.Limit = w.ratio(now)*float64(u.Requests) + w.cfg.Slack
 	return u
 }
@@ -94,18 +104,17 @@
 	return w.cfg.Ratio
 }
 
-// slot returns the array index of a bucket.
-func (w *Window) slot(bucket int64) int { return int(bucket % int64(len(w.requests))) }
+// forget removes the buckets that have left the window.
+func (w *Window) forget(now boottime.Time) {
+	from := now.Add(-w.cfg.Window)
+	w.buckets = slices.DeleteFunc(w.buckets, func(b bucket) bool { return b.end.Before(from) })
+}
 
-// advance moves to the bucket of now and empties the buckets in between.
-func (w *Window) advance(now boottime.Time) {
-	bucket := int64(now) / int64(w.cfg.Window/windowBuckets)
-	if bucket-w.bucket > int64(len(w.requests)) {
-		w.requests, w.repeats = [windowBuckets + 1]int{}, [windowBuckets + 1]int{}
-		w.bucket = bucket
-	}
-	for w.bucket < bucket {
-		w.bucket++
-		w.requests[w.slot(w.bucket)], w.repeats[w.slot(w.bucket)] = 0, 0
+// current returns the bucket of now.
+func (w *Window) current(now boottime.Time) *bucket {
+	if n := len(w.buckets); n == 0 || !now.Before(w.buckets[n-1].end) {
+		w.forget(now)
+		w.buckets = append(w.buckets, bucket{begin: now, end: now.Add(w.cfg.Window / bucketsPerWindow)})
 	}
+	return &w.buckets[len(w.buckets)-1]
 }
--- a/internal/request/retry/window_test.go
+++ b/internal/request/retry/window_test.go
@@ -94,3 +94,53 @@
 		}
 	})
 }
+
+// TestChangedLimitKeepsCount guards against repeats that are forgotten when the limit changes.
+func TestChangedLimitKeepsCount(t *testing.T) {
+	cfg := WindowConfig{Ratio: 0.1, Window: 10 * time.Second}
+	for _, c := range []struct {
+		name   string
+		change func(*WindowConfig)
+	}{
+		{"same limit", func(*WindowConfig) {}},
+		{"more slack", func(c *WindowConfig) { c.Slack = 0.1 }},
+		{"shorter window", func(c *WindowConfig) { c.Window /= 2 }},
+	} {
+		w := NewWindow(cfg, windowStart.Add(-cfg.Window))
+		for range 100 {
+			w.Request(windowStart)
+		}
+		for w.Retry(windowStart) {
+		}
+		now := windowStart.Add(cfg.Window / 4)
+		changed := cfg
+		c.change(&changed)
+		w.SetConfig(now, changed)
+		for range 5 { // not enough for a repeat by themselves
+			w.Request(now)
+		}
+		if w.Retry(now) {
+			t.Errorf("%s: a repeat beyond the limit is allowed", c.name)
+		}
+	}
+}
+
+// TestLongerWindowBeginsAnew guards against a limit that counts on what the shorter window has forgotten.
+func TestLongerWindowBeginsAnew(t *testing.T) {
+	cfg := WindowConfig{Ratio: 0.1, Window: 10 * time.Second}
+	w := NewWindow(cfg, windowStart.Add(-cfg.Window))
+	cfg.Window *= 2
+	w.SetConfig(windowStart, cfg)
+	for range 100 {
+		w.Request(windowStart)
+	}
+	if w.Retry(windowStart.Add(cfg.Window / 2)) {
+		t.Error("a repeat is allowed before the longer window has passed")
+	}
+	for range 100 {
+		w.Request(windowStart.Add(cfg.Window))
+	}
+	if !w.Retry(windowStart.Add(cfg.Window)) {
+		t.Error("no repeat is allowed after the longer window has passed")
+	}
+}
