Retry limit: a retry counts when it arrives, not when it is decided

Cause: a retry was counted when it was decided and then waited for a place, with no bound but the request's deadline. Retries decided over a long time could arrive together, beside those of the next window. Change: a retry is reserved when it is decided, counts as long as it waits, and from its arrival on for a window; the arrival is dated by the response, so that it is never counted too early. One that isn't sent is returned. TestRepeatsThatWaitStayWithinLimit fails with the old way (21 arrivals, 20 may).

--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -53,6 +53,7 @@
 func (q *request) execute(ctx context.Context) (response.Reason, *errkind.Error) {
 	q.e.state.countRequest(boottime.Now(), q.service)
 	defer func() { q.keptKV.release(q.e) }() // no engine will fetch the KV cache any more
+	defer q.returnRetries()
 	q.response.core.ResumeAfter(q.info.LastEvent)
 	if q.continuesStream() {
 		if refusal := q.resolveOrigin(ctx); refusal != nil {
@@ -287,7 +288,6 @@
 	}
 	s := q.startSend(ctx, u)
 	defer s.closeLivenessConn()
-	q.recordRetryWait()
 	startedAt := s.startedAt
 	q.sentAt, q.fetchingKV = startedAt, kv != nil
 	send := q.sendOptions(&held.grant.Choice, kv)
@@ -297,9 +297,11 @@
 		out := q.handleSendError(ctx, held, s, err)
 		if out.maybeSent {
 			q.possibleRuns++
+			q.countArrival()
 		}
 		return out
 	}
+	q.countArrival()
 	defer resp.Body.Close()
 	e.recordAnswer(u, startedAt)
 	info := q.e.cfg.Dialect.ResponseInfo(resp.Status, resp.Header)
@@ -445,32 +447,13 @@
 	if action != retry.SendElsewhere && action != retry.RunAgain {
 		return action
 	}
-	if out.maybeSent && !q.allowRetry() {
+	if out.maybeSent && !q.reserveRetry() {
 		f.Budget = false
 		return retry.Decide(f)
 	}
 	return action
 }
 
-// allowRetry reports whether the service's retry limit allows a further send, and counts it.
-func (q *request) allowRetry() bool {
-	if !q.e.state.allowRetry(boottime.Now(), q.service, q.e.peers.instanceCount()) {
-		return false
-	}
-	q.countedRetries++
-	q.retryCountedAt = time.Now()
-	return true
-}
-
-// recordRetryWait records that a send starts, for which a retry may have been counted before.
-func (q *request) recordRetryWait() {
-	if q.retryCountedAt.IsZero() {
-		return
-	}
-	q.longestRetryWait = max(q.longestRetryWait, time.Since(q.retryCountedAt))
-	q.retryCountedAt = time.Time{}
-}
-
 // finalError returns the error of a request whose last send failed. A server error with which an upstream responded says
 // more.
 func (q *request) finalError(out sendOutcome) *errkind.Error {
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -127,7 +127,7 @@
 		if refusal != nil {
 			return prefillResult{refusal: refusal}
 		}
-		if attempt == 0 && q.prefilled && !q.allowRetry() {
+		if attempt == 0 && q.prefilled && !q.reserveRetry() {
 			// The retry limit allowed one further arrival, which is that of the decode.
 			q.e.recordEvents(held, place.Event{Kind: place.Abandoned})
 			q.e.release(held)
@@ -148,7 +148,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		if sent && !q.allowRetry() {
+		if sent && !q.reserveRetry() {
 			return q.prefillNotRetried(err)
 		}
 	}
@@ -177,7 +177,6 @@
 	}
 	s := q.startSend(ctx, u)
 	defer s.closeLivenessConn()
-	q.recordRetryWait()
 	startedAt := s.startedAt
 	resp, err := q.forward(ctx, held, exchange.SendOptions{PrefillOnly: true, CopyFrom: held.grant.Choice.CopyFrom.Address})
 	duration := time.Since(startedAt)
@@ -186,6 +185,7 @@
 		out := q.handleSendError(ctx, held, s, err)
 		if out.maybeSent {
 			q.prefills++
+			q.countArrival()
 		}
 		return nil, out.maybeSent, out.err
 	}
@@ -197,6 +197,9 @@
 	q.handleNotices(held, startedAt, info)
 	e.recordEvents(held, responseEvents(resp.Status, info, false)...)
 	kv, err = q.parsePrefillResponse(*u, resp, info)
+	if err != nil || q.prefilled {
+		q.countArrival() // the first accepted prefill of a request isn't a retry
+	}
 	q.recordHealth(ctx, held, err == nil, info)
 	if endedEarly(ctx, err) {
 		q.reportBrokenSend(u, s)
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
@@ -50,9 +51,10 @@
 	sends            int
 	prefills         int                 // sends of a prefill that may have reached an engine
 	prefilled        bool                // an engine accepted a prefill, so that any further prefill is a retry
-	countedRetries   int                 // further sends that the service's retry limit allowed
-	retryCountedAt   time.Time           // when the last of them was counted that wasn't sent yet; zero: none
-	longestRetryWait time.Duration       // from the count of a further send to its start
+	reservedRetries  int                 // further sends that the service's retry limit allowed and that haven't reached an upstream
+	countedRetries   int                 // further sends that have
+	retryReservedAt  boottime.Time       // when a further send was last reserved
+	longestRetryWait time.Duration       // from the reservation of a further send to its arrival
 	possibleRuns     int                 // sends that may have run the request
 	excluded         []fleet.Incarnation // upstreams that it is not to be sent to again
 	runState         errkind.RunState    // the worst of all sends
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -16,15 +16,9 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/patience"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
-	"github.com/ragworttrestle/ragworttrestle/internal/request/retry"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
 
-// retryRatioShare is the share of the allowed retry ratio that a process uses once it has counted for a
-// whole window. A process in its first window uses only the rest, because a process that ran before it may
-// have used its share within the same window.
-const retryRatioShare = 0.85
-
 // state holds what all requests share: the configuration, the known upstreams, placement and retry limits.
 // It is safe for concurrent use.
 type state struct {
@@ -336,70 +330,6 @@
 	return s.tracker.Eligible(now, q)
 }
 
-// countRequest counts a request of a service towards its retry limit.
-func (s *state) countRequest(now boottime.Time, service string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.retryLimit(service).window.Request(now)
-}
-
-// allowRetry reports whether the service's retry limit allows a further send of a request, and counts that
-// send. instances is the number of instances that share the slack of the limit.
-func (s *state) allowRetry(now boottime.Time, service string, instances int) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	l := s.retryLimit(service)
-	l.window.SetSlack(s.bounds.RetrySlack / float64(instances))
-	if !l.window.Retry(now) {
-		l.denied++
-		return false
-	}
-	l.counted++
-	return true
-}
-
-// setBounds applies changed bounds.
-func (s *state) setBounds(b settings.EntryBounds) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.bounds = b
-	for _, l := range s.retryLimits {
-		l.window.SetConfig(boottime.Now(), s.retryWindowConfig())
-	}
-}
-
-// retryLimit returns the retry limit of a service. Callers hold mu.
-func (s *state) retryLimit(service string) *retryLimit {
-	return mapentry.GetOrCreate(s.retryLimits, service, func() *retryLimit {
-		return &retryLimit{window: retry.NewWindow(s.retryWindowConfig(), s.startedAt)}
-	})
-}
-
-// retryWindowConfig returns the limit of each service without its slack. Callers hold mu.
-func (s *state) retryWindowConfig() retry.WindowConfig {
-	return retry.WindowConfig{
-		Ratio:      s.bounds.RetryRatio * retryRatioShare, // share of the requests counted here, so not divided among instances
-		StartRatio: s.bounds.RetryRatio * (1 - retryRatioShare),
-		Window:     s.bounds.RetryWindow(),
-	}
-}
-
-// retryReports returns how the retry limits were used since the last call, for each service of which retries were
-// counted or denied since.
-func (s *state) retryReports(now boottime.Time) []retryReport {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var reports []retryReport
-	for service, l := range s.retryLimits {
-		if l.counted == 0 && l.denied == 0 {
-			continue
-		}
-		reports = append(reports, retryReport{service: service, counted: l.counted, denied: l.denied, usage: l.window.Usage(now)})
-		l.counted, l.denied = 0, 0
-	}
-	return reports
-}
-
 // takeOwnLoad returns what a placer sends to others: the load of this process at each upstream, and the
 // prompts prefilled or fetched for it since the last call. mostReport: most of the other placers report
 // their load to this instance.
--- a/internal/request/retry/window.go
+++ b/internal/request/retry/window.go
@@ -37,12 +37,17 @@
 // Window allows repeats as a share of the requests in a sliding window. Unlike Budget it
 // never allows more than its limit in any window.
 //
+// A repeat is reserved before it is sent, and counts from then on until a window after its
+// arrival: the time between the two has no bound, as a repeat waits for a place, and the
+// limit holds for arrivals.
+//
 // The times are those of the boot-time clock: if the time of day were set forward, repeats
 // would be forgotten that still count. A Window is not safe for concurrent use.
 type Window struct {
-	cfg     WindowConfig
-	since   boottime.Time // repeats before are unknown
-	buckets []bucket      // oldest first
+	cfg      WindowConfig
+	since    boottime.Time // repeats before are unknown
+	buckets  []bucket      // oldest first
+	reserved int           // repeats allowed that have neither arrived nor been returned
 }
 
 // NewWindow returns an empty window of a process that counts since a time, which is that of its start.
@@ -63,28 +68,38 @@
 // Request counts the first send of a request.
 func (w *Window) Request(now boottime.Time) { w.current(now).requests++ }
 
-// Retry counts a further send of a request if the limit allows it, and reports whether it
-// does.
-func (w *Window) Retry(now boottime.Time) bool {
+// Reserve reserves a repeat if the limit allows it, and reports whether it does. The repeat
+// has to be ended by Arrived or Return.
+func (w *Window) Reserve(now boottime.Time) bool {
 	usage := w.Usage(now)
-	if float64(usage.Repeats+1) > usage.Limit {
+	if float64(usage.Repeats+usage.Reserved+1) > usage.Limit {
 		return false
 	}
-	w.current(now).repeats++
+	w.reserved++
 	return true
 }
 
+// Arrived counts a reserved repeat that has reached its upstream, at the latest now.
+func (w *Window) Arrived(now boottime.Time) {
+	w.reserved--
+	w.current(now).repeats++
+}
+
+// Return returns a reserved repeat that wasn't sent.
+func (w *Window) Return() { w.reserved-- }
+
 // WindowUsage is how much of the limit is used in the window that ends now.
 type WindowUsage struct {
 	Requests int
-	Repeats  int
-	Limit    float64 // of Repeats
+	Repeats  int     // that have arrived
+	Reserved int     // repeats that have not
+	Limit    float64 // of Repeats and Reserved together
 }
 
 // Usage returns how much of the limit is used now.
 func (w *Window) Usage(now boottime.Time) WindowUsage {
 	w.forget(now)
-	var u WindowUsage
+	u := WindowUsage{Reserved: w.reserved}
 	from := now.Add(-w.cfg.Window)
 	for _, b := range w.buckets {
 		u.Repeats += b.repeats
--- a/internal/request/retry/window_test.go
+++ b/internal/request/retry/window_test.go
@@ -12,6 +12,15 @@
 // windowStart is when the tests of windows begin.
 const windowStart = boottime.Time(time.Hour)
 
+// retryAtOnce reserves a repeat that arrives at once, and reports whether the limit allowed it.
+func retryAtOnce(w *Window, now boottime.Time) bool {
+	if !w.Reserve(now) {
+		return false
+	}
+	w.Arrived(now)
+	return true
+}
+
 // TestRepeatsStayWithinBound guards against windows with more repeats than allowed. It
 // sends requests at random times, tries to repeat each of them three times at once, and
 // checks every window that ends with a repeat.
@@ -26,7 +35,7 @@
 			w.Request(now)
 			requests = append(requests, now)
 			for range 3 {
-				if w.Retry(now) {
+				if retryAtOnce(w, now) {
 					repeats = append(repeats, now)
 				}
 			}
@@ -54,10 +63,10 @@
 
 func TestWindowExpires(t *testing.T) {
 	w := NewWindow(WindowConfig{Ratio: 0, Slack: 1, Window: 10 * time.Second}, windowStart)
-	if !w.Retry(windowStart) || w.Retry(windowStart) {
+	if !retryAtOnce(w, windowStart) || retryAtOnce(w, windowStart) {
 		t.Fatal("a slack of one doesn't allow exactly one repeat")
 	}
-	if !w.Retry(windowStart.Add(11 * time.Second)) {
+	if !retryAtOnce(w, windowStart.Add(11*time.Second)) {
 		t.Error("a repeat counts beyond the window")
 	}
 }
@@ -82,7 +91,7 @@
 				w = NewWindow(cfg, now)
 			}
 			w.Request(now)
-			for step >= failing && w.Retry(now) {
+			for step >= failing && retryAtOnce(w, now) {
 				repeats = append(repeats, now)
 			}
 		}
@@ -95,6 +104,43 @@
 	})
 }
 
+// TestRepeatsThatWaitStayWithinLimit guards against repeats that are allowed over a long time, wait, and arrive together.
+// Each window is checked by when the repeats arrived.
+func TestRepeatsThatWaitStayWithinLimit(t *testing.T) {
+	const gap = 100 * time.Millisecond // of requests
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := WindowConfig{Ratio: 0.2, Window: 10 * time.Second}
+		w := NewWindow(cfg, windowStart.Add(-cfg.Window))
+		var arrived []boottime.Time
+		now := windowStart
+		for range 20 {
+			waiting := 0
+			for range rapid.IntRange(0, 100).Draw(t, "requests until there are places") {
+				now = now.Add(gap)
+				w.Request(now)
+				for w.Reserve(now) {
+					waiting++
+				}
+			}
+			sent := rapid.IntRange(0, 9).Draw(t, "sent") > 0
+			for range waiting {
+				if !sent {
+					w.Return()
+					continue
+				}
+				w.Arrived(now)
+				arrived = append(arrived, now)
+			}
+		}
+		requests := float64(cfg.Window / gap)
+		for _, end := range arrived {
+			if n := countAfter(arrived, end.Add(-cfg.Window), end); float64(n) > cfg.Ratio*requests {
+				t.Fatalf("%d repeats arrived for %v requests in the window that ends at %v", n, requests, end.Sub(windowStart))
+			}
+		}
+	})
+}
+
 // TestChangedLimitKeepsCount guards against repeats that are forgotten when the limit changes.
 func TestChangedLimitKeepsCount(t *testing.T) {
 	cfg := WindowConfig{Ratio: 0.1, Window: 10 * time.Second}
@@ -110,7 +156,7 @@
 		for range 100 {
 			w.Request(windowStart)
 		}
-		for w.Retry(windowStart) {
+		for retryAtOnce(w, windowStart) {
 		}
 		now := windowStart.Add(cfg.Window / 4)
 		changed := cfg
@@ -119,7 +165,7 @@
 		for range 5 { // not enough for a repeat by themselves
 			w.Request(now)
 		}
-		if w.Retry(now) {
+		if w.Reserve(now) {
 			t.Errorf("%s: a repeat beyond the limit is allowed", c.name)
 		}
 	}
@@ -134,13 +180,13 @@
 	for range 100 {
 		w.Request(windowStart)
 	}
-	if w.Retry(windowStart.Add(cfg.Window / 2)) {
+	if w.Reserve(windowStart.Add(cfg.Window / 2)) {
 		t.Error("a repeat is allowed before the longer window has passed")
 	}
 	for range 100 {
 		w.Request(windowStart.Add(cfg.Window))
 	}
-	if !w.Retry(windowStart.Add(cfg.Window)) {
+	if !w.Reserve(windowStart.Add(cfg.Window)) {
 		t.Error("no repeat is allowed after the longer window has passed")
 	}
 }
