Upstreams: the head of a response has to end half a second after it began

What callers saw: a request was held for its whole deadline by an upstream that sends the bytes of a head slowly and without end, although another one could serve it (cases "header lines, slowly" and "no head, slowly" of TestBytesWithoutEndAreNoAnswer). Cause: heads are limited in bytes (64 KiB) and not in time. Change: from the first byte of a response on, a timer closes the connection. How long a request may take until that byte stays up to its context. All clients of upstreams and of the store go through it.

--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -5,9 +5,12 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -20,11 +23,23 @@
 // Close implements io.Closer.
 func (nonReplayableBody) Close() error { return nil }
 
+// headTimeout limits the time from the first byte of a response to the end of its headers. An
+// upstream at fault may send bytes of a head without end; how long a request may take until the
+// first byte is up to its context.
+const headTimeout = 500 * time.Millisecond
+
+// errHeadTimeout means that the headers of a response began and didn't end in time.
+var errHeadTimeout = errors.New("the headers of the response didn't end in time")
+
 // sendTracker records the connections that http.Transport chose for a request, to show
-// later whether a byte of the request was written to any of them.
+// later whether a byte of the request was written to any of them. It also limits the time of
+// the response's head.
 type sendTracker struct {
-	mu   sync.Mutex
-	uses []connUse
+	mu        sync.Mutex
+	uses      []connUse
+	conn      net.Conn    // the last connection
+	headTimer *time.Timer // closes conn; nil: no byte of the response has come
+	headLate  bool        // headTimer has fired
 }
 
 // connUse is one connection that the transport chose for a request.
@@ -46,12 +61,40 @@
 				}
 			}
 			t.mu.Lock()
-			t.uses = append(t.uses, u)
+			t.uses, t.conn = append(t.uses, u), info.Conn
 			t.mu.Unlock()
 		},
+		GotFirstResponseByte: t.headBegun,
+		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+			t.headEnded() // the final response may take any time
+			return nil
+		},
+	})
+}
+
+// headBegun starts the time of the response's head.
+func (t *sendTracker) headBegun() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	conn := t.conn
+	t.headTimer = time.AfterFunc(headTimeout, func() {
+		t.mu.Lock()
+		t.headLate = true
+		t.mu.Unlock()
+		_ = conn.Close() // the transport reports the failed read
 	})
 }
 
+// headEnded stops the time of the response's head, and reports whether it was exceeded.
+func (t *sendTracker) headEnded() (late bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.headTimer != nil {
+		t.headTimer.Stop()
+	}
+	return t.headLate
+}
+
 // unsent reports whether it is certain that no byte of the request was written or will
 // be written. It seals each connection on which no byte was written, so that none can
 // be written later.
@@ -73,9 +116,13 @@
 func Exchange(rt http.RoundTripper, req *http.Request, op, address string) (*http.Response, error) {
 	var tracker sendTracker
 	resp, err := rt.RoundTrip(req.WithContext(tracker.withTrace(req.Context())))
+	late := tracker.headEnded()
 	if err == nil {
 		return resp, nil
 	}
+	if late {
+		err = errHeadTimeout
+	}
 	if cause := context.Cause(req.Context()); cause != nil {
 		err = cause
 	}
