Responses: what a failure's status says doesn't wait for its body

Cause: the body was read to its end, or its limit, before the status was looked at. Change: the body of a failure is read for a quarter of a second; a server error whose body isn't there by then isn't kept, and the request goes on as after any other. A body that breaks off still counts as a broken send.

--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -27,6 +27,8 @@
 	maxEventBytes = 256 << 10
 	// copyBufferBytes is the buffer size for copying responses above maxBufferedBytes.
 	copyBufferBytes = 32 << 10
+	// shortBodyTime limits reading a body that comes with its headers, as that of a server error does.
+	shortBodyTime = 250 * time.Millisecond
 	// callerWriteTimeout limits one write to a caller that doesn't read.
 	callerWriteTimeout = 10 * time.Second
 )
@@ -36,6 +38,7 @@
 	errWrongRequest    = errors.New("the response belongs to another request")
 	errUpstreamRefused = errors.New("the upstream refused the request")
 	errServerError     = errors.New("the upstream responded with a server error")
+	errBodyTimeout     = errors.New("the body of the response didn't come in time")
 	errEventGap        = errors.New("an event of the stream is missing")
 	errIncomplete      = errors.New("the response ended early")
 	errCannotContinue  = errors.New("the response can't continue the one that has begun")
@@ -91,32 +94,52 @@
 }
 
 // copyBuffered reads a response, or its first maxBufferedBytes, before it writes anything to the caller.
-// It keeps a server error instead of writing it, unless it is too large to be held.
 func (r *responseRelay) copyBuffered(resp upstream.ServiceResponse) sendOutcome {
-	q := r.req
+	if resp.Status >= http.StatusInternalServerError || impliesNotRun(resp.Status) {
+		return r.keepFailure(resp)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
 		return incompleteOutcome(err)
 	}
-	if impliesNotRun(resp.Status) {
-		return sendOutcome{runState: errkind.RunUnknown, err: errors.Wrapf(errServerError, "status %d that doesn't say whether the request ran", resp.Status), maybeSent: true}
-	}
-	if resp.Status >= http.StatusInternalServerError {
-		if len(body) <= maxBufferedBytes && r.core.KeepServerError() {
-			r.serverError = &serverErrorResponse{status: resp.Status, header: resp.Header, body: body}
-		}
-		return sendOutcome{runState: errkind.Ran, err: errors.Wrapf(errServerError, "status %d", resp.Status), maybeSent: true}
-	}
 	if !r.core.Body() {
 		return sendOutcome{runState: errkind.Ran, err: errors.Wrapf(errCannotContinue, "status %d", resp.Status), maybeSent: true}
 	}
-	q.recordResponseStart()
+	r.req.recordResponseStart()
 	if len(body) <= maxBufferedBytes {
 		return r.writeBuffered(resp.Status, resp.Header, body)
 	}
 	return r.writeUnbuffered(resp, body)
 }
 
+// keepFailure returns the outcome of a send whose response reports a failure. It keeps a server error instead of writing
+// it, unless its body is too large to be held or too slow: the status decides what follows, and another upstream may
+// still serve the request.
+func (r *responseRelay) keepFailure(resp upstream.ServiceResponse) sendOutcome {
+	body, err := readWithin(resp.Body, maxBufferedBytes+1, shortBodyTime)
+	if err != nil && !errors.Is(err, errBodyTimeout) {
+		return incompleteOutcome(err)
+	}
+	if impliesNotRun(resp.Status) {
+		return sendOutcome{runState: errkind.RunUnknown, err: errors.Wrapf(errServerError, "status %d that doesn't say whether the request ran", resp.Status), maybeSent: true}
+	}
+	if err == nil && len(body) <= maxBufferedBytes && r.core.KeepServerError() {
+		r.serverError = &serverErrorResponse{status: resp.Status, header: resp.Header, body: body}
+	}
+	return sendOutcome{runState: errkind.Ran, err: errors.Wrapf(errServerError, "status %d", resp.Status), maybeSent: true}
+}
+
+// readWithin reads a body, or its first limit bytes. If the body takes longer than the given time, readWithin closes it
+// and returns an error that wraps errBodyTimeout.
+func readWithin(body io.ReadCloser, limit int64, within time.Duration) ([]byte, error) {
+	timer := time.AfterFunc(within, func() { _ = body.Close() })
+	data, err := io.ReadAll(io.LimitReader(body, limit))
+	if !timer.Stop() && err != nil {
+		return nil, errors.Wrap(errBodyTimeout, err.Error())
+	}
+	return data, err
+}
+
 // impliesNotRun reports whether callers conclude from a status that their request has not run. Such a
 // status is never passed on from an upstream; this process sends it only if it knows that the request has
 // not run.
