Responses: a success that no upstream has confirmed isn't passed on

What callers saw: bytes without end, or two bytes, as a success, from a process that answers 200 without the seal of an upstream (5 cases of TestBytesWithoutEndAreNoAnswer). Cause: ResponseInfo.Executed was set and nobody asked it. Change: such a response ends the send with an unknown outcome, before its body is read.

--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -39,6 +39,7 @@
 	errUpstreamRefused = errors.New("the upstream refused the request")
 	errServerError     = errors.New("the upstream responded with a server error")
 	errBodyTimeout     = errors.New("the body of the response didn't come in time")
+	errUnconfirmed     = errors.New("the response doesn't show that it is the upstream's")
 	errEventGap        = errors.New("an event of the stream is missing")
 	errIncomplete      = errors.New("the response ended early")
 	errCannotContinue  = errors.New("the response can't continue the one that has begun")
@@ -77,6 +78,10 @@
 		return sendOutcome{runState: errkind.NotRun, err: errUpstreamRefused, maybeSent: true}
 	}
 	q.possibleRuns++
+	if isSuccess(resp.Status) && !info.Executed {
+		// A process that isn't the upstream, or one at fault, may send any bytes, and without end.
+		return sendOutcome{runState: errkind.RunUnknown, err: errUnconfirmed, maybeSent: true}
+	}
 	if isEventStream(resp) {
 		return r.copyStream(ctx, held, resp)
 	}
@@ -84,6 +89,9 @@
 	return r.copyBuffered(resp)
 }
 
+// isSuccess reports whether a status says that the request was served.
+func isSuccess(status int) bool { return status >= 200 && status <= 299 }
+
 // isEventStream reports whether a response is a stream of server-sent events.
 func isEventStream(resp upstream.ServiceResponse) bool {
 	if resp.Status != http.StatusOK {
