Prefill: an answer that doesn't end is given up

What callers saw: a request waited for the rest of a prefill's answer for its whole deadline. The body of such an answer, some hundred bytes, is read for a quarter of a second now; then the prefill counts as failed. TestPrefillWithoutEndIsGivenUp failed before.

--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -223,8 +222,11 @@
 	if resp.Status != http.StatusOK {
 		return nil, errors.Wrapf(errServerError, "status %d", resp.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPrefillResponseBytes))
-	if err != nil {
+	body, err := readWithin(resp.Body, maxPrefillResponseBytes, shortBodyTime)
+	switch {
+	case errors.Is(err, errBodyTimeout):
+		return nil, err
+	case err != nil:
 		return nil, errors.Wrap(errIncomplete, err.Error())
 	}
 	prefilled, err := q.e.cfg.Dialect.ParsePrefillResult(body)
