--- a/internal/connection/upstream/order.go
+++ b/internal/connection/upstream/order.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -136,7 +137,7 @@
 		}
 		return State{}, brokenError(op, e.address, err)
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(conn, maxHeaderBytes+e.opts.MaxBody)), req)
 	if err != nil {
 		return State{}, brokenError(op, e.address, err)
 	}
--- a/internal/connection/upstream/order_test.go
+++ b/internal/connection/upstream/order_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -219,3 +220,40 @@
 		t.Errorf("order at an untrusted server: %v, want ErrNotRun", err)
 	}
 }
+
+// TestOrderAnswerWithoutEndIsBounded guards against an engine that sends headers without end, all of which would be held
+// in memory until the order's deadline.
+func TestOrderAnswerWithoutEndIsBounded(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	written := make(chan int, 1)
+	go func() {
+		n := 0
+		defer func() { written <- n }()
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := conn.Write([]byte("HTTP/1.1 200 OK\r\n")); err != nil {
+			return
+		}
+		line := []byte("X-More: " + strings.Repeat("b", 4<<10) + "\r\n")
+		for err == nil {
+			var k int
+			k, err = conn.Write(line)
+			n += k
+		}
+	}()
+	e := newEngine(t, "http://"+listener.Addr().String(), HTTPOptions{MaxBody: 64 << 10})
+	if _, err := e.Order(testContext(t), Order{ID: "o"}); !errors.Is(err, ErrBroken) {
+		t.Errorf("error %v, want ErrBroken", err)
+	}
+	const socketBuffers = 16 << 20 // bytes that may be written and not read
+	if n := <-written; n > socketBuffers {
+		t.Errorf("%d bytes of headers were taken", n)
+	}
+}
