Watches of ragwort-gateway: an event is limited in bytes

A platform that sends an event without end had all of it held in memory for as long as the watch may be idle: 209 MB in 2 s (TestWatchEventWithoutEndIsBounded, which failed before). An event is read up to the limit of an object; the watch is then opened again.

--- a/internal/connection/platform/client_test.go
+++ b/internal/connection/platform/client_test.go
@@ -254,6 +254,44 @@
 	}
 }
 
+// TestWatchEventWithoutEndIsBounded guards against a platform that sends an event without end, all of which would be held
+// in memory for as long as the watch may be idle.
+func TestWatchEventWithoutEndIsBounded(t *testing.T) {
+	var written atomic.Int64 // on all connections
+	var opened atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if opened.Add(1) > 1 {
+			fmt.Fprintln(w, `{"type":"put","object":{"kind":"Route","name":"a","version":8}}`)
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+			return
+		}
+		part := []byte(strings.Repeat("b", 64<<10))
+		fmt.Fprint(w, `{"type":"`)
+		for {
+			n, err := w.Write(part)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	client := newClient(t, platform.ClientConfig{Address: server.URL, WatchIdle: 2 * time.Second})
+	w, err := client.Watch(testContext(t), nil, 7)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer w.Close()
+	if e, err := w.Next(testContext(t)); err != nil || e.Object.Version != 8 {
+		t.Errorf("event %+v, %v, want version 8", e, err)
+	}
+	const socketBuffers = 16 << 20 // bytes that may be written and not read
+	if n := written.Load(); n > 4*platform.MaxValueBytes+socketBuffers {
+		t.Errorf("%d bytes of an event were taken", n)
+	}
+}
+
 // During an outage more changes occur than the platform's history holds. The watch that is
 // reopened after the outage misses events, so it must return ErrHistoryGone.
 func TestWatchReportsLostHistory(t *testing.T) {
--- a/internal/connection/platform/watch.go
+++ b/internal/connection/platform/watch.go
@@ -148,8 +148,11 @@
 	defer idle.Stop()
 	stop := w.chargeLimiter()
 	defer stop()
-	decoder := json.NewDecoder(bufio.NewReader(conn.body))
+	// An event without end breaks the connection. What the decoder has read ahead doesn't matter for the limit.
+	limited := &io.LimitedReader{R: conn.body}
+	decoder := json.NewDecoder(bufio.NewReader(limited))
 	for {
+		limited.N = maxObjectResponseBytes
 		var e Event
 		if err := decoder.Decode(&e); err != nil {
 			return
