--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	$(BIN)/ragwort-trial
 
 test:
-	$(GO) test -race -timeout 420s ./...
+	$(GO) test -race -timeout 900s ./...
 
 lint:
 	@test -z "$$(gofmt -l cmd internal platform examples spec)" || { gofmt -l cmd internal platform examples spec; echo "gofmt: files above need formatting"; exit 1; }
