Review: bytes that belong to no request count as proof that one has not run (case 2)

A faulty server sends more bytes after a complete answer, late: a 503 that says "not executed" and names no request. They are taken for the answer of the next request on that channel. A request that may run once at most is then sent to a second server while the first one runs it.

--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -21,19 +21,20 @@
 // clients send requests and keep what they got.
 type clients struct {
 	d      *deployment
+	route  string
 	http   *http.Transport
 	serial atomic.Int64
 	mu     sync.Mutex
 	got    []outcome
 }
 
-func newClients(d *deployment) *clients {
-	return &clients{d: d, http: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: 5 * time.Second}}
+func newClients(d *deployment, route string) *clients {
+	return &clients{d: d, route: route, http: &http.Transport{MaxIdleConnsPerHost: 32, IdleConnTimeout: 5 * time.Second}}
 }
 
-// verdict sends one request of the route verdict, which may run once at most, and once more after an answer that
+// request sends one request of the clients' route, which may run once at most, and once more after an answer that
 // promises that it has not run and never will.
-func (c *clients) verdict() {
+func (c *clients) request() {
 	start := time.Now()
 	const budget = 2 * time.Second
 	for try := range 2 {
@@ -59,16 +60,18 @@
 	defer cancel()
 	// MultiReader hides that the body could be read again, so that net/http can't send the request twice.
 	body := "body of " + id
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers+"/verdict/2f", io.MultiReader(strings.NewReader(body)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.callers+"/"+c.route+"/2f", io.MultiReader(strings.NewReader(body)))
 	if err != nil {
 		panic(err)
 	}
 	req.ContentLength, req.Host = int64(len(body)), host
 	req.Header.Set(names["attempt"], id)
 	req.Header.Set(names["timeLeft"], fmt.Sprint(left.Milliseconds()))
-	req.Header.Set(names["model"], "m")
-	req.Header.Set(names["tokens"], "9190,2")
-	req.Header.Set(names["prompt"], fmt.Sprintf("a1:2520,b%d:3780,%s:2890", n%20, id))
+	if c.route == "verdict" {
+		req.Header.Set(names["model"], "m")
+		req.Header.Set(names["tokens"], "9190,2")
+		req.Header.Set(names["prompt"], fmt.Sprintf("a1:2520,b%d:3780,%s:2890", n%20, id))
+	}
 	c.d.record.line("client: sends %s to %s", id, p.name)
 	o := outcome{id: id}
 	var retryAfter time.Duration
@@ -101,7 +104,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			c.verdict()
+			c.request()
 		}()
 	}
 	wg.Wait()
--- a/review/standins/runner.go
+++ b/review/standins/runner.go
@@ -22,7 +22,8 @@
 	pace              time.Duration // from a request to its first event, and between events
 	fleet             *fleet
 	record            *record
-	extraShare        float64 // share of the responses that may be sent a second time; 0: none
+	extraShare        float64 // share of the responses that may be followed by more bytes; 0: none
+	additional        []byte  // what follows a complete response, late; nil: a second copy of some response
 
 	address string
 
@@ -102,7 +103,7 @@
 func (r *runner) serveConn(c net.Conn) {
 	defer c.Close()
 	in := bufio.NewReader(c)
-	var late []byte // a second copy of the last response, which the next request of the connection meets
+	var late []byte // bytes after the last response, which the next request of the connection meets
 	for {
 		req, err := http.ReadRequest(in)
 		if err != nil {
@@ -112,7 +113,7 @@
 			return
 		}
 		if late != nil {
-			r.record.line("runner %s: sends once more the answer of the request before on this channel, at the arrival of %s", r.id, req.Header.Get(names["attempt"]))
+			r.record.line("runner %s: sends %q after the answer of the request before on this channel, at the arrival of %s", r.id, late, req.Header.Get(names["attempt"]))
 			if _, err := c.Write(late); err != nil {
 				return
 			}
@@ -126,7 +127,7 @@
 	}
 }
 
-// serve serves one request. extra is a second copy of the response to be sent later; nil: there is none.
+// serve serves one request. extra is what follows the response, to be sent later; nil: nothing does.
 func (r *runner) serve(c net.Conn, req *http.Request) (extra []byte, ok bool) {
 	if want := req.Header.Get(names["instance"]); want != "" && want != r.id {
 		return nil, write(c, answer{status: 421, header: [][2]string{{names["servedBy"], r.id}}})
@@ -187,7 +188,11 @@
 		r.record.line("runner %s: rejects %s, as its handle has lapsed: 503, not executed (a second copy will follow: %t)", r.id, id, extra != nil)
 		return extra, write(c, a)
 	}
-	return nil, r.run(c, req, id, head)
+	ok = r.run(c, req, id, head)
+	if ok && r.additional != nil && r.mayAdd() {
+		extra = r.additional
+	}
+	return extra, ok
 }
 
 // prefill keeps the KV cache of a prompt under a handle.
@@ -217,21 +222,31 @@
 	return found && !lapsed
 }
 
-// secondCopy returns the bytes of a response that a faulty runner will send once more, or nil. No more than extraShare
-// of the runner's responses are sent twice.
+// secondCopy counts a response, and returns its bytes if a faulty runner will send it once more, or nil.
 func (r *runner) secondCopy(a answer) []byte {
+	r.mu.Lock()
+	r.answers++
+	r.mu.Unlock()
+	if r.additional != nil || !r.mayAdd() {
+		return nil
+	}
+	return a.bytes()
+}
+
+// mayAdd reports whether a faulty runner may send more bytes after a response, and counts that it does. No more than
+// extraShare of its responses are followed by any.
+func (r *runner) mayAdd() bool {
 	r.fleet.mu.Lock()
 	garble := r.fleet.garble
 	r.fleet.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.answers++
 	if !garble || float64(r.extras+1) > r.extraShare*float64(r.answers) {
-		return nil
+		return false
 	}
 	r.extras++
-	r.record.line("runner %s: the answer is number %d of this time, and the %d. that will be sent twice", r.id, r.answers, r.extras)
-	return a.bytes()
+	r.record.line("runner %s: the answer is number %d of this time, and the %d. that will be followed by more bytes", r.id, r.answers, r.extras)
+	return true
 }
 
 // run runs a request and streams its events.
--- a/review/standins/secondanswer.go
+++ b/review/standins/secondanswer.go
@@ -44,7 +44,7 @@
 			disrupt(d, f)
 		}
 	}()
-	c := newClients(d)
+	c := newClients(d, "verdict")
 	c.sendFor(warmUp+spells*spellLength, ratePerS)
 	<-done
 	time.Sleep(time.Second)
