Lines of failed sends: the connection of the response, and whether the upstream had the request before

Callers of review/1 get 503 "not run" while an engine runs the request. The lines couldn't tell a refusal of that send from a late copy of the refusal of an earlier one: both are a response with the request's id. A late copy needs a connection that carried an earlier send of the request to the same upstream. Now 'send failed' and 'prefill failed' say so: kept_connection and sent_there_before. No change of what is decided.

--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -38,6 +38,7 @@
 	mu        sync.Mutex
 	uses      []connUse
 	conn      net.Conn    // the last connection
+	reused    bool        // conn carried earlier requests
 	headTimer *time.Timer // closes conn; nil: no byte of the response has come
 	headLate  bool        // headTimer has fired
 }
@@ -61,7 +62,7 @@
 				}
 			}
 			t.mu.Lock()
-			t.uses, t.conn = append(t.uses, u), info.Conn
+			t.uses, t.conn, t.reused = append(t.uses, u), info.Conn, info.Reused
 			t.mu.Unlock()
 		},
 		GotFirstResponseByte: t.headBegun,
@@ -95,6 +96,13 @@
 	return t.headLate
 }
 
+// connection returns the connection of the response, and whether it carried earlier requests.
+func (t *sendTracker) connection() (conn net.Conn, reused bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn, t.reused
+}
+
 // unsent reports whether it is certain that no byte of the request was written or will
 // be written. It seals each connection on which no byte was written, so that none can
 // be written later.
@@ -114,7 +122,11 @@
 // An error matches ErrNotRun if no byte of the request was sent, and ErrBroken
 // otherwise. op and address are named in the error.
 func Exchange(rt http.RoundTripper, req *http.Request, op, address string) (*http.Response, error) {
-	var tracker sendTracker
+	return exchange(rt, req, &sendTracker{}, op, address)
+}
+
+// exchange is Exchange with a tracker of its own, which knows the response's connection afterwards.
+func exchange(rt http.RoundTripper, req *http.Request, tracker *sendTracker, op, address string) (*http.Response, error) {
 	resp, err := rt.RoundTrip(req.WithContext(tracker.withTrace(req.Context())))
 	late := tracker.headEnded()
 	if err == nil {
--- a/internal/connection/upstream/service.go
+++ b/internal/connection/upstream/service.go
@@ -45,6 +45,7 @@
 	Header  http.Header
 	Length  int64 // of Body; -1: unknown
 	Framing Framing
+	Reused  bool // the response came on a connection that carried earlier calls
 	Body    io.ReadCloser
 }
 
@@ -101,17 +102,19 @@
 	if err != nil {
 		return ServiceResponse{}, notRunError(op, call.Address, err)
 	}
-	resp, err := Exchange(transport, req, op, call.Address)
+	var tracker sendTracker
+	resp, err := exchange(transport, req, &tracker, op, call.Address)
 	if err != nil {
 		return ServiceResponse{}, err
 	}
+	_, reused := tracker.connection()
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		resp.Body.Close()
 		return ServiceResponse{}, brokenError(op, call.Address, errors.New("protocol switches are not passed on"))
 	}
 	dropHopByHop(resp.Header)
 	body := &serviceBody{ReadCloser: resp.Body, ctx: ctx, address: call.Address}
-	return ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp), Body: body}, nil
+	return ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp), Reused: reused, Body: body}, nil
 }
 
 // framingOf returns the framing of a response's body. A response without a body counts as one of length 0.
--- a/internal/process/entry/forward.go
+++ b/internal/process/entry/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/pkg/errors"
 
@@ -18,7 +19,7 @@
 // upstream.Services.Forward.
 func (q *request) forward(ctx context.Context, held *heldPlace, send exchange.SendOptions) (upstream.ServiceResponse, error) {
 	u, e := held.upstream(), q.e
-	q.relay = ""
+	q.relay, q.sentToBefore, q.keptConnection = "", false, false
 	if e.usesOwnLink(u.Address) {
 		resp, err := q.forwardOverOwnLink(ctx, held, send)
 		if err == nil || ctx.Err() != nil || !errors.Is(err, upstream.ErrNotRun) || !isLinkFailure(err) {
@@ -43,7 +44,10 @@
 // forwardOverOwnLink sends the request over the own link to the upstream, and records whether the link works.
 func (q *request) forwardOverOwnLink(ctx context.Context, held *heldPlace, send exchange.SendOptions) (upstream.ServiceResponse, error) {
 	u, e := held.upstream(), q.e
+	q.sentToBefore = slices.Contains(q.sentTo, u.Address)
+	q.sentTo = append(q.sentTo, u.Address)
 	resp, err := e.client.Forward(ctx, q.serviceCall(u, send))
+	q.keptConnection = resp.Reused
 	switch {
 	case err == nil:
 		e.links.reached(u)
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -143,7 +143,8 @@
 			q.excluded = append(q.excluded, choice.Upstream.Incarnation())
 		}
 		logline.Info("prefill failed", "request", q.info.ID, "upstream", choice.Upstream.ID, "try", attempt,
-			"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", err, "content", q.content())
+			"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", err,
+			"kept_connection", q.keptConnection, "sent_there_before", q.sentToBefore, "content", q.content())
 		if ctx.Err() != nil {
 			break
 		}
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -48,6 +48,9 @@
 	refusal          *place.Decision // the last refusal of a place; nil: none
 	lastUpstream     string          // id of the last upstream that the request was sent to
 	relay            string          // address of the instance through which the last send went; empty: over the own link
+	sentTo           []string        // addresses of upstreams to which it was sent over the own link
+	sentToBefore     bool            // the upstream of the last send got an earlier one over the own link
+	keptConnection   bool            // the last response came on a connection that carried earlier requests
 	sends            int
 	prefills         int                 // sends of a prefill that may have reached an engine
 	prefilled        bool                // an engine accepted a prefill, so that any further prefill is a retry
--- a/internal/process/entry/requestlog.go
+++ b/internal/process/entry/requestlog.go
@@ -294,5 +294,6 @@
 // logFailedSend logs a failed send and what is done next.
 func (q *request) logFailedSend(choice *place.Choice, out sendOutcome, action retry.Action) {
 	logline.Info("send failed", "request", q.info.ID, "upstream", choice.Upstream.ID, "run", out.runState,
-		"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", out.err, "then", action, "sends", q.sends, "through", q.relay, "content", q.content())
+		"load", choice.Load, "load_age_ms", choice.Age.Milliseconds(), "why", out.err, "then", action, "sends", q.sends, "through", q.relay,
+		"kept_connection", q.keptConnection, "sent_there_before", q.sentToBefore, "content", q.content())
 }
