A request that is sent to an upstream again goes over a connection of its own

Cause: the responses to two sends of a request at one upstream were told apart by the request's id alone, which both have. An engine that had refused to fetch the KV cache got the request once more on the kept connection; the late second copy of its refusal came before the response of the run and was taken for it.

Change: ServiceCall.OwnConnection; the request sets it if it was sent to that address over the own link before. What is left of an earlier response can come only on its connection, so it can't be met. That holds for any further send, of a prefill or a run, whatever led to it. Relays have a connection for each send already.

--- a/internal/connection/upstream/service.go
+++ b/internal/connection/upstream/service.go
@@ -26,6 +26,7 @@
 	Header        http.Header
 	Body          io.Reader // nil: none; read at most once
 	ContentLength int64     // of Body; -1, or 0 with a Body: unknown
+	OwnConnection bool      // the connection is opened for this call, and carries no other one
 }
 
 // Framing says how the end of a response body is marked.
@@ -49,9 +50,10 @@
 	Body    io.ReadCloser
 }
 
-// Services calls plain services over one connection pool.
+// Services calls plain services over one connection pool, or over a connection of the call's own.
 type Services struct {
 	transport *http.Transport
+	unpooled  *http.Transport // opens a connection for each call
 }
 
 // DefaultServiceUserTimeout is the default of HTTPOptions.UserTimeout for plain services.
@@ -64,7 +66,10 @@
 // ends only with its context.
 func NewServices(opts HTTPOptions) *Services {
 	defaults.Set(&opts.UserTimeout, DefaultServiceUserTimeout)
-	return &Services{transport: NewTransport(opts.withDefaults())}
+	opts = opts.withDefaults()
+	unpooled := NewTransport(opts)
+	unpooled.DisableKeepAlives = true
+	return &Services{transport: NewTransport(opts), unpooled: unpooled}
 }
 
 // Close closes idle connections.
@@ -77,6 +82,9 @@
 // The call is sent at most once, whatever its method and headers. An error matches
 // ErrNotRun if no byte of the call was sent, and ErrBroken otherwise.
 func (s *Services) Forward(ctx context.Context, call ServiceCall) (ServiceResponse, error) {
+	if call.OwnConnection {
+		return forward(ctx, s.unpooled, call)
+	}
 	return forward(ctx, s.transport, call)
 }
 
--- a/internal/connection/upstream/service_test.go
+++ b/internal/connection/upstream/service_test.go
@@ -158,3 +158,41 @@
 		t.Errorf("length and transfer encodings %q after %v", body, time.Since(begun))
 	}
 }
+
+// TestOwnConnectionCarriesNoOtherCall guards against a late response to an earlier call that is taken for the response to
+// one with a connection of its own: it may neither use a kept connection nor leave its own to later calls.
+func TestOwnConnectionCarriesNoOtherCall(t *testing.T) {
+	server := newServer(t, func(w http.ResponseWriter, q *http.Request) { fmt.Fprint(w, q.RemoteAddr) })
+	services := newServices(t)
+	call := func(own bool) (remote string, reused bool) {
+		t.Helper()
+		a, err := services.Forward(testContext(t), ServiceCall{Address: server.URL, Method: http.MethodGet, Path: "/", OwnConnection: own})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer a.Body.Close()
+		data, err := io.ReadAll(a.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(data), a.Reused
+	}
+	kept, reused := call(false)
+	if reused {
+		t.Error("the first call reused a connection")
+	}
+	if again, reused := call(false); again != kept || !reused {
+		t.Fatalf("the second call came from %s, want the kept connection from %s; reused %t", again, kept, reused)
+	}
+	seen := map[string]bool{kept: true}
+	for range 3 {
+		own, reused := call(true)
+		if seen[own] || reused {
+			t.Errorf("a call with its own connection came from %s, which carried another call; reused %t", own, reused)
+		}
+		seen[own] = true
+	}
+	if after, _ := call(false); seen[after] && after != kept {
+		t.Errorf("a call used the connection of a call with its own, from %s", after)
+	}
+}
--- a/internal/process/entry/forward.go
+++ b/internal/process/entry/forward.go
@@ -46,7 +46,11 @@
 	u, e := held.upstream(), q.e
 	q.sentToBefore = slices.Contains(q.sentTo, u.Address)
 	q.sentTo = append(q.sentTo, u.Address)
-	resp, err := e.client.Forward(ctx, q.serviceCall(u, send))
+	call := q.serviceCall(u, send)
+	// A late second copy of the response to the earlier send has the request's id, too. It can come only on the
+	// connection of that send.
+	call.OwnConnection = q.sentToBefore
+	resp, err := e.client.Forward(ctx, call)
 	q.keptConnection = resp.Reused
 	switch {
 	case err == nil:
