A connection that brought the response to another request carries no further one

Callers saw more than one 502 for one late second copy of a response: after the request that met it, the connection went back to the pool, and the next request met the response to the one before it. Change: the connection of a response with another request's id is closed.

--- a/internal/connection/upstream/service.go
+++ b/internal/connection/upstream/service.go
@@ -48,6 +48,16 @@
 	Framing Framing
 	Reused  bool // the response came on a connection that carried earlier calls
 	Body    io.ReadCloser
+
+	conn net.Conn
+}
+
+// CloseConnection closes the connection of the response, so that no later call meets what the upstream still sends on it.
+// Nothing more can be read from Body.
+func (r *ServiceResponse) CloseConnection() {
+	if r.conn != nil {
+		_ = r.conn.Close() // the transport may have closed it
+	}
 }
 
 // Services calls plain services over one connection pool, or over a connection of the call's own.
@@ -115,14 +125,14 @@
 	if err != nil {
 		return ServiceResponse{}, err
 	}
-	_, reused := tracker.connection()
+	conn, reused := tracker.connection()
 	if resp.StatusCode == http.StatusSwitchingProtocols {
 		resp.Body.Close()
 		return ServiceResponse{}, brokenError(op, call.Address, errors.New("protocol switches are not passed on"))
 	}
 	dropHopByHop(resp.Header)
 	body := &serviceBody{ReadCloser: resp.Body, ctx: ctx, address: call.Address}
-	return ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp), Reused: reused, Body: body}, nil
+	return ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp), Reused: reused, Body: body, conn: conn}, nil
 }
 
 // framingOf returns the framing of a response's body. A response without a body counts as one of length 0.
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -214,8 +214,8 @@
 // an error if the response belongs to another request, rejects the prefill, reports a failure, or can't
 // be read to its end.
 func (q *request) parsePrefillResponse(u fleet.Upstream, resp upstream.ServiceResponse, info exchange.ResponseInfo) (*remoteKV, error) {
-	if info.RequestID != "" && info.RequestID != q.info.ID {
-		return nil, errWrongRequest
+	if err := q.checkOwner(&resp, info); err != nil {
+		return nil, err
 	}
 	if info.NotRun {
 		return nil, errUpstreamRefused
--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -70,9 +70,9 @@
 func (r *responseRelay) copyResponse(ctx context.Context, held *heldPlace, resp upstream.ServiceResponse, info exchange.ResponseInfo) sendOutcome {
 	q := r.req
 	r.framing = resp.Framing
-	if info.RequestID != "" && info.RequestID != q.info.ID {
+	if err := q.checkOwner(&resp, info); err != nil {
 		q.possibleRuns++
-		return sendOutcome{runState: errkind.RunUnknown, err: errWrongRequest, maybeSent: true}
+		return sendOutcome{runState: errkind.RunUnknown, err: err, maybeSent: true}
 	}
 	if info.NotRun {
 		return sendOutcome{runState: errkind.NotRun, err: errUpstreamRefused, maybeSent: true}
@@ -89,6 +89,16 @@
 	return r.copyBuffered(resp)
 }
 
+// checkOwner returns errWrongRequest if a response belongs to another request. The response to this one may follow on the
+// connection, where the next request would meet it, so the connection is closed.
+func (q *request) checkOwner(resp *upstream.ServiceResponse, info exchange.ResponseInfo) error {
+	if info.RequestID == "" || info.RequestID == q.info.ID {
+		return nil
+	}
+	resp.CloseConnection()
+	return errWrongRequest
+}
+
 // isSuccess reports whether a status says that the request was served.
 func isSuccess(status int) bool { return status >= 200 && status <= 299 }
 
