A hold whose crashes are explained is suspended at one instance, and stays on the platform

Cause: an instance that hadn't seen answers on a part of the work's prompt held the part for the same crashes, took them for explained, and removed the work's record from the platform, which ended the hold at all others. And when the part was let go by another instance's report or a removal, the crashes stayed explained, so that nothing held the work.

Change: what is valid (crashes, answers, removals by an operator) is told from what counts at one instance. Only the first ends a hold or removes its record; the second suspends the hold here. It is in force again when its crashes aren't explained any more, or after one more crash of a later send. Parts that are outranked are treated alike. Why it works: work is refused at each instance as long as it is held or a part of it is, whichever of them the instance blames.

--- a/internal/process/holds/keeper.go
+++ b/internal/process/holds/keeper.go
@@ -119,7 +119,7 @@
 		logline.Info("work cleared", "content", content, "crashes", len(voided), "held", lifted, "why", "it was answered completely")
 		k.broadcast(voided)
 	}
-	k.startRemovals(true)
+	k.carryOut(true)
 }
 
 // SendBroken records that a send broke off before its answer was complete. It returns true if the caller has to
@@ -226,8 +226,7 @@
 			"sent_ms", now.Sub(c.Sent).Milliseconds(), "broke_off_ms", now.Sub(c.At).Milliseconds(), "why", reason)
 	}
 	k.broadcast(crashes)
-	k.startHolds(true)
-	k.startRemovals(true)
+	k.carryOut(true)
 }
 
 // broadcast reports crashes to other instances.
@@ -243,8 +242,7 @@
 func (k *Keeper) MergeCrashes(now time.Time, crashes []quarantine.Crash) (newCrashes []quarantine.Crash) {
 	k.withCore(func(c *quarantine.Core) { newCrashes = c.MergeCrashes(now, crashes) })
 	if len(newCrashes) > 0 {
-		k.startHolds(false)
-		k.startRemovals(false)
+		k.carryOut(false)
 	}
 	return newCrashes
 }
--- a/internal/process/holds/record.go
+++ b/internal/process/holds/record.go
@@ -25,18 +25,39 @@
 	maxStoredHold = 2 * quarantine.MaxHold
 )
 
-// startHolds logs new holds and stores them on the platform, so that instances that are cut off from the others or
-// start later get them too. own is true if this process detected the last crash.
+// carryOut carries out what the core decided: it logs and stores new holds, and removes records that aren't wanted any more.
+// own is true if this process found what led to that; otherwise, the one that found it acts first.
+func (k *Keeper) carryOut(own bool) {
+	k.logSuspensions()
+	k.startHolds(own)
+	k.startRemovals(own)
+}
+
+// logSuspensions logs the holds that aren't in force here any more because a likelier cause of their crashes is held.
+func (k *Keeper) logSuspensions() {
+	var contents []quarantine.Content
+	k.withCore(func(c *quarantine.Core) { contents = c.TakeSuspensions() })
+	for _, content := range contents {
+		logline.Info("hold suspended", "content", content, "part", k.partName(content), "why", "a likelier cause of its crashes is held here")
+	}
+}
+
+// startHolds logs new holds, and those that are in force again, and stores them on the platform, so that instances that
+// are cut off from the others or start later get them too. own is true if this process detected the last crash.
 func (k *Keeper) startHolds(own bool) {
 	var contents []quarantine.Content
 	k.withCore(func(c *quarantine.Core) { contents = c.TakeNewHolds() })
 	for _, content := range contents {
-		hold, ok := k.unstoredHold(content)
-		if !ok {
+		hold, _, held := k.activeHold(time.Now(), content, nil)
+		if !held {
+			continue
+		}
+		_, unstored := k.unstoredHold(content)
+		logline.Info("work held", "content", content, "part", k.partName(content), "until", hold.Until.Format(time.RFC3339), "times", hold.Times, "own", own, "stored", !unstored)
+		if !unstored {
 			continue
 		}
 		k.holdCount.Inc(1)
-		logline.Info("work held", "content", content, "part", k.partName(content), "until", hold.Until.Format(time.RFC3339), "times", hold.Times, "own", own)
 		delay := time.Duration(0)
 		if k.cfg.StoreDelay != nil {
 			delay = k.cfg.StoreDelay(own)
@@ -97,7 +118,7 @@
 	if err == nil {
 		if _, stored, err := decodeHold(old); err == nil && stored.Until.After(time.Now()) {
 			k.applyHold(content, stored)
-			k.startRemovals(false)
+			k.carryOut(false)
 			if _, ok := k.unstoredHold(content); !ok {
 				return nil
 			}
@@ -114,7 +135,7 @@
 	case err == nil:
 		hold.Version = stored.Version
 		k.applyHold(content, hold)
-		k.startRemovals(true)
+		k.carryOut(true)
 	case errors.Is(err, platform.ErrOutcomeUnknown):
 		k.withCore(func(c *quarantine.Core) { c.WriteUnknown(time.Now(), content, hold) })
 		k.startRemovals(true)
@@ -210,6 +231,7 @@
 	k.withCore(func(c *quarantine.Core) { lifted = c.RecordDeleted(time.Now(), content, version) })
 	if lifted {
 		logLifted(content)
+		k.carryOut(false)
 	}
 }
 
@@ -222,16 +244,17 @@
 		return
 	}
 	k.applyHold(content, hold)
-	k.startRemovals(false)
+	k.carryOut(false)
 }
 
 // liftHold ends a hold that was removed from the platform, by an operator or because the work was answered
 // completely.
 func (k *Keeper) liftHold(content quarantine.Content) {
 	lifted := false
-	k.withCore(func(c *quarantine.Core) { lifted = c.Lift(content) })
+	k.withCore(func(c *quarantine.Core) { lifted = c.Lift(time.Now(), content) })
 	if lifted {
 		logLifted(content)
+		k.carryOut(false)
 	}
 }
 
--- a/internal/request/quarantine/core.go
+++ b/internal/request/quarantine/core.go
@@ -70,6 +70,7 @@
 	crashes       []*Crash
 	updatedAt     time.Time // when a crash of the work was last reported or its hold was last read or stored
 	hold          Hold      // the current or last hold
+	suspended     bool      // hold isn't in force here, as a likelier cause of its crashes is held (see explainCrashes)
 	previous      Hold      // the hold before that one
 	fromCrashes   bool      // hold was begun here because of crashes; false: there is none, or it was read from the platform
 	stored        bool      // hold is known to be stored on the platform
@@ -86,12 +87,13 @@
 	lastBroken  map[Content]time.Time         // when a send of the work last broke off
 	pending     map[Incarnation]*pendingSends // broken sends at upstreams that may have ended
 	ended       map[Incarnation]ending        // upstreams that have ended
-	newHolds    []Content                     // holds that began since the last call of TakeNewHolds
+	newHolds    []Content                     // holds that began, or are in force again, since the last call of TakeNewHolds
+	suspensions []Content                     // holds that were suspended since the last call of TakeSuspensions
 	answeredAt  map[Content]time.Time         // when a request with a part was last answered completely
 	answers     int                           // requests answered completely
 	brokenSends int                           // requests with parts that broke off here
 	explainDue  bool                          // see explainCrashes
-	clearedEnds []end                         // ends of held parts that turned out to be sound, so that they explain nothing any more
+	exonerated  []Content                     // parts that explain nothing any more of what they explained before (see exonerate)
 	unwanted    []Content                     // work whose record became unwanted since the last call of TakeUnwantedRecords
 }
 
@@ -366,6 +368,9 @@
 		s.answersBefore = c.answers
 	}
 	isNew := s.mergeCrash(&crash)
+	if isNew && crash.Void {
+		c.exonerate(crash.Content)
+	}
 	c.updateHold(now, crash.Content, s)
 	c.explainDue = c.explainDue || isNew
 	return isNew
@@ -425,7 +430,6 @@
 	if lifted = s.hold.activeAt(now); lifted {
 		s.addCauses()
 	}
-	ends := s.ends()
 	for _, crash := range s.crashes {
 		if !crash.Void {
 			crash.Void = true
@@ -435,10 +439,10 @@
 	if lifted {
 		c.markUnwanted(now, content, s, 0, s.hold.Until)
 		c.cancelHold(now, content, s)
-		if content.IsPart() {
-			c.explainDue, c.clearedEnds = true, append(c.clearedEnds, ends...)
-			c.explainCrashes(now)
-		}
+	}
+	if len(voided) > 0 {
+		c.exonerate(content)
+		c.explainCrashes(now)
 	}
 	return voided, lifted
 }
--- a/internal/request/quarantine/core_test.go
+++ b/internal/request/quarantine/core_test.go
@@ -227,7 +227,7 @@
 	if _, ok := c.UnstoredHold(at(time.Second), work); ok {
 		t.Error("the stored hold is to be stored again")
 	}
-	if !c.Lift(work) || held(c, work, time.Second) {
+	if !c.Lift(at(time.Second), work) || held(c, work, time.Second) {
 		t.Error("held after it was lifted")
 	}
 	crash(c, work, "a", 2*time.Second, 3*time.Second)
@@ -245,7 +245,7 @@
 	if got := c.StoredHolds(at(time.Hour)); len(got) != 0 {
 		t.Errorf("stored holds: %v", got)
 	}
-	if c.Lift(work) || !held(c, work, 200*ms) {
+	if c.Lift(at(200*ms), work) || !held(c, work, 200*ms) {
 		t.Error("lifted")
 	}
 }
--- a/internal/request/quarantine/crash.go
+++ b/internal/request/quarantine/crash.go
@@ -14,12 +14,19 @@
 	At        time.Time       // when the send broke off
 	Void      bool            // doesn't count: the work was answered completely since, so it didn't cause the crash
 	local     bool            // detected by this process, so its times are exact
-	explained bool            // doesn't count: a held part of prompts was under way at the same upstream
+	explainer Content         // part of prompts that was held and under way at the same upstream, so that the crash doesn't count; zero: none
 	lifted    bool            // doesn't count here: the hold that it led to was removed from the platform
 }
 
-// counts reports whether the crash counts against its work.
-func (c *Crash) counts() bool { return !c.Void && !c.lifted && !c.explained }
+// valid reports whether the crash may be due to its work. All instances that know of the same answers and removals agree on
+// that.
+func (c *Crash) valid() bool { return !c.Void && !c.lifted }
+
+// counts reports whether the crash counts against its work here: it is valid and no held part explains it.
+func (c *Crash) counts() bool { return c.valid() && !c.explained() }
+
+// explained reports whether a held part of prompts explains the crash.
+func (c *Crash) explained() bool { return c.explainer != Content{} }
 
 // sameEndWindow is the largest difference between the times at which instances notice the same end of
 // an upstream. Crashes that are further apart belong to different incarnations with the same name.
@@ -63,7 +70,7 @@
 	n := 0
 	var last time.Time
 	for i := range crashes {
-		if c := &crashes[i]; c.counts() && c.Sent.After(last) && c.At.Sub(last) >= minCrashInterval {
+		if c := &crashes[i]; c.valid() && c.Sent.After(last) && c.At.Sub(last) >= minCrashInterval {
 			n, last = n+1, c.At
 		}
 	}
--- a/internal/request/quarantine/ends.go
+++ b/internal/request/quarantine/ends.go
@@ -41,9 +41,11 @@
 
 // ends returns the ends of upstreams that led to the hold of a part or came with requests on it, each once.
 func (s *suspect) ends() []end {
-	out := s.endsOf(func(crash *Crash) bool { return !crash.Void && !crash.lifted })
+	out := s.endsOf((*Crash).valid)
 	for i := range s.hold.Crashes {
-		out = appendEnd(out, s.hold.Crashes[i].end())
+		if cause := &s.hold.Crashes[i]; s.stillValid(cause) {
+			out = appendEnd(out, cause.end())
+		}
 	}
 	return out
 }
@@ -62,12 +64,10 @@
 // blamedEnds returns the ends that may be blamed on a part: all of them if it is held, and otherwise those of crashes that
 // the given ends of held parts don't explain.
 func (s *suspect) blamedEnds(now time.Time, explained []end) []end {
-	if s.hold.activeAt(now) {
+	if s.inForce(now) {
 		return s.ends()
 	}
-	return s.endsOf(func(crash *Crash) bool {
-		return !crash.Void && !crash.lifted && !leadTo(explained, crash.end())
-	})
+	return s.endsOf(func(crash *Crash) bool { return crash.valid() && !leadTo(explained, crash.end()) })
 }
 
 // countAt returns the number of crashes that count and are due to one of the ends.
--- a/internal/request/quarantine/hold.go
+++ b/internal/request/quarantine/hold.go
@@ -50,21 +50,16 @@
 	if content.IsPart() && c.outranked(now, content, s) {
 		return
 	}
-	if content.IsPart() && c.partCrashesNeeded(now, content, s.hold.Times+1) == answeredPartCrashesToHold {
-		likelier, ok := c.likelierPart(now, content, s)
-		switch {
-		case ok:
-			content, s = likelier, c.suspects[likelier]
-		case !c.mayBlame(content, s):
-			return
-		}
+	if likelier, ok := c.likelierPart(now, content, s); ok {
+		c.beginHold(now, likelier, c.suspects[likelier])
+	} else if c.mayBlame(now, content, s) {
+		c.beginHold(now, content, s)
 	}
-	c.beginHold(now, content, s)
 }
 
 // beginHold begins a hold of some work because of its crashes.
 func (c *Core) beginHold(now time.Time, content Content, s *suspect) {
-	s.previous, s.hold = s.hold, s.hold.next(now, firstHold(content))
+	s.previous, s.hold, s.suspended = s.hold, s.hold.next(now, firstHold(content)), false
 	s.hold.Crashes = s.countedSince(now, s.previous)
 	s.fromCrashes, s.stored = true, false
 	c.newHolds = append(c.newHolds, content)
@@ -73,12 +68,12 @@
 
 // unfounded reports whether the current hold isn't justified any more. A stored hold depends on the crashes in its
 // record, which are the same at all instances. Another one depends on the crashes known here, if it began because of
-// them.
+// them. A hold whose crashes are explained here isn't unfounded, but suspended.
 func (c *Core) unfounded(now time.Time, content Content, s *suspect) bool {
 	if s.stored && len(s.hold.Crashes) > 0 {
 		return s.cleared(content, s.hold)
 	}
-	return s.fromCrashes && countIndependent(s.countedSince(now, s.previous)) < minCrashes(content, s.hold.Times)
+	return s.fromCrashes && countIndependent(s.validSince(now, s.previous)) < minCrashes(content, s.hold.Times)
 }
 
 // minCrashes returns the least number of independent crashes that may lead to the given hold of some work.
@@ -107,15 +102,20 @@
 	return countIndependent(s.countedSince(now, last)) >= needed
 }
 
-// countedSince returns the crashes since the end of the earlier hold last that count against the work.
+// countedSince returns the crashes since the end of the earlier hold last that count against the work here.
 func (s *suspect) countedSince(now time.Time, last Hold) []Crash {
-	counted := make([]Crash, 0, len(s.crashes))
+	return slices.DeleteFunc(s.validSince(now, last), func(crash Crash) bool { return crash.explained() })
+}
+
+// validSince returns the valid crashes since the end of the earlier hold last.
+func (s *suspect) validSince(now time.Time, last Hold) []Crash {
+	valid := make([]Crash, 0, len(s.crashes))
 	for _, crash := range s.crashes {
-		if crash.counts() && crash.At.After(last.Until) && now.Sub(crash.At) < crashRetention {
-			counted = append(counted, *crash)
+		if crash.valid() && crash.At.After(last.Until) && now.Sub(crash.At) < crashRetention {
+			valid = append(valid, *crash)
 		}
 	}
-	return counted
+	return valid
 }
 
 // crashesNeeded returns the number of independent crashes that lead to the given hold of some work, counted from
@@ -127,8 +127,9 @@
 	return crashesToHold
 }
 
-// cancelHold replaces the current hold by the one before it. It is called when the work was answered completely or
-// the crashes no longer justify the current hold. If the hold is stored, or may still be, its record is unwanted.
+// cancelHold replaces the current hold by the one before it. It is called when the work was answered completely, or the
+// crashes that led to the current hold aren't valid any more, at any instance. If the hold is stored, or may still be, its
+// record is unwanted.
 func (c *Core) cancelHold(now time.Time, content Content, s *suspect) {
 	if s.stored {
 		c.markUnwanted(now, content, s, s.hold.Version, s.hold.Until)
@@ -136,20 +137,26 @@
 	} else if now.Before(s.record.unknownUntil) {
 		c.markUnwanted(now, content, s, 0, s.hold.Until)
 	}
-	s.hold, s.previous = s.previous, Hold{}
+	s.dropHold()
+	c.exonerate(content)
+}
+
+// dropHold replaces the current hold by the one before it.
+func (s *suspect) dropHold() {
+	s.hold, s.previous, s.suspended = s.previous, Hold{}, false
 	s.fromCrashes, s.stored = false, false
 }
 
-// ActiveHold returns the hold of some work; ok is false if none is in force.
+// ActiveHold returns the hold of some work; ok is false if none is in force here.
 func (c *Core) ActiveHold(now time.Time, content Content) (hold Hold, ok bool) {
 	s, known := c.suspects[content]
-	if !known || !s.hold.activeAt(now) {
+	if !known || !s.inForce(now) {
 		return Hold{}, false
 	}
 	return s.hold, true
 }
 
-// TakeNewHolds returns the work for which crashes began a hold since the last call.
+// TakeNewHolds returns the work for which crashes began a hold since the last call, or whose hold isn't suspended any more.
 func (c *Core) TakeNewHolds() []Content {
 	out := c.newHolds
 	c.newHolds = nil
@@ -165,7 +172,7 @@
 	}
 	s := c.suspects[content]
 	if s.fromCrashes && !c.unfounded(now, content, s) {
-		hold.Crashes = s.countedSince(now, s.previous)
+		hold.Crashes = s.validSince(now, s.previous)
 	}
 	return hold, !s.stored
 }
@@ -200,19 +207,21 @@
 	s.stored, s.storedAt = true, now
 	c.explainDue = true
 	c.explainCrashes(now)
-	return isNew
+	return isNew && s.inForce(now)
 }
 
 // Lift ends a hold that was removed from the platform. Neither the crashes that led to it nor the others that are
 // known count any more. The first are remembered, so that a late write of the same hold is recognized. Lift does
 // nothing and returns false if no hold of the work is known to have been stored.
-func (c *Core) Lift(content Content) bool {
+func (c *Core) Lift(now time.Time, content Content) bool {
 	s, ok := c.suspects[content]
 	if !ok || !s.stored {
 		return false
 	}
+	c.exonerate(content)
+	defer c.explainCrashes(now)
 	s.addCauses()
-	s.crashes = slices.DeleteFunc(s.crashes, func(crash *Crash) bool { return crash.counts() && !s.isCause(crash) })
+	s.crashes = slices.DeleteFunc(s.crashes, func(crash *Crash) bool { return crash.valid() && !s.isCause(crash) })
 	if len(s.crashes) == 0 {
 		delete(c.suspects, content)
 		return true
@@ -221,7 +230,7 @@
 		crash.lifted = true
 	}
 	s.record.gone = max(s.record.gone, s.hold.Version)
-	s.hold, s.previous = Hold{}, Hold{}
+	s.hold, s.previous, s.suspended = Hold{}, Hold{}, false
 	s.fromCrashes, s.stored = false, false
 	return true
 }
--- a/internal/request/quarantine/part.go
+++ b/internal/request/quarantine/part.go
@@ -88,6 +88,9 @@
 // wasn't answered lately, or the given one is common and far fewer requests with the other broke off. A part that all
 // requests share is under way at each crash that a deadly one causes, and at others besides. ok is false if there is none.
 func (c *Core) likelierPart(now time.Time, part Content, s *suspect) (likelier Content, ok bool) {
+	if !c.mayBeSound(now, part, s) {
+		return likelier, false
+	}
 	ends := s.ends()
 	best := (len(ends) + 1) / 2
 	for content, other := range c.suspects {
@@ -101,10 +104,20 @@
 	return likelier, ok
 }
 
-// mayBlame reports whether a part that may well be sound can be held because of its crashes: requests without it were
-// answered since, or it is one part among others that broke off far more often at the same ends.
-func (c *Core) mayBlame(part Content, s *suspect) bool {
-	if c.answers-s.answersBefore >= minControlAnswers {
+// mayBeSound reports whether the suspect is a part that may well be sound although it crashed upstreams, so that it is held
+// only after more crashes.
+func (c *Core) mayBeSound(now time.Time, content Content, s *suspect) bool {
+	times := s.hold.Times
+	if !s.hold.activeAt(now) {
+		times++
+	}
+	return content.IsPart() && c.partCrashesNeeded(now, content, times) == answeredPartCrashesToHold
+}
+
+// mayBlame reports whether a suspect can be held because of its crashes. A part that may well be sound can only if requests
+// without it were answered since, or if it is one part among others that broke off far more often at the same ends.
+func (c *Core) mayBlame(now time.Time, part Content, s *suspect) bool {
+	if !c.mayBeSound(now, part, s) || c.answers-s.answersBefore >= minControlAnswers {
 		return true
 	}
 	ends := s.ends()
--- a/internal/request/quarantine/record.go
+++ b/internal/request/quarantine/record.go
@@ -121,7 +121,7 @@
 		c.RecordRemoved(now, content, version)
 	}
 	s.record.gone = max(s.record.gone, version)
-	return c.Lift(content)
+	return c.Lift(now, content)
 }
 
 // outdated reports whether a stored hold is older than what is known of the record.
@@ -133,29 +133,29 @@
 }
 
 // cleared reports whether a stored hold isn't justified any more: it ended here for that reason before, or too few of
-// the crashes that led to it count now. Crashes that aren't known here count.
+// the crashes that led to it are valid now. Those that aren't known here are. What explains them here plays no part:
+// other instances may know that it is no cause.
 func (s *suspect) cleared(content Content, hold Hold) bool {
 	if hold.Version != 0 && hold.Version <= s.record.cleared {
 		return true
 	}
 	counted := make([]Crash, 0, len(hold.Crashes))
 	for i := range hold.Crashes {
-		if cause := &hold.Crashes[i]; s.stillCounts(cause) {
+		if cause := &hold.Crashes[i]; s.stillValid(cause) {
 			counted = append(counted, *cause)
 		}
 	}
 	return len(counted) < len(hold.Crashes) && countIndependent(counted) < minCrashes(content, hold.Times)
 }
 
-// stillCounts reports whether a crash that led to a stored hold counts. It doesn't if it is known here and all
-// matching crashes don't count. Held parts explain nothing of each other, whichever of them was held first here.
-func (s *suspect) stillCounts(cause *Crash) bool {
+// stillValid reports whether a crash that led to a hold is valid. It isn't if it is known here and no matching crash is.
+func (s *suspect) stillValid(cause *Crash) bool {
 	known := false
 	for _, crash := range s.crashes {
 		if !crash.sameCrash(cause) {
 			continue
 		}
-		if crash.counts() || crash.Content.IsPart() && !crash.Void && !crash.lifted {
+		if crash.valid() {
 			return true
 		}
 		known = true
