--- a/internal/request/quarantine/doc.go
+++ b/internal/request/quarantine/doc.go
@@ -15,10 +15,13 @@
 // requests have the same Content. Crashes are therefore also counted for each part of the prompt that
 // other requests may share, which has a Content of its own (PartContent) and is held like work, after
 // more crashes. The crashes of a held part are explained: they don't count against anything else that
-// was under way at the same upstreams.
+// was under way at the same upstreams. Instances may come to different conclusions about that, as they
+// saw different answers.
 //
 // Terms of this package:
 //   - A hold is a period during which no instance sends some work to any upstream.
+//   - A hold is suspended at an instance that blames something else for its crashes. It stays on the
+//     platform, and in force at the others.
 //   - A suspect is work that has crashed an upstream or was held.
 //   - A crash is void if it no longer counts against the work, because the work was answered
 //     completely since.
