A response on a kept connection must name its request

Cause: the owner of a response was checked only if the response had an id. Change: one that has none is this request's only if its connection carried no request before (Reused); otherwise its outcome is unknown, and the connection is closed. Cost: a true rejection without an id on a kept connection isn't repeated elsewhere any more.

--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -36,6 +36,7 @@
 // Causes of a failed response.
 var (
 	errWrongRequest    = errors.New("the response belongs to another request")
+	errNoRequestNamed  = errors.New("the response names no request, and may be to an earlier one of its connection")
 	errUpstreamRefused = errors.New("the upstream refused the request")
 	errServerError     = errors.New("the upstream responded with a server error")
 	errBodyTimeout     = errors.New("the body of the response didn't come in time")
@@ -89,13 +90,18 @@
 	return r.copyBuffered(resp)
 }
 
-// checkOwner returns errWrongRequest if a response belongs to another request. The response to this one may follow on the
-// connection, where the next request would meet it, so the connection is closed.
+// checkOwner returns an error if a response belongs to another request, or may do so: one that names no request can only be
+// told from bytes that an upstream at fault left on the connection if the connection carried no request before. The response
+// to this request may still follow, where the next one would meet it, so the connection is closed.
 func (q *request) checkOwner(resp *upstream.ServiceResponse, info exchange.ResponseInfo) error {
-	if info.RequestID == "" || info.RequestID == q.info.ID {
+	named := info.RequestID != ""
+	if info.RequestID == q.info.ID || !named && !resp.Reused {
 		return nil
 	}
 	resp.CloseConnection()
+	if !named {
+		return errNoRequestNamed
+	}
 	return errWrongRequest
 }
 
