A stream of which nobody has a row goes on only where the platform's record allows it

Cause: an instance that found no row concluded from its own reading of the list that there had been one version for as long as callers wait, over the timeout of the route in force. Neither do callers keep to that time, nor does a new instance know what the list, or the configuration, was while nobody ran. Class: a conclusion from the absence of a row, over a window that others don't keep to; and state that all instances lose at once.

Followers of the list add a version before they place streams there. A resumption without a row reads the record after the caller has asked, and goes on only if one origin is possible. No window of the instance's own is left; with one version a stream goes on at once, also after all instances were lost. Engines that only compute prompts count no longer as a version of their service.

Tests: TestStreamContinuesWithOneVersion expected that a version that was listed before is forgotten after 1.5 s, the timeout of the test's routes: this is the fault. TestSoftwareOf and TestSoftwareIsForgotten tested the window; TestVersionsOfTheDayAreRecorded and the other tests of package origins take their place. TestResolve: rows alone decide; answers of older programs count for nothing.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -66,6 +66,8 @@
 	peers           *peerExchange // nil: no messages are exchanged with other instances
 	holds           *holds.Keeper
 	streams         *streamOrigins
+	origins         *originRecord
+	originReader    *originReader
 	liveSettings    atomic.Pointer[liveSettings]
 	callsCtx        renewableContext          // of calls that list or watch platform objects; canceled when the platform is back after an outage
 	era             atomic.Uint64             // era of the platform at the last checkEra; grows with each restore from a copy
@@ -108,6 +110,8 @@
 		tunnels:         tunnel.NewClient(),
 		demand:          newDemandTracker(),
 		streams:         newStreamOrigins(uint64(time.Now().UnixMicro())),
+		origins:         newOriginRecord(),
+		originReader:    newOriginReader(cfg.Records),
 		reloadSignals:   notifyReloads(),
 		requestLog:      newRequestLog(cfg.Settings.Logging.LinesPerSecond),
 		readAheadBudget: memoryBudget{limit: int64(readAheadMemoryShare * float64(cfg.Settings.Limits.MemoryMB<<20))},
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -147,6 +147,7 @@
 	}
 	logline.Info("platform returned from an older copy", "era", era)
 	e.eraCtx.cancelCurrent()
+	e.origins.recheck()
 	return true
 }
 
@@ -288,6 +289,7 @@
 			e.state.listed = true
 			e.state.confirmUpstreams(now, stalls)
 		})
+		e.origins.recheck()
 		logline.Info("upstreams listed", "revision", revision, "count", len(entries), "ms", time.Since(start).Milliseconds())
 		return revision, nil
 	}
@@ -308,6 +310,9 @@
 				e.state.confirmUpstreams(now, stalls)
 			}
 		})
+		if len(changes) > 0 {
+			e.origins.recheck()
+		}
 		return revision, len(changes), nil
 	}
 	lost := func() { e.updateFleet(func(_ time.Time, f *fleet.Core) { f.PlatformLost() }) }
@@ -383,6 +388,7 @@
 	if c == nil || !e.state.install(c) {
 		return
 	}
+	e.origins.recheck()
 	logline.Info("configuration in force", "version", c.Version, "revision", revision, "routes", len(c.Routes))
 	if e.peers != nil {
 		e.peers.copyAllRows()
--- a/internal/process/entry/followplatform.go
+++ b/internal/process/entry/followplatform.go
@@ -37,7 +37,7 @@
 // followPlatform follows the parts of the platform that this instance needs, until ctx ends.
 func (e *Entry) followPlatform(ctx context.Context) {
 	always := func(time.Time) peers.FollowReason { return peers.ByRank }
-	upstreams := followTask{name: "upstreams", why: always, feeds: []func(context.Context){e.followUpstreams, e.probePlatform}}
+	upstreams := followTask{name: "upstreams", why: always, feeds: []func(context.Context){e.followUpstreams, e.probePlatform, e.followOrigins}}
 	configAndHolds := followTask{name: "configuration and holds", why: always, feeds: []func(context.Context){e.followConfig, e.followHolds}}
 	if s := e.peers; s != nil {
 		upstreams.why, configAndHolds.why = s.whyUpstreams, s.whyPlatform
--- /dev/null
+++ b/internal/process/entry/originreader.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/origins"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+// originReadTimeout limits a read of the record of origins while a caller waits. The platform usually answers within
+// milliseconds.
+const originReadTimeout = 300 * time.Millisecond
+
+// originReader reads the platform's record of origins for requests. Requests that come while a read is under way share
+// the next one: a read that began before a request may miss the origin of its stream.
+type originReader struct {
+	read func(ctx context.Context) (origins.Record, uint64, error) // returns the record and the era of the platform
+
+	mu   sync.Mutex
+	next *originRead // hasn't begun; nil: none is wanted
+	busy bool        // a read is under way
+}
+
+// originRead is a read of the record and its result.
+type originRead struct {
+	done   chan struct{} // closed when the result is set
+	record origins.Record
+	era    uint64 // of the platform
+	err    error
+}
+
+func newOriginReader(records platform.Store) *originReader {
+	return &originReader{read: func(ctx context.Context) (origins.Record, uint64, error) {
+		o, err := records.Get(ctx, resource.KindOriginRecord, originRecordName)
+		if err != nil {
+			return origins.Record{}, 0, err
+		}
+		record, err := resource.Decode[origins.Record](o)
+		return record, platform.EraOf(o.Version), err
+	}}
+}
+
+// sole returns the only possible origin of a stream on a path of a host that began before this call. ok is false if there
+// are several, or if none is known. It returns an error if the platform didn't say.
+func (r *originReader) sole(ctx context.Context, host, path string) (origin origins.Origin, ok bool, err error) {
+	read := r.join()
+	select {
+	case <-read.done:
+	case <-ctx.Done():
+		return origins.Origin{}, false, ctx.Err()
+	}
+	if errors.Is(read.err, platform.ErrNotFound) || errors.Is(read.err, platform.ErrInvalid) {
+		return origins.Origin{}, false, nil
+	}
+	if read.err != nil {
+		return origins.Origin{}, false, read.err
+	}
+	origin, ok = read.record.Sole(read.era, time.Now(), host, path)
+	return origin, ok, nil
+}
+
+// join returns the next read, and starts it if none is under way.
+func (r *originReader) join() *originRead {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.next == nil {
+		r.next = &originRead{done: make(chan struct{})}
+	}
+	if !r.busy {
+		r.busy = true
+		go r.run()
+	}
+	return r.next
+}
+
+// take returns the next read, which begins now; nil: none is wanted.
+func (r *originReader) take() *originRead {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	read := r.next
+	r.next, r.busy = nil, read != nil
+	return read
+}
+
+// run makes the reads until none is wanted.
+func (r *originReader) run() {
+	for read := r.take(); read != nil; read = r.take() {
+		ctx, cancel := context.WithTimeout(context.Background(), originReadTimeout)
+		read.record, read.era, read.err = r.read(ctx)
+		cancel()
+		close(read.done)
+	}
+}
--- /dev/null
+++ b/internal/process/entry/originreader_test.go
@@ -0,0 +1,72 @@
+package entry
+
+import (
+	"context"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/origins"
+)
+
+// recordWith returns a record of a service that had the given versions.
+func recordWith(versions ...string) origins.Record {
+	left := make(origins.Left)
+	for _, v := range versions {
+		left[v] = 0
+	}
+	return origins.Record{Versions: map[string]origins.Left{"llm": left}, Routes: map[string]origins.Left{"host/": {"llm": 0}}}
+}
+
+// TestReadOfRecordBeginsAfterItsRequest guards against a conclusion from a record that was read before the caller's stream
+// began: requests that come during a read share the next one.
+func TestReadOfRecordBeginsAfterItsRequest(t *testing.T) {
+	began, records := make(chan struct{}), make(chan origins.Record)
+	r := newOriginReader(nil)
+	r.read = func(context.Context) (origins.Record, uint64, error) {
+		began <- struct{}{}
+		return <-records, 0, nil
+	}
+	first := r.join()
+	<-began
+	second, third := r.join(), r.join()
+	if second == first || second != third {
+		t.Fatal("requests that come during a read don't share the next one")
+	}
+	records <- recordWith("v1")
+	<-began
+	records <- recordWith("v1", "v2")
+	<-second.done
+	if len(first.record.Versions["llm"]) != 1 || len(second.record.Versions["llm"]) != 2 {
+		t.Errorf("%+v, %+v", first.record, second.record)
+	}
+}
+
+// TestSoleOriginByRecord checks what a record says, and that a platform that doesn't answer is told apart from one that
+// has no record.
+func TestSoleOriginByRecord(t *testing.T) {
+	silent := errors.Wrap(platform.ErrUnavailable, "no answer")
+	for _, c := range []struct {
+		name   string
+		record origins.Record
+		err    error
+		want   string
+		fails  bool
+	}{
+		{"one version", recordWith("v1"), nil, "v1", false},
+		{"two versions", recordWith("v1", "v2"), nil, "", false},
+		{"no version", recordWith(), nil, "", false},
+		{"an earlier era", origins.Record{Era: 3, Versions: recordWith("v1").Versions, Routes: recordWith().Routes}, nil, "", false},
+		{"no route", origins.Record{Versions: recordWith("v1").Versions}, nil, "", false},
+		{"no record", origins.Record{}, errors.Wrap(platform.ErrNotFound, "llm"), "", false},
+		{"unreadable", origins.Record{}, errors.Wrap(platform.ErrInvalid, "llm"), "", false},
+		{"no answer", origins.Record{}, silent, "", true},
+	} {
+		r := newOriginReader(nil)
+		r.read = func(context.Context) (origins.Record, uint64, error) { return c.record, 0, c.err }
+		if got, ok, err := r.sole(t.Context(), "host", "/x"); got.Software != c.want || ok != (c.want != "") || (err != nil) != c.fails {
+			t.Errorf("%s: %q, %v", c.name, got, err)
+		}
+	}
+}
--- a/internal/process/entry/peerexchange.go
+++ b/internal/process/entry/peerexchange.go
@@ -151,7 +151,7 @@
 	s.reportUsage(now)
 	s.updateRateLimits(now)
 	s.queryIncarnations(now)
-	s.copyDoubtfulRows(now)
+	s.copyDoubtfulRows()
 	platformLost, ready := s.e.platformLost(now), s.e.cannotPlaceReason() == ""
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -31,7 +31,6 @@
 	waiters        map[string]chan place.Decision // where decisions on waiting requests are sent, by Query.ID
 	retryLimits    map[string]*retryLimit         // by service
 	patience       map[string]*patience.Route     // by route
-	resumeWindows  map[string]time.Duration       // see resumeWindow, by service
 	bounds         settings.EntryBounds
 	trackedVersion uint64    // version of fleet that tracker was last updated from; 0: update it again
 	listed         bool      // the list of upstreams was read and is followed
@@ -78,7 +77,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.trackedVersion = 0
-	s.resumeWindows = resumeWindowsOf(c)
 	s.syncTracker(time.Now())
 	maps.DeleteFunc(s.patience, func(route string, _ *patience.Route) bool { return !c.HasRoute(route) })
 }
--- a/internal/process/entry/streamexchange.go
+++ b/internal/process/entry/streamexchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
 )
@@ -96,11 +95,11 @@
 
 // copyDoubtfulRows sends the rows of streams that began while their service had one version of software to their
 // holders, once that is in doubt.
-func (s *peerExchange) copyDoubtfulRows(now time.Time) {
+func (s *peerExchange) copyDoubtfulRows() {
 	var services []string
 	s.e.streams.with(func(_ time.Time, core *streams.Core) { services = core.UncopiedServices() })
 	for _, service := range services {
-		if _, state := s.e.state.softwareOf(now, service); state != fleet.SoftwareSole && s.e.state.upstreamsListed() {
+		if s.e.state.upstreamsListed() && !s.e.soleSoftwareOf(service) {
 			s.copyRows(service)
 		}
 	}
@@ -139,7 +138,7 @@
 	if len(m.StreamQueries) > 0 {
 		var answers []peers.StreamAnswer
 		for _, query := range m.StreamQueries {
-			answers = append(answers, peers.StreamAnswerOf(query.ID, s.e.ownAnswer(streams.Key(query.Key), query.Service)))
+			answers = append(answers, peers.StreamAnswerOf(query.ID, s.e.ownAnswer(streams.Key(query.Key))))
 		}
 		s.send(peers.Message{StreamAnswers: answers}, from)
 	}
--- a/internal/process/entry/streamorigins.go
+++ b/internal/process/entry/streamorigins.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/origins"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
@@ -103,46 +103,6 @@
 	return s.core.TakeDue(time.Now())
 }
 
-// softwareOf returns which versions of software the upstreams of a service have had for as long as its callers resume
-// streams, and the version if there was only one.
-func (s *state) softwareOf(now time.Time, service string) (string, fleet.SoftwareState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.detectStall()
-	if !s.listed {
-		return "", fleet.SoftwareUnknown
-	}
-	return s.fleet.SoftwareOf(now, service, s.resumeWindow(service))
-}
-
-// resumeWindow returns for how long after the first event callers of a service may resume a stream. Callers hold mu.
-func (s *state) resumeWindow(service string) time.Duration {
-	window, ok := s.resumeWindows[service]
-	if !ok {
-		window = undeclaredWait
-	}
-	return window
-}
-
-// resumeWindowsOf returns the windows of all services that have resumable routes.
-func resumeWindowsOf(c *routing.Config) map[string]time.Duration {
-	out := make(map[string]time.Duration)
-	for i := range c.Routes {
-		route := &c.Routes[i]
-		if !route.Resumable {
-			continue
-		}
-		wait := route.Timeout
-		if wait == 0 {
-			wait = undeclaredWait
-		}
-		for _, t := range route.Targets {
-			out[t.Service] = max(out[t.Service], wait)
-		}
-	}
-	return out
-}
-
 // hasSoftware reports whether an upstream of a service with a version of software is listed that isn't leaving. Without a list of upstreams, it returns true.
 func (s *state) hasSoftware(service, software string) bool {
 	s.mu.Lock()
@@ -150,21 +110,14 @@
 	return !s.listed || s.fleet.HasSoftware(service, software)
 }
 
-// ownAnswer returns what this instance knows of the origin of a stream. service is that of the request that resumes it.
-func (e *Entry) ownAnswer(key streams.Key, service string) streams.Answer {
-	var origin streams.Origin
-	found := false
-	e.streams.with(func(now time.Time, core *streams.Core) { origin, found = core.Find(now, key) })
-	if found {
-		return streams.Answer{Basis: streams.ByRow, Origin: origin}
-	}
-	switch software, state := e.state.softwareOf(time.Now(), service); state {
-	case fleet.SoftwareSole:
-		return streams.Answer{Basis: streams.BySole, Origin: streams.Origin{Service: service, Software: software}}
-	case fleet.SoftwareMixed:
-		return streams.Answer{Basis: streams.ByMixed}
-	}
-	return streams.Answer{}
+// ownAnswer returns what this instance knows of the origin of a stream.
+func (e *Entry) ownAnswer(key streams.Key) (a streams.Answer) {
+	e.streams.with(func(now time.Time, core *streams.Core) {
+		if origin, found := core.Find(now, key); found {
+			a = streams.Answer{Basis: streams.ByRow, Origin: origin}
+		}
+	})
+	return a
 }
 
 // continuesStream reports whether the caller resumes a stream.
@@ -185,20 +138,24 @@
 }
 
 // resolveOrigin finds where the stream began that the caller resumes, and restricts the request to upstreams that may
-// continue it. It returns an error if the stream can't be continued.
+// continue it. It returns an error if the stream can't be continued. A row decides. Without one, the stream began at the
+// only origin that is possible by the platform's record, if there is only one.
 func (q *request) resolveOrigin(ctx context.Context) *errkind.Error {
 	key := q.streamKey()
-	own := q.e.ownAnswer(key, q.service)
+	own := q.e.ownAnswer(key)
 	var others []streams.Answer
 	asked := 0
 	if own.Basis != streams.ByRow {
 		others, asked = q.e.askOrigin(ctx, key, q.service)
 	}
-	if q.route.IsSplit() {
-		own, others = withoutSole(own, others) // the stream may have begun at another service
+	origin, found := streams.Resolve(own, others)
+	q.resumption = &resumption{origin: origin, basis: streams.ByRow, asked: asked, answered: len(others)}
+	if !found {
+		if refusal := q.originByRecord(ctx); refusal != nil {
+			return refusal
+		}
 	}
-	origin, basis := streams.Resolve(own, others, asked)
-	q.resumption = &resumption{origin: origin, basis: basis, asked: asked, answered: len(others)}
+	origin = q.resumption.origin
 	switch {
 	case ctx.Err() != nil:
 		return q.contextError(ctx)
@@ -211,32 +168,40 @@
 	return nil
 }
 
+// originByRecord sets the origin of a stream of which nobody has a row by the platform's record. It leaves the origin
+// empty if that isn't possible, and returns an error if the platform couldn't be read: the caller may then come back.
+func (q *request) originByRecord(ctx context.Context) *errkind.Error {
+	q.resumption.basis = streams.NoOpinion
+	origin, ok, err := q.e.originReader.sole(ctx, q.route.NormalHost(), q.r.URL.Path)
+	switch {
+	case ctx.Err() != nil:
+		return q.contextError(ctx)
+	case err != nil:
+		q.resumption.err = err
+		return errkind.New(errkind.CannotContinue, errkind.NotRun, "the platform can't be asked where the stream began").WithRetryAfter(defaultRetryAfter)
+	case ok:
+		q.resumption.basis = streams.ByRecord
+		q.resumption.origin = streams.Origin{Service: origin.Service, Software: origin.Software}
+	}
+	return nil
+}
+
 // resumption is what was found out about the stream that a request resumes.
 type resumption struct {
 	origin          streams.Origin
 	basis           streams.Basis
-	asked, answered int // other instances
+	asked, answered int   // other instances
+	err             error // of reading the record of versions
 }
 
 // fields returns the log fields of a resumption of the attempt with the given id.
 func (r *resumption) fields(resumes string) []any {
-	return []any{"resumes", resumes, "began_service", r.origin.Service, "began_software", r.origin.Software,
+	fields := []any{"resumes", resumes, "began_service", r.origin.Service, "began_software", r.origin.Software,
 		"known_by", r.basis.String(), "asked", r.asked, "answered", r.answered}
-}
-
-// withoutSole returns the answers without those that are based on a service's only version.
-func withoutSole(own streams.Answer, others []streams.Answer) (streams.Answer, []streams.Answer) {
-	drop := func(a streams.Answer) streams.Answer {
-		if a.Basis == streams.BySole {
-			return streams.Answer{}
-		}
-		return a
-	}
-	out := make([]streams.Answer, len(others))
-	for i, a := range others {
-		out[i] = drop(a)
+	if r.err != nil {
+		fields = append(fields, "record_error", r.err)
 	}
-	return drop(own), out
+	return fields
 }
 
 // recordOrigin records the origin of a stream of which the caller is about to get the first event of this response.
@@ -263,12 +228,17 @@
 	}
 }
 
-// soleSoftware reports whether the service of a place has had upstreams of only one version of software for as long as
-// callers resume streams. An instance without a list of upstreams relies on the placer.
+// soleSoftware reports whether upstreams of only one version of software can have begun streams of the service of a
+// place, so that nobody needs to know where a stream began. An instance without a list of upstreams relies on the placer.
 func (e *Entry) soleSoftware(h *heldPlace) bool {
 	if h.placer != "" && !e.state.upstreamsListed() {
 		return h.sole
 	}
-	_, state := e.state.softwareOf(time.Now(), h.upstream().Service)
-	return state == fleet.SoftwareSole
+	return e.soleSoftwareOf(h.upstream().Service)
+}
+
+// soleSoftwareOf is soleSoftware for a service, at an instance that follows the list of upstreams.
+func (e *Entry) soleSoftwareOf(service string) (sole bool) {
+	e.origins.with(func(now time.Time, core *origins.Core) { sole = core.Sole(now, service) })
+	return sole
 }
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -23,11 +23,12 @@
 // use.
 type Core struct {
 	entries         map[string]*entry
-	missingCount    int                          // number of entries that are missing
-	tombstones      map[string]tombstone         // removed entries, by ID
-	unreadable      map[string]string            // the invalid field of each unreadable entry, by ID
-	software        map[string]*softwareVersions // by service
-	deferred        map[string]Upstream          // by ID; removed entries that are listed again after a restore of the platform from an older copy, see Replace
+	missingCount    int                        // number of entries that are missing
+	tombstones      map[string]tombstone       // removed entries, by ID
+	unreadable      map[string]string          // the invalid field of each unreadable entry, by ID
+	software        map[string]map[string]int  // number of entries that can begin streams, by service and version of software
+	recorded        map[string]map[string]bool // see SetRecorded
+	deferred        map[string]Upstream        // by ID; removed entries that are listed again after a restore of the platform from an older copy, see Replace
 	reportedLeaving map[Incarnation]leavingReport
 	sweptAt         time.Time // when reportedLeaving was last swept
 	listed          bool      // a whole list has been received
@@ -58,7 +59,7 @@
 	return &Core{
 		entries: make(map[string]*entry), tombstones: make(map[string]tombstone),
 		unreadable: make(map[string]string), deferred: make(map[string]Upstream),
-		reportedLeaving: make(map[Incarnation]leavingReport), software: make(map[string]*softwareVersions),
+		reportedLeaving: make(map[Incarnation]leavingReport), software: make(map[string]map[string]int),
 	}
 }
 
@@ -216,14 +217,14 @@
 		e.Leaving = e.Leaving || (t.leaving && u.StartedMS == t.startedMS)
 	}
 	delete(c.tombstones, u.ID)
-	c.removeEntry(now, u.ID)
+	c.removeEntry(u.ID)
 	c.entries[u.ID] = e
 	c.countSoftware(&e.Upstream)
 	c.version++
 }
 
 // removeEntry removes an entry, if it exists, without adding a tombstone.
-func (c *Core) removeEntry(now time.Time, id string) {
+func (c *Core) removeEntry(id string) {
 	e, ok := c.entries[id]
 	if !ok {
 		return
@@ -231,7 +232,7 @@
 	if e.missing {
 		c.missingCount--
 	}
-	c.uncountSoftware(now, &e.Upstream)
+	c.uncountSoftware(&e.Upstream)
 	delete(c.entries, id)
 }
 
@@ -253,7 +254,7 @@
 // delete removes an entry and adds a tombstone for it.
 func (c *Core) delete(now time.Time, e *entry) {
 	c.tombstones[e.ID] = tombstone{startedMS: e.StartedMS, leaving: e.Leaving, expiresAt: now.Add(tombstoneTTL)}
-	c.removeEntry(now, e.ID)
+	c.removeEntry(e.ID)
 	c.version++
 }
 
@@ -329,7 +330,6 @@
 		expired = append(expired, id)
 	}
 	c.expireLeavingReports(now)
-	c.forgetSoftware(now)
 	for id, t := range c.tombstones {
 		if now.Before(t.expiresAt) {
 			continue
@@ -432,16 +432,19 @@
 // Usable returns the upstreams that may get new work, by service. If several entries have the same
 // address, only the one that started last is included. An entry that went missing after a stall is included
 // only if no listed upstream of its service is: it has probably ended, and lapsed only if there was an outage
-// that this process didn't notice.
+// that this process didn't notice. An upstream with a version of software at which no stream may begin yet is
+// included only if no other one can begin streams of its service.
 func (c *Core) Usable() map[string][]Upstream {
 	newest := make(map[string]int64, len(c.entries)) // latest start, by address
 	for _, e := range c.entries {
 		newest[e.Address] = max(newest[e.Address], e.StartedMS)
 	}
-	out, afterStall := make(map[string][]Upstream), make(map[string][]Upstream)
+	out, afterStall, unrecorded := make(map[string][]Upstream), make(map[string][]Upstream), make(map[string][]Upstream)
 	for _, e := range c.entries {
 		switch {
 		case e.Leaving || e.Changing() || e.StartedMS != newest[e.Address]:
+		case !c.isRecorded(&e.Upstream):
+			unrecorded[e.Service] = append(unrecorded[e.Service], e.Upstream)
 		case e.missing && e.afterStall:
 			afterStall[e.Service] = append(afterStall[e.Service], e.Upstream)
 		default:
@@ -453,6 +456,11 @@
 			out[service] = upstreams
 		}
 	}
+	for service, upstreams := range unrecorded {
+		if !slices.ContainsFunc(out[service], func(u Upstream) bool { return u.BeginsStreams() }) {
+			out[service] = append(out[service], upstreams...)
+		}
+	}
 	return out
 }
 
--- a/internal/process/fleet/software_test.go
+++ b/internal/process/fleet/software_test.go
@@ -1,59 +1,77 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 )
 
-// TestSoftwareOf checks from when on the list shows that a service has had only one version of software: after it was
-// read for the whole window without interruption, and after the last upstream of another version has been gone for as
-// long.
-func TestSoftwareOf(t *testing.T) {
-	const window = 10 * time.Second
+// TestOnlyUpstreamsThatBeginStreamsCount checks which versions of software can have begun a stream: those of listed
+// upstreams that write events, also while these are leaving, but not those of engines that only compute prompts.
+func TestOnlyUpstreamsThatBeginStreamsCount(t *testing.T) {
 	c, at := New(), time.Unix(1000, 0)
-	up := func(id, software string) Change {
-		return Change{Kind: Listed, ID: id, Upstream: Upstream{ID: id, Service: "llm", Address: id + ":1", Software: software}}
+	put := func(id, software string, role upstream.Role, leaving bool) {
+		c.Put(at, Upstream{ID: id, Service: "llm", Address: id + ":1", Software: software, Role: role, Leaving: leaving})
 	}
-	check := func(what, want string, state SoftwareState) {
+	check := func(what string, want ...string) {
 		t.Helper()
-		if got, s := c.SoftwareOf(at, "llm", window); got != want || s != state {
-			t.Errorf("%s: %q %d, want %q %d", what, got, s, want, state)
+		if got := c.Software("llm"); !slices.Equal(got, want) {
+			t.Errorf("%s: %v, want %v", what, got, want)
 		}
 	}
-	check("no list", "", SoftwareUnknown)
-	c.Replace(at, 1, []Change{up("a", "v1"), up("b", "v1")})
-	check("read just now", "", SoftwareUnknown)
-	at = at.Add(window)
-	check("read for the window", "v1", SoftwareSole)
-	c.Apply(at, []Change{up("c", "v2")})
-	check("another version", "", SoftwareMixed)
-	c.Apply(at, []Change{{Kind: Unlisted, ID: "a"}, {Kind: Unlisted, ID: "b"}})
-	at = at.Add(window - 1)
-	check("the first version left a while ago", "", SoftwareMixed)
-	at = at.Add(1)
-	check("the first version left the window", "v2", SoftwareSole)
-	c.Apply(at, []Change{up("c", "v3")})
-	check("the version of an entry changes", "", SoftwareMixed)
-	at = at.Add(window)
-	check("after that", "v3", SoftwareSole)
-	c.PlatformLost()
-	check("in an outage", "", SoftwareUnknown)
-	c.PlatformRestored(at)
-	at = at.Add(window - 1)
-	check("after an outage", "", SoftwareUnknown)
-	at = at.Add(1)
-	check("long after an outage", "v3", SoftwareSole)
-	c.Resumed()
-	check("after a stall", "", SoftwareUnknown)
-}
-
-// TestSoftwareIsForgotten checks that versions of the past take no memory forever.
-func TestSoftwareIsForgotten(t *testing.T) {
-	c, at := New(), time.Unix(1000, 0)
-	c.Put(at, Upstream{ID: "a", Service: "llm", Software: "v1"})
+	check("no list")
+	put("a", "v1", upstream.RoleDecode, false)
+	put("p", "v0", upstream.RolePrefill, false)
+	check("an engine that only computes prompts", "v1")
+	put("b", "v2", upstream.RoleBoth, true)
+	check("a leaving engine", "v1", "v2")
 	c.Remove(at, "a")
-	c.Expire(at.Add(softwareMemory))
+	check("after its removal", "v2")
+	put("p", "v0", upstream.RoleDecode, false)
+	check("an engine that changed its role", "v0", "v2")
+	put("p", "v3", upstream.RoleDecode, false)
+	check("an entry that changed its version", "v2", "v3")
+	if c.HasSoftware("llm", "v2") || !c.HasSoftware("llm", "v3") {
+		t.Error("a stream of a version continues only at an upstream that isn't leaving")
+	}
+	c.Remove(at, "b")
+	c.Remove(at, "p")
 	if len(c.software) != 0 {
 		t.Errorf("kept: %v", c.software)
 	}
 }
+
+// TestStreamsDoNotBeginAtUnrecordedVersion checks that an upstream with a version of software that isn't recorded yet
+// gets work only if no other upstream can begin streams of its service.
+func TestStreamsDoNotBeginAtUnrecordedVersion(t *testing.T) {
+	c, at := New(), time.Unix(1000, 0)
+	for id, u := range map[string]Upstream{
+		"old": {Software: "v1", Role: upstream.RoleDecode}, "new": {Software: "v2", Role: upstream.RoleDecode},
+		"prompts": {Software: "v2", Role: upstream.RolePrefill},
+	} {
+		u.ID, u.Service, u.Address = id, "llm", id+":1"
+		c.Put(at, u)
+	}
+	usable := func() (ids []string) {
+		for _, u := range c.Usable()["llm"] {
+			ids = append(ids, u.ID)
+		}
+		slices.Sort(ids)
+		return ids
+	}
+	check := func(what string, want ...string) {
+		t.Helper()
+		if got := usable(); !slices.Equal(got, want) {
+			t.Errorf("%s: %v, want %v", what, got, want)
+		}
+	}
+	check("a service without a record", "new", "old", "prompts")
+	c.SetRecorded(map[string]map[string]bool{"llm": {"v1": true}})
+	check("one version recorded", "old", "prompts")
+	c.Remove(at, "old")
+	check("no upstream of a recorded version", "new", "prompts")
+	c.SetRecorded(map[string]map[string]bool{"llm": {"v1": true, "v2": true}})
+	check("both versions recorded", "new", "prompts")
+}
--- a/internal/process/peers/streams.go
+++ b/internal/process/peers/streams.go
@@ -37,7 +37,7 @@
 type StreamQuery struct {
 	_       struct{} `cbor:",toarray"`
 	ID      uint64   // chosen by the sender
-	Key     uint64   // streams.Key; 0: not known, and only the list of upstreams counts
+	Key     uint64   // streams.Key
 	Service string   // service of the request that resumes the stream
 }
 
@@ -129,7 +129,7 @@
 		}
 	}
 	for i := range m.StreamAnswers {
-		if a := &m.StreamAnswers[i]; max(len(a.Service), len(a.Software)) > maxNameBytes || streams.Basis(a.Basis) > streams.ByMixed {
+		if a := &m.StreamAnswers[i]; max(len(a.Service), len(a.Software)) > maxNameBytes || streams.Basis(a.Basis) > streams.MaxBasis {
 			return errors.Errorf("answer for a stream with basis %d, or with a name that is too long", a.Basis)
 		}
 	}
--- a/internal/process/streams/core_test.go
+++ b/internal/process/streams/core_test.go
@@ -94,34 +94,31 @@
 	}
 }
 
-// TestResolve checks what decides on the origin of a stream.
+// TestResolve checks what decides on the origin of a stream: rows alone. What instances conclude from their list of
+// upstreams doesn't, whatever they answer.
 func TestResolve(t *testing.T) {
 	row := func(o Origin) Answer { return Answer{Basis: ByRow, Origin: o} }
-	sole := func(o Origin) Answer { return Answer{Basis: BySole, Origin: o} }
-	none, mixed := Answer{}, Answer{Basis: ByMixed}
+	sole := func(o Origin) Answer { return Answer{Basis: formerBySole, Origin: o} }
+	none, mixed := Answer{}, Answer{Basis: formerByMixed}
 	for _, c := range []struct {
 		name   string
 		own    Answer
 		others []Answer
-		asked  int
 		want   Origin
-		basis  Basis
+		found  bool
 	}{
-		{"own row", row(old), nil, 0, old, ByRow},
-		{"another instance's row", mixed, []Answer{mixed, row(old), none}, 4, old, ByRow},
-		{"a row beside another list of upstreams", sole(other), []Answer{row(old)}, 1, old, ByRow},
-		{"different rows", none, []Answer{row(old), row(other)}, 2, Origin{}, ByRow},
-		{"a contradictory row", none, []Answer{row(Origin{}), sole(old)}, 2, Origin{}, ByRow},
-		{"one version", sole(old), []Answer{none, sole(old)}, 2, old, BySole},
-		{"one version by another list", none, []Answer{sole(old), none}, 3, old, BySole},
-		{"different single versions", sole(old), []Answer{sole(other)}, 1, Origin{}, BySole},
-		{"several versions", sole(old), []Answer{mixed}, 1, Origin{}, ByMixed},
-		{"no answer, the own list may be old", sole(old), nil, 3, Origin{}, NoOpinion},
-		{"the only instance", sole(old), nil, 0, old, BySole},
-		{"nothing known", none, []Answer{none}, 1, Origin{}, NoOpinion},
+		{"own row", row(old), nil, old, true},
+		{"another instance's row", mixed, []Answer{mixed, row(old), none}, old, true},
+		{"a row beside another list of upstreams", none, []Answer{sole(other), row(old)}, old, true},
+		{"different rows", none, []Answer{row(old), row(other)}, Origin{}, true},
+		{"a contradictory row", none, []Answer{row(Origin{}), sole(old)}, Origin{}, true},
+		{"one version by another list", none, []Answer{sole(old), none}, Origin{}, false},
+		{"different single versions", none, []Answer{sole(old), sole(other)}, Origin{}, false},
+		{"no answer", none, nil, Origin{}, false},
+		{"nothing known", none, []Answer{none}, Origin{}, false},
 	} {
-		if got, basis := Resolve(c.own, c.others, c.asked); got != c.want || basis != c.basis {
-			t.Errorf("%s: %v by %v, want %v by %v", c.name, got, basis, c.want, c.basis)
+		if got, found := Resolve(c.own, c.others); got != c.want || found != c.found {
+			t.Errorf("%s: %v %v", c.name, got, found)
 		}
 	}
 }
--- a/internal/process/streams/resolve.go
+++ b/internal/process/streams/resolve.go
@@ -5,21 +5,25 @@
 
 // The bases.
 const (
-	NoOpinion Basis = iota // neither a row nor an up-to-date list of upstreams
+	NoOpinion Basis = iota // there is no row
 	ByRow                  // the origin is from a row
-	BySole                 // there is no row, and upstreams of only one version served for as long as callers wait
-	ByMixed                // there is no row, and upstreams of several versions served
+	// Instances of older programs answer with the next two. They conclude from how long they have followed the list of
+	// upstreams, which says nothing of streams that began before, so that they count as NoOpinion.
+	formerBySole
+	formerByMixed
+	ByRecord // there is no row, and the platform's record of the service names one version of software (package origins)
 )
 
+// MaxBasis is the largest basis.
+const MaxBasis = ByRecord
+
 // String returns the form that is used in logs.
 func (b Basis) String() string {
 	switch b {
 	case ByRow:
 		return "row"
-	case BySole:
+	case ByRecord:
 		return "only version"
-	case ByMixed:
-		return "several versions"
 	}
 	return "nothing"
 }
@@ -27,38 +31,15 @@
 // Answer is what one instance knows of a stream's origin.
 type Answer struct {
 	Basis  Basis
-	Origin Origin // set if ByRow or BySole; empty with ByRow: what is known is contradictory
-}
-
-// Resolve returns the origin of a stream by the own answer and those of other instances. asked is how many were asked.
-// An origin without a version is unknown: the stream can't be continued.
-//
-// A row decides. Without one, the list of upstreams does, unless another list says that there were several versions. The
-// own list alone isn't enough if none of the others answered, since this instance may then be cut off.
-func Resolve(own Answer, others []Answer, asked int) (Origin, Basis) {
-	all := append([]Answer{own}, others...)
-	if origin, found := agreed(all, ByRow); found {
-		return origin, ByRow
-	}
-	for _, a := range all {
-		if a.Basis == ByMixed {
-			return Origin{}, ByMixed
-		}
-	}
-	if asked > 0 && len(others) == 0 {
-		return Origin{}, NoOpinion
-	}
-	if origin, found := agreed(all, BySole); found {
-		return origin, BySole
-	}
-	return Origin{}, NoOpinion
+	Origin Origin // set if ByRow; empty: what is known is contradictory
 }
 
-// agreed returns the origin in the answers with a basis. It is empty if they differ.
-func agreed(answers []Answer, basis Basis) (origin Origin, found bool) {
-	for _, a := range answers {
+// Resolve returns the origin of a stream by the own answer and those of other instances. found is false if nobody has a
+// row. An origin without a version is unknown, as rows contradict each other: the stream can't be continued.
+func Resolve(own Answer, others []Answer) (origin Origin, found bool) {
+	for _, a := range append([]Answer{own}, others...) {
 		switch {
-		case a.Basis != basis:
+		case a.Basis != ByRow:
 		case !found:
 			origin, found = a.Origin, true
 		case origin != a.Origin:
--- a/internal/version/resource/kinds.go
+++ b/internal/version/resource/kinds.go
@@ -20,12 +20,13 @@
 
 // Kinds of the objects that the system itself writes. KindDrain is another one.
 const (
-	KindLease       = "Lease"       // one for each availability zone
-	KindOrderSlot   = "OrderSlot"   // one for each runner
-	KindClaimBucket = "ClaimBucket" // a group of idempotency claims
-	KindAudit       = "Audit"       // a segment of the audit trail, of bounded size
-	KindHold        = "Hold"        // work that is not sent to any upstream; named by the content of the work
-	KindStatus      = "Status"      // status of another object; named "<Kind>/<name>" after this object
+	KindLease        = "Lease"        // one for each availability zone
+	KindOrderSlot    = "OrderSlot"    // one for each runner
+	KindClaimBucket  = "ClaimBucket"  // a group of idempotency claims
+	KindAudit        = "Audit"        // a segment of the audit trail, of bounded size
+	KindHold         = "Hold"         // work that is not sent to any upstream; named by the content of the work
+	KindOriginRecord = "OriginRecord" // where streams may have begun, see package origins; there is one
+	KindStatus       = "Status"       // status of another object; named "<Kind>/<name>" after this object
 )
 
 // ConfigKinds are the kinds that operators write.
--- a/internal/version/routing/config.go
+++ b/internal/version/routing/config.go
@@ -56,6 +56,21 @@
 	return slices.ContainsFunc(r.Targets, func(t Target) bool { return t.Service == service && t.Weight > 0 })
 }
 
+// Services returns the services of the route's targets, including those of weight 0.
+func (r *Route) Services() []string {
+	out := make([]string, len(r.Targets))
+	for i, t := range r.Targets {
+		out[i] = t.Service
+	}
+	return out
+}
+
+// NormalHost returns the host in the form in which hosts are compared.
+func (r *Route) NormalHost() string { return strings.ToLower(r.Host) }
+
+// Prefix returns the host and the path prefix of the requests that the route applies to.
+func (r *Route) Prefix() string { return r.NormalHost() + r.PathPrefix }
+
 // IsSplit reports whether the requests of the route go to several services.
 func (r *Route) IsSplit() bool { return len(r.Targets) > 1 }
 
@@ -145,7 +160,7 @@
 		c.Services[s.Name] = s
 	}
 	for i, r := range routes {
-		host := strings.ToLower(r.Host)
+		host := r.NormalHost()
 		c.routesByHost[host] = append(c.routesByHost[host], i)
 	}
 	for _, indices := range c.routesByHost {
