--- a/internal/process/entry/streamorigins.go
+++ b/internal/process/entry/streamorigins.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// rowSlack is how long a row is kept after its caller has stopped waiting, as clocks and messages are late.
-	rowSlack = 2 * time.Second
+	// resumeGrace is how long a row is kept after the wait that its caller declared. Callers may resume streams later
+	// than that, and clocks and messages are late.
+	resumeGrace = time.Minute
 	// undeclaredWait is how long the callers of a route without a timeout are assumed to wait if they don't declare it.
 	undeclaredWait = time.Minute
 	// maxOriginQueries limits the questions that wait for answers.
@@ -255,7 +256,7 @@
 	if wait == 0 {
 		wait = undeclaredWait
 	}
-	life := wait - time.Since(q.arrived) + rowSlack
+	life := wait - time.Since(q.arrived) + resumeGrace
 	inDoubt := q.route.IsSplit() || !q.e.soleSoftware(held)
 	q.e.streams.with(func(now time.Time, core *streams.Core) { core.Began(now, key, *q.origin, life, inDoubt) })
 	if inDoubt {
--- a/internal/process/streams/core.go
+++ b/internal/process/streams/core.go
@@ -1,6 +1,8 @@
 package streams
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,7 +12,7 @@
 	// MaxLife is how long a row is kept at most.
 	MaxLife = 10 * time.Minute
 	// maxRows limits the own rows and the copies, each about 200 bytes. Of the copies, further ones are dropped; of the
-	// own ones, any others are.
+	// own ones, those that expire first are.
 	maxRows = 1 << 14
 )
 
@@ -70,18 +72,22 @@
 	c.uncopied[origin.Service][key] = true
 }
 
-// makeRoom removes the expired own rows, and arbitrary ones if too few have expired: enough for many further rows, so
-// that it isn't called for each of them.
+// makeRoom removes the expired own rows, and those that expire first if too few have expired: enough for many further
+// rows, so that it isn't called for each of them.
 func (c *Core) makeRoom(now time.Time) {
 	c.Forget(now)
-	for key, row := range c.own {
-		if len(c.own) < maxRows*7/8 {
-			return
-		}
-		c.dropOwn(key, row)
+	rows := slices.Collect(maps.Values(c.own))
+	for _, row := range firstToExpire(rows, len(rows)-maxRows*7/8) {
+		c.dropOwn(row.Key, row)
 	}
 }
 
+// firstToExpire returns the n rows that expire first. It reorders the given rows.
+func firstToExpire(rows []Row, n int) []Row {
+	slices.SortFunc(rows, func(a, b Row) int { return a.Expires.Compare(b.Expires) })
+	return rows[:max(0, n)]
+}
+
 func (c *Core) dropOwn(key Key, row Row) {
 	delete(c.own, key)
 	delete(c.uncopied[row.Origin.Service], key)
--- a/internal/process/streams/core_test.go
+++ b/internal/process/streams/core_test.go
@@ -87,6 +87,24 @@
 	}
 }
 
+// TestFloodDropsRowsThatExpireFirst guards against a flood of streams that drops arbitrary rows, among them those that
+// callers may resume for longest.
+func TestFloodDropsRowsThatExpireFirst(t *testing.T) {
+	c := New()
+	const longLived = maxRows / 2
+	for i := range longLived {
+		c.Began(start, Key(i), old, time.Minute, false)
+	}
+	for i := range 2 * maxRows {
+		c.Began(start, Key(longLived+i), old, time.Second, false)
+	}
+	for i := range longLived {
+		if _, ok := c.Find(start, Key(i)); !ok {
+			t.Fatalf("row %d of %d that expire last was dropped", i, longLived)
+		}
+	}
+}
+
 // TestAccountsDoNotShareStreams checks that the attempt of one client account says nothing about a stream of another.
 func TestAccountsDoNotShareStreams(t *testing.T) {
 	if KeyOf("a", "1") == KeyOf("b", "1") || KeyOf("a", "b1") == KeyOf("ab", "1") {
