--- a/internal/process/entry/streamexchange.go
+++ b/internal/process/entry/streamexchange.go
@@ -97,23 +97,17 @@
 // copyDoubtfulRows sends the rows of streams that began while their service had one version of software to their
 // holders, once that is in doubt.
 func (s *peerExchange) copyDoubtfulRows(now time.Time) {
-	var services []string
-	s.e.streams.with(func(_ time.Time, core *streams.Core) { services = core.UncopiedServices() })
-	for _, service := range services {
+	for _, service := range s.e.streams.uncopiedServices() {
 		if _, state := s.e.state.softwareOf(now, service); state != fleet.SoftwareSole && s.e.state.upstreamsListed() {
 			s.copyRows(service)
 		}
 	}
 }
 
-// copyRows sends the rows of the given services that holders don't have yet to their holders.
-func (s *peerExchange) copyRows(services ...string) {
+// copyRows sends the rows of a service, whose versions are in doubt, that holders don't have yet to their holders.
+func (s *peerExchange) copyRows(service string) {
 	due := false
-	s.e.streams.with(func(_ time.Time, core *streams.Core) {
-		for _, service := range services {
-			due = core.Doubt(service) || due
-		}
-	})
+	s.e.streams.with(func(now time.Time, core *streams.Core) { due = core.Doubt(now, service) })
 	if due {
 		s.sendStreamRows()
 	}
@@ -125,9 +119,13 @@
 	if s == nil {
 		return
 	}
-	var services []string
-	s.e.streams.with(func(_ time.Time, core *streams.Core) { services = core.UncopiedServices() })
-	s.copyRows(services...)
+	due := false
+	for _, service := range s.e.streams.uncopiedServices() {
+		s.e.streams.with(func(_ time.Time, core *streams.Core) { due = core.CopyAll(service) || due })
+	}
+	if due {
+		s.sendStreamRows()
+	}
 }
 
 // handleStreams handles what another instance sends about streams.
--- a/internal/process/entry/streamorigins.go
+++ b/internal/process/entry/streamorigins.go
@@ -104,6 +104,12 @@
 	return s.core.TakeDue(time.Now())
 }
 
+// uncopiedServices returns the services with own rows that holders don't have.
+func (s *streamOrigins) uncopiedServices() (services []string) {
+	s.with(func(_ time.Time, core *streams.Core) { services = core.UncopiedServices() })
+	return services
+}
+
 // softwareOf returns which versions of software the upstreams of a service have had for as long as its callers resume
 // streams, and the version if there was only one.
 func (s *state) softwareOf(now time.Time, service string) (string, fleet.SoftwareState) {
--- a/internal/process/streams/core.go
+++ b/internal/process/streams/core.go
@@ -31,8 +31,8 @@
 
 // Origin is where a stream began.
 type Origin struct {
-	Service  string
-	Software string // version of the upstream's software; empty: not known
+	Service  string `json:"service"`
+	Software string `json:"software"` // version of the upstream's software; empty: not known
 }
 
 // Row is the origin of one stream.
@@ -48,11 +48,12 @@
 	copies   map[Key]Row             // of other instances
 	uncopied map[string]map[Key]bool // own rows that holders don't have, by service
 	due      []Key                   // own rows to be sent to their holders
+	durable  durableQueue
 }
 
 // New returns a core without rows.
 func New() *Core {
-	return &Core{own: make(map[Key]Row), copies: make(map[Key]Row), uncopied: make(map[string]map[Key]bool)}
+	return &Core{own: make(map[Key]Row), copies: make(map[Key]Row), uncopied: make(map[string]map[Key]bool), durable: newDurableQueue()}
 }
 
 // Began records that this instance passed on the first event of a stream, or continues one. The row expires after life,
@@ -61,9 +62,11 @@
 	if _, known := c.own[key]; !known && len(c.own) >= maxRows {
 		c.makeRoom(now)
 	}
+	delete(c.durable.finished, key)
 	c.own[key] = Row{Key: key, Origin: origin, Expires: now.Add(min(life, MaxLife))}
 	if inDoubt {
 		c.due = append(c.due, key)
+		c.durable.add(now, key)
 		return
 	}
 	if c.uncopied[origin.Service] == nil {
@@ -91,6 +94,7 @@
 func (c *Core) dropOwn(key Key, row Row) {
 	delete(c.own, key)
 	delete(c.uncopied[row.Origin.Service], key)
+	c.durable.forget(key)
 }
 
 // UncopiedServices returns the services with own rows that holders don't have.
@@ -104,8 +108,20 @@
 	return out
 }
 
-// Doubt makes the own rows of a service due that holders don't have yet. It reports whether there are any.
-func (c *Core) Doubt(service string) bool {
+// Doubt makes the own rows of a service due that holders don't have yet, as upstreams of a second version may serve it.
+// It reports whether there are any.
+func (c *Core) Doubt(now time.Time, service string) bool {
+	for key := range c.uncopied[service] {
+		if !c.durable.finished[key] {
+			c.durable.add(now, key)
+		}
+	}
+	return c.CopyAll(service)
+}
+
+// CopyAll makes the own rows of a service due that holders don't have yet, without any doubt about its versions. It
+// reports whether there are any.
+func (c *Core) CopyAll(service string) bool {
 	keys := c.uncopied[service]
 	for key := range keys {
 		c.due = append(c.due, key)
--- a/internal/process/streams/core_test.go
+++ b/internal/process/streams/core_test.go
@@ -20,7 +20,7 @@
 	if rows := c.TakeDue(start); len(rows) != 0 {
 		t.Fatalf("due without doubt: %v", rows)
 	}
-	if !c.Doubt("llm") || c.Doubt("llm") {
+	if !c.Doubt(start, "llm") || c.Doubt(start, "llm") {
 		t.Error("rows of a service become due not once")
 	}
 	rows := c.TakeDue(start)
--- a/internal/process/streams/doc.go
+++ b/internal/process/streams/doc.go
@@ -10,6 +10,9 @@
 //     that passed this event on keeps the row until the caller has stopped waiting.
 //   - A holder is one of a few other instances that keep a copy of a row. They are chosen by the row's key (Holders), so
 //     that any instance can compute which to ask.
+//   - A durable row is kept in the platform's store as well (DurableRows), since holders and the instance itself may be
+//     lost at once: that of a stream which began in doubt and has not ended soon. One instance of each availability zone
+//     writes the rows of all instances there.
 //
 // Rows are copied to holders only while there may be upstreams of several versions. Otherwise the origin follows from
 // the list of upstreams (fleet.Core.SoftwareOf). Resolve decides on the origin by all that is known.
