--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -66,6 +66,7 @@
 	peers           *peerExchange // nil: no messages are exchanged with other instances
 	holds           *holds.Keeper
 	streams         *streamOrigins
+	streamStore     *streamStore
 	liveSettings    atomic.Pointer[liveSettings]
 	callsCtx        renewableContext          // of calls that list or watch platform objects; canceled when the platform is back after an outage
 	era             atomic.Uint64             // era of the platform at the last checkEra; grows with each restore from a copy
@@ -124,6 +125,7 @@
 	e.workCtx, e.cancelWork = context.WithCancel(context.Background())
 	e.hardStopCtx, e.cancelHardStop = context.WithCancel(context.Background())
 	e.holds = e.newHolds()
+	e.streamStore = newStreamStore(e)
 	e.state.confirmation.onResume = e.handleResume
 	if cfg.Engines != nil {
 		cfg.Engines.OnResponse(e.handleOwnCallNotices)
@@ -247,6 +249,7 @@
 	e.spawn(func() { e.pollHolds(workCtx) })
 	e.spawn(func() { e.holds.DeleteExpired(workCtx, e.removesExpiredHolds) })
 	e.spawn(func() { e.tickLoop(workCtx) })
+	e.spawn(func() { e.streamStore.run(workCtx) })
 	authorityCtx, stopAuthority := context.WithCancel(workCtx)
 	defer stopAuthority()
 	e.spawn(func() { newRoleController(e).run(authorityCtx) })
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -76,6 +76,7 @@
 			return q.refused(refusal)
 		}
 		if out.completed {
+			q.recordStreamEnd()
 			return response.Completed, nil
 		}
 		q.runState = retry.CombineRunStates(q.runState, out.runState)
--- a/internal/process/entry/peerexchange.go
+++ b/internal/process/entry/peerexchange.go
@@ -131,6 +131,7 @@
 	}
 	s.reportFinalUsage()
 	s.copyAllRows()
+	s.e.streamStore.finish()
 	s.mu.Lock()
 	zone := s.core.ZoneAddresses()
 	s.mu.Unlock()
--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -48,6 +48,8 @@
 	e.callerServer.CloseIdle()
 	logline.Info("entry stopping", "running", e.activeRequests.Count(), "grace", grace)
 	e.peers.announceStop()
+	e.streamStore.handOver(true)
+	e.streamStore.wakeUp()
 	closeAt, endAt := stopTimes(startedAt, grace)
 	time.Sleep(time.Until(closeAt))
 	e.stage.Store(stageClosing)
--- a/internal/process/entry/streamexchange.go
+++ b/internal/process/entry/streamexchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
@@ -110,6 +111,7 @@
 	s.e.streams.with(func(now time.Time, core *streams.Core) { due = core.Doubt(now, service) })
 	if due {
 		s.sendStreamRows()
+		s.e.streamStore.wakeUp()
 	}
 }
 
@@ -128,12 +130,42 @@
 	}
 }
 
+// streamWriter returns the address of the instance that keeps durable rows in the platform's store; empty: this one.
+func (s *peerExchange) streamWriter() string {
+	if s == nil {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.StreamWriter()
+}
+
+// sendDurable hands rows over to the instance that keeps them in the platform's store, and names those that ended.
+func (s *peerExchange) sendDurable(to string, rows []streams.Row, ended []streams.Key) {
+	now := time.Now()
+	for some := range slices.Chunk(rows, peers.MaxStreamRows) {
+		var m peers.Message
+		for _, row := range some {
+			m.DurableRows = append(m.DurableRows, peers.StreamRowOf(now, row))
+		}
+		s.send(m, to)
+	}
+	for some := range slices.Chunk(ended, peers.MaxEndedStreams) {
+		var m peers.Message
+		for _, key := range some {
+			m.EndedStreams = append(m.EndedStreams, uint64(key))
+		}
+		s.send(m, to)
+	}
+}
+
 // handleStreams handles what another instance sends about streams.
 func (s *peerExchange) handleStreams(now time.Time, from string, m *peers.Message) {
 	for i := range m.StreamRows {
 		row := m.StreamRows[i].Row(now)
 		s.e.streams.with(func(now time.Time, core *streams.Core) { core.Merge(now, row) })
 	}
+	s.handleDurable(now, m)
 	if len(m.StreamQueries) > 0 {
 		var answers []peers.StreamAnswer
 		for _, query := range m.StreamQueries {
@@ -145,3 +177,20 @@
 		s.e.streams.deliver(m.StreamAnswers[i].ID, m.StreamAnswers[i].Answer())
 	}
 }
+
+// handleDurable keeps the rows that another instance hands over.
+func (s *peerExchange) handleDurable(now time.Time, m *peers.Message) {
+	if len(m.DurableRows)+len(m.EndedStreams) == 0 {
+		return
+	}
+	var rows []streams.Row
+	for i := range m.DurableRows {
+		rows = append(rows, m.DurableRows[i].Row(now))
+	}
+	var ended []streams.Key
+	for _, key := range m.EndedStreams {
+		ended = append(ended, streams.Key(key))
+	}
+	s.e.streamStore.keep(rows, ended)
+	s.e.streamStore.wakeUp()
+}
--- a/internal/process/entry/streamorigins.go
+++ b/internal/process/entry/streamorigins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -201,6 +202,11 @@
 	if own.Basis != streams.ByRow {
 		others, asked = q.e.askOrigin(ctx, key, q.service)
 	}
+	if !hasRow(own, others) {
+		if origin, found, err := q.e.storedOrigin(ctx, key); err == nil && found {
+			own = streams.Answer{Basis: streams.ByRow, Origin: origin}
+		}
+	}
 	if q.route.IsSplit() {
 		own, others = withoutSole(own, others) // the stream may have begun at another service
 	}
@@ -218,6 +224,11 @@
 	return nil
 }
 
+// hasRow reports whether this instance or another one has a row.
+func hasRow(own streams.Answer, others []streams.Answer) bool {
+	return own.Basis == streams.ByRow || slices.ContainsFunc(others, func(a streams.Answer) bool { return a.Basis == streams.ByRow })
+}
+
 // resumption is what was found out about the stream that a request resumes.
 type resumption struct {
 	origin          streams.Origin
@@ -267,6 +278,14 @@
 	q.e.streams.with(func(now time.Time, core *streams.Core) { core.Began(now, key, *q.origin, life, inDoubt) })
 	if inDoubt {
 		q.e.peers.scheduleStreamRows()
+		q.e.streamStore.wakeUp()
+	}
+}
+
+// recordStreamEnd records that the caller has the whole stream.
+func (q *request) recordStreamEnd() {
+	if q.origin != nil && q.route.Resumable {
+		q.e.streams.with(func(_ time.Time, core *streams.Core) { core.Ended(q.streamKey()) })
 	}
 }
 
--- /dev/null
+++ b/internal/process/entry/streamstore.go
@@ -0,0 +1,344 @@
+package entry
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+)
+
+const (
+	// kindStreamOrigins is the kind of the objects with the durable rows, one object per availability zone.
+	kindStreamOrigins = "StreamOrigins"
+	// handOverInterval is the minimum time between two times that rows are handed over.
+	handOverInterval = 100 * time.Millisecond
+	// storeRowsTimeout limits a write of the rows, and the read that it may need.
+	storeRowsTimeout = 2 * time.Second
+	// finishTimeout limits the last write of a stopping process. Its grace period is nearly over then.
+	finishTimeout = 300 * time.Millisecond
+	// storedReadTimeout limits a read of the stored rows. A request waits for it.
+	storedReadTimeout = 300 * time.Millisecond
+	// storedReadInterval is the minimum time between two such reads. Requests between them share a result.
+	storedReadInterval = 250 * time.Millisecond
+)
+
+// streamStore hands the durable rows of this instance over to the instance that writes those of the availability zone to
+// the platform's store. If that is this one, it writes them. It also reads the stored rows of all zones.
+type streamStore struct {
+	e    *Entry
+	wake chan struct{} // signals that there may be something to do
+
+	mu          sync.Mutex
+	rows        *streams.DurableRows // of the zone, as far as this instance is to write them
+	read        *storedRead          // the last one; nil: none yet
+	readFailing bool                 // the last read failed
+
+	writing sync.Mutex // held during a write; guards the following
+	merged  bool       // rows has what the store had at version
+	version uint64     // of the zone's object; 0: there is none
+	failing bool       // the last write failed
+}
+
+// storedRead is one read of the stored rows of all availability zones.
+type storedRead struct {
+	startedAt time.Time
+	done      chan struct{} // closed at its end; the following are valid then
+	objects   []streams.StoredRows
+	err       error
+}
+
+func newStreamStore(e *Entry) *streamStore {
+	return &streamStore{e: e, wake: make(chan struct{}, 1), rows: streams.NewDurableRows()}
+}
+
+// wakeUp has run check whether there is something to do.
+func (s *streamStore) wakeUp() {
+	select {
+	case s.wake <- struct{}{}:
+	default: // a check is pending already
+	}
+}
+
+// run hands rows over and writes them until ctx ends. While there is nothing to do, it does nothing.
+func (s *streamStore) run(ctx context.Context) {
+	for platform.Sleep(ctx, handOverInterval) == nil {
+		s.handOver(false)
+		s.writeDue(ctx)
+		s.awaitNext(ctx)
+	}
+	if s.e.peers == nil {
+		s.finish()
+	}
+}
+
+// awaitNext waits until something is due, somebody calls wakeUp, or ctx ends.
+func (s *streamStore) awaitNext(ctx context.Context) {
+	var due <-chan time.Time
+	if at, ok := s.nextAt(time.Now()); ok {
+		timer := time.NewTimer(time.Until(at))
+		defer timer.Stop()
+		due = timer.C
+	}
+	select {
+	case <-ctx.Done():
+	case <-s.wake:
+	case <-due:
+	}
+}
+
+// nextAt returns when something is due; ok is false if nothing waits.
+func (s *streamStore) nextAt(now time.Time) (at time.Time, ok bool) {
+	s.e.streams.with(func(now time.Time, core *streams.Core) { at, ok = core.NextDurable(now) })
+	kind, writeAt := s.nextWrite(now)
+	if kind != streams.NoWrite && (!ok || writeAt.Before(at)) {
+		return writeAt, true
+	}
+	return at, ok
+}
+
+func (s *streamStore) nextWrite(now time.Time) (streams.WriteKind, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows.Next(now)
+}
+
+// handOver hands over the own rows that are due. all: also those that aren't due yet, as this process stops.
+func (s *streamStore) handOver(all bool) {
+	var rows []streams.Row
+	var ended []streams.Key
+	s.e.streams.with(func(now time.Time, core *streams.Core) { rows, ended = core.TakeDurable(now, all) })
+	if len(rows)+len(ended) == 0 {
+		return
+	}
+	if to := s.e.peers.streamWriter(); to != "" {
+		s.e.peers.sendDurable(to, rows, ended)
+		return
+	}
+	s.keep(rows, ended)
+}
+
+// keep adds rows of instances of the availability zone, and drops those of streams that ended.
+func (s *streamStore) keep(rows []streams.Row, ended []streams.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for _, row := range rows {
+		s.rows.Add(now, row)
+	}
+	for _, key := range ended {
+		s.rows.Drop(key)
+	}
+}
+
+// finish hands over and writes what is left, as this process stops.
+func (s *streamStore) finish() {
+	s.handOver(true)
+	if kind, _ := s.nextWrite(time.Now()); kind != streams.WriteRows {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	s.write(ctx)
+}
+
+// writeDue writes the rows if that is due.
+func (s *streamStore) writeDue(ctx context.Context) {
+	now := time.Now()
+	if kind, at := s.nextWrite(now); kind == streams.NoWrite || at.After(now) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeRowsTimeout)
+	defer cancel()
+	s.write(ctx)
+}
+
+// write writes the rows, or deletes the object if it has been without rows for long. If another instance has written
+// meanwhile, it merges those rows first.
+func (s *streamStore) write(ctx context.Context) {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	s.attempted(0)
+	err := s.mergeAndWrite(ctx)
+	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound) {
+		s.merged = false
+		err = s.mergeAndWrite(ctx)
+	}
+	s.merged = err == nil
+	if failing := err != nil; failing != s.failing {
+		s.failing = failing
+		logline.Info("origins of streams stored", "ok", !failing, "error", err)
+	}
+}
+
+// attempted records an attempt to write an object with a number of bytes.
+func (s *streamStore) attempted(bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows.Attempted(time.Now(), bytes)
+}
+
+// mergeAndWrite merges the stored rows, unless that was done, and writes what is to be written then. Callers hold writing.
+func (s *streamStore) mergeAndWrite(ctx context.Context) error {
+	if !s.merged {
+		if err := s.merge(ctx); err != nil {
+			return err
+		}
+	}
+	now := time.Now()
+	s.mu.Lock()
+	kind, _ := s.rows.Next(now)
+	rows := s.rows.Rows(now)
+	s.mu.Unlock()
+	switch {
+	case kind == streams.WriteRows:
+		return s.put(ctx, now, rows)
+	case kind == streams.DeleteRows && len(rows) == 0:
+		return s.delete(ctx)
+	}
+	return nil
+}
+
+// merge reads and merges the stored rows of the zone. An object that can't be decoded counts as empty.
+func (s *streamStore) merge(ctx context.Context) error {
+	o, err := s.e.cfg.Records.Get(ctx, kindStreamOrigins, s.objectName())
+	if err != nil && !errors.Is(err, platform.ErrNotFound) && o.Version == 0 {
+		return err
+	}
+	stored, _ := decodeStoredRows(o)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows.MergeStored(time.Now(), stored.Rows(), o.Version != 0)
+	s.merged, s.version = true, o.Version
+	return nil
+}
+
+// put writes rows. Callers hold writing.
+func (s *streamStore) put(ctx context.Context, now time.Time, rows []streams.Row) error {
+	o, err := resource.Encode(kindStreamOrigins, s.objectName(), streams.EncodeRows(now, rows))
+	if err != nil {
+		return err
+	}
+	o.Version, o.Writer = s.version, s.e.cfg.Settings.Instance.Name
+	s.attempted(len(o.Spec))
+	stored, err := platform.Write(ctx, s.e.cfg.Records, o)
+	if err != nil {
+		return err
+	}
+	s.written(stored.Version, rows)
+	return nil
+}
+
+// delete deletes the object. Callers hold writing.
+func (s *streamStore) delete(ctx context.Context) error {
+	err := platform.ResolveDelete(ctx, s.e.cfg.Records, kindStreamOrigins, s.objectName(), s.version, s.e.cfg.Settings.Instance.Name)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	s.written(0, nil)
+	return nil
+}
+
+// written records what the store has now, at a version. Callers hold writing.
+func (s *streamStore) written(version uint64, rows []streams.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version = version
+	s.rows.Written(rows, version != 0)
+}
+
+// objectName returns the name of the object with the rows of the availability zone.
+func (s *streamStore) objectName() string { return cmp.Or(s.e.cfg.Settings.Instance.Zone, "none") }
+
+// decodeStoredRows decodes an object. Without a spec, or with an error, there are no rows.
+func decodeStoredRows(o platform.Object) (streams.StoredRows, error) {
+	var stored streams.StoredRows
+	if len(o.Spec) == 0 {
+		return stored, nil
+	}
+	err := json.Unmarshal(o.Spec, &stored)
+	if err == nil {
+		err = stored.Check()
+	}
+	if err != nil {
+		return streams.StoredRows{}, errors.Wrapf(err, "%s/%s", o.Kind, o.Name)
+	}
+	return stored, nil
+}
+
+// storedOrigin looks a stream up in the rows that the platform's store keeps for all availability zones. found is false
+// if they have no row. The origin is empty if they contradict one another.
+func (e *Entry) storedOrigin(ctx context.Context, key streams.Key) (origin streams.Origin, found bool, err error) {
+	if key == 0 {
+		return streams.Origin{}, false, nil
+	}
+	read := e.streamStore.currentRead(time.Now())
+	select {
+	case <-read.done:
+	case <-ctx.Done():
+		return streams.Origin{}, false, ctx.Err()
+	}
+	if read.err != nil {
+		return streams.Origin{}, false, read.err
+	}
+	origin, found = streams.FindStored(time.Now(), read.objects, key)
+	return origin, found, nil
+}
+
+// currentRead returns the read that runs, or the last one if that began less than storedReadInterval ago. Otherwise it
+// starts one.
+func (s *streamStore) currentRead(now time.Time) *storedRead {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.read != nil && (!s.read.ended() || now.Sub(s.read.startedAt) < storedReadInterval) {
+		return s.read
+	}
+	read := &storedRead{startedAt: now, done: make(chan struct{})}
+	s.read = read
+	s.e.spawn(func() { s.list(read) })
+	return read
+}
+
+func (r *storedRead) ended() bool {
+	select {
+	case <-r.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// list carries out a read.
+func (s *streamStore) list(read *storedRead) {
+	defer close(read.done)
+	ctx, cancel := context.WithTimeout(s.e.workCtx, storedReadTimeout)
+	defer cancel()
+	objects, _, err := s.e.cfg.Records.List(ctx, kindStreamOrigins)
+	for _, o := range objects {
+		stored, err := decodeStoredRows(o)
+		if err != nil {
+			logline.Info("entry unreadable", "kind", kindStreamOrigins, "name", o.Name, "why", err)
+			continue
+		}
+		read.objects = append(read.objects, stored)
+	}
+	read.err = err
+	s.recordRead(err)
+}
+
+// recordRead logs the first failure of a read and the first success after that.
+func (s *streamStore) recordRead(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if failing := err != nil; failing != s.readFailing {
+		s.readFailing = failing
+		logline.Info("origins of streams read", "ok", !failing, "error", err)
+	}
+}
--- a/internal/process/peers/message.go
+++ b/internal/process/peers/message.go
@@ -78,6 +78,9 @@
 	StreamAnswers    []StreamAnswer     `cbor:"26,keyasint,omitempty"`
 	RequiredSoftware []RequiredSoftware `cbor:"27,keyasint,omitempty"` // of PlaceRequests
 	GrantedSoftware  []GrantedSoftware  `cbor:"28,keyasint,omitempty"` // of PlaceResponses
+
+	DurableRows  []StreamRow `cbor:"40,keyasint,omitempty"` // that the receiver is to keep in the platform's store; at most MaxStreamRows
+	EndedStreams []uint64    `cbor:"41,keyasint,omitempty"` // streams.Key of those of earlier DurableRows that needn't be kept; at most MaxEndedStreams
 }
 
 // MaxIncarnations is how many incarnations of upstreams one message asks for or reports.
--- a/internal/process/peers/streams.go
+++ b/internal/process/peers/streams.go
@@ -14,6 +14,8 @@
 const (
 	// MaxStreamRows is how many stream rows one message holds.
 	MaxStreamRows = 8
+	// MaxEndedStreams is how many ended streams one message names.
+	MaxEndedStreams = 64
 	// maxNameBytes limits the names of services and versions in rows and answers.
 	maxNameBytes = 128
 	// streamCopies is how many holders get a row, each in another availability zone if there are enough. A row
@@ -119,13 +121,12 @@
 
 // checkStreams returns an error if there are too many rows, or if a name is too long or a time out of range.
 func (m *Message) checkStreams() error {
-	if len(m.StreamRows) > MaxStreamRows {
-		return errors.Errorf("%d stream rows", len(m.StreamRows))
+	if len(m.EndedStreams) > MaxEndedStreams {
+		return errors.Errorf("%d ended streams", len(m.EndedStreams))
 	}
-	for i := range m.StreamRows {
-		r := &m.StreamRows[i]
-		if max(len(r.Service), len(r.Software)) > maxNameBytes || r.LeftMS < 0 || r.LeftMS > streams.MaxLife.Milliseconds() {
-			return errors.Errorf("stream row that is valid for %d ms, or with a name that is too long", r.LeftMS)
+	for _, rows := range [][]StreamRow{m.StreamRows, m.DurableRows} {
+		if err := checkRows(rows); err != nil {
+			return err
 		}
 	}
 	for i := range m.StreamAnswers {
@@ -136,6 +137,29 @@
 	return nil
 }
 
+func checkRows(rows []StreamRow) error {
+	if len(rows) > MaxStreamRows {
+		return errors.Errorf("%d stream rows", len(rows))
+	}
+	for i := range rows {
+		r := &rows[i]
+		if max(len(r.Service), len(r.Software)) > maxNameBytes || r.LeftMS < 0 || r.LeftMS > streams.MaxLife.Milliseconds() {
+			return errors.Errorf("stream row that is valid for %d ms, or with a name that is too long", r.LeftMS)
+		}
+	}
+	return nil
+}
+
+// StreamWriter returns the address of the instance that keeps the durable rows of the local availability zone in the
+// platform's store: its first placer in rank, so that few write one object. It returns "" if that is this instance, or if
+// there is none.
+func (c *Core) StreamWriter() string {
+	if followers := c.platformFollowers(); len(followers) > 0 && followers[0] != c.selfMember {
+		return followers[0].Address
+	}
+	return ""
+}
+
 // Holders returns the addresses of the instances that keep copies of a row.
 func (c *Core) Holders(key streams.Key) []string {
 	if len(c.members) <= maxAskAll {
--- a/internal/process/streams/durable.go
+++ b/internal/process/streams/durable.go
@@ -1,10 +1,6 @@
 package streams
 
-import (
-	"maps"
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// maxDurableRows limits the rows that are kept in the platform's store for one availability zone. Of more, those that
@@ -25,7 +21,8 @@
 	lacking   int       // rows that the store doesn't have as they are now
 	writtenAt time.Time // of the last attempt to write
 	interval  time.Duration
-	stored    bool // the store has the object
+	stored    bool      // the store has the object
+	checkedAt time.Time // when expired rows were last dropped
 }
 
 // durableRow is a row in DurableRows.
@@ -99,15 +96,21 @@
 
 // Rows returns all rows that haven't expired, and drops the others.
 func (d *DurableRows) Rows(now time.Time) []Row {
+	d.dropExpired(now)
 	out := make([]Row, 0, len(d.rows))
+	for _, row := range d.rows {
+		out = append(out, row.Row)
+	}
+	return out
+}
+
+func (d *DurableRows) dropExpired(now time.Time) {
+	d.checkedAt = now
 	for key, row := range d.rows {
-		if now.Before(row.Expires) {
-			out = append(out, row.Row)
-		} else {
+		if !now.Before(row.Expires) {
 			d.Drop(key)
 		}
 	}
-	return out
 }
 
 // MergeStored adds the rows that were read from the store; exists: the store has the object. Rows that were written before
@@ -146,17 +149,24 @@
 
 // Next returns what has to be written next, and when.
 func (d *DurableRows) Next(now time.Time) (WriteKind, time.Time) {
-	d.Rows(now) // drops those that have expired
+	if now.Sub(d.checkedAt) >= minWriteInterval {
+		d.dropExpired(now)
+	}
 	switch {
 	case d.lacking > 0:
 		return WriteRows, latest(now, d.writtenAt.Add(d.interval))
-	case !d.stored:
-		return NoWrite, time.Time{}
-	case len(d.rows) == 0:
-		return DeleteRows, latest(now, d.writtenAt.Add(unusedFor))
+	case d.stored:
+		return DeleteRows, latest(d.lastExpiry(now), d.writtenAt.Add(unusedFor))
+	}
+	return NoWrite, time.Time{}
+}
+
+// lastExpiry returns when the last row expires; now: there is none.
+func (d *DurableRows) lastExpiry(now time.Time) time.Time {
+	for _, row := range d.rows {
+		now = latest(now, row.Expires)
 	}
-	last := slices.MaxFunc(slices.Collect(maps.Values(d.rows)), func(a, b durableRow) int { return a.Expires.Compare(b.Expires) })
-	return DeleteRows, latest(last.Expires, d.writtenAt.Add(unusedFor))
+	return now
 }
 
 func latest(a, b time.Time) time.Time {
