--- a/internal/process/peers/streams_test.go
+++ b/internal/process/peers/streams_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -54,11 +55,15 @@
 	data, err := Encode(Message{
 		StreamRows: []StreamRow{StreamRowOf(now, row)}, StreamQueries: []StreamQuery{{ID: 1, Key: 5, Service: "llm"}},
 		StreamAnswers: []StreamAnswer{StreamAnswerOf(1, answer)},
+		DurableRows:   []StreamRow{StreamRowOf(now, row)}, EndedStreams: []uint64{6},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	m, err := Decode(data)
+	if err == nil && (m.DurableRows[0].Row(now) != row || m.EndedStreams[0] != 6) {
+		t.Errorf("decoded durable rows %+v, ended %v", m.DurableRows, m.EndedStreams)
+	}
 	if err != nil || m.StreamRows[0].Row(now) != row || m.StreamQueries[0].Key != 5 || m.StreamAnswers[0].Answer() != answer {
 		t.Errorf("decoded %+v %v", m, err)
 	}
@@ -73,6 +78,9 @@
 		"a negative age": {StreamRows: []StreamRow{{LeftMS: -1}}},
 		"a long life":    {StreamRows: []StreamRow{{LeftMS: streams.MaxLife.Milliseconds() + 1}}},
 		"a long answer":  {StreamAnswers: []StreamAnswer{{Service: long}}},
+		"many durable":   {DurableRows: make([]StreamRow, MaxStreamRows+1)},
+		"a durable life": {DurableRows: []StreamRow{{LeftMS: streams.MaxLife.Milliseconds() + 1}}},
+		"many ended":     {EndedStreams: make([]uint64, MaxEndedStreams+1)},
 		"another basis":  {StreamAnswers: []StreamAnswer{{Basis: 9}}},
 	} {
 		data, err := Encode(m)
@@ -89,9 +97,39 @@
 func TestRowsFitIntoAMessage(t *testing.T) {
 	name := string(make([]byte, 64))
 	rows := slices.Repeat([]StreamRow{{Key: 1 << 63, Service: name, Software: name, LeftMS: 1 << 19}}, MaxStreamRows)
-	data, err := Encode(Message{StreamRows: rows})
-	if err != nil || len(data) > MaxMessageBytes {
-		t.Errorf("%d bytes, at most %d fit: %v", len(data), MaxMessageBytes, err)
+	for _, m := range []Message{{StreamRows: rows}, {DurableRows: rows}, {EndedStreams: slices.Repeat([]uint64{1 << 63}, MaxEndedStreams)}} {
+		data, err := Encode(m)
+		if err != nil || len(data) > MaxMessageBytes {
+			t.Errorf("%d bytes, at most %d fit: %v", len(data), MaxMessageBytes, err)
+		}
+	}
+}
+
+// TestStreamWriter checks that all instances of an availability zone hand their rows over to the same one.
+func TestStreamWriter(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var all []Peer
+	for i := range 40 {
+		all = append(all, Peer{Name: fmt.Sprint("i-", i), Zone: fmt.Sprint("z", i%2), Address: fmt.Sprintf("10.0.0.%d:1", i)})
+	}
+	writers := make(map[string]map[string]bool) // addresses by zone
+	for _, self := range all {
+		c := New(self, 1)
+		c.SetListed(now, all)
+		writer := cmp.Or(c.StreamWriter(), self.Address)
+		if m := c.members[writer]; writer != self.Address && m.Zone != self.Zone {
+			t.Errorf("the writer of zone %s is in zone %s", self.Zone, m.Zone)
+		}
+		if writers[self.Zone] == nil {
+			writers[self.Zone] = make(map[string]bool)
+		}
+		writers[self.Zone][writer] = true
+	}
+	if len(writers["z0"]) != 1 || len(writers["z1"]) != 1 {
+		t.Errorf("writers %v", writers)
+	}
+	if alone := New(all[0], 1); alone.StreamWriter() != "" {
+		t.Error("an instance that knows no other one doesn't write itself")
 	}
 }
 
