Merge: rows of running streams outlive the loss of all instances, on the platform

A resumption of which no instance has a row reads the record of origins first, and the stored rows only if several origins are possible.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -68,6 +68,7 @@
 	streams         *streamOrigins
 	origins         *originRecord
 	originReader    *originReader
+	streamStore     *streamStore
 	liveSettings    atomic.Pointer[liveSettings]
 	callsCtx        renewableContext          // of calls that list or watch platform objects; canceled when the platform is back after an outage
 	era             atomic.Uint64             // era of the platform at the last checkEra; grows with each restore from a copy
@@ -128,6 +129,7 @@
 	e.workCtx, e.cancelWork = context.WithCancel(context.Background())
 	e.hardStopCtx, e.cancelHardStop = context.WithCancel(context.Background())
 	e.holds = e.newHolds()
+	e.streamStore = newStreamStore(e)
 	e.state.confirmation.onResume = e.handleResume
 	if cfg.Engines != nil {
 		cfg.Engines.OnResponse(e.handleOwnCallNotices)
@@ -251,6 +253,7 @@
 	e.spawn(func() { e.pollHolds(workCtx) })
 	e.spawn(func() { e.holds.DeleteExpired(workCtx, e.removesExpiredHolds) })
 	e.spawn(func() { e.tickLoop(workCtx) })
+	e.spawn(func() { e.streamStore.run(workCtx) })
 	authorityCtx, stopAuthority := context.WithCancel(workCtx)
 	defer stopAuthority()
 	e.spawn(func() { newRoleController(e).run(authorityCtx) })
--- a/internal/process/entry/streamexchange.go
+++ b/internal/process/entry/streamexchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
@@ -96,25 +97,20 @@
 // copyDoubtfulRows sends the rows of streams that began while their service had one version of software to their
 // holders, once that is in doubt.
 func (s *peerExchange) copyDoubtfulRows() {
-	var services []string
-	s.e.streams.with(func(_ time.Time, core *streams.Core) { services = core.UncopiedServices() })
-	for _, service := range services {
+	for _, service := range s.e.streams.uncopiedServices() {
 		if s.e.state.upstreamsListed() && !s.e.soleSoftwareOf(service) {
 			s.copyRows(service)
 		}
 	}
 }
 
-// copyRows sends the rows of the given services that holders don't have yet to their holders.
-func (s *peerExchange) copyRows(services ...string) {
+// copyRows sends the rows of a service, whose versions are in doubt, that holders don't have yet to their holders.
+func (s *peerExchange) copyRows(service string) {
 	due := false
-	s.e.streams.with(func(_ time.Time, core *streams.Core) {
-		for _, service := range services {
-			due = core.Doubt(service) || due
-		}
-	})
+	s.e.streams.with(func(now time.Time, core *streams.Core) { due = core.Doubt(now, service) })
 	if due {
 		s.sendStreamRows()
+		s.e.streamStore.wakeUp()
 	}
 }
 
@@ -124,9 +120,42 @@
 	if s == nil {
 		return
 	}
-	var services []string
-	s.e.streams.with(func(_ time.Time, core *streams.Core) { services = core.UncopiedServices() })
-	s.copyRows(services...)
+	due := false
+	for _, service := range s.e.streams.uncopiedServices() {
+		s.e.streams.with(func(_ time.Time, core *streams.Core) { due = core.CopyAll(service) || due })
+	}
+	if due {
+		s.sendStreamRows()
+	}
+}
+
+// streamWriter returns the address of the instance that keeps durable rows in the platform's store; empty: this one.
+func (s *peerExchange) streamWriter() string {
+	if s == nil {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.StreamWriter()
+}
+
+// sendDurable hands rows over to the instance that keeps them in the platform's store, and names those that ended.
+func (s *peerExchange) sendDurable(to string, rows []streams.Row, ended []streams.Key) {
+	now := time.Now()
+	for some := range slices.Chunk(rows, peers.MaxStreamRows) {
+		var m peers.Message
+		for _, row := range some {
+			m.DurableRows = append(m.DurableRows, peers.StreamRowOf(now, row))
+		}
+		s.send(m, to)
+	}
+	for some := range slices.Chunk(ended, peers.MaxEndedStreams) {
+		var m peers.Message
+		for _, key := range some {
+			m.EndedStreams = append(m.EndedStreams, uint64(key))
+		}
+		s.send(m, to)
+	}
 }
 
 // handleStreams handles what another instance sends about streams.
@@ -135,6 +164,7 @@
 		row := m.StreamRows[i].Row(now)
 		s.e.streams.with(func(now time.Time, core *streams.Core) { core.Merge(now, row) })
 	}
+	s.handleDurable(now, m)
 	if len(m.StreamQueries) > 0 {
 		var answers []peers.StreamAnswer
 		for _, query := range m.StreamQueries {
@@ -146,3 +176,20 @@
 		s.e.streams.deliver(m.StreamAnswers[i].ID, m.StreamAnswers[i].Answer())
 	}
 }
+
+// handleDurable keeps the rows that another instance hands over.
+func (s *peerExchange) handleDurable(now time.Time, m *peers.Message) {
+	if len(m.DurableRows)+len(m.EndedStreams) == 0 {
+		return
+	}
+	var rows []streams.Row
+	for i := range m.DurableRows {
+		rows = append(rows, m.DurableRows[i].Row(now))
+	}
+	var ended []streams.Key
+	for _, key := range m.EndedStreams {
+		ended = append(ended, streams.Key(key))
+	}
+	s.e.streamStore.keep(rows, ended)
+	s.e.streamStore.wakeUp()
+}
--- a/internal/process/entry/streamorigins.go
+++ b/internal/process/entry/streamorigins.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// rowSlack is how long a row is kept after its caller has stopped waiting, as clocks and messages are late.
-	rowSlack = 2 * time.Second
+	// resumeGrace is how long a row is kept after the wait that its caller declared. Callers may resume streams later
+	// than that, and clocks and messages are late.
+	resumeGrace = time.Minute
 	// undeclaredWait is how long the callers of a route without a timeout are assumed to wait if they don't declare it.
 	undeclaredWait = time.Minute
 	// maxOriginQueries limits the questions that wait for answers.
@@ -103,6 +104,12 @@
 	return s.core.TakeDue(time.Now())
 }
 
+// uncopiedServices returns the services with own rows that holders don't have.
+func (s *streamOrigins) uncopiedServices() (services []string) {
+	s.with(func(_ time.Time, core *streams.Core) { services = core.UncopiedServices() })
+	return services
+}
+
 // hasSoftware reports whether an upstream of a service with a version of software is listed that isn't leaving. Without a list of upstreams, it returns true.
 func (s *state) hasSoftware(service, software string) bool {
 	s.mu.Lock()
@@ -151,7 +158,7 @@
 	origin, found := streams.Resolve(own, others)
 	q.resumption = &resumption{origin: origin, basis: streams.ByRow, asked: asked, answered: len(others)}
 	if !found {
-		if refusal := q.originByRecord(ctx); refusal != nil {
+		if refusal := q.originByPlatform(ctx, key); refusal != nil {
 			return refusal
 		}
 	}
@@ -168,20 +175,29 @@
 	return nil
 }
 
-// originByRecord sets the origin of a stream of which nobody has a row by the platform's record. It leaves the origin
-// empty if that isn't possible, and returns an error if the platform couldn't be read: the caller may then come back.
-func (q *request) originByRecord(ctx context.Context) *errkind.Error {
+// originByPlatform sets the origin of a stream of which no instance has a row by what the platform has: the only possible
+// origin, or a stored row. It leaves the origin empty if that isn't possible, and returns an error if the platform couldn't
+// be read: the caller may then come back.
+func (q *request) originByPlatform(ctx context.Context, key streams.Key) *errkind.Error {
 	q.resumption.basis = streams.NoOpinion
-	origin, ok, err := q.e.originReader.sole(ctx, q.route.NormalHost(), q.r.URL.Path)
+	sole, ok, err := q.e.originReader.sole(ctx, q.route.NormalHost(), q.r.URL.Path)
+	if ok {
+		q.resumption.basis = streams.ByRecord
+		q.resumption.origin = streams.Origin{Service: sole.Service, Software: sole.Software}
+		return nil
+	}
+	if err == nil {
+		var found bool
+		if q.resumption.origin, found, err = q.e.storedOrigin(ctx, key); found {
+			q.resumption.basis = streams.ByStoredRow
+		}
+	}
 	switch {
 	case ctx.Err() != nil:
 		return q.contextError(ctx)
 	case err != nil:
 		q.resumption.err = err
 		return errkind.New(errkind.CannotContinue, errkind.NotRun, "the platform can't be asked where the stream began").WithRetryAfter(defaultRetryAfter)
-	case ok:
-		q.resumption.basis = streams.ByRecord
-		q.resumption.origin = streams.Origin{Service: origin.Service, Software: origin.Software}
 	}
 	return nil
 }
@@ -220,11 +236,19 @@
 	if wait == 0 {
 		wait = undeclaredWait
 	}
-	life := wait - time.Since(q.arrived) + rowSlack
+	life := wait - time.Since(q.arrived) + resumeGrace
 	inDoubt := q.route.IsSplit() || !q.e.soleSoftware(held)
 	q.e.streams.with(func(now time.Time, core *streams.Core) { core.Began(now, key, *q.origin, life, inDoubt) })
 	if inDoubt {
 		q.e.peers.scheduleStreamRows()
+		q.e.streamStore.wakeUp()
+	}
+}
+
+// recordStreamEnd records that the caller has the whole stream.
+func (q *request) recordStreamEnd() {
+	if q.origin != nil && q.route.Resumable {
+		q.e.streams.with(func(_ time.Time, core *streams.Core) { core.Ended(q.streamKey()) })
 	}
 }
 
--- a/internal/process/streams/core.go
+++ b/internal/process/streams/core.go
@@ -1,6 +1,8 @@
 package streams
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,7 +12,7 @@
 	// MaxLife is how long a row is kept at most.
 	MaxLife = 10 * time.Minute
 	// maxRows limits the own rows and the copies, each about 200 bytes. Of the copies, further ones are dropped; of the
-	// own ones, any others are.
+	// own ones, those that expire first are.
 	maxRows = 1 << 14
 )
 
@@ -29,8 +31,8 @@
 
 // Origin is where a stream began.
 type Origin struct {
-	Service  string
-	Software string // version of the upstream's software; empty: not known
+	Service  string `json:"service"`
+	Software string `json:"software"` // version of the upstream's software; empty: not known
 }
 
 // Row is the origin of one stream.
@@ -46,11 +48,12 @@
 	copies   map[Key]Row             // of other instances
 	uncopied map[string]map[Key]bool // own rows that holders don't have, by service
 	due      []Key                   // own rows to be sent to their holders
+	durable  durableQueue
 }
 
 // New returns a core without rows.
 func New() *Core {
-	return &Core{own: make(map[Key]Row), copies: make(map[Key]Row), uncopied: make(map[string]map[Key]bool)}
+	return &Core{own: make(map[Key]Row), copies: make(map[Key]Row), uncopied: make(map[string]map[Key]bool), durable: newDurableQueue()}
 }
 
 // Began records that this instance passed on the first event of a stream, or continues one. The row expires after life,
@@ -59,9 +62,11 @@
 	if _, known := c.own[key]; !known && len(c.own) >= maxRows {
 		c.makeRoom(now)
 	}
+	delete(c.durable.finished, key)
 	c.own[key] = Row{Key: key, Origin: origin, Expires: now.Add(min(life, MaxLife))}
 	if inDoubt {
 		c.due = append(c.due, key)
+		c.durable.add(now, key)
 		return
 	}
 	if c.uncopied[origin.Service] == nil {
@@ -70,21 +75,26 @@
 	c.uncopied[origin.Service][key] = true
 }
 
-// makeRoom removes the expired own rows, and arbitrary ones if too few have expired: enough for many further rows, so
-// that it isn't called for each of them.
+// makeRoom removes the expired own rows, and those that expire first if too few have expired: enough for many further
+// rows, so that it isn't called for each of them.
 func (c *Core) makeRoom(now time.Time) {
 	c.Forget(now)
-	for key, row := range c.own {
-		if len(c.own) < maxRows*7/8 {
-			return
-		}
-		c.dropOwn(key, row)
+	rows := slices.Collect(maps.Values(c.own))
+	for _, row := range firstToExpire(rows, len(rows)-maxRows*7/8) {
+		c.dropOwn(row.Key, row)
 	}
 }
 
+// firstToExpire returns the n rows that expire first. It reorders the given rows.
+func firstToExpire(rows []Row, n int) []Row {
+	slices.SortFunc(rows, func(a, b Row) int { return a.Expires.Compare(b.Expires) })
+	return rows[:max(0, n)]
+}
+
 func (c *Core) dropOwn(key Key, row Row) {
 	delete(c.own, key)
 	delete(c.uncopied[row.Origin.Service], key)
+	c.durable.forget(key)
 }
 
 // UncopiedServices returns the services with own rows that holders don't have.
@@ -98,8 +108,20 @@
 	return out
 }
 
-// Doubt makes the own rows of a service due that holders don't have yet. It reports whether there are any.
-func (c *Core) Doubt(service string) bool {
+// Doubt makes the own rows of a service due that holders don't have yet, as upstreams of a second version may serve it.
+// It reports whether there are any.
+func (c *Core) Doubt(now time.Time, service string) bool {
+	for key := range c.uncopied[service] {
+		if !c.durable.finished[key] {
+			c.durable.add(now, key)
+		}
+	}
+	return c.CopyAll(service)
+}
+
+// CopyAll makes the own rows of a service due that holders don't have yet, without any doubt about its versions. It
+// reports whether there are any.
+func (c *Core) CopyAll(service string) bool {
 	keys := c.uncopied[service]
 	for key := range keys {
 		c.due = append(c.due, key)
--- a/internal/process/streams/resolve.go
+++ b/internal/process/streams/resolve.go
@@ -11,11 +11,12 @@
 	// upstreams, which says nothing of streams that began before, so that they count as NoOpinion.
 	formerBySole
 	formerByMixed
-	ByRecord // there is no row, and the platform's record of the service names one version of software (package origins)
+	ByRecord    // there is no row, and only one origin is possible by the platform's record (package origins)
+	ByStoredRow // no instance has a row, but the platform has (DurableRows)
 )
 
 // MaxBasis is the largest basis.
-const MaxBasis = ByRecord
+const MaxBasis = ByStoredRow
 
 // String returns the form that is used in logs.
 func (b Basis) String() string {
@@ -24,6 +25,8 @@
 		return "row"
 	case ByRecord:
 		return "only version"
+	case ByStoredRow:
+		return "stored row"
 	}
 	return "nothing"
 }
