Two origins of one attempt id at one instance make the stream's origin unknown

What callers saw: two callers without an account that use one id for their attempts at one instance: the earlier stream went on where the later one had begun. Cause: Began replaced the row; only copies became contradictory. Both compare now, and a row beside a copy with another origin says nothing either. TestContradictoryOwnRowsSayNothing failed before (the later origin was returned).

--- a/internal/process/streams/core.go
+++ b/internal/process/streams/core.go
@@ -56,11 +56,17 @@
 	return &Core{own: make(map[Key]Row), copies: make(map[Key]Row), uncopied: make(map[string]map[Key]bool), durable: newDurableQueue()}
 }
 
-// Began records that this instance passed on the first event of a stream, or continues one. The row expires after life,
+// Began records that this instance passed on the first event of a stream, or continues one. An origin that contradicts a
+// known one makes it unknown. The row expires after life,
 // or MaxLife if that is shorter. inDoubt: there may be upstreams of several versions, so holders need the row.
 func (c *Core) Began(now time.Time, key Key, origin Origin, life time.Duration, inDoubt bool) {
-	if _, known := c.own[key]; !known && len(c.own) >= maxRows {
+	old, known := c.own[key]
+	switch {
+	case !known && len(c.own) >= maxRows:
 		c.makeRoom(now)
+	case known && now.Before(old.Expires) && old.Origin != origin: // two callers without an account use one id
+		c.dropOwn(key, old)
+		origin, inDoubt = Origin{}, true
 	}
 	delete(c.durable.finished, key)
 	c.own[key] = Row{Key: key, Origin: origin, Expires: now.Add(min(life, MaxLife))}
@@ -165,13 +171,13 @@
 // Find returns the origin of a stream. ok is false if there is no row. The origin is empty if what is known of it is
 // contradictory.
 func (c *Core) Find(now time.Time, key Key) (origin Origin, ok bool) {
-	if row, known := c.own[key]; known && now.Before(row.Expires) {
-		return row.Origin, true
-	}
-	if row, known := c.copies[key]; known && now.Before(row.Expires) {
-		return row.Origin, true
+	var answers []Answer
+	for _, rows := range []map[Key]Row{c.own, c.copies} {
+		if row, known := rows[key]; known && now.Before(row.Expires) {
+			answers = append(answers, Answer{Basis: ByRow, Origin: row.Origin})
+		}
 	}
-	return Origin{}, false
+	return Resolve(Answer{}, answers)
 }
 
 // Forget drops the rows that have expired.
--- a/internal/process/streams/core_test.go
+++ b/internal/process/streams/core_test.go
@@ -68,6 +68,17 @@
 	}
 }
 
+// TestContradictoryOwnRowsSayNothing guards against a stream of two versions: two callers without an account used one id for
+// their attempts at one instance, and the origin of the later stream was taken for that of the earlier one.
+func TestContradictoryOwnRowsSayNothing(t *testing.T) {
+	c, key := New(), KeyOf("", "1")
+	c.Began(start, key, old, time.Minute, true)
+	c.Began(start, key, other, time.Minute, true)
+	if got, ok := c.Find(start, key); !ok || got.Software != "" {
+		t.Errorf("found %v %v", got, ok)
+	}
+}
+
 // TestRowsAreBounded checks that a flood of streams, and of copies, takes bounded memory, and that the newest own rows
 // are kept.
 func TestRowsAreBounded(t *testing.T) {
