Copies of rows: of too many, those that expire first are dropped

What callers saw: streams refused during a release with many streams. Cause: an instance with maxRows copies took no further ones, and rows are kept for a minute longer than callers wait: at 218 streams a second with a wait of 2 s, 13,500 copies, more in a burst. TestCopiesOfLatestStreamsAreKept failed before.

--- a/internal/process/streams/core.go
+++ b/internal/process/streams/core.go
@@ -11,8 +11,7 @@
 const (
 	// MaxLife is how long a row is kept at most.
 	MaxLife = 10 * time.Minute
-	// maxRows limits the own rows and the copies, each about 200 bytes. Of the copies, further ones are dropped; of the
-	// own ones, those that expire first are.
+	// maxRows limits the own rows and the copies, each about 200 bytes. Of more, those that expire first are dropped.
 	maxRows = 1 << 14
 )
 
@@ -63,7 +62,7 @@
 	old, known := c.own[key]
 	switch {
 	case !known && len(c.own) >= maxRows:
-		c.makeRoom(now)
+		c.makeRoom(now, c.own, c.dropOwn)
 	case known && now.Before(old.Expires) && old.Origin != origin: // two callers without an account use one id
 		c.dropOwn(key, old)
 		origin, inDoubt = Origin{}, true
@@ -81,13 +80,13 @@
 	c.uncopied[origin.Service][key] = true
 }
 
-// makeRoom removes the expired own rows, and those that expire first if too few have expired: enough for many further
-// rows, so that it isn't called for each of them.
-func (c *Core) makeRoom(now time.Time) {
+// makeRoom removes the expired rows, and those of the given rows that expire first if too few have expired: enough for
+// many further rows, so that it isn't called for each of them.
+func (c *Core) makeRoom(now time.Time, rows map[Key]Row, drop func(Key, Row)) {
 	c.Forget(now)
-	rows := slices.Collect(maps.Values(c.own))
-	for _, row := range firstToExpire(rows, len(rows)-maxRows*7/8) {
-		c.dropOwn(row.Key, row)
+	all := slices.Collect(maps.Values(rows))
+	for _, row := range firstToExpire(all, len(all)-maxRows*7/8) {
+		drop(row.Key, row)
 	}
 }
 
@@ -154,7 +153,7 @@
 	old, known := c.copies[row.Key]
 	switch {
 	case !known && len(c.copies) >= maxRows:
-		return
+		c.makeRoom(now, c.copies, func(key Key, _ Row) { delete(c.copies, key) })
 	case known && now.Before(old.Expires) && old.Origin != row.Origin:
 		row.Origin = Origin{}
 	}
--- a/internal/process/streams/core_test.go
+++ b/internal/process/streams/core_test.go
@@ -116,6 +116,19 @@
 	}
 }
 
+// TestCopiesOfLatestStreamsAreKept guards against streams that are refused during a release with many streams: once an
+// instance had maxRows copies, it took no further ones, although most of those belonged to callers that had left.
+func TestCopiesOfLatestStreamsAreKept(t *testing.T) {
+	c, now := New(), start
+	for i := range maxRows + 1 {
+		now = now.Add(time.Millisecond)
+		c.Merge(now, Row{Key: Key(i + 1), Origin: old, Expires: now.Add(time.Minute)})
+	}
+	if _, kept := c.Find(now, Key(maxRows+1)); !kept {
+		t.Error("the copy of the latest stream was dropped")
+	}
+}
+
 // TestAccountsDoNotShareStreams checks that the attempt of one client account says nothing about a stream of another.
 func TestAccountsDoNotShareStreams(t *testing.T) {
 	if KeyOf("a", "1") == KeyOf("b", "1") || KeyOf("a", "b1") == KeyOf("ab", "1") {
