--- a/internal/process/entry/peerexchange.go
+++ b/internal/process/entry/peerexchange.go
@@ -131,11 +131,12 @@
 	}
 	s.reportFinalUsage()
 	s.copyAllRows()
-	s.e.streamStore.finish()
+	s.e.streamStore.handOver(true)
 	s.mu.Lock()
 	zone := s.core.ZoneAddresses()
 	s.mu.Unlock()
 	s.introduce(zone...)
+	s.e.spawn(s.e.streamStore.finish)
 	_ = sockets.datagrams.Close()
 	close(s.stopped)
 	removeCtx, cancel := context.WithTimeout(context.Background(), removeTimeout)
--- a/internal/process/entry/streamstore.go
+++ b/internal/process/entry/streamstore.go
@@ -75,6 +75,7 @@
 		s.awaitNext(ctx)
 	}
 	if s.e.peers == nil {
+		s.handOver(true)
 		s.finish()
 	}
 }
@@ -138,9 +139,8 @@
 	}
 }
 
-// finish hands over and writes what is left, as this process stops.
+// finish writes what is left, as this process stops.
 func (s *streamStore) finish() {
-	s.handOver(true)
 	if kind, _ := s.nextWrite(time.Now()); kind != streams.WriteRows {
 		return
 	}
