--- a/internal/process/streams/doc.go
+++ b/internal/process/streams/doc.go
@@ -7,7 +7,7 @@
 //
 //   - The origin of a stream is the service and the version of software of the upstream that sent its first event.
 //   - A row is the origin of one stream, by the id of the caller's attempt that brought its first event. The instance
-//     that passed this event on keeps the row until the caller has stopped waiting.
+//     that passed this event on keeps the row for some time after the wait that the caller declared.
 //   - A holder is one of a few other instances that keep a copy of a row. They are chosen by the row's key (Holders), so
 //     that any instance can compute which to ask.
 //   - A durable row is kept in the platform's store as well (DurableRows), since holders and the instance itself may be
