--- a/internal/process/streams/doc.go
+++ b/internal/process/streams/doc.go
@@ -15,7 +15,7 @@
 //     writes the rows of all instances there.
 //
 // Rows are copied to holders only while there may be upstreams of several versions. Otherwise the origin follows from
-// the list of upstreams (fleet.Core.SoftwareOf). Resolve decides on the origin by all that is known.
+// the record. Resolve decides on the origin by all that is known.
 //
 // The package is pure: it has no I/O and no clock.
 package streams
