--- /dev/null
+++ b/internal/process/entry/originrecord_test.go
@@ -0,0 +1,90 @@
+package entry
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	store "github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
+	"github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
+)
+
+// TestRowsOfAmbiguousRouteAreCopied guards against streams that are refused after the loss of one instance: the record
+// names several services for their path, but no holder gets their rows, as their service has one version.
+func TestRowsOfAmbiguousRouteAreCopied(t *testing.T) {
+	route := func(prefix, service string) routing.Route {
+		return routing.Route{Name: prefix, Host: "host", PathPrefix: prefix, Kind: routing.Streaming, Resumable: true, Targets: []routing.Target{{Service: service, Weight: 1}}}
+	}
+	for name, configs := range map[string][][]routing.Route{
+		"moved":                 {{route("/x/", "other")}, {route("/x/", "llm")}},
+		"another shorter route": {{route("/x/", "llm"), route("/", "other")}},
+	} {
+		s := platform.New(platform.Config{})
+		e, _ := newPeerTestEntry(t, "i-1", "z1", s)
+		e.updateFleet(func(now time.Time, f *fleet.Core) {
+			f.Put(now, fleet.Upstream{ID: "b", Service: "llm", Software: "v1", Slots: 8})
+			f.Put(now, fleet.Upstream{ID: "c", Service: "other", Software: "v7", Slots: 8})
+		})
+		for i, routes := range configs {
+			e.state.install(routing.New(uint64(2+i), routes, []routing.Service{{Name: "llm"}, {Name: "other"}}, routing.Limits{}))
+			if err := e.updateOriginRecord(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if origin, ok, err := e.originReader.sole(t.Context(), "host", "/x/1"); ok || err != nil {
+			t.Errorf("%s: the record names %v, %v", name, origin, err)
+		}
+		r := route("/x/", "llm")
+		q := &request{e: e, route: &r, service: "llm", arrived: time.Now(), info: exchange.RequestInfo{ID: "1", TimeLeft: time.Minute}}
+		held := &heldPlace{}
+		held.grant.Choice.Upstream = fleet.Upstream{ID: "b", Service: "llm", Software: "v1"}
+		q.recordOrigin(held)
+		e.streams.with(func(_ time.Time, core *streams.Core) {
+			if services := core.UncopiedServices(); len(services) > 0 {
+				t.Errorf("%s: no holder gets the row, and without it the stream is refused", name)
+			}
+		})
+	}
+}
+
+// TestUnreadableRecordIsNotAnOutage guards against callers that are asked to come back although the record can't be
+// read then either: a newer program has added a field.
+func TestUnreadableRecordIsNotAnOutage(t *testing.T) {
+	s := platform.New(platform.Config{})
+	o := store.Object{Kind: resource.KindOriginRecord, Name: originRecordName, Writer: "x", Spec: json.RawMessage(`{"era":0,"newer":1}`)}
+	if _, err := s.Create(t.Context(), o); err != nil {
+		t.Fatal(err)
+	}
+	if _, ok, err := newOriginReader(s).sole(t.Context(), "host", "/x"); ok || err != nil {
+		t.Errorf("%v, %v", ok, err)
+	}
+}
+
+// TestDeletedRecordIsCreatedAgain guards against streams that are refused until the versions change: the record was
+// deleted, and instances that have read it don't notice.
+func TestDeletedRecordIsCreatedAgain(t *testing.T) {
+	s := platform.New(platform.Config{})
+	e, _ := newPeerTestEntry(t, "i-1", "z1", s)
+	r := routing.Route{Name: "r", Host: "host", PathPrefix: "/x/", Kind: routing.Streaming, Resumable: true, Targets: []routing.Target{{Service: "s", Weight: 1}}}
+	e.state.install(routing.New(2, []routing.Route{r}, []routing.Service{{Name: "s"}}, routing.Limits{}))
+	update := func() {
+		if err := e.updateOriginRecord(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	update()
+	if err := s.Delete(t.Context(), resource.KindOriginRecord, originRecordName, 0, "x", store.NewNonce()); err != nil {
+		t.Fatal(err)
+	}
+	for range 10 {
+		update() // as after each second
+	}
+	if _, ok, err := e.originReader.sole(t.Context(), "host", "/x/1"); !ok || err != nil {
+		t.Errorf("%v, %v", ok, err)
+	}
+}
