A stream whose version is gone isn't asked back by instances without a list of upstreams

What callers saw: a time to come back for a stream that can't go on. Cause: such an instance took the placer's "no upstream" for a passing state. The placer says now that the version is gone.

--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -14,6 +14,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/response"
@@ -211,8 +212,8 @@
 		q.refusal = &d
 		kind := errkind.Overloaded
 		switch {
-		case query.Continues() && !q.e.state.hasSoftware(query.Service, query.Software):
-			return nil, errkind.New(errkind.CannotContinue, q.runState, "no upstream has the version of software that began the stream any more")
+		case d.Refused == peers.SoftwareGone, query.Continues() && !q.e.state.hasSoftware(query.Service, query.Software):
+			return nil, errkind.New(errkind.CannotContinue, q.runState, string(peers.SoftwareGone))
 		case d.Refused == place.NoUpstream:
 			kind = errkind.NoUpstream
 		}
--- a/internal/process/entry/placementserver.go
+++ b/internal/process/entry/placementserver.go
@@ -127,8 +127,11 @@
 		g.expires = time.Now().Add(grantExpirySlack) // the grant is kept only to answer a repeated place request
 	}
 	g.answer = peers.PlaceResponseOf(key.id, d)
+	if q := &g.query; d.Refused == place.NoUpstream && q.Continues() && !s.e.state.hasSoftware(q.Service, q.Software) {
+		g.answer.Refused = string(peers.SoftwareGone)
+	}
 	if g.held != nil {
-		g.answer.Sole = s.e.soleSoftware(g.held)
+		g.answer.Sole = s.e.soleSoftware(g.held.upstream().Service)
 	}
 }
 
--- a/internal/process/peers/placing.go
+++ b/internal/process/peers/placing.go
@@ -116,6 +116,10 @@
 // upstream for it, because it doesn't know the upstreams or is stopping.
 const NotReady place.RefusalReason = "not ready to give places"
 
+// SoftwareGone is the reason with which an instance refuses a place request for a version of software that no listed
+// upstream has any more, or only leaving ones.
+const SoftwareGone place.RefusalReason = "no upstream has the version of software that began the stream any more"
+
 // PlaceResponse answers a place request.
 type PlaceResponse struct {
 	_        struct{} `cbor:",toarray"`
