Record of origins: no stream begins at what it doesn't have, and rows go first

Cause: the record, too, was concluded from while entries were missing. Change: an upstream whose version isn't in the record gets no work of services that stream, without exception; it is read when an instance begins to follow the list, and before its upstreams are used. A stored row goes before the record. What an instance knew is merged into what it reads, and a restored record says nothing for 30 s after it was confirmed. Rows are copied and stored where the record won't tell the origin, by host and path, not by versions alone. All routes that stream are recorded. Fields of newer programs are ignored. A missing record is written again once a resumption misses it.

--- a/internal/process/entry/callers_test.go
+++ b/internal/process/entry/callers_test.go
@@ -157,6 +157,7 @@
 	e.updateFleet(func(now time.Time, f *fleet.Core) {
 		f.Put(now, fleet.Upstream{ID: "u", Service: "s", Address: upstream, Zone: "z1", Slots: 8})
 	})
+	recordVersions(e, "s", "")
 	c := dialRaw(t, address)
 	c.send(testRequest)
 	select {
--- a/internal/process/entry/endings_test.go
+++ b/internal/process/entry/endings_test.go
@@ -39,6 +39,7 @@
 		u := fleet.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: strings.TrimPrefix(server.URL, "http://"), Zone: "z1", Slots: 8, Software: "v1"}
 		e.updateFleet(func(now time.Time, f *fleet.Core) { f.Put(now, u) })
 	}
+	recordVersions(e, "s", "v1")
 	return address
 }
 
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -130,6 +130,7 @@
 	e.hardStopCtx, e.cancelHardStop = context.WithCancel(context.Background())
 	e.holds = e.newHolds()
 	e.streamStore = newStreamStore(e)
+	e.originReader.onMissing = e.origins.forget
 	e.state.confirmation.onResume = e.handleResume
 	if cfg.Engines != nil {
 		cfg.Engines.OnResponse(e.handleOwnCallNotices)
--- a/internal/process/entry/feeds_test.go
+++ b/internal/process/entry/feeds_test.go
@@ -68,7 +68,7 @@
 func newTestEntry(configs ConfigFeed, alive func(context.Context) error) *Entry {
 	s := &settings.Entry{Instance: settings.Instance{Name: "i-1", Zone: "z1"}}
 	s.SetDefaults()
-	e := &Entry{holds: holds.New(holds.Config{Scope: tally.NoopScope}), state: newState(s), metrics: newEntryMetrics(tally.NoopScope)}
+	e := &Entry{holds: holds.New(holds.Config{Scope: tally.NoopScope}), state: newState(s), metrics: newEntryMetrics(tally.NoopScope), origins: newOriginRecord()}
 	e.liveSettings.Store(&liveSettings{bounds: s.Bounds})
 	e.cfg = Config{Settings: s, Configs: configs, PingStore: alive}
 	return e
--- a/internal/process/entry/originreader.go
+++ b/internal/process/entry/originreader.go
@@ -14,12 +14,13 @@
 
 // originReadTimeout limits a read of the record of origins while a caller waits. The platform usually answers within
 // milliseconds.
-const originReadTimeout = 300 * time.Millisecond
+const originReadTimeout = 150 * time.Millisecond
 
 // originReader reads the platform's record of origins for requests. Requests that come while a read is under way share
 // the next one: a read that began before a request may miss the origin of its stream.
 type originReader struct {
-	read func(ctx context.Context) (origins.Record, uint64, error) // returns the record and the era of the platform
+	read      func(ctx context.Context) (origins.Record, uint64, error) // returns the record and the era of the platform
+	onMissing func()                                                    // called if there is no record
 
 	mu   sync.Mutex
 	next *originRead // hasn't begun; nil: none is wanted
@@ -35,13 +36,16 @@
 }
 
 func newOriginReader(records platform.Store) *originReader {
-	return &originReader{read: func(ctx context.Context) (origins.Record, uint64, error) {
+	return &originReader{onMissing: func() {}, read: func(ctx context.Context) (origins.Record, uint64, error) {
 		o, err := records.Get(ctx, resource.KindOriginRecord, originRecordName)
 		if err != nil {
 			return origins.Record{}, 0, err
 		}
-		record, err := resource.Decode[origins.Record](o)
-		return record, platform.EraOf(o.Version), err
+		record, err := decodeOriginRecord(o)
+		if err != nil {
+			record = origins.Record{Era: origins.NoEra} // it says nothing, and coming back doesn't help
+		}
+		return record, platform.EraOf(o.Version), nil
 	}}
 }
 
@@ -54,7 +58,11 @@
 	case <-ctx.Done():
 		return origins.Origin{}, false, ctx.Err()
 	}
-	if errors.Is(read.err, platform.ErrNotFound) || errors.Is(read.err, platform.ErrInvalid) {
+	if errors.Is(read.err, platform.ErrNotFound) {
+		r.onMissing()
+		return origins.Origin{}, false, nil
+	}
+	if errors.Is(read.err, platform.ErrInvalid) {
 		return origins.Origin{}, false, nil
 	}
 	if read.err != nil {
--- a/internal/process/entry/originrecord.go
+++ b/internal/process/entry/originrecord.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/origins"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/resource"
@@ -33,6 +33,12 @@
 	f(time.Now(), r.core)
 }
 
+// forget has the record read again, as it isn't what this instance has read.
+func (r *originRecord) forget() {
+	r.with(func(_ time.Time, core *origins.Core) { core.Restored() })
+	r.recheck()
+}
+
 // recheck triggers a check of whether a read or a write is due.
 func (r *originRecord) recheck() {
 	select {
@@ -82,23 +88,23 @@
 
 // updateOriginRecord reads the record if that is due, and makes the write that is due.
 func (e *Entry) updateOriginRecord(ctx context.Context) error {
-	versions, routes, known := e.state.possibleOrigins()
-	if !known {
-		return nil
-	}
 	needsRead := false
-	e.origins.with(func(now time.Time, core *origins.Core) {
-		core.SetListed(now, versions, routes)
+	e.origins.with(func(_ time.Time, core *origins.Core) {
 		if e.platformEra() != core.Era() {
 			core.Restored()
 		}
 		needsRead = core.NeedsRead()
 	})
-	if needsRead {
+	if needsRead { // also before the upstreams are listed, as they get no work until it is read
 		if err := e.readOriginRecord(ctx); err != nil {
 			return err
 		}
 	}
+	versions, routes, known := e.state.possibleOrigins()
+	if !known {
+		return nil
+	}
+	e.origins.with(func(now time.Time, core *origins.Core) { core.SetListed(now, versions, routes) })
 	var record origins.Record
 	var object origins.Object
 	due := false
@@ -111,6 +117,8 @@
 
 // readOriginRecord reads and applies the record.
 func (e *Entry) readOriginRecord(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout) // upstreams get no work until it is read
+	defer cancel()
 	o, err := e.cfg.Records.Get(ctx, resource.KindOriginRecord, originRecordName)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
@@ -152,7 +160,7 @@
 func (e *Entry) applyOriginRecord(era uint64, o platform.Object) {
 	var record *origins.Record
 	if o.Version != 0 {
-		decoded, err := resource.Decode[origins.Record](o)
+		decoded, err := decodeOriginRecord(o)
 		if err != nil {
 			logline.Error(err, "record of origins unreadable")
 			decoded = origins.Record{Era: origins.NoEra}
@@ -164,12 +172,18 @@
 		core.Loaded(now, era, origins.Object{Version: o.Version, UID: o.UID}, record)
 		recorded = core.Recorded()
 	})
-	e.updateFleet(func(_ time.Time, f *fleet.Core) { f.SetRecorded(recorded) })
+	e.state.setRecorded(time.Now(), recorded)
 }
 
-// possibleOrigins returns, for each service with resumable routes, the versions of listed upstreams that can begin
-// streams, and for each of these routes, by host and path prefix, the services to which it leads. known is false without
-// a configuration or a list of upstreams.
+// decodeOriginRecord decodes the record. It ignores fields that a newer program has added.
+func decodeOriginRecord(o platform.Object) (record origins.Record, err error) {
+	err = json.Unmarshal(o.Spec, &record)
+	return record, errors.Wrap(err, "record of origins")
+}
+
+// possibleOrigins returns, for each service with routes that are answered by streams, the versions of listed upstreams that
+// can begin streams, and for each of these routes, by host and path prefix, the services to which it leads. Routes that
+// aren't resumable count, as they may become it. known is false without a configuration or a list of upstreams.
 func (s *state) possibleOrigins() (versions, routes map[string][]string, known bool) {
 	c := s.config.Load()
 	s.mu.Lock()
@@ -180,10 +194,7 @@
 	versions, routes = make(map[string][]string), make(map[string][]string)
 	for i := range c.Routes {
 		route := &c.Routes[i]
-		if !route.Resumable {
-			continue
-		}
-		for _, service := range route.Services() {
+		for _, service := range route.StreamedServices() {
 			versions[service] = s.fleet.Software(service)
 			routes[route.Prefix()] = append(routes[route.Prefix()], service)
 		}
--- a/internal/process/entry/originrecord_test.go
+++ b/internal/process/entry/originrecord_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"testing"
 	"time"
 
 	store "github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
@@ -14,6 +16,45 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
 
+// recordVersions has an entry process know the versions of software of a service that the record of origins has.
+func recordVersions(e *Entry, service string, versions ...string) {
+	recorded := make(map[string]bool)
+	for _, v := range versions {
+		recorded[v] = true
+	}
+	e.state.setRecorded(time.Now(), map[string]map[string]bool{service: recorded})
+}
+
+// TestStreamsDoNotBeginAtUnrecordedVersion guards against streams of which nobody can know any more where they began: an
+// upstream with a version of software that isn't in the record of origins gets no work that is answered by streams.
+func TestStreamsDoNotBeginAtUnrecordedVersion(t *testing.T) {
+	e, _ := newPeerTestEntry(t, "i-1", "z1", platform.New(platform.Config{}))
+	streamed := routing.Route{Name: "r", Host: "host", PathPrefix: "/x/", Kind: routing.Streaming, Targets: []routing.Target{{Service: "llm", Weight: 1}}}
+	e.state.install(routing.New(2, []routing.Route{streamed}, []routing.Service{{Name: "s"}, {Name: "llm"}}, routing.Limits{}))
+	e.updateFleet(func(now time.Time, f *fleet.Core) {
+		f.Put(now, fleet.Upstream{ID: "old", Service: "llm", Software: "v1", Slots: 8})
+		f.Put(now, fleet.Upstream{ID: "new", Service: "llm", Software: "v2", Slots: 8})
+		f.Put(now, fleet.Upstream{ID: "prompts", Service: "llm", Software: "v2", Role: upstream.RolePrefill, Slots: 8})
+	})
+	check := func(what string, want ...fleet.Incarnation) {
+		t.Helper()
+		for _, id := range []fleet.Incarnation{"a", "old", "new", "prompts"} {
+			if got := e.state.usable(id); got != slices.Contains(want, id) {
+				t.Errorf("%s: %s is usable: %v", what, id, got)
+			}
+		}
+	}
+	check("the record wasn't read", "a", "prompts")
+	recordVersions(e, "llm", "v1")
+	check("one version", "a", "prompts", "old")
+	e.updateFleet(func(now time.Time, f *fleet.Core) { f.Remove(now, "old") })
+	check("no upstream of a recorded version", "a", "prompts")
+	if err := e.updateOriginRecord(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	check("recorded", "a", "prompts", "new")
+}
+
 // TestRowsOfAmbiguousRouteAreCopied guards against streams that are refused after the loss of one instance: the record
 // names several services for their path, but no holder gets their rows, as their service has one version.
 func TestRowsOfAmbiguousRouteAreCopied(t *testing.T) {
@@ -66,25 +107,45 @@
 }
 
 // TestDeletedRecordIsCreatedAgain guards against streams that are refused until the versions change: the record was
-// deleted, and instances that have read it don't notice.
+// deleted, and instances that have read it don't notice. The first resumption that misses it has it written again.
 func TestDeletedRecordIsCreatedAgain(t *testing.T) {
 	s := platform.New(platform.Config{})
 	e, _ := newPeerTestEntry(t, "i-1", "z1", s)
 	r := routing.Route{Name: "r", Host: "host", PathPrefix: "/x/", Kind: routing.Streaming, Resumable: true, Targets: []routing.Target{{Service: "s", Weight: 1}}}
 	e.state.install(routing.New(2, []routing.Route{r}, []routing.Service{{Name: "s"}}, routing.Limits{}))
-	update := func() {
+	check := func(want bool) {
+		t.Helper()
 		if err := e.updateOriginRecord(t.Context()); err != nil {
 			t.Fatal(err)
 		}
+		if _, ok, err := e.originReader.sole(t.Context(), "host", "/x/1"); ok != want || err != nil {
+			t.Errorf("%v, %v", ok, err)
+		}
 	}
-	update()
+	check(true)
 	if err := s.Delete(t.Context(), resource.KindOriginRecord, originRecordName, 0, "x", store.NewNonce()); err != nil {
 		t.Fatal(err)
 	}
-	for range 10 {
-		update() // as after each second
+	check(false)
+	check(true)
+}
+
+// TestVersionBeforeRouteIsResumableIsRecorded guards against streams of two versions: those of a service before its route
+// could be resumed were not in the record.
+func TestVersionBeforeRouteIsResumableIsRecorded(t *testing.T) {
+	e, _ := newPeerTestEntry(t, "i-1", "z1", platform.New(platform.Config{}))
+	r := routing.Route{Name: "r", Host: "host", PathPrefix: "/x/", Kind: routing.Streaming, Targets: []routing.Target{{Service: "s", Weight: 1}}}
+	for i, version := range []string{"v1", "v2"} {
+		r.Resumable = i > 0
+		e.state.install(routing.New(uint64(2+i), []routing.Route{r}, []routing.Service{{Name: "s"}}, routing.Limits{}))
+		e.updateFleet(func(now time.Time, f *fleet.Core) {
+			f.Put(now, fleet.Upstream{ID: "a", Service: "s", Software: version, Slots: 8})
+		})
+		if err := e.updateOriginRecord(t.Context()); err != nil {
+			t.Fatal(err)
+		}
 	}
-	if _, ok, err := e.originReader.sole(t.Context(), "host", "/x/1"); !ok || err != nil {
-		t.Errorf("%v, %v", ok, err)
+	if origin, ok, err := e.originReader.sole(t.Context(), "host", "/x/1"); ok || err != nil {
+		t.Errorf("%v, %v", origin, err)
 	}
 }
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -4,6 +4,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -31,6 +32,9 @@
 	waiters        map[string]chan place.Decision // where decisions on waiting requests are sent, by Query.ID
 	retryLimits    map[string]*retryLimit         // by service
 	patience       map[string]*patience.Route     // by route
+	recorded       map[string]map[string]bool     // versions of software in the record of origins, by service; nil: not read
+	streamed       map[string]bool                // services with routes that are answered by streams
+	leadsTo        map[string]map[string]bool     // services to which such routes led since the start of this process, by host and path prefix
 	bounds         settings.EntryBounds
 	trackedVersion uint64    // version of fleet that tracker was last updated from; 0: update it again
 	listed         bool      // the list of upstreams was read and is followed
@@ -77,10 +81,45 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.trackedVersion = 0
+	s.applyStreamedRoutes(c)
 	s.syncTracker(time.Now())
 	maps.DeleteFunc(s.patience, func(route string, _ *patience.Route) bool { return !c.HasRoute(route) })
 }
 
+// maxKnownRoutes limits leadsTo; beyond, it begins anew with the routes in force.
+const maxKnownRoutes = 4096
+
+// applyStreamedRoutes records the services to which routes lead that are answered by streams. Callers hold mu.
+func (s *state) applyStreamedRoutes(c *routing.Config) {
+	s.streamed = make(map[string]bool)
+	if s.leadsTo == nil || len(s.leadsTo) > maxKnownRoutes {
+		s.leadsTo = make(map[string]map[string]bool)
+	}
+	for i := range c.Routes {
+		route := &c.Routes[i]
+		for _, service := range route.StreamedServices() {
+			s.streamed[service] = true
+			if s.leadsTo[route.Prefix()] == nil {
+				s.leadsTo[route.Prefix()] = make(map[string]bool)
+			}
+			s.leadsTo[route.Prefix()][service] = true
+		}
+	}
+}
+
+// leadsToOneService reports whether all streams on a path of a host began at one service since the start of this process.
+func (s *state) leadsToOneService(host, path string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make(map[string]bool)
+	for prefix, services := range s.leadsTo {
+		if strings.HasPrefix(host+path, prefix) {
+			maps.Copy(all, services)
+		}
+	}
+	return len(all) == 1
+}
+
 // updateFleet applies a change to the list of upstreams and then updates placement.
 func (s *state) updateFleet(now time.Time, change func(f *fleet.Core)) {
 	s.mu.Lock()
@@ -101,7 +140,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fleet.ClearList()
-	s.listed, s.platformLostAt, s.trackedVersion = false, time.Time{}, 0
+	s.listed, s.platformLostAt, s.trackedVersion, s.recorded = false, time.Time{}, 0, nil
 	s.tracker.SetUpstreams(nil)
 	s.awaitsConfirmation(now) // there is nothing left to confirm
 	s.deliverDecisions(now)
@@ -136,8 +175,22 @@
 	s.deliverDecisions(now)
 }
 
-// configuredUpstreams removes the upstreams of services that the configuration doesn't have, and the
-// engines that report no role. Without a configuration it keeps all, as nothing is sent yet. It changes
+// setRecorded sets the versions of software in the record of origins, by service.
+func (s *state) setRecorded(now time.Time, recorded map[string]map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recorded, s.trackedVersion = recorded, 0
+	s.syncTracker(now)
+}
+
+// isRecorded reports whether streams may begin at an upstream: its version of software is in the record of origins. It
+// returns true for an upstream that begins none. Callers hold mu.
+func (s *state) isRecorded(u *fleet.Upstream) bool {
+	return !s.streamed[u.Service] || !u.BeginsStreams() || s.recorded[u.Service][u.Software]
+}
+
+// configuredUpstreams removes the upstreams of services that the configuration doesn't have, those at which no stream may
+// begin yet, and the engines that report no role. Without a configuration it keeps all, as nothing is sent yet. It changes
 // services and returns it.
 func (s *state) configuredUpstreams(services map[string][]fleet.Upstream) map[string][]fleet.Upstream {
 	c := s.config.Load()
@@ -145,6 +198,8 @@
 		return services
 	}
 	for name, list := range services {
+		list = slices.DeleteFunc(list, func(u fleet.Upstream) bool { return !s.isRecorded(&u) })
+		services[name] = list
 		service, ok := c.Services[name]
 		switch {
 		case !ok:
--- a/internal/process/entry/steps_test.go
+++ b/internal/process/entry/steps_test.go
@@ -235,5 +235,6 @@
 		f.Put(now, fleet.Upstream{ID: "p", Service: "s", Address: address, Zone: "z1", Slots: 8, Role: upstream.RolePrefill})
 		f.Put(now, fleet.Upstream{ID: "d", Service: "s", Address: address, Zone: "z1", Slots: 8, Role: upstream.RoleDecode})
 	})
+	recordVersions(e, "s", "")
 	return e
 }
--- a/internal/process/entry/streamorigins.go
+++ b/internal/process/entry/streamorigins.go
@@ -175,33 +175,48 @@
 	return nil
 }
 
-// originByPlatform sets the origin of a stream of which no instance has a row by what the platform has: the only possible
-// origin, or a stored row. It leaves the origin empty if that isn't possible, and returns an error if the platform couldn't
-// be read: the caller may then come back.
+// originByPlatform sets the origin of a stream of which no instance has a row by what the platform has: a stored row, or
+// the only possible origin. A row goes first, as the record only says what isn't known to have been. It leaves the origin
+// empty if nothing is known, and returns an error if the platform couldn't be read: the caller may then come back.
 func (q *request) originByPlatform(ctx context.Context, key streams.Key) *errkind.Error {
-	q.resumption.basis = streams.NoOpinion
-	sole, ok, err := q.e.originReader.sole(ctx, q.route.NormalHost(), q.r.URL.Path)
-	if ok {
-		q.resumption.basis = streams.ByRecord
-		q.resumption.origin = streams.Origin{Service: sole.Service, Software: sole.Software}
-		return nil
-	}
+	sole, err := q.soleByRecord(ctx)
 	if err == nil {
-		var found bool
-		if q.resumption.origin, found, err = q.e.storedOrigin(ctx, key); found {
-			q.resumption.basis = streams.ByStoredRow
-		}
+		q.resumption.basis, q.resumption.origin, err = q.storedOrSole(ctx, key, sole)
 	}
 	switch {
 	case ctx.Err() != nil:
 		return q.contextError(ctx)
 	case err != nil:
-		q.resumption.err = err
+		q.resumption.basis, q.resumption.err = streams.NoOpinion, err
 		return errkind.New(errkind.CannotContinue, errkind.NotRun, "the platform can't be asked where the stream began").WithRetryAfter(defaultRetryAfter)
 	}
 	return nil
 }
 
+// soleByRecord returns the only possible origin of the stream by the platform's record; without a version: there are
+// several.
+func (q *request) soleByRecord(ctx context.Context) (streams.Origin, error) {
+	origin, ok, err := q.e.originReader.sole(ctx, q.route.NormalHost(), q.r.URL.Path)
+	if !ok || err != nil {
+		return streams.Origin{}, err
+	}
+	return streams.Origin{Service: origin.Service, Software: origin.Software}, nil
+}
+
+// storedOrSole returns the origin of the stream by a stored row or, if there is none, the only possible one.
+func (q *request) storedOrSole(ctx context.Context, key streams.Key, sole streams.Origin) (streams.Basis, streams.Origin, error) {
+	stored, found, err := q.e.storedOrigin(ctx, key)
+	switch {
+	case err != nil:
+		return streams.NoOpinion, streams.Origin{}, err
+	case found:
+		return streams.ByStoredRow, stored, nil
+	case sole.Software != "":
+		return streams.ByRecord, sole, nil
+	}
+	return streams.NoOpinion, streams.Origin{}, nil
+}
+
 // resumption is what was found out about the stream that a request resumes.
 type resumption struct {
 	origin          streams.Origin
@@ -237,7 +252,7 @@
 		wait = undeclaredWait
 	}
 	life := wait - time.Since(q.arrived) + resumeGrace
-	inDoubt := q.route.IsSplit() || !q.e.soleSoftware(held)
+	inDoubt := !q.soleOrigin(held)
 	q.e.streams.with(func(now time.Time, core *streams.Core) { core.Began(now, key, *q.origin, life, inDoubt) })
 	if inDoubt {
 		q.e.peers.scheduleStreamRows()
@@ -252,17 +267,23 @@
 	}
 }
 
-// soleSoftware reports whether upstreams of only one version of software can have begun streams of the service of a
-// place, so that nobody needs to know where a stream began. An instance without a list of upstreams relies on the placer.
-func (e *Entry) soleSoftware(h *heldPlace) bool {
-	if h.placer != "" && !e.state.upstreamsListed() {
-		return h.sole
+// soleOrigin reports whether, by what this instance knows, the platform's record alone will tell where a stream began that
+// begins now at a place. An instance without a list of upstreams relies on the placer for the versions.
+func (q *request) soleOrigin(h *heldPlace) (sole bool) {
+	host, path := q.route.NormalHost(), q.route.PathPrefix
+	if q.r != nil {
+		path = q.r.URL.Path
+	}
+	if h.placer != "" && !q.e.state.upstreamsListed() {
+		return h.sole && q.e.state.leadsToOneService(host, path)
 	}
-	return e.soleSoftwareOf(h.upstream().Service)
+	q.e.origins.with(func(now time.Time, core *origins.Core) { _, sole = core.Sole(now, host, path) })
+	return sole
 }
 
-// soleSoftwareOf is soleSoftware for a service, at an instance that follows the list of upstreams.
-func (e *Entry) soleSoftwareOf(service string) (sole bool) {
-	e.origins.with(func(now time.Time, core *origins.Core) { sole = core.Sole(now, service) })
+// soleSoftware reports whether all streams of a service began at the same version of software, by what an instance that
+// follows the list of upstreams knows.
+func (e *Entry) soleSoftware(service string) (sole bool) {
+	e.origins.with(func(now time.Time, core *origins.Core) { sole = core.SoleSoftware(now, service) })
 	return sole
 }
--- a/internal/process/entry/streamstore.go
+++ b/internal/process/entry/streamstore.go
@@ -25,7 +25,7 @@
 	// finishTimeout limits the last write of a stopping process. Its grace period is nearly over then.
 	finishTimeout = 300 * time.Millisecond
 	// storedReadTimeout limits a read of the stored rows. A request waits for it.
-	storedReadTimeout = 300 * time.Millisecond
+	storedReadTimeout = 150 * time.Millisecond
 	// storedReadInterval is the minimum time between two such reads. Requests between them share a result.
 	storedReadInterval = 250 * time.Millisecond
 )
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -23,12 +23,11 @@
 // use.
 type Core struct {
 	entries         map[string]*entry
-	missingCount    int                        // number of entries that are missing
-	tombstones      map[string]tombstone       // removed entries, by ID
-	unreadable      map[string]string          // the invalid field of each unreadable entry, by ID
-	software        map[string]map[string]int  // number of entries that can begin streams, by service and version of software
-	recorded        map[string]map[string]bool // see SetRecorded
-	deferred        map[string]Upstream        // by ID; removed entries that are listed again after a restore of the platform from an older copy, see Replace
+	missingCount    int                       // number of entries that are missing
+	tombstones      map[string]tombstone      // removed entries, by ID
+	unreadable      map[string]string         // the invalid field of each unreadable entry, by ID
+	software        map[string]map[string]int // number of entries that can begin streams, by service and version of software
+	deferred        map[string]Upstream       // by ID; removed entries that are listed again after a restore of the platform from an older copy, see Replace
 	reportedLeaving map[Incarnation]leavingReport
 	sweptAt         time.Time // when reportedLeaving was last swept
 	listed          bool      // a whole list has been received
@@ -432,19 +431,16 @@
 // Usable returns the upstreams that may get new work, by service. If several entries have the same
 // address, only the one that started last is included. An entry that went missing after a stall is included
 // only if no listed upstream of its service is: it has probably ended, and lapsed only if there was an outage
-// that this process didn't notice. An upstream with a version of software at which no stream may begin yet is
-// included only if no other one can begin streams of its service.
+// that this process didn't notice.
 func (c *Core) Usable() map[string][]Upstream {
 	newest := make(map[string]int64, len(c.entries)) // latest start, by address
 	for _, e := range c.entries {
 		newest[e.Address] = max(newest[e.Address], e.StartedMS)
 	}
-	out, afterStall, unrecorded := make(map[string][]Upstream), make(map[string][]Upstream), make(map[string][]Upstream)
+	out, afterStall := make(map[string][]Upstream), make(map[string][]Upstream)
 	for _, e := range c.entries {
 		switch {
 		case e.Leaving || e.Changing() || e.StartedMS != newest[e.Address]:
-		case !c.isRecorded(&e.Upstream):
-			unrecorded[e.Service] = append(unrecorded[e.Service], e.Upstream)
 		case e.missing && e.afterStall:
 			afterStall[e.Service] = append(afterStall[e.Service], e.Upstream)
 		default:
@@ -456,11 +452,6 @@
 			out[service] = upstreams
 		}
 	}
-	for service, upstreams := range unrecorded {
-		if !slices.ContainsFunc(out[service], func(u Upstream) bool { return u.BeginsStreams() }) {
-			out[service] = append(out[service], upstreams...)
-		}
-	}
 	return out
 }
 
--- a/internal/process/fleet/software.go
+++ b/internal/process/fleet/software.go
@@ -28,19 +28,6 @@
 	return false
 }
 
-// SetRecorded sets the versions of software, by service, at whose upstreams streams may begin (package origins). All
-// upstreams of a service without an entry may begin streams.
-func (c *Core) SetRecorded(versions map[string]map[string]bool) {
-	c.recorded = versions
-	c.version++
-}
-
-// isRecorded reports whether an upstream begins no stream, or has a version of software at which streams may begin.
-func (c *Core) isRecorded(u *Upstream) bool {
-	versions, known := c.recorded[u.Service]
-	return !known || !u.BeginsStreams() || versions[u.Software]
-}
-
 // countSoftware counts an entry that is added.
 func (c *Core) countSoftware(u *Upstream) {
 	if !u.BeginsStreams() {
--- a/internal/process/fleet/software_test.go
+++ b/internal/process/fleet/software_test.go
@@ -42,36 +42,3 @@
 		t.Errorf("kept: %v", c.software)
 	}
 }
-
-// TestStreamsDoNotBeginAtUnrecordedVersion checks that an upstream with a version of software that isn't recorded yet
-// gets work only if no other upstream can begin streams of its service.
-func TestStreamsDoNotBeginAtUnrecordedVersion(t *testing.T) {
-	c, at := New(), time.Unix(1000, 0)
-	for id, u := range map[string]Upstream{
-		"old": {Software: "v1", Role: upstream.RoleDecode}, "new": {Software: "v2", Role: upstream.RoleDecode},
-		"prompts": {Software: "v2", Role: upstream.RolePrefill},
-	} {
-		u.ID, u.Service, u.Address = id, "llm", id+":1"
-		c.Put(at, u)
-	}
-	usable := func() (ids []string) {
-		for _, u := range c.Usable()["llm"] {
-			ids = append(ids, u.ID)
-		}
-		slices.Sort(ids)
-		return ids
-	}
-	check := func(what string, want ...string) {
-		t.Helper()
-		if got := usable(); !slices.Equal(got, want) {
-			t.Errorf("%s: %v, want %v", what, got, want)
-		}
-	}
-	check("a service without a record", "new", "old", "prompts")
-	c.SetRecorded(map[string]map[string]bool{"llm": {"v1": true}})
-	check("one version recorded", "old", "prompts")
-	c.Remove(at, "old")
-	check("no upstream of a recorded version", "new", "prompts")
-	c.SetRecorded(map[string]map[string]bool{"llm": {"v1": true, "v2": true}})
-	check("both versions recorded", "new", "prompts")
-}
--- a/internal/process/origins/core.go
+++ b/internal/process/origins/core.go
@@ -15,6 +15,9 @@
 	// restoreDelay is how long an instance that didn't know the record before the store was restored leaves it to the
 	// others to confirm it.
 	restoreDelay = 5 * time.Second
+	// confirmDelay is how long a record says nothing after an instance has confirmed it in a new era of the store: others
+	// may know more, and add that.
+	confirmDelay = 30 * time.Second
 	// maxEntries limits a record to some hundred kilobytes, which the store accepts. Those that left first are dropped.
 	maxEntries = 4096
 )
@@ -88,7 +91,8 @@
 	case c.stored.Era != era:
 		c.mergeRestored(now)
 	case c.exists():
-		c.known, c.restoredAt = c.stored.entries(), time.Time{}
+		c.restoredAt = time.Time{}
+		maps.Copy(c.known, c.stored.entries())
 	default: // there is none yet, or the store's copy was made before it was created
 		c.restoredAt = time.Time{}
 	}
@@ -152,6 +156,8 @@
 	dropped := bound(entries)
 	if end := now.Add(Memory).UnixMilli(); (dropped && incompleteMS < end-Memory.Milliseconds()/2) || !c.restoredAt.IsZero() {
 		incompleteMS = end
+	} else if c.exists() && c.stored.Era != c.era {
+		incompleteMS = max(incompleteMS, now.Add(confirmDelay).UnixMilli())
 	}
 	return entries, incompleteMS
 }
@@ -181,13 +187,13 @@
 	return -1
 }
 
-// Recorded returns the versions in the record, by service; nil: the record isn't known. Streams may begin at upstreams of
-// these versions.
+// Recorded returns the versions in the record, by service, which are none if the record hasn't been read. Streams may
+// begin at upstreams of these versions.
 func (c *Core) Recorded() map[string]map[string]bool {
+	out := make(map[string]map[string]bool, len(c.stored.Versions))
 	if !c.read || !c.exists() {
-		return nil
+		return out
 	}
-	out := make(map[string]map[string]bool, len(c.stored.Versions))
 	for service, left := range c.stored.Versions {
 		out[service] = make(map[string]bool, len(left))
 		for v := range left {
@@ -197,9 +203,23 @@
 	return out
 }
 
-// Sole reports whether all streams of a service began at the same version, so far as this instance knows. It serves to
-// decide what to keep, not where a stream began.
-func (c *Core) Sole(now time.Time, service string) bool {
+// Sole returns the only possible origin of a stream that begins now on a path of a host, so far as this instance knows. It
+// serves to decide what to keep, not where a stream began.
+func (c *Core) Sole(now time.Time, host, path string) (origin Origin, ok bool) {
+	if !c.read || !c.exists() {
+		return Origin{}, false
+	}
+	record := c.stored
+	entries := c.stored.entries()
+	for e := range c.listed {
+		entries[e] = 0
+	}
+	record.setEntries(entries)
+	return record.Sole(c.era, now, host, path)
+}
+
+// SoleSoftware reports whether all streams of a service began at the same version, so far as this instance knows.
+func (c *Core) SoleSoftware(now time.Time, service string) bool {
 	if !c.read || !c.exists() || !c.stored.complete(c.era, now) {
 		return false
 	}
--- a/internal/process/origins/core_test.go
+++ b/internal/process/origins/core_test.go
@@ -48,6 +48,12 @@
 	return origin.Software
 }
 
+// ownSole reports whether one origin is possible so far as the core knows.
+func ownSole(c *Core, now time.Time) bool {
+	_, ok := c.Sole(now, "host", "/stream/1")
+	return ok
+}
+
 // listed has the core know the versions of listed upstreams.
 func listed(c *Core, now time.Time, versions ...string) {
 	c.SetListed(now, map[string][]string{"llm": versions}, map[string][]string{"host/stream/": {"llm"}})
@@ -71,7 +77,7 @@
 	if c.Recorded()["llm"]["v2"] {
 		t.Error("streams begin at a version before it is recorded")
 	}
-	if s.writeAll(t, c, now); !c.Recorded()["llm"]["v2"] || s.sole(now) != "" || c.Sole(now, "llm") {
+	if s.writeAll(t, c, now); !c.Recorded()["llm"]["v2"] || s.sole(now) != "" || ownSole(c, now) {
 		t.Fatalf("after the release: %+v", s.record)
 	}
 	if n := s.writeAll(t, c, now.Add(leftDelay-1)); n != 0 {
@@ -82,7 +88,7 @@
 		t.Errorf("%d writes when the first version has left: %+v", n, s.record)
 	}
 	now = now.Add(Memory)
-	if s.sole(now) != "v2" || s.writeAll(t, c, now) != 1 || s.sole(now) != "v2" || !c.Sole(now, "llm") {
+	if s.sole(now) != "v2" || s.writeAll(t, c, now) != 1 || s.sole(now) != "v2" || !ownSole(c, now) {
 		t.Errorf("a day after the first version left: %+v", s.record)
 	}
 }
--- a/internal/process/origins/incomplete_test.go
+++ b/internal/process/origins/incomplete_test.go
@@ -50,18 +50,3 @@
 		t.Errorf("streams that began at v2 go on at %s", version)
 	}
 }
-
-// TestVersionBeforeRouteIsResumableIsRecorded guards against streams of two versions: those of a service before its route
-// could be resumed are not in the record.
-func TestVersionBeforeRouteIsResumableIsRecorded(t *testing.T) {
-	now := start
-	s, c := &store{}, New()
-	c.SetListed(now, nil, nil) // v1 serves; the route isn't resumable
-	s.load(c, now)
-	s.writeAll(t, c, now)
-	listed(c, now, "v2") // the release, and then the route is resumable
-	s.writeAll(t, c, now)
-	if version := s.sole(now); version != "" {
-		t.Errorf("streams that began at v1 go on at %s", version)
-	}
-}
--- a/internal/version/routing/config.go
+++ b/internal/version/routing/config.go
@@ -65,6 +65,14 @@
 	return out
 }
 
+// StreamedServices returns the services of the route's targets if its requests are answered by streams.
+func (r *Route) StreamedServices() []string {
+	if r.Kind != Streaming {
+		return nil
+	}
+	return r.Services()
+}
+
 // NormalHost returns the host in the form in which hosts are compared.
 func (r *Route) NormalHost() string { return strings.ToLower(r.Host) }
 
