Fewer reads of the platform for streams that can't go on

A record that shows one origin is read anew for each. TestAmbiguousRecordIsNotReadForEachRequest failed before (10 reads).

--- a/internal/process/entry/originreader.go
+++ b/internal/process/entry/originreader.go
@@ -22,11 +22,17 @@
 	read      func(ctx context.Context) (origins.Record, uint64, error) // returns the record and the era of the platform
 	onMissing func()                                                    // called if there is no record
 
-	mu   sync.Mutex
-	next *originRead // hasn't begun; nil: none is wanted
-	busy bool        // a read is under way
+	mu     sync.Mutex
+	next   *originRead // hasn't begun; nil: none is wanted
+	busy   bool        // a read is under way
+	last   *originRead // the last one that succeeded; nil: none
+	lastAt time.Time   // when it ended
 }
 
+// ambiguityLife is how long a read that shows several possible origins serves for further requests. Origins stay possible
+// for as long as origins.Memory, so that only the day's last seconds of refusals could be spared by reading again.
+const ambiguityLife = 10 * time.Second
+
 // originRead is a read of the record and its result.
 type originRead struct {
 	done   chan struct{} // closed when the result is set
@@ -52,6 +58,9 @@
 // sole returns the only possible origin of a stream on a path of a host that began before this call. ok is false if there
 // are several, or if none is known. It returns an error if the platform didn't say.
 func (r *originReader) sole(ctx context.Context, host, path string) (origin origins.Origin, ok bool, err error) {
+	if r.ambiguous(time.Now(), host, path) {
+		return origins.Origin{}, false, nil
+	}
 	read := r.join()
 	select {
 	case <-read.done:
@@ -72,6 +81,13 @@
 	return origin, ok, nil
 }
 
+// ambiguous reports whether the last read shows that several origins are possible.
+func (r *originReader) ambiguous(now time.Time, host, path string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.last != nil && now.Sub(r.lastAt) < ambiguityLife && r.last.record.Ambiguous(r.last.era, now, host, path)
+}
+
 // join returns the next read, and starts it if none is under way.
 func (r *originReader) join() *originRead {
 	r.mu.Lock()
@@ -101,6 +117,17 @@
 		ctx, cancel := context.WithTimeout(context.Background(), originReadTimeout)
 		read.record, read.era, read.err = r.read(ctx)
 		cancel()
+		r.keep(read)
 		close(read.done)
 	}
 }
+
+// keep keeps a read that succeeded.
+func (r *originReader) keep(read *originRead) {
+	if read.err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.last, r.lastAt = read, time.Now()
+}
--- a/internal/process/entry/originreader_test.go
+++ b/internal/process/entry/originreader_test.go
@@ -70,3 +70,30 @@
 		}
 	}
 }
+
+// TestAmbiguousRecordIsNotReadForEachRequest guards against calls on the platform that grow with the resumptions after a
+// loss of all instances, of which each is refused.
+func TestAmbiguousRecordIsNotReadForEachRequest(t *testing.T) {
+	for _, c := range []struct {
+		record origins.Record
+		reads  int
+	}{
+		{recordWith("v1", "v2"), 1},
+		{recordWith("v1"), 10}, // what begins meanwhile counts
+	} {
+		reads := 0
+		r := newOriginReader(nil)
+		r.read = func(context.Context) (origins.Record, uint64, error) {
+			reads++
+			return c.record, 0, nil
+		}
+		for range 10 {
+			if _, _, err := r.sole(t.Context(), "host", "/x"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if reads != c.reads {
+			t.Errorf("%d reads of %v, want %d", reads, c.record.Versions, c.reads)
+		}
+	}
+}
--- a/internal/process/entry/streamstore.go
+++ b/internal/process/entry/streamstore.go
@@ -27,7 +27,7 @@
 	// storedReadTimeout limits a read of the stored rows. A request waits for it.
 	storedReadTimeout = 150 * time.Millisecond
 	// storedReadInterval is the minimum time between two such reads. Requests between them share a result.
-	storedReadInterval = 250 * time.Millisecond
+	storedReadInterval = 2 * time.Second
 )
 
 // streamStore hands the durable rows of this instance over to the instance that writes those of the availability zone to
--- a/internal/process/origins/record.go
+++ b/internal/process/origins/record.go
@@ -36,24 +36,41 @@
 //
 // A stream may have begun on any route whose path prefix matches: the one that matches best may be new, or gone.
 func (r *Record) Sole(era uint64, now time.Time, host, path string) (origin Origin, ok bool) {
-	if !r.complete(era, now) {
+	possible := r.possible(now, host, path)
+	if !r.complete(era, now) || len(possible) != 1 {
 		return Origin{}, false
 	}
+	if _, ok = r.soleVersion(now, possible[0].Service); !ok {
+		return Origin{}, false
+	}
+	return possible[0], true
+}
+
+// Ambiguous reports whether several origins are possible of streams on a path of a host.
+func (r *Record) Ambiguous(era uint64, now time.Time, host, path string) bool {
+	return r.complete(era, now) && len(r.possible(now, host, path)) > 1
+}
+
+// possible returns the possible origins of streams on a path of a host. The version of a service that had none is empty.
+func (r *Record) possible(now time.Time, host, path string) []Origin {
 	services := make(map[string]bool)
 	for prefix, left := range r.Routes {
 		if strings.HasPrefix(host+path, prefix) {
 			left.addKept(now, services)
 		}
 	}
-	service, ok := only(services)
-	if !ok {
-		return Origin{}, false
-	}
-	version, ok := r.soleVersion(now, service)
-	if !ok {
-		return Origin{}, false
+	var out []Origin
+	for service := range services {
+		versions := make(map[string]bool)
+		r.Versions[service].addKept(now, versions)
+		if len(versions) == 0 {
+			out = append(out, Origin{Service: service})
+		}
+		for v := range versions {
+			out = append(out, Origin{Service: service, Software: v})
+		}
 	}
-	return Origin{Service: service, Software: version}, true
+	return out
 }
 
 // complete reports whether the record has all entries in an era of the store.
