Versions are recorded at once after a restore of the store

What callers saw: "no upstream" for up to five seconds, after all instances were lost and the store was restored from an older copy. Cause: new instances wait for those that knew the record to confirm it, and upstreams of a version that isn't recorded get no work meanwhile. Change: entries are added at once; only the confirmation waits. TestVersionIsRecordedAtOnceAfterRestore failed before (no write).

--- a/internal/process/origins/core.go
+++ b/internal/process/origins/core.go
@@ -125,13 +125,16 @@
 
 // NextWrite returns the record that has to be written now, and the object that it replaces. due is false if there is none.
 func (c *Core) NextWrite(now time.Time) (record Record, object Object, due bool) {
-	waits := !c.restoredAt.IsZero() && now.Sub(c.restoredAt) < restoreDelay
-	if !c.read || waits || (len(c.listed) == 0 && !c.exists()) {
+	if !c.read || (len(c.listed) == 0 && !c.exists()) {
 		return Record{}, Object{}, false
 	}
+	era := c.era
 	entries, incomplete := c.desired(now)
-	due = !c.exists() || c.stored.Era != c.era || c.stored.IncompleteMS != incomplete || !maps.Equal(entries, c.stored.entries())
-	record = Record{Era: c.era, IncompleteMS: incomplete}
+	if !c.restoredAt.IsZero() && now.Sub(c.restoredAt) < restoreDelay {
+		era, incomplete = c.stored.Era, c.stored.IncompleteMS // entries are added, but the record isn't confirmed
+	}
+	due = !c.exists() || c.stored.Era != era || c.stored.IncompleteMS != incomplete || !maps.Equal(entries, c.stored.entries())
+	record = Record{Era: era, IncompleteMS: incomplete}
 	record.setEntries(entries)
 	return record, c.object, due
 }
--- a/internal/process/origins/core_test.go
+++ b/internal/process/origins/core_test.go
@@ -162,7 +162,7 @@
 	s.era = 9 // and all instances are lost
 	late := New()
 	listed(late, now, "v1")
-	s.record = &Record{Era: 8, Versions: map[string]Left{"llm": {"v1": 0}}}
+	s.record = &Record{Era: 8, Versions: map[string]Left{"llm": {"v1": 0}}, Routes: map[string]Left{"host/stream/": {"llm": 0}}}
 	s.load(late, now)
 	if n := s.writeAll(t, late, now); n != 0 {
 		t.Errorf("%d writes by an instance that knows nothing, want those that know more to go first", n)
@@ -175,6 +175,21 @@
 	}
 }
 
+// TestVersionIsRecordedAtOnceAfterRestore guards against upstreams that get no work for seconds: all instances were lost and
+// the store was restored from an older copy, and the new ones waited for others before they wrote anything.
+func TestVersionIsRecordedAtOnceAfterRestore(t *testing.T) {
+	s, c, now := &store{era: 9, object: Object{Version: 1}}, New(), start
+	s.record = &Record{Era: 8, Versions: map[string]Left{"llm": {"v1": 0}}, Routes: map[string]Left{"host/stream/": {"llm": 0}}}
+	listed(c, now, "v2")
+	s.load(c, now)
+	if n := s.writeAll(t, c, now); n != 1 || !c.Recorded()["llm"]["v2"] || s.record.Era != 8 || s.sole(now) != "" {
+		t.Errorf("%d writes, %+v", n, s.record)
+	}
+	if n := s.writeAll(t, c, now.Add(restoreDelay)); n != 1 || s.record.Era != 9 || s.sole(now.Add(restoreDelay)) != "" {
+		t.Errorf("%d writes, %+v", n, s.record)
+	}
+}
+
 // TestLostRecordIsWrittenAgain checks that an instance creates a record again that the store has lost.
 func TestLostRecordIsWrittenAgain(t *testing.T) {
 	s, c, now := &store{era: 1}, New(), start
