Budget of bytes and connections: a core that decides, a guard of a port that carries it out

Nothing bounds what callers make a process hold (TestCrowds). Package budget decides, as a pure core: each connection costs a fixed number of bytes; heads beyond the ordinary, bodies and buffered responses are booked before they are held. If there is no room, connections that have made no progress for 0.5 s are closed, longest first; a byte now and then is no progress. Only if there are none is the newcomer refused. A whole request is never given up. A quarter of the bytes is kept for small requests, and one client account can't use more than half beside others. package caller carries it out (Guard). No port has a guard yet.

Ways weighed: refuse whoever comes next (a crowd that stays keeps ordinary callers out for as long as it likes); a limit for each source address (callers come through a balancer); a limit on header lines (a client inside the configuration's limit on bytes could meet it, so lines are booked at what they cost instead).

--- a/internal/connection/caller/caller_test.go
+++ b/internal/connection/caller/caller_test.go
@@ -99,6 +99,12 @@
 
 // newTestServer returns a server on a port of its own that doesn't serve yet.
 func newTestServer(t *testing.T, settings *http.Server) *testServer {
+	t.Helper()
+	return newGuardedServer(t, settings, nil)
+}
+
+// newGuardedServer does the same with a guard.
+func newGuardedServer(t *testing.T, settings *http.Server, guard *Guard) *testServer {
 	t.Helper()
 	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -106,7 +112,7 @@
 	}
 	g := newGate()
 	s := &testServer{
-		Server: NewServer(settings), t: t, gate: g, served: make(chan error, 1),
+		Server: NewServer(settings, guard), t: t, gate: g, served: make(chan error, 1),
 		l: &Listener{tcpListener: gatedListener{tcp.(*net.TCPListener), g}, tracker: newTracker()},
 	}
 	return s
--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -4,10 +4,13 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/budget"
 )
 
 const (
@@ -34,6 +37,9 @@
 type conn struct {
 	tcpConn
 	tracker    *tracker
+	guard      *Guard         // nil: what the connection holds isn't bounded
+	holder     *budget.Holder // of guard
+	stopped    atomic.Bool    // nothing more is read
 	acceptedAt time.Time
 	tls        bool // the bytes belong to TLS, and don't tell when a request begins
 
@@ -60,19 +66,74 @@
 // have passed while the process was frozen or had no processor time: a timeout then says nothing about the
 // caller, and a connection that is closed with unread bytes is reset.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.stopped.Load() {
+		return 0, closingError()
+	}
 	n, err := c.tcpConn.Read(p)
+	if c.stopped.Load() {
+		return 0, closingError()
+	}
 	if n == 0 && len(p) > 0 && errors.Is(err, os.ErrDeadlineExceeded) && !c.readAborted() {
 		m, receiveErr := receive(c.tcpConn, p, consume)
 		if receiveErr != errNothingReceived {
 			n, err = m, receiveErr
 		}
 	}
+	if n > 0 {
+		if reason := c.guard.received(c, p[:n]); reason != budget.NoReason {
+			c.refuseHead(reason)
+			return 0, closingError()
+		}
+	}
 	if n > 0 && !c.tls {
 		c.requestBegan()
 	}
 	return n, err
 }
 
+// closingError returns the error of a read from a connection that the process is closing. net/http writes no answer
+// after an error of this type.
+func closingError() error { return &net.OpError{Op: "read", Net: "tcp", Err: ErrClosing} }
+
+// stopReading ends the read in progress and all later ones.
+func (c *conn) stopReading() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped.Store(true)
+	_ = c.setReadDeadline() // fails only if the connection is closed
+}
+
+// Answers to heads that are refused before net/http has read them.
+const (
+	answerHeadTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: 47\r\n\r\nrequest_too_large: the head exceeds the limit.\n"
+	answerNoRoom       = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 51\r\n\r\noverloaded: there is no room for this request now.\n"
+)
+
+// headAnswerTimeout limits writing such an answer.
+const headAnswerTimeout = time.Second
+
+// refuseHead answers a head that the guard refuses. The connection is closed after that, as its rest can't be told from
+// a further request.
+func (c *conn) refuseHead(reason budget.Reason) {
+	c.stopped.Store(true)
+	answer := ""
+	switch {
+	case c.tls: // net/http closes the connection without an answer
+	case reason == budget.HeadTooLarge:
+		answer = answerHeadTooLarge
+	case reason == budget.NoRoom:
+		answer = answerNoRoom
+	}
+	if answer == "" {
+		return
+	}
+	c.mu.Lock()
+	c.waiting, c.unread, c.unmarked, c.handled, c.aborted = false, true, false, true, false
+	c.mu.Unlock()
+	_ = c.tcpConn.SetWriteDeadline(time.Now().Add(headAnswerTimeout)) // the write shows that it failed
+	_, _ = c.Write([]byte(answer))                                    // the connection is closed in any case
+}
+
 // readAborted reports whether the deadline was set to end a pending read at once. For that, net/http uses
 // a time at the beginning of Unix time.
 func (c *conn) readAborted() bool {
@@ -93,17 +154,25 @@
 		return
 	}
 	c.limit = time.Time{}
-	_ = c.tcpConn.SetReadDeadline(c.deadline) // fails only if the connection is closed, which the next read shows
+	_ = c.setReadDeadline() // fails only if the connection is closed, which the next read shows
 }
 
 // waitForRequest is called when the answer to a request is complete: the connection waits for the next one.
 func (c *conn) waitForRequest() {
+	c.guard.update(func(core *budget.Core, now time.Time) { core.Wait(now, c.holder) })
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = true
 	c.unread = false // net/http has read the rest of the body, or it wouldn't keep the connection
 }
 
+// hijacked is called when the connection carries another protocol from now on, whose end needs no lingering.
+func (c *conn) hijacked() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.aborted = true
+}
+
 // closeUnlessUsed has net/http close the connection if no further request begins soon after now.
 func (c *conn) closeUnlessUsed(now time.Time) {
 	c.mu.Lock()
@@ -140,6 +209,9 @@
 	if !c.limit.IsZero() && (t.IsZero() || c.limit.Before(t)) {
 		t = c.limit
 	}
+	if c.stopped.Load() {
+		t = time.Unix(1, 0)
+	}
 	return c.tcpConn.SetReadDeadline(t)
 }
 
@@ -194,6 +266,7 @@
 	if err := c.tcpConn.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
 		return c.end()
 	}
+	c.guard.update(func(core *budget.Core, now time.Time) { core.Linger(now, c.holder) })
 	go c.linger()
 	return nil
 }
@@ -236,6 +309,7 @@
 	err := c.tcpConn.Close()
 	if first {
 		c.tracker.remove(c)
+		c.guard.closed(c)
 	}
 	return err
 }
--- a/internal/connection/caller/handler.go
+++ b/internal/connection/caller/handler.go
@@ -4,6 +4,9 @@
 	"io"
 	"net/http"
 	"sync/atomic"
+	"time"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/budget"
 )
 
 // handler records for the connection of each request whether the body was read to its end.
@@ -22,6 +25,12 @@
 		h.next.ServeHTTP(w, r)
 		return
 	}
+	if !c.beginServing() {
+		w.Header().Set("Connection", "close")
+		w.Header().Set("Retry-After", closingRetryAfter)
+		http.Error(w, "overloaded: the connection is being closed", http.StatusServiceUnavailable)
+		return
+	}
 	body := &trackedBody{ReadCloser: r.Body}
 	body.ended.Store(r.Body == nil || r.Body == http.NoBody)
 	c.beginAnswer(!r.ProtoAtLeast(1, 1))
@@ -29,6 +38,7 @@
 	defer func() {
 		// After a panic, the answer is incomplete and the connection is closed to show that.
 		c.endRequest(!body.ended.Load(), !returned)
+		c.guard.update(func(core *budget.Core, _ time.Time) { core.EndRequest(c.holder) })
 	}()
 	// net/http checks the type of the body of its own request.
 	tracked := r.WithContext(r.Context())
@@ -39,6 +49,17 @@
 	returned = true
 }
 
+// closingRetryAfter is the Retry-After, in seconds, of a request whose connection is being closed.
+const closingRetryAfter = "1"
+
+// beginServing records that a request's handler begins. It returns false if the connection is being closed: the request
+// must not run then.
+func (c *conn) beginServing() bool {
+	ok := true
+	c.guard.update(func(core *budget.Core, now time.Time) { ok = core.Serve(now, c.holder) })
+	return ok
+}
+
 // trackedBody is a request body that records whether it was read to its end.
 type trackedBody struct {
 	io.ReadCloser
--- a/internal/connection/caller/listener.go
+++ b/internal/connection/caller/listener.go
@@ -32,6 +32,7 @@
 
 	mu      sync.Mutex
 	tracker *tracker // of the server that accepts the connections
+	guard   *Guard   // of that server; nil: none
 	tls     bool     // that server uses TLS
 	stopped bool
 	drained int // connections accepted after Stop; used by Accept only
@@ -43,24 +44,39 @@
 	if err != nil {
 		return nil, err
 	}
+	return NewListener(l)
+}
+
+// NewListener returns a Listener on an open TCP port, which it closes if it returns an error.
+func NewListener(l net.Listener) (*Listener, error) {
 	tcp, ok := l.(tcpListener)
 	if !ok {
 		l.Close()
-		return nil, errors.Errorf("%s is no TCP port", address)
+		return nil, errors.Errorf("%s is no TCP port", l.Addr())
 	}
 	return &Listener{tcpListener: tcp, tracker: newTracker()}, nil
 }
 
-// setServer sets the tracker of the connections that are accepted from now on, and whether they use TLS.
-func (l *Listener) setServer(t *tracker, tls bool) {
+// setServer sets the tracker and the guard of the connections that are accepted from now on, and whether they use TLS.
+func (l *Listener) setServer(t *tracker, g *Guard, tls bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.tracker, l.tls = t, tls
+	l.tracker, l.guard, l.tls = t, g, tls
 }
 
 // Accept implements net.Listener. After Stop, it returns the connections that wait to be accepted, and then
-// closes the port and returns net.ErrClosed.
+// closes the port and returns net.ErrClosed. It closes connections for which the guard has no room.
 func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.accept()
+		if c != nil || err != nil {
+			return c, err
+		}
+	}
+}
+
+// accept does the same for one connection. It returns neither a connection nor an error if there is no room for it.
+func (l *Listener) accept() (net.Conn, error) {
 	c, err := l.tcpListener.Accept()
 	if err != nil && l.isStopped() {
 		c, err = l.acceptPending()
@@ -73,14 +89,22 @@
 		c.Close()
 		return nil, errors.Errorf("connection of type %T", c)
 	}
-	return l.track(tcp), nil
+	if accepted := l.track(tcp); accepted != nil {
+		return accepted, nil
+	}
+	return nil, nil
 }
 
-// track returns the connection with what this package adds.
+// track returns the connection with what this package adds; nil: there is no room for it, and it was closed.
 func (l *Listener) track(c tcpConn) *conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	accepted := newConn(c, l.tracker, l.tls)
+	accepted.guard = l.guard
+	if !l.guard.open(accepted) {
+		_ = c.Close() // nothing was read from it
+		return nil
+	}
 	l.tracker.add(accepted)
 	return accepted
 }
--- a/internal/connection/caller/server.go
+++ b/internal/connection/caller/server.go
@@ -25,6 +25,7 @@
 type Server struct {
 	http        *http.Server
 	tracker     *tracker
+	guard       *Guard                   // nil: what its connections hold isn't bounded
 	listener    atomic.Pointer[Listener] // nil: Serve wasn't called yet
 	served      chan struct{}            // closed when Serve returns
 	leaving     atomic.Bool              // callers are asked to close their connections
@@ -33,12 +34,17 @@
 }
 
 // NewServer returns a server with the handler, timeouts and limits of settings, which mustn't be used
-// otherwise.
-func NewServer(settings *http.Server) *Server {
-	s := &Server{http: settings, tracker: newTracker(), served: make(chan struct{})}
+// otherwise. Their ConnContext gets the TCP connection. guard bounds what its connections hold; nil: nothing does.
+func NewServer(settings *http.Server, guard *Guard) *Server {
+	s := &Server{http: settings, tracker: newTracker(), guard: guard, served: make(chan struct{})}
 	settings.Handler = &handler{server: s, next: settings.Handler}
+	connContext := settings.ConnContext
 	settings.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, callerConn(c))
+		own := callerConn(c)
+		if connContext != nil && own != nil {
+			ctx = connContext(ctx, own.tcpConn)
+		}
+		return context.WithValue(ctx, connKey{}, own)
 	}
 	settings.ConnState = s.connStateChanged
 	return s
@@ -48,7 +54,7 @@
 // tlsConfig is nil for plain TCP. Serve must be called once.
 func (s *Server) Serve(l *Listener, tlsConfig *tls.Config) error {
 	defer close(s.served)
-	l.setServer(s.tracker, tlsConfig != nil)
+	l.setServer(s.tracker, s.guard, tlsConfig != nil)
 	s.listener.Store(l)
 	var serving net.Listener = l
 	if tlsConfig != nil {
@@ -119,6 +125,8 @@
 	switch state {
 	case http.StateActive:
 		conn.requestBegan()
+	case http.StateHijacked:
+		conn.hijacked()
 	case http.StateIdle:
 		conn.waitForRequest()
 		if s.closingIdle.Load() {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -135,7 +135,7 @@
 	if cfg.Engines != nil {
 		cfg.Engines.OnResponse(e.handleOwnCallNotices)
 	}
-	e.callerServer = caller.NewServer(e.newServer(e.callerHandler()))
+	e.callerServer = caller.NewServer(e.newServer(e.callerHandler()), nil)
 	e.readyServer = e.newServer(e.readyHandler())
 	e.operatorServer = e.newServer(e.operatorsHandler())
 	return e
--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -113,7 +113,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0), // errors of requests are in their log lines
-	})
+	}, nil)
 	g.ops = ops.New(ops.Config{Source: opsSource{g}, Metrics: g.exporter.Handler(), Key: keys.Operators})
 	return g, nil
 }
