Heads of requests: what they cost is bounded over all callers

What callers saw: heads that don't come to their end make the process hold them until their time is over, as many as connect; the platform ends a process over its memory, and with it every request at it.

Cause: only the bytes of each single head were bounded (64 KiB, 15 s), not their sum, and a line costs more than its bytes: an entry of a map, two strings.

Now the callers' port has a guard with 0.3 of the memory. Gauges of what is held, counters of closed connections by reason, a line when the port begins and ceases to be short of room.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -85,6 +85,7 @@
 	callerServer   *caller.Server
 	readyServer    *http.Server
 	operatorServer *http.Server
+	guards         *guards
 
 	reloadSignals  chan os.Signal
 	lastQueueID    atomic.Uint64 // queueID of the newest request
@@ -135,7 +136,8 @@
 	if cfg.Engines != nil {
 		cfg.Engines.OnResponse(e.handleOwnCallNotices)
 	}
-	e.callerServer = caller.NewServer(e.newServer(e.callerHandler()), nil)
+	e.guards = newGuards(cfg.Settings.Limits, e.exporter.Scope())
+	e.callerServer = caller.NewServer(e.newServer(e.callerHandler()), e.guards.callers.Guard)
 	e.readyServer = e.newServer(e.readyHandler())
 	e.operatorServer = e.newServer(e.operatorsHandler())
 	return e
@@ -305,6 +307,7 @@
 		e.streams.forget()
 		e.requestLog.tick(time.Now())
 		e.retryReporter.report(boottime.Now(), e.state)
+		e.guards.tick(time.Now())
 		e.probeUpstreams(ctx)
 		e.probeLinks(ctx)
 		switch {
--- /dev/null
+++ b/internal/process/entry/guards.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/caller"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/budget"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+)
+
+// callerMemoryShare is the share of the instance's memory for what callers' connections hold. The rest is for the
+// process itself and for garbage that isn't collected yet.
+const callerMemoryShare = 0.3
+
+// usageInterval is how often the gauges of what is held are updated.
+const usageInterval = time.Second
+
+// portCallers is the name of the callers' port in metrics and log lines.
+const portCallers = "callers"
+
+// portGuard is the guard of one port, and tells what it decides.
+type portGuard struct {
+	*caller.Guard
+	port  string
+	scope tally.Scope
+
+	bytes       []tally.Gauge // by budget.Purpose
+	connections []tally.Gauge // by budget.Phase
+
+	mu       sync.Mutex
+	counters map[budget.Reason]tally.Counter
+	short    bool // as last logged
+}
+
+// guards are the guards of all ports.
+type guards struct {
+	callers *portGuard
+
+	gaugedAt time.Time // last update of the gauges; used by one goroutine
+}
+
+// newGuards returns the guards for an instance.
+func newGuards(l settings.EntryLimits, scope tally.Scope) *guards {
+	memory := float64(int64(l.MemoryMB) << 20)
+	total := budget.Limits{Bytes: int64(callerMemoryShare * memory), Connections: math.MaxInt}
+	return &guards{callers: newPortGuard(portCallers, total, callerLimits, scope)}
+}
+
+func newPortGuard(port string, total budget.Limits, limits caller.CallerLimits, scope tally.Scope) *portGuard {
+	g := &portGuard{port: port, scope: scope.Tagged(map[string]string{"port": port}), counters: make(map[budget.Reason]tally.Counter)}
+	g.Guard = caller.NewGuard(total, limits, g)
+	for p := range budget.Purposes {
+		g.bytes = append(g.bytes, g.scope.Tagged(map[string]string{"purpose": p.String()}).Gauge("held_bytes"))
+	}
+	for p := range budget.Phases {
+		g.connections = append(g.connections, g.scope.Tagged(map[string]string{"phase": p.String()}).Gauge("connections"))
+	}
+	g.scope.Gauge("held_bytes_limit").Update(float64(total.Bytes))
+	return g
+}
+
+// callerLimits returns the limits on a single caller.
+func callerLimits() budget.CallerLimits {
+	return budget.CallerLimits{HeadBytes: maxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+// ConnectionClosed implements caller.Events.
+func (g *portGuard) ConnectionClosed(phase budget.Phase, reason budget.Reason) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, ok := g.counters[reason]
+	if !ok {
+		c = g.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("connections_closed")
+		g.counters[reason] = c
+	}
+	c.Inc(1)
+}
+
+// report updates the gauges, and logs when the port begins or ceases to be short of room.
+func (g *portGuard) report() {
+	u := g.Usage()
+	for p, gauge := range g.bytes {
+		gauge.Update(float64(u.ByPurpose[p]))
+	}
+	for p, gauge := range g.connections {
+		gauge.Update(float64(u.Connections[p]))
+	}
+	if g.short == u.Short {
+		return
+	}
+	g.short = u.Short
+	event := "room for connections again"
+	if u.Short {
+		event = "no room for connections"
+	}
+	logline.Info(event, "port", g.port, "bytes", u.Bytes, "heads", u.ByPurpose[budget.Heads], "bodies", u.ByPurpose[budget.Bodies],
+		"responses", u.ByPurpose[budget.Responses], "unused", u.Connections[budget.Unused], "in_head", u.Connections[budget.Head],
+		"in_body", u.Connections[budget.Body], "running", u.Connections[budget.Running], "idle", u.Connections[budget.Idle],
+		"lingering", u.Connections[budget.Lingering])
+}
+
+// tick updates the gauges, if that is due.
+func (g *guards) tick(now time.Time) {
+	if now.Sub(g.gaugedAt) < usageInterval {
+		return
+	}
+	g.gaugedAt = now
+	g.callers.report()
+}
