Bodies and buffered responses: booked before they are held

What callers saw: many bodies at once, most stopping short of their end, and a process over its memory is ended with every request at it.

Cause: each body could have the configuration's limit, and nothing bounded their sum. The announced length was allocated before a byte had come; a body in chunks grew by copying, so that up to three times its size was held; a caller that stopped kept its place until the route's deadline.

Now a body is read in pieces that are never copied, each booked before it is made; an announced length is booked at once, so that of many honest bodies some come to their end. A body that this instance can never hold is refused as too large, with a line that names the setting. A response is passed on unbuffered if it can't be held; a server error isn't kept then.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -308,6 +308,7 @@
 		e.requestLog.tick(time.Now())
 		e.retryReporter.report(boottime.Now(), e.state)
 		e.guards.tick(time.Now())
+		e.guards.checkBodyLimit(e.state.config.Load())
 		e.probeUpstreams(ctx)
 		e.probeLinks(ctx)
 		switch {
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"net/http"
 	"time"
@@ -376,8 +375,8 @@
 		RawQuery:      q.r.URL.RawQuery,
 		Host:          q.r.Host,
 		Header:        q.e.cfg.Dialect.Outbound(q.r.Header, send),
-		Body:          bytes.NewReader(q.body),
-		ContentLength: int64(len(q.body)),
+		Body:          q.body.Reader(),
+		ContentLength: q.body.Len(),
 	}
 }
 
--- a/internal/process/entry/guards.go
+++ b/internal/process/entry/guards.go
@@ -11,6 +11,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/budget"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
+	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
 
 // callerMemoryShare is the share of the instance's memory for what callers' connections hold. The rest is for the
@@ -26,8 +27,9 @@
 // portGuard is the guard of one port, and tells what it decides.
 type portGuard struct {
 	*caller.Guard
-	port  string
-	scope tally.Scope
+	port        string
+	scope       tally.Scope
+	largestBody int64 // that a request can have
 
 	bytes       []tally.Gauge // by budget.Purpose
 	connections []tally.Gauge // by budget.Phase
@@ -42,6 +44,8 @@
 	callers *portGuard
 
 	gaugedAt time.Time // last update of the gauges; used by one goroutine
+
+	warnedOf uint64 // version of the configuration whose limit on bodies was last found too large
 }
 
 // newGuards returns the guards for an instance.
@@ -52,7 +56,7 @@
 }
 
 func newPortGuard(port string, total budget.Limits, limits caller.CallerLimits, scope tally.Scope) *portGuard {
-	g := &portGuard{port: port, scope: scope.Tagged(map[string]string{"port": port}), counters: make(map[budget.Reason]tally.Counter)}
+	g := &portGuard{port: port, scope: scope.Tagged(map[string]string{"port": port}), largestBody: total.LargestBody(), counters: make(map[budget.Reason]tally.Counter)}
 	g.Guard = caller.NewGuard(total, limits, g)
 	for p := range budget.Purposes {
 		g.bytes = append(g.bytes, g.scope.Tagged(map[string]string{"purpose": p.String()}).Gauge("held_bytes"))
@@ -112,3 +116,13 @@
 	g.gaugedAt = now
 	g.callers.report()
 }
+
+// checkBodyLimit logs if the configuration in force allows bodies that this instance can't hold.
+func (g *guards) checkBodyLimit(c *routing.Config) {
+	if c == nil || c.Version == g.warnedOf || bodyLimit(c) <= g.callers.largestBody {
+		return
+	}
+	g.warnedOf = c.Version
+	logline.Info("larger bodies allowed than this instance can hold", "config", c.Version, "allowed_bytes", bodyLimit(c),
+		"held_bytes", g.callers.largestBody, "setting", "limits.memoryMB", "then", "larger bodies are refused as too large")
+}
--- a/internal/process/entry/prefill.go
+++ b/internal/process/entry/prefill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -223,7 +224,9 @@
 	if resp.Status != http.StatusOK {
 		return nil, errors.Wrapf(errServerError, "status %d", resp.Status)
 	}
-	body, err := readWithin(resp.Body, maxPrefillResponseBytes, shortBodyTime)
+	body, err := readWithin(resp.Body, shortBodyTime, func() ([]byte, error) {
+		return io.ReadAll(io.LimitReader(resp.Body, maxPrefillResponseBytes))
+	})
 	switch {
 	case errors.Is(err, errBodyTimeout):
 		return nil, err
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -9,10 +9,13 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/caller"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/budget"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/buffer"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/quarantine"
@@ -39,7 +42,8 @@
 	account     *routing.Account // of the caller; nil: none
 	info        exchange.RequestInfo
 	prompt      place.Prompt
-	body        []byte
+	body        *buffer.Buffer
+	held        *caller.Request      // what is booked for it
 	contentID   quarantine.Content   // see content; zero: not computed yet
 	partKeys    []quarantine.Content // see partContents; nil: not computed yet
 	spentBefore time.Duration        // time that the caller has spent on earlier attempts, as far as known
@@ -84,6 +88,7 @@
 	queueID := strconv.FormatUint(e.lastQueueID.Add(1), 10)
 	q := &request{e: e, queueID: queueID, w: w, r: r, arrived: arrived, runState: errkind.NotRun}
 	q.response = &responseRelay{req: q}
+	q.held = caller.RequestOf(r.Context())
 	if e.stage.Load() >= stageClosing {
 		// Its response might be too long for the rest of the grace period.
 		return q, errkind.New(errkind.Draining, errkind.NotRun, "this instance stops").WithRetryAfter(defaultRetryAfter)
@@ -132,7 +137,7 @@
 // the same identity, whichever instance it reaches and whatever its request id is.
 func (q *request) content() quarantine.Content {
 	if q.contentID == (quarantine.Content{}) {
-		q.contentID = quarantine.ContentOf(q.r.Method, q.r.Host, q.r.URL.RequestURI(), q.body)
+		q.contentID = quarantine.ContentOf(q.r.Method, q.r.Host, q.r.URL.RequestURI(), q.body.Pieces()...)
 	}
 	return q.contentID
 }
@@ -151,41 +156,80 @@
 }
 
 // readBody reads the whole body. So the body can be sent more than once, and a request whose body doesn't
-// arrive completely isn't sent at all.
+// arrive completely isn't sent at all. Its bytes are booked before they are held.
 func (q *request) readBody() error {
-	limit := q.config.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
+	limit := min(bodyLimit(q.config), q.e.guards.callers.largestBody)
 	if q.r.ContentLength > limit {
 		q.drainBody()
 		return errBodyTooLarge()
 	}
+	if q.r.ContentLength == 0 {
+		return nil
+	}
 	if t := q.bodyDeadline(); !t.IsZero() {
 		// Some writers don't support deadlines, such as the recorder of httptest.
 		_ = http.NewResponseController(q.w).SetReadDeadline(t)
 		defer func() { _ = http.NewResponseController(q.w).SetReadDeadline(time.Time{}) }()
 	}
-	var err error
-	if q.r.ContentLength > 0 {
-		q.body = make([]byte, q.r.ContentLength)
-		_, err = io.ReadFull(q.r.Body, q.body)
-	} else {
-		q.body, err = io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, limit))
+	q.held.BeginBody(q.account.NameOrNone())
+	err := q.readBookedBody(limit)
+	if !q.held.EndBody() {
+		err = caller.ErrClosing
 	}
-	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		return nil
-	case errors.As(err, &tooLarge):
+	case errors.Is(err, buffer.ErrTooLarge):
+		q.drainBody()
 		return errBodyTooLarge()
+	case errors.Is(err, buffer.ErrNoRoom):
+		q.body = nil
+		q.held.Unbook(budget.Bodies)
+		q.drainBody()
+		return errNoRoom("there is no room for the body now")
+	case errors.Is(err, caller.ErrClosing):
+		q.w.Header().Set("Connection", "close")
+		return errNoRoom("the body made no progress, and there is no room to wait for it")
 	}
 	return errkind.Wrap(err, errkind.Canceled, errkind.NotRun, "the body did not come whole")
 }
 
+// bodyLimit returns the limit on bodies that a configuration sets.
+func bodyLimit(c *routing.Config) int64 {
+	if n := c.Limits.BodyBytes; n > 0 {
+		return n
+	}
+	return defaultBodyBytes
+}
+
+// readBookedBody reads the body into pieces that are booked. The length that a caller announces is booked at once, so
+// that of many callers that send at the same time some come to their end.
+func (q *request) readBookedBody(limit int64) error {
+	book := func(n int64) bool { return q.held.Book(budget.Bodies, n) }
+	length := max(0, q.r.ContentLength)
+	if !book(length) {
+		return buffer.ErrNoRoom
+	}
+	var err error
+	q.body, err = buffer.Read(q.r.Body, buffer.Options{Length: length, Limit: limit, Book: book})
+	return err
+}
+
+// bodyRetryAfter is the Retry-After of a request that is refused for lack of room. Callers that make no progress are
+// closed in less time.
+const bodyRetryAfter = time.Second
+
+// errNoRoom returns the error of a request that is refused for lack of room.
+func errNoRoom(message string) error {
+	return errkind.New(errkind.Overloaded, errkind.NotRun, message).WithRetryAfter(bodyRetryAfter)
+}
+
 // drainBody reads and drops a body that is refused, up to drainBytes and for drainTimeout at most: a
 // connection that is closed with unread bytes is reset, and the caller may never see the response.
 func (q *request) drainBody() {
+	if q.r.Header.Get("Expect") != "" {
+		return // the caller waits to be asked for the body
+	}
 	_ = http.NewResponseController(q.w).SetReadDeadline(time.Now().Add(drainTimeout))
 	_, _ = io.CopyN(io.Discard, q.r.Body, drainBytes) // the refusal is sent however much could be read
 	_ = http.NewResponseController(q.w).SetReadDeadline(time.Time{})
--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -13,6 +13,8 @@
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/budget"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/buffer"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/eventstream"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/exchange"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/place"
@@ -23,6 +25,8 @@
 	// maxBufferedBytes limits the responses that are read to the end before any byte is
 	// sent to the caller, so that a truncated one can still become an error with a status.
 	maxBufferedBytes = 256 << 10
+	// unbookedBytes is how much of a response is held without being booked: the cost of a connection covers it.
+	unbookedBytes = 4 << 10
 	// maxEventBytes limits one event of a stream.
 	maxEventBytes = 256 << 10
 	// copyBufferBytes is the buffer size for copying responses above maxBufferedBytes.
@@ -52,7 +56,7 @@
 type serverErrorResponse struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *buffer.Buffer
 }
 
 // responseRelay writes the responses of upstreams to the sends of one request to the caller. It writes only what its core
@@ -122,44 +126,56 @@
 	if resp.Status >= http.StatusInternalServerError || impliesNotRun(resp.Status) {
 		return r.keepFailure(resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err != nil {
+	body, err := r.readBuffered(resp)
+	whole := err == nil
+	if !whole && !errors.Is(err, buffer.ErrTooLarge) && !errors.Is(err, buffer.ErrNoRoom) {
 		return incompleteOutcome(err)
 	}
 	if !r.core.Body() {
 		return sendOutcome{runState: errkind.Ran, err: errors.Wrapf(errCannotContinue, "status %d", resp.Status), maybeSent: true}
 	}
 	r.req.recordResponseStart()
-	if len(body) <= maxBufferedBytes {
+	if whole {
 		return r.writeBuffered(resp.Status, resp.Header, body)
 	}
 	return r.writeUnbuffered(resp, body)
 }
 
+// readBuffered reads a response, or as much of it as may be held. What is held is booked, but for short responses.
+func (r *responseRelay) readBuffered(resp upstream.ServiceResponse) (*buffer.Buffer, error) {
+	held := int64(0)
+	return buffer.Read(resp.Body, buffer.Options{Expected: resp.Length, Limit: maxBufferedBytes, Book: func(n int64) bool {
+		held += n
+		return held <= unbookedBytes || r.req.held.Book(budget.Responses, n)
+	}})
+}
+
 // keepFailure returns the outcome of a send whose response reports a failure. It keeps a server error instead of writing
 // it, unless its body is too large to be held or too slow: the status decides what follows, and another upstream may
 // still serve the request.
 func (r *responseRelay) keepFailure(resp upstream.ServiceResponse) sendOutcome {
-	body, err := readWithin(resp.Body, maxBufferedBytes+1, shortBodyTime)
-	if err != nil && !errors.Is(err, errBodyTimeout) {
+	body, err := readWithin(resp.Body, shortBodyTime, func() (*buffer.Buffer, error) { return r.readBuffered(resp) })
+	held := err == nil
+	if !held && !errors.Is(err, errBodyTimeout) && !errors.Is(err, buffer.ErrTooLarge) && !errors.Is(err, buffer.ErrNoRoom) {
 		return incompleteOutcome(err)
 	}
 	if impliesNotRun(resp.Status) {
 		return sendOutcome{runState: errkind.RunUnknown, err: errors.Wrapf(errServerError, "status %d that doesn't say whether the request ran", resp.Status), maybeSent: true}
 	}
-	if err == nil && len(body) <= maxBufferedBytes && r.core.KeepServerError() {
+	if held && r.core.KeepServerError() {
 		r.serverError = &serverErrorResponse{status: resp.Status, header: resp.Header, body: body}
 	}
 	return sendOutcome{runState: errkind.Ran, err: errors.Wrapf(errServerError, "status %d", resp.Status), maybeSent: true}
 }
 
-// readWithin reads a body, or its first limit bytes. If the body takes longer than the given time, readWithin closes it
-// and returns an error that wraps errBodyTimeout.
-func readWithin(body io.ReadCloser, limit int64, within time.Duration) ([]byte, error) {
+// readWithin reads a body with read. If that takes longer than the given time, readWithin closes the body and returns
+// an error that wraps errBodyTimeout.
+func readWithin[T any](body io.Closer, within time.Duration, read func() (T, error)) (T, error) {
 	timer := time.AfterFunc(within, func() { _ = body.Close() })
-	data, err := io.ReadAll(io.LimitReader(body, limit))
+	data, err := read()
 	if !timer.Stop() && err != nil {
-		return nil, errors.Wrap(errBodyTimeout, err.Error())
+		var none T
+		return none, errors.Wrap(errBodyTimeout, err.Error())
 	}
 	return data, err
 }
@@ -179,7 +195,7 @@
 func (r *responseRelay) sendServerError() *errkind.Error {
 	r.req.recordResponseStart()
 	r.writeHeader(r.serverError.status, withLength(r.serverError.header, r.serverError.body, r.req.r.Method))
-	if err := r.write(r.serverError.body); err != nil {
+	if err := r.writeAll(r.serverError.body); err != nil {
 		return errkind.Wrap(err, errkind.Canceled, errkind.Ran, "the caller closed the connection")
 	}
 	return nil
@@ -222,10 +238,10 @@
 }
 
 // withLength returns the headers of a response whose complete body is known.
-func withLength(h http.Header, body []byte, method string) http.Header {
+func withLength(h http.Header, body *buffer.Buffer, method string) http.Header {
 	h = h.Clone()
 	if method != http.MethodHead {
-		h.Set("Content-Length", strconv.Itoa(len(body)))
+		h.Set("Content-Length", strconv.FormatInt(body.Len(), 10))
 	}
 	return h
 }
@@ -239,18 +255,18 @@
 }
 
 // writeBuffered writes a complete response.
-func (r *responseRelay) writeBuffered(status int, h http.Header, body []byte) sendOutcome {
+func (r *responseRelay) writeBuffered(status int, h http.Header, body *buffer.Buffer) sendOutcome {
 	r.writeHeader(status, withLength(h, body, r.req.r.Method))
-	if err := r.write(body); err != nil {
+	if err := r.writeAll(body); err != nil {
 		return writeFailedOutcome(err)
 	}
 	return r.endBody()
 }
 
 // writeUnbuffered writes a response whose first bytes, head, were read already, and copies the rest.
-func (r *responseRelay) writeUnbuffered(resp upstream.ServiceResponse, head []byte) sendOutcome {
+func (r *responseRelay) writeUnbuffered(resp upstream.ServiceResponse, head *buffer.Buffer) sendOutcome {
 	r.writeHeader(resp.Status, resp.Header)
-	if err := r.write(head); err != nil {
+	if err := r.writeAll(head); err != nil {
 		return writeFailedOutcome(err)
 	}
 	buf := make([]byte, copyBufferBytes)
@@ -276,6 +292,16 @@
 	return completedOutcome()
 }
 
+// writeAll writes all bytes of a buffer to the caller.
+func (r *responseRelay) writeAll(body *buffer.Buffer) error {
+	for _, piece := range body.Pieces() {
+		if err := r.write(piece); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // write writes a part of the response to the caller.
 func (r *responseRelay) write(data []byte) error {
 	err := r.req.write(data)
--- a/internal/request/quarantine/content.go
+++ b/internal/request/quarantine/content.go
@@ -18,13 +18,15 @@
 // of them belong to one attempt.
 type Content [contentBytes]byte
 
-// ContentOf returns the Content of a request. target is its path with the query.
-func ContentOf(method, host, target string, body []byte) Content {
+// ContentOf returns the Content of a request. target is its path with the query; body is in pieces of any length.
+func ContentOf(method, host, target string, body ...[]byte) Content {
 	h := sha256.New()
 	for _, part := range []string{method, host, target} {
 		writePart(h, part)
 	}
-	_, _ = h.Write(body) // never returns an error
+	for _, piece := range body {
+		_, _ = h.Write(piece) // never returns an error
+	}
 	var c Content
 	copy(c[:], h.Sum(nil))
 	return c
