Connections of callers: bounded by descriptors and memory

What callers saw: connections that are opened and never used take all descriptors of a process; it can then neither accept a caller nor reach an upstream, the platform or another instance, until they time out after 15 s.

Cause: nothing counted connections.

The platform tells the descriptors of a machine, so the new setting limits.descriptors takes them from there.

--- a/internal/process/entry/guards.go
+++ b/internal/process/entry/guards.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/sys/unix"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/caller"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/budget"
@@ -14,12 +15,19 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
 
-// callerMemoryShare is the share of the instance's memory for what callers' connections hold. The rest is for the
-// process itself and for garbage that isn't collected yet.
-const callerMemoryShare = 0.3
+// Shares of the instance's memory and descriptors for what callers' connections hold. The rest is for the process
+// itself, for connections to upstreams, to the platform and to other instances, and for garbage that isn't collected yet.
+const (
+	callerMemoryShare     = 0.3
+	callerDescriptorShare = 0.6
+)
 
-// usageInterval is how often the gauges of what is held are updated.
-const usageInterval = time.Second
+const (
+	// usageInterval is how often the gauges of what is held are updated.
+	usageInterval = time.Second
+	// fallbackDescriptors is used if the limit on descriptors isn't known.
+	fallbackDescriptors = 1024
+)
 
 // portCallers is the name of the callers' port in metrics and log lines.
 const portCallers = "callers"
@@ -51,7 +59,8 @@
 // newGuards returns the guards for an instance.
 func newGuards(l settings.EntryLimits, scope tally.Scope) *guards {
 	memory := float64(int64(l.MemoryMB) << 20)
-	total := budget.Limits{Bytes: int64(callerMemoryShare * memory), Connections: math.MaxInt}
+	descriptors := float64(descriptorLimit(l.Descriptors))
+	total := budget.NewLimits(int64(callerMemoryShare*memory), int(callerDescriptorShare*descriptors))
 	return &guards{callers: newPortGuard(portCallers, total, callerLimits, scope)}
 }
 
@@ -65,9 +74,27 @@
 		g.connections = append(g.connections, g.scope.Tagged(map[string]string{"phase": p.String()}).Gauge("connections"))
 	}
 	g.scope.Gauge("held_bytes_limit").Update(float64(total.Bytes))
+	g.scope.Gauge("connections_limit").Update(float64(total.Connections))
 	return g
 }
 
+// descriptorLimit returns the limit on descriptors: the configured one, or the kernel's if that is lower.
+func descriptorLimit(configured int) int {
+	var kernel unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &kernel); err != nil {
+		logline.Error(err, "limit on descriptors unknown", "then", "the settings' or a default is used")
+		kernel.Cur = math.MaxUint64
+	}
+	limit := uint64(configured)
+	if configured == 0 || kernel.Cur < limit {
+		limit = kernel.Cur
+	}
+	if limit > math.MaxInt32 {
+		return fallbackDescriptors
+	}
+	return int(limit)
+}
+
 // callerLimits returns the limits on a single caller.
 func callerLimits() budget.CallerLimits {
 	return budget.CallerLimits{HeadBytes: maxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -86,8 +86,9 @@
 
 // EntryLimits holds the resource limits of the instance.
 type EntryLimits struct {
-	MemoryMB int     `json:"memoryMB"` // soft limit in MiB: the garbage collector works harder as memory use approaches it
-	Cores    float64 `json:"cores"`    // processor cores of the instance; 0: unknown. Instances with more cores are preferred as placers, which choose upstreams for the requests of others
+	MemoryMB    int     `json:"memoryMB"`    // memory of the instance in MiB; what is held for callers is bounded by a share of it
+	Descriptors int     `json:"descriptors"` // files and sockets that the process may have open; 0: the limit that the kernel sets
+	Cores       float64 `json:"cores"`       // processor cores of the instance; 0: unknown. Instances with more cores are preferred as placers, which choose upstreams for the requests of others
 }
 
 // EntryLogging limits the log.
@@ -161,6 +162,7 @@
 	c.require(b.DrainMS > 0, "bounds.drainMS", b.DrainMS, "must be greater than zero")
 	c.require(b.ConfigMS > 0, "bounds.configMS", b.ConfigMS, "must be greater than zero")
 	c.require(s.Limits.Cores >= 0, "limits.cores", s.Limits.Cores, "must not be negative")
+	c.require(s.Limits.Descriptors >= 0, "limits.descriptors", s.Limits.Descriptors, "must not be negative")
 	c.require(s.Limits.MemoryMB > 0, "limits.memoryMB", s.Limits.MemoryMB, "must be greater than zero")
 	if s.Duties.Address != "" {
 		c.address("duties.address", s.Duties.Address)
