Memory limit of the runtime: three quarters of the instance's memory

In a burst of heads the runtime ran 5 MiB beyond its limit of nine tenths: 61 MiB resident of 64 with 600 heads of one line. Sockets' buffers, which the platform counts, had what was left. What the process holds for callers is bounded by 0.3, so the collector has room to work at three quarters.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -229,9 +229,9 @@
 	return router
 }
 
-// memoryLimitShare is the share of the allowed memory that is set as the Go memory limit. The rest
-// is for memory that the runtime doesn't count, such as socket buffers.
-const memoryLimitShare = 0.9
+// memoryLimitShare is the share of the instance's memory that is set as the Go memory limit. The rest is for memory
+// that the runtime doesn't count, such as socket buffers, and for what it uses beyond the limit in a burst.
+const memoryLimitShare = 0.75
 
 // Run serves until ctx ends or a server fails, and then shuts down gracefully. It returns an error if it
 // can't listen on an address, or if a server failed.
