The rest of a body that wasn't read holds no connection

What callers saw: 700 clients that announce a body of 100 KB for a route that doesn't exist, and send nothing, hold a process for ever: no ordinary request is answered.

Cause: net/http reads up to 256 KiB of a body that the handler didn't read before it sends the answer, with the read deadline of the request, and after the handler there is none. Such a request counts as running, so its connection isn't closed for others.

Now the rest of a body has a second once the handler has returned, after which the answer is sent and the connection closed.

--- a/internal/connection/caller/guard_test.go
+++ b/internal/connection/caller/guard_test.go
@@ -197,6 +197,20 @@
 	}
 }
 
+// TestUnreadBodyDoesNotHoldTheAnswer guards against a caller that announces a body, sends nothing, and holds its
+// connection for ever: net/http reads the rest of a body before it answers.
+func TestUnreadBodyDoesNotHoldTheAnswer(t *testing.T) {
+	g := newGuard()
+	s := newGuardedServer(t, &http.Server{Handler: answering}, g)
+	s.start(nil)
+	c := s.dial()
+	c.send(post("/", 100_000, ""))
+	c.wantAnswer(http.StatusTooManyRequests)
+	c.wantEnd()
+	c.Close()
+	wantNothingHeld(t, g)
+}
+
 // FuzzRequests sends bytes to a server and checks that it runs no request but those that are in the bytes, in their
 // order, and that it holds nothing in the end.
 func FuzzRequests(f *testing.F) {
--- a/internal/connection/caller/handler.go
+++ b/internal/connection/caller/handler.go
@@ -37,7 +37,12 @@
 	returned := false
 	defer func() {
 		// After a panic, the answer is incomplete and the connection is closed to show that.
-		c.endRequest(!body.ended.Load(), !returned)
+		unread := !body.ended.Load()
+		c.endRequest(unread, !returned)
+		if unread {
+			// net/http reads the rest of a body before it answers, and the caller may never send it.
+			_ = c.SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // fails only if the connection is closed
+		}
 		c.guard.update(func(core *budget.Core, _ time.Time) { core.EndRequest(c.holder) })
 	}()
 	// net/http checks the type of the body of its own request.
@@ -49,6 +54,9 @@
 	returned = true
 }
 
+// unreadBodyTimeout limits the time for the rest of a body that the handler didn't read.
+const unreadBodyTimeout = time.Second
+
 // closingRetryAfter is the Retry-After, in seconds, of a request whose connection is being closed.
 const closingRetryAfter = "1"
 
