Ports of the readiness check, operators and other instances: the bounds of the callers' port

What callers saw: the same crowds of connections or heads at one of these ports take all descriptors, or more than the memory, of a process, so that callers aren't served.

Cause: only the callers' port had a guard.

Now each has a guard of its own: readiness and operators 0.04 of the descriptors, 64 at most, and 2 MiB; other instances 0.1 of descriptors and memory.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -83,8 +83,8 @@
 
 	exporter       *metrics.Exporter
 	callerServer   *caller.Server
-	readyServer    *http.Server
-	operatorServer *http.Server
+	readyServer    *caller.Server
+	operatorServer *caller.Server
 	guards         *guards
 
 	reloadSignals  chan os.Signal
@@ -137,14 +137,14 @@
 		cfg.Engines.OnResponse(e.handleOwnCallNotices)
 	}
 	e.guards = newGuards(cfg.Settings.Limits, e.exporter.Scope())
-	e.callerServer = caller.NewServer(e.newServer(e.callerHandler()), e.guards.callers.Guard)
-	e.readyServer = e.newServer(e.readyHandler())
-	e.operatorServer = e.newServer(e.operatorsHandler())
+	e.callerServer = caller.NewServer(newServer(e.callerHandler()), e.guards.callers.Guard)
+	e.readyServer = caller.NewServer(newAnsweringServer(e.readyHandler()), e.guards.ready.Guard)
+	e.operatorServer = caller.NewServer(newAnsweringServer(e.operatorsHandler()), e.guards.operators.Guard)
 	return e
 }
 
 // newServer returns a server without its own error log.
-func (e *Entry) newServer(h http.Handler) *http.Server {
+func newServer(h http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
@@ -154,6 +154,13 @@
 	}
 }
 
+// newAnsweringServer returns a server whose answers are short, and are given up if nobody reads them.
+func newAnsweringServer(h http.Handler) *http.Server {
+	s := newServer(h)
+	s.WriteTimeout = callerWriteTimeout
+	return s
+}
+
 // callerHandler handles callers' requests, whatever their path.
 func (e *Entry) callerHandler() http.Handler {
 	router := newRouter()
--- a/internal/process/entry/guards.go
+++ b/internal/process/entry/guards.go
@@ -15,22 +15,34 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
 
-// Shares of the instance's memory and descriptors for what callers' connections hold. The rest is for the process
-// itself, for connections to upstreams, to the platform and to other instances, and for garbage that isn't collected yet.
+// Shares of the instance's memory and descriptors for what each port holds. The rest is for the process itself, for
+// connections to upstreams, to the platform and to other instances, and for garbage that isn't collected yet.
 const (
 	callerMemoryShare     = 0.3
 	callerDescriptorShare = 0.6
+	peerMemoryShare       = 0.1
+	peerDescriptorShare   = 0.1
+	otherDescriptorShare  = 0.04 // of the readiness check, and of operators
 )
 
 const (
+	// maxOtherConnections limits the connections of the readiness check, and of operators.
+	maxOtherConnections = 64
+	// otherPortBytes is what the readiness check, and operators, may make the process hold.
+	otherPortBytes = 2 << 20
 	// usageInterval is how often the gauges of what is held are updated.
 	usageInterval = time.Second
 	// fallbackDescriptors is used if the limit on descriptors isn't known.
 	fallbackDescriptors = 1024
 )
 
-// portCallers is the name of the callers' port in metrics and log lines.
-const portCallers = "callers"
+// Names of ports in metrics and log lines.
+const (
+	portCallers   = "callers"
+	portReady     = "ready"
+	portOperators = "operators"
+	portPeers     = "peers"
+)
 
 // portGuard is the guard of one port, and tells what it decides.
 type portGuard struct {
@@ -49,7 +61,7 @@
 
 // guards are the guards of all ports.
 type guards struct {
-	callers *portGuard
+	callers, ready, operators, peers *portGuard
 
 	gaugedAt time.Time // last update of the gauges; used by one goroutine
 
@@ -60,8 +72,13 @@
 func newGuards(l settings.EntryLimits, scope tally.Scope) *guards {
 	memory := float64(int64(l.MemoryMB) << 20)
 	descriptors := float64(descriptorLimit(l.Descriptors))
-	total := budget.NewLimits(int64(callerMemoryShare*memory), int(callerDescriptorShare*descriptors))
-	return &guards{callers: newPortGuard(portCallers, total, callerLimits, scope)}
+	other := budget.NewLimits(otherPortBytes, min(maxOtherConnections, int(otherDescriptorShare*descriptors)))
+	return &guards{
+		callers:   newPortGuard(portCallers, budget.NewLimits(int64(callerMemoryShare*memory), int(callerDescriptorShare*descriptors)), callerLimits, scope),
+		peers:     newPortGuard(portPeers, budget.NewLimits(int64(peerMemoryShare*memory), int(peerDescriptorShare*descriptors)), callerLimits, scope),
+		ready:     newPortGuard(portReady, other, callerLimits, scope),
+		operators: newPortGuard(portOperators, other, callerLimits, scope),
+	}
 }
 
 func newPortGuard(port string, total budget.Limits, limits caller.CallerLimits, scope tally.Scope) *portGuard {
@@ -141,7 +158,9 @@
 		return
 	}
 	g.gaugedAt = now
-	g.callers.report()
+	for _, p := range []*portGuard{g.callers, g.ready, g.operators, g.peers} {
+		p.report()
+	}
 }
 
 // checkBodyLimit logs if the configuration in force allows bodies that this instance can't hold.
--- a/internal/process/entry/listen.go
+++ b/internal/process/entry/listen.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -61,18 +60,19 @@
 		e.spawn(func() { ended <- e.callerServer.Serve(l.callers, nil) })
 	}
 	if l.ready != nil {
-		e.spawn(func() { ended <- e.serveListener(e.readyServer, l.ready) })
+		e.spawn(func() { ended <- serveListener(e.readyServer, l.ready) })
 	}
 	if l.operators != nil {
-		e.spawn(func() { ended <- e.serveListener(e.operatorServer, l.operators) })
+		e.spawn(func() { ended <- serveListener(e.operatorServer, l.operators) })
 	}
 	return ended
 }
 
 // serveListener serves until the server is closed, which is no error.
-func (e *Entry) serveListener(server *http.Server, l net.Listener) error {
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+func serveListener(server *caller.Server, l net.Listener) error {
+	guarded, err := caller.NewListener(l)
+	if err != nil {
 		return err
 	}
-	return nil
+	return server.Serve(guarded, nil)
 }
--- a/internal/process/entry/peersockets.go
+++ b/internal/process/entry/peersockets.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/caller"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/tunnel"
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/upstream"
@@ -111,14 +112,15 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+configPath, s.sendConfig)
 	mux.HandleFunc("GET "+tunnel.Path, s.serveTunnel)
-	server := s.e.newServer(mux)
-	server.ConnContext = detectDeadPeer
+	settings := newServer(mux)
+	settings.ConnContext = detectDeadPeer
+	server := caller.NewServer(settings, s.e.guards.peers.Guard)
 	s.e.spawn(func() {
-		if err := s.e.serveListener(server, l); err != nil {
+		if err := serveListener(server, l); err != nil {
 			logline.Error(err, "other instances aren't served any more")
 		}
 	})
-	context.AfterFunc(ctx, func() { _ = server.Close() }) // an error doesn't matter: nothing is served any more
+	context.AfterFunc(ctx, server.Close)
 }
 
 // Timeouts of connections of other instances. An instance that doesn't read for long, as its caller doesn't, must not
