Limits of the configuration on callers are kept, on open connections too

What callers saw: an operator's headerTimeoutMs, idleTimeoutMs and maxHeaderBytes had no effect. Heads over the limit were served, slow heads and idle connections kept their place for 15 s and 2 minutes; a limit above these was not granted: heads over 64 KiB were refused, and a connection idle for longer than 2 minutes was closed although its caller may reuse it.

Cause: the server had constants of its own, as comments said, and callers were expected to keep to the configuration.

Now the guard asks for the limits of the configuration in force each time. Without a configuration the defaults are as before.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -38,12 +38,6 @@
 	// waitingTick is how often waiting requests are checked if no event triggers a decision. It limits
 	// the delay before a request that can't start in time is refused.
 	waitingTick = 10 * time.Millisecond
-	// headerTimeout, idleTimeout and maxHeaderBytes limit callers' connections. The timeouts are longer
-	// than those in configurations. Callers are expected to keep to the latter; this process doesn't
-	// enforce them.
-	headerTimeout  = 15 * time.Second
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
 	// Timeouts of connections to upstreams, see upstream.HTTPOptions. Network delays are a few
 	// milliseconds.
 	upstreamDialTimeout = 500 * time.Millisecond
@@ -136,21 +130,20 @@
 	if cfg.Engines != nil {
 		cfg.Engines.OnResponse(e.handleOwnCallNotices)
 	}
-	e.guards = newGuards(cfg.Settings.Limits, e.exporter.Scope())
+	e.guards = e.newGuards(cfg.Settings.Limits, e.exporter.Scope())
 	e.callerServer = caller.NewServer(newServer(e.callerHandler()), e.guards.callers.Guard)
 	e.readyServer = caller.NewServer(newAnsweringServer(e.readyHandler()), e.guards.ready.Guard)
 	e.operatorServer = caller.NewServer(newAnsweringServer(e.operatorsHandler()), e.guards.operators.Guard)
 	return e
 }
 
-// newServer returns a server without its own error log.
+// newServer returns a server without its own error log. It sets no timeouts and a large limit on heads: its guard
+// keeps to the limits in force.
 func newServer(h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          log.New(io.Discard, "", 0), // the log line of a request has its errors
+		Handler:        h,
+		MaxHeaderBytes: maxServerHeadBytes,
+		ErrorLog:       log.New(io.Discard, "", 0), // the log line of a request has its errors
 	}
 }
 
--- a/internal/process/entry/guards.go
+++ b/internal/process/entry/guards.go
@@ -30,12 +30,23 @@
 	maxOtherConnections = 64
 	// otherPortBytes is what the readiness check, and operators, may make the process hold.
 	otherPortBytes = 2 << 20
+	// maxServerHeadBytes is the limit of net/http on a head. It is above any limit of a configuration that is kept.
+	maxServerHeadBytes = 1 << 20
+	// sweepInterval is how often the limits on time are checked.
+	sweepInterval = 250 * time.Millisecond
 	// usageInterval is how often the gauges of what is held are updated.
 	usageInterval = time.Second
 	// fallbackDescriptors is used if the limit on descriptors isn't known.
 	fallbackDescriptors = 1024
 )
 
+// Limits on a single caller if the configuration has none, or isn't known yet.
+const (
+	defaultHeadTimeout = 15 * time.Second
+	defaultIdleTimeout = 2 * time.Minute
+	defaultHeadBytes   = 64 << 10
+)
+
 // Names of ports in metrics and log lines.
 const (
 	portCallers   = "callers"
@@ -63,21 +74,23 @@
 type guards struct {
 	callers, ready, operators, peers *portGuard
 
-	gaugedAt time.Time // last update of the gauges; used by one goroutine
+	// Used by one goroutine.
+	sweptAt  time.Time // last check of the limits on time
+	gaugedAt time.Time // last update of the gauges
 
 	warnedOf uint64 // version of the configuration whose limit on bodies was last found too large
 }
 
 // newGuards returns the guards for an instance.
-func newGuards(l settings.EntryLimits, scope tally.Scope) *guards {
+func (e *Entry) newGuards(l settings.EntryLimits, scope tally.Scope) *guards {
 	memory := float64(int64(l.MemoryMB) << 20)
 	descriptors := float64(descriptorLimit(l.Descriptors))
 	other := budget.NewLimits(otherPortBytes, min(maxOtherConnections, int(otherDescriptorShare*descriptors)))
 	return &guards{
-		callers:   newPortGuard(portCallers, budget.NewLimits(int64(callerMemoryShare*memory), int(callerDescriptorShare*descriptors)), callerLimits, scope),
-		peers:     newPortGuard(portPeers, budget.NewLimits(int64(peerMemoryShare*memory), int(peerDescriptorShare*descriptors)), callerLimits, scope),
-		ready:     newPortGuard(portReady, other, callerLimits, scope),
-		operators: newPortGuard(portOperators, other, callerLimits, scope),
+		callers:   newPortGuard(portCallers, budget.NewLimits(int64(callerMemoryShare*memory), int(callerDescriptorShare*descriptors)), e.callerLimits, scope),
+		peers:     newPortGuard(portPeers, budget.NewLimits(int64(peerMemoryShare*memory), int(peerDescriptorShare*descriptors)), defaultCallerLimits, scope),
+		ready:     newPortGuard(portReady, other, defaultCallerLimits, scope),
+		operators: newPortGuard(portOperators, other, defaultCallerLimits, scope),
 	}
 }
 
@@ -112,9 +125,28 @@
 	return int(limit)
 }
 
-// callerLimits returns the limits on a single caller.
-func callerLimits() budget.CallerLimits {
-	return budget.CallerLimits{HeadBytes: maxHeaderBytes, HeadTimeout: headerTimeout, IdleTimeout: idleTimeout}
+// defaultCallerLimits returns the limits on a single caller of a port whose limits the configuration doesn't set.
+func defaultCallerLimits() budget.CallerLimits {
+	return budget.CallerLimits{HeadBytes: defaultHeadBytes, HeadTimeout: defaultHeadTimeout, IdleTimeout: defaultIdleTimeout}
+}
+
+// callerLimits returns the limits on a single caller that the configuration in force sets.
+func (e *Entry) callerLimits() budget.CallerLimits {
+	limits := defaultCallerLimits()
+	config := e.state.config.Load()
+	if config == nil {
+		return limits
+	}
+	if n := config.Limits.HeaderBytes; n > 0 {
+		limits.HeadBytes = min(n, maxServerHeadBytes)
+	}
+	if d := config.Limits.HeaderTimeout; d > 0 {
+		limits.HeadTimeout = d
+	}
+	if d := config.Limits.IdleTimeout; d > 0 {
+		limits.IdleTimeout = d
+	}
+	return limits
 }
 
 // ConnectionClosed implements caller.Events.
@@ -152,14 +184,20 @@
 		"lingering", u.Connections[budget.Lingering])
 }
 
-// tick updates the gauges, if that is due.
+// tick checks the limits on time and updates the gauges, if that is due.
 func (g *guards) tick(now time.Time) {
-	if now.Sub(g.gaugedAt) < usageInterval {
-		return
+	all := []*portGuard{g.callers, g.ready, g.operators, g.peers}
+	if now.Sub(g.sweptAt) >= sweepInterval {
+		g.sweptAt = now
+		for _, p := range all {
+			p.Sweep(now)
+		}
 	}
-	g.gaugedAt = now
-	for _, p := range []*portGuard{g.callers, g.ready, g.operators, g.peers} {
-		p.report()
+	if now.Sub(g.gaugedAt) >= usageInterval {
+		g.gaugedAt = now
+		for _, p := range all {
+			p.report()
+		}
 	}
 }
 
