--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -19,7 +19,7 @@
 	lingerTimeout = 5 * time.Second
 	lingerBytes   = 16 << 20
 	// lingerBufferBytes is the size of the buffer into which discarded bytes are read.
-	lingerBufferBytes = 32 << 10
+	lingerBufferBytes = 4 << 10
 )
 
 // errNothingReceived means that the receive buffer of a connection is empty.
