--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -158,7 +158,7 @@
 // readBody reads the whole body. So the body can be sent more than once, and a request whose body doesn't
 // arrive completely isn't sent at all. Its bytes are booked before they are held.
 func (q *request) readBody() error {
-	limit := min(bodyLimit(q.config), q.e.guards.callers.largestBody)
+	limit := min(bodyLimit(q.config), q.e.guards.callers.LargestBody())
 	if q.r.ContentLength > limit {
 		q.drainBody()
 		return errBodyTooLarge()
