ragwort-gateway: what callers make it hold is bounded

What callers saw: 100 clients whose bodies stop short of their end, or 500 with heads of 1,000 KiB, and a gateway holds several times the memory of its instance.

Cause: bodies were read to their end by growing copies, heads could have 1 MiB, and nothing bounded their sum.

Now its callers' port has the guard that ragwort-entry has, from the new settings limits.memoryMB (256) and limits.descriptors; bodies are booked with the copy that joins their pieces, heads may have 64 KiB. A body without room is refused with 503 and Retry-After before anything was sent.

--- a/internal/process/gateway/gateway.go
+++ b/internal/process/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/member"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/ops"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/portguard"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/admit"
 	"github.com/ragworttrestle/ragworttrestle/internal/request/claim"
@@ -64,6 +65,7 @@
 	holds      *holds.Keeper
 
 	callers *caller.Server
+	guard   *portguard.Port // of callers
 	ops     *ops.Server
 
 	stage          atomic.Int32    // stage of the graceful shutdown, one of stageServing to stageStopped
@@ -108,12 +110,13 @@
 	g.engines = newEnginePool(cfg.Engine, 0)
 	g.services = upstream.NewServices(upstream.HTTPOptions{})
 	g.poller = newPoller(g)
+	g.guard = newCallerGuard(cfg.Settings.Limits, g.exporter.Scope())
 	g.callers = caller.NewServer(&http.Server{
 		Handler:           g.callerHandler(),
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0), // errors of requests are in their log lines
-	}, nil)
+	}, g.guard.Guard)
 	g.ops = ops.New(ops.Config{Source: opsSource{g}, Metrics: g.exporter.Handler(), Key: keys.Operators})
 	return g, nil
 }
@@ -265,6 +268,8 @@
 		g.holds.Forget(now)
 		g.metrics.running.Update(float64(g.inFlight.Count()))
 		g.metrics.queued.Update(float64(g.dispatcher.queued()))
+		g.guard.Sweep(now)
+		g.guard.Report()
 	}
 }
 
--- a/internal/process/gateway/listen.go
+++ b/internal/process/gateway/listen.go
@@ -6,9 +6,12 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/caller"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/budget"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/portguard"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 )
 
@@ -18,6 +21,20 @@
 	idleTimeout       = 2 * time.Minute
 )
 
+// maxHeadBytes limits the head of a request.
+const maxHeadBytes = 64 << 10
+
+// newCallerGuard returns the guard of the callers' port.
+func newCallerGuard(l settings.Limits, scope tally.Scope) *portguard.Port {
+	total := portguard.Limits(l.MemoryMB, portguard.CallerMemoryShare, portguard.Descriptors(l.Descriptors), portguard.CallerDescriptorShare)
+	return portguard.New("callers", total, callerLimits, scope)
+}
+
+// callerLimits returns the limits on a single caller.
+func callerLimits() budget.CallerLimits {
+	return budget.CallerLimits{HeadBytes: maxHeadBytes, HeadTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+}
+
 // listeners holds the open ports of a gateway: for callers, operators and peers.
 type listeners struct {
 	callers   *caller.Listener
--- a/internal/process/gateway/parse.go
+++ b/internal/process/gateway/parse.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,7 +10,10 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/caller"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/budget"
+	"github.com/ragworttrestle/ragworttrestle/internal/request/buffer"
 )
 
 // Request headers. A header takes precedence over the body field of the same meaning.
@@ -106,21 +108,42 @@
 	Text string `json:"text"`
 }
 
-// readBody reads a request's body. It returns an error if the body has more than limit bytes or
-// can't be read.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+// readBody reads the body of a request into memory, limit bytes at most. Its bytes are booked before they are held.
+// account is the client account of the request.
+func readBody(w http.ResponseWriter, r *http.Request, account string, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
 		return nil, bodyTooLargeError(limit)
 	}
-	raw, err := io.ReadAll(limitBody(w, r.Body, limit))
+	held := caller.RequestOf(r.Context())
+	held.BeginBody(account)
+	body, err := readBookedBody(w, r, held, limit)
+	if !held.EndBody() {
+		err = caller.ErrClosing
+	}
 	var maxBytesErr *http.MaxBytesError
-	if errors.As(err, &maxBytesErr) {
+	switch {
+	case err == nil:
+		return body.Bytes(), nil
+	case errors.As(err, &maxBytesErr), errors.Is(err, buffer.ErrTooLarge):
 		return nil, bodyTooLargeError(limit)
+	case errors.Is(err, buffer.ErrNoRoom), errors.Is(err, caller.ErrClosing):
+		return nil, errkind.New(errkind.Overloaded, errkind.NotRun, "there is no room for the body now").WithRetryAfter(bodyRetryAfter)
 	}
-	if err != nil {
-		return nil, errkind.Wrap(err, errkind.InvalidRequest, errkind.NotRun, "the body could not be read")
+	return nil, errkind.Wrap(err, errkind.InvalidRequest, errkind.NotRun, "the body could not be read")
+}
+
+// bodyRetryAfter is the Retry-After of a request that is refused for lack of room. Callers that make no progress are
+// closed in less time.
+const bodyRetryAfter = time.Second
+
+// readBookedBody reads a body into pieces that are booked, each with the copy that joins them.
+func readBookedBody(w http.ResponseWriter, r *http.Request, held *caller.Request, limit int64) (*buffer.Buffer, error) {
+	book := func(n int64) bool { return held.Book(budget.Bodies, 2*n) }
+	length := max(0, r.ContentLength)
+	if !book(length) {
+		return nil, buffer.ErrNoRoom
 	}
-	return raw, nil
+	return buffer.Read(limitBody(w, r.Body, limit), buffer.Options{Length: length, Limit: limit, Book: book})
 }
 
 // bodyTooLargeError returns the error for a body of more than limit bytes.
--- a/internal/process/gateway/prepare.go
+++ b/internal/process/gateway/prepare.go
@@ -22,7 +22,7 @@
 	if c.account, c.accountSpec, err = authenticate(s, r.Header); err != nil {
 		return nil, err
 	}
-	raw, err := readBody(w, r, g.cfg.Settings.Limits.BodyBytes)
+	raw, err := readBody(w, r, c.account, g.cfg.Settings.Limits.BodyBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/process/gateway/service.go
+++ b/internal/process/gateway/service.go
@@ -128,7 +128,7 @@
 		return nil
 	}
 	setReadDeadline(c.w, c.arrived.Add(bodyTimeout))
-	raw, err := readBody(c.w, c.r, limit)
+	raw, err := readBody(c.w, c.r, c.account, limit)
 	if err != nil {
 		return err
 	}
--- a/internal/process/settings/defaults.go
+++ b/internal/process/settings/defaults.go
@@ -30,6 +30,7 @@
 func (g *Gateway) SetDefaults() {
 	setCommonDefaults(&g.Platform, &g.Peer, &g.Stop)
 	defaults.Set(&g.Limits.BodyBytes, DefaultBodyBytes)
+	defaults.Set(&g.Limits.MemoryMB, DefaultMemoryMB)
 	defaults.Set(&g.Limits.QueueRequests, DefaultQueueRequests)
 	defaults.Set(&g.Limits.QueueTokens, DefaultQueueTokens)
 	defaults.Set(&g.Limits.DefaultDeadlineMS, DefaultDeadlineMS)
--- a/internal/process/settings/settings.go
+++ b/internal/process/settings/settings.go
@@ -74,6 +74,8 @@
 // Limits limits the work that callers may send to one gateway.
 type Limits struct {
 	BodyBytes         int64   `json:"bodyBytes"`         // size of a request body
+	MemoryMB          int     `json:"memoryMB"`          // memory of the instance in MiB; what is held for callers is bounded by a share of it
+	Descriptors       int     `json:"descriptors"`       // files and sockets that the process may have open; 0: the limit that the kernel sets
 	QueueRequests     int     `json:"queueRequests"`     // requests in the queue
 	QueueTokens       int     `json:"queueTokens"`       // tokens of the requests in the queue
 	DefaultDeadlineMS int     `json:"defaultDeadlineMS"` // deadline of requests that name none
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -103,6 +103,8 @@
 
 func (c *validator) limits(l Limits) {
 	c.require(l.BodyBytes > 0, "limits.bodyBytes", l.BodyBytes, "must be greater than zero")
+	c.require(l.MemoryMB > 0, "limits.memoryMB", l.MemoryMB, "must be greater than zero")
+	c.require(l.Descriptors >= 0, "limits.descriptors", l.Descriptors, "must not be negative")
 	c.require(l.QueueRequests > 0, "limits.queueRequests", l.QueueRequests, "must be greater than zero")
 	c.require(l.QueueTokens > 0, "limits.queueTokens", l.QueueTokens, "must be greater than zero")
 	c.milliseconds("limits.defaultDeadlineMS", l.DefaultDeadlineMS, 1)
--- a/internal/request/buffer/buffer.go
+++ b/internal/request/buffer/buffer.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"io"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -124,6 +125,15 @@
 	return b.pieces
 }
 
+// Bytes returns all bytes in one slice, which must not be changed. For a body of several pieces, it is a copy.
+func (b *Buffer) Bytes() []byte {
+	pieces := b.Pieces()
+	if len(pieces) == 1 {
+		return pieces[0]
+	}
+	return slices.Concat(pieces...)
+}
+
 // Reader returns a reader of all bytes.
 func (b *Buffer) Reader() io.Reader {
 	pieces := b.Pieces()
--- a/internal/request/buffer/buffer_test.go
+++ b/internal/request/buffer/buffer_test.go
@@ -33,7 +33,7 @@
 					t.Fatalf("%d bytes, %+v: %v", size, o, err)
 				}
 				whole, _ := io.ReadAll(got.Reader()) // never fails
-				if !bytes.Equal(whole, sent) || got.Len() != int64(size) {
+				if !bytes.Equal(whole, sent) || !bytes.Equal(got.Bytes(), sent) || got.Len() != int64(size) {
 					t.Errorf("%d bytes, %+v: %d bytes read, %d differ", size, o, got.Len(), len(whole))
 				}
 				held := 0
