Ports of operators and of peers of ragwort-gateway and ragwort-controller: bounded connections

What callers saw: clients that open connections to one of these ports and send nothing take the descriptors of a process.

Cause: nothing bounded connections before a peer had shown its key, an idle one had no timeout, heads could have 1 MiB.

Timeouts for idle connections, for answers of operators that nobody reads; heads of 16 KiB. While such clients come back all the time, peers and operators wait for up to the time for heads (5 and 10 s).

--- a/internal/connection/peer/hub.go
+++ b/internal/connection/peer/hub.go
@@ -13,6 +13,7 @@
 
 	"github.com/coder/websocket"
 	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 )
@@ -30,8 +31,13 @@
 // endpointPath is the URL path of the WebSocket endpoint.
 const endpointPath = "/peer"
 
-// headerTimeout bounds how long a peer may take to send the headers of its HTTP request.
-const headerTimeout = 5 * time.Second
+// Limits on connections before the peer has shown that it has the key.
+const (
+	headerTimeout      = 5 * time.Second // for the headers of its HTTP request
+	idleTimeout        = 5 * time.Second // after a request that was refused
+	maxHeaderBytes     = 16 << 10
+	maxUnauthenticated = 64 // connections; further ones wait to be accepted
+)
 
 // Errors of a Hub. Test for them with errors.Is.
 var (
@@ -126,7 +132,7 @@
 func (h *Hub) Serve(l net.Listener) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc(endpointPath, h.accept)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	h.mu.Lock()
 	if h.closed {
 		h.mu.Unlock()
@@ -135,7 +141,7 @@
 	}
 	h.servers = append(h.servers, server)
 	h.mu.Unlock()
-	err := server.Serve(l)
+	err := server.Serve(netutil.LimitListener(l, h.cfg.MaxAccepted+maxUnauthenticated))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/process/ops/ops.go
+++ b/internal/process/ops/ops.go
@@ -11,12 +11,19 @@
 
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
+	"golang.org/x/net/netutil"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 )
 
-// readHeaderTimeout limits how long reading the header of a request may take.
-const readHeaderTimeout = 10 * time.Second
+// Limits on connections to the operators' port. Answers are short.
+const (
+	readHeaderTimeout = 10 * time.Second
+	idleTimeout       = 2 * time.Minute
+	writeTimeout      = 10 * time.Second
+	maxHeaderBytes    = 16 << 10
+	maxConnections    = 64 // further ones wait to be accepted
+)
 
 // Member is a known daemon in the response of /members.
 type Member struct {
@@ -79,7 +86,9 @@
 	authenticated.GET("/explain", h.explain)
 	return &Server{
 		echo: e,
-		http: &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout},
+		http: &http.Server{
+			Handler: e, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes,
+		},
 	}
 }
 
@@ -89,7 +98,7 @@
 // Serve serves requests on l until Shutdown and then returns nil. For TLS, l must be a TLS
 // listener.
 func (s *Server) Serve(l net.Listener) error {
-	err := s.http.Serve(l)
+	err := s.http.Serve(netutil.LimitListener(l, maxConnections))
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
