Refusals before a handler begins come from the list of error kinds

A head over its limit gets a kind of its own, head_too_large (431); the answers that are written without net/http are made from the table of kinds.

--- a/internal/connection/caller/conn.go
+++ b/internal/connection/caller/conn.go
@@ -103,35 +103,22 @@
 	_ = c.setReadDeadline() // fails only if the connection is closed
 }
 
-// Answers to heads that are refused before net/http has read them.
-const (
-	answerHeadTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\nContent-Length: 47\r\n\r\nrequest_too_large: the head exceeds the limit.\n"
-	answerNoRoom       = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain; charset=utf-8\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 51\r\n\r\noverloaded: there is no room for this request now.\n"
-)
-
-// headAnswerTimeout limits writing such an answer.
+// headAnswerTimeout limits writing the answer to a head that is refused.
 const headAnswerTimeout = time.Second
 
 // refuseHead answers a head that the guard refuses. The connection is closed after that, as its rest can't be told from
 // a further request.
 func (c *conn) refuseHead(reason budget.Reason) {
 	c.stopped.Store(true)
-	answer := ""
-	switch {
-	case c.tls: // net/http closes the connection without an answer
-	case reason == budget.HeadTooLarge:
-		answer = answerHeadTooLarge
-	case reason == budget.NoRoom:
-		answer = answerNoRoom
-	}
-	if answer == "" {
+	answer, ok := headAnswers[reason]
+	if !ok || c.tls { // the connection is closed without an answer
 		return
 	}
 	c.mu.Lock()
 	c.waiting, c.unread, c.unmarked, c.handled, c.aborted = false, true, false, true, false
 	c.mu.Unlock()
 	_ = c.tcpConn.SetWriteDeadline(time.Now().Add(headAnswerTimeout)) // the write shows that it failed
-	_, _ = c.Write([]byte(answer))                                    // the connection is closed in any case
+	_, _ = c.Write(answer)                                            // the connection is closed in any case
 }
 
 // readAborted reports whether the deadline was set to end a pending read at once. For that, net/http uses
--- a/internal/connection/caller/handler.go
+++ b/internal/connection/caller/handler.go
@@ -26,9 +26,7 @@
 		return
 	}
 	if !c.beginServing() {
-		w.Header().Set("Connection", "close")
-		w.Header().Set("Retry-After", closingRetryAfter)
-		http.Error(w, "overloaded: the connection is being closed", http.StatusServiceUnavailable)
+		writeRefusal(w, errClosing)
 		return
 	}
 	body := &trackedBody{ReadCloser: r.Body}
@@ -57,9 +55,6 @@
 // unreadBodyTimeout limits the time for the rest of a body that the handler didn't read.
 const unreadBodyTimeout = time.Second
 
-// closingRetryAfter is the Retry-After, in seconds, of a request whose connection is being closed.
-const closingRetryAfter = "1"
-
 // beginServing records that a request's handler begins. It returns false if the connection is being closed: the request
 // must not run then.
 func (c *conn) beginServing() bool {
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -14,6 +14,7 @@
 const (
 	InvalidRequest      Kind = "invalid_request"      // the request is malformed or a field is out of range
 	RequestTooLarge     Kind = "request_too_large"    // the body exceeds the configured limit
+	HeadTooLarge        Kind = "head_too_large"       // the head of the request exceeds its limit
 	Unauthenticated     Kind = "unauthenticated"      // no key, or an unknown key
 	PermissionDenied    Kind = "permission_denied"    // the client account may not do this
 	NotFound            Kind = "not_found"            // no such model, route or object
@@ -85,13 +86,14 @@
 var reportsByKind = map[Kind]Report{
 	InvalidRequest:      {http.StatusBadRequest, typeInvalid, false, ExitInvalid, "A field of the request is malformed; the message names it."},
 	RequestTooLarge:     {http.StatusRequestEntityTooLarge, typeInvalid, false, ExitInvalid, "The body is larger than the limit in the settings."},
+	HeadTooLarge:        {http.StatusRequestHeaderFieldsTooLarge, typeInvalid, false, ExitInvalid, "The head of the request is larger than its limit."},
 	Unauthenticated:     {http.StatusUnauthorized, typeAuth, false, ExitDenied, "The key is missing or unknown."},
 	PermissionDenied:    {http.StatusForbidden, typeAuth, false, ExitDenied, "The client account may not use this model, priority or operation."},
 	NotFound:            {http.StatusNotFound, typeInvalid, false, ExitNotFound, "No such model, route or object."},
 	KeyReused:           {http.StatusUnprocessableEntity, typeInvalid, false, ExitConflict, "The Idempotency-Key was used before with another body."},
 	RateLimited:         {http.StatusTooManyRequests, typeLimit, true, ExitUnavailable, "The client account's rate or tokens in flight are used up."},
 	DeadlineUnmeetable:  {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "The deadline cannot be met at the present load."},
-	Overloaded:          {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "The queue is full."},
+	Overloaded:          {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "The queue is full, or there is no room for the request."},
 	NoUpstream:          {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "No upstream can serve the request now."},
 	Draining:            {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "This instance is stopping; another one answers."},
 	ClaimUnavailable:    {http.StatusServiceUnavailable, typeServer, true, ExitUnavailable, "The idempotency claim cannot be recorded while the platform is out."},
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -215,13 +215,9 @@
 	return err
 }
 
-// bodyRetryAfter is the Retry-After of a request that is refused for lack of room. Callers that make no progress are
-// closed in less time.
-const bodyRetryAfter = time.Second
-
 // errNoRoom returns the error of a request that is refused for lack of room.
 func errNoRoom(message string) error {
-	return errkind.New(errkind.Overloaded, errkind.NotRun, message).WithRetryAfter(bodyRetryAfter)
+	return errkind.New(errkind.Overloaded, errkind.NotRun, message).WithRetryAfter(caller.RetryAfter)
 }
 
 // drainBody reads and drops a body that is refused, up to drainBytes and for drainTimeout at most: a
--- a/internal/process/gateway/parse.go
+++ b/internal/process/gateway/parse.go
@@ -127,15 +127,11 @@
 	case errors.As(err, &maxBytesErr), errors.Is(err, buffer.ErrTooLarge):
 		return nil, bodyTooLargeError(limit)
 	case errors.Is(err, buffer.ErrNoRoom), errors.Is(err, caller.ErrClosing):
-		return nil, errkind.New(errkind.Overloaded, errkind.NotRun, "there is no room for the body now").WithRetryAfter(bodyRetryAfter)
+		return nil, errkind.New(errkind.Overloaded, errkind.NotRun, "there is no room for the body now").WithRetryAfter(caller.RetryAfter)
 	}
 	return nil, errkind.Wrap(err, errkind.InvalidRequest, errkind.NotRun, "the body could not be read")
 }
 
-// bodyRetryAfter is the Retry-After of a request that is refused for lack of room. Callers that make no progress are
-// closed in less time.
-const bodyRetryAfter = time.Second
-
 // readBookedBody reads a body into pieces that are booked, each with the copy that joins them.
 func readBookedBody(w http.ResponseWriter, r *http.Request, held *caller.Request, limit int64) (*buffer.Buffer, error) {
 	book := func(n int64) bool { return held.Book(budget.Bodies, 2*n) }
