What a small instance needs for itself is taken off what callers may hold

What callers saw: an instance told 32 MB has up to 33 MiB resident beside crowds of bodies (TestMeasure with 32), so the platform ends it.

Cause: shares of all the memory leave too little for the program and the runtime, which need some 16 MB of any size.

Now a port's share is taken of four thirds of what is left beyond 16 MB, if that is less, and the runtime's limit leaves 16 MB. Nothing changes from 64 MB on. The largest body of the pages (4 MiB) is still held there in calm (TestLimits).

--- a/internal/process/budget/budget.go
+++ b/internal/process/budget/budget.go
@@ -95,8 +95,8 @@
 	return Limits{Bytes: bytes, Connections: max(1, min(descriptors, affordable))}
 }
 
-// LargestBody returns the size of the largest body that has room whatever connections are open.
-func (l Limits) LargestBody() int64 { return l.Bytes - int64(connectionShare*float64(l.Bytes)) }
+// LargestBody returns the size of the largest body that has room in calm, beside a few connections.
+func (l Limits) LargestBody() int64 { return int64(largeShare * float64(l.Bytes)) }
 
 // CallerLimits are the limits that a single caller has to keep to.
 type CallerLimits struct {
--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/process/holds"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/metrics"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/portguard"
 )
 
 const (
@@ -229,15 +230,11 @@
 	return router
 }
 
-// memoryLimitShare is the share of the instance's memory that is set as the Go memory limit. The rest is for memory
-// that the runtime doesn't count, such as socket buffers, and for what it uses beyond the limit in a burst.
-const memoryLimitShare = 0.75
-
 // Run serves until ctx ends or a server fails, and then shuts down gracefully. It returns an error if it
 // can't listen on an address, or if a server failed.
 func (e *Entry) Run(ctx context.Context) error {
 	s := e.cfg.Settings
-	debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.Limits.MemoryMB<<20)))
+	debug.SetMemoryLimit(portguard.RuntimeLimit(s.Limits.MemoryMB))
 	workCtx := e.workCtx
 	defer e.cancelWork()
 	var ports listeners
--- a/internal/process/portguard/portguard.go
+++ b/internal/process/portguard/portguard.go
@@ -21,6 +21,16 @@
 	CallerDescriptorShare = 0.6
 )
 
+// processBytes is what a process needs for itself before it holds anything for callers: its program, the runtime, and
+// lists of a small fleet.
+const processBytes = 16 << 20
+
+// smallMemoryFactor is how much larger a port's share of the memory beyond processBytes may be than that of all memory.
+const smallMemoryFactor = 4.0 / 3
+
+// runtimeShare is the share of the memory that the Go runtime may use at most.
+const runtimeShare = 0.75
+
 // fallbackDescriptors is used if the limit on descriptors isn't known.
 const fallbackDescriptors = 1024
 
@@ -92,10 +102,21 @@
 		"lingering", u.Connections[budget.Lingering])
 }
 
-// Limits returns the limits of a port that may use shares of an instance's memory, in MiB, and of its descriptors.
+// Limits returns the limits of a port that may use shares of an instance's memory, in MiB, and of its descriptors. Of a
+// small memory it may use less, as the process itself needs a larger part of it.
 func Limits(memoryMB int, memoryShare float64, descriptors int, descriptorShare float64) budget.Limits {
 	memory := float64(int64(memoryMB) << 20)
-	return budget.NewLimits(int64(memoryShare*memory), int(descriptorShare*float64(descriptors)))
+	usable := max(0, memory-processBytes)
+	bytes := memoryShare * min(memory, smallMemoryFactor*usable)
+	return budget.NewLimits(int64(bytes), int(descriptorShare*float64(descriptors)))
+}
+
+// RuntimeLimit returns the memory limit of the Go runtime, in bytes, for an instance's memory in MiB. The rest is for memory
+// that the runtime doesn't count, such as the program itself and sockets' buffers, and for what it uses beyond the limit in
+// a burst.
+func RuntimeLimit(memoryMB int) int64 {
+	memory := int64(memoryMB) << 20
+	return min(int64(runtimeShare*float64(memory)), max(memory-processBytes, memory/4))
 }
 
 // Descriptors returns the limit on descriptors of this process: the configured one, or the kernel's if that is lower.
