Test that fails: a connection that was closed in its body and lingers isn't counted

Found by reading: close takes the connection out of the count, and it stays open for up to 5 s after its 503.

--- a/internal/process/budget/core_test.go
+++ b/internal/process/budget/core_test.go
@@ -252,6 +252,21 @@
 	}
 }
 
+// TestClosedBodyThatLingersIsCounted guards against connections that nothing counts: one that is closed for another while
+// its body arrives stays open until its caller has read the refusal.
+func TestClosedBodyThatLingersIsCounted(t *testing.T) {
+	w := newWorld(t, Limits{Bytes: 8 * mib, Connections: 2})
+	stalled, other := w.body(""), w.body("")
+	w.book(stalled, 5*mib)
+	w.pass(time.Second)
+	w.book(other, 5*mib)
+	w.core.EndBody(w.now, other)
+	w.core.Linger(w.now, stalled)
+	if h, closed := w.core.Open(w.now); h != nil && holders(closed)[stalled] == NoReason {
+		t.Error("three connections are open, two may be")
+	}
+}
+
 // TestNothingIsBookedInTheEnd plays connections at random. No more than the limits is in use at any time, no running
 // request is closed, and once all connections are closed nothing is booked.
 func TestNothingIsBookedInTheEnd(t *testing.T) {
