--- a/review/standins2/deployment.go
+++ b/review/standins2/deployment.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -257,8 +256,3 @@
 	}
 	d.store.Put("config", "main", json.RawMessage(text))
 }
-
-// isConnError reports whether an error of a client's call means that the channel ended.
-func isConnError(err error) bool {
-	return err != nil && !strings.Contains(err.Error(), "Client.Timeout")
-}
