--- a/review/standins2/drain.go
+++ b/review/standins2/drain.go
@@ -9,7 +9,7 @@
 // drainTime is the bound drainMs.
 const drainTime = 2000 * time.Millisecond
 
-func init() { scenarios["4"] = watchCut }
+func init() { scenarios["7"] = watchCut }
 
 // plainConfig has one route to a plain service whose requests run once at most.
 const plainConfig = `{"version":3,"routes":[
--- a/review/standins2/prefill.go
+++ b/review/standins2/prefill.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-func init() { scenarios["5"] = slowPrefill }
+func init() { scenarios["8"] = slowPrefill }
 
 // engineConfig has one route to a service of engines, whose streams can't be resumed.
 const engineConfig = `{"version":3,"routes":[
