--- a/review/standins2/deployment.go
+++ b/review/standins2/deployment.go
@@ -199,6 +199,19 @@
 	if p.log, err = os.Create(filepath.Join(d.dir, name+".log")); err != nil {
 		fail("%v", err)
 	}
+	d.launch(p, binary)
+	return p
+}
+
+// startAgain starts a process that has ended once more, with its settings.
+func (d *deployment) startAgain(old *process) *process {
+	p := &process{name: old.name, zone: old.zone, callers: old.callers, ready: old.ready, peers: old.peers, settings: old.settings, log: old.log, ended: make(chan struct{})}
+	d.launch(p, old.cmd.Path)
+	return p
+}
+
+// launch starts the program of a process.
+func (d *deployment) launch(p *process, binary string) {
 	p.cmd = exec.Command(binary, "--settings", p.settings)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
@@ -210,8 +223,7 @@
 		close(p.ended)
 	}()
 	d.procs = append(d.procs, p)
-	d.rec.line("start %s in zone %s, pid %d, callers %s", name, zone, p.cmd.Process.Pid, p.callers)
-	return p
+	d.rec.line("start %s in zone %s, pid %d, callers %s", p.name, p.zone, p.cmd.Process.Pid, p.callers)
 }
 
 // awaitReady waits until all processes answer the readiness check with 200.
