--- a/review/standins2/upstream.go
+++ b/review/standins2/upstream.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -30,6 +31,7 @@
 	tokensPerMS             float64       // prompt tokens that it reads in a millisecond, one prompt after the other
 	slowness                float64       // how many times as long reading takes; 0: as usual
 	events                  int
+	version                 string // of its software, which each event names; empty: v1, and events name none
 }
 
 // upstream is a runner.
@@ -46,11 +48,17 @@
 	running  int
 	orders   int
 	kept     map[string]bool // parts of prompts that it has read
+	born     int64           // Unix ms of the start of a server that may start again under its id; 0: its entry has none
 }
 
 // startUpstream starts an upstream on a free port. It isn't listed yet.
 func (d *deployment) startUpstream(cfg upstreamConfig) *upstream {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return d.startUpstreamAt(cfg, "127.0.0.1:0")
+}
+
+// startUpstreamAt starts an upstream on a given address.
+func (d *deployment) startUpstreamAt(cfg upstreamConfig, address string) *upstream {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		fail("%v", err)
 	}
@@ -72,9 +80,12 @@
 func (u *upstream) list(state string) {
 	u.mu.Lock()
 	e := map[string]any{
-		"service": u.service, "address": u.listener.Addr().String(), "zone": u.zone, "version": "v1", "slots": u.slots,
+		"service": u.service, "address": u.listener.Addr().String(), "zone": u.zone, "version": cmp.Or(u.version, "v1"), "slots": u.slots,
 		"state": state, names["cold"]: 0, "sequence": u.orders,
 	}
+	if u.born > 0 {
+		e["born"] = u.born
+	}
 	if u.role != "" {
 		e["phase"] = u.role
 	}
@@ -121,7 +132,11 @@
 	case r.URL.Path == names["report"]:
 		u.mu.Lock()
 		defer u.mu.Unlock()
-		u.answer(w, map[string]any{"phase": u.role, "busy": false, "sequence": u.orders, "queued": 0, "running": u.running})
+		report := map[string]any{"phase": u.role, "busy": false, "sequence": u.orders, "queued": 0, "running": u.running}
+		if u.born > 0 {
+			report["born"] = u.born
+		}
+		u.answer(w, report)
 	case r.URL.Path == names["order"]:
 		u.mu.Lock()
 		defer u.mu.Unlock()
@@ -193,11 +208,12 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for n := 1; n <= u.events; n++ {
+	had, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // empty: none
+	for n := had + 1; n <= u.events; n++ {
 		if !u.sleep(r, u.work) {
 			return
 		}
-		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s/%d\n\n", n, a.id, n); err != nil {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s/%d %s\n\n", n, a.id, n, u.version); err != nil {
 			return
 		}
 		_ = http.NewResponseController(w).Flush() // the next write shows that the caller has left
