Upstreams: a response whose status is none of HTTP is no answer

What callers saw: an upstream responded with status 000. net/http panics when such a status is written, so the caller's connection was closed without an answer (ragwort-entry), or it got 500 "a defect of the system" (ragwort-gateway), although another upstream could have served the request. 001, 099 and +20 likewise. 600 and 999 reached the caller as the upstream sent them. X-Not-Executed beside such a status was believed, so that a request that isn't idempotent was sent to a second upstream; so was a refusal of an engine in the body, orders included.

Cause: net/http reads every status of three characters that is a number of at least 0, and nobody checked it afterwards.

Change: package httphead checks the head of a final response. upstream.Exchange, through which ragwort-entry, its relays, ragwort-gateway and the clients of the prepared platform read, and the order, which reads by itself, return ErrBroken for a malformed one and close its connection. The outcome is unknown then, as after a reset: idempotent requests go to another upstream, the others get 502. The check for 101 in package upstream is part of it.

Evidence: the tests fail without the change. All pass with it.

--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/httphead"
 )
 
 // nonReplayableBody is a request body that http.Transport cannot send twice. The
@@ -96,6 +98,13 @@
 	return t.headLate
 }
 
+// closeConnection closes the connection of the response, so that no later request meets what the server still sends on it.
+func (t *sendTracker) closeConnection() {
+	if conn, _ := t.connection(); conn != nil {
+		_ = conn.Close() // the transport may have closed it
+	}
+}
+
 // connection returns the connection of the response, and whether it carried earlier requests.
 func (t *sendTracker) connection() (conn net.Conn, reused bool) {
 	t.mu.Lock()
@@ -117,7 +126,7 @@
 	return true
 }
 
-// Exchange sends one request and returns its response. The request must come from
+// Exchange sends one request and returns its response, whose head is well-formed. The request must come from
 // NewRequest or have a body that the transport cannot resend (see nonReplayableBody).
 // An error matches ErrNotRun if no byte of the request was sent, and ErrBroken
 // otherwise. op and address are named in the error.
@@ -130,7 +139,11 @@
 	resp, err := rt.RoundTrip(req.WithContext(tracker.withTrace(req.Context())))
 	late := tracker.headEnded()
 	if err == nil {
-		return resp, nil
+		if err = httphead.Check(resp); err == nil {
+			return resp, nil
+		}
+		tracker.closeConnection()
+		_ = resp.Body.Close() // nothing of it is used
 	}
 	if late {
 		err = errHeadTimeout
--- /dev/null
+++ b/internal/connection/upstream/malformedhead_test.go
@@ -0,0 +1,82 @@
+package upstream
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+)
+
+// serveRaw starts a server that reads one whole request of each connection, responds with the same bytes and waits for the
+// other side to close. It returns the server's URL, and waits for all connections to be closed at the end of the test.
+func serveRaw(t *testing.T, response string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var conns sync.WaitGroup
+	t.Cleanup(func() { l.Close(); conns.Wait() })
+	conns.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Go(func() {
+				defer c.Close()
+				q, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, q.Body)
+				_, _ = io.WriteString(c, response)
+				_, _ = io.Copy(io.Discard, c)
+			})
+		}
+	})
+	return "http://" + l.Addr().String()
+}
+
+// checkHeadIsBroken checks that each kind of call to a server whose responses have the given first line and further lines of
+// the head is broken, whatever the body says.
+func checkHeadIsBroken(t *testing.T, firstLine, lines string) {
+	t.Helper()
+	for _, body := range []string{
+		`{"runner":"r","run_id":"id","handle":"h"}`,
+		`{"refusal":{"code":"busy","subject":"id"}}`,
+		`{"refusal":{"code":"busy","subject":""}}`,
+	} {
+		head := fmt.Sprintf("HTTP/1.1 %s\r\n%s: id\r\nContent-Type: %s\r\n%sContent-Length: %d\r\n\r\n", firstLine, HeaderRunID, ContentTypeStream, lines, len(body))
+		url := serveRaw(t, head+body)
+		e, ctx := newEngine(t, url, HTTPOptions{}), testContext(t)
+		_, runErr := e.Run(ctx, RunRequest{RunID: "id"})
+		_, resumeErr := e.Resume(ctx, "id", 0)
+		_, loadErr := e.Load(ctx)
+		_, stateErr := e.State(ctx)
+		_, eventsErr := e.CacheEvents(ctx, 0)
+		_, prefillErr := e.Prefill(ctx, RunRequest{RunID: "id"})
+		_, orderErr := e.Order(ctx, Order{ID: "id"})
+		_, forwardErr := newServices(t).Forward(ctx, ServiceCall{Address: url, Method: http.MethodPost, Path: "/", Body: strings.NewReader("x"), ContentLength: 1})
+		for call, err := range map[string]error{
+			"run": runErr, "resume": resumeErr, "load": loadErr, "state": stateErr, "cache events": eventsErr,
+			"prefill": prefillErr, "order": orderErr, "cancel": e.Cancel(ctx, "id"), "forward": forwardErr,
+		} {
+			if !isBroken(err) {
+				t.Errorf("%s, body %s: error %v, want ErrBroken", call, body, err)
+			}
+		}
+	}
+}
+
+// TestMalformedStatusIsBroken guards against responses whose status is none of HTTP: a refusal in such a response was
+// believed, and others were passed on.
+func TestMalformedStatusIsBroken(t *testing.T) {
+	for _, status := range []string{"000 Trouble", "000", "099 Trouble", "+20 OK", "101 Switching Protocols", "600 Trouble", "999 Trouble"} {
+		t.Run(status, func(t *testing.T) { checkHeadIsBroken(t, status, "") })
+	}
+}
--- a/internal/connection/upstream/order.go
+++ b/internal/connection/upstream/order.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/httphead"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/boottime"
 )
 
@@ -142,6 +143,9 @@
 		return State{}, brokenError(op, e.address, err)
 	}
 	defer resp.Body.Close()
+	if err := httphead.Check(resp); err != nil {
+		return State{}, brokenError(op, e.address, err)
+	}
 	var s State
 	if err := decodeAnswer(resp, op, e.address, o.ID, e.opts.MaxBody, &s); err != nil {
 		return State{}, err
--- a/internal/connection/upstream/service.go
+++ b/internal/connection/upstream/service.go
@@ -126,10 +126,6 @@
 		return ServiceResponse{}, err
 	}
 	conn, reused := tracker.connection()
-	if resp.StatusCode == http.StatusSwitchingProtocols {
-		resp.Body.Close()
-		return ServiceResponse{}, brokenError(op, call.Address, errors.New("protocol switches are not passed on"))
-	}
 	dropHopByHop(resp.Header)
 	body := &serviceBody{ReadCloser: resp.Body, ctx: ctx, address: call.Address}
 	return ServiceResponse{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, Framing: framingOf(resp), Reused: reused, Body: body, conn: conn}, nil
--- a/internal/process/gateway/waysout_test.go
+++ b/internal/process/gateway/waysout_test.go
@@ -36,6 +36,10 @@
 	endWithoutFinal    wayOut = "no final message" // of an engine: the response ends in order without the last message; of a plain service: the connection is closed in the middle of the body
 )
 
+// malformedStatus is a response to a plain service's call whose status is none of HTTP. It isn't among waysOut, as none of it
+// reaches the caller.
+const malformedStatus wayOut = "malformed status"
+
 // waysOut lists all ways out.
 var waysOut = []wayOut{endWhole, endServerError, endRefused, resetBeforeHeaders, resetAfterHeaders, resetInBody, endWithoutFinal}
 
@@ -96,6 +100,8 @@
 		return
 	case endServerError:
 		status = "500 Internal Server Error"
+	case malformedStatus:
+		status = "000 Trouble"
 	}
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nConnection: close\r\n%s\r\n", status, s.framingHeader(len(body)))
 	switch s.way {
@@ -277,6 +283,41 @@
 // has to end with a reset.
 func TestServiceWaysOutForHTTP10(t *testing.T) { runServiceWaysOut(t, "HTTP/1.0") }
 
+// TestMalformedResponseOfServiceIsNoAnswer guards against a response with a malformed head that is passed on, or whose
+// caller gets no answer: an idempotent call is served by another upstream, and without one its caller gets an error.
+func TestMalformedResponseOfServiceIsNoAnswer(t *testing.T) {
+	f := newFleet(t, runner.Config{Name: "r1"})
+	s := f.settings("gw-1")
+	s.Limits.RetryShare = 1
+	g := f.start(s)
+	for _, way := range []wayOut{malformedStatus} {
+		for _, beside := range []wayOut{endWhole, way} {
+			name := strings.ReplaceAll(fmt.Sprintf("%s-%s", way, beside), " ", "-")
+			received, relayed := make(chan string, 4), make(chan struct{})
+			faulty := &scriptedService{name: name + "-0", way: way, framing: upstream.FramedByLength, received: received, relayed: relayed}
+			other := &scriptedService{name: name + "-1", way: beside, framing: upstream.FramedByLength, received: received, relayed: relayed}
+			f.addScriptedService(name, faulty, other)
+			g.eventually("the route is in force", func() bool { _, ok := g.snapshot().Routes[name]; return ok })
+			t.Run(name, func(t *testing.T) {
+				for asked := false; !asked; {
+					got := g.callService("/"+name, "HTTP/1.1", make(chan struct{}))
+					for len(received) > 0 {
+						asked = <-received == faulty.name || asked
+					}
+					switch {
+					case !got.looksComplete:
+						t.Errorf("the caller got no answer: %+v", got)
+					case beside == endWhole && (got.status != http.StatusOK || got.body != other.body()):
+						t.Errorf("status %d, %.80q; want the answer of the sound upstream", got.status, got.body)
+					case beside == way && (got.status < http.StatusInternalServerError || !strings.Contains(got.body, `"error"`)):
+						t.Errorf("status %d, %.80q; want an error", got.status, got.body)
+					}
+				}
+			})
+		}
+	}
+}
+
 // engineScript ends the responses of engines to the sends and resumes of each prompt, in their order.
 type engineScript struct {
 	mu      sync.Mutex
