Platform client: a response whose status is none of HTTP is a lost answer

What users saw: nothing reported; found where answers are read. The client of ragwort-gateway and ragwort-controller took a response with status 000 and JSON in its body for a success: an object that wasn't read, a write or delete that seemed to have taken effect. A 600 with an error code in its body was believed, so that a write seemed to have had no effect.

Cause: only statuses of 400 and more were looked at, and net/http reads any number of three characters.

Change: the client checks heads as package upstream does. A malformed one is a lost answer: a read returns ErrUnavailable, a write ErrOutcomeUnknown, which callers resolve by reading again. The connection isn't kept.

Evidence: TestMalformedHeadIsLostAnswer failed for each of six calls and both statuses (no error, or a conflict), and passes. The client of the prepared platform reads through upstream.Exchange, which checks already.

--- a/internal/connection/platform/client.go
+++ b/internal/connection/platform/client.go
@@ -20,6 +20,8 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/time/rate"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/httphead"
 )
 
 // Defaults of ClientConfig.
@@ -258,7 +260,7 @@
 	return nil
 }
 
-// send sends a request and returns the response. If that fails before a connection was
+// send sends a request and returns the response, whose head is well-formed. If that fails before a connection was
 // made, the error matches ErrUnavailable; if it fails later, the error is that of a lost
 // answer (see lostAnswerError).
 func (c *Client) send(ctx context.Context, r request) (*http.Response, error) {
@@ -278,7 +280,11 @@
 	c.calls.Add(1)
 	res, err := c.http.Do(req)
 	if err == nil {
-		return res, nil
+		if err = httphead.Check(res); err == nil {
+			return res, nil
+		}
+		_ = res.Body.Close() // nothing of it is used
+		c.http.CloseIdleConnections()
 	}
 	if !connected.Load() {
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
