ragwortctl: a response whose status is none of HTTP isn't a daemon's

What operators saw: nothing reported; found where answers are read. ragwortctl printed what a response with status 000 said as the state of a daemon, with exit code 0.

Cause: only statuses of 400 and more were looked at.

Change: the client of the operators' ports checks heads as the other clients do.

Evidence: TestMalformedResponseOfDaemonIsNone failed for status 000 (exit code 0, "g1" listed) and passes: exit code 6, "no daemon answers".

--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -193,6 +196,25 @@
 	d.requireResult(r, errkind.ExitUnavailable, "c1", "no daemon answers")
 }
 
+// TestMalformedResponseOfDaemonIsNone guards against a response that is none in HTTP and that is taken for a daemon's.
+func TestMalformedResponseOfDaemonIsNone(t *testing.T) {
+	for _, status := range []string{"000 Trouble", "600 Trouble"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+status+"\r\nConnection: close\r\n\r\n"+`[{"name":"g1","kind":"not_found","message":"bad"}]`)
+		}))
+		d := newDeployment(t)
+		r := runCommand(t, "", "status", "--platform", d.url, "--operators", server.URL)
+		d.requireResult(r, errkind.ExitUnavailable, "no daemon answers", "malformed response")
+		server.Close()
+	}
+}
+
 func TestAuditFilters(t *testing.T) {
 	d := newDeployment(t)
 	trail := audit.NewTrail(audit.Config{Store: d.store, Writer: "c1"})
--- a/internal/command/operators.go
+++ b/internal/command/operators.go
@@ -14,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/httphead"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/ops"
 )
@@ -93,6 +94,9 @@
 		return errkind.Wrap(err, errkind.PlatformUnavailable, errkind.NotRun, "operators' port does not answer")
 	}
 	defer res.Body.Close()
+	if err := httphead.Check(res); err != nil {
+		return errkind.Wrap(err, errkind.PlatformUnavailable, errkind.NotRun, address)
+	}
 	body := io.LimitReader(res.Body, maxResponseBytes)
 	if res.StatusCode >= http.StatusBadRequest {
 		return responseError(address, res.Status, body)
