Responses: a field whose name has a blank makes a response none

What callers saw: an upstream's response had a field name with a blank, before the colon or inside. The caller got it as an answer, without that field. With "Transfer-Encoding : chunked" the body was passed on with the lines of its chunks, with "Content-Length : 3" with whatever came until the connection ended; where it didn't end, the caller was held for the 20 s of its deadline. "Not run" beside such a field was believed. The client of the object API took such responses for the platform's.

Names with a tab or another control byte, a byte over 127, no name, no colon and control bytes in values were handled before: net/http returns an error. Their cases stay in the tests.

Nobody checked names afterwards.

Change: package httphead checks the names of the head. The same check holds for the heads of responses before the final one and for trailers: reading a body to its end returns an error if its trailer is malformed.

--- a/internal/connection/httphead/httphead.go
+++ b/internal/connection/httphead/httphead.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // The statuses of final responses (RFC 9110, section 15).
@@ -20,5 +21,16 @@
 	if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 		return errors.Errorf("malformed response: status %q, want %d to %d", resp.Status, minStatus, maxStatus)
 	}
+	return CheckFields(resp.Header)
+}
+
+// CheckFields returns an error if a header or trailer section has a field whose name is malformed, such as one with a
+// blank: net/http doesn't know such a field as the one that it seems to be, for example as the length of the body.
+func CheckFields(h http.Header) error {
+	for name := range h {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Errorf("malformed response: field name %q", name)
+		}
+	}
 	return nil
 }
--- a/internal/connection/httphead/httphead_test.go
+++ b/internal/connection/httphead/httphead_test.go
@@ -24,6 +24,10 @@
 		{"199", "HTTP/1.1 199 Interim", false},
 		{"600", "HTTP/1.1 600 Trouble", false},
 		{"999", "HTTP/1.1 999 Trouble", false},
+		{"names of tokens", "HTTP/1.1 200 OK\r\nX-Odd!#$%&'*+.^_`|~1: 1", true},
+		{"a folded value", "HTTP/1.1 200 OK\r\nX-Odd: 1\r\n 2", true},
+		{"a blank before the colon", "HTTP/1.1 200 OK\r\nX-Odd : 1", false},
+		{"a blank inside a name", "HTTP/1.1 200 OK\r\nX Odd: 1", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(c.head+"\r\nContent-Length: 0\r\n\r\n")), nil)
--- a/internal/connection/platform/malformedhead_test.go
+++ b/internal/connection/platform/malformedhead_test.go
@@ -34,6 +34,7 @@
 	for name, head := range map[string]string{
 		"status 000": "HTTP/1.1 000 Trouble\r\n",
 		"status 600": "HTTP/1.1 600 Trouble\r\n",
+		"field name": "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := httptest.NewServer(respondRaw(t, head+"Connection: close\r\n\r\n"+object))
--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -68,9 +68,9 @@
 			t.mu.Unlock()
 		},
 		GotFirstResponseByte: t.headBegun,
-		Got1xxResponse: func(int, textproto.MIMEHeader) error {
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
 			t.headEnded() // the final response may take any time
-			return nil
+			return httphead.CheckFields(http.Header(h))
 		},
 	})
 }
@@ -140,6 +140,7 @@
 	late := tracker.headEnded()
 	if err == nil {
 		if err = httphead.Check(resp); err == nil {
+			resp.Body = withTrailerCheck(resp)
 			return resp, nil
 		}
 		tracker.closeConnection()
@@ -158,6 +159,31 @@
 	return nil, &CallError{Op: op, Address: address, sentinels: []error{sentinel}, cause: err}
 }
 
+// trailedBody is a response body that is whole only if its trailer is well-formed.
+type trailedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// withTrailerCheck returns the body of a response, whose reads check its trailer at the end.
+func withTrailerCheck(resp *http.Response) io.ReadCloser {
+	if resp.Body == http.NoBody {
+		return resp.Body // others recognize it
+	}
+	return &trailedBody{ReadCloser: resp.Body, resp: resp}
+}
+
+// Read implements io.Reader.
+func (b *trailedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		if malformed := httphead.CheckFields(b.resp.Trailer); malformed != nil {
+			err = malformed
+		}
+	}
+	return n, err
+}
+
 // NewRequest returns a request that http.Transport sends at most once, with body
 // encoded as JSON. If body is nil, the request has an empty body.
 func NewRequest(ctx context.Context, method, url string, body any) (*http.Request, error) {
--- a/internal/connection/upstream/malformedhead_test.go
+++ b/internal/connection/upstream/malformedhead_test.go
@@ -80,3 +80,45 @@
 		t.Run(status, func(t *testing.T) { checkHeadIsBroken(t, status, "") })
 	}
 }
+
+// TestMalformedFieldNameIsBroken guards against responses with a field whose name has a blank, which net/http reads without
+// an error, but not as the field that it seems to be.
+func TestMalformedFieldNameIsBroken(t *testing.T) {
+	for _, line := range []string{"X-Odd : 1", "X Odd: 1", "Content-Length : 3", "Transfer-Encoding : chunked"} {
+		t.Run(line, func(t *testing.T) { checkHeadIsBroken(t, "200 OK", line+"\r\n") })
+	}
+}
+
+// TestMalformedTrailerIsBroken guards against a body whose trailer has a field with a malformed name: it isn't whole.
+func TestMalformedTrailerIsBroken(t *testing.T) {
+	for trailer, wellFormed := range map[string]bool{"": true, "X-Sum: 1\r\n": true, "X-Odd : 1\r\n": false, "X Odd: 1\r\n": false, "X-O\x01dd: 1\r\n": false} {
+		t.Run(trailer, func(t *testing.T) {
+			url := serveRaw(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"+trailer+"\r\n")
+			a, err := newServices(t).Forward(testContext(t), ServiceCall{Address: url, Method: http.MethodGet, Path: "/"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer a.Body.Close()
+			body, err := io.ReadAll(a.Body)
+			if string(body) != "body" || (err == nil) != wellFormed || (err != nil && !isBroken(err)) {
+				t.Errorf("body %q, error %v, want whole %t", body, err, wellFormed)
+			}
+		})
+	}
+}
+
+// TestMalformedInterimHeadIsBroken guards against a malformed head of a response that comes before the final one.
+func TestMalformedInterimHeadIsBroken(t *testing.T) {
+	for line, wellFormed := range map[string]bool{"Link: </x>": true, "X-Odd : 1": false, "X Odd: 1": false} {
+		t.Run(line, func(t *testing.T) {
+			url := serveRaw(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			a, err := newServices(t).Forward(testContext(t), ServiceCall{Address: url, Method: http.MethodGet, Path: "/"})
+			if (err == nil) != wellFormed || (err != nil && !isBroken(err)) {
+				t.Errorf("error %v, want a response %t", err, wellFormed)
+			}
+			if err == nil {
+				a.Body.Close()
+			}
+		})
+	}
+}
--- a/internal/process/gateway/waysout_test.go
+++ b/internal/process/gateway/waysout_test.go
@@ -36,9 +36,12 @@
 	endWithoutFinal    wayOut = "no final message" // of an engine: the response ends in order without the last message; of a plain service: the connection is closed in the middle of the body
 )
 
-// malformedStatus is a response to a plain service's call whose status is none of HTTP. It isn't among waysOut, as none of it
-// reaches the caller.
-const malformedStatus wayOut = "malformed status"
+// Further ways out of a plain service: responses with a malformed head. They aren't among waysOut, as nothing of them reaches
+// the caller.
+const (
+	malformedStatus wayOut = "malformed status"     // none of HTTP
+	malformedName   wayOut = "malformed field name" // a blank before the colon
+)
 
 // waysOut lists all ways out.
 var waysOut = []wayOut{endWhole, endServerError, endRefused, resetBeforeHeaders, resetAfterHeaders, resetInBody, endWithoutFinal}
@@ -102,6 +105,8 @@
 		status = "500 Internal Server Error"
 	case malformedStatus:
 		status = "000 Trouble"
+	case malformedName:
+		status = "200 OK\r\nX-Odd : 1"
 	}
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 %s\r\nConnection: close\r\n%s\r\n", status, s.framingHeader(len(body)))
 	switch s.way {
@@ -290,7 +295,7 @@
 	s := f.settings("gw-1")
 	s.Limits.RetryShare = 1
 	g := f.start(s)
-	for _, way := range []wayOut{malformedStatus} {
+	for _, way := range []wayOut{malformedStatus, malformedName} {
 		for _, beside := range []wayOut{endWhole, way} {
 			name := strings.ReplaceAll(fmt.Sprintf("%s-%s", way, beside), " ", "-")
 			received, relayed := make(chan string, 4), make(chan struct{})
