--- a/internal/connection/upstream/conn.go
+++ b/internal/connection/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -21,12 +22,27 @@
 // a sealed connection refuses every further write. With it a caller can prove that no
 // byte of a request was written. An error from http.Transport does not prove this,
 // because the transport's writing goroutine may still write after the error.
+//
+// A read returns io.EOF only if the other side has ended the connection in order, and not
+// before the request is written that was begun (see writeTracker).
 type sealConn struct {
 	net.Conn
-	mu     sync.Mutex
-	writes uint64 // writes begun
-	sealed bool
-	reused bool // the next write begins a request on a reused connection
+	mu      sync.Mutex
+	writes  uint64 // writes begun
+	sealed  bool
+	reused  bool // the next write begins a request on a reused connection
+	writing writeTracker
+}
+
+// Read implements net.Conn.
+func (c *sealConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		if cause := c.writing.await(writeEndTimeout); cause != nil {
+			err = cause
+		}
+	}
+	return n, err
 }
 
 // Write implements net.Conn.
@@ -37,7 +53,16 @@
 	if err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	c.writing.begin()
+	n, err := c.Conn.Write(p)
+	c.writing.end(err)
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *sealConn) Close() error {
+	c.writing.fail(net.ErrClosed)
+	return c.Conn.Close()
 }
 
 // beginWrite counts a write, or returns an error if no write may begin. The caller
--- a/internal/connection/upstream/exchange.go
+++ b/internal/connection/upstream/exchange.go
@@ -62,11 +62,13 @@
 				if info.Reused {
 					c.markReused()
 				}
+				c.writing.begin()
 			}
 			t.mu.Lock()
 			t.uses, t.conn, t.reused = append(t.uses, u), info.Conn, info.Reused
 			t.mu.Unlock()
 		},
+		WroteRequest:         func(info httptrace.WroteRequestInfo) { t.requestWritten(info.Err) },
 		GotFirstResponseByte: t.headBegun,
 		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
 			t.headEnded() // the final response may take any time
@@ -75,6 +77,16 @@
 	})
 }
 
+// requestWritten records that the transport has written the request to its connection, or has failed to. The last bytes of a
+// request may still be in the transport's buffer.
+func (t *sendTracker) requestWritten(err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n := len(t.uses); n > 0 && t.uses[n-1].conn != nil {
+		t.uses[n-1].conn.writing.end(err)
+	}
+}
+
 // headBegun starts the time of the response's head.
 func (t *sendTracker) headBegun() {
 	t.mu.Lock()
