--- a/internal/connection/tunnel/tunnel_test.go
+++ b/internal/connection/tunnel/tunnel_test.go
@@ -50,7 +50,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	conn, err := net.Dial("tcp", target.Address)
+	conn, err := upstream.Connect(req.Context(), target.Address, upstream.HTTPOptions{})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadGateway)
 		return
@@ -249,3 +249,46 @@
 		client.Close()
 	}
 }
+
+// TestResetDuringUploadIsNoOrderlyEnd guards against the part of a response that is taken for the whole: the upstream responds
+// early, with a body that ends with its connection, and resets the connection while the relay still writes the request to it.
+// If the relay's write got the reset, its read got an end of file, which the relay told the other instance as an orderly end.
+func TestResetDuringUploadIsNoOrderlyEnd(t *testing.T) {
+	const (
+		tries    = 60
+		partWait = 20 * time.Millisecond // until the part of the response has been read
+	)
+	var uploads []string // some that the tunnel's buffers hold and the upstream's don't, and some that neither hold
+	for mib := 1; mib <= 12; mib++ {
+		uploads = append(uploads, strings.Repeat("u", mib<<20))
+	}
+	address := startUpstream(t, func(c *net.TCPConn) {
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart")
+		time.Sleep(partWait)
+		_ = c.SetLinger(0)
+	})
+	r, whole := startRelay(t), 0
+	r.served = make(chan error, tries)
+	for i := range tries {
+		resp := forward(t, dial(t, r, address), uploads[i%len(uploads)])
+		if got, err := io.ReadAll(resp.Body); err == nil {
+			whole++
+		} else if string(got) != "part" {
+			t.Errorf("body %q, error %v", got, err)
+		}
+		resp.Body.Close()
+	}
+	orderly := 0
+	for range tries {
+		if <-r.served == nil {
+			orderly++
+		}
+	}
+	if whole+orderly > 0 {
+		t.Errorf("%d of %d responses that were reset seemed whole, %d tunnels ended in order", whole, tries, orderly)
+	}
+}
--- a/internal/connection/upstream/reach.go
+++ b/internal/connection/upstream/reach.go
@@ -8,11 +8,15 @@
 	"github.com/pkg/errors"
 )
 
-// Connect opens a connection to an address (host:port). It uses the options for connections.
+// Connect opens a connection to an address (host:port). It uses the options for connections. A read returns io.EOF only if
+// the other side has ended the connection in order and no write has failed.
 func Connect(ctx context.Context, address string, opts HTTPOptions) (net.Conn, error) {
 	opts = opts.withDefaults()
 	conn, err := newDialer(opts.DialTimeout, opts.UserTimeout, opts.KeepAlive).DialContext(ctx, "tcp", address)
-	return conn, errors.Wrapf(err, "reach %s", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "reach %s", address)
+	}
+	return &sealConn{Conn: conn}, nil
 }
 
 // CheckReachable connects to an address (host:port) and closes the connection. A nil error
