Streams: short events are booked with the memory that they take

What was seen: a faulty upstream sent short events without end. A machine with that limit ends the process, and all requests at it with it.

Cause: events that wait for their callers are bounded by a tenth of the memory, but counted by their bytes. An event of 18 bytes takes some 250 with its record, its place in the slice and its allocations.

Change: each buffered event is booked with 256 bytes more. The bound on one stream stays one of its bytes, so ordinary responses are read as far ahead as before.

--- a/internal/process/entry/readahead.go
+++ b/internal/process/entry/readahead.go
@@ -15,9 +15,12 @@
 	readAheadBytes = 256 << 10
 	// readAheadMemoryShare is the share of the process's allowed memory for the buffers of all streams.
 	readAheadMemoryShare = 0.1
+	// eventOverhead is what a buffered event takes beside its bytes, in bytes: the readEvent, its place in a growing slice
+	// and its allocations. Most of what short events take is overhead.
+	eventOverhead = 256
 )
 
-// memoryBudget limits the bytes that all streams of a process buffer for their callers.
+// memoryBudget limits the memory that all streams of a process take for what they buffer for their callers.
 type memoryBudget struct {
 	limit    int64
 	reserved atomic.Int64
@@ -82,8 +85,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for !a.closed && len(a.events) > 0 {
-		if a.buffered+n <= readAheadBytes && a.budget.reserve(n) {
-			e.reserved = n
+		if a.buffered+n <= readAheadBytes && a.budget.reserve(n+eventOverhead) {
+			e.reserved = n + eventOverhead
 			break
 		}
 		a.changed.Wait()
--- a/internal/process/entry/readahead_test.go
+++ b/internal/process/entry/readahead_test.go
@@ -113,3 +113,23 @@
 	a.close()
 	loops.Wait()
 }
+
+// TestShortEventsAreBookedWithTheirOverhead guards against a process that short events without end use up: each takes many
+// times its bytes, so that a budget of bytes alone allows far more memory than it says.
+func TestShortEventsAreBookedWithTheirOverhead(t *testing.T) {
+	const limit = 64 << 10
+	var loops sync.WaitGroup
+	budget := &memoryBudget{limit: limit}
+	a, _ := startReadAhead(newEventStream(10_000, 1), budget, &loops)
+	eventually(t, "the budget is used up", func() bool { return budget.reserved.Load() > limit-2*eventOverhead })
+	a.mu.Lock()
+	if n := len(a.events); n > limit/eventOverhead+1 {
+		t.Errorf("%d events are buffered, which take more than %d bytes", n, limit)
+	}
+	a.mu.Unlock()
+	a.close()
+	loops.Wait()
+	if n := budget.reserved.Load(); n != 0 {
+		t.Errorf("%d bytes are reserved with no caller left", n)
+	}
+}
