--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -90,6 +90,8 @@
 	cancelWork     context.CancelFunc
 	hardStopCtx    context.Context // canceled when a graceful shutdown takes too long; ends all requests
 	cancelHardStop context.CancelFunc
+	closingCtx     context.Context // canceled when a graceful shutdown reaches stageClosing; no request begins after that
+	cancelClosing  context.CancelFunc
 	goroutines     sync.WaitGroup
 }
 
@@ -124,6 +126,7 @@
 	e.links = newOwnLinks(e.metrics)
 	e.workCtx, e.cancelWork = context.WithCancel(context.Background())
 	e.hardStopCtx, e.cancelHardStop = context.WithCancel(context.Background())
+	e.closingCtx, e.cancelClosing = context.WithCancel(context.Background())
 	e.holds = e.newHolds()
 	e.streamStore = newStreamStore(e)
 	e.originReader.onMissing = e.origins.forget
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -202,10 +202,10 @@
 // that the request was refused or that ctx ended.
 func (q *request) acquirePlace(ctx context.Context, query place.Query) (*heldPlace, *errkind.Error) {
 	now := time.Now()
-	d, held, err := q.findPlace(ctx, query)
+	d, held, err := q.findPlaceInTime(ctx, query)
 	q.placeWait += time.Since(now)
 	if err != nil {
-		return nil, q.contextError(ctx)
+		return nil, err
 	}
 	if d.Refused != "" {
 		q.refusal = &d
@@ -222,6 +222,43 @@
 	return held, nil
 }
 
+// findPlaceInTime is findPlace for a request that may not have begun when a graceful shutdown reaches stageClosing: it is
+// refused then, as a response that begins later might be aborted. The error is that of the shutdown or of ctx.
+func (q *request) findPlaceInTime(ctx context.Context, query place.Query) (place.Decision, *heldPlace, *errkind.Error) {
+	if q.begun() {
+		d, held, err := q.findPlace(ctx, query)
+		return q.unlessEnded(ctx, d, held, err)
+	}
+	if q.e.closingCtx.Err() != nil {
+		return place.Decision{}, nil, drainingRefusal()
+	}
+	findCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(q.e.closingCtx, cancel)()
+	d, held, err := q.findPlace(findCtx, query)
+	if err == nil && held != nil {
+		err = findCtx.Err() // it may have ended just now
+	}
+	return q.unlessEnded(ctx, d, held, err)
+}
+
+// begun reports whether a part of the request may have reached an upstream.
+func (q *request) begun() bool { return q.sends > 0 || q.prefills > 0 }
+
+// unlessEnded returns what findPlace returned, or the final error if a context ended meanwhile. The place is released then.
+func (q *request) unlessEnded(ctx context.Context, d place.Decision, held *heldPlace, err error) (place.Decision, *heldPlace, *errkind.Error) {
+	if err == nil {
+		return d, held, nil
+	}
+	if held != nil {
+		q.e.release(held)
+	}
+	if final := q.contextError(ctx); final != nil {
+		return d, nil, final
+	}
+	return d, nil, drainingRefusal()
+}
+
 // retryAfter returns the Retry-After of a refused request. expected is the time after which a place is
 // likely to be free. If the request has no deadline, or can still meet its objective after that time,
 // retryAfter returns expected. Any other request loses nothing by waiting longer, and is more likely to
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -91,7 +91,7 @@
 	q.held = caller.RequestOf(r.Context())
 	if e.stage.Load() >= stageClosing {
 		// Its response might be too long for the rest of the grace period.
-		return q, errkind.New(errkind.Draining, errkind.NotRun, "this instance stops").WithRetryAfter(defaultRetryAfter)
+		return q, drainingRefusal()
 	}
 	q.config = e.state.config.Load()
 	if q.config == nil {
@@ -115,6 +115,11 @@
 	return q, q.readBody()
 }
 
+// drainingRefusal returns the refusal of a request that would begin too late in a graceful shutdown.
+func drainingRefusal() *errkind.Error {
+	return errkind.New(errkind.Draining, errkind.NotRun, "this instance stops").WithRetryAfter(defaultRetryAfter)
+}
+
 // authenticate finds the caller's client account by the API key of the request. An unknown key is refused
 // even on routes that require no key, as it may have been revoked.
 func (q *request) authenticate() error {
--- a/internal/process/entry/stop.go
+++ b/internal/process/entry/stop.go
@@ -11,7 +11,7 @@
 const (
 	stageServing = int32(iota)
 	stageLeaving // the readiness check fails, and requests are still served
-	stageClosing // the callers' port closes; requests that still arrive are refused, running ones may finish
+	stageClosing // the callers' port closes; requests that have not begun are refused, running ones may finish
 	stageStopped // no request is served any more
 )
 
@@ -53,6 +53,7 @@
 	closeAt, endAt := stopTimes(startedAt, grace)
 	time.Sleep(time.Until(closeAt))
 	e.stage.Store(stageClosing)
+	e.cancelClosing()
 	if err := e.shutdownCallers(endAt); err != nil {
 		logline.Info("bound on stopping reached", "running", e.activeRequests.Count(), "error", err)
 		e.cancelHardStop()
