Test that fails: chunks in a response of HTTP/1.0 are passed on

Found while looking for the cause of broken heads elsewhere: the body begins with "4\r\nbody\r\n0\r\n". Not fixed: nothing that net/http returns tells such a response from one that ends with its connection.

--- a/internal/connection/upstream/malformedhead_test.go
+++ b/internal/connection/upstream/malformedhead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // serveRaw starts a server that reads one whole request of each connection, responds with the same bytes and waits for the
@@ -122,3 +124,18 @@
 		})
 	}
 }
+
+// TestChunksInHTTP10AreBroken guards against a response that says HTTP/1.0 and has chunks, which HTTP/1.0 doesn't have: the
+// lines of its chunks are passed on as a part of the body.
+func TestChunksInHTTP10AreBroken(t *testing.T) {
+	url := serveRaw(t, "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+	ctx, cancel := context.WithTimeout(testContext(t), time.Second)
+	defer cancel()
+	a, err := newServices(t).Forward(ctx, ServiceCall{Address: url, Method: http.MethodGet, Path: "/"})
+	if err == nil {
+		part := make([]byte, 64)
+		n, _ := a.Body.Read(part)
+		a.Body.Close()
+		t.Errorf("body begins with %q, want ErrBroken", part[:n])
+	}
+}
