--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -242,8 +242,8 @@
 	return q.unlessEnded(ctx, d, held, err)
 }
 
-// begun reports whether a part of the request may have reached an upstream.
-func (q *request) begun() bool { return q.sends > 0 || q.prefills > 0 }
+// begun reports whether an upstream may have run the request or prefilled its prompt. Upstreams that refused it didn't.
+func (q *request) begun() bool { return q.runState != errkind.NotRun || q.prefills > 0 }
 
 // unlessEnded returns what findPlace returned, or the final error if a context ended meanwhile. The place is released then.
 func (q *request) unlessEnded(ctx context.Context, d place.Decision, held *heldPlace, err error) (place.Decision, *heldPlace, *errkind.Error) {
