--- a/internal/connection/upstream/earlyresponse_test.go
+++ b/internal/connection/upstream/earlyresponse_test.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 )
@@ -26,31 +25,15 @@
 // connection with end. It returns the server's URL.
 func serveEarly(t *testing.T, response string, end func(c *net.TCPConn, unread *bufio.Reader)) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var conns sync.WaitGroup
-	t.Cleanup(func() { l.Close(); conns.Wait() })
-	conns.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			conns.Go(func() {
-				defer c.Close()
-				unread := bufio.NewReader(c)
-				if _, err := http.ReadRequest(unread); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, response)
-				time.Sleep(partWait)
-				end(c.(*net.TCPConn), unread)
-			})
+	return serveConns(t, func(c net.Conn) {
+		unread := bufio.NewReader(c)
+		if _, err := http.ReadRequest(unread); err != nil {
+			return
 		}
+		_, _ = io.WriteString(c, response)
+		time.Sleep(partWait)
+		end(c.(*net.TCPConn), unread)
 	})
-	return "http://" + l.Addr().String()
 }
 
 // withoutLength is the head of a response whose body ends with its connection.
--- a/internal/connection/upstream/malformedhead_test.go
+++ b/internal/connection/upstream/malformedhead_test.go
@@ -13,9 +13,9 @@
 	"time"
 )
 
-// serveRaw starts a server that reads one whole request of each connection, responds with the same bytes and waits for the
-// other side to close. It returns the server's URL, and waits for all connections to be closed at the end of the test.
-func serveRaw(t *testing.T, response string) string {
+// serveConns starts a server that handles each connection with f and then closes it. It returns the server's URL, and waits
+// for all connections at the end of the test.
+func serveConns(t *testing.T, f func(c net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -31,19 +31,28 @@
 			}
 			conns.Go(func() {
 				defer c.Close()
-				q, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, q.Body)
-				_, _ = io.WriteString(c, response)
-				_, _ = io.Copy(io.Discard, c)
+				f(c)
 			})
 		}
 	})
 	return "http://" + l.Addr().String()
 }
 
+// serveRaw starts a server that reads one whole request of each connection, responds with the same bytes and waits for the
+// other side to close. It returns the server's URL.
+func serveRaw(t *testing.T, response string) string {
+	t.Helper()
+	return serveConns(t, func(c net.Conn) {
+		q, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, q.Body)
+		_, _ = io.WriteString(c, response)
+		_, _ = io.Copy(io.Discard, c)
+	})
+}
+
 // checkHeadIsBroken checks that each kind of call to a server whose responses have the given first line and further lines of
 // the head is broken, whatever the body says.
 func checkHeadIsBroken(t *testing.T, firstLine, lines string) {
