--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -196,7 +196,7 @@
 	d.requireResult(r, errkind.ExitUnavailable, "c1", "no daemon answers")
 }
 
-// TestMalformedResponseOfDaemonIsNone guards against a response that is none in HTTP and that is taken for a daemon's.
+// TestMalformedResponseOfDaemonIsNone guards against a response with a malformed head that is taken for a daemon's.
 func TestMalformedResponseOfDaemonIsNone(t *testing.T) {
 	for _, status := range []string{"000 Trouble", "600 Trouble"} {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/connection/platform/malformedhead_test.go
+++ b/internal/connection/platform/malformedhead_test.go
@@ -27,7 +27,7 @@
 	}
 }
 
-// TestMalformedHeadIsLostAnswer guards against a response that is none in HTTP and that was taken for the platform's: a write
+// TestMalformedHeadIsLostAnswer guards against a response with a malformed head that was taken for the platform's: a write
 // seemed to have taken effect, or not.
 func TestMalformedHeadIsLostAnswer(t *testing.T) {
 	const object = `{"kind":"Route","name":"a","version":4,"code":"conflict"}`
--- a/internal/connection/upstream/conn.go
+++ b/internal/connection/upstream/conn.go
@@ -23,8 +23,8 @@
 // byte of a request was written. An error from http.Transport does not prove this,
 // because the transport's writing goroutine may still write after the error.
 //
-// A read returns io.EOF only if the other side has ended the connection in order, and not
-// before the request is written that was begun (see writeTracker).
+// A read returns io.EOF only if the other side has ended the connection in order and the
+// whole request is written (see writeTracker).
 type sealConn struct {
 	net.Conn
 	mu      sync.Mutex
--- a/internal/connection/upstream/malformedhead_test.go
+++ b/internal/connection/upstream/malformedhead_test.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// TestMalformedStatusIsBroken guards against responses whose status is none of HTTP: a refusal in such a response was
+// TestMalformedStatusIsBroken guards against responses whose status HTTP doesn't have: a refusal in such a response was
 // believed, and others were passed on.
 func TestMalformedStatusIsBroken(t *testing.T) {
 	for _, status := range []string{"000 Trouble", "000", "099 Trouble", "+20 OK", "101 Switching Protocols", "600 Trouble", "999 Trouble"} {
--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -202,7 +202,7 @@
 // that the request was refused or that ctx ended.
 func (q *request) acquirePlace(ctx context.Context, query place.Query) (*heldPlace, *errkind.Error) {
 	now := time.Now()
-	d, held, err := q.findPlaceInTime(ctx, query)
+	d, held, err := q.findPlaceUntilClosing(ctx, query)
 	q.placeWait += time.Since(now)
 	if err != nil {
 		return nil, err
@@ -222,12 +222,12 @@
 	return held, nil
 }
 
-// findPlaceInTime is findPlace for a request that may not have begun when a graceful shutdown reaches stageClosing: it is
-// refused then, as a response that begins later might be aborted. The error is that of the shutdown or of ctx.
-func (q *request) findPlaceInTime(ctx context.Context, query place.Query) (place.Decision, *heldPlace, *errkind.Error) {
+// findPlaceUntilClosing is findPlace, but refuses a request that hasn't begun when a graceful shutdown reaches stageClosing:
+// a response that begins later might be aborted. The error is that of the shutdown or of ctx.
+func (q *request) findPlaceUntilClosing(ctx context.Context, query place.Query) (place.Decision, *heldPlace, *errkind.Error) {
 	if q.begun() {
 		d, held, err := q.findPlace(ctx, query)
-		return q.unlessEnded(ctx, d, held, err)
+		return q.placeOrError(ctx, d, held, err)
 	}
 	if q.e.closingCtx.Err() != nil {
 		return place.Decision{}, nil, drainingRefusal()
@@ -239,14 +239,15 @@
 	if err == nil && held != nil {
 		err = findCtx.Err() // it may have ended just now
 	}
-	return q.unlessEnded(ctx, d, held, err)
+	return q.placeOrError(ctx, d, held, err)
 }
 
 // begun reports whether an upstream may have run the request or prefilled its prompt. Upstreams that refused it didn't.
 func (q *request) begun() bool { return q.runState != errkind.NotRun || q.prefills > 0 }
 
-// unlessEnded returns what findPlace returned, or the final error if a context ended meanwhile. The place is released then.
-func (q *request) unlessEnded(ctx context.Context, d place.Decision, held *heldPlace, err error) (place.Decision, *heldPlace, *errkind.Error) {
+// placeOrError returns what findPlace returned, with the final error in place of err, the error of a context. It releases a
+// place that came with an error.
+func (q *request) placeOrError(ctx context.Context, d place.Decision, held *heldPlace, err error) (place.Decision, *heldPlace, *errkind.Error) {
 	if err == nil {
 		return d, held, nil
 	}
--- a/internal/process/gateway/waysout_test.go
+++ b/internal/process/gateway/waysout_test.go
@@ -39,7 +39,7 @@
 // Further ways out of a plain service: responses with a malformed head. They aren't among waysOut, as nothing of them reaches
 // the caller.
 const (
-	malformedStatus wayOut = "malformed status"     // none of HTTP
+	malformedStatus wayOut = "malformed status"     // outside of 200 to 599
 	malformedName   wayOut = "malformed field name" // a blank before the colon
 )
 
