--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -236,8 +236,8 @@
 	defer cancel()
 	defer context.AfterFunc(q.e.closingCtx, cancel)()
 	d, held, err := q.findPlace(findCtx, query)
-	if err == nil && held != nil {
-		err = findCtx.Err() // it may have ended just now
+	if err == nil && held != nil && ctx.Err() == nil {
+		err = findCtx.Err() // the port may have closed just now
 	}
 	return q.placeOrError(ctx, d, held, err)
 }
@@ -252,6 +252,7 @@
 		return d, held, nil
 	}
 	if held != nil {
+		q.e.recordEvents(held, place.Event{Kind: place.Abandoned})
 		q.e.release(held)
 	}
 	if final := q.contextError(ctx); final != nil {
