--- a/internal/process/entry/response.go
+++ b/internal/process/entry/response.go
@@ -29,6 +29,9 @@
 	unbookedBytes = 4 << 10
 	// maxEventBytes limits one event of a stream.
 	maxEventBytes = 256 << 10
+	// maxLeadingCommentBytes limits the comments of a stream that are held until its first event. They aren't booked, and few
+	// are needed to keep a connection open.
+	maxLeadingCommentBytes = 16 << 10
 	// copyBufferBytes is the buffer size for copying responses above maxBufferedBytes.
 	copyBufferBytes = 32 << 10
 	// shortBodyTime limits reading a body that comes with its headers, as that of a server error does.
@@ -414,7 +417,7 @@
 		err := r.writeEvent(raw)
 		return writeFailedOutcome(err), err == nil
 	}
-	if len(r.comments)+len(raw) > maxEventBytes {
+	if len(r.comments)+len(raw) > maxLeadingCommentBytes {
 		return incompleteOutcome(eventstream.ErrTooLong), false
 	}
 	r.comments = append(r.comments, raw...)
