A single cut watch isn't an outage of the platform

Cause: followFeed told fleet.Core of an outage after each failed call. A watch that the platform cuts off while it waits is such a call, so the removal that came with the next watch was taken for an entry that lapsed in an outage, and was kept for RestoreGrace, 2.2 s. The pauses between calls grew in the same way while watches were cut off in turn, which delayed configurations.

Change: package entry decides a feed's calls in feedCalls, a pure core. A failed call is repeated once, a watch then without waiting; only if that fails too, or the probe does, the platform is lost. Why it works: the repeated watch can't be cut off while it waits, and its answer is as strong a proof as any.

--- a/internal/process/entry/crashes.go
+++ b/internal/process/entry/crashes.go
@@ -216,7 +216,7 @@
 		}
 		return revision, len(events), nil
 	}
-	e.followFeed(ctx, feed{name: "platform holds", list: list, watch: watch, onFailure: func() {}})
+	e.followFeed(ctx, feed{name: "platform holds", list: list, watch: watch, onLost: func() {}})
 }
 
 // removesExpiredHolds reports whether this instance is the one that removes expired holds from the
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -171,55 +171,58 @@
 // apply what they read. list returns the revision to watch from; watch returns the revision to continue
 // from and the number of changes.
 type feed struct {
-	name      string
-	list      func(ctx context.Context) (uint64, error)
-	watch     func(ctx context.Context, from uint64, wait time.Duration) (next uint64, changes int, err error)
-	onFailure func() // called after each failed call
+	name   string
+	list   func(ctx context.Context) (uint64, error)
+	watch  func(ctx context.Context, from uint64, wait time.Duration) (next uint64, changes int, err error)
+	onLost func() // called after each failed call by which the platform counts as lost, see feedCalls
 }
 
 // followFeed follows a feed until ctx ends: it lists once and then watches. It lists again if the
 // platform no longer has the history since the last revision. It repeats failed calls after a pause.
 func (e *Entry) followFeed(ctx context.Context, f feed) {
 	d := &dependency{name: f.name}
-	revision, listed := uint64(0), false
-	pause, wait := minRetryPause, watchTimeout
-	batcher, failed := changeBatcher{seriesDelay: e.seriesDelay()}, false
+	revision, calls := uint64(0), feedCalls{}
+	batcher := changeBatcher{seriesDelay: e.seriesDelay()}
 	for ctx.Err() == nil {
 		callCtx, release := e.callContext(ctx)
-		next, changes, err := f.step(callCtx, revision, listed, wait)
+		next, changes, err := f.step(callCtx, revision, calls.listed, calls.wait())
 		e.state.stallCount() // cancels callCtx after a stall: a timeout that passed meanwhile says nothing
 		switch {
-		case err != nil:
-			wait, failed = watchTimeoutAfterFailure, true
-		case listed || !failed: // a list doesn't end the time after a failure, the next watch does
-			wait, failed = watchTimeout, false
-		}
-		switch {
 		case ctx.Err() != nil:
 			release()
 			return
 		case err == nil:
 			d.recordSuccess()
 			changed := next != revision
-			revision, listed, pause = next, true, minRetryPause
+			revision = next
+			calls.answered()
 			if changed {
 				_ = platform.Sleep(callCtx, batcher.delay(time.Now(), changes)) // returns early when the platform is back, or after a stall
 			}
 		case callCtx.Err() != nil:
-			pause = minRetryPause // the call was canceled as the platform is back: call again at once
+			calls.canceled() // the platform is back: call again at once
 		case errors.Is(err, platform.ErrHistoryGone):
 			logline.Info("history gone", "dependency", f.name, "revision", revision)
-			listed = false
+			calls.historyGone()
 		default:
-			d.recordFailure(err)
-			f.onFailure()
-			_ = platform.Sleep(callCtx, addJitter(pause)) // returns early when the platform is back
-			pause = min(retryPauseGrowth*pause, maxRetryPause)
+			_ = platform.Sleep(callCtx, addJitter(f.handleFailure(d, &calls, err))) // returns early when the platform is back
 		}
 		release()
 	}
 }
 
+// handleFailure records a failed call and returns the pause before the next one, without jitter.
+func (f feed) handleFailure(d *dependency, calls *feedCalls, err error) time.Duration {
+	pause, lost := calls.failed()
+	if !lost {
+		logline.Info("call is repeated", "dependency", f.name, "listed", calls.listed, "error", err)
+		return pause
+	}
+	d.recordFailure(err)
+	f.onLost()
+	return pause
+}
+
 // callContext returns the context for one call that lists or watches the objects of a feed. The context
 // ends when ctx ends. It also ends when the platform is back after an outage, because a call that was
 // made during the outage may never be answered; followFeed then calls again. release frees the resources
@@ -316,7 +319,7 @@
 		return revision, len(changes), nil
 	}
 	lost := func() { e.updateFleet(func(_ time.Time, f *fleet.Core) { f.PlatformLost() }) }
-	e.followFeed(ctx, feed{name: "platform upstreams", list: list, watch: watch, onFailure: lost})
+	e.followFeed(ctx, feed{name: "platform upstreams", list: list, watch: watch, onLost: lost})
 }
 
 // updateFleet applies a change to the list of upstreams, then checks the upstreams with broken sends.
@@ -367,7 +370,7 @@
 		e.installConfig(c, revision)
 		return revision, 1, nil
 	}
-	e.followFeed(ctx, feed{name: "platform configuration", list: list, watch: watch, onFailure: func() {}})
+	e.followFeed(ctx, feed{name: "platform configuration", list: list, watch: watch, onLost: func() {}})
 }
 
 // skipInvalidConfig returns nil for the error of a version of the configuration that can't be read, so
--- a/internal/process/entry/feeds_test.go
+++ b/internal/process/entry/feeds_test.go
@@ -247,7 +247,7 @@
 		}
 		list := func(context.Context) (uint64, error) { return 0, nil }
 		e := newTestEntry(nil, nil)
-		e.spawn(func() { e.followFeed(ctx, feed{name: "test", list: list, watch: watch, onFailure: func() {}}) })
+		e.spawn(func() { e.followFeed(ctx, feed{name: "test", list: list, watch: watch, onLost: func() {}}) })
 		<-allKnown
 		elapsed, callCount := time.Since(start), calls.Load()
 		t.Logf("all known after %v and %d calls", elapsed, callCount)
@@ -278,7 +278,7 @@
 				<-ctx.Done()
 				return from, 0, ctx.Err()
 			}
-			go e.followFeed(ctx, feed{name: "test", list: p.list, watch: watch, onFailure: func() {}})
+			go e.followFeed(ctx, feed{name: "test", list: p.list, watch: watch, onLost: func() {}})
 		}
 		watching.Wait()
 		t.Logf("all watch after %v", time.Since(start))
