Streams are announced to the store before their first event

Cause: where a stream began was known to memory only in its first 0.5 to 1.6 s: rows were handed over half a second after the first event, and written a second or more after the last write. The first event reached the caller long before the fact that a resumption needs was kept.

Writes are paced by a share of what the store accepts (new setting storeLimits.writesPerSecond, from the platform), not by a fixed second. A request that is sent elsewhere after its row was handed over tells the store first, or stays with the announced version, so that no stream goes on at a version that brought no event of it.

TestRunWritesDueRowsAndEndsWithProcess checks the same bound of a write a second: its store now takes 20 writes a second, of which that is the share.

--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -54,6 +54,7 @@
 	q.e.state.countRequest(boottime.Now(), q.service)
 	defer func() { q.keptKV.release(q.e) }() // no engine will fetch the KV cache any more
 	defer q.returnRetries()
+	defer q.withdrawOrigin()
 	q.response.core.ResumeAfter(q.info.LastEvent)
 	if q.continuesStream() {
 		if refusal := q.resolveOrigin(ctx); refusal != nil {
@@ -129,6 +130,13 @@
 		return held, q.runAtPlace(ctx, held), nil
 	}
 	defer func() { e.release(reserved) }()
+	if err := q.announceOrigin(ctx, reserved); err != nil {
+		if held != nil {
+			e.recordEvents(held, place.Event{Kind: place.Abandoned})
+			e.release(held)
+		}
+		return reserved, sendOutcome{runState: errkind.NotRun, err: err}, nil
+	}
 	prefill := q.runPrefill(ctx, held, refusal)
 	if prefill.refusal != nil {
 		return reserved, sendOutcome{}, prefill.refusal
@@ -317,6 +325,10 @@
 		e.recordEvents(held, place.Event{Kind: place.Abandoned})
 		return sendOutcome{runState: errkind.NotRun, err: errWorkHeld}
 	}
+	if err := q.announceOrigin(ctx, held); err != nil {
+		e.recordEvents(held, place.Event{Kind: place.Abandoned})
+		return sendOutcome{runState: errkind.NotRun, err: err}
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel() // makes the upstream stop if it still works on a response that was abandoned
 	q.lastUpstream = u.ID
--- a/internal/process/entry/request.go
+++ b/internal/process/entry/request.go
@@ -77,6 +77,7 @@
 	placeWait        time.Duration       // total wait for places
 	resumption       *resumption         // what was found out about the stream that the caller resumes; nil: it resumes none
 	origin           *streams.Origin     // where the stream began that the request continues from now on; nil: none yet
+	announced        *streams.Origin     // the origin that was announced last, see announceOrigin; nil: none
 	reservedFor      time.Duration       // how long a place for the decode was reserved during the prefill
 	prefillTime      time.Duration       // duration of separate prefills, without waits for places
 	firstEventAfter  time.Duration       // from arrived to the first event of the response
--- a/internal/process/entry/streamexchange.go
+++ b/internal/process/entry/streamexchange.go
@@ -141,6 +141,16 @@
 	return s.core.StreamWriter()
 }
 
+// zoneCount returns the number of availability zones with instances that this one knows.
+func (s *peerExchange) zoneCount() int {
+	if s == nil {
+		return 1
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.core.ZoneCount()
+}
+
 // sendDurable hands rows over to the instance that keeps them in the platform's store, and names those that ended.
 func (s *peerExchange) sendDurable(to string, rows []streams.Row, ended []streams.Key) {
 	now := time.Now()
--- a/internal/process/entry/streamorigins.go
+++ b/internal/process/entry/streamorigins.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/origins"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
@@ -247,15 +250,58 @@
 	if key == 0 {
 		return
 	}
+	inDoubt := !q.soleOrigin(held)
+	q.e.streams.with(func(now time.Time, core *streams.Core) { core.Began(now, key, *q.origin, q.rowLife(), inDoubt) })
+	if inDoubt {
+		q.e.peers.scheduleStreamRows()
+		q.e.streamStore.wakeUp()
+	}
+}
+
+// rowLife returns how long the row of the request's stream is to be kept.
+func (q *request) rowLife() time.Duration {
 	wait := q.info.TimeLeft
 	if wait == 0 {
 		wait = undeclaredWait
 	}
-	life := wait - time.Since(q.arrived) + resumeGrace
-	inDoubt := !q.soleOrigin(held)
-	q.e.streams.with(func(now time.Time, core *streams.Core) { core.Began(now, key, *q.origin, life, inDoubt) })
-	if inDoubt {
-		q.e.peers.scheduleStreamRows()
+	return wait - time.Since(q.arrived) + resumeGrace
+}
+
+// errOriginNotStored: the platform's store may say that the stream began elsewhere, and couldn't be told otherwise.
+var errOriginNotStored = errors.New("the platform's store couldn't be told that the stream may begin at another version of software")
+
+// announceOrigin announces the origin that a new stream will have if the upstream of a place answers, so that its row can
+// be in the platform's store when the first event comes. That isn't waited for. Only if another origin was announced before,
+// by an earlier send, the store has to be told first; if that fails, the request is restricted to the origin that was
+// announced last.
+func (q *request) announceOrigin(ctx context.Context, held *heldPlace) error {
+	key := q.streamKey()
+	if !q.route.Resumable || q.origin != nil || key == 0 || q.announced == nil && q.soleOrigin(held) {
+		return nil
+	}
+	origin := streams.Origin{Service: q.service, Software: held.upstream().Software}
+	var needed streams.Row
+	var isNeeded bool
+	q.e.streams.with(func(now time.Time, core *streams.Core) {
+		needed, isNeeded = core.Announce(now, key, origin, q.rowLife(), q.queueID)
+	})
+	q.e.streamStore.wakeUp()
+	if isNeeded {
+		if err := q.e.streamStore.storeRow(ctx, needed); err != nil {
+			logline.Info("origin of a stream not stored", "request", q.info.ID, "software", origin.Software, "error", err)
+			q.origin = q.announced
+			return errOriginNotStored
+		}
+		q.e.streams.with(func(_ time.Time, core *streams.Core) { core.Settled(key) })
+	}
+	q.announced = &origin
+	return nil
+}
+
+// withdrawOrigin withdraws what was announced if no event was passed on.
+func (q *request) withdrawOrigin() {
+	if q.announced != nil && !q.response.core.Started() {
+		q.e.streams.with(func(_ time.Time, core *streams.Core) { core.Withdrawn(q.streamKey()) })
 		q.e.streamStore.wakeUp()
 	}
 }
--- a/internal/process/entry/streamstore.go
+++ b/internal/process/entry/streamstore.go
@@ -24,6 +24,11 @@
 	storeRowsTimeout = 2 * time.Second
 	// finishTimeout limits the last write of a stopping process. Its grace period is nearly over then.
 	finishTimeout = 300 * time.Millisecond
+	// storeRowTimeout limits the wait for a row that has to be stored. A request waits for it.
+	storeRowTimeout = 400 * time.Millisecond
+	// rowWriteShare is the share of the writes that the platform's store accepts which rows may take, in all
+	// availability zones together.
+	rowWriteShare = 0.05
 	// storedReadTimeout limits a read of the stored rows. A request waits for it.
 	storedReadTimeout = 150 * time.Millisecond
 	// storedReadInterval is the minimum time between two such reads. Requests between them share a result.
@@ -40,6 +45,7 @@
 	rows        *streams.DurableRows // of the zone, as far as this instance is to write them
 	read        *storedRead          // the last one; nil: none yet
 	readFailing bool                 // the last read failed
+	changed     chan struct{}        // closed, and replaced, when rows were written
 
 	writing sync.Mutex // held during a write; guards the following
 	merged  bool       // rows has what the store had at version
@@ -56,7 +62,7 @@
 }
 
 func newStreamStore(e *Entry) *streamStore {
-	return &streamStore{e: e, wake: make(chan struct{}, 1), rows: streams.NewDurableRows()}
+	return &streamStore{e: e, wake: make(chan struct{}, 1), rows: streams.NewDurableRows(), changed: make(chan struct{})}
 }
 
 // wakeUp has run check whether there is something to do.
@@ -139,6 +145,40 @@
 	}
 }
 
+// storeRow keeps a row and waits until the platform's store has it. Rows of several callers share a write, and writes are
+// as far apart as others. It returns an error if that takes longer than storeRowTimeout, or ctx ends.
+func (s *streamStore) storeRow(ctx context.Context, row streams.Row) error {
+	ctx, cancel := context.WithTimeout(ctx, storeRowTimeout)
+	defer cancel()
+	s.keep([]streams.Row{row}, nil)
+	s.wakeUp()
+	for {
+		stored, changed := s.isStored(row.Key)
+		if stored {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// isStored reports whether the platform's store has the row of a stream as it is kept. The channel is closed when that may
+// have changed.
+func (s *streamStore) isStored(key streams.Key) (bool, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows.IsStored(key), s.changed
+}
+
+// writeInterval returns the minimum time between two writes of the rows of this availability zone.
+func (s *streamStore) writeInterval() time.Duration {
+	perSecond := rowWriteShare * s.e.cfg.Settings.StoreLimits.WritesPerSecond / float64(s.e.peers.zoneCount())
+	return time.Duration(float64(time.Second) / perSecond)
+}
+
 // finish writes what is left, as this process stops.
 func (s *streamStore) finish() {
 	if kind, _ := s.nextWrite(time.Now()); kind != streams.WriteRows {
@@ -180,8 +220,10 @@
 
 // attempted records an attempt to write an object with a number of bytes.
 func (s *streamStore) attempted(bytes int) {
+	interval := s.writeInterval()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.rows.SetMinInterval(interval)
 	s.rows.Attempted(time.Now(), bytes)
 }
 
@@ -252,6 +294,8 @@
 	defer s.mu.Unlock()
 	s.version = version
 	s.rows.Written(rows, version != 0)
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // objectName returns the name of the object with the rows of the availability zone.
--- a/internal/process/entry/streamstore_test.go
+++ b/internal/process/entry/streamstore_test.go
@@ -16,6 +16,7 @@
 // newStreamStoreEntry returns an entry process of a zone that exchanges no messages with others.
 func newStreamStoreEntry(name, zone string, s *platform.Store) *Entry {
 	c := &settings.Entry{Instance: settings.Instance{Name: name, Zone: zone}}
+	c.StoreLimits.WritesPerSecond = 1 / rowWriteShare // one write of rows a second
 	c.SetDefaults()
 	return New(Config{Settings: c, Records: s, Watcher: storeWatcher{s}})
 }
@@ -170,3 +171,53 @@
 	checkStored(t, s, 1, streams.Origin{}, false)
 	checkStored(t, s, 2, streams.Origin{}, false)
 }
+
+// TestRowsTakeTheirShareOfTheStoresWrites checks that rows that come without end are written as often as their share of the
+// store's writes allows for one of several availability zones, and no more often.
+func TestRowsTakeTheirShareOfTheStoresWrites(t *testing.T) {
+	const writesPerSecond = 100
+	s := platform.New(platform.Config{})
+	e := newStreamStoreEntry("i-1", "z1", s)
+	e.cfg.Settings.StoreLimits.WritesPerSecond = writesPerSecond
+	ctx, stop := context.WithCancel(context.Background())
+	e.spawn(func() { e.streamStore.run(ctx) })
+	start := time.Now()
+	for key := streams.Key(1); time.Since(start) < 2*time.Second; key++ {
+		e.streams.with(func(now time.Time, core *streams.Core) { core.Announce(now, key, originV1, time.Minute, "r") })
+		e.streamStore.wakeUp()
+		time.Sleep(5 * time.Millisecond)
+	}
+	stats, allowed := s.Stats(), 1+time.Since(start).Seconds()*rowWriteShare*writesPerSecond
+	if stats.Writes < 2 || float64(stats.Writes) > allowed || stats.Reads > 1 {
+		t.Errorf("%+v within %v, at most %.1f writes are allowed", stats, time.Since(start), allowed)
+	}
+	stop()
+	awaitEnd(t, e)
+}
+
+// TestRowIsStoredBeforeWaitEnds guards against a stream that goes on at another version after a loss of all instances: the
+// wait for a row that has to be stored first ended without it, or never, while the store was away.
+func TestRowIsStoredBeforeWaitEnds(t *testing.T) {
+	s := platform.New(platform.Config{})
+	first, e := newStreamStoreEntry("i-1", "z1", s), newStreamStoreEntry("i-2", "z1", s)
+	keepRow(first, 1, originV1)
+	ctx, stop := context.WithCancel(context.Background())
+	e.spawn(func() { e.streamStore.run(ctx) })
+	unknown := streams.Row{Key: 1, Expires: time.Now().Add(time.Minute)}
+	if err := e.streamStore.storeRow(context.Background(), unknown); err != nil {
+		t.Error(err)
+	}
+	checkStored(t, s, 1, streams.Origin{}, true)
+	keepRow(first, 2, originV1) // first doesn't know of it
+	checkStored(t, s, 1, streams.Origin{}, true)
+	s.SetFault(platform.Fault{Hang: true})
+	start := time.Now()
+	if err := e.streamStore.storeRow(context.Background(), streams.Row{Key: 2, Expires: unknown.Expires}); err == nil {
+		t.Error("no error although the store doesn't answer")
+	}
+	if took := time.Since(start); took > storeRowTimeout+10*time.Second {
+		t.Errorf("waited %v", took)
+	}
+	stop()
+	awaitEnd(t, e)
+}
--- a/internal/process/peers/streams.go
+++ b/internal/process/peers/streams.go
@@ -160,6 +160,15 @@
 	return ""
 }
 
+// ZoneCount returns the number of availability zones with known instances, this one included.
+func (c *Core) ZoneCount() int {
+	zones := map[string]bool{c.selfMember.Zone: true}
+	for _, m := range c.members {
+		zones[m.Zone] = true
+	}
+	return len(zones)
+}
+
 // Holders returns the addresses of the instances that keep copies of a row.
 func (c *Core) Holders(key streams.Key) []string {
 	if len(c.members) <= maxAskAll {
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -8,16 +8,22 @@
 
 // Entry holds the settings of ragwort-entry.
 type Entry struct {
-	Instance Instance     `json:"instance"`
-	Listen   EntryListen  `json:"listen"`
-	Store    string       `json:"store"` // host:port of the platform's object store
-	Bounds   EntryBounds  `json:"bounds"`
-	Limits   EntryLimits  `json:"limits"`
-	Logging  EntryLogging `json:"logging"`
-	Roles    EntryRoles   `json:"roles"`
-	Duties   EntryDuties  `json:"duties"`
-	Usage    EntryUsage   `json:"usage"`
-	Scaling  EntryScaling `json:"scaling"`
+	Instance    Instance         `json:"instance"`
+	Listen      EntryListen      `json:"listen"`
+	Store       string           `json:"store"` // host:port of the platform's object store
+	StoreLimits EntryStoreLimits `json:"storeLimits"`
+	Bounds      EntryBounds      `json:"bounds"`
+	Limits      EntryLimits      `json:"limits"`
+	Logging     EntryLogging     `json:"logging"`
+	Roles       EntryRoles       `json:"roles"`
+	Duties      EntryDuties      `json:"duties"`
+	Usage       EntryUsage       `json:"usage"`
+	Scaling     EntryScaling     `json:"scaling"`
+}
+
+// EntryStoreLimits holds the limits of the platform's object store.
+type EntryStoreLimits struct {
+	WritesPerSecond float64 `json:"writesPerSecond"` // writes that the store accepts from all instances together
 }
 
 // EntryScaling controls which engines are ordered from the platform for services that can
@@ -110,6 +116,7 @@
 	DefaultUsageLateSeconds   = 10
 	DefaultLastingShare       = 0.2
 	DefaultCostShare          = 0.5
+	DefaultStoreWrites        = 400 // a second; that of the smallest deployments
 )
 
 // LoadEntry reads the settings of an entry process from a file, sets defaults and
@@ -137,6 +144,7 @@
 	defaults.Set(&s.Scaling.LastingShare, DefaultLastingShare)
 	defaults.Set(&s.Scaling.CostShare, DefaultCostShare)
 	defaults.Set(&s.Logging.LinesPerSecond, DefaultLinesPerSecond)
+	defaults.Set(&s.StoreLimits.WritesPerSecond, DefaultStoreWrites)
 }
 
 // Validate returns an InvalidSettings error that names all invalid fields.
@@ -161,6 +169,7 @@
 	c.require(b.LeaseMS > 0, "bounds.leaseMS", b.LeaseMS, "must be greater than zero")
 	c.require(b.DrainMS > 0, "bounds.drainMS", b.DrainMS, "must be greater than zero")
 	c.require(b.ConfigMS > 0, "bounds.configMS", b.ConfigMS, "must be greater than zero")
+	c.require(s.StoreLimits.WritesPerSecond > 0, "storeLimits.writesPerSecond", s.StoreLimits.WritesPerSecond, "must be greater than zero")
 	c.require(s.Limits.Cores >= 0, "limits.cores", s.Limits.Cores, "must not be negative")
 	c.require(s.Limits.Descriptors >= 0, "limits.descriptors", s.Limits.Descriptors, "must not be negative")
 	c.require(s.Limits.MemoryMB > 0, "limits.memoryMB", s.Limits.MemoryMB, "must be greater than zero")
--- a/internal/process/streams/core.go
+++ b/internal/process/streams/core.go
@@ -69,6 +69,7 @@
 		origin, inDoubt = Origin{}, true
 	}
 	delete(c.durable.finished, key)
+	c.durable.began(key, origin)
 	c.own[key] = Row{Key: key, Origin: origin, Expires: now.Add(min(life, MaxLife))}
 	if inDoubt {
 		c.due = append(c.due, key)
@@ -205,6 +206,7 @@
 			c.dropOwn(key, row)
 		}
 	}
+	c.durable.dropExpired(now)
 	for key, row := range c.copies {
 		if !now.Before(row.Expires) {
 			delete(c.copies, key)
--- a/internal/process/streams/durable.go
+++ b/internal/process/streams/durable.go
@@ -6,7 +6,7 @@
 	// maxDurableRows limits the rows that are kept in the platform's store for one availability zone. Of more, those that
 	// expire first are dropped.
 	maxDurableRows = 1 << 15
-	// minWriteInterval is the minimum time between two writes of the rows.
+	// minWriteInterval is the minimum time between two writes of the rows, unless SetMinInterval sets another one.
 	minWriteInterval = time.Second
 	// maxWriteBytesPerSecond limits what the writes of one availability zone amount to, as each writes all rows.
 	maxWriteBytesPerSecond = 20_000
@@ -18,11 +18,12 @@
 // when to write and what. It is not safe for concurrent use.
 type DurableRows struct {
 	rows      map[Key]durableRow
-	lacking   int       // rows that the store doesn't have as they are now
-	writtenAt time.Time // of the last attempt to write
-	interval  time.Duration
-	stored    bool      // the store has the object
-	checkedAt time.Time // when expired rows were last dropped
+	lacking   int           // rows that the store doesn't have as they are now
+	writtenAt time.Time     // of the last attempt to write
+	minimum   time.Duration // between two writes
+	interval  time.Duration // after the last attempt
+	stored    bool          // the store has the object
+	checkedAt time.Time     // when expired rows were last dropped
 }
 
 // durableRow is a row in DurableRows.
@@ -43,9 +44,15 @@
 
 // NewDurableRows returns a DurableRows without rows.
 func NewDurableRows() *DurableRows {
-	return &DurableRows{rows: make(map[Key]durableRow)}
+	return &DurableRows{rows: make(map[Key]durableRow), minimum: minWriteInterval}
 }
 
+// SetMinInterval sets the minimum time between two writes of the rows.
+func (d *DurableRows) SetMinInterval(interval time.Duration) { d.minimum = interval }
+
+// IsStored reports whether the store has the row of a stream as it is.
+func (d *DurableRows) IsStored(key Key) bool { return d.rows[key].stored }
+
 // Add adds a row that an instance handed over. An origin that contradicts a known one makes it unknown.
 func (d *DurableRows) Add(now time.Time, row Row) { d.put(now, durableRow{Row: row}) }
 
@@ -132,7 +139,7 @@
 // Attempted records that an object with a number of bytes is about to be written.
 func (d *DurableRows) Attempted(now time.Time, bytes int) {
 	d.writtenAt = now
-	d.interval = max(minWriteInterval, time.Duration(bytes)*time.Second/maxWriteBytesPerSecond)
+	d.interval = max(d.minimum, time.Duration(bytes)*time.Second/maxWriteBytesPerSecond)
 }
 
 // Written records that the store has exactly the given rows; exists: in an object, which wasn't deleted.
