One deeply nested object doesn't stop readers of the store

What callers saw: an instance that starts beside such an entry is never ready; one that runs keeps the list of upstreams that it had, and sends to upstreams that are gone.

Cause: encoding/json refuses a whole document if one value in it is nested in more than 10,000 arrays or objects. A list, a watch's events and a stream of events are one document, or can't be read past the value.

--- a/internal/connection/platform/client.go
+++ b/internal/connection/platform/client.go
@@ -22,6 +22,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/httphead"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/jsondepth"
 )
 
 // Defaults of ClientConfig.
@@ -254,7 +255,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, limit)).Decode(out); err != nil {
+	if err := json.NewDecoder(jsondepth.NewReader(io.LimitReader(res.Body, limit))).Decode(out); err != nil {
 		return r.lostAnswerError(errors.Wrap(err, "reading the answer"))
 	}
 	return nil
--- a/internal/connection/platform/watch.go
+++ b/internal/connection/platform/watch.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/jsondepth"
 )
 
 // Watch implements Store. It opens the first connection before it returns, and returns an
@@ -150,7 +152,7 @@
 	defer stop()
 	// An event without end breaks the connection. What the decoder has read ahead doesn't matter for the limit.
 	limited := &io.LimitedReader{R: conn.body}
-	decoder := json.NewDecoder(bufio.NewReader(limited))
+	decoder := json.NewDecoder(bufio.NewReader(jsondepth.NewReader(limited)))
 	for {
 		limited.N = maxObjectResponseBytes
 		var e Event
