Rows of announced streams are handed over after 20 ms

A batch of 0.1 s at the instance, and another at the one that writes, came to more than most engines take to their first event. The writes stay paced by the store's rates, so that only datagrams inside a zone are added.

--- a/internal/process/entry/streamstore.go
+++ b/internal/process/entry/streamstore.go
@@ -18,8 +18,9 @@
 const (
 	// kindStreamOrigins is the kind of the objects with the durable rows, one object per availability zone.
 	kindStreamOrigins = "StreamOrigins"
-	// handOverInterval is the minimum time between two times that rows are handed over.
-	handOverInterval = 100 * time.Millisecond
+	// handOverInterval is the minimum time between two times that rows are handed over. Others that come meanwhile share the
+	// message; the rows of engines that answer after some ten milliseconds should be stored by then.
+	handOverInterval = 20 * time.Millisecond
 	// storeRowsTimeout limits a write of the rows, and the read that it may need.
 	storeRowsTimeout = 2 * time.Second
 	// finishTimeout limits the last write of a stopping process. Its grace period is nearly over then.
