One object of another type doesn't stop the list of the object API

What callers saw: ragwort-gateway and ragwort-controller no longer follow the platform's objects: lists fail, and the watch is opened again and again from before the object.

Cause: objects were decoded together with the list or the event that holds them, so that a field of another type in one failed all.

Evidence: five more kinds of odd objects in TestOddObjectDoesNotStopReaders failed before: 'cannot unmarshal string into Go struct field Object.objects.version', and watches without the good object for 20 s. A null was taken for an object without kind and name.

Fix: each object of a list is decoded by itself; one that can't be is logged and left out. A watch goes on after such an event.

--- a/internal/connection/platform/client.go
+++ b/internal/connection/platform/client.go
@@ -158,13 +158,13 @@
 
 // List implements Store.
 func (c *Client) List(ctx context.Context, kind string) ([]Object, uint64, error) {
-	var body ListBody
+	var body listResponse
 	path := ObjectsPath
 	if kind != "" {
 		path += "?" + url.Values{"kind": {kind}}.Encode()
 	}
 	err := c.call(ctx, request{method: http.MethodGet, path: path, kind: kind}, &body, maxListResponseBytes)
-	return body.Objects, body.Version, err
+	return body.decodeObjects(), body.Version, err
 }
 
 // Create implements Store.
--- a/internal/connection/platform/oddobjects_test.go
+++ b/internal/connection/platform/oddobjects_test.go
@@ -13,6 +13,12 @@
 // oddObjects are objects of other writers that can't be decoded as a whole. All are valid JSON.
 var oddObjects = map[string]string{
 	"deeply nested spec":    `{"kind":"Route","name":"odd","version":2,"spec":` + strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000) + `}`,
+	"a text as version":     `{"kind":"Route","name":"odd","version":"2","spec":{}}`,
+	"too large a version":   `{"kind":"Route","name":"odd","version":1e400,"spec":{}}`,
+	"a number as name":      `{"kind":"Route","name":7,"version":2,"spec":{}}`,
+	"a number":              `7`,
+	"an array":              `[[7]]`,
+	"nothing":               `null`,
 	"deeply nested objects": `{"kind":"Route","name":"odd","version":2,"spec":` + strings.Repeat(`{"a":`, 20_000) + "1" + strings.Repeat("}", 20_000) + `}`,
 }
 
@@ -40,7 +46,7 @@
 	for name, odd := range oddObjects {
 		client, ctx := newOddClient(t, odd), testContext(t)
 		objects, _, err := client.List(ctx, "Route")
-		if err != nil || len(objects) == 0 || objects[len(objects)-1].Name != "good" {
+		if err != nil || len(objects) == 0 || objects[0].Kind == "" || objects[len(objects)-1].Name != "good" {
 			t.Errorf("%s: list: %d objects, %.200v", name, len(objects), err)
 		}
 		w, err := client.Watch(ctx, []string{"Route"}, 1)
--- a/internal/connection/platform/watch.go
+++ b/internal/connection/platform/watch.go
@@ -156,7 +156,13 @@
 	for {
 		limited.N = maxObjectResponseBytes
 		var e Event
-		if err := decoder.Decode(&e); err != nil {
+		err := decoder.Decode(&e)
+		var wrongType *json.UnmarshalTypeError
+		if errors.As(err, &wrongType) { // the decoder goes on after the event
+			logUnreadable(e.Object, err)
+			continue
+		}
+		if err != nil {
 			return
 		}
 		idle.Reset(w.client.cfg.WatchIdle)
--- a/internal/connection/platform/wire.go
+++ b/internal/connection/platform/wire.go
@@ -1,5 +1,13 @@
 package platform
 
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
+)
+
 // Paths of the platform's object API, which is HTTP with JSON. The client and the stand-in
 // for the platform share these paths and the types below.
 //
@@ -23,6 +31,36 @@
 	Objects []Object `json:"objects"`
 }
 
+// listResponse is a ListBody with objects that aren't decoded yet.
+type listResponse struct {
+	Version uint64            `json:"version"`
+	Objects []json.RawMessage `json:"objects"`
+}
+
+// decodeObjects decodes the objects of a list. It logs those that can't be decoded, which other writers may have created,
+// and leaves them out.
+func (l *listResponse) decodeObjects() []Object {
+	out := make([]Object, 0, len(l.Objects))
+	for _, data := range l.Objects {
+		var o Object
+		err := json.Unmarshal(data, &o)
+		if err == nil && (o.Kind == "" || o.Name == "") {
+			err = errors.New("no kind or no name")
+		}
+		if err != nil {
+			logUnreadable(o, err)
+			continue
+		}
+		out = append(out, o)
+	}
+	return out
+}
+
+// logUnreadable logs an object of which only a part could be decoded.
+func logUnreadable(o Object, err error) {
+	logline.Info("entry unreadable", "kind", o.Kind, "name", o.Name, "why", err)
+}
+
 // ErrorCode identifies an error in an ErrorBody.
 type ErrorCode string
 
