--- a/internal/process/entry/cutwatch_test.go
+++ b/internal/process/entry/cutwatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,6 +83,13 @@
 	return e
 }
 
+// listedNow returns the number of upstreams of the service "s" that get work, and whether the list counts as up to date.
+func listedNow(e *Entry) (usable int, upToDate bool) {
+	e.state.mu.Lock()
+	defer e.state.mu.Unlock()
+	return len(e.state.fleet.Usable()["s"]), e.state.fleet.UpToDate(time.Now())
+}
+
 // TestUpstreamRemovedAfterCutWatchGetsNoWork guards against an upstream that gets new work seconds after its entry was
 // removed, because a single watch that the platform had cut off counted as an outage in which entries may lapse. The
 // platform answered all other calls.
@@ -99,10 +107,11 @@
 				time.Sleep(gap)
 				u.removed <- "a"
 				time.Sleep(500 * time.Millisecond)
-				if usable := e.state.fleet.Usable()["s"]; len(usable) != 1 {
-					t.Errorf("%d cuts, removed %v after the last one: 0.5 s later %d upstreams get work, want 1", cuts, gap, len(usable))
+				usable, upToDate := listedNow(e)
+				if usable != 1 {
+					t.Errorf("%d cuts, removed %v after the last one: 0.5 s later %d upstreams get work, want 1", cuts, gap, usable)
 				}
-				if !e.state.fleet.UpToDate(time.Now()) {
+				if !upToDate {
 					t.Errorf("%d cuts, removed %v after the last one: the list counts as out of date", cuts, gap)
 				}
 				cancel()
@@ -118,12 +127,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		const outage = 5 * time.Second
 		ctx, cancel := context.WithCancel(context.Background())
-		var downFrom time.Time
+		var began atomic.Pointer[time.Time]
 		u := &cutUpstreams{removed: make(chan string, 1), cut: make(chan struct{})}
-		u.down = func() bool { return !downFrom.IsZero() && time.Since(downFrom) < outage }
+		u.down = func() bool { return began.Load() != nil && time.Since(*began.Load()) < outage }
 		e := followCutUpstreams(ctx, u)
 		time.Sleep(10 * time.Second)
-		downFrom = time.Now()
+		now := time.Now()
+		began.Store(&now)
 		u.cut <- struct{}{}
 		time.Sleep(2 * time.Second)
 		if !e.state.platformUnreadable() {
@@ -132,8 +142,8 @@
 		time.Sleep(outage - 2*time.Second)
 		u.removed <- "a"
 		time.Sleep(1500 * time.Millisecond)
-		if usable := e.state.fleet.Usable()["s"]; len(usable) != 2 {
-			t.Errorf("%d upstreams get work 1.5 s after the outage, want 2: one entry may have lapsed in it", len(usable))
+		if usable, _ := listedNow(e); usable != 2 {
+			t.Errorf("%d upstreams get work 1.5 s after the outage, want 2: one entry may have lapsed in it", usable)
 		}
 		cancel()
 		synctest.Wait()
