An outage is told by the store's answers, not by failed calls of one feed

Cause: the last repair repeats a failed call once. If that fails too, the platform counted as lost, and the removal that the feed reports as it returns was taken for an entry that lapsed in an outage and kept for 2.2 s, while drainMS is 2 s. All the while the store answered its probes. It passed here as the stand-in answers each repeated call.

TestUpstreamRemovedAfterRefusedCallsGetsNoWork failed before ("2 upstreams get work after the removal was read").

Fix: an entry lapses when its upstream couldn't write it for three heartbeats, so the store must have answered nothing for one at least. fleet.outageWitness keeps when the last answered call was sent. Only if a probe has failed and no call was answered for a heartbeat, are missing entries kept, until RestoreGrace after the first answer. A list that can't be read counts as out of date as fast as before.

New setting bounds.heartbeatMS, filled in by the platform.

--- a/internal/process/entry/cutwatch_test.go
+++ b/internal/process/entry/cutwatch_test.go
@@ -14,14 +14,17 @@
 )
 
 // cutUpstreams is a list of upstreams whose waiting watches can be cut off. Between the cuts, all calls are answered,
-// unless down says that the store is down.
+// unless down says that the store is down, or refused that it refuses a call that reads upstreams.
 type cutUpstreams struct {
 	listed  []fleet.Change
 	removed chan string   // a value removes an upstream
 	cut     chan struct{} // a value makes the waiting watch fail
 	down    func() bool   // nil: never
+	refused func() bool   // nil: never
 }
 
+func (u *cutUpstreams) isRefused() bool { return u.refused != nil && u.refused() }
+
 func (u *cutUpstreams) isDown() bool { return u.down != nil && u.down() }
 
 func (u *cutUpstreams) alive(context.Context) error {
@@ -41,7 +44,7 @@
 
 // Watch implements UpstreamFeed.
 func (u *cutUpstreams) Watch(ctx context.Context, from uint64, wait time.Duration) ([]fleet.Change, uint64, error) {
-	if u.isDown() {
+	if u.isDown() || u.isRefused() {
 		return nil, 0, platform.ErrUnavailable
 	}
 	select {
@@ -121,6 +124,55 @@
 	}
 }
 
+// TestUpstreamRemovedAfterRefusedCallsGetsNoWork guards against an upstream that gets new work seconds after its entry was
+// removed, because two calls that read upstreams failed in a row, which counted as an outage in which entries may lapse.
+// The platform answered all its probes.
+func TestUpstreamRemovedAfterRefusedCallsGetsNoWork(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		refused int           // calls after the cut; negative: for refusedFor
+		lasts   time.Duration // how long calls are refused
+		gap     time.Duration // from the cut, or from the end of the refusals, to the removal
+	}{
+		{"one call after the cut", 1, 0, 500 * time.Millisecond},
+		{"two calls after the cut", 2, 0, 500 * time.Millisecond},
+		{"0.4 s", -1, 400 * time.Millisecond, 300 * time.Millisecond},
+		{"0.8 s", -1, 800 * time.Millisecond, 300 * time.Millisecond},
+		{"0.8 s, removed meanwhile", -1, 800 * time.Millisecond, -100 * time.Millisecond},
+		{"5 s", -1, 5 * time.Second, 100 * time.Millisecond},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			var left atomic.Int64
+			var until atomic.Pointer[time.Time]
+			u := &cutUpstreams{removed: make(chan string, 1), cut: make(chan struct{})}
+			u.refused = func() bool {
+				if end := until.Load(); end != nil && time.Now().Before(*end) {
+					return true
+				}
+				return left.Add(-1) >= 0
+			}
+			e := followCutUpstreams(ctx, u)
+			time.Sleep(10*time.Second + 300*time.Millisecond) // between two probes
+			left.Store(int64(c.refused))
+			end := time.Now().Add(c.lasts)
+			until.Store(&end)
+			u.cut <- struct{}{}
+			time.Sleep(c.lasts + c.gap)
+			u.removed <- "a"
+			for len(u.removed) > 0 { // until the removal is read
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(10 * time.Millisecond)
+			if usable, upToDate := listedNow(e); usable != 1 || !upToDate {
+				t.Errorf("%s: %d upstreams get work after the removal was read, want 1; up to date: %v", c.name, usable, upToDate)
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
+
 // TestOutageAfterCutWatchIsNoticed guards against the opposite: an outage that begins as the watch is cut off has to be
 // noticed within two seconds, and an entry that is missing right after it has to stay in use for a while.
 func TestOutageAfterCutWatchIsNoticed(t *testing.T) {
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -120,14 +120,17 @@
 func (e *Entry) probePlatform(ctx context.Context) {
 	d := &dependency{name: "platform"}
 	for platform.Sleep(ctx, d.probeDelay()) == nil {
-		stalls := e.state.stallCount()
+		stalls, sent := e.state.stallCount(), time.Now()
 		call, cancel := context.WithTimeout(ctx, probeTimeout)
 		err := e.cfg.PingStore(call)
 		cancel()
 		stalled := e.state.stallCount() != stalls // a timeout that passed while this process didn't run says nothing
 		if err != nil && ctx.Err() == nil && !stalled {
 			d.recordFailure(err)
-			e.updateFleet(func(_ time.Time, f *fleet.Core) { f.PlatformLost() })
+			e.updateFleet(func(now time.Time, f *fleet.Core) { f.ProbeFailed(sent, now) })
+		}
+		if err == nil {
+			e.updateFleet(func(now time.Time, f *fleet.Core) { recordStoreAnswer(f, sent, now) })
 		}
 		regained := err == nil && d.recordSuccess()
 		if restored := e.checkEra(); restored || regained {
@@ -136,6 +139,13 @@
 	}
 }
 
+// recordStoreAnswer records an answered call to the platform's store, before what it returned is applied.
+func recordStoreAnswer(f *fleet.Core, sent, now time.Time) {
+	if silence, lapsed := f.StoreAnswered(sent, now); lapsed {
+		logline.Info("platform answers after an outage", "unanswered_ms", silence.Milliseconds(), "then", "missing upstreams are kept for a while")
+	}
+}
+
 // checkEra reports whether the platform was restored from an older copy since the last call of checkEra.
 // It compares the platform's era, a number that changes with each restore. After a restore, it cancels
 // eraCtx, so that this process stores again what the copy may lack. It returns false until initEra has
@@ -287,7 +297,8 @@
 		}
 		e.initEra(platform.EraOf(revision))
 		e.updateFleet(func(now time.Time, f *fleet.Core) {
-			f.PlatformRestored(now)
+			recordStoreAnswer(f, start, now)
+			f.ListRead(now)
 			e.recordUnreadable(f.Replace(now, platform.EraOf(revision), entries))
 			e.state.listed = true
 			e.state.confirmUpstreams(now, stalls)
@@ -297,7 +308,7 @@
 		return revision, nil
 	}
 	watch := func(ctx context.Context, from uint64, wait time.Duration) (uint64, int, error) {
-		stalls := e.state.stallCount()
+		stalls, sent := e.state.stallCount(), time.Now()
 		if e.state.upstreamsUnconfirmed() {
 			wait = 0 // the response confirms the list even if there are no changes
 		}
@@ -306,7 +317,8 @@
 			return 0, 0, err
 		}
 		e.updateFleet(func(now time.Time, f *fleet.Core) {
-			f.PlatformRestored(now)
+			recordStoreAnswer(f, sent, now)
+			f.ListRead(now)
 			e.recordUnreadable(f.Apply(now, changes))
 			logUpstreamChanges(f, revision, changes)
 			if len(changes) < fullAnswerChanges { // otherwise more changes may be waiting
@@ -318,7 +330,7 @@
 		}
 		return revision, len(changes), nil
 	}
-	lost := func() { e.updateFleet(func(_ time.Time, f *fleet.Core) { f.PlatformLost() }) }
+	lost := func() { e.updateFleet(func(_ time.Time, f *fleet.Core) { f.ListLost() }) }
 	e.followFeed(ctx, feed{name: "platform upstreams", list: list, watch: watch, onLost: lost})
 }
 
--- a/internal/process/entry/retrylimit.go
+++ b/internal/process/entry/retrylimit.go
@@ -83,6 +83,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.bounds = b
+	s.fleet.SetHeartbeat(b.Heartbeat())
 	for _, l := range s.retryLimits {
 		l.window.SetConfig(boottime.Now(), s.retryWindowConfig())
 	}
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -47,8 +47,10 @@
 	tracker := place.NewTracker()
 	tracker.SetSalt(rand.Uint64())
 	tracker.SetRateShare(time.Now(), 1.0/peers.AssumedInstances) // as long as the number of instances isn't known
+	upstreams := fleet.New()
+	upstreams.SetHeartbeat(s.Bounds.Heartbeat())
 	return &state{
-		fleet:        fleet.New(),
+		fleet:        upstreams,
 		tracker:      tracker,
 		queue:        place.NewQueue(tracker),
 		waiters:      make(map[string]chan place.Decision),
--- a/internal/process/fleet/doc.go
+++ b/internal/process/fleet/doc.go
@@ -21,7 +21,8 @@
 //     restarts, even with the same ID, is another incarnation. An entry of an older incarnation
 //     than the newest known one is ignored.
 //   - An upstream whose entry can't be read is not used, whatever the entry contained before.
-//   - An entry that disappears while the platform can be read is removed at once. One that
+//   - An entry that disappears while the platform answers is removed at once. One that
 //     disappears around an outage may only have lapsed because its upstream couldn't renew it: it
-//     is kept for RestoreGrace after the platform can be read again.
+//     is kept for RestoreGrace after the platform answers again. An outage is told by the calls to
+//     the store (outageWitness), not by a failed call alone.
 package fleet
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -32,8 +32,10 @@
 	sweptAt         time.Time // when reportedLeaving was last swept
 	listed          bool      // a whole list has been received
 	era             uint64    // of the last list; changes when the platform is restored from an older copy
-	platformLost    bool      // the platform can't be read
-	restoredAt      time.Time // when it could be read again after an outage; zero: there was no outage
+	witness         outageWitness
+	listLost        bool      // the list can't be read
+	platformLost    bool      // the platform has an outage in which entries may lapse
+	restoredAt      time.Time // when it answered again after an outage; zero: there was no outage
 	unconfirmed     bool      // this process did not run for a while, and the list may lack changes of that time
 	confirmedAt     time.Time // when the list was confirmed after that; zero: it never had to be
 	connectedSince  time.Time // when the first list came or, if later, when the platform could be read again
@@ -65,19 +67,20 @@
 // ClearList removes all that is known about upstreams, as if no list had been received yet, with one
 // exception: the core still knows which incarnations reported in responses that they are leaving.
 func (c *Core) ClearList() {
-	reportedLeaving := c.reportedLeaving
+	reportedLeaving, heartbeat := c.reportedLeaving, c.witness.heartbeat
 	*c = *New()
 	c.reportedLeaving = reportedLeaving
+	c.SetHeartbeat(heartbeat)
 }
 
 // Version returns a number that changes whenever the result of Usable changes.
 func (c *Core) Version() uint64 { return c.version }
 
-// PlatformLost records that the platform can't be read.
+// PlatformLost records an outage of the platform in which entries may lapse.
 func (c *Core) PlatformLost() { c.platformLost = true }
 
 // IsPlatformLost reports whether the platform can't be read.
-func (c *Core) IsPlatformLost() bool { return c.platformLost }
+func (c *Core) IsPlatformLost() bool { return c.platformLost || c.listLost }
 
 // Resumed records that this process runs again after a time in which it did not run. Until Confirmed is
 // called, the list may lack the changes of that time.
@@ -97,11 +100,11 @@
 // since the end of the last outage, if there was one, no missing entry is kept, and the list was confirmed
 // since this process last resumed.
 func (c *Core) UpToDate(now time.Time) bool {
-	return c.missingCount == 0 && !c.unconfirmed && !c.platformLost && !withinGrace(now, c.restoredAt)
+	return c.missingCount == 0 && !c.unreliable() && !withinGrace(now, c.restoredAt)
 }
 
-// PlatformRestored records that the platform can be read again. It returns false if the platform
-// could be read before, too.
+// PlatformRestored records that the platform answers again after an outage. It returns false if there was
+// none.
 func (c *Core) PlatformRestored(now time.Time) bool {
 	if !c.platformLost {
 		return false
@@ -280,11 +283,11 @@
 // mayHaveLapsed reports whether an entry may have lapsed only because of an outage. There may have been
 // an outage while this process did not run, which no call of this process noticed.
 func (c *Core) mayHaveLapsed(now time.Time) bool {
-	return c.unreliable() || withinGrace(now, c.restoredAt) || withinGrace(now, c.confirmedAt)
+	return c.platformLost || c.unconfirmed || withinGrace(now, c.restoredAt) || withinGrace(now, c.confirmedAt)
 }
 
 // unreliable reports whether the platform can't be read, or was not read since this process resumed.
-func (c *Core) unreliable() bool { return c.platformLost || c.unconfirmed }
+func (c *Core) unreliable() bool { return c.platformLost || c.listLost || c.unconfirmed }
 
 // withinGrace reports whether less than RestoreGrace has passed since a time; the zero time: never.
 func withinGrace(now, since time.Time) bool {
@@ -294,7 +297,7 @@
 // graceEnd returns when an entry that goes missing now is to be removed.
 func (c *Core) graceEnd(now time.Time) time.Time {
 	switch {
-	case c.unreliable():
+	case c.platformLost || c.unconfirmed:
 		return now.Add(RestoreGrace)
 	case c.confirmedAt.After(c.restoredAt):
 		return c.confirmedAt.Add(RestoreGrace)
@@ -317,12 +320,8 @@
 			e.NextRole = ""
 			c.version++
 		}
-		if !e.missing || now.Before(e.expiresAt) {
-			continue
-		}
-		if c.unreliable() {
-			e.expiresAt = now.Add(RestoreGrace)
-			continue
+		if !e.missing || now.Before(e.expiresAt) || c.unreliable() {
+			continue // what can't be read now may list it
 		}
 		c.delete(now, e)
 		c.markInferred(id)
--- a/internal/process/settings/entry.go
+++ b/internal/process/settings/entry.go
@@ -84,6 +84,7 @@
 	RetryRatio         float64 `json:"retryRatio"`         // allowed retries per request of a service, over all instances
 	RetryWindowSeconds float64 `json:"retryWindowSeconds"` // length of the window over which retries are counted
 	RetrySlack         float64 `json:"retrySlack"`         // retries per window beyond RetryRatio, over all instances
+	HeartbeatMS        int     `json:"heartbeatMS"`        // interval at which upstreams write their entries on the platform
 	LeaseMS            int     `json:"leaseMS"`            // minimum time between two changes of the holder of the lease, the instance that may send orders to engines
 	FencingEnforced    bool    `json:"fencingEnforced"`    // whether engines refuse orders with an old fencing token
 	DrainMS            int     `json:"drainMS"`            // time after which an upstream that is leaving must get no new work
@@ -108,6 +109,7 @@
 	DefaultRetryRatio         = 0.1
 	DefaultRetryWindowSeconds = 10
 	DefaultRetrySlack         = 20
+	DefaultEntryHeartbeatMS   = 1200
 	DefaultLeaseMS            = 3000
 	DefaultEntryDrainMS       = 2000
 	DefaultEntryConfigMS      = 2000
@@ -136,6 +138,7 @@
 	defaults.Set(&s.Bounds.RetryRatio, DefaultRetryRatio)
 	defaults.Set(&s.Bounds.RetryWindowSeconds, DefaultRetryWindowSeconds)
 	defaults.Set(&s.Bounds.RetrySlack, DefaultRetrySlack)
+	defaults.Set(&s.Bounds.HeartbeatMS, DefaultEntryHeartbeatMS)
 	defaults.Set(&s.Bounds.LeaseMS, DefaultLeaseMS)
 	defaults.Set(&s.Bounds.DrainMS, DefaultEntryDrainMS)
 	defaults.Set(&s.Bounds.ConfigMS, DefaultEntryConfigMS)
@@ -166,6 +169,7 @@
 	c.require(b.RetryRatio >= 0, "bounds.retryRatio", b.RetryRatio, "must not be negative")
 	c.require(b.RetryWindowSeconds > 0, "bounds.retryWindowSeconds", b.RetryWindowSeconds, "must be greater than zero")
 	c.require(b.RetrySlack >= 0, "bounds.retrySlack", b.RetrySlack, "must not be negative")
+	c.require(b.HeartbeatMS > 0, "bounds.heartbeatMS", b.HeartbeatMS, "must be greater than zero")
 	c.require(b.LeaseMS > 0, "bounds.leaseMS", b.LeaseMS, "must be greater than zero")
 	c.require(b.DrainMS > 0, "bounds.drainMS", b.DrainMS, "must be greater than zero")
 	c.require(b.ConfigMS > 0, "bounds.configMS", b.ConfigMS, "must be greater than zero")
@@ -196,6 +200,11 @@
 	return time.Duration(min(b.DrainMS, b.ConfigMS)) * time.Millisecond
 }
 
+// Heartbeat returns the interval at which upstreams write their entries on the platform.
+func (b EntryBounds) Heartbeat() time.Duration {
+	return time.Duration(b.HeartbeatMS) * time.Millisecond
+}
+
 // RetryWindow returns the time over which retries are counted.
 func (b EntryBounds) RetryWindow() time.Duration {
 	return time.Duration(b.RetryWindowSeconds * float64(time.Second))
