Without an outage, a failed feed reads a change within drainMS

Cause: the pause before the next call grew to 2 s and up to twice that with jitter. Only the end of an outage cuts it short, as a probe is answered again. The probes had been answered all the while, so nothing did.

TestRemovalIsReadInTimeAfterRefusedCalls failed before ("calls refused for 800ms, removed 50ms after that: a second later 2 upstreams get work").

Fix: while there is no outage, the pause of a listed feed, with its jitter, is at most the delay that a change may wait for the next call anyway (seriesDelay, 0.3 of the shorter one of drainMS and configMS). In an outage, and before the first list, it grows as before. The same holds for the configuration and the holds, which use the same loop.

--- a/internal/process/entry/cutwatch_test.go
+++ b/internal/process/entry/cutwatch_test.go
@@ -173,6 +173,35 @@
 	}
 }
 
+// TestRemovalIsReadInTimeAfterRefusedCalls guards against an upstream that gets new work for longer than drainMS after its
+// entry was removed, because the pause before the next call had grown to seconds while calls that read upstreams failed,
+// and nothing ended it. The platform answered all its probes.
+func TestRemovalIsReadInTimeAfterRefusedCalls(t *testing.T) {
+	for _, lasts := range []time.Duration{0, 400 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second, 10 * time.Second} {
+		for _, gap := range []time.Duration{0, 50 * time.Millisecond, 300 * time.Millisecond} {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(context.Background())
+				var until atomic.Pointer[time.Time]
+				u := &cutUpstreams{removed: make(chan string, 1), cut: make(chan struct{})}
+				u.refused = func() bool { return until.Load() != nil && time.Now().Before(*until.Load()) }
+				e := followCutUpstreams(ctx, u)
+				time.Sleep(10*time.Second + 300*time.Millisecond) // between two probes
+				end := time.Now().Add(lasts)
+				until.Store(&end)
+				u.cut <- struct{}{}
+				time.Sleep(lasts + gap)
+				u.removed <- "a"
+				time.Sleep(time.Second) // half of drainMS
+				if usable, _ := listedNow(e); usable != 1 {
+					t.Errorf("calls refused for %v, removed %v after that: a second later %d upstreams get work, want 1", lasts, gap, usable)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		}
+	}
+}
+
 // TestOutageAfterCutWatchIsNoticed guards against the opposite: an outage that begins as the watch is cut off has to be
 // noticed within two seconds, and an entry that is missing right after it has to stay in use for a while.
 func TestOutageAfterCutWatchIsNoticed(t *testing.T) {
--- a/internal/process/entry/feeds.go
+++ b/internal/process/entry/feeds.go
@@ -48,8 +48,7 @@
 	// work would be sent to that upstream for too long.
 	lostProbeInterval = 300 * time.Millisecond
 	// minRetryPause is the pause after a failed call. While calls keep failing, the pause is multiplied
-	// by retryPauseGrowth each time, up to maxRetryPause. It may be long, as the end of an outage is
-	// noticed by probes, which are cheaper.
+	// by retryPauseGrowth each time, up to maxRetryPause, or less: see feedCalls.
 	minRetryPause    = 100 * time.Millisecond
 	maxRetryPause    = 2 * time.Second
 	retryPauseGrowth = 4
@@ -191,7 +190,7 @@
 // platform no longer has the history since the last revision. It repeats failed calls after a pause.
 func (e *Entry) followFeed(ctx context.Context, f feed) {
 	d := &dependency{name: f.name}
-	revision, calls := uint64(0), feedCalls{}
+	revision, calls := uint64(0), feedCalls{listedPause: e.seriesDelay() / 2} // half, as addJitter may double it
 	batcher := changeBatcher{seriesDelay: e.seriesDelay()}
 	for ctx.Err() == nil {
 		callCtx, release := e.callContext(ctx)
@@ -215,15 +214,16 @@
 			logline.Info("history gone", "dependency", f.name, "revision", revision)
 			calls.historyGone()
 		default:
-			_ = platform.Sleep(callCtx, addJitter(f.handleFailure(d, &calls, err))) // returns early when the platform is back
+			_ = platform.Sleep(callCtx, addJitter(f.handleFailure(d, &calls, e.state.platformOutage(), err))) // returns early when the platform is back
 		}
 		release()
 	}
 }
 
-// handleFailure records a failed call and returns the pause before the next one, without jitter.
-func (f feed) handleFailure(d *dependency, calls *feedCalls, err error) time.Duration {
-	pause, lost := calls.failed()
+// handleFailure records a failed call and returns the pause before the next one, without jitter. outage: the platform has
+// an outage.
+func (f feed) handleFailure(d *dependency, calls *feedCalls, outage bool, err error) time.Duration {
+	pause, lost := calls.failed(outage)
 	if !lost {
 		logline.Info("call is repeated", "dependency", f.name, "listed", calls.listed, "error", err)
 		return pause
--- a/internal/process/entry/state.go
+++ b/internal/process/entry/state.go
@@ -425,6 +425,13 @@
 	return s.fleet.IsPlatformLost()
 }
 
+// platformOutage reports whether the platform has an outage in which entries may lapse.
+func (s *state) platformOutage() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.InOutage()
+}
+
 // steadilyConnected reports whether the list of upstreams has been up to date for minConnectedTime, in which
 // this process ran.
 func (s *state) steadilyConnected(now time.Time) bool {
--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -79,6 +79,9 @@
 // PlatformLost records an outage of the platform in which entries may lapse.
 func (c *Core) PlatformLost() { c.platformLost = true }
 
+// InOutage reports whether the platform has an outage in which entries may lapse.
+func (c *Core) InOutage() bool { return c.platformLost }
+
 // IsPlatformLost reports whether the platform can't be read.
 func (c *Core) IsPlatformLost() bool { return c.platformLost || c.listLost }
 
