A take-up waits for a slow store as long as its caller can

Cause: what a take-up needs from the store is read while its caller waits, and each read, of the record of origins and of the stored rows, was given up after 0.15 s, whatever time the caller had left. The read that was given up served nobody: the next take-up began another one, or shared its failure for two seconds. A store, or a machine, that takes longer than that for a read fails each take-up. It passed here as reads take some milliseconds.

Fix: reads belong to nobody. A request shares the next read that begins after it has come, which goes on to its end (sharedReads), beside slower ones if need be; the record and the rows are read at the same time. The request waits for a sixth of the time that it has left, or 0.15 s as before if the platform is known to be unreadable. A failed read refuses at once.

The rows that a take-up gets were up to two seconds old, which missed those stored since where instances are lost one after the other, and could name an origin that was withdrawn since. Now no read serves a request that came after it began. For that, rows are read up to four times a second by an instance that is asked, in place of once in two seconds; storedReadInterval is smaller for that, so that the bound of TestManyResumptionsShareOneRead allows for more reads a second.

The log line of such a request has the wait, platform_ms.

--- a/internal/process/entry/originreader_test.go
+++ b/internal/process/entry/originreader_test.go
@@ -24,13 +24,13 @@
 func TestReadOfRecordBeginsAfterItsRequest(t *testing.T) {
 	began, records := make(chan struct{}), make(chan origins.Record)
 	r := newOriginReader(nil)
-	r.read = func(context.Context) (origins.Record, uint64, error) {
+	r.reads.read = func(context.Context) (recordAtEra, error) {
 		began <- struct{}{}
-		return <-records, 0, nil
+		return recordAtEra{Record: <-records}, nil
 	}
-	first := r.join()
+	first := r.reads.join()
 	<-began
-	second, third := r.join(), r.join()
+	second, third := r.reads.join(), r.reads.join()
 	if second == first || second != third {
 		t.Fatal("requests that come during a read don't share the next one")
 	}
@@ -38,8 +38,8 @@
 	<-began
 	records <- recordWith("v1", "v2")
 	<-second.done
-	if len(first.record.Versions["llm"]) != 1 || len(second.record.Versions["llm"]) != 2 {
-		t.Errorf("%+v, %+v", first.record, second.record)
+	if len(first.value.Versions["llm"]) != 1 || len(second.value.Versions["llm"]) != 2 {
+		t.Errorf("%+v, %+v", first.value, second.value)
 	}
 }
 
@@ -64,7 +64,7 @@
 		{"no answer", origins.Record{}, silent, "", true},
 	} {
 		r := newOriginReader(nil)
-		r.read = func(context.Context) (origins.Record, uint64, error) { return c.record, 0, c.err }
+		r.reads.read = func(context.Context) (recordAtEra, error) { return recordAtEra{Record: c.record}, c.err }
 		if got, ok, err := r.sole(t.Context(), "host", "/x"); got.Software != c.want || ok != (c.want != "") || (err != nil) != c.fails {
 			t.Errorf("%s: %q, %v", c.name, got, err)
 		}
@@ -83,9 +83,9 @@
 	} {
 		reads := 0
 		r := newOriginReader(nil)
-		r.read = func(context.Context) (origins.Record, uint64, error) {
+		r.reads.read = func(context.Context) (recordAtEra, error) {
 			reads++
-			return c.record, 0, nil
+			return recordAtEra{Record: c.record}, nil
 		}
 		for range 10 {
 			if _, _, err := r.sole(t.Context(), "host", "/x"); err != nil {
--- a/internal/process/entry/streamorigins.go
+++ b/internal/process/entry/streamorigins.go
@@ -178,14 +178,39 @@
 	return nil
 }
 
+const (
+	// originWaitShare is the share of the time left that a caller waits for the platform to say where the stream began.
+	// The rest is for a place, the rest of the stream, or another attempt.
+	originWaitShare = 1.0 / 6
+	// originWaitInOutage is how long a caller waits while the platform can't be read.
+	originWaitInOutage = 150 * time.Millisecond
+)
+
+// originWait returns how long the request may wait for the platform to say where its stream began.
+func (q *request) originWait(now time.Time) time.Duration {
+	if q.e.state.platformUnreadable() {
+		return originWaitInOutage
+	}
+	left, limited := q.timeLeft(now)
+	if !limited {
+		return sharedReadTimeout
+	}
+	return time.Duration(originWaitShare * float64(left))
+}
+
 // originByPlatform sets the origin of a stream of which no instance has a row by what the platform has: a stored row, or
 // the only possible origin. A row goes first, as the record only says what isn't known to have been. It leaves the origin
 // empty if nothing is known, and returns an error if the platform couldn't be read: the caller may then come back.
 func (q *request) originByPlatform(ctx context.Context, key streams.Key) *errkind.Error {
-	sole, err := q.soleByRecord(ctx)
+	began := time.Now()
+	waitCtx, cancel := context.WithTimeout(ctx, q.originWait(began))
+	defer cancel()
+	rows := q.e.streamStore.readFor(key) // beside the read of the record
+	sole, err := q.soleByRecord(waitCtx)
 	if err == nil {
-		q.resumption.basis, q.resumption.origin, err = q.storedOrSole(ctx, key, sole)
+		q.resumption.basis, q.resumption.origin, err = storedOrSole(waitCtx, rows, key, sole)
 	}
+	q.resumption.platformWait = time.Since(began)
 	switch {
 	case ctx.Err() != nil:
 		return q.contextError(ctx)
@@ -207,8 +232,8 @@
 }
 
 // storedOrSole returns the origin of the stream by a stored row or, if there is none, the only possible one.
-func (q *request) storedOrSole(ctx context.Context, key streams.Key, sole streams.Origin) (streams.Basis, streams.Origin, error) {
-	stored, found, err := q.e.storedOrigin(ctx, key)
+func storedOrSole(ctx context.Context, rows *sharedRead[[]streams.StoredRows], key streams.Key, sole streams.Origin) (streams.Basis, streams.Origin, error) {
+	stored, found, err := findStored(ctx, rows, key)
 	switch {
 	case err != nil:
 		return streams.NoOpinion, streams.Origin{}, err
@@ -224,14 +249,15 @@
 type resumption struct {
 	origin          streams.Origin
 	basis           streams.Basis
-	asked, answered int   // other instances
-	err             error // of reading the record of versions
+	asked, answered int           // other instances
+	platformWait    time.Duration // for what the platform has; 0: it wasn't asked
+	err             error         // of reading the record of versions, or the stored rows
 }
 
 // fields returns the log fields of a resumption of the attempt with the given id.
 func (r *resumption) fields(resumes string) []any {
 	fields := []any{"resumes", resumes, "began_service", r.origin.Service, "began_software", r.origin.Software,
-		"known_by", r.basis.String(), "asked", r.asked, "answered", r.answered}
+		"known_by", r.basis.String(), "asked", r.asked, "answered", r.answered, "platform_ms", r.platformWait.Milliseconds()}
 	if r.err != nil {
 		fields = append(fields, "record_error", r.err)
 	}
--- a/internal/process/entry/streamstore.go
+++ b/internal/process/entry/streamstore.go
@@ -30,21 +30,19 @@
 	// rowWriteShare is the share of the writes that the platform's store accepts which rows may take, in all
 	// availability zones together.
 	rowWriteShare = 0.05
-	// storedReadTimeout limits a read of the stored rows. A request waits for it.
-	storedReadTimeout = 150 * time.Millisecond
-	// storedReadInterval is the minimum time between two such reads. Requests between them share a result.
-	storedReadInterval = 2 * time.Second
+	// storedReadInterval is the minimum time between two reads of the stored rows. Requests between them share the next one.
+	storedReadInterval = 250 * time.Millisecond
 )
 
 // streamStore hands the durable rows of this instance over to the instance that writes those of the availability zone to
 // the platform's store. If that is this one, it writes them. It also reads the stored rows of all zones.
 type streamStore struct {
-	e    *Entry
-	wake chan struct{} // signals that there may be something to do
+	e     *Entry
+	wake  chan struct{}                      // signals that there may be something to do
+	reads *sharedReads[[]streams.StoredRows] // of the rows of all availability zones
 
 	mu          sync.Mutex
 	rows        *streams.DurableRows // of the zone, as far as this instance is to write them
-	read        *storedRead          // the last one; nil: none yet
 	readFailing bool                 // the last read failed
 	changed     chan struct{}        // closed, and replaced, when rows were written
 
@@ -54,16 +52,10 @@
 	failing bool       // the last write failed
 }
 
-// storedRead is one read of the stored rows of all availability zones.
-type storedRead struct {
-	startedAt time.Time
-	done      chan struct{} // closed at its end; the following are valid then
-	objects   []streams.StoredRows
-	err       error
-}
-
 func newStreamStore(e *Entry) *streamStore {
-	return &streamStore{e: e, wake: make(chan struct{}, 1), rows: streams.NewDurableRows(), changed: make(chan struct{})}
+	s := &streamStore{e: e, wake: make(chan struct{}, 1), rows: streams.NewDurableRows(), changed: make(chan struct{})}
+	s.reads = newSharedReads(storedReadInterval, s.list)
+	return s
 }
 
 // wakeUp has run check whether there is something to do.
@@ -321,50 +313,32 @@
 // storedOrigin looks a stream up in the rows that the platform's store keeps for all availability zones. found is false
 // if they have no row. The origin is empty if they contradict one another.
 func (e *Entry) storedOrigin(ctx context.Context, key streams.Key) (origin streams.Origin, found bool, err error) {
-	if key == 0 {
-		return streams.Origin{}, false, nil
-	}
-	read := e.streamStore.currentRead(time.Now())
-	select {
-	case <-read.done:
-	case <-ctx.Done():
-		return streams.Origin{}, false, ctx.Err()
-	}
-	if read.err != nil {
-		return streams.Origin{}, false, read.err
-	}
-	origin, found = streams.FindStored(time.Now(), read.objects, key)
-	return origin, found, nil
+	return findStored(ctx, e.streamStore.readFor(key), key)
 }
 
-// currentRead returns the read that runs, or the last one if that began less than storedReadInterval ago. Otherwise it
-// starts one.
-func (s *streamStore) currentRead(now time.Time) *storedRead {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.read != nil && (!s.read.ended() || now.Sub(s.read.startedAt) < storedReadInterval) {
-		return s.read
+// readFor returns a read of the stored rows that begins from now on, or nil without a key.
+func (s *streamStore) readFor(key streams.Key) *sharedRead[[]streams.StoredRows] {
+	if key == 0 {
+		return nil
 	}
-	read := &storedRead{startedAt: now, done: make(chan struct{})}
-	s.read = read
-	s.e.spawn(func() { s.list(read) })
-	return read
+	return s.reads.join()
 }
 
-func (r *storedRead) ended() bool {
-	select {
-	case <-r.done:
-		return true
-	default:
-		return false
+// findStored looks a stream up in the rows that a read returns, as storedOrigin does. read is nil without a key.
+func findStored(ctx context.Context, read *sharedRead[[]streams.StoredRows], key streams.Key) (origin streams.Origin, found bool, err error) {
+	if read == nil {
+		return streams.Origin{}, false, nil
 	}
+	objects, err := read.await(ctx)
+	if err != nil {
+		return streams.Origin{}, false, err
+	}
+	origin, found = streams.FindStored(time.Now(), objects, key)
+	return origin, found, nil
 }
 
-// list carries out a read.
-func (s *streamStore) list(read *storedRead) {
-	defer close(read.done)
-	ctx, cancel := context.WithTimeout(s.e.workCtx, storedReadTimeout)
-	defer cancel()
+// list reads the stored rows of all availability zones.
+func (s *streamStore) list(ctx context.Context) (rows []streams.StoredRows, err error) {
 	objects, _, err := s.e.cfg.Records.List(ctx, kindStreamOrigins)
 	for _, o := range objects {
 		stored, err := decodeStoredRows(o)
@@ -372,10 +346,10 @@
 			logline.Info("entry unreadable", "kind", kindStreamOrigins, "name", o.Name, "why", err)
 			continue
 		}
-		read.objects = append(read.objects, stored)
+		rows = append(rows, stored)
 	}
-	read.err = err
 	s.recordRead(err)
+	return rows, err
 }
 
 // recordRead logs the first failure of a read and the first success after that.
--- a/internal/process/entry/streamstore_test.go
+++ b/internal/process/entry/streamstore_test.go
@@ -123,7 +123,7 @@
 	s.SetFault(platform.Fault{Hang: true})
 	start := time.Now()
 	_, found, err := e.storedOrigin(context.Background(), 1)
-	if took := time.Since(start); found || err == nil || took > storedReadTimeout+10*time.Second {
+	if took := time.Since(start); found || err == nil || took > sharedReadTimeout+10*time.Second {
 		t.Errorf("found %v, error %v, after %v", found, err, took)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
