A process that starts waits for a port in use

Cause: the first failed bind of the ports for callers, readiness and metrics ended the process. The port for other instances was tried again already.

Fix: a port in use is tried again for ten seconds, with growing pauses and a line each. Other errors end the process at once as before, and a stop ends the wait.

--- a/internal/process/entry/entry.go
+++ b/internal/process/entry/entry.go
@@ -241,7 +241,10 @@
 	workCtx := e.workCtx
 	defer e.cancelWork()
 	var ports listeners
-	if err := ports.open(s.Listen); err != nil {
+	if err := ports.openWhenFree(ctx, s.Listen); err != nil {
+		if ctx.Err() != nil {
+			return nil // stopped before it served anybody
+		}
 		return err
 	}
 	if s.Listen.Peers != "" {
--- a/internal/process/entry/listen.go
+++ b/internal/process/entry/listen.go
@@ -1,12 +1,17 @@
 package entry
 
 import (
+	"context"
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"github.com/ragworttrestle/ragworttrestle/internal/connection/caller"
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/daemon"
+	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 )
 
@@ -18,6 +23,25 @@
 	operators net.Listener
 }
 
+// portWait is how long a process that starts waits for a port in use. An earlier process may hold it for a moment, or a
+// connection of another program, if the port is one of those that the kernel chooses from.
+const portWait = 10 * time.Second
+
+// openWhenFree does the same as open, but waits for ports in use, for portWait at most. It also returns an error if ctx ends.
+func (l *listeners) openWhenFree(ctx context.Context, s settings.EntryListen) error {
+	start := time.Now()
+	for pause := minRetryPause; ; pause = min(retryPauseGrowth*pause, maxRetryPause) {
+		err := l.open(s)
+		if !errors.Is(err, unix.EADDRINUSE) || time.Since(start) >= portWait {
+			return err
+		}
+		logline.Error(err, "port in use", "waited_ms", time.Since(start).Milliseconds(), "then", "this instance tries again")
+		if platform.Sleep(ctx, addJitter(pause)) != nil {
+			return err
+		}
+	}
+}
+
 // open opens all ports that have an address, or none. An error names the setting and its address.
 func (l *listeners) open(s settings.EntryListen) error {
 	if s.Callers != "" {
