A take-up repeats a read that the store refuses once

What callers saw: a stream that they take up after a loss of all instances is refused, though the store refused one read only, as it does beyond its rates, and answered the next one.

Fix: a failed read is repeated once after 0.1 to 0.2 s, within the time that the request may wait, unless the platform is known to be unreadable.

--- a/internal/process/entry/streamorigins.go
+++ b/internal/process/entry/streamorigins.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/origins"
@@ -205,10 +206,9 @@
 	began := time.Now()
 	waitCtx, cancel := context.WithTimeout(ctx, q.originWait(began))
 	defer cancel()
-	rows := q.e.streamStore.readFor(key) // beside the read of the record
-	sole, err := q.soleByRecord(waitCtx)
-	if err == nil {
-		q.resumption.basis, q.resumption.origin, err = storedOrSole(waitCtx, rows, key, sole)
+	err := q.readOrigin(waitCtx, key)
+	if err != nil && !q.e.state.platformUnreadable() && platform.Sleep(waitCtx, addJitter(minRetryPause)) == nil {
+		err = q.readOrigin(waitCtx, key) // the platform may refuse a single call
 	}
 	q.resumption.platformWait = time.Since(began)
 	switch {
@@ -221,6 +221,17 @@
 	return nil
 }
 
+// readOrigin reads from the platform what originByPlatform sets.
+func (q *request) readOrigin(ctx context.Context, key streams.Key) error {
+	rows := q.e.streamStore.readFor(key) // beside the read of the record
+	sole, err := q.soleByRecord(ctx)
+	if err != nil {
+		return err
+	}
+	q.resumption.basis, q.resumption.origin, err = storedOrSole(ctx, rows, key, sole)
+	return err
+}
+
 // soleByRecord returns the only possible origin of the stream by the platform's record; without a version: there are
 // several.
 func (q *request) soleByRecord(ctx context.Context) (streams.Origin, error) {
