Reads of very many stored rows are paced by their bytes

An instance now reads 200 KB a second at most, as it did with one read in two seconds; a small list is still read four times a second. TestReadsOfManyRowsArePaced.

--- a/internal/process/entry/sharedread.go
+++ b/internal/process/entry/sharedread.go
@@ -18,9 +18,9 @@
 // use.
 type sharedReads[T any] struct {
 	read func(ctx context.Context) (T, error)
-	gap  time.Duration // minimum time between the beginnings of two reads
 
 	mu      sync.Mutex
+	gap     time.Duration  // minimum time between the beginnings of two reads
 	next    *sharedRead[T] // hasn't begun; nil: none is wanted
 	begunAt time.Time      // when the last read began
 	running int            // reads that have begun and not ended
@@ -49,6 +49,13 @@
 	return s.next
 }
 
+// setGap sets the minimum time between the beginnings of two reads.
+func (s *sharedReads[T]) setGap(gap time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gap = gap
+}
+
 // begin makes a read when it is due.
 func (s *sharedReads[T]) begin(r *sharedRead[T]) {
 	for !s.take(time.Now()) {
--- a/internal/process/entry/streamstore.go
+++ b/internal/process/entry/streamstore.go
@@ -32,6 +32,9 @@
 	rowWriteShare = 0.05
 	// storedReadInterval is the minimum time between two reads of the stored rows. Requests between them share the next one.
 	storedReadInterval = 250 * time.Millisecond
+	// maxReadBytesPerSecond limits what the reads of one instance amount to, as each reads the rows of all zones, and all
+	// instances may do so after a loss of all.
+	maxReadBytesPerSecond = 200_000
 )
 
 // streamStore hands the durable rows of this instance over to the instance that writes those of the availability zone to
@@ -340,7 +343,9 @@
 // list reads the stored rows of all availability zones.
 func (s *streamStore) list(ctx context.Context) (rows []streams.StoredRows, err error) {
 	objects, _, err := s.e.cfg.Records.List(ctx, kindStreamOrigins)
+	bytes := 0
 	for _, o := range objects {
+		bytes += len(o.Spec)
 		stored, err := decodeStoredRows(o)
 		if err != nil {
 			logline.Info("entry unreadable", "kind", kindStreamOrigins, "name", o.Name, "why", err)
@@ -349,6 +354,7 @@
 		rows = append(rows, stored)
 	}
 	s.recordRead(err)
+	s.reads.setGap(max(storedReadInterval, time.Duration(bytes)*time.Second/maxReadBytesPerSecond))
 	return rows, err
 }
 
--- a/internal/process/entry/streamstore_test.go
+++ b/internal/process/entry/streamstore_test.go
@@ -116,6 +116,33 @@
 	}
 }
 
+// TestReadsOfManyRowsArePaced guards against instances that read megabytes a second from the store when it has the rows of
+// very many streams and callers take them up one after the other.
+func TestReadsOfManyRowsArePaced(t *testing.T) {
+	s := platform.New(platform.Config{})
+	e := newStreamStoreEntry("i-1", "z1", s)
+	now, rows := time.Now(), []streams.Row(nil)
+	for key := range streams.Key(5000) {
+		rows = append(rows, streams.Row{Key: 1 + key, Origin: originV1, Expires: now.Add(time.Minute)})
+	}
+	e.streamStore.keep(rows, nil)
+	e.streamStore.write(context.Background())
+	o, err := s.Get(context.Background(), kindStreamOrigins, "z1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, start := s.Stats().Reads, time.Now()
+	for time.Since(start) < 1500*time.Millisecond {
+		if _, found, err := e.storedOrigin(context.Background(), 7); !found || err != nil {
+			t.Fatalf("found %v, error %v", found, err)
+		}
+	}
+	reads, seconds := s.Stats().Reads-before, time.Since(start).Seconds()
+	if most := 1 + seconds*maxReadBytesPerSecond/float64(len(o.Spec)); reads < 2 || float64(reads) > most {
+		t.Errorf("%d reads of %d bytes in %.1f s, at most %.1f may be", reads, len(o.Spec), seconds, most)
+	}
+}
+
 // TestSilentStoreDoesNotHoldRequests checks that a request doesn't wait for a store that never answers.
 func TestSilentStoreDoesNotHoldRequests(t *testing.T) {
 	s := platform.New(platform.Config{})
