--- a/internal/process/fleet/fleet.go
+++ b/internal/process/fleet/fleet.go
@@ -34,7 +34,7 @@
 	era             uint64    // of the last list; changes when the platform is restored from an older copy
 	witness         outageWitness
 	listLost        bool      // the list can't be read
-	platformLost    bool      // the platform has an outage in which entries may lapse
+	outage          bool      // the platform has an outage in which entries may lapse
 	restoredAt      time.Time // when it answered again after an outage; zero: there was no outage
 	unconfirmed     bool      // this process did not run for a while, and the list may lack changes of that time
 	confirmedAt     time.Time // when the list was confirmed after that; zero: it never had to be
@@ -77,13 +77,13 @@
 func (c *Core) Version() uint64 { return c.version }
 
 // PlatformLost records an outage of the platform in which entries may lapse.
-func (c *Core) PlatformLost() { c.platformLost = true }
+func (c *Core) PlatformLost() { c.outage = true }
 
 // InOutage reports whether the platform has an outage in which entries may lapse.
-func (c *Core) InOutage() bool { return c.platformLost }
+func (c *Core) InOutage() bool { return c.outage }
 
 // IsPlatformLost reports whether the platform can't be read.
-func (c *Core) IsPlatformLost() bool { return c.platformLost || c.listLost }
+func (c *Core) IsPlatformLost() bool { return c.outage || c.listLost }
 
 // Resumed records that this process runs again after a time in which it did not run. Until Confirmed is
 // called, the list may lack the changes of that time.
@@ -109,10 +109,10 @@
 // PlatformRestored records that the platform answers again after an outage. It returns false if there was
 // none.
 func (c *Core) PlatformRestored(now time.Time) bool {
-	if !c.platformLost {
+	if !c.outage {
 		return false
 	}
-	c.platformLost, c.restoredAt, c.connectedSince = false, now, now
+	c.outage, c.restoredAt, c.connectedSince = false, now, now
 	for _, e := range c.entries {
 		if e.missing {
 			e.expiresAt = now.Add(RestoreGrace)
@@ -275,7 +275,7 @@
 	}
 	if c.mayHaveLapsed(now) && !e.Leaving {
 		e.missing, e.expiresAt = true, c.graceEnd(now)
-		e.afterStall = !c.platformLost && !withinGrace(now, c.restoredAt)
+		e.afterStall = !c.outage && !withinGrace(now, c.restoredAt)
 		c.missingCount++
 		c.version++
 		return
@@ -286,11 +286,11 @@
 // mayHaveLapsed reports whether an entry may have lapsed only because of an outage. There may have been
 // an outage while this process did not run, which no call of this process noticed.
 func (c *Core) mayHaveLapsed(now time.Time) bool {
-	return c.platformLost || c.unconfirmed || withinGrace(now, c.restoredAt) || withinGrace(now, c.confirmedAt)
+	return c.outage || c.unconfirmed || withinGrace(now, c.restoredAt) || withinGrace(now, c.confirmedAt)
 }
 
 // unreliable reports whether the platform can't be read, or was not read since this process resumed.
-func (c *Core) unreliable() bool { return c.platformLost || c.listLost || c.unconfirmed }
+func (c *Core) unreliable() bool { return c.outage || c.listLost || c.unconfirmed }
 
 // withinGrace reports whether less than RestoreGrace has passed since a time; the zero time: never.
 func withinGrace(now, since time.Time) bool {
@@ -300,7 +300,7 @@
 // graceEnd returns when an entry that goes missing now is to be removed.
 func (c *Core) graceEnd(now time.Time) time.Time {
 	switch {
-	case c.platformLost || c.unconfirmed:
+	case c.outage || c.unconfirmed:
 		return now.Add(RestoreGrace)
 	case c.confirmedAt.After(c.restoredAt):
 		return c.confirmedAt.Add(RestoreGrace)
