--- a/internal/process/entry/execute.go
+++ b/internal/process/entry/execute.go
@@ -220,7 +220,7 @@
 		kind := errkind.Overloaded
 		switch {
 		case d.Refused == peers.SoftwareGone, query.Continues() && !q.e.state.hasSoftware(query.Service, query.Software):
-			return nil, errSoftwareGone(q.runState)
+			return nil, errkind.New(errkind.CannotContinue, q.runState, string(peers.SoftwareGone))
 		case d.Refused == place.NoUpstream:
 			kind = errkind.NoUpstream
 		}
--- a/internal/process/entry/streamorigins.go
+++ b/internal/process/entry/streamorigins.go
@@ -11,7 +11,6 @@
 	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/logline"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/origins"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/peers"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
 	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
@@ -205,13 +204,6 @@
 // empty if nothing is known, and returns an error if the platform couldn't be read: the caller may then come back.
 func (q *request) originByPlatform(ctx context.Context, key streams.Key) *errkind.Error {
 	began := time.Now()
-	if origin, found := q.e.streamStore.forRefusal(began, key); found && !q.e.mayContinue(origin) {
-		q.resumption.basis, q.resumption.origin = streams.ByStoredRow, origin
-		if origin.Software == "" {
-			return nil // it isn't known where the stream began
-		}
-		return errSoftwareGone(q.runState)
-	}
 	waitCtx, cancel := context.WithTimeout(ctx, q.originWait(began))
 	defer cancel()
 	err := q.readOrigin(waitCtx, key)
@@ -229,16 +221,6 @@
 	return nil
 }
 
-// mayContinue reports whether a stream of an origin may be continued at an upstream that this instance knows.
-func (e *Entry) mayContinue(origin streams.Origin) bool {
-	return origin.Software != "" && e.state.hasSoftware(origin.Service, origin.Software)
-}
-
-// errSoftwareGone returns the error of a stream that no upstream may continue.
-func errSoftwareGone(run errkind.RunState) *errkind.Error {
-	return errkind.New(errkind.CannotContinue, run, string(peers.SoftwareGone))
-}
-
 // readOrigin reads from the platform what originByPlatform sets.
 func (q *request) readOrigin(ctx context.Context, key streams.Key) error {
 	rows := q.e.streamStore.readFor(key) // beside the read of the record
--- a/internal/process/entry/streamstore.go
+++ b/internal/process/entry/streamstore.go
@@ -35,9 +35,6 @@
 	// maxReadBytesPerSecond limits what the reads of one instance amount to, as each reads the rows of all zones, and all
 	// instances may do so after a loss of all.
 	maxReadBytesPerSecond = 200_000
-	// refusalLife is how long the rows of a read serve for refusals, which don't need the newest ones. Callers who are refused
-	// often come back, and their further attempts then cost no read.
-	refusalLife = 2 * time.Second
 )
 
 // streamStore hands the durable rows of this instance over to the instance that writes those of the availability zone to
@@ -49,8 +46,6 @@
 
 	mu          sync.Mutex
 	rows        *streams.DurableRows // of the zone, as far as this instance is to write them
-	last        []streams.StoredRows // of all zones, by the last read that succeeded
-	lastBegunAt time.Time            // when that read began; zero: there was none
 	readFailing bool                 // the last read failed
 	changed     chan struct{}        // closed, and replaced, when rows were written
 
@@ -332,17 +327,6 @@
 	return s.reads.join()
 }
 
-// forRefusal looks a stream up in the rows of the last read, unless that is too old. The origin may be out of date, so that
-// no stream may be continued by it.
-func (s *streamStore) forRefusal(now time.Time, key streams.Key) (origin streams.Origin, found bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.lastBegunAt.IsZero() || now.Sub(s.lastBegunAt) >= refusalLife {
-		return streams.Origin{}, false
-	}
-	return streams.FindStored(now, s.last, key)
-}
-
 // findStored looks a stream up in the rows that a read returns, as storedOrigin does. read is nil without a key.
 func findStored(ctx context.Context, read *sharedRead[[]streams.StoredRows], key streams.Key) (origin streams.Origin, found bool, err error) {
 	if read == nil {
@@ -358,7 +342,6 @@
 
 // list reads the stored rows of all availability zones.
 func (s *streamStore) list(ctx context.Context) (rows []streams.StoredRows, err error) {
-	begunAt := time.Now()
 	objects, _, err := s.e.cfg.Records.List(ctx, kindStreamOrigins)
 	bytes := 0
 	for _, o := range objects {
@@ -370,18 +353,15 @@
 		}
 		rows = append(rows, stored)
 	}
-	s.recordRead(begunAt, rows, err)
+	s.recordRead(err)
 	s.reads.setGap(max(storedReadInterval, time.Duration(bytes)*time.Second/maxReadBytesPerSecond))
 	return rows, err
 }
 
-// recordRead records the result of a read. It logs the first failure and the first success after that.
-func (s *streamStore) recordRead(begunAt time.Time, rows []streams.StoredRows, err error) {
+// recordRead logs the first failure of a read and the first success after that.
+func (s *streamStore) recordRead(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if err == nil && begunAt.After(s.lastBegunAt) {
-		s.last, s.lastBegunAt = rows, begunAt
-	}
 	if failing := err != nil; failing != s.readFailing {
 		s.readFailing = failing
 		logline.Info("origins of streams read", "ok", !failing, "error", err)
--- a/internal/process/entry/streamstore_test.go
+++ b/internal/process/entry/streamstore_test.go
@@ -3,19 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
-	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
 
 	store "github.com/ragworttrestle/ragworttrestle/internal/connection/platform"
-	"github.com/ragworttrestle/ragworttrestle/internal/errkind"
-	"github.com/ragworttrestle/ragworttrestle/internal/process/fleet"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/settings"
 	"github.com/ragworttrestle/ragworttrestle/internal/process/streams"
 	"github.com/ragworttrestle/ragworttrestle/internal/standin/platform"
-	"github.com/ragworttrestle/ragworttrestle/internal/version/routing"
 )
 
 // newStreamStoreEntry returns an entry process of a zone that exchanges no messages with others.
@@ -148,41 +143,6 @@
 	}
 }
 
-// TestRefusalNeedsNoNewRead guards against a read for each further attempt at a stream that can't go on, as no upstream has
-// its version any more, and against streams that go on by rows that were read before their callers came.
-func TestRefusalNeedsNoNewRead(t *testing.T) {
-	s := platform.New(platform.Config{})
-	e := newStreamStoreEntry("i-1", "z1", s)
-	e.updateFleet(func(now time.Time, f *fleet.Core) {
-		f.Put(now, fleet.Upstream{ID: "a", Service: "llm", Software: "v2", Address: "a:1"})
-		e.state.listed = true
-	})
-	keepRow(e, 1, originV1)
-	keepRow(e, 2, originV2)
-	keepRow(e, 3, streams.Origin{})
-	resume := func(key streams.Key) (r *resumption, err *errkind.Error, reads uint64) {
-		before := s.Stats().Reads
-		q := &request{e: e, route: &routing.Route{}, r: httptest.NewRequest(http.MethodGet, "/x", nil), resumption: &resumption{}, runState: errkind.NotRun}
-		err = q.originByPlatform(t.Context(), key)
-		return q.resumption, err, s.Stats().Reads - before
-	}
-	resume(1) // reads the rows
-	for _, c := range []struct {
-		key  streams.Key
-		want streams.Origin
-		read bool
-	}{{1, originV1, false}, {3, streams.Origin{}, false}, {2, originV2, true}, {4, streams.Origin{}, true}} {
-		r, err, reads := resume(c.key)
-		if (reads > 0) != c.read || r.origin != c.want || (err != nil) != (c.want == originV1) {
-			t.Errorf("stream %d: %d reads, origin %v, error %v", c.key, reads, r.origin, err)
-		}
-	}
-	time.Sleep(refusalLife)
-	if _, _, reads := resume(1); reads == 0 {
-		t.Error("rows that are too old serve for a refusal")
-	}
-}
-
 // TestSilentStoreDoesNotHoldRequests checks that a request doesn't wait for a store that never answers.
 func TestSilentStoreDoesNotHoldRequests(t *testing.T) {
 	s := platform.New(platform.Config{})
