New rows of streams don't wait for all older ones to be written

Cause: each write of the rows of an availability zone carries those of all streams, and is paced by its bytes, 20 KB a second.

Fix: new rows go to an object of their own, which is small (streams.ZoneRows). At most once in three seconds all rows are written to the other one, in place of a write of the new ones. Writers merge an object before they write it, as before; a stream's origin is what both objects say together, so that contradictions stay unknown whichever is written first.

--- a/internal/process/entry/streamstore.go
+++ b/internal/process/entry/streamstore.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// kindStreamOrigins is the kind of the objects with the durable rows, one object per availability zone.
+	// kindStreamOrigins is the kind of the objects with the durable rows, two objects per availability zone: see
+	// streams.ZoneRows.
 	kindStreamOrigins = "StreamOrigins"
+	// recentSuffix follows the name of the availability zone in the name of the object with recent rows.
+	recentSuffix = ".recent"
 	// handOverInterval is the minimum time between two times that rows are handed over. Others that come meanwhile share the
 	// message; the rows of engines that answer after some ten milliseconds should be stored by then.
 	handOverInterval = 20 * time.Millisecond
@@ -45,18 +48,23 @@
 	reads *sharedReads[[]streams.StoredRows] // of the rows of all availability zones
 
 	mu          sync.Mutex
-	rows        *streams.DurableRows // of the zone, as far as this instance is to write them
-	readFailing bool                 // the last read failed
-	changed     chan struct{}        // closed, and replaced, when rows were written
-
-	writing sync.Mutex // held during a write; guards the following
-	merged  bool       // rows has what the store had at version
-	version uint64     // of the zone's object; 0: there is none
-	failing bool       // the last write failed
+	rows        *streams.ZoneRows // of the zone, as far as this instance is to write them
+	readFailing bool              // the last read failed
+	changed     chan struct{}     // closed, and replaced, when rows were written
+
+	writing sync.Mutex                         // held during a write; guards the following
+	objects map[streams.RowsObject]*rowsObject // those that were read
+	failing bool                               // the last write failed
+}
+
+// rowsObject is what is known of an object in the store.
+type rowsObject struct {
+	merged  bool   // rows has what the object had at version
+	version uint64 // 0: there is no such object
 }
 
 func newStreamStore(e *Entry) *streamStore {
-	s := &streamStore{e: e, wake: make(chan struct{}, 1), rows: streams.NewDurableRows(), changed: make(chan struct{})}
+	s := &streamStore{e: e, wake: make(chan struct{}, 1), rows: streams.NewZoneRows(), changed: make(chan struct{}), objects: make(map[streams.RowsObject]*rowsObject)}
 	s.reads = newSharedReads(storedReadInterval, s.list)
 	return s
 }
@@ -100,14 +108,14 @@
 // nextAt returns when something is due; ok is false if nothing waits.
 func (s *streamStore) nextAt(now time.Time) (at time.Time, ok bool) {
 	s.e.streams.with(func(now time.Time, core *streams.Core) { at, ok = core.NextDurable(now) })
-	kind, writeAt := s.nextWrite(now)
+	_, kind, writeAt := s.nextWrite(now)
 	if kind != streams.NoWrite && (!ok || writeAt.Before(at)) {
 		return writeAt, true
 	}
 	return at, ok
 }
 
-func (s *streamStore) nextWrite(now time.Time) (streams.WriteKind, time.Time) {
+func (s *streamStore) nextWrite(now time.Time) (streams.RowsObject, streams.WriteKind, time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.rows.Next(now)
@@ -177,7 +185,7 @@
 
 // finish writes what is left, as this process stops.
 func (s *streamStore) finish() {
-	if kind, _ := s.nextWrite(time.Now()); kind != streams.WriteRows {
+	if _, kind, _ := s.nextWrite(time.Now()); kind != streams.WriteRows {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
@@ -188,7 +196,7 @@
 // writeDue writes the rows if that is due.
 func (s *streamStore) writeDue(ctx context.Context) {
 	now := time.Now()
-	if kind, at := s.nextWrite(now); kind == streams.NoWrite || at.After(now) {
+	if _, kind, at := s.nextWrite(now); kind == streams.NoWrite || at.After(now) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeRowsTimeout)
@@ -196,18 +204,20 @@
 	s.write(ctx)
 }
 
-// write writes the rows, or deletes the object if it has been without rows for long. If another instance has written
-// meanwhile, it merges those rows first.
+// write writes rows to the object that is due, or deletes it if it has been without rows for long. If another instance has
+// written it meanwhile, it merges those rows first.
 func (s *streamStore) write(ctx context.Context) {
 	s.writing.Lock()
 	defer s.writing.Unlock()
-	s.attempted(0)
+	s.attempted(streams.RecentRows, 0)
 	err := s.mergeAndWrite(ctx)
 	if errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrNotFound) {
-		s.merged = false
+		s.forgetObjects()
 		err = s.mergeAndWrite(ctx)
 	}
-	s.merged = err == nil
+	if err != nil {
+		s.forgetObjects()
+	}
 	if failing := err != nil; failing != s.failing {
 		s.failing = failing
 		logline.Info("origins of streams stored", "ok", !failing, "error", err)
@@ -215,87 +225,116 @@
 }
 
 // attempted records an attempt to write an object with a number of bytes.
-func (s *streamStore) attempted(bytes int) {
+func (s *streamStore) attempted(object streams.RowsObject, bytes int) {
 	interval := s.writeInterval()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rows.SetMinInterval(interval)
-	s.rows.Attempted(time.Now(), bytes)
+	s.rows.Attempted(time.Now(), object, bytes)
 }
 
-// mergeAndWrite merges the stored rows, unless that was done, and writes what is to be written then. Callers hold writing.
+// forgetObjects has the objects that were read merged again: the store may have other ones. Callers hold writing.
+func (s *streamStore) forgetObjects() {
+	for _, o := range s.objects {
+		o.merged = false
+	}
+}
+
+// mergeAndWrite writes the object that is due, after merging what may be new in the store. Callers hold writing.
 func (s *streamStore) mergeAndWrite(ctx context.Context) error {
-	if !s.merged {
-		if err := s.merge(ctx); err != nil {
-			return err
+	for _, object := range streams.RowsObjects {
+		if o := s.objects[object]; o != nil && !o.merged {
+			if err := s.merge(ctx, object); err != nil {
+				return err
+			}
 		}
 	}
 	now := time.Now()
-	s.mu.Lock()
-	kind, _ := s.rows.Next(now)
-	rows := s.rows.Rows(now)
-	s.mu.Unlock()
+	object, kind, rows := s.due(now)
+	if s.objects[object] == nil && kind != streams.NoWrite {
+		if err := s.merge(ctx, object); err != nil {
+			return err
+		}
+		now = time.Now()
+		object, kind, rows = s.due(now)
+	}
 	switch {
+	case s.objects[object] == nil: // another one is due now
+		return nil
 	case kind == streams.WriteRows:
-		return s.put(ctx, now, rows)
+		return s.put(ctx, now, object, rows)
 	case kind == streams.DeleteRows && len(rows) == 0:
-		return s.delete(ctx)
+		return s.delete(ctx, object)
 	}
 	return nil
 }
 
-// merge reads and merges the stored rows of the zone. An object that can't be decoded counts as empty.
-func (s *streamStore) merge(ctx context.Context) error {
-	o, err := s.e.cfg.Records.Get(ctx, kindStreamOrigins, s.objectName())
+// due returns what is to be written next.
+func (s *streamStore) due(now time.Time) (streams.RowsObject, streams.WriteKind, []streams.Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	object, kind, _ := s.rows.Next(now)
+	return object, kind, s.rows.Rows(now, object)
+}
+
+// merge reads and merges an object. One that can't be decoded counts as empty. Callers hold writing.
+func (s *streamStore) merge(ctx context.Context, object streams.RowsObject) error {
+	o, err := s.e.cfg.Records.Get(ctx, kindStreamOrigins, s.objectName(object))
 	if err != nil && !errors.Is(err, platform.ErrNotFound) && o.Version == 0 {
 		return err
 	}
 	stored, _ := decodeStoredRows(o)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rows.MergeStored(time.Now(), stored.Rows(), o.Version != 0)
-	s.merged, s.version = true, o.Version
+	s.rows.MergeStored(time.Now(), object, stored.Rows(), o.Version != 0)
+	s.objects[object] = &rowsObject{merged: true, version: o.Version}
 	return nil
 }
 
-// put writes rows. Callers hold writing.
-func (s *streamStore) put(ctx context.Context, now time.Time, rows []streams.Row) error {
-	o, err := resource.Encode(kindStreamOrigins, s.objectName(), streams.EncodeRows(now, rows))
+// put writes rows to an object. Callers hold writing.
+func (s *streamStore) put(ctx context.Context, now time.Time, object streams.RowsObject, rows []streams.Row) error {
+	o, err := resource.Encode(kindStreamOrigins, s.objectName(object), streams.EncodeRows(now, rows))
 	if err != nil {
 		return err
 	}
-	o.Version, o.Writer = s.version, s.e.cfg.Settings.Instance.Name
-	s.attempted(len(o.Spec))
+	o.Version, o.Writer = s.objects[object].version, s.e.cfg.Settings.Instance.Name
+	s.attempted(object, len(o.Spec))
 	stored, err := platform.Write(ctx, s.e.cfg.Records, o)
 	if err != nil {
 		return err
 	}
-	s.written(stored.Version, rows)
+	s.written(object, stored.Version, rows)
 	return nil
 }
 
-// delete deletes the object. Callers hold writing.
-func (s *streamStore) delete(ctx context.Context) error {
-	err := platform.ResolveDelete(ctx, s.e.cfg.Records, kindStreamOrigins, s.objectName(), s.version, s.e.cfg.Settings.Instance.Name)
+// delete deletes an object. Callers hold writing.
+func (s *streamStore) delete(ctx context.Context, object streams.RowsObject) error {
+	err := platform.ResolveDelete(ctx, s.e.cfg.Records, kindStreamOrigins, s.objectName(object), s.objects[object].version, s.e.cfg.Settings.Instance.Name)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) {
 		return err
 	}
-	s.written(0, nil)
+	s.written(object, 0, nil)
 	return nil
 }
 
-// written records what the store has now, at a version. Callers hold writing.
-func (s *streamStore) written(version uint64, rows []streams.Row) {
+// written records what the store has now in an object, at a version. Callers hold writing.
+func (s *streamStore) written(object streams.RowsObject, version uint64, rows []streams.Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.version = version
-	s.rows.Written(rows, version != 0)
+	s.objects[object].version = version
+	s.rows.Written(object, rows, version != 0)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-// objectName returns the name of the object with the rows of the availability zone.
-func (s *streamStore) objectName() string { return cmp.Or(s.e.cfg.Settings.Instance.Zone, "none") }
+// objectName returns the name of an object with rows of the availability zone.
+func (s *streamStore) objectName(object streams.RowsObject) string {
+	name := cmp.Or(s.e.cfg.Settings.Instance.Zone, "none")
+	if object == streams.RecentRows {
+		name += recentSuffix
+	}
+	return name
+}
 
 // decodeStoredRows decodes an object. Without a spec, or with an error, there are no rows.
 func decodeStoredRows(o platform.Object) (streams.StoredRows, error) {
--- a/internal/process/entry/streamstore_test.go
+++ b/internal/process/entry/streamstore_test.go
@@ -127,7 +127,7 @@
 	}
 	e.streamStore.keep(rows, nil)
 	e.streamStore.write(context.Background())
-	o, err := s.Get(context.Background(), kindStreamOrigins, "z1")
+	o, err := s.Get(context.Background(), kindStreamOrigins, e.streamStore.objectName(streams.RecentRows))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/process/streams/durable.go
+++ b/internal/process/streams/durable.go
@@ -14,8 +14,7 @@
 	unusedFor = time.Minute
 )
 
-// DurableRows are the rows that are kept in the platform's store for one availability zone, in one object. It decides
-// when to write and what. It is not safe for concurrent use.
+// DurableRows are rows that are kept in one object of the platform's store. It decides when to write and what. It is not safe for concurrent use.
 type DurableRows struct {
 	rows      map[Key]durableRow
 	lacking   int           // rows that the store doesn't have as they are now
@@ -142,6 +141,13 @@
 	d.interval = max(d.minimum, time.Duration(bytes)*time.Second/maxWriteBytesPerSecond)
 }
 
+// postpone has the next write come no sooner than the minimum interval from now.
+func (d *DurableRows) postpone(now time.Time) {
+	if d.writtenAt.Add(d.interval).Before(now.Add(d.minimum)) {
+		d.writtenAt, d.interval = now, d.minimum
+	}
+}
+
 // Written records that the store has exactly the given rows; exists: in an object, which wasn't deleted.
 func (d *DurableRows) Written(rows []Row, exists bool) {
 	d.stored = exists
