Callers with little time aren't told to come back for a stream that isn't known

What callers saw: of a stream that no instance and no row knows, a caller with half a second left was told to come back, in place of a final refusal, and with one version of software a take-up could wait 0.25 s for a read of rows that can't matter.

Fix: a request waits for 0.15 s at least, as before. If the newest rows take longer than it can wait, a stream that the rows of the last two seconds don't have is refused as unknown; it never goes on by them. If the record, read after the caller came, allows one origin only, such rows are new enough: newer ones can't name another.

--- a/internal/process/entry/streamorigins.go
+++ b/internal/process/entry/streamorigins.go
@@ -183,20 +183,20 @@
 	// originWaitShare is the share of the time left that a caller waits for the platform to say where the stream began.
 	// The rest is for a place, the rest of the stream, or another attempt.
 	originWaitShare = 1.0 / 6
-	// originWaitInOutage is how long a caller waits while the platform can't be read.
-	originWaitInOutage = 150 * time.Millisecond
+	// minOriginWait is how long a caller waits at least, and while the platform can't be read.
+	minOriginWait = 150 * time.Millisecond
 )
 
 // originWait returns how long the request may wait for the platform to say where its stream began.
 func (q *request) originWait(now time.Time) time.Duration {
 	if q.e.state.platformUnreadable() {
-		return originWaitInOutage
+		return minOriginWait
 	}
 	left, limited := q.timeLeft(now)
 	if !limited {
 		return sharedReadTimeout
 	}
-	return time.Duration(originWaitShare * float64(left))
+	return max(time.Duration(originWaitShare*float64(left)), minOriginWait)
 }
 
 // originByPlatform sets the origin of a stream of which no instance has a row by what the platform has: a stored row, or
@@ -223,15 +223,44 @@
 
 // readOrigin reads from the platform what originByPlatform sets.
 func (q *request) readOrigin(ctx context.Context, key streams.Key) error {
-	rows := q.e.streamStore.readFor(key) // beside the read of the record
+	recent, hasRecent := q.e.streamStore.recentRows(time.Now())
+	var read *sharedRead[[]streams.StoredRows]
+	if !hasRecent {
+		read = q.e.streamStore.readFor(key) // beside the read of the record
+	}
 	sole, err := q.soleByRecord(ctx)
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
+	case hasRecent && sole.Software != "": // the newest rows can't name another origin
+		stored, found := streams.FindStored(time.Now(), recent, key)
+		q.setStoredOrSole(stored, found, sole)
+		return nil
+	case read == nil:
+		read = q.e.streamStore.readFor(key)
+	}
+	stored, found, err := findStored(ctx, read, key)
+	if err != nil && ctx.Err() != nil && hasRecent {
+		if _, inRecent := streams.FindStored(time.Now(), recent, key); !inRecent {
+			return nil // it isn't known; the newest rows would have taken longer than the caller can wait
+		}
+	}
+	if err == nil {
+		q.setStoredOrSole(stored, found, sole)
 	}
-	q.resumption.basis, q.resumption.origin, err = storedOrSole(ctx, rows, key, sole)
 	return err
 }
 
+// setStoredOrSole sets the origin of the stream: that of a stored row or, if there is none, the only possible one.
+func (q *request) setStoredOrSole(stored streams.Origin, found bool, sole streams.Origin) {
+	switch {
+	case found:
+		q.resumption.basis, q.resumption.origin = streams.ByStoredRow, stored
+	case sole.Software != "":
+		q.resumption.basis, q.resumption.origin = streams.ByRecord, sole
+	}
+}
+
 // soleByRecord returns the only possible origin of the stream by the platform's record; without a version: there are
 // several.
 func (q *request) soleByRecord(ctx context.Context) (streams.Origin, error) {
@@ -242,20 +271,6 @@
 	return streams.Origin{Service: origin.Service, Software: origin.Software}, nil
 }
 
-// storedOrSole returns the origin of the stream by a stored row or, if there is none, the only possible one.
-func storedOrSole(ctx context.Context, rows *sharedRead[[]streams.StoredRows], key streams.Key, sole streams.Origin) (streams.Basis, streams.Origin, error) {
-	stored, found, err := findStored(ctx, rows, key)
-	switch {
-	case err != nil:
-		return streams.NoOpinion, streams.Origin{}, err
-	case found:
-		return streams.ByStoredRow, stored, nil
-	case sole.Software != "":
-		return streams.ByRecord, sole, nil
-	}
-	return streams.NoOpinion, streams.Origin{}, nil
-}
-
 // resumption is what was found out about the stream that a request resumes.
 type resumption struct {
 	origin          streams.Origin
--- a/internal/process/entry/streamstore.go
+++ b/internal/process/entry/streamstore.go
@@ -38,6 +38,8 @@
 	// maxReadBytesPerSecond limits what the reads of one instance amount to, as each reads the rows of all zones, and all
 	// instances may do so after a loss of all.
 	maxReadBytesPerSecond = 200_000
+	// recentRowsLife is how long the rows of a read serve requests that don't need newer ones.
+	recentRowsLife = 2 * time.Second
 )
 
 // streamStore hands the durable rows of this instance over to the instance that writes those of the availability zone to
@@ -48,9 +50,11 @@
 	reads *sharedReads[[]streams.StoredRows] // of the rows of all availability zones
 
 	mu          sync.Mutex
-	rows        *streams.ZoneRows // of the zone, as far as this instance is to write them
-	readFailing bool              // the last read failed
-	changed     chan struct{}     // closed, and replaced, when rows were written
+	rows        *streams.ZoneRows    // of the zone, as far as this instance is to write them
+	last        []streams.StoredRows // of all zones, by the last read that succeeded
+	lastBegunAt time.Time            // when that read began; zero: there was none
+	readFailing bool                 // the last read failed
+	changed     chan struct{}        // closed, and replaced, when rows were written
 
 	writing sync.Mutex                         // held during a write; guards the following
 	objects map[streams.RowsObject]*rowsObject // those that were read
@@ -366,6 +370,14 @@
 	return s.reads.join()
 }
 
+// recentRows returns the rows of the last read; ok is false if there is none that began within recentRowsLife.
+func (s *streamStore) recentRows(now time.Time) (rows []streams.StoredRows, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ok = !s.lastBegunAt.IsZero() && now.Sub(s.lastBegunAt) < recentRowsLife
+	return s.last, ok
+}
+
 // findStored looks a stream up in the rows that a read returns, as storedOrigin does. read is nil without a key.
 func findStored(ctx context.Context, read *sharedRead[[]streams.StoredRows], key streams.Key) (origin streams.Origin, found bool, err error) {
 	if read == nil {
@@ -381,6 +393,7 @@
 
 // list reads the stored rows of all availability zones.
 func (s *streamStore) list(ctx context.Context) (rows []streams.StoredRows, err error) {
+	begunAt := time.Now()
 	objects, _, err := s.e.cfg.Records.List(ctx, kindStreamOrigins)
 	bytes := 0
 	for _, o := range objects {
@@ -392,15 +405,18 @@
 		}
 		rows = append(rows, stored)
 	}
-	s.recordRead(err)
+	s.recordRead(begunAt, rows, err)
 	s.reads.setGap(max(storedReadInterval, time.Duration(bytes)*time.Second/maxReadBytesPerSecond))
 	return rows, err
 }
 
-// recordRead logs the first failure of a read and the first success after that.
-func (s *streamStore) recordRead(err error) {
+// recordRead records the result of a read. It logs the first failure and the first success after that.
+func (s *streamStore) recordRead(begunAt time.Time, rows []streams.StoredRows, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if err == nil && begunAt.After(s.lastBegunAt) {
+		s.last, s.lastBegunAt = rows, begunAt
+	}
 	if failing := err != nil; failing != s.readFailing {
 		s.readFailing = failing
 		logline.Info("origins of streams read", "ok", !failing, "error", err)
