--- a/internal/process/streams/doc.go
+++ b/internal/process/streams/doc.go
@@ -10,7 +10,7 @@
 //     that passed this event on keeps the row for some time after the wait that the caller declared.
 //   - A holder is one of a few other instances that keep a copy of a row. They are chosen by the row's key (Holders), so
 //     that any instance can compute which to ask.
-//   - A durable row is kept in the platform's store as well (DurableRows), since holders and the instance itself may be
+//   - A durable row is kept in the platform's store as well (ZoneRows), since holders and the instance itself may be
 //     lost at once: that of a stream which began in doubt and has not ended soon. One instance of each availability zone
 //     writes the rows of all instances there.
 //
