--- a/internal/process/streams/zonerows.go
+++ b/internal/process/streams/zonerows.go
@@ -2,8 +2,12 @@
 
 import "time"
 
-// moveInterval is the minimum time between two writes of all rows of an availability zone.
-const moveInterval = 3 * time.Second
+const (
+	// moveInterval is the minimum time between two writes of all rows of an availability zone.
+	moveInterval = 3 * time.Second
+	// minMoved is the least number of recent rows for which all are written. Fewer take hardly longer to be written than one.
+	minMoved = 128
+)
 
 // RowsObject is one of the two objects in the platform's store that hold the rows of an availability zone.
 type RowsObject int
@@ -18,16 +22,17 @@
 var RowsObjects = []RowsObject{AllRows, RecentRows}
 
 // ZoneRows are the rows that are kept in the platform's store for one availability zone. New rows are written to an object
-// of their own, which is small, so that they don't wait for all others to be written with them. From time to time all are
-// written to the other object. A stream's origin is what both say together. It is not safe for concurrent use.
+// of their own, which is small, so that they don't wait for all others to be written with them. From time to time, if there
+// are many, all are written to the other object. A stream's origin is what both say together. It is not safe for concurrent use.
 type ZoneRows struct {
-	all    *DurableRows // all rows; stored: in AllRows
-	recent *DurableRows // those that aren't stored in AllRows
+	all      *DurableRows // all rows; stored: in AllRows
+	recent   *DurableRows // those that aren't stored in AllRows
+	minMoved int          // see the constant
 }
 
 // NewZoneRows returns ZoneRows without rows.
 func NewZoneRows() *ZoneRows {
-	z := &ZoneRows{all: NewDurableRows(), recent: NewDurableRows()}
+	z := &ZoneRows{all: NewDurableRows(), recent: NewDurableRows(), minMoved: minMoved}
 	z.all.SetMinInterval(moveInterval)
 	return z
 }
@@ -73,7 +78,7 @@
 	recentKind, recentAt := z.recent.Next(now)
 	allKind, allAt := z.all.Next(now)
 	switch {
-	case recentKind == WriteRows && allKind == WriteRows && !allAt.After(recentAt):
+	case recentKind == WriteRows && allKind == WriteRows && !allAt.After(recentAt) && len(z.recent.rows) >= z.minMoved:
 		return AllRows, WriteRows, recentAt // in place of the write of the recent ones, which it contains
 	case recentKind == NoWrite && allKind == DeleteRows:
 		return AllRows, DeleteRows, allAt
--- a/internal/process/streams/zonerows_test.go
+++ b/internal/process/streams/zonerows_test.go
@@ -23,6 +23,13 @@
 	return &zoneWriter{rows: NewZoneRows(), version: map[RowsObject]int{AllRows: -1, RecentRows: -1}}
 }
 
+// newMovingWriter returns a zoneWriter that moves few rows, too.
+func newMovingWriter() *zoneWriter {
+	w := newZoneWriter()
+	w.rows.minMoved = 1
+	return w
+}
+
 // write writes the object that is due. It returns which.
 func (w *zoneWriter) write(now time.Time, store map[RowsObject]*zoneObject) (RowsObject, WriteKind) {
 	for range 3 {
@@ -98,7 +105,7 @@
 func TestStoredRowsStayStored(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		store, now := newZoneStore(), start
-		writers := []*zoneWriter{newZoneWriter(), newZoneWriter()}
+		writers := []*zoneWriter{newMovingWriter(), newMovingWriter()}
 		stored, unknown := make(map[Key]bool), make(map[Key]bool)
 		for range rapid.IntRange(1, 60).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
@@ -110,7 +117,7 @@
 			case "other":
 				w.rows.Add(now, Row{Key: key, Origin: other, Expires: now.Add(MaxLife)})
 			case "new writer":
-				*w = *newZoneWriter()
+				*w = *newMovingWriter()
 			case "write":
 				w.write(now, store)
 			}
@@ -134,7 +141,7 @@
 
 // TestUnusedObjectsAreDeleted checks that both objects are deleted when no rows are left.
 func TestUnusedObjectsAreDeleted(t *testing.T) {
-	w, store, now := newZoneWriter(), newZoneStore(), start
+	w, store, now := newMovingWriter(), newZoneStore(), start
 	for i := range 10 {
 		w.rows.Add(now, Row{Key: Key(i + 1), Origin: old, Expires: now.Add(time.Minute)})
 		w.write(now, store)
@@ -155,3 +162,20 @@
 		t.Errorf("%v after the objects were deleted", kind)
 	}
 }
+
+// TestFewRowsAreInOneObject guards against calls on the store for a second object where few streams run.
+func TestFewRowsAreInOneObject(t *testing.T) {
+	w, store, now := newZoneWriter(), newZoneStore(), start
+	for i := range minMoved - 1 {
+		w.rows.Add(now, Row{Key: Key(i + 1), Origin: old, Expires: now.Add(time.Hour)})
+		w.write(now, store)
+		now = now.Add(time.Second)
+	}
+	if store[AllRows].version != 0 {
+		t.Errorf("all rows were written %d times", store[AllRows].version)
+	}
+	w.rows.Add(now, Row{Key: minMoved, Origin: old, Expires: now.Add(time.Hour)})
+	if object, _ := w.write(now, store); object != AllRows {
+		t.Errorf("%d rows weren't moved", minMoved)
+	}
+}
