--- a/internal/process/streams/durable.go
+++ b/internal/process/streams/durable.go
@@ -8,7 +8,7 @@
 	maxDurableRows = 1 << 15
 	// minWriteInterval is the minimum time between two writes of the rows, unless SetMinInterval sets another one.
 	minWriteInterval = time.Second
-	// maxWriteBytesPerSecond limits what the writes of one availability zone amount to, as each writes all rows.
+	// maxWriteBytesPerSecond limits what the writes of one object amount to, as each writes all its rows.
 	maxWriteBytesPerSecond = 20_000
 	// unusedFor is how long an object without rows is kept.
 	unusedFor = time.Minute
